--- /dev/null
+++ b/src/base/link.h
@@ -0,0 +1,92 @@
+/**
+ * DOC: link - authenticated TCP frames between our own processes
+ *
+ * A frame is: length (4, big endian, of what follows), type (2), sealed
+ * body (base/auth.h). A hub listens on one address and opens connections
+ * to peers when something is sent to them. All calls come from the thread
+ * of the hub's event base. Not for packets; for control, request passing
+ * and "show".
+ */
+#ifndef SWIFTARCH_BASE_LINK_H
+#define SWIFTARCH_BASE_LINK_H
+
+#include <event2/event.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "base/addr.h"
+#include "base/auth.h"
+#include "base/error.h"
+
+#define LINK_FRAME_MAX (2u << 20)
+#define LINK_QUEUE_MAX (8u << 20)
+#define LINK_CONNECT_TIMEOUT_MS 500
+
+struct link_handler;
+struct link_conn;
+
+/** struct link_ops - what a hub's owner is told */
+struct link_ops {
+    /**
+     * @on_frame: a frame came. @conn may be answered with link_reply()
+     * until on_frame returns or, when kept, until on_down names it.
+     */
+    void (*on_frame)(struct link_handler *handler, struct link_conn *conn,
+                     uint64_t sender, uint16_t type, const uint8_t *body,
+                     size_t len);
+    /**
+     * @on_down: a connection ended. @peer is its remote address (for one
+     * we opened: as given to link_send()), @reason a negative errno value
+     * (-ECONNREFUSED proves that the process is gone).
+     */
+    void (*on_down)(struct link_handler *handler, struct link_conn *conn,
+                    struct addr peer, int reason);
+};
+
+/** struct link_handler - owner of a hub; the vtable comes first */
+struct link_handler {
+    const struct link_ops *ops;
+};
+
+/** struct link_hub - a listener and the connections of one process */
+struct link_hub {
+    struct event_base *base;
+    struct auth *auth;
+    struct link_handler *handler;
+    struct evconnlistener *listener;
+    struct link_conn *conns;
+    uint64_t sent_bytes;
+    uint64_t received_bytes;
+    uint64_t rejected;
+};
+
+/** link_hub_init() - listen on @listen (port 0: none, a client only) */
+int
+link_hub_init(struct link_hub *hub, struct event_base *base, struct auth *auth,
+              struct link_handler *handler, struct addr listen,
+              struct error *err);
+
+/** link_hub_finish() - close everything; no callback is made */
+void
+link_hub_finish(struct link_hub *hub);
+
+/** link_hub_addr() - address listened on (the port the kernel gave) */
+struct addr
+link_hub_addr(const struct link_hub *hub);
+
+/**
+ * link_send() - send a frame to the process that listens on @to
+ *
+ * Return: 0 (queued) or -ENOBUFS, -EMSGSIZE, -ENOMEM. A failed connection
+ * is told by on_down; what was queued on it is lost.
+ */
+int
+link_send(struct link_hub *hub, struct addr to, uint16_t type,
+          const uint8_t *body, size_t len);
+
+/** link_reply() - send a frame back on @conn */
+int
+link_reply(struct link_hub *hub, struct link_conn *conn, uint16_t type,
+           const uint8_t *body, size_t len);
+
+#endif
--- /dev/null
+++ b/src/packet/gue.h
@@ -0,0 +1,68 @@
+/**
+ * DOC: gue - packets between hosts in Generic UDP Encapsulation
+ *
+ * Fabric to balancer and agent to fabric: the bare 4-byte GUE header
+ * (version 0, Hlen 0, protocol 4). Balancer to agent and agent to agent:
+ * the same with private data (flag P) that holds the hop list: flags (1),
+ * index (1), count (1), key tag (1), service id (4), and for each hop its
+ * member id (8), address (4) and port (2), padded to 4 bytes.
+ */
+#ifndef SWIFTARCH_PACKET_GUE_H
+#define SWIFTARCH_PACKET_GUE_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "base/addr.h"
+
+#define GUE_HOPS_MAX 6
+#define GUE_HEADER_MAX 116
+
+/** Flags of struct gue */
+#define GUE_OPEN 0x01     /* the receiver may open a flow with this packet */
+#define GUE_SUSPECTS 0x02 /* a hop of the list is only suspected, not dead */
+
+/** struct gue_hop - one candidate owner */
+struct gue_hop {
+    uint64_t member;
+    struct addr data;
+};
+
+/**
+ * struct gue - the private data
+ * @service: service the balancer took the packet for, checked again by the
+ *           agent
+ * @flags: GUE_*
+ * @index: hop the packet is sent to
+ * @count: hops in @hops
+ * @hops: candidate owners, the most likely first
+ */
+struct gue {
+    uint32_t service;
+    uint8_t flags;
+    uint8_t index;
+    uint8_t count;
+    struct gue_hop hops[GUE_HOPS_MAX];
+};
+
+/**
+ * gue_encode() - write the header that goes before the inner packet
+ * @gue: hop list, or NULL for the bare header
+ * @buf: GUE_HEADER_MAX bytes
+ *
+ * Return: header length in bytes.
+ */
+size_t
+gue_encode(const struct gue *gue, uint8_t *buf);
+
+/**
+ * gue_decode() - read a header
+ * @gue: hop list; count is 0 for a bare header
+ *
+ * Return: header length (the inner packet follows) or -EBADMSG.
+ */
+int
+gue_decode(const uint8_t *buf, size_t len, struct gue *gue);
+
+#endif
--- /dev/null
+++ b/src/request/engine.h
@@ -0,0 +1,240 @@
+/**
+ * DOC: engine - what becomes of each request at one agent (pure)
+ *
+ * Events in, actions out. The program holds bodies and sockets, keyed by
+ * the request's id; the engine decides admission, order, where a request
+ * runs, what is retried, and which final answer it gets:
+ * the whole answer, "not run" (provably never begun), or "unknown".
+ *
+ * A request accepted here is local to this agent (engine_request.origin is
+ * self); one passed on by a peer to be run here is remote.
+ */
+#ifndef SWIFTARCH_REQUEST_ENGINE_H
+#define SWIFTARCH_REQUEST_ENGINE_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "base/clock.h"
+#include "control/view.h"
+#include "idem/idem.h"
+#include "text/text.h"
+
+/**
+ * struct engine_request - what is known of a request when it arrives
+ * @id: unique on the agent that accepted it, never reused
+ * @service: service id
+ * @caller: caller's address, for limits per caller
+ * @class: urgent or ordinary (the service's, lowered or raised by Priority)
+ * @idempotent: safe to run twice (GET, HEAD, PUT, DELETE, OPTIONS, TRACE)
+ * @keyed: has an Idempotency-Key, in @key
+ * @key: the key
+ * @deadline_us: answer is useless after this, clock of this agent
+ */
+struct engine_request {
+    uint64_t id;
+    uint32_t service;
+    uint32_t caller;
+    enum text_class class;
+    bool idempotent;
+    bool keyed;
+    struct idem_key key;
+    uint64_t deadline_us;
+};
+
+/** enum engine_outcome - the three final answers, and two of the key */
+enum engine_outcome {
+    ENGINE_ANSWERED,    /* the whole answer of the upstream (or its replay) */
+    ENGINE_NOT_RUN,     /* 503, Retry-After */
+    ENGINE_UNKNOWN,     /* 504: handed to an upstream, no whole answer */
+    ENGINE_IN_PROGRESS, /* 409, Retry-After: the key's first request runs */
+    ENGINE_KEY_MISMATCH /* 422: the key was used for another request */
+};
+
+/** enum engine_reason - why, for Proxy-Status and counters */
+enum engine_reason {
+    ENGINE_REASON_NONE,
+    ENGINE_QUEUE_FULL,
+    ENGINE_CALLER_LIMIT,
+    ENGINE_TOO_LATE,      /* cannot be served within its deadline */
+    ENGINE_DEPENDENCY,    /* a service it depends on has no upstream */
+    ENGINE_NO_UPSTREAM,   /* no upstream of the service takes work */
+    ENGINE_KEY_QUORUM,    /* the key's replicas could not be reached */
+    ENGINE_UPSTREAM_SHED, /* the upstream refused it unrun */
+    ENGINE_LOST,          /* upstream or peer went away with it */
+    ENGINE_SHORT,         /* the upstream's answer was cut */
+    ENGINE_DEADLINE,      /* no answer by the deadline */
+    ENGINE_STOPPING
+};
+
+/** enum engine_upstream - how a run at the local upstream ended */
+enum engine_upstream {
+    ENGINE_UP_ANSWERED,  /* whole answer came */
+    ENGINE_UP_REFUSED,   /* upstream said 503 with Retry-After: not begun */
+    ENGINE_UP_UNREACHED, /* could not connect: nothing was sent */
+    ENGINE_UP_LOST,      /* sent, then the connection failed */
+    ENGINE_UP_SHORT      /* sent, the answer was cut */
+};
+
+/** enum engine_peer_type - messages between engines of one service */
+enum engine_peer_type {
+    ENGINE_PEER_STATUS, /* free slots, waiting requests here */
+    ENGINE_PEER_PULL,   /* "I have free slots: give me work" */
+    ENGINE_PEER_RUN,    /* run this request (body goes with it) */
+    ENGINE_PEER_DONE,   /* it ended: outcome (answer goes with it) */
+    ENGINE_PEER_CANCEL, /* stop it if it waits or runs */
+    ENGINE_PEER_IDEM    /* an idem_msg */
+};
+
+/**
+ * struct engine_peer_msg - one message
+ * @type: which
+ * @request: RUN: request (deadline as time left); DONE, CANCEL: only its id
+ * @origin: member that accepted the request
+ * @outcome: DONE: how it ended; ANSWERED carries the answer
+ * @reason: DONE: why
+ * @free_slots: STATUS, PULL
+ * @waiting: STATUS: urgent and ordinary requests waiting
+ * @idem: IDEM
+ */
+struct engine_peer_msg {
+    enum engine_peer_type type;
+    struct engine_request request;
+    uint64_t origin;
+    enum engine_outcome outcome;
+    enum engine_reason reason;
+    uint16_t free_slots;
+    uint16_t waiting[2];
+    struct idem_msg idem;
+};
+
+/** enum engine_action_type - what the program must do */
+enum engine_action_type {
+    ENGINE_RUN,   /* hand @id of @origin to the local upstream */
+    ENGINE_ABORT, /* cancel it there; a late answer is dropped by id */
+    ENGINE_SEND,  /* send @msg to @to (RUN: with the request's bytes;
+                     DONE, ANSWERED: with the answer's bytes) */
+    ENGINE_FINISH /* final answer of a local request: @outcome, @reason;
+                     ANSWERED: the bytes held for @id, or @msg.idem.answer
+                     when replayed */
+};
+
+/** struct engine_action - one action; valid until the next engine call */
+struct engine_action {
+    enum engine_action_type type;
+    uint64_t id;
+    uint64_t origin;
+    uint64_t to;
+    enum engine_outcome outcome;
+    enum engine_reason reason;
+    uint32_t retry_after_ms;
+    bool replayed;
+    struct engine_peer_msg msg;
+};
+
+/** struct engine_actions - list that grows; the caller owns and empties it */
+struct engine_actions {
+    struct engine_action *items;
+    size_t count;
+    size_t capacity;
+};
+
+/** engine_actions_finish() - free the list */
+void
+engine_actions_finish(struct engine_actions *out);
+
+/** enum engine_policy - dispatch among upstreams, chosen by measurement */
+enum engine_policy {
+    ENGINE_LOCAL,       /* hash only: where the flow is */
+    ENGINE_TWO_CHOICES, /* two random peers' reported load */
+    ENGINE_IDLE_QUEUE,  /* join-idle-queue */
+    ENGINE_PROBE,       /* probe a few, pick by requests in flight */
+    ENGINE_PULL         /* idle agents pull waiting requests */
+};
+
+struct engine;
+
+/**
+ * engine_new() - the engine of one agent
+ * @self: own member id
+ * @policy: dispatch policy
+ * @seed: of its random choices
+ */
+struct engine *
+engine_new(uint64_t self, enum engine_policy policy, uint64_t seed);
+void
+engine_free(struct engine *engine);
+
+/** engine_set_view() - members changed */
+int
+engine_set_view(struct engine *engine, const struct view *view,
+                uint64_t now_us, struct engine_actions *out);
+
+/** engine_set_text() - another configuration came in force (copied) */
+int
+engine_set_text(struct engine *engine, const struct text *text,
+                uint64_t now_us, struct engine_actions *out);
+
+/** engine_set_upstream() - local upstream: slots (0: none), accepting new
+ * work or draining */
+int
+engine_set_upstream(struct engine *engine, uint32_t service, unsigned slots,
+                    bool accepting, uint64_t now_us,
+                    struct engine_actions *out);
+
+/** engine_arrive() - a caller's request was read whole */
+int
+engine_arrive(struct engine *engine, const struct engine_request *request,
+              uint64_t now_us, struct engine_actions *out);
+
+/** engine_cancel() - the caller of local request @id is gone */
+int
+engine_cancel(struct engine *engine, uint64_t id, uint64_t now_us,
+              struct engine_actions *out);
+
+/** engine_upstream_end() - a run handed out by ENGINE_RUN ended; @answer is
+ * the HTTP answer as it would be sent, for ENGINE_UP_ANSWERED */
+int
+engine_upstream_end(struct engine *engine, uint64_t origin, uint64_t id,
+                    enum engine_upstream how, const uint8_t *answer,
+                    size_t answer_len, uint64_t now_us,
+                    struct engine_actions *out);
+
+/** engine_peer() - a message came from member @from; for DONE with
+ * ANSWERED, @answer as in engine_upstream_end() */
+int
+engine_peer(struct engine *engine, uint64_t from,
+            const struct engine_peer_msg *msg, const uint8_t *answer,
+            size_t answer_len, uint64_t now_us, struct engine_actions *out);
+
+/** engine_peer_lost() - the connection to @member broke: what it ran for us
+ * is unknown, what waited there unrun may be sent elsewhere only if
+ * idempotent */
+int
+engine_peer_lost(struct engine *engine, uint64_t member, uint64_t now_us,
+                 struct engine_actions *out);
+
+/** engine_tick() - deadlines, timeouts, periodic messages; every 10 ms */
+int
+engine_tick(struct engine *engine, uint64_t now_us,
+            struct engine_actions *out);
+
+/** engine_stop() - a planned stop: refuse what waits, finish what runs */
+int
+engine_stop(struct engine *engine, uint64_t now_us,
+            struct engine_actions *out);
+
+/** engine_busy() - requests running on the local upstream */
+unsigned
+engine_busy(const struct engine *engine);
+
+/** engine_waiting() - requests waiting here, of both classes */
+unsigned
+engine_waiting(const struct engine *engine);
+
+/** engine_open() - local requests without a final answer yet */
+unsigned
+engine_open(const struct engine *engine);
+
+#endif
--- /dev/null
+++ b/src/text/text.h
@@ -0,0 +1,115 @@
+/**
+ * DOC: text - the operators' one text: services and what each depends on
+ */
+#ifndef SWIFTARCH_TEXT_TEXT_H
+#define SWIFTARCH_TEXT_TEXT_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <urcu.h>
+
+#include "base/error.h"
+
+#define TEXT_SIZE_MAX (1u << 20)
+#define TEXT_NAME_MAX 64
+#define TEXT_DEPENDS_MAX 32
+#define TEXT_SERVICES_MAX 4096
+
+/** enum text_class - order in which work is served */
+enum text_class { TEXT_URGENT, TEXT_ORDINARY };
+
+/** enum text_proto - transport of a service (IP protocol numbers) */
+enum text_proto { TEXT_TCP = 6, TEXT_UDP = 17 };
+
+/**
+ * struct text_limits - limits of a service, with defaults
+ * @connections: open flows at one endpoint (2000)
+ * @connections_per_caller: of one caller address at one endpoint (200)
+ * @queue: requests waiting at one endpoint (64)
+ * @requests_per_caller: waiting or running, of one caller, one endpoint (32)
+ * @deadline_ms: for requests that bring none (5000)
+ * @body_bytes: largest request or answer body (1 MiB)
+ * @idle_s: a flow without bytes for so long may be closed (3600)
+ */
+struct text_limits {
+    uint32_t connections;
+    uint32_t connections_per_caller;
+    uint32_t queue;
+    uint32_t requests_per_caller;
+    uint32_t deadline_ms;
+    uint32_t body_bytes;
+    uint32_t idle_s;
+};
+
+/**
+ * struct text_service - one service
+ * @id: hash_service(name)
+ * @name: its name
+ * @ip: address callers use, host order
+ * @port: port callers use
+ * @proto: transport
+ * @class: urgent or ordinary
+ * @limits: its limits
+ * @depends: indexes of the services it depends on
+ * @depends_count: how many
+ */
+struct text_service {
+    uint32_t id;
+    char name[TEXT_NAME_MAX];
+    uint32_t ip;
+    uint16_t port;
+    enum text_proto proto;
+    enum text_class class;
+    struct text_limits limits;
+    uint16_t depends[TEXT_DEPENDS_MAX];
+    size_t depends_count;
+};
+
+/**
+ * struct text - a checked configuration
+ * @rcu: for freeing after a grace period
+ * @version: of the platform's object, 0 when not from the platform
+ * @services: sorted as written
+ * @count: how many
+ * @source: the text itself, as published
+ * @source_len: its length in bytes
+ */
+struct text {
+    struct rcu_head rcu;
+    uint64_t version;
+    struct text_service *services;
+    size_t count;
+    char *source;
+    size_t source_len;
+};
+
+/**
+ * text_parse() - check a text and read it
+ * @source: JSON, not necessarily ended by NUL
+ * @len: its length
+ * @name: file name for messages
+ * @text: result, calloc()ed, or NULL
+ * @report: all faults, one a line "name:line: key: found, expected"
+ *          (g_free() it), NULL when there are none
+ *
+ * Return: 0 or -EINVAL, -EFBIG, -ENOMEM.
+ */
+int
+text_parse(const char *source, size_t len, const char *name,
+           struct text **text, char **report);
+
+/** text_free() - free a text; NULL is allowed */
+void
+text_free(struct text *text);
+
+/** text_find() - service by id or NULL */
+const struct text_service *
+text_find(const struct text *text, uint32_t id);
+
+/** text_find_addr() - service at an address, port and transport or NULL */
+const struct text_service *
+text_find_addr(const struct text *text, uint32_t ip, uint16_t port,
+               enum text_proto proto);
+
+#endif
