--- a/src/base/counter.h
+++ b/src/base/counter.h
@@ -7,6 +7,7 @@
 #ifndef SWIFTARCH_BASE_COUNTER_H
 #define SWIFTARCH_BASE_COUNTER_H
 
+#include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 
@@ -23,6 +24,7 @@
  * @labels: label text of each, e.g. "reason=\"checksum\"", or empty
  * @gauge: 1 where the value may fall
  * @cells: COUNTER_MAX rows of COUNTER_WORKERS_MAX cells
+ * @block: memory that holds @cells
  */
 struct counter_table {
     size_t count;
@@ -30,6 +32,7 @@
     char labels[COUNTER_MAX][COUNTER_NAME_MAX];
     uint8_t gauge[COUNTER_MAX];
     struct counter_cell *cells;
+    void *block;
 };
 
 /** counter_table_init() - 0 or -ENOMEM */
--- a/src/base/log.h
+++ b/src/base/log.h
@@ -3,7 +3,7 @@
  *
  * Each .c file that logs defines G_LOG_DOMAIN as "swiftarch-PART" before it
  * includes this header and uses g_debug, g_info, g_message, g_warning.
- * Every line reads "time level PART: sentence".
+ * Every line reads "time level PROCESS PART: sentence", on standard error.
  */
 #ifndef SWIFTARCH_BASE_LOG_H
 #define SWIFTARCH_BASE_LOG_H
--- a/src/packet/gue.h
+++ b/src/packet/gue.h
@@ -4,7 +4,7 @@
  * Fabric to balancer and agent to fabric: the bare 4-byte GUE header
  * (version 0, Hlen 0, protocol 4). Balancer to agent and agent to agent:
  * the same with private data (flag P) that holds the hop list: flags (1),
- * index (1), count (1), key tag (1), service id (4), and for each hop its
+ * index (1), count (1), layout tag (1), service id (4), and for each hop its
  * member id (8), address (4) and port (2), padded to 4 bytes.
  */
 #ifndef SWIFTARCH_PACKET_GUE_H
--- a/src/text/text.h
+++ b/src/text/text.h
@@ -12,10 +12,15 @@
 #include "base/error.h"
 
 #define TEXT_SIZE_MAX (1u << 20)
+#define TEXT_ENVELOPE_MAX 512 /* what the envelope adds, at most */
+#define TEXT_OPERATOR_MAX 64
+#define TEXT_WRITE_ID_MAX 33
 #define TEXT_NAME_MAX 64
 #define TEXT_DEPENDS_MAX 32
 #define TEXT_SERVICES_MAX 4096
 
+struct text_slot;
+
 /** enum text_class - order in which work is served */
 enum text_class { TEXT_URGENT, TEXT_ORDINARY };
 
@@ -74,6 +79,8 @@
  * @count: how many
  * @source: the text itself, as published
  * @source_len: its length in bytes
+ * @slots: hash table behind text_find() and text_find_addr()
+ * @slot_mask: its size less one
  */
 struct text {
     struct rcu_head rcu;
@@ -82,6 +89,24 @@
     size_t count;
     char *source;
     size_t source_len;
+    struct text_slot *slots;
+    uint32_t slot_mask;
+};
+
+/**
+ * struct text_envelope - what the platform's object "config" holds
+ * @write_id: random, 32 hexadecimal digits: tells one write from another
+ * @operator: who published it
+ * @written_ms: when, by that operator's clock, milliseconds since 1970
+ * @text: the operators' text inside the value it was read from
+ * @text_len: its length in bytes
+ */
+struct text_envelope {
+    char write_id[TEXT_WRITE_ID_MAX];
+    char operator[TEXT_OPERATOR_MAX];
+    uint64_t written_ms;
+    const char *text;
+    size_t text_len;
 };
 
 /**
@@ -99,10 +124,61 @@
 text_parse(const char *source, size_t len, const char *name,
            struct text **text, char **report);
 
+/**
+ * text_parse_envelope() - check and read the value of the object "config"
+ * @value: the object's value: an envelope, or a bare text
+ * @len: its length
+ * @version: the object's version
+ * @text: result as from text_parse(), with @version; its source is the
+ *        operators' text without the envelope
+ * @report: as from text_parse()
+ *
+ * What text_parse() makes of a text's source and what this function makes
+ * of the value around it are equal but for the version, so processes may
+ * pass on either form.
+ *
+ * Return: 0 or -EINVAL, -EFBIG, -ENOMEM.
+ */
+int
+text_parse_envelope(const char *value, size_t len, uint64_t version,
+                    struct text **text, char **report);
+
+/**
+ * text_envelope_read() - read an envelope without checking the text in it
+ * @envelope: result; points into @value
+ *
+ * Return: 0 or -EINVAL when @value is no envelope.
+ */
+int
+text_envelope_read(const char *value, size_t len,
+                   struct text_envelope *envelope);
+
+/**
+ * text_envelope_write() - value to publish for a text
+ * @envelope: all fields set
+ * @len: its length
+ *
+ * Return: the value, g_free() it.
+ */
+char *
+text_envelope_write(const struct text_envelope *envelope, size_t *len);
+
 /** text_free() - free a text; NULL is allowed */
 void
 text_free(struct text *text);
 
+/** text_class_name() - word of a class in the text */
+const char *
+text_class_name(enum text_class class);
+
+/** text_proto_name() - word of a transport in the text */
+const char *
+text_proto_name(enum text_proto proto);
+
+/** text_find_name() - service by name or NULL */
+const struct text_service *
+text_find_name(const struct text *text, const char *name);
+
 /** text_find() - service by id or NULL */
 const struct text_service *
 text_find(const struct text *text, uint32_t id);
