--- a/src/text/text.h
+++ b/src/text/text.h
@@ -168,8 +168,7 @@
 text_free(struct text *text);
 
 /** text_class_name() - word of a class in the text */
-const char *
-text_class_name(enum text_class class);
+const char *text_class_name(enum text_class class);
 
 /** text_proto_name() - word of a transport in the text */
 const char *
