request: run, answer and give up requests on the local upstream

Header: peer messages gain load and PROBE, cancel gets its FINISH, an abort frees its slot at upstream_end or after a grace.

--- /dev/null
+++ b/src/request/actions.c
@@ -0,0 +1,44 @@
+#include "request/state.h"
+
+#define ACTIONS_MIN 16
+
+struct engine_action *
+engine_emit(struct engine *engine, enum engine_action_type type)
+{
+    struct engine_actions *out = engine->out;
+    struct engine_action *action;
+
+    if (out->count == out->capacity) {
+        out->capacity = MAX(ACTIONS_MIN, 2 * out->capacity);
+        out->items = g_renew(struct engine_action, out->items, out->capacity);
+    }
+    action = &out->items[out->count++];
+    *action = (struct engine_action){.type = type};
+    return action;
+}
+
+struct engine_action *
+engine_send(struct engine *engine, uint64_t to, enum engine_peer_type type,
+            const struct entry *entry)
+{
+    struct engine_action *action = engine_emit(engine, ENGINE_SEND);
+
+    action->to = to;
+    action->origin = engine->self;
+    action->msg.type = type;
+    action->msg.origin = engine->self;
+    if (entry != NULL) {
+        action->id = entry->key.id;
+        action->origin = entry->key.origin;
+        action->msg.origin = entry->key.origin;
+        action->msg.request = entry->request;
+    }
+    return action;
+}
+
+void
+engine_actions_finish(struct engine_actions *out)
+{
+    g_free(out->items);
+    *out = (struct engine_actions){0};
+}
--- a/src/request/engine.h
+++ b/src/request/engine.h
@@ -84,7 +84,8 @@
     ENGINE_PEER_RUN,    /* run this request (body goes with it) */
     ENGINE_PEER_DONE,   /* it ended: outcome (answer goes with it) */
     ENGINE_PEER_CANCEL, /* stop it if it waits or runs */
-    ENGINE_PEER_IDEM    /* an idem_msg */
+    ENGINE_PEER_IDEM,   /* an idem_msg */
+    ENGINE_PEER_PROBE   /* "send me a STATUS" (policy probe only) */
 };
 
 /**
@@ -96,6 +97,8 @@
  * @reason: DONE: why
  * @free_slots: STATUS, PULL
  * @waiting: STATUS: urgent and ordinary requests waiting
+ * @load: all types: share of the sender's slot time that was busy lately,
+ *        per mille, plus one; 0 when the sender didn't say
  * @idem: IDEM
  */
 struct engine_peer_msg {
@@ -106,13 +109,16 @@
     enum engine_reason reason;
     uint16_t free_slots;
     uint16_t waiting[2];
+    uint16_t load;
     struct idem_msg idem;
 };
 
 /** enum engine_action_type - what the program must do */
 enum engine_action_type {
     ENGINE_RUN,   /* hand @id of @origin to the local upstream */
-    ENGINE_ABORT, /* cancel it there; a late answer is dropped by id */
+    ENGINE_ABORT, /* cancel it there; a late answer is dropped by id; the
+                     slot is free again at engine_upstream_end() or after
+                     ENGINE_ABORT_GRACE_US, whichever comes first */
     ENGINE_SEND,  /* send @msg to @to (RUN: with the request's bytes;
                      DONE, ANSWERED: with the answer's bytes) */
     ENGINE_FINISH /* final answer of a local request: @outcome, @reason;
@@ -153,6 +159,12 @@
     ENGINE_PULL         /* idle agents pull waiting requests */
 };
 
+/** ENGINE_POLICY_DEFAULT - what agents use */
+#define ENGINE_POLICY_DEFAULT ENGINE_PULL
+
+/** ENGINE_ABORT_GRACE_US - an aborted run holds its slot no longer */
+#define ENGINE_ABORT_GRACE_US (50 * USEC_PER_MSEC)
+
 struct engine;
 
 /**
@@ -188,7 +200,8 @@
 engine_arrive(struct engine *engine, const struct engine_request *request,
               uint64_t now_us, struct engine_actions *out);
 
-/** engine_cancel() - the caller of local request @id is gone */
+/** engine_cancel() - the caller of local request @id is gone; it still gets
+ * its one ENGINE_FINISH, which has nobody to go to */
 int
 engine_cancel(struct engine *engine, uint64_t id, uint64_t now_us,
               struct engine_actions *out);
@@ -220,7 +233,9 @@
 engine_tick(struct engine *engine, uint64_t now_us,
             struct engine_actions *out);
 
-/** engine_stop() - a planned stop: refuse what waits, finish what runs */
+/** engine_stop() - a planned stop: refuse what arrives from now on, serve
+ * what waits (here or at peers) and finish what runs; engine_open() is 0
+ * at the latest when the last deadline has passed */
 int
 engine_stop(struct engine *engine, uint64_t now_us,
             struct engine_actions *out);
