--- a/src/base/auth.c
+++ b/src/base/auth.c
@@ -210,7 +210,9 @@
     bool ok = EVP_MAC_init(auth->mac, NULL, 0, NULL) == 1;
 
     for (size_t i = 0; i < count; i++)
-        ok = ok && EVP_MAC_update(auth->mac, parts[i].data, parts[i].len) == 1;
+        ok = ok &&
+             (parts[i].len == 0 ||
+              EVP_MAC_update(auth->mac, parts[i].data, parts[i].len) == 1);
     ok = ok && EVP_MAC_final(auth->mac, digest, &len, sizeof(digest)) == 1;
     /* The digest is fixed and the buffers are sized: it can't fail. */
     if (!ok || len != sizeof(digest))
--- a/src/base/link.h
+++ b/src/base/link.h
@@ -1,11 +1,10 @@
 /**
  * DOC: link - authenticated TCP frames between our own processes
  *
- * A frame is: length (4, big endian, of what follows), type (2), sealed
- * body (base/auth.h). A hub listens on one address and opens connections
- * to peers when something is sent to them. All calls come from the thread
- * of the hub's event base. Not for packets; for control, request passing
- * and "show".
+ * base/link_wire.h describes the frames. A hub listens on one address and
+ * opens connections to peers when something is sent to them. All calls come
+ * from the thread of the hub's event base. Not for packets; for control,
+ * request passing and "show".
  */
 #ifndef SWIFTARCH_BASE_LINK_H
 #define SWIFTARCH_BASE_LINK_H
@@ -48,19 +47,34 @@
     const struct link_ops *ops;
 };
 
-/** struct link_hub - a listener and the connections of one process */
+/**
+ * struct link_hub - a listener and the connections of one process
+ * @base: event base
+ * @auth: site key
+ * @handler: owner
+ * @listener: listening socket, or NULL
+ * @conns: all connections
+ * @opened: those that we opened, by address
+ * @sent_bytes: bytes of frames sent, overhead included
+ * @received_bytes: bytes of frames that were accepted
+ * @rejected: connections ended for bad frames or too many strangers
+ * @unproven: accepted connections that haven't shown the site key yet
+ */
 struct link_hub {
     struct event_base *base;
     struct auth *auth;
     struct link_handler *handler;
     struct evconnlistener *listener;
     struct link_conn *conns;
+    struct _GHashTable *opened;
     uint64_t sent_bytes;
     uint64_t received_bytes;
     uint64_t rejected;
+    unsigned unproven;
 };
 
-/** link_hub_init() - listen on @listen (port 0: none, a client only) */
+/** link_hub_init() - listen on @listen (port 0: the kernel picks one;
+ * address and port 0: none, a client only) */
 int
 link_hub_init(struct link_hub *hub, struct event_base *base, struct auth *auth,
               struct link_handler *handler, struct addr listen,
@@ -77,8 +91,9 @@
 /**
  * link_send() - send a frame to the process that listens on @to
  *
- * Return: 0 (queued) or -ENOBUFS, -EMSGSIZE, -ENOMEM. A failed connection
- * is told by on_down; what was queued on it is lost.
+ * Return: 0 (queued) or -ENOBUFS, -EMSGSIZE, -ENOMEM, or what connect(2)
+ * said at once (-ENETUNREACH); then nothing was queued. A connection that
+ * fails later is told by on_down; what was queued on it is lost.
  */
 int
 link_send(struct link_hub *hub, struct addr to, uint16_t type,
@@ -89,4 +104,8 @@
 link_reply(struct link_hub *hub, struct link_conn *conn, uint16_t type,
            const uint8_t *body, size_t len);
 
+/** link_hub_queued() - bytes that still wait to be sent */
+size_t
+link_hub_queued(const struct link_hub *hub);
+
 #endif
