--- a/src/platform/platform.h
+++ b/src/platform/platform.h
@@ -8,8 +8,10 @@
  *   PUT /v1/objects/NAME, If-None-Match: *  200 ETag: "1"; 412 if it exists
  *
  * Values are up to 1 MiB. Versions grow by one with each write and never
- * go back. The configuration is the object "config"; the seed list of a
- * cell is "cell-NAME".
+ * go back. Statuses of their own: -ECONNREFUSED (nothing was sent), -EBUSY
+ * (429, 503), -EMSGSIZE (413, or an answer above 1 MiB), -EPROTO (no
+ * version in the answer). The configuration is the object "config"; the seed
+ * list of a cell is "cell-NAME".
  */
 #ifndef SWIFTARCH_PLATFORM_PLATFORM_H
 #define SWIFTARCH_PLATFORM_PLATFORM_H
@@ -58,7 +60,8 @@
 struct platform *
 platform_new(struct event_base *base, const char *url, struct error *err);
 
-/** platform_free() - cancel what is open (no callback) and free */
+/** platform_free() - cancel what is open (no callback) and free; not from
+ * inside a callback */
 void
 platform_free(struct platform *platform);
 
--- a/src/text/text_check.c
+++ b/src/text/text_check.c
@@ -204,7 +204,7 @@
                       "last not -");
         return;
     }
-    strcpy(out->name, name);
+    g_strlcpy(out->name, name, sizeof(out->name));
     out->id = hash_service(name);
 }
 
--- a/src/text/text_envelope.c
+++ b/src/text/text_envelope.c
@@ -25,7 +25,7 @@
     if (string[0] == '\0' || strlen(string) >= size) {
         return -EINVAL;
     }
-    strcpy(out, string);
+    g_strlcpy(out, string, size);
     return 0;
 }
 
@@ -108,7 +108,7 @@
 char *
 text_envelope_write(const struct text_envelope *envelope, size_t *len)
 {
-    struct json_object *operator= json_object_new_string(envelope->operator);
+    struct json_object *who = json_object_new_string(envelope->operator);
     GString *value = g_string_new(NULL);
 
     g_string_append_printf(
@@ -116,11 +116,11 @@
         "{\"write_id\":\"%s\",\"operator\":%s,\"written_ms\":%" PRIu64
         ",\"text\":",
         envelope->write_id,
-        json_object_to_json_string_ext(operator, JSON_C_TO_STRING_PLAIN),
+        json_object_to_json_string_ext(who, JSON_C_TO_STRING_PLAIN),
         envelope->written_ms);
     g_string_append_len(value, envelope->text, (gssize)envelope->text_len);
     g_string_append_c(value, '}');
-    json_object_put(operator);
+    json_object_put(who);
     *len = value->len;
     return g_string_free(value, FALSE);
 }
--- a/src/text/text_fault.c
+++ b/src/text/text_fault.c
@@ -60,7 +60,8 @@
     json = json_object_to_json_string_ext(
         value, JSON_C_TO_STRING_PLAIN | JSON_C_TO_STRING_NOSLASHESCAPE);
     if (strlen(json) < TEXT_FOUND_MAX) {
-        return strcpy(buf, json);
+        g_strlcpy(buf, json, TEXT_FOUND_MAX);
+        return buf;
     }
     end = g_utf8_find_prev_char(json, json + TEXT_FOUND_MAX - 8);
     snprintf(buf, TEXT_FOUND_MAX, "%.*s...\"", (int)(end - json), json);
