balancer: decide where a packet goes from an immutable table

The table is built from one view and one text; ranks of services whose members did not change are shared with the table before. Opening packets list those that take new flows first.

--- /dev/null
+++ b/src/balancer/route.c
@@ -0,0 +1,176 @@
+#include "balancer/route.h"
+
+#include <stdbool.h>
+
+#include "balancer/route_rank.h"
+#include "base/hash.h"
+
+#define PROTO_UDP 17
+
+/**
+ * struct hop_list - handles of the hops chosen so far
+ * @count: how many
+ * @handles: handles of route_service.all
+ */
+struct hop_list {
+    size_t count;
+    uint16_t handles[GUE_HOPS_MAX];
+};
+
+static void
+list_add(struct hop_list *list, uint16_t handle)
+{
+    if (list->count < GUE_HOPS_MAX)
+        list->handles[list->count++] = handle;
+}
+
+static bool
+opens_flow(const struct packet *packet)
+{
+    if (packet->proto == PROTO_UDP)
+        return true;
+    return (packet->flags & (PACKET_TCP_SYN | PACKET_TCP_ACK)) ==
+           PACKET_TCP_SYN;
+}
+
+/* Whether a flow is in the share that a warming endpoint takes by now */
+static bool
+warm_takes(const struct route_endpoint *endpoint, uint64_t flow_hash,
+           uint64_t now_us)
+{
+    uint64_t age = now_us - endpoint->since_us;
+    if (now_us < endpoint->since_us)
+        age = 0;
+    if (age >= ROUTE_WARM_US)
+        return true;
+
+    uint64_t share = ROUTE_WARM_START + (ROUTE_WARM_FULL - ROUTE_WARM_START) *
+                                            age / ROUTE_WARM_US;
+    return hash_pair(flow_hash, endpoint->member) % ROUTE_WARM_FULL < share;
+}
+
+static size_t
+list_live(struct hop_list *list, const struct route_service *service,
+          const uint16_t *row)
+{
+    size_t suspects = 0;
+
+    for (size_t i = 0; i < RANK_DEPTH && row[i] != RANK_NONE; i++) {
+        if (service->endpoints[row[i]].standing == ROUTE_SUSPECT)
+            suspects++;
+        else
+            list_add(list, row[i]);
+    }
+    return suspects;
+}
+
+static void
+list_standing(struct hop_list *list, const struct route_service *service,
+              const uint16_t *row, enum route_standing standing)
+{
+    for (size_t i = 0; i < RANK_DEPTH && row[i] != RANK_NONE; i++)
+        if (service->endpoints[row[i]].standing == standing)
+            list_add(list, row[i]);
+}
+
+/* Endpoints that take new flows, at most @room of them */
+static void
+list_open(struct hop_list *list, const struct route_service *service,
+          uint64_t flow_hash, uint64_t now_us, size_t room)
+{
+    if (service->open == NULL)
+        return;
+
+    const uint16_t *row = rank_row(&service->open->rank, flow_hash);
+    struct hop_list later = {0};
+    for (size_t i = 0; i < RANK_DEPTH && row[i] != RANK_NONE; i++) {
+        uint16_t handle = service->open_handles[row[i]];
+        const struct route_endpoint *endpoint = &service->endpoints[handle];
+        if (list->count + later.count == room)
+            break;
+        if (endpoint->standing == ROUTE_WARM &&
+            !warm_takes(endpoint, flow_hash, now_us))
+            list_add(&later, handle);
+        else
+            list_add(list, handle);
+    }
+    for (size_t i = 0; i < later.count; i++)
+        list_add(list, later.handles[i]);
+}
+
+static size_t
+count_others(const struct route_service *service, const uint16_t *row)
+{
+    size_t count = 0;
+    for (size_t i = 0; i < RANK_DEPTH && row[i] != RANK_NONE; i++)
+        count += service->endpoints[row[i]].standing >= ROUTE_KEEP;
+    return count;
+}
+
+static void
+list_for_open(struct hop_list *list, const struct route_service *service,
+              uint64_t flow_hash, uint64_t now_us)
+{
+    const uint16_t *row = rank_row(&service->all->rank, flow_hash);
+    size_t reserve = count_others(service, row);
+
+    if (reserve > ROUTE_RESERVE)
+        reserve = ROUTE_RESERVE;
+    list_open(list, service, flow_hash, now_us, GUE_HOPS_MAX - reserve);
+    list_standing(list, service, row, ROUTE_KEEP);
+    list_standing(list, service, row, ROUTE_SUSPECT);
+}
+
+static void
+list_for_known(struct hop_list *list, const struct route_service *service,
+               uint64_t flow_hash)
+{
+    const uint16_t *row = rank_row(&service->all->rank, flow_hash);
+    if (list_live(list, service, row) > 0)
+        list_standing(list, service, row, ROUTE_SUSPECT);
+}
+
+static void
+fill_gue(struct gue *gue, const struct route_service *service,
+         const struct hop_list *list, bool open)
+{
+    gue->service = service->id;
+    gue->flags = open ? GUE_OPEN : 0;
+    gue->index = 0;
+    gue->count = (uint8_t)list->count;
+    for (size_t i = 0; i < list->count; i++) {
+        const struct route_endpoint *endpoint =
+            &service->endpoints[list->handles[i]];
+        gue->hops[i].member = endpoint->member;
+        gue->hops[i].data = endpoint->data;
+        if (endpoint->standing == ROUTE_SUSPECT)
+            gue->flags |= GUE_SUSPECTS;
+    }
+}
+
+enum packet_drop
+route_decide(const struct route_table *table, const uint8_t *buf, size_t len,
+             uint64_t now_us, struct route_decision *decision)
+{
+    const struct packet *packet = &decision->packet;
+    enum packet_drop drop = packet_parse(buf, len, 0, &decision->packet);
+    if (drop != PACKET_OK)
+        return drop;
+
+    const struct route_service *service =
+        route_find(table, packet->dst, packet->dport, packet->proto);
+    if (service == NULL)
+        return PACKET_SERVICE;
+    if (service->count == 0)
+        return PACKET_NO_ENDPOINT;
+
+    uint64_t flow_hash = packet_flow_hash(packet);
+    bool open = opens_flow(packet);
+    struct hop_list list = {0};
+    if (open)
+        list_for_open(&list, service, flow_hash, now_us);
+    else
+        list_for_known(&list, service, flow_hash);
+    fill_gue(&decision->gue, service, &list, open);
+    return PACKET_OK;
+}
--- /dev/null
+++ b/src/balancer/route_build.c
@@ -0,0 +1,309 @@
+#include "balancer/route.h"
+
+#include <assert.h>
+#include <errno.h>
+#include <stdbool.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "balancer/route_rank.h"
+#include "base/hash.h"
+
+static uint32_t
+slot_of(const struct route_table *table, uint32_t ip, uint16_t port,
+        uint8_t proto)
+{
+    uint64_t hash = hash_pair(ip, (uint64_t)port << 8 | proto);
+    return (uint32_t)hash & table->slot_mask;
+}
+
+static void
+add_slot(struct route_table *table, size_t index)
+{
+    const struct route_service *service = &table->services[index];
+    uint32_t slot = slot_of(table, service->ip, service->port, service->proto);
+
+    while (table->slots[slot] != 0)
+        slot = (slot + 1) & table->slot_mask;
+    table->slots[slot] = (uint16_t)(index + 1);
+}
+
+static int
+alloc_slots(struct route_table *table)
+{
+    size_t size = 2;
+    while (size < 2 * table->count)
+        size *= 2;
+
+    table->slots = calloc(size, sizeof(*table->slots));
+    if (table->slots == NULL)
+        return -ENOMEM;
+    table->slot_mask = (uint32_t)(size - 1);
+    for (size_t i = 0; i < table->count; i++)
+        add_slot(table, i);
+    return 0;
+}
+
+static int
+alloc_services(struct route_table *table, const struct text *text)
+{
+    assert(text->count <= TEXT_SERVICES_MAX);
+
+    table->services = calloc(text->count + 1, sizeof(*table->services));
+    if (table->services == NULL)
+        return -ENOMEM;
+    table->count = text->count;
+    for (size_t i = 0; i < text->count; i++) {
+        struct route_service *service = &table->services[i];
+        service->id = text->services[i].id;
+        service->ip = text->services[i].ip;
+        service->port = text->services[i].port;
+        service->proto = (uint8_t)text->services[i].proto;
+    }
+    return 0;
+}
+
+static enum route_standing
+standing_of(const struct view_member *member)
+{
+    if (member->health == MEMBER_SUSPECT)
+        return ROUTE_SUSPECT;
+    if (member->state == MEMBER_READY)
+        return ROUTE_OPEN;
+    if (member->state == MEMBER_WARMING)
+        return ROUTE_WARM;
+    return ROUTE_KEEP;
+}
+
+/* Index of the service that a member serves, or -1 */
+static int
+service_of(const struct text *text, const struct view_member *member)
+{
+    if (member->role != MEMBER_AGENT || member->service == 0 ||
+        member->health == MEMBER_DEAD || member->data.ip == 0 ||
+        member->data.port == 0)
+        return -1;
+
+    const struct text_service *service = text_find(text, member->service);
+    return service == NULL ? -1 : (int)(service - text->services);
+}
+
+static void
+add_endpoint(struct route_service *service, const struct view_member *member)
+{
+    struct route_endpoint *endpoint = &service->endpoints[service->count++];
+    endpoint->member = member->id;
+    endpoint->incarnation = member->incarnation;
+    endpoint->since_us = member->since_us;
+    endpoint->data = member->data;
+    endpoint->standing = standing_of(member);
+}
+
+/* The view is sorted by id, and so are the endpoints of each service. */
+static int
+add_endpoints(struct route_table *table, const struct view *view,
+              const struct text *text)
+{
+    size_t *counts = calloc(table->count + 1, sizeof(*counts));
+    int result = -ENOMEM;
+    if (counts == NULL)
+        return result;
+
+    for (size_t i = 0; i < view->count; i++) {
+        int index = service_of(text, &view->members[i]);
+        if (index >= 0)
+            counts[index]++;
+    }
+    for (size_t i = 0; i < table->count; i++) {
+        struct route_service *service = &table->services[i];
+        if (counts[i] == 0)
+            continue;
+        if (counts[i] >= RANK_NONE) {
+            result = -E2BIG;
+            goto out;
+        }
+        service->endpoints = calloc(counts[i], sizeof(*service->endpoints));
+        if (service->endpoints == NULL)
+            goto out;
+    }
+    for (size_t i = 0; i < view->count; i++) {
+        int index = service_of(text, &view->members[i]);
+        if (index >= 0)
+            add_endpoint(&table->services[index], &view->members[i]);
+    }
+    result = 0;
+
+out:
+    free(counts);
+    return result;
+}
+
+static const struct route_service *
+previous_service(const struct route_table *previous, size_t index, uint32_t id)
+{
+    if (previous == NULL)
+        return NULL;
+    if (index < previous->count && previous->services[index].id == id)
+        return &previous->services[index];
+    for (size_t i = 0; i < previous->count; i++)
+        if (previous->services[i].id == id)
+            return &previous->services[i];
+    return NULL;
+}
+
+static bool
+takes_new_flows(const struct route_endpoint *endpoint)
+{
+    return endpoint->standing == ROUTE_OPEN ||
+           endpoint->standing == ROUTE_WARM;
+}
+
+static int
+rank_open(struct route_service *service, const struct route_service *previous,
+          uint64_t *members)
+{
+    size_t count = 0;
+
+    service->open_handles =
+        calloc(service->count, sizeof(*service->open_handles));
+    if (service->open_handles == NULL)
+        return -ENOMEM;
+    for (uint16_t i = 0; i < service->count; i++) {
+        if (!takes_new_flows(&service->endpoints[i]))
+            continue;
+        service->open_handles[count] = i;
+        members[count++] = service->endpoints[i].member;
+    }
+    if (count == 0)
+        return 0;
+    if (count == service->count) {
+        service->open = route_rank_ref(service->all);
+        return 0;
+    }
+
+    /* The nearest earlier rank: of those open then, or of all. */
+    struct route_rank *near = service->all;
+    if (previous != NULL && previous->open != NULL &&
+        previous->open != previous->all)
+        near = previous->open;
+    return route_rank_new(members, count, near, &service->open);
+}
+
+static int
+rank_service(struct route_service *service,
+             const struct route_service *previous)
+{
+    if (service->count == 0)
+        return 0;
+
+    uint64_t *members = calloc(service->count, sizeof(*members));
+    if (members == NULL)
+        return -ENOMEM;
+    for (size_t i = 0; i < service->count; i++)
+        members[i] = service->endpoints[i].member;
+
+    int result =
+        route_rank_new(members, service->count,
+                       previous != NULL ? previous->all : NULL, &service->all);
+    if (result == 0)
+        result = rank_open(service, previous, members);
+    free(members);
+    return result;
+}
+
+int
+route_table_new(const struct view *view, const struct text *text,
+                const struct route_table *previous, struct route_table **table)
+{
+    struct route_table *new = calloc(1, sizeof(*new));
+    int result = -ENOMEM;
+    if (new == NULL)
+        return result;
+
+    new->view_seq = view->seq;
+    new->config_version = text->version;
+    result = alloc_services(new, text);
+    if (result < 0)
+        goto err;
+    result = alloc_slots(new);
+    if (result < 0)
+        goto err;
+    result = add_endpoints(new, view, text);
+    if (result < 0)
+        goto err;
+    for (size_t i = 0; i < new->count; i++) {
+        struct route_service *service = &new->services[i];
+        result =
+            rank_service(service, previous_service(previous, i, service->id));
+        if (result < 0)
+            goto err;
+    }
+    *table = new;
+    return 0;
+
+err:
+    route_table_free(new);
+    return result;
+}
+
+void
+route_table_free(struct route_table *table)
+{
+    if (table == NULL)
+        return;
+    for (size_t i = 0; i < table->count; i++) {
+        struct route_service *service = &table->services[i];
+        route_rank_unref(service->all);
+        route_rank_unref(service->open);
+        free(service->open_handles);
+        free(service->endpoints);
+    }
+    free(table->services);
+    free(table->slots);
+    free(table);
+}
+
+const struct route_service *
+route_find(const struct route_table *table, uint32_t ip, uint16_t port,
+           uint8_t proto)
+{
+    uint32_t slot = slot_of(table, ip, port, proto);
+
+    for (; table->slots[slot] != 0; slot = (slot + 1) & table->slot_mask) {
+        const struct route_service *service =
+            &table->services[table->slots[slot] - 1];
+        if (service->ip == ip && service->port == port &&
+            service->proto == proto)
+            return service;
+    }
+    return NULL;
+}
+
+const struct route_endpoint *
+route_endpoint_at(const struct route_table *table, struct addr data)
+{
+    for (size_t i = 0; i < table->count; i++) {
+        const struct route_service *service = &table->services[i];
+        for (size_t j = 0; j < service->count; j++)
+            if (addr_equal(service->endpoints[j].data, data))
+                return &service->endpoints[j];
+    }
+    return NULL;
+}
+
+size_t
+route_table_bytes(const struct route_table *table)
+{
+    size_t bytes = sizeof(*table) + table->count * sizeof(*table->services) +
+                   ((size_t)table->slot_mask + 1) * sizeof(*table->slots);
+
+    for (size_t i = 0; i < table->count; i++) {
+        const struct route_service *service = &table->services[i];
+        bytes += service->count * (sizeof(*service->endpoints) +
+                                   sizeof(*service->open_handles));
+        bytes += route_rank_bytes(service->all);
+        if (service->open != service->all)
+            bytes += route_rank_bytes(service->open);
+    }
+    return bytes;
+}
