--- /dev/null
+++ b/src/control/member_merge.c
@@ -0,0 +1,267 @@
+#define G_LOG_DOMAIN "swiftarch-control"
+
+#include <string.h>
+
+#include "base/addr.h"
+#include "base/hash.h"
+#include "base/log.h"
+#include "control/member_internal.h"
+
+static bool
+is_newer_announcement(const struct member_update *update,
+                      const struct member_entry *entry)
+{
+    if (update->start != entry->start)
+        return update->start > entry->start;
+    return update->revision > entry->revision;
+}
+
+static bool
+is_newer_health(const struct member_update *update,
+                const struct member_entry *entry)
+{
+    if (update->member.incarnation != entry->member.incarnation)
+        return update->member.incarnation > entry->member.incarnation;
+    return update->member.health > entry->member.health;
+}
+
+static void
+take_announcement(struct member_entry *entry,
+                  const struct member_update *update, uint64_t now_us)
+{
+    struct view_member *member = &entry->member;
+    const struct view_member *told = &update->member;
+
+    if (update->start != entry->start) {
+        member->since_us = now_us;
+        member->busy = 0;
+        member->waiting = 0;
+        member->config_version = 0;
+    }
+    memcpy(member->name, told->name, sizeof(member->name));
+    memcpy(member->data_centre, told->data_centre,
+           sizeof(member->data_centre));
+    member->role = told->role;
+    member->state = told->state;
+    member->data = told->data;
+    member->control = told->control;
+    member->service = told->service;
+    member->slots = told->slots;
+    entry->start = update->start;
+    entry->revision = update->revision;
+}
+
+static void
+set_health(struct member_entry *entry, enum member_health health,
+           uint64_t now_us)
+{
+    if (entry->member.health == health)
+        return;
+    entry->member.health = health;
+    entry->judged_us = now_us;
+    entry->confirm_us = now_us + MEMBER_CONFIRM_PROBE_US;
+}
+
+static bool
+merge_new(struct member_core *core, const struct member_update *update,
+          uint64_t now_us)
+{
+    struct member_entry *entry;
+
+    /* News of a death that nobody here remembers helps nobody. */
+    if (update->member.health == MEMBER_DEAD)
+        return false;
+    entry = member_insert(core, update->member.id, now_us);
+    if (entry == NULL)
+        return false;
+    take_announcement(entry, update, now_us);
+    entry->member.incarnation = update->member.incarnation;
+    set_health(entry, update->member.health, now_us);
+    member_touch(core, entry, false, now_us);
+    return true;
+}
+
+/*
+ * Another start of this name is newer than ours: a former life whose clock
+ * was ahead when the address is ours, or it is judged gone; else another
+ * process of that name.
+ */
+static bool
+merge_other_self(struct member_core *core, struct member_entry *self,
+                 const struct member_update *update, uint64_t now_us)
+{
+    if (update->member.health == MEMBER_ALIVE &&
+        !addr_equal(update->member.control, self->member.control)) {
+        if (core->stats.name_conflicts++ == 0)
+            g_warning("Another process has the name %s.", self->member.name);
+        return false;
+    }
+    self->start = update->member.incarnation + 1;
+    self->member.incarnation = self->start;
+    member_touch(core, self, true, now_us);
+    return true;
+}
+
+static bool
+merge_self(struct member_core *core, const struct member_update *update,
+           uint64_t now_us)
+{
+    struct member_entry *self = member_self(core);
+
+    if (core->left || update->member.incarnation < self->member.incarnation)
+        return false;
+    if (update->start > self->start)
+        return merge_other_self(core, self, update, now_us);
+    if (update->member.incarnation == self->member.incarnation &&
+        update->member.health == MEMBER_ALIVE)
+        return false;
+    self->member.incarnation = update->member.incarnation + 1;
+    core->stats.self_refutations++;
+    member_touch(core, self, true, now_us);
+    return true;
+}
+
+bool
+member_merge(struct member_core *core, const struct member_update *update,
+             uint64_t now_us)
+{
+    struct member_entry *entry;
+    bool newer_announcement;
+    bool newer_health;
+    bool urgent;
+
+    if (update->member.id == member_self(core)->member.id)
+        return merge_self(core, update, now_us);
+    entry = member_lookup(core, update->member.id);
+    if (entry == NULL)
+        return merge_new(core, update, now_us);
+    newer_announcement = is_newer_announcement(update, entry);
+    newer_health = is_newer_health(update, entry);
+    if (!newer_announcement && !newer_health)
+        return false;
+    urgent = newer_announcement && update->member.state != entry->member.state;
+    if (newer_announcement)
+        take_announcement(entry, update, now_us);
+    if (newer_health) {
+        urgent |= update->member.health != entry->member.health;
+        if (update->member.health == MEMBER_ALIVE &&
+            entry->member.health != MEMBER_ALIVE)
+            core->stats.refuted++;
+        /* A newer suspicion starts its own time. */
+        if (update->member.incarnation > entry->member.incarnation)
+            entry->member.health = MEMBER_ALIVE;
+        entry->member.incarnation = update->member.incarnation;
+        set_health(entry, update->member.health, now_us);
+    }
+    if (entry->member.health == MEMBER_DEAD)
+        entry->goodbye = entry->member.state == MEMBER_LEAVING;
+    member_touch(core, entry, urgent, now_us);
+    return true;
+}
+
+void
+member_judge(struct member_core *core, struct member_entry *entry,
+             enum member_health health, uint64_t now_us)
+{
+    g_assert(entry != member_self(core));
+    if (entry->member.health >= health)
+        return;
+    set_health(entry, health, now_us);
+    entry->goodbye = entry->member.state == MEMBER_LEAVING;
+    member_touch(core, entry, true, now_us);
+}
+
+/* Whether this process is one of those that confirm the death of @entry. */
+static bool
+is_confirmer(const struct member_core *core, const struct member_entry *entry)
+{
+    uint64_t own =
+        hash_pair(core->entries[core->self].member.id, entry->member.id);
+    size_t better = 0;
+
+    for (size_t i = 0; i < core->count; i++) {
+        const struct view_member *other =
+            &core->entries[core->order[i]].member;
+
+        if (other->health == MEMBER_ALIVE &&
+            hash_pair(other->id, entry->member.id) > own)
+            better++;
+    }
+    return better < MEMBER_CONFIRMERS;
+}
+
+static void
+declare_dead(struct member_core *core, struct member_entry *entry,
+             uint64_t now_us)
+{
+    core->stats.deaths++;
+    member_judge(core, entry, MEMBER_DEAD, now_us);
+}
+
+static void
+expire_suspect(struct member_core *core, struct member_entry *entry,
+               uint64_t now_us, struct member_actions *out)
+{
+    struct member_msg *msg;
+
+    if (now_us >= entry->judged_us + MEMBER_DEATH_US) {
+        declare_dead(core, entry, now_us);
+        return;
+    }
+    if (now_us < entry->confirm_us || !is_confirmer(core, entry))
+        return;
+    if (now_us >= entry->judged_us + MEMBER_CONFIRM_US) {
+        declare_dead(core, entry, now_us);
+        return;
+    }
+    entry->confirm_us = now_us + MEMBER_PERIOD_US;
+    msg = member_send(core, MEMBER_PING, entry->member.control, now_us, out);
+    msg->target = entry->member.id;
+    member_attach(core, msg, entry, now_us);
+}
+
+void
+member_expire(struct member_core *core, uint64_t now_us,
+              struct member_actions *out)
+{
+    for (size_t i = core->entry_count; i-- > 0;) {
+        struct member_entry *entry = &core->entries[i];
+        uint64_t kept;
+
+        if (entry->member.id == 0 || i == core->self)
+            continue;
+        if (entry->member.health == MEMBER_SUSPECT)
+            expire_suspect(core, entry, now_us, out);
+        if (entry->member.health != MEMBER_DEAD)
+            continue;
+        kept = entry->goodbye ? MEMBER_GOODBYE_US : MEMBER_TOMBSTONE_US;
+        if (now_us >= entry->judged_us + kept)
+            member_remove(core, entry);
+    }
+}
+
+void
+member_proven_dead(struct member_core *core, uint64_t id, uint64_t incarnation,
+                   uint64_t now_us)
+{
+    struct member_entry *entry = member_lookup(core, id);
+
+    if (entry == NULL || entry == member_self(core) ||
+        entry->member.incarnation > incarnation ||
+        entry->member.health == MEMBER_DEAD)
+        return;
+    core->stats.proven++;
+    member_judge(core, entry, MEMBER_DEAD, now_us);
+}
+
+void
+member_refused(struct member_core *core, struct addr at, uint64_t now_us)
+{
+    for (size_t i = 0; i < core->count; i++) {
+        const struct view_member *member =
+            &core->entries[core->order[i]].member;
+
+        if (addr_equal(member->control, at))
+            member_proven_dead(core, member->id, member->incarnation, now_us);
+    }
+}
--- /dev/null
+++ b/src/control/member_probe.c
@@ -0,0 +1,313 @@
+#include <string.h>
+
+#include <glib.h>
+
+#include "base/addr.h"
+#include "control/member_internal.h"
+
+static void
+shuffle(struct member_core *core)
+{
+    core->probe_count = 0;
+    core->probe_next = 0;
+    for (size_t i = 0; i < core->count; i++)
+        core->probe_order[core->probe_count++] = core->order[i];
+    for (size_t i = core->probe_count; i > 1; i--) {
+        size_t j = random_below(&core->random, i);
+        uint16_t slot = core->probe_order[i - 1];
+
+        core->probe_order[i - 1] = core->probe_order[j];
+        core->probe_order[j] = slot;
+    }
+}
+
+/* Next member in the permutation that isn't dead, or NULL. */
+static struct member_entry *
+next_target(struct member_core *core)
+{
+    for (size_t round = 0; round < 2; round++) {
+        while (core->probe_next < core->probe_count) {
+            uint16_t slot = core->probe_order[core->probe_next++];
+            struct member_entry *entry = &core->entries[slot];
+
+            if (slot != core->self && entry->member.id != 0 &&
+                entry->member.health != MEMBER_DEAD)
+                return entry;
+        }
+        shuffle(core);
+    }
+    return NULL;
+}
+
+/* A suspect is told of the suspicion, so that it can refute it. */
+static void
+send_ping(struct member_core *core, struct member_entry *entry, uint32_t seq,
+          uint64_t now_us, struct member_actions *out)
+{
+    struct member_msg *msg =
+        member_send(core, MEMBER_PING, entry->member.control, now_us, out);
+    bool tell = entry->member.health != MEMBER_ALIVE;
+
+    msg->target = entry->member.id;
+    msg->seq = seq;
+    member_attach(core, msg, tell ? entry : NULL, now_us);
+}
+
+static void
+start_probe(struct member_core *core, uint64_t now_us,
+            struct member_actions *out)
+{
+    struct member_entry *entry = next_target(core);
+    struct member_probe *probe = &core->probe;
+
+    probe->active = false;
+    if (entry == NULL)
+        return;
+    probe->active = true;
+    probe->target = entry->member.id;
+    probe->incarnation = entry->member.incarnation;
+    probe->seq = ++core->next_seq;
+    probe->start_us = now_us;
+    probe->resend_us = now_us + MEMBER_RESEND_US;
+    probe->helped = false;
+    core->stats.probes++;
+    send_ping(core, entry, probe->seq, now_us, out);
+}
+
+static void
+fail_probe(struct member_core *core, uint64_t now_us)
+{
+    struct member_entry *entry = member_lookup(core, core->probe.target);
+
+    core->probe.active = false;
+    core->stats.failed_probes++;
+    if (entry == NULL || entry->member.health != MEMBER_ALIVE ||
+        entry->member.incarnation != core->probe.incarnation)
+        return;
+    core->stats.suspicions++;
+    member_judge(core, entry, MEMBER_SUSPECT, now_us);
+}
+
+static void
+ask_helpers(struct member_core *core, uint64_t now_us,
+            struct member_actions *out)
+{
+    uint64_t asked[MEMBER_HELPERS];
+    size_t count = 0;
+
+    core->probe.helped = true;
+    for (size_t i = 0; i < 2 * MEMBER_HELPERS && count < MEMBER_HELPERS; i++) {
+        const struct member_entry *helper = member_random_alive(core);
+        struct member_msg *msg;
+        bool again = false;
+
+        if (helper == NULL)
+            return;
+        for (size_t j = 0; j < count; j++)
+            again |= asked[j] == helper->member.id;
+        if (again || helper->member.id == core->probe.target)
+            continue;
+        asked[count++] = helper->member.id;
+        msg = member_send(core, MEMBER_PING_FOR, helper->member.control,
+                          now_us, out);
+        msg->target = core->probe.target;
+        msg->seq = core->probe.seq;
+        member_attach(core, msg, NULL, now_us);
+    }
+}
+
+static void
+go_on_probing(struct member_core *core, uint64_t now_us,
+              struct member_actions *out)
+{
+    struct member_probe *probe = &core->probe;
+    struct member_entry *entry = member_lookup(core, probe->target);
+
+    if (entry == NULL) {
+        probe->active = false;
+        return;
+    }
+    if (now_us >= probe->resend_us) {
+        probe->resend_us = now_us + MEMBER_RESEND_US;
+        send_ping(core, entry, probe->seq, now_us, out);
+    }
+    if (!probe->helped && now_us >= probe->start_us + MEMBER_INDIRECT_US)
+        ask_helpers(core, now_us, out);
+}
+
+static void
+tick_relays(struct member_core *core, uint64_t now_us,
+            struct member_actions *out)
+{
+    for (size_t i = 0; i < MEMBER_RELAYS_MAX; i++) {
+        struct member_relay *relay = &core->relays[i];
+        struct member_entry *entry;
+
+        if (relay->tries_left == 0 || now_us < relay->resend_us)
+            continue;
+        relay->tries_left--;
+        relay->resend_us = now_us + MEMBER_RESEND_US;
+        entry = member_lookup(core, relay->target);
+        if (entry != NULL && relay->tries_left > 0)
+            send_ping(core, entry, relay->seq, now_us, out);
+    }
+}
+
+/* Members that were cut off for long may be back without knowing us. */
+static void
+probe_dead(struct member_core *core, uint64_t now_us,
+           struct member_actions *out)
+{
+    size_t first;
+
+    if (now_us < core->dead_probe_us)
+        return;
+    core->dead_probe_us =
+        now_us + random_between(&core->random, MEMBER_DEAD_PROBE_US / 2,
+                                MEMBER_DEAD_PROBE_US * 3 / 2);
+    first = random_below(&core->random, core->entry_count);
+    for (size_t i = 0; i < core->entry_count; i++) {
+        size_t slot = (first + i) % core->entry_count;
+        struct member_entry *entry = &core->entries[slot];
+
+        if (entry->member.id == 0 || entry->goodbye ||
+            entry->member.health != MEMBER_DEAD)
+            continue;
+        send_ping(core, entry, ++core->next_seq, now_us, out);
+        return;
+    }
+}
+
+void
+member_probe_stop(struct member_core *core, uint64_t now_us)
+{
+    core->probe.active = false;
+    memset(core->relays, 0, sizeof(core->relays));
+    core->period_us = now_us;
+}
+
+void
+member_probe_tick(struct member_core *core, uint64_t now_us,
+                  struct member_actions *out)
+{
+    tick_relays(core, now_us, out);
+    if (now_us >= core->period_us) {
+        if (core->probe.active)
+            fail_probe(core, now_us);
+        core->period_us += MEMBER_PERIOD_US;
+        if (core->period_us <= now_us)
+            core->period_us = now_us + MEMBER_PERIOD_US;
+        start_probe(core, now_us, out);
+        probe_dead(core, now_us, out);
+    }
+    else if (core->probe.active) {
+        go_on_probing(core, now_us, out);
+    }
+}
+
+static void
+receive_ping(struct member_core *core, const struct member_msg *msg,
+             struct addr from, uint64_t now_us, struct member_actions *out)
+{
+    struct member_entry *self = member_self(core);
+    struct member_entry *first = member_lookup(core, msg->from);
+    bool mine = msg->target == self->member.id;
+    struct member_msg *answer;
+
+    /* A refutation goes before telling the sender that it is suspected. */
+    if (first != NULL && first->member.health == MEMBER_ALIVE)
+        first = NULL;
+    if (self->urgent)
+        first = self;
+    answer = member_send(core, mine ? MEMBER_ACK : MEMBER_NOT_ME, from, now_us,
+                         out);
+    answer->target = msg->target;
+    answer->seq = msg->seq;
+    member_attach(core, answer, first, now_us);
+}
+
+static void
+receive_ping_for(struct member_core *core, const struct member_msg *msg,
+                 struct addr from, uint64_t now_us, struct member_actions *out)
+{
+    struct member_entry *entry = member_lookup(core, msg->target);
+    struct member_relay *relay = NULL;
+
+    for (size_t i = 0; i < MEMBER_RELAYS_MAX && relay == NULL; i++) {
+        if (core->relays[i].tries_left == 0)
+            relay = &core->relays[i];
+    }
+    if (entry == NULL || relay == NULL || entry == member_self(core))
+        return;
+    relay->target = msg->target;
+    relay->seq = ++core->next_seq;
+    relay->asker = from;
+    relay->asker_seq = msg->seq;
+    relay->resend_us = now_us + MEMBER_RESEND_US;
+    relay->tries_left = MEMBER_RELAY_TRIES;
+    send_ping(core, entry, relay->seq, now_us, out);
+}
+
+static void
+pass_on_ack(struct member_core *core, const struct member_msg *msg,
+            uint64_t now_us, struct member_actions *out)
+{
+    for (size_t i = 0; i < MEMBER_RELAYS_MAX; i++) {
+        struct member_relay *relay = &core->relays[i];
+        struct member_msg *answer;
+
+        if (relay->tries_left == 0 || relay->seq != msg->seq ||
+            relay->target != msg->target)
+            continue;
+        relay->tries_left = 0;
+        answer = member_send(core, MEMBER_ACK, relay->asker, now_us, out);
+        answer->target = relay->target;
+        answer->seq = relay->asker_seq;
+        member_attach(core, answer, NULL, now_us);
+    }
+}
+
+static void
+receive_ack(struct member_core *core, const struct member_msg *msg,
+            uint64_t now_us, struct member_actions *out)
+{
+    if (core->probe.active && core->probe.seq == msg->seq &&
+        core->probe.target == msg->target)
+        core->probe.active = false;
+    pass_on_ack(core, msg, now_us, out);
+}
+
+/* Another process has taken over the address of @target. */
+static void
+receive_not_me(struct member_core *core, const struct member_msg *msg,
+               struct addr from, uint64_t now_us)
+{
+    const struct member_entry *entry = member_lookup(core, msg->target);
+
+    if (entry != NULL && addr_equal(entry->member.control, from))
+        member_proven_dead(core, msg->target, entry->member.incarnation,
+                           now_us);
+}
+
+void
+member_probe_receive(struct member_core *core, const struct member_msg *msg,
+                     struct addr from, uint64_t now_us,
+                     struct member_actions *out)
+{
+    switch (msg->kind) {
+    case MEMBER_PING:
+        receive_ping(core, msg, from, now_us, out);
+        break;
+    case MEMBER_PING_FOR:
+        receive_ping_for(core, msg, from, now_us, out);
+        break;
+    case MEMBER_ACK:
+        receive_ack(core, msg, now_us, out);
+        break;
+    case MEMBER_NOT_ME:
+        receive_not_me(core, msg, from, now_us);
+        break;
+    default:
+        break;
+    }
+}
--- /dev/null
+++ b/src/control/member_sync.c
@@ -0,0 +1,229 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include <glib.h>
+
+#include "base/addr.h"
+#include "control/member_internal.h"
+#include "control/wire.h"
+
+void
+member_sync_start(struct member_core *core, struct addr to, uint64_t now_us,
+                  struct member_actions *out)
+{
+    struct member_msg *msg =
+        member_send(core, MEMBER_SYNC_LIST, to, now_us, out);
+
+    msg->summary = g_new(struct member_summary, core->count);
+    for (size_t i = 0; i < core->count; i++) {
+        const struct member_entry *entry = &core->entries[core->order[i]];
+
+        if (entry->member.health == MEMBER_DEAD)
+            continue;
+        msg->summary[msg->summary_count].id = entry->member.id;
+        msg->summary[msg->summary_count].digest = entry->digest;
+        msg->summary_count++;
+    }
+    core->stats.syncs++;
+    core->mismatch_us = 0;
+    core->sync_us = now_us + random_between(&core->random, MEMBER_SYNC_GAP_US,
+                                            2 * MEMBER_SYNC_GAP_US);
+}
+
+/* Adds an entry to a sync message while the bucket pays for it. */
+static bool
+add_paid(struct member_core *core, struct member_msg *msg,
+         const struct member_entry *entry, uint64_t now_us)
+{
+    struct member_update update = member_update_of(entry);
+
+    if (!bucket_take(&core->sync_bucket, wire_update_size(&update), now_us))
+        return false;
+    msg->updates[msg->update_count++] = update;
+    return true;
+}
+
+static int
+compare_summary(const void *left, const void *right)
+{
+    const struct member_summary *a = left;
+    const struct member_summary *b = right;
+
+    return (a->id > b->id) - (a->id < b->id);
+}
+
+static void
+answer_list(struct member_core *core, const struct member_msg *msg,
+            struct addr from, uint64_t now_us, struct member_actions *out)
+{
+    struct member_msg *answer;
+    size_t first = random_below(&core->random, core->count);
+
+    qsort(msg->summary, msg->summary_count, sizeof(msg->summary[0]),
+          compare_summary);
+    answer = member_send(core, MEMBER_SYNC_ANSWER, from, now_us, out);
+    answer->updates = g_new(struct member_update, core->count);
+    answer->want = g_new(uint64_t, msg->summary_count);
+    for (size_t i = 0; i < core->count; i++) {
+        uint16_t slot = core->order[(first + i) % core->count];
+        const struct member_entry *entry = &core->entries[slot];
+        struct member_summary key = {.id = entry->member.id};
+        const struct member_summary *theirs =
+            bsearch(&key, msg->summary, msg->summary_count, sizeof(key),
+                    compare_summary);
+
+        if (theirs == NULL && entry->member.health == MEMBER_DEAD)
+            continue;
+        if (theirs != NULL && theirs->digest == entry->digest)
+            continue;
+        if (!add_paid(core, answer, entry, now_us))
+            break;
+    }
+    for (size_t i = 0; i < msg->summary_count; i++) {
+        const struct member_entry *entry =
+            member_lookup(core, msg->summary[i].id);
+
+        if (entry == NULL || entry->digest != msg->summary[i].digest)
+            answer->want[answer->want_count++] = msg->summary[i].id;
+    }
+}
+
+static void
+push_wanted(struct member_core *core, const struct member_msg *msg,
+            struct addr from, uint64_t now_us, struct member_actions *out)
+{
+    struct member_msg *answer;
+
+    core->joined = true;
+    if (msg->want_count == 0)
+        return;
+    answer = member_send(core, MEMBER_SYNC_PUSH, from, now_us, out);
+    answer->updates = g_new(struct member_update, msg->want_count);
+    for (size_t i = 0; i < msg->want_count; i++) {
+        const struct member_entry *entry = member_lookup(core, msg->want[i]);
+
+        if (entry != NULL && !add_paid(core, answer, entry, now_us))
+            return;
+    }
+}
+
+static void
+welcome(struct member_core *core, struct addr from, uint64_t now_us,
+        struct member_actions *out)
+{
+    struct member_msg *answer;
+
+    if (!bucket_take(&core->join_bucket, 1, now_us)) {
+        core->stats.refused_joins++;
+        return;
+    }
+    answer = member_send(core, MEMBER_WELCOME, from, now_us, out);
+    member_attach_sample(core, answer);
+}
+
+/* A newcomer syncs with a random member, so that seeds aren't flooded. */
+static void
+welcomed(struct member_core *core, uint64_t now_us, struct member_actions *out)
+{
+    const struct member_entry *peer = member_random_alive(core);
+
+    if (core->joined || peer == NULL || now_us < core->sync_us)
+        return;
+    member_sync_start(core, peer->member.control, now_us, out);
+    core->sync_us = now_us + USEC_PER_SEC;
+}
+
+void
+member_sync_receive(struct member_core *core, const struct member_msg *msg,
+                    struct addr from, uint64_t now_us,
+                    struct member_actions *out)
+{
+    switch (msg->kind) {
+    case MEMBER_JOIN:
+        welcome(core, from, now_us, out);
+        break;
+    case MEMBER_WELCOME:
+        welcomed(core, now_us, out);
+        break;
+    case MEMBER_SYNC_LIST:
+        answer_list(core, msg, from, now_us, out);
+        break;
+    case MEMBER_SYNC_ANSWER:
+        push_wanted(core, msg, from, now_us, out);
+        break;
+    default:
+        break;
+    }
+}
+
+void
+member_sync_digest(struct member_core *core, const struct member_entry *peer,
+                   uint64_t digest, uint64_t now_us,
+                   struct member_actions *out)
+{
+    if (digest == core->digest) {
+        core->mismatch_us = 0;
+        return;
+    }
+    if (core->mismatch_us == 0)
+        core->mismatch_us = now_us;
+    /* News still on its way explains a difference for a while. */
+    if (now_us < core->mismatch_us + MEMBER_SYNC_AFTER_US ||
+        now_us < core->sync_us)
+        return;
+    member_sync_start(core, peer->member.control, now_us, out);
+}
+
+static bool
+is_listed(const struct member_core *core, struct addr contact)
+{
+    for (size_t i = 0; i < core->count; i++) {
+        const struct view_member *member =
+            &core->entries[core->order[i]].member;
+
+        if (member->health != MEMBER_DEAD &&
+            addr_equal(member->control, contact))
+            return true;
+    }
+    return false;
+}
+
+static struct addr *
+next_contact(struct member_core *core)
+{
+    for (size_t i = 0; i < core->contact_count; i++) {
+        struct addr *contact =
+            &core->contacts[core->contact_next++ % core->contact_count];
+
+        if (!is_listed(core, *contact))
+            return contact;
+    }
+    return NULL;
+}
+
+void
+member_contact_tick(struct member_core *core, uint64_t now_us,
+                    struct member_actions *out)
+{
+    struct addr *contact;
+    struct member_msg *msg;
+
+    if (now_us < core->contact_us)
+        return;
+    if (core->joined)
+        core->contact_gap_us = MEMBER_SEED_GAP_US;
+    else
+        core->contact_gap_us =
+            MIN(2 * core->contact_gap_us, MEMBER_SEED_GAP_US / 4);
+    core->contact_us =
+        now_us + random_between(&core->random, core->contact_gap_us / 2,
+                                core->contact_gap_us);
+    contact = next_contact(core);
+    if (contact == NULL) {
+        /* All contacts are known: a first sync may have been lost. */
+        welcomed(core, now_us, out);
+        return;
+    }
+    msg = member_send(core, MEMBER_JOIN, *contact, now_us, out);
+    member_attach(core, msg, member_self(core), now_us);
+}
