--- a/src/base/link.c
+++ b/src/base/link.c
@@ -435,8 +435,13 @@
 void
 link_hub_finish(struct link_hub *hub)
 {
-    while (hub->conns != NULL)
-        conn_free(hub->conns);
+    struct link_conn *next;
+
+    for (struct link_conn *conn = hub->conns; conn != NULL; conn = next) {
+        next = conn->next;
+        conn_free(conn);
+    }
+    hub->conns = NULL;
     if (hub->listener != NULL)
         evconnlistener_free(hub->listener);
     hub->listener = NULL;
@@ -470,6 +475,7 @@
         if (ret < 0)
             return ret;
     }
+    assert(conn != NULL);
     return conn_send(conn, type, body, len);
 }
 
--- a/src/base/link_wire.c
+++ b/src/base/link_wire.c
@@ -5,10 +5,11 @@
 #include <string.h>
 #include <sys/random.h>
 
-#define MAGIC "SAL1"
 #define MAGIC_LEN 4
 #define PARTS 5
 
+static const uint8_t magic[MAGIC_LEN] = {'S', 'A', 'L', '1'};
+
 static void
 put_be(uint8_t *out, uint64_t value, int bytes)
 {
@@ -32,7 +33,7 @@
           uint8_t tag[AUTH_TAG_LEN])
 {
     struct auth_part parts[] = {
-        {MAGIC, MAGIC_LEN},
+        {magic, MAGIC_LEN},
         {receiver, LINK_WIRE_NONCE},
         {sender, LINK_WIRE_NONCE},
         {head + LINK_WIRE_LENGTH, LINK_WIRE_HEAD - LINK_WIRE_LENGTH},
@@ -48,7 +49,7 @@
     memset(wire, 0, sizeof(*wire));
     if (getrandom(wire->own_nonce, LINK_WIRE_NONCE, 0) != LINK_WIRE_NONCE)
         return -EIO;
-    memcpy(hello, MAGIC, MAGIC_LEN);
+    memcpy(hello, magic, MAGIC_LEN);
     memcpy(hello + MAGIC_LEN, wire->own_nonce, LINK_WIRE_NONCE);
     return 0;
 }
@@ -57,7 +58,7 @@
 link_wire_take_hello(struct link_wire *wire,
                      const uint8_t hello[LINK_WIRE_HELLO])
 {
-    if (memcmp(hello, MAGIC, MAGIC_LEN) != 0)
+    if (memcmp(hello, magic, MAGIC_LEN) != 0)
         return -EBADMSG;
     memcpy(wire->peer_nonce, hello + MAGIC_LEN, LINK_WIRE_NONCE);
     /* Our own hello thrown back would make our frames valid answers. */
--- a/src/base/settings.c
+++ b/src/base/settings.c
@@ -1,5 +1,6 @@
 #include "base/settings.h"
 
+#include <assert.h>
 #include <errno.h>
 #include <glib.h>
 #include <json-c/json.h>
@@ -150,7 +151,7 @@
         fault_value(reader, expected);
         return;
     }
-    strcpy((char *)reader->settings + rule->offset, text);
+    g_strlcpy((char *)reader->settings + rule->offset, text, rule->size);
 }
 
 static void
@@ -430,7 +431,7 @@
 {
     memset(settings, 0, sizeof(*settings));
     settings->role = role;
-    strcpy(settings->log_level, "message");
+    g_strlcpy(settings->log_level, "message", sizeof(settings->log_level));
     settings->workers = 1;
     settings->drain_s = 30;
     settings->trace_sample = 1;
@@ -442,6 +443,7 @@
     GError *gerror = NULL;
     int code;
 
+    *text = NULL;
     if (g_file_get_contents(path, text, len, &gerror)) {
         if (*len <= FILE_MAX)
             return 0;
@@ -487,6 +489,7 @@
     ret = read_file(path, &reader.text, &len, err);
     if (ret < 0)
         return ret;
+    assert(reader.text != NULL);
     reader.report = g_string_new(NULL);
     root = parse_text(&reader, len);
     if (root != NULL)
--- /dev/null
+++ b/tests/base/test_auth.c
@@ -0,0 +1,224 @@
+/**
+ * DOC: test_auth - sealed datagrams: tampering, replay, skew, many senders
+ */
+#include <errno.h>
+#include <glib.h>
+#include <string.h>
+
+#include "base/auth.h"
+
+#define NOW_MS UINT64_C(1700000000000)
+#define BODY_MAX 64
+
+static const uint8_t key[16] = "0123456789abcdef";
+
+/** struct message - a sealed message */
+struct message {
+    uint8_t data[BODY_MAX + AUTH_OVERHEAD];
+    size_t len;
+};
+
+static struct message
+seal(struct auth *auth, const char *body, uint64_t wall_ms)
+{
+    struct message msg;
+
+    msg.len = auth_seal(auth, (const uint8_t *)body, strlen(body), wall_ms,
+                        msg.data);
+    return msg;
+}
+
+static int
+open_at(struct auth *auth, const struct message *msg, uint64_t wall_ms)
+{
+    const uint8_t *body;
+    uint64_t sender;
+    size_t len;
+
+    return auth_open(auth, msg->data, msg->len, wall_ms, &sender, &body, &len);
+}
+
+static void
+new_auth(struct auth *auth, uint64_t self)
+{
+    g_assert_cmpint(auth_init(auth, key, sizeof(key), self, NOW_MS), ==, 0);
+}
+
+static void
+test_round_trip(void)
+{
+    struct auth a, b;
+    struct message msg;
+    const uint8_t *body;
+    uint64_t sender;
+    size_t len;
+
+    new_auth(&a, 11);
+    new_auth(&b, 12);
+    msg = seal(&a, "hello", NOW_MS);
+    g_assert_cmpuint(msg.len, ==, 5 + AUTH_OVERHEAD);
+    g_assert_cmpint(
+        auth_open(&b, msg.data, msg.len, NOW_MS, &sender, &body, &len), ==, 0);
+    g_assert_cmpuint(sender, ==, 11);
+    g_assert_cmpmem(body, len, "hello", 5);
+    msg = seal(&a, "", NOW_MS);
+    g_assert_cmpint(open_at(&b, &msg, NOW_MS), ==, 0);
+    auth_finish(&a);
+    auth_finish(&b);
+}
+
+static void
+test_tampering(void)
+{
+    struct auth a, b;
+    struct message msg;
+
+    new_auth(&a, 11);
+    new_auth(&b, 12);
+    msg = seal(&a, "reserve lot 7", NOW_MS);
+    for (size_t bit = 0; bit < msg.len * 8; bit++) {
+        struct message changed = msg;
+
+        changed.data[bit / 8] ^= (uint8_t)(1 << bit % 8);
+        g_assert_cmpint(open_at(&b, &changed, NOW_MS), ==, -EBADMSG);
+    }
+    for (size_t len = 0; len < msg.len; len++) {
+        struct message cut = msg;
+
+        cut.len = len;
+        g_assert_cmpint(open_at(&b, &cut, NOW_MS), ==, -EBADMSG);
+    }
+    /* None of that spoilt the true one. */
+    g_assert_cmpint(open_at(&b, &msg, NOW_MS), ==, 0);
+    auth_finish(&a);
+    auth_finish(&b);
+}
+
+static void
+test_other_key(void)
+{
+    static const uint8_t other[16] = "0123456789abcdeF";
+    struct auth a, b;
+    struct message msg;
+
+    new_auth(&a, 11);
+    g_assert_cmpint(auth_init(&b, other, sizeof(other), 12, NOW_MS), ==, 0);
+    msg = seal(&a, "x", NOW_MS);
+    g_assert_cmpint(open_at(&b, &msg, NOW_MS), ==, -EBADMSG);
+    auth_finish(&b);
+    g_assert_cmpint(auth_init(&b, other, 15, 12, NOW_MS), ==, -EINVAL);
+    auth_finish(&a);
+}
+
+static void
+test_skew(void)
+{
+    struct auth a, b;
+    struct message msg;
+
+    new_auth(&a, 11);
+    new_auth(&b, 12);
+    msg = seal(&a, "x", NOW_MS);
+    g_assert_cmpint(open_at(&b, &msg, NOW_MS + AUTH_SKEW_MS + 1), ==, -ETIME);
+    g_assert_cmpint(open_at(&b, &msg, NOW_MS - AUTH_SKEW_MS - 1), ==, -ETIME);
+    g_assert_cmpint(open_at(&b, &msg, NOW_MS - AUTH_SKEW_MS), ==, 0);
+    auth_finish(&a);
+    auth_finish(&b);
+}
+
+/* In any order each message passes once, unless it fell behind the window. */
+static void
+test_replay_in_any_order(void)
+{
+    enum { COUNT = 4 * AUTH_WINDOW };
+    struct message *msgs = g_new(struct message, COUNT);
+    bool *taken = g_new0(bool, COUNT);
+    int highest = -1;
+    struct auth a, b;
+
+    new_auth(&a, 11);
+    new_auth(&b, 12);
+    for (int i = 0; i < COUNT; i++)
+        msgs[i] = seal(&a, "x", NOW_MS);
+    for (int i = 0; i < 4 * COUNT; i++) {
+        int middle = i / 4;
+        int low = MAX(middle - 2 * AUTH_WINDOW, 0);
+        int at = g_test_rand_int_range(low, MIN(middle + 20, COUNT));
+        bool fresh = !taken[at] && highest - at < AUTH_WINDOW;
+
+        g_assert_cmpint(open_at(&b, &msgs[at], NOW_MS), ==,
+                        fresh ? 0 : -EALREADY);
+        taken[at] = true;
+        highest = MAX(highest, at);
+    }
+    auth_finish(&a);
+    auth_finish(&b);
+    g_free(msgs);
+    g_free(taken);
+}
+
+/* A process that started again isn't taken for a replay of itself. */
+static void
+test_restart(void)
+{
+    struct auth a, b;
+    struct message msg;
+
+    new_auth(&a, 11);
+    new_auth(&b, 12);
+    for (int i = 0; i < 3 * AUTH_WINDOW; i++) {
+        msg = seal(&a, "x", NOW_MS);
+        g_assert_cmpint(open_at(&b, &msg, NOW_MS), ==, 0);
+    }
+    auth_finish(&a);
+    g_assert_cmpint(auth_init(&a, key, sizeof(key), 11, NOW_MS + 1), ==, 0);
+    msg = seal(&a, "x", NOW_MS + 1);
+    g_assert_cmpint(open_at(&b, &msg, NOW_MS + 1), ==, 0);
+    auth_finish(&a);
+    auth_finish(&b);
+}
+
+/* Only the sender heard longest ago makes room for one too many. */
+static void
+test_many_senders(void)
+{
+    struct message first[AUTH_PEERS_MAX];
+    struct message extra;
+    struct auth b;
+
+    new_auth(&b, 1);
+    for (unsigned i = 0; i < AUTH_PEERS_MAX; i++) {
+        struct auth a;
+
+        new_auth(&a, 100 + i);
+        first[i] = seal(&a, "x", NOW_MS);
+        g_assert_cmpint(open_at(&b, &first[i], NOW_MS), ==, 0);
+        if (i == AUTH_PEERS_MAX - 1) {
+            a.self = 5;
+            extra = seal(&a, "x", NOW_MS);
+        }
+        auth_finish(&a);
+    }
+    g_assert_cmpint(open_at(&b, &first[0], NOW_MS), ==, -EALREADY);
+    g_assert_cmpint(open_at(&b, &extra, NOW_MS), ==, 0);
+    for (unsigned i = 0; i < AUTH_PEERS_MAX; i++) {
+        if (i != 1)
+            g_assert_cmpint(open_at(&b, &first[i], NOW_MS), ==, -EALREADY);
+    }
+    g_assert_cmpint(open_at(&b, &first[1], NOW_MS), ==, 0);
+    auth_finish(&b);
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/base/auth/round-trip", test_round_trip);
+    g_test_add_func("/base/auth/tampering", test_tampering);
+    g_test_add_func("/base/auth/other-key", test_other_key);
+    g_test_add_func("/base/auth/skew", test_skew);
+    g_test_add_func("/base/auth/replay", test_replay_in_any_order);
+    g_test_add_func("/base/auth/restart", test_restart);
+    g_test_add_func("/base/auth/many-senders", test_many_senders);
+    return g_test_run();
+}
--- /dev/null
+++ b/tests/base/test_link.c
@@ -0,0 +1,351 @@
+/**
+ * DOC: test_link - frames between hubs, and strangers at a hub
+ */
+#include <errno.h>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <glib.h>
+#include <string.h>
+
+#include "base/link.h"
+#include "base/link_wire.h"
+
+#define LOOPS_MAX 200000
+
+static const uint8_t key[16] = "0123456789abcdef";
+
+/** struct side - a hub and what its owner saw */
+struct side {
+    struct link_handler base;
+    struct auth auth;
+    struct link_hub hub;
+    bool echo;
+    unsigned frames;
+    uint64_t sender;
+    uint16_t type;
+    GByteArray *bytes;
+    unsigned downs;
+    int reason;
+    struct addr down_peer;
+};
+
+static void
+on_frame(struct link_handler *handler, struct link_conn *conn, uint64_t sender,
+         uint16_t type, const uint8_t *body, size_t len)
+{
+    struct side *side = (struct side *)handler;
+
+    side->frames++;
+    side->sender = sender;
+    side->type = type;
+    g_byte_array_append(side->bytes, body, (guint)len);
+    if (side->echo)
+        g_assert_cmpint(link_reply(&side->hub, conn, type, body, len), ==, 0);
+}
+
+static void
+on_down(struct link_handler *handler, struct link_conn *conn, struct addr peer,
+        int reason)
+{
+    struct side *side = (struct side *)handler;
+
+    side->downs++;
+    side->reason = reason;
+    side->down_peer = peer;
+}
+
+static const struct link_ops side_ops = {.on_frame = on_frame,
+                                         .on_down = on_down};
+
+static void
+side_init(struct side *side, struct event_base *base, uint64_t self,
+          const uint8_t *site_key)
+{
+    struct addr any = {.ip = 0x7f000001};
+
+    memset(side, 0, sizeof(*side));
+    side->base.ops = &side_ops;
+    side->bytes = g_byte_array_new();
+    g_assert_cmpint(auth_init(&side->auth, site_key, 16, self, 0), ==, 0);
+    g_assert_cmpint(
+        link_hub_init(&side->hub, base, &side->auth, &side->base, any, NULL),
+        ==, 0);
+}
+
+static void
+side_finish(struct side *side)
+{
+    link_hub_finish(&side->hub);
+    auth_finish(&side->auth);
+    g_byte_array_unref(side->bytes);
+}
+
+/* Run the loop until *@seen reaches @count. */
+static void
+run_until(struct event_base *base, const unsigned *seen, unsigned count)
+{
+    for (int i = 0; *seen < count; i++) {
+        g_assert_cmpint(i, <, LOOPS_MAX);
+        event_base_loop(base, EVLOOP_ONCE);
+    }
+}
+
+/* Frames of all sizes arrive whole, in order, and go back the same way. */
+static void
+test_frames(void)
+{
+    struct event_base *base = event_base_new();
+    GByteArray *sent = g_byte_array_new();
+    struct side a, b;
+    struct addr to;
+
+    side_init(&a, base, 11, key);
+    side_init(&b, base, 12, key);
+    b.echo = true;
+    to = link_hub_addr(&b.hub);
+    for (unsigned i = 0; i < 200; i++) {
+        size_t len = i == 0 ? 0 : (size_t)g_test_rand_int_range(0, 20000);
+        uint8_t *body = g_malloc(len + 1);
+
+        memset(body, (int)(i & 0xff), len);
+        g_byte_array_append(sent, body, (guint)len);
+        g_assert_cmpint(link_send(&a.hub, to, 7, body, len), ==, 0);
+        g_free(body);
+    }
+    run_until(base, &a.frames, 200);
+    g_assert_cmpuint(b.frames, ==, 200);
+    g_assert_cmpuint(b.sender, ==, 11);
+    g_assert_cmpuint(a.sender, ==, 12);
+    g_assert_cmpuint(b.type, ==, 7);
+    g_assert_cmpmem(b.bytes->data, b.bytes->len, sent->data, sent->len);
+    g_assert_cmpmem(a.bytes->data, a.bytes->len, sent->data, sent->len);
+    g_assert_cmpuint(a.hub.sent_bytes, ==, b.hub.received_bytes);
+    g_assert_cmpuint(link_hub_queued(&a.hub), ==, 0);
+    g_byte_array_unref(sent);
+    side_finish(&a);
+    side_finish(&b);
+    event_base_free(base);
+}
+
+static void
+test_limits(void)
+{
+    struct event_base *base = event_base_new();
+    uint8_t *body = g_malloc0(LINK_FRAME_MAX);
+    size_t max = LINK_FRAME_MAX - LINK_WIRE_OVERHEAD;
+    struct side a, b;
+    struct addr to;
+    int ret;
+
+    side_init(&a, base, 11, key);
+    side_init(&b, base, 12, key);
+    to = link_hub_addr(&b.hub);
+    g_assert_cmpint(link_send(&a.hub, to, 1, body, max + 1), ==, -EMSGSIZE);
+    while ((ret = link_send(&a.hub, to, 1, body, max)) == 0)
+        g_assert_cmpuint(link_hub_queued(&a.hub), <=,
+                         LINK_QUEUE_MAX + LINK_FRAME_MAX);
+    g_assert_cmpint(ret, ==, -ENOBUFS);
+    run_until(base, &b.frames, 3);
+    g_assert_cmpuint(b.bytes->len, ==, 3 * max);
+    g_free(body);
+    side_finish(&a);
+    side_finish(&b);
+    event_base_free(base);
+}
+
+/* A refused connection is told as such: the process there is gone. */
+static void
+test_refused(void)
+{
+    struct event_base *base = event_base_new();
+    struct side a, b;
+    struct addr to;
+
+    side_init(&a, base, 11, key);
+    side_init(&b, base, 12, key);
+    to = link_hub_addr(&b.hub);
+    side_finish(&b);
+    g_assert_cmpint(link_send(&a.hub, to, 1, key, 4), ==, 0);
+    run_until(base, &a.downs, 1);
+    g_assert_cmpint(a.reason, ==, -ECONNREFUSED);
+    g_assert_true(addr_equal(a.down_peer, to));
+    /* The next send opens a new connection. */
+    g_assert_cmpint(link_send(&a.hub, to, 1, key, 4), ==, 0);
+    run_until(base, &a.downs, 2);
+    side_finish(&a);
+    event_base_free(base);
+}
+
+static void
+test_other_key(void)
+{
+    static const uint8_t other[16] = "0123456789abcdeF";
+    struct event_base *base = event_base_new();
+    struct side a, b;
+
+    side_init(&a, base, 11, other);
+    side_init(&b, base, 12, key);
+    link_send(&a.hub, link_hub_addr(&b.hub), 1, key, 4);
+    run_until(base, &b.downs, 1);
+    run_until(base, &a.downs, 1);
+    g_assert_cmpuint(b.frames, ==, 0);
+    g_assert_cmpuint(b.hub.rejected + a.hub.rejected, >=, 1);
+    g_assert_cmpuint(b.hub.unproven, ==, 0);
+    side_finish(&a);
+    side_finish(&b);
+    event_base_free(base);
+}
+
+static void
+on_stranger_event(struct bufferevent *event, short what, void *data)
+{
+    if (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR))
+        ++*(unsigned *)data;
+}
+
+/* Send @len bytes as a stranger; the hub must hang up. */
+static void
+expect_hang_up(struct event_base *base, struct side *b, const uint8_t *bytes,
+               size_t len)
+{
+    struct sockaddr_in sin = addr_to_sockaddr(link_hub_addr(&b->hub));
+    struct bufferevent *event =
+        bufferevent_socket_new(base, -1, BEV_OPT_CLOSE_ON_FREE);
+    unsigned ended = 0;
+
+    bufferevent_setcb(event, NULL, NULL, on_stranger_event, &ended);
+    bufferevent_enable(event, EV_READ | EV_WRITE);
+    bufferevent_write(event, bytes, len);
+    bufferevent_socket_connect(event, (struct sockaddr *)&sin, sizeof(sin));
+    run_until(base, &ended, 1);
+    bufferevent_free(event);
+    g_assert_cmpuint(b->frames, ==, 0);
+    g_assert_cmpuint(b->hub.unproven, ==, 0);
+}
+
+static void
+test_strangers(void)
+{
+    struct event_base *base = event_base_new();
+    uint8_t hello[LINK_WIRE_HELLO + LINK_WIRE_OVERHEAD] = "SAL1";
+    struct side b;
+
+    side_init(&b, base, 12, key);
+    for (int i = 0; i < 100; i++) {
+        uint8_t garbage[128];
+
+        for (size_t at = 0; at < sizeof(garbage); at++)
+            garbage[at] = (uint8_t)g_test_rand_int();
+        expect_hang_up(base, &b, garbage, sizeof(garbage));
+    }
+    /* Before the proof no long frame is waited for. */
+    memset(hello + LINK_WIRE_HELLO, 0, LINK_WIRE_OVERHEAD);
+    hello[LINK_WIRE_HELLO + 1] = 0x10;
+    expect_hang_up(base, &b, hello, LINK_WIRE_HELLO + LINK_WIRE_LENGTH);
+    g_assert_cmpint(b.reason, ==, -EMSGSIZE);
+    /* A proof of the right size with a wrong tag. */
+    hello[LINK_WIRE_HELLO + 1] = 0;
+    hello[LINK_WIRE_HELLO + 3] = LINK_WIRE_OVERHEAD - LINK_WIRE_LENGTH;
+    expect_hang_up(base, &b, hello, sizeof(hello));
+    g_assert_cmpint(b.reason, ==, -EBADMSG);
+    /* A frame shorter than its own overhead. */
+    hello[LINK_WIRE_HELLO + 3] = 1;
+    expect_hang_up(base, &b, hello, sizeof(hello));
+    /* Nothing at all, until the time for the proof is over. */
+    expect_hang_up(base, &b, hello, 3);
+    g_assert_cmpint(b.reason, ==, -ETIMEDOUT);
+    g_assert_cmpuint(b.hub.rejected, ==, 103);
+    side_finish(&b);
+    event_base_free(base);
+}
+
+/** struct pair - two ends of a connection without sockets */
+struct pair {
+    struct auth auth;
+    struct link_wire a;
+    struct link_wire b;
+};
+
+static void
+pair_init(struct pair *pair)
+{
+    uint8_t hello_a[LINK_WIRE_HELLO], hello_b[LINK_WIRE_HELLO];
+
+    g_assert_cmpint(auth_init(&pair->auth, key, sizeof(key), 11, 0), ==, 0);
+    link_wire_init(&pair->a, hello_a);
+    link_wire_init(&pair->b, hello_b);
+    g_assert_cmpint(link_wire_take_hello(&pair->a, hello_a), ==, -EBADMSG);
+    g_assert_cmpint(link_wire_take_hello(&pair->a, hello_b), ==, 0);
+    g_assert_cmpint(link_wire_take_hello(&pair->b, hello_a), ==, 0);
+}
+
+#define BODY_LEN 8
+#define FRAME_LEN (LINK_WIRE_OVERHEAD + BODY_LEN)
+
+static void
+put_frame(struct pair *pair, uint8_t *frame)
+{
+    memcpy(frame + LINK_WIRE_HEAD, "lot 7...", BODY_LEN);
+    link_wire_seal(&pair->a, &pair->auth, 3, frame + LINK_WIRE_HEAD, BODY_LEN,
+                   frame, frame + LINK_WIRE_HEAD + BODY_LEN);
+}
+
+/* Changed, replayed, reordered, reflected and foreign frames are refused. */
+static void
+test_wire(void)
+{
+    uint8_t first[FRAME_LEN], second[FRAME_LEN];
+    struct link_frame frame;
+    struct pair pair, other;
+
+    pair_init(&pair);
+    pair_init(&other);
+    put_frame(&pair, first);
+    put_frame(&pair, second);
+    g_assert_cmpuint(link_wire_length(first), ==, FRAME_LEN);
+    /* The length itself isn't under the tag; it decides where the tag is. */
+    for (size_t bit = LINK_WIRE_LENGTH * 8; bit < FRAME_LEN * 8; bit++) {
+        first[bit / 8] ^= (uint8_t)(1 << bit % 8);
+        g_assert_cmpint(
+            link_wire_open(&pair.b, &pair.auth, first, FRAME_LEN, &frame), ==,
+            -EBADMSG);
+        first[bit / 8] ^= (uint8_t)(1 << bit % 8);
+    }
+    for (size_t len = 0; len < FRAME_LEN; len++)
+        g_assert_cmpint(
+            link_wire_open(&pair.b, &pair.auth, first, len, &frame), ==,
+            -EBADMSG);
+    g_assert_cmpint(
+        link_wire_open(&pair.b, &pair.auth, second, FRAME_LEN, &frame), ==,
+        -EBADMSG);
+    g_assert_cmpint(
+        link_wire_open(&pair.a, &pair.auth, first, FRAME_LEN, &frame), ==,
+        -EBADMSG);
+    g_assert_cmpint(
+        link_wire_open(&other.b, &pair.auth, first, FRAME_LEN, &frame), ==,
+        -EBADMSG);
+    g_assert_cmpint(
+        link_wire_open(&pair.b, &pair.auth, first, FRAME_LEN, &frame), ==, 0);
+    g_assert_cmpuint(frame.type, ==, 3);
+    g_assert_cmpmem(frame.body, frame.len, "lot 7...", BODY_LEN);
+    g_assert_cmpint(
+        link_wire_open(&pair.b, &pair.auth, first, FRAME_LEN, &frame), ==,
+        -EBADMSG);
+    g_assert_cmpint(
+        link_wire_open(&pair.b, &pair.auth, second, FRAME_LEN, &frame), ==, 0);
+    auth_finish(&pair.auth);
+    auth_finish(&other.auth);
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/base/link/frames", test_frames);
+    g_test_add_func("/base/link/limits", test_limits);
+    g_test_add_func("/base/link/refused", test_refused);
+    g_test_add_func("/base/link/other-key", test_other_key);
+    g_test_add_func("/base/link/strangers", test_strangers);
+    g_test_add_func("/base/link/wire", test_wire);
+    return g_test_run();
+}
--- /dev/null
+++ b/tests/base/test_settings.c
@@ -0,0 +1,209 @@
+/**
+ * DOC: test_settings - faults of settings files and how they are told
+ */
+#include <errno.h>
+#include <glib.h>
+#include <glib/gstdio.h>
+#include <string.h>
+
+#include "base/settings.h"
+
+#define KEY "0123456789abcdef"
+
+/** struct fixture - a folder with a settings file and a key file */
+struct fixture {
+    char *folder;
+    char *file;
+    char *key;
+    struct settings settings;
+    char *report;
+    struct error err;
+};
+
+static void
+set_up(struct fixture *f, gconstpointer data)
+{
+    f->folder = g_dir_make_tmp("settings-XXXXXX", NULL);
+    f->file = g_build_filename(f->folder, "agent.json", NULL);
+    f->key = g_build_filename(f->folder, "site.key", NULL);
+    g_assert_true(g_file_set_contents(f->key, KEY "\n", -1, NULL));
+}
+
+static void
+tear_down(struct fixture *f, gconstpointer data)
+{
+    g_free(f->report);
+    g_unlink(f->file);
+    g_unlink(f->key);
+    g_rmdir(f->folder);
+    g_free(f->folder);
+    g_free(f->file);
+    g_free(f->key);
+}
+
+static int
+load(struct fixture *f, enum settings_role role, const char *text)
+{
+    g_assert_true(g_file_set_contents(f->file, text, -1, NULL));
+    g_clear_pointer(&f->report, g_free);
+    return settings_load(&f->settings, role, f->file, &f->report, &f->err);
+}
+
+static const char whole[] =
+    "{\"name\": \"a1\", \"data_centre\": \"ubungo\", \"cell\": \"c1\",\n"
+    "\"data\": \"127.0.0.1:1\", \"control\": \"127.0.0.1:2\",\n"
+    "\"http\": \"127.0.0.1:0\", \"platform\": \"http://127.0.0.1:4\",\n"
+    "\"seeds\": [\"127.0.0.1:5\", \"127.0.0.2:6\"],\n"
+    "\"site_key_file\": \"site.key\", \"fabric\": \"127.0.0.1:7\",\n"
+    "\"drain_s\": 12, \"trace_file\": \"\", \"trace_sample\": 10}\n";
+
+static void
+test_whole(struct fixture *f, gconstpointer data)
+{
+    g_assert_cmpint(load(f, SETTINGS_AGENT, whole), ==, 0);
+    g_assert_null(f->report);
+    g_assert_cmpstr(f->settings.name, ==, "a1");
+    g_assert_cmpuint(f->settings.data.ip, ==, 0x7f000001);
+    g_assert_cmpuint(f->settings.fabric.port, ==, 7);
+    g_assert_cmpuint(f->settings.seed_count, ==, 2);
+    g_assert_cmpuint(f->settings.seeds[1].port, ==, 6);
+    g_assert_cmpmem(f->settings.site_key, f->settings.site_key_len, KEY, 16);
+    g_assert_cmpuint(f->settings.drain_s, ==, 12);
+    g_assert_cmpuint(f->settings.trace_sample, ==, 10);
+    g_assert_cmpuint(f->settings.workers, ==, 1);
+    g_assert_cmpstr(f->settings.log_level, ==, "message");
+}
+
+static void
+test_operator(struct fixture *f, gconstpointer data)
+{
+    const char *few = "{\"platform\": \"http://127.0.0.1:4\", \"seeds\": [],"
+                      "\"site_key_file\": \"site.key\"}";
+
+    g_assert_cmpint(load(f, SETTINGS_OPERATOR, few), ==, 0);
+    g_assert_cmpint(load(f, SETTINGS_OPERATOR, whole), ==, 0);
+    g_assert_cmpint(load(f, SETTINGS_BALANCER, few), ==, -EINVAL);
+}
+
+/* All faults come in one report, each with its line and what was expected. */
+static void
+test_all_faults(struct fixture *f, gconstpointer data)
+{
+    const char *text = "{\"name\": \"a b\",\n"
+                       "\"cell\": 4,\n"
+                       "\"data\": \"127.0.0.1\",\n"
+                       "\"drain_s\": -1,\n"
+                       "\"trace_sample\": 1.5,\n"
+                       "\"workers\": 2,\n"
+                       "\"colour\": true,\n"
+                       "\"platform\": \"ftp://x\",\n"
+                       "\"seeds\": [\"127.0.0.1:0\"],\n"
+                       "\"log_level\": \"loud\"}";
+    static const char *const expected[] = {
+        "agent.json:1: key \"name\" is \"a b\"; expected a name",
+        "agent.json:2: key \"cell\" is 4; expected a name (text)",
+        "agent.json:3: key \"data\" is \"127.0.0.1\"; expected an address",
+        "agent.json:4: key \"drain_s\" is -1; expected a whole number from 0",
+        "agent.json:5: key \"trace_sample\" is 1.5; expected a whole number",
+        "agent.json:6: key \"workers\" has no meaning for a process of role "
+        "agent",
+        "agent.json:7: key \"colour\" is unknown",
+        "agent.json:8: key \"platform\"",
+        "agent.json:9: key \"seeds\"",
+        "agent.json:10: key \"log_level\" is \"loud\"; expected error",
+        "agent.json: key \"data_centre\" is missing",
+        "agent.json: key \"control\" is missing",
+        "agent.json: key \"site_key_file\" is missing",
+        "agent.json: key \"fabric\" is missing",
+    };
+    unsigned lines = 0;
+
+    g_assert_cmpint(load(f, SETTINGS_AGENT, text), ==, -EINVAL);
+    for (size_t i = 0; i < G_N_ELEMENTS(expected); i++) {
+        if (strstr(f->report, expected[i]) == NULL)
+            g_error("\"%s\" isn't in:\n%s", expected[i], f->report);
+    }
+    for (const char *c = f->report; *c != '\0'; c++)
+        lines += *c == '\n';
+    g_assert_cmpuint(lines, ==, G_N_ELEMENTS(expected) + 1); /* and http */
+    g_assert_cmpint(f->err.code, ==, -EINVAL);
+    g_assert_cmpstr(f->err.peer, ==, f->file);
+}
+
+static void
+test_not_json(struct fixture *f, gconstpointer data)
+{
+    static const struct {
+        const char *text;
+        const char *line;
+    } cases[] = {
+        {"{\n\"a\": 1,\n\"b\" 2}", ":3: not JSON"},
+        {"{\"a\": 1", ":1: not JSON"},
+        {"", ":1: not JSON"},
+        {"{}\n{}", ":2: not JSON"},
+        {"null", ":1: not JSON"},
+        {"[1]", ":1: the file holds no JSON object"},
+        {"{\"a\": \"x\ny\"", "not JSON"},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        g_test_message("%s", cases[i].text);
+        g_assert_cmpint(load(f, SETTINGS_AGENT, cases[i].text), ==, -EINVAL);
+        if (strstr(f->report, cases[i].line) == NULL)
+            g_error("\"%s\" isn't in:\n%s", cases[i].line, f->report);
+    }
+}
+
+static void
+test_files(struct fixture *f, gconstpointer data)
+{
+    g_assert_cmpint(settings_load(&f->settings, SETTINGS_AGENT, f->file,
+                                  &f->report, &f->err),
+                    ==, -ENOENT);
+    g_assert_null(f->report);
+    g_assert_cmpint(
+        settings_load(&f->settings, SETTINGS_AGENT, f->folder, NULL, &f->err),
+        ==, -EISDIR);
+    g_assert_true(g_file_set_contents(f->key, "short\n", -1, NULL));
+    g_assert_cmpint(load(f, SETTINGS_AGENT, whole), ==, -EINVAL);
+    g_assert_nonnull(strstr(f->report, "holds 5 bytes; expected 16 to 128"));
+    g_unlink(f->key);
+    g_assert_cmpint(load(f, SETTINGS_AGENT, whole), ==, -EINVAL);
+    g_assert_nonnull(strstr(f->report, ":5: key \"site_key_file\""));
+}
+
+/* A file cut or changed anywhere is refused or read, never worse. */
+static void
+test_random_damage(struct fixture *f, gconstpointer data)
+{
+    for (int i = 0; i < 500; i++) {
+        char *text = g_strdup(whole);
+        int at = g_test_rand_int_range(0, (int)strlen(text));
+        int ret;
+
+        if (g_test_rand_bit())
+            text[at] = '\0';
+        else
+            text[at] = (char)g_test_rand_int_range(1, 256);
+        ret = load(f, SETTINGS_AGENT, text);
+        g_assert_true(ret == 0 || ret == -EINVAL);
+        g_assert_true((ret == 0) == (f->report == NULL));
+        g_free(text);
+    }
+}
+
+#define ADD(path, func)                                                       \
+    g_test_add(path, struct fixture, NULL, set_up, func, tear_down)
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    ADD("/base/settings/whole", test_whole);
+    ADD("/base/settings/operator", test_operator);
+    ADD("/base/settings/all-faults", test_all_faults);
+    ADD("/base/settings/not-json", test_not_json);
+    ADD("/base/settings/files", test_files);
+    ADD("/base/settings/random-damage", test_random_damage);
+    return g_test_run();
+}
--- /dev/null
+++ b/tests/base/test_trace.c
@@ -0,0 +1,123 @@
+/**
+ * DOC: test_trace - traceparent and span lines
+ */
+#include <errno.h>
+#include <glib.h>
+#include <glib/gstdio.h>
+#include <json-c/json.h>
+#include <string.h>
+
+#include "base/trace.h"
+
+#define PARENT "00-4bf92f3577b34da6a3ce929d0e0e4736-00f067aa0ba902b7-01"
+
+static void
+test_round_trip(void)
+{
+    struct trace trace;
+    char text[TRACE_PARENT_MAX];
+    struct trace_context ctx, read;
+
+    g_assert_cmpint(trace_init(&trace, "a1", "", 1, NULL), ==, 0);
+    for (int i = 0; i < 500; i++) {
+        trace_root(&trace, &ctx);
+        ctx.flags = (uint8_t)g_test_rand_int();
+        g_assert_cmpint(trace_parse(trace_format(&ctx, text), &read), ==, 0);
+        g_assert_cmpmem(&read, sizeof(read), &ctx, sizeof(ctx));
+    }
+    g_assert_cmpint(trace_parse(PARENT, &ctx), ==, 0);
+    g_assert_cmpstr(trace_format(&ctx, text), ==, PARENT);
+    trace_child(&trace, &ctx, &read);
+    g_assert_cmpmem(read.trace_id, 16, ctx.trace_id, 16);
+    g_assert_cmpint(memcmp(read.span_id, ctx.span_id, 8), !=, 0);
+    g_assert_false(trace_sampled(&trace, 0));
+    trace_finish(&trace);
+}
+
+static void
+test_rejects(void)
+{
+    static const char *const bad[] = {
+        "",
+        "00-4bf92f3577b34da6a3ce929d0e0e4736-00f067aa0ba902b7-0",
+        PARENT "-x",
+        "ff-4bf92f3577b34da6a3ce929d0e0e4736-00f067aa0ba902b7-01",
+        "00-4BF92F3577B34DA6A3CE929D0E0E4736-00f067aa0ba902b7-01",
+        "00-00000000000000000000000000000000-00f067aa0ba902b7-01",
+        "00-4bf92f3577b34da6a3ce929d0e0e4736-0000000000000000-01",
+        "00_4bf92f3577b34da6a3ce929d0e0e4736-00f067aa0ba902b7-01",
+        "01-4bf92f3577b34da6a3ce929d0e0e4736-00f067aa0ba902b7-01x",
+    };
+    struct trace_context ctx;
+
+    for (size_t i = 0; i < G_N_ELEMENTS(bad); i++) {
+        g_test_message("%s", bad[i]);
+        g_assert_cmpint(trace_parse(bad[i], &ctx), ==, -EINVAL);
+    }
+    g_assert_cmpint(
+        trace_parse("01-4bf92f3577b34da6a3ce929d0e0e4736-00f067aa0ba902b7-01-"
+                    "later",
+                    &ctx),
+        ==, 0);
+}
+
+static void
+test_span_lines(void)
+{
+    char *folder = g_dir_make_tmp("trace-XXXXXX", NULL);
+    char *file = g_build_filename(folder, "spans.jsonl", NULL);
+    struct trace_context ctx, child;
+    struct trace trace;
+    char *text;
+
+    g_assert_cmpint(trace_init(&trace, "a1", file, 2, NULL), ==, 0);
+    trace.epoch_us = 1000;
+    g_assert_true(trace_sampled(&trace, 4));
+    g_assert_false(trace_sampled(&trace, 5));
+    g_assert_cmpint(trace_parse(PARENT, &ctx), ==, 0);
+    trace_span(&trace, &ctx, NULL, "admit", 1, 2, NULL);
+    child = ctx;
+    child.span_id[0] = 0xab;
+    trace_span(&trace, &child, ctx.span_id, "dispatch", 3, 4, "say \"hi\"");
+    child.flags = 0;
+    trace_span(&trace, &child, NULL, "unsampled", 5, 6, NULL);
+    trace_finish(&trace);
+    g_assert_true(g_file_get_contents(file, &text, NULL, NULL));
+    g_assert_cmpstr(
+        text, ==,
+        "{\"trace_id\":\"4bf92f3577b34da6a3ce929d0e0e4736\","
+        "\"span_id\":\"00f067aa0ba902b7\",\"process\":\"a1\","
+        "\"hop\":\"admit\",\"start_us\":1001,\"end_us\":1002}\n"
+        "{\"trace_id\":\"4bf92f3577b34da6a3ce929d0e0e4736\","
+        "\"span_id\":\"abf067aa0ba902b7\","
+        "\"parent_span_id\":\"00f067aa0ba902b7\",\"process\":\"a1\","
+        "\"hop\":\"dispatch\",\"start_us\":1003,\"end_us\":1004,"
+        "\"detail\":\"say \\\"hi\\\"\"}\n");
+    g_free(text);
+    g_unlink(file);
+    g_rmdir(folder);
+    g_free(file);
+    g_free(folder);
+}
+
+static void
+test_file_fails(void)
+{
+    struct trace trace;
+    struct error err;
+
+    g_assert_cmpint(trace_init(&trace, "a1", "/nowhere/spans", 1, &err), ==,
+                    -ENOENT);
+    g_assert_cmpstr(err.peer, ==, "/nowhere/spans");
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/base/trace/round-trip", test_round_trip);
+    g_test_add_func("/base/trace/rejects", test_rejects);
+    g_test_add_func("/base/trace/lines", test_span_lines);
+    g_test_add_func("/base/trace/file-fails", test_file_fails);
+    return g_test_run();
+}
