balancer: workers, table builder, readiness and planned stop

Workers batch with recvmmsg/sendmmsg, write the encapsulation before the packet in place, read under RCU and learn refusals from the error queue.

--- /dev/null
+++ b/src/balancer/balancer.c
@@ -0,0 +1,355 @@
+#define G_LOG_DOMAIN "swiftarch-balancer"
+
+#include "balancer/balancer.h"
+
+#include <errno.h>
+#include <event2/event.h>
+#include <signal.h>
+#include <string.h>
+#include <urcu.h>
+
+#include "balancer/builder.h"
+#include "balancer/readiness.h"
+#include "balancer/worker.h"
+#include "base/hash.h"
+#include "base/httpd.h"
+#include "base/log.h"
+#include "base/settings.h"
+#include "control/control.h"
+
+#define POLL_US 5000
+#define QUIET_US (2 * USEC_PER_SEC)
+#define EXIT_PLANNED 0
+#define EXIT_FAILED 1
+#define EXIT_SETTINGS 2
+
+/**
+ * struct balancer - the process
+ * @owner: of the workers
+ * @http_handler: of the HTTP listener
+ * @settings: its settings
+ * @clock: time
+ * @counters: all counters
+ * @trace: spans
+ * @board: blackboard
+ * @pool: packet workers
+ * @builder: keeps the table of @pool
+ * @control: control thread
+ * @base: loop of the main thread
+ * @httpd: /metrics and /ready
+ * @poll: timer of the builder
+ * @signals: SIGTERM and SIGINT
+ * @started_us: when it started
+ * @stopping_us: when the planned stop began, 0 before
+ * @exit_code: result of the process
+ */
+struct balancer {
+    struct worker_owner owner;
+    struct httpd_handler http_handler;
+    struct settings settings;
+    struct clock clock;
+    struct counter_table counters;
+    struct trace trace;
+    struct board board;
+    struct worker_pool pool;
+    struct builder builder;
+    struct control *control;
+    struct event_base *base;
+    struct httpd *httpd;
+    struct event *poll;
+    struct event *signals[2];
+    uint64_t started_us;
+    uint64_t stopping_us;
+    int exit_code;
+};
+
+static void
+on_refused(struct worker_owner *owner, uint64_t member, uint64_t incarnation)
+{
+    struct balancer *balancer =
+        caa_container_of(owner, struct balancer, owner);
+
+    g_info("An endpoint refused a packet: %016" G_GINT64_MODIFIER "x.",
+           member);
+    control_report_dead(balancer->control, member, incarnation);
+}
+
+static enum readiness
+judge(struct balancer *balancer)
+{
+    struct readiness_input input = {
+        .stopping = balancer->stopping_us != 0,
+        .built = balancer->builder.built,
+        .self = hash_name(balancer->settings.name),
+        .has_seeds = balancer->settings.seed_count > 0,
+        .age_us = clock_now_us(&balancer->clock) - balancer->started_us,
+    };
+    enum readiness readiness;
+
+    rcu_read_lock();
+    readiness = readiness_judge(&input, board_view(&balancer->board));
+    rcu_read_unlock();
+    return readiness;
+}
+
+static int
+respond_metrics(struct balancer *balancer, struct httpd_request *request)
+{
+    size_t len;
+    char *text = counter_render(&balancer->counters, &len);
+
+    httpd_respond(request, 200, "text/plain; version=0.0.4", text, len);
+    g_free(text);
+    return 0;
+}
+
+static int
+respond_text(struct httpd_request *request, int status, const char *text)
+{
+    httpd_respond(request, status, "text/plain", text, strlen(text));
+    return 0;
+}
+
+static int
+on_request(struct httpd_handler *handler, struct httpd_request *request)
+{
+    struct balancer *balancer =
+        caa_container_of(handler, struct balancer, http_handler);
+    const char *path = httpd_request_path(request);
+
+    if (strcmp(httpd_request_method(request), "GET") != 0)
+        return respond_text(request, 405, "only GET\n");
+    if (strcmp(path, "/metrics") == 0)
+        return respond_metrics(balancer, request);
+    if (strcmp(path, "/ready") == 0) {
+        enum readiness readiness = judge(balancer);
+        return respond_text(request, readiness == READINESS_READY ? 200 : 503,
+                            readiness_text(readiness));
+    }
+    return respond_text(request, 404, "only /metrics and /ready\n");
+}
+
+static const struct worker_ops worker_ops = {.on_refused = on_refused};
+static const struct httpd_ops http_ops = {.on_request = on_request};
+
+static void
+announce(struct balancer *balancer, enum member_state state)
+{
+    struct board_local local = board_local(&balancer->board, NULL);
+
+    if (local.state == state)
+        return;
+    local.state = state;
+    board_set_local(&balancer->board, &local);
+    control_announce(balancer->control);
+}
+
+/* Packets still come until the fabric has seen that we are not ready. */
+static void
+check_stop(struct balancer *balancer)
+{
+    uint64_t now_us = clock_now_us(&balancer->clock);
+    uint64_t quiet_since = worker_pool_last_us(&balancer->pool);
+    uint64_t bound =
+        balancer->stopping_us + balancer->settings.drain_s * USEC_PER_SEC;
+
+    if (quiet_since < balancer->stopping_us)
+        quiet_since = balancer->stopping_us;
+    if (now_us >= quiet_since + QUIET_US || now_us >= bound) {
+        g_message("Stopped as planned.");
+        balancer->exit_code = EXIT_PLANNED;
+        event_base_loopbreak(balancer->base);
+    }
+}
+
+static void
+on_poll(evutil_socket_t fd, short what, void *data)
+{
+    struct balancer *balancer = data;
+
+    builder_poll(&balancer->builder);
+    if (balancer->stopping_us != 0)
+        check_stop(balancer);
+    else if (judge(balancer) == READINESS_READY)
+        announce(balancer, MEMBER_READY);
+}
+
+static void
+on_signal(evutil_socket_t number, short what, void *data)
+{
+    struct balancer *balancer = data;
+
+    if (balancer->stopping_us != 0) {
+        g_warning("Stopped at once by a second signal.");
+        balancer->exit_code = EXIT_FAILED;
+        event_base_loopbreak(balancer->base);
+        return;
+    }
+    g_message("A planned stop begins.");
+    balancer->stopping_us = clock_now_us(&balancer->clock);
+    announce(balancer, MEMBER_LEAVING);
+}
+
+static int
+add_events(struct balancer *balancer, struct error *err)
+{
+    const int numbers[] = {SIGTERM, SIGINT};
+    const struct timeval interval = {.tv_usec = POLL_US};
+
+    signal(SIGPIPE, SIG_IGN);
+    for (size_t i = 0; i < G_N_ELEMENTS(numbers); i++) {
+        balancer->signals[i] =
+            evsignal_new(balancer->base, numbers[i], on_signal, balancer);
+        if (balancer->signals[i] == NULL ||
+            event_add(balancer->signals[i], NULL) < 0)
+            return error_set(err, -ENOMEM, "watch signals", NULL, "no memory");
+    }
+    balancer->poll =
+        event_new(balancer->base, -1, EV_PERSIST, on_poll, balancer);
+    if (balancer->poll == NULL || event_add(balancer->poll, &interval) < 0)
+        return error_set(err, -ENOMEM, "start timer", NULL, "no memory");
+    return 0;
+}
+
+/* Sockets come first: the ports that the kernel gave are announced. */
+static int
+open_sockets(struct balancer *balancer, struct error *err)
+{
+    struct settings *settings = &balancer->settings;
+    int result = worker_pool_init(
+        &balancer->pool, settings->data, settings->workers, &balancer->owner,
+        &balancer->clock, &balancer->counters, &balancer->trace, err);
+    if (result < 0)
+        return result;
+    settings->data = balancer->pool.addr;
+
+    balancer->httpd = httpd_new(balancer->base, settings->http,
+                                &balancer->http_handler, err);
+    if (balancer->httpd == NULL)
+        return err->code;
+    settings->http = httpd_addr(balancer->httpd);
+    return 0;
+}
+
+static int
+start_threads(struct balancer *balancer, struct error *err)
+{
+    int result = builder_init(&balancer->builder, &balancer->board,
+                              &balancer->pool, &balancer->counters);
+    if (result < 0)
+        return error_set(err, result, "register counters", NULL,
+                         "too many counters");
+
+    balancer->control =
+        control_start(&balancer->settings, &balancer->board, &balancer->clock,
+                      &balancer->counters, err);
+    if (balancer->control == NULL)
+        return err->code;
+    return worker_pool_start(&balancer->pool, err);
+}
+
+static int
+start(struct balancer *balancer, struct error *err)
+{
+    struct settings *settings = &balancer->settings;
+    int result;
+
+    balancer->started_us = clock_now_us(&balancer->clock);
+    result = trace_init(&balancer->trace, settings->name, settings->trace_file,
+                        settings->trace_sample, err);
+    if (result < 0)
+        return result;
+    result = counter_table_init(&balancer->counters);
+    if (result < 0)
+        return error_set(err, result, "start", NULL, "no memory");
+    balancer->base = event_base_new();
+    if (balancer->base == NULL)
+        return error_set(err, -ENOMEM, "start", NULL, "no event loop");
+
+    result = open_sockets(balancer, err);
+    if (result < 0)
+        return result;
+    result = start_threads(balancer, err);
+    if (result < 0)
+        return result;
+    return add_events(balancer, err);
+}
+
+static void
+stop(struct balancer *balancer)
+{
+    worker_pool_finish(&balancer->pool);
+    if (balancer->control != NULL)
+        control_stop(balancer->control);
+    if (balancer->poll != NULL)
+        event_free(balancer->poll);
+    for (size_t i = 0; i < G_N_ELEMENTS(balancer->signals); i++)
+        if (balancer->signals[i] != NULL)
+            event_free(balancer->signals[i]);
+    httpd_free(balancer->httpd);
+    if (balancer->base != NULL)
+        event_base_free(balancer->base);
+    board_finish(&balancer->board);
+    counter_table_finish(&balancer->counters);
+    trace_finish(&balancer->trace);
+}
+
+static void
+log_start(const struct balancer *balancer)
+{
+    const struct settings *settings = &balancer->settings;
+    char data[ADDR_TEXT_MAX];
+    char http[ADDR_TEXT_MAX];
+
+    g_message("Balancer %s takes packets at %s, HTTP at %s, with %u workers.",
+              settings->name, addr_format(settings->data, data),
+              addr_format(settings->http, http), settings->workers);
+}
+
+static int
+load(struct balancer *balancer, const char *path)
+{
+    struct error err = {0};
+    char line[512];
+    char *report = NULL;
+    int result = settings_load(&balancer->settings, SETTINGS_BALANCER, path,
+                               &report, &err);
+
+    if (result < 0)
+        g_printerr("%s\n", report != NULL
+                               ? report
+                               : error_format(&err, line, sizeof(line)));
+    g_free(report);
+    return result;
+}
+
+int
+balancer_run(const char *settings_path)
+{
+    struct balancer balancer = {
+        .owner.ops = &worker_ops,
+        .http_handler.ops = &http_ops,
+        .trace.fd = -1,
+        .exit_code = EXIT_FAILED,
+    };
+    struct error err = {0};
+    char line[512];
+
+    if (load(&balancer, settings_path) < 0)
+        return EXIT_SETTINGS;
+    if (log_init(balancer.settings.name, balancer.settings.log_level) < 0)
+        return EXIT_SETTINGS;
+
+    clock_runtime_init(&balancer.clock);
+    board_init(&balancer.board);
+    rcu_register_thread();
+    if (start(&balancer, &err) == 0) {
+        log_start(&balancer);
+        event_base_dispatch(balancer.base);
+    }
+    else
+        g_warning("%s", error_format(&err, line, sizeof(line)));
+    stop(&balancer);
+    rcu_unregister_thread();
+    return balancer.exit_code;
+}
--- /dev/null
+++ b/src/balancer/builder.c
@@ -0,0 +1,83 @@
+#define G_LOG_DOMAIN "swiftarch-balancer"
+
+#include "balancer/builder.h"
+
+#include <errno.h>
+#include <string.h>
+#include <urcu.h>
+
+#include "base/log.h"
+
+/* A failure that stays is told again after so many polls. */
+#define FAILURES_TOLD_EVERY 1000
+
+static bool
+is_current(const struct builder *builder, const struct view *view,
+           const struct text *text)
+{
+    return builder->built && builder->view_seq == view->seq &&
+           builder->config_version == text->version;
+}
+
+static void
+set_gauges(const struct builder *builder, const struct route_table *table)
+{
+    size_t endpoints = 0;
+
+    for (size_t i = 0; i < table->count; i++)
+        endpoints += table->services[i].count;
+    counter_set(builder->counters, builder->services, table->count);
+    counter_set(builder->counters, builder->endpoints, endpoints);
+    counter_set(builder->counters, builder->bytes, route_table_bytes(table));
+}
+
+int
+builder_init(struct builder *builder, struct board *board,
+             struct worker_pool *pool, struct counter_table *counters)
+{
+    memset(builder, 0, sizeof(*builder));
+    builder->board = board;
+    builder->pool = pool;
+    builder->counters = counters;
+    builder->rebuilds =
+        counter_register(counters, "route_tables_built_total", "");
+    builder->services = counter_register_gauge(counters, "route_services", "");
+    builder->endpoints =
+        counter_register_gauge(counters, "route_endpoints", "");
+    builder->bytes = counter_register_gauge(counters, "route_table_bytes", "");
+    if (builder->rebuilds < 0 || builder->services < 0 ||
+        builder->endpoints < 0 || builder->bytes < 0)
+        return -ENOSPC;
+    return 0;
+}
+
+int
+builder_poll(struct builder *builder)
+{
+    struct route_table *table = NULL;
+    int result = 0;
+
+    rcu_read_lock();
+    const struct view *view = board_view(builder->board);
+    const struct text *text = board_text(builder->board);
+    if (view != NULL && text != NULL && !is_current(builder, view, text))
+        result = route_table_new(view, text, builder->pool->table, &table);
+    rcu_read_unlock();
+
+    if (result < 0) {
+        if (builder->failures++ % FAILURES_TOLD_EVERY == 0)
+            g_warning("The table can't be built: %s.", strerror(-result));
+        return result;
+    }
+    if (table == NULL)
+        return 0;
+
+    builder->failures = 0;
+    builder->built = true;
+    builder->view_seq = table->view_seq;
+    builder->config_version = table->config_version;
+    set_gauges(builder, table);
+    counter_add(builder->counters, 0, builder->rebuilds, 1);
+    worker_pool_publish(builder->pool, table);
+    return 1;
+}
--- /dev/null
+++ b/src/balancer/readiness.h
@@ -0,0 +1,52 @@
+/**
+ * DOC: readiness - whether the fabric may send packets here
+ */
+#ifndef SWIFTARCH_BALANCER_READINESS_H
+#define SWIFTARCH_BALANCER_READINESS_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "base/clock.h"
+#include "control/board.h"
+
+/*
+ * A process that has seeds but sees nobody else would drop what others can
+ * forward; it waits so long for them, and then serves alone.
+ */
+#define READINESS_ALONE_US (5 * USEC_PER_SEC)
+
+/** enum readiness - answer of /ready, and why */
+enum readiness {
+    READINESS_READY,
+    READINESS_STOPPING,
+    READINESS_NO_CONFIG,
+    READINESS_NO_VIEW,
+    READINESS_ALONE
+};
+
+/**
+ * struct readiness_input - what it is judged by
+ * @stopping: a planned stop has begun
+ * @built: a route table is in force
+ * @self: own member id
+ * @has_seeds: the settings name other processes
+ * @age_us: time since the start
+ */
+struct readiness_input {
+    bool stopping;
+    bool built;
+    uint64_t self;
+    bool has_seeds;
+    uint64_t age_us;
+};
+
+/** readiness_judge() - @view may be NULL */
+enum readiness
+readiness_judge(const struct readiness_input *input, const struct view *view);
+
+/** readiness_text() - one line that says so */
+const char *
+readiness_text(enum readiness readiness);
+
+#endif
--- /dev/null
+++ b/src/balancer/worker_batch.c
@@ -0,0 +1,92 @@
+#include "balancer/worker_batch.h"
+
+#include <string.h>
+
+#include "balancer/span.h"
+
+static enum packet_drop
+check_encap(const uint8_t *buf, size_t len)
+{
+    struct gue gue;
+
+    if (len < BATCH_BARE)
+        return PACKET_ENCAP;
+    if (buf[0] == 0) /* the usual case, without reading a hop list */
+        return gue_decode(buf, len, &gue) == BATCH_BARE ? PACKET_OK
+                                                        : PACKET_ENCAP;
+    return PACKET_ENCAP;
+}
+
+static void
+add_output(struct worker_batch *batch, uint8_t *packet, size_t len,
+           const struct gue *gue)
+{
+    uint8_t header[GUE_HEADER_MAX];
+    size_t header_len = gue_encode(gue, header);
+    unsigned i = batch->out_count++;
+
+    memcpy(packet - header_len, header, header_len);
+    batch->out_iov[i].iov_base = packet - header_len;
+    batch->out_iov[i].iov_len = header_len + len;
+    batch->out_to[i] = addr_to_sockaddr(gue->hops[0].data);
+}
+
+static enum packet_drop
+decide_one(struct worker_batch *batch, unsigned i,
+           const struct route_table *table, struct trace *trace,
+           uint64_t now_us)
+{
+    uint8_t *encap = batch->in_iov[i].iov_base;
+    size_t len = batch->in[i].msg_len;
+    struct route_decision decision;
+
+    if (batch->in[i].msg_hdr.msg_flags & MSG_TRUNC)
+        return PACKET_LONG;
+
+    enum packet_drop drop = check_encap(encap, len);
+    if (drop != PACKET_OK)
+        return drop;
+    if (table == NULL)
+        return PACKET_NO_ENDPOINT;
+
+    uint8_t *packet = encap + BATCH_BARE;
+    len -= BATCH_BARE;
+    drop = route_decide(table, packet, len, now_us, &decision);
+    if (drop != PACKET_OK)
+        return drop;
+
+    if (trace->fd >= 0)
+        span_write(trace, packet, &decision, now_us);
+    add_output(batch, packet, len, &decision.gue);
+    return PACKET_OK;
+}
+
+void
+worker_batch_init(struct worker_batch *batch)
+{
+    memset(batch, 0, sizeof(*batch));
+    for (unsigned i = 0; i < WORKER_BATCH; i++) {
+        batch->in_iov[i].iov_base = batch->buffers[i].bytes + BATCH_HEADROOM;
+        batch->in_iov[i].iov_len = BATCH_BUFFER - BATCH_HEADROOM;
+        batch->in[i].msg_hdr.msg_iov = &batch->in_iov[i];
+        batch->in[i].msg_hdr.msg_iovlen = 1;
+        batch->out[i].msg_hdr.msg_iov = &batch->out_iov[i];
+        batch->out[i].msg_hdr.msg_iovlen = 1;
+        batch->out[i].msg_hdr.msg_name = &batch->out_to[i];
+        batch->out[i].msg_hdr.msg_namelen = sizeof(batch->out_to[i]);
+    }
+}
+
+void
+worker_batch_decide(struct worker_batch *batch, unsigned count,
+                    const struct route_table *table, struct trace *trace,
+                    uint64_t now_us)
+{
+    batch->out_count = 0;
+    memset(batch->drops, 0, sizeof(batch->drops));
+    for (unsigned i = 0; i < count; i++) {
+        enum packet_drop drop = decide_one(batch, i, table, trace, now_us);
+        batch->drops[drop]++;
+    }
+    batch->drops[PACKET_OK] = 0;
+}
