Write the agent against the settled interfaces

Front (HTTP/1.1 over the stack), back (one connection a request), ingress, peers, requests, upstream announcements and the planned stop. Compiles as a library; not linked or run yet, the cores it calls are still being written.

--- /dev/null
+++ b/src/agent/back.c
@@ -0,0 +1,157 @@
+#include "agent/back.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <string.h>
+
+#include "agent/answer.h"
+#include "agent/answer_reader.h"
+
+/* Where a run is; nothing was sent before BACK_SENT. */
+enum back_state { BACK_CONNECTING, BACK_SENT };
+
+struct back_run {
+    struct back *back;
+    struct bufferevent *bev;
+    struct answer_reader reader;
+    enum back_state state;
+    GByteArray *request;
+    void *data;
+    GList link;
+};
+
+static void
+run_free(struct back_run *run)
+{
+    g_queue_unlink(&run->back->runs, &run->link);
+    if (run->bev != NULL) {
+        bufferevent_free(run->bev);
+    }
+    if (run->request != NULL) {
+        g_byte_array_unref(run->request);
+    }
+    answer_reader_finish(&run->reader);
+    g_free(run);
+}
+
+static void
+run_end(struct back_run *run, enum engine_upstream how)
+{
+    struct back_owner *owner = run->back->owner;
+    void *data = run->data;
+    GByteArray *answer = NULL;
+
+    if (how == ENGINE_UP_ANSWERED) {
+        answer = answer_reader_take(&run->reader);
+    }
+    run_free(run);
+    owner->ops->on_end(owner, data, how, answer);
+}
+
+static void
+on_readable(struct bufferevent *bev, void *arg)
+{
+    struct back_run *run = arg;
+    struct evbuffer *input = bufferevent_get_input(bev);
+
+    while (evbuffer_get_length(input) > 0 && !run->reader.whole &&
+           !run->reader.failed) {
+        size_t len = evbuffer_get_contiguous_space(input);
+        const char *data = (const char *)evbuffer_pullup(input, (long)len);
+        answer_reader_feed(&run->reader, data, len);
+        evbuffer_drain(input, len);
+    }
+    if (run->reader.whole) {
+        run_end(run, answer_reader_refused(&run->reader) ? ENGINE_UP_REFUSED
+                                                         : ENGINE_UP_ANSWERED);
+    }
+    else if (run->reader.failed) {
+        run_end(run, ENGINE_UP_SHORT);
+    }
+}
+
+static void
+send_request(struct back_run *run)
+{
+    run->state = BACK_SENT;
+    bufferevent_set_timeouts(run->bev, NULL, NULL);
+    bufferevent_write(run->bev, run->request->data, run->request->len);
+    g_byte_array_unref(run->request);
+    run->request = NULL;
+}
+
+static void
+on_event(struct bufferevent *bev, short what, void *arg)
+{
+    struct back_run *run = arg;
+
+    if ((what & BEV_EVENT_CONNECTED) != 0) {
+        send_request(run);
+        return;
+    }
+    if (run->state == BACK_CONNECTING) {
+        run_end(run, ENGINE_UP_UNREACHED);
+        return;
+    }
+    run_end(run, run->reader.begun ? ENGINE_UP_SHORT : ENGINE_UP_LOST);
+}
+
+static bool
+run_connect(struct back_run *run, struct addr upstream)
+{
+    const struct timeval timeout = {0, BACK_CONNECT_TIMEOUT_MS * 1000L};
+    struct sockaddr_in sin = addr_to_sockaddr(upstream);
+
+    /* Deferred callbacks: none may run before back_start() returned. */
+    run->bev = bufferevent_socket_new(
+        run->back->base, -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
+    if (run->bev == NULL) {
+        return false;
+    }
+    bufferevent_setcb(run->bev, on_readable, NULL, on_event, run);
+    bufferevent_set_timeouts(run->bev, NULL, &timeout);
+    bufferevent_enable(run->bev, EV_READ | EV_WRITE);
+    return bufferevent_socket_connect(run->bev, (struct sockaddr *)&sin,
+                                      sizeof(sin)) == 0;
+}
+
+void
+back_init(struct back *back, struct event_base *base, struct back_owner *owner)
+{
+    *back = (struct back){.base = base, .owner = owner};
+    g_queue_init(&back->runs);
+}
+
+void
+back_finish(struct back *back)
+{
+    while (back->runs.head != NULL) {
+        run_free(back->runs.head->data);
+    }
+}
+
+struct back_run *
+back_start(struct back *back, struct addr upstream, const GByteArray *http,
+           const char *lines, size_t body_max, void *data)
+{
+    struct back_run *run = g_new0(struct back_run, 1);
+    bool head = http->len >= 5 && memcmp(http->data, "HEAD ", 5) == 0;
+
+    run->back = back;
+    run->data = data;
+    run->link.data = run;
+    run->request = answer_with_field(http->data, http->len, lines);
+    answer_reader_init(&run->reader, head, body_max);
+    g_queue_push_tail_link(&back->runs, &run->link);
+    if (!run_connect(run, upstream)) {
+        run_free(run);
+        return NULL;
+    }
+    return run;
+}
+
+void
+back_abort(struct back_run *run)
+{
+    run_free(run);
+}
--- /dev/null
+++ b/src/agent/program.h
@@ -0,0 +1,137 @@
+/**
+ * DOC: program - the parts of the running agent, and who owns what
+ *
+ * One thread with a libevent loop owns everything here but the flow table
+ * and the counters. The stack's own thread may call egress_output(), which
+ * takes @flow_lock; the lock is a leaf under the stack's core lock, so the
+ * stack is never called while it is held.
+ */
+#ifndef SWIFTARCH_AGENT_PROGRAM_H
+#define SWIFTARCH_AGENT_PROGRAM_H
+
+#include <event2/event.h>
+#include <glib.h>
+#include <pthread.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "agent/back.h"
+#include "agent/datagram.h"
+#include "agent/front.h"
+#include "agent/ingress.h"
+#include "agent/peers.h"
+#include "agent/requests.h"
+#include "agent/upstream.h"
+#include "base/clock.h"
+#include "base/counter.h"
+#include "base/httpd.h"
+#include "base/settings.h"
+#include "base/trace.h"
+#include "control/board.h"
+#include "control/control.h"
+#include "flow/flow.h"
+#include "stack/stack.h"
+#include "text/text.h"
+
+/** enum agent_stop - how far a planned stop has come */
+enum agent_stop {
+    AGENT_RUNNING,
+    AGENT_DRAINING, /* no new flow; flows end after their next answer */
+    AGENT_CLOSING   /* drain_s is over: FIN between requests */
+};
+
+/** enum agent_gauge - figures that rise and fall */
+enum agent_gauge {
+    AGENT_GAUGE_FLOWS,
+    AGENT_GAUGE_EMBRYOS,
+    AGENT_GAUGE_BUSY,
+    AGENT_GAUGE_WAITING,
+    AGENT_GAUGE_BACKLOG,
+    AGENT_GAUGE_REFUSED,
+    AGENT_GAUGE_BAD,
+    AGENT_GAUGE_SLOW,
+    AGENT_GAUGE_RSS,
+    AGENT_GAUGES
+};
+
+#define AGENT_EVENTS 8
+
+/**
+ * struct agent - the whole program
+ * @stack_owner: what the stack calls; first member
+ * @self: own member id
+ * @service: the text's entry of the announced service; id 0 without one
+ * @service_known: the text in force has that service
+ * @view_seq: view last handed to the cores
+ * @text_version: text last handed to the engine
+ * @listening: address the stack listens on, port 0: none
+ * @stop: planned stop
+ * @stop_until_us: end of the present step of the stop
+ * @hard_stop: a second signal came
+ * @events: timers, signals and the stack's descriptor
+ * @gauges: counter handles, by enum agent_gauge
+ */
+struct agent {
+    struct stack_owner stack_owner;
+    struct settings settings;
+    struct clock clock;
+    struct counter_table counters;
+    struct trace trace;
+    struct board board;
+    struct control *control;
+    struct event_base *base;
+    struct stack *stack;
+    pthread_mutex_t flow_lock;
+    struct flow_table *flows;
+    struct front front;
+    struct back back;
+    struct requests requests;
+    struct peers peers;
+    struct upstream upstream;
+    struct ingress ingress;
+    struct datagrams datagrams;
+    uint64_t self;
+    struct text_service service;
+    bool service_known;
+    uint64_t view_seq;
+    uint64_t text_version;
+    struct addr listening;
+    enum agent_stop stop;
+    uint64_t stop_until_us;
+    bool hard_stop;
+    struct event *events[AGENT_EVENTS];
+    int gauges[AGENT_GAUGES];
+};
+
+/** agent_now() - monotonic time, microseconds */
+static inline uint64_t
+agent_now(struct agent *agent)
+{
+    return clock_now_us(&agent->clock);
+}
+
+/** agent_accepts() - whether new flows and new work are taken here */
+bool
+agent_accepts(const struct agent *agent);
+
+/** agent_refresh() - hand a changed view, text or upstream to the cores */
+void
+agent_refresh(struct agent *agent);
+
+/** agent_upstream_changed() - the upstream's announcement changed */
+void
+agent_upstream_changed(struct agent *agent);
+
+/** agent_tell_load() - put slots busy and requests waiting on the board */
+void
+agent_tell_load(struct agent *agent);
+
+/** agent_stop_begin() - a planned stop, or the end at once if one runs */
+void
+agent_stop_begin(struct agent *agent);
+
+/** agent_stop_tick() - go on with a planned stop; every 10 ms */
+void
+agent_stop_tick(struct agent *agent);
+
+#endif
--- /dev/null
+++ b/src/agent/refresh.c
@@ -0,0 +1,195 @@
+#define G_LOG_DOMAIN "swiftarch-agent"
+
+#include <errno.h>
+
+#include "agent/program.h"
+#include "base/log.h"
+
+bool
+agent_accepts(const struct agent *agent)
+{
+    return agent->stop == AGENT_RUNNING && agent->service_known &&
+           upstream_takes_work(&agent->upstream);
+}
+
+static void
+set_flow_view(struct agent *agent, const struct view *view)
+{
+    pthread_mutex_lock(&agent->flow_lock);
+    flow_set_view(agent->flows, view, agent->service.id, agent_accepts(agent),
+                  agent_now(agent));
+    pthread_mutex_unlock(&agent->flow_lock);
+}
+
+/* Listens where the text says, and nowhere else. */
+static void
+set_listening(struct agent *agent)
+{
+    struct addr want = {0};
+    char text[ADDR_TEXT_MAX];
+
+    if (agent->service_known && agent->service.proto == TEXT_TCP) {
+        want = (struct addr){agent->service.ip, agent->service.port};
+    }
+    if (addr_equal(want, agent->listening)) {
+        return;
+    }
+    if (agent->listening.port != 0) {
+        stack_unlisten(agent->stack, agent->listening);
+    }
+    agent->listening = (struct addr){0};
+    if (want.port == 0) {
+        return;
+    }
+    int ret = stack_add_address(agent->stack, want.ip);
+    if (ret == 0) {
+        ret = stack_listen(agent->stack, want);
+    }
+    if (ret < 0) {
+        g_warning("Cannot serve %s: %s.", addr_format(want, text),
+                  g_strerror(-ret));
+        return;
+    }
+    agent->listening = want;
+    g_message("Serving %s at %s.", agent->service.name,
+              addr_format(want, text));
+}
+
+/* Takes over what the text in force says of the announced service. */
+static void
+set_service(struct agent *agent, const struct text *text)
+{
+    struct upstream *upstream = &agent->upstream;
+    const struct text_service *service = NULL;
+
+    if (text != NULL && upstream->announced) {
+        service = text_find(text, upstream->service);
+    }
+    agent->service_known = service != NULL;
+    if (service != NULL) {
+        agent->service = *service;
+        agent->front.limits = (struct front_limits){
+            .connections = service->limits.connections,
+            .per_caller = service->limits.connections_per_caller,
+            .body_max = service->limits.body_bytes,
+            .idle_us = service->limits.idle_s * USEC_PER_SEC,
+        };
+    }
+    else if (text != NULL && upstream->announced && !upstream->warned) {
+        upstream->warned = true;
+        g_warning("The text in force knows no service %s.", upstream->name);
+    }
+    set_listening(agent);
+}
+
+static enum member_state
+announced_state(const struct agent *agent)
+{
+    const struct upstream *upstream = &agent->upstream;
+
+    if (agent->stop != AGENT_RUNNING) {
+        return MEMBER_LEAVING;
+    }
+    if (!upstream->announced) {
+        return MEMBER_WARMING;
+    }
+    return upstream->lost ? MEMBER_DRAINING : upstream->state;
+}
+
+static struct board_local
+local_now(const struct agent *agent)
+{
+    const struct upstream *upstream = &agent->upstream;
+    bool known = agent->service_known;
+
+    return (struct board_local){
+        .state = announced_state(agent),
+        .service = known ? agent->service.id : 0,
+        .slots = known ? upstream->slots : 0,
+        .busy = (uint16_t)MIN(engine_busy(agent->requests.engine), UINT16_MAX),
+        .waiting =
+            (uint16_t)MIN(engine_waiting(agent->requests.engine), UINT16_MAX),
+    };
+}
+
+static void
+tell(struct agent *agent)
+{
+    struct board_local local = local_now(agent);
+    struct board_local before = board_local(&agent->board, NULL);
+
+    board_set_local(&agent->board, &local);
+    if (before.state != local.state || before.service != local.service ||
+        before.slots != local.slots) {
+        control_announce(agent->control);
+    }
+}
+
+void
+agent_tell_load(struct agent *agent)
+{
+    tell(agent);
+}
+
+static void
+set_upstream(struct agent *agent)
+{
+    engine_set_upstream(
+        agent->requests.engine, agent->service_known ? agent->service.id : 0,
+        agent->upstream.lost ? 0 : agent->upstream.slots, agent_accepts(agent),
+        agent_now(agent), &agent->requests.out);
+    requests_act(agent);
+}
+
+/* Hands everything to the cores again; inside an RCU read section. */
+static void
+apply(struct agent *agent, const struct view *view, const struct text *text)
+{
+    set_service(agent, text);
+    if (view != NULL) {
+        set_flow_view(agent, view);
+    }
+    set_upstream(agent);
+    tell(agent);
+}
+
+void
+agent_upstream_changed(struct agent *agent)
+{
+    rcu_read_lock();
+    apply(agent, board_view(&agent->board), board_text(&agent->board));
+    rcu_read_unlock();
+}
+
+static void
+text_changed(struct agent *agent, const struct view *view,
+             const struct text *text)
+{
+    g_message("Configuration %" G_GUINT64_FORMAT " is in force.",
+              (guint64)text->version);
+    engine_set_text(agent->requests.engine, text, agent_now(agent),
+                    &agent->requests.out);
+    requests_act(agent);
+    agent->text_version = text->version;
+    agent->upstream.warned = false;
+    apply(agent, view, text);
+}
+
+void
+agent_refresh(struct agent *agent)
+{
+    rcu_read_lock();
+    const struct view *view = board_view(&agent->board);
+    const struct text *text = board_text(&agent->board);
+    if (view != NULL && view->seq != agent->view_seq) {
+        agent->view_seq = view->seq;
+        set_flow_view(agent, view);
+        engine_set_view(agent->requests.engine, view, agent_now(agent),
+                        &agent->requests.out);
+        requests_act(agent);
+    }
+    if (text != NULL && text->version != agent->text_version) {
+        text_changed(agent, view, text);
+    }
+    rcu_read_unlock();
+}
--- /dev/null
+++ b/src/agent/requests.h
@@ -0,0 +1,93 @@
+/**
+ * DOC: requests - the bytes and sockets behind the engine's requests
+ *
+ * Holds each request's bytes by its origin and id, hands events to the
+ * engine and carries out its actions: runs at the upstream, messages to
+ * peers, final answers to callers.
+ */
+#ifndef SWIFTARCH_AGENT_REQUESTS_H
+#define SWIFTARCH_AGENT_REQUESTS_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "agent/back.h"
+#include "agent/front.h"
+#include "request/engine.h"
+
+struct agent;
+
+#define REQUESTS_OUTCOMES (ENGINE_KEY_MISMATCH + 1)
+#define REQUESTS_REASONS (ENGINE_STOPPING + 1)
+
+/**
+ * struct requests - all requests here, of own callers and of peers
+ * @front_owner: what the front calls; first member
+ * @back_owner: what the back calls
+ * @agent: the program
+ * @engine: decides
+ * @out: its actions
+ * @table: set of struct request by origin and id
+ * @late: events that arose while actions were carried out
+ * @aborted: runs aborted since the last tick
+ * @acting: actions are being carried out
+ * @next_id: id of the next local request
+ * @outcomes: counter handles by outcome
+ * @reasons: counter handles by reason
+ * @runs: counter handle
+ */
+struct requests {
+    struct front_owner front_owner;
+    struct back_owner back_owner;
+    struct agent *agent;
+    struct engine *engine;
+    struct engine_actions out;
+    GHashTable *table;
+    GQueue late;
+    GQueue aborted;
+    bool acting;
+    uint64_t next_id;
+    int outcomes[REQUESTS_OUTCOMES];
+    int reasons[REQUESTS_REASONS];
+    int runs;
+};
+
+/** requests_register() - register the counters; before any thread */
+void
+requests_register(struct agent *agent);
+
+/** requests_init() - 0 or -ENOMEM */
+int
+requests_init(struct agent *agent);
+
+/** requests_finish() - free all requests and the engine */
+void
+requests_finish(struct agent *agent);
+
+/** requests_act() - carry out the actions that the last engine call left;
+ * call after each engine call made elsewhere */
+void
+requests_act(struct agent *agent);
+
+/** requests_peer() - a message of a peer; @http goes with RUN, @answer with
+ * DONE, both may be NULL */
+void
+requests_peer(struct agent *agent, uint64_t from,
+              const struct engine_peer_msg *msg, const uint8_t *bytes,
+              size_t len, const char *traceparent);
+
+/** requests_peer_lost() - the connection to a peer broke */
+void
+requests_peer_lost(struct agent *agent, uint64_t member);
+
+/** requests_tick() - drive the engine's time; every 10 ms */
+void
+requests_tick(struct agent *agent);
+
+/** requests_sweep() - drop bytes that the engine has forgotten; about once a
+ * second */
+void
+requests_sweep(struct agent *agent);
+
+#endif
