idem: reserve keys at their replicas before a request runs

Cause: a caller's retry of one key may reach another agent, so at most once needs a record that survives the agent. Reservation at the three best settled agents, ranked over the members of now and of IDEM_SETTLE_US ago; pushes of records when members change; owners asked about long reservations. New message types ACK and DENY, reasons for refused and unknown.

--- a/src/idem/idem.h
+++ b/src/idem/idem.h
@@ -9,6 +9,15 @@
  * "unknown". Records are pushed on when the ranking changes. Nothing is
  * held by time alone, so a paused holder harms nobody.
  *
+ * The replicas are ranked twice: over the members now, and over the members
+ * IDEM_SETTLE_US ago, those who died since included. Both sets must grant:
+ * of the earlier one, all its survivors if fewer than IDEM_QUORUM live, and
+ * at least one. So two coordinators whose views differ by less than
+ * IDEM_SETTLE_US still ask a set that they share, and a death or a join
+ * never hides a record before it has been pushed on. A member counts for
+ * the set of now only once it is settled: known for IDEM_SETTLE_US since
+ * its process started, or since it came back from the dead.
+ *
  * Pure: one struct idem holds both sides (coordinator of own requests and
  * replica of keys); events in, actions out.
  */
@@ -28,6 +37,7 @@
 #define IDEM_TTL_US (24 * 3600 * USEC_PER_SEC)
 #define IDEM_SETTLE_US (10 * USEC_PER_SEC)
 #define IDEM_RESERVE_TIMEOUT_US (300 * USEC_PER_MSEC)
+#define IDEM_ANSWERS_BYTES_MAX (16u << 20)
 
 /**
  * struct idem_key - key of one request
@@ -55,7 +65,9 @@
     IDEM_MSG_GRANT,   /* replica to coordinator: recorded as started */
     IDEM_MSG_EXISTS,  /* replica to coordinator: here is the record */
     IDEM_MSG_RELEASE, /* coordinator to replica: not run, forget it */
-    IDEM_MSG_RECORD   /* outcome, or a record pushed on; idempotent */
+    IDEM_MSG_RECORD,  /* outcome, or a record pushed on; idempotent */
+    IDEM_MSG_ACK,     /* the record of RECORD is held here */
+    IDEM_MSG_DENY     /* replica to coordinator: no room for a new key */
 };
 
 /**
@@ -64,8 +76,9 @@
  * @key: key it is about
  * @owner: member id of the coordinator of the record
  * @token: coordinator's number for the reservation
- * @state: EXISTS, RECORD
- * @answer: EXISTS, RECORD: whole HTTP answer as sent, or NULL
+ * @state: EXISTS, RECORD, ACK: of the record. GRANT: IDEM_UNKNOWN when the
+ *         replica itself is not settled yet, else IDEM_STARTED
+ * @answer: EXISTS, RECORD: whole HTTP answer as sent, or NULL (not held)
  * @answer_len: its length
  */
 struct idem_msg {
@@ -89,9 +102,21 @@
     IDEM_REFUSE /* request @token not run: no quorum or lost a race */
 };
 
+/** enum idem_reason - why a request got IDEM_OUTCOME_UNKNOWN or IDEM_REFUSE
+ */
+enum idem_reason {
+    IDEM_REASON_NONE,
+    IDEM_REASON_QUORUM,     /* refused: too few replicas answered */
+    IDEM_REASON_FULL,       /* refused: no room for a new key */
+    IDEM_REASON_LOST,       /* refused: all former replicas died just now */
+    IDEM_REASON_OWNER_GONE, /* unknown: the process that ran it is gone */
+    IDEM_REASON_NO_ANSWER   /* unknown: it ran, the answer is not held */
+};
+
 /** struct idem_action - one action; valid until the next call */
 struct idem_action {
     enum idem_action_type type;
+    enum idem_reason reason;
     uint64_t token;
     uint64_t to;
     struct idem_msg msg;
@@ -144,6 +169,11 @@
 int
 idem_tick(struct idem *idem, uint64_t now_us, struct idem_actions *out);
 
+/** idem_unpushed() - records held here that some replica hasn't acknowledged
+ * yet; a process that is being stopped waits (bounded) until it is 0 */
+size_t
+idem_unpushed(const struct idem *idem);
+
 /** idem_records() - records held here */
 size_t
 idem_records(const struct idem *idem);
--- /dev/null
+++ b/src/idem/keeper.c
@@ -0,0 +1,216 @@
+#include "idem/keeper.h"
+
+#include "idem/push.h"
+
+static bool
+same_request(const struct record *record, const struct idem_msg *msg)
+{
+    return record->owner == msg->owner && record->token == msg->token;
+}
+
+/* What is known for sure goes before what isn't. */
+static int
+strength(enum idem_state state)
+{
+    switch (state) {
+    case IDEM_DONE:
+        return 2;
+    case IDEM_UNKNOWN:
+        return 1;
+    case IDEM_STARTED:
+        break;
+    }
+    return 0;
+}
+
+static void
+grant(const struct idem *idem, uint64_t to, const struct record *record,
+      uint64_t now_us, struct idem_actions *out)
+{
+    struct idem_msg *reply = state_send(out, to, IDEM_MSG_GRANT, &record->key,
+                                        record->owner, record->token);
+    bool young = now_us < idem->replicas.start_us + IDEM_SETTLE_US;
+
+    reply->state = young ? IDEM_UNKNOWN : IDEM_STARTED;
+}
+
+static void
+reserve_new(struct idem *idem, uint64_t from, const struct idem_msg *msg,
+            uint64_t now_us, struct idem_actions *out)
+{
+    struct record *record = NULL;
+
+    if (idem->records.count < idem->max_records) {
+        record = record_add(&idem->records, &msg->key, msg->owner, msg->token,
+                            now_us);
+    }
+    if (record == NULL) {
+        state_send(out, from, IDEM_MSG_DENY, &msg->key, msg->owner,
+                   msg->token);
+        return;
+    }
+    push_later(idem, record, now_us);
+    grant(idem, from, record, now_us, out);
+}
+
+void
+keeper_reserve(struct idem *idem, uint64_t from, const struct idem_msg *msg,
+               uint64_t now_us, struct idem_actions *out)
+{
+    struct record *record = record_find(&idem->records, &msg->key);
+
+    if (msg->owner != from) {
+        return;
+    }
+    if (record == NULL) {
+        reserve_new(idem, from, msg, now_us, out);
+        return;
+    }
+    if (same_request(record, msg) && record->state != IDEM_DONE) {
+        grant(idem, from, record, now_us, out);
+        return;
+    }
+    if (record->state == IDEM_STARTED &&
+        state_owner_gone(idem, record->key.service, record->owner,
+                         record->token, record->updated_us, now_us)) {
+        record_set_state(&idem->records, record, IDEM_UNKNOWN, now_us);
+        push_later(idem, record, now_us);
+    }
+    state_send_record(out, from, IDEM_MSG_EXISTS, record, true);
+}
+
+void
+keeper_release(struct idem *idem, uint64_t from, const struct idem_msg *msg)
+{
+    struct record *record = record_find(&idem->records, &msg->key);
+
+    if (record != NULL && msg->owner == from && same_request(record, msg) &&
+        record->state != IDEM_DONE) {
+        record_remove(&idem->records, record);
+    }
+}
+
+static void
+acknowledge(uint64_t to, const struct idem_msg *msg, enum idem_state state,
+            struct idem_actions *out)
+{
+    struct idem_msg *reply =
+        state_send(out, to, IDEM_MSG_ACK, &msg->key, msg->owner, msg->token);
+
+    reply->state = state;
+}
+
+static void
+store(struct idem *idem, struct record *record, const struct idem_msg *msg,
+      uint64_t now_us)
+{
+    record->owner = msg->owner;
+    record->token = msg->token;
+    record->key.fingerprint = msg->key.fingerprint;
+    record_set_state(&idem->records, record, msg->state, now_us);
+    record_set_answer(&idem->records, record, msg->answer, msg->answer_len);
+    push_later(idem, record, now_us);
+}
+
+static void
+store_new(struct idem *idem, uint64_t from, const struct idem_msg *msg,
+          uint64_t now_us, struct idem_actions *out)
+{
+    struct record *record;
+
+    if (state_token_age_us(idem, msg->token, now_us) >=
+        IDEM_TTL_US + PUSH_KEEP_US) {
+        acknowledge(from, msg, msg->state, out);
+        return;
+    }
+    /* Records pushed on get some room of their own: without it a full
+     * agent would lose what others hand over. */
+    if (idem->records.count >= idem->max_records + idem->max_records / 4) {
+        return;
+    }
+    record =
+        record_add(&idem->records, &msg->key, msg->owner, msg->token, now_us);
+    if (record != NULL) {
+        store(idem, record, msg, now_us);
+        acknowledge(from, msg, msg->state, out);
+    }
+}
+
+/* The same request: only more certain words replace the record. */
+static void
+merge_same(struct idem *idem, struct record *record, uint64_t from,
+           const struct idem_msg *msg, uint64_t now_us,
+           struct idem_actions *out)
+{
+    if (strength(msg->state) > strength(record->state)) {
+        store(idem, record, msg, now_us);
+    }
+    else if (msg->state == record->state && record->answer == NULL &&
+             msg->answer_len > 0) {
+        record_set_answer(&idem->records, record, msg->answer,
+                          msg->answer_len);
+    }
+    acknowledge(from, msg, record->state, out);
+}
+
+/* Two requests of one key: the more certain one stays, else the earlier.
+ * Two reservations wait until one of them ends or is released. */
+static void
+merge_other(struct idem *idem, struct record *record, uint64_t from,
+            const struct idem_msg *msg, uint64_t now_us,
+            struct idem_actions *out)
+{
+    int theirs = strength(msg->state);
+    int ours = strength(record->state);
+
+    if (theirs > ours ||
+        (theirs == ours && ours > 0 && msg->token < record->token)) {
+        store(idem, record, msg, now_us);
+        acknowledge(from, msg, msg->state, out);
+        return;
+    }
+    if (ours > 0) {
+        state_send_record(out, from, IDEM_MSG_RECORD, record, true);
+    }
+}
+
+void
+keeper_record(struct idem *idem, uint64_t from, const struct idem_msg *msg,
+              uint64_t now_us, struct idem_actions *out)
+{
+    struct record *record = record_find(&idem->records, &msg->key);
+
+    if (msg->owner == idem->self && state_was_released(idem, msg->token)) {
+        state_send(out, from, IDEM_MSG_RELEASE, &msg->key, msg->owner,
+                   msg->token);
+        return;
+    }
+    /* Only this process can say how its open requests end. */
+    if (msg->owner == idem->self &&
+        g_hash_table_contains(idem->by_wire, &msg->token)) {
+        acknowledge(from, msg, msg->state, out);
+        return;
+    }
+    if (record == NULL) {
+        store_new(idem, from, msg, now_us, out);
+    }
+    else if (same_request(record, msg)) {
+        merge_same(idem, record, from, msg, now_us, out);
+    }
+    else {
+        merge_other(idem, record, from, msg, now_us, out);
+    }
+}
+
+void
+keeper_ack(struct idem *idem, uint64_t from, const struct idem_msg *msg)
+{
+    struct record *record = record_find(&idem->records, &msg->key);
+    const struct replica_life *life =
+        replicas_find(&idem->replicas, from, msg->key.service);
+
+    if (record != NULL && life != NULL && same_request(record, msg) &&
+        strength(msg->state) >= strength(record->state)) {
+        record_note_ack(record, life->number);
+    }
+}
--- /dev/null
+++ b/src/idem/push.c
@@ -0,0 +1,183 @@
+#include "idem/push.h"
+
+static bool
+in_set(const struct idem *idem, const struct replica_set *set)
+{
+    for (size_t i = 0; i < set->count; i++) {
+        if (set->lives[i]->id == idem->self && !set->lives[i]->gone) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* The first living replica of a while ago surely has the answer. */
+static bool
+is_lead(const struct idem *idem, const struct replica_set *earlier)
+{
+    for (size_t i = 0; i < earlier->count; i++) {
+        const struct replica_life *life = earlier->lives[i];
+
+        if (!life->gone && !life->suspect) {
+            return life->id == idem->self;
+        }
+    }
+    return true;
+}
+
+/* Send the record to those targets that aren't known to hold it; whether
+ * there are any. */
+static bool
+push_to(struct idem *idem, struct record *record,
+        const struct replica_set *targets, bool full, bool send,
+        struct idem_actions *out)
+{
+    bool missing = false;
+
+    for (size_t i = 0; i < targets->count; i++) {
+        const struct replica_life *life = targets->lives[i];
+        bool with = full && record->answer_len <= idem->answer_credit;
+
+        if (life->id == idem->self ||
+            record_is_known(record, life->number, full)) {
+            continue;
+        }
+        missing = true;
+        if (!send || life->suspect) {
+            continue;
+        }
+        if (full && !with && record_is_known(record, life->number, false)) {
+            continue;
+        }
+        state_send_record(out, life->id, IDEM_MSG_RECORD, record, with);
+        record_note_sent(record, life->number, with, targets);
+        idem->answer_credit -= with ? record->answer_len : 0;
+    }
+    return missing;
+}
+
+/* A replica asks the owner of a long reservation from time to time, in case
+ * its end got lost. */
+static void
+ask_owner(const struct record *record, uint64_t now_us,
+          struct idem_actions *out)
+{
+    uint64_t age = (now_us - record->updated_us) / PUSH_AGAIN_US;
+
+    if (age >= 2 && (age < 8 || age % 16 == 0)) {
+        state_send(out, record->owner, IDEM_MSG_GRANT, &record->key,
+                   record->owner, record->token);
+    }
+}
+
+/* What time and the death of others do to a record; whether it is over. */
+static bool
+age_record(struct idem *idem, struct record *record, uint64_t now_us,
+           struct idem_actions *out)
+{
+    if (record->state != IDEM_STARTED) {
+        return record->updated_us + PUSH_KEEP_US <= now_us &&
+               state_token_age_us(idem, record->token, now_us) >= IDEM_TTL_US;
+    }
+    if (state_owner_gone(idem, record->key.service, record->owner,
+                         record->token, record->updated_us, now_us)) {
+        record_set_state(&idem->records, record, IDEM_UNKNOWN, now_us);
+        return false;
+    }
+    if (record->owner != idem->self) {
+        ask_owner(record, now_us, out);
+        return false;
+    }
+    if (g_hash_table_contains(idem->by_wire, &record->token)) {
+        return false;
+    }
+    if (state_was_released(idem, record->token)) {
+        return true;
+    }
+    record_set_state(&idem->records, record, IDEM_UNKNOWN, now_us);
+    return false;
+}
+
+static void
+visit(struct idem *idem, struct record *record, uint64_t now_us,
+      struct idem_actions *out)
+{
+    struct replica_set targets;
+    struct replica_set earlier;
+    bool on_its_way;
+    bool missing;
+
+    if (age_record(idem, record, now_us, out)) {
+        record_remove(&idem->records, record);
+        return;
+    }
+    replicas_targets(&idem->replicas, &record->key, now_us, &targets);
+    replicas_at(&idem->replicas, &record->key, replicas_ago(now_us), &earlier);
+    on_its_way = record->state == IDEM_STARTED &&
+                 record->updated_us + PUSH_AGAIN_US > now_us;
+    missing = push_to(idem, record, &targets,
+                      record->answer != NULL && is_lead(idem, &earlier),
+                      !on_its_way, out);
+    record_set_unacked(&idem->records, record, missing);
+    if (missing || record->state == IDEM_STARTED) {
+        record_queue(&idem->records, record, now_us + PUSH_AGAIN_US);
+        return;
+    }
+    record_unqueue(&idem->records, record);
+    if (!in_set(idem, &targets) && !in_set(idem, &earlier) &&
+        targets.count > 0 &&
+        record->updated_us + 2 * IDEM_SETTLE_US <= now_us) {
+        record_remove(&idem->records, record);
+    }
+}
+
+void
+push_changed(struct idem *idem, struct record *record, uint64_t now_us,
+             struct idem_actions *out)
+{
+    struct replica_set targets;
+
+    replicas_targets(&idem->replicas, &record->key, now_us, &targets);
+    idem->answer_credit = SIZE_MAX;
+    (void)push_to(idem, record, &targets, record->answer != NULL, true, out);
+    record_queue(&idem->records, record, now_us + PUSH_AGAIN_US);
+}
+
+void
+push_later(struct idem *idem, struct record *record, uint64_t now_us)
+{
+    record_queue(&idem->records, record, now_us + PUSH_AGAIN_US);
+}
+
+static void
+go_on_with_pass(struct idem *idem, size_t visits, uint64_t now_us,
+                struct idem_actions *out)
+{
+    if (idem->cursor == 0 &&
+        (idem->pass_wanted || idem->pass_us + PUSH_PASS_US <= now_us)) {
+        idem->cursor = idem->records.count;
+        idem->pass_us = now_us;
+        idem->pass_wanted = false;
+    }
+    while (visits-- > 0 && idem->cursor > 0) {
+        idem->cursor--;
+        if (idem->cursor < idem->records.count) {
+            visit(idem, idem->records.items[idem->cursor], now_us, out);
+        }
+    }
+}
+
+void
+push_tick(struct idem *idem, uint64_t now_us, struct idem_actions *out)
+{
+    size_t visits = idem->records.count / PUSH_PASS_TICKS + PUSH_VISITS_MIN;
+    struct record *record;
+
+    idem->answer_credit = PUSH_ANSWER_BYTES;
+    go_on_with_pass(idem, visits, now_us, out);
+    while (visits-- > 0 &&
+           (record = TAILQ_FIRST(&idem->records.queue)) != NULL &&
+           record->due_us <= now_us) {
+        visit(idem, record, now_us, out);
+    }
+}
--- /dev/null
+++ b/src/idem/replicas.h
@@ -0,0 +1,109 @@
+/**
+ * DOC: replicas - which members keep the record of a key
+ *
+ * A life is one stretch of a member's memory for one service: it begins
+ * when the process is first seen, announces the service or comes back from
+ * the dead, and ends when it dies, restarts, leaves or drops the service.
+ * Ended lives are remembered for IDEM_SETTLE_US, and as long as their
+ * process lives, so that the replicas of that long ago can still be told.
+ */
+#ifndef SWIFTARCH_IDEM_REPLICAS_H
+#define SWIFTARCH_IDEM_REPLICAS_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "control/view.h"
+#include "idem/idem.h"
+
+#define REPLICAS_TARGETS_MAX (2 * IDEM_REPLICAS)
+
+/**
+ * struct replica_life - one life of a member
+ * @id: member id
+ * @number: of this life, never reused; never 0
+ * @service: service id
+ * @incarnation: of the member when the life began
+ * @seen_us: since_us of its view entry, to notice a restart
+ * @since_us: beginning of the life; may lie before the own start
+ * @ended_us: end of the life, or 0
+ * @gone: its memory is lost, not only on the way out
+ * @suspect: asked, but not waited for
+ * @marked: seen in the view that is being taken in
+ */
+struct replica_life {
+    uint64_t id;
+    uint32_t number;
+    uint32_t service;
+    uint64_t incarnation;
+    uint64_t seen_us;
+    int64_t since_us;
+    int64_t ended_us;
+    bool gone;
+    bool suspect;
+    bool marked;
+};
+
+/**
+ * struct replicas - all lives known
+ * @lives: in no order
+ * @count: lives
+ * @capacity: room in @lives
+ * @next_number: number of the next life
+ * @incarnation: of the own process, when first seen
+ * @start_us: own start; 0 before the first view
+ */
+struct replicas {
+    struct replica_life *lives;
+    size_t count;
+    size_t capacity;
+    uint32_t next_number;
+    uint64_t incarnation;
+    uint64_t start_us;
+};
+
+/** struct replica_set - members picked for a key, best first */
+struct replica_set {
+    const struct replica_life *lives[REPLICAS_TARGETS_MAX];
+    size_t count;
+};
+
+/** replicas_finish() - free the lives */
+void
+replicas_finish(struct replicas *replicas);
+
+/**
+ * replicas_update() - take in a view
+ * @changed: set to whether a life began or ended
+ *
+ * Return: 0 or -ENOMEM, -EINVAL for a view without the own member.
+ */
+int
+replicas_update(struct replicas *replicas, const struct view *view,
+                uint64_t now_us, bool *changed);
+
+/** replicas_at() - the replicas of @key at @at_us, now or earlier */
+void
+replicas_at(const struct replicas *replicas, const struct idem_key *key,
+            int64_t at_us, struct replica_set *set);
+
+/** replicas_targets() - who should hold the record: the replicas of now and
+ * those that will be when all who are here have settled */
+void
+replicas_targets(const struct replicas *replicas, const struct idem_key *key,
+                 uint64_t now_us, struct replica_set *set);
+
+/** replicas_settled() - whether a life counts as a replica at @at_us */
+bool
+replicas_settled(const struct replica_life *life, int64_t at_us);
+
+/** replicas_ago() - IDEM_SETTLE_US before @now_us */
+int64_t
+replicas_ago(uint64_t now_us);
+
+/** replicas_find() - the present life of member @id in @service, or NULL */
+const struct replica_life *
+replicas_find(const struct replicas *replicas, uint64_t id, uint32_t service);
+
+#endif
--- /dev/null
+++ b/src/idem/reserve.c
@@ -0,0 +1,597 @@
+#include "idem/reserve.h"
+
+#include <errno.h>
+
+#include "idem/push.h"
+
+static struct reserve_asked *
+find_asked(struct reserve *reserve, uint64_t id)
+{
+    for (size_t i = 0; i < reserve->asked_count; i++) {
+        if (reserve->asked[i].id == id) {
+            return &reserve->asked[i];
+        }
+    }
+    return NULL;
+}
+
+static struct reserve_asked *
+add_asked(struct reserve *reserve, const struct replica_life *life)
+{
+    struct reserve_asked *asked = find_asked(reserve, life->id);
+
+    if (asked == NULL) {
+        g_assert(reserve->asked_count < RESERVE_ASKED_MAX);
+        asked = &reserve->asked[reserve->asked_count++];
+        *asked = (struct reserve_asked){.id = life->id, .life = life->number};
+    }
+    return asked;
+}
+
+/* Who must be asked: both sets, and those who will hold the record later. */
+static void
+choose(const struct idem *idem, struct reserve *reserve, uint64_t now_us)
+{
+    int64_t ago = replicas_ago(now_us);
+    struct replica_set set;
+
+    replicas_targets(&idem->replicas, &reserve->key, now_us, &set);
+    for (size_t i = 0; i < set.count; i++) {
+        (void)add_asked(reserve, set.lives[i]);
+    }
+    replicas_at(&idem->replicas, &reserve->key, (int64_t)now_us, &set);
+    for (size_t i = 0; i < set.count; i++) {
+        struct reserve_asked *asked = add_asked(reserve, set.lives[i]);
+
+        asked->now = true;
+        asked->unsettled = !replicas_settled(set.lives[i], (int64_t)now_us);
+    }
+    replicas_at(&idem->replicas, &reserve->key, ago, &set);
+    reserve->had_earlier = set.count > 0;
+    for (size_t i = 0; i < set.count; i++) {
+        struct reserve_asked *asked;
+
+        if (set.lives[i]->gone) {
+            continue;
+        }
+        asked = add_asked(reserve, set.lives[i]);
+        asked->earlier = true;
+        asked->unsettled |= !replicas_settled(set.lives[i], ago);
+    }
+}
+
+static void
+ask(const struct idem *idem, const struct reserve *reserve, uint64_t to,
+    struct idem_actions *out)
+{
+    state_send(out, to, IDEM_MSG_RESERVE, &reserve->key, idem->self,
+               reserve->wire);
+}
+
+static void
+ask_all(const struct idem *idem, struct reserve *reserve, uint64_t now_us,
+        struct idem_actions *out)
+{
+    reserve->sent_us = now_us;
+    for (size_t i = 0; i < reserve->asked_count; i++) {
+        if (!reserve->asked[i].answered) {
+            ask(idem, reserve, reserve->asked[i].id, out);
+        }
+    }
+}
+
+/* The life that was asked, while its memory is still there. */
+static const struct replica_life *
+living(const struct idem *idem, const struct reserve_asked *asked)
+{
+    for (size_t i = 0; i < idem->replicas.count; i++) {
+        const struct replica_life *life = &idem->replicas.lives[i];
+
+        if (life->number == asked->life) {
+            return life->gone ? NULL : life;
+        }
+    }
+    return NULL;
+}
+
+/* Grants of both sets. Of the earlier set at least one must be left, and
+ * all who are left must grant if they are fewer than the quorum. */
+static bool
+have_quorum(const struct idem *idem, const struct reserve *reserve)
+{
+    size_t now = 0;
+    size_t now_granted = 0;
+    size_t earlier = 0;
+    size_t earlier_granted = 0;
+
+    for (size_t i = 0; i < reserve->asked_count; i++) {
+        const struct reserve_asked *asked = &reserve->asked[i];
+        bool there = living(idem, asked) != NULL;
+        /* A young memory counts only where nobody had an older one. */
+        bool counts =
+            there && asked->granted && (!asked->young || asked->unsettled);
+
+        now += asked->now;
+        now_granted += asked->now && counts;
+        earlier += asked->earlier && there;
+        earlier_granted += asked->earlier && counts;
+    }
+    if (now == 0 || now_granted < MIN(IDEM_QUORUM, now)) {
+        return false;
+    }
+    return !reserve->had_earlier ||
+           (earlier > 0 && earlier_granted >= MIN(IDEM_QUORUM, earlier));
+}
+
+/* Whether nobody of the earlier set is left. */
+static bool
+lost_all(const struct idem *idem, const struct reserve *reserve)
+{
+    bool any = false;
+
+    for (size_t i = 0; i < reserve->asked_count; i++) {
+        const struct reserve_asked *asked = &reserve->asked[i];
+
+        any |= asked->earlier && living(idem, asked) != NULL;
+    }
+    return reserve->had_earlier && !any;
+}
+
+/* Whether the word of somebody who should know is still out; of suspects
+ * only with @suspects. */
+static bool
+must_wait(const struct idem *idem, const struct reserve *reserve,
+          bool suspects)
+{
+    for (size_t i = 0; i < reserve->asked_count; i++) {
+        const struct reserve_asked *asked = &reserve->asked[i];
+        const struct replica_life *life = living(idem, asked);
+
+        if ((asked->now || asked->earlier) && !asked->answered &&
+            life != NULL && (suspects || !life->suspect)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static bool
+is_own_record(const struct idem *idem, const struct reserve *reserve,
+              const struct record *record)
+{
+    return record != NULL && record->owner == idem->self &&
+           record->token == reserve->wire;
+}
+
+static void
+forget(struct idem *idem, struct reserve *reserve)
+{
+    if (!reserve->running) {
+        TAILQ_REMOVE(&idem->pending, reserve, pending);
+    }
+    g_hash_table_remove(idem->by_wire, &reserve->wire);
+    g_hash_table_remove(idem->requests, &reserve->token);
+}
+
+/* The request was not run: take its reservations back and forget it. */
+static void
+release(struct idem *idem, struct reserve *reserve, struct idem_actions *out)
+{
+    struct record *record = record_find(&idem->records, &reserve->key);
+
+    idem->released[idem->released_at++ % STATE_RELEASED_MAX] = reserve->wire;
+    for (size_t i = 0; i < reserve->asked_count; i++) {
+        const struct reserve_asked *asked = &reserve->asked[i];
+
+        if (asked->id != idem->self && (asked->granted || !asked->answered)) {
+            state_send(out, asked->id, IDEM_MSG_RELEASE, &reserve->key,
+                       idem->self, reserve->wire);
+        }
+    }
+    if (is_own_record(idem, reserve, record)) {
+        record_remove(&idem->records, record);
+    }
+    forget(idem, reserve);
+}
+
+static void
+refuse(struct idem *idem, struct reserve *reserve, enum idem_reason reason,
+       struct idem_actions *out)
+{
+    state_act(out, IDEM_REFUSE, reserve->token, reason);
+    release(idem, reserve, out);
+}
+
+/* Tell what the record of another request says. */
+static void
+veto(struct idem *idem, struct reserve *reserve, struct idem_actions *out)
+{
+    if (reserve->veto_state == IDEM_DONE) {
+        state_act(out, IDEM_OUTCOME_UNKNOWN, reserve->token,
+                  IDEM_REASON_NO_ANSWER);
+    }
+    else if (reserve->veto_state == IDEM_UNKNOWN || reserve->veto_gone) {
+        state_act(out, IDEM_OUTCOME_UNKNOWN, reserve->token,
+                  IDEM_REASON_OWNER_GONE);
+    }
+    else {
+        state_act(out, IDEM_IN_PROGRESS, reserve->token, IDEM_REASON_NONE);
+    }
+    release(idem, reserve, out);
+}
+
+static void
+proceed(struct idem *idem, struct reserve *reserve, uint64_t now_us,
+        struct idem_actions *out)
+{
+    struct record *record = record_find(&idem->records, &reserve->key);
+    struct replica_set targets;
+
+    g_assert(is_own_record(idem, reserve, record));
+    replicas_targets(&idem->replicas, &reserve->key, now_us, &targets);
+    for (size_t i = 0; i < reserve->asked_count; i++) {
+        const struct reserve_asked *asked = &reserve->asked[i];
+
+        if (asked->granted) {
+            record_note_sent(record, asked->life, false, &targets);
+            record_note_ack(record, asked->life);
+        }
+    }
+    TAILQ_REMOVE(&idem->pending, reserve, pending);
+    reserve->running = true;
+    push_later(idem, record, now_us);
+    state_act(out, IDEM_PROCEED, reserve->token, IDEM_REASON_NONE);
+}
+
+/* Decide if everything needed is known, or @late. A coordinator that was
+ * paused for long finds grants that others may have dealt with since: it
+ * gives up. */
+static void
+decide(struct idem *idem, struct reserve *reserve, uint64_t now_us,
+       struct idem_actions *out)
+{
+    uint64_t age = now_us - reserve->started_us;
+    bool late = age >= IDEM_RESERVE_TIMEOUT_US;
+    bool quorum = have_quorum(idem, reserve);
+
+    if (!late && must_wait(idem, reserve, !quorum && !reserve->vetoed)) {
+        return;
+    }
+    if (reserve->vetoed) {
+        veto(idem, reserve, out);
+    }
+    else if (quorum && age < 2 * IDEM_RESERVE_TIMEOUT_US) {
+        proceed(idem, reserve, now_us, out);
+    }
+    else if (lost_all(idem, reserve)) {
+        refuse(idem, reserve, IDEM_REASON_LOST, out);
+    }
+    else {
+        refuse(idem, reserve,
+               reserve->denied ? IDEM_REASON_FULL : IDEM_REASON_QUORUM, out);
+    }
+}
+
+/* Another request of the key is on record. Whether this settles ours. */
+static bool
+learn(struct idem *idem, struct reserve *reserve, const struct idem_msg *msg,
+      uint64_t now_us, struct idem_actions *out)
+{
+    if (msg->key.fingerprint != reserve->key.fingerprint) {
+        state_act(out, IDEM_MISMATCH, reserve->token, IDEM_REASON_NONE);
+        release(idem, reserve, out);
+        return true;
+    }
+    if (msg->state == IDEM_DONE && msg->answer_len > 0) {
+        struct idem_action *action =
+            state_act(out, IDEM_REPLAY, reserve->token, IDEM_REASON_NONE);
+
+        action->msg = *msg;
+        release(idem, reserve, out);
+        return true;
+    }
+    if (!reserve->vetoed || msg->state == IDEM_DONE ||
+        reserve->veto_state == IDEM_STARTED) {
+        reserve->veto_state = msg->state;
+    }
+    reserve->vetoed = true;
+    reserve->veto_gone |= msg->state == IDEM_STARTED &&
+                          state_owner_gone(idem, msg->key.service, msg->owner,
+                                           msg->token, now_us, now_us);
+    return false;
+}
+
+static struct reserve *
+add_reserve(struct idem *idem, uint64_t token, const struct idem_key *key,
+            uint64_t now_us)
+{
+    struct reserve *reserve = g_new0(struct reserve, 1);
+
+    reserve->token = token;
+    reserve->wire = state_next_wire(idem, now_us);
+    reserve->key = *key;
+    reserve->started_us = now_us;
+    g_hash_table_insert(idem->requests, &reserve->token, reserve);
+    g_hash_table_insert(idem->by_wire, &reserve->wire, reserve);
+    TAILQ_INSERT_TAIL(&idem->pending, reserve, pending);
+    return reserve;
+}
+
+/* The own record may settle the matter, or be a reason to ask on. */
+static bool
+look_here(struct idem *idem, struct reserve *reserve, uint64_t now_us,
+          struct idem_actions *out)
+{
+    struct record *record = record_find(&idem->records, &reserve->key);
+    struct idem_msg msg;
+
+    if (record == NULL) {
+        record = record_add(&idem->records, &reserve->key, idem->self,
+                            reserve->wire, now_us);
+        if (record == NULL) {
+            refuse(idem, reserve, IDEM_REASON_FULL, out);
+        }
+        return record == NULL;
+    }
+    msg = (struct idem_msg){
+        .type = IDEM_MSG_EXISTS,
+        .key = record->key,
+        .owner = record->owner,
+        .token = record->token,
+        .state = record->state,
+        .answer = record->answer,
+        .answer_len = record->answer_len,
+    };
+    if (learn(idem, reserve, &msg, now_us, out)) {
+        return true;
+    }
+    if (record->state == IDEM_STARTED && !reserve->veto_gone) {
+        veto(idem, reserve, out);
+        return true;
+    }
+    return false;
+}
+
+int
+reserve_begin(struct idem *idem, uint64_t token, const struct idem_key *key,
+              uint64_t now_us, struct idem_actions *out)
+{
+    struct reserve *reserve;
+    struct reserve_asked *own;
+
+    if (g_hash_table_contains(idem->requests, &token)) {
+        return -EEXIST;
+    }
+    if (idem->first_wire == 0) {
+        state_act(out, IDEM_REFUSE, token, IDEM_REASON_QUORUM);
+        return 0;
+    }
+    if (idem->records.count >= idem->max_records &&
+        record_find(&idem->records, key) == NULL) {
+        state_act(out, IDEM_REFUSE, token, IDEM_REASON_FULL);
+        return 0;
+    }
+    reserve = add_reserve(idem, token, key, now_us);
+    if (look_here(idem, reserve, now_us, out)) {
+        return 0;
+    }
+    choose(idem, reserve, now_us);
+    own = find_asked(reserve, idem->self);
+    if (own != NULL) {
+        own->answered = true;
+        own->granted = !reserve->vetoed;
+    }
+    ask_all(idem, reserve, now_us, out);
+    decide(idem, reserve, now_us, out);
+    return 0;
+}
+
+/* The record of a request that ran; it is there unless a stronger one took
+ * its place. */
+static struct record *
+ended_record(struct idem *idem, const struct reserve *reserve,
+             enum idem_state state, uint64_t now_us)
+{
+    struct record *record = record_find(&idem->records, &reserve->key);
+
+    if (record == NULL) {
+        return record_add(&idem->records, &reserve->key, idem->self,
+                          reserve->wire, now_us);
+    }
+    if (is_own_record(idem, reserve, record)) {
+        return record;
+    }
+    if (state != IDEM_DONE || record->state == IDEM_DONE) {
+        return NULL;
+    }
+    record->owner = idem->self;
+    record->token = reserve->wire;
+    record->key.fingerprint = reserve->key.fingerprint;
+    return record;
+}
+
+int
+reserve_end(struct idem *idem, uint64_t token, bool not_run,
+            enum idem_state state, const uint8_t *answer, size_t answer_len,
+            uint64_t now_us, struct idem_actions *out)
+{
+    struct reserve *reserve = g_hash_table_lookup(idem->requests, &token);
+    struct record *record;
+
+    if (reserve == NULL) {
+        return -ENOENT;
+    }
+    if (not_run || !reserve->running) {
+        release(idem, reserve, out);
+        return 0;
+    }
+    if (state == IDEM_STARTED) {
+        return -EINVAL;
+    }
+    record = ended_record(idem, reserve, state, now_us);
+    if (record != NULL) {
+        record_set_state(&idem->records, record, state, now_us);
+        record_set_answer(&idem->records, record,
+                          state == IDEM_DONE ? answer : NULL, answer_len);
+        push_changed(idem, record, now_us, out);
+    }
+    forget(idem, reserve);
+    return record != NULL ? 0 : -EEXIST;
+}
+
+/* A grant for something that isn't being reserved: say how it ended. */
+static void
+answer_grant(struct idem *idem, uint64_t from, const struct idem_msg *msg,
+             struct idem_actions *out)
+{
+    struct record *record = record_find(&idem->records, &msg->key);
+    struct idem_msg *reply;
+
+    if (state_was_released(idem, msg->token)) {
+        state_send(out, from, IDEM_MSG_RELEASE, &msg->key, idem->self,
+                   msg->token);
+        return;
+    }
+    if (record != NULL && record->owner == idem->self &&
+        record->token == msg->token) {
+        state_send_record(out, from, IDEM_MSG_RECORD, record, true);
+        return;
+    }
+    reply = state_send(out, from, IDEM_MSG_RECORD, &msg->key, idem->self,
+                       msg->token);
+    reply->state = IDEM_UNKNOWN;
+}
+
+static void
+take_grant(struct idem *idem, struct reserve *reserve, uint64_t from,
+           const struct idem_msg *msg, uint64_t now_us,
+           struct idem_actions *out)
+{
+    struct reserve_asked *asked = find_asked(reserve, from);
+
+    if (asked == NULL) {
+        return;
+    }
+    if (reserve->running) {
+        struct record *record = record_find(&idem->records, &msg->key);
+
+        if (is_own_record(idem, reserve, record)) {
+            record_note_ack(record, asked->life);
+        }
+        return;
+    }
+    asked->answered = true;
+    asked->granted = true;
+    asked->young = msg->state == IDEM_UNKNOWN;
+    decide(idem, reserve, now_us, out);
+}
+
+/* A reservation of our own that we gave up is still there: repeat the
+ * release, ask once more. */
+static void
+ask_again(const struct idem *idem, struct reserve *reserve,
+          struct reserve_asked *asked, const struct idem_msg *msg,
+          struct idem_actions *out)
+{
+    if (asked == NULL || asked->asked_again) {
+        return;
+    }
+    asked->asked_again = true;
+    state_send(out, asked->id, IDEM_MSG_RELEASE, &msg->key, idem->self,
+               msg->token);
+    ask(idem, reserve, asked->id, out);
+}
+
+static void
+take_exists(struct idem *idem, struct reserve *reserve, uint64_t from,
+            const struct idem_msg *msg, uint64_t now_us,
+            struct idem_actions *out)
+{
+    struct reserve_asked *asked = find_asked(reserve, from);
+
+    if (msg->owner == idem->self && msg->token == reserve->wire) {
+        return;
+    }
+    if (msg->owner == idem->self && state_was_released(idem, msg->token)) {
+        ask_again(idem, reserve, asked, msg, out);
+        return;
+    }
+    if (asked != NULL) {
+        asked->answered = true;
+        asked->granted = false;
+    }
+    if (!learn(idem, reserve, msg, now_us, out)) {
+        decide(idem, reserve, now_us, out);
+    }
+}
+
+/* A record of a key that may be being reserved here. */
+static void
+take_record(struct idem *idem, uint64_t from, const struct idem_msg *msg,
+            uint64_t now_us, struct idem_actions *out)
+{
+    struct reserve *reserve = TAILQ_FIRST(&idem->pending);
+
+    while (reserve != NULL) {
+        struct reserve *next = TAILQ_NEXT(reserve, pending);
+
+        if (record_same_key(&reserve->key, &msg->key)) {
+            take_exists(idem, reserve, from, msg, now_us, out);
+        }
+        reserve = next;
+    }
+}
+
+static void
+take_deny(struct idem *idem, struct reserve *reserve, uint64_t from,
+          uint64_t now_us, struct idem_actions *out)
+{
+    struct reserve_asked *asked = find_asked(reserve, from);
+
+    if (asked != NULL && !reserve->running) {
+        asked->answered = true;
+        reserve->denied = true;
+        decide(idem, reserve, now_us, out);
+    }
+}
+
+void
+reserve_receive(struct idem *idem, uint64_t from, const struct idem_msg *msg,
+                uint64_t now_us, struct idem_actions *out)
+{
+    struct reserve *reserve;
+
+    if (msg->type == IDEM_MSG_RECORD || msg->type == IDEM_MSG_EXISTS) {
+        take_record(idem, from, msg, now_us, out);
+        return;
+    }
+    if (msg->owner != idem->self) {
+        return;
+    }
+    reserve = g_hash_table_lookup(idem->by_wire, &msg->token);
+    if (reserve != NULL && msg->type == IDEM_MSG_GRANT) {
+        take_grant(idem, reserve, from, msg, now_us, out);
+    }
+    else if (reserve != NULL) {
+        take_deny(idem, reserve, from, now_us, out);
+    }
+    else if (msg->type == IDEM_MSG_GRANT) {
+        answer_grant(idem, from, msg, out);
+    }
+}
+
+void
+reserve_tick(struct idem *idem, uint64_t now_us, struct idem_actions *out)
+{
+    struct reserve *reserve = TAILQ_FIRST(&idem->pending);
+
+    while (reserve != NULL) {
+        struct reserve *next = TAILQ_NEXT(reserve, pending);
+
+        if (reserve->sent_us + RESERVE_AGAIN_US <= now_us) {
+            ask_all(idem, reserve, now_us, out);
+        }
+        decide(idem, reserve, now_us, out);
+        reserve = next;
+    }
+}
--- /dev/null
+++ b/src/idem/state.c
@@ -0,0 +1,131 @@
+#include "idem/state.h"
+
+#include <stdlib.h>
+
+#define MSEC_PER_SEC 1000
+
+void
+idem_actions_finish(struct idem_actions *out)
+{
+    g_free(out->items);
+    *out = (struct idem_actions){0};
+}
+
+struct idem_action *
+state_act(struct idem_actions *out, enum idem_action_type type, uint64_t token,
+          enum idem_reason reason)
+{
+    struct idem_action *action;
+
+    if (out->count == out->capacity) {
+        out->capacity = out->capacity > 0 ? 2 * out->capacity : 16;
+        out->items = g_renew(struct idem_action, out->items, out->capacity);
+    }
+    action = &out->items[out->count++];
+    *action = (struct idem_action){
+        .type = type,
+        .token = token,
+        .reason = reason,
+    };
+    return action;
+}
+
+struct idem_msg *
+state_send(struct idem_actions *out, uint64_t to, enum idem_msg_type type,
+           const struct idem_key *key, uint64_t owner, uint64_t token)
+{
+    struct idem_action *action = state_act(out, IDEM_SEND, 0, 0);
+
+    action->to = to;
+    action->msg = (struct idem_msg){
+        .type = type,
+        .key = *key,
+        .owner = owner,
+        .token = token,
+    };
+    return &action->msg;
+}
+
+void
+state_send_record(struct idem_actions *out, uint64_t to,
+                  enum idem_msg_type type, const struct record *record,
+                  bool full)
+{
+    struct idem_msg *msg =
+        state_send(out, to, type, &record->key, record->owner, record->token);
+
+    msg->state = record->state;
+    if (full) {
+        msg->answer = record->answer;
+        msg->answer_len = record->answer_len;
+    }
+}
+
+static uint64_t
+wall_ms(const struct idem *idem, uint64_t now_us)
+{
+    return (idem->replicas.incarnation + now_us - idem->replicas.start_us) /
+           USEC_PER_MSEC;
+}
+
+uint64_t
+state_next_wire(struct idem *idem, uint64_t now_us)
+{
+    uint64_t wire = wall_ms(idem, now_us) << STATE_WIRE_SHIFT;
+
+    wire = MAX(wire, idem->next_wire);
+    idem->next_wire = wire + 1;
+    return wire;
+}
+
+uint64_t
+state_token_age_us(const struct idem *idem, uint64_t token, uint64_t now_us)
+{
+    uint64_t now_ms = wall_ms(idem, now_us);
+    uint64_t then_ms = token >> STATE_WIRE_SHIFT;
+
+    return now_ms > then_ms ? (now_ms - then_ms) * USEC_PER_MSEC : 0;
+}
+
+bool
+state_own_wire(const struct idem *idem, uint64_t wire)
+{
+    return wire >= idem->first_wire && wire < idem->next_wire;
+}
+
+bool
+state_was_released(const struct idem *idem, uint64_t wire)
+{
+    for (size_t i = 0; i < STATE_RELEASED_MAX; i++) {
+        if (idem->released[i] == wire) {
+            return true;
+        }
+    }
+    return false;
+}
+
+bool
+state_owner_gone(const struct idem *idem, uint32_t service, uint64_t owner,
+                 uint64_t token, uint64_t since_us, uint64_t now_us)
+{
+    bool known = false;
+
+    if (owner == idem->self) {
+        return !state_own_wire(idem, token);
+    }
+    for (size_t i = 0; i < idem->replicas.count; i++) {
+        const struct replica_life *life = &idem->replicas.lives[i];
+        uint64_t start_ms = life->incarnation / USEC_PER_MSEC;
+
+        if (life->id != owner || life->service != service) {
+            continue;
+        }
+        known = true;
+        /* A refuted suspicion may have raised the incarnation a little. */
+        if (!life->gone &&
+            (token >> STATE_WIRE_SHIFT) + MSEC_PER_SEC >= start_ms) {
+            return false;
+        }
+    }
+    return known || since_us + IDEM_SETTLE_US <= now_us;
+}
--- /dev/null
+++ b/src/idem/state.h
@@ -0,0 +1,101 @@
+/**
+ * DOC: state - what the parts of idem share
+ *
+ * Numbers on the wire (tokens of messages) hold the wall clock in
+ * milliseconds above STATE_WIRE_SHIFT bits of a count, so that those of an
+ * earlier life of the process can be told, and how old a record is. Clocks
+ * of hosts may differ by seconds.
+ */
+#ifndef SWIFTARCH_IDEM_STATE_H
+#define SWIFTARCH_IDEM_STATE_H
+
+#include <glib.h>
+
+#include "idem/idem.h"
+#include "idem/record.h"
+#include "idem/replicas.h"
+
+struct reserve;
+
+TAILQ_HEAD(reserve_list, reserve);
+
+#define STATE_RELEASED_MAX 1024
+#define STATE_WIRE_SHIFT 22
+
+/**
+ * struct idem - both sides, see DOC of idem.h
+ * @self: own member id
+ * @max_records: bound on records of new keys
+ * @replicas: members
+ * @records: records held
+ * @requests: own requests, by the token of the program
+ * @by_wire: the same by their number on the wire
+ * @pending: those that aren't decided
+ * @first_wire: first number of this life
+ * @next_wire: next number
+ * @released: last numbers that were not run, a ring
+ * @released_at: where the next one goes
+ * @cursor: the pass over all records goes on below this index
+ * @pass_us: when the last pass began
+ * @pass_wanted: members changed: another pass is due
+ * @answer_credit: bytes of answers that may still be pushed in this tick
+ */
+struct idem {
+    uint64_t self;
+    size_t max_records;
+    struct replicas replicas;
+    struct record_table records;
+    GHashTable *requests;
+    GHashTable *by_wire;
+    struct reserve_list pending;
+    uint64_t first_wire;
+    uint64_t next_wire;
+    uint64_t released[STATE_RELEASED_MAX];
+    size_t released_at;
+    size_t cursor;
+    uint64_t pass_us;
+    bool pass_wanted;
+    size_t answer_credit;
+};
+
+/** state_act() - append an action */
+struct idem_action *
+state_act(struct idem_actions *out, enum idem_action_type type, uint64_t token,
+          enum idem_reason reason);
+
+/** state_send() - append a message about @key */
+struct idem_msg *
+state_send(struct idem_actions *out, uint64_t to, enum idem_msg_type type,
+           const struct idem_key *key, uint64_t owner, uint64_t token);
+
+/** state_send_record() - append @type with the record, @full: its answer
+ * too */
+void
+state_send_record(struct idem_actions *out, uint64_t to,
+                  enum idem_msg_type type, const struct record *record,
+                  bool full);
+
+/** state_owner_gone() - whether the process that got @token for a key of
+ * @service is known to be gone; @since_us: when that was recorded */
+bool
+state_owner_gone(const struct idem *idem, uint32_t service, uint64_t owner,
+                 uint64_t token, uint64_t since_us, uint64_t now_us);
+
+/** state_next_wire() - number of the next request */
+uint64_t
+state_next_wire(struct idem *idem, uint64_t now_us);
+
+/** state_token_age_us() - how long ago @token was given out, about */
+uint64_t
+state_token_age_us(const struct idem *idem, uint64_t token, uint64_t now_us);
+
+/** state_own_wire() - whether @wire is a number of this life of the process
+ */
+bool
+state_own_wire(const struct idem *idem, uint64_t wire);
+
+/** state_was_released() - whether @wire is known not to have been run */
+bool
+state_was_released(const struct idem *idem, uint64_t wire);
+
+#endif
