Follow the engine's new messages and name the agents' links

The engine gained engine_unsent(), a probe and a load figure; a RUN that never left (no connection came up) is told as unsent, not as lost. Renamed peers to peer_links, since request/ has a module peers.

--- a/src/agent/agent.c
+++ b/src/agent/agent.c
@@ -165,7 +165,7 @@
     pthread_mutex_lock(&agent->flow_lock);
     flow_tick(agent->flows, now_us);
     pthread_mutex_unlock(&agent->flow_lock);
-    peers_send_pins(agent);
+    peer_links_send_pins(agent);
     front_tick(&agent->front, now_us);
     datagrams_tick(agent);
     ingress_tick(agent);
@@ -291,7 +291,7 @@
         ret = ingress_init(agent, err);
     }
     if (ret == 0) {
-        ret = peers_init(agent, err);
+        ret = peer_links_init(agent, err);
     }
     if (ret == 0) {
         ret = upstream_init(agent, err);
@@ -327,7 +327,7 @@
     requests_finish(agent);
     front_finish(&agent->front);
     datagrams_finish(&agent->datagrams);
-    peers_finish(agent);
+    peer_links_finish(agent);
     ingress_finish(agent);
     if (agent->control != NULL) {
         control_stop(agent->control);
--- a/src/agent/answer.c
+++ b/src/agent/answer.c
@@ -178,6 +178,7 @@
         [ENGINE_SHORT] = "short",
         [ENGINE_DEADLINE] = "deadline",
         [ENGINE_STOPPING] = "stopping",
+        [ENGINE_CANCELLED] = "cancelled",
     };
 
     if ((size_t)reason >= G_N_ELEMENTS(names)) {
--- a/src/agent/peer.pb-c.c
+++ b/src/agent/peer.pb-c.c
@@ -618,7 +618,7 @@
   (ProtobufCMessageInit) swiftarch__peer_pin__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor swiftarch__peer_message__field_descriptors[11] =
+static const ProtobufCFieldDescriptor swiftarch__peer_message__field_descriptors[12] =
 {
   {
     "type",
@@ -752,11 +752,24 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "load",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Swiftarch__PeerMessage, load),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned swiftarch__peer_message__field_indices_by_name[] = {
   9,   /* field[9] = answer */
   5,   /* field[5] = free_slots */
   8,   /* field[8] = idem */
+  11,   /* field[11] = load */
   1,   /* field[1] = origin */
   3,   /* field[3] = outcome */
   10,   /* field[10] = pins */
@@ -769,7 +782,7 @@
 static const ProtobufCIntRange swiftarch__peer_message__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor swiftarch__peer_message__descriptor =
 {
@@ -779,7 +792,7 @@
   "Swiftarch__PeerMessage",
   "swiftarch",
   sizeof(Swiftarch__PeerMessage),
-  11,
+  12,
   swiftarch__peer_message__field_descriptors,
   swiftarch__peer_message__field_indices_by_name,
   1,  swiftarch__peer_message__number_ranges,
--- a/src/agent/peer.pb-c.h
+++ b/src/agent/peer.pb-c.h
@@ -106,10 +106,11 @@
   ProtobufCBinaryData answer;
   size_t n_pins;
   Swiftarch__PeerPin **pins;
+  uint32_t load;
 };
 #define SWIFTARCH__PEER_MESSAGE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&swiftarch__peer_message__descriptor) \
-    , 0, 0, NULL, 0, 0, 0, 0, 0, NULL, {0,NULL}, 0,NULL }
+    , 0, 0, NULL, 0, 0, 0, 0, 0, NULL, {0,NULL}, 0,NULL, 0 }
 
 
 /* Swiftarch__PeerRequest methods */
--- a/src/agent/peers.c
+++ b/src/agent/peer_links.c
@@ -1,6 +1,6 @@
 #define G_LOG_DOMAIN "swiftarch-agent"
 
-#include "agent/peers.h"
+#include "agent/peer_links.h"
 
 #include <errno.h>
 #include <sys/time.h>
@@ -9,13 +9,29 @@
 #include "agent/program.h"
 #include "base/log.h"
 
-static guint64 *
-addr_key(struct addr addr)
+/**
+ * struct target - a member we send to, while its connection lasts
+ * @member: its id
+ * @runs: ids of our requests sent over this connection and not ended
+ */
+struct target {
+    uint64_t member;
+    GArray *runs;
+};
+
+static void
+target_free(gpointer arg)
 {
-    guint64 *key = g_new(guint64, 1);
+    struct target *target = arg;
+
+    g_array_unref(target->runs);
+    g_free(target);
+}
 
-    *key = (guint64)addr.ip << 16 | addr.port;
-    return key;
+static guint64
+addr_key(struct addr addr)
+{
+    return (guint64)addr.ip << 16 | addr.port;
 }
 
 static guint64 *
@@ -27,6 +43,54 @@
     return copy;
 }
 
+static struct target *
+target_of(struct peer_links *links, struct addr to, uint64_t member)
+{
+    guint64 key = addr_key(to);
+    struct target *target = g_hash_table_lookup(links->targets, &key);
+
+    if (target == NULL || target->member != member) {
+        target = g_new(struct target, 1);
+        target->member = member;
+        target->runs = g_array_new(FALSE, FALSE, sizeof(guint64));
+        g_hash_table_insert(links->targets, copy_id(key), target);
+    }
+    return target;
+}
+
+static struct target *
+find_target(struct agent *agent, uint64_t id, struct addr *to)
+{
+    *to = (struct addr){0};
+    rcu_read_lock();
+    const struct view *view = board_view(&agent->board);
+    const struct view_member *member =
+        view == NULL ? NULL : view_find(view, id);
+    if (member != NULL) {
+        *to = member->data;
+    }
+    rcu_read_unlock();
+    return to->port == 0 ? NULL : target_of(&agent->links, *to, id);
+}
+
+/* Notes a RUN that went out, and forgets one that is over. */
+static void
+note_run(struct agent *agent, uint64_t member, uint64_t id, bool out)
+{
+    struct addr to;
+    struct target *target = find_target(agent, member, &to);
+
+    if (target != NULL && out) {
+        g_array_append_val(target->runs, id);
+    }
+    for (guint i = 0; target != NULL && !out && i < target->runs->len; i++) {
+        if (g_array_index(target->runs, guint64, i) == id) {
+            g_array_remove_index_fast(target->runs, i);
+            return;
+        }
+    }
+}
+
 /* Members of other services have no business with our flows or requests. */
 static bool
 is_peer(struct agent *agent, uint64_t id)
@@ -61,11 +125,11 @@
 on_frame(struct link_handler *handler, struct link_conn *conn, uint64_t sender,
          uint16_t type, const uint8_t *body, size_t len)
 {
-    struct peers *peers = (struct peers *)handler;
-    struct agent *agent = peers->agent;
+    struct peer_links *links = (struct peer_links *)handler;
+    struct agent *agent = links->agent;
     struct peer_wire wire;
 
-    if (type != PEERS_FRAME || !is_peer(agent, sender)) {
+    if (type != PEER_LINKS_FRAME || !is_peer(agent, sender)) {
         g_info("A frame of an unknown peer or type was dropped.");
         return;
     }
@@ -73,11 +137,14 @@
         g_warning("A malformed message of a peer was dropped.");
         return;
     }
-    g_hash_table_insert(peers->senders, conn, copy_id(sender));
+    g_hash_table_insert(links->senders, conn, copy_id(sender));
     if (wire.pins) {
         take_pins(agent, &wire);
     }
     else {
+        if (wire.msg.type == ENGINE_PEER_DONE) {
+            note_run(agent, sender, wire.msg.request.id, false);
+        }
         requests_peer(agent, sender, &wire.msg, wire.bytes, wire.len,
                       wire.traceparent);
     }
@@ -98,29 +165,50 @@
     rcu_read_unlock();
 }
 
+/* The connection never came up: nothing queued on it was sent. */
+static void
+all_unsent(struct agent *agent, const struct target *target)
+{
+    for (guint i = 0; i < target->runs->len; i++) {
+        requests_unsent(agent, target->member,
+                        g_array_index(target->runs, guint64, i));
+    }
+}
+
+static void
+incoming_down(struct peer_links *links, struct link_conn *conn)
+{
+    const guint64 *id = g_hash_table_lookup(links->senders, conn);
+
+    if (id != NULL) {
+        uint64_t member = *id;
+        g_hash_table_remove(links->senders, conn);
+        requests_peer_lost(links->agent, member);
+    }
+}
+
 static void
 on_down(struct link_handler *handler, struct link_conn *conn, struct addr peer,
         int reason)
 {
-    struct peers *peers = (struct peers *)handler;
-    guint64 *key = addr_key(peer);
-    const guint64 *id = g_hash_table_lookup(peers->senders, conn);
-    uint64_t member;
+    struct peer_links *links = (struct peer_links *)handler;
+    guint64 key = addr_key(peer);
+    gpointer stolen_key;
+    gpointer value;
 
-    if (id == NULL) {
-        id = g_hash_table_lookup(peers->targets, key);
-    }
-    member = id == NULL ? 0 : *id;
-    g_hash_table_remove(peers->senders, conn);
-    g_hash_table_remove(peers->targets, key);
-    g_free(key);
-    if (member == 0) {
+    incoming_down(links, conn);
+    if (!g_hash_table_steal_extended(links->targets, &key, &stolen_key,
+                                     &value)) {
         return;
     }
+    struct target *target = value;
     if (reason == -ECONNREFUSED) {
-        report_dead(peers->agent, member);
+        report_dead(links->agent, target->member);
+        all_unsent(links->agent, target);
     }
-    requests_peer_lost(peers->agent, member);
+    requests_peer_lost(links->agent, target->member);
+    target_free(target);
+    g_free(stolen_key);
 }
 
 static const struct link_ops link_ops = {
@@ -129,76 +217,71 @@
 };
 
 int
-peers_init(struct agent *agent, struct error *err)
+peer_links_init(struct agent *agent, struct error *err)
 {
-    struct peers *peers = &agent->peers;
+    struct peer_links *links = &agent->links;
     const struct settings *settings = &agent->settings;
     uint64_t wall_ms = (uint64_t)(g_get_real_time() / 1000);
     int ret;
 
-    peers->handler.ops = &link_ops;
-    peers->agent = agent;
-    peers->senders =
+    links->handler.ops = &link_ops;
+    links->agent = agent;
+    links->senders =
         g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL, g_free);
-    peers->targets =
-        g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
-    ret = auth_init(&peers->auth, settings->site_key, settings->site_key_len,
+    links->targets = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
+                                           target_free);
+    ret = auth_init(&links->auth, settings->site_key, settings->site_key_len,
                     agent->self, wall_ms);
     if (ret < 0) {
         return error_set(err, ret, "site key", NULL, "cannot be used");
     }
-    ret = link_hub_init(&peers->hub, agent->base, &peers->auth,
-                        &peers->handler, settings->data, err);
-    peers->listening = ret == 0;
+    ret = link_hub_init(&links->hub, agent->base, &links->auth,
+                        &links->handler, settings->data, err);
+    links->listening = ret == 0;
     return ret;
 }
 
 void
-peers_finish(struct agent *agent)
+peer_links_finish(struct agent *agent)
 {
-    struct peers *peers = &agent->peers;
+    struct peer_links *links = &agent->links;
 
-    if (peers->senders == NULL) {
+    if (links->senders == NULL) {
         return;
     }
-    if (peers->listening) {
-        link_hub_finish(&peers->hub);
+    if (links->listening) {
+        link_hub_finish(&links->hub);
     }
-    auth_finish(&peers->auth);
-    g_hash_table_unref(peers->senders);
-    g_hash_table_unref(peers->targets);
+    auth_finish(&links->auth);
+    g_hash_table_unref(links->senders);
+    g_hash_table_unref(links->targets);
 }
 
 static int
 send_bytes(struct agent *agent, uint64_t id, const GByteArray *body)
 {
-    struct peers *peers = &agent->peers;
-    struct addr to = {0};
+    struct addr to;
 
-    rcu_read_lock();
-    const struct view *view = board_view(&agent->board);
-    const struct view_member *member =
-        view == NULL ? NULL : view_find(view, id);
-    if (member != NULL) {
-        to = member->data;
-    }
-    rcu_read_unlock();
-    if (to.port == 0) {
+    if (find_target(agent, id, &to) == NULL) {
         return -ENOENT;
     }
-    g_hash_table_insert(peers->targets, addr_key(to), copy_id(id));
-    return link_send(&peers->hub, to, PEERS_FRAME, body->data, body->len);
+    return link_send(&agent->links.hub, to, PEER_LINKS_FRAME, body->data,
+                     body->len);
 }
 
 int
-peers_send(struct agent *agent, uint64_t member,
-           const struct engine_peer_msg *msg, const GByteArray *bytes,
-           const char *traceparent)
+peer_links_send(struct agent *agent, uint64_t member,
+                const struct engine_peer_msg *msg, const GByteArray *bytes,
+                const char *traceparent)
 {
     GByteArray *body = peer_wire_pack(msg, bytes, traceparent);
     int ret = send_bytes(agent, member, body);
 
     g_byte_array_unref(body);
+    if (ret == 0 &&
+        (msg->type == ENGINE_PEER_RUN || msg->type == ENGINE_PEER_CANCEL)) {
+        note_run(agent, member, msg->request.id, msg->type == ENGINE_PEER_RUN);
+    }
     return ret;
 }
 
@@ -228,7 +311,7 @@
 }
 
 void
-peers_send_pins(struct agent *agent)
+peer_links_send_pins(struct agent *agent)
 {
     struct flow_pin pins[PEER_WIRE_PINS_MAX];
     uint64_t to[PEER_WIRE_PINS_MAX];
--- a/src/agent/peer_wire.c
+++ b/src/agent/peer_wire.c
@@ -59,6 +59,7 @@
     raw.outcome = (uint32_t)msg->outcome;
     raw.reason = (uint32_t)msg->reason;
     raw.free_slots = msg->free_slots;
+    raw.load = msg->load;
     raw.waiting_urgent = msg->waiting[TEXT_URGENT];
     raw.waiting_ordinary = msg->waiting[TEXT_ORDINARY];
     fill_request(&request, &msg->request);
@@ -138,7 +139,7 @@
 static int
 read_idem(const Swiftarch__PeerIdem *raw, struct idem_msg *idem)
 {
-    if (raw == NULL || raw->key == NULL || raw->type > IDEM_MSG_RECORD ||
+    if (raw == NULL || raw->key == NULL || raw->type > IDEM_MSG_DENY ||
         raw->state > IDEM_UNKNOWN || raw->answer.len > IDEM_ANSWER_MAX) {
         return -EBADMSG;
     }
@@ -159,8 +160,8 @@
 {
     struct engine_peer_msg *msg = &wire->msg;
 
-    if (raw->type > ENGINE_PEER_IDEM || raw->request == NULL ||
-        raw->outcome > ENGINE_KEY_MISMATCH || raw->reason > ENGINE_STOPPING) {
+    if (raw->type > ENGINE_PEER_PROBE || raw->request == NULL ||
+        raw->outcome > ENGINE_KEY_MISMATCH || raw->reason > ENGINE_CANCELLED) {
         return -EBADMSG;
     }
     msg->type = (enum engine_peer_type)raw->type;
--- a/src/agent/program.h
+++ b/src/agent/program.h
@@ -19,7 +19,7 @@
 #include "agent/datagram.h"
 #include "agent/front.h"
 #include "agent/ingress.h"
-#include "agent/peers.h"
+#include "agent/peer_links.h"
 #include "agent/requests.h"
 #include "agent/upstream.h"
 #include "base/clock.h"
@@ -86,7 +86,7 @@
     struct front front;
     struct back back;
     struct requests requests;
-    struct peers peers;
+    struct peer_links links;
     struct upstream upstream;
     struct ingress ingress;
     struct datagrams datagrams;
--- a/src/agent/requests.c
+++ b/src/agent/requests.c
@@ -54,11 +54,16 @@
     enum engine_upstream how;
 };
 
-/** struct late - an event that waits until the actions are carried out */
+/**
+ * struct late - an event that waits until the actions are carried out
+ * @member: peer it is about
+ * @unsent: a RUN never left for it; else its connection broke
+ * @id: UNSENT: which request
+ */
 struct late {
     uint64_t member;
-    bool lost;
-    struct engine_peer_msg msg;
+    bool unsent;
+    uint64_t id;
 };
 
 static guint
@@ -259,20 +264,6 @@
     g_queue_push_tail(&requests->late, g_memdup2(late, sizeof(*late)));
 }
 
-/* What could not be sent to run was not run, and the engine hears so. */
-static void
-run_not_sent(struct requests *requests, const struct engine_action *action)
-{
-    struct late late = {.member = action->to};
-
-    late.msg.type = ENGINE_PEER_DONE;
-    late.msg.request.id = action->msg.request.id;
-    late.msg.origin = action->msg.origin;
-    late.msg.outcome = ENGINE_NOT_RUN;
-    late.msg.reason = ENGINE_NO_UPSTREAM;
-    late_push(requests, &late);
-}
-
 static void
 act_send_run(struct requests *requests, const struct engine_action *action)
 {
@@ -282,13 +273,13 @@
 
     if (request == NULL || request->http == NULL) {
         g_warning("A request to pass on is not held here.");
-        run_not_sent(requests, action);
+        requests_unsent(requests->agent, action->to, msg->request.id);
         return;
     }
     traceparent_for(&request->trace, parent);
-    if (peers_send(requests->agent, action->to, msg, request->http, parent) <
-        0) {
-        run_not_sent(requests, action);
+    if (peer_links_send(requests->agent, action->to, msg, request->http,
+                        parent) < 0) {
+        requests_unsent(requests->agent, action->to, msg->request.id);
     }
 }
 
@@ -303,11 +294,11 @@
     if (request != NULL && msg->outcome == ENGINE_ANSWERED) {
         answer = request->answer;
     }
-    if (peers_send(requests->agent, action->to, msg, answer, "") < 0) {
+    if (peer_links_send(requests->agent, action->to, msg, answer, "") < 0) {
         /* It ran, but its answer can't be carried: nobody will know it. */
         cut.outcome = ENGINE_UNKNOWN;
         cut.reason = ENGINE_SHORT;
-        peers_send(requests->agent, action->to, &cut, NULL, "");
+        peer_links_send(requests->agent, action->to, &cut, NULL, "");
     }
     if (request != NULL) {
         request_over(requests, request, msg->outcome);
@@ -325,7 +316,7 @@
         act_send_done(requests, action);
         break;
     default:
-        peers_send(requests->agent, action->to, &action->msg, NULL, "");
+        peer_links_send(requests->agent, action->to, &action->msg, NULL, "");
         break;
     }
 }
@@ -406,13 +397,13 @@
 {
     uint64_t now_us = agent_now(requests->agent);
 
-    if (late->lost) {
-        engine_peer_lost(requests->engine, late->member, now_us,
-                         &requests->out);
+    if (late->unsent) {
+        engine_unsent(requests->engine, late->member, late->id, now_us,
+                      &requests->out);
     }
     else {
-        engine_peer(requests->engine, late->member, &late->msg, NULL, 0,
-                    now_us, &requests->out);
+        engine_peer_lost(requests->engine, late->member, now_us,
+                         &requests->out);
     }
 }
 
@@ -595,7 +586,7 @@
     g_queue_init(&requests->aborted);
     requests->table =
         g_hash_table_new_full(request_hash, request_equal, request_free, NULL);
-    requests->engine = engine_new(agent->self, ENGINE_PULL, salt);
+    requests->engine = engine_new(agent->self, ENGINE_POLICY_DEFAULT, salt);
     return requests->engine == NULL ? -ENOMEM : 0;
 }
 
@@ -674,7 +665,17 @@
 requests_peer_lost(struct agent *agent, uint64_t member)
 {
     struct requests *requests = &agent->requests;
-    struct late late = {.member = member, .lost = true};
+    struct late late = {.member = member};
+
+    late_push(requests, &late);
+    requests_act(agent);
+}
+
+void
+requests_unsent(struct agent *agent, uint64_t member, uint64_t id)
+{
+    struct requests *requests = &agent->requests;
+    struct late late = {.member = member, .unsent = true, .id = id};
 
     late_push(requests, &late);
     requests_act(agent);
--- a/src/agent/requests.h
+++ b/src/agent/requests.h
@@ -18,8 +18,8 @@
 
 struct agent;
 
-#define REQUESTS_OUTCOMES (ENGINE_KEY_MISMATCH + 1)
-#define REQUESTS_REASONS (ENGINE_STOPPING + 1)
+#define REQUESTS_OUTCOMES ENGINE_OUTCOMES
+#define REQUESTS_REASONS ENGINE_REASONS
 
 /**
  * struct requests - all requests here, of own callers and of peers
@@ -81,6 +81,10 @@
 void
 requests_peer_lost(struct agent *agent, uint64_t member);
 
+/** requests_unsent() - RUN of local request @id never left for @member */
+void
+requests_unsent(struct agent *agent, uint64_t member, uint64_t id);
+
 /** requests_tick() - drive the engine's time; every 10 ms */
 void
 requests_tick(struct agent *agent);
