--- /dev/null
+++ b/src/control/config.c
@@ -0,0 +1,313 @@
+#include "control/config.h"
+
+#include <errno.h>
+#include <string.h>
+
+#include <glib.h>
+
+#define IDLE_TICK_US (500 * USEC_PER_MSEC)
+
+void
+config_core_init(struct config_core *core, uint64_t seed, uint64_t now_us)
+{
+    memset(core, 0, sizeof(*core));
+    core->random.state = seed;
+    core->place.alive = 1;
+    core->start_us = now_us;
+    bucket_init(&core->calls, CONFIG_CALL_RATE, CONFIG_CALL_BURST, now_us);
+}
+
+void
+config_set_place(struct config_core *core, const struct config_place *place)
+{
+    core->place = *place;
+}
+
+/* A refused body isn't asked for again; a later version may be good. */
+static bool
+is_news(const struct config_core *core, uint64_t version)
+{
+    return version > core->have && version > core->refused;
+}
+
+static void
+add_source(struct config_core *core, struct addr from, uint64_t version)
+{
+    size_t at = core->source_count;
+
+    for (size_t i = 0; i < core->source_count; i++) {
+        if (addr_equal(core->sources[i].at, from))
+            at = i;
+    }
+    if (at == CONFIG_SOURCES_MAX) {
+        at = 0;
+        for (size_t i = 1; i < CONFIG_SOURCES_MAX; i++) {
+            if (core->sources[i].version < core->sources[at].version)
+                at = i;
+        }
+        if (core->sources[at].version >= version)
+            return;
+    }
+    if (at == core->source_count)
+        core->source_count++;
+    core->sources[at].at = from;
+    core->sources[at].version = version;
+}
+
+static void
+drop_source(struct config_core *core, size_t at)
+{
+    core->sources[at] = core->sources[--core->source_count];
+}
+
+static void
+drop_old_sources(struct config_core *core)
+{
+    for (size_t i = core->source_count; i-- > 0;) {
+        if (!is_news(core, core->sources[i].version))
+            drop_source(core, i);
+    }
+}
+
+void
+config_heard(struct config_core *core, struct addr from, uint64_t version,
+             uint32_t word_age_ms, uint64_t now_us)
+{
+    uint64_t age_us = word_age_ms * USEC_PER_MSEC;
+
+    if (is_news(core, version))
+        add_source(core, from, version);
+    /* A word on an older version says nothing of ours. */
+    if (version != core->have || word_age_ms == UINT32_MAX || age_us > now_us)
+        return;
+    core->word_us = MAX(core->word_us, now_us - age_us);
+}
+
+static uint64_t
+next_backoff(struct config_core *core)
+{
+    uint64_t last = MAX(core->backoff_us, CONFIG_BACKOFF_FIRST_US);
+    uint64_t high = MIN(3 * last, CONFIG_BACKOFF_MAX_US);
+
+    return random_between(&core->random, CONFIG_BACKOFF_FIRST_US, high);
+}
+
+/* The next turn of a cell of @alive members that share one call. */
+static uint64_t
+self_read_turn(struct config_core *core, uint64_t now_us)
+{
+    uint64_t round = core->place.alive * CONFIG_SELF_READ_US;
+
+    return now_us + random_between(&core->random, round / 2, round * 3 / 2);
+}
+
+static void
+call_failed(struct config_core *core, uint64_t now_us)
+{
+    core->stats.failed_calls++;
+    core->backoff_us = next_backoff(core);
+    core->next_call_us = now_us + core->backoff_us;
+    if (core->self_read_us != 0)
+        core->self_read_us = self_read_turn(core, now_us);
+}
+
+bool
+config_answered(struct config_core *core, int status, uint64_t version,
+                uint64_t now_us)
+{
+    bool fresh = status == 0 || status == -EAGAIN || status == -ENOENT;
+
+    core->calling = false;
+    if (!fresh) {
+        call_failed(core, now_us);
+        return false;
+    }
+    core->platform_us = now_us;
+    core->backoff_us = 0;
+    core->next_call_us = now_us;
+    if (core->self_read_us != 0)
+        core->substitute_us = now_us + CONFIG_SUBSTITUTE_US;
+    if (status == -ENOENT) {
+        /* Nobody has published yet: a watch on nothing may end at once. */
+        core->next_call_us =
+            now_us +
+            random_between(&core->random, 2 * USEC_PER_SEC, 4 * USEC_PER_SEC);
+    }
+    if (status == 0 && version < core->have) {
+        core->stats.stale++;
+        return false;
+    }
+    if (status == 0 && version > core->have)
+        return is_news(core, version);
+    /* No object at all is older than any version, too. */
+    if (status != -ENOENT || core->have == 0)
+        core->word_us = now_us;
+    return false;
+}
+
+bool
+config_fetched(struct config_core *core, uint64_t version, uint64_t now_us)
+{
+    core->fetching = false;
+    if (version == 0) {
+        core->stats.failed_fetches++;
+        if (core->source_count > 0)
+            drop_source(core, 0);
+        return false;
+    }
+    return is_news(core, version);
+}
+
+void
+config_adopted(struct config_core *core, uint64_t version, uint64_t word_us)
+{
+    g_assert(version > core->have);
+    core->have = version;
+    core->word_us = MAX(core->word_us, word_us);
+    drop_old_sources(core);
+}
+
+void
+config_refuse(struct config_core *core, uint64_t version)
+{
+    core->stats.refused++;
+    core->refused = MAX(core->refused, version);
+    drop_old_sources(core);
+}
+
+bool
+config_is_reader(const struct config_core *core, uint64_t now_us)
+{
+    return core->place.rank < CONFIG_READERS || now_us < core->substitute_us;
+}
+
+static bool
+is_starved(const struct config_core *core, uint64_t now_us)
+{
+    uint64_t since = MAX(core->word_us, core->start_us);
+
+    return now_us >= since + CONFIG_STARVED_US;
+}
+
+/* A lone process that knows of others waits for them, then reads seldom:
+ * a whole data centre may be starting with it. */
+static bool
+wants_alone(struct config_core *core, uint64_t now_us)
+{
+    if (core->self_read_us == 0) {
+        core->self_read_us =
+            core->start_us + CONFIG_START_US +
+            random_below(&core->random, CONFIG_START_SPREAD_US);
+    }
+    if (now_us < core->self_read_us)
+        return false;
+    core->self_read_us =
+        now_us + random_between(&core->random, CONFIG_ALONE_GAP_US,
+                                3 * CONFIG_ALONE_GAP_US);
+    return true;
+}
+
+static bool
+wants_self_read(struct config_core *core, uint64_t now_us)
+{
+    if (!is_starved(core, now_us)) {
+        core->self_read_us = 0;
+        return false;
+    }
+    if (core->self_read_us == 0)
+        core->self_read_us = self_read_turn(core, now_us);
+    if (now_us < core->self_read_us)
+        return false;
+    core->self_read_us = self_read_turn(core, now_us);
+    return true;
+}
+
+static void
+add_call(struct config_core *core, enum config_action_type type,
+         uint64_t now_us, struct config_actions *out)
+{
+    struct config_action action = {.type = type,
+                                   .after = MAX(core->have, core->refused)};
+
+    if (!bucket_take(&core->calls, 1, now_us))
+        return;
+    core->calling = true;
+    core->call_us = now_us;
+    core->stats.calls++;
+    out->items[out->count++] = action;
+}
+
+static void
+tick_platform(struct config_core *core, uint64_t now_us,
+              struct config_actions *out)
+{
+    if (core->calling && now_us >= core->call_us + CONFIG_CALL_TIMEOUT_US) {
+        core->calling = false;
+        call_failed(core, now_us);
+    }
+    if (core->calling || now_us < core->next_call_us)
+        return;
+    if (!core->place.joined && core->place.has_contacts) {
+        if (wants_alone(core, now_us))
+            add_call(core, CONFIG_READ, now_us, out);
+        return;
+    }
+    if (config_is_reader(core, now_us)) {
+        add_call(core, CONFIG_WATCH, now_us, out);
+        return;
+    }
+    if (wants_self_read(core, now_us)) {
+        core->stats.self_reads++;
+        add_call(core, CONFIG_READ, now_us, out);
+    }
+}
+
+static void
+tick_fetch(struct config_core *core, uint64_t now_us,
+           struct config_actions *out)
+{
+    struct config_action action = {.type = CONFIG_FETCH, .after = core->have};
+    size_t best = 0;
+
+    if (core->fetching && now_us >= core->fetch_us + CONFIG_FETCH_TIMEOUT_US)
+        config_fetched(core, 0, now_us);
+    if (core->fetching || core->source_count == 0)
+        return;
+    for (size_t i = 1; i < core->source_count; i++) {
+        if (core->sources[i].version > core->sources[best].version)
+            best = i;
+    }
+    /* The source asked is the first, where a failure finds it. */
+    if (best != 0) {
+        struct config_source first = core->sources[0];
+
+        core->sources[0] = core->sources[best];
+        core->sources[best] = first;
+    }
+    core->fetching = true;
+    core->fetch_us = now_us;
+    core->stats.fetches++;
+    action.from = core->sources[0].at;
+    out->items[out->count++] = action;
+}
+
+void
+config_tick(struct config_core *core, uint64_t now_us,
+            struct config_actions *out)
+{
+    out->count = 0;
+    tick_platform(core, now_us, out);
+    tick_fetch(core, now_us, out);
+}
+
+uint64_t
+config_next_us(const struct config_core *core, uint64_t now_us)
+{
+    uint64_t next = now_us + IDLE_TICK_US;
+
+    if (core->source_count > 0 && !core->fetching)
+        return now_us;
+    if (!core->calling && core->next_call_us > now_us)
+        next = MIN(next, core->next_call_us);
+    return next;
+}
--- /dev/null
+++ b/src/control/control_internal.h
@@ -0,0 +1,177 @@
+/**
+ * DOC: control_internal - what the parts of the control thread share
+ *
+ * All of it but @lock and what it guards belongs to the control thread.
+ */
+#ifndef SWIFTARCH_CONTROL_CONTROL_INTERNAL_H
+#define SWIFTARCH_CONTROL_CONTROL_INTERNAL_H
+
+#include <event2/event.h>
+#include <pthread.h>
+
+#include "base/auth.h"
+#include "base/link.h"
+#include "control/config.h"
+#include "control/control.h"
+#include "control/history.h"
+#include "control/member.h"
+#include "control/seeds.h"
+#include "platform/platform.h"
+
+#define CONTROL_REPORTS_MAX 64
+
+/** enum control_frame - types of the frames between control threads */
+enum control_frame {
+    CONTROL_FRAME_SYNC = 0x101,
+    CONTROL_FRAME_CONFIG_REQUEST = 0x102,
+    CONTROL_FRAME_CONFIG_REPLY = 0x103,
+    CONTROL_FRAME_SHOW_REQUEST = 0x110,
+    CONTROL_FRAME_SHOW_REPLY = 0x111
+};
+
+/** enum control_counter - handles in struct control */
+enum control_counter {
+    CONTROL_BYTES_OUT,
+    CONTROL_BYTES_IN,
+    CONTROL_MESSAGES_OUT,
+    CONTROL_MESSAGES_IN,
+    CONTROL_MESSAGES_BAD,
+    CONTROL_PROBES,
+    CONTROL_PROBES_FAILED,
+    CONTROL_SUSPICIONS,
+    CONTROL_REFUTED,
+    CONTROL_DEATHS_TIMEOUT,
+    CONTROL_DEATHS_PROVEN,
+    CONTROL_JOINS_REFUSED,
+    CONTROL_LIST_FULL,
+    CONTROL_SYNCS,
+    CONTROL_STALLS,
+    CONTROL_NAME_CONFLICTS,
+    CONTROL_PLATFORM_CALLS,
+    CONTROL_PLATFORM_FAILED,
+    CONTROL_SELF_READS,
+    CONTROL_CONFIG_FETCHES,
+    CONTROL_CONFIG_STALE,
+    CONTROL_CONFIG_REFUSED,
+    CONTROL_CONFIG_VERSION,
+    CONTROL_MEMBERS_ALIVE,
+    CONTROL_MEMBERS_SUSPECT,
+    CONTROL_COUNTERS
+};
+
+/** struct control_report - a process proved dead by the data side */
+struct control_report {
+    uint64_t member;
+    uint64_t incarnation;
+};
+
+/**
+ * struct control - the control thread
+ * @conn: connection whose frame is being handled, or NULL
+ * @local_seq: sequence of the board's local part taken last
+ * @load_us: when loads may be published again
+ */
+struct control {
+    struct link_handler handler;
+    const struct settings *settings;
+    struct board *board;
+    struct clock *clock;
+    struct counter_table *counters;
+    int handles[CONTROL_COUNTERS];
+    struct event_base *base;
+    struct auth auth;
+    struct link_hub hub;
+    int udp;
+    int wake;
+    struct event *udp_event;
+    struct event *wake_event;
+    struct event *timer;
+    struct platform *platform;
+    struct platform_call config_call;
+    struct platform_call seeds_call;
+    struct member_core members;
+    struct member_actions out;
+    struct config_core config;
+    struct seeds_core seeds;
+    struct history history;
+    struct addr fetch_from;
+    struct link_conn *conn;
+    uint64_t cell;
+    uint64_t view_seq;
+    uint64_t load_us;
+    uint64_t local_seq;
+    uint64_t datagrams_out;
+    uint64_t datagrams_in;
+    uint64_t bytes_out;
+    uint64_t bytes_in;
+    uint64_t bad_messages;
+    pthread_t thread;
+    pthread_mutex_t lock;
+    struct control_report reports[CONTROL_REPORTS_MAX];
+    size_t report_count;
+    bool stopping;
+};
+
+/* control.c */
+
+/** control_now() - clock of this process, microseconds */
+uint64_t
+control_now(struct control *control);
+
+/** control_wall_ms() - wall clock, milliseconds */
+uint64_t
+control_wall_ms(void);
+
+/** control_step() - do what is due, send, publish, set the timer */
+void
+control_step(struct control *control);
+
+/* control_net.c */
+
+/** control_net_open() - bind the sockets of settings.control */
+int
+control_net_open(struct control *control, struct error *err);
+
+/** control_net_close() - close them */
+void
+control_net_close(struct control *control);
+
+/** control_net_send() - send and empty control->out */
+void
+control_net_send(struct control *control);
+
+/* control_config.c */
+
+/** control_config_step() - platform calls and fetches that are due */
+void
+control_config_step(struct control *control);
+
+/** control_config_request() - a peer asks for the configuration */
+void
+control_config_request(struct control *control, struct link_conn *conn,
+                       const uint8_t *body, size_t len);
+
+/** control_config_reply() - a peer's answer */
+void
+control_config_reply(struct control *control, const uint8_t *body, size_t len);
+
+/** control_config_open() - the client of the platform */
+int
+control_config_open(struct control *control, struct error *err);
+
+/* control_show.c */
+
+/** control_show() - answer a ShowRequest */
+void
+control_show(struct control *control, struct link_conn *conn,
+             const uint8_t *body, size_t len);
+
+/** control_count_register() - register the counters */
+int
+control_count_register(struct control *control, struct error *err);
+
+/** control_count() - bring the counters up to date */
+void
+control_count(struct control *control);
+
+#endif
--- a/src/control/member.h
+++ b/src/control/member.h
@@ -303,6 +303,12 @@
 size_t
 member_alive_count(const struct member_core *core);
 
+/** member_rank() - how many members alive and not leaving rank before this
+ * one by rendezvous hashing with @key; @alive, if not NULL, is set to the
+ * number of those that are ranked */
+size_t
+member_rank(const struct member_core *core, uint64_t key, size_t *alive);
+
 /** member_random_alive() - a random other member that is alive, or NULL */
 const struct member_entry *
 member_random_alive(struct member_core *core);
--- a/src/control/member_table.c
+++ b/src/control/member_table.c
@@ -208,6 +208,28 @@
     return alive;
 }
 
+size_t
+member_rank(const struct member_core *core, uint64_t key, size_t *alive)
+{
+    uint64_t own = hash_pair(key, core->entries[core->self].member.id);
+    size_t before = 0;
+    size_t ranked = 0;
+
+    for (size_t i = 0; i < core->count; i++) {
+        const struct view_member *member =
+            &core->entries[core->order[i]].member;
+
+        if (member->health != MEMBER_ALIVE || member->state == MEMBER_LEAVING)
+            continue;
+        ranked++;
+        if (hash_pair(key, member->id) > own)
+            before++;
+    }
+    if (alive != NULL)
+        *alive = ranked;
+    return before;
+}
+
 const struct member_entry *
 member_random_alive(struct member_core *core)
 {
