Publish a text by conditional write; test the text

apply decides in a pure core and settles lost answers by reading back. A table of faults and 4000 seeded mutations of the text: seen red first for an escaped null behind an address (accepted as the address alone) and for a raw newline in a report line; both mended.

--- /dev/null
+++ b/src/cli/apply.c
@@ -0,0 +1,265 @@
+#include <errno.h>
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+
+#include <argtable2.h>
+#include <glib.h>
+
+#include "base/clock.h"
+#include "cli/apply_run.h"
+#include "cli/cli.h"
+#include "cli/text_diff.h"
+
+#define MSEC_PER_S 1000
+#define SUMMARY "Publish an operators' text by one conditional write."
+
+/** struct apply_options - command line */
+struct apply_options {
+    struct arg_lit *help;
+    struct arg_file *file;
+    struct arg_file *settings;
+    struct arg_lit *dry_run;
+    struct arg_str *expect;
+    struct arg_str *as;
+    struct arg_end *end;
+};
+
+/* Who wrote what is published now, and when. */
+static void
+print_author(const struct apply_run *run, FILE *out)
+{
+    GDateTime *when;
+    char *words;
+
+    if (!run->has_seen) {
+        fprintf(out, "someone who left no name");
+        return;
+    }
+    when = g_date_time_new_from_unix_utc(
+        (gint64)(run->seen.written_ms / MSEC_PER_S));
+    words = when != NULL ? g_date_time_format(when, "%Y-%m-%d %H:%M:%S UTC")
+                         : g_strdup("an unknown time");
+    fprintf(out, "%s at %s", run->seen.author, words);
+    g_free(words);
+    if (when != NULL) {
+        g_date_time_unref(when);
+    }
+}
+
+/* Differences between what is published and ours. */
+static void
+print_diff(const struct apply_run *run, FILE *out)
+{
+    struct text *published = NULL;
+    GString *lines = g_string_new(NULL);
+    char *report = NULL;
+    const char *value;
+    gsize len;
+
+    if (run->seen_value != NULL) {
+        value = g_bytes_get_data(run->seen_value, &len);
+        if (text_parse_envelope(value, len, run->seen_version, &published,
+                                &report) < 0) {
+            fprintf(out, "  what is published can't be read as a text\n");
+        }
+    }
+    if (text_diff(published, run->text, lines) == 0) {
+        fprintf(out, "  no service differs\n");
+    }
+    fputs(lines->str, out);
+    g_string_free(lines, TRUE);
+    g_free(report);
+    text_free(published);
+}
+
+static void
+print_winner(const struct apply_run *run, const char *what)
+{
+    fprintf(stderr, "%s", what);
+    if (run->end.version == 0) {
+        fprintf(stderr, "; the platform does not tell by whom.\n");
+        return;
+    }
+    fprintf(stderr, ". Version %" PRIu64 " was written by ", run->end.version);
+    print_author(run, stderr);
+    fprintf(stderr, ".\nFrom that version to yours:\n");
+    print_diff(run, stderr);
+}
+
+static void
+print_error(const struct apply_run *run)
+{
+    char line[512];
+
+    if (run->error.code != 0) {
+        fprintf(stderr, "%s\n", error_format(&run->error, line, sizeof(line)));
+    }
+}
+
+static int
+report_dry_run(const struct apply_run *run)
+{
+    printf("dry run: would replace version %" PRIu64 ". Changes:\n",
+           run->seen_version);
+    print_diff(run, stdout);
+    return CLI_OK;
+}
+
+static int
+report_outcome(const struct apply_run *run)
+{
+    uint64_t version = run->end.version;
+
+    switch (run->end.outcome) {
+    case APPLY_APPLIED:
+        printf("applied: version %" PRIu64 "\n", version);
+        return CLI_OK;
+    case APPLY_SAME:
+        printf("unchanged: version %" PRIu64 " already holds this text\n",
+               version);
+        return CLI_OK;
+    case APPLY_REPLACED:
+        print_winner(run, "Applied, and replaced since");
+        return CLI_OK;
+    case APPLY_RACE_LOST:
+        print_winner(run, "Not applied: another text came first");
+        return CLI_RACE_LOST;
+    case APPLY_NOT_WRITTEN:
+        fprintf(stderr, "Not applied: the platform did not take it.\n");
+        print_error(run);
+        return CLI_FAILED;
+    case APPLY_UNKNOWN_BEHIND:
+        print_winner(run, "Unknown: yours was replaced, or never written");
+        return CLI_UNKNOWN;
+    default:
+        fprintf(stderr, "Unknown: the write's answer was lost and the text "
+                        "is not seen yet.\nRead back with \"swiftarch "
+                        "show\", or apply again.\n");
+        print_error(run);
+        return CLI_UNKNOWN;
+    }
+}
+
+static int
+publish(const struct apply_options *options, const char *url,
+        const struct text *text, const uint64_t *expect)
+{
+    struct apply_run run;
+    struct error err = {0};
+    char line[512];
+    const char *author =
+        options->as->count > 0 ? options->as->sval[0] : g_get_user_name();
+    int code;
+
+    if (apply_run_init(&run, url, text, author, &err) < 0) {
+        fprintf(stderr, "%s\n", error_format(&err, line, sizeof(line)));
+        return CLI_FAILED;
+    }
+    run.dry_run = options->dry_run->count > 0;
+    apply_run_publish(&run, expect);
+    code = run.end.type == APPLY_DO_WRITE ? report_dry_run(&run)
+                                          : report_outcome(&run);
+    apply_run_finish(&run);
+    return code;
+}
+
+static int
+parse_version(const char *word, uint64_t *version)
+{
+    char *end;
+
+    if (!g_ascii_isdigit(word[0])) {
+        return -EINVAL;
+    }
+    errno = 0;
+    *version = g_ascii_strtoull(word, &end, 10);
+    return *end == '\0' && errno == 0 ? 0 : -EINVAL;
+}
+
+static int
+check_options(const struct apply_options *options, uint64_t *expect)
+{
+    const char *as = options->as->count > 0 ? options->as->sval[0] : "x";
+
+    if (options->expect->count > 0 &&
+        parse_version(options->expect->sval[0], expect) < 0) {
+        fprintf(stderr, "--expect: found %s, expected a version number\n",
+                options->expect->sval[0]);
+        return CLI_USAGE;
+    }
+    if (as[0] == '\0' || strlen(as) >= TEXT_AUTHOR_MAX ||
+        !g_utf8_validate(as, -1, NULL)) {
+        fprintf(stderr, "--as: expected a name of 1 to %d bytes of UTF-8\n",
+                TEXT_AUTHOR_MAX - 1);
+        return CLI_USAGE;
+    }
+    return CLI_OK;
+}
+
+static int
+apply(const struct apply_options *options)
+{
+    const char *path = options->file->filename[0];
+    struct settings settings;
+    struct text *text = NULL;
+    char *report = NULL;
+    char *data = NULL;
+    uint64_t expect;
+    size_t len;
+    int code = check_options(options, &expect);
+
+    if (code == CLI_OK) {
+        code = cli_settings(&settings, options->settings->filename[0]);
+    }
+    if (code != CLI_OK) {
+        return code;
+    }
+    if (cli_read_file(path, &data, &len) < 0) {
+        return CLI_USAGE;
+    }
+    if (text_parse(data, len, path, &text, &report) == 0) {
+        code = publish(options, settings.platform, text,
+                       options->expect->count > 0 ? &expect : NULL);
+    }
+    else {
+        fputs(report != NULL ? report : "no memory\n", stderr);
+        code = CLI_USAGE;
+    }
+    g_free(report);
+    g_free(data);
+    text_free(text);
+    return code;
+}
+
+int
+cli_apply(int argc, char **argv)
+{
+    struct apply_options options = {
+        .help = arg_lit0("h", "help", "print this"),
+        .file =
+            arg_file1(NULL, NULL, "FILE", "the text, - for standard input"),
+        .settings =
+            arg_file1(NULL, "operator", "SETTINGS", "operator settings file"),
+        .dry_run = arg_lit0(NULL, "dry-run", "only tell what would change"),
+        .expect = arg_str0(NULL, "expect", "VERSION",
+                           "replace this version and no other"),
+        .as = arg_str0(NULL, "as", "NAME",
+                       "who publishes it; default: the user"),
+        .end = arg_end(10),
+    };
+    void *table[] = {options.help,    options.file,   options.settings,
+                     options.dry_run, options.expect, options.as,
+                     options.end};
+    int code = CLI_FAILED;
+
+    if (arg_nullcheck(table) != 0) {
+        fprintf(stderr, "%s: no memory\n", argv[0]);
+    }
+    else if (cli_parse(table, options.help, options.end, SUMMARY, argc, argv,
+                       &code)) {
+        code = apply(&options);
+    }
+    arg_freetable(table, G_N_ELEMENTS(table));
+    return code;
+}
--- /dev/null
+++ b/src/cli/apply_run.h
@@ -0,0 +1,73 @@
+/**
+ * DOC: apply_run - carries out the decisions of apply_core on the platform
+ */
+#ifndef SWIFTARCH_CLI_APPLY_RUN_H
+#define SWIFTARCH_CLI_APPLY_RUN_H
+
+#include <event2/event.h>
+#include <glib.h>
+
+#include "cli/apply_core.h"
+#include "platform/platform.h"
+#include "text/text.h"
+
+#define APPLY_OBJECT "config"
+
+/**
+ * struct apply_run - one run
+ * @call: the platform's; first member
+ * @base: event base, left when the run ends
+ * @platform: client
+ * @timer: waits
+ * @core: decisions
+ * @doing: action under way
+ * @text: text to publish
+ * @author: who publishes it
+ * @dry_run: read only
+ * @seen_value: value last read, or NULL
+ * @seen: what it holds; valid when @has_seen
+ * @has_seen: the value was an envelope
+ * @seen_version: version last read
+ * @end: the final action
+ * @error: of the last failed call
+ */
+struct apply_run {
+    struct platform_call call;
+    struct event_base *base;
+    struct platform *platform;
+    struct event *timer;
+    struct apply_core core;
+    struct apply_action doing;
+    const struct text *text;
+    const char *author;
+    bool dry_run;
+    GBytes *seen_value;
+    struct text_envelope seen;
+    bool has_seen;
+    uint64_t seen_version;
+    struct apply_action end;
+    struct error error;
+};
+
+/**
+ * apply_run_init() - prepare
+ * @url: of the platform
+ *
+ * Return: 0 or a negative errno with @err filled.
+ */
+int
+apply_run_init(struct apply_run *run, const char *url, const struct text *text,
+               const char *author, struct error *err);
+
+/** apply_run_finish() - free */
+void
+apply_run_finish(struct apply_run *run);
+
+/**
+ * apply_run_publish() - run until the end; see @end
+ * @expect: version to replace, or NULL for whatever is there
+ */
+void
+apply_run_publish(struct apply_run *run, const uint64_t *expect);
+
+#endif
--- /dev/null
+++ b/src/cli/text_diff.c
@@ -0,0 +1,112 @@
+#include "cli/text_diff.h"
+
+#include "base/addr.h"
+
+/** struct diff - differences of one service, being listed */
+struct diff {
+    const char *service;
+    GString *out;
+    size_t count;
+};
+
+static void
+differ(struct diff *diff, const char *key, const char *from, const char *to)
+{
+    if (g_strcmp0(from, to) != 0) {
+        g_string_append_printf(diff->out, "  ~ %s.%s: %s -> %s\n",
+                               diff->service, key, from, to);
+        diff->count++;
+    }
+}
+
+static void
+differ_number(struct diff *diff, const char *key, uint32_t from, uint32_t to)
+{
+    char left[16];
+    char right[16];
+
+    g_snprintf(left, sizeof(left), "%u", from);
+    g_snprintf(right, sizeof(right), "%u", to);
+    differ(diff, key, left, right);
+}
+
+static void
+differ_limits(struct diff *diff, const struct text_limits *from,
+              const struct text_limits *to)
+{
+    differ_number(diff, "limits.connections", from->connections,
+                  to->connections);
+    differ_number(diff, "limits.connections_per_caller",
+                  from->connections_per_caller, to->connections_per_caller);
+    differ_number(diff, "limits.queue", from->queue, to->queue);
+    differ_number(diff, "limits.requests_per_caller",
+                  from->requests_per_caller, to->requests_per_caller);
+    differ_number(diff, "limits.deadline_ms", from->deadline_ms,
+                  to->deadline_ms);
+    differ_number(diff, "limits.body_bytes", from->body_bytes, to->body_bytes);
+    differ_number(diff, "limits.idle_s", from->idle_s, to->idle_s);
+}
+
+static char *
+depends_words(const struct text *text, const struct text_service *service)
+{
+    GString *words = g_string_new("[");
+
+    for (size_t i = 0; i < service->depends_count; i++) {
+        g_string_append_printf(words, "%s%s", i > 0 ? ", " : "",
+                               text->services[service->depends[i]].name);
+    }
+    g_string_append_c(words, ']');
+    return g_string_free(words, FALSE);
+}
+
+static size_t
+diff_service(const struct text *from_text, const struct text_service *from,
+             const struct text *to_text, const struct text_service *to,
+             GString *out)
+{
+    struct diff diff = {.service = from->name, .out = out};
+    char left[ADDR_TEXT_MAX];
+    char right[ADDR_TEXT_MAX];
+    char *from_words = depends_words(from_text, from);
+    char *to_words = depends_words(to_text, to);
+
+    differ(&diff, "address and port",
+           addr_format((struct addr){from->ip, from->port}, left),
+           addr_format((struct addr){to->ip, to->port}, right));
+    differ(&diff, "protocol", text_proto_name(from->proto),
+           text_proto_name(to->proto));
+    differ(&diff, "class", text_class_name(from->class),
+           text_class_name(to->class));
+    differ(&diff, "depends_on", from_words, to_words);
+    differ_limits(&diff, &from->limits, &to->limits);
+    g_free(from_words);
+    g_free(to_words);
+    return diff.count;
+}
+
+size_t
+text_diff(const struct text *from, const struct text *to, GString *out)
+{
+    size_t count = 0;
+
+    for (size_t i = 0; from != NULL && i < from->count; i++) {
+        const struct text_service *left = &from->services[i];
+        const struct text_service *right = text_find(to, left->id);
+
+        if (right == NULL) {
+            g_string_append_printf(out, "  - %s\n", left->name);
+            count++;
+        }
+        else {
+            count += diff_service(from, left, to, right, out);
+        }
+    }
+    for (size_t i = 0; i < to->count; i++) {
+        if (from == NULL || text_find(from, to->services[i].id) == NULL) {
+            g_string_append_printf(out, "  + %s\n", to->services[i].name);
+            count++;
+        }
+    }
+    return count;
+}
--- a/src/text/text.c
+++ b/src/text/text.c
@@ -68,9 +68,17 @@
     return 0;
 }
 
+/* White space around the text isn't published, so it isn't kept. */
 static int
 keep_source(struct text *text, const char *source, size_t len)
 {
+    while (len > 0 && g_ascii_isspace(source[len - 1])) {
+        len--;
+    }
+    while (len > 0 && g_ascii_isspace(*source)) {
+        source++;
+        len--;
+    }
     text->source = malloc(len + 1);
     if (text->source == NULL) {
         return -ENOMEM;
@@ -114,6 +122,12 @@
                         "found the end of the file, expected more JSON");
         return;
     }
+    if ((unsigned char)source[at] < ' ') {
+        text_faults_add(faults, line, NULL,
+                        "found the byte 0x%02x, expected JSON (%s)",
+                        (unsigned char)source[at], what);
+        return;
+    }
     text_faults_add(faults, line, NULL, "found '%.*s', expected JSON (%s)",
                     (int)(g_utf8_next_char(source + at) - (source + at)),
                     source + at, what);
@@ -132,8 +146,15 @@
     json_tokener_set_flags(tok, JSON_TOKENER_STRICT);
     root = json_tokener_parse_ex(tok, source, (int)len);
     error = json_tokener_get_error(tok);
+    if (error == json_tokener_continue) {
+        root = json_tokener_parse_ex(tok, "", 1);
+        error = json_tokener_get_error(tok);
+    }
     if (error != json_tokener_success) {
-        syntax_fault(source, len, json_tokener_get_parse_end(tok),
+        syntax_fault(source, len,
+                     error == json_tokener_error_parse_eof
+                         ? len
+                         : json_tokener_get_parse_end(tok),
                      json_tokener_error_desc(error), faults);
         json_object_put(root);
         root = NULL;
--- a/src/text/text.h
+++ b/src/text/text.h
@@ -12,9 +12,10 @@
 #include "base/error.h"
 
 #define TEXT_SIZE_MAX (1u << 20)
-#define TEXT_ENVELOPE_MAX 512 /* what the envelope adds, at most */
-#define TEXT_OPERATOR_MAX 64
+#define TEXT_ENVELOPE_MAX 1024 /* what the envelope adds, at most */
+#define TEXT_AUTHOR_MAX 64
 #define TEXT_WRITE_ID_MAX 33
+#define TEXT_HISTORY_MAX 8
 #define TEXT_NAME_MAX 64
 #define TEXT_DEPENDS_MAX 32
 #define TEXT_SERVICES_MAX 4096
@@ -77,7 +78,7 @@
  * @version: of the platform's object, 0 when not from the platform
  * @services: sorted as written
  * @count: how many
- * @source: the text itself, as published
+ * @source: the text itself, as published, without white space around it
  * @source_len: its length in bytes
  * @slots: hash table behind text_find() and text_find_addr()
  * @slot_mask: its size less one
@@ -96,15 +97,19 @@
 /**
  * struct text_envelope - what the platform's object "config" holds
  * @write_id: random, 32 hexadecimal digits: tells one write from another
- * @operator: who published it
+ * @author: who published it (key "operator")
  * @written_ms: when, by that operator's clock, milliseconds since 1970
+ * @history: write ids of the versions before it, the latest first
+ * @history_count: how many
  * @text: the operators' text inside the value it was read from
  * @text_len: its length in bytes
  */
 struct text_envelope {
     char write_id[TEXT_WRITE_ID_MAX];
-    char operator[TEXT_OPERATOR_MAX];
+    char author[TEXT_AUTHOR_MAX];
     uint64_t written_ms;
+    char history[TEXT_HISTORY_MAX][TEXT_WRITE_ID_MAX];
+    size_t history_count;
     const char *text;
     size_t text_len;
 };
--- a/src/text/text_check.c
+++ b/src/text/text_check.c
@@ -171,9 +171,23 @@
     return false;
 }
 
+/* A string, or NULL after a fault. */
+static const char *
+string_of(const struct check *check, const char *expected)
+{
+    const char *string = text_check_string(check->value);
+
+    if (string == NULL) {
+        fault(check, expected);
+    }
+    return string;
+}
+
 static bool
-name_is_valid(const char *name, size_t len)
+name_is_valid(const char *name)
 {
+    size_t len = strlen(name);
+
     if (len == 0 || len >= TEXT_NAME_MAX || !g_ascii_islower(name[0]) ||
         name[len - 1] == '-') {
         return false;
@@ -190,18 +204,17 @@
 static void
 check_name(const struct check *service, struct text_service *out)
 {
+    const char *expected = "1 to 63 of a-z, 0-9 and -, the first a letter, "
+                           "the last not -";
     struct check check;
     const char *name;
 
     if (!required(service, "name", &check) ||
-        !is_type(&check, json_type_string, "a string")) {
+        (name = string_of(&check, expected)) == NULL) {
         return;
     }
-    name = json_object_get_string(check.value);
-    if (!name_is_valid(name,
-                       (size_t)json_object_get_string_len(check.value))) {
-        fault(&check, "1 to 63 of a-z, 0-9 and -, the first a letter, the "
-                      "last not -");
+    if (!name_is_valid(name)) {
+        fault(&check, expected);
         return;
     }
     g_strlcpy(out->name, name, sizeof(out->name));
@@ -219,15 +232,17 @@
 static void
 check_address(const struct check *service, struct text_service *out)
 {
+    const char *expected = "an IPv4 address such as \"10.0.0.1\"";
     struct check check;
+    const char *word;
     uint32_t ip;
 
     if (!required(service, "address", &check) ||
-        !is_type(&check, json_type_string, "a string")) {
+        (word = string_of(&check, expected)) == NULL) {
         return;
     }
-    if (addr_parse_ip(json_object_get_string(check.value), &ip) < 0) {
-        fault(&check, "an IPv4 address such as \"10.0.0.1\"");
+    if (addr_parse_ip(word, &ip) < 0) {
+        fault(&check, expected);
     }
     else if (!ip_is_usable(ip)) {
         fault(&check, "an address that callers can reach: not 0.0.0.0/8, "
@@ -280,10 +295,9 @@
 
     out->proto = TEXT_TCP;
     if (!member(service, "protocol", &check) ||
-        !is_type(&check, json_type_string, expected)) {
+        (word = string_of(&check, expected)) == NULL) {
         return;
     }
-    word = json_object_get_string(check.value);
     if (strcmp(word, "udp") == 0) {
         out->proto = TEXT_UDP;
     }
@@ -301,10 +315,9 @@
 
     out->class = TEXT_ORDINARY;
     if (!required(service, "class", &check) ||
-        !is_type(&check, json_type_string, expected)) {
+        (word = string_of(&check, expected)) == NULL) {
         return;
     }
-    word = json_object_get_string(check.value);
     if (strcmp(word, "urgent") == 0) {
         out->class = TEXT_URGENT;
     }
@@ -473,6 +486,19 @@
     g_hash_table_destroy(seen.addrs);
 }
 
+const char *
+text_check_string(struct json_object *value)
+{
+    const char *string;
+
+    if (!json_object_is_type(value, json_type_string)) {
+        return NULL;
+    }
+    string = json_object_get_string(value);
+    return strlen(string) == (size_t)json_object_get_string_len(value) ? string
+                                                                       : NULL;
+}
+
 int
 text_check_services(struct json_object *root, const struct text_index *index,
                     struct text_faults *faults, struct text *text)
--- a/src/text/text_depends.c
+++ b/src/text/text_depends.c
@@ -29,9 +29,10 @@
     GHashTable *names = g_hash_table_new(g_str_hash, g_str_equal);
 
     for (size_t i = 0; i < text->count; i++) {
-        if (text->services[i].id != 0) {
-            g_hash_table_insert(names, text->services[i].name,
-                                GUINT_TO_POINTER(i));
+        char *name = text->services[i].name;
+
+        if (name[0] != '\0' && !g_hash_table_contains(names, name)) {
+            g_hash_table_insert(names, name, GUINT_TO_POINTER(i));
         }
     }
     return names;
@@ -53,13 +54,13 @@
 add_dependency(struct text_service *service, GHashTable *names,
                struct json_object *value)
 {
+    const char *name = text_check_string(value);
     gpointer other;
 
-    if (!json_object_is_type(value, json_type_string)) {
+    if (name == NULL) {
         return "the name of a service, a string";
     }
-    if (!g_hash_table_lookup_extended(names, json_object_get_string(value),
-                                      NULL, &other)) {
+    if (!g_hash_table_lookup_extended(names, name, NULL, &other)) {
         return "the name of a service of this text";
     }
     if (depends_already(service, (uint16_t)GPOINTER_TO_UINT(other))) {
--- a/src/text/text_envelope.c
+++ b/src/text/text_envelope.c
@@ -37,8 +37,8 @@
     if (!json_object_is_type(root, json_type_object) ||
         copy_string(root, "write_id", envelope->write_id,
                     sizeof(envelope->write_id)) < 0 ||
-        copy_string(root, "operator", envelope->operator,
-                    sizeof(envelope->operator)) < 0 ||
+        copy_string(root, "operator", envelope->author,
+                    sizeof(envelope->author)) < 0 ||
         !json_object_object_get_ex(root, "written_ms", &written) ||
         !json_object_is_type(written, json_type_int)) {
         return -EINVAL;
@@ -47,6 +47,35 @@
     return 0;
 }
 
+static int
+read_history(struct json_object *root, struct text_envelope *envelope)
+{
+    struct json_object *list;
+    size_t count;
+
+    if (!json_object_object_get_ex(root, "history", &list)) {
+        return 0;
+    }
+    if (!json_object_is_type(list, json_type_array)) {
+        return -EINVAL;
+    }
+    count = json_object_array_length(list);
+    if (count > TEXT_HISTORY_MAX) {
+        return -EINVAL;
+    }
+    for (size_t i = 0; i < count; i++) {
+        struct json_object *id = json_object_array_get_idx(list, i);
+
+        if (!json_object_is_type(id, json_type_string)) {
+            return -EINVAL;
+        }
+        g_strlcpy(envelope->history[i], json_object_get_string(id),
+                  TEXT_WRITE_ID_MAX);
+    }
+    envelope->history_count = count;
+    return 0;
+}
+
 /* The text inside the value, byte for byte as the operator wrote it. */
 static int
 find_text(const char *value, size_t len, struct text_envelope *envelope)
@@ -98,6 +127,9 @@
         return -EINVAL;
     }
     rc = read_fields(root, envelope);
+    if (rc == 0) {
+        rc = read_history(root, envelope);
+    }
     json_object_put(root);
     if (rc == 0) {
         rc = find_text(value, len, envelope);
@@ -105,22 +137,38 @@
     return rc;
 }
 
+static struct json_object *
+history_list(const struct text_envelope *envelope)
+{
+    struct json_object *list = json_object_new_array();
+
+    for (size_t i = 0; i < envelope->history_count; i++) {
+        json_object_array_add(list,
+                              json_object_new_string(envelope->history[i]));
+    }
+    return list;
+}
+
 char *
 text_envelope_write(const struct text_envelope *envelope, size_t *len)
 {
-    struct json_object *who = json_object_new_string(envelope->operator);
-    GString *value = g_string_new(NULL);
-
-    g_string_append_printf(
-        value,
-        "{\"write_id\":\"%s\",\"operator\":%s,\"written_ms\":%" PRIu64
-        ",\"text\":",
-        envelope->write_id,
-        json_object_to_json_string_ext(who, JSON_C_TO_STRING_PLAIN),
-        envelope->written_ms);
+    struct json_object *head = json_object_new_object();
+    GString *value;
+
+    json_object_object_add(head, "write_id",
+                           json_object_new_string(envelope->write_id));
+    json_object_object_add(head, "operator",
+                           json_object_new_string(envelope->author));
+    json_object_object_add(head, "written_ms",
+                           json_object_new_uint64(envelope->written_ms));
+    json_object_object_add(head, "history", history_list(envelope));
+    value = g_string_new(
+        json_object_to_json_string_ext(head, JSON_C_TO_STRING_PLAIN));
+    json_object_put(head);
+    g_string_truncate(value, value->len - 1);
+    g_string_append(value, ",\"text\":");
     g_string_append_len(value, envelope->text, (gssize)envelope->text_len);
     g_string_append_c(value, '}');
-    json_object_put(who);
     *len = value->len;
     return g_string_free(value, FALSE);
 }
--- a/src/text/text_fault.c
+++ b/src/text/text_fault.c
@@ -3,42 +3,77 @@
 #include <stdio.h>
 #include <string.h>
 
+static void
+clear_fault(gpointer data)
+{
+    struct text_fault *fault = data;
+
+    g_free(fault->sentence);
+}
+
+static gint
+by_line(gconstpointer a, gconstpointer b)
+{
+    const struct text_fault *left = a;
+    const struct text_fault *right = b;
+
+    if (left->line != right->line) {
+        return left->line < right->line ? -1 : 1;
+    }
+    return left->order < right->order ? -1 : 1;
+}
+
 void
 text_faults_init(struct text_faults *faults, const char *name)
 {
     *faults = (struct text_faults){
         .name = name,
-        .lines = g_string_new(NULL),
+        .lines = g_array_new(FALSE, FALSE, sizeof(struct text_fault)),
     };
+    g_array_set_clear_func(faults->lines, clear_fault);
 }
 
 void
 text_faults_add(struct text_faults *faults, uint32_t line, const char *key,
                 const char *fmt, ...)
 {
+    struct text_fault fault = {.line = line};
+    char *what;
     va_list args;
 
     if (++faults->count > TEXT_FAULTS_MAX) {
         return;
     }
-    g_string_append_printf(faults->lines, "%s:%u: ", faults->name, line);
-    if (key != NULL) {
-        g_string_append_printf(faults->lines, "%s: ", key);
-    }
     va_start(args, fmt);
-    g_string_append_vprintf(faults->lines, fmt, args);
+    what = g_strdup_vprintf(fmt, args);
     va_end(args);
-    g_string_append_c(faults->lines, '\n');
+    fault.order = (uint32_t)faults->count;
+    fault.sentence = key != NULL && key[0] != '\0'
+                         ? g_strdup_printf("%s: %s", key, what)
+                         : g_strdup(what);
+    g_free(what);
+    g_array_append_val(faults->lines, fault);
 }
 
 char *
 text_faults_finish(struct text_faults *faults)
 {
+    GString *report = g_string_new(NULL);
+
+    g_array_sort(faults->lines, by_line);
+    for (guint i = 0; i < faults->lines->len; i++) {
+        const struct text_fault *fault =
+            &g_array_index(faults->lines, struct text_fault, i);
+
+        g_string_append_printf(report, "%s:%u: %s\n", faults->name,
+                               fault->line, fault->sentence);
+    }
     if (faults->count > TEXT_FAULTS_MAX) {
-        g_string_append_printf(faults->lines, "%s: and %zu more faults\n",
+        g_string_append_printf(report, "%s: and %zu more faults\n",
                                faults->name, faults->count - TEXT_FAULTS_MAX);
     }
-    return g_string_free(faults->lines, faults->count == 0);
+    g_array_free(faults->lines, TRUE);
+    return g_string_free(report, faults->count == 0);
 }
 
 const char *
--- /dev/null
+++ b/tests/text/text_test.c
@@ -0,0 +1,619 @@
+#include <errno.h>
+#include <string.h>
+
+#include <glib.h>
+
+#include "base/hash.h"
+#include "text/text.h"
+
+#define LOTS                                                                  \
+    "{\"name\":\"lots\",\"address\":\"10.0.0.1\",\"port\":80,"                \
+    "\"class\":\"urgent\"}"
+#define MUTATIONS 4000
+#define SEED 20261202
+
+static const char full_text[] =
+    "{\"services\": [\n"
+    "  {\"name\": \"lots\", \"address\": \"10.0.0.1\", \"port\": 80,\n"
+    "   \"protocol\": \"tcp\", \"class\": \"urgent\",\n"
+    "   \"depends_on\": [\"albums\", \"clock\"],\n"
+    "   \"limits\": {\"connections\": 100, \"queue\": 7, \"idle_s\": 60}},\n"
+    "  {\"name\": \"albums\", \"address\": \"10.0.0.2\", \"port\": 80,\n"
+    "   \"class\": \"ordinary\"},\n"
+    "  {\"name\": \"clock\", \"address\": \"10.0.0.1\", \"port\": 80,\n"
+    "   \"protocol\": \"udp\", \"class\": \"ordinary\"}\n"
+    "]}\n";
+
+static struct text *
+parse_good(const char *source)
+{
+    struct text *text;
+    char *report;
+    int rc = text_parse(source, strlen(source), "t", &text, &report);
+
+    g_assert_cmpstr(report, ==, NULL);
+    g_assert_cmpint(rc, ==, 0);
+    return text;
+}
+
+static char *
+parse_bad(const char *source, size_t len, int expected)
+{
+    struct text *text;
+    char *report;
+    int rc = text_parse(source, len, "t", &text, &report);
+
+    g_assert_cmpint(rc, ==, expected);
+    g_assert_null(text);
+    g_assert_nonnull(report);
+    return report;
+}
+
+static void
+test_full(void)
+{
+    struct text *text = parse_good(full_text);
+    const struct text_service *lots = &text->services[0];
+
+    g_assert_cmpuint(text->count, ==, 3);
+    g_assert_cmpuint(text->version, ==, 0);
+    g_assert_cmpuint(lots->id, ==, hash_service("lots"));
+    g_assert_cmpuint(lots->ip, ==, 0x0a000001);
+    g_assert_cmpuint(lots->port, ==, 80);
+    g_assert_cmpint(lots->class, ==, TEXT_URGENT);
+    g_assert_cmpuint(lots->depends_count, ==, 2);
+    g_assert_cmpuint(lots->depends[0], ==, 1);
+    g_assert_cmpuint(lots->depends[1], ==, 2);
+    g_assert_cmpuint(lots->limits.connections, ==, 100);
+    g_assert_cmpuint(lots->limits.connections_per_caller, ==, 100);
+    g_assert_cmpuint(lots->limits.queue, ==, 7);
+    g_assert_cmpuint(lots->limits.idle_s, ==, 60);
+    text_free(text);
+}
+
+static void
+test_defaults(void)
+{
+    struct text *text = parse_good("{\"services\":[" LOTS "]}");
+    const struct text_limits expected = {2000, 200,     64,  32,
+                                         5000, 1 << 20, 3600};
+
+    g_assert_cmpint(text->services[0].proto, ==, TEXT_TCP);
+    g_assert_cmpmem(&text->services[0].limits, sizeof(expected), &expected,
+                    sizeof(expected));
+    text_free(text);
+}
+
+static void
+test_find(void)
+{
+    struct text *text = parse_good(full_text);
+    const struct text_service *clock = &text->services[2];
+
+    g_assert_true(text_find(text, hash_service("clock")) == clock);
+    g_assert_null(text_find(text, hash_service("clocks")));
+    g_assert_true(text_find_name(text, "clock") == clock);
+    g_assert_true(text_find_addr(text, 0x0a000001, 80, TEXT_UDP) == clock);
+    g_assert_true(text_find_addr(text, 0x0a000001, 80, TEXT_TCP) ==
+                  &text->services[0]);
+    g_assert_null(text_find_addr(text, 0x0a000001, 81, TEXT_TCP));
+    g_assert_null(text_find_addr(text, 0x0a000002, 80, TEXT_UDP));
+    text_free(text);
+}
+
+/** struct fault_case - a wrong text and the report it must get */
+struct fault_case {
+    const char *source;
+    const char *report;
+};
+
+#define A                                                                     \
+    "{\"name\":\"a\",\"address\":\"10.0.0.1\",\"port\":1,"                    \
+    "\"class\":\"urgent\""
+#define WITH(more) "{\"services\":[\n" A more "}]}"
+#define REFUSED_ADDRESS                                                       \
+    ", expected an address that callers can reach: not 0.0.0.0/8, "           \
+    "127.0.0.0/8, or 224.0.0.0 and above\n"
+#define AT(address, port)                                                     \
+    "{\"services\":[{\"name\":\"a\",\"address\":" address ",\"port\":" port   \
+    ",\"class\":\"urgent\"}]}"
+
+static const struct fault_case fault_cases[] = {
+    {"", "t:1: found the end of the file, expected more JSON\n"},
+    {"null", "t:1: found null, expected an object\n"},
+    {"[]", "t:1: found a list, expected an object with \"services\"\n"},
+    {"{\n\"services\":[\n", "t:3: found the end of the file, expected more "
+                            "JSON\n"},
+    {"{}\n]", "t:2: found ']', expected JSON (unexpected character)\n"},
+    {"{}", "t:1: services: found no such key, expected it\n"},
+    {"{'services':[]}", "t:1: found ''', expected JSON (RFC 8259)\n"},
+    {"{\"services\":{}}",
+     "t:1: services: found an object, expected a list of services\n"},
+    {"{\"services\":[]}",
+     "t:1: services: found 0 services, expected 1 to 4096\n"},
+    {"{\"services\":[" LOTS "],\n\"x\":1}",
+     "t:2: found the unknown key \"x\", expected one of services\n"},
+    {"{\"services\":[3]}", "t:1: services[0]: found 3, expected an object\n"},
+    {"{\"services\":[{}]}",
+     "t:1: services[0].name: found no such key, expected it\n"
+     "t:1: services[0].address: found no such key, expected it\n"
+     "t:1: services[0].port: found no such key, expected it\n"
+     "t:1: services[0].class: found no such key, expected it\n"},
+    {WITH(",\n\"name\":\"b\""),
+     "t:3: services[0]: found the key \"name\" again, expected it once\n"},
+    {WITH(",\"n\\u0061me\":\"b\""),
+     "t:2: services[0]: found the unknown key \"n\\u0061me\", expected one "
+     "of name, address, port, protocol, class, depends_on, limits\n"},
+    {WITH(",\"protocol\":6"),
+     "t:2: services[0].protocol: found 6, expected \"tcp\" or \"udp\"\n"},
+    {WITH(",\"depends_on\":\"b\""),
+     "t:2: services[0].depends_on: found \"b\", expected a list of names\n"},
+    {WITH(",\n\"depends_on\":\n[\"b\"]"),
+     "t:4: services[0].depends_on[0]: found \"b\", expected the name of a "
+     "service of this text\n"},
+    {WITH(",\n\"depends_on\":[\"a\"]"),
+     "t:3: services[0].depends_on: found the cycle a -> a, expected no "
+     "cycle\n"},
+    {WITH(",\"limits\":[]"),
+     "t:2: services[0].limits: found a list, expected an object\n"},
+    {WITH(",\"limits\":{\"queue\":true}"),
+     "t:2: services[0].limits.queue: found true, expected a whole number "
+     "from 1 to 65535\n"},
+    {WITH(",\"limits\":{\"queue\":1e2}"),
+     "t:2: services[0].limits.queue: found 1e2, expected a whole number "
+     "from 1 to 65535\n"},
+    {WITH(",\"limits\":{\"connections\":5,\n\"connections_per_caller\":6}"),
+     "t:3: services[0].limits.connections_per_caller: found 6, expected at "
+     "most \"connections\" (5)\n"},
+    {AT("\"10.0.0.1\"", "0"),
+     "t:1: services[0].port: found 0, expected a whole number from 1 to "
+     "65535\n"},
+    {AT("\"10.0.0.1\"", "65536"),
+     "t:1: services[0].port: found 65536, expected a whole number from 1 to "
+     "65535\n"},
+    {AT("\"10.0.0.1\"", "18446744073709551616"),
+     "t:1: services[0].port: found 18446744073709551615, expected a whole "
+     "number from 1 to 65535\n"},
+    {AT("\"10.0.0\"", "1"),
+     "t:1: services[0].address: found \"10.0.0\", expected an IPv4 address "
+     "such as \"10.0.0.1\"\n"},
+    {AT("\"10.0.0.1\\u0000\"", "1"),
+     "t:1: services[0].address: found \"10.0.0.1\\u0000\", expected an IPv4 "
+     "address such as \"10.0.0.1\"\n"},
+    {WITH(",\"protocol\":\"udp\\u0000\""),
+     "t:2: services[0].protocol: found \"udp\\u0000\", expected \"tcp\" or "
+     "\"udp\"\n"},
+    {AT("1", "1"),
+     "t:1: services[0].address: found 1, expected an IPv4 address such "
+     "as \"10.0.0.1\"\n"},
+    {AT("\"0.1.2.3\"", "1"),
+     "t:1: services[0].address: found \"0.1.2.3\"" REFUSED_ADDRESS},
+    {AT("\"127.9.9.9\"", "1"),
+     "t:1: services[0].address: found \"127.9.9.9\"" REFUSED_ADDRESS},
+    {AT("\"224.0.0.1\"", "1"),
+     "t:1: services[0].address: found \"224.0.0.1\"" REFUSED_ADDRESS},
+    {AT("\"255.255.255.255\"", "1"),
+     "t:1: services[0].address: found \"255.255.255.255\"" REFUSED_ADDRESS},
+    {"{\"services\":[\n" LOTS ",\n" LOTS "]}",
+     "t:3: services[1]: found the name \"lots\" again, expected it once "
+     "(services[0] has it)\n"
+     "t:3: services[1]: found tcp 10.0.0.1:80 again, expected it once "
+     "(services[0] has it)\n"},
+    {"{\"services\":[\n" LOTS ",{\"name\":\"x\",\"address\":\"10.0.0.9\",\n"
+     "\"port\":80,\"class\":\"slow\"}]}",
+     "t:3: services[1].class: found \"slow\", expected \"urgent\" or "
+     "\"ordinary\"\n"},
+};
+
+static void
+test_faults(void)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(fault_cases); i++) {
+        const struct fault_case *row = &fault_cases[i];
+        char *report = parse_bad(row->source, strlen(row->source), -EINVAL);
+
+        g_assert_cmpstr(report, ==, row->report);
+        g_free(report);
+    }
+}
+
+static void
+test_names(void)
+{
+    static const char *const bad[] = {
+        "",
+        "A",
+        "1a",
+        "-a",
+        "a-",
+        "a_b",
+        "a.b",
+        "a b",
+        "\u00e9",
+        "a\\u0000",
+        "a23456789012345678901234567890123456789012345"
+        "6789012345678901234"};
+    static const char *const good[] = {
+        "a", "a1", "a-b",
+        "a2345678901234567890123456789012345678901234567890"
+        "1234567890123"};
+
+    for (size_t i = 0; i < G_N_ELEMENTS(bad) + G_N_ELEMENTS(good); i++) {
+        bool is_bad = i < G_N_ELEMENTS(bad);
+        const char *name = is_bad ? bad[i] : good[i - G_N_ELEMENTS(bad)];
+        char *source = g_strdup_printf(
+            "{\"services\":[{\"name\":\"%s\",\"address\":\"10.0.0.1\","
+            "\"port\":1,\"class\":\"urgent\"}]}",
+            name);
+
+        if (is_bad) {
+            g_free(parse_bad(source, strlen(source), -EINVAL));
+        }
+        else {
+            text_free(parse_good(source));
+        }
+        g_free(source);
+    }
+}
+
+/** struct limit_case - range of a limit */
+struct limit_case {
+    const char *key;
+    uint32_t min;
+    uint32_t max;
+};
+
+static void
+check_limit(const char *key, uint32_t value, bool good)
+{
+    char *source = g_strdup_printf(
+        WITH(",\"limits\":{\"%s\":%u%s}"), key, value,
+        strcmp(key, "connections_per_caller") == 0 ? ",\"connections\":1000000"
+                                                   : "");
+
+    if (good) {
+        text_free(parse_good(source));
+    }
+    else {
+        g_free(parse_bad(source, strlen(source), -EINVAL));
+    }
+    g_free(source);
+}
+
+static void
+test_limits(void)
+{
+    static const struct limit_case limits[] = {
+        {"connections", 1, 1000000}, {"connections_per_caller", 1, 1000000},
+        {"queue", 1, 65535},         {"requests_per_caller", 1, 65535},
+        {"deadline_ms", 10, 600000}, {"body_bytes", 1, 1048576},
+        {"idle_s", 1, 604800},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(limits); i++) {
+        check_limit(limits[i].key, limits[i].min - 1, false);
+        check_limit(limits[i].key, limits[i].min, true);
+        check_limit(limits[i].key, limits[i].max, true);
+        check_limit(limits[i].key, limits[i].max + 1, false);
+    }
+}
+
+static void
+test_cycle_named(void)
+{
+    const char *source =
+        "{\"services\":[\n" A ",\n\"depends_on\":[\"b\"]},\n"
+        "{\"name\":\"b\",\"address\":\"10.0.0.1\",\"port\":2,"
+        "\"class\":\"urgent\",\n\"depends_on\":[\"d\",\"c\"]},\n"
+        "{\"name\":\"c\",\"address\":\"10.0.0.1\",\"port\":3,"
+        "\"class\":\"urgent\",\n\"depends_on\":[\"d\",\"b\"]},\n"
+        "{\"name\":\"d\",\"address\":\"10.0.0.1\",\"port\":4,"
+        "\"class\":\"urgent\"}]}";
+    char *report = parse_bad(source, strlen(source), -EINVAL);
+
+    g_assert_cmpstr(report, ==,
+                    "t:7: services[2].depends_on: found the cycle "
+                    "b -> c -> b, expected no cycle\n");
+    g_free(report);
+}
+
+static void
+test_size(void)
+{
+    size_t most = TEXT_SIZE_MAX - TEXT_ENVELOPE_MAX;
+    char *source = g_malloc(most + 2);
+    char *good = g_strdup("{\"services\":[" LOTS "]}");
+    struct text *text;
+    char *report;
+
+    memset(source, ' ', most + 1);
+    memcpy(source, good, strlen(good));
+    g_assert_cmpint(text_parse(source, most, "t", &text, &report), ==, 0);
+    g_assert_cmpuint(text->source_len, ==, strlen(good));
+    text_free(text);
+    report = parse_bad(source, most + 1, -EFBIG);
+    g_assert_cmpstr(report, ==,
+                    "t:1: found 1047553 bytes, expected at most 1047552 (a "
+                    "megabyte with the envelope it is published in)\n");
+    g_free(report);
+    g_free(good);
+    g_free(source);
+}
+
+static void
+test_utf8(void)
+{
+    char *report = parse_bad("{\n\"a\xff\":1}", 9, -EINVAL);
+
+    g_assert_cmpstr(report, ==, "t:2: found the byte 0xff, expected UTF-8\n");
+    g_free(report);
+    report = parse_bad("{}\0", 3, -EINVAL);
+    g_assert_cmpstr(report, ==, "t:1: found the byte 0x00, expected UTF-8\n");
+    g_free(report);
+}
+
+/* Two names whose ids are equal, found by search. */
+static void
+find_collision(char **one, char **other)
+{
+    GHashTable *seen = g_hash_table_new(NULL, NULL);
+
+    for (unsigned i = 1;; i++) {
+        char *name = g_strdup_printf("s%u", i);
+        gpointer id = GUINT_TO_POINTER(hash_service(name));
+        unsigned before = GPOINTER_TO_UINT(g_hash_table_lookup(seen, id));
+
+        if (before != 0) {
+            *one = g_strdup_printf("s%u", before);
+            *other = name;
+            break;
+        }
+        g_hash_table_insert(seen, id, GUINT_TO_POINTER(i));
+        g_free(name);
+    }
+    g_hash_table_destroy(seen);
+}
+
+static void
+test_collision(void)
+{
+    char *one;
+    char *other;
+    char *source;
+    char *report;
+
+    find_collision(&one, &other);
+    source = g_strdup_printf(
+        "{\"services\":[{\"name\":\"%s\",\"address\":\"10.0.0.1\",\"port\":1,"
+        "\"class\":\"urgent\"},{\"name\":\"%s\",\"address\":\"10.0.0.1\","
+        "\"port\":2,\"class\":\"urgent\"}]}",
+        one, other);
+    report = parse_bad(source, strlen(source), -EINVAL);
+    g_assert_nonnull(strstr(report, "expected another name"));
+    g_assert_nonnull(strstr(report, one));
+    g_free(report);
+    g_free(source);
+    g_free(one);
+    g_free(other);
+}
+
+static struct text_envelope
+sample_envelope(const struct text *text)
+{
+    struct text_envelope envelope = {
+        .write_id = "0123456789abcdef0123456789abcdef",
+        .author = "Mama \"Rehema\"",
+        .written_ms = 1796236590097,
+        .history = {"11111111111111111111111111111111",
+                    "22222222222222222222222222222222"},
+        .history_count = 2,
+        .text = text->source,
+        .text_len = text->source_len,
+    };
+
+    return envelope;
+}
+
+static void
+assert_same(const struct text *a, const struct text *b)
+{
+    g_assert_cmpmem(a->services, a->count * sizeof(*a->services), b->services,
+                    b->count * sizeof(*b->services));
+    g_assert_cmpmem(a->source, a->source_len, b->source, b->source_len);
+}
+
+static void
+test_envelope(void)
+{
+    struct text *text = parse_good(full_text);
+    struct text_envelope envelope = sample_envelope(text);
+    struct text_envelope read;
+    struct text *again;
+    char *report;
+    size_t len;
+    char *value = text_envelope_write(&envelope, &len);
+
+    g_assert_cmpuint(len - text->source_len, <, TEXT_ENVELOPE_MAX);
+    g_assert_cmpint(text_envelope_read(value, len, &read), ==, 0);
+    g_assert_cmpstr(read.write_id, ==, envelope.write_id);
+    g_assert_cmpstr(read.author, ==, envelope.author);
+    g_assert_cmpuint(read.written_ms, ==, envelope.written_ms);
+    g_assert_cmpuint(read.history_count, ==, 2);
+    g_assert_cmpstr(read.history[1], ==, envelope.history[1]);
+    g_assert_cmpint(text_parse_envelope(value, len, 7, &again, &report), ==,
+                    0);
+    g_assert_cmpuint(again->version, ==, 7);
+    assert_same(text, again);
+    text_free(again);
+    g_assert_cmpint(text_parse_envelope(text->source, text->source_len, 8,
+                                        &again, &report),
+                    ==, 0);
+    g_assert_cmpuint(again->version, ==, 8);
+    assert_same(text, again);
+    text_free(again);
+    text_free(text);
+    g_free(value);
+}
+
+static void
+test_envelope_largest(void)
+{
+    struct text *text = parse_good(full_text);
+    struct text_envelope envelope = sample_envelope(text);
+    char *value;
+    size_t len;
+
+    memset(envelope.author, '\x01', TEXT_AUTHOR_MAX - 1);
+    envelope.written_ms = UINT64_MAX;
+    envelope.history_count = TEXT_HISTORY_MAX;
+    for (size_t i = 0; i < TEXT_HISTORY_MAX; i++) {
+        g_strlcpy(envelope.history[i], envelope.write_id, TEXT_WRITE_ID_MAX);
+    }
+    value = text_envelope_write(&envelope, &len);
+    g_assert_cmpuint(len - text->source_len, <=, TEXT_ENVELOPE_MAX);
+    g_free(value);
+    text_free(text);
+}
+
+static void
+test_not_an_envelope(void)
+{
+    static const char *const values[] = {
+        "",
+        "{}",
+        "[1]",
+        "{\"write_id\":\"x\",\"operator\":\"y\",\"written_ms\":1}",
+        "{\"write_id\":\"x\",\"operator\":\"\",\"written_ms\":1,\"text\":{}}",
+        "{\"write_id\":\"x\",\"operator\":\"y\",\"written_ms\":\"1\","
+        "\"text\":{}}",
+        "{\"write_id\":\"x\",\"operator\":\"y\",\"written_ms\":1,"
+        "\"history\":[1],\"text\":{}}",
+    };
+    struct text_envelope envelope;
+
+    for (size_t i = 0; i < G_N_ELEMENTS(values); i++) {
+        g_assert_cmpint(
+            text_envelope_read(values[i], strlen(values[i]), &envelope), ==,
+            -EINVAL);
+    }
+}
+
+static void
+mutate_once(GRand *rand, GString *source)
+{
+    static const char *const bits[] = {
+        "\"",  "{",  "}",    "[",        "]",      ",",
+        ":",   "\n", "null", "\\u0000",  "80",     "\"lots\"",
+        "1e9", "-1", "\xff", "\"port\"", "[[[[[[", "\"depends_on\":[]"};
+    gsize at = (gsize)g_rand_int_range(rand, 0, (gint32)source->len);
+    gsize len = (gsize)g_rand_int_range(rand, 1, 12);
+    const char *bit = bits[g_rand_int_range(rand, 0, G_N_ELEMENTS(bits))];
+    char *copy;
+
+    switch (g_rand_int_range(rand, 0, 4)) {
+    case 0:
+        g_string_erase(source, (gssize)at, (gssize)MIN(len, source->len - at));
+        break;
+    case 1:
+        g_string_insert(source, (gssize)at, bit);
+        break;
+    case 2:
+        source->str[at] = (char)g_rand_int_range(rand, 1, 256);
+        break;
+    default:
+        copy = g_strndup(source->str + at, len * 8);
+        g_string_insert(source, (gssize)at, copy);
+        g_free(copy);
+        break;
+    }
+    if (source->len == 0) {
+        g_string_append_c(source, '{');
+    }
+}
+
+/* Every line of a report names the file and a line that exists. */
+static void
+assert_report(const char *report, const char *source)
+{
+    char **lines = g_strsplit(report, "\n", -1);
+    unsigned last = 1;
+
+    for (; *source != '\0'; source++) {
+        last += *source == '\n';
+    }
+    for (size_t i = 0; lines[i + 1] != NULL; i++) {
+        g_assert_true(g_str_has_prefix(lines[i], "t:"));
+        g_assert_cmpuint(g_ascii_strtoull(lines[i] + 2, NULL, 10), >=, 1);
+        g_assert_cmpuint(g_ascii_strtoull(lines[i] + 2, NULL, 10), <=, last);
+        g_assert_nonnull(strstr(lines[i], "found "));
+        g_assert_nonnull(strstr(lines[i], "expected "));
+    }
+    g_strfreev(lines);
+}
+
+static bool
+check_mutant(const GString *source)
+{
+    struct text *text;
+    struct text *again;
+    char *report;
+    int rc = text_parse(source->str, source->len, "t", &text, &report);
+
+    g_assert_true((rc == 0) == (report == NULL));
+    g_assert_true((rc == 0) == (text != NULL));
+    if (rc != 0) {
+        g_assert_true(g_utf8_validate(report, -1, NULL));
+        assert_report(report, source->str);
+        g_free(report);
+        return false;
+    }
+    again = parse_good(text->source);
+    assert_same(text, again);
+    text_free(again);
+    text_free(text);
+    return true;
+}
+
+static void
+test_mutations(void)
+{
+    GRand *rand = g_rand_new_with_seed(SEED);
+    unsigned accepted = 0;
+
+    g_test_message("seed %d", SEED);
+    for (unsigned i = 0; i < MUTATIONS; i++) {
+        GString *source = g_string_new(full_text);
+        int count = g_rand_int_range(rand, 1, 4);
+
+        for (int j = 0; j < count; j++) {
+            mutate_once(rand, source);
+        }
+        accepted += check_mutant(source);
+        g_string_free(source, TRUE);
+    }
+    g_test_message("%u of %d accepted", accepted, MUTATIONS);
+    g_assert_cmpuint(accepted, >, 0);
+    g_assert_cmpuint(accepted, <, MUTATIONS);
+    g_rand_free(rand);
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/text/full", test_full);
+    g_test_add_func("/text/defaults", test_defaults);
+    g_test_add_func("/text/find", test_find);
+    g_test_add_func("/text/faults", test_faults);
+    g_test_add_func("/text/names", test_names);
+    g_test_add_func("/text/limits", test_limits);
+    g_test_add_func("/text/cycle_named", test_cycle_named);
+    g_test_add_func("/text/size", test_size);
+    g_test_add_func("/text/utf8", test_utf8);
+    g_test_add_func("/text/collision", test_collision);
+    g_test_add_func("/text/envelope", test_envelope);
+    g_test_add_func("/text/envelope_largest", test_envelope_largest);
+    g_test_add_func("/text/not_an_envelope", test_not_an_envelope);
+    g_test_add_func("/text/mutations", test_mutations);
+    return g_test_run();
+}
