--- a/tests/base/test_settings.c
+++ b/tests/base/test_settings.c
@@ -105,7 +105,7 @@
         "agent.json:3: key \"data\" is \"127.0.0.1\"; expected an address",
         "agent.json:4: key \"drain_s\" is -1; expected a whole number from 0",
         "agent.json:5: key \"trace_sample\" is 1.5; expected a whole number",
-        "agent.json:6: key \"workers\" has no meaning for a process of",
+        "agent.json:6: key \"workers\" has no meaning for an agent",
         "agent.json:7: key \"colour\" is unknown",
         "agent.json:8: key \"platform\"",
         "agent.json:9: key \"seeds\"",
@@ -140,7 +140,7 @@
         {"{\"a\": 1", ":1: not JSON"},
         {"", ":1: not JSON"},
         {"{}\n{}", ":2: not JSON"},
-        {"null", ":1: not JSON"},
+        {"null", ":1: the file holds no JSON object"},
         {"[1]", ":1: the file holds no JSON object"},
         {"{\"a\": \"x\ny\"", "not JSON"},
     };
