--- /dev/null
+++ b/tests/balancer/route_test.c
@@ -0,0 +1,415 @@
+#include <glib.h>
+#include <string.h>
+
+#include "balancer/route.h"
+#include "base/hash.h"
+#include "scene.h"
+
+#define FLOWS 3000
+#define WARM_NOW_US (SCENE_FIRST_SEEN_US + ROUTE_WARM_US)
+
+/** struct scene - a table and what it was built from */
+struct scene {
+    struct text *text;
+    struct view *view;
+    struct route_table *table;
+};
+
+static void
+scene_open(struct scene *scene, size_t endpoints)
+{
+    scene->text = scene_text();
+    scene->view = scene_view(endpoints, "lots");
+    scene->table = NULL;
+}
+
+static void
+scene_build(struct scene *scene)
+{
+    struct route_table *table;
+
+    scene->view->seq++;
+    g_assert_cmpint(
+        route_table_new(scene->view, scene->text, scene->table, &table), ==,
+        0);
+    route_table_free(scene->table);
+    scene->table = table;
+}
+
+static void
+scene_close(struct scene *scene)
+{
+    route_table_free(scene->table);
+    text_free(scene->text);
+    free(scene->view);
+}
+
+static struct gue
+decide(const struct scene *scene, uint32_t caller, uint8_t flags,
+       uint64_t now_us)
+{
+    uint8_t buf[PACKET_MAX];
+    struct route_decision decision;
+    size_t len = scene_tcp(buf, SCENE_LOTS_IP, caller, flags, "");
+
+    g_assert_cmpint(route_decide(scene->table, buf, len, now_us, &decision),
+                    ==, PACKET_OK);
+    return decision.gue;
+}
+
+static const struct view_member *
+member_of(const struct scene *scene, uint64_t id)
+{
+    const struct view_member *member = view_find(scene->view, id);
+    g_assert_nonnull(member);
+    return member;
+}
+
+/* Place of a hop in the list that the rules ask for: lower comes first */
+static int
+place_known(const struct view_member *member)
+{
+    return member->health == MEMBER_SUSPECT;
+}
+
+static int
+place_open(const struct view_member *member)
+{
+    if (member->health == MEMBER_SUSPECT)
+        return 2;
+    return member->state == MEMBER_READY || member->state == MEMBER_WARMING
+               ? 0
+               : 1;
+}
+
+static void
+check_hops(const struct scene *scene, const struct gue *gue, uint32_t caller,
+           bool open)
+{
+    uint8_t buf[PACKET_MAX];
+    struct packet packet;
+    bool suspects = false;
+    int place = 0;
+    uint64_t score = UINT64_MAX;
+
+    size_t len = scene_tcp(buf, SCENE_LOTS_IP, caller, PACKET_TCP_ACK, "");
+    packet_parse(buf, len, 0, &packet);
+    uint32_t bucket = rank_bucket(packet_flow_hash(&packet));
+
+    for (size_t i = 0; i < gue->count; i++) {
+        const struct view_member *member =
+            member_of(scene, gue->hops[i].member);
+        int own = open ? place_open(member) : place_known(member);
+        g_assert_cmpint(member->health, !=, MEMBER_DEAD);
+        g_assert_cmpuint(member->service, ==, gue->service);
+        g_assert_true(addr_equal(member->data, gue->hops[i].data));
+        g_assert_cmpint(own, >=, place);
+        if (own > place)
+            score = UINT64_MAX;
+        place = own;
+        g_assert_cmpuint(rank_score(member->id, bucket), <, score);
+        score = rank_score(member->id, bucket);
+        suspects |= member->health == MEMBER_SUSPECT;
+        for (size_t j = 0; j < i; j++)
+            g_assert_cmpuint(gue->hops[j].member, !=, member->id);
+    }
+    g_assert_cmpint(!!(gue->flags & GUE_SUSPECTS), ==, suspects);
+    g_assert_cmpint(!!(gue->flags & GUE_OPEN), ==, open);
+}
+
+/* Any mix of states and healths keeps the rules of the list. */
+static void
+test_rules(void)
+{
+    for (int round = 0; round < 30; round++) {
+        struct scene scene;
+        size_t usable = 0;
+        scene_open(&scene, (size_t)g_test_rand_int_range(1, 30));
+        for (size_t i = 0; i < scene.view->count; i++) {
+            struct view_member *member = &scene.view->members[i];
+            member->state = (enum member_state)g_test_rand_int_range(0, 4);
+            member->health = (enum member_health)g_test_rand_int_range(0, 3);
+            usable += member->health != MEMBER_DEAD;
+        }
+        scene_build(&scene);
+        for (uint32_t caller = 0; usable > 0 && caller < 300; caller++) {
+            struct gue known =
+                decide(&scene, caller, PACKET_TCP_ACK, WARM_NOW_US);
+            struct gue open =
+                decide(&scene, caller, PACKET_TCP_SYN, WARM_NOW_US);
+            check_hops(&scene, &known, caller, false);
+            check_hops(&scene, &open, caller, true);
+            g_assert_cmpuint(known.count, ==, MIN(usable, GUE_HOPS_MAX));
+            g_assert_cmpuint(open.count, >=, MIN(usable, 4));
+        }
+        scene_close(&scene);
+    }
+}
+
+static void
+test_drop_reasons(void)
+{
+    struct scene scene;
+    uint8_t buf[PACKET_MAX];
+    struct route_decision decision;
+
+    scene_open(&scene, 3);
+    scene_build(&scene);
+    size_t len = scene_tcp(buf, 0x0a640009, 1, PACKET_TCP_SYN, "");
+    g_assert_cmpint(route_decide(scene.table, buf, len, 0, &decision), ==,
+                    PACKET_SERVICE);
+    len = scene_tcp(buf, SCENE_ALBUMS_IP, 1, PACKET_TCP_SYN, "");
+    g_assert_cmpint(route_decide(scene.table, buf, len, 0, &decision), ==,
+                    PACKET_NO_ENDPOINT);
+    len = scene_udp(buf, SCENE_ALBUMS_IP, 1);
+    g_assert_cmpint(route_decide(scene.table, buf, len, 0, &decision), ==,
+                    PACKET_SERVICE);
+    len = scene_tcp(buf, SCENE_LOTS_IP, 1, PACKET_TCP_SYN, "x");
+    g_assert_cmpint(route_decide(scene.table, buf, len - 1, 0, &decision), ==,
+                    PACKET_SHORT);
+    scene_close(&scene);
+}
+
+/* One address and port, two transports, two services with endpoints each */
+static void
+test_services_apart(void)
+{
+    struct scene scene;
+    uint8_t buf[PACKET_MAX];
+    struct route_decision decision;
+
+    scene_open(&scene, 40);
+    for (size_t i = 0; i < scene.view->count; i++) {
+        const char *services[] = {"lots", "albums", "names", "gone"};
+        scene.view->members[i].service =
+            i % 5 == 4 ? 0 : hash_service(services[i % 5]);
+    }
+    scene.view->members[0].role = MEMBER_BALANCER;
+    scene_build(&scene);
+    for (uint32_t caller = 0; caller < FLOWS; caller++) {
+        bool udp = caller % 3 == 2;
+        uint32_t ip = caller % 3 == 1 ? SCENE_ALBUMS_IP : SCENE_LOTS_IP;
+        size_t len = udp ? scene_udp(buf, ip, caller)
+                         : scene_tcp(buf, ip, caller, PACKET_TCP_SYN, "");
+        const char *names[] = {"lots", "albums", "names"};
+        uint32_t service = hash_service(names[caller % 3]);
+
+        g_assert_cmpint(route_decide(scene.table, buf, len, 0, &decision), ==,
+                        PACKET_OK);
+        g_assert_cmpuint(decision.gue.service, ==, service);
+        g_assert_cmpint(!!(decision.gue.flags & GUE_OPEN), ==, true);
+        for (size_t i = 0; i < decision.gue.count; i++)
+            g_assert_cmpuint(
+                member_of(&scene, decision.gue.hops[i].member)->service, ==,
+                service);
+    }
+    scene_close(&scene);
+}
+
+/* A drained endpoint keeps its place for known flows, and gets no new one. */
+static void
+test_drain(void)
+{
+    struct scene scene;
+    struct gue before[FLOWS];
+
+    scene_open(&scene, 7);
+    scene_build(&scene);
+    for (uint32_t i = 0; i < FLOWS; i++)
+        before[i] = decide(&scene, i, PACKET_TCP_ACK, WARM_NOW_US);
+    scene.view->members[3].state = MEMBER_DRAINING;
+    uint64_t drained = scene.view->members[3].id;
+    scene_build(&scene);
+
+    for (uint32_t i = 0; i < FLOWS; i++) {
+        struct gue known = decide(&scene, i, PACKET_TCP_ACK, WARM_NOW_US);
+        struct gue open = decide(&scene, i, PACKET_TCP_SYN, WARM_NOW_US);
+        g_assert_cmpuint(known.hops[0].member, ==, before[i].hops[0].member);
+        g_assert_cmpuint(open.hops[0].member, !=, drained);
+        if (before[i].hops[0].member != drained)
+            g_assert_cmpuint(open.hops[0].member, ==,
+                             before[i].hops[0].member);
+        else
+            g_assert_cmpuint(open.hops[0].member, ==,
+                             before[i].hops[1].member);
+    }
+    scene_close(&scene);
+}
+
+/* When all of a row's best are draining, new flows still find the others. */
+static void
+test_many_draining(void)
+{
+    struct scene scene;
+    size_t first[2] = {0};
+
+    scene_open(&scene, 30);
+    for (size_t i = 0; i < 28; i++)
+        scene.view->members[i].state = MEMBER_DRAINING;
+    scene_build(&scene);
+    for (uint32_t i = 0; i < FLOWS; i++) {
+        struct gue open = decide(&scene, i, PACKET_TCP_SYN, WARM_NOW_US);
+        uint64_t one = scene.view->members[28].id;
+        uint64_t two = scene.view->members[29].id;
+        g_assert_true(open.hops[0].member == one ||
+                      open.hops[0].member == two);
+        first[open.hops[0].member == two]++;
+        g_assert_cmpuint(open.count, ==, GUE_HOPS_MAX);
+    }
+    g_assert_cmpuint(first[0], >, FLOWS / 3);
+    g_assert_cmpuint(first[1], >, FLOWS / 3);
+    scene_close(&scene);
+}
+
+/* A suspect moves to the end; once dead it is gone; back, all is as before. */
+static void
+test_suspect_and_dead(void)
+{
+    struct scene scene;
+    uint64_t suspect;
+
+    scene_open(&scene, 4);
+    suspect = scene.view->members[1].id;
+    scene.view->members[1].health = MEMBER_SUSPECT;
+    scene_build(&scene);
+    for (uint32_t i = 0; i < FLOWS; i++) {
+        struct gue known = decide(&scene, i, PACKET_TCP_ACK, WARM_NOW_US);
+        g_assert_cmpuint(known.hops[3].member, ==, suspect);
+        g_assert_cmpuint(known.flags, ==, GUE_SUSPECTS);
+    }
+    scene.view->members[1].health = MEMBER_DEAD;
+    scene_build(&scene);
+    for (uint32_t i = 0; i < FLOWS; i++) {
+        struct gue known = decide(&scene, i, PACKET_TCP_ACK, WARM_NOW_US);
+        g_assert_cmpuint(known.count, ==, 3);
+        g_assert_cmpuint(known.flags, ==, 0);
+    }
+    scene.view->members[1].health = MEMBER_ALIVE;
+    scene_build(&scene);
+    for (uint32_t i = 0; i < FLOWS; i++) {
+        struct gue known = decide(&scene, i, PACKET_TCP_ACK, WARM_NOW_US);
+        check_hops(&scene, &known, i, false);
+        g_assert_cmpuint(known.count, ==, 4);
+    }
+    scene_close(&scene);
+}
+
+/* With an old view the owner is still on the list of the new one. */
+static void
+test_stale_view(void)
+{
+    struct scene old, new;
+
+    scene_open(&old, 7);
+    scene_build(&old);
+    scene_open(&new, 9);
+    new.view->members[0].state = MEMBER_LEAVING;
+    scene_build(&new);
+    for (uint32_t i = 0; i < FLOWS; i++) {
+        struct gue by_old = decide(&old, i, PACKET_TCP_SYN, WARM_NOW_US);
+        struct gue by_new = decide(&new, i, PACKET_TCP_ACK, WARM_NOW_US);
+        bool found = false;
+        for (size_t hop = 0; hop < by_new.count; hop++)
+            found |= by_new.hops[hop].member == by_old.hops[0].member;
+        g_assert_true(found);
+    }
+    scene_close(&old);
+    scene_close(&new);
+}
+
+static size_t
+count_first(const struct scene *scene, uint64_t member, uint64_t now_us)
+{
+    size_t count = 0;
+    for (uint32_t i = 0; i < FLOWS; i++)
+        count +=
+            decide(scene, i, PACKET_TCP_SYN, now_us).hops[0].member == member;
+    return count;
+}
+
+static void
+test_cold_start(void)
+{
+    struct scene scene;
+    uint64_t warming;
+
+    scene_open(&scene, 4);
+    warming = scene.view->members[2].id;
+    scene_build(&scene);
+    size_t full = count_first(&scene, warming, WARM_NOW_US);
+
+    scene.view->members[2].state = MEMBER_WARMING;
+    scene_build(&scene);
+    size_t at_0 = count_first(&scene, warming, SCENE_FIRST_SEEN_US);
+    size_t at_5 =
+        count_first(&scene, warming, SCENE_FIRST_SEEN_US + ROUTE_WARM_US / 2);
+    size_t at_10 = count_first(&scene, warming, WARM_NOW_US);
+    g_assert_cmpuint(at_0, >, full / 8);
+    g_assert_cmpuint(at_0, <, full * 3 / 8);
+    g_assert_cmpuint(at_5, >, full / 2);
+    g_assert_cmpuint(at_5, <, full * 3 / 4);
+    g_assert_cmpuint(at_10, ==, full);
+
+    /* A flow once in the share stays in it, and known flows don't move. */
+    for (uint32_t i = 0; i < FLOWS; i++) {
+        struct gue early =
+            decide(&scene, i, PACKET_TCP_SYN, SCENE_FIRST_SEEN_US);
+        struct gue late = decide(&scene, i, PACKET_TCP_SYN,
+                                 SCENE_FIRST_SEEN_US + ROUTE_WARM_US / 2);
+        if (early.hops[0].member == warming)
+            g_assert_cmpuint(late.hops[0].member, ==, warming);
+        struct gue known =
+            decide(&scene, i, PACKET_TCP_ACK, SCENE_FIRST_SEEN_US);
+        check_hops(&scene, &known, i, false);
+    }
+
+    /* All warming, as after a start of the whole site: all take flows. */
+    for (size_t i = 0; i < 4; i++)
+        scene.view->members[i].state = MEMBER_WARMING;
+    scene_build(&scene);
+    for (size_t i = 0; i < 4; i++)
+        g_assert_cmpuint(count_first(&scene, scene.view->members[i].id,
+                                     SCENE_FIRST_SEEN_US),
+                         >, FLOWS / 8);
+    scene_close(&scene);
+}
+
+static void
+test_sharing(void)
+{
+    struct scene scene;
+    struct route_table *next;
+
+    scene_open(&scene, 5);
+    scene_build(&scene);
+    scene.view->members[0].busy = 2;
+    scene.view->members[1].health = MEMBER_SUSPECT;
+    g_assert_cmpint(
+        route_table_new(scene.view, scene.text, scene.table, &next), ==, 0);
+    g_assert_true(next->services[0].all == scene.table->services[0].all);
+    g_assert_true(next->services[0].open != next->services[0].all);
+    g_assert_null(next->services[1].all);
+    route_table_free(scene.table);
+    scene.table = next;
+    struct gue gue = decide(&scene, 1, PACKET_TCP_SYN, WARM_NOW_US);
+    check_hops(&scene, &gue, 1, true);
+    g_assert_nonnull(route_endpoint_at(next, scene.view->members[3].data));
+    g_assert_null(route_endpoint_at(next, (struct addr){1, 1}));
+    scene_close(&scene);
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/route/rules", test_rules);
+    g_test_add_func("/route/drop-reasons", test_drop_reasons);
+    g_test_add_func("/route/services-apart", test_services_apart);
+    g_test_add_func("/route/drain", test_drain);
+    g_test_add_func("/route/many-draining", test_many_draining);
+    g_test_add_func("/route/suspect-and-dead", test_suspect_and_dead);
+    g_test_add_func("/route/stale-view", test_stale_view);
+    g_test_add_func("/route/cold-start", test_cold_start);
+    g_test_add_func("/route/sharing", test_sharing);
+    return g_test_run();
+}
