--- /dev/null
+++ b/tests/balancer/builder_test.c
@@ -0,0 +1,126 @@
+#include <glib.h>
+#include <string.h>
+#include <urcu.h>
+
+#include "balancer/builder.h"
+#include "balancer/readiness.h"
+#include "base/hash.h"
+#include "scene.h"
+
+/** struct setup - a board and a pool without threads */
+struct setup {
+    struct worker_owner owner;
+    struct clock_manual clock;
+    struct counter_table counters;
+    struct trace trace;
+    struct board board;
+    struct worker_pool pool;
+    struct builder builder;
+};
+
+static void
+setup_open(struct setup *setup)
+{
+    struct error err = {0};
+
+    memset(setup, 0, sizeof(*setup));
+    clock_manual_init(&setup->clock, 0);
+    counter_table_init(&setup->counters);
+    board_init(&setup->board);
+    setup->trace.fd = -1;
+    g_assert_cmpint(worker_pool_init(&setup->pool,
+                                     (struct addr){0x7f000001, 0}, 1,
+                                     &setup->owner, &setup->clock.base,
+                                     &setup->counters, &setup->trace, &err),
+                    ==, 0);
+    g_assert_cmpint(builder_init(&setup->builder, &setup->board, &setup->pool,
+                                 &setup->counters),
+                    ==, 0);
+}
+
+static void
+setup_close(struct setup *setup)
+{
+    worker_pool_finish(&setup->pool);
+    board_finish(&setup->board);
+    counter_table_finish(&setup->counters);
+}
+
+static struct view *
+view_of(uint64_t seq, size_t count)
+{
+    struct view *view = scene_view(count, "lots");
+    view->seq = seq;
+    return view;
+}
+
+static void
+test_poll(void)
+{
+    struct setup setup;
+    struct text *text;
+
+    setup_open(&setup);
+    g_assert_cmpint(builder_poll(&setup.builder), ==, 0);
+    board_publish_view(&setup.board, view_of(1, 2));
+    g_assert_cmpint(builder_poll(&setup.builder), ==, 0);
+    g_assert_null(setup.pool.table);
+
+    g_assert_true(board_publish_text(&setup.board, scene_text(), 0));
+    g_assert_cmpint(builder_poll(&setup.builder), ==, 1);
+    g_assert_cmpuint(setup.pool.table->services[0].count, ==, 2);
+    g_assert_cmpint(builder_poll(&setup.builder), ==, 0);
+
+    board_publish_view(&setup.board, view_of(2, 3));
+    g_assert_cmpint(builder_poll(&setup.builder), ==, 1);
+    g_assert_cmpuint(setup.pool.table->services[0].count, ==, 3);
+
+    text = scene_text();
+    text->version = 7;
+    g_assert_true(board_publish_text(&setup.board, text, 0));
+    g_assert_cmpint(builder_poll(&setup.builder), ==, 1);
+    g_assert_cmpuint(setup.pool.table->config_version, ==, 7);
+    g_assert_cmpuint(counter_read(&setup.counters, setup.builder.rebuilds), ==,
+                     3);
+    g_assert_cmpuint(counter_read(&setup.counters, setup.builder.endpoints),
+                     ==, 3);
+    setup_close(&setup);
+}
+
+static void
+test_readiness(void)
+{
+    struct view *alone = scene_view(1, "lots");
+    struct view *two = scene_view(2, "lots");
+    struct readiness_input input = {
+        .self = alone->members[0].id, .built = true, .has_seeds = true};
+
+    g_assert_cmpint(readiness_judge(&input, NULL), ==, READINESS_NO_VIEW);
+    g_assert_cmpint(readiness_judge(&input, alone), ==, READINESS_ALONE);
+    g_assert_cmpint(readiness_judge(&input, two), ==, READINESS_READY);
+    input.age_us = READINESS_ALONE_US;
+    g_assert_cmpint(readiness_judge(&input, alone), ==, READINESS_READY);
+    input.built = false;
+    g_assert_cmpint(readiness_judge(&input, two), ==, READINESS_NO_CONFIG);
+    input.built = true;
+    input.self = 12345;
+    g_assert_cmpint(readiness_judge(&input, two), ==, READINESS_NO_VIEW);
+    input.stopping = true;
+    g_assert_cmpint(readiness_judge(&input, two), ==, READINESS_STOPPING);
+    free(alone);
+    free(two);
+}
+
+int
+main(int argc, char **argv)
+{
+    int code;
+
+    g_test_init(&argc, &argv, NULL);
+    rcu_register_thread();
+    g_test_add_func("/builder/poll", test_poll);
+    g_test_add_func("/builder/readiness", test_readiness);
+    code = g_test_run();
+    rcu_unregister_thread();
+    return code;
+}
--- /dev/null
+++ b/tests/balancer/worker_test.c
@@ -0,0 +1,335 @@
+#include <errno.h>
+#include <glib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "balancer/span.h"
+#include "balancer/worker.h"
+#include "balancer/worker_batch.h"
+#include "base/hash.h"
+#include "scene.h"
+
+#define WAIT_TRIES 2000
+#define LOOPBACK 0x7f000001u
+
+/**
+ * struct setup - a pool with its surroundings
+ * @owner: told of refusals
+ * @refused: member last told
+ * @endpoint: socket of the only endpoint
+ * @sender: socket that plays the fabric
+ */
+struct setup {
+    struct worker_owner owner;
+    uint64_t refused;
+    struct clock_manual clock;
+    struct counter_table counters;
+    struct trace trace;
+    struct worker_pool pool;
+    struct view *view;
+    struct text *text;
+    int endpoint;
+    int sender;
+};
+
+static void
+on_refused(struct worker_owner *owner, uint64_t member, uint64_t incarnation)
+{
+    struct setup *setup = (struct setup *)owner;
+
+    g_assert_cmpuint(incarnation, ==, 1000);
+    __atomic_store_n(&setup->refused, member, __ATOMIC_SEQ_CST);
+}
+
+static const struct worker_ops ops = {.on_refused = on_refused};
+
+static int
+open_udp(struct addr *addr)
+{
+    struct sockaddr_in sin = addr_to_sockaddr((struct addr){LOOPBACK, 0});
+    socklen_t len = sizeof(sin);
+    struct timeval wait = {.tv_sec = 10};
+    int fd = socket(AF_INET, SOCK_DGRAM, 0);
+
+    g_assert_cmpint(bind(fd, (struct sockaddr *)&sin, len), ==, 0);
+    g_assert_cmpint(getsockname(fd, (struct sockaddr *)&sin, &len), ==, 0);
+    setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &wait, sizeof(wait));
+    *addr = addr_from_sockaddr(&sin);
+    return fd;
+}
+
+static void
+setup_open(struct setup *setup, unsigned workers)
+{
+    struct error err = {0};
+    struct addr addr;
+    struct route_table *table;
+
+    memset(setup, 0, sizeof(*setup));
+    setup->owner.ops = &ops;
+    clock_manual_init(&setup->clock, SCENE_FIRST_SEEN_US + ROUTE_WARM_US);
+    counter_table_init(&setup->counters);
+    setup->trace.fd = -1;
+    setup->sender = open_udp(&addr);
+    setup->endpoint = open_udp(&addr);
+    setup->text = scene_text();
+    setup->view = scene_view(1, "lots");
+    setup->view->members[0].data = addr;
+
+    int result = worker_pool_init(&setup->pool, (struct addr){LOOPBACK, 0},
+                                  workers, &setup->owner, &setup->clock.base,
+                                  &setup->counters, &setup->trace, &err);
+    g_assert_cmpint(result, ==, 0);
+    g_assert_cmpint(route_table_new(setup->view, setup->text, NULL, &table),
+                    ==, 0);
+    worker_pool_publish(&setup->pool, table);
+    g_assert_cmpint(worker_pool_start(&setup->pool, &err), ==, 0);
+}
+
+static void
+setup_close(struct setup *setup)
+{
+    worker_pool_finish(&setup->pool);
+    counter_table_finish(&setup->counters);
+    text_free(setup->text);
+    free(setup->view);
+    if (setup->endpoint >= 0)
+        close(setup->endpoint);
+    close(setup->sender);
+}
+
+static void
+send_raw(struct setup *setup, const uint8_t *bytes, size_t len)
+{
+    struct sockaddr_in sin = addr_to_sockaddr(setup->pool.addr);
+    g_assert_cmpint(sendto(setup->sender, bytes, len, 0,
+                           (struct sockaddr *)&sin, sizeof(sin)),
+                    ==, (ssize_t)len);
+}
+
+static size_t
+make_packet(uint8_t *bytes, uint32_t caller, const char *payload)
+{
+    gue_encode(NULL, bytes);
+    return BATCH_BARE + scene_tcp(bytes + BATCH_BARE, SCENE_LOTS_IP, caller,
+                                  PACKET_TCP_ACK, payload);
+}
+
+static uint64_t
+dropped(struct setup *setup, enum packet_drop drop)
+{
+    return counter_read(&setup->counters, setup->pool.dropped[drop]);
+}
+
+/* Bounded wait for something that a worker does */
+static void
+wait_for_value(struct setup *setup, int counter, uint64_t value)
+{
+    for (int i = 0; i < WAIT_TRIES; i++) {
+        if (counter_read(&setup->counters, counter) >= value)
+            return;
+        g_usleep(5000);
+    }
+    g_assert_cmpuint(counter_read(&setup->counters, counter), ==, value);
+}
+
+/* The packet arrives behind the hop list, byte for byte. */
+static void
+test_forward(void)
+{
+    struct setup setup;
+    uint8_t bytes[2048];
+    uint8_t got[2048];
+    struct gue gue;
+
+    setup_open(&setup, 3);
+    for (uint32_t caller = 0; caller < 200; caller++) {
+        size_t len = make_packet(bytes, caller, "GET / HTTP/1.1\r\n\r\n");
+        send_raw(&setup, bytes, len);
+        ssize_t n = recv(setup.endpoint, got, sizeof(got), 0);
+        g_assert_cmpint(n, >, 0);
+        int header = gue_decode(got, (size_t)n, &gue);
+        g_assert_cmpint(header, >, BATCH_BARE);
+        g_assert_cmpuint(gue.count, ==, 1);
+        g_assert_cmpuint(gue.service, ==, hash_service("lots"));
+        g_assert_cmpmem(got + header, (size_t)(n - header), bytes + BATCH_BARE,
+                        len - BATCH_BARE);
+    }
+    wait_for_value(&setup, setup.pool.forwarded, 200);
+    g_assert_cmpuint(worker_pool_last_us(&setup.pool), ==, setup.clock.now_us);
+    setup_close(&setup);
+}
+
+/* The largest packet passes; one byte more is too long. */
+static void
+test_sizes(void)
+{
+    struct setup setup;
+    uint8_t bytes[2048] = {0};
+    uint8_t got[2048];
+    char payload[PACKET_MAX - 40 + 2] = {0};
+
+    setup_open(&setup, 1);
+    memset(payload, 'x', PACKET_MAX - 40);
+    size_t len = make_packet(bytes, 1, payload);
+    g_assert_cmpuint(len, ==, BATCH_BARE + PACKET_MAX);
+    send_raw(&setup, bytes, len);
+    g_assert_cmpint(recv(setup.endpoint, got, sizeof(got), 0), >, PACKET_MAX);
+    send_raw(&setup, bytes, len + 1);
+    send_raw(&setup, bytes, sizeof(bytes));
+    wait_for_value(&setup, setup.pool.dropped[PACKET_LONG], 2);
+    setup_close(&setup);
+}
+
+static void
+test_drops(void)
+{
+    struct setup setup;
+    uint8_t bytes[2048];
+    struct gue gue = {.count = 1, .hops = {{1, {LOOPBACK, 1}}}};
+
+    setup_open(&setup, 2);
+    size_t len = make_packet(bytes, 1, "");
+    send_raw(&setup, bytes, 3);
+    bytes[1] = 41;
+    send_raw(&setup, bytes, len);
+    size_t header = gue_encode(&gue, bytes); /* only the bare form may come */
+    len = scene_tcp(bytes + header, SCENE_LOTS_IP, 1, PACKET_TCP_ACK, "");
+    send_raw(&setup, bytes, header + len);
+    wait_for_value(&setup, setup.pool.dropped[PACKET_ENCAP], 3);
+
+    len = make_packet(bytes, 1, "abc");
+    send_raw(&setup, bytes, len - 1);
+    wait_for_value(&setup, setup.pool.dropped[PACKET_SHORT], 1);
+    bytes[BATCH_BARE + 8] ^= 1;
+    send_raw(&setup, bytes, len);
+    wait_for_value(&setup, setup.pool.dropped[PACKET_IP_CHECKSUM], 1);
+    wait_for_value(&setup, setup.pool.received, 5);
+    g_assert_cmpuint(counter_read(&setup.counters, setup.pool.forwarded), ==,
+                     0);
+    g_assert_cmpuint(dropped(&setup, PACKET_SEND), ==, 0);
+    setup_close(&setup);
+}
+
+/* Whatever comes, each packet is forwarded or counted under one reason. */
+static void
+test_garbage(void)
+{
+    struct setup setup;
+    uint8_t bytes[2048];
+    uint64_t sum = 0;
+
+    setup_open(&setup, 1);
+    for (int i = 0; i < 3000; i++) {
+        size_t len = make_packet(bytes, (uint32_t)i, "hello");
+        for (int n = g_test_rand_int_range(0, 4); n > 0; n--)
+            bytes[g_test_rand_int_range(0, (gint32)len)] =
+                (uint8_t)g_test_rand_int();
+        send_raw(&setup, bytes, (size_t)g_test_rand_int_range(1, (gint32)len));
+        if (i % 50 == 0)
+            wait_for_value(&setup, setup.pool.received, (uint64_t)i);
+    }
+    wait_for_value(&setup, setup.pool.received, 3000);
+    worker_pool_finish(&setup.pool);
+    for (int i = 1; i < PACKET_DROP_COUNT; i++)
+        sum += dropped(&setup, (enum packet_drop)i);
+    sum += counter_read(&setup.counters, setup.pool.forwarded);
+    g_assert_cmpuint(sum, ==, 3000);
+    setup_close(&setup);
+}
+
+/* A closed endpoint is told to the owner, but not one seen a moment ago. */
+static void
+test_refused(void)
+{
+    struct setup setup;
+    uint8_t bytes[2048];
+    struct route_table *table;
+
+    setup_open(&setup, 1);
+    close(setup.endpoint);
+    setup.endpoint = -1;
+    setup.view->members[0].since_us = setup.clock.now_us;
+    route_table_new(setup.view, setup.text, setup.pool.table, &table);
+    worker_pool_publish(&setup.pool, table);
+    size_t len = make_packet(bytes, 1, "");
+    send_raw(&setup, bytes, len);
+    wait_for_value(&setup, setup.pool.refused, 1);
+    g_usleep(20000);
+    g_assert_cmpuint(setup.refused, ==, 0);
+
+    setup.view->members[0].since_us = SCENE_FIRST_SEEN_US;
+    route_table_new(setup.view, setup.text, setup.pool.table, &table);
+    worker_pool_publish(&setup.pool, table);
+    send_raw(&setup, bytes, len);
+    for (int i = 0; i < WAIT_TRIES && setup.refused == 0; i++)
+        g_usleep(5000);
+    g_assert_cmpuint(setup.refused, ==, setup.view->members[0].id);
+    setup_close(&setup);
+}
+
+/* A second process with the same address must not take half the packets. */
+static void
+test_address_taken(void)
+{
+    struct setup setup;
+    struct worker_pool second;
+    struct error err = {0};
+
+    setup_open(&setup, 2);
+    g_assert_cmpint(worker_pool_init(&second, setup.pool.addr, 2, &setup.owner,
+                                     &setup.clock.base, &setup.counters,
+                                     &setup.trace, &err),
+                    ==, -EADDRINUSE);
+    g_assert_cmpstr(err.step, ==, "open packet socket");
+    g_assert_cmpstr(err.peer, !=, "");
+    setup_close(&setup);
+}
+
+static void
+test_span_find(void)
+{
+    const char *id = "00-0af7651916cd43dd8448eb211c80319c-"
+                     "b7ad6b7169203331-01";
+    const struct {
+        const char *before;
+        const char *after;
+        int result;
+    } cases[] = {
+        {"GET / HTTP/1.1\r\nTraceparent: ", "\r\n", 0},
+        {"GET / HTTP/1.1\r\ntraceparent:", "", 0},
+        {"GET / HTTP/1.1\r\nX-traceparent: ", "\r\n", -ENOENT},
+        {"traceparent: ", "\r\n", -ENOENT},
+        {"POST / HTTP/1.1\r\n\r\n{\"a\": ", "}", -ENOENT},
+    };
+    struct trace_context context;
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        char *all = g_strconcat(cases[i].before, id, cases[i].after, NULL);
+        size_t len = strlen(all);
+        uint8_t *exact = g_memdup2(all, len);
+        g_assert_cmpint(span_find(exact, len, &context), ==, cases[i].result);
+        g_free(exact);
+        for (size_t cut = 0; cut < len - strlen(cases[i].after); cut++) {
+            exact = g_memdup2(all, cut);
+            g_assert_cmpint(span_find(exact, cut, &context), ==, -ENOENT);
+            g_free(exact);
+        }
+        g_free(all);
+    }
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/worker/forward", test_forward);
+    g_test_add_func("/worker/sizes", test_sizes);
+    g_test_add_func("/worker/drops", test_drops);
+    g_test_add_func("/worker/garbage", test_garbage);
+    g_test_add_func("/worker/refused", test_refused);
+    g_test_add_func("/worker/address-taken", test_address_taken);
+    g_test_add_func("/worker/span-find", test_span_find);
+    return g_test_run();
+}
