--- a/src/request/actions.c
+++ b/src/request/actions.c
@@ -27,6 +27,11 @@
     action->origin = engine->self;
     action->msg.type = type;
     action->msg.origin = engine->self;
+    if (engine->upstream.slots > 0) {
+        action->msg.load =
+            (uint16_t)(upstream_load(&engine->upstream, engine->now_us) + 1);
+    }
+    engine->counters.sent[type]++;
     if (entry != NULL) {
         action->id = entry->key.id;
         action->origin = entry->key.origin;
@@ -36,6 +41,24 @@
     return action;
 }
 
+bool
+engine_needs_down(const struct engine *engine, uint32_t service)
+{
+    const struct service *found = services_find(engine->services, service);
+
+    if (found == NULL) {
+        return false;
+    }
+    for (guint i = 0; i < found->needs->len; i++) {
+        uint32_t id = g_array_index(found->needs, uint32_t, i);
+
+        if (peers_lost_service(&engine->peers, id)) {
+            return true;
+        }
+    }
+    return false;
+}
+
 void
 engine_actions_finish(struct engine_actions *out)
 {
--- /dev/null
+++ b/src/request/admit.c
@@ -0,0 +1,180 @@
+#include "request/admit.h"
+
+#include "request/finish.h"
+
+#define FULL_LOAD 1000.0
+#define WAIT_MARGIN 1.25
+#define RETRY_AFTER_MIN_US (50 * USEC_PER_MSEC)
+#define RETRY_AFTER_MAX_US (30 * USEC_PER_SEC)
+#define JITTER_LOW 0.75
+#define JITTER_HIGH 1.25
+
+/* Slots that serve our queue: our own and the idle share of our peers'. */
+static double
+serving_slots(const struct engine *engine, uint32_t service)
+{
+    const GPtrArray *list = peers_of(&engine->peers, service);
+    double slots = upstream_slots(&engine->upstream, engine->now_us);
+
+    for (guint i = 0; i < list->len; i++) {
+        const struct peer *peer = g_ptr_array_index(list, i);
+
+        if (peer_takes(peer, engine->now_us) && peer->load_at_us != 0) {
+            slots += peer->slots * (1.0 - peer->load / FULL_LOAD);
+        }
+    }
+    return slots;
+}
+
+static bool
+anybody_serves(const struct engine *engine, uint32_t service)
+{
+    return upstream_serves(&engine->upstream, service) ||
+           peers_working(&engine->peers, service);
+}
+
+/* A free slot and nobody before it: no estimate can say no. */
+static bool
+starts_at_once(const struct engine *engine,
+               const struct engine_request *request)
+{
+    return queue_total(&engine->queue) == 0 &&
+           upstream_free(&engine->upstream, request->service, engine->now_us) >
+               0;
+}
+
+static bool
+is_too_late(const struct engine *engine, const struct engine_request *request)
+{
+    uint64_t left;
+    uint64_t gap;
+    double wait;
+
+    if (request->deadline_us <= engine->now_us) {
+        return true;
+    }
+    if (starts_at_once(engine, request)) {
+        return false;
+    }
+    left = request->deadline_us - engine->now_us;
+    gap = estimate_gap_us(&engine->estimate,
+                          serving_slots(engine, request->service),
+                          engine->now_us);
+    wait = WAIT_MARGIN * (double)gap *
+           queue_ahead(&engine->queue, request->class, request->deadline_us);
+    return wait + (double)estimate_run_most_us(&engine->estimate,
+                                               engine->now_us) >
+           (double)left;
+}
+
+/* An urgent request takes the place of the ordinary one that would have
+ * been served last. */
+static bool
+make_room(struct engine *engine, const struct engine_request *request)
+{
+    struct text_limits limits =
+        services_limits(engine->services, request->service);
+    struct entry *last;
+
+    if (queue_total(&engine->queue) < limits.queue) {
+        return true;
+    }
+    last = engine->queue.tail[TEXT_ORDINARY];
+    if (request->class != TEXT_URGENT || last == NULL) {
+        return false;
+    }
+    engine->counters.displaced++;
+    finish_unserved(engine, last, ENGINE_QUEUE_FULL);
+    return true;
+}
+
+enum engine_reason
+admit_check(struct engine *engine, const struct engine_request *request)
+{
+    struct text_limits limits =
+        services_limits(engine->services, request->service);
+
+    if (engine->stopping) {
+        return ENGINE_STOPPING;
+    }
+    if (!anybody_serves(engine, request->service)) {
+        return ENGINE_NO_UPSTREAM;
+    }
+    if (engine_needs_down(engine, request->service)) {
+        return ENGINE_DEPENDENCY;
+    }
+    if (is_too_late(engine, request)) {
+        return ENGINE_TOO_LATE;
+    }
+    if (!quota_take(&engine->quota, request->caller,
+                    limits.requests_per_caller)) {
+        return ENGINE_CALLER_LIMIT;
+    }
+    if (!make_room(engine, request)) {
+        quota_drop(&engine->quota, request->caller);
+        return ENGINE_QUEUE_FULL;
+    }
+    return ENGINE_REASON_NONE;
+}
+
+/* Whether anybody is left who could run it. */
+static bool
+has_server(const struct engine *engine, const struct entry *entry)
+{
+    const GPtrArray *list;
+
+    if (upstream_serves(&engine->upstream, entry->request.service)) {
+        return true;
+    }
+    list = peers_of(&engine->peers, entry->request.service);
+    for (guint i = 0; i < list->len; i++) {
+        const struct peer *peer = g_ptr_array_index(list, i);
+
+        if (peer->health != MEMBER_DEAD &&
+            (peer->state == MEMBER_READY || peer->state == MEMBER_WARMING) &&
+            !entry_tried(entry, peer->id)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+enum engine_reason
+admit_hopeless(const struct engine *engine, const struct entry *entry)
+{
+    uint64_t run_us = estimate_run_us(&engine->estimate, engine->now_us);
+    uint64_t deadline_us = entry->request.deadline_us;
+    unsigned free_slots = upstream_free(
+        &engine->upstream, entry->request.service, engine->now_us);
+
+    if (!has_server(engine, entry)) {
+        return entry->refused != ENGINE_REASON_NONE ? entry->refused
+                                                    : ENGINE_NO_UPSTREAM;
+    }
+    if (engine->now_us >= deadline_us) {
+        return ENGINE_TOO_LATE;
+    }
+    if (queue_total(&engine->queue) > free_slots &&
+        engine->now_us + run_us > deadline_us) {
+        return ENGINE_TOO_LATE;
+    }
+    return ENGINE_REASON_NONE;
+}
+
+uint32_t
+admit_retry_after_ms(struct engine *engine)
+{
+    uint64_t gap = estimate_gap_us(
+        &engine->estimate, serving_slots(engine, engine->upstream.service),
+        engine->now_us);
+    uint64_t drained = engine->now_us + gap * queue_total(&engine->queue);
+    uint64_t latest = engine->now_us + RETRY_AFTER_MAX_US;
+    double after;
+
+    engine->returns_us = MAX(engine->returns_us, drained) + gap;
+    engine->returns_us = MIN(engine->returns_us, latest);
+    after = (double)(engine->returns_us - engine->now_us);
+    after = MAX(after, (double)RETRY_AFTER_MIN_US);
+    after *= g_rand_double_range(engine->random, JITTER_LOW, JITTER_HIGH);
+    return (uint32_t)(after / USEC_PER_MSEC);
+}
--- /dev/null
+++ b/src/request/admit.h
@@ -0,0 +1,28 @@
+/**
+ * DOC: admit - which requests are taken, and when the others may come back
+ */
+#ifndef SWIFTARCH_REQUEST_ADMIT_H
+#define SWIFTARCH_REQUEST_ADMIT_H
+
+#include "request/state.h"
+
+/** admit_check() - why @request can't be taken, ENGINE_REASON_NONE if it
+ * can; may make room by giving up an ordinary request */
+enum engine_reason
+admit_check(struct engine *engine, const struct engine_request *request);
+
+/** admit_hopeless() - why waiting @entry can't be served any more,
+ * ENGINE_REASON_NONE while it can */
+enum engine_reason
+admit_hopeless(const struct engine *engine, const struct entry *entry);
+
+/**
+ * admit_retry_after_ms() - when a refused caller may come back
+ *
+ * Worked out from the queue: after those that wait now, and after those who
+ * were told to come back before, one for each start, with jitter.
+ */
+uint32_t
+admit_retry_after_ms(struct engine *engine);
+
+#endif
--- /dev/null
+++ b/src/request/dispatch.c
@@ -0,0 +1,194 @@
+#include "request/dispatch.h"
+
+#include "request/admit.h"
+#include "request/finish.h"
+
+#define UNPLACED_MAX 4
+
+const struct dispatch_ops *
+dispatch_ops_of(enum engine_policy policy)
+{
+    switch (policy) {
+    case ENGINE_LOCAL:
+        return &dispatch_local;
+    case ENGINE_TWO_CHOICES:
+        return &dispatch_two_choices;
+    case ENGINE_IDLE_QUEUE:
+        return &dispatch_idle_queue;
+    case ENGINE_PROBE:
+        return &dispatch_probe;
+    case ENGINE_PULL:
+        return &dispatch_pull;
+    }
+    return NULL;
+}
+
+const char *
+engine_policy_name(enum engine_policy policy)
+{
+    const struct dispatch_ops *ops = dispatch_ops_of(policy);
+
+    return ops != NULL ? ops->name : "unknown";
+}
+
+unsigned
+dispatch_free(const struct engine *engine, const struct entry *entry)
+{
+    return upstream_free(&engine->upstream, entry->request.service,
+                         engine->now_us);
+}
+
+bool
+dispatch_may_go(const struct engine *engine, const struct entry *entry,
+                const struct peer *peer)
+{
+    return peer->service == entry->request.service &&
+           peer_takes(peer, engine->now_us) && !entry_tried(entry, peer->id) &&
+           engine->now_us + peer->traffic.run_us < entry->request.deadline_us;
+}
+
+struct peer *
+dispatch_random(struct engine *engine, const struct entry *entry)
+{
+    const GPtrArray *list = peers_of(&engine->peers, entry->request.service);
+    struct peer *chosen = NULL;
+    int seen = 0;
+
+    for (guint i = 0; i < list->len; i++) {
+        struct peer *peer = g_ptr_array_index(list, i);
+
+        if (dispatch_may_go(engine, entry, peer) &&
+            g_rand_int_range(engine->random, 0, ++seen) == 0) {
+            chosen = peer;
+        }
+    }
+    return chosen;
+}
+
+uint64_t
+dispatch_no_home(struct engine *engine, struct entry *entry)
+{
+    const struct peer *peer;
+
+    if (upstream_serves(&engine->upstream, entry->request.service)) {
+        return 0;
+    }
+    peer = dispatch_random(engine, entry);
+    return peer != NULL ? peer->id : 0;
+}
+
+void
+dispatch_status(struct engine *engine, struct peer *peer)
+{
+    struct engine_action *action;
+
+    action = engine_send(engine, peer->id, ENGINE_PEER_STATUS, NULL);
+    action->msg.free_slots = (uint16_t)upstream_free(
+        &engine->upstream, peer->service, engine->now_us);
+    action->msg.waiting[TEXT_URGENT] =
+        (uint16_t)engine->queue.count[TEXT_URGENT];
+    action->msg.waiting[TEXT_ORDINARY] =
+        (uint16_t)engine->queue.count[TEXT_ORDINARY];
+    peer->told_at_us = engine->now_us;
+}
+
+static void
+run_here(struct engine *engine, struct entry *entry)
+{
+    struct engine_action *action = engine_emit(engine, ENGINE_RUN);
+
+    action->id = entry->key.id;
+    action->origin = entry->key.origin;
+    entry->place = ENTRY_RUNNING;
+    entry->started_us = engine->now_us;
+    upstream_take(&engine->upstream, engine->now_us);
+    engine->counters.runs++;
+}
+
+static void
+run_there(struct engine *engine, struct entry *entry, uint64_t member)
+{
+    struct peer *peer = peers_find(&engine->peers, member);
+
+    engine_send(engine, member, ENGINE_PEER_RUN, entry);
+    entry_mark_tried(entry, member);
+    entry->place = ENTRY_AT_PEER;
+    entry->peer = member;
+    entry->started_us = engine->now_us;
+    peer->sent++;
+    if (peer->offer > 0) {
+        peer->offer--;
+    }
+}
+
+static void
+start(struct engine *engine, struct entry *entry, uint64_t member)
+{
+    queue_remove(&engine->queue, entry);
+    queue_started(&engine->queue, entry->request.class);
+    estimate_departure(&engine->estimate, queue_total(&engine->queue),
+                       engine->now_us);
+    if (member == engine->self) {
+        run_here(engine, entry);
+    }
+    else {
+        run_there(engine, entry, member);
+    }
+}
+
+static bool
+start_one_of(struct engine *engine, enum text_class class)
+{
+    struct entry *entry = engine->queue.head[class];
+    unsigned unplaced = 0;
+
+    while (entry != NULL && unplaced < UNPLACED_MAX) {
+        uint64_t member = 0;
+
+        if (entry->cleared) {
+            member = engine->ops->place(engine, entry);
+            unplaced++;
+        }
+        if (member != 0) {
+            start(engine, entry, member);
+            return true;
+        }
+        entry = entry->next;
+    }
+    return false;
+}
+
+static bool
+start_one(struct engine *engine)
+{
+    enum text_class first = queue_first_class(&engine->queue);
+    enum text_class other = first == TEXT_URGENT ? TEXT_ORDINARY : TEXT_URGENT;
+
+    return start_one_of(engine, first) || start_one_of(engine, other);
+}
+
+static void
+drop_hopeless(struct engine *engine, enum text_class class)
+{
+    struct entry *entry = engine->queue.head[class];
+
+    while (entry != NULL) {
+        struct entry *next = entry->next;
+        enum engine_reason reason = admit_hopeless(engine, entry);
+
+        if (reason != ENGINE_REASON_NONE) {
+            finish_unserved(engine, entry, reason);
+        }
+        entry = next;
+    }
+}
+
+void
+dispatch_run(struct engine *engine)
+{
+    drop_hopeless(engine, TEXT_URGENT);
+    drop_hopeless(engine, TEXT_ORDINARY);
+    while (start_one(engine)) {
+    }
+    engine->ops->settle(engine);
+}
--- /dev/null
+++ b/src/request/dispatch.h
@@ -0,0 +1,63 @@
+/**
+ * DOC: dispatch - where a request runs
+ *
+ * A policy is a vtable. It places the next waiting request, says what else
+ * to do once nothing more can be started, and hears what peers tell.
+ */
+#ifndef SWIFTARCH_REQUEST_DISPATCH_H
+#define SWIFTARCH_REQUEST_DISPATCH_H
+
+#include "request/state.h"
+
+/**
+ * struct dispatch_ops - a policy
+ * @name: its name
+ * @place: member to run @entry now: engine->self, a peer, or 0 to wait
+ * @settle: called after all starts of a call
+ * @told: a STATUS or PULL of @peer was noted
+ */
+struct dispatch_ops {
+    const char *name;
+    uint64_t (*place)(struct engine *engine, struct entry *entry);
+    void (*settle)(struct engine *engine);
+    void (*told)(struct engine *engine, struct peer *peer,
+                 const struct engine_peer_msg *msg);
+};
+
+extern const struct dispatch_ops dispatch_local;
+extern const struct dispatch_ops dispatch_two_choices;
+extern const struct dispatch_ops dispatch_idle_queue;
+extern const struct dispatch_ops dispatch_probe;
+extern const struct dispatch_ops dispatch_pull;
+
+/** dispatch_ops_of() - vtable of a policy */
+const struct dispatch_ops *
+dispatch_ops_of(enum engine_policy policy);
+
+/** dispatch_run() - start what can be started, give up what is hopeless */
+void
+dispatch_run(struct engine *engine);
+
+/** dispatch_free() - local slots free for @entry */
+unsigned
+dispatch_free(const struct engine *engine, const struct entry *entry);
+
+/** dispatch_may_go() - whether @peer may be sent @entry now */
+bool
+dispatch_may_go(const struct engine *engine, const struct entry *entry,
+                const struct peer *peer);
+
+/** dispatch_random() - some peer that may be sent @entry, or NULL */
+struct peer *
+dispatch_random(struct engine *engine, const struct entry *entry);
+
+/** dispatch_no_home() - place of @entry when no local upstream serves it:
+ * random peers one after the other; 0 when none is left */
+uint64_t
+dispatch_no_home(struct engine *engine, struct entry *entry);
+
+/** dispatch_status() - send our status to @peer */
+void
+dispatch_status(struct engine *engine, struct peer *peer);
+
+#endif
--- /dev/null
+++ b/src/request/dispatch_two.c
@@ -0,0 +1,77 @@
+/**
+ * DOC: dispatch_two - two choices on the load that the view reports
+ *
+ * Each request looks at two random agents, its own included, and goes to
+ * the one with less busy and waiting for each slot. One that is declined
+ * waits for the local upstream.
+ */
+#include "request/dispatch.h"
+
+static double
+reported(const struct peer *peer)
+{
+    return (peer->told_busy + peer->told_waiting) /
+           (double)MAX(peer->slots, 1);
+}
+
+static double
+own(const struct engine *engine)
+{
+    unsigned in_flight = engine->upstream.busy + queue_total(&engine->queue);
+
+    return (in_flight - 1.0) / MAX(engine->upstream.slots, 1);
+}
+
+static uint64_t
+better_of(struct engine *engine, struct entry *entry)
+{
+    const struct peer *first = dispatch_random(engine, entry);
+    const struct peer *second = dispatch_random(engine, entry);
+    guint others = peers_of(&engine->peers, entry->request.service)->len;
+    bool self_drawn =
+        g_rand_int_range(engine->random, 0, (gint32)others + 1) < 2;
+
+    if (first == NULL) {
+        return 0;
+    }
+    if (self_drawn) {
+        return reported(first) < own(engine) ? first->id : 0;
+    }
+    return reported(second) < reported(first) ? second->id : first->id;
+}
+
+static uint64_t
+place(struct engine *engine, struct entry *entry)
+{
+    uint64_t member;
+
+    if (!entry->pushed) {
+        entry->pushed = true;
+        member = better_of(engine, entry);
+        if (member != 0) {
+            return member;
+        }
+    }
+    if (dispatch_free(engine, entry) > 0) {
+        return engine->self;
+    }
+    return dispatch_no_home(engine, entry);
+}
+
+static void
+settle(struct engine *engine)
+{
+}
+
+static void
+told(struct engine *engine, struct peer *peer,
+     const struct engine_peer_msg *msg)
+{
+}
+
+const struct dispatch_ops dispatch_two_choices = {
+    .name = "two-choices",
+    .place = place,
+    .settle = settle,
+    .told = told,
+};
--- a/src/request/engine.c
+++ b/src/request/engine.c
@@ -1,8 +1,14 @@
+#include "request/admit.h"
+#include "request/dispatch.h"
 #include "request/finish.h"
 #include "request/keyed.h"
+#include "request/outcome.h"
+#include "request/remote.h"
 
 #include <errno.h>
 
+#define FULL_LOAD 1000.0
+
 static void
 begin_call(struct engine *engine, uint64_t now_us, struct engine_actions *out)
 {
@@ -11,69 +17,24 @@
     g_ptr_array_set_size(engine->held, 0);
 }
 
-static bool
-local_takes(const struct engine *engine, uint32_t service)
-{
-    return engine->accepting && engine->service == service &&
-           engine->busy < engine->slots;
-}
-
-static void
-run_here(struct engine *engine, struct entry *entry)
-{
-    struct engine_action *action = engine_emit(engine, ENGINE_RUN);
-
-    action->id = entry->key.id;
-    action->origin = entry->key.origin;
-    entry->place = ENTRY_RUNNING;
-    entry->started_us = engine->now_us;
-    engine->busy++;
-}
-
-static struct entry *
-next_cleared(const struct engine *engine, enum text_class class)
-{
-    struct entry *entry = engine->queue.head[class];
-
-    while (entry != NULL && !entry->cleared) {
-        entry = entry->next;
-    }
-    return entry;
-}
-
-static struct entry *
-next_to_start(const struct engine *engine)
-{
-    enum text_class first = queue_first_class(&engine->queue);
-    enum text_class other = first == TEXT_URGENT ? TEXT_ORDINARY : TEXT_URGENT;
-    struct entry *entry = next_cleared(engine, first);
-
-    return entry != NULL ? entry : next_cleared(engine, other);
-}
-
-static void
-start_waiting(struct engine *engine)
-{
-    struct entry *entry = next_to_start(engine);
-
-    while (entry != NULL && local_takes(engine, entry->request.service)) {
-        enum text_class class = entry->request.class;
-
-        queue_remove(&engine->queue, entry);
-        queue_started(&engine->queue, class);
-        run_here(engine, entry);
-        entry = next_to_start(engine);
-    }
-}
-
 struct engine *
 engine_new(uint64_t self, enum engine_policy policy, uint64_t seed)
 {
-    struct engine *engine = g_new0(struct engine, 1);
+    const struct dispatch_ops *ops = dispatch_ops_of(policy);
+    struct engine *engine;
 
+    if (ops == NULL) {
+        return NULL;
+    }
+    engine = g_new0(struct engine, 1);
+    engine->ops = ops;
     engine->self = self;
     engine->random = g_rand_new_with_seed((guint32)(seed ^ (seed >> 32)));
     engine->entries = entry_table_new();
+    quota_init(&engine->quota);
+    retry_init(&engine->retry);
+    peers_init(&engine->peers);
+    seen_init(&engine->seen);
     engine->idem = idem_new(self, ENGINE_KEYS_MAX);
     engine->held = g_ptr_array_new_with_free_func(g_free);
     return engine;
@@ -86,20 +47,51 @@
         return;
     }
     g_rand_free(engine->random);
+    if (engine->services != NULL) {
+        g_hash_table_destroy(engine->services);
+    }
     g_hash_table_destroy(engine->entries);
+    quota_finish(&engine->quota);
+    peers_finish(&engine->peers);
+    seen_finish(&engine->seen);
     idem_actions_finish(&engine->idem_out);
     idem_free(engine->idem);
     g_ptr_array_free(engine->held, TRUE);
     g_free(engine);
 }
 
+static void
+note_own_state(struct engine *engine, const struct view *view)
+{
+    const struct view_member *own;
+
+    if (view->self >= view->count) {
+        return;
+    }
+    own = &view->members[view->self];
+    if (own->state != MEMBER_WARMING) {
+        engine->upstream.warm_from_us = 0;
+    }
+    else if (engine->upstream.warm_from_us == 0) {
+        engine->upstream.warm_from_us = MAX(engine->now_us, 1);
+    }
+}
+
 int
 engine_set_view(struct engine *engine, const struct view *view,
                 uint64_t now_us, struct engine_actions *out)
 {
+    GArray *gone = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+
     begin_call(engine, now_us, out);
+    note_own_state(engine, view);
+    peers_set_view(&engine->peers, view, engine->self, gone);
+    for (guint i = 0; i < gone->len; i++) {
+        remote_lost(engine, g_array_index(gone, uint64_t, i));
+    }
+    g_array_free(gone, TRUE);
     keyed_set_view(engine, view);
-    start_waiting(engine);
+    dispatch_run(engine);
     return 0;
 }
 
@@ -108,6 +100,11 @@
                 uint64_t now_us, struct engine_actions *out)
 {
     begin_call(engine, now_us, out);
+    if (engine->services != NULL) {
+        g_hash_table_destroy(engine->services);
+    }
+    engine->services = services_new(text);
+    dispatch_run(engine);
     return 0;
 }
 
@@ -116,36 +113,68 @@
                     bool accepting, uint64_t now_us,
                     struct engine_actions *out)
 {
+    struct upstream *upstream = &engine->upstream;
+
     begin_call(engine, now_us, out);
-    engine->service = service;
-    engine->slots = slots;
-    engine->accepting = accepting;
-    start_waiting(engine);
+    if (upstream->slots == 0 || upstream->service != service) {
+        upstream->traffic = (struct health){0};
+        upstream->pauses = 0;
+        upstream->paused_until_us = 0;
+        upstream->errors = 0;
+    }
+    upstream->service = service;
+    upstream->slots = slots;
+    upstream->accepting = accepting;
+    dispatch_run(engine);
     return 0;
 }
 
+static bool
+is_valid(const struct engine_request *request)
+{
+    return (request->class == TEXT_URGENT ||
+            request->class == TEXT_ORDINARY) &&
+           request->service != 0;
+}
+
+static void
+enter(struct engine *engine, const struct engine_request *request)
+{
+    struct entry *entry =
+        entry_add(engine->entries, engine->self, request, engine->now_us);
+
+    engine->open++;
+    entry->cleared = !request->keyed;
+    queue_push(&engine->queue, entry);
+    if (request->keyed) {
+        keyed_begin(engine, entry);
+    }
+}
+
 int
 engine_arrive(struct engine *engine, const struct engine_request *request,
               uint64_t now_us, struct engine_actions *out)
 {
-    struct entry *entry;
+    struct engine_request admitted = *request;
+    enum engine_reason reason;
 
     begin_call(engine, now_us, out);
+    if (!is_valid(request)) {
+        return -EINVAL;
+    }
     if (entry_find(engine->entries, engine->self, request->id) != NULL) {
         return -EEXIST;
     }
-    if (engine->stopping) {
-        finish_refused(engine, request->id, ENGINE_STOPPING, 1000);
+    engine->counters.arrived++;
+    admitted.class =
+        services_class(engine->services, request->service, request->class);
+    reason = admit_check(engine, &admitted);
+    if (reason != ENGINE_REASON_NONE) {
+        finish_refused(engine, request->id, reason);
         return 0;
     }
-    entry = entry_add(engine->entries, engine->self, request, now_us);
-    engine->open++;
-    entry->cleared = !request->keyed;
-    queue_push(&engine->queue, entry);
-    if (request->keyed) {
-        keyed_begin(engine, entry);
-    }
-    start_waiting(engine);
+    enter(engine, &admitted);
+    dispatch_run(engine);
     return 0;
 }
 
@@ -161,34 +190,85 @@
         return -ENOENT;
     }
     if (entry->place == ENTRY_WAITING) {
-        finish_unserved(engine, entry, ENGINE_REASON_NONE);
+        finish_unserved(engine, entry, ENGINE_CANCELLED);
     }
     else {
-        finish_unknown(engine, entry, ENGINE_REASON_NONE);
+        finish_unknown(engine, entry, ENGINE_CANCELLED);
     }
-    start_waiting(engine);
+    dispatch_run(engine);
     return 0;
 }
 
+/* Whether the peers have room for the work of the local upstream. */
+static bool
+peers_have_room(const struct engine *engine)
+{
+    const GPtrArray *list = peers_of(&engine->peers, engine->upstream.service);
+    double room = 0;
+
+    for (guint i = 0; i < list->len; i++) {
+        const struct peer *peer = g_ptr_array_index(list, i);
+
+        if (peer_takes(peer, engine->now_us)) {
+            room += peer->slots * (1.0 - peer->load / FULL_LOAD);
+        }
+    }
+    return room >= 1.0;
+}
+
+static void
+upstream_failed(struct engine *engine)
+{
+    struct upstream *upstream = &engine->upstream;
+
+    if (engine_needs_down(engine, upstream->service)) {
+        return;
+    }
+    if (health_failed(&upstream->traffic) && peers_have_room(engine)) {
+        health_shun(&upstream->traffic, engine->now_us);
+    }
+}
+
+static void
+run_answered(struct engine *engine, struct entry *entry, uint64_t took_us,
+             const uint8_t *answer, size_t answer_len)
+{
+    bool excused = engine_needs_down(engine, engine->upstream.service);
+
+    estimate_run(&engine->estimate, took_us, engine->now_us);
+    upstream_answered(&engine->upstream, took_us, answer, answer_len, excused);
+    if (engine_is_local(engine, entry)) {
+        retry_succeeded(&engine->retry);
+    }
+    finish_answered(engine, entry, answer, answer_len);
+}
+
 static void
 run_ended(struct engine *engine, struct entry *entry, enum engine_upstream how,
           const uint8_t *answer, size_t answer_len)
 {
+    uint64_t took_us = engine->now_us - entry->started_us;
+
     switch (how) {
     case ENGINE_UP_ANSWERED:
-        finish_answered(engine, entry, answer, answer_len);
+        run_answered(engine, entry, took_us, answer, answer_len);
         return;
     case ENGINE_UP_REFUSED:
-        finish_unserved(engine, entry, ENGINE_UPSTREAM_SHED);
+        upstream_refused(&engine->upstream, engine->now_us);
+        outcome_refused(engine, entry, ENGINE_UPSTREAM_SHED);
         return;
     case ENGINE_UP_UNREACHED:
-        finish_unserved(engine, entry, ENGINE_NO_UPSTREAM);
+        upstream_refused(&engine->upstream, engine->now_us);
+        upstream_failed(engine);
+        outcome_refused(engine, entry, ENGINE_NO_UPSTREAM);
         return;
     case ENGINE_UP_LOST:
-        finish_unknown(engine, entry, ENGINE_LOST);
+        upstream_failed(engine);
+        outcome_lost(engine, entry, ENGINE_LOST);
         return;
     case ENGINE_UP_SHORT:
-        finish_unknown(engine, entry, ENGINE_SHORT);
+        upstream_failed(engine);
+        outcome_lost(engine, entry, ENGINE_SHORT);
         return;
     }
 }
@@ -200,23 +280,23 @@
                     struct engine_actions *out)
 {
     struct entry *entry;
-    bool aborted;
 
     begin_call(engine, now_us, out);
     entry = entry_find(engine->entries, origin, id);
     if (entry == NULL ||
         (entry->place != ENTRY_RUNNING && entry->place != ENTRY_ABORTED)) {
+        engine->counters.dropped++;
         return -ENOENT;
     }
-    aborted = entry->place == ENTRY_ABORTED;
-    finish_slot_free(engine, entry);
-    if (aborted) {
+    upstream_drop(&engine->upstream, engine->now_us);
+    if (entry->place == ENTRY_ABORTED) {
         entry_remove(engine->entries, entry);
     }
     else {
+        entry->place = ENTRY_WAITING;
         run_ended(engine, entry, how, answer, answer_len);
     }
-    start_waiting(engine);
+    dispatch_run(engine);
     return 0;
 }
 
@@ -225,12 +305,17 @@
             const struct engine_peer_msg *msg, const uint8_t *answer,
             size_t answer_len, uint64_t now_us, struct engine_actions *out)
 {
+    int rc = 0;
+
     begin_call(engine, now_us, out);
     if (msg->type == ENGINE_PEER_IDEM) {
         keyed_receive(engine, from, &msg->idem);
     }
-    start_waiting(engine);
-    return 0;
+    else {
+        rc = remote_receive(engine, from, msg, answer, answer_len);
+    }
+    dispatch_run(engine);
+    return rc;
 }
 
 int
@@ -238,30 +323,42 @@
                  struct engine_actions *out)
 {
     begin_call(engine, now_us, out);
+    remote_lost(engine, member);
+    dispatch_run(engine);
     return 0;
 }
 
-static bool
+int
+engine_unsent(struct engine *engine, uint64_t member, uint64_t id,
+              uint64_t now_us, struct engine_actions *out)
+{
+    struct entry *entry;
+
+    begin_call(engine, now_us, out);
+    entry = entry_find(engine->entries, engine->self, id);
+    if (entry == NULL || entry->place != ENTRY_AT_PEER ||
+        entry->peer != member) {
+        return -ENOENT;
+    }
+    remote_unsent(engine, entry);
+    dispatch_run(engine);
+    return 0;
+}
+
+static void
 tick_entry(struct engine *engine, struct entry *entry)
 {
     if (entry->place == ENTRY_ABORTED) {
-        if (engine->now_us < entry->started_us + ENGINE_ABORT_GRACE_US) {
-            return false;
+        if (engine->now_us >= entry->started_us + ENGINE_ABORT_GRACE_US) {
+            upstream_drop(&engine->upstream, engine->now_us);
+            entry_remove(engine->entries, entry);
         }
-        finish_slot_free(engine, entry);
-        entry_remove(engine->entries, entry);
-        return true;
-    }
-    if (engine->now_us < entry->request.deadline_us) {
-        return false;
-    }
-    if (entry->place == ENTRY_WAITING) {
-        finish_unserved(engine, entry, ENGINE_TOO_LATE);
+        return;
     }
-    else {
+    if (entry->place != ENTRY_WAITING &&
+        engine->now_us >= entry->request.deadline_us) {
         finish_unknown(engine, entry, ENGINE_DEADLINE);
     }
-    return true;
 }
 
 int
@@ -273,10 +370,11 @@
     keyed_tick(engine);
     list = g_hash_table_get_values(engine->entries);
     for (GList *item = list; item != NULL; item = item->next) {
-        (void)tick_entry(engine, item->data);
+        tick_entry(engine, item->data);
     }
     g_list_free(list);
-    start_waiting(engine);
+    seen_expire(&engine->seen, engine->now_us);
+    dispatch_run(engine);
     return 0;
 }
 
@@ -285,13 +383,20 @@
 {
     begin_call(engine, now_us, out);
     engine->stopping = true;
+    dispatch_run(engine);
     return 0;
 }
 
+const struct engine_counters *
+engine_counters(const struct engine *engine)
+{
+    return &engine->counters;
+}
+
 unsigned
 engine_busy(const struct engine *engine)
 {
-    return engine->busy;
+    return engine->upstream.busy;
 }
 
 unsigned
--- a/src/request/engine.h
+++ b/src/request/engine.h
@@ -65,7 +65,8 @@
     ENGINE_LOST,          /* upstream or peer went away with it */
     ENGINE_SHORT,         /* the upstream's answer was cut */
     ENGINE_DEADLINE,      /* no answer by the deadline */
-    ENGINE_STOPPING
+    ENGINE_STOPPING,
+    ENGINE_CANCELLED /* its caller went away */
 };
 
 /** enum engine_upstream - how a run at the local upstream ended */
@@ -165,6 +166,34 @@
 /** ENGINE_ABORT_GRACE_US - an aborted run holds its slot no longer */
 #define ENGINE_ABORT_GRACE_US (50 * USEC_PER_MSEC)
 
+#define ENGINE_OUTCOMES 5
+#define ENGINE_REASONS 13
+#define ENGINE_PEER_TYPES 7
+
+/**
+ * struct engine_counters - what happened since the engine began
+ * @arrived: local requests
+ * @finished: local requests by outcome
+ * @reasons: local requests not answered, by reason
+ * @runs: runs on the local upstream
+ * @sent: messages to peers by type
+ * @declined: RUN messages declined here for want of a slot
+ * @retried: second and further attempts at local requests
+ * @displaced: ordinary requests that gave way in a full queue
+ * @dropped: late, repeated or unknown DONE and RUN messages
+ */
+struct engine_counters {
+    uint64_t arrived;
+    uint64_t finished[ENGINE_OUTCOMES];
+    uint64_t reasons[ENGINE_REASONS];
+    uint64_t runs;
+    uint64_t sent[ENGINE_PEER_TYPES];
+    uint64_t declined;
+    uint64_t retried;
+    uint64_t displaced;
+    uint64_t dropped;
+};
+
 struct engine;
 
 /**
@@ -240,6 +269,22 @@
 engine_stop(struct engine *engine, uint64_t now_us,
             struct engine_actions *out);
 
+/** engine_unsent() - an ENGINE_SEND of RUN for local request @id to @member
+ * could not be sent at all (never queued, or no connection came up): it was
+ * not run there */
+int
+engine_unsent(struct engine *engine, uint64_t member, uint64_t id,
+              uint64_t now_us, struct engine_actions *out);
+
+/** engine_counters() - counters, valid while the engine is */
+const struct engine_counters *
+engine_counters(const struct engine *engine);
+
+/** engine_policy_name() - "local", "two-choices", "idle-queue", "probe" or
+ * "pull" */
+const char *
+engine_policy_name(enum engine_policy policy);
+
 /** engine_busy() - requests running on the local upstream */
 unsigned
 engine_busy(const struct engine *engine);
--- a/src/request/entry.h
+++ b/src/request/entry.h
@@ -33,6 +33,8 @@
  * @place: where it is
  * @cleared: it may run: no idempotency key, or the key is reserved
  * @handed: some upstream may have begun it, so it is never "not run" again
+ * @pushed: the policy has chosen a place for it once already
+ * @refused: why it came back unrun, the last time
  * @queued: linked into the queue
  * @arrived_us: when it arrived here
  * @started_us: RUNNING, AT_PEER: since when; ABORTED: when aborted
@@ -49,6 +51,8 @@
     enum entry_place place;
     bool cleared;
     bool handed;
+    bool pushed;
+    enum engine_reason refused;
     bool queued;
     uint64_t arrived_us;
     uint64_t started_us;
--- a/src/request/finish.c
+++ b/src/request/finish.c
@@ -1,30 +1,72 @@
 #include "request/finish.h"
 
+#include "request/admit.h"
 #include "request/keyed.h"
+#include "request/remote.h"
 
-/* A run that is aborted keeps its slot until the upstream let go of it. */
 static void
-release(struct engine *engine, struct entry *entry)
+leave_place(struct engine *engine, struct entry *entry)
 {
     if (entry->queued) {
         queue_remove(&engine->queue, entry);
     }
-    if (entry->key.origin == engine->self) {
-        engine->open--;
+    if (entry->place == ENTRY_AT_PEER) {
+        engine_send(engine, entry->peer, ENGINE_PEER_CANCEL, entry);
+        remote_leave(engine, entry);
     }
-    if (entry->place == ENTRY_RUNNING) {
-        struct engine_action *action = engine_emit(engine, ENGINE_ABORT);
+}
 
-        action->id = entry->key.id;
-        action->origin = entry->key.origin;
-        entry->place = ENTRY_ABORTED;
-        entry->started_us = engine->now_us;
+/* A run that is aborted keeps its slot until the upstream let go of it. */
+static void
+release(struct engine *engine, struct entry *entry)
+{
+    struct engine_action *action;
+
+    leave_place(engine, entry);
+    if (engine_is_local(engine, entry)) {
+        engine->open--;
+        quota_drop(&engine->quota, entry->request.caller);
+    }
+    if (entry->place != ENTRY_RUNNING) {
+        entry_remove(engine->entries, entry);
         return;
     }
-    if (entry->place == ENTRY_AT_PEER) {
-        engine_send(engine, entry->peer, ENGINE_PEER_CANCEL, entry);
+    action = engine_emit(engine, ENGINE_ABORT);
+    action->id = entry->key.id;
+    action->origin = entry->key.origin;
+    entry->place = ENTRY_ABORTED;
+    entry->started_us = engine->now_us;
+}
+
+static struct engine_action *
+tell_origin(struct engine *engine, const struct entry *entry,
+            enum engine_outcome outcome, enum engine_reason reason)
+{
+    struct engine_action *action;
+
+    action = engine_send(engine, entry->key.origin, ENGINE_PEER_DONE, entry);
+    action->msg.outcome = outcome;
+    action->msg.reason = reason;
+    return action;
+}
+
+static struct engine_action *
+tell_caller(struct engine *engine, uint64_t id, enum engine_outcome outcome,
+            enum engine_reason reason)
+{
+    struct engine_action *action;
+    uint32_t retry_after_ms = 0;
+
+    if (outcome == ENGINE_NOT_RUN || outcome == ENGINE_IN_PROGRESS) {
+        retry_after_ms = admit_retry_after_ms(engine);
     }
-    entry_remove(engine->entries, entry);
+    engine->counters.finished[outcome]++;
+    engine->counters.reasons[reason]++;
+    action = engine_emit(engine, ENGINE_FINISH);
+    action->id = id;
+    action->origin = engine->self;
+    action->retry_after_ms = retry_after_ms;
+    return action;
 }
 
 static struct engine_action *
@@ -33,16 +75,11 @@
 {
     struct engine_action *action;
 
-    if (entry->key.origin != engine->self) {
-        action =
-            engine_send(engine, entry->key.origin, ENGINE_PEER_DONE, entry);
-        action->msg.outcome = outcome;
-        action->msg.reason = reason;
+    if (engine_is_local(engine, entry)) {
+        action = tell_caller(engine, entry->key.id, outcome, reason);
     }
     else {
-        action = engine_emit(engine, ENGINE_FINISH);
-        action->id = entry->key.id;
-        action->origin = entry->key.origin;
+        action = tell_origin(engine, entry, outcome, reason);
     }
     action->outcome = outcome;
     action->reason = reason;
@@ -53,12 +90,8 @@
 finish(struct engine *engine, struct entry *entry, enum engine_outcome outcome,
        enum engine_reason reason, const uint8_t *answer, size_t answer_len)
 {
-    struct engine_action *action = tell(engine, entry, outcome, reason);
-
-    if (outcome == ENGINE_NOT_RUN) {
-        action->retry_after_ms = 1000;
-    }
-    if (entry->request.keyed && entry->key.origin == engine->self) {
+    tell(engine, entry, outcome, reason);
+    if (entry->request.keyed && engine_is_local(engine, entry)) {
         keyed_end(engine, entry, outcome, answer, answer_len);
     }
     release(engine, entry);
@@ -91,11 +124,7 @@
 finish_settled(struct engine *engine, struct entry *entry,
                enum engine_outcome outcome, enum engine_reason reason)
 {
-    struct engine_action *action = tell(engine, entry, outcome, reason);
-
-    if (outcome == ENGINE_NOT_RUN || outcome == ENGINE_IN_PROGRESS) {
-        action->retry_after_ms = 1000;
-    }
+    tell(engine, entry, outcome, reason);
     release(engine, entry);
 }
 
@@ -112,23 +141,17 @@
 }
 
 void
-finish_refused(struct engine *engine, uint64_t id, enum engine_reason reason,
-               uint32_t retry_after_ms)
+finish_abandoned(struct engine *engine, struct entry *entry)
 {
-    struct engine_action *action = engine_emit(engine, ENGINE_FINISH);
-
-    action->id = id;
-    action->origin = engine->self;
-    action->outcome = ENGINE_NOT_RUN;
-    action->reason = reason;
-    action->retry_after_ms = retry_after_ms;
+    release(engine, entry);
 }
 
 void
-finish_slot_free(struct engine *engine, struct entry *entry)
+finish_refused(struct engine *engine, uint64_t id, enum engine_reason reason)
 {
-    g_assert(engine->busy > 0);
-    g_assert(entry->place == ENTRY_RUNNING || entry->place == ENTRY_ABORTED);
-    engine->busy--;
-    entry->place = ENTRY_WAITING;
+    struct engine_action *action;
+
+    action = tell_caller(engine, id, ENGINE_NOT_RUN, reason);
+    action->outcome = ENGINE_NOT_RUN;
+    action->reason = reason;
 }
--- a/src/request/finish.h
+++ b/src/request/finish.h
@@ -36,13 +36,12 @@
 finish_replayed(struct engine *engine, struct entry *entry,
                 const struct idem_msg *msg);
 
-/** finish_refused() - a request that never became an entry */
+/** finish_abandoned() - nobody is left to tell: only stop the work */
 void
-finish_refused(struct engine *engine, uint64_t id, enum engine_reason reason,
-               uint32_t retry_after_ms);
+finish_abandoned(struct engine *engine, struct entry *entry);
 
-/** finish_slot_free() - the local slot of @entry is free again */
+/** finish_refused() - a request that never became an entry */
 void
-finish_slot_free(struct engine *engine, struct entry *entry);
+finish_refused(struct engine *engine, uint64_t id, enum engine_reason reason);
 
 #endif
--- /dev/null
+++ b/src/request/outcome.c
@@ -0,0 +1,59 @@
+#include "request/outcome.h"
+
+#include "request/finish.h"
+
+static void
+wait_again(struct engine *engine, struct entry *entry)
+{
+    entry->place = ENTRY_WAITING;
+    queue_push(&engine->queue, entry);
+}
+
+/* The agent that accepted a request is the only one to try it again. */
+static bool
+may_try_again(struct engine *engine, const struct entry *entry)
+{
+    uint64_t run_us = estimate_run_us(&engine->estimate, engine->now_us);
+
+    return engine_is_local(engine, entry) &&
+           entry->attempts < RETRY_ATTEMPTS_MAX &&
+           engine->now_us + run_us < entry->request.deadline_us &&
+           retry_take(&engine->retry);
+}
+
+void
+outcome_declined(struct engine *engine, struct entry *entry,
+                 enum engine_reason reason)
+{
+    entry->refused = reason;
+    wait_again(engine, entry);
+}
+
+void
+outcome_refused(struct engine *engine, struct entry *entry,
+                enum engine_reason reason)
+{
+    entry->attempts++;
+    entry->refused = reason;
+    if (!may_try_again(engine, entry)) {
+        finish_unserved(engine, entry, reason);
+        return;
+    }
+    engine->counters.retried++;
+    wait_again(engine, entry);
+}
+
+void
+outcome_lost(struct engine *engine, struct entry *entry,
+             enum engine_reason reason)
+{
+    entry->attempts++;
+    entry->handed = true;
+    entry->refused = reason;
+    if (!entry->request.idempotent || !may_try_again(engine, entry)) {
+        finish_unknown(engine, entry, reason);
+        return;
+    }
+    engine->counters.retried++;
+    wait_again(engine, entry);
+}
--- a/src/request/queue.c
+++ b/src/request/queue.c
@@ -82,11 +82,14 @@
     if (queue->count[TEXT_URGENT] == 0) {
         return TEXT_ORDINARY;
     }
-    if (queue->count[TEXT_ORDINARY] > 0 &&
-        queue->urgent_streak + 1 >= QUEUE_ORDINARY_EVERY) {
-        return TEXT_ORDINARY;
-    }
-    return TEXT_URGENT;
+    return queue_floor_due(queue) ? TEXT_ORDINARY : TEXT_URGENT;
+}
+
+bool
+queue_floor_due(const struct queue *queue)
+{
+    return queue->count[TEXT_ORDINARY] > 0 &&
+           queue->urgent_streak + 1 >= QUEUE_ORDINARY_EVERY;
 }
 
 void
--- /dev/null
+++ b/src/request/remote.c
@@ -0,0 +1,295 @@
+#include "request/remote.h"
+
+#include <errno.h>
+
+#include "request/dispatch.h"
+#include "request/finish.h"
+#include "request/outcome.h"
+
+static void
+answer_declined(struct engine *engine, uint64_t to,
+                const struct engine_peer_msg *msg, enum engine_reason reason)
+{
+    struct engine_action *action;
+
+    action = engine_send(engine, to, ENGINE_PEER_DONE, NULL);
+    action->id = msg->request.id;
+    action->origin = to;
+    action->outcome = ENGINE_NOT_RUN;
+    action->reason = reason;
+    action->msg.origin = to;
+    action->msg.request = msg->request;
+    action->msg.outcome = ENGINE_NOT_RUN;
+    action->msg.reason = reason;
+    engine->counters.declined++;
+}
+
+static enum engine_reason
+why_decline(const struct engine *engine, const struct engine_request *request)
+{
+    if (engine->stopping) {
+        return ENGINE_STOPPING;
+    }
+    if (!upstream_serves(&engine->upstream, request->service)) {
+        return ENGINE_NO_UPSTREAM;
+    }
+    if (request->deadline_us <= engine->now_us) {
+        return ENGINE_TOO_LATE;
+    }
+    if (upstream_free(&engine->upstream, request->service, engine->now_us) ==
+        0) {
+        return ENGINE_QUEUE_FULL;
+    }
+    return ENGINE_REASON_NONE;
+}
+
+static void
+run_for(struct engine *engine, const struct engine_peer_msg *msg)
+{
+    struct entry *entry =
+        entry_add(engine->entries, msg->origin, &msg->request, engine->now_us);
+    struct engine_action *action = engine_emit(engine, ENGINE_RUN);
+
+    action->id = entry->key.id;
+    action->origin = entry->key.origin;
+    entry->cleared = true;
+    entry->place = ENTRY_RUNNING;
+    entry->started_us = engine->now_us;
+    upstream_take(&engine->upstream, engine->now_us);
+    engine->counters.runs++;
+}
+
+static void
+receive_run(struct engine *engine, uint64_t from,
+            const struct engine_peer_msg *msg)
+{
+    enum engine_reason reason;
+
+    engine->dispatch.hold_until_us = 0;
+    if (engine->dispatch.asked > 0) {
+        engine->dispatch.asked--;
+    }
+    if (!seen_add(&engine->seen, from, msg->request.id, engine->now_us)) {
+        engine->counters.dropped++;
+        return;
+    }
+    reason = why_decline(engine, &msg->request);
+    if (reason != ENGINE_REASON_NONE) {
+        answer_declined(engine, from, msg, reason);
+        return;
+    }
+    run_for(engine, msg);
+}
+
+static void
+peer_refused(struct engine *engine, struct entry *entry, struct peer *peer,
+             enum engine_reason reason)
+{
+    switch (reason) {
+    case ENGINE_QUEUE_FULL:
+    case ENGINE_TOO_LATE:
+    case ENGINE_STOPPING:
+        if (peer != NULL) {
+            peer_declined(peer, engine->now_us);
+        }
+        outcome_declined(engine, entry, reason);
+        return;
+    default:
+        if (peer != NULL) {
+            peer_failed(&engine->peers, peer, engine->now_us);
+        }
+        outcome_refused(engine, entry, reason);
+        return;
+    }
+}
+
+static void
+peer_lost_it(struct engine *engine, struct entry *entry, struct peer *peer,
+             enum engine_reason reason)
+{
+    if (reason == ENGINE_DEADLINE || reason == ENGINE_CANCELLED) {
+        finish_unknown(engine, entry, reason);
+        return;
+    }
+    if (peer != NULL && !engine_needs_down(engine, peer->service)) {
+        peer_failed(&engine->peers, peer, engine->now_us);
+    }
+    outcome_lost(engine, entry, reason);
+}
+
+static void
+receive_done(struct engine *engine, uint64_t from,
+             const struct engine_peer_msg *msg, const uint8_t *answer,
+             size_t answer_len)
+{
+    struct entry *entry =
+        entry_find(engine->entries, engine->self, msg->request.id);
+    struct peer *peer = peers_find(&engine->peers, from);
+    uint64_t took_us;
+
+    if (entry == NULL || entry->place != ENTRY_AT_PEER ||
+        entry->peer != from) {
+        engine->counters.dropped++;
+        return;
+    }
+    took_us = engine->now_us - entry->started_us;
+    remote_leave(engine, entry);
+    if (msg->outcome == ENGINE_ANSWERED) {
+        retry_succeeded(&engine->retry);
+        if (peer != NULL) {
+            peer_answered(peer, took_us);
+        }
+        if (!upstream_serves(&engine->upstream, entry->request.service)) {
+            estimate_run(&engine->estimate, took_us, engine->now_us);
+        }
+        finish_answered(engine, entry, answer, answer_len);
+    }
+    else if (msg->outcome == ENGINE_NOT_RUN) {
+        peer_refused(engine, entry, peer, msg->reason);
+    }
+    else {
+        peer_lost_it(engine, entry, peer, msg->reason);
+    }
+}
+
+/* A cancel may overtake its RUN: seen_add() keeps that from running. */
+static void
+receive_cancel(struct engine *engine, uint64_t from,
+               const struct engine_peer_msg *msg)
+{
+    struct entry *entry = entry_find(engine->entries, from, msg->request.id);
+
+    (void)seen_add(&engine->seen, from, msg->request.id, engine->now_us);
+    if (entry != NULL && entry->place == ENTRY_RUNNING) {
+        finish_abandoned(engine, entry);
+    }
+}
+
+static void
+note_load(struct engine *engine, struct peer *peer,
+          const struct engine_peer_msg *msg)
+{
+    if (msg->load > 0) {
+        peer->load = (uint16_t)(msg->load - 1);
+        peer->load_at_us = engine->now_us;
+    }
+}
+
+static void
+receive_status(struct engine *engine, struct peer *peer,
+               const struct engine_peer_msg *msg)
+{
+    if (msg->type == ENGINE_PEER_STATUS) {
+        peer->waiting[TEXT_URGENT] = msg->waiting[TEXT_URGENT];
+        peer->waiting[TEXT_ORDINARY] = msg->waiting[TEXT_ORDINARY];
+        peer->waiting_at_us = engine->now_us;
+    }
+    if (msg->free_slots > 0) {
+        peer->declined_until_us = 0;
+    }
+    engine->ops->told(engine, peer, msg);
+}
+
+int
+remote_receive(struct engine *engine, uint64_t from,
+               const struct engine_peer_msg *msg, const uint8_t *answer,
+               size_t answer_len)
+{
+    struct peer *peer = peers_find(&engine->peers, from);
+
+    if (peer != NULL) {
+        note_load(engine, peer, msg);
+    }
+    switch (msg->type) {
+    case ENGINE_PEER_RUN:
+    case ENGINE_PEER_CANCEL:
+        if (msg->origin != from) {
+            return -EPROTO;
+        }
+        if (msg->type == ENGINE_PEER_RUN) {
+            receive_run(engine, from, msg);
+        }
+        else {
+            receive_cancel(engine, from, msg);
+        }
+        return 0;
+    case ENGINE_PEER_DONE:
+        if (msg->origin != engine->self) {
+            return -EPROTO;
+        }
+        receive_done(engine, from, msg, answer, answer_len);
+        return 0;
+    case ENGINE_PEER_STATUS:
+    case ENGINE_PEER_PULL:
+        if (peer != NULL) {
+            receive_status(engine, peer, msg);
+        }
+        return 0;
+    case ENGINE_PEER_PROBE:
+        if (peer != NULL) {
+            dispatch_status(engine, peer);
+        }
+        return 0;
+    case ENGINE_PEER_IDEM:
+        return -EPROTO;
+    }
+    return -EPROTO;
+}
+
+/* Ours that it had: may have begun. Its own that run here: their answer
+ * has nobody to go to; one that isn't idempotent is rather ended than cut
+ * half way. */
+static void
+lost_entry(struct engine *engine, struct entry *entry, uint64_t member)
+{
+    if (entry->place == ENTRY_AT_PEER && entry->peer == member) {
+        remote_leave(engine, entry);
+        outcome_lost(engine, entry, ENGINE_LOST);
+    }
+    else if (entry->place == ENTRY_RUNNING && entry->key.origin == member &&
+             entry->request.idempotent) {
+        finish_abandoned(engine, entry);
+    }
+}
+
+void
+remote_lost(struct engine *engine, uint64_t member)
+{
+    struct peer *peer = peers_find(&engine->peers, member);
+    GList *list = g_hash_table_get_values(engine->entries);
+
+    for (GList *item = list; item != NULL; item = item->next) {
+        lost_entry(engine, item->data, member);
+    }
+    g_list_free(list);
+    if (peer != NULL) {
+        peer->offer = 0;
+        peer->waiting_at_us = 0;
+        peer->in_flight_at_us = 0;
+        peer_declined(peer, engine->now_us);
+    }
+}
+
+void
+remote_unsent(struct engine *engine, struct entry *entry)
+{
+    struct peer *peer = peers_find(&engine->peers, entry->peer);
+
+    remote_leave(engine, entry);
+    if (peer != NULL) {
+        peer_declined(peer, engine->now_us);
+    }
+    outcome_declined(engine, entry, ENGINE_NO_UPSTREAM);
+}
+
+void
+remote_leave(struct engine *engine, struct entry *entry)
+{
+    struct peer *peer = peers_find(&engine->peers, entry->peer);
+
+    g_assert(entry->place == ENTRY_AT_PEER);
+    entry->place = ENTRY_WAITING;
+    if (peer != NULL && peer->sent > 0) {
+        peer->sent--;
+    }
+}
--- /dev/null
+++ b/src/request/remote.h
@@ -0,0 +1,28 @@
+/**
+ * DOC: remote - messages between engines
+ */
+#ifndef SWIFTARCH_REQUEST_REMOTE_H
+#define SWIFTARCH_REQUEST_REMOTE_H
+
+#include "request/state.h"
+
+/** remote_receive() - a message other than IDEM came from member @from;
+ * -EPROTO when it speaks for somebody else */
+int
+remote_receive(struct engine *engine, uint64_t from,
+               const struct engine_peer_msg *msg, const uint8_t *answer,
+               size_t answer_len);
+
+/** remote_lost() - @member is gone, and with it all that it had of ours */
+void
+remote_lost(struct engine *engine, uint64_t member);
+
+/** remote_unsent() - a RUN for local @entry never left for its peer */
+void
+remote_unsent(struct engine *engine, struct entry *entry);
+
+/** remote_leave() - @entry is not at its peer any more */
+void
+remote_leave(struct engine *engine, struct entry *entry);
+
+#endif
--- /dev/null
+++ b/src/request/services.c
@@ -0,0 +1,131 @@
+#include "request/services.h"
+
+static const struct text_limits default_limits = {
+    .connections = 2000,
+    .connections_per_caller = 200,
+    .queue = 64,
+    .requests_per_caller = 32,
+    .deadline_ms = 5000,
+    .body_bytes = 1u << 20,
+    .idle_s = 3600,
+};
+
+static void
+service_free(gpointer data)
+{
+    struct service *service = data;
+
+    g_array_free(service->needs, TRUE);
+    g_free(service);
+}
+
+/* Visits every service reachable from @index once; cycles are harmless. */
+static void
+collect_needs(const struct text *text, size_t index, gboolean *visited,
+              GArray *needs)
+{
+    const struct text_service *from = &text->services[index];
+    GArray *todo = g_array_new(FALSE, FALSE, sizeof(size_t));
+
+    visited[index] = TRUE;
+    g_array_append_val(todo, index);
+    while (todo->len > 0) {
+        from = &text->services[g_array_index(todo, size_t, todo->len - 1)];
+        g_array_set_size(todo, todo->len - 1);
+        for (size_t i = 0; i < from->depends_count; i++) {
+            size_t next = from->depends[i];
+
+            if (next < text->count && !visited[next]) {
+                visited[next] = TRUE;
+                g_array_append_val(needs, text->services[next].id);
+                g_array_append_val(todo, next);
+            }
+        }
+    }
+    g_array_free(todo, TRUE);
+}
+
+static struct service *
+service_new(const struct text *text, size_t index)
+{
+    const struct text_service *from = &text->services[index];
+    struct service *service = g_new0(struct service, 1);
+    gboolean *visited = g_new0(gboolean, text->count);
+
+    service->id = from->id;
+    service->class = from->class;
+    service->limits = from->limits;
+    service->needs = g_array_new(FALSE, FALSE, sizeof(uint32_t));
+    collect_needs(text, index, visited, service->needs);
+    g_free(visited);
+    return service;
+}
+
+static void
+mark_inherits(GHashTable *services)
+{
+    GHashTableIter iter;
+    gpointer value;
+
+    g_hash_table_iter_init(&iter, services);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const struct service *service = value;
+
+        if (service->class != TEXT_URGENT) {
+            continue;
+        }
+        for (guint i = 0; i < service->needs->len; i++) {
+            uint32_t id = g_array_index(service->needs, uint32_t, i);
+            struct service *needed =
+                g_hash_table_lookup(services, GUINT_TO_POINTER(id));
+
+            needed->inherits = true;
+        }
+    }
+}
+
+GHashTable *
+services_new(const struct text *text)
+{
+    GHashTable *services =
+        g_hash_table_new_full(NULL, NULL, NULL, service_free);
+
+    for (size_t i = 0; i < text->count; i++) {
+        struct service *service = service_new(text, i);
+
+        g_hash_table_insert(services, GUINT_TO_POINTER(service->id), service);
+    }
+    mark_inherits(services);
+    return services;
+}
+
+const struct service *
+services_find(GHashTable *services, uint32_t id)
+{
+    if (services == NULL) {
+        return NULL;
+    }
+    return g_hash_table_lookup(services, GUINT_TO_POINTER(id));
+}
+
+enum text_class
+services_class(GHashTable *services, uint32_t id, enum text_class asked)
+{
+    const struct service *service = services_find(services, id);
+
+    if (service == NULL || asked == TEXT_ORDINARY) {
+        return asked;
+    }
+    if (service->class == TEXT_URGENT || service->inherits) {
+        return TEXT_URGENT;
+    }
+    return TEXT_ORDINARY;
+}
+
+struct text_limits
+services_limits(GHashTable *services, uint32_t id)
+{
+    const struct service *service = services_find(services, id);
+
+    return service != NULL ? service->limits : default_limits;
+}
--- /dev/null
+++ b/src/request/services.h
@@ -0,0 +1,47 @@
+/**
+ * DOC: services - what the engine needs of the configuration in force
+ *
+ * A service that an urgent one depends on, directly or not, counts as
+ * urgent for calls that carry urgent priority; any other ordinary service
+ * stays ordinary whatever its callers ask for.
+ */
+#ifndef SWIFTARCH_REQUEST_SERVICES_H
+#define SWIFTARCH_REQUEST_SERVICES_H
+
+#include <glib.h>
+
+#include "text/text.h"
+
+/**
+ * struct service - one service
+ * @id: service id
+ * @class: as configured
+ * @inherits: an urgent service depends on it
+ * @limits: as configured
+ * @needs: ids of all it depends on, directly or not
+ */
+struct service {
+    uint32_t id;
+    enum text_class class;
+    bool inherits;
+    struct text_limits limits;
+    GArray *needs;
+};
+
+/** services_new() - copy of @text, found by id */
+GHashTable *
+services_new(const struct text *text);
+
+/** services_find() - service or NULL; @services may be NULL */
+const struct service *
+services_find(GHashTable *services, uint32_t id);
+
+/** services_class() - class a request for service @id gets */
+enum text_class
+services_class(GHashTable *services, uint32_t id, enum text_class asked);
+
+/** services_limits() - limits of service @id, defaults when unknown */
+struct text_limits
+services_limits(GHashTable *services, uint32_t id);
+
+#endif
--- /dev/null
+++ b/tests/request/cell.c
@@ -0,0 +1,638 @@
+#include "cell.h"
+
+#include <inttypes.h>
+
+#include "request/state.h"
+
+#define TICK_US (10 * USEC_PER_MSEC)
+#define LATE_US (25 * USEC_PER_MSEC)
+#define PER_MILLE 1000
+#define CALLERS 3
+
+enum event_type { EVENT_MESSAGE, EVENT_RUN_END, EVENT_VIEW, EVENT_LOST };
+
+struct event {
+    struct timeline_event base;
+    enum event_type type;
+    unsigned node;
+    unsigned life;
+    uint64_t from;
+    struct engine_peer_msg msg;
+    uint64_t origin;
+    uint64_t id;
+    enum engine_upstream how;
+};
+
+struct record {
+    uint64_t id;
+    unsigned node;
+    unsigned life;
+    uint64_t deadline_us;
+    bool idempotent;
+    unsigned runs;
+    unsigned finishes;
+    enum engine_outcome outcome;
+};
+
+static void
+fail(struct cell *cell, const char *format, ...) G_GNUC_PRINTF(2, 3);
+
+static void
+fail(struct cell *cell, const char *format, ...)
+{
+    va_list args;
+
+    if (cell->failure != NULL) {
+        return;
+    }
+    va_start(args, format);
+    cell->failure = g_strdup_vprintf(format, args);
+    va_end(args);
+}
+
+static bool
+chance(struct cell *cell, unsigned per_mille)
+{
+    return per_mille > 0 &&
+           (unsigned)g_rand_int_range(cell->random, 0, PER_MILLE) < per_mille;
+}
+
+static uint64_t
+between(struct cell *cell, unsigned low_us, unsigned high_us)
+{
+    return (uint64_t)g_rand_int_range(cell->random, (gint32)low_us,
+                                      (gint32)high_us);
+}
+
+static struct record *
+find_record(const struct cell *cell, uint64_t id)
+{
+    return g_hash_table_lookup(cell->requests, &id);
+}
+
+static int
+find_node(const struct cell *cell, uint64_t id)
+{
+    for (unsigned i = 0; i < cell->count; i++) {
+        if (cell->nodes[i].id == id) {
+            return (int)i;
+        }
+    }
+    return -1;
+}
+
+static struct event *
+event_new(const struct cell *cell, enum event_type type, unsigned node)
+{
+    struct event *event = g_new0(struct event, 1);
+
+    event->type = type;
+    event->node = node;
+    event->life = cell->nodes[node].life;
+    return event;
+}
+
+static void
+post_message(struct cell *cell, uint64_t from, uint64_t to,
+             const struct engine_peer_msg *msg)
+{
+    int node = find_node(cell, to);
+    struct event *event;
+    uint64_t delay = between(cell, 300, 2500);
+
+    if (node < 0 || chance(cell, cell->faults.lose)) {
+        return;
+    }
+    if (chance(cell, cell->faults.slow)) {
+        delay += between(cell, 1000, 400000);
+    }
+    event = event_new(cell, EVENT_MESSAGE, (unsigned)node);
+    event->from = from;
+    event->msg = *msg;
+    event->msg.idem.answer = g_memdup2(msg->idem.answer, msg->idem.answer_len);
+    timeline_add(&cell->timeline, &event->base, cell->now_us + delay);
+}
+
+/* The upstream runs it, or says or shows that it did not. */
+static void
+run(struct cell *cell, unsigned node, const struct engine_action *action)
+{
+    struct event *event = event_new(cell, EVENT_RUN_END, node);
+    struct record *record = find_record(cell, action->id);
+    unsigned kind = (unsigned)g_rand_int_range(cell->random, 0, PER_MILLE);
+    unsigned no_run = cell->faults.shed + cell->faults.unreached;
+
+    event->origin = action->origin;
+    event->id = action->id;
+    event->how = ENGINE_UP_ANSWERED;
+    if (kind < cell->faults.shed) {
+        event->how = ENGINE_UP_REFUSED;
+    }
+    else if (kind < no_run) {
+        event->how = ENGINE_UP_UNREACHED;
+    }
+    else if (kind < no_run + cell->faults.cut) {
+        event->how = kind % 2 == 0 ? ENGINE_UP_LOST : ENGINE_UP_SHORT;
+    }
+    if (kind >= no_run) {
+        record->runs++;
+        if (record->finishes > 0 && record->outcome == ENGINE_NOT_RUN) {
+            fail(cell, "%" PRIu64 " runs after 'not run'", record->id);
+        }
+        if (record->runs > 1 && !record->idempotent) {
+            fail(cell, "%" PRIu64 " runs twice", record->id);
+        }
+    }
+    timeline_add(&cell->timeline, &event->base,
+                 cell->now_us + between(cell, 2000, 60000));
+}
+
+/* Ordinary work goes before waiting urgent work only by its floor. */
+static void
+check_order(struct cell *cell, unsigned node,
+            const struct engine_action *action)
+{
+    struct cell_node *at = &cell->nodes[node];
+    const struct entry *entry =
+        entry_find(at->engine->entries, action->origin, action->id);
+    const struct entry *urgent = at->engine->queue.head[TEXT_URGENT];
+
+    if (entry == NULL || action->origin != at->id) {
+        return;
+    }
+    if (entry->request.class == TEXT_URGENT) {
+        at->urgent_starts++;
+        return;
+    }
+    while (urgent != NULL &&
+           (!urgent->cleared || urgent->arrived_us == cell->now_us)) {
+        urgent = urgent->next;
+    }
+    if (urgent != NULL && at->urgent_starts + 1 < QUEUE_ORDINARY_EVERY) {
+        fail(cell, "ordinary before waiting urgent at node %u", node);
+    }
+    at->urgent_starts = 0;
+}
+
+static void
+note_finish(struct cell *cell, const struct engine_action *action)
+{
+    struct record *record = find_record(cell, action->id);
+
+    record->finishes++;
+    if (record->finishes > 1) {
+        fail(cell, "%" PRIu64 " finished twice", record->id);
+    }
+    record->outcome = action->outcome;
+    cell->finished[action->outcome]++;
+    if (action->outcome == ENGINE_NOT_RUN && record->runs > 0) {
+        fail(cell, "%" PRIu64 " 'not run' but it ran (reason %d)", record->id,
+             action->reason);
+    }
+    if (action->outcome == ENGINE_ANSWERED && !action->replayed &&
+        record->runs == 0) {
+        fail(cell, "%" PRIu64 " answered but never run", record->id);
+    }
+    if (action->outcome == ENGINE_NOT_RUN && action->retry_after_ms == 0) {
+        fail(cell, "%" PRIu64 " without Retry-After", record->id);
+    }
+}
+
+static void
+check_node(struct cell *cell, unsigned node)
+{
+    const struct cell_node *at = &cell->nodes[node];
+
+    if (engine_busy(at->engine) > CELL_SLOTS) {
+        fail(cell, "%u busy at node %u", engine_busy(at->engine), node);
+    }
+    if (engine_waiting(at->engine) > CELL_QUEUE + CELL_SLOTS) {
+        fail(cell, "%u waiting at node %u", engine_waiting(at->engine), node);
+    }
+}
+
+static void
+carry_out(struct cell *cell, unsigned node, struct engine_actions *out)
+{
+    for (size_t i = 0; i < out->count; i++) {
+        const struct engine_action *action = &out->items[i];
+
+        switch (action->type) {
+        case ENGINE_RUN:
+            check_order(cell, node, action);
+            run(cell, node, action);
+            break;
+        case ENGINE_ABORT:
+            break;
+        case ENGINE_SEND:
+            if (action->msg.type == ENGINE_PEER_RUN &&
+                action->msg.request.class == TEXT_URGENT) {
+                cell->nodes[node].urgent_starts++;
+            }
+            post_message(cell, cell->nodes[node].id, action->to, &action->msg);
+            if (chance(cell, cell->faults.twice)) {
+                post_message(cell, cell->nodes[node].id, action->to,
+                             &action->msg);
+            }
+            break;
+        case ENGINE_FINISH:
+            note_finish(cell, action);
+            break;
+        }
+    }
+    engine_actions_finish(out);
+    check_node(cell, node);
+}
+
+static bool
+is_up(const struct cell *cell, unsigned node)
+{
+    return cell->nodes[node].alive &&
+           cell->now_us >= cell->nodes[node].frozen_until_us;
+}
+
+static enum member_health
+judged(struct cell *cell, const struct cell_node *node)
+{
+    if (!node->alive) {
+        return MEMBER_DEAD;
+    }
+    if (cell->now_us < node->frozen_until_us) {
+        return chance(cell, 300) ? MEMBER_DEAD : MEMBER_SUSPECT;
+    }
+    return MEMBER_ALIVE;
+}
+
+static void
+set_view(struct cell *cell, unsigned node)
+{
+    struct view *view =
+        g_malloc0(sizeof(*view) + cell->count * sizeof(view->members[0]));
+    struct engine_actions out = {0};
+
+    view->seq = ++cell->view_seq;
+    view->count = cell->count;
+    view->self = node;
+    for (unsigned i = 0; i < cell->count; i++) {
+        struct view_member *member = &view->members[i];
+
+        member->id = cell->nodes[i].id;
+        member->role = MEMBER_AGENT;
+        member->state =
+            cell->nodes[i].draining ? MEMBER_DRAINING : MEMBER_READY;
+        member->health =
+            i == node ? MEMBER_ALIVE : judged(cell, &cell->nodes[i]);
+        member->service = CELL_SERVICE;
+        member->slots = CELL_SLOTS;
+        member->incarnation = 1 + cell->nodes[i].life;
+        member->since_us = 1 + cell->nodes[i].life;
+    }
+    engine_set_view(cell->nodes[node].engine, view, cell->now_us, &out);
+    carry_out(cell, node, &out);
+    g_free(view);
+}
+
+static void
+set_upstream(struct cell *cell, unsigned node)
+{
+    struct engine_actions out = {0};
+
+    engine_set_upstream(cell->nodes[node].engine, CELL_SERVICE, CELL_SLOTS,
+                        !cell->nodes[node].draining, cell->now_us, &out);
+    carry_out(cell, node, &out);
+}
+
+static void
+set_text(struct cell *cell, unsigned node)
+{
+    struct text_service service = {.id = CELL_SERVICE, .class = TEXT_URGENT};
+    struct text text = {.services = &service, .count = 1};
+    struct engine_actions out = {0};
+
+    service.limits.queue = CELL_QUEUE;
+    service.limits.requests_per_caller = CELL_QUEUE;
+    engine_set_text(cell->nodes[node].engine, &text, cell->now_us, &out);
+    carry_out(cell, node, &out);
+}
+
+static void
+start_node(struct cell *cell, unsigned node)
+{
+    struct cell_node *at = &cell->nodes[node];
+
+    at->engine = engine_new(at->id, cell->policy, g_rand_int(cell->random));
+    at->alive = true;
+    at->draining = false;
+    at->frozen_until_us = 0;
+    at->urgent_starts = 0;
+    at->life++;
+    set_text(cell, node);
+    set_upstream(cell, node);
+    set_view(cell, node);
+}
+
+/* Others learn of it soon: their connections break. */
+static void
+crash_node(struct cell *cell, unsigned node)
+{
+    struct cell_node *at = &cell->nodes[node];
+
+    engine_free(at->engine);
+    at->engine = NULL;
+    at->alive = false;
+    at->life++;
+    for (unsigned i = 0; i < cell->count; i++) {
+        struct event *event;
+
+        if (i == node || !cell->nodes[i].alive) {
+            continue;
+        }
+        event = event_new(cell, EVENT_LOST, i);
+        event->from = at->id;
+        timeline_add(&cell->timeline, &event->base,
+                     cell->now_us + between(cell, 500, 3000));
+    }
+}
+
+static void
+deliver(struct cell *cell, struct event *event)
+{
+    struct engine *engine = cell->nodes[event->node].engine;
+    struct engine_actions out = {0};
+    static const uint8_t answer[] = "HTTP/1.1 200 OK\r\n\r\n";
+
+    switch (event->type) {
+    case EVENT_MESSAGE:
+        engine_peer(engine, event->from, &event->msg, answer, sizeof(answer),
+                    cell->now_us, &out);
+        break;
+    case EVENT_RUN_END:
+        engine_upstream_end(engine, event->origin, event->id, event->how,
+                            answer, sizeof(answer), cell->now_us, &out);
+        break;
+    case EVENT_LOST:
+        engine_peer_lost(engine, event->from, cell->now_us, &out);
+        break;
+    case EVENT_VIEW:
+        set_view(cell, event->node);
+        break;
+    }
+    carry_out(cell, event->node, &out);
+}
+
+/* What was on its way to a node that crashed is gone with its connections;
+ * a frozen one reads everything when it thaws. */
+static void
+handle(struct cell *cell, struct event *event)
+{
+    const struct cell_node *at = &cell->nodes[event->node];
+
+    if (at->alive && event->life == at->life &&
+        cell->now_us < at->frozen_until_us) {
+        timeline_add(&cell->timeline, &event->base, at->frozen_until_us);
+        return;
+    }
+    if (at->alive && event->life == at->life) {
+        deliver(cell, event);
+    }
+    g_free((gpointer)event->msg.idem.answer);
+    g_free(event);
+}
+
+static void
+tick_all(struct cell *cell)
+{
+    for (unsigned i = 0; i < cell->count; i++) {
+        struct engine_actions out = {0};
+
+        if (is_up(cell, i)) {
+            engine_tick(cell->nodes[i].engine, cell->now_us, &out);
+            carry_out(cell, i, &out);
+        }
+    }
+}
+
+static void
+check_answers(struct cell *cell)
+{
+    GHashTableIter iter;
+    gpointer value;
+
+    g_hash_table_iter_init(&iter, cell->requests);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const struct record *record = value;
+        const struct cell_node *at = &cell->nodes[record->node];
+        uint64_t due = MAX(record->deadline_us, at->frozen_until_us);
+
+        if (record->finishes == 0 && at->life == record->life &&
+            cell->now_us > due + LATE_US) {
+            fail(cell, "%" PRIu64 " has no answer", record->id);
+        }
+    }
+}
+
+void
+cell_advance(struct cell *cell, uint64_t us)
+{
+    uint64_t end_us = cell->now_us + us;
+
+    while (cell->now_us < end_us) {
+        uint64_t next_tick = (cell->now_us / TICK_US + 1) * TICK_US;
+        uint64_t stop = MIN(next_tick, end_us);
+        struct timeline_event *first = timeline_peek(&cell->timeline);
+
+        while (first != NULL && first->at_us <= stop) {
+            cell->now_us = MAX(cell->now_us, first->at_us);
+            handle(cell, (struct event *)timeline_pop(&cell->timeline));
+            first = timeline_peek(&cell->timeline);
+        }
+        cell->now_us = stop;
+        if (stop == next_tick) {
+            tick_all(cell);
+            check_answers(cell);
+        }
+    }
+}
+
+uint64_t
+cell_arrive(struct cell *cell, unsigned node, enum text_class class,
+            bool idempotent, bool keyed, uint64_t left_us)
+{
+    struct engine_request request = {
+        .id = ++cell->next_id,
+        .service = CELL_SERVICE,
+        .caller = (uint32_t)(cell->next_id % CALLERS),
+        .class = class,
+        .idempotent = idempotent,
+        .keyed = keyed,
+        .deadline_us = cell->now_us + left_us,
+    };
+    struct record *record = g_new0(struct record, 1);
+    struct engine_actions out = {0};
+
+    request.key = (struct idem_key){
+        .service = CELL_SERVICE,
+        .hash = {cell->next_id, 1},
+        .fingerprint = 1,
+    };
+    record->id = request.id;
+    record->node = node;
+    record->life = cell->nodes[node].life;
+    record->deadline_us = request.deadline_us;
+    record->idempotent = idempotent;
+    g_hash_table_insert(cell->requests, &record->id, record);
+    engine_arrive(cell->nodes[node].engine, &request, cell->now_us, &out);
+    carry_out(cell, node, &out);
+    return request.id;
+}
+
+static void
+random_arrival(struct cell *cell, unsigned node)
+{
+    cell_arrive(cell, node, chance(cell, 600) ? TEXT_URGENT : TEXT_ORDINARY,
+                chance(cell, 500), chance(cell, 200),
+                between(cell, 30000, 1000000));
+}
+
+static void
+random_cancel(struct cell *cell)
+{
+    uint64_t back = between(cell, 0, 20);
+    const struct record *record;
+    struct engine_actions out = {0};
+
+    if (cell->next_id <= back) {
+        return;
+    }
+    record = find_record(cell, cell->next_id - back);
+    if (is_up(cell, record->node) &&
+        cell->nodes[record->node].life == record->life) {
+        engine_cancel(cell->nodes[record->node].engine, record->id,
+                      cell->now_us, &out);
+        carry_out(cell, record->node, &out);
+    }
+}
+
+static void
+random_fault(struct cell *cell, unsigned node)
+{
+    struct cell_node *at = &cell->nodes[node];
+
+    if (!at->alive) {
+        if (chance(cell, 100)) {
+            start_node(cell, node);
+        }
+        return;
+    }
+    if (!is_up(cell, node)) {
+        return;
+    }
+    if (chance(cell, cell->faults.crash)) {
+        crash_node(cell, node);
+        return;
+    }
+    if (chance(cell, cell->faults.freeze)) {
+        at->frozen_until_us = cell->now_us + between(cell, 1000, 2000000);
+        return;
+    }
+    if (chance(cell, cell->faults.drain)) {
+        at->draining = !at->draining;
+        set_upstream(cell, node);
+    }
+}
+
+void
+cell_step(struct cell *cell)
+{
+    unsigned node =
+        (unsigned)g_rand_int_range(cell->random, 0, (gint32)cell->count);
+    unsigned seer =
+        (unsigned)g_rand_int_range(cell->random, 0, (gint32)cell->count);
+
+    random_fault(cell, node);
+    if (is_up(cell, node)) {
+        random_arrival(cell, node);
+    }
+    if (chance(cell, cell->faults.cancel)) {
+        random_cancel(cell);
+    }
+    if (is_up(cell, seer) && chance(cell, 50)) {
+        set_view(cell, seer);
+    }
+    cell_advance(cell, between(cell, 100, 8000));
+}
+
+static void
+check_empty(struct cell *cell, unsigned node)
+{
+    const struct engine *engine = cell->nodes[node].engine;
+
+    if (engine_busy(engine) > 0 || engine_waiting(engine) > 0 ||
+        engine_open(engine) > 0 || g_hash_table_size(engine->entries) > 0) {
+        fail(cell, "node %u keeps %u busy, %u waiting, %u open, %u entries",
+             node, engine_busy(engine), engine_waiting(engine),
+             engine_open(engine), g_hash_table_size(engine->entries));
+    }
+}
+
+void
+cell_quiesce(struct cell *cell)
+{
+    cell->faults = (struct cell_faults){0};
+    cell_advance(cell, 3 * USEC_PER_SEC);
+    for (unsigned i = 0; i < cell->count; i++) {
+        if (!cell->nodes[i].alive) {
+            start_node(cell, i);
+        }
+        cell->nodes[i].draining = false;
+        set_upstream(cell, i);
+        set_view(cell, i);
+    }
+    cell_advance(cell, 3 * USEC_PER_SEC);
+    for (unsigned i = 0; i < cell->count; i++) {
+        check_empty(cell, i);
+    }
+}
+
+void
+cell_init(struct cell *cell, unsigned count, enum engine_policy policy,
+          struct cell_faults faults, guint32 seed)
+{
+    *cell = (struct cell){0};
+    cell->random = g_rand_new_with_seed(seed);
+    cell->now_us = 1000 * USEC_PER_SEC;
+    cell->policy = policy;
+    cell->count = count;
+    cell->requests =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
+    timeline_init(&cell->timeline);
+    for (unsigned i = 0; i < count; i++) {
+        cell->nodes[i].id = i + 1;
+        cell->nodes[i].alive = true;
+    }
+    for (unsigned i = 0; i < count; i++) {
+        start_node(cell, i);
+    }
+    cell_advance(cell, 12 * USEC_PER_SEC);
+    cell->faults = faults;
+}
+
+void
+cell_finish(struct cell *cell)
+{
+    struct event *event;
+
+    for (unsigned i = 0; i < cell->count; i++) {
+        engine_free(cell->nodes[i].engine);
+    }
+    event = (struct event *)timeline_pop(&cell->timeline);
+    while (event != NULL) {
+        g_free((gpointer)event->msg.idem.answer);
+        g_free(event);
+        event = (struct event *)timeline_pop(&cell->timeline);
+    }
+    timeline_finish(&cell->timeline);
+    g_hash_table_destroy(cell->requests);
+    g_rand_free(cell->random);
+    g_free(cell->failure);
+}
