balancer: don't scan an empty payload for traceparent

Cause: worker_test under the undefined-behaviour sanitizer (build-balancer-asan) reported memchr() of a null pointer with length 0. Change: an empty payload returns first.

--- a/src/balancer/span.c
+++ b/src/balancer/span.c
@@ -33,6 +33,8 @@
     const uint8_t *end = payload + len;
     const uint8_t *at = payload;
 
+    if (len == 0)
+        return -ENOENT;
     while ((at = memchr(at, '\n', (size_t)(end - at))) != NULL) {
         size_t left = (size_t)(end - at);
         if (left < HEADER_LEN)
