Control: property tests of membership on a model network

Random freezes, kills, joins, leaves, partitions and 30% loss on 10..50 cores through the real wire form.

--- /dev/null
+++ b/tests/control/test_member_net.c
@@ -0,0 +1,403 @@
+/*
+ * Orders of events on the membership and configuration cores: random
+ * scenarios with freezes, kills, joins, leaves, partitions and loss. Each
+ * has a seed; a failure prints it with the shortest prefix that fails.
+ */
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "base/hash.h"
+#include "net.h"
+
+#define STEP_US (250 * USEC_PER_MSEC)
+#define QUIET_US (60 * USEC_PER_SEC)
+#define OPS_MAX 24
+#define PART_US (40 * USEC_PER_SEC)
+#define FREEZE_MAX_US (5 * USEC_PER_SEC)
+#ifndef SEEDS_EACH
+#define SEEDS_EACH 12
+#endif
+
+enum op_type {
+    OP_FREEZE,
+    OP_KILL,
+    OP_LOSE,
+    OP_JOIN,
+    OP_LEAVE,
+    OP_PUBLISH,
+    OP_PARTITION,
+    OP_TYPES
+};
+
+static const char *const op_names[OP_TYPES] = {
+    "freeze", "kill", "lose", "join", "leave", "publish", "partition",
+};
+
+struct op {
+    enum op_type type;
+    size_t node;
+    uint64_t arg;
+    uint64_t wait_us;
+};
+
+struct scenario {
+    uint64_t seed;
+    size_t nodes;
+    unsigned loss;
+    bool partitions;
+    struct op ops[OPS_MAX];
+    size_t op_count;
+};
+
+struct checker {
+    struct net net;
+    uint64_t *incarnations; /* by observer and member */
+    uint64_t *versions;
+    uint64_t version;
+    uint64_t false_deaths;
+    char failure[256];
+};
+
+static void
+plan(struct scenario *scenario, uint64_t seed, unsigned loss, bool partitions)
+{
+    struct random random = {.state = seed};
+
+    memset(scenario, 0, sizeof(*scenario));
+    scenario->seed = seed;
+    scenario->nodes = random_between(&random, 10, 50);
+    scenario->loss = loss;
+    scenario->partitions = partitions;
+    scenario->op_count = random_between(&random, 8, OPS_MAX);
+    for (size_t i = 0; i < scenario->op_count; i++) {
+        struct op *op = &scenario->ops[i];
+
+        op->type = random_below(&random, partitions ? OP_TYPES : OP_PARTITION);
+        op->node = random_below(&random, scenario->nodes);
+        op->arg = random_next(&random);
+        op->wait_us = random_below(&random, 6 * USEC_PER_SEC);
+    }
+}
+
+static void
+fail(struct checker *check, const char *what, size_t i, size_t j)
+{
+    if (check->failure[0] != '\0')
+        return;
+    snprintf(check->failure, sizeof(check->failure),
+             "%s: node %zu about node %zu at %" PRIu64 " ms", what, i, j,
+             check->net.now_us / 1000);
+}
+
+static void
+check_pair(struct checker *check, const struct scenario *scenario, size_t i,
+           size_t j)
+{
+    struct net *net = &check->net;
+    uint64_t *last = &check->incarnations[i * net->count + j];
+    const struct member_entry *entry =
+        member_find(&net->nodes[i].members, hash_name(net->nodes[j].name));
+
+    if (entry == NULL)
+        return;
+    if (entry->member.incarnation < *last)
+        fail(check, "incarnation went back", i, j);
+    *last = entry->member.incarnation;
+    if (net->nodes[j].running && entry->start == net->nodes[j].start &&
+        entry->member.health == MEMBER_DEAD && !scenario->partitions) {
+        check->false_deaths++;
+        fail(check, "a living process was declared dead", i, j);
+    }
+}
+
+static void
+check_all(struct checker *check, const struct scenario *scenario)
+{
+    struct net *net = &check->net;
+
+    for (size_t i = 0; i < net->count; i++) {
+        const struct net_node *node = &net->nodes[i];
+
+        if (!node->running)
+            continue;
+        if (node->config.have < check->versions[i])
+            fail(check, "configuration went back", i, i);
+        check->versions[i] = node->config.have;
+        if (node->largest > MEMBER_DATAGRAM_MAX)
+            fail(check, "datagram too large", i, i);
+        for (size_t j = 0; j < net->count; j++)
+            check_pair(check, scenario, i, j);
+    }
+}
+
+static void
+run_checked(struct checker *check, const struct scenario *scenario,
+            uint64_t for_us)
+{
+    for (uint64_t run = 0; run < for_us; run += STEP_US) {
+        net_run(&check->net, STEP_US);
+        check_all(check, scenario);
+    }
+}
+
+static void
+forget(struct checker *check, size_t i)
+{
+    check->versions[i] = 0;
+    memset(&check->incarnations[i * check->net.count], 0,
+           check->net.count * sizeof(check->incarnations[0]));
+}
+
+static size_t
+any_running(const struct net *net, size_t but)
+{
+    for (size_t i = 0; i < net->count; i++) {
+        if (i != but && net->nodes[i].running)
+            return i;
+    }
+    return SIZE_MAX;
+}
+
+static void
+run_op(struct checker *check, const struct scenario *scenario,
+       const struct op *op)
+{
+    struct net *net = &check->net;
+    bool running = net->nodes[op->node].running;
+    bool others = any_running(net, op->node) != SIZE_MAX;
+
+    switch (op->type) {
+    case OP_FREEZE:
+        if (running)
+            net_freeze(net, op->node, op->arg % FREEZE_MAX_US);
+        break;
+    case OP_KILL:
+    case OP_LOSE:
+        if (running && others)
+            net_kill(net, op->node, op->type == OP_KILL);
+        break;
+    case OP_JOIN:
+        if (!running) {
+            forget(check, op->node);
+            net_start(net, op->node, any_running(net, op->node));
+        }
+        break;
+    case OP_LEAVE:
+        if (running && others)
+            net_leave(net, op->node);
+        break;
+    case OP_PUBLISH:
+        if (running)
+            net_publish(net, op->node, ++check->version);
+        break;
+    case OP_PARTITION:
+        for (size_t i = 0; i < net->count; i++)
+            net->nodes[i].group = (op->arg >> (i % 64)) & 1;
+        run_checked(check, scenario, PART_US);
+        for (size_t i = 0; i < net->count; i++)
+            net->nodes[i].group = 0;
+        break;
+    default:
+        g_assert_not_reached();
+    }
+}
+
+static void
+check_end(struct checker *check)
+{
+    struct net *net = &check->net;
+
+    for (size_t i = 0; i < net->count; i++) {
+        if (!net->nodes[i].running)
+            continue;
+        if (net->nodes[i].config.have < check->version &&
+            net->nodes[any_running(net, SIZE_MAX)].config.have >
+                net->nodes[i].config.have)
+            fail(check, "configuration did not arrive", i, i);
+        for (size_t j = 0; j < net->count; j++) {
+            enum member_health want =
+                net->nodes[j].running ? MEMBER_ALIVE : MEMBER_DEAD;
+
+            if (net_health(net, i, j) != want)
+                fail(check, "views did not converge", i, j);
+        }
+    }
+}
+
+/* Runs the first @ops of the scenario; @failure is empty when all holds. */
+static uint64_t
+run(const struct scenario *scenario, size_t ops, char *failure, size_t size)
+{
+    struct checker check = {0};
+    uint64_t false_deaths;
+
+    net_init(&check.net, scenario->nodes, scenario->seed);
+    check.incarnations = g_new0(uint64_t, scenario->nodes * scenario->nodes);
+    check.versions = g_new0(uint64_t, scenario->nodes);
+    for (size_t i = 0; i < scenario->nodes; i++)
+        net_start(&check.net, i, 0);
+    run_checked(&check, scenario, 30 * USEC_PER_SEC);
+    if (!net_agrees(&check.net))
+        fail(&check, "the start did not converge", 0, 0);
+    check.net.loss = scenario->loss;
+    for (size_t i = 0; i < ops && check.failure[0] == '\0'; i++) {
+        run_op(&check, scenario, &scenario->ops[i]);
+        run_checked(&check, scenario, scenario->ops[i].wait_us);
+    }
+    check.net.loss = 0;
+    if (check.failure[0] == '\0') {
+        run_checked(&check, scenario, QUIET_US);
+        check_end(&check);
+    }
+    g_strlcpy(failure, check.failure, size);
+    false_deaths = check.false_deaths;
+    net_finish(&check.net);
+    g_free(check.incarnations);
+    g_free(check.versions);
+    return false_deaths;
+}
+
+static void
+report(const struct scenario *scenario, const char *failure)
+{
+    char shorter[256];
+    size_t ops = 0;
+
+    for (; ops < scenario->op_count; ops++) {
+        run(scenario, ops, shorter, sizeof(shorter));
+        if (shorter[0] != '\0')
+            break;
+    }
+    g_printerr("# seed %" PRIu64 ", %zu nodes, loss %u: %s\n", scenario->seed,
+               scenario->nodes, scenario->loss, failure);
+    for (size_t i = 0; i < ops; i++)
+        g_printerr("#   %s node %zu arg %" PRIu64 ", then %" PRIu64 " ms\n",
+                   op_names[scenario->ops[i].type], scenario->ops[i].node,
+                   scenario->ops[i].arg, scenario->ops[i].wait_us / 1000);
+}
+
+static void
+run_seeds(uint64_t first, unsigned loss, bool partitions)
+{
+    for (uint64_t seed = first; seed < first + SEEDS_EACH; seed++) {
+        struct scenario scenario;
+        char failure[256];
+
+        plan(&scenario, seed, loss, partitions);
+        run(&scenario, scenario.op_count, failure, sizeof(failure));
+        if (failure[0] == '\0')
+            continue;
+        report(&scenario, failure);
+        g_test_fail();
+    }
+}
+
+static void
+test_freezes_and_kills(void)
+{
+    run_seeds(1000, 0, false);
+}
+
+static void
+test_loss(void)
+{
+    run_seeds(2000, 300, false);
+}
+
+static void
+test_partitions(void)
+{
+    run_seeds(3000, 50, true);
+}
+
+/* A host that vanishes is suspected everywhere within 2 s in the median. */
+static void
+test_time_to_suspect(void)
+{
+    enum { NODES = 40, TRIALS = 20 };
+    uint64_t times[TRIALS];
+    struct net net;
+
+    net_init(&net, NODES, 42);
+    for (size_t i = 0; i < NODES; i++)
+        net_start(&net, i, 0);
+    net_run(&net, 30 * USEC_PER_SEC);
+    for (size_t trial = 0; trial < TRIALS; trial++) {
+        size_t victim = trial + 1;
+        uint64_t begin = net.now_us;
+        bool all = false;
+
+        net_kill(&net, victim, false);
+        while (!all) {
+            net_run(&net, 20 * USEC_PER_MSEC);
+            all = true;
+            for (size_t i = 0; i < NODES; i++)
+                all &= !net.nodes[i].running ||
+                       net_health(&net, i, victim) != MEMBER_ALIVE;
+        }
+        times[trial] = (net.now_us - begin) / 1000;
+        net_run(&net, 20 * USEC_PER_SEC);
+        net_start(&net, victim, 0);
+        net_run(&net, 20 * USEC_PER_SEC);
+    }
+    for (size_t i = 1; i < TRIALS; i++) {
+        for (size_t j = i; j > 0 && times[j - 1] > times[j]; j--) {
+            uint64_t swap = times[j];
+
+            times[j] = times[j - 1];
+            times[j - 1] = swap;
+        }
+    }
+    g_test_message("suspected by all: median %" PRIu64 " ms, max %" PRIu64
+                   " ms",
+                   times[TRIALS / 2], times[TRIALS - 1]);
+    g_assert_cmpuint(times[TRIALS / 2], <, 2000);
+    net_finish(&net);
+}
+
+/* Bytes a node sends in rest, at 10 members and at 50. */
+static uint64_t
+rest_bytes(size_t nodes)
+{
+    uint64_t before = 0;
+    uint64_t after = 0;
+    struct net net;
+
+    net_init(&net, nodes, 7);
+    for (size_t i = 0; i < nodes; i++)
+        net_start(&net, i, 0);
+    net_run(&net, 60 * USEC_PER_SEC);
+    for (size_t i = 0; i < nodes; i++)
+        before += net.nodes[i].bytes_out + net.nodes[i].stream_bytes_out;
+    net_run(&net, 60 * USEC_PER_SEC);
+    for (size_t i = 0; i < nodes; i++)
+        after += net.nodes[i].bytes_out + net.nodes[i].stream_bytes_out;
+    net_finish(&net);
+    return (after - before) / nodes / 60;
+}
+
+static void
+test_flat_bytes(void)
+{
+    uint64_t small = rest_bytes(10);
+    uint64_t large = rest_bytes(50);
+
+    g_test_message("bytes a second in rest: %" PRIu64 " at 10, %" PRIu64
+                   " at 50",
+                   small, large);
+    g_assert_cmpuint(large, <, small + small / 10);
+    g_assert_cmpuint(large, <, 1000);
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/member-net/freezes-and-kills", test_freezes_and_kills);
+    g_test_add_func("/member-net/loss", test_loss);
+    g_test_add_func("/member-net/partitions", test_partitions);
+    g_test_add_func("/member-net/time-to-suspect", test_time_to_suspect);
+    g_test_add_func("/member-net/flat-bytes", test_flat_bytes);
+    return g_test_run();
+}
