--- a/src/balancer/route_build.c
+++ b/src/balancer/route_build.c
@@ -91,6 +91,8 @@
 static void
 add_endpoint(struct route_service *service, const struct view_member *member)
 {
+    assert(service->endpoints != NULL);
+
     struct route_endpoint *endpoint = &service->endpoints[service->count++];
     endpoint->member = member->id;
     endpoint->incarnation = member->incarnation;
--- a/tests/balancer/scene.c
+++ b/tests/balancer/scene.c
@@ -91,7 +91,8 @@
     set16(buf + 22, SCENE_PORT);
     buf[32] = 0x50;
     buf[33] = flags;
-    memcpy(buf + 40, payload, payload_len);
+    for (size_t i = 0; i < payload_len; i++)
+        buf[40 + i] = (uint8_t)payload[i];
     return len;
 }
 
--- a/tests/packet/packet_test.c
+++ b/tests/packet/packet_test.c
@@ -53,16 +53,18 @@
 static size_t
 build_tcp(uint8_t *buf, uint8_t flags, size_t payload)
 {
+    static const uint8_t addresses[] = {10, 9, 0, 1, 10, 100, 0, 1};
+    static const uint8_t numbers[] = {1, 2, 3, 4, 0xff, 0xff, 0xff, 0xfe};
     size_t len = 40 + payload;
     memset(buf, 0, len);
     buf[0] = 0x45;
     set16(buf + 2, (unsigned)len);
     buf[8] = 64;
     buf[9] = 6;
-    memcpy(buf + 12, "\x0a\x09\x00\x01\x0a\x64\x00\x01", 8);
+    memcpy(buf + 12, addresses, sizeof(addresses));
     set16(buf + 20, 40001);
     set16(buf + 22, 80);
-    memcpy(buf + 24, "\x01\x02\x03\x04\xff\xff\xff\xfe", 8);
+    memcpy(buf + 24, numbers, sizeof(numbers));
     buf[32] = 0x50;
     buf[33] = flags;
     for (size_t i = 0; i < payload; i++)
