--- a/src/agent/front.c
+++ b/src/agent/front.c
@@ -349,6 +349,9 @@
     }
     fc->bytes_us = now_us;
     fc->now_us = now_us;
+    if (fc->in == NULL && must_pause(fc)) {
+        fc->in = g_byte_array_new();
+    }
     if (fc->in != NULL) {
         g_byte_array_append(fc->in, data, (guint)len);
     }
--- a/src/agent/peer_wire.c
+++ b/src/agent/peer_wire.c
@@ -169,6 +169,7 @@
     msg->outcome = (enum engine_outcome)raw->outcome;
     msg->reason = (enum engine_reason)raw->reason;
     msg->free_slots = (uint16_t)MIN(raw->free_slots, UINT16_MAX);
+    msg->load = (uint16_t)MIN(raw->load, UINT16_MAX);
     msg->waiting[TEXT_URGENT] = (uint16_t)MIN(raw->waiting_urgent, UINT16_MAX);
     msg->waiting[TEXT_ORDINARY] =
         (uint16_t)MIN(raw->waiting_ordinary, UINT16_MAX);
--- a/standin/upstream/server.c
+++ b/standin/upstream/server.c
@@ -436,8 +436,10 @@
 void
 server_finish(struct server *server)
 {
-    while (server->open.head != NULL) {
-        exchange_free(server->open.head->data);
+    struct exchange *exchange;
+
+    while ((exchange = g_queue_peek_head(&server->open)) != NULL) {
+        exchange_free(exchange);
     }
     if (server->listener != NULL) {
         evconnlistener_free(server->listener);
--- /dev/null
+++ b/tests/agent/test_wire.c
@@ -0,0 +1,190 @@
+#include <errno.h>
+#include <glib.h>
+#include <string.h>
+
+#include "agent/peer_wire.h"
+#include "agent/upstream.h"
+
+static struct engine_peer_msg
+run_message(void)
+{
+    return (struct engine_peer_msg){
+        .type = ENGINE_PEER_RUN,
+        .origin = 0x1122334455667788,
+        .request = {.id = 0xfedcba9876543210,
+                    .service = 77,
+                    .caller = 0x0a000001,
+                    .class = TEXT_ORDINARY,
+                    .idempotent = true,
+                    .keyed = true,
+                    .key = {77, {1, 2}, 3},
+                    .deadline_us = 123456},
+        .load = 400,
+    };
+}
+
+static void
+test_run(void)
+{
+    struct engine_peer_msg msg = run_message();
+    GByteArray *http = g_byte_array_new();
+    struct peer_wire wire;
+
+    g_byte_array_append(http, (const guint8 *)"GET", 3);
+    GByteArray *packed = peer_wire_pack(&msg, http, "trace");
+    g_assert_cmpint(peer_wire_unpack(packed->data, packed->len, &wire), ==, 0);
+    g_assert_cmpuint(wire.msg.origin, ==, msg.origin);
+    g_assert_cmpuint(wire.msg.request.id, ==, msg.request.id);
+    g_assert_cmpuint(wire.msg.request.service, ==, 77);
+    g_assert_cmpint(wire.msg.request.class, ==, TEXT_ORDINARY);
+    g_assert_true(wire.msg.request.idempotent);
+    g_assert_true(wire.msg.request.keyed);
+    g_assert_cmpmem(&wire.msg.request.key, sizeof(struct idem_key),
+                    &msg.request.key, sizeof(struct idem_key));
+    g_assert_cmpuint(wire.msg.request.deadline_us, ==, 123456);
+    g_assert_cmpuint(wire.msg.load, ==, 400);
+    g_assert_cmpmem(wire.bytes, wire.len, "GET", 3);
+    g_assert_cmpstr(wire.traceparent, ==, "trace");
+    peer_wire_finish(&wire);
+    g_byte_array_unref(packed);
+    g_byte_array_unref(http);
+}
+
+static void
+test_idem(void)
+{
+    struct engine_peer_msg msg = {
+        .type = ENGINE_PEER_IDEM,
+        .idem = {.type = IDEM_MSG_EXISTS,
+                 .key = {1, {2, 3}, 4},
+                 .owner = 5,
+                 .token = 6,
+                 .state = IDEM_DONE,
+                 .answer = (const uint8_t *)"whole",
+                 .answer_len = 5},
+    };
+    struct peer_wire wire;
+    GByteArray *packed = peer_wire_pack(&msg, NULL, NULL);
+
+    g_assert_cmpint(peer_wire_unpack(packed->data, packed->len, &wire), ==, 0);
+    g_assert_cmpint(wire.msg.idem.type, ==, IDEM_MSG_EXISTS);
+    g_assert_cmpint(wire.msg.idem.state, ==, IDEM_DONE);
+    g_assert_cmpuint(wire.msg.idem.token, ==, 6);
+    g_assert_cmpmem(wire.msg.idem.answer, wire.msg.idem.answer_len, "whole",
+                    5);
+    peer_wire_finish(&wire);
+    g_byte_array_unref(packed);
+}
+
+static void
+test_pins(void)
+{
+    const struct flow_pin pins[] = {{1, 10}, {4095, 20}};
+    struct flow_pin pin;
+    struct peer_wire wire;
+    GByteArray *packed = peer_wire_pack_pins(pins, 2);
+
+    g_assert_cmpint(peer_wire_unpack(packed->data, packed->len, &wire), ==, 0);
+    g_assert_true(wire.pins);
+    g_assert_true(peer_wire_pin(&wire, 1, &pin));
+    g_assert_cmpuint(pin.bucket, ==, 4095);
+    g_assert_cmpuint(pin.owner, ==, 20);
+    g_assert_false(peer_wire_pin(&wire, 2, &pin));
+    peer_wire_finish(&wire);
+    g_byte_array_unref(packed);
+}
+
+/* Mutated messages are refused or read, never more than the enums hold. */
+static void
+test_mutations(void)
+{
+    struct engine_peer_msg msg = run_message();
+    GByteArray *packed = peer_wire_pack(&msg, NULL, "t");
+    GRand *random = g_rand_new_with_seed(11);
+    unsigned refused = 0;
+
+    for (int round = 0; round < 20000; round++) {
+        GByteArray *copy = g_byte_array_new();
+        struct peer_wire wire;
+        g_byte_array_append(copy, packed->data, packed->len);
+        copy->data[g_rand_int_range(random, 0, (gint)copy->len)] =
+            (guint8)g_rand_int_range(random, 0, 256);
+        size_t len = (size_t)g_rand_int_range(random, 0, (gint)copy->len + 1);
+        if (peer_wire_unpack(copy->data, len, &wire) < 0) {
+            refused++;
+        }
+        else {
+            g_assert_cmpint(wire.msg.type, <=, ENGINE_PEER_PROBE);
+            g_assert_cmpint(wire.msg.outcome, <=, ENGINE_KEY_MISMATCH);
+            g_assert_cmpint(wire.msg.reason, <, ENGINE_REASONS);
+            peer_wire_finish(&wire);
+        }
+        g_byte_array_unref(copy);
+    }
+    g_assert_cmpuint(refused, >, 0);
+    g_rand_free(random);
+    g_byte_array_unref(packed);
+}
+
+/** struct announced - a body, and the key it is refused for (NULL: taken) */
+struct announced {
+    const char *body;
+    const char *key;
+};
+
+static const struct announced bodies[] = {
+    {"{\"service\":\"lots\",\"address\":\"127.0.0.1:80\",\"slots\":2,"
+     "\"state\":\"ready\",\"busy\":0}",
+     NULL},
+    {"{\"service\":\"\",\"address\":\"127.0.0.1:80\",\"slots\":2,"
+     "\"state\":\"ready\"}",
+     "service"},
+    {"{\"service\":\"lots\",\"address\":\"nowhere\",\"slots\":2,"
+     "\"state\":\"ready\"}",
+     "address"},
+    {"{\"service\":\"lots\",\"address\":\"127.0.0.1:0\",\"slots\":2,"
+     "\"state\":\"ready\"}",
+     "address"},
+    {"{\"service\":\"lots\",\"address\":\"127.0.0.1:80\",\"slots\":0,"
+     "\"state\":\"ready\"}",
+     "slots"},
+    {"{\"service\":\"lots\",\"address\":\"127.0.0.1:80\",\"slots\":2,"
+     "\"state\":\"fine\"}",
+     "state"},
+    {"[1]", "body"},
+    {"{", "body"},
+    {"", "body"},
+};
+
+static void
+test_announcements(void)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(bodies); i++) {
+        struct announcement got;
+        struct error err = {0};
+        int ret = announcement_parse(bodies[i].body, strlen(bodies[i].body),
+                                     &got, &err);
+        if (bodies[i].key == NULL) {
+            g_assert_cmpint(ret, ==, 0);
+            g_assert_cmpstr(got.service, ==, "lots");
+            g_assert_cmpuint(got.addr.port, ==, 80);
+            g_assert_cmpuint(got.slots, ==, 2);
+            g_assert_cmpint(got.state, ==, MEMBER_READY);
+            continue;
+        }
+        g_assert_cmpint(ret, ==, -EINVAL);
+        g_assert_cmpstr(err.peer, ==, bodies[i].key);
+    }
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/agent/wire/run", test_run);
+    g_test_add_func("/agent/wire/idem", test_idem);
+    g_test_add_func("/agent/wire/pins", test_pins);
+    g_test_add_func("/agent/wire/mutations", test_mutations);
+    g_test_add_func("/agent/announcement", test_announcements);
+    return g_test_run();
+}
