--- a/src/request/engine.c
+++ b/src/request/engine.c
@@ -405,6 +405,12 @@
     return queue_total(&engine->queue);
 }
 
+unsigned
+engine_waiting_of(const struct engine *engine, enum text_class class)
+{
+    return engine->queue.count[class];
+}
+
 unsigned
 engine_open(const struct engine *engine)
 {
--- a/src/request/engine.h
+++ b/src/request/engine.h
@@ -293,6 +293,10 @@
 unsigned
 engine_waiting(const struct engine *engine);
 
+/** engine_waiting_of() - requests of @class waiting here */
+unsigned
+engine_waiting_of(const struct engine *engine, enum text_class class);
+
 /** engine_open() - local requests without a final answer yet */
 unsigned
 engine_open(const struct engine *engine);
