request: refuse by mean and four deviations

Four deviations as for retransmission timers; two let in requests that a slightly long run makes miss.

--- a/src/request/estimate.c
+++ b/src/request/estimate.c
@@ -7,7 +7,7 @@
 #define RUNS_MAX 32
 #define DEPARTURES_MAX 32
 #define DEPARTURES_TRUSTED 8
-#define DEVIATIONS 2.0
+#define DEVIATIONS 4.0
 #define KEEP_US (2 * USEC_PER_SEC)
 #define KEEP_RUNS 4.0
 
