Tell what is in force on each process

show asks the seeds for their members and then each member; a process that stays silent is named with what the others think of it, exit code 4. Run by hand with the stand-in platform and two balancers: nothing published, published, one balancer frozen, all gone.

--- a/src/cli/main.c
+++ b/src/cli/main.c
@@ -56,6 +56,7 @@
         {"agent", "serve the upstream beside it", run_agent},
         {"check", "check an operators' text", cli_check},
         {"apply", "publish an operators' text", cli_apply},
+        {"show", "tell what is in force on each process", cli_show},
     };
 
     return cli_run(commands, G_N_ELEMENTS(commands), argc, argv);
--- /dev/null
+++ b/src/cli/show.c
@@ -0,0 +1,107 @@
+#include <stdio.h>
+
+#include <argtable2.h>
+#include <glib.h>
+
+#include "cli/ask.h"
+#include "cli/cli.h"
+#include "cli/show_print.h"
+
+#define SUMMARY                                                               \
+    "Tell, process by process, which configuration is in force since when."
+#define TIMEOUT_MIN_MS 100
+#define TIMEOUT_MAX_MS 60000
+
+/** struct show_options - command line */
+struct show_options {
+    struct arg_lit *help;
+    struct arg_file *settings;
+    struct arg_lit *counters;
+    struct arg_lit *json;
+    struct arg_int *timeout;
+    struct arg_end *end;
+};
+
+static void
+print(const struct ask *ask, bool json)
+{
+    GString *out = g_string_new(NULL);
+
+    if (json) {
+        show_print_json(ask, out);
+    }
+    else {
+        show_print_table(ask, out);
+        if (ask->counters) {
+            show_print_counters(ask, out);
+        }
+    }
+    fputs(out->str, stdout);
+    g_string_free(out, TRUE);
+}
+
+static int
+show(const struct show_options *options)
+{
+    int timeout_ms = options->timeout->ival[0];
+    struct settings settings;
+    struct show_totals totals;
+    struct error err = {0};
+    char line[512];
+    struct ask ask;
+    int code;
+
+    if (timeout_ms < TIMEOUT_MIN_MS || timeout_ms > TIMEOUT_MAX_MS) {
+        fprintf(stderr, "--timeout-ms: found %d, expected %d to %d\n",
+                timeout_ms, TIMEOUT_MIN_MS, TIMEOUT_MAX_MS);
+        return CLI_USAGE;
+    }
+    code = cli_settings(&settings, options->settings->filename[0]);
+    if (code != CLI_OK) {
+        return code;
+    }
+    if (ask_init(&ask, &settings, &err) < 0) {
+        fprintf(stderr, "%s\n", error_format(&err, line, sizeof(line)));
+        return CLI_FAILED;
+    }
+    ask.counters = options->counters->count > 0;
+    ask_run(&ask, (unsigned)timeout_ms);
+    print(&ask, options->json->count > 0);
+    totals = show_totals(&ask);
+    ask_finish(&ask);
+    return totals.answered > 0 && totals.answered == totals.processes
+               ? CLI_OK
+               : CLI_NO_ANSWER;
+}
+
+int
+cli_show(int argc, char **argv)
+{
+    struct show_options options = {
+        .help = arg_lit0("h", "help", "print this"),
+        .settings =
+            arg_file1(NULL, "operator", "SETTINGS", "operator settings file"),
+        .counters = arg_lit0(NULL, "counters", "print the counters too"),
+        .json = arg_lit0(NULL, "json", "print one JSON object"),
+        .timeout = arg_int0(NULL, "timeout-ms", "N",
+                            "wait so long for answers, default 2000"),
+        .end = arg_end(10),
+    };
+    void *table[] = {options.help, options.settings, options.counters,
+                     options.json, options.timeout,  options.end};
+    int code = CLI_FAILED;
+
+    if (arg_nullcheck(table) != 0) {
+        fprintf(stderr, "%s: no memory\n", argv[0]);
+        goto out;
+    }
+    options.timeout->ival[0] = ASK_TIMEOUT_MS;
+    if (cli_parse(table, options.help, options.end, SUMMARY, argc, argv,
+                  &code)) {
+        code = show(&options);
+    }
+
+out:
+    arg_freetable(table, G_N_ELEMENTS(table));
+    return code;
+}
