--- a/src/request/admit.c
+++ b/src/request/admit.c
@@ -3,7 +3,7 @@
 #include "request/finish.h"
 
 #define FULL_LOAD 1000.0
-#define WAIT_MARGIN 1.25
+#define WAIT_MARGIN 2.0
 #define RETRY_AFTER_MIN_US (50 * USEC_PER_MSEC)
 #define RETRY_AFTER_MAX_US (30 * USEC_PER_SEC)
 #define JITTER_LOW 0.75
