--- a/src/agent/agent.c
+++ b/src/agent/agent.c
@@ -6,9 +6,9 @@
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
-#include <unistd.h>
 #include <urcu.h>
 
+#include "agent/gauges.h"
 #include "agent/program.h"
 #include "base/hash.h"
 #include "base/log.h"
@@ -114,48 +114,6 @@
     agent_tell_load(arg);
 }
 
-/* Resident memory from /proc, so that one page tells what an agent costs. */
-static uint64_t
-resident_bytes(void)
-{
-    unsigned long size = 0;
-    unsigned long resident = 0;
-    FILE *file = fopen("/proc/self/statm", "re");
-
-    if (file == NULL) {
-        return 0;
-    }
-    if (fscanf(file, "%lu %lu", &size, &resident) != 2) { // NOLINT
-        resident = 0;
-    }
-    fclose(file);
-    return (uint64_t)resident * (uint64_t)sysconf(_SC_PAGESIZE);
-}
-
-static void
-set_gauges(struct agent *agent)
-{
-    const struct front_stats *stats = &agent->front.stats;
-    struct counter_table *counters = &agent->counters;
-    const int *gauges = agent->gauges;
-    size_t embryos = 0;
-
-    pthread_mutex_lock(&agent->flow_lock);
-    size_t flows = flow_count(agent->flows, &embryos);
-    pthread_mutex_unlock(&agent->flow_lock);
-    counter_set(counters, gauges[AGENT_GAUGE_FLOWS], flows);
-    counter_set(counters, gauges[AGENT_GAUGE_EMBRYOS], embryos);
-    counter_set(counters, gauges[AGENT_GAUGE_BUSY],
-                engine_busy(agent->requests.engine));
-    counter_set(counters, gauges[AGENT_GAUGE_WAITING],
-                engine_waiting(agent->requests.engine));
-    counter_set(counters, gauges[AGENT_GAUGE_BACKLOG], agent->front.backlog);
-    counter_set(counters, gauges[AGENT_GAUGE_REFUSED], stats->refused);
-    counter_set(counters, gauges[AGENT_GAUGE_BAD], stats->bad_requests);
-    counter_set(counters, gauges[AGENT_GAUGE_SLOW], stats->slow);
-    counter_set(counters, gauges[AGENT_GAUGE_RSS], resident_bytes());
-}
-
 static void
 on_second(evutil_socket_t fd, short what, void *arg)
 {
@@ -170,7 +128,6 @@
     datagrams_tick(agent);
     ingress_tick(agent);
     requests_sweep(agent);
-    set_gauges(agent);
 }
 
 static void
@@ -179,27 +136,6 @@
     agent_stop_begin(arg);
 }
 
-static void
-register_gauges(struct agent *agent)
-{
-    static const char *const names[AGENT_GAUGES] = {
-        [AGENT_GAUGE_FLOWS] = "flows",
-        [AGENT_GAUGE_EMBRYOS] = "flows_opening",
-        [AGENT_GAUGE_BUSY] = "slots_busy",
-        [AGENT_GAUGE_WAITING] = "requests_waiting",
-        [AGENT_GAUGE_BACKLOG] = "answer_backlog_bytes",
-        [AGENT_GAUGE_REFUSED] = "flows_refused_total",
-        [AGENT_GAUGE_BAD] = "bad_requests_total",
-        [AGENT_GAUGE_SLOW] = "slow_flows_total",
-        [AGENT_GAUGE_RSS] = "resident_bytes",
-    };
-
-    for (size_t i = 0; i < AGENT_GAUGES; i++) {
-        agent->gauges[i] =
-            counter_register_gauge(&agent->counters, names[i], "");
-    }
-}
-
 static int
 add_event(struct agent *agent, size_t index, struct event *event,
           unsigned period_ms)
@@ -266,7 +202,7 @@
     }
     ingress_register(agent);
     requests_register(agent);
-    register_gauges(agent);
+    gauges_register(agent);
     agent->base = event_base_new();
     agent->flows = flow_table_new(agent->self, FLOWS_MAX);
     if (agent->base == NULL || agent->flows == NULL ||
--- a/src/agent/program.h
+++ b/src/agent/program.h
@@ -18,6 +18,7 @@
 #include "agent/back.h"
 #include "agent/datagram.h"
 #include "agent/front.h"
+#include "agent/gauges.h"
 #include "agent/ingress.h"
 #include "agent/peer_links.h"
 #include "agent/requests.h"
@@ -40,20 +41,6 @@
     AGENT_CLOSING   /* drain_s is over: FIN between requests */
 };
 
-/** enum agent_gauge - figures that rise and fall */
-enum agent_gauge {
-    AGENT_GAUGE_FLOWS,
-    AGENT_GAUGE_EMBRYOS,
-    AGENT_GAUGE_BUSY,
-    AGENT_GAUGE_WAITING,
-    AGENT_GAUGE_BACKLOG,
-    AGENT_GAUGE_REFUSED,
-    AGENT_GAUGE_BAD,
-    AGENT_GAUGE_SLOW,
-    AGENT_GAUGE_RSS,
-    AGENT_GAUGES
-};
-
 #define AGENT_EVENTS 8
 
 /**
@@ -69,7 +56,7 @@
  * @stop_until_us: end of the present step of the stop
  * @hard_stop: a second signal came
  * @events: timers, signals and the stack's descriptor
- * @gauges: counter handles, by enum agent_gauge
+ * @gauges: figures on /metrics
  */
 struct agent {
     struct stack_owner stack_owner;
@@ -100,7 +87,7 @@
     uint64_t stop_until_us;
     bool hard_stop;
     struct event *events[AGENT_EVENTS];
-    int gauges[AGENT_GAUGES];
+    struct gauges gauges;
 };
 
 /** agent_now() - monotonic time, microseconds */
--- a/src/agent/upstream.c
+++ b/src/agent/upstream.c
@@ -145,6 +145,8 @@
 serve_metrics(struct agent *agent, struct httpd_request *request)
 {
     size_t len;
+
+    gauges_set(agent);
     char *text = counter_render(&agent->counters, &len);
 
     httpd_respond(request, STATUS_OK, "text/plain; version=0.0.4", text, len);
