--- a/src/request/estimate.c
+++ b/src/request/estimate.c
@@ -48,15 +48,16 @@
     if (estimate->last_departure_us != 0) {
         double gap = (double)(now_us - estimate->last_departure_us);
 
+        if (now_us >= estimate->gap_at_us + KEEP_US) {
+            estimate->departures = 0;
+        }
         if (estimate->departures < DEPARTURES_MAX) {
             estimate->departures++;
         }
         estimate->gap_us += (gap - estimate->gap_us) / estimate->departures;
+        estimate->gap_at_us = now_us;
     }
     estimate->last_departure_us = waiting > 0 ? now_us : 0;
-    if (waiting == 0) {
-        estimate->departures = 0;
-    }
 }
 
 uint64_t
@@ -80,7 +81,8 @@
     if (!is_known(estimate, now_us)) {
         return 0;
     }
-    if (estimate->departures >= DEPARTURES_TRUSTED) {
+    if (estimate->departures >= DEPARTURES_TRUSTED &&
+        now_us < estimate->gap_at_us + KEEP_US) {
         return (uint64_t)estimate->gap_us;
     }
     return (uint64_t)(estimate->run_us / fmax(1.0, slots));
--- a/src/request/estimate.h
+++ b/src/request/estimate.h
@@ -18,8 +18,9 @@
  * @run_us: mean run time, microseconds
  * @run_dev_us: mean deviation of it
  * @last_run_us: when the last run ended
- * @departures: departures seen in the current busy period
+ * @departures: departures seen lately, up to a small bound
  * @gap_us: mean time between departures
+ * @gap_at_us: when that was last seen; forgotten a while later
  * @last_departure_us: time of the last one, 0 when the queue was empty since
  */
 struct estimate {
@@ -29,6 +30,7 @@
     uint64_t last_run_us;
     unsigned departures;
     double gap_us;
+    uint64_t gap_at_us;
     uint64_t last_departure_us;
 };
 
