request: serve peers without an upstream in random order

Two at once: the first in the list took every turn, the other starved (its queue moved once in 1.8 s).

--- a/src/request/dispatch_pull.c
+++ b/src/request/dispatch_pull.c
@@ -90,23 +90,27 @@
     ask(engine, peer, wanted);
 }
 
-/* A peer that takes requests but has no upstream to run them on. */
+/* Some peer that takes requests but has no upstream to run them on. */
 static struct peer *
-find_homeless(const struct engine *engine)
+find_homeless(struct engine *engine)
 {
     const GPtrArray *list = peers_of(&engine->peers, engine->upstream.service);
+    struct peer *chosen = NULL;
+    int seen = 0;
 
     for (guint i = 0; i < list->len; i++) {
         struct peer *peer = g_ptr_array_index(list, i);
+        bool leaves =
+            peer->state == MEMBER_DRAINING || peer->state == MEMBER_LEAVING;
 
-        if ((peer->state == MEMBER_DRAINING ||
-             peer->state == MEMBER_LEAVING) &&
+        if (leaves &&
             (peer_has_waiting(peer, TEXT_URGENT, engine->now_us) ||
-             peer_has_waiting(peer, TEXT_ORDINARY, engine->now_us))) {
-            return peer;
+             peer_has_waiting(peer, TEXT_ORDINARY, engine->now_us)) &&
+            g_rand_int_range(engine->random, 0, ++seen) == 0) {
+            chosen = peer;
         }
     }
-    return NULL;
+    return chosen;
 }
 
 static struct peer *
