--- a/standin/caller/flow.c
+++ b/standin/caller/flow.c
@@ -183,7 +183,9 @@
         end = FLOW_CLOSED;
     flow->ending = true;
     lose_requests(flow, RESULT_TIMEOUT);
-    flow_record(flow, end);
+    /* One that was still opening has neither failed nor lived. */
+    if (flow->open || flow->closed_by_us)
+        flow_record(flow, end);
     close_if_done(flow);
 }
 
