--- /dev/null
+++ b/bench/packet/bench_forward.c
@@ -0,0 +1,461 @@
+/**
+ * DOC: bench_forward - the balancer's workers against a bare forwarder
+ *
+ * Each round fills the sockets of the forwarder with a fixed number of
+ * packets over loopback while it stands still, starts it, and takes the
+ * time until it has passed on all of them. Rounds of the bare forwarder
+ * and of the balancer take turns, with the same packets, sockets, batch
+ * and destinations. The destinations are sockets that nobody reads, so
+ * what is compared is the forwarder and not its receivers; with less work
+ * in the kernel the balancer's own share weighs more, not less.
+ */
+#include <argtable2.h>
+#include <glib.h>
+#include <pthread.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/resource.h>
+#include <sys/socket.h>
+#include <time.h>
+#include <unistd.h>
+#include <urcu.h>
+
+#include "balancer/worker.h"
+#include "balancer/worker_batch.h"
+#include "balancer/worker_socket.h"
+#include "scene.h"
+
+#define ENDPOINTS 10
+#define LOOPBACK 0x7f000001u
+#define PAYLOAD "GET /lots/4711 HTTP/1.1\r\nHost: lots\r\nAccept: */*\r\n\r\n"
+#define PER_WORKER 4000
+#define ROUNDS_MAX 1000
+#define ROUND_LIMIT_S 10.0
+#define FLOW_COUNT 400000
+
+/** struct bench - what all rounds share */
+struct bench {
+    int sinks[ENDPOINTS];
+    struct addr to[ENDPOINTS];
+    struct view *view;
+    struct text *text;
+    uint32_t next_caller;
+};
+
+/** struct bare - one thread of the bare forwarder */
+struct bare {
+    const struct bench *bench;
+    int fd;
+    int *stopping;
+    uint64_t forwarded;
+    pthread_t thread;
+    struct worker_batch *batch;
+};
+
+/**
+ * struct result - the rounds of one forwarder
+ * @rates: packets per second
+ * @costs: nanoseconds of processor time per packet, of its threads
+ * @count: rounds
+ */
+struct result {
+    double rates[ROUNDS_MAX];
+    double costs[ROUNDS_MAX];
+    size_t count;
+};
+
+/** struct stopwatch - wall clock and processor time at a start */
+struct stopwatch {
+    double wall;
+    double workers;
+};
+
+static double
+clock_s(clockid_t id)
+{
+    struct timespec now;
+
+    clock_gettime(id, &now);
+    return (double)now.tv_sec + (double)now.tv_nsec / 1e9;
+}
+
+static double
+now_s(void)
+{
+    return clock_s(CLOCK_MONOTONIC);
+}
+
+/* Processor time of all threads but this one, which only waits */
+static double
+workers_s(void)
+{
+    return clock_s(CLOCK_PROCESS_CPUTIME_ID) -
+           clock_s(CLOCK_THREAD_CPUTIME_ID);
+}
+
+static struct stopwatch
+stopwatch_start(void)
+{
+    return (struct stopwatch){.wall = now_s(), .workers = workers_s()};
+}
+
+static int
+compare_doubles(const void *a, const void *b)
+{
+    double x = *(const double *)a;
+    double y = *(const double *)b;
+    return (x > y) - (x < y);
+}
+
+static double
+median(double *values, size_t count)
+{
+    qsort(values, count, sizeof(double), compare_doubles);
+    return values[count / 2];
+}
+
+static int
+open_sink(struct addr *addr)
+{
+    struct sockaddr_in sin = addr_to_sockaddr((struct addr){LOOPBACK, 0});
+    socklen_t len = sizeof(sin);
+    int size = 4096;
+    int fd = socket(AF_INET, SOCK_DGRAM, 0);
+
+    if (fd < 0 || bind(fd, (struct sockaddr *)&sin, len) < 0 ||
+        getsockname(fd, (struct sockaddr *)&sin, &len) < 0)
+        g_error("A sink can't be opened.");
+    setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &size, sizeof(size));
+    *addr = addr_from_sockaddr(&sin);
+    return fd;
+}
+
+static void
+bench_open(struct bench *bench)
+{
+    memset(bench, 0, sizeof(*bench));
+    bench->text = scene_text();
+    bench->view = scene_view(ENDPOINTS, "lots");
+    for (size_t i = 0; i < ENDPOINTS; i++) {
+        bench->sinks[i] = open_sink(&bench->to[i]);
+        bench->view->members[i].data = bench->to[i];
+    }
+}
+
+static void
+bench_close(struct bench *bench)
+{
+    for (size_t i = 0; i < ENDPOINTS; i++)
+        close(bench->sinks[i]);
+    text_free(bench->text);
+    free(bench->view);
+}
+
+/* Packets of distinct flows; one flow in eight opens. */
+static void
+fill(struct bench *bench, struct addr to, size_t count)
+{
+    struct worker_batch *batch = aligned_alloc(64, sizeof(*batch));
+    struct sockaddr_in sin = addr_to_sockaddr(to);
+    int fd = socket(AF_INET, SOCK_DGRAM, 0);
+
+    worker_batch_init(batch);
+    for (size_t sent = 0; sent < count;) {
+        unsigned n = (unsigned)MIN(count - sent, WORKER_BATCH);
+        for (unsigned i = 0; i < n; i++) {
+            uint8_t *bytes = batch->buffers[i].bytes;
+            uint32_t caller = bench->next_caller++;
+            gue_encode(NULL, bytes);
+            batch->out_iov[i].iov_base = bytes;
+            batch->out_iov[i].iov_len =
+                BATCH_BARE +
+                scene_tcp(bytes + BATCH_BARE, SCENE_LOTS_IP, caller,
+                          caller % 8 == 0 ? PACKET_TCP_SYN : PACKET_TCP_ACK,
+                          caller % 8 == 0 ? "" : PAYLOAD);
+            batch->out_to[i] = sin;
+        }
+        int done = sendmmsg(fd, batch->out, n, 0);
+        if (done <= 0)
+            g_error("The generator can't send.");
+        sent += (size_t)done;
+    }
+    close(fd);
+    free(batch);
+}
+
+static void
+bare_batch(struct bare *bare, unsigned count)
+{
+    struct worker_batch *batch = bare->batch;
+
+    for (unsigned i = 0; i < count; i++) {
+        batch->out_iov[i].iov_base = batch->in_iov[i].iov_base;
+        batch->out_iov[i].iov_len = batch->in[i].msg_len;
+        batch->out_to[i] = addr_to_sockaddr(bare->bench->to[i % ENDPOINTS]);
+    }
+    for (unsigned sent = 0; sent < count;) {
+        int n = sendmmsg(bare->fd, batch->out + sent, count - sent, 0);
+        if (n <= 0)
+            g_error("The bare forwarder can't send.");
+        sent += (unsigned)n;
+    }
+    __atomic_store_n(&bare->forwarded, bare->forwarded + count,
+                     __ATOMIC_RELAXED);
+}
+
+static void *
+bare_main(void *data)
+{
+    struct bare *bare = data;
+
+    while (!__atomic_load_n(bare->stopping, __ATOMIC_RELAXED)) {
+        int n = recvmmsg(bare->fd, bare->batch->in, WORKER_BATCH,
+                         MSG_WAITFORONE, NULL);
+        if (n > 0)
+            bare_batch(bare, (unsigned)n);
+    }
+    return NULL;
+}
+
+static uint64_t
+bare_forwarded(const struct bare *bare, unsigned workers)
+{
+    uint64_t sum = 0;
+    for (unsigned i = 0; i < workers; i++)
+        sum += __atomic_load_n(&bare[i].forwarded, __ATOMIC_RELAXED);
+    return sum;
+}
+
+/* Note a round; g_error() when not all packets came through */
+static void
+note_round(struct result *result, const struct stopwatch *start,
+           uint64_t count, uint64_t done)
+{
+    double wall = now_s() - start->wall;
+    double workers = workers_s() - start->workers;
+
+    if (done < count)
+        g_error("Only %" G_GUINT64_FORMAT " of %" G_GUINT64_FORMAT
+                " packets came through.",
+                done, count);
+    result->rates[result->count] = (double)count / wall;
+    result->costs[result->count] = workers * 1e9 / (double)count;
+    result->count++;
+}
+
+static void
+round_bare(struct bench *bench, struct result *result, unsigned workers,
+           size_t count)
+{
+    struct bare bare[WORKERS_MAX] = {0};
+    struct addr addr = {LOOPBACK, 0};
+    struct error err;
+    int stopping = 0;
+
+    for (unsigned i = 0; i < workers; i++) {
+        bare[i].bench = bench;
+        bare[i].stopping = &stopping;
+        bare[i].fd = worker_socket_open(&addr, i == 0, &err);
+        bare[i].batch = aligned_alloc(64, sizeof(struct worker_batch));
+        worker_batch_init(bare[i].batch);
+    }
+    if (workers > 1)
+        worker_socket_spread(bare[0].fd, workers);
+    fill(bench, addr, count);
+
+    struct stopwatch start = stopwatch_start();
+    uint64_t done = 0;
+    for (unsigned i = 0; i < workers; i++)
+        pthread_create(&bare[i].thread, NULL, bare_main, &bare[i]);
+    while (done < count && now_s() < start.wall + ROUND_LIMIT_S)
+        done = bare_forwarded(bare, workers);
+    note_round(result, &start, count, done);
+
+    __atomic_store_n(&stopping, 1, __ATOMIC_RELAXED);
+    for (unsigned i = 0; i < workers; i++) {
+        pthread_join(bare[i].thread, NULL);
+        close(bare[i].fd);
+        free(bare[i].batch);
+    }
+}
+
+static void
+round_balancer(struct bench *bench, struct result *result, unsigned workers,
+               size_t count)
+{
+    struct worker_owner owner = {0};
+    struct worker_pool pool;
+    struct counter_table counters;
+    struct clock clock;
+    struct trace trace = {.fd = -1};
+    struct route_table *table;
+    struct error err;
+
+    clock_runtime_init(&clock);
+    counter_table_init(&counters);
+    if (worker_pool_init(&pool, (struct addr){LOOPBACK, 0}, workers, &owner,
+                         &clock, &counters, &trace, &err) < 0 ||
+        route_table_new(bench->view, bench->text, NULL, &table) < 0)
+        g_error("The balancer can't start.");
+    worker_pool_publish(&pool, table);
+    fill(bench, pool.addr, count);
+
+    struct stopwatch start = stopwatch_start();
+    uint64_t done = 0;
+    worker_pool_start(&pool, &err);
+    while (done < count && now_s() < start.wall + ROUND_LIMIT_S)
+        done = counter_read(&counters, pool.forwarded);
+    note_round(result, &start, count, done);
+
+    worker_pool_finish(&pool);
+    counter_table_finish(&counters);
+}
+
+/* Prints one line; returns the ratio of the medians */
+static double
+compare(struct bench *bench, unsigned workers, size_t rounds, double *rate)
+{
+    struct result bare = {0};
+    struct result balancer = {0};
+    size_t count = (size_t)PER_WORKER * workers;
+
+    round_bare(bench, &bare, workers, count);
+    round_balancer(bench, &balancer, workers, count);
+    bare.count = 0;
+    balancer.count = 0;
+    for (size_t i = 0; i < rounds; i++) {
+        round_bare(bench, &bare, workers, count);
+        round_balancer(bench, &balancer, workers, count);
+    }
+    double bare_rate = median(bare.rates, rounds);
+    double bare_cost = median(bare.costs, rounds);
+    double cost = median(balancer.costs, rounds);
+    *rate = median(balancer.rates, rounds);
+    printf("%7u %10.0f %10.0f %6.3f  %9.0f..%-9.0f %8.0f %8.0f %6.3f\n",
+           workers, bare_rate, *rate, *rate / bare_rate,
+           balancer.rates[rounds / 10],
+           balancer.rates[rounds - 1 - rounds / 10], bare_cost, cost,
+           bare_cost / cost);
+    fflush(stdout);
+    return *rate / bare_rate;
+}
+
+/* Counted page by page; statm is only about right */
+static long
+resident_bytes(void)
+{
+    char line[256];
+    long kilobytes = -1;
+    FILE *file = fopen("/proc/self/smaps_rollup", "r");
+
+    while (file != NULL && fgets(line, sizeof(line), file) != NULL)
+        if (sscanf(line, "Rss: %ld kB", &kilobytes) == 1)
+            break;
+    if (kilobytes < 0)
+        g_error("Resident memory can't be read.");
+    fclose(file);
+    return kilobytes * 1024;
+}
+
+/* Resident memory before and after distinct flows through one balancer */
+static long
+measure_flows(struct bench *bench)
+{
+    struct worker_owner owner = {0};
+    struct worker_pool pool;
+    struct counter_table counters;
+    struct clock clock;
+    struct trace trace = {.fd = -1};
+    struct route_table *table;
+    struct error err;
+    uint64_t sent = 0;
+
+    clock_runtime_init(&clock);
+    counter_table_init(&counters);
+    worker_pool_init(&pool, (struct addr){LOOPBACK, 0}, 1, &owner, &clock,
+                     &counters, &trace, &err);
+    route_table_new(bench->view, bench->text, NULL, &table);
+    worker_pool_publish(&pool, table);
+    worker_pool_start(&pool, &err);
+
+    long before = 0;
+    while (sent < FLOW_COUNT + PER_WORKER) {
+        fill(bench, pool.addr, PER_WORKER);
+        sent += PER_WORKER;
+        double start = now_s();
+        while (counter_read(&counters, pool.forwarded) < sent)
+            if (now_s() > start + ROUND_LIMIT_S)
+                g_error("Packets were lost on the way.");
+        if (before == 0) /* after the first use of all buffers */
+            before = resident_bytes();
+    }
+    long grown = resident_bytes() - before;
+    worker_pool_finish(&pool);
+    counter_table_finish(&counters);
+    return grown;
+}
+
+static void
+run(size_t rounds, unsigned max_workers)
+{
+    struct bench bench;
+    double first = 0;
+    double first_ratio = 0;
+
+    bench_open(&bench);
+    printf("%d endpoints, batches of %d, %d packets a worker and round, "
+           "%zu rounds each, medians\n",
+           ENDPOINTS, WORKER_BATCH, PER_WORKER, rounds);
+    printf("             packets/s                                    ns of "
+           "processor\n"
+           "workers       bare   balancer  ratio  balancer p10..p90      "
+           "bare balancer  ratio\n");
+    GString *json = g_string_new(NULL);
+    for (unsigned workers = 1; workers <= max_workers; workers *= 2) {
+        double rate;
+        double ratio = compare(&bench, workers, rounds, &rate);
+        if (workers == 1) {
+            first = rate;
+            first_ratio = ratio;
+        }
+        g_string_append_printf(json, ", \"growth_%u\": %.2f", workers,
+                               rate / first);
+    }
+    long grown = measure_flows(&bench);
+    printf("resident memory grew by %ld bytes over %d distinct flows\n", grown,
+           FLOW_COUNT);
+    printf("{\"packets_per_s\": %.0f, \"ratio\": %.3f%s, "
+           "\"flow_bytes\": %.3f}\n",
+           first, first_ratio, json->str, (double)grown / FLOW_COUNT);
+    g_string_free(json, TRUE);
+    bench_close(&bench);
+}
+
+int
+main(int argc, char **argv)
+{
+    struct arg_lit *help = arg_lit0("h", "help", "print this");
+    struct arg_int *rounds =
+        arg_int0(NULL, "rounds", "N", "rounds of each, default 40");
+    struct arg_int *workers =
+        arg_int0(NULL, "workers", "N", "most workers, default 8");
+    struct arg_end *end = arg_end(5);
+    void *table[] = {help, rounds, workers, end};
+
+    rounds->ival[0] = 40;
+    workers->ival[0] = 8;
+    if (arg_parse(argc, argv, table) > 0 || help->count > 0 ||
+        rounds->ival[0] < 1 || rounds->ival[0] > ROUNDS_MAX ||
+        workers->ival[0] < 1 || workers->ival[0] > WORKERS_MAX) {
+        printf("Usage: bench-forward");
+        arg_print_syntax(stdout, table, "\n");
+        arg_print_glossary(stdout, table, "  %-16s %s\n");
+        return help->count > 0 ? 0 : 2;
+    }
+    rcu_register_thread();
+    run((size_t)rounds->ival[0], (unsigned)workers->ival[0]);
+    rcu_unregister_thread();
+    arg_freetable(table, sizeof(table) / sizeof(table[0]));
+    return 0;
+}
--- /dev/null
+++ b/bench/packet/bench_lookup.c
@@ -0,0 +1,280 @@
+/**
+ * DOC: bench_lookup - cost of deciding about a packet, and of the tables
+ *
+ * All in one thread without sockets. A decision includes the check of the
+ * packet, as in a worker. The packets of FLOWS distinct flows are decided
+ * about in turn, so that all rows of the table are used. "known" is a
+ * packet that opens no flow, "open" one that does, "drain" the same while
+ * one endpoint drains, "batch" a known one in a worker's batch, with its
+ * encapsulation written.
+ */
+#include <glib.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+#include <unistd.h>
+
+#include "balancer/route.h"
+#include "balancer/worker_batch.h"
+#include "scene.h"
+
+#define FLOWS 16384
+#define SLOT 64
+#define PASSES 16
+#define REPEATS 9
+#define FLOW_COUNT 400000
+#define NOW_US (SCENE_FIRST_SEEN_US + ROUTE_WARM_US)
+
+/** struct packets - one small packet of each flow */
+struct packets {
+    uint8_t bytes[FLOWS][SLOT];
+    size_t lens[FLOWS];
+};
+
+/** struct figures - of one size; times of one packet or one table */
+struct figures {
+    size_t endpoints;
+    double known_ns;
+    double open_ns;
+    double drain_ns;
+    double batch_ns;
+    double build_us;
+    double join_us;
+    double leave_us;
+    double same_us;
+    size_t bytes;
+};
+
+static double
+now_ns(void)
+{
+    struct timespec now;
+
+    clock_gettime(CLOCK_MONOTONIC, &now);
+    return (double)now.tv_sec * 1e9 + (double)now.tv_nsec;
+}
+
+static int
+compare_doubles(const void *a, const void *b)
+{
+    double x = *(const double *)a;
+    double y = *(const double *)b;
+    return (x > y) - (x < y);
+}
+
+static void
+fill(struct packets *packets, uint8_t flags)
+{
+    for (uint32_t i = 0; i < FLOWS; i++)
+        packets->lens[i] =
+            scene_tcp(packets->bytes[i], SCENE_LOTS_IP, i * 7, flags, "");
+}
+
+static double
+pass_ns(const struct route_table *table, const struct packets *packets)
+{
+    struct route_decision decision;
+    uint64_t sum = 0;
+    double start = now_ns();
+
+    for (int pass = 0; pass < PASSES; pass++)
+        for (size_t i = 0; i < FLOWS; i++) {
+            if (route_decide(table, packets->bytes[i], packets->lens[i],
+                             NOW_US, &decision) != PACKET_OK)
+                g_error("A packet was dropped.");
+            sum += decision.gue.hops[0].member;
+        }
+    if (sum == 0)
+        g_error("No endpoint was chosen.");
+    return (now_ns() - start) / ((double)PASSES * FLOWS);
+}
+
+/* Median time of a decision */
+static double
+decide_ns(const struct route_table *table, struct packets *packets,
+          uint8_t flags)
+{
+    double times[REPEATS];
+
+    fill(packets, flags);
+    for (int i = 0; i < REPEATS; i++)
+        times[i] = pass_ns(table, packets);
+    qsort(times, REPEATS, sizeof(double), compare_doubles);
+    return times[REPEATS / 2];
+}
+
+/* Median time of a packet in a batch, with its encapsulation */
+static double
+batch_ns(const struct route_table *table, struct packets *packets)
+{
+    struct worker_batch *batch = aligned_alloc(64, sizeof(*batch));
+    struct trace trace = {.fd = -1};
+    double times[REPEATS];
+
+    fill(packets, PACKET_TCP_ACK);
+    worker_batch_init(batch);
+    for (int i = 0; i < REPEATS; i++) {
+        double spent = 0;
+        for (size_t first = 0; first < FLOWS; first += WORKER_BATCH) {
+            for (size_t j = 0; j < WORKER_BATCH; j++) {
+                uint8_t *bytes = batch->in_iov[j].iov_base;
+                memset(bytes, 0, BATCH_BARE);
+                bytes[1] = 4;
+                memcpy(bytes + BATCH_BARE, packets->bytes[first + j],
+                       packets->lens[first + j]);
+                batch->in[j].msg_len =
+                    (unsigned)(BATCH_BARE + packets->lens[first + j]);
+            }
+            double start = now_ns();
+            worker_batch_decide(batch, WORKER_BATCH, table, &trace, NOW_US);
+            spent += now_ns() - start;
+            if (batch->out_count != WORKER_BATCH)
+                g_error("A packet was dropped.");
+        }
+        times[i] = spent / FLOWS;
+    }
+    qsort(times, REPEATS, sizeof(double), compare_doubles);
+    free(batch);
+    return times[REPEATS / 2];
+}
+
+static struct route_table *
+build(const struct view *view, const struct text *text,
+      const struct route_table *previous)
+{
+    struct route_table *table;
+
+    if (route_table_new(view, text, previous, &table) < 0)
+        g_error("A table can't be built.");
+    return table;
+}
+
+/* Median time of a build after @previous */
+static double
+build_us(const struct view *view, const struct text *text,
+         const struct route_table *previous)
+{
+    double times[REPEATS];
+
+    for (int i = 0; i < REPEATS; i++) {
+        double start = now_ns();
+        struct route_table *table = build(view, text, previous);
+        times[i] = (now_ns() - start) / 1000;
+        route_table_free(table);
+    }
+    qsort(times, REPEATS, sizeof(double), compare_doubles);
+    return times[REPEATS / 2];
+}
+
+/* The view without its member @index */
+static struct view *
+without(const struct view *view, size_t index)
+{
+    struct view *less = scene_view(view->count, "lots");
+
+    less->count--;
+    memmove(&less->members[index], &less->members[index + 1],
+            (less->count - index) * sizeof(less->members[0]));
+    return less;
+}
+
+static void
+measure(struct figures *figures, const struct text *text,
+        struct packets *packets)
+{
+    struct view *view = scene_view(figures->endpoints, "lots");
+    struct view *less = without(view, figures->endpoints / 2);
+    struct route_table *table = build(view, text, NULL);
+    struct route_table *smaller = build(less, text, NULL);
+
+    figures->known_ns = decide_ns(table, packets, PACKET_TCP_ACK);
+    figures->open_ns = decide_ns(table, packets, PACKET_TCP_SYN);
+    figures->batch_ns = batch_ns(table, packets);
+    figures->build_us = build_us(view, text, NULL);
+    figures->join_us = build_us(view, text, smaller);
+    figures->leave_us = build_us(less, text, table);
+    figures->same_us = build_us(view, text, table);
+    figures->bytes = route_table_bytes(table);
+
+    view->members[0].state = MEMBER_DRAINING;
+    struct route_table *draining = build(view, text, table);
+    figures->drain_ns = decide_ns(draining, packets, PACKET_TCP_SYN);
+    route_table_free(draining);
+    route_table_free(smaller);
+    route_table_free(table);
+    free(less);
+    free(view);
+}
+
+/* Counted page by page; statm is only about right */
+static long
+resident_bytes(void)
+{
+    char line[256];
+    long kilobytes = -1;
+    FILE *file = fopen("/proc/self/smaps_rollup", "r");
+
+    while (file != NULL && fgets(line, sizeof(line), file) != NULL)
+        if (sscanf(line, "Rss: %ld kB", &kilobytes) == 1)
+            break;
+    if (kilobytes < 0)
+        g_error("Resident memory can't be read.");
+    fclose(file);
+    return kilobytes * 1024;
+}
+
+static long
+measure_flows(const struct text *text)
+{
+    struct view *view = scene_view(10, "lots");
+    struct route_table *table = build(view, text, NULL);
+    struct route_decision decision;
+    uint8_t buf[SLOT];
+    long before = 0;
+
+    for (uint32_t i = 0; i <= FLOW_COUNT; i++) {
+        size_t len = scene_tcp(buf, SCENE_LOTS_IP, i, PACKET_TCP_SYN, "");
+        if (route_decide(table, buf, len, NOW_US, &decision) != PACKET_OK)
+            g_error("A packet was dropped.");
+        if (i == 0)
+            before = resident_bytes();
+    }
+    long grown = resident_bytes() - before;
+    route_table_free(table);
+    free(view);
+    return grown;
+}
+
+int
+main(void)
+{
+    const size_t sizes[] = {10, 100, 1000, 10000};
+    struct packets *packets = g_new0(struct packets, 1);
+    struct text *text = scene_text();
+    GString *json = g_string_new(NULL);
+
+    printf(
+        "           ns of a packet                    us of a table\n"
+        "endpoints  known   open  drain  batch      build     join    leave "
+        "unchanged     bytes\n");
+    for (size_t i = 0; i < G_N_ELEMENTS(sizes); i++) {
+        struct figures f = {.endpoints = sizes[i]};
+        measure(&f, text, packets);
+        printf("%9zu %6.1f %6.1f %6.1f %6.1f %10.0f %8.0f %8.0f %9.0f "
+               "%9zu\n",
+               f.endpoints, f.known_ns, f.open_ns, f.drain_ns, f.batch_ns,
+               f.build_us, f.join_us, f.leave_us, f.same_us, f.bytes);
+        g_string_append_printf(json, "\"lookup_ns_%zu\": %.1f, ", sizes[i],
+                               f.known_ns);
+    }
+    long grown = measure_flows(text);
+    printf("resident memory grew by %ld bytes over %d distinct flows\n", grown,
+           FLOW_COUNT);
+    printf("{%s\"flow_bytes\": %.3f}\n", json->str,
+           (double)grown / FLOW_COUNT);
+    g_string_free(json, TRUE);
+    text_free(text);
+    g_free(packets);
+    return 0;
+}
