--- a/src/request/dispatch_pull.c
+++ b/src/request/dispatch_pull.c
@@ -13,16 +13,16 @@
  */
 #include "request/dispatch.h"
 
-#define ANNOUNCE_PEERS 3
+#define ANNOUNCE_PEERS 2
 #define ANNOUNCE_GAP_US (20 * USEC_PER_MSEC)
 #define ANNOUNCE_GAP_MAX_US (320 * USEC_PER_MSEC)
 #define ASK_TIMEOUT_US (20 * USEC_PER_MSEC)
 #define OFFER_KEEP_US (50 * USEC_PER_MSEC)
-#define OFFER_GAP_US (20 * USEC_PER_MSEC)
+#define OFFER_GAP_US (50 * USEC_PER_MSEC)
 #define BEAT_PEERS 3
 #define BEAT_US USEC_PER_SEC
 #define HOLD_US (4 * USEC_PER_MSEC)
-#define BALANCE_MARGIN 10
+#define BALANCE_MARGIN 20
 
 static bool
 has_offer(const struct engine *engine, const struct entry *entry,
