--- a/standin/caller/flow.c
+++ b/standin/caller/flow.c
@@ -49,6 +49,8 @@
 
     line.flow = flow->number;
     line.src = flow->src;
+    if (flow->answer.via[0] != '\0')
+        g_strlcpy(flow->via, flow->answer.via, sizeof(flow->via));
     expect_next(flow);
     load_on_outcome(flow->load, request, &line);
 }
@@ -212,6 +214,7 @@
         .flow = flow->number,
         .service = flow->load->settings->service,
         .src = flow->src,
+        .via = flow->via,
         .open_us = flow->open_us,
         .end_us = now_of(flow),
         .end = end,
--- a/standin/caller/flow.h
+++ b/standin/caller/flow.h
@@ -20,6 +20,7 @@
  * @number: number, unique in the run
  * @conn: its connection
  * @src: our address
+ * @via: who owns it, as the last answer that says so does
  * @open_us: when it was asked to open
  * @open: it is established
  * @ending: takes no more requests
@@ -37,6 +38,7 @@
     int64_t number;
     struct stack_conn *conn;
     struct addr src;
+    char via[RECORD_VIA_MAX];
     uint64_t open_us;
     bool open;
     bool ending;
--- a/standin/caller/record.c
+++ b/standin/caller/record.c
@@ -79,9 +79,10 @@
 
     fprintf(record->file,
             "{\"type\":\"flow\",\"flow\":%" PRId64 ",\"service\":\"%s\","
-            "\"src\":\"%s\",\"open_us\":%" PRIu64 ",\"end_us\":%" PRIu64
+            "\"src\":\"%s\",\"via\":\"%s\",\"open_us\":%" PRIu64
+            ",\"end_us\":%" PRIu64
             ",\"end\":\"%s\",\"peer_closed\":%s,\"requests\":%u}\n",
-            line->flow, line->service, addr_format(line->src, src),
+            line->flow, line->service, addr_format(line->src, src), line->via,
             line->open_us, line->end_us, end_names[line->end],
             yes_no(line->peer_closed), line->requests);
 }
--- a/standin/caller/record.h
+++ b/standin/caller/record.h
@@ -14,6 +14,7 @@
 #include "base/error.h"
 
 #define RECORD_NO_FLOW (-1)
+#define RECORD_VIA_MAX 64
 
 /** enum result - how an attempt ended */
 enum result {
@@ -67,6 +68,7 @@
 
 /**
  * struct flow_line - one flow
+ * @via: host that owns it, as its answers said, or ""
  * @peer_closed: the first FIN was not ours
  * @requests: sent over it
  */
@@ -74,6 +76,7 @@
     int64_t flow;
     const char *service;
     struct addr src;
+    const char *via;
     uint64_t open_us;
     uint64_t end_us;
     enum flow_end end;
--- a/standin/caller/request.c
+++ b/standin/caller/request.c
@@ -12,6 +12,8 @@
 #define BODY_BLOCK 64
 #define LETTERS 26
 #define HEX_ID_LEN 16
+#define NAME_CHARACTERS                                                       \
+    "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789._-"
 
 uint64_t
 request_id(const struct request *request)
@@ -89,6 +91,18 @@
         answer->line.retry_after_ms = (unsigned)value * unit_ms;
 }
 
+/* "1.1 a, 1.1 b" names b, the nearest to us. */
+static void
+take_via(struct answer *answer)
+{
+    const char *space = strrchr(answer->value->str, ' ');
+    const char *name = space != NULL ? space + 1 : answer->value->str;
+
+    /* Only names that need no escape in the record. */
+    if (name[strspn(name, NAME_CHARACTERS)] == '\0')
+        g_strlcpy(answer->via, name, sizeof(answer->via));
+}
+
 static void
 take_header(struct answer *answer)
 {
@@ -107,6 +121,9 @@
     else if (is_header(answer, "Idempotency-Replayed")) {
         answer->replayed = strcmp(answer->value->str, "true") == 0;
     }
+    else if (is_header(answer, "Via")) {
+        take_via(answer);
+    }
     else if (is_header(answer, "Retry-After-Ms")) {
         take_retry_after(answer, 1);
     }
@@ -211,6 +228,7 @@
     answer->has_service = false;
     answer->replayed = false;
     answer->outcome[0] = '\0';
+    answer->via[0] = '\0';
     answer->body = 0;
     g_string_truncate(answer->name, 0);
     g_string_truncate(answer->value, 0);
--- a/standin/caller/request.h
+++ b/standin/caller/request.h
@@ -64,6 +64,7 @@
  * @has_service: it carries X-Service
  * @replayed: it is the stored answer of an earlier attempt
  * @outcome: value of Swiftarch-Outcome
+ * @via: name in the last Via: the host that owns the flow
  * @body: bytes of body so far
  */
 struct answer {
@@ -80,6 +81,7 @@
     bool has_service;
     bool replayed;
     char outcome[16];
+    char via[RECORD_VIA_MAX];
     size_t body;
 };
 
--- a/standin/caller/test_caller.c
+++ b/standin/caller/test_caller.c
@@ -189,6 +189,24 @@
     g_byte_array_unref(second);
 }
 
+/* The owner of the flow is the nearest host that the answer passed. */
+static void
+test_via(void)
+{
+    GByteArray *bytes = make_answer(
+        "200 OK\r\nVia: 1.1 lots-2, 1.1 lots-7\r\n" OWN, ID, ANSWER_BYTES);
+    struct answer answer;
+
+    answer_init(&answer, &load);
+    answer_expect(&answer, &second_attempt);
+    read_in_pieces(&answer, bytes, 1);
+    g_assert_cmpstr(answer.via, ==, "lots-7");
+    answer_expect(&answer, &second_attempt);
+    g_assert_cmpstr(answer.via, ==, "");
+    answer_finish(&answer);
+    g_byte_array_unref(bytes);
+}
+
 static void
 test_garbage(void)
 {
@@ -271,6 +289,7 @@
         .flow = 7,
         .service = "lots",
         .src = request.src,
+        .via = "lots-1",
         .open_us = 1,
         .end_us = 9,
         .end = FLOW_RESET,
@@ -306,7 +325,8 @@
         "\"retry_after_ms\":70,\"crossed\":false,\"truncated\":true,"
         "\"wrong_service\":false}\n"
         "{\"type\":\"flow\",\"flow\":7,\"service\":\"lots\","
-        "\"src\":\"10.9.0.1:10000\",\"open_us\":1,\"end_us\":9,"
+        "\"src\":\"10.9.0.1:10000\",\"via\":\"lots-1\",\"open_us\":1,\"end_"
+        "us\":9,"
         "\"end\":\"reset\",\"peer_closed\":false,\"requests\":4}\n"
         "{\"type\":\"datagrams\",\"service\":\"lots\",\"sent\":9,"
         "\"echoed\":7,\"lost\":2,\"foreign\":0}\n");
@@ -362,6 +382,7 @@
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/caller/answers", test_answers);
     g_test_add_func("/caller/answers-in-a-row", test_answers_in_a_row);
+    g_test_add_func("/caller/via", test_via);
     g_test_add_func("/caller/garbage", test_garbage);
     g_test_add_func("/caller/request-text", test_request_text);
     g_test_add_func("/caller/arrivals", test_arrivals);
