--- a/src/request/dispatch_pull.c
+++ b/src/request/dispatch_pull.c
@@ -182,29 +182,9 @@
     return engine->self;
 }
 
-/* Mean load of the peers that said theirs lately, and our own. */
-static double
-mean_load(const struct engine *engine, unsigned own)
-{
-    const GPtrArray *list = peers_of(&engine->peers, engine->upstream.service);
-    double sum = own;
-    unsigned n = 1;
-
-    for (guint i = 0; i < list->len; i++) {
-        const struct peer *peer = g_ptr_array_index(list, i);
-
-        if (peer->load_at_us != 0 && peer_takes(peer, engine->now_us) &&
-            engine->now_us < peer->load_at_us + PEERS_LOAD_FRESH_US) {
-            sum += peer->load;
-            n++;
-        }
-    }
-    return sum / n;
-}
-
-/* A peer busier than the mean, by how much busier it is. */
+/* A peer clearly busier than @own, the likelier the busier it is. */
 static struct peer *
-find_busier(struct engine *engine, double mean)
+find_busier(struct engine *engine, unsigned own)
 {
     const GPtrArray *list = peers_of(&engine->peers, engine->upstream.service);
     struct peer *chosen = NULL;
@@ -212,7 +192,7 @@
 
     for (guint i = 0; i < list->len; i++) {
         struct peer *peer = g_ptr_array_index(list, i);
-        double above = peer->load - mean;
+        double above = (double)peer->load - own - BALANCE_MARGIN;
 
         if (peer->load_at_us == 0 || above <= 0 ||
             peer->health != MEMBER_ALIVE ||
@@ -231,14 +211,12 @@
 offer_for_balance(struct engine *engine)
 {
     unsigned own = upstream_load(&engine->upstream, engine->now_us);
-    double mean = mean_load(engine, own);
     struct peer *peer;
 
-    if (engine->now_us < engine->dispatch.offer_at_us ||
-        own + BALANCE_MARGIN > mean) {
+    if (engine->now_us < engine->dispatch.offer_at_us) {
         return;
     }
-    peer = find_busier(engine, mean);
+    peer = find_busier(engine, own);
     if (peer != NULL) {
         engine->dispatch.offer_at_us = engine->now_us + OFFER_GAP_US;
         ask(engine, peer, 1);
