--- a/src/request/admit.c
+++ b/src/request/admit.c
@@ -4,6 +4,7 @@
 
 #define FULL_LOAD 1000.0
 #define WAIT_MARGIN 2.0
+#define MOST_OF_MEAN 3
 #define RETRY_AFTER_MIN_US (50 * USEC_PER_MSEC)
 #define RETRY_AFTER_MAX_US (30 * USEC_PER_SEC)
 #define JITTER_LOW 0.75
@@ -26,6 +27,40 @@
     return slots;
 }
 
+/* Run time at the fastest peer that takes work, UINT64_MAX if unknown. */
+static uint64_t
+fastest_peer_us(const struct engine *engine, uint32_t service)
+{
+    const GPtrArray *list = peers_of(&engine->peers, service);
+    uint64_t fastest = UINT64_MAX;
+
+    for (guint i = 0; i < list->len; i++) {
+        const struct peer *peer = g_ptr_array_index(list, i);
+
+        if (peer_takes(peer, engine->now_us) && peer->traffic.run_us > 0) {
+            fastest = MIN(fastest, peer->traffic.run_us);
+        }
+    }
+    return fastest;
+}
+
+/* A slow local upstream is no reason to refuse what a peer can serve. */
+static uint64_t
+needed_run_us(const struct engine *engine, uint32_t service)
+{
+    return MIN(estimate_run_us(&engine->estimate, engine->now_us),
+               fastest_peer_us(engine, service));
+}
+
+static uint64_t
+needed_run_most_us(const struct engine *engine, uint32_t service)
+{
+    uint64_t fastest = fastest_peer_us(engine, service);
+    uint64_t own = estimate_run_most_us(&engine->estimate, engine->now_us);
+
+    return fastest < own / MOST_OF_MEAN ? MOST_OF_MEAN * fastest : own;
+}
+
 static bool
 anybody_serves(const struct engine *engine, uint32_t service)
 {
@@ -62,8 +97,7 @@
                           engine->now_us);
     wait = WAIT_MARGIN * (double)gap *
            queue_ahead(&engine->queue, request->class, request->deadline_us);
-    return wait + (double)estimate_run_most_us(&engine->estimate,
-                                               engine->now_us) >
+    return wait + (double)needed_run_most_us(engine, request->service) >
            (double)left;
 }
 
@@ -117,6 +151,16 @@
     return ENGINE_REASON_NONE;
 }
 
+bool
+admit_too_slow_here(const struct engine *engine, const struct entry *entry)
+{
+    uint64_t own = estimate_run_most_us(&engine->estimate, engine->now_us);
+    uint64_t fastest = fastest_peer_us(engine, entry->request.service);
+
+    return engine->now_us + own > entry->request.deadline_us &&
+           fastest < own / MOST_OF_MEAN;
+}
+
 /* Whether anybody is left who could run it. */
 static bool
 has_server(const struct engine *engine, const struct entry *entry)
@@ -142,7 +186,7 @@
 enum engine_reason
 admit_hopeless(const struct engine *engine, const struct entry *entry)
 {
-    uint64_t run_us = estimate_run_us(&engine->estimate, engine->now_us);
+    uint64_t run_us = needed_run_us(engine, entry->request.service);
     uint64_t deadline_us = entry->request.deadline_us;
     unsigned free_slots = upstream_free(
         &engine->upstream, entry->request.service, engine->now_us);
--- a/src/request/admit.h
+++ b/src/request/admit.h
@@ -16,6 +16,11 @@
 enum engine_reason
 admit_hopeless(const struct engine *engine, const struct entry *entry);
 
+/** admit_too_slow_here() - the local upstream would rather miss the deadline
+ * of @entry, and some peer is much faster */
+bool
+admit_too_slow_here(const struct engine *engine, const struct entry *entry);
+
 /**
  * admit_retry_after_ms() - when a refused caller may come back
  *
--- a/src/request/dispatch_pull.c
+++ b/src/request/dispatch_pull.c
@@ -13,6 +13,8 @@
  */
 #include "request/dispatch.h"
 
+#include "request/admit.h"
+
 #define ANNOUNCE_PEERS 2
 #define ANNOUNCE_GAP_US (20 * USEC_PER_MSEC)
 #define ANNOUNCE_GAP_MAX_US (320 * USEC_PER_MSEC)
@@ -169,7 +171,8 @@
     const struct peer *offer = find_offer(engine, entry);
     unsigned load = upstream_load(&engine->upstream, engine->now_us);
 
-    if (dispatch_free(engine, entry) == 0) {
+    if (dispatch_free(engine, entry) == 0 ||
+        admit_too_slow_here(engine, entry)) {
         return offer != NULL ? offer->id : 0;
     }
     if (offer != NULL && load > (unsigned)offer->load + BALANCE_MARGIN) {
