Explain what a packet or a request would meet

From what a process of the site knows or from a text alone, by the code that decides: the balancer's route table, the agent's reader of requests, the engine's dependencies and the replicas of a key. Run by hand with two balancers and four agents, one of them draining; the binary links with all parts.

--- /dev/null
+++ b/src/cli/explain.c
@@ -0,0 +1,218 @@
+#include <errno.h>
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+
+#include <argtable2.h>
+#include <glib.h>
+
+#include "cli/ask.h"
+#include "cli/cli.h"
+#include "cli/explain_packet.h"
+#include "cli/explain_request.h"
+#include "cli/snapshot.h"
+
+#define SUMMARY                                                               \
+    "Tell what a packet or a request would meet, and why, from what a "       \
+    "process\nof the site knows (--operator) or from a text alone (--text)."
+
+/** struct explain_options - command line */
+struct explain_options {
+    struct arg_lit *help;
+    struct arg_file *settings;
+    struct arg_file *text;
+    struct arg_str *packet;
+    struct arg_str *request;
+    struct arg_str *key;
+    struct arg_str *priority;
+    struct arg_str *timeout;
+    struct arg_end *end;
+};
+
+static const char *
+string_of(const struct arg_str *arg)
+{
+    return arg->count > 0 ? arg->sval[0] : NULL;
+}
+
+static int
+load_text(const char *path, struct snapshot *snapshot)
+{
+    struct text *text;
+    char *report;
+    char *data;
+    size_t len;
+    int rc;
+
+    if (cli_read_file(path, &data, &len) < 0) {
+        return CLI_USAGE;
+    }
+    rc = text_parse(data, len, path, &text, &report);
+    if (report != NULL) {
+        fputs(report, stderr);
+    }
+    g_free(report);
+    g_free(data);
+    if (rc < 0) {
+        return CLI_USAGE;
+    }
+    return snapshot_of_text(snapshot, text) < 0 ? CLI_FAILED : CLI_OK;
+}
+
+static int
+take_answer(const struct ask *ask, struct snapshot *snapshot)
+{
+    int rc;
+
+    if (ask->config == NULL) {
+        fprintf(stderr, "no process of the site answered\n");
+        return CLI_NO_ANSWER;
+    }
+    rc = snapshot_of_reply(snapshot, ask->config);
+    if (rc == -ENODATA) {
+        fprintf(stderr, "%s has no configuration in force yet\n",
+                ask->config->name);
+        return CLI_FAILED;
+    }
+    if (rc < 0) {
+        fprintf(stderr, "the answer of %s can't be read\n", ask->config->name);
+        return CLI_FAILED;
+    }
+    printf("as %s sees it, version %" PRIu64 "\n", ask->config->name,
+           ask->config->config_version);
+    return CLI_OK;
+}
+
+static int
+load_live(const char *path, struct snapshot *snapshot)
+{
+    struct settings settings;
+    struct error err = {0};
+    char line[512];
+    struct ask ask;
+    int code = cli_settings(&settings, path);
+
+    if (code != CLI_OK) {
+        return code;
+    }
+    if (ask_init(&ask, &settings, &err) < 0) {
+        fprintf(stderr, "%s\n", error_format(&err, line, sizeof(line)));
+        return CLI_FAILED;
+    }
+    ask.only_seeds = true;
+    ask_run(&ask, ASK_TIMEOUT_MS);
+    code = take_answer(&ask, snapshot);
+    ask_finish(&ask);
+    return code;
+}
+
+static int
+print_packet(const struct snapshot *snapshot, const char *words)
+{
+    GString *out = g_string_new(NULL);
+    struct packet_spec spec;
+    int rc;
+
+    if (packet_spec_parse(words, &spec) < 0) {
+        fprintf(stderr,
+                "--packet: found \"%s\", expected \"tcp|udp ADDRESS:PORT "
+                "ADDRESS:PORT [syn|ack]\"\n",
+                words);
+        g_string_free(out, TRUE);
+        return CLI_USAGE;
+    }
+    rc = explain_packet(snapshot, &spec, out);
+    fputs(out->str, stdout);
+    g_string_free(out, TRUE);
+    return rc < 0 ? CLI_FAILED : CLI_OK;
+}
+
+static int
+print_request(const struct snapshot *snapshot,
+              const struct explain_options *options)
+{
+    char **words = g_strsplit(options->request->sval[0], " ", -1);
+    struct request_spec spec = {
+        .key = string_of(options->key),
+        .priority = string_of(options->priority),
+        .timeout_ms = string_of(options->timeout),
+    };
+    GString *out = g_string_new(NULL);
+    int rc = -EINVAL;
+
+    if (g_strv_length(words) != 2) {
+        fprintf(stderr,
+                "--request: found \"%s\", expected \"SERVICE "
+                "METHOD\"\n",
+                options->request->sval[0]);
+    }
+    else {
+        spec.service = words[0];
+        spec.method = words[1];
+        rc = explain_request(snapshot, &spec, out);
+    }
+    fputs(out->str, rc < 0 ? stderr : stdout);
+    g_string_free(out, TRUE);
+    g_strfreev(words);
+    if (rc == -EINVAL || rc == -ENOENT) {
+        return CLI_USAGE;
+    }
+    return rc < 0 ? CLI_FAILED : CLI_OK;
+}
+
+static int
+explain(const struct explain_options *options)
+{
+    struct snapshot snapshot = {0};
+    int code;
+
+    if (options->settings->count + options->text->count != 1 ||
+        options->packet->count + options->request->count != 1) {
+        fprintf(stderr, "expected one of --operator and --text, and one of "
+                        "--packet and --request\n");
+        return CLI_USAGE;
+    }
+    code = options->text->count > 0
+               ? load_text(options->text->filename[0], &snapshot)
+               : load_live(options->settings->filename[0], &snapshot);
+    if (code == CLI_OK) {
+        code = options->packet->count > 0
+                   ? print_packet(&snapshot, options->packet->sval[0])
+                   : print_request(&snapshot, options);
+    }
+    snapshot_finish(&snapshot);
+    return code;
+}
+
+int
+cli_explain(int argc, char **argv)
+{
+    struct explain_options options = {
+        .help = arg_lit0("h", "help", "print this"),
+        .settings = arg_file0(NULL, "operator", "SETTINGS",
+                              "operator settings file: ask the site"),
+        .text = arg_file0(NULL, "text", "FILE", "a text alone"),
+        .packet = arg_str0(NULL, "packet", "WORDS",
+                           "\"tcp 10.9.0.1:4000 10.0.0.1:80 [syn|ack]\""),
+        .request = arg_str0(NULL, "request", "WORDS", "\"SERVICE METHOD\""),
+        .key = arg_str0(NULL, "key", "KEY", "its Idempotency-Key"),
+        .priority =
+            arg_str0(NULL, "priority", "FIELD", "its Priority, such as u=5"),
+        .timeout = arg_str0(NULL, "timeout-ms", "N", "its deadline"),
+        .end = arg_end(10),
+    };
+    void *table[] = {options.help,     options.settings, options.text,
+                     options.packet,   options.request,  options.key,
+                     options.priority, options.timeout,  options.end};
+    int code = CLI_FAILED;
+
+    if (arg_nullcheck(table) != 0) {
+        fprintf(stderr, "%s: no memory\n", argv[0]);
+    }
+    else if (cli_parse(table, options.help, options.end, SUMMARY, argc, argv,
+                       &code)) {
+        code = explain(&options);
+    }
+    arg_freetable(table, G_N_ELEMENTS(table));
+    return code;
+}
--- /dev/null
+++ b/src/cli/explain_packet.c
@@ -0,0 +1,251 @@
+#include "cli/explain_packet.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <netinet/ip.h>
+#include <netinet/tcp.h>
+#include <string.h>
+
+#include "balancer/route.h"
+#include "cli/words.h"
+#include "packet/packet.h"
+#include "packet/rank.h"
+
+#define TTL 64
+#define LATER_US UINT64_C(3600000000) /* beyond every cold start */
+
+int
+packet_spec_parse(const char *words, struct packet_spec *spec)
+{
+    char **parts = g_strsplit_set(words, " ", -1);
+    guint count = g_strv_length(parts);
+    int rc = -EINVAL;
+
+    *spec = (struct packet_spec){.proto = TEXT_TCP, .opens = true};
+    if (count < 3 || count > 4 || addr_parse(parts[1], &spec->src) < 0 ||
+        addr_parse(parts[2], &spec->dst) < 0) {
+        goto out;
+    }
+    if (strcmp(parts[0], "udp") == 0) {
+        spec->proto = TEXT_UDP;
+    }
+    else if (strcmp(parts[0], "tcp") != 0) {
+        goto out;
+    }
+    if (count == 4) {
+        spec->opens = strcmp(parts[3], "syn") == 0;
+        if (spec->proto != TEXT_TCP ||
+            (!spec->opens && strcmp(parts[3], "ack") != 0)) {
+            goto out;
+        }
+    }
+    rc = 0;
+
+out:
+    g_strfreev(parts);
+    return rc;
+}
+
+static size_t
+build_tcp(const struct packet_spec *spec, uint8_t *buf)
+{
+    struct iphdr ip = {
+        .version = 4,
+        .ihl = sizeof(ip) / 4,
+        .tot_len = htons(sizeof(struct iphdr) + sizeof(struct tcphdr)),
+        .ttl = TTL,
+        .protocol = TEXT_TCP,
+        .saddr = htonl(spec->src.ip),
+        .daddr = htonl(spec->dst.ip),
+    };
+    struct tcphdr tcp = {
+        .source = htons(spec->src.port),
+        .dest = htons(spec->dst.port),
+        .doff = sizeof(tcp) / 4,
+        .syn = spec->opens,
+        .ack = !spec->opens,
+    };
+
+    memcpy(buf, &ip, sizeof(ip));
+    ip.check = htons(packet_checksum(buf, sizeof(ip)));
+    memcpy(buf, &ip, sizeof(ip));
+    memcpy(buf + sizeof(ip), &tcp, sizeof(tcp));
+    return sizeof(ip) + sizeof(tcp);
+}
+
+static size_t
+build(const struct packet_spec *spec, uint8_t *buf)
+{
+    if (spec->proto == TEXT_TCP) {
+        return build_tcp(spec, buf);
+    }
+    return packet_build_udp(spec->src.ip, spec->src.port, spec->dst.ip,
+                            spec->dst.port, NULL, 0, buf);
+}
+
+static void
+print_packet(const struct packet_spec *spec, GString *out)
+{
+    char src[ADDR_TEXT_MAX];
+    char dst[ADDR_TEXT_MAX];
+
+    g_string_append_printf(
+        out, "packet   %s %s -> %s, %s\n", text_proto_name(spec->proto),
+        addr_format(spec->src, src), addr_format(spec->dst, dst),
+        spec->proto == TEXT_UDP ? "any datagram may open a flow"
+        : spec->opens           ? "SYN, may open a flow"
+                                : "ACK, of a flow that is open");
+}
+
+static const char *
+why(const struct view_member *member)
+{
+    if (member->health == MEMBER_DEAD) {
+        return "dead: gets nothing";
+    }
+    if (member->health == MEMBER_SUSPECT) {
+        return "silent: gets no new flow, its own flows' packets come to it "
+               "after the others";
+    }
+    switch (member->state) {
+    case MEMBER_READY:
+        return "takes new flows";
+    case MEMBER_WARMING:
+        return "takes a growing share of new flows (cold start)";
+    case MEMBER_DRAINING:
+        return "keeps its flows, gets no new one";
+    default:
+        return "keeps its flows until it stops, gets no new one";
+    }
+}
+
+static void
+print_member(const struct view_member *member, const char *place, GString *out)
+{
+    char data[ADDR_TEXT_MAX];
+
+    g_string_append_printf(
+        out, "%s %-24s %-12s %-21s %s, %s: %s\n", place, member->name,
+        member->data_centre, addr_format(member->data, data),
+        words_state(member->state), words_health(member->health), why(member));
+}
+
+static void
+print_hops(const struct snapshot *snapshot, const struct gue *gue,
+           GString *out)
+{
+    g_string_append(
+        out, gue->flags & GUE_OPEN
+                 ? "goes to  the first of these, which opens the flow unless "
+                   "one of the others knows\n         it already\n"
+                 : "goes to  the first of these; who does not know the flow "
+                   "passes it to the next\n");
+    g_string_append(out, "order    by standing, then by the score of each "
+                         "endpoint for the bucket\n         (rendezvous "
+                         "hashing), highest first\n");
+    for (size_t i = 0; i < gue->count; i++) {
+        const struct view_member *member =
+            view_find(snapshot->view, gue->hops[i].member);
+        char place[16];
+
+        g_snprintf(place, sizeof(place), "  %zu.", i + 1);
+        if (member != NULL) {
+            print_member(member, place, out);
+        }
+    }
+}
+
+static bool
+is_listed(const struct gue *gue, uint64_t member)
+{
+    for (size_t i = 0; i < gue->count; i++) {
+        if (gue->hops[i].member == member) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static void
+print_others(const struct snapshot *snapshot, uint32_t service,
+             const struct gue *gue, GString *out)
+{
+    const struct view *view = snapshot->view;
+    bool any = false;
+
+    for (size_t i = 0; i < view->count; i++) {
+        const struct view_member *member = &view->members[i];
+
+        if (member->role != MEMBER_AGENT || member->service != service ||
+            is_listed(gue, member->id)) {
+            continue;
+        }
+        if (!any) {
+            g_string_append(out, "not asked, being ranked lower or dead\n");
+            any = true;
+        }
+        print_member(member, "   -", out);
+    }
+}
+
+static void
+print_service(const struct text_service *service, const struct packet *packet,
+              GString *out)
+{
+    g_string_append_printf(out, "service  %s, %s\n", service->name,
+                           text_class_name(service->class));
+    g_string_append_printf(out,
+                           "bucket   %u of %d, from the hash of the five "
+                           "numbers of the flow\n",
+                           rank_bucket(packet_flow_hash(packet)),
+                           RANK_BUCKETS);
+}
+
+static void
+print_dropped(const struct snapshot *snapshot, enum packet_drop drop,
+              GString *out)
+{
+    const char *reason = drop == PACKET_SERVICE
+                             ? "no service of the text has this address, "
+                               "port and protocol"
+                             : "no live endpoint is announced for it";
+
+    if (drop == PACKET_NO_ENDPOINT && snapshot->teller[0] == '\0') {
+        g_string_append(out, "goes to  endpoints announce themselves and "
+                             "stand in no text; ask with --operator\n");
+        return;
+    }
+    g_string_append_printf(out, "dropped  %s (counted as reason=\"%s\")\n",
+                           reason, packet_drop_name(drop));
+}
+
+int
+explain_packet(const struct snapshot *snapshot, const struct packet_spec *spec,
+               GString *out)
+{
+    const struct text_service *service = text_find_addr(
+        snapshot->text, spec->dst.ip, spec->dst.port, spec->proto);
+    struct route_decision decision = {0};
+    struct route_table *table;
+    uint8_t buf[PACKET_MAX];
+    size_t len = build(spec, buf);
+    enum packet_drop drop;
+    int rc = route_table_new(snapshot->view, snapshot->text, NULL, &table);
+
+    if (rc < 0) {
+        return rc;
+    }
+    drop = route_decide(table, buf, len, LATER_US, &decision);
+    route_table_free(table);
+    print_packet(spec, out);
+    if (service != NULL) {
+        print_service(service, &decision.packet, out);
+    }
+    if (drop != PACKET_OK) {
+        print_dropped(snapshot, drop, out);
+        return 0;
+    }
+    print_hops(snapshot, &decision.gue, out);
+    print_others(snapshot, service->id, &decision.gue, out);
+    return 0;
+}
--- a/src/cli/main.c
+++ b/src/cli/main.c
@@ -57,6 +57,7 @@
         {"check", "check an operators' text", cli_check},
         {"apply", "publish an operators' text", cli_apply},
         {"show", "tell what is in force on each process", cli_show},
+        {"explain", "tell what a packet or a request would meet", cli_explain},
     };
 
     return cli_run(commands, G_N_ELEMENTS(commands), argc, argv);
--- a/src/cli/show.c
+++ b/src/cli/show.c
@@ -66,6 +66,7 @@
     }
     ask.counters = options->counters->count > 0;
     ask_run(&ask, (unsigned)timeout_ms);
+    show_sort(&ask);
     print(&ask, options->json->count > 0);
     totals = show_totals(&ask);
     ask_finish(&ask);
--- a/src/cli/show_print.c
+++ b/src/cli/show_print.c
@@ -32,6 +32,21 @@
     return count;
 }
 
+static gint
+by_name(gconstpointer a, gconstpointer b)
+{
+    const struct ask_process *const *left = a;
+    const struct ask_process *const *right = b;
+
+    return g_strcmp0((*left)->name, (*right)->name);
+}
+
+void
+show_sort(struct ask *ask)
+{
+    g_ptr_array_sort(ask->processes, by_name);
+}
+
 struct show_totals
 show_totals(const struct ask *ask)
 {
--- a/src/cli/show_print.h
+++ b/src/cli/show_print.h
@@ -15,6 +15,10 @@
     size_t versions;
 };
 
+/** show_sort() - put the processes in the order of their names */
+void
+show_sort(struct ask *ask);
+
 /** show_totals() - count; an address of which nothing but its silence is
  * known is no process */
 struct show_totals
