--- a/src/request/admit.c
+++ b/src/request/admit.c
@@ -5,6 +5,7 @@
 #define FULL_LOAD 1000.0
 #define WAIT_MARGIN 2.0
 #define MOST_OF_MEAN 3
+#define SLOW_FACTOR 2
 #define RETRY_AFTER_MIN_US (50 * USEC_PER_MSEC)
 #define RETRY_AFTER_MAX_US (30 * USEC_PER_SEC)
 #define JITTER_LOW 0.75
@@ -44,6 +45,14 @@
     return fastest;
 }
 
+static bool
+is_slow_beside(const struct engine *engine, uint64_t fastest_us)
+{
+    uint64_t own = estimate_run_us(&engine->estimate, engine->now_us);
+
+    return fastest_us < own / SLOW_FACTOR;
+}
+
 /* A slow local upstream is no reason to refuse what a peer can serve. */
 static uint64_t
 needed_run_us(const struct engine *engine, uint32_t service)
@@ -56,9 +65,11 @@
 needed_run_most_us(const struct engine *engine, uint32_t service)
 {
     uint64_t fastest = fastest_peer_us(engine, service);
-    uint64_t own = estimate_run_most_us(&engine->estimate, engine->now_us);
 
-    return fastest < own / MOST_OF_MEAN ? MOST_OF_MEAN * fastest : own;
+    if (is_slow_beside(engine, fastest)) {
+        return MOST_OF_MEAN * fastest;
+    }
+    return estimate_run_most_us(&engine->estimate, engine->now_us);
 }
 
 static bool
@@ -108,12 +119,11 @@
 {
     struct text_limits limits =
         services_limits(engine->services, request->service);
-    struct entry *last;
+    struct entry *last = engine->queue.tail[TEXT_ORDINARY];
 
     if (queue_total(&engine->queue) < limits.queue) {
         return true;
     }
-    last = engine->queue.tail[TEXT_ORDINARY];
     if (request->class != TEXT_URGENT || last == NULL) {
         return false;
     }
@@ -122,6 +132,23 @@
     return true;
 }
 
+void
+admit_again(struct engine *engine, struct entry *entry)
+{
+    struct text_limits limits =
+        services_limits(engine->services, entry->request.service);
+    struct entry *last;
+
+    queue_push(&engine->queue, entry);
+    if (queue_total(&engine->queue) <= limits.queue) {
+        return;
+    }
+    last = engine->queue.tail[TEXT_ORDINARY];
+    last = last != NULL ? last : engine->queue.tail[TEXT_URGENT];
+    engine->counters.displaced++;
+    finish_unserved(engine, last, ENGINE_QUEUE_FULL);
+}
+
 enum engine_reason
 admit_check(struct engine *engine, const struct engine_request *request)
 {
@@ -158,7 +185,7 @@
     uint64_t fastest = fastest_peer_us(engine, entry->request.service);
 
     return engine->now_us + own > entry->request.deadline_us &&
-           fastest < own / MOST_OF_MEAN;
+           is_slow_beside(engine, fastest);
 }
 
 /* Whether anybody is left who could run it. */
--- a/src/request/admit.h
+++ b/src/request/admit.h
@@ -11,6 +11,11 @@
 enum engine_reason
 admit_check(struct engine *engine, const struct engine_request *request);
 
+/** admit_again() - @entry came back and waits here again; over the limit of
+ * the queue, the least hopeful is given up, maybe @entry itself */
+void
+admit_again(struct engine *engine, struct entry *entry);
+
 /** admit_hopeless() - why waiting @entry can't be served any more,
  * ENGINE_REASON_NONE while it can */
 enum engine_reason
--- a/src/request/dispatch.c
+++ b/src/request/dispatch.c
@@ -3,6 +3,7 @@
 #include "request/admit.h"
 #include "request/finish.h"
 
+/* With no local slot free, only the first few are offered to peers. */
 #define UNPLACED_MAX 4
 
 const struct dispatch_ops *
@@ -147,7 +148,7 @@
 
         if (entry->cleared) {
             member = engine->ops->place(engine, entry);
-            unplaced++;
+            unplaced += dispatch_free(engine, entry) == 0 ? 1 : 0;
         }
         if (member != 0) {
             start(engine, entry, member);
--- a/src/request/engine.h
+++ b/src/request/engine.h
@@ -179,7 +179,7 @@
  * @sent: messages to peers by type
  * @declined: RUN messages declined here for want of a slot
  * @retried: second and further attempts at local requests
- * @displaced: ordinary requests that gave way in a full queue
+ * @displaced: requests that gave way to more hopeful ones in a full queue
  * @dropped: late, repeated or unknown DONE and RUN messages
  */
 struct engine_counters {
--- a/src/request/outcome.c
+++ b/src/request/outcome.c
@@ -1,12 +1,13 @@
 #include "request/outcome.h"
 
+#include "request/admit.h"
 #include "request/finish.h"
 
 static void
 wait_again(struct engine *engine, struct entry *entry)
 {
     entry->place = ENTRY_WAITING;
-    queue_push(&engine->queue, entry);
+    admit_again(engine, entry);
 }
 
 /* The agent that accepted a request is the only one to try it again. */
