Name the line of inner keys, refuse repeated ones

A walk over the accepted JSON text gives each key its path and line: faults in inner objects now carry their line too, and a key given twice is a fault instead of the last one winning silently. Seen red first: the settings test expected 'given twice' before the check was there.

--- a/src/base/keys.c
+++ b/src/base/keys.c
@@ -7,6 +7,7 @@
 #include <string.h>
 
 #include "base/addr.h"
+#include "base/json_scan.h"
 
 #define JSON_DEPTH_MAX 8
 
@@ -20,26 +21,21 @@
     return line;
 }
 
-/* Line of a key of the root: the first place where its quoted name precedes
- * a colon; 0 where none is. */
+/* Line of a key by its path; 0 where it isn't. */
 static unsigned
-line_of_key(const char *text, const char *name)
+line_of_key(const struct keys *keys, const char *name)
 {
-    char *quoted = g_strdup_printf("\"%s\"", name);
-    const char *at = text;
+    char *path = g_strconcat(keys->scope, name, NULL);
+    struct json_scan scan;
     unsigned line = 0;
 
-    while ((at = strstr(at, quoted)) != NULL) {
-        const char *after = at + strlen(quoted);
-
-        after += strspn(after, " \t\r\n");
-        if (*after == ':') {
-            line = line_at(text, (size_t)(at - text));
-            break;
-        }
-        at++;
+    json_scan_init(&scan, keys->text);
+    while (line == 0 && json_scan_next(&scan)) {
+        if (strcmp(scan.path->str, path) == 0)
+            line = scan.line;
     }
-    g_free(quoted);
+    json_scan_finish(&scan);
+    g_free(path);
     return line;
 }
 
@@ -56,11 +52,9 @@
 void
 keys_fault(struct keys *keys, const char *name, const char *fmt, ...)
 {
-    /* The text of an inner object isn't told from its siblings'. */
-    bool inner = keys->scope[0] != '\0';
     va_list args;
 
-    fault_start(keys, inner ? 0 : line_of_key(keys->text, name));
+    fault_start(keys, line_of_key(keys, name));
     g_string_append_printf(keys->report, "key \"%s%s\" ", keys->scope, name);
     va_start(args, fmt);
     g_string_append_vprintf(keys->report, fmt, args);
@@ -270,6 +264,26 @@
     json_tokener_free(tokener);
 }
 
+/* json-c keeps the last of repeated keys; a person may mean the first. */
+static void
+check_repeated(struct keys *keys)
+{
+    GHashTable *paths =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    struct json_scan scan;
+
+    json_scan_init(&scan, keys->text);
+    while (json_scan_next(&scan)) {
+        if (g_hash_table_add(paths, g_strdup(scan.path->str)))
+            continue;
+        fault_start(keys, scan.line);
+        g_string_append_printf(keys->report, "key \"%s\" is given twice\n",
+                               scan.path->str);
+    }
+    json_scan_finish(&scan);
+    g_hash_table_destroy(paths);
+}
+
 static int
 file_error(const char *path, const GError *gerror, struct error *err)
 {
@@ -320,6 +334,8 @@
     }
     keys->report = g_string_new(NULL);
     parse_text(keys, len);
+    if (keys->root != NULL)
+        check_repeated(keys);
     return 0;
 }
 
--- a/src/base/keys.h
+++ b/src/base/keys.h
@@ -2,9 +2,9 @@
  * DOC: keys - JSON files read key by key into a struct, all faults at once
  *
  * A reader names its keys in a table of struct key_rule. Unknown keys, wrong
- * types, missing keys and values out of range are faults, each a line of
- * the report that names the file, the line where the key stands, what was
- * found and what was expected.
+ * types, repeated or missing keys and values out of range are faults, each a
+ * line of the report that names the file, the line where the key stands, what
+ * was found and what was expected.
  */
 #ifndef SWIFTARCH_BASE_KEYS_H
 #define SWIFTARCH_BASE_KEYS_H
--- a/standin/caller/test_caller.c
+++ b/standin/caller/test_caller.c
@@ -350,11 +350,11 @@
         "settings.json:2: key \"seconds\" is 0;",
         "settings.json:2: key \"addresses\" is",
         "settings.json:3: key \"colour\" is unknown",
-        "settings.json: key \"loads[0].ip\" is 4;",
-        "settings.json: key \"loads[0].class\" is \"late\";",
-        "settings.json: key \"loads[0].flows\" is 0;",
+        "settings.json:3: key \"loads[0].ip\" is 4;",
+        "settings.json:4: key \"loads[0].class\" is \"late\";",
+        "settings.json:4: key \"loads[0].flows\" is 0;",
         "settings.json: key \"loads[0].port\" is missing",
-        "settings.json: key \"loads[0].body_bytes\" is 9; expected 16",
+        "settings.json:4: key \"loads[0].body_bytes\" is 9; expected 16",
         "settings.json:3: key \"loads\" is 5;",
     };
     char *folder = g_dir_make_tmp("caller-XXXXXX", NULL);
--- a/tests/base/test_settings.c
+++ b/tests/base/test_settings.c
@@ -98,10 +98,12 @@
                        "\"colour\": true,\n"
                        "\"platform\": \"ftp://x\",\n"
                        "\"seeds\": [\"127.0.0.1:0\"],\n"
-                       "\"log_level\": \"loud\"}";
+                       "\"log_level\": \"loud\",\n"
+                       "\"colour\" : true}";
     static const char *const expected[] = {
         "agent.json:1: key \"name\" is \"a b\"; expected a name",
         "agent.json:2: key \"cell\" is 4; expected a name (text)",
+        "agent.json:11: key \"colour\" is given twice",
         "agent.json:3: key \"data\" is \"127.0.0.1\"; expected an address",
         "agent.json:4: key \"drain_s\" is -1; expected a whole number from 0",
         "agent.json:5: key \"trace_sample\" is 1.5; expected a whole number",
