--- a/src/cli/explain_packet.c
+++ b/src/cli/explain_packet.c
@@ -238,9 +238,11 @@
     drop = route_decide(table, buf, len, LATER_US, &decision);
     route_table_free(table);
     print_packet(spec, out);
-    if (service != NULL) {
-        print_service(service, &decision.packet, out);
+    if (service == NULL) {
+        print_dropped(snapshot, PACKET_SERVICE, out);
+        return 0;
     }
+    print_service(service, &decision.packet, out);
     if (drop != PACKET_OK) {
         print_dropped(snapshot, drop, out);
         return 0;
