--- a/bench/agent/flows.c
+++ b/bench/agent/flows.c
@@ -253,7 +253,6 @@
     bench->hops.hops[0].data = agent;
     bench->hops.count = 1;
     bench->hops.flags = GUE_OPEN;
-    bench->flows = g_new0(struct flow, bench->count);
     bench->fd = socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
     setsockopt(bench->fd, SOL_SOCKET, SO_RCVBUF, &size, sizeof(size));
     if (bind(bench->fd, (struct sockaddr *)&sin, sizeof(sin)) < 0) {
@@ -264,6 +263,7 @@
     if (bench->stack == NULL) {
         return EXIT_FAILED;
     }
+    bench->flows = g_new0(struct flow, bench->count);
     int code = measure(bench);
     stack_free(bench->stack);
     close(bench->fd);
--- a/src/agent/agent.c
+++ b/src/agent/agent.c
@@ -194,7 +194,8 @@
     clock_runtime_init(&agent->clock);
     board_init(&agent->board);
     pthread_mutex_init(&agent->flow_lock, NULL);
-    front_init(&agent->front, &agent->requests.front_owner);
+    front_init(&agent->front, &agent->requests.front_owner,
+               agent->settings.name);
     datagrams_init(&agent->datagrams);
     agent->ingress.fd = -1;
     if (counter_table_init(&agent->counters) < 0) {
--- a/src/agent/answer.c
+++ b/src/agent/answer.c
@@ -135,8 +135,9 @@
 GByteArray *
 answer_with_field(const uint8_t *answer, size_t len, const char *line)
 {
-    const uint8_t *end = memchr(answer, '\n', len);
-    size_t first = end == NULL ? len : (size_t)(end - answer) + 1;
+    static const char blank[] = "\r\n\r\n";
+    const uint8_t *end = memmem(answer, len, blank, sizeof(blank) - 1);
+    size_t first = end == NULL ? len : (size_t)(end - answer) + 2;
     GByteArray *out = g_byte_array_sized_new((guint)(len + strlen(line)));
 
     g_byte_array_append(out, answer, (guint)first);
--- a/src/agent/answer.h
+++ b/src/agent/answer.h
@@ -25,8 +25,8 @@
 GByteArray *
 answer_error(unsigned status);
 
-/** answer_with_field() - copy of an answer with one line put before its
- * fields; @line ends in CR LF */
+/** answer_with_field() - copy of a message with @line put after its fields;
+ * @line ends in CR LF */
 GByteArray *
 answer_with_field(const uint8_t *answer, size_t len, const char *line);
 
--- a/src/agent/back.c
+++ b/src/agent/back.c
@@ -125,8 +125,10 @@
 void
 back_finish(struct back *back)
 {
-    while (back->runs.head != NULL) {
-        run_free(back->runs.head->data);
+    struct back_run *run;
+
+    while ((run = g_queue_peek_head(&back->runs)) != NULL) {
+        run_free(run);
     }
 }
 
--- a/src/agent/front.c
+++ b/src/agent/front.c
@@ -5,6 +5,7 @@
 #include "agent/answer.h"
 
 #define STATUS_TIMEOUT 408
+#define CONNECTION_CLOSE "Connection: close\r\n"
 
 /**
  * struct front_conn - one caller's flow
@@ -98,14 +99,13 @@
 static void
 append_answer(struct front_conn *fc, const GByteArray *answer, bool last)
 {
-    if (!last) {
-        append_out(fc, answer->data, answer->len);
-        return;
-    }
-    GByteArray *closing =
-        answer_with_field(answer->data, answer->len, "Connection: close\r\n");
-    append_out(fc, closing->data, closing->len);
-    g_byte_array_unref(closing);
+    char lines[FRONT_VIA_MAX + sizeof(CONNECTION_CLOSE)];
+
+    g_snprintf(lines, sizeof(lines), "%s%s", fc->front->via,
+               last ? CONNECTION_CLOSE : "");
+    GByteArray *whole = answer_with_field(answer->data, answer->len, lines);
+    append_out(fc, whole->data, whole->len);
+    g_byte_array_unref(whole);
 }
 
 static void
@@ -286,9 +286,10 @@
 }
 
 void
-front_init(struct front *front, struct front_owner *owner)
+front_init(struct front *front, struct front_owner *owner, const char *name)
 {
     *front = (struct front){.owner = owner};
+    g_snprintf(front->via, sizeof(front->via), "Via: 1.1 %s\r\n", name);
     g_queue_init(&front->conns);
     front->callers = g_hash_table_new(g_direct_hash, g_direct_equal);
 }
@@ -296,8 +297,10 @@
 void
 front_finish(struct front *front)
 {
-    while (front->conns.head != NULL) {
-        conn_free(front->conns.head->data);
+    struct front_conn *fc;
+
+    while ((fc = g_queue_peek_head(&front->conns)) != NULL) {
+        conn_free(fc);
     }
     g_hash_table_unref(front->callers);
 }
--- a/src/agent/front.h
+++ b/src/agent/front.h
@@ -17,6 +17,7 @@
 #include "base/addr.h"
 #include "stack/stack.h"
 
+#define FRONT_VIA_MAX 64
 #define FRONT_PIPELINE_MAX 8
 #define FRONT_BACKLOG_MAX (256u << 10)
 #define FRONT_BACKLOG_ALL_MAX (64u << 20)
@@ -85,6 +86,7 @@
 /**
  * struct front - all flows of the agent
  * @owner: told of requests
+ * @via: field that says who owns the flow, put on each answer
  * @limits: bounds in force
  * @conns: flows, as GQueue of struct front_conn
  * @callers: open flows by caller address
@@ -94,6 +96,7 @@
  */
 struct front {
     struct front_owner *owner;
+    char via[FRONT_VIA_MAX];
     struct front_limits limits;
     GQueue conns;
     GHashTable *callers;
@@ -102,9 +105,9 @@
     struct front_stats stats;
 };
 
-/** front_init() - begin without flows */
+/** front_init() - begin without flows; @name: of this host, for Via */
 void
-front_init(struct front *front, struct front_owner *owner);
+front_init(struct front *front, struct front_owner *owner, const char *name);
 
 /** front_finish() - forget all flows; the stack is freed before */
 void
--- a/src/agent/requests.h
+++ b/src/agent/requests.h
@@ -28,9 +28,9 @@
  * @agent: the program
  * @engine: decides
  * @out: its actions
- * @table: set of struct request by origin and id
+ * @table: struct request by origin and id
  * @late: events that arose while actions were carried out
- * @aborted: runs aborted since the last tick
+ * @ended: struct ended_run to report with the next tick
  * @acting: actions are being carried out
  * @next_id: id of the next local request
  * @outcomes: counter handles by outcome
@@ -45,7 +45,7 @@
     struct engine_actions out;
     GHashTable *table;
     GQueue late;
-    GQueue aborted;
+    GQueue ended;
     bool acting;
     uint64_t next_id;
     int outcomes[REQUESTS_OUTCOMES];
