Keep the caller's timers precise; test the log

libevent rounds timers up to a millisecond unless told otherwise, which the caller counted as latency.

--- a/standin/caller/caller.c
+++ b/standin/caller/caller.c
@@ -386,6 +386,22 @@
         event_base_free(caller->event_base);
 }
 
+/* Without the flag arrivals are up to a millisecond late, which would count
+ * as latency. */
+static struct event_base *
+new_event_base(void)
+{
+    struct event_config *config = event_config_new();
+    struct event_base *base;
+
+    if (config == NULL)
+        return NULL;
+    event_config_set_flag(config, EVENT_BASE_FLAG_PRECISE_TIMER);
+    base = event_base_new_with_config(config);
+    event_config_free(config);
+    return base;
+}
+
 int
 caller_run(const struct caller_settings *settings, struct error *err)
 {
@@ -398,7 +414,7 @@
     caller->first_port =
         (uint16_t)(hash_pair(settings->seed, PORT_FIRST) % PORT_COUNT);
     clock_runtime_init(&caller->clock);
-    caller->event_base = event_base_new();
+    caller->event_base = new_event_base();
     if (caller->event_base == NULL)
         ret = error_set(err, -ENOMEM, "run", NULL, "no event loop");
     else
--- a/tests/base/test_values.c
+++ b/tests/base/test_values.c
@@ -3,13 +3,16 @@
  */
 #include <errno.h>
 #include <glib.h>
+#include <glib/gstdio.h>
 #include <string.h>
+#include <unistd.h>
 
 #include "base/addr.h"
 #include "base/clock.h"
 #include "base/counter.h"
 #include "base/error.h"
 #include "base/hash.h"
+#include "base/log.h"
 
 #define CASES 2000
 
@@ -183,6 +186,36 @@
     g_assert_cmpint(error_set(NULL, -EIO, "read", NULL, "x"), ==, -EIO);
 }
 
+/* What two calls leave on standard error, which becomes a file meanwhile. */
+static void
+test_log(void)
+{
+    char *path = NULL;
+    int fd = g_file_open_tmp("log-XXXXXX", &path, NULL);
+    int saved = dup(STDERR_FILENO);
+    char *text;
+
+    g_assert_cmpint(log_init("a1", "loud"), ==, -EINVAL);
+    g_assert_cmpint(log_init("a1", "warning"), ==, 0);
+    dup2(fd, STDERR_FILENO);
+    g_log_structured("swiftarch-agent", G_LOG_LEVEL_MESSAGE, "MESSAGE",
+                     "Too low.");
+    g_log_structured("swiftarch-agent", G_LOG_LEVEL_WARNING, "MESSAGE",
+                     "The upstream is lost.");
+    dup2(saved, STDERR_FILENO);
+    g_assert_true(g_file_get_contents(path, &text, NULL, NULL));
+    g_test_message("%s", text);
+    g_assert_true(g_str_has_prefix(text, "20"));
+    g_assert_true(
+        g_str_has_suffix(text, "Z warning a1 agent: The upstream is lost.\n"));
+    g_assert_null(strstr(text, "Too low"));
+    g_free(text);
+    close(saved);
+    close(fd);
+    g_unlink(path);
+    g_free(path);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -195,5 +228,6 @@
     g_test_add_func("/base/counter/threads", test_counters_of_threads);
     g_test_add_func("/base/clock", test_clocks);
     g_test_add_func("/base/error", test_errors);
+    g_test_add_func("/base/log", test_log);
     return g_test_run();
 }
