Test publishing against the stand-in platform

Success, the same text again, a demanded version, lost answer (one write), lost write, an answer after the timeout, refusals, and two operators at once: one wins, the other is told so.

--- a/standin/platform/server.c
+++ b/standin/platform/server.c
@@ -27,6 +27,7 @@
     [SERVER_DOWN] = "down",
     [SERVER_BUSY] = "busy",
     [SERVER_SLOW] = "slow",
+    [SERVER_SLOW_WRITE] = "slow-write",
     [SERVER_LOSE_ANSWER] = "lose-answer",
     [SERVER_LOSE_WRITE] = "lose-write",
     [SERVER_WATCH_ENDS] = "watch-ends",
@@ -125,13 +126,14 @@
     return result;
 }
 
-/* Waits out "slow"; ends early when the server stops. The lock is held. */
+/* Waits out @mode, if it is in force; ends early when the server stops. The
+ * lock is held. */
 static void
-delay(struct server *server)
+delay(struct server *server, enum server_mode mode)
 {
     gint64 end;
 
-    if (!strikes(server, SERVER_SLOW)) {
+    if (!strikes(server, mode)) {
         return;
     }
     end = g_get_monotonic_time() + (gint64)server->fault.ms * 1000;
@@ -183,7 +185,7 @@
 slow_down(struct server *server)
 {
     g_mutex_lock(&server->lock);
-    delay(server);
+    delay(server, SERVER_SLOW);
     g_mutex_unlock(&server->lock);
 }
 
@@ -307,7 +309,8 @@
     server->stats.lost += written.lost;
     server->stats.conflicts += written.rc == -ESTALE;
     g_cond_broadcast(&server->changed);
-    delay(server);
+    delay(server, SERVER_SLOW);
+    delay(server, SERVER_SLOW_WRITE);
     g_mutex_unlock(&server->lock);
     return written;
 }
--- a/standin/platform/server.h
+++ b/standin/platform/server.h
@@ -28,6 +28,7 @@
     SERVER_DOWN,        /* "down": connections are closed without an answer */
     SERVER_BUSY,        /* "busy": 503 */
     SERVER_SLOW,        /* "slow": each answer comes after @ms */
+    SERVER_SLOW_WRITE,  /* "slow-write": the same for writes only */
     SERVER_LOSE_ANSWER, /* "lose-answer": writes take effect, no answer */
     SERVER_LOSE_WRITE,  /* "lose-write": writes vanish, no answer */
     SERVER_WATCH_ENDS,  /* "watch-ends": watches break off after @ms */
--- /dev/null
+++ b/tests/cli/apply_run_test.c
@@ -0,0 +1,229 @@
+#include <string.h>
+
+#include <glib.h>
+
+#include "cli/apply_run.h"
+#include "standin/platform/server.h"
+
+#define SERVICE(name, port)                                                   \
+    "{\"name\":\"" name "\",\"address\":\"10.0.0.1\",\"port\":" port          \
+    ",\"class\":\"urgent\"}"
+#define FIRST "{\"services\":[" SERVICE("lots", "80") "]}"
+#define SECOND "{\"services\":[" SERVICE("lots", "81") "]}"
+
+/** struct fixture - a stand-in in this process and two texts */
+struct fixture {
+    struct server server;
+    char *url;
+    struct text *first;
+    struct text *second;
+};
+
+static struct text *
+parse(const char *source)
+{
+    struct text *text;
+    char *report;
+
+    g_assert_cmpint(text_parse(source, strlen(source), "t", &text, &report),
+                    ==, 0);
+    return text;
+}
+
+static void
+setup(struct fixture *fixture, gconstpointer data)
+{
+    struct addr any = {.ip = INADDR_LOOPBACK};
+    struct error err;
+
+    g_assert_cmpint(server_init(&fixture->server, any, &err), ==, 0);
+    fixture->url =
+        g_strdup_printf("http://127.0.0.1:%u", server_port(&fixture->server));
+    fixture->first = parse(FIRST);
+    fixture->second = parse(SECOND);
+}
+
+static void
+teardown(struct fixture *fixture, gconstpointer data)
+{
+    server_finish(&fixture->server);
+    text_free(fixture->first);
+    text_free(fixture->second);
+    g_free(fixture->url);
+}
+
+static struct apply_action
+publish(struct fixture *fixture, const struct text *text, const char *author,
+        const uint64_t *expect)
+{
+    struct apply_run run;
+    struct apply_action end;
+    struct error err;
+
+    g_assert_cmpint(apply_run_init(&run, fixture->url, text, author, &err), ==,
+                    0);
+    apply_run_publish(&run, expect);
+    end = run.end;
+    apply_run_finish(&run);
+    g_assert_cmpint(end.type, ==, APPLY_DO_FINISH);
+    return end;
+}
+
+static void
+assert_published(struct fixture *fixture, uint64_t version,
+                 const struct text *text, const char *author,
+                 size_t history_count)
+{
+    struct text_envelope envelope;
+    GBytes *value;
+    const char *data;
+    gsize len;
+
+    g_assert_cmpuint(store_get(&fixture->server.store, APPLY_OBJECT, &value),
+                     ==, version);
+    data = g_bytes_get_data(value, &len);
+    g_assert_cmpint(text_envelope_read(data, len, &envelope), ==, 0);
+    g_assert_cmpmem(envelope.text, envelope.text_len, text->source,
+                    text->source_len);
+    g_assert_cmpstr(envelope.author, ==, author);
+    g_assert_cmpuint(envelope.history_count, ==, history_count);
+    g_bytes_unref(value);
+}
+
+static void
+test_publish(struct fixture *fixture, gconstpointer data)
+{
+    const uint64_t one = 1;
+    struct apply_action end = publish(fixture, fixture->first, "asha", NULL);
+
+    g_assert_cmpint(end.outcome, ==, APPLY_APPLIED);
+    assert_published(fixture, 1, fixture->first, "asha", 0);
+    end = publish(fixture, fixture->first, "rehema", NULL);
+    g_assert_cmpint(end.outcome, ==, APPLY_SAME);
+    end = publish(fixture, fixture->second, "rehema", NULL);
+    g_assert_cmpint(end.outcome, ==, APPLY_APPLIED);
+    assert_published(fixture, 2, fixture->second, "rehema", 1);
+    end = publish(fixture, fixture->first, "asha", &one);
+    g_assert_cmpint(end.outcome, ==, APPLY_RACE_LOST);
+    assert_published(fixture, 2, fixture->second, "rehema", 1);
+}
+
+static void
+test_lost_answer(struct fixture *fixture, gconstpointer data)
+{
+    struct apply_action end;
+
+    server_set_fault(&fixture->server,
+                     (struct server_fault){SERVER_LOSE_ANSWER, 0, 1});
+    end = publish(fixture, fixture->first, "asha", NULL);
+    g_assert_cmpint(end.outcome, ==, APPLY_APPLIED);
+    g_assert_cmpuint(end.version, ==, 1);
+    g_assert_cmpuint(server_read_stats(&fixture->server).writes, ==, 1);
+    assert_published(fixture, 1, fixture->first, "asha", 0);
+}
+
+static void
+test_lost_write(struct fixture *fixture, gconstpointer data)
+{
+    struct apply_action end;
+
+    server_set_fault(&fixture->server,
+                     (struct server_fault){SERVER_LOSE_WRITE, 0, 1});
+    end = publish(fixture, fixture->first, "asha", NULL);
+    g_assert_cmpint(end.outcome, ==, APPLY_APPLIED);
+    g_assert_cmpuint(server_read_stats(&fixture->server).writes, ==, 2);
+    assert_published(fixture, 1, fixture->first, "asha", 0);
+}
+
+/* An answer that comes after the timeout: read back, not written again. */
+static void
+test_answer_too_late(struct fixture *fixture, gconstpointer data)
+{
+    struct apply_action end;
+
+    publish(fixture, fixture->first, "asha", NULL);
+    server_set_fault(&fixture->server,
+                     (struct server_fault){SERVER_SLOW_WRITE, 60000, 1});
+    end = publish(fixture, fixture->second, "asha", NULL);
+    g_assert_cmpint(end.outcome, ==, APPLY_APPLIED);
+    g_assert_cmpuint(server_read_stats(&fixture->server).writes, ==, 2);
+    assert_published(fixture, 2, fixture->second, "asha", 1);
+}
+
+static void
+test_down(struct fixture *fixture, gconstpointer data)
+{
+    struct apply_action end;
+
+    server_set_fault(&fixture->server,
+                     (struct server_fault){SERVER_BUSY, 0, 0});
+    end = publish(fixture, fixture->first, "asha", NULL);
+    g_assert_cmpint(end.outcome, ==, APPLY_NOT_WRITTEN);
+    g_assert_cmpuint(store_get(&fixture->server.store, APPLY_OBJECT, NULL), ==,
+                     0);
+}
+
+/** struct racer - one of the operators that publish at once */
+struct racer {
+    struct fixture *fixture;
+    const struct text *text;
+    const char *author;
+    struct apply_action end;
+};
+
+static gpointer
+race(gpointer data)
+{
+    const uint64_t one = 1;
+    struct racer *racer = data;
+
+    racer->end = publish(racer->fixture, racer->text, racer->author, &one);
+    return NULL;
+}
+
+static void
+test_race(struct fixture *fixture, gconstpointer data)
+{
+    struct text *zero = parse("{\"services\":[" SERVICE("zero", "1") "]}");
+    struct racer racers[2] = {
+        {.fixture = fixture, .text = fixture->first, .author = "asha"},
+        {.fixture = fixture, .text = fixture->second, .author = "rehema"},
+    };
+    GThread *threads[2];
+    unsigned won = 0;
+
+    publish(fixture, zero, "start", NULL);
+    for (size_t i = 0; i < 2; i++) {
+        threads[i] = g_thread_new("racer", race, &racers[i]);
+    }
+    for (size_t i = 0; i < 2; i++) {
+        g_thread_join(threads[i]);
+    }
+    for (size_t i = 0; i < 2; i++) {
+        if (racers[i].end.outcome == APPLY_APPLIED) {
+            won++;
+            assert_published(fixture, 2, racers[i].text, racers[i].author, 1);
+        }
+        else {
+            g_assert_cmpint(racers[i].end.outcome, ==, APPLY_RACE_LOST);
+        }
+    }
+    g_assert_cmpuint(won, ==, 1);
+    text_free(zero);
+}
+
+#define ADD(name, test)                                                       \
+    g_test_add("/apply_run/" name, struct fixture, NULL, setup, test, teardown)
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    ADD("publish", test_publish);
+    ADD("lost_answer", test_lost_answer);
+    ADD("lost_write", test_lost_write);
+    ADD("answer_too_late", test_answer_too_late);
+    ADD("down", test_down);
+    ADD("race", test_race);
+    return g_test_run();
+}
