--- a/src/request/admit.c
+++ b/src/request/admit.c
@@ -188,6 +188,17 @@
            is_slow_beside(engine, fastest);
 }
 
+/* An urgent request is tried while it has a fair chance. An ordinary one
+ * must not use up a slot for an answer that likely comes too late. */
+static uint64_t
+least_left_us(const struct engine *engine,
+              const struct engine_request *request)
+{
+    return request->class == TEXT_URGENT
+               ? needed_run_us(engine, request->service)
+               : needed_run_most_us(engine, request->service);
+}
+
 /* Whether anybody is left who could run it. */
 static bool
 has_server(const struct engine *engine, const struct entry *entry)
@@ -213,7 +224,7 @@
 enum engine_reason
 admit_hopeless(const struct engine *engine, const struct entry *entry)
 {
-    uint64_t run_us = needed_run_us(engine, entry->request.service);
+    uint64_t run_us = least_left_us(engine, &entry->request);
     uint64_t deadline_us = entry->request.deadline_us;
     unsigned free_slots = upstream_free(
         &engine->upstream, entry->request.service, engine->now_us);
