--- a/src/idem/idem.c
+++ b/src/idem/idem.c
@@ -40,13 +40,26 @@
     g_free(idem);
 }
 
+/* Whoever calls again after a long silence was paused. */
+static void
+notice_pause(struct idem *idem, uint64_t now_us)
+{
+    if (idem->first_wire != 0 && idem->last_us + IDEM_PAUSE_US <= now_us) {
+        (void)replicas_resume(&idem->replicas, idem->self, now_us);
+        idem->pass_wanted = true;
+    }
+    idem->last_us = now_us;
+}
+
 int
 idem_set_view(struct idem *idem, const struct view *view, uint64_t now_us,
               struct idem_actions *out)
 {
     bool changed;
-    int rc = replicas_update(&idem->replicas, view, now_us, &changed);
+    int rc;
 
+    notice_pause(idem, now_us);
+    rc = replicas_update(&idem->replicas, view, now_us, &changed);
     if (rc < 0) {
         return rc;
     }
@@ -64,6 +77,7 @@
 idem_begin(struct idem *idem, uint64_t token, const struct idem_key *key,
            uint64_t now_us, struct idem_actions *out)
 {
+    notice_pause(idem, now_us);
     return reserve_begin(idem, token, key, now_us, out);
 }
 
@@ -72,6 +86,7 @@
          enum idem_state state, const uint8_t *answer, size_t answer_len,
          uint64_t now_us, struct idem_actions *out)
 {
+    notice_pause(idem, now_us);
     return reserve_end(idem, token, not_run, state, answer, answer_len, now_us,
                        out);
 }
@@ -84,6 +99,7 @@
         idem->first_wire == 0) {
         return -EINVAL;
     }
+    notice_pause(idem, now_us);
     switch (msg->type) {
     case IDEM_MSG_RESERVE:
         keeper_reserve(idem, from, msg, now_us, out);
@@ -110,6 +126,7 @@
 int
 idem_tick(struct idem *idem, uint64_t now_us, struct idem_actions *out)
 {
+    notice_pause(idem, now_us);
     reserve_tick(idem, now_us, out);
     push_tick(idem, now_us, out);
     return 0;
--- a/src/idem/idem.h
+++ b/src/idem/idem.h
@@ -16,9 +16,17 @@
  * IDEM_SETTLE_US still ask a set that they share, and a death or a join
  * never hides a record before it has been pushed on. A member counts for
  * the set of now only once it is settled: known for IDEM_SETTLE_US since
- * its process started, or since it came back from the dead. Nobody starts
- * anything while half of a service's agents have just fallen silent: they
- * may be running on the other side of a cut.
+ * its process started, or since it came back from the dead. Where fewer
+ * than IDEM_REPLICAS are settled (a service that has just started) the
+ * oldest others fill up; a process that is itself younger than
+ * IDEM_START_US doesn't know them all yet, and starts nothing. Nobody
+ * starts anything while half of a service's agents have just fallen
+ * silent: they may be running on the other side of a cut.
+ *
+ * What this assumes: views differ by less than IDEM_SETTLE_US (by less than
+ * IDEM_START_US while a service starts), and fewer than IDEM_QUORUM of a
+ * key's replicas lose their memory within the time it takes to notice a
+ * death, to settle and to push (15 s). See docs/design-idempotency.md.
  *
  * Pure: one struct idem holds both sides (coordinator of own requests and
  * replica of keys); events in, actions out.
@@ -38,6 +46,8 @@
 #define IDEM_ANSWER_MAX 16384
 #define IDEM_TTL_US (24 * 3600 * USEC_PER_SEC)
 #define IDEM_SETTLE_US (10 * USEC_PER_SEC)
+#define IDEM_START_US (3 * USEC_PER_SEC)
+#define IDEM_PAUSE_US (2 * USEC_PER_SEC)
 #define IDEM_RESERVE_TIMEOUT_US (300 * USEC_PER_MSEC)
 #define IDEM_ANSWERS_BYTES_MAX (16u << 20)
 
@@ -58,7 +68,7 @@
 enum idem_state {
     IDEM_STARTED, /* reserved; may be running */
     IDEM_DONE,    /* ran; the answer is kept if it fits IDEM_ANSWER_MAX */
-    IDEM_UNKNOWN  /* was handed over, its outcome can't be known */
+    IDEM_UNKNOWN  /* its owner says: handed over, how it ended is not known */
 };
 
 /** enum idem_msg_type - between agents */
@@ -167,7 +177,8 @@
 idem_receive(struct idem *idem, uint64_t from, const struct idem_msg *msg,
              uint64_t now_us, struct idem_actions *out);
 
-/** idem_tick() - timeouts; call every 50 ms or so */
+/** idem_tick() - timeouts; call every 50 ms or so. After IDEM_PAUSE_US
+ * without any call the process counts as having been paused */
 int
 idem_tick(struct idem *idem, uint64_t now_us, struct idem_actions *out);
 
--- a/src/idem/keeper.c
+++ b/src/idem/keeper.c
@@ -8,19 +8,13 @@
     return record->owner == msg->owner && record->token == msg->token;
 }
 
-/* What is known for sure goes before what isn't. */
-static int
-strength(enum idem_state state)
+static bool
+owner_gone(const struct idem *idem, const struct record *record,
+           uint64_t now_us)
 {
-    switch (state) {
-    case IDEM_DONE:
-        return 2;
-    case IDEM_UNKNOWN:
-        return 1;
-    case IDEM_STARTED:
-        break;
-    }
-    return 0;
+    return record->state == IDEM_STARTED &&
+           state_owner_gone(idem, record->key.service, record->owner,
+                            record->token, now_us);
 }
 
 static void
@@ -29,7 +23,7 @@
 {
     struct idem_msg *reply = state_send(out, to, IDEM_MSG_GRANT, &record->key,
                                         record->owner, record->token);
-    bool young = now_us < idem->replicas.start_us + IDEM_SETTLE_US;
+    bool young = replicas_young(&idem->replicas, now_us);
 
     reply->state = young ? IDEM_UNKNOWN : IDEM_STARTED;
 }
@@ -71,13 +65,10 @@
         grant(idem, from, record, now_us, out);
         return;
     }
-    if (record->state == IDEM_STARTED &&
-        state_owner_gone(idem, record->key.service, record->owner,
-                         record->token, record->updated_us, now_us)) {
-        record_set_state(&idem->records, record, IDEM_UNKNOWN, now_us);
-        push_later(idem, record, now_us);
-    }
     state_send_record(out, from, IDEM_MSG_EXISTS, record, true);
+    if (owner_gone(idem, record, now_us)) {
+        out->items[out->count - 1].msg.state = IDEM_UNKNOWN;
+    }
 }
 
 void
@@ -144,7 +135,7 @@
            const struct idem_msg *msg, uint64_t now_us,
            struct idem_actions *out)
 {
-    if (strength(msg->state) > strength(record->state)) {
+    if (state_strength(msg->state) > state_strength(record->state)) {
         store(idem, record, msg, now_us);
     }
     else if (msg->state == record->state && record->answer == NULL &&
@@ -156,14 +147,15 @@
 }
 
 /* Two requests of one key: the more certain one stays, else the earlier.
- * Two reservations wait until one of them ends or is released. */
+ * Two reservations wait until one of them ends or is released; if nobody is
+ * left to say so, either tells the same. */
 static void
 merge_other(struct idem *idem, struct record *record, uint64_t from,
             const struct idem_msg *msg, uint64_t now_us,
             struct idem_actions *out)
 {
-    int theirs = strength(msg->state);
-    int ours = strength(record->state);
+    int theirs = state_strength(msg->state);
+    int ours = state_strength(record->state);
 
     if (theirs > ours ||
         (theirs == ours && ours > 0 && msg->token < record->token)) {
@@ -174,6 +166,11 @@
     if (ours > 0) {
         state_send_record(out, from, IDEM_MSG_RECORD, record, true);
     }
+    else if (owner_gone(idem, record, now_us) &&
+             state_owner_gone(idem, msg->key.service, msg->owner, msg->token,
+                              now_us)) {
+        acknowledge(from, msg, msg->state, out);
+    }
 }
 
 void
@@ -214,7 +211,7 @@
         replicas_find(&idem->replicas, from, msg->key.service);
 
     if (record != NULL && life != NULL && same_request(record, msg) &&
-        strength(msg->state) >= strength(record->state)) {
+        state_strength(msg->state) >= state_strength(record->state)) {
         record_note_ack(record, life->number);
     }
 }
--- a/src/idem/push.c
+++ b/src/idem/push.c
@@ -70,24 +70,11 @@
     }
 }
 
-/* What time and the death of others do to a record; whether it is over. */
+/* A reservation by this process that has no open request: given up, or of
+ * an earlier life, of which nothing is known. Whether it is over. */
 static bool
-age_record(struct idem *idem, struct record *record, uint64_t now_us,
-           struct idem_actions *out)
+age_own(struct idem *idem, struct record *record, uint64_t now_us)
 {
-    if (record->state != IDEM_STARTED) {
-        return record->updated_us + PUSH_KEEP_US <= now_us &&
-               state_token_age_us(idem, record->token, now_us) >= IDEM_TTL_US;
-    }
-    if (state_owner_gone(idem, record->key.service, record->owner,
-                         record->token, record->updated_us, now_us)) {
-        record_set_state(&idem->records, record, IDEM_UNKNOWN, now_us);
-        return false;
-    }
-    if (record->owner != idem->self) {
-        ask_owner(record, now_us, out);
-        return false;
-    }
     if (g_hash_table_contains(idem->by_wire, &record->token)) {
         return false;
     }
@@ -98,16 +85,35 @@
     return false;
 }
 
+/* What time does to a record; whether it is over. A reservation stays one
+ * when its owner seems to be dead: it may come back and say how it ended. */
+static bool
+age_record(struct idem *idem, struct record *record, bool owner_gone,
+           uint64_t now_us, struct idem_actions *out)
+{
+    if (record->state == IDEM_STARTED && record->owner == idem->self) {
+        return age_own(idem, record, now_us);
+    }
+    if (record->state == IDEM_STARTED && !owner_gone) {
+        ask_owner(record, now_us, out);
+        return false;
+    }
+    return record->updated_us + PUSH_KEEP_US <= now_us &&
+           state_token_age_us(idem, record->token, now_us) >= IDEM_TTL_US;
+}
+
 static void
 visit(struct idem *idem, struct record *record, uint64_t now_us,
       struct idem_actions *out)
 {
     struct replica_set targets;
     struct replica_set earlier;
+    bool owner_gone = state_owner_gone(idem, record->key.service,
+                                       record->owner, record->token, now_us);
     bool on_its_way;
     bool missing;
 
-    if (age_record(idem, record, now_us, out)) {
+    if (age_record(idem, record, owner_gone, now_us, out)) {
         record_remove(&idem->records, record);
         return;
     }
@@ -119,7 +125,7 @@
                       record->answer != NULL && is_lead(idem, &earlier),
                       !on_its_way, out);
     record_set_unacked(&idem->records, record, missing);
-    if (missing || record->state == IDEM_STARTED) {
+    if (missing || (record->state == IDEM_STARTED && !owner_gone)) {
         record_queue(&idem->records, record, now_us + PUSH_AGAIN_US);
         return;
     }
--- a/src/idem/quorum.c
+++ b/src/idem/quorum.c
@@ -41,7 +41,8 @@
         struct reserve_asked *asked = add(reserve, set.lives[i]);
 
         asked->now = true;
-        asked->unsettled = !replicas_settled(set.lives[i], (int64_t)now_us);
+        asked->now_unsettled =
+            !replicas_settled(set.lives[i], (int64_t)now_us);
     }
     replicas_at(&idem->replicas, &reserve->key, ago, &set);
     reserve->had_earlier = set.count > 0;
@@ -53,7 +54,7 @@
         }
         asked = add(reserve, set.lives[i]);
         asked->earlier = true;
-        asked->unsettled |= !replicas_settled(set.lives[i], ago);
+        asked->earlier_unsettled = !replicas_settled(set.lives[i], ago);
     }
 }
 
@@ -77,6 +78,7 @@
 quorum_reached(const struct idem *idem, const struct reserve *reserve,
                uint64_t now_us)
 {
+    bool starting = now_us < idem->replicas.young_us + IDEM_START_US;
     size_t now = 0;
     size_t now_granted = 0;
     size_t earlier = 0;
@@ -85,14 +87,18 @@
     for (size_t i = 0; i < reserve->asked_count; i++) {
         const struct reserve_asked *asked = &reserve->asked[i];
         bool there = living(idem, asked) != NULL;
-        /* A young memory counts only where nobody had an older one. */
-        bool counts =
-            there && asked->granted && (!asked->young || asked->unsettled);
+        bool granted = there && asked->granted;
 
+        if (starting && asked->now && asked->now_unsettled) {
+            return false;
+        }
+        /* A young memory counts only where nobody had an older one. */
         now += asked->now;
-        now_granted += asked->now && counts;
+        now_granted +=
+            asked->now && granted && (!asked->young || asked->now_unsettled);
         earlier += asked->earlier && there;
-        earlier_granted += asked->earlier && counts;
+        earlier_granted += asked->earlier && granted &&
+                           (!asked->young || asked->earlier_unsettled);
     }
     if (now == 0 || now_granted < MIN(IDEM_QUORUM, now) ||
         replicas_cut_off(&idem->replicas, reserve->key.service, now_us)) {
--- a/src/idem/replicas.c
+++ b/src/idem/replicas.c
@@ -80,35 +80,70 @@
 }
 
 static int
-begin_life(struct replicas *replicas, const struct view_member *member,
-           uint64_t now_us)
+add_life(struct replicas *replicas, const struct replica_life *life)
 {
-    int64_t since_us = beginning(replicas, member, now_us);
-    struct replica_life *life;
-
     if (replicas->count == replicas->capacity) {
         size_t capacity = replicas->capacity ? 2 * replicas->capacity : 16;
+        struct replica_life *lives;
 
-        life = realloc(replicas->lives, capacity * sizeof(*life));
-        if (life == NULL) {
+        lives = realloc(replicas->lives, capacity * sizeof(*lives));
+        if (lives == NULL) {
             return -ENOMEM;
         }
-        replicas->lives = life;
+        replicas->lives = lives;
         replicas->capacity = capacity;
     }
-    life = &replicas->lives[replicas->count++];
-    *life = (struct replica_life){
+    replicas->lives[replicas->count] = *life;
+    replicas->lives[replicas->count++].number = ++replicas->next_number;
+    return 0;
+}
+
+static int
+begin_life(struct replicas *replicas, const struct view_member *member,
+           uint64_t now_us)
+{
+    struct replica_life life = {
         .id = member->id,
-        .number = ++replicas->next_number,
         .service = member->service,
         .incarnation = member->incarnation,
         .seen_us = member->since_us,
-        .since_us = since_us,
+        .since_us = beginning(replicas, member, now_us),
         .suspect = member->health == MEMBER_SUSPECT,
     };
+
+    return add_life(replicas, &life);
+}
+
+int
+replicas_resume(struct replicas *replicas, uint64_t self, uint64_t now_us)
+{
+    size_t count = replicas->count;
+
+    replicas->young_us = now_us;
+    for (size_t i = 0; i < count; i++) {
+        struct replica_life life = replicas->lives[i];
+        int rc;
+
+        if (life.id != self || life.ended_us != 0) {
+            continue;
+        }
+        replicas->lives[i].ended_us = (int64_t)now_us;
+        replicas->lives[i].left = true;
+        life.since_us = (int64_t)now_us;
+        rc = add_life(replicas, &life);
+        if (rc < 0) {
+            return rc;
+        }
+    }
     return 0;
 }
 
+bool
+replicas_young(const struct replicas *replicas, uint64_t now_us)
+{
+    return now_us < replicas->young_us + IDEM_SETTLE_US;
+}
+
 static void
 end_life(struct replica_life *life, const struct view_member *member,
          uint64_t now_us)
@@ -171,6 +206,8 @@
 replicas_update(struct replicas *replicas, const struct view *view,
                 uint64_t now_us, bool *changed)
 {
+    int rc;
+
     if (view->self >= view->count) {
         return -EINVAL;
     }
@@ -178,14 +215,23 @@
         const struct view_member *self = &view->members[view->self];
 
         replicas->start_us = MIN(MAX(self->since_us, 1), MAX(now_us, 1));
+        replicas->young_us = replicas->start_us;
         replicas->incarnation = self->incarnation;
+        replicas->refuted = self->incarnation;
     }
     replicas->alone = view->count == 1;
     *changed = forget(replicas, now_us);
     *changed |= refresh(replicas, view, now_us);
+    if (view->members[view->self].incarnation != replicas->refuted) {
+        replicas->refuted = view->members[view->self].incarnation;
+        *changed = true;
+        rc = replicas_resume(replicas, view->members[view->self].id, now_us);
+        if (rc < 0) {
+            return rc;
+        }
+    }
     for (size_t i = 0; i < view->count; i++) {
         const struct view_member *member = &view->members[i];
-        int rc;
 
         if (!serves(member) ||
             replicas_find(replicas, member->id, member->service) != NULL) {
--- a/src/idem/replicas.h
+++ b/src/idem/replicas.h
@@ -4,6 +4,8 @@
  * A life is one stretch of a member's memory for one service: it begins
  * when the process is first seen, announces the service or comes back from
  * the dead, and ends when it dies, restarts, leaves or drops the service.
+ * The own life ends and begins anew also when the process was paused, or
+ * had to refute a suspicion: others may have taken it for dead.
  * Ended lives are remembered for REPLICAS_CUT_OFF_US, and as long as their
  * process lives, so that the replicas of a while ago can still be told.
  */
@@ -53,7 +55,10 @@
  * @capacity: room in @lives
  * @next_number: number of the next life
  * @incarnation: of the own process, when first seen
+ * @refuted: of the own process now
  * @start_us: own start; 0 before the first view
+ * @young_us: own memory is whole since then: own start, or the end of the
+ *            last pause
  * @alone: nobody else is in the view
  */
 struct replicas {
@@ -62,7 +67,9 @@
     size_t capacity;
     uint32_t next_number;
     uint64_t incarnation;
+    uint64_t refuted;
     uint64_t start_us;
+    uint64_t young_us;
     bool alone;
 };
 
@@ -86,6 +93,19 @@
 replicas_update(struct replicas *replicas, const struct view *view,
                 uint64_t now_us, bool *changed);
 
+/**
+ * replicas_resume() - this process was paused: others may have taken it for
+ * dead and gone on without it, so its own life begins anew
+ *
+ * Return: 0 or -ENOMEM.
+ */
+int
+replicas_resume(struct replicas *replicas, uint64_t self, uint64_t now_us);
+
+/** replicas_young() - whether the own memory isn't settled */
+bool
+replicas_young(const struct replicas *replicas, uint64_t now_us);
+
 /** replicas_at() - the replicas of @key at @at_us, now or earlier */
 void
 replicas_at(const struct replicas *replicas, const struct idem_key *key,
--- a/src/idem/reserve.c
+++ b/src/idem/reserve.c
@@ -168,7 +168,7 @@
     reserve->vetoed = true;
     reserve->veto_gone |= msg->state == IDEM_STARTED &&
                           state_owner_gone(idem, msg->key.service, msg->owner,
-                                           msg->token, now_us, now_us);
+                                           msg->token, now_us);
     return false;
 }
 
@@ -251,7 +251,7 @@
     if (own != NULL) {
         own->answered = true;
         own->granted = !reserve->vetoed;
-        own->young = now_us < idem->replicas.start_us + IDEM_SETTLE_US;
+        own->young = replicas_young(&idem->replicas, now_us);
     }
     ask_all(idem, reserve, now_us, out);
     decide(idem, reserve, now_us, out);
@@ -273,7 +273,7 @@
     if (is_own_record(idem, reserve, record)) {
         return record;
     }
-    if (state != IDEM_DONE || record->state == IDEM_DONE) {
+    if (state_strength(state) <= state_strength(record->state)) {
         return NULL;
     }
     record->owner = idem->self;
@@ -325,7 +325,7 @@
         return;
     }
     if (record != NULL && record->owner == idem->self &&
-        record->token == msg->token) {
+        record->token == msg->token && record->state != IDEM_STARTED) {
         state_send_record(out, from, IDEM_MSG_RECORD, record, true);
         return;
     }
--- a/src/idem/reserve.h
+++ b/src/idem/reserve.h
@@ -15,7 +15,8 @@
  * @life: number of its life
  * @now: counts for the set of now
  * @earlier: counts for the set of a while ago
- * @unsettled: counts although it wasn't settled then (nobody else was)
+ * @now_unsettled: counts for it although not settled (nobody else was)
+ * @earlier_unsettled: the same
  * @answered: its word is in, or it is this agent
  * @granted: it recorded this request's reservation
  * @young: its own memory isn't settled
@@ -26,7 +27,8 @@
     uint32_t life;
     bool now;
     bool earlier;
-    bool unsettled;
+    bool now_unsettled;
+    bool earlier_unsettled;
     bool answered;
     bool granted;
     bool young;
--- a/src/idem/state.c
+++ b/src/idem/state.c
@@ -87,6 +87,20 @@
     return now_ms > then_ms ? (now_ms - then_ms) * USEC_PER_MSEC : 0;
 }
 
+int
+state_strength(enum idem_state state)
+{
+    switch (state) {
+    case IDEM_DONE:
+        return 2;
+    case IDEM_UNKNOWN:
+        return 1;
+    case IDEM_STARTED:
+        break;
+    }
+    return 0;
+}
+
 bool
 state_own_wire(const struct idem *idem, uint64_t wire)
 {
@@ -95,7 +109,7 @@
 
 bool
 state_owner_gone(const struct idem *idem, uint32_t service, uint64_t owner,
-                 uint64_t token, uint64_t since_us, uint64_t now_us)
+                 uint64_t token, uint64_t now_us)
 {
     bool known = false;
 
@@ -116,5 +130,5 @@
             return false;
         }
     }
-    return known || since_us + IDEM_SETTLE_US <= now_us;
+    return known || state_token_age_us(idem, token, now_us) >= IDEM_SETTLE_US;
 }
--- a/src/idem/state.h
+++ b/src/idem/state.h
@@ -34,6 +34,7 @@
  * @first_wire: first number of this life
  * @next_wire: next number
  * @released: what was reserved and not run
+ * @last_us: when it was called last
  * @cursor: the pass over all records goes on below this index
  * @pass_us: when the last pass began
  * @pass_wanted: members changed: another pass is due
@@ -50,6 +51,7 @@
     uint64_t first_wire;
     uint64_t next_wire;
     struct released released;
+    uint64_t last_us;
     size_t cursor;
     uint64_t pass_us;
     bool pass_wanted;
@@ -74,10 +76,10 @@
                   bool full);
 
 /** state_owner_gone() - whether the process that got @token for a key of
- * @service is known to be gone; @since_us: when that was recorded */
+ * @service is known to be gone */
 bool
 state_owner_gone(const struct idem *idem, uint32_t service, uint64_t owner,
-                 uint64_t token, uint64_t since_us, uint64_t now_us);
+                 uint64_t token, uint64_t now_us);
 
 /** state_next_wire() - number of the next request */
 uint64_t
@@ -87,6 +89,10 @@
 uint64_t
 state_token_age_us(const struct idem *idem, uint64_t token, uint64_t now_us);
 
+/** state_strength() - what is known for sure goes before what isn't */
+int
+state_strength(enum idem_state state);
+
 /** state_own_wire() - whether @wire is a number of this life of the process
  */
 bool
