--- a/src/request/dispatch.c
+++ b/src/request/dispatch.c
@@ -35,6 +35,9 @@
 unsigned
 dispatch_free(const struct engine *engine, const struct entry *entry)
 {
+    if (engine->now_us < entry->avoid_until_us) {
+        return 0;
+    }
     return upstream_free(&engine->upstream, entry->request.service,
                          engine->now_us);
 }
@@ -71,7 +74,8 @@
 {
     const struct peer *peer;
 
-    if (upstream_serves(&engine->upstream, entry->request.service)) {
+    if (upstream_serves(&engine->upstream, entry->request.service) &&
+        engine->now_us >= entry->avoid_until_us) {
         return 0;
     }
     peer = dispatch_random(engine, entry);
@@ -129,7 +133,8 @@
     queue_started(&engine->queue, entry->request.class);
     estimate_departure(&engine->estimate, queue_total(&engine->queue),
                        engine->now_us);
-    if (member == engine->self) {
+    entry->ran_here = member == engine->self;
+    if (entry->ran_here) {
         run_here(engine, entry);
     }
     else {
--- a/src/request/entry.h
+++ b/src/request/entry.h
@@ -33,7 +33,9 @@
  * @place: where it is
  * @cleared: it may run: no idempotency key, or the key is reserved
  * @handed: some upstream may have begun it, so it is never "not run" again
+ * @ran_here: the last attempt was on the local upstream
  * @pushed: the policy has chosen a place for it once already
+ * @avoid_until_us: goes to a peer rather than here before; here it failed
  * @refused: why it came back unrun, the last time
  * @queued: linked into the queue
  * @arrived_us: when it arrived here
@@ -51,7 +53,9 @@
     enum entry_place place;
     bool cleared;
     bool handed;
+    bool ran_here;
     bool pushed;
+    uint64_t avoid_until_us;
     enum engine_reason refused;
     bool queued;
     uint64_t arrived_us;
--- a/src/request/outcome.c
+++ b/src/request/outcome.c
@@ -3,6 +3,18 @@
 #include "request/admit.h"
 #include "request/finish.h"
 
+#define AVOID_US (50 * USEC_PER_MSEC)
+
+/* A second attempt goes to another upstream, if one can be had soon. */
+static void
+avoid_here(struct engine *engine, struct entry *entry)
+{
+    if (entry->ran_here &&
+        peers_working(&engine->peers, entry->request.service)) {
+        entry->avoid_until_us = engine->now_us + AVOID_US;
+    }
+}
+
 static void
 wait_again(struct engine *engine, struct entry *entry)
 {
@@ -41,6 +53,7 @@
         return;
     }
     engine->counters.retried++;
+    avoid_here(engine, entry);
     wait_again(engine, entry);
 }
 
@@ -56,5 +69,6 @@
         return;
     }
     engine->counters.retried++;
+    avoid_here(engine, entry);
     wait_again(engine, entry);
 }
