Control: repeat a refutation to whoever missed it

Cause: a member that had refuted its death long ago answered the ping of one who still took it for dead without saying so, since its refutation was no longer news; two sides of a healed partition could stay apart. Change: the answer to a ping that tells of the receiver carries the receiver's own entry.

--- a/src/control/member_probe.c
+++ b/src/control/member_probe.c
@@ -205,6 +205,19 @@
     }
 }
 
+/* Whether the sender told what it holds of us: a suspicion or a death. */
+static bool
+tells_of_self(const struct member_core *core, const struct member_msg *msg)
+{
+    uint64_t self = core->entries[core->self].member.id;
+
+    for (size_t i = 0; i < msg->update_count; i++) {
+        if (msg->updates[i].member.id == self)
+            return true;
+    }
+    return false;
+}
+
 static void
 receive_ping(struct member_core *core, const struct member_msg *msg,
              struct addr from, uint64_t now_us, struct member_actions *out)
@@ -214,10 +227,11 @@
     bool mine = msg->target == self->member.id;
     struct member_msg *answer;
 
-    /* A refutation goes before telling the sender that it is suspected. */
+    /* A refutation goes before telling the sender that it is suspected, also
+     * if others have long heard it: this sender has not. */
     if (first != NULL && first->member.health == MEMBER_ALIVE)
         first = NULL;
-    if (self->urgent)
+    if (self->urgent || tells_of_self(core, msg))
         first = self;
     answer = member_send(core, mine ? MEMBER_ACK : MEMBER_NOT_ME, from, now_us,
                          out);
--- a/tests/control/test_member_net.c
+++ b/tests/control/test_member_net.c
@@ -278,19 +278,24 @@
 }
 
 static void
-run_seeds(uint64_t first, unsigned loss, bool partitions)
+run_seed(uint64_t seed, unsigned loss, bool partitions)
 {
-    for (uint64_t seed = first; seed < first + SEEDS_EACH; seed++) {
-        struct scenario scenario;
-        char failure[256];
+    struct scenario scenario;
+    char failure[256];
 
-        plan(&scenario, seed, loss, partitions);
-        run(&scenario, scenario.op_count, failure, sizeof(failure));
-        if (failure[0] == '\0')
-            continue;
-        report(&scenario, failure);
-        g_test_fail();
-    }
+    plan(&scenario, seed, loss, partitions);
+    run(&scenario, scenario.op_count, failure, sizeof(failure));
+    if (failure[0] == '\0')
+        return;
+    report(&scenario, failure);
+    g_test_fail();
+}
+
+static void
+run_seeds(uint64_t first, unsigned loss, bool partitions)
+{
+    for (uint64_t seed = first; seed < first + SEEDS_EACH; seed++)
+        run_seed(seed, loss, partitions);
 }
 
 static void
@@ -311,6 +316,17 @@
     run_seeds(3000, 50, true);
 }
 
+/* A member whose refutation was no longer news stayed dead for those who
+ * had missed it: its answer to their pings didn't repeat it. */
+static void
+test_refutation_repeated(void)
+{
+    static const uint64_t seeds[] = {3023, 3121, 3144};
+
+    for (size_t i = 0; i < G_N_ELEMENTS(seeds); i++)
+        run_seed(seeds[i], 50, true);
+}
+
 /* A host that vanishes is suspected everywhere within 2 s in the median. */
 static void
 test_time_to_suspect(void)
@@ -397,6 +413,8 @@
     g_test_add_func("/member-net/freezes-and-kills", test_freezes_and_kills);
     g_test_add_func("/member-net/loss", test_loss);
     g_test_add_func("/member-net/partitions", test_partitions);
+    g_test_add_func("/member-net/refutation-repeated",
+                    test_refutation_repeated);
     g_test_add_func("/member-net/time-to-suspect", test_time_to_suspect);
     g_test_add_func("/member-net/flat-bytes", test_flat_bytes);
     return g_test_run();
