--- /dev/null
+++ b/tests/cli/explain_test.c
@@ -0,0 +1,288 @@
+#include <errno.h>
+#include <string.h>
+
+#include <glib.h>
+
+#include "base/hash.h"
+#include "cli/explain_packet.h"
+#include "cli/explain_request.h"
+#include "cli/snapshot.h"
+#include "cli/text_diff.h"
+#include "packet/packet.h"
+#include "packet/rank.h"
+
+#define TEXT                                                                  \
+    "{\"services\":["                                                         \
+    "{\"name\":\"desk\",\"address\":\"10.0.0.1\",\"port\":80,"                \
+    "\"class\":\"urgent\"},"                                                  \
+    "{\"name\":\"reports\",\"address\":\"10.0.0.2\",\"port\":80,"             \
+    "\"class\":\"ordinary\",\"depends_on\":[\"desk\"]},"                      \
+    "{\"name\":\"clock\",\"address\":\"10.0.0.3\",\"port\":123,"              \
+    "\"protocol\":\"udp\",\"class\":\"ordinary\"}]}"
+#define AGENTS 4
+#define OLD_US UINT64_C(60000000)
+
+static const char *const agent_names[AGENTS] = {"one", "two", "three", "four"};
+
+static void
+fill_agent(Swiftarch__ShowMember *member, size_t i)
+{
+    swiftarch__show_member__init(member);
+    member->name = (char *)agent_names[i];
+    member->data_centre = "cbd";
+    member->id = hash_name(agent_names[i]);
+    member->incarnation = (uint64_t)g_get_real_time() - OLD_US;
+    member->role = MEMBER_AGENT;
+    member->state = MEMBER_READY;
+    member->health = MEMBER_ALIVE;
+    member->data_ip = 0x7f000001;
+    member->data_port = 7000 + (uint32_t)i;
+    member->control_ip = 0x7f000001;
+    member->control_port = 8000 + (uint32_t)i;
+    member->service = hash_service("desk");
+    member->slots = 2;
+}
+
+/* Four agents of "desk"; the last but one drains, the last is dead. */
+static void
+take_snapshot(struct snapshot *snapshot)
+{
+    Swiftarch__ShowReply reply = SWIFTARCH__SHOW_REPLY__INIT;
+    Swiftarch__ShowMember members[AGENTS];
+    Swiftarch__ShowMember *pointers[AGENTS];
+
+    for (size_t i = 0; i < AGENTS; i++) {
+        fill_agent(&members[i], i);
+        pointers[i] = &members[i];
+    }
+    members[2].state = MEMBER_DRAINING;
+    members[3].health = MEMBER_DEAD;
+    reply.name = "entry";
+    reply.config_version = 5;
+    reply.n_members = AGENTS;
+    reply.members = pointers;
+    reply.config.data = (uint8_t *)TEXT;
+    reply.config.len = strlen(TEXT);
+    g_assert_cmpint(snapshot_of_reply(snapshot, &reply), ==, 0);
+    g_assert_cmpuint(snapshot->text->version, ==, 5);
+}
+
+static char *
+packet_words(const struct snapshot *snapshot, const char *words)
+{
+    GString *out = g_string_new(NULL);
+    struct packet_spec spec;
+
+    g_assert_cmpint(packet_spec_parse(words, &spec), ==, 0);
+    g_assert_cmpint(explain_packet(snapshot, &spec, out), ==, 0);
+    return g_string_free(out, FALSE);
+}
+
+static void
+test_packet(void)
+{
+    struct snapshot snapshot;
+    const struct packet packet = {.src = 0x0a090001,
+                                  .dst = 0x0a000001,
+                                  .sport = 4000,
+                                  .dport = 80,
+                                  .proto = 6};
+    uint32_t bucket = rank_bucket(packet_flow_hash(&packet));
+    bool one_first = rank_score(hash_name("one"), bucket) >
+                     rank_score(hash_name("two"), bucket);
+    char *words;
+    char *expected;
+
+    take_snapshot(&snapshot);
+    words = packet_words(&snapshot, "tcp 10.9.0.1:4000 10.0.0.1:80");
+    expected = g_strdup_printf("  1. %s ", one_first ? "one" : "two");
+    g_assert_nonnull(strstr(words, expected));
+    g_free(expected);
+    expected = g_strdup_printf("bucket   %u of 4096", bucket);
+    g_assert_nonnull(strstr(words, expected));
+    g_free(expected);
+    g_assert_nonnull(strstr(words, "service  desk, urgent\n"));
+    g_assert_nonnull(strstr(words, "  3. three "));
+    g_assert_nonnull(strstr(words, "draining, alive: keeps its flows"));
+    g_assert_nonnull(strstr(words, "   - four "));
+    g_assert_null(strstr(words, "  4. "));
+    g_free(words);
+    snapshot_finish(&snapshot);
+}
+
+static void
+test_packet_dropped(void)
+{
+    struct snapshot snapshot;
+    char *words;
+
+    take_snapshot(&snapshot);
+    words = packet_words(&snapshot, "udp 10.9.0.1:4000 10.0.0.1:80");
+    g_assert_nonnull(strstr(words, "dropped  no service of the text"));
+    g_assert_nonnull(strstr(words, "reason=\"service\""));
+    g_free(words);
+    words = packet_words(&snapshot, "udp 10.9.0.1:4000 10.0.0.3:123");
+    g_assert_nonnull(strstr(words, "reason=\"no_endpoint\""));
+    g_free(words);
+    snapshot_finish(&snapshot);
+}
+
+static void
+test_packet_words(void)
+{
+    static const char *const bad[] = {
+        "",
+        "tcp",
+        "tcp 10.0.0.1:1",
+        "icmp 10.0.0.1:1 10.0.0.2:2",
+        "tcp 10.0.0.1:1 10.0.0.2:99999",
+        "udp 10.0.0.1:1 10.0.0.2:2 syn",
+        "tcp 10.0.0.1:1 10.0.0.2:2 fin",
+        "tcp 10.0.0.1:1 10.0.0.2:2 syn ack",
+    };
+    struct packet_spec spec;
+
+    for (size_t i = 0; i < G_N_ELEMENTS(bad); i++) {
+        g_assert_cmpint(packet_spec_parse(bad[i], &spec), ==, -EINVAL);
+    }
+    g_assert_cmpint(packet_spec_parse("tcp 10.0.0.1:1 10.0.0.2:2 ack", &spec),
+                    ==, 0);
+    g_assert_false(spec.opens);
+}
+
+static char *
+request_words(const struct snapshot *snapshot, struct request_spec spec,
+              int rc)
+{
+    GString *out = g_string_new(NULL);
+
+    g_assert_cmpint(explain_request(snapshot, &spec, out), ==, rc);
+    return g_string_free(out, FALSE);
+}
+
+static void
+assert_says(const struct snapshot *snapshot, struct request_spec spec, int rc,
+            const char *part)
+{
+    char *words = request_words(snapshot, spec, rc);
+
+    if (strstr(words, part) == NULL) {
+        g_error("expected \"%s\" in:\n%s", part, words);
+    }
+    g_free(words);
+}
+
+static void
+test_request(void)
+{
+    struct snapshot snapshot;
+    struct request_spec get = {.service = "desk", .method = "GET"};
+    struct request_spec post = {.service = "desk", .method = "POST"};
+    struct request_spec report = {.service = "reports", .method = "GET"};
+
+    take_snapshot(&snapshot);
+    assert_says(&snapshot, get, 0, "class    urgent");
+    assert_says(&snapshot, get, 0, "its method is idempotent");
+    assert_says(&snapshot, get, 0, "deadline 5000 ms, the service's");
+    assert_says(&snapshot, post, 0, "its method is not idempotent");
+    post.priority = "u=7";
+    post.timeout_ms = "250";
+    assert_says(&snapshot, post, 0, "class    ordinary");
+    assert_says(&snapshot, post, 0, "deadline 250 ms, its own");
+    assert_says(&snapshot, report, 0, "needs    desk: 2 endpoints take work");
+    assert_says(&snapshot, report, 0, "no endpoint takes work");
+    snapshot_finish(&snapshot);
+}
+
+static void
+test_request_key(void)
+{
+    struct snapshot snapshot;
+    struct request_spec post = {
+        .service = "desk", .method = "POST", .key = "k"};
+    char *words;
+
+    take_snapshot(&snapshot);
+    words = request_words(&snapshot, post, 0);
+    g_assert_nonnull(strstr(words, "at most once for its key"));
+    words = strstr(words, "record   of its key is kept by 3 of at most 3");
+    g_assert_nonnull(words);
+    g_assert_nonnull(strstr(words, "one "));
+    g_assert_nonnull(strstr(words, "two "));
+    g_assert_nonnull(strstr(words, "three "));
+    g_assert_null(strstr(words, "not settled yet"));
+    snapshot_finish(&snapshot);
+}
+
+static void
+test_request_refused(void)
+{
+    struct snapshot snapshot;
+
+    take_snapshot(&snapshot);
+    assert_says(&snapshot,
+                (struct request_spec){.service = "none", .method = "GET"},
+                -ENOENT, "no service \"none\"");
+    assert_says(&snapshot,
+                (struct request_spec){.service = "desk", .method = "G@T"},
+                -EINVAL, "answered with 400");
+    assert_says(&snapshot,
+                (struct request_spec){.service = "clock", .method = "GET"}, 0,
+                "UDP service");
+    snapshot_finish(&snapshot);
+}
+
+static struct text *
+parse(const char *source)
+{
+    struct text *text;
+    char *report;
+
+    g_assert_cmpint(text_parse(source, strlen(source), "t", &text, &report),
+                    ==, 0);
+    return text;
+}
+
+static void
+test_diff(void)
+{
+    struct text *from = parse(TEXT);
+    struct text *to =
+        parse("{\"services\":["
+              "{\"name\":\"desk\",\"address\":\"10.0.0.9\",\"port\":80,"
+              "\"class\":\"ordinary\",\"limits\":{\"queue\":9}},"
+              "{\"name\":\"reports\",\"address\":\"10.0.0.2\",\"port\":80,"
+              "\"class\":\"ordinary\"},"
+              "{\"name\":\"new\",\"address\":\"10.0.0.4\",\"port\":1,"
+              "\"class\":\"ordinary\"}]}");
+    GString *out = g_string_new(NULL);
+
+    g_assert_cmpuint(text_diff(from, to, out), ==, 6);
+    g_assert_cmpstr(out->str, ==,
+                    "  ~ desk.address and port: 10.0.0.1:80 -> 10.0.0.9:80\n"
+                    "  ~ desk.class: urgent -> ordinary\n"
+                    "  ~ desk.limits.queue: 64 -> 9\n"
+                    "  ~ reports.depends_on: [desk] -> []\n"
+                    "  - clock\n"
+                    "  + new\n");
+    g_string_truncate(out, 0);
+    g_assert_cmpuint(text_diff(from, from, out), ==, 0);
+    g_assert_cmpuint(text_diff(NULL, from, out), ==, 3);
+    g_string_free(out, TRUE);
+    text_free(from);
+    text_free(to);
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/explain/packet", test_packet);
+    g_test_add_func("/explain/packet_dropped", test_packet_dropped);
+    g_test_add_func("/explain/packet_words", test_packet_words);
+    g_test_add_func("/explain/request", test_request);
+    g_test_add_func("/explain/request_key", test_request_key);
+    g_test_add_func("/explain/request_refused", test_request_refused);
+    g_test_add_func("/explain/diff", test_diff);
+    return g_test_run();
+}
--- /dev/null
+++ b/tests/cli/show_test.c
@@ -0,0 +1,381 @@
+#include <errno.h>
+#include <string.h>
+#include <unistd.h>
+
+#include <glib.h>
+#include <json-c/json.h>
+
+#include "base/hash.h"
+#include "cli/ask.h"
+#include "cli/cli.h"
+#include "cli/show_print.h"
+#include "control/view.h"
+#include "standin/platform/server.h"
+
+#define KEY "sixteen bytes of key"
+#define TEXT                                                                  \
+    "{\"services\":[{\"name\":\"desk\",\"address\":\"10.0.0.1\","             \
+    "\"port\":80,\"class\":\"urgent\"}]}"
+#define STOP_CHECK_US 5000
+#define FRAME_REQUEST 0x110
+#define FRAME_REPLY 0x111
+
+/**
+ * struct fake - two processes at one hub in a thread of its own: the one
+ * that answers names the other, whose control address is closed
+ */
+struct fake {
+    struct link_handler handler;
+    struct event_base *base;
+    struct auth auth;
+    struct link_hub hub;
+    struct addr closed;
+    uint64_t version;
+    GThread *thread;
+    gint stop;
+};
+
+static void
+fill_member(Swiftarch__ShowMember *member, const char *name, struct addr at,
+            uint32_t role)
+{
+    swiftarch__show_member__init(member);
+    member->name = (char *)name;
+    member->data_centre = "cbd";
+    member->id = hash_name(name);
+    member->incarnation = 1;
+    member->role = role;
+    member->control_ip = at.ip;
+    member->control_port = at.port;
+    member->service = role == MEMBER_AGENT ? hash_service("desk") : 0;
+    member->config_version = 3;
+}
+
+static void
+fill_reply(Swiftarch__ShowReply *reply, const struct fake *fake)
+{
+    reply->name = "entry";
+    reply->data_centre = "cbd";
+    reply->role = MEMBER_BALANCER;
+    reply->state = MEMBER_READY;
+    reply->config_version = fake->version;
+    reply->in_force_ms = 1500;
+    reply->heard_ms = 250;
+    reply->platform_ok_ms = UINT64_MAX;
+    reply->counters = "a_total 1\n";
+    reply->config.data = (uint8_t *)TEXT;
+    reply->config.len = strlen(TEXT);
+}
+
+static void
+on_frame(struct link_handler *handler, struct link_conn *conn, uint64_t sender,
+         uint16_t type, const uint8_t *body, size_t len)
+{
+    struct fake *fake = (struct fake *)handler;
+    Swiftarch__ShowReply reply = SWIFTARCH__SHOW_REPLY__INIT;
+    Swiftarch__ShowMember members[2];
+    Swiftarch__ShowMember *pointers[] = {&members[0], &members[1]};
+    uint8_t packed[2048];
+
+    g_assert_cmpuint(type, ==, FRAME_REQUEST);
+    fill_reply(&reply, fake);
+    fill_member(&members[0], "entry", link_hub_addr(&fake->hub),
+                MEMBER_BALANCER);
+    fill_member(&members[1], "silent", fake->closed, MEMBER_AGENT);
+    reply.n_members = fake->closed.port != 0 ? 2 : 1;
+    reply.members = pointers;
+    g_assert_cmpuint(swiftarch__show_reply__get_packed_size(&reply), <,
+                     sizeof(packed));
+    len = swiftarch__show_reply__pack(&reply, packed);
+    g_assert_cmpint(link_reply(&fake->hub, conn, FRAME_REPLY, packed, len), ==,
+                    0);
+}
+
+static void
+on_down(struct link_handler *handler, struct link_conn *conn, struct addr peer,
+        int reason)
+{
+}
+
+static const struct link_ops fake_ops = {on_frame, on_down};
+
+static gpointer
+run_fake(gpointer data)
+{
+    const struct timeval wait = {.tv_usec = STOP_CHECK_US};
+    struct fake *fake = data;
+
+    while (!g_atomic_int_get(&fake->stop)) {
+        event_base_loopexit(fake->base, &wait);
+        event_base_dispatch(fake->base);
+    }
+    return NULL;
+}
+
+static void
+fake_start(struct fake *fake, struct addr closed)
+{
+    struct addr any = {.ip = INADDR_LOOPBACK};
+    struct error err;
+
+    *fake = (struct fake){.handler.ops = &fake_ops,
+                          .base = event_base_new(),
+                          .closed = closed,
+                          .version = 3};
+    g_assert_cmpint(auth_init(&fake->auth, (const uint8_t *)KEY, strlen(KEY),
+                              hash_name("entry"),
+                              (uint64_t)g_get_real_time() / 1000),
+                    ==, 0);
+    g_assert_cmpint(link_hub_init(&fake->hub, fake->base, &fake->auth,
+                                  &fake->handler, any, &err),
+                    ==, 0);
+    fake->thread = g_thread_new("fake", run_fake, fake);
+}
+
+static void
+fake_stop(struct fake *fake)
+{
+    g_atomic_int_set(&fake->stop, 1);
+    g_thread_join(fake->thread);
+    link_hub_finish(&fake->hub);
+    auth_finish(&fake->auth);
+    event_base_free(fake->base);
+}
+
+/* An address where nothing listens (tcpmux). */
+static struct addr
+closed_addr(void)
+{
+    return (struct addr){.ip = INADDR_LOOPBACK, .port = 1};
+}
+
+static struct settings
+operator_settings(struct addr seed, const char *key)
+{
+    struct settings settings = {.role = SETTINGS_OPERATOR, .seed_count = 1};
+
+    settings.seeds[0] = seed;
+    settings.site_key_len = strlen(key);
+    memcpy(settings.site_key, key, strlen(key));
+    g_strlcpy(settings.platform, "http://127.0.0.1:1",
+              sizeof(settings.platform));
+    return settings;
+}
+
+static char *
+ask_and_print(struct settings *settings, struct show_totals *totals, bool json)
+{
+    GString *out = g_string_new(NULL);
+    struct error err;
+    struct ask ask;
+
+    g_assert_cmpint(ask_init(&ask, settings, &err), ==, 0);
+    ask.counters = true;
+    ask_run(&ask, 1000);
+    show_sort(&ask);
+    *totals = show_totals(&ask);
+    if (json) {
+        show_print_json(&ask, out);
+    }
+    else {
+        show_print_table(&ask, out);
+        show_print_counters(&ask, out);
+    }
+    ask_finish(&ask);
+    return g_string_free(out, FALSE);
+}
+
+static void
+test_all_answer(void)
+{
+    struct show_totals totals;
+    struct settings settings;
+    struct fake fake;
+    char *words;
+
+    fake_start(&fake, (struct addr){0});
+    settings = operator_settings(link_hub_addr(&fake.hub), KEY);
+    words = ask_and_print(&settings, &totals, false);
+    g_assert_cmpuint(totals.processes, ==, 1);
+    g_assert_cmpuint(totals.answered, ==, 1);
+    g_assert_cmpuint(totals.versions, ==, 1);
+    g_assert_nonnull(strstr(words, "version 3 in force since "));
+    g_assert_nonnull(strstr(words, "(1.5 s), word 0.2 s old"));
+    g_assert_nonnull(strstr(words, "# entry\na_total 1\n"));
+    g_assert_nonnull(strstr(words, "platform: did not answer"));
+    g_assert_nonnull(strstr(words, "1 of 1 processes answered"));
+    g_free(words);
+    fake_stop(&fake);
+}
+
+static void
+test_one_silent(void)
+{
+    struct show_totals totals;
+    struct settings settings;
+    struct fake fake;
+    char *words;
+
+    fake_start(&fake, closed_addr());
+    settings = operator_settings(link_hub_addr(&fake.hub), KEY);
+    words = ask_and_print(&settings, &totals, false);
+    g_assert_cmpuint(totals.processes, ==, 2);
+    g_assert_cmpuint(totals.answered, ==, 1);
+    g_assert_nonnull(strstr(words, "DID NOT ANSWER (Connection refused), the "
+                                   "others take it for alive, last told "
+                                   "version 3"));
+    g_free(words);
+    fake_stop(&fake);
+}
+
+static void
+test_json(void)
+{
+    struct show_totals totals;
+    struct settings settings;
+    struct json_object *root;
+    struct json_object *list;
+    struct json_object *value;
+    struct fake fake;
+    char *words;
+
+    fake_start(&fake, closed_addr());
+    settings = operator_settings(link_hub_addr(&fake.hub), KEY);
+    words = ask_and_print(&settings, &totals, true);
+    root = json_tokener_parse(words);
+    g_assert_true(json_object_object_get_ex(root, "processes", &list));
+    g_assert_cmpuint(json_object_array_length(list), ==, 2);
+    value = json_object_array_get_idx(list, 0);
+    g_assert_true(json_object_object_get_ex(value, "config_version", &value));
+    g_assert_cmpint(json_object_get_int64(value), ==, 3);
+    value = json_object_array_get_idx(list, 1);
+    g_assert_true(json_object_object_get_ex(value, "service", &value));
+    g_assert_cmpstr(json_object_get_string(value), ==, "desk");
+    g_assert_true(json_object_object_get_ex(root, "answered", &value));
+    g_assert_cmpint(json_object_get_int64(value), ==, 1);
+    json_object_put(root);
+    g_free(words);
+    fake_stop(&fake);
+}
+
+/* With another key nobody answers, and nothing is believed. */
+static void
+test_wrong_key(void)
+{
+    struct show_totals totals;
+    struct settings settings;
+    struct fake fake;
+    char *words;
+
+    fake_start(&fake, (struct addr){0});
+    settings =
+        operator_settings(link_hub_addr(&fake.hub), "sixteen bytes and more");
+    words = ask_and_print(&settings, &totals, false);
+    g_assert_cmpuint(totals.answered, ==, 0);
+    g_assert_nonnull(strstr(words, "seed 127.0.0.1:"));
+    g_free(words);
+    fake_stop(&fake);
+}
+
+/* The seeds are silent: the platform's list of the cell names another. */
+static void
+test_cell_of_platform(void)
+{
+    struct addr any = {.ip = INADDR_LOOPBACK};
+    struct show_totals totals;
+    struct settings settings;
+    struct server server;
+    struct error err;
+    struct fake fake;
+    GBytes *value;
+    uint64_t version;
+    char addr[ADDR_TEXT_MAX];
+    char *words;
+
+    fake_start(&fake, (struct addr){0});
+    g_assert_cmpint(server_init(&server, any, &err), ==, 0);
+    settings = operator_settings(closed_addr(), KEY);
+    g_strlcpy(settings.cell, "perth", sizeof(settings.cell));
+    g_snprintf(settings.platform, sizeof(settings.platform),
+               "http://127.0.0.1:%u", server_port(&server));
+    words =
+        g_strdup_printf("{\"members\":[{\"name\":\"entry\",\"control\":\"%s\","
+                        "\"incarnation\":1}]}",
+                        addr_format(link_hub_addr(&fake.hub), addr));
+    value = g_bytes_new_take(words, strlen(words));
+    g_assert_cmpint(store_put(&server.store, "cell-perth", 0, value, &version),
+                    ==, 0);
+    g_bytes_unref(value);
+    words = ask_and_print(&settings, &totals, false);
+    g_assert_cmpuint(totals.answered, ==, 1);
+    g_assert_nonnull(strstr(words, "platform: nothing is published yet"));
+    g_free(words);
+    server_finish(&server);
+    fake_stop(&fake);
+}
+
+static int
+run_with(const char *const *words, size_t count)
+{
+    static const struct cli_command commands[] = {
+        {"check", "", cli_check},
+        {"apply", "", cli_apply},
+        {"show", "", cli_show},
+        {"explain", "", cli_explain},
+    };
+    char *argv[16] = {NULL};
+
+    for (size_t i = 0; i < count; i++) {
+        argv[i] = (char *)words[i];
+    }
+    return cli_run(commands, G_N_ELEMENTS(commands), (int)count, argv);
+}
+
+#define CODE(...)                                                             \
+    run_with((const char *const[]){"swiftarch", __VA_ARGS__},                 \
+             G_N_ELEMENTS(((const char *const[]){"swiftarch", __VA_ARGS__})))
+
+static void
+test_exit_codes(void)
+{
+    GError *error = NULL;
+    char *path;
+    int fd = g_file_open_tmp("text-XXXXXX", &path, &error);
+
+    g_assert_cmpint(fd, >=, 0);
+    g_assert_cmpint(write(fd, TEXT, strlen(TEXT)), ==, strlen(TEXT));
+    close(fd);
+    g_assert_cmpint(run_with((const char *const[]){"swiftarch"}, 1), ==,
+                    CLI_USAGE);
+    g_assert_cmpint(CODE("--help"), ==, CLI_OK);
+    g_assert_cmpint(CODE("--version"), ==, CLI_OK);
+    g_assert_cmpint(CODE("nothing"), ==, CLI_USAGE);
+    g_assert_cmpint(CODE("check"), ==, CLI_USAGE);
+    g_assert_cmpint(CODE("check", "--help"), ==, CLI_OK);
+    g_assert_cmpint(CODE("check", path), ==, CLI_OK);
+    g_assert_cmpint(CODE("check", "/nonexistent/text"), ==, CLI_USAGE);
+    g_assert_cmpint(CODE("check", "/dev/zero"), ==, CLI_USAGE);
+    g_assert_cmpint(CODE("apply", path), ==, CLI_USAGE);
+    g_assert_cmpint(CODE("apply", path, "--operator", path), ==, CLI_USAGE);
+    g_assert_cmpint(CODE("show", "--operator", path), ==, CLI_USAGE);
+    g_assert_cmpint(CODE("explain", "--text", path), ==, CLI_USAGE);
+    g_assert_cmpint(CODE("explain", "--text", path, "--request", "desk GET"),
+                    ==, CLI_OK);
+    g_assert_cmpint(CODE("explain", "--text", path, "--request", "x GET"), ==,
+                    CLI_USAGE);
+    g_assert_cmpint(unlink(path), ==, 0);
+    g_free(path);
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/show/all_answer", test_all_answer);
+    g_test_add_func("/show/one_silent", test_one_silent);
+    g_test_add_func("/show/json", test_json);
+    g_test_add_func("/show/wrong_key", test_wrong_key);
+    g_test_add_func("/show/cell_of_platform", test_cell_of_platform);
+    g_test_add_func("/show/exit_codes", test_exit_codes);
+    return g_test_run();
+}
