flow: decide who owns a flow, first version

Cause: the agent needs the pure decision to link. Change: flow table, members, pins, hop walk and decisions.

--- /dev/null
+++ b/src/flow/flow.c
@@ -0,0 +1,520 @@
+#include "flow/flow.h"
+
+#include <errno.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "flow/entries.h"
+#include "flow/members.h"
+#include "flow/pins.h"
+#include "flow/registrar.h"
+#include "flow/walk.h"
+
+#define PROTO_TCP 6
+#define PROTO_UDP 17
+
+/* A flood of openings or of datagrams displaces only its own kind. */
+#define EMBRYO_SHARE 4
+#define DATAGRAM_SHARE 2
+
+/**
+ * struct flow_table - see flow.h
+ * @self: own member id
+ * @service: service served, 0 for none
+ * @accept: whether new flows are taken
+ * @hold_until_us: until when older agents are preferred for new flows
+ * @stages: continuations that may be started now
+ * @stages_us: when @stages was last filled
+ */
+struct flow_table {
+    uint64_t self;
+    uint32_t service;
+    bool accept;
+    uint64_t hold_until_us;
+    uint64_t stages;
+    uint64_t stages_us;
+    struct entries entries;
+    struct members members;
+    struct pins pins;
+    struct registrar registrar;
+};
+
+struct flow_table *
+flow_table_new(uint64_t self, size_t capacity)
+{
+    struct flow_table *table = calloc(1, sizeof(*table));
+
+    if (table == NULL) {
+        return NULL;
+    }
+    table->self = self;
+    table->stages = FLOW_STAGES_PER_S;
+    if (entries_init(&table->entries, capacity) < 0) {
+        goto err;
+    }
+    if (pins_init(&table->pins) < 0) {
+        goto err_entries;
+    }
+    if (registrar_init(&table->registrar) < 0) {
+        goto err_pins;
+    }
+    return table;
+err_pins:
+    pins_finish(&table->pins);
+err_entries:
+    entries_finish(&table->entries);
+err:
+    free(table);
+    return NULL;
+}
+
+void
+flow_table_free(struct flow_table *table)
+{
+    if (table == NULL) {
+        return;
+    }
+    registrar_finish(&table->registrar);
+    pins_finish(&table->pins);
+    members_finish(&table->members);
+    entries_finish(&table->entries);
+    free(table);
+}
+
+int
+flow_set_view(struct flow_table *table, const struct view *view,
+              uint32_t service, bool accept, uint64_t now_us)
+{
+    int rc =
+        members_update(&table->members, view, service, table->self, now_us);
+
+    if (rc < 0) {
+        return rc;
+    }
+    if (service != table->service) {
+        table->hold_until_us = now_us + FLOW_HOLD_US;
+    }
+    table->service = service;
+    table->accept = accept;
+    if (rc > 0) {
+        registrar_mark_all(&table->registrar, &table->entries);
+    }
+    return 0;
+}
+
+static struct flow_decision
+pass_on(const struct walk *walk)
+{
+    return (struct flow_decision){.verdict = FLOW_PASS, .gue = walk->gue};
+}
+
+static struct flow_decision
+take(enum flow_verdict verdict)
+{
+    return (struct flow_decision){.verdict = verdict};
+}
+
+static struct flow_decision
+drop(enum packet_drop reason)
+{
+    return (struct flow_decision){.verdict = FLOW_DROP, .drop = reason};
+}
+
+static void
+walk_begin(struct walk *walk, const struct flow_table *table,
+           const struct packet *packet, const struct gue *gue, uint64_t now_us)
+{
+    walk->members = &table->members;
+    walk->pins = &table->pins;
+    walk->self = table->self;
+    walk->now_us = now_us;
+    walk->bucket = rank_bucket(packet_flow_hash(packet));
+    walk_init(walk, gue);
+}
+
+static bool
+is_open(const struct packet *packet)
+{
+    return packet->proto == PROTO_TCP &&
+           (packet->flags & (PACKET_TCP_SYN | PACKET_TCP_ACK)) ==
+               PACKET_TCP_SYN;
+}
+
+/*
+ * Whether an embryo's packet proves that the caller talks to us: another
+ * agent may have answered the same SYN, with another sequence number.
+ */
+static bool
+acknowledges(const struct entry *entry, const struct packet *packet)
+{
+    if ((packet->flags & PACKET_TCP_ACK) != 0) {
+        return entry->answered && packet->ack == entry->isn + 1;
+    }
+    return (packet->flags & PACKET_TCP_RST) != 0 &&
+           packet->seq == entry->caller_isn + 1;
+}
+
+/* Whether a known flow takes the packet. */
+static bool
+take_known(struct flow_table *table, struct entry *entry,
+           const struct packet *packet, uint64_t now_us)
+{
+    switch (entry->state) {
+    case ENTRY_ESTABLISHED:
+        return true;
+    case ENTRY_DATAGRAM:
+        entries_use(&table->entries, entry, ENTRY_DATAGRAM, now_us);
+        return true;
+    default:
+        break;
+    }
+    if (is_open(packet)) {
+        entries_use(&table->entries, entry, ENTRY_EMBRYO, now_us);
+        return true;
+    }
+    if (!acknowledges(entry, packet)) {
+        return false;
+    }
+    if ((packet->flags & PACKET_TCP_RST) == 0) {
+        entries_use(&table->entries, entry, ENTRY_ESTABLISHED, now_us);
+    }
+    return true;
+}
+
+/* Makes room for one more entry of @state; false when there is none. */
+static bool
+make_room(struct flow_table *table, enum entry_state state)
+{
+    struct entries *entries = &table->entries;
+    size_t share = state == ENTRY_EMBRYO ? EMBRYO_SHARE : DATAGRAM_SHARE;
+    size_t bound = (entries->capacity + share - 1) / share;
+
+    if (entries->lists[state].count >= bound) {
+        entries_remove(entries, entries_oldest(entries, state));
+    }
+    else if (entries->used == entries->capacity) {
+        struct entry *embryo = entries_oldest(entries, ENTRY_EMBRYO);
+
+        if (embryo == NULL) {
+            return false;
+        }
+        entries_remove(entries, embryo);
+    }
+    return true;
+}
+
+static struct flow_decision
+open_here(struct flow_table *table, const struct packet *packet,
+          uint64_t now_us)
+{
+    enum entry_state state =
+        packet->proto == PROTO_UDP ? ENTRY_DATAGRAM : ENTRY_EMBRYO;
+    struct entry *entry = NULL;
+
+    if (make_room(table, state)) {
+        entry = entries_add(&table->entries, packet, table->service, state,
+                            now_us);
+    }
+    if (entry == NULL) {
+        return drop(PACKET_NO_ENDPOINT);
+    }
+    registrar_mark(&table->registrar, entry->bucket);
+    return take(FLOW_OPEN);
+}
+
+static bool
+may_open(const struct flow_table *table)
+{
+    const struct entries *entries = &table->entries;
+
+    return table->accept && entries->lists[ENTRY_ESTABLISHED].count +
+                                    entries->lists[ENTRY_DATAGRAM].count <
+                                entries->capacity;
+}
+
+/* An older agent that takes new flows; at a cold start there is none. */
+static bool
+has_elder(const struct flow_table *table)
+{
+    const struct members *members = &table->members;
+    const struct member_copy *self = members_find(members, table->self);
+    size_t i;
+
+    for (i = 0; self != NULL && i < members->count; i++) {
+        const struct member_copy *member = &members->items[i];
+
+        if (member->health == MEMBER_ALIVE && member->state == MEMBER_READY &&
+            member->incarnation + FLOW_HOLD_US < self->incarnation) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static bool
+is_held(const struct flow_table *table, uint64_t now_us)
+{
+    return now_us < table->hold_until_us && has_elder(table);
+}
+
+/*
+ * A packet that opens a flow. When nobody takes it, it is dropped rather
+ * than reset: draining and full are states that pass, and the caller's
+ * retransmission finds another list.
+ */
+static struct flow_decision
+decide_open(struct flow_table *table, const struct packet *packet,
+            const struct gue *gue, uint64_t now_us)
+{
+    bool may = may_open(table) && (gue->flags & GUE_OPEN) != 0;
+    struct walk walk;
+
+    if (may && !is_held(table, now_us)) {
+        return open_here(table, packet, now_us);
+    }
+    walk_begin(&walk, table, packet, gue, now_us);
+    walk_keep_openers(&walk);
+    if (walk_step(&walk)) {
+        return pass_on(&walk);
+    }
+    walk_append(&walk, true);
+    if (walk_step(&walk)) {
+        return pass_on(&walk);
+    }
+    return may ? open_here(table, packet, now_us) : drop(PACKET_NO_ENDPOINT);
+}
+
+/* Continuations cost hops, and forged packets ask for them too. */
+static bool
+stage_allowed(struct flow_table *table, uint64_t now_us)
+{
+    uint64_t filled =
+        (now_us - table->stages_us) * FLOW_STAGES_PER_S / USEC_PER_SEC;
+
+    if (now_us < table->stages_us) {
+        return false;
+    }
+    if (filled > 0) {
+        table->stages += filled;
+        table->stages_us = now_us;
+    }
+    if (table->stages > FLOW_STAGES_PER_S) {
+        table->stages = FLOW_STAGES_PER_S;
+    }
+    if (table->stages == 0) {
+        return false;
+    }
+    table->stages--;
+    return true;
+}
+
+/* Nobody that was asked knows the flow. */
+static struct flow_decision
+decide_exhausted(const struct flow_table *table, const struct packet *packet,
+                 const struct walk *walk, bool rest, uint64_t now_us)
+{
+    bool settled = now_us >= table->members.joined_us + FLOW_SETTLE_US;
+
+    if ((packet->flags & PACKET_TCP_RST) != 0 || is_open(packet)) {
+        return drop(PACKET_HOPS);
+    }
+    if ((walk->gue.flags & GUE_SUSPECTS) != 0 || table->members.suspects) {
+        return drop(PACKET_HOPS);
+    }
+    /* A newcomer may not have heard of all members yet. */
+    if (now_us < table->hold_until_us && !settled) {
+        return drop(PACKET_HOPS);
+    }
+    /* Not all were asked: only pins tell that the others own nothing. */
+    if (rest && (!settled || (walk->gue.flags & FLOW_GUE_MORE) != 0)) {
+        return drop(PACKET_HOPS);
+    }
+    return take(FLOW_RESET);
+}
+
+static struct flow_decision
+decide_walk(struct flow_table *table, const struct packet *packet,
+            const struct gue *gue, uint64_t now_us)
+{
+    struct walk walk;
+    bool rest;
+
+    walk_begin(&walk, table, packet, gue, now_us);
+    if (walk_stage(&walk) == 0) {
+        walk_merge(&walk);
+    }
+    walk_order(&walk);
+    if (walk_step(&walk)) {
+        return pass_on(&walk);
+    }
+    rest = walk_append(&walk, false);
+    if (walk_step(&walk)) {
+        return pass_on(&walk);
+    }
+    if (rest && walk_stage(&walk) < FLOW_STAGES_MAX &&
+        stage_allowed(table, now_us)) {
+        walk_continue(&walk);
+        if (walk_step(&walk)) {
+            return pass_on(&walk);
+        }
+    }
+    return decide_exhausted(table, packet, &walk, rest, now_us);
+}
+
+/* The second round of a datagram without an owner: the first to take it. */
+static struct flow_decision
+decide_datagram_open(struct flow_table *table, const struct packet *packet,
+                     struct walk *walk, uint64_t now_us)
+{
+    if (may_open(table)) {
+        return open_here(table, packet, now_us);
+    }
+    walk_keep_openers(walk);
+    return walk_step(walk) ? pass_on(walk) : drop(PACKET_NO_ENDPOINT);
+}
+
+static struct flow_decision
+decide_datagram(struct flow_table *table, const struct packet *packet,
+                const struct gue *gue, uint64_t now_us)
+{
+    struct walk walk;
+
+    walk_begin(&walk, table, packet, gue, now_us);
+    if ((gue->flags & FLOW_GUE_OPEN_NOW) != 0) {
+        return decide_datagram_open(table, packet, &walk, now_us);
+    }
+    walk_merge(&walk);
+    walk_order(&walk);
+    if (walk_step(&walk)) {
+        return pass_on(&walk);
+    }
+    walk_append(&walk, false);
+    if (walk_step(&walk)) {
+        return pass_on(&walk);
+    }
+    walk.gue.flags |= FLOW_GUE_OPEN_NOW;
+    walk.gue.index = 0;
+    if (walk.gue.hops[0].member == table->self) {
+        return decide_datagram_open(table, packet, &walk, now_us);
+    }
+    return pass_on(&walk);
+}
+
+/* A packet for another service than ours is never taken here. */
+static struct flow_decision
+decide_foreign(const struct flow_table *table, const struct packet *packet,
+               const struct gue *gue, uint64_t now_us)
+{
+    struct walk walk;
+
+    walk_begin(&walk, table, packet, gue, now_us);
+    return walk_step(&walk) ? pass_on(&walk) : drop(PACKET_SERVICE);
+}
+
+struct flow_decision
+flow_decide(struct flow_table *table, const struct packet *packet,
+            const struct gue *gue, uint64_t now_us)
+{
+    struct entry *entry = entries_find(&table->entries, packet);
+
+    if (gue->service == 0 || gue->count == 0) {
+        return drop(PACKET_SERVICE);
+    }
+    if (entry != NULL && entry->service == gue->service &&
+        take_known(table, entry, packet, now_us)) {
+        return take(FLOW_TAKE);
+    }
+    if (gue->service != table->service ||
+        (entry != NULL && entry->service != gue->service)) {
+        return decide_foreign(table, packet, gue, now_us);
+    }
+    if (packet->proto == PROTO_UDP) {
+        return decide_datagram(table, packet, gue, now_us);
+    }
+    if (is_open(packet)) {
+        return decide_open(table, packet, gue, now_us);
+    }
+    return decide_walk(table, packet, gue, now_us);
+}
+
+void
+flow_sent_syn_ack(struct flow_table *table, const struct packet *out)
+{
+    struct packet key = {.src = out->dst,
+                         .dst = out->src,
+                         .sport = out->dport,
+                         .dport = out->sport,
+                         .proto = out->proto};
+    struct entry *entry = entries_find(&table->entries, &key);
+
+    if (entry == NULL || entry->state != ENTRY_EMBRYO) {
+        return;
+    }
+    entry->isn = out->seq;
+    entry->answered = true;
+}
+
+void
+flow_close(struct flow_table *table, const struct packet *key)
+{
+    struct entry *entry = entries_find(&table->entries, key);
+
+    if (entry != NULL) {
+        entries_remove(&table->entries, entry);
+    }
+}
+
+size_t
+flow_count(const struct flow_table *table, size_t *embryos)
+{
+    if (embryos != NULL) {
+        *embryos = table->entries.lists[ENTRY_EMBRYO].count;
+    }
+    return table->entries.used;
+}
+
+size_t
+flow_pins_due(struct flow_table *table, uint64_t now_us, struct flow_pin *pins,
+              uint64_t *to, size_t max)
+{
+    return registrar_due(&table->registrar, &table->entries, &table->members,
+                         table->self, now_us, pins, to, max);
+}
+
+int
+flow_pin_add(struct flow_table *table, const struct flow_pin *pin,
+             uint64_t now_us)
+{
+    const struct member_copy *owner;
+
+    if (pin->bucket >= RANK_BUCKETS || pin->owner == 0 ||
+        pin->owner == table->self) {
+        return -EINVAL;
+    }
+    owner = members_find(&table->members, pin->owner);
+    if (owner != NULL && owner->health == MEMBER_DEAD) {
+        return -ESTALE;
+    }
+    return pins_add(&table->pins, pin->bucket, pin->owner,
+                    now_us + FLOW_PIN_TTL_US);
+}
+
+static void
+expire(struct entries *entries, enum entry_state state, uint64_t ttl_us,
+       uint64_t now_us)
+{
+    struct entry *entry;
+
+    while ((entry = entries_oldest(entries, state)) != NULL &&
+           entry->used_us + ttl_us <= now_us) {
+        entries_remove(entries, entry);
+    }
+}
+
+void
+flow_tick(struct flow_table *table, uint64_t now_us)
+{
+    expire(&table->entries, ENTRY_EMBRYO, FLOW_EMBRYO_TTL_US, now_us);
+    expire(&table->entries, ENTRY_DATAGRAM, FLOW_DATAGRAM_TTL_US, now_us);
+    pins_expire(&table->pins, now_us);
+}
