Hold the demo's ports until use; let callers wait out a freeze

Cause: two demos side by side took each other's ports between choosing and binding (caller: address in use), and a 3 s freeze equalled the caller's 2 s grace plus its 1 s deadline, so the caller itself closed flows that the system had kept. Ruled out: a shorter freeze, which would hide late answers. Change: ports stay bound until their process starts; patience_ms is a setting of the caller (2000 by default, 8000 in the demo); late_urgent compares with the recorded absolute deadline.

--- a/scripts/sitebed/__main__.py
+++ b/scripts/sitebed/__main__.py
@@ -13,7 +13,7 @@
 from .run import RunError, Site
 from .topology import Host, SITES, Topology
 
-WARM_UP_S = 2.0
+WARM_UP_S = 4.0
 
 
 def parse_arguments():
@@ -36,7 +36,8 @@
 def start_site(site):
     """Start every process but the spares and the caller."""
     topology = site.topology
-    platform = Host("platform", "platform", {})
+    platform = Host("platform", "platform",
+                    {"listen": topology.platform_address})
     command = [str(pathlib.Path("build/standin/platform/standin-platform")
                    .resolve()), "--listen", topology.platform_address]
     site.spawn(platform, command)
@@ -66,7 +67,7 @@
         if not host.running:
             continue
         new = site.metrics(host)
-        names = [n for n in new if n.startswith("control_bytes")]
+        names = [n for n in new if n.startswith("swiftarch_control_bytes")]
         if names:
             rates.append(sum(new[n] - old.get(n, 0) for n in names) / elapsed)
     return round(sum(rates) / len(rates), 1) if rates else None
@@ -152,9 +153,10 @@
                "config_in_force_ms": round(max(maker.config_ms), 1)
                if maker.config_ms else None}
     results = judge(values, maker, left)
-    report.print_table(values, site.events, results)
     if results:
         print(f"demo: logs are in {folder}", file=sys.stderr)
+    report.print_table(values, site.events, results)
+    if results:
         return 1
     if not arguments.keep:
         shutil.rmtree(folder)
--- a/scripts/sitebed/report.py
+++ b/scripts/sitebed/report.py
@@ -81,7 +81,7 @@
     urgent = [r for r in requests if r["class"] == "urgent"]
     late = [r for r in urgent
             if r["result"] in ("answered", "timeout") and
-            r["end_us"] - r["start_us"] > r["deadline_us"]]
+            r["end_us"] > r["deadline_us"]]
     return {
         "flows": len(flows),
         "broken": len(broken),
--- a/scripts/sitebed/run.py
+++ b/scripts/sitebed/run.py
@@ -57,6 +57,7 @@
         self.spawn(host, program_command(host, str(path)))
 
     def spawn(self, host, command):
+        self.topology.ports.release(host.settings)
         log = open(self.folder / f"{host.name}.log", "ab")
         host.process = subprocess.Popen(
             command, stdout=log, stderr=subprocess.STDOUT,
--- a/scripts/sitebed/topology.py
+++ b/scripts/sitebed/topology.py
@@ -6,6 +6,7 @@
 import dataclasses
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
+PATIENCE_MS = 8000  # a caller gives up so long after its deadline
 CALLERS = ["10.9.0.1", "10.9.0.2", "10.9.0.3", "10.9.0.4"]
 
 SITES = {
@@ -22,19 +23,34 @@
 }
 
 
-def free_address():
-    """A loopback address free for both UDP and TCP."""
-    for _ in range(100):
-        with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as tcp:
-            tcp.bind(("127.0.0.1", 0))
-            port = tcp.getsockname()[1]
-            with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as udp:
-                try:
-                    udp.bind(("127.0.0.1", port))
-                except OSError:
-                    continue
-                return f"127.0.0.1:{port}"
-    raise RuntimeError("no port is free for both UDP and TCP")
+class Ports:
+    """Loopback addresses that the kernel gave, held until they are used."""
+
+    def __init__(self):
+        self.held = {}
+
+    def take(self):
+        """An address free for both UDP and TCP, held until release()."""
+        for _ in range(100):
+            tcp = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+            udp = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+            try:
+                tcp.bind(("127.0.0.1", 0))
+                udp.bind(tcp.getsockname())
+            except OSError:
+                tcp.close()
+                udp.close()
+                continue
+            address = "127.0.0.1:%d" % tcp.getsockname()[1]
+            self.held[address] = (tcp, udp)
+            return address
+        raise RuntimeError("no port is free for both UDP and TCP")
+
+    def release(self, settings):
+        """Let go of every address that a process's settings name first."""
+        for key in ("data", "control", "http", "listen"):
+            for held in self.held.pop(settings.get(key), ()):
+                held.close()
 
 
 @dataclasses.dataclass
@@ -65,9 +81,10 @@
         self.load = load
         self.text_path = ROOT / "examples" / site / "config.json"
         self.text = json.loads(self.text_path.read_text())
-        self.platform_address = free_address()
-        self.fabric_address = free_address()
-        self.caller_address = free_address()
+        self.ports = Ports()
+        self.platform_address = self.ports.take()
+        self.fabric_address = self.ports.take()
+        self.caller_address = self.ports.take()
         (folder / "site.key").write_text("swiftarch demo key, seed %d" % seed)
         self.balancers = [self.balancer(n) for n in range(4)]
         self.agents = []
@@ -90,9 +107,9 @@
             "name": name,
             "data_centre": self.data_centre(n),
             "cell": self.site,
-            "data": free_address(),
-            "control": free_address(),
-            "http": free_address(),
+            "data": self.ports.take(),
+            "control": self.ports.take(),
+            "http": self.ports.take(),
             "platform": f"http://{self.platform_address}",
             "site_key_file": "site.key",
         }
@@ -109,7 +126,7 @@
         }
         agent = Host(name, "agent", settings, service)
         upstream = {
-            "listen": free_address(),
+            "listen": self.ports.take(),
             "agent": settings["http"],
             "name": name,
             "service": service,
@@ -188,6 +205,7 @@
             "rate": round(self.load * capacity, 1),
             "post_share": 0.5 if urgent else 0.0,
             "deadline_ms": 1000 if urgent else 4000,
+            "patience_ms": PATIENCE_MS,
             "body_bytes": 200,
             "answer_bytes": 2000 if urgent else 20000,
         }
--- a/standin/caller/settings.c
+++ b/standin/caller/settings.c
@@ -75,6 +75,8 @@
      .max = 1},
     {"deadline_ms", 0, 1, keys_read_number, LOAD_FIELD(deadline_ms), .min = 1,
      .max = DEADLINE_MAX_MS},
+    {"patience_ms", 0, 1, keys_read_number, LOAD_FIELD(patience_ms), .min = 1,
+     .max = DEADLINE_MAX_MS},
     {"body_bytes", 0, 1, keys_read_number, LOAD_FIELD(body_bytes), .min = 0,
      .max = BYTES_MAX},
     {"answer_bytes", 0, 1, keys_read_number, LOAD_FIELD(answer_bytes),
@@ -86,6 +88,7 @@
 static const struct load_settings load_defaults = {
     .post_share = 0.5,
     .deadline_ms = 1000,
+    .patience_ms = 2000,
     .body_bytes = 200,
     .answer_bytes = 2000,
     .pipeline = 1,
--- a/standin/caller/settings.h
+++ b/standin/caller/settings.h
@@ -27,6 +27,7 @@
  * @rate: requests a second over all flows, Poisson (key "rate")
  * @post_share: share of POSTs with an idempotency key (key "post_share")
  * @deadline_ms: from the intended start (key "deadline_ms")
+ * @patience_ms: after the deadline, before a flow is given up
  * @body_bytes: of a POST, or of a datagram (key "body_bytes")
  * @answer_bytes: asked of the upstream (key "answer_bytes")
  * @pipeline: requests in progress on one flow (key "pipeline")
@@ -41,6 +42,7 @@
     double rate;
     double post_share;
     unsigned deadline_ms;
+    unsigned patience_ms;
     unsigned body_bytes;
     unsigned answer_bytes;
     unsigned pipeline;
