--- a/src/control/config.c
+++ b/src/control/config.c
@@ -107,8 +107,6 @@
     core->stats.failed_calls++;
     core->backoff_us = next_backoff(core);
     core->next_call_us = now_us + core->backoff_us;
-    if (core->self_read_us != 0)
-        core->self_read_us = self_read_turn(core, now_us);
 }
 
 bool
@@ -133,6 +131,8 @@
             now_us +
             random_between(&core->random, 2 * USEC_PER_SEC, 4 * USEC_PER_SEC);
     }
+    /* A watch may have slept through a change. */
+    core->quiet_watches = status == -EAGAIN ? core->quiet_watches + 1 : 0;
     if (status == 0 && version < core->have) {
         core->stats.stale++;
         return false;
@@ -253,7 +253,10 @@
         return;
     }
     if (config_is_reader(core, now_us)) {
-        add_call(core, CONFIG_WATCH, now_us, out);
+        add_call(core,
+                 core->quiet_watches < CONFIG_WATCHES_PER_READ ? CONFIG_WATCH
+                                                               : CONFIG_READ,
+                 now_us, out);
         return;
     }
     if (wants_self_read(core, now_us)) {
--- a/src/control/config.h
+++ b/src/control/config.h
@@ -27,12 +27,15 @@
 #define CONFIG_READERS 2
 /* Half of the 14 s allowed: a watch whose answer is lost ends in time. */
 #define CONFIG_WAIT_S 5
+/* A read after so many watches that told nothing, should they have slept
+ * through a change. */
+#define CONFIG_WATCHES_PER_READ 2
 #define CONFIG_CALL_TIMEOUT_US ((CONFIG_WAIT_S + 5) * USEC_PER_SEC)
 #define CONFIG_STARVED_US (12 * USEC_PER_SEC)
 #define CONFIG_SELF_READ_US (5 * USEC_PER_SEC)
 #define CONFIG_SUBSTITUTE_US (60 * USEC_PER_SEC)
 #define CONFIG_START_US (3 * USEC_PER_SEC)
-#define CONFIG_START_SPREAD_US (5 * USEC_PER_SEC)
+#define CONFIG_START_SPREAD_US (10 * USEC_PER_SEC)
 #define CONFIG_ALONE_GAP_US (15 * USEC_PER_SEC)
 #define CONFIG_BACKOFF_FIRST_US (500 * USEC_PER_MSEC)
 #define CONFIG_BACKOFF_MAX_US (10 * USEC_PER_SEC)
@@ -107,7 +110,8 @@
     uint64_t call_us;
     uint64_t backoff_us; /* 0: the last call was answered */
     uint64_t next_call_us;
-    uint64_t self_read_us; /* 0: not starving */
+    unsigned quiet_watches; /* watches in a row that told nothing */
+    uint64_t self_read_us;  /* 0: not starving */
     uint64_t substitute_us;
     struct config_source sources[CONFIG_SOURCES_MAX];
     size_t source_count;
--- /dev/null
+++ b/tests/control/test_config.c
@@ -0,0 +1,263 @@
+/* The configuration core: versions, words, and the platform's budget. */
+#include <errno.h>
+#include <inttypes.h>
+
+#include "cell.h"
+
+#define HOUR_S 3600
+
+static const struct addr peer_a = {0x0a000001, 7000};
+static const struct addr peer_b = {0x0a000002, 7000};
+
+static void
+publish(struct cell *cell, uint64_t version)
+{
+    cell->version = version;
+    cell->shown = version;
+}
+
+/* Calls a second of a whole cell: in rest, and in an hour without the
+ * platform. */
+static void
+measure(size_t count, double *rest, double *outage, uint32_t *peak)
+{
+    struct cell *cell = g_new0(struct cell, 1);
+
+    cell_init(cell, count, 11 + count);
+    publish(cell, 1);
+    cell_run(cell, 100);
+    g_assert_cmpuint(cell_behind(cell), ==, 0);
+    *rest = cell_calls(cell, 30, 70) / 70.0;
+    cell->down = true;
+    cell_run(cell, HOUR_S);
+    *outage = cell_calls(cell, 100, HOUR_S) / (double)HOUR_S;
+    /* The return is no stampede, and word comes soon. */
+    cell->down = false;
+    publish(cell, 2);
+    cell_run(cell, 30);
+    *peak = cell_peak(cell, 100 + HOUR_S, 30);
+    g_assert_cmpuint(cell_behind(cell), ==, 0);
+    cell_finish(cell);
+    g_free(cell);
+}
+
+static void
+test_calls_flat(void)
+{
+    static const size_t sizes[] = {10, 25, 50, 100, 200};
+    double rest[G_N_ELEMENTS(sizes)];
+    double outage[G_N_ELEMENTS(sizes)];
+    uint32_t peak[G_N_ELEMENTS(sizes)];
+
+    for (size_t i = 0; i < G_N_ELEMENTS(sizes); i++) {
+        measure(sizes[i], &rest[i], &outage[i], &peak[i]);
+        g_test_message("%zu members: %.2f calls/s in rest, %.2f in an "
+                       "outage, peak %u in the 30 s after it",
+                       sizes[i], rest[i], outage[i], peak[i]);
+        g_assert_cmpfloat(rest[i], <, 0.7);
+        g_assert_cmpfloat(outage[i], <, 1.0);
+        g_assert_cmpuint(peak[i], <=, 6);
+        g_assert_cmpfloat(rest[i], <, rest[0] * 1.3);
+        g_assert_cmpfloat(outage[i], <, outage[0] * 1.5);
+    }
+}
+
+/* In force everywhere within 14 s, whatever one fault does. */
+static void
+run_fault(const char *name, void (*set)(struct cell *), uint64_t seed)
+{
+    struct cell *cell = g_new0(struct cell, 1);
+    unsigned seconds = 0;
+
+    cell_init(cell, 50, seed);
+    publish(cell, 1);
+    cell_run(cell, 30);
+    set(cell);
+    cell_run(cell, 30);
+    for (uint64_t version = 2; version < 12; version++) {
+        unsigned waited = 0;
+
+        publish(cell, version);
+        while (cell_behind(cell) > 0 && waited < 60) {
+            cell_run(cell, 1);
+            waited++;
+        }
+        seconds = MAX(seconds, waited);
+        cell_run(cell, random_below(&cell->random, 10));
+    }
+    g_test_message(
+        "%s: in force everywhere within %u s, %.2f calls/s", name, seconds,
+        cell_calls(cell, 60, cell->second - 60) / (double)(cell->second - 60));
+    g_assert_cmpuint(seconds, <=, 14);
+    g_assert_cmpuint(cell_calls(cell, 60, cell->second - 60), <,
+                     2 * (cell->second - 60) + 10);
+    cell_finish(cell);
+    g_free(cell);
+}
+
+static void
+set_slow(struct cell *cell)
+{
+    cell->answer_us = 2 * USEC_PER_SEC;
+}
+
+static void
+set_lost(struct cell *cell)
+{
+    cell->lost = 5; /* of 1000 in each step of 50 ms a call is out */
+}
+
+static void
+set_ends(struct cell *cell)
+{
+    cell->watch_ends = 20;
+}
+
+static void
+set_skips(struct cell *cell)
+{
+    cell->watch_skips = 1000;
+}
+
+static void
+test_faults(void)
+{
+    for (uint64_t seed = 1; seed <= 5; seed++) {
+        run_fault("answers of 2 s", set_slow, seed);
+        run_fault("lost answers", set_lost, seed);
+        run_fault("watches end", set_ends, seed);
+        run_fault("watches skip", set_skips, seed);
+    }
+}
+
+/* Only one member reaches the platform, and it is no reader. */
+static void
+test_readers_cut_off(void)
+{
+    struct cell *cell = g_new0(struct cell, 1);
+
+    cell_init(cell, 20, 5);
+    publish(cell, 1);
+    cell_run(cell, 30);
+    for (size_t i = 0; i < 19; i++)
+        cell->nodes[i].cut_off = true;
+    /* Turns of 20 members, each a call in 5 s on average: at most 150 s. */
+    cell_run(cell, 165);
+    publish(cell, 2);
+    cell_run(cell, 14);
+    g_assert_cmpuint(cell_behind(cell), ==, 0);
+    g_assert_cmpuint(cell_peak(cell, 30, 179), <=, 5);
+    cell_finish(cell);
+    g_free(cell);
+}
+
+/* A platform that answers an older version changes nothing. */
+static void
+test_never_back(void)
+{
+    struct config_core core;
+
+    config_core_init(&core, 1, USEC_PER_SEC);
+    g_assert_true(config_answered(&core, 0, 5, 2 * USEC_PER_SEC));
+    config_adopted(&core, 5, 2 * USEC_PER_SEC);
+    g_assert_false(config_answered(&core, 0, 4, 3 * USEC_PER_SEC));
+    g_assert_cmpuint(core.stats.stale, ==, 1);
+    /* Nor is its answer a word on the version in force. */
+    g_assert_cmpuint(core.word_us, ==, 2 * USEC_PER_SEC);
+    g_assert_false(config_answered(&core, -ENOENT, 0, 4 * USEC_PER_SEC));
+    g_assert_cmpuint(core.word_us, ==, 2 * USEC_PER_SEC);
+    config_heard(&core, peer_a, 4, 0, 5 * USEC_PER_SEC);
+    g_assert_cmpuint(core.source_count, ==, 0);
+    g_assert_cmpuint(core.word_us, ==, 2 * USEC_PER_SEC);
+    g_assert_false(config_fetched(&core, 4, 5 * USEC_PER_SEC));
+    g_assert_cmpuint(core.have, ==, 5);
+}
+
+/* A fetch that fails goes to another who said that it has the version. */
+static void
+test_fetch_elsewhere(void)
+{
+    struct config_place place = {.rank = 9, .alive = 10, .joined = true};
+    struct config_actions actions;
+    struct config_core core;
+    uint64_t now = USEC_PER_SEC;
+
+    config_core_init(&core, 1, now);
+    config_set_place(&core, &place);
+    config_heard(&core, peer_a, 8, UINT32_MAX, now);
+    config_heard(&core, peer_b, 8, UINT32_MAX, now);
+    config_tick(&core, now, &actions);
+    g_assert_cmpuint(actions.count, ==, 1);
+    g_assert_cmpint(actions.items[0].type, ==, CONFIG_FETCH);
+    g_assert_true(addr_equal(actions.items[0].from, peer_a));
+    now += CONFIG_FETCH_TIMEOUT_US;
+    config_tick(&core, now, &actions);
+    g_assert_cmpuint(actions.count, ==, 1);
+    g_assert_true(addr_equal(actions.items[0].from, peer_b));
+    g_assert_true(config_fetched(&core, 8, now));
+    config_adopted(&core, 8, 0);
+    config_tick(&core, now, &actions);
+    g_assert_cmpuint(actions.count, ==, 0);
+    g_assert_cmpuint(core.stats.failed_fetches, ==, 1);
+}
+
+/* A body that is no valid text isn't asked for again and again. */
+static void
+test_refused_body(void)
+{
+    struct config_place place = {.rank = 0, .alive = 1, .joined = true};
+    struct config_actions actions;
+    struct config_core core;
+
+    config_core_init(&core, 1, USEC_PER_SEC);
+    config_set_place(&core, &place);
+    g_assert_true(config_answered(&core, 0, 3, USEC_PER_SEC));
+    config_refuse(&core, 3);
+    config_heard(&core, peer_a, 3, 0, USEC_PER_SEC);
+    config_tick(&core, 2 * USEC_PER_SEC, &actions);
+    g_assert_cmpuint(actions.count, ==, 1);
+    g_assert_cmpint(actions.items[0].type, ==, CONFIG_WATCH);
+    g_assert_cmpuint(actions.items[0].after, ==, 3);
+    g_assert_cmpuint(core.have, ==, 0);
+    config_heard(&core, peer_a, 4, 0, USEC_PER_SEC);
+    g_assert_cmpuint(core.source_count, ==, 1);
+}
+
+/* 2,000 processes of a data centre that starts anew, none of which reaches
+ * its contacts: the reads come spread. */
+static void
+test_lone_starts(void)
+{
+    enum { PROCESSES = 2000 };
+    struct cell *cell = g_new0(struct cell, 1);
+
+    cell_init(cell, PROCESSES, 3);
+    for (size_t i = 0; i < PROCESSES; i++) {
+        struct config_place place = {.alive = 1, .has_contacts = true};
+
+        config_set_place(&cell->nodes[i].config, &place);
+    }
+    cell->down = true;
+    cell_run(cell, 120);
+    g_test_message("%u lone processes: peak %u calls/s, mean %.0f after 30 s",
+                   PROCESSES, cell_peak(cell, 0, 120),
+                   cell_calls(cell, 30, 90) / 90.0);
+    g_assert_cmpuint(cell_peak(cell, 0, 120), <, PROCESSES / 8);
+    g_assert_cmpuint(cell_calls(cell, 30, 90), <, 90 * PROCESSES / 20);
+    cell_finish(cell);
+    g_free(cell);
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/config/calls-flat", test_calls_flat);
+    g_test_add_func("/config/faults", test_faults);
+    g_test_add_func("/config/readers-cut-off", test_readers_cut_off);
+    g_test_add_func("/config/never-back", test_never_back);
+    g_test_add_func("/config/fetch-elsewhere", test_fetch_elsewhere);
+    g_test_add_func("/config/refused-body", test_refused_body);
+    g_test_add_func("/config/lone-starts", test_lone_starts);
+    return g_test_run();
+}
