--- /dev/null
+++ b/tests/control/test_member.c
@@ -0,0 +1,443 @@
+/* Rules of the membership core, one at a time; its wire form; the seed list
+ * and the history of edits. */
+#include <errno.h>
+#include <glib.h>
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "base/hash.h"
+#include "control/history.h"
+#include "control/member_internal.h"
+#include "control/seeds.h"
+#include "control/wire.h"
+
+#define START UINT64_C(1700000000000000)
+#define NOW (1000 * USEC_PER_SEC)
+
+static struct member_update
+make(const char *name, uint64_t start, uint16_t port)
+{
+    struct member_update update;
+
+    memset(&update, 0, sizeof(update));
+    g_strlcpy(update.member.name, name, VIEW_NAME_MAX);
+    g_strlcpy(update.member.data_centre, "ubungo", VIEW_NAME_MAX);
+    update.member.id = hash_name(name);
+    update.member.state = MEMBER_READY;
+    update.member.control = (struct addr){0x7f000001, port};
+    update.member.incarnation = start;
+    update.start = start;
+    return update;
+}
+
+static void
+start(struct member_core *core, const char *name, uint16_t port)
+{
+    struct member_update self = make(name, START, port);
+
+    g_assert_cmpint(member_core_init(core, &self, 1, NOW), ==, 0);
+}
+
+static struct member_update
+random_update(struct random *random)
+{
+    char name[16];
+    struct member_update update;
+
+    snprintf(name, sizeof(name), "m%u", (unsigned)random_below(random, 4));
+    update = make(name, START + random_below(random, 2) * 1000, 10);
+    update.member.incarnation += random_below(random, 3);
+    update.member.health = random_below(random, 3);
+    update.revision = random_below(random, 3);
+    /* One announcement for each revision, as a process makes them. */
+    update.member.state = (update.revision + update.start / 1000) % 3;
+    return update;
+}
+
+/* Whatever order news comes in, the same list results. A death of somebody
+ * unknown is no news, so all begin with all members known. */
+static void
+test_any_order(void)
+{
+    for (uint64_t seed = 1; seed <= 300; seed++) {
+        struct random random = {.state = seed};
+        struct member_update updates[24];
+        uint64_t digest = 0;
+
+        for (size_t i = 0; i < G_N_ELEMENTS(updates); i++)
+            updates[i] = random_update(&random);
+        for (unsigned round = 0; round < 4; round++) {
+            struct member_core core;
+
+            start(&core, "self", 1);
+            for (unsigned i = 0; i < 4; i++) {
+                char name[16];
+                struct member_update first;
+
+                snprintf(name, sizeof(name), "m%u", i);
+                first = make(name, 1, 10);
+                member_merge(&core, &first, NOW);
+            }
+            for (size_t i = G_N_ELEMENTS(updates); i > 0; i--) {
+                size_t j = random_below(&random, i);
+                struct member_update swap = updates[i - 1];
+
+                updates[i - 1] = updates[j];
+                updates[j] = swap;
+                member_merge(&core, &updates[i - 1], NOW);
+            }
+            if (round == 0)
+                digest = core.digest;
+            if (core.digest != digest)
+                g_error("seed %" PRIu64 ": lists differ", seed);
+            member_core_finish(&core);
+        }
+    }
+}
+
+/* Old news doesn't revive the dead; a new start of the process does. */
+static void
+test_tombstone(void)
+{
+    struct member_update other = make("other", START, 2);
+    struct member_actions out = {0};
+    struct member_core core;
+    uint64_t id = other.member.id;
+
+    start(&core, "self", 1);
+    member_merge(&core, &other, NOW);
+    member_proven_dead(&core, id, START, NOW);
+    g_assert_cmpint(member_find(&core, id)->member.health, ==, MEMBER_DEAD);
+    g_assert_false(member_merge(&core, &other, NOW));
+    g_assert_cmpint(member_find(&core, id)->member.health, ==, MEMBER_DEAD);
+    other = make("other", START + 5, 2);
+    g_assert_true(member_merge(&core, &other, NOW));
+    g_assert_cmpint(member_find(&core, id)->member.health, ==, MEMBER_ALIVE);
+    /* A report about the former process harms the new one no more. */
+    member_proven_dead(&core, id, START, NOW);
+    g_assert_cmpint(member_find(&core, id)->member.health, ==, MEMBER_ALIVE);
+    member_proven_dead(&core, id, START + 5, NOW);
+    member_expire(&core, NOW + MEMBER_TOMBSTONE_US - 1, &out);
+    g_assert_nonnull(member_find(&core, id));
+    member_expire(&core, NOW + MEMBER_TOMBSTONE_US, &out);
+    g_assert_null(member_find(&core, id));
+    member_actions_finish(&out);
+    member_core_finish(&core);
+}
+
+/* The list is bounded: the living are refused, the dead make room. */
+static void
+test_full_list(void)
+{
+    struct member_core core;
+    struct member_update update;
+    char name[16];
+
+    start(&core, "self", 1);
+    for (unsigned i = 1; i < VIEW_MEMBERS_MAX; i++) {
+        snprintf(name, sizeof(name), "m%u", i);
+        update = make(name, START, i);
+        g_assert_true(member_merge(&core, &update, NOW));
+    }
+    update = make("one-more", START, 7);
+    g_assert_false(member_merge(&core, &update, NOW));
+    g_assert_cmpuint(core.stats.refused_full, ==, 1);
+    g_assert_cmpuint(core.count, ==, VIEW_MEMBERS_MAX);
+    member_proven_dead(&core, hash_name("m5"), START, NOW);
+    g_assert_true(member_merge(&core, &update, NOW));
+    g_assert_null(member_find(&core, hash_name("m5")));
+    g_assert_cmpuint(core.count, ==, VIEW_MEMBERS_MAX);
+    member_core_finish(&core);
+}
+
+static void
+test_own_name(void)
+{
+    struct member_core core;
+    struct member_update self;
+
+    start(&core, "self", 1);
+    /* A suspicion is refuted. */
+    self = make("self", START, 1);
+    self.member.health = MEMBER_SUSPECT;
+    g_assert_true(member_merge(&core, &self, NOW));
+    g_assert_cmpuint(member_self(&core)->member.incarnation, ==, START + 1);
+    g_assert_cmpint(member_self(&core)->member.health, ==, MEMBER_ALIVE);
+    /* A former life whose clock was ahead is outbid. */
+    self = make("self", START + 500, 1);
+    g_assert_true(member_merge(&core, &self, NOW));
+    g_assert_cmpuint(member_self(&core)->start, ==, START + 501);
+    /* Another process of that name isn't: no duel of incarnations. */
+    g_test_expect_message("swiftarch-control", G_LOG_LEVEL_WARNING,
+                          "Another process has the name self.");
+    self = make("self", START + 900, 2);
+    g_assert_false(member_merge(&core, &self, NOW));
+    g_test_assert_expected_messages();
+    g_assert_cmpuint(core.stats.name_conflicts, ==, 1);
+    g_assert_cmpuint(member_self(&core)->start, ==, START + 501);
+    member_core_finish(&core);
+}
+
+/* After a pause of its own a process declares nobody dead by old times. */
+static void
+test_own_pause(void)
+{
+    struct member_update other = make("other", START, 2);
+    struct member_actions out = {0};
+    struct member_core core;
+    uint64_t id = other.member.id;
+
+    start(&core, "self", 1);
+    member_merge(&core, &other, NOW);
+    member_judge(&core, member_lookup(&core, id), MEMBER_SUSPECT, NOW);
+    member_tick(&core, NOW + 100, &out);
+    member_tick(&core, NOW + 2 * MEMBER_DEATH_US, &out);
+    g_assert_cmpint(member_find(&core, id)->member.health, ==, MEMBER_SUSPECT);
+    g_assert_cmpuint(core.stats.stalls, ==, 1);
+    g_assert_cmpuint(core.stats.deaths, ==, 0);
+    member_actions_finish(&out);
+    member_core_finish(&core);
+}
+
+/* A flood of joins is answered at a bounded rate. */
+static void
+test_join_flood(void)
+{
+    struct member_actions out = {0};
+    struct member_core core;
+    size_t welcomes = 0;
+
+    start(&core, "self", 1);
+    for (unsigned i = 0; i < 5000; i++) {
+        struct member_msg msg = {.kind = MEMBER_JOIN, .from = 100 + i};
+        struct addr from = {0x0a000000 + i, 7000};
+
+        member_receive(&core, &msg, from, NOW + i * 2000, &out);
+    }
+    for (size_t i = 0; i < out.count; i++)
+        welcomes += out.items[i].msg.kind == MEMBER_WELCOME;
+    g_assert_cmpuint(welcomes, <=, MEMBER_JOIN_BURST + 10 * MEMBER_JOIN_RATE);
+    g_assert_cmpuint(welcomes, >=, MEMBER_JOIN_BURST);
+    g_assert_cmpuint(core.stats.refused_joins, ==, 5000 - welcomes);
+    member_actions_finish(&out);
+    member_core_finish(&core);
+}
+
+static void
+test_wire(void)
+{
+    struct random random = {.state = 9};
+    struct member_update updates[3];
+    struct member_summary summary[2] = {{1, 2}, {UINT64_MAX, UINT32_MAX}};
+    uint64_t want[1] = {77};
+    struct member_msg msg = {
+        .kind = MEMBER_SYNC_ANSWER,
+        .seq = 5,
+        .target = 6,
+        .digest = 7,
+        .incarnation = START,
+        .config_version = 8,
+        .word_age_ms = UINT32_MAX,
+        .busy = 2,
+        .waiting = UINT16_MAX,
+        .updates = updates,
+        .update_count = 3,
+        .summary = summary,
+        .summary_count = 2,
+        .want = want,
+        .want_count = 1,
+    };
+    struct member_msg back;
+    uint8_t buf[2048];
+    size_t len;
+
+    for (size_t i = 0; i < 3; i++)
+        updates[i] = random_update(&random);
+    len = wire_encode(&msg, buf);
+    g_assert_cmpuint(len, ==, wire_size(&msg));
+    g_assert_cmpint(wire_decode(buf, len, 42, &back), ==, 0);
+    g_assert_cmpuint(back.from, ==, 42);
+    g_assert_cmpuint(back.waiting, ==, UINT16_MAX);
+    g_assert_cmpuint(back.word_age_ms, ==, UINT32_MAX);
+    g_assert_cmpuint(back.update_count, ==, 3);
+    for (size_t i = 0; i < 3; i++) {
+        g_assert_cmpuint(back.updates[i].member.incarnation, ==,
+                         updates[i].member.incarnation);
+        g_assert_cmpuint(back.updates[i].member.id, ==, updates[i].member.id);
+        g_assert_cmpint(back.updates[i].member.health, ==,
+                        updates[i].member.health);
+    }
+    g_assert_cmpmem(back.want, 8, want, 8);
+    g_assert_cmpuint(back.summary[1].digest, ==, UINT32_MAX);
+    member_msg_finish(&back);
+    /* Whatever a broken sender says, nothing out of range comes in. */
+    for (unsigned i = 0; i < 20000; i++) {
+        uint8_t bad[2048];
+
+        memcpy(bad, buf, len);
+        for (unsigned j = 0; j <= random_below(&random, 4); j++)
+            bad[random_below(&random, len)] = random_next(&random);
+        if (wire_decode(bad, random_below(&random, len + 1), 1, &back) < 0)
+            continue;
+        g_assert_cmpint(back.kind, <, MEMBER_KINDS);
+        for (size_t j = 0; j < back.update_count; j++) {
+            const struct view_member *member = &back.updates[j].member;
+
+            g_assert_cmpint(member->health, <=, MEMBER_DEAD);
+            g_assert_cmpint(member->state, <=, MEMBER_LEAVING);
+            g_assert_cmpuint(strlen(member->name), <, VIEW_NAME_MAX);
+        }
+        member_msg_finish(&back);
+    }
+}
+
+static void
+test_history(void)
+{
+    struct random random = {.state = 4};
+    struct history history = {0};
+    char *body = g_strdup("services: lots, albums");
+    uint8_t *copy = NULL;
+    size_t copy_len = 0;
+    uint64_t version = 1;
+
+    for (unsigned i = 0; i < 200; i++) {
+        size_t at = random_below(&random, strlen(body) + 1);
+        size_t cut = random_below(&random, strlen(body) - at + 1);
+        char *next = g_strdup_printf("%.*s%" PRIu64 "%s", (int)at, body,
+                                     random_below(&random, 1000),
+                                     body + at + MIN(cut, 5));
+        const struct history_step *steps;
+        size_t count = 0;
+
+        history_add(&history, version, (uint8_t *)body, strlen(body),
+                    version + 1, (uint8_t *)next, strlen(next));
+        version++;
+        if (copy == NULL) {
+            copy = (uint8_t *)g_strdup(next);
+            copy_len = strlen(next);
+        }
+        else {
+            steps = history_find(&history, version - 1, &count);
+            g_assert_cmpuint(count, ==, 1);
+            uint8_t *made = history_apply(&steps->edit, copy, &copy_len);
+            g_free(copy);
+            copy = made;
+        }
+        g_assert_cmpmem(copy, copy_len, next, strlen(next));
+        g_free(body);
+        body = next;
+    }
+    g_assert_cmpuint(history.count, ==, HISTORY_STEPS_MAX);
+    g_assert_null(history_find(&history, 1, &copy_len));
+    /* An edit of another body doesn't fit. */
+    struct history_edit edit = {.prefix = 3, .suffix = 9};
+    copy_len = 11;
+    g_assert_null(history_apply(&edit, copy, &copy_len));
+    g_free(copy);
+    g_free(body);
+    history_finish(&history);
+}
+
+static void
+test_seed_list(void)
+{
+    struct seed_list list = {.count = 2};
+    struct seed_list back;
+    char *value;
+    size_t len;
+
+    g_strlcpy(list.items[0].name, "a", VIEW_NAME_MAX);
+    list.items[0].control = (struct addr){0x0a000001, 7000};
+    list.items[0].incarnation = START;
+    g_strlcpy(list.items[1].name, "b \"quoted\"", VIEW_NAME_MAX);
+    list.items[1].control = (struct addr){0x0a000002, 7000};
+    value = seeds_encode(&list, &len);
+    g_assert_cmpint(seeds_decode(value, len, &back), ==, 0);
+    g_assert_cmpuint(back.count, ==, 2);
+    g_assert_cmpstr(back.items[1].name, ==, "b \"quoted\"");
+    g_assert_cmpuint(back.items[0].incarnation, ==, START);
+    for (size_t cut = 0; cut < len; cut++)
+        g_assert_cmpint(seeds_decode(value, cut, &back), ==, -EINVAL);
+    g_assert_cmpuint(back.count, ==, 0);
+    g_free(value);
+    g_assert_cmpint(
+        seeds_decode("{\"members\":[{\"name\":\"a\"}]}", 27, &back), ==,
+        -EINVAL);
+}
+
+/* Only the first-ranked writes, over what it read, no more than once in
+ * 10 s; a lost race and an unknown outcome are settled by reading. */
+static void
+test_seed_writes(void)
+{
+    struct member_update other = make("other", START, 2);
+    struct member_core members;
+    struct seeds_core seeds;
+    struct seed_list list = {0};
+    uint64_t now = NOW;
+    uint64_t cell = 1;
+
+    start(&members, "self", 1);
+    while (member_rank(&members, cell, NULL) != 0 ||
+           hash_pair(cell, other.member.id) >
+               hash_pair(cell, member_self(&members)->member.id))
+        cell++;
+    seeds_core_init(&seeds, 1, now);
+    now += SEEDS_START_US + SEEDS_START_SPREAD_US;
+    g_assert_cmpint(seeds_tick(&seeds, &members, cell, now), ==, SEEDS_READ);
+    g_assert_cmpint(seeds_tick(&seeds, &members, cell, now), ==,
+                    SEEDS_NOTHING);
+    seeds_read_done(&seeds, -ENOENT, 0, NULL, now);
+    g_assert_cmpint(seeds_tick(&seeds, &members, cell, now), ==, SEEDS_WRITE);
+    g_assert_cmpuint(seeds.version, ==, 0);
+    g_assert_cmpuint(seeds.pending.count, ==, 1);
+    seeds_write_done(&seeds, 0, 1, now);
+    g_assert_cmpint(seeds_tick(&seeds, &members, cell, now), ==,
+                    SEEDS_NOTHING);
+    member_merge(&members, &other, now);
+    g_assert_cmpint(seeds_tick(&seeds, &members, cell, now), ==,
+                    SEEDS_NOTHING);
+    now += SEEDS_WRITE_US;
+    g_assert_cmpint(seeds_tick(&seeds, &members, cell, now), ==, SEEDS_WRITE);
+    g_assert_cmpuint(seeds.version, ==, 1);
+    g_assert_cmpuint(seeds.pending.count, ==, 2);
+    /* The race is lost to a half of the cell that we don't know. */
+    seeds_write_done(&seeds, -ESTALE, 2, now);
+    now += SEEDS_WRITE_US;
+    g_assert_cmpint(seeds_tick(&seeds, &members, cell, now), ==, SEEDS_READ);
+    list.count = 1;
+    g_strlcpy(list.items[0].name, "foreign", VIEW_NAME_MAX);
+    list.items[0].control = (struct addr){0x0a000001, 7000};
+    list.items[0].incarnation = START;
+    seeds_read_done(&seeds, 0, 2, &list, now);
+    g_assert_cmpint(seeds_tick(&seeds, &members, cell, now), ==, SEEDS_WRITE);
+    g_assert_cmpuint(seeds.version, ==, 2);
+    g_assert_cmpuint(seeds.pending.count, ==, 3);
+    /* Whether it took effect is unknown: read again. */
+    seeds_write_done(&seeds, -ETIMEDOUT, 0, now);
+    now += SEEDS_RETRY_MAX_US;
+    g_assert_cmpint(seeds_tick(&seeds, &members, cell, now), ==, SEEDS_READ);
+    seeds_read_done(&seeds, 0, 3, &seeds.pending, now);
+    g_assert_cmpint(seeds_tick(&seeds, &members, cell, now), ==,
+                    SEEDS_NOTHING);
+    member_core_finish(&members);
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/member/any-order", test_any_order);
+    g_test_add_func("/member/tombstone", test_tombstone);
+    g_test_add_func("/member/full-list", test_full_list);
+    g_test_add_func("/member/own-name", test_own_name);
+    g_test_add_func("/member/own-pause", test_own_pause);
+    g_test_add_func("/member/join-flood", test_join_flood);
+    g_test_add_func("/member/wire", test_wire);
+    g_test_add_func("/member/history", test_history);
+    g_test_add_func("/member/seed-list", test_seed_list);
+    g_test_add_func("/member/seed-writes", test_seed_writes);
+    return g_test_run();
+}
