balancer: not ready when cut off from all others; test the whole program

Cause: a balancer whose control link is cut sees everybody dead and would drop what others can forward, yet said ready. Change: /ready says 503 then; one that never met anybody still serves alone after 5 s. Spans follow the sampled flag of the header instead of a second draw. program_test runs balancer_run with a fake control: readiness, a refusal, a planned stop that goes on forwarding, a hard stop.

--- a/src/balancer/balancer.c
+++ b/src/balancer/balancer.c
@@ -39,6 +39,7 @@
  * @httpd: /metrics and /ready
  * @poll: timer of the builder
  * @signals: SIGTERM and SIGINT
+ * @met_others: other members were alive in some view
  * @started_us: when it started
  * @stopping_us: when the planned stop began, 0 before
  * @exit_code: result of the process
@@ -58,6 +59,7 @@
     struct httpd *httpd;
     struct event *poll;
     struct event *signals[2];
+    bool met_others;
     uint64_t started_us;
     uint64_t stopping_us;
     int exit_code;
@@ -82,12 +84,16 @@
         .built = balancer->builder.built,
         .self = hash_name(balancer->settings.name),
         .has_seeds = balancer->settings.seed_count > 0,
+        .met_others = balancer->met_others,
         .age_us = clock_now_us(&balancer->clock) - balancer->started_us,
     };
     enum readiness readiness;
 
     rcu_read_lock();
-    readiness = readiness_judge(&input, board_view(&balancer->board));
+    const struct view *view = board_view(&balancer->board);
+    readiness = readiness_judge(&input, view);
+    if (view != NULL && readiness_sees_others(view, input.self))
+        balancer->met_others = true;
     rcu_read_unlock();
     return readiness;
 }
--- a/src/balancer/readiness.h
+++ b/src/balancer/readiness.h
@@ -11,8 +11,9 @@
 #include "control/board.h"
 
 /*
- * A process that has seeds but sees nobody else would drop what others can
- * forward; it waits so long for them, and then serves alone.
+ * A process that sees nobody else alive would drop what others can forward.
+ * One that never saw anybody waits so long for them and then serves alone;
+ * one that has lost the others (its control link is cut) is not ready.
  */
 #define READINESS_ALONE_US (5 * USEC_PER_SEC)
 
@@ -22,7 +23,8 @@
     READINESS_STOPPING,
     READINESS_NO_CONFIG,
     READINESS_NO_VIEW,
-    READINESS_ALONE
+    READINESS_ALONE,
+    READINESS_CUT_OFF
 };
 
 /**
@@ -31,6 +33,7 @@
  * @built: a route table is in force
  * @self: own member id
  * @has_seeds: the settings name other processes
+ * @met_others: other members were alive in an earlier view
  * @age_us: time since the start
  */
 struct readiness_input {
@@ -38,6 +41,7 @@
     bool built;
     uint64_t self;
     bool has_seeds;
+    bool met_others;
     uint64_t age_us;
 };
 
@@ -45,6 +49,10 @@
 enum readiness
 readiness_judge(const struct readiness_input *input, const struct view *view);
 
+/** readiness_sees_others() - whether another member is not dead in @view */
+bool
+readiness_sees_others(const struct view *view, uint64_t self);
+
 /** readiness_text() - one line that says so */
 const char *
 readiness_text(enum readiness readiness);
--- a/src/balancer/span.c
+++ b/src/balancer/span.c
@@ -56,14 +56,11 @@
     struct trace_context own;
     char to[ADDR_TEXT_MAX];
     char detail[DETAIL_MAX];
-    uint64_t hash;
 
     if (span_find(packet + parsed->payload, parsed->payload_len, &parent) < 0)
         return;
-    memcpy(&hash, parent.trace_id, sizeof(hash));
-    if (!trace_sampled(trace, hash))
+    if (!(parent.flags & TRACE_FLAG_SAMPLED))
         return;
-
     trace_child(trace, &parent, &own);
     snprintf(detail, sizeof(detail), "to %s, first of %u",
              addr_format(hop->data, to), decision->gue.count);
--- a/src/balancer/span.h
+++ b/src/balancer/span.h
@@ -13,6 +13,8 @@
  * span_write() - write a span if the packet carries a sampled traceparent
  * @packet: the whole packet, as parsed into @decision
  * @now_us: clock when it was decided about
+ *
+ * Whoever began the trace has drawn the sample; the header's flag says so.
  */
 void
 span_write(struct trace *trace, const uint8_t *packet,
--- a/tests/balancer/builder_test.c
+++ b/tests/balancer/builder_test.c
@@ -100,6 +100,12 @@
     g_assert_cmpint(readiness_judge(&input, two), ==, READINESS_READY);
     input.age_us = READINESS_ALONE_US;
     g_assert_cmpint(readiness_judge(&input, alone), ==, READINESS_READY);
+    input.met_others = true;
+    g_assert_cmpint(readiness_judge(&input, alone), ==, READINESS_CUT_OFF);
+    two->members[two->members[0].id == input.self].health = MEMBER_DEAD;
+    g_assert_cmpint(readiness_judge(&input, two), ==, READINESS_CUT_OFF);
+    two->members[two->members[0].id == input.self].health = MEMBER_SUSPECT;
+    g_assert_cmpint(readiness_judge(&input, two), ==, READINESS_READY);
     input.built = false;
     g_assert_cmpint(readiness_judge(&input, two), ==, READINESS_NO_CONFIG);
     input.built = true;
--- /dev/null
+++ b/tests/balancer/program_test.c
@@ -0,0 +1,307 @@
+/**
+ * DOC: program_test - a whole balancer in this process, with a fake control
+ */
+#include <glib.h>
+#include <glib/gstdio.h>
+#include <pthread.h>
+#include <signal.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "balancer/balancer.h"
+#include "base/hash.h"
+#include "control/control.h"
+#include "packet/gue.h"
+#include "scene.h"
+
+#define LOOPBACK 0x7f000001u
+#define WAIT_TRIES 2000
+#define NAME "balancer-1"
+
+/** struct control - the fake: what the balancer asked of it */
+struct control {
+    const struct settings *settings;
+    struct board *board;
+    int announced;
+    uint64_t dead;
+    int stopped;
+};
+
+static struct control fake;
+
+struct control *
+control_start(const struct settings *settings, struct board *board,
+              struct clock *clock, struct counter_table *counters,
+              struct error *err)
+{
+    fake.board = board;
+    __atomic_store_n(&fake.settings, settings, __ATOMIC_SEQ_CST);
+    return &fake;
+}
+
+void
+control_report_dead(struct control *control, uint64_t member,
+                    uint64_t incarnation)
+{
+    __atomic_store_n(&control->dead, member, __ATOMIC_SEQ_CST);
+}
+
+void
+control_announce(struct control *control)
+{
+    __atomic_add_fetch(&control->announced, 1, __ATOMIC_SEQ_CST);
+}
+
+void
+control_stop(struct control *control)
+{
+    control->stopped++;
+}
+
+/** struct run - one run of the program */
+struct run {
+    char *folder;
+    char *path;
+    pthread_t thread;
+    int exit_code;
+};
+
+static void *
+run_main(void *data)
+{
+    struct run *run = data;
+
+    run->exit_code = balancer_run(run->path);
+    return NULL;
+}
+
+static void
+run_start(struct run *run)
+{
+    char *key =
+        g_build_filename(g_get_tmp_dir(), "balancer-test-XXXXXX", NULL);
+    int fd = g_mkstemp(key);
+    char *text;
+
+    g_assert_cmpint(write(fd, "0123456789abcdef", 16), ==, 16);
+    close(fd);
+    memset(&fake, 0, sizeof(fake));
+    run->folder = key;
+    run->path = g_strconcat(key, ".json", NULL);
+    text = g_strdup_printf(
+        "{\"name\": \"" NAME "\", \"data_centre\": \"msasani\", \"cell\": "
+        "\"dar\", \"data\": \"127.0.0.1:0\", \"control\": \"127.0.0.1:0\", "
+        "\"http\": \"127.0.0.1:0\", \"platform\": \"http://127.0.0.1:1\", "
+        "\"seeds\": [\"127.0.0.1:1\"], \"site_key_file\": \"%s\", "
+        "\"workers\": 2}",
+        key);
+    g_assert_true(g_file_set_contents(run->path, text, -1, NULL));
+    g_free(text);
+    pthread_create(&run->thread, NULL, run_main, run);
+    for (int i = 0; i < WAIT_TRIES; i++) {
+        if (__atomic_load_n(&fake.settings, __ATOMIC_SEQ_CST) != NULL)
+            return;
+        g_usleep(5000);
+    }
+    g_error("The balancer did not start.");
+}
+
+static int
+run_finish(struct run *run)
+{
+    pthread_join(run->thread, NULL);
+    g_unlink(run->path);
+    g_unlink(run->folder);
+    g_free(run->path);
+    g_free(run->folder);
+    g_assert_cmpint(fake.stopped, ==, 1);
+    return run->exit_code;
+}
+
+static int
+open_socket(int type, struct addr *addr)
+{
+    struct sockaddr_in sin = addr_to_sockaddr((struct addr){LOOPBACK, 0});
+    socklen_t len = sizeof(sin);
+    struct timeval wait = {.tv_sec = 10};
+    int fd = socket(AF_INET, type, 0);
+
+    g_assert_cmpint(bind(fd, (struct sockaddr *)&sin, len), ==, 0);
+    g_assert_cmpint(getsockname(fd, (struct sockaddr *)&sin, &len), ==, 0);
+    setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &wait, sizeof(wait));
+    *addr = addr_from_sockaddr(&sin);
+    return fd;
+}
+
+/* Status of GET @path; the answer's text in @answer (512 bytes) */
+static int
+http_get(const char *path, char *answer)
+{
+    struct addr own;
+    int fd = open_socket(SOCK_STREAM, &own);
+    struct sockaddr_in sin = addr_to_sockaddr(fake.settings->http);
+    char *request = g_strdup_printf(
+        "GET %s HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n", path);
+    size_t got = 0;
+    ssize_t n;
+
+    g_assert_cmpint(connect(fd, (struct sockaddr *)&sin, sizeof(sin)), ==, 0);
+    g_assert_cmpint(send(fd, request, strlen(request), 0), ==,
+                    (ssize_t)strlen(request));
+    while (got < 511 && (n = recv(fd, answer + got, 511 - got, 0)) > 0)
+        got += (size_t)n;
+    answer[got] = '\0';
+    close(fd);
+    g_free(request);
+    g_assert_true(g_str_has_prefix(answer, "HTTP/1.1 "));
+    return (int)g_ascii_strtoll(answer + 9, NULL, 10);
+}
+
+static void
+wait_ready(int status)
+{
+    char answer[512];
+
+    for (int i = 0; i < WAIT_TRIES; i++) {
+        if (http_get("/ready", answer) == status)
+            return;
+        g_usleep(5000);
+    }
+    g_error("/ready is not %d: %s", status, answer);
+}
+
+static int
+compare_ids(const void *a, const void *b)
+{
+    const struct view_member *x = a;
+    const struct view_member *y = b;
+    return (x->id > y->id) - (x->id < y->id);
+}
+
+/* The balancer itself and one agent of the service lots at @data */
+static void
+publish_view(uint64_t seq, struct addr data)
+{
+    struct view *view = scene_view(2, "lots");
+
+    view->seq = seq;
+    for (size_t i = 0; i < 2; i++) {
+        struct view_member *member = &view->members[i];
+        member->since_us = 0;
+        if (i == 0) {
+            member->id = hash_name(NAME);
+            member->role = MEMBER_BALANCER;
+            member->service = 0;
+        }
+        else
+            member->data = data;
+    }
+    qsort(view->members, 2, sizeof(view->members[0]), compare_ids);
+    board_publish_view(fake.board, view);
+}
+
+static void
+send_packet(int fd)
+{
+    struct sockaddr_in sin = addr_to_sockaddr(fake.settings->data);
+    uint8_t bytes[256];
+    size_t len = gue_encode(NULL, bytes);
+
+    len += scene_tcp(bytes + len, SCENE_LOTS_IP, 1, PACKET_TCP_ACK, "");
+    g_assert_cmpint(
+        sendto(fd, bytes, len, 0, (struct sockaddr *)&sin, sizeof(sin)), ==,
+        (ssize_t)len);
+}
+
+static void
+expect_packet(int endpoint)
+{
+    uint8_t bytes[256];
+    struct gue gue;
+    ssize_t n = recv(endpoint, bytes, sizeof(bytes), 0);
+
+    g_assert_cmpint(n, >, 0);
+    g_assert_cmpint(gue_decode(bytes, (size_t)n, &gue), >, 0);
+    g_assert_cmpuint(gue.service, ==, hash_service("lots"));
+}
+
+static void
+test_planned_stop(void)
+{
+    struct run run;
+    struct addr data, other;
+    int endpoint = open_socket(SOCK_DGRAM, &data);
+    int caller = open_socket(SOCK_DGRAM, &other);
+    char answer[512];
+
+    run_start(&run);
+    g_assert_cmpint(http_get("/ready", answer), ==, 503);
+    publish_view(1, data);
+    g_assert_cmpint(http_get("/ready", answer), ==, 503);
+    g_assert_true(board_publish_text(fake.board, scene_text(), 0));
+    wait_ready(200);
+    send_packet(caller);
+    expect_packet(endpoint);
+    g_assert_cmpint(http_get("/metrics", answer), ==, 200);
+    g_assert_nonnull(strstr(answer, "swiftarch_packets_received_total 1\n"));
+    g_assert_cmpint(http_get("/other", answer), ==, 404);
+
+    kill(getpid(), SIGTERM);
+    wait_ready(503);
+    g_assert_cmpint(board_local(fake.board, NULL).state, ==, MEMBER_LEAVING);
+    g_assert_cmpint(fake.announced, ==, 2); /* ready, leaving */
+    for (int i = 0; i < 10; i++) {
+        send_packet(caller);
+        expect_packet(endpoint);
+    }
+    g_assert_cmpint(run_finish(&run), ==, 0);
+    close(endpoint);
+    close(caller);
+}
+
+static void
+test_hard_stop(void)
+{
+    struct run run;
+    struct addr data, other;
+    int endpoint = open_socket(SOCK_DGRAM, &data);
+    int caller = open_socket(SOCK_DGRAM, &other);
+
+    run_start(&run);
+    publish_view(1, data);
+    g_assert_true(board_publish_text(fake.board, scene_text(), 0));
+    wait_ready(200);
+
+    close(endpoint); /* a refusal reaches the control thread */
+    for (int i = 0; i < WAIT_TRIES && fake.dead == 0; i++) {
+        send_packet(caller);
+        g_usleep(5000);
+    }
+    g_assert_cmpuint(fake.dead, !=, 0);
+    g_assert_cmpuint(fake.dead, !=, hash_name(NAME));
+
+    kill(getpid(), SIGTERM);
+    wait_ready(503);
+    kill(getpid(), SIGTERM);
+    g_assert_cmpint(run_finish(&run), ==, 1);
+    close(caller);
+}
+
+static void
+test_wrong_settings(void)
+{
+    g_assert_cmpint(balancer_run("/nonexistent/settings.json"), ==, 2);
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    /* The program warns of a hard stop, as it should. */
+    g_log_set_always_fatal(G_LOG_LEVEL_ERROR | G_LOG_LEVEL_CRITICAL);
+    g_test_add_func("/program/wrong-settings", test_wrong_settings);
+    g_test_add_func("/program/hard-stop", test_hard_stop);
+    g_test_add_func("/program/planned-stop", test_planned_stop);
+    return g_test_run();
+}
--- a/tests/balancer/worker_test.c
+++ b/tests/balancer/worker_test.c
@@ -1,5 +1,6 @@
 #include <errno.h>
 #include <glib.h>
+#include <glib/gstdio.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -320,6 +321,46 @@
     }
 }
 
+/* One line for a sampled request, as a child of the caller's span */
+static void
+test_span_write(void)
+{
+    const char *sampled = "GET / HTTP/1.1\r\ntraceparent: "
+                          "00-0af7651916cd43dd8448eb211c80319c-"
+                          "b7ad6b7169203331-01\r\n\r\n";
+    char *file =
+        g_build_filename(g_get_tmp_dir(), "balancer-span-XXXXXX", NULL);
+    struct route_decision decision = {
+        .gue = {.count = 2, .hops = {{1, {LOOPBACK, 7}}}}};
+    struct error err;
+    struct trace trace;
+    uint8_t buf[PACKET_MAX];
+    char *lines = NULL;
+
+    close(g_mkstemp(file));
+    g_assert_cmpint(trace_init(&trace, "b", file, 1, &err), ==, 0);
+    trace.epoch_us = 0;
+    for (int sample = 0; sample <= 1; sample++) {
+        char *payload = g_strdup(sampled);
+        strstr(payload, "-01\r")[2] = sample ? '1' : '0';
+        size_t len = scene_tcp(buf, 1, 1, PACKET_TCP_ACK, payload);
+        packet_parse(buf, len, 0, &decision.packet);
+        span_write(&trace, buf, &decision, 42);
+        g_free(payload);
+    }
+    trace_finish(&trace);
+    g_assert_true(g_file_get_contents(file, &lines, NULL, NULL));
+    g_assert_true(g_str_has_prefix(
+        lines, "{\"trace_id\":\"0af7651916cd43dd8448eb211c80319c\","));
+    g_assert_nonnull(strstr(lines, "\"parent_span_id\":\"b7ad6b7169203331\""));
+    g_assert_nonnull(strstr(lines, "\"hop\":\"balancer\",\"start_us\":42,"));
+    g_assert_nonnull(strstr(lines, "to 127.0.0.1:7, first of 2"));
+    g_assert_null(strchr(strchr(lines, '\n') + 1, '\n'));
+    g_remove(file);
+    g_free(lines);
+    g_free(file);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -331,5 +372,6 @@
     g_test_add_func("/worker/refused", test_refused);
     g_test_add_func("/worker/address-taken", test_address_taken);
     g_test_add_func("/worker/span-find", test_span_find);
+    g_test_add_func("/worker/span-write", test_span_write);
     return g_test_run();
 }
