Read what arrived during a pause before judging deadlines

Cause: a frozen agent that came back ran its tick first and called runs unknown whose answers lay in its sockets. Change: the tick after a gap of more than 100 ms only notes the time.

--- a/src/agent/agent.c
+++ b/src/agent/agent.c
@@ -16,6 +16,7 @@
 #define FLOWS_MAX 65536
 #define REFRESH_MS 5
 #define TICK_MS 10
+#define PAUSE_US (100 * USEC_PER_MSEC)
 #define LOAD_MS 100
 #define SECOND_MS 1000
 
@@ -98,11 +99,26 @@
     agent_refresh(arg);
 }
 
+/* After a pause of the whole process, what arrived meanwhile is read before
+ * any deadline is judged: an answer may be among it. */
+static bool
+was_paused(struct agent *agent)
+{
+    uint64_t now_us = agent_now(agent);
+    uint64_t since_us = now_us - agent->ticked_us;
+
+    agent->ticked_us = now_us;
+    return since_us > PAUSE_US;
+}
+
 static void
 on_tick(evutil_socket_t fd, short what, void *arg)
 {
     struct agent *agent = arg;
 
+    if (was_paused(agent)) {
+        return;
+    }
     upstream_tick(agent);
     requests_tick(agent);
     agent_stop_tick(agent);
--- a/src/agent/program.h
+++ b/src/agent/program.h
@@ -55,6 +55,7 @@
  * @stop: planned stop
  * @stop_until_us: end of the present step of the stop
  * @hard_stop: a second signal came
+ * @ticked_us: last tick
  * @events: timers, signals and the stack's descriptor
  * @gauges: figures on /metrics
  */
@@ -86,6 +87,7 @@
     enum agent_stop stop;
     uint64_t stop_until_us;
     bool hard_stop;
+    uint64_t ticked_us;
     struct event *events[AGENT_EVENTS];
     struct gauges gauges;
 };
