Count a deadline from when its request may have arrived

Cause: after a freeze, requests that had waited in the socket for seconds got a fresh deadline, ran, and were cancelled midway by callers that gave up: unknown for no good reason.

--- a/src/agent/agent.c
+++ b/src/agent/agent.c
@@ -105,10 +105,22 @@
 was_paused(struct agent *agent)
 {
     uint64_t now_us = agent_now(agent);
-    uint64_t since_us = now_us - agent->ticked_us;
+    uint64_t before_us = agent->ticked_us;
 
     agent->ticked_us = now_us;
-    return since_us > PAUSE_US;
+    agent->paused_from_us = now_us - before_us > PAUSE_US ? before_us : 0;
+    return agent->paused_from_us != 0;
+}
+
+uint64_t
+agent_arrival_us(struct agent *agent)
+{
+    uint64_t now_us = agent_now(agent);
+
+    if (agent->paused_from_us != 0) {
+        return agent->paused_from_us;
+    }
+    return now_us - agent->ticked_us > PAUSE_US ? agent->ticked_us : now_us;
 }
 
 static void
@@ -336,6 +348,7 @@
         code = EXIT_ERROR;
     }
     else {
+        agent->ticked_us = agent_now(agent);
         g_message("Started.");
         event_base_dispatch(agent->base);
         code = agent->hard_stop ? EXIT_ERROR : EXIT_STOPPED;
--- a/src/agent/program.h
+++ b/src/agent/program.h
@@ -56,6 +56,8 @@
  * @stop_until_us: end of the present step of the stop
  * @hard_stop: a second signal came
  * @ticked_us: last tick
+ * @paused_from_us: the tick before the process stood still, until the next
+ *                  tick; 0 otherwise
  * @events: timers, signals and the stack's descriptor
  * @gauges: figures on /metrics
  */
@@ -88,6 +90,7 @@
     uint64_t stop_until_us;
     bool hard_stop;
     uint64_t ticked_us;
+    uint64_t paused_from_us;
     struct event *events[AGENT_EVENTS];
     struct gauges gauges;
 };
@@ -99,6 +102,15 @@
     return clock_now_us(&agent->clock);
 }
 
+/**
+ * agent_arrival_us() - since when bytes read now may have waited
+ *
+ * Now, or the last time the process ran when it has stood still: a deadline
+ * counted from then is never too generous.
+ */
+uint64_t
+agent_arrival_us(struct agent *agent);
+
 /** agent_accepts() - whether new flows and new work are taken here */
 bool
 agent_accepts(const struct agent *agent);
--- a/src/agent/requests.c
+++ b/src/agent/requests.c
@@ -98,7 +98,7 @@
         .key = {.service = service->id,
                 .hash = {read->key_hash[0], read->key_hash[1]},
                 .fingerprint = read->fingerprint},
-        .deadline_us = now_us + timeout_ms * USEC_PER_MSEC,
+        .deadline_us = agent_arrival_us(agent) + timeout_ms * USEC_PER_MSEC,
     };
 
     slot->id = id;
