Test what mutations showed untested

Of 15 mutations on a scratch copy three lived: the sender's nonce in a frame's tag, an answer without an id (both now tested), and one that changes nothing but speed.

--- a/standin/caller/test_caller.c
+++ b/standin/caller/test_caller.c
@@ -89,6 +89,8 @@
      OTHER_ID, ANSWER_BYTES, RESULT_ANSWERED, .crossed = true},
     {"no id", "200 OK\r\nX-Service: lots", ID, ANSWER_BYTES, RESULT_ANSWERED,
      .crossed = true},
+    {"no id and no body", "200 OK\r\nX-Service: lots", ID, 0, RESULT_ANSWERED,
+     .crossed = true, .truncated = true},
     {"own id, other's body", "200 OK\r\n" OWN, OTHER_ID, ANSWER_BYTES,
      RESULT_ANSWERED, .crossed = true},
     {"short", "200 OK\r\n" OWN, ID, ANSWER_BYTES - 1, RESULT_ANSWERED,
--- a/tests/base/test_link.c
+++ b/tests/base/test_link.c
@@ -326,6 +326,12 @@
     g_assert_cmpint(
         link_wire_open(&other.b, &pair.auth, first, FRAME_LEN, &frame), ==,
         -EBADMSG);
+    /* Another peer's nonce, though the receiver's own is right. */
+    pair.b.peer_nonce[0] ^= 1;
+    g_assert_cmpint(
+        link_wire_open(&pair.b, &pair.auth, first, FRAME_LEN, &frame), ==,
+        -EBADMSG);
+    pair.b.peer_nonce[0] ^= 1;
     g_assert_cmpint(
         link_wire_open(&pair.b, &pair.auth, first, FRAME_LEN, &frame), ==, 0);
     g_assert_cmpuint(frame.type, ==, 3);
