--- a/src/cli/apply.c
+++ b/src/cli/apply.c
@@ -73,6 +73,26 @@
     text_free(published);
 }
 
+/* The version that --expect names isn't the one that is published. */
+static void
+print_mismatch(const struct apply_run *run)
+{
+    if (run->end.version == 0) {
+        fprintf(stderr,
+                "Not applied: nothing is published yet, found no version "
+                "%" PRIu64 ".\n",
+                run->core.expect);
+        return;
+    }
+    fprintf(stderr,
+            "Not applied: found version %" PRIu64
+            ", expected to replace %" PRIu64 ". It was written by ",
+            run->end.version, run->core.expect);
+    print_author(run, stderr);
+    fprintf(stderr, ".\nFrom that version to yours:\n");
+    print_diff(run, stderr);
+}
+
 static void
 print_winner(const struct apply_run *run, const char *what)
 {
@@ -123,6 +143,10 @@
         print_winner(run, "Applied, and replaced since");
         return CLI_OK;
     case APPLY_RACE_LOST:
+        if (run->core.writes == 0) {
+            print_mismatch(run);
+            return CLI_RACE_LOST;
+        }
         print_winner(run, "Not applied: another text came first");
         return CLI_RACE_LOST;
     case APPLY_NOT_WRITTEN:
