Split the large files of text and stand-in

What no two services may share, the stand-in's answers, and the tests of mutations and envelopes each have a file now; no test changed.

--- a/src/text/text_check.c
+++ b/src/text/text_check.c
@@ -7,6 +7,7 @@
 
 #include "base/addr.h"
 #include "base/hash.h"
+#include "text/text_unique.h"
 
 #define IP_CLASS_E 0xe0000000u /* multicast and above: no host's address */
 
@@ -389,101 +390,22 @@
     check_limits(check, out);
 }
 
-/** struct seen - a service already read, by name, id or address */
-struct seen {
-    GHashTable *names;
-    GHashTable *ids;
-    GHashTable *addrs;
-};
-
-static void
-check_unique_name(const struct check *check, const struct text *text, size_t i,
-                  struct seen *seen)
-{
-    struct text_service *service = &text->services[i];
-    gpointer other;
-
-    if (service->id == 0) {
-        return;
-    }
-    if (g_hash_table_lookup_extended(seen->names, service->name, NULL,
-                                     &other)) {
-        text_faults_add(check->faults, line_of(check), check->path,
-                        "found the name \"%s\" again, expected it once "
-                        "(services[%u] has it)",
-                        service->name, GPOINTER_TO_UINT(other));
-        return;
-    }
-    g_hash_table_insert(seen->names, service->name, GUINT_TO_POINTER(i));
-    if (g_hash_table_lookup_extended(seen->ids, GUINT_TO_POINTER(service->id),
-                                     NULL, &other)) {
-        text_faults_add(
-            check->faults, line_of(check), check->path,
-            "found the name \"%s\" whose id 0x%08x is that of \"%s\", "
-            "expected another name",
-            service->name, service->id,
-            text->services[GPOINTER_TO_UINT(other)].name);
-        return;
-    }
-    g_hash_table_insert(seen->ids, GUINT_TO_POINTER(service->id),
-                        GUINT_TO_POINTER(i));
-}
-
-static void
-check_unique_addr(const struct check *check, const struct text *text, size_t i,
-                  struct seen *seen)
-{
-    const struct text_service *service = &text->services[i];
-    char buf[ADDR_TEXT_MAX];
-    char *addr;
-    gpointer other;
-
-    if (service->ip == 0 || service->port == 0) {
-        return;
-    }
-    addr = g_strdup_printf(
-        "%s %s", text_proto_name(service->proto),
-        addr_format((struct addr){service->ip, service->port}, buf));
-    if (g_hash_table_lookup_extended(seen->addrs, addr, NULL, &other)) {
-        text_faults_add(check->faults, line_of(check), check->path,
-                        "found %s again, expected it once (services[%u] has "
-                        "it)",
-                        addr, GPOINTER_TO_UINT(other));
-        g_free(addr);
-        return;
-    }
-    g_hash_table_insert(seen->addrs, addr, GUINT_TO_POINTER(i));
-}
-
-static void
-check_unique(const struct check *check, const struct text *text, size_t i,
-             struct seen *seen)
-{
-    check_unique_name(check, text, i, seen);
-    check_unique_addr(check, text, i, seen);
-}
-
 static void
 check_list(const struct check *list, struct text *text)
 {
-    struct seen seen = {
-        .names = g_hash_table_new(g_str_hash, g_str_equal),
-        .ids = g_hash_table_new(NULL, NULL),
-        .addrs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL),
-    };
+    struct text_unique unique;
     struct check check = *list;
 
+    text_unique_init(&unique, list->faults, text);
     check.node = list->index->nodes[list->node].first;
     for (size_t i = 0; i < text->count; i++) {
         check.value = json_object_array_get_idx(list->value, i);
         g_snprintf(check.path, sizeof(check.path), "services[%zu]", i);
         check_service(&check, &text->services[i]);
-        check_unique(&check, text, i, &seen);
+        text_unique_check(&unique, i, line_of(&check), check.path);
         check.node = list->index->nodes[check.node].next;
     }
-    g_hash_table_destroy(seen.names);
-    g_hash_table_destroy(seen.ids);
-    g_hash_table_destroy(seen.addrs);
+    text_unique_finish(&unique);
 }
 
 const char *
--- a/standin/platform/server.c
+++ b/standin/platform/server.c
@@ -1,13 +1,13 @@
 #include "standin/platform/server.h"
 
 #include <errno.h>
-#include <inttypes.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include <microhttpd.h>
 
 #include "base/clock.h"
+#include "standin/platform/server_http.h"
 
 #define OBJECTS_PATH "/v1/objects/"
 #define WATCH_MAX_S 300
@@ -88,44 +88,6 @@
     return server->reads_per_s == 0 || now->reads <= server->reads_per_s;
 }
 
-static enum MHD_Result
-answer(struct MHD_Connection *connection, unsigned status, uint64_t version,
-       GBytes *value)
-{
-    struct MHD_Response *response;
-    enum MHD_Result result;
-    char etag[32];
-    gsize len = 0;
-    const void *data = value != NULL ? g_bytes_get_data(value, &len) : "";
-
-    response = MHD_create_response_from_buffer(len, (void *)data,
-                                               MHD_RESPMEM_MUST_COPY);
-    if (response == NULL) {
-        return MHD_NO;
-    }
-    if (version != 0) {
-        g_snprintf(etag, sizeof(etag), "\"%" PRIu64 "\"", version);
-        MHD_add_response_header(response, MHD_HTTP_HEADER_ETAG, etag);
-    }
-    if (status == MHD_HTTP_TOO_MANY_REQUESTS) {
-        MHD_add_response_header(response, MHD_HTTP_HEADER_RETRY_AFTER, "1");
-    }
-    result = MHD_queue_response(connection, status, response);
-    MHD_destroy_response(response);
-    return result;
-}
-
-static enum MHD_Result
-answer_text(struct MHD_Connection *connection, unsigned status,
-            const char *text)
-{
-    GBytes *value = g_bytes_new(text, strlen(text));
-    enum MHD_Result result = answer(connection, status, 0, value);
-
-    g_bytes_unref(value);
-    return result;
-}
-
 /* Waits out @mode, if it is in force; ends early when the server stops. The
  * lock is held. */
 static void
@@ -178,7 +140,7 @@
     if (gate.status == 0) {
         return MHD_NO;
     }
-    return answer_text(connection, gate.status, "not now\n");
+    return server_answer_text(connection, gate.status, "not now\n");
 }
 
 static void
@@ -199,9 +161,10 @@
 
     slow_down(server);
     if (version == 0) {
-        return answer_text(connection, MHD_HTTP_NOT_FOUND, "no such object\n");
+        return server_answer_text(connection, MHD_HTTP_NOT_FOUND,
+                                  "no such object\n");
     }
-    result = answer(connection, MHD_HTTP_OK, version, value);
+    result = server_answer(connection, MHD_HTTP_OK, version, value);
     g_bytes_unref(value);
     return result;
 }
@@ -254,7 +217,7 @@
         return serve_get(server, connection, name);
     }
     if (how == WATCH_TIMEOUT) {
-        return answer(connection, MHD_HTTP_NOT_MODIFIED, after, NULL);
+        return server_answer(connection, MHD_HTTP_NOT_MODIFIED, after, NULL);
     }
     return MHD_NO;
 }
@@ -324,12 +287,13 @@
     uint64_t expect;
 
     if (request->too_large) {
-        return answer_text(connection, MHD_HTTP_CONTENT_TOO_LARGE,
-                           "a value has at most 1 MiB\n");
+        return server_answer_text(connection, MHD_HTTP_CONTENT_TOO_LARGE,
+                                  "a value has at most 1 MiB\n");
     }
     if (read_condition(connection, &expect) < 0) {
-        return answer_text(connection, HTTP_REQUIRED,
-                           "If-Match: \"V\" or If-None-Match: * expected\n");
+        return server_answer_text(
+            connection, HTTP_REQUIRED,
+            "If-Match: \"V\" or If-None-Match: * expected\n");
     }
     value = g_byte_array_free_to_bytes(request->body);
     request->body = g_byte_array_new();
@@ -340,70 +304,14 @@
     }
     switch (written.rc) {
     case 0:
-        return answer(connection, MHD_HTTP_OK, written.version, NULL);
+        return server_answer(connection, MHD_HTTP_OK, written.version, NULL);
     case -ESTALE:
-        return answer(connection, MHD_HTTP_PRECONDITION_FAILED,
-                      written.version, NULL);
+        return server_answer(connection, MHD_HTTP_PRECONDITION_FAILED,
+                             written.version, NULL);
     default:
-        return answer_text(connection, MHD_HTTP_INSUFFICIENT_STORAGE,
-                           "too many objects\n");
-    }
-}
-
-static bool
-query_number(struct MHD_Connection *connection, const char *key,
-             uint64_t *number)
-{
-    const char *text =
-        MHD_lookup_connection_value(connection, MHD_GET_ARGUMENT_KIND, key);
-    char *end;
-
-    if (text == NULL) {
-        return false;
-    }
-    *number = g_ascii_strtoull(text, &end, 10);
-    return end != text && *end == '\0';
-}
-
-static enum MHD_Result
-serve_fault(struct server *server, struct MHD_Connection *connection)
-{
-    const char *word =
-        MHD_lookup_connection_value(connection, MHD_GET_ARGUMENT_KIND, "mode");
-    struct server_fault fault = {0};
-    uint64_t number;
-
-    if (word == NULL || server_parse_mode(word, &fault.mode) < 0) {
-        return answer_text(connection, MHD_HTTP_BAD_REQUEST, "unknown mode\n");
-    }
-    if (query_number(connection, "ms", &number)) {
-        fault.ms = (unsigned)MIN(number, 3600000);
+        return server_answer_text(connection, MHD_HTTP_INSUFFICIENT_STORAGE,
+                                  "too many objects\n");
     }
-    if (query_number(connection, "count", &number)) {
-        fault.count = (unsigned)MIN(number, UINT32_MAX);
-    }
-    server_set_fault(server, fault);
-    return answer_text(connection, MHD_HTTP_OK, "ok\n");
-}
-
-static enum MHD_Result
-serve_stats(struct server *server, struct MHD_Connection *connection)
-{
-    struct server_stats stats = server_read_stats(server);
-    enum MHD_Result result;
-    char *json = g_strdup_printf(
-        "{\"reads\":%" PRIu64 ",\"writes\":%" PRIu64 ",\"watches\":%" PRIu64
-        ",\"calls\":%" PRIu64 ",\"refused\":%" PRIu64 ",\"conflicts\":%" PRIu64
-        ",\"lost\":%" PRIu64 ",\"watching\":%" PRIu64
-        ",\"peak_calls_per_s\":%" PRIu64 ",\"peak_reads_per_s\":%" PRIu64
-        ",\"peak_writes_per_s\":%" PRIu64 "}\n",
-        stats.reads, stats.writes, stats.watches, stats.calls, stats.refused,
-        stats.conflicts, stats.lost, stats.watching, stats.peak_calls_per_s,
-        stats.peak_reads_per_s, stats.peak_writes_per_s);
-
-    result = answer_text(connection, MHD_HTTP_OK, json);
-    g_free(json);
-    return result;
 }
 
 static enum MHD_Result
@@ -421,11 +329,11 @@
                          : turn_away(connection, gate);
     }
     if (strcmp(method, MHD_HTTP_METHOD_GET) != 0) {
-        return answer_text(connection, MHD_HTTP_METHOD_NOT_ALLOWED,
-                           "GET or PUT expected\n");
+        return server_answer_text(connection, MHD_HTTP_METHOD_NOT_ALLOWED,
+                                  "GET or PUT expected\n");
     }
-    waits = query_number(connection, "after", &after) &&
-            query_number(connection, "wait", &wait_s);
+    waits = server_query_number(connection, "after", &after) &&
+            server_query_number(connection, "wait", &wait_s);
     gate = enter(server, waits ? CALL_WATCH : CALL_READ);
     if (!gate.open) {
         return turn_away(connection, gate);
@@ -445,12 +353,13 @@
     }
     if (strcmp(url, "/fault") == 0 &&
         strcmp(method, MHD_HTTP_METHOD_PUT) == 0) {
-        return serve_fault(server, connection);
+        return server_serve_fault(server, connection);
     }
     if (strcmp(url, "/stats") == 0) {
-        return serve_stats(server, connection);
+        return server_serve_stats(server, connection);
     }
-    return answer_text(connection, MHD_HTTP_NOT_FOUND, "no such path\n");
+    return server_answer_text(connection, MHD_HTTP_NOT_FOUND,
+                              "no such path\n");
 }
 
 static void
--- /dev/null
+++ b/tests/text/sample.c
@@ -0,0 +1,37 @@
+#include "sample.h"
+
+#include <string.h>
+
+#include <glib.h>
+
+const char sample_text[] =
+    "{\"services\": [\n"
+    "  {\"name\": \"lots\", \"address\": \"10.0.0.1\", \"port\": 80,\n"
+    "   \"protocol\": \"tcp\", \"class\": \"urgent\",\n"
+    "   \"depends_on\": [\"albums\", \"clock\"],\n"
+    "   \"limits\": {\"connections\": 100, \"queue\": 7, \"idle_s\": 60}},\n"
+    "  {\"name\": \"albums\", \"address\": \"10.0.0.2\", \"port\": 80,\n"
+    "   \"class\": \"ordinary\"},\n"
+    "  {\"name\": \"clock\", \"address\": \"10.0.0.1\", \"port\": 80,\n"
+    "   \"protocol\": \"udp\", \"class\": \"ordinary\"}\n"
+    "]}\n";
+
+struct text *
+sample_parse(const char *source)
+{
+    struct text *text;
+    char *report;
+    int rc = text_parse(source, strlen(source), "t", &text, &report);
+
+    g_assert_cmpstr(report, ==, NULL);
+    g_assert_cmpint(rc, ==, 0);
+    return text;
+}
+
+void
+sample_assert_same(const struct text *a, const struct text *b)
+{
+    g_assert_cmpmem(a->services, a->count * sizeof(*a->services), b->services,
+                    b->count * sizeof(*b->services));
+    g_assert_cmpmem(a->source, a->source_len, b->source, b->source_len);
+}
--- /dev/null
+++ b/tests/text/text_envelope_test.c
@@ -0,0 +1,109 @@
+#include <errno.h>
+#include <string.h>
+
+#include <glib.h>
+
+#include "sample.h"
+
+static struct text_envelope
+sample_envelope(const struct text *text)
+{
+    struct text_envelope envelope = {
+        .write_id = "0123456789abcdef0123456789abcdef",
+        .author = "Mama \"Rehema\"",
+        .written_ms = 1796236590097,
+        .history = {"11111111111111111111111111111111",
+                    "22222222222222222222222222222222"},
+        .history_count = 2,
+        .text = text->source,
+        .text_len = text->source_len,
+    };
+
+    return envelope;
+}
+
+static void
+test_envelope(void)
+{
+    struct text *text = sample_parse(sample_text);
+    struct text_envelope envelope = sample_envelope(text);
+    struct text_envelope read;
+    struct text *again;
+    char *report;
+    size_t len;
+    char *value = text_envelope_write(&envelope, &len);
+
+    g_assert_cmpuint(len - text->source_len, <, TEXT_ENVELOPE_MAX);
+    g_assert_cmpint(text_envelope_read(value, len, &read), ==, 0);
+    g_assert_cmpstr(read.write_id, ==, envelope.write_id);
+    g_assert_cmpstr(read.author, ==, envelope.author);
+    g_assert_cmpuint(read.written_ms, ==, envelope.written_ms);
+    g_assert_cmpuint(read.history_count, ==, 2);
+    g_assert_cmpstr(read.history[1], ==, envelope.history[1]);
+    g_assert_cmpint(text_parse_envelope(value, len, 7, &again, &report), ==,
+                    0);
+    g_assert_cmpuint(again->version, ==, 7);
+    sample_assert_same(text, again);
+    text_free(again);
+    g_assert_cmpint(text_parse_envelope(text->source, text->source_len, 8,
+                                        &again, &report),
+                    ==, 0);
+    g_assert_cmpuint(again->version, ==, 8);
+    sample_assert_same(text, again);
+    text_free(again);
+    text_free(text);
+    g_free(value);
+}
+
+static void
+test_envelope_largest(void)
+{
+    struct text *text = sample_parse(sample_text);
+    struct text_envelope envelope = sample_envelope(text);
+    char *value;
+    size_t len;
+
+    memset(envelope.author, '\x01', TEXT_AUTHOR_MAX - 1);
+    envelope.written_ms = UINT64_MAX;
+    envelope.history_count = TEXT_HISTORY_MAX;
+    for (size_t i = 0; i < TEXT_HISTORY_MAX; i++) {
+        g_strlcpy(envelope.history[i], envelope.write_id, TEXT_WRITE_ID_MAX);
+    }
+    value = text_envelope_write(&envelope, &len);
+    g_assert_cmpuint(len - text->source_len, <=, TEXT_ENVELOPE_MAX);
+    g_free(value);
+    text_free(text);
+}
+
+static void
+test_not_an_envelope(void)
+{
+    static const char *const values[] = {
+        "",
+        "{}",
+        "[1]",
+        "{\"write_id\":\"x\",\"operator\":\"y\",\"written_ms\":1}",
+        "{\"write_id\":\"x\",\"operator\":\"\",\"written_ms\":1,\"text\":{}}",
+        "{\"write_id\":\"x\",\"operator\":\"y\",\"written_ms\":\"1\","
+        "\"text\":{}}",
+        "{\"write_id\":\"x\",\"operator\":\"y\",\"written_ms\":1,"
+        "\"history\":[1],\"text\":{}}",
+    };
+    struct text_envelope envelope;
+
+    for (size_t i = 0; i < G_N_ELEMENTS(values); i++) {
+        g_assert_cmpint(
+            text_envelope_read(values[i], strlen(values[i]), &envelope), ==,
+            -EINVAL);
+    }
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/text/envelope", test_envelope);
+    g_test_add_func("/text/envelope_largest", test_envelope_largest);
+    g_test_add_func("/text/not_an_envelope", test_not_an_envelope);
+    return g_test_run();
+}
--- /dev/null
+++ b/tests/text/text_mutation_test.c
@@ -0,0 +1,132 @@
+#include <string.h>
+
+#include <glib.h>
+
+#include "sample.h"
+
+#define MUTATIONS 4000
+#define SEED 20261202
+
+/* Often leaves a good text with another value. */
+static void
+mutate_digit(GRand *rand, GString *source)
+{
+    gsize at = (gsize)g_rand_int_range(rand, 0, (gint32)source->len);
+
+    while (at < source->len && !g_ascii_isdigit(source->str[at])) {
+        at++;
+    }
+    if (at < source->len) {
+        source->str[at] = (char)g_rand_int_range(rand, '0', '9' + 1);
+    }
+}
+
+static void
+mutate_once(GRand *rand, GString *source)
+{
+    static const char *const bits[] = {
+        "\"",  "{",  "}",    "[",        "]",      ",",
+        ":",   "\n", "null", "\\u0000",  "80",     "\"lots\"",
+        "1e9", "-1", "\xff", "\"port\"", "[[[[[[", "\"depends_on\":[]"};
+    gsize at = (gsize)g_rand_int_range(rand, 0, (gint32)source->len);
+    gsize len = (gsize)g_rand_int_range(rand, 1, 12);
+    const char *bit = bits[g_rand_int_range(rand, 0, G_N_ELEMENTS(bits))];
+    char *copy;
+
+    switch (g_rand_int_range(rand, 0, 5)) {
+    case 0:
+        g_string_erase(source, (gssize)at, (gssize)MIN(len, source->len - at));
+        break;
+    case 1:
+        g_string_insert(source, (gssize)at, bit);
+        break;
+    case 2:
+        source->str[at] = (char)g_rand_int_range(rand, 1, 256);
+        break;
+    case 3:
+        mutate_digit(rand, source);
+        break;
+    default:
+        copy = g_strndup(source->str + at, len * 8);
+        g_string_insert(source, (gssize)at, copy);
+        g_free(copy);
+        break;
+    }
+    if (source->len == 0) {
+        g_string_append_c(source, '{');
+    }
+}
+
+/* Every line of a report names the file and a line that exists. */
+static void
+assert_report(const char *report, const char *source)
+{
+    char **lines = g_strsplit(report, "\n", -1);
+    unsigned last = 1;
+
+    for (; *source != '\0'; source++) {
+        last += *source == '\n';
+    }
+    for (size_t i = 0; lines[i + 1] != NULL; i++) {
+        g_assert_true(g_str_has_prefix(lines[i], "t:"));
+        g_assert_cmpuint(g_ascii_strtoull(lines[i] + 2, NULL, 10), >=, 1);
+        g_assert_cmpuint(g_ascii_strtoull(lines[i] + 2, NULL, 10), <=, last);
+        g_assert_nonnull(strstr(lines[i], "found "));
+        g_assert_nonnull(strstr(lines[i], "expected "));
+    }
+    g_strfreev(lines);
+}
+
+static bool
+check_mutant(const GString *source)
+{
+    struct text *text;
+    struct text *again;
+    char *report;
+    int rc = text_parse(source->str, source->len, "t", &text, &report);
+
+    g_assert_true((rc == 0) == (report == NULL));
+    g_assert_true((rc == 0) == (text != NULL));
+    if (rc != 0) {
+        g_assert_true(g_utf8_validate(report, -1, NULL));
+        assert_report(report, source->str);
+        g_free(report);
+        return false;
+    }
+    again = sample_parse(text->source);
+    sample_assert_same(text, again);
+    text_free(again);
+    text_free(text);
+    return true;
+}
+
+static void
+test_mutations(void)
+{
+    GRand *rand = g_rand_new_with_seed(SEED);
+    unsigned accepted = 0;
+
+    g_test_message("seed %d", SEED);
+    for (unsigned i = 0; i < MUTATIONS; i++) {
+        GString *source = g_string_new(sample_text);
+        int count = g_rand_int_range(rand, 1, 4);
+
+        for (int j = 0; j < count; j++) {
+            mutate_once(rand, source);
+        }
+        accepted += check_mutant(source);
+        g_string_free(source, TRUE);
+    }
+    g_test_message("%u of %d accepted", accepted, MUTATIONS);
+    g_assert_cmpuint(accepted, >, 0);
+    g_assert_cmpuint(accepted, <, MUTATIONS);
+    g_rand_free(rand);
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/text/mutations", test_mutations);
+    return g_test_run();
+}
--- a/tests/text/text_test.c
+++ b/tests/text/text_test.c
@@ -4,37 +4,11 @@
 #include <glib.h>
 
 #include "base/hash.h"
-#include "text/text.h"
+#include "sample.h"
 
 #define LOTS                                                                  \
     "{\"name\":\"lots\",\"address\":\"10.0.0.1\",\"port\":80,"                \
     "\"class\":\"urgent\"}"
-#define MUTATIONS 4000
-#define SEED 20261202
-
-static const char full_text[] =
-    "{\"services\": [\n"
-    "  {\"name\": \"lots\", \"address\": \"10.0.0.1\", \"port\": 80,\n"
-    "   \"protocol\": \"tcp\", \"class\": \"urgent\",\n"
-    "   \"depends_on\": [\"albums\", \"clock\"],\n"
-    "   \"limits\": {\"connections\": 100, \"queue\": 7, \"idle_s\": 60}},\n"
-    "  {\"name\": \"albums\", \"address\": \"10.0.0.2\", \"port\": 80,\n"
-    "   \"class\": \"ordinary\"},\n"
-    "  {\"name\": \"clock\", \"address\": \"10.0.0.1\", \"port\": 80,\n"
-    "   \"protocol\": \"udp\", \"class\": \"ordinary\"}\n"
-    "]}\n";
-
-static struct text *
-parse_good(const char *source)
-{
-    struct text *text;
-    char *report;
-    int rc = text_parse(source, strlen(source), "t", &text, &report);
-
-    g_assert_cmpstr(report, ==, NULL);
-    g_assert_cmpint(rc, ==, 0);
-    return text;
-}
 
 static char *
 parse_bad(const char *source, size_t len, int expected)
@@ -52,7 +26,7 @@
 static void
 test_full(void)
 {
-    struct text *text = parse_good(full_text);
+    struct text *text = sample_parse(sample_text);
     const struct text_service *lots = &text->services[0];
 
     g_assert_cmpuint(text->count, ==, 3);
@@ -74,7 +48,7 @@
 static void
 test_defaults(void)
 {
-    struct text *text = parse_good("{\"services\":[" LOTS "]}");
+    struct text *text = sample_parse("{\"services\":[" LOTS "]}");
     const struct text_limits expected = {2000, 200,     64,  32,
                                          5000, 1 << 20, 3600};
 
@@ -87,7 +61,7 @@
 static void
 test_find(void)
 {
-    struct text *text = parse_good(full_text);
+    struct text *text = sample_parse(sample_text);
     const struct text_service *clock = &text->services[2];
 
     g_assert_true(text_find(text, hash_service("clock")) == clock);
@@ -241,7 +215,7 @@
             g_free(parse_bad(source, strlen(source), -EINVAL));
         }
         else {
-            text_free(parse_good(source));
+            text_free(sample_parse(source));
         }
         g_free(source);
     }
@@ -263,7 +237,7 @@
                                                    : "");
 
     if (good) {
-        text_free(parse_good(source));
+        text_free(sample_parse(source));
     }
     else {
         g_free(parse_bad(source, strlen(source), -EINVAL));
@@ -388,223 +362,6 @@
     g_free(other);
 }
 
-static struct text_envelope
-sample_envelope(const struct text *text)
-{
-    struct text_envelope envelope = {
-        .write_id = "0123456789abcdef0123456789abcdef",
-        .author = "Mama \"Rehema\"",
-        .written_ms = 1796236590097,
-        .history = {"11111111111111111111111111111111",
-                    "22222222222222222222222222222222"},
-        .history_count = 2,
-        .text = text->source,
-        .text_len = text->source_len,
-    };
-
-    return envelope;
-}
-
-static void
-assert_same(const struct text *a, const struct text *b)
-{
-    g_assert_cmpmem(a->services, a->count * sizeof(*a->services), b->services,
-                    b->count * sizeof(*b->services));
-    g_assert_cmpmem(a->source, a->source_len, b->source, b->source_len);
-}
-
-static void
-test_envelope(void)
-{
-    struct text *text = parse_good(full_text);
-    struct text_envelope envelope = sample_envelope(text);
-    struct text_envelope read;
-    struct text *again;
-    char *report;
-    size_t len;
-    char *value = text_envelope_write(&envelope, &len);
-
-    g_assert_cmpuint(len - text->source_len, <, TEXT_ENVELOPE_MAX);
-    g_assert_cmpint(text_envelope_read(value, len, &read), ==, 0);
-    g_assert_cmpstr(read.write_id, ==, envelope.write_id);
-    g_assert_cmpstr(read.author, ==, envelope.author);
-    g_assert_cmpuint(read.written_ms, ==, envelope.written_ms);
-    g_assert_cmpuint(read.history_count, ==, 2);
-    g_assert_cmpstr(read.history[1], ==, envelope.history[1]);
-    g_assert_cmpint(text_parse_envelope(value, len, 7, &again, &report), ==,
-                    0);
-    g_assert_cmpuint(again->version, ==, 7);
-    assert_same(text, again);
-    text_free(again);
-    g_assert_cmpint(text_parse_envelope(text->source, text->source_len, 8,
-                                        &again, &report),
-                    ==, 0);
-    g_assert_cmpuint(again->version, ==, 8);
-    assert_same(text, again);
-    text_free(again);
-    text_free(text);
-    g_free(value);
-}
-
-static void
-test_envelope_largest(void)
-{
-    struct text *text = parse_good(full_text);
-    struct text_envelope envelope = sample_envelope(text);
-    char *value;
-    size_t len;
-
-    memset(envelope.author, '\x01', TEXT_AUTHOR_MAX - 1);
-    envelope.written_ms = UINT64_MAX;
-    envelope.history_count = TEXT_HISTORY_MAX;
-    for (size_t i = 0; i < TEXT_HISTORY_MAX; i++) {
-        g_strlcpy(envelope.history[i], envelope.write_id, TEXT_WRITE_ID_MAX);
-    }
-    value = text_envelope_write(&envelope, &len);
-    g_assert_cmpuint(len - text->source_len, <=, TEXT_ENVELOPE_MAX);
-    g_free(value);
-    text_free(text);
-}
-
-static void
-test_not_an_envelope(void)
-{
-    static const char *const values[] = {
-        "",
-        "{}",
-        "[1]",
-        "{\"write_id\":\"x\",\"operator\":\"y\",\"written_ms\":1}",
-        "{\"write_id\":\"x\",\"operator\":\"\",\"written_ms\":1,\"text\":{}}",
-        "{\"write_id\":\"x\",\"operator\":\"y\",\"written_ms\":\"1\","
-        "\"text\":{}}",
-        "{\"write_id\":\"x\",\"operator\":\"y\",\"written_ms\":1,"
-        "\"history\":[1],\"text\":{}}",
-    };
-    struct text_envelope envelope;
-
-    for (size_t i = 0; i < G_N_ELEMENTS(values); i++) {
-        g_assert_cmpint(
-            text_envelope_read(values[i], strlen(values[i]), &envelope), ==,
-            -EINVAL);
-    }
-}
-
-/* Often leaves a good text with another value. */
-static void
-mutate_digit(GRand *rand, GString *source)
-{
-    gsize at = (gsize)g_rand_int_range(rand, 0, (gint32)source->len);
-
-    while (at < source->len && !g_ascii_isdigit(source->str[at])) {
-        at++;
-    }
-    if (at < source->len) {
-        source->str[at] = (char)g_rand_int_range(rand, '0', '9' + 1);
-    }
-}
-
-static void
-mutate_once(GRand *rand, GString *source)
-{
-    static const char *const bits[] = {
-        "\"",  "{",  "}",    "[",        "]",      ",",
-        ":",   "\n", "null", "\\u0000",  "80",     "\"lots\"",
-        "1e9", "-1", "\xff", "\"port\"", "[[[[[[", "\"depends_on\":[]"};
-    gsize at = (gsize)g_rand_int_range(rand, 0, (gint32)source->len);
-    gsize len = (gsize)g_rand_int_range(rand, 1, 12);
-    const char *bit = bits[g_rand_int_range(rand, 0, G_N_ELEMENTS(bits))];
-    char *copy;
-
-    switch (g_rand_int_range(rand, 0, 5)) {
-    case 0:
-        g_string_erase(source, (gssize)at, (gssize)MIN(len, source->len - at));
-        break;
-    case 1:
-        g_string_insert(source, (gssize)at, bit);
-        break;
-    case 2:
-        source->str[at] = (char)g_rand_int_range(rand, 1, 256);
-        break;
-    case 3:
-        mutate_digit(rand, source);
-        break;
-    default:
-        copy = g_strndup(source->str + at, len * 8);
-        g_string_insert(source, (gssize)at, copy);
-        g_free(copy);
-        break;
-    }
-    if (source->len == 0) {
-        g_string_append_c(source, '{');
-    }
-}
-
-/* Every line of a report names the file and a line that exists. */
-static void
-assert_report(const char *report, const char *source)
-{
-    char **lines = g_strsplit(report, "\n", -1);
-    unsigned last = 1;
-
-    for (; *source != '\0'; source++) {
-        last += *source == '\n';
-    }
-    for (size_t i = 0; lines[i + 1] != NULL; i++) {
-        g_assert_true(g_str_has_prefix(lines[i], "t:"));
-        g_assert_cmpuint(g_ascii_strtoull(lines[i] + 2, NULL, 10), >=, 1);
-        g_assert_cmpuint(g_ascii_strtoull(lines[i] + 2, NULL, 10), <=, last);
-        g_assert_nonnull(strstr(lines[i], "found "));
-        g_assert_nonnull(strstr(lines[i], "expected "));
-    }
-    g_strfreev(lines);
-}
-
-static bool
-check_mutant(const GString *source)
-{
-    struct text *text;
-    struct text *again;
-    char *report;
-    int rc = text_parse(source->str, source->len, "t", &text, &report);
-
-    g_assert_true((rc == 0) == (report == NULL));
-    g_assert_true((rc == 0) == (text != NULL));
-    if (rc != 0) {
-        g_assert_true(g_utf8_validate(report, -1, NULL));
-        assert_report(report, source->str);
-        g_free(report);
-        return false;
-    }
-    again = parse_good(text->source);
-    assert_same(text, again);
-    text_free(again);
-    text_free(text);
-    return true;
-}
-
-static void
-test_mutations(void)
-{
-    GRand *rand = g_rand_new_with_seed(SEED);
-    unsigned accepted = 0;
-
-    g_test_message("seed %d", SEED);
-    for (unsigned i = 0; i < MUTATIONS; i++) {
-        GString *source = g_string_new(full_text);
-        int count = g_rand_int_range(rand, 1, 4);
-
-        for (int j = 0; j < count; j++) {
-            mutate_once(rand, source);
-        }
-        accepted += check_mutant(source);
-        g_string_free(source, TRUE);
-    }
-    g_test_message("%u of %d accepted", accepted, MUTATIONS);
-    g_assert_cmpuint(accepted, >, 0);
-    g_assert_cmpuint(accepted, <, MUTATIONS);
-    g_rand_free(rand);
-}
-
 int
 main(int argc, char **argv)
 {
@@ -619,9 +376,5 @@
     g_test_add_func("/text/size", test_size);
     g_test_add_func("/text/utf8", test_utf8);
     g_test_add_func("/text/collision", test_collision);
-    g_test_add_func("/text/envelope", test_envelope);
-    g_test_add_func("/text/envelope_largest", test_envelope_largest);
-    g_test_add_func("/text/not_an_envelope", test_not_an_envelope);
-    g_test_add_func("/text/mutations", test_mutations);
     return g_test_run();
 }
