Let the caller's last requests end by their own rules

Arrivals end, then requests were cut after 3 s and recorded as timed out, though a load may now wait longer (deadline_ms plus patience_ms). The caller waits as long as its longest load may; with nothing open it still ends at once.

--- a/standin/caller/caller.c
+++ b/standin/caller/caller.c
@@ -17,7 +17,7 @@
 
 #define TICK_US 10000
 #define OPENING_MAX_US (3 * USEC_PER_SEC)
-#define WAIT_MAX_US (3 * USEC_PER_SEC)
+#define WAIT_MIN_US (3 * USEC_PER_SEC)
 #define CLOSING_MAX_US USEC_PER_SEC
 #define PORT_FIRST 10000
 #define PORT_COUNT 50000
@@ -185,11 +185,27 @@
     g_message("Requests start.");
 }
 
+/* Long enough for the last request of each load to end or time out by its
+ * own rules; a run that has nothing open doesn't wait. */
+static uint64_t
+wait_us(const struct caller *caller)
+{
+    uint64_t wait = WAIT_MIN_US;
+
+    for (size_t i = 0; i < caller->load_count; i++) {
+        const struct load_settings *load = caller->loads[i].settings;
+
+        wait =
+            MAX(wait, (load->deadline_ms + load->patience_ms) * USEC_PER_MSEC);
+    }
+    return wait;
+}
+
 static void
 stop_arrivals(struct caller *caller, uint64_t now_us)
 {
     caller->stopped = true;
-    caller->close_us = now_us + WAIT_MAX_US;
+    caller->close_us = now_us + wait_us(caller);
     for (size_t i = 0; i < caller->load_count; i++)
         load_stop(&caller->loads[i]);
     for (size_t i = 0; i < caller->datagram_count; i++)
