Control: bench-control, the slopes for the capacity page

Cells on a model network with the real wire form and seal, then control threads on real sockets; least squares lines, table and JSON.

--- /dev/null
+++ b/bench/control/threads.c
@@ -0,0 +1,167 @@
+#include <errno.h>
+#include <pthread.h>
+#include <stdio.h>
+#include <string.h>
+#include <time.h>
+#include <unistd.h>
+
+#include <glib.h>
+
+#include "control/control_internal.h"
+#include "measure.h"
+#include "standin/platform/server.h"
+
+#define LOOPBACK 0x7f000001
+#define SETTLE_S 20
+#define PAGE_COUNT_FILE "/proc/self/statm"
+
+struct process {
+    struct settings settings;
+    struct board board;
+    struct counter_table counters;
+    struct control *control;
+};
+
+static double
+resident_bytes(void)
+{
+    FILE *file = fopen(PAGE_COUNT_FILE, "r");
+    unsigned long pages = 0;
+    unsigned long resident = 0;
+
+    if (file == NULL)
+        return 0;
+    if (fscanf(file, "%lu %lu", &pages, &resident) != 2)
+        resident = 0;
+    fclose(file);
+    return (double)resident * sysconf(_SC_PAGESIZE);
+}
+
+static double
+thread_cpu_us(const struct process *process)
+{
+    clockid_t clock;
+    struct timespec now;
+
+    if (pthread_getcpuclockid(process->control->thread, &clock) != 0 ||
+        clock_gettime(clock, &now) != 0)
+        return 0;
+    return now.tv_sec * 1e6 + now.tv_nsec / 1e3;
+}
+
+static int
+start(struct process *process, size_t i, const char *platform,
+      struct addr seed, struct clock *clock)
+{
+    struct settings *settings = &process->settings;
+    struct board_local local = {.state = MEMBER_READY, .service = 1};
+    struct error err = {0};
+
+    settings->role = SETTINGS_AGENT;
+    snprintf(settings->name, sizeof(settings->name), "dar-kariakoo-%04u",
+             (unsigned)i);
+    g_strlcpy(settings->data_centre, "kariakoo", SETTINGS_NAME_MAX);
+    g_strlcpy(settings->cell, "kariakoo-1", SETTINGS_NAME_MAX);
+    g_strlcpy(settings->platform, platform, sizeof(settings->platform));
+    settings->data = (struct addr){LOOPBACK, 1};
+    settings->control = (struct addr){LOOPBACK, 0};
+    memset(settings->site_key, 'k', 32);
+    settings->site_key_len = 32;
+    if (seed.port != 0) {
+        settings->seeds[0] = seed;
+        settings->seed_count = 1;
+    }
+    board_init(&process->board);
+    board_set_local(&process->board, &local);
+    if (counter_table_init(&process->counters) < 0)
+        return -ENOMEM;
+    process->control = control_start(settings, &process->board, clock,
+                                     &process->counters, &err);
+    if (process->control == NULL)
+        g_printerr("%s: %s\n", err.step, err.detail);
+    return process->control == NULL ? err.code : 0;
+}
+
+static void
+stop(struct process *process)
+{
+    if (process->control == NULL)
+        return;
+    control_stop(process->control);
+    board_finish(&process->board);
+    counter_table_finish(&process->counters);
+}
+
+static uint64_t
+bytes_out(struct process *process)
+{
+    return counter_read(&process->counters,
+                        process->control->handles[CONTROL_BYTES_OUT]);
+}
+
+static void
+sleep_s(unsigned seconds)
+{
+    g_usleep(seconds * G_USEC_PER_SEC);
+}
+
+static void
+read_all(struct process *processes, size_t size, unsigned seconds,
+         struct measure_threads *out)
+{
+    double *before = g_new(double, size);
+    uint64_t bytes = 0;
+
+    for (size_t i = 0; i < size; i++) {
+        before[i] = thread_cpu_us(&processes[i]);
+        bytes -= bytes_out(&processes[i]);
+    }
+    sleep_s(seconds);
+    for (size_t i = 0; i < size; i++) {
+        double spent = (thread_cpu_us(&processes[i]) - before[i]) / seconds;
+
+        bytes += bytes_out(&processes[i]);
+        out->cpu_us += spent / size;
+        out->cpu_us_worst = MAX(out->cpu_us_worst, spent);
+    }
+    out->bytes_out = (double)bytes / size / seconds;
+    g_free(before);
+}
+
+int
+measure_threads(size_t size, unsigned seconds, struct measure_threads *out)
+{
+    struct process *processes = g_new0(struct process, size);
+    struct addr seed = {0};
+    struct server server;
+    struct clock clock;
+    struct error err = {0};
+    double before;
+    char url[64];
+    int ret;
+
+    memset(out, 0, sizeof(*out));
+    clock_runtime_init(&clock);
+    ret = server_init(&server, (struct addr){LOOPBACK, 0}, &err);
+    if (ret < 0) {
+        g_free(processes);
+        return ret;
+    }
+    snprintf(url, sizeof(url), "http://127.0.0.1:%u", server_port(&server));
+    before = resident_bytes();
+    for (size_t i = 0; i < size && ret == 0; i++) {
+        ret = start(&processes[i], i, url, seed, &clock);
+        if (ret == 0 && i == 0)
+            seed = link_hub_addr(&processes[0].control->hub);
+    }
+    if (ret == 0) {
+        sleep_s(SETTLE_S);
+        out->memory_bytes = (resident_bytes() - before) / size;
+        read_all(processes, size, seconds, out);
+    }
+    for (size_t i = 0; i < size; i++)
+        stop(&processes[i]);
+    server_finish(&server);
+    g_free(processes);
+    return ret;
+}
