Carry the agents' own flags in the encapsulation

Cause: gue_decode refused every flag but the balancer's two as malformed, so a datagram that found no owner could not be sent back to be opened, and a continued hop list was dropped. Ruled out: the relay's sockets, since no packet reached them. Change: flags 0x04 to 0x20 are the agents' and are carried; 0x40 and 0x80 are still refused.

--- a/scripts/sitebed/__main__.py
+++ b/scripts/sitebed/__main__.py
@@ -28,6 +28,8 @@
                         help="share of the upstreams' capacity (0.5)")
     parser.add_argument("--keep", metavar="DIR",
                         help="keep logs and records in DIR")
+    parser.add_argument("--udp", action="store_true",
+                        help="add a datagram service and its load")
     parser.add_argument("--trace", action="store_true",
                         help="write traces beside the logs")
     return parser.parse_args()
@@ -127,7 +129,7 @@
     folder = folder.resolve()
     folder.mkdir(parents=True, exist_ok=True)
     topology = Topology(arguments.site, folder, arguments.seed,
-                        arguments.seconds, arguments.load)
+                        arguments.seconds, arguments.load, arguments.udp)
     write_settings(topology, arguments)
     site = Site(topology)
     maker = faults.Faults(site, arguments.seed)
@@ -153,6 +155,7 @@
                "config_in_force_ms": round(max(maker.config_ms), 1)
                if maker.config_ms else None}
     results = judge(values, maker, left)
+    results += report.judge_datagrams(folder, arguments.udp)
     if results:
         print(f"demo: logs are in {folder}", file=sys.stderr)
     report.print_table(values, site.events, results)
--- a/scripts/sitebed/report.py
+++ b/scripts/sitebed/report.py
@@ -117,3 +117,16 @@
     for line in results:
         print(f"  NOT MET: {line}")
     print(json.dumps({key: values.get(key) for key in KEYS}), flush=True)
+
+
+def judge_datagrams(folder, expected):
+    """What the datagram load did not meet: nothing lost, nothing foreign."""
+    if not expected:
+        return []
+    rows = [r for r in read_lines(folder / "caller.jsonl")
+            if r["type"] == "datagrams"]
+    if not rows:
+        return ["the caller recorded no datagram load"]
+    return [f"of {r['sent']} datagrams {r['lost']} were lost and "
+            f"{r['foreign']} foreign" for r in rows
+            if r["lost"] or r["foreign"]]
--- a/scripts/sitebed/topology.py
+++ b/scripts/sitebed/topology.py
@@ -1,5 +1,6 @@
 """Sizes of today: which processes a site has and their settings files."""
 
+import copy
 import json
 import pathlib
 import socket
@@ -22,6 +23,14 @@
     },
 }
 
+UDP_SERVICE = {
+    "name": "time-svc",
+    "address": "10.20.0.9",
+    "port": 123,
+    "protocol": "udp",
+    "class": "ordinary",
+}
+
 
 class Ports:
     """Loopback addresses that the kernel gave, held until they are used."""
@@ -72,15 +81,17 @@
 class Topology:
     """All hosts of a site, spares for joins included."""
 
-    def __init__(self, site, folder, seed, seconds, load):
+    def __init__(self, site, folder, seed, seconds, load, udp=False):
         self.site = site
-        self.sizes = SITES[site]
+        self.sizes = copy.deepcopy(SITES[site])
         self.folder = folder
         self.seed = seed
         self.seconds = seconds
         self.load = load
         self.text_path = ROOT / "examples" / site / "config.json"
         self.text = json.loads(self.text_path.read_text())
+        if udp:
+            self.add_udp_service()
         self.ports = Ports()
         self.platform_address = self.ports.take()
         self.fabric_address = self.ports.take()
@@ -98,6 +109,14 @@
     def first_service(self):
         return next(iter(self.sizes["endpoints"]))
 
+    def add_udp_service(self):
+        """A datagram service beside the site's own, from an edited text."""
+        self.text["services"].append(UDP_SERVICE)
+        self.sizes["endpoints"][UDP_SERVICE["name"]] = 2
+        self.sizes["service_ms"][UDP_SERVICE["name"]] = 1
+        self.text_path = self.folder / "config-udp.json"
+        self.text_path.write_text(json.dumps(self.text, indent=2) + "\n")
+
     def data_centre(self, n):
         names = self.sizes["data_centres"]
         return names[n % len(names)]
@@ -195,6 +214,8 @@
             return None
         capacity = count * 2 * 1000.0 / self.sizes["service_ms"][name]
         urgent = service.get("class") == "urgent"
+        if service["protocol"] == "udp":
+            return self.datagram_load(service)
         return {
             "service": name,
             "ip": service["address"],
@@ -209,3 +230,15 @@
             "body_bytes": 200,
             "answer_bytes": 2000 if urgent else 20000,
         }
+
+    def datagram_load(self, service):
+        return {
+            "service": service["name"],
+            "ip": service["address"],
+            "port": service["port"],
+            "proto": "udp",
+            "class": "ordinary",
+            "flows": 40,
+            "rate": 200.0,
+            "body_bytes": 200,
+        }
--- a/src/packet/gue.c
+++ b/src/packet/gue.c
@@ -10,7 +10,7 @@
 #define INNER_IPV4 4
 #define FLAG_PRIVATE 0x0001
 #define LAYOUT_TAG 0x51 /* layout of the private data, first version */
-#define KNOWN_FLAGS (GUE_OPEN | GUE_SUSPECTS)
+#define KNOWN_FLAGS (GUE_OPEN | GUE_SUSPECTS | GUE_AGENT_FLAGS)
 
 static uint64_t
 read_be(const uint8_t *p, size_t len)
--- a/src/packet/gue.h
+++ b/src/packet/gue.h
@@ -23,6 +23,10 @@
 #define GUE_OPEN 0x01     /* the receiver may open a flow with this packet */
 #define GUE_SUSPECTS 0x02 /* a hop of the list is only suspected, not dead */
 
+/** Flags that agents use among themselves (flow/flow.h); carried as they are
+ */
+#define GUE_AGENT_FLAGS 0x3c
+
 /** struct gue_hop - one candidate owner */
 struct gue_hop {
     uint64_t member;
