--- /dev/null
+++ b/tests/request/admit_test.c
@@ -0,0 +1,379 @@
+/* Which requests are taken, in which order, on which upstream. */
+#include <errno.h>
+
+#include "fixture.h"
+
+static void
+test_urgent_displaces(struct fixture *f, gconstpointer data)
+{
+    uint64_t last = 0;
+
+    fixture_fill_slots(f);
+    for (int i = 0; i < 16; i++) {
+        last = fixture_arrive(f, TEXT_ORDINARY, false, 10 * USEC_PER_SEC + i);
+    }
+    fixture_arrive(f, TEXT_ORDINARY, false, 10 * USEC_PER_SEC);
+    fixture_assert_finished(f, f->next_id, ENGINE_NOT_RUN, ENGINE_QUEUE_FULL);
+    fixture_arrive(f, TEXT_URGENT, false, 10 * USEC_PER_SEC);
+    fixture_assert_finished(f, last, ENGINE_NOT_RUN, ENGINE_QUEUE_FULL);
+    g_assert_cmpuint(engine_waiting_of(f->engine, TEXT_URGENT), ==, 1);
+    g_assert_cmpuint(engine_waiting(f->engine), ==, 16);
+}
+
+static void
+test_ordinary_floor(struct fixture *f, gconstpointer data)
+{
+    unsigned urgent_before = 0;
+    uint64_t running = 1;
+    uint64_t ordinary;
+
+    fixture_fill_slots(f);
+    ordinary = fixture_arrive(f, TEXT_ORDINARY, false, 60 * USEC_PER_SEC);
+    while (urgent_before < 20) {
+        uint64_t id = fixture_arrive(f, TEXT_URGENT, false, 60 * USEC_PER_SEC);
+
+        fixture_end(f, SELF, running, ENGINE_UP_ANSWERED);
+        if (fixture_find(f, ENGINE_RUN, ordinary) != NULL) {
+            break;
+        }
+        g_assert_nonnull(fixture_find(f, ENGINE_RUN, id));
+        running = id;
+        urgent_before++;
+    }
+    g_assert_cmpuint(urgent_before, ==, QUEUE_ORDINARY_EVERY - 1);
+}
+
+static void
+test_too_late_at_once(struct fixture *f, gconstpointer data)
+{
+    const struct engine_action *refused;
+    uint64_t waiting;
+
+    fixture_learn_run_time(f, 100 * MS);
+    fixture_fill_slots(f);
+    fixture_arrive(f, TEXT_URGENT, false, 90 * MS);
+    fixture_assert_finished(f, f->next_id, ENGINE_NOT_RUN, ENGINE_TOO_LATE);
+    refused = fixture_find(f, ENGINE_FINISH, f->next_id);
+    g_assert_cmpuint(refused->retry_after_ms, >, 0);
+    waiting = fixture_arrive(f, TEXT_URGENT, false, 300 * MS);
+    g_assert_null(fixture_find(f, ENGINE_FINISH, waiting));
+    fixture_tick_to(f, f->now_us + 190 * MS);
+    g_assert_null(fixture_find(f, ENGINE_FINISH, waiting));
+    fixture_tick_to(f, f->now_us + 30 * MS);
+    fixture_assert_finished(f, waiting, ENGINE_NOT_RUN, ENGINE_TOO_LATE);
+}
+
+/* Not its own run, but those before it in the queue make it too late. */
+static void
+test_too_late_by_queue(struct fixture *f, gconstpointer data)
+{
+    fixture_learn_run_time(f, 100 * MS);
+    fixture_fill_slots(f);
+    for (int i = 0; i < 10; i++) {
+        fixture_arrive(f, TEXT_URGENT, false, 5 * USEC_PER_SEC);
+    }
+    fixture_arrive(f, TEXT_URGENT, false, 6 * USEC_PER_SEC);
+    g_assert_null(fixture_find(f, ENGINE_FINISH, f->next_id));
+    fixture_arrive(f, TEXT_ORDINARY, false, 500 * MS);
+    fixture_assert_finished(f, f->next_id, ENGINE_NOT_RUN, ENGINE_TOO_LATE);
+    g_assert_cmpuint(engine_waiting(f->engine), ==, 11);
+}
+
+/* Refused callers are spread over the time that serving them would take. */
+static void
+test_return_spread(struct fixture *f, gconstpointer data)
+{
+    unsigned per_second[8] = {0};
+
+    fixture_learn_run_time(f, 100 * MS);
+    fixture_fill_slots(f);
+    for (int i = 0; i < 100; i++) {
+        uint64_t id = fixture_arrive(f, TEXT_URGENT, false, 10 * MS);
+        uint32_t after = fixture_find(f, ENGINE_FINISH, id)->retry_after_ms;
+
+        per_second[MIN(after / 1000, 7)]++;
+    }
+    for (int i = 0; i < 4; i++) {
+        g_assert_cmpuint(per_second[i], >=, 10);
+        g_assert_cmpuint(per_second[i], <=, 30);
+    }
+}
+
+/* Half of the runs fail: retries stay within the first few and a tenth. */
+static void
+test_retry_budget(struct fixture *f, gconstpointer data)
+{
+    fixture_tell_load(f, PEER, 1001);
+    fixture_tell_load(f, OTHER, 1001);
+    for (int i = 0; i < 200; i++) {
+        uint64_t id = fixture_arrive(f, TEXT_URGENT, true, 10 * USEC_PER_SEC);
+
+        fixture_end(f, SELF, id, i % 2 ? ENGINE_UP_ANSWERED : ENGINE_UP_LOST);
+        if (fixture_find(f, ENGINE_FINISH, id) == NULL) {
+            fixture_tick_to(f, f->now_us + 60 * MS);
+            fixture_end(f, SELF, id, ENGINE_UP_LOST);
+        }
+        if (fixture_find(f, ENGINE_FINISH, id) == NULL) {
+            fixture_tick_to(f, f->now_us + 60 * MS);
+            fixture_end(f, SELF, id, ENGINE_UP_LOST);
+        }
+        g_assert_nonnull(fixture_find(f, ENGINE_FINISH, id));
+    }
+    g_assert_cmpuint(engine_counters(f->engine)->retried, >=, 10);
+    g_assert_cmpuint(engine_counters(f->engine)->retried, <=, 3 + 100 / 10);
+}
+
+static void
+test_dependency(struct fixture *f, gconstpointer data)
+{
+    uint64_t id;
+
+    fixture_members(f, MEMBER_READY, 2, false);
+    id = fixture_arrive(f, TEXT_URGENT, false, USEC_PER_SEC);
+    fixture_assert_finished(f, id, ENGINE_NOT_RUN, ENGINE_DEPENDENCY);
+    fixture_members(f, MEMBER_READY, 2, true);
+    id = fixture_arrive(f, TEXT_URGENT, false, USEC_PER_SEC);
+    g_assert_nonnull(fixture_find(f, ENGINE_RUN, id));
+}
+
+/* What runs when the dependency fails does not condemn the upstream. */
+static void
+test_dependency_excuses(struct fixture *f, gconstpointer data)
+{
+    for (int round = 0; round < 6; round++) {
+        uint64_t id;
+
+        fixture_members(f, MEMBER_READY, 2, true);
+        id = fixture_arrive(f, TEXT_URGENT, false, USEC_PER_SEC);
+        fixture_members(f, MEMBER_READY, 2, false);
+        fixture_end(f, SELF, id, ENGINE_UP_LOST);
+    }
+    g_assert_cmpuint(f->engine->upstream.traffic.failures, ==, 0);
+    g_assert_cmpuint(upstream_slots(&f->engine->upstream, f->now_us), ==, 2);
+    for (int round = 0; round < 6; round++) {
+        uint64_t id;
+
+        fixture_members(f, MEMBER_READY, 2, true);
+        id = fixture_arrive(f, TEXT_URGENT, false, USEC_PER_SEC);
+        fixture_members(f, MEMBER_READY, 2, false);
+        engine_upstream_end(f->engine, SELF, id, ENGINE_UP_ANSWERED,
+                            server_error, sizeof(server_error), f->now_us,
+                            &f->out);
+    }
+    g_assert_cmpuint(f->engine->upstream.errors, ==, 0);
+}
+
+static void
+lose_runs(struct fixture *f, int count)
+{
+    for (int i = 0; i < count; i++) {
+        uint64_t id = fixture_arrive(f, TEXT_URGENT, false, USEC_PER_SEC);
+
+        fixture_end(f, SELF, id, ENGINE_UP_LOST);
+    }
+}
+
+static void
+test_shun_needs_room(struct fixture *f, gconstpointer data)
+{
+    fixture_tell_load(f, PEER, 991);
+    fixture_tell_load(f, OTHER, 991);
+    lose_runs(f, HEALTH_FAILURES + 1);
+    g_assert_cmpuint(upstream_slots(&f->engine->upstream, f->now_us), ==, 2);
+    fixture_tell_load(f, PEER, 101);
+    lose_runs(f, 1);
+    g_assert_cmpuint(upstream_slots(&f->engine->upstream, f->now_us), ==, 0);
+    fixture_tick_to(f, f->now_us + 300 * MS);
+    g_assert_cmpuint(upstream_slots(&f->engine->upstream, f->now_us), ==, 1);
+    fixture_arrive(f, TEXT_URGENT, false, USEC_PER_SEC);
+    fixture_end(f, SELF, f->next_id, ENGINE_UP_ANSWERED);
+    g_assert_cmpuint(upstream_slots(&f->engine->upstream, f->now_us), ==, 2);
+}
+
+/* An upstream that only fails fast must not look idle to the others. */
+static void
+test_errors_attract_nothing(struct fixture *f, gconstpointer data)
+{
+    struct engine_peer_msg msg = {.type = ENGINE_PEER_STATUS,
+                                  .waiting = {5, 0}};
+
+    for (int i = 0; i < UPSTREAM_ERRORS; i++) {
+        uint64_t id = fixture_arrive(f, TEXT_URGENT, false, USEC_PER_SEC);
+
+        engine_upstream_end(f->engine, SELF, id, ENGINE_UP_ANSWERED,
+                            server_error, sizeof(server_error), f->now_us,
+                            &f->out);
+    }
+    f->out.count = 0;
+    engine_peer(f->engine, PEER, &msg, NULL, 0, f->now_us, &f->out);
+    g_assert_null(fixture_find_sent(f, ENGINE_PEER_PULL, PEER));
+    fixture_arrive(f, TEXT_URGENT, false, USEC_PER_SEC);
+    fixture_end(f, SELF, f->next_id, ENGINE_UP_ANSWERED);
+    g_assert_nonnull(fixture_find_sent(f, ENGINE_PEER_PULL, PEER));
+}
+
+static void
+test_inherits_priority(struct fixture *f, gconstpointer data)
+{
+    GHashTable *services = f->engine->services;
+
+    g_assert_cmpint(services_class(services, NEEDED, TEXT_URGENT), ==,
+                    TEXT_URGENT);
+    g_assert_cmpint(services_class(services, NEEDED, TEXT_ORDINARY), ==,
+                    TEXT_ORDINARY);
+}
+
+static void
+test_caller_limit(struct fixture *f, gconstpointer data)
+{
+    struct engine_request request = {.service = NEEDED,
+                                     .caller = 9,
+                                     .class = TEXT_ORDINARY,
+                                     .deadline_us = f->now_us + USEC_PER_SEC};
+
+    for (request.id = 1; request.id <= 5; request.id++) {
+        f->out.count = 0;
+        engine_arrive(f->engine, &request, f->now_us, &f->out);
+    }
+    fixture_assert_finished(f, 5, ENGINE_NOT_RUN, ENGINE_CALLER_LIMIT);
+    request.caller = 10;
+    f->out.count = 0;
+    engine_arrive(f->engine, &request, f->now_us, &f->out);
+    g_assert_null(fixture_find(f, ENGINE_FINISH, request.id));
+}
+
+static void
+test_warming(struct fixture *f, gconstpointer data)
+{
+    fixture_members(f, MEMBER_WARMING, 2, true);
+    fixture_arrive(f, TEXT_URGENT, false, 60 * USEC_PER_SEC);
+    fixture_arrive(f, TEXT_URGENT, false, 60 * USEC_PER_SEC);
+    g_assert_cmpuint(engine_busy(f->engine), ==, 1);
+    fixture_tick_to(f, f->now_us + UPSTREAM_WARM_US);
+    g_assert_cmpuint(engine_busy(f->engine), ==, 2);
+}
+
+/* While draining nothing new runs here; a stop still serves what waits. */
+static void
+test_drain_and_stop(struct fixture *f, gconstpointer data)
+{
+    uint64_t id;
+
+    engine_set_upstream(f->engine, SERVICE, 2, false, f->now_us, &f->out);
+    id = fixture_arrive(f, TEXT_URGENT, false, USEC_PER_SEC);
+    g_assert_null(fixture_find(f, ENGINE_RUN, id));
+    f->out.count = 0;
+    engine_stop(f->engine, f->now_us, &f->out);
+    g_assert_null(fixture_find(f, ENGINE_FINISH, id));
+    fixture_receive(f, ENGINE_PEER_PULL, 0, 0, 0);
+    g_assert_nonnull(fixture_find_sent(f, ENGINE_PEER_RUN, PEER));
+    fixture_arrive(f, TEXT_URGENT, false, USEC_PER_SEC);
+    fixture_assert_finished(f, f->next_id, ENGINE_NOT_RUN, ENGINE_STOPPING);
+    fixture_receive(f, ENGINE_PEER_DONE, id, ENGINE_ANSWERED, 0);
+    g_assert_cmpuint(engine_open(f->engine), ==, 0);
+    engine_set_upstream(f->engine, SERVICE, 2, true, f->now_us, &f->out);
+    fixture_receive(f, ENGINE_PEER_RUN, 50, 0, 0);
+    g_assert_null(fixture_find(f, ENGINE_RUN, 50));
+    g_assert_nonnull(fixture_find_sent(f, ENGINE_PEER_DONE, PEER));
+}
+
+/* The key is reserved at its replicas while the request queues, and the
+ * request runs only when they have granted it. */
+static void
+test_key_reserved_first(struct fixture *f, gconstpointer data)
+{
+    struct engine_request request = {.id = 900,
+                                     .service = SERVICE,
+                                     .keyed = true,
+                                     .key = {SERVICE, {1, 2}, 3}};
+    struct engine_peer_msg grant = {.type = ENGINE_PEER_IDEM};
+    uint64_t replicas[2];
+
+    fixture_tick_to(f, f->now_us + 2 * IDEM_SETTLE_US);
+    request.deadline_us = f->now_us + USEC_PER_SEC;
+    f->out.count = 0;
+    engine_arrive(f->engine, &request, f->now_us, &f->out);
+    g_assert_null(fixture_find(f, ENGINE_RUN, 900));
+    g_assert_cmpuint(engine_waiting(f->engine), ==, 1);
+    replicas[0] = fixture_find_sent(f, ENGINE_PEER_IDEM, PEER)->to;
+    replicas[1] = fixture_find_sent(f, ENGINE_PEER_IDEM, OTHER)->to;
+    grant.idem = fixture_find_sent(f, ENGINE_PEER_IDEM, PEER)->msg.idem;
+    grant.idem.type = IDEM_MSG_GRANT;
+    for (int i = 0; i < 2; i++) {
+        engine_peer(f->engine, replicas[i], &grant, NULL, 0, f->now_us,
+                    &f->out);
+    }
+    g_assert_nonnull(fixture_find(f, ENGINE_RUN, 900));
+}
+
+static void
+test_no_upstream(struct fixture *f, gconstpointer data)
+{
+    uint64_t id;
+
+    fixture_members(f, MEMBER_READY, 0, true);
+    engine_set_upstream(f->engine, SERVICE, 0, false, f->now_us, &f->out);
+    id = fixture_arrive(f, TEXT_URGENT, false, USEC_PER_SEC);
+    fixture_assert_finished(f, id, ENGINE_NOT_RUN, ENGINE_NO_UPSTREAM);
+}
+
+/* An ordinary start gives way to urgent work known at a peer. */
+static void
+test_hold_for_urgent(struct fixture *f, gconstpointer data)
+{
+    struct engine_peer_msg msg = {.type = ENGINE_PEER_STATUS,
+                                  .waiting = {1, 0}};
+    uint64_t ordinary;
+
+    fixture_fill_slots(f);
+    ordinary = fixture_arrive(f, TEXT_ORDINARY, false, 10 * USEC_PER_SEC);
+    engine_peer(f->engine, PEER, &msg, NULL, 0, f->now_us, &f->out);
+    fixture_end(f, SELF, 1, ENGINE_UP_ANSWERED);
+    g_assert_nonnull(fixture_find_sent(f, ENGINE_PEER_PULL, PEER));
+    g_assert_null(fixture_find(f, ENGINE_RUN, ordinary));
+    fixture_receive(f, ENGINE_PEER_RUN, 50, 0, 0);
+    g_assert_nonnull(fixture_find(f, ENGINE_RUN, 50));
+    fixture_end(f, PEER, 50, ENGINE_UP_ANSWERED);
+    g_assert_nonnull(fixture_find(f, ENGINE_RUN, ordinary));
+}
+
+static void
+test_bad_input(struct fixture *f, gconstpointer data)
+{
+    struct engine_request request = {.id = 1, .class = 5, .service = SERVICE};
+    struct engine_peer_msg msg = {.type = ENGINE_PEER_RUN, .origin = OTHER};
+
+    g_assert_cmpint(engine_arrive(f->engine, &request, f->now_us, &f->out), ==,
+                    -EINVAL);
+    g_assert_cmpint(
+        engine_peer(f->engine, PEER, &msg, NULL, 0, f->now_us, &f->out), ==,
+        -EPROTO);
+    g_assert_cmpint(engine_cancel(f->engine, 77, f->now_us, &f->out), ==,
+                    -ENOENT);
+    g_assert_null(engine_new(SELF, 99, 1));
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    FIXTURE_ADD("admit", urgent_displaces);
+    FIXTURE_ADD("admit", ordinary_floor);
+    FIXTURE_ADD("admit", too_late_at_once);
+    FIXTURE_ADD("admit", too_late_by_queue);
+    FIXTURE_ADD("admit", return_spread);
+    FIXTURE_ADD("admit", retry_budget);
+    FIXTURE_ADD("admit", dependency);
+    FIXTURE_ADD("admit", dependency_excuses);
+    FIXTURE_ADD("admit", shun_needs_room);
+    FIXTURE_ADD("admit", errors_attract_nothing);
+    FIXTURE_ADD("admit", inherits_priority);
+    FIXTURE_ADD("admit", caller_limit);
+    FIXTURE_ADD("admit", warming);
+    FIXTURE_ADD("admit", drain_and_stop);
+    FIXTURE_ADD("admit", key_reserved_first);
+    FIXTURE_ADD("admit", no_upstream);
+    FIXTURE_ADD("admit", hold_for_urgent);
+    FIXTURE_ADD("admit", bad_input);
+    return g_test_run();
+}
--- a/tests/request/cell.c
+++ b/tests/request/cell.c
@@ -8,6 +8,7 @@
 #define LATE_US (25 * USEC_PER_MSEC)
 #define PER_MILLE 1000
 #define CALLERS 3
+#define KEY_SHARED 8
 
 enum event_type { EVENT_MESSAGE, EVENT_RUN_END, EVENT_VIEW, EVENT_LOST };
 
@@ -25,6 +26,7 @@
 
 struct record {
     uint64_t id;
+    uint64_t key;
     unsigned node;
     unsigned life;
     uint64_t deadline_us;
@@ -113,6 +115,20 @@
     timeline_add(&cell->timeline, &event->base, cell->now_us + delay);
 }
 
+/* Of all requests with one key, one that isn't idempotent runs once. */
+static void
+check_key(struct cell *cell, const struct record *record)
+{
+    if (record->key == 0 || record->idempotent) {
+        return;
+    }
+    if (!g_hash_table_add(cell->keys_run,
+                          g_memdup2(&record->key, sizeof(record->key)))) {
+        fail(cell, "%" PRIu64 " runs key %" PRIu64 " again", record->id,
+             record->key);
+    }
+}
+
 /* The upstream runs it, or says or shows that it did not. */
 static void
 run(struct cell *cell, unsigned node, const struct engine_action *action)
@@ -142,6 +158,7 @@
         if (record->runs > 1 && !record->idempotent) {
             fail(cell, "%" PRIu64 " runs twice", record->id);
         }
+        check_key(cell, record);
     }
     timeline_add(&cell->timeline, &event->base,
                  cell->now_us + between(cell, 2000, 60000));
@@ -288,7 +305,7 @@
         member->service = CELL_SERVICE;
         member->slots = CELL_SLOTS;
         member->incarnation = 1 + cell->nodes[i].life;
-        member->since_us = 1 + cell->nodes[i].life;
+        member->since_us = cell->nodes[i].started_us;
     }
     engine_set_view(cell->nodes[node].engine, view, cell->now_us, &out);
     carry_out(cell, node, &out);
@@ -329,6 +346,7 @@
     at->frozen_until_us = 0;
     at->urgent_starts = 0;
     at->life++;
+    at->started_us = cell->now_us;
     set_text(cell, node);
     set_upstream(cell, node);
     set_view(cell, node);
@@ -475,10 +493,11 @@
 
     request.key = (struct idem_key){
         .service = CELL_SERVICE,
-        .hash = {cell->next_id, 1},
+        .hash = {cell->next_id / KEY_SHARED, 1},
         .fingerprint = 1,
     };
     record->id = request.id;
+    record->key = keyed ? 1 + request.id / KEY_SHARED : 0;
     record->node = node;
     record->life = cell->nodes[node].life;
     record->deadline_us = request.deadline_us;
@@ -493,7 +512,7 @@
 random_arrival(struct cell *cell, unsigned node)
 {
     cell_arrive(cell, node, chance(cell, 600) ? TEXT_URGENT : TEXT_ORDINARY,
-                chance(cell, 500), chance(cell, 200),
+                chance(cell, 300), chance(cell, 300),
                 between(cell, 30000, 1000000));
 }
 
@@ -608,6 +627,8 @@
     cell->count = count;
     cell->requests =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
+    cell->keys_run =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
     timeline_init(&cell->timeline);
     for (unsigned i = 0; i < count; i++) {
         cell->nodes[i].id = i + 1;
@@ -636,6 +657,7 @@
     }
     timeline_finish(&cell->timeline);
     g_hash_table_destroy(cell->requests);
+    g_hash_table_destroy(cell->keys_run);
     g_rand_free(cell->random);
     g_free(cell->failure);
 }
--- a/tests/request/cell.h
+++ b/tests/request/cell.h
@@ -39,6 +39,7 @@
     uint64_t id;
     struct engine *engine;
     bool alive;
+    uint64_t started_us;
     uint64_t frozen_until_us;
     uint64_t thawed_us;
     bool draining;
@@ -57,6 +58,7 @@
     struct cell_node nodes[CELL_NODES_MAX];
     struct timeline timeline;
     GHashTable *requests;
+    GHashTable *keys_run;
     uint64_t next_id;
     uint64_t view_seq;
     char *failure;
--- /dev/null
+++ b/tests/request/outcome_test.c
@@ -0,0 +1,204 @@
+/* What becomes of a request that runs here or at a peer. */
+#include <errno.h>
+
+#include "fixture.h"
+
+static void
+test_outcomes(struct fixture *f, gconstpointer data)
+{
+    uint64_t id = fixture_arrive(f, TEXT_URGENT, false, USEC_PER_SEC);
+
+    g_assert_nonnull(fixture_find(f, ENGINE_RUN, id));
+    fixture_end(f, SELF, id, ENGINE_UP_ANSWERED);
+    fixture_assert_finished(f, id, ENGINE_ANSWERED, ENGINE_REASON_NONE);
+    id = fixture_arrive(f, TEXT_URGENT, false, USEC_PER_SEC);
+    fixture_end(f, SELF, id, ENGINE_UP_LOST);
+    fixture_assert_finished(f, id, ENGINE_UNKNOWN, ENGINE_LOST);
+    id = fixture_arrive(f, TEXT_URGENT, false, USEC_PER_SEC);
+    fixture_end(f, SELF, id, ENGINE_UP_SHORT);
+    fixture_assert_finished(f, id, ENGINE_UNKNOWN, ENGINE_SHORT);
+}
+
+/* A second attempt prefers a peer for a while, then takes the same. */
+static void
+test_retried_elsewhere(struct fixture *f, gconstpointer data)
+{
+    uint64_t id = fixture_arrive(f, TEXT_URGENT, true, USEC_PER_SEC);
+
+    fixture_end(f, SELF, id, ENGINE_UP_LOST);
+    g_assert_null(fixture_find(f, ENGINE_FINISH, id));
+    g_assert_null(fixture_find(f, ENGINE_RUN, id));
+    fixture_receive(f, ENGINE_PEER_PULL, 0, 0, 0);
+    g_assert_nonnull(fixture_find_sent(f, ENGINE_PEER_RUN, PEER));
+    id = fixture_arrive(f, TEXT_URGENT, true, USEC_PER_SEC);
+    fixture_end(f, SELF, id, ENGINE_UP_LOST);
+    fixture_tick_to(f, f->now_us + 100 * MS);
+    g_assert_nonnull(fixture_find(f, ENGINE_RUN, id));
+}
+
+/* An idempotent request that may have run is never "not run" afterwards. */
+static void
+test_lost_then_refused(struct fixture *f, gconstpointer data)
+{
+    uint64_t id = fixture_arrive(f, TEXT_URGENT, true, USEC_PER_SEC);
+
+    fixture_end(f, SELF, id, ENGINE_UP_LOST);
+    fixture_tick_to(f, f->now_us + 100 * MS);
+    fixture_end(f, SELF, id, ENGINE_UP_REFUSED);
+    fixture_tick_to(f, f->now_us + 100 * MS);
+    fixture_end(f, SELF, id, ENGINE_UP_REFUSED);
+    fixture_assert_finished(f, id, ENGINE_UNKNOWN, ENGINE_UPSTREAM_SHED);
+}
+
+static void
+test_deadline_while_running(struct fixture *f, gconstpointer data)
+{
+    uint64_t id = fixture_arrive(f, TEXT_URGENT, true, 100 * MS);
+
+    fixture_tick_to(f, f->now_us + 100 * MS);
+    fixture_assert_finished(f, id, ENGINE_UNKNOWN, ENGINE_DEADLINE);
+    g_assert_nonnull(fixture_find(f, ENGINE_ABORT, id));
+    g_assert_cmpuint(engine_busy(f->engine), ==, 1);
+    fixture_tick_to(f, f->now_us + ENGINE_ABORT_GRACE_US);
+    g_assert_cmpuint(engine_busy(f->engine), ==, 0);
+    fixture_end(f, SELF, id, ENGINE_UP_ANSWERED);
+    g_assert_cmpuint(f->out.count, ==, 0);
+}
+
+static void
+test_run_decided_once(struct fixture *f, gconstpointer data)
+{
+    fixture_receive(f, ENGINE_PEER_RUN, 50, 0, 0);
+    g_assert_nonnull(fixture_find(f, ENGINE_RUN, 50));
+    fixture_receive(f, ENGINE_PEER_RUN, 50, 0, 0);
+    g_assert_null(fixture_find(f, ENGINE_RUN, 50));
+    fixture_end(f, PEER, 50, ENGINE_UP_ANSWERED);
+    g_assert_nonnull(fixture_find_sent(f, ENGINE_PEER_DONE, PEER));
+    fixture_receive(f, ENGINE_PEER_RUN, 50, 0, 0);
+    g_assert_null(fixture_find(f, ENGINE_RUN, 50));
+    fixture_receive(f, ENGINE_PEER_CANCEL, 51, 0, 0);
+    fixture_receive(f, ENGINE_PEER_RUN, 51, 0, 0);
+    g_assert_null(fixture_find(f, ENGINE_RUN, 51));
+}
+
+static void
+test_full_declines(struct fixture *f, gconstpointer data)
+{
+    const struct engine_action *done;
+
+    fixture_fill_slots(f);
+    fixture_receive(f, ENGINE_PEER_RUN, 50, 0, 0);
+    done = fixture_find_sent(f, ENGINE_PEER_DONE, PEER);
+    g_assert_nonnull(done);
+    g_assert_cmpint(done->msg.outcome, ==, ENGINE_NOT_RUN);
+    g_assert_cmpint(done->msg.reason, ==, ENGINE_QUEUE_FULL);
+    fixture_receive(f, ENGINE_PEER_RUN, 50, 0, 0);
+    g_assert_null(fixture_find_sent(f, ENGINE_PEER_DONE, PEER));
+}
+
+/* Sends a request to PEER by its offer; returns its id. */
+static uint64_t
+send_to_peer(struct fixture *f, bool idempotent)
+{
+    uint64_t id;
+
+    fixture_fill_slots(f);
+    id = fixture_arrive(f, TEXT_URGENT, idempotent, USEC_PER_SEC);
+    fixture_receive(f, ENGINE_PEER_PULL, 0, 0, 0);
+    g_assert_nonnull(fixture_find_sent(f, ENGINE_PEER_RUN, PEER));
+    return id;
+}
+
+static void
+test_peer_answers(struct fixture *f, gconstpointer data)
+{
+    uint64_t id = send_to_peer(f, false);
+
+    fixture_receive(f, ENGINE_PEER_DONE, id, ENGINE_ANSWERED, 0);
+    fixture_assert_finished(f, id, ENGINE_ANSWERED, ENGINE_REASON_NONE);
+    fixture_receive(f, ENGINE_PEER_DONE, id, ENGINE_ANSWERED, 0);
+    g_assert_null(fixture_find(f, ENGINE_FINISH, id));
+    g_assert_cmpuint(engine_counters(f->engine)->dropped, ==, 1);
+}
+
+static void
+test_peer_declines(struct fixture *f, gconstpointer data)
+{
+    uint64_t id = send_to_peer(f, false);
+
+    fixture_receive(f, ENGINE_PEER_DONE, id, ENGINE_NOT_RUN,
+                    ENGINE_QUEUE_FULL);
+    g_assert_cmpuint(engine_waiting(f->engine), ==, 1);
+    fixture_receive(f, ENGINE_PEER_PULL, 0, 0, 0);
+    g_assert_null(fixture_find_sent(f, ENGINE_PEER_RUN, PEER));
+    fixture_tick_to(f, f->now_us + USEC_PER_SEC);
+    fixture_assert_finished(f, id, ENGINE_NOT_RUN, ENGINE_TOO_LATE);
+}
+
+static void
+test_peer_lost(struct fixture *f, gconstpointer data)
+{
+    uint64_t id = send_to_peer(f, false);
+
+    f->out.count = 0;
+    engine_peer_lost(f->engine, PEER, f->now_us, &f->out);
+    fixture_assert_finished(f, id, ENGINE_UNKNOWN, ENGINE_LOST);
+}
+
+static void
+test_peer_lost_idempotent(struct fixture *f, gconstpointer data)
+{
+    uint64_t id = send_to_peer(f, true);
+
+    f->out.count = 0;
+    engine_peer_lost(f->engine, PEER, f->now_us, &f->out);
+    g_assert_null(fixture_find(f, ENGINE_FINISH, id));
+    g_assert_cmpuint(engine_waiting(f->engine), ==, 1);
+}
+
+static void
+test_unsent(struct fixture *f, gconstpointer data)
+{
+    uint64_t id = send_to_peer(f, false);
+
+    engine_unsent(f->engine, PEER, id, f->now_us, &f->out);
+    g_assert_cmpuint(engine_waiting(f->engine), ==, 1);
+    engine_cancel(f->engine, id, f->now_us, &f->out);
+    fixture_assert_finished(f, id, ENGINE_NOT_RUN, ENGINE_CANCELLED);
+}
+
+static void
+test_cancel_goes_down(struct fixture *f, gconstpointer data)
+{
+    uint64_t id = send_to_peer(f, false);
+
+    f->out.count = 0;
+    engine_cancel(f->engine, id, f->now_us, &f->out);
+    g_assert_nonnull(fixture_find_sent(f, ENGINE_PEER_CANCEL, PEER));
+    fixture_assert_finished(f, id, ENGINE_UNKNOWN, ENGINE_CANCELLED);
+    fixture_receive(f, ENGINE_PEER_RUN, 50, 0, 0);
+    fixture_end(f, SELF, 1, ENGINE_UP_ANSWERED);
+    fixture_receive(f, ENGINE_PEER_RUN, 52, 0, 0);
+    g_assert_nonnull(fixture_find(f, ENGINE_RUN, 52));
+    fixture_receive(f, ENGINE_PEER_CANCEL, 52, 0, 0);
+    g_assert_nonnull(fixture_find(f, ENGINE_ABORT, 52));
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    FIXTURE_ADD("outcome", outcomes);
+    FIXTURE_ADD("outcome", retried_elsewhere);
+    FIXTURE_ADD("outcome", lost_then_refused);
+    FIXTURE_ADD("outcome", deadline_while_running);
+    FIXTURE_ADD("outcome", run_decided_once);
+    FIXTURE_ADD("outcome", full_declines);
+    FIXTURE_ADD("outcome", peer_answers);
+    FIXTURE_ADD("outcome", peer_declines);
+    FIXTURE_ADD("outcome", peer_lost);
+    FIXTURE_ADD("outcome", peer_lost_idempotent);
+    FIXTURE_ADD("outcome", unsent);
+    FIXTURE_ADD("outcome", cancel_goes_down);
+    return g_test_run();
+}
