--- a/tests/idem/sim.c
+++ b/tests/idem/sim.c
@@ -203,7 +203,7 @@
 check_verdict(struct sim *sim, struct sim_request *request,
               const struct idem_action *action)
 {
-    const GString *answer = sim->answers[request->key];
+    const GString *answer = sim->answers[request->key % SIM_KEYS];
 
     if (request->phase != SIM_OPEN) {
         fail(sim, "request %" G_GUINT64_FORMAT " settled twice",
@@ -460,6 +460,17 @@
     }
 }
 
+void
+sim_see(struct sim *sim, unsigned observer, unsigned about,
+        enum member_health health)
+{
+    struct sim_known *known = &sim->nodes[observer].known[about];
+
+    known->member.health = health;
+    known->seq = ++sim->seq;
+    show_view(sim, observer);
+}
+
 void
 sim_cut(struct sim *sim, unsigned a, unsigned b, uint64_t for_us)
 {
@@ -496,7 +507,7 @@
 {
     struct sim_request *request = sim_request(sim, token);
     struct sim_node *self = &sim->nodes[request->node];
-    GString *answer = sim->answers[request->key];
+    GString *answer = sim->answers[request->key % SIM_KEYS];
     struct idem_actions out = {0};
 
     if (request->phase != SIM_RUNNING || self->frozen) {
@@ -589,7 +600,8 @@
         if (self->up && !self->frozen) {
             (void)idem_tick(self->idem, sim->now_us, &out);
             carry_out(sim, i, &out);
-            if (self->joined && g_rand_int_range(sim->rand, 0, 40) == 0) {
+            if (self->joined && !sim->no_sync &&
+                g_rand_int_range(sim->rand, 0, 40) == 0) {
                 join(sim, i);
             }
         }
--- a/tests/idem/sim.h
+++ b/tests/idem/sim.h
@@ -88,6 +88,7 @@
 /**
  * struct sim - the world
  * @cut_us: until when two nodes are cut from each other
+ * @no_sync: nobody copies the list of members of another
  * @failure: what went wrong first, or NULL
  * @doubled: keys that ran more than once
  * @lost_us: when a memory was lost last
@@ -105,6 +106,7 @@
     GSequence *events;
     GArray *requests;
     GString *answers[SIM_KEYS];
+    bool no_sync;
     char *failure;
     unsigned doubled;
     uint64_t lost_us;
@@ -149,6 +151,12 @@
 void
 sim_cut(struct sim *sim, unsigned a, unsigned b, uint64_t for_us);
 
+/** sim_see() - @observer comes to believe @health of @about, whatever the
+ * truth */
+void
+sim_see(struct sim *sim, unsigned observer, unsigned about,
+        enum member_health health);
+
 /** sim_begin() - a caller's request; its token, 0 if the node is down */
 uint64_t
 sim_begin(struct sim *sim, unsigned node, unsigned key);
