--- /dev/null
+++ b/bench/dispatch/sim.h
@@ -0,0 +1,80 @@
+/**
+ * DOC: sim - state and measures of one run (private to the bench)
+ */
+#ifndef SWIFTARCH_BENCH_DISPATCH_SIM_H
+#define SWIFTARCH_BENCH_DISPATCH_SIM_H
+
+#include "site.h"
+#include "timeline.h"
+
+#define SIM_NODES_MAX 16
+#define SIM_SLOTS 2
+#define SIM_VIEW_LATE 4
+#define SIM_WARM_UP_US (10 * USEC_PER_SEC)
+
+/** struct node - an agent and its upstream */
+struct node {
+    struct engine *engine;
+    unsigned service;
+    enum member_state state;
+    uint64_t up_since_us;
+    uint64_t busy_us;
+    uint64_t up_us;
+    unsigned told_busy[SIM_VIEW_LATE];
+    unsigned told_waiting[SIM_VIEW_LATE];
+    unsigned ordinary_waiting;
+    double flow_rate;
+};
+
+/** struct asked - a request */
+struct asked {
+    enum text_class class;
+    uint64_t arrived_us;
+    uint64_t deadline_us;
+    uint64_t started_us;
+    uint64_t run_us;
+    unsigned node;
+    unsigned ran_at;
+    bool running;
+};
+
+/** struct sim - one run */
+struct sim {
+    const struct site_case *run;
+    GRand *random;
+    struct timeline timeline;
+    uint64_t now_us;
+    uint64_t end_us;
+    uint64_t change_us;
+    unsigned count;
+    struct node nodes[SIM_NODES_MAX];
+    GArray *asked;
+    GArray *latencies[2];
+    uint64_t useful_us[SITE_SERVICES];
+    uint64_t next_view_us;
+    unsigned view_number;
+    bool changed;
+    struct site_result result;
+};
+
+/** sim_find_asked() - request by id */
+struct asked *
+sim_find_asked(const struct sim *sim, uint64_t id);
+
+/** sim_measured() - part of a stretch that lies within the measured time */
+uint64_t
+sim_measured(const struct sim *sim, uint64_t from_us, uint64_t to_us);
+
+/** sim_run_over() - a run ended: its slot time counts as busy */
+void
+sim_run_over(struct sim *sim, struct asked *asked);
+
+/** sim_finish() - a request got its final answer */
+void
+sim_finish(struct sim *sim, const struct engine_action *action);
+
+/** sim_sum_up() - work out the result */
+void
+sim_sum_up(struct sim *sim);
+
+#endif
--- a/bench/dispatch/site.c
+++ b/bench/dispatch/site.c
@@ -1,18 +1,12 @@
-#include "site.h"
+#include "sim.h"
 
 #include <math.h>
 
 #include "base/hash.h"
-#include "timeline.h"
 
-#define NODES_MAX 16
-#define SLOTS 2
 #define DELAY_US USEC_PER_MSEC
 #define TICK_US (10 * USEC_PER_MSEC)
 #define VIEW_US (500 * USEC_PER_MSEC)
-#define VIEW_LATE 4
-#define WARM_UP_US (10 * USEC_PER_SEC)
-#define PROMPT_US (10 * USEC_PER_MSEC)
 #define SLOW_FACTOR 4.0
 #define COLD_FACTOR 3.0
 #define COLD_US (10 * USEC_PER_SEC)
@@ -43,48 +37,6 @@
     uint64_t id;
 };
 
-struct node {
-    struct engine *engine;
-    unsigned service;
-    enum member_state state;
-    uint64_t up_since_us;
-    uint64_t busy_us;
-    uint64_t up_us;
-    unsigned told_busy[VIEW_LATE];
-    unsigned told_waiting[VIEW_LATE];
-    unsigned ordinary_waiting;
-    double flow_rate;
-};
-
-struct asked {
-    enum text_class class;
-    uint64_t arrived_us;
-    uint64_t deadline_us;
-    uint64_t started_us;
-    uint64_t run_us;
-    unsigned node;
-    unsigned ran_at;
-    bool running;
-};
-
-struct sim {
-    const struct site_case *run;
-    GRand *random;
-    struct timeline timeline;
-    uint64_t now_us;
-    uint64_t end_us;
-    uint64_t change_us;
-    unsigned count;
-    struct node nodes[NODES_MAX];
-    GArray *asked;
-    GArray *latencies[2];
-    uint64_t useful_us[SITE_SERVICES];
-    uint64_t next_view_us;
-    unsigned view_number;
-    bool changed;
-    struct site_result result;
-};
-
 static uint64_t
 member_id(unsigned node)
 {
@@ -109,18 +61,6 @@
     return &sim->run->site->services[sim->nodes[node].service];
 }
 
-static struct asked *
-find_asked(const struct sim *sim, uint64_t id)
-{
-    return &g_array_index(sim->asked, struct asked, id - 1);
-}
-
-static bool
-is_measured(const struct asked *asked)
-{
-    return asked->arrived_us >= WARM_UP_US;
-}
-
 static struct event *
 event_add(struct sim *sim, enum event_type type, unsigned node, uint64_t at_us)
 {
@@ -132,16 +72,6 @@
     return event;
 }
 
-/* Part of a run that lies within the measured time. */
-static uint64_t
-measured(const struct sim *sim, uint64_t from_us, uint64_t to_us)
-{
-    uint64_t from = MAX(from_us, WARM_UP_US);
-    uint64_t to = MIN(to_us, sim->end_us);
-
-    return to > from ? to - from : 0;
-}
-
 static double
 slowness(const struct sim *sim, unsigned node)
 {
@@ -159,7 +89,7 @@
 static void
 on_run(struct sim *sim, unsigned node, const struct engine_action *action)
 {
-    struct asked *asked = find_asked(sim, action->id);
+    struct asked *asked = sim_find_asked(sim, action->id);
     struct event *event;
     double run_us = (double)asked->run_us * slowness(sim, node);
 
@@ -171,72 +101,12 @@
     event->id = action->id;
 }
 
-static void
-run_over(struct sim *sim, struct asked *asked)
-{
-    sim->nodes[asked->ran_at].busy_us +=
-        measured(sim, asked->started_us, sim->now_us);
-    asked->running = false;
-}
-
-static bool
-ordinary_waits(const struct sim *sim, unsigned service)
-{
-    for (unsigned i = 0; i < sim->count; i++) {
-        if (sim->nodes[i].service == service &&
-            sim->nodes[i].ordinary_waiting > 0) {
-            return true;
-        }
-    }
-    return false;
-}
-
-static void
-on_answer(struct sim *sim, struct asked *asked)
-{
-    uint64_t took_us = sim->now_us - asked->arrived_us;
-
-    sim->result.answered[asked->class]++;
-    g_array_append_val(sim->latencies[asked->class], took_us);
-    sim->useful_us[sim->nodes[asked->node].service] +=
-        measured(sim, asked->started_us, sim->now_us);
-}
-
-static void
-on_finish(struct sim *sim, const struct engine_action *action)
-{
-    struct asked *asked = find_asked(sim, action->id);
-
-    if (!is_measured(asked)) {
-        return;
-    }
-    sim->result.requests[asked->class]++;
-    if (action->outcome == ENGINE_ANSWERED &&
-        sim->now_us <= asked->deadline_us) {
-        on_answer(sim, asked);
-        return;
-    }
-    if (action->outcome == ENGINE_NOT_RUN) {
-        sim->result.refused[asked->class]++;
-        if (sim->now_us > asked->arrived_us + PROMPT_US) {
-            sim->result.refused_late[asked->class]++;
-        }
-    }
-    else {
-        sim->result.missed[asked->class]++;
-    }
-    if (asked->class == TEXT_URGENT &&
-        ordinary_waits(sim, sim->nodes[asked->node].service)) {
-        sim->result.urgent_behind++;
-    }
-}
-
 static void
 on_send(struct sim *sim, unsigned node, const struct engine_action *action)
 {
     struct event *event;
 
-    if (sim->now_us >= WARM_UP_US) {
+    if (sim->now_us >= SIM_WARM_UP_US) {
         sim->result.messages++;
     }
     event = event_add(sim, EVENT_MESSAGE, find_node(sim, action->to),
@@ -265,7 +135,7 @@
             on_send(sim, node, action);
             break;
         case ENGINE_FINISH:
-            on_finish(sim, action);
+            sim_finish(sim, action);
             break;
         }
     }
@@ -278,7 +148,7 @@
 fill_member(const struct sim *sim, unsigned i, struct view_member *member)
 {
     const struct node *at = &sim->nodes[i];
-    unsigned old = (sim->view_number + 1) % VIEW_LATE;
+    unsigned old = (sim->view_number + 1) % SIM_VIEW_LATE;
     bool lies = sim->run->condition == SITE_LYING && i == 0;
 
     member->id = member_id(i);
@@ -286,7 +156,7 @@
     member->state = at->state;
     member->health = MEMBER_ALIVE;
     member->service = at->service + 1;
-    member->slots = SLOTS;
+    member->slots = SIM_SLOTS;
     member->busy = lies ? 0 : (uint16_t)at->told_busy[old];
     member->waiting = lies ? 0 : (uint16_t)at->told_waiting[old];
     member->incarnation = 1;
@@ -298,7 +168,7 @@
 {
     struct view *view =
         g_malloc0(sizeof(*view) + sim->count * sizeof(view->members[0]));
-    unsigned now = sim->view_number % VIEW_LATE;
+    unsigned now = sim->view_number % SIM_VIEW_LATE;
 
     for (unsigned i = 0; i < sim->count; i++) {
         struct node *at = &sim->nodes[i];
@@ -339,15 +209,15 @@
     sim->changed = true;
     if (sim->run->condition == SITE_DRAIN) {
         sim->nodes[1].state = MEMBER_DRAINING;
-        sim->nodes[1].up_us = measured(sim, 0, sim->now_us);
-        set_upstream(sim, 1, SLOTS, false);
+        sim->nodes[1].up_us = sim_measured(sim, 0, sim->now_us);
+        set_upstream(sim, 1, SIM_SLOTS, false);
     }
     if (sim->run->condition == SITE_COLD) {
         for (unsigned i = 1; i <= 2; i++) {
             sim->nodes[i].up_since_us = sim->now_us;
             sim->nodes[i].state = MEMBER_WARMING;
-            sim->nodes[i].up_us = measured(sim, sim->now_us, sim->end_us);
-            set_upstream(sim, i, SLOTS, true);
+            sim->nodes[i].up_us = sim_measured(sim, sim->now_us, sim->end_us);
+            set_upstream(sim, i, SIM_SLOTS, true);
         }
     }
 }
@@ -416,14 +286,14 @@
 static void
 on_end(struct sim *sim, const struct event *event)
 {
-    struct asked *asked = find_asked(sim, event->id);
+    struct asked *asked = sim_find_asked(sim, event->id);
     struct engine_actions out = {0};
     static const uint8_t answer[] = "HTTP/1.1 200 OK\r\n\r\n";
 
     if (!asked->running || asked->ran_at != event->node) {
         return;
     }
-    run_over(sim, asked);
+    sim_run_over(sim, asked);
     engine_upstream_end(sim->nodes[event->node].engine, event->origin,
                         event->id, ENGINE_UP_ANSWERED, answer, sizeof(answer),
                         sim->now_us, &out);
@@ -465,7 +335,7 @@
 {
     const struct site_service *from = &sim->run->site->services[service];
     unsigned flows = FLOWS_PER_ENDPOINT * from->endpoints;
-    double rate = sim->run->load * SLOTS * from->endpoints / from->run_us;
+    double rate = sim->run->load * SIM_SLOTS * from->endpoints / from->run_us;
     double sum = 0;
 
     for (unsigned i = 0; i < flows; i++) {
@@ -496,11 +366,11 @@
 
             at->service = s;
             at->state = MEMBER_READY;
-            at->up_us = sim->end_us - WARM_UP_US;
+            at->up_us = sim->end_us - SIM_WARM_UP_US;
             at->engine =
                 engine_new(member_id(i), sim->run->policy, sim->run->seed + i);
             at->state = cold ? MEMBER_DRAINING : MEMBER_READY;
-            set_upstream(sim, i, cold ? 0 : SLOTS, !cold);
+            set_upstream(sim, i, cold ? 0 : SIM_SLOTS, !cold);
         }
         sim->count += endpoints;
         spread_flows(sim, first, s);
@@ -514,63 +384,6 @@
     event_add(sim, EVENT_TICK, 0, TICK_US);
 }
 
-static gint
-compare(gconstpointer a, gconstpointer b)
-{
-    uint64_t x = *(const uint64_t *)a;
-    uint64_t y = *(const uint64_t *)b;
-
-    return x < y ? -1 : x > y;
-}
-
-static uint64_t
-percentile(GArray *sorted, double share)
-{
-    if (sorted->len == 0) {
-        return 0;
-    }
-    return g_array_index(sorted, uint64_t, (guint)(share * (sorted->len - 1)));
-}
-
-static void
-sum_up_service(struct sim *sim, unsigned service)
-{
-    double most = 0;
-    double shares = 0;
-    double slot_us = 0;
-    unsigned n = 0;
-
-    for (unsigned i = 0; i < sim->count; i++) {
-        const struct node *at = &sim->nodes[i];
-        double share;
-
-        if (at->service != service) {
-            continue;
-        }
-        share = (double)at->busy_us / (SLOTS * (double)at->up_us);
-        most = MAX(most, share);
-        shares += share;
-        slot_us += SLOTS * (double)at->up_us;
-        n++;
-    }
-    sim->result.imbalance[service] = most / (shares / n);
-    sim->result.useful[service] = (double)sim->useful_us[service] / slot_us;
-}
-
-static void
-sum_up(struct sim *sim)
-{
-    for (unsigned service = 0; service < SITE_SERVICES; service++) {
-        sum_up_service(sim, service);
-    }
-    for (int class = 0; class < 2; class ++) {
-        g_array_sort(sim->latencies[class], compare);
-        sim->result.p50_us[class] = percentile(sim->latencies[class], 0.5);
-        sim->result.p99_us[class] = percentile(sim->latencies[class], 0.99);
-        g_array_free(sim->latencies[class], TRUE);
-    }
-}
-
 struct site_result
 site_run(const struct site_case *run)
 {
@@ -578,8 +391,8 @@
     struct event *event;
 
     sim.random = g_rand_new_with_seed(run->seed);
-    sim.end_us = WARM_UP_US + run->seconds * USEC_PER_SEC;
-    sim.change_us = WARM_UP_US + run->seconds * USEC_PER_SEC / 3;
+    sim.end_us = SIM_WARM_UP_US + run->seconds * USEC_PER_SEC;
+    sim.change_us = SIM_WARM_UP_US + run->seconds * USEC_PER_SEC / 3;
     sim.asked = g_array_new(FALSE, TRUE, sizeof(struct asked));
     sim.latencies[0] = g_array_new(FALSE, FALSE, sizeof(uint64_t));
     sim.latencies[1] = g_array_new(FALSE, FALSE, sizeof(uint64_t));
@@ -599,10 +412,10 @@
         struct asked *asked = &g_array_index(sim.asked, struct asked, i);
 
         if (asked->running) {
-            run_over(&sim, asked);
+            sim_run_over(&sim, asked);
         }
     }
-    sum_up(&sim);
+    sim_sum_up(&sim);
     for (unsigned i = 0; i < sim.count; i++) {
         engine_free(sim.nodes[i].engine);
     }
--- a/src/request/services.c
+++ b/src/request/services.c
@@ -24,7 +24,7 @@
 collect_needs(const struct text *text, size_t index, gboolean *visited,
               GArray *needs)
 {
-    const struct text_service *from = &text->services[index];
+    const struct text_service *from;
     GArray *todo = g_array_new(FALSE, FALSE, sizeof(size_t));
 
     visited[index] = TRUE;
--- a/tests/request/cell.c
+++ b/tests/request/cell.c
@@ -1,11 +1,6 @@
-#include "cell.h"
-
-#include <inttypes.h>
-
-#include "request/admit.h"
+#include "rules.h"
 
 #define TICK_US (10 * USEC_PER_MSEC)
-#define LATE_US (25 * USEC_PER_MSEC)
 #define PER_MILLE 1000
 #define CALLERS 3
 #define KEY_SHARED 8
@@ -24,34 +19,6 @@
     enum engine_upstream how;
 };
 
-struct record {
-    uint64_t id;
-    uint64_t key;
-    unsigned node;
-    unsigned life;
-    uint64_t deadline_us;
-    bool idempotent;
-    unsigned runs;
-    unsigned finishes;
-    enum engine_outcome outcome;
-};
-
-static void
-fail(struct cell *cell, const char *format, ...) G_GNUC_PRINTF(2, 3);
-
-static void
-fail(struct cell *cell, const char *format, ...)
-{
-    va_list args;
-
-    if (cell->failure != NULL) {
-        return;
-    }
-    va_start(args, format);
-    cell->failure = g_strdup_vprintf(format, args);
-    va_end(args);
-}
-
 static bool
 chance(struct cell *cell, unsigned per_mille)
 {
@@ -66,12 +33,6 @@
                                       (gint32)high_us);
 }
 
-static struct record *
-find_record(const struct cell *cell, uint64_t id)
-{
-    return g_hash_table_lookup(cell->requests, &id);
-}
-
 static int
 find_node(const struct cell *cell, uint64_t id)
 {
@@ -115,26 +76,11 @@
     timeline_add(&cell->timeline, &event->base, cell->now_us + delay);
 }
 
-/* Of all requests with one key, one that isn't idempotent runs once. */
-static void
-check_key(struct cell *cell, const struct record *record)
-{
-    if (record->key == 0 || record->idempotent) {
-        return;
-    }
-    if (!g_hash_table_add(cell->keys_run,
-                          g_memdup2(&record->key, sizeof(record->key)))) {
-        fail(cell, "%" PRIu64 " runs key %" PRIu64 " again", record->id,
-             record->key);
-    }
-}
-
 /* The upstream runs it, or says or shows that it did not. */
 static void
 run(struct cell *cell, unsigned node, const struct engine_action *action)
 {
     struct event *event = event_new(cell, EVENT_RUN_END, node);
-    struct record *record = find_record(cell, action->id);
     unsigned kind = (unsigned)g_rand_int_range(cell->random, 0, PER_MILLE);
     unsigned no_run = cell->faults.shed + cell->faults.unreached;
 
@@ -151,86 +97,12 @@
         event->how = kind % 2 == 0 ? ENGINE_UP_LOST : ENGINE_UP_SHORT;
     }
     if (kind >= no_run) {
-        record->runs++;
-        if (record->finishes > 0 && record->outcome == ENGINE_NOT_RUN) {
-            fail(cell, "%" PRIu64 " runs after 'not run'", record->id);
-        }
-        if (record->runs > 1 && !record->idempotent) {
-            fail(cell, "%" PRIu64 " runs twice", record->id);
-        }
-        check_key(cell, record);
+        rules_run(cell, action->id);
     }
     timeline_add(&cell->timeline, &event->base,
                  cell->now_us + between(cell, 2000, 60000));
 }
 
-/* Ordinary work goes before waiting urgent work only by its floor, or if
- * the urgent one would miss its deadline on this much slower upstream, or
- * has just failed here and may still be tried elsewhere. */
-static void
-check_order(struct cell *cell, unsigned node,
-            const struct engine_action *action)
-{
-    struct cell_node *at = &cell->nodes[node];
-    const struct entry *entry =
-        entry_find(at->engine->entries, action->origin, action->id);
-    const struct entry *urgent = at->engine->queue.head[TEXT_URGENT];
-
-    if (entry == NULL || action->origin != at->id) {
-        return;
-    }
-    if (entry->request.class == TEXT_URGENT) {
-        at->urgent_starts++;
-        return;
-    }
-    while (urgent != NULL &&
-           (!urgent->cleared || cell->now_us < urgent->avoid_until_us ||
-            admit_too_slow_here(at->engine, urgent))) {
-        urgent = urgent->next;
-    }
-    if (urgent != NULL && at->urgent_starts + 1 < QUEUE_ORDINARY_EVERY) {
-        fail(cell, "ordinary before waiting urgent at node %u", node);
-    }
-    at->urgent_starts = 0;
-}
-
-static void
-note_finish(struct cell *cell, const struct engine_action *action)
-{
-    struct record *record = find_record(cell, action->id);
-
-    record->finishes++;
-    if (record->finishes > 1) {
-        fail(cell, "%" PRIu64 " finished twice", record->id);
-    }
-    record->outcome = action->outcome;
-    cell->finished[action->outcome]++;
-    if (action->outcome == ENGINE_NOT_RUN && record->runs > 0) {
-        fail(cell, "%" PRIu64 " 'not run' but it ran (reason %d)", record->id,
-             action->reason);
-    }
-    if (action->outcome == ENGINE_ANSWERED && !action->replayed &&
-        record->runs == 0) {
-        fail(cell, "%" PRIu64 " answered but never run", record->id);
-    }
-    if (action->outcome == ENGINE_NOT_RUN && action->retry_after_ms == 0) {
-        fail(cell, "%" PRIu64 " without Retry-After", record->id);
-    }
-}
-
-static void
-check_node(struct cell *cell, unsigned node)
-{
-    const struct cell_node *at = &cell->nodes[node];
-
-    if (engine_busy(at->engine) > CELL_SLOTS) {
-        fail(cell, "%u busy at node %u", engine_busy(at->engine), node);
-    }
-    if (engine_waiting(at->engine) > CELL_QUEUE) {
-        fail(cell, "%u waiting at node %u", engine_waiting(at->engine), node);
-    }
-}
-
 static void
 carry_out(struct cell *cell, unsigned node, struct engine_actions *out)
 {
@@ -239,7 +111,7 @@
 
         switch (action->type) {
         case ENGINE_RUN:
-            check_order(cell, node, action);
+            rules_start(cell, node, action);
             run(cell, node, action);
             break;
         case ENGINE_ABORT:
@@ -256,12 +128,12 @@
             }
             break;
         case ENGINE_FINISH:
-            note_finish(cell, action);
+            rules_finish(cell, action);
             break;
         }
     }
     engine_actions_finish(out);
-    check_node(cell, node);
+    rules_node(cell, node);
 }
 
 static bool
@@ -433,25 +305,6 @@
     }
 }
 
-static void
-check_answers(struct cell *cell)
-{
-    GHashTableIter iter;
-    gpointer value;
-
-    g_hash_table_iter_init(&iter, cell->requests);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        const struct record *record = value;
-        const struct cell_node *at = &cell->nodes[record->node];
-        uint64_t due = MAX(record->deadline_us, at->frozen_until_us);
-
-        if (record->finishes == 0 && at->life == record->life &&
-            cell->now_us > due + LATE_US) {
-            fail(cell, "%" PRIu64 " has no answer", record->id);
-        }
-    }
-}
-
 void
 cell_advance(struct cell *cell, uint64_t us)
 {
@@ -470,7 +323,7 @@
         cell->now_us = stop;
         if (stop == next_tick) {
             tick_all(cell);
-            check_answers(cell);
+            rules_answers(cell);
         }
     }
 }
@@ -488,21 +341,14 @@
         .keyed = keyed,
         .deadline_us = cell->now_us + left_us,
     };
-    struct record *record = g_new0(struct record, 1);
     struct engine_actions out = {0};
 
     request.key = (struct idem_key){
         .service = CELL_SERVICE,
-        .hash = {cell->next_id / KEY_SHARED, 1},
+        .hash = {1 + cell->next_id / KEY_SHARED, 1},
         .fingerprint = 1,
     };
-    record->id = request.id;
-    record->key = keyed ? 1 + request.id / KEY_SHARED : 0;
-    record->node = node;
-    record->life = cell->nodes[node].life;
-    record->deadline_us = request.deadline_us;
-    record->idempotent = idempotent;
-    g_hash_table_insert(cell->requests, &record->id, record);
+    rules_arrive(cell, node, &request);
     engine_arrive(cell->nodes[node].engine, &request, cell->now_us, &out);
     carry_out(cell, node, &out);
     return request.id;
@@ -520,13 +366,13 @@
 random_cancel(struct cell *cell)
 {
     uint64_t back = between(cell, 0, 20);
-    const struct record *record;
+    const struct rules_record *record;
     struct engine_actions out = {0};
 
     if (cell->next_id <= back) {
         return;
     }
-    record = find_record(cell, cell->next_id - back);
+    record = rules_record(cell, cell->next_id - back);
     if (is_up(cell, record->node) &&
         cell->nodes[record->node].life == record->life) {
         engine_cancel(cell->nodes[record->node].engine, record->id,
@@ -584,19 +430,6 @@
     cell_advance(cell, between(cell, 100, 8000));
 }
 
-static void
-check_empty(struct cell *cell, unsigned node)
-{
-    const struct engine *engine = cell->nodes[node].engine;
-
-    if (engine_busy(engine) > 0 || engine_waiting(engine) > 0 ||
-        engine_open(engine) > 0 || g_hash_table_size(engine->entries) > 0) {
-        fail(cell, "node %u keeps %u busy, %u waiting, %u open, %u entries",
-             node, engine_busy(engine), engine_waiting(engine),
-             engine_open(engine), g_hash_table_size(engine->entries));
-    }
-}
-
 void
 cell_quiesce(struct cell *cell)
 {
@@ -612,7 +445,7 @@
     }
     cell_advance(cell, 3 * USEC_PER_SEC);
     for (unsigned i = 0; i < cell->count; i++) {
-        check_empty(cell, i);
+        rules_empty(cell, i);
     }
 }
 
