Test that no packet of another service reaches the stack

Real socket, real flow core, a stack that counts: stale service ids, another service's address, a host that now serves something else, malformed and 20,000 mutated packets, refused hops, flows over the limit.

--- /dev/null
+++ b/tests/agent/test_ingress.c
@@ -0,0 +1,379 @@
+/* Packets through a real socket, the real flow core and a stack that only
+ * counts. */
+#include <errno.h>
+#include <glib.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "agent/program.h"
+#include "base/hash.h"
+#include "packet/gue.h"
+
+#define CALLER 0x0a010001
+#define SERVICE_IP 0x0a000001
+#define OTHER_IP 0x0a000002
+#define PORT 80
+#define PACKET_BUF 2200
+#define TCP_LEN 40
+
+/** struct world - an agent's ingress, a fabric and a closed port */
+struct world {
+    struct agent agent;
+    struct clock_manual clock;
+    int fabric;
+    struct addr closed;
+    struct sockaddr_in to;
+    unsigned taken;
+    uint64_t dead;
+};
+
+static struct world *now_running;
+
+int
+stack_input(struct stack *stack, const uint8_t *buf, size_t len)
+{
+    now_running->taken++;
+    return 0;
+}
+
+void
+stack_poll(struct stack *stack)
+{
+}
+
+bool
+front_may_open(const struct front *front, uint32_t ip)
+{
+    return front->limits.connections > 0;
+}
+
+bool
+datagrams_may_open(const struct agent *agent)
+{
+    return true;
+}
+
+void
+datagrams_input(struct agent *agent, const struct packet *packet,
+                const uint8_t *buf)
+{
+    now_running->taken++;
+}
+
+void
+control_report_dead(struct control *control, uint64_t member,
+                    uint64_t incarnation)
+{
+    now_running->dead = member;
+}
+
+static void
+put16(uint8_t *at, uint16_t value)
+{
+    at[0] = (uint8_t)(value >> 8);
+    at[1] = (uint8_t)value;
+}
+
+static void
+put32(uint8_t *at, uint32_t value)
+{
+    put16(at, (uint16_t)(value >> 16));
+    put16(at + 2, (uint16_t)value);
+}
+
+/* A TCP segment without payload, checksums right. */
+static void
+build_tcp(uint8_t *p, uint32_t dst, uint16_t sport, uint8_t flags)
+{
+    uint8_t pseudo[32] = {0};
+
+    memset(p, 0, TCP_LEN);
+    p[0] = 0x45;
+    put16(p + 2, TCP_LEN);
+    p[8] = 64;
+    p[9] = 6;
+    put32(p + 12, CALLER);
+    put32(p + 16, dst);
+    put16(p + 10, packet_checksum(p, 20));
+    put16(p + 20, sport);
+    put16(p + 22, PORT);
+    put32(p + 24, 1000);
+    p[32] = 0x50;
+    p[33] = flags;
+    put16(p + 34, 65535);
+    memcpy(pseudo, p + 12, 8);
+    pseudo[9] = 6;
+    put16(pseudo + 10, 20);
+    memcpy(pseudo + 12, p + 20, 20);
+    put16(p + 36, packet_checksum(pseudo, sizeof(pseudo)));
+}
+
+static int
+bind_any(struct addr *addr)
+{
+    struct sockaddr_in sin = {.sin_family = AF_INET,
+                              .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+    socklen_t len = sizeof(sin);
+    int fd = socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK, 0);
+
+    g_assert_cmpint(bind(fd, (struct sockaddr *)&sin, sizeof(sin)), ==, 0);
+    getsockname(fd, (struct sockaddr *)&sin, &len);
+    *addr = addr_from_sockaddr(&sin);
+    return fd;
+}
+
+static void
+set_member(struct view_member *member, const char *name, struct addr data)
+{
+    g_strlcpy(member->name, name, sizeof(member->name));
+    member->id = hash_name(name);
+    member->incarnation = 3;
+    member->role = MEMBER_AGENT;
+    member->state = MEMBER_READY;
+    member->health = MEMBER_ALIVE;
+    member->service = hash_service("lots");
+    member->data = data;
+    member->since_us = 1;
+}
+
+static void
+set_view(struct world *world)
+{
+    struct agent *agent = &world->agent;
+    struct view *view = view_new(2);
+    size_t self = hash_name("self") < hash_name("gone") ? 0 : 1;
+
+    view->seq = 1;
+    view->count = 2;
+    view->self = self;
+    set_member(&view->members[self], "self", agent->settings.data);
+    set_member(&view->members[1 - self], "gone", world->closed);
+    g_assert_cmpint(flow_set_view(agent->flows, view, hash_service("lots"),
+                                  true, world->clock.now_us),
+                    ==, 0);
+    board_publish_view(&agent->board, view);
+}
+
+static void
+serve(struct world *world, const char *name, uint32_t ip)
+{
+    struct text_service *service = &world->agent.service;
+
+    *service = (struct text_service){
+        .id = hash_service(name), .ip = ip, .port = PORT, .proto = TEXT_TCP};
+    world->agent.service_known = true;
+}
+
+static void
+world_init(struct world *world)
+{
+    struct agent *agent = &world->agent;
+    struct sockaddr_in sin;
+    socklen_t len = sizeof(sin);
+    struct error err;
+
+    memset(world, 0, sizeof(*world));
+    now_running = world;
+    clock_manual_init(&world->clock, 100 * USEC_PER_SEC);
+    agent->clock = &world->clock.base;
+    agent->self = hash_name("self");
+    agent->settings.data = (struct addr){INADDR_LOOPBACK, 0};
+    agent->front.limits.connections = 1;
+    pthread_mutex_init(&agent->flow_lock, NULL);
+    board_init(&agent->board);
+    counter_table_init(&agent->counters);
+    ingress_register(agent);
+    agent->base = event_base_new();
+    agent->flows = flow_table_new(agent->self, 1000);
+    world->fabric = bind_any(&agent->settings.fabric);
+    close(bind_any(&world->closed));
+    g_assert_cmpint(ingress_init(agent, &err), ==, 0);
+    getsockname(agent->ingress.fd, (struct sockaddr *)&sin, &len);
+    agent->settings.data = addr_from_sockaddr(&sin);
+    world->to = sin;
+    serve(world, "lots", SERVICE_IP);
+    set_view(world);
+}
+
+static void
+world_finish(struct world *world)
+{
+    struct agent *agent = &world->agent;
+
+    ingress_finish(agent);
+    flow_table_free(agent->flows);
+    event_base_free(agent->base);
+    counter_table_finish(&agent->counters);
+    board_finish(&agent->board);
+    close(world->fabric);
+}
+
+/* Sends @len bytes with a hop list, or a bare header when @service is 0. */
+static void
+send_to_agent(struct world *world, const char *service, uint8_t flags,
+              const uint8_t *inner, size_t len)
+{
+    uint8_t buf[GUE_HEADER_MAX + PACKET_BUF];
+    struct gue gue = {.flags = flags, .count = 1};
+
+    if (service != NULL) {
+        gue.service = hash_service(service);
+        gue.hops[0].member = world->agent.self;
+        gue.hops[0].data = world->agent.settings.data;
+    }
+    size_t header = gue_encode(service == NULL ? NULL : &gue, buf);
+    memcpy(buf + header, inner, len);
+    g_assert_cmpint(sendto(world->fabric, buf, header + len, 0,
+                           (struct sockaddr *)&world->to, sizeof(world->to)),
+                    >, 0);
+    event_base_loop(world->agent.base, EVLOOP_NONBLOCK);
+}
+
+static uint64_t
+drops(const struct world *world, enum packet_drop drop)
+{
+    return counter_read(&world->agent.counters,
+                        world->agent.ingress.drops[drop]);
+}
+
+/* What stands on the balancer's list is not believed: the address, the
+ * port and the text in force decide. */
+static void
+test_other_service(void)
+{
+    struct world world;
+    uint8_t ours[TCP_LEN];
+    uint8_t theirs[TCP_LEN];
+
+    world_init(&world);
+    build_tcp(ours, SERVICE_IP, 5000, PACKET_TCP_SYN);
+    build_tcp(theirs, OTHER_IP, 5000, PACKET_TCP_SYN);
+    send_to_agent(&world, "albums", GUE_OPEN, ours, TCP_LEN);
+    send_to_agent(&world, "lots", GUE_OPEN, theirs, TCP_LEN);
+    send_to_agent(&world, "albums", GUE_OPEN, theirs, TCP_LEN);
+    g_assert_cmpuint(world.taken, ==, 0);
+    g_assert_cmpuint(drops(&world, PACKET_SERVICE), ==, 3);
+    send_to_agent(&world, "lots", GUE_OPEN, ours, TCP_LEN);
+    g_assert_cmpuint(world.taken, ==, 1);
+    /* The host now serves another service at the same address and port. */
+    serve(&world, "albums", SERVICE_IP);
+    send_to_agent(&world, "lots", GUE_OPEN, ours, TCP_LEN);
+    g_assert_cmpuint(world.taken, ==, 1);
+    world.agent.service_known = false;
+    send_to_agent(&world, "albums", GUE_OPEN, ours, TCP_LEN);
+    g_assert_cmpuint(world.taken, ==, 1);
+    g_assert_cmpuint(drops(&world, PACKET_SERVICE), ==, 5);
+    world_finish(&world);
+}
+
+static void
+test_malformed(void)
+{
+    struct world world;
+    uint8_t good[PACKET_BUF] = {0};
+    uint8_t bad[TCP_LEN];
+
+    world_init(&world);
+    build_tcp(good, SERVICE_IP, 5000, PACKET_TCP_SYN);
+    send_to_agent(&world, NULL, 0, good, TCP_LEN);
+    g_assert_cmpuint(drops(&world, PACKET_ENCAP), ==, 1);
+    send_to_agent(&world, "lots", GUE_OPEN, good, TCP_LEN - 1);
+    g_assert_cmpuint(drops(&world, PACKET_SHORT), ==, 1);
+    send_to_agent(&world, "lots", GUE_OPEN, good, PACKET_BUF);
+    g_assert_cmpuint(drops(&world, PACKET_LONG), ==, 1);
+    memcpy(bad, good, TCP_LEN);
+    bad[25] ^= 1;
+    send_to_agent(&world, "lots", GUE_OPEN, bad, TCP_LEN);
+    g_assert_cmpuint(drops(&world, PACKET_L4_CHECKSUM), ==, 1);
+    g_assert_cmpuint(world.taken, ==, 0);
+    world_finish(&world);
+}
+
+/* A hop that refuses proves that its process is gone. */
+static void
+test_refused_hop(void)
+{
+    struct world world;
+    uint8_t segment[TCP_LEN];
+
+    world_init(&world);
+    build_tcp(segment, SERVICE_IP, 5000, PACKET_TCP_ACK);
+    send_to_agent(&world, "lots", 0, segment, TCP_LEN);
+    event_base_loop(world.agent.base, EVLOOP_NONBLOCK);
+    g_assert_cmpuint(
+        counter_read(&world.agent.counters, world.agent.ingress.passed), ==,
+        1);
+    g_assert_cmpuint(world.dead, ==, hash_name("gone"));
+    g_assert_cmpuint(world.taken, ==, 0);
+    world_finish(&world);
+}
+
+/* Over the limits a caller is told at once, and nothing is kept. */
+static void
+test_over_limit(void)
+{
+    struct world world;
+    uint8_t syn[TCP_LEN];
+    uint8_t buf[PACKET_BUF];
+    struct packet reset;
+    struct gue gue;
+
+    world_init(&world);
+    world.agent.front.limits.connections = 0;
+    build_tcp(syn, SERVICE_IP, 5000, PACKET_TCP_SYN);
+    send_to_agent(&world, "lots", GUE_OPEN, syn, TCP_LEN);
+    g_assert_cmpuint(world.taken, ==, 0);
+    g_assert_cmpuint(flow_count(world.agent.flows, NULL), ==, 0);
+    ssize_t len = recv(world.fabric, buf, sizeof(buf), MSG_DONTWAIT);
+    g_assert_cmpint(len, >, 0);
+    int header = gue_decode(buf, (size_t)len, &gue);
+    g_assert_cmpuint(gue.count, ==, 0);
+    g_assert_cmpint(
+        packet_parse(buf + header, (size_t)(len - header), 1, &reset), ==,
+        PACKET_OK);
+    g_assert_cmpuint(reset.dst, ==, CALLER);
+    g_assert_cmpuint(reset.flags & PACKET_TCP_RST, !=, 0);
+    world_finish(&world);
+}
+
+/* Mutated packets never reach the stack unless they are for the service,
+ * and leave no more flows than were opened. */
+static void
+test_mutations(void)
+{
+    struct world world;
+    GRand *random = g_rand_new_with_seed(3);
+    uint8_t good[TCP_LEN];
+
+    world_init(&world);
+    build_tcp(good, SERVICE_IP, 5000, PACKET_TCP_SYN);
+    for (int i = 0; i < 20000; i++) {
+        uint8_t copy[TCP_LEN];
+        memcpy(copy, good, TCP_LEN);
+        copy[g_rand_int_range(random, 0, TCP_LEN)] ^=
+            (uint8_t)(1 << g_rand_int_range(random, 0, 8));
+        send_to_agent(&world, "lots", GUE_OPEN, copy,
+                      (size_t)g_rand_int_range(random, 1, TCP_LEN + 1));
+    }
+    g_assert_cmpuint(world.taken, ==, 0);
+    g_assert_cmpuint(flow_count(world.agent.flows, NULL), ==, 0);
+    g_rand_free(random);
+    world_finish(&world);
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    rcu_register_thread();
+    g_test_add_func("/agent/ingress/other-service", test_other_service);
+    g_test_add_func("/agent/ingress/malformed", test_malformed);
+    g_test_add_func("/agent/ingress/refused-hop", test_refused_hop);
+    g_test_add_func("/agent/ingress/over-limit", test_over_limit);
+    g_test_add_func("/agent/ingress/mutations", test_mutations);
+    int code = g_test_run();
+    rcu_unregister_thread();
+    return code;
+}
