--- a/src/request/dispatch_pull.c
+++ b/src/request/dispatch_pull.c
@@ -16,6 +16,7 @@
 #include "request/admit.h"
 
 #define ANNOUNCE_PEERS 2
+#define ANNOUNCE_MIN_US (5 * USEC_PER_MSEC)
 #define ANNOUNCE_GAP_US (20 * USEC_PER_MSEC)
 #define ANNOUNCE_GAP_MAX_US (320 * USEC_PER_MSEC)
 #define ASK_TIMEOUT_US (20 * USEC_PER_MSEC)
@@ -295,7 +296,8 @@
         dispatch->announce_gap_us = ANNOUNCE_GAP_US;
         return;
     }
-    if (!news && engine->now_us < dispatch->announce_at_us) {
+    if (engine->now_us < dispatch->announced_at_us + ANNOUNCE_MIN_US ||
+        (!news && engine->now_us < dispatch->announce_at_us)) {
         return;
     }
     first = first != NULL ? first : engine->queue.head[TEXT_ORDINARY];
@@ -304,6 +306,7 @@
     dispatch->announced[TEXT_ORDINARY] = engine->queue.count[TEXT_ORDINARY];
     dispatch->announce_gap_us =
         MIN(2 * dispatch->announce_gap_us, ANNOUNCE_GAP_MAX_US);
+    dispatch->announced_at_us = engine->now_us;
     dispatch->announce_at_us = engine->now_us + dispatch->announce_gap_us;
 }
 
--- a/src/request/state.h
+++ b/src/request/state.h
@@ -27,6 +27,7 @@
 /**
  * struct dispatch - what the dispatch policy remembers
  * @announced: urgent and ordinary waiting, as last announced
+ * @announced_at_us: when that was
  * @announce_at_us: when peers are told next that requests wait here
  * @announce_gap_us: time until then grows while nobody comes for them
  * @offer_at_us: no offer to take work for balance before
@@ -38,6 +39,7 @@
  */
 struct dispatch {
     unsigned announced[2];
+    uint64_t announced_at_us;
     uint64_t announce_at_us;
     uint64_t announce_gap_us;
     uint64_t offer_at_us;
