--- a/src/agent/agent.c
+++ b/src/agent/agent.c
@@ -131,6 +131,7 @@
     datagrams_tick(agent);
     ingress_tick(agent);
     requests_sweep(agent);
+    gauges_set(agent);
 }
 
 static void
