--- a/src/idem/keeper.c
+++ b/src/idem/keeper.c
@@ -43,7 +43,7 @@
                    msg->token);
         return;
     }
-    push_later(idem, record, now_us);
+    push_trust(idem, record, now_us);
     grant(idem, from, record, now_us, out);
 }
 
@@ -94,15 +94,20 @@
 }
 
 static void
-store(struct idem *idem, struct record *record, const struct idem_msg *msg,
-      uint64_t now_us)
+store(struct idem *idem, struct record *record, uint64_t from,
+      const struct idem_msg *msg, uint64_t now_us)
 {
     record->owner = msg->owner;
     record->token = msg->token;
     record->key.fingerprint = msg->key.fingerprint;
     record_set_state(&idem->records, record, msg->state, now_us);
     record_set_answer(&idem->records, record, msg->answer, msg->answer_len);
-    push_later(idem, record, now_us);
+    if (from == msg->owner) {
+        push_trust(idem, record, now_us);
+    }
+    else {
+        push_later(idem, record, now_us);
+    }
 }
 
 static void
@@ -124,7 +129,7 @@
     record =
         record_add(&idem->records, &msg->key, msg->owner, msg->token, now_us);
     if (record != NULL) {
-        store(idem, record, msg, now_us);
+        store(idem, record, from, msg, now_us);
         acknowledge(from, msg, msg->state, out);
     }
 }
@@ -136,7 +141,7 @@
            struct idem_actions *out)
 {
     if (state_strength(msg->state) > state_strength(record->state)) {
-        store(idem, record, msg, now_us);
+        store(idem, record, from, msg, now_us);
     }
     else if (msg->state == record->state && record->answer == NULL &&
              msg->answer_len > 0) {
@@ -159,7 +164,7 @@
 
     if (theirs > ours ||
         (theirs == ours && ours > 0 && msg->token < record->token)) {
-        store(idem, record, msg, now_us);
+        store(idem, record, from, msg, now_us);
         acknowledge(from, msg, msg->state, out);
         return;
     }
--- a/src/idem/push.c
+++ b/src/idem/push.c
@@ -117,6 +117,9 @@
         record_remove(&idem->records, record);
         return;
     }
+    if (record->trusted && owner_gone) {
+        record_distrust(record);
+    }
     replicas_targets(&idem->replicas, &record->key, now_us, &targets);
     replicas_at(&idem->replicas, &record->key, replicas_ago(now_us), &earlier);
     on_its_way = record->state == IDEM_STARTED &&
@@ -149,6 +152,16 @@
     record_queue(&idem->records, record, now_us + PUSH_AGAIN_US);
 }
 
+void
+push_trust(struct idem *idem, struct record *record, uint64_t now_us)
+{
+    struct replica_set targets;
+
+    replicas_targets(&idem->replicas, &record->key, now_us, &targets);
+    record_trust(record, &targets);
+    push_later(idem, record, now_us);
+}
+
 void
 push_later(struct idem *idem, struct record *record, uint64_t now_us)
 {
--- a/src/idem/push.h
+++ b/src/idem/push.h
@@ -26,6 +26,10 @@
 push_changed(struct idem *idem, struct record *record, uint64_t now_us,
              struct idem_actions *out);
 
+/** push_trust() - @record came from its owner, who tells the others too */
+void
+push_trust(struct idem *idem, struct record *record, uint64_t now_us);
+
 /** push_later() - look after @record, whose state is on its way */
 void
 push_later(struct idem *idem, struct record *record, uint64_t now_us);
--- a/src/idem/record.c
+++ b/src/idem/record.c
@@ -163,7 +163,7 @@
 {
     record->state = (uint8_t)state;
     record->updated_us = now_us;
-    memset(record->known, 0, sizeof(record->known));
+    record_distrust(record);
     record_set_unacked(table, record, true);
 }
 
@@ -247,6 +247,23 @@
     }
 }
 
+void
+record_trust(struct record *record, const struct replica_set *targets)
+{
+    for (size_t i = 0; i < targets->count; i++) {
+        record_note_sent(record, targets->lives[i]->number, true, targets);
+        record_note_ack(record, targets->lives[i]->number);
+    }
+    record->trusted = true;
+}
+
+void
+record_distrust(struct record *record)
+{
+    memset(record->known, 0, sizeof(record->known));
+    record->trusted = false;
+}
+
 void
 record_set_unacked(struct record_table *table, struct record *record,
                    bool unacked)
--- a/src/idem/record.h
+++ b/src/idem/record.h
@@ -42,6 +42,7 @@
  * @answer_len: bytes
  * @state: what is known
  * @queued: in the queue
+ * @trusted: @known goes by the owner's word, which ends with its life
  * @unacked: some target hasn't said yet that it holds the record
  * @due_us: when to visit it again
  * @known: who holds this state too
@@ -59,6 +60,7 @@
     uint32_t answer_len;
     uint8_t state;
     bool queued;
+    bool trusted;
     bool unacked;
     uint64_t due_us;
     struct record_known known[REPLICAS_TARGETS_MAX];
@@ -140,6 +142,14 @@
 void
 record_note_ack(struct record *record, uint32_t life);
 
+/** record_trust() - the owner itself brings the record to all @targets */
+void
+record_trust(struct record *record, const struct replica_set *targets);
+
+/** record_distrust() - nothing is known of who holds it */
+void
+record_distrust(struct record *record);
+
 /** record_set_unacked() - whether some target isn't known to hold it */
 void
 record_set_unacked(struct record_table *table, struct record *record,
--- /dev/null
+++ b/tests/idem/losses.c
@@ -0,0 +1,179 @@
+/**
+ * DOC: losses - what several deaths at once do to keys, and what a key costs
+ *
+ * Prints two tables for docs/design-idempotency.md. With an argument: that
+ * many seeds (default SEEDS). Exits with 1 if a single death hurt.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "sim.h"
+
+#define SEEDS 40
+#define AGENTS 7
+#define KEYS 12
+
+struct tally {
+    unsigned asked;
+    unsigned replayed;
+    unsigned unknown;
+    unsigned in_progress;
+    unsigned refused;
+    unsigned doubled;
+};
+
+static void
+count(struct tally *tally, enum idem_action_type verdict)
+{
+    tally->asked++;
+    tally->replayed += verdict == IDEM_REPLAY;
+    tally->unknown += verdict == IDEM_OUTCOME_UNKNOWN;
+    tally->in_progress += verdict == IDEM_IN_PROGRESS;
+    tally->refused += verdict == IDEM_REFUSE;
+    tally->doubled += verdict == IDEM_PROCEED;
+}
+
+/* Keys that ended or still run, @deaths agents die, everybody who lives is
+ * asked for each key @after_us later. */
+static void
+trial(uint32_t seed, unsigned deaths, bool noticed, uint64_t after_us,
+      unsigned lose, struct tally *tally)
+{
+    struct sim_net net = {
+        .delay_us = 20 * SIM_MSEC,
+        .lose = lose,
+        .skew_us = USEC_PER_SEC,
+    };
+    unsigned dead = 0;
+    struct sim sim;
+
+    sim_init(&sim, seed, net);
+    for (unsigned i = 0; i < AGENTS; i++) {
+        sim_start(&sim, i);
+    }
+    sim_advance(&sim, 30 * USEC_PER_SEC);
+    for (unsigned key = 0; key < KEYS; key++) {
+        uint64_t token = sim_begin(
+            &sim, (unsigned)g_rand_int_range(sim.rand, 0, AGENTS), key);
+
+        sim_advance(&sim, 700 * SIM_MSEC);
+        if (key % 2 == 0) {
+            sim_end(&sim, token, false, IDEM_DONE);
+        }
+    }
+    while (dead < deaths) {
+        unsigned node = (unsigned)g_rand_int_range(sim.rand, 0, AGENTS);
+
+        dead += sim.nodes[node].up;
+        sim_crash(&sim, node, noticed);
+    }
+    sim_advance(&sim, after_us);
+    for (unsigned key = 0; key < KEYS; key++) {
+        unsigned node = (unsigned)g_rand_int_range(sim.rand, 0, AGENTS);
+        uint64_t token = 0;
+
+        if (sim_runs(&sim, key) == 0) {
+            continue;
+        }
+        while ((token = sim_begin(&sim, node, key)) == 0) {
+            node = (node + 1) % AGENTS;
+        }
+        sim_advance(&sim, 2 * IDEM_RESERVE_TIMEOUT_US);
+        count(tally, sim_request(&sim, token)->verdict);
+    }
+    sim_finish(&sim);
+}
+
+static unsigned
+print_row(unsigned deaths, bool noticed, uint64_t after_us, unsigned lose,
+          uint32_t seeds)
+{
+    struct tally tally = {0};
+    double share;
+
+    for (uint32_t seed = 1; seed <= seeds; seed++) {
+        trial(seed, deaths, noticed, after_us, lose, &tally);
+    }
+    share = 100.0 / tally.asked;
+    printf("# | %u | %s | %u | %u %% | %u | %.2f | %.2f | %.2f | %.2f | "
+           "%.3f |\n",
+           deaths, noticed ? "at once" : "3 s",
+           (unsigned)(after_us / USEC_PER_SEC), lose / 10, tally.asked,
+           share * tally.replayed, share * tally.unknown,
+           share * tally.in_progress, share * tally.refused,
+           share * tally.doubled);
+    return tally.doubled;
+}
+
+static unsigned
+print_losses(uint32_t seeds)
+{
+    static const uint64_t after_us[] = {0, 2 * USEC_PER_SEC, 8 * USEC_PER_SEC,
+                                        25 * USEC_PER_SEC, 70 * USEC_PER_SEC};
+    static const unsigned loses[] = {0, 200};
+    unsigned hurt = 0;
+
+    printf("# | deaths of 7 | noticed | retry after, s | messages lost | "
+           "retries | replayed %% | unknown %% | in progress %% | "
+           "refused %% | run again %% |\n");
+    printf("# |---|---|---|---|---|---|---|---|---|---|\n");
+    for (unsigned deaths = 0; deaths <= 4; deaths++) {
+        for (size_t lose = 0; lose < G_N_ELEMENTS(loses); lose++) {
+            for (size_t i = 0; i < G_N_ELEMENTS(after_us); i++) {
+                unsigned doubled = print_row(deaths, i % 2 == 0, after_us[i],
+                                             loses[lose], seeds);
+
+                hurt += deaths <= 1 ? doubled : 0;
+            }
+        }
+    }
+    return hurt;
+}
+
+/* Messages and bytes of one key, with nothing wrong. */
+static void
+print_cost(unsigned agents)
+{
+    static const struct sim_net net = {.delay_us = 2 * SIM_MSEC};
+    uint64_t messages;
+    uint64_t bytes;
+    struct sim sim;
+
+    sim_init(&sim, 1, net);
+    for (unsigned i = 0; i < agents; i++) {
+        sim_start(&sim, i);
+    }
+    sim_advance(&sim, 30 * USEC_PER_SEC);
+    messages = sim.messages;
+    bytes = sim.bytes;
+    for (unsigned key = 0; key < 200; key++) {
+        uint64_t token = sim_begin(&sim, key % agents, key);
+
+        sim_advance(&sim, 50 * SIM_MSEC);
+        sim_end(&sim, token, false, IDEM_DONE);
+        sim_advance(&sim, 50 * SIM_MSEC);
+    }
+    sim_advance(&sim, 10 * USEC_PER_SEC);
+    printf("# | %u | %.2f | %.0f |\n", agents,
+           (double)(sim.messages - messages) / 200,
+           (double)(sim.bytes - bytes) / 200);
+    sim_finish(&sim);
+}
+
+int
+main(int argc, char **argv)
+{
+    uint32_t seeds = argc > 1 ? (uint32_t)strtoul(argv[1], NULL, 10) : SEEDS;
+    unsigned hurt;
+
+    printf("1..1\n# %u seeds from 1\n", seeds);
+    hurt = print_losses(seeds);
+    printf("#\n# | agents | messages a key | bytes a key, answers of about "
+           "35 bytes included |\n# |---|---|---|\n");
+    for (unsigned agents = 1; agents <= SIM_NODES; agents++) {
+        print_cost(agents);
+    }
+    printf("%s 1 no key runs again after one death\n",
+           hurt == 0 ? "ok" : "not ok");
+    return hurt == 0 ? 0 : 1;
+}
--- a/tests/idem/sim.c
+++ b/tests/idem/sim.c
@@ -1,31 +1,13 @@
-#include "sim.h"
 
 #include <string.h>
 
 #include "base/hash.h"
-#include "idem/state.h"
+#include "sim_private.h"
 
-#define WALL_US UINT64_C(1790000000000000)
 #define WIRE_BYTES 96
 
-enum event_type { EVENT_MESSAGE, EVENT_MEMBER, EVENT_JOIN };
-
-struct event {
-    uint64_t due_us;
-    uint64_t order;
-    enum event_type type;
-    unsigned to;
-    unsigned to_life;
-    unsigned from;
-    struct idem_msg msg;
-    uint8_t *answer;
-    unsigned about;
-    uint64_t seq;
-    struct view_member member;
-};
-
-static void
-free_event(gpointer data)
+void
+sim_free_event(gpointer data)
 {
     struct event *event = data;
 
@@ -45,8 +27,8 @@
     return x->order < y->order ? -1 : x->order > y->order;
 }
 
-static void
-fail(struct sim *sim, const char *format, ...)
+void
+sim_fail(struct sim *sim, const char *format, ...)
 {
     va_list args;
 
@@ -58,16 +40,16 @@
     va_end(args);
 }
 
-static uint64_t
-random_us(struct sim *sim, uint64_t bound_us)
+uint64_t
+sim_random_us(struct sim *sim, uint64_t bound_us)
 {
     return bound_us == 0
                ? 0
                : (uint64_t)g_rand_int_range(sim->rand, 0, (int)bound_us);
 }
 
-static void
-add_event(struct sim *sim, const struct event *event)
+void
+sim_add_event(struct sim *sim, const struct event *event)
 {
     struct event *copy = g_memdup2(event, sizeof(*event));
 
@@ -83,7 +65,7 @@
     sim->net = net;
     sim->now_us = USEC_PER_SEC;
     sim->next_tick_us = sim->now_us;
-    sim->events = g_sequence_new(free_event);
+    sim->events = g_sequence_new(sim_free_event);
     sim->requests = g_array_new(FALSE, TRUE, sizeof(struct sim_request));
     for (unsigned i = 0; i < SIM_KEYS; i++) {
         sim->answers[i] = g_string_new(NULL);
@@ -98,7 +80,7 @@
 {
     for (unsigned i = 0; i < SIM_NODES; i++) {
         idem_free(sim->nodes[i].idem);
-        g_queue_clear_full(&sim->nodes[i].inbox, free_event);
+        g_queue_clear_full(&sim->nodes[i].inbox, sim_free_event);
     }
     for (unsigned i = 0; i < SIM_KEYS; i++) {
         g_string_free(sim->answers[i], TRUE);
@@ -128,8 +110,8 @@
     return hash_name(name);
 }
 
-static unsigned
-node_of(uint64_t id)
+unsigned
+sim_node_of(uint64_t id)
 {
     for (unsigned i = 0; i < SIM_NODES; i++) {
         if (sim_id(i) == id) {
@@ -163,7 +145,7 @@
 static void
 send_message(struct sim *sim, unsigned from, const struct idem_action *action)
 {
-    unsigned to = node_of(action->to);
+    unsigned to = sim_node_of(action->to);
     unsigned copies = 1;
     struct event event = {
         .type = EVENT_MESSAGE,
@@ -188,13 +170,13 @@
                              ? sim->net.delay_us
                              : sim->net.delay_us / 8;
 
-        event.due_us = sim->now_us + random_us(sim, bound);
+        event.due_us = sim->now_us + sim_random_us(sim, bound);
         if (action->msg.answer != NULL) {
             event.answer =
                 g_memdup2(action->msg.answer, action->msg.answer_len);
             event.msg.answer = event.answer;
         }
-        add_event(sim, &event);
+        sim_add_event(sim, &event);
     }
 }
 
@@ -206,8 +188,8 @@
     const GString *answer = sim->answers[request->key % SIM_KEYS];
 
     if (request->phase != SIM_OPEN) {
-        fail(sim, "request %" G_GUINT64_FORMAT " settled twice",
-             request->token);
+        sim_fail(sim, "request %" G_GUINT64_FORMAT " settled twice",
+                 request->token);
     }
     request->verdict = action->type;
     request->reason = action->reason;
@@ -217,23 +199,23 @@
         request->ran = true;
         if (sim_runs(sim, request->key) > 1) {
             sim->doubled++;
-            fail(sim, "key %u ran twice (request %" G_GUINT64_FORMAT ")",
-                 request->key, request->token);
+            sim_fail(sim, "key %u ran twice (request %" G_GUINT64_FORMAT ")",
+                     request->key, request->token);
         }
     }
     if (action->type == IDEM_REPLAY &&
         (answer->len != action->msg.answer_len ||
          memcmp(answer->str, action->msg.answer, answer->len) != 0)) {
-        fail(sim, "key %u replayed another answer", request->key);
+        sim_fail(sim, "key %u replayed another answer", request->key);
     }
     if (action->type == IDEM_OUTCOME_UNKNOWN &&
         sim_runs(sim, request->key) == 0 && request->reason == 0) {
-        fail(sim, "key %u unknown without a reason", request->key);
+        sim_fail(sim, "key %u unknown without a reason", request->key);
     }
 }
 
-static void
-carry_out(struct sim *sim, unsigned node, struct idem_actions *out)
+void
+sim_carry_out(struct sim *sim, unsigned node, struct idem_actions *out)
 {
     for (size_t i = 0; i < out->count; i++) {
         const struct idem_action *action = &out->items[i];
@@ -248,236 +230,6 @@
     idem_actions_finish(out);
 }
 
-static int
-compare_members(gconstpointer a, gconstpointer b)
-{
-    const struct view_member *x = a;
-    const struct view_member *y = b;
-
-    return x->id < y->id ? -1 : x->id > y->id;
-}
-
-static void
-show_view(struct sim *sim, unsigned node)
-{
-    struct sim_node *self = &sim->nodes[node];
-    struct idem_actions out = {0};
-    struct view *view = view_new(SIM_NODES);
-
-    for (unsigned i = 0; i < SIM_NODES; i++) {
-        if (self->known[i].member.id != 0) {
-            view->members[view->count++] = self->known[i].member;
-        }
-    }
-    qsort(view->members, view->count, sizeof(view->members[0]),
-          compare_members);
-    for (size_t i = 0; i < view->count; i++) {
-        if (view->members[i].id == sim_id(node)) {
-            view->self = i;
-        }
-    }
-    g_assert_cmpint(idem_set_view(self->idem, view, sim->now_us, &out), ==, 0);
-    free(view);
-    carry_out(sim, node, &out);
-}
-
-static struct view_member
-describe(const struct sim *sim, unsigned node, enum member_health health)
-{
-    const struct sim_node *of = &sim->nodes[node];
-
-    return (struct view_member){
-        .id = sim_id(node),
-        .incarnation = of->incarnation,
-        .role = MEMBER_AGENT,
-        .state = of->leaving ? MEMBER_LEAVING : MEMBER_READY,
-        .health = health,
-        .service = SIM_SERVICE,
-        .slots = 2,
-    };
-}
-
-/* Every other process learns of it at a moment of its own. */
-static void
-tell(struct sim *sim, unsigned about, enum member_health health,
-     uint64_t after_us)
-{
-    uint64_t seq = ++sim->seq;
-
-    for (unsigned i = 0; i < SIM_NODES; i++) {
-        struct event event = {
-            .type = EVENT_MEMBER,
-            .due_us =
-                sim->now_us + after_us + random_us(sim, sim->net.skew_us),
-            .to = i,
-            .about = about,
-            .seq = seq,
-            .member = describe(sim, about, health),
-        };
-
-        if (i != about) {
-            add_event(sim, &event);
-        }
-    }
-}
-
-void
-sim_start(struct sim *sim, unsigned node)
-{
-    struct sim_node *self = &sim->nodes[node];
-    struct event join = {.type = EVENT_JOIN, .to = node};
-
-    if (self->up) {
-        return;
-    }
-    self->life++;
-    self->up = true;
-    self->frozen = false;
-    self->leaving = false;
-    self->joined = false;
-    self->started_us = sim->now_us;
-    self->incarnation = WALL_US + sim->now_us + random_us(sim, USEC_PER_SEC);
-    self->idem = idem_new(sim_id(node), 1000);
-    memset(self->known, 0, sizeof(self->known));
-    self->known[node].member = describe(sim, node, MEMBER_ALIVE);
-    self->known[node].member.since_us = sim->now_us;
-    show_view(sim, node);
-    tell(sim, node, MEMBER_ALIVE, 0);
-    join.to_life = self->life;
-    join.due_us = sim->now_us + random_us(sim, USEC_PER_SEC);
-    add_event(sim, &join);
-}
-
-/* A newcomer gets the whole list from one who is there; others do so from
- * time to time. */
-static void
-join(struct sim *sim, unsigned node)
-{
-    struct sim_node *self = &sim->nodes[node];
-    unsigned first = (unsigned)g_rand_int_range(sim->rand, 0, SIM_NODES);
-
-    self->joined = true;
-    for (unsigned i = 0; i < SIM_NODES; i++) {
-        const struct sim_node *peer = &sim->nodes[(first + i) % SIM_NODES];
-
-        if (!peer->up || peer->frozen || peer == self || !peer->joined) {
-            continue;
-        }
-        for (unsigned j = 0; j < SIM_NODES; j++) {
-            struct sim_known *known = &self->known[j];
-
-            if (j != node && peer->known[j].seq >= known->seq &&
-                peer->known[j].member.id != 0) {
-                uint64_t since_us = known->member.since_us;
-                bool same = known->member.id != 0 &&
-                            known->member.incarnation ==
-                                peer->known[j].member.incarnation;
-
-                *known = peer->known[j];
-                known->member.since_us = same ? since_us : sim->now_us;
-            }
-        }
-        break;
-    }
-    show_view(sim, node);
-}
-
-static void
-stop(struct sim *sim, unsigned node)
-{
-    struct sim_node *self = &sim->nodes[node];
-
-    idem_free(self->idem);
-    self->idem = NULL;
-    self->up = false;
-    self->frozen = false;
-    g_queue_clear_full(&self->inbox, free_event);
-    g_queue_init(&self->inbox);
-    for (size_t i = 0; i < sim->requests->len; i++) {
-        struct sim_request *request = sim_request(sim, i + 1);
-
-        if (request->node == node && request->phase != SIM_ENDED) {
-            request->phase = SIM_CRASHED;
-        }
-    }
-}
-
-void
-sim_crash(struct sim *sim, unsigned node, bool noticed)
-{
-    if (!sim->nodes[node].up) {
-        return;
-    }
-    stop(sim, node);
-    sim->lost_us = sim->now_us;
-    if (!noticed) {
-        tell(sim, node, MEMBER_SUSPECT, USEC_PER_SEC);
-    }
-    tell(sim, node, MEMBER_DEAD, noticed ? 0 : 3 * USEC_PER_SEC);
-}
-
-void
-sim_leave(struct sim *sim, unsigned node)
-{
-    struct sim_node *self = &sim->nodes[node];
-
-    if (self->up && !self->frozen && !self->leaving) {
-        self->leaving = true;
-        self->known[node].member.state = MEMBER_LEAVING;
-        show_view(sim, node);
-        tell(sim, node, MEMBER_ALIVE, 0);
-    }
-}
-
-void
-sim_freeze(struct sim *sim, unsigned node)
-{
-    if (sim->nodes[node].up && !sim->nodes[node].frozen) {
-        sim->nodes[node].frozen = true;
-        sim->nodes[node].frozen_us = sim->now_us;
-    }
-}
-
-static void
-deliver(struct sim *sim, struct event *event);
-
-void
-sim_thaw(struct sim *sim, unsigned node)
-{
-    struct sim_node *self = &sim->nodes[node];
-    struct event *event;
-
-    if (!self->frozen) {
-        return;
-    }
-    self->frozen = false;
-    self->incarnation++;
-    self->known[node].member.incarnation = self->incarnation;
-    tell(sim, node, MEMBER_ALIVE, 0);
-    while ((event = g_queue_pop_head(&self->inbox)) != NULL) {
-        deliver(sim, event);
-        free_event(event);
-    }
-}
-
-void
-sim_see(struct sim *sim, unsigned observer, unsigned about,
-        enum member_health health)
-{
-    struct sim_known *known = &sim->nodes[observer].known[about];
-
-    known->member.health = health;
-    known->seq = ++sim->seq;
-    show_view(sim, observer);
-}
-
-void
-sim_cut(struct sim *sim, unsigned a, unsigned b, uint64_t for_us)
-{
-    sim->cut_us[a][b] = for_us > 0 ? sim->now_us + for_us : 0;
-    sim->cut_us[b][a] = sim->cut_us[a][b];
-}
-
 uint64_t
 sim_begin(struct sim *sim, unsigned node, unsigned key)
 {
@@ -498,7 +250,7 @@
     g_array_append_val(sim->requests, request);
     g_assert_cmpint(
         idem_begin(self->idem, request.token, &id, sim->now_us, &out), ==, 0);
-    carry_out(sim, node, &out);
+    sim_carry_out(sim, node, &out);
     return request.token;
 }
 
@@ -522,47 +274,26 @@
     (void)idem_end(self->idem, token, not_run, state,
                    (const uint8_t *)answer->str, answer->len, sim->now_us,
                    &out);
-    carry_out(sim, request->node, &out);
-}
-
-static void
-learn(struct sim *sim, const struct event *event)
-{
-    struct sim_known *known = &sim->nodes[event->to].known[event->about];
-    uint64_t since_us = known->member.since_us;
-    uint64_t incarnation = known->member.incarnation;
-
-    if (event->seq <= known->seq) {
-        return;
-    }
-    known->seq = event->seq;
-    /* A refuted suspicion raises it by one, a restart by far more. */
-    if (known->member.id == 0 ||
-        event->member.incarnation > incarnation + 99) {
-        since_us = sim->now_us;
-    }
-    known->member = event->member;
-    known->member.since_us = since_us;
-    show_view(sim, event->to);
+    sim_carry_out(sim, request->node, &out);
 }
 
-static void
-deliver(struct sim *sim, struct event *event)
+void
+sim_deliver(struct sim *sim, struct event *event)
 {
     struct sim_node *self = &sim->nodes[event->to];
     struct idem_actions out = {0};
 
     switch (event->type) {
     case EVENT_JOIN:
-        join(sim, event->to);
+        sim_join(sim, event->to);
         break;
     case EVENT_MEMBER:
-        learn(sim, event);
+        sim_learn(sim, event);
         break;
     case EVENT_MESSAGE:
         (void)idem_receive(self->idem, sim_id(event->from), &event->msg,
                            sim->now_us, &out);
-        carry_out(sim, event->to, &out);
+        sim_carry_out(sim, event->to, &out);
         break;
     }
 }
@@ -586,8 +317,8 @@
         g_queue_push_tail(&self->inbox, event);
         return;
     }
-    deliver(sim, event);
-    free_event(event);
+    sim_deliver(sim, event);
+    sim_free_event(event);
 }
 
 static void
@@ -599,10 +330,10 @@
 
         if (self->up && !self->frozen) {
             (void)idem_tick(self->idem, sim->now_us, &out);
-            carry_out(sim, i, &out);
+            sim_carry_out(sim, i, &out);
             if (self->joined && !sim->no_sync &&
                 g_rand_int_range(sim->rand, 0, 40) == 0) {
-                join(sim, i);
+                sim_join(sim, i);
             }
         }
         if (self->frozen) {
@@ -610,11 +341,11 @@
 
             if (for_us >= USEC_PER_SEC &&
                 for_us < USEC_PER_SEC + SIM_TICK_US) {
-                tell(sim, i, MEMBER_SUSPECT, 0);
+                sim_tell(sim, i, MEMBER_SUSPECT, 0);
             }
             if (for_us >= 4 * USEC_PER_SEC &&
                 for_us < 4 * USEC_PER_SEC + SIM_TICK_US) {
-                tell(sim, i, MEMBER_DEAD, 0);
+                sim_tell(sim, i, MEMBER_DEAD, 0);
                 sim->lost_us = sim->now_us;
             }
         }
@@ -647,84 +378,3 @@
     }
     sim->now_us = end_us;
 }
-
-static void
-check_node(struct sim *sim, unsigned node)
-{
-    const struct record_table *records = &sim->nodes[node].idem->records;
-
-    for (size_t i = 0; i < records->count; i++) {
-        if (records->items[i]->state == IDEM_STARTED &&
-            !state_owner_gone(sim->nodes[node].idem, SIM_SERVICE,
-                              records->items[i]->owner,
-                              records->items[i]->token, sim->now_us)) {
-            fail(sim,
-                 "node %u still holds a reservation of node %u, age %u s, "
-                 "queued %d",
-                 node, node_of(records->items[i]->owner),
-                 (unsigned)((sim->now_us - records->items[i]->updated_us) /
-                            USEC_PER_SEC),
-                 records->items[i]->queued);
-        }
-    }
-    if (idem_unpushed(sim->nodes[node].idem) != 0) {
-        fail(sim, "node %u has %zu records that nobody acknowledged", node,
-             idem_unpushed(sim->nodes[node].idem));
-    }
-}
-
-/* A key that ran is never free again, whoever is asked. */
-static void
-check_key(struct sim *sim, unsigned key)
-{
-    unsigned node = 0;
-    uint64_t token;
-
-    while (node < SIM_NODES &&
-           (!sim->nodes[node].up || sim->nodes[node].leaving)) {
-        node++;
-    }
-    if (node == SIM_NODES) {
-        return;
-    }
-    token = sim_begin(sim, node, key);
-    sim_advance(sim, USEC_PER_SEC);
-    switch (sim_request(sim, token)->verdict) {
-    case IDEM_PROCEED:
-        sim_end(sim, token, false, IDEM_DONE);
-        break;
-    case IDEM_REPLAY:
-    case IDEM_OUTCOME_UNKNOWN:
-        break;
-    default:
-        fail(sim, "key %u is stuck: verdict %d reason %d", key,
-             sim_request(sim, token)->verdict,
-             sim_request(sim, token)->reason);
-    }
-}
-
-void
-sim_settle(struct sim *sim)
-{
-    for (unsigned i = 0; i < SIM_NODES; i++) {
-        sim_thaw(sim, i);
-        for (unsigned j = 0; j < SIM_NODES; j++) {
-            sim_cut(sim, i, j, 0);
-        }
-    }
-    sim->net.lose = 0;
-    sim_advance(sim, sim->net.delay_us + USEC_PER_SEC);
-    sim->net.delay_us = MIN(sim->net.delay_us, 20 * SIM_MSEC);
-    for (size_t i = 0; i < sim->requests->len; i++) {
-        sim_end(sim, i + 1, i % 3 == 0, i % 3 == 1 ? IDEM_DONE : IDEM_UNKNOWN);
-    }
-    sim_advance(sim, 90 * USEC_PER_SEC);
-    for (unsigned i = 0; i < SIM_NODES; i++) {
-        if (sim->nodes[i].up) {
-            check_node(sim, i);
-        }
-    }
-    for (unsigned i = 0; i < SIM_KEYS; i++) {
-        check_key(sim, i);
-    }
-}
