request: survive what peers send and entries that go together

Found by running the tests under the address and undefined sanitizers: a DONE with a reason outside the enum wrote past the counters (outcome/any_message: 20,000 seeded messages, SEGV before), and giving up one entry could free the next one in a walk over all (property test, use after free in lost_entry: a declined request displaced another). Walks now look entries up again. A draining peer's refusal is a decline: it cost an attempt, budget and blame (outcome/draining_peer_declines, red before).

--- a/src/request/dispatch.c
+++ b/src/request/dispatch.c
@@ -173,19 +173,32 @@
     return start_one_of(engine, first) || start_one_of(engine, other);
 }
 
-static void
-drop_hopeless(struct engine *engine, enum text_class class)
+static struct entry *
+first_hopeless(const struct engine *engine, enum text_class class,
+               enum engine_reason *reason)
 {
     struct entry *entry = engine->queue.head[class];
 
     while (entry != NULL) {
-        struct entry *next = entry->next;
-        enum engine_reason reason = admit_hopeless(engine, entry);
-
-        if (reason != ENGINE_REASON_NONE) {
-            finish_unserved(engine, entry, reason);
+        *reason = admit_hopeless(engine, entry);
+        if (*reason != ENGINE_REASON_NONE) {
+            return entry;
         }
-        entry = next;
+        entry = entry->next;
+    }
+    return NULL;
+}
+
+/* Giving one up may change others, so the search starts again. */
+static void
+drop_hopeless(struct engine *engine, enum text_class class)
+{
+    enum engine_reason reason;
+    struct entry *entry = first_hopeless(engine, class, &reason);
+
+    while (entry != NULL) {
+        finish_unserved(engine, entry, reason);
+        entry = first_hopeless(engine, class, &reason);
     }
 }
 
--- a/src/request/engine.c
+++ b/src/request/engine.c
@@ -364,15 +364,20 @@
 int
 engine_tick(struct engine *engine, uint64_t now_us, struct engine_actions *out)
 {
-    GList *list;
+    GArray *keys;
 
     begin_call(engine, now_us, out);
     keyed_tick(engine);
-    list = g_hash_table_get_values(engine->entries);
-    for (GList *item = list; item != NULL; item = item->next) {
-        tick_entry(engine, item->data);
+    keys = entry_keys(engine->entries);
+    for (guint i = 0; i < keys->len; i++) {
+        struct entry_key key = g_array_index(keys, struct entry_key, i);
+        struct entry *entry = entry_find(engine->entries, key.origin, key.id);
+
+        if (entry != NULL) {
+            tick_entry(engine, entry);
+        }
     }
-    g_list_free(list);
+    g_array_unref(keys);
     seen_expire(&engine->seen, engine->now_us);
     dispatch_run(engine);
     return 0;
--- a/src/request/entry.c
+++ b/src/request/entry.c
@@ -34,6 +34,20 @@
     return g_hash_table_lookup(table, &key);
 }
 
+GArray *
+entry_keys(GHashTable *table)
+{
+    GArray *keys = g_array_new(FALSE, FALSE, sizeof(struct entry_key));
+    GHashTableIter iter;
+    gpointer key;
+
+    g_hash_table_iter_init(&iter, table);
+    while (g_hash_table_iter_next(&iter, &key, NULL)) {
+        g_array_append_vals(keys, key, 1);
+    }
+    return keys;
+}
+
 struct entry *
 entry_add(GHashTable *table, uint64_t origin,
           const struct engine_request *request, uint64_t now_us)
--- a/src/request/entry.h
+++ b/src/request/entry.h
@@ -76,6 +76,11 @@
 struct entry *
 entry_find(GHashTable *table, uint64_t origin, uint64_t id);
 
+/** entry_keys() - keys of all entries (struct entry_key), to visit them
+ * while entries come and go; g_array_unref() it */
+GArray *
+entry_keys(GHashTable *table);
+
 /** entry_add() - new waiting entry, owned by the table */
 struct entry *
 entry_add(GHashTable *table, uint64_t origin,
--- a/src/request/finish.c
+++ b/src/request/finish.c
@@ -91,6 +91,7 @@
        enum engine_reason reason, const uint8_t *answer, size_t answer_len)
 {
     tell(engine, entry, outcome, reason);
+    entry->cleared = true; /* whatever its reservation says from now on */
     if (entry->request.keyed && engine_is_local(engine, entry)) {
         keyed_end(engine, entry, outcome, answer, answer_len);
     }
--- a/src/request/remote.c
+++ b/src/request/remote.c
@@ -81,12 +81,14 @@
     run_for(engine, msg);
 }
 
+/* All but a shedding upstream are the peer's own word: nothing was tried. */
 static void
 peer_refused(struct engine *engine, struct entry *entry, struct peer *peer,
              enum engine_reason reason)
 {
     switch (reason) {
     case ENGINE_QUEUE_FULL:
+    case ENGINE_NO_UPSTREAM:
     case ENGINE_TOO_LATE:
     case ENGINE_STOPPING:
         if (peer != NULL) {
@@ -122,6 +124,8 @@
              const struct engine_peer_msg *msg, const uint8_t *answer,
              size_t answer_len)
 {
+    enum engine_reason reason =
+        (unsigned)msg->reason < ENGINE_REASONS ? msg->reason : ENGINE_LOST;
     struct entry *entry =
         entry_find(engine->entries, engine->self, msg->request.id);
     struct peer *peer = peers_find(&engine->peers, from);
@@ -145,10 +149,10 @@
         finish_answered(engine, entry, answer, answer_len);
     }
     else if (msg->outcome == ENGINE_NOT_RUN) {
-        peer_refused(engine, entry, peer, msg->reason);
+        peer_refused(engine, entry, peer, reason);
     }
     else {
-        peer_lost_it(engine, entry, peer, msg->reason);
+        peer_lost_it(engine, entry, peer, reason);
     }
 }
 
@@ -256,12 +260,17 @@
 remote_lost(struct engine *engine, uint64_t member)
 {
     struct peer *peer = peers_find(&engine->peers, member);
-    GList *list = g_hash_table_get_values(engine->entries);
+    GArray *keys = entry_keys(engine->entries);
 
-    for (GList *item = list; item != NULL; item = item->next) {
-        lost_entry(engine, item->data, member);
+    for (guint i = 0; i < keys->len; i++) {
+        struct entry_key key = g_array_index(keys, struct entry_key, i);
+        struct entry *entry = entry_find(engine->entries, key.origin, key.id);
+
+        if (entry != NULL) {
+            lost_entry(engine, entry, member);
+        }
     }
-    g_list_free(list);
+    g_array_unref(keys);
     if (peer != NULL) {
         peer->offer = 0;
         peer->waiting_at_us = 0;
--- a/tests/request/outcome_test.c
+++ b/tests/request/outcome_test.c
@@ -184,6 +184,58 @@
     g_assert_nonnull(fixture_find(f, ENGINE_ABORT, 52));
 }
 
+/* A peer that drains has not tried it: no attempt, no budget, no blame. */
+static void
+test_draining_peer_declines(struct fixture *f, gconstpointer data)
+{
+    uint64_t id = send_to_peer(f, false);
+    unsigned budget = f->engine->retry.hundredths;
+
+    fixture_receive(f, ENGINE_PEER_DONE, id, ENGINE_NOT_RUN,
+                    ENGINE_NO_UPSTREAM);
+    g_assert_cmpuint(engine_waiting(f->engine), ==, 1);
+    g_assert_cmpuint(f->engine->retry.hundredths, ==, budget);
+    g_assert_cmpuint(peers_find(&f->engine->peers, PEER)->traffic.failures, ==,
+                     0);
+}
+
+/* Whatever authenticated peers send, the engine keeps its bounds. */
+static void
+test_any_message(struct fixture *f, gconstpointer data)
+{
+    GRand *random = g_rand_new_with_seed(20261202);
+    uint64_t kept = fixture_arrive(f, TEXT_URGENT, true, 600 * USEC_PER_SEC);
+
+    for (int i = 0; i < 20000; i++) {
+        struct engine_peer_msg msg;
+        uint8_t *bytes = (uint8_t *)&msg;
+
+        for (size_t b = 0; b < sizeof(msg); b++) {
+            bytes[b] = (uint8_t)g_rand_int(random);
+        }
+        msg.type = g_rand_int_range(random, 0, 9);
+        msg.origin = g_rand_int_range(random, 0, 4);
+        msg.request.id = g_rand_int_range(random, 0, 40);
+        msg.request.service = g_rand_int_range(random, SERVICE, NEEDED + 1);
+        msg.idem = (struct idem_msg){0};
+        msg.idem.type = g_rand_int_range(random, 0, 6);
+        msg.idem.key.service = SERVICE;
+        if (msg.type == ENGINE_PEER_DONE) {
+            msg.origin = SELF;
+            msg.request.id = kept + g_rand_int_range(random, 0, 10);
+        }
+        fixture_arrive(f, TEXT_URGENT, true, 100 * MS);
+        f->now_us += MS;
+        (void)engine_peer(f->engine, g_rand_int_range(random, 1, 5), &msg,
+                          NULL, 0, f->now_us, &f->out);
+        kept = f->next_id > 10 ? f->next_id - 10 : 1;
+        engine_tick(f->engine, f->now_us, &f->out);
+        g_assert_cmpuint(engine_busy(f->engine), <=, 2);
+        g_assert_cmpuint(engine_waiting(f->engine), <=, 16);
+    }
+    g_rand_free(random);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -200,5 +252,7 @@
     FIXTURE_ADD("outcome", peer_lost_idempotent);
     FIXTURE_ADD("outcome", unsent);
     FIXTURE_ADD("outcome", cancel_goes_down);
+    FIXTURE_ADD("outcome", draining_peer_declines);
+    FIXTURE_ADD("outcome", any_message);
     return g_test_run();
 }
