--- a/scripts/sitebed/faults.py
+++ b/scripts/sitebed/faults.py
@@ -138,10 +138,13 @@
         names = ["balancer_kill", "agent_kill", "agent_freeze",
                  "upstream_drain", "upstream_join", "platform_outage",
                  "balancer_join"]
+        threads = []
         for name in self.random.sample(names, 4):
-            thread = threading.Thread(target=getattr(self, name))
-            thread.start()
+            threads.append(threading.Thread(target=getattr(self, name)))
+            threads[-1].start()
             time.sleep(self.random.uniform(0.2, 1.5))
+        for thread in threads:
+            thread.join()
 
     def apply_and_measure(self, queue):
         """Apply an edit and measure until it is in force everywhere."""
