idem: a refuted suspicion doesn't make the memory young

Cause: under loss suspicions are refuted often, and each one would have taken an agent's grants out of account for 10 s; what it guarded against (taken for dead without having been paused) needs an asymmetric cut of 16 s and a replica that missed the record besides. The pause rule stays.

--- a/src/idem/idem.h
+++ b/src/idem/idem.h
@@ -26,7 +26,8 @@
  * What this assumes: views differ by less than IDEM_SETTLE_US (by less than
  * IDEM_START_US while a service starts), and fewer than IDEM_QUORUM of a
  * key's replicas lose their memory within the time it takes to notice a
- * death, to settle and to push (15 s). See docs/design-idempotency.md.
+ * death, to settle and to push (15 s after it was noticed). See
+ * docs/design-idempotency.md.
  *
  * Pure: one struct idem holds both sides (coordinator of own requests and
  * replica of keys); events in, actions out.
--- a/src/idem/replicas.c
+++ b/src/idem/replicas.c
@@ -217,19 +217,10 @@
         replicas->start_us = MIN(MAX(self->since_us, 1), MAX(now_us, 1));
         replicas->young_us = replicas->start_us;
         replicas->incarnation = self->incarnation;
-        replicas->refuted = self->incarnation;
     }
     replicas->alone = view->count == 1;
     *changed = forget(replicas, now_us);
     *changed |= refresh(replicas, view, now_us);
-    if (view->members[view->self].incarnation != replicas->refuted) {
-        replicas->refuted = view->members[view->self].incarnation;
-        *changed = true;
-        rc = replicas_resume(replicas, view->members[view->self].id, now_us);
-        if (rc < 0) {
-            return rc;
-        }
-    }
     for (size_t i = 0; i < view->count; i++) {
         const struct view_member *member = &view->members[i];
 
--- a/src/idem/replicas.h
+++ b/src/idem/replicas.h
@@ -4,8 +4,8 @@
  * A life is one stretch of a member's memory for one service: it begins
  * when the process is first seen, announces the service or comes back from
  * the dead, and ends when it dies, restarts, leaves or drops the service.
- * The own life ends and begins anew also when the process was paused, or
- * had to refute a suspicion: others may have taken it for dead.
+ * The own life ends and begins anew also when the process was paused:
+ * others may have taken it for dead.
  * Ended lives are remembered for REPLICAS_CUT_OFF_US, and as long as their
  * process lives, so that the replicas of a while ago can still be told.
  */
@@ -55,7 +55,6 @@
  * @capacity: room in @lives
  * @next_number: number of the next life
  * @incarnation: of the own process, when first seen
- * @refuted: of the own process now
  * @start_us: own start; 0 before the first view
  * @young_us: own memory is whole since then: own start, or the end of the
  *            last pause
@@ -67,7 +66,6 @@
     size_t capacity;
     uint32_t next_number;
     uint64_t incarnation;
-    uint64_t refuted;
     uint64_t start_us;
     uint64_t young_us;
     bool alone;
