--- /dev/null
+++ b/tests/golden/scene_apply.c
@@ -0,0 +1,191 @@
+#include <errno.h>
+#include <string.h>
+
+#include "scene.h"
+
+#define CALL_TIMEOUT_US (2500 * USEC_PER_MSEC)
+#define WRITTEN_MS UINT64_C(1700000000000)
+
+static const char *const outcomes[] = {
+    [APPLY_APPLIED] = "applied",
+    [APPLY_SAME] = "the same is published already",
+    [APPLY_REPLACED] = "applied, then replaced",
+    [APPLY_RACE_LOST] = "not applied: another came first",
+    [APPLY_NOT_WRITTEN] = "not applied",
+    [APPLY_UNKNOWN_BEHIND] = "unknown: others are published since",
+    [APPLY_UNKNOWN] = "unknown",
+};
+
+/* The number of the call that operator @at's run waits for. */
+static uint64_t
+call_number(const struct scene *scene, int at)
+{
+    return (uint64_t)at << 32 | scene->operators[at].call;
+}
+
+/* An event for a run that still waits for @call. */
+static struct scene_message *
+tell(struct scene *scene, int from, uint64_t call, enum apply_event_type type,
+     GBytes *value, char *what)
+{
+    struct scene_message *msg =
+        scene_send(scene, SCENE_REPLY, from, SCENE_OPERATOR, value, what);
+
+    msg->status = (int)type;
+    msg->a = scene->version;
+    msg->b = call;
+    return msg;
+}
+
+static void
+tell_later(struct scene *scene, int at, enum apply_event_type type,
+           uint64_t delay_us)
+{
+    struct scene_message *msg =
+        tell(scene, SCENE_OPERATOR, call_number(scene, at), type, NULL, NULL);
+
+    scene_delay(scene, msg, delay_us);
+}
+
+static GBytes *
+make_value(const struct scene_apply *run)
+{
+    struct text_envelope seen = {0};
+    struct text_envelope envelope = {.text = run->text,
+                                     .text_len = strlen(run->text),
+                                     .written_ms = WRITTEN_MS};
+    size_t len = 0;
+
+    g_strlcpy(envelope.write_id, run->core.write_id, TEXT_WRITE_ID_MAX);
+    g_strlcpy(envelope.author, run->author, TEXT_AUTHOR_MAX);
+    if (run->seen != NULL) {
+        const char *value = g_bytes_get_data(run->seen, &len);
+
+        g_assert_cmpint(text_envelope_read(value, len, &seen), ==, 0);
+        g_strlcpy(envelope.history[0], seen.write_id, TEXT_WRITE_ID_MAX);
+        envelope.history_count = MIN(seen.history_count + 1, TEXT_HISTORY_MAX);
+        memcpy(envelope.history[1], seen.history[0],
+               (envelope.history_count - 1) * TEXT_WRITE_ID_MAX);
+    }
+    char *value = text_envelope_write(&envelope, &len);
+    return g_bytes_new_take(value, len);
+}
+
+static void
+call_platform(struct scene *scene, int at, const struct apply_action *action)
+{
+    struct scene_apply *run = &scene->operators[at];
+    bool write = action->type == APPLY_DO_WRITE;
+    char *what = write ? g_strdup_printf("publish if version is %u",
+                                         (unsigned)action->expect)
+                       : g_strdup("read");
+    struct scene_message *msg =
+        scene_send(scene, SCENE_CALL, SCENE_OPERATOR, SCENE_PLATFORM,
+                   write ? make_value(run) : NULL, what);
+
+    run->call++;
+    msg->a = action->expect;
+    msg->b = call_number(scene, at);
+    msg->status = write;
+    tell_later(scene, at, write ? APPLY_LOST : APPLY_READ_FAILED,
+               CALL_TIMEOUT_US);
+}
+
+void
+scene_apply_step(struct scene *scene, int at, struct apply_action action)
+{
+    struct scene_apply *run = &scene->operators[at];
+
+    switch (action.type) {
+    case APPLY_DO_WAIT:
+        run->call++;
+        tell_later(scene, at, APPLY_WAITED, action.wait_ms * USEC_PER_MSEC);
+        break;
+    case APPLY_DO_FINISH:
+        run->call++;
+        scene_log(scene, "  %s is told: %s (version %u)", run->author,
+                  outcomes[action.outcome], (unsigned)action.version);
+        break;
+    default:
+        call_platform(scene, at, &action);
+        break;
+    }
+}
+
+static void
+put(struct scene *scene, const struct scene_message *msg, int at)
+{
+    if (msg->a != scene->version) {
+        tell(
+            scene, SCENE_PLATFORM, msg->b, APPLY_STALE, NULL,
+            g_strdup_printf("stale: version is %u", (unsigned)scene->version));
+        return;
+    }
+    if (scene->value != NULL) {
+        g_bytes_unref(scene->value);
+    }
+    scene->value = g_bytes_ref(msg->bytes);
+    scene->version++;
+    scene_log(scene, "  the platform holds version %u of %s",
+              (unsigned)scene->version, scene->operators[at].author);
+    tell(scene, SCENE_PLATFORM, msg->b, APPLY_WRITTEN, NULL,
+         g_strdup_printf("written as version %u", (unsigned)scene->version));
+    scene_platform_tick(scene, false);
+}
+
+static void
+arrive(struct scene *scene, const struct scene_message *msg, int at)
+{
+    if (scene->outage) {
+        /* Nobody answers; the call's time runs out. */
+        scene_log(scene, "  the platform is down: no answer");
+        return;
+    }
+    if (msg->status != 0) {
+        put(scene, msg, at);
+        return;
+    }
+    tell(scene, SCENE_PLATFORM, msg->b, APPLY_READ,
+         scene->value == NULL ? NULL : g_bytes_ref(scene->value),
+         g_strdup_printf("version %u", (unsigned)scene->version));
+}
+
+static void
+take_reply(struct scene *scene, const struct scene_message *msg, int at)
+{
+    struct scene_apply *run = &scene->operators[at];
+    struct text_envelope envelope = {0};
+    struct apply_event event = {.type = (enum apply_event_type)msg->status,
+                                .version = msg->a};
+    size_t len = 0;
+
+    if (msg->bytes != NULL) {
+        const char *value = g_bytes_get_data(msg->bytes, &len);
+
+        g_assert_cmpint(text_envelope_read(value, len, &envelope), ==, 0);
+        event.envelope = &envelope;
+        event.same = envelope.text_len == strlen(run->text) &&
+                     memcmp(envelope.text, run->text, envelope.text_len) == 0;
+        if (run->seen != NULL) {
+            g_bytes_unref(run->seen);
+        }
+        run->seen = g_bytes_ref(msg->bytes);
+    }
+    if (event.type == APPLY_LOST || event.type == APPLY_READ_FAILED) {
+        scene_log(scene, "  %s had no answer in time", run->author);
+    }
+    scene_apply_step(scene, at, apply_core_step(&run->core, &event));
+}
+
+void
+scene_apply_receive(struct scene *scene, const struct scene_message *msg)
+{
+    int at = (int)(msg->b >> 32);
+
+    if (msg->kind == SCENE_CALL) {
+        arrive(scene, msg, at);
+    }
+    else if ((uint32_t)msg->b == scene->operators[at].call) {
+        take_reply(scene, msg, at);
+    }
+}
--- /dev/null
+++ b/tests/golden/scene_control.c
@@ -0,0 +1,480 @@
+#include <errno.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/hash.h"
+#include "control/control.pb-c.h"
+#include "control/wire.h"
+#include "scene.h"
+
+#define CELL "dar"
+#define LOAD_PUBLISH_US (1 * USEC_PER_SEC)
+
+static const char *const member_kinds[] = {
+    [MEMBER_PING] = "ping",
+    [MEMBER_ACK] = "ack",
+    [MEMBER_NOT_ME] = "not-me",
+    [MEMBER_PING_FOR] = "ping-for",
+    [MEMBER_PUSH] = "push",
+    [MEMBER_JOIN] = "join",
+    [MEMBER_WELCOME] = "welcome",
+    [MEMBER_SYNC_LIST] = "list",
+    [MEMBER_SYNC_ANSWER] = "list-answer",
+    [MEMBER_SYNC_PUSH] = "list-push",
+};
+static const char *const states[] = {"warming", "ready", "draining",
+                                     "leaving"};
+static const char *const healths[] = {"alive", "suspect", "dead"};
+
+static void
+describe_update(GString *text, const struct scene *scene,
+                const struct member_update *update)
+{
+    const struct view_member *member = &update->member;
+    const char *service = "unknown";
+
+    g_string_append_printf(text, " {%s %s %s", member->name,
+                           states[member->state], healths[member->health]);
+    if (member->incarnation > update->start) {
+        g_string_append_printf(
+            text, " again+%u",
+            (unsigned)(member->incarnation - update->start));
+    }
+    for (int i = 0; i < scene->count; i++) {
+        if (hash_service(scene->hosts[i].service) == member->service) {
+            service = scene->hosts[i].service;
+        }
+    }
+    if (member->service != 0) {
+        g_string_append_printf(text, " %u slots of %s", member->slots,
+                               service);
+    }
+    g_string_append_c(text, '}');
+}
+
+/* NULL for a probe or an answer to one that carries no news. */
+static char *
+describe(const struct scene *scene, const struct member_msg *msg)
+{
+    GString *text;
+
+    if (msg->update_count == 0 &&
+        (msg->kind == MEMBER_PING || msg->kind == MEMBER_ACK)) {
+        return NULL;
+    }
+    text = g_string_new(member_kinds[msg->kind]);
+    if (msg->target != 0) {
+        g_string_append_printf(text, " of %s", scene_name(scene, msg->target));
+    }
+    g_string_append_printf(text, " v%u", (unsigned)msg->config_version);
+    for (size_t i = 0; i < msg->update_count; i++) {
+        describe_update(text, scene, &msg->updates[i]);
+    }
+    if (msg->summary_count > 0 || msg->want_count > 0) {
+        g_string_append_printf(text, " knows %zu wants %zu",
+                               msg->summary_count, msg->want_count);
+    }
+    return g_string_free(text, FALSE);
+}
+
+static int
+host_at(const struct scene *scene, struct addr control)
+{
+    for (int i = 0; i < scene->count; i++) {
+        if (addr_equal(scene->hosts[i].control, control)) {
+            return i;
+        }
+    }
+    return -1;
+}
+
+static void
+send_members(struct scene *scene, int i)
+{
+    struct scene_host *host = &scene->hosts[i];
+
+    for (size_t n = 0; n < host->out.count; n++) {
+        const struct member_action *action = &host->out.items[n];
+        size_t len = wire_size(&action->msg);
+        uint8_t *buf = g_malloc(len);
+        int to = action->to.ip == 0 ? host->conn : host_at(scene, action->to);
+
+        len = wire_encode(&action->msg, buf);
+        g_assert_cmpint(to, >=, 0);
+        scene_send(scene, action->stream ? SCENE_SYNC : SCENE_GOSSIP, i, to,
+                   g_bytes_new_take(buf, len), describe(scene, &action->msg));
+    }
+    member_actions_clear(&host->out);
+}
+
+static void
+adopt(struct scene *scene, int i, uint64_t version, GBytes *value,
+      uint64_t word_us)
+{
+    struct scene_host *host = &scene->hosts[i];
+    struct text *text = NULL;
+    char *report = NULL;
+    size_t len = 0;
+    const char *body = g_bytes_get_data(value, &len);
+
+    if (text_parse_envelope(body, len, version, &text, &report) < 0) {
+        scene_log(scene, "  %s refuses version %u", host->name,
+                  (unsigned)version);
+        g_free(report);
+        config_refuse(&host->config, version);
+        return;
+    }
+    scene_log(scene, "  %s: version %u is in force (before: %u)", host->name,
+              (unsigned)version, (unsigned)host->config.have);
+    text_free(host->text);
+    host->text = text;
+    config_adopted(&host->config, version, word_us);
+    if (host->agent) {
+        engine_set_text(host->engine, text, scene_now(scene), &host->actions);
+        scene_act(scene, i);
+    }
+    scene_refresh(scene, i);
+}
+
+static void
+answer_watch(struct scene *scene, int host, int status)
+{
+    struct scene_message *reply;
+    char *what =
+        status == 0
+            ? g_strdup_printf("version %u", (unsigned)scene->version)
+            : g_strdup(status == -EAGAIN ? "nothing newer" : "no answer");
+
+    reply = scene_send(scene, SCENE_READ, SCENE_PLATFORM, host,
+                       status == 0 ? g_bytes_ref(scene->value) : NULL, what);
+    reply->status = status;
+    reply->a = scene->version;
+}
+
+void
+scene_platform_tick(struct scene *scene, bool all)
+{
+    GList *next;
+
+    for (GList *l = scene->watches.head; l != NULL; l = next) {
+        struct scene_watch *watch = l->data;
+        const struct scene_host *host = &scene->hosts[watch->host];
+        bool newer = scene->version > watch->after;
+
+        next = l->next;
+        if (!all && !newer && scene_now(scene) < watch->until_us) {
+            continue;
+        }
+        if (host->up && host->life == watch->life) {
+            answer_watch(scene, watch->host,
+                         all ? -ECONNRESET : (newer ? 0 : -EAGAIN));
+        }
+        g_free(watch);
+        g_queue_delete_link(&scene->watches, l);
+    }
+}
+
+static void
+call_platform(struct scene *scene, int i, const struct config_action *action)
+{
+    bool wait = action->type == CONFIG_WATCH;
+    struct scene_watch *watch;
+
+    scene_log(scene, "%s %s the platform's configuration, has %u",
+              scene->hosts[i].name, wait ? "watches" : "reads",
+              (unsigned)scene->hosts[i].config.have);
+    if (scene->outage) {
+        answer_watch(scene, i, -ECONNREFUSED);
+        return;
+    }
+    if (!wait || scene->version > action->after) {
+        answer_watch(scene, i, scene->version == 0 ? -ENOENT : 0);
+        return;
+    }
+    watch = g_new0(struct scene_watch, 1);
+    *watch = (struct scene_watch){
+        .host = i,
+        .life = scene->hosts[i].life,
+        .after = action->after,
+        .until_us = scene_now(scene) + CONFIG_WAIT_S * USEC_PER_SEC,
+    };
+    g_queue_push_tail(&scene->watches, watch);
+}
+
+static void
+ask_peer(struct scene *scene, int i, const struct config_action *action)
+{
+    Swiftarch__ConfigRequest request = SWIFTARCH__CONFIG_REQUEST__INIT;
+    uint8_t body[32];
+    size_t len;
+
+    request.have = action->after;
+    len = swiftarch__config_request__pack(&request, body);
+    scene->hosts[i].asked = host_at(scene, action->from);
+    scene_send(scene, SCENE_ASK, i, scene->hosts[i].asked,
+               g_bytes_new(body, len),
+               g_strdup_printf("have you a version above %u?",
+                               (unsigned)action->after));
+}
+
+static void
+step_config(struct scene *scene, int i)
+{
+    struct scene_host *host = &scene->hosts[i];
+    uint64_t cell = hash_bytes(CELL, strlen(CELL), 0);
+    struct config_actions actions;
+    struct config_place place;
+
+    place.rank = member_rank(&host->members, cell, &place.alive);
+    place.joined = host->members.joined;
+    place.has_contacts = host->members.contact_count > 0;
+    config_set_place(&host->config, &place);
+    config_tick(&host->config, scene_now(scene), &actions);
+    for (size_t n = 0; n < actions.count; n++) {
+        if (actions.items[n].type == CONFIG_FETCH) {
+            ask_peer(scene, i, &actions.items[n]);
+        }
+        else {
+            call_platform(scene, i, &actions.items[n]);
+        }
+    }
+}
+
+static void
+announce(struct scene *scene, int i)
+{
+    struct scene_host *host = &scene->hosts[i];
+    const struct text_service *service = NULL;
+    enum member_state state = host->state;
+
+    if (state == MEMBER_READY && host->text == NULL) {
+        state = MEMBER_WARMING;
+    }
+    if (host->agent && host->text != NULL) {
+        service = text_find_name(host->text, host->service);
+    }
+    member_announce(&host->members, state, service != NULL ? service->id : 0,
+                    service != NULL ? SCENE_SLOTS : 0,
+                    host->agent ? (uint16_t)engine_busy(host->engine) : 0,
+                    host->agent ? (uint16_t)engine_waiting(host->engine) : 0,
+                    scene_now(scene));
+}
+
+static void
+publish(struct scene *scene, int i)
+{
+    struct scene_host *host = &scene->hosts[i];
+    uint64_t now_us = scene_now(scene);
+    uint64_t seq = host->view == NULL ? 1 : host->view->seq + 1;
+
+    if (!host->members.changed &&
+        (!host->members.load_changed || now_us < host->load_us)) {
+        return;
+    }
+    free(host->view);
+    host->view = member_view(&host->members, seq, now_us);
+    host->members.changed = false;
+    host->members.load_changed = false;
+    host->load_us = now_us + LOAD_PUBLISH_US;
+    scene_refresh(scene, i);
+    if (host->agent) {
+        engine_set_view(host->engine, host->view, now_us, &host->actions);
+        scene_act(scene, i);
+    }
+}
+
+void
+scene_control_step(struct scene *scene, int i)
+{
+    struct scene_host *host = &scene->hosts[i];
+    uint64_t now_us = scene_now(scene);
+
+    announce(scene, i);
+    step_config(scene, i);
+    member_set_config(&host->members, host->config.have, host->config.word_us,
+                      now_us);
+    if (now_us >= member_next_us(&host->members)) {
+        member_tick(&host->members, now_us, &host->out);
+    }
+    send_members(scene, i);
+    publish(scene, i);
+}
+
+void
+scene_control_init(struct scene *scene, int i)
+{
+    struct scene_host *host = &scene->hosts[i];
+    struct member_update self = {.start = host->start};
+    uint64_t now_us = scene_now(scene);
+
+    self.member.id = hash_name(host->name);
+    self.member.incarnation = host->start;
+    g_strlcpy(self.member.name, host->name, VIEW_NAME_MAX);
+    g_strlcpy(self.member.data_centre, "kariakoo", VIEW_NAME_MAX);
+    self.member.role = MEMBER_BALANCER;
+    if (strncmp(host->name, "balancer", strlen("balancer")) != 0) {
+        self.member.role = MEMBER_AGENT;
+    }
+    self.member.state = MEMBER_WARMING;
+    self.member.data = host->data;
+    self.member.control = host->control;
+    host->conn = -1;
+    g_assert_cmpint(
+        member_core_init(&host->members, &self, (uint64_t)i + 1, now_us), ==,
+        0);
+    config_core_init(&host->config, (uint64_t)i + 100, now_us);
+    for (int n = 0; n < scene->count; n++) {
+        if (n != i && scene->hosts[n].up) {
+            member_add_contact(&host->members, scene->hosts[n].control);
+        }
+    }
+}
+
+static void
+receive_member(struct scene *scene, const struct scene_message *msg)
+{
+    struct scene_host *host = &scene->hosts[msg->to];
+    const struct scene_host *from = &scene->hosts[msg->from];
+    struct addr none = {0};
+    struct member_msg read;
+    size_t len = 0;
+    const uint8_t *buf = g_bytes_get_data(msg->bytes, &len);
+    bool stream = msg->kind == SCENE_SYNC;
+
+    g_assert_cmpint(wire_decode(buf, len, hash_name(from->name), &read), ==,
+                    0);
+    host->conn = msg->from;
+    member_receive(&host->members, &read, stream ? none : from->control,
+                   scene_now(scene), &host->out);
+    send_members(scene, msg->to);
+    host->conn = -1;
+    const struct member_entry *entry =
+        member_find(&host->members, hash_name(from->name));
+    if (entry != NULL) {
+        config_heard(&host->config, entry->member.control, read.config_version,
+                     read.word_age_ms, scene_now(scene));
+    }
+    member_msg_finish(&read);
+}
+
+static void
+receive_ask(struct scene *scene, const struct scene_message *msg)
+{
+    const struct text *text = scene->hosts[msg->to].text;
+    Swiftarch__ConfigReply reply = SWIFTARCH__CONFIG_REPLY__INIT;
+    size_t len = 0;
+    const uint8_t *body = g_bytes_get_data(msg->bytes, &len);
+    Swiftarch__ConfigRequest *request =
+        swiftarch__config_request__unpack(NULL, len, body);
+
+    g_assert_nonnull(request);
+    if (text != NULL && text->version > request->have) {
+        reply.version = text->version;
+        reply.body.data = (uint8_t *)text->source;
+        reply.body.len = text->source_len;
+    }
+    swiftarch__config_request__free_unpacked(request, NULL);
+    len = swiftarch__config_reply__get_packed_size(&reply);
+    uint8_t *packed = g_malloc(len);
+    swiftarch__config_reply__pack(&reply, packed);
+    scene_send(scene, SCENE_CONFIG, msg->to, msg->from,
+               g_bytes_new_take(packed, len),
+               g_strdup_printf("version %u", (unsigned)reply.version));
+}
+
+static void
+receive_config(struct scene *scene, const struct scene_message *msg)
+{
+    struct scene_host *host = &scene->hosts[msg->to];
+    size_t len = 0;
+    const uint8_t *body = g_bytes_get_data(msg->bytes, &len);
+    Swiftarch__ConfigReply *reply =
+        swiftarch__config_reply__unpack(NULL, len, body);
+
+    g_assert_nonnull(reply);
+    if (config_fetched(&host->config, reply->version, scene_now(scene))) {
+        GBytes *value = g_bytes_new(reply->body.data, reply->body.len);
+
+        adopt(scene, msg->to, reply->version, value, 0);
+        g_bytes_unref(value);
+    }
+    else {
+        scene_log(scene, "  %s leaves version %u, has %u", host->name,
+                  (unsigned)reply->version, (unsigned)host->config.have);
+    }
+    swiftarch__config_reply__free_unpacked(reply, NULL);
+}
+
+void
+scene_control_receive(struct scene *scene, const struct scene_message *msg)
+{
+    struct scene_host *host = &scene->hosts[msg->to];
+    uint64_t now_us = scene_now(scene);
+
+    switch (msg->kind) {
+    case SCENE_GOSSIP:
+    case SCENE_SYNC:
+        receive_member(scene, msg);
+        break;
+    case SCENE_ASK:
+        receive_ask(scene, msg);
+        break;
+    case SCENE_CONFIG:
+        receive_config(scene, msg);
+        break;
+    default:
+        if (config_answered(&host->config, msg->status, msg->a, now_us)) {
+            adopt(scene, msg->to, msg->a, msg->bytes, now_us);
+        }
+        else if (msg->status == 0) {
+            scene_log(scene, "  %s leaves version %u, has %u", host->name,
+                      (unsigned)msg->a, (unsigned)host->config.have);
+        }
+        break;
+    }
+}
+
+static void
+prove_dead(struct scene *scene, struct scene_host *host, int dead)
+{
+    uint64_t id = hash_name(scene->hosts[dead].name);
+    const struct view_member *member =
+        host->view == NULL ? NULL : view_find(host->view, id);
+
+    if (member != NULL && member->health != MEMBER_DEAD) {
+        scene_log(scene, "  %s has proof that %s is gone", host->name,
+                  scene->hosts[dead].name);
+        member_proven_dead(&host->members, id, member->incarnation,
+                           scene_now(scene));
+    }
+}
+
+void
+scene_refused(struct scene *scene, const struct scene_message *msg)
+{
+    struct scene_host *host = &scene->hosts[msg->to];
+    const struct scene_host *dead = &scene->hosts[msg->a];
+    uint64_t id = hash_name(dead->name);
+    uint64_t now_us = scene_now(scene);
+
+    switch ((enum scene_kind)msg->status) {
+    case SCENE_PACKET:
+        prove_dead(scene, host, (int)msg->a);
+        break;
+    case SCENE_PEER:
+        prove_dead(scene, host, (int)msg->a);
+        if (msg->b != 0) {
+            engine_unsent(host->engine, id, msg->b, now_us, &host->actions);
+            scene_act(scene, msg->to);
+        }
+        engine_peer_lost(host->engine, id, now_us, &host->actions);
+        scene_act(scene, msg->to);
+        break;
+    default:
+        member_refused(&host->members, dead->control, now_us);
+        if (host->config.fetching && host->asked == (int)msg->a) {
+            config_fetched(&host->config, 0, now_us);
+        }
+        break;
+    }
+}
