Refuse requests read after the host changed its service

Cause: a flow's kept bytes were parsed with whatever service the host serves by then, so a lots request could run at an albums upstream. Change: the flow's own address is compared with the service's in the text at each request, flows of a service left behind are reset, and an upstream can no longer set Swiftarch-Outcome. Seen red in a scratch copy without the two checks: /agent/session/service-changes fails.

--- a/src/agent/actions.c
+++ b/src/agent/actions.c
@@ -30,7 +30,7 @@
      * have been replaced by another service's. */
     if (request == NULL || request->http == NULL || request->run != NULL ||
         request->service != agent->upstream.service) {
-        g_warning("A request to run is not held or not served here.");
+        g_message("A request to run is not held or not served here.");
         actions_end_later(requests, action->origin, action->id,
                           ENGINE_UP_UNREACHED);
         return;
--- a/src/agent/answer_reader.c
+++ b/src/agent/answer_reader.c
@@ -195,7 +195,9 @@
 GByteArray *
 answer_reader_take(const struct answer_reader *reader)
 {
-    static const char *const none[] = {NULL};
+    /* Only an agent may say what became of a request. */
+    static const char *const ours[] = {"Swiftarch-Outcome",
+                                       "Idempotency-Replayed", NULL};
     GByteArray *out = g_byte_array_new();
     char start[32];
 
@@ -205,7 +207,7 @@
     g_byte_array_append(out, (const guint8 *)reader->phrase->str,
                         (guint)reader->phrase->len);
     append_text(out, "\r\n");
-    fields_write(&reader->fields, none, out);
+    fields_write(&reader->fields, ours, out);
     append_length(reader, out);
     append_text(out, "\r\n");
     g_byte_array_append(out, reader->body->data, reader->body->len);
--- a/src/agent/front.c
+++ b/src/agent/front.c
@@ -194,7 +194,8 @@
         reader_pause(&fc->reader);
     }
     front->owner->ops->on_request(front->owner, slot, request,
-                                  stack_conn_peer(fc->conn));
+                                  stack_conn_peer(fc->conn),
+                                  stack_conn_local(fc->conn));
 }
 
 static void
@@ -252,21 +253,6 @@
     set_paused(fc, !fc->ended && must_pause(fc));
 }
 
-static void
-count_caller(struct front *front, uint32_t ip, int change)
-{
-    gpointer key = GUINT_TO_POINTER(ip);
-    int count = GPOINTER_TO_INT(g_hash_table_lookup(front->callers, key));
-
-    count += change;
-    if (count > 0) {
-        g_hash_table_insert(front->callers, key, GINT_TO_POINTER(count));
-    }
-    else {
-        g_hash_table_remove(front->callers, key);
-    }
-}
-
 static void
 conn_free(struct front_conn *fc)
 {
@@ -305,16 +291,6 @@
     g_hash_table_unref(front->callers);
 }
 
-bool
-front_may_open(const struct front *front, uint32_t ip)
-{
-    gpointer key = GUINT_TO_POINTER(ip);
-    size_t count = GPOINTER_TO_UINT(g_hash_table_lookup(front->callers, key));
-
-    return front->conns.length < front->limits.connections &&
-           count < front->limits.per_caller;
-}
-
 void
 front_open(struct front *front, struct stack_conn *conn, uint64_t now_us)
 {
@@ -337,7 +313,7 @@
     reader_init(&fc->reader, &fc->reader_owner, front->limits.body_max);
     g_queue_push_tail_link(&front->conns, &fc->link);
     stack_conn_set_data(conn, fc);
-    count_caller(front, caller.ip, 1);
+    front_count_caller(front, caller.ip, 1);
     front->stats.opened++;
 }
 
@@ -402,7 +378,7 @@
     struct addr caller = stack_conn_peer(conn);
 
     if (fc != NULL) {
-        count_caller(front, caller.ip, -1);
+        front_count_caller(front, caller.ip, -1);
         for (GList *l = fc->slots.head; l != NULL; l = l->next) {
             struct front_slot *slot = l->data;
             if (slot->answer == NULL) {
@@ -480,6 +456,16 @@
     trim_backlog(front);
 }
 
+void
+front_abort_all(struct front *front)
+{
+    for (GList *l = front->conns.head; l != NULL; l = l->next) {
+        struct front_conn *fc = l->data;
+        end_reading(fc);
+        stack_abort(fc->conn);
+    }
+}
+
 void
 front_close_idle(struct front *front)
 {
--- a/src/agent/front.h
+++ b/src/agent/front.h
@@ -43,10 +43,12 @@
 
 /** struct front_ops - what the owner is told */
 struct front_ops {
-    /** @on_request: a whole request; set slot->id and take over
-     * request->http. front_answer() may be called at once. */
+    /** @on_request: a whole request on a flow from @caller to @local; set
+     * slot->id and take over request->http. front_answer() may be called at
+     * once. */
     void (*on_request)(struct front_owner *owner, struct front_slot *slot,
-                       struct reader_request *request, struct addr caller);
+                       struct reader_request *request, struct addr caller,
+                       struct addr local);
     /** @on_gone: the caller of an unanswered request is gone; @slot is
      * invalid afterwards */
     void (*on_gone)(struct front_owner *owner, struct front_slot *slot);
@@ -117,6 +119,10 @@
 bool
 front_may_open(const struct front *front, uint32_t ip);
 
+/** front_count_caller() - note that flows of @ip became more or fewer */
+void
+front_count_caller(struct front *front, uint32_t ip, int change);
+
 /** front_open(), front_data(), front_writable(), front_eof(),
  * front_closed() - what the stack tells of a flow; monotonic @now_us */
 void
@@ -141,6 +147,11 @@
 void
 front_tick(struct front *front, uint64_t now_us);
 
+/** front_abort_all() - reset every flow: the service it was for is no longer
+ * served here */
+void
+front_abort_all(struct front *front);
+
 /** front_close_idle() - FIN on every flow that has no request in progress */
 void
 front_close_idle(struct front *front);
--- a/src/agent/refresh.c
+++ b/src/agent/refresh.c
@@ -55,6 +55,22 @@
               addr_format(want, text));
 }
 
+/* Flows of the service served before find nobody here any more. */
+static void
+leave_service(struct agent *agent)
+{
+    if (agent->service.id == 0 || !agent->upstream.announced ||
+        agent->upstream.service == agent->service.id) {
+        return;
+    }
+    g_warning("The host now serves %s: flows of %s are reset.",
+              agent->upstream.name, agent->service.name);
+    front_abort_all(&agent->front);
+    datagrams_finish(&agent->datagrams);
+    datagrams_init(&agent->datagrams);
+    agent->service = (struct text_service){0};
+}
+
 /* Takes over what the text in force says of the announced service. */
 static void
 set_service(struct agent *agent, const struct text *text)
@@ -62,6 +78,7 @@
     struct upstream *upstream = &agent->upstream;
     const struct text_service *service = NULL;
 
+    leave_service(agent);
     if (text != NULL && upstream->announced) {
         service = text_find(text, upstream->service);
     }
--- a/src/agent/requests.c
+++ b/src/agent/requests.c
@@ -13,6 +13,7 @@
 #include "base/log.h"
 
 #define ID_SALT_SHIFT 32
+#define UNSERVED_RETRY_MS 1000
 #define KEEP_AFTER_DEADLINE_US (60 * USEC_PER_SEC)
 
 /**
@@ -75,14 +76,41 @@
     return TEXT_ORDINARY;
 }
 
+/* Bytes that waited while the host changed its service are not for it. */
+static bool
+is_served(const struct agent *agent, struct addr local)
+{
+    const struct text_service *service = &agent->service;
+
+    return agent->service_known && service->ip == local.ip &&
+           service->port == local.port;
+}
+
+static void
+refuse_unserved(struct agent *agent, struct front_slot *slot,
+                struct reader_request *read)
+{
+    g_byte_array_unref(read->http);
+    slot->last = true;
+    front_answer(
+        &agent->front, slot,
+        answer_refusal(ENGINE_NOT_RUN, ENGINE_NO_UPSTREAM, UNSERVED_RETRY_MS),
+        agent_now(agent));
+}
+
 static void
 on_request(struct front_owner *owner, struct front_slot *slot,
-           struct reader_request *read, struct addr caller)
+           struct reader_request *read, struct addr caller, struct addr local)
 {
     struct requests *requests = (struct requests *)owner;
     struct agent *agent = requests->agent;
     const struct text_service *service = &agent->service;
     uint64_t now_us = agent_now(agent);
+
+    if (!is_served(agent, local)) {
+        refuse_unserved(agent, slot, read);
+        return;
+    }
     uint64_t id = requests->next_id++;
     uint32_t timeout_ms =
         read->timeout_ms != 0 ? read->timeout_ms : service->limits.deadline_ms;
--- a/tests/agent/test_back.c
+++ b/tests/agent/test_back.c
@@ -159,6 +159,10 @@
      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
      "4\r\nbody\r\n0\r\n\r\n",
      ENGINE_UP_ANSWERED, WHOLE "body"},
+    {"pretending",
+     "HTTP/1.1 200 OK\r\nSwiftarch-Outcome: not-run\r\n"
+     "Content-Length: 4\r\n\r\nbody",
+     ENGINE_UP_ANSWERED, WHOLE "body"},
     {"interim", "HTTP/1.1 100 Continue\r\n\r\n" WHOLE "body",
      ENGINE_UP_ANSWERED, WHOLE "body"},
     {"cut", WHOLE "bo", ENGINE_UP_SHORT, NULL},
--- a/tests/agent/test_front.c
+++ b/tests/agent/test_front.c
@@ -21,7 +21,8 @@
 
 static void
 on_request(struct front_owner *owner, struct front_slot *slot,
-           struct reader_request *request, struct addr caller)
+           struct reader_request *request, struct addr caller,
+           struct addr local)
 {
     struct world *world = (struct world *)owner;
 
--- a/tests/agent/test_session.c
+++ b/tests/agent/test_session.c
@@ -471,10 +471,37 @@
     session_finish(&session);
 }
 
+/* Requests that were read late, after the host came to serve something
+ * else, are not run there. */
+static void
+test_service_changes(void)
+{
+    struct session session;
+    char request[64];
+
+    session_init(&session);
+    for (int i = 0; i <= FRONT_PIPELINE_MAX; i++) {
+        g_snprintf(request, sizeof(request),
+                   "GET /%d HTTP/1.1\r\nHost: h\r\n\r\n", i);
+        ask(&session, request);
+    }
+    session.agent.service.ip++;
+    session.agent.service.id = hash_service("albums");
+    session.agent.upstream.service = hash_service("albums");
+    end_run(&session, 0, ENGINE_UP_ANSWERED, "zero");
+    advance(&session, 2000);
+    g_assert_null(strstr(session.log->str, "upstream: GET /8"));
+    g_assert_null(strstr(session.log->str, "upstream: GET /2"));
+    g_assert_nonnull(strstr(session.log->str, "no-upstream"));
+    front_closed(&session.agent.front, &session.caller);
+    session_finish(&session);
+}
+
 int
 main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
-    g_test_add_func("/agent/session", test_session);
+    g_test_add_func("/agent/session/golden", test_session);
+    g_test_add_func("/agent/session/service-changes", test_service_changes);
     return g_test_run();
 }
