Control: judge nobody by a period that ended late

On a busy host the timer may run before the answer that lies in the socket is read; a probe whose period ended 100 ms late is dropped, not failed, and counted.

--- a/src/control/member.h
+++ b/src/control/member.h
@@ -45,6 +45,7 @@
 #define MEMBER_CONFIRM_PROBE_US (8 * USEC_PER_SEC)
 #define MEMBER_CONFIRM_US (10 * USEC_PER_SEC)
 #define MEMBER_DEATH_US (16 * USEC_PER_SEC)
+#define MEMBER_LATE_US (100 * USEC_PER_MSEC)
 #define MEMBER_STALL_US (1500 * USEC_PER_MSEC)
 #define MEMBER_TOMBSTONE_US (2 * 3600 * USEC_PER_SEC)
 #define MEMBER_GOODBYE_US (600 * USEC_PER_SEC)
@@ -182,6 +183,7 @@
     uint64_t refused_joins;
     uint64_t syncs;
     uint64_t stalls;
+    uint64_t late_periods; /* ended too late to judge by */
     uint64_t name_conflicts;
 };
 
--- a/src/control/member_probe.c
+++ b/src/control/member_probe.c
@@ -216,10 +216,16 @@
 end_period(struct member_core *core, uint64_t now_us,
            struct member_actions *out)
 {
+    /* On a busy host the answer may lie unread while this runs late. */
+    bool late = now_us >= core->period_us + MEMBER_LATE_US;
+
     for (size_t i = 0; i < MEMBER_PROBES; i++) {
-        if (core->probes[i].active)
+        if (core->probes[i].active && !late)
             fail_probe(core, &core->probes[i], now_us);
+        core->probes[i].active = false;
     }
+    if (late)
+        core->stats.late_periods++;
     core->period_us += MEMBER_PERIOD_US;
     if (core->period_us <= now_us)
         core->period_us = now_us + MEMBER_PERIOD_US;
--- a/tests/control/net.c
+++ b/tests/control/net.c
@@ -202,7 +202,7 @@
         g_free(event.bytes);
         return;
     }
-    if (net->nodes[to].group != node->group ||
+    if (net->nodes[to].group != node->group || net->nodes[to].deaf_to == i ||
         (!action->stream && random_below(&net->random, 1000) < net->loss)) {
         g_free(event.bytes);
         return;
@@ -301,6 +301,7 @@
                                   self.member.id, wall_ms(net)),
                         ==, 0);
     node->running = true;
+    node->deaf_to = SIZE_MAX;
     node->frozen_us = 0;
     node->tick_us = 0;
     node->adopted_us = 0;
@@ -406,7 +407,8 @@
     if (node->frozen_us > net->now_us) {
         struct net_event later = *event;
 
-        later.at_us = node->frozen_us;
+        /* The worse order: timers fire before what came is read. */
+        later.at_us = node->frozen_us + (event->type == NET_TICK ? 0 : 1);
         event->bytes = NULL;
         push(net, later);
         return;
--- a/tests/control/net.h
+++ b/tests/control/net.h
@@ -18,6 +18,7 @@
  * @frozen_us: until then it doesn't run; what comes waits
  * @refuses: once killed, its host still answers that nobody listens
  * @group: nodes of different groups don't hear each other
+ * @deaf_to: node whose messages don't arrive here, SIZE_MAX for none
  */
 struct net_node {
     struct member_core members;
@@ -29,6 +30,7 @@
     bool running;
     bool refuses;
     unsigned group;
+    size_t deaf_to;
     uint64_t frozen_us;
     uint64_t tick_us;
     struct addr fetch_from;
--- a/tests/control/test_member_net.c
+++ b/tests/control/test_member_net.c
@@ -327,6 +327,80 @@
         run_seed(seeds[i], 50, true);
 }
 
+/* A freeze of 30 s is a death for the others; who returns is back for all,
+ * by a higher incarnation of the same start. */
+static void
+test_long_freeze(void)
+{
+    struct net net;
+    const struct member_entry *entry;
+
+    net_init(&net, 20, 8);
+    for (size_t i = 0; i < 20; i++)
+        net_start(&net, i, 0);
+    net_run(&net, 30 * USEC_PER_SEC);
+    net_freeze(&net, 7, 30 * USEC_PER_SEC);
+    net_run(&net, 25 * USEC_PER_SEC);
+    for (size_t i = 0; i < 20; i++) {
+        if (i != 7)
+            g_assert_cmpint(net_health(&net, i, 7), ==, MEMBER_DEAD);
+    }
+    net_run(&net, 25 * USEC_PER_SEC);
+    g_assert_true(net_agrees(&net));
+    entry = member_find(&net.nodes[0].members, hash_name(net.nodes[7].name));
+    g_assert_cmpuint(entry->start, ==, net.nodes[7].start);
+    g_assert_cmpuint(entry->member.incarnation, >, entry->start);
+    /* It took nobody else for dead, though it had heard nothing for 30 s. */
+    g_assert_cmpuint(net.nodes[7].members.stats.deaths, ==, 0);
+    g_assert_cmpuint(net.nodes[7].members.stats.suspicions, ==, 0);
+    net_finish(&net);
+}
+
+/* Two that don't hear each other are both alive to all, by the helpers. */
+static void
+test_broken_path(void)
+{
+    uint64_t suspicions = 0;
+    struct net net;
+
+    net_init(&net, 20, 9);
+    for (size_t i = 0; i < 20; i++)
+        net_start(&net, i, 0);
+    net_run(&net, 30 * USEC_PER_SEC);
+    net.nodes[3].deaf_to = 4;
+    net.nodes[4].deaf_to = 3;
+    for (unsigned s = 0; s < 120; s++) {
+        net_run(&net, USEC_PER_SEC);
+        g_assert_true(net_agrees(&net));
+    }
+    for (size_t i = 0; i < 20; i++)
+        suspicions += net.nodes[i].members.stats.suspicions;
+    g_assert_cmpuint(suspicions, ==, 0);
+    g_assert_cmpuint(net.nodes[3].members.stats.failed_probes, ==, 0);
+    net_finish(&net);
+}
+
+/* A process whose timers run late suspects nobody for that. */
+static void
+test_late_timers(void)
+{
+    struct net net;
+    uint64_t suspicions = 0;
+
+    net_init(&net, 10, 10);
+    for (size_t i = 0; i < 10; i++)
+        net_start(&net, i, 0);
+    net_run(&net, 30 * USEC_PER_SEC);
+    for (unsigned i = 0; i < 100; i++) {
+        net_freeze(&net, 2, 700 * USEC_PER_MSEC);
+        net_run(&net, USEC_PER_SEC);
+        suspicions += net.nodes[2].members.stats.suspicions;
+    }
+    g_assert_cmpuint(suspicions, ==, 0);
+    g_assert_cmpuint(net.nodes[2].members.stats.late_periods, >, 10);
+    net_finish(&net);
+}
+
 /* A host that vanishes is suspected everywhere within 2 s in the median. */
 static void
 test_time_to_suspect(void)
@@ -415,6 +489,9 @@
     g_test_add_func("/member-net/partitions", test_partitions);
     g_test_add_func("/member-net/refutation-repeated",
                     test_refutation_repeated);
+    g_test_add_func("/member-net/long-freeze", test_long_freeze);
+    g_test_add_func("/member-net/broken-path", test_broken_path);
+    g_test_add_func("/member-net/late-timers", test_late_timers);
     g_test_add_func("/member-net/time-to-suspect", test_time_to_suspect);
     g_test_add_func("/member-net/flat-bytes", test_flat_bytes);
     return g_test_run();
