--- a/src/request/dispatch.h
+++ b/src/request/dispatch.h
@@ -14,7 +14,7 @@
  * @name: its name
  * @place: member to run @entry now: engine->self, a peer, or 0 to wait
  * @settle: called after all starts of a call
- * @told: a STATUS or PULL of @peer was noted
+ * @told: a STATUS, a PULL or a DONE with free slots came from @peer
  */
 struct dispatch_ops {
     const char *name;
--- a/src/request/dispatch_pull.c
+++ b/src/request/dispatch_pull.c
@@ -19,7 +19,7 @@
 #define ANNOUNCE_MIN_US (5 * USEC_PER_MSEC)
 #define ANNOUNCE_GAP_US (20 * USEC_PER_MSEC)
 #define ANNOUNCE_GAP_MAX_US (320 * USEC_PER_MSEC)
-#define ASK_TIMEOUT_US (20 * USEC_PER_MSEC)
+#define ASK_TIMEOUT_US (4 * USEC_PER_MSEC)
 #define OFFER_KEEP_US (50 * USEC_PER_MSEC)
 #define OFFER_GAP_US (50 * USEC_PER_MSEC)
 #define BEAT_PEERS 3
@@ -329,6 +329,11 @@
 {
     struct dispatch *dispatch = &engine->dispatch;
 
+    if (msg->type == ENGINE_PEER_DONE) {
+        peer->offer = 1;
+        peer->offer_until_us = engine->now_us + OFFER_KEEP_US;
+        return;
+    }
     if (msg->type == ENGINE_PEER_PULL) {
         peer->offer = msg->free_slots;
         peer->offer_until_us = engine->now_us + OFFER_KEEP_US;
--- a/src/request/engine.h
+++ b/src/request/engine.h
@@ -96,7 +96,7 @@
  * @origin: member that accepted the request
  * @outcome: DONE: how it ended; ANSWERED carries the answer
  * @reason: DONE: why
- * @free_slots: STATUS, PULL
+ * @free_slots: STATUS, PULL; DONE: free slots its sender offers
  * @waiting: STATUS: urgent and ordinary requests waiting
  * @load: all types: share of the sender's slot time that was busy lately,
  *        per mille, plus one; 0 when the sender didn't say
--- a/src/request/finish.c
+++ b/src/request/finish.c
@@ -38,6 +38,20 @@
     entry->started_us = engine->now_us;
 }
 
+/* An answer is also an offer of the slot that it frees. */
+static void
+offer_slot(struct engine *engine, const struct entry *entry,
+           struct engine_action *action)
+{
+    if (queue_total(&engine->queue) > 0 || engine->stopping) {
+        return;
+    }
+    action->msg.free_slots = (uint16_t)upstream_free(
+        &engine->upstream, entry->request.service, engine->now_us);
+    engine->dispatch.asked++;
+    engine->dispatch.asked_at_us = engine->now_us;
+}
+
 static struct engine_action *
 tell_origin(struct engine *engine, const struct entry *entry,
             enum engine_outcome outcome, enum engine_reason reason)
@@ -47,6 +61,7 @@
     action = engine_send(engine, entry->key.origin, ENGINE_PEER_DONE, entry);
     action->msg.outcome = outcome;
     action->msg.reason = reason;
+    offer_slot(engine, entry, action);
     return action;
 }
 
--- a/src/request/remote.c
+++ b/src/request/remote.c
@@ -138,6 +138,9 @@
     }
     took_us = engine->now_us - entry->started_us;
     remote_leave(engine, entry);
+    if (peer != NULL && msg->free_slots > 0) {
+        engine->ops->told(engine, peer, msg);
+    }
     if (msg->outcome == ENGINE_ANSWERED) {
         retry_succeeded(&engine->retry);
         if (peer != NULL) {
