notice: core that lets waiting callers learn of their host's death

Ruled out: a bare ACK with a number outside the window as probe, for lwIP takes the window from it before it checks the number, so a wrong notice would harm a live flow; a SYN-ACK is answered by an ACK whatever its number is and changes nothing.

--- /dev/null
+++ b/src/notice/backup.c
@@ -0,0 +1,350 @@
+#include "notice/backup.h"
+
+#include <string.h>
+
+/* When each round begins, after the death was noticed. Some stacks answer
+ * two unacceptable segments a second for each connection. */
+static const uint64_t round_starts_us[BACKUP_ROUNDS] = {
+    0,
+    150 * USEC_PER_MSEC,
+    800 * USEC_PER_MSEC,
+    2500 * USEC_PER_MSEC,
+};
+
+/* At most so many probes at once after a pause. */
+#define TOKENS_MAX (BACKUP_PROBES_PER_S / 10)
+
+static void
+held_remove(struct backup *backup, size_t i)
+{
+    struct held *last = &backup->items[backup->count - 1];
+
+    backup->flows -= backup->items[i].flows.used;
+    caller_set_finish(&backup->items[i].flows);
+    backup->items[i] = *last;
+    memset(last, 0, sizeof(*last));
+    backup->count--;
+}
+
+static void
+held_clear(struct backup *backup, struct held *held)
+{
+    backup->flows -= held->flows.used;
+    caller_set_finish(&held->flows);
+}
+
+static void
+held_die(struct held *held, uint64_t now_us)
+{
+    if (held->dead) {
+        return;
+    }
+    held->dead = true;
+    held->dead_us = now_us;
+    held->round = 0;
+    held->cursor = 0;
+}
+
+static struct held *
+held_find(struct backup *backup, uint64_t owner, uint64_t boot)
+{
+    size_t i;
+
+    for (i = 0; i < backup->count; i++) {
+        if (backup->items[i].owner == owner && backup->items[i].boot == boot) {
+            return &backup->items[i];
+        }
+    }
+    return NULL;
+}
+
+/* Whether a later process than that of @boot has been heard; earlier ones
+ * are known to be gone now. */
+static bool
+replace_earlier(struct backup *backup, uint64_t owner, uint64_t boot,
+                uint64_t now_us)
+{
+    bool later = false;
+    size_t i;
+
+    for (i = 0; i < backup->count; i++) {
+        struct held *held = &backup->items[i];
+
+        if (held->owner != owner) {
+            continue;
+        }
+        later |= held->boot > boot;
+        if (held->boot < boot) {
+            held->replaced = true;
+            held_die(held, now_us);
+        }
+    }
+    return later;
+}
+
+static struct held *
+held_add(struct backup *backup, const struct view_member *owner,
+         const struct notice_message *message)
+{
+    struct held *held;
+
+    if (backup->count == BACKUP_OWNERS_MAX) {
+        backup->refused++;
+        return NULL;
+    }
+    held = &backup->items[backup->count++];
+    *held = (struct held){.owner = owner->id,
+                          .since_us = owner->since_us,
+                          .boot = message->boot};
+    return held;
+}
+
+static void
+held_begin_session(struct backup *backup, struct held *held,
+                   const struct notice_message *message)
+{
+    held_clear(backup, held);
+    held->session = message->session;
+    held->seq = 0;
+    held->service = message->service;
+}
+
+static void
+held_open(struct backup *backup, struct held *held, struct addr caller)
+{
+    if (caller_set_marks(&held->flows, caller, NULL)) {
+        return;
+    }
+    if (backup->flows >= BACKUP_FLOWS_MAX ||
+        caller_set_put(&held->flows, caller, 0) < 0) {
+        backup->refused++;
+        return;
+    }
+    backup->flows++;
+}
+
+static void
+held_apply(struct backup *backup, struct held *held,
+           const struct notice_message *message)
+{
+    const struct addr *closed = message->callers + message->opened;
+    size_t i;
+
+    held->seq = message->seq;
+    for (i = 0; i < message->opened; i++) {
+        held_open(backup, held, message->callers[i]);
+    }
+    for (i = 0; i < message->closed; i++) {
+        backup->flows -= held->flows.used;
+        caller_set_remove(&held->flows, closed[i]);
+        backup->flows += held->flows.used;
+    }
+}
+
+/* Whether the batch follows what is known; true for a repeated one too. */
+static bool
+held_take(struct backup *backup, struct held *held,
+          const struct notice_message *message)
+{
+    if (message->session > held->session && message->seq == 1) {
+        held_begin_session(backup, held, message);
+    }
+    if (message->session != held->session || message->seq > held->seq + 1) {
+        return false;
+    }
+    if (message->seq == held->seq + 1) {
+        held_apply(backup, held, message);
+    }
+    return true;
+}
+
+static bool
+is_usable(const struct notice_message *message)
+{
+    return message->type == NOTICE_FLOWS && message->boot != 0 &&
+           message->session != 0 && message->seq != 0 &&
+           message->opened <= NOTICE_BATCH_MAX &&
+           message->closed <= NOTICE_BATCH_MAX - message->opened;
+}
+
+/* The entry that the batch is for, or NULL; then @answer tells whether the
+ * owner is to be asked for all flows anew. */
+static struct held *
+held_for(struct backup *backup, const struct view_member *owner,
+         const struct notice_message *message, uint64_t now_us, bool *answer)
+{
+    struct held *held;
+
+    *answer = false;
+    if (replace_earlier(backup, owner->id, message->boot, now_us)) {
+        return NULL;
+    }
+    held = held_find(backup, owner->id, message->boot);
+    if (held != NULL) {
+        return held;
+    }
+    if (message->seq != 1) {
+        *answer = true;
+        return NULL;
+    }
+    /* The view will be put right before the owner sends this again. */
+    if (owner->health == MEMBER_DEAD) {
+        return NULL;
+    }
+    return held_add(backup, owner, message);
+}
+
+/* Whether the view shows the process of @held as not dead. A batch may come
+ * before the view knows of its process, and after it knows of the next one:
+ * the start noted first stays, and the owner begins anew if it was wrong. */
+static bool
+is_living(const struct held *held, const struct view_member *owner)
+{
+    return owner != NULL && owner->health != MEMBER_DEAD &&
+           owner->since_us == held->since_us && !held->replaced;
+}
+
+void
+backup_init(struct backup *backup)
+{
+    memset(backup, 0, sizeof(*backup));
+}
+
+void
+backup_finish(struct backup *backup)
+{
+    size_t i;
+
+    for (i = 0; i < backup->count; i++) {
+        caller_set_finish(&backup->items[i].flows);
+    }
+    backup_init(backup);
+}
+
+bool
+backup_receive(struct backup *backup, const struct view *view, uint64_t from,
+               const struct notice_message *message, uint64_t now_us,
+               struct notice_message *reply)
+{
+    const struct view_member *owner = view_find(view, from);
+    struct held *held;
+    bool answer;
+
+    if (owner == NULL || owner->role != MEMBER_AGENT || !is_usable(message)) {
+        return false;
+    }
+    *reply = (struct notice_message){.type = NOTICE_ACK,
+                                     .boot = message->boot,
+                                     .session = message->session,
+                                     .seq = message->seq};
+    held = held_for(backup, owner, message, now_us, &answer);
+    if (held == NULL) {
+        return answer;
+    }
+    if (message->session < held->session) {
+        return false; /* late, of a transfer that was given up */
+    }
+    reply->known = held_take(backup, held, message);
+    held->heard_us = now_us;
+    held->alive = owner->health == MEMBER_ALIVE;
+    if (is_living(held, owner)) {
+        held->dead = false;
+    }
+    return true;
+}
+
+void
+backup_set_view(struct backup *backup, const struct view *view,
+                uint64_t now_us)
+{
+    size_t i;
+
+    for (i = 0; i < backup->count; i++) {
+        struct held *held = &backup->items[i];
+        const struct view_member *owner = view_find(view, held->owner);
+
+        if (!is_living(held, owner)) {
+            held->alive = false;
+            held_die(held, now_us);
+            continue;
+        }
+        held->alive = owner->health == MEMBER_ALIVE;
+        held->dead = false;
+    }
+}
+
+static void
+fill_tokens(struct backup *backup, uint64_t now_us)
+{
+    uint64_t filled =
+        (now_us - backup->tokens_us) * BACKUP_PROBES_PER_S / USEC_PER_SEC;
+
+    if (now_us < backup->tokens_us || filled == 0) {
+        return;
+    }
+    backup->tokens += filled;
+    backup->tokens_us = now_us;
+    if (backup->tokens > TOKENS_MAX) {
+        backup->tokens = TOKENS_MAX;
+    }
+}
+
+/* Goes on with the present round; false when all rounds are done. */
+static bool
+held_probe(struct backup *backup, struct held *held, uint64_t now_us,
+           struct notice_probe *probes, size_t *count, size_t max)
+{
+    struct addr caller;
+
+    if (now_us < held->dead_us + round_starts_us[held->round]) {
+        return true;
+    }
+    while (*count < max && backup->tokens > 0) {
+        if (!caller_set_next(&held->flows, &held->cursor, &caller)) {
+            held->cursor = 0;
+            held->round++;
+            return held->round < BACKUP_ROUNDS;
+        }
+        probes[(*count)++] = (struct notice_probe){held->service, caller};
+        backup->tokens--;
+    }
+    return true;
+}
+
+size_t
+backup_probes(struct backup *backup, uint64_t now_us,
+              struct notice_probe *probes, size_t max)
+{
+    size_t count = 0;
+    size_t i = 0;
+
+    fill_tokens(backup, now_us);
+    while (i < backup->count) {
+        struct held *held = &backup->items[i];
+
+        if (held->dead &&
+            !held_probe(backup, held, now_us, probes, &count, max)) {
+            held_remove(backup, i);
+            continue;
+        }
+        i++;
+    }
+    return count;
+}
+
+void
+backup_tick(struct backup *backup, uint64_t now_us)
+{
+    size_t i = 0;
+
+    while (i < backup->count) {
+        const struct held *held = &backup->items[i];
+
+        if (held->alive && !held->dead &&
+            now_us >= held->heard_us + BACKUP_SILENCE_US) {
+            held_remove(backup, i);
+            continue;
+        }
+        i++;
+    }
+}
--- /dev/null
+++ b/src/notice/backup.h
@@ -0,0 +1,122 @@
+/**
+ * DOC: backup - holds the flows of other agents and, when one of these has
+ * died, makes its callers show themselves
+ *
+ * An owner is dead when the view says so, has no entry for it any more, or
+ * shows a later start of its process. Each of its flows is then probed in
+ * BACKUP_ROUNDS rounds, since segments get lost, others may hear of the
+ * death later, and callers answer few such segments a second. Memory is
+ * bounded in owners and in flows.
+ */
+#ifndef SWIFTARCH_NOTICE_BACKUP_H
+#define SWIFTARCH_NOTICE_BACKUP_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "base/clock.h"
+#include "control/view.h"
+#include "notice/caller_set.h"
+#include "notice/message.h"
+
+#define BACKUP_OWNERS_MAX 64
+#define BACKUP_FLOWS_MAX 262144
+#define BACKUP_ROUNDS 4
+#define BACKUP_PROBES_PER_S 4000
+
+/* An owner that is alive and says nothing has chosen other backups. */
+#define BACKUP_SILENCE_US (60 * USEC_PER_SEC)
+
+/** struct notice_probe - a flow whose caller is to be probed */
+struct notice_probe {
+    struct addr service;
+    struct addr caller;
+};
+
+/**
+ * struct held - the flows of one process of an owner
+ * @owner: its member id
+ * @since_us: start of the process, by the view
+ * @boot: the same as the owner tells it
+ * @session: present transfer
+ * @seq: last batch of it
+ * @service: address the flows were opened to
+ * @heard_us: when the owner last said something
+ * @alive: what the last view said of it
+ * @replaced: a later process of the owner has been heard
+ * @dead: its flows are being probed
+ * @dead_us: since when
+ * @round: rounds done
+ * @cursor: where the present round has come to
+ * @flows: callers
+ */
+struct held {
+    uint64_t owner;
+    uint64_t since_us;
+    uint64_t boot;
+    uint32_t session;
+    uint32_t seq;
+    struct addr service;
+    uint64_t heard_us;
+    bool alive;
+    bool replaced;
+    bool dead;
+    uint64_t dead_us;
+    unsigned round;
+    size_t cursor;
+    struct caller_set flows;
+};
+
+/**
+ * struct backup - all that is held for others
+ * @items: @count entries
+ * @flows: flows in all of them
+ * @refused: flows and owners for which there was no room
+ * @tokens: probes that may be sent now
+ * @tokens_us: when @tokens was last filled
+ */
+struct backup {
+    struct held items[BACKUP_OWNERS_MAX];
+    size_t count;
+    size_t flows;
+    uint64_t refused;
+    uint64_t tokens;
+    uint64_t tokens_us;
+};
+
+/** backup_init() - holds nothing */
+void
+backup_init(struct backup *backup);
+
+/** backup_finish() - free everything */
+void
+backup_finish(struct backup *backup);
+
+/** backup_set_view() - judge the owners by a new view */
+void
+backup_set_view(struct backup *backup, const struct view *view,
+                uint64_t now_us);
+
+/**
+ * backup_receive() - a batch came from owner @from
+ * @view: view in force
+ * @reply: acknowledgement to send back
+ *
+ * Return: whether @reply is to be sent.
+ */
+bool
+backup_receive(struct backup *backup, const struct view *view, uint64_t from,
+               const struct notice_message *message, uint64_t now_us,
+               struct notice_message *reply);
+
+/** backup_probes() - callers to probe now; their count, at most @max */
+size_t
+backup_probes(struct backup *backup, uint64_t now_us,
+              struct notice_probe *probes, size_t max);
+
+/** backup_tick() - drop what is no longer kept up; about once a second */
+void
+backup_tick(struct backup *backup, uint64_t now_us);
+
+#endif
--- /dev/null
+++ b/src/notice/caller_set.c
@@ -0,0 +1,195 @@
+#include "notice/caller_set.h"
+
+#include <errno.h>
+#include <stdlib.h>
+
+#include "base/hash.h"
+
+#define SLOTS_FIRST 16
+#define MARKS_SHIFT 48
+
+static uint64_t
+key_of(struct addr caller)
+{
+    return (uint64_t)caller.ip << 16 | caller.port;
+}
+
+static uint64_t
+slot_key(uint64_t slot)
+{
+    return slot & ((UINT64_C(1) << MARKS_SHIFT) - 1);
+}
+
+static size_t
+home_of(const struct caller_set *set, uint64_t key)
+{
+    return (size_t)hash_pair(key, 0) & (set->allocated - 1);
+}
+
+/* The slot of @key, or the free one where it belongs. */
+static size_t
+slot_of(const struct caller_set *set, uint64_t key)
+{
+    size_t at = home_of(set, key);
+
+    while (set->slots[at] != 0 && slot_key(set->slots[at]) != key) {
+        at = (at + 1) & (set->allocated - 1);
+    }
+    return at;
+}
+
+static int
+resize(struct caller_set *set, size_t allocated)
+{
+    struct caller_set other = {.allocated = allocated, .used = set->used};
+    size_t i;
+
+    other.slots = calloc(allocated, sizeof(other.slots[0]));
+    if (other.slots == NULL) {
+        return -ENOMEM;
+    }
+    for (i = 0; i < set->allocated; i++) {
+        if (set->slots[i] != 0) {
+            other.slots[slot_of(&other, slot_key(set->slots[i]))] =
+                set->slots[i];
+        }
+    }
+    free(set->slots);
+    *set = other;
+    return 0;
+}
+
+/* Room for one more, at most three quarters full. */
+static int
+make_room(struct caller_set *set)
+{
+    if (set->allocated == 0) {
+        return resize(set, SLOTS_FIRST);
+    }
+    if ((set->used + 1) * 4 > set->allocated * 3) {
+        return resize(set, set->allocated * 2);
+    }
+    return 0;
+}
+
+void
+caller_set_init(struct caller_set *set)
+{
+    *set = (struct caller_set){0};
+}
+
+void
+caller_set_finish(struct caller_set *set)
+{
+    free(set->slots);
+    caller_set_init(set);
+}
+
+bool
+caller_set_marks(const struct caller_set *set, struct addr caller,
+                 uint8_t *marks)
+{
+    uint64_t slot;
+
+    if (set->used == 0) {
+        return false;
+    }
+    slot = set->slots[slot_of(set, key_of(caller))];
+    if (slot == 0) {
+        return false;
+    }
+    if (marks != NULL) {
+        *marks = (uint8_t)(slot >> MARKS_SHIFT);
+    }
+    return true;
+}
+
+int
+caller_set_put(struct caller_set *set, struct addr caller, uint8_t marks)
+{
+    uint64_t key = key_of(caller);
+    size_t at;
+    int ret;
+
+    if (key == 0) {
+        return -EINVAL;
+    }
+    if (!caller_set_marks(set, caller, NULL)) {
+        ret = make_room(set);
+        if (ret < 0) {
+            return ret;
+        }
+        set->used++;
+    }
+    at = slot_of(set, key);
+    set->slots[at] = key | (uint64_t)marks << MARKS_SHIFT;
+    return 0;
+}
+
+/* Whether a member whose home is @home may not move from @at to @hole. */
+static bool
+stays(size_t home, size_t hole, size_t at)
+{
+    if (hole <= at) {
+        return hole < home && home <= at;
+    }
+    return hole < home || home <= at;
+}
+
+/* Closes the hole by moving back those that it had displaced. */
+static void
+close_hole(struct caller_set *set, size_t hole)
+{
+    size_t at = hole;
+
+    for (;;) {
+        set->slots[hole] = 0;
+        do {
+            at = (at + 1) & (set->allocated - 1);
+            if (set->slots[at] == 0) {
+                return;
+            }
+        } while (stays(home_of(set, slot_key(set->slots[at])), hole, at));
+        set->slots[hole] = set->slots[at];
+        hole = at;
+    }
+}
+
+void
+caller_set_remove(struct caller_set *set, struct addr caller)
+{
+    size_t at;
+
+    if (set->used == 0) {
+        return;
+    }
+    at = slot_of(set, key_of(caller));
+    if (set->slots[at] == 0) {
+        return;
+    }
+    close_hole(set, at);
+    set->used--;
+    if (set->used == 0) {
+        caller_set_finish(set);
+    }
+    else if (set->allocated > SLOTS_FIRST && set->used * 8 < set->allocated) {
+        /* Failing to shrink harms nothing. */
+        (void)resize(set, set->allocated / 2);
+    }
+}
+
+bool
+caller_set_next(const struct caller_set *set, size_t *cursor,
+                struct addr *caller)
+{
+    for (; *cursor < set->allocated; (*cursor)++) {
+        uint64_t key = slot_key(set->slots[*cursor]);
+
+        if (key != 0) {
+            *caller = (struct addr){(uint32_t)(key >> 16), (uint16_t)key};
+            (*cursor)++;
+            return true;
+        }
+    }
+    return false;
+}
--- /dev/null
+++ b/src/notice/segment.h
@@ -0,0 +1,33 @@
+/**
+ * DOC: segment - the segment that makes a caller show itself
+ *
+ * A SYN-ACK, as a server sends it again when it believes that the third
+ * segment of the handshake was lost. A caller whose connection is open
+ * answers a SYN with an acknowledgement, whatever its sequence number is,
+ * and changes nothing (RFC 9293, 3.10.7.4; a challenge ACK). A bare ACK
+ * with a wrong sequence number would do as well by the letter, but lwIP
+ * takes the window from it before it looks at the number, so that a wrong
+ * notice would harm a live connection.
+ */
+#ifndef SWIFTARCH_NOTICE_SEGMENT_H
+#define SWIFTARCH_NOTICE_SEGMENT_H
+
+#include <stddef.h>
+#include <stdint.h>
+
+#include "base/addr.h"
+
+#define SEGMENT_PROBE_LEN 40
+
+/**
+ * packet_build_probe() - SYN-ACK from @service to @caller
+ * @number: sequence and acknowledgement number; any will do
+ * @buf: SEGMENT_PROBE_LEN bytes
+ *
+ * Return: its length.
+ */
+size_t
+packet_build_probe(struct addr service, struct addr caller, uint32_t number,
+                   uint8_t *buf);
+
+#endif
