--- a/src/idem/keeper.c
+++ b/src/idem/keeper.c
@@ -76,6 +76,10 @@
 {
     struct record *record = record_find(&idem->records, &msg->key);
 
+    /* Only this process knows how its own requests ended. */
+    if (msg->owner == idem->self) {
+        return;
+    }
     released_add(&idem->released, msg->owner, msg->token);
     if (record != NULL && same_request(record, msg) &&
         record->state != IDEM_DONE) {
