--- a/standin/fabric/fabric.c
+++ b/standin/fabric/fabric.c
@@ -294,6 +294,12 @@
     return fabric->addr;
 }
 
+bool
+fabric_idle(const struct fabric *fabric)
+{
+    return delay_next_us(fabric->delay) == UINT64_MAX;
+}
+
 struct fabric_counts
 fabric_counts(const struct fabric *fabric)
 {
--- a/standin/fabric/fabric.h
+++ b/standin/fabric/fabric.h
@@ -9,6 +9,7 @@
 #define SWIFTARCH_STANDIN_FABRIC_FABRIC_H
 
 #include <event2/event.h>
+#include <stdbool.h>
 #include <stdint.h>
 
 #include "base/addr.h"
@@ -73,6 +74,10 @@
 struct addr
 fabric_addr(const struct fabric *fabric);
 
+/** fabric_idle() - whether no packet is under way */
+bool
+fabric_idle(const struct fabric *fabric);
+
 /** fabric_counts() - what happened so far */
 struct fabric_counts
 fabric_counts(const struct fabric *fabric);
--- a/tests/balancer/fabric_test.c
+++ b/tests/balancer/fabric_test.c
@@ -1,11 +1,19 @@
 #include <errno.h>
 #include <glib.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
+#include "base/httpd.h"
 #include "standin/fabric/config.h"
 #include "standin/fabric/delay.h"
+#include "standin/fabric/fabric.h"
 #include "standin/fabric/health.h"
 
+#define LOOPBACK 0x7f000001u
+#define PACKETS 200
+#define LOOP_LIMIT_US (20 * USEC_PER_SEC)
+
 static const char whole[] =
     "{\"listen\": \"127.0.0.1:0\", \"balancers\": [{\"data\": "
     "\"127.0.0.1:1\", \"http\": \"127.0.0.1:2\", \"delay_us\": 1000}], "
@@ -144,6 +152,219 @@
     event_base_free(base);
 }
 
+/** struct balancer - a fake one: its readiness and its packets */
+struct balancer {
+    struct httpd_handler handler;
+    struct httpd *httpd;
+    int status;
+    int fd;
+    struct addr data;
+};
+
+/** struct site - a fabric, two balancers and a caller on one loop */
+struct site {
+    struct event_base *base;
+    struct clock clock;
+    struct config config;
+    struct fabric *fabric;
+    struct balancer balancers[2];
+    int caller;
+    int sender;
+};
+
+static int
+on_request(struct httpd_handler *handler, struct httpd_request *request)
+{
+    struct balancer *balancer = (struct balancer *)handler;
+
+    g_assert_cmpstr(httpd_request_path(request), ==, "/ready");
+    httpd_respond(request, balancer->status, "text/plain", "", 0);
+    return 0;
+}
+
+static const struct httpd_ops http_ops = {.on_request = on_request};
+
+static int
+open_udp(struct addr *addr)
+{
+    struct sockaddr_in sin = addr_to_sockaddr((struct addr){LOOPBACK, 0});
+    socklen_t len = sizeof(sin);
+    int fd = socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK, 0);
+
+    g_assert_cmpint(bind(fd, (struct sockaddr *)&sin, len), ==, 0);
+    g_assert_cmpint(getsockname(fd, (struct sockaddr *)&sin, &len), ==, 0);
+    *addr = addr_from_sockaddr(&sin);
+    return fd;
+}
+
+static void
+site_open(struct site *site)
+{
+    struct error err;
+    struct addr addr;
+
+    memset(site, 0, sizeof(*site));
+    site->base = event_base_new();
+    clock_runtime_init(&site->clock);
+    site->sender = open_udp(&addr);
+    site->config.listen = (struct addr){LOOPBACK, 0};
+    site->config.seed = 1;
+    site->config.client_delay_us = 1000;
+    site->config.health_interval_ms = 100;
+    site->config.balancer_count = 2;
+    for (size_t i = 0; i < 2; i++) {
+        struct balancer *balancer = &site->balancers[i];
+        balancer->handler.ops = &http_ops;
+        balancer->status = 200;
+        balancer->fd = open_udp(&balancer->data);
+        balancer->httpd = httpd_new(site->base, (struct addr){LOOPBACK, 0},
+                                    &balancer->handler, &err);
+        site->config.balancers[i].data = balancer->data;
+        site->config.balancers[i].http = httpd_addr(balancer->httpd);
+    }
+    site->config.caller_count = 1;
+    site->config.callers[0].ip = 0x0a090001;
+    site->caller = open_udp(&site->config.callers[0].to);
+    site->fabric = fabric_new(site->base, &site->config, &site->clock, &err);
+    g_assert_nonnull(site->fabric);
+}
+
+static void
+site_close(struct site *site)
+{
+    fabric_free(site->fabric);
+    for (size_t i = 0; i < 2; i++) {
+        httpd_free(site->balancers[i].httpd);
+        close(site->balancers[i].fd);
+    }
+    close(site->caller);
+    close(site->sender);
+    event_base_free(site->base);
+}
+
+/* A packet to @ip with a number in its last byte */
+static void
+send_numbered(struct site *site, uint32_t ip, uint8_t number)
+{
+    struct sockaddr_in sin = addr_to_sockaddr(fabric_addr(site->fabric));
+    uint8_t bytes[25] = {0, 4};
+    uint32_t dst = htonl(ip);
+
+    memcpy(bytes + 20, &dst, sizeof(dst));
+    bytes[24] = number;
+    g_assert_cmpint(sendto(site->sender, bytes, sizeof(bytes), 0,
+                           (struct sockaddr *)&sin, sizeof(sin)),
+                    ==, (ssize_t)sizeof(bytes));
+}
+
+static uint64_t
+count_handled(struct site *site)
+{
+    struct fabric_counts counts = fabric_counts(site->fabric);
+    return counts.to_balancers + counts.to_callers + counts.no_balancer +
+           counts.cut + counts.lost + counts.malformed;
+}
+
+/* Packets that came to @fd; their numbers must rise */
+static size_t
+count_in_order(int fd)
+{
+    uint8_t bytes[64];
+    int last = -1;
+    size_t count = 0;
+
+    while (recv(fd, bytes, sizeof(bytes), 0) == 25) {
+        g_assert_cmpint(bytes[24], >, last);
+        last = bytes[24];
+        count++;
+    }
+    return count;
+}
+
+/* Run the loop until @done says so, at most LOOP_LIMIT_US */
+static void
+run_until(struct site *site, bool (*done)(struct site *site))
+{
+    uint64_t end_us = clock_now_us(&site->clock) + LOOP_LIMIT_US;
+
+    while (!done(site)) {
+        g_assert_cmpuint(clock_now_us(&site->clock), <, end_us);
+        event_base_loop(site->base, EVLOOP_ONCE);
+    }
+}
+
+static bool
+both_up(struct site *site)
+{
+    return fabric_counts(site->fabric).health_changes == 2;
+}
+
+static bool
+one_down(struct site *site)
+{
+    return fabric_counts(site->fabric).health_changes == 3;
+}
+
+static bool
+all_sent(struct site *site)
+{
+    return count_handled(site) >= PACKETS && fabric_idle(site->fabric);
+}
+
+static bool
+second_sent(struct site *site)
+{
+    return count_handled(site) >= (uint64_t)2 * PACKETS &&
+           fabric_idle(site->fabric);
+}
+
+static void
+test_spray(void)
+{
+    struct site site;
+
+    site_open(&site);
+    run_until(&site, both_up);
+    for (int i = 0; i < PACKETS; i++)
+        send_numbered(&site, i % 2 ? 0x0a090001 : 0x0a640001, (uint8_t)i);
+    run_until(&site, all_sent);
+    size_t first = count_in_order(site.balancers[0].fd);
+    size_t second = count_in_order(site.balancers[1].fd);
+    g_assert_cmpuint(first, >, PACKETS / 8);
+    g_assert_cmpuint(second, >, PACKETS / 8);
+    g_assert_cmpuint(first + second, ==, PACKETS / 2);
+    g_assert_cmpuint(count_in_order(site.caller), ==, PACKETS / 2);
+
+    site.balancers[0].status = 503;
+    run_until(&site, one_down);
+    for (int i = 0; i < PACKETS; i++)
+        send_numbered(&site, 0x0a640001, (uint8_t)i);
+    run_until(&site, second_sent);
+    g_assert_cmpuint(count_in_order(site.balancers[0].fd), ==, 0);
+    g_assert_cmpuint(count_in_order(site.balancers[1].fd), ==, PACKETS);
+    site_close(&site);
+}
+
+/* New settings: a cut link; the balancers stay up. */
+static void
+test_reload(void)
+{
+    struct site site;
+
+    site_open(&site);
+    run_until(&site, both_up);
+    site.config.cut[0] = site.config.callers[0].to;
+    site.config.cut_count = 1;
+    g_assert_cmpint(fabric_reload(site.fabric, &site.config), ==, 0);
+    for (int i = 0; i < PACKETS; i++)
+        send_numbered(&site, 0x0a090001, (uint8_t)i);
+    run_until(&site, all_sent);
+    g_assert_cmpuint(fabric_counts(site.fabric).cut, ==, PACKETS);
+    g_assert_cmpuint(fabric_counts(site.fabric).health_changes, ==, 2);
+    g_assert_cmpuint(count_in_order(site.caller), ==, 0);
+    site_close(&site);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -152,5 +373,7 @@
     g_test_add_func("/fabric/config-faults", test_config_faults);
     g_test_add_func("/fabric/delay", test_delay);
     g_test_add_func("/fabric/health", test_health);
+    g_test_add_func("/fabric/spray", test_spray);
+    g_test_add_func("/fabric/reload", test_reload);
     return g_test_run();
 }
