Golden scene: packets and requests in files of their own

Moved only; the steps with one host share a function. Transcripts unchanged but for a step's new name (release).

--- a/tests/golden/scene.c
+++ b/tests/golden/scene.c
@@ -204,9 +204,13 @@
 {
     switch (msg->kind) {
     case SCENE_PACKET:
+        scene_receive_packet(scene, msg);
+        break;
     case SCENE_PEER:
+        scene_receive_peer(scene, msg);
+        break;
     case SCENE_BROKEN:
-        scene_data_receive(scene, msg);
+        scene_broken(scene, msg);
         break;
     case SCENE_REFUSED:
         scene_refused(scene, msg);
@@ -230,7 +234,7 @@
         return false;
     }
     if (msg->kind == SCENE_ANSWER) {
-        scene_data_receive(scene, msg);
+        scene_receive_answer(scene, msg);
         return false;
     }
     if (msg->to < 0) {
@@ -285,7 +289,7 @@
     }
     scene_control_step(scene, i);
     if (host->agent) {
-        scene_data_tick(scene, i);
+        scene_request_tick(scene, i);
     }
 }
 
--- a/tests/golden/scene.h
+++ b/tests/golden/scene.h
@@ -268,11 +268,7 @@
 void
 scene_apply_receive(struct scene *scene, const struct scene_message *msg);
 
-/* scene_data.c */
-
-/** scene_refresh() - hand a changed view, text or state to the cores */
-void
-scene_refresh(struct scene *scene, int host);
+/* scene_packet.c */
 
 /** scene_packet() - a caller sends SYN, ACK, RST or a request; the last
  * packet again when @payload is NULL */
@@ -280,13 +276,50 @@
 scene_packet(struct scene *scene, const struct packet *key, uint8_t flags,
              const char *payload, int balancer);
 
-/** scene_data_receive() - a packet or a message between engines came */
+/** scene_answer() - an agent's stack sends a packet to the caller of @flow;
+ * flags and numbers are those of @packet */
+void
+scene_answer(struct scene *scene, int host, const struct scene_flow *flow,
+             struct packet packet, const char *payload);
+
+/** scene_isn() - initial sequence number that a host's stack uses */
+uint32_t
+scene_isn(int host);
+
+/** scene_receive_packet() - a packet came to a balancer or an agent */
+void
+scene_receive_packet(struct scene *scene, const struct scene_message *msg);
+
+/** scene_receive_answer() - a packet came to its caller */
+void
+scene_receive_answer(struct scene *scene, const struct scene_message *msg);
+
+/* scene_request.c */
+
+/** scene_refresh() - hand a changed view, text or state to the cores */
+void
+scene_refresh(struct scene *scene, int host);
+
+/** scene_request() - an agent has read a whole request of a flow it owns */
+void
+scene_request(struct scene *scene, int host, struct scene_flow *flow,
+              const char *text);
+
+/** scene_cancel() - the caller of a flow is gone */
+void
+scene_cancel(struct scene *scene, int host, const struct scene_flow *flow);
+
+/** scene_receive_peer() - a message between engines came */
+void
+scene_receive_peer(struct scene *scene, const struct scene_message *msg);
+
+/** scene_broken() - the connection to msg->from broke */
 void
-scene_data_receive(struct scene *scene, const struct scene_message *msg);
+scene_broken(struct scene *scene, const struct scene_message *msg);
 
-/** scene_data_tick() - what an agent does every SCENE_TICK_US */
+/** scene_request_tick() - what an agent does every SCENE_TICK_US */
 void
-scene_data_tick(struct scene *scene, int host);
+scene_request_tick(struct scene *scene, int host);
 
 /** scene_run_end() - the upstream ends a run */
 void
--- /dev/null
+++ b/tests/golden/scene_packet.c
@@ -0,0 +1,373 @@
+#include "scene.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/hash.h"
+
+#define HEADERS 40
+#define PSEUDO 12
+#define PROTO_TCP 6
+#define ISN_STEP 10000
+#define FIRST_SEQ 1000
+#define SYN_ACK (PACKET_TCP_SYN | PACKET_TCP_ACK)
+
+static const char *const verdicts[] = {"taken", "opened", "passed on", "reset",
+                                       "dropped, "};
+static void
+put16(uint8_t *at, uint32_t value)
+{
+    at[0] = (uint8_t)(value >> 8);
+    at[1] = (uint8_t)value;
+}
+
+static void
+put32(uint8_t *at, uint32_t value)
+{
+    put16(at, value >> 16);
+    put16(at + 2, value);
+}
+
+static GBytes *
+build_tcp(const struct packet *packet, const char *payload)
+{
+    size_t len = HEADERS + strlen(payload);
+    size_t tcp_len = len - 20;
+    uint8_t *buf = g_malloc0(PSEUDO + len);
+    uint8_t *ip = buf + PSEUDO;
+    uint8_t *tcp = ip + 20;
+
+    put32(buf, packet->src);
+    put32(buf + 4, packet->dst);
+    put16(buf + 8, PROTO_TCP);
+    put16(buf + 10, (uint32_t)tcp_len);
+    put16(tcp, packet->sport);
+    put16(tcp + 2, packet->dport);
+    put32(tcp + 4, packet->seq);
+    put32(tcp + 8, packet->ack);
+    tcp[12] = 0x50;
+    tcp[13] = packet->flags;
+    memcpy(ip + HEADERS, payload, len - HEADERS);
+    /* The pseudo header must be next to the segment. */
+    uint8_t *sum = g_malloc(PSEUDO + tcp_len);
+    memcpy(sum, buf, PSEUDO);
+    memcpy(sum + PSEUDO, tcp, tcp_len);
+    put16(tcp + 16, packet_checksum(sum, PSEUDO + tcp_len));
+    g_free(sum);
+    ip[0] = 0x45;
+    put16(ip + 2, (uint32_t)len);
+    ip[8] = 64;
+    ip[9] = PROTO_TCP;
+    put32(ip + 12, packet->src);
+    put32(ip + 16, packet->dst);
+    put16(ip + 10, packet_checksum(ip, 20));
+    GBytes *bytes = g_bytes_new(ip, len);
+    g_free(buf);
+    return bytes;
+}
+
+static char *
+describe_packet(const struct packet *packet, const uint8_t *buf)
+{
+    struct addr src = {packet->src, packet->sport};
+    struct addr dst = {packet->dst, packet->dport};
+    char from[ADDR_TEXT_MAX];
+    char to[ADDR_TEXT_MAX];
+    GString *text = g_string_new(NULL);
+
+    g_string_printf(text, "%s>%s", addr_format(src, from),
+                    addr_format(dst, to));
+    if ((packet->flags & PACKET_TCP_SYN) != 0) {
+        g_string_append(text, " SYN");
+    }
+    if ((packet->flags & PACKET_TCP_RST) != 0) {
+        g_string_append(text, " RST");
+    }
+    g_string_append_printf(text, " seq %u", packet->seq);
+    if ((packet->flags & PACKET_TCP_ACK) != 0) {
+        g_string_append_printf(text, " ack %u", packet->ack);
+    }
+    if (packet->payload_len > 0) {
+        g_string_append_printf(text, " \"%.*s\"", packet->payload_len,
+                               buf + packet->payload);
+    }
+    return g_string_free(text, FALSE);
+}
+
+static char *
+describe_hops(const struct scene *scene, const struct gue *gue)
+{
+    GString *text = g_string_new("[");
+
+    for (unsigned i = 0; i < gue->count; i++) {
+        g_string_append_printf(text, "%s%s%s", i > 0 ? " " : "",
+                               i == gue->index ? "*" : "",
+                               scene_name(scene, gue->hops[i].member));
+    }
+    g_string_append_printf(
+        text, "]%s%s", (gue->flags & GUE_OPEN) != 0 ? " may open" : "",
+        (gue->flags & GUE_SUSPECTS) != 0 ? " suspects" : "");
+    return g_string_free(text, FALSE);
+}
+
+static struct scene_flow *
+find_flow(struct scene *scene, const struct packet *key)
+{
+    for (guint i = 0; i < scene->flows->len; i++) {
+        struct scene_flow *flow = g_ptr_array_index(scene->flows, i);
+
+        if (flow->key.src == key->src && flow->key.sport == key->sport &&
+            flow->key.dst == key->dst && flow->key.dport == key->dport) {
+            return flow;
+        }
+    }
+    struct scene_flow *flow = g_new0(struct scene_flow, 1);
+    flow->key = *key;
+    g_ptr_array_add(scene->flows, flow);
+    return flow;
+}
+
+static void
+drop_bytes(GBytes *bytes)
+{
+    if (bytes != NULL) {
+        g_bytes_unref(bytes);
+    }
+}
+
+void
+scene_packet(struct scene *scene, const struct packet *key, uint8_t flags,
+             const char *payload, int balancer)
+{
+    struct scene_flow *flow = find_flow(scene, key);
+    struct packet packet = flow->key;
+
+    if (payload != NULL) {
+        if (flags == PACKET_TCP_SYN) {
+            flow->next_seq = FIRST_SEQ;
+            flow->acked = 0;
+        }
+        packet.proto = PROTO_TCP;
+        packet.flags = flags;
+        packet.seq = flow->next_seq;
+        packet.ack = flow->acked;
+        flow->next_seq +=
+            (uint32_t)strlen(payload) + (flags == PACKET_TCP_SYN ? 1 : 0);
+        drop_bytes(flow->last);
+        flow->last = build_tcp(&packet, payload);
+    }
+    g_assert_nonnull(flow->last);
+    size_t len = 0;
+    const uint8_t *buf = g_bytes_get_data(flow->last, &len);
+    g_assert_cmpint(packet_parse(buf, len, 1, &packet), ==, PACKET_OK);
+    scene_send(scene, SCENE_PACKET, SCENE_CALLER, balancer,
+               g_bytes_ref(flow->last), describe_packet(&packet, buf));
+}
+
+static void
+forward(struct scene *scene, int from, const struct gue *gue,
+        const struct packet *packet, const uint8_t *buf, size_t len)
+{
+    uint8_t header[GUE_HEADER_MAX];
+    GByteArray *whole = g_byte_array_new();
+    char *inner = describe_packet(packet, buf);
+    char *hops = describe_hops(scene, gue);
+    int to = 0;
+
+    while (!addr_equal(scene->hosts[to].data, gue->hops[gue->index].data)) {
+        to++;
+    }
+    g_byte_array_append(whole, header, (guint)gue_encode(gue, header));
+    g_byte_array_append(whole, buf, (guint)len);
+    scene_send(scene, SCENE_PACKET, from, to,
+               g_byte_array_free_to_bytes(whole),
+               g_strdup_printf("%s %s", inner, hops));
+    g_free(inner);
+    g_free(hops);
+}
+
+static void
+route(struct scene *scene, int i, const uint8_t *buf, size_t len)
+{
+    struct scene_host *host = &scene->hosts[i];
+    struct route_decision decision;
+    enum packet_drop drop = PACKET_SERVICE;
+
+    if (host->table != NULL) {
+        drop =
+            route_decide(host->table, buf, len, scene_now(scene), &decision);
+    }
+    if (drop != PACKET_OK || decision.gue.count == 0) {
+        scene_log(scene, "  %s drops it: %s", host->name,
+                  packet_drop_name(drop));
+        return;
+    }
+    forward(scene, i, &decision.gue, &decision.packet, buf, len);
+}
+
+void
+scene_answer(struct scene *scene, int i, const struct scene_flow *flow,
+             struct packet packet, const char *payload)
+{
+    packet.src = flow->key.dst;
+    packet.dst = flow->key.src;
+    packet.sport = flow->key.dport;
+    packet.dport = flow->key.sport;
+    packet.proto = PROTO_TCP;
+    GBytes *bytes = build_tcp(&packet, payload);
+    size_t len = 0;
+    const uint8_t *buf = g_bytes_get_data(bytes, &len);
+    struct packet sent;
+    g_assert_cmpint(packet_parse(buf, len, 1, &sent), ==, PACKET_OK);
+    if ((sent.flags & PACKET_TCP_SYN) != 0) {
+        flow_sent_syn_ack(scene->hosts[i].flows, &sent);
+    }
+    scene_send(scene, SCENE_ANSWER, i, SCENE_CALLER, bytes,
+               describe_packet(&sent, buf));
+}
+
+uint32_t
+scene_isn(int host)
+{
+    return ISN_STEP * ((uint32_t)host + 1);
+}
+
+/* The caller's stack; only what a scene needs of it. */
+void
+scene_receive_answer(struct scene *scene, const struct scene_message *msg)
+{
+    struct packet packet;
+    size_t len = 0;
+    const uint8_t *buf = g_bytes_get_data(msg->bytes, &len);
+
+    g_assert_cmpint(packet_parse(buf, len, 1, &packet), ==, PACKET_OK);
+    struct packet key = {.src = packet.dst,
+                         .dst = packet.src,
+                         .sport = packet.dport,
+                         .dport = packet.sport};
+    struct scene_flow *flow = find_flow(scene, &key);
+    const char *from = scene->hosts[msg->from].name;
+    if ((packet.flags & PACKET_TCP_RST) != 0) {
+        scene_log(scene, "  caller :%u: reset by %s", key.sport, from);
+    }
+    else if ((packet.flags & SYN_ACK) == SYN_ACK) {
+        scene_log(scene, "  caller :%u: %s of %s", key.sport,
+                  flow->acked == 0 ? "connected by the answer"
+                                   : "ignores a second answer",
+                  from);
+        flow->acked = flow->acked == 0 ? packet.seq + 1 : flow->acked;
+    }
+    else {
+        scene_log(scene, "  caller :%u: has its answer from %s: \"%.*s\"",
+                  key.sport, from, packet.payload_len, buf + packet.payload);
+    }
+}
+
+/* The stack of the agent that took the packet. */
+static void
+input(struct scene *scene, int i, const struct packet *packet,
+      const uint8_t *buf)
+{
+    struct scene_host *host = &scene->hosts[i];
+    struct scene_flow *flow = find_flow(scene, packet);
+    struct scene_conn *conn = g_hash_table_lookup(host->conns, flow);
+
+    if ((packet->flags & PACKET_TCP_RST) != 0) {
+        scene_cancel(scene, i, flow);
+        flow_close(host->flows, packet);
+        return;
+    }
+    if ((packet->flags & PACKET_TCP_SYN) != 0) {
+        conn = g_new0(struct scene_conn, 1);
+        *conn = (struct scene_conn){flow, packet->seq + 1};
+        g_hash_table_replace(host->conns, flow, conn);
+        struct packet out = {
+            .flags = SYN_ACK, .seq = scene_isn(i), .ack = packet->seq + 1};
+        scene_answer(scene, i, flow, out, "");
+        return;
+    }
+    g_assert_nonnull(conn);
+    if (packet->payload_len == 0) {
+        return;
+    }
+    if (packet->seq != conn->expected) {
+        scene_log(scene, "  %s has read that already", host->name);
+        return;
+    }
+    conn->expected += packet->payload_len;
+    char *text =
+        g_strndup((const char *)buf + packet->payload, packet->payload_len);
+    scene_request(scene, i, flow, text);
+    g_free(text);
+}
+
+static void
+reset(struct scene *scene, int i, const struct packet *packet)
+{
+    uint8_t buf[HEADERS];
+    size_t len = packet_build_reset(packet, buf);
+    struct packet sent;
+
+    g_assert_cmpint(packet_parse(buf, len, 1, &sent), ==, PACKET_OK);
+    scene_send(scene, SCENE_ANSWER, i, SCENE_CALLER, g_bytes_new(buf, len),
+               describe_packet(&sent, buf));
+}
+
+/* Whether the text in force here gives the address to our service. */
+static bool
+is_ours(const struct scene_host *host, const struct packet *packet)
+{
+    const struct text_service *service =
+        host->text == NULL ? NULL : text_find_name(host->text, host->service);
+
+    return service != NULL && service->ip == packet->dst &&
+           service->port == packet->dport;
+}
+
+static void
+receive_packet(struct scene *scene, int i, const uint8_t *buf, size_t len)
+{
+    struct scene_host *host = &scene->hosts[i];
+    struct gue gue;
+    struct packet packet;
+    int header = gue_decode(buf, len, &gue);
+
+    g_assert_cmpint(header, >, 0);
+    buf += header;
+    len -= (size_t)header;
+    g_assert_cmpint(packet_parse(buf, len, 1, &packet), ==, PACKET_OK);
+    if (gue.service == hash_service(host->service) &&
+        !is_ours(host, &packet)) {
+        scene_log(scene, "  %s: dropped, no address of %s by its text",
+                  host->name, host->service);
+        return;
+    }
+    struct flow_decision decision =
+        flow_decide(host->flows, &packet, &gue, scene_now(scene));
+    scene_log(scene, "  %s: %s%s", host->name, verdicts[decision.verdict],
+              decision.verdict == FLOW_DROP ? packet_drop_name(decision.drop)
+                                            : "");
+    if (decision.verdict == FLOW_TAKE || decision.verdict == FLOW_OPEN) {
+        input(scene, i, &packet, buf);
+    }
+    else if (decision.verdict == FLOW_PASS) {
+        forward(scene, i, &decision.gue, &packet, buf, len);
+    }
+    else if (decision.verdict == FLOW_RESET) {
+        reset(scene, i, &packet);
+    }
+}
+
+void
+scene_receive_packet(struct scene *scene, const struct scene_message *msg)
+{
+    size_t len = 0;
+    const uint8_t *buf = g_bytes_get_data(msg->bytes, &len);
+
+    if (scene->hosts[msg->to].agent) {
+        receive_packet(scene, msg->to, buf, len);
+    }
+    else {
+        route(scene, msg->to, buf, len);
+    }
+}
--- a/tests/golden/script.c
+++ b/tests/golden/script.c
@@ -95,43 +95,40 @@
 }
 
 static void
-do_kill(const struct step *step)
+set_state(struct scene *scene, int host, enum member_state state)
 {
-    scene_kill(step->scene, host_of(step, 1));
+    scene->hosts[host].state = state;
+    scene_refresh(scene, host);
+    scene_control_step(scene, host);
 }
 
+/* Steps that have a host as their only argument. */
 static void
-do_freeze(const struct step *step)
-{
-    step->scene->hosts[host_of(step, 1)].frozen = true;
-}
-
-static void
-do_thaw(const struct step *step)
-{
-    scene_thaw(step->scene, host_of(step, 1));
-}
-
-static void
-set_state(const struct step *step, enum member_state state)
+do_host(const struct step *step)
 {
+    struct scene *scene = step->scene;
+    const char *what = step->words[0];
     int host = host_of(step, 1);
 
-    step->scene->hosts[host].state = state;
-    scene_refresh(step->scene, host);
-    scene_control_step(step->scene, host);
-}
-
-static void
-do_drain(const struct step *step)
-{
-    set_state(step, MEMBER_DRAINING);
-}
-
-static void
-do_undrain(const struct step *step)
-{
-    set_state(step, MEMBER_READY);
+    if (strcmp(what, "kill") == 0) {
+        scene_kill(scene, host);
+    }
+    else if (strcmp(what, "freeze") == 0) {
+        scene->hosts[host].frozen = true;
+    }
+    else if (strcmp(what, "thaw") == 0) {
+        scene_thaw(scene, host);
+    }
+    else if (strcmp(what, "hold") == 0) {
+        scene->hosts[host].holds = true;
+    }
+    else if (strcmp(what, "release") == 0) {
+        scene->hosts[host].holds = false;
+    }
+    else {
+        set_state(scene, host,
+                  what[0] == 'd' ? MEMBER_DRAINING : MEMBER_READY);
+    }
 }
 
 static void
@@ -156,13 +153,6 @@
     scene_heal(step->scene);
 }
 
-static void
-do_hold(const struct step *step)
-{
-    step->scene->hosts[host_of(step, 1)].holds =
-        step->count < 3 || strcmp(step->words[2], "off") != 0;
-}
-
 static void
 do_upstream_end(const struct step *step)
 {
@@ -269,14 +259,23 @@
     int words;
     void (*run)(const struct step *step);
 } commands[] = {
-    {"at", 2, do_at},           {"start", 2, do_start},
-    {"settle", 2, do_settle},   {"packet", 7, do_packet},
-    {"kill", 2, do_kill},       {"freeze", 2, do_freeze},
-    {"thaw", 2, do_thaw},       {"drain", 2, do_drain},
-    {"undrain", 2, do_undrain}, {"lose", 5, do_rule},
-    {"delay", 6, do_rule},      {"heal", 1, do_heal},
-    {"hold", 2, do_hold},       {"upstream-end", 4, do_upstream_end},
-    {"outage", 2, do_outage},   {"publish", 3, do_publish},
+    {"at", 2, do_at},
+    {"start", 2, do_start},
+    {"settle", 2, do_settle},
+    {"packet", 7, do_packet},
+    {"kill", 2, do_host},
+    {"freeze", 2, do_host},
+    {"thaw", 2, do_host},
+    {"drain", 2, do_host},
+    {"undrain", 2, do_host},
+    {"lose", 5, do_rule},
+    {"delay", 6, do_rule},
+    {"heal", 1, do_heal},
+    {"hold", 2, do_host},
+    {"release", 2, do_host},
+    {"upstream-end", 4, do_upstream_end},
+    {"outage", 2, do_outage},
+    {"publish", 3, do_publish},
     {"show", 1, do_show},
 };
 
--- a/tests/golden/script.h
+++ b/tests/golden/script.h
@@ -10,7 +10,7 @@
  *   lose N KIND FROM TO            the next N such messages get lost
  *   delay N KIND FROM TO MS        they arrive late
  *   heal                           forget lose and delay
- *   hold NAME [off]                its upstream answers by hand only:
+ *   hold NAME, release NAME        its upstream answers by hand only, or not
  *   upstream-end NAME ID HOW
  *   outage on|off                  of the platform
  *   publish OPERATOR FILE          (operators a and b)
