--- a/bench/control/bench_control.c
+++ b/bench/control/bench_control.c
@@ -1,8 +1,8 @@
 /*
  * Slopes of the control part for docs/CAPACITY.md: cells of several sizes in
  * one process, with the real wire form and seal, on a model network and
- * clock; then control threads with real sockets. Prints a table, the lines
- * fitted to it, and the same as JSON.
+ * clock; changes of texts; control threads with real sockets. Prints a table,
+ * the lines fitted to it, and the same as JSON.
  */
 #include <stdio.h>
 #include <stdlib.h>
@@ -16,11 +16,15 @@
 
 #define SIZES_MAX 16
 #define CELL_LIMIT 250
+#define SERVICES_TARGET 28000
 #define THREAD_SECONDS 20
 
 static const size_t default_sizes[] = {10, 25, 50, 100, 200, 400};
 static const size_t thread_sizes[] = {10, 20, 40, 80};
 
+static const size_t text_sizes[] = {250, 500, 1000, 2000, 4000};
+
+#define TEXT_SIZES (sizeof(text_sizes) / sizeof(text_sizes[0]))
 #define THREAD_SIZES (sizeof(thread_sizes) / sizeof(thread_sizes[0]))
 
 struct table {
@@ -31,32 +35,34 @@
 
 static void
 add_fit(struct json_object *row, const double *x, const double *y,
-        size_t count)
+        size_t count, double at)
 {
     struct fit fit = fit_line(x, y, count);
 
     printf("  %10.2f %12.4f %6.3f %12.2f", fit.intercept, fit.slope, fit.r2,
-           fit_at(&fit, CELL_LIMIT));
+           fit_at(&fit, at));
     json_object_object_add(row, "intercept",
                            json_object_new_double(fit.intercept));
     json_object_object_add(row, "slope", json_object_new_double(fit.slope));
     json_object_object_add(row, "r2", json_object_new_double(fit.r2));
-    json_object_object_add(row, "at_250",
-                           json_object_new_double(fit_at(&fit, CELL_LIMIT)));
+    json_object_object_add(row, "target", json_object_new_double(at));
+    json_object_object_add(row, "at_target",
+                           json_object_new_double(fit_at(&fit, at)));
 }
 
 static void
-print_header(const double *sizes, size_t count)
+print_header(const char *what, const double *sizes, size_t count, double at)
 {
-    printf("%-34s", "members");
+    printf("%-34s", what);
     for (size_t i = 0; i < count; i++)
         printf(" %10.0f", sizes[i]);
-    printf("  %10s %12s %6s %12s\n", "intercept", "slope", "R2", "at 250");
+    printf("  %10s %12s %6s %6s %5.0f\n", "intercept", "slope", "R2", "at",
+           at);
 }
 
 static void
 print_row(struct json_object *root, const char *name, const double *x,
-          const double *y, size_t count)
+          const double *y, size_t count, double at)
 {
     struct json_object *row = json_object_new_object();
     struct json_object *values = json_object_new_array();
@@ -67,7 +73,7 @@
         json_object_array_add(values, json_object_new_double(y[i]));
     }
     json_object_object_add(row, "values", values);
-    add_fit(row, x, y, count);
+    add_fit(row, x, y, count, at);
     printf("\n");
     json_object_object_add(root, name, row);
 }
@@ -80,14 +86,14 @@
     for (size_t i = 0; i < table->count; i++)
         json_object_array_add(sizes, json_object_new_int(table->sizes[i]));
     json_object_object_add(root, "members", sizes);
-    print_header(table->sizes, table->count);
+    print_header("members", table->sizes, table->count, CELL_LIMIT);
     for (size_t column = 0; column < MEASURE_COLUMNS; column++) {
         double values[SIZES_MAX];
 
         for (size_t i = 0; i < table->count; i++)
             values[i] = table->columns[i][column];
         print_row(root, measure_names[column], table->sizes, values,
-                  table->count);
+                  table->count, CELL_LIMIT);
     }
 }
 
@@ -96,7 +102,11 @@
 {
     double sizes[THREAD_SIZES];
     double values[4][THREAD_SIZES];
+    struct measure_threads warm;
 
+    /* The first run pays for what all processes of this bench share. */
+    if (measure_threads(thread_sizes[0], 1, &warm) < 0)
+        return -1;
     for (size_t i = 0; i < THREAD_SIZES; i++) {
         struct measure_threads got;
         int ret = measure_threads(thread_sizes[i], THREAD_SECONDS, &got);
@@ -111,12 +121,46 @@
     }
     printf("\nControl threads with real sockets, %u s in rest\n",
            THREAD_SECONDS);
-    print_header(sizes, THREAD_SIZES);
-    print_row(root, "thread_cpu_us_per_s", sizes, values[0], THREAD_SIZES);
+    print_header("members", sizes, THREAD_SIZES, CELL_LIMIT);
+    print_row(root, "thread_cpu_us_per_s", sizes, values[0], THREAD_SIZES,
+              CELL_LIMIT);
     print_row(root, "thread_cpu_us_per_s_worst", sizes, values[1],
-              THREAD_SIZES);
-    print_row(root, "thread_resident_bytes", sizes, values[2], THREAD_SIZES);
-    print_row(root, "thread_bytes_out_per_s", sizes, values[3], THREAD_SIZES);
+              THREAD_SIZES, CELL_LIMIT);
+    print_row(root, "thread_resident_bytes", sizes, values[2], THREAD_SIZES,
+              CELL_LIMIT);
+    print_row(root, "thread_bytes_out_per_s", sizes, values[3], THREAD_SIZES,
+              CELL_LIMIT);
+    return 0;
+}
+
+static int
+print_texts(struct json_object *root)
+{
+    double sizes[TEXT_SIZES];
+    double values[4][TEXT_SIZES];
+
+    for (size_t i = 0; i < TEXT_SIZES; i++) {
+        struct measure_text got;
+        int ret = measure_text(text_sizes[i], &got);
+
+        if (ret < 0)
+            return ret;
+        sizes[i] = text_sizes[i];
+        values[0][i] = got.bytes;
+        values[1][i] = got.edit_bytes;
+        values[2][i] = got.diff_us;
+        values[3][i] = got.apply_us;
+    }
+    printf("\nA change of one line in a text, by services\n");
+    print_header("services", sizes, TEXT_SIZES, SERVICES_TARGET);
+    print_row(root, "text_bytes", sizes, values[0], TEXT_SIZES,
+              SERVICES_TARGET);
+    print_row(root, "text_edit_bytes", sizes, values[1], TEXT_SIZES,
+              SERVICES_TARGET);
+    print_row(root, "text_diff_us", sizes, values[2], TEXT_SIZES,
+              SERVICES_TARGET);
+    print_row(root, "text_apply_us", sizes, values[3], TEXT_SIZES,
+              SERVICES_TARGET);
     return 0;
 }
 
@@ -151,7 +195,9 @@
         measure_cell(table.sizes[i], table.columns[i]);
     }
     print_cells(root, &table);
-    ret = print_threads(root);
+    ret = print_texts(root);
+    if (ret == 0)
+        ret = print_threads(root);
     if (ret == 0)
         printf("\n%s\n",
                json_object_to_json_string_ext(root, JSON_C_TO_STRING_PRETTY));
--- a/bench/control/measure.h
+++ b/bench/control/measure.h
@@ -55,4 +55,16 @@
 int
 measure_threads(size_t size, unsigned seconds, struct measure_threads *out);
 
+/** struct measure_text - a change of one line in a text */
+struct measure_text {
+    double bytes;      /* of the text */
+    double edit_bytes; /* what is sent in its place */
+    double diff_us;    /* to find the edit, at the first reader */
+    double apply_us;   /* to apply it and read the text, at each process */
+};
+
+/** measure_text() - for a text of @services */
+int
+measure_text(size_t services, struct measure_text *out);
+
 #endif
