Never call the engine while its actions are carried out

Seen red: the new property test (/agent/property, seed 3; address sanitizer: heap-use-after-free in act_finish). Cause: an answer that went out let its flow's next pipelined request be read at once, and that engine call freed what the actions still pointed to. Ruled out: the stack and the links, whose callbacks come from the loop only.

--- a/src/agent/requests.c
+++ b/src/agent/requests.c
@@ -16,16 +16,24 @@
 #define UNSERVED_RETRY_MS 1000
 #define KEEP_AFTER_DEADLINE_US (60 * USEC_PER_SEC)
 
+/** enum late_type - events that may arise while actions are carried out */
+enum late_type {
+    LATE_ARRIVAL, /* a flow read on once its answer had gone */
+    LATE_LOST,    /* the connection to @member broke */
+    LATE_UNSENT   /* RUN of @id never left for @member */
+};
+
 /**
  * struct late - an event that waits until the actions are carried out
- * @member: peer it is about
- * @unsent: a RUN never left for it; else its connection broke
- * @id: UNSENT: which request
+ *
+ * An engine call in between would move the list of actions and free what
+ * they point to.
  */
 struct late {
+    enum late_type type;
     uint64_t member;
-    bool unsent;
     uint64_t id;
+    struct engine_request arrival;
 };
 
 static void
@@ -39,13 +47,20 @@
 {
     uint64_t now_us = agent_now(requests->agent);
 
-    if (late->unsent) {
-        engine_unsent(requests->engine, late->member, late->id, now_us,
+    g_assert(!requests->acting);
+    switch (late->type) {
+    case LATE_ARRIVAL:
+        engine_arrive(requests->engine, &late->arrival, now_us,
                       &requests->out);
-    }
-    else {
+        break;
+    case LATE_LOST:
         engine_peer_lost(requests->engine, late->member, now_us,
                          &requests->out);
+        break;
+    case LATE_UNSENT:
+        engine_unsent(requests->engine, late->member, late->id, now_us,
+                      &requests->out);
+        break;
     }
 }
 
@@ -105,7 +120,6 @@
     struct requests *requests = (struct requests *)owner;
     struct agent *agent = requests->agent;
     const struct text_service *service = &agent->service;
-    uint64_t now_us = agent_now(agent);
 
     if (!is_served(agent, local)) {
         refuse_unserved(agent, slot, read);
@@ -116,7 +130,9 @@
         read->timeout_ms != 0 ? read->timeout_ms : service->limits.deadline_ms;
     struct request *request =
         request_new(requests, agent->self, id, read->traceparent);
-    struct engine_request arrival = {
+    struct late late = {.type = LATE_ARRIVAL};
+
+    late.arrival = (struct engine_request){
         .id = id,
         .service = service->id,
         .caller = caller.ip,
@@ -133,8 +149,8 @@
     request->service = service->id;
     request->slot = slot;
     request->http = read->http;
-    request->deadline_us = arrival.deadline_us;
-    engine_arrive(requests->engine, &arrival, now_us, &requests->out);
+    request->deadline_us = late.arrival.deadline_us;
+    late_push(requests, &late);
     requests_act(agent);
 }
 
@@ -149,6 +165,7 @@
         return;
     }
     request->slot = NULL;
+    g_assert(!requests->acting);
     engine_cancel(requests->engine, slot->id, agent_now(agent),
                   &requests->out);
     requests_act(agent);
@@ -200,6 +217,7 @@
     if (how == ENGINE_UP_UNREACHED) {
         upstream_unreached(agent);
     }
+    g_assert(!requests->acting);
     engine_upstream_end(requests->engine, origin, id, how,
                         answer == NULL ? NULL : answer->data,
                         answer == NULL ? 0 : answer->len, agent_now(agent),
@@ -322,6 +340,7 @@
     else if (msg->type == ENGINE_PEER_DONE) {
         hold_answer(requests, msg, bytes, len);
     }
+    g_assert(!requests->acting);
     engine_peer(requests->engine, from, msg, bytes, len, agent_now(agent),
                 &requests->out);
     requests_act(agent);
@@ -331,7 +350,7 @@
 requests_peer_lost(struct agent *agent, uint64_t member)
 {
     struct requests *requests = &agent->requests;
-    struct late late = {.member = member};
+    struct late late = {.type = LATE_LOST, .member = member};
 
     late_push(requests, &late);
     requests_act(agent);
@@ -341,7 +360,7 @@
 requests_unsent(struct agent *agent, uint64_t member, uint64_t id)
 {
     struct requests *requests = &agent->requests;
-    struct late late = {.member = member, .unsent = true, .id = id};
+    struct late late = {.type = LATE_UNSENT, .member = member, .id = id};
 
     late_push(requests, &late);
     requests_act(agent);
@@ -353,6 +372,7 @@
     struct ended_run *item;
 
     while ((item = g_queue_pop_head(&requests->ended)) != NULL) {
+        g_assert(!requests->acting);
         engine_upstream_end(requests->engine, item->origin, item->id,
                             item->how, NULL, 0, agent_now(requests->agent),
                             &requests->out);
@@ -367,6 +387,7 @@
     struct requests *requests = &agent->requests;
 
     report_ended(requests);
+    g_assert(!requests->acting);
     engine_tick(requests->engine, agent_now(agent), &requests->out);
     requests_act(agent);
 }
--- /dev/null
+++ b/tests/agent/test_property.c
@@ -0,0 +1,574 @@
+/*
+ * Seeded random orders of events at one agent: callers that pipeline and
+ * vanish, runs that end in every way, a peer that grants, takes, answers and
+ * is lost. After each step each caller's bytes must be its own answers,
+ * whole and in order; "not run" is only said of what never began; nothing
+ * that may run once began twice.
+ */
+#include <glib.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "agent/program.h"
+#include "base/hash.h"
+#include "tests/agent/fake_stack.h"
+
+#define PEER "peer"
+#define SERVICE "lots"
+#define FLOWS 4
+#define REQUESTS_MAX 4000
+#define KEYS 40
+#define STEPS 3000
+#define SEEDS 20
+#define START_US (100 * USEC_PER_SEC)
+
+/** struct asked - one request, and how often it may have begun to run */
+struct asked {
+    unsigned begun;
+    bool idempotent;
+    int key;
+};
+
+/** struct back_run - a run at the upstream; peers' runs are kept alike */
+struct back_run {
+    void *data;
+    uint64_t id;
+    size_t asked;
+};
+
+/** struct caller - a flow and the requests that it waits for, in order */
+struct caller {
+    struct stack_conn conn;
+    bool open;
+    GArray *waiting;
+};
+
+/** struct world - the agent, its callers and its peer */
+struct world {
+    struct agent agent;
+    struct clock_manual clock;
+    GRand *random;
+    struct caller callers[FLOWS];
+    struct asked asked[REQUESTS_MAX];
+    size_t asked_count;
+    unsigned key_begun[KEYS];
+    GPtrArray *runs;
+    GPtrArray *at_peer;
+    GArray *reserves;
+    size_t answers[3]; /* whole, not run, other */
+};
+
+static struct world *now_running;
+
+static size_t
+number_of(const uint8_t *http)
+{
+    const char *at = strstr((const char *)http, "/r/");
+
+    g_assert_nonnull(at);
+    return (size_t)atoi(at + 3);
+}
+
+static struct back_run *
+begin(struct world *world, const GByteArray *http)
+{
+    struct back_run *run = g_new0(struct back_run, 1);
+    char *text = g_strndup((const char *)http->data, http->len);
+
+    run->asked = number_of((const uint8_t *)text);
+    g_free(text);
+    return run;
+}
+
+/* What an upstream has seen may have run, whatever is heard of it later. */
+static void
+count_begun(struct world *world, const struct back_run *run)
+{
+    struct asked *asked = &world->asked[run->asked];
+
+    asked->begun++;
+    if (asked->key >= 0) {
+        g_assert_cmpuint(++world->key_begun[asked->key], <=, 1);
+    }
+    else if (!asked->idempotent) {
+        g_assert_cmpuint(asked->begun, <=, 1);
+    }
+}
+
+void
+back_init(struct back *back, struct event_base *base, struct back_owner *owner)
+{
+    back->owner = owner;
+}
+
+struct back_run *
+back_start(struct back *back, struct addr upstream, const GByteArray *http,
+           const char *lines, size_t body_max, void *data)
+{
+    struct back_run *run = begin(now_running, http);
+
+    run->data = data;
+    g_ptr_array_add(now_running->runs, run);
+    g_assert_cmpuint(now_running->runs->len, <=, 2);
+    return run;
+}
+
+void
+back_abort(struct back_run *run)
+{
+    count_begun(now_running, run);
+    g_assert_true(g_ptr_array_remove(now_running->runs, run));
+    g_free(run);
+}
+
+int
+peer_links_send(struct agent *agent, uint64_t member,
+                const struct engine_peer_msg *msg, const GByteArray *bytes,
+                const char *traceparent)
+{
+    struct world *world = now_running;
+
+    if (msg->type == ENGINE_PEER_RUN) {
+        if (g_rand_int_range(world->random, 0, 10) == 0) {
+            return -1; /* no room in the queue of the link */
+        }
+        struct back_run *run = begin(world, bytes);
+        run->id = msg->request.id;
+        g_ptr_array_add(world->at_peer, run);
+    }
+    else if (msg->type == ENGINE_PEER_IDEM &&
+             msg->idem.type == IDEM_MSG_RESERVE) {
+        g_array_append_val(world->reserves, msg->idem);
+    }
+    return 0;
+}
+
+void
+upstream_unreached(struct agent *agent)
+{
+}
+
+void
+ingress_flow(struct agent *agent, struct addr caller, struct addr local,
+             bool open)
+{
+}
+
+/* Checks one whole answer to request @n; returns its length. */
+static size_t
+check_answer(struct world *world, const char *text, size_t n)
+{
+    const char *blank = strstr(text, "\r\n\r\n");
+    const char *length = strstr(text, "Content-Length: ");
+
+    g_assert_nonnull(blank);
+    g_assert_true(length != NULL && length < blank);
+    size_t body_len = (size_t)atoi(length + 16);
+    const char *body = blank + 4;
+    g_assert_cmpuint(strlen(body), >=, body_len);
+    if (g_str_has_prefix(text, "HTTP/1.1 200 ")) {
+        /* Replays carry the answer to the first request with the key. */
+        size_t first = (size_t)atoi(body);
+        const struct asked *asked = &world->asked[n];
+        g_assert_true(first == n || (asked->key >= 0 &&
+                                     world->asked[first].key == asked->key));
+        world->answers[0]++;
+    }
+    else if (g_str_has_prefix(text, "HTTP/1.1 503 ")) {
+        g_assert_cmpuint(world->asked[n].begun, ==, 0);
+        world->answers[1]++;
+    }
+    else {
+        world->answers[2]++;
+    }
+    return (size_t)(body - text) + body_len;
+}
+
+static void
+check_callers(struct world *world)
+{
+    for (size_t i = 0; i < FLOWS; i++) {
+        struct caller *caller = &world->callers[i];
+        GString *written = caller->conn.written;
+        while (caller->open && written->len > 0) {
+            g_assert_cmpuint(caller->waiting->len, >, 0);
+            size_t n = g_array_index(caller->waiting, size_t, 0);
+            g_array_remove_index(caller->waiting, 0);
+            size_t len = check_answer(world, written->str, n);
+            g_string_erase(written, 0, (gssize)len);
+        }
+    }
+}
+
+static void
+open_caller(struct world *world, size_t i)
+{
+    struct caller *caller = &world->callers[i];
+
+    fake_conn_init(&caller->conn, 0x0a010001 + (uint32_t)i);
+    front_open(&world->agent.front, &caller->conn, world->clock.now_us);
+    caller->open = true;
+}
+
+static void
+close_caller(struct world *world, size_t i)
+{
+    struct caller *caller = &world->callers[i];
+
+    front_closed(&world->agent.front, &caller->conn);
+    fake_conn_finish(&caller->conn);
+    caller->open = false;
+    g_array_set_size(caller->waiting, 0);
+}
+
+static void
+ask(struct world *world, size_t i)
+{
+    struct caller *caller = &world->callers[i];
+    size_t n = world->asked_count++;
+    struct asked *asked = &world->asked[n];
+    int kind = g_rand_int_range(world->random, 0, 3);
+    char text[256];
+    char key[64] = "";
+
+    g_assert_cmpuint(n, <, REQUESTS_MAX);
+    asked->idempotent = kind == 0;
+    asked->key = -1;
+    if (kind == 2) {
+        asked->key = g_rand_int_range(world->random, 0, KEYS);
+        g_snprintf(key, sizeof(key), "Idempotency-Key: k%d\r\n", asked->key);
+    }
+    /* A key's requests differ in their target, which is in the fingerprint;
+     * so retries send the first one's. */
+    size_t target = n;
+    for (size_t k = 0; asked->key >= 0 && k < n; k++) {
+        if (world->asked[k].key == asked->key) {
+            target = k;
+            break;
+        }
+    }
+    g_snprintf(text, sizeof(text),
+               "%s /r/%zu HTTP/1.1\r\nHost: h\r\n%sRequest-Timeout-Ms: %d\r\n"
+               "Content-Length: 0\r\n\r\n",
+               kind == 0 ? "GET" : "POST", target, key,
+               g_rand_int_range(world->random, 20, 3000));
+    g_array_append_val(caller->waiting, n);
+    front_data(&world->agent.front, &caller->conn, (const uint8_t *)text,
+               strlen(text), world->clock.now_us);
+}
+
+static GByteArray *
+answer_to(const struct back_run *run)
+{
+    GByteArray *answer = g_byte_array_new();
+    char body[32];
+    char text[128];
+
+    g_snprintf(body, sizeof(body), "%zu whole", run->asked);
+    g_snprintf(text, sizeof(text),
+               "HTTP/1.1 200 OK\r\nContent-Length: %zu\r\n\r\n%s",
+               strlen(body), body);
+    g_byte_array_append(answer, (guint8 *)text, (guint)strlen(text));
+    return answer;
+}
+
+static void
+end_run(struct world *world)
+{
+    static const enum engine_upstream ends[] = {
+        ENGINE_UP_ANSWERED, ENGINE_UP_ANSWERED,  ENGINE_UP_ANSWERED,
+        ENGINE_UP_REFUSED,  ENGINE_UP_UNREACHED, ENGINE_UP_LOST,
+        ENGINE_UP_SHORT};
+    struct back_owner *owner = world->agent.back.owner;
+
+    if (world->runs->len == 0) {
+        return;
+    }
+    guint i =
+        (guint)g_rand_int_range(world->random, 0, (gint)world->runs->len);
+    struct back_run *run = g_ptr_array_steal_index_fast(world->runs, i);
+    enum engine_upstream how =
+        ends[g_rand_int_range(world->random, 0, (gint)G_N_ELEMENTS(ends))];
+    if (how != ENGINE_UP_REFUSED && how != ENGINE_UP_UNREACHED) {
+        count_begun(world, run);
+    }
+    owner->ops->on_end(owner, run->data, how,
+                       how == ENGINE_UP_ANSWERED ? answer_to(run) : NULL);
+    g_free(run);
+}
+
+static void
+tell(struct world *world, const struct engine_peer_msg *msg,
+     const GByteArray *bytes)
+{
+    requests_peer(&world->agent, hash_name(PEER), msg,
+                  bytes == NULL ? NULL : bytes->data,
+                  bytes == NULL ? 0 : bytes->len, "");
+}
+
+static void
+peer_ends(struct world *world)
+{
+    struct engine_peer_msg msg = {.type = ENGINE_PEER_DONE,
+                                  .origin = world->agent.self};
+    GByteArray *answer = NULL;
+
+    if (world->at_peer->len == 0) {
+        return;
+    }
+    struct back_run *run = g_ptr_array_steal_index(world->at_peer, 0);
+    int how = g_rand_int_range(world->random, 0, 4);
+    msg.request.id = run->id;
+    if (how == 0) {
+        msg.outcome = ENGINE_NOT_RUN;
+        msg.reason = ENGINE_QUEUE_FULL;
+    }
+    else {
+        count_begun(world, run);
+        msg.outcome = how == 1 ? ENGINE_UNKNOWN : ENGINE_ANSWERED;
+        answer = how == 1 ? NULL : answer_to(run);
+    }
+    tell(world, &msg, answer);
+    if (answer != NULL) {
+        g_byte_array_unref(answer);
+    }
+    g_free(run);
+}
+
+/* All that the peer had of us may or may not have run there. */
+static void
+peer_is_lost(struct world *world)
+{
+    while (world->at_peer->len > 0) {
+        struct back_run *run = g_ptr_array_steal_index(world->at_peer, 0);
+        count_begun(world, run);
+        g_free(run);
+    }
+    requests_peer_lost(&world->agent, hash_name(PEER));
+}
+
+static void
+peer_grants(struct world *world)
+{
+    struct engine_peer_msg msg = {.type = ENGINE_PEER_IDEM};
+
+    if (world->reserves->len == 0) {
+        return;
+    }
+    msg.idem = g_array_index(world->reserves, struct idem_msg, 0);
+    g_array_remove_index(world->reserves, 0);
+    if (g_rand_int_range(world->random, 0, 8) == 0) {
+        return; /* lost on the way */
+    }
+    msg.idem.type = IDEM_MSG_GRANT;
+    msg.idem.state = IDEM_STARTED;
+    tell(world, &msg, NULL);
+}
+
+static void
+peer_pulls(struct world *world)
+{
+    struct engine_peer_msg msg = {.type = ENGINE_PEER_PULL, .free_slots = 2};
+
+    msg.type =
+        g_rand_boolean(world->random) ? ENGINE_PEER_PULL : ENGINE_PEER_STATUS;
+    tell(world, &msg, NULL);
+}
+
+static void
+tick(struct world *world)
+{
+    clock_manual_advance(&world->clock, 10 * USEC_PER_MSEC);
+    agent_was_paused(&world->agent);
+    requests_tick(&world->agent);
+}
+
+static void
+step(struct world *world)
+{
+    size_t i = (size_t)g_rand_int_range(world->random, 0, FLOWS);
+    struct caller *caller = &world->callers[i];
+    int what = g_rand_int_range(world->random, 0, 100);
+
+    if (what < 30) {
+        tick(world);
+    }
+    else if (what < 50) {
+        end_run(world);
+    }
+    else if (what < 70) {
+        if (caller->open) {
+            ask(world, i);
+        }
+        else {
+            open_caller(world, i);
+        }
+    }
+    else if (what < 82) {
+        peer_grants(world);
+    }
+    else if (what < 88) {
+        peer_pulls(world);
+    }
+    else if (what < 96) {
+        peer_ends(world);
+    }
+    else if (what < 98) {
+        peer_is_lost(world);
+    }
+    else if (caller->open) {
+        close_caller(world, i);
+    }
+    check_callers(world);
+}
+
+static void
+set_member(struct view_member *member, const char *name)
+{
+    g_strlcpy(member->name, name, sizeof(member->name));
+    member->id = hash_name(name);
+    member->incarnation = 1;
+    member->role = MEMBER_AGENT;
+    member->state = MEMBER_READY;
+    member->service = hash_service(SERVICE);
+    member->slots = 2;
+    member->since_us = 1;
+}
+
+static void
+set_service(struct world *world)
+{
+    static const char source[] =
+        "{\"services\":[{\"name\":\"lots\",\"address\":\"10.0.0.1\","
+        "\"port\":80,\"protocol\":\"tcp\",\"class\":\"urgent\"}]}";
+    struct agent *agent = &world->agent;
+    struct engine *engine = agent->requests.engine;
+    struct view *view = view_new(2);
+    struct text *text = NULL;
+    char *report = NULL;
+
+    view->count = 2;
+    view->self = hash_name("self") < hash_name(PEER) ? 0 : 1;
+    set_member(&view->members[view->self], "self");
+    set_member(&view->members[1 - view->self], PEER);
+    engine_set_view(engine, view, world->clock.now_us, &agent->requests.out);
+    requests_act(agent);
+    free(view);
+    g_assert_cmpint(
+        text_parse(source, sizeof(source) - 1, "test", &text, &report), ==, 0);
+    agent->service = *text_find(text, hash_service(SERVICE));
+    agent->service_known = true;
+    engine_set_text(engine, text, world->clock.now_us, &agent->requests.out);
+    requests_act(agent);
+    text_free(text);
+    engine_set_upstream(engine, hash_service(SERVICE), 2, true,
+                        world->clock.now_us, &agent->requests.out);
+    requests_act(agent);
+}
+
+static void
+world_init(struct world *world, guint32 seed)
+{
+    struct agent *agent = &world->agent;
+
+    memset(world, 0, sizeof(*world));
+    now_running = world;
+    world->random = g_rand_new_with_seed(seed);
+    world->runs = g_ptr_array_new();
+    world->at_peer = g_ptr_array_new();
+    world->reserves = g_array_new(FALSE, FALSE, sizeof(struct idem_msg));
+    clock_manual_init(&world->clock, START_US);
+    agent->clock = &world->clock.base;
+    agent->ticked_us = START_US;
+    agent->self = hash_name("self");
+    agent->trace.fd = -1;
+    agent->upstream.service = hash_service(SERVICE);
+    counter_table_init(&agent->counters);
+    requests_register(agent);
+    g_assert_cmpint(requests_init(agent, seed), ==, 0);
+    back_init(&agent->back, NULL, &agent->requests.back_owner);
+    front_init(&agent->front, &agent->requests.front_owner, "self");
+    agent->front.limits =
+        (struct front_limits){10, 10, 1024, 3600 * USEC_PER_SEC};
+    set_service(world);
+    for (size_t i = 0; i < FLOWS; i++) {
+        world->callers[i].waiting = g_array_new(FALSE, FALSE, sizeof(size_t));
+    }
+    for (int i = 0; i < 2000; i++) {
+        tick(world); /* past the cold start */
+    }
+}
+
+static void
+world_finish(struct world *world)
+{
+    struct agent *agent = &world->agent;
+
+    for (size_t i = 0; i < FLOWS; i++) {
+        if (world->callers[i].open) {
+            close_caller(world, i);
+        }
+        g_array_unref(world->callers[i].waiting);
+    }
+    requests_finish(agent);
+    front_finish(&agent->front);
+    counter_table_finish(&agent->counters);
+    g_ptr_array_free(world->runs, TRUE);
+    g_ptr_array_free(world->at_peer, TRUE);
+    g_array_unref(world->reserves);
+    g_rand_free(world->random);
+}
+
+/* Everyone who still waits gets a final answer, and nothing is left over. */
+static void
+settle(struct world *world)
+{
+    for (int i = 0; i < 600; i++) {
+        end_run(world);
+        peer_ends(world);
+        tick(world);
+        check_callers(world);
+    }
+    for (size_t i = 0; i < FLOWS; i++) {
+        if (world->callers[i].open) {
+            g_assert_cmpuint(world->callers[i].waiting->len, ==, 0);
+        }
+    }
+    g_assert_cmpuint(engine_open(world->agent.requests.engine), ==, 0);
+    g_assert_cmpuint(engine_busy(world->agent.requests.engine), ==, 0);
+}
+
+static void
+test_property(void)
+{
+    size_t answers[3] = {0};
+
+    for (guint32 seed = 1; seed <= SEEDS; seed++) {
+        struct world *world = g_new0(struct world, 1);
+        g_test_message("seed %u", seed);
+        world_init(world, seed);
+        for (int i = 0; i < STEPS; i++) {
+            step(world);
+        }
+        settle(world);
+        for (size_t k = 0; k < G_N_ELEMENTS(answers); k++) {
+            answers[k] += world->answers[k];
+        }
+        world_finish(world);
+        g_free(world);
+    }
+    /* Each kind of answer was really provoked. */
+    for (size_t k = 0; k < G_N_ELEMENTS(answers); k++) {
+        g_assert_cmpuint(answers[k], >, 100);
+    }
+    g_test_message("%zu whole, %zu not run, %zu other", answers[0], answers[1],
+                   answers[2]);
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/agent/property", test_property);
+    return g_test_run();
+}
