Bound what half-read requests hold, and stop reading a closed flow

Seen red: /agent/front/stop-at-once: a flow closed by an answer given at once went on to read its next pipelined request, which would have run for nobody.

--- a/src/agent/front.c
+++ b/src/agent/front.c
@@ -3,59 +3,22 @@
 #include <string.h>
 
 #include "agent/answer.h"
+#include "agent/front_private.h"
 
-#define STATUS_TIMEOUT 408
+#define STATUS_UNAVAILABLE 503
 #define CONNECTION_CLOSE "Connection: close\r\n"
 
-/**
- * struct front_conn - one caller's flow
- * @reader_owner: so that the reader finds the flow; first member
- * @front: all flows
- * @conn: the stack's handle
- * @reader: reads its requests
- * @slots: requests without an answer sent, in order
- * @in: bytes not read yet, while the reader is paused
- * @out: bytes of answers the stack has not taken
- * @out_pos: how many of @out it has
- * @bytes_us: when the caller last sent or took bytes
- * @request_us: when the request being read began
- * @stalled_us: since when the stack takes nothing, 0 while it does
- * @now_us: time of the call in progress
- * @paused: reading stopped until an answer is sent
- * @ended: no further request is read
- * @close_after: close once @out is taken
- * @link: in front->conns
- */
-struct front_conn {
-    struct reader_owner reader_owner;
-    struct front *front;
-    struct stack_conn *conn;
-    struct reader reader;
-    GQueue slots;
-    GByteArray *in;
-    GByteArray *out;
-    size_t out_pos;
-    uint64_t bytes_us;
-    uint64_t request_us;
-    uint64_t stalled_us;
-    uint64_t now_us;
-    bool paused;
-    bool ended;
-    bool close_after;
-    GList link;
-};
-
-static size_t
-backlog_of(const struct front_conn *fc)
+size_t
+front_conn_backlog(const struct front_conn *fc)
 {
     return fc->out == NULL ? 0 : fc->out->len - fc->out_pos;
 }
 
-static void
-drop_out(struct front_conn *fc)
+void
+front_conn_drop_out(struct front_conn *fc)
 {
     if (fc->out != NULL) {
-        fc->front->backlog -= backlog_of(fc);
+        fc->front->backlog -= front_conn_backlog(fc);
         g_byte_array_unref(fc->out);
         fc->out = NULL;
         fc->out_pos = 0;
@@ -66,9 +29,9 @@
 static void
 flush(struct front_conn *fc, uint64_t now_us)
 {
-    while (backlog_of(fc) > 0) {
-        size_t taken =
-            stack_write(fc->conn, fc->out->data + fc->out_pos, backlog_of(fc));
+    while (front_conn_backlog(fc) > 0) {
+        size_t taken = stack_write(fc->conn, fc->out->data + fc->out_pos,
+                                   front_conn_backlog(fc));
         if (taken == 0) {
             if (fc->stalled_us == 0) {
                 fc->stalled_us = now_us;
@@ -80,7 +43,7 @@
         fc->bytes_us = now_us;
         fc->stalled_us = 0;
     }
-    drop_out(fc);
+    front_conn_drop_out(fc);
     if (fc->close_after) {
         stack_close(fc->conn);
     }
@@ -108,10 +71,13 @@
     g_byte_array_unref(whole);
 }
 
-static void
-end_reading(struct front_conn *fc)
+void
+front_conn_end_reading(struct front_conn *fc)
 {
     fc->ended = true;
+    fc->front->held -= fc->held;
+    fc->held = 0;
+    reader_finish(&fc->reader);
     if (fc->in != NULL) {
         g_byte_array_unref(fc->in);
         fc->in = NULL;
@@ -137,7 +103,7 @@
         g_byte_array_unref(slot->answer);
         g_free(slot);
         if (last) {
-            end_reading(fc);
+            front_conn_end_reading(fc);
             fc->close_after = true;
             break;
         }
@@ -149,7 +115,7 @@
 must_pause(const struct front_conn *fc)
 {
     return fc->slots.length >= FRONT_PIPELINE_MAX ||
-           backlog_of(fc) > FRONT_BACKLOG_MAX;
+           front_conn_backlog(fc) > FRONT_BACKLOG_MAX;
 }
 
 static void
@@ -162,8 +128,8 @@
 }
 
 /* An unreadable request gets its answer after those before it. */
-static void
-answer_bad(struct front_conn *fc, unsigned status, uint64_t now_us)
+void
+front_conn_answer_bad(struct front_conn *fc, unsigned status, uint64_t now_us)
 {
     struct front_slot *slot = g_new0(struct front_slot, 1);
 
@@ -172,7 +138,7 @@
     slot->last = true;
     slot->answer = answer_error(status);
     g_queue_push_tail(&fc->slots, slot);
-    end_reading(fc);
+    front_conn_end_reading(fc);
     send_answers(fc, now_us);
 }
 
@@ -190,12 +156,13 @@
     if (slot->last) {
         fc->ended = true;
     }
-    if (fc->ended || must_pause(fc)) {
-        reader_pause(&fc->reader);
-    }
     front->owner->ops->on_request(front->owner, slot, request,
                                   stack_conn_peer(fc->conn),
                                   stack_conn_local(fc->conn));
+    /* The owner may have answered at once, and closed the flow with it. */
+    if (fc->ended || must_pause(fc)) {
+        reader_pause(&fc->reader);
+    }
 }
 
 static void
@@ -217,6 +184,19 @@
     .on_continue = on_continue,
 };
 
+/* Keeps count of what half-read requests hold, over all flows. */
+static void
+count_held(struct front_conn *fc)
+{
+    size_t held = fc->reader.fields.bytes;
+
+    if (fc->reader.body != NULL) {
+        held += fc->reader.body->len;
+    }
+    fc->front->held += held - fc->held;
+    fc->held = held;
+}
+
 /* Reads @data; what the reader does not take yet is kept in fc->in. */
 static void
 read_bytes(struct front_conn *fc, const uint8_t *data, size_t len,
@@ -224,14 +204,19 @@
 {
     size_t taken = reader_feed(&fc->reader, (const char *)data, len);
 
+    count_held(fc);
     if (fc->reader.in_message && fc->request_us == 0) {
         fc->request_us = now_us;
     }
     if (fc->ended) {
         return;
     }
+    if (fc->front->held > fc->front->held_max && fc->held > 0) {
+        front_conn_answer_bad(fc, STATUS_UNAVAILABLE, now_us);
+        return;
+    }
     if (fc->reader.status != 0) {
-        answer_bad(fc, fc->reader.status, now_us);
+        front_conn_answer_bad(fc, fc->reader.status, now_us);
         return;
     }
     if (taken < len) {
@@ -264,9 +249,8 @@
         }
         g_free(slot);
     }
-    end_reading(fc);
-    drop_out(fc);
-    reader_finish(&fc->reader);
+    front_conn_end_reading(fc);
+    front_conn_drop_out(fc);
     g_queue_unlink(&fc->front->conns, &fc->link);
     g_free(fc);
 }
@@ -274,7 +258,7 @@
 void
 front_init(struct front *front, struct front_owner *owner, const char *name)
 {
-    *front = (struct front){.owner = owner};
+    *front = (struct front){.owner = owner, .held_max = FRONT_HELD_ALL_MAX};
     g_snprintf(front->via, sizeof(front->via), "Via: 1.1 %s\r\n", name);
     g_queue_init(&front->conns);
     front->callers = g_hash_table_new(g_direct_hash, g_direct_equal);
@@ -361,7 +345,7 @@
         stack_close(conn);
         return;
     }
-    end_reading(fc);
+    front_conn_end_reading(fc);
     if (g_queue_is_empty(&fc->slots)) {
         fc->close_after = true;
         flush(fc, fc->bytes_us);
@@ -409,75 +393,6 @@
     }
 }
 
-static void
-tick_conn(struct front_conn *fc, uint64_t now_us)
-{
-    struct front *front = fc->front;
-
-    if (fc->stalled_us != 0 &&
-        now_us - fc->stalled_us > FRONT_WRITE_TIMEOUT_US) {
-        front->stats.slow++;
-        stack_abort(fc->conn);
-        return;
-    }
-    if (fc->request_us != 0 && !fc->ended && !fc->paused &&
-        now_us - fc->request_us > FRONT_READ_TIMEOUT_US) {
-        front->stats.slow++;
-        answer_bad(fc, STATUS_TIMEOUT, now_us);
-        return;
-    }
-    if (g_queue_is_empty(&fc->slots) && backlog_of(fc) == 0 &&
-        now_us - fc->bytes_us > front->limits.idle_us) {
-        stack_close(fc->conn);
-    }
-}
-
-/* Over the common bound, flows that take nothing go first. */
-static void
-trim_backlog(struct front *front)
-{
-    for (GList *l = front->conns.head;
-         l != NULL && front->backlog > FRONT_BACKLOG_ALL_MAX; l = l->next) {
-        struct front_conn *fc = l->data;
-        if (fc->stalled_us != 0) {
-            front->stats.slow++;
-            drop_out(fc);
-            stack_abort(fc->conn);
-        }
-    }
-}
-
-void
-front_tick(struct front *front, uint64_t now_us)
-{
-    for (GList *l = front->conns.head; l != NULL; l = l->next) {
-        tick_conn(l->data, now_us);
-    }
-    trim_backlog(front);
-}
-
-void
-front_abort_all(struct front *front)
-{
-    for (GList *l = front->conns.head; l != NULL; l = l->next) {
-        struct front_conn *fc = l->data;
-        end_reading(fc);
-        stack_abort(fc->conn);
-    }
-}
-
-void
-front_close_idle(struct front *front)
-{
-    for (GList *l = front->conns.head; l != NULL; l = l->next) {
-        struct front_conn *fc = l->data;
-        if (g_queue_is_empty(&fc->slots) && backlog_of(fc) == 0) {
-            end_reading(fc);
-            stack_close(fc->conn);
-        }
-    }
-}
-
 size_t
 front_count(const struct front *front)
 {
--- a/src/agent/front.h
+++ b/src/agent/front.h
@@ -21,6 +21,7 @@
 #define FRONT_PIPELINE_MAX 8
 #define FRONT_BACKLOG_MAX (256u << 10)
 #define FRONT_BACKLOG_ALL_MAX (64u << 20)
+#define FRONT_HELD_ALL_MAX (64u << 20)
 #define FRONT_READ_TIMEOUT_US (10 * UINT64_C(1000000))
 #define FRONT_WRITE_TIMEOUT_US (10 * UINT64_C(1000000))
 
@@ -93,6 +94,8 @@
  * @conns: flows, as GQueue of struct front_conn
  * @callers: open flows by caller address
  * @backlog: bytes of answers not yet taken by the stack
+ * @held: bytes of requests read in part, over all flows
+ * @held_max: over this much the flow that brings more is refused
  * @stopping: close each flow after its next answer
  * @stats: counts
  */
@@ -103,6 +106,8 @@
     GQueue conns;
     GHashTable *callers;
     size_t backlog;
+    size_t held;
+    size_t held_max;
     bool stopping;
     struct front_stats stats;
 };
--- a/tests/agent/test_front.c
+++ b/tests/agent/test_front.c
@@ -17,8 +17,24 @@
     size_t count;
     size_t gone;
     int flows;
+    bool at_once;
 };
 
+static void
+answer(struct world *world, size_t id, const char *body)
+{
+    char text[128];
+    GByteArray *bytes = g_byte_array_new();
+    struct front_slot *slot = world->slots[id];
+
+    g_snprintf(text, sizeof(text),
+               "HTTP/1.1 200 OK\r\nContent-Length: %zu\r\n\r\n%s",
+               strlen(body), body);
+    g_byte_array_append(bytes, (const guint8 *)text, (guint)strlen(text));
+    world->slots[id] = NULL;
+    front_answer(&world->front, slot, bytes, 10);
+}
+
 static void
 on_request(struct front_owner *owner, struct front_slot *slot,
            struct reader_request *request, struct addr caller,
@@ -30,6 +46,9 @@
     g_byte_array_unref(request->http);
     slot->id = world->count;
     world->slots[world->count++] = slot;
+    if (world->at_once) {
+        answer(world, world->count - 1, "at once");
+    }
 }
 
 static void
@@ -83,21 +102,6 @@
                strlen(text), now_us);
 }
 
-static void
-answer(struct world *world, size_t id, const char *body)
-{
-    char text[128];
-    GByteArray *bytes = g_byte_array_new();
-    struct front_slot *slot = world->slots[id];
-
-    g_snprintf(text, sizeof(text),
-               "HTTP/1.1 200 OK\r\nContent-Length: %zu\r\n\r\n%s",
-               strlen(body), body);
-    g_byte_array_append(bytes, (const guint8 *)text, (guint)strlen(text));
-    world->slots[id] = NULL;
-    front_answer(&world->front, slot, bytes, 10);
-}
-
 static size_t
 position(const struct world *world, const char *text)
 {
@@ -217,6 +221,21 @@
     world_finish(&world);
 }
 
+/* A flow that ends with an answer given at once reads no further request. */
+static void
+test_stop_at_once(void)
+{
+    struct world world;
+
+    world_init(&world);
+    world.at_once = true;
+    world.front.stopping = true;
+    feed(&world, GET GET, 2);
+    g_assert_cmpuint(world.count, ==, 1);
+    g_assert_true(world.conn.closed);
+    world_finish(&world);
+}
+
 static void
 test_limits(void)
 {
@@ -263,6 +282,37 @@
     world_finish(&world);
 }
 
+/* Half-read bodies of all flows together are bounded. */
+static void
+test_held_bound(void)
+{
+    static const char head[] = "POST / HTTP/1.1\r\nHost: h\r\n"
+                               "Content-Length: 900\r\n\r\n";
+    struct world world;
+    struct stack_conn other;
+    char *body = g_strnfill(500, 'x');
+
+    world_init(&world);
+    world.front.held_max = 800;
+    feed(&world, head, 2);
+    feed(&world, body, 2);
+    fake_conn_init(&other, CALLER + 1);
+    front_open(&world.front, &other, 1);
+    front_data(&world.front, &other, (const uint8_t *)head, strlen(head), 2);
+    g_assert_cmpuint(other.written->len, ==, 0);
+    front_data(&world.front, &other, (const uint8_t *)body, 500, 2);
+    g_assert_nonnull(strstr(other.written->str, "503 Service"));
+    g_assert_true(other.closed);
+    front_closed(&world.front, &other);
+    fake_conn_finish(&other);
+    feed(&world, body, 3); /* the first one goes on and is read whole */
+    g_assert_cmpuint(world.count, ==, 1);
+    g_assert_cmpuint(world.front.held, ==, 0);
+    answer(&world, 0, "x");
+    g_free(body);
+    world_finish(&world);
+}
+
 /* An answer larger than the window leaves whole, piece by piece. */
 static void
 test_short_writes(void)
@@ -296,6 +346,8 @@
     g_test_add_func("/agent/front/stopping", test_stopping);
     g_test_add_func("/agent/front/limits", test_limits);
     g_test_add_func("/agent/front/slow", test_slow);
+    g_test_add_func("/agent/front/held-bound", test_held_bound);
+    g_test_add_func("/agent/front/stop-at-once", test_stop_at_once);
     g_test_add_func("/agent/front/short-writes", test_short_writes);
     return g_test_run();
 }
