--- a/scripts/sitebed/__main__.py
+++ b/scripts/sitebed/__main__.py
@@ -113,6 +113,7 @@
 
 def write_settings(topology, arguments):
     """Write what all processes share; turn traces on when asked."""
+    topology.trace = arguments.trace
     if arguments.trace:
         for host in topology.balancers + topology.agents:
             host.settings["trace_file"] = str(
--- a/scripts/sitebed/topology.py
+++ b/scripts/sitebed/topology.py
@@ -88,6 +88,7 @@
         self.seed = seed
         self.seconds = seconds
         self.load = load
+        self.trace = False
         self.text_path = ROOT / "examples" / site / "config.json"
         self.text = json.loads(self.text_path.read_text())
         if udp:
@@ -202,6 +203,8 @@
             "seed": self.seed,
             "seconds": self.seconds,
             "record": str(self.folder / "caller.jsonl"),
+            "traces": str(self.folder / "trace-caller.jsonl")
+            if self.trace else "",
             "addresses": CALLERS,
             "loads": [load for load in loads if load],
         }
--- a/scripts/tsan_shim.c
+++ b/scripts/tsan_shim.c
@@ -70,6 +70,47 @@
     acquire(&grace_period);
 }
 
+/* What was written before a pointer was published is seen by who reads it.
+ */
+void *
+rcu_dereference_sym(void *pointer)
+{
+    static __typeof__(&rcu_dereference_sym) function;
+
+    if (function == NULL) {
+        function = REAL(rcu_dereference_sym);
+    }
+    pointer = function(pointer);
+    if (pointer != NULL) {
+        acquire(pointer);
+    }
+    return pointer;
+}
+
+void *
+rcu_set_pointer_sym(void **at, void *pointer)
+{
+    if (pointer != NULL) {
+        release(pointer);
+    }
+    return REAL(rcu_set_pointer_sym)(at, pointer);
+}
+
+void *
+rcu_xchg_pointer_sym(void **at, void *pointer)
+{
+    void *old;
+
+    if (pointer != NULL) {
+        release(pointer);
+    }
+    old = REAL(rcu_xchg_pointer_sym)(at, pointer);
+    if (old != NULL) {
+        acquire(old);
+    }
+    return old;
+}
+
 /** struct later - a callback that waits for a grace period */
 struct later {
     struct rcu_head head;
