--- a/tests/request/admit_test.c
+++ b/tests/request/admit_test.c
@@ -337,6 +337,63 @@
     g_assert_nonnull(fixture_find(f, ENGINE_RUN, ordinary));
 }
 
+/* Says that a request waits at @from; true when it was asked for it. */
+static bool
+pulls_from(struct fixture *f, uint64_t from)
+{
+    struct engine_peer_msg msg = {.type = ENGINE_PEER_STATUS,
+                                  .waiting = {9, 0}};
+    bool asked = false;
+
+    for (int i = 0; i < 60 && !asked; i++) {
+        uint64_t id;
+
+        engine_peer(f->engine, PEER, &msg, NULL, 0, f->now_us, &f->out);
+        engine_peer(f->engine, OTHER, &msg, NULL, 0, f->now_us, &f->out);
+        id = fixture_arrive(f, TEXT_URGENT, false, 60 * USEC_PER_SEC);
+        f->now_us += 10 * MS;
+        fixture_end(f, SELF, id - 2, ENGINE_UP_ANSWERED);
+        asked = fixture_find_sent(f, ENGINE_PEER_PULL, from) != NULL;
+        fixture_tick_to(f, f->now_us + 10 * MS);
+    }
+    return asked;
+}
+
+/* Peers whose upstreams drain get slots in turn, though local urgent work
+ * never ends, and each of them does. */
+static void
+test_serves_draining_peers(struct fixture *f, gconstpointer data)
+{
+    fixture_fill_slots(f);
+    peers_find(&f->engine->peers, PEER)->state = MEMBER_DRAINING;
+    peers_find(&f->engine->peers, OTHER)->state = MEMBER_DRAINING;
+    g_assert_true(pulls_from(f, PEER));
+    g_assert_true(pulls_from(f, OTHER));
+    g_assert_true(pulls_from(f, PEER));
+}
+
+/* Requests that this slow upstream would miss wait for faster peers, and
+ * hide nothing behind them that it can still serve. */
+static void
+test_slow_upstream(struct fixture *f, gconstpointer data)
+{
+    uint64_t behind;
+
+    fixture_learn_run_time(f, 100 * MS);
+    peer_answered(peers_find(&f->engine->peers, PEER), 10 * MS);
+    fixture_fill_slots(f);
+    for (int i = 0; i < 5; i++) {
+        fixture_arrive(f, TEXT_URGENT, false, (90 - (uint64_t)i) * MS);
+    }
+    g_assert_cmpuint(engine_waiting(f->engine), ==, 5);
+    behind = fixture_arrive(f, TEXT_URGENT, false, 10 * USEC_PER_SEC);
+    fixture_end(f, SELF, behind - 6, ENGINE_UP_ANSWERED);
+    g_assert_nonnull(fixture_find(f, ENGINE_RUN, behind));
+    g_assert_cmpuint(engine_waiting(f->engine), ==, 5);
+    fixture_receive(f, ENGINE_PEER_PULL, 0, 0, 0);
+    g_assert_nonnull(fixture_find_sent(f, ENGINE_PEER_RUN, PEER));
+}
+
 static void
 test_bad_input(struct fixture *f, gconstpointer data)
 {
@@ -375,5 +432,7 @@
     FIXTURE_ADD("admit", no_upstream);
     FIXTURE_ADD("admit", hold_for_urgent);
     FIXTURE_ADD("admit", bad_input);
+    FIXTURE_ADD("admit", serves_draining_peers);
+    FIXTURE_ADD("admit", slow_upstream);
     return g_test_run();
 }
