request: shun a hung upstream or a frozen peer

A deadline shorter than a usual run blames nobody. Shunning of peers gets its test: a third at most, one trial afterwards.

--- a/src/request/engine.c
+++ b/src/request/engine.c
@@ -345,6 +345,28 @@
     return 0;
 }
 
+/* No answer by the deadline blames whoever took much longer than usual for
+ * it: a hung upstream or a frozen peer loses no connection. */
+static void
+note_overrun(struct engine *engine, const struct entry *entry)
+{
+    uint64_t took_us = engine->now_us - entry->started_us;
+    uint64_t most_us = estimate_run_most_us(&engine->estimate, engine->now_us);
+    struct peer *peer;
+
+    if (took_us < most_us) {
+        return;
+    }
+    if (entry->place == ENTRY_RUNNING) {
+        upstream_failed(engine);
+        return;
+    }
+    peer = peers_find(&engine->peers, entry->peer);
+    if (peer != NULL) {
+        peer_failed(&engine->peers, peer, engine->now_us);
+    }
+}
+
 static void
 tick_entry(struct engine *engine, struct entry *entry)
 {
@@ -357,6 +379,7 @@
     }
     if (entry->place != ENTRY_WAITING &&
         engine->now_us >= entry->request.deadline_us) {
+        note_overrun(engine, entry);
         finish_unknown(engine, entry, ENGINE_DEADLINE);
     }
 }
--- a/tests/request/admit_test.c
+++ b/tests/request/admit_test.c
@@ -190,6 +190,48 @@
     g_assert_cmpuint(upstream_slots(&f->engine->upstream, f->now_us), ==, 2);
 }
 
+/* Of two peers that fail only one is shunned, and tried again later. */
+static void
+test_peers_shunned(struct fixture *f, gconstpointer data)
+{
+    struct peer *peer = peers_find(&f->engine->peers, PEER);
+    struct peer *other = peers_find(&f->engine->peers, OTHER);
+
+    for (int i = 0; i < HEALTH_FAILURES; i++) {
+        g_assert_true(peer_takes(peer, f->now_us));
+        peer_failed(&f->engine->peers, peer, f->now_us);
+    }
+    for (int i = 0; i < 2 * HEALTH_FAILURES; i++) {
+        peer_failed(&f->engine->peers, other, f->now_us);
+    }
+    g_assert_false(peer_takes(peer, f->now_us));
+    g_assert_true(peer_takes(other, f->now_us));
+    fixture_tick_to(f, f->now_us + 300 * MS);
+    g_assert_true(peer_takes(peer, f->now_us));
+    peer->sent = 1;
+    g_assert_false(peer_takes(peer, f->now_us));
+    peer_answered(peer, 10 * MS);
+    g_assert_true(peer_takes(peer, f->now_us));
+}
+
+/* One that never answers loses no connection, and is shunned all the same;
+ * a deadline shorter than a usual run is not its fault. */
+static void
+test_hung_upstream(struct fixture *f, gconstpointer data)
+{
+    fixture_learn_run_time(f, 100 * MS);
+    for (int i = 0; i < 5; i++) {
+        fixture_arrive(f, TEXT_URGENT, false, 50 * MS);
+        fixture_tick_to(f, f->now_us + 200 * MS);
+    }
+    g_assert_cmpuint(upstream_slots(&f->engine->upstream, f->now_us), ==, 2);
+    for (int i = 0; i < HEALTH_FAILURES; i++) {
+        fixture_arrive(f, TEXT_URGENT, false, 500 * MS);
+        fixture_tick_to(f, f->now_us + 500 * MS);
+    }
+    g_assert_cmpuint(upstream_slots(&f->engine->upstream, f->now_us), ==, 0);
+}
+
 /* An upstream that only fails fast must not look idle to the others. */
 static void
 test_errors_attract_nothing(struct fixture *f, gconstpointer data)
@@ -432,6 +474,8 @@
     FIXTURE_ADD("admit", no_upstream);
     FIXTURE_ADD("admit", hold_for_urgent);
     FIXTURE_ADD("admit", bad_input);
+    FIXTURE_ADD("admit", hung_upstream);
+    FIXTURE_ADD("admit", peers_shunned);
     FIXTURE_ADD("admit", serves_draining_peers);
     FIXTURE_ADD("admit", slow_upstream);
     return g_test_run();
