--- a/tests/control/net.c
+++ b/tests/control/net.c
@@ -341,6 +341,14 @@
     step(net, i);
 }
 
+void
+net_announce(struct net *net, size_t i, enum member_state state)
+{
+    member_announce(&net->nodes[i].members, state, 0x12345678, 2, 0, 0,
+                    net->now_us);
+    step(net, i);
+}
+
 static void
 deliver(struct net *net, struct net_event *event)
 {
--- a/tests/control/net.h
+++ b/tests/control/net.h
@@ -98,6 +98,10 @@
 void
 net_publish(struct net *net, size_t i, uint64_t version);
 
+/** net_announce() - the process at @i says that its state is @state */
+void
+net_announce(struct net *net, size_t i, enum member_state state);
+
 /** net_run() - let @for_us pass */
 void
 net_run(struct net *net, uint64_t for_us);
--- a/tests/control/test_control.c
+++ b/tests/control/test_control.c
@@ -9,6 +9,7 @@
 #include "base/link.h"
 #include "control/control.h"
 #include "control/control.pb-c.h"
+#include "control/random.h"
 #include "standin/platform/server.h"
 
 #define NODES_MAX 8
@@ -97,8 +98,12 @@
     GBytes *value = g_bytes_new_take(text, strlen(text));
     uint64_t version;
 
+    /* As the server does it, so that watches are told. */
+    g_mutex_lock(&f->server.lock);
     g_assert_cmpint(
         store_put(&f->server.store, "config", expect, value, &version), ==, 0);
+    g_cond_broadcast(&f->server.changed);
+    g_mutex_unlock(&f->server.lock);
     g_bytes_unref(value);
 }
 
@@ -223,6 +228,75 @@
     teardown(&f);
 }
 
+/* Whatever the platform does but be down, a change comes in force. */
+static void
+test_platform_faults(void)
+{
+    static const struct server_fault faults[] = {
+        {.mode = SERVER_SLOW, .ms = 2000},
+        {.mode = SERVER_WATCH_ENDS, .ms = 100},
+        {.mode = SERVER_WATCH_SKIPS},
+        {.mode = SERVER_DOWN, .count = 3},
+        {.mode = SERVER_BUSY, .count = 3},
+    };
+    struct fixture f;
+    uint64_t version = 1;
+
+    setup(&f, 3, true);
+    put_config(&f, 0, "lots");
+    for (size_t i = 0; i < 3; i++)
+        WAIT_FOR(has_version(&f, i, 1));
+    for (size_t fault = 0; fault < G_N_ELEMENTS(faults); fault++) {
+        server_set_fault(&f.server, faults[fault]);
+        put_config(&f, version, "lots");
+        version++;
+        for (size_t i = 0; i < 3; i++)
+            WAIT_FOR(has_version(&f, i, version));
+    }
+    teardown(&f);
+}
+
+static uint64_t
+bad_messages(struct fixture *f, size_t i)
+{
+    struct counter_table *table = &f->nodes[i].counters;
+
+    for (size_t j = 0; j < table->count; j++) {
+        if (strcmp(table->names[j], "control_messages_bad_total") == 0)
+            return counter_read(table, (int)j);
+    }
+    return 0;
+}
+
+/* What doesn't bear the site key's seal changes nothing. */
+static void
+test_garbage(void)
+{
+    struct random random = {.state = 12};
+    struct fixture f;
+    struct sockaddr_in sin;
+    int fd;
+
+    setup(&f, 2, true);
+    put_config(&f, 0, "lots");
+    WAIT_FOR(sees(&f, 0, "node-1", MEMBER_READY, MEMBER_ALIVE));
+    sin = addr_to_sockaddr(f.nodes[0].settings.control);
+    fd = socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
+    for (unsigned i = 0; i < 200; i++) {
+        uint8_t bytes[1400];
+
+        for (size_t j = 0; j < sizeof(bytes); j++)
+            bytes[j] = random_next(&random);
+        sendto(fd, bytes, random_below(&random, sizeof(bytes)), 0,
+               (struct sockaddr *)&sin, sizeof(sin));
+    }
+    close(fd);
+    WAIT_FOR(bad_messages(&f, 0) == 200);
+    g_assert_true(sees(&f, 0, "node-1", MEMBER_READY, MEMBER_ALIVE));
+    g_assert_true(has_version(&f, 0, 1));
+    teardown(&f);
+}
+
 /* A process that starts while the platform is down takes it from peers, and
  * isn't ready for anybody before it has a configuration. */
 static void
@@ -374,6 +448,8 @@
     g_test_add_func("/control/find-and-leave", test_find_and_leave);
     g_test_add_func("/control/config-moves-up", test_config_moves_up);
     g_test_add_func("/control/platform-down", test_platform_down);
+    g_test_add_func("/control/platform-faults", test_platform_faults);
+    g_test_add_func("/control/garbage", test_garbage);
     g_test_add_func("/control/cell-object", test_cell_object);
     g_test_add_func("/control/show", test_show);
     g_test_add_func("/control/report-dead", test_report_dead);
