--- a/src/request/dispatch_pull.c
+++ b/src/request/dispatch_pull.c
@@ -16,6 +16,7 @@
 #include "request/admit.h"
 
 #define ANNOUNCE_PEERS 2
+#define ANNOUNCE_PEERS_HOMELESS 6
 #define ANNOUNCE_MIN_US (5 * USEC_PER_MSEC)
 #define ANNOUNCE_GAP_US (20 * USEC_PER_MSEC)
 #define ANNOUNCE_GAP_MAX_US (320 * USEC_PER_MSEC)
@@ -289,6 +290,7 @@
     struct dispatch *dispatch = &engine->dispatch;
     const struct entry *first = engine->queue.head[TEXT_URGENT];
     bool news = is_news(engine);
+    bool homeless;
 
     if (queue_total(&engine->queue) == 0) {
         dispatch->announced[TEXT_URGENT] = 0;
@@ -301,7 +303,9 @@
         return;
     }
     first = first != NULL ? first : engine->queue.head[TEXT_ORDINARY];
-    tell_some(engine, first->request.service, ANNOUNCE_PEERS);
+    homeless = !upstream_serves(&engine->upstream, first->request.service);
+    tell_some(engine, first->request.service,
+              homeless ? ANNOUNCE_PEERS_HOMELESS : ANNOUNCE_PEERS);
     dispatch->announced[TEXT_URGENT] = engine->queue.count[TEXT_URGENT];
     dispatch->announced[TEXT_ORDINARY] = engine->queue.count[TEXT_ORDINARY];
     dispatch->announce_gap_us =
