Decline at once what an unknown peer wants run; test the links

Cause: a member that knew us before we knew it asked us to run a request; the frame was dropped and its caller waited out the deadline for an 'unknown'. Change: the run is declined on the same connection. Tests over real sockets: a whole message, a connection that never came up (its runs are unsent, the process reported dead), an unknown sender.

--- a/src/agent/peer_links.c
+++ b/src/agent/peer_links.c
@@ -122,6 +122,48 @@
     pthread_mutex_unlock(&agent->flow_lock);
 }
 
+/* A member that we don't know yet may know us: what it wants run is not run
+ * here, and it hears so at once. */
+static void
+decline_unknown(struct agent *agent, struct link_conn *conn, uint64_t sender,
+                const struct peer_wire *wire)
+{
+    struct engine_peer_msg msg = {
+        .type = ENGINE_PEER_DONE,
+        .origin = sender,
+        .request = {.id = wire->msg.request.id,
+                    .service = wire->msg.request.service},
+        .outcome = ENGINE_NOT_RUN,
+        .reason = ENGINE_NO_UPSTREAM,
+    };
+
+    if (wire->pins || wire->notice || wire->msg.type != ENGINE_PEER_RUN) {
+        return;
+    }
+    GByteArray *body = peer_wire_pack(&msg, NULL, NULL, agent_now(agent));
+    link_reply(&agent->links.hub, conn, PEER_LINKS_FRAME, body->data,
+               body->len);
+    g_byte_array_unref(body);
+}
+
+static void
+take_message(struct agent *agent, uint64_t sender, struct peer_wire *wire)
+{
+    if (wire->pins) {
+        take_pins(agent, wire);
+        return;
+    }
+    if (wire->notice) {
+        notices_receive(agent, sender, wire);
+        return;
+    }
+    if (wire->msg.type == ENGINE_PEER_DONE) {
+        note_run(agent, sender, wire->msg.request.id, false);
+    }
+    requests_peer(agent, sender, &wire->msg, wire->bytes, wire->len,
+                  wire->traceparent);
+}
+
 static void
 on_frame(struct link_handler *handler, struct link_conn *conn, uint64_t sender,
          uint16_t type, const uint8_t *body, size_t len)
@@ -130,27 +172,20 @@
     struct agent *agent = links->agent;
     struct peer_wire wire;
 
-    if (type != PEER_LINKS_FRAME || !is_peer(agent, sender)) {
-        g_info("A frame of an unknown peer or type was dropped.");
+    if (type != PEER_LINKS_FRAME) {
+        g_info("A frame of an unknown type was dropped.");
         return;
     }
     if (peer_wire_unpack(body, len, agent_arrival_us(agent), &wire) < 0) {
         g_warning("A malformed message of a peer was dropped.");
         return;
     }
-    g_hash_table_insert(links->senders, conn, copy_id(sender));
-    if (wire.pins) {
-        take_pins(agent, &wire);
-    }
-    else if (wire.notice) {
-        notices_receive(agent, sender, &wire);
+    if (is_peer(agent, sender)) {
+        g_hash_table_insert(links->senders, conn, copy_id(sender));
+        take_message(agent, sender, &wire);
     }
     else {
-        if (wire.msg.type == ENGINE_PEER_DONE) {
-            note_run(agent, sender, wire.msg.request.id, false);
-        }
-        requests_peer(agent, sender, &wire.msg, wire.bytes, wire.len,
-                      wire.traceparent);
+        decline_unknown(agent, conn, sender, &wire);
     }
     peer_wire_finish(&wire);
 }
--- a/standin/upstream/test_upstream.c
+++ b/standin/upstream/test_upstream.c
@@ -32,7 +32,7 @@
     socklen_t len = sizeof(sin);
     int fd = socket(AF_INET, SOCK_STREAM, 0);
 
-    bind(fd, (struct sockaddr *)&sin, sizeof(sin));
+    g_assert_cmpint(bind(fd, (struct sockaddr *)&sin, sizeof(sin)), ==, 0);
     getsockname(fd, (struct sockaddr *)&sin, &len);
     close(fd);
     return addr_from_sockaddr(&sin);
@@ -199,7 +199,7 @@
     g_assert_cmpuint(strlen(body), ==, 100);
     for (size_t i = 0; i < 100; i++) {
         char want = (char)('a' + (hash_pair(0xab, i / 64) + i) % 26);
-        g_assert_cmpint(body[i], ==, want);
+        g_assert_true(body[i] == want);
     }
     world_finish(&world);
 }
--- /dev/null
+++ b/tests/agent/test_links.c
@@ -0,0 +1,253 @@
+/* Links between agents over real sockets; what they tell is noted. */
+#include <errno.h>
+#include <glib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "agent/program.h"
+#include "base/hash.h"
+
+#define NOTES_MAX 8
+#define ROUNDS 200
+
+/* What a call told, for the agent it was told to. */
+enum note_type { NOTE_PEER, NOTE_LOST, NOTE_UNSENT, NOTE_DEAD };
+
+/** struct note - one call of the links into the rest of the agent */
+struct note {
+    enum note_type type;
+    const struct agent *agent;
+    uint64_t member;
+    uint64_t id;
+    struct engine_peer_msg msg;
+    char bytes[32];
+};
+
+static struct note notes[NOTES_MAX];
+static size_t note_count;
+
+static void
+add_note(const struct note *note)
+{
+    g_assert_cmpuint(note_count, <, NOTES_MAX);
+    notes[note_count++] = *note;
+}
+
+void
+requests_peer(struct agent *agent, uint64_t from,
+              const struct engine_peer_msg *msg, const uint8_t *bytes,
+              size_t len, const char *traceparent)
+{
+    struct note note = {
+        .type = NOTE_PEER, .agent = agent, .member = from, .msg = *msg};
+
+    g_assert_cmpuint(len, <, sizeof(note.bytes));
+    if (bytes != NULL) {
+        memcpy(note.bytes, bytes, len);
+    }
+    add_note(&note);
+}
+
+void
+requests_peer_lost(struct agent *agent, uint64_t member)
+{
+    add_note(
+        &(struct note){.type = NOTE_LOST, .agent = agent, .member = member});
+}
+
+void
+requests_unsent(struct agent *agent, uint64_t member, uint64_t id)
+{
+    add_note(&(struct note){
+        .type = NOTE_UNSENT, .agent = agent, .member = member, .id = id});
+}
+
+void
+control_report_dead(struct control *control, uint64_t member,
+                    uint64_t incarnation)
+{
+    add_note(&(struct note){.type = NOTE_DEAD, .member = member});
+}
+
+void
+notices_receive(struct agent *agent, uint64_t from,
+                const struct peer_wire *wire)
+{
+    g_assert_not_reached();
+}
+
+static struct addr
+free_addr(void)
+{
+    struct sockaddr_in sin = {.sin_family = AF_INET,
+                              .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+    socklen_t len = sizeof(sin);
+    int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+    g_assert_cmpint(bind(fd, (struct sockaddr *)&sin, sizeof(sin)), ==, 0);
+    getsockname(fd, (struct sockaddr *)&sin, &len);
+    close(fd);
+    return addr_from_sockaddr(&sin);
+}
+
+static void
+agent_begin(struct agent *agent, struct event_base *base, const char *name)
+{
+    struct error err;
+
+    memset(agent, 0, sizeof(*agent));
+    clock_runtime_init(&agent->runtime);
+    agent->clock = &agent->runtime;
+    agent->ticked_us = agent_now(agent);
+    agent->base = base;
+    agent->self = hash_name(name);
+    agent->settings.data = free_addr();
+    memset(agent->settings.site_key, 'k', 16);
+    agent->settings.site_key_len = 16;
+    pthread_mutex_init(&agent->flow_lock, NULL);
+    agent->flows = flow_table_new(agent->self, 16);
+    board_init(&agent->board);
+    g_assert_cmpint(peer_links_init(agent, &err), ==, 0);
+}
+
+static void
+agent_end(struct agent *agent)
+{
+    peer_links_finish(agent);
+    flow_table_free(agent->flows);
+    board_finish(&agent->board);
+}
+
+/* Makes @agent know one other agent, at @data. */
+static void
+know(struct agent *agent, const char *name, struct addr data)
+{
+    struct view *view = view_new(1);
+
+    view->seq = 1;
+    view->count = 1;
+    view->self = 1;
+    view->members[0].id = hash_name(name);
+    view->members[0].role = MEMBER_AGENT;
+    view->members[0].data = data;
+    board_publish_view(&agent->board, view);
+}
+
+static void
+run_until(struct event_base *base, size_t count)
+{
+    const struct timeval step = {0, 10000};
+
+    for (int i = 0; i < ROUNDS && note_count < count; i++) {
+        event_base_loopexit(base, &step);
+        event_base_dispatch(base);
+    }
+    g_assert_cmpuint(note_count, ==, count);
+}
+
+static int
+send_run(struct agent *agent, const char *to, uint64_t id)
+{
+    struct engine_peer_msg msg = {
+        .type = ENGINE_PEER_RUN,
+        .origin = agent->self,
+        .request = {.id = id, .deadline_us = agent_now(agent) + USEC_PER_SEC},
+    };
+    GByteArray *http = g_byte_array_new();
+
+    g_byte_array_append(http, (const guint8 *)"GET /", 5);
+    int ret = peer_links_send(agent, hash_name(to), &msg, http, "");
+    g_byte_array_unref(http);
+    return ret;
+}
+
+static void
+test_whole_message(void)
+{
+    struct event_base *base = event_base_new();
+    struct agent a;
+    struct agent b;
+
+    note_count = 0;
+    agent_begin(&a, base, "a");
+    agent_begin(&b, base, "b");
+    know(&a, "b", b.settings.data);
+    know(&b, "a", a.settings.data);
+    g_assert_cmpint(send_run(&a, "b", 7), ==, 0);
+    run_until(base, 1);
+    g_assert_cmpint(notes[0].type, ==, NOTE_PEER);
+    g_assert_true(notes[0].agent == &b);
+    g_assert_cmpuint(notes[0].member, ==, a.self);
+    g_assert_cmpuint(notes[0].msg.request.id, ==, 7);
+    g_assert_cmpstr(notes[0].bytes, ==, "GET /");
+    agent_end(&b);
+    run_until(base, 2);
+    g_assert_cmpint(notes[1].type, ==, NOTE_LOST);
+    g_assert_cmpuint(notes[1].member, ==, hash_name("b"));
+    agent_end(&a);
+    event_base_free(base);
+}
+
+/* A connection that never came up carried nothing: its runs are unsent, not
+ * lost, and its process is known to be gone. */
+static void
+test_refused(void)
+{
+    struct event_base *base = event_base_new();
+    struct agent a;
+
+    note_count = 0;
+    agent_begin(&a, base, "a");
+    know(&a, "b", free_addr());
+    g_assert_cmpint(send_run(&a, "b", 7), ==, 0);
+    g_assert_cmpint(send_run(&a, "b", 8), ==, 0);
+    run_until(base, 4);
+    g_assert_cmpint(notes[0].type, ==, NOTE_DEAD);
+    g_assert_cmpint(notes[1].type, ==, NOTE_UNSENT);
+    g_assert_cmpuint(notes[1].id, ==, 7);
+    g_assert_cmpint(notes[2].type, ==, NOTE_UNSENT);
+    g_assert_cmpuint(notes[2].id, ==, 8);
+    g_assert_cmpint(notes[3].type, ==, NOTE_LOST);
+    g_assert_cmpint(send_run(&a, "stranger", 9), ==, -ENOENT);
+    agent_end(&a);
+    event_base_free(base);
+}
+
+/* A run asked by a member that is not known here yet is declined at once. */
+static void
+test_unknown_sender(void)
+{
+    struct event_base *base = event_base_new();
+    struct agent a;
+    struct agent b;
+
+    note_count = 0;
+    agent_begin(&a, base, "a");
+    agent_begin(&b, base, "b");
+    know(&a, "b", b.settings.data);
+    g_assert_cmpint(send_run(&a, "b", 7), ==, 0);
+    run_until(base, 1);
+    g_assert_cmpint(notes[0].type, ==, NOTE_PEER);
+    g_assert_true(notes[0].agent == &a);
+    g_assert_cmpint(notes[0].msg.type, ==, ENGINE_PEER_DONE);
+    g_assert_cmpint(notes[0].msg.outcome, ==, ENGINE_NOT_RUN);
+    g_assert_cmpuint(notes[0].msg.request.id, ==, 7);
+    g_assert_cmpuint(notes[0].msg.origin, ==, a.self);
+    agent_end(&a);
+    agent_end(&b);
+    event_base_free(base);
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    rcu_register_thread();
+    g_test_add_func("/agent/links/whole", test_whole_message);
+    g_test_add_func("/agent/links/refused", test_refused);
+    g_test_add_func("/agent/links/unknown-sender", test_unknown_sender);
+    int code = g_test_run();
+    rcu_unregister_thread();
+    return code;
+}
