Count what the stack's thread sends in a cell of its own

The stack's thread (retransmissions) and the event loop added to the same counter cell, which has one writer by contract; counts could be lost.

--- a/src/agent/ingress.c
+++ b/src/agent/ingress.c
@@ -33,6 +33,10 @@
     uint64_t until_us;
 };
 
+/* Counter cells have one writer each: the event loop's thread writes cell
+ * 0, any other (the stack's own) cell 1. */
+static _Thread_local unsigned counter_worker = 1;
+
 static guint
 key_hash(gconstpointer key)
 {
@@ -48,7 +52,8 @@
 static void
 count_drop(struct agent *agent, enum packet_drop drop)
 {
-    counter_add(&agent->counters, 0, agent->ingress.drops[drop], 1);
+    counter_add(&agent->counters, counter_worker, agent->ingress.drops[drop],
+                1);
 }
 
 /* The receiver of a packet on the list @to has gone: its port is closed. */
@@ -138,14 +143,14 @@
         flow_sent_syn_ack(agent->flows, &packet);
         pthread_mutex_unlock(&agent->flow_lock);
     }
-    counter_add(&agent->counters, 0, agent->ingress.sent, 1);
+    counter_add(&agent->counters, counter_worker, agent->ingress.sent, 1);
     send_packet(agent, &agent->ingress.fabric, NULL, buf, len);
 }
 
 void
 egress_foreign(struct agent *agent, const uint8_t *buf, size_t len)
 {
-    counter_add(&agent->counters, 0, agent->ingress.sent, 1);
+    counter_add(&agent->counters, counter_worker, agent->ingress.sent, 1);
     send_packet(agent, &agent->ingress.fabric, NULL, buf, len);
 }
 
@@ -357,6 +362,7 @@
 {
     struct ingress *ingress = &agent->ingress;
 
+    counter_worker = 0;
     g_queue_init(&ingress->lingering);
     ingress->live = g_hash_table_new_full(key_hash, key_equal, g_free, NULL);
     ingress->fabric = addr_to_sockaddr(agent->settings.fabric);
