--- a/src/idem/keeper.c
+++ b/src/idem/keeper.c
@@ -76,8 +76,9 @@
 {
     struct record *record = record_find(&idem->records, &msg->key);
 
-    /* Only this process knows how its own requests ended. */
-    if (msg->owner == idem->self) {
+    /* Only this process knows how its own open requests end. */
+    if (msg->owner == idem->self &&
+        g_hash_table_contains(idem->by_wire, &msg->token)) {
         return;
     }
     released_add(&idem->released, msg->owner, msg->token);
