--- a/tests/agent/test_property.c
+++ b/tests/agent/test_property.c
@@ -36,8 +36,9 @@
     size_t asked;
 };
 
-/** struct caller - a flow and the requests that it waits for, in order */
-struct caller {
+/** struct client - a caller's flow and the requests that it waits for, in
+ * order */
+struct client {
     struct stack_conn conn;
     bool open;
     GArray *waiting;
@@ -48,7 +49,7 @@
     struct agent agent;
     struct clock_manual clock;
     GRand *random;
-    struct caller callers[FLOWS];
+    struct client callers[FLOWS];
     struct asked asked[REQUESTS_MAX];
     size_t asked_count;
     unsigned key_begun[KEYS];
@@ -188,7 +189,7 @@
 check_callers(struct world *world)
 {
     for (size_t i = 0; i < FLOWS; i++) {
-        struct caller *caller = &world->callers[i];
+        struct client *caller = &world->callers[i];
         GString *written = caller->conn.written;
         while (caller->open && written->len > 0) {
             g_assert_cmpuint(caller->waiting->len, >, 0);
@@ -203,7 +204,7 @@
 static void
 open_caller(struct world *world, size_t i)
 {
-    struct caller *caller = &world->callers[i];
+    struct client *caller = &world->callers[i];
 
     fake_conn_init(&caller->conn, 0x0a010001 + (uint32_t)i);
     front_open(&world->agent.front, &caller->conn, world->clock.now_us);
@@ -213,7 +214,7 @@
 static void
 close_caller(struct world *world, size_t i)
 {
-    struct caller *caller = &world->callers[i];
+    struct client *caller = &world->callers[i];
 
     front_closed(&world->agent.front, &caller->conn);
     fake_conn_finish(&caller->conn);
@@ -224,7 +225,7 @@
 static void
 ask(struct world *world, size_t i)
 {
-    struct caller *caller = &world->callers[i];
+    struct client *caller = &world->callers[i];
     size_t n = world->asked_count++;
     struct asked *asked = &world->asked[n];
     int kind = g_rand_int_range(world->random, 0, 3);
@@ -387,7 +388,7 @@
 step(struct world *world)
 {
     size_t i = (size_t)g_rand_int_range(world->random, 0, FLOWS);
-    struct caller *caller = &world->callers[i];
+    struct client *caller = &world->callers[i];
     int what = g_rand_int_range(world->random, 0, 100);
 
     if (what < 30) {
