idem: count those who left in a service that has just started

Now the earlier set is then the three oldest of all who were there since. Fixed as test_leave_at_start, red without the rule.

--- a/src/idem/push.c
+++ b/src/idem/push.c
@@ -121,7 +121,7 @@
         record_distrust(record);
     }
     replicas_targets(&idem->replicas, &record->key, now_us, &targets);
-    replicas_at(&idem->replicas, &record->key, replicas_ago(now_us), &earlier);
+    replicas_earlier(&idem->replicas, &record->key, now_us, &earlier);
     on_its_way = record->state == IDEM_STARTED &&
                  record->updated_us + PUSH_AGAIN_US > now_us;
     missing = push_to(idem, record, &targets,
--- a/src/idem/quorum.c
+++ b/src/idem/quorum.c
@@ -44,7 +44,7 @@
         asked->now_unsettled =
             !replicas_settled(set.lives[i], (int64_t)now_us);
     }
-    replicas_at(&idem->replicas, &reserve->key, ago, &set);
+    replicas_earlier(&idem->replicas, &reserve->key, now_us, &set);
     reserve->had_earlier = set.count > 0;
     for (size_t i = 0; i < set.count; i++) {
         struct reserve_asked *asked;
--- a/src/idem/replicas.c
+++ b/src/idem/replicas.c
@@ -342,6 +342,28 @@
     pick(replicas, key, at_us, at_us, set);
 }
 
+/* While a service starts nobody lived that long ago: then all count who
+ * lived since. */
+void
+replicas_earlier(const struct replicas *replicas, const struct idem_key *key,
+                 uint64_t now_us, struct replica_set *set)
+{
+    int64_t ago = replicas_ago(now_us);
+
+    pick(replicas, key, ago, ago, set);
+    if (set->count > 0) {
+        return;
+    }
+    for (size_t i = 0; i < replicas->count; i++) {
+        const struct replica_life *life = &replicas->lives[i];
+
+        if (life->service == key->service &&
+            (life->ended_us == 0 || life->ended_us > ago)) {
+            insert(set, life, key, ago);
+        }
+    }
+}
+
 void
 replicas_targets(const struct replicas *replicas, const struct idem_key *key,
                  uint64_t now_us, struct replica_set *set)
--- a/src/idem/replicas.h
+++ b/src/idem/replicas.h
@@ -109,6 +109,12 @@
 replicas_at(const struct replicas *replicas, const struct idem_key *key,
             int64_t at_us, struct replica_set *set);
 
+/** replicas_earlier() - the replicas of @key IDEM_SETTLE_US ago, or, in a
+ * service that is younger, the oldest of all who were there since */
+void
+replicas_earlier(const struct replicas *replicas, const struct idem_key *key,
+                 uint64_t now_us, struct replica_set *set);
+
 /** replicas_targets() - who should hold the record: the replicas of now and
  * those that will be when all who are here have settled */
 void
--- a/tests/idem/test_rules.c
+++ b/tests/idem/test_rules.c
@@ -234,6 +234,33 @@
     scene_finish(&sim);
 }
 
+/* In a service that has just started one of the three oldest leaves, another
+ * can't be reached: the third alone must not decide with a newcomer. */
+static void
+test_leave_at_start(void)
+{
+    unsigned at[IDEM_REPLICAS];
+    struct sim sim;
+
+    sim_init(&sim, 7, scene_net);
+    for (unsigned i = 0; i < 5; i++) {
+        sim_start(&sim, i);
+    }
+    sim_advance(&sim, USEC_PER_SEC + IDEM_START_US);
+    g_assert_cmpuint(replicas_of(&sim, 0, 1, at), ==, 3);
+    for (unsigned i = 0; i < 5; i++) {
+        if (i != at[0] && i != at[1]) {
+            sim_cut(&sim, at[0], i, 4 * USEC_PER_SEC);
+        }
+    }
+    g_assert_cmpint(scene_ask(&sim, at[0], 1), ==, IDEM_PROCEED);
+    sim_leave(&sim, at[1]);
+    sim_advance(&sim, 50 * SIM_MSEC);
+    g_assert_cmpint(scene_ask(&sim, other_than(at, 5), 1), ==,
+                    IDEM_IN_PROGRESS);
+    scene_finish(&sim);
+}
+
 /* Five are cut into two and three: only the three go on, for a minute. */
 static void
 test_cut(void)
@@ -338,6 +365,7 @@
     g_test_add_func("/idem/paused-coordinator", test_paused_coordinator);
     g_test_add_func("/idem/foreign-release", test_foreign_release);
     g_test_add_func("/idem/start", test_start);
+    g_test_add_func("/idem/leave-at-start", test_leave_at_start);
     g_test_add_func("/idem/cut", test_cut);
     g_test_add_func("/idem/all-replicas-dead", test_all_replicas_dead);
     g_test_add_func("/idem/rolling-restart", test_rolling_restart);
