request: callers of a missing upstream come back later and apart

With no upstream, no dependency or no quorum there was no run time to work from: all were told to come back in some 50 ms, together (admit/no_upstream: 57 ms, red). Now after a second at least, a millisecond apart from each other at least.

--- a/src/request/admit.c
+++ b/src/request/admit.c
@@ -7,6 +7,8 @@
 #define MOST_OF_MEAN 3
 #define SLOW_FACTOR 2
 #define RETRY_AFTER_MIN_US (50 * USEC_PER_MSEC)
+#define RETRY_AFTER_OUTAGE_US USEC_PER_SEC
+#define RETURN_GAP_MIN_US USEC_PER_MSEC
 #define RETRY_AFTER_MAX_US (30 * USEC_PER_SEC)
 #define JITTER_LOW 0.75
 #define JITTER_HIGH 1.25
@@ -243,20 +245,35 @@
     return ENGINE_REASON_NONE;
 }
 
+/* Queues pass quickly; what needs an upstream to come back does not. */
+static uint64_t
+soonest_return_us(enum engine_reason reason)
+{
+    switch (reason) {
+    case ENGINE_NO_UPSTREAM:
+    case ENGINE_DEPENDENCY:
+    case ENGINE_KEY_QUORUM:
+        return RETRY_AFTER_OUTAGE_US;
+    default:
+        return RETRY_AFTER_MIN_US;
+    }
+}
+
 uint32_t
-admit_retry_after_ms(struct engine *engine)
+admit_retry_after_ms(struct engine *engine, enum engine_reason reason)
 {
     uint64_t gap = estimate_gap_us(
         &engine->estimate, serving_slots(engine, engine->upstream.service),
         engine->now_us);
-    uint64_t drained = engine->now_us + gap * queue_total(&engine->queue);
+    uint64_t drained = engine->now_us + soonest_return_us(reason) +
+                       gap * queue_total(&engine->queue);
     uint64_t latest = engine->now_us + RETRY_AFTER_MAX_US;
     double after;
 
-    engine->returns_us = MAX(engine->returns_us, drained) + gap;
+    engine->returns_us =
+        MAX(engine->returns_us, drained) + MAX(gap, RETURN_GAP_MIN_US);
     engine->returns_us = MIN(engine->returns_us, latest);
     after = (double)(engine->returns_us - engine->now_us);
-    after = MAX(after, (double)RETRY_AFTER_MIN_US);
     after *= g_rand_double_range(engine->random, JITTER_LOW, JITTER_HIGH);
     return (uint32_t)(after / USEC_PER_MSEC);
 }
--- a/src/request/admit.h
+++ b/src/request/admit.h
@@ -30,9 +30,10 @@
  * admit_retry_after_ms() - when a refused caller may come back
  *
  * Worked out from the queue: after those that wait now, and after those who
- * were told to come back before, one for each start, with jitter.
+ * were told to come back before, one for each start, with jitter; a second
+ * later at the least when an upstream has to come back first.
  */
 uint32_t
-admit_retry_after_ms(struct engine *engine);
+admit_retry_after_ms(struct engine *engine, enum engine_reason reason);
 
 #endif
--- a/src/request/finish.c
+++ b/src/request/finish.c
@@ -73,7 +73,7 @@
     uint32_t retry_after_ms = 0;
 
     if (outcome == ENGINE_NOT_RUN || outcome == ENGINE_IN_PROGRESS) {
-        retry_after_ms = admit_retry_after_ms(engine);
+        retry_after_ms = admit_retry_after_ms(engine, reason);
     }
     engine->counters.finished[outcome]++;
     engine->counters.reasons[reason]++;
--- a/tests/request/admit_test.c
+++ b/tests/request/admit_test.c
@@ -357,6 +357,13 @@
     engine_set_upstream(f->engine, SERVICE, 0, false, f->now_us, &f->out);
     id = fixture_arrive(f, TEXT_URGENT, false, USEC_PER_SEC);
     fixture_assert_finished(f, id, ENGINE_NOT_RUN, ENGINE_NO_UPSTREAM);
+    g_assert_cmpuint(fixture_find(f, ENGINE_FINISH, id)->retry_after_ms, >=,
+                     750);
+    for (int i = 0; i < 4000; i++) {
+        id = fixture_arrive(f, TEXT_URGENT, false, USEC_PER_SEC);
+    }
+    g_assert_cmpuint(fixture_find(f, ENGINE_FINISH, id)->retry_after_ms, >=,
+                     3000);
 }
 
 /* An ordinary start gives way to urgent work known at a peer. */
