--- /dev/null
+++ b/src/agent/addresses.h
@@ -0,0 +1,70 @@
+/**
+ * DOC: addresses - which addresses are those of the service served here
+ */
+#ifndef SWIFTARCH_AGENT_ADDRESSES_H
+#define SWIFTARCH_AGENT_ADDRESSES_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "flow/gate.h"
+#include "text/text.h"
+
+/** struct address - an address of the text */
+struct address {
+    uint32_t ip;
+    uint16_t port;
+    uint8_t proto;
+};
+
+/**
+ * struct addresses - those that the service had before
+ * @removed: and the text gives it none now
+ * @count: how many
+ * @items: the addresses
+ */
+struct addresses {
+    bool removed;
+    size_t count;
+    struct address items[TEXT_RETIRED_MAX];
+};
+
+/** addresses_set() - take over what @text retires of a service */
+static inline void
+addresses_set(struct addresses *addresses, const struct text *text,
+              uint32_t service)
+{
+    addresses->count = 0;
+    addresses->removed = text_find(text, service) == NULL;
+    for (size_t i = 0; i < text->retired_count; i++) {
+        const struct text_service *retired = &text->retired[i].service;
+
+        if (retired->id == service) {
+            addresses->items[addresses->count++] = (struct address){
+                retired->ip, retired->port, (uint8_t)retired->proto};
+        }
+    }
+}
+
+/** addresses_find() - what an address is to @service as it is now */
+static inline enum gate_address
+addresses_find(const struct addresses *addresses,
+               const struct text_service *service, uint32_t ip, uint16_t port,
+               uint8_t proto)
+{
+    if (!addresses->removed && service->ip == ip && service->port == port &&
+        (uint8_t)service->proto == proto) {
+        return GATE_CURRENT;
+    }
+    for (size_t i = 0; i < addresses->count; i++) {
+        const struct address *item = &addresses->items[i];
+
+        if (item->ip == ip && item->port == port && item->proto == proto) {
+            return GATE_RETIRED;
+        }
+    }
+    return GATE_NONE;
+}
+
+#endif
--- a/src/agent/front.h
+++ b/src/agent/front.h
@@ -152,6 +152,12 @@
 void
 front_tick(struct front *front, uint64_t now_us);
 
+/** front_abort_unless() - reset the flows to addresses that aren't kept */
+void
+front_abort_unless(struct front *front,
+                   bool (*is_kept)(const void *arg, struct addr local),
+                   const void *arg);
+
 /** front_abort_all() - reset every flow: the service it was for is no longer
  * served here */
 void
--- a/src/agent/front_tick.c
+++ b/src/agent/front_tick.c
@@ -50,15 +50,31 @@
 }
 
 void
-front_abort_all(struct front *front)
+front_abort_unless(struct front *front,
+                   bool (*is_kept)(const void *arg, struct addr local),
+                   const void *arg)
 {
     for (GList *l = front->conns.head; l != NULL; l = l->next) {
         struct front_conn *fc = l->data;
-        front_conn_end_reading(fc);
-        stack_abort(fc->conn);
+        if (!is_kept(arg, stack_conn_local(fc->conn))) {
+            front_conn_end_reading(fc);
+            stack_abort(fc->conn);
+        }
     }
 }
 
+static bool
+keep_none(const void *arg, struct addr local)
+{
+    return false;
+}
+
+void
+front_abort_all(struct front *front)
+{
+    front_abort_unless(front, keep_none, NULL);
+}
+
 void
 front_close_idle(struct front *front)
 {
--- a/src/agent/ingress.c
+++ b/src/agent/ingress.c
@@ -174,17 +174,16 @@
     }
 }
 
-/* Whether the packet is for the service served here, by the text in force
- * and not by what a balancer took it for. */
-static bool
-for_our_service(const struct agent *agent, const struct gue *gue,
-                const struct packet *packet)
+/* What the packet's address is to the service served here, by the text in
+ * force and not by what a balancer took it for. */
+static enum gate_address
+address_of(const struct agent *agent, const struct gue *gue,
+           const struct packet *packet)
 {
-    const struct text_service *service = &agent->service;
-
-    return agent->service_known && gue->service == service->id &&
-           packet->dst == service->ip && packet->dport == service->port &&
-           packet->proto == (uint8_t)service->proto;
+    if (gue->service != agent->service.id) {
+        return GATE_NONE;
+    }
+    return agent_address(agent, packet->dst, packet->dport, packet->proto);
 }
 
 static void
@@ -246,13 +245,10 @@
         count_drop(agent, drop);
         return;
     }
-    if (!for_our_service(agent, &gue, &packet)) {
-        count_drop(agent, PACKET_SERVICE);
-        return;
-    }
+    enum gate_address address = address_of(agent, &gue, &packet);
     pthread_mutex_lock(&agent->flow_lock);
     struct flow_decision decision =
-        flow_decide(agent->flows, &packet, &gue, now_us);
+        gate_decide(agent->flows, address, &packet, &gue, now_us);
     pthread_mutex_unlock(&agent->flow_lock);
     switch (decision.verdict) {
     case FLOW_TAKE:
--- a/src/agent/program.h
+++ b/src/agent/program.h
@@ -15,6 +15,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "agent/addresses.h"
 #include "agent/back.h"
 #include "agent/datagram.h"
 #include "agent/front.h"
@@ -54,6 +55,7 @@
  * @service_known: the text in force has that service
  * @view_seq: view last handed to the cores
  * @text_version: text last handed to the engine
+ * @addresses: of the service before, while @service_known
  * @listening: address the stack listens on, port 0: none
  * @stop: planned stop
  * @stop_until_us: end of the present step of the stop
@@ -88,6 +90,7 @@
     uint64_t self;
     struct text_service service;
     bool service_known;
+    struct addresses addresses;
     uint64_t view_seq;
     uint64_t text_version;
     struct addr listening;
@@ -125,6 +128,18 @@
 uint64_t
 agent_arrival_us(struct agent *agent);
 
+/** agent_address() - what an address is to the service served here, by the
+ * text in force */
+static inline enum gate_address
+agent_address(const struct agent *agent, uint32_t ip, uint16_t port,
+              uint8_t proto)
+{
+    if (!agent->service_known) {
+        return GATE_NONE;
+    }
+    return addresses_find(&agent->addresses, &agent->service, ip, port, proto);
+}
+
 /** agent_accepts() - whether new flows and new work are taken here */
 bool
 agent_accepts(const struct agent *agent);
--- a/src/agent/reader.h
+++ b/src/agent/reader.h
@@ -15,6 +15,7 @@
 #include <stdint.h>
 
 #include "agent/fields.h"
+#include "text/text.h"
 
 #define READER_HEADER_MAX 16384
 #define READER_KEY_MAX 255
@@ -87,6 +88,14 @@
     bool headers_done;
 };
 
+/** reader_class() - class of a request of a service: urgent work may call
+ * itself less urgent, ordinary work stays ordinary */
+static inline enum text_class
+reader_class(enum text_class service, unsigned urgency)
+{
+    return urgency <= READER_URGENCY_DEFAULT ? service : TEXT_ORDINARY;
+}
+
 /** reader_init() - begin to read a flow */
 void
 reader_init(struct reader *reader, struct reader_owner *owner,
--- a/src/agent/refresh.c
+++ b/src/agent/refresh.c
@@ -16,7 +16,8 @@
 set_flow_view(struct agent *agent, const struct view *view)
 {
     pthread_mutex_lock(&agent->flow_lock);
-    flow_set_view(agent->flows, view, agent->service.id, agent_accepts(agent),
+    flow_set_view(agent->flows, view, agent->service.id,
+                  agent_accepts(agent) && !agent->addresses.removed,
                   agent_now(agent));
     pthread_mutex_unlock(&agent->flow_lock);
 }
@@ -28,7 +29,8 @@
     struct addr want = {0};
     char text[ADDR_TEXT_MAX];
 
-    if (agent->service_known && agent->service.proto == TEXT_TCP) {
+    if (agent->service_known && !agent->addresses.removed &&
+        agent->service.proto == TEXT_TCP) {
         want = (struct addr){agent->service.ip, agent->service.port};
     }
     if (addr_equal(want, agent->listening)) {
@@ -71,6 +73,27 @@
     agent->service = (struct text_service){0};
 }
 
+static bool
+is_ours(const void *arg, struct addr local)
+{
+    return agent_address(arg, local.ip, local.port, TEXT_TCP) != GATE_NONE;
+}
+
+/* Flows to an address that the text leaves to nobody or to others get no
+ * packet any more: their callers are told. */
+static void
+set_addresses(struct agent *agent, const struct text *text)
+{
+    bool removed = agent->addresses.removed;
+
+    addresses_set(&agent->addresses, text, agent->service.id);
+    front_abort_unless(&agent->front, is_ours, agent);
+    if (agent->service_known && agent->addresses.removed && !removed) {
+        g_message("%s was removed: its open flows go on.",
+                  agent->service.name);
+    }
+}
+
 /* Takes over what the text in force says of the announced service. */
 static void
 set_service(struct agent *agent, const struct text *text)
@@ -80,7 +103,7 @@
 
     leave_service(agent);
     if (text != NULL && upstream->announced) {
-        service = text_find(text, upstream->service);
+        service = text_find_served(text, upstream->service);
     }
     agent->service_known = service != NULL;
     if (service != NULL) {
@@ -96,6 +119,9 @@
         upstream->warned = true;
         g_warning("The text in force knows no service %s.", upstream->name);
     }
+    if (text != NULL && upstream->announced) {
+        set_addresses(agent, text);
+    }
     set_listening(agent);
 }
 
--- a/src/agent/requests.c
+++ b/src/agent/requests.c
@@ -81,24 +81,11 @@
     }
 }
 
-/* Urgent work may call itself less urgent; ordinary work stays ordinary. */
-static enum text_class
-class_of(const struct text_service *service, unsigned urgency)
-{
-    if (service->class == TEXT_URGENT && urgency <= READER_URGENCY_DEFAULT) {
-        return TEXT_URGENT;
-    }
-    return TEXT_ORDINARY;
-}
-
 /* Bytes that waited while the host changed its service are not for it. */
 static bool
 is_served(const struct agent *agent, struct addr local)
 {
-    const struct text_service *service = &agent->service;
-
-    return agent->service_known && service->ip == local.ip &&
-           service->port == local.port;
+    return agent_address(agent, local.ip, local.port, TEXT_TCP) != GATE_NONE;
 }
 
 static void
@@ -136,7 +123,7 @@
         .id = id,
         .service = service->id,
         .caller = caller.ip,
-        .class = class_of(service, read->urgency),
+        .class = reader_class(service->class, read->urgency),
         .idempotent = read->idempotent,
         .keyed = read->keyed,
         .key = {.service = service->id,
--- a/src/balancer/route.c
+++ b/src/balancer/route.c
@@ -169,15 +169,16 @@
     if (drop != PACKET_OK)
         return drop;
 
-    const struct route_service *service =
-        route_find(table, packet->dst, packet->dport, packet->proto);
-    if (service == NULL)
+    const struct route_address *address =
+        route_find_address(table, packet->dst, packet->dport, packet->proto);
+    if (address == NULL)
         return PACKET_SERVICE;
+    const struct route_service *service = &table->services[address->service];
     if (service->count == 0)
         return PACKET_NO_ENDPOINT;
 
     uint64_t flow_hash = packet_flow_hash(packet);
-    bool open = opens_flow(packet);
+    bool open = opens_flow(packet) && !address->retired;
     struct hop_list list = {0};
     if (open)
         list_for_open(&list, service, flow_hash, now_us);
--- a/src/balancer/route.h
+++ b/src/balancer/route.h
@@ -20,10 +20,15 @@
  * depends on the flow's hash and the member only, so balancers agree but
  * for the time at which they first saw the member. Where all candidates of
  * a flow are warming, as after a start of the whole site, rank alone decides.
+ *
+ * Retired addresses: packets to an address that a service had before go to
+ * that service's endpoints, by the same rank, and open no flow. A service
+ * that was removed has endpoints as long as agents announce it.
  */
 #ifndef SWIFTARCH_BALANCER_ROUTE_H
 #define SWIFTARCH_BALANCER_ROUTE_H
 
+#include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 
@@ -68,9 +73,6 @@
 /**
  * struct route_service - one service and its endpoints
  * @id: hash_service() of its name
- * @ip: address that callers use
- * @port: port that callers use
- * @proto: IP protocol number
  * @count: endpoints, 0 while none is announced
  * @endpoints: by handle of @all
  * @all: rank of all endpoints; NULL without endpoints
@@ -79,9 +81,6 @@
  */
 struct route_service {
     uint32_t id;
-    uint32_t ip;
-    uint16_t port;
-    uint8_t proto;
     uint16_t count;
     struct route_endpoint *endpoints;
     struct route_rank *all;
@@ -89,13 +88,31 @@
     uint16_t *open_handles;
 };
 
+/**
+ * struct route_address - an address that callers use, or used
+ * @ip: address
+ * @port: port
+ * @proto: IP protocol number
+ * @retired: it opens no flow any more
+ * @service: index of its service
+ */
+struct route_address {
+    uint32_t ip;
+    uint16_t port;
+    uint8_t proto;
+    bool retired;
+    uint16_t service;
+};
+
 /**
  * struct route_table - see DOC
  * @view_seq: of the view it was built from
  * @config_version: of the text it was built from
- * @services: in the order of the text
+ * @services: in the order of the text, then those that were removed
  * @count: services
- * @slots: hash from address, port and protocol to index of @services + 1
+ * @addresses: of the services, then the retired ones
+ * @address_count: how many
+ * @slots: hash from address, port and protocol to index of @addresses + 1
  * @slot_mask: size of @slots less one, which is a power of two
  */
 struct route_table {
@@ -103,6 +120,8 @@
     uint64_t config_version;
     struct route_service *services;
     size_t count;
+    struct route_address *addresses;
+    size_t address_count;
     uint16_t *slots;
     uint32_t slot_mask;
 };
@@ -146,6 +165,11 @@
 route_decide(const struct route_table *table, const uint8_t *buf, size_t len,
              uint64_t now_us, struct route_decision *decision);
 
+/** route_find_address() - address that a service has or had, or NULL */
+const struct route_address *
+route_find_address(const struct route_table *table, uint32_t ip, uint16_t port,
+                   uint8_t proto);
+
 /** route_find() - service at an address, or NULL */
 const struct route_service *
 route_find(const struct route_table *table, uint32_t ip, uint16_t port,
--- a/src/balancer/route_build.c
+++ b/src/balancer/route_build.c
@@ -20,8 +20,8 @@
 static void
 add_slot(struct route_table *table, size_t index)
 {
-    const struct route_service *service = &table->services[index];
-    uint32_t slot = slot_of(table, service->ip, service->port, service->proto);
+    const struct route_address *address = &table->addresses[index];
+    uint32_t slot = slot_of(table, address->ip, address->port, address->proto);
 
     while (table->slots[slot] != 0)
         slot = (slot + 1) & table->slot_mask;
@@ -32,33 +32,69 @@
 alloc_slots(struct route_table *table)
 {
     size_t size = 2;
-    while (size < 2 * table->count)
+    while (size < 2 * table->address_count)
         size *= 2;
 
     table->slots = calloc(size, sizeof(*table->slots));
     if (table->slots == NULL)
         return -ENOMEM;
     table->slot_mask = (uint32_t)(size - 1);
-    for (size_t i = 0; i < table->count; i++)
+    for (size_t i = 0; i < table->address_count; i++)
         add_slot(table, i);
     return 0;
 }
 
+/* Index of a service, also of a removed one, or -1 */
+static int
+index_of(const struct route_table *table, const struct text *text, uint32_t id)
+{
+    const struct text_service *service = text_find(text, id);
+    if (service != NULL)
+        return (int)(service - text->services);
+
+    for (size_t i = text->count; i < table->count; i++)
+        if (table->services[i].id == id)
+            return (int)i;
+    return -1;
+}
+
+static void
+add_address(struct route_table *table, const struct text_service *service,
+            bool retired, size_t index)
+{
+    table->addresses[table->address_count++] = (struct route_address){
+        .ip = service->ip,
+        .port = service->port,
+        .proto = (uint8_t)service->proto,
+        .retired = retired,
+        .service = (uint16_t)index,
+    };
+}
+
 static int
 alloc_services(struct route_table *table, const struct text *text)
 {
+    size_t most = text->count + text->retired_count;
     assert(text->count <= TEXT_SERVICES_MAX);
+    assert(text->retired_count <= TEXT_RETIRED_MAX);
 
-    table->services = calloc(text->count + 1, sizeof(*table->services));
-    if (table->services == NULL)
+    table->services = calloc(most + 1, sizeof(*table->services));
+    table->addresses = calloc(most + 1, sizeof(*table->addresses));
+    if (table->services == NULL || table->addresses == NULL)
         return -ENOMEM;
     table->count = text->count;
     for (size_t i = 0; i < text->count; i++) {
-        struct route_service *service = &table->services[i];
-        service->id = text->services[i].id;
-        service->ip = text->services[i].ip;
-        service->port = text->services[i].port;
-        service->proto = (uint8_t)text->services[i].proto;
+        table->services[i].id = text->services[i].id;
+        add_address(table, &text->services[i], false, i);
+    }
+    for (size_t i = 0; i < text->retired_count; i++) {
+        const struct text_service *service = &text->retired[i].service;
+        int index = index_of(table, text, service->id);
+        if (index < 0) {
+            index = (int)table->count++;
+            table->services[index].id = service->id;
+        }
+        add_address(table, service, true, (size_t)index);
     }
     return 0;
 }
@@ -77,15 +113,14 @@
 
 /* Index of the service that a member serves, or -1 */
 static int
-service_of(const struct text *text, const struct view_member *member)
+service_of(const struct route_table *table, const struct text *text,
+           const struct view_member *member)
 {
     if (member->role != MEMBER_AGENT || member->service == 0 ||
         member->health == MEMBER_DEAD || member->data.ip == 0 ||
         member->data.port == 0)
         return -1;
-
-    const struct text_service *service = text_find(text, member->service);
-    return service == NULL ? -1 : (int)(service - text->services);
+    return index_of(table, text, member->service);
 }
 
 static void
@@ -112,7 +147,7 @@
         return result;
 
     for (size_t i = 0; i < view->count; i++) {
-        int index = service_of(text, &view->members[i]);
+        int index = service_of(table, text, &view->members[i]);
         if (index >= 0)
             counts[index]++;
     }
@@ -129,7 +164,7 @@
             goto out;
     }
     for (size_t i = 0; i < view->count; i++) {
-        int index = service_of(text, &view->members[i]);
+        int index = service_of(table, text, &view->members[i]);
         if (index >= 0)
             add_endpoint(&table->services[index], &view->members[i]);
     }
@@ -261,26 +296,37 @@
         free(service->endpoints);
     }
     free(table->services);
+    free(table->addresses);
     free(table->slots);
     free(table);
 }
 
-const struct route_service *
-route_find(const struct route_table *table, uint32_t ip, uint16_t port,
-           uint8_t proto)
+const struct route_address *
+route_find_address(const struct route_table *table, uint32_t ip, uint16_t port,
+                   uint8_t proto)
 {
     uint32_t slot = slot_of(table, ip, port, proto);
 
     for (; table->slots[slot] != 0; slot = (slot + 1) & table->slot_mask) {
-        const struct route_service *service =
-            &table->services[table->slots[slot] - 1];
-        if (service->ip == ip && service->port == port &&
-            service->proto == proto)
-            return service;
+        const struct route_address *address =
+            &table->addresses[table->slots[slot] - 1];
+        if (address->ip == ip && address->port == port &&
+            address->proto == proto)
+            return address;
     }
     return NULL;
 }
 
+const struct route_service *
+route_find(const struct route_table *table, uint32_t ip, uint16_t port,
+           uint8_t proto)
+{
+    const struct route_address *address =
+        route_find_address(table, ip, port, proto);
+
+    return address != NULL ? &table->services[address->service] : NULL;
+}
+
 const struct route_endpoint *
 route_endpoint_at(const struct route_table *table, struct addr data)
 {
@@ -297,6 +343,7 @@
 route_table_bytes(const struct route_table *table)
 {
     size_t bytes = sizeof(*table) + table->count * sizeof(*table->services) +
+                   table->address_count * sizeof(*table->addresses) +
                    ((size_t)table->slot_mask + 1) * sizeof(*table->slots);
 
     for (size_t i = 0; i < table->count; i++) {
--- a/src/cli/apply.c
+++ b/src/cli/apply.c
@@ -11,7 +11,9 @@
 #include "cli/cli.h"
 #include "cli/text_diff.h"
 
-#define MSEC_PER_S 1000
+#define MSEC_PER_HOUR (3600 * UINT64_C(1000))
+#define FORGET_MAX 16
+#define HOLD_HOURS_MAX 8760
 #define SUMMARY "Publish an operators' text by one conditional write."
 
 /** struct apply_options - command line */
@@ -22,6 +24,8 @@
     struct arg_lit *dry_run;
     struct arg_str *expect;
     struct arg_str *as;
+    struct arg_int *hold;
+    struct arg_str *forget;
     struct arg_end *end;
 };
 
@@ -29,22 +33,15 @@
 static void
 print_author(const struct apply_run *run, FILE *out)
 {
-    GDateTime *when;
     char *words;
 
     if (!run->has_seen) {
         fprintf(out, "someone who left no name");
         return;
     }
-    when = g_date_time_new_from_unix_utc(
-        (gint64)(run->seen.written_ms / MSEC_PER_S));
-    words = when != NULL ? g_date_time_format(when, "%Y-%m-%d %H:%M:%S UTC")
-                         : g_strdup("an unknown time");
+    words = text_time_words(run->seen.written_ms);
     fprintf(out, "%s at %s", run->seen.author, words);
     g_free(words);
-    if (when != NULL) {
-        g_date_time_unref(when);
-    }
 }
 
 /* Differences between what is published and ours. */
@@ -117,12 +114,30 @@
     }
 }
 
+static void
+print_retired(const struct apply_run *run, FILE *out)
+{
+    char addr[ADDR_TEXT_MAX];
+
+    for (size_t i = 0; i < run->retired_count; i++) {
+        const struct text_service *service = &run->retired[i].service;
+        char *until = text_time_words(run->retired[i].until_ms);
+
+        fprintf(out, "  retired: %s %s of %s, for its open flows until %s\n",
+                text_proto_name(service->proto),
+                addr_format((struct addr){service->ip, service->port}, addr),
+                service->name, until);
+        g_free(until);
+    }
+}
+
 static int
 report_dry_run(const struct apply_run *run)
 {
     printf("dry run: would replace version %" PRIu64 ". Changes:\n",
            run->seen_version);
     print_diff(run, stdout);
+    print_retired(run, stdout);
     return CLI_OK;
 }
 
@@ -134,6 +149,7 @@
     switch (run->end.outcome) {
     case APPLY_APPLIED:
         printf("applied: version %" PRIu64 "\n", version);
+        print_retired(run, stdout);
         return CLI_OK;
     case APPLY_SAME:
         printf("unchanged: version %" PRIu64 " already holds this text\n",
@@ -153,6 +169,15 @@
         fprintf(stderr, "Not applied: the platform did not take it.\n");
         print_error(run);
         return CLI_FAILED;
+    case APPLY_FORBIDDEN:
+        fputs(run->report, stderr);
+        fprintf(stderr,
+                "Not applied over version %" PRIu64
+                ". Wait, choose another address, or end the open flows of "
+                "the old\none knowingly with --forget \"tcp|udp "
+                "ADDRESS:PORT\".\n",
+                version);
+        return CLI_USAGE;
     case APPLY_UNKNOWN_BEHIND:
         print_winner(run, "Unknown: yours was replaced, or never written");
         return CLI_UNKNOWN;
@@ -165,9 +190,65 @@
     }
 }
 
+static int
+parse_forget(const char *words, struct text_forget *forget)
+{
+    if (g_str_has_prefix(words, "tcp ")) {
+        forget->proto = TEXT_TCP;
+    }
+    else if (g_str_has_prefix(words, "udp ")) {
+        forget->proto = TEXT_UDP;
+    }
+    else {
+        return -EINVAL;
+    }
+    return addr_parse(words + strlen("tcp "), &forget->addr);
+}
+
+/* Of addresses that services leave or have left. */
+static int
+parse_change(const struct apply_options *options, struct text_forget *forget,
+             struct text_change *change)
+{
+    *change = (struct text_change){
+        .name = options->file->filename[0],
+        .hold_ms = TEXT_RETIRE_HOLD_MS,
+        .forget = forget,
+    };
+    if (options->hold->count > 0) {
+        int hours = options->hold->ival[0];
+
+        if (hours < 1 || hours > HOLD_HOURS_MAX) {
+            fprintf(stderr, "--hold: found %d, expected 1 to %d hours\n",
+                    hours, HOLD_HOURS_MAX);
+            return CLI_USAGE;
+        }
+        change->hold_ms = (uint64_t)hours * MSEC_PER_HOUR;
+    }
+    for (int i = 0; i < options->forget->count; i++) {
+        const char *words = options->forget->sval[i];
+
+        if (strcmp(words, "all") == 0) {
+            change->forget_all = true;
+        }
+        else if (parse_forget(words, &forget[change->forget_count]) == 0) {
+            change->forget_count++;
+        }
+        else {
+            fprintf(stderr,
+                    "--forget: found \"%s\", expected \"tcp|udp "
+                    "ADDRESS:PORT\" or all\n",
+                    words);
+            return CLI_USAGE;
+        }
+    }
+    return CLI_OK;
+}
+
 static int
 publish(const struct apply_options *options, const char *url,
-        const struct text *text, const uint64_t *expect)
+        const struct text *text, const struct text_change *change,
+        const uint64_t *expect)
 {
     struct apply_run run;
     struct error err = {0};
@@ -181,6 +262,7 @@
         return CLI_FAILED;
     }
     run.dry_run = options->dry_run->count > 0;
+    run.change = *change;
     apply_run_publish(&run, expect);
     code = run.end.type == APPLY_DO_WRITE ? report_dry_run(&run)
                                           : report_outcome(&run);
@@ -229,10 +311,15 @@
     struct text *text = NULL;
     char *report = NULL;
     char *data = NULL;
+    struct text_forget forget[FORGET_MAX];
+    struct text_change change;
     uint64_t expect;
     size_t len;
     int code = check_options(options, &expect);
 
+    if (code == CLI_OK) {
+        code = parse_change(options, forget, &change);
+    }
     if (code == CLI_OK) {
         code = cli_settings(&settings, options->settings->filename[0]);
     }
@@ -243,7 +330,7 @@
         return CLI_USAGE;
     }
     if (text_parse(data, len, path, &text, &report) == 0) {
-        code = publish(options, settings.platform, text,
+        code = publish(options, settings.platform, text, &change,
                        options->expect->count > 0 ? &expect : NULL);
     }
     else {
@@ -270,11 +357,17 @@
                            "replace this version and no other"),
         .as = arg_str0(NULL, "as", "NAME",
                        "who publishes it; default: the user"),
+        .hold = arg_int0(NULL, "hold", "HOURS",
+                         "how long an address that a service leaves is kept "
+                         "for its\nopen flows; default: 24"),
+        .forget = arg_strn(NULL, "forget", "WORDS", 0, FORGET_MAX,
+                           "end the open flows of \"tcp|udp ADDRESS:PORT\", "
+                           "or of all\naddresses that services have left"),
         .end = arg_end(10),
     };
     void *table[] = {options.help,    options.file,   options.settings,
                      options.dry_run, options.expect, options.as,
-                     options.end};
+                     options.hold,    options.forget, options.end};
     int code = CLI_FAILED;
 
     if (arg_nullcheck(table) != 0) {
--- a/src/cli/apply_core.h
+++ b/src/cli/apply_core.h
@@ -54,8 +54,9 @@
     APPLY_RACE_LOST,      /* ours was not published, @version came first */
     APPLY_NOT_WRITTEN,    /* ours was not published: no answer, or refused */
     APPLY_UNKNOWN_BEHIND, /* @version is another's; ours came between or not */
-    APPLY_UNKNOWN         /* ours isn't there now as far as is known, but its
+    APPLY_UNKNOWN,        /* ours isn't there now as far as is known, but its
                              write may still be under way */
+    APPLY_FORBIDDEN       /* not written: what is published forbids it */
 };
 
 /** enum apply_action_type - what the program must do */
--- a/src/cli/apply_run.c
+++ b/src/cli/apply_run.c
@@ -138,11 +138,48 @@
     envelope->history_count = kept + 1;
 }
 
+/* What is published, or NULL when there is nothing that can be read. */
+static struct text *
+published_text(const struct apply_run *run)
+{
+    struct text *text = NULL;
+    char *report = NULL;
+    const char *value;
+    gsize len;
+
+    if (run->seen_value != NULL) {
+        value = g_bytes_get_data(run->seen_value, &len);
+        text_parse_envelope(value, len, run->seen_version, &text, &report);
+        g_free(report);
+    }
+    return text;
+}
+
+/* Works out what the text retires; what was read is what it replaces. */
+static int
+retire(struct apply_run *run)
+{
+    struct text *from = published_text(run);
+    int rc;
+
+    run->change.from = from;
+    run->change.to = run->text;
+    run->change.now_ms = (uint64_t)g_get_real_time() / USEC_PER_MSEC;
+    rc = text_retire(&run->change, run->retired, &run->retired_count,
+                     &run->report);
+    run->change.from = NULL;
+    text_free(from);
+    return rc;
+}
+
 static int
 start_write(struct apply_run *run)
 {
+    char *retired = text_retired_write(run->retired, run->retired_count);
     struct text_envelope envelope = {
-        .written_ms = (uint64_t)g_get_real_time() / USEC_PER_MSEC,
+        .written_ms = run->change.now_ms,
+        .retired = run->retired_count > 0 ? retired : NULL,
+        .retired_len = strlen(retired),
         .text = run->text->source,
         .text_len = run->text->source_len,
     };
@@ -157,6 +194,7 @@
     rc = platform_put(run->platform, APPLY_OBJECT, run->doing.expect, value,
                       len, &run->call);
     g_free(value);
+    g_free(retired);
     return rc;
 }
 
@@ -178,6 +216,14 @@
     event_base_loopbreak(run->base);
 }
 
+static void
+forbid(struct apply_run *run)
+{
+    end(run, (struct apply_action){.type = APPLY_DO_FINISH,
+                                   .outcome = APPLY_FORBIDDEN,
+                                   .version = run->seen_version});
+}
+
 static void
 act(struct apply_run *run, struct apply_action action)
 {
@@ -190,6 +236,10 @@
         rc = platform_get(run->platform, APPLY_OBJECT, &run->call);
         break;
     case APPLY_DO_WRITE:
+        if (retire(run) < 0) {
+            forbid(run);
+            return;
+        }
         if (run->dry_run) {
             end(run, action);
             return;
@@ -218,6 +268,7 @@
         .call.done = on_reply,
         .text = text,
         .author = author,
+        .change = {.name = APPLY_OBJECT, .hold_ms = TEXT_RETIRE_HOLD_MS},
         .base = event_base_new(),
     };
     if (run->base == NULL) {
@@ -240,6 +291,7 @@
         event_free(run->timer);
     }
     event_base_free(run->base);
+    g_free(run->report);
     drop_read(run);
 }
 
--- a/src/cli/apply_run.h
+++ b/src/cli/apply_run.h
@@ -10,6 +10,7 @@
 #include "cli/apply_core.h"
 #include "platform/platform.h"
 #include "text/text.h"
+#include "text/text_retire.h"
 
 #define APPLY_OBJECT "config"
 
@@ -24,6 +25,12 @@
  * @text: text to publish
  * @author: who publishes it
  * @dry_run: read only
+ * @change: what the operator decided about retired addresses; @from, @to and
+ *          @now_ms are filled in
+ * @retired: addresses that are retired with the text, once it is to be
+ *           written
+ * @retired_count: how many
+ * @report: why the outcome is APPLY_FORBIDDEN, or NULL
  * @seen_value: value last read, or NULL
  * @seen: what it holds; valid when @has_seen
  * @has_seen: the value was an envelope
@@ -41,6 +48,10 @@
     const struct text *text;
     const char *author;
     bool dry_run;
+    struct text_change change;
+    struct text_retired retired[TEXT_RETIRED_MAX];
+    size_t retired_count;
+    char *report;
     GBytes *seen_value;
     struct text_envelope seen;
     bool has_seen;
--- a/src/cli/explain_request.c
+++ b/src/cli/explain_request.c
@@ -79,16 +79,14 @@
 static void
 print_class(const struct text_service *service, unsigned urgency, GString *out)
 {
-    bool lowered =
-        service->class == TEXT_URGENT && urgency > READER_URGENCY_DEFAULT;
-    const char *order = service->class == TEXT_URGENT && !lowered
+    enum text_class class = reader_class(service->class, urgency);
+    const char *order = class == TEXT_URGENT
                             ? "it goes before ordinary requests"
                             : "it waits behind urgent requests";
 
-    g_string_append_printf(
-        out, "class    %s: %s",
-        lowered ? "ordinary" : text_class_name(service->class), order);
-    if (lowered) {
+    g_string_append_printf(out, "class    %s: %s", text_class_name(class),
+                           order);
+    if (class != service->class) {
         g_string_append_printf(out, " (its Priority u=%u asks for less)",
                                urgency);
     }
--- /dev/null
+++ b/src/flow/gate.c
@@ -0,0 +1,79 @@
+#include "flow/gate.h"
+
+#define PROTO_UDP 17
+
+static struct flow_decision
+drop(enum packet_drop reason)
+{
+    return (struct flow_decision){.verdict = FLOW_DROP, .drop = reason};
+}
+
+static struct flow_decision
+pass_along(const struct gue *gue)
+{
+    struct flow_decision decision = {.verdict = FLOW_PASS, .gue = *gue};
+
+    if (gue->index + 1 >= gue->count) {
+        return drop(PACKET_SERVICE);
+    }
+    decision.gue.index++;
+    return decision;
+}
+
+static bool
+is_open(const struct packet *packet)
+{
+    return (packet->flags & (PACKET_TCP_SYN | PACKET_TCP_ACK)) ==
+           PACKET_TCP_SYN;
+}
+
+/* A datagram to a retired address. Nobody who was asked knows its flow once
+ * it is to be opened. */
+static struct flow_decision
+close_datagram(struct flow_table *table, const struct packet *packet,
+               const struct gue *gue, const struct flow_decision *decision)
+{
+    if (decision->verdict == FLOW_OPEN) {
+        flow_close(table, packet);
+        return drop(PACKET_NO_ENDPOINT);
+    }
+    if (decision->verdict == FLOW_PASS &&
+        (decision->gue.flags & FLOW_GUE_OPEN_NOW) != 0 &&
+        (gue->flags & FLOW_GUE_OPEN_NOW) == 0) {
+        return drop(PACKET_NO_ENDPOINT);
+    }
+    return *decision;
+}
+
+static struct flow_decision
+decide_retired(struct flow_table *table, const struct packet *packet,
+               const struct gue *gue, uint64_t now_us)
+{
+    struct gue closed = *gue;
+    struct flow_decision decision;
+
+    closed.flags &= (uint8_t)~GUE_OPEN;
+    decision = flow_decide(table, packet, &closed, now_us);
+    if (packet->proto == PROTO_UDP) {
+        return close_datagram(table, packet, gue, &decision);
+    }
+    if (decision.verdict == FLOW_DROP && is_open(packet)) {
+        return (struct flow_decision){.verdict = FLOW_RESET};
+    }
+    return decision;
+}
+
+struct flow_decision
+gate_decide(struct flow_table *table, enum gate_address address,
+            const struct packet *packet, const struct gue *gue,
+            uint64_t now_us)
+{
+    switch (address) {
+    case GATE_CURRENT:
+        return flow_decide(table, packet, gue, now_us);
+    case GATE_RETIRED:
+        return decide_retired(table, packet, gue, now_us);
+    default:
+        return pass_along(gue);
+    }
+}
--- a/src/text/text.c
+++ b/src/text/text.c
@@ -243,6 +243,7 @@
         return;
     }
     free(text->services);
+    free(text->retired);
     free(text->slots);
     free(text->source);
     free(text);
@@ -287,6 +288,35 @@
     return NULL;
 }
 
+const struct text_service *
+text_find_served(const struct text *text, uint32_t id)
+{
+    const struct text_service *service = text_find(text, id);
+
+    /* The one retired last tells what the service was in the end. */
+    for (size_t i = text->retired_count; service == NULL && i-- > 0;) {
+        if (text->retired[i].service.id == id) {
+            service = &text->retired[i].service;
+        }
+    }
+    return service;
+}
+
+const struct text_retired *
+text_find_retired(const struct text *text, uint32_t ip, uint16_t port,
+                  enum text_proto proto)
+{
+    for (size_t i = 0; i < text->retired_count; i++) {
+        const struct text_service *service = &text->retired[i].service;
+
+        if (service->ip == ip && service->port == port &&
+            service->proto == proto) {
+            return &text->retired[i];
+        }
+    }
+    return NULL;
+}
+
 const struct text_service *
 text_find_addr(const struct text *text, uint32_t ip, uint16_t port,
                enum text_proto proto)
--- a/src/text/text.h
+++ b/src/text/text.h
@@ -19,6 +19,7 @@
 #define TEXT_NAME_MAX 64
 #define TEXT_DEPENDS_MAX 32
 #define TEXT_SERVICES_MAX 4096
+#define TEXT_RETIRED_MAX 256
 
 struct text_slot;
 
@@ -59,6 +60,7 @@
  * @limits: its limits
  * @depends: indexes of the services it depends on
  * @depends_count: how many
+ * @line: where it stands in the source, from 1
  */
 struct text_service {
     uint32_t id;
@@ -70,6 +72,22 @@
     struct text_limits limits;
     uint16_t depends[TEXT_DEPENDS_MAX];
     size_t depends_count;
+    uint32_t line;
+};
+
+/**
+ * struct text_retired - an address that a service had before
+ * @service: the service as it was then; depends on nothing
+ * @until_ms: the address stays that service's until then at least,
+ *            milliseconds since 1970 by the publisher's clock
+ *
+ * Flows that were opened to the address go on; no new one is opened. Who
+ * publishes a text decides what is retired and for how long: a process
+ * goes by the list it was given and by no clock of its own.
+ */
+struct text_retired {
+    struct text_service service;
+    uint64_t until_ms;
 };
 
 /**
@@ -78,7 +96,11 @@
  * @version: of the platform's object, 0 when not from the platform
  * @services: sorted as written
  * @count: how many
- * @source: the text itself, as published, without white space around it
+ * @retired: addresses that services had before, none of them in use again
+ * @retired_count: how many, TEXT_RETIRED_MAX at most
+ * @source: what others may be given to learn the same: the text as
+ *          published, without white space around it, and with it the
+ *          retired addresses when there are any
  * @source_len: its length in bytes
  * @slots: hash table behind text_find() and text_find_addr()
  * @slot_mask: its size less one
@@ -88,6 +110,8 @@
     uint64_t version;
     struct text_service *services;
     size_t count;
+    struct text_retired *retired;
+    size_t retired_count;
     char *source;
     size_t source_len;
     struct text_slot *slots;
@@ -103,6 +127,8 @@
  * @history_count: how many
  * @text: the operators' text inside the value it was read from
  * @text_len: its length in bytes
+ * @retired: list of retired addresses (JSON) inside the value, or NULL
+ * @retired_len: its length in bytes
  */
 struct text_envelope {
     char write_id[TEXT_WRITE_ID_MAX];
@@ -112,6 +138,8 @@
     size_t history_count;
     const char *text;
     size_t text_len;
+    const char *retired;
+    size_t retired_len;
 };
 
 /**
@@ -134,13 +162,13 @@
  * @value: the object's value: an envelope, or a bare text
  * @len: its length
  * @version: the object's version
- * @text: result as from text_parse(), with @version; its source is the
- *        operators' text without the envelope
+ * @text: result as from text_parse(), with @version and the retired
+ *        addresses
  * @report: as from text_parse()
  *
- * What text_parse() makes of a text's source and what this function makes
- * of the value around it are equal but for the version, so processes may
- * pass on either form.
+ * What this function makes of a text's source and of the value from which
+ * it was read are equal but for the version, so processes may pass on
+ * either form.
  *
  * Return: 0 or -EINVAL, -EFBIG, -ENOMEM.
  */
@@ -187,6 +215,16 @@
 const struct text_service *
 text_find(const struct text *text, uint32_t id);
 
+/** text_find_served() - service by id, or, when the text has none, as it was
+ * when its address was retired; NULL when neither is known */
+const struct text_service *
+text_find_served(const struct text *text, uint32_t id);
+
+/** text_find_retired() - retired address or NULL */
+const struct text_retired *
+text_find_retired(const struct text *text, uint32_t ip, uint16_t port,
+                  enum text_proto proto);
+
 /** text_find_addr() - service at an address, port and transport or NULL */
 const struct text_service *
 text_find_addr(const struct text *text, uint32_t ip, uint16_t port,
--- a/src/text/text_check.c
+++ b/src/text/text_check.c
@@ -58,6 +58,9 @@
     "name",  "address",    "port",   "protocol",
     "class", "depends_on", "limits", NULL,
 };
+static const char *const retired_keys[] = {
+    "name", "address", "port", "protocol", "class", "limits", "until_ms", NULL,
+};
 static const char *const limit_keys[] = {
     "connections", "connections_per_caller",
     "queue",       "requests_per_caller",
@@ -376,12 +379,14 @@
 }
 
 static void
-check_service(const struct check *check, struct text_service *out)
+check_service(const struct check *check, const char *const *keys,
+              struct text_service *out)
 {
     if (!is_type(check, json_type_object, "an object")) {
         return;
     }
-    check_keys(check, service_keys);
+    out->line = line_of(check);
+    check_keys(check, keys);
     check_name(check, out);
     check_address(check, out);
     check_port(check, out);
@@ -401,7 +406,7 @@
     for (size_t i = 0; i < text->count; i++) {
         check.value = json_object_array_get_idx(list->value, i);
         g_snprintf(check.path, sizeof(check.path), "services[%zu]", i);
-        check_service(&check, &text->services[i]);
+        check_service(&check, service_keys, &text->services[i]);
         text_unique_check(&unique, i, line_of(&check), check.path);
         check.node = list->index->nodes[check.node].next;
     }
@@ -453,3 +458,85 @@
     text_check_depends(list.value, index, list.node, faults, text);
     return 0;
 }
+
+static void
+check_until(const struct check *retired, uint64_t *until_ms)
+{
+    const char *expected = "milliseconds since 1970";
+    struct check check;
+
+    if (!required(retired, "until_ms", &check) ||
+        !is_type(&check, json_type_int, expected)) {
+        return;
+    }
+    if (json_object_get_int64(check.value) < 0) {
+        fault(&check, expected);
+        return;
+    }
+    *until_ms = json_object_get_uint64(check.value);
+}
+
+/* An address belongs to one service, be it as the one in use. */
+static void
+check_retired_address(const struct check *check, const struct text *text,
+                      size_t i)
+{
+    const struct text_service *service = &text->retired[i].service;
+    const struct text_service *user =
+        text_find_addr(text, service->ip, service->port, service->proto);
+
+    if (user != NULL) {
+        text_faults_add(check->faults, line_of(check), check->path,
+                        "found the address of \"%s\" that is in use by "
+                        "\"%s\", expected one that no service has",
+                        service->name, user->name);
+    }
+    for (size_t j = 0; j < i; j++) {
+        const struct text_service *other = &text->retired[j].service;
+
+        if (other->ip == service->ip && other->port == service->port &&
+            other->proto == service->proto) {
+            text_faults_add(check->faults, line_of(check), check->path,
+                            "found the address of \"%s\" again, expected it "
+                            "once",
+                            service->name);
+        }
+    }
+}
+
+int
+text_check_retired(struct json_object *list, const struct text_index *index,
+                   struct text_faults *faults, struct text *text)
+{
+    struct check check = {.index = index, .faults = faults, .value = list};
+    size_t count;
+
+    g_strlcpy(check.path, "retired", sizeof(check.path));
+    if (!is_type(&check, json_type_array, "a list of retired addresses")) {
+        return 0;
+    }
+    count = json_object_array_length(list);
+    if (count > TEXT_RETIRED_MAX) {
+        text_faults_add(faults, 1, check.path,
+                        "found %zu retired addresses, expected at most %d",
+                        count, TEXT_RETIRED_MAX);
+        return 0;
+    }
+    text->retired = calloc(count + 1, sizeof(*text->retired));
+    if (text->retired == NULL) {
+        return -ENOMEM;
+    }
+    check.node = index->nodes[0].first;
+    for (size_t i = 0; i < count; i++) {
+        check.value = json_object_array_get_idx(list, i);
+        g_snprintf(check.path, sizeof(check.path), "retired[%zu]", i);
+        check_service(&check, retired_keys, &text->retired[i].service);
+        if (json_object_is_type(check.value, json_type_object)) {
+            check_until(&check, &text->retired[i].until_ms);
+        }
+        check_retired_address(&check, text, i);
+        check.node = index->nodes[check.node].next;
+    }
+    text->retired_count = count;
+    return 0;
+}
--- a/src/text/text_check.h
+++ b/src/text/text_check.h
@@ -26,6 +26,17 @@
 text_check_services(struct json_object *root, const struct text_index *index,
                     struct text_faults *faults, struct text *text);
 
+/**
+ * text_check_retired() - read the list of retired addresses
+ * @list: the list as json-c read it; @index: positions in the same source
+ * @text: has its services; gets retired and retired_count
+ *
+ * Return: 0 or -ENOMEM. Whether the list is good is told by @faults.
+ */
+int
+text_check_retired(struct json_object *list, const struct text_index *index,
+                   struct text_faults *faults, struct text *text);
+
 /**
  * text_check_depends() - resolve "depends_on" and look for cycles
  * @services: list of services as json-c read it, one for each of @text
--- a/src/text/text_envelope.c
+++ b/src/text/text_envelope.c
@@ -2,11 +2,14 @@
 
 #include <errno.h>
 #include <inttypes.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include <glib.h>
 #include <json-c/json.h>
 
+#include "text/text_check.h"
+#include "text/text_fault.h"
 #include "text/text_index.h"
 
 #define ENVELOPE_NAME "config"
@@ -76,24 +79,58 @@
     return 0;
 }
 
-/* The text inside the value, byte for byte as the operator wrote it. */
+/* Returns how many keys the value has. */
+static size_t
+find_parts_at(const struct text_index *index, struct text_envelope *envelope)
+{
+    size_t keys = 0;
+    uint32_t node = index->nodes[0].first;
+
+    for (; node != 0; node = index->nodes[node].next) {
+        const struct text_node *at = &index->nodes[node];
+
+        keys++;
+        if (text_index_is(index, node, "text")) {
+            envelope->text = index->source + at->start;
+            envelope->text_len = at->end - at->start;
+        }
+        else if (text_index_is(index, node, "retired")) {
+            envelope->retired = index->source + at->start;
+            envelope->retired_len = at->end - at->start;
+        }
+    }
+    return keys;
+}
+
+/* The text inside the value, byte for byte as the operator wrote it, and
+ * the retired addresses. Returns how many keys the value has. */
 static int
-find_text(const char *value, size_t len, struct text_envelope *envelope)
+find_parts(const char *value, size_t len, struct text_envelope *envelope)
 {
     struct text_index index;
-    uint32_t node;
+    size_t keys;
     size_t bad;
 
     if (text_index_init(&index, value, len, &bad) < 0) {
         return -EINVAL;
     }
-    node = text_index_child(&index, 0, "text");
-    if (node != 0) {
-        envelope->text = value + index.nodes[node].start;
-        envelope->text_len = index.nodes[node].end - index.nodes[node].start;
-    }
+    keys = find_parts_at(&index, envelope);
     text_index_finish(&index);
-    return node != 0 ? 0 : -EINVAL;
+    return envelope->text != NULL ? (int)keys : -EINVAL;
+}
+
+/* What processes pass on: a text and retired addresses, and nothing else. */
+static int
+read_source(const char *value, size_t len, struct text_envelope *envelope)
+{
+    int keys;
+
+    memset(envelope, 0, sizeof(*envelope));
+    if (len > TEXT_SIZE_MAX || !g_utf8_validate_len(value, len, NULL)) {
+        return -EINVAL;
+    }
+    keys = find_parts(value, len, envelope);
+    return keys == 2 && envelope->retired != NULL ? 0 : -EINVAL;
 }
 
 static struct json_object *
@@ -132,9 +169,9 @@
     }
     json_object_put(root);
     if (rc == 0) {
-        rc = find_text(value, len, envelope);
+        rc = find_parts(value, len, envelope);
     }
-    return rc;
+    return MIN(rc, 0);
 }
 
 static struct json_object *
@@ -166,6 +203,11 @@
         json_object_to_json_string_ext(head, JSON_C_TO_STRING_PLAIN));
     json_object_put(head);
     g_string_truncate(value, value->len - 1);
+    if (envelope->retired != NULL) {
+        g_string_append(value, ",\"retired\":");
+        g_string_append_len(value, envelope->retired,
+                            (gssize)envelope->retired_len);
+    }
     g_string_append(value, ",\"text\":");
     g_string_append_len(value, envelope->text, (gssize)envelope->text_len);
     g_string_append_c(value, '}');
@@ -173,6 +215,65 @@
     return g_string_free(value, FALSE);
 }
 
+static int
+check_retired(const struct text_envelope *envelope, struct text_faults *faults,
+              struct text *text)
+{
+    struct json_object *list =
+        parse_value(envelope->retired, envelope->retired_len);
+    struct text_index index;
+    size_t bad;
+    int rc = text_index_init(&index, envelope->retired, envelope->retired_len,
+                             &bad);
+
+    if (rc == 0) {
+        rc = text_check_retired(list, &index, faults, text);
+        text_index_finish(&index);
+    }
+    json_object_put(list);
+    if (rc == 0 && faults->count > 0) {
+        rc = -EINVAL;
+    }
+    return rc;
+}
+
+/* What read_source() reads. */
+static int
+make_source(const struct text_envelope *envelope, struct text *text)
+{
+    static const char head[] = "{\"retired\":";
+    static const char middle[] = ",\"text\":";
+    size_t size = sizeof(head) + sizeof(middle) + envelope->retired_len +
+                  text->source_len + 1;
+    char *source = malloc(size);
+
+    if (source == NULL) {
+        return -ENOMEM;
+    }
+    g_snprintf(source, size, "%s%.*s%s%s}", head, (int)envelope->retired_len,
+               envelope->retired, middle, text->source);
+    free(text->source);
+    text->source = source;
+    text->source_len = strlen(source);
+    return 0;
+}
+
+static int
+add_retired(const struct text_envelope *envelope, struct text *text,
+            char **report)
+{
+    struct text_faults faults;
+    int rc;
+
+    text_faults_init(&faults, ENVELOPE_NAME);
+    rc = check_retired(envelope, &faults, text);
+    if (rc == 0 && text->retired_count > 0) {
+        rc = make_source(envelope, text);
+    }
+    *report = text_faults_finish(&faults);
+    return rc;
+}
+
 int
 text_parse_envelope(const char *value, size_t len, uint64_t version,
                     struct text **text, char **report)
@@ -180,12 +281,19 @@
     struct text_envelope envelope;
     int rc;
 
-    if (text_envelope_read(value, len, &envelope) < 0) {
-        envelope.text = value;
-        envelope.text_len = len;
+    if (read_source(value, len, &envelope) < 0 &&
+        text_envelope_read(value, len, &envelope) < 0) {
+        envelope = (struct text_envelope){.text = value, .text_len = len};
     }
     rc = text_parse(envelope.text, envelope.text_len, ENVELOPE_NAME, text,
                     report);
+    if (rc == 0 && envelope.retired != NULL) {
+        rc = add_retired(&envelope, *text, report);
+        if (rc < 0) {
+            text_free(*text);
+            *text = NULL;
+        }
+    }
     if (rc == 0) {
         (*text)->version = version;
     }
--- a/tests/golden/scene.c
+++ b/tests/golden/scene.c
@@ -447,6 +447,7 @@
     }
     for (size_t i = 0; i < G_N_ELEMENTS(scene->operators); i++) {
         g_free(scene->operators[i].text);
+        g_free(scene->operators[i].retired);
         if (scene->operators[i].seen != NULL) {
             g_bytes_unref(scene->operators[i].seen);
         }
--- a/tests/golden/scene.h
+++ b/tests/golden/scene.h
@@ -12,6 +12,7 @@
 
 #include <glib.h>
 
+#include "agent/addresses.h"
 #include "balancer/route.h"
 #include "base/clock.h"
 #include "cli/apply_core.h"
@@ -19,6 +20,7 @@
 #include "control/member.h"
 #include "flow/flow.h"
 #include "request/engine.h"
+#include "text/text_retire.h"
 
 #define SCENE_HOSTS_MAX 16
 #define SCENE_DELAY_US (1 * USEC_PER_MSEC)
@@ -151,6 +153,7 @@
     char author[TEXT_AUTHOR_MAX];
     unsigned call; /* number of the platform call under way */
     GBytes *seen;  /* value read last */
+    char *retired; /* list to publish beside the text, or NULL */
 };
 
 /** struct scene - all of it; the transcript grows in @log */
--- a/tests/golden/scene_apply.c
+++ b/tests/golden/scene_apply.c
@@ -47,15 +47,57 @@
     scene_delay(scene, msg, delay_us);
 }
 
+/* The retired addresses as apply_run works them out; false when what is
+ * published forbids the text. */
+static bool
+retire(struct scene *scene, struct scene_apply *run)
+{
+    struct text_retired retired[TEXT_RETIRED_MAX];
+    struct text_change change = {.name = "config",
+                                 .now_ms = WRITTEN_MS,
+                                 .hold_ms = TEXT_RETIRE_HOLD_MS};
+    struct text *from = NULL;
+    struct text *to = NULL;
+    char *report = NULL;
+    size_t count = 0;
+
+    g_assert_cmpint(
+        text_parse(run->text, strlen(run->text), "config", &to, &report), ==,
+        0);
+    if (run->seen != NULL) {
+        const char *value = g_bytes_get_data(run->seen, &count);
+
+        g_assert_cmpint(text_parse_envelope(value, count, 1, &from, &report),
+                        ==, 0);
+    }
+    change.from = from;
+    change.to = to;
+    int rc = text_retire(&change, retired, &count, &report);
+    g_free(run->retired);
+    run->retired = count > 0 ? text_retired_write(retired, count) : NULL;
+    if (report != NULL) {
+        scene_log(scene, "  %s is told: %s", run->author, g_strchomp(report));
+    }
+    g_free(report);
+    text_free(from);
+    text_free(to);
+    return rc == 0;
+}
+
 static GBytes *
 make_value(const struct scene_apply *run)
 {
     struct text_envelope seen = {0};
     struct text_envelope envelope = {.text = run->text,
                                      .text_len = strlen(run->text),
+                                     .retired = run->retired,
                                      .written_ms = WRITTEN_MS};
     size_t len = 0;
 
+    if (run->retired != NULL) {
+        envelope.retired_len = strlen(run->retired);
+    }
+
     g_strlcpy(envelope.write_id, run->core.write_id, TEXT_WRITE_ID_MAX);
     g_strlcpy(envelope.author, run->author, TEXT_AUTHOR_MAX);
     if (run->seen != NULL) {
@@ -106,6 +148,13 @@
         scene_log(scene, "  %s is told: %s (version %u)", run->author,
                   outcomes[action.outcome], (unsigned)action.version);
         break;
+    case APPLY_DO_WRITE:
+        if (!retire(scene, run)) {
+            run->call++;
+            break;
+        }
+        call_platform(scene, at, &action);
+        break;
     default:
         call_platform(scene, at, &action);
         break;
--- a/tests/golden/scene_control.c
+++ b/tests/golden/scene_control.c
@@ -251,7 +251,7 @@
         state = MEMBER_WARMING;
     }
     if (host->agent && host->text != NULL) {
-        service = text_find_name(host->text, host->service);
+        service = text_find_served(host->text, hash_service(host->service));
     }
     member_announce(&host->members, state, service != NULL ? service->id : 0,
                     service != NULL ? SCENE_SLOTS : 0,
--- a/tests/golden/scene_packet.c
+++ b/tests/golden/scene_packet.c
@@ -313,15 +313,21 @@
                describe_packet(&sent, buf));
 }
 
-/* Whether the text in force here gives the address to our service. */
-static bool
-is_ours(const struct scene_host *host, const struct packet *packet)
+/* What the text in force here makes of the address for our service. */
+static enum gate_address
+address_of(const struct scene_host *host, const struct gue *gue,
+           const struct packet *packet)
 {
-    const struct text_service *service =
-        host->text == NULL ? NULL : text_find_name(host->text, host->service);
+    uint32_t id = hash_service(host->service);
+    struct addresses addresses;
 
-    return service != NULL && service->ip == packet->dst &&
-           service->port == packet->dport;
+    if (host->text == NULL || gue->service != id ||
+        text_find_served(host->text, id) == NULL) {
+        return GATE_NONE;
+    }
+    addresses_set(&addresses, host->text, id);
+    return addresses_find(&addresses, text_find_served(host->text, id),
+                          packet->dst, packet->dport, packet->proto);
 }
 
 static void
@@ -336,14 +342,9 @@
     buf += header;
     len -= (size_t)header;
     g_assert_cmpint(packet_parse(buf, len, 1, &packet), ==, PACKET_OK);
-    if (gue.service == hash_service(host->service) &&
-        !is_ours(host, &packet)) {
-        scene_log(scene, "  %s: dropped, no address of %s by its text",
-                  host->name, host->service);
-        return;
-    }
     struct flow_decision decision =
-        flow_decide(host->flows, &packet, &gue, scene_now(scene));
+        gate_decide(host->flows, address_of(host, &gue, &packet), &packet,
+                    &gue, scene_now(scene));
     scene_log(scene, "  %s: %s%s", host->name, verdicts[decision.verdict],
               decision.verdict == FLOW_DROP ? packet_drop_name(decision.drop)
                                             : "");
