idem: the grant of a process that has just started never counts

A replica younger than IDEM_START_US now says so in its GRANT. Ruled out: carrying the replica's start time in GRANT (the wire has no field for it). Fixed as test_restart_at_start, red without the rule.

--- a/src/idem/idem.h
+++ b/src/idem/idem.h
@@ -89,8 +89,9 @@
  * @key: key it is about
  * @owner: member id of the coordinator of the record
  * @token: coordinator's number for the reservation
- * @state: EXISTS, RECORD, ACK: of the record. GRANT: IDEM_UNKNOWN when the
- *         replica itself is not settled yet, else IDEM_STARTED
+ * @state: EXISTS, RECORD, ACK: of the record. GRANT: IDEM_STARTED from a
+ *         settled replica, IDEM_UNKNOWN from one that isn't, IDEM_DONE from
+ *         one younger than IDEM_START_US (recorded, but never counted)
  * @answer: EXISTS, RECORD: whole HTTP answer as sent, or NULL (not held)
  * @answer_len: its length
  */
--- a/src/idem/keeper.c
+++ b/src/idem/keeper.c
@@ -23,9 +23,14 @@
 {
     struct idem_msg *reply = state_send(out, to, IDEM_MSG_GRANT, &record->key,
                                         record->owner, record->token);
-    bool young = replicas_young(&idem->replicas, now_us);
 
-    reply->state = young ? IDEM_UNKNOWN : IDEM_STARTED;
+    reply->state = IDEM_STARTED;
+    if (replicas_starting(&idem->replicas, now_us)) {
+        reply->state = IDEM_DONE;
+    }
+    else if (replicas_young(&idem->replicas, now_us)) {
+        reply->state = IDEM_UNKNOWN;
+    }
 }
 
 static void
--- a/src/idem/quorum.c
+++ b/src/idem/quorum.c
@@ -78,7 +78,7 @@
 quorum_reached(const struct idem *idem, const struct reserve *reserve,
                uint64_t now_us)
 {
-    bool starting = now_us < idem->replicas.young_us + IDEM_START_US;
+    bool starting = replicas_starting(&idem->replicas, now_us);
     size_t now = 0;
     size_t now_granted = 0;
     size_t earlier = 0;
@@ -87,7 +87,7 @@
     for (size_t i = 0; i < reserve->asked_count; i++) {
         const struct reserve_asked *asked = &reserve->asked[i];
         bool there = living(idem, asked) != NULL;
-        bool granted = there && asked->granted;
+        bool granted = there && asked->granted && !asked->starting;
 
         if (starting && asked->now && asked->now_unsettled) {
             return false;
--- a/src/idem/replicas.c
+++ b/src/idem/replicas.c
@@ -144,6 +144,12 @@
     return now_us < replicas->young_us + IDEM_SETTLE_US;
 }
 
+bool
+replicas_starting(const struct replicas *replicas, uint64_t now_us)
+{
+    return now_us < replicas->young_us + IDEM_START_US;
+}
+
 static void
 end_life(struct replica_life *life, const struct view_member *member,
          uint64_t now_us)
--- a/src/idem/replicas.h
+++ b/src/idem/replicas.h
@@ -104,6 +104,10 @@
 bool
 replicas_young(const struct replicas *replicas, uint64_t now_us);
 
+/** replicas_starting() - whether it is younger than IDEM_START_US */
+bool
+replicas_starting(const struct replicas *replicas, uint64_t now_us);
+
 /** replicas_at() - the replicas of @key at @at_us, now or earlier */
 void
 replicas_at(const struct replicas *replicas, const struct idem_key *key,
--- a/src/idem/reserve.c
+++ b/src/idem/reserve.c
@@ -252,6 +252,7 @@
         own->answered = true;
         own->granted = !reserve->vetoed;
         own->young = replicas_young(&idem->replicas, now_us);
+        own->starting = replicas_starting(&idem->replicas, now_us);
     }
     ask_all(idem, reserve, now_us, out);
     decide(idem, reserve, now_us, out);
@@ -354,7 +355,8 @@
     }
     asked->answered = true;
     asked->granted = true;
-    asked->young = msg->state == IDEM_UNKNOWN;
+    asked->young = msg->state != IDEM_STARTED;
+    asked->starting = msg->state == IDEM_DONE;
     decide(idem, reserve, now_us, out);
 }
 
--- a/src/idem/reserve.h
+++ b/src/idem/reserve.h
@@ -20,6 +20,7 @@
  * @answered: its word is in, or it is this agent
  * @granted: it recorded this request's reservation
  * @young: its own memory isn't settled
+ * @starting: it has only just started, and never counts
  * @asked_again: was asked again after a stale reservation of our own
  */
 struct reserve_asked {
@@ -32,6 +33,7 @@
     bool answered;
     bool granted;
     bool young;
+    bool starting;
     bool asked_again;
 };
 
--- a/tests/idem/test_rules.c
+++ b/tests/idem/test_rules.c
@@ -261,6 +261,32 @@
     scene_finish(&sim);
 }
 
+/* The same with one that restarts, before the others learn of it: what it
+ * grants says nothing. */
+static void
+test_restart_at_start(void)
+{
+    unsigned at[IDEM_REPLICAS];
+    unsigned other;
+    struct sim sim;
+
+    sim_init(&sim, 7, scene_net);
+    for (unsigned i = 0; i < 5; i++) {
+        sim_start(&sim, i);
+    }
+    sim_advance(&sim, USEC_PER_SEC + IDEM_START_US);
+    g_assert_cmpuint(replicas_of(&sim, 0, 1, at), ==, 3);
+    other = other_than(at, 5);
+    sim.no_sync = true;
+    sim.net.skew_us = 60 * USEC_PER_SEC;
+    sim_crash(&sim, at[1], true);
+    sim_start(&sim, at[1]);
+    sim_advance(&sim, USEC_PER_SEC);
+    sim_cut(&sim, other, at[0], 4 * USEC_PER_SEC);
+    g_assert_cmpint(scene_ask(&sim, other, 1), ==, IDEM_REFUSE);
+    scene_finish(&sim);
+}
+
 /* Five are cut into two and three: only the three go on, for a minute. */
 static void
 test_cut(void)
@@ -366,6 +392,7 @@
     g_test_add_func("/idem/foreign-release", test_foreign_release);
     g_test_add_func("/idem/start", test_start);
     g_test_add_func("/idem/leave-at-start", test_leave_at_start);
+    g_test_add_func("/idem/restart-at-start", test_restart_at_start);
     g_test_add_func("/idem/cut", test_cut);
     g_test_add_func("/idem/all-replicas-dead", test_all_replicas_dead);
     g_test_add_func("/idem/rolling-restart", test_rolling_restart);
