--- a/src/agent/notices.c
+++ b/src/agent/notices.c
@@ -51,7 +51,7 @@
     if (!open) {
         notice_closed(core, caller, service);
     }
-    else if (notice_opened(core, caller, service, agent_now(agent)) < 0) {
+    else if (notice_opened(core, caller, service) < 0) {
         g_info("A flow is not told to a backup: no room.");
     }
 }
--- a/src/notice/backup.c
+++ b/src/notice/backup.c
@@ -31,6 +31,7 @@
 {
     backup->flows -= held->flows.used;
     caller_set_finish(&held->flows);
+    memset(&held->called, 0, sizeof(held->called));
 }
 
 static void
@@ -130,23 +131,42 @@
     held_clear(backup, held);
     held->session = message->session;
     held->seq = 0;
-    held->service = message->service;
 }
 
 static void
-held_open(struct backup *backup, struct held *held, struct addr caller)
+held_open(struct backup *backup, struct held *held, struct addr service,
+          struct addr caller)
 {
-    if (caller_set_marks(&held->flows, caller, NULL)) {
+    int place = called_place(&held->called, service);
+    struct caller flow = {caller, (uint8_t)place};
+
+    if (place >= 0 && caller_set_marks(&held->flows, flow, NULL)) {
         return;
     }
-    if (backup->flows >= BACKUP_FLOWS_MAX ||
-        caller_set_put(&held->flows, caller, 0) < 0) {
+    if (place < 0 || backup->flows >= BACKUP_FLOWS_MAX ||
+        caller_set_put(&held->flows, flow, 0) < 0) {
         backup->refused++;
         return;
     }
+    held->called.flows[place]++;
     backup->flows++;
 }
 
+static void
+held_close(struct backup *backup, struct held *held, struct addr service,
+           struct addr caller)
+{
+    int place = called_find(&held->called, service);
+    struct caller flow = {caller, (uint8_t)place};
+
+    if (place < 0 || !caller_set_marks(&held->flows, flow, NULL)) {
+        return;
+    }
+    caller_set_remove(&held->flows, flow);
+    held->called.flows[place]--;
+    backup->flows--;
+}
+
 static void
 held_apply(struct backup *backup, struct held *held,
            const struct notice_message *message)
@@ -156,12 +176,10 @@
 
     held->seq = message->seq;
     for (i = 0; i < message->opened; i++) {
-        held_open(backup, held, message->callers[i]);
+        held_open(backup, held, message->service, message->callers[i]);
     }
     for (i = 0; i < message->closed; i++) {
-        backup->flows -= held->flows.used;
-        caller_set_remove(&held->flows, closed[i]);
-        backup->flows += held->flows.used;
+        held_close(backup, held, message->service, closed[i]);
     }
 }
 
@@ -323,7 +341,7 @@
 held_probe(struct backup *backup, struct held *held, uint64_t now_us,
            struct notice_probe *probes, size_t *count, size_t max)
 {
-    struct addr caller;
+    struct caller caller;
 
     if (!held->dead || is_done(held) ||
         now_us < held->dead_us + round_starts_us[held->round]) {
@@ -335,7 +353,8 @@
             held->round++;
             return;
         }
-        probes[(*count)++] = (struct notice_probe){held->service, caller};
+        probes[(*count)++] = (struct notice_probe){
+            held->called.items[caller.service], caller.addr};
         backup->tokens--;
     }
 }
--- a/src/notice/backup.h
+++ b/src/notice/backup.h
@@ -22,6 +22,7 @@
 #include "control/view.h"
 #include "notice/caller_set.h"
 #include "notice/message.h"
+#include "notice/called.h"
 
 #define BACKUP_OWNERS_MAX 64
 #define BACKUP_FLOWS_MAX 262144
@@ -45,7 +46,7 @@
  * @boot: the same as the owner tells it
  * @session: present transfer
  * @seq: last batch of it
- * @service: address the flows were opened to
+ * @called: addresses called by @flows
  * @heard_us: when the owner last said something
  * @alive: what the last view said of it
  * @replaced: a later process of the owner has been heard
@@ -61,7 +62,7 @@
     uint64_t boot;
     uint32_t session;
     uint32_t seq;
-    struct addr service;
+    struct called called;
     uint64_t heard_us;
     bool alive;
     bool replaced;
--- a/src/notice/caller_set.c
+++ b/src/notice/caller_set.c
@@ -6,12 +6,14 @@
 #include "base/hash.h"
 
 #define SLOTS_FIRST 16
-#define MARKS_SHIFT 48
+#define SERVICE_SHIFT 48
+#define MARKS_SHIFT 56
 
 static uint64_t
-key_of(struct addr caller)
+key_of(struct caller caller)
 {
-    return (uint64_t)caller.ip << 16 | caller.port;
+    return (uint64_t)caller.service << SERVICE_SHIFT |
+           (uint64_t)caller.addr.ip << 16 | caller.addr.port;
 }
 
 static uint64_t
@@ -86,7 +88,7 @@
 }
 
 bool
-caller_set_marks(const struct caller_set *set, struct addr caller,
+caller_set_marks(const struct caller_set *set, struct caller caller,
                  uint8_t *marks)
 {
     uint64_t slot;
@@ -105,13 +107,13 @@
 }
 
 int
-caller_set_put(struct caller_set *set, struct addr caller, uint8_t marks)
+caller_set_put(struct caller_set *set, struct caller caller, uint8_t marks)
 {
     uint64_t key = key_of(caller);
     size_t at;
     int ret;
 
-    if (key == 0) {
+    if (caller.addr.ip == 0 && caller.addr.port == 0) {
         return -EINVAL;
     }
     if (!caller_set_marks(set, caller, NULL)) {
@@ -156,7 +158,7 @@
 }
 
 void
-caller_set_remove(struct caller_set *set, struct addr caller)
+caller_set_remove(struct caller_set *set, struct caller caller)
 {
     size_t at;
 
@@ -180,13 +182,14 @@
 
 bool
 caller_set_next(const struct caller_set *set, size_t *cursor,
-                struct addr *caller)
+                struct caller *caller)
 {
     for (; *cursor < set->allocated; (*cursor)++) {
         uint64_t key = slot_key(set->slots[*cursor]);
 
         if (key != 0) {
-            *caller = (struct addr){(uint32_t)(key >> 16), (uint16_t)key};
+            caller->addr = (struct addr){(uint32_t)(key >> 16), (uint16_t)key};
+            caller->service = (uint8_t)(key >> SERVICE_SHIFT);
             (*cursor)++;
             return true;
         }
--- a/src/notice/caller_set.h
+++ b/src/notice/caller_set.h
@@ -1,8 +1,9 @@
 /**
- * DOC: caller_set - callers' addresses, eight bytes each
+ * DOC: caller_set - callers of flows, eight bytes each
  *
- * A hash table with open addressing. A slot holds the address (48 bits)
- * and some marks (8 bits), and is 0 when free, for which reason address 0
+ * A hash table with open addressing. A slot holds the caller's address (48
+ * bits), the index of the service's address (8 bits) and some marks (8
+ * bits), and is 0 when free, for which reason a caller with address 0 and
  * port 0 can't be a member. It grows by doubling and shrinks when emptied.
  */
 #ifndef SWIFTARCH_NOTICE_CALLER_SET_H
@@ -14,6 +15,16 @@
 
 #include "base/addr.h"
 
+/**
+ * struct caller - the caller of a flow
+ * @addr: its address
+ * @service: index of the address that it called, see notice/called.h
+ */
+struct caller {
+    struct addr addr;
+    uint8_t service;
+};
+
 /**
  * struct caller_set - the table
  * @slots: @allocated slots, a power of two, or NULL
@@ -36,17 +47,17 @@
 /** caller_set_marks() - marks of a member; false when it is none. @marks may
  * be NULL */
 bool
-caller_set_marks(const struct caller_set *set, struct addr caller,
+caller_set_marks(const struct caller_set *set, struct caller caller,
                  uint8_t *marks);
 
 /** caller_set_put() - add a member or change its marks; 0, -ENOMEM, or
  * -EINVAL for address 0 port 0 */
 int
-caller_set_put(struct caller_set *set, struct addr caller, uint8_t marks);
+caller_set_put(struct caller_set *set, struct caller caller, uint8_t marks);
 
 /** caller_set_remove() - take a member out, if it is one */
 void
-caller_set_remove(struct caller_set *set, struct addr caller);
+caller_set_remove(struct caller_set *set, struct caller caller);
 
 /**
  * caller_set_next() - the member at or after slot *@cursor
@@ -56,6 +67,6 @@
  */
 bool
 caller_set_next(const struct caller_set *set, size_t *cursor,
-                struct addr *caller);
+                struct caller *caller);
 
 #endif
--- a/src/notice/message.h
+++ b/src/notice/message.h
@@ -25,7 +25,7 @@
  * @boot: start of the owner's process; a later start has a greater one
  * @session: number of the transfer; each begins with all flows at @seq 1
  * @seq: number of the batch in its session
- * @service: address that the flows were opened to
+ * @service: address that the flows were opened to, if there are any
  * @opened: flows opened, first in @callers
  * @closed: flows closed, after them
  * @callers: the callers' addresses
--- a/src/notice/notice.c
+++ b/src/notice/notice.c
@@ -29,10 +29,9 @@
 }
 
 int
-notice_opened(struct notice *notice, struct addr caller, struct addr service,
-              uint64_t now_us)
+notice_opened(struct notice *notice, struct addr caller, struct addr service)
 {
-    return owner_opened(&notice->owner, caller, service, now_us);
+    return owner_opened(&notice->owner, caller, service);
 }
 
 void
--- a/src/notice/notice.h
+++ b/src/notice/notice.h
@@ -45,8 +45,7 @@
 
 /** notice_opened() - an own flow was established; see owner_opened() */
 int
-notice_opened(struct notice *notice, struct addr caller, struct addr service,
-              uint64_t now_us);
+notice_opened(struct notice *notice, struct addr caller, struct addr service);
 
 /** notice_closed() - an own flow ended */
 void
--- a/src/notice/owner.c
+++ b/src/notice/owner.c
@@ -16,7 +16,7 @@
 {
     size_t allocated =
         queue->allocated == 0 ? QUEUE_FIRST : queue->allocated * 2;
-    struct addr *items = calloc(allocated, sizeof(items[0]));
+    struct caller *items = calloc(allocated, sizeof(items[0]));
     size_t i;
 
     if (items == NULL) {
@@ -33,7 +33,7 @@
 }
 
 static int
-queue_push(struct caller_queue *queue, struct addr caller)
+queue_push(struct caller_queue *queue, struct caller caller)
 {
     if (queue->count == queue->allocated && queue_grow(queue) < 0) {
         return -ENOMEM;
@@ -51,11 +51,13 @@
     *queue = (struct caller_queue){0};
 }
 
-static struct addr
+static struct caller
 queue_pop(struct caller_queue *queue)
 {
-    struct addr caller = queue->items[queue->head];
+    struct caller caller;
 
+    assert(queue->count > 0 && queue->items != NULL);
+    caller = queue->items[queue->head];
     queue->head = (queue->head + 1) & (queue->allocated - 1);
     queue->count--;
     if (queue->count == 0) {
@@ -66,18 +68,25 @@
 
 /* Stores the marks of a flow, and forgets it when nothing is left to say. */
 static int
-set_marks(struct owner *owner, struct addr caller, uint8_t marks)
+set_marks(struct owner *owner, struct caller caller, uint8_t marks)
 {
+    size_t *flows = &owner->called.flows[caller.service];
+    size_t before = owner->flows.used;
+    int ret = 0;
+
     if (marks == 0) {
         caller_set_remove(&owner->flows, caller);
-        return 0;
     }
-    return caller_set_put(&owner->flows, caller, marks);
+    else {
+        ret = caller_set_put(&owner->flows, caller, marks);
+    }
+    *flows = *flows + owner->flows.used - before;
+    return ret;
 }
 
 /* Queues a flow for each backup whose knowledge differs from the truth. */
 static uint8_t
-queue_flow(struct owner *owner, struct addr caller, uint8_t marks)
+queue_flow(struct owner *owner, struct caller caller, uint8_t marks)
 {
     bool live = (marks & MARK_LIVE) != 0;
     size_t i;
@@ -103,7 +112,7 @@
 {
     struct owner_backup *backup = &owner->backups[i];
     size_t cursor = 0;
-    struct addr caller;
+    struct caller caller;
     uint8_t marks = 0;
 
     queue_finish(&backup->queue);
@@ -123,20 +132,25 @@
 static void
 sweep(struct owner *owner)
 {
+    struct called called = owner->called;
     struct caller_set kept = {0};
     size_t cursor = 0;
-    struct addr caller;
+    struct caller caller;
     uint8_t marks = 0;
 
     while (caller_set_next(&owner->flows, &cursor, &caller)) {
         caller_set_marks(&owner->flows, caller, &marks);
-        if (marks != 0 && caller_set_put(&kept, caller, marks) < 0) {
+        if (marks == 0) {
+            called.flows[caller.service]--;
+        }
+        else if (caller_set_put(&kept, caller, marks) < 0) {
             caller_set_finish(&kept);
             return;
         }
     }
     caller_set_finish(&owner->flows);
     owner->flows = kept;
+    owner->called = called;
 }
 
 static void
@@ -147,6 +161,7 @@
     backup->session = ++owner->sessions;
     backup->waiting = false;
     backup->begun_us = now_us;
+    backup->more = false;
     backup->last = (struct notice_message){0};
     untell(owner, i);
 }
@@ -168,63 +183,49 @@
     caller_set_finish(&owner->flows);
 }
 
-/* The flows of the former service are gone with it. */
-static void
-change_service(struct owner *owner, struct addr service, uint64_t now_us)
-{
-    size_t i;
-
-    caller_set_finish(&owner->flows);
-    owner->live = 0;
-    owner->service = service;
-    for (i = 0; i < OWNER_BACKUPS; i++) {
-        if (owner->backups[i].member != 0) {
-            begin_session(owner, i, now_us);
-        }
-    }
-}
-
 int
-owner_opened(struct owner *owner, struct addr caller, struct addr service,
-             uint64_t now_us)
+owner_opened(struct owner *owner, struct addr caller, struct addr service)
 {
+    int place = called_place(&owner->called, service);
+    struct caller flow = {caller, (uint8_t)place};
     uint8_t marks = 0;
     int ret;
 
-    if (!addr_equal(service, owner->service)) {
-        change_service(owner, service, now_us);
+    if (place < 0) {
+        return place;
     }
-    caller_set_marks(&owner->flows, caller, &marks);
+    caller_set_marks(&owner->flows, flow, &marks);
     if ((marks & MARK_LIVE) != 0) {
         return 0;
     }
     if (owner->live >= OWNER_FLOWS_MAX) {
         return -ENOSPC;
     }
-    ret = caller_set_put(&owner->flows, caller, marks | MARK_LIVE);
+    ret = set_marks(owner, flow, marks | MARK_LIVE);
     if (ret < 0) {
         return ret;
     }
     owner->live++;
-    return set_marks(owner, caller,
-                     queue_flow(owner, caller, marks | MARK_LIVE));
+    return set_marks(owner, flow, queue_flow(owner, flow, marks | MARK_LIVE));
 }
 
 void
 owner_closed(struct owner *owner, struct addr caller, struct addr service)
 {
+    int place = called_find(&owner->called, service);
+    struct caller flow = {caller, (uint8_t)place};
     uint8_t marks = 0;
 
-    if (!addr_equal(service, owner->service)) {
+    if (place < 0) {
         return;
     }
-    caller_set_marks(&owner->flows, caller, &marks);
+    caller_set_marks(&owner->flows, flow, &marks);
     if ((marks & MARK_LIVE) == 0) {
         return;
     }
     owner->live--;
     marks = (uint8_t)(marks & ~MARK_LIVE);
-    set_marks(owner, caller, queue_flow(owner, caller, marks));
+    set_marks(owner, flow, queue_flow(owner, flow, marks));
 }
 
 static bool
@@ -296,13 +297,15 @@
     }
 }
 
-/* Puts the flow at the head of the queue into the batch, if there is
- * anything to say. */
+/* Takes the flow at the head of the queue into the batch, if there is
+ * anything to say. A batch is of one address: others go back. */
 static void
 tell_one(struct owner *owner, size_t i, struct notice_message *message,
          struct addr *closed)
 {
-    struct addr caller = queue_pop(&owner->backups[i].queue);
+    struct caller_queue *queue = &owner->backups[i].queue;
+    struct caller caller = queue_pop(queue);
+    struct addr service = owner->called.items[caller.service];
     uint8_t marks = 0;
     bool live;
     bool told;
@@ -312,17 +315,24 @@
     }
     live = (marks & MARK_LIVE) != 0;
     told = (marks & MARK_TOLD(i)) != 0;
-    marks &= (uint8_t) ~(MARK_QUEUED(i) | MARK_TOLD(i));
-    if (live) {
-        marks |= MARK_TOLD(i);
+    if (live != told && message->opened + message->closed > 0 &&
+        !addr_equal(message->service, service)) {
+        if (queue_push(queue, caller) < 0) {
+            set_marks(owner, caller, marks & (uint8_t)~MARK_QUEUED(i));
+        }
+        return;
     }
+    marks &= (uint8_t) ~(MARK_QUEUED(i) | MARK_TOLD(i));
     if (live && !told) {
-        message->callers[message->opened++] = caller;
+        message->callers[message->opened++] = caller.addr;
     }
     else if (told && !live) {
-        closed[message->closed++] = caller;
+        closed[message->closed++] = caller.addr;
+    }
+    if (live != told) {
+        message->service = service;
     }
-    set_marks(owner, caller, marks);
+    set_marks(owner, caller, live ? marks | MARK_TOLD(i) : marks);
 }
 
 static void
@@ -330,6 +340,7 @@
 {
     struct owner_backup *backup = &owner->backups[i];
     struct addr closed[NOTICE_BATCH_MAX];
+    size_t left = backup->queue.count;
     size_t j;
 
     *message = (struct notice_message){
@@ -337,12 +348,12 @@
         .boot = owner->boot,
         .session = backup->session,
         .seq = backup->last.seq + 1,
-        .service = owner->service,
     };
-    while (backup->queue.count > 0 &&
-           message->opened + message->closed < NOTICE_BATCH_MAX) {
+    for (; left > 0 && message->opened + message->closed < NOTICE_BATCH_MAX;
+         left--) {
         tell_one(owner, i, message, closed);
     }
+    backup->more = backup->queue.count > 0;
     for (j = 0; j < message->closed; j++) {
         message->callers[message->opened + j] = closed[j];
     }
@@ -359,7 +370,7 @@
     else if (backup->last.seq == 0) {
         gap_us = 0;
     }
-    else if (backup->queue.count >= NOTICE_BATCH_MAX) {
+    else if (backup->more || backup->queue.count >= NOTICE_BATCH_MAX) {
         gap_us = OWNER_FULL_GAP_US;
     }
     else if (backup->queue.count > 0) {
--- a/src/notice/owner.h
+++ b/src/notice/owner.h
@@ -16,6 +16,7 @@
 #include "base/clock.h"
 #include "notice/caller_set.h"
 #include "notice/message.h"
+#include "notice/called.h"
 
 #define OWNER_BACKUPS 2
 #define OWNER_FLOWS_MAX 65536
@@ -35,7 +36,7 @@
  * @items: ring of @allocated, a power of two
  */
 struct caller_queue {
-    struct addr *items;
+    struct caller *items;
     size_t allocated;
     size_t head;
     size_t count;
@@ -47,6 +48,7 @@
  * @since_us: start of its process, by the view
  * @session: present transfer
  * @waiting: @last is not acknowledged
+ * @more: not all that was queued had room in @last
  * @sent_us: when @last was sent
  * @begun_us: when the session began
  * @last: batch sent last
@@ -57,6 +59,7 @@
     uint64_t since_us;
     uint32_t session;
     bool waiting;
+    bool more;
     uint64_t sent_us;
     uint64_t begun_us;
     struct notice_message last;
@@ -66,14 +69,14 @@
 /**
  * struct owner - the flows of this agent
  * @boot: start of this process
- * @service: address of the service
+ * @called: addresses called by @flows
  * @sessions: sessions begun so far
  * @flows: flows held or still to be told of, with their marks
  * @live: flows held
  */
 struct owner {
     uint64_t boot;
-    struct addr service;
+    struct called called;
     uint32_t sessions;
     struct caller_set flows;
     size_t live;
@@ -90,14 +93,12 @@
 
 /**
  * owner_opened() - a flow was opened
- * @service: address it was opened to; another one than before drops all
- *           flows, since those of the former service are gone
+ * @service: address it was opened to
  *
- * Return: 0, -ENOSPC or -ENOMEM: it will not be told.
+ * Return: 0, -EINVAL, -ENOSPC or -ENOMEM: it will not be told.
  */
 int
-owner_opened(struct owner *owner, struct addr caller, struct addr service,
-             uint64_t now_us);
+owner_opened(struct owner *owner, struct addr caller, struct addr service);
 
 /** owner_closed() - a flow ended */
 void
--- a/tests/notice/model.c
+++ b/tests/notice/model.c
@@ -98,7 +98,12 @@
     struct model_result result;
 };
 
-static const struct addr service = {0x0a000001, 80};
+/* The service has had another address before, for half of the callers. */
+static struct addr
+service_of(struct addr caller)
+{
+    return (struct addr){0x0a000001 + caller.port % 2, 80};
+}
 
 static uint64_t
 id_of(unsigned i)
@@ -373,8 +378,8 @@
     g_array_append_val(agent->flows, flow);
     model->result.opened++;
     g_assert_cmpint(
-        notice_opened(&agent->notice, flow.caller, service, model->now_us), ==,
-        0);
+        notice_opened(&agent->notice, flow.caller, service_of(flow.caller)),
+        ==, 0);
 }
 
 static void
@@ -389,7 +394,7 @@
     }
     at = (guint)g_rand_int_range(model->rand, 0, (gint32)agent->flows->len);
     ended.caller = g_array_index(agent->flows, struct flow, at).caller;
-    notice_closed(&agent->notice, ended.caller, service);
+    notice_closed(&agent->notice, ended.caller, service_of(ended.caller));
     while (agent->ended->len > 0 &&
            g_array_index(agent->ended, struct ended, 0).at_us + CLOSED_US <=
                model->now_us) {
@@ -481,7 +486,7 @@
     *at_us = model->now_us;
     model->result.probes++;
     g_hash_table_insert(model->probed, key_of(probe->caller), at_us);
-    if (!addr_equal(probe->service, service)) {
+    if (!addr_equal(probe->service, service_of(probe->caller))) {
         fail(model, "a probe from another service's address");
     }
     if (model->expected != NULL &&
--- a/tests/notice/test_rules.c
+++ b/tests/notice/test_rules.c
@@ -460,10 +460,10 @@
     unsigned i;
 
     told_init(&told);
-    notice_opened(&told.notice, caller(0), service, told.now_us);
+    notice_opened(&told.notice, caller(0), service);
     told_greet(&told);
     for (i = 1; i < 1000; i++) {
-        notice_opened(&told.notice, caller(i), service, told.now_us);
+        notice_opened(&told.notice, caller(i), service);
         notice_closed(&told.notice, caller(i), service);
     }
     g_assert_false(next(&told));
@@ -484,16 +484,16 @@
 
     told_init(&told);
     told_greet(&told);
-    notice_opened(&told.notice, caller(0), service, told.now_us);
+    notice_opened(&told.notice, caller(0), service);
     g_assert_true(next(&told)); /* after quiet: at once */
     acknowledge_last(&told);
-    notice_opened(&told.notice, caller(1), service, told.now_us);
+    notice_opened(&told.notice, caller(1), service);
     told.now_us += OWNER_GAP_US - 1;
     g_assert_false(next(&told));
     told.now_us++;
     g_assert_true(next(&told));
     for (i = 2; i < 2 + 2 * NOTICE_BATCH_MAX; i++) {
-        notice_opened(&told.notice, caller(i), service, told.now_us);
+        notice_opened(&told.notice, caller(i), service);
     }
     told.now_us += OWNER_FULL_GAP_US;
     g_assert_false(next(&told)); /* one at a time */
@@ -520,14 +520,14 @@
 
     told_init(&told);
     told_greet(&told);
-    notice_opened(&told.notice, caller(0), service, told.now_us);
+    notice_opened(&told.notice, caller(0), service);
     g_assert_true(next(&told));
     seq = told.message.seq;
     /* None of these is for the batch on its way. */
     acknowledge(&told, told.message.session, seq - 1, true);
     acknowledge(&told, told.message.session + 1, seq, true);
     acknowledge(&told, told.message.session - 1, seq, true);
-    notice_opened(&told.notice, caller(1), service, told.now_us);
+    notice_opened(&told.notice, caller(1), service);
     told.now_us += OWNER_RESEND_US - 1;
     g_assert_false(next(&told));
     told.now_us++;
@@ -552,7 +552,7 @@
     told_init(&told);
     told_greet(&told);
     for (i = 0; i < 20; i++) {
-        notice_opened(&told.notice, caller(i), service, told.now_us);
+        notice_opened(&told.notice, caller(i), service);
     }
     g_assert_true(next(&told));
     acknowledge_last(&told);
@@ -572,21 +572,67 @@
     told_finish(&told);
 }
 
-/* An agent restarted for another service holds no flow of the former. */
+/* A service gets another address: flows to the former one go on. */
 static void
-test_other_service(void)
+test_addresses(void)
 {
     struct told told;
+    struct scene scene;
+    struct notice_probe probes[8];
 
     told_init(&told);
-    notice_opened(&told.notice, caller(0), service, told.now_us);
-    told_greet(&told);
-    notice_opened(&told.notice, caller(1), other_service, told.now_us);
+    scene_init(&scene);
+    notice_opened(&told.notice, caller(0), service);
+    notice_opened(&told.notice, caller(0), other_service);
+    notice_opened(&told.notice, caller(1), other_service);
+    while (next(&told)) {
+        g_assert_cmpint(hear(&scene, told.message), ==, 1);
+        acknowledge_last(&told);
+        told.now_us += OWNER_GAP_US;
+    }
+    g_assert_cmpuint(notice_held(&scene.notice), ==, 3);
     notice_closed(&told.notice, caller(1), service);
+    g_assert_false(next(&told));
+    notice_closed(&told.notice, caller(1), other_service);
     g_assert_true(next(&told));
-    g_assert_cmpuint(told.message.seq, ==, 1);
-    g_assert_cmpuint(told.message.service.ip, ==, other_service.ip);
-    g_assert_cmpuint(told.message.opened, ==, 1);
+    g_assert_cmpint(hear(&scene, told.message), ==, 1);
+    scene.owner->health = MEMBER_DEAD;
+    see(&scene);
+    g_assert_cmpuint(notice_probes(&scene.notice, scene.now_us, probes, 8), ==,
+                     2);
+    g_assert_true(addr_equal(probes[0].caller, caller(0)));
+    g_assert_true(addr_equal(probes[1].caller, caller(0)));
+    g_assert_true((addr_equal(probes[0].service, service) &&
+                   addr_equal(probes[1].service, other_service)) ||
+                  (addr_equal(probes[1].service, service) &&
+                   addr_equal(probes[0].service, other_service)));
+    scene_finish(&scene);
+    told_finish(&told);
+}
+
+/* Places of addresses are bounded and used again. */
+static void
+test_addresses_are_bounded(void)
+{
+    struct told told;
+    struct addr address = service;
+    unsigned i;
+
+    told_init(&told);
+    told_greet(&told);
+    for (i = 0; i < CALLED_MAX; i++) {
+        address.port = (uint16_t)(100 + i);
+        g_assert_cmpint(notice_opened(&told.notice, caller(0), address), ==,
+                        0);
+    }
+    g_assert_cmpint(notice_opened(&told.notice, caller(0), service), ==,
+                    -ENOSPC);
+    notice_closed(&told.notice, caller(0), address);
+    while (next(&told)) {
+        acknowledge_last(&told);
+        told.now_us += OWNER_GAP_US;
+    }
+    g_assert_cmpint(notice_opened(&told.notice, caller(0), service), ==, 0);
     told_finish(&told);
 }
 
@@ -598,16 +644,13 @@
 
     told_init(&told);
     for (i = 0; i < OWNER_FLOWS_MAX; i++) {
-        g_assert_cmpint(
-            notice_opened(&told.notice, caller(i), service, told.now_us), ==,
-            0);
+        g_assert_cmpint(notice_opened(&told.notice, caller(i), service), ==,
+                        0);
     }
-    g_assert_cmpint(
-        notice_opened(&told.notice, caller(i), service, told.now_us), ==,
-        -ENOSPC);
+    g_assert_cmpint(notice_opened(&told.notice, caller(i), service), ==,
+                    -ENOSPC);
     notice_closed(&told.notice, caller(0), service);
-    g_assert_cmpint(
-        notice_opened(&told.notice, caller(i), service, told.now_us), ==, 0);
+    g_assert_cmpint(notice_opened(&told.notice, caller(i), service), ==, 0);
     told_finish(&told);
 }
 
@@ -696,7 +739,9 @@
     g_test_add_func("/notice/owner/pace", test_pace_of_batches);
     g_test_add_func("/notice/owner/sent-again", test_sent_again);
     g_test_add_func("/notice/owner/told-anew", test_told_anew);
-    g_test_add_func("/notice/owner/other-service", test_other_service);
+    g_test_add_func("/notice/owner/addresses", test_addresses);
+    g_test_add_func("/notice/owner/addresses-bounded",
+                    test_addresses_are_bounded);
     g_test_add_func("/notice/owner/flows-bounded",
                     test_flows_told_are_bounded);
     g_test_add_func("/notice/choice/preference", test_choice);
