--- /dev/null
+++ b/tests/balancer/batch_test.c
@@ -0,0 +1,202 @@
+/**
+ * DOC: batch_test - packets cost no allocation and no lock
+ *
+ * The linker hands every call of these functions from our own objects to
+ * the counting ones below (--wrap); libraries' own calls stay unseen, and
+ * none is called for a packet but clock_gettime(), recvmmsg(), sendmmsg()
+ * and liburcu's read section.
+ */
+#include <glib.h>
+#include <pthread.h>
+#include <stdlib.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "balancer/worker.h"
+#include "balancer/worker_batch.h"
+#include "scene.h"
+
+#define LOOPBACK 0x7f000001u
+#define PACKETS 4000
+#define CHUNK 100
+#define WAIT_TRIES 2000
+
+void *
+__real_malloc(size_t size);
+void *
+__wrap_malloc(size_t size);
+void *
+__real_calloc(size_t count, size_t size);
+void *
+__wrap_calloc(size_t count, size_t size);
+void *
+__real_realloc(void *old, size_t size);
+void *
+__wrap_realloc(void *old, size_t size);
+void *
+__real_aligned_alloc(size_t alignment, size_t size);
+void *
+__wrap_aligned_alloc(size_t alignment, size_t size);
+void
+__wrap_free(void *memory);
+void
+__real_free(void *memory);
+int
+__real_pthread_mutex_lock(pthread_mutex_t *mutex);
+int
+__wrap_pthread_mutex_lock(pthread_mutex_t *mutex);
+
+static size_t calls;
+
+static void
+note(void)
+{
+    __atomic_add_fetch(&calls, 1, __ATOMIC_RELAXED);
+}
+
+void *
+__wrap_malloc(size_t size)
+{
+    note();
+    return __real_malloc(size);
+}
+
+void *
+__wrap_calloc(size_t count, size_t size)
+{
+    note();
+    return __real_calloc(count, size);
+}
+
+void *
+__wrap_realloc(void *old, size_t size)
+{
+    note();
+    return __real_realloc(old, size);
+}
+
+void *
+__wrap_aligned_alloc(size_t alignment, size_t size)
+{
+    note();
+    return __real_aligned_alloc(alignment, size);
+}
+
+void
+__wrap_free(void *memory)
+{
+    note();
+    __real_free(memory);
+}
+
+int
+__wrap_pthread_mutex_lock(pthread_mutex_t *mutex)
+{
+    note();
+    return __real_pthread_mutex_lock(mutex);
+}
+
+static size_t
+calls_so_far(void)
+{
+    return __atomic_load_n(&calls, __ATOMIC_RELAXED);
+}
+
+static int
+open_udp(struct addr *addr)
+{
+    struct sockaddr_in sin = addr_to_sockaddr((struct addr){LOOPBACK, 0});
+    socklen_t len = sizeof(sin);
+    int fd = socket(AF_INET, SOCK_DGRAM, 0);
+
+    g_assert_cmpint(bind(fd, (struct sockaddr *)&sin, len), ==, 0);
+    g_assert_cmpint(getsockname(fd, (struct sockaddr *)&sin, &len), ==, 0);
+    *addr = addr_from_sockaddr(&sin);
+    return fd;
+}
+
+static void
+wait_for_received(struct worker_pool *pool, uint64_t count)
+{
+    for (int i = 0; i < WAIT_TRIES; i++) {
+        if (counter_read(pool->counters, pool->received) >= count)
+            return;
+        g_usleep(1000);
+    }
+    g_error("Packets were lost on the way.");
+}
+
+/* Good ones, broken ones and strangers, of a new flow each */
+static size_t
+make_packet(uint8_t *bytes, uint32_t number)
+{
+    uint32_t ip = number % 7 == 6 ? 0x0a640063 : SCENE_LOTS_IP;
+    size_t len = gue_encode(NULL, bytes);
+
+    len += scene_tcp(bytes + len, ip, number,
+                     number % 3 ? PACKET_TCP_ACK : PACKET_TCP_SYN, "GET /");
+    return number % 11 == 10 ? len - 1 : len;
+}
+
+static void
+test_no_call(void)
+{
+    struct worker_owner owner = {0};
+    struct worker_pool pool;
+    struct counter_table counters;
+    struct clock clock;
+    struct trace trace = {.fd = -1};
+    struct error err;
+    struct text *text = scene_text();
+    struct view *view = scene_view(9, "lots");
+    struct route_table *table;
+    struct addr addr;
+    int sink = open_udp(&addr);
+    int sender = socket(AF_INET, SOCK_DGRAM, 0);
+    uint8_t bytes[256];
+    size_t before = 0;
+
+    clock_runtime_init(&clock);
+    counter_table_init(&counters);
+    view->members[3].state = MEMBER_DRAINING;
+    view->members[4].state = MEMBER_WARMING;
+    view->members[5].health = MEMBER_SUSPECT;
+    for (size_t i = 0; i < view->count; i++)
+        view->members[i].data = addr;
+    g_assert_cmpint(worker_pool_init(&pool, (struct addr){LOOPBACK, 0}, 2,
+                                     &owner, &clock, &counters, &trace, &err),
+                    ==, 0);
+    g_assert_cmpint(route_table_new(view, text, NULL, &table), ==, 0);
+    worker_pool_publish(&pool, table);
+    g_assert_cmpint(worker_pool_start(&pool, &err), ==, 0);
+    g_assert_cmpuint(calls_so_far(), >, 0); /* the counting works */
+
+    struct sockaddr_in to = addr_to_sockaddr(pool.addr);
+    for (uint32_t i = 0; i < PACKETS; i++) {
+        size_t len = make_packet(bytes, i);
+        g_assert_cmpint(
+            sendto(sender, bytes, len, 0, (struct sockaddr *)&to, sizeof(to)),
+            ==, (ssize_t)len);
+        if (i % CHUNK == CHUNK - 1)
+            wait_for_received(&pool, i + 1);
+        if (i == CHUNK - 1)
+            before = calls_so_far();
+    }
+    g_assert_cmpuint(calls_so_far(), ==, before);
+    g_assert_cmpuint(counter_read(&counters, pool.forwarded), >, PACKETS / 2);
+
+    worker_pool_finish(&pool);
+    counter_table_finish(&counters);
+    text_free(text);
+    free(view);
+    close(sink);
+    close(sender);
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/batch/no-allocation-no-lock", test_no_call);
+    return g_test_run();
+}
