--- a/tests/idem/test_property.c
+++ b/tests/idem/test_property.c
@@ -4,7 +4,7 @@
 #include "sim.h"
 
 #define STEPS 160
-#define SEEDS 150
+#define SEEDS 800
 /* Longer than it takes to notice a death, to settle and to push. */
 #define LOSS_GAP_US (30 * USEC_PER_SEC)
 #define CUT_US (4 * USEC_PER_SEC)
