Tell no caller anything at an address whose hold is over

Now an agent resets nothing at a retired address from 5 minutes before its time is over (clocks may differ by that).

--- a/src/agent/addresses.h
+++ b/src/agent/addresses.h
@@ -10,12 +10,14 @@
 
 #include "flow/gate.h"
 #include "text/text.h"
+#include "text/text_retire.h"
 
-/** struct address - an address of the text */
+/** struct address - an address, and until when it stays the service's */
 struct address {
     uint32_t ip;
     uint16_t port;
     uint8_t proto;
+    uint64_t until_ms;
 };
 
 /**
@@ -42,16 +44,19 @@
 
         if (retired->id == service) {
             addresses->items[addresses->count++] = (struct address){
-                retired->ip, retired->port, (uint8_t)retired->proto};
+                retired->ip, retired->port, (uint8_t)retired->proto,
+                text->retired[i].until_ms};
         }
     }
 }
 
-/** addresses_find() - what an address is to @service as it is now */
+/** addresses_find() - what an address is to @service as it is now; @now_ms
+ * since 1970, which may differ from the publisher's clock by
+ * TEXT_RETIRE_SKEW_MS */
 static inline enum gate_address
 addresses_find(const struct addresses *addresses,
                const struct text_service *service, uint32_t ip, uint16_t port,
-               uint8_t proto)
+               uint8_t proto, uint64_t now_ms)
 {
     if (!addresses->removed && service->ip == ip && service->port == port &&
         (uint8_t)service->proto == proto) {
@@ -61,7 +66,9 @@
         const struct address *item = &addresses->items[i];
 
         if (item->ip == ip && item->port == port && item->proto == proto) {
-            return GATE_RETIRED;
+            return now_ms + TEXT_RETIRE_SKEW_MS < item->until_ms
+                       ? GATE_RETIRED
+                       : GATE_EXPIRED;
         }
     }
     return GATE_NONE;
--- a/src/agent/program.h
+++ b/src/agent/program.h
@@ -137,7 +137,8 @@
     if (!agent->service_known) {
         return GATE_NONE;
     }
-    return addresses_find(&agent->addresses, &agent->service, ip, port, proto);
+    return addresses_find(&agent->addresses, &agent->service, ip, port, proto,
+                          (uint64_t)g_get_real_time() / USEC_PER_MSEC);
 }
 
 /** agent_accepts() - whether new flows and new work are taken here */
--- a/src/flow/gate.c
+++ b/src/flow/gate.c
@@ -63,6 +63,15 @@
     return decision;
 }
 
+static struct flow_decision
+decide_expired(struct flow_table *table, const struct packet *packet,
+               const struct gue *gue, uint64_t now_us)
+{
+    struct flow_decision decision = decide_retired(table, packet, gue, now_us);
+
+    return decision.verdict == FLOW_RESET ? drop(PACKET_SERVICE) : decision;
+}
+
 struct flow_decision
 gate_decide(struct flow_table *table, enum gate_address address,
             const struct packet *packet, const struct gue *gue,
@@ -73,6 +82,8 @@
         return flow_decide(table, packet, gue, now_us);
     case GATE_RETIRED:
         return decide_retired(table, packet, gue, now_us);
+    case GATE_EXPIRED:
+        return decide_expired(table, packet, gue, now_us);
     default:
         return pass_along(gue);
     }
--- a/src/flow/gate.h
+++ b/src/flow/gate.h
@@ -8,6 +8,8 @@
  * - an address that the service had before: packets of open flows are taken
  *   or passed on as ever, but no flow is opened. The caller learns that by a
  *   reset, once nobody on the list knows the flow; a datagram is dropped;
+ * - the same, but its time is over: another service may have been given it
+ *   by a text that hasn't come here yet, so no caller is told anything;
  * - anything else: another process knows better, perhaps. The packet goes on
  *   along its list, and is dropped at the end. It is never taken, nor is its
  *   caller told anything.
@@ -18,7 +20,7 @@
 #include "flow/flow.h"
 
 /** enum gate_address - what a packet's address is to the service served */
-enum gate_address { GATE_NONE, GATE_CURRENT, GATE_RETIRED };
+enum gate_address { GATE_NONE, GATE_CURRENT, GATE_RETIRED, GATE_EXPIRED };
 
 /** gate_decide() - flow_decide() for a packet to such an address */
 struct flow_decision
--- a/tests/agent/test_ingress.c
+++ b/tests/agent/test_ingress.c
@@ -268,6 +268,101 @@
     world_finish(&world);
 }
 
+/* Sends a packet whose list goes on behind us; whether it was passed on. */
+static bool
+goes_on(struct world *world, const char *service, const uint8_t *inner)
+{
+    uint8_t buf[GUE_HEADER_MAX + PACKET_BUF];
+    struct gue gue = {.service = hash_service(service), .count = 2};
+    struct addr next;
+    int fd = bind_any(&next);
+
+    gue.hops[0].member = world->agent.self;
+    gue.hops[0].data = world->agent.settings.data;
+    gue.hops[1].member = hash_name("next");
+    gue.hops[1].data = next;
+    size_t header = gue_encode(&gue, buf);
+    memcpy(buf + header, inner, TCP_LEN);
+    g_assert_cmpint(sendto(world->fabric, buf, header + TCP_LEN, 0,
+                           (struct sockaddr *)&world->to, sizeof(world->to)),
+                    >, 0);
+    event_base_loop(world->agent.base, EVLOOP_NONBLOCK);
+    ssize_t len = recv(fd, buf, sizeof(buf), MSG_DONTWAIT);
+    close(fd);
+    if (len <= 0) {
+        return false;
+    }
+    g_assert_cmpint(gue_decode(buf, (size_t)len, &gue), >, 0);
+    g_assert_cmpuint(gue.service, ==, hash_service(service));
+    g_assert_cmpuint(gue.index, ==, 1);
+    g_assert_cmpmem(buf + header, (size_t)len - header, inner, TCP_LEN);
+    return true;
+}
+
+/* An owner further down the list is not cut off by a host that has come to
+ * serve another service, or whose text has another address. */
+static void
+test_passed_along(void)
+{
+    struct world world;
+    uint8_t ours[TCP_LEN];
+    uint8_t theirs[TCP_LEN];
+
+    world_init(&world);
+    build_tcp(ours, SERVICE_IP, 5000, PACKET_TCP_ACK);
+    build_tcp(theirs, OTHER_IP, 5000, PACKET_TCP_ACK);
+    g_assert_true(goes_on(&world, "albums", theirs));
+    g_assert_true(goes_on(&world, "albums", ours));
+    g_assert_true(goes_on(&world, "lots", theirs));
+    world.agent.service_known = false;
+    g_assert_true(goes_on(&world, "lots", ours));
+    g_assert_cmpuint(world.taken, ==, 0);
+    g_assert_cmpuint(
+        counter_read(&world.agent.counters, world.agent.ingress.resets), ==,
+        0);
+    world_finish(&world);
+}
+
+/* The service moves: its flow goes on, a new one is refused at once, and one
+ * to an address whose time is over is told nothing. */
+static void
+test_retired(void)
+{
+    struct world world;
+    struct addresses *addresses = &world.agent.addresses;
+    uint8_t known[TCP_LEN];
+    uint8_t fresh[TCP_LEN];
+
+    world_init(&world);
+    struct view *alone = view_new(1);
+    alone->count = 1;
+    set_member(&alone->members[0], "self", world.agent.settings.data);
+    flow_set_view(world.agent.flows, alone, hash_service("lots"), true,
+                  world.clock.now_us);
+    free(alone);
+    build_tcp(known, SERVICE_IP, 5000, PACKET_TCP_SYN);
+    build_tcp(fresh, SERVICE_IP, 5001, PACKET_TCP_SYN);
+    send_to_agent(&world, "lots", GUE_OPEN, known, TCP_LEN);
+    g_assert_cmpuint(world.taken, ==, 1);
+    serve(&world, "lots", OTHER_IP);
+    addresses->items[0] =
+        (struct address){SERVICE_IP, PORT, 6, UINT64_MAX / 2};
+    addresses->count = 1;
+    send_to_agent(&world, "lots", 0, known, TCP_LEN);
+    g_assert_cmpuint(world.taken, ==, 2);
+    send_to_agent(&world, "lots", GUE_OPEN, fresh, TCP_LEN);
+    g_assert_cmpuint(world.taken, ==, 2);
+    int resets = world.agent.ingress.resets;
+    g_assert_cmpuint(counter_read(&world.agent.counters, resets), ==, 1);
+    addresses->items[0].until_ms = 1;
+    send_to_agent(&world, "lots", GUE_OPEN, fresh, TCP_LEN);
+    g_assert_cmpuint(counter_read(&world.agent.counters, resets), ==, 1);
+    send_to_agent(&world, "lots", 0, known, TCP_LEN);
+    g_assert_cmpuint(world.taken, ==, 3);
+    g_assert_cmpuint(flow_count(world.agent.flows, NULL), ==, 1);
+    world_finish(&world);
+}
+
 static void
 test_malformed(void)
 {
@@ -369,6 +464,8 @@
     g_test_init(&argc, &argv, NULL);
     rcu_register_thread();
     g_test_add_func("/agent/ingress/other-service", test_other_service);
+    g_test_add_func("/agent/ingress/passed-along", test_passed_along);
+    g_test_add_func("/agent/ingress/retired", test_retired);
     g_test_add_func("/agent/ingress/malformed", test_malformed);
     g_test_add_func("/agent/ingress/refused-hop", test_refused_hop);
     g_test_add_func("/agent/ingress/over-limit", test_over_limit);
--- a/tests/balancer/retire_test.c
+++ b/tests/balancer/retire_test.c
@@ -79,6 +79,7 @@
     unsigned taken;
     unsigned retired_taken;
     unsigned resets;
+    unsigned helped; /* taken after agents that did not know the address */
 };
 
 static unsigned
@@ -284,6 +285,8 @@
 walk(struct site *site, const struct packet *packet, struct gue gue,
      size_t *agent)
 {
+    bool strange = false;
+
     for (int hops = 0; hops < HOPS_MAX; hops++) {
         *agent = agent_at(site, &gue);
         struct agent_model *at = &site->agents[*agent];
@@ -294,6 +297,8 @@
             g_assert_cmpint(address, ==, GATE_CURRENT);
         if (decision.verdict == FLOW_TAKE || decision.verdict == FLOW_OPEN)
             g_assert_cmpuint(hash_service(names[at->name]), ==, gue.service);
+        strange = strange || address == GATE_NONE;
+        site->helped += strange && decision.verdict == FLOW_TAKE;
         if (decision.verdict != FLOW_PASS)
             return decision;
         gue = decision.gue;
@@ -317,6 +322,9 @@
 
     if (route_decide(table, buf, len, UINT32_MAX, &route) != PACKET_OK)
         return false;
+    if (text_find_retired(site->texts[site->balancers[balancer]], ip,
+                          SCENE_PORT, (enum text_proto)route.packet.proto))
+        g_assert_cmpuint(route.gue.flags & GUE_OPEN, ==, 0);
     route.packet.ack = ack;
     *decision = walk(site, &route.packet, route.gue, agent);
     return true;
@@ -508,6 +516,7 @@
     unsigned refused = 0;
     unsigned retired_taken = 0;
     unsigned resets = 0;
+    unsigned helped = 0;
 
     for (uint32_t seed = 1; seed <= RUNS; seed++) {
         struct site site;
@@ -528,15 +537,17 @@
         refused += site.refused;
         retired_taken += site.retired_taken;
         resets += site.resets;
+        helped += site.helped;
         site_finish(&site);
     }
     /* What is to be tested did happen. */
     g_assert_cmpuint(refused, >, RUNS);
     g_assert_cmpuint(retired_taken, >, 100 * RUNS);
     g_assert_cmpuint(resets, >, RUNS / 4);
+    g_assert_cmpuint(helped, >, RUNS);
     g_test_message("refused %u texts; %u packets taken at retired addresses; "
-                   "%u new flows reset",
-                   refused, retired_taken, resets);
+                   "%u new flows reset, %u passed on by strangers",
+                   refused, retired_taken, resets, helped);
 }
 
 int
--- a/tests/golden/scene.h
+++ b/tests/golden/scene.h
@@ -146,6 +146,9 @@
     uint64_t until_us;
 };
 
+/* The wall clock of operators and agents stands still. */
+#define SCENE_WALL_MS UINT64_C(1700000000000)
+
 /** struct scene_apply - one run of "apply" */
 struct scene_apply {
     struct apply_core core;
--- a/tests/golden/scene_apply.c
+++ b/tests/golden/scene_apply.c
@@ -4,7 +4,6 @@
 #include "scene.h"
 
 #define CALL_TIMEOUT_US (2500 * USEC_PER_MSEC)
-#define WRITTEN_MS UINT64_C(1700000000000)
 
 static const char *const outcomes[] = {
     [APPLY_APPLIED] = "applied",
@@ -54,7 +53,7 @@
 {
     struct text_retired retired[TEXT_RETIRED_MAX];
     struct text_change change = {.name = "config",
-                                 .now_ms = WRITTEN_MS,
+                                 .now_ms = SCENE_WALL_MS,
                                  .hold_ms = TEXT_RETIRE_HOLD_MS};
     struct text *from = NULL;
     struct text *to = NULL;
@@ -91,7 +90,7 @@
     struct text_envelope envelope = {.text = run->text,
                                      .text_len = strlen(run->text),
                                      .retired = run->retired,
-                                     .written_ms = WRITTEN_MS};
+                                     .written_ms = SCENE_WALL_MS};
     size_t len = 0;
 
     if (run->retired != NULL) {
--- a/tests/golden/scene_packet.c
+++ b/tests/golden/scene_packet.c
@@ -327,7 +327,8 @@
     }
     addresses_set(&addresses, host->text, id);
     return addresses_find(&addresses, text_find_served(host->text, id),
-                          packet->dst, packet->dport, packet->proto);
+                          packet->dst, packet->dport, packet->proto,
+                          SCENE_WALL_MS);
 }
 
 static void
