Control: ping a suspect once a period

The confirmers ping a suspect again anyway; others ping it once a period now. Real threads in the bench now time changes and count the platform's calls.

--- a/bench/control/bench_control.c
+++ b/bench/control/bench_control.c
@@ -101,7 +101,7 @@
 print_threads(struct json_object *root)
 {
     double sizes[THREAD_SIZES];
-    double values[4][THREAD_SIZES];
+    double values[7][THREAD_SIZES];
     struct measure_threads warm;
 
     /* The first run pays for what all processes of this bench share. */
@@ -118,6 +118,9 @@
         values[1][i] = got.cpu_us_worst;
         values[2][i] = got.memory_bytes;
         values[3][i] = got.bytes_out;
+        values[4][i] = got.platform;
+        values[5][i] = got.config_p50_ms;
+        values[6][i] = got.config_max_ms;
     }
     printf("\nControl threads with real sockets, %u s in rest\n",
            THREAD_SECONDS);
@@ -130,6 +133,12 @@
               CELL_LIMIT);
     print_row(root, "thread_bytes_out_per_s", sizes, values[3], THREAD_SIZES,
               CELL_LIMIT);
+    print_row(root, "thread_platform_calls_per_s", sizes, values[4],
+              THREAD_SIZES, CELL_LIMIT);
+    print_row(root, "thread_config_p50_ms", sizes, values[5], THREAD_SIZES,
+              CELL_LIMIT);
+    print_row(root, "thread_config_max_ms", sizes, values[6], THREAD_SIZES,
+              CELL_LIMIT);
     return 0;
 }
 
--- a/bench/control/measure.h
+++ b/bench/control/measure.h
@@ -56,6 +56,9 @@
     double cpu_us_worst; /* the thread that spent most */
     double memory_bytes; /* resident bytes more for each process's control */
     double bytes_out;    /* bytes/s, without IP and UDP headers */
+    double platform;     /* calls/s of all to the stand-in platform, in rest */
+    double config_p50_ms; /* a change in force, over all threads */
+    double config_max_ms;
 };
 
 /** measure_threads() - @size control threads on loopback for some seconds */
--- a/bench/control/threads.c
+++ b/bench/control/threads.c
@@ -8,11 +8,14 @@
 #include <glib.h>
 
 #include "control/control_internal.h"
+#include "fit.h"
 #include "measure.h"
 #include "standin/platform/server.h"
 
 #define LOOPBACK 0x7f000001
 #define SETTLE_S 20
+#define CHANGES 5
+#define CHANGE_MAX_S 30
 #define PAGE_COUNT_FILE "/proc/self/statm"
 
 struct process {
@@ -106,10 +109,77 @@
 }
 
 static void
-read_all(struct process *processes, size_t size, unsigned seconds,
-         struct measure_threads *out)
+publish(struct server *server, uint64_t expect)
+{
+    static const char text[] = "{\"services\":[]}";
+    GBytes *value = g_bytes_new_static(text, sizeof(text) - 1);
+    uint64_t version;
+
+    /* As the server does it, so that watches are told. */
+    g_mutex_lock(&server->lock);
+    store_put(&server->store, "config", expect, value, &version);
+    g_cond_broadcast(&server->changed);
+    g_mutex_unlock(&server->lock);
+    g_bytes_unref(value);
+}
+
+static size_t
+count_in_force(struct process *processes, size_t size, uint64_t version)
+{
+    size_t count = 0;
+
+    rcu_read_lock();
+    for (size_t i = 0; i < size; i++) {
+        const struct text *text = board_text(&processes[i].board);
+
+        count += text != NULL && text->version >= version;
+    }
+    rcu_read_unlock();
+    return count;
+}
+
+/* Publishes a few changes and watches them come in force. */
+static int
+time_changes(struct process *processes, size_t size, struct server *server,
+             struct measure_threads *out)
+{
+    uint64_t *samples = g_new(uint64_t, CHANGES * size);
+    size_t count = 0;
+
+    for (uint64_t version = 1; version <= CHANGES; version++) {
+        gint64 begin = g_get_monotonic_time();
+        size_t done = 0;
+
+        publish(server, version - 1);
+        while (done < size) {
+            gint64 passed = g_get_monotonic_time() - begin;
+            size_t now = count_in_force(processes, size, version);
+
+            if (passed > CHANGE_MAX_S * G_USEC_PER_SEC) {
+                g_free(samples);
+                return -ETIMEDOUT;
+            }
+            while (done < now) {
+                samples[count++] = passed;
+                done++;
+            }
+            g_usleep(500);
+        }
+        sleep_s(2);
+    }
+    fit_sort(samples, count);
+    out->config_p50_ms = fit_quantile(samples, count, 0.5) / 1e3;
+    out->config_max_ms = fit_quantile(samples, count, 1) / 1e3;
+    g_free(samples);
+    return 0;
+}
+
+static void
+read_all(struct process *processes, size_t size, struct server *server,
+         unsigned seconds, struct measure_threads *out)
 {
     double *before = g_new(double, size);
+    uint64_t calls = server_read_stats(server).calls;
     uint64_t bytes = 0;
 
     for (size_t i = 0; i < size; i++) {
@@ -124,6 +194,8 @@
         out->cpu_us += spent / size;
         out->cpu_us_worst = MAX(out->cpu_us_worst, spent);
     }
+    out->platform =
+        (server_read_stats(server).calls - calls) / (double)seconds;
     out->bytes_out = (double)bytes / size / seconds;
     g_free(before);
 }
@@ -157,8 +229,10 @@
     if (ret == 0) {
         sleep_s(SETTLE_S);
         out->memory_bytes = (resident_bytes() - before) / size;
-        read_all(processes, size, seconds, out);
+        ret = time_changes(processes, size, &server, out);
     }
+    if (ret == 0)
+        read_all(processes, size, &server, seconds, out);
     for (size_t i = 0; i < size; i++)
         stop(&processes[i]);
     server_finish(&server);
--- a/src/control/member_probe.c
+++ b/src/control/member_probe.c
@@ -153,6 +153,12 @@
         probe->active = false;
         return;
     }
+    /* A suspect is pinged again by those who confirm its death. */
+    if (entry->member.health != MEMBER_ALIVE) {
+        probe->helped = true;
+        probe->resend_us = core->period_us;
+        return;
+    }
     if (now_us >= probe->resend_us) {
         probe->resend_us = now_us + MEMBER_RESEND_US;
         send_ping(core, entry, probe->seq, now_us, out);
--- a/tests/control/test_member_net.c
+++ b/tests/control/test_member_net.c
@@ -404,20 +404,19 @@
     net_finish(&net);
 }
 
-/* A host that vanishes is suspected everywhere within 2 s in the median. */
+/* A host that vanishes is suspected everywhere within 2 s. */
 static void
 test_time_to_suspect(void)
 {
     enum { NODES = 40, TRIALS = 20 };
-    uint64_t times[TRIALS];
+    uint64_t longest = 0;
     struct net net;
 
     net_init(&net, NODES, 42);
     for (size_t i = 0; i < NODES; i++)
         net_start(&net, i, 0);
     net_run(&net, 30 * USEC_PER_SEC);
-    for (size_t trial = 0; trial < TRIALS; trial++) {
-        size_t victim = trial + 1;
+    for (size_t victim = 1; victim <= TRIALS; victim++) {
         uint64_t begin = net.now_us;
         bool all = false;
 
@@ -429,23 +428,13 @@
                 all &= !net.nodes[i].running ||
                        net_health(&net, i, victim) != MEMBER_ALIVE;
         }
-        times[trial] = (net.now_us - begin) / 1000;
+        longest = MAX(longest, net.now_us - begin);
         net_run(&net, 20 * USEC_PER_SEC);
         net_start(&net, victim, 0);
         net_run(&net, 20 * USEC_PER_SEC);
     }
-    for (size_t i = 1; i < TRIALS; i++) {
-        for (size_t j = i; j > 0 && times[j - 1] > times[j]; j--) {
-            uint64_t swap = times[j];
-
-            times[j] = times[j - 1];
-            times[j - 1] = swap;
-        }
-    }
-    g_test_message("suspected by all: median %" PRIu64 " ms, max %" PRIu64
-                   " ms",
-                   times[TRIALS / 2], times[TRIALS - 1]);
-    g_assert_cmpuint(times[TRIALS / 2], <, 2000);
+    g_test_message("suspected by all within %" PRIu64 " ms", longest / 1000);
+    g_assert_cmpuint(longest, <, 2 * USEC_PER_SEC);
     net_finish(&net);
 }
 
