--- a/src/cli/explain_packet.c
+++ b/src/cli/explain_packet.c
@@ -10,6 +10,7 @@
 #include "cli/words.h"
 #include "packet/packet.h"
 #include "packet/rank.h"
+#include "text/text_retire.h"
 
 #define TTL 64
 #define LATER_US UINT64_C(3600000000) /* beyond every cold start */
@@ -189,7 +190,8 @@
 }
 
 static void
-print_service(const struct text_service *service, const struct packet *packet,
+print_service(const struct text_service *service,
+              const struct text_retired *retired, const struct packet *packet,
               GString *out)
 {
     g_string_append_printf(out, "service  %s, %s\n", service->name,
@@ -199,6 +201,17 @@
                            "numbers of the flow\n",
                            rank_bucket(packet_flow_hash(packet)),
                            RANK_BUCKETS);
+    if (retired != NULL) {
+        char *until = text_time_words(retired->until_ms);
+
+        g_string_append_printf(out,
+                               "retired  the service has left this address; "
+                               "it is kept for its open flows until\n"
+                               "         %s. A new flow is reset, a new "
+                               "datagram dropped.\n",
+                               until);
+        g_free(until);
+    }
 }
 
 static void
@@ -223,8 +236,12 @@
 explain_packet(const struct snapshot *snapshot, const struct packet_spec *spec,
                GString *out)
 {
-    const struct text_service *service = text_find_addr(
+    const struct text_retired *retired = text_find_retired(
         snapshot->text, spec->dst.ip, spec->dst.port, spec->proto);
+    const struct text_service *service =
+        retired != NULL ? &retired->service
+                        : text_find_addr(snapshot->text, spec->dst.ip,
+                                         spec->dst.port, spec->proto);
     struct route_decision decision = {0};
     struct route_table *table;
     uint8_t buf[PACKET_MAX];
@@ -242,7 +259,7 @@
         print_dropped(snapshot, PACKET_SERVICE, out);
         return 0;
     }
-    print_service(service, &decision.packet, out);
+    print_service(service, retired, &decision.packet, out);
     if (drop != PACKET_OK) {
         print_dropped(snapshot, drop, out);
         return 0;
--- a/src/cli/show_print.c
+++ b/src/cli/show_print.c
@@ -7,6 +7,7 @@
 
 #include "base/clock.h"
 #include "cli/words.h"
+#include "text/text_retire.h"
 
 static bool
 is_process(const struct ask_process *process)
@@ -70,7 +71,7 @@
         return "-";
     }
     if (text != NULL) {
-        service = text_find(text, process->member->service);
+        service = text_find_served(text, process->member->service);
     }
     return service != NULL ? service->name : "not in the text";
 }
@@ -216,6 +217,25 @@
     }
 }
 
+/* Of the version that is in force where it was asked. */
+static void
+print_retired(const struct text *text, GString *out)
+{
+    char addr[ADDR_TEXT_MAX];
+
+    for (size_t i = 0; text != NULL && i < text->retired_count; i++) {
+        const struct text_service *service = &text->retired[i].service;
+        char *until = text_time_words(text->retired[i].until_ms);
+
+        g_string_append_printf(
+            out, "retired: %s %s of %s, for its open flows until %s\n",
+            text_proto_name(service->proto),
+            addr_format((struct addr){service->ip, service->port}, addr),
+            service->name, until);
+        g_free(until);
+    }
+}
+
 static void
 print_summary(const struct ask *ask, GString *out)
 {
@@ -251,6 +271,7 @@
     }
     print_silent_seeds(ask, out);
     print_platform(&ask->platform, out);
+    print_retired(text, out);
     print_summary(ask, out);
     text_free(text);
 }
@@ -353,6 +374,27 @@
     return object;
 }
 
+static struct json_object *
+retired_json(const struct text *text)
+{
+    struct json_object *list = json_object_new_array();
+    char addr[ADDR_TEXT_MAX];
+
+    for (size_t i = 0; text != NULL && i < text->retired_count; i++) {
+        const struct text_service *service = &text->retired[i].service;
+        struct json_object *object = json_object_new_object();
+
+        add_string(object, "service", service->name);
+        add_string(object, "protocol", text_proto_name(service->proto));
+        add_string(
+            object, "address",
+            addr_format((struct addr){service->ip, service->port}, addr));
+        add_number(object, "until_ms", text->retired[i].until_ms);
+        json_object_array_add(list, object);
+    }
+    return list;
+}
+
 void
 show_print_json(const struct ask *ask, GString *out)
 {
@@ -378,6 +420,7 @@
     json_object_object_add(root, "processes", processes);
     json_object_object_add(root, "silent_seeds", seeds);
     json_object_object_add(root, "platform", platform_json(&ask->platform));
+    json_object_object_add(root, "retired", retired_json(text));
     add_number(root, "asked", totals.processes);
     add_number(root, "answered", totals.answered);
     json_object_object_add(root, "versions_agree",
--- a/tests/cli/explain_test.c
+++ b/tests/cli/explain_test.c
@@ -45,7 +45,7 @@
 
 /* Four agents of "desk"; the last but one drains, the last is dead. */
 static void
-take_snapshot(struct snapshot *snapshot)
+take_snapshot_of(struct snapshot *snapshot, const char *config)
 {
     Swiftarch__ShowReply reply = SWIFTARCH__SHOW_REPLY__INIT;
     Swiftarch__ShowMember members[AGENTS];
@@ -61,12 +61,18 @@
     reply.config_version = 5;
     reply.n_members = AGENTS;
     reply.members = pointers;
-    reply.config.data = (uint8_t *)TEXT;
-    reply.config.len = strlen(TEXT);
+    reply.config.data = (uint8_t *)config;
+    reply.config.len = strlen(config);
     g_assert_cmpint(snapshot_of_reply(snapshot, &reply), ==, 0);
     g_assert_cmpuint(snapshot->text->version, ==, 5);
 }
 
+static void
+take_snapshot(struct snapshot *snapshot)
+{
+    take_snapshot_of(snapshot, TEXT);
+}
+
 static char *
 packet_words(const struct snapshot *snapshot, const char *words)
 {
@@ -110,6 +116,31 @@
     snapshot_finish(&snapshot);
 }
 
+/* The address that desk has left: who holds its flows, and until when. */
+static void
+test_packet_retired(void)
+{
+    struct snapshot snapshot;
+    char *words;
+
+    take_snapshot_of(&snapshot,
+                     "{\"retired\":[{\"name\":\"desk\",\"address\":"
+                     "\"10.0.0.7\",\"port\":80,\"class\":\"urgent\","
+                     "\"until_ms\":1700000000000}],\"text\":" TEXT "}");
+    words = packet_words(&snapshot, "tcp 10.9.0.1:4000 10.0.0.7:80");
+    g_assert_nonnull(strstr(words, "service  desk, urgent\n"));
+    g_assert_nonnull(strstr(words, "retired  the service has left this "
+                                   "address; it is kept for its open flows "
+                                   "until\n         2023-11-14 22:13:20 UTC. "
+                                   "A new flow is reset"));
+    g_assert_nonnull(strstr(words, "  3. three "));
+    g_free(words);
+    words = packet_words(&snapshot, "tcp 10.9.0.1:4000 10.0.0.1:80");
+    g_assert_null(strstr(words, "retired"));
+    g_free(words);
+    snapshot_finish(&snapshot);
+}
+
 static void
 test_packet_dropped(void)
 {
@@ -280,6 +311,7 @@
 {
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/explain/packet", test_packet);
+    g_test_add_func("/explain/packet_retired", test_packet_retired);
     g_test_add_func("/explain/packet_dropped", test_packet_dropped);
     g_test_add_func("/explain/packet_words", test_packet_words);
     g_test_add_func("/explain/request", test_request);
--- a/tests/cli/show_test.c
+++ b/tests/cli/show_test.c
@@ -18,6 +18,10 @@
 #define TEXT                                                                  \
     "{\"services\":[{\"name\":\"desk\",\"address\":\"10.0.0.1\","             \
     "\"port\":80,\"class\":\"urgent\"}]}"
+#define CONFIG                                                                \
+    "{\"retired\":[{\"name\":\"desk\",\"address\":\"10.0.0.7\","              \
+    "\"port\":80,\"class\":\"urgent\",\"until_ms\":1700000000000}],"          \
+    "\"text\":" TEXT "}"
 #define STOP_CHECK_US 5000
 #define FRAME_REQUEST 0x110
 #define FRAME_REPLY 0x111
@@ -65,8 +69,8 @@
     reply->heard_ms = 250;
     reply->platform_ok_ms = UINT64_MAX;
     reply->counters = "a_total 1\n";
-    reply->config.data = (uint8_t *)TEXT;
-    reply->config.len = strlen(TEXT);
+    reply->config.data = (uint8_t *)CONFIG;
+    reply->config.len = strlen(CONFIG);
 }
 
 static void
@@ -205,6 +209,9 @@
     g_assert_nonnull(strstr(words, "(1.5 s), word 0.2 s old"));
     g_assert_nonnull(strstr(words, "# entry\na_total 1\n"));
     g_assert_nonnull(strstr(words, "platform: did not answer"));
+    g_assert_nonnull(strstr(words, "retired: tcp 10.0.0.7:80 of desk, for its "
+                                   "open flows until 2023-11-14 22:13:20 "
+                                   "UTC\n"));
     g_assert_nonnull(strstr(words, "1 of 1 processes answered"));
     g_free(words);
     fake_stop(&fake);
@@ -253,6 +260,14 @@
     value = json_object_array_get_idx(list, 1);
     g_assert_true(json_object_object_get_ex(value, "service", &value));
     g_assert_cmpstr(json_object_get_string(value), ==, "desk");
+    g_assert_true(json_object_object_get_ex(root, "retired", &list));
+    g_assert_cmpuint(json_object_array_length(list), ==, 1);
+    g_assert_cmpstr(
+        json_object_to_json_string_ext(json_object_array_get_idx(list, 0),
+                                       JSON_C_TO_STRING_PLAIN),
+        ==,
+        "{\"service\":\"desk\",\"protocol\":\"tcp\",\"address\":"
+        "\"10.0.0.7:80\",\"until_ms\":1700000000000}");
     g_assert_true(json_object_object_get_ex(root, "answered", &value));
     g_assert_cmpint(json_object_get_int64(value), ==, 1);
     json_object_put(root);
--- /dev/null
+++ b/tests/text/text_retire_test.c
@@ -0,0 +1,307 @@
+#include <errno.h>
+#include <string.h>
+
+#include <glib.h>
+
+#include "base/hash.h"
+#include "sample.h"
+#include "text/text_retire.h"
+
+#define NOW_MS UINT64_C(1700000000000)
+#define HOLD_MS UINT64_C(1000000)
+#define UNTIL_MS (NOW_MS + HOLD_MS + TEXT_RETIRE_SKEW_MS)
+
+#define LOTS(port)                                                            \
+    "{\"name\": \"lots\", \"address\": \"10.0.0.1\", "                        \
+    "\"port\": " port ", \"class\": \"urgent\", "                             \
+    "\"limits\": {\"queue\": 9}}"
+#define ALBUMS(port)                                                          \
+    "{\"name\": \"albums\", \"address\": \"10.0.0.1\", "                      \
+    "\"port\": " port ", \"class\": \"ordinary\"}"
+#define TEXT(services) "{\"services\": [\n" services "]}"
+
+/** struct step - what a change made of the list */
+struct step {
+    struct text_retired retired[TEXT_RETIRED_MAX];
+    size_t count;
+    char *report;
+    int rc;
+};
+
+static struct text_change
+change_of(const struct text *from, const struct text *to, uint64_t now_ms)
+{
+    return (struct text_change){.from = from,
+                                .to = to,
+                                .name = "t",
+                                .now_ms = now_ms,
+                                .hold_ms = HOLD_MS};
+}
+
+static void
+take_step(const struct text_change *change, struct step *step)
+{
+    step->rc = text_retire(change, step->retired, &step->count, &step->report);
+    g_assert_true((step->rc == 0) == (step->report == NULL));
+}
+
+/* The value that holds a text and a list. */
+static char *
+value_of(const struct text *text, const char *list, size_t *len)
+{
+    struct text_envelope envelope = {
+        .write_id = "1",
+        .author = "a",
+        .text = text->source,
+        .text_len = text->source_len,
+        .retired = list,
+        .retired_len = strlen(list),
+    };
+
+    return text_envelope_write(&envelope, len);
+}
+
+/* The text that processes have once @to was published over @from. */
+static struct text *
+publish(const struct text *from, const char *source, uint64_t now_ms)
+{
+    struct text *to = sample_parse(source);
+    struct text_change change = change_of(from, to, now_ms);
+    struct step step;
+    struct text *text;
+    char *report;
+    size_t len;
+
+    take_step(&change, &step);
+    g_assert_cmpstr(step.report, ==, NULL);
+    char *list = text_retired_write(step.retired, step.count);
+    char *value = value_of(to, list, &len);
+    g_assert_cmpint(text_parse_envelope(value, len, 2, &text, &report), ==, 0);
+    text_free(to);
+    g_free(list);
+    g_free(value);
+    return text;
+}
+
+static void
+assert_retired(const struct text *text, size_t i, const char *name,
+               uint16_t port, uint64_t until_ms)
+{
+    g_assert_cmpuint(i, <, text->retired_count);
+    g_assert_cmpstr(text->retired[i].service.name, ==, name);
+    g_assert_cmpuint(text->retired[i].service.id, ==, hash_service(name));
+    g_assert_cmpuint(text->retired[i].service.port, ==, port);
+    g_assert_cmpuint(text->retired[i].until_ms, ==, until_ms);
+    g_assert_true(text_find_retired(text, 0x0a000001, port, TEXT_TCP) ==
+                  &text->retired[i]);
+}
+
+/* Twice moved, then moved back to the first address, then removed. */
+static void
+test_moves(void)
+{
+    struct text *first = publish(NULL, TEXT(LOTS("80")), NOW_MS);
+    struct text *second = publish(first, TEXT(LOTS("81")), NOW_MS);
+    struct text *third = publish(second, TEXT(LOTS("82")), NOW_MS + 1);
+    struct text *back = publish(third, TEXT(LOTS("80")), NOW_MS + 2);
+    struct text *gone = publish(back, TEXT(ALBUMS("90")), NOW_MS + 3);
+    uint32_t id = hash_service("lots");
+
+    g_assert_cmpuint(first->retired_count, ==, 0);
+    g_assert_cmpuint(second->retired_count, ==, 1);
+    assert_retired(second, 0, "lots", 80, UNTIL_MS);
+    g_assert_cmpuint(third->retired_count, ==, 2);
+    assert_retired(third, 0, "lots", 80, UNTIL_MS);
+    assert_retired(third, 1, "lots", 81, UNTIL_MS + 1);
+    g_assert_cmpuint(back->retired_count, ==, 2);
+    assert_retired(back, 0, "lots", 81, UNTIL_MS + 1);
+    assert_retired(back, 1, "lots", 82, UNTIL_MS + 2);
+    g_assert_cmpuint(gone->retired_count, ==, 3);
+    assert_retired(gone, 2, "lots", 80, UNTIL_MS + 3);
+    g_assert_true(text_find(gone, id) == NULL);
+    g_assert_true(text_find_served(gone, id) == &gone->retired[2].service);
+    g_assert_cmpuint(gone->retired[2].service.limits.queue, ==, 9);
+    g_assert_cmpint(gone->retired[2].service.class, ==, TEXT_URGENT);
+    g_assert_true(text_find_served(back, id) == text_find(back, id));
+    text_free(first);
+    text_free(second);
+    text_free(third);
+    text_free(back);
+    text_free(gone);
+}
+
+/* What a process passes on says the same as what the platform holds. */
+static void
+test_passed_on(void)
+{
+    struct text *first = publish(NULL, TEXT(LOTS("80")), NOW_MS);
+    struct text *moved = publish(first, TEXT(LOTS("81")), NOW_MS);
+    struct text *again;
+    char *report;
+
+    g_assert_cmpint(text_parse_envelope(moved->source, moved->source_len, 2,
+                                        &again, &report),
+                    ==, 0);
+    sample_assert_same(moved, again);
+    g_assert_cmpmem(
+        moved->retired, moved->retired_count * sizeof(*moved->retired),
+        again->retired, again->retired_count * sizeof(*again->retired));
+    text_free(first);
+    text_free(moved);
+    text_free(again);
+}
+
+static void
+assert_refused(const struct text *from, const char *source, uint64_t now_ms,
+               const char *expected)
+{
+    struct text *to = sample_parse(source);
+    struct text_change change = change_of(from, to, now_ms);
+    struct step step;
+
+    take_step(&change, &step);
+    g_assert_cmpstr(step.report, ==, expected);
+    g_free(step.report);
+    text_free(to);
+}
+
+/* A name is a service's identity: a renamed one is another. */
+static void
+test_reuse(void)
+{
+    struct text *first =
+        publish(NULL, TEXT(LOTS("80") ",\n" ALBUMS("81")), NOW_MS);
+    struct text *gone = publish(first, TEXT(LOTS("80")), NOW_MS);
+    struct text *later;
+
+    assert_refused(first, TEXT(LOTS("82") ",\n" ALBUMS("80")), NOW_MS,
+                   "t:3: services[1].address: found tcp 10.0.0.1:80 for "
+                   "\"albums\", which stays the address of \"lots\" until "
+                   "2023-11-14 22:35:00 UTC for the sake of its open flows, "
+                   "expected another address or port\n");
+    assert_refused(gone, TEXT(LOTS("81")), UNTIL_MS - 1,
+                   "t:2: services[0].address: found tcp 10.0.0.1:81 for "
+                   "\"lots\", which stays the address of \"albums\" until "
+                   "2023-11-14 22:35:00 UTC for the sake of its open flows, "
+                   "expected another address or port\n");
+    later = publish(gone, TEXT(LOTS("81")), UNTIL_MS);
+    g_assert_cmpuint(later->retired_count, ==, 1);
+    assert_retired(later, 0, "lots", 80,
+                   UNTIL_MS + HOLD_MS + TEXT_RETIRE_SKEW_MS);
+    text_free(first);
+    text_free(gone);
+    text_free(later);
+}
+
+static void
+test_forget(void)
+{
+    struct text *first =
+        publish(NULL, TEXT(LOTS("80") ",\n" ALBUMS("81")), NOW_MS);
+    struct text *gone = publish(first, TEXT(LOTS("80")), NOW_MS);
+    struct text *to = sample_parse(TEXT(LOTS("81")));
+    struct text_change change = change_of(gone, to, NOW_MS);
+    struct text_forget forget = {{0x0a000001, 81}, TEXT_UDP};
+    struct step step;
+
+    change.forget = &forget;
+    change.forget_count = 1;
+    take_step(&change, &step);
+    g_assert_cmpint(step.rc, ==, -EINVAL);
+    g_free(step.report);
+    forget.proto = TEXT_TCP;
+    take_step(&change, &step);
+    g_assert_cmpint(step.rc, ==, 0);
+    g_assert_cmpuint(step.count, ==, 1);
+    g_assert_cmpuint(step.retired[0].service.port, ==, 80);
+    change.forget_all = true;
+    take_step(&change, &step);
+    g_assert_cmpint(step.rc, ==, 0);
+    g_assert_cmpuint(step.count, ==, 0);
+    text_free(first);
+    text_free(gone);
+    text_free(to);
+}
+
+static void
+test_too_many(void)
+{
+    GString *many = g_string_new("{\"services\": [");
+    struct text *text;
+
+    for (unsigned i = 0; i <= TEXT_RETIRED_MAX; i++)
+        g_string_append_printf(many,
+                               "%s{\"name\": \"s%u\", \"address\": "
+                               "\"10.0.0.2\", \"port\": %u, \"class\": "
+                               "\"ordinary\"}",
+                               i > 0 ? "," : "", i, i + 1);
+    g_string_append(many, "]}");
+    text = sample_parse(many->str);
+    assert_refused(text, TEXT(LOTS("80")), NOW_MS,
+                   "t:1: found 257 addresses that services have left and "
+                   "that may have open flows, expected at most 256\n");
+    text_free(text);
+    g_string_free(many, TRUE);
+}
+
+/* A list that nobody could have written is refused with the text. */
+static void
+test_bad_lists(void)
+{
+    static const struct {
+        const char *list;
+        const char *expected;
+    } cases[] = {
+        {"{}", "config:1: retired: found an object, expected a list of "
+               "retired addresses\n"},
+        {"null", "config:1: retired: found null, expected a list of retired "
+                 "addresses\n"},
+        {"[1]", "config:1: retired[0]: found 1, expected an object\n"},
+        {"[{\"name\": \"x\", \"address\": \"10.0.0.3\", \"port\": 1, "
+         "\"class\": \"urgent\"}]",
+         "config:1: retired[0].until_ms: found no such key, expected it\n"},
+        {"[{\"name\": \"x\", \"address\": \"10.0.0.3\", \"port\": 1, "
+         "\"class\": \"urgent\", \"until_ms\": -1}]",
+         "config:1: retired[0].until_ms: found -1, expected milliseconds "
+         "since 1970\n"},
+        {"[{\"name\": \"x\", \"address\": \"10.0.0.1\", \"port\": 80, "
+         "\"class\": \"urgent\", \"until_ms\": 1}]",
+         "config:1: retired[0]: found the address of \"x\" that is in use by "
+         "\"lots\", expected one that no service has\n"},
+        {"[{\"name\": \"x\", \"address\": \"10.0.0.3\", \"port\": 1, "
+         "\"class\": \"urgent\", \"until_ms\": 1},\n"
+         "{\"name\": \"y\", \"address\": \"10.0.0.3\", \"port\": 1, "
+         "\"class\": \"urgent\", \"until_ms\": 1}]",
+         "config:2: retired[1]: found the address of \"y\" again, expected "
+         "it once\n"},
+    };
+    struct text *text = sample_parse(TEXT(LOTS("80")));
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        struct text *parsed;
+        char *report;
+        size_t len;
+        char *value = value_of(text, cases[i].list, &len);
+
+        g_assert_cmpint(text_parse_envelope(value, len, 2, &parsed, &report),
+                        ==, -EINVAL);
+        g_assert_null(parsed);
+        g_assert_cmpstr(report, ==, cases[i].expected);
+        g_free(report);
+        g_free(value);
+    }
+    text_free(text);
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/text/retire/moves", test_moves);
+    g_test_add_func("/text/retire/passed_on", test_passed_on);
+    g_test_add_func("/text/retire/reuse", test_reuse);
+    g_test_add_func("/text/retire/forget", test_forget);
+    g_test_add_func("/text/retire/too_many", test_too_many);
+    g_test_add_func("/text/retire/bad_lists", test_bad_lists);
+    return g_test_run();
+}
