--- a/src/text/text_retire.c
+++ b/src/text/text_retire.c
@@ -134,6 +134,23 @@
     }
 }
 
+/* The text may be as long as fits into a value alone. */
+static void
+check_size(struct list *list)
+{
+    char *words = text_retired_write(list->items, list->count);
+    size_t size = list->change->to->source_len + strlen(words) +
+                  strlen(",\"retired\":") + TEXT_ENVELOPE_MAX;
+
+    if (list->count > 0 && size > TEXT_SIZE_MAX) {
+        text_faults_add(&list->faults, 1, NULL,
+                        "found %zu bytes with the %zu addresses that "
+                        "services have left, expected at most %u",
+                        size, list->count, TEXT_SIZE_MAX);
+    }
+    g_free(words);
+}
+
 int
 text_retire(const struct text_change *change,
             struct text_retired retired[TEXT_RETIRED_MAX], size_t *count,
@@ -151,6 +168,9 @@
                         "that may have open flows, expected at most %d",
                         list.count, TEXT_RETIRED_MAX);
     }
+    else {
+        check_size(&list);
+    }
     *count = MIN(list.count, TEXT_RETIRED_MAX);
     *report = text_faults_finish(&list.faults);
     return *report == NULL ? 0 : -EINVAL;
--- a/tests/text/text_retire_test.c
+++ b/tests/text/text_retire_test.c
@@ -244,6 +244,26 @@
     g_string_free(many, TRUE);
 }
 
+/* A text that just fits leaves no room for a list. */
+static void
+test_too_long(void)
+{
+    size_t room = TEXT_SIZE_MAX - TEXT_ENVELOPE_MAX;
+    struct text *text = publish(NULL, TEXT(LOTS("80")), NOW_MS);
+    GString *source = g_string_new(TEXT(LOTS("81")));
+    size_t pad = room - source->len;
+    char *spaces = g_strnfill(pad, ' ');
+
+    g_string_insert(source, 1, spaces);
+    g_assert_cmpuint(source->len, ==, room);
+    assert_refused(text, source->str, NOW_MS,
+                   "t:1: found 1048842 bytes with the 1 addresses that "
+                   "services have left, expected at most 1048576\n");
+    g_free(spaces);
+    g_string_free(source, TRUE);
+    text_free(text);
+}
+
 /* A list that nobody could have written is refused with the text. */
 static void
 test_bad_lists(void)
@@ -302,6 +322,7 @@
     g_test_add_func("/text/retire/reuse", test_reuse);
     g_test_add_func("/text/retire/forget", test_forget);
     g_test_add_func("/text/retire/too_many", test_too_many);
+    g_test_add_func("/text/retire/too_long", test_too_long);
     g_test_add_func("/text/retire/bad_lists", test_bad_lists);
     return g_test_run();
 }
