--- a/scripts/sitebed/__main__.py
+++ b/scripts/sitebed/__main__.py
@@ -129,6 +129,10 @@
                           tempfile.mkdtemp(prefix="swiftarch-demo-"))
     folder = folder.resolve()
     folder.mkdir(parents=True, exist_ok=True)
+    if arguments.keep and any(folder.iterdir()):
+        print(f"demo: {folder} is not empty; records of an earlier run "
+              "would be counted again", file=sys.stderr)
+        return 2
     topology = Topology(arguments.site, folder, arguments.seed,
                         arguments.seconds, arguments.load, arguments.udp)
     write_settings(topology, arguments)
