Control: keep cells apart

A seed of another cell in the settings would have joined two cells into one list: nothing in a message named the cell. Each message carries the hash of its cell now (5 bytes); others are dropped, counted and warned of once. Red first: /member/other-cell fails without the check (the stranger enters the list). All tests of the part pass.

--- a/bench/control/measure.c
+++ b/bench/control/measure.c
@@ -115,6 +115,7 @@
     double seconds = CHANGES * CHANGE_GAP_S;
     double per = net->count * (double)CHANGES;
 
+    g_assert_cmpuint(net->count, >, 0);
     net->body_len = CHANGE_EDIT_BYTES;
     for (uint64_t version = 1; version <= CHANGES; version++) {
         uint64_t begin = net->now_us;
@@ -369,7 +370,7 @@
 
     self.member.id = 1;
     self.member.incarnation = 1;
-    g_assert_cmpint(member_core_init(&core, &self, 1, 0), ==, 0);
+    g_assert_cmpint(member_core_init(&core, &self, 0, 1, 0), ==, 0);
     for (size_t i = 2; i <= size; i++) {
         struct member_msg msg = {.kind = MEMBER_PUSH, .from = i};
         struct member_actions out = {0};
--- a/src/control/control.c
+++ b/src/control/control.c
@@ -192,11 +192,12 @@
     if (getrandom(&seed, sizeof(seed), 0) != sizeof(seed))
         return error_set(err, -errno, "random", NULL, "No random numbers.");
     describe_self(control, &self);
-    if (member_core_init(&control->members, &self, seed, now_us) < 0)
+    control->cell = hash_bytes(settings->cell, strlen(settings->cell), 0);
+    if (member_core_init(&control->members, &self, control->cell, seed,
+                         now_us) < 0)
         return error_set(err, -ENOMEM, "members", NULL, "No memory.");
     for (size_t i = 0; i < settings->seed_count; i++)
         member_add_contact(&control->members, settings->seeds[i]);
-    control->cell = hash_bytes(settings->cell, strlen(settings->cell), 0);
     config_core_init(&control->config, seed + 1, now_us);
     seeds_core_init(&control->seeds, seed + 2, now_us);
     return 0;
--- a/src/control/control.pb-c.c
+++ b/src/control/control.pb-c.c
@@ -574,7 +574,7 @@
   (ProtobufCMessageInit) swiftarch__gossip_member__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor swiftarch__gossip__field_descriptors[12] =
+static const ProtobufCFieldDescriptor swiftarch__gossip__field_descriptors[13] =
 {
   {
     "kind",
@@ -720,9 +720,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "cell",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Swiftarch__Gossip, cell),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned swiftarch__gossip__field_indices_by_name[] = {
   7,   /* field[7] = busy */
+  12,   /* field[12] = cell */
   5,   /* field[5] = config_version */
   3,   /* field[3] = digest */
   4,   /* field[4] = incarnation */
@@ -738,7 +751,7 @@
 static const ProtobufCIntRange swiftarch__gossip__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 12 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor swiftarch__gossip__descriptor =
 {
@@ -748,7 +761,7 @@
   "Swiftarch__Gossip",
   "swiftarch",
   sizeof(Swiftarch__Gossip),
-  12,
+  13,
   swiftarch__gossip__field_descriptors,
   swiftarch__gossip__field_indices_by_name,
   1,  swiftarch__gossip__number_ranges,
--- a/src/control/control.pb-c.h
+++ b/src/control/control.pb-c.h
@@ -121,10 +121,14 @@
    * sync: ids (8) the sender asks for
    */
   ProtobufCBinaryData want;
+  /*
+   * hash of the sender's cell
+   */
+  uint32_t cell;
 };
 #define SWIFTARCH__GOSSIP__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&swiftarch__gossip__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, {0,NULL}, {0,NULL} }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, {0,NULL}, {0,NULL}, 0 }
 
 
 /*
--- a/src/control/member.c
+++ b/src/control/member.c
@@ -1,3 +1,5 @@
+#define G_LOG_DOMAIN "swiftarch-control"
+
 #include "control/member.h"
 
 #include <errno.h>
@@ -7,6 +9,7 @@
 #include <glib.h>
 
 #include "base/addr.h"
+#include "base/log.h"
 #include "control/member_internal.h"
 
 #define PUSH_RATE 5
@@ -15,12 +18,13 @@
 
 int
 member_core_init(struct member_core *core, const struct member_update *self,
-                 uint64_t seed, uint64_t now_us)
+                 uint32_t cell, uint64_t seed, uint64_t now_us)
 {
     struct member_entry *entry;
 
     g_assert(self->member.id != 0);
     memset(core, 0, sizeof(*core));
+    core->cell = cell;
     core->random.state = seed;
     bucket_init(&core->gossip_bucket, MEMBER_GOSSIP_RATE, MEMBER_GOSSIP_BURST,
                 now_us);
@@ -145,6 +149,12 @@
 
     if (core->left || msg->from == member_self(core)->member.id)
         return;
+    if (msg->cell != core->cell) {
+        /* A seed of another cell in the settings must not join the two. */
+        if (core->stats.other_cell++ == 0)
+            g_warning("A member of another cell sent a message.");
+        return;
+    }
     note_stall(core, now_us);
     take_updates(core, msg, now_us);
     take_header(core, msg);
--- a/src/control/member.h
+++ b/src/control/member.h
@@ -105,6 +105,7 @@
 struct member_msg {
     enum member_kind kind;
     uint64_t from;
+    uint32_t cell;
     uint32_t seq;
     uint64_t target;
     uint64_t digest;
@@ -185,10 +186,12 @@
     uint64_t stalls;
     uint64_t late_periods; /* ended too late to judge by */
     uint64_t name_conflicts;
+    uint64_t other_cell; /* messages from members of other cells */
 };
 
 /**
  * struct member_core - membership as one process sees it
+ * @cell: hash of the cell's name; messages of other cells are dropped
  * @self: slot of the own entry
  * @entries: table by slot; an entry with id 0 is free
  * @order: slots sorted by id
@@ -199,6 +202,7 @@
  * @load_changed: only loads or configuration versions in it changed
  */
 struct member_core {
+    uint32_t cell;
     uint16_t self;
     struct member_entry *entries;
     size_t entry_count;
@@ -243,13 +247,14 @@
 /**
  * member_core_init() - a cell of one
  * @self: own announcement; @self->member.incarnation is its start too
+ * @cell: hash of the cell's name
  * @seed: of the random choices
  *
  * Return: 0 or -ENOMEM.
  */
 int
 member_core_init(struct member_core *core, const struct member_update *self,
-                 uint64_t seed, uint64_t now_us);
+                 uint32_t cell, uint64_t seed, uint64_t now_us);
 
 /** member_core_finish() - free the tables */
 void
--- a/src/control/member_gossip.c
+++ b/src/control/member_gossip.c
@@ -43,6 +43,7 @@
     msg = &action->msg;
     msg->kind = kind;
     msg->from = self->member.id;
+    msg->cell = core->cell;
     msg->digest = core->digest;
     msg->incarnation = self->member.incarnation;
     msg->busy = self->member.busy;
--- a/src/control/wire.c
+++ b/src/control/wire.c
@@ -87,6 +87,7 @@
 {
     swiftarch__gossip__init(out);
     out->kind = msg->kind;
+    out->cell = msg->cell;
     out->seq = msg->seq;
     out->target = msg->target;
     out->digest = msg->digest;
@@ -141,6 +142,7 @@
         in->waiting > UINT16_MAX)
         return -EBADMSG;
     msg->kind = in->kind;
+    msg->cell = in->cell;
     msg->seq = in->seq;
     msg->target = in->target;
     msg->digest = in->digest;
--- a/tests/control/net.c
+++ b/tests/control/net.c
@@ -290,8 +290,8 @@
     self.member.slots = 2;
     self.start = net->wall_us + net->now_us;
     node->start = self.start;
-    g_assert_cmpint(member_core_init(&node->members, &self, seed, net->now_us),
-                    ==, 0);
+    g_assert_cmpint(
+        member_core_init(&node->members, &self, 1, seed, net->now_us), ==, 0);
     if (contact < net->count)
         member_add_contact(&node->members, net->nodes[contact].addr);
     config_core_init(&node->config, seed + 1, net->now_us);
--- a/tests/control/test_member.c
+++ b/tests/control/test_member.c
@@ -13,6 +13,7 @@
 #include "control/wire.h"
 
 #define START UINT64_C(1700000000000000)
+#define CELL 3
 #define NOW (1000 * USEC_PER_SEC)
 
 static struct member_update
@@ -36,7 +37,7 @@
 {
     struct member_update self = make(name, START, port);
 
-    g_assert_cmpint(member_core_init(core, &self, 1, NOW), ==, 0);
+    g_assert_cmpint(member_core_init(core, &self, CELL, 1, NOW), ==, 0);
 }
 
 static struct member_update
@@ -210,7 +211,8 @@
 
     start(&core, "self", 1);
     for (unsigned i = 0; i < 5000; i++) {
-        struct member_msg msg = {.kind = MEMBER_JOIN, .from = 100 + i};
+        struct member_msg msg = {
+            .kind = MEMBER_JOIN, .from = 100 + i, .cell = CELL};
         struct addr from = {0x0a000000 + i, 7000};
 
         member_receive(&core, &msg, from, NOW + i * 2000, &out);
@@ -224,6 +226,38 @@
     member_core_finish(&core);
 }
 
+/* Messages of another cell neither join its members to ours nor are they
+ * answered. */
+static void
+test_other_cell(void)
+{
+    struct member_update other = make("other", START, 2);
+    struct member_msg msg = {
+        .kind = MEMBER_JOIN,
+        .from = other.member.id,
+        .cell = CELL + 1,
+        .updates = &other,
+        .update_count = 1,
+    };
+    struct member_actions out = {0};
+    struct member_core core;
+
+    start(&core, "self", 1);
+    g_test_expect_message("swiftarch-control", G_LOG_LEVEL_WARNING,
+                          "A member of another cell sent a message.");
+    member_receive(&core, &msg, other.member.control, NOW, &out);
+    g_test_assert_expected_messages();
+    g_assert_cmpuint(out.count, ==, 0);
+    g_assert_null(member_find(&core, other.member.id));
+    g_assert_cmpuint(core.stats.other_cell, ==, 1);
+    msg.cell = CELL;
+    member_receive(&core, &msg, other.member.control, NOW, &out);
+    g_assert_cmpuint(out.count, ==, 1);
+    g_assert_nonnull(member_find(&core, other.member.id));
+    member_actions_finish(&out);
+    member_core_finish(&core);
+}
+
 static void
 test_wire(void)
 {
@@ -435,6 +469,7 @@
     g_test_add_func("/member/own-name", test_own_name);
     g_test_add_func("/member/own-pause", test_own_pause);
     g_test_add_func("/member/join-flood", test_join_flood);
+    g_test_add_func("/member/other-cell", test_other_cell);
     g_test_add_func("/member/wire", test_wire);
     g_test_add_func("/member/history", test_history);
     g_test_add_func("/member/seed-list", test_seed_list);
