notice: probe once more when the last suspicion ends

Cause: while any agent of a service is suspected, the end of an exhausted list drops instead of resetting, so neither probes nor the caller's own packets bring a notice. Change: a backup that sees the last suspicion end makes two more rounds, at once and 0.3 s later, for owners that died less than 18 s ago. /notice/backup/end-of-suspicion fails without it.

What stays: during the suspicion itself nothing is reset; the proof that a backup holds would have to travel with the packet (src/flow).

--- a/src/notice/backup.c
+++ b/src/notice/backup.c
@@ -48,13 +48,14 @@
     held->dead = true;
     held->dead_us = now_us;
     held->round = 0;
+    held->extra = 0;
     held->cursor = 0;
 }
 
 static bool
 is_done(const struct held *held)
 {
-    return held->dead && held->round == BACKUP_ROUNDS;
+    return held->dead && held->round == BACKUP_ROUNDS && held->extra == 0;
 }
 
 /* Gives up those that are only kept in case their owners come back. */
@@ -305,10 +306,43 @@
     return true;
 }
 
+static bool
+has_suspects(const struct view *view)
+{
+    size_t i;
+
+    for (i = 0; i < view->count; i++) {
+        if (view->members[i].role == MEMBER_AGENT &&
+            view->members[i].health == MEMBER_SUSPECT) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Answers to earlier probes may have met no reset till now. */
+static void
+probe_again(struct backup *backup, uint64_t now_us)
+{
+    size_t i;
+
+    for (i = 0; i < backup->count; i++) {
+        struct held *held = &backup->items[i];
+
+        if (held->dead && now_us > held->dead_us &&
+            now_us < held->dead_us + BACKUP_ROUNDS_US) {
+            held->extra = BACKUP_EXTRA_ROUNDS;
+            held->extra_us = now_us;
+            held->cursor = 0;
+        }
+    }
+}
+
 void
 backup_set_view(struct backup *backup, const struct view *view,
                 uint64_t now_us)
 {
+    bool suspects = has_suspects(view);
     size_t i;
 
     for (i = 0; i < backup->count; i++) {
@@ -323,6 +357,10 @@
         held->alive = owner->health == MEMBER_ALIVE;
         held->dead = false;
     }
+    if (backup->suspects && !suspects) {
+        probe_again(backup, now_us);
+    }
+    backup->suspects = suspects;
 }
 
 static void
@@ -341,6 +379,34 @@
     }
 }
 
+static bool
+is_round_due(const struct held *held, uint64_t now_us)
+{
+    if (!held->dead) {
+        return false;
+    }
+    if (held->extra > 0 && now_us >= held->extra_us) {
+        return true;
+    }
+    return held->round < BACKUP_ROUNDS &&
+           now_us >= held->dead_us + round_starts_us[held->round];
+}
+
+/* An extra round that is due stands for a regular one that is due too. */
+static void
+end_round(struct held *held, uint64_t now_us)
+{
+    held->cursor = 0;
+    if (held->round < BACKUP_ROUNDS &&
+        now_us >= held->dead_us + round_starts_us[held->round]) {
+        held->round++;
+    }
+    if (held->extra > 0 && now_us >= held->extra_us) {
+        held->extra--;
+        held->extra_us = now_us + BACKUP_EXTRA_GAP_US;
+    }
+}
+
 /* Goes on with the present round. */
 static void
 held_probe(struct backup *backup, struct held *held, uint64_t now_us,
@@ -348,14 +414,12 @@
 {
     struct caller caller;
 
-    if (!held->dead || is_done(held) ||
-        now_us < held->dead_us + round_starts_us[held->round]) {
+    if (!is_round_due(held, now_us)) {
         return;
     }
     while (*count < max && backup->tokens > 0) {
         if (!caller_set_next(&held->flows, &held->cursor, &caller)) {
-            held->cursor = 0;
-            held->round++;
+            end_round(held, now_us);
             return;
         }
         probes[(*count)++] = (struct notice_probe){
--- a/src/notice/backup.h
+++ b/src/notice/backup.h
@@ -5,8 +5,10 @@
  * An owner is dead when the view says so, has no entry for it any more, or
  * shows a later start of its process. Each of its flows is then probed in
  * BACKUP_ROUNDS rounds, since segments get lost, others may hear of the
- * death later, and callers answer few such segments a second. Memory is
- * bounded in owners and in flows.
+ * death later, and callers answer few such segments a second. While any
+ * agent is suspected, answers meet no reset: when the last suspicion ends,
+ * BACKUP_EXTRA_ROUNDS more follow. Memory is bounded in owners and in
+ * flows.
  *
  * What was probed is kept for a while: an owner that was thought dead and
  * comes back with the same process need not tell all again.
@@ -28,6 +30,8 @@
 #define BACKUP_FLOWS_MAX 262144
 #define BACKUP_ROUNDS 7
 #define BACKUP_ROUNDS_US (18 * USEC_PER_SEC) /* to the last one */
+#define BACKUP_EXTRA_ROUNDS 2
+#define BACKUP_EXTRA_GAP_US (300 * USEC_PER_MSEC)
 #define BACKUP_PROBES_PER_S 10000
 
 /* An owner that is alive and says nothing has chosen other backups. One
@@ -54,6 +58,8 @@
  * @dead: its flows are being probed
  * @dead_us: since when
  * @round: rounds done, at most BACKUP_ROUNDS
+ * @extra: rounds to make besides
+ * @extra_us: when the next of these begins
  * @cursor: where the present round has come to
  * @flows: callers
  */
@@ -70,6 +76,8 @@
     bool dead;
     uint64_t dead_us;
     unsigned round;
+    unsigned extra;
+    uint64_t extra_us;
     size_t cursor;
     struct caller_set flows;
 };
@@ -78,6 +86,7 @@
  * struct backup - all that is held for others
  * @items: @count entries
  * @flows: flows in all of them
+ * @suspects: the last view showed agents that are suspected
  * @refused: flows and owners for which there was no room
  * @tokens: probes that may be sent now
  * @tokens_us: when @tokens was last filled
@@ -86,6 +95,7 @@
     struct held items[BACKUP_OWNERS_MAX];
     size_t count;
     size_t flows;
+    bool suspects;
     uint64_t refused;
     uint64_t tokens;
     uint64_t tokens_us;
--- a/tests/notice/test_rules.c
+++ b/tests/notice/test_rules.c
@@ -158,6 +158,42 @@
     scene_finish(&scene);
 }
 
+/* While another one is suspected, callers' answers meet no reset. */
+static void
+test_end_of_suspicion(void)
+{
+    struct scene scene;
+    struct view *view = view_new(3);
+    struct view_member *third;
+
+    scene_init(&scene);
+    memcpy(view->members, scene.view->members, 2 * sizeof(*third));
+    view->count = 2;
+    third = add_member(view, 50, 1, "c");
+    g_free(scene.view);
+    scene.view = view;
+    scene.owner = &view->members[1];
+    hear(&scene, batch(1, 1, 1, 0, 10, 0));
+    third->health = MEMBER_SUSPECT;
+    scene.owner->health = MEMBER_DEAD;
+    see(&scene);
+    probes_within(&scene, 4 * USEC_PER_SEC);
+    third->health = MEMBER_ALIVE;
+    see(&scene);
+    g_assert_cmpuint(probes_within(&scene, 100 * USEC_PER_MSEC), ==, 10);
+    g_assert_cmpuint(probes_within(&scene, USEC_PER_SEC), ==, 10);
+    see(&scene);
+    g_assert_cmpuint(probes_within(&scene, USEC_PER_SEC), ==, 0);
+    /* Long after the death nobody is left to be told. */
+    probes_within(&scene, ALL_ROUNDS_US);
+    third->health = MEMBER_SUSPECT;
+    see(&scene);
+    third->health = MEMBER_ALIVE;
+    see(&scene);
+    g_assert_cmpuint(probes_within(&scene, USEC_PER_SEC), ==, 0);
+    scene_finish(&scene);
+}
+
 static void
 test_vanished_owner_is_dead(void)
 {
@@ -766,6 +802,7 @@
 {
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/notice/backup/rounds", test_dead_owner_probed_in_rounds);
+    g_test_add_func("/notice/backup/end-of-suspicion", test_end_of_suspicion);
     g_test_add_func("/notice/backup/vanished", test_vanished_owner_is_dead);
     g_test_add_func("/notice/backup/restart-in-view", test_restart_in_view);
     g_test_add_func("/notice/backup/restart-in-message",
