--- a/src/text/text_check.c
+++ b/src/text/text_check.c
@@ -8,25 +8,10 @@
 #include "base/addr.h"
 #include "base/hash.h"
 #include "text/text_unique.h"
+#include "text/text_value.h"
 
 #define IP_CLASS_E 0xe0000000u /* multicast and above: no host's address */
 
-/**
- * struct check - one value under check
- * @index: positions
- * @faults: report
- * @node: handle of the value's node
- * @value: the value
- * @path: its key path
- */
-struct check {
-    const struct text_index *index;
-    struct text_faults *faults;
-    uint32_t node;
-    struct json_object *value;
-    char path[TEXT_PATH_MAX];
-};
-
 /** struct limit_rule - range and default of a limit */
 struct limit_rule {
     const char *key;
@@ -68,125 +53,6 @@
     "idle_s",      NULL,
 };
 
-static uint32_t
-line_of(const struct check *check)
-{
-    return check->index->nodes[check->node].line;
-}
-
-static void
-fault(const struct check *check, const char *expected)
-{
-    char found[TEXT_FOUND_MAX];
-
-    text_faults_add(check->faults, line_of(check), check->path,
-                    "found %s, expected %s", text_found(check->value, found),
-                    expected);
-}
-
-static int
-key_place(const struct text_index *index, uint32_t node,
-          const char *const *keys)
-{
-    for (int i = 0; keys[i] != NULL; i++) {
-        if (text_index_is(index, node, keys[i])) {
-            return i;
-        }
-    }
-    return -1;
-}
-
-static void
-unknown_key(const struct check *check, uint32_t node, const char *const *keys)
-{
-    const struct text_node *at = &check->index->nodes[node];
-    char *known = g_strjoinv(", ", (char **)keys);
-    int shown = at->key_len < 40 ? (int)at->key_len : 40;
-    char *key = g_strndup(check->index->source + at->key, (gsize)shown);
-    char *valid = g_utf8_make_valid(key, -1);
-
-    text_faults_add(check->faults, at->line, check->path,
-                    "found the unknown key \"%s\", expected one of %s", valid,
-                    known);
-    g_free(valid);
-    g_free(key);
-    g_free(known);
-}
-
-/* Unknown and repeated keys of an object; json-c would keep the last one. */
-static void
-check_keys(const struct check *check, const char *const *keys)
-{
-    const struct text_index *index = check->index;
-    uint32_t seen = 0;
-    uint32_t node = index->nodes[check->node].first;
-
-    for (; node != 0; node = index->nodes[node].next) {
-        int place = key_place(index, node, keys);
-
-        if (place < 0) {
-            unknown_key(check, node, keys);
-        }
-        else if (seen & 1u << place) {
-            text_faults_add(
-                check->faults, index->nodes[node].line, check->path,
-                "found the key \"%s\" again, expected it once", keys[place]);
-        }
-        else {
-            seen |= 1u << place;
-        }
-    }
-}
-
-/* The member @key of an object: false when it isn't there. */
-static bool
-member(const struct check *check, const char *key, struct check *found)
-{
-    const char *dot = check->path[0] != '\0' ? "." : "";
-
-    *found = *check;
-    g_snprintf(found->path, sizeof(found->path), "%s%s%s", check->path, dot,
-               key);
-    found->node = text_index_child(check->index, check->node, key);
-    if (found->node == 0) {
-        return false;
-    }
-    return json_object_object_get_ex(check->value, key, &found->value);
-}
-
-static bool
-required(const struct check *check, const char *key, struct check *found)
-{
-    if (member(check, key, found)) {
-        return true;
-    }
-    text_faults_add(check->faults, line_of(check), found->path,
-                    "found no such key, expected it");
-    return false;
-}
-
-static bool
-is_type(const struct check *check, enum json_type type, const char *expected)
-{
-    if (json_object_get_type(check->value) == type) {
-        return true;
-    }
-    fault(check, expected);
-    return false;
-}
-
-/* A string, or NULL after a fault. */
-static const char *
-string_of(const struct check *check, const char *expected)
-{
-    const char *string = text_check_string(check->value);
-
-    if (string == NULL) {
-        fault(check, expected);
-    }
-    return string;
-}
-
 static bool
 name_is_valid(const char *name)
 {
@@ -206,19 +72,19 @@
 }
 
 static void
-check_name(const struct check *service, struct text_service *out)
+check_name(const struct text_value *service, struct text_service *out)
 {
     const char *expected = "1 to 63 of a-z, 0-9 and -, the first a letter, "
                            "the last not -";
-    struct check check;
+    struct text_value check;
     const char *name;
 
-    if (!required(service, "name", &check) ||
-        (name = string_of(&check, expected)) == NULL) {
+    if (!text_value_required(service, "name", &check) ||
+        (name = text_value_string(&check, expected)) == NULL) {
         return;
     }
     if (!name_is_valid(name)) {
-        fault(&check, expected);
+        text_value_fault(&check, expected);
         return;
     }
     g_strlcpy(out->name, name, sizeof(out->name));
@@ -234,99 +100,79 @@
 }
 
 static void
-check_address(const struct check *service, struct text_service *out)
+check_address(const struct text_value *service, struct text_service *out)
 {
     const char *expected = "an IPv4 address such as \"10.0.0.1\"";
-    struct check check;
+    struct text_value check;
     const char *word;
     uint32_t ip;
 
-    if (!required(service, "address", &check) ||
-        (word = string_of(&check, expected)) == NULL) {
+    if (!text_value_required(service, "address", &check) ||
+        (word = text_value_string(&check, expected)) == NULL) {
         return;
     }
     if (addr_parse_ip(word, &ip) < 0) {
-        fault(&check, expected);
+        text_value_fault(&check, expected);
     }
     else if (!ip_is_usable(ip)) {
-        fault(&check, "an address that callers can reach: not 0.0.0.0/8, "
-                      "127.0.0.0/8, or 224.0.0.0 and above");
+        text_value_fault(&check,
+                         "an address that callers can reach: not 0.0.0.0/8, "
+                         "127.0.0.0/8, or 224.0.0.0 and above");
     }
     else {
         out->ip = ip;
     }
 }
 
-static bool
-check_number(const struct check *check, uint32_t min, uint32_t max,
-             uint32_t *out)
-{
-    char expected[64];
-    int64_t number;
-
-    g_snprintf(expected, sizeof(expected), "a whole number from %u to %u", min,
-               max);
-    if (!is_type(check, json_type_int, expected)) {
-        return false;
-    }
-    number = json_object_get_int64(check->value);
-    if (number < (int64_t)min || number > (int64_t)max) {
-        fault(check, expected);
-        return false;
-    }
-    *out = (uint32_t)number;
-    return true;
-}
-
 static void
-check_port(const struct check *service, struct text_service *out)
+check_port(const struct text_value *service, struct text_service *out)
 {
-    struct check check;
+    struct text_value check;
     uint32_t port;
 
-    if (required(service, "port", &check) &&
-        check_number(&check, 1, UINT16_MAX, &port)) {
+    if (text_value_required(service, "port", &check) &&
+        text_value_number(&check, 1, UINT16_MAX, &port)) {
         out->port = (uint16_t)port;
     }
 }
 
 static void
-check_protocol(const struct check *service, struct text_service *out)
+check_protocol(const struct text_value *service, struct text_service *out)
 {
     const char *expected = "\"tcp\" or \"udp\"";
-    struct check check;
+    struct text_value check;
     const char *word;
 
     out->proto = TEXT_TCP;
-    if (!member(service, "protocol", &check) ||
-        (word = string_of(&check, expected)) == NULL) {
+    if (!text_value_member(service, "protocol", &check) ||
+        (word = text_value_string(&check, expected)) == NULL) {
         return;
     }
     if (strcmp(word, "udp") == 0) {
         out->proto = TEXT_UDP;
     }
     else if (strcmp(word, "tcp") != 0) {
-        fault(&check, expected);
+        text_value_fault(&check, expected);
     }
 }
 
 static void
-check_class(const struct check *service, struct text_service *out)
+check_class(const struct text_value *service, struct text_service *out)
 {
     const char *expected = "\"urgent\" or \"ordinary\"";
-    struct check check;
+    struct text_value check;
     const char *word;
 
     out->class = TEXT_ORDINARY;
-    if (!required(service, "class", &check) ||
-        (word = string_of(&check, expected)) == NULL) {
+    if (!text_value_required(service, "class", &check) ||
+        (word = text_value_string(&check, expected)) == NULL) {
         return;
     }
     if (strcmp(word, "urgent") == 0) {
         out->class = TEXT_URGENT;
     }
     else if (strcmp(word, "ordinary") != 0) {
-        fault(&check, expected);
+        text_value_fault(&check, expected);
     }
 }
 
@@ -338,15 +184,15 @@
 
 /* A caller's share can't be above the whole; only a written one is a fault. */
 static void
-check_caller_share(const struct check *check, struct text_limits *limits)
+check_caller_share(const struct text_value *check, struct text_limits *limits)
 {
-    struct check share;
+    struct text_value share;
 
     if (limits->connections_per_caller <= limits->connections) {
         return;
     }
-    if (member(check, "connections_per_caller", &share)) {
-        text_faults_add(share.faults, line_of(&share), share.path,
+    if (text_value_member(check, "connections_per_caller", &share)) {
+        text_faults_add(share.faults, text_value_line(&share), share.path,
                         "found %u, expected at most \"connections\" (%u)",
                         limits->connections_per_caller, limits->connections);
     }
@@ -354,39 +200,39 @@
 }
 
 static void
-check_limits(const struct check *service, struct text_service *out)
+check_limits(const struct text_value *service, struct text_service *out)
 {
-    struct check check;
-    struct check limit;
+    struct text_value check;
+    struct text_value limit;
 
     for (size_t i = 0; i < LIMIT_RULES; i++) {
         *limit_at(&out->limits, &limit_rules[i]) = limit_rules[i].initial;
     }
-    if (!member(service, "limits", &check) ||
-        !is_type(&check, json_type_object, "an object")) {
+    if (!text_value_member(service, "limits", &check) ||
+        !text_value_is_type(&check, json_type_object, "an object")) {
         return;
     }
-    check_keys(&check, limit_keys);
+    text_value_check_keys(&check, limit_keys);
     for (size_t i = 0; i < LIMIT_RULES; i++) {
         const struct limit_rule *rule = &limit_rules[i];
 
-        if (member(&check, rule->key, &limit)) {
-            check_number(&limit, rule->min, rule->max,
-                         limit_at(&out->limits, rule));
+        if (text_value_member(&check, rule->key, &limit)) {
+            text_value_number(&limit, rule->min, rule->max,
+                              limit_at(&out->limits, rule));
         }
     }
     check_caller_share(&check, &out->limits);
 }
 
 static void
-check_service(const struct check *check, const char *const *keys,
+check_service(const struct text_value *check, const char *const *keys,
               struct text_service *out)
 {
-    if (!is_type(check, json_type_object, "an object")) {
+    if (!text_value_is_type(check, json_type_object, "an object")) {
         return;
     }
-    out->line = line_of(check);
-    check_keys(check, keys);
+    out->line = text_value_line(check);
+    text_value_check_keys(check, keys);
     check_name(check, out);
     check_address(check, out);
     check_port(check, out);
@@ -396,10 +242,10 @@
 }
 
 static void
-check_list(const struct check *list, struct text *text)
+check_list(const struct text_value *list, struct text *text)
 {
     struct text_unique unique;
-    struct check check = *list;
+    struct text_value check = *list;
 
     text_unique_init(&unique, list->faults, text);
     check.node = list->index->nodes[list->node].first;
@@ -407,7 +253,7 @@
         check.value = json_object_array_get_idx(list->value, i);
         g_snprintf(check.path, sizeof(check.path), "services[%zu]", i);
         check_service(&check, service_keys, &text->services[i]);
-        text_unique_check(&unique, i, line_of(&check), check.path);
+        text_unique_check(&unique, i, text_value_line(&check), check.path);
         check.node = list->index->nodes[check.node].next;
     }
     text_unique_finish(&unique);
@@ -430,21 +276,23 @@
 text_check_services(struct json_object *root, const struct text_index *index,
                     struct text_faults *faults, struct text *text)
 {
-    struct check check = {.index = index, .faults = faults, .value = root};
-    struct check list;
+    struct text_value check = {
+        .index = index, .faults = faults, .value = root};
+    struct text_value list;
     size_t count;
 
-    if (!is_type(&check, json_type_object, "an object with \"services\"")) {
+    if (!text_value_is_type(&check, json_type_object,
+                            "an object with \"services\"")) {
         return 0;
     }
-    check_keys(&check, root_keys);
-    if (!required(&check, "services", &list) ||
-        !is_type(&list, json_type_array, "a list of services")) {
+    text_value_check_keys(&check, root_keys);
+    if (!text_value_required(&check, "services", &list) ||
+        !text_value_is_type(&list, json_type_array, "a list of services")) {
         return 0;
     }
     count = json_object_array_length(list.value);
     if (count == 0 || count > TEXT_SERVICES_MAX) {
-        text_faults_add(faults, line_of(&list), list.path,
+        text_faults_add(faults, text_value_line(&list), list.path,
                         "found %zu services, expected 1 to %d", count,
                         TEXT_SERVICES_MAX);
         return 0;
@@ -460,17 +308,17 @@
 }
 
 static void
-check_until(const struct check *retired, uint64_t *until_ms)
+check_until(const struct text_value *retired, uint64_t *until_ms)
 {
     const char *expected = "milliseconds since 1970";
-    struct check check;
+    struct text_value check;
 
-    if (!required(retired, "until_ms", &check) ||
-        !is_type(&check, json_type_int, expected)) {
+    if (!text_value_required(retired, "until_ms", &check) ||
+        !text_value_is_type(&check, json_type_int, expected)) {
         return;
     }
     if (json_object_get_int64(check.value) < 0) {
-        fault(&check, expected);
+        text_value_fault(&check, expected);
         return;
     }
     *until_ms = json_object_get_uint64(check.value);
@@ -478,7 +326,7 @@
 
 /* An address belongs to one service, be it as the one in use. */
 static void
-check_retired_address(const struct check *check, const struct text *text,
+check_retired_address(const struct text_value *check, const struct text *text,
                       size_t i)
 {
     const struct text_service *service = &text->retired[i].service;
@@ -486,7 +334,7 @@
         text_find_addr(text, service->ip, service->port, service->proto);
 
     if (user != NULL) {
-        text_faults_add(check->faults, line_of(check), check->path,
+        text_faults_add(check->faults, text_value_line(check), check->path,
                         "found the address of \"%s\" that is in use by "
                         "\"%s\", expected one that no service has",
                         service->name, user->name);
@@ -496,7 +344,7 @@
 
         if (other->ip == service->ip && other->port == service->port &&
             other->proto == service->proto) {
-            text_faults_add(check->faults, line_of(check), check->path,
+            text_faults_add(check->faults, text_value_line(check), check->path,
                             "found the address of \"%s\" again, expected it "
                             "once",
                             service->name);
@@ -508,11 +356,13 @@
 text_check_retired(struct json_object *list, const struct text_index *index,
                    struct text_faults *faults, struct text *text)
 {
-    struct check check = {.index = index, .faults = faults, .value = list};
+    struct text_value check = {
+        .index = index, .faults = faults, .value = list};
     size_t count;
 
     g_strlcpy(check.path, "retired", sizeof(check.path));
-    if (!is_type(&check, json_type_array, "a list of retired addresses")) {
+    if (!text_value_is_type(&check, json_type_array,
+                            "a list of retired addresses")) {
         return 0;
     }
     count = json_object_array_length(list);
