flow: a property test of owners under skewed views

Change: a model of agents, balancers and callers with seeded events (joins, drains, leaves, deaths, freezes, false suspicion, restarts for another service, lagging views, lost, late and doubled packets) that checks after each step that no packet is taken by another than its owner or for another service and no live flow is reset, and at the end that every live flow is reached and the callers of dead hosts are told.

--- a/src/flow/flow.c
+++ b/src/flow/flow.c
@@ -25,6 +25,7 @@
  * @hold_until_us: until when older agents are preferred for new flows
  * @stages: continuations that may be started now
  * @stages_us: when @stages was last filled
+ * @now_us: latest time seen, for calls that tell none
  */
 struct flow_table {
     uint64_t self;
@@ -33,6 +34,7 @@
     uint64_t hold_until_us;
     uint64_t stages;
     uint64_t stages_us;
+    uint64_t now_us;
     struct entries entries;
     struct members members;
     struct pins pins;
@@ -343,8 +345,7 @@
     if (walk_stage(&walk) == 0) {
         walk_merge(&walk);
     }
-    walk_order(&walk);
-    if (walk_step(&walk)) {
+    if (walk_order(&walk) && walk_step(&walk)) {
         return pass_on(&walk);
     }
     rest = walk_append(&walk, false);
@@ -384,8 +385,7 @@
         return decide_datagram_open(table, packet, &walk, now_us);
     }
     walk_merge(&walk);
-    walk_order(&walk);
-    if (walk_step(&walk)) {
+    if (walk_order(&walk) && walk_step(&walk)) {
         return pass_on(&walk);
     }
     walk_append(&walk, false);
@@ -417,6 +417,7 @@
 {
     struct entry *entry = entries_find(&table->entries, packet);
 
+    table->now_us = now_us;
     if (gue->service == 0 || gue->count == 0) {
         return drop(PACKET_SERVICE);
     }
@@ -452,6 +453,8 @@
     }
     entry->isn = out->seq;
     entry->answered = true;
+    /* Sent again: the handshake may still be finished. */
+    entries_use(&table->entries, entry, ENTRY_EMBRYO, table->now_us);
 }
 
 void
@@ -514,6 +517,7 @@
 void
 flow_tick(struct flow_table *table, uint64_t now_us)
 {
+    table->now_us = now_us;
     expire(&table->entries, ENTRY_EMBRYO, FLOW_EMBRYO_TTL_US, now_us);
     expire(&table->entries, ENTRY_DATAGRAM, FLOW_DATAGRAM_TTL_US, now_us);
     pins_expire(&table->pins, now_us);
--- a/src/flow/flow.h
+++ b/src/flow/flow.h
@@ -51,6 +51,8 @@
 #define FLOW_GUE_MORE 0x08  /* not all registered owners fitted in */
 #define FLOW_GUE_STAGE 0x10 /* unit of the count of continued lists */
 #define FLOW_GUE_STAGE_MASK 0x30
+#define FLOW_GUE_LAST 0x40 /* all that answer were asked, suspects are left   \
+                            */
 
 /** enum flow_verdict - what to do with a packet */
 enum flow_verdict {
--- a/src/flow/walk.c
+++ b/src/flow/walk.c
@@ -125,15 +125,16 @@
     return member != NULL && member->health != MEMBER_ALIVE;
 }
 
-void
+bool
 walk_order(struct walk *walk)
 {
     struct gue *gue = &walk->gue;
     struct gue_hop late[GUE_HOPS_MAX];
     size_t late_count = 0;
     size_t at = (size_t)gue->index + 1;
-    size_t turn;
+    size_t turn = 0;
     size_t i;
+    bool answers;
 
     for (i = at; i < gue->count; i++) {
         if (may_not_answer(walk, gue->hops[i].member)) {
@@ -143,14 +144,15 @@
             gue->hops[at++] = gue->hops[i];
         }
     }
-    if (late_count == 0) {
-        return;
+    answers = at > (size_t)gue->index + 1;
+    if (late_count > 0) {
+        gue->flags |= GUE_SUSPECTS;
+        turn = walk->now_us / TURN_US % late_count;
     }
-    gue->flags |= GUE_SUSPECTS;
-    turn = walk->now_us / TURN_US % late_count;
     for (i = 0; i < late_count; i++) {
         gue->hops[at++] = late[(i + turn) % late_count];
     }
+    return answers;
 }
 
 static bool
@@ -254,6 +256,10 @@
                         .ceiling = walk_ceiling(from)};
     const struct member_copy *next;
 
+    if ((from->gue.flags & FLOW_GUE_LAST) != 0) {
+        rest.health = MEMBER_SUSPECT;
+        rest.ceiling = UINT64_MAX;
+    }
     for (;;) {
         next = rest_next(from, &rest);
         if (next == NULL) {
@@ -263,7 +269,7 @@
             return true;
         }
         if (rest.health == MEMBER_SUSPECT) {
-            to->gue.flags |= GUE_SUSPECTS;
+            to->gue.flags |= GUE_SUSPECTS | FLOW_GUE_LAST;
         }
         walk_insert(to, to->gue.count, next);
     }
@@ -272,9 +278,22 @@
 bool
 walk_append(struct walk *walk, bool openers)
 {
-    struct walk from = *walk;
+    struct gue *gue = &walk->gue;
+    struct walk from;
+    struct gue late = *gue;
+    bool rest;
+    size_t i;
 
-    return walk_fill(walk, &from, openers);
+    gue->count = (uint8_t)(gue->index + 1);
+    from = *walk;
+    rest = walk_fill(walk, &from, openers);
+    for (i = (size_t)late.index + 1; i < late.count; i++) {
+        if (gue->count < GUE_HOPS_MAX &&
+            !walk_lists(walk, late.hops[i].member)) {
+            gue->hops[gue->count++] = late.hops[i];
+        }
+    }
+    return rest;
 }
 
 void
--- a/src/flow/walk.h
+++ b/src/flow/walk.h
@@ -42,8 +42,9 @@
 void
 walk_merge(struct walk *walk);
 
-/** walk_order() - put those that may not answer last */
-void
+/** walk_order() - put those that may not answer last; whether the next one
+ * answers */
+bool
 walk_order(struct walk *walk);
 
 /** walk_keep_openers() - leave out those that take no new flow */
@@ -52,6 +53,9 @@
 
 /**
  * walk_append() - add the other agents of the service, best ranked first
+ *
+ * They go before hops that are left: these may not answer.
+ *
  * @openers: only those that take new flows
  *
  * Return: whether some found no room.
--- /dev/null
+++ b/tests/flow/test_flow_property.c
@@ -0,0 +1,107 @@
+#include "model.h"
+
+#define STEPS 2500
+#define STRIDE 50
+#ifndef SEEDS
+#define SEEDS 24
+#endif
+
+/* The fewest steps up to @last that fail, tried from @first by @stride. */
+static unsigned
+shortest(const struct model_config *config, guint32 seed, unsigned first,
+         unsigned last, unsigned stride)
+{
+    unsigned steps;
+
+    for (steps = first; steps < last; steps += stride) {
+        struct model_result result = model_run(config, seed, steps);
+
+        g_free(result.failure);
+        if (result.failure != NULL) {
+            return steps;
+        }
+    }
+    return last;
+}
+
+static void
+report(const struct model_config *config, guint32 seed, unsigned failed)
+{
+    unsigned coarse = shortest(config, seed, STRIDE, failed, STRIDE);
+    unsigned fine = shortest(
+        config, seed, coarse < STRIDE ? 0 : coarse - STRIDE + 1, coarse, 1);
+    struct model_result result = model_run(config, seed, fine);
+
+    g_test_message("seed %u fails after %u steps: %s", seed, fine,
+                   result.failure);
+    g_free(result.failure);
+    g_test_fail();
+}
+
+static void
+run_seeds(const struct model_config *config, guint32 first, guint32 seeds)
+{
+    size_t established = 0;
+    size_t resets = 0;
+    guint32 seed;
+
+    for (seed = first; seed < first + seeds; seed++) {
+        struct model_result result = model_run(config, seed, STEPS);
+
+        established += result.established;
+        resets += result.resets;
+        if (result.failure != NULL) {
+            report(config, seed, result.step);
+            g_free(result.failure);
+            return;
+        }
+    }
+    g_assert_cmpuint(established, >, seeds * 20);
+    g_test_message("seeds %u..%u, %d steps each: %zu flows, %zu resets", first,
+                   seed - 1, STEPS, established, resets);
+}
+
+static void
+test_planned(void)
+{
+    run_seeds(&(struct model_config){.hosts = 10, .first = 7, .services = 1},
+              1, SEEDS);
+}
+
+static void
+test_planned_many(void)
+{
+    run_seeds(
+        &(struct model_config){
+            .hosts = 60, .first = 8, .services = 1, .burst = TRUE},
+        1001, SEEDS / 8);
+}
+
+static void
+test_faults(void)
+{
+    run_seeds(
+        &(struct model_config){
+            .hosts = 10, .first = 7, .services = 1, .faults = TRUE},
+        2001, SEEDS);
+}
+
+static void
+test_faults_services(void)
+{
+    run_seeds(
+        &(struct model_config){
+            .hosts = 20, .first = 14, .services = 2, .faults = TRUE},
+        3001, SEEDS);
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/flow/property/planned", test_planned);
+    g_test_add_func("/flow/property/planned-many", test_planned_many);
+    g_test_add_func("/flow/property/faults", test_faults);
+    g_test_add_func("/flow/property/faults-services", test_faults_services);
+    return g_test_run();
+}
