Control: lone processes write themselves into the cell's object

Cause: a process whose seeds are all dead only read the object, never wrote it, so two such processes never met; and one that others joined through kept taking itself for lone, since only its own sync ended that.

--- a/src/control/member_sync.c
+++ b/src/control/member_sync.c
@@ -59,6 +59,8 @@
     struct member_msg *answer;
     size_t first = random_below(&core->random, core->count);
 
+    /* Who asks learns our list and tells us what we lack. */
+    core->joined = true;
     qsort(msg->summary, msg->summary_count, sizeof(msg->summary[0]),
           compare_summary);
     answer = member_send(core, MEMBER_SYNC_ANSWER, from, now_us, out);
--- a/src/control/seeds.c
+++ b/src/control/seeds.c
@@ -129,6 +129,15 @@
     return false;
 }
 
+/* A lone process that learned something goes on soon. */
+static void
+hurry_alone(struct seeds_core *core, uint64_t now_us)
+{
+    uint64_t soon = now_us + random_below(&core->random, SEEDS_ALONE_SOON_US);
+
+    core->alone_us = MIN(core->alone_us, soon);
+}
+
 static void
 call_failed(struct seeds_core *core, uint64_t now_us)
 {
@@ -153,11 +162,27 @@
     return action;
 }
 
+/* None of the object's members answers a lone process, if it names any. */
+static bool
+is_useless(const struct seeds_core *core)
+{
+    return core->stored.count == 0 ||
+           core->foreign_rounds >= SEEDS_FOREIGN_ROUNDS;
+}
+
 static enum seeds_action
-tick_alone(struct seeds_core *core, uint64_t now_us)
+tick_alone(struct seeds_core *core, const struct member_core *members,
+           uint64_t cell, uint64_t now_us)
 {
     if (now_us < core->alone_us)
         return SEEDS_NOTHING;
+    if (core->known && is_useless(core)) {
+        want_list(core, members, cell, &core->pending);
+        if (!lists_equal(&core->pending, &core->stored)) {
+            core->alone_us = now_us + SEEDS_WRITE_US;
+            return start_call(core, SEEDS_WRITE, now_us);
+        }
+    }
     core->alone_us = now_us + random_between(&core->random, SEEDS_ALONE_GAP_US,
                                              3 * SEEDS_ALONE_GAP_US);
     return start_call(core, SEEDS_READ, now_us);
@@ -193,12 +218,11 @@
         call_failed(core, now_us);
     }
     if (!members->joined && members->contact_count > 0)
-        return tick_alone(core, now_us);
+        return tick_alone(core, members, cell, now_us);
     if (member_rank(members, cell, NULL) > 0) {
         /* Whoever writes next reads first. */
         core->known = false;
-        if (core->read_us < now_us)
-            core->read_us = now_us;
+        core->read_us = MAX(now_us, core->call_us + SEEDS_WRITE_US);
         return SEEDS_NOTHING;
     }
     if (core->known && core->foreign_rounds > 0 && !has_foreign(core, members))
@@ -210,6 +234,8 @@
 seeds_read_done(struct seeds_core *core, int status, uint64_t version,
                 const struct seed_list *list, uint64_t now_us)
 {
+    struct seed_list read = {0};
+
     core->calling = SEEDS_NOTHING;
     if (status != 0 && status != -ENOENT) {
         call_failed(core, now_us);
@@ -218,13 +244,16 @@
     core->backoff_us = 0;
     core->known = true;
     core->version = status == 0 ? version : 0;
-    core->stored.count = 0;
-    if (status == 0 && list != NULL) {
-        core->stored = *list;
-        qsort(core->stored.items, core->stored.count,
-              sizeof(core->stored.items[0]), compare_names);
-    }
-    core->foreign_rounds++;
+    if (status == 0 && list != NULL)
+        read = *list;
+    qsort(read.items, read.count, sizeof(read.items[0]), compare_names);
+    if (!lists_equal(&read, &core->stored))
+        core->foreign_rounds = 0;
+    if (read.count > 0)
+        core->foreign_rounds++;
+    else
+        hurry_alone(core, now_us);
+    core->stored = read;
 }
 
 void
@@ -239,6 +268,7 @@
     }
     if (status == -ESTALE) {
         core->stats.lost_races++;
+        hurry_alone(core, now_us);
         core->known = false;
         core->read_us =
             now_us + random_between(&core->random, 0, SEEDS_WRITE_US);
--- a/src/control/seeds.h
+++ b/src/control/seeds.h
@@ -7,7 +7,9 @@
  * and only when the list changed; entries are merged by incarnation. Two
  * writers at once harm nobody: one update fails and is tried again after
  * another read. The writer also reads it now and then and tries members
- * that it doesn't know: two halves of a cell find each other so.
+ * that it doesn't know: two halves of a cell find each other so. A process
+ * that finds nobody writes itself into an object that is missing or names
+ * only members that don't answer.
  */
 #ifndef SWIFTARCH_CONTROL_SEEDS_H
 #define SWIFTARCH_CONTROL_SEEDS_H
@@ -30,6 +32,7 @@
 #define SEEDS_START_US (3 * USEC_PER_SEC)
 #define SEEDS_START_SPREAD_US (5 * USEC_PER_SEC)
 #define SEEDS_ALONE_GAP_US (15 * USEC_PER_SEC)
+#define SEEDS_ALONE_SOON_US (2 * USEC_PER_SEC)
 #define SEEDS_FOREIGN_ROUNDS 3
 
 /** struct seed - one entry */
--- a/tests/control/test_control.c
+++ b/tests/control/test_control.c
@@ -353,6 +353,27 @@
     teardown(&f);
 }
 
+/* All seeds in their settings are dead and there is no object yet. */
+static void
+test_dead_seeds(void)
+{
+    struct fixture f;
+
+    setup(&f, 0, true);
+    put_config(&f, 0, "lots");
+    for (size_t i = 0; i < 3; i++) {
+        f.nodes[i].settings.seeds[0] = (struct addr){0x7f000001, free_port()};
+        f.nodes[i].settings.seed_count = 1;
+        start_node(&f, i);
+    }
+    for (size_t i = 0; i < 3; i++) {
+        WAIT_FOR(sees(&f, i, "node-0", MEMBER_READY, MEMBER_ALIVE));
+        WAIT_FOR(sees(&f, i, "node-1", MEMBER_READY, MEMBER_ALIVE));
+        WAIT_FOR(sees(&f, i, "node-2", MEMBER_READY, MEMBER_ALIVE));
+    }
+    teardown(&f);
+}
+
 struct asker {
     struct link_handler handler;
     struct event_base *base;
@@ -451,6 +472,7 @@
     g_test_add_func("/control/platform-faults", test_platform_faults);
     g_test_add_func("/control/garbage", test_garbage);
     g_test_add_func("/control/cell-object", test_cell_object);
+    g_test_add_func("/control/dead-seeds", test_dead_seeds);
     g_test_add_func("/control/show", test_show);
     g_test_add_func("/control/report-dead", test_report_dead);
     ret = g_test_run();
--- a/tests/control/test_member.c
+++ b/tests/control/test_member.c
@@ -459,6 +459,51 @@
     member_core_finish(&members);
 }
 
+/* Where no contact answers, the object may be missing or name the dead
+ * only: a lone process then writes itself into it, so that two find each
+ * other. */
+static void
+test_seed_alone(void)
+{
+    struct member_core members;
+    struct seeds_core seeds;
+    struct seed_list list = {.count = 1};
+    uint64_t now = NOW;
+    unsigned reads = 1;
+
+    start(&members, "self", 1);
+    member_add_contact(&members, (struct addr){0x0a000009, 7000});
+    seeds_core_init(&seeds, 1, now);
+    now += SEEDS_START_US + SEEDS_START_SPREAD_US;
+    g_assert_cmpint(seeds_tick(&seeds, &members, 1, now), ==, SEEDS_READ);
+    seeds_read_done(&seeds, -ENOENT, 0, NULL, now);
+    now += SEEDS_ALONE_SOON_US;
+    g_assert_cmpint(seeds_tick(&seeds, &members, 1, now), ==, SEEDS_WRITE);
+    g_assert_cmpuint(seeds.pending.count, ==, 1);
+    /* Another was first: its entry is a contact, so only reads follow. */
+    seeds_write_done(&seeds, -ESTALE, 1, now);
+    g_strlcpy(list.items[0].name, "other", VIEW_NAME_MAX);
+    list.items[0].control = (struct addr){0x0a000001, 7000};
+    list.items[0].incarnation = START;
+    for (;;) {
+        enum seeds_action action;
+
+        now += USEC_PER_SEC;
+        action = seeds_tick(&seeds, &members, 1, now);
+        if (action == SEEDS_NOTHING)
+            continue;
+        if (action == SEEDS_WRITE)
+            break;
+        reads++;
+        seeds_read_done(&seeds, 0, 1, &list, now);
+    }
+    /* It never answered: it is joined by ourselves, then replaced. */
+    g_assert_cmpuint(reads, ==, 1 + SEEDS_FOREIGN_ROUNDS);
+    g_assert_cmpuint(seeds.pending.count, ==, 1);
+    g_assert_cmpstr(seeds.pending.items[0].name, ==, "self");
+    member_core_finish(&members);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -474,5 +519,6 @@
     g_test_add_func("/member/history", test_history);
     g_test_add_func("/member/seed-list", test_seed_list);
     g_test_add_func("/member/seed-writes", test_seed_writes);
+    g_test_add_func("/member/seed-alone", test_seed_alone);
     return g_test_run();
 }
