Texts as published read the same wherever they come from

The line of a service made a text that a process passes on differ from the platform's where the value began with blank lines; lines are for files only.

--- a/src/text/text.h
+++ b/src/text/text.h
@@ -60,7 +60,8 @@
  * @limits: its limits
  * @depends: indexes of the services it depends on
  * @depends_count: how many
- * @line: where it stands in the source, from 1
+ * @line: where it stands in what text_parse() was given, from 1; 0 in a text
+ *        from text_parse_envelope()
  */
 struct text_service {
     uint32_t id;
--- a/src/text/text_envelope.c
+++ b/src/text/text_envelope.c
@@ -274,6 +274,19 @@
     return rc;
 }
 
+/* Lines of a file say nothing here, and what the platform holds and what a
+ * process passes on are to be equal. */
+static void
+forget_lines(struct text *text)
+{
+    for (size_t i = 0; i < text->count; i++) {
+        text->services[i].line = 0;
+    }
+    for (size_t i = 0; i < text->retired_count; i++) {
+        text->retired[i].service.line = 0;
+    }
+}
+
 int
 text_parse_envelope(const char *value, size_t len, uint64_t version,
                     struct text **text, char **report)
@@ -295,6 +308,7 @@
         }
     }
     if (rc == 0) {
+        forget_lines(*text);
         (*text)->version = version;
     }
     return rc;
--- a/tests/text/text_mutation_test.c
+++ b/tests/text/text_mutation_test.c
@@ -123,10 +123,89 @@
     g_rand_free(rand);
 }
 
+/* What is accepted reads the same when it is passed on, and gives no address
+ * to two services. */
+static bool
+check_value(const GString *value)
+{
+    struct text *text;
+    struct text *again;
+    char *report;
+
+    if (text_parse_envelope(value->str, value->len, 7, &text, &report) < 0) {
+        g_assert_null(text);
+        g_assert_nonnull(report);
+        g_free(report);
+        return false;
+    }
+    g_assert_null(report);
+    g_assert_cmpint(text_parse_envelope(text->source, text->source_len, 7,
+                                        &again, &report),
+                    ==, 0);
+    sample_assert_same(text, again);
+    for (size_t i = 0; i < text->retired_count; i++) {
+        const struct text_service *old = &text->retired[i].service;
+
+        g_assert_cmpuint(old->id, !=, 0);
+        g_assert_true(text_find_retired(text, old->ip, old->port,
+                                        old->proto) == &text->retired[i]);
+        g_assert_null(text_find_addr(text, old->ip, old->port, old->proto));
+    }
+    text_free(again);
+    text_free(text);
+    return true;
+}
+
+static char *
+value_with_retired(size_t *len)
+{
+    static const char retired[] =
+        "[{\"name\": \"prints\", \"address\": \"10.0.0.1\", \"port\": 81, "
+        "\"class\": \"ordinary\", \"until_ms\": 1700000000000},\n"
+        "{\"name\": \"lots\", \"address\": \"10.0.0.2\", \"port\": 81, "
+        "\"class\": \"urgent\", \"until_ms\": 1700000000001}]";
+    struct text_envelope envelope = {
+        .write_id = "0123456789abcdef0123456789abcdef",
+        .author = "asha",
+        .text = sample_text,
+        .text_len = strlen(sample_text),
+        .retired = retired,
+        .retired_len = strlen(retired),
+    };
+
+    return text_envelope_write(&envelope, len);
+}
+
+static void
+test_value_mutations(void)
+{
+    GRand *rand = g_rand_new_with_seed(SEED);
+    unsigned accepted = 0;
+    size_t len;
+    char *value = value_with_retired(&len);
+
+    for (unsigned i = 0; i < MUTATIONS; i++) {
+        GString *copy = g_string_new_len(value, (gssize)len);
+        int count = g_rand_int_range(rand, 1, 4);
+
+        for (int j = 0; j < count; j++) {
+            mutate_once(rand, copy);
+        }
+        accepted += check_value(copy);
+        g_string_free(copy, TRUE);
+    }
+    g_test_message("%u of %d accepted", accepted, MUTATIONS);
+    g_assert_cmpuint(accepted, >, 0);
+    g_assert_cmpuint(accepted, <, MUTATIONS);
+    g_rand_free(rand);
+    g_free(value);
+}
+
 int
 main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/text/mutations", test_mutations);
+    g_test_add_func("/text/value_mutations", test_value_mutations);
     return g_test_run();
 }
