directory: which cell of a region serves an address, as a pure core

Cause: a balancer knows the services of its own cell only, and one text for 28,000 services is over the platform's limit (4.2 MB of 1 MB). Change: entries for cells, merged by (config version, counter, sum); digests by group of cells, exchanged both ways between readers and inside cells, paid for from a byte budget; lookup table; mark of a packet that was forwarded once; description of the own cell from view and text. Not wired into the programs yet.

--- /dev/null
+++ b/src/directory/describe.c
@@ -0,0 +1,137 @@
+#include "directory/describe.h"
+
+#include <assert.h>
+#include <errno.h>
+#include <string.h>
+
+#include "base/hash.h"
+#include "control/config.h"
+
+_Static_assert(DIRECTORY_READERS == CONFIG_READERS, "one set of readers");
+_Static_assert(TEXT_SERVICES_MAX + TEXT_RETIRED_MAX <= DIRECTORY_ADDRESSES_MAX,
+               "every text fits in an entry");
+
+/* As member_rank() judges: the readers of the platform are the readers
+ * here. */
+static bool
+is_ranked(const struct view_member *member)
+{
+    return member->health == MEMBER_ALIVE && member->state != MEMBER_LEAVING;
+}
+
+static bool
+is_gateway(const struct view_member *member)
+{
+    return member->role == MEMBER_BALANCER && member->health == MEMBER_ALIVE &&
+           member->state == MEMBER_READY;
+}
+
+/* The @limit members of the highest rank for which @accept holds, the
+ * highest first. */
+static size_t
+highest(const struct view *view, uint64_t key,
+        bool (*accept)(const struct view_member *), size_t limit,
+        const struct view_member **out)
+{
+    size_t count = 0;
+
+    for (size_t i = 0; i < view->count; i++) {
+        const struct view_member *member = &view->members[i];
+        uint64_t rank = hash_pair(key, member->id);
+        size_t at = count;
+
+        if (!accept(member))
+            continue;
+        while (at > 0 && hash_pair(key, out[at - 1]->id) < rank)
+            at--;
+        if (at == limit)
+            continue;
+        if (count < limit)
+            count++;
+        memmove(&out[at + 1], &out[at], (count - at - 1) * sizeof(out[0]));
+        out[at] = member;
+    }
+    return count;
+}
+
+/* Key of the ranking of a cell, as the control thread has it. */
+static uint64_t
+cell_key(const char *cell)
+{
+    return hash_bytes(cell, strlen(cell), 0);
+}
+
+static void
+describe_members(const char *cell, const struct view *view,
+                 struct directory_entry *entry)
+{
+    const struct view_member *members[DIRECTORY_GATEWAYS];
+    uint64_t key = cell_key(cell);
+    size_t count = highest(view, key, is_ranked, DIRECTORY_READERS, members);
+
+    entry->reader_count = count;
+    for (size_t i = 0; i < count; i++)
+        entry->readers[i] = members[i]->control;
+    count = highest(view, key, is_gateway, DIRECTORY_GATEWAYS, members);
+    entry->gateway_count = count;
+    for (size_t i = 0; i < count; i++) {
+        entry->gateways[i].data = members[i]->data;
+        entry->gateways[i].control = members[i]->control;
+    }
+}
+
+static uint64_t
+address_of(const struct text_service *service, bool retired)
+{
+    return directory_address(service->ip, service->port,
+                             (uint8_t)service->proto, retired);
+}
+
+int
+directory_describe(const char *cell, const struct view *view,
+                   const struct text *text, struct directory_entry **result)
+{
+    struct directory_entry *entry;
+
+    if (text->version == 0)
+        return -EAGAIN;
+    entry = directory_entry_new(cell, text->count + text->retired_count);
+    if (entry == NULL)
+        return -ENOMEM;
+    for (size_t i = 0; i < text->count; i++)
+        entry->addresses[i] = address_of(&text->services[i], false);
+    for (size_t i = 0; i < text->retired_count; i++)
+        entry->addresses[text->count + i] =
+            address_of(&text->retired[i].service, true);
+    entry->version.config_version = text->version;
+    describe_members(cell, view, entry);
+    directory_entry_seal(entry);
+    *result = entry;
+    return 0;
+}
+
+void
+directory_place_from(const char *cell, const struct view *view,
+                     struct directory_place *place)
+{
+    const struct view_member *readers[DIRECTORY_READERS];
+    const struct view_member *self = &view->members[view->self];
+    size_t count =
+        highest(view, cell_key(cell), is_ranked, DIRECTORY_READERS, readers);
+
+    memset(place, 0, sizeof(*place));
+    for (size_t i = 0; i < count; i++) {
+        if (readers[i] == self)
+            place->reader = true;
+        else
+            place->readers[place->reader_count++] = readers[i]->control;
+    }
+    for (size_t i = 0; i < view->count; i++) {
+        const struct view_member *member = &view->members[i];
+
+        if (member == self || member->role != MEMBER_BALANCER ||
+            !is_ranked(member) || place->balancer_count == DIRECTORY_PEERS_MAX)
+            continue;
+        place->balancers[place->balancer_count++] = member->control;
+    }
+}
--- /dev/null
+++ b/src/directory/describe.h
@@ -0,0 +1,33 @@
+/**
+ * DOC: describe - what a process of a cell says of that cell, and to whom
+ *
+ * Functions of the view and the text alone, so that readers that know the
+ * same say the same.
+ */
+#ifndef SWIFTARCH_DIRECTORY_DESCRIBE_H
+#define SWIFTARCH_DIRECTORY_DESCRIBE_H
+
+#include "control/view.h"
+#include "directory/directory.h"
+#include "text/text.h"
+
+/**
+ * directory_describe() - entry of the cell, sealed, but for the counter
+ * @cell: name of the cell
+ * @entry: result
+ *
+ * Gateways are the balancers, alive and ready, that rank highest. The
+ * counter is left 0.
+ *
+ * Return: 0, -ENOMEM, or -EAGAIN for a text that no platform has versioned.
+ */
+int
+directory_describe(const char *cell, const struct view *view,
+                   const struct text *text, struct directory_entry **entry);
+
+/** directory_place_from() - place of the view's own member in @cell */
+void
+directory_place_from(const char *cell, const struct view *view,
+                     struct directory_place *place);
+
+#endif
--- /dev/null
+++ b/src/directory/directory.c
@@ -0,0 +1,319 @@
+#include "directory/directory.h"
+
+#include <assert.h>
+#include <string.h>
+
+#include <glib.h>
+
+#include "base/hash.h"
+#include "directory/directory_internal.h"
+
+void
+directory_core_init(struct directory_core *core, const char *cell,
+                    struct addr self, uint64_t seed, uint64_t now_us)
+{
+    memset(core, 0, sizeof(*core));
+    core->cell = directory_cell(cell);
+    core->self = self;
+    core->random.state = seed;
+    bucket_init(&core->bytes, DIRECTORY_RATE, DIRECTORY_BURST, now_us);
+    core->cell_us = now_us + random_below(&core->random, DIRECTORY_CELL_US);
+    core->region_us =
+        now_us + random_below(&core->random, DIRECTORY_REGION_US);
+}
+
+void
+directory_core_finish(struct directory_core *core)
+{
+    for (size_t i = 0; i < core->count; i++)
+        directory_entry_unref(core->slots[i].entry);
+    directory_entry_unref(core->own);
+    memset(core, 0, sizeof(*core));
+}
+
+void
+directory_add_seed(struct directory_core *core, struct addr seed)
+{
+    if (addr_equal(seed, core->self) ||
+        core->seed_count == DIRECTORY_SEEDS_MAX)
+        return;
+    for (size_t i = 0; i < core->seed_count; i++) {
+        if (addr_equal(core->seeds[i], seed))
+            return;
+    }
+    core->seeds[core->seed_count++] = seed;
+}
+
+void
+directory_set_place(struct directory_core *core,
+                    const struct directory_place *place)
+{
+    assert(place->reader_count <= DIRECTORY_READERS);
+    assert(place->balancer_count <= DIRECTORY_PEERS_MAX);
+    core->place = *place;
+}
+
+void
+directory_set_own(struct directory_core *core, struct directory_entry *own)
+{
+    assert(own->cell == core->cell);
+    if (core->own == NULL || core->own->version.sum != own->version.sum)
+        core->contests = 0;
+    directory_entry_unref(core->own);
+    core->own = own;
+}
+
+/* First slot whose cell is not below @cell. */
+static size_t
+lower_bound(const struct directory_core *core, uint64_t cell)
+{
+    size_t low = 0;
+    size_t high = core->count;
+
+    while (low < high) {
+        size_t middle = (low + high) / 2;
+
+        if (core->slots[middle].entry->cell < cell)
+            low = middle + 1;
+        else
+            high = middle;
+    }
+    return low;
+}
+
+const struct directory_slot *
+directory_find(const struct directory_core *core, uint64_t cell)
+{
+    size_t at = lower_bound(core, cell);
+
+    if (at == core->count || core->slots[at].entry->cell != cell)
+        return NULL;
+    return &core->slots[at];
+}
+
+static bool
+insert(struct directory_core *core, size_t at, uint64_t cell)
+{
+    /* The own cell always finds room. */
+    size_t room = cell == core->cell || directory_find(core, core->cell)
+                      ? DIRECTORY_CELLS_MAX
+                      : DIRECTORY_CELLS_MAX - 1;
+
+    if (core->count >= room) {
+        core->stats.full++;
+        return false;
+    }
+    memmove(&core->slots[at + 1], &core->slots[at],
+            (core->count - at) * sizeof(core->slots[0]));
+    core->slots[at].entry = NULL;
+    core->count++;
+    return true;
+}
+
+bool
+directory_merge(struct directory_core *core, struct directory_entry *entry,
+                uint64_t now_us)
+{
+    size_t at = lower_bound(core, entry->cell);
+    bool known =
+        at < core->count && core->slots[at].entry->cell == entry->cell;
+
+    if (known && directory_version_compare(
+                     &entry->version, &core->slots[at].entry->version) <= 0) {
+        core->stats.old++;
+        return false;
+    }
+    if (!known && !insert(core, at, entry->cell))
+        return false;
+    directory_entry_ref(entry);
+    directory_entry_unref(core->slots[at].entry);
+    core->slots[at].entry = entry;
+    core->slots[at].since_us = now_us;
+    core->stats.merged++;
+    core->changed = true;
+    core->hot = DIRECTORY_HOT_ROUNDS;
+    core->region_us = MIN(core->region_us, now_us + DIRECTORY_HOT_US);
+    return true;
+}
+
+static void
+author(struct directory_core *core, uint64_t now_us, uint64_t wall_ms)
+{
+    const struct directory_slot *held = directory_find(core, core->cell);
+    struct directory_entry *entry = directory_entry_copy(core->own);
+
+    if (entry == NULL)
+        return; /* tried again at the next tick */
+    entry->version.counter = wall_ms;
+    if (held != NULL && held->entry->version.counter >= wall_ms)
+        entry->version.counter = held->entry->version.counter + 1;
+    if (directory_merge(core, entry, now_us))
+        core->stats.authored++;
+    directory_entry_unref(entry);
+    core->own_us = 0;
+    core->renew_us = 0;
+}
+
+/* The other reader, whose draw is likely another, renews for both. */
+static bool
+renewal_due(struct directory_core *core, const struct directory_slot *held,
+            uint64_t now_us)
+{
+    if (core->renew_us <= held->since_us)
+        core->renew_us =
+            held->since_us + random_between(&core->random, DIRECTORY_RENEW_US,
+                                            DIRECTORY_RENEW_US * 5 / 4);
+    return now_us >= core->renew_us;
+}
+
+static bool
+contest_due(struct directory_core *core, uint64_t now_us)
+{
+    uint64_t settle = DIRECTORY_SETTLE_US
+                      << MIN(core->contests, DIRECTORY_CONTESTS_MAX);
+
+    if (core->own_us == 0)
+        core->own_us =
+            now_us + random_between(&core->random, settle, 3 * settle);
+    if (now_us < core->own_us)
+        return false;
+    core->contests++;
+    return true;
+}
+
+static bool
+must_author(struct directory_core *core, uint64_t now_us)
+{
+    const struct directory_slot *held = directory_find(core, core->cell);
+    const struct directory_version *version;
+
+    if (!core->place.reader || core->own == NULL)
+        return false;
+    if (held == NULL)
+        return true;
+    version = &held->entry->version;
+    /* Who lags behind the cell's text says nothing for it. */
+    if (core->own->version.config_version < version->config_version)
+        return false;
+    if (core->own->version.config_version > version->config_version)
+        return true;
+    if (core->own->version.sum == version->sum) {
+        core->own_us = 0;
+        return renewal_due(core, held, now_us);
+    }
+    return contest_due(core, now_us);
+}
+
+/* Readers know first; the others spare them half of the questions. */
+static bool
+choose_cell_peer(struct directory_core *core, struct addr *peer)
+{
+    const struct directory_place *place = &core->place;
+    size_t readers = place->reader_count;
+    size_t balancers = place->balancer_count;
+
+    if (readers > 0 && (balancers == 0 || random_below(&core->random, 2) == 0))
+        *peer = place->readers[random_below(&core->random, readers)];
+    else if (balancers > 0)
+        *peer = place->balancers[random_below(&core->random, balancers)];
+    else
+        return false;
+    return true;
+}
+
+static bool
+choose_contact(struct directory_core *core,
+               const struct directory_entry *entry, struct addr *peer)
+{
+    size_t gateways = entry->gateway_count;
+
+    if (entry->reader_count > 0 &&
+        (gateways == 0 || random_below(&core->random, 4) != 0))
+        *peer =
+            entry->readers[random_below(&core->random, entry->reader_count)];
+    else if (gateways > 0)
+        *peer = entry->gateways[random_below(&core->random, gateways)].control;
+    else
+        return false;
+    return true;
+}
+
+/* A seed has the chance of one cell, so that parts of a region that have
+ * forgotten each other's processes meet again. */
+static bool
+choose_region_peer(struct directory_core *core, struct addr *peer)
+{
+    size_t at = random_below(&core->random,
+                             core->count + (core->seed_count > 0 ? 1 : 0));
+
+    if (at < core->count && core->slots[at].entry->cell != core->cell)
+        return choose_contact(core, core->slots[at].entry, peer);
+    if (core->seed_count == 0)
+        return false;
+    *peer = core->seeds[random_below(&core->random, core->seed_count)];
+    return true;
+}
+
+static void
+tick_cell(struct directory_core *core, uint64_t now_us,
+          struct directory_actions *out)
+{
+    struct addr peer;
+
+    if (now_us < core->cell_us)
+        return;
+    core->cell_us =
+        now_us + random_between(&core->random, DIRECTORY_CELL_US * 3 / 4,
+                                DIRECTORY_CELL_US * 5 / 4);
+    if (choose_cell_peer(core, &peer))
+        directory_send_digest(core, peer, out);
+}
+
+static void
+tick_region(struct directory_core *core, uint64_t now_us,
+            struct directory_actions *out)
+{
+    uint64_t period = DIRECTORY_REGION_US;
+    struct addr peer;
+
+    if (now_us < core->region_us)
+        return;
+    if (core->hot > 0) {
+        core->hot--;
+        period = DIRECTORY_HOT_US;
+    }
+    core->region_us =
+        now_us + random_between(&core->random, period * 3 / 4, period * 5 / 4);
+    if (core->place.reader && choose_region_peer(core, &peer))
+        directory_send_digest(core, peer, out);
+}
+
+void
+directory_tick(struct directory_core *core, uint64_t now_us, uint64_t wall_ms,
+               struct directory_actions *out)
+{
+    if (must_author(core, now_us))
+        author(core, now_us, wall_ms);
+    tick_cell(core, now_us, out);
+    tick_region(core, now_us, out);
+}
+
+uint64_t
+directory_next_us(const struct directory_core *core)
+{
+    uint64_t next = core->cell_us;
+
+    if (core->place.reader)
+        next = MIN(next, core->region_us);
+    if (core->own_us != 0)
+        next = MIN(next, core->own_us);
+    return next;
+}
+
+void
+directory_actions_clear(struct directory_actions *actions)
+{
+    for (size_t i = 0; i < actions->count; i++)
+        directory_msg_finish(&actions->items[i].msg);
+    actions->count = 0;
+}
--- /dev/null
+++ b/src/directory/directory.h
@@ -0,0 +1,193 @@
+/**
+ * DOC: directory - which cell of the region serves an address, a pure core
+ *
+ * A process knows the services of its own cell only. Of each other cell of
+ * its region it keeps one entry: addresses, gateways and readers. The
+ * readers of a cell author its entry. Later versions replace earlier ones,
+ * whoever brings them and how often; nothing ever goes back.
+ *
+ * Each process that holds a directory (balancers and readers) sends a
+ * digest to another of its cell every DIRECTORY_CELL_US; readers also send
+ * one to another cell every DIRECTORY_REGION_US, and a few at once after
+ * they learned something. What differs is exchanged both ways. All but the
+ * digests is paid for from a budget of bytes, so that nothing that happens
+ * (a region healing, a data centre starting) costs a process more than
+ * DIRECTORY_RATE for long.
+ *
+ * Entries age but stay: authors renew theirs every DIRECTORY_RENEW_US, so
+ * an entry that is older than that says that its cell is silent.
+ */
+#ifndef SWIFTARCH_DIRECTORY_DIRECTORY_H
+#define SWIFTARCH_DIRECTORY_DIRECTORY_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "base/clock.h"
+#include "control/bucket.h"
+#include "control/random.h"
+#include "directory/entry.h"
+#include "directory/message.h"
+
+#define DIRECTORY_CELL_US (2 * USEC_PER_SEC)
+#define DIRECTORY_REGION_US (1 * USEC_PER_SEC)
+#define DIRECTORY_HOT_US (250 * USEC_PER_MSEC)
+#define DIRECTORY_HOT_ROUNDS 3
+#define DIRECTORY_RENEW_US (300 * USEC_PER_SEC)
+/* Both readers see the same after a while; before, they'd take turns. Where
+ * they don't, as in a cell that is cut in two, turns get rare. */
+#define DIRECTORY_SETTLE_US (500 * USEC_PER_MSEC)
+#define DIRECTORY_CONTESTS_MAX 7     /* doublings of the time above */
+#define DIRECTORY_RATE 2048          /* bytes a second, digests apart */
+#define DIRECTORY_BURST (64u * 1024) /* bytes */
+#define DIRECTORY_PEERS_MAX 256
+#define DIRECTORY_SEEDS_MAX 16
+#define DIRECTORY_ACTIONS_MAX 4
+
+/**
+ * struct directory_action - a message to send
+ * @to: control address
+ * @msg: message
+ */
+struct directory_action {
+    struct addr to;
+    struct directory_msg msg;
+};
+
+/** struct directory_actions - what one call wants sent */
+struct directory_actions {
+    struct directory_action items[DIRECTORY_ACTIONS_MAX];
+    size_t count;
+};
+
+/**
+ * struct directory_place - where this process stands in its cell
+ * @reader: it is a reader of its cell
+ * @readers: control addresses of the other readers
+ * @reader_count: how many
+ * @balancers: control addresses of the other balancers of the cell
+ * @balancer_count: how many
+ */
+struct directory_place {
+    bool reader;
+    struct addr readers[DIRECTORY_READERS];
+    size_t reader_count;
+    struct addr balancers[DIRECTORY_PEERS_MAX];
+    size_t balancer_count;
+};
+
+/** struct directory_stats - counts since the start */
+struct directory_stats {
+    uint64_t digests;
+    uint64_t merged;  /* entries that were news */
+    uint64_t old;     /* entries that were not */
+    uint64_t full;    /* cells without room */
+    uint64_t delayed; /* messages for which there was no budget */
+    uint64_t authored;
+};
+
+/**
+ * struct directory_slot - an entry held
+ * @entry: the entry
+ * @since_us: when this version came
+ */
+struct directory_slot {
+    struct directory_entry *entry;
+    uint64_t since_us;
+};
+
+/**
+ * struct directory_core - see DOC
+ * @cell: own cell
+ * @self: own control address
+ * @place: place in the cell
+ * @slots: by cell, ascending
+ * @count: entries held, that of the own cell included
+ * @own: what the own cell serves as seen from here, or NULL
+ * @own_us: when to author @own, which differs from the entry held; 0 when
+ *          it doesn't
+ * @contests: times that @own, unchanged, was authored over another's
+ * @changed: set when an entry was replaced; the owner clears it
+ */
+struct directory_core {
+    uint64_t cell;
+    struct addr self;
+    struct random random;
+    struct bucket bytes;
+    struct directory_place place;
+    struct addr seeds[DIRECTORY_SEEDS_MAX];
+    size_t seed_count;
+    struct directory_slot slots[DIRECTORY_CELLS_MAX];
+    size_t count;
+    struct directory_entry *own;
+    uint64_t own_us;
+    unsigned contests;
+    uint64_t renew_us;
+    uint64_t cell_us;
+    uint64_t region_us;
+    unsigned hot;
+    bool changed;
+    struct directory_stats stats;
+};
+
+/** directory_core_init() - a core that holds nothing */
+void
+directory_core_init(struct directory_core *core, const char *cell,
+                    struct addr self, uint64_t seed, uint64_t now_us);
+
+/** directory_core_finish() - free what it holds */
+void
+directory_core_finish(struct directory_core *core);
+
+/** directory_add_seed() - a process of the region that may know others */
+void
+directory_add_seed(struct directory_core *core, struct addr seed);
+
+/** directory_set_place() - the list of members changed; copied */
+void
+directory_set_place(struct directory_core *core,
+                    const struct directory_place *place);
+
+/**
+ * directory_set_own() - what the own cell serves, as seen from here
+ * @own: sealed; the counter is ignored; takes the caller's reference
+ */
+void
+directory_set_own(struct directory_core *core, struct directory_entry *own);
+
+/** directory_find() - slot of a cell, or NULL */
+const struct directory_slot *
+directory_find(const struct directory_core *core, uint64_t cell);
+
+/**
+ * directory_merge() - take an entry if it is later than the one held
+ *
+ * Takes a reference of its own. Return: whether it was taken.
+ */
+bool
+directory_merge(struct directory_core *core, struct directory_entry *entry,
+                uint64_t now_us);
+
+/** directory_receive() - a message came; answers are added to @out */
+void
+directory_receive(struct directory_core *core, const struct directory_msg *msg,
+                  uint64_t now_us, struct directory_actions *out);
+
+/**
+ * directory_tick() - do what is due
+ * @wall_ms: wall clock, for the counter of an entry authored now
+ */
+void
+directory_tick(struct directory_core *core, uint64_t now_us, uint64_t wall_ms,
+               struct directory_actions *out);
+
+/** directory_next_us() - when directory_tick() may have something to do */
+uint64_t
+directory_next_us(const struct directory_core *core);
+
+/** directory_actions_clear() - free the messages */
+void
+directory_actions_clear(struct directory_actions *actions);
+
+#endif
--- /dev/null
+++ b/src/directory/exchange.c
@@ -0,0 +1,256 @@
+#include <string.h>
+
+#include <glib.h>
+
+#include "base/hash.h"
+#include "directory/directory_internal.h"
+
+/* Most bytes of a message besides its entries. */
+#define HEADER_BYTES 64
+
+static unsigned
+group_of(uint64_t cell)
+{
+    return cell % DIRECTORY_GROUPS;
+}
+
+static void
+hash_groups(const struct directory_core *core, uint32_t salt, uint32_t *hashes)
+{
+    uint64_t sums[DIRECTORY_GROUPS];
+
+    for (size_t i = 0; i < DIRECTORY_GROUPS; i++)
+        sums[i] = salt;
+    for (size_t i = 0; i < core->count; i++) {
+        const struct directory_entry *entry = core->slots[i].entry;
+        uint64_t *sum = &sums[group_of(entry->cell)];
+
+        *sum = hash_pair(*sum, entry->cell);
+        *sum = hash_pair(*sum, entry->version.config_version);
+        *sum = hash_pair(*sum, entry->version.counter);
+        *sum = hash_pair(*sum, entry->version.sum);
+    }
+    for (size_t i = 0; i < DIRECTORY_GROUPS; i++)
+        hashes[i] = (uint32_t)(sums[i] >> 32);
+}
+
+static struct directory_msg *
+add_message(struct directory_core *core, enum directory_kind kind,
+            struct addr to, struct directory_actions *out)
+{
+    struct directory_action *action;
+
+    if (out->count == DIRECTORY_ACTIONS_MAX)
+        return NULL;
+    action = &out->items[out->count++];
+    memset(action, 0, sizeof(*action));
+    action->to = to;
+    action->msg.kind = kind;
+    action->msg.from = core->self;
+    return &action->msg;
+}
+
+void
+directory_send_digest(struct directory_core *core, struct addr to,
+                      struct directory_actions *out)
+{
+    struct directory_msg *msg = add_message(core, DIRECTORY_DIGEST, to, out);
+
+    if (msg == NULL)
+        return;
+    msg->salt = (uint32_t)random_next(&core->random);
+    hash_groups(core, msg->salt, msg->hashes);
+    core->stats.digests++;
+}
+
+/* Takes back the latest message when there is no budget for it. */
+static bool
+pay(struct directory_core *core, uint64_t now_us,
+    struct directory_actions *out)
+{
+    struct directory_msg *msg = &out->items[out->count - 1].msg;
+    size_t size = directory_msg_size(msg);
+
+    if (bucket_take(&core->bytes, (uint32_t)size, now_us))
+        return true;
+    core->stats.delayed++;
+    directory_msg_finish(msg);
+    out->count--;
+    return false;
+}
+
+static void
+receive_digest(struct directory_core *core, const struct directory_msg *msg,
+               uint64_t now_us, struct directory_actions *out)
+{
+    uint32_t hashes[DIRECTORY_GROUPS];
+    struct directory_msg *summary;
+    uint32_t groups = 0;
+
+    hash_groups(core, msg->salt, hashes);
+    for (size_t i = 0; i < DIRECTORY_GROUPS; i++) {
+        if (hashes[i] != msg->hashes[i])
+            groups |= 1u << i;
+    }
+    if (groups == 0)
+        return;
+    summary = add_message(core, DIRECTORY_SUMMARY, msg->from, out);
+    if (summary == NULL)
+        return;
+    summary->groups = groups;
+    summary->items = g_new(struct directory_item, core->count);
+    for (size_t i = 0; i < core->count; i++) {
+        const struct directory_entry *entry = core->slots[i].entry;
+        struct directory_item *item = &summary->items[summary->item_count];
+
+        if ((groups >> group_of(entry->cell) & 1) == 0)
+            continue;
+        item->cell = entry->cell;
+        item->version = entry->version;
+        summary->item_count++;
+    }
+    pay(core, now_us, out);
+}
+
+/** struct sender - fills messages with entries until there is no budget */
+struct sender {
+    struct directory_core *core;
+    struct addr to;
+    uint64_t now_us;
+    struct directory_actions *out;
+    struct directory_msg *msg;
+    size_t size;
+};
+
+static bool
+send_entry(struct sender *sender, struct directory_entry *entry)
+{
+    struct directory_core *core = sender->core;
+    size_t size = directory_entry_size(entry);
+
+    /* The rest is sent in a later round. */
+    if (sender->size + size > DIRECTORY_MESSAGE_MAX ||
+        sender->size + size > bucket_level(&core->bytes, sender->now_us)) {
+        core->stats.delayed++;
+        return false;
+    }
+    if (sender->msg == NULL) {
+        sender->msg =
+            add_message(core, DIRECTORY_ENTRIES, sender->to, sender->out);
+        if (sender->msg == NULL)
+            return false;
+        sender->msg->entries =
+            g_new(struct directory_entry *, DIRECTORY_CELLS_MAX);
+    }
+    sender->size += size;
+    sender->msg->entries[sender->msg->entry_count++] =
+        directory_entry_ref(entry);
+    return true;
+}
+
+static void
+receive_want(struct directory_core *core, const struct directory_msg *msg,
+             uint64_t now_us, struct directory_actions *out)
+{
+    struct sender sender = {.core = core,
+                            .to = msg->from,
+                            .now_us = now_us,
+                            .out = out,
+                            .size = HEADER_BYTES};
+
+    for (size_t i = 0; i < msg->want_count; i++) {
+        const struct directory_slot *slot = directory_find(core, msg->want[i]);
+
+        if (slot != NULL && !send_entry(&sender, slot->entry))
+            break;
+    }
+    if (sender.msg != NULL)
+        pay(core, now_us, out);
+}
+
+static const struct directory_item *
+find_item(const struct directory_msg *msg, uint64_t cell)
+{
+    for (size_t i = 0; i < msg->item_count; i++) {
+        if (msg->items[i].cell == cell)
+            return &msg->items[i];
+    }
+    return NULL;
+}
+
+/* Sends what is later here, or not known there. */
+static void
+answer_summary(struct directory_core *core, const struct directory_msg *msg,
+               uint64_t now_us, struct directory_actions *out)
+{
+    struct sender sender = {.core = core,
+                            .to = msg->from,
+                            .now_us = now_us,
+                            .out = out,
+                            .size = HEADER_BYTES};
+
+    for (size_t i = 0; i < core->count; i++) {
+        struct directory_entry *entry = core->slots[i].entry;
+        const struct directory_item *item;
+
+        if ((msg->groups >> group_of(entry->cell) & 1) == 0)
+            continue;
+        item = find_item(msg, entry->cell);
+        if (item != NULL &&
+            directory_version_compare(&entry->version, &item->version) <= 0)
+            continue;
+        if (!send_entry(&sender, entry))
+            break;
+    }
+    if (sender.msg != NULL)
+        pay(core, now_us, out);
+}
+
+static void
+receive_summary(struct directory_core *core, const struct directory_msg *msg,
+                uint64_t now_us, struct directory_actions *out)
+{
+    struct directory_msg *want =
+        add_message(core, DIRECTORY_WANT, msg->from, out);
+
+    if (want == NULL)
+        return;
+    want->want = g_new(uint64_t, msg->item_count);
+    for (size_t i = 0; i < msg->item_count; i++) {
+        const struct directory_slot *slot =
+            directory_find(core, msg->items[i].cell);
+
+        if (slot == NULL ||
+            directory_version_compare(&msg->items[i].version,
+                                      &slot->entry->version) > 0)
+            want->want[want->want_count++] = msg->items[i].cell;
+    }
+    if (want->want_count == 0) {
+        directory_msg_finish(want);
+        out->count--;
+    }
+    else
+        pay(core, now_us, out);
+    answer_summary(core, msg, now_us, out);
+}
+
+void
+directory_receive(struct directory_core *core, const struct directory_msg *msg,
+                  uint64_t now_us, struct directory_actions *out)
+{
+    switch (msg->kind) {
+    case DIRECTORY_DIGEST:
+        receive_digest(core, msg, now_us, out);
+        break;
+    case DIRECTORY_SUMMARY:
+        receive_summary(core, msg, now_us, out);
+        break;
+    case DIRECTORY_WANT:
+        receive_want(core, msg, now_us, out);
+        break;
+    case DIRECTORY_ENTRIES:
+        for (size_t i = 0; i < msg->entry_count; i++)
+            directory_merge(core, msg->entries[i], now_us);
+        break;
+    }
+}
--- /dev/null
+++ b/tests/directory/net.c
@@ -0,0 +1,393 @@
+#include "net.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/hash.h"
+#include "directory/describe.h"
+#include "directory/message.h"
+
+#define NET_IP 0x0a000001u
+#define NET_DATA_PORT 4000
+#define NET_CONTROL_PORT 5000
+#define NET_WALL_MS UINT64_C(1700000000000)
+#define NET_SKEW_MS (10 * 60 * 1000)
+
+enum net_event_type { EVENT_TICK, EVENT_MESSAGE, EVENT_VIEW, EVENT_TEXT };
+
+struct net_event {
+    uint64_t at_us;
+    uint64_t order;
+    enum net_event_type type;
+    size_t node;
+    uint64_t life;
+    uint8_t *buf;
+    size_t len;
+};
+
+static bool
+event_before(const struct net_event *a, const struct net_event *b)
+{
+    return a->at_us != b->at_us ? a->at_us < b->at_us : a->order < b->order;
+}
+
+static void
+push(struct net *net, struct net_event event)
+{
+    size_t at = net->heap_count++;
+
+    if (net->heap_count > net->heap_capacity) {
+        net->heap_capacity = 2 * net->heap_count;
+        net->heap = g_renew(struct net_event, net->heap, net->heap_capacity);
+    }
+    event.order = net->order++;
+    event.life = net->nodes[event.node].life;
+    while (at > 0 && event_before(&event, &net->heap[(at - 1) / 2])) {
+        net->heap[at] = net->heap[(at - 1) / 2];
+        at = (at - 1) / 2;
+    }
+    net->heap[at] = event;
+}
+
+static struct net_event
+pop(struct net *net)
+{
+    struct net_event first = net->heap[0];
+    struct net_event last = net->heap[--net->heap_count];
+    size_t at = 0;
+
+    for (;;) {
+        size_t child = 2 * at + 1;
+
+        if (child >= net->heap_count)
+            break;
+        if (child + 1 < net->heap_count &&
+            event_before(&net->heap[child + 1], &net->heap[child]))
+            child++;
+        if (!event_before(&net->heap[child], &last))
+            break;
+        net->heap[at] = net->heap[child];
+        at = child;
+    }
+    if (net->heap_count > 0)
+        net->heap[at] = last;
+    return first;
+}
+
+static size_t
+node_by_ip(const struct net *net, uint32_t ip)
+{
+    return ip - NET_IP < net->count ? ip - NET_IP : SIZE_MAX;
+}
+
+size_t
+net_node_at(const struct net *net, struct addr data)
+{
+    return data.port == NET_DATA_PORT ? node_by_ip(net, data.ip) : SIZE_MAX;
+}
+
+static void
+learn_later(struct net *net, size_t node, enum net_event_type type)
+{
+    struct net_event event = {.type = type, .node = node};
+
+    event.at_us = net->now_us + random_below(&net->random, net->learn_us);
+    push(net, event);
+}
+
+/* Each node of the cell learns that its members changed. */
+static void
+members_changed(struct net *net, size_t cell)
+{
+    const struct net_cell *in = &net->cells[cell];
+
+    for (size_t i = in->first; i < in->first + in->count; i++) {
+        if (net->nodes[i].running)
+            learn_later(net, i, EVENT_VIEW);
+    }
+}
+
+static struct view *
+make_view(const struct net *net, size_t node)
+{
+    const struct net_cell *cell = &net->cells[net->nodes[node].cell];
+    struct view *view = view_new(cell->count);
+
+    view->count = 0;
+    for (size_t i = cell->first; i < cell->first + cell->count; i++) {
+        const struct net_node *other = &net->nodes[i];
+        struct view_member *member = &view->members[view->count];
+
+        if (!other->running || other->group != net->nodes[node].group)
+            continue;
+        if (i == node)
+            view->self = view->count;
+        member->id = other->member;
+        member->role = MEMBER_BALANCER;
+        member->state = MEMBER_READY;
+        member->health = MEMBER_ALIVE;
+        member->data = other->data;
+        member->control = other->control;
+        view->count++;
+    }
+    return view;
+}
+
+static struct directory_entry *
+describe(struct net *net, size_t node, const struct view *view)
+{
+    const struct net_text *from = &net->nodes[node].text;
+    struct directory_entry *entry = NULL;
+    struct text text = {.version = from->version};
+
+    text.services = g_new0(struct text_service, from->count);
+    text.retired = g_new0(struct text_retired, from->count);
+    for (size_t i = 0; i < from->count; i++) {
+        struct text_service *service =
+            from->addresses[i].retired
+                ? &text.retired[text.retired_count++].service
+                : &text.services[text.count++];
+
+        service->ip = from->addresses[i].ip;
+        service->port = 80;
+        service->proto = TEXT_TCP;
+    }
+    g_assert_cmpint(directory_describe(net->cells[net->nodes[node].cell].name,
+                                       view, &text, &entry),
+                    ==, 0);
+    g_free(text.services);
+    g_free(text.retired);
+    return entry;
+}
+
+static void
+learn(struct net *net, size_t node, bool text)
+{
+    struct net_node *self = &net->nodes[node];
+    struct net_cell *cell = &net->cells[self->cell];
+    struct directory_place place;
+    struct view *view;
+
+    if (text)
+        self->text = cell->text;
+    view = make_view(net, node);
+    directory_place_from(cell->name, view, &place);
+    directory_set_place(&self->core, &place);
+    if (self->text.version > 0)
+        directory_set_own(&self->core, describe(net, node, view));
+    free(view);
+}
+
+static void
+send_action(struct net *net, size_t node,
+            const struct directory_action *action)
+{
+    struct net_node *self = &net->nodes[node];
+    size_t to = node_by_ip(net, action->to.ip);
+    size_t size = directory_msg_size(&action->msg);
+    struct net_event event = {.type = EVENT_MESSAGE, .node = to, .len = size};
+
+    g_assert_cmpuint(action->to.port, ==, NET_CONTROL_PORT);
+    self->bytes_out += size;
+    if (action->msg.kind != DIRECTORY_DIGEST)
+        self->paid_out += size;
+    self->largest = MAX(self->largest, size);
+    if (to == SIZE_MAX || !net->nodes[to].running ||
+        net->nodes[to].group != self->group ||
+        random_below(&net->random, 1000) < net->loss)
+        return;
+    event.buf = g_malloc(size);
+    g_assert_cmpuint(directory_msg_encode(&action->msg, event.buf), ==, size);
+    event.at_us = net->now_us + net->delay_us +
+                  random_below(&net->random, net->delay_us);
+    push(net, event);
+}
+
+static void
+flush(struct net *net, size_t node, struct directory_actions *out)
+{
+    struct net_node *self = &net->nodes[node];
+
+    for (size_t i = 0; i < out->count; i++)
+        send_action(net, node, &out->items[i]);
+    directory_actions_clear(out);
+    if (!self->core.changed)
+        return;
+    self->core.changed = false;
+    directory_table_free(self->table);
+    g_assert_cmpint(directory_table_new(&self->core, &self->table), ==, 0);
+    if (net->on_table != NULL)
+        net->on_table(net, node);
+}
+
+static void
+tick(struct net *net, size_t node)
+{
+    struct net_node *self = &net->nodes[node];
+    struct directory_actions out = {0};
+    struct net_event next = {.type = EVENT_TICK, .node = node};
+
+    directory_tick(&self->core, net->now_us,
+                   NET_WALL_MS + net->now_us / 1000 + self->skew_ms, &out);
+    flush(net, node, &out);
+    next.at_us = MAX(directory_next_us(&self->core), net->now_us + 1000);
+    next.at_us = MIN(next.at_us, net->now_us + 500000);
+    push(net, next);
+}
+
+static void
+receive(struct net *net, const struct net_event *event)
+{
+    struct net_node *self = &net->nodes[event->node];
+    struct directory_actions out = {0};
+    struct directory_msg msg;
+
+    self->bytes_in += event->len;
+    g_assert_cmpint(directory_msg_decode(event->buf, event->len, &msg), ==, 0);
+    directory_receive(&self->core, &msg, net->now_us, &out);
+    directory_msg_finish(&msg);
+    flush(net, event->node, &out);
+}
+
+static void
+handle(struct net *net, struct net_event *event)
+{
+    const struct net_node *node = &net->nodes[event->node];
+
+    if (node->running && node->life == event->life) {
+        switch (event->type) {
+        case EVENT_TICK:
+            tick(net, event->node);
+            break;
+        case EVENT_MESSAGE:
+            receive(net, event);
+            break;
+        case EVENT_VIEW:
+            learn(net, event->node, false);
+            break;
+        case EVENT_TEXT:
+            learn(net, event->node, true);
+            break;
+        }
+    }
+    g_free(event->buf);
+}
+
+void
+net_run(struct net *net, uint64_t until_us)
+{
+    while (net->heap_count > 0 && net->heap[0].at_us <= until_us) {
+        struct net_event event = pop(net);
+
+        net->now_us = event.at_us;
+        handle(net, &event);
+    }
+    net->now_us = until_us;
+}
+
+void
+net_init(struct net *net, const size_t *sizes, size_t cells, uint64_t seed)
+{
+    memset(net, 0, sizeof(*net));
+    net->random.state = seed;
+    net->now_us = USEC_PER_SEC;
+    net->delay_us = 1000;
+    net->learn_us = USEC_PER_SEC;
+    net->cell_count = cells;
+    net->cells = g_new0(struct net_cell, cells);
+    for (size_t i = 0; i < cells; i++) {
+        struct net_cell *cell = &net->cells[i];
+
+        g_snprintf(cell->name, sizeof(cell->name), "cell-%zu", i);
+        cell->id = directory_cell(cell->name);
+        cell->first = net->count;
+        cell->count = sizes[i];
+        net->count += sizes[i];
+    }
+    net->nodes = g_new0(struct net_node, net->count);
+    for (size_t i = 0; i < cells; i++) {
+        for (size_t j = 0; j < sizes[i]; j++)
+            net->nodes[net->cells[i].first + j].cell = i;
+    }
+    for (size_t i = 0; i < net->count; i++) {
+        struct net_node *node = &net->nodes[i];
+
+        node->control.ip = node->data.ip = NET_IP + (uint32_t)i;
+        node->control.port = NET_CONTROL_PORT;
+        node->data.port = NET_DATA_PORT;
+        node->member = random_next(&net->random);
+    }
+}
+
+void
+net_start(struct net *net, size_t node)
+{
+    struct net_node *self = &net->nodes[node];
+
+    if (self->running)
+        net_kill(net, node);
+    directory_core_init(&self->core, net->cells[self->cell].name,
+                        self->control, random_next(&net->random), net->now_us);
+    for (size_t i = 0; i < MIN(net->cell_count, 2); i++)
+        directory_add_seed(&self->core,
+                           net->nodes[net->cells[i].first].control);
+    memset(&self->text, 0, sizeof(self->text));
+    self->running = true;
+    self->start_us = net->now_us;
+    self->paid_out = 0;
+    self->skew_ms =
+        (int64_t)random_below(&net->random, 2 * NET_SKEW_MS) - NET_SKEW_MS;
+    learn(net, node, false);
+    learn_later(net, node, EVENT_TEXT);
+    members_changed(net, self->cell);
+    push(net, (struct net_event){
+                  .type = EVENT_TICK, .node = node, .at_us = net->now_us});
+}
+
+void
+net_kill(struct net *net, size_t node)
+{
+    struct net_node *self = &net->nodes[node];
+
+    if (!self->running)
+        return;
+    self->running = false;
+    self->life++;
+    directory_core_finish(&self->core);
+    directory_table_free(self->table);
+    self->table = NULL;
+    members_changed(net, self->cell);
+}
+
+void
+net_set_group(struct net *net, size_t node, unsigned group)
+{
+    if (net->nodes[node].group == group)
+        return;
+    net->nodes[node].group = group;
+    members_changed(net, net->nodes[node].cell);
+}
+
+void
+net_publish(struct net *net, size_t cell)
+{
+    const struct net_cell *in = &net->cells[cell];
+
+    net->cells[cell].text.version++;
+    for (size_t i = in->first; i < in->first + in->count; i++) {
+        if (net->nodes[i].running)
+            learn_later(net, i, EVENT_TEXT);
+    }
+}
+
+void
+net_finish(struct net *net)
+{
+    for (size_t i = 0; i < net->count; i++)
+        net_kill(net, i);
+    for (size_t i = 0; i < net->heap_count; i++)
+        g_free(net->heap[i].buf);
+    g_free(net->heap);
+    g_free(net->nodes);
+    g_free(net->cells);
+}
--- /dev/null
+++ b/tests/directory/test_directory.c
@@ -0,0 +1,293 @@
+/* The directory's parts one by one. */
+#include <errno.h>
+#include <glib.h>
+#include <string.h>
+
+#include "directory/directory.h"
+#include "directory/forward.h"
+#include "directory/message.h"
+#include "directory/table.h"
+#include "packet/gue.h"
+
+#define IP 0x0a010101u
+#define SOME_IP 0xc0a80001u
+#define TCP 6
+
+static struct directory_entry *
+make_entry(const char *cell, uint64_t config, uint64_t counter,
+           uint32_t address, bool retired)
+{
+    struct directory_entry *entry = directory_entry_new(cell, 1);
+
+    entry->version.config_version = config;
+    entry->version.counter = counter;
+    entry->addresses[0] = directory_address(address, 80, TCP, retired);
+    entry->gateway_count = 1;
+    entry->gateways[0].data.ip = IP;
+    entry->gateways[0].data.port = 4000;
+    entry->gateways[0].control.ip = IP;
+    entry->gateways[0].control.port = 5000;
+    entry->reader_count = 1;
+    entry->readers[0] = entry->gateways[0].control;
+    directory_entry_seal(entry);
+    return entry;
+}
+
+static void
+start(struct directory_core *core)
+{
+    struct addr self = {.ip = 1, .port = 1};
+
+    directory_core_init(core, "own", self, 1, 0);
+}
+
+static bool
+merge(struct directory_core *core, struct directory_entry *entry)
+{
+    bool taken = directory_merge(core, entry, 0);
+
+    directory_entry_unref(entry);
+    return taken;
+}
+
+/* Config first, then the counter, then the content; twice is once. */
+static void
+test_order(void)
+{
+    struct directory_core core;
+
+    start(&core);
+    g_assert_true(merge(&core, make_entry("a", 2, 5, SOME_IP, false)));
+    g_assert_false(merge(&core, make_entry("a", 2, 5, SOME_IP, false)));
+    g_assert_false(merge(&core, make_entry("a", 1, 9, SOME_IP + 1, false)));
+    g_assert_false(merge(&core, make_entry("a", 2, 4, SOME_IP + 1, false)));
+    g_assert_true(merge(&core, make_entry("a", 2, 6, SOME_IP + 1, false)));
+    g_assert_true(merge(&core, make_entry("a", 3, 1, SOME_IP + 2, false)));
+    /* Of two authors' entries that tie, one wins whatever the order. */
+    bool first = merge(&core, make_entry("b", 1, 1, SOME_IP + 3, false));
+    bool second = merge(&core, make_entry("b", 1, 1, SOME_IP + 4, false));
+    bool third = merge(&core, make_entry("b", 1, 1, SOME_IP + 3, false));
+    g_assert_true(first);
+    g_assert_false(third);
+    if (!second)
+        g_assert_true(
+            directory_find(&core, directory_cell("b"))->entry->addresses[0] ==
+            directory_address(SOME_IP + 3, 80, TCP, false));
+    directory_core_finish(&core);
+}
+
+static uint64_t
+found(const struct directory_core *core, uint32_t ip, size_t *conflicts)
+{
+    const struct directory_table_cell *cell;
+    struct directory_table *table;
+    uint64_t id;
+
+    g_assert_cmpint(directory_table_new(core, &table), ==, 0);
+    cell = directory_table_find(table, ip, 80, TCP);
+    id = cell == NULL ? 0 : cell->id;
+    *conflicts = table->conflicts;
+    g_assert_null(directory_table_find(table, ip, 81, TCP));
+    g_assert_null(directory_table_find(table, ip, 80, 17));
+    directory_table_free(table);
+    return id;
+}
+
+/* A claim that serves beats one that retired it, then the lower id. */
+static void
+test_conflict(void)
+{
+    uint64_t a = directory_cell("a");
+    uint64_t b = directory_cell("b");
+    struct directory_core core;
+    size_t conflicts;
+
+    start(&core);
+    merge(&core, make_entry("a", 1, 1, SOME_IP, false));
+    merge(&core, make_entry("b", 1, 1, SOME_IP, false));
+    merge(&core, make_entry("own", 1, 1, SOME_IP, false));
+    g_assert_cmpuint(found(&core, SOME_IP, &conflicts), ==, MIN(a, b));
+    g_assert_cmpuint(conflicts, ==, 1);
+    merge(&core, make_entry(a < b ? "a" : "b", 1, 2, SOME_IP, true));
+    g_assert_cmpuint(found(&core, SOME_IP, &conflicts), ==, MAX(a, b));
+    merge(&core, make_entry(a < b ? "b" : "a", 1, 2, SOME_IP, true));
+    g_assert_cmpuint(found(&core, SOME_IP, &conflicts), ==, MIN(a, b));
+    g_assert_cmpuint(conflicts, ==, 1);
+    directory_core_finish(&core);
+}
+
+/* A flood of cells stops at the limit; the own cell still finds room. */
+static void
+test_full(void)
+{
+    struct directory_core core;
+    char name[DIRECTORY_NAME_MAX];
+
+    start(&core);
+    for (unsigned i = 0; i < 2 * DIRECTORY_CELLS_MAX; i++) {
+        g_snprintf(name, sizeof(name), "flood-%u", i);
+        merge(&core, make_entry(name, 1, 1, SOME_IP + i, false));
+    }
+    g_assert_cmpuint(core.count, ==, DIRECTORY_CELLS_MAX - 1);
+    g_assert_cmpuint(core.stats.full, >, 0);
+    g_assert_true(merge(&core, make_entry("own", 1, 1, SOME_IP, false)));
+    directory_core_finish(&core);
+}
+
+/* The mark is no hop list and no bare header, and stops a second forward. */
+static void
+test_forward(void)
+{
+    struct packet packet = {.dst = SOME_IP, .dport = 80, .proto = TCP};
+    uint8_t bare[GUE_HEADER_MAX] = {0};
+    uint8_t mark[FORWARD_HEADER];
+    struct directory_table *table;
+    struct directory_core core;
+    struct gue gue;
+    struct addr to;
+
+    forward_encode(mark);
+    gue_encode(NULL, bare);
+    g_assert_true(forward_is_marked(mark, sizeof(mark)));
+    g_assert_false(forward_is_marked(mark, sizeof(mark) - 1));
+    g_assert_false(forward_is_marked(bare, sizeof(bare)));
+    g_assert_cmpint(gue_decode(mark, sizeof(mark), &gue), ==, -EBADMSG);
+
+    start(&core);
+    merge(&core, make_entry("a", 1, 1, SOME_IP, false));
+    g_assert_cmpint(directory_table_new(&core, &table), ==, 0);
+    g_assert_cmpint(forward_decide(table, &packet, false, &to), ==, PACKET_OK);
+    g_assert_cmpuint(to.ip, ==, IP);
+    g_assert_cmpuint(to.port, ==, 4000);
+    g_assert_cmpint(forward_decide(table, &packet, true, &to), ==,
+                    PACKET_HOPS);
+    g_assert_cmpint(forward_decide(NULL, &packet, false, &to), ==,
+                    PACKET_SERVICE);
+    packet.dport = 81;
+    g_assert_cmpint(forward_decide(table, &packet, false, &to), ==,
+                    PACKET_SERVICE);
+    directory_table_free(table);
+    directory_core_finish(&core);
+}
+
+static size_t
+encode_one(struct directory_entry *entry, uint8_t *buf)
+{
+    struct directory_msg msg = {.kind = DIRECTORY_ENTRIES, .entry_count = 1};
+
+    msg.from.ip = IP;
+    msg.from.port = 5000;
+    msg.entries = g_new(struct directory_entry *, 1);
+    msg.entries[0] = entry;
+    size_t size = directory_msg_encode(&msg, buf);
+    directory_msg_finish(&msg);
+    return size;
+}
+
+/* An entry of the largest text fits; what is cut or changed is refused or
+ * read as some entry, and never crashes. */
+static void
+test_wire(void)
+{
+    struct directory_entry *entry =
+        directory_entry_new("large", DIRECTORY_ADDRESSES_MAX);
+    uint8_t *buf = g_malloc(2 * DIRECTORY_MESSAGE_MAX);
+    struct random random = {.state = 7};
+    struct directory_msg msg;
+    size_t size;
+
+    entry->version.config_version = UINT64_MAX;
+    entry->version.counter = UINT64_MAX;
+    for (size_t i = 0; i < entry->count; i++)
+        entry->addresses[i] =
+            directory_address(SOME_IP + (uint32_t)i, 80, TCP, i % 2);
+    directory_entry_seal(entry);
+    g_assert_cmpuint(directory_entry_size(entry) + 64, <=,
+                     DIRECTORY_MESSAGE_MAX);
+    size = encode_one(entry, buf);
+    g_assert_cmpint(directory_msg_decode(buf, size, &msg), ==, 0);
+    g_assert_cmpuint(msg.entries[0]->count, ==, DIRECTORY_ADDRESSES_MAX);
+    directory_msg_finish(&msg);
+    g_assert_cmpint(directory_msg_decode(buf, DIRECTORY_MESSAGE_MAX + 1, &msg),
+                    ==, -EBADMSG);
+
+    size = encode_one(make_entry("small", 1, 1, SOME_IP, false), buf);
+    for (unsigned i = 0; i < 20000; i++) {
+        uint8_t copy[256];
+        size_t len = random_below(&random, size + 1);
+
+        memcpy(copy, buf, size);
+        copy[random_below(&random, size)] = (uint8_t)random_next(&random);
+        if (directory_msg_decode(copy, i % 2 ? size : len, &msg) == 0)
+            directory_msg_finish(&msg);
+    }
+    g_free(buf);
+}
+
+/* In a cell whose two authors never agree, turns get rare. */
+static void
+test_contest(void)
+{
+    struct directory_place place = {.reader = true};
+    struct directory_actions out = {0};
+    struct directory_core core;
+
+    start(&core);
+    directory_set_place(&core, &place);
+    directory_set_own(&core, make_entry("own", 1, 0, SOME_IP, false));
+    for (uint64_t i = 0; i < 3600; i++) {
+        uint64_t now_us = i * USEC_PER_SEC;
+        struct directory_entry *other =
+            make_entry("own", 1, 1000 + i * 1000, SOME_IP + 1, false);
+
+        directory_tick(&core, now_us, 1000 + i * 1000, &out);
+        directory_actions_clear(&out);
+        directory_merge(&core, other, now_us);
+        directory_entry_unref(other);
+    }
+    g_assert_cmpuint(core.stats.authored, >=, 10);
+    g_assert_cmpuint(core.stats.authored, <=, 120);
+    directory_core_finish(&core);
+}
+
+/* Who has an older text doesn't speak for its cell; a clock that is behind
+ * doesn't keep who has the same text from doing so. */
+static void
+test_author(void)
+{
+    struct directory_place place = {.reader = true};
+    struct directory_actions out = {0};
+    struct directory_core core;
+
+    start(&core);
+    directory_set_place(&core, &place);
+    merge(&core, make_entry("own", 5, 9000, SOME_IP, false));
+    directory_set_own(&core, make_entry("own", 4, 0, SOME_IP + 1, false));
+    for (uint64_t i = 0; i < 60; i++)
+        directory_tick(&core, i * USEC_PER_SEC, 100, &out);
+    directory_actions_clear(&out);
+    g_assert_cmpuint(core.stats.authored, ==, 0);
+
+    directory_set_own(&core, make_entry("own", 5, 0, SOME_IP + 1, false));
+    for (uint64_t i = 60; i < 70; i++)
+        directory_tick(&core, i * USEC_PER_SEC, 100, &out);
+    directory_actions_clear(&out);
+    g_assert_cmpuint(core.stats.authored, ==, 1);
+    g_assert_cmpuint(directory_find(&core, core.cell)->entry->version.counter,
+                     ==, 9001);
+    directory_core_finish(&core);
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/directory/order", test_order);
+    g_test_add_func("/directory/conflict", test_conflict);
+    g_test_add_func("/directory/full", test_full);
+    g_test_add_func("/directory/forward", test_forward);
+    g_test_add_func("/directory/wire", test_wire);
+    g_test_add_func("/directory/contest", test_contest);
+    g_test_add_func("/directory/author", test_author);
+    return g_test_run();
+}
