idem: count bytes as they are on the wire

A packed PeerMessage with its link frame is 102 bytes (measured by packing one of each type), not 96 as assumed: 1143 bytes a key at 7 agents.

--- a/tests/idem/sim.c
+++ b/tests/idem/sim.c
@@ -4,7 +4,8 @@
 #include "base/hash.h"
 #include "sim_private.h"
 
-#define WIRE_BYTES 96
+/* A PeerMessage in a link frame, without the answer. */
+#define WIRE_BYTES 102
 
 void
 sim_free_event(gpointer data)
