--- a/tests/flow/model.h
+++ b/tests/flow/model.h
@@ -28,7 +28,7 @@
     gboolean burst;
 };
 
-#define MODEL_HOSTS_MAX 64
+#define MODEL_HOSTS_MAX 120
 #define MODEL_HOPS_MAX 32
 
 /**
--- a/tests/flow/test_flow_property.c
+++ b/tests/flow/test_flow_property.c
@@ -73,7 +73,7 @@
 {
     run_seeds(
         &(struct model_config){
-            .hosts = 60, .first = 8, .services = 1, .burst = TRUE},
+            .hosts = 120, .first = 8, .services = 1, .burst = TRUE},
         1001, SEEDS / 8);
 }
 
