apply: hold retired addresses long enough by a late clock

The time is now never before that of the version replaced. Seen red: late_clock on the code before (until_ms by the late clock). Test: also that the list follows a move and a move back. apply_run: 8 pass.

--- a/src/cli/apply_run.c
+++ b/src/cli/apply_run.c
@@ -155,6 +155,16 @@
     return text;
 }
 
+/* Not before the version to replace, however late our clock is: addresses
+ * would be held for too short a time. */
+static uint64_t
+now_ms(const struct apply_run *run)
+{
+    uint64_t ms = (uint64_t)g_get_real_time() / USEC_PER_MSEC;
+
+    return run->has_seen ? MAX(ms, run->seen.written_ms) : ms;
+}
+
 /* Works out what the text retires; what was read is what it replaces. */
 static int
 retire(struct apply_run *run)
@@ -164,7 +174,7 @@
 
     run->change.from = from;
     run->change.to = run->text;
-    run->change.now_ms = (uint64_t)g_get_real_time() / USEC_PER_MSEC;
+    run->change.now_ms = now_ms(run);
     rc = text_retire(&run->change, run->retired, &run->retired_count,
                      &run->report);
     run->change.from = NULL;
--- a/tests/cli/apply_run_test.c
+++ b/tests/cli/apply_run_test.c
@@ -212,6 +212,71 @@
     text_free(zero);
 }
 
+static struct text *
+published(struct fixture *fixture)
+{
+    struct text *text;
+    GBytes *value;
+    char *report;
+    gsize len;
+    uint64_t version = store_get(&fixture->server.store, APPLY_OBJECT, &value);
+    const char *data = g_bytes_get_data(value, &len);
+
+    g_assert_cmpint(text_parse_envelope(data, len, version, &text, &report),
+                    ==, 0);
+    g_bytes_unref(value);
+    return text;
+}
+
+/* The list is worked out from the version that is replaced. */
+static void
+test_retired(struct fixture *fixture, gconstpointer unused)
+{
+    struct text *text;
+
+    publish(fixture, fixture->first, "asha", NULL);
+    publish(fixture, fixture->second, "asha", NULL);
+    text = published(fixture);
+    g_assert_cmpuint(text->retired_count, ==, 1);
+    g_assert_cmpuint(text->retired[0].service.port, ==, 80);
+    text_free(text);
+    publish(fixture, fixture->first, "asha", NULL);
+    text = published(fixture);
+    g_assert_cmpuint(text->retired_count, ==, 1);
+    g_assert_cmpuint(text->retired[0].service.port, ==, 81);
+    text_free(text);
+}
+
+/* An operator whose clock is late doesn't hold an address for too short. */
+static void
+test_late_clock(struct fixture *fixture, gconstpointer unused)
+{
+    const uint64_t ahead_ms = UINT64_C(1) << 42;
+    struct text_envelope envelope = {
+        .write_id = "1",
+        .author = "rehema",
+        .written_ms = ahead_ms,
+        .text = fixture->first->source,
+        .text_len = fixture->first->source_len,
+    };
+    struct text *text;
+    uint64_t version;
+    size_t len;
+    char *value = text_envelope_write(&envelope, &len);
+    GBytes *bytes = g_bytes_new_take(value, len);
+
+    g_assert_cmpint(
+        store_put(&fixture->server.store, APPLY_OBJECT, 0, bytes, &version),
+        ==, 0);
+    publish(fixture, fixture->second, "asha", NULL);
+    text = published(fixture);
+    g_assert_cmpuint(text->retired_count, ==, 1);
+    g_assert_cmpuint(text->retired[0].until_ms, ==,
+                     ahead_ms + TEXT_RETIRE_HOLD_MS + TEXT_RETIRE_SKEW_MS);
+    text_free(text);
+    g_bytes_unref(bytes);
+}
+
 #define ADD(name, test)                                                       \
     g_test_add("/apply_run/" name, struct fixture, NULL, setup, test, teardown)
 
@@ -225,5 +290,7 @@
     ADD("answer_too_late", test_answer_too_late);
     ADD("down", test_down);
     ADD("race", test_race);
+    ADD("retired", test_retired);
+    ADD("late_clock", test_late_clock);
     return g_test_run();
 }
