flow: keep agents' flags within those that the encapsulation carries

Cause: FLOW_GUE_LAST (0x40) was outside GUE_AGENT_FLAGS (0x3c), so a packet with it was refused as malformed. Found by reading gue.c; /flow/wire asserts it now, and the model checks each list through gue_encode/gue_decode and for members listed twice. Change: LAST is 0x08; owners that find no room count as one that doesn't answer (GUE_SUSPECTS: no reset), which was FLOW_GUE_MORE.

--- a/src/flow/flow.c
+++ b/src/flow/flow.c
@@ -328,7 +328,7 @@
         return drop(PACKET_HOPS);
     }
     /* Not all were asked: only pins tell that the others own nothing. */
-    if (rest && (!settled || (walk->gue.flags & FLOW_GUE_MORE) != 0)) {
+    if (rest && !settled) {
         return drop(PACKET_HOPS);
     }
     return take(FLOW_RESET);
--- a/src/flow/flow.h
+++ b/src/flow/flow.h
@@ -45,14 +45,13 @@
 /* Continuations that one agent starts, a second and at once. */
 #define FLOW_STAGES_PER_S 1000
 
-/* Agents' own flags in struct gue, beside GUE_* */
+/* Agents' own flags in struct gue, all within GUE_AGENT_FLAGS */
 #define FLOW_GUE_OPEN_NOW                                                     \
     0x04                    /* no owner was found: open this datagram flow */
-#define FLOW_GUE_MORE 0x08  /* not all registered owners fitted in */
+#define FLOW_GUE_LAST 0x08  /* all that answer were asked, suspects are left  \
+                             */
 #define FLOW_GUE_STAGE 0x10 /* unit of the count of continued lists */
 #define FLOW_GUE_STAGE_MASK 0x30
-#define FLOW_GUE_LAST 0x40 /* all that answer were asked, suspects are left   \
-                            */
 
 /** enum flow_verdict - what to do with a packet */
 enum flow_verdict {
--- a/src/flow/walk.c
+++ b/src/flow/walk.c
@@ -91,7 +91,8 @@
             continue;
         }
         if (at == GUE_HOPS_MAX) {
-            walk->gue.flags |= FLOW_GUE_MORE;
+            /* Not all owners fit in: as good as one that doesn't answer. */
+            walk->gue.flags |= GUE_SUSPECTS;
             break;
         }
         walk_insert(walk, at++, member);
--- a/tests/flow/model.c
+++ b/tests/flow/model.c
@@ -378,6 +378,30 @@
 static void
 arrive(struct model *m, struct message message);
 
+/* As it comes out of the encapsulation; no member is on a list twice. */
+static void
+check_list(struct model *m, const struct message *message, unsigned host)
+{
+    const struct gue *gue = &message->gue;
+    uint8_t buf[GUE_HEADER_MAX];
+    struct gue out;
+    unsigned i;
+    unsigned k;
+
+    if (gue_decode(buf, gue_encode(gue, buf), &out) < 0 ||
+        out.flags != gue->flags || out.index != gue->index ||
+        out.count != gue->count) {
+        fail(m, "the list doesn't get through", message->flow, host);
+    }
+    for (i = 0; i < gue->count; i++) {
+        for (k = 0; k < i; k++) {
+            if (gue->hops[i].member == gue->hops[k].member) {
+                fail(m, "a member is listed twice", message->flow, host);
+            }
+        }
+    }
+}
+
 /* Mostly at once: other events come between some hops. */
 static void
 pass(struct model *m, struct message message)
@@ -413,6 +437,7 @@
         break;
     case FLOW_PASS:
         message.gue = decision.gue;
+        check_list(m, &message, i);
         if (++message.hops >= MODEL_HOPS_MAX) {
             fail(m, "passed on for ever", message.flow, i);
             break;
--- a/tests/flow/test_flow.c
+++ b/tests/flow/test_flow.c
@@ -535,6 +535,20 @@
     agent_finish(&agent);
 }
 
+/* What agents tell each other by flags gets through the encapsulation. */
+static void
+test_wire(void)
+{
+    struct gue gue = HOPS(GUE_OPEN, SELF, 2);
+    uint8_t buf[GUE_HEADER_MAX];
+    struct gue out;
+
+    gue.flags |= FLOW_GUE_OPEN_NOW | FLOW_GUE_LAST | FLOW_GUE_STAGE_MASK;
+    g_assert_cmpint(gue_decode(buf, gue_encode(&gue, buf), &out), >, 0);
+    g_assert_cmphex(out.flags, ==, gue.flags);
+    g_assert_cmpint(FLOW_GUE_STAGE_MASK / FLOW_GUE_STAGE, ==, FLOW_STAGES_MAX);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -552,5 +566,6 @@
     g_test_add_func("/flow/pins-due", test_pins_due);
     g_test_add_func("/flow/pins-used", test_pins_used);
     g_test_add_func("/flow/pins-bounded", test_pins_bounded);
+    g_test_add_func("/flow/wire", test_wire);
     return g_test_run();
 }
