--- a/bench/dispatch/sim.h
+++ b/bench/dispatch/sim.h
@@ -7,7 +7,7 @@
 #include "site.h"
 #include "timeline.h"
 
-#define SIM_NODES_MAX 16
+#define SIM_NODES_MAX 256
 #define SIM_SLOTS 2
 #define SIM_VIEW_LATE 4
 #define SIM_WARM_UP_US (10 * USEC_PER_SEC)
