tests/notice: one file for each job

Change: the model's state (world.c), what moves in it (traffic.c) and what happens to it (model.c); rules of backups and of owners apart, with what they share in scene.c.

--- /dev/null
+++ b/tests/notice/world.c
@@ -0,0 +1,229 @@
+#include "world.h"
+
+#include <string.h>
+
+/* The service has had another address before, for half of the callers. */
+struct addr
+world_service(struct addr caller)
+{
+    return (struct addr){0x0a000001 + caller.port % 2, 80};
+}
+
+uint64_t
+world_id(unsigned i)
+{
+    return 1000 + i;
+}
+
+void
+world_fail(struct model *model, const char *what)
+{
+    if (model->result.failure == NULL) {
+        model->result.failure = g_strdup(what);
+        model->result.at_ms = model->now_us / USEC_PER_MSEC;
+    }
+}
+
+uint64_t
+world_up_to(struct model *model, uint64_t max_us)
+{
+    return (uint64_t)g_rand_int_range(model->rand, 0, (gint32)max_us);
+}
+
+gpointer
+world_key(struct addr caller)
+{
+    return GSIZE_TO_POINTER((gsize)caller.ip << 16 | caller.port);
+}
+
+gboolean
+world_is_frozen(const struct model *model, const struct agent *agent)
+{
+    return agent->frozen_until_us > model->now_us;
+}
+
+/* What is known of an agent reaches each other one at another time. */
+void
+world_spread(struct model *model, unsigned about, enum member_health health)
+{
+    const struct agent *agent = &model->agents[about];
+    unsigned to;
+
+    for (to = 0; to < model->config->agents; to++) {
+        struct news news = {model->now_us + world_up_to(model, LAG_MAX_US),
+                            to,
+                            about,
+                            {agent->boot, health, agent->leaving}};
+        g_array_append_val(model->news, news);
+    }
+}
+
+struct view *
+world_build_view(const struct model *model, unsigned self)
+{
+    const struct agent *agent = &model->agents[self];
+    struct view *view = view_new(model->config->agents);
+    unsigned i;
+
+    for (i = 0; i < model->config->agents; i++) {
+        const struct knowledge *known = &agent->knows[i];
+        struct view_member *member;
+
+        if (known->boot == 0) {
+            continue;
+        }
+        if (i == self) {
+            view->self = view->count;
+        }
+        member = &view->members[view->count++];
+        memset(member, 0, sizeof(*member));
+        member->id = world_id(i);
+        member->role = MEMBER_AGENT;
+        member->state = known->leaving ? MEMBER_LEAVING : MEMBER_READY;
+        member->health = known->health;
+        member->service = i == 0 ? LONE_SERVICE : COMMON_SERVICE;
+        member->since_us = known->boot;
+        g_snprintf(member->data_centre, sizeof(member->data_centre), "dc-%u",
+                   i % 3);
+    }
+    return view;
+}
+
+void
+world_apply_news(struct model *model, const struct news *news)
+{
+    struct agent *agent = &model->agents[news->to];
+    struct knowledge *known = &agent->knows[news->about];
+    const struct agent *about = &model->agents[news->about];
+
+    if (!agent->running || news->what.boot < known->boot ||
+        (news->to == news->about && news->what.health != MEMBER_ALIVE)) {
+        return;
+    }
+    /* A refutation of what was thought wrongly; the dead refute nothing. */
+    if (news->what.health == MEMBER_ALIVE && news->what.boot == known->boot &&
+        known->health == MEMBER_DEAD &&
+        (!about->running || about->boot != news->what.boot)) {
+        return;
+    }
+    *known = news->what;
+    agent->changed = TRUE;
+}
+
+void
+world_start(struct model *model, unsigned i)
+{
+    struct agent *agent = &model->agents[i];
+    unsigned j;
+
+    agent->running = TRUE;
+    agent->leaving = FALSE;
+    agent->frozen_until_us = 0;
+    agent->boot = ++model->boots;
+    memset(agent->backups_seen, 0, sizeof(agent->backups_seen));
+    memset(agent->knows, 0, sizeof(agent->knows));
+    agent->knows[i] = (struct knowledge){agent->boot, MEMBER_ALIVE, FALSE};
+    agent->changed = TRUE;
+    notice_init(&agent->notice, agent->boot);
+    world_spread(model, i, MEMBER_ALIVE);
+    /* A newcomer fetches the members from somebody. */
+    for (j = 0; j < model->config->agents; j++) {
+        const struct agent *other = &model->agents[j];
+        struct news news = {model->now_us + world_up_to(model, LAG_MAX_US),
+                            i,
+                            j,
+                            {other->boot, MEMBER_ALIVE, other->leaving}};
+        if (j != i && other->running) {
+            g_array_append_val(model->news, news);
+        }
+    }
+}
+
+/* A backup that could know the flows, or -1. */
+static int
+find_guard(const struct model *model, const struct agent *owner)
+{
+    size_t i;
+
+    for (i = 0; i < OWNER_BACKUPS; i++) {
+        uint64_t member = owner->notice.owner.backups[i].member;
+        unsigned index = (unsigned)(member - world_id(0));
+
+        if (member == 0 || model->lossy_until_us + TOLD_US > model->now_us ||
+            owner->frozen_until_us + TOLD_US > model->now_us ||
+            owner->backups_since_us[i] + TOLD_US > model->now_us) {
+            continue;
+        }
+        const struct agent *guard = &model->agents[index];
+        if (guard->running &&
+            guard->boot == owner->notice.owner.backups[i].since_us &&
+            guard->frozen_until_us + TOLD_US <= model->now_us &&
+            guard->knows[owner - model->agents].boot == owner->boot) {
+            return (int)index;
+        }
+    }
+    return -1;
+}
+
+static void
+note_debts(struct model *model, const struct agent *owner)
+{
+    int guard = find_guard(model, owner);
+    guint i;
+
+    for (i = 0; guard >= 0 && i < owner->flows->len; i++) {
+        const struct flow *flow = &g_array_index(owner->flows, struct flow, i);
+        struct debt debt = {model->now_us + WAKE_US + FREEZE_MAX_US,
+                            model->now_us, flow->caller, (unsigned)guard,
+                            model->agents[guard].boot};
+        if (flow->opened_us + TOLD_US <= model->now_us) {
+            g_array_append_val(model->debts, debt);
+        }
+    }
+}
+
+void
+world_forget(struct agent *agent)
+{
+    notice_finish(&agent->notice);
+    g_array_set_size(agent->flows, 0);
+    g_array_set_size(agent->ended, 0);
+    agent->running = FALSE;
+}
+
+/* What may be probed when this agent dies after quiet. */
+static void
+expect(struct model *model, const struct agent *agent)
+{
+    guint i;
+
+    if (model->expected == NULL) {
+        return;
+    }
+    for (i = 0; i < agent->flows->len; i++) {
+        const struct flow *flow = &g_array_index(agent->flows, struct flow, i);
+        g_hash_table_add(model->expected, world_key(flow->caller));
+    }
+    for (i = 0; i < agent->ended->len; i++) {
+        const struct ended *ended =
+            &g_array_index(agent->ended, struct ended, i);
+        if (ended->at_us + CLOSED_US > model->now_us) {
+            g_hash_table_add(model->expected, world_key(ended->caller));
+        }
+    }
+}
+
+void
+world_die(struct model *model, unsigned i)
+{
+    struct agent *agent = &model->agents[i];
+
+    if (!agent->running) {
+        return;
+    }
+    expect(model, agent);
+    note_debts(model, agent);
+    world_forget(agent);
+    model->result.deaths++;
+    world_spread(model, i, MEMBER_DEAD);
+}
--- /dev/null
+++ b/tests/notice/world.h
@@ -0,0 +1,180 @@
+/**
+ * DOC: world - the agents of the model and what is on its way between them
+ */
+#ifndef SWIFTARCH_TESTS_NOTICE_WORLD_H
+#define SWIFTARCH_TESTS_NOTICE_WORLD_H
+
+#include <glib.h>
+
+#include "model.h"
+#include "notice/notice.h"
+
+#define TICK_US (10 * USEC_PER_MSEC)
+#define DISORDER_US (20 * USEC_PER_SEC)
+#define QUIET_US (75 * USEC_PER_SEC)
+#define WAKE_US (8 * USEC_PER_SEC)
+#define LATE_MAX_US (5 * USEC_PER_SEC)
+#define FREEZE_MAX_US (3 * USEC_PER_SEC)
+#define LAG_MAX_US (2 * USEC_PER_SEC)
+
+/* A backup chosen so long ago, and undisturbed since, knows a flow that was
+ * opened so long ago. */
+#define TOLD_US (4 * USEC_PER_SEC)
+
+/* A flow that closed so lately may still be thought open. */
+#define CLOSED_US (1 * USEC_PER_SEC)
+#define LONE_SERVICE 2
+#define COMMON_SERVICE 1
+
+/** struct knowledge - what one agent thinks of another */
+struct knowledge {
+    uint64_t boot; /* 0: never heard of */
+    enum member_health health;
+    gboolean leaving;
+};
+
+/** struct news - knowledge on its way to an agent */
+struct news {
+    uint64_t at_us;
+    unsigned to;
+    unsigned about;
+    struct knowledge what;
+};
+
+/** struct parcel - a message on its way */
+struct parcel {
+    uint64_t at_us;
+    unsigned from;
+    unsigned to;
+    uint64_t to_boot;
+    struct notice_message message;
+};
+
+/** struct flow - an open flow */
+struct flow {
+    struct addr caller;
+    uint64_t opened_us;
+};
+
+/** struct ended - a flow that was closed */
+struct ended {
+    struct addr caller;
+    uint64_t at_us;
+};
+
+/** struct debt - a flow of a dead owner that has to be probed */
+struct debt {
+    uint64_t due_us;
+    uint64_t dead_us;
+    struct addr caller;
+    unsigned guard;      /* the backup that has to do it */
+    uint64_t guard_boot; /* unless it has died meanwhile */
+};
+
+struct agent {
+    gboolean running;
+    gboolean leaving;
+    uint64_t boot;
+    uint64_t frozen_until_us;
+    uint64_t backups_since_us[OWNER_BACKUPS];
+    uint64_t backups_seen[OWNER_BACKUPS];
+    struct notice notice;
+    GArray *flows;
+    GArray *ended; /* those closed lately */
+    struct knowledge knows[MODEL_AGENTS_MAX];
+    struct view *view;
+    gboolean changed;
+};
+
+struct model {
+    const struct model_config *config;
+    GRand *rand;
+    uint64_t now_us;
+    uint64_t boots;
+    uint64_t lossy_until_us;
+    gboolean calm; /* no new failures */
+    struct agent agents[MODEL_AGENTS_MAX];
+    GArray *news;
+    GArray *parcels;
+    GArray *debts;
+    GHashTable *probed;   /* caller to time last probed, microseconds */
+    GHashTable *expected; /* callers that may be probed now; NULL: any */
+    struct model_result result;
+};
+
+/** world_service() - address that a caller has called */
+struct addr
+world_service(struct addr caller);
+
+/** world_id() - member id of agent @i */
+uint64_t
+world_id(unsigned i);
+
+/** world_fail() - note the first violation */
+void
+world_fail(struct model *model, const char *what);
+
+/** world_up_to() - a time below @max_us, microseconds */
+uint64_t
+world_up_to(struct model *model, uint64_t max_us);
+
+/** world_key() - a caller as key of a hash table */
+gpointer
+world_key(struct addr caller);
+
+/** world_is_frozen() - whether an agent stands still */
+gboolean
+world_is_frozen(const struct model *model, const struct agent *agent);
+
+/** world_spread() - what is known of an agent reaches each other one at
+ * another time */
+void
+world_spread(struct model *model, unsigned about, enum member_health health);
+
+/** world_start() - start an agent that is not running */
+void
+world_start(struct model *model, unsigned i);
+
+/** world_die() - kill an agent if it is running; notes what has to be probed
+ */
+void
+world_die(struct model *model, unsigned i);
+
+/** world_forget() - free what an agent holds */
+void
+world_forget(struct agent *agent);
+
+/** world_apply_news() - an agent hears of another */
+void
+world_apply_news(struct model *model, const struct news *news);
+
+/** world_build_view() - what an agent knows, as a view */
+struct view *
+world_build_view(const struct model *model, unsigned self);
+
+/** traffic_open() - open a flow from a caller that has none */
+void
+traffic_open(struct model *model, unsigned i);
+
+/** traffic_close() - close one of the flows */
+void
+traffic_close(struct model *model, unsigned i);
+
+/** traffic_deliver() - hand over the messages that have arrived */
+void
+traffic_deliver(struct model *model);
+
+/** traffic_spread_news() - hand over what has become known */
+void
+traffic_spread_news(struct model *model);
+
+/** traffic_tick() - let an agent do what is due */
+void
+traffic_tick(struct model *model, unsigned i);
+
+/** traffic_check_debts() - see that flows of dead owners were probed in time
+ */
+void
+traffic_check_debts(struct model *model);
+
+#endif
