stack: bound half-open connections

Cause: the flow table evicts embryos in a SYN flood, but lwIP kept each connection for 20 s. Change: at 4,096 the oldest 1,024 are forgotten without a reset; stack_half_open() tells how many there are. Ruled out: 1,024 as the bound (2,000 callers opening at once lost some). Seen red: /stack/flood without the bound.

--- a/src/stack/stack.c
+++ b/src/stack/stack.c
@@ -28,6 +28,9 @@
 #define TIME_WAIT_TICKS (10000 / TCP_SLOW_INTERVAL)
 /* Half-open flows may still finish after stack_unlisten(). */
 #define UNLISTEN_TICKS (TCP_SYN_RCVD_TIMEOUT / TCP_SLOW_INTERVAL)
+/* A flood of opening packets costs no more than these connections. */
+#define HALF_OPEN_MAX 4096
+#define HALF_OPEN_EVICT (HALF_OPEN_MAX / 4)
 #define IP_HEADER_MIN 20
 #define IP_FRAGMENT_MASK 0x3fff
 #define TCP_HEADER_MIN 20
@@ -142,6 +145,66 @@
     }
 }
 
+static size_t
+count_half_open_locked(void)
+{
+    const struct tcp_pcb *pcb;
+    size_t count = 0;
+
+    for (pcb = tcp_active_pcbs; pcb != NULL; pcb = pcb->next) {
+        count += pcb->state == SYN_RCVD;
+    }
+    return count;
+}
+
+/* Age of the longest half-open connection, in ticks. */
+static uint32_t
+oldest_half_open_locked(void)
+{
+    const struct tcp_pcb *pcb;
+    uint32_t oldest = 0;
+
+    for (pcb = tcp_active_pcbs; pcb != NULL; pcb = pcb->next) {
+        if (pcb->state == SYN_RCVD && tcp_ticks - pcb->tmr > oldest) {
+            oldest = tcp_ticks - pcb->tmr;
+        }
+    }
+    return oldest;
+}
+
+/* No reset is sent: the caller may be served by another agent. */
+static void
+evict_half_open_locked(void)
+{
+    uint32_t oldest = oldest_half_open_locked();
+    size_t evicted = 0;
+    struct tcp_pcb *pcb;
+    struct tcp_pcb *next;
+
+    for (pcb = tcp_active_pcbs; pcb != NULL && evicted < HALF_OPEN_EVICT;
+         pcb = next) {
+        next = pcb->next;
+        if (pcb->state == SYN_RCVD && tcp_ticks - pcb->tmr == oldest) {
+            tcp_abandon(pcb, 0);
+            evicted++;
+        }
+    }
+}
+
+/* Counted in full only when the estimate reaches the bound. */
+static void
+bound_half_open_locked(struct stack *stack)
+{
+    if (stack->half_open < HALF_OPEN_MAX) {
+        return;
+    }
+    stack->half_open = count_half_open_locked();
+    if (stack->half_open >= HALF_OPEN_MAX) {
+        evict_half_open_locked();
+        stack->half_open = count_half_open_locked();
+    }
+}
+
 /* On lwIP's thread, under the core lock. */
 static void
 on_sweep(void *arg)
@@ -151,6 +214,7 @@
     stack_conn_sweep_locked(stack);
     sweep_time_wait_locked();
     sweep_listeners_locked(stack);
+    stack->half_open = count_half_open_locked();
     sys_timeout(STACK_SWEEP_MS, on_sweep, stack);
 }
 
@@ -434,8 +498,7 @@
 
 /* Whether an opening packet may reach lwIP. */
 static bool
-admit_open_locked(const struct stack *stack, const uint8_t *buf,
-                  const uint8_t *tcp)
+admit_open_locked(struct stack *stack, const uint8_t *buf, const uint8_t *tcp)
 {
     struct addr to = {.ip = get32(buf + 16), .port = get16(tcp + 2)};
     const struct stack_listener *listener = listener_find_locked(stack, to);
@@ -444,6 +507,8 @@
         return false;
     }
     forget_time_wait_locked(buf, tcp);
+    bound_half_open_locked(stack);
+    stack->half_open++;
     return true;
 }
 
@@ -487,6 +552,17 @@
     return rc;
 }
 
+size_t
+stack_half_open(const struct stack *stack)
+{
+    size_t count;
+
+    LOCK_TCPIP_CORE();
+    count = stack->half_open;
+    UNLOCK_TCPIP_CORE();
+    return count;
+}
+
 int
 stack_fd(const struct stack *stack)
 {
--- a/src/stack/stack.h
+++ b/src/stack/stack.h
@@ -76,6 +76,14 @@
 int
 stack_fd(const struct stack *stack);
 
+/**
+ * stack_half_open() - connections whose handshake isn't finished
+ *
+ * Bounded: when there are too many, the oldest are forgotten silently.
+ */
+size_t
+stack_half_open(const struct stack *stack);
+
 /** stack_poll() - make the callbacks that are due */
 void
 stack_poll(struct stack *stack);
--- a/src/stack/stack_private.h
+++ b/src/stack/stack_private.h
@@ -49,7 +49,10 @@
     bool closing;
 };
 
-/** struct stack - see stack.h */
+/**
+ * struct stack - see stack.h
+ * @half_open: connections in SYN-RECEIVED, or a few more
+ */
 struct stack {
     struct stack_owner *owner;
     uint64_t secret;
@@ -57,6 +60,7 @@
     struct netif out;
     struct netif *addresses[STACK_ADDRESSES_MAX];
     size_t address_count;
+    size_t half_open;
     struct stack_listener *listeners;
     struct stack_conn *conns;
     struct stack_conn *events;
--- a/tests/stack/test_stack.c
+++ b/tests/stack/test_stack.c
@@ -413,6 +413,62 @@
     loop_finish(&loop);
 }
 
+/* A SYN with a right checksum from a caller that never goes on. */
+static void
+forge_syn(uint8_t *buf, uint32_t src)
+{
+    static const uint8_t start[40] = {
+        0x45, 0, 0, 40, 0,  0, 0, 0, 64,   6, 0,    0,
+        0,    0, 0, 0,  10, 0, 0, 1, 0x30, 0, 0,    80,
+        0,    0, 0, 1,  0,  0, 0, 0, 0x50, 2, 0xff, 0xff};
+    uint32_t ip = 0;
+    uint32_t tcp = 6 + 20;
+    size_t i;
+
+    memcpy(buf, start, sizeof(start));
+    for (i = 0; i < 4; i++) {
+        buf[12 + i] = (uint8_t)(src >> (24 - 8 * i));
+    }
+    for (i = 0; i < 40; i += 2) {
+        ip += i < 20 ? (uint32_t)(buf[i] << 8 | buf[i + 1]) : 0;
+        tcp += i >= 12 ? (uint32_t)(buf[i] << 8 | buf[i + 1]) : 0;
+    }
+    ip = (ip & 0xffff) + (ip >> 16);
+    tcp = (tcp & 0xffff) + (tcp >> 16);
+    buf[10] = (uint8_t)(~ip >> 8);
+    buf[11] = (uint8_t)~ip;
+    buf[36] = (uint8_t)(~tcp >> 8);
+    buf[37] = (uint8_t)~tcp;
+}
+
+/* Openings that never go on are bounded, and others still get in. */
+static void
+test_flood(void)
+{
+    enum { COUNT = 10000 };
+    struct loop loop;
+    struct end *client;
+    uint8_t buf[40];
+    uint32_t i;
+
+    loop_init(&loop, 9);
+    client = loop_connect(&loop, 40000, 0);
+    LOOP_UNTIL(&loop, loop.opened == 2);
+    for (i = 0; i < COUNT; i++) {
+        forge_syn(buf, 0x0b000001 + i);
+        g_assert_cmpint(stack_input(loop.stack, buf, sizeof(buf)), ==, 0);
+        g_assert_cmpuint(stack_half_open(loop.stack), <=, 4096);
+    }
+    g_assert_cmpuint(stack_half_open(loop.stack), >, 2000);
+    g_queue_clear_full(&loop.packets, (GDestroyNotify)g_bytes_unref);
+    g_free(client);
+    client = loop_connect(&loop, 40001, 0);
+    LOOP_UNTIL(&loop, client->opened && loop.opened == 4);
+    g_assert_cmpuint(loop.closed, ==, 0);
+    g_free(client);
+    loop_finish(&loop);
+}
+
 static void
 test_many(void)
 {
@@ -450,6 +506,7 @@
     g_test_add_func("/stack/unlisten", test_unlisten);
     g_test_add_func("/stack/bad-input", test_bad_input);
     g_test_add_func("/stack/whole-bytes", test_whole_bytes);
+    g_test_add_func("/stack/flood", test_flood);
     g_test_add_func("/stack/many", test_many);
     return g_test_run();
 }
