--- a/tests/idem/test_rules.c
+++ b/tests/idem/test_rules.c
@@ -157,19 +157,59 @@
     scene_finish(&sim);
 }
 
+/* How many of the replicas of all keys are nodes from @first on. */
+static unsigned
+count_from(const struct sim *sim, unsigned first)
+{
+    unsigned count = 0;
+
+    for (unsigned key = 0; key < 100; key++) {
+        unsigned at[IDEM_REPLICAS];
+        size_t found = replicas_of(sim, 0, key, at);
+
+        for (size_t i = 0; i < found; i++) {
+            count += at[i] >= first;
+        }
+    }
+    return count;
+}
+
+/* Newcomers get the records first, and have a say afterwards. */
+static void
+test_settle(void)
+{
+    struct sim sim;
+
+    scene_start(&sim, 4);
+    for (unsigned i = 4; i < 8; i++) {
+        sim_start(&sim, i);
+    }
+    sim_advance(&sim, IDEM_SETTLE_US - USEC_PER_SEC);
+    g_assert_cmpuint(count_from(&sim, 4), ==, 0);
+    sim_advance(&sim, 3 * USEC_PER_SEC);
+    g_assert_cmpuint(count_from(&sim, 4), >, 100);
+    scene_finish(&sim);
+}
+
 /* A node that others may have taken for dead needs both other replicas. */
 static void
 test_return(void)
 {
     unsigned at[IDEM_REPLICAS];
+    unsigned others[IDEM_REPLICAS];
     struct sim sim;
 
     scene_start(&sim, 5);
     g_assert_cmpuint(replicas_of(&sim, 0, 1, at), ==, 3);
     sim_freeze(&sim, at[0]);
     sim_advance(&sim, 6 * USEC_PER_SEC);
-    sim_cut(&sim, at[0], at[1], 5 * USEC_PER_SEC);
     sim_thaw(&sim, at[0]);
+    sim_advance(&sim, IDEM_START_US + USEC_PER_SEC);
+    g_assert_cmpuint(replicas_of(&sim, at[1], 1, others), ==, 3);
+    for (size_t i = 0; i < IDEM_REPLICAS; i++) {
+        g_assert_cmpuint(others[i], !=, at[0]);
+    }
+    sim_cut(&sim, at[0], at[1], 5 * USEC_PER_SEC);
     g_assert_cmpint(scene_ask(&sim, at[0], 1), ==, IDEM_REFUSE);
     g_assert_cmpint(scene_ask(&sim, at[1], 1), ==, IDEM_PROCEED);
     scene_finish(&sim);
@@ -231,6 +271,9 @@
     g_assert_cmpint(scene_ask(&sim, 0, 1), ==, IDEM_REFUSE);
     sim_advance(&sim, IDEM_START_US);
     g_assert_cmpint(scene_ask(&sim, 0, 1), ==, IDEM_PROCEED);
+    sim_start(&sim, 5);
+    sim_advance(&sim, USEC_PER_SEC);
+    g_assert_cmpint(scene_ask(&sim, 5, 2), ==, IDEM_REFUSE);
     scene_finish(&sim);
 }
 
@@ -349,6 +392,31 @@
     scene_finish(&sim);
 }
 
+/* The owner dies before it told all replicas how it ended: those who know
+ * tell the others. */
+static void
+test_unfinished_round(void)
+{
+    unsigned at[IDEM_REPLICAS];
+    unsigned owner;
+    struct sim sim;
+
+    scene_start(&sim, 6);
+    g_assert_cmpuint(replicas_of(&sim, 0, 1, at), ==, 3);
+    owner = other_than(at, 6);
+    g_assert_cmpint(scene_ask(&sim, owner, 1), ==, IDEM_PROCEED);
+    sim_cut(&sim, owner, at[1], 4 * USEC_PER_SEC);
+    sim_cut(&sim, owner, at[2], 4 * USEC_PER_SEC);
+    sim_end(&sim, 1, false, IDEM_DONE);
+    sim_advance(&sim, USEC_PER_SEC);
+    sim_crash(&sim, owner, true);
+    sim_advance(&sim, 20 * USEC_PER_SEC);
+    sim_crash(&sim, at[0], true);
+    sim_advance(&sim, 20 * USEC_PER_SEC);
+    g_assert_cmpint(scene_ask(&sim, at[2], 1), ==, IDEM_REPLAY);
+    scene_finish(&sim);
+}
+
 /* Every process is replaced in turn, each one as soon as the last has
  * handed on its records and its successor is there. */
 static void
@@ -387,6 +455,7 @@
     g_test_add_func("/idem/no-quorum", test_no_quorum);
     g_test_add_func("/idem/owner-dead", test_owner_dead);
     g_test_add_func("/idem/two-reservations", test_two_reservations);
+    g_test_add_func("/idem/settle", test_settle);
     g_test_add_func("/idem/return", test_return);
     g_test_add_func("/idem/paused-coordinator", test_paused_coordinator);
     g_test_add_func("/idem/foreign-release", test_foreign_release);
@@ -395,6 +464,7 @@
     g_test_add_func("/idem/restart-at-start", test_restart_at_start);
     g_test_add_func("/idem/cut", test_cut);
     g_test_add_func("/idem/all-replicas-dead", test_all_replicas_dead);
+    g_test_add_func("/idem/unfinished-round", test_unfinished_round);
     g_test_add_func("/idem/rolling-restart", test_rolling_restart);
     return g_test_run();
 }
