stack: free no connection that the list of events still names

Cause: stack_free() aborted and freed one connection after the other; the abort of the next appended it behind one already freed. Seen red: AddressSanitizer, heap-use-after-free in conn_mark_locked under /stack/pause. Mended: all are aborted first. Also, what an owner calls in on_closed no longer queues the connection again. Run: tests/stack clean with address and undefined sanitizers.

--- a/src/stack/conn.c
+++ b/src/stack/conn.c
@@ -297,6 +297,8 @@
     /* Marked again meanwhile: it comes with the next stack_poll(). */
     closed = conn->closed_due && !conn->queued;
     reason = conn->reason;
+    /* What the owner still calls must not queue it again. */
+    conn->queued |= closed;
     UNLOCK_TCPIP_CORE();
     if (!closed) {
         return;
@@ -332,9 +334,12 @@
     struct stack_conn *conn;
     struct stack_conn *next;
 
+    /* An abort appends to the list of events, so none may be freed yet. */
+    for (conn = stack->conns; conn != NULL; conn = conn->next) {
+        conn_abort_locked(conn, -ECONNABORTED);
+    }
     for (conn = stack->conns; conn != NULL; conn = next) {
         next = conn->next;
-        conn_abort_locked(conn, -ECONNABORTED);
         conn_free_locked(conn);
     }
 }
