--- a/bench/control/threads.c
+++ b/bench/control/threads.c
@@ -111,7 +111,9 @@
 static void
 publish(struct server *server, uint64_t expect)
 {
-    static const char text[] = "{\"services\":[]}";
+    static const char text[] =
+        "{\"services\":[{\"name\":\"lots\",\"address\":\"10.0.0.1\","
+        "\"port\":80,\"protocol\":\"tcp\",\"class\":\"urgent\"}]}";
     GBytes *value = g_bytes_new_static(text, sizeof(text) - 1);
     uint64_t version;
 
