--- a/scripts/sitebed/faults.py
+++ b/scripts/sitebed/faults.py
@@ -20,6 +20,19 @@
     return path
 
 
+def move_first(text, address):
+    """Give the first service another address."""
+    text["services"][0]["address"] = address
+
+
+def remove_first(text):
+    """Take the first service out of a text, and all that names it."""
+    name = text["services"].pop(0)["name"]
+    for service in text["services"]:
+        depends = service.get("depends_on", [])
+        service["depends_on"] = [d for d in depends if d != name]
+
+
 def running_agents(site, service=None):
     return [a for a in site.topology.agents
             if a.running and (service is None or a.service == service)]
@@ -67,6 +80,16 @@
         self.dead_agents.append(host.name)
         self.site.kill(host)
 
+    def agent_stop(self):
+        """A planned stop of an agent while its upstream goes on."""
+        host = self.pick(running_agents(self.site,
+                                        self.site.topology.first_service))
+        upstream = next(u for u in self.site.topology.upstreams
+                        if u.settings["name"] == host.name)
+        self.site.note(f"SIGTERM agent {host.name}")
+        host.ended = upstream.ended = "stopped"
+        self.site.signal(host, signal.SIGTERM)
+
     def agent_freeze(self):
         host = self.pick(running_agents(self.site,
                                         self.site.topology.first_service))
@@ -134,6 +157,23 @@
         time.sleep(1.5)
         self.site.signal(host, signal.SIGCONT)
 
+    def service_moves(self):
+        """Move the first service twice, remove it, bring it back."""
+        self.apply_edit("moved", lambda t: move_first(t, "10.20.0.77"))
+        self.apply_edit("moved-again", lambda t: move_first(t, "10.20.0.78"))
+        self.apply_edit("removed", remove_first)
+        self.apply_edit("back", lambda t: None)
+
+    def apply_edit(self, name, change):
+        """Apply the site's text with a change and wait until it is in
+        force everywhere, then a little longer."""
+        text = json.loads(self.site.topology.text_path.read_text())
+        change(text)
+        path = self.site.folder / f"{name}.json"
+        path.write_text(json.dumps(text, indent=2) + "\n")
+        self.apply_path(path)
+        time.sleep(1.0)
+
     def chaos(self):
         names = ["balancer_kill", "agent_kill", "agent_freeze",
                  "upstream_drain", "upstream_join", "platform_outage",
@@ -147,8 +187,11 @@
             thread.join()
 
     def apply_and_measure(self, queue):
-        """Apply an edit and measure until it is in force everywhere."""
-        path = edited_text(self.site, f"edit-{queue}", queue)
+        """Apply an edit of a limit; see apply_path()."""
+        self.apply_path(edited_text(self.site, f"edit-{queue}", queue))
+
+    def apply_path(self, path):
+        """Apply a text and measure until it is in force everywhere."""
         hosts = self.site.topology.balancers + self.site.topology.agents
         names = [h.name for h in hosts if h.running]
         start = time.monotonic()
@@ -171,6 +214,6 @@
 
 
 NAMES = ["none", "balancer-kill", "balancer-join", "balancer-stop",
-         "agent-kill", "agent-freeze", "upstream-drain", "upstream-join",
+         "agent-kill", "agent-stop", "agent-freeze", "upstream-drain", "upstream-join",
          "platform-outage", "platform-lost-answer", "config-race",
-         "update-skew", "chaos"]
+         "update-skew", "service-moves", "chaos"]
