settings: each cell may have its own text object; seeds of the region

Cause: one object for all cells is over the platform's limit at the target size. Change: keys object (default config, as before) and region_seeds; agents, balancers and operators read, publish and show the object of their settings. region_seeds is read by nothing yet.

--- a/src/base/settings.c
+++ b/src/base/settings.c
@@ -59,13 +59,10 @@
     keys_fault_value(keys, rule->name, value, expected);
 }
 
-/* Reads the array into the whole struct, since it fills two members. */
-static void
-read_seeds(struct keys *keys, const struct key_rule *rule, json_object *value,
-           void *field)
+static size_t
+read_addresses(struct keys *keys, const struct key_rule *rule,
+               json_object *value, struct addr *addresses)
 {
-    struct settings *settings =
-        (struct settings *)((char *)field - rule->offset);
     const char *expected = "an array of at most 16 addresses such as "
                            "[\"127.0.0.1:4000\"]";
     size_t count = 0;
@@ -79,14 +76,35 @@
 
         if (i == SETTINGS_SEEDS_MAX ||
             !json_object_is_type(item, json_type_string) ||
-            addr_parse(json_object_get_string(item), &settings->seeds[i]) <
-                0 ||
-            settings->seeds[i].port == 0) {
+            addr_parse(json_object_get_string(item), &addresses[i]) < 0 ||
+            addresses[i].port == 0) {
             keys_fault_value(keys, rule->name, value, expected);
-            return;
+            return 0;
         }
     }
-    settings->seed_count = count;
+    return count;
+}
+
+/* Both read into the whole struct, since they fill two members. */
+static void
+read_seeds(struct keys *keys, const struct key_rule *rule, json_object *value,
+           void *field)
+{
+    struct settings *settings =
+        (struct settings *)((char *)field - rule->offset);
+
+    settings->seed_count = read_addresses(keys, rule, value, settings->seeds);
+}
+
+static void
+read_region_seeds(struct keys *keys, const struct key_rule *rule,
+                  json_object *value, void *field)
+{
+    struct settings *settings =
+        (struct settings *)((char *)field - rule->offset);
+
+    settings->region_seed_count =
+        read_addresses(keys, rule, value, settings->region_seeds);
 }
 
 /* A key file may end in a line end, as editors write it. */
@@ -157,6 +175,8 @@
     {"http", PROCESSES, ALL_ROLES, keys_read_addr, FIELD(http)},
     {"platform", ALL_ROLES, ALL_ROLES, read_url, FIELD(platform)},
     {"seeds", ALL_ROLES, ALL_ROLES, read_seeds, FIELD(seeds)},
+    {"region_seeds", 0, ALL_ROLES, read_region_seeds, FIELD(region_seeds)},
+    {"object", 0, ALL_ROLES, keys_read_name, FIELD(object)},
     {"site_key_file", ALL_ROLES, ALL_ROLES, read_site_key, FIELD(site_key)},
     {"log_level", 0, ALL_ROLES, read_level, FIELD(log_level)},
     {"workers", 0, BIT(SETTINGS_BALANCER) | OPERATOR, keys_read_number,
@@ -176,6 +196,7 @@
     memset(settings, 0, sizeof(*settings));
     settings->role = role;
     g_strlcpy(settings->log_level, "message", sizeof(settings->log_level));
+    g_strlcpy(settings->object, SETTINGS_OBJECT, sizeof(settings->object));
     settings->workers = 1;
     settings->drain_s = DRAIN_DEFAULT_S;
     settings->trace_sample = 1;
@@ -198,3 +219,9 @@
         keys_read(&keys, keys.root, rules, G_N_ELEMENTS(rules), settings);
     return keys_close(&keys, report, err);
 }
+
+const char *
+settings_object(const struct settings *settings)
+{
+    return settings->object[0] != '\0' ? settings->object : SETTINGS_OBJECT;
+}
--- a/src/base/settings.h
+++ b/src/base/settings.h
@@ -15,6 +15,7 @@
 #define SETTINGS_PATH_MAX 256
 #define SETTINGS_KEY_MAX 128
 #define SETTINGS_SEEDS_MAX 16
+#define SETTINGS_OBJECT "config"
 
 /** enum settings_role - which program the file is for */
 enum settings_role {
@@ -35,6 +36,11 @@
  * @platform: base URL of the object API (key "platform")
  * @seeds: control addresses of a few other processes (key "seeds")
  * @seed_count: how many
+ * @region_seeds: control addresses of a few processes in other cells of the
+ *                region (key "region_seeds")
+ * @region_seed_count: how many
+ * @object: platform object that holds the text of the own cell (key
+ *          "object", default SETTINGS_OBJECT); see settings_object()
  * @site_key: shared secret, 16 bytes or more (key "site_key_file" names the
  *            file that holds it)
  * @site_key_len: its length in bytes
@@ -56,6 +62,9 @@
     char platform[SETTINGS_PATH_MAX];
     struct addr seeds[SETTINGS_SEEDS_MAX];
     size_t seed_count;
+    struct addr region_seeds[SETTINGS_SEEDS_MAX];
+    size_t region_seed_count;
+    char object[SETTINGS_NAME_MAX];
     uint8_t site_key[SETTINGS_KEY_MAX];
     size_t site_key_len;
     char log_level[16];
@@ -82,4 +91,9 @@
 settings_load(struct settings *settings, enum settings_role role,
               const char *path, char **report, struct error *err);
 
+/** settings_object() - object that holds the cell's text, also when the
+ * settings were not loaded from a file */
+const char *
+settings_object(const struct settings *settings);
+
 #endif
--- a/src/cli/apply.c
+++ b/src/cli/apply.c
@@ -246,7 +246,7 @@
 }
 
 static int
-publish(const struct apply_options *options, const char *url,
+publish(const struct apply_options *options, const struct settings *settings,
         const struct text *text, const struct text_change *change,
         const uint64_t *expect)
 {
@@ -257,10 +257,11 @@
         options->as->count > 0 ? options->as->sval[0] : g_get_user_name();
     int code;
 
-    if (apply_run_init(&run, url, text, author, &err) < 0) {
+    if (apply_run_init(&run, settings->platform, text, author, &err) < 0) {
         fprintf(stderr, "%s\n", error_format(&err, line, sizeof(line)));
         return CLI_FAILED;
     }
+    run.object = settings_object(settings);
     run.dry_run = options->dry_run->count > 0;
     run.change = *change;
     apply_run_publish(&run, expect);
@@ -330,7 +331,7 @@
         return CLI_USAGE;
     }
     if (text_parse(data, len, path, &text, &report) == 0) {
-        code = publish(options, settings.platform, text, &change,
+        code = publish(options, &settings, text, &change,
                        options->expect->count > 0 ? &expect : NULL);
     }
     else {
--- a/src/cli/apply_run.c
+++ b/src/cli/apply_run.c
@@ -201,7 +201,7 @@
     g_strlcpy(envelope.author, run->author, TEXT_AUTHOR_MAX);
     fill_history(run, &envelope);
     value = text_envelope_write(&envelope, &len);
-    rc = platform_put(run->platform, APPLY_OBJECT, run->doing.expect, value,
+    rc = platform_put(run->platform, run->object, run->doing.expect, value,
                       len, &run->call);
     g_free(value);
     g_free(retired);
@@ -243,7 +243,7 @@
     run->doing = action;
     switch (action.type) {
     case APPLY_DO_READ:
-        rc = platform_get(run->platform, APPLY_OBJECT, &run->call);
+        rc = platform_get(run->platform, run->object, &run->call);
         break;
     case APPLY_DO_WRITE:
         if (retire(run) < 0) {
@@ -276,6 +276,7 @@
 {
     *run = (struct apply_run){
         .call.done = on_reply,
+        .object = APPLY_OBJECT,
         .text = text,
         .author = author,
         .change = {.name = APPLY_OBJECT, .hold_ms = TEXT_RETIRE_HOLD_MS},
--- a/src/cli/apply_run.h
+++ b/src/cli/apply_run.h
@@ -7,12 +7,13 @@
 #include <event2/event.h>
 #include <glib.h>
 
+#include "base/settings.h"
 #include "cli/apply_core.h"
 #include "platform/platform.h"
 #include "text/text.h"
 #include "text/text_retire.h"
 
-#define APPLY_OBJECT "config"
+#define APPLY_OBJECT SETTINGS_OBJECT /* unless the settings say otherwise */
 
 /**
  * struct apply_run - one run
@@ -22,6 +23,7 @@
  * @timer: waits
  * @core: decisions
  * @doing: action under way
+ * @object: platform object to write
  * @text: text to publish
  * @author: who publishes it
  * @dry_run: read only
@@ -45,6 +47,7 @@
     struct event *timer;
     struct apply_core core;
     struct apply_action doing;
+    const char *object;
     const struct text *text;
     const char *author;
     bool dry_run;
--- a/src/cli/ask.c
+++ b/src/cli/ask.c
@@ -365,7 +365,8 @@
     };
 
     evtimer_add(ask->timer, &wait);
-    read_platform(ask, &ask->platform, "config", on_platform);
+    read_platform(ask, &ask->platform, settings_object(ask->settings),
+                  on_platform);
     for (size_t i = 0; i < ask->settings->seed_count; i++) {
         if (find_addr(ask, ask->settings->seeds[i]) == NULL) {
             add_process(ask, ask->settings->seeds[i], true);
--- a/src/control/control_config.c
+++ b/src/control/control_config.c
@@ -8,7 +8,6 @@
 #include "control/control.pb-c.h"
 #include "control/control_internal.h"
 
-#define CONFIG_OBJECT "config"
 #define CELL_OBJECT_MAX (SETTINGS_NAME_MAX + 8)
 
 static const char *
@@ -122,16 +121,16 @@
 static void
 do_config_action(struct control *control, const struct config_action *action)
 {
+    const char *object = settings_object(control->settings);
     int ret = 0;
 
     switch (action->type) {
     case CONFIG_WATCH:
-        ret = platform_watch(control->platform, CONFIG_OBJECT, action->after,
+        ret = platform_watch(control->platform, object, action->after,
                              CONFIG_WAIT_S, &control->config_call);
         break;
     case CONFIG_READ:
-        ret = platform_get(control->platform, CONFIG_OBJECT,
-                           &control->config_call);
+        ret = platform_get(control->platform, object, &control->config_call);
         break;
     case CONFIG_FETCH:
         ask_peer(control, action);
