request: offers of idle slots fade while none is taken

Change: the time between offers doubles up to 1.6 s while no request comes of one and is 50 ms again when a peer sent one; idle agents share 25 ms for each busier peer, so one agent hears at most 40 offers a second whatever N. Seen red: request_offer_test (201 offers in 10 s untaken; from one of 40 idle agents 201); three mutants of the rule are red.

--- a/src/request/dispatch.h
+++ b/src/request/dispatch.h
@@ -60,4 +60,8 @@
 void
 dispatch_status(struct engine *engine, struct peer *peer);
 
+/** dispatch_taken() - a peer sent a request to be run here */
+void
+dispatch_taken(struct engine *engine);
+
 #endif
--- a/src/request/dispatch_idle.c
+++ b/src/request/dispatch_idle.c
@@ -45,11 +45,11 @@
         &engine->upstream, engine->upstream.service, engine->now_us);
 
     if (free_slots > engine->dispatch.asked && list->len > 0 &&
-        engine->now_us >= engine->dispatch.offer_at_us) {
+        engine->now_us >= engine->dispatch.offered_at_us + IDLE_GAP_US) {
         gint32 i = g_rand_int_range(engine->random, 0, (gint32)list->len);
 
         dispatch_status(engine, g_ptr_array_index(list, i));
-        engine->dispatch.offer_at_us = engine->now_us + IDLE_GAP_US;
+        engine->dispatch.offered_at_us = engine->now_us;
     }
     engine->dispatch.asked = free_slots;
 }
--- a/src/request/dispatch_pull.c
+++ b/src/request/dispatch_pull.c
@@ -5,7 +5,9 @@
  * nobody comes. One with a free slot and no work asks those that told it,
  * urgent first. One that has been less busy than its peers offers a free
  * slot to a busier one, which sends it a request even when it could run it
- * itself: so slot time evens out, not only queues.
+ * itself: so slot time evens out, not only queues. Offers grow rare while
+ * none is taken, and the rate that reaches one busy agent is bounded,
+ * however many are idle.
  *
  * A slot about to take an ordinary request while a peer is known to have
  * urgent ones waiting is held for the answer to one PULL, at most
@@ -21,8 +23,10 @@
 #define ANNOUNCE_GAP_US (20 * USEC_PER_MSEC)
 #define ANNOUNCE_GAP_MAX_US (320 * USEC_PER_MSEC)
 #define ASK_TIMEOUT_US (4 * USEC_PER_MSEC)
-#define OFFER_KEEP_US (50 * USEC_PER_MSEC)
+#define OFFER_KEEP_US (200 * USEC_PER_MSEC)
 #define OFFER_GAP_US (50 * USEC_PER_MSEC)
+#define OFFER_GAP_MAX_US (1600 * USEC_PER_MSEC)
+#define OFFER_SHARE_US (25 * USEC_PER_MSEC)
 #define BEAT_PEERS 3
 #define BEAT_US USEC_PER_SEC
 #define HOLD_US (4 * USEC_PER_MSEC)
@@ -187,14 +191,16 @@
     return engine->self;
 }
 
-/* A peer clearly busier than @own, the likelier the busier it is. */
+/* A peer clearly busier than @own, the likelier the busier it is; @count of
+ * them are. */
 static struct peer *
-find_busier(struct engine *engine, unsigned own)
+find_busier(struct engine *engine, unsigned own, unsigned *count)
 {
     const GPtrArray *list = peers_of(&engine->peers, engine->upstream.service);
     struct peer *chosen = NULL;
     double sum = 0;
 
+    *count = 0;
     for (guint i = 0; i < list->len; i++) {
         struct peer *peer = g_ptr_array_index(list, i);
         double above = (double)peer->load - own - BALANCE_MARGIN;
@@ -204,6 +210,7 @@
             engine->now_us >= peer->load_at_us + PEERS_LOAD_FRESH_US) {
             continue;
         }
+        (*count)++;
         sum += above;
         if (g_rand_double(engine->random) * sum < above) {
             chosen = peer;
@@ -212,20 +219,36 @@
     return chosen;
 }
 
+/* All idle agents may ask the same few busier ones. If each leaves this much
+ * time, a busier one is asked once in OFFER_SHARE_US by all of them. */
+static uint64_t
+offer_share_us(const struct engine *engine, unsigned busier)
+{
+    const GPtrArray *list = peers_of(&engine->peers, engine->upstream.service);
+
+    return OFFER_SHARE_US * list->len / busier;
+}
+
 static void
 offer_for_balance(struct engine *engine)
 {
+    struct dispatch *dispatch = &engine->dispatch;
     unsigned own = upstream_load(&engine->upstream, engine->now_us);
+    unsigned busier;
     struct peer *peer;
 
-    if (engine->now_us < engine->dispatch.offer_at_us) {
+    if (engine->now_us < dispatch->offered_at_us + dispatch->offer_gap_us) {
         return;
     }
-    peer = find_busier(engine, own);
-    if (peer != NULL) {
-        engine->dispatch.offer_at_us = engine->now_us + OFFER_GAP_US;
-        ask(engine, peer, 1);
+    peer = find_busier(engine, own, &busier);
+    if (peer == NULL || engine->now_us < dispatch->offered_at_us +
+                                             offer_share_us(engine, busier)) {
+        return;
     }
+    dispatch->offer_gap_us =
+        CLAMP(2 * dispatch->offer_gap_us, OFFER_GAP_US, OFFER_GAP_MAX_US);
+    dispatch->offered_at_us = engine->now_us;
+    ask(engine, peer, 1);
 }
 
 static void
@@ -353,6 +376,18 @@
     }
 }
 
+void
+dispatch_taken(struct engine *engine)
+{
+    struct dispatch *dispatch = &engine->dispatch;
+
+    dispatch->hold_until_us = 0;
+    dispatch->offer_gap_us = OFFER_GAP_US;
+    if (dispatch->asked > 0) {
+        dispatch->asked--;
+    }
+}
+
 const struct dispatch_ops dispatch_pull = {
     .name = "pull",
     .place = place,
--- a/src/request/remote.c
+++ b/src/request/remote.c
@@ -65,10 +65,7 @@
 {
     enum engine_reason reason;
 
-    engine->dispatch.hold_until_us = 0;
-    if (engine->dispatch.asked > 0) {
-        engine->dispatch.asked--;
-    }
+    dispatch_taken(engine);
     if (!seen_add(&engine->seen, from, msg->request.id, engine->now_us)) {
         engine->counters.dropped++;
         return;
--- a/src/request/state.h
+++ b/src/request/state.h
@@ -30,7 +30,8 @@
  * @announced_at_us: when that was
  * @announce_at_us: when peers are told next that requests wait here
  * @announce_gap_us: time until then grows while nobody comes for them
- * @offer_at_us: no offer to take work for balance before
+ * @offered_at_us: when a slot was last offered for balance
+ * @offer_gap_us: time until the next offer grows while none is taken
  * @beat_at_us: when some peers are told our load next
  * @asked_at_us: when a peer was last asked for waiting work
  * @asked: requests asked for that have not come
@@ -42,7 +43,8 @@
     uint64_t announced_at_us;
     uint64_t announce_at_us;
     uint64_t announce_gap_us;
-    uint64_t offer_at_us;
+    uint64_t offered_at_us;
+    uint64_t offer_gap_us;
     uint64_t beat_at_us;
     uint64_t asked_at_us;
     unsigned asked;
--- /dev/null
+++ b/tests/request/offer_test.c
@@ -0,0 +1,83 @@
+/* Offers for balance: how often an idle agent asks a busier one for work
+ * that may not be there. */
+#include "fixture.h"
+
+#define BUSY_LOAD 601
+#define REFRESH_US (500 * MS)
+
+/* Lets @us pass; PEER says every half second how busy it is, and takes the
+ * slot each time when @taken. Returns the offers that PEER got. */
+static unsigned
+count_offers(struct fixture *f, uint64_t us, bool taken)
+{
+    uint64_t end_us = f->now_us + us;
+    uint64_t told_us = 0;
+    unsigned n = 0;
+
+    while (f->now_us < end_us) {
+        f->out.count = 0;
+        if (f->now_us >= told_us + REFRESH_US) {
+            fixture_tell_load(f, PEER, BUSY_LOAD);
+            told_us = f->now_us;
+        }
+        f->now_us += 10 * MS;
+        engine_tick(f->engine, f->now_us, &f->out);
+        if (fixture_find_sent(f, ENGINE_PEER_PULL, PEER) == NULL) {
+            continue;
+        }
+        n++;
+        if (taken) {
+            uint64_t id = ++f->next_id;
+
+            fixture_receive(f, ENGINE_PEER_RUN, id, 0, 0);
+            fixture_end(f, PEER, id, ENGINE_UP_ANSWERED);
+        }
+    }
+    return n;
+}
+
+static void
+test_fade_when_untaken(struct fixture *f, gconstpointer data)
+{
+    unsigned n = count_offers(f, 10 * USEC_PER_SEC, false);
+
+    g_test_message("%u offers in 10 s, none taken", n);
+    g_assert_cmpuint(n, >=, 3);
+    g_assert_cmpuint(n, <=, 12);
+}
+
+static void
+test_go_on_when_taken(struct fixture *f, gconstpointer data)
+{
+    unsigned n;
+
+    count_offers(f, 10 * USEC_PER_SEC, false);
+    count_offers(f, 2 * USEC_PER_SEC, true);
+    n = count_offers(f, 2 * USEC_PER_SEC, true);
+    g_test_message("%u offers in 2 s, all taken", n);
+    g_assert_cmpuint(n, >=, 20);
+    g_assert_cmpuint(n, <=, 41);
+}
+
+/* All idle peers of a busy one together send it a bounded rate. */
+static void
+test_share_among_idle(struct fixture *f, gconstpointer data)
+{
+    unsigned n;
+
+    fixture_members(f, MEMBER_READY, 40, true);
+    n = count_offers(f, 10 * USEC_PER_SEC, true);
+    g_test_message("%u offers in 10 s from one of 40 idle agents", n);
+    g_assert_cmpuint(n, >=, 5);
+    g_assert_cmpuint(n, <=, 11);
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    FIXTURE_ADD("offer", fade_when_untaken);
+    FIXTURE_ADD("offer", go_on_when_taken);
+    FIXTURE_ADD("offer", share_among_idle);
+    return g_test_run();
+}
