request: a keyed run that has begun ends though its caller went away

Cause: engine_cancel() aborted it and recorded 'unknown', so the caller's retry with its key got 504 although the answer came 4 ms later. Change: what has a key and was handed to an upstream or a peer is marked as an orphan, ends within its deadline and is recorded; a peer that declines it, or an upstream that refuses it, ends it as not run and releases the key (nobody is left to run it for). What waits is withdrawn and its key released, as before. Without a key cancellation goes down as before. It counts for its caller's limit and for a planned stop until it ends. Ruled out: a CANCEL that asks the peer only to withdraw what has not begun: a peer runs at once or declines, nothing waits there.

--- a/src/request/engine.c
+++ b/src/request/engine.c
@@ -178,6 +178,14 @@
     return 0;
 }
 
+/* Its caller may come back with the key: what has begun should end and be
+ * recorded for it. */
+static bool
+must_end(const struct entry *entry)
+{
+    return entry->request.keyed && entry->place != ENTRY_WAITING;
+}
+
 int
 engine_cancel(struct engine *engine, uint64_t id, uint64_t now_us,
               struct engine_actions *out)
@@ -189,7 +197,10 @@
     if (entry == NULL || entry->place == ENTRY_ABORTED) {
         return -ENOENT;
     }
-    if (entry->place == ENTRY_WAITING) {
+    if (must_end(entry)) {
+        entry->orphan = true;
+    }
+    else if (entry->place == ENTRY_WAITING) {
         finish_unserved(engine, entry, ENGINE_CANCELLED);
     }
     else {
--- a/src/request/engine.h
+++ b/src/request/engine.h
@@ -230,7 +230,9 @@
               uint64_t now_us, struct engine_actions *out);
 
 /** engine_cancel() - the caller of local request @id is gone; it still gets
- * its one ENGINE_FINISH, which has nobody to go to */
+ * its one ENGINE_FINISH, which has nobody to go to. What has begun and has a
+ * key gets it when it has ended, by its deadline: the caller may come back
+ * for the answer. Anything else is stopped now */
 int
 engine_cancel(struct engine *engine, uint64_t id, uint64_t now_us,
               struct engine_actions *out);
--- a/src/request/entry.h
+++ b/src/request/entry.h
@@ -33,6 +33,7 @@
  * @place: where it is
  * @cleared: it may run: no idempotency key, or the key is reserved
  * @handed: some upstream may have begun it, so it is never "not run" again
+ * @orphan: its caller is gone; it ends only for the record of its key
  * @ran_here: the last attempt was on the local upstream
  * @pushed: the policy has chosen a place for it once already
  * @avoid_until_us: goes to a peer rather than here before; here it failed
@@ -53,6 +54,7 @@
     enum entry_place place;
     bool cleared;
     bool handed;
+    bool orphan;
     bool ran_here;
     bool pushed;
     uint64_t avoid_until_us;
--- a/src/request/outcome.c
+++ b/src/request/outcome.c
@@ -19,16 +19,21 @@
 wait_again(struct engine *engine, struct entry *entry)
 {
     entry->place = ENTRY_WAITING;
+    if (entry->orphan) {
+        finish_unserved(engine, entry, ENGINE_CANCELLED);
+        return;
+    }
     admit_again(engine, entry);
 }
 
-/* The agent that accepted a request is the only one to try it again. */
+/* The agent that accepted a request is the only one to try it again, while
+ * its caller is there. */
 static bool
 may_try_again(struct engine *engine, const struct entry *entry)
 {
     uint64_t run_us = estimate_run_us(&engine->estimate, engine->now_us);
 
-    return engine_is_local(engine, entry) &&
+    return engine_is_local(engine, entry) && !entry->orphan &&
            entry->attempts < RETRY_ATTEMPTS_MAX &&
            engine->now_us + run_us < entry->request.deadline_us &&
            retry_take(&engine->retry);
--- a/tests/request/admit_test.c
+++ b/tests/request/admit_test.c
@@ -324,28 +324,14 @@
 static void
 test_key_reserved_first(struct fixture *f, gconstpointer data)
 {
-    struct engine_request request = {.id = 900,
-                                     .service = SERVICE,
-                                     .keyed = true,
-                                     .key = {SERVICE, {1, 2}, 3}};
-    struct engine_peer_msg grant = {.type = ENGINE_PEER_IDEM};
-    uint64_t replicas[2];
+    uint64_t id;
 
     fixture_tick_to(f, f->now_us + 2 * IDEM_SETTLE_US);
-    request.deadline_us = f->now_us + USEC_PER_SEC;
-    f->out.count = 0;
-    engine_arrive(f->engine, &request, f->now_us, &f->out);
-    g_assert_null(fixture_find(f, ENGINE_RUN, 900));
+    id = fixture_arrive_keyed(f);
+    g_assert_null(fixture_find(f, ENGINE_RUN, id));
     g_assert_cmpuint(engine_waiting(f->engine), ==, 1);
-    replicas[0] = fixture_find_sent(f, ENGINE_PEER_IDEM, PEER)->to;
-    replicas[1] = fixture_find_sent(f, ENGINE_PEER_IDEM, OTHER)->to;
-    grant.idem = fixture_find_sent(f, ENGINE_PEER_IDEM, PEER)->msg.idem;
-    grant.idem.type = IDEM_MSG_GRANT;
-    for (int i = 0; i < 2; i++) {
-        engine_peer(f->engine, replicas[i], &grant, NULL, 0, f->now_us,
-                    &f->out);
-    }
-    g_assert_nonnull(fixture_find(f, ENGINE_RUN, 900));
+    fixture_grant(f);
+    g_assert_nonnull(fixture_find(f, ENGINE_RUN, id));
 }
 
 static void
--- a/tests/request/fixture.c
+++ b/tests/request/fixture.c
@@ -82,6 +82,40 @@
     return request.id;
 }
 
+uint64_t
+fixture_arrive_keyed(struct fixture *f)
+{
+    struct engine_request request = {
+        .id = ++f->next_id,
+        .service = SERVICE,
+        .caller = 9,
+        .keyed = true,
+        .key = {SERVICE, {f->next_id, 2}, 3},
+        .deadline_us = f->now_us + USEC_PER_SEC,
+    };
+
+    f->out.count = 0;
+    g_assert_cmpint(engine_arrive(f->engine, &request, f->now_us, &f->out), ==,
+                    0);
+    return request.id;
+}
+
+void
+fixture_grant(struct fixture *f)
+{
+    const uint64_t replicas[] = {PEER, OTHER};
+    struct engine_peer_msg grant =
+        fixture_find_sent(f, ENGINE_PEER_IDEM, PEER)->msg;
+
+    g_assert_nonnull(fixture_find_sent(f, ENGINE_PEER_IDEM, OTHER));
+    grant.idem.type = IDEM_MSG_GRANT;
+    f->out.count = 0;
+    for (size_t i = 0; i < G_N_ELEMENTS(replicas); i++) {
+        engine_peer(f->engine, replicas[i], &grant, NULL, 0, f->now_us,
+                    &f->out);
+    }
+}
+
 void
 fixture_end(struct fixture *f, uint64_t origin, uint64_t id,
             enum engine_upstream how)
--- a/tests/request/fixture.h
+++ b/tests/request/fixture.h
@@ -54,6 +54,15 @@
 fixture_arrive(struct fixture *f, enum text_class class, bool idempotent,
                uint64_t left_us);
 
+/** fixture_arrive_keyed() - a request with an Idempotency-Key arrives, a
+ * second before its deadline; its id */
+uint64_t
+fixture_arrive_keyed(struct fixture *f);
+
+/** fixture_grant() - PEER and OTHER grant the key they were just asked for */
+void
+fixture_grant(struct fixture *f);
+
 /** fixture_end() - a run ends */
 void
 fixture_end(struct fixture *f, uint64_t origin, uint64_t id,
--- a/tests/request/outcome_test.c
+++ b/tests/request/outcome_test.c
@@ -184,6 +184,94 @@
     g_assert_nonnull(fixture_find(f, ENGINE_ABORT, 52));
 }
 
+static const struct idem_msg *
+find_idem(const struct fixture *f, enum idem_msg_type type)
+{
+    for (size_t i = 0; i < f->out.count; i++) {
+        const struct engine_peer_msg *msg = &f->out.items[i].msg;
+
+        if (f->out.items[i].type == ENGINE_SEND &&
+            msg->type == ENGINE_PEER_IDEM && msg->idem.type == type) {
+            return &msg->idem;
+        }
+    }
+    return NULL;
+}
+
+/* A caller that went away comes back with its key: what has begun is ended
+ * and recorded for it. */
+static void
+test_cancelled_key_ends(struct fixture *f, gconstpointer data)
+{
+    const struct idem_msg *record;
+    uint64_t id;
+
+    fixture_tick_to(f, f->now_us + 2 * IDEM_SETTLE_US);
+    id = fixture_arrive_keyed(f);
+    fixture_grant(f);
+    f->out.count = 0;
+    engine_cancel(f->engine, id, f->now_us, &f->out);
+    g_assert_null(fixture_find(f, ENGINE_ABORT, id));
+    f->now_us += 4 * MS;
+    fixture_end(f, SELF, id, ENGINE_UP_ANSWERED);
+    fixture_assert_finished(f, id, ENGINE_ANSWERED, ENGINE_REASON_NONE);
+    record = find_idem(f, IDEM_MSG_RECORD);
+    g_assert_nonnull(record);
+    g_assert_cmpint(record->state, ==, IDEM_DONE);
+    g_assert_cmpuint(engine_open(f->engine), ==, 0);
+}
+
+/* It is not held longer than its deadline. */
+static void
+test_cancelled_key_deadline(struct fixture *f, gconstpointer data)
+{
+    uint64_t id;
+
+    fixture_tick_to(f, f->now_us + 2 * IDEM_SETTLE_US);
+    id = fixture_arrive_keyed(f);
+    fixture_grant(f);
+    engine_cancel(f->engine, id, f->now_us, &f->out);
+    fixture_tick_to(f, f->now_us + USEC_PER_SEC);
+    g_assert_nonnull(fixture_find(f, ENGINE_ABORT, id));
+    fixture_assert_finished(f, id, ENGINE_UNKNOWN, ENGINE_DEADLINE);
+}
+
+static void
+test_cancelled_key_waits(struct fixture *f, gconstpointer data)
+{
+    uint64_t id;
+
+    fixture_tick_to(f, f->now_us + 2 * IDEM_SETTLE_US);
+    fixture_fill_slots(f);
+    id = fixture_arrive_keyed(f);
+    fixture_grant(f);
+    f->out.count = 0;
+    engine_cancel(f->engine, id, f->now_us, &f->out);
+    fixture_assert_finished(f, id, ENGINE_NOT_RUN, ENGINE_CANCELLED);
+    g_assert_nonnull(find_idem(f, IDEM_MSG_RELEASE));
+}
+
+/* At a peer it may have begun; if not, nobody is left to run it for. */
+static void
+test_cancelled_key_declined(struct fixture *f, gconstpointer data)
+{
+    uint64_t id;
+
+    fixture_tick_to(f, f->now_us + 2 * IDEM_SETTLE_US);
+    fixture_fill_slots(f);
+    id = fixture_arrive_keyed(f);
+    fixture_grant(f);
+    fixture_receive(f, ENGINE_PEER_PULL, 0, 0, 0);
+    g_assert_nonnull(fixture_find_sent(f, ENGINE_PEER_RUN, PEER));
+    f->out.count = 0;
+    engine_cancel(f->engine, id, f->now_us, &f->out);
+    g_assert_null(fixture_find_sent(f, ENGINE_PEER_CANCEL, PEER));
+    fixture_receive(f, ENGINE_PEER_DONE, id, ENGINE_NOT_RUN,
+                    ENGINE_QUEUE_FULL);
+    fixture_assert_finished(f, id, ENGINE_NOT_RUN, ENGINE_CANCELLED);
+    g_assert_nonnull(find_idem(f, IDEM_MSG_RELEASE));
+}
+
 /* A peer that drains has not tried it: no attempt, no budget, no blame. */
 static void
 test_draining_peer_declines(struct fixture *f, gconstpointer data)
@@ -252,6 +340,10 @@
     FIXTURE_ADD("outcome", peer_lost_idempotent);
     FIXTURE_ADD("outcome", unsent);
     FIXTURE_ADD("outcome", cancel_goes_down);
+    FIXTURE_ADD("outcome", cancelled_key_ends);
+    FIXTURE_ADD("outcome", cancelled_key_deadline);
+    FIXTURE_ADD("outcome", cancelled_key_waits);
+    FIXTURE_ADD("outcome", cancelled_key_declined);
     FIXTURE_ADD("outcome", draining_peer_declines);
     FIXTURE_ADD("outcome", any_message);
     return g_test_run();
