stack: wait for a caller's FIN from when it has ours

Cause: /stack/whole-bytes failed once under the thread sanitizer with -ECONNRESET: the 20 s for the peer's FIN ran from our close, so a caller that read its answer for longer was reset the moment it had all of it. Change: the wait (now 60 s, as is usual) starts in FIN-WAIT-2 and again with each segment that still comes.

--- a/src/stack/conn.c
+++ b/src/stack/conn.c
@@ -8,8 +8,8 @@
 
 #include "stack/stack_private.h"
 
-/* A caller that never answers our FIN is let go after this long. */
-#define FIN_WAIT_TICKS (20000 / TCP_SLOW_INTERVAL)
+/* A caller that has our FIN and sends nothing more is let go after this. */
+#define FIN_WAIT_TICKS (60000 / TCP_SLOW_INTERVAL)
 
 static void
 conn_mark_locked(struct stack_conn *conn)
@@ -102,6 +102,7 @@
         return ERR_OK;
     }
     if (conn->closing) {
+        conn->close_ticks = tcp_ticks;
         tcp_recved(pcb, p->tot_len);
         pbuf_free(p);
         return ERR_OK;
@@ -321,8 +322,10 @@
         if (conn->pcb->state == TIME_WAIT) {
             conn_detach_locked(conn, 0);
         }
-        else if (conn->pcb->state == FIN_WAIT_2 &&
-                 tcp_ticks - conn->close_ticks > FIN_WAIT_TICKS) {
+        else if (conn->pcb->state != FIN_WAIT_2) {
+            conn->close_ticks = tcp_ticks;
+        }
+        else if (tcp_ticks - conn->close_ticks > FIN_WAIT_TICKS) {
             conn_abort_locked(conn, -ETIMEDOUT);
         }
     }
--- a/src/stack/stack_private.h
+++ b/src/stack/stack_private.h
@@ -25,7 +25,7 @@
  * @prev, @next: all connections of the stack
  * @next_event: next with something to tell, while @queued
  * @reason: of on_closed
- * @close_ticks: when the owner closed
+ * @close_ticks: once closed by the owner, last sign that the peer goes on
  */
 struct stack_conn {
     struct stack *stack;
