request: calls on behalf of urgent work inherit its priority end to end

Cause: the engine raised calls of a service that an urgent one depends on (services_class), but the agent's class_of never asked for it: reader_class() only lowers. Change: Priority with u below 3 asks for urgent; the engine grants it only where an urgent service depends on the one called, directly or not. Anything else stays as configured, whatever its callers say; u above 3 lowers as before. Ruled out: to raise every request of a needed service (its ordinary callers would crowd out the urgent work's calls); to tell an urgent upstream's calls by its address (calls pass the fabric, whose addresses the agent can't match with members). Left: who may reach a needed service is trusted to ask truly; among the needed service's callers only. 'swiftarch explain' still prints the class without a raise (src/cli uses reader_class). Seen red: request_priority_test inherited ('/first' before the call with u=1), on the agent's reader, front and requests with the engine; a mutant that raises any ordinary service is red.

--- a/src/agent/requests.c
+++ b/src/agent/requests.c
@@ -100,6 +100,15 @@
         agent_now(agent));
 }
 
+/* The engine grants a raise only to calls of a service that an urgent one
+ * depends on. */
+static enum text_class
+asked_class(enum text_class service, unsigned urgency)
+{
+    return urgency < READER_URGENCY_DEFAULT ? TEXT_URGENT
+                                            : reader_class(service, urgency);
+}
+
 static void
 on_request(struct front_owner *owner, struct front_slot *slot,
            struct reader_request *read, struct addr caller, struct addr local)
@@ -123,7 +132,7 @@
         .id = id,
         .service = service->id,
         .caller = caller.ip,
-        .class = reader_class(service->class, read->urgency),
+        .class = asked_class(service->class, read->urgency),
         .idempotent = read->idempotent,
         .keyed = read->keyed,
         .key = {.service = service->id,
--- a/src/request/engine.h
+++ b/src/request/engine.h
@@ -26,7 +26,8 @@
  * @id: unique on the agent that accepted it, never reused
  * @service: service id
  * @caller: caller's address, for limits per caller
- * @class: urgent or ordinary (the service's, lowered or raised by Priority)
+ * @class: urgent or ordinary, as its caller asks; an ordinary service is
+ *         raised only where an urgent one depends on it
  * @idempotent: safe to run twice (GET, HEAD, PUT, DELETE, OPTIONS, TRACE)
  * @keyed: has an Idempotency-Key, in @key
  * @key: the key
--- a/src/request/services.h
+++ b/src/request/services.h
@@ -2,8 +2,11 @@
  * DOC: services - what the engine needs of the configuration in force
  *
  * A service that an urgent one depends on, directly or not, counts as
- * urgent for calls that carry urgent priority; any other ordinary service
- * stays ordinary whatever its callers ask for.
+ * urgent for calls that ask for it (Priority with u below 3, which the
+ * upstream of the urgent service sends with calls on behalf of its work); any
+ * other ordinary service stays ordinary whatever its callers ask for. Who
+ * may reach such a needed service is trusted to ask truly: its other callers
+ * could ask too, and would go before its ordinary ones only.
  */
 #ifndef SWIFTARCH_REQUEST_SERVICES_H
 #define SWIFTARCH_REQUEST_SERVICES_H
--- a/tests/request/admit_test.c
+++ b/tests/request/admit_test.c
@@ -263,6 +263,8 @@
                     TEXT_URGENT);
     g_assert_cmpint(services_class(services, NEEDED, TEXT_ORDINARY), ==,
                     TEXT_ORDINARY);
+    g_assert_cmpint(services_class(services, UNNEEDED, TEXT_URGENT), ==,
+                    TEXT_ORDINARY);
 }
 
 static void
--- a/tests/request/fixture.c
+++ b/tests/request/fixture.c
@@ -30,11 +30,12 @@
 void
 fixture_services(struct fixture *f, enum text_class needed_class)
 {
-    struct text_service services[2] = {
+    struct text_service services[3] = {
         {.id = SERVICE, .class = TEXT_URGENT},
         {.id = NEEDED, .class = needed_class},
+        {.id = UNNEEDED, .class = TEXT_ORDINARY},
     };
-    struct text text = {.services = services, .count = 2};
+    struct text text = {.services = services, .count = 3};
 
     services[0].depends[0] = 1;
     services[0].depends_count = 1;
--- a/tests/request/fixture.h
+++ b/tests/request/fixture.h
@@ -13,6 +13,7 @@
 #define OTHER 3
 #define SERVICE 7
 #define NEEDED 8
+#define UNNEEDED 9
 #define MS USEC_PER_MSEC
 
 /** FIXTURE_ADD - add test_NAME under @group */
@@ -37,7 +38,7 @@
 fixture_members(struct fixture *f, enum member_state own, unsigned peers,
                 bool needed_alive);
 
-/** fixture_services() - SERVICE depends on NEEDED */
+/** fixture_services() - SERVICE depends on NEEDED, none on UNNEEDED */
 void
 fixture_services(struct fixture *f, enum text_class needed_class);
 
--- /dev/null
+++ b/tests/request/priority_test.c
@@ -0,0 +1,226 @@
+/* Priority from the caller's field to the order of runs: the agent's reader,
+ * front and requests with the engine; the upstream is played by the test. */
+#include <string.h>
+
+#include "agent/program.h"
+#include "base/hash.h"
+#include "tests/agent/fake_stack.h"
+
+#define CALLER 0x0a010001
+#define FLOW_LOCAL 0x0a000001
+#define CALLERS 4
+#define RUNS_MAX 16
+#define START_US (100 * USEC_PER_SEC)
+
+static const char source[] =
+    "{\"services\":["
+    "{\"name\":\"lots\",\"address\":\"10.0.0.1\",\"port\":80,"
+    "\"protocol\":\"tcp\",\"class\":\"urgent\",\"depends_on\":[\"prices\"]},"
+    "{\"name\":\"prices\",\"address\":\"10.0.0.2\",\"port\":80,"
+    "\"protocol\":\"tcp\",\"class\":\"ordinary\"},"
+    "{\"name\":\"reports\",\"address\":\"10.0.0.3\",\"port\":80,"
+    "\"protocol\":\"tcp\",\"class\":\"ordinary\"}]}";
+
+struct back_run {
+    void *data;
+    char *target;
+};
+
+/** struct scene - one agent and its callers */
+struct scene {
+    struct agent agent;
+    struct clock_manual clock;
+    struct stack_conn callers[CALLERS];
+    struct back_run runs[RUNS_MAX];
+    size_t run_count;
+};
+
+static struct scene *now_playing;
+
+void
+back_init(struct back *back, struct event_base *base, struct back_owner *owner)
+{
+    back->owner = owner;
+}
+
+struct back_run *
+back_start(struct back *back, struct addr upstream, const GByteArray *http,
+           const char *lines, size_t body_max, void *data)
+{
+    struct scene *scene = now_playing;
+    struct back_run *run = &scene->runs[scene->run_count++];
+    char **words = g_strsplit((const char *)http->data, " ", 3);
+
+    g_assert_cmpuint(scene->run_count, <=, RUNS_MAX);
+    run->data = data;
+    run->target = g_strdup(words[1]);
+    g_strfreev(words);
+    return run;
+}
+
+void
+back_abort(struct back_run *run)
+{
+}
+
+int
+peer_links_send(struct agent *agent, uint64_t member,
+                const struct engine_peer_msg *msg, const GByteArray *bytes,
+                const char *traceparent)
+{
+    return 0;
+}
+
+void
+upstream_unreached(struct agent *agent)
+{
+}
+
+void
+ingress_flow(struct agent *agent, struct addr caller, struct addr local,
+             bool open)
+{
+}
+
+static void
+set_text(struct scene *scene, const char *service)
+{
+    struct agent *agent = &scene->agent;
+    struct text *text = NULL;
+    char *report = NULL;
+
+    g_assert_cmpint(
+        text_parse(source, sizeof(source) - 1, "priority", &text, &report), ==,
+        0);
+    agent->service = *text_find(text, hash_service(service));
+    agent->service.ip = FLOW_LOCAL; /* where the fake flows come to */
+    agent->service_known = true;
+    engine_set_text(agent->requests.engine, text, scene->clock.now_us,
+                    &agent->requests.out);
+    requests_act(agent);
+    text_free(text);
+}
+
+static void
+scene_init(struct scene *scene, const char *service)
+{
+    struct agent *agent = &scene->agent;
+
+    memset(scene, 0, sizeof(*scene));
+    now_playing = scene;
+    clock_manual_init(&scene->clock, START_US);
+    agent->clock = &scene->clock.base;
+    agent->ticked_us = START_US;
+    agent->self = hash_name("self");
+    agent->trace.fd = -1;
+    agent->upstream.service = hash_service(service);
+    counter_table_init(&agent->counters);
+    requests_register(agent);
+    g_assert_cmpint(requests_init(agent, 1), ==, 0);
+    back_init(&agent->back, NULL, &agent->requests.back_owner);
+    front_init(&agent->front, &agent->requests.front_owner, "self");
+    agent->front.limits =
+        (struct front_limits){10, 10, 1024, 3600 * USEC_PER_SEC};
+    set_text(scene, service);
+    engine_set_upstream(agent->requests.engine, hash_service(service), 2, true,
+                        scene->clock.now_us, &agent->requests.out);
+    requests_act(agent);
+    for (unsigned i = 0; i < CALLERS; i++) {
+        fake_conn_init(&scene->callers[i], CALLER + i);
+        front_open(&agent->front, &scene->callers[i], scene->clock.now_us);
+    }
+}
+
+static void
+scene_finish(struct scene *scene)
+{
+    requests_finish(&scene->agent);
+    front_finish(&scene->agent.front);
+    counter_table_finish(&scene->agent.counters);
+    for (unsigned i = 0; i < CALLERS; i++) {
+        fake_conn_finish(&scene->callers[i]);
+    }
+    for (size_t i = 0; i < scene->run_count; i++) {
+        g_free(scene->runs[i].target);
+    }
+}
+
+static void
+ask(struct scene *scene, unsigned caller, const char *target,
+    const char *fields)
+{
+    char *text = g_strdup_printf("GET %s HTTP/1.1\r\nHost: h\r\n%s\r\n",
+                                 target, fields);
+
+    clock_manual_advance(&scene->clock, USEC_PER_MSEC);
+    front_data(&scene->agent.front, &scene->callers[caller],
+               (const uint8_t *)text, strlen(text), scene->clock.now_us);
+    g_free(text);
+}
+
+/* Both slots are taken; two requests wait; a slot comes free. Returns which
+ * request gets it. */
+static const char *
+next_run(struct scene *scene, const char *first, const char *second)
+{
+    struct back_owner *owner = scene->agent.back.owner;
+    static const char text[] = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+    GByteArray *answer = g_byte_array_new();
+
+    ask(scene, 0, "/busy", "");
+    ask(scene, 1, "/busy", "");
+    ask(scene, 2, "/first", first);
+    ask(scene, 3, "/second", second);
+    g_assert_cmpuint(scene->run_count, ==, 2);
+    g_byte_array_append(answer, (const guint8 *)text, sizeof(text) - 1);
+    owner->ops->on_end(owner, scene->runs[0].data, ENGINE_UP_ANSWERED, answer);
+    g_assert_cmpuint(scene->run_count, ==, 3);
+    return scene->runs[2].target;
+}
+
+static void
+check(const char *service, const char *first, const char *second,
+      const char *expected)
+{
+    struct scene scene;
+
+    scene_init(&scene, service);
+    g_assert_cmpstr(next_run(&scene, first, second), ==, expected);
+    scene_finish(&scene);
+}
+
+/* A call on behalf of urgent work goes first at a service that an urgent one
+ * depends on. */
+static void
+test_inherited(void)
+{
+    check("prices", "", "", "/first");
+    check("prices", "", "Priority: u=1\r\n", "/second");
+    check("prices", "Priority: u=3\r\n", "Priority: u=2\r\n", "/second");
+    check("prices", "", "Priority: u=4\r\n", "/first");
+}
+
+/* Nothing that its caller says raises any other ordinary service. */
+static void
+test_not_raised(void)
+{
+    check("reports", "", "Priority: u=0\r\n", "/first");
+    check("reports", "Priority: u=5\r\n", "Priority: u=0\r\n", "/first");
+}
+
+static void
+test_lowered(void)
+{
+    check("lots", "Priority: u=5\r\n", "", "/second");
+    check("lots", "", "Priority: u=0\r\n", "/first");
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/request/priority/inherited", test_inherited);
+    g_test_add_func("/request/priority/not_raised", test_not_raised);
+    g_test_add_func("/request/priority/lowered", test_lowered);
+    return g_test_run();
+}
