directory: balancers learn what other cells serve and forward to them

Cause: the fabric hands any packet of the region to any entry host, and a balancer dropped those of other cells. Ruled out: a directory at agents too (they never route by address); authors chosen among all members (an agent would hold it to no use), so the two highest ranked balancers write a cell's entry; a link from control to directory (they would need each other), so the control thread runs an extension from the board. Change: extension of the control thread, the service that publishes a table under RCU, workers that forward what no service of the own cell takes to a gateway of the owning cell, marked, once; counters. Not run: a site of several cells with real processes and callers.

--- a/bench/directory/measure.c
+++ b/bench/directory/measure.c
@@ -26,12 +26,12 @@
 #define ADDRESS_IP 0x0b000000u
 
 const char *const measure_names[MEASURE_COLUMNS] = {
-    "rest_reader_bytes_out_per_s",
-    "rest_reader_bytes_in_per_s",
+    "rest_author_bytes_out_per_s",
+    "rest_author_bytes_in_per_s",
     "rest_balancer_bytes_out_per_s",
     "rest_balancer_bytes_in_per_s",
-    "day_reader_bytes_out_per_s",
-    "day_reader_bytes_in_per_s",
+    "day_author_bytes_out_per_s",
+    "day_author_bytes_in_per_s",
     "day_balancer_bytes_out_per_s",
     "day_balancer_bytes_in_per_s",
     "day_cpu_us_per_s",
@@ -87,8 +87,8 @@
 
 /** struct traffic - bytes of the nodes of the whole cell */
 struct traffic {
-    double reader_out;
-    double reader_in;
+    double author_out;
+    double author_in;
     double balancer_out;
     double balancer_in;
 };
@@ -107,22 +107,22 @@
 {
     struct traffic sum = {0};
     double seconds = (double)(net->now_us - since_us) / USEC_PER_SEC;
-    double readers = 0;
+    double authors = 0;
 
     for (size_t i = 0; i < MEASURE_BALANCERS; i++) {
         const struct net_node *node = &net->nodes[i];
-        bool reader = node->core.place.reader;
+        bool author = node->core.place.author;
         double out = node->bytes_out + MESSAGE_OVERHEAD * node->messages_out;
         double in = node->bytes_in + MESSAGE_OVERHEAD * node->messages_in;
 
-        readers += reader;
-        *(reader ? &sum.reader_out : &sum.balancer_out) += out;
-        *(reader ? &sum.reader_in : &sum.balancer_in) += in;
+        authors += author;
+        *(author ? &sum.author_out : &sum.balancer_out) += out;
+        *(author ? &sum.author_in : &sum.balancer_in) += in;
     }
-    columns[0] = sum.reader_out / readers / seconds;
-    columns[1] = sum.reader_in / readers / seconds;
-    columns[2] = sum.balancer_out / (MEASURE_BALANCERS - readers) / seconds;
-    columns[3] = sum.balancer_in / (MEASURE_BALANCERS - readers) / seconds;
+    columns[0] = sum.author_out / authors / seconds;
+    columns[1] = sum.author_in / authors / seconds;
+    columns[2] = sum.balancer_out / (MEASURE_BALANCERS - authors) / seconds;
+    columns[3] = sum.balancer_in / (MEASURE_BALANCERS - authors) / seconds;
 }
 
 static void
@@ -132,7 +132,7 @@
 
     reset_traffic(net);
     net_run(net, net->now_us + REST_US);
-    read_traffic(net, since_us, columns + MEASURE_REST_READER_OUT);
+    read_traffic(net, since_us, columns + MEASURE_REST_AUTHOR_OUT);
 }
 
 /* One more address, or one less. */
@@ -178,7 +178,7 @@
     seconds = (double)(net->now_us - since_us) / USEC_PER_SEC;
     columns[MEASURE_DAY_CPU_US] =
         (cpu_us() - before_us) / (double)net->count / seconds;
-    read_traffic(net, since_us, columns + MEASURE_DAY_READER_OUT);
+    read_traffic(net, since_us, columns + MEASURE_DAY_AUTHOR_OUT);
 }
 
 /** struct wait - for each node to see something */
--- a/src/balancer/balancer.c
+++ b/src/balancer/balancer.c
@@ -16,6 +16,7 @@
 #include "base/log.h"
 #include "base/settings.h"
 #include "control/control.h"
+#include "directory/service.h"
 
 #define POLL_US 5000
 #define QUIET_US (2 * USEC_PER_SEC)
@@ -34,6 +35,7 @@
  * @board: blackboard
  * @pool: packet workers
  * @builder: keeps the table of @pool
+ * @directory: what other cells serve
  * @control: control thread
  * @base: loop of the main thread
  * @httpd: /metrics and /ready
@@ -54,6 +56,7 @@
     struct board board;
     struct worker_pool pool;
     struct builder builder;
+    struct directory_service directory;
     struct control *control;
     struct event_base *base;
     struct httpd *httpd;
@@ -246,6 +249,12 @@
         return error_set(err, result, "register counters", NULL,
                          "too many counters");
 
+    result =
+        directory_service_init(&balancer->directory, &balancer->settings,
+                               &balancer->board, &balancer->counters, err);
+    if (result < 0)
+        return result;
+    balancer->pool.directory = &balancer->directory.table;
     balancer->control =
         control_start(&balancer->settings, &balancer->board, &balancer->clock,
                       &balancer->counters, err);
@@ -287,6 +296,7 @@
     worker_pool_finish(&balancer->pool);
     if (balancer->control != NULL)
         control_stop(balancer->control);
+    directory_service_finish(&balancer->directory);
     if (balancer->poll != NULL)
         event_free(balancer->poll);
     for (size_t i = 0; i < G_N_ELEMENTS(balancer->signals); i++)
--- a/src/balancer/worker.c
+++ b/src/balancer/worker.c
@@ -150,12 +150,17 @@
 
     __atomic_store_n(&worker->last_us, now_us, __ATOMIC_RELAXED);
     rcu_read_lock();
+    if (pool->directory != NULL)
+        batch->directory = rcu_dereference(*pool->directory);
     worker_batch_decide(batch, received, rcu_dereference(pool->table),
                         pool->trace, now_us);
     rcu_read_unlock();
+    batch->directory = NULL;
     send_batch(worker, now_us);
 
     count(worker, pool->received, received);
+    count(worker, pool->to_cells, batch->to_cells);
+    count(worker, pool->from_cells, batch->from_cells);
     count_drops(worker);
     if (now_us >= worker->errors_us + ERRORS_EVERY_US)
         read_errors(worker, now_us);
@@ -189,7 +194,12 @@
         counter_register(pool->counters, "packets_forwarded_total", "");
     pool->refused =
         counter_register(pool->counters, "packets_refused_total", "");
-    if (pool->received < 0 || pool->forwarded < 0 || pool->refused < 0)
+    pool->to_cells =
+        counter_register(pool->counters, "packets_to_other_cells_total", "");
+    pool->from_cells =
+        counter_register(pool->counters, "packets_from_other_cells_total", "");
+    if (pool->received < 0 || pool->forwarded < 0 || pool->refused < 0 ||
+        pool->to_cells < 0 || pool->from_cells < 0)
         return -ENOSPC;
 
     for (int i = 0; i < PACKET_DROP_COUNT; i++) {
--- a/src/balancer/worker.h
+++ b/src/balancer/worker.h
@@ -20,6 +20,7 @@
 #include "base/counter.h"
 #include "base/error.h"
 #include "base/trace.h"
+#include "directory/table.h"
 #include "packet/packet.h"
 
 #define WORKER_BATCH 64
@@ -56,12 +57,16 @@
  * @counters: table of the counters below
  * @trace: where spans go
  * @table: table in force or NULL; read under RCU
+ * @directory: where the table of other cells is published, or NULL; set
+ *             before worker_pool_start()
  * @stopping: set once, tells the workers to end
  * @count: workers
  * @workers: the workers
  * @addr: address they take packets at
  * @received: counter of packets that came
  * @forwarded: counter of packets sent on
+ * @to_cells: counter of packets sent on to other cells
+ * @from_cells: counter of packets that other cells sent on
  * @refused: counter of refusals that the kernel told
  * @dropped: counter for each reason
  */
@@ -71,12 +76,15 @@
     struct counter_table *counters;
     struct trace *trace;
     struct route_table *table;
+    struct directory_table *const *directory;
     int stopping;
     unsigned count;
     struct worker *workers;
     struct addr addr;
     int received;
     int forwarded;
+    int to_cells;
+    int from_cells;
     int refused;
     int dropped[PACKET_DROP_COUNT];
 };
--- a/src/balancer/worker_batch.c
+++ b/src/balancer/worker_batch.c
@@ -3,6 +3,9 @@
 #include <string.h>
 
 #include "balancer/span.h"
+#include "directory/forward.h"
+
+_Static_assert(FORWARD_HEADER == BATCH_BARE, "both headers are of one length");
 
 static enum packet_drop
 check_encap(const uint8_t *buf, size_t len)
@@ -11,6 +14,8 @@
 
     if (len < BATCH_BARE)
         return PACKET_ENCAP;
+    if (forward_is_marked(buf, len))
+        return PACKET_OK;
     if (buf[0] == 0) /* the usual case, without reading a hop list */
         return gue_decode(buf, len, &gue) == BATCH_BARE ? PACKET_OK
                                                         : PACKET_ENCAP;
@@ -19,16 +24,32 @@
 
 static void
 add_output(struct worker_batch *batch, uint8_t *packet, size_t len,
-           const struct gue *gue)
+           const uint8_t *header, size_t header_len, struct addr to)
 {
-    uint8_t header[GUE_HEADER_MAX];
-    size_t header_len = gue_encode(gue, header);
     unsigned i = batch->out_count++;
 
     memcpy(packet - header_len, header, header_len);
     batch->out_iov[i].iov_base = packet - header_len;
     batch->out_iov[i].iov_len = header_len + len;
-    batch->out_to[i] = addr_to_sockaddr(gue->hops[0].data);
+    batch->out_to[i] = addr_to_sockaddr(to);
+}
+
+/* No service of this cell takes the packet. */
+static enum packet_drop
+forward_one(struct worker_batch *batch, uint8_t *packet, size_t len,
+            const struct packet *parsed, bool marked)
+{
+    uint8_t header[FORWARD_HEADER];
+    struct addr to;
+    enum packet_drop drop =
+        forward_decide(batch->directory, parsed, marked, &to);
+
+    if (drop != PACKET_OK)
+        return drop;
+    forward_encode(header);
+    add_output(batch, packet, len, header, sizeof(header), to);
+    batch->to_cells++;
+    return PACKET_OK;
 }
 
 static enum packet_drop
@@ -39,6 +60,8 @@
     uint8_t *encap = batch->in_iov[i].iov_base;
     size_t len = batch->in[i].msg_len;
     struct route_decision decision;
+    uint8_t header[GUE_HEADER_MAX];
+    size_t header_len;
 
     enum packet_drop drop = check_encap(encap, len);
     if (drop != PACKET_OK)
@@ -46,15 +69,21 @@
     if (table == NULL)
         return PACKET_NO_ENDPOINT;
 
+    bool marked = forward_is_marked(encap, len);
     uint8_t *packet = encap + BATCH_BARE;
+    batch->from_cells += marked;
     len -= BATCH_BARE;
     drop = route_decide(table, packet, len, now_us, &decision);
+    if (drop == PACKET_SERVICE)
+        return forward_one(batch, packet, len, &decision.packet, marked);
     if (drop != PACKET_OK)
         return drop;
 
     if (trace->fd >= 0)
         span_write(trace, packet, &decision, now_us);
-    add_output(batch, packet, len, &decision.gue);
+    header_len = gue_encode(&decision.gue, header);
+    add_output(batch, packet, len, header, header_len,
+               decision.gue.hops[0].data);
     return PACKET_OK;
 }
 
@@ -80,6 +109,8 @@
                     uint64_t now_us)
 {
     batch->out_count = 0;
+    batch->to_cells = 0;
+    batch->from_cells = 0;
     memset(batch->drops, 0, sizeof(batch->drops));
     for (unsigned i = 0; i < count; i++) {
         enum packet_drop drop = decide_one(batch, i, table, trace, now_us);
--- a/src/balancer/worker_batch.h
+++ b/src/balancer/worker_batch.h
@@ -16,6 +16,7 @@
 #include "balancer/route.h"
 #include "balancer/worker.h"
 #include "base/trace.h"
+#include "directory/table.h"
 #include "packet/gue.h"
 #include "packet/packet.h"
 
@@ -39,6 +40,10 @@
  * @out_to: their destinations
  * @out_count: packets to send
  * @drops: packets dropped in this batch, for each reason
+ * @directory: of the other cells of the region, or NULL; set before each
+ *             batch
+ * @to_cells: packets of this batch that go to gateways of other cells
+ * @from_cells: packets that came from other cells
  * @buffers: the buffers
  */
 struct worker_batch {
@@ -49,6 +54,9 @@
     struct sockaddr_in out_to[WORKER_BATCH];
     unsigned out_count;
     uint32_t drops[PACKET_DROP_COUNT];
+    const struct directory_table *directory;
+    uint32_t to_cells;
+    uint32_t from_cells;
     struct batch_buffer buffers[WORKER_BATCH];
 };
 
--- a/src/control/board.h
+++ b/src/control/board.h
@@ -13,6 +13,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "control/extension.h"
 #include "control/view.h"
 #include "text/text.h"
 
@@ -39,6 +40,7 @@
     uint64_t text_since_us; /* clock when @text came in force */
     pthread_mutex_t lock;
     struct board_local local;
+    struct extension *extension; /* NULL, or set before control_start() */
     uint64_t local_seq; /* grows with each board_set_local() that changed */
 };
 
--- a/src/control/control.c
+++ b/src/control/control.c
@@ -86,6 +86,7 @@
     struct timeval timeout;
 
     next = MIN(next, config_next_us(&control->config, now_us));
+    next = MIN(next, control->extension_us);
     wait = next > now_us ? next - now_us : 0;
     wait = CLAMP(wait, TIMER_MIN_US, TIMER_MAX_US);
     timeout.tv_sec = wait / USEC_PER_SEC;
@@ -93,6 +94,29 @@
     event_add(control->timer, &timeout);
 }
 
+static void
+start_extension(struct control *control)
+{
+    struct extension *extension = control->board->extension;
+
+    control->extension_us = UINT64_MAX;
+    if (extension == NULL)
+        return;
+    extension->control = control;
+    extension->send = control_net_send_extension;
+    extension->ops->on_start(extension, link_hub_addr(&control->hub));
+}
+
+static void
+step_extension(struct control *control, uint64_t now_us)
+{
+    struct extension *extension = control->board->extension;
+
+    if (extension != NULL)
+        control->extension_us =
+            extension->ops->on_step(extension, now_us, control_wall_ms());
+}
+
 void
 control_step(struct control *control)
 {
@@ -106,6 +130,7 @@
         member_tick(&control->members, now_us, &control->out);
     control_net_send(control);
     publish_view(control, now_us);
+    step_extension(control, now_us);
     set_timer(control, now_us);
 }
 
@@ -153,6 +178,7 @@
     struct control *control = data;
 
     rcu_register_thread();
+    start_extension(control);
     control_step(control);
     event_base_dispatch(control->base);
     say_goodbye(control);
--- a/src/control/control_internal.h
+++ b/src/control/control_internal.h
@@ -26,7 +26,8 @@
     CONTROL_FRAME_CONFIG_REQUEST = 0x102,
     CONTROL_FRAME_CONFIG_REPLY = 0x103,
     CONTROL_FRAME_SHOW_REQUEST = 0x110,
-    CONTROL_FRAME_SHOW_REPLY = 0x111
+    CONTROL_FRAME_SHOW_REPLY = 0x111,
+    CONTROL_FRAME_EXTENSION = 0x120
 };
 
 /** enum control_counter - handles in struct control */
@@ -72,6 +73,7 @@
  * @conn: connection whose frame is being handled, or NULL
  * @local_seq: sequence of the board's local part taken last
  * @load_us: when loads may be published again
+ * @extension_us: when the extension is due, UINT64_MAX without one
  */
 struct control {
     struct link_handler handler;
@@ -101,6 +103,7 @@
     uint64_t cell;
     uint64_t view_seq;
     uint64_t load_us;
+    uint64_t extension_us;
     uint64_t local_seq;
     uint64_t datagrams_out;
     uint64_t datagrams_in;
@@ -142,6 +145,11 @@
 void
 control_net_send(struct control *control);
 
+/** control_net_send_extension() - send a message of the extension */
+void
+control_net_send_extension(struct control *control, struct addr to,
+                           const uint8_t *body, size_t len);
+
 /* control_config.c */
 
 /** control_config_step() - platform calls and fetches that are due */
--- a/src/control/control_net.c
+++ b/src/control/control_net.c
@@ -15,6 +15,7 @@
 
 #define DATAGRAMS_PER_TURN 64
 #define FRAME_STACK_MAX 2048
+#define EXTENSION_MARK 0 /* no tag of an encoded message */
 
 /* Takes the errors that ICMP brought: a refusal proves that nobody is there.
  */
@@ -48,6 +49,15 @@
     }
 }
 
+static void
+handle_extension(struct control *control, const uint8_t *body, size_t len)
+{
+    struct extension *extension = control->board->extension;
+
+    if (extension != NULL)
+        extension->ops->on_message(extension, body, len, control_now(control));
+}
+
 static void
 handle_message(struct control *control, const uint8_t *body, size_t len,
                uint64_t sender, struct addr from)
@@ -88,6 +98,8 @@
     if (auth_open(&control->auth, sealed, len, control_wall_ms(), &sender,
                   &body, &body_len) < 0)
         control->bad_messages++;
+    else if (body_len > 0 && body[0] == EXTENSION_MARK)
+        handle_extension(control, body + 1, body_len - 1);
     else
         handle_message(control, body, body_len, sender,
                        addr_from_sockaddr(&sin));
@@ -128,6 +140,9 @@
     case CONTROL_FRAME_SHOW_REQUEST:
         control_show(control, conn, body, len);
         break;
+    case CONTROL_FRAME_EXTENSION:
+        handle_extension(control, body, len);
+        break;
     default:
         control->bad_messages++;
         break;
@@ -216,16 +231,14 @@
 }
 
 static void
-send_datagram(struct control *control, const struct member_action *action)
+seal_and_send(struct control *control, struct addr to, const uint8_t *body,
+              size_t len)
 {
-    uint8_t body[FRAME_STACK_MAX];
     uint8_t sealed[FRAME_STACK_MAX + AUTH_OVERHEAD];
-    struct sockaddr_in sin = addr_to_sockaddr(action->to);
-    size_t len = wire_size(&action->msg);
+    struct sockaddr_in sin = addr_to_sockaddr(to);
     ssize_t sent;
 
     g_assert(len + AUTH_OVERHEAD <= MEMBER_DATAGRAM_MAX);
-    len = wire_encode(&action->msg, body);
     len = auth_seal(&control->auth, body, len, control_wall_ms(), sealed);
     do {
         /* An earlier datagram's error is told once here. */
@@ -238,6 +251,30 @@
     control->bytes_out += len;
 }
 
+static void
+send_datagram(struct control *control, const struct member_action *action)
+{
+    uint8_t body[FRAME_STACK_MAX];
+
+    g_assert(wire_size(&action->msg) <= sizeof(body));
+    seal_and_send(control, action->to, body, wire_encode(&action->msg, body));
+}
+
+void
+control_net_send_extension(struct control *control, struct addr to,
+                           const uint8_t *body, size_t len)
+{
+    uint8_t marked[MEMBER_DATAGRAM_MAX];
+
+    if (len + 1 + AUTH_OVERHEAD > sizeof(marked)) {
+        link_send(&control->hub, to, CONTROL_FRAME_EXTENSION, body, len);
+        return;
+    }
+    marked[0] = EXTENSION_MARK;
+    memcpy(marked + 1, body, len);
+    seal_and_send(control, to, marked, len + 1);
+}
+
 static void
 send_frame(struct control *control, const struct member_action *action)
 {
--- a/src/directory/describe.c
+++ b/src/directory/describe.c
@@ -5,25 +5,22 @@
 #include <string.h>
 
 #include "base/hash.h"
-#include "control/config.h"
 
-_Static_assert(DIRECTORY_READERS == CONFIG_READERS, "one set of readers");
 _Static_assert(TEXT_SERVICES_MAX + TEXT_RETIRED_MAX <= DIRECTORY_ADDRESSES_MAX,
                "every text fits in an entry");
 
-/* As member_rank() judges: the readers of the platform are the readers
- * here. */
+/* Agents have no use for a directory, so only balancers keep it. */
 static bool
-is_ranked(const struct view_member *member)
+is_author(const struct view_member *member)
 {
-    return member->health == MEMBER_ALIVE && member->state != MEMBER_LEAVING;
+    return member->role == MEMBER_BALANCER && member->health == MEMBER_ALIVE &&
+           member->state != MEMBER_LEAVING;
 }
 
 static bool
 is_gateway(const struct view_member *member)
 {
-    return member->role == MEMBER_BALANCER && member->health == MEMBER_ALIVE &&
-           member->state == MEMBER_READY;
+    return is_author(member) && member->state == MEMBER_READY;
 }
 
 /* The @limit members of the highest rank for which @accept holds, the
@@ -68,11 +65,11 @@
 {
     const struct view_member *members[DIRECTORY_GATEWAYS];
     uint64_t key = cell_key(cell);
-    size_t count = highest(view, key, is_ranked, DIRECTORY_READERS, members);
+    size_t count = highest(view, key, is_author, DIRECTORY_AUTHORS, members);
 
-    entry->reader_count = count;
+    entry->author_count = count;
     for (size_t i = 0; i < count; i++)
-        entry->readers[i] = members[i]->control;
+        entry->authors[i] = members[i]->control;
     count = highest(view, key, is_gateway, DIRECTORY_GATEWAYS, members);
     entry->gateway_count = count;
     for (size_t i = 0; i < count; i++) {
@@ -115,24 +112,24 @@
 directory_place_from(const char *cell, const struct view *view,
                      struct directory_place *place)
 {
-    const struct view_member *readers[DIRECTORY_READERS];
+    const struct view_member *authors[DIRECTORY_AUTHORS];
     const struct view_member *self = &view->members[view->self];
     size_t count =
-        highest(view, cell_key(cell), is_ranked, DIRECTORY_READERS, readers);
+        highest(view, cell_key(cell), is_author, DIRECTORY_AUTHORS, authors);
 
     memset(place, 0, sizeof(*place));
     for (size_t i = 0; i < count; i++) {
-        if (readers[i] == self)
-            place->reader = true;
+        if (authors[i] == self)
+            place->author = true;
         else
-            place->readers[place->reader_count++] = readers[i]->control;
+            place->authors[place->author_count++] = authors[i]->control;
     }
-    place->holds = place->reader || self->role == MEMBER_BALANCER;
+    place->holds = self->role == MEMBER_BALANCER;
     for (size_t i = 0; i < view->count; i++) {
         const struct view_member *member = &view->members[i];
 
-        if (member == self || member->role != MEMBER_BALANCER ||
-            !is_ranked(member) || place->balancer_count == DIRECTORY_PEERS_MAX)
+        if (member == self || !is_author(member) ||
+            place->balancer_count == DIRECTORY_PEERS_MAX)
             continue;
         place->balancers[place->balancer_count++] = member->control;
     }
--- a/src/directory/describe.h
+++ b/src/directory/describe.h
@@ -1,7 +1,7 @@
 /**
  * DOC: describe - what a process of a cell says of that cell, and to whom
  *
- * Functions of the view and the text alone, so that readers that know the
+ * Functions of the view and the text alone, so that authors that know the
  * same say the same.
  */
 #ifndef SWIFTARCH_DIRECTORY_DESCRIBE_H
@@ -16,8 +16,8 @@
  * @cell: name of the cell
  * @entry: result
  *
- * Gateways are the balancers, alive and ready, that rank highest. The
- * counter is left 0.
+ * Authors are the balancers, alive and not leaving, that rank highest;
+ * gateways those that are ready. The counter is left 0.
  *
  * Return: 0, -ENOMEM, or -EAGAIN for a text that no platform has versioned.
  */
--- a/src/directory/directory.c
+++ b/src/directory/directory.c
@@ -48,7 +48,7 @@
 directory_set_place(struct directory_core *core,
                     const struct directory_place *place)
 {
-    assert(place->reader_count <= DIRECTORY_READERS);
+    assert(place->author_count <= DIRECTORY_AUTHORS);
     assert(place->balancer_count <= DIRECTORY_PEERS_MAX);
     core->place = *place;
 }
@@ -137,7 +137,7 @@
 }
 
 static void
-author(struct directory_core *core, uint64_t now_us, uint64_t wall_ms)
+publish_own(struct directory_core *core, uint64_t now_us, uint64_t wall_ms)
 {
     const struct directory_slot *held = directory_find(core, core->cell);
     struct directory_entry *entry = directory_entry_copy(core->own);
@@ -154,7 +154,7 @@
     core->renew_us = 0;
 }
 
-/* The other reader, whose draw is likely another, renews for both. */
+/* The other author, whose draw is likely another, renews for both. */
 static bool
 renewal_due(struct directory_core *core, const struct directory_slot *held,
             uint64_t now_us)
@@ -185,35 +185,36 @@
 must_author(struct directory_core *core, uint64_t now_us)
 {
     const struct directory_slot *held = directory_find(core, core->cell);
+    const struct directory_version *own;
     const struct directory_version *version;
 
-    if (!core->place.reader || core->own == NULL)
+    if (!core->place.author || core->own == NULL)
         return false;
     if (held == NULL)
         return true;
+    own = &core->own->version;
     version = &held->entry->version;
-    /* Who lags behind the cell's text says nothing for it. */
-    if (core->own->version.config_version < version->config_version)
-        return false;
-    if (core->own->version.config_version > version->config_version)
+    if (own->config_version > version->config_version)
         return true;
-    if (core->own->version.sum == version->sum) {
-        core->own_us = 0;
-        return renewal_due(core, held, now_us);
-    }
-    return contest_due(core, now_us);
+    /* Who lags behind the cell's text says nothing for it. */
+    if (own->config_version == version->config_version &&
+        own->sum != version->sum)
+        return contest_due(core, now_us);
+    core->own_us = 0;
+    return own->config_version == version->config_version &&
+           renewal_due(core, held, now_us);
 }
 
-/* Readers know first; the others spare them three of four questions. */
+/* Authors know first; the others spare them three of four questions. */
 static bool
 choose_cell_peer(struct directory_core *core, struct addr *peer)
 {
     const struct directory_place *place = &core->place;
-    size_t readers = place->reader_count;
+    size_t authors = place->author_count;
     size_t balancers = place->balancer_count;
 
-    if (readers > 0 && (balancers == 0 || random_below(&core->random, 4) == 0))
-        *peer = place->readers[random_below(&core->random, readers)];
+    if (authors > 0 && (balancers == 0 || random_below(&core->random, 4) == 0))
+        *peer = place->authors[random_below(&core->random, authors)];
     else if (balancers > 0)
         *peer = place->balancers[random_below(&core->random, balancers)];
     else
@@ -227,10 +228,10 @@
 {
     size_t gateways = entry->gateway_count;
 
-    if (entry->reader_count > 0 &&
+    if (entry->author_count > 0 &&
         (gateways == 0 || random_below(&core->random, 4) != 0))
         *peer =
-            entry->readers[random_below(&core->random, entry->reader_count)];
+            entry->authors[random_below(&core->random, entry->author_count)];
     else if (gateways > 0)
         *peer = entry->gateways[random_below(&core->random, gateways)].control;
     else
@@ -284,7 +285,7 @@
     }
     core->region_us =
         now_us + random_between(&core->random, period * 3 / 4, period * 5 / 4);
-    if (core->place.reader && choose_region_peer(core, &peer))
+    if (core->place.author && choose_region_peer(core, &peer))
         directory_send_digest(core, peer, out);
 }
 
@@ -295,7 +296,7 @@
     if (!core->place.holds)
         return;
     if (must_author(core, now_us))
-        author(core, now_us, wall_ms);
+        publish_own(core, now_us, wall_ms);
     tick_cell(core, now_us, out);
     tick_region(core, now_us, out);
 }
@@ -305,9 +306,11 @@
 {
     uint64_t next = core->cell_us;
 
-    if (core->place.reader)
+    if (!core->place.holds)
+        return UINT64_MAX;
+    if (core->place.author)
         next = MIN(next, core->region_us);
-    if (core->own_us != 0)
+    if (core->place.author && core->own_us != 0)
         next = MIN(next, core->own_us);
     return next;
 }
--- a/src/directory/directory.h
+++ b/src/directory/directory.h
@@ -2,14 +2,15 @@
  * DOC: directory - which cell of the region serves an address, a pure core
  *
  * A process knows the services of its own cell only. Of each other cell of
- * its region it keeps one entry: addresses, gateways and readers. The
- * readers of a cell author its entry. Later versions replace earlier ones,
- * whoever brings them and how often; nothing ever goes back.
+ * its region it keeps one entry: addresses, gateways and authors. The
+ * authors of a cell, the two of its balancers that rank highest, write its
+ * entry. Later versions replace earlier ones, whoever brings them and how
+ * often; nothing ever goes back.
  *
- * Each process that holds a directory (balancers and readers) sends a
- * digest to another of its cell every DIRECTORY_CELL_US; readers also send
- * one to another cell every DIRECTORY_REGION_US, and a few at once after
- * they learned something. What differs is exchanged both ways. All but the
+ * Each process that holds a directory (the balancers) sends a digest to
+ * another of its cell every DIRECTORY_CELL_US; authors also send one to
+ * another cell every DIRECTORY_REGION_US, and a few at once after they
+ * learned something. What differs is exchanged both ways. All but the
  * digests is paid for from a budget of bytes, so that nothing that happens
  * (a region healing, a data centre starting) costs a process more than
  * DIRECTORY_RATE for long.
@@ -35,7 +36,7 @@
 #define DIRECTORY_HOT_US (250 * USEC_PER_MSEC)
 #define DIRECTORY_HOT_ROUNDS 3
 #define DIRECTORY_RENEW_US (300 * USEC_PER_SEC)
-/* Both readers see the same after a while; before, they'd take turns. Where
+/* Both authors see the same after a while; before, they'd take turns. Where
  * they don't, as in a cell that is cut in two, turns get rare. */
 #define DIRECTORY_SETTLE_US (500 * USEC_PER_MSEC)
 #define DIRECTORY_CONTESTS_MAX 7     /* doublings of the time above */
@@ -64,17 +65,17 @@
 /**
  * struct directory_place - where this process stands in its cell
  * @holds: it keeps a directory; others neither send nor answer
- * @reader: it is a reader of its cell
- * @readers: control addresses of the other readers
- * @reader_count: how many
+ * @author: it is an author of its cell
+ * @authors: control addresses of the other authors
+ * @author_count: how many
  * @balancers: control addresses of the other balancers of the cell
  * @balancer_count: how many
  */
 struct directory_place {
     bool holds;
-    bool reader;
-    struct addr readers[DIRECTORY_READERS];
-    size_t reader_count;
+    bool author;
+    struct addr authors[DIRECTORY_AUTHORS];
+    size_t author_count;
     struct addr balancers[DIRECTORY_PEERS_MAX];
     size_t balancer_count;
 };
@@ -184,7 +185,8 @@
 directory_tick(struct directory_core *core, uint64_t now_us, uint64_t wall_ms,
                struct directory_actions *out);
 
-/** directory_next_us() - when directory_tick() may have something to do */
+/** directory_next_us() - when directory_tick() may have something to do,
+ * UINT64_MAX if it holds no directory */
 uint64_t
 directory_next_us(const struct directory_core *core);
 
--- a/src/directory/directory.pb-c.c
+++ b/src/directory/directory.pb-c.c
@@ -315,12 +315,12 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "readers",
+    "authors",
     5,
     PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_FIXED64,
-    offsetof(Swiftarch__DirectoryEntry, n_readers),
-    offsetof(Swiftarch__DirectoryEntry, readers),
+    offsetof(Swiftarch__DirectoryEntry, n_authors),
+    offsetof(Swiftarch__DirectoryEntry, authors),
     NULL,
     NULL,
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
@@ -341,11 +341,11 @@
 };
 static const unsigned swiftarch__directory_entry__field_indices_by_name[] = {
   5,   /* field[5] = addresses */
+  4,   /* field[4] = authors */
   1,   /* field[1] = config_version */
   2,   /* field[2] = counter */
   3,   /* field[3] = gateways */
   0,   /* field[0] = name */
-  4,   /* field[4] = readers */
 };
 static const ProtobufCIntRange swiftarch__directory_entry__number_ranges[1 + 1] =
 {
--- a/src/directory/directory.pb-c.h
+++ b/src/directory/directory.pb-c.h
@@ -56,8 +56,8 @@
   /*
    * control addresses: ip << 16 | port
    */
-  size_t n_readers;
-  uint64_t *readers;
+  size_t n_authors;
+  uint64_t *authors;
   /*
    * directory_address(), ascending
    */
--- a/src/directory/entry.c
+++ b/src/directory/entry.c
@@ -126,12 +126,12 @@
     qsort(entry->addresses, entry->count, sizeof(uint64_t), compare_addresses);
     drop_repeated(entry);
     sum = hash_bytes(entry->addresses, entry->count * sizeof(uint64_t),
-                     entry->gateway_count << 8 | entry->reader_count);
+                     entry->gateway_count << 8 | entry->author_count);
     for (size_t i = 0; i < entry->gateway_count; i++) {
         sum = hash_addr(sum, entry->gateways[i].data);
         sum = hash_addr(sum, entry->gateways[i].control);
     }
-    for (size_t i = 0; i < entry->reader_count; i++)
-        sum = hash_addr(sum, entry->readers[i]);
+    for (size_t i = 0; i < entry->author_count; i++)
+        sum = hash_addr(sum, entry->authors[i]);
     entry->version.sum = sum;
 }
--- a/src/directory/entry.h
+++ b/src/directory/entry.h
@@ -16,7 +16,7 @@
 #include "base/addr.h"
 
 #define DIRECTORY_NAME_MAX 32
-#define DIRECTORY_READERS 2
+#define DIRECTORY_AUTHORS 2
 #define DIRECTORY_GATEWAYS 4
 #define DIRECTORY_ADDRESSES_MAX 4352 /* services and retired of one text */
 
@@ -48,8 +48,8 @@
  * @cell: directory_cell() of @name
  * @name: name of the cell
  * @version: place in the order
- * @readers: control addresses of the cell's readers
- * @reader_count: how many
+ * @authors: control addresses of who writes the entry
+ * @author_count: how many
  * @gateways: balancers of the cell
  * @gateway_count: how many
  * @count: addresses
@@ -60,8 +60,8 @@
     uint64_t cell;
     char name[DIRECTORY_NAME_MAX];
     struct directory_version version;
-    struct addr readers[DIRECTORY_READERS];
-    size_t reader_count;
+    struct addr authors[DIRECTORY_AUTHORS];
+    size_t author_count;
     struct directory_gateway gateways[DIRECTORY_GATEWAYS];
     size_t gateway_count;
     size_t count;
--- a/src/directory/message.c
+++ b/src/directory/message.c
@@ -25,7 +25,7 @@
 directory_entry_size(const struct directory_entry *entry)
 {
     return ENTRY_BYTES + entry->gateway_count * GATEWAY_BYTES +
-           (entry->reader_count + entry->count) * sizeof(uint64_t);
+           (entry->author_count + entry->count) * sizeof(uint64_t);
 }
 
 static uint64_t
@@ -51,7 +51,7 @@
     Swiftarch__DirectoryEntry **entry_pointers;
     Swiftarch__DirectoryGateway *gateways;
     Swiftarch__DirectoryGateway **gateway_pointers;
-    uint64_t *readers;
+    uint64_t *authors;
 };
 
 static void
@@ -106,10 +106,10 @@
     out->counter = entry->version.counter;
     out->addresses = (uint64_t *)entry->addresses;
     out->n_addresses = entry->count;
-    out->readers = packer->readers + at * DIRECTORY_READERS;
-    out->n_readers = entry->reader_count;
-    for (size_t i = 0; i < entry->reader_count; i++)
-        out->readers[i] = pack_addr(entry->readers[i]);
+    out->authors = packer->authors + at * DIRECTORY_AUTHORS;
+    out->n_authors = entry->author_count;
+    for (size_t i = 0; i < entry->author_count; i++)
+        out->authors[i] = pack_addr(entry->authors[i]);
     pack_gateways(packer, at, entry);
     packer->entry_pointers[at] = out;
 }
@@ -125,7 +125,7 @@
         g_new(Swiftarch__DirectoryGateway, count * DIRECTORY_GATEWAYS);
     packer->gateway_pointers =
         g_new(Swiftarch__DirectoryGateway *, count * DIRECTORY_GATEWAYS);
-    packer->readers = g_new(uint64_t, count * DIRECTORY_READERS);
+    packer->authors = g_new(uint64_t, count * DIRECTORY_AUTHORS);
     for (size_t i = 0; i < count; i++)
         pack_entry(packer, i, msg->entries[i]);
     packer->out.entries = packer->entry_pointers;
@@ -160,7 +160,7 @@
     g_free(packer->entry_pointers);
     g_free(packer->gateways);
     g_free(packer->gateway_pointers);
-    g_free(packer->readers);
+    g_free(packer->authors);
 }
 
 size_t
@@ -218,7 +218,7 @@
         in->counter == 0)
         return false;
     if (in->n_gateways > DIRECTORY_GATEWAYS ||
-        in->n_readers > DIRECTORY_READERS ||
+        in->n_authors > DIRECTORY_AUTHORS ||
         in->n_addresses > DIRECTORY_ADDRESSES_MAX)
         return false;
     /* Ascending and, but for the lowest bits, each once. */
@@ -247,15 +247,15 @@
         memcpy(entry->addresses, in->addresses,
                in->n_addresses * sizeof(uint64_t));
     ret = unpack_gateways(in, entry);
-    for (size_t i = 0; i < in->n_readers && ret == 0; i++) {
-        if (!unpack_addr(in->readers[i], &entry->readers[i]))
+    for (size_t i = 0; i < in->n_authors && ret == 0; i++) {
+        if (!unpack_addr(in->authors[i], &entry->authors[i]))
             ret = -EBADMSG;
     }
     if (ret < 0) {
         directory_entry_unref(entry);
         return ret;
     }
-    entry->reader_count = in->n_readers;
+    entry->author_count = in->n_authors;
     directory_entry_seal(entry);
     *result = entry;
     return 0;
--- /dev/null
+++ b/src/directory/service.c
@@ -0,0 +1,209 @@
+#define G_LOG_DOMAIN "swiftarch-directory"
+
+#include "directory/service.h"
+
+#include <string.h>
+#include <sys/random.h>
+#include <urcu.h>
+
+#include "base/log.h"
+#include "directory/describe.h"
+#include "directory/message.h"
+
+struct service_counter_name {
+    const char *name;
+    bool gauge;
+};
+
+static const struct service_counter_name names[SERVICE_COUNTERS] = {
+    [SERVICE_CELLS] = {"directory_cells", true},
+    [SERVICE_ADDRESSES] = {"directory_addresses", true},
+    [SERVICE_CONFLICTS] = {"directory_conflicts", true},
+    [SERVICE_OLDEST_S] = {"directory_oldest_entry_seconds", true},
+    [SERVICE_DIGESTS] = {"directory_digests_total", false},
+    [SERVICE_MERGED] = {"directory_entries_merged_total", false},
+    [SERVICE_AUTHORED] = {"directory_entries_authored_total", false},
+    [SERVICE_DELAYED] = {"directory_messages_delayed_total", false},
+    [SERVICE_REFUSED] = {"directory_cells_refused_total", false},
+    [SERVICE_BAD] = {"directory_messages_bad_total", false},
+};
+
+static struct directory_service *
+of_extension(struct extension *extension)
+{
+    return caa_container_of(extension, struct directory_service, extension);
+}
+
+static void
+free_table(struct rcu_head *head)
+{
+    directory_table_free(caa_container_of(head, struct directory_table, rcu));
+}
+
+static void
+publish(struct directory_service *service)
+{
+    struct directory_table *table;
+    struct directory_table *old;
+
+    if (directory_table_new(&service->core, &table) < 0)
+        return; /* tried again with the next step */
+    service->core.changed = false;
+    if (table->conflicts > service->conflicts)
+        g_warning("Several cells claim %zu addresses.", table->conflicts);
+    service->conflicts = table->conflicts;
+    old = rcu_xchg_pointer(&service->table, table);
+    if (old != NULL)
+        call_rcu(&old->rcu, free_table);
+}
+
+static void
+set_counters(const struct directory_service *service, uint64_t now_us)
+{
+    const struct directory_core *core = &service->core;
+    const struct directory_table *table = service->table;
+    uint64_t values[SERVICE_COUNTERS] = {
+        [SERVICE_CELLS] = core->count,
+        [SERVICE_ADDRESSES] = table != NULL ? table->addresses : 0,
+        [SERVICE_CONFLICTS] = service->conflicts,
+        [SERVICE_DIGESTS] = core->stats.digests,
+        [SERVICE_MERGED] = core->stats.merged,
+        [SERVICE_AUTHORED] = core->stats.authored,
+        [SERVICE_DELAYED] = core->stats.delayed,
+        [SERVICE_REFUSED] = core->stats.full,
+        [SERVICE_BAD] = service->bad,
+    };
+
+    for (size_t i = 0; i < core->count; i++) {
+        uint64_t age_s = (now_us - core->slots[i].since_us) / USEC_PER_SEC;
+
+        if (age_s > values[SERVICE_OLDEST_S])
+            values[SERVICE_OLDEST_S] = age_s;
+    }
+    for (size_t i = 0; i < SERVICE_COUNTERS; i++)
+        counter_set(service->counters, service->handles[i], values[i]);
+}
+
+static void
+take_board(struct directory_service *service)
+{
+    /* Only this thread replaces them. */
+    const struct view *view = service->board->view;
+    const struct text *text = service->board->text;
+    const char *cell = service->settings->cell;
+    uint64_t version = text != NULL ? text->version : 0;
+    struct directory_entry *own;
+    struct directory_place place;
+
+    if (view == NULL ||
+        (view->seq == service->view_seq && version == service->text_version))
+        return;
+    directory_place_from(cell, view, &place);
+    directory_set_place(&service->core, &place);
+    if (text != NULL && directory_describe(cell, view, text, &own) == 0)
+        directory_set_own(&service->core, own);
+    service->view_seq = view->seq;
+    service->text_version = version;
+}
+
+static void
+send_all(struct directory_service *service, struct directory_actions *out)
+{
+    uint8_t body[DIRECTORY_MESSAGE_MAX];
+    struct extension *extension = &service->extension;
+
+    for (size_t i = 0; i < out->count; i++)
+        extension->send(extension->control, out->items[i].to, body,
+                        directory_msg_encode(&out->items[i].msg, body));
+    directory_actions_clear(out);
+}
+
+static void
+on_start(struct extension *extension, struct addr self)
+{
+    struct directory_service *service = of_extension(extension);
+    const struct settings *settings = service->settings;
+    uint64_t seed = 0;
+
+    /* Without random numbers the name still tells processes apart. */
+    if (getrandom(&seed, sizeof(seed), 0) != sizeof(seed))
+        seed = directory_cell(settings->name);
+    directory_core_init(&service->core, settings->cell, self, seed, 0);
+    for (size_t i = 0; i < settings->region_seed_count; i++)
+        directory_add_seed(&service->core, settings->region_seeds[i]);
+    service->started = true;
+}
+
+static uint64_t
+on_step(struct extension *extension, uint64_t now_us, uint64_t wall_ms)
+{
+    struct directory_service *service = of_extension(extension);
+    struct directory_actions out = {0};
+
+    take_board(service);
+    directory_tick(&service->core, now_us, wall_ms, &out);
+    send_all(service, &out);
+    if (service->core.changed)
+        publish(service);
+    set_counters(service, now_us);
+    return directory_next_us(&service->core);
+}
+
+static void
+on_message(struct extension *extension, const uint8_t *body, size_t len,
+           uint64_t now_us)
+{
+    struct directory_service *service = of_extension(extension);
+    struct directory_actions out = {0};
+    struct directory_msg msg;
+
+    if (directory_msg_decode(body, len, &msg) < 0) {
+        service->bad++;
+        return;
+    }
+    directory_receive(&service->core, &msg, now_us, &out);
+    directory_msg_finish(&msg);
+    send_all(service, &out);
+}
+
+static const struct extension_ops service_ops = {
+    .on_start = on_start,
+    .on_step = on_step,
+    .on_message = on_message,
+};
+
+int
+directory_service_init(struct directory_service *service,
+                       const struct settings *settings, struct board *board,
+                       struct counter_table *counters, struct error *err)
+{
+    memset(service, 0, sizeof(*service));
+    service->extension.ops = &service_ops;
+    service->settings = settings;
+    service->board = board;
+    service->counters = counters;
+    for (size_t i = 0; i < SERVICE_COUNTERS; i++) {
+        int handle = names[i].gauge
+                         ? counter_register_gauge(counters, names[i].name, "")
+                         : counter_register(counters, names[i].name, "");
+
+        if (handle < 0)
+            return error_set(err, handle, "register counters", NULL,
+                             "no room for %s", names[i].name);
+        service->handles[i] = handle;
+    }
+    board->extension = &service->extension;
+    return 0;
+}
+
+void
+directory_service_finish(struct directory_service *service)
+{
+    if (!service->started)
+        return;
+    rcu_barrier(); /* deferred frees of older tables */
+    directory_core_finish(&service->core);
+    directory_table_free(service->table);
+    service->table = NULL;
+    service->started = false;
+}
--- /dev/null
+++ b/src/directory/service.h
@@ -0,0 +1,80 @@
+/**
+ * DOC: service - the directory of a running process
+ *
+ * Runs the core on the control thread and publishes a table for the packet
+ * workers, to be read under RCU.
+ */
+#ifndef SWIFTARCH_DIRECTORY_SERVICE_H
+#define SWIFTARCH_DIRECTORY_SERVICE_H
+
+#include <stdbool.h>
+
+#include "base/counter.h"
+#include "base/error.h"
+#include "base/settings.h"
+#include "control/board.h"
+#include "control/extension.h"
+#include "directory/directory.h"
+#include "directory/table.h"
+
+/** enum service_counter - handles in struct directory_service */
+enum service_counter {
+    SERVICE_CELLS,
+    SERVICE_ADDRESSES,
+    SERVICE_CONFLICTS,
+    SERVICE_OLDEST_S,
+    SERVICE_DIGESTS,
+    SERVICE_MERGED,
+    SERVICE_AUTHORED,
+    SERVICE_DELAYED,
+    SERVICE_REFUSED,
+    SERVICE_BAD,
+    SERVICE_COUNTERS
+};
+
+/**
+ * struct directory_service - see DOC
+ * @extension: first member, put on the board
+ * @settings: kept
+ * @board: kept
+ * @counters: kept
+ * @handles: of the counters
+ * @core: decisions; the control thread's
+ * @table: published; read under RCU
+ * @started: the control thread runs it
+ * @view_seq: view last taken
+ * @text_version: text last taken
+ * @conflicts: addresses claimed twice, as last logged
+ * @bad: messages that could not be read
+ */
+struct directory_service {
+    struct extension extension;
+    const struct settings *settings;
+    struct board *board;
+    struct counter_table *counters;
+    int handles[SERVICE_COUNTERS];
+    struct directory_core core;
+    struct directory_table *table;
+    bool started;
+    uint64_t view_seq;
+    uint64_t text_version;
+    size_t conflicts;
+    uint64_t bad;
+};
+
+/**
+ * directory_service_init() - register the counters, put it on the board
+ *
+ * Before control_start(). All pointers are kept.
+ */
+int
+directory_service_init(struct directory_service *service,
+                       const struct settings *settings, struct board *board,
+                       struct counter_table *counters, struct error *err);
+
+/** directory_service_finish() - free it; after control_stop() and with no
+ * reader left; a zeroed service is allowed */
+void
+directory_service_finish(struct directory_service *service);
+
+#endif
--- a/src/directory/table.h
+++ b/src/directory/table.h
@@ -15,6 +15,7 @@
 
 #include <stddef.h>
 #include <stdint.h>
+#include <urcu.h>
 
 #include "directory/directory.h"
 
@@ -33,6 +34,7 @@
 
 /**
  * struct directory_table - see DOC
+ * @rcu: for freeing after a grace period
  * @cells: cells but the own
  * @cell_count: how many
  * @addresses: distinct addresses
@@ -41,6 +43,7 @@
  * @slot_mask: its size less one, which is a power of two
  */
 struct directory_table {
+    struct rcu_head rcu;
     struct directory_table_cell *cells;
     size_t cell_count;
     size_t addresses;
--- a/tests/directory/test_directory.c
+++ b/tests/directory/test_directory.c
@@ -27,8 +27,8 @@
     entry->gateways[0].data.port = 4000;
     entry->gateways[0].control.ip = IP;
     entry->gateways[0].control.port = 5000;
-    entry->reader_count = 1;
-    entry->readers[0] = entry->gateways[0].control;
+    entry->author_count = 1;
+    entry->authors[0] = entry->gateways[0].control;
     directory_entry_seal(entry);
     return entry;
 }
@@ -228,7 +228,7 @@
 static void
 test_contest(void)
 {
-    struct directory_place place = {.holds = true, .reader = true};
+    struct directory_place place = {.holds = true, .author = true};
     struct directory_actions out = {0};
     struct directory_core core;
 
@@ -255,7 +255,7 @@
 static void
 test_author(void)
 {
-    struct directory_place place = {.holds = true, .reader = true};
+    struct directory_place place = {.holds = true, .author = true};
     struct directory_actions out = {0};
     struct directory_core core;
 
--- a/tests/directory/test_property.c
+++ b/tests/directory/test_property.c
@@ -287,7 +287,7 @@
         g_assert_cmpuint(slot->entry->count, ==, net->cells[i].text.count);
         g_assert_cmpuint(slot->entry->gateway_count, ==,
                          MIN(NODES, DIRECTORY_GATEWAYS));
-        g_assert_cmpuint(slot->entry->reader_count, ==, DIRECTORY_READERS);
+        g_assert_cmpuint(slot->entry->author_count, ==, DIRECTORY_AUTHORS);
     }
 }
 
