--- a/tests/agent/test_back.c
+++ b/tests/agent/test_back.c
@@ -1,12 +1,13 @@
 #include <errno.h>
 #include <event2/bufferevent.h>
 #include <event2/listener.h>
-#include <glib.h>
 #include <string.h>
 #include <unistd.h>
 
 #include "agent/back.h"
+#include "lib/harness.h"
 
+#define SUITE "/agent/back"
 #define REQUEST "POST /r HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\nx"
 #define WHOLE "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n"
 
@@ -183,8 +184,7 @@
     {"silent", "", ENGINE_UP_LOST, NULL},
 };
 
-static void
-test_endings(void)
+TEST(endings)
 {
     for (size_t i = 0; i < G_N_ELEMENTS(endings); i++) {
         const struct ending *ending = &endings[i];
@@ -207,62 +207,36 @@
     }
 }
 
-static void
-test_head(void)
+TEST_F(world, head, "HTTP/1.1 200 OK\r\nContent-Length: 900\r\n\r\n")
 {
-    struct world world;
-
-    world_init(&world, "HTTP/1.1 200 OK\r\nContent-Length: 900\r\n\r\n");
-    start(&world, "HEAD / HTTP/1.1\r\nHost: h\r\n\r\n");
-    event_base_dispatch(world.base);
-    g_assert_cmpint(world.how, ==, ENGINE_UP_ANSWERED);
-    g_assert_cmpuint(world.answer->len, ==, strlen(world.script));
-    world_finish(&world);
+    start(world, "HEAD / HTTP/1.1\r\nHost: h\r\n\r\n");
+    event_base_dispatch(world->base);
+    g_assert_cmpint(world->how, ==, ENGINE_UP_ANSWERED);
+    g_assert_cmpuint(world->answer->len, ==, strlen(world->script));
 }
 
-static void
-test_unreached(void)
+TEST_F(world, unreached, WHOLE "body")
 {
-    struct world world;
-
-    world_init(&world, WHOLE "body");
-    evconnlistener_free(world.listener);
-    world.listener = NULL;
-    start(&world, REQUEST);
-    g_assert_cmpuint(world.ends, ==, 0); /* never from within back_start() */
-    event_base_dispatch(world.base);
-    g_assert_cmpint(world.how, ==, ENGINE_UP_UNREACHED);
-    world_finish(&world);
+    evconnlistener_free(world->listener);
+    world->listener = NULL;
+    start(world, REQUEST);
+    g_assert_cmpuint(world->ends, ==, 0); /* never from within back_start() */
+    event_base_dispatch(world->base);
+    g_assert_cmpint(world->how, ==, ENGINE_UP_UNREACHED);
 }
 
 /* An aborted run says nothing; the upstream sees its connection close, and
  * what it answers later reaches nobody. */
-static void
-test_late_after_abort(void)
+TEST_F(world, late_after_abort, NULL)
 {
-    struct world world;
-
-    world_init(&world, NULL);
-    world.stay_open = true;
-    struct back_run *run = start(&world, REQUEST);
-    event_base_dispatch(world.base);
-    g_assert_cmpuint(world.received->len, >, 0);
+    world->stay_open = true;
+    struct back_run *run = start(world, REQUEST);
+    event_base_dispatch(world->base);
+    g_assert_cmpuint(world->received->len, >, 0);
     back_abort(run);
-    bufferevent_write(world.last, WHOLE "late", strlen(WHOLE "late"));
-    event_base_dispatch(world.base);
-    g_assert_null(world.last);
-    event_base_loop(world.base, EVLOOP_NONBLOCK);
-    g_assert_cmpuint(world.ends, ==, 0);
-    world_finish(&world);
-}
-
-int
-main(int argc, char **argv)
-{
-    g_test_init(&argc, &argv, NULL);
-    g_test_add_func("/agent/back/endings", test_endings);
-    g_test_add_func("/agent/back/head", test_head);
-    g_test_add_func("/agent/back/unreached", test_unreached);
-    g_test_add_func("/agent/back/late-after-abort", test_late_after_abort);
-    return g_test_run();
+    bufferevent_write(world->last, WHOLE "late", strlen(WHOLE "late"));
+    event_base_dispatch(world->base);
+    g_assert_null(world->last);
+    event_base_loop(world->base, EVLOOP_NONBLOCK);
+    g_assert_cmpuint(world->ends, ==, 0);
 }
--- a/tests/agent/test_front.c
+++ b/tests/agent/test_front.c
@@ -1,9 +1,10 @@
-#include <glib.h>
 #include <string.h>
 
 #include "agent/front.h"
 #include "tests/agent/fake_stack.h"
+#include "lib/harness.h"
 
+#define SUITE "/agent/front"
 #define SLOTS_MAX 64
 #define CALLER 0x0a010001
 #define GET "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
@@ -112,154 +113,114 @@
 }
 
 /* Answers that come in any order leave in the order of the requests. */
-static void
-test_pipelined_order(void)
+TEST_F(world, pipelined_order)
 {
-    struct world world;
-
-    world_init(&world);
-    feed(&world, GET GET GET, 2);
-    g_assert_cmpuint(world.count, ==, 3);
-    answer(&world, 2, "third");
-    answer(&world, 1, "second");
-    g_assert_cmpuint(world.conn.written->len, ==, 0);
-    answer(&world, 0, "first");
-    g_assert_cmpuint(position(&world, "first"), <, position(&world, "second"));
-    g_assert_cmpuint(position(&world, "second"), <, position(&world, "third"));
-    g_assert_false(world.conn.closed);
-    world_finish(&world);
+    feed(world, GET GET GET, 2);
+    g_assert_cmpuint(world->count, ==, 3);
+    answer(world, 2, "third");
+    answer(world, 1, "second");
+    g_assert_cmpuint(world->conn.written->len, ==, 0);
+    answer(world, 0, "first");
+    g_assert_cmpuint(position(world, "first"), <, position(world, "second"));
+    g_assert_cmpuint(position(world, "second"), <, position(world, "third"));
+    g_assert_false(world->conn.closed);
 }
 
 /* No more than FRONT_PIPELINE_MAX requests of a flow are held. */
-static void
-test_pipeline_bound(void)
+TEST_F(world, pipeline_bound)
 {
-    struct world world;
-
-    world_init(&world);
     for (size_t i = 0; i < 12; i++) {
-        feed(&world, GET, 2);
+        feed(world, GET, 2);
     }
-    g_assert_cmpuint(world.count, ==, FRONT_PIPELINE_MAX);
-    g_assert_true(world.conn.paused);
+    g_assert_cmpuint(world->count, ==, FRONT_PIPELINE_MAX);
+    g_assert_true(world->conn.paused);
     for (size_t i = 0; i < 12; i++) {
-        answer(&world, i, "x");
+        answer(world, i, "x");
     }
-    g_assert_cmpuint(world.count, ==, 12);
-    g_assert_false(world.conn.paused);
-    world_finish(&world);
+    g_assert_cmpuint(world->count, ==, 12);
+    g_assert_false(world->conn.paused);
 }
 
-static void
-test_bad_after_good(void)
+TEST_F(world, bad_after_good)
 {
-    struct world world;
-
-    world_init(&world);
-    feed(&world, GET "nonsense\r\n\r\n", 2);
-    g_assert_cmpuint(world.conn.written->len, ==, 0);
-    answer(&world, 0, "good");
-    g_assert_cmpuint(position(&world, "good"), <,
-                     position(&world, "400 Bad Request"));
-    g_assert_cmpuint(position(&world, "Connection: close"), >, 0);
-    g_assert_true(world.conn.closed);
-    feed(&world, GET, 3);
-    g_assert_cmpuint(world.count, ==, 1);
-    world_finish(&world);
+    feed(world, GET "nonsense\r\n\r\n", 2);
+    g_assert_cmpuint(world->conn.written->len, ==, 0);
+    answer(world, 0, "good");
+    g_assert_cmpuint(position(world, "good"), <,
+                     position(world, "400 Bad Request"));
+    g_assert_cmpuint(position(world, "Connection: close"), >, 0);
+    g_assert_true(world->conn.closed);
+    feed(world, GET, 3);
+    g_assert_cmpuint(world->count, ==, 1);
 }
 
 /* A caller that is gone takes its requests with it, answered or not. */
-static void
-test_gone(void)
+TEST_F(world, gone)
 {
-    struct world world;
-
-    world_init(&world);
-    feed(&world, GET GET, 2);
-    answer(&world, 1, "late");
-    front_closed(&world.front, &world.conn);
-    g_assert_cmpuint(world.gone, ==, 1);
-    g_assert_cmpuint(front_count(&world.front), ==, 0);
-    g_assert_true(front_may_open(&world.front, CALLER));
-    front_open(&world.front, &world.conn, 3);
-    world_finish(&world);
+    feed(world, GET GET, 2);
+    answer(world, 1, "late");
+    front_closed(&world->front, &world->conn);
+    g_assert_cmpuint(world->gone, ==, 1);
+    g_assert_cmpuint(front_count(&world->front), ==, 0);
+    g_assert_true(front_may_open(&world->front, CALLER));
+    front_open(&world->front, &world->conn, 3);
 }
 
 /* A half-closed flow still gets what it asked for, then is closed. */
-static void
-test_half_closed(void)
+TEST_F(world, half_closed)
 {
-    struct world world;
-
-    world_init(&world);
-    feed(&world, GET, 2);
-    front_eof(&world.front, &world.conn);
-    g_assert_false(world.conn.closed);
-    answer(&world, 0, "whole");
-    position(&world, "whole");
-    g_assert_true(world.conn.closed);
-    world_finish(&world);
+    feed(world, GET, 2);
+    front_eof(&world->front, &world->conn);
+    g_assert_false(world->conn.closed);
+    answer(world, 0, "whole");
+    position(world, "whole");
+    g_assert_true(world->conn.closed);
 }
 
 /* While stopping, the last answer owed says so; none is cut. */
-static void
-test_stopping(void)
+TEST_F(world, stopping)
 {
-    struct world world;
-
-    world_init(&world);
-    feed(&world, GET GET, 2);
-    world.front.stopping = true;
-    front_close_idle(&world.front);
-    g_assert_false(world.conn.closed);
-    answer(&world, 0, "one");
-    g_assert_null(strstr(world.conn.written->str, "Connection: close"));
-    answer(&world, 1, "two");
-    g_assert_cmpuint(position(&world, "Connection: close"), >,
-                     position(&world, "one"));
-    g_assert_true(world.conn.closed);
-    world_finish(&world);
+    feed(world, GET GET, 2);
+    world->front.stopping = true;
+    front_close_idle(&world->front);
+    g_assert_false(world->conn.closed);
+    answer(world, 0, "one");
+    g_assert_null(strstr(world->conn.written->str, "Connection: close"));
+    answer(world, 1, "two");
+    g_assert_cmpuint(position(world, "Connection: close"), >,
+                     position(world, "one"));
+    g_assert_true(world->conn.closed);
 }
 
 /* A flow that ends with an answer given at once reads no further request. */
-static void
-test_stop_at_once(void)
+TEST_F(world, stop_at_once)
 {
-    struct world world;
-
-    world_init(&world);
-    world.at_once = true;
-    world.front.stopping = true;
-    feed(&world, GET GET, 2);
-    g_assert_cmpuint(world.count, ==, 1);
-    g_assert_true(world.conn.closed);
-    world_finish(&world);
+    world->at_once = true;
+    world->front.stopping = true;
+    feed(world, GET GET, 2);
+    g_assert_cmpuint(world->count, ==, 1);
+    g_assert_true(world->conn.closed);
 }
 
-static void
-test_limits(void)
+TEST_F(world, limits)
 {
-    struct world world;
     struct stack_conn others[2];
 
-    world_init(&world);
     fake_conn_init(&others[0], CALLER);
-    front_open(&world.front, &others[0], 1);
+    front_open(&world->front, &others[0], 1);
     g_assert_true(others[0].aborted);
-    front_closed(&world.front, &others[0]);
+    front_closed(&world->front, &others[0]);
     fake_conn_finish(&others[0]);
     fake_conn_init(&others[0], CALLER + 1);
-    front_open(&world.front, &others[0], 1);
+    front_open(&world->front, &others[0], 1);
     g_assert_false(others[0].aborted);
-    g_assert_false(front_may_open(&world.front, CALLER + 2));
-    front_closed(&world.front, &others[0]);
+    g_assert_false(front_may_open(&world->front, CALLER + 2));
+    front_closed(&world->front, &others[0]);
     fake_conn_finish(&others[0]);
-    world_finish(&world);
 }
 
 /* A caller that takes nothing is let go, one that dawdles is told. */
-static void
-test_slow(void)
+TEST(slow)
 {
     struct world world;
 
@@ -283,71 +244,44 @@
 }
 
 /* Half-read bodies of all flows together are bounded. */
-static void
-test_held_bound(void)
+TEST_F(world, held_bound)
 {
     static const char head[] = "POST / HTTP/1.1\r\nHost: h\r\n"
                                "Content-Length: 900\r\n\r\n";
-    struct world world;
     struct stack_conn other;
     char *body = g_strnfill(500, 'x');
 
-    world_init(&world);
-    world.front.held_max = 800;
-    feed(&world, head, 2);
-    feed(&world, body, 2);
+    world->front.held_max = 800;
+    feed(world, head, 2);
+    feed(world, body, 2);
     fake_conn_init(&other, CALLER + 1);
-    front_open(&world.front, &other, 1);
-    front_data(&world.front, &other, (const uint8_t *)head, strlen(head), 2);
+    front_open(&world->front, &other, 1);
+    front_data(&world->front, &other, (const uint8_t *)head, strlen(head), 2);
     g_assert_cmpuint(other.written->len, ==, 0);
-    front_data(&world.front, &other, (const uint8_t *)body, 500, 2);
+    front_data(&world->front, &other, (const uint8_t *)body, 500, 2);
     g_assert_nonnull(strstr(other.written->str, "503 Service"));
     g_assert_true(other.closed);
-    front_closed(&world.front, &other);
+    front_closed(&world->front, &other);
     fake_conn_finish(&other);
-    feed(&world, body, 3); /* the first one goes on and is read whole */
-    g_assert_cmpuint(world.count, ==, 1);
-    g_assert_cmpuint(world.front.held, ==, 0);
-    answer(&world, 0, "x");
+    feed(world, body, 3); /* the first one goes on and is read whole */
+    g_assert_cmpuint(world->count, ==, 1);
+    g_assert_cmpuint(world->front.held, ==, 0);
+    answer(world, 0, "x");
     g_free(body);
-    world_finish(&world);
 }
 
 /* An answer larger than the window leaves whole, piece by piece. */
-static void
-test_short_writes(void)
+TEST_F(world, short_writes)
 {
-    struct world world;
-
-    world_init(&world);
-    world.conn.room = 7;
-    feed(&world, GET, 2);
-    answer(&world, 0, "a body that does not fit");
-    while (world.front.backlog > 0) {
-        world.conn.room = 7;
-        front_writable(&world.front, &world.conn, 3);
+    world->conn.room = 7;
+    feed(world, GET, 2);
+    answer(world, 0, "a body that does not fit");
+    while (world->front.backlog > 0) {
+        world->conn.room = 7;
+        front_writable(&world->front, &world->conn, 3);
     }
-    g_assert_cmpstr(world.conn.written->str, ==,
+    g_assert_cmpstr(world->conn.written->str, ==,
                     "HTTP/1.1 200 OK\r\nContent-Length: 24\r\n"
                     "Via: 1.1 self\r\n\r\n"
                     "a body that does not fit");
-    world_finish(&world);
-}
-
-int
-main(int argc, char **argv)
-{
-    g_test_init(&argc, &argv, NULL);
-    g_test_add_func("/agent/front/order", test_pipelined_order);
-    g_test_add_func("/agent/front/pipeline-bound", test_pipeline_bound);
-    g_test_add_func("/agent/front/bad", test_bad_after_good);
-    g_test_add_func("/agent/front/gone", test_gone);
-    g_test_add_func("/agent/front/half-closed", test_half_closed);
-    g_test_add_func("/agent/front/stopping", test_stopping);
-    g_test_add_func("/agent/front/limits", test_limits);
-    g_test_add_func("/agent/front/slow", test_slow);
-    g_test_add_func("/agent/front/held-bound", test_held_bound);
-    g_test_add_func("/agent/front/stop-at-once", test_stop_at_once);
-    g_test_add_func("/agent/front/short-writes", test_short_writes);
-    return g_test_run();
 }
--- a/tests/agent/test_ingress.c
+++ b/tests/agent/test_ingress.c
@@ -1,7 +1,6 @@
 /* Packets through a real socket, the real flow core and a stack that only
  * counts. */
 #include <errno.h>
-#include <glib.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -10,7 +9,9 @@
 #include "agent/program.h"
 #include "base/hash.h"
 #include "packet/gue.h"
+#include "lib/harness.h"
 
+#define SUITE "/agent/ingress"
 #define CALLER 0x0a010001
 #define SERVICE_IP 0x0a000001
 #define OTHER_IP 0x0a000002
@@ -240,32 +241,28 @@
 
 /* What stands on the balancer's list is not believed: the address, the
  * port and the text in force decide. */
-static void
-test_other_service(void)
+TEST_F(world, other_service)
 {
-    struct world world;
     uint8_t ours[TCP_LEN];
     uint8_t theirs[TCP_LEN];
 
-    world_init(&world);
     build_tcp(ours, SERVICE_IP, 5000, PACKET_TCP_SYN);
     build_tcp(theirs, OTHER_IP, 5000, PACKET_TCP_SYN);
-    send_to_agent(&world, "albums", GUE_OPEN, ours, TCP_LEN);
-    send_to_agent(&world, "lots", GUE_OPEN, theirs, TCP_LEN);
-    send_to_agent(&world, "albums", GUE_OPEN, theirs, TCP_LEN);
-    g_assert_cmpuint(world.taken, ==, 0);
-    g_assert_cmpuint(drops(&world, PACKET_SERVICE), ==, 3);
-    send_to_agent(&world, "lots", GUE_OPEN, ours, TCP_LEN);
-    g_assert_cmpuint(world.taken, ==, 1);
+    send_to_agent(world, "albums", GUE_OPEN, ours, TCP_LEN);
+    send_to_agent(world, "lots", GUE_OPEN, theirs, TCP_LEN);
+    send_to_agent(world, "albums", GUE_OPEN, theirs, TCP_LEN);
+    g_assert_cmpuint(world->taken, ==, 0);
+    g_assert_cmpuint(drops(world, PACKET_SERVICE), ==, 3);
+    send_to_agent(world, "lots", GUE_OPEN, ours, TCP_LEN);
+    g_assert_cmpuint(world->taken, ==, 1);
     /* The host now serves another service at the same address and port. */
-    serve(&world, "albums", SERVICE_IP);
-    send_to_agent(&world, "lots", GUE_OPEN, ours, TCP_LEN);
-    g_assert_cmpuint(world.taken, ==, 1);
-    world.agent.service_known = false;
-    send_to_agent(&world, "albums", GUE_OPEN, ours, TCP_LEN);
-    g_assert_cmpuint(world.taken, ==, 1);
-    g_assert_cmpuint(drops(&world, PACKET_SERVICE), ==, 5);
-    world_finish(&world);
+    serve(world, "albums", SERVICE_IP);
+    send_to_agent(world, "lots", GUE_OPEN, ours, TCP_LEN);
+    g_assert_cmpuint(world->taken, ==, 1);
+    world->agent.service_known = false;
+    send_to_agent(world, "albums", GUE_OPEN, ours, TCP_LEN);
+    g_assert_cmpuint(world->taken, ==, 1);
+    g_assert_cmpuint(drops(world, PACKET_SERVICE), ==, 5);
 }
 
 /* Sends a packet whose list goes on behind us; whether it was passed on. */
@@ -301,127 +298,108 @@
 
 /* An owner further down the list is not cut off by a host that has come to
  * serve another service, or whose text has another address. */
-static void
-test_passed_along(void)
+TEST_F(world, passed_along)
 {
-    struct world world;
     uint8_t ours[TCP_LEN];
     uint8_t theirs[TCP_LEN];
 
-    world_init(&world);
     build_tcp(ours, SERVICE_IP, 5000, PACKET_TCP_ACK);
     build_tcp(theirs, OTHER_IP, 5000, PACKET_TCP_ACK);
-    g_assert_true(goes_on(&world, "albums", theirs));
-    g_assert_true(goes_on(&world, "albums", ours));
-    g_assert_true(goes_on(&world, "lots", theirs));
-    world.agent.service_known = false;
-    g_assert_true(goes_on(&world, "lots", ours));
-    g_assert_cmpuint(world.taken, ==, 0);
+    g_assert_true(goes_on(world, "albums", theirs));
+    g_assert_true(goes_on(world, "albums", ours));
+    g_assert_true(goes_on(world, "lots", theirs));
+    world->agent.service_known = false;
+    g_assert_true(goes_on(world, "lots", ours));
+    g_assert_cmpuint(world->taken, ==, 0);
     g_assert_cmpuint(
-        counter_read(&world.agent.counters, world.agent.ingress.resets), ==,
+        counter_read(&world->agent.counters, world->agent.ingress.resets), ==,
         0);
-    world_finish(&world);
 }
 
 /* The service moves: its flow goes on, a new one is refused at once, and one
  * to an address whose time is over is told nothing. */
-static void
-test_retired(void)
+TEST_F(world, retired)
 {
-    struct world world;
-    struct addresses *addresses = &world.agent.addresses;
+    struct addresses *addresses = &world->agent.addresses;
     uint8_t known[TCP_LEN];
     uint8_t fresh[TCP_LEN];
 
-    world_init(&world);
     struct view *alone = view_new(1);
     alone->count = 1;
-    set_member(&alone->members[0], "self", world.agent.settings.data);
-    flow_set_view(world.agent.flows, alone, hash_service("lots"), true,
-                  world.clock.now_us);
+    set_member(&alone->members[0], "self", world->agent.settings.data);
+    flow_set_view(world->agent.flows, alone, hash_service("lots"), true,
+                  world->clock.now_us);
     free(alone);
     build_tcp(known, SERVICE_IP, 5000, PACKET_TCP_SYN);
     build_tcp(fresh, SERVICE_IP, 5001, PACKET_TCP_SYN);
-    send_to_agent(&world, "lots", GUE_OPEN, known, TCP_LEN);
-    g_assert_cmpuint(world.taken, ==, 1);
-    serve(&world, "lots", OTHER_IP);
+    send_to_agent(world, "lots", GUE_OPEN, known, TCP_LEN);
+    g_assert_cmpuint(world->taken, ==, 1);
+    serve(world, "lots", OTHER_IP);
     addresses->items[0] =
         (struct address){SERVICE_IP, PORT, 6, UINT64_MAX / 2};
     addresses->count = 1;
-    send_to_agent(&world, "lots", 0, known, TCP_LEN);
-    g_assert_cmpuint(world.taken, ==, 2);
-    send_to_agent(&world, "lots", GUE_OPEN, fresh, TCP_LEN);
-    g_assert_cmpuint(world.taken, ==, 2);
-    int resets = world.agent.ingress.resets;
-    g_assert_cmpuint(counter_read(&world.agent.counters, resets), ==, 1);
+    send_to_agent(world, "lots", 0, known, TCP_LEN);
+    g_assert_cmpuint(world->taken, ==, 2);
+    send_to_agent(world, "lots", GUE_OPEN, fresh, TCP_LEN);
+    g_assert_cmpuint(world->taken, ==, 2);
+    int resets = world->agent.ingress.resets;
+    g_assert_cmpuint(counter_read(&world->agent.counters, resets), ==, 1);
     addresses->items[0].until_ms = 1;
-    send_to_agent(&world, "lots", GUE_OPEN, fresh, TCP_LEN);
-    g_assert_cmpuint(counter_read(&world.agent.counters, resets), ==, 1);
-    send_to_agent(&world, "lots", 0, known, TCP_LEN);
-    g_assert_cmpuint(world.taken, ==, 3);
-    g_assert_cmpuint(flow_count(world.agent.flows, NULL), ==, 1);
-    world_finish(&world);
+    send_to_agent(world, "lots", GUE_OPEN, fresh, TCP_LEN);
+    g_assert_cmpuint(counter_read(&world->agent.counters, resets), ==, 1);
+    send_to_agent(world, "lots", 0, known, TCP_LEN);
+    g_assert_cmpuint(world->taken, ==, 3);
+    g_assert_cmpuint(flow_count(world->agent.flows, NULL), ==, 1);
 }
 
-static void
-test_malformed(void)
+TEST_F(world, malformed)
 {
-    struct world world;
     uint8_t good[PACKET_BUF] = {0};
     uint8_t bad[TCP_LEN];
 
-    world_init(&world);
     build_tcp(good, SERVICE_IP, 5000, PACKET_TCP_SYN);
-    send_to_agent(&world, NULL, 0, good, TCP_LEN);
-    g_assert_cmpuint(drops(&world, PACKET_ENCAP), ==, 1);
-    send_to_agent(&world, "lots", GUE_OPEN, good, TCP_LEN - 1);
-    g_assert_cmpuint(drops(&world, PACKET_SHORT), ==, 1);
-    send_to_agent(&world, "lots", GUE_OPEN, good, PACKET_BUF);
-    g_assert_cmpuint(drops(&world, PACKET_LONG), ==, 1);
+    send_to_agent(world, NULL, 0, good, TCP_LEN);
+    g_assert_cmpuint(drops(world, PACKET_ENCAP), ==, 1);
+    send_to_agent(world, "lots", GUE_OPEN, good, TCP_LEN - 1);
+    g_assert_cmpuint(drops(world, PACKET_SHORT), ==, 1);
+    send_to_agent(world, "lots", GUE_OPEN, good, PACKET_BUF);
+    g_assert_cmpuint(drops(world, PACKET_LONG), ==, 1);
     memcpy(bad, good, TCP_LEN);
     bad[25] ^= 1;
-    send_to_agent(&world, "lots", GUE_OPEN, bad, TCP_LEN);
-    g_assert_cmpuint(drops(&world, PACKET_L4_CHECKSUM), ==, 1);
-    g_assert_cmpuint(world.taken, ==, 0);
-    world_finish(&world);
+    send_to_agent(world, "lots", GUE_OPEN, bad, TCP_LEN);
+    g_assert_cmpuint(drops(world, PACKET_L4_CHECKSUM), ==, 1);
+    g_assert_cmpuint(world->taken, ==, 0);
 }
 
 /* A hop that refuses proves that its process is gone. */
-static void
-test_refused_hop(void)
+TEST_F(world, refused_hop)
 {
-    struct world world;
     uint8_t segment[TCP_LEN];
 
-    world_init(&world);
     build_tcp(segment, SERVICE_IP, 5000, PACKET_TCP_ACK);
-    send_to_agent(&world, "lots", 0, segment, TCP_LEN);
-    event_base_loop(world.agent.base, EVLOOP_NONBLOCK);
+    send_to_agent(world, "lots", 0, segment, TCP_LEN);
+    event_base_loop(world->agent.base, EVLOOP_NONBLOCK);
     g_assert_cmpuint(
-        counter_read(&world.agent.counters, world.agent.ingress.passed), ==,
+        counter_read(&world->agent.counters, world->agent.ingress.passed), ==,
         1);
-    g_assert_cmpuint(world.dead, ==, hash_name("gone"));
-    g_assert_cmpuint(world.taken, ==, 0);
-    world_finish(&world);
+    g_assert_cmpuint(world->dead, ==, hash_name("gone"));
+    g_assert_cmpuint(world->taken, ==, 0);
 }
 
 /* Over the limits a caller is told at once, and nothing is kept. */
-static void
-test_over_limit(void)
+TEST_F(world, over_limit)
 {
-    struct world world;
     uint8_t syn[TCP_LEN];
     uint8_t buf[PACKET_BUF];
     struct packet reset;
     struct gue gue;
 
-    world_init(&world);
-    world.agent.front.limits.connections = 0;
+    world->agent.front.limits.connections = 0;
     build_tcp(syn, SERVICE_IP, 5000, PACKET_TCP_SYN);
-    send_to_agent(&world, "lots", GUE_OPEN, syn, TCP_LEN);
-    g_assert_cmpuint(world.taken, ==, 0);
-    g_assert_cmpuint(flow_count(world.agent.flows, NULL), ==, 0);
-    ssize_t len = recv(world.fabric, buf, sizeof(buf), MSG_DONTWAIT);
+    send_to_agent(world, "lots", GUE_OPEN, syn, TCP_LEN);
+    g_assert_cmpuint(world->taken, ==, 0);
+    g_assert_cmpuint(flow_count(world->agent.flows, NULL), ==, 0);
+    ssize_t len = recv(world->fabric, buf, sizeof(buf), MSG_DONTWAIT);
     g_assert_cmpint(len, >, 0);
     int header = gue_decode(buf, (size_t)len, &gue);
     g_assert_cmpuint(gue.count, ==, 0);
@@ -430,32 +408,27 @@
         PACKET_OK);
     g_assert_cmpuint(reset.dst, ==, CALLER);
     g_assert_cmpuint(reset.flags & PACKET_TCP_RST, !=, 0);
-    world_finish(&world);
 }
 
 /* Mutated packets never reach the stack unless they are for the service,
  * and leave no more flows than were opened. */
-static void
-test_mutations(void)
+TEST_F(world, mutations)
 {
-    struct world world;
     GRand *random = g_rand_new_with_seed(3);
     uint8_t good[TCP_LEN];
 
-    world_init(&world);
     build_tcp(good, SERVICE_IP, 5000, PACKET_TCP_SYN);
     for (int i = 0; i < 20000; i++) {
         uint8_t copy[TCP_LEN];
         memcpy(copy, good, TCP_LEN);
         copy[g_rand_int_range(random, 0, TCP_LEN)] ^=
             (uint8_t)(1 << g_rand_int_range(random, 0, 8));
-        send_to_agent(&world, "lots", GUE_OPEN, copy,
+        send_to_agent(world, "lots", GUE_OPEN, copy,
                       (size_t)g_rand_int_range(random, 1, TCP_LEN + 1));
     }
-    g_assert_cmpuint(world.taken, ==, 0);
-    g_assert_cmpuint(flow_count(world.agent.flows, NULL), ==, 0);
+    g_assert_cmpuint(world->taken, ==, 0);
+    g_assert_cmpuint(flow_count(world->agent.flows, NULL), ==, 0);
     g_rand_free(random);
-    world_finish(&world);
 }
 
 int
@@ -463,14 +436,7 @@
 {
     g_test_init(&argc, &argv, NULL);
     rcu_register_thread();
-    g_test_add_func("/agent/ingress/other-service", test_other_service);
-    g_test_add_func("/agent/ingress/passed-along", test_passed_along);
-    g_test_add_func("/agent/ingress/retired", test_retired);
-    g_test_add_func("/agent/ingress/malformed", test_malformed);
-    g_test_add_func("/agent/ingress/refused-hop", test_refused_hop);
-    g_test_add_func("/agent/ingress/over-limit", test_over_limit);
-    g_test_add_func("/agent/ingress/mutations", test_mutations);
-    int code = g_test_run();
+    int code = harness_run();
     rcu_unregister_thread();
     return code;
 }
--- a/tests/agent/test_links.c
+++ b/tests/agent/test_links.c
@@ -1,13 +1,14 @@
 /* Links between agents over real sockets; what they tell is noted. */
 #include <errno.h>
-#include <glib.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 #include "agent/program.h"
 #include "base/hash.h"
+#include "lib/harness.h"
 
+#define SUITE "/agent/links"
 #define NOTES_MAX 8
 #define ROUNDS 200
 
@@ -162,8 +163,7 @@
     return ret;
 }
 
-static void
-test_whole_message(void)
+TEST(whole_message)
 {
     struct event_base *base = event_base_new();
     struct agent a;
@@ -191,8 +191,7 @@
 
 /* A connection that never came up carried nothing: its runs are unsent, not
  * lost, and its process is known to be gone. */
-static void
-test_refused(void)
+TEST(refused)
 {
     struct event_base *base = event_base_new();
     struct agent a;
@@ -215,8 +214,7 @@
 }
 
 /* A run asked by a member that is not known here yet is declined at once. */
-static void
-test_unknown_sender(void)
+TEST(unknown_sender)
 {
     struct event_base *base = event_base_new();
     struct agent a;
@@ -244,10 +242,7 @@
 {
     g_test_init(&argc, &argv, NULL);
     rcu_register_thread();
-    g_test_add_func("/agent/links/whole", test_whole_message);
-    g_test_add_func("/agent/links/refused", test_refused);
-    g_test_add_func("/agent/links/unknown-sender", test_unknown_sender);
-    int code = g_test_run();
+    int code = harness_run();
     rcu_unregister_thread();
     return code;
 }
--- a/tests/agent/test_property.c
+++ b/tests/agent/test_property.c
@@ -5,14 +5,15 @@
  * whole and in order; "not run" is only said of what never began; nothing
  * that may run once began twice.
  */
-#include <glib.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "agent/program.h"
 #include "base/hash.h"
 #include "tests/agent/fake_stack.h"
+#include "lib/harness.h"
 
+#define SUITE "/agent"
 #define PEER "peer"
 #define SERVICE "lots"
 #define FLOWS 4
@@ -539,8 +540,7 @@
     g_assert_cmpuint(engine_busy(world->agent.requests.engine), ==, 0);
 }
 
-static void
-test_property(void)
+TEST(property)
 {
     size_t answers[3] = {0};
 
@@ -565,11 +565,3 @@
     g_test_message("%zu whole, %zu not run, %zu other", answers[0], answers[1],
                    answers[2]);
 }
-
-int
-main(int argc, char **argv)
-{
-    g_test_init(&argc, &argv, NULL);
-    g_test_add_func("/agent/property", test_property);
-    return g_test_run();
-}
--- a/tests/agent/test_reader.c
+++ b/tests/agent/test_reader.c
@@ -1,8 +1,9 @@
-#include <glib.h>
 #include <string.h>
 
 #include "agent/reader.h"
+#include "lib/harness.h"
 
+#define SUITE "/agent/reader"
 #define BODY_MAX 64
 #define REQUESTS_MAX 16
 
@@ -63,10 +64,8 @@
                     strlen(expected));
 }
 
-static void
-test_strips_hop_by_hop(void)
+TEST_F(sink, strips_hop_by_hop)
 {
-    struct sink sink;
     const char *text = "POST /a HTTP/1.1\r\nHost: h\r\n"
                        "Connection: close, X-Hop, Host\r\nX-Hop: 1\r\n"
                        "TE: trailers\r\nUpgrade: x\r\nX-End: 2\r\n"
@@ -74,24 +73,21 @@
                        "Transfer-Encoding: chunked\r\n\r\n"
                        "3\r\nabc\r\n0\r\nX-Trailer: 1\r\n\r\n";
 
-    sink_init(&sink);
-    g_assert_cmpuint(reader_feed(&sink.reader, text, strlen(text)), ==,
+    g_assert_cmpuint(reader_feed(&sink->reader, text, strlen(text)), ==,
                      strlen(text));
-    g_assert_cmpuint(sink.count, ==, 1);
-    assert_http(&sink.requests[0],
+    g_assert_cmpuint(sink->count, ==, 1);
+    assert_http(&sink->requests[0],
                 "POST /a HTTP/1.1\r\nHost: h\r\nX-End: 2\r\n"
                 "Priority: i, u=1\r\nContent-Length: 3\r\n"
                 "Via: 1.1 swiftarch\r\n\r\nabc");
-    g_assert_false(sink.requests[0].keep_alive);
-    g_assert_false(sink.requests[0].idempotent);
-    g_assert_cmpuint(sink.requests[0].timeout_ms, ==, 250);
-    g_assert_cmpuint(sink.requests[0].urgency, ==, 1);
-    sink_finish(&sink);
+    g_assert_false(sink->requests[0].keep_alive);
+    g_assert_false(sink->requests[0].idempotent);
+    g_assert_cmpuint(sink->requests[0].timeout_ms, ==, 250);
+    g_assert_cmpuint(sink->requests[0].urgency, ==, 1);
 }
 
 /* The same bytes give the same requests, however they are cut. */
-static void
-test_any_cut(void)
+TEST(any_cut)
 {
     const char *text = "GET /1 HTTP/1.1\r\nHost: h\r\n\r\n"
                        "PUT /2 HTTP/1.1\r\nHost: h\r\n"
@@ -115,8 +111,7 @@
     }
 }
 
-static void
-test_pause_keeps_rest(void)
+TEST(pause_keeps_rest)
 {
     const char *one = "GET /1 HTTP/1.1\r\nHost: h\r\n\r\n";
     char text[256];
@@ -162,8 +157,7 @@
     {"POST / HTTP/1.1\r\nHost: a\r\nExpect: more\r\n\r\n", 417},
 };
 
-static void
-test_bad_requests(void)
+TEST(bad_requests)
 {
     for (size_t i = 0; i < G_N_ELEMENTS(bad_requests); i++) {
         struct sink sink;
@@ -177,8 +171,7 @@
     }
 }
 
-static void
-test_header_limits(void)
+TEST(header_limits)
 {
     static const char start[] = "GET / HTTP/1.1\r\nHost: a\r\n";
     const char *line = "X-Fill: 0123456789012345678901234567890123456789\r\n";
@@ -203,8 +196,7 @@
 }
 
 /* One key with another target or body is another request. */
-static void
-test_fingerprint(void)
+TEST_F(sink, fingerprint)
 {
     static const char *const texts[] = {
         "POST /a HTTP/1.1\r\nHost: h\r\nIdempotency-Key: k\r\n"
@@ -216,24 +208,20 @@
         "POST /b HTTP/1.1\r\nHost: h\r\nIdempotency-Key: k\r\n"
         "Content-Length: 1\r\n\r\nx",
     };
-    struct sink sink;
 
-    sink_init(&sink);
     for (size_t i = 0; i < G_N_ELEMENTS(texts); i++) {
-        reader_feed(&sink.reader, texts[i], strlen(texts[i]));
-        g_assert_cmpuint(sink.count, ==, i + 1);
-        g_assert_cmpmem(sink.requests[i].key_hash, 16,
-                        sink.requests[0].key_hash, 16);
+        reader_feed(&sink->reader, texts[i], strlen(texts[i]));
+        g_assert_cmpuint(sink->count, ==, i + 1);
+        g_assert_cmpmem(sink->requests[i].key_hash, 16,
+                        sink->requests[0].key_hash, 16);
     }
-    uint64_t first = sink.requests[0].fingerprint;
-    g_assert_cmpuint(sink.requests[1].fingerprint, ==, first);
-    g_assert_cmpuint(sink.requests[2].fingerprint, !=, first);
-    g_assert_cmpuint(sink.requests[3].fingerprint, !=, first);
-    sink_finish(&sink);
+    uint64_t first = sink->requests[0].fingerprint;
+    g_assert_cmpuint(sink->requests[1].fingerprint, ==, first);
+    g_assert_cmpuint(sink->requests[2].fingerprint, !=, first);
+    g_assert_cmpuint(sink->requests[3].fingerprint, !=, first);
 }
 
-static void
-test_urgency(void)
+TEST(urgency)
 {
     g_assert_cmpuint(reader_urgency(NULL), ==, 3);
     g_assert_cmpuint(reader_urgency("u=0"), ==, 0);
@@ -244,8 +232,7 @@
 }
 
 /* Mutated requests neither crash the reader nor make it keep much. */
-static void
-test_mutations(void)
+TEST(mutations)
 {
     const char *text = "POST /a HTTP/1.1\r\nHost: h\r\n"
                        "Idempotency-Key: k\r\nContent-Length: 3\r\n"
@@ -268,18 +255,3 @@
     }
     g_rand_free(random);
 }
-
-int
-main(int argc, char **argv)
-{
-    g_test_init(&argc, &argv, NULL);
-    g_test_add_func("/agent/reader/hop-by-hop", test_strips_hop_by_hop);
-    g_test_add_func("/agent/reader/any-cut", test_any_cut);
-    g_test_add_func("/agent/reader/pause", test_pause_keeps_rest);
-    g_test_add_func("/agent/reader/bad", test_bad_requests);
-    g_test_add_func("/agent/reader/limits", test_header_limits);
-    g_test_add_func("/agent/reader/fingerprint", test_fingerprint);
-    g_test_add_func("/agent/reader/urgency", test_urgency);
-    g_test_add_func("/agent/reader/mutations", test_mutations);
-    return g_test_run();
-}
--- a/tests/agent/test_session.c
+++ b/tests/agent/test_session.c
@@ -4,7 +4,6 @@
  * is compared with golden/session.txt; run with UPDATE_GOLDEN=1 to write
  * it anew, and read the difference.
  */
-#include <glib.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -12,7 +11,9 @@
 #include "agent/program.h"
 #include "base/hash.h"
 #include "tests/agent/fake_stack.h"
+#include "lib/harness.h"
 
+#define SUITE "/agent/session"
 #define CALLER 0x0a010001
 #define PEER_NAME "peer"
 #define SERVICE "lots"
@@ -456,52 +457,34 @@
     g_free(golden);
 }
 
-static void
-test_session(void)
+TEST_F(session, session)
 {
-    struct session session;
-
-    session_init(&session);
-    plain_and_pipelined(&session);
-    reservation(&session);
-    failures(&session);
-    for_the_peer(&session);
-    planned_stop(&session);
-    compare(GOLDEN_DIR "/session.txt", session.log->str);
-    session_finish(&session);
+    plain_and_pipelined(session);
+    reservation(session);
+    failures(session);
+    for_the_peer(session);
+    planned_stop(session);
+    compare(GOLDEN_DIR "/session.txt", session->log->str);
 }
 
 /* Requests that were read late, after the host came to serve something
  * else, are not run there. */
-static void
-test_service_changes(void)
+TEST_F(session, service_changes)
 {
-    struct session session;
     char request[64];
 
-    session_init(&session);
     for (int i = 0; i <= FRONT_PIPELINE_MAX; i++) {
         g_snprintf(request, sizeof(request),
                    "GET /%d HTTP/1.1\r\nHost: h\r\n\r\n", i);
-        ask(&session, request);
+        ask(session, request);
     }
-    session.agent.service.ip++;
-    session.agent.service.id = hash_service("albums");
-    session.agent.upstream.service = hash_service("albums");
-    end_run(&session, 0, ENGINE_UP_ANSWERED, "zero");
-    advance(&session, 2000);
-    g_assert_null(strstr(session.log->str, "upstream: GET /8"));
-    g_assert_null(strstr(session.log->str, "upstream: GET /2"));
-    g_assert_nonnull(strstr(session.log->str, "no-upstream"));
-    front_closed(&session.agent.front, &session.caller);
-    session_finish(&session);
-}
-
-int
-main(int argc, char **argv)
-{
-    g_test_init(&argc, &argv, NULL);
-    g_test_add_func("/agent/session/golden", test_session);
-    g_test_add_func("/agent/session/service-changes", test_service_changes);
-    return g_test_run();
+    session->agent.service.ip++;
+    session->agent.service.id = hash_service("albums");
+    session->agent.upstream.service = hash_service("albums");
+    end_run(session, 0, ENGINE_UP_ANSWERED, "zero");
+    advance(session, 2000);
+    g_assert_null(strstr(session->log->str, "upstream: GET /8"));
+    g_assert_null(strstr(session->log->str, "upstream: GET /2"));
+    g_assert_nonnull(strstr(session->log->str, "no-upstream"));
+    front_closed(&session->agent.front, &session->caller);
 }
--- a/tests/agent/test_wire.c
+++ b/tests/agent/test_wire.c
@@ -1,9 +1,11 @@
 #include <errno.h>
-#include <glib.h>
 #include <string.h>
 
 #include "agent/peer_wire.h"
 #include "agent/upstream.h"
+#include "lib/harness.h"
+
+#define SUITE "/agent"
 
 /* The clocks of two hosts. */
 #define HERE_US 5000000
@@ -27,8 +29,7 @@
     };
 }
 
-static void
-test_run(void)
+TEST(run)
 {
     struct engine_peer_msg msg = run_message();
     GByteArray *http = g_byte_array_new();
@@ -55,8 +56,7 @@
     g_byte_array_unref(http);
 }
 
-static void
-test_idem(void)
+TEST(idem)
 {
     struct engine_peer_msg msg = {
         .type = ENGINE_PEER_IDEM,
@@ -82,8 +82,7 @@
     g_byte_array_unref(packed);
 }
 
-static void
-test_pins(void)
+TEST(pins)
 {
     const struct flow_pin pins[] = {{1, 10}, {4095, 20}};
     struct flow_pin pin;
@@ -102,8 +101,7 @@
 }
 
 /* Mutated messages are refused or read, never more than the enums hold. */
-static void
-test_mutations(void)
+TEST(mutations)
 {
     struct engine_peer_msg msg = run_message();
     GByteArray *packed = peer_wire_pack(&msg, NULL, "t", HERE_US);
@@ -163,8 +161,7 @@
     {"", "body"},
 };
 
-static void
-test_announcements(void)
+TEST(announcements)
 {
     for (size_t i = 0; i < G_N_ELEMENTS(bodies); i++) {
         struct announcement got;
@@ -183,15 +180,3 @@
         g_assert_cmpstr(err.peer, ==, bodies[i].key);
     }
 }
-
-int
-main(int argc, char **argv)
-{
-    g_test_init(&argc, &argv, NULL);
-    g_test_add_func("/agent/wire/run", test_run);
-    g_test_add_func("/agent/wire/idem", test_idem);
-    g_test_add_func("/agent/wire/pins", test_pins);
-    g_test_add_func("/agent/wire/mutations", test_mutations);
-    g_test_add_func("/agent/announcement", test_announcements);
-    return g_test_run();
-}
--- a/standin/caller/test_caller.c
+++ b/tests/caller/test_caller.c
@@ -2,7 +2,6 @@
  * DOC: test_caller - the caller's own checks: they must find each fault
  */
 #include <errno.h>
-#include <glib.h>
 #include <glib/gstdio.h>
 #include <inttypes.h>
 #include <string.h>
@@ -10,7 +9,9 @@
 #include "caller/load.h"
 #include "caller/request.h"
 #include "caller/settings.h"
+#include "lib/harness.h"
 
+#define SUITE "/caller"
 #define ANSWER_BYTES 300
 #define ID UINT64_C(0x00000000000000a1)
 #define OTHER_ID UINT64_C(0x00000000000000b2)
@@ -147,8 +148,7 @@
 }
 
 /* However the bytes are cut, the same is found. */
-static void
-test_answers(void)
+TEST(answers)
 {
     for (size_t i = 0; i < G_N_ELEMENTS(answer_cases); i++) {
         g_test_message("%s", answer_cases[i].name);
@@ -159,8 +159,7 @@
 }
 
 /* Bytes after one answer stay for the next; interim ones are passed over. */
-static void
-test_answers_in_a_row(void)
+TEST(answers_in_a_row)
 {
     GByteArray *both = make_answer("200 OK\r\n" OWN, ID, ANSWER_BYTES);
     GByteArray *second = make_answer(
@@ -192,8 +191,7 @@
 }
 
 /* The owner of the flow is the nearest host that the answer passed. */
-static void
-test_via(void)
+TEST(via)
 {
     GByteArray *bytes = make_answer(
         "200 OK\r\nVia: 1.1 lots-2, 1.1 lots-7\r\n" OWN, ID, ANSWER_BYTES);
@@ -209,21 +207,16 @@
     g_byte_array_unref(bytes);
 }
 
-static void
-test_garbage(void)
+TEST_F(answer, garbage, &load)
 {
     const uint8_t garbage[] = "SSH-2.0-x\r\n";
-    struct answer answer;
 
-    answer_init(&answer, &load);
-    answer_expect(&answer, &second_attempt);
-    g_assert_cmpint(answer_read(&answer, garbage, sizeof(garbage) - 1), ==,
+    answer_expect(answer, &second_attempt);
+    g_assert_cmpint(answer_read(answer, garbage, sizeof(garbage) - 1), ==,
                     -EBADMSG);
-    answer_finish(&answer);
 }
 
-static void
-test_request_text(void)
+TEST(request_text)
 {
     GByteArray *out = g_byte_array_new();
     char body[6] = "";
@@ -247,8 +240,7 @@
 }
 
 /* The mean of the waits is the inverse of the rate; a seed fixes them. */
-static void
-test_arrivals(void)
+TEST(arrivals)
 {
     guint32 seed = g_test_rand_int();
     GRand *first = g_rand_new_with_seed(seed);
@@ -310,8 +302,7 @@
     return text;
 }
 
-static void
-test_record(void)
+TEST(record)
 {
     char *folder = g_dir_make_tmp("caller-XXXXXX", NULL);
     char *path = g_build_filename(folder, "record.jsonl", NULL);
@@ -339,8 +330,7 @@
     g_free(folder);
 }
 
-static void
-test_settings(void)
+TEST(settings)
 {
     static const char text[] =
         "{\"fabric\": \"127.0.0.1:1\", \"listen\": \"127.0.0.1:0\",\n"
@@ -377,18 +367,3 @@
     g_free(path);
     g_free(folder);
 }
-
-int
-main(int argc, char **argv)
-{
-    g_test_init(&argc, &argv, NULL);
-    g_test_add_func("/caller/answers", test_answers);
-    g_test_add_func("/caller/answers-in-a-row", test_answers_in_a_row);
-    g_test_add_func("/caller/via", test_via);
-    g_test_add_func("/caller/garbage", test_garbage);
-    g_test_add_func("/caller/request-text", test_request_text);
-    g_test_add_func("/caller/arrivals", test_arrivals);
-    g_test_add_func("/caller/record", test_record);
-    g_test_add_func("/caller/settings", test_settings);
-    return g_test_run();
-}
--- a/tests/packet/gue_test.c
+++ b/tests/packet/gue_test.c
@@ -1,9 +1,10 @@
 #include <errno.h>
-#include <glib.h>
 #include <string.h>
 
 #include "packet/gue.h"
+#include "lib/harness.h"
 
+#define SUITE "/gue"
 #define MUTATIONS 200000
 
 static struct gue
@@ -35,8 +36,7 @@
     }
 }
 
-static void
-test_round_trip(void)
+TEST(round_trip)
 {
     for (int i = 0; i < 2000; i++) {
         uint8_t buf[GUE_HEADER_MAX];
@@ -50,8 +50,7 @@
     }
 }
 
-static void
-test_bare(void)
+TEST(bare)
 {
     uint8_t buf[GUE_HEADER_MAX];
     const uint8_t expected[] = {0, 4, 0, 0};
@@ -63,8 +62,7 @@
     g_assert_cmpuint(gue.count, ==, 0);
 }
 
-static void
-test_golden(void)
+TEST(golden)
 {
     const uint8_t expected[] = {
         0x06, 4, 0, 1,                      /* GUE, 6 words */
@@ -84,8 +82,7 @@
 }
 
 /* Every cut is refused, on a heap block of just that size. */
-static void
-test_truncation(void)
+TEST(truncation)
 {
     uint8_t buf[GUE_HEADER_MAX];
     struct gue gue = random_gue();
@@ -103,8 +100,7 @@
 }
 
 /* What is accepted after a mutation encodes to the very same bytes. */
-static void
-test_mutation(void)
+TEST(mutation)
 {
     size_t accepted = 0;
 
@@ -129,15 +125,3 @@
     g_assert_cmpuint(accepted, >, 0);
     g_assert_cmpuint(accepted, <, MUTATIONS);
 }
-
-int
-main(int argc, char **argv)
-{
-    g_test_init(&argc, &argv, NULL);
-    g_test_add_func("/gue/round-trip", test_round_trip);
-    g_test_add_func("/gue/bare", test_bare);
-    g_test_add_func("/gue/golden", test_golden);
-    g_test_add_func("/gue/truncation", test_truncation);
-    g_test_add_func("/gue/mutation", test_mutation);
-    return g_test_run();
-}
--- a/tests/packet/packet_test.c
+++ b/tests/packet/packet_test.c
@@ -1,9 +1,10 @@
-#include <glib.h>
 #include <stdbool.h>
 #include <string.h>
 
 #include "packet/packet.h"
+#include "lib/harness.h"
 
+#define SUITE "/packet"
 #define CALLER 0x0a090001u
 #define SERVICE 0x0a640001u
 #define MUTATIONS 300000
@@ -84,8 +85,7 @@
     return drop;
 }
 
-static void
-test_fields(void)
+TEST(fields)
 {
     uint8_t buf[PACKET_MAX];
     struct packet p;
@@ -153,8 +153,7 @@
     {"all flags", 33, 0xff, false, true, PACKET_FLAGS},
 };
 
-static void
-test_table(void)
+TEST(table)
 {
     for (size_t i = 0; i < G_N_ELEMENTS(patches); i++) {
         const struct patch *patch = &patches[i];
@@ -172,8 +171,7 @@
     }
 }
 
-static void
-test_udp_lengths(void)
+TEST(udp_lengths)
 {
     uint8_t buf[PACKET_MAX + 1] = {0};
     struct packet p;
@@ -196,8 +194,7 @@
 }
 
 /* A sum of 0 is sent as all ones, since 0 says that there is none. */
-static void
-test_udp_sum_of_zero(void)
+TEST(udp_sum_of_zero)
 {
     size_t ones = 0;
 
@@ -214,8 +211,7 @@
     g_assert_cmpuint(ones, >, 0);
 }
 
-static void
-test_truncation(void)
+TEST(truncation)
 {
     uint8_t buf[PACKET_MAX];
     struct packet p;
@@ -236,8 +232,7 @@
 }
 
 /* Whatever the bytes, the answer is a reason or offsets that lie inside. */
-static void
-test_mutation(void)
+TEST(mutation)
 {
     size_t seen[PACKET_DROP_COUNT] = {0};
 
@@ -267,8 +262,7 @@
             g_assert_cmpuint(seen[i], >, 0);
 }
 
-static void
-test_checksum(void)
+TEST(checksum)
 {
     uint8_t buf[300];
     for (size_t i = 0; i < sizeof(buf); i++)
@@ -302,8 +296,7 @@
 
 /* RFC 9293, 3.10.7.1: <SEQ=SEG.ACK><CTL=RST>, or without an ACK
  * <SEQ=0><ACK=SEG.SEQ+SEG.LEN><CTL=RST,ACK> where SYN and FIN count. */
-static void
-test_reset(void)
+TEST(reset)
 {
     check_reset(PACKET_TCP_ACK, 5, 0xfffffffe, 0, PACKET_TCP_RST);
     check_reset(PACKET_TCP_SYN | PACKET_TCP_ACK, 0, 0xfffffffe, 0,
@@ -329,8 +322,7 @@
     g_assert_cmpuint(packet_build_reset(&p, buf), ==, 0);
 }
 
-static void
-test_flow_hash(void)
+TEST(flow_hash)
 {
     struct packet a = {
         .src = 1, .dst = 2, .sport = 3, .dport = 4, .proto = 6, .seq = 5};
@@ -353,19 +345,3 @@
     for (int i = 0; i < PACKET_DROP_COUNT; i++)
         g_assert_nonnull(packet_drop_name((enum packet_drop)i));
 }
-
-int
-main(int argc, char **argv)
-{
-    g_test_init(&argc, &argv, NULL);
-    g_test_add_func("/packet/fields", test_fields);
-    g_test_add_func("/packet/table", test_table);
-    g_test_add_func("/packet/udp-lengths", test_udp_lengths);
-    g_test_add_func("/packet/udp-sum-of-zero", test_udp_sum_of_zero);
-    g_test_add_func("/packet/truncation", test_truncation);
-    g_test_add_func("/packet/mutation", test_mutation);
-    g_test_add_func("/packet/checksum", test_checksum);
-    g_test_add_func("/packet/reset", test_reset);
-    g_test_add_func("/packet/flow-hash", test_flow_hash);
-    return g_test_run();
-}
--- a/tests/packet/rank_test.c
+++ b/tests/packet/rank_test.c
@@ -1,10 +1,11 @@
 #include <errno.h>
-#include <glib.h>
 #include <string.h>
 
 #include "base/hash.h"
 #include "packet/rank.h"
+#include "lib/harness.h"
 
+#define SUITE "/rank"
 #define ROUNDS 60
 
 static uint64_t
@@ -50,8 +51,7 @@
     }
 }
 
-static void
-test_definition(void)
+TEST(definition)
 {
     uint64_t ids[40];
     size_t sizes[] = {0, 1, 2, 5, 6, 7, 40};
@@ -68,8 +68,7 @@
 }
 
 /* Any sequence of joins and leaves ends in the table of a fresh build. */
-static void
-test_incremental_equals_fresh(void)
+TEST(incremental_equals_fresh)
 {
     uint64_t ids[64];
     size_t count = 0;
@@ -130,8 +129,7 @@
     g_assert_cmpfloat(off * off, <, 25 * share);
 }
 
-static void
-test_minimal_disruption(void)
+TEST(minimal_disruption)
 {
     for (size_t count = 2; count <= 50; count += 6) {
         uint64_t ids[50];
@@ -160,8 +158,7 @@
     }
 }
 
-static void
-test_bounds(void)
+TEST(bounds)
 {
     struct rank rank;
     uint64_t twice[] = {7, 9, 7};
@@ -175,14 +172,3 @@
                   rank.table + (RANK_BUCKETS - 1) * RANK_DEPTH);
     rank_finish(&rank);
 }
-
-int
-main(int argc, char **argv)
-{
-    g_test_init(&argc, &argv, NULL);
-    g_test_add_func("/rank/definition", test_definition);
-    g_test_add_func("/rank/incremental", test_incremental_equals_fresh);
-    g_test_add_func("/rank/minimal-disruption", test_minimal_disruption);
-    g_test_add_func("/rank/bounds", test_bounds);
-    return g_test_run();
-}
--- a/tests/text/text_envelope_test.c
+++ b/tests/text/text_envelope_test.c
@@ -1,9 +1,10 @@
 #include <errno.h>
 #include <string.h>
 
-#include <glib.h>
-
 #include "sample.h"
+#include "lib/harness.h"
+
+#define SUITE "/text"
 
 static struct text_envelope
 sample_envelope(const struct text *text)
@@ -22,8 +23,7 @@
     return envelope;
 }
 
-static void
-test_envelope(void)
+TEST(envelope)
 {
     struct text *text = sample_parse(sample_text);
     struct text_envelope envelope = sample_envelope(text);
@@ -55,8 +55,7 @@
     g_free(value);
 }
 
-static void
-test_envelope_largest(void)
+TEST(envelope_largest)
 {
     struct text *text = sample_parse(sample_text);
     struct text_envelope envelope = sample_envelope(text);
@@ -75,8 +74,7 @@
     text_free(text);
 }
 
-static void
-test_not_an_envelope(void)
+TEST(not_an_envelope)
 {
     static const char *const values[] = {
         "",
@@ -97,13 +95,3 @@
             -EINVAL);
     }
 }
-
-int
-main(int argc, char **argv)
-{
-    g_test_init(&argc, &argv, NULL);
-    g_test_add_func("/text/envelope", test_envelope);
-    g_test_add_func("/text/envelope_largest", test_envelope_largest);
-    g_test_add_func("/text/not_an_envelope", test_not_an_envelope);
-    return g_test_run();
-}
--- a/tests/text/text_mutation_test.c
+++ b/tests/text/text_mutation_test.c
@@ -1,9 +1,9 @@
 #include <string.h>
 
-#include <glib.h>
-
 #include "sample.h"
+#include "lib/harness.h"
 
+#define SUITE "/text"
 #define MUTATIONS 4000
 #define SEED 20261202
 
@@ -100,8 +100,7 @@
     return true;
 }
 
-static void
-test_mutations(void)
+TEST(mutations)
 {
     GRand *rand = g_rand_new_with_seed(SEED);
     unsigned accepted = 0;
@@ -176,8 +175,7 @@
     return text_envelope_write(&envelope, len);
 }
 
-static void
-test_value_mutations(void)
+TEST(value_mutations)
 {
     GRand *rand = g_rand_new_with_seed(SEED);
     unsigned accepted = 0;
@@ -200,12 +198,3 @@
     g_rand_free(rand);
     g_free(value);
 }
-
-int
-main(int argc, char **argv)
-{
-    g_test_init(&argc, &argv, NULL);
-    g_test_add_func("/text/mutations", test_mutations);
-    g_test_add_func("/text/value_mutations", test_value_mutations);
-    return g_test_run();
-}
--- a/tests/text/text_retire_test.c
+++ b/tests/text/text_retire_test.c
@@ -1,12 +1,12 @@
 #include <errno.h>
 #include <string.h>
 
-#include <glib.h>
-
 #include "base/hash.h"
 #include "sample.h"
 #include "text/text_retire.h"
+#include "lib/harness.h"
 
+#define SUITE "/text/retire"
 #define NOW_MS UINT64_C(1700000000000)
 #define HOLD_MS UINT64_C(1000000)
 #define UNTIL_MS (NOW_MS + HOLD_MS + TEXT_RETIRE_SKEW_MS)
@@ -97,8 +97,7 @@
 }
 
 /* Twice moved, then moved back to the first address, then removed. */
-static void
-test_moves(void)
+TEST(moves)
 {
     struct text *first = publish(NULL, TEXT(LOTS("80")), NOW_MS);
     struct text *second = publish(first, TEXT(LOTS("81")), NOW_MS);
@@ -131,8 +130,7 @@
 }
 
 /* What a process passes on says the same as what the platform holds. */
-static void
-test_passed_on(void)
+TEST(passed_on)
 {
     struct text *first = publish(NULL, TEXT(LOTS("80")), NOW_MS);
     struct text *moved = publish(first, TEXT(LOTS("81")), NOW_MS);
@@ -163,8 +161,7 @@
 }
 
 /* A name is a service's identity: a renamed one is another. */
-static void
-test_reuse(void)
+TEST(reuse)
 {
     struct text *first =
         publish(NULL, TEXT(LOTS("80") ",\n" ALBUMS("81")), NOW_MS);
@@ -190,8 +187,7 @@
     text_free(later);
 }
 
-static void
-test_forget(void)
+TEST(forget)
 {
     struct text *first =
         publish(NULL, TEXT(LOTS("80") ",\n" ALBUMS("81")), NOW_MS);
@@ -220,8 +216,7 @@
     text_free(to);
 }
 
-static void
-test_too_many(void)
+TEST(too_many)
 {
     GString *many = g_string_new("{\"services\": [");
     struct text *text;
@@ -242,8 +237,7 @@
 }
 
 /* A text that just fits leaves no room for a list. */
-static void
-test_too_long(void)
+TEST(too_long)
 {
     size_t room = TEXT_SIZE_MAX - TEXT_ENVELOPE_MAX;
     struct text *text = publish(NULL, TEXT(LOTS("80")), NOW_MS);
@@ -262,8 +256,7 @@
 }
 
 /* A list that nobody could have written is refused with the text. */
-static void
-test_bad_lists(void)
+TEST(bad_lists)
 {
     static const struct {
         const char *list;
@@ -309,17 +302,3 @@
     }
     text_free(text);
 }
-
-int
-main(int argc, char **argv)
-{
-    g_test_init(&argc, &argv, NULL);
-    g_test_add_func("/text/retire/moves", test_moves);
-    g_test_add_func("/text/retire/passed_on", test_passed_on);
-    g_test_add_func("/text/retire/reuse", test_reuse);
-    g_test_add_func("/text/retire/forget", test_forget);
-    g_test_add_func("/text/retire/too_many", test_too_many);
-    g_test_add_func("/text/retire/too_long", test_too_long);
-    g_test_add_func("/text/retire/bad_lists", test_bad_lists);
-    return g_test_run();
-}
--- a/tests/text/text_test.c
+++ b/tests/text/text_test.c
@@ -1,11 +1,11 @@
 #include <errno.h>
 #include <string.h>
 
-#include <glib.h>
-
 #include "base/hash.h"
 #include "sample.h"
+#include "lib/harness.h"
 
+#define SUITE "/text"
 #define LOTS                                                                  \
     "{\"name\":\"lots\",\"address\":\"10.0.0.1\",\"port\":80,"                \
     "\"class\":\"urgent\"}"
@@ -23,8 +23,7 @@
     return report;
 }
 
-static void
-test_full(void)
+TEST(full)
 {
     struct text *text = sample_parse(sample_text);
     const struct text_service *lots = &text->services[0];
@@ -45,8 +44,7 @@
     text_free(text);
 }
 
-static void
-test_defaults(void)
+TEST(defaults)
 {
     struct text *text = sample_parse("{\"services\":[" LOTS "]}");
     const struct text_limits expected = {2000, 200,     64,  32,
@@ -58,8 +56,7 @@
     text_free(text);
 }
 
-static void
-test_find(void)
+TEST(find)
 {
     struct text *text = sample_parse(sample_text);
     const struct text_service *clock = &text->services[2];
@@ -179,8 +176,7 @@
      "\"ordinary\"\n"},
 };
 
-static void
-test_faults(void)
+TEST(faults)
 {
     for (size_t i = 0; i < G_N_ELEMENTS(fault_cases); i++) {
         const struct fault_case *row = &fault_cases[i];
@@ -191,8 +187,7 @@
     }
 }
 
-static void
-test_names(void)
+TEST(names)
 {
     static const char longest[] =
         "a23456789012345678901234567890123456789012345678901234567890123";
@@ -245,8 +240,7 @@
     g_free(source);
 }
 
-static void
-test_limits(void)
+TEST(limits)
 {
     static const struct limit_case limits[] = {
         {"connections", 1, 1000000}, {"connections_per_caller", 1, 1000000},
@@ -263,8 +257,7 @@
     }
 }
 
-static void
-test_cycle_named(void)
+TEST(cycle_named)
 {
     const char *source =
         "{\"services\":[\n" A ",\n\"depends_on\":[\"b\"]},\n"
@@ -282,8 +275,7 @@
     g_free(report);
 }
 
-static void
-test_size(void)
+TEST(size)
 {
     size_t most = TEXT_SIZE_MAX - TEXT_ENVELOPE_MAX;
     char *good = g_strdup("{\"services\":[" LOTS "]}");
@@ -305,8 +297,7 @@
     g_free(source);
 }
 
-static void
-test_utf8(void)
+TEST(utf8)
 {
     char *report = parse_bad("{\n\"a\xff\":1}", 9, -EINVAL);
 
@@ -339,8 +330,7 @@
     g_hash_table_destroy(seen);
 }
 
-static void
-test_collision(void)
+TEST(collision)
 {
     char *one;
     char *other;
@@ -361,20 +351,3 @@
     g_free(one);
     g_free(other);
 }
-
-int
-main(int argc, char **argv)
-{
-    g_test_init(&argc, &argv, NULL);
-    g_test_add_func("/text/full", test_full);
-    g_test_add_func("/text/defaults", test_defaults);
-    g_test_add_func("/text/find", test_find);
-    g_test_add_func("/text/faults", test_faults);
-    g_test_add_func("/text/names", test_names);
-    g_test_add_func("/text/limits", test_limits);
-    g_test_add_func("/text/cycle_named", test_cycle_named);
-    g_test_add_func("/text/size", test_size);
-    g_test_add_func("/text/utf8", test_utf8);
-    g_test_add_func("/text/collision", test_collision);
-    return g_test_run();
-}
