stack: the test's caller closes also when it ends after the peer

Cause: a caller of /stack/whole-bytes that still had bytes to send when the peer's FIN came never closed, so the peer gave it up after FIN-WAIT. Whether it happened depended on the losses. Change: it closes after its last byte.

--- a/tests/stack/test_stack.c
+++ b/tests/stack/test_stack.c
@@ -70,7 +70,7 @@
         }
         end->sent += n;
     }
-    if (end->closes) {
+    if (end->closes || end->eof) {
         stack_close(end->conn);
     }
 }
