flow: the model answers only the SYN of the flow under way

It was the model's own: a late copy of an earlier flow's SYN replaced the sequence number it keeps for the slot.

--- a/tests/flow/model.c
+++ b/tests/flow/model.c
@@ -429,7 +429,10 @@
     switch (decision.verdict) {
     case FLOW_OPEN:
         m->result.opened++;
-        host->isn[message.flow] = m->next_isn += 1000;
+        /* A late copy of an earlier flow's SYN is never answered. */
+        if (message.packet.sport == m->callers[message.flow].key.sport) {
+            host->isn[message.flow] = m->next_isn += 1000;
+        }
         took(m, i, &message);
         break;
     case FLOW_TAKE:
