directory: pass over gateways that refuse; ready only when others are known

Cause: a dead gateway stays in the other cells' tables for up to some 9 s (its cell must notice first), and a balancer that just started dropped packets of other cells until its first exchange. Ruled out: one gateway for a flow as long as it lives (what a silent one loses would go to it again); a probe of gateways (another 64 cells to probe for each balancer). Change: a worker notes gateways whose host refused packets and passes over them for 15 s; a flow's gateway changes each second; a balancer is ready when a peer of its cell had no more to tell, or after 5 s.

--- a/src/balancer/balancer.c
+++ b/src/balancer/balancer.c
@@ -84,7 +84,8 @@
 {
     struct readiness_input input = {
         .stopping = balancer->stopping_us != 0,
-        .built = balancer->builder.built,
+        .built = balancer->builder.built &&
+                 directory_service_ready(&balancer->directory),
         .self = hash_name(balancer->settings.name),
         .has_seeds = balancer->settings.seed_count > 0,
         .met_others = balancer->met_others,
--- a/src/balancer/worker.c
+++ b/src/balancer/worker.c
@@ -73,6 +73,9 @@
     }
     rcu_read_unlock();
 
+    /* What is no endpoint of this cell is a gateway of another. */
+    if (endpoint == NULL)
+        forward_note_gone(&worker->batch->gone, addr, now_us);
     if (member == 0 || (member == worker->reported &&
                         now_us < worker->reported_us + REPORT_EVERY_US))
         return;
--- a/src/balancer/worker_batch.c
+++ b/src/balancer/worker_batch.c
@@ -3,7 +3,6 @@
 #include <string.h>
 
 #include "balancer/span.h"
-#include "directory/forward.h"
 
 _Static_assert(FORWARD_HEADER == BATCH_BARE, "both headers are of one length");
 
@@ -37,12 +36,12 @@
 /* No service of this cell takes the packet. */
 static enum packet_drop
 forward_one(struct worker_batch *batch, uint8_t *packet, size_t len,
-            const struct packet *parsed, bool marked)
+            const struct packet *parsed, bool marked, uint64_t now_us)
 {
     uint8_t header[FORWARD_HEADER];
     struct addr to;
-    enum packet_drop drop =
-        forward_decide(batch->directory, parsed, marked, &to);
+    enum packet_drop drop = forward_decide(batch->directory, &batch->gone,
+                                           parsed, marked, now_us, &to);
 
     if (drop != PACKET_OK)
         return drop;
@@ -75,7 +74,8 @@
     len -= BATCH_BARE;
     drop = route_decide(table, packet, len, now_us, &decision);
     if (drop == PACKET_SERVICE)
-        return forward_one(batch, packet, len, &decision.packet, marked);
+        return forward_one(batch, packet, len, &decision.packet, marked,
+                           now_us);
     if (drop != PACKET_OK)
         return drop;
 
--- a/src/balancer/worker_batch.h
+++ b/src/balancer/worker_batch.h
@@ -16,6 +16,7 @@
 #include "balancer/route.h"
 #include "balancer/worker.h"
 #include "base/trace.h"
+#include "directory/forward.h"
 #include "directory/table.h"
 #include "packet/gue.h"
 #include "packet/packet.h"
@@ -42,6 +43,7 @@
  * @drops: packets dropped in this batch, for each reason
  * @directory: of the other cells of the region, or NULL; set before each
  *             batch
+ * @gone: gateways of other cells that refused packets
  * @to_cells: packets of this batch that go to gateways of other cells
  * @from_cells: packets that came from other cells
  * @buffers: the buffers
@@ -55,6 +57,7 @@
     unsigned out_count;
     uint32_t drops[PACKET_DROP_COUNT];
     const struct directory_table *directory;
+    struct forward_gone gone;
     uint32_t to_cells;
     uint32_t from_cells;
     struct batch_buffer buffers[WORKER_BATCH];
--- a/src/directory/directory.c
+++ b/src/directory/directory.c
@@ -263,11 +263,14 @@
 
     if (now_us < core->cell_us)
         return;
+    if (!choose_cell_peer(core, &peer)) {
+        core->cell_us = now_us + DIRECTORY_HOT_US;
+        return;
+    }
     core->cell_us =
         now_us + random_between(&core->random, DIRECTORY_CELL_US * 3 / 4,
                                 DIRECTORY_CELL_US * 5 / 4);
-    if (choose_cell_peer(core, &peer))
-        directory_send_digest(core, peer, out);
+    directory_send_digest(core, peer, out);
 }
 
 static void
--- a/src/directory/directory.h
+++ b/src/directory/directory.h
@@ -83,6 +83,7 @@
 /** struct directory_stats - counts since the start */
 struct directory_stats {
     uint64_t digests;
+    uint64_t heard;   /* messages after which a peer had no more to tell */
     uint64_t merged;  /* entries that were news */
     uint64_t old;     /* entries that were not */
     uint64_t full;    /* cells without room */
--- a/src/directory/exchange.c
+++ b/src/directory/exchange.c
@@ -96,8 +96,10 @@
         if (hashes[i] != msg->hashes[i])
             groups |= 1u << i;
     }
-    if (groups == 0)
+    if (groups == 0) {
+        core->stats.heard++;
         return;
+    }
     summary = add_message(core, DIRECTORY_SUMMARY, msg->from, out);
     if (summary == NULL)
         return;
@@ -285,10 +287,13 @@
         else
             want->want[want->want_count++] = item->cell;
     }
-    if (want->want_count > 0)
+    if (want->want_count > 0) {
         pay(core, now_us, out);
-    else
+    }
+    else {
+        core->stats.heard++;
         take_back(out);
+    }
 }
 
 static void
@@ -317,6 +322,7 @@
         receive_want(core, msg, now_us, out);
         break;
     case DIRECTORY_ENTRIES:
+        core->stats.heard++;
         for (size_t i = 0; i < msg->entry_count; i++)
             directory_merge(core, msg->entries[i], now_us);
         break;
--- a/src/directory/service.c
+++ b/src/directory/service.c
@@ -106,6 +106,20 @@
     service->text_version = version;
 }
 
+static void
+judge_ready(struct directory_service *service, uint64_t now_us)
+{
+    const struct directory_core *core = &service->core;
+    bool alone =
+        service->settings->seed_count == 0 && core->place.balancer_count == 0;
+
+    if (service->start_us == 0)
+        service->start_us = now_us;
+    if (alone || core->stats.heard > 0 ||
+        now_us >= service->start_us + DIRECTORY_READY_US)
+        __atomic_store_n(&service->ready, true, __ATOMIC_RELAXED);
+}
+
 static void
 send_all(struct directory_service *service, struct directory_actions *out)
 {
@@ -131,7 +145,7 @@
     directory_core_init(&service->core, settings->cell, self, seed, 0);
     for (size_t i = 0; i < settings->region_seed_count; i++)
         directory_add_seed(&service->core, settings->region_seeds[i]);
-    service->started = true;
+    __atomic_store_n(&service->started, true, __ATOMIC_RELEASE);
 }
 
 static uint64_t
@@ -141,6 +155,7 @@
     struct directory_actions out = {0};
 
     take_board(service);
+    judge_ready(service, now_us);
     directory_tick(&service->core, now_us, wall_ms, &out);
     send_all(service, &out);
     if (service->core.changed)
@@ -196,6 +211,14 @@
     return 0;
 }
 
+bool
+directory_service_ready(const struct directory_service *service)
+{
+    /* Without its control thread a process has nothing to wait for. */
+    return !__atomic_load_n(&service->started, __ATOMIC_ACQUIRE) ||
+           __atomic_load_n(&service->ready, __ATOMIC_RELAXED);
+}
+
 void
 directory_service_finish(struct directory_service *service)
 {
--- a/src/directory/service.h
+++ b/src/directory/service.h
@@ -17,6 +17,8 @@
 #include "directory/directory.h"
 #include "directory/table.h"
 
+#define DIRECTORY_READY_US (5 * USEC_PER_SEC)
+
 /** enum service_counter - handles in struct directory_service */
 enum service_counter {
     SERVICE_CELLS,
@@ -41,7 +43,9 @@
  * @handles: of the counters
  * @core: decisions; the control thread's
  * @table: published; read under RCU
- * @started: the control thread runs it
+ * @started: the control thread runs it; atomic
+ * @start_us: when the first step was
+ * @ready: see directory_service_ready(); atomic
  * @view_seq: view last taken
  * @text_version: text last taken
  * @conflicts: addresses claimed twice, as last logged
@@ -56,6 +60,8 @@
     struct directory_core core;
     struct directory_table *table;
     bool started;
+    bool ready;
+    uint64_t start_us;
     uint64_t view_seq;
     uint64_t text_version;
     size_t conflicts;
@@ -72,6 +78,16 @@
                        const struct settings *settings, struct board *board,
                        struct counter_table *counters, struct error *err);
 
+/**
+ * directory_service_ready() - whether a balancer that just started may take
+ * packets
+ *
+ * It waits for what others of its cell know of other cells, at most
+ * DIRECTORY_READY_US. Any thread.
+ */
+bool
+directory_service_ready(const struct directory_service *service);
+
 /** directory_service_finish() - free it; after control_stop() and with no
  * reader left; a zeroed service is allowed */
 void
--- a/src/directory/table.c
+++ b/src/directory/table.c
@@ -154,11 +154,9 @@
 }
 
 struct addr
-directory_table_gateway(const struct directory_table_cell *cell,
-                        uint64_t flow_hash)
+directory_table_gateway(const struct directory_table_cell *cell, uint64_t turn)
 {
-    /* The low bits choose among the gateway's own candidates. */
-    return cell->gateways[(flow_hash >> 32) % cell->gateway_count];
+    return cell->gateways[turn % cell->gateway_count];
 }
 
 size_t
--- a/src/directory/table.h
+++ b/src/directory/table.h
@@ -66,11 +66,10 @@
 directory_table_find(const struct directory_table *table, uint32_t ip,
                      uint16_t port, uint8_t proto);
 
-/** directory_table_gateway() - gateway of @cell for a flow, always the same
- * while the gateways stay */
+/** directory_table_gateway() - gateway number @turn, modulo their count */
 struct addr
 directory_table_gateway(const struct directory_table_cell *cell,
-                        uint64_t flow_hash);
+                        uint64_t turn);
 
 /** directory_table_bytes() - memory held */
 size_t
--- a/tests/directory/test_directory.c
+++ b/tests/directory/test_directory.c
@@ -156,20 +156,65 @@
     start(&core);
     merge(&core, make_entry("a", 1, 1, SOME_IP, false));
     g_assert_cmpint(directory_table_new(&core, &table), ==, 0);
-    g_assert_cmpint(forward_decide(table, &packet, false, &to), ==, PACKET_OK);
+    g_assert_cmpint(forward_decide(table, NULL, &packet, false, 0, &to), ==,
+                    PACKET_OK);
     g_assert_cmpuint(to.ip, ==, IP);
     g_assert_cmpuint(to.port, ==, 4000);
-    g_assert_cmpint(forward_decide(table, &packet, true, &to), ==,
+    g_assert_cmpint(forward_decide(table, NULL, &packet, true, 0, &to), ==,
                     PACKET_HOPS);
-    g_assert_cmpint(forward_decide(NULL, &packet, false, &to), ==,
+    g_assert_cmpint(forward_decide(NULL, NULL, &packet, false, 0, &to), ==,
                     PACKET_SERVICE);
     packet.dport = 81;
-    g_assert_cmpint(forward_decide(table, &packet, false, &to), ==,
+    g_assert_cmpint(forward_decide(table, NULL, &packet, false, 0, &to), ==,
                     PACKET_SERVICE);
     directory_table_free(table);
     directory_core_finish(&core);
 }
 
+/* A gateway that refused is passed over while there are others, for a
+ * while; each turn has another gateway. */
+static void
+test_gone(void)
+{
+    struct directory_entry *entry = make_entry("a", 1, 1, SOME_IP, false);
+    struct packet packet = {.dst = SOME_IP, .dport = 80, .proto = TCP};
+    struct forward_gone gone = {0};
+    struct directory_table *table;
+    struct directory_core core;
+    struct addr first;
+    struct addr to;
+
+    entry->gateway_count = 2;
+    entry->gateways[1] = entry->gateways[0];
+    entry->gateways[1].data.port++;
+    directory_entry_seal(entry);
+    start(&core);
+    merge(&core, entry);
+    g_assert_cmpint(directory_table_new(&core, &table), ==, 0);
+
+    forward_decide(table, &gone, &packet, false, 0, &first);
+    forward_decide(table, &gone, &packet, false, FORWARD_TURN_US - 1, &to);
+    g_assert_true(addr_equal(first, to));
+    forward_decide(table, &gone, &packet, false, FORWARD_TURN_US, &to);
+    g_assert_false(addr_equal(first, to));
+
+    forward_note_gone(&gone, first, 0);
+    for (uint64_t at = 0; at < FORWARD_GONE_US; at += FORWARD_TURN_US) {
+        forward_decide(table, &gone, &packet, false, at, &to);
+        g_assert_false(addr_equal(first, to));
+    }
+    forward_note_gone(&gone, to, 0);
+    forward_decide(table, &gone, &packet, false, 0, &to);
+    g_assert_true(addr_equal(first, to));
+    /* Notes of many others push the oldest out. */
+    for (uint32_t i = 0; i < FORWARD_GONE_MAX; i++)
+        forward_note_gone(&gone, (struct addr){1 + i, 1}, 0);
+    forward_decide(table, &gone, &packet, false, 0, &to);
+    g_assert_true(addr_equal(first, to));
+    directory_table_free(table);
+    directory_core_finish(&core);
+}
+
 static size_t
 encode_one(struct directory_entry *entry, uint8_t *buf)
 {
@@ -286,6 +331,7 @@
     g_test_add_func("/directory/conflict", test_conflict);
     g_test_add_func("/directory/full", test_full);
     g_test_add_func("/directory/forward", test_forward);
+    g_test_add_func("/directory/gone", test_gone);
     g_test_add_func("/directory/wire", test_wire);
     g_test_add_func("/directory/contest", test_contest);
     g_test_add_func("/directory/author", test_author);
--- a/tests/directory/test_property.c
+++ b/tests/directory/test_property.c
@@ -230,7 +230,8 @@
             return SIZE_MAX;
         if (find_address(&at->text, packet.dst) != NULL)
             return at->cell;
-        if (forward_decide(at->table, &packet, marked, &to) != PACKET_OK)
+        if (forward_decide(at->table, NULL, &packet, marked, net->now_us,
+                           &to) != PACKET_OK)
             return SIZE_MAX;
         forward_encode(header);
         node = net_node_at(net, to);
