--- a/src/stack/stack.c
+++ b/src/stack/stack.c
@@ -16,6 +16,7 @@
 #include <unistd.h>
 
 #include "stack/isn.h"
+#include "stack/pcbs.h"
 #include "stack/stack_private.h"
 
 /* 1500 less the outer headers: IP (20), UDP (8), GUE with its hops (116). */
@@ -24,13 +25,8 @@
 /* lwIP wants an address on the interface it sends by (RFC 7600 dummy). */
 #define STACK_DUMMY_ADDRESS 0xc0000008u
 #define STACK_SWEEP_MS 250
-/* lwIP walks all connections in TIME-WAIT for each opening packet. */
-#define TIME_WAIT_TICKS (10000 / TCP_SLOW_INTERVAL)
 /* Half-open flows may still finish after stack_unlisten(). */
 #define UNLISTEN_TICKS (TCP_SYN_RCVD_TIMEOUT / TCP_SLOW_INTERVAL)
-/* A flood of opening packets costs no more than these connections. */
-#define HALF_OPEN_MAX 4096
-#define HALF_OPEN_EVICT (HALF_OPEN_MAX / 4)
 #define IP_HEADER_MIN 20
 #define IP_FRAGMENT_MASK 0x3fff
 #define TCP_HEADER_MIN 20
@@ -111,21 +107,6 @@
     return true;
 }
 
-/* Frees connections that have been in TIME-WAIT for long enough. */
-static void
-sweep_time_wait_locked(void)
-{
-    struct tcp_pcb *pcb;
-    struct tcp_pcb *next;
-
-    for (pcb = tcp_tw_pcbs; pcb != NULL; pcb = next) {
-        next = pcb->next;
-        if (tcp_ticks - pcb->tmr > TIME_WAIT_TICKS) {
-            tcp_abort(pcb);
-        }
-    }
-}
-
 static void
 sweep_listeners_locked(struct stack *stack)
 {
@@ -145,66 +126,6 @@
     }
 }
 
-static size_t
-count_half_open_locked(void)
-{
-    const struct tcp_pcb *pcb;
-    size_t count = 0;
-
-    for (pcb = tcp_active_pcbs; pcb != NULL; pcb = pcb->next) {
-        count += pcb->state == SYN_RCVD;
-    }
-    return count;
-}
-
-/* Age of the longest half-open connection, in ticks. */
-static uint32_t
-oldest_half_open_locked(void)
-{
-    const struct tcp_pcb *pcb;
-    uint32_t oldest = 0;
-
-    for (pcb = tcp_active_pcbs; pcb != NULL; pcb = pcb->next) {
-        if (pcb->state == SYN_RCVD && tcp_ticks - pcb->tmr > oldest) {
-            oldest = tcp_ticks - pcb->tmr;
-        }
-    }
-    return oldest;
-}
-
-/* No reset is sent: the caller may be served by another agent. */
-static void
-evict_half_open_locked(void)
-{
-    uint32_t oldest = oldest_half_open_locked();
-    size_t evicted = 0;
-    struct tcp_pcb *pcb;
-    struct tcp_pcb *next;
-
-    for (pcb = tcp_active_pcbs; pcb != NULL && evicted < HALF_OPEN_EVICT;
-         pcb = next) {
-        next = pcb->next;
-        if (pcb->state == SYN_RCVD && tcp_ticks - pcb->tmr == oldest) {
-            tcp_abandon(pcb, 0);
-            evicted++;
-        }
-    }
-}
-
-/* Counted in full only when the estimate reaches the bound. */
-static void
-bound_half_open_locked(struct stack *stack)
-{
-    if (stack->half_open < HALF_OPEN_MAX) {
-        return;
-    }
-    stack->half_open = count_half_open_locked();
-    if (stack->half_open >= HALF_OPEN_MAX) {
-        evict_half_open_locked();
-        stack->half_open = count_half_open_locked();
-    }
-}
-
 /* On lwIP's thread, under the core lock. */
 static void
 on_sweep(void *arg)
@@ -212,9 +133,9 @@
     struct stack *stack = arg;
 
     stack_conn_sweep_locked(stack);
-    sweep_time_wait_locked();
+    pcbs_sweep_time_wait_locked();
     sweep_listeners_locked(stack);
-    stack->half_open = count_half_open_locked();
+    stack->half_open = pcbs_half_open_locked();
     sys_timeout(STACK_SWEEP_MS, on_sweep, stack);
 }
 
@@ -477,37 +398,19 @@
     return (int)header;
 }
 
-/* A caller that opens a flow anew has done with the one in TIME-WAIT. */
-static void
-forget_time_wait_locked(const uint8_t *buf, const uint8_t *tcp)
-{
-    struct tcp_pcb *pcb;
-
-    for (pcb = tcp_tw_pcbs; pcb != NULL; pcb = pcb->next) {
-        if (pcb->remote_port == get16(tcp) &&
-            pcb->local_port == get16(tcp + 2) &&
-            ip_addr_get_ip4_u32(&pcb->remote_ip) ==
-                lwip_htonl(get32(buf + 12)) &&
-            ip_addr_get_ip4_u32(&pcb->local_ip) ==
-                lwip_htonl(get32(buf + 16))) {
-            tcp_abort(pcb);
-            return;
-        }
-    }
-}
-
 /* Whether an opening packet may reach lwIP. */
 static bool
 admit_open_locked(struct stack *stack, const uint8_t *buf, const uint8_t *tcp)
 {
+    struct addr from = {.ip = get32(buf + 12), .port = get16(tcp)};
     struct addr to = {.ip = get32(buf + 16), .port = get16(tcp + 2)};
     const struct stack_listener *listener = listener_find_locked(stack, to);
 
     if (listener != NULL && listener->stopped) {
         return false;
     }
-    forget_time_wait_locked(buf, tcp);
-    bound_half_open_locked(stack);
+    pcbs_forget_time_wait_locked(from, to);
+    pcbs_bound_half_open_locked(&stack->half_open);
     stack->half_open++;
     return true;
 }
