Control: news that comes back is sent less

80 members that all became ready at once still spent 3.1 KB/s each a minute later, sending each change 21 times whatever came back.

--- a/src/control/member.h
+++ b/src/control/member.h
@@ -15,8 +15,9 @@
  * What is known of a member is two values that only grow: its announcement
  * by (start, revision), its health by (incarnation, health). Merging is
  * thus the same in any order. Changes ride on probes, newest first, each
- * 3 log2(n) times; a digest of the list in each message finds what was
- * missed, which a sync over a stream then repairs.
+ * 3 log2(n) times less those that it came back from others; a digest of the
+ * list in each message finds what was missed, which a sync over a stream then
+ * repairs.
  *
  * Events and the time go in, messages to send come out; no sockets, threads
  * or clocks here.
--- a/src/control/member_gossip.c
+++ b/src/control/member_gossip.c
@@ -89,8 +89,8 @@
     return count;
 }
 
-static void
-sent_once(struct member_core *core, struct member_entry *entry)
+void
+member_spread_once(struct member_core *core, struct member_entry *entry)
 {
     if (entry->sends_left == 0)
         return;
@@ -128,7 +128,7 @@
     size_t count;
 
     if (first != NULL && add_update(msg, first, &room))
-        sent_once(core, first);
+        member_spread_once(core, first);
     if (core->pending == 0)
         return;
     room = MIN(room, bucket_level(&core->gossip_bucket, now_us));
@@ -139,7 +139,7 @@
             continue;
         if (!add_update(msg, picked[i], &room))
             break;
-        sent_once(core, picked[i]);
+        member_spread_once(core, picked[i]);
     }
     spent -= room;
     bucket_take(&core->gossip_bucket, spent, now_us);
--- a/src/control/member_internal.h
+++ b/src/control/member_internal.h
@@ -63,6 +63,11 @@
 void
 member_attach_sample(struct member_core *core, struct member_msg *msg);
 
+/** member_spread_once() - the news of @entry was sent once more, or came
+ * back from another */
+void
+member_spread_once(struct member_core *core, struct member_entry *entry);
+
 /** member_update_of() - what is told of an entry */
 struct member_update
 member_update_of(const struct member_entry *entry);
--- a/src/control/member_merge.c
+++ b/src/control/member_merge.c
@@ -25,6 +25,15 @@
     return update->member.health > entry->member.health;
 }
 
+static bool
+is_same(const struct member_update *update, const struct member_entry *entry)
+{
+    return update->start == entry->start &&
+           update->revision == entry->revision &&
+           update->member.incarnation == entry->member.incarnation &&
+           update->member.health == entry->member.health;
+}
+
 static void
 take_announcement(struct member_entry *entry,
                   const struct member_update *update, uint64_t now_us)
@@ -137,8 +146,11 @@
         return merge_new(core, update, now_us);
     newer_announcement = is_newer_announcement(update, entry);
     newer_health = is_newer_health(update, entry);
-    if (!newer_announcement && !newer_health)
+    if (!newer_announcement && !newer_health) {
+        if (is_same(update, entry))
+            member_spread_once(core, entry);
         return false;
+    }
     urgent = newer_announcement && update->member.state != entry->member.state;
     if (newer_announcement)
         take_announcement(entry, update, now_us);
