directory: test the byte budget and the bound of a message

Cause: mutants without the budget, without the bound of a message and answering without a directory passed all tests.

--- a/tests/directory/test_directory.c
+++ b/tests/directory/test_directory.c
@@ -269,6 +269,68 @@
     g_free(buf);
 }
 
+static size_t
+ask_for_all(struct directory_core *core, uint64_t now_us)
+{
+    struct directory_msg want = {.kind = DIRECTORY_WANT};
+    struct directory_actions out = {0};
+    size_t bytes = 0;
+
+    want.from = (struct addr){IP, 5000};
+    want.want = g_new(uint64_t, core->count);
+    for (size_t i = 0; i < core->count; i++)
+        want.want[want.want_count++] = core->slots[i].entry->cell;
+    directory_receive(core, &want, now_us, &out);
+    for (size_t i = 0; i < out.count; i++) {
+        size_t size = directory_msg_size(&out.items[i].msg);
+
+        g_assert_cmpuint(size, <=, DIRECTORY_MESSAGE_MAX);
+        bytes += size;
+    }
+    directory_actions_clear(&out);
+    directory_msg_finish(&want);
+    return bytes;
+}
+
+static struct directory_entry *
+make_large(const char *cell)
+{
+    struct directory_entry *entry = directory_entry_new(cell, 54);
+
+    entry->version.config_version = 1;
+    entry->version.counter = 1;
+    for (size_t i = 0; i < entry->count; i++)
+        entry->addresses[i] =
+            directory_address(SOME_IP + (uint32_t)i, 80, TCP, false);
+    directory_entry_seal(entry);
+    return entry;
+}
+
+/* Whoever asks, and how often, gets no more than the budget; who holds no
+ * directory answers nothing. */
+static void
+test_budget(void)
+{
+    struct directory_place place = {.holds = true};
+    struct directory_core core;
+    char name[DIRECTORY_NAME_MAX];
+    size_t bytes = 0;
+
+    start(&core);
+    for (unsigned i = 0; i < 100; i++) {
+        g_snprintf(name, sizeof(name), "cell-%u", i);
+        merge(&core, make_large(name));
+    }
+    g_assert_cmpuint(ask_for_all(&core, 0), ==, 0);
+    directory_set_place(&core, &place);
+    for (uint64_t i = 0; i < 1000; i++)
+        bytes += ask_for_all(&core, i * 10 * USEC_PER_MSEC);
+    g_assert_cmpuint(bytes, <=, DIRECTORY_BURST + 10 * DIRECTORY_RATE);
+    g_assert_cmpuint(bytes, >, DIRECTORY_BURST);
+    g_assert_cmpuint(core.stats.delayed, >, 0);
+    directory_core_finish(&core);
+}
+
 /* In a cell whose two authors never agree, turns get rare. */
 static void
 test_contest(void)
@@ -333,6 +395,7 @@
     g_test_add_func("/directory/forward", test_forward);
     g_test_add_func("/directory/gone", test_gone);
     g_test_add_func("/directory/wire", test_wire);
+    g_test_add_func("/directory/budget", test_budget);
     g_test_add_func("/directory/contest", test_contest);
     g_test_add_func("/directory/author", test_author);
     return g_test_run();
