--- /dev/null
+++ b/tests/flow/model_hosts.c
@@ -0,0 +1,223 @@
+#include <string.h>
+
+#include "model_state.h"
+
+/* Views */
+
+static void
+rank_service(struct knowledge *knows, uint32_t service)
+{
+    struct rank *rank = &knows->ranks[service];
+    struct rank previous = *rank;
+    uint64_t ids[MODEL_HOSTS_MAX];
+    size_t count = 0;
+    size_t i;
+
+    for (i = 0; i < knows->view->count; i++) {
+        if (knows->view->members[i].service == service &&
+            knows->view->members[i].health != MEMBER_DEAD) {
+            ids[count++] = knows->view->members[i].id;
+        }
+    }
+    g_assert_cmpint(
+        rank_init(rank, ids, count, previous.table ? &previous : NULL), ==, 0);
+    if (previous.table != NULL) {
+        rank_finish(&previous);
+    }
+}
+
+static void
+view_rebuild(struct model *m, unsigned process)
+{
+    struct knowledge *knows = &m->knows[process];
+    unsigned i;
+
+    g_free(knows->view);
+    knows->view = g_malloc0(sizeof(struct view) +
+                            MODEL_HOSTS_MAX * sizeof(struct view_member));
+    for (i = 0; i < m->config.hosts; i++) {
+        if (knows->known[i]) {
+            knows->view->members[knows->view->count++] = knows->members[i];
+        }
+    }
+    if (process < MODEL_HOSTS_MAX && m->hosts[process].table != NULL) {
+        flow_set_view(m->hosts[process].table, knows->view,
+                      m->truth[process].service, !m->hosts[process].draining,
+                      m->now_us);
+    }
+    for (i = 1; process >= MODEL_HOSTS_MAX && i <= m->config.services; i++) {
+        rank_service(knows, i);
+    }
+}
+
+void
+model_hear(struct model *m, unsigned process, unsigned host)
+{
+    struct knowledge *knows = &m->knows[process];
+
+    if (m->truth[host].id == 0 ||
+        (process < MODEL_HOSTS_MAX && !m->hosts[process].running) ||
+        (process < MODEL_HOSTS_MAX && m->hosts[process].frozen)) {
+        return;
+    }
+    knows->members[host] = m->truth[host];
+    knows->known[host] = true;
+    knows->heard_us[host] = m->now_us;
+    view_rebuild(m, process);
+}
+
+void
+model_hear_all(struct model *m, uint64_t older_us)
+{
+    unsigned p;
+    unsigned h;
+
+    for (p = 0; p < PROCESSES; p++) {
+        for (h = 0; h < m->config.hosts; h++) {
+            struct knowledge *knows = &m->knows[p];
+
+            if (m->changed_us[h] + older_us <= m->now_us &&
+                (!knows->known[h] || knows->heard_us[h] <= m->changed_us[h])) {
+                model_hear(m, p, h);
+            }
+        }
+    }
+}
+
+void
+model_changed(struct model *m, unsigned host)
+{
+    m->changed_us[host] = m->now_us;
+    model_hear(m, host, host);
+}
+
+/* Hosts */
+
+void
+model_host_start(struct model *m, unsigned i, uint32_t service)
+{
+    struct host *host = &m->hosts[i];
+    struct view_member *truth = &m->truth[i];
+
+    memset(host->isn, 0, sizeof(host->isn));
+    host->running = true;
+    host->frozen = false;
+    host->draining = false;
+    host->epoch++;
+    host->table = flow_table_new(i + 1, CAPACITY);
+    memset(&m->knows[i].known, 0, sizeof(m->knows[i].known));
+    truth->id = i + 1;
+    truth->incarnation = m->now_us;
+    truth->role = MEMBER_AGENT;
+    truth->state = MEMBER_READY;
+    truth->health = MEMBER_ALIVE;
+    truth->service = service;
+    truth->data = (struct addr){0x7f000001, (uint16_t)(1000 + i)};
+    model_changed(m, i);
+}
+
+static void
+host_stop(struct model *m, unsigned i)
+{
+    flow_table_free(m->hosts[i].table);
+    m->hosts[i].table = NULL;
+    m->hosts[i].running = false;
+    m->hosts[i].epoch++;
+}
+
+/* Whether a flow's owner can still serve it. */
+bool
+model_live(const struct model *m, const struct caller *caller)
+{
+    const struct host *host = &m->hosts[caller->owner];
+
+    return caller->phase == OPEN && host->epoch == caller->owner_epoch &&
+           host->given_up == caller->owner_given_up &&
+           (caller->served ||
+            caller->answered_us + FLOW_EMBRYO_TTL_US > m->now_us);
+}
+
+/* Changes */
+
+void
+model_change_planned(struct model *m, unsigned i)
+{
+    struct host *host = &m->hosts[i];
+
+    if (!host->running) {
+        model_host_start(m, i, 1 + i % m->config.services);
+    }
+    else if (!host->frozen && !host->draining) {
+        host->draining = true;
+        m->truth[i].state = MEMBER_DRAINING;
+        model_changed(m, i);
+    }
+    else if (!host->frozen && flow_count(host->table, NULL) == 0) {
+        host_stop(m, i);
+        m->truth[i].health = MEMBER_DEAD;
+        model_changed(m, i);
+    }
+}
+
+/* Others suspect a host, wrongly too; then it refutes or is given up. */
+void
+model_change_suspicion(struct model *m, unsigned i)
+{
+    struct host *host = &m->hosts[i];
+    struct view_member *truth = &m->truth[i];
+    bool answers = host->running && (!host->frozen || model_pick(m, 2) == 0);
+
+    if (truth->id == 0 || (truth->health == MEMBER_DEAD && !answers)) {
+        return;
+    }
+    if (answers && (host->frozen || truth->health == MEMBER_SUSPECT)) {
+        host->frozen = false;
+        truth->health = MEMBER_ALIVE;
+        truth->incarnation++;
+    }
+    else {
+        truth->health++;
+        host->given_up += truth->health == MEMBER_DEAD;
+    }
+    model_changed(m, i);
+}
+
+void
+model_change_fault(struct model *m, unsigned i)
+{
+    struct host *host = &m->hosts[i];
+    unsigned what = model_pick(m, 4);
+
+    if (!host->running || host->frozen) {
+        model_change_suspicion(m, i);
+    }
+    else if (what == 0) {
+        host_stop(m, i);
+    }
+    else if (what == 1) {
+        /* Its address now serves another service. */
+        host_stop(m, i);
+        model_host_start(m, i, 1 + model_pick(m, m->config.services));
+    }
+    else {
+        host->frozen = true;
+    }
+}
+
+/* A silent host, if there is one. */
+unsigned
+model_pick_silent(struct model *m)
+{
+    unsigned first = model_pick(m, m->config.hosts);
+    unsigned k;
+
+    for (k = 0; k < m->config.hosts; k++) {
+        unsigned i = (first + k) % m->config.hosts;
+
+        if (m->hosts[i].frozen ||
+            (m->truth[i].health != MEMBER_DEAD && !m->hosts[i].running)) {
+            return i;
+        }
+    }
+    return first;
+}
