--- a/tests/base/test_auth.c
+++ b/tests/base/test_auth.c
@@ -2,11 +2,12 @@
  * DOC: test_auth - sealed datagrams: tampering, replay, skew, many senders
  */
 #include <errno.h>
-#include <glib.h>
 #include <string.h>
 
 #include "base/auth.h"
+#include "lib/harness.h"
 
+#define SUITE "/base/auth"
 #define NOW_MS UINT64_C(1700000000000)
 #define BODY_MAX 64
 
@@ -44,58 +45,66 @@
     g_assert_cmpint(auth_init(auth, key, sizeof(key), self, NOW_MS), ==, 0);
 }
 
+/** struct pair - a sender and a receiver */
+struct pair {
+    struct auth a;
+    struct auth b;
+};
+
 static void
-test_round_trip(void)
+pair_init(struct pair *pair)
+{
+    new_auth(&pair->a, 11);
+    new_auth(&pair->b, 12);
+}
+
+static void
+pair_finish(struct pair *pair)
+{
+    auth_finish(&pair->a);
+    auth_finish(&pair->b);
+}
+
+TEST_F(pair, round_trip)
 {
-    struct auth a, b;
     struct message msg;
     const uint8_t *body;
     uint64_t sender;
     size_t len;
 
-    new_auth(&a, 11);
-    new_auth(&b, 12);
-    msg = seal(&a, "hello", NOW_MS);
+    msg = seal(&pair->a, "hello", NOW_MS);
     g_assert_cmpuint(msg.len, ==, 5 + AUTH_OVERHEAD);
     g_assert_cmpint(
-        auth_open(&b, msg.data, msg.len, NOW_MS, &sender, &body, &len), ==, 0);
+        auth_open(&pair->b, msg.data, msg.len, NOW_MS, &sender, &body, &len),
+        ==, 0);
     g_assert_cmpuint(sender, ==, 11);
     g_assert_cmpmem(body, len, "hello", 5);
-    msg = seal(&a, "", NOW_MS);
-    g_assert_cmpint(open_at(&b, &msg, NOW_MS), ==, 0);
-    auth_finish(&a);
-    auth_finish(&b);
+    msg = seal(&pair->a, "", NOW_MS);
+    g_assert_cmpint(open_at(&pair->b, &msg, NOW_MS), ==, 0);
 }
 
-static void
-test_tampering(void)
+TEST_F(pair, tampering)
 {
-    struct auth a, b;
     struct message msg;
 
-    new_auth(&a, 11);
-    new_auth(&b, 12);
-    msg = seal(&a, "reserve lot 7", NOW_MS);
+    msg = seal(&pair->a, "reserve lot 7", NOW_MS);
     for (size_t bit = 0; bit < msg.len * 8; bit++) {
         struct message changed = msg;
 
         changed.data[bit / 8] ^= (uint8_t)(1 << bit % 8);
-        g_assert_cmpint(open_at(&b, &changed, NOW_MS), ==, -EBADMSG);
+        g_assert_cmpint(open_at(&pair->b, &changed, NOW_MS), ==, -EBADMSG);
     }
     for (size_t len = 0; len < msg.len; len++) {
         struct message cut = msg;
 
         cut.len = len;
-        g_assert_cmpint(open_at(&b, &cut, NOW_MS), ==, -EBADMSG);
+        g_assert_cmpint(open_at(&pair->b, &cut, NOW_MS), ==, -EBADMSG);
     }
     /* None of that spoilt the true one. */
-    g_assert_cmpint(open_at(&b, &msg, NOW_MS), ==, 0);
-    auth_finish(&a);
-    auth_finish(&b);
+    g_assert_cmpint(open_at(&pair->b, &msg, NOW_MS), ==, 0);
 }
 
-static void
-test_other_key(void)
+TEST(other_key)
 {
     static const uint8_t other[16] = "0123456789abcdeF";
     struct auth a, b;
@@ -110,77 +119,61 @@
     auth_finish(&a);
 }
 
-static void
-test_skew(void)
+TEST_F(pair, skew)
 {
-    struct auth a, b;
     struct message msg;
 
-    new_auth(&a, 11);
-    new_auth(&b, 12);
-    msg = seal(&a, "x", NOW_MS);
-    g_assert_cmpint(open_at(&b, &msg, NOW_MS + AUTH_SKEW_MS + 1), ==, -ETIME);
-    g_assert_cmpint(open_at(&b, &msg, NOW_MS - AUTH_SKEW_MS - 1), ==, -ETIME);
-    g_assert_cmpint(open_at(&b, &msg, NOW_MS - AUTH_SKEW_MS), ==, 0);
-    auth_finish(&a);
-    auth_finish(&b);
+    msg = seal(&pair->a, "x", NOW_MS);
+    g_assert_cmpint(open_at(&pair->b, &msg, NOW_MS + AUTH_SKEW_MS + 1), ==,
+                    -ETIME);
+    g_assert_cmpint(open_at(&pair->b, &msg, NOW_MS - AUTH_SKEW_MS - 1), ==,
+                    -ETIME);
+    g_assert_cmpint(open_at(&pair->b, &msg, NOW_MS - AUTH_SKEW_MS), ==, 0);
 }
 
 /* In any order each message passes once, unless it fell behind the window. */
-static void
-test_replay_in_any_order(void)
+TEST_F(pair, replay_in_any_order)
 {
     enum { COUNT = 4 * AUTH_WINDOW };
     struct message *msgs = g_new(struct message, COUNT);
     bool *taken = g_new0(bool, COUNT);
     int highest = -1;
-    struct auth a, b;
 
-    new_auth(&a, 11);
-    new_auth(&b, 12);
     for (int i = 0; i < COUNT; i++)
-        msgs[i] = seal(&a, "x", NOW_MS);
+        msgs[i] = seal(&pair->a, "x", NOW_MS);
     for (int i = 0; i < 4 * COUNT; i++) {
         int middle = i / 4;
         int low = MAX(middle - 2 * AUTH_WINDOW, 0);
         int at = g_test_rand_int_range(low, MIN(middle + 20, COUNT));
         bool fresh = !taken[at] && highest - at < AUTH_WINDOW;
 
-        g_assert_cmpint(open_at(&b, &msgs[at], NOW_MS), ==,
+        g_assert_cmpint(open_at(&pair->b, &msgs[at], NOW_MS), ==,
                         fresh ? 0 : -EALREADY);
         taken[at] = true;
         highest = MAX(highest, at);
     }
-    auth_finish(&a);
-    auth_finish(&b);
     g_free(msgs);
     g_free(taken);
 }
 
 /* A process that started again isn't taken for a replay of itself. */
-static void
-test_restart(void)
+TEST_F(pair, restart)
 {
-    struct auth a, b;
     struct message msg;
 
-    new_auth(&a, 11);
-    new_auth(&b, 12);
     for (int i = 0; i < 3 * AUTH_WINDOW; i++) {
-        msg = seal(&a, "x", NOW_MS);
-        g_assert_cmpint(open_at(&b, &msg, NOW_MS), ==, 0);
+        msg = seal(&pair->a, "x", NOW_MS);
+        g_assert_cmpint(open_at(&pair->b, &msg, NOW_MS), ==, 0);
     }
-    auth_finish(&a);
-    g_assert_cmpint(auth_init(&a, key, sizeof(key), 11, NOW_MS + 1), ==, 0);
-    msg = seal(&a, "x", NOW_MS + 1);
-    g_assert_cmpint(open_at(&b, &msg, NOW_MS + 1), ==, 0);
-    auth_finish(&a);
-    auth_finish(&b);
+    auth_finish(&pair->a);
+    g_assert_cmpint(auth_init(&pair->a, key, sizeof(key), 11, NOW_MS + 1), ==,
+                    0);
+    msg = seal(&pair->a, "x", NOW_MS + 1);
+    g_assert_cmpint(open_at(&pair->b, &msg, NOW_MS + 1), ==, 0);
 }
 
 /* Only the sender heard longest ago makes room for one too many. */
-static void
-test_many_senders(void)
+TEST(many_senders)
 {
     struct message first[AUTH_PEERS_MAX];
     struct message extra;
@@ -208,17 +201,3 @@
     g_assert_cmpint(open_at(&b, &first[1], NOW_MS), ==, 0);
     auth_finish(&b);
 }
-
-int
-main(int argc, char **argv)
-{
-    g_test_init(&argc, &argv, NULL);
-    g_test_add_func("/base/auth/round-trip", test_round_trip);
-    g_test_add_func("/base/auth/tampering", test_tampering);
-    g_test_add_func("/base/auth/other-key", test_other_key);
-    g_test_add_func("/base/auth/skew", test_skew);
-    g_test_add_func("/base/auth/replay", test_replay_in_any_order);
-    g_test_add_func("/base/auth/restart", test_restart);
-    g_test_add_func("/base/auth/many-senders", test_many_senders);
-    return g_test_run();
-}
--- a/tests/base/test_httpd.c
+++ b/tests/base/test_httpd.c
@@ -4,15 +4,20 @@
 #include <errno.h>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
-#include <glib.h>
 #include <string.h>
 
 #include "base/httpd.h"
+#include "lib/harness.h"
 
-/** struct echo - a handler that says what it was asked */
+#define SUITE "/base/httpd"
+
+/** struct echo - a listener with a handler that says what it was asked */
 struct echo {
-    struct httpd_handler base;
+    struct httpd_handler handler;
     unsigned calls;
+    struct event_base *base;
+    struct httpd *httpd;
+    struct addr at;
 };
 
 static int
@@ -40,6 +45,25 @@
 
 static const struct httpd_ops echo_ops = {.on_request = on_request};
 
+static void
+echo_init(struct echo *echo)
+{
+    struct addr any = {.ip = 0x7f000001};
+
+    echo->handler.ops = &echo_ops;
+    echo->base = event_base_new();
+    echo->httpd = httpd_new(echo->base, any, &echo->handler, NULL);
+    g_assert_nonnull(echo->httpd);
+    echo->at = httpd_addr(echo->httpd);
+}
+
+static void
+echo_finish(struct echo *echo)
+{
+    httpd_free(echo->httpd);
+    event_base_free(echo->base);
+}
+
 static void
 on_client_event(struct bufferevent *event, short what, void *data)
 {
@@ -47,23 +71,23 @@
         event_base_loopbreak(data);
 }
 
-/* All that the listener at @to sends back for @text. */
+/* All that the listener sends back for @text. */
 static char *
-ask(struct event_base *base, struct addr to, const char *text)
+ask(struct echo *echo, const char *text)
 {
-    struct sockaddr_in sin = addr_to_sockaddr(to);
+    struct sockaddr_in sin = addr_to_sockaddr(echo->at);
     struct bufferevent *event =
-        bufferevent_socket_new(base, -1, BEV_OPT_CLOSE_ON_FREE);
+        bufferevent_socket_new(echo->base, -1, BEV_OPT_CLOSE_ON_FREE);
     struct evbuffer *in = bufferevent_get_input(event);
     char *answer;
 
-    bufferevent_setcb(event, NULL, NULL, on_client_event, base);
+    bufferevent_setcb(event, NULL, NULL, on_client_event, echo->base);
     bufferevent_enable(event, EV_READ | EV_WRITE);
     bufferevent_write(event, text, strlen(text));
     g_assert_cmpint(bufferevent_socket_connect(event, (struct sockaddr *)&sin,
                                                sizeof(sin)),
                     ==, 0);
-    event_base_dispatch(base);
+    event_base_dispatch(echo->base);
     answer = g_strndup((const char *)evbuffer_pullup(in, -1),
                        evbuffer_get_length(in));
     bufferevent_free(event);
@@ -71,10 +95,10 @@
 }
 
 static void
-expect(struct event_base *base, struct addr to, const char *request,
-       const char *start, const char *end)
+expect(struct echo *echo, const char *request, const char *start,
+       const char *end)
 {
-    char *answer = ask(base, to, request);
+    char *answer = ask(echo, request);
 
     g_test_message("%s", answer);
     g_assert_true(g_str_has_prefix(answer, start));
@@ -82,55 +106,28 @@
     g_free(answer);
 }
 
-static void
-test_requests(void)
+TEST_F(echo, requests)
 {
-    struct event_base *base = event_base_new();
-    struct echo echo = {.base.ops = &echo_ops};
-    struct addr any = {.ip = 0x7f000001};
-    struct httpd *httpd = httpd_new(base, any, &echo.base, NULL);
-    struct addr at;
-
-    g_assert_nonnull(httpd);
-    at = httpd_addr(httpd);
-    g_assert_cmpuint(at.port, !=, 0);
-    expect(base, at,
+    g_assert_cmpuint(echo->at.port, !=, 0);
+    expect(echo,
            "GET /a%20b?q=1%2B HTTP/1.1\r\nHost: x\r\nX-Id: 7\r\n"
            "Connection: close\r\n\r\n",
            "HTTP/1.1 200 OK\r\n", "\r\n\r\nGET /a b q=1+ id=7 ");
-    expect(base, at,
+    expect(echo,
            "POST /p HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n"
            "Connection: close\r\n\r\nbody",
            "HTTP/1.1 200 OK\r\n", "\r\n\r\nPOST /p q=- id=- body");
-    expect(base, at, "GET /fail HTTP/1.0\r\n\r\n", "HTTP/1.0 500 ",
+    expect(echo, "GET /fail HTTP/1.0\r\n\r\n", "HTTP/1.0 500 ",
            "request failed: Input/output error\n");
-    expect(base, at, "GET /a%00b HTTP/1.0\r\n\r\n", "HTTP/1.0 400 ",
+    expect(echo, "GET /a%00b HTTP/1.0\r\n\r\n", "HTTP/1.0 400 ",
            "bad target\n");
-    g_assert_cmpuint(echo.calls, ==, 3);
-    httpd_free(httpd);
-    event_base_free(base);
+    g_assert_cmpuint(echo->calls, ==, 3);
 }
 
-static void
-test_address_in_use(void)
+TEST_F(echo, address_in_use)
 {
-    struct event_base *base = event_base_new();
-    struct echo echo = {.base.ops = &echo_ops};
-    struct addr any = {.ip = 0x7f000001};
-    struct httpd *httpd = httpd_new(base, any, &echo.base, NULL);
     struct error err;
 
-    g_assert_null(httpd_new(base, httpd_addr(httpd), &echo.base, &err));
+    g_assert_null(httpd_new(echo->base, echo->at, &echo->handler, &err));
     g_assert_cmpint(err.code, ==, -EADDRINUSE);
-    httpd_free(httpd);
-    event_base_free(base);
-}
-
-int
-main(int argc, char **argv)
-{
-    g_test_init(&argc, &argv, NULL);
-    g_test_add_func("/base/httpd/requests", test_requests);
-    g_test_add_func("/base/httpd/address-in-use", test_address_in_use);
-    return g_test_run();
 }
--- a/tests/base/test_json_scan.c
+++ b/tests/base/test_json_scan.c
@@ -1,11 +1,13 @@
 /**
  * DOC: test_json_scan - paths and lines of keys
  */
-#include <glib.h>
 #include <json-c/json.h>
 #include <string.h>
 
 #include "base/json_scan.h"
+#include "lib/harness.h"
+
+#define SUITE "/base/json-scan"
 
 /* All keys of @text as "line:path " each. */
 static char *
@@ -21,8 +23,7 @@
     return g_string_free(out, FALSE);
 }
 
-static void
-test_paths(void)
+TEST(paths)
 {
     static const char *const cases[][2] = {
         {"{}", ""},
@@ -69,8 +70,7 @@
 }
 
 /* Each key of a random text is found once, under a path of its own. */
-static void
-test_random(void)
+TEST(random)
 {
     for (int i = 0; i < 500; i++) {
         GHashTable *paths =
@@ -90,12 +90,3 @@
         g_hash_table_destroy(paths);
     }
 }
-
-int
-main(int argc, char **argv)
-{
-    g_test_init(&argc, &argv, NULL);
-    g_test_add_func("/base/json-scan/paths", test_paths);
-    g_test_add_func("/base/json-scan/random", test_random);
-    return g_test_run();
-}
--- a/tests/base/test_link.c
+++ b/tests/base/test_link.c
@@ -4,15 +4,17 @@
 #include <errno.h>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
-#include <glib.h>
 #include <string.h>
 
 #include "base/link.h"
 #include "base/link_wire.h"
+#include "lib/harness.h"
 
+#define SUITE "/base/link"
 #define LOOPS_MAX 200000
 
 static const uint8_t key[16] = "0123456789abcdef";
+static const uint8_t other_key[16] = "0123456789abcdeF";
 
 /** struct side - a hub and what its owner saw */
 struct side {
@@ -80,6 +82,31 @@
     g_byte_array_unref(side->bytes);
 }
 
+/** struct sides - two hubs on one loop */
+struct sides {
+    struct event_base *base;
+    struct side a;
+    struct side b;
+    struct addr to;
+};
+
+static void
+sides_init(struct sides *sides, const uint8_t *key_of_a)
+{
+    sides->base = event_base_new();
+    side_init(&sides->a, sides->base, 11, key_of_a);
+    side_init(&sides->b, sides->base, 12, key);
+    sides->to = link_hub_addr(&sides->b.hub);
+}
+
+static void
+sides_finish(struct sides *sides)
+{
+    side_finish(&sides->a);
+    side_finish(&sides->b);
+    event_base_free(sides->base);
+}
+
 /* Run the loop until *@seen reaches @count. */
 static void
 run_until(struct event_base *base, const unsigned *seen, unsigned count)
@@ -91,71 +118,54 @@
 }
 
 /* Frames of all sizes arrive whole, in order, and go back the same way. */
-static void
-test_frames(void)
+TEST_F(sides, frames, key)
 {
-    struct event_base *base = event_base_new();
     GByteArray *sent = g_byte_array_new();
-    struct side a, b;
-    struct addr to;
 
-    side_init(&a, base, 11, key);
-    side_init(&b, base, 12, key);
-    b.echo = true;
-    to = link_hub_addr(&b.hub);
+    sides->b.echo = true;
     for (unsigned i = 0; i < 200; i++) {
         size_t len = i == 0 ? 0 : (size_t)g_test_rand_int_range(0, 20000);
         uint8_t *body = g_malloc(len + 1);
 
         memset(body, (int)(i & 0xff), len);
         g_byte_array_append(sent, body, (guint)len);
-        g_assert_cmpint(link_send(&a.hub, to, 7, body, len), ==, 0);
+        g_assert_cmpint(link_send(&sides->a.hub, sides->to, 7, body, len), ==,
+                        0);
         g_free(body);
     }
-    run_until(base, &a.frames, 200);
-    g_assert_cmpuint(b.frames, ==, 200);
-    g_assert_cmpuint(b.sender, ==, 11);
-    g_assert_cmpuint(a.sender, ==, 12);
-    g_assert_cmpuint(b.type, ==, 7);
-    g_assert_cmpmem(b.bytes->data, b.bytes->len, sent->data, sent->len);
-    g_assert_cmpmem(a.bytes->data, a.bytes->len, sent->data, sent->len);
-    g_assert_cmpuint(a.hub.sent_bytes, ==, b.hub.received_bytes);
-    g_assert_cmpuint(link_hub_queued(&a.hub), ==, 0);
+    run_until(sides->base, &sides->a.frames, 200);
+    g_assert_cmpuint(sides->b.frames, ==, 200);
+    g_assert_cmpuint(sides->b.sender, ==, 11);
+    g_assert_cmpuint(sides->a.sender, ==, 12);
+    g_assert_cmpuint(sides->b.type, ==, 7);
+    g_assert_cmpmem(sides->b.bytes->data, sides->b.bytes->len, sent->data,
+                    sent->len);
+    g_assert_cmpmem(sides->a.bytes->data, sides->a.bytes->len, sent->data,
+                    sent->len);
+    g_assert_cmpuint(sides->a.hub.sent_bytes, ==, sides->b.hub.received_bytes);
+    g_assert_cmpuint(link_hub_queued(&sides->a.hub), ==, 0);
     g_byte_array_unref(sent);
-    side_finish(&a);
-    side_finish(&b);
-    event_base_free(base);
 }
 
-static void
-test_limits(void)
+TEST_F(sides, limits, key)
 {
-    struct event_base *base = event_base_new();
     uint8_t *body = g_malloc0(LINK_FRAME_MAX);
     size_t max = LINK_FRAME_MAX - LINK_WIRE_OVERHEAD;
-    struct side a, b;
-    struct addr to;
     int ret;
 
-    side_init(&a, base, 11, key);
-    side_init(&b, base, 12, key);
-    to = link_hub_addr(&b.hub);
-    g_assert_cmpint(link_send(&a.hub, to, 1, body, max + 1), ==, -EMSGSIZE);
-    while ((ret = link_send(&a.hub, to, 1, body, max)) == 0)
-        g_assert_cmpuint(link_hub_queued(&a.hub), <=,
+    g_assert_cmpint(link_send(&sides->a.hub, sides->to, 1, body, max + 1), ==,
+                    -EMSGSIZE);
+    while ((ret = link_send(&sides->a.hub, sides->to, 1, body, max)) == 0)
+        g_assert_cmpuint(link_hub_queued(&sides->a.hub), <=,
                          LINK_QUEUE_MAX + LINK_FRAME_MAX);
     g_assert_cmpint(ret, ==, -ENOBUFS);
-    run_until(base, &b.frames, 3);
-    g_assert_cmpuint(b.bytes->len, ==, 3 * max);
+    run_until(sides->base, &sides->b.frames, 3);
+    g_assert_cmpuint(sides->b.bytes->len, ==, 3 * max);
     g_free(body);
-    side_finish(&a);
-    side_finish(&b);
-    event_base_free(base);
 }
 
 /* A refused connection is told as such: the process there is gone. */
-static void
-test_refused(void)
+TEST(refused)
 {
     struct event_base *base = event_base_new();
     struct side a, b;
@@ -176,24 +186,14 @@
     event_base_free(base);
 }
 
-static void
-test_other_key(void)
+TEST_F(sides, other_key, other_key)
 {
-    static const uint8_t other[16] = "0123456789abcdeF";
-    struct event_base *base = event_base_new();
-    struct side a, b;
-
-    side_init(&a, base, 11, other);
-    side_init(&b, base, 12, key);
-    link_send(&a.hub, link_hub_addr(&b.hub), 1, key, 4);
-    run_until(base, &b.downs, 1);
-    run_until(base, &a.downs, 1);
-    g_assert_cmpuint(b.frames, ==, 0);
-    g_assert_cmpuint(b.hub.rejected + a.hub.rejected, >=, 1);
-    g_assert_cmpuint(b.hub.unproven, ==, 0);
-    side_finish(&a);
-    side_finish(&b);
-    event_base_free(base);
+    link_send(&sides->a.hub, sides->to, 1, key, 4);
+    run_until(sides->base, &sides->b.downs, 1);
+    run_until(sides->base, &sides->a.downs, 1);
+    g_assert_cmpuint(sides->b.frames, ==, 0);
+    g_assert_cmpuint(sides->b.hub.rejected + sides->a.hub.rejected, >=, 1);
+    g_assert_cmpuint(sides->b.hub.unproven, ==, 0);
 }
 
 static void
@@ -223,40 +223,35 @@
     g_assert_cmpuint(b->hub.unproven, ==, 0);
 }
 
-static void
-test_strangers(void)
+TEST_F(sides, strangers, key)
 {
-    struct event_base *base = event_base_new();
     uint8_t hello[LINK_WIRE_HELLO + LINK_WIRE_OVERHEAD] = "SAL1";
-    struct side b;
 
-    side_init(&b, base, 12, key);
     for (int i = 0; i < 100; i++) {
         uint8_t garbage[128];
 
         for (size_t at = 0; at < sizeof(garbage); at++)
             garbage[at] = (uint8_t)g_test_rand_int();
-        expect_hang_up(base, &b, garbage, sizeof(garbage));
+        expect_hang_up(sides->base, &sides->b, garbage, sizeof(garbage));
     }
     /* Before the proof no long frame is waited for. */
     memset(hello + LINK_WIRE_HELLO, 0, LINK_WIRE_OVERHEAD);
     hello[LINK_WIRE_HELLO + 1] = 0x10;
-    expect_hang_up(base, &b, hello, LINK_WIRE_HELLO + LINK_WIRE_LENGTH);
-    g_assert_cmpint(b.reason, ==, -EMSGSIZE);
+    expect_hang_up(sides->base, &sides->b, hello,
+                   LINK_WIRE_HELLO + LINK_WIRE_LENGTH);
+    g_assert_cmpint(sides->b.reason, ==, -EMSGSIZE);
     /* A proof of the right size with a wrong tag. */
     hello[LINK_WIRE_HELLO + 1] = 0;
     hello[LINK_WIRE_HELLO + 3] = LINK_WIRE_OVERHEAD - LINK_WIRE_LENGTH;
-    expect_hang_up(base, &b, hello, sizeof(hello));
-    g_assert_cmpint(b.reason, ==, -EBADMSG);
+    expect_hang_up(sides->base, &sides->b, hello, sizeof(hello));
+    g_assert_cmpint(sides->b.reason, ==, -EBADMSG);
     /* A frame shorter than its own overhead. */
     hello[LINK_WIRE_HELLO + 3] = 1;
-    expect_hang_up(base, &b, hello, sizeof(hello));
+    expect_hang_up(sides->base, &sides->b, hello, sizeof(hello));
     /* Nothing at all, until the time for the proof is over. */
-    expect_hang_up(base, &b, hello, 3);
-    g_assert_cmpint(b.reason, ==, -ETIMEDOUT);
-    g_assert_cmpuint(b.hub.rejected, ==, 103);
-    side_finish(&b);
-    event_base_free(base);
+    expect_hang_up(sides->base, &sides->b, hello, 3);
+    g_assert_cmpint(sides->b.reason, ==, -ETIMEDOUT);
+    g_assert_cmpuint(sides->b.hub.rejected, ==, 103);
 }
 
 /** struct pair - two ends of a connection without sockets */
@@ -292,9 +287,15 @@
                    frame, frame + LINK_WIRE_HEAD + BODY_LEN);
 }
 
-/* Changed, replayed, reordered, reflected and foreign frames are refused. */
 static void
-test_wire(void)
+expect_open(struct link_wire *wire, struct auth *auth, uint8_t *bytes,
+            size_t len, int ret, struct link_frame *frame)
+{
+    g_assert_cmpint(link_wire_open(wire, auth, bytes, len, frame), ==, ret);
+}
+
+/* Changed, replayed, reordered, reflected and foreign frames are refused. */
+TEST(wire)
 {
     uint8_t first[FRAME_LEN], second[FRAME_LEN];
     struct link_frame frame;
@@ -308,52 +309,23 @@
     /* The length itself isn't under the tag; it decides where the tag is. */
     for (size_t bit = LINK_WIRE_LENGTH * 8; bit < FRAME_LEN * 8; bit++) {
         first[bit / 8] ^= (uint8_t)(1 << bit % 8);
-        g_assert_cmpint(
-            link_wire_open(&pair.b, &pair.auth, first, FRAME_LEN, &frame), ==,
-            -EBADMSG);
+        expect_open(&pair.b, &pair.auth, first, FRAME_LEN, -EBADMSG, &frame);
         first[bit / 8] ^= (uint8_t)(1 << bit % 8);
     }
     for (size_t len = 0; len < FRAME_LEN; len++)
-        g_assert_cmpint(
-            link_wire_open(&pair.b, &pair.auth, first, len, &frame), ==,
-            -EBADMSG);
-    g_assert_cmpint(
-        link_wire_open(&pair.b, &pair.auth, second, FRAME_LEN, &frame), ==,
-        -EBADMSG);
-    g_assert_cmpint(
-        link_wire_open(&pair.a, &pair.auth, first, FRAME_LEN, &frame), ==,
-        -EBADMSG);
-    g_assert_cmpint(
-        link_wire_open(&other.b, &pair.auth, first, FRAME_LEN, &frame), ==,
-        -EBADMSG);
+        expect_open(&pair.b, &pair.auth, first, len, -EBADMSG, &frame);
+    expect_open(&pair.b, &pair.auth, second, FRAME_LEN, -EBADMSG, &frame);
+    expect_open(&pair.a, &pair.auth, first, FRAME_LEN, -EBADMSG, &frame);
+    expect_open(&other.b, &pair.auth, first, FRAME_LEN, -EBADMSG, &frame);
     /* Another peer's nonce, though the receiver's own is right. */
     pair.b.peer_nonce[0] ^= 1;
-    g_assert_cmpint(
-        link_wire_open(&pair.b, &pair.auth, first, FRAME_LEN, &frame), ==,
-        -EBADMSG);
+    expect_open(&pair.b, &pair.auth, first, FRAME_LEN, -EBADMSG, &frame);
     pair.b.peer_nonce[0] ^= 1;
-    g_assert_cmpint(
-        link_wire_open(&pair.b, &pair.auth, first, FRAME_LEN, &frame), ==, 0);
+    expect_open(&pair.b, &pair.auth, first, FRAME_LEN, 0, &frame);
     g_assert_cmpuint(frame.type, ==, 3);
     g_assert_cmpmem(frame.body, frame.len, body_text, BODY_LEN);
-    g_assert_cmpint(
-        link_wire_open(&pair.b, &pair.auth, first, FRAME_LEN, &frame), ==,
-        -EBADMSG);
-    g_assert_cmpint(
-        link_wire_open(&pair.b, &pair.auth, second, FRAME_LEN, &frame), ==, 0);
+    expect_open(&pair.b, &pair.auth, first, FRAME_LEN, -EBADMSG, &frame);
+    expect_open(&pair.b, &pair.auth, second, FRAME_LEN, 0, &frame);
     auth_finish(&pair.auth);
     auth_finish(&other.auth);
 }
-
-int
-main(int argc, char **argv)
-{
-    g_test_init(&argc, &argv, NULL);
-    g_test_add_func("/base/link/frames", test_frames);
-    g_test_add_func("/base/link/limits", test_limits);
-    g_test_add_func("/base/link/refused", test_refused);
-    g_test_add_func("/base/link/other-key", test_other_key);
-    g_test_add_func("/base/link/strangers", test_strangers);
-    g_test_add_func("/base/link/wire", test_wire);
-    return g_test_run();
-}
--- a/tests/base/test_settings.c
+++ b/tests/base/test_settings.c
@@ -2,12 +2,13 @@
  * DOC: test_settings - faults of settings files and how they are told
  */
 #include <errno.h>
-#include <glib.h>
 #include <glib/gstdio.h>
 #include <string.h>
 
 #include "base/settings.h"
+#include "lib/harness.h"
 
+#define SUITE "/base/settings"
 #define KEY "0123456789abcdef"
 
 /** struct fixture - a folder with a settings file and a key file */
@@ -21,32 +22,33 @@
 };
 
 static void
-set_up(struct fixture *f, gconstpointer data)
+fixture_init(struct fixture *fixture)
 {
-    f->folder = g_dir_make_tmp("settings-XXXXXX", NULL);
-    f->file = g_build_filename(f->folder, "agent.json", NULL);
-    f->key = g_build_filename(f->folder, "site.key", NULL);
-    g_assert_true(g_file_set_contents(f->key, KEY "\n", -1, NULL));
+    fixture->folder = g_dir_make_tmp("settings-XXXXXX", NULL);
+    fixture->file = g_build_filename(fixture->folder, "agent.json", NULL);
+    fixture->key = g_build_filename(fixture->folder, "site.key", NULL);
+    g_assert_true(g_file_set_contents(fixture->key, KEY "\n", -1, NULL));
 }
 
 static void
-tear_down(struct fixture *f, gconstpointer data)
+fixture_finish(struct fixture *fixture)
 {
-    g_free(f->report);
-    g_unlink(f->file);
-    g_unlink(f->key);
-    g_rmdir(f->folder);
-    g_free(f->folder);
-    g_free(f->file);
-    g_free(f->key);
+    g_free(fixture->report);
+    g_unlink(fixture->file);
+    g_unlink(fixture->key);
+    g_rmdir(fixture->folder);
+    g_free(fixture->folder);
+    g_free(fixture->file);
+    g_free(fixture->key);
 }
 
 static int
-load(struct fixture *f, enum settings_role role, const char *text)
+load(struct fixture *fixture, enum settings_role role, const char *text)
 {
-    g_assert_true(g_file_set_contents(f->file, text, -1, NULL));
-    g_clear_pointer(&f->report, g_free);
-    return settings_load(&f->settings, role, f->file, &f->report, &f->err);
+    g_assert_true(g_file_set_contents(fixture->file, text, -1, NULL));
+    g_clear_pointer(&fixture->report, g_free);
+    return settings_load(&fixture->settings, role, fixture->file,
+                         &fixture->report, &fixture->err);
 }
 
 static const char whole[] =
@@ -57,37 +59,35 @@
     "\"site_key_file\": \"site.key\", \"fabric\": \"127.0.0.1:7\",\n"
     "\"drain_s\": 12, \"trace_file\": \"\", \"trace_sample\": 10}\n";
 
-static void
-test_whole(struct fixture *f, gconstpointer data)
+TEST_F(fixture, whole)
 {
-    g_assert_cmpint(load(f, SETTINGS_AGENT, whole), ==, 0);
-    g_assert_null(f->report);
-    g_assert_cmpstr(f->settings.name, ==, "a1");
-    g_assert_cmpuint(f->settings.data.ip, ==, 0x7f000001);
-    g_assert_cmpuint(f->settings.fabric.port, ==, 7);
-    g_assert_cmpuint(f->settings.seed_count, ==, 2);
-    g_assert_cmpuint(f->settings.seeds[1].port, ==, 6);
-    g_assert_cmpmem(f->settings.site_key, f->settings.site_key_len, KEY, 16);
-    g_assert_cmpuint(f->settings.drain_s, ==, 12);
-    g_assert_cmpuint(f->settings.trace_sample, ==, 10);
-    g_assert_cmpuint(f->settings.workers, ==, 1);
-    g_assert_cmpstr(f->settings.log_level, ==, "message");
+    g_assert_cmpint(load(fixture, SETTINGS_AGENT, whole), ==, 0);
+    g_assert_null(fixture->report);
+    g_assert_cmpstr(fixture->settings.name, ==, "a1");
+    g_assert_cmpuint(fixture->settings.data.ip, ==, 0x7f000001);
+    g_assert_cmpuint(fixture->settings.fabric.port, ==, 7);
+    g_assert_cmpuint(fixture->settings.seed_count, ==, 2);
+    g_assert_cmpuint(fixture->settings.seeds[1].port, ==, 6);
+    g_assert_cmpmem(fixture->settings.site_key, fixture->settings.site_key_len,
+                    KEY, 16);
+    g_assert_cmpuint(fixture->settings.drain_s, ==, 12);
+    g_assert_cmpuint(fixture->settings.trace_sample, ==, 10);
+    g_assert_cmpuint(fixture->settings.workers, ==, 1);
+    g_assert_cmpstr(fixture->settings.log_level, ==, "message");
 }
 
-static void
-test_operator(struct fixture *f, gconstpointer data)
+TEST_F(fixture, operator)
 {
     const char *few = "{\"platform\": \"http://127.0.0.1:4\", \"seeds\": [],"
                       "\"site_key_file\": \"site.key\"}";
 
-    g_assert_cmpint(load(f, SETTINGS_OPERATOR, few), ==, 0);
-    g_assert_cmpint(load(f, SETTINGS_OPERATOR, whole), ==, 0);
-    g_assert_cmpint(load(f, SETTINGS_BALANCER, few), ==, -EINVAL);
+    g_assert_cmpint(load(fixture, SETTINGS_OPERATOR, few), ==, 0);
+    g_assert_cmpint(load(fixture, SETTINGS_OPERATOR, whole), ==, 0);
+    g_assert_cmpint(load(fixture, SETTINGS_BALANCER, few), ==, -EINVAL);
 }
 
 /* All faults come in one report, each with its line and what was expected. */
-static void
-test_all_faults(struct fixture *f, gconstpointer data)
+TEST_F(fixture, all_faults)
 {
     const char *text = "{\"name\": \"a b\",\n"
                        "\"cell\": 4,\n"
@@ -119,20 +119,19 @@
     };
     unsigned lines = 0;
 
-    g_assert_cmpint(load(f, SETTINGS_AGENT, text), ==, -EINVAL);
+    g_assert_cmpint(load(fixture, SETTINGS_AGENT, text), ==, -EINVAL);
     for (size_t i = 0; i < G_N_ELEMENTS(expected); i++) {
-        if (strstr(f->report, expected[i]) == NULL)
-            g_error("\"%s\" isn't in:\n%s", expected[i], f->report);
+        if (strstr(fixture->report, expected[i]) == NULL)
+            g_error("\"%s\" isn't in:\n%s", expected[i], fixture->report);
     }
-    for (const char *c = f->report; *c != '\0'; c++)
+    for (const char *c = fixture->report; *c != '\0'; c++)
         lines += *c == '\n';
     g_assert_cmpuint(lines, ==, G_N_ELEMENTS(expected) + 1); /* and http */
-    g_assert_cmpint(f->err.code, ==, -EINVAL);
-    g_assert_cmpstr(f->err.peer, ==, f->file);
+    g_assert_cmpint(fixture->err.code, ==, -EINVAL);
+    g_assert_cmpstr(fixture->err.peer, ==, fixture->file);
 }
 
-static void
-test_not_json(struct fixture *f, gconstpointer data)
+TEST_F(fixture, not_json)
 {
     static const struct {
         const char *text;
@@ -149,33 +148,34 @@
 
     for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
         g_test_message("%s", cases[i].text);
-        g_assert_cmpint(load(f, SETTINGS_AGENT, cases[i].text), ==, -EINVAL);
-        if (strstr(f->report, cases[i].line) == NULL)
-            g_error("\"%s\" isn't in:\n%s", cases[i].line, f->report);
+        g_assert_cmpint(load(fixture, SETTINGS_AGENT, cases[i].text), ==,
+                        -EINVAL);
+        if (strstr(fixture->report, cases[i].line) == NULL)
+            g_error("\"%s\" isn't in:\n%s", cases[i].line, fixture->report);
     }
 }
 
-static void
-test_files(struct fixture *f, gconstpointer data)
+TEST_F(fixture, files)
 {
-    g_assert_cmpint(settings_load(&f->settings, SETTINGS_AGENT, f->file,
-                                  &f->report, &f->err),
+    g_assert_cmpint(settings_load(&fixture->settings, SETTINGS_AGENT,
+                                  fixture->file, &fixture->report,
+                                  &fixture->err),
                     ==, -ENOENT);
-    g_assert_null(f->report);
-    g_assert_cmpint(
-        settings_load(&f->settings, SETTINGS_AGENT, f->folder, NULL, &f->err),
-        ==, -EISDIR);
-    g_assert_true(g_file_set_contents(f->key, "short\n", -1, NULL));
-    g_assert_cmpint(load(f, SETTINGS_AGENT, whole), ==, -EINVAL);
-    g_assert_nonnull(strstr(f->report, "holds 5 bytes; expected 16 to 128"));
-    g_unlink(f->key);
-    g_assert_cmpint(load(f, SETTINGS_AGENT, whole), ==, -EINVAL);
-    g_assert_nonnull(strstr(f->report, ":5: key \"site_key_file\""));
+    g_assert_null(fixture->report);
+    g_assert_cmpint(settings_load(&fixture->settings, SETTINGS_AGENT,
+                                  fixture->folder, NULL, &fixture->err),
+                    ==, -EISDIR);
+    g_assert_true(g_file_set_contents(fixture->key, "short\n", -1, NULL));
+    g_assert_cmpint(load(fixture, SETTINGS_AGENT, whole), ==, -EINVAL);
+    g_assert_nonnull(
+        strstr(fixture->report, "holds 5 bytes; expected 16 to 128"));
+    g_unlink(fixture->key);
+    g_assert_cmpint(load(fixture, SETTINGS_AGENT, whole), ==, -EINVAL);
+    g_assert_nonnull(strstr(fixture->report, ":5: key \"site_key_file\""));
 }
 
 /* A file cut or changed anywhere is refused or read, never worse. */
-static void
-test_random_damage(struct fixture *f, gconstpointer data)
+TEST_F(fixture, random_damage)
 {
     for (int i = 0; i < 500; i++) {
         char *text = g_strdup(whole);
@@ -186,25 +186,9 @@
             text[at] = '\0';
         else
             text[at] = (char)g_test_rand_int_range(1, 256);
-        ret = load(f, SETTINGS_AGENT, text);
+        ret = load(fixture, SETTINGS_AGENT, text);
         g_assert_true(ret == 0 || ret == -EINVAL);
-        g_assert_true((ret == 0) == (f->report == NULL));
+        g_assert_true((ret == 0) == (fixture->report == NULL));
         g_free(text);
     }
 }
-
-#define ADD(path, func)                                                       \
-    g_test_add(path, struct fixture, NULL, set_up, func, tear_down)
-
-int
-main(int argc, char **argv)
-{
-    g_test_init(&argc, &argv, NULL);
-    ADD("/base/settings/whole", test_whole);
-    ADD("/base/settings/operator", test_operator);
-    ADD("/base/settings/all-faults", test_all_faults);
-    ADD("/base/settings/not-json", test_not_json);
-    ADD("/base/settings/files", test_files);
-    ADD("/base/settings/random-damage", test_random_damage);
-    return g_test_run();
-}
--- a/tests/base/test_trace.c
+++ b/tests/base/test_trace.c
@@ -2,17 +2,17 @@
  * DOC: test_trace - traceparent and span lines
  */
 #include <errno.h>
-#include <glib.h>
 #include <glib/gstdio.h>
 #include <json-c/json.h>
 #include <string.h>
 
 #include "base/trace.h"
+#include "lib/harness.h"
 
+#define SUITE "/base/trace"
 #define PARENT "00-4bf92f3577b34da6a3ce929d0e0e4736-00f067aa0ba902b7-01"
 
-static void
-test_round_trip(void)
+TEST(round_trip)
 {
     struct trace trace;
     char text[TRACE_PARENT_MAX];
@@ -34,8 +34,7 @@
     trace_finish(&trace);
 }
 
-static void
-test_rejects(void)
+TEST(rejects)
 {
     static const char *const bad[] = {
         "",
@@ -61,8 +60,7 @@
         ==, 0);
 }
 
-static void
-test_span_lines(void)
+TEST(span_lines)
 {
     char *folder = g_dir_make_tmp("trace-XXXXXX", NULL);
     char *file = g_build_filename(folder, "spans.jsonl", NULL);
@@ -100,8 +98,7 @@
     g_free(folder);
 }
 
-static void
-test_file_fails(void)
+TEST(file_fails)
 {
     struct trace trace;
     struct error err;
@@ -110,14 +107,3 @@
                     -ENOENT);
     g_assert_cmpstr(err.peer, ==, "/nowhere/spans");
 }
-
-int
-main(int argc, char **argv)
-{
-    g_test_init(&argc, &argv, NULL);
-    g_test_add_func("/base/trace/round-trip", test_round_trip);
-    g_test_add_func("/base/trace/rejects", test_rejects);
-    g_test_add_func("/base/trace/lines", test_span_lines);
-    g_test_add_func("/base/trace/file-fails", test_file_fails);
-    return g_test_run();
-}
--- a/tests/base/test_values.c
+++ b/tests/base/test_values.c
@@ -2,7 +2,6 @@
  * DOC: test_values - addresses, hashes, counters, clocks and errors
  */
 #include <errno.h>
-#include <glib.h>
 #include <glib/gstdio.h>
 #include <string.h>
 #include <unistd.h>
@@ -13,11 +12,12 @@
 #include "base/error.h"
 #include "base/hash.h"
 #include "base/log.h"
+#include "lib/harness.h"
 
+#define SUITE "/base"
 #define CASES 2000
 
-static void
-test_addr_round_trip(void)
+TEST(addr_round_trip)
 {
     for (int i = 0; i < CASES; i++) {
         struct addr addr = {.ip = g_test_rand_int(),
@@ -32,8 +32,7 @@
     }
 }
 
-static void
-test_addr_rejects(void)
+TEST(addr_rejects)
 {
     static const char *const bad[] = {
         "",           "1.2.3.4",        "1.2.3.4:",     "1.2.3.4:65536",
@@ -52,8 +51,7 @@
 }
 
 /* Flipping any one bit of either value flips about half of the result. */
-static void
-test_hash_pair_avalanche(void)
+TEST(hash_pair_avalanche)
 {
     for (int bit = 0; bit < 128; bit++) {
         int flipped = 0;
@@ -74,8 +72,7 @@
 }
 
 /* Processes of different builds must agree: the values are fixed. */
-static void
-test_hash_known_values(void)
+TEST(hash_known_values)
 {
     g_assert_cmphex(hash_bytes("", 0, 0), ==, 0xef46db3751d8e999);
     g_assert_cmphex(hash_pair(1, 2), !=, hash_pair(2, 1));
@@ -84,8 +81,7 @@
     g_assert_cmphex(hash_service("lots"), !=, hash_service("albums"));
 }
 
-static void
-test_counters(void)
+TEST(counters)
 {
     struct counter_table table;
     int dropped, open, other;
@@ -128,8 +124,7 @@
     return NULL;
 }
 
-static void
-test_counters_of_threads(void)
+TEST(counters_of_threads)
 {
     struct counter_table table;
     void *data[4][2];
@@ -148,8 +143,7 @@
     counter_table_finish(&table);
 }
 
-static void
-test_clocks(void)
+TEST(clocks)
 {
     struct clock_manual manual;
     struct clock runtime;
@@ -164,8 +158,7 @@
     g_assert_cmpuint(clock_now_us(&runtime), >=, first);
 }
 
-static void
-test_errors(void)
+TEST(errors)
 {
     char long_text[400];
     char buf[128];
@@ -187,8 +180,7 @@
 }
 
 /* What two calls leave on standard error, which becomes a file meanwhile. */
-static void
-test_log(void)
+TEST(log)
 {
     char *path = NULL;
     int fd = g_file_open_tmp("log-XXXXXX", &path, NULL);
@@ -215,19 +207,3 @@
     g_unlink(path);
     g_free(path);
 }
-
-int
-main(int argc, char **argv)
-{
-    g_test_init(&argc, &argv, NULL);
-    g_test_add_func("/base/addr/round-trip", test_addr_round_trip);
-    g_test_add_func("/base/addr/rejects", test_addr_rejects);
-    g_test_add_func("/base/hash/avalanche", test_hash_pair_avalanche);
-    g_test_add_func("/base/hash/known", test_hash_known_values);
-    g_test_add_func("/base/counter/table", test_counters);
-    g_test_add_func("/base/counter/threads", test_counters_of_threads);
-    g_test_add_func("/base/clock", test_clocks);
-    g_test_add_func("/base/error", test_errors);
-    g_test_add_func("/base/log", test_log);
-    return g_test_run();
-}
--- a/tests/lib/harness.h
+++ b/tests/lib/harness.h
@@ -43,19 +43,23 @@
     HARNESS_ADD(name, test_##name)                                            \
     static void test_##name(void)
 
-/** TEST_F() - define the test @name, which finds a struct @fixture by that
- * name, zeroed; its _init(), with the further arguments, and its _finish() run
- * before and after */
-#define TEST_F(fixture, name, ...)                                            \
+/** TEST_WITH() - define the test @name, which finds a struct @fixture by that
+ * name, zeroed; @begin(), with the further arguments, and @end() run before
+ * and after */
+#define TEST_WITH(fixture, begin, end, name, ...)                             \
     static void test_##name(struct fixture *fixture);                         \
     static void with_##fixture##_##name(void)                                 \
     {                                                                         \
         struct fixture fixture = {0};                                         \
-        fixture##_init(&fixture, ##__VA_ARGS__);                              \
+        begin(&fixture, ##__VA_ARGS__);                                       \
         test_##name(&fixture);                                                \
-        fixture##_finish(&fixture);                                           \
+        end(&fixture);                                                        \
     }                                                                         \
     HARNESS_ADD(name, with_##fixture##_##name)                                \
     static void test_##name(struct fixture *fixture)
 
+/** TEST_F() - the same with the fixture's own _init() and _finish() */
+#define TEST_F(fixture, name, ...)                                            \
+    TEST_WITH(fixture, fixture##_init, fixture##_finish, name, ##__VA_ARGS__)
+
 #endif
--- /dev/null
+++ b/tests/lib/loopback.h
@@ -0,0 +1,36 @@
+/**
+ * DOC: loopback - sockets on the loopback, and bounded waits
+ */
+#ifndef SWIFTARCH_TESTS_LIB_LOOPBACK_H
+#define SWIFTARCH_TESTS_LIB_LOOPBACK_H
+
+#include <glib.h>
+
+#include "base/addr.h"
+
+#define LOOPBACK 0x7f000001u
+#define LOOPBACK_WAIT_MS 10000
+
+/** loopback_open() - a socket of @type bound to a port that the kernel chose;
+ * blocking calls of it end after LOOPBACK_WAIT_MS */
+int
+loopback_open(int type, struct addr *addr);
+
+/** loopback_closed() - an address at which nobody listens any more */
+struct addr
+loopback_closed(int type);
+
+/** loopback_send() - send a datagram whole */
+void
+loopback_send(int fd, struct addr to, const void *bytes, size_t len);
+
+/** LOOPBACK_WAIT() - until @cond holds, for LOOPBACK_WAIT_MS at most */
+#define LOOPBACK_WAIT(cond)                                                   \
+    do {                                                                      \
+        for (int waited_ = 0; !(cond); waited_ += 5) {                        \
+            g_assert_cmpint(waited_, <, LOOPBACK_WAIT_MS);                    \
+            g_usleep(5000);                                                   \
+        }                                                                     \
+    } while (0)
+
+#endif
