request: urgent before ordinary is checked more strictly; a last upstream is not avoided

It excused an ordinary start (a) whenever the engine called the urgent one too slow for here, (b) for 50 ms after that one failed here even with nobody else left, (c) by a floor that counted urgent starts also while no ordinary request waited; and (d) it looked at no request sent to a peer. Now (a) holds only within twice the longest run before the deadline, unless a freeze made a run long, (b) only while a peer works, (c) counts as the design says, (d) sends are checked under the policy in use. Change: it is avoided only while a peer works. What the check still excuses on purpose: a slot kept up to 4 ms for a draining peer, one in as many starts as there are peers.

--- a/src/request/dispatch.c
+++ b/src/request/dispatch.c
@@ -32,10 +32,18 @@
     return ops != NULL ? ops->name : "unknown";
 }
 
+/* It failed here; somebody else may still do better. */
+static bool
+avoids_here(const struct engine *engine, const struct entry *entry)
+{
+    return engine->now_us < entry->avoid_until_us &&
+           peers_working(&engine->peers, entry->request.service);
+}
+
 unsigned
 dispatch_free(const struct engine *engine, const struct entry *entry)
 {
-    if (engine->now_us < entry->avoid_until_us) {
+    if (avoids_here(engine, entry)) {
         return 0;
     }
     return upstream_free(&engine->upstream, entry->request.service,
@@ -75,7 +83,7 @@
     const struct peer *peer;
 
     if (upstream_serves(&engine->upstream, entry->request.service) &&
-        engine->now_us >= entry->avoid_until_us) {
+        !avoids_here(engine, entry)) {
         return 0;
     }
     peer = dispatch_random(engine, entry);
--- a/tests/request/cell.c
+++ b/tests/request/cell.c
@@ -100,7 +100,7 @@
         rules_run(cell, action->id);
     }
     timeline_add(&cell->timeline, &event->base,
-                 cell->now_us + between(cell, 2000, 60000));
+                 cell->now_us + between(cell, 2000, CELL_RUN_MAX_US));
 }
 
 static void
@@ -117,9 +117,8 @@
         case ENGINE_ABORT:
             break;
         case ENGINE_SEND:
-            if (action->msg.type == ENGINE_PEER_RUN &&
-                action->msg.request.class == TEXT_URGENT) {
-                cell->nodes[node].urgent_starts++;
+            if (action->msg.type == ENGINE_PEER_RUN) {
+                rules_send_run(cell, node, action);
             }
             post_message(cell, cell->nodes[node].id, action->to, &action->msg);
             if (chance(cell, cell->faults.twice)) {
@@ -217,6 +216,7 @@
     at->draining = false;
     at->frozen_until_us = 0;
     at->urgent_starts = 0;
+    at->was_frozen = false;
     at->life++;
     at->started_us = cell->now_us;
     set_text(cell, node);
@@ -401,6 +401,7 @@
     }
     if (chance(cell, cell->faults.freeze)) {
         at->frozen_until_us = cell->now_us + between(cell, 1000, 2000000);
+        at->was_frozen = true;
         return;
     }
     if (chance(cell, cell->faults.drain)) {
--- a/tests/request/cell.h
+++ b/tests/request/cell.h
@@ -18,6 +18,7 @@
 #define CELL_SLOTS 2
 #define CELL_QUEUE 12
 #define CELL_SERVICE 7
+#define CELL_RUN_MAX_US (60 * USEC_PER_MSEC)
 
 /** struct cell_faults - share of each fault, per mille (of messages, of
  * runs, or of steps) */
@@ -42,9 +43,11 @@
     uint64_t started_us;
     uint64_t frozen_until_us;
     uint64_t thawed_us;
+    bool was_frozen;
     bool draining;
     unsigned life;
     unsigned urgent_starts;
+    bool started;
     GHashTable *running;
 };
 
--- a/tests/request/outcome_test.c
+++ b/tests/request/outcome_test.c
@@ -37,6 +37,19 @@
 }
 
 /* An idempotent request that may have run is never "not run" afterwards. */
+/* With nobody else left it runs again where it failed, at once. */
+static void
+test_retried_here_at_last(struct fixture *f, gconstpointer data)
+{
+    uint64_t id = fixture_arrive(f, TEXT_URGENT, true, USEC_PER_SEC);
+
+    fixture_end(f, SELF, id, ENGINE_UP_LOST);
+    g_assert_null(fixture_find(f, ENGINE_RUN, id));
+    f->out.count = 0;
+    fixture_members(f, MEMBER_READY, 0, true);
+    g_assert_nonnull(fixture_find(f, ENGINE_RUN, id));
+}
+
 static void
 test_lost_then_refused(struct fixture *f, gconstpointer data)
 {
@@ -330,6 +343,7 @@
     g_test_init(&argc, &argv, NULL);
     FIXTURE_ADD("outcome", outcomes);
     FIXTURE_ADD("outcome", retried_elsewhere);
+    FIXTURE_ADD("outcome", retried_here_at_last);
     FIXTURE_ADD("outcome", lost_then_refused);
     FIXTURE_ADD("outcome", deadline_while_running);
     FIXTURE_ADD("outcome", run_decided_once);
--- a/tests/request/rules.c
+++ b/tests/request/rules.c
@@ -3,8 +3,11 @@
 #include <inttypes.h>
 
 #include "request/admit.h"
+#include "request/dispatch.h"
 
 #define LATE_US (25 * USEC_PER_MSEC)
+#define SLOWEST_US (2 * CELL_RUN_MAX_US)
+#define PLACED_FIRST 4
 
 static void
 fail(struct cell *cell, const char *format, ...) G_GNUC_PRINTF(2, 3);
@@ -72,6 +75,75 @@
     g_hash_table_insert(cell->requests, &record->id, record);
 }
 
+/* What the engine holds for too slow here can be so only shortly before its
+ * deadline: runs of the cell are short, unless a freeze made one long. */
+static bool
+is_too_slow(const struct cell *cell, const struct cell_node *at,
+            const struct entry *entry)
+{
+    return admit_too_slow_here(at->engine, entry) &&
+           (at->was_frozen ||
+            cell->now_us + SLOWEST_US > entry->request.deadline_us);
+}
+
+/* It failed here and may still be tried elsewhere. */
+static bool
+is_avoiding(const struct cell *cell, const struct cell_node *at,
+            const struct entry *entry)
+{
+    return cell->now_us < entry->avoid_until_us &&
+           peers_working(&at->engine->peers, entry->request.service);
+}
+
+/* Some urgent request that could have run at @node instead. */
+static bool
+urgent_could_run(const struct cell *cell, unsigned node)
+{
+    const struct cell_node *at = &cell->nodes[node];
+    const struct entry *urgent = at->engine->queue.head[TEXT_URGENT];
+
+    for (; urgent != NULL; urgent = urgent->next) {
+        if (urgent->cleared && !is_avoiding(cell, at, urgent) &&
+            !is_too_slow(cell, at, urgent)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Some urgent request that could have gone to @peer instead; the engine
+ * looks at the first few only. */
+static bool
+urgent_could_go(const struct cell *cell, unsigned node, uint64_t peer)
+{
+    const struct engine *engine = cell->nodes[node].engine;
+    const struct entry *urgent = engine->queue.head[TEXT_URGENT];
+    const struct peer *to = peers_find(&engine->peers, peer);
+
+    for (int i = 0; urgent != NULL && i < PLACED_FIRST; i++) {
+        if (urgent->cleared && dispatch_may_go(engine, urgent, to)) {
+            return true;
+        }
+        urgent = urgent->next;
+    }
+    return false;
+}
+
+/* The floor counts urgent starts while ordinary requests wait, see also
+ * rules_node(). */
+static void
+count_start(struct cell_node *at, enum text_class class)
+{
+    at->urgent_starts = class == TEXT_URGENT ? at->urgent_starts + 1 : 0;
+    at->started = true;
+}
+
+static bool
+is_floor_due(const struct cell_node *at)
+{
+    return at->urgent_starts + 1 >= QUEUE_ORDINARY_EVERY;
+}
+
 /* Ordinary work goes before waiting urgent work only by its floor, or if
  * the urgent one would miss its deadline on this much slower upstream, or
  * has just failed here and may still be tried elsewhere. */
@@ -82,24 +154,36 @@
     struct cell_node *at = &cell->nodes[node];
     const struct entry *entry =
         entry_find(at->engine->entries, action->origin, action->id);
-    const struct entry *urgent = at->engine->queue.head[TEXT_URGENT];
 
     if (entry == NULL || action->origin != at->id) {
         return;
     }
-    if (entry->request.class == TEXT_URGENT) {
-        at->urgent_starts++;
-        return;
-    }
-    while (urgent != NULL &&
-           (!urgent->cleared || cell->now_us < urgent->avoid_until_us ||
-            admit_too_slow_here(at->engine, urgent))) {
-        urgent = urgent->next;
-    }
-    if (urgent != NULL && at->urgent_starts + 1 < QUEUE_ORDINARY_EVERY) {
+    if (entry->request.class == TEXT_ORDINARY && !is_floor_due(at) &&
+        urgent_could_run(cell, node)) {
         fail(cell, "ordinary before waiting urgent at node %u", node);
     }
-    at->urgent_starts = 0;
+    count_start(at, entry->request.class);
+}
+
+/* Pull alone sends what could run here, and then urgent first. What has just
+ * failed here, or is too slow here, takes no local slot from an urgent one
+ * that waits for it. */
+void
+rules_send_run(struct cell *cell, unsigned node,
+               const struct engine_action *action)
+{
+    struct cell_node *at = &cell->nodes[node];
+    const struct entry *entry =
+        entry_find(at->engine->entries, action->origin, action->id);
+    enum text_class class = action->msg.request.class;
+    bool only_there = entry != NULL && (is_avoiding(cell, at, entry) ||
+                                        is_too_slow(cell, at, entry));
+
+    if (cell->policy == ENGINE_PULL && class == TEXT_ORDINARY && !only_there &&
+        !is_floor_due(at) && urgent_could_go(cell, node, action->to)) {
+        fail(cell, "node %u sends ordinary before waiting urgent", node);
+    }
+    count_start(at, class);
 }
 
 void
@@ -129,8 +213,12 @@
 void
 rules_node(struct cell *cell, unsigned node)
 {
-    const struct cell_node *at = &cell->nodes[node];
+    struct cell_node *at = &cell->nodes[node];
 
+    if (at->started && engine_waiting_of(at->engine, TEXT_ORDINARY) == 0) {
+        at->urgent_starts = 0;
+    }
+    at->started = false;
     if (engine_busy(at->engine) > CELL_SLOTS) {
         fail(cell, "%u busy at node %u", engine_busy(at->engine), node);
     }
--- a/tests/request/rules.h
+++ b/tests/request/rules.h
@@ -36,6 +36,11 @@
 rules_start(struct cell *cell, unsigned node,
             const struct engine_action *action);
 
+/** rules_send_run() - an engine sends a request to a peer: the same */
+void
+rules_send_run(struct cell *cell, unsigned node,
+               const struct engine_action *action);
+
 /** rules_run() - an upstream begins it: once, and never after "not run" */
 void
 rules_run(struct cell *cell, uint64_t id);
