directory: a contested address has one cell everywhere

Cause: the balancers of a cell went by their own text also where the rule gave an address to another cell, so flows to an address that was moved, or claimed twice, were sprayed over both and reset. Ruled out: sending only what opens a flow to the other cell (what follows would still be sprayed over both); forwarding what the old cell's flows need back (marked packets are never forwarded again). Change: the own cell's entry takes part in the rule; a balancer looks first in the table only while its cell has lost an address.

--- a/src/balancer/worker_batch.c
+++ b/src/balancer/worker_batch.c
@@ -33,7 +33,18 @@
     batch->out_to[i] = addr_to_sockaddr(to);
 }
 
-/* No service of this cell takes the packet. */
+/* What was forwarded once is this cell's or nobody's. */
+static bool
+is_foreign(const struct worker_batch *batch, const struct packet *packet,
+           enum packet_drop drop, bool marked)
+{
+    if (drop == PACKET_SERVICE)
+        return true;
+    return !marked && (drop == PACKET_OK || drop == PACKET_NO_ENDPOINT) &&
+           forward_goes_before(batch->directory, packet);
+}
+
+/* The packet isn't this cell's. */
 static enum packet_drop
 forward_one(struct worker_batch *batch, uint8_t *packet, size_t len,
             const struct packet *parsed, bool marked, uint64_t now_us)
@@ -73,7 +84,7 @@
     batch->from_cells += marked;
     len -= BATCH_BARE;
     drop = route_decide(table, packet, len, now_us, &decision);
-    if (drop == PACKET_SERVICE)
+    if (is_foreign(batch, &decision.packet, drop, marked))
         return forward_one(batch, packet, len, &decision.packet, marked,
                            now_us);
     if (drop != PACKET_OK)
--- a/src/directory/forward.c
+++ b/src/directory/forward.c
@@ -54,6 +54,15 @@
     return directory_table_gateway(cell, turn);
 }
 
+bool
+forward_goes_before(const struct directory_table *table,
+                    const struct packet *packet)
+{
+    return table != NULL && table->lost > 0 &&
+           directory_table_find(table, packet->dst, packet->dport,
+                                packet->proto) != NULL;
+}
+
 enum packet_drop
 forward_decide(const struct directory_table *table,
                const struct forward_gone *gone, const struct packet *packet,
--- a/src/directory/forward.h
+++ b/src/directory/forward.h
@@ -54,9 +54,14 @@
 forward_note_gone(struct forward_gone *gone, struct addr addr,
                   uint64_t now_us);
 
+/** forward_goes_before() - whether another cell's claim to the address of
+ * @packet goes before the own cell's; @table may be NULL */
+bool
+forward_goes_before(const struct directory_table *table,
+                    const struct packet *packet);
+
 /**
- * forward_decide() - where a packet goes that no service of the own cell
- * takes
+ * forward_decide() - where a packet goes that is not the own cell's
  * @table: table in force, or NULL
  * @gone: gateways to pass over while there are others, or NULL
  * @packet: the inner packet, as read
--- a/src/directory/table.c
+++ b/src/directory/table.c
@@ -69,21 +69,39 @@
     slot->cell = index;
 }
 
+/* @addresses is to tell of other cells only. */
+static void
+count_own(struct directory_table *table, const struct directory_core *core)
+{
+    const struct directory_slot *own = directory_find(core, core->cell);
+
+    for (size_t i = 0; own != NULL && i < own->entry->count; i++) {
+        uint64_t key = own->entry->addresses[i] & ~ADDRESS_RETIRED;
+
+        if (table->cells[probe(table, key)->cell].own)
+            table->addresses--;
+        else
+            table->lost++;
+    }
+}
+
 static bool
 is_usable(const struct directory_core *core,
           const struct directory_entry *entry)
 {
-    return entry->cell != core->cell && entry->gateway_count > 0;
+    return entry->cell == core->cell || entry->gateway_count > 0;
 }
 
 static void
-add_entry(struct claims *claims, const struct directory_entry *entry)
+add_entry(struct claims *claims, const struct directory_entry *entry,
+          uint64_t own)
 {
     struct directory_table *table = claims->table;
     uint16_t index = (uint16_t)table->cell_count++;
     struct directory_table_cell *cell = &table->cells[index];
 
     cell->id = entry->cell;
+    cell->own = entry->cell == own;
     cell->gateway_count = entry->gateway_count;
     for (size_t i = 0; i < entry->gateway_count; i++)
         cell->gateways[i] = entry->gateways[i].data;
@@ -126,8 +144,9 @@
     }
     for (size_t i = 0; i < core->count; i++) {
         if (is_usable(core, core->slots[i].entry))
-            add_entry(&claims, core->slots[i].entry);
+            add_entry(&claims, core->slots[i].entry, core->cell);
     }
+    count_own(table, core);
     free(claims.contested);
     *result = table;
     return 0;
@@ -150,7 +169,9 @@
     const struct directory_table_slot *slot =
         probe(table, directory_address(ip, port, proto, false));
 
-    return slot->address == 0 ? NULL : &table->cells[slot->cell];
+    if (slot->address == 0 || table->cells[slot->cell].own)
+        return NULL;
+    return &table->cells[slot->cell];
 }
 
 struct addr
--- a/src/directory/table.h
+++ b/src/directory/table.h
@@ -7,12 +7,14 @@
  *
  * Where several cells claim an address, one that serves it goes before those
  * that retired it, then the lower cell id; all processes that hold the same
- * entries decide alike. Such an address counts as a conflict. A cell without
- * a gateway claims nothing: packets to it have nowhere to go.
+ * entries decide alike, the claimants' own balancers too. Such an address
+ * counts as a conflict. Another cell without a gateway claims nothing:
+ * packets to it have nowhere to go.
  */
 #ifndef SWIFTARCH_DIRECTORY_TABLE_H
 #define SWIFTARCH_DIRECTORY_TABLE_H
 
+#include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 #include <urcu.h>
@@ -28,6 +30,7 @@
 /** struct directory_table_cell - a cell and its gateways */
 struct directory_table_cell {
     uint64_t id;
+    bool own;
     struct addr gateways[DIRECTORY_GATEWAYS];
     size_t gateway_count;
 };
@@ -35,10 +38,11 @@
 /**
  * struct directory_table - see DOC
  * @rcu: for freeing after a grace period
- * @cells: cells but the own
+ * @cells: cells that claim something
  * @cell_count: how many
  * @addresses: distinct addresses
  * @conflicts: of them, how many several cells claim
+ * @lost: addresses of the own cell that are another one's by these rules
  * @slots: hash table
  * @slot_mask: its size less one, which is a power of two
  */
@@ -48,6 +52,7 @@
     size_t cell_count;
     size_t addresses;
     size_t conflicts;
+    size_t lost;
     struct directory_table_slot *slots;
     uint32_t slot_mask;
 };
@@ -61,7 +66,7 @@
 void
 directory_table_free(struct directory_table *table);
 
-/** directory_table_find() - cell of an address, or NULL */
+/** directory_table_find() - other cell that has an address, or NULL */
 const struct directory_table_cell *
 directory_table_find(const struct directory_table *table, uint32_t ip,
                      uint16_t port, uint8_t proto);
--- a/tests/directory/test_directory.c
+++ b/tests/directory/test_directory.c
@@ -105,7 +105,6 @@
     start(&core);
     merge(&core, make_entry("a", 1, 1, SOME_IP, false));
     merge(&core, make_entry("b", 1, 1, SOME_IP, false));
-    merge(&core, make_entry("own", 1, 1, SOME_IP, false));
     g_assert_cmpuint(found(&core, SOME_IP, &conflicts), ==, MIN(a, b));
     g_assert_cmpuint(conflicts, ==, 1);
     merge(&core, make_entry(a < b ? "a" : "b", 1, 2, SOME_IP, true));
@@ -116,6 +115,34 @@
     directory_core_finish(&core);
 }
 
+/* The own cell's claim counts like any other's. */
+static void
+test_own(void)
+{
+    bool lower = directory_cell("own") < directory_cell("a");
+    struct packet packet = {.dst = SOME_IP, .dport = 80, .proto = TCP};
+    struct directory_core core;
+    size_t conflicts;
+
+    for (int retired = 0; retired < 2; retired++) {
+        struct directory_table *table;
+
+        start(&core);
+        merge(&core, make_entry("own", 1, 1, SOME_IP, retired));
+        g_assert_cmpuint(found(&core, SOME_IP, &conflicts), ==, 0);
+        g_assert_cmpuint(conflicts, ==, 0);
+        merge(&core, make_entry("a", 1, 1, SOME_IP, false));
+        g_assert_cmpint(directory_table_new(&core, &table), ==, 0);
+        g_assert_cmpuint(table->conflicts, ==, 1);
+        g_assert_cmpuint(table->lost, ==, retired || !lower);
+        g_assert_cmpuint(table->addresses, ==, table->lost);
+        g_assert_true(forward_goes_before(table, &packet) ==
+                      (retired || !lower));
+        directory_table_free(table);
+        directory_core_finish(&core);
+    }
+}
+
 /* A flood of cells stops at the limit; the own cell still finds room. */
 static void
 test_full(void)
@@ -391,6 +418,7 @@
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/directory/order", test_order);
     g_test_add_func("/directory/conflict", test_conflict);
+    g_test_add_func("/directory/own", test_own);
     g_test_add_func("/directory/full", test_full);
     g_test_add_func("/directory/forward", test_forward);
     g_test_add_func("/directory/gone", test_gone);
--- a/tests/directory/test_property.c
+++ b/tests/directory/test_property.c
@@ -228,7 +228,8 @@
         g_assert_cmpuint(hops, <=, 1);
         if (!at->running)
             return SIZE_MAX;
-        if (find_address(&at->text, packet.dst) != NULL)
+        if (find_address(&at->text, packet.dst) != NULL &&
+            (marked || !forward_goes_before(at->table, &packet)))
             return at->cell;
         if (forward_decide(at->table, NULL, &packet, marked, net->now_us,
                            &to) != PACKET_OK)
@@ -301,10 +302,8 @@
         check_same(world, i);
         for (size_t j = 0; j < POOL; j++) {
             size_t server = server_of(net, POOL_IP + j);
-            struct net_text *own = &net->nodes[i].text;
 
-            /* What is retired here still goes to this cell. */
-            if (server == SIZE_MAX || find_address(own, POOL_IP + j) != NULL)
+            if (server == SIZE_MAX)
                 continue;
             g_assert_cmpuint(deliver(world, i, j), ==, server);
         }
