tests/golden: segments and texts from tests/lib

Cause: the scene built TCP segments by itself, as three other parts did. Change: segments come from tests/lib/segment, texts from tests/lib/sample; strings and bytes of one scope free themselves. Strength: the 19 transcripts are the same byte for byte from the scene before and after, on the same source.

--- a/tests/golden/golden_test.c
+++ b/tests/golden/golden_test.c
@@ -35,8 +35,8 @@
 static void
 print_difference(const char *path, const char *want, const char *have)
 {
-    char **old = g_strsplit(want, "\n", -1);
-    char **new = g_strsplit(have, "\n", -1);
+    g_auto(GStrv) old = g_strsplit(want, "\n", -1);
+    g_auto(GStrv) new = g_strsplit(have, "\n", -1);
     guint at = 0;
 
     while (old[at] != NULL && new[at] != NULL &&
@@ -49,19 +49,17 @@
     print_lines(old, at > CONTEXT ? at - CONTEXT : 0, at, ' ');
     print_lines(old, at, at + CONTEXT, '-');
     print_lines(new, at, at + CONTEXT, '+');
-    g_strfreev(old);
-    g_strfreev(new);
 }
 
 static void
 test_session(gconstpointer data)
 {
     const char *path = data;
-    char *stem = g_strndup(path, strlen(path) - strlen(".session"));
-    char *golden = g_strconcat(stem, ".golden", NULL);
-    char *folder = g_path_get_dirname(path);
-    char *script = read_file(path);
-    char *have = script_play(script, folder);
+    g_autofree char *stem = g_strndup(path, strlen(path) - strlen(".session"));
+    g_autofree char *golden = g_strconcat(stem, ".golden", NULL);
+    g_autofree char *folder = g_path_get_dirname(path);
+    g_autofree char *script = read_file(path);
+    g_autofree char *have = script_play(script, folder);
 
     if (g_strcmp0(g_getenv("GOLDEN_UPDATE"), "1") == 0) {
         GError *error = NULL;
@@ -69,17 +67,11 @@
         g_file_set_contents(golden, have, -1, &error);
         g_assert_no_error(error);
     }
-    char *want = read_file(golden);
+    g_autofree char *want = read_file(golden);
     if (strcmp(want, have) != 0) {
         print_difference(golden, want, have);
         g_test_fail();
     }
-    g_free(want);
-    g_free(have);
-    g_free(script);
-    g_free(folder);
-    g_free(golden);
-    g_free(stem);
 }
 
 int
@@ -88,13 +80,11 @@
     g_test_init(&argc, &argv, NULL);
     g_assert_cmpint(argc, >, 1);
     for (int i = 1; i < argc; i++) {
-        char *name = g_path_get_basename(argv[i]);
-        char *path = g_strconcat("/golden/", name, NULL);
+        g_autofree char *name = g_path_get_basename(argv[i]);
+        g_autofree char *path = g_strconcat("/golden/", name, NULL);
 
         g_assert_true(g_str_has_suffix(name, ".session"));
         g_test_add_data_func(path, argv[i], test_session);
-        g_free(path);
-        g_free(name);
     }
     return g_test_run();
 }
--- a/tests/golden/scene_apply.c
+++ b/tests/golden/scene_apply.c
@@ -1,6 +1,7 @@
 #include <errno.h>
 #include <string.h>
 
+#include "lib/sample.h"
 #include "scene.h"
 
 #define CALL_TIMEOUT_US (2500 * USEC_PER_MSEC)
@@ -56,13 +57,10 @@
                                  .now_ms = SCENE_WALL_MS,
                                  .hold_ms = TEXT_RETIRE_HOLD_MS};
     struct text *from = NULL;
-    struct text *to = NULL;
-    char *report = NULL;
+    struct text *to = sample_parse(run->text);
+    g_autofree char *report = NULL;
     size_t count = 0;
 
-    g_assert_cmpint(
-        text_parse(run->text, strlen(run->text), "config", &to, &report), ==,
-        0);
     if (run->seen != NULL) {
         const char *value = g_bytes_get_data(run->seen, &count);
 
@@ -77,7 +75,6 @@
     if (report != NULL) {
         scene_log(scene, "  %s is told: %s", run->author, g_strchomp(report));
     }
-    g_free(report);
     text_free(from);
     text_free(to);
     return rc == 0;
--- a/tests/golden/scene_control.c
+++ b/tests/golden/scene_control.c
@@ -394,10 +394,10 @@
 
     g_assert_nonnull(reply);
     if (config_fetched(&host->config, reply->version, scene_now(scene))) {
-        GBytes *value = g_bytes_new(reply->body.data, reply->body.len);
+        g_autoptr(GBytes) value =
+            g_bytes_new(reply->body.data, reply->body.len);
 
         adopt(scene, msg->to, reply->version, value, 0);
-        g_bytes_unref(value);
     }
     else {
         scene_log(scene, "  %s leaves version %u, has %u", host->name,
--- a/tests/golden/scene_packet.c
+++ b/tests/golden/scene_packet.c
@@ -4,9 +4,9 @@
 #include <string.h>
 
 #include "base/hash.h"
+#include "lib/segment.h"
 
-#define HEADERS 40
-#define PSEUDO 12
+#define RESET_LEN 40
 #define PROTO_TCP 6
 #define ISN_STEP 10000
 #define FIRST_SEQ 1000
@@ -14,56 +14,13 @@
 
 static const char *const verdicts[] = {"taken", "opened", "passed on", "reset",
                                        "dropped, "};
-static void
-put16(uint8_t *at, uint32_t value)
-{
-    at[0] = (uint8_t)(value >> 8);
-    at[1] = (uint8_t)value;
-}
-
-static void
-put32(uint8_t *at, uint32_t value)
-{
-    put16(at, value >> 16);
-    put16(at + 2, value);
-}
 
 static GBytes *
 build_tcp(const struct packet *packet, const char *payload)
 {
-    size_t len = HEADERS + strlen(payload);
-    size_t tcp_len = len - 20;
-    uint8_t *buf = g_malloc0(PSEUDO + len);
-    uint8_t *ip = buf + PSEUDO;
-    uint8_t *tcp = ip + 20;
-
-    put32(buf, packet->src);
-    put32(buf + 4, packet->dst);
-    put16(buf + 8, PROTO_TCP);
-    put16(buf + 10, (uint32_t)tcp_len);
-    put16(tcp, packet->sport);
-    put16(tcp + 2, packet->dport);
-    put32(tcp + 4, packet->seq);
-    put32(tcp + 8, packet->ack);
-    tcp[12] = 0x50;
-    tcp[13] = packet->flags;
-    memcpy(ip + HEADERS, payload, len - HEADERS);
-    /* The pseudo header must be next to the segment. */
-    uint8_t *sum = g_malloc(PSEUDO + tcp_len);
-    memcpy(sum, buf, PSEUDO);
-    memcpy(sum + PSEUDO, tcp, tcp_len);
-    put16(tcp + 16, packet_checksum(sum, PSEUDO + tcp_len));
-    g_free(sum);
-    ip[0] = 0x45;
-    put16(ip + 2, (uint32_t)len);
-    ip[8] = 64;
-    ip[9] = PROTO_TCP;
-    put32(ip + 12, packet->src);
-    put32(ip + 16, packet->dst);
-    put16(ip + 10, packet_checksum(ip, 20));
-    GBytes *bytes = g_bytes_new(ip, len);
-    g_free(buf);
-    return bytes;
+    uint8_t buf[PACKET_MAX];
+
+    return g_bytes_new(buf, segment_tcp(buf, packet, payload));
 }
 
 static char *
@@ -170,8 +127,8 @@
 {
     uint8_t header[GUE_HEADER_MAX];
     GByteArray *whole = g_byte_array_new();
-    char *inner = describe_packet(packet, buf);
-    char *hops = describe_hops(scene, gue);
+    g_autofree char *inner = describe_packet(packet, buf);
+    g_autofree char *hops = describe_hops(scene, gue);
     int to = 0;
 
     while (!addr_equal(scene->hosts[to].data, gue->hops[gue->index].data)) {
@@ -182,8 +139,6 @@
     scene_send(scene, SCENE_PACKET, from, to,
                g_byte_array_free_to_bytes(whole),
                g_strdup_printf("%s %s", inner, hops));
-    g_free(inner);
-    g_free(hops);
 }
 
 static void
@@ -304,7 +259,7 @@
 static void
 reset(struct scene *scene, int i, const struct packet *packet)
 {
-    uint8_t buf[HEADERS];
+    uint8_t buf[RESET_LEN];
     size_t len = packet_build_reset(packet, buf);
     struct packet sent;
 
--- a/tests/golden/script.c
+++ b/tests/golden/script.c
@@ -187,7 +187,8 @@
 {
     int at = step->words[1][0] - 'a';
     struct scene_apply *run = &step->scene->operators[at];
-    char *path = g_build_filename(step->folder, step->words[2], NULL);
+    g_autofree char *path =
+        g_build_filename(step->folder, step->words[2], NULL);
     char *write_id =
         g_strdup_printf("%032x", run->call * 16 + 10 + (unsigned)at);
     GError *error = NULL;
@@ -204,14 +205,13 @@
     scene_apply_step(step->scene, at,
                      apply_core_start(&run->core, write_id, NULL));
     g_free(write_id);
-    g_free(path);
 }
 
 static void
 show_host(struct scene *scene, int i)
 {
     const struct scene_host *host = &scene->hosts[i];
-    GString *others = g_string_new(NULL);
+    g_autoptr(GString) others = g_string_new(NULL);
     size_t embryos = 0;
     unsigned alive = 0;
 
@@ -243,7 +243,6 @@
                   engine_waiting(host->engine), engine_open(host->engine),
                   alive, others->str);
     }
-    g_string_free(others, TRUE);
 }
 
 static void
@@ -305,7 +304,7 @@
 char *
 script_play(const char *script, const char *folder)
 {
-    char **lines = g_strsplit(script, "\n", -1);
+    g_auto(GStrv) lines = g_strsplit(script, "\n", -1);
     struct scene scene;
     char *log;
 
@@ -316,7 +315,6 @@
         }
     }
     scene_told(&scene);
-    g_strfreev(lines);
     log = g_strdup(scene.log->str);
     scene_finish(&scene);
     return log;
