tests/cli: scripts as rows, fixtures for show and explain

Cause: test functions that differ in a row only, and the same setting up in each test. Every event, action and printed part that was asked for still is.

--- a/tests/cli/apply_core_test.c
+++ b/tests/cli/apply_core_test.c
@@ -1,9 +1,9 @@
 #include <string.h>
 
-#include <glib.h>
-
 #include "cli/apply_core.h"
+#include "lib/harness.h"
 
+#define SUITE "/apply"
 #define OURS "0000000000000000000000000000000a"
 #define OTHERS "0000000000000000000000000000000b"
 #define SEED 20261202
@@ -15,26 +15,11 @@
     struct apply_action action;
 };
 
-#define WRITE(version)                                                        \
-    {                                                                         \
-        .type = APPLY_DO_WRITE, .expect = (version)                           \
-    }
-#define READ                                                                  \
-    {                                                                         \
-        .type = APPLY_DO_READ                                                 \
-    }
-#define WAIT(ms)                                                              \
-    {                                                                         \
-        .type = APPLY_DO_WAIT, .wait_ms = (ms)                                \
-    }
-#define END(how, at)                                                          \
-    {                                                                         \
-        .type = APPLY_DO_FINISH, .outcome = (how), .version = (at)            \
-    }
-#define SEES(v, e)                                                            \
-    {                                                                         \
-        .type = APPLY_READ, .version = (v), .envelope = (e)                   \
-    }
+#define DO_WRITE(v) .action = {.type = APPLY_DO_WRITE, .expect = (v)}
+#define DO_READ .action = {.type = APPLY_DO_READ}
+#define DO_WAIT(ms) .action = {.type = APPLY_DO_WAIT, .wait_ms = (ms)}
+#define DO_END(how, v) .action = {APPLY_DO_FINISH, 0, 0, how, v}
+#define SEES(v, e) .event = {APPLY_READ, v, e, false}
 
 static const struct text_envelope ours = {.write_id = OURS};
 static const struct text_envelope others = {.write_id = OTHERS};
@@ -53,145 +38,125 @@
     g_assert_cmpuint(got.version, ==, expected.version);
 }
 
-static void
-run_steps(const uint64_t *expect, const struct step *steps, size_t count)
-{
-    struct apply_core core;
-    struct apply_action first = READ;
-
-    assert_action(apply_core_start(&core, OURS, expect), first);
-    for (size_t i = 0; i < count; i++) {
-        assert_action(apply_core_step(&core, &steps[i].event),
-                      steps[i].action);
-    }
-}
-
-#define RUN(expect, ...)                                                      \
-    do {                                                                      \
-        const struct step steps[] = {__VA_ARGS__};                            \
-        run_steps(expect, steps, G_N_ELEMENTS(steps));                        \
-    } while (0)
-
-static void
-test_success(void)
-{
-    RUN(NULL, {SEES(6, &others), WRITE(6)},
-        {{APPLY_WRITTEN, .version = 7}, END(APPLY_APPLIED, 7)});
-    RUN(NULL, {SEES(0, NULL), WRITE(0)},
-        {{APPLY_WRITTEN, .version = 1}, END(APPLY_APPLIED, 1)});
-}
-
-static void
-test_same(void)
-{
-    RUN(NULL, {{APPLY_READ, .version = 6, .envelope = &others, .same = true},
-               END(APPLY_SAME, 6)});
-}
-
-static void
-test_expected_version(void)
-{
-    const uint64_t six = 6;
-
-    RUN(&six, {SEES(7, &others), END(APPLY_RACE_LOST, 7)});
-    RUN(&six, {SEES(5, &others), END(APPLY_RACE_LOST, 5)});
-    RUN(&six, {SEES(6, &others), WRITE(6)});
-}
-
-static void
-test_race_lost(void)
-{
-    RUN(NULL, {SEES(6, &others), WRITE(6)}, {{APPLY_STALE}, READ},
-        {SEES(7, &others), END(APPLY_RACE_LOST, 7)});
-    RUN(NULL, {SEES(6, &others), WRITE(6)}, {{APPLY_STALE}, READ},
-        {SEES(9, &others), END(APPLY_RACE_LOST, 9)});
-}
-
-/* Something on the way sent our write twice: the refusal is of the second. */
-static void
-test_refused_by_ourselves(void)
-{
-    RUN(NULL, {SEES(6, &others), WRITE(6)}, {{APPLY_STALE}, READ},
-        {SEES(7, &ours), END(APPLY_APPLIED, 7)});
-}
-
-static void
-test_lost_and_landed(void)
-{
-    RUN(NULL, {SEES(6, &others), WRITE(6)}, {{APPLY_LOST}, READ},
-        {SEES(7, &ours), END(APPLY_APPLIED, 7)});
-}
-
-static void
-test_lost_and_beaten(void)
-{
-    RUN(NULL, {SEES(6, &others), WRITE(6)}, {{APPLY_LOST}, READ},
-        {SEES(7, &others), END(APPLY_RACE_LOST, 7)});
-}
-
-static void
-test_lost_then_replaced(void)
-{
-    RUN(NULL, {SEES(6, &others), WRITE(6)}, {{APPLY_LOST}, READ},
-        {SEES(8, &others_over_ours), END(APPLY_REPLACED, 8)});
-    RUN(NULL, {SEES(6, &others), WRITE(6)}, {{APPLY_LOST}, READ},
-        {SEES(8, &others_over_others), END(APPLY_RACE_LOST, 8)});
-}
-
-static void
-test_lost_history_too_short(void)
-{
-    RUN(NULL, {SEES(6, &others), WRITE(6)}, {{APPLY_LOST}, READ},
-        {SEES(8, &others), END(APPLY_UNKNOWN_BEHIND, 8)});
-    RUN(NULL, {SEES(6, &others), WRITE(6)}, {{APPLY_LOST}, READ},
-        {SEES(9, &others_over_ours), END(APPLY_UNKNOWN_BEHIND, 9)});
-    RUN(NULL, {SEES(6, &others), WRITE(6)}, {{APPLY_LOST}, READ},
-        {SEES(8, NULL), END(APPLY_UNKNOWN_BEHIND, 8)});
-}
-
-/* The first write may yet land: the second one has the same condition. */
-static void
-test_lost_not_landed(void)
-{
-    RUN(NULL, {SEES(6, &others), WRITE(6)}, {{APPLY_LOST}, READ},
-        {SEES(6, &others), WRITE(6)},
-        {{APPLY_WRITTEN, .version = 7}, END(APPLY_APPLIED, 7)});
-    RUN(NULL, {SEES(6, &others), WRITE(6)}, {{APPLY_LOST}, READ},
-        {SEES(6, &others), WRITE(6)}, {{APPLY_STALE}, READ},
-        {SEES(7, &ours), END(APPLY_APPLIED, 7)});
-    RUN(NULL, {SEES(6, &others), WRITE(6)}, {{APPLY_LOST}, READ},
-        {SEES(6, &others), WRITE(6)}, {{APPLY_STALE}, READ},
-        {SEES(7, &others), END(APPLY_RACE_LOST, 7)});
-}
+/** struct script - events in turn and the actions they must lead to */
+struct script {
+    const char *name;
+    const uint64_t *expect;
+    struct step steps[16];
+};
 
-static void
-test_lost_twice(void)
-{
-    RUN(NULL, {SEES(6, &others), WRITE(6)}, {{APPLY_LOST}, READ},
-        {SEES(6, &others), WRITE(6)}, {{APPLY_LOST}, READ},
-        {SEES(6, &others), WAIT(200)}, {{APPLY_WAITED}, READ},
-        {SEES(7, &ours), END(APPLY_APPLIED, 7)});
-    RUN(NULL, {SEES(6, &others), WRITE(6)}, {{APPLY_LOST}, READ},
-        {SEES(6, &others), WRITE(6)}, {{APPLY_LOST}, READ},
-        {SEES(6, &others), WAIT(200)}, {{APPLY_WAITED}, READ},
-        {SEES(6, &others), WAIT(400)}, {{APPLY_WAITED}, READ},
-        {SEES(6, &others), END(APPLY_UNKNOWN, 6)});
-}
+#define BEGIN SEES(6, &others), DO_WRITE(6)
+#define WRITTEN(v) .event = {APPLY_WRITTEN, v}, DO_END(APPLY_APPLIED, v)
+#define STALE .event = {APPLY_STALE}, DO_READ
+#define LOST .event = {APPLY_LOST}, DO_READ
+#define WAITED .event = {APPLY_WAITED}, DO_READ
+#define STILL_OLD(ms) SEES(6, &others), DO_WAIT(ms)
+#define ENDS(v, e, how) SEES(v, e), DO_END(how, v)
+
+static const uint64_t six = 6;
+static const struct script scripts[] = {
+    {"success", NULL, {{BEGIN}, {WRITTEN(7)}}},
+    {"first of all", NULL, {{SEES(0, NULL), DO_WRITE(0)}, {WRITTEN(1)}}},
+    {"same",
+     NULL,
+     {{.event = {APPLY_READ, 6, &others, true}, DO_END(APPLY_SAME, 6)}}},
+    {"version too new", &six, {{ENDS(7, &others, APPLY_RACE_LOST)}}},
+    {"version too old", &six, {{ENDS(5, &others, APPLY_RACE_LOST)}}},
+    {"expected version", &six, {{BEGIN}}},
+    {"race lost",
+     NULL,
+     {{BEGIN}, {STALE}, {ENDS(7, &others, APPLY_RACE_LOST)}}},
+    {"race lost long ago",
+     NULL,
+     {{BEGIN}, {STALE}, {ENDS(9, &others, APPLY_RACE_LOST)}}},
+    /* Something on the way sent our write twice: the refusal is of the
+     * second. */
+    {"refused by ourselves",
+     NULL,
+     {{BEGIN}, {STALE}, {ENDS(7, &ours, APPLY_APPLIED)}}},
+    {"lost and landed",
+     NULL,
+     {{BEGIN}, {LOST}, {ENDS(7, &ours, APPLY_APPLIED)}}},
+    {"lost and beaten",
+     NULL,
+     {{BEGIN}, {LOST}, {ENDS(7, &others, APPLY_RACE_LOST)}}},
+    {"lost, landed, replaced",
+     NULL,
+     {{BEGIN}, {LOST}, {ENDS(8, &others_over_ours, APPLY_REPLACED)}}},
+    {"lost, beaten twice",
+     NULL,
+     {{BEGIN}, {LOST}, {ENDS(8, &others_over_others, APPLY_RACE_LOST)}}},
+    {"history too short",
+     NULL,
+     {{BEGIN}, {LOST}, {ENDS(8, &others, APPLY_UNKNOWN_BEHIND)}}},
+    {"history too short by one",
+     NULL,
+     {{BEGIN}, {LOST}, {ENDS(9, &others_over_ours, APPLY_UNKNOWN_BEHIND)}}},
+    {"no history",
+     NULL,
+     {{BEGIN}, {LOST}, {ENDS(8, NULL, APPLY_UNKNOWN_BEHIND)}}},
+    /* The first write may yet land: the second one has the same condition. */
+    {"lost, not landed", NULL, {{BEGIN}, {LOST}, {BEGIN}, {WRITTEN(7)}}},
+    {"lost, landed late",
+     NULL,
+     {{BEGIN}, {LOST}, {BEGIN}, {STALE}, {ENDS(7, &ours, APPLY_APPLIED)}}},
+    {"lost, then beaten",
+     NULL,
+     {{BEGIN}, {LOST}, {BEGIN}, {STALE}, {ENDS(7, &others, APPLY_RACE_LOST)}}},
+    {"lost twice, landed",
+     NULL,
+     {{BEGIN},
+      {LOST},
+      {BEGIN},
+      {LOST},
+      {STILL_OLD(200)},
+      {WAITED},
+      {ENDS(7, &ours, APPLY_APPLIED)}}},
+    {"lost twice",
+     NULL,
+     {{BEGIN},
+      {LOST},
+      {BEGIN},
+      {LOST},
+      {STILL_OLD(200)},
+      {WAITED},
+      {STILL_OLD(400)},
+      {WAITED},
+      {ENDS(6, &others, APPLY_UNKNOWN)}}},
+    /* Refused without effect after one that may have had: still open. */
+    {"lost, then refused",
+     NULL,
+     {{BEGIN},
+      {LOST},
+      {BEGIN},
+      {.event = {APPLY_REFUSED}, DO_READ},
+      {STILL_OLD(200)}}},
+    {"refused",
+     NULL,
+     {{BEGIN}, {.event = {APPLY_REFUSED}, DO_END(APPLY_NOT_WRITTEN, 6)}}},
+};
 
-/* Refused without effect after one that may have had: still open. */
-static void
-test_lost_then_refused(void)
+/* No read leads to another at once: that is the end of the list. */
+static bool
+is_step(const struct step *step)
 {
-    RUN(NULL, {SEES(6, &others), WRITE(6)}, {{APPLY_LOST}, READ},
-        {SEES(6, &others), WRITE(6)}, {{APPLY_REFUSED}, READ},
-        {SEES(6, &others), WAIT(200)});
+    return step->event.type != APPLY_READ ||
+           step->action.type != APPLY_DO_READ;
 }
 
-static void
-test_refused(void)
+TEST(scripts)
 {
-    RUN(NULL, {SEES(6, &others), WRITE(6)},
-        {{APPLY_REFUSED}, END(APPLY_NOT_WRITTEN, 6)});
+    for (size_t i = 0; i < G_N_ELEMENTS(scripts); i++) {
+        const struct script *script = &scripts[i];
+        const struct apply_action read = {.type = APPLY_DO_READ};
+        struct apply_core core;
+
+        g_test_message("%s", script->name);
+        assert_action(apply_core_start(&core, OURS, script->expect), read);
+        for (const struct step *step = script->steps; is_step(step); step++) {
+            assert_action(apply_core_step(&core, &step->event), step->action);
+        }
+    }
 }
 
 /* Feeds failed reads; the last one ends it with @outcome. */
@@ -215,10 +180,9 @@
     g_assert_cmpint(action.outcome, ==, outcome);
 }
 
-static void
-test_platform_down(void)
+TEST(platform_down)
 {
-    const struct apply_event first = SEES(6, &others);
+    const struct step first = {BEGIN};
     const struct apply_event lost = {.type = APPLY_LOST};
     const struct apply_event stale = {.type = APPLY_STALE};
     struct apply_core core;
@@ -227,12 +191,12 @@
     fail_reads(&core, APPLY_NOT_WRITTEN);
 
     apply_core_start(&core, OURS, NULL);
-    apply_core_step(&core, &first);
+    apply_core_step(&core, &first.event);
     apply_core_step(&core, &lost);
     fail_reads(&core, APPLY_UNKNOWN);
 
     apply_core_start(&core, OURS, NULL);
-    apply_core_step(&core, &first);
+    apply_core_step(&core, &first.event);
     apply_core_step(&core, &stale);
     fail_reads(&core, APPLY_RACE_LOST);
 }
@@ -376,10 +340,9 @@
     told[action.outcome]++;
 }
 
-static void
-test_model(void)
+TEST(model)
 {
-    GRand *rand = g_rand_new_with_seed(SEED);
+    g_autoptr(GRand) rand = g_rand_new_with_seed(SEED);
     unsigned told[APPLY_UNKNOWN + 1] = {0};
 
     g_test_message("seed %d", SEED);
@@ -391,28 +354,4 @@
         g_assert_true(told[i] > 0 || i == APPLY_SAME ||
                       i == APPLY_UNKNOWN_BEHIND);
     }
-    g_rand_free(rand);
-}
-
-int
-main(int argc, char **argv)
-{
-    g_test_init(&argc, &argv, NULL);
-    g_test_add_func("/apply/success", test_success);
-    g_test_add_func("/apply/same", test_same);
-    g_test_add_func("/apply/expected_version", test_expected_version);
-    g_test_add_func("/apply/race_lost", test_race_lost);
-    g_test_add_func("/apply/refused_by_ourselves", test_refused_by_ourselves);
-    g_test_add_func("/apply/lost_and_landed", test_lost_and_landed);
-    g_test_add_func("/apply/lost_and_beaten", test_lost_and_beaten);
-    g_test_add_func("/apply/lost_then_replaced", test_lost_then_replaced);
-    g_test_add_func("/apply/lost_history_too_short",
-                    test_lost_history_too_short);
-    g_test_add_func("/apply/lost_not_landed", test_lost_not_landed);
-    g_test_add_func("/apply/lost_twice", test_lost_twice);
-    g_test_add_func("/apply/lost_then_refused", test_lost_then_refused);
-    g_test_add_func("/apply/refused", test_refused);
-    g_test_add_func("/apply/platform_down", test_platform_down);
-    g_test_add_func("/apply/model", test_model);
-    return g_test_run();
 }
--- a/tests/cli/apply_run_test.c
+++ b/tests/cli/apply_run_test.c
@@ -1,10 +1,11 @@
 #include <string.h>
 
-#include <glib.h>
-
 #include "cli/apply_run.h"
 #include "standin/platform/server.h"
+#include "lib/harness.h"
+#include "lib/sample.h"
 
+#define SUITE "/apply_run"
 #define SERVICE(name, port)                                                   \
     "{\"name\":\"" name "\",\"address\":\"10.0.0.1\",\"port\":" port          \
     ",\"class\":\"urgent\"}"
@@ -19,19 +20,8 @@
     struct text *second;
 };
 
-static struct text *
-parse(const char *source)
-{
-    struct text *text;
-    char *report;
-
-    g_assert_cmpint(text_parse(source, strlen(source), "t", &text, &report),
-                    ==, 0);
-    return text;
-}
-
 static void
-setup(struct fixture *fixture, gconstpointer data)
+fixture_init(struct fixture *fixture)
 {
     struct addr any = {.ip = INADDR_LOOPBACK};
     struct error err;
@@ -39,12 +29,12 @@
     g_assert_cmpint(server_init(&fixture->server, any, &err), ==, 0);
     fixture->url =
         g_strdup_printf("http://127.0.0.1:%u", server_port(&fixture->server));
-    fixture->first = parse(FIRST);
-    fixture->second = parse(SECOND);
+    fixture->first = sample_parse(FIRST);
+    fixture->second = sample_parse(SECOND);
 }
 
 static void
-teardown(struct fixture *fixture, gconstpointer data)
+fixture_finish(struct fixture *fixture)
 {
     server_finish(&fixture->server);
     text_free(fixture->first);
@@ -75,7 +65,7 @@
                  size_t history_count)
 {
     struct text_envelope envelope;
-    GBytes *value;
+    g_autoptr(GBytes) value = NULL;
     const char *data;
     gsize len;
 
@@ -87,11 +77,9 @@
                     text->source_len);
     g_assert_cmpstr(envelope.author, ==, author);
     g_assert_cmpuint(envelope.history_count, ==, history_count);
-    g_bytes_unref(value);
 }
 
-static void
-test_publish(struct fixture *fixture, gconstpointer data)
+TEST_F(fixture, publish)
 {
     const uint64_t one = 1;
     struct apply_action end = publish(fixture, fixture->first, "asha", NULL);
@@ -108,8 +96,7 @@
     assert_published(fixture, 2, fixture->second, "rehema", 1);
 }
 
-static void
-test_lost_answer(struct fixture *fixture, gconstpointer data)
+TEST_F(fixture, lost_answer)
 {
     struct apply_action end;
 
@@ -122,8 +109,7 @@
     assert_published(fixture, 1, fixture->first, "asha", 0);
 }
 
-static void
-test_lost_write(struct fixture *fixture, gconstpointer data)
+TEST_F(fixture, lost_write)
 {
     struct apply_action end;
 
@@ -136,8 +122,7 @@
 }
 
 /* An answer that comes after the timeout: read back, not written again. */
-static void
-test_answer_too_late(struct fixture *fixture, gconstpointer data)
+TEST_F(fixture, answer_too_late)
 {
     struct apply_action end;
 
@@ -150,8 +135,7 @@
     assert_published(fixture, 2, fixture->second, "asha", 1);
 }
 
-static void
-test_down(struct fixture *fixture, gconstpointer data)
+TEST_F(fixture, down)
 {
     struct apply_action end;
 
@@ -181,10 +165,10 @@
     return NULL;
 }
 
-static void
-test_race(struct fixture *fixture, gconstpointer data)
+TEST_F(fixture, race)
 {
-    struct text *zero = parse("{\"services\":[" SERVICE("zero", "1") "]}");
+    struct text *zero =
+        sample_parse("{\"services\":[" SERVICE("zero", "1") "]}");
     struct racer racers[2] = {
         {.fixture = fixture, .text = fixture->first, .author = "asha"},
         {.fixture = fixture, .text = fixture->second, .author = "rehema"},
@@ -216,7 +200,7 @@
 published(struct fixture *fixture)
 {
     struct text *text;
-    GBytes *value;
+    g_autoptr(GBytes) value = NULL;
     char *report;
     gsize len;
     uint64_t version = store_get(&fixture->server.store, APPLY_OBJECT, &value);
@@ -224,13 +208,11 @@
 
     g_assert_cmpint(text_parse_envelope(data, len, version, &text, &report),
                     ==, 0);
-    g_bytes_unref(value);
     return text;
 }
 
 /* The list is worked out from the version that is replaced. */
-static void
-test_retired(struct fixture *fixture, gconstpointer unused)
+TEST_F(fixture, retired)
 {
     struct text *text;
 
@@ -248,8 +230,7 @@
 }
 
 /* An operator whose clock is late doesn't hold an address for too short. */
-static void
-test_late_clock(struct fixture *fixture, gconstpointer unused)
+TEST_F(fixture, late_clock)
 {
     const uint64_t ahead_ms = UINT64_C(1) << 42;
     struct text_envelope envelope = {
@@ -263,7 +244,7 @@
     uint64_t version;
     size_t len;
     char *value = text_envelope_write(&envelope, &len);
-    GBytes *bytes = g_bytes_new_take(value, len);
+    g_autoptr(GBytes) bytes = g_bytes_new_take(value, len);
 
     g_assert_cmpint(
         store_put(&fixture->server.store, APPLY_OBJECT, 0, bytes, &version),
@@ -274,23 +255,4 @@
     g_assert_cmpuint(text->retired[0].until_ms, ==,
                      ahead_ms + TEXT_RETIRE_HOLD_MS + TEXT_RETIRE_SKEW_MS);
     text_free(text);
-    g_bytes_unref(bytes);
-}
-
-#define ADD(name, test)                                                       \
-    g_test_add("/apply_run/" name, struct fixture, NULL, setup, test, teardown)
-
-int
-main(int argc, char **argv)
-{
-    g_test_init(&argc, &argv, NULL);
-    ADD("publish", test_publish);
-    ADD("lost_answer", test_lost_answer);
-    ADD("lost_write", test_lost_write);
-    ADD("answer_too_late", test_answer_too_late);
-    ADD("down", test_down);
-    ADD("race", test_race);
-    ADD("retired", test_retired);
-    ADD("late_clock", test_late_clock);
-    return g_test_run();
 }
--- a/tests/cli/examples_test.c
+++ b/tests/cli/examples_test.c
@@ -12,7 +12,7 @@
 static void
 load(const char *site, const char *file, enum settings_role role)
 {
-    char *path = g_build_filename(examples, site, file, NULL);
+    g_autofree char *path = g_build_filename(examples, site, file, NULL);
     struct settings settings;
     struct error err = {0};
     char *report = NULL;
@@ -21,7 +21,6 @@
                     0);
     g_assert_cmpstr(report, ==, NULL);
     g_assert_cmpuint(settings.seed_count, ==, 2);
-    g_free(path);
 }
 
 static void
--- a/tests/cli/explain_test.c
+++ b/tests/cli/explain_test.c
@@ -1,8 +1,6 @@
 #include <errno.h>
 #include <string.h>
 
-#include <glib.h>
-
 #include "base/hash.h"
 #include "cli/explain_packet.h"
 #include "cli/explain_request.h"
@@ -10,7 +8,10 @@
 #include "cli/text_diff.h"
 #include "packet/packet.h"
 #include "packet/rank.h"
+#include "lib/harness.h"
+#include "lib/sample.h"
 
+#define SUITE "/explain"
 #define TEXT                                                                  \
     "{\"services\":["                                                         \
     "{\"name\":\"desk\",\"address\":\"10.0.0.1\",\"port\":80,"                \
@@ -45,7 +46,7 @@
 
 /* Four agents of "desk"; the last but one drains, the last is dead. */
 static void
-take_snapshot_of(struct snapshot *snapshot, const char *config)
+snapshot_init(struct snapshot *snapshot, const char *config)
 {
     Swiftarch__ShowReply reply = SWIFTARCH__SHOW_REPLY__INIT;
     Swiftarch__ShowMember members[AGENTS];
@@ -68,26 +69,33 @@
 }
 
 static void
-take_snapshot(struct snapshot *snapshot)
+assert_part(const char *words, const char *part)
 {
-    take_snapshot_of(snapshot, TEXT);
+    if (strstr(words, part) == NULL) {
+        g_error("expected \"%s\" in:\n%s", part, words);
+    }
 }
 
+/* Explains @packet in words that have all @parts; the words. */
 static char *
-packet_words(const struct snapshot *snapshot, const char *words)
+packet_words(const struct snapshot *snapshot, const char *packet,
+             const char *const *parts)
 {
     GString *out = g_string_new(NULL);
     struct packet_spec spec;
 
-    g_assert_cmpint(packet_spec_parse(words, &spec), ==, 0);
+    g_assert_cmpint(packet_spec_parse(packet, &spec), ==, 0);
     g_assert_cmpint(explain_packet(snapshot, &spec, out), ==, 0);
+    for (; *parts != NULL; parts++) {
+        assert_part(out->str, *parts);
+    }
     return g_string_free(out, FALSE);
 }
 
-static void
-test_packet(void)
+#define PARTS(...) ((const char *const[]){__VA_ARGS__, NULL})
+
+TEST_F(snapshot, packet, TEXT)
 {
-    struct snapshot snapshot;
     const struct packet packet = {.src = 0x0a090001,
                                   .dst = 0x0a000001,
                                   .sport = 4000,
@@ -96,70 +104,46 @@
     uint32_t bucket = rank_bucket(packet_flow_hash(&packet));
     bool one_first = rank_score(hash_name("one"), bucket) >
                      rank_score(hash_name("two"), bucket);
-    char *words;
-    char *expected;
+    g_autofree char *rank = g_strdup_printf("bucket   %u of 4096", bucket);
+    char *words =
+        packet_words(snapshot, "tcp 10.9.0.1:4000 10.0.0.1:80",
+                     PARTS(one_first ? "  1. one " : "  1. two ", rank,
+                           "service  desk, urgent\n", "  3. three ",
+                           "draining, alive: keeps its flows", "   - four "));
 
-    take_snapshot(&snapshot);
-    words = packet_words(&snapshot, "tcp 10.9.0.1:4000 10.0.0.1:80");
-    expected = g_strdup_printf("  1. %s ", one_first ? "one" : "two");
-    g_assert_nonnull(strstr(words, expected));
-    g_free(expected);
-    expected = g_strdup_printf("bucket   %u of 4096", bucket);
-    g_assert_nonnull(strstr(words, expected));
-    g_free(expected);
-    g_assert_nonnull(strstr(words, "service  desk, urgent\n"));
-    g_assert_nonnull(strstr(words, "  3. three "));
-    g_assert_nonnull(strstr(words, "draining, alive: keeps its flows"));
-    g_assert_nonnull(strstr(words, "   - four "));
     g_assert_null(strstr(words, "  4. "));
     g_free(words);
-    snapshot_finish(&snapshot);
 }
 
 /* The address that desk has left: who holds its flows, and until when. */
-static void
-test_packet_retired(void)
+TEST_F(snapshot, packet_retired,
+       "{\"retired\":[{\"name\":\"desk\",\"address\":\"10.0.0.7\","
+       "\"port\":80,\"class\":\"urgent\",\"until_ms\":1700000000000}],"
+       "\"text\":" TEXT "}")
 {
-    struct snapshot snapshot;
-    char *words;
-
-    take_snapshot_of(&snapshot,
-                     "{\"retired\":[{\"name\":\"desk\",\"address\":"
-                     "\"10.0.0.7\",\"port\":80,\"class\":\"urgent\","
-                     "\"until_ms\":1700000000000}],\"text\":" TEXT "}");
-    words = packet_words(&snapshot, "tcp 10.9.0.1:4000 10.0.0.7:80");
-    g_assert_nonnull(strstr(words, "service  desk, urgent\n"));
-    g_assert_nonnull(strstr(words, "retired  the service has left this "
-                                   "address; it is kept for its open flows "
-                                   "until\n         2023-11-14 22:13:20 UTC. "
-                                   "A new flow is reset"));
-    g_assert_nonnull(strstr(words, "  3. three "));
-    g_free(words);
-    words = packet_words(&snapshot, "tcp 10.9.0.1:4000 10.0.0.1:80");
+    g_free(packet_words(
+        snapshot, "tcp 10.9.0.1:4000 10.0.0.7:80",
+        PARTS("service  desk, urgent\n",
+              "retired  the service has left this address; it is kept for "
+              "its open flows until\n         2023-11-14 22:13:20 UTC. A new "
+              "flow is reset",
+              "  3. three ")));
+    char *words =
+        packet_words(snapshot, "tcp 10.9.0.1:4000 10.0.0.1:80", PARTS(""));
     g_assert_null(strstr(words, "retired"));
     g_free(words);
-    snapshot_finish(&snapshot);
 }
 
-static void
-test_packet_dropped(void)
+TEST_F(snapshot, packet_dropped, TEXT)
 {
-    struct snapshot snapshot;
-    char *words;
-
-    take_snapshot(&snapshot);
-    words = packet_words(&snapshot, "udp 10.9.0.1:4000 10.0.0.1:80");
-    g_assert_nonnull(strstr(words, "dropped  no service of the text"));
-    g_assert_nonnull(strstr(words, "reason=\"service\""));
-    g_free(words);
-    words = packet_words(&snapshot, "udp 10.9.0.1:4000 10.0.0.3:123");
-    g_assert_nonnull(strstr(words, "reason=\"no_endpoint\""));
-    g_free(words);
-    snapshot_finish(&snapshot);
+    g_free(packet_words(
+        snapshot, "udp 10.9.0.1:4000 10.0.0.1:80",
+        PARTS("dropped  no service of the text", "reason=\"service\"")));
+    g_free(packet_words(snapshot, "udp 10.9.0.1:4000 10.0.0.3:123",
+                        PARTS("reason=\"no_endpoint\"")));
 }
 
-static void
-test_packet_words(void)
+TEST(packet_words)
 {
     static const char *const bad[] = {
         "",
@@ -195,23 +179,19 @@
 assert_says(const struct snapshot *snapshot, struct request_spec spec, int rc,
             const char *part)
 {
-    char *words = request_words(snapshot, spec, rc);
+    g_autofree char *words = request_words(snapshot, spec, rc);
 
-    if (strstr(words, part) == NULL) {
-        g_error("expected \"%s\" in:\n%s", part, words);
-    }
-    g_free(words);
+    assert_part(words, part);
 }
 
-static void
-test_request(void)
+TEST(request)
 {
     struct snapshot snapshot;
     struct request_spec get = {.service = "desk", .method = "GET"};
     struct request_spec post = {.service = "desk", .method = "POST"};
     struct request_spec report = {.service = "reports", .method = "GET"};
 
-    take_snapshot(&snapshot);
+    snapshot_init(&snapshot, TEXT);
     assert_says(&snapshot, get, 0, "class    urgent");
     assert_says(&snapshot, get, 0, "its method is idempotent");
     assert_says(&snapshot, get, 0, "deadline 5000 ms, the service's");
@@ -225,16 +205,15 @@
     snapshot_finish(&snapshot);
 }
 
-static void
-test_request_key(void)
+TEST(request_key)
 {
     struct snapshot snapshot;
     struct request_spec post = {
         .service = "desk", .method = "POST", .key = "k"};
     const char *record;
-    char *words;
+    g_autofree char *words = NULL;
 
-    take_snapshot(&snapshot);
+    snapshot_init(&snapshot, TEXT);
     words = request_words(&snapshot, post, 0);
     g_assert_nonnull(strstr(words, "at most once for its key"));
     record = strstr(words, "record   of its key is kept by 3 of at most 3");
@@ -243,16 +222,14 @@
     g_assert_nonnull(strstr(record, "two "));
     g_assert_nonnull(strstr(record, "three "));
     g_assert_null(strstr(record, "not settled yet"));
-    g_free(words);
     snapshot_finish(&snapshot);
 }
 
-static void
-test_request_refused(void)
+TEST(request_refused)
 {
     struct snapshot snapshot;
 
-    take_snapshot(&snapshot);
+    snapshot_init(&snapshot, TEXT);
     assert_says(&snapshot,
                 (struct request_spec){.service = "none", .method = "GET"},
                 -ENOENT, "no service \"none\"");
@@ -265,30 +242,18 @@
     snapshot_finish(&snapshot);
 }
 
-static struct text *
-parse(const char *source)
+TEST(diff)
 {
-    struct text *text;
-    char *report;
-
-    g_assert_cmpint(text_parse(source, strlen(source), "t", &text, &report),
-                    ==, 0);
-    return text;
-}
-
-static void
-test_diff(void)
-{
-    struct text *from = parse(TEXT);
-    struct text *to =
-        parse("{\"services\":["
-              "{\"name\":\"desk\",\"address\":\"10.0.0.9\",\"port\":80,"
-              "\"class\":\"ordinary\",\"limits\":{\"queue\":9}},"
-              "{\"name\":\"reports\",\"address\":\"10.0.0.2\",\"port\":80,"
-              "\"class\":\"ordinary\"},"
-              "{\"name\":\"new\",\"address\":\"10.0.0.4\",\"port\":1,"
-              "\"class\":\"ordinary\"}]}");
-    GString *out = g_string_new(NULL);
+    struct text *from = sample_parse(TEXT);
+    struct text *to = sample_parse(
+        "{\"services\":["
+        "{\"name\":\"desk\",\"address\":\"10.0.0.9\",\"port\":80,"
+        "\"class\":\"ordinary\",\"limits\":{\"queue\":9}},"
+        "{\"name\":\"reports\",\"address\":\"10.0.0.2\",\"port\":80,"
+        "\"class\":\"ordinary\"},"
+        "{\"name\":\"new\",\"address\":\"10.0.0.4\",\"port\":1,"
+        "\"class\":\"ordinary\"}]}");
+    g_autoptr(GString) out = g_string_new(NULL);
 
     g_assert_cmpuint(text_diff(from, to, out), ==, 6);
     g_assert_cmpstr(out->str, ==,
@@ -301,22 +266,6 @@
     g_string_truncate(out, 0);
     g_assert_cmpuint(text_diff(from, from, out), ==, 0);
     g_assert_cmpuint(text_diff(NULL, from, out), ==, 3);
-    g_string_free(out, TRUE);
     text_free(from);
     text_free(to);
 }
-
-int
-main(int argc, char **argv)
-{
-    g_test_init(&argc, &argv, NULL);
-    g_test_add_func("/explain/packet", test_packet);
-    g_test_add_func("/explain/packet_retired", test_packet_retired);
-    g_test_add_func("/explain/packet_dropped", test_packet_dropped);
-    g_test_add_func("/explain/packet_words", test_packet_words);
-    g_test_add_func("/explain/request", test_request);
-    g_test_add_func("/explain/request_key", test_request_key);
-    g_test_add_func("/explain/request_refused", test_request_refused);
-    g_test_add_func("/explain/diff", test_diff);
-    return g_test_run();
-}
--- a/tests/cli/session_test.c
+++ b/tests/cli/session_test.c
@@ -54,7 +54,7 @@
     struct addr any = {.ip = INADDR_LOOPBACK};
     struct error err;
     GError *error = NULL;
-    char *text;
+    g_autofree char *text = NULL;
 
     g_assert_cmpint(server_init(&session->server, any, &err), ==, 0);
     session->dir = g_dir_make_tmp("session-XXXXXX", &error);
@@ -69,7 +69,6 @@
                            server_port(&session->server));
     write_file(session->settings, text);
     write_file(session->key, "a key for tests only");
-    g_free(text);
 }
 
 static void
@@ -114,27 +113,24 @@
 static void
 add_output(struct session *session)
 {
-    GRegex *time = g_regex_new("\\d{4}-\\d\\d-\\d\\d \\d\\d:\\d\\d:\\d\\d UTC",
-                               0, 0, NULL);
+    g_autoptr(GRegex) time = g_regex_new(
+        "\\d{4}-\\d\\d-\\d\\d \\d\\d:\\d\\d:\\d\\d UTC", 0, 0, NULL);
     char *port =
         g_strdup_printf("127.0.0.1:%u", server_port(&session->server));
-    char *raw;
-    char *timeless;
+    g_autofree char *raw = NULL;
+    g_autofree char *timeless = NULL;
 
     g_assert_true(g_file_get_contents(session->capture, &raw, NULL, NULL));
     timeless = g_regex_replace_literal(time, raw, -1, 0, "TIME", 0, NULL);
     g_string_append(session->transcript, timeless);
     g_string_replace(session->transcript, port, "PLATFORM", 0);
-    g_free(timeless);
-    g_free(raw);
     g_free(port);
-    g_regex_unref(time);
 }
 
 static void
 run_command(struct session *session, const char *line)
 {
-    char **words;
+    g_auto(GStrv) words = NULL;
     char *argv[WORDS_MAX + 2] = {(char *)"swiftarch"};
     int argc;
     int code;
@@ -149,13 +145,12 @@
     g_string_append_printf(session->transcript, "$ %s\n", line);
     add_output(session);
     g_string_append_printf(session->transcript, "= %d\n", code);
-    g_strfreev(words);
 }
 
 static void
 set_fault(struct session *session, const char *line)
 {
-    char **words = g_strsplit(line, " ", 2);
+    g_auto(GStrv) words = g_strsplit(line, " ", 2);
     struct server_fault fault = {0};
 
     g_assert_cmpuint(g_strv_length(words), ==, 2);
@@ -163,7 +158,6 @@
     fault.count = (unsigned)g_ascii_strtoull(words[1], NULL, 10);
     server_set_fault(&session->server, fault);
     g_string_append_printf(session->transcript, "! %s\n", line);
-    g_strfreev(words);
 }
 
 static void
@@ -171,8 +165,8 @@
 {
     const char *path = data;
     struct session session;
-    char *golden;
-    char **lines;
+    g_autofree char *golden = NULL;
+    g_auto(GStrv) lines = NULL;
 
     g_assert_true(g_file_get_contents(path, &golden, NULL, NULL));
     lines = g_strsplit(golden, "\n", -1);
@@ -192,8 +186,6 @@
         g_assert_cmpstr(session.transcript->str, ==, golden);
     }
     session_finish(&session);
-    g_strfreev(lines);
-    g_free(golden);
 }
 
 static void
@@ -208,12 +200,10 @@
     g_test_init(&argc, &argv, NULL);
     g_log_set_default_handler(drop_log, NULL);
     for (int i = 1; i < argc; i++) {
-        char *name = g_path_get_basename(argv[i]);
-        char *path = g_strdup_printf("/session/%s", name);
+        g_autofree char *name = g_path_get_basename(argv[i]);
+        g_autofree char *path = g_strdup_printf("/session/%s", name);
 
         g_test_add_data_func(path, argv[i], run_session);
-        g_free(path);
-        g_free(name);
     }
     return g_test_run();
 }
--- a/tests/cli/show_test.c
+++ b/tests/cli/show_test.c
@@ -4,7 +4,6 @@
 #include <string.h>
 #include <unistd.h>
 
-#include <glib.h>
 #include <json-c/json.h>
 
 #include "base/hash.h"
@@ -13,7 +12,9 @@
 #include "cli/show_print.h"
 #include "control/view.h"
 #include "standin/platform/server.h"
+#include "lib/harness.h"
 
+#define SUITE "/show"
 #define KEY "sixteen bytes of key"
 #define TEXT                                                                  \
     "{\"services\":[{\"name\":\"desk\",\"address\":\"10.0.0.1\","             \
@@ -28,7 +29,8 @@
 
 /**
  * struct fake - two processes at one hub in a thread of its own: the one
- * that answers names the other, whose control address is closed
+ * that answers names the other, whose control address is closed; and an
+ * operator whose seed is the first, and what it was shown
  */
 struct fake {
     struct link_handler handler;
@@ -39,6 +41,9 @@
     uint64_t version;
     GThread *thread;
     gint stop;
+    struct settings settings;
+    struct show_totals totals;
+    char *words;
 };
 
 static void
@@ -119,15 +124,26 @@
 }
 
 static void
-fake_start(struct fake *fake, struct addr closed)
+seed_with(struct fake *fake, struct addr seed, const char *key)
+{
+    fake->settings.seeds[0] = seed;
+    fake->settings.site_key_len = strlen(key);
+    memcpy(fake->settings.site_key, key, strlen(key));
+}
+
+static void
+fake_init(struct fake *fake, struct addr closed)
 {
     struct addr any = {.ip = INADDR_LOOPBACK};
     struct error err;
 
-    *fake = (struct fake){.handler.ops = &fake_ops,
-                          .base = event_base_new(),
-                          .closed = closed,
-                          .version = 3};
+    *fake = (struct fake){
+        .handler.ops = &fake_ops,
+        .base = event_base_new(),
+        .closed = closed,
+        .version = 3,
+        .settings = {.role = SETTINGS_OPERATOR, .seed_count = 1},
+    };
     g_assert_cmpint(auth_init(&fake->auth, (const uint8_t *)KEY, strlen(KEY),
                               hash_name("entry"),
                               (uint64_t)g_get_real_time() / 1000),
@@ -135,51 +151,35 @@
     g_assert_cmpint(link_hub_init(&fake->hub, fake->base, &fake->auth,
                                   &fake->handler, any, &err),
                     ==, 0);
+    seed_with(fake, link_hub_addr(&fake->hub), KEY);
+    g_strlcpy(fake->settings.platform, "http://127.0.0.1:1",
+              sizeof(fake->settings.platform));
     fake->thread = g_thread_new("fake", run_fake, fake);
 }
 
 static void
-fake_stop(struct fake *fake)
+fake_finish(struct fake *fake)
 {
     g_atomic_int_set(&fake->stop, 1);
     g_thread_join(fake->thread);
     link_hub_finish(&fake->hub);
     auth_finish(&fake->auth);
     event_base_free(fake->base);
+    g_free(fake->words);
 }
 
-/* An address where nothing listens (tcpmux). */
-static struct addr
-closed_addr(void)
-{
-    return (struct addr){.ip = INADDR_LOOPBACK, .port = 1};
-}
-
-static struct settings
-operator_settings(struct addr seed, const char *key)
-{
-    struct settings settings = {.role = SETTINGS_OPERATOR, .seed_count = 1};
-
-    settings.seeds[0] = seed;
-    settings.site_key_len = strlen(key);
-    memcpy(settings.site_key, key, strlen(key));
-    g_strlcpy(settings.platform, "http://127.0.0.1:1",
-              sizeof(settings.platform));
-    return settings;
-}
-
-static char *
-ask_and_print(struct settings *settings, struct show_totals *totals, bool json)
+static void
+show(struct fake *fake, bool json)
 {
     GString *out = g_string_new(NULL);
     struct error err;
     struct ask ask;
 
-    g_assert_cmpint(ask_init(&ask, settings, &err), ==, 0);
+    g_assert_cmpint(ask_init(&ask, &fake->settings, &err), ==, 0);
     ask.counters = true;
     ask_run(&ask, 1000);
     show_sort(&ask);
-    *totals = show_totals(&ask);
+    fake->totals = show_totals(&ask);
     if (json) {
         show_print_json(&ask, out);
     }
@@ -188,147 +188,113 @@
         show_print_counters(&ask, out);
     }
     ask_finish(&ask);
-    return g_string_free(out, FALSE);
+    fake->words = g_string_free(out, FALSE);
 }
 
-static void
-test_all_answer(void)
+#define NOWHERE ((struct addr){0})
+
+/* Where nothing listens (tcpmux). */
+#define CLOSED ((struct addr){INADDR_LOOPBACK, 1})
+
+TEST_F(fake, all_answer, NOWHERE)
 {
-    struct show_totals totals;
-    struct settings settings;
-    struct fake fake;
-    char *words;
+    static const char *const parts[] = {
+        "version 3 in force since ",
+        "(1.5 s), word 0.2 s old",
+        "# entry\na_total 1\n",
+        "platform: did not answer",
+        "retired: tcp 10.0.0.7:80 of desk, for its open flows until "
+        "2023-11-14 22:13:20 UTC\n",
+        "1 of 1 processes answered",
+    };
 
-    fake_start(&fake, (struct addr){0});
-    settings = operator_settings(link_hub_addr(&fake.hub), KEY);
-    words = ask_and_print(&settings, &totals, false);
-    g_assert_cmpuint(totals.processes, ==, 1);
-    g_assert_cmpuint(totals.answered, ==, 1);
-    g_assert_cmpuint(totals.versions, ==, 1);
-    g_assert_nonnull(strstr(words, "version 3 in force since "));
-    g_assert_nonnull(strstr(words, "(1.5 s), word 0.2 s old"));
-    g_assert_nonnull(strstr(words, "# entry\na_total 1\n"));
-    g_assert_nonnull(strstr(words, "platform: did not answer"));
-    g_assert_nonnull(strstr(words, "retired: tcp 10.0.0.7:80 of desk, for its "
-                                   "open flows until 2023-11-14 22:13:20 "
-                                   "UTC\n"));
-    g_assert_nonnull(strstr(words, "1 of 1 processes answered"));
-    g_free(words);
-    fake_stop(&fake);
+    show(fake, false);
+    g_assert_cmpuint(fake->totals.processes, ==, 1);
+    g_assert_cmpuint(fake->totals.answered, ==, 1);
+    g_assert_cmpuint(fake->totals.versions, ==, 1);
+    for (size_t i = 0; i < G_N_ELEMENTS(parts); i++) {
+        g_assert_nonnull(strstr(fake->words, parts[i]));
+    }
 }
 
-static void
-test_one_silent(void)
+TEST_F(fake, one_silent, CLOSED)
 {
-    struct show_totals totals;
-    struct settings settings;
-    struct fake fake;
-    char *words;
+    show(fake, false);
+    g_assert_cmpuint(fake->totals.processes, ==, 2);
+    g_assert_cmpuint(fake->totals.answered, ==, 1);
+    g_assert_nonnull(strstr(fake->words,
+                            "DID NOT ANSWER (Connection refused), the others "
+                            "take it for alive, last told version 3"));
+}
+
+static struct json_object *
+value_of(struct json_object *object, const char *key)
+{
+    struct json_object *value = NULL;
 
-    fake_start(&fake, closed_addr());
-    settings = operator_settings(link_hub_addr(&fake.hub), KEY);
-    words = ask_and_print(&settings, &totals, false);
-    g_assert_cmpuint(totals.processes, ==, 2);
-    g_assert_cmpuint(totals.answered, ==, 1);
-    g_assert_nonnull(strstr(words, "DID NOT ANSWER (Connection refused), the "
-                                   "others take it for alive, last told "
-                                   "version 3"));
-    g_free(words);
-    fake_stop(&fake);
+    g_assert_true(json_object_object_get_ex(object, key, &value));
+    return value;
 }
 
-static void
-test_json(void)
+TEST_F(fake, json, CLOSED)
 {
-    struct show_totals totals;
-    struct settings settings;
-    struct json_object *root;
     struct json_object *list;
-    struct json_object *value;
-    struct fake fake;
-    char *words;
 
-    fake_start(&fake, closed_addr());
-    settings = operator_settings(link_hub_addr(&fake.hub), KEY);
-    words = ask_and_print(&settings, &totals, true);
-    root = json_tokener_parse(words);
-    g_assert_true(json_object_object_get_ex(root, "processes", &list));
+    show(fake, true);
+    struct json_object *root = json_tokener_parse(fake->words);
+    list = value_of(root, "processes");
     g_assert_cmpuint(json_object_array_length(list), ==, 2);
-    value = json_object_array_get_idx(list, 0);
-    g_assert_true(json_object_object_get_ex(value, "config_version", &value));
-    g_assert_cmpint(json_object_get_int64(value), ==, 3);
-    value = json_object_array_get_idx(list, 1);
-    g_assert_true(json_object_object_get_ex(value, "service", &value));
-    g_assert_cmpstr(json_object_get_string(value), ==, "desk");
-    g_assert_true(json_object_object_get_ex(root, "retired", &list));
-    g_assert_cmpuint(json_object_array_length(list), ==, 1);
-    g_assert_cmpstr(
-        json_object_to_json_string_ext(json_object_array_get_idx(list, 0),
-                                       JSON_C_TO_STRING_PLAIN),
-        ==,
-        "{\"service\":\"desk\",\"protocol\":\"tcp\",\"address\":"
-        "\"10.0.0.7:80\",\"until_ms\":1700000000000}");
-    g_assert_true(json_object_object_get_ex(root, "answered", &value));
-    g_assert_cmpint(json_object_get_int64(value), ==, 1);
+    g_assert_cmpint(json_object_get_int64(value_of(
+                        json_object_array_get_idx(list, 0), "config_version")),
+                    ==, 3);
+    g_assert_cmpstr(json_object_get_string(value_of(
+                        json_object_array_get_idx(list, 1), "service")),
+                    ==, "desk");
+    g_assert_cmpstr(json_object_to_json_string_ext(value_of(root, "retired"),
+                                                   JSON_C_TO_STRING_PLAIN),
+                    ==,
+                    "[{\"service\":\"desk\",\"protocol\":\"tcp\","
+                    "\"address\":\"10.0.0.7:80\","
+                    "\"until_ms\":1700000000000}]");
+    g_assert_cmpint(json_object_get_int64(value_of(root, "answered")), ==, 1);
     json_object_put(root);
-    g_free(words);
-    fake_stop(&fake);
 }
 
 /* With another key nobody answers, and nothing is believed. */
-static void
-test_wrong_key(void)
+TEST_F(fake, wrong_key, NOWHERE)
 {
-    struct show_totals totals;
-    struct settings settings;
-    struct fake fake;
-    char *words;
-
-    fake_start(&fake, (struct addr){0});
-    settings =
-        operator_settings(link_hub_addr(&fake.hub), "sixteen bytes and more");
-    words = ask_and_print(&settings, &totals, false);
-    g_assert_cmpuint(totals.answered, ==, 0);
-    g_assert_nonnull(strstr(words, "seed 127.0.0.1:"));
-    g_free(words);
-    fake_stop(&fake);
+    seed_with(fake, fake->settings.seeds[0], "sixteen bytes and more");
+    show(fake, false);
+    g_assert_cmpuint(fake->totals.answered, ==, 0);
+    g_assert_nonnull(strstr(fake->words, "seed 127.0.0.1:"));
 }
 
 /* The seeds are silent: the platform's list of the cell names another. */
-static void
-test_cell_of_platform(void)
+TEST_F(fake, cell_of_platform, NOWHERE)
 {
     struct addr any = {.ip = INADDR_LOOPBACK};
-    struct show_totals totals;
-    struct settings settings;
     struct server server;
     struct error err;
-    struct fake fake;
-    GBytes *value;
     uint64_t version;
     char addr[ADDR_TEXT_MAX];
-    char *words;
 
-    fake_start(&fake, (struct addr){0});
     g_assert_cmpint(server_init(&server, any, &err), ==, 0);
-    settings = operator_settings(closed_addr(), KEY);
-    g_strlcpy(settings.cell, "perth", sizeof(settings.cell));
-    g_snprintf(settings.platform, sizeof(settings.platform),
+    seed_with(fake, CLOSED, KEY);
+    g_strlcpy(fake->settings.cell, "perth", sizeof(fake->settings.cell));
+    g_snprintf(fake->settings.platform, sizeof(fake->settings.platform),
                "http://127.0.0.1:%u", server_port(&server));
-    words =
+    char *list =
         g_strdup_printf("{\"members\":[{\"name\":\"entry\",\"control\":\"%s\","
                         "\"incarnation\":1}]}",
-                        addr_format(link_hub_addr(&fake.hub), addr));
-    value = g_bytes_new_take(words, strlen(words));
+                        addr_format(link_hub_addr(&fake->hub), addr));
+    g_autoptr(GBytes) value = g_bytes_new_take(list, strlen(list));
     g_assert_cmpint(store_put(&server.store, "cell-perth", 0, value, &version),
                     ==, 0);
-    g_bytes_unref(value);
-    words = ask_and_print(&settings, &totals, false);
-    g_assert_cmpuint(totals.answered, ==, 1);
-    g_assert_nonnull(strstr(words, "platform: nothing is published yet"));
-    g_free(words);
+    show(fake, false);
+    g_assert_cmpuint(fake->totals.answered, ==, 1);
+    g_assert_nonnull(
+        strstr(fake->words, "platform: nothing is published yet"));
     server_finish(&server);
-    fake_stop(&fake);
 }
 
 /* The commands' output is no test output. */
@@ -373,11 +339,10 @@
     run_with((const char *const[]){"swiftarch", __VA_ARGS__},                 \
              G_N_ELEMENTS(((const char *const[]){"swiftarch", __VA_ARGS__})))
 
-static void
-test_exit_codes(void)
+TEST(exit_codes)
 {
     GError *error = NULL;
-    char *path;
+    g_autofree char *path = NULL;
     int fd = g_file_open_tmp("text-XXXXXX", &path, &error);
 
     g_assert_cmpint(fd, >=, 0);
@@ -402,18 +367,4 @@
     g_assert_cmpint(CODE("explain", "--text", path, "--request", "x GET"), ==,
                     CLI_USAGE);
     g_assert_cmpint(unlink(path), ==, 0);
-    g_free(path);
-}
-
-int
-main(int argc, char **argv)
-{
-    g_test_init(&argc, &argv, NULL);
-    g_test_add_func("/show/all_answer", test_all_answer);
-    g_test_add_func("/show/one_silent", test_one_silent);
-    g_test_add_func("/show/json", test_json);
-    g_test_add_func("/show/wrong_key", test_wrong_key);
-    g_test_add_func("/show/cell_of_platform", test_cell_of_platform);
-    g_test_add_func("/show/exit_codes", test_exit_codes);
-    return g_test_run();
 }
