--- a/tests/lib/loopback.h
+++ b/tests/lib/loopback.h
@@ -9,10 +9,11 @@
 #include "base/addr.h"
 
 #define LOOPBACK 0x7f000001u
-#define LOOPBACK_WAIT_MS 10000
+#define LOOPBACK_RECEIVE_S 10
+#define LOOPBACK_WAIT_MS 30000
 
 /** loopback_open() - a socket of @type bound to a port that the kernel chose;
- * blocking calls of it end after LOOPBACK_WAIT_MS */
+ * blocking calls of it end after LOOPBACK_RECEIVE_S */
 int
 loopback_open(int type, struct addr *addr);
 
