directory-site: no port is chosen before it is used

Cause: a port found free and bound later can be taken in between by a test that runs beside (seen in control-threads and standin_upstream under the whole suite, -98). Change: the kernel gives each node its port, the seeds are read from the view.

--- a/tests/directory/test_site.c
+++ b/tests/directory/test_site.c
@@ -3,7 +3,6 @@
 #include <glib.h>
 #include <stdio.h>
 #include <string.h>
-#include <unistd.h>
 #include <urcu.h>
 
 #include "balancer/worker_batch.h"
@@ -44,19 +43,6 @@
     struct node nodes[CELLS][NODES];
 };
 
-static uint16_t
-free_port(void)
-{
-    struct sockaddr_in sin = addr_to_sockaddr((struct addr){LOOPBACK, 0});
-    socklen_t len = sizeof(sin);
-    int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-
-    g_assert_cmpint(bind(fd, (struct sockaddr *)&sin, len), ==, 0);
-    g_assert_cmpint(getsockname(fd, (struct sockaddr *)&sin, &len), ==, 0);
-    close(fd);
-    return addr_from_sockaddr(&sin).port;
-}
-
 static void
 fill_settings(struct fixture *f, size_t cell, size_t i)
 {
@@ -69,19 +55,40 @@
     snprintf(settings->object, SETTINGS_NAME_MAX, "config-%zu", cell);
     settings->data =
         (struct addr){LOOPBACK, (uint16_t)(1000 + cell * NODES + i)};
-    settings->control = (struct addr){LOOPBACK, free_port()};
+    settings->control = (struct addr){LOOPBACK, 0};
     memset(settings->site_key, 'k', 32);
     settings->site_key_len = 32;
     snprintf(settings->platform, sizeof(settings->platform),
              "http://127.0.0.1:%u", server_port(&f->server));
-    if (i > 0) {
-        settings->seeds[0] = f->nodes[cell][0].settings.control;
-        settings->seed_count = 1;
-    }
-    if (cell > 0) {
-        settings->region_seeds[0] = f->nodes[0][0].settings.control;
-        settings->region_seed_count = 1;
-    }
+}
+
+/* Address that the kernel gave a node, or port 0 before it is known. */
+static struct addr
+control_of(struct fixture *f, size_t cell, size_t i)
+{
+    const struct view *view;
+    struct addr addr = {0};
+
+    rcu_read_lock();
+    view = board_view(&f->nodes[cell][i].board);
+    if (view != NULL)
+        addr = view->members[view->self].control;
+    rcu_read_unlock();
+    return addr;
+}
+
+/* The first node of a cell is the seed of the others, the first of all that
+ * of the other cell. */
+static void
+fill_seeds(struct fixture *f, size_t cell, size_t i)
+{
+    struct settings *settings = &f->nodes[cell][i].settings;
+
+    if (i > 0)
+        settings->seeds[settings->seed_count++] = control_of(f, cell, 0);
+    if (cell > 0)
+        settings->region_seeds[settings->region_seed_count++] =
+            control_of(f, 0, 0);
 }
 
 static void
@@ -91,6 +98,7 @@
     struct board_local local = {.state = MEMBER_READY};
     struct error err = {0};
 
+    fill_seeds(f, cell, i);
     board_init(&node->board);
     g_assert_cmpint(counter_table_init(&node->counters), ==, 0);
     board_set_local(&node->board, &local);
@@ -102,6 +110,7 @@
                                   &node->counters, &err);
     if (node->control == NULL)
         g_error("%s: %s", err.step, err.detail);
+    WAIT_FOR(control_of(f, cell, i).port != 0);
 }
 
 static void
