scripts: parenthesise the shim's macro argument

Cause: clang-tidy in a clean clone's check (bugprone-macro-parentheses) was the one finding left. Change: parentheses. Run: it compiles; the check is run again before landing.

--- a/scripts/tsan_shim.c
+++ b/scripts/tsan_shim.c
@@ -20,7 +20,7 @@
 /* What every grace period orders. */
 static char grace_period;
 
-#define REAL(name) ((__typeof__(&name))real(#name))
+#define REAL(name) ((__typeof__(&(name)))real(#name))
 
 static void *
 real(const char *name)
