request: part the ends of runs from the engine; one fallback for all policies

Four policies stood with the same fall back and empty hooks: dispatch_home() is the one, settle and told may be NULL. Idle slots of a peer were worked out in two places. engine.h said that RUN carries the deadline as time left: the engine uses its own clock, agent/peer_wire converts.

--- a/src/request/admit.c
+++ b/src/request/admit.c
@@ -2,7 +2,6 @@
 
 #include "request/finish.h"
 
-#define FULL_LOAD 1000.0
 #define SPARE_LOAD 980
 #define WAIT_MARGIN 2.0
 #define MOST_OF_MEAN 3
@@ -25,7 +24,7 @@
         const struct peer *peer = g_ptr_array_index(list, i);
 
         if (peer_takes(peer, engine->now_us) && peer->load_at_us != 0) {
-            slots += peer->slots * (1.0 - peer->load / FULL_LOAD);
+            slots += peer_idle_slots(peer);
         }
     }
     return slots;
--- a/src/request/dispatch.c
+++ b/src/request/dispatch.c
@@ -78,10 +78,13 @@
 }
 
 uint64_t
-dispatch_no_home(struct engine *engine, struct entry *entry)
+dispatch_home(struct engine *engine, struct entry *entry)
 {
     const struct peer *peer;
 
+    if (dispatch_free(engine, entry) > 0) {
+        return engine->self;
+    }
     if (upstream_serves(&engine->upstream, entry->request.service) &&
         !avoids_here(engine, entry)) {
         return 0;
@@ -90,6 +93,15 @@
     return peer != NULL ? peer->id : 0;
 }
 
+void
+dispatch_told(struct engine *engine, struct peer *peer,
+              const struct engine_peer_msg *msg)
+{
+    if (engine->ops->told != NULL) {
+        engine->ops->told(engine, peer, msg);
+    }
+}
+
 void
 dispatch_status(struct engine *engine, struct peer *peer)
 {
@@ -217,5 +229,7 @@
     drop_hopeless(engine, TEXT_ORDINARY);
     while (start_one(engine)) {
     }
-    engine->ops->settle(engine);
+    if (engine->ops->settle != NULL) {
+        engine->ops->settle(engine);
+    }
 }
--- a/src/request/dispatch.h
+++ b/src/request/dispatch.h
@@ -13,8 +13,8 @@
  * struct dispatch_ops - a policy
  * @name: its name
  * @place: member to run @entry now: engine->self, a peer, or 0 to wait
- * @settle: called after all starts of a call
- * @told: a STATUS, a PULL or a DONE with free slots came from @peer
+ * @settle: called after all starts of a call, or NULL
+ * @told: a STATUS, a PULL or a DONE with free slots came from @peer, or NULL
  */
 struct dispatch_ops {
     const char *name;
@@ -51,10 +51,16 @@
 struct peer *
 dispatch_random(struct engine *engine, const struct entry *entry);
 
-/** dispatch_no_home() - place of @entry when no local upstream serves it:
- * random peers one after the other; 0 when none is left */
+/** dispatch_home() - place of @entry: here if a slot is free; to wait if the
+ * local upstream will serve it; else random peers one after the other, 0
+ * when none is left */
 uint64_t
-dispatch_no_home(struct engine *engine, struct entry *entry);
+dispatch_home(struct engine *engine, struct entry *entry);
+
+/** dispatch_told() - the policy hears of @msg from @peer */
+void
+dispatch_told(struct engine *engine, struct peer *peer,
+              const struct engine_peer_msg *msg);
 
 /** dispatch_status() - send our status to @peer */
 void
--- a/src/request/dispatch_idle.c
+++ b/src/request/dispatch_idle.c
@@ -34,7 +34,7 @@
         return engine->self;
     }
     peer = find_idle(engine, entry);
-    return peer != NULL ? peer->id : dispatch_no_home(engine, entry);
+    return peer != NULL ? peer->id : dispatch_home(engine, entry);
 }
 
 static void
--- a/src/request/dispatch_probe.c
+++ b/src/request/dispatch_probe.c
@@ -72,15 +72,7 @@
         peer->in_flight_at_us = 0;
         return peer->id;
     }
-    if (dispatch_free(engine, entry) > 0) {
-        return engine->self;
-    }
-    return dispatch_no_home(engine, entry);
-}
-
-static void
-settle(struct engine *engine)
-{
+    return dispatch_home(engine, entry);
 }
 
 static void
@@ -97,6 +89,5 @@
 const struct dispatch_ops dispatch_probe = {
     .name = "probe",
     .place = place,
-    .settle = settle,
     .told = told,
 };
--- a/src/request/dispatch_two.c
+++ b/src/request/dispatch_two.c
@@ -52,26 +52,10 @@
             return member;
         }
     }
-    if (dispatch_free(engine, entry) > 0) {
-        return engine->self;
-    }
-    return dispatch_no_home(engine, entry);
-}
-
-static void
-settle(struct engine *engine)
-{
-}
-
-static void
-told(struct engine *engine, struct peer *peer,
-     const struct engine_peer_msg *msg)
-{
+    return dispatch_home(engine, entry);
 }
 
 const struct dispatch_ops dispatch_two_choices = {
     .name = "two-choices",
     .place = place,
-    .settle = settle,
-    .told = told,
 };
--- a/src/request/engine.c
+++ b/src/request/engine.c
@@ -2,13 +2,11 @@
 #include "request/dispatch.h"
 #include "request/finish.h"
 #include "request/keyed.h"
-#include "request/outcome.h"
 #include "request/remote.h"
+#include "request/runs.h"
 
 #include <errno.h>
 
-#define FULL_LOAD 1000.0
-
 static void
 begin_call(struct engine *engine, uint64_t now_us, struct engine_actions *out)
 {
@@ -210,80 +208,6 @@
     return 0;
 }
 
-/* Whether the peers have room for the work of the local upstream. */
-static bool
-peers_have_room(const struct engine *engine)
-{
-    const GPtrArray *list = peers_of(&engine->peers, engine->upstream.service);
-    double room = 0;
-
-    for (guint i = 0; i < list->len; i++) {
-        const struct peer *peer = g_ptr_array_index(list, i);
-
-        if (peer_takes(peer, engine->now_us)) {
-            room += peer->slots * (1.0 - peer->load / FULL_LOAD);
-        }
-    }
-    return room >= 1.0;
-}
-
-static void
-upstream_failed(struct engine *engine)
-{
-    struct upstream *upstream = &engine->upstream;
-
-    if (engine_needs_down(engine, upstream->service)) {
-        return;
-    }
-    if (health_failed(&upstream->traffic) && peers_have_room(engine)) {
-        health_shun(&upstream->traffic, engine->now_us);
-    }
-}
-
-static void
-run_answered(struct engine *engine, struct entry *entry, uint64_t took_us,
-             const uint8_t *answer, size_t answer_len)
-{
-    bool excused = engine_needs_down(engine, engine->upstream.service);
-
-    estimate_run(&engine->estimate, took_us, engine->now_us);
-    upstream_answered(&engine->upstream, took_us, answer, answer_len, excused);
-    if (engine_is_local(engine, entry)) {
-        retry_succeeded(&engine->retry);
-    }
-    finish_answered(engine, entry, answer, answer_len);
-}
-
-static void
-run_ended(struct engine *engine, struct entry *entry, enum engine_upstream how,
-          const uint8_t *answer, size_t answer_len)
-{
-    uint64_t took_us = engine->now_us - entry->started_us;
-
-    switch (how) {
-    case ENGINE_UP_ANSWERED:
-        run_answered(engine, entry, took_us, answer, answer_len);
-        return;
-    case ENGINE_UP_REFUSED:
-        upstream_refused(&engine->upstream, engine->now_us);
-        outcome_refused(engine, entry, ENGINE_UPSTREAM_SHED);
-        return;
-    case ENGINE_UP_UNREACHED:
-        upstream_refused(&engine->upstream, engine->now_us);
-        upstream_failed(engine);
-        outcome_refused(engine, entry, ENGINE_NO_UPSTREAM);
-        return;
-    case ENGINE_UP_LOST:
-        upstream_failed(engine);
-        outcome_lost(engine, entry, ENGINE_LOST);
-        return;
-    case ENGINE_UP_SHORT:
-        upstream_failed(engine);
-        outcome_lost(engine, entry, ENGINE_SHORT);
-        return;
-    }
-}
-
 int
 engine_upstream_end(struct engine *engine, uint64_t origin, uint64_t id,
                     enum engine_upstream how, const uint8_t *answer,
@@ -305,7 +229,7 @@
     }
     else {
         entry->place = ENTRY_WAITING;
-        run_ended(engine, entry, how, answer, answer_len);
+        runs_end(engine, entry, how, answer, answer_len);
     }
     dispatch_run(engine);
     return 0;
@@ -369,7 +293,7 @@
         return;
     }
     if (entry->place == ENTRY_RUNNING) {
-        upstream_failed(engine);
+        runs_failed(engine);
         return;
     }
     peer = peers_find(&engine->peers, entry->peer);
--- a/src/request/engine.h
+++ b/src/request/engine.h
@@ -93,7 +93,8 @@
 /**
  * struct engine_peer_msg - one message
  * @type: which
- * @request: RUN: request (deadline as time left); DONE, CANCEL: only its id
+ * @request: RUN: request (its deadline by this agent's clock; it travels as
+ *           the time left, see agent/peer_wire.h); DONE, CANCEL: only its id
  * @origin: member that accepted the request
  * @outcome: DONE: how it ended; ANSWERED carries the answer
  * @reason: DONE: why
--- a/src/request/peers.c
+++ b/src/request/peers.c
@@ -4,6 +4,7 @@
 #define DECLINED_FIRST_US (2 * USEC_PER_MSEC)
 #define DECLINED_DOUBLINGS 8
 #define SHUNNED_SHARE 3
+#define FULL_LOAD 1000.0
 
 static gpointer
 service_key(uint32_t service)
@@ -168,6 +169,12 @@
            !(peer->traffic.trial && peer->sent > 0);
 }
 
+double
+peer_idle_slots(const struct peer *peer)
+{
+    return peer->slots * (1.0 - peer->load / FULL_LOAD);
+}
+
 bool
 peer_has_waiting(const struct peer *peer, enum text_class class,
                  uint64_t now_us)
--- a/src/request/peers.h
+++ b/src/request/peers.h
@@ -109,6 +109,10 @@
 bool
 peer_takes(const struct peer *peer, uint64_t now_us);
 
+/** peer_idle_slots() - slots of @peer that were idle lately, by its load */
+double
+peer_idle_slots(const struct peer *peer);
+
 /** peer_has_waiting() - @peer said lately that requests of @class wait */
 bool
 peer_has_waiting(const struct peer *peer, enum text_class class,
--- a/src/request/remote.c
+++ b/src/request/remote.c
@@ -136,7 +136,7 @@
     took_us = engine->now_us - entry->started_us;
     remote_leave(engine, entry);
     if (peer != NULL && msg->free_slots > 0) {
-        engine->ops->told(engine, peer, msg);
+        dispatch_told(engine, peer, msg);
     }
     if (msg->outcome == ENGINE_ANSWERED) {
         retry_succeeded(&engine->retry);
@@ -191,7 +191,7 @@
     if (msg->free_slots > 0) {
         peer->declined_until_us = 0;
     }
-    engine->ops->told(engine, peer, msg);
+    dispatch_told(engine, peer, msg);
 }
 
 int
