--- a/src/control/config.c
+++ b/src/control/config.c
@@ -30,15 +30,20 @@
     return version > core->have && version > core->refused;
 }
 
+/* @word_us: when @from last knew @version to be current, 0 for never */
 static void
-add_source(struct config_core *core, struct addr from, uint64_t version)
+add_source(struct config_core *core, struct addr from, uint64_t version,
+           uint64_t word_us)
 {
+    struct config_source *source;
     size_t at = core->source_count;
+    bool is_new;
 
     for (size_t i = 0; i < core->source_count; i++) {
         if (addr_equal(core->sources[i].at, from))
             at = i;
     }
+    is_new = at == core->source_count;
     if (at == CONFIG_SOURCES_MAX) {
         at = 0;
         for (size_t i = 1; i < CONFIG_SOURCES_MAX; i++) {
@@ -50,8 +55,12 @@
     }
     if (at == core->source_count)
         core->source_count++;
-    core->sources[at].at = from;
-    core->sources[at].version = version;
+    source = &core->sources[at];
+    if (is_new || source->version != version)
+        source->word_us = 0;
+    source->at = from;
+    source->version = version;
+    source->word_us = MAX(source->word_us, word_us);
 }
 
 static void
@@ -69,21 +78,30 @@
     }
 }
 
+/* Takes a peer's word on the version in force, 0 for none. */
+static void
+take_word(struct config_core *core, uint64_t word_us)
+{
+    core->word_us = MAX(core->word_us, word_us);
+    /* Our own word comes back a little younger than it is. */
+    if (word_us > core->platform_us + CONFIG_OTHER_MARGIN_US)
+        core->other_word_us = MAX(core->other_word_us, word_us);
+}
+
 void
 config_heard(struct config_core *core, struct addr from, uint64_t version,
              uint32_t word_age_ms, uint64_t now_us)
 {
     uint64_t age_us = word_age_ms * USEC_PER_MSEC;
+    uint64_t word_us = 0;
 
+    if (word_age_ms != UINT32_MAX && age_us <= now_us)
+        word_us = now_us - age_us;
     if (is_news(core, version))
-        add_source(core, from, version);
-    /* A word on an older version says nothing of ours. */
-    if (version != core->have || word_age_ms == UINT32_MAX || age_us > now_us)
-        return;
-    core->word_us = MAX(core->word_us, now_us - age_us);
-    /* Our own word comes back a little younger than it is. */
-    if (now_us - age_us > core->platform_us + CONFIG_OTHER_MARGIN_US)
-        core->other_word_us = MAX(core->other_word_us, now_us - age_us);
+        add_source(core, from, version, word_us);
+    /* A word on another version says nothing of ours. */
+    else if (version == core->have)
+        take_word(core, word_us);
 }
 
 static uint64_t
@@ -167,6 +185,10 @@
     g_assert(version > core->have);
     core->have = version;
     core->word_us = MAX(core->word_us, word_us);
+    for (size_t i = 0; i < core->source_count; i++) {
+        if (core->sources[i].version == version)
+            take_word(core, core->sources[i].word_us);
+    }
     drop_old_sources(core);
 }
 
--- a/src/control/config.h
+++ b/src/control/config.h
@@ -66,10 +66,14 @@
     size_t count;
 };
 
-/** struct config_source - a member that said it has a version */
+/**
+ * struct config_source - a member that said it has a version
+ * @word_us: when it last knew the version to be current, 0 for never
+ */
 struct config_source {
     struct addr at;
     uint64_t version;
+    uint64_t word_us;
 };
 
 /** struct config_place - where this process stands in its cell */
--- a/tests/control/test_config.c
+++ b/tests/control/test_config.c
@@ -204,6 +204,33 @@
     g_assert_cmpuint(core.stats.failed_fetches, ==, 1);
 }
 
+/* The word of a version counts from when a peer told of it, though its body
+ * comes later; a word on another version says nothing of it. */
+static void
+test_word_with_fetch(void)
+{
+    struct config_place place = {.rank = 9, .alive = 10, .joined = true};
+    struct config_actions actions;
+    struct config_core core;
+    uint64_t now = 10 * USEC_PER_SEC;
+
+    config_core_init(&core, 1, now);
+    config_set_place(&core, &place);
+    config_heard(&core, peer_a, 7, 0, now);
+    config_heard(&core, peer_b, 8, 500, now);
+    config_heard(&core, peer_b, 8, UINT32_MAX, now);
+    config_tick(&core, now, &actions);
+    g_assert_cmpuint(actions.count, ==, 1);
+    g_assert_true(config_fetched(&core, 8, now + USEC_PER_SEC));
+    config_adopted(&core, 8, 0);
+    g_assert_cmpuint(core.word_us, ==, now - 500 * USEC_PER_MSEC);
+    g_assert_cmpuint(core.other_word_us, ==, now - 500 * USEC_PER_MSEC);
+
+    config_heard(&core, peer_a, 9, 0, now + USEC_PER_SEC);
+    config_adopted(&core, 10, 0);
+    g_assert_cmpuint(core.word_us, ==, now - 500 * USEC_PER_MSEC);
+}
+
 /* A body that is no valid text isn't asked for again and again. */
 static void
 test_refused_body(void)
@@ -294,6 +321,7 @@
     g_test_add_func("/config/readers-cut-off", test_readers_cut_off);
     g_test_add_func("/config/never-back", test_never_back);
     g_test_add_func("/config/fetch-elsewhere", test_fetch_elsewhere);
+    g_test_add_func("/config/word-with-fetch", test_word_with_fetch);
     g_test_add_func("/config/refused-body", test_refused_body);
     g_test_add_func("/config/start-of-a-cell", test_start_of_a_cell);
     g_test_add_func("/config/lone-starts", test_lone_starts);
