--- /dev/null
+++ b/tests/agent/fake_agent.c
@@ -0,0 +1,73 @@
+#include "tests/agent/fake_agent.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/hash.h"
+#include "lib/sample.h"
+
+static void
+set_service(struct agent *agent, uint64_t now_us, unsigned deadline_ms)
+{
+    g_autofree char *source = g_strdup_printf(
+        "{\"services\":[{\"name\":\"lots\",\"address\":\"10.0.0.1\","
+        "\"port\":80,\"protocol\":\"tcp\",\"class\":\"urgent\","
+        "\"limits\":{\"deadline_ms\":%u}}]}",
+        deadline_ms);
+    struct engine *engine = agent->requests.engine;
+    struct view *view = sample_pair("self", FAKE_AGENT_PEER, "lots");
+    struct text *text = sample_parse(source);
+
+    engine_set_view(engine, view, now_us, &agent->requests.out);
+    requests_act(agent);
+    agent->service = *text_find_name(text, "lots");
+    agent->service_known = true;
+    engine_set_text(engine, text, now_us, &agent->requests.out);
+    requests_act(agent);
+    engine_set_upstream(engine, hash_service("lots"), 2, true, now_us,
+                        &agent->requests.out);
+    requests_act(agent);
+    free(view);
+    text_free(text);
+}
+
+void
+fake_agent_init(struct agent *agent, struct clock_manual *clock, uint64_t seed,
+                unsigned deadline_ms)
+{
+    clock_manual_init(clock, FAKE_AGENT_START_US);
+    agent->clock = &clock->base;
+    agent->ticked_us = FAKE_AGENT_START_US;
+    agent->self = hash_name("self");
+    agent->trace.fd = -1;
+    agent->upstream.service = hash_service("lots");
+    counter_table_init(&agent->counters);
+    requests_register(agent);
+    g_assert_cmpint(requests_init(agent, seed), ==, 0);
+    back_init(&agent->back, NULL, &agent->requests.back_owner);
+    front_init(&agent->front, &agent->requests.front_owner, "self");
+    agent->front.limits =
+        (struct front_limits){10, 10, 1024, 3600 * USEC_PER_SEC};
+    set_service(agent, FAKE_AGENT_START_US, deadline_ms);
+}
+
+void
+fake_agent_finish(struct agent *agent)
+{
+    requests_finish(agent);
+    front_finish(&agent->front);
+    counter_table_finish(&agent->counters);
+}
+
+GByteArray *
+fake_agent_answer(const char *body)
+{
+    GByteArray *answer = g_byte_array_new();
+    g_autofree char *text =
+        g_strdup_printf("HTTP/1.1 200 OK\r\nContent-Length: %zu"
+                        "\r\n\r\n%s",
+                        strlen(body), body);
+
+    g_byte_array_append(answer, (guint8 *)text, (guint)strlen(text));
+    return answer;
+}
--- a/tests/agent/test_back.c
+++ b/tests/agent/test_back.c
@@ -135,12 +135,11 @@
 static struct back_run *
 start(struct world *world, const char *request)
 {
-    GByteArray *http = g_byte_array_new();
+    g_autoptr(GByteArray) http = g_byte_array_new();
 
     g_byte_array_append(http, (const guint8 *)request, (guint)strlen(request));
     struct back_run *run = back_start(&world->back, world->upstream, http,
                                       "X-Line: 1\r\n", 64, NULL);
-    g_byte_array_unref(http);
     g_assert_nonnull(run);
     return run;
 }
--- a/tests/agent/test_front.c
+++ b/tests/agent/test_front.c
@@ -249,7 +249,7 @@
     static const char head[] = "POST / HTTP/1.1\r\nHost: h\r\n"
                                "Content-Length: 900\r\n\r\n";
     struct stack_conn other;
-    char *body = g_strnfill(500, 'x');
+    g_autofree char *body = g_strnfill(500, 'x');
 
     world->front.held_max = 800;
     feed(world, head, 2);
@@ -267,7 +267,6 @@
     g_assert_cmpuint(world->count, ==, 1);
     g_assert_cmpuint(world->front.held, ==, 0);
     answer(world, 0, "x");
-    g_free(body);
 }
 
 /* An answer larger than the window leaves whole, piece by piece. */
--- a/tests/agent/test_ingress.c
+++ b/tests/agent/test_ingress.c
@@ -1,6 +1,5 @@
 /* Packets through a real socket, the real flow core and a stack that only
  * counts. */
-#include <errno.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -8,8 +7,11 @@
 
 #include "agent/program.h"
 #include "base/hash.h"
-#include "packet/gue.h"
 #include "lib/harness.h"
+#include "lib/loopback.h"
+#include "lib/sample.h"
+#include "lib/segment.h"
+#include "packet/gue.h"
 
 #define SUITE "/agent/ingress"
 #define CALLER 0x0a010001
@@ -25,7 +27,6 @@
     struct clock_manual clock;
     int fabric;
     struct addr closed;
-    struct sockaddr_in to;
     unsigned taken;
     uint64_t dead;
 };
@@ -70,87 +71,28 @@
     now_running->dead = member;
 }
 
-static void
-put16(uint8_t *at, uint16_t value)
-{
-    at[0] = (uint8_t)(value >> 8);
-    at[1] = (uint8_t)value;
-}
-
-static void
-put32(uint8_t *at, uint32_t value)
-{
-    put16(at, (uint16_t)(value >> 16));
-    put16(at + 2, (uint16_t)value);
-}
-
 /* A TCP segment without payload, checksums right. */
 static void
-build_tcp(uint8_t *p, uint32_t dst, uint16_t sport, uint8_t flags)
+build_tcp(uint8_t *buf, uint32_t dst, uint16_t sport, uint8_t flags)
 {
-    uint8_t pseudo[32] = {0};
-
-    memset(p, 0, TCP_LEN);
-    p[0] = 0x45;
-    put16(p + 2, TCP_LEN);
-    p[8] = 64;
-    p[9] = 6;
-    put32(p + 12, CALLER);
-    put32(p + 16, dst);
-    put16(p + 10, packet_checksum(p, 20));
-    put16(p + 20, sport);
-    put16(p + 22, PORT);
-    put32(p + 24, 1000);
-    p[32] = 0x50;
-    p[33] = flags;
-    put16(p + 34, 65535);
-    memcpy(pseudo, p + 12, 8);
-    pseudo[9] = 6;
-    put16(pseudo + 10, 20);
-    memcpy(pseudo + 12, p + 20, 20);
-    put16(p + 36, packet_checksum(pseudo, sizeof(pseudo)));
-}
-
-static int
-bind_any(struct addr *addr)
-{
-    struct sockaddr_in sin = {.sin_family = AF_INET,
-                              .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
-    socklen_t len = sizeof(sin);
-    int fd = socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK, 0);
-
-    g_assert_cmpint(bind(fd, (struct sockaddr *)&sin, sizeof(sin)), ==, 0);
-    getsockname(fd, (struct sockaddr *)&sin, &len);
-    *addr = addr_from_sockaddr(&sin);
-    return fd;
-}
-
-static void
-set_member(struct view_member *member, const char *name, struct addr data)
-{
-    g_strlcpy(member->name, name, sizeof(member->name));
-    member->id = hash_name(name);
-    member->incarnation = 3;
-    member->role = MEMBER_AGENT;
-    member->state = MEMBER_READY;
-    member->health = MEMBER_ALIVE;
-    member->service = hash_service("lots");
-    member->data = data;
-    member->since_us = 1;
+    const struct packet packet = {.src = CALLER,
+                                  .dst = dst,
+                                  .sport = sport,
+                                  .dport = PORT,
+                                  .flags = flags,
+                                  .seq = 1000};
+
+    g_assert_cmpuint(segment_tcp(buf, &packet, ""), ==, TCP_LEN);
 }
 
 static void
 set_view(struct world *world)
 {
     struct agent *agent = &world->agent;
-    struct view *view = view_new(2);
-    size_t self = hash_name("self") < hash_name("gone") ? 0 : 1;
-
-    view->seq = 1;
-    view->count = 2;
-    view->self = self;
-    set_member(&view->members[self], "self", agent->settings.data);
-    set_member(&view->members[1 - self], "gone", world->closed);
+    struct view *view = sample_pair("self", "gone", "lots");
+
+    view->members[view->self].data = agent->settings.data;
+    view->members[1 - view->self].data = world->closed;
     g_assert_cmpint(flow_set_view(agent->flows, view, hash_service("lots"),
                                   true, world->clock.now_us),
                     ==, 0);
@@ -175,7 +117,6 @@
     socklen_t len = sizeof(sin);
     struct error err;
 
-    memset(world, 0, sizeof(*world));
     now_running = world;
     clock_manual_init(&world->clock, 100 * USEC_PER_SEC);
     agent->clock = &world->clock.base;
@@ -188,12 +129,11 @@
     ingress_register(agent);
     agent->base = event_base_new();
     agent->flows = flow_table_new(agent->self, 1000);
-    world->fabric = bind_any(&agent->settings.fabric);
-    close(bind_any(&world->closed));
+    world->fabric = loopback_open(SOCK_DGRAM, &agent->settings.fabric);
+    world->closed = loopback_closed(SOCK_DGRAM);
     g_assert_cmpint(ingress_init(agent, &err), ==, 0);
     getsockname(agent->ingress.fd, (struct sockaddr *)&sin, &len);
     agent->settings.data = addr_from_sockaddr(&sin);
-    world->to = sin;
     serve(world, "lots", SERVICE_IP);
     set_view(world);
 }
@@ -226,9 +166,8 @@
     }
     size_t header = gue_encode(service == NULL ? NULL : &gue, buf);
     memcpy(buf + header, inner, len);
-    g_assert_cmpint(sendto(world->fabric, buf, header + len, 0,
-                           (struct sockaddr *)&world->to, sizeof(world->to)),
-                    >, 0);
+    loopback_send(world->fabric, world->agent.settings.data, buf,
+                  header + len);
     event_base_loop(world->agent.base, EVLOOP_NONBLOCK);
 }
 
@@ -272,7 +211,7 @@
     uint8_t buf[GUE_HEADER_MAX + PACKET_BUF];
     struct gue gue = {.service = hash_service(service), .count = 2};
     struct addr next;
-    int fd = bind_any(&next);
+    int fd = loopback_open(SOCK_DGRAM, &next);
 
     gue.hops[0].member = world->agent.self;
     gue.hops[0].data = world->agent.settings.data;
@@ -280,9 +219,8 @@
     gue.hops[1].data = next;
     size_t header = gue_encode(&gue, buf);
     memcpy(buf + header, inner, TCP_LEN);
-    g_assert_cmpint(sendto(world->fabric, buf, header + TCP_LEN, 0,
-                           (struct sockaddr *)&world->to, sizeof(world->to)),
-                    >, 0);
+    loopback_send(world->fabric, world->agent.settings.data, buf,
+                  header + TCP_LEN);
     event_base_loop(world->agent.base, EVLOOP_NONBLOCK);
     ssize_t len = recv(fd, buf, sizeof(buf), MSG_DONTWAIT);
     close(fd);
@@ -326,7 +264,8 @@
 
     struct view *alone = view_new(1);
     alone->count = 1;
-    set_member(&alone->members[0], "self", world->agent.settings.data);
+    sample_agent(&alone->members[0], "self", "lots");
+    alone->members[0].data = world->agent.settings.data;
     flow_set_view(world->agent.flows, alone, hash_service("lots"), true,
                   world->clock.now_us);
     free(alone);
@@ -414,7 +353,7 @@
  * and leave no more flows than were opened. */
 TEST_F(world, mutations)
 {
-    GRand *random = g_rand_new_with_seed(3);
+    g_autoptr(GRand) random = g_rand_new_with_seed(3);
     uint8_t good[TCP_LEN];
 
     build_tcp(good, SERVICE_IP, 5000, PACKET_TCP_SYN);
@@ -428,7 +367,6 @@
     }
     g_assert_cmpuint(world->taken, ==, 0);
     g_assert_cmpuint(flow_count(world->agent.flows, NULL), ==, 0);
-    g_rand_free(random);
 }
 
 int
--- a/tests/agent/test_links.c
+++ b/tests/agent/test_links.c
@@ -2,11 +2,11 @@
 #include <errno.h>
 #include <string.h>
 #include <sys/socket.h>
-#include <unistd.h>
 
 #include "agent/program.h"
 #include "base/hash.h"
 #include "lib/harness.h"
+#include "lib/loopback.h"
 
 #define SUITE "/agent/links"
 #define NOTES_MAX 8
@@ -78,20 +78,6 @@
     g_assert_not_reached();
 }
 
-static struct addr
-free_addr(void)
-{
-    struct sockaddr_in sin = {.sin_family = AF_INET,
-                              .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
-    socklen_t len = sizeof(sin);
-    int fd = socket(AF_INET, SOCK_STREAM, 0);
-
-    g_assert_cmpint(bind(fd, (struct sockaddr *)&sin, sizeof(sin)), ==, 0);
-    getsockname(fd, (struct sockaddr *)&sin, &len);
-    close(fd);
-    return addr_from_sockaddr(&sin);
-}
-
 static void
 agent_begin(struct agent *agent, struct event_base *base, const char *name)
 {
@@ -103,7 +89,7 @@
     agent->ticked_us = agent_now(agent);
     agent->base = base;
     agent->self = hash_name(name);
-    agent->settings.data = free_addr();
+    agent->settings.data = loopback_closed(SOCK_STREAM);
     memset(agent->settings.site_key, 'k', 16);
     agent->settings.site_key_len = 16;
     pthread_mutex_init(&agent->flow_lock, NULL);
@@ -135,14 +121,39 @@
     board_publish_view(&agent->board, view);
 }
 
+/** struct links - two agents on one loop; @a knows @b */
+struct links {
+    struct event_base *base;
+    struct agent a;
+    struct agent b;
+};
+
+static void
+links_init(struct links *links)
+{
+    note_count = 0;
+    links->base = event_base_new();
+    agent_begin(&links->a, links->base, "a");
+    agent_begin(&links->b, links->base, "b");
+    know(&links->a, "b", links->b.settings.data);
+}
+
+static void
+links_finish(struct links *links)
+{
+    agent_end(&links->a);
+    agent_end(&links->b);
+    event_base_free(links->base);
+}
+
 static void
-run_until(struct event_base *base, size_t count)
+run_until(struct links *links, size_t count)
 {
     const struct timeval step = {0, 10000};
 
     for (int i = 0; i < ROUNDS && note_count < count; i++) {
-        event_base_loopexit(base, &step);
-        event_base_dispatch(base);
+        event_base_loopexit(links->base, &step);
+        event_base_dispatch(links->base);
     }
     g_assert_cmpuint(note_count, ==, count);
 }
@@ -155,86 +166,64 @@
         .origin = agent->self,
         .request = {.id = id, .deadline_us = agent_now(agent) + USEC_PER_SEC},
     };
-    GByteArray *http = g_byte_array_new();
+    g_autoptr(GByteArray) http = g_byte_array_new();
 
     g_byte_array_append(http, (const guint8 *)"GET /", 5);
     int ret = peer_links_send(agent, hash_name(to), &msg, http, "");
-    g_byte_array_unref(http);
     return ret;
 }
 
-TEST(whole_message)
+static void
+assert_note(size_t i, enum note_type type, uint64_t member, uint64_t id)
 {
-    struct event_base *base = event_base_new();
-    struct agent a;
-    struct agent b;
+    g_assert_cmpint(notes[i].type, ==, type);
+    g_assert_cmpuint(notes[i].member, ==, member);
+    g_assert_cmpuint(notes[i].id, ==, id);
+}
 
-    note_count = 0;
-    agent_begin(&a, base, "a");
-    agent_begin(&b, base, "b");
-    know(&a, "b", b.settings.data);
-    know(&b, "a", a.settings.data);
-    g_assert_cmpint(send_run(&a, "b", 7), ==, 0);
-    run_until(base, 1);
-    g_assert_cmpint(notes[0].type, ==, NOTE_PEER);
-    g_assert_true(notes[0].agent == &b);
-    g_assert_cmpuint(notes[0].member, ==, a.self);
+TEST_F(links, whole_message)
+{
+    know(&links->b, "a", links->a.settings.data);
+    g_assert_cmpint(send_run(&links->a, "b", 7), ==, 0);
+    run_until(links, 1);
+    assert_note(0, NOTE_PEER, links->a.self, 0);
+    g_assert_true(notes[0].agent == &links->b);
     g_assert_cmpuint(notes[0].msg.request.id, ==, 7);
     g_assert_cmpstr(notes[0].bytes, ==, "GET /");
-    agent_end(&b);
-    run_until(base, 2);
-    g_assert_cmpint(notes[1].type, ==, NOTE_LOST);
-    g_assert_cmpuint(notes[1].member, ==, hash_name("b"));
-    agent_end(&a);
-    event_base_free(base);
+    agent_end(&links->b);
+    run_until(links, 2);
+    assert_note(1, NOTE_LOST, hash_name("b"), 0);
+    agent_begin(&links->b, links->base, "b");
 }
 
 /* A connection that never came up carried nothing: its runs are unsent, not
  * lost, and its process is known to be gone. */
-TEST(refused)
+TEST_F(links, refused)
 {
-    struct event_base *base = event_base_new();
-    struct agent a;
+    uint64_t b = hash_name("b");
 
-    note_count = 0;
-    agent_begin(&a, base, "a");
-    know(&a, "b", free_addr());
-    g_assert_cmpint(send_run(&a, "b", 7), ==, 0);
-    g_assert_cmpint(send_run(&a, "b", 8), ==, 0);
-    run_until(base, 4);
-    g_assert_cmpint(notes[0].type, ==, NOTE_DEAD);
-    g_assert_cmpint(notes[1].type, ==, NOTE_UNSENT);
-    g_assert_cmpuint(notes[1].id, ==, 7);
-    g_assert_cmpint(notes[2].type, ==, NOTE_UNSENT);
-    g_assert_cmpuint(notes[2].id, ==, 8);
-    g_assert_cmpint(notes[3].type, ==, NOTE_LOST);
-    g_assert_cmpint(send_run(&a, "stranger", 9), ==, -ENOENT);
-    agent_end(&a);
-    event_base_free(base);
+    know(&links->a, "b", loopback_closed(SOCK_STREAM));
+    g_assert_cmpint(send_run(&links->a, "b", 7), ==, 0);
+    g_assert_cmpint(send_run(&links->a, "b", 8), ==, 0);
+    run_until(links, 4);
+    assert_note(0, NOTE_DEAD, b, 0);
+    assert_note(1, NOTE_UNSENT, b, 7);
+    assert_note(2, NOTE_UNSENT, b, 8);
+    assert_note(3, NOTE_LOST, b, 0);
+    g_assert_cmpint(send_run(&links->a, "stranger", 9), ==, -ENOENT);
 }
 
 /* A run asked by a member that is not known here yet is declined at once. */
-TEST(unknown_sender)
+TEST_F(links, unknown_sender)
 {
-    struct event_base *base = event_base_new();
-    struct agent a;
-    struct agent b;
-
-    note_count = 0;
-    agent_begin(&a, base, "a");
-    agent_begin(&b, base, "b");
-    know(&a, "b", b.settings.data);
-    g_assert_cmpint(send_run(&a, "b", 7), ==, 0);
-    run_until(base, 1);
+    g_assert_cmpint(send_run(&links->a, "b", 7), ==, 0);
+    run_until(links, 1);
     g_assert_cmpint(notes[0].type, ==, NOTE_PEER);
-    g_assert_true(notes[0].agent == &a);
+    g_assert_true(notes[0].agent == &links->a);
     g_assert_cmpint(notes[0].msg.type, ==, ENGINE_PEER_DONE);
     g_assert_cmpint(notes[0].msg.outcome, ==, ENGINE_NOT_RUN);
     g_assert_cmpuint(notes[0].msg.request.id, ==, 7);
-    g_assert_cmpuint(notes[0].msg.origin, ==, a.self);
-    agent_end(&a);
-    agent_end(&b);
-    event_base_free(base);
+    g_assert_cmpuint(notes[0].msg.origin, ==, links->a.self);
 }
 
 int
--- a/tests/agent/test_property.c
+++ b/tests/agent/test_property.c
@@ -8,20 +8,17 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "agent/program.h"
 #include "base/hash.h"
+#include "tests/agent/fake_agent.h"
 #include "tests/agent/fake_stack.h"
 #include "lib/harness.h"
 
 #define SUITE "/agent"
-#define PEER "peer"
-#define SERVICE "lots"
 #define FLOWS 4
 #define REQUESTS_MAX 4000
 #define KEYS 40
 #define STEPS 3000
 #define SEEDS 20
-#define START_US (100 * USEC_PER_SEC)
 
 /** struct asked - one request, and how often it may have begun to run */
 struct asked {
@@ -75,10 +72,9 @@
 begin(struct world *world, const GByteArray *http)
 {
     struct back_run *run = g_new0(struct back_run, 1);
-    char *text = g_strndup((const char *)http->data, http->len);
+    g_autofree char *text = g_strndup((const char *)http->data, http->len);
 
     run->asked = number_of((const uint8_t *)text);
-    g_free(text);
     return run;
 }
 
@@ -262,16 +258,10 @@
 static GByteArray *
 answer_to(const struct back_run *run)
 {
-    GByteArray *answer = g_byte_array_new();
     char body[32];
-    char text[128];
 
     g_snprintf(body, sizeof(body), "%zu whole", run->asked);
-    g_snprintf(text, sizeof(text),
-               "HTTP/1.1 200 OK\r\nContent-Length: %zu\r\n\r\n%s",
-               strlen(body), body);
-    g_byte_array_append(answer, (guint8 *)text, (guint)strlen(text));
-    return answer;
+    return fake_agent_answer(body);
 }
 
 static void
@@ -288,7 +278,8 @@
     }
     guint i =
         (guint)g_rand_int_range(world->random, 0, (gint)world->runs->len);
-    struct back_run *run = g_ptr_array_steal_index_fast(world->runs, i);
+    g_autofree struct back_run *run =
+        g_ptr_array_steal_index_fast(world->runs, i);
     enum engine_upstream how =
         ends[g_rand_int_range(world->random, 0, (gint)G_N_ELEMENTS(ends))];
     if (how != ENGINE_UP_REFUSED && how != ENGINE_UP_UNREACHED) {
@@ -296,14 +287,13 @@
     }
     owner->ops->on_end(owner, run->data, how,
                        how == ENGINE_UP_ANSWERED ? answer_to(run) : NULL);
-    g_free(run);
 }
 
 static void
 tell(struct world *world, const struct engine_peer_msg *msg,
      const GByteArray *bytes)
 {
-    requests_peer(&world->agent, hash_name(PEER), msg,
+    requests_peer(&world->agent, hash_name(FAKE_AGENT_PEER), msg,
                   bytes == NULL ? NULL : bytes->data,
                   bytes == NULL ? 0 : bytes->len, "");
 }
@@ -318,7 +308,8 @@
     if (world->at_peer->len == 0) {
         return;
     }
-    struct back_run *run = g_ptr_array_steal_index(world->at_peer, 0);
+    g_autofree struct back_run *run =
+        g_ptr_array_steal_index(world->at_peer, 0);
     int how = g_rand_int_range(world->random, 0, 4);
     msg.request.id = run->id;
     if (how == 0) {
@@ -334,7 +325,6 @@
     if (answer != NULL) {
         g_byte_array_unref(answer);
     }
-    g_free(run);
 }
 
 /* All that the peer had of us may or may not have run there. */
@@ -342,11 +332,11 @@
 peer_is_lost(struct world *world)
 {
     while (world->at_peer->len > 0) {
-        struct back_run *run = g_ptr_array_steal_index(world->at_peer, 0);
+        g_autofree struct back_run *run =
+            g_ptr_array_steal_index(world->at_peer, 0);
         count_begun(world, run);
-        g_free(run);
     }
-    requests_peer_lost(&world->agent, hash_name(PEER));
+    requests_peer_lost(&world->agent, hash_name(FAKE_AGENT_PEER));
 }
 
 static void
@@ -424,75 +414,15 @@
     check_callers(world);
 }
 
-static void
-set_member(struct view_member *member, const char *name)
-{
-    g_strlcpy(member->name, name, sizeof(member->name));
-    member->id = hash_name(name);
-    member->incarnation = 1;
-    member->role = MEMBER_AGENT;
-    member->state = MEMBER_READY;
-    member->service = hash_service(SERVICE);
-    member->slots = 2;
-    member->since_us = 1;
-}
-
-static void
-set_service(struct world *world)
-{
-    static const char source[] =
-        "{\"services\":[{\"name\":\"lots\",\"address\":\"10.0.0.1\","
-        "\"port\":80,\"protocol\":\"tcp\",\"class\":\"urgent\"}]}";
-    struct agent *agent = &world->agent;
-    struct engine *engine = agent->requests.engine;
-    struct view *view = view_new(2);
-    struct text *text = NULL;
-    char *report = NULL;
-
-    view->count = 2;
-    view->self = hash_name("self") < hash_name(PEER) ? 0 : 1;
-    set_member(&view->members[view->self], "self");
-    set_member(&view->members[1 - view->self], PEER);
-    engine_set_view(engine, view, world->clock.now_us, &agent->requests.out);
-    requests_act(agent);
-    free(view);
-    g_assert_cmpint(
-        text_parse(source, sizeof(source) - 1, "test", &text, &report), ==, 0);
-    agent->service = *text_find(text, hash_service(SERVICE));
-    agent->service_known = true;
-    engine_set_text(engine, text, world->clock.now_us, &agent->requests.out);
-    requests_act(agent);
-    text_free(text);
-    engine_set_upstream(engine, hash_service(SERVICE), 2, true,
-                        world->clock.now_us, &agent->requests.out);
-    requests_act(agent);
-}
-
 static void
 world_init(struct world *world, guint32 seed)
 {
-    struct agent *agent = &world->agent;
-
-    memset(world, 0, sizeof(*world));
     now_running = world;
     world->random = g_rand_new_with_seed(seed);
     world->runs = g_ptr_array_new();
     world->at_peer = g_ptr_array_new();
     world->reserves = g_array_new(FALSE, FALSE, sizeof(struct idem_msg));
-    clock_manual_init(&world->clock, START_US);
-    agent->clock = &world->clock.base;
-    agent->ticked_us = START_US;
-    agent->self = hash_name("self");
-    agent->trace.fd = -1;
-    agent->upstream.service = hash_service(SERVICE);
-    counter_table_init(&agent->counters);
-    requests_register(agent);
-    g_assert_cmpint(requests_init(agent, seed), ==, 0);
-    back_init(&agent->back, NULL, &agent->requests.back_owner);
-    front_init(&agent->front, &agent->requests.front_owner, "self");
-    agent->front.limits =
-        (struct front_limits){10, 10, 1024, 3600 * USEC_PER_SEC};
-    set_service(world);
+    fake_agent_init(&world->agent, &world->clock, seed, 5000);
     for (size_t i = 0; i < FLOWS; i++) {
         world->callers[i].waiting = g_array_new(FALSE, FALSE, sizeof(size_t));
     }
@@ -504,17 +434,13 @@
 static void
 world_finish(struct world *world)
 {
-    struct agent *agent = &world->agent;
-
     for (size_t i = 0; i < FLOWS; i++) {
         if (world->callers[i].open) {
             close_caller(world, i);
         }
         g_array_unref(world->callers[i].waiting);
     }
-    requests_finish(agent);
-    front_finish(&agent->front);
-    counter_table_finish(&agent->counters);
+    fake_agent_finish(&world->agent);
     g_ptr_array_free(world->runs, TRUE);
     g_ptr_array_free(world->at_peer, TRUE);
     g_array_unref(world->reserves);
@@ -545,7 +471,7 @@
     size_t answers[3] = {0};
 
     for (guint32 seed = 1; seed <= SEEDS; seed++) {
-        struct world *world = g_new0(struct world, 1);
+        g_autofree struct world *world = g_new0(struct world, 1);
         g_test_message("seed %u", seed);
         world_init(world, seed);
         for (int i = 0; i < STEPS; i++) {
@@ -556,7 +482,6 @@
             answers[k] += world->answers[k];
         }
         world_finish(world);
-        g_free(world);
     }
     /* Each kind of answer was really provoked. */
     for (size_t k = 0; k < G_N_ELEMENTS(answers); k++) {
--- a/tests/agent/test_reader.c
+++ b/tests/agent/test_reader.c
@@ -111,23 +111,20 @@
     }
 }
 
-TEST(pause_keeps_rest)
+TEST_F(sink, pause_keeps_rest)
 {
-    const char *one = "GET /1 HTTP/1.1\r\nHost: h\r\n\r\n";
+    static const char one[] = "GET /1 HTTP/1.1\r\nHost: h\r\n\r\n";
     char text[256];
-    struct sink sink;
 
     g_snprintf(text, sizeof(text), "%s%s%s", one, one, one);
-    sink_init(&sink);
-    sink.pause_after = 1;
-    size_t taken = reader_feed(&sink.reader, text, strlen(text));
+    sink->pause_after = 1;
+    size_t taken = reader_feed(&sink->reader, text, strlen(text));
     g_assert_cmpuint(taken, ==, strlen(one));
-    g_assert_cmpuint(sink.count, ==, 1);
-    taken += reader_feed(&sink.reader, text + taken, strlen(text) - taken);
+    g_assert_cmpuint(sink->count, ==, 1);
+    taken += reader_feed(&sink->reader, text + taken, strlen(text) - taken);
     g_assert_cmpuint(taken, ==, strlen(text));
-    g_assert_cmpuint(sink.count, ==, 3);
-    g_assert_cmpuint(sink.reader.status, ==, 0);
-    sink_finish(&sink);
+    g_assert_cmpuint(sink->count, ==, 3);
+    g_assert_cmpuint(sink->reader.status, ==, 0);
 }
 
 /** struct bad - a request and the status that refuses it */
@@ -171,28 +168,26 @@
     }
 }
 
-TEST(header_limits)
+TEST_F(sink, long_header)
 {
     static const char start[] = "GET / HTTP/1.1\r\nHost: a\r\n";
     const char *line = "X-Fill: 0123456789012345678901234567890123456789\r\n";
-    struct sink sink;
 
-    sink_init(&sink);
-    reader_feed(&sink.reader, start, sizeof(start) - 1);
-    for (int i = 0; i < 1000 && sink.reader.status == 0; i++) {
-        reader_feed(&sink.reader, line, strlen(line));
+    reader_feed(&sink->reader, start, sizeof(start) - 1);
+    for (int i = 0; i < 1000 && sink->reader.status == 0; i++) {
+        reader_feed(&sink->reader, line, strlen(line));
     }
-    g_assert_cmpuint(sink.reader.status, ==, 431);
-    g_assert_cmpuint(sink.reader.fields.bytes, <, 2 * READER_HEADER_MAX);
-    sink_finish(&sink);
+    g_assert_cmpuint(sink->reader.status, ==, 431);
+    g_assert_cmpuint(sink->reader.fields.bytes, <, 2 * READER_HEADER_MAX);
+}
+
+TEST_F(sink, long_target)
+{
+    g_autofree char *target = g_strnfill(10000, 'a');
 
-    char *target = g_strnfill(10000, 'a');
-    sink_init(&sink);
-    reader_feed(&sink.reader, "GET /", 5);
-    reader_feed(&sink.reader, target, 10000);
-    g_assert_cmpuint(sink.reader.status, ==, 414);
-    sink_finish(&sink);
-    g_free(target);
+    reader_feed(&sink->reader, "GET /", 5);
+    reader_feed(&sink->reader, target, 10000);
+    g_assert_cmpuint(sink->reader.status, ==, 414);
 }
 
 /* One key with another target or body is another request. */
@@ -238,10 +233,10 @@
                        "Idempotency-Key: k\r\nContent-Length: 3\r\n"
                        "Connection: x\r\n\r\nabc";
     size_t len = strlen(text);
-    GRand *random = g_rand_new_with_seed(7);
+    g_autoptr(GRand) random = g_rand_new_with_seed(7);
 
     for (int round = 0; round < 5000; round++) {
-        char *copy = g_strdup(text);
+        g_autofree char *copy = g_strdup(text);
         struct sink sink;
         sink_init(&sink);
         for (int i = 0; i < 3; i++) {
@@ -251,7 +246,5 @@
         reader_feed(&sink.reader, copy, len);
         g_assert_cmpuint(sink.count, <=, 1);
         sink_finish(&sink);
-        g_free(copy);
     }
-    g_rand_free(random);
 }
--- a/tests/agent/test_session.c
+++ b/tests/agent/test_session.c
@@ -8,17 +8,15 @@
 #include <string.h>
 
 #include "agent/answer.h"
-#include "agent/program.h"
 #include "base/hash.h"
+#include "tests/agent/fake_agent.h"
 #include "tests/agent/fake_stack.h"
 #include "lib/harness.h"
 
 #define SUITE "/agent/session"
 #define CALLER 0x0a010001
-#define PEER_NAME "peer"
 #define SERVICE "lots"
 #define RUNS_MAX 64
-#define START_US (100 * USEC_PER_SEC)
 #define TICK_STEP_MS 10
 
 /* A run that the fake back holds until the session ends it. */
@@ -49,7 +47,8 @@
 say(const char *fmt, ...)
 {
     struct session *session = now_running;
-    uint64_t ms = (session->clock.now_us - START_US) / USEC_PER_MSEC;
+    uint64_t ms =
+        (session->clock.now_us - FAKE_AGENT_START_US) / USEC_PER_MSEC;
     va_list args;
 
     g_string_append_printf(session->log, "%6u ms ", (unsigned)ms);
@@ -63,8 +62,8 @@
 static char *
 one_line(const uint8_t *bytes, size_t len)
 {
-    char *text = g_strndup((const char *)bytes, len);
-    char **lines = g_strsplit(text, "\r\n", -1);
+    g_autofree char *text = g_strndup((const char *)bytes, len);
+    g_auto(GStrv) lines = g_strsplit(text, "\r\n", -1);
 
     for (char **line = lines; *line != NULL; line++) {
         /* Spread by chance, so that callers don't come back together; the
@@ -74,8 +73,6 @@
         }
     }
     char *joined = g_strjoinv(" | ", lines);
-    g_strfreev(lines);
-    g_free(text);
     return joined;
 }
 
@@ -91,16 +88,14 @@
 {
     struct session *session = now_running;
     struct back_run *run = &session->runs[session->run_count++];
-    char *text = one_line(http->data, http->len);
-    char *added = one_line((const uint8_t *)lines, strlen(lines));
+    g_autofree char *text = one_line(http->data, http->len);
+    g_autofree char *added = one_line((const uint8_t *)lines, strlen(lines));
 
     g_assert_cmpuint(session->run_count, <, RUNS_MAX);
     run->data = data;
     run->line = g_strndup(text, strcspn(text, "|"));
     say("run %zu at the upstream: %s + %s", session->run_count - 1, text,
         added);
-    g_free(text);
-    g_free(added);
     return run;
 }
 
@@ -185,10 +180,9 @@
 static void
 ask(struct session *session, const char *text)
 {
-    char *line = one_line((const uint8_t *)text, strlen(text));
+    g_autofree char *line = one_line((const uint8_t *)text, strlen(text));
 
     say("caller sends: %s", line);
-    g_free(line);
     front_data(&session->agent.front, &session->caller, (const uint8_t *)text,
                strlen(text), session->clock.now_us);
     look(session);
@@ -220,12 +214,7 @@
     }
     run->ended = true;
     if (body != NULL) {
-        char text[256];
-        g_snprintf(text, sizeof(text),
-                   "HTTP/1.1 200 OK\r\nContent-Length: %zu\r\n\r\n%s",
-                   strlen(body), body);
-        answer = g_byte_array_new();
-        g_byte_array_append(answer, (guint8 *)text, (guint)strlen(text));
+        answer = fake_agent_answer(body);
     }
     say("run %zu ends: %s", i, body == NULL ? "no answer" : body);
     owner->ops->on_end(owner, run->data, how, answer);
@@ -241,7 +230,8 @@
     msg.idem.type = IDEM_MSG_GRANT;
     msg.idem.state = IDEM_STARTED;
     say("peer grants");
-    requests_peer(&session->agent, hash_name(PEER_NAME), &msg, NULL, 0, "");
+    requests_peer(&session->agent, hash_name(FAKE_AGENT_PEER), &msg, NULL, 0,
+                  "");
     look(session);
 }
 
@@ -250,7 +240,7 @@
 {
     struct engine_peer_msg msg = {
         .type = ENGINE_PEER_RUN,
-        .origin = hash_name(PEER_NAME),
+        .origin = hash_name(FAKE_AGENT_PEER),
         .request = {.id = id,
                     .service = hash_service(SERVICE),
                     .caller = CALLER,
@@ -263,99 +253,21 @@
                   strlen(http), "");
 }
 
-static void
-set_member(struct view_member *member, const char *name, uint32_t service)
-{
-    g_strlcpy(member->name, name, sizeof(member->name));
-    member->id = hash_name(name);
-    member->incarnation = 1;
-    member->role = MEMBER_AGENT;
-    member->state = MEMBER_READY;
-    member->health = MEMBER_ALIVE;
-    member->service = service;
-    member->slots = 2;
-    member->since_us = 1;
-}
-
-static void
-set_view(struct session *session)
-{
-    struct view *view = view_new(2);
-    bool self_first = hash_name("self") < hash_name(PEER_NAME);
-
-    view->count = 2;
-    view->self = self_first ? 0 : 1;
-    set_member(&view->members[self_first ? 0 : 1], "self",
-               hash_service(SERVICE));
-    set_member(&view->members[self_first ? 1 : 0], PEER_NAME,
-               hash_service(SERVICE));
-    engine_set_view(session->agent.requests.engine, view,
-                    session->clock.now_us, &session->agent.requests.out);
-    requests_act(&session->agent);
-    free(view);
-}
-
-static void
-set_text(struct session *session)
-{
-    static const char source[] =
-        "{\"services\":[{\"name\":\"lots\",\"address\":\"10.0.0.1\","
-        "\"port\":80,\"protocol\":\"tcp\",\"class\":\"urgent\","
-        "\"limits\":{\"deadline_ms\":1000}}]}";
-    struct agent *agent = &session->agent;
-    struct text *text = NULL;
-    char *report = NULL;
-
-    g_assert_cmpint(
-        text_parse(source, sizeof(source) - 1, "session", &text, &report), ==,
-        0);
-    agent->service = *text_find(text, hash_service(SERVICE));
-    agent->service_known = true;
-    engine_set_text(agent->requests.engine, text, session->clock.now_us,
-                    &agent->requests.out);
-    requests_act(agent);
-    text_free(text);
-}
-
 static void
 session_init(struct session *session)
 {
-    struct agent *agent = &session->agent;
-
-    memset(session, 0, sizeof(*session));
     now_running = session;
     session->log = g_string_new(NULL);
-    clock_manual_init(&session->clock, START_US);
-    agent->clock = &session->clock.base;
-    agent->ticked_us = START_US;
-    agent->self = hash_name("self");
-    agent->trace.fd = -1;
-    agent->upstream.service = hash_service(SERVICE);
-    counter_table_init(&agent->counters);
-    requests_register(agent);
-    g_assert_cmpint(requests_init(agent, 1), ==, 0);
-    back_init(&agent->back, NULL, &agent->requests.back_owner);
-    front_init(&agent->front, &agent->requests.front_owner, "self");
-    agent->front.limits =
-        (struct front_limits){10, 10, 1024, 3600 * USEC_PER_SEC};
-    set_view(session);
-    set_text(session);
-    engine_set_upstream(agent->requests.engine, hash_service(SERVICE), 2, true,
-                        session->clock.now_us, &agent->requests.out);
-    requests_act(agent);
+    fake_agent_init(&session->agent, &session->clock, 1, 1000);
     fake_conn_init(&session->caller, CALLER);
     advance(session, 20000); /* the cold start is over, replicas settled */
-    front_open(&agent->front, &session->caller, session->clock.now_us);
+    front_open(&session->agent.front, &session->caller, session->clock.now_us);
 }
 
 static void
 session_finish(struct session *session)
 {
-    struct agent *agent = &session->agent;
-
-    requests_finish(agent);
-    front_finish(&agent->front);
-    counter_table_finish(&agent->counters);
+    fake_agent_finish(&session->agent);
     fake_conn_finish(&session->caller);
     for (size_t i = 0; i < session->run_count; i++) {
         g_free(session->runs[i].line);
@@ -444,7 +356,7 @@
 static void
 compare(const char *path, const char *log)
 {
-    char *golden = NULL;
+    g_autofree char *golden = NULL;
 
     if (g_getenv("UPDATE_GOLDEN") != NULL) {
         g_assert_true(g_file_set_contents(path, log, -1, NULL));
@@ -454,7 +366,6 @@
         g_test_message("%s", log);
     }
     g_assert_cmpstr(golden, ==, log);
-    g_free(golden);
 }
 
 TEST_F(session, session)
--- a/tests/agent/test_wire.c
+++ b/tests/agent/test_wire.c
@@ -29,16 +29,23 @@
     };
 }
 
+/* Packs here and reads there; peer_wire_finish() frees it. */
+static void
+pass(GByteArray *packed, struct peer_wire *wire)
+{
+    g_assert_cmpint(
+        peer_wire_unpack(packed->data, packed->len, THERE_US, wire), ==, 0);
+    g_byte_array_unref(packed);
+}
+
 TEST(run)
 {
     struct engine_peer_msg msg = run_message();
-    GByteArray *http = g_byte_array_new();
+    g_autoptr(GByteArray) http = g_byte_array_new();
     struct peer_wire wire;
 
     g_byte_array_append(http, (const guint8 *)"GET", 3);
-    GByteArray *packed = peer_wire_pack(&msg, http, "trace", HERE_US);
-    g_assert_cmpint(
-        peer_wire_unpack(packed->data, packed->len, THERE_US, &wire), ==, 0);
+    pass(peer_wire_pack(&msg, http, "trace", HERE_US), &wire);
     g_assert_cmpuint(wire.msg.origin, ==, msg.origin);
     g_assert_cmpuint(wire.msg.request.id, ==, msg.request.id);
     g_assert_cmpuint(wire.msg.request.service, ==, 77);
@@ -52,8 +59,6 @@
     g_assert_cmpmem(wire.bytes, wire.len, "GET", 3);
     g_assert_cmpstr(wire.traceparent, ==, "trace");
     peer_wire_finish(&wire);
-    g_byte_array_unref(packed);
-    g_byte_array_unref(http);
 }
 
 TEST(idem)
@@ -69,17 +74,14 @@
                  .answer_len = 5},
     };
     struct peer_wire wire;
-    GByteArray *packed = peer_wire_pack(&msg, NULL, NULL, HERE_US);
 
-    g_assert_cmpint(
-        peer_wire_unpack(packed->data, packed->len, THERE_US, &wire), ==, 0);
+    pass(peer_wire_pack(&msg, NULL, NULL, HERE_US), &wire);
     g_assert_cmpint(wire.msg.idem.type, ==, IDEM_MSG_EXISTS);
     g_assert_cmpint(wire.msg.idem.state, ==, IDEM_DONE);
     g_assert_cmpuint(wire.msg.idem.token, ==, 6);
     g_assert_cmpmem(wire.msg.idem.answer, wire.msg.idem.answer_len, "whole",
                     5);
     peer_wire_finish(&wire);
-    g_byte_array_unref(packed);
 }
 
 TEST(pins)
@@ -87,29 +89,26 @@
     const struct flow_pin pins[] = {{1, 10}, {4095, 20}};
     struct flow_pin pin;
     struct peer_wire wire;
-    GByteArray *packed = peer_wire_pack_pins(pins, 2);
 
-    g_assert_cmpint(
-        peer_wire_unpack(packed->data, packed->len, THERE_US, &wire), ==, 0);
+    pass(peer_wire_pack_pins(pins, 2), &wire);
     g_assert_true(wire.pins);
     g_assert_true(peer_wire_pin(&wire, 1, &pin));
     g_assert_cmpuint(pin.bucket, ==, 4095);
     g_assert_cmpuint(pin.owner, ==, 20);
     g_assert_false(peer_wire_pin(&wire, 2, &pin));
     peer_wire_finish(&wire);
-    g_byte_array_unref(packed);
 }
 
 /* Mutated messages are refused or read, never more than the enums hold. */
 TEST(mutations)
 {
     struct engine_peer_msg msg = run_message();
-    GByteArray *packed = peer_wire_pack(&msg, NULL, "t", HERE_US);
-    GRand *random = g_rand_new_with_seed(11);
+    g_autoptr(GByteArray) packed = peer_wire_pack(&msg, NULL, "t", HERE_US);
+    g_autoptr(GRand) random = g_rand_new_with_seed(11);
     unsigned refused = 0;
 
     for (int round = 0; round < 20000; round++) {
-        GByteArray *copy = g_byte_array_new();
+        g_autoptr(GByteArray) copy = g_byte_array_new();
         struct peer_wire wire;
         g_byte_array_append(copy, packed->data, packed->len);
         copy->data[g_rand_int_range(random, 0, (gint)copy->len)] =
@@ -124,11 +123,8 @@
             g_assert_cmpint(wire.msg.reason, <, ENGINE_REASONS);
             peer_wire_finish(&wire);
         }
-        g_byte_array_unref(copy);
     }
     g_assert_cmpuint(refused, >, 0);
-    g_rand_free(random);
-    g_byte_array_unref(packed);
 }
 
 /** struct announced - a body, and the key it is refused for (NULL: taken) */
