tests/text, packet, caller: texts from tests/lib, frees by scope

Cause: frees of one scope, and a parser of texts that others need as well. Change: sample_parse() is that of tests/lib; g_autofree and its kin free what one scope holds.

--- a/tests/caller/test_caller.c
+++ b/tests/caller/test_caller.c
@@ -39,8 +39,8 @@
 make_answer(const char *head, uint64_t id, size_t len)
 {
     GByteArray *bytes = g_byte_array_new();
-    char *text = g_strdup_printf("HTTP/1.1 %s\r\nContent-Length: %zu\r\n\r\n",
-                                 head, len);
+    g_autofree char *text = g_strdup_printf(
+        "HTTP/1.1 %s\r\nContent-Length: %zu\r\n\r\n", head, len);
 
     g_byte_array_append(bytes, (guint8 *)text, (guint)strlen(text));
     for (size_t at = 0; at < len; at++) {
@@ -48,7 +48,6 @@
 
         g_byte_array_append(bytes, &byte, 1);
     }
-    g_free(text);
     return bytes;
 }
 
@@ -161,8 +160,9 @@
 /* Bytes after one answer stay for the next; interim ones are passed over. */
 TEST(answers_in_a_row)
 {
-    GByteArray *both = make_answer("200 OK\r\n" OWN, ID, ANSWER_BYTES);
-    GByteArray *second = make_answer(
+    g_autoptr(GByteArray) both =
+        make_answer("200 OK\r\n" OWN, ID, ANSWER_BYTES);
+    g_autoptr(GByteArray) second = make_answer(
         "200 OK\r\nX-Service: lots\r\nX-Request-Id: 00000000000000b2",
         OTHER_ID, ANSWER_BYTES);
     const char *interim = "HTTP/1.1 100 Continue\r\nX-Service: x\r\n\r\n";
@@ -186,14 +186,12 @@
     g_assert_false(answer.line.crossed || answer.line.truncated ||
                    answer.line.wrong_service);
     answer_finish(&answer);
-    g_byte_array_unref(both);
-    g_byte_array_unref(second);
 }
 
 /* The owner of the flow is the nearest host that the answer passed. */
 TEST(via)
 {
-    GByteArray *bytes = make_answer(
+    g_autoptr(GByteArray) bytes = make_answer(
         "200 OK\r\nVia: 1.1 lots-2, 1.1 lots-7\r\n" OWN, ID, ANSWER_BYTES);
     struct answer answer;
 
@@ -204,7 +202,6 @@
     answer_expect(&answer, &second_attempt);
     g_assert_cmpstr(answer.via, ==, "");
     answer_finish(&answer);
-    g_byte_array_unref(bytes);
 }
 
 TEST_F(answer, garbage, &load)
@@ -218,14 +215,14 @@
 
 TEST(request_text)
 {
-    GByteArray *out = g_byte_array_new();
+    g_autoptr(GByteArray) out = g_byte_array_new();
     char body[6] = "";
 
     for (size_t at = 0; at < 5; at++)
         body[at] = (char)request_body_byte(OTHER_ID, at);
     request_write(&second_attempt, &load, 1250000, out);
     g_byte_array_append(out, (const guint8 *)"", 1);
-    char *expected = g_strconcat(
+    g_autofree char *expected = g_strconcat(
         "POST /lots HTTP/1.1\r\nHost: lots\r\n"
         "X-Request-Id: 00000000000000a1\r\nPriority: u=1\r\n"
         "Request-Timeout-Ms: 750\r\nX-Answer-Bytes: 300\r\n"
@@ -235,16 +232,14 @@
         body, NULL);
 
     g_assert_cmpstr((const char *)out->data, ==, expected);
-    g_free(expected);
-    g_byte_array_unref(out);
 }
 
 /* The mean of the waits is the inverse of the rate; a seed fixes them. */
 TEST(arrivals)
 {
     guint32 seed = g_test_rand_int();
-    GRand *first = g_rand_new_with_seed(seed);
-    GRand *again = g_rand_new_with_seed(seed);
+    g_autoptr(GRand) first = g_rand_new_with_seed(seed);
+    g_autoptr(GRand) again = g_rand_new_with_seed(seed);
     uint64_t sum = 0;
 
     for (int i = 0; i < 100000; i++) {
@@ -255,8 +250,6 @@
     }
     g_assert_cmpuint(sum / 100000, >, 9800);
     g_assert_cmpuint(sum / 100000, <, 10200);
-    g_rand_free(first);
-    g_rand_free(again);
 }
 
 static char *
@@ -304,9 +297,9 @@
 
 TEST(record)
 {
-    char *folder = g_dir_make_tmp("caller-XXXXXX", NULL);
-    char *path = g_build_filename(folder, "record.jsonl", NULL);
-    char *text = record_text(path);
+    g_autofree char *folder = g_dir_make_tmp("caller-XXXXXX", NULL);
+    g_autofree char *path = g_build_filename(folder, "record.jsonl", NULL);
+    g_autofree char *text = record_text(path);
 
     g_assert_cmpstr(
         text, ==,
@@ -323,11 +316,8 @@
         "\"end\":\"reset\",\"peer_closed\":false,\"requests\":4}\n"
         "{\"type\":\"datagrams\",\"service\":\"lots\",\"sent\":9,"
         "\"echoed\":7,\"lost\":2,\"foreign\":0}\n");
-    g_free(text);
     g_unlink(path);
     g_rmdir(folder);
-    g_free(path);
-    g_free(folder);
 }
 
 TEST(settings)
@@ -349,10 +339,10 @@
         "settings.json:4: key \"loads[0].body_bytes\" is 9; expected 16",
         "settings.json:3: key \"loads\" is 5;",
     };
-    char *folder = g_dir_make_tmp("caller-XXXXXX", NULL);
-    char *path = g_build_filename(folder, "settings.json", NULL);
+    g_autofree char *folder = g_dir_make_tmp("caller-XXXXXX", NULL);
+    g_autofree char *path = g_build_filename(folder, "settings.json", NULL);
     struct caller_settings settings;
-    char *report;
+    g_autofree char *report = NULL;
 
     g_assert_true(g_file_set_contents(path, text, -1, NULL));
     g_assert_cmpint(caller_settings_load(&settings, path, &report, NULL), ==,
@@ -361,9 +351,6 @@
         if (strstr(report, expected[i]) == NULL)
             g_error("\"%s\" isn't in:\n%s", expected[i], report);
     }
-    g_free(report);
     g_unlink(path);
     g_rmdir(folder);
-    g_free(path);
-    g_free(folder);
 }
--- a/tests/packet/gue_test.c
+++ b/tests/packet/gue_test.c
@@ -92,10 +92,9 @@
     size_t len = gue_encode(&gue, buf);
 
     for (size_t cut = 0; cut < len; cut++) {
-        uint8_t *copy = g_memdup2(buf, cut);
+        g_autofree uint8_t *copy = g_memdup2(buf, cut);
         g_assert_cmpint(gue_decode(copy, cut, &gue), ==, -EBADMSG);
         g_assert_cmpuint(gue.count, ==, 0);
-        g_free(copy);
     }
 }
 
--- a/tests/packet/packet_test.c
+++ b/tests/packet/packet_test.c
@@ -79,9 +79,8 @@
 static enum packet_drop
 parse_exact(const uint8_t *buf, size_t len, struct packet *packet)
 {
-    uint8_t *copy = g_memdup2(buf, len);
+    g_autofree uint8_t *copy = g_memdup2(buf, len);
     enum packet_drop drop = packet_parse(copy, len, 1, packet);
-    g_free(copy);
     return drop;
 }
 
@@ -250,9 +249,8 @@
         if (g_test_rand_bit())
             set_ip_checksum(buf);
 
-        uint8_t *copy = g_memdup2(buf, len);
+        g_autofree uint8_t *copy = g_memdup2(buf, len);
         enum packet_drop drop = packet_parse(copy, len, i & 1, &p);
-        g_free(copy);
         seen[drop]++;
         if (drop == PACKET_OK)
             g_assert_cmpuint((size_t)p.payload + p.payload_len, ==, len);
--- a/tests/text/sample.c
+++ b/tests/text/sample.c
@@ -1,7 +1,5 @@
 #include "sample.h"
 
-#include <string.h>
-
 #include <glib.h>
 
 const char sample_text[] =
@@ -16,18 +14,6 @@
     "   \"protocol\": \"udp\", \"class\": \"ordinary\"}\n"
     "]}\n";
 
-struct text *
-sample_parse(const char *source)
-{
-    struct text *text;
-    char *report;
-    int rc = text_parse(source, strlen(source), "t", &text, &report);
-
-    g_assert_cmpstr(report, ==, NULL);
-    g_assert_cmpint(rc, ==, 0);
-    return text;
-}
-
 void
 sample_assert_same(const struct text *a, const struct text *b)
 {
--- a/tests/text/text_envelope_test.c
+++ b/tests/text/text_envelope_test.c
@@ -31,7 +31,7 @@
     struct text *again;
     char *report;
     size_t len;
-    char *value = text_envelope_write(&envelope, &len);
+    g_autofree char *value = text_envelope_write(&envelope, &len);
 
     g_assert_cmpuint(len - text->source_len, <, TEXT_ENVELOPE_MAX);
     g_assert_cmpint(text_envelope_read(value, len, &read), ==, 0);
@@ -52,14 +52,13 @@
     sample_assert_same(text, again);
     text_free(again);
     text_free(text);
-    g_free(value);
 }
 
 TEST(envelope_largest)
 {
     struct text *text = sample_parse(sample_text);
     struct text_envelope envelope = sample_envelope(text);
-    char *value;
+    g_autofree char *value = NULL;
     size_t len;
 
     memset(envelope.author, '\x01', TEXT_AUTHOR_MAX - 1);
@@ -70,7 +69,6 @@
     }
     value = text_envelope_write(&envelope, &len);
     g_assert_cmpuint(len - text->source_len, <=, TEXT_ENVELOPE_MAX);
-    g_free(value);
     text_free(text);
 }
 
--- a/tests/text/text_mutation_test.c
+++ b/tests/text/text_mutation_test.c
@@ -61,7 +61,7 @@
 static void
 assert_report(const char *report, const char *source)
 {
-    char **lines = g_strsplit(report, "\n", -1);
+    g_auto(GStrv) lines = g_strsplit(report, "\n", -1);
     unsigned last = 1;
 
     for (; *source != '\0'; source++) {
@@ -74,7 +74,6 @@
         g_assert_nonnull(strstr(lines[i], "found "));
         g_assert_nonnull(strstr(lines[i], "expected "));
     }
-    g_strfreev(lines);
 }
 
 static bool
@@ -102,24 +101,22 @@
 
 TEST(mutations)
 {
-    GRand *rand = g_rand_new_with_seed(SEED);
+    g_autoptr(GRand) rand = g_rand_new_with_seed(SEED);
     unsigned accepted = 0;
 
     g_test_message("seed %d", SEED);
     for (unsigned i = 0; i < MUTATIONS; i++) {
-        GString *source = g_string_new(sample_text);
+        g_autoptr(GString) source = g_string_new(sample_text);
         int count = g_rand_int_range(rand, 1, 4);
 
         for (int j = 0; j < count; j++) {
             mutate_once(rand, source);
         }
         accepted += check_mutant(source);
-        g_string_free(source, TRUE);
     }
     g_test_message("%u of %d accepted", accepted, MUTATIONS);
     g_assert_cmpuint(accepted, >, 0);
     g_assert_cmpuint(accepted, <, MUTATIONS);
-    g_rand_free(rand);
 }
 
 /* What is accepted reads the same when it is passed on, and gives no address
@@ -177,24 +174,21 @@
 
 TEST(value_mutations)
 {
-    GRand *rand = g_rand_new_with_seed(SEED);
+    g_autoptr(GRand) rand = g_rand_new_with_seed(SEED);
     unsigned accepted = 0;
     size_t len;
-    char *value = value_with_retired(&len);
+    g_autofree char *value = value_with_retired(&len);
 
     for (unsigned i = 0; i < MUTATIONS; i++) {
-        GString *copy = g_string_new_len(value, (gssize)len);
+        g_autoptr(GString) copy = g_string_new_len(value, (gssize)len);
         int count = g_rand_int_range(rand, 1, 4);
 
         for (int j = 0; j < count; j++) {
             mutate_once(rand, copy);
         }
         accepted += check_value(copy);
-        g_string_free(copy, TRUE);
     }
     g_test_message("%u of %d accepted", accepted, MUTATIONS);
     g_assert_cmpuint(accepted, >, 0);
     g_assert_cmpuint(accepted, <, MUTATIONS);
-    g_rand_free(rand);
-    g_free(value);
 }
--- a/tests/text/text_retire_test.c
+++ b/tests/text/text_retire_test.c
@@ -74,12 +74,10 @@
 
     take_step(&change, &step);
     g_assert_cmpstr(step.report, ==, NULL);
-    char *list = text_retired_write(step.retired, step.count);
-    char *value = value_of(to, list, &len);
+    g_autofree char *list = text_retired_write(step.retired, step.count);
+    g_autofree char *value = value_of(to, list, &len);
     g_assert_cmpint(text_parse_envelope(value, len, 2, &text, &report), ==, 0);
     text_free(to);
-    g_free(list);
-    g_free(value);
     return text;
 }
 
@@ -218,7 +216,7 @@
 
 TEST(too_many)
 {
-    GString *many = g_string_new("{\"services\": [");
+    g_autoptr(GString) many = g_string_new("{\"services\": [");
     struct text *text;
 
     for (unsigned i = 0; i <= TEXT_RETIRED_MAX; i++)
@@ -233,7 +231,6 @@
                    "t:1: found 257 addresses that services have left and "
                    "that may have open flows, expected at most 256\n");
     text_free(text);
-    g_string_free(many, TRUE);
 }
 
 /* A text that just fits leaves no room for a list. */
@@ -241,17 +238,15 @@
 {
     size_t room = TEXT_SIZE_MAX - TEXT_ENVELOPE_MAX;
     struct text *text = publish(NULL, TEXT(LOTS("80")), NOW_MS);
-    GString *source = g_string_new(TEXT(LOTS("81")));
+    g_autoptr(GString) source = g_string_new(TEXT(LOTS("81")));
     size_t pad = room - source->len;
-    char *spaces = g_strnfill(pad, ' ');
+    g_autofree char *spaces = g_strnfill(pad, ' ');
 
     g_string_insert(source, 1, spaces);
     g_assert_cmpuint(source->len, ==, room);
     assert_refused(text, source->str, NOW_MS,
                    "t:1: found 1048842 bytes with the 1 addresses that "
                    "services have left, expected at most 1048576\n");
-    g_free(spaces);
-    g_string_free(source, TRUE);
     text_free(text);
 }
 
@@ -289,16 +284,14 @@
 
     for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
         struct text *parsed;
-        char *report;
+        g_autofree char *report = NULL;
         size_t len;
-        char *value = value_of(text, cases[i].list, &len);
+        g_autofree char *value = value_of(text, cases[i].list, &len);
 
         g_assert_cmpint(text_parse_envelope(value, len, 2, &parsed, &report),
                         ==, -EINVAL);
         g_assert_null(parsed);
         g_assert_cmpstr(report, ==, cases[i].expected);
-        g_free(report);
-        g_free(value);
     }
     text_free(text);
 }
--- a/tests/text/text_test.c
+++ b/tests/text/text_test.c
@@ -180,10 +180,10 @@
 {
     for (size_t i = 0; i < G_N_ELEMENTS(fault_cases); i++) {
         const struct fault_case *row = &fault_cases[i];
-        char *report = parse_bad(row->source, strlen(row->source), -EINVAL);
+        g_autofree char *report =
+            parse_bad(row->source, strlen(row->source), -EINVAL);
 
         g_assert_cmpstr(report, ==, row->report);
-        g_free(report);
     }
 }
 
@@ -201,7 +201,7 @@
     for (size_t i = 0; i < G_N_ELEMENTS(bad) + G_N_ELEMENTS(good); i++) {
         bool is_bad = i < G_N_ELEMENTS(bad);
         const char *name = is_bad ? bad[i] : good[i - G_N_ELEMENTS(bad)];
-        char *source = g_strdup_printf(
+        g_autofree char *source = g_strdup_printf(
             "{\"services\":[{\"name\":\"%s\",\"address\":\"10.0.0.1\","
             "\"port\":1,\"class\":\"urgent\"}]}",
             name);
@@ -212,7 +212,6 @@
         else {
             text_free(sample_parse(source));
         }
-        g_free(source);
     }
 }
 
@@ -226,7 +225,7 @@
 static void
 check_limit(const char *key, uint32_t value, bool good)
 {
-    char *source = g_strdup_printf(
+    g_autofree char *source = g_strdup_printf(
         WITH(",\"limits\":{\"%s\":%u%s}"), key, value,
         strcmp(key, "connections_per_caller") == 0 ? ",\"connections\":1000000"
                                                    : "");
@@ -237,7 +236,6 @@
     else {
         g_free(parse_bad(source, strlen(source), -EINVAL));
     }
-    g_free(source);
 }
 
 TEST(limits)
@@ -267,22 +265,21 @@
         "\"class\":\"urgent\",\n\"depends_on\":[\"d\",\"b\"]},\n"
         "{\"name\":\"d\",\"address\":\"10.0.0.1\",\"port\":4,"
         "\"class\":\"urgent\"}]}";
-    char *report = parse_bad(source, strlen(source), -EINVAL);
+    g_autofree char *report = parse_bad(source, strlen(source), -EINVAL);
 
     g_assert_cmpstr(report, ==,
                     "t:7: services[2].depends_on: found the cycle "
                     "b -> c -> b, expected no cycle\n");
-    g_free(report);
 }
 
 TEST(size)
 {
     size_t most = TEXT_SIZE_MAX - TEXT_ENVELOPE_MAX;
-    char *good = g_strdup("{\"services\":[" LOTS "]}");
-    char *space = g_strnfill(most + 1 - strlen(good), ' ');
-    char *source = g_strconcat(good, space, NULL);
+    g_autofree char *good = g_strdup("{\"services\":[" LOTS "]}");
+    g_autofree char *space = g_strnfill(most + 1 - strlen(good), ' ');
+    g_autofree char *source = g_strconcat(good, space, NULL);
     struct text *text;
-    char *report;
+    g_autofree char *report = NULL;
 
     g_assert_cmpint(text_parse(source, most, "t", &text, &report), ==, 0);
     g_assert_cmpuint(text->source_len, ==, strlen(good));
@@ -291,10 +288,6 @@
     g_assert_cmpstr(report, ==,
                     "t:1: found 1047553 bytes, expected at most 1047552 (a "
                     "megabyte with the envelope it is published in)\n");
-    g_free(report);
-    g_free(space);
-    g_free(good);
-    g_free(source);
 }
 
 TEST(utf8)
@@ -332,10 +325,10 @@
 
 TEST(collision)
 {
-    char *one;
-    char *other;
-    char *source;
-    char *report;
+    g_autofree char *one = NULL;
+    g_autofree char *other = NULL;
+    g_autofree char *source = NULL;
+    g_autofree char *report = NULL;
 
     find_collision(&one, &other);
     source = g_strdup_printf(
@@ -346,8 +339,4 @@
     report = parse_bad(source, strlen(source), -EINVAL);
     g_assert_nonnull(strstr(report, "expected another name"));
     g_assert_nonnull(strstr(report, one));
-    g_free(report);
-    g_free(source);
-    g_free(one);
-    g_free(other);
 }
