--- a/tests/notice/model.c
+++ b/tests/notice/model.c
@@ -20,9 +20,7 @@
 static void
 load(struct model *model)
 {
-    unsigned n;
-
-    for (n = 0; n < 2; n++) {
+    for (unsigned n = 0; n < 2; n++) {
         if (chance(model, 10)) {
             traffic_open(model, pick(model));
         }
@@ -32,13 +30,13 @@
     }
     if (chance(model, 0.1)) {
         unsigned i = pick(model);
-        for (n = 0; n < 300; n++) {
+        for (unsigned n = 0; n < 300; n++) {
             traffic_open(model, i);
         }
     }
     if (chance(model, 0.1)) {
         unsigned i = pick(model);
-        for (n = 0; n < 300; n++) {
+        for (unsigned n = 0; n < 300; n++) {
             traffic_open(model, i);
             traffic_close(model, i);
         }
@@ -124,15 +122,13 @@
 static void
 step(struct model *model)
 {
-    unsigned i;
-
     model->now_us += TICK_US;
     load(model);
     if (!model->calm) {
         disturb(model);
     }
     traffic_spread_news(model);
-    for (i = 0; i < model->config->agents; i++) {
+    for (unsigned i = 0; i < model->config->agents; i++) {
         struct agent *agent = &model->agents[i];
         if (agent->running && !world_is_frozen(model, agent)) {
             traffic_tick(model, i);
@@ -172,9 +168,7 @@
 static void
 start_all(struct model *model)
 {
-    unsigned i;
-
-    for (i = 0; i < model->config->agents; i++) {
+    for (unsigned i = 0; i < model->config->agents; i++) {
         if (!model->agents[i].running) {
             world_start(model, i);
         }
@@ -189,8 +183,6 @@
 model_init(struct model *model, const struct model_config *config,
            guint32 seed)
 {
-    unsigned i;
-
     memset(model, 0, sizeof(*model));
     model->config = config;
     model->rand = g_rand_new_with_seed(seed);
@@ -200,7 +192,7 @@
     model->parcels = g_array_new(FALSE, FALSE, sizeof(struct parcel));
     model->debts = g_array_new(FALSE, FALSE, sizeof(struct debt));
     model->probed = g_hash_table_new_full(NULL, NULL, NULL, g_free);
-    for (i = 0; i < config->agents; i++) {
+    for (unsigned i = 0; i < config->agents; i++) {
         model->agents[i].flows =
             g_array_new(FALSE, FALSE, sizeof(struct flow));
         model->agents[i].ended =
@@ -212,9 +204,7 @@
 static void
 model_finish(struct model *model)
 {
-    unsigned i;
-
-    for (i = 0; i < model->config->agents; i++) {
+    for (unsigned i = 0; i < model->config->agents; i++) {
         struct agent *agent = &model->agents[i];
         if (agent->running) {
             world_forget(agent);
@@ -233,7 +223,7 @@
 struct model_result
 model_run(const struct model_config *config, guint32 seed)
 {
-    struct model *model = g_new(struct model, 1);
+    g_autofree struct model *model = g_new(struct model, 1);
     struct model_result result;
     unsigned cycle;
 
@@ -250,6 +240,5 @@
     }
     result = model->result;
     model_finish(model);
-    g_free(model);
     return result;
 }
--- a/tests/notice/scene.c
+++ b/tests/notice/scene.c
@@ -50,9 +50,8 @@
                                      .service = scene_service,
                                      .opened = opened,
                                      .closed = closed};
-    size_t i;
 
-    for (i = 0; i < opened + closed; i++) {
+    for (size_t i = 0; i < opened + closed; i++) {
         message.callers[i] = scene_caller(first + (unsigned)i);
     }
     return message;
--- a/tests/notice/test_backup.c
+++ b/tests/notice/test_backup.c
@@ -1,290 +1,229 @@
 /* One test for each rule of a backup. */
-#include <glib.h>
 #include <string.h>
 
 #include "scene.h"
+#include "lib/harness.h"
 
-static void
-test_dead_owner_probed_in_rounds(void)
-{
-    struct scene scene;
+#define SUITE "/notice/backup"
 
-    scene_init(&scene);
-    g_assert_cmpint(scene_hear(&scene, scene_batch(1, 1, 1, 0, 10, 0)), ==, 1);
-    g_assert_cmpint(scene_hear(&scene, scene_batch(1, 1, 2, 0, 0, 3)), ==, 1);
-    g_assert_cmpuint(notice_held(&scene.notice), ==, 7);
-    scene.owner->health = MEMBER_SUSPECT;
-    scene_see(&scene);
-    g_assert_cmpuint(scene_probes(&scene, 10 * USEC_PER_SEC), ==, 0);
-    scene.owner->health = MEMBER_DEAD;
-    scene_see(&scene);
-    g_assert_cmpuint(scene_probes(&scene, 100 * USEC_PER_MSEC), ==, 7);
-    g_assert_cmpuint(scene_probes(&scene, ALL_ROUNDS_US), ==,
+TEST_F(scene, dead_owner_probed_in_rounds)
+{
+    g_assert_cmpint(scene_hear(scene, scene_batch(1, 1, 1, 0, 10, 0)), ==, 1);
+    g_assert_cmpint(scene_hear(scene, scene_batch(1, 1, 2, 0, 0, 3)), ==, 1);
+    g_assert_cmpuint(notice_held(&scene->notice), ==, 7);
+    scene->owner->health = MEMBER_SUSPECT;
+    scene_see(scene);
+    g_assert_cmpuint(scene_probes(scene, 10 * USEC_PER_SEC), ==, 0);
+    scene->owner->health = MEMBER_DEAD;
+    scene_see(scene);
+    g_assert_cmpuint(scene_probes(scene, 100 * USEC_PER_MSEC), ==, 7);
+    g_assert_cmpuint(scene_probes(scene, ALL_ROUNDS_US), ==,
                      7 * (BACKUP_ROUNDS - 1));
-    g_assert_cmpuint(scene_probes(&scene, 60 * USEC_PER_SEC), ==, 0);
-    g_assert_cmpuint(notice_held(&scene.notice), ==, 0);
-    scene_finish(&scene);
+    g_assert_cmpuint(scene_probes(scene, 60 * USEC_PER_SEC), ==, 0);
+    g_assert_cmpuint(notice_held(&scene->notice), ==, 0);
 }
 
 /* While another one is suspected, callers' answers meet no reset. */
-static void
-test_end_of_suspicion(void)
+TEST_F(scene, end_of_suspicion)
 {
-    struct scene scene;
     struct view *view = view_new(3);
     struct view_member *third;
 
-    scene_init(&scene);
-    memcpy(view->members, scene.view->members, 2 * sizeof(*third));
+    memcpy(view->members, scene->view->members, 2 * sizeof(*third));
     view->count = 2;
     third = scene_add(view, 50, 1, "c");
-    g_free(scene.view);
-    scene.view = view;
-    scene.owner = &view->members[1];
-    scene_hear(&scene, scene_batch(1, 1, 1, 0, 10, 0));
+    g_free(scene->view);
+    scene->view = view;
+    scene->owner = &view->members[1];
+    scene_hear(scene, scene_batch(1, 1, 1, 0, 10, 0));
     third->health = MEMBER_SUSPECT;
-    scene.owner->health = MEMBER_DEAD;
-    scene_see(&scene);
-    scene_probes(&scene, 4 * USEC_PER_SEC);
+    scene->owner->health = MEMBER_DEAD;
+    scene_see(scene);
+    scene_probes(scene, 4 * USEC_PER_SEC);
     third->health = MEMBER_ALIVE;
-    scene_see(&scene);
-    g_assert_cmpuint(scene_probes(&scene, 100 * USEC_PER_MSEC), ==, 10);
-    g_assert_cmpuint(scene_probes(&scene, USEC_PER_SEC), ==, 10);
-    scene_see(&scene);
-    g_assert_cmpuint(scene_probes(&scene, USEC_PER_SEC), ==, 0);
+    scene_see(scene);
+    g_assert_cmpuint(scene_probes(scene, 100 * USEC_PER_MSEC), ==, 10);
+    g_assert_cmpuint(scene_probes(scene, USEC_PER_SEC), ==, 10);
+    scene_see(scene);
+    g_assert_cmpuint(scene_probes(scene, USEC_PER_SEC), ==, 0);
     /* Long after the death nobody is left to be told. */
-    scene_probes(&scene, ALL_ROUNDS_US);
+    scene_probes(scene, ALL_ROUNDS_US);
     third->health = MEMBER_SUSPECT;
-    scene_see(&scene);
+    scene_see(scene);
     third->health = MEMBER_ALIVE;
-    scene_see(&scene);
-    g_assert_cmpuint(scene_probes(&scene, USEC_PER_SEC), ==, 0);
-    scene_finish(&scene);
+    scene_see(scene);
+    g_assert_cmpuint(scene_probes(scene, USEC_PER_SEC), ==, 0);
 }
 
-static void
-test_vanished_owner_is_dead(void)
+TEST_F(scene, vanished_owner_is_dead)
 {
-    struct scene scene;
-
-    scene_init(&scene);
-    scene_hear(&scene, scene_batch(1, 1, 1, 0, 10, 0));
-    scene.view->count = 1;
-    scene_see(&scene);
-    g_assert_cmpuint(scene_probes(&scene, 100 * USEC_PER_MSEC), ==, 10);
-    scene_finish(&scene);
+    scene_hear(scene, scene_batch(1, 1, 1, 0, 10, 0));
+    scene->view->count = 1;
+    scene_see(scene);
+    g_assert_cmpuint(scene_probes(scene, 100 * USEC_PER_MSEC), ==, 10);
 }
 
 /* The owner restarted and chose other backups: only the view tells. */
-static void
-test_restart_in_view(void)
+TEST_F(scene, restart_in_view)
 {
-    struct scene scene;
-
-    scene_init(&scene);
-    scene_hear(&scene, scene_batch(1, 1, 1, 0, 10, 0));
-    scene.owner->since_us++;
-    scene_see(&scene);
-    g_assert_cmpuint(scene_probes(&scene, 100 * USEC_PER_MSEC), ==, 10);
+    scene_hear(scene, scene_batch(1, 1, 1, 0, 10, 0));
+    scene->owner->since_us++;
+    scene_see(scene);
+    g_assert_cmpuint(scene_probes(scene, 100 * USEC_PER_MSEC), ==, 10);
     /* What the former process still had on its way revives nothing. */
-    g_assert_cmpint(scene_hear(&scene, scene_batch(1, 1, 2, 50, 1, 0)), ==, 0);
-    g_assert_cmpuint(scene_probes(&scene, ALL_ROUNDS_US), ==,
+    g_assert_cmpint(scene_hear(scene, scene_batch(1, 1, 2, 50, 1, 0)), ==, 0);
+    g_assert_cmpuint(scene_probes(scene, ALL_ROUNDS_US), ==,
                      10 * (BACKUP_ROUNDS - 1));
-    scene_finish(&scene);
 }
 
 /* The owner restarted and says so before the view does. */
-static void
-test_restart_in_message(void)
+TEST_F(scene, restart_in_message)
 {
-    struct scene scene;
-
-    scene_init(&scene);
-    scene_hear(&scene, scene_batch(1, 1, 1, 0, 10, 0));
-    g_assert_cmpint(scene_hear(&scene, scene_batch(2, 1, 1, 100, 5, 0)), ==,
-                    1);
-    g_assert_cmpuint(scene_probes(&scene, 100 * USEC_PER_MSEC), ==, 10);
-    g_assert_cmpint(scene_hear(&scene, scene_batch(1, 1, 2, 50, 1, 0)), ==,
-                    -1);
+    scene_hear(scene, scene_batch(1, 1, 1, 0, 10, 0));
+    g_assert_cmpint(scene_hear(scene, scene_batch(2, 1, 1, 100, 5, 0)), ==, 1);
+    g_assert_cmpuint(scene_probes(scene, 100 * USEC_PER_MSEC), ==, 10);
+    g_assert_cmpint(scene_hear(scene, scene_batch(1, 1, 2, 50, 1, 0)), ==, -1);
     /* The view follows: the present process is asked anew and lives. */
-    scene.owner->since_us++;
-    scene_see(&scene);
-    g_assert_cmpint(scene_hear(&scene, scene_batch(2, 1, 2, 105, 1, 0)), ==,
-                    0);
-    g_assert_cmpint(scene_hear(&scene, scene_batch(2, 2, 1, 100, 6, 0)), ==,
-                    1);
-    g_assert_cmpint(scene_hear(&scene, scene_batch(2, 2, 2, 106, 0, 0)), ==,
-                    1);
-    g_assert_cmpuint(scene_probes(&scene, ALL_ROUNDS_US), ==,
+    scene->owner->since_us++;
+    scene_see(scene);
+    g_assert_cmpint(scene_hear(scene, scene_batch(2, 1, 2, 105, 1, 0)), ==, 0);
+    g_assert_cmpint(scene_hear(scene, scene_batch(2, 2, 1, 100, 6, 0)), ==, 1);
+    g_assert_cmpint(scene_hear(scene, scene_batch(2, 2, 2, 106, 0, 0)), ==, 1);
+    g_assert_cmpuint(scene_probes(scene, ALL_ROUNDS_US), ==,
                      10 * (BACKUP_ROUNDS - 1));
-    g_assert_cmpuint(notice_held(&scene.notice), ==, 6);
-    g_assert_cmpuint(scene_probes(&scene, 10 * USEC_PER_SEC), ==, 0);
-    scene_finish(&scene);
+    g_assert_cmpuint(notice_held(&scene->notice), ==, 6);
+    g_assert_cmpuint(scene_probes(scene, 10 * USEC_PER_SEC), ==, 0);
 }
 
 /* An owner that was thought dead comes back: nothing is told again, nothing
  * more is probed, and its real death is noticed. */
-static void
-test_wrongly_dead(void)
+TEST_F(scene, wrongly_dead)
 {
-    struct scene scene;
-
-    scene_init(&scene);
-    scene_hear(&scene, scene_batch(1, 1, 1, 0, 10, 0));
-    scene.owner->health = MEMBER_DEAD;
-    scene_see(&scene);
-    scene_probes(&scene, ALL_ROUNDS_US);
-    scene.owner->health = MEMBER_ALIVE;
-    scene_see(&scene);
-    g_assert_cmpuint(scene_probes(&scene, 10 * USEC_PER_SEC), ==, 0);
-    g_assert_cmpint(scene_hear(&scene, scene_batch(1, 1, 2, 10, 1, 0)), ==, 1);
-    scene.owner->health = MEMBER_DEAD;
-    scene_see(&scene);
-    g_assert_cmpuint(scene_probes(&scene, 100 * USEC_PER_MSEC), ==, 11);
-    scene_finish(&scene);
+    scene_hear(scene, scene_batch(1, 1, 1, 0, 10, 0));
+    scene->owner->health = MEMBER_DEAD;
+    scene_see(scene);
+    scene_probes(scene, ALL_ROUNDS_US);
+    scene->owner->health = MEMBER_ALIVE;
+    scene_see(scene);
+    g_assert_cmpuint(scene_probes(scene, 10 * USEC_PER_SEC), ==, 0);
+    g_assert_cmpint(scene_hear(scene, scene_batch(1, 1, 2, 10, 1, 0)), ==, 1);
+    scene->owner->health = MEMBER_DEAD;
+    scene_see(scene);
+    g_assert_cmpuint(scene_probes(scene, 100 * USEC_PER_MSEC), ==, 11);
 }
 
-static void
-test_order_of_batches(void)
+TEST_F(scene, order_of_batches)
 {
-    struct scene scene;
-
-    scene_init(&scene);
-    g_assert_cmpint(scene_hear(&scene, scene_batch(1, 5, 2, 0, 1, 0)), ==, 0);
-    g_assert_cmpint(scene_hear(&scene, scene_batch(1, 5, 1, 0, 10, 0)), ==, 1);
-    g_assert_cmpint(scene_hear(&scene, scene_batch(1, 5, 3, 20, 1, 0)), ==, 0);
-    g_assert_cmpint(scene_hear(&scene, scene_batch(1, 5, 2, 0, 0, 10)), ==, 1);
+    g_assert_cmpint(scene_hear(scene, scene_batch(1, 5, 2, 0, 1, 0)), ==, 0);
+    g_assert_cmpint(scene_hear(scene, scene_batch(1, 5, 1, 0, 10, 0)), ==, 1);
+    g_assert_cmpint(scene_hear(scene, scene_batch(1, 5, 3, 20, 1, 0)), ==, 0);
+    g_assert_cmpint(scene_hear(scene, scene_batch(1, 5, 2, 0, 0, 10)), ==, 1);
     /* Repeated: known, and not applied again. */
-    g_assert_cmpint(scene_hear(&scene, scene_batch(1, 5, 1, 0, 10, 0)), ==, 1);
-    g_assert_cmpuint(notice_held(&scene.notice), ==, 0);
+    g_assert_cmpint(scene_hear(scene, scene_batch(1, 5, 1, 0, 10, 0)), ==, 1);
+    g_assert_cmpuint(notice_held(&scene->notice), ==, 0);
     /* Of a transfer that was given up. */
-    g_assert_cmpint(scene_hear(&scene, scene_batch(1, 4, 1, 0, 10, 0)), ==,
-                    -1);
-    g_assert_cmpint(scene_hear(&scene, scene_batch(1, 4, 3, 0, 10, 0)), ==,
-                    -1);
-    g_assert_cmpuint(notice_held(&scene.notice), ==, 0);
+    g_assert_cmpint(scene_hear(scene, scene_batch(1, 4, 1, 0, 10, 0)), ==, -1);
+    g_assert_cmpint(scene_hear(scene, scene_batch(1, 4, 3, 0, 10, 0)), ==, -1);
+    g_assert_cmpuint(notice_held(&scene->notice), ==, 0);
     /* A new one replaces all. */
-    g_assert_cmpint(scene_hear(&scene, scene_batch(1, 6, 1, 30, 4, 0)), ==, 1);
-    g_assert_cmpint(scene_hear(&scene, scene_batch(1, 6, 2, 40, 4, 0)), ==, 1);
-    g_assert_cmpint(scene_hear(&scene, scene_batch(1, 7, 1, 50, 2, 0)), ==, 1);
-    g_assert_cmpuint(notice_held(&scene.notice), ==, 2);
-    scene_finish(&scene);
+    g_assert_cmpint(scene_hear(scene, scene_batch(1, 6, 1, 30, 4, 0)), ==, 1);
+    g_assert_cmpint(scene_hear(scene, scene_batch(1, 6, 2, 40, 4, 0)), ==, 1);
+    g_assert_cmpint(scene_hear(scene, scene_batch(1, 7, 1, 50, 2, 0)), ==, 1);
+    g_assert_cmpuint(notice_held(&scene->notice), ==, 2);
 }
 
-static void
-test_bad_messages(void)
+TEST_F(scene, bad_messages)
 {
-    struct scene scene;
     struct notice_message message = scene_batch(1, 1, 1, 0, 1, 0);
     struct notice_message reply;
 
-    scene_init(&scene);
-    g_assert_false(notice_receive(&scene.notice, scene.view, 999, &message,
+    g_assert_false(notice_receive(&scene->notice, scene->view, 999, &message,
                                   START_US, &reply));
-    g_assert_cmpint(scene_hear(&scene, scene_batch(0, 1, 1, 0, 1, 0)), ==, -1);
-    g_assert_cmpint(scene_hear(&scene, scene_batch(1, 0, 1, 0, 1, 0)), ==, -1);
-    g_assert_cmpint(scene_hear(&scene, scene_batch(1, 1, 0, 0, 1, 0)), ==, -1);
+    g_assert_cmpint(scene_hear(scene, scene_batch(0, 1, 1, 0, 1, 0)), ==, -1);
+    g_assert_cmpint(scene_hear(scene, scene_batch(1, 0, 1, 0, 1, 0)), ==, -1);
+    g_assert_cmpint(scene_hear(scene, scene_batch(1, 1, 0, 0, 1, 0)), ==, -1);
     message.opened = NOTICE_BATCH_MAX;
     message.closed = 1;
-    g_assert_cmpint(scene_hear(&scene, message), ==, -1);
+    g_assert_cmpint(scene_hear(scene, message), ==, -1);
     message = scene_batch(1, 1, 1, 0, 1, 0);
     message.callers[0] = (struct addr){0, 0};
-    g_assert_cmpint(scene_hear(&scene, message), ==, 1);
-    g_assert_cmpuint(notice_held(&scene.notice), ==, 0);
-    scene_finish(&scene);
+    g_assert_cmpint(scene_hear(scene, message), ==, 1);
+    g_assert_cmpuint(notice_held(&scene->notice), ==, 0);
 }
 
 /* An owner that went over to others, and one that is only frozen. */
-static void
-test_silent_owner(void)
+TEST_F(scene, silent_owner)
 {
-    struct scene scene;
-
-    scene_init(&scene);
-    scene_hear(&scene, scene_batch(1, 1, 1, 0, 10, 0));
-    scene.owner->health = MEMBER_SUSPECT;
-    scene_see(&scene);
-    scene_probes(&scene, 2 * BACKUP_SILENCE_US);
-    g_assert_cmpuint(notice_held(&scene.notice), ==, 10);
-    scene.owner->health = MEMBER_ALIVE;
-    scene_see(&scene);
-    g_assert_cmpuint(scene_probes(&scene, USEC_PER_SEC), ==, 0);
-    g_assert_cmpuint(notice_held(&scene.notice), ==, 0);
-    scene_finish(&scene);
+    scene_hear(scene, scene_batch(1, 1, 1, 0, 10, 0));
+    scene->owner->health = MEMBER_SUSPECT;
+    scene_see(scene);
+    scene_probes(scene, 2 * BACKUP_SILENCE_US);
+    g_assert_cmpuint(notice_held(&scene->notice), ==, 10);
+    scene->owner->health = MEMBER_ALIVE;
+    scene_see(scene);
+    g_assert_cmpuint(scene_probes(scene, USEC_PER_SEC), ==, 0);
+    g_assert_cmpuint(notice_held(&scene->notice), ==, 0);
 }
 
-static void
-test_probes_are_paced(void)
+TEST_F(scene, probes_are_paced)
 {
-    struct scene scene;
-    unsigned i;
-
-    scene_init(&scene);
-    for (i = 0; i < 200; i++) {
-        scene_hear(&scene, scene_batch(1, 1, i + 1, i * 128, 128, 0));
+    for (unsigned i = 0; i < 200; i++) {
+        scene_hear(scene, scene_batch(1, 1, i + 1, i * 128, 128, 0));
     }
-    scene.owner->health = MEMBER_DEAD;
-    scene_see(&scene);
-    g_assert_cmpuint(scene_probes(&scene, USEC_PER_SEC), <=,
+    scene->owner->health = MEMBER_DEAD;
+    scene_see(scene);
+    g_assert_cmpuint(scene_probes(scene, USEC_PER_SEC), <=,
                      BACKUP_PROBES_PER_S * 11 / 10);
-    g_assert_cmpuint(scene_probes(&scene, USEC_PER_SEC), >=,
+    g_assert_cmpuint(scene_probes(scene, USEC_PER_SEC), >=,
                      BACKUP_PROBES_PER_S * 9 / 10);
-    g_assert_cmpuint(scene_probes(&scene, 2 * ALL_ROUNDS_US), >=,
+    g_assert_cmpuint(scene_probes(scene, 2 * ALL_ROUNDS_US), >=,
                      (BACKUP_ROUNDS - 1) * 200 * 128);
-    scene_finish(&scene);
 }
 
-static void
-test_flows_are_bounded(void)
+TEST_F(scene, flows_are_bounded)
 {
-    struct scene scene;
     const struct held *held;
     unsigned batches = BACKUP_FLOWS_MAX / NOTICE_BATCH_MAX;
-    unsigned i;
 
-    scene_init(&scene);
-    for (i = 0; i < batches + 10; i++) {
+    for (unsigned i = 0; i < batches + 10; i++) {
         g_assert_cmpint(
-            scene_hear(&scene, scene_batch(1, 1, i + 1, i * NOTICE_BATCH_MAX,
-                                           NOTICE_BATCH_MAX, 0)),
+            scene_hear(scene, scene_batch(1, 1, i + 1, i * NOTICE_BATCH_MAX,
+                                          NOTICE_BATCH_MAX, 0)),
             ==, 1);
     }
-    g_assert_cmpuint(notice_held(&scene.notice), ==, BACKUP_FLOWS_MAX);
-    g_assert_cmpuint(scene.notice.backup.refused, ==, 10 * NOTICE_BATCH_MAX);
-    held = &scene.notice.backup.items[0];
+    g_assert_cmpuint(notice_held(&scene->notice), ==, BACKUP_FLOWS_MAX);
+    g_assert_cmpuint(scene->notice.backup.refused, ==, 10 * NOTICE_BATCH_MAX);
+    held = &scene->notice.backup.items[0];
     g_assert_cmpuint(held->flows.allocated * sizeof(uint64_t), <=,
                      22 * held->flows.used);
     /* Memory goes back with the flows. */
-    for (i = 0; i < batches; i++) {
+    for (unsigned i = 0; i < batches; i++) {
         if (i == batches - 1) {
             g_assert_cmpuint(held->flows.allocated, <=, 8 * NOTICE_BATCH_MAX);
         }
-        scene_hear(&scene,
+        scene_hear(scene,
                    scene_batch(1, 1, batches + 11 + i, i * NOTICE_BATCH_MAX, 0,
                                NOTICE_BATCH_MAX));
     }
-    g_assert_cmpuint(notice_held(&scene.notice), ==, 0);
+    g_assert_cmpuint(notice_held(&scene->notice), ==, 0);
     g_assert_cmpuint(held->flows.allocated, ==, 0);
-    scene_finish(&scene);
 }
 
 /* Those kept only in case their owners come back make room. */
-static void
-test_owners_are_bounded(void)
+TEST(owners_are_bounded)
 {
     struct notice notice;
     struct notice_message message = scene_batch(1, 1, 1, 0, 1, 0);
     struct notice_message reply;
     struct notice_probe probes[8];
-    struct view *view = view_new(BACKUP_OWNERS_MAX + 2);
-    unsigned i;
+    g_autofree struct view *view = view_new(BACKUP_OWNERS_MAX + 2);
 
     scene_add(view, SELF, 1, "a");
-    for (i = 0; i <= BACKUP_OWNERS_MAX; i++) {
+    for (unsigned i = 0; i <= BACKUP_OWNERS_MAX; i++) {
         scene_add(view, 100 + i, 1, "a");
     }
     notice_init(&notice, 1);
-    for (i = 0; i <= BACKUP_OWNERS_MAX; i++) {
+    for (unsigned i = 0; i <= BACKUP_OWNERS_MAX; i++) {
         g_assert_cmpint(
             notice_receive(&notice, view, 100 + i, &message, START_US, &reply),
             ==, i < BACKUP_OWNERS_MAX);
@@ -292,31 +231,10 @@
     g_assert_cmpuint(notice.backup.refused, ==, 1);
     view->members[1].health = MEMBER_DEAD;
     notice_set_view(&notice, view, START_US);
-    for (i = 0; i < ALL_ROUNDS_US / TICK_US; i++) {
+    for (unsigned i = 0; i < ALL_ROUNDS_US / TICK_US; i++) {
         notice_probes(&notice, START_US + i * TICK_US, probes, 8);
     }
     g_assert_true(notice_receive(&notice, view, 100 + BACKUP_OWNERS_MAX,
                                  &message, START_US, &reply));
     notice_finish(&notice);
-    g_free(view);
-}
-
-int
-main(int argc, char **argv)
-{
-    g_test_init(&argc, &argv, NULL);
-    g_test_add_func("/notice/backup/rounds", test_dead_owner_probed_in_rounds);
-    g_test_add_func("/notice/backup/end-of-suspicion", test_end_of_suspicion);
-    g_test_add_func("/notice/backup/vanished", test_vanished_owner_is_dead);
-    g_test_add_func("/notice/backup/restart-in-view", test_restart_in_view);
-    g_test_add_func("/notice/backup/restart-in-message",
-                    test_restart_in_message);
-    g_test_add_func("/notice/backup/wrongly-dead", test_wrongly_dead);
-    g_test_add_func("/notice/backup/order", test_order_of_batches);
-    g_test_add_func("/notice/backup/bad-messages", test_bad_messages);
-    g_test_add_func("/notice/backup/silent-owner", test_silent_owner);
-    g_test_add_func("/notice/backup/pace", test_probes_are_paced);
-    g_test_add_func("/notice/backup/flows-bounded", test_flows_are_bounded);
-    g_test_add_func("/notice/backup/owners-bounded", test_owners_are_bounded);
-    return g_test_run();
 }
--- a/tests/notice/test_owner.c
+++ b/tests/notice/test_owner.c
@@ -1,9 +1,11 @@
 /* One test for each rule of an owner. */
 #include <errno.h>
-#include <glib.h>
 
 #include "notice/choose.h"
 #include "scene.h"
+#include "lib/harness.h"
+
+#define SUITE "/notice"
 
 /** struct told - an owner and what it sends to its only backup */
 struct told {
@@ -71,149 +73,125 @@
     told->now_us += OWNER_GAP_US;
 }
 
-static void
-test_short_flows_cost_nothing(void)
+TEST_F(told, short_flows_cost_nothing)
 {
-    struct told told;
-    unsigned i;
-
-    told_init(&told);
-    notice_opened(&told.notice, scene_caller(0), scene_service);
-    told_greet(&told);
-    for (i = 1; i < 1000; i++) {
-        notice_opened(&told.notice, scene_caller(i), scene_service);
-        notice_closed(&told.notice, scene_caller(i), scene_service);
+    notice_opened(&told->notice, scene_caller(0), scene_service);
+    told_greet(told);
+    for (unsigned i = 1; i < 1000; i++) {
+        notice_opened(&told->notice, scene_caller(i), scene_service);
+        notice_closed(&told->notice, scene_caller(i), scene_service);
     }
-    g_assert_false(next(&told));
-    notice_closed(&told.notice, scene_caller(0), scene_service);
-    g_assert_true(next(&told));
-    g_assert_cmpuint(told.message.opened, ==, 0);
-    g_assert_cmpuint(told.message.closed, ==, 1);
-    acknowledge_last(&told);
-    g_assert_cmpuint(told.notice.owner.flows.used, ==, 0);
-    told_finish(&told);
+    g_assert_false(next(told));
+    notice_closed(&told->notice, scene_caller(0), scene_service);
+    g_assert_true(next(told));
+    g_assert_cmpuint(told->message.opened, ==, 0);
+    g_assert_cmpuint(told->message.closed, ==, 1);
+    acknowledge_last(told);
+    g_assert_cmpuint(told->notice.owner.flows.used, ==, 0);
 }
 
-static void
-test_pace_of_batches(void)
+TEST_F(told, pace_of_batches)
 {
-    struct told told;
-    unsigned i;
-
-    told_init(&told);
-    told_greet(&told);
-    notice_opened(&told.notice, scene_caller(0), scene_service);
-    g_assert_true(next(&told)); /* after quiet: at once */
-    acknowledge_last(&told);
-    notice_opened(&told.notice, scene_caller(1), scene_service);
-    told.now_us += OWNER_GAP_US - 1;
-    g_assert_false(next(&told));
-    told.now_us++;
-    g_assert_true(next(&told));
-    for (i = 2; i < 2 + 2 * NOTICE_BATCH_MAX; i++) {
-        notice_opened(&told.notice, scene_caller(i), scene_service);
+    told_greet(told);
+    notice_opened(&told->notice, scene_caller(0), scene_service);
+    g_assert_true(next(told)); /* after quiet: at once */
+    acknowledge_last(told);
+    notice_opened(&told->notice, scene_caller(1), scene_service);
+    told->now_us += OWNER_GAP_US - 1;
+    g_assert_false(next(told));
+    told->now_us++;
+    g_assert_true(next(told));
+    for (unsigned i = 2; i < 2 + 2 * NOTICE_BATCH_MAX; i++) {
+        notice_opened(&told->notice, scene_caller(i), scene_service);
     }
-    told.now_us += OWNER_FULL_GAP_US;
-    g_assert_false(next(&told)); /* one at a time */
-    acknowledge_last(&told);
-    g_assert_true(next(&told));
-    g_assert_cmpuint(told.message.opened, ==, NOTICE_BATCH_MAX);
-    acknowledge_last(&told);
-    told.now_us += OWNER_FULL_GAP_US;
-    g_assert_true(next(&told));
-    acknowledge_last(&told);
-    told.now_us += OWNER_KEEPALIVE_US - 1;
-    g_assert_false(next(&told));
-    told.now_us++;
-    g_assert_true(next(&told));
-    g_assert_cmpuint(told.message.opened + told.message.closed, ==, 0);
-    told_finish(&told);
+    told->now_us += OWNER_FULL_GAP_US;
+    g_assert_false(next(told)); /* one at a time */
+    acknowledge_last(told);
+    g_assert_true(next(told));
+    g_assert_cmpuint(told->message.opened, ==, NOTICE_BATCH_MAX);
+    acknowledge_last(told);
+    told->now_us += OWNER_FULL_GAP_US;
+    g_assert_true(next(told));
+    acknowledge_last(told);
+    told->now_us += OWNER_KEEPALIVE_US - 1;
+    g_assert_false(next(told));
+    told->now_us++;
+    g_assert_true(next(told));
+    g_assert_cmpuint(told->message.opened + told->message.closed, ==, 0);
 }
 
-static void
-test_sent_again(void)
+TEST_F(told, sent_again)
 {
-    struct told told;
     uint32_t seq;
 
-    told_init(&told);
-    told_greet(&told);
-    notice_opened(&told.notice, scene_caller(0), scene_service);
-    g_assert_true(next(&told));
-    seq = told.message.seq;
+    told_greet(told);
+    notice_opened(&told->notice, scene_caller(0), scene_service);
+    g_assert_true(next(told));
+    seq = told->message.seq;
     /* None of these is for the batch on its way. */
-    acknowledge(&told, told.message.session, seq - 1, true);
-    acknowledge(&told, told.message.session + 1, seq, true);
-    acknowledge(&told, told.message.session - 1, seq, true);
-    notice_opened(&told.notice, scene_caller(1), scene_service);
-    told.now_us += OWNER_RESEND_US - 1;
-    g_assert_false(next(&told));
-    told.now_us++;
-    g_assert_true(next(&told));
-    g_assert_cmpuint(told.message.seq, ==, seq);
-    g_assert_cmpuint(told.message.opened, ==, 1);
-    acknowledge_last(&told);
-    told.now_us += OWNER_GAP_US;
-    g_assert_true(next(&told));
-    g_assert_cmpuint(told.message.seq, ==, seq + 1);
-    told_finish(&told);
+    acknowledge(told, told->message.session, seq - 1, true);
+    acknowledge(told, told->message.session + 1, seq, true);
+    acknowledge(told, told->message.session - 1, seq, true);
+    notice_opened(&told->notice, scene_caller(1), scene_service);
+    told->now_us += OWNER_RESEND_US - 1;
+    g_assert_false(next(told));
+    told->now_us++;
+    g_assert_true(next(told));
+    g_assert_cmpuint(told->message.seq, ==, seq);
+    g_assert_cmpuint(told->message.opened, ==, 1);
+    acknowledge_last(told);
+    told->now_us += OWNER_GAP_US;
+    g_assert_true(next(told));
+    g_assert_cmpuint(told->message.seq, ==, seq + 1);
 }
 
 /* A backup that knows nothing is told all, but not over and over. */
-static void
-test_told_anew(void)
+TEST_F(told, told_anew)
 {
-    struct told told;
     uint32_t session;
-    unsigned i;
 
-    told_init(&told);
-    told_greet(&told);
-    for (i = 0; i < 20; i++) {
-        notice_opened(&told.notice, scene_caller(i), scene_service);
+    told_greet(told);
+    for (unsigned i = 0; i < 20; i++) {
+        notice_opened(&told->notice, scene_caller(i), scene_service);
     }
-    g_assert_true(next(&told));
-    acknowledge_last(&told);
-    notice_closed(&told.notice, scene_caller(0), scene_service);
-    told.now_us += OWNER_GAP_US;
-    g_assert_true(next(&told));
-    session = told.message.session;
-    acknowledge(&told, session, told.message.seq, false);
-    told.now_us += OWNER_RESEND_US;
-    g_assert_true(next(&told));
-    g_assert_cmpuint(told.message.session, >, session);
-    g_assert_cmpuint(told.message.seq, ==, 1);
-    g_assert_cmpuint(told.message.opened, ==, 19);
-    acknowledge(&told, told.message.session, 1, false);
-    told.now_us += OWNER_RESEND_US / 2;
-    g_assert_false(next(&told));
-    told_finish(&told);
+    g_assert_true(next(told));
+    acknowledge_last(told);
+    notice_closed(&told->notice, scene_caller(0), scene_service);
+    told->now_us += OWNER_GAP_US;
+    g_assert_true(next(told));
+    session = told->message.session;
+    acknowledge(told, session, told->message.seq, false);
+    told->now_us += OWNER_RESEND_US;
+    g_assert_true(next(told));
+    g_assert_cmpuint(told->message.session, >, session);
+    g_assert_cmpuint(told->message.seq, ==, 1);
+    g_assert_cmpuint(told->message.opened, ==, 19);
+    acknowledge(told, told->message.session, 1, false);
+    told->now_us += OWNER_RESEND_US / 2;
+    g_assert_false(next(told));
 }
 
 /* A service gets another address: flows to the former one go on. */
-static void
-test_addresses(void)
+TEST_F(told, addresses)
 {
-    struct told told;
     struct scene scene;
     struct notice_probe probes[8];
 
-    told_init(&told);
     scene_init(&scene);
-    notice_opened(&told.notice, scene_caller(0), scene_service);
-    notice_opened(&told.notice, scene_caller(0), scene_other_service);
-    notice_opened(&told.notice, scene_caller(1), scene_other_service);
-    while (next(&told)) {
-        g_assert_cmpint(scene_hear(&scene, told.message), ==, 1);
-        acknowledge_last(&told);
-        told.now_us += OWNER_GAP_US;
+    notice_opened(&told->notice, scene_caller(0), scene_service);
+    notice_opened(&told->notice, scene_caller(0), scene_other_service);
+    notice_opened(&told->notice, scene_caller(1), scene_other_service);
+    while (next(told)) {
+        g_assert_cmpint(scene_hear(&scene, told->message), ==, 1);
+        acknowledge_last(told);
+        told->now_us += OWNER_GAP_US;
     }
     g_assert_cmpuint(notice_held(&scene.notice), ==, 3);
-    notice_closed(&told.notice, scene_caller(1), scene_service);
-    g_assert_false(next(&told));
-    notice_closed(&told.notice, scene_caller(1), scene_other_service);
-    g_assert_true(next(&told));
-    g_assert_cmpint(scene_hear(&scene, told.message), ==, 1);
+    notice_closed(&told->notice, scene_caller(1), scene_service);
+    g_assert_false(next(told));
+    notice_closed(&told->notice, scene_caller(1), scene_other_service);
+    g_assert_true(next(told));
+    g_assert_cmpint(scene_hear(&scene, told->message), ==, 1);
     scene.owner->health = MEMBER_DEAD;
     scene_see(&scene);
     g_assert_cmpuint(notice_probes(&scene.notice, scene.now_us, probes, 8), ==,
@@ -225,98 +203,83 @@
                   (addr_equal(probes[1].service, scene_service) &&
                    addr_equal(probes[0].service, scene_other_service)));
     scene_finish(&scene);
-    told_finish(&told);
 }
 
 /* Places of addresses are bounded and used again. */
-static void
-test_addresses_are_bounded(void)
+TEST_F(told, addresses_are_bounded)
 {
-    struct told told;
     struct addr address = scene_service;
-    unsigned i;
 
-    told_init(&told);
-    told_greet(&told);
-    for (i = 0; i < CALLED_MAX; i++) {
+    told_greet(told);
+    for (unsigned i = 0; i < CALLED_MAX; i++) {
         address.port = (uint16_t)(100 + i);
-        g_assert_cmpint(notice_opened(&told.notice, scene_caller(0), address),
+        g_assert_cmpint(notice_opened(&told->notice, scene_caller(0), address),
                         ==, 0);
     }
     g_assert_cmpint(
-        notice_opened(&told.notice, scene_caller(0), scene_service), ==,
+        notice_opened(&told->notice, scene_caller(0), scene_service), ==,
         -ENOSPC);
-    notice_closed(&told.notice, scene_caller(0), address);
-    while (next(&told)) {
-        acknowledge_last(&told);
-        told.now_us += OWNER_GAP_US;
+    notice_closed(&told->notice, scene_caller(0), address);
+    while (next(told)) {
+        acknowledge_last(told);
+        told->now_us += OWNER_GAP_US;
     }
     g_assert_cmpint(
-        notice_opened(&told.notice, scene_caller(0), scene_service), ==, 0);
-    told_finish(&told);
+        notice_opened(&told->notice, scene_caller(0), scene_service), ==, 0);
 }
 
-static void
-test_flows_told_are_bounded(void)
+TEST_F(told, flows_told_are_bounded)
 {
-    struct told told;
     unsigned i;
 
-    told_init(&told);
     for (i = 0; i < OWNER_FLOWS_MAX; i++) {
         g_assert_cmpint(
-            notice_opened(&told.notice, scene_caller(i), scene_service), ==,
+            notice_opened(&told->notice, scene_caller(i), scene_service), ==,
             0);
     }
     g_assert_cmpint(
-        notice_opened(&told.notice, scene_caller(i), scene_service), ==,
+        notice_opened(&told->notice, scene_caller(i), scene_service), ==,
         -ENOSPC);
-    notice_closed(&told.notice, scene_caller(0), scene_service);
+    notice_closed(&told->notice, scene_caller(0), scene_service);
     g_assert_cmpint(
-        notice_opened(&told.notice, scene_caller(i), scene_service), ==, 0);
-    told_finish(&told);
+        notice_opened(&told->notice, scene_caller(i), scene_service), ==, 0);
 }
 
 /* An agent at the aimed size: 4,700 flows, and backup of two such. */
-static void
-test_memory(void)
+TEST_F(told, memory)
 {
     enum { FLOWS = 4700 };
-    struct told told;
     struct notice_message message;
     struct notice_message reply;
     size_t bytes = sizeof(struct notice);
     uint64_t owner;
-    unsigned i;
 
-    told_init(&told);
-    for (i = 0; i < FLOWS; i++) {
-        notice_opened(&told.notice, scene_caller(i), scene_service);
+    for (unsigned i = 0; i < FLOWS; i++) {
+        notice_opened(&told->notice, scene_caller(i), scene_service);
     }
     /* All is told once, as after a change of the backup. */
-    while (next(&told)) {
-        acknowledge_last(&told);
-        told.now_us += OWNER_FULL_GAP_US;
+    while (next(told)) {
+        acknowledge_last(told);
+        told->now_us += OWNER_FULL_GAP_US;
     }
-    g_assert_cmpuint(told.now_us - START_US, <, 3 * USEC_PER_SEC);
-    for (i = 0; i < 2 * FLOWS; i++) {
-        owner = told.view->members[i % 2].id;
+    g_assert_cmpuint(told->now_us - START_US, <, 3 * USEC_PER_SEC);
+    for (unsigned i = 0; i < 2 * FLOWS; i++) {
+        owner = told->view->members[i % 2].id;
         message = scene_batch(1, 1, 1 + i / 2, i, 1, 0);
-        g_assert_true(notice_receive(&told.notice, told.view, owner, &message,
-                                     told.now_us, &reply));
+        g_assert_true(notice_receive(&told->notice, told->view, owner,
+                                     &message, told->now_us, &reply));
     }
-    g_assert_cmpuint(notice_held(&told.notice), ==, 2 * FLOWS);
-    bytes += told.notice.owner.flows.allocated * sizeof(uint64_t);
-    for (i = 0; i < told.notice.backup.count; i++) {
+    g_assert_cmpuint(notice_held(&told->notice), ==, 2 * FLOWS);
+    bytes += told->notice.owner.flows.allocated * sizeof(uint64_t);
+    for (unsigned i = 0; i < told->notice.backup.count; i++) {
         bytes +=
-            told.notice.backup.items[i].flows.allocated * sizeof(uint64_t);
+            told->notice.backup.items[i].flows.allocated * sizeof(uint64_t);
     }
     g_test_message("%zu bytes in all, %.1f for each own flow; told in "
                    "%" G_GUINT64_FORMAT " ms",
                    bytes, (double)bytes / FLOWS,
-                   (guint64)(told.now_us - START_US) / USEC_PER_MSEC);
+                   (guint64)(told->now_us - START_US) / USEC_PER_MSEC);
     g_assert_cmpuint(bytes, <, 256 * 1024);
-    told_finish(&told);
 }
 
 static gboolean
@@ -330,10 +293,9 @@
            (members[0] == b && members[1] == a);
 }
 
-static void
-test_choice(void)
+TEST(choice)
 {
-    struct view *view = view_new(8);
+    g_autofree struct view *view = view_new(8);
 
     scene_add(view, SELF, 1, "a");
     g_assert_true(chooses(view, 0, 0));
@@ -353,52 +315,28 @@
     view->members[6].state = MEMBER_LEAVING;
     view->members[3].health = MEMBER_DEAD;
     g_assert_true(chooses(view, 24, 23));
-    g_free(view);
 }
 
 /* Callers of many owners spread over all members of the cell. */
-static void
-test_choice_spreads(void)
+TEST(choice_spreads)
 {
     enum { MEMBERS = 200 };
-    struct view *view = view_new(MEMBERS);
+    g_autofree struct view *view = view_new(MEMBERS);
     unsigned chosen[MEMBERS] = {0};
     uint64_t members[OWNER_BACKUPS];
     uint64_t since_us[OWNER_BACKUPS];
-    unsigned i;
 
-    for (i = 0; i < MEMBERS; i++) {
+    for (unsigned i = 0; i < MEMBERS; i++) {
         scene_add(view, 1000 + i, 1, i % 2 ? "a" : "b");
     }
-    for (i = 0; i < MEMBERS; i++) {
+    for (unsigned i = 0; i < MEMBERS; i++) {
         view->self = i;
         choose_backups(view, members, since_us, OWNER_BACKUPS);
         g_assert_cmpuint(members[0], !=, members[1]);
         chosen[members[0] - 1000]++;
         chosen[members[1] - 1000]++;
     }
-    for (i = 0; i < MEMBERS; i++) {
+    for (unsigned i = 0; i < MEMBERS; i++) {
         g_assert_cmpuint(chosen[i], <, 12); /* 2 on average */
     }
-    g_free(view);
-}
-
-int
-main(int argc, char **argv)
-{
-    g_test_init(&argc, &argv, NULL);
-    g_test_add_func("/notice/owner/short-flows",
-                    test_short_flows_cost_nothing);
-    g_test_add_func("/notice/owner/pace", test_pace_of_batches);
-    g_test_add_func("/notice/owner/sent-again", test_sent_again);
-    g_test_add_func("/notice/owner/told-anew", test_told_anew);
-    g_test_add_func("/notice/owner/addresses", test_addresses);
-    g_test_add_func("/notice/owner/addresses-bounded",
-                    test_addresses_are_bounded);
-    g_test_add_func("/notice/owner/flows-bounded",
-                    test_flows_told_are_bounded);
-    g_test_add_func("/notice/memory", test_memory);
-    g_test_add_func("/notice/choice/preference", test_choice);
-    g_test_add_func("/notice/choice/spread", test_choice_spreads);
-    return g_test_run();
 }
--- a/tests/notice/test_probe.c
+++ b/tests/notice/test_probe.c
@@ -3,13 +3,14 @@
  * when its packets stop coming in, and then an agent without the flow
  * answers what the caller sends with a reset. */
 #include <errno.h>
-#include <glib.h>
 #include <string.h>
 
 #include "notice/segment.h"
 #include "packet/packet.h"
 #include "stack/stack.h"
+#include "lib/harness.h"
 
+#define SUITE "/notice/probe"
 #define SERVICE_IP 0x0a000001u
 #define CALLER_IP 0x0a090001u
 #define PORT 80
@@ -125,7 +126,7 @@
 net_step(struct net *net)
 {
     struct packet packet;
-    GBytes *bytes;
+    g_autoptr(GBytes) bytes = NULL;
     const uint8_t *data;
     gsize len;
 
@@ -145,7 +146,6 @@
     else if (packet.src != SERVICE_IP || !net->host_dead) {
         g_assert_cmpint(stack_input(net->stack, data, len), ==, 0);
     }
-    g_bytes_unref(bytes);
     stack_poll(net->stack);
     return TRUE;
 }
@@ -225,22 +225,16 @@
 
 /* What happens without a notice: the caller sends nothing, so no agent has
  * anything to answer. */
-static void
-test_unprobed_waits(void)
+TEST_F(net, unprobed_waits, 1)
 {
-    struct net net;
-
-    net_init(&net, 1);
-    net_ask(&net);
-    net.host_dead = TRUE;
-    net_settle(&net);
-    g_assert_false(net.closed);
-    g_assert_cmpuint(net.caller_acks, ==, 0);
-    net_finish(&net);
+    net_ask(net);
+    net->host_dead = TRUE;
+    net_settle(net);
+    g_assert_false(net->closed);
+    g_assert_cmpuint(net->caller_acks, ==, 0);
 }
 
-static void
-test_probed_learns(void)
+TEST(probed_learns)
 {
     guint32 seed;
 
@@ -271,59 +265,39 @@
 
 /* A wrong notice: the host is alive. Probes in the midst of bytes both ways
  * end nothing and stop nothing. */
-static void
-test_live_flow_survives(void)
+TEST_F(net, live_flow_survives, 7)
 {
-    struct net net;
     size_t from_caller = 0;
     size_t from_host = 0;
     unsigned probes = 0;
 
-    net_init(&net, 7);
-    while (net.at_host_received < BYTES || net.at_caller_received < BYTES) {
-        pump(&net, net.at_caller, &from_caller);
-        pump(&net, net.at_host, &from_host);
-        if (g_rand_int_range(net.rand, 0, 4) == 0) {
-            net_probe(&net);
+    while (net->at_host_received < BYTES || net->at_caller_received < BYTES) {
+        pump(net, net->at_caller, &from_caller);
+        pump(net, net->at_host, &from_host);
+        if (g_rand_int_range(net->rand, 0, 4) == 0) {
+            net_probe(net);
             probes++;
         }
-        net_step(&net);
-        g_assert_false(net.closed);
+        net_step(net);
+        g_assert_false(net->closed);
     }
     g_assert_cmpuint(probes, >, 20);
-    g_assert_nonnull(net.at_host);
-    net_ask(&net);
-    net_finish(&net);
+    g_assert_nonnull(net->at_host);
+    net_ask(net);
 }
 
 /* A caller that has closed, or never opened, is told that nothing is there:
  * it answers with a reset, which nobody answers. */
-static void
-test_unknown_flow(void)
+TEST_F(net, unknown_flow, 1)
 {
-    struct net net;
     uint8_t probe[SEGMENT_PROBE_LEN];
     struct addr other = {CALLER_IP, CALLER_PORT + 1};
     size_t len = packet_build_probe(service, other, 5, probe);
 
-    net_init(&net, 1);
-    net.host_dead = TRUE;
-    g_assert_cmpint(stack_input(net.stack, probe, len), ==, 0);
-    net_settle(&net);
-    g_assert_cmpuint(net.caller_acks, ==, 1);
-    g_assert_cmpuint(net.resets, ==, 0);
-    g_assert_false(net.closed);
-    net_finish(&net);
-}
-
-int
-main(int argc, char **argv)
-{
-    g_test_init(&argc, &argv, NULL);
-    g_test_add_func("/notice/probe/unprobed-waits", test_unprobed_waits);
-    g_test_add_func("/notice/probe/probed-learns", test_probed_learns);
-    g_test_add_func("/notice/probe/live-flow-survives",
-                    test_live_flow_survives);
-    g_test_add_func("/notice/probe/unknown-flow", test_unknown_flow);
-    return g_test_run();
+    net->host_dead = TRUE;
+    g_assert_cmpint(stack_input(net->stack, probe, len), ==, 0);
+    net_settle(net);
+    g_assert_cmpuint(net->caller_acks, ==, 1);
+    g_assert_cmpuint(net->resets, ==, 0);
+    g_assert_false(net->closed);
 }
--- a/tests/notice/test_property.c
+++ b/tests/notice/test_property.c
@@ -1,6 +1,8 @@
-#include <glib.h>
 
 #include "model.h"
+#include "lib/harness.h"
+
+#define SUITE "/notice/property"
 
 static const guint32 seeds[] = {1, 2, 3, 5, 8, 13, 21, 34, 55, 89, 144, 233};
 
@@ -26,32 +28,27 @@
     g_assert_cmpuint(result.owed, >, 100);
 }
 
-static void
-test_cell(void)
+TEST(cell)
 {
     static const struct model_config config = {.agents = 9, .cycles = 3};
-    size_t i;
 
-    for (i = 0; i < G_N_ELEMENTS(seeds); i++) {
+    for (size_t i = 0; i < G_N_ELEMENTS(seeds); i++) {
         run(&config, seeds[i]);
     }
 }
 
 /* As few as there can be: each is the other's backup. */
-static void
-test_pair(void)
+TEST(pair)
 {
     static const struct model_config config = {.agents = 3, .cycles = 4};
-    size_t i;
 
-    for (i = 0; i < G_N_ELEMENTS(seeds); i++) {
+    for (size_t i = 0; i < G_N_ELEMENTS(seeds); i++) {
         run(&config, seeds[i]);
     }
 }
 
 /* The check sees callers that are never told. */
-static void
-test_without_notices(void)
+TEST(without_notices)
 {
     static const struct model_config config = {
         .agents = 9, .cycles = 1, .deaf = TRUE};
@@ -61,13 +58,3 @@
                     "a flow of a dead owner was not probed");
     g_free(result.failure);
 }
-
-int
-main(int argc, char **argv)
-{
-    g_test_init(&argc, &argv, NULL);
-    g_test_add_func("/notice/property/cell", test_cell);
-    g_test_add_func("/notice/property/pair", test_pair);
-    g_test_add_func("/notice/property/without-notices", test_without_notices);
-    return g_test_run();
-}
--- a/tests/notice/test_wire.c
+++ b/tests/notice/test_wire.c
@@ -1,10 +1,12 @@
 #include <errno.h>
-#include <glib.h>
 #include <string.h>
 
 #include "agent/notice_wire.h"
 #include "agent/peer.pb-c.h"
 #include "base/link_wire.h"
+#include "lib/harness.h"
+
+#define SUITE "/notice/wire"
 
 static struct notice_message
 example(size_t opened, size_t closed)
@@ -16,9 +18,8 @@
                                      .service = {0x0a000001, 443},
                                      .opened = opened,
                                      .closed = closed};
-    size_t i;
 
-    for (i = 0; i < opened + closed; i++) {
+    for (size_t i = 0; i < opened + closed; i++) {
         message.callers[i] =
             (struct addr){0xfffefdfc - (uint32_t)i, (uint16_t)(65535 - i)};
     }
@@ -29,11 +30,10 @@
 static size_t
 pass(const struct notice_message *message)
 {
-    GByteArray *packed = notice_wire_pack(message);
+    g_autoptr(GByteArray) packed = notice_wire_pack(message);
     struct notice_message read;
     struct peer_wire wire;
     size_t len = packed->len;
-    size_t i;
 
     g_assert_cmpint(peer_wire_unpack(packed->data, len, 1, &wire), ==, 0);
     g_assert_true(wire.notice);
@@ -47,16 +47,14 @@
     g_assert_true(addr_equal(read.service, message->service));
     g_assert_cmpuint(read.opened, ==, message->opened);
     g_assert_cmpuint(read.closed, ==, message->closed);
-    for (i = 0; i < read.opened + read.closed; i++) {
+    for (size_t i = 0; i < read.opened + read.closed; i++) {
         g_assert_true(addr_equal(read.callers[i], message->callers[i]));
     }
     peer_wire_finish(&wire);
-    g_byte_array_unref(packed);
     return len;
 }
 
-static void
-test_round_trip(void)
+TEST(round_trip)
 {
     struct notice_message ack = {
         .type = NOTICE_ACK, .known = true, .boot = 9, .session = 1, .seq = 2};
@@ -74,8 +72,7 @@
 
 /* An agent at the aimed size opens and closes 21 flows a second, in five
  * batches to each of two backups. */
-static void
-test_bytes_a_second(void)
+TEST(bytes_a_second)
 {
     struct notice_message message = example(5, 4);
     struct notice_message ack = {.type = NOTICE_ACK,
@@ -94,7 +91,7 @@
 static void
 read_bad(const Swiftarch__PeerMessage *raw)
 {
-    GByteArray *packed = peer_wire_pack_raw(raw);
+    g_autoptr(GByteArray) packed = peer_wire_pack_raw(raw);
     struct notice_message read;
     struct peer_wire wire;
 
@@ -102,11 +99,9 @@
                     0);
     g_assert_cmpint(notice_wire_read(&wire, &read), ==, -EBADMSG);
     peer_wire_finish(&wire);
-    g_byte_array_unref(packed);
 }
 
-static void
-test_bad_messages(void)
+TEST(bad_messages)
 {
     uint8_t bytes[(NOTICE_BATCH_MAX + 1) * 6] = {0};
     Swiftarch__PeerMessage raw = SWIFTARCH__PEER_MESSAGE__INIT;
@@ -131,16 +126,14 @@
 }
 
 /* Any bytes: an error or a message within bounds. */
-static void
-test_mutated(void)
+TEST(mutated)
 {
-    GRand *rand = g_rand_new_with_seed(11);
+    g_autoptr(GRand) rand = g_rand_new_with_seed(11);
     struct notice_message message = example(9, 5);
-    GByteArray *packed = notice_wire_pack(&message);
+    g_autoptr(GByteArray) packed = notice_wire_pack(&message);
     unsigned read_well = 0;
-    unsigned i;
 
-    for (i = 0; i < 20000; i++) {
+    for (unsigned i = 0; i < 20000; i++) {
         g_autofree uint8_t *bytes = g_memdup2(packed->data, packed->len);
         struct notice_message read;
         struct peer_wire wire;
@@ -160,17 +153,4 @@
         peer_wire_finish(&wire);
     }
     g_assert_cmpuint(read_well, >, 100);
-    g_byte_array_unref(packed);
-    g_rand_free(rand);
-}
-
-int
-main(int argc, char **argv)
-{
-    g_test_init(&argc, &argv, NULL);
-    g_test_add_func("/notice/wire/round-trip", test_round_trip);
-    g_test_add_func("/notice/wire/bytes-a-second", test_bytes_a_second);
-    g_test_add_func("/notice/wire/bad-messages", test_bad_messages);
-    g_test_add_func("/notice/wire/mutated", test_mutated);
-    return g_test_run();
 }
--- a/tests/notice/traffic.c
+++ b/tests/notice/traffic.c
@@ -12,12 +12,9 @@
 static gboolean
 in_use(const struct model *model, struct addr caller)
 {
-    unsigned i;
-    guint j;
-
-    for (i = 0; i < model->config->agents; i++) {
+    for (unsigned i = 0; i < model->config->agents; i++) {
         const GArray *flows = model->agents[i].flows;
-        for (j = 0; j < flows->len; j++) {
+        for (guint j = 0; j < flows->len; j++) {
             if (addr_equal(g_array_index(flows, struct flow, j).caller,
                            caller)) {
                 return TRUE;
@@ -161,9 +158,7 @@
 static void
 note_backups(struct model *model, struct agent *agent)
 {
-    size_t i;
-
-    for (i = 0; i < OWNER_BACKUPS; i++) {
+    for (size_t i = 0; i < OWNER_BACKUPS; i++) {
         const struct owner_backup *backup = &agent->notice.owner.backups[i];
         uint64_t seen = backup->member == 0 ? 0 : backup->since_us;
 
@@ -182,7 +177,6 @@
     struct notice_probe probes[16];
     uint64_t to;
     size_t count;
-    size_t j;
 
     if (agent->changed) {
         agent->changed = FALSE;
@@ -198,7 +192,7 @@
     do {
         count = notice_probes(&agent->notice, model->now_us, probes,
                               G_N_ELEMENTS(probes));
-        for (j = 0; j < count; j++) {
+        for (size_t j = 0; j < count; j++) {
             note_probe(model, &probes[j]);
         }
     } while (count == G_N_ELEMENTS(probes));
--- a/tests/notice/world.c
+++ b/tests/notice/world.c
@@ -63,9 +63,8 @@
 {
     const struct agent *agent = &model->agents[self];
     struct view *view = view_new(model->config->agents);
-    unsigned i;
 
-    for (i = 0; i < model->config->agents; i++) {
+    for (unsigned i = 0; i < model->config->agents; i++) {
         const struct knowledge *known = &agent->knows[i];
         struct view_member *member;
 
@@ -114,7 +113,6 @@
 world_start(struct model *model, unsigned i)
 {
     struct agent *agent = &model->agents[i];
-    unsigned j;
 
     agent->running = TRUE;
     agent->leaving = FALSE;
@@ -127,7 +125,7 @@
     notice_init(&agent->notice, agent->boot);
     world_spread(model, i, MEMBER_ALIVE);
     /* A newcomer fetches the members from somebody. */
-    for (j = 0; j < model->config->agents; j++) {
+    for (unsigned j = 0; j < model->config->agents; j++) {
         const struct agent *other = &model->agents[j];
         struct news news = {model->now_us + world_up_to(model, LAG_MAX_US),
                             i,
@@ -143,9 +141,7 @@
 static int
 find_guard(const struct model *model, const struct agent *owner)
 {
-    size_t i;
-
-    for (i = 0; i < OWNER_BACKUPS; i++) {
+    for (size_t i = 0; i < OWNER_BACKUPS; i++) {
         uint64_t member = owner->notice.owner.backups[i].member;
         unsigned index = (unsigned)(member - world_id(0));
 
@@ -169,9 +165,8 @@
 note_debts(struct model *model, const struct agent *owner)
 {
     int guard = find_guard(model, owner);
-    guint i;
 
-    for (i = 0; guard >= 0 && i < owner->flows->len; i++) {
+    for (guint i = 0; guard >= 0 && i < owner->flows->len; i++) {
         const struct flow *flow = &g_array_index(owner->flows, struct flow, i);
         struct debt debt = {model->now_us + WAKE_US + FREEZE_MAX_US,
                             model->now_us, flow->caller, (unsigned)guard,
@@ -195,16 +190,14 @@
 static void
 expect(struct model *model, const struct agent *agent)
 {
-    guint i;
-
     if (model->expected == NULL) {
         return;
     }
-    for (i = 0; i < agent->flows->len; i++) {
+    for (guint i = 0; i < agent->flows->len; i++) {
         const struct flow *flow = &g_array_index(agent->flows, struct flow, i);
         g_hash_table_add(model->expected, world_key(flow->caller));
     }
-    for (i = 0; i < agent->ended->len; i++) {
+    for (guint i = 0; i < agent->ended->len; i++) {
         const struct ended *ended =
             &g_array_index(agent->ended, struct ended, i);
         if (ended->at_us + CLOSED_US > model->now_us) {
