tests/platform: one way to begin and await a watch

Cause: six watches were begun and awaited by the same six lines, and each test was named twice. Change: start_watch() and wait_for(), which gives the status; the fixture is that of TEST_F(). Lines: platform 409 to 356.

--- a/tests/platform/platform_test.c
+++ b/tests/platform/platform_test.c
@@ -2,11 +2,12 @@
 #include <string.h>
 
 #include <event2/event.h>
-#include <glib.h>
 
 #include "platform/platform.h"
 #include "standin/platform/server.h"
+#include "lib/harness.h"
 
+#define SUITE "/platform"
 #define SLOW_MS 2000
 
 /** struct fixture - a stand-in in this process and a client of it */
@@ -51,12 +52,14 @@
     *call = (struct call){.base.done = on_done, .loop = fixture->base};
 }
 
-static void
+/* Its status, once it is done. */
+static int
 wait_for(struct fixture *fixture, struct call *call)
 {
     while (!call->done) {
         g_assert_cmpint(event_base_loop(fixture->base, EVLOOP_ONCE), ==, 0);
     }
+    return call->status;
 }
 
 static int
@@ -64,8 +67,17 @@
 {
     call_init(call, fixture);
     g_assert_cmpint(platform_get(fixture->platform, name, &call->base), ==, 0);
-    wait_for(fixture, call);
-    return call->status;
+    return wait_for(fixture, call);
+}
+
+static void
+start_watch(struct fixture *fixture, uint64_t after, unsigned wait_s,
+            struct call *call)
+{
+    call_init(call, fixture);
+    g_assert_cmpint(platform_watch(fixture->platform, "config", after, wait_s,
+                                   &call->base),
+                    ==, 0);
 }
 
 static int
@@ -82,7 +94,7 @@
 }
 
 static void
-setup(struct fixture *fixture, gconstpointer data)
+fixture_init(struct fixture *fixture)
 {
     struct addr any = {.ip = INADDR_LOOPBACK};
     struct error err;
@@ -96,7 +108,7 @@
 }
 
 static void
-teardown(struct fixture *fixture, gconstpointer data)
+fixture_finish(struct fixture *fixture)
 {
     platform_free(fixture->platform);
     event_base_free(fixture->base);
@@ -122,8 +134,7 @@
     g_free(call.value);
 }
 
-static void
-test_conditions(struct fixture *fixture, gconstpointer data)
+TEST_F(fixture, conditions)
 {
     struct call call;
 
@@ -142,10 +153,9 @@
     g_assert_cmpuint(server_read_stats(&fixture->server).conflicts, ==, 3);
 }
 
-static void
-test_sizes(struct fixture *fixture, gconstpointer data)
+TEST_F(fixture, sizes)
 {
-    char *value = g_strnfill(PLATFORM_VALUE_MAX, 'x');
+    g_autofree char *value = g_strnfill(PLATFORM_VALUE_MAX, 'x');
     struct call call;
 
     g_assert_cmpint(put(fixture, "config", 0, value, &call), ==, 0);
@@ -156,11 +166,9 @@
     g_assert_cmpint(platform_put(fixture->platform, "config", 1, value,
                                  PLATFORM_VALUE_MAX + 1, &call.base),
                     ==, -EMSGSIZE);
-    g_free(value);
 }
 
-static void
-test_names(struct fixture *fixture, gconstpointer data)
+TEST_F(fixture, names)
 {
     static const char *const bad[] = {"", "a/b", "a?b", "..", "a b", "a%2f"};
     struct call call;
@@ -176,8 +184,7 @@
     g_assert_cmpuint(platform_calls(fixture->platform), ==, 0);
 }
 
-static void
-test_url(void)
+TEST(url)
 {
     struct event_base *base = event_base_new();
     struct error err = {0};
@@ -188,45 +195,32 @@
     event_base_free(base);
 }
 
-static void
-test_watch(struct fixture *fixture, gconstpointer data)
+TEST_F(fixture, watch)
 {
     struct call watch;
     struct call call;
 
     g_assert_cmpint(put(fixture, "config", 0, "a", &call), ==, 0);
-    call_init(&watch, fixture);
-    g_assert_cmpint(
-        platform_watch(fixture->platform, "config", 0, 30, &watch.base), ==,
-        0);
-    wait_for(fixture, &watch);
-    g_assert_cmpint(watch.status, ==, 0);
+    start_watch(fixture, 0, 30, &watch);
+    g_assert_cmpint(wait_for(fixture, &watch), ==, 0);
     g_assert_cmpuint(watch.version, ==, 1);
     g_free(watch.value);
 
-    call_init(&watch, fixture);
-    g_assert_cmpint(
-        platform_watch(fixture->platform, "config", 1, 30, &watch.base), ==,
-        0);
+    start_watch(fixture, 1, 30, &watch);
     g_assert_cmpint(put(fixture, "config", 1, "b", &call), ==, 0);
-    wait_for(fixture, &watch);
-    g_assert_cmpint(watch.status, ==, 0);
+    g_assert_cmpint(wait_for(fixture, &watch), ==, 0);
     g_assert_cmpuint(watch.version, ==, 2);
     g_assert_cmpstr(watch.value, ==, "b");
     g_free(watch.value);
 
-    call_init(&watch, fixture);
-    g_assert_cmpint(
-        platform_watch(fixture->platform, "config", 2, 0, &watch.base), ==, 0);
-    wait_for(fixture, &watch);
-    g_assert_cmpint(watch.status, ==, -EAGAIN);
+    start_watch(fixture, 2, 0, &watch);
+    g_assert_cmpint(wait_for(fixture, &watch), ==, -EAGAIN);
     g_assert_cmpuint(server_read_stats(&fixture->server).watches, ==, 3);
 }
 
 /* The write took effect, its answer was lost: it is sent once only, also on
  * a connection that was used before, and reading back settles it. */
-static void
-test_lost_answer(struct fixture *fixture, gconstpointer data)
+TEST_F(fixture, lost_answer)
 {
     struct call call;
 
@@ -241,8 +235,7 @@
     g_assert_cmpuint(server_read_stats(&fixture->server).conflicts, ==, 0);
 }
 
-static void
-test_lost_write(struct fixture *fixture, gconstpointer data)
+TEST_F(fixture, lost_write)
 {
     struct call call;
 
@@ -251,23 +244,18 @@
     g_assert_cmpint(get(fixture, "config", &call), ==, -ENOENT);
 }
 
-static void
-test_down(struct fixture *fixture, gconstpointer data)
+TEST_F(fixture, down)
 {
     struct call watch;
     struct call call;
 
-    call_init(&watch, fixture);
-    g_assert_cmpint(
-        platform_watch(fixture->platform, "config", 0, 30, &watch.base), ==,
-        0);
+    start_watch(fixture, 0, 30, &watch);
     while (server_read_stats(&fixture->server).watching == 0) {
         event_base_loop(fixture->base, EVLOOP_NONBLOCK);
         g_usleep(1000);
     }
     set_fault(fixture, SERVER_DOWN, 0, 0);
-    wait_for(fixture, &watch);
-    g_assert_cmpint(watch.status, ==, -ECONNRESET);
+    g_assert_cmpint(wait_for(fixture, &watch), ==, -ECONNRESET);
     g_assert_cmpint(get(fixture, "config", &call), ==, -ECONNRESET);
     g_assert_cmpint(put(fixture, "config", 0, "a", &call), ==, -ECONNRESET);
     set_fault(fixture, SERVER_BUSY, 0, 0);
@@ -276,8 +264,7 @@
     g_assert_cmpint(get(fixture, "config", &call), ==, -ENOENT);
 }
 
-static void
-test_gone(struct fixture *fixture, gconstpointer data)
+TEST_F(fixture, gone)
 {
     struct error err;
     struct call call;
@@ -291,8 +278,7 @@
 /* An answer after 2 s is still taken, also on a busy machine: that of a watch,
  * whose limit is far. A read or write without one is a timeout, and not before
  * 2 s; that it may come later on a busy machine proves nothing. */
-static void
-test_slow(struct fixture *fixture, gconstpointer data)
+TEST_F(fixture, slow)
 {
     struct call watch;
     struct call call;
@@ -305,8 +291,7 @@
     g_assert_cmpint(
         platform_watch(fixture->platform, "config", 0, 60, &watch.base), ==,
         0);
-    wait_for(fixture, &watch);
-    g_assert_cmpint(watch.status, ==, 0);
+    g_assert_cmpint(wait_for(fixture, &watch), ==, 0);
     g_assert_cmpstr(watch.value, ==, "a");
     g_assert_cmpint(g_get_monotonic_time() - start, >=, SLOW_MS * 1000);
     g_free(watch.value);
@@ -322,39 +307,29 @@
     assert_object(fixture, 2, "b");
 }
 
-static void
-test_watch_ends(struct fixture *fixture, gconstpointer data)
+TEST_F(fixture, watch_ends)
 {
     struct call watch;
 
     set_fault(fixture, SERVER_WATCH_ENDS, 10, 1);
-    call_init(&watch, fixture);
-    g_assert_cmpint(
-        platform_watch(fixture->platform, "config", 0, 30, &watch.base), ==,
-        0);
-    wait_for(fixture, &watch);
-    g_assert_cmpint(watch.status, ==, -ECONNRESET);
+    start_watch(fixture, 0, 30, &watch);
+    g_assert_cmpint(wait_for(fixture, &watch), ==, -ECONNRESET);
 }
 
 /* A watch that sleeps through a change ends as if there had been none. */
-static void
-test_watch_skips(struct fixture *fixture, gconstpointer data)
+TEST_F(fixture, watch_skips)
 {
     struct call watch;
     struct call call;
 
     g_assert_cmpint(put(fixture, "config", 0, "a", &call), ==, 0);
     set_fault(fixture, SERVER_WATCH_SKIPS, 0, 1);
-    call_init(&watch, fixture);
-    g_assert_cmpint(
-        platform_watch(fixture->platform, "config", 0, 1, &watch.base), ==, 0);
-    wait_for(fixture, &watch);
-    g_assert_cmpint(watch.status, ==, -EAGAIN);
+    start_watch(fixture, 0, 1, &watch);
+    g_assert_cmpint(wait_for(fixture, &watch), ==, -EAGAIN);
     assert_object(fixture, 1, "a");
 }
 
-static void
-test_rates(struct fixture *fixture, gconstpointer data)
+TEST_F(fixture, rates)
 {
     struct call call;
     unsigned refused = 0;
@@ -367,43 +342,15 @@
     g_assert_cmpuint(server_read_stats(&fixture->server).refused, ==, refused);
 }
 
-static void
-test_free_while_open(struct fixture *fixture, gconstpointer data)
+TEST_F(fixture, free_while_open)
 {
     struct error err;
     struct call watch;
 
-    call_init(&watch, fixture);
-    g_assert_cmpint(
-        platform_watch(fixture->platform, "config", 0, 30, &watch.base), ==,
-        0);
+    start_watch(fixture, 0, 30, &watch);
     event_base_loop(fixture->base, EVLOOP_ONCE);
     platform_free(fixture->platform);
     g_assert_false(watch.done);
     fixture->platform = platform_new(fixture->base, fixture->url, &err);
     g_assert_cmpint(get(fixture, "config", &watch), ==, -ENOENT);
 }
-
-#define ADD(name, test)                                                       \
-    g_test_add("/platform/" name, struct fixture, NULL, setup, test, teardown)
-
-int
-main(int argc, char **argv)
-{
-    g_test_init(&argc, &argv, NULL);
-    ADD("conditions", test_conditions);
-    ADD("sizes", test_sizes);
-    ADD("names", test_names);
-    g_test_add_func("/platform/url", test_url);
-    ADD("watch", test_watch);
-    ADD("lost_answer", test_lost_answer);
-    ADD("lost_write", test_lost_write);
-    ADD("down", test_down);
-    ADD("gone", test_gone);
-    ADD("slow", test_slow);
-    ADD("watch_ends", test_watch_ends);
-    ADD("watch_skips", test_watch_skips);
-    ADD("rates", test_rates);
-    ADD("free_while_open", test_free_while_open);
-    return g_test_run();
-}
