tests/idem: fixture and verdict checks; the event queue of tests/lib

Ruled out: dropping tests or seeds; rows for the fixed scenes, whose steps differ. Change: the scenes are tests of tests/lib/harness with a fixture of a started service; EXPECT(), EXPECT_ALL() and EXPECT_REASON() take the place of asserts over four lines; the simulator uses tests/lib/queue; one function starts the first agents. No test was dropped; names have _ for -.

--- a/tests/idem/losses.c
+++ b/tests/idem/losses.c
@@ -49,10 +49,7 @@
     struct sim sim;
 
     sim_init(&sim, seed, net);
-    for (unsigned i = 0; i < AGENTS; i++) {
-        sim_start(&sim, i);
-    }
-    sim_advance(&sim, 30 * USEC_PER_SEC);
+    sim_start_first(&sim, AGENTS, 30 * USEC_PER_SEC);
     for (unsigned key = 0; key < KEYS; key++) {
         uint64_t token = sim_begin(
             &sim, (unsigned)g_rand_int_range(sim.rand, 0, AGENTS), key);
@@ -141,10 +138,7 @@
     struct sim sim;
 
     sim_init(&sim, 1, net);
-    for (unsigned i = 0; i < agents; i++) {
-        sim_start(&sim, i);
-    }
-    sim_advance(&sim, 30 * USEC_PER_SEC);
+    sim_start_first(&sim, agents, 30 * USEC_PER_SEC);
     messages = sim.messages;
     bytes = sim.bytes;
     for (unsigned key = 0; key < 200; key++) {
--- a/tests/idem/scene.c
+++ b/tests/idem/scene.c
@@ -1,15 +1,10 @@
 #include "scene.h"
 
-const struct sim_net scene_net = {.delay_us = 8 * SIM_MSEC};
-
 void
-scene_start(struct sim *sim, unsigned nodes)
+scene_start(struct sim *sim, unsigned nodes, uint64_t after_us)
 {
-    sim_init(sim, 7, scene_net);
-    for (unsigned i = 0; i < nodes; i++) {
-        sim_start(sim, i);
-    }
-    sim_advance(sim, 30 * USEC_PER_SEC);
+    sim_init(sim, 7, (struct sim_net){.delay_us = 8 * SIM_MSEC});
+    sim_start_first(sim, nodes, after_us);
 }
 
 void
@@ -19,7 +14,6 @@
     sim_finish(sim);
 }
 
-/* Ask and wait for the verdict. */
 enum idem_action_type
 scene_ask(struct sim *sim, unsigned node, unsigned key)
 {
--- a/tests/idem/sim.c
+++ b/tests/idem/sim.c
@@ -8,24 +8,13 @@
 #define WIRE_BYTES 102
 
 void
-sim_free_event(gpointer data)
+sim_drain(struct queue *queue)
 {
-    struct event *event = data;
+    struct event event;
 
-    g_free(event->answer);
-    g_free(event);
-}
-
-static int
-compare_events(gconstpointer a, gconstpointer b, gpointer data)
-{
-    const struct event *x = a;
-    const struct event *y = b;
-
-    if (x->due_us != y->due_us) {
-        return x->due_us < y->due_us ? -1 : 1;
+    while (queue_pop(queue, UINT64_MAX, &event)) {
+        g_free(event.answer);
     }
-    return x->order < y->order ? -1 : x->order > y->order;
 }
 
 void
@@ -49,15 +38,6 @@
                : (uint64_t)g_rand_int_range(sim->rand, 0, (int)bound_us);
 }
 
-void
-sim_add_event(struct sim *sim, const struct event *event)
-{
-    struct event *copy = g_memdup2(event, sizeof(*event));
-
-    copy->order = ++sim->seq;
-    g_sequence_insert_sorted(sim->events, copy, compare_events, NULL);
-}
-
 void
 sim_init(struct sim *sim, uint32_t seed, struct sim_net net)
 {
@@ -66,13 +46,13 @@
     sim->net = net;
     sim->now_us = USEC_PER_SEC;
     sim->next_tick_us = sim->now_us;
-    sim->events = g_sequence_new(sim_free_event);
+    queue_init(&sim->events, sizeof(struct event));
     sim->requests = g_array_new(FALSE, TRUE, sizeof(struct sim_request));
     for (unsigned i = 0; i < SIM_KEYS; i++) {
         sim->answers[i] = g_string_new(NULL);
     }
     for (unsigned i = 0; i < SIM_NODES; i++) {
-        g_queue_init(&sim->nodes[i].inbox);
+        queue_init(&sim->nodes[i].inbox, sizeof(struct event));
     }
 }
 
@@ -81,12 +61,14 @@
 {
     for (unsigned i = 0; i < SIM_NODES; i++) {
         idem_free(sim->nodes[i].idem);
-        g_queue_clear_full(&sim->nodes[i].inbox, sim_free_event);
+        sim_drain(&sim->nodes[i].inbox);
+        queue_finish(&sim->nodes[i].inbox);
     }
     for (unsigned i = 0; i < SIM_KEYS; i++) {
         g_string_free(sim->answers[i], TRUE);
     }
-    g_sequence_free(sim->events);
+    sim_drain(&sim->events);
+    queue_finish(&sim->events);
     g_array_free(sim->requests, TRUE);
     g_rand_free(sim->rand);
     g_free(sim->failure);
@@ -171,13 +153,13 @@
                              ? sim->net.delay_us
                              : sim->net.delay_us / 8;
 
-        event.due_us = sim->now_us + sim_random_us(sim, bound);
+        event.queue.at_us = sim->now_us + sim_random_us(sim, bound);
         if (action->msg.answer != NULL) {
             event.answer =
                 g_memdup2(action->msg.answer, action->msg.answer_len);
             event.msg.answer = event.answer;
         }
-        sim_add_event(sim, &event);
+        queue_push(&sim->events, &event);
     }
 }
 
@@ -299,27 +281,22 @@
     }
 }
 
+/* Those of a life that ended are lost, those of a frozen node wait. */
 static void
-deliver_due(struct sim *sim)
+arrive(struct sim *sim, struct event *event)
 {
-    GSequenceIter *first = g_sequence_get_begin_iter(sim->events);
-    struct event *event = g_sequence_get(first);
     struct sim_node *self = &sim->nodes[event->to];
+    bool lost = !self->up ||
+                (event->type != EVENT_MEMBER && self->life != event->to_life);
 
-    if (!self->up ||
-        (event->type != EVENT_MEMBER && self->life != event->to_life)) {
-        g_sequence_remove(first);
+    if (!lost && self->frozen) {
+        queue_push(&self->inbox, event);
         return;
     }
-    event = g_memdup2(event, sizeof(*event));
-    ((struct event *)g_sequence_get(first))->answer = NULL;
-    g_sequence_remove(first);
-    if (self->frozen) {
-        g_queue_push_tail(&self->inbox, event);
-        return;
+    if (!lost) {
+        sim_deliver(sim, event);
     }
-    sim_deliver(sim, event);
-    sim_free_event(event);
+    g_free(event->answer);
 }
 
 static void
@@ -359,23 +336,19 @@
     uint64_t end_us = sim->now_us + delta_us;
 
     for (;;) {
-        GSequenceIter *first = g_sequence_get_begin_iter(sim->events);
-        const struct event *event =
-            g_sequence_iter_is_end(first) ? NULL : g_sequence_get(first);
-        bool message = event != NULL && event->due_us <= sim->next_tick_us;
-        uint64_t due_us = message ? event->due_us : sim->next_tick_us;
+        struct event event;
 
-        if (due_us > end_us) {
-            break;
-        }
-        sim->now_us = MAX(sim->now_us, due_us);
-        if (message) {
-            deliver_due(sim);
+        if (queue_pop(&sim->events, MIN(sim->next_tick_us, end_us), &event)) {
+            sim->now_us = MAX(sim->now_us, event.queue.at_us);
+            arrive(sim, &event);
+            continue;
         }
-        else {
-            tick(sim);
-            sim->next_tick_us += SIM_TICK_US;
+        if (sim->next_tick_us > end_us) {
+            break;
         }
+        sim->now_us = MAX(sim->now_us, sim->next_tick_us);
+        tick(sim);
+        sim->next_tick_us += SIM_TICK_US;
     }
     sim->now_us = end_us;
 }
--- a/tests/idem/sim.h
+++ b/tests/idem/sim.h
@@ -12,6 +12,7 @@
 
 #include "control/view.h"
 #include "idem/idem.h"
+#include "lib/queue.h"
 
 #define SIM_NODES 8
 #define SIM_KEYS 12
@@ -68,7 +69,7 @@
     uint64_t frozen_us;
     uint64_t incarnation;
     struct sim_known known[SIM_NODES];
-    GQueue inbox;
+    struct queue inbox;
 };
 
 /**
@@ -103,7 +104,7 @@
     uint64_t seq;
     struct sim_node nodes[SIM_NODES];
     uint64_t cut_us[SIM_NODES][SIM_NODES];
-    GSequence *events;
+    struct queue events;
     GArray *requests;
     GString *answers[SIM_KEYS];
     bool no_sync;
@@ -132,6 +133,10 @@
 void
 sim_start(struct sim *sim, unsigned node);
 
+/** sim_start_first() - start the first @nodes, let @after_us go by */
+void
+sim_start_first(struct sim *sim, unsigned nodes, uint64_t after_us);
+
 /** sim_crash() - the process dies; the others notice after 2 to 4 s, or at
  * once with @noticed */
 void
--- a/tests/idem/sim_members.c
+++ b/tests/idem/sim_members.c
@@ -63,7 +63,7 @@
     for (unsigned i = 0; i < SIM_NODES; i++) {
         struct event event = {
             .type = EVENT_MEMBER,
-            .due_us =
+            .queue.at_us =
                 sim->now_us + after_us + sim_random_us(sim, sim->net.skew_us),
             .to = i,
             .about = about,
@@ -72,7 +72,7 @@
         };
 
         if (i != about) {
-            sim_add_event(sim, &event);
+            queue_push(&sim->events, &event);
         }
     }
 }
@@ -101,8 +101,17 @@
     sim_show_view(sim, node);
     sim_tell(sim, node, MEMBER_ALIVE, 0);
     join.to_life = self->life;
-    join.due_us = sim->now_us + sim_random_us(sim, USEC_PER_SEC);
-    sim_add_event(sim, &join);
+    join.queue.at_us = sim->now_us + sim_random_us(sim, USEC_PER_SEC);
+    queue_push(&sim->events, &join);
+}
+
+void
+sim_start_first(struct sim *sim, unsigned nodes, uint64_t after_us)
+{
+    for (unsigned i = 0; i < nodes; i++) {
+        sim_start(sim, i);
+    }
+    sim_advance(sim, after_us);
 }
 
 /* A newcomer gets the whole list from one who is there; others do so from
@@ -148,8 +157,7 @@
     self->idem = NULL;
     self->up = false;
     self->frozen = false;
-    g_queue_clear_full(&self->inbox, sim_free_event);
-    g_queue_init(&self->inbox);
+    sim_drain(&self->inbox);
     for (size_t i = 0; i < sim->requests->len; i++) {
         struct sim_request *request = sim_request(sim, i + 1);
 
@@ -199,7 +207,7 @@
 sim_thaw(struct sim *sim, unsigned node)
 {
     struct sim_node *self = &sim->nodes[node];
-    struct event *event;
+    struct event event;
 
     if (!self->frozen) {
         return;
@@ -208,9 +216,9 @@
     self->incarnation++;
     self->known[node].member.incarnation = self->incarnation;
     sim_tell(sim, node, MEMBER_ALIVE, 0);
-    while ((event = g_queue_pop_head(&self->inbox)) != NULL) {
-        sim_deliver(sim, event);
-        sim_free_event(event);
+    while (queue_pop(&self->inbox, UINT64_MAX, &event)) {
+        sim_deliver(sim, &event);
+        g_free(event.answer);
     }
 }
 
--- a/tests/idem/sim_private.h
+++ b/tests/idem/sim_private.h
@@ -11,8 +11,7 @@
 
 /**
  * struct event - what happens at a moment
- * @due_us: moment
- * @order: among those of one moment
+ * @queue: its moment
  * @type: what
  * @to: node it happens to
  * @to_life: EVENT_MESSAGE, EVENT_JOIN: life of that node it is meant for
@@ -24,9 +23,7 @@
  * @member: EVENT_MEMBER: how it looks now
  */
 struct event {
-    uint64_t due_us;
-    uint64_t order;
-    /** enum event_type - kinds of events */
+    struct queue_event queue;
     enum event_type type;
     unsigned to;
     unsigned to_life;
@@ -38,9 +35,9 @@
     struct view_member member;
 };
 
-/** sim_free_event() - free an event and its answer */
+/** sim_drain() - empty a queue of events */
 void
-sim_free_event(gpointer data);
+sim_drain(struct queue *queue);
 
 /** sim_fail() - note the first thing that went wrong */
 void
@@ -50,10 +47,6 @@
 uint64_t
 sim_random_us(struct sim *sim, uint64_t bound_us);
 
-/** sim_add_event() - copy it into the queue */
-void
-sim_add_event(struct sim *sim, const struct event *event);
-
 /** sim_node_of() - node of a member id */
 unsigned
 sim_node_of(uint64_t id);
--- a/tests/idem/test_limits.c
+++ b/tests/idem/test_limits.c
@@ -1,68 +1,55 @@
-#include "idem/state.h"
 #include "scene.h"
 
+#define SUITE "/idem"
+
 /* A table at its bound refuses new keys and still knows the old ones. */
-static void
-test_full(void)
+SCENE(full, 3, SCENE_SETTLED_US)
 {
-    struct sim sim;
-
-    scene_start(&sim, 3);
-    scene_run(&sim, 0, 1, IDEM_DONE);
+    scene_run(sim, 0, 1, IDEM_DONE);
     for (unsigned i = 0; i < 1000; i++) {
-        (void)sim_begin(&sim, 0, 1000 + i);
+        (void)sim_begin(sim, 0, 1000 + i);
     }
-    g_assert_cmpuint(idem_records(sim.nodes[0].idem), ==, 1000);
-    sim_advance(&sim, USEC_PER_SEC);
-    g_assert_cmpint(scene_ask(&sim, 0, 2), ==, IDEM_REFUSE);
-    g_assert_cmpint(scene_reason(&sim), ==, IDEM_REASON_FULL);
-    g_assert_cmpint(scene_ask(&sim, 0, 1), ==, IDEM_REPLAY);
-    scene_finish(&sim);
+    g_assert_cmpuint(idem_records(sim->nodes[0].idem), ==, 1000);
+    sim_advance(sim, USEC_PER_SEC);
+    EXPECT_REASON(0, 2, IDEM_REFUSE, IDEM_REASON_FULL);
+    EXPECT(0, 1, IDEM_REPLAY);
 }
 
-static void
-test_time_to_live(void)
+SCENE(time_to_live, 5, SCENE_SETTLED_US)
 {
-    struct sim sim;
-
-    scene_start(&sim, 5);
-    scene_run(&sim, 0, 1, IDEM_DONE);
-    sim.now_us += IDEM_TTL_US - 120 * USEC_PER_SEC;
-    sim.next_tick_us = sim.now_us;
-    sim_advance(&sim, 60 * USEC_PER_SEC);
-    g_assert_cmpint(scene_ask(&sim, 1, 1), ==, IDEM_REPLAY);
-    sim_advance(&sim, 120 * USEC_PER_SEC);
+    scene_run(sim, 0, 1, IDEM_DONE);
+    sim->now_us += IDEM_TTL_US - 120 * USEC_PER_SEC;
+    sim->next_tick_us = sim->now_us;
+    sim_advance(sim, 60 * USEC_PER_SEC);
+    EXPECT(1, 1, IDEM_REPLAY);
+    sim_advance(sim, 120 * USEC_PER_SEC);
     for (unsigned i = 0; i < 5; i++) {
-        g_assert_cmpuint(idem_records(sim.nodes[i].idem), ==, 0);
+        g_assert_cmpuint(idem_records(sim->nodes[i].idem), ==, 0);
     }
-    scene_finish(&sim);
 }
 
 /* Three newcomers at once: the records go out at a bounded rate, and are
  * all there before the newcomers count. */
-static void
-test_join_storm(void)
+SCENE(join_storm, 4, SCENE_SETTLED_US)
 {
     uint64_t most = 0;
-    struct sim sim;
 
-    scene_start(&sim, 4);
     for (unsigned i = 0; i < 900; i++) {
-        (void)sim_begin(&sim, i % 4, 100 + i);
-        sim_advance(&sim, 20 * SIM_MSEC);
+        (void)sim_begin(sim, i % 4, 100 + i);
+        sim_advance(sim, 20 * SIM_MSEC);
     }
-    for (uint64_t i = 1; i <= sim.requests->len; i++) {
-        sim_end(&sim, i, false, IDEM_DONE);
+    for (uint64_t i = 1; i <= sim->requests->len; i++) {
+        sim_end(sim, i, false, IDEM_DONE);
     }
-    sim_advance(&sim, 5 * USEC_PER_SEC);
+    sim_advance(sim, 5 * USEC_PER_SEC);
     for (unsigned i = 4; i < 7; i++) {
-        sim_start(&sim, i);
+        sim_start(sim, i);
     }
     for (unsigned i = 0; i < 180; i++) {
-        uint64_t before = sim.messages;
+        uint64_t before = sim->messages;
 
-        sim_advance(&sim, SIM_TICK_US);
-        most = MAX(most, sim.messages - before);
+        sim_advance(sim, SIM_TICK_US);
+        most = MAX(most, sim->messages - before);
     }
     g_test_message("at most %u messages in 50 ms from 4 agents",
                    (unsigned)most);
@@ -70,14 +57,12 @@
      * queue, three newcomers each, and their ACKs. */
     g_assert_cmpuint(most, <=, 4 * 2 * 73 * 3 * 2);
     for (unsigned i = 0; i < 7; i++) {
-        g_assert_cmpuint(idem_unpushed(sim.nodes[i].idem), ==, 0);
+        g_assert_cmpuint(idem_unpushed(sim->nodes[i].idem), ==, 0);
     }
-    scene_finish(&sim);
 }
 
 /* Answers share a budget: the oldest goes, that it ran is still known. */
-static void
-test_answer_budget(void)
+TEST(answer_budget)
 {
     size_t count = IDEM_ANSWERS_BYTES_MAX / IDEM_ANSWER_MAX;
     g_autofree uint8_t *answer = g_malloc0(IDEM_ANSWER_MAX);
@@ -103,35 +88,18 @@
 }
 
 /* What ran without an answer that could be kept is never run again. */
-static void
-test_answer_too_long(void)
+SCENE(answer_too_long, 5, SCENE_SETTLED_US)
 {
     g_autofree uint8_t *answer = g_malloc0(IDEM_ANSWER_MAX + 1);
     struct idem_actions out = {0};
-    struct sim sim;
 
-    scene_start(&sim, 5);
-    g_assert_cmpint(scene_ask(&sim, 0, 1), ==, IDEM_PROCEED);
-    g_assert_cmpint(idem_end(sim.nodes[0].idem, 1, false, IDEM_DONE, answer,
-                             IDEM_ANSWER_MAX + 1, sim.now_us, &out),
+    EXPECT(0, 1, IDEM_PROCEED);
+    g_assert_cmpint(idem_end(sim->nodes[0].idem, 1, false, IDEM_DONE, answer,
+                             IDEM_ANSWER_MAX + 1, sim->now_us, &out),
                     ==, 0);
     idem_actions_finish(&out);
-    sim_advance(&sim, 3 * USEC_PER_SEC);
+    sim_advance(sim, 3 * USEC_PER_SEC);
     for (unsigned i = 0; i < 5; i++) {
-        g_assert_cmpint(scene_ask(&sim, i, 1), ==, IDEM_OUTCOME_UNKNOWN);
-        g_assert_cmpint(scene_reason(&sim), ==, IDEM_REASON_NO_ANSWER);
+        EXPECT_REASON(i, 1, IDEM_OUTCOME_UNKNOWN, IDEM_REASON_NO_ANSWER);
     }
-    scene_finish(&sim);
-}
-
-int
-main(int argc, char **argv)
-{
-    g_test_init(&argc, &argv, NULL);
-    g_test_add_func("/idem/full", test_full);
-    g_test_add_func("/idem/time-to-live", test_time_to_live);
-    g_test_add_func("/idem/join-storm", test_join_storm);
-    g_test_add_func("/idem/answer-budget", test_answer_budget);
-    g_test_add_func("/idem/answer-too-long", test_answer_too_long);
-    return g_test_run();
 }
--- a/tests/idem/test_property.c
+++ b/tests/idem/test_property.c
@@ -1,8 +1,10 @@
 #include <locale.h>
 #include <stdio.h>
 
+#include "lib/harness.h"
 #include "sim.h"
 
+#define SUITE "/idem/property"
 #define STEPS 160
 #define SEEDS 800
 /* Longer than it takes to notice a death, to settle and to push. */
@@ -210,12 +212,10 @@
     size_t failed = 0;
 
     sim_init(&sim, plan->seed, net);
-    for (unsigned i = 0; i < 5; i++) {
-        sim_start(&sim, i);
-    }
     /* A service that starts needs views that agree sooner. */
-    sim_advance(&sim, net.skew_us > 2 * USEC_PER_SEC ? 30 * USEC_PER_SEC
-                                                     : 2 * USEC_PER_SEC);
+    sim_start_first(&sim, 5,
+                    net.skew_us > 2 * USEC_PER_SEC ? 30 * USEC_PER_SEC
+                                                   : 2 * USEC_PER_SEC);
     for (size_t i = 0; i < plan->count && sim.failure == NULL; i++) {
         step(&sim, &plan->ops[i]);
         failed = i + 1;
@@ -283,8 +283,7 @@
 
 /* Orders of joins, drains, freezes, cuts, lost, late and repeated messages,
  * with one memory lost at a time: nothing runs twice, nothing is stuck. */
-static void
-test_one_loss(void)
+TEST(one_loss)
 {
     const char *text = g_getenv("SEED");
     const char *count_text = g_getenv("SEEDS");
@@ -299,11 +298,3 @@
         check(first + i);
     }
 }
-
-int
-main(int argc, char **argv)
-{
-    g_test_init(&argc, &argv, NULL);
-    g_test_add_func("/idem/property/one-loss", test_one_loss);
-    return g_test_run();
-}
