tests/directory: event queue, waits and main from tests/lib

Cause: the model network had its own event queue, the same as that of the control's tests; each test was named twice; waits and free ports were written again. Change: the queue, main() and the waits are those of tests/lib.

--- a/tests/directory/net.c
+++ b/tests/directory/net.c
@@ -16,61 +16,18 @@
 enum net_event_type { EVENT_TICK, EVENT_MESSAGE, EVENT_VIEW, EVENT_TEXT };
 
 struct net_event {
-    uint64_t at_us;
-    uint64_t order;
+    struct queue_event base;
     enum net_event_type type;
     size_t node;
     uint64_t life;
     GBytes *body;
 };
 
-static bool
-event_before(const struct net_event *a, const struct net_event *b)
-{
-    return a->at_us != b->at_us ? a->at_us < b->at_us : a->order < b->order;
-}
-
 static void
 push(struct net *net, struct net_event event)
 {
-    size_t at = net->heap_count++;
-
-    if (net->heap_count > net->heap_capacity) {
-        net->heap_capacity = 2 * net->heap_count;
-        net->heap = g_renew(struct net_event, net->heap, net->heap_capacity);
-    }
-    event.order = net->order++;
     event.life = net->nodes[event.node].life;
-    while (at > 0 && event_before(&event, &net->heap[(at - 1) / 2])) {
-        net->heap[at] = net->heap[(at - 1) / 2];
-        at = (at - 1) / 2;
-    }
-    net->heap[at] = event;
-}
-
-static struct net_event
-pop(struct net *net)
-{
-    struct net_event first = net->heap[0];
-    struct net_event last = net->heap[--net->heap_count];
-    size_t at = 0;
-
-    for (;;) {
-        size_t child = 2 * at + 1;
-
-        if (child >= net->heap_count)
-            break;
-        if (child + 1 < net->heap_count &&
-            event_before(&net->heap[child + 1], &net->heap[child]))
-            child++;
-        if (!event_before(&net->heap[child], &last))
-            break;
-        net->heap[at] = net->heap[child];
-        at = child;
-    }
-    if (net->heap_count > 0)
-        net->heap[at] = last;
-    return first;
+    queue_push(&net->queue, &event);
 }
 
 static size_t
@@ -90,7 +47,7 @@
 {
     struct net_event event = {.type = type, .node = node};
 
-    event.at_us = net->now_us + random_below(&net->random, net->learn_us);
+    event.base.at_us = net->now_us + random_below(&net->random, net->learn_us);
     push(net, event);
 }
 
@@ -200,8 +157,8 @@
     buf = g_malloc(size);
     g_assert_cmpuint(directory_msg_encode(&action->msg, buf), ==, size);
     event.body = g_bytes_new_take(buf, size);
-    event.at_us = net->now_us + net->delay_us +
-                  random_below(&net->random, net->delay_us);
+    event.base.at_us = net->now_us + net->delay_us +
+                       random_below(&net->random, net->delay_us);
     push(net, event);
 }
 
@@ -233,8 +190,8 @@
     directory_tick(&self->core, net->now_us,
                    NET_WALL_MS + net->now_us / 1000 + self->skew_ms, &out);
     flush(net, node, &out);
-    next.at_us = MAX(directory_next_us(&self->core), net->now_us + 1000);
-    next.at_us = MIN(next.at_us, net->now_us + 500000);
+    next.base.at_us = MAX(directory_next_us(&self->core), net->now_us + 1000);
+    next.base.at_us = MIN(next.base.at_us, net->now_us + 500000);
     push(net, next);
 }
 
@@ -283,10 +240,10 @@
 void
 net_run(struct net *net, uint64_t until_us)
 {
-    while (net->heap_count > 0 && net->heap[0].at_us <= until_us) {
-        struct net_event event = pop(net);
+    struct net_event event;
 
-        net->now_us = event.at_us;
+    while (queue_pop(&net->queue, until_us, &event)) {
+        net->now_us = event.base.at_us;
         handle(net, &event);
     }
     net->now_us = until_us;
@@ -297,6 +254,7 @@
 {
     memset(net, 0, sizeof(*net));
     net->random.state = seed;
+    queue_init(&net->queue, sizeof(struct net_event));
     net->now_us = USEC_PER_SEC;
     net->delay_us = 1000;
     net->learn_us = USEC_PER_SEC;
@@ -347,8 +305,9 @@
     learn(net, node, false);
     learn_later(net, node, EVENT_TEXT);
     members_changed(net, self->cell);
-    push(net, (struct net_event){
-                  .type = EVENT_TICK, .node = node, .at_us = net->now_us});
+    push(net, (struct net_event){.type = EVENT_TICK,
+                                 .node = node,
+                                 .base.at_us = net->now_us});
 }
 
 void
@@ -390,12 +349,15 @@
 void
 net_finish(struct net *net)
 {
+    struct net_event event;
+
     for (size_t i = 0; i < net->count; i++)
         net_kill(net, i);
-    for (size_t i = 0; i < net->heap_count; i++)
-        if (net->heap[i].body != NULL)
-            g_bytes_unref(net->heap[i].body);
-    g_free(net->heap);
+    while (queue_pop(&net->queue, UINT64_MAX, &event)) {
+        if (event.body != NULL)
+            g_bytes_unref(event.body);
+    }
+    queue_finish(&net->queue);
     g_free(net->nodes);
     g_free(net->cells);
 }
--- a/tests/directory/net.h
+++ b/tests/directory/net.h
@@ -15,6 +15,7 @@
 #include "directory/directory.h"
 #include "directory/forward.h"
 #include "directory/table.h"
+#include "lib/queue.h"
 
 #define NET_ADDRESSES_MAX 256
 
@@ -68,8 +69,6 @@
     struct net_text text;
 };
 
-struct net_event;
-
 /**
  * struct net - see DOC
  * @loss: messages lost, of 1000
@@ -87,10 +86,7 @@
     uint64_t delay_us;
     uint64_t learn_us;
     struct random random;
-    struct net_event *heap;
-    size_t heap_count;
-    size_t heap_capacity;
-    uint64_t order;
+    struct queue queue;
     void (*on_table)(struct net *net, size_t node);
     void *data;
 };
--- a/tests/directory/test_directory.c
+++ b/tests/directory/test_directory.c
@@ -1,6 +1,5 @@
 /* The directory's parts one by one. */
 #include <errno.h>
-#include <glib.h>
 #include <string.h>
 
 #include "directory/directory.h"
@@ -8,7 +7,9 @@
 #include "directory/message.h"
 #include "directory/table.h"
 #include "packet/gue.h"
+#include "lib/harness.h"
 
+#define SUITE "/directory"
 #define IP 0x0a010101u
 #define SOME_IP 0xc0a80001u
 #define TCP 6
@@ -51,8 +52,7 @@
 }
 
 /* Config first, then the counter, then the content; twice is once. */
-static void
-test_order(void)
+TEST(order)
 {
     struct directory_core core;
 
@@ -94,8 +94,7 @@
 }
 
 /* A claim that serves beats one that retired it, then the lower id. */
-static void
-test_conflict(void)
+TEST(conflict)
 {
     uint64_t a = directory_cell("a");
     uint64_t b = directory_cell("b");
@@ -116,8 +115,7 @@
 }
 
 /* The own cell's claim counts like any other's. */
-static void
-test_own(void)
+TEST(own)
 {
     bool lower = directory_cell("own") < directory_cell("a");
     struct packet packet = {.dst = SOME_IP, .dport = 80, .proto = TCP};
@@ -144,8 +142,7 @@
 }
 
 /* A flood of cells stops at the limit; the own cell still finds room. */
-static void
-test_full(void)
+TEST(full)
 {
     struct directory_core core;
     char name[DIRECTORY_NAME_MAX];
@@ -162,8 +159,7 @@
 }
 
 /* The mark is no hop list and no bare header, and stops a second forward. */
-static void
-test_forward(void)
+TEST(forward)
 {
     struct packet packet = {.dst = SOME_IP, .dport = 80, .proto = TCP};
     uint8_t bare[GUE_HEADER_MAX] = {0};
@@ -200,8 +196,7 @@
 
 /* A gateway that refused is passed over while there are others, for a
  * while; each turn has another gateway. */
-static void
-test_gone(void)
+TEST(gone)
 {
     struct directory_entry *entry = make_entry("a", 1, 1, SOME_IP, false);
     struct packet packet = {.dst = SOME_IP, .dport = 80, .proto = TCP};
@@ -258,12 +253,11 @@
 
 /* An entry of the largest text fits; what is cut or changed is refused or
  * read as some entry, and never crashes. */
-static void
-test_wire(void)
+TEST(wire)
 {
     struct directory_entry *entry =
         directory_entry_new("large", DIRECTORY_ADDRESSES_MAX);
-    uint8_t *buf = g_malloc(2 * DIRECTORY_MESSAGE_MAX);
+    g_autofree uint8_t *buf = g_malloc(2 * DIRECTORY_MESSAGE_MAX);
     struct random random = {.state = 7};
     struct directory_msg msg;
     size_t size;
@@ -293,7 +287,6 @@
         if (directory_msg_decode(copy, i % 2 ? size : len, &msg) == 0)
             directory_msg_finish(&msg);
     }
-    g_free(buf);
 }
 
 static size_t
@@ -335,8 +328,7 @@
 
 /* Whoever asks, and how often, gets no more than the budget; who holds no
  * directory answers nothing. */
-static void
-test_budget(void)
+TEST(budget)
 {
     struct directory_place place = {.holds = true};
     struct directory_core core;
@@ -359,8 +351,7 @@
 }
 
 /* In a cell whose two authors never agree, turns get rare. */
-static void
-test_contest(void)
+TEST(contest)
 {
     struct directory_place place = {.holds = true, .author = true};
     struct directory_actions out = {0};
@@ -386,8 +377,7 @@
 
 /* Who has an older text doesn't speak for its cell; a clock that is behind
  * doesn't keep who has the same text from doing so. */
-static void
-test_author(void)
+TEST(author)
 {
     struct directory_place place = {.holds = true, .author = true};
     struct directory_actions out = {0};
@@ -411,20 +401,3 @@
                      ==, 9001);
     directory_core_finish(&core);
 }
-
-int
-main(int argc, char **argv)
-{
-    g_test_init(&argc, &argv, NULL);
-    g_test_add_func("/directory/order", test_order);
-    g_test_add_func("/directory/conflict", test_conflict);
-    g_test_add_func("/directory/own", test_own);
-    g_test_add_func("/directory/full", test_full);
-    g_test_add_func("/directory/forward", test_forward);
-    g_test_add_func("/directory/gone", test_gone);
-    g_test_add_func("/directory/wire", test_wire);
-    g_test_add_func("/directory/budget", test_budget);
-    g_test_add_func("/directory/contest", test_contest);
-    g_test_add_func("/directory/author", test_author);
-    return g_test_run();
-}
--- a/tests/directory/test_property.c
+++ b/tests/directory/test_property.c
@@ -4,7 +4,9 @@
 
 #include "net.h"
 #include "text/text.h"
+#include "lib/harness.h"
 
+#define SUITE "/directory/property"
 #define CELLS 8
 #define NODES 4 /* of a cell */
 #define POOL 40 /* addresses */
@@ -380,10 +382,9 @@
     return text != NULL ? strtoull(text, NULL, 10) : SEEDS;
 }
 
-static void
-test_random(void)
+TEST(random)
 {
-    struct world *world = g_new(struct world, 1);
+    g_autofree struct world *world = g_new(struct world, 1);
 
     for (uint64_t seed = 1; seed <= seed_count(); seed++) {
         g_test_message("seed %" G_GUINT64_FORMAT, seed);
@@ -394,7 +395,6 @@
         settle(world);
         net_finish(&world->net);
     }
-    g_free(world);
 }
 
 static uint64_t
@@ -409,10 +409,9 @@
 
 /* What changes in the hour is known everywhere soon after, at a cost that
  * has a bound; in the hour what was known stays. */
-static void
-test_hour(void)
+TEST(hour)
 {
-    struct world *world = g_new(struct world, 1);
+    g_autofree struct world *world = g_new(struct world, 1);
     struct net *net = &world->net;
     uint64_t before[CELLS * NODES];
 
@@ -437,14 +436,4 @@
                    " bytes.",
                    most_paid(net, before));
     net_finish(net);
-    g_free(world);
-}
-
-int
-main(int argc, char **argv)
-{
-    g_test_init(&argc, &argv, NULL);
-    g_test_add_func("/directory/property/random", test_random);
-    g_test_add_func("/directory/property/hour", test_hour);
-    return g_test_run();
 }
--- a/tests/directory/test_settings.c
+++ b/tests/directory/test_settings.c
@@ -1,23 +1,25 @@
 /* Keys of a process whose region has several cells. */
 #include <errno.h>
-#include <glib.h>
 #include <glib/gstdio.h>
 #include <string.h>
 
 #include "base/settings.h"
+#include "lib/harness.h"
+
+#define SUITE "/directory"
 
 static int
 load(const char *more, struct settings *settings)
 {
-    char *folder = g_dir_make_tmp("settings-XXXXXX", NULL);
-    char *file = g_build_filename(folder, "operator.json", NULL);
-    char *key = g_build_filename(folder, "site.key", NULL);
+    g_autofree char *folder = g_dir_make_tmp("settings-XXXXXX", NULL);
+    g_autofree char *file = g_build_filename(folder, "operator.json", NULL);
+    g_autofree char *key = g_build_filename(folder, "site.key", NULL);
     char *text =
         g_strdup_printf("{\"platform\": \"http://127.0.0.1:4\", \"seeds\": [],"
                         "\"site_key_file\": \"site.key\"%s}",
                         more);
     struct error err = {0};
-    char *report = NULL;
+    g_autofree char *report = NULL;
     int ret;
 
     g_assert_true(g_file_set_contents(key, "0123456789abcdef", -1, NULL));
@@ -26,16 +28,11 @@
     g_unlink(file);
     g_unlink(key);
     g_rmdir(folder);
-    g_free(report);
     g_free(text);
-    g_free(key);
-    g_free(file);
-    g_free(folder);
     return ret;
 }
 
-static void
-test_keys(void)
+TEST(keys)
 {
     struct settings settings = {0};
 
@@ -54,11 +51,3 @@
     g_assert_cmpint(load(", \"region_seeds\": [\"10.0.0.1:0\"]", &settings),
                     ==, -EINVAL);
 }
-
-int
-main(int argc, char **argv)
-{
-    g_test_init(&argc, &argv, NULL);
-    g_test_add_func("/directory/settings", test_keys);
-    return g_test_run();
-}
--- a/tests/directory/test_site.c
+++ b/tests/directory/test_site.c
@@ -1,6 +1,5 @@
 /* Two cells of a region: control threads with real sockets, and the packets
  * between them. */
-#include <glib.h>
 #include <stdio.h>
 #include <string.h>
 #include <urcu.h>
@@ -11,23 +10,16 @@
 #include "directory/service.h"
 #include "scene.h"
 #include "standin/platform/server.h"
+#include "lib/harness.h"
+#include "lib/loopback.h"
 
-#define LOOPBACK 0x7f000001u
+#define SUITE "/directory/site"
 #define CELLS 2
 #define NODES 2 /* of a cell */
-#define LONG_S 30
 #define GATEWAY_PORT 4000
 #define OTHER_IP 0x0a650001u
 #define NOW_US (60 * USEC_PER_SEC)
 
-#define WAIT_FOR(condition)                                                   \
-    do {                                                                      \
-        gint64 until = g_get_monotonic_time() + LONG_S * G_USEC_PER_SEC;      \
-        while (!(condition) && g_get_monotonic_time() < until)                \
-            g_usleep(5000);                                                   \
-        g_assert_true(condition);                                             \
-    } while (0)
-
 /** struct node - a balancer without its packet workers */
 struct node {
     struct settings settings;
@@ -110,7 +102,7 @@
                                   &node->counters, &err);
     if (node->control == NULL)
         g_error("%s: %s", err.step, err.detail);
-    WAIT_FOR(control_of(f, cell, i).port != 0);
+    LOOPBACK_WAIT(control_of(f, cell, i).port != 0);
 }
 
 static void
@@ -132,7 +124,7 @@
                         "\"address\":\"%s\",\"port\":80,"
                         "\"protocol\":\"tcp\",\"class\":\"urgent\"}]}",
                         address);
-    GBytes *value = g_bytes_new_take(text, strlen(text));
+    g_autoptr(GBytes) value = g_bytes_new_take(text, strlen(text));
     char object[SETTINGS_NAME_MAX];
     uint64_t version;
 
@@ -142,7 +134,6 @@
         store_put(&f->server.store, object, expect, value, &version), ==, 0);
     g_cond_broadcast(&f->server.changed);
     g_mutex_unlock(&f->server.lock);
-    g_bytes_unref(value);
 }
 
 /* Gateways that a node would send packets for @ip to, 0 for unknown. */
@@ -175,10 +166,9 @@
 
 /* Each cell learns the other's addresses, their change, and the death of a
  * gateway; one object's text is not the other's. */
-static void
-test_cells(void)
+TEST(cells)
 {
-    struct fixture *f = g_new0(struct fixture, 1);
+    g_autofree struct fixture *f = g_new0(struct fixture, 1);
     struct error err = {0};
 
     clock_runtime_init(&f->clock);
@@ -190,16 +180,16 @@
     put_text(f, 1, 0, "10.101.0.1");
     for (size_t i = 0; i < CELLS * NODES; i++)
         start_node(f, i / NODES, i % NODES);
-    WAIT_FOR(all_know(f, 0, OTHER_IP, NODES));
-    WAIT_FOR(all_know(f, 1, SCENE_LOTS_IP, NODES));
+    LOOPBACK_WAIT(all_know(f, 0, OTHER_IP, NODES));
+    LOOPBACK_WAIT(all_know(f, 1, SCENE_LOTS_IP, NODES));
     g_assert_cmpuint(gateways_for(f, 0, 0, SCENE_LOTS_IP), ==, 0);
 
     put_text(f, 1, 1, "10.101.0.2");
-    WAIT_FOR(all_know(f, 0, OTHER_IP + 1, NODES));
+    LOOPBACK_WAIT(all_know(f, 0, OTHER_IP + 1, NODES));
     g_assert_true(all_know(f, 0, OTHER_IP, 0));
 
     stop_node(f, 1, 1);
-    WAIT_FOR(all_know(f, 0, OTHER_IP + 1, NODES - 1));
+    LOOPBACK_WAIT(all_know(f, 0, OTHER_IP + 1, NODES - 1));
     stop_node(f, 1, 0);
     /* The last word on a silent cell stays. */
     g_usleep(2 * G_USEC_PER_SEC);
@@ -207,7 +197,6 @@
     stop_node(f, 0, 0);
     stop_node(f, 0, 1);
     server_finish(&f->server);
-    g_free(f);
 }
 
 static struct directory_table *
@@ -254,8 +243,7 @@
 
 /* Fabric, balancer of cell A, gateway of cell B, agent; and no third cell:
  * a forwarded packet of an unknown address is dropped. */
-static void
-test_packets(void)
+TEST(packets)
 {
     struct directory_table *directory = directory_of("b", SCENE_LOTS_IP);
     struct directory_table *back = directory_of("a", OTHER_IP);
@@ -325,9 +313,7 @@
 
     g_test_init(&argc, &argv, NULL);
     rcu_register_thread();
-    g_test_add_func("/directory/site/packets", test_packets);
-    g_test_add_func("/directory/site/cells", test_cells);
-    ret = g_test_run();
+    ret = harness_run();
     rcu_unregister_thread();
     return ret;
 }
