tests/base: frees by scope

Cause: frees of one scope. Change: g_autofree and its kin. Run: the 7 programs of tests/base, ok, also with address and undefined behaviour sanitizers and leak detection. No check is touched.

--- a/tests/base/test_auth.c
+++ b/tests/base/test_auth.c
@@ -135,8 +135,8 @@
 TEST_F(pair, replay_in_any_order)
 {
     enum { COUNT = 4 * AUTH_WINDOW };
-    struct message *msgs = g_new(struct message, COUNT);
-    bool *taken = g_new0(bool, COUNT);
+    g_autofree struct message *msgs = g_new(struct message, COUNT);
+    g_autofree bool *taken = g_new0(bool, COUNT);
     int highest = -1;
 
     for (int i = 0; i < COUNT; i++)
@@ -152,8 +152,6 @@
         taken[at] = true;
         highest = MAX(highest, at);
     }
-    g_free(msgs);
-    g_free(taken);
 }
 
 /* A process that started again isn't taken for a replay of itself. */
--- a/tests/base/test_httpd.c
+++ b/tests/base/test_httpd.c
@@ -27,7 +27,7 @@
     const char *query = httpd_request_query(request, "q");
     const char *header = httpd_request_header(request, "X-Id");
     const char *body;
-    char *text;
+    g_autofree char *text = NULL;
     size_t len;
 
     echo->calls++;
@@ -39,7 +39,6 @@
                         httpd_request_path(request), query ? query : "-",
                         header ? header : "-", (int)len, body);
     httpd_respond(request, 200, "text/plain", text, strlen(text));
-    g_free(text);
     return 0;
 }
 
@@ -98,12 +97,11 @@
 expect(struct echo *echo, const char *request, const char *start,
        const char *end)
 {
-    char *answer = ask(echo, request);
+    g_autofree char *answer = ask(echo, request);
 
     g_test_message("%s", answer);
     g_assert_true(g_str_has_prefix(answer, start));
     g_assert_true(g_str_has_suffix(answer, end));
-    g_free(answer);
 }
 
 TEST_F(echo, requests)
--- a/tests/base/test_json_scan.c
+++ b/tests/base/test_json_scan.c
@@ -36,10 +36,9 @@
     };
 
     for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
-        char *keys = keys_of(cases[i][0]);
+        g_autofree char *keys = keys_of(cases[i][0]);
 
         g_assert_cmpstr(keys, ==, cases[i][1]);
-        g_free(keys);
     }
 }
 
--- a/tests/base/test_link.c
+++ b/tests/base/test_link.c
@@ -120,18 +120,17 @@
 /* Frames of all sizes arrive whole, in order, and go back the same way. */
 TEST_F(sides, frames, key)
 {
-    GByteArray *sent = g_byte_array_new();
+    g_autoptr(GByteArray) sent = g_byte_array_new();
 
     sides->b.echo = true;
     for (unsigned i = 0; i < 200; i++) {
         size_t len = i == 0 ? 0 : (size_t)g_test_rand_int_range(0, 20000);
-        uint8_t *body = g_malloc(len + 1);
+        g_autofree uint8_t *body = g_malloc(len + 1);
 
         memset(body, (int)(i & 0xff), len);
         g_byte_array_append(sent, body, (guint)len);
         g_assert_cmpint(link_send(&sides->a.hub, sides->to, 7, body, len), ==,
                         0);
-        g_free(body);
     }
     run_until(sides->base, &sides->a.frames, 200);
     g_assert_cmpuint(sides->b.frames, ==, 200);
@@ -144,12 +143,11 @@
                     sent->len);
     g_assert_cmpuint(sides->a.hub.sent_bytes, ==, sides->b.hub.received_bytes);
     g_assert_cmpuint(link_hub_queued(&sides->a.hub), ==, 0);
-    g_byte_array_unref(sent);
 }
 
 TEST_F(sides, limits, key)
 {
-    uint8_t *body = g_malloc0(LINK_FRAME_MAX);
+    g_autofree uint8_t *body = g_malloc0(LINK_FRAME_MAX);
     size_t max = LINK_FRAME_MAX - LINK_WIRE_OVERHEAD;
     int ret;
 
@@ -161,7 +159,6 @@
     g_assert_cmpint(ret, ==, -ENOBUFS);
     run_until(sides->base, &sides->b.frames, 3);
     g_assert_cmpuint(sides->b.bytes->len, ==, 3 * max);
-    g_free(body);
 }
 
 /* A refused connection is told as such: the process there is gone. */
--- a/tests/base/test_settings.c
+++ b/tests/base/test_settings.c
@@ -178,7 +178,7 @@
 TEST_F(fixture, random_damage)
 {
     for (int i = 0; i < 500; i++) {
-        char *text = g_strdup(whole);
+        g_autofree char *text = g_strdup(whole);
         int at = g_test_rand_int_range(0, (int)strlen(text));
         int ret;
 
@@ -189,6 +189,5 @@
         ret = load(fixture, SETTINGS_AGENT, text);
         g_assert_true(ret == 0 || ret == -EINVAL);
         g_assert_true((ret == 0) == (fixture->report == NULL));
-        g_free(text);
     }
 }
--- a/tests/base/test_trace.c
+++ b/tests/base/test_trace.c
@@ -62,11 +62,11 @@
 
 TEST(span_lines)
 {
-    char *folder = g_dir_make_tmp("trace-XXXXXX", NULL);
-    char *file = g_build_filename(folder, "spans.jsonl", NULL);
+    g_autofree char *folder = g_dir_make_tmp("trace-XXXXXX", NULL);
+    g_autofree char *file = g_build_filename(folder, "spans.jsonl", NULL);
     struct trace_context ctx, child;
     struct trace trace;
-    char *text;
+    g_autofree char *text = NULL;
 
     g_assert_cmpint(trace_init(&trace, "a1", file, 2, NULL), ==, 0);
     trace.epoch_us = 1000;
@@ -91,11 +91,8 @@
         "\"parent_span_id\":\"00f067aa0ba902b7\",\"process\":\"a1\","
         "\"hop\":\"dispatch\",\"start_us\":1003,\"end_us\":1004,"
         "\"detail\":\"say \\\"hi\\\"\"}\n");
-    g_free(text);
     g_unlink(file);
     g_rmdir(folder);
-    g_free(file);
-    g_free(folder);
 }
 
 TEST(file_fails)
--- a/tests/base/test_values.c
+++ b/tests/base/test_values.c
@@ -85,7 +85,7 @@
 {
     struct counter_table table;
     int dropped, open, other;
-    char *text;
+    g_autofree char *text = NULL;
     size_t len;
 
     g_assert_cmpint(counter_table_init(&table), ==, 0);
@@ -106,7 +106,6 @@
                     "# TYPE swiftarch_open gauge\n"
                     "swiftarch_open 4\n");
     g_assert_cmpuint(len, ==, strlen(text));
-    g_free(text);
     while (table.count < COUNTER_MAX)
         g_assert_cmpint(counter_register(&table, "x", NULL), >=, 0);
     g_assert_cmpint(counter_register(&table, "x", NULL), ==, -ENOSPC);
@@ -182,10 +181,10 @@
 /* What two calls leave on standard error, which becomes a file meanwhile. */
 TEST(log)
 {
-    char *path = NULL;
+    g_autofree char *path = NULL;
     int fd = g_file_open_tmp("log-XXXXXX", &path, NULL);
     int saved = dup(STDERR_FILENO);
-    char *text;
+    g_autofree char *text = NULL;
 
     g_assert_cmpint(log_init("a1", "loud"), ==, -EINVAL);
     g_assert_cmpint(log_init("a1", "warning"), ==, 0);
@@ -201,9 +200,7 @@
     g_assert_true(
         g_str_has_suffix(text, "Z warning a1 agent: The upstream is lost.\n"));
     g_assert_null(strstr(text, "Too low"));
-    g_free(text);
     close(saved);
     close(fd);
     g_unlink(path);
-    g_free(path);
 }
