tests/control: event queue, waits and main from tests/lib; fixtures

Change: the queue, main(), waits and closed ports are those of tests/lib; processes, networks and cells are fixtures.

--- a/tests/control/net.c
+++ b/tests/control/net.c
@@ -19,8 +19,7 @@
 };
 
 struct net_event {
-    uint64_t at_us;
-    uint64_t order;
+    struct queue_event base;
     enum net_event_type type;
     size_t node;
     size_t from;
@@ -31,54 +30,10 @@
     size_t len;
 };
 
-static bool
-event_before(const struct net_event *a, const struct net_event *b)
-{
-    if (a->at_us != b->at_us)
-        return a->at_us < b->at_us;
-    return a->order < b->order;
-}
-
 static void
 push(struct net *net, struct net_event event)
 {
-    size_t at = net->heap_count++;
-
-    if (net->heap_count > net->heap_capacity) {
-        net->heap_capacity = MAX(1024, 2 * net->heap_capacity);
-        net->heap = g_renew(struct net_event, net->heap, net->heap_capacity);
-    }
-    event.order = net->order++;
-    while (at > 0 && event_before(&event, &net->heap[(at - 1) / 2])) {
-        net->heap[at] = net->heap[(at - 1) / 2];
-        at = (at - 1) / 2;
-    }
-    net->heap[at] = event;
-}
-
-static struct net_event
-pop(struct net *net)
-{
-    struct net_event first = net->heap[0];
-    struct net_event last = net->heap[--net->heap_count];
-    size_t at = 0;
-
-    for (;;) {
-        size_t child = 2 * at + 1;
-
-        if (child >= net->heap_count)
-            break;
-        if (child + 1 < net->heap_count &&
-            event_before(&net->heap[child + 1], &net->heap[child]))
-            child++;
-        if (!event_before(&net->heap[child], &last))
-            break;
-        net->heap[at] = net->heap[child];
-        at = child;
-    }
-    if (net->heap_count > 0)
-        net->heap[at] = last;
-    return first;
+    queue_push(&net->queue, &event);
 }
 
 static uint64_t
@@ -107,6 +62,7 @@
     memset(net, 0, sizeof(*net));
     net->nodes = g_new0(struct net_node, count);
     net->count = count;
+    queue_init(&net->queue, sizeof(struct net_event));
     net->now_us = 1000 * USEC_PER_SEC;
     net->wall_us = UINT64_C(1700000000) * USEC_PER_SEC;
     net->delay_us = 1 * USEC_PER_MSEC;
@@ -132,12 +88,14 @@
 void
 net_finish(struct net *net)
 {
+    struct net_event event;
+
     for (size_t i = 0; i < net->count; i++)
         clear_node(net, &net->nodes[i]);
-    for (size_t i = 0; i < net->heap_count; i++)
-        g_free(net->heap[i].bytes);
+    while (queue_pop(&net->queue, UINT64_MAX, &event))
+        g_free(event.bytes);
+    queue_finish(&net->queue);
     member_actions_finish(&net->out);
-    g_free(net->heap);
     g_free(net->nodes);
 }
 
@@ -146,7 +104,7 @@
 refuse(struct net *net, size_t from, size_t to)
 {
     struct net_event event = {
-        .at_us = net->now_us + delay(net),
+        .base.at_us = net->now_us + delay(net),
         .type = NET_REFUSED,
         .node = from,
         .from_addr = net->nodes[to].addr,
@@ -175,12 +133,11 @@
     g_assert(to != SIZE_MAX && to != i);
     event.bytes = g_malloc(len + AUTH_OVERHEAD);
     if (net->seal) {
-        uint8_t *body = g_malloc(len);
+        g_autofree uint8_t *body = g_malloc(len);
 
         wire_encode(&action->msg, body);
         event.len =
             auth_seal(&node->auth, body, len, wall_ms(net), event.bytes);
-        g_free(body);
     }
     else {
         g_assert_cmpuint(wire_encode(&action->msg, event.bytes), ==, len);
@@ -193,10 +150,10 @@
         node->bytes_out += len + AUTH_OVERHEAD + DATAGRAM_OVERHEAD;
         node->largest = MAX(node->largest, len + AUTH_OVERHEAD);
     }
-    event.at_us = net->now_us + delay(net);
+    event.base.at_us = net->now_us + delay(net);
     /* A stream costs another round trip to open. */
     if (action->stream)
-        event.at_us += 2 * delay(net);
+        event.base.at_us += 2 * delay(net);
     if (!net->nodes[to].running) {
         refuse(net, i, to);
         g_free(event.bytes);
@@ -223,7 +180,7 @@
 {
     size_t to = node_at(net, from);
     struct net_event event = {
-        .at_us = net->now_us + 3 * delay(net),
+        .base.at_us = net->now_us + 3 * delay(net),
         .type = NET_FETCH,
         .node = to,
         .from = i,
@@ -265,8 +222,8 @@
         next = MIN(next, net->now_us + 100 * USEC_PER_MSEC);
     if (node->tick_us > net->now_us && node->tick_us <= next)
         return;
-    tick.at_us = MAX(next, net->now_us + 1);
-    node->tick_us = tick.at_us;
+    tick.base.at_us = MAX(next, net->now_us + 1);
+    node->tick_us = tick.base.at_us;
     push(net, tick);
 }
 
@@ -382,7 +339,7 @@
 {
     struct net_node *node = &net->nodes[event->node];
     struct net_event answer = {
-        .at_us = net->now_us + delay(net),
+        .base.at_us = net->now_us + delay(net),
         .type = NET_FETCHED,
         .node = event->from,
         .version = node->config.have,
@@ -416,7 +373,7 @@
         struct net_event later = *event;
 
         /* The worse order: timers fire before what came is read. */
-        later.at_us = node->frozen_us + (event->type == NET_TICK ? 0 : 1);
+        later.base.at_us = node->frozen_us + (event->type == NET_TICK ? 0 : 1);
         event->bytes = NULL;
         push(net, later);
         return;
@@ -446,11 +403,10 @@
 net_run(struct net *net, uint64_t for_us)
 {
     uint64_t until = net->now_us + for_us;
+    struct net_event event;
 
-    while (net->heap_count > 0 && net->heap[0].at_us <= until) {
-        struct net_event event = pop(net);
-
-        net->now_us = MAX(net->now_us, event.at_us);
+    while (queue_pop(&net->queue, until, &event)) {
+        net->now_us = MAX(net->now_us, event.base.at_us);
         handle(net, &event);
         g_free(event.bytes);
     }
--- a/tests/control/net.h
+++ b/tests/control/net.h
@@ -13,6 +13,7 @@
 #include "base/auth.h"
 #include "control/config.h"
 #include "control/member.h"
+#include "lib/queue.h"
 
 /** struct net_node - one process
  * @frozen_us: until then it doesn't run; what comes waits
@@ -43,8 +44,6 @@
     uint64_t adopted_us;
 };
 
-struct net_event;
-
 /**
  * struct net - see DOC
  * @loss: datagrams lost, of 1000
@@ -62,10 +61,7 @@
     size_t body_len;
     bool seal;
     struct random random;
-    struct net_event *heap;
-    size_t heap_count;
-    size_t heap_capacity;
-    uint64_t order;
+    struct queue queue;
     struct member_actions out;
 };
 
--- a/tests/control/test_config.c
+++ b/tests/control/test_config.c
@@ -3,7 +3,9 @@
 #include <inttypes.h>
 
 #include "cell.h"
+#include "lib/harness.h"
 
+#define SUITE "/config"
 #define HOUR_S 3600
 
 static const struct addr peer_a = {0x0a000001, 7000};
@@ -44,8 +46,7 @@
     g_free(cell);
 }
 
-static void
-test_calls_flat(void)
+TEST(calls_flat)
 {
     static const size_t sizes[] = {10, 25, 50, 100, 200};
     double rest[G_N_ELEMENTS(sizes)];
@@ -69,7 +70,7 @@
 static void
 run_fault(const char *name, void (*set)(struct cell *), uint64_t seed)
 {
-    struct cell *cell = g_new0(struct cell, 1);
+    g_autofree struct cell *cell = g_new0(struct cell, 1);
     unsigned seconds = 0;
 
     cell_init(cell, 50, seed);
@@ -95,7 +96,6 @@
     g_assert_cmpuint(cell_calls(cell, 60, cell->second - 60), <,
                      2 * (cell->second - 60) + 10);
     cell_finish(cell);
-    g_free(cell);
 }
 
 static void
@@ -122,8 +122,7 @@
     cell->watch_skips = 1000;
 }
 
-static void
-test_faults(void)
+TEST(faults)
 {
     for (uint64_t seed = 1; seed <= 5; seed++) {
         run_fault("answers of 2 s", set_slow, seed);
@@ -134,12 +133,8 @@
 }
 
 /* Only one member reaches the platform, and it is no reader. */
-static void
-test_readers_cut_off(void)
+TEST_F(cell, readers_cut_off, 20, 5)
 {
-    struct cell *cell = g_new0(struct cell, 1);
-
-    cell_init(cell, 20, 5);
     publish(cell, 1);
     cell_run(cell, 30);
     for (size_t i = 0; i < 19; i++)
@@ -150,13 +145,10 @@
     cell_run(cell, 14);
     g_assert_cmpuint(cell_behind(cell), ==, 0);
     g_assert_cmpuint(cell_peak(cell, 30, 179), <=, 5);
-    cell_finish(cell);
-    g_free(cell);
 }
 
 /* A platform that answers an older version changes nothing. */
-static void
-test_never_back(void)
+TEST(never_back)
 {
     struct config_core core;
 
@@ -177,8 +169,7 @@
 }
 
 /* A fetch that fails goes to another who said that it has the version. */
-static void
-test_fetch_elsewhere(void)
+TEST(fetch_elsewhere)
 {
     struct config_place place = {.rank = 9, .alive = 10, .joined = true};
     struct config_actions actions;
@@ -206,8 +197,7 @@
 
 /* The word of a version counts from when a peer told of it, though its body
  * comes later; a word on another version says nothing of it. */
-static void
-test_word_with_fetch(void)
+TEST(word_with_fetch)
 {
     struct config_place place = {.rank = 9, .alive = 10, .joined = true};
     struct config_actions actions;
@@ -232,8 +222,7 @@
 }
 
 /* A body that is no valid text isn't asked for again and again. */
-static void
-test_refused_body(void)
+TEST(refused_body)
 {
     struct config_place place = {.rank = 0, .alive = 1, .joined = true};
     struct config_actions actions;
@@ -255,12 +244,8 @@
 
 /* A process that ranks first only while it knows few others reads the
  * platform no longer than that. */
-static void
-test_start_of_a_cell(void)
+TEST_F(cell, start_of_a_cell, 40, 6)
 {
-    struct cell *cell = g_new0(struct cell, 1);
-
-    cell_init(cell, 40, 6);
     publish(cell, 1);
     for (size_t i = 0; i < 40; i++) {
         struct config_place place = {.alive = 1, .has_contacts = true};
@@ -283,17 +268,14 @@
     }
     cell_run(cell, 100);
     g_assert_cmpfloat(cell_calls(cell, 27, 80) / 80.0, <, 0.7);
-    cell_finish(cell);
-    g_free(cell);
 }
 
 /* 2,000 processes of a data centre that starts anew, none of which reaches
  * its contacts: the reads come spread. */
-static void
-test_lone_starts(void)
+TEST(lone_starts)
 {
     enum { PROCESSES = 2000 };
-    struct cell *cell = g_new0(struct cell, 1);
+    g_autofree struct cell *cell = g_new0(struct cell, 1);
 
     cell_init(cell, PROCESSES, 3);
     for (size_t i = 0; i < PROCESSES; i++) {
@@ -309,21 +291,4 @@
     g_assert_cmpuint(cell_peak(cell, 0, 120), <, PROCESSES / 8);
     g_assert_cmpuint(cell_calls(cell, 30, 90), <, 90 * PROCESSES / 20);
     cell_finish(cell);
-    g_free(cell);
-}
-
-int
-main(int argc, char **argv)
-{
-    g_test_init(&argc, &argv, NULL);
-    g_test_add_func("/config/calls-flat", test_calls_flat);
-    g_test_add_func("/config/faults", test_faults);
-    g_test_add_func("/config/readers-cut-off", test_readers_cut_off);
-    g_test_add_func("/config/never-back", test_never_back);
-    g_test_add_func("/config/fetch-elsewhere", test_fetch_elsewhere);
-    g_test_add_func("/config/word-with-fetch", test_word_with_fetch);
-    g_test_add_func("/config/refused-body", test_refused_body);
-    g_test_add_func("/config/start-of-a-cell", test_start_of_a_cell);
-    g_test_add_func("/config/lone-starts", test_lone_starts);
-    return g_test_run();
 }
--- a/tests/control/test_control.c
+++ b/tests/control/test_control.c
@@ -1,5 +1,4 @@
 /* Control threads of one process, with the stand-in platform. */
-#include <glib.h>
 #include <stdio.h>
 #include <string.h>
 #include <unistd.h>
@@ -11,9 +10,11 @@
 #include "control/control.pb-c.h"
 #include "control/random.h"
 #include "standin/platform/server.h"
+#include "lib/harness.h"
+#include "lib/loopback.h"
 
+#define SUITE "/control"
 #define NODES_MAX 8
-#define LONG_S 30
 
 struct node {
     struct settings settings;
@@ -37,27 +38,6 @@
 }
 
 /* The kernel's choice, and never the same one twice. */
-static uint16_t
-free_port(void)
-{
-    static bool taken[UINT16_MAX + 1];
-    struct sockaddr_in sin;
-    socklen_t len = sizeof(sin);
-    uint16_t port;
-
-    do {
-        int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-
-        sin = addr_to_sockaddr((struct addr){own_ip(), 0});
-        g_assert_cmpint(bind(fd, (struct sockaddr *)&sin, len), ==, 0);
-        g_assert_cmpint(getsockname(fd, (struct sockaddr *)&sin, &len), ==, 0);
-        close(fd);
-        port = addr_from_sockaddr(&sin).port;
-    } while (taken[port]);
-    taken[port] = true;
-    return port;
-}
-
 static void
 fill_settings(struct fixture *f, size_t i, const char *platform)
 {
@@ -69,7 +49,8 @@
     g_strlcpy(settings->data_centre, "msasani", SETTINGS_NAME_MAX);
     g_strlcpy(settings->cell, "dar", SETTINGS_NAME_MAX);
     settings->data = (struct addr){0x7f000001, 1000 + i};
-    settings->control = (struct addr){own_ip(), free_port()};
+    settings->control =
+        (struct addr){own_ip(), loopback_closed(SOCK_STREAM).port};
     memset(settings->site_key, 'k', 32);
     settings->site_key_len = 32;
     g_strlcpy(settings->platform, platform, sizeof(settings->platform));
@@ -112,7 +93,7 @@
                         "\"address\":\"10.0.0.1\",\"port\":80,"
                         "\"protocol\":\"tcp\",\"class\":\"urgent\"}]}",
                         service);
-    GBytes *value = g_bytes_new_take(text, strlen(text));
+    g_autoptr(GBytes) value = g_bytes_new_take(text, strlen(text));
     uint64_t version;
 
     /* As the server does it, so that watches are told. */
@@ -121,7 +102,6 @@
         store_put(&f->server.store, "config", expect, value, &version), ==, 0);
     g_cond_broadcast(&f->server.changed);
     g_mutex_unlock(&f->server.lock);
-    g_bytes_unref(value);
 }
 
 static bool
@@ -168,14 +148,6 @@
     return incarnation;
 }
 
-#define WAIT_FOR(condition)                                                   \
-    do {                                                                      \
-        gint64 until = g_get_monotonic_time() + LONG_S * G_USEC_PER_SEC;      \
-        while (!(condition) && g_get_monotonic_time() < until)                \
-            g_usleep(5000);                                                   \
-        g_assert_true(condition);                                             \
-    } while (0)
-
 static void
 setup(struct fixture *f, size_t count, bool platform)
 {
@@ -206,48 +178,37 @@
     server_finish(&f->server);
 }
 
-static void
-test_find_and_leave(void)
+TEST_WITH(fixture, setup, teardown, find_and_leave, 3, true)
 {
-    struct fixture f;
-
-    setup(&f, 3, true);
-    put_config(&f, 0, "lots");
+    put_config(fixture, 0, "lots");
     for (size_t i = 0; i < 3; i++) {
-        WAIT_FOR(has_version(&f, i, 1));
-        WAIT_FOR(sees(&f, i, "node-0", MEMBER_READY, MEMBER_ALIVE));
-        WAIT_FOR(sees(&f, i, "node-1", MEMBER_READY, MEMBER_ALIVE));
-        WAIT_FOR(sees(&f, i, "node-2", MEMBER_READY, MEMBER_ALIVE));
+        LOOPBACK_WAIT(has_version(fixture, i, 1));
+        LOOPBACK_WAIT(sees(fixture, i, "node-0", MEMBER_READY, MEMBER_ALIVE));
+        LOOPBACK_WAIT(sees(fixture, i, "node-1", MEMBER_READY, MEMBER_ALIVE));
+        LOOPBACK_WAIT(sees(fixture, i, "node-2", MEMBER_READY, MEMBER_ALIVE));
     }
-    stop_node(&f, 1);
-    WAIT_FOR(sees(&f, 0, "node-1", MEMBER_LEAVING, MEMBER_DEAD));
-    WAIT_FOR(sees(&f, 2, "node-1", MEMBER_LEAVING, MEMBER_DEAD));
-    start_node(&f, 1);
-    WAIT_FOR(sees(&f, 0, "node-1", MEMBER_READY, MEMBER_ALIVE));
-    WAIT_FOR(sees(&f, 2, "node-1", MEMBER_READY, MEMBER_ALIVE));
-    teardown(&f);
+    stop_node(fixture, 1);
+    LOOPBACK_WAIT(sees(fixture, 0, "node-1", MEMBER_LEAVING, MEMBER_DEAD));
+    LOOPBACK_WAIT(sees(fixture, 2, "node-1", MEMBER_LEAVING, MEMBER_DEAD));
+    start_node(fixture, 1);
+    LOOPBACK_WAIT(sees(fixture, 0, "node-1", MEMBER_READY, MEMBER_ALIVE));
+    LOOPBACK_WAIT(sees(fixture, 2, "node-1", MEMBER_READY, MEMBER_ALIVE));
 }
 
-static void
-test_config_moves_up(void)
+TEST_WITH(fixture, setup, teardown, config_moves_up, 5, true)
 {
-    struct fixture f;
-
-    setup(&f, 5, true);
-    put_config(&f, 0, "lots");
+    put_config(fixture, 0, "lots");
     for (size_t i = 0; i < 5; i++)
-        WAIT_FOR(has_version(&f, i, 1));
+        LOOPBACK_WAIT(has_version(fixture, i, 1));
     for (uint64_t version = 1; version < 4; version++) {
-        put_config(&f, version, version % 2 == 0 ? "lots" : "albums");
+        put_config(fixture, version, version % 2 == 0 ? "lots" : "albums");
         for (size_t i = 0; i < 5; i++)
-            WAIT_FOR(has_version(&f, i, version + 1));
+            LOOPBACK_WAIT(has_version(fixture, i, version + 1));
     }
-    teardown(&f);
 }
 
 /* Whatever the platform does but be down, a change comes in force. */
-static void
-test_platform_faults(void)
+TEST_WITH(fixture, setup, teardown, platform_faults, 3, true)
 {
     static const struct server_fault faults[] = {
         {.mode = SERVER_SLOW, .ms = 2000},
@@ -256,21 +217,18 @@
         {.mode = SERVER_DOWN, .count = 3},
         {.mode = SERVER_BUSY, .count = 3},
     };
-    struct fixture f;
     uint64_t version = 1;
 
-    setup(&f, 3, true);
-    put_config(&f, 0, "lots");
+    put_config(fixture, 0, "lots");
     for (size_t i = 0; i < 3; i++)
-        WAIT_FOR(has_version(&f, i, 1));
+        LOOPBACK_WAIT(has_version(fixture, i, 1));
     for (size_t fault = 0; fault < G_N_ELEMENTS(faults); fault++) {
-        server_set_fault(&f.server, faults[fault]);
-        put_config(&f, version, "lots");
+        server_set_fault(&fixture->server, faults[fault]);
+        put_config(fixture, version, "lots");
         version++;
         for (size_t i = 0; i < 3; i++)
-            WAIT_FOR(has_version(&f, i, version));
+            LOOPBACK_WAIT(has_version(fixture, i, version));
     }
-    teardown(&f);
 }
 
 static uint64_t
@@ -302,108 +260,94 @@
 
 /* What doesn't bear the site key's seal changes nothing. A batch fits the
  * socket's buffer, and the next waits for it: UDP keeps no more. */
-static void
-test_garbage(void)
+TEST_WITH(fixture, setup, teardown, garbage, 2, true)
 {
     enum { BATCH = 20, TOTAL = 200 };
     struct random random = {.state = 12};
-    struct fixture f;
     struct sockaddr_in sin;
     int fd;
 
-    setup(&f, 2, true);
-    put_config(&f, 0, "lots");
-    WAIT_FOR(sees(&f, 0, "node-1", MEMBER_READY, MEMBER_ALIVE));
-    sin = addr_to_sockaddr(f.nodes[0].settings.control);
+    put_config(fixture, 0, "lots");
+    LOOPBACK_WAIT(sees(fixture, 0, "node-1", MEMBER_READY, MEMBER_ALIVE));
+    sin = addr_to_sockaddr(fixture->nodes[0].settings.control);
     fd = socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
     g_assert_cmpint(connect(fd, (struct sockaddr *)&sin, sizeof(sin)), ==, 0);
     for (unsigned sent = BATCH; sent <= TOTAL; sent += BATCH) {
         send_garbage(fd, &random, BATCH);
-        WAIT_FOR(bad_messages(&f, 0) >= sent);
-        g_assert_cmpuint(bad_messages(&f, 0), ==, sent);
+        LOOPBACK_WAIT(bad_messages(fixture, 0) >= sent);
+        g_assert_cmpuint(bad_messages(fixture, 0), ==, sent);
     }
     close(fd);
     /* A busy machine may make it a suspect, for as long as it is late. */
-    WAIT_FOR(sees(&f, 0, "node-1", MEMBER_READY, MEMBER_ALIVE));
-    g_assert_true(has_version(&f, 0, 1));
-    teardown(&f);
+    LOOPBACK_WAIT(sees(fixture, 0, "node-1", MEMBER_READY, MEMBER_ALIVE));
+    g_assert_true(has_version(fixture, 0, 1));
 }
 
 /* A process that starts while the platform is down takes it from peers, and
  * isn't ready for anybody before it has a configuration. */
-static void
-test_platform_down(void)
+TEST(platform_down)
 {
     struct fixture f;
 
     setup(&f, 2, true);
     put_config(&f, 0, "lots");
-    WAIT_FOR(has_version(&f, 0, 1) && has_version(&f, 1, 1));
+    LOOPBACK_WAIT(has_version(&f, 0, 1) && has_version(&f, 1, 1));
     server_set_fault(&f.server, (struct server_fault){.mode = SERVER_DOWN});
     start_node(&f, 2);
-    WAIT_FOR(has_version(&f, 2, 1));
-    WAIT_FOR(sees(&f, 0, "node-2", MEMBER_READY, MEMBER_ALIVE));
+    LOOPBACK_WAIT(has_version(&f, 2, 1));
+    LOOPBACK_WAIT(sees(&f, 0, "node-2", MEMBER_READY, MEMBER_ALIVE));
     teardown(&f);
 
     setup(&f, 2, false);
-    WAIT_FOR(sees(&f, 0, "node-1", MEMBER_WARMING, MEMBER_ALIVE));
+    LOOPBACK_WAIT(sees(&f, 0, "node-1", MEMBER_WARMING, MEMBER_ALIVE));
     g_assert_false(sees(&f, 0, "node-1", MEMBER_READY, MEMBER_ALIVE));
     put_config(&f, 0, "lots");
     server_set_fault(&f.server, (struct server_fault){.mode = SERVER_NONE});
-    WAIT_FOR(sees(&f, 0, "node-1", MEMBER_READY, MEMBER_ALIVE));
+    LOOPBACK_WAIT(sees(&f, 0, "node-1", MEMBER_READY, MEMBER_ALIVE));
     teardown(&f);
 }
 
 static bool
 cell_names(struct fixture *f, const char *name)
 {
-    GBytes *value = NULL;
+    g_autoptr(GBytes) value = NULL;
     bool found;
 
     if (store_get(&f->server.store, "cell-dar", &value) == 0)
         return false;
     found = g_strstr_len(g_bytes_get_data(value, NULL),
                          g_bytes_get_size(value), name) != NULL;
-    g_bytes_unref(value);
     return found;
 }
 
 /* No living seed in its settings: the object of the cell names others. */
-static void
-test_cell_object(void)
+TEST_WITH(fixture, setup, teardown, cell_object, 2, true)
 {
-    struct fixture f;
-
-    setup(&f, 2, true);
-    put_config(&f, 0, "lots");
-    WAIT_FOR(store_get(&f.server.store, "cell-dar", NULL) > 0);
-    WAIT_FOR(sees(&f, 0, "node-1", MEMBER_READY, MEMBER_ALIVE));
-    f.nodes[2].settings.seeds[0].port = free_port();
-    WAIT_FOR(cell_names(&f, "node-1"));
-    start_node(&f, 2);
-    WAIT_FOR(sees(&f, 0, "node-2", MEMBER_READY, MEMBER_ALIVE));
-    teardown(&f);
+    put_config(fixture, 0, "lots");
+    LOOPBACK_WAIT(store_get(&fixture->server.store, "cell-dar", NULL) > 0);
+    LOOPBACK_WAIT(sees(fixture, 0, "node-1", MEMBER_READY, MEMBER_ALIVE));
+    fixture->nodes[2].settings.seeds[0].port =
+        loopback_closed(SOCK_STREAM).port;
+    LOOPBACK_WAIT(cell_names(fixture, "node-1"));
+    start_node(fixture, 2);
+    LOOPBACK_WAIT(sees(fixture, 0, "node-2", MEMBER_READY, MEMBER_ALIVE));
 }
 
 /* All seeds in their settings are dead and there is no object yet. */
-static void
-test_dead_seeds(void)
+TEST_WITH(fixture, setup, teardown, dead_seeds, 0, true)
 {
-    struct fixture f;
-
-    setup(&f, 0, true);
-    put_config(&f, 0, "lots");
+    put_config(fixture, 0, "lots");
     for (size_t i = 0; i < 3; i++) {
-        f.nodes[i].settings.seeds[0] = (struct addr){own_ip(), free_port()};
-        f.nodes[i].settings.seed_count = 1;
-        start_node(&f, i);
+        fixture->nodes[i].settings.seeds[0] =
+            (struct addr){own_ip(), loopback_closed(SOCK_STREAM).port};
+        fixture->nodes[i].settings.seed_count = 1;
+        start_node(fixture, i);
     }
     for (size_t i = 0; i < 3; i++) {
-        WAIT_FOR(sees(&f, i, "node-0", MEMBER_READY, MEMBER_ALIVE));
-        WAIT_FOR(sees(&f, i, "node-1", MEMBER_READY, MEMBER_ALIVE));
-        WAIT_FOR(sees(&f, i, "node-2", MEMBER_READY, MEMBER_ALIVE));
+        LOOPBACK_WAIT(sees(fixture, i, "node-0", MEMBER_READY, MEMBER_ALIVE));
+        LOOPBACK_WAIT(sees(fixture, i, "node-1", MEMBER_READY, MEMBER_ALIVE));
+        LOOPBACK_WAIT(sees(fixture, i, "node-2", MEMBER_READY, MEMBER_ALIVE));
     }
-    teardown(&f);
 }
 
 struct asker {
@@ -429,8 +373,7 @@
 {
 }
 
-static void
-test_show(void)
+TEST_WITH(fixture, setup, teardown, show, 2, true)
 {
     static const struct link_ops ops = {on_frame, on_down};
     Swiftarch__ShowRequest request = SWIFTARCH__SHOW_REQUEST__INIT;
@@ -438,16 +381,14 @@
     struct link_hub hub;
     struct auth auth;
     struct error err = {0};
-    struct fixture f;
     uint8_t body[16];
     size_t len;
 
-    setup(&f, 2, true);
-    put_config(&f, 0, "lots");
-    WAIT_FOR(sees(&f, 0, "node-1", MEMBER_READY, MEMBER_ALIVE));
+    put_config(fixture, 0, "lots");
+    LOOPBACK_WAIT(sees(fixture, 0, "node-1", MEMBER_READY, MEMBER_ALIVE));
     asker.base = event_base_new();
-    auth_init(&auth, f.nodes[0].settings.site_key, 32, hash_name("operator"),
-              g_get_real_time() / 1000);
+    auth_init(&auth, fixture->nodes[0].settings.site_key, 32,
+              hash_name("operator"), g_get_real_time() / 1000);
     g_assert_cmpint(link_hub_init(&hub, asker.base, &auth, &asker.handler,
                                   (struct addr){0}, &err),
                     ==, 0);
@@ -455,7 +396,8 @@
     request.members = true;
     len = swiftarch__show_request__pack(&request, body);
     g_assert_cmpint(
-        link_send(&hub, f.nodes[0].settings.control, 0x110, body, len), ==, 0);
+        link_send(&hub, fixture->nodes[0].settings.control, 0x110, body, len),
+        ==, 0);
     event_base_dispatch(asker.base);
     g_assert_nonnull(asker.reply);
     g_assert_cmpstr(asker.reply->name, ==, "node-0");
@@ -463,7 +405,7 @@
     g_assert_cmpuint(asker.reply->n_members, ==, 2);
     g_assert_cmpuint(asker.reply->state, ==, MEMBER_READY);
     g_assert_true(asker.reply->from_platform);
-    g_assert_cmpuint(asker.reply->heard_ms, <, LONG_S * 1000);
+    g_assert_cmpuint(asker.reply->heard_ms, <, LOOPBACK_WAIT_MS);
     g_assert_nonnull(strstr(asker.reply->counters, "platform_calls_total"));
     g_assert_nonnull(g_strstr_len((char *)asker.reply->config.data,
                                   asker.reply->config.len, "lots"));
@@ -471,24 +413,20 @@
     link_hub_finish(&hub);
     auth_finish(&auth);
     event_base_free(asker.base);
-    teardown(&f);
 }
 
-static void
-test_report_dead(void)
+TEST_WITH(fixture, setup, teardown, report_dead, 2, true)
 {
-    struct fixture f;
     uint64_t incarnation;
 
-    setup(&f, 2, true);
-    put_config(&f, 0, "lots");
-    WAIT_FOR(sees(&f, 0, "node-1", MEMBER_READY, MEMBER_ALIVE));
-    incarnation = incarnation_of(&f, 0, "node-1");
+    put_config(fixture, 0, "lots");
+    LOOPBACK_WAIT(sees(fixture, 0, "node-1", MEMBER_READY, MEMBER_ALIVE));
+    incarnation = incarnation_of(fixture, 0, "node-1");
     /* A false report is refuted by the living process. */
-    control_report_dead(f.nodes[0].control, hash_name("node-1"), incarnation);
-    WAIT_FOR(incarnation_of(&f, 0, "node-1") > incarnation);
-    WAIT_FOR(sees(&f, 0, "node-1", MEMBER_READY, MEMBER_ALIVE));
-    teardown(&f);
+    control_report_dead(fixture->nodes[0].control, hash_name("node-1"),
+                        incarnation);
+    LOOPBACK_WAIT(incarnation_of(fixture, 0, "node-1") > incarnation);
+    LOOPBACK_WAIT(sees(fixture, 0, "node-1", MEMBER_READY, MEMBER_ALIVE));
 }
 
 int
@@ -498,16 +436,7 @@
 
     rcu_register_thread();
     g_test_init(&argc, &argv, NULL);
-    g_test_add_func("/control/find-and-leave", test_find_and_leave);
-    g_test_add_func("/control/config-moves-up", test_config_moves_up);
-    g_test_add_func("/control/platform-down", test_platform_down);
-    g_test_add_func("/control/platform-faults", test_platform_faults);
-    g_test_add_func("/control/garbage", test_garbage);
-    g_test_add_func("/control/cell-object", test_cell_object);
-    g_test_add_func("/control/dead-seeds", test_dead_seeds);
-    g_test_add_func("/control/show", test_show);
-    g_test_add_func("/control/report-dead", test_report_dead);
-    ret = g_test_run();
+    ret = harness_run();
     rcu_unregister_thread();
     return ret;
 }
--- a/tests/control/test_member.c
+++ b/tests/control/test_member.c
@@ -1,7 +1,6 @@
 /* Rules of the membership core, one at a time; its wire form; the seed list
  * and the history of edits. */
 #include <errno.h>
-#include <glib.h>
 #include <inttypes.h>
 #include <stdio.h>
 #include <string.h>
@@ -11,7 +10,9 @@
 #include "control/member_internal.h"
 #include "control/seeds.h"
 #include "control/wire.h"
+#include "lib/harness.h"
 
+#define SUITE "/member"
 #define START UINT64_C(1700000000000000)
 #define CELL 3
 #define NOW (1000 * USEC_PER_SEC)
@@ -58,8 +59,7 @@
 
 /* Whatever order news comes in, the same list results. A death of somebody
  * unknown is no news, so all begin with all members known. */
-static void
-test_any_order(void)
+TEST(any_order)
 {
     for (uint64_t seed = 1; seed <= 300; seed++) {
         struct random random = {.state = seed};
@@ -98,8 +98,7 @@
 }
 
 /* Old news doesn't revive the dead; a new start of the process does. */
-static void
-test_tombstone(void)
+TEST(tombstone)
 {
     struct member_update other = make("other", START, 2);
     struct member_actions out = {0};
@@ -128,8 +127,7 @@
 }
 
 /* The list is bounded: the living are refused, the dead make room. */
-static void
-test_full_list(void)
+TEST(full_list)
 {
     struct member_core core;
     struct member_update update;
@@ -152,8 +150,7 @@
     member_core_finish(&core);
 }
 
-static void
-test_own_name(void)
+TEST(own_name)
 {
     struct member_core core;
     struct member_update self;
@@ -181,8 +178,7 @@
 }
 
 /* After a pause of its own a process declares nobody dead by old times. */
-static void
-test_own_pause(void)
+TEST(own_pause)
 {
     struct member_update other = make("other", START, 2);
     struct member_actions out = {0};
@@ -202,8 +198,7 @@
 }
 
 /* A flood of joins is answered at a bounded rate. */
-static void
-test_join_flood(void)
+TEST(join_flood)
 {
     struct member_actions out = {0};
     struct member_core core;
@@ -228,8 +223,7 @@
 
 /* Messages of another cell neither join its members to ours nor are they
  * answered. */
-static void
-test_other_cell(void)
+TEST(other_cell)
 {
     struct member_update other = make("other", START, 2);
     struct member_msg msg = {
@@ -258,8 +252,7 @@
     member_core_finish(&core);
 }
 
-static void
-test_wire(void)
+TEST(wire)
 {
     struct random random = {.state = 9};
     struct member_update updates[3];
@@ -326,8 +319,7 @@
     }
 }
 
-static void
-test_history(void)
+TEST(history)
 {
     struct random random = {.state = 4};
     struct history history = {0};
@@ -374,12 +366,11 @@
     history_finish(&history);
 }
 
-static void
-test_seed_list(void)
+TEST(seed_list)
 {
     struct seed_list list = {.count = 2};
     struct seed_list back;
-    char *value;
+    g_autofree char *value = NULL;
     size_t len;
 
     g_strlcpy(list.items[0].name, "a", VIEW_NAME_MAX);
@@ -395,7 +386,6 @@
     for (size_t cut = 0; cut < len; cut++)
         g_assert_cmpint(seeds_decode(value, cut, &back), ==, -EINVAL);
     g_assert_cmpuint(back.count, ==, 0);
-    g_free(value);
     g_assert_cmpint(
         seeds_decode("{\"members\":[{\"name\":\"a\"}]}", 27, &back), ==,
         -EINVAL);
@@ -403,8 +393,7 @@
 
 /* Only the first-ranked writes, over what it read, no more than once in
  * 10 s; a lost race and an unknown outcome are settled by reading. */
-static void
-test_seed_writes(void)
+TEST(seed_writes)
 {
     struct member_update other = make("other", START, 2);
     struct member_core members;
@@ -462,8 +451,7 @@
 /* Where no contact answers, the object may be missing or name the dead
  * only: a lone process then writes itself into it, so that two find each
  * other. */
-static void
-test_seed_alone(void)
+TEST(seed_alone)
 {
     struct member_core members;
     struct seeds_core seeds;
@@ -503,22 +491,3 @@
     g_assert_cmpstr(seeds.pending.items[0].name, ==, "self");
     member_core_finish(&members);
 }
-
-int
-main(int argc, char **argv)
-{
-    g_test_init(&argc, &argv, NULL);
-    g_test_add_func("/member/any-order", test_any_order);
-    g_test_add_func("/member/tombstone", test_tombstone);
-    g_test_add_func("/member/full-list", test_full_list);
-    g_test_add_func("/member/own-name", test_own_name);
-    g_test_add_func("/member/own-pause", test_own_pause);
-    g_test_add_func("/member/join-flood", test_join_flood);
-    g_test_add_func("/member/other-cell", test_other_cell);
-    g_test_add_func("/member/wire", test_wire);
-    g_test_add_func("/member/history", test_history);
-    g_test_add_func("/member/seed-list", test_seed_list);
-    g_test_add_func("/member/seed-writes", test_seed_writes);
-    g_test_add_func("/member/seed-alone", test_seed_alone);
-    return g_test_run();
-}
--- a/tests/control/test_member_net.c
+++ b/tests/control/test_member_net.c
@@ -9,7 +9,9 @@
 
 #include "base/hash.h"
 #include "net.h"
+#include "lib/harness.h"
 
+#define SUITE "/member-net"
 #define STEP_US (250 * USEC_PER_MSEC)
 #define QUIET_US (60 * USEC_PER_SEC)
 #define OPS_MAX 24
@@ -298,28 +300,24 @@
         run_seed(seed, loss, partitions);
 }
 
-static void
-test_freezes_and_kills(void)
+TEST(freezes_and_kills)
 {
     run_seeds(1000, 0, false);
 }
 
-static void
-test_loss(void)
+TEST(loss)
 {
     run_seeds(2000, 300, false);
 }
 
-static void
-test_partitions(void)
+TEST(partitions)
 {
     run_seeds(3000, 50, true);
 }
 
 /* A member whose refutation was no longer news stayed dead for those who
  * had missed it: its answer to their pings didn't repeat it. */
-static void
-test_refutation_repeated(void)
+TEST(refutation_repeated)
 {
     static const uint64_t seeds[] = {3023, 3121, 3144};
 
@@ -327,86 +325,75 @@
         run_seed(seeds[i], 50, true);
 }
 
+static void
+start_all(struct net *net)
+{
+    for (size_t i = 0; i < net->count; i++)
+        net_start(net, i, 0);
+    net_run(net, 30 * USEC_PER_SEC);
+}
+
 /* A freeze of 30 s is a death for the others; who returns is back for all,
  * by a higher incarnation of the same start. */
-static void
-test_long_freeze(void)
+TEST_F(net, long_freeze, 20, 8)
 {
-    struct net net;
     const struct member_entry *entry;
 
-    net_init(&net, 20, 8);
-    for (size_t i = 0; i < 20; i++)
-        net_start(&net, i, 0);
-    net_run(&net, 30 * USEC_PER_SEC);
-    net_freeze(&net, 7, 30 * USEC_PER_SEC);
-    net_run(&net, 25 * USEC_PER_SEC);
+    start_all(net);
+    net_freeze(net, 7, 30 * USEC_PER_SEC);
+    net_run(net, 25 * USEC_PER_SEC);
     for (size_t i = 0; i < 20; i++) {
         if (i != 7)
-            g_assert_cmpint(net_health(&net, i, 7), ==, MEMBER_DEAD);
+            g_assert_cmpint(net_health(net, i, 7), ==, MEMBER_DEAD);
     }
-    net_run(&net, 25 * USEC_PER_SEC);
-    g_assert_true(net_agrees(&net));
-    entry = member_find(&net.nodes[0].members, hash_name(net.nodes[7].name));
-    g_assert_cmpuint(entry->start, ==, net.nodes[7].start);
+    net_run(net, 25 * USEC_PER_SEC);
+    g_assert_true(net_agrees(net));
+    entry = member_find(&net->nodes[0].members, hash_name(net->nodes[7].name));
+    g_assert_cmpuint(entry->start, ==, net->nodes[7].start);
     g_assert_cmpuint(entry->member.incarnation, >, entry->start);
     /* It took nobody else for dead, though it had heard nothing for 30 s. */
-    g_assert_cmpuint(net.nodes[7].members.stats.deaths, ==, 0);
-    g_assert_cmpuint(net.nodes[7].members.stats.suspicions, ==, 0);
-    net_finish(&net);
+    g_assert_cmpuint(net->nodes[7].members.stats.deaths, ==, 0);
+    g_assert_cmpuint(net->nodes[7].members.stats.suspicions, ==, 0);
 }
 
 /* Two that don't hear each other are both alive to all, by the helpers. */
-static void
-test_broken_path(void)
+TEST_F(net, broken_path, 20, 9)
 {
     uint64_t suspicions = 0;
-    struct net net;
 
-    net_init(&net, 20, 9);
-    for (size_t i = 0; i < 20; i++)
-        net_start(&net, i, 0);
-    net_run(&net, 30 * USEC_PER_SEC);
-    net.nodes[3].deaf_to = 4;
-    net.nodes[4].deaf_to = 3;
+    start_all(net);
+    net->nodes[3].deaf_to = 4;
+    net->nodes[4].deaf_to = 3;
     for (unsigned s = 0; s < 120; s++) {
-        net_run(&net, USEC_PER_SEC);
-        g_assert_true(net_agrees(&net));
+        net_run(net, USEC_PER_SEC);
+        g_assert_true(net_agrees(net));
     }
     for (size_t i = 0; i < 20; i++)
-        suspicions += net.nodes[i].members.stats.suspicions;
+        suspicions += net->nodes[i].members.stats.suspicions;
     g_assert_cmpuint(suspicions, ==, 0);
-    g_assert_cmpuint(net.nodes[3].members.stats.failed_probes, ==, 0);
-    net_finish(&net);
+    g_assert_cmpuint(net->nodes[3].members.stats.failed_probes, ==, 0);
 }
 
 /* A process whose timers run late suspects nobody for that. */
-static void
-test_late_timers(void)
+TEST_F(net, late_timers, 10, 10)
 {
-    struct net net;
     uint64_t suspicions = 0;
 
-    net_init(&net, 10, 10);
-    for (size_t i = 0; i < 10; i++)
-        net_start(&net, i, 0);
-    net_run(&net, 30 * USEC_PER_SEC);
+    start_all(net);
     for (unsigned i = 0; i < 20; i++) {
         /* The answers come while it doesn't run. */
-        while (!net.nodes[2].members.probes[0].active)
-            net_run(&net, USEC_PER_MSEC);
-        net_freeze(&net, 2, 700 * USEC_PER_MSEC);
-        net_run(&net, USEC_PER_SEC);
-        suspicions += net.nodes[2].members.stats.suspicions;
+        while (!net->nodes[2].members.probes[0].active)
+            net_run(net, USEC_PER_MSEC);
+        net_freeze(net, 2, 700 * USEC_PER_MSEC);
+        net_run(net, USEC_PER_SEC);
+        suspicions += net->nodes[2].members.stats.suspicions;
     }
     g_assert_cmpuint(suspicions, ==, 0);
-    g_assert_cmpuint(net.nodes[2].members.stats.late_periods, >=, 20);
-    net_finish(&net);
+    g_assert_cmpuint(net->nodes[2].members.stats.late_periods, >=, 20);
 }
 
 /* A host that vanishes is suspected everywhere within 2 s. */
-static void
-test_time_to_suspect(void)
+TEST(time_to_suspect)
 {
     enum { NODES = 40, TRIALS = 20 };
     uint64_t longest = 0;
@@ -459,8 +446,7 @@
     return (after - before) / nodes / 60;
 }
 
-static void
-test_flat_bytes(void)
+TEST(flat_bytes)
 {
     uint64_t small = rest_bytes(10);
     uint64_t large = rest_bytes(50);
@@ -471,20 +457,3 @@
     g_assert_cmpuint(large, <, small + small / 10);
     g_assert_cmpuint(large, <, 1200);
 }
-
-int
-main(int argc, char **argv)
-{
-    g_test_init(&argc, &argv, NULL);
-    g_test_add_func("/member-net/freezes-and-kills", test_freezes_and_kills);
-    g_test_add_func("/member-net/loss", test_loss);
-    g_test_add_func("/member-net/partitions", test_partitions);
-    g_test_add_func("/member-net/refutation-repeated",
-                    test_refutation_repeated);
-    g_test_add_func("/member-net/long-freeze", test_long_freeze);
-    g_test_add_func("/member-net/broken-path", test_broken_path);
-    g_test_add_func("/member-net/late-timers", test_late_timers);
-    g_test_add_func("/member-net/time-to-suspect", test_time_to_suspect);
-    g_test_add_func("/member-net/flat-bytes", test_flat_bytes);
-    return g_test_run();
-}
