tests: lint findings of the folded tests

Cause: clang-tidy in a clean clone: a joined literal in a list looks like a missing comma, and a value was only freed by scope. Change: parentheses; the value is asserted and freed. Run: both programs pass.

--- a/tests/cli/show_test.c
+++ b/tests/cli/show_test.c
@@ -203,8 +203,8 @@
         "(1.5 s), word 0.2 s old",
         "# entry\na_total 1\n",
         "platform: did not answer",
-        "retired: tcp 10.0.0.7:80 of desk, for its open flows until "
-        "2023-11-14 22:13:20 UTC\n",
+        ("retired: tcp 10.0.0.7:80 of desk, for its open flows until "
+         "2023-11-14 22:13:20 UTC\n"),
         "1 of 1 processes answered",
     };
 
--- a/tests/text/text_envelope_test.c
+++ b/tests/text/text_envelope_test.c
@@ -58,7 +58,7 @@
 {
     struct text *text = sample_parse(sample_text);
     struct text_envelope envelope = sample_envelope(text);
-    g_autofree char *value = NULL;
+    char *value;
     size_t len;
 
     memset(envelope.author, '\x01', TEXT_AUTHOR_MAX - 1);
@@ -68,7 +68,9 @@
         g_strlcpy(envelope.history[i], envelope.write_id, TEXT_WRITE_ID_MAX);
     }
     value = text_envelope_write(&envelope, &len);
+    g_assert_nonnull(value);
     g_assert_cmpuint(len - text->source_len, <=, TEXT_ENVELOPE_MAX);
+    g_free(value);
     text_free(text);
 }
 
