idem: a coordinator back from a long pause starts nothing for 20 s

Cause: ran key 8 twice. Agent 0 was frozen for 24 s; agents 5 and 7 joined meanwhile and were settled for the others, who ran the key at 5 and 7 (3 was cut off from 7). Agent 0 learned of both joins at its return, counted them as newcomers, and took its replicas of now and of 10 s ago from the members of before the pause: no shared member but the one that was cut off. The model keeps its bounds (one memory lost, views skewed by 5 s for those who run): not its fault, the pause is allowed. Change: after a pause of 5 s or more (IDEM_STALE_US) no request starts for twice IDEM_SETTLE_US: retries of known keys are still answered, new ones refused as not run. Red first: idem-rules sleeper_missed_joins (PROCEED instead of REFUSE). Mutant 'a sleeper uses the members of before' turns it red.

--- a/src/idem/idem.c
+++ b/src/idem/idem.c
@@ -45,7 +45,8 @@
 notice_pause(struct idem *idem, uint64_t now_us)
 {
     if (idem->first_wire != 0 && idem->last_us + IDEM_PAUSE_US <= now_us) {
-        (void)replicas_resume(&idem->replicas, idem->self, now_us);
+        (void)replicas_resume(&idem->replicas, idem->self,
+                              now_us - idem->last_us, now_us);
         idem->pass_wanted = true;
     }
     idem->last_us = now_us;
--- a/src/idem/idem.h
+++ b/src/idem/idem.h
@@ -21,7 +21,9 @@
  * oldest others fill up; a process that is itself younger than
  * IDEM_START_US doesn't know them all yet, and starts nothing. Nobody
  * starts anything while half of a service's agents have just fallen
- * silent: they may be running on the other side of a cut.
+ * silent: they may be running on the other side of a cut. Nor does a
+ * process that was paused for IDEM_STALE_US, for twice IDEM_SETTLE_US: the
+ * joins that it missed are old to the others and new to it.
  *
  * What this assumes: views differ by less than IDEM_SETTLE_US (by less than
  * IDEM_START_US while a service starts), and fewer than IDEM_QUORUM of a
@@ -49,6 +51,8 @@
 #define IDEM_SETTLE_US (10 * USEC_PER_SEC)
 #define IDEM_START_US (3 * USEC_PER_SEC)
 #define IDEM_PAUSE_US (2 * USEC_PER_SEC)
+/* After a pause of this long its members are out of date. */
+#define IDEM_STALE_US (5 * USEC_PER_SEC)
 #define IDEM_RESERVE_TIMEOUT_US (300 * USEC_PER_MSEC)
 #define IDEM_ANSWERS_BYTES_MAX (16u << 20)
 
--- a/src/idem/quorum.c
+++ b/src/idem/quorum.c
@@ -101,6 +101,7 @@
                            (!asked->young || asked->earlier_unsettled);
     }
     if (now == 0 || now_granted < MIN(IDEM_QUORUM, now) ||
+        replicas_stale(&idem->replicas, now_us) ||
         replicas_cut_off(&idem->replicas, reserve->key.service, now_us)) {
         return false;
     }
--- a/src/idem/quorum.h
+++ b/src/idem/quorum.h
@@ -20,7 +20,7 @@
 quorum_find(struct reserve *reserve, uint64_t id);
 
 /** quorum_reached() - whether both sets granted, and this process isn't cut
- * off */
+ * off or just back from a long pause */
 bool
 quorum_reached(const struct idem *idem, const struct reserve *reserve,
                uint64_t now_us);
--- a/src/idem/replicas.c
+++ b/src/idem/replicas.c
@@ -115,11 +115,15 @@
 }
 
 int
-replicas_resume(struct replicas *replicas, uint64_t self, uint64_t now_us)
+replicas_resume(struct replicas *replicas, uint64_t self, uint64_t paused_us,
+                uint64_t now_us)
 {
     size_t count = replicas->count;
 
     replicas->young_us = now_us;
+    if (paused_us >= IDEM_STALE_US) {
+        replicas->stale_us = now_us;
+    }
     for (size_t i = 0; i < count; i++) {
         struct replica_life life = replicas->lives[i];
         int rc;
@@ -138,6 +142,13 @@
     return 0;
 }
 
+bool
+replicas_stale(const struct replicas *replicas, uint64_t now_us)
+{
+    return replicas->stale_us != 0 &&
+           now_us < replicas->stale_us + 2 * IDEM_SETTLE_US;
+}
+
 bool
 replicas_young(const struct replicas *replicas, uint64_t now_us)
 {
--- a/src/idem/replicas.h
+++ b/src/idem/replicas.h
@@ -58,6 +58,7 @@
  * @start_us: own start; 0 before the first view
  * @young_us: own memory is whole since then: own start, or the end of the
  *            last pause
+ * @stale_us: end of the last pause of IDEM_STALE_US or more; 0: none
  * @alone: nobody else is in the view
  */
 struct replicas {
@@ -68,6 +69,7 @@
     uint64_t incarnation;
     uint64_t start_us;
     uint64_t young_us;
+    uint64_t stale_us;
     bool alone;
 };
 
@@ -94,11 +96,18 @@
 /**
  * replicas_resume() - this process was paused: others may have taken it for
  * dead and gone on without it, so its own life begins anew
+ * @paused_us: for how long
  *
  * Return: 0 or -ENOMEM.
  */
 int
-replicas_resume(struct replicas *replicas, uint64_t self, uint64_t now_us);
+replicas_resume(struct replicas *replicas, uint64_t self, uint64_t paused_us,
+                uint64_t now_us);
+
+/** replicas_stale() - whether a pause may have hidden joins that others
+ * count as settled: the members catch up, then the newcomers settle here */
+bool
+replicas_stale(const struct replicas *replicas, uint64_t now_us);
 
 /** replicas_young() - whether the own memory isn't settled */
 bool
--- a/tests/idem/test_rules.c
+++ b/tests/idem/test_rules.c
@@ -97,6 +97,37 @@
     EXPECT_ALL(1, IDEM_OUTCOME_UNKNOWN);
 }
 
+/* A coordinator that slept through joins must not use the sets of before:
+ * their keys may have run at the new ones. */
+SCENE(sleeper_missed_joins, 5, SCENE_SETTLED_US)
+{
+    unsigned at[IDEM_REPLICAS];
+    unsigned key = 0;
+
+    sim_freeze(sim, 0);
+    for (unsigned i = 5; i < SIM_NODES; i++) {
+        sim_start(sim, i);
+    }
+    sim_advance(sim, 25 * USEC_PER_SEC);
+    do {
+        g_assert_cmpuint(++key, <, SIM_KEYS);
+        g_assert_cmpuint(replicas_of(sim, 1, key, at), ==, 3);
+    } while ((at[0] >= 5) + (at[1] >= 5) + (at[2] >= 5) < 2);
+    for (unsigned i = 0; i < IDEM_REPLICAS; i++) {
+        if (at[i] < 5) {
+            sim_cut(sim, 1, at[i], 2 * USEC_PER_SEC);
+        }
+    }
+    EXPECT(1, key, IDEM_PROCEED);
+    sim_thaw(sim, 0);
+    for (unsigned i = 5; i < SIM_NODES; i++) {
+        sim_cut(sim, 0, i, 2 * USEC_PER_SEC);
+    }
+    EXPECT_REASON(0, key, IDEM_REFUSE, IDEM_REASON_QUORUM);
+    sim_advance(sim, 30 * USEC_PER_SEC);
+    EXPECT(0, key, IDEM_IN_PROGRESS);
+}
+
 /* A frozen coordinator holds a reservation at one replica, the other two
  * let another run. Its return must not take that one's records along. */
 SCENE(two_reservations, 6, SCENE_SETTLED_US)
