stack: TIME-WAIT lasts 60 s, unless very many wait

Change: 60 s for the youngest 1,000, so that the walk of lwIP at each opening packet stays bounded; 10 s as before for those beyond. Red first: /stack/late-retransmission (-104). /stack/time-wait-bound: of 1,050 connections 30 s old 1,000 stay, after 60 s more none.

--- a/src/stack/pcbs.c
+++ b/src/stack/pcbs.c
@@ -2,8 +2,11 @@
 
 #include <lwip/priv/tcp_priv.h>
 
-/* lwIP walks all connections in TIME-WAIT for each opening packet. */
-#define TIME_WAIT_TICKS (10000 / TCP_SLOW_INTERVAL)
+/* A peer whose last packets or their ACKs were lost sends them again after its
+ * backoff, and must not meet a reset. But lwIP walks all connections in
+ * TIME-WAIT for each opening packet: beyond so many, the oldest go sooner. */
+#define TIME_WAIT_TICKS (60000 / TCP_SLOW_INTERVAL)
+#define TIME_WAIT_SHORT_TICKS (10000 / TCP_SLOW_INTERVAL)
 /* A flood of opening packets costs no more than these connections. */
 #define HALF_OPEN_MAX 4096
 #define HALF_OPEN_EVICT (HALF_OPEN_MAX / 4)
@@ -13,12 +16,20 @@
 {
     struct tcp_pcb *pcb;
     struct tcp_pcb *next;
+    size_t count = 0;
+    uint32_t age;
 
+    /* lwIP puts the youngest first. */
     for (pcb = tcp_tw_pcbs; pcb != NULL; pcb = next) {
         next = pcb->next;
-        if (tcp_ticks - pcb->tmr > TIME_WAIT_TICKS) {
+        age = tcp_ticks - pcb->tmr;
+        if (age > TIME_WAIT_TICKS ||
+            (count >= PCBS_TIME_WAIT_MAX && age > TIME_WAIT_SHORT_TICKS)) {
             tcp_abort(pcb);
         }
+        else {
+            count++;
+        }
     }
 }
 
--- a/src/stack/pcbs.h
+++ b/src/stack/pcbs.h
@@ -10,7 +10,11 @@
 
 #include "base/addr.h"
 
-/** pcbs_sweep_time_wait_locked() - free those in TIME-WAIT for long enough */
+/* Connections that may stay in TIME-WAIT for its whole time. */
+#define PCBS_TIME_WAIT_MAX 1000
+
+/** pcbs_sweep_time_wait_locked() - free those in TIME-WAIT for 60 s, or 10 s
+ * beyond the youngest PCBS_TIME_WAIT_MAX */
 void
 pcbs_sweep_time_wait_locked(void);
 
--- a/tests/stack/test_stack.c
+++ b/tests/stack/test_stack.c
@@ -5,6 +5,7 @@
 #include <malloc.h>
 #include <string.h>
 
+#include "stack/pcbs.h"
 #include "stack/stack_private.h"
 
 #define SERVER_IP 0x0a000001u
@@ -405,6 +406,69 @@
     loop_finish(&loop);
 }
 
+/* Makes all in TIME-WAIT older, sweeps, and counts those left. */
+static size_t
+time_wait_after(uint32_t ms)
+{
+    struct tcp_pcb *pcb;
+    size_t count = 0;
+
+    LOCK_TCPIP_CORE();
+    for (pcb = tcp_tw_pcbs; pcb != NULL; pcb = pcb->next) {
+        pcb->tmr -= ms / TCP_SLOW_INTERVAL;
+    }
+    pcbs_sweep_time_wait_locked();
+    for (pcb = tcp_tw_pcbs; pcb != NULL; pcb = pcb->next) {
+        count++;
+    }
+    UNLOCK_TCPIP_CORE();
+    return count;
+}
+
+/* A peer in TIME-WAIT still acknowledges what comes again half a minute later,
+ * after long backoffs, unless very many wait. */
+static void
+test_late_retransmission(void)
+{
+    struct loop loop;
+    struct end *client = loop_half_closed(&loop);
+    uint8_t byte = pattern(1000);
+
+    g_assert_cmpuint(stack_write(loop.ends->conn, &byte, 1), ==, 1);
+    stack_close(loop.ends->conn);
+    loop.loss = 1;
+    LOOP_UNTIL(&loop, client->closed);
+    g_assert_cmpuint(time_wait_after(30000), ==, 1);
+    g_assert_false(loop.ends->closed);
+    loop.loss = 0;
+    LOOP_UNTIL(&loop, loop.ends->closed);
+    g_assert_cmpint(loop.ends->reason, ==, 0);
+    g_free(client);
+    loop_finish(&loop);
+}
+
+static void
+test_time_wait_bound(void)
+{
+    enum { COUNT = PCBS_TIME_WAIT_MAX + 50 };
+    struct loop loop;
+    struct end *client;
+    uint16_t i;
+
+    loop_init(&loop, 12);
+    loop.server_closes = true;
+    for (i = 0; i < COUNT; i++) {
+        client = loop_connect(&loop, 20000 + i, 0);
+        LOOP_UNTIL(&loop, loop.closed == 2 * (i + 1u));
+        g_assert_cmpint(client->reason, ==, 0);
+        g_free(client);
+    }
+    g_assert_cmpuint(time_wait_after(0), >, PCBS_TIME_WAIT_MAX);
+    g_assert_cmpuint(time_wait_after(30000), ==, PCBS_TIME_WAIT_MAX);
+    g_assert_cmpuint(time_wait_after(60000), ==, 0);
+    loop_finish(&loop);
+}
+
 /* A caller that reads slowly and closes late isn't reset: the wait for its
  * FIN starts when it has acknowledged everything. */
 static void
@@ -626,6 +690,8 @@
     g_test_add_func("/stack/half-close", test_half_close);
     g_test_add_func("/stack/last-ack-lost", test_last_ack_lost);
     g_test_add_func("/stack/last-bytes-lost", test_last_bytes_lost);
+    g_test_add_func("/stack/late-retransmission", test_late_retransmission);
+    g_test_add_func("/stack/time-wait-bound", test_time_wait_bound);
     g_test_add_func("/stack/slow-reader", test_slow_reader);
     g_test_add_func("/stack/port-reuse", test_port_reuse);
     g_test_add_func("/stack/pause", test_pause);
