tests/fuzz, tests/idem: tests of tests/lib, texts as rows

Ruled out: a shared fixture for sealed samples (more lines). Change: fuzz tests are those of tests/lib/harness; FUZZ_TEXTS() is a test made of its samples; MUTATE() counts them. idem/losses counts by verdict. No test was dropped.

--- a/tests/fuzz/fuzz_agent.c
+++ b/tests/fuzz/fuzz_agent.c
@@ -8,6 +8,7 @@
 #include "agent/upstream.h"
 #include "mutate.h"
 
+#define SUITE "/fuzz"
 #define RUNS 30000
 #define BODY_MAX 4096
 
@@ -41,8 +42,7 @@
     return (struct mutate_sample){bytes->data, bytes->len};
 }
 
-static void
-test_peer(void)
+TEST(peer)
 {
     struct engine_peer_msg run = {
         .type = ENGINE_PEER_RUN,
@@ -69,7 +69,7 @@
     for (size_t i = 0; i < 3; i++) {
         samples[i] = sample_of(packed[i]);
     }
-    mutate_run("peer messages", samples, 3, RUNS, decode_peer);
+    MUTATE("peer messages", samples, RUNS, decode_peer);
     for (size_t i = 0; i < 3; i++) {
         g_byte_array_unref(packed[i]);
     }
@@ -128,23 +128,15 @@
     }
 }
 
-static void
-test_reader(void)
-{
-    struct mutate_sample samples[] = {
-        mutate_text("GET /lots/7 HTTP/1.1\r\nHost: lots\r\nPriority: u=1\r\n"
-                    "Request-Timeout-Ms: 800\r\n\r\n"),
-        mutate_text("POST /lots HTTP/1.1\r\nHost: lots\r\n"
-                    "Idempotency-Key: \"k1\"\r\nContent-Length: 5\r\n\r\n"
-                    "hello"),
-        mutate_text("PUT /lots HTTP/1.1\r\nHost: lots\r\n"
-                    "Transfer-Encoding: chunked\r\n\r\n"
-                    "5\r\nhello\r\n0\r\n\r\n"),
-    };
-
-    mutate_run("requests", samples, G_N_ELEMENTS(samples), RUNS,
-               decode_request);
-}
+FUZZ_TEXTS(requests, RUNS, decode_request,
+           "GET /lots/7 HTTP/1.1\r\nHost: lots\r\nPriority: u=1\r\n"
+           "Request-Timeout-Ms: 800\r\n\r\n",
+           "POST /lots HTTP/1.1\r\nHost: lots\r\n"
+           "Idempotency-Key: \"k1\"\r\nContent-Length: 5\r\n\r\n"
+           "hello",
+           "PUT /lots HTTP/1.1\r\nHost: lots\r\n"
+           "Transfer-Encoding: chunked\r\n\r\n"
+           "5\r\nhello\r\n0\r\n\r\n")
 
 static void
 decode_answer(const uint8_t *data, size_t len)
@@ -178,20 +170,13 @@
     g_byte_array_unref(copy);
 }
 
-static void
-test_answer(void)
-{
-    struct mutate_sample samples[] = {
-        mutate_text("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello"),
-        mutate_text("HTTP/1.1 503 Busy\r\nRetry-After: 1\r\n"
-                    "Content-Length: 0\r\n\r\n"),
-        mutate_text("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
-                    "5\r\nhello\r\n0\r\n\r\n"),
-        mutate_text("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 204 None\r\n\r\n"),
-    };
-
-    mutate_run("answers", samples, G_N_ELEMENTS(samples), RUNS, decode_answer);
-}
+FUZZ_TEXTS(answers, RUNS, decode_answer,
+           "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello",
+           "HTTP/1.1 503 Busy\r\nRetry-After: 1\r\n"
+           "Content-Length: 0\r\n\r\n",
+           "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+           "5\r\nhello\r\n0\r\n\r\n",
+           "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 204 None\r\n\r\n")
 
 static void
 decode_announcement(const uint8_t *data, size_t len)
@@ -207,25 +192,6 @@
     }
 }
 
-static void
-test_announcement(void)
-{
-    struct mutate_sample samples[] = {
-        mutate_text("{\"service\": \"lots\", \"address\": \"127.0.0.1:80\","
-                    " \"slots\": 2, \"state\": \"ready\"}"),
-    };
-
-    mutate_run("announcement_parse", samples, G_N_ELEMENTS(samples), RUNS,
-               decode_announcement);
-}
-
-int
-main(int argc, char **argv)
-{
-    g_test_init(&argc, &argv, NULL);
-    g_test_add_func("/fuzz/peer", test_peer);
-    g_test_add_func("/fuzz/requests", test_reader);
-    g_test_add_func("/fuzz/answers", test_answer);
-    g_test_add_func("/fuzz/announcement", test_announcement);
-    return g_test_run();
-}
+FUZZ_TEXTS(announcement, RUNS, decode_announcement,
+           "{\"service\": \"lots\", \"address\": \"127.0.0.1:80\","
+           " \"slots\": 2, \"state\": \"ready\"}")
--- a/tests/fuzz/fuzz_base.c
+++ b/tests/fuzz/fuzz_base.c
@@ -7,6 +7,7 @@
 #include "base/settings.h"
 #include "mutate.h"
 
+#define SUITE "/fuzz"
 #define RUNS 20000
 #define FILE_RUNS 1500
 #define WALL_MS UINT64_C(1790000000000)
@@ -42,8 +43,7 @@
     g_free(report);
 }
 
-static void
-test_settings(void)
+TEST(settings)
 {
     struct mutate_sample samples[] = {mutate_text(settings_text)};
     g_autofree char *path = NULL;
@@ -54,8 +54,7 @@
     key_path = g_build_filename(folder, "site.key", NULL);
     g_assert_true(
         g_file_set_contents(key_path, "0123456789abcdef\n", -1, NULL));
-    mutate_run("settings_load", samples, G_N_ELEMENTS(samples), FILE_RUNS,
-               decode_settings);
+    MUTATE("settings_load", samples, FILE_RUNS, decode_settings);
     g_unlink(path);
     g_unlink(key_path);
     g_rmdir(folder);
@@ -88,8 +87,7 @@
     auth_finish(&auth);
 }
 
-static void
-test_auth(void)
+TEST(auth)
 {
     static const uint8_t body[] = "news of a member";
     struct mutate_sample samples[1];
@@ -99,7 +97,7 @@
     sealed_len = auth_seal(&auth, body, sizeof(body), WALL_MS, sealed);
     auth_finish(&auth);
     samples[0] = (struct mutate_sample){sealed, sealed_len};
-    mutate_run("auth_open", samples, 1, RUNS, decode_sealed);
+    MUTATE("auth_open", samples, RUNS, decode_sealed);
 }
 
 static struct link_wire receiver;
@@ -125,8 +123,7 @@
     auth_finish(&auth);
 }
 
-static void
-test_link(void)
+TEST(link)
 {
     static const uint8_t body[] = "a frame";
     uint8_t hello_a[LINK_WIRE_HELLO];
@@ -147,15 +144,5 @@
     g_assert_cmpuint(link_wire_length(sealed), ==, sealed_len);
     auth_finish(&auth);
     samples[0] = (struct mutate_sample){sealed, sealed_len};
-    mutate_run("link_wire_open", samples, 1, RUNS, decode_frame);
-}
-
-int
-main(int argc, char **argv)
-{
-    g_test_init(&argc, &argv, NULL);
-    g_test_add_func("/fuzz/settings", test_settings);
-    g_test_add_func("/fuzz/auth", test_auth);
-    g_test_add_func("/fuzz/link", test_link);
-    return g_test_run();
+    MUTATE("link_wire_open", samples, RUNS, decode_frame);
 }
--- a/tests/fuzz/fuzz_control.c
+++ b/tests/fuzz/fuzz_control.c
@@ -8,6 +8,7 @@
 #include "control/wire.h"
 #include "mutate.h"
 
+#define SUITE "/fuzz"
 #define RUNS 60000
 #define RECEIVE_US 5000000
 
@@ -61,8 +62,7 @@
     return wire_encode(msg, buf);
 }
 
-static void
-test_gossip(void)
+TEST(gossip)
 {
     struct member_update self = update_of("self");
     struct member_update updates[] = {update_of("a"), update_of("b")};
@@ -91,7 +91,7 @@
     samples[1] =
         (struct mutate_sample){sync, encode(&msg, sync, sizeof(sync))};
     g_assert_cmpint(member_core_init(&core, &self, 0, 1, 1), ==, 0);
-    mutate_run("gossip", samples, G_N_ELEMENTS(samples), RUNS, decode_gossip);
+    MUTATE("gossip", samples, RUNS, decode_gossip);
     member_core_finish(&core);
 }
 
@@ -110,8 +110,7 @@
     }
 }
 
-static void
-test_seeds(void)
+TEST(seeds)
 {
     struct seed_list list = {
         .count = 2,
@@ -123,8 +122,7 @@
     struct mutate_sample samples[] = {{(const uint8_t *)value, len},
                                       mutate_text("{}")};
 
-    mutate_run("seeds_decode", samples, G_N_ELEMENTS(samples), RUNS,
-               decode_seeds);
+    MUTATE("seeds_decode", samples, RUNS, decode_seeds);
     g_free(value);
 }
 
@@ -146,8 +144,7 @@
     swiftarch__show_reply__free_unpacked(show, NULL);
 }
 
-static void
-test_frames(void)
+TEST(frames)
 {
     Swiftarch__ConfigReply reply = SWIFTARCH__CONFIG_REPLY__INIT;
     Swiftarch__ShowReply show = SWIFTARCH__SHOW_REPLY__INIT;
@@ -163,8 +160,7 @@
         config_bytes, swiftarch__config_reply__pack(&reply, config_bytes)};
     samples[1] = (struct mutate_sample){
         show_bytes, swiftarch__show_reply__pack(&show, show_bytes)};
-    mutate_run("control frames", samples, G_N_ELEMENTS(samples), RUNS,
-               decode_frames);
+    MUTATE("control frames", samples, RUNS, decode_frames);
 }
 
 int
@@ -173,8 +169,5 @@
     g_test_init(&argc, &argv, NULL);
     /* Damaged messages may be warned of; only a crash is a failure here. */
     g_log_set_always_fatal(G_LOG_LEVEL_CRITICAL | G_LOG_FATAL_MASK);
-    g_test_add_func("/fuzz/gossip", test_gossip);
-    g_test_add_func("/fuzz/seeds", test_seeds);
-    g_test_add_func("/fuzz/frames", test_frames);
-    return g_test_run();
+    return harness_run();
 }
--- a/tests/fuzz/fuzz_idem.c
+++ b/tests/fuzz/fuzz_idem.c
@@ -5,6 +5,7 @@
 #include "idem/idem.h"
 #include "mutate.h"
 
+#define SUITE "/fuzz"
 #define RUNS 40000
 #define MEMBERS 4
 
@@ -125,8 +126,7 @@
 }
 
 /* Any message of a member that went wrong is survived. */
-static void
-test_messages(void)
+TEST(idem)
 {
     static const struct raw calls[] = {
         {.call = 0, .key = 1},
@@ -156,15 +156,7 @@
     idem = idem_new(1, 64);
     g_assert_cmpint(idem_set_view(idem, view, now_us, &out), ==, 0);
     carry_out(&out);
-    mutate_run("idem", samples, G_N_ELEMENTS(samples), RUNS, decode_calls);
+    MUTATE("idem", samples, RUNS, decode_calls);
     idem_free(idem);
     g_free(view);
 }
-
-int
-main(int argc, char **argv)
-{
-    g_test_init(&argc, &argv, NULL);
-    g_test_add_func("/fuzz/idem", test_messages);
-    return g_test_run();
-}
--- a/tests/fuzz/fuzz_packet.c
+++ b/tests/fuzz/fuzz_packet.c
@@ -5,6 +5,7 @@
 #include "packet/gue.h"
 #include "packet/packet.h"
 
+#define SUITE "/fuzz"
 #define RUNS 200000
 
 static void
@@ -75,8 +76,7 @@
     }
 }
 
-static void
-test_packet(void)
+TEST(packet)
 {
     static const uint8_t body[] = "hello";
     uint8_t udp[PACKET_MAX];
@@ -95,12 +95,10 @@
         {tcp, packet_build_reset(&segment, tcp)},
     };
 
-    mutate_run("packet_parse", samples, G_N_ELEMENTS(samples), RUNS,
-               decode_packet);
+    MUTATE("packet_parse", samples, RUNS, decode_packet);
 }
 
-static void
-test_gue(void)
+TEST(gue)
 {
     static const uint8_t bare[] = {0, 4, 0, 0, 0x45};
     uint8_t header[GUE_HEADER_MAX];
@@ -111,14 +109,5 @@
         gue.hops[i] = (struct gue_hop){i + 1, {0x7f000001, (uint16_t)(i + 1)}};
     }
     samples[1] = (struct mutate_sample){header, gue_encode(&gue, header)};
-    mutate_run("gue_decode", samples, G_N_ELEMENTS(samples), RUNS, decode_gue);
-}
-
-int
-main(int argc, char **argv)
-{
-    g_test_init(&argc, &argv, NULL);
-    g_test_add_func("/fuzz/packet", test_packet);
-    g_test_add_func("/fuzz/gue", test_gue);
-    return g_test_run();
+    MUTATE("gue_decode", samples, RUNS, decode_gue);
 }
--- a/tests/fuzz/fuzz_platform.c
+++ b/tests/fuzz/fuzz_platform.c
@@ -8,6 +8,7 @@
 #include "mutate.h"
 #include "platform/platform.h"
 
+#define SUITE "/fuzz"
 #define RUNS 400
 
 /**
@@ -91,8 +92,7 @@
     g_assert_cmpuint(fake.done, ==, 1);
 }
 
-static void
-test_answers(void)
+TEST(platform)
 {
     struct mutate_sample samples[] = {
         mutate_text("HTTP/1.1 200 OK\r\nETag: \"17\"\r\n"
@@ -119,17 +119,8 @@
     url = g_strdup_printf("http://127.0.0.1:%u", ntohs(at.sin_port));
     fake.platform = platform_new(fake.base, url, &err);
     g_assert_nonnull(fake.platform);
-    mutate_run("platform answers", samples, G_N_ELEMENTS(samples), RUNS,
-               decode);
+    MUTATE("platform answers", samples, RUNS, decode);
     platform_free(fake.platform);
     evconnlistener_free(listener);
     event_base_free(fake.base);
 }
-
-int
-main(int argc, char **argv)
-{
-    g_test_init(&argc, &argv, NULL);
-    g_test_add_func("/fuzz/platform", test_answers);
-    return g_test_run();
-}
--- a/tests/fuzz/fuzz_text.c
+++ b/tests/fuzz/fuzz_text.c
@@ -4,6 +4,7 @@
 #include "mutate.h"
 #include "text/text.h"
 
+#define SUITE "/fuzz"
 #define RUNS 6000
 
 static const char sample[] =
@@ -63,8 +64,7 @@
     }
 }
 
-static void
-test_text(void)
+TEST(text)
 {
     struct mutate_sample samples[] = {
         mutate_text(sample),
@@ -77,12 +77,10 @@
                     ==, 0);
     text_free(text);
 
-    mutate_run("text_parse", samples, G_N_ELEMENTS(samples), RUNS,
-               decode_text);
+    MUTATE("text_parse", samples, RUNS, decode_text);
 }
 
-static void
-test_envelope(void)
+TEST(envelope)
 {
     struct text_envelope envelope = {
         .write_id = "0123456789abcdef0123456789abcdef",
@@ -100,16 +98,6 @@
         mutate_text(sample),
     };
 
-    mutate_run("text_parse_envelope", samples, G_N_ELEMENTS(samples), RUNS,
-               decode_envelope);
+    MUTATE("text_parse_envelope", samples, RUNS, decode_envelope);
     g_free(value);
 }
-
-int
-main(int argc, char **argv)
-{
-    g_test_init(&argc, &argv, NULL);
-    g_test_add_func("/fuzz/text", test_text);
-    g_test_add_func("/fuzz/envelope", test_envelope);
-    return g_test_run();
-}
--- a/tests/fuzz/mutate.h
+++ b/tests/fuzz/mutate.h
@@ -11,6 +11,8 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "lib/harness.h"
+
 #define MUTATE_INPUT_MAX 65536
 
 /** struct mutate_sample - a well-formed input to start from */
@@ -36,4 +38,20 @@
            size_t sample_count, unsigned runs,
            void (*decode)(const uint8_t *data, size_t len));
 
+/** MUTATE() - mutate_run() of an array of samples */
+#define MUTATE(name, samples, runs, decode)                                   \
+    mutate_run(name, samples, G_N_ELEMENTS(samples), runs, decode)
+
+/** FUZZ_TEXTS() - a test that feeds mutations of C strings to @decode */
+#define FUZZ_TEXTS(name, runs, decode, ...)                                   \
+    TEST(name)                                                                \
+    {                                                                         \
+        static const char *const texts[] = {__VA_ARGS__};                     \
+        struct mutate_sample samples[G_N_ELEMENTS(texts)];                    \
+        for (size_t i = 0; i < G_N_ELEMENTS(texts); i++) {                    \
+            samples[i] = mutate_text(texts[i]);                               \
+        }                                                                     \
+        MUTATE(SUITE "/" #name, samples, runs, decode);                       \
+    }
+
 #endif
--- a/tests/idem/losses.c
+++ b/tests/idem/losses.c
@@ -14,26 +14,12 @@
 #define AGENTS 7
 #define KEYS 12
 
+/* Requests asked again, by their verdict. */
 struct tally {
     unsigned asked;
-    unsigned replayed;
-    unsigned unknown;
-    unsigned in_progress;
-    unsigned refused;
-    unsigned doubled;
+    unsigned verdicts[IDEM_REFUSE + 1];
 };
 
-static void
-count(struct tally *tally, enum idem_action_type verdict)
-{
-    tally->asked++;
-    tally->replayed += verdict == IDEM_REPLAY;
-    tally->unknown += verdict == IDEM_OUTCOME_UNKNOWN;
-    tally->in_progress += verdict == IDEM_IN_PROGRESS;
-    tally->refused += verdict == IDEM_REFUSE;
-    tally->doubled += verdict == IDEM_PROCEED;
-}
-
 /* Keys that ended or still run, @deaths agents die, everybody who lives is
  * asked for each key @after_us later. */
 static void
@@ -77,7 +63,8 @@
             node = (node + 1) % AGENTS;
         }
         sim_advance(&sim, 2 * IDEM_RESERVE_TIMEOUT_US);
-        count(tally, sim_request(&sim, token)->verdict);
+        tally->asked++;
+        tally->verdicts[sim_request(&sim, token)->verdict]++;
     }
     sim_finish(&sim);
 }
@@ -86,21 +73,21 @@
 print_row(unsigned deaths, bool noticed, uint64_t after_us, unsigned lose,
           uint32_t seeds)
 {
+    static const enum idem_action_type columns[] = {
+        IDEM_REPLAY, IDEM_OUTCOME_UNKNOWN, IDEM_IN_PROGRESS, IDEM_REFUSE};
     struct tally tally = {0};
-    double share;
 
     for (uint32_t seed = 1; seed <= seeds; seed++) {
         trial(seed, deaths, noticed, after_us, lose, &tally);
     }
-    share = 100.0 / tally.asked;
-    printf("# | %u | %s | %u | %u %% | %u | %.2f | %.2f | %.2f | %.2f | "
-           "%.3f |\n",
-           deaths, noticed ? "at once" : "3 s",
-           (unsigned)(after_us / USEC_PER_SEC), lose / 10, tally.asked,
-           share * tally.replayed, share * tally.unknown,
-           share * tally.in_progress, share * tally.refused,
-           share * tally.doubled);
-    return tally.doubled;
+    printf("# | %u | %s | %u | %u %% | %u |", deaths,
+           noticed ? "at once" : "3 s", (unsigned)(after_us / USEC_PER_SEC),
+           lose / 10, tally.asked);
+    for (size_t i = 0; i < G_N_ELEMENTS(columns); i++) {
+        printf(" %.2f |", 100.0 / tally.asked * tally.verdicts[columns[i]]);
+    }
+    printf(" %.3f |\n", 100.0 / tally.asked * tally.verdicts[IDEM_PROCEED]);
+    return tally.verdicts[IDEM_PROCEED];
 }
 
 static unsigned
