A planned stop waits until others hold its key records

Cause: src/idem's rule, and its property test, let a leaving process push its records first; the agent ended 200 ms after its last flow, so a quick round of planned stops could lose all replicas of a key. Change: engine_unpushed(); a stopping agent stays, within the 10 s that it has for closing, until it is 0. Test: request/admit/key_unpushed (an outcome not acknowledged counts; red with the count taken out); on real processes agent-stop runs clean, the log shows the stop. Not tried: several agents stopping at once.

--- a/src/agent/drain.c
+++ b/src/agent/drain.c
@@ -41,6 +41,13 @@
            engine_busy(engine) == 0;
 }
 
+/* Nothing in progress, and the records of keys are held by others too. */
+static bool
+is_done(const struct agent *agent)
+{
+    return is_idle(agent) && engine_unpushed(agent->requests.engine) == 0;
+}
+
 static void
 begin_closing(struct agent *agent, uint64_t now_us)
 {
@@ -64,7 +71,7 @@
     }
     if (agent->stop == AGENT_CLOSING) {
         front_close_idle(&agent->front);
-        if (is_idle(agent) && agent->stop_until_us > now_us + LAST_WORDS_US) {
+        if (is_done(agent) && agent->stop_until_us > now_us + LAST_WORDS_US) {
             agent->stop_until_us = now_us + LAST_WORDS_US;
         }
         if (now_us >= agent->stop_until_us) {
--- a/src/request/engine.c
+++ b/src/request/engine.c
@@ -374,6 +374,12 @@
     return engine->queue.count[class];
 }
 
+size_t
+engine_unpushed(const struct engine *engine)
+{
+    return idem_unpushed(engine->idem);
+}
+
 unsigned
 engine_open(const struct engine *engine)
 {
--- a/src/request/engine.h
+++ b/src/request/engine.h
@@ -301,6 +301,11 @@
 unsigned
 engine_waiting_of(const struct engine *engine, enum text_class class);
 
+/** engine_unpushed() - key records here that some replica has not
+ * acknowledged yet; a planned stop waits, within a bound, until it is 0 */
+size_t
+engine_unpushed(const struct engine *engine);
+
 /** engine_open() - local requests without a final answer yet */
 unsigned
 engine_open(const struct engine *engine);
--- a/tests/request/admit_test.c
+++ b/tests/request/admit_test.c
@@ -336,6 +336,23 @@
     g_assert_nonnull(fixture_find(f, ENGINE_RUN, id));
 }
 
+/* A planned stop must know that a key's outcome is not told everywhere. */
+static void
+test_key_unpushed(struct fixture *f, gconstpointer data)
+{
+    uint64_t id;
+
+    fixture_tick_to(f, f->now_us + 2 * IDEM_SETTLE_US);
+    g_assert_cmpuint(engine_unpushed(f->engine), ==, 0);
+    id = fixture_arrive_keyed(f);
+    fixture_grant(f);
+    fixture_end(f, SELF, id, ENGINE_UP_ANSWERED);
+    g_assert_cmpuint(engine_unpushed(f->engine), >, 0);
+    fixture_acknowledge(f);
+    fixture_tick_to(f, f->now_us + IDEM_SETTLE_US);
+    g_assert_cmpuint(engine_unpushed(f->engine), ==, 0);
+}
+
 static void
 test_no_upstream(struct fixture *f, gconstpointer data)
 {
@@ -484,6 +501,7 @@
     FIXTURE_ADD("admit", warming);
     FIXTURE_ADD("admit", drain_and_stop);
     FIXTURE_ADD("admit", key_reserved_first);
+    FIXTURE_ADD("admit", key_unpushed);
     FIXTURE_ADD("admit", no_upstream);
     FIXTURE_ADD("admit", hold_for_urgent);
     FIXTURE_ADD("admit", bad_input);
--- a/tests/request/fixture.c
+++ b/tests/request/fixture.c
@@ -117,6 +117,23 @@
     }
 }
 
+void
+fixture_acknowledge(struct fixture *f)
+{
+    const uint64_t replicas[] = {PEER, OTHER};
+    struct engine_peer_msg ack =
+        fixture_find_sent(f, ENGINE_PEER_IDEM, PEER)->msg;
+
+    g_assert_cmpint(ack.idem.type, ==, IDEM_MSG_RECORD);
+    ack.idem.type = IDEM_MSG_ACK;
+    ack.idem.answer = NULL;
+    ack.idem.answer_len = 0;
+    f->out.count = 0;
+    for (size_t i = 0; i < G_N_ELEMENTS(replicas); i++) {
+        engine_peer(f->engine, replicas[i], &ack, NULL, 0, f->now_us, &f->out);
+    }
+}
+
 void
 fixture_end(struct fixture *f, uint64_t origin, uint64_t id,
             enum engine_upstream how)
--- a/tests/request/fixture.h
+++ b/tests/request/fixture.h
@@ -60,6 +60,10 @@
 uint64_t
 fixture_arrive_keyed(struct fixture *f);
 
+/** fixture_acknowledge() - both replicas acknowledge the record sent last */
+void
+fixture_acknowledge(struct fixture *f);
+
 /** fixture_grant() - PEER and OTHER grant the key they were just asked for */
 void
 fixture_grant(struct fixture *f);
