tests/stack: the loop is a fixture

Cause: each test set up and freed the same loop, and was named twice. Change: the loop is a fixture; loop counters stand in their loops.

--- a/tests/stack/test_isn.c
+++ b/tests/stack/test_isn.c
@@ -1,7 +1,9 @@
-#include <glib.h>
 #include <string.h>
 
 #include "stack/isn.h"
+#include "lib/harness.h"
+
+#define SUITE "/isn"
 
 /* 10.9.0.1:40000 -> 10.0.0.1:80, SYN and its answer, checksums right. */
 static const uint8_t syn_ack[] = {
@@ -13,9 +15,8 @@
 tcp_sum(const uint8_t *packet)
 {
     uint32_t sum = 6 + 20;
-    size_t i;
 
-    for (i = 12; i < 40; i += 2) {
+    for (size_t i = 12; i < 40; i += 2) {
         sum += (uint32_t)(packet[i] << 8 | packet[i + 1]);
     }
     while (sum >> 16 != 0) {
@@ -32,15 +33,13 @@
 }
 
 /* The caller's acknowledgement of a shifted number comes back unshifted. */
-static void
-test_round_trip(void)
+TEST(round_trip)
 {
     g_autoptr(GRand) rand = g_rand_new_with_seed(1);
     uint8_t out[40];
     uint8_t in[40];
-    int i;
 
-    for (i = 0; i < 1000; i++) {
+    for (int i = 0; i < 1000; i++) {
         uint64_t secret = (uint64_t)g_rand_int(rand) << 32 | g_rand_int(rand);
         uint32_t isn = g_rand_int(rand);
         uint16_t sum;
@@ -70,8 +69,7 @@
 }
 
 /* Two processes that answer one SYN choose different numbers. */
-static void
-test_processes_differ(void)
+TEST(processes_differ)
 {
     uint8_t a[40];
     uint8_t b[40];
@@ -83,8 +81,7 @@
     g_assert_cmpuint(get32(a + 24), !=, get32(b + 24));
 }
 
-static void
-test_short_packets(void)
+TEST(short_packets)
 {
     uint8_t buf[40];
     size_t len;
@@ -96,13 +93,3 @@
         g_assert_cmpmem(buf, sizeof(buf), syn_ack, sizeof(syn_ack));
     }
 }
-
-int
-main(int argc, char **argv)
-{
-    g_test_init(&argc, &argv, NULL);
-    g_test_add_func("/isn/round-trip", test_round_trip);
-    g_test_add_func("/isn/processes-differ", test_processes_differ);
-    g_test_add_func("/isn/short-packets", test_short_packets);
-    return g_test_run();
-}
--- a/tests/stack/test_stack.c
+++ b/tests/stack/test_stack.c
@@ -1,5 +1,4 @@
 #include <errno.h>
-#include <glib.h>
 #include <lwip/priv/tcp_priv.h>
 #include <lwip/tcpip.h>
 #include <malloc.h>
@@ -7,7 +6,9 @@
 
 #include "stack/pcbs.h"
 #include "stack/stack_private.h"
+#include "lib/harness.h"
 
+#define SUITE "/stack"
 #define SERVER_IP 0x0a000001u
 #define CLIENT_IP 0x0a090001u
 #define ALL_SIZE 200000
@@ -58,12 +59,11 @@
 end_send(struct end *end)
 {
     uint8_t buf[4096];
-    size_t i;
     size_t n;
 
     while (end->sent < end->to_send) {
         n = MIN(sizeof(buf), end->to_send - end->sent);
-        for (i = 0; i < n; i++) {
+        for (size_t i = 0; i < n; i++) {
             buf[i] = pattern(end->sent + i);
         }
         n = stack_write(end->conn, buf, n);
@@ -126,9 +126,8 @@
         const uint8_t *data, size_t len)
 {
     struct end *end = stack_conn_data(conn);
-    size_t i;
 
-    for (i = 0; i < len; i++) {
+    for (size_t i = 0; i < len; i++) {
         g_assert_cmpuint(data[i], ==, pattern(end->received + i));
     }
     end->received += len;
@@ -249,77 +248,62 @@
 }
 
 /* Whole bytes both ways, over packets that are lost and reordered. */
-static void
-test_whole_bytes(void)
+TEST_F(loop, whole_bytes, 4711)
 {
-    struct loop loop;
     struct end *clients[20];
     struct end *server;
-    size_t i;
 
-    loop_init(&loop, 4711);
-    loop.loss = 0.01;
-    loop.reorder = 0.02;
-    loop.server_sends = ALL_SIZE;
-    loop.server_closes = true;
-    for (i = 0; i < G_N_ELEMENTS(clients); i++) {
-        clients[i] = loop_connect(&loop, 0, ALL_SIZE / 2);
+    loop->loss = 0.01;
+    loop->reorder = 0.02;
+    loop->server_sends = ALL_SIZE;
+    loop->server_closes = true;
+    for (size_t i = 0; i < G_N_ELEMENTS(clients); i++) {
+        clients[i] = loop_connect(loop, 0, ALL_SIZE / 2);
     }
-    LOOP_UNTIL(&loop, loop.closed == 2 * G_N_ELEMENTS(clients));
-    g_assert_cmpuint(loop.dropped, >, 0);
-    for (i = 0; i < G_N_ELEMENTS(clients); i++) {
+    LOOP_UNTIL(loop, loop->closed == 2 * G_N_ELEMENTS(clients));
+    g_assert_cmpuint(loop->dropped, >, 0);
+    for (size_t i = 0; i < G_N_ELEMENTS(clients); i++) {
         g_assert_cmpint(clients[i]->reason, ==, 0);
         g_assert_cmpuint(clients[i]->received, ==, ALL_SIZE);
         g_free(clients[i]);
     }
-    for (server = loop.ends; server != NULL; server = server->next) {
+    for (server = loop->ends; server != NULL; server = server->next) {
         g_assert_cmpint(server->reason, ==, 0);
     }
-    g_test_message("%zu packets lost", loop.dropped);
-    loop_finish(&loop);
+    g_test_message("%zu packets lost", loop->dropped);
 }
 
-static void
-test_abort(void)
+TEST_F(loop, abort, 1)
 {
-    struct loop loop;
-    struct end *client;
+    g_autofree struct end *client = NULL;
 
-    loop_init(&loop, 1);
-    client = loop_connect(&loop, 40000, 0);
-    LOOP_UNTIL(&loop, loop.accepted == 1 && client->opened);
-    stack_abort(loop.ends->conn);
-    LOOP_UNTIL(&loop, loop.closed == 2);
-    g_assert_cmpint(loop.ends->reason, ==, -ECONNABORTED);
+    client = loop_connect(loop, 40000, 0);
+    LOOP_UNTIL(loop, loop->accepted == 1 && client->opened);
+    stack_abort(loop->ends->conn);
+    LOOP_UNTIL(loop, loop->closed == 2);
+    g_assert_cmpint(loop->ends->reason, ==, -ECONNABORTED);
     g_assert_cmpint(client->reason, ==, -ECONNRESET);
-    g_free(client);
     /* Nobody listens: refused. */
-    g_assert_cmpint(stack_unlisten(loop.stack, (struct addr){SERVER_IP, 80}),
+    g_assert_cmpint(stack_unlisten(loop->stack, (struct addr){SERVER_IP, 80}),
                     ==, 0);
-    g_assert_cmpint(stack_unlisten(loop.stack, (struct addr){SERVER_IP, 80}),
+    g_assert_cmpint(stack_unlisten(loop->stack, (struct addr){SERVER_IP, 80}),
                     ==, -ENOENT);
-    loop_finish(&loop);
 }
 
 /* The caller ends its half first and still gets the whole answer. */
-static void
-test_half_close(void)
+TEST_F(loop, half_close, 2)
 {
-    struct loop loop;
-    struct end *client;
+    g_autofree struct end *client = NULL;
 
-    loop_init(&loop, 2);
-    loop.server_sends = 0;
-    client = loop_connect(&loop, 40000, 1000);
+    loop->server_sends = 0;
+    client = loop_connect(loop, 40000, 1000);
     client->closes = true;
-    LOOP_UNTIL(&loop, loop.accepted == 1 && loop.ends->closed);
-    LOOP_UNTIL(&loop, client->closed);
-    g_assert_true(loop.ends->eof);
-    g_assert_cmpuint(loop.ends->received, ==, 1000);
-    g_assert_cmpint(loop.ends->reason, ==, 0);
+    LOOP_UNTIL(loop, loop->accepted == 1 && loop->ends->closed);
+    LOOP_UNTIL(loop, client->closed);
+    g_assert_true(loop->ends->eof);
+    g_assert_cmpuint(loop->ends->received, ==, 1000);
+    g_assert_cmpint(loop->ends->reason, ==, 0);
     g_assert_cmpint(client->reason, ==, 0);
-    g_free(client);
-    loop_finish(&loop);
 }
 
 static void
@@ -363,11 +347,10 @@
 
 /* Every byte was acknowledged both ways: that the last ACK is lost and the
  * peer's TIME-WAIT over when our FIN comes again breaks nothing. */
-static void
-test_last_ack_lost(void)
+TEST(last_ack_lost)
 {
     struct loop loop;
-    struct end *client = loop_half_closed(&loop);
+    g_autofree struct end *client = loop_half_closed(&loop);
 
     stack_close(loop.ends->conn);
     loop.loss = 1;
@@ -381,16 +364,14 @@
     loop.loss = 0;
     LOOP_UNTIL(&loop, loop.ends->closed);
     g_assert_cmpint(loop.ends->reason, ==, 0);
-    g_free(client);
     loop_finish(&loop);
 }
 
 /* A reset while the last bytes are unacknowledged is one, closing or not. */
-static void
-test_last_bytes_lost(void)
+TEST(last_bytes_lost)
 {
     struct loop loop;
-    struct end *client = loop_half_closed(&loop);
+    g_autofree struct end *client = loop_half_closed(&loop);
     uint8_t byte = pattern(1000);
 
     loop.loss = 1;
@@ -402,7 +383,6 @@
     loop.loss = 0;
     LOOP_UNTIL(&loop, loop.ends->closed);
     g_assert_cmpint(loop.ends->reason, ==, -ECONNRESET);
-    g_free(client);
     loop_finish(&loop);
 }
 
@@ -471,133 +451,107 @@
 
 /* A caller that reads slowly and closes late isn't reset: the wait for its
  * FIN starts when it has acknowledged everything. */
-static void
-test_slow_reader(void)
+TEST_F(loop, slow_reader, 10)
 {
-    struct loop loop;
-    struct end *client;
+    g_autofree struct end *client = NULL;
     struct end *server;
 
-    loop_init(&loop, 10);
-    loop.server_sends = 100000;
-    loop.server_closes = true;
-    client = loop_connect(&loop, 40000, 0);
+    loop->server_sends = 100000;
+    loop->server_closes = true;
+    client = loop_connect(loop, 40000, 0);
     client->lingers = true;
     stack_conn_pause(client->conn, true);
-    LOOP_UNTIL(&loop, loop.ends != NULL && loop.ends->sent == 100000);
-    server = loop.ends;
+    LOOP_UNTIL(loop, loop->ends != NULL && loop->ends->sent == 100000);
+    server = loop->ends;
     g_assert_true(server->conn->closing);
     LOCK_TCPIP_CORE();
     server->conn->close_ticks -= 100000; /* hours ago */
     UNLOCK_TCPIP_CORE();
-    loop_for(&loop, G_USEC_PER_SEC);
+    loop_for(loop, G_USEC_PER_SEC);
     g_assert_false(server->closed);
     stack_conn_pause(client->conn, false);
-    LOOP_UNTIL(&loop, client->eof || client->closed);
-    loop_for(&loop, G_USEC_PER_SEC);
+    LOOP_UNTIL(loop, client->eof || client->closed);
+    loop_for(loop, G_USEC_PER_SEC);
     g_assert_false(client->closed);
     g_assert_cmpuint(client->received, ==, 100000);
     stack_close(client->conn);
-    LOOP_UNTIL(&loop, client->closed && server->closed);
+    LOOP_UNTIL(loop, client->closed && server->closed);
     g_assert_cmpint(client->reason, ==, 0);
     g_assert_cmpint(server->reason, ==, 0);
-    g_free(client);
-    loop_finish(&loop);
 }
 
 /* The same port again at once, though the server holds it in TIME-WAIT. */
-static void
-test_port_reuse(void)
+TEST_F(loop, port_reuse, 3)
 {
-    struct loop loop;
     struct end *client;
-    int i;
 
-    loop_init(&loop, 3);
-    loop.server_sends = 100;
-    loop.server_closes = true;
-    for (i = 0; i < 5; i++) {
-        client = loop_connect(&loop, 40000, 0);
-        LOOP_UNTIL(&loop,
-                   client->closed && loop.ends != NULL && loop.ends->closed);
+    loop->server_sends = 100;
+    loop->server_closes = true;
+    for (int i = 0; i < 5; i++) {
+        client = loop_connect(loop, 40000, 0);
+        LOOP_UNTIL(loop,
+                   client->closed && loop->ends != NULL && loop->ends->closed);
         g_assert_cmpint(client->reason, ==, 0);
         g_assert_cmpuint(client->received, ==, 100);
         g_free(client);
     }
-    g_assert_cmpuint(loop.accepted, ==, 5);
-    loop_finish(&loop);
+    g_assert_cmpuint(loop->accepted, ==, 5);
 }
 
 /* A paused reader holds back the writer after a window's worth of bytes. */
-static void
-test_pause(void)
+TEST_F(loop, pause, 5)
 {
-    struct loop loop;
-    struct end *client;
+    g_autofree struct end *client = NULL;
     size_t stuck;
-    int i;
-
-    loop_init(&loop, 5);
-    loop.pause_server = true;
-    client = loop_connect(&loop, 40000, 10 * ALL_SIZE);
-    LOOP_UNTIL(&loop, client->sent > 65535);
-    for (i = 0; i < 500; i++) {
-        loop_step(&loop);
+
+    loop->pause_server = true;
+    client = loop_connect(loop, 40000, 10 * ALL_SIZE);
+    LOOP_UNTIL(loop, client->sent > 65535);
+    for (int i = 0; i < 500; i++) {
+        loop_step(loop);
     }
     stuck = client->sent;
     g_assert_cmpuint(stuck, <=, 2 * 65535);
-    g_assert_cmpuint(loop.ends->received, ==, 0);
-    stack_conn_pause(loop.ends->conn, false);
-    LOOP_UNTIL(&loop, loop.ends->received == 10 * ALL_SIZE);
-    g_free(client);
-    loop_finish(&loop);
+    g_assert_cmpuint(loop->ends->received, ==, 0);
+    stack_conn_pause(loop->ends->conn, false);
+    LOOP_UNTIL(loop, loop->ends->received == 10 * ALL_SIZE);
 }
 
 /* Open flows survive that listening stops; new ones aren't accepted. */
-static void
-test_unlisten(void)
+TEST_F(loop, unlisten, 6)
 {
-    struct loop loop;
-    struct end *client;
-    struct end *late;
+    g_autofree struct end *client = NULL;
+    g_autofree struct end *late = NULL;
     struct addr addr = {SERVER_IP, 80};
     uint8_t byte = pattern(0);
 
-    loop_init(&loop, 6);
-    g_assert_cmpint(stack_listen(loop.stack, addr), ==, -EADDRINUSE);
-    client = loop_connect(&loop, 40000, 0);
-    LOOP_UNTIL(&loop, loop.accepted == 1);
-    g_assert_cmpint(stack_unlisten(loop.stack, addr), ==, 0);
+    g_assert_cmpint(stack_listen(loop->stack, addr), ==, -EADDRINUSE);
+    client = loop_connect(loop, 40000, 0);
+    LOOP_UNTIL(loop, loop->accepted == 1);
+    g_assert_cmpint(stack_unlisten(loop->stack, addr), ==, 0);
     g_assert_cmpuint(stack_write(client->conn, &byte, 1), ==, 1);
-    LOOP_UNTIL(&loop, loop.ends->received == 1);
-    g_assert_cmpint(stack_listen(loop.stack, addr), ==, 0);
-    late = loop_connect(&loop, 40001, 0);
-    LOOP_UNTIL(&loop, late->opened);
-    g_free(client);
-    g_free(late);
-    loop_finish(&loop);
+    LOOP_UNTIL(loop, loop->ends->received == 1);
+    g_assert_cmpint(stack_listen(loop->stack, addr), ==, 0);
+    late = loop_connect(loop, 40001, 0);
+    LOOP_UNTIL(loop, late->opened);
 }
 
-static void
-test_bad_input(void)
+TEST_F(loop, bad_input, 7)
 {
-    struct loop loop;
     uint8_t buf[60] = {0x45, 0, 0, 40, 0,  0, 0, 0, 64, 6, 0, 0,
                        10,   9, 0, 1,  10, 0, 0, 2, 0,  1, 0, 80};
 
-    loop_init(&loop, 7);
-    g_assert_cmpint(stack_input(loop.stack, buf, 39), ==, -EINVAL);
-    g_assert_cmpint(stack_input(loop.stack, buf, 40), ==, -EADDRNOTAVAIL);
+    g_assert_cmpint(stack_input(loop->stack, buf, 39), ==, -EINVAL);
+    g_assert_cmpint(stack_input(loop->stack, buf, 40), ==, -EADDRNOTAVAIL);
     buf[9] = 17;
-    g_assert_cmpint(stack_input(loop.stack, buf, 40), ==, -EPROTONOSUPPORT);
+    g_assert_cmpint(stack_input(loop->stack, buf, 40), ==, -EPROTONOSUPPORT);
     buf[9] = 6;
     buf[6] = 0x20;
-    g_assert_cmpint(stack_input(loop.stack, buf, 40), ==, -EPROTONOSUPPORT);
+    g_assert_cmpint(stack_input(loop->stack, buf, 40), ==, -EPROTONOSUPPORT);
     buf[0] = 0x4f;
-    g_assert_cmpint(stack_input(loop.stack, buf, 40), ==, -EINVAL);
-    g_assert_cmpint(stack_input(loop.stack, buf, 0), ==, -EINVAL);
-    g_assert_null(stack_new(&loop.owner)); /* one in a process */
-    loop_finish(&loop);
+    g_assert_cmpint(stack_input(loop->stack, buf, 40), ==, -EINVAL);
+    g_assert_cmpint(stack_input(loop->stack, buf, 0), ==, -EINVAL);
+    g_assert_null(stack_new(&loop->owner)); /* one in a process */
 }
 
 /* A SYN with a right checksum from a caller that never goes on. */
@@ -610,13 +564,12 @@
         0,    0, 0, 1,  0,  0, 0, 0, 0x50, 2, 0xff, 0xff};
     uint32_t ip = 0;
     uint32_t tcp = 6 + 20;
-    size_t i;
 
     memcpy(buf, start, sizeof(start));
-    for (i = 0; i < 4; i++) {
+    for (size_t i = 0; i < 4; i++) {
         buf[12 + i] = (uint8_t)(src >> (24 - 8 * i));
     }
-    for (i = 0; i < 40; i += 2) {
+    for (size_t i = 0; i < 40; i += 2) {
         ip += i < 20 ? (uint32_t)(buf[i] << 8 | buf[i + 1]) : 0;
         tcp += i >= 12 ? (uint32_t)(buf[i] << 8 | buf[i + 1]) : 0;
     }
@@ -629,46 +582,40 @@
 }
 
 /* Openings that never go on are bounded, and others still get in. */
-static void
-test_flood(void)
+TEST_F(loop, flood, 9)
 {
     enum { COUNT = 10000 };
-    struct loop loop;
     struct end *client;
     uint8_t buf[40];
     uint32_t i;
 
-    loop_init(&loop, 9);
-    client = loop_connect(&loop, 40000, 0);
-    LOOP_UNTIL(&loop, loop.opened == 2);
+    client = loop_connect(loop, 40000, 0);
+    LOOP_UNTIL(loop, loop->opened == 2);
     for (i = 0; i < COUNT; i++) {
         forge_syn(buf, 0x0b000001 + i);
-        g_assert_cmpint(stack_input(loop.stack, buf, sizeof(buf)), ==, 0);
-        g_assert_cmpuint(stack_half_open(loop.stack), <=, 4096);
+        g_assert_cmpint(stack_input(loop->stack, buf, sizeof(buf)), ==, 0);
+        g_assert_cmpuint(stack_half_open(loop->stack), <=, 4096);
     }
-    g_assert_cmpuint(stack_half_open(loop.stack), >, 2000);
-    g_queue_clear_full(&loop.packets, (GDestroyNotify)g_bytes_unref);
+    g_assert_cmpuint(stack_half_open(loop->stack), >, 2000);
+    g_queue_clear_full(&loop->packets, (GDestroyNotify)g_bytes_unref);
     g_free(client);
-    client = loop_connect(&loop, 40001, 0);
-    LOOP_UNTIL(&loop, client->opened && loop.opened == 4);
-    g_assert_cmpuint(loop.closed, ==, 0);
+    client = loop_connect(loop, 40001, 0);
+    LOOP_UNTIL(loop, client->opened && loop->opened == 4);
+    g_assert_cmpuint(loop->closed, ==, 0);
     g_free(client);
-    loop_finish(&loop);
 }
 
-static void
-test_many(void)
+TEST(many)
 {
     enum { COUNT = 2000 };
     struct loop loop;
     g_autofree struct end **clients = g_new0(struct end *, COUNT);
     size_t before;
     size_t after;
-    size_t i;
 
     loop_init(&loop, 8);
     before = mallinfo2().uordblks + mallinfo2().hblkhd;
-    for (i = 0; i < COUNT; i++) {
+    for (size_t i = 0; i < COUNT; i++) {
         clients[i] = loop_connect(&loop, (uint16_t)(20000 + i), 0);
     }
     LOOP_UNTIL(&loop, loop.opened == 2 * COUNT && loop.packets.length == 0);
@@ -677,10 +624,12 @@
                    "with the test's own",
                    COUNT, (after - before) / (2 * COUNT));
     loop_finish(&loop);
-    for (i = 0; i < COUNT; i++) {
+    for (size_t i = 0; i < COUNT; i++) {
         g_free(clients[i]);
     }
 }
+<<<<<<< HEAD
+=======
 
 int
 main(int argc, char **argv)
@@ -702,3 +651,4 @@
     g_test_add_func("/stack/many", test_many);
     return g_test_run();
 }
+>>>>>>> a825aee7229317110a32b656e0842b46016007a8
