--- a/tests/stack/test_stack.c
+++ b/tests/stack/test_stack.c
@@ -407,11 +407,10 @@
 
 /* A peer in TIME-WAIT still acknowledges what comes again half a minute later,
  * after long backoffs, unless very many wait. */
-static void
-test_late_retransmission(void)
+TEST(late_retransmission)
 {
     struct loop loop;
-    struct end *client = loop_half_closed(&loop);
+    g_autofree struct end *client = loop_half_closed(&loop);
     uint8_t byte = pattern(1000);
 
     g_assert_cmpuint(stack_write(loop.ends->conn, &byte, 1), ==, 1);
@@ -423,30 +422,25 @@
     loop.loss = 0;
     LOOP_UNTIL(&loop, loop.ends->closed);
     g_assert_cmpint(loop.ends->reason, ==, 0);
-    g_free(client);
     loop_finish(&loop);
 }
 
-static void
-test_time_wait_bound(void)
+TEST_F(loop, time_wait_bound, 12)
 {
     enum { COUNT = PCBS_TIME_WAIT_MAX + 50 };
-    struct loop loop;
     struct end *client;
     uint16_t i;
 
-    loop_init(&loop, 12);
-    loop.server_closes = true;
+    loop->server_closes = true;
     for (i = 0; i < COUNT; i++) {
-        client = loop_connect(&loop, 20000 + i, 0);
-        LOOP_UNTIL(&loop, loop.closed == 2 * (i + 1u));
+        client = loop_connect(loop, 20000 + i, 0);
+        LOOP_UNTIL(loop, loop->closed == 2 * (i + 1u));
         g_assert_cmpint(client->reason, ==, 0);
         g_free(client);
     }
     g_assert_cmpuint(time_wait_after(0), >, PCBS_TIME_WAIT_MAX);
     g_assert_cmpuint(time_wait_after(30000), ==, PCBS_TIME_WAIT_MAX);
     g_assert_cmpuint(time_wait_after(60000), ==, 0);
-    loop_finish(&loop);
 }
 
 /* A caller that reads slowly and closes late isn't reset: the wait for its
@@ -628,27 +622,3 @@
         g_free(clients[i]);
     }
 }
-<<<<<<< HEAD
-=======
-
-int
-main(int argc, char **argv)
-{
-    g_test_init(&argc, &argv, NULL);
-    g_test_add_func("/stack/abort", test_abort);
-    g_test_add_func("/stack/half-close", test_half_close);
-    g_test_add_func("/stack/last-ack-lost", test_last_ack_lost);
-    g_test_add_func("/stack/last-bytes-lost", test_last_bytes_lost);
-    g_test_add_func("/stack/late-retransmission", test_late_retransmission);
-    g_test_add_func("/stack/time-wait-bound", test_time_wait_bound);
-    g_test_add_func("/stack/slow-reader", test_slow_reader);
-    g_test_add_func("/stack/port-reuse", test_port_reuse);
-    g_test_add_func("/stack/pause", test_pause);
-    g_test_add_func("/stack/unlisten", test_unlisten);
-    g_test_add_func("/stack/bad-input", test_bad_input);
-    g_test_add_func("/stack/whole-bytes", test_whole_bytes);
-    g_test_add_func("/stack/flood", test_flood);
-    g_test_add_func("/stack/many", test_many);
-    return g_test_run();
-}
->>>>>>> a825aee7229317110a32b656e0842b46016007a8
