idem: newcomers ask all earlier replicas; a goodbye before a death is pushed

A process that has just started doesn't know who died (its own former life too) or came back from the dead just before; its earlier set then holds others in their place, and two grants miss the lone survivor. In its first 20 s it now needs all of the earlier set, unless nobody in it was settled (a service that starts: else idem-rules leave_at_start refuses). 2. An owner that announced its leaving and then died: its life had ended already, so its death set off no pass, and what others held on its word was not pushed for up to 60 s. Red first: idem-rules restarted_replica and owner_leaves_then_dies; mutants 'a newcomer takes a quorum for all' and 'the death of who was leaving changes nothing' turn them red. The mutant 'one survivor of the earlier set will do' follows the moved expression.

--- a/src/idem/idem.h
+++ b/src/idem/idem.h
@@ -23,7 +23,10 @@
  * starts anything while half of a service's agents have just fallen
  * silent: they may be running on the other side of a cut. Nor does a
  * process that was paused for IDEM_STALE_US, for twice IDEM_SETTLE_US: the
- * joins that it missed are old to the others and new to it.
+ * joins that it missed are old to the others and new to it. A process
+ * younger than twice IDEM_SETTLE_US doesn't know who died just before it
+ * started: it needs a grant of all of the earlier set, unless nobody in it
+ * was settled.
  *
  * What this assumes: views differ by less than IDEM_SETTLE_US (by less than
  * IDEM_START_US while a service starts), and fewer than IDEM_QUORUM of a
--- a/src/idem/quorum.c
+++ b/src/idem/quorum.c
@@ -72,13 +72,26 @@
     return NULL;
 }
 
-/* Grants of both sets. Of the earlier set at least one must be left, and
- * all who are left must grant if they are fewer than the quorum. */
+/* How many of the @earlier ones left must grant: all if they are fewer than
+ * the quorum. One that a newcomer never saw die may have had the place of
+ * any of them; then the others are the survivors, so all must, unless the
+ * whole service is as new (@settled: some of them were settled). */
+static size_t
+earlier_needed(const struct idem *idem, size_t earlier, bool settled,
+               uint64_t now_us)
+{
+    bool all = settled && replicas_newcomer(&idem->replicas, now_us);
+
+    return all ? earlier : MIN(IDEM_QUORUM, earlier);
+}
+
+/* Grants of both sets. Of the earlier set at least one must be left. */
 bool
 quorum_reached(const struct idem *idem, const struct reserve *reserve,
                uint64_t now_us)
 {
     bool starting = replicas_starting(&idem->replicas, now_us);
+    bool settled = false;
     size_t now = 0;
     size_t now_granted = 0;
     size_t earlier = 0;
@@ -97,6 +110,7 @@
         now_granted +=
             asked->now && granted && (!asked->young || asked->now_unsettled);
         earlier += asked->earlier && there;
+        settled |= asked->earlier && !asked->earlier_unsettled;
         earlier_granted += asked->earlier && granted &&
                            (!asked->young || asked->earlier_unsettled);
     }
@@ -106,7 +120,8 @@
         return false;
     }
     return !reserve->had_earlier ||
-           (earlier > 0 && earlier_granted >= MIN(IDEM_QUORUM, earlier));
+           (earlier > 0 &&
+            earlier_granted >= earlier_needed(idem, earlier, settled, now_us));
 }
 
 /* Whether nobody of the earlier set is left. */
--- a/src/idem/replicas.c
+++ b/src/idem/replicas.c
@@ -149,6 +149,12 @@
            now_us < replicas->stale_us + 2 * IDEM_SETTLE_US;
 }
 
+bool
+replicas_newcomer(const struct replicas *replicas, uint64_t now_us)
+{
+    return now_us < replicas->start_us + 2 * IDEM_SETTLE_US;
+}
+
 bool
 replicas_young(const struct replicas *replicas, uint64_t now_us)
 {
@@ -182,9 +188,11 @@
         const struct view_member *member = view_find(view, life->id);
 
         if (life->ended_us != 0) {
-            if (member == NULL || member->health == MEMBER_DEAD ||
-                member->since_us != life->seen_us) {
+            if (!life->gone &&
+                (member == NULL || member->health == MEMBER_DEAD ||
+                 member->since_us != life->seen_us)) {
                 life->gone = true;
+                changed = true;
             }
             continue;
         }
--- a/src/idem/replicas.h
+++ b/src/idem/replicas.h
@@ -109,6 +109,11 @@
 bool
 replicas_stale(const struct replicas *replicas, uint64_t now_us);
 
+/** replicas_newcomer() - whether this process may not know who died, or came
+ * back from the dead, before it started and yet counts for the others */
+bool
+replicas_newcomer(const struct replicas *replicas, uint64_t now_us);
+
 /** replicas_young() - whether the own memory isn't settled */
 bool
 replicas_young(const struct replicas *replicas, uint64_t now_us);
--- a/tests/idem/test_rules.c
+++ b/tests/idem/test_rules.c
@@ -128,6 +128,45 @@
     EXPECT(0, key, IDEM_IN_PROGRESS);
 }
 
+/* Who restarts doesn't know that a replica died with its own former life:
+ * the survivors alone hold the record, and it must hear all of them. */
+SCENE(restarted_replica, 5, SCENE_SETTLED_US)
+{
+    unsigned at[IDEM_REPLICAS];
+
+    find_replicas(sim, 0, at);
+    for (unsigned i = 0; i < 5; i++) {
+        if (i != at[0] && i != at[2]) {
+            sim_cut(sim, at[0], i, 5 * USEC_PER_SEC);
+        }
+    }
+    EXPECT(at[0], 1, IDEM_PROCEED);
+    sim_crash(sim, at[2], true);
+    sim_start(sim, at[2]);
+    sim_cut(sim, at[0], at[2], 5 * USEC_PER_SEC);
+    sim_advance(sim, 2 * USEC_PER_SEC);
+    EXPECT_REASON(at[2], 1, IDEM_REFUSE, IDEM_REASON_QUORUM);
+    sim_advance(sim, 30 * USEC_PER_SEC);
+    EXPECT(at[2], 1, IDEM_IN_PROGRESS);
+}
+
+/* An owner that says goodbye and then dies: what it didn't bring to the
+ * others itself is pushed on once it is dead. */
+SCENE(owner_leaves_then_dies, 3, SCENE_SETTLED_US)
+{
+    unsigned at[IDEM_REPLICAS];
+
+    find_replicas(sim, 0, at);
+    sim_cut(sim, at[0], at[1], 15 * USEC_PER_SEC);
+    scene_run(sim, at[0], 1, IDEM_DONE);
+    sim_leave(sim, at[0]);
+    sim_advance(sim, 4 * USEC_PER_SEC);
+    g_assert_cmpuint(idem_records(sim->nodes[at[1]].idem), ==, 0);
+    sim_crash(sim, at[0], true);
+    sim_advance(sim, 8 * USEC_PER_SEC);
+    g_assert_cmpuint(idem_records(sim->nodes[at[1]].idem), ==, 1);
+}
+
 /* A frozen coordinator holds a reservation at one replica, the other two
  * let another run. Its return must not take that one's records along. */
 SCENE(two_reservations, 6, SCENE_SETTLED_US)
