tests/base: free a block by hand where the analyzer can't follow

Cause: clang-tidy (unix.Malloc) reports a leak of a g_malloc0() block that g_autofree frees after a loop of assertions. Change: g_free() again, as before.

--- a/tests/base/test_link.c
+++ b/tests/base/test_link.c
@@ -147,7 +147,7 @@
 
 TEST_F(sides, limits, key)
 {
-    g_autofree uint8_t *body = g_malloc0(LINK_FRAME_MAX);
+    uint8_t *body = g_malloc0(LINK_FRAME_MAX);
     size_t max = LINK_FRAME_MAX - LINK_WIRE_OVERHEAD;
     int ret;
 
@@ -159,6 +159,7 @@
     g_assert_cmpint(ret, ==, -ENOBUFS);
     run_until(sides->base, &sides->b.frames, 3);
     g_assert_cmpuint(sides->b.bytes->len, ==, 3 * max);
+    g_free(body);
 }
 
 /* A refused connection is told as such: the process there is gone. */
