--- a/tests/stack/test_stack.c
+++ b/tests/stack/test_stack.c
@@ -429,11 +429,11 @@
 {
     enum { COUNT = PCBS_TIME_WAIT_MAX + 50 };
     struct end *client;
-    uint16_t i;
+    unsigned i;
 
     loop->server_closes = true;
     for (i = 0; i < COUNT; i++) {
-        client = loop_connect(loop, 20000 + i, 0);
+        client = loop_connect(loop, (uint16_t)(20000 + i), 0);
         LOOP_UNTIL(loop, loop->closed == 2 * (i + 1u));
         g_assert_cmpint(client->reason, ==, 0);
         g_free(client);
