--- a/tests/idem/test_rules.c
+++ b/tests/idem/test_rules.c
@@ -150,6 +150,38 @@
     EXPECT(at[2], 1, IDEM_IN_PROGRESS);
 }
 
+/* One replica missed the record, one died with it: of the two survivors both
+ * must be heard. */
+SCENE(two_survivors, 5, SCENE_SETTLED_US)
+{
+    unsigned at[IDEM_REPLICAS];
+
+    find_replicas(sim, 0, at);
+    for (unsigned i = 0; i < 5; i++) {
+        if (i != at[0] && i != at[2]) {
+            sim_cut(sim, at[0], i, 5 * USEC_PER_SEC);
+        }
+    }
+    EXPECT(at[0], 1, IDEM_PROCEED);
+    sim_crash(sim, at[2], true);
+    sim_advance(sim, 10 * SIM_MSEC);
+    EXPECT_REASON(other_than(at, 5), 1, IDEM_REFUSE, IDEM_REASON_QUORUM);
+}
+
+/* A replica that was paused may have missed what the others agreed on. */
+SCENE(paused_replica, 5, SCENE_SETTLED_US)
+{
+    unsigned at[IDEM_REPLICAS];
+
+    find_replicas(sim, 0, at);
+    sim_freeze(sim, at[2]);
+    sim_advance(sim, IDEM_PAUSE_US + USEC_PER_SEC);
+    sim_thaw(sim, at[2]);
+    sim_advance(sim, IDEM_START_US + USEC_PER_SEC);
+    sim_cut(sim, at[0], at[1], USEC_PER_SEC);
+    EXPECT_REASON(at[0], 1, IDEM_REFUSE, IDEM_REASON_QUORUM);
+}
+
 /* An owner that says goodbye and then dies: what it didn't bring to the
  * others itself is pushed on once it is dead. */
 SCENE(owner_leaves_then_dies, 3, SCENE_SETTLED_US)
