tests/control: no address twice, none that another run may take

Cause: ports chosen and let go on 127.0.0.1 may be taken by a run beside this one, or chosen twice in it, before they are bound.

--- a/tests/control/test_control.c
+++ b/tests/control/test_control.c
@@ -37,7 +37,20 @@
     return 0x7f000000 | 1u << 22 | ((uint32_t)getpid() & 0x3fffff);
 }
 
-/* The kernel's choice, and never the same one twice. */
+/* The kernel's choice of a port, and never the same one twice. */
+static struct addr
+own_address(void)
+{
+    static bool taken[UINT16_MAX + 1];
+    uint16_t port;
+
+    do {
+        port = loopback_closed(SOCK_STREAM).port;
+    } while (taken[port]);
+    taken[port] = true;
+    return (struct addr){own_ip(), port};
+}
+
 static void
 fill_settings(struct fixture *f, size_t i, const char *platform)
 {
@@ -49,8 +62,7 @@
     g_strlcpy(settings->data_centre, "msasani", SETTINGS_NAME_MAX);
     g_strlcpy(settings->cell, "dar", SETTINGS_NAME_MAX);
     settings->data = (struct addr){0x7f000001, 1000 + i};
-    settings->control =
-        (struct addr){own_ip(), loopback_closed(SOCK_STREAM).port};
+    settings->control = own_address();
     memset(settings->site_key, 'k', 32);
     settings->site_key_len = 32;
     g_strlcpy(settings->platform, platform, sizeof(settings->platform));
@@ -326,8 +338,7 @@
     put_config(fixture, 0, "lots");
     LOOPBACK_WAIT(store_get(&fixture->server.store, "cell-dar", NULL) > 0);
     LOOPBACK_WAIT(sees(fixture, 0, "node-1", MEMBER_READY, MEMBER_ALIVE));
-    fixture->nodes[2].settings.seeds[0].port =
-        loopback_closed(SOCK_STREAM).port;
+    fixture->nodes[2].settings.seeds[0].port = own_address().port;
     LOOPBACK_WAIT(cell_names(fixture, "node-1"));
     start_node(fixture, 2);
     LOOPBACK_WAIT(sees(fixture, 0, "node-2", MEMBER_READY, MEMBER_ALIVE));
@@ -338,8 +349,7 @@
 {
     put_config(fixture, 0, "lots");
     for (size_t i = 0; i < 3; i++) {
-        fixture->nodes[i].settings.seeds[0] =
-            (struct addr){own_ip(), loopback_closed(SOCK_STREAM).port};
+        fixture->nodes[i].settings.seeds[0] = own_address();
         fixture->nodes[i].settings.seed_count = 1;
         start_node(fixture, i);
     }
