--- a/scripts/sitebed/topology.py
+++ b/scripts/sitebed/topology.py
@@ -13,11 +13,13 @@
 SITES = {
     "dar": {
         "data_centres": ["kariakoo", "msasani", "ubungo"],
+        "delay_us": 1000,
         "endpoints": {"lots": 7, "albums": 3},
         "service_ms": {"lots": 20, "albums": 40},
     },
     "perth": {
         "data_centres": ["perth-north", "perth-cbd", "perth-south"],
+        "delay_us": 500,
         "endpoints": {"desk-app": 7, "report-svc": 3},
         "service_ms": {"desk-app": 20, "report-svc": 40},
     },
@@ -183,7 +185,11 @@
         settings = {
             "listen": self.fabric_address,
             "balancers": [
-                {"data": host.settings["data"], "http": host.settings["http"]}
+                {
+                    "data": host.settings["data"],
+                    "http": host.settings["http"],
+                    "delay_us": self.sizes["delay_us"],
+                }
                 for host in self.balancers
             ],
             "callers": [
