--- /dev/null
+++ b/src/base/container.h
@@ -0,0 +1,13 @@
+/**
+ * DOC: container - from a member to the struct that holds it
+ */
+#ifndef SWIFTARCH_BASE_CONTAINER_H
+#define SWIFTARCH_BASE_CONTAINER_H
+
+#include <stddef.h>
+
+/** container_of() - the @type whose @member is at @pointer */
+#define container_of(pointer, type, member)                                   \
+    ((type *)((char *)(pointer)-offsetof(type, member)))
+
+#endif
--- /dev/null
+++ b/src/base/httpc.c
@@ -0,0 +1,264 @@
+#include "base/httpc.h"
+
+#include <errno.h>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/http.h>
+#include <event2/http_struct.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <stdlib.h>
+#include <sys/socket.h>
+
+#define MSEC_PER_SEC 1000
+#define USEC_PER_MSEC_INT 1000
+
+/* Probes on a quiet connection: a peer that is cut off shows after 3 s,
+ * while a waiting call may last much longer. */
+#define KEEPALIVE_IDLE_S 1
+#define KEEPALIVE_GAP_S 1
+#define KEEPALIVE_COUNT 2
+
+/**
+ * struct httpc - the client
+ * @base: event base
+ * @peer: whom it calls
+ * @body_max: longest answer, bytes
+ * @connection: libevent's connection or NULL
+ * @stale: a connection to be freed once libevent is done with it
+ * @reaper: frees @stale
+ * @call: the open call or NULL
+ * @failure: errno of the open call's failure, 0 so far
+ */
+struct httpc {
+    struct event_base *base;
+    struct addr peer;
+    size_t body_max;
+    struct evhttp_connection *connection;
+    struct evhttp_connection *stale;
+    struct event *reaper;
+    struct httpc_call *call;
+    int failure;
+};
+
+static const enum evhttp_cmd_type commands[] = {
+    [HTTPC_GET] = EVHTTP_REQ_GET,
+    [HTTPC_PUT] = EVHTTP_REQ_PUT,
+    [HTTPC_POST] = EVHTTP_REQ_POST,
+    [HTTPC_DELETE] = EVHTTP_REQ_DELETE,
+};
+
+static void
+reap(struct httpc *httpc)
+{
+    if (httpc->stale != NULL) {
+        evhttp_connection_free(httpc->stale);
+        httpc->stale = NULL;
+    }
+}
+
+static void
+on_reap(evutil_socket_t fd, short events, void *data)
+{
+    reap(data);
+}
+
+/* A connection can't be freed inside its own callback. */
+static void
+retire(struct httpc *httpc)
+{
+    if (httpc->connection == NULL) {
+        return;
+    }
+    reap(httpc);
+    httpc->stale = httpc->connection;
+    httpc->connection = NULL;
+    event_active(httpc->reaper, EV_TIMEOUT, 1);
+}
+
+static void
+finish(struct httpc *httpc, const struct httpc_reply *reply)
+{
+    struct httpc_call *call = httpc->call;
+
+    httpc->call = NULL;
+    if (call != NULL) {
+        call->done(call, reply);
+    }
+}
+
+static void
+on_error(enum evhttp_request_error error, void *data)
+{
+    struct httpc *httpc = data;
+
+    switch (error) {
+    case EVREQ_HTTP_TIMEOUT:
+        httpc->failure = ETIMEDOUT;
+        break;
+    case EVREQ_HTTP_EOF:
+        httpc->failure = ECONNRESET;
+        break;
+    case EVREQ_HTTP_DATA_TOO_LONG:
+        httpc->failure = EMSGSIZE;
+        break;
+    default:
+        httpc->failure = EPROTO;
+    }
+}
+
+static void
+on_done(struct evhttp_request *request, void *data)
+{
+    struct httpc *httpc = data;
+    int status = request != NULL ? evhttp_request_get_response_code(request)
+                                 : 0;
+    struct httpc_reply reply = {.status = status};
+    struct evbuffer *input;
+
+    if (status == 0) {
+        reply.status = httpc->failure != 0 ? -httpc->failure : -ECONNREFUSED;
+        retire(httpc);
+        finish(httpc, &reply);
+        return;
+    }
+    input = evhttp_request_get_input_buffer(request);
+    reply.len = evbuffer_get_length(input);
+    reply.body = reply.len > 0 ? (const char *)evbuffer_pullup(input, -1) : "";
+    finish(httpc, &reply);
+}
+
+static void
+set_keepalive(struct evhttp_connection *connection)
+{
+    struct bufferevent *bev = evhttp_connection_get_bufferevent(connection);
+    evutil_socket_t fd = bufferevent_getfd(bev);
+    int on = 1;
+    int idle = KEEPALIVE_IDLE_S;
+    int gap = KEEPALIVE_GAP_S;
+    int count = KEEPALIVE_COUNT;
+
+    if (fd < 0) {
+        return;
+    }
+    /* Without them the call's own timeout still holds. */
+    (void)setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
+    (void)setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle, sizeof(idle));
+    (void)setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &gap, sizeof(gap));
+    (void)setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &count, sizeof(count));
+    (void)setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+}
+
+static int
+connect_peer(struct httpc *httpc)
+{
+    char text[ADDR_TEXT_MAX];
+    char *colon;
+
+    if (httpc->connection != NULL) {
+        return 0;
+    }
+    addr_format(httpc->peer, text);
+    for (colon = text; *colon != ':'; colon++) {
+    }
+    *colon = '\0';
+    httpc->connection =
+        evhttp_connection_base_new(httpc->base, NULL, text, httpc->peer.port);
+    if (httpc->connection == NULL) {
+        return -ENOMEM;
+    }
+    evhttp_connection_set_max_body_size(httpc->connection,
+                                        (ev_ssize_t)httpc->body_max);
+    return 0;
+}
+
+struct httpc *
+httpc_new(struct event_base *base, struct addr peer, size_t body_max)
+{
+    struct httpc *httpc = calloc(1, sizeof(*httpc));
+
+    if (httpc == NULL) {
+        return NULL;
+    }
+    httpc->base = base;
+    httpc->peer = peer;
+    httpc->body_max = body_max;
+    httpc->reaper = event_new(base, -1, 0, on_reap, httpc);
+    if (httpc->reaper == NULL) {
+        free(httpc);
+        return NULL;
+    }
+    return httpc;
+}
+
+void
+httpc_free(struct httpc *httpc)
+{
+    if (httpc == NULL) {
+        return;
+    }
+    httpc->call = NULL;
+    if (httpc->connection != NULL) {
+        evhttp_connection_free(httpc->connection);
+    }
+    reap(httpc);
+    event_free(httpc->reaper);
+    free(httpc);
+}
+
+bool
+httpc_busy(const struct httpc *httpc)
+{
+    return httpc->call != NULL;
+}
+
+int
+httpc_start(struct httpc *httpc, enum httpc_method method, const char *target,
+            const char *body, size_t len, unsigned timeout_ms,
+            struct httpc_call *call)
+{
+    struct timeval timeout = {
+        .tv_sec = timeout_ms / MSEC_PER_SEC,
+        .tv_usec = timeout_ms % MSEC_PER_SEC * USEC_PER_MSEC_INT,
+    };
+    struct evhttp_request *request;
+    struct evkeyvalq *headers;
+    char host[ADDR_TEXT_MAX];
+
+    if (httpc->call != NULL) {
+        return -EBUSY;
+    }
+    if (connect_peer(httpc) < 0) {
+        return -ENOMEM;
+    }
+    request = evhttp_request_new(on_done, httpc);
+    if (request == NULL) {
+        return -ENOMEM;
+    }
+    evhttp_request_set_error_cb(request, on_error);
+    headers = evhttp_request_get_output_headers(request);
+    evhttp_add_header(headers, "Host", addr_format(httpc->peer, host));
+    if (body != NULL) {
+        evhttp_add_header(headers, "Content-Type", "application/json");
+        evbuffer_add(evhttp_request_get_output_buffer(request), body, len);
+    }
+    evhttp_connection_set_timeout_tv(httpc->connection, &timeout);
+    httpc->failure = 0;
+    httpc->call = call;
+    if (evhttp_make_request(httpc->connection, request, commands[method],
+                            target) != 0) {
+        /* libevent has freed the request and may have told on_done(). */
+        httpc->call = NULL;
+        retire(httpc);
+        return -ENOMEM;
+    }
+    set_keepalive(httpc->connection);
+    return 0;
+}
+
+void
+httpc_cancel(struct httpc *httpc)
+{
+    httpc->call = NULL;
+    retire(httpc);
+}
--- a/src/cli/main.c
+++ b/src/cli/main.c
@@ -9,6 +9,20 @@
 #include "agent/agent.h"
 #include "balancer/balancer.h"
 #include "cli/cli.h"
+#include "relay/relay_agent.h"
+#include "relay/relay_balancer.h"
+
+/* Names the settings file when the command line doesn't. */
+#define SETTINGS_VARIABLE "SWIFTARCH_CONFIG"
+
+static const char *
+settings_path(const struct arg_file *settings)
+{
+    if (settings->count > 0) {
+        return settings->filename[0];
+    }
+    return g_getenv(SETTINGS_VARIABLE);
+}
 
 /* Runs a role with its settings file, "--settings FILE". */
 static int
@@ -17,7 +31,9 @@
 {
     struct arg_lit *help = arg_lit0("h", "help", "print this");
     struct arg_file *settings =
-        arg_file1(NULL, "settings", "FILE", "settings file of the process");
+        arg_file0(NULL, "settings", "FILE",
+                  "settings file of the process (default $" SETTINGS_VARIABLE
+                  ")");
     struct arg_end *end = arg_end(5);
     void *table[] = {help, settings, end};
     int code = CLI_FAILED;
@@ -26,7 +42,15 @@
         fprintf(stderr, "%s: no memory\n", argv[0]);
     }
     else if (cli_parse(table, help, end, summary, argc, argv, &code)) {
-        code = role(settings->filename[0]);
+        const char *path = settings_path(settings);
+
+        if (path == NULL) {
+            fprintf(stderr, "%s: --settings FILE is needed\n", argv[0]);
+            code = CLI_USAGE;
+        }
+        else {
+            code = role(path);
+        }
     }
     arg_freetable(table, G_N_ELEMENTS(table));
     return code;
@@ -48,12 +72,34 @@
                     argc, argv);
 }
 
+static int
+run_relay_balancer(int argc, char **argv)
+{
+    return run_role(relay_balancer_run,
+                    "Run a relay balancer until SIGTERM; a second one ends "
+                    "it hard.",
+                    argc, argv);
+}
+
+static int
+run_relay_agent(int argc, char **argv)
+{
+    return run_role(relay_agent_run,
+                    "Run a relay agent until SIGTERM; a second one ends it "
+                    "hard.",
+                    argc, argv);
+}
+
 int
 main(int argc, char **argv)
 {
     static const struct cli_command commands[] = {
         {"balancer", "forward packets from the fabric", run_balancer},
         {"agent", "serve the upstream beside it", run_agent},
+        {"relay-balancer", "relay packets to the agents of their service",
+         run_relay_balancer},
+        {"relay-agent", "relay packets to the endpoint beside it",
+         run_relay_agent},
         {"check", "check an operators' text", cli_check},
         {"apply", "publish an operators' text", cli_apply},
         {"show", "tell what is in force on each process", cli_show},
--- /dev/null
+++ b/src/relay/agents.c
@@ -0,0 +1,366 @@
+#include "relay/agents.h"
+
+#include <string.h>
+
+#include <glib.h>
+
+#include "base/clock.h"
+#include "base/hash.h"
+
+#define ROOM_FIRST 16
+
+/* How long an agent's count of busy slots says something: requests run for
+ * some 15 ms, so an older count is as good as none. */
+#define COUNT_FRESH_US (25 * USEC_PER_MSEC)
+
+/* A suspected agent is pinged at once, then each 100 ms, slowing down to one
+ * ping in 2 s: a host that wakes again is back within a ping, and one that
+ * is gone for good costs next to nothing. */
+#define PING_FIRST_US (100 * USEC_PER_MSEC)
+#define PING_SLOWEST_US (2 * USEC_PER_SEC)
+
+/* An agent that said that it takes nothing new tells when that changes; the
+ * ping is for the word that was lost on its way. */
+#define PING_CLOSED_US (500 * USEC_PER_MSEC)
+
+/* Load is counted in 1/16 of an endpoint's slots. */
+#define LOAD_UNIT 16
+#define SLOTS_DEFAULT 2
+
+/* What a request in another data centre costs more: as much as one request
+ * that waits before it. Bytes between data centres are dear, and one slot's
+ * queue is still well inside any aim. */
+#define LOAD_ABROAD (LOAD_UNIT / SLOTS_DEFAULT)
+
+/* An endpoint that has just started takes about 1.6 times as long. */
+#define LOAD_WARMING_NUM 8
+#define LOAD_WARMING_DEN 5
+
+/** enum standing - how likely an agent takes a new flow, best first */
+enum standing {
+    STANDING_OPEN,    /* ready, or nothing is known against it */
+    STANDING_SUSPECT, /* may be dead or frozen */
+    STANDING_CLOSED,  /* said that it takes none */
+};
+
+/** struct candidate - an agent in a choice */
+struct candidate {
+    const struct agent_row *row;
+    enum standing standing;
+    unsigned load;
+    uint64_t score;
+};
+
+static enum standing
+standing_of(const struct agent_row *row)
+{
+    switch (row->health.state) {
+    case ENDPOINT_DRAINING:
+    case ENDPOINT_GONE:
+    case ENDPOINT_SILENT:
+        return STANDING_CLOSED;
+    default:
+        return row->suspect ? STANDING_SUSPECT : STANDING_OPEN;
+    }
+}
+
+static unsigned
+load_of(const struct agents *agents, const struct agent_row *row,
+        uint64_t now_us)
+{
+    unsigned slots = row->health.slots != 0 ? row->health.slots
+                                            : SLOTS_DEFAULT;
+    unsigned requests = 0;
+    unsigned load;
+
+    if (now_us - row->told_us < COUNT_FRESH_US) {
+        requests += row->health.busy;
+    }
+    if (now_us - row->sent_us < COUNT_FRESH_US) {
+        requests += row->sent;
+    }
+    load = requests * LOAD_UNIT / slots;
+    if (row->health.warming) {
+        load = load * LOAD_WARMING_NUM / LOAD_WARMING_DEN;
+    }
+    if (strcmp(row->data_centre, agents->data_centre) != 0) {
+        load += LOAD_ABROAD;
+    }
+    return load;
+}
+
+/* Keeps the RANK_DEPTH best by score; @count grows up to that. */
+static void
+keep_best(struct candidate *best, unsigned *count,
+          const struct candidate *candidate)
+{
+    unsigned at = *count;
+
+    if (at == RANK_DEPTH) {
+        if (best[at - 1].score >= candidate->score) {
+            return;
+        }
+        at--;
+    }
+    else {
+        (*count)++;
+    }
+    while (at > 0 && best[at - 1].score < candidate->score) {
+        best[at] = best[at - 1];
+        at--;
+    }
+    best[at] = *candidate;
+}
+
+static bool
+goes_before(const struct candidate *a, const struct candidate *b)
+{
+    if (a->standing != b->standing) {
+        return a->standing < b->standing;
+    }
+    if (a->load != b->load) {
+        return a->load < b->load;
+    }
+    return a->score > b->score;
+}
+
+static void
+sort_candidates(struct candidate *items, unsigned count)
+{
+    for (unsigned i = 1; i < count; i++) {
+        struct candidate item = items[i];
+        unsigned at = i;
+
+        while (at > 0 && goes_before(&item, &items[at - 1])) {
+            items[at] = items[at - 1];
+            at--;
+        }
+        items[at] = item;
+    }
+}
+
+static void
+choice_fill(struct agents_choice *choice, const struct candidate *items,
+            unsigned count)
+{
+    choice->count = count;
+    for (unsigned i = 0; i < count; i++) {
+        choice->addrs[i] = items[i].row->addr;
+    }
+}
+
+static struct agent_row *
+row_add(struct agents *agents, struct addr addr, uint64_t now_us)
+{
+    struct agent_row *row;
+
+    if (agents->count == agents->room) {
+        agents->room = agents->room == 0 ? ROOM_FIRST : 2 * agents->room;
+        agents->items =
+            g_renew(struct agent_row, agents->items, agents->room);
+    }
+    row = &agents->items[agents->count++];
+    memset(row, 0, sizeof(*row));
+    row->addr = addr;
+    row->member = hash_pair(addr.ip, addr.port);
+    row->ping_us = now_us;
+    row->ping_gap_us = PING_FIRST_US;
+    return row;
+}
+
+static void
+row_remove(struct agents *agents, struct agent_row *row)
+{
+    *row = agents->items[--agents->count];
+}
+
+void
+agents_init(struct agents *agents, const char *data_centre)
+{
+    memset(agents, 0, sizeof(*agents));
+    g_strlcpy(agents->data_centre, data_centre, sizeof(agents->data_centre));
+}
+
+void
+agents_finish(struct agents *agents)
+{
+    g_free(agents->items);
+    agents->items = NULL;
+    agents->count = agents->room = 0;
+}
+
+struct agent_row *
+agents_find(const struct agents *agents, struct addr addr)
+{
+    for (size_t i = 0; i < agents->count; i++) {
+        if (addr_equal(agents->items[i].addr, addr)) {
+            return &agents->items[i];
+        }
+    }
+    return NULL;
+}
+
+void
+agents_list(struct agents *agents, struct addr addr, uint32_t service,
+            const char *data_centre, uint64_t now_us)
+{
+    struct agent_row *row = agents_find(agents, addr);
+
+    if (row == NULL) {
+        row = row_add(agents, addr, now_us);
+    }
+    if (row->health.service != service) {
+        /* Another host has the address now: what the old one said is void,
+         * and what the new one says of its service comes with its answer. */
+        row->health = (struct frame_health){.service = service};
+        row->suspect = false;
+        row->ping_us = now_us;
+        row->ping_gap_us = PING_FIRST_US;
+    }
+    row->listed = true;
+    g_strlcpy(row->data_centre, data_centre, sizeof(row->data_centre));
+}
+
+void
+agents_unlist(struct agents *agents, struct addr addr, uint64_t now_us)
+{
+    struct agent_row *row = agents_find(agents, addr);
+
+    if (row == NULL) {
+        return;
+    }
+    row->listed = false;
+    if (row->suspect || row->heard_us == 0 ||
+        row->health.state == ENDPOINT_GONE) {
+        row_remove(agents, row);
+        return;
+    }
+    row->ping_us = now_us;
+}
+
+void
+agents_heard(struct agents *agents, struct addr addr,
+             const struct frame_health *health, uint64_t now_us)
+{
+    struct agent_row *row = agents_find(agents, addr);
+
+    if (row == NULL) {
+        row = row_add(agents, addr, now_us);
+    }
+    row->health = *health;
+    row->suspect = false;
+    row->heard_us = now_us;
+    row->told_us = now_us;
+    row->sent = 0;
+    row->ping_gap_us = PING_FIRST_US;
+    row->ping_us = standing_of(row) == STANDING_CLOSED
+                       ? now_us + PING_CLOSED_US
+                       : 0;
+}
+
+void
+agents_missed(struct agents *agents, struct addr addr, uint64_t sent_us,
+              uint64_t now_us)
+{
+    struct agent_row *row = agents_find(agents, addr);
+
+    if (row == NULL || row->heard_us >= sent_us || row->suspect) {
+        return;
+    }
+    row->suspect = true;
+    row->ping_us = now_us;
+    row->ping_gap_us = PING_FIRST_US;
+}
+
+void
+agents_sent(struct agents *agents, struct addr addr, uint64_t now_us)
+{
+    struct agent_row *row = agents_find(agents, addr);
+
+    if (row == NULL) {
+        return;
+    }
+    row->sent = now_us - row->sent_us < COUNT_FRESH_US ? row->sent + 1 : 1;
+    row->sent_us = now_us;
+}
+
+bool
+agents_ping_due(struct agents *agents, uint64_t now_us, struct addr *addr)
+{
+    for (size_t i = 0; i < agents->count; i++) {
+        struct agent_row *row = &agents->items[i];
+
+        if (row->ping_us == 0 || row->ping_us > now_us) {
+            continue;
+        }
+        if (!row->listed && row->ping_gap_us >= PING_SLOWEST_US) {
+            row_remove(agents, row);
+            i--;
+            continue;
+        }
+        row->ping_us = now_us + row->ping_gap_us;
+        row->ping_gap_us = MIN(2 * row->ping_gap_us, PING_SLOWEST_US);
+        *addr = row->addr;
+        return true;
+    }
+    return false;
+}
+
+void
+agents_for_new(const struct agents *agents, uint32_t service, uint64_t hash,
+               uint64_t now_us, struct agents_choice *choice)
+{
+    struct candidate best[RANK_DEPTH];
+    unsigned count = 0;
+
+    for (size_t i = 0; i < agents->count; i++) {
+        const struct agent_row *row = &agents->items[i];
+        struct candidate candidate = {.row = row};
+
+        if (row->health.service != service ||
+            standing_of(row) == STANDING_CLOSED) {
+            continue;
+        }
+        candidate.standing = standing_of(row);
+        candidate.load = load_of(agents, row, now_us);
+        candidate.score = rank_score(row->member, rank_bucket(hash));
+        keep_best(best, &count, &candidate);
+    }
+    sort_candidates(best, count);
+    choice_fill(choice, best, count);
+}
+
+void
+agents_for_known(const struct agents *agents, uint32_t service, uint64_t hash,
+                 struct agents_choice *choice)
+{
+    struct candidate best[RANK_DEPTH];
+    unsigned count = 0;
+
+    for (size_t i = 0; i < agents->count; i++) {
+        const struct agent_row *row = &agents->items[i];
+        struct candidate candidate = {.row = row};
+
+        if (row->health.service != service ||
+            row->health.state == ENDPOINT_GONE) {
+            continue;
+        }
+        candidate.standing = row->suspect ? STANDING_SUSPECT : STANDING_OPEN;
+        candidate.score = rank_score(row->member, rank_bucket(hash));
+        keep_best(best, &count, &candidate);
+    }
+    sort_candidates(best, count);
+    choice_fill(choice, best, count);
+}
+
+bool
+agents_serve(const struct agents *agents, uint32_t service)
+{
+    for (size_t i = 0; i < agents->count; i++) {
+        if (agents->items[i].health.service == service &&
+            standing_of(&agents->items[i]) == STANDING_OPEN) {
+            return true;
+        }
+    }
+    return false;
+}
--- /dev/null
+++ b/src/relay/agents.h
@@ -0,0 +1,143 @@
+/**
+ * DOC: agents - what a balancer knows of the agents, and which it would ask
+ *
+ * Whether an agent exists comes from the platform's store or from the agent
+ * itself; how its endpoint is comes only from the agent, with each answer.
+ * An agent that doesn't answer is suspected: it gets no new flow while
+ * another can take it, and is pinged until it answers.
+ */
+#ifndef SWIFTARCH_RELAY_AGENTS_H
+#define SWIFTARCH_RELAY_AGENTS_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "base/addr.h"
+#include "packet/rank.h"
+#include "relay/frame.h"
+#include "relay/packet.h"
+
+#define AGENT_DATA_CENTRE_MAX 64
+
+/**
+ * struct agent_row - one agent
+ * @addr: where it takes frames
+ * @member: rank id, from @addr
+ * @data_centre: where it stands, empty when not known
+ * @health: its own last word
+ * @listed: the store names it
+ * @suspect: it didn't answer when it should have
+ * @heard_us: last frame from it, 0 for never
+ * @told_us: when @health was told
+ * @sent: flows sent to it since then
+ * @sent_us: last of these
+ * @ping_us: when to ping it next, 0 for never
+ * @ping_gap_us: pause before the ping after that
+ */
+struct agent_row {
+    struct addr addr;
+    uint64_t member;
+    char data_centre[AGENT_DATA_CENTRE_MAX];
+    struct frame_health health;
+    bool listed;
+    bool suspect;
+    uint64_t heard_us;
+    uint64_t told_us;
+    unsigned sent;
+    uint64_t sent_us;
+    uint64_t ping_us;
+    uint64_t ping_gap_us;
+};
+
+/**
+ * struct agents - all of them
+ * @items: rows, in no order
+ * @count: how many
+ * @room: allocated
+ * @data_centre: where the balancer stands
+ */
+struct agents {
+    struct agent_row *items;
+    size_t count;
+    size_t room;
+    char data_centre[AGENT_DATA_CENTRE_MAX];
+};
+
+/**
+ * struct agents_choice - agents for one packet, best first
+ * @addrs: their addresses
+ * @count: how many
+ */
+struct agents_choice {
+    struct addr addrs[RANK_DEPTH];
+    unsigned count;
+};
+
+/** agents_init() - none; @data_centre is the balancer's own */
+void
+agents_init(struct agents *agents, const char *data_centre);
+
+/** agents_finish() - free the rows */
+void
+agents_finish(struct agents *agents);
+
+/** agents_find() - row of an address or NULL; valid until a row is added */
+struct agent_row *
+agents_find(const struct agents *agents, struct addr addr);
+
+/**
+ * agents_list() - the store names an agent
+ * @data_centre: where it stands
+ */
+void
+agents_list(struct agents *agents, struct addr addr, uint32_t service,
+            const char *data_centre, uint64_t now_us);
+
+/**
+ * agents_unlist() - the store names it no more
+ *
+ * It is forgotten at once if it is suspected or was never heard from;
+ * otherwise it stays until it says that it has ended or falls silent.
+ */
+void
+agents_unlist(struct agents *agents, struct addr addr, uint64_t now_us);
+
+/** agents_heard() - a frame with its own word came from an agent */
+void
+agents_heard(struct agents *agents, struct addr addr,
+             const struct frame_health *health, uint64_t now_us);
+
+/** agents_missed() - an agent didn't answer a new flow sent at @sent_us */
+void
+agents_missed(struct agents *agents, struct addr addr, uint64_t sent_us,
+              uint64_t now_us);
+
+/** agents_sent() - a new flow went to an agent */
+void
+agents_sent(struct agents *agents, struct addr addr, uint64_t now_us);
+
+/**
+ * agents_ping_due() - an agent to ping now
+ * @addr: its address
+ *
+ * Return: false when none is due.
+ */
+bool
+agents_ping_due(struct agents *agents, uint64_t now_us, struct addr *addr);
+
+/** agents_for_new() - who may take a new flow, best first */
+void
+agents_for_new(const struct agents *agents, uint32_t service, uint64_t hash,
+               uint64_t now_us, struct agents_choice *choice);
+
+/** agents_for_known() - who may hold an open flow, likeliest first */
+void
+agents_for_known(const struct agents *agents, uint32_t service, uint64_t hash,
+                 struct agents_choice *choice);
+
+/** agents_serve() - whether some agent may take a new flow of @service */
+bool
+agents_serve(const struct agents *agents, uint32_t service);
+
+#endif
--- /dev/null
+++ b/src/relay/door.c
@@ -0,0 +1,785 @@
+#include "relay/door.h"
+
+#include <errno.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <glib.h>
+
+#include "base/clock.h"
+
+/* How long an endpoint may take to answer a SYN. It does so in 0.3 ms, five
+ * times as long on a slowed host, and the agent shares a small processor
+ * with it. */
+#define ANSWER_TIMEOUT_US (5 * USEC_PER_MSEC)
+
+/* A request is taken as over after this long without a sign of it: callers
+ * that never sent one after the handshake, or whose answer was lost. */
+#define BUSY_MAX_US (2 * USEC_PER_SEC)
+#define SWEEP_US (250 * USEC_PER_MSEC)
+
+/* A flow that was quiet for this long is forgotten; the endpoint itself
+ * still holds it, and a packet of it is offered there first. */
+#define IDLE_US (60 * USEC_PER_SEC)
+
+/* Balancers that were silent for longer aren't told of changes. */
+#define BALANCER_IDLE_US (60 * USEC_PER_SEC)
+
+/* No packet visits more agents than its balancer named, and the one that
+ * was least busy once more. */
+#define HOPS_MAX (FRAME_NEXT_MAX + 2)
+
+#define LOAD_UNIT 16
+#define SEQ_WINDOW 76802u
+#define SYN_MAX 64
+
+/** enum door_state - where a flow is, as seen from here */
+enum door_state {
+    DOOR_OPENING,   /* its SYN was given to the endpoint */
+    DOOR_HERE,      /* the endpoint holds it */
+    DOOR_ASKED,     /* a packet of it was offered to the endpoint */
+    DOOR_ELSEWHERE, /* sent on to another agent */
+};
+
+/**
+ * struct door_flow - what is known of a flow
+ * @state: where it is
+ * @busy_at: place in the busy list, or -1
+ * @confirmed: the caller acknowledged this endpoint's SYN+ACK
+ * @service: service it was opened for
+ * @origin: balancer that its packets came through last
+ * @target: for DOOR_ELSEWHERE, the agent it was sent to
+ * @seq: sequence number of the endpoint's SYN+ACK
+ * @caller_seq: end of the caller's data seen so far
+ * @busy_us: since when its request is in progress
+ * @tried_us: when the SYN was given to the endpoint
+ * @frame: the frame it came with, to send it on (its bytes are @syn)
+ * @syn: the SYN
+ */
+struct door_flow {
+    enum door_state state;
+    int busy_at;
+    bool confirmed;
+    uint32_t service;
+    struct addr origin;
+    struct addr target;
+    uint32_t seq;
+    uint32_t caller_seq;
+    uint64_t busy_us;
+    uint64_t tried_us;
+    struct frame_carry frame;
+    uint8_t syn[SYN_MAX];
+};
+
+static void
+drop(struct door *door, enum door_drop why)
+{
+    door->out->ops->dropped(door->out, why);
+}
+
+static void
+set_busy(struct door *door, uint32_t handle, uint64_t now_us)
+{
+    struct door_flow *flow = &door->flows[handle];
+
+    flow->busy_us = now_us;
+    if (flow->busy_at >= 0) {
+        return;
+    }
+    flow->busy_at = (int)door->busy_count;
+    door->busy[door->busy_count++] = handle;
+}
+
+static void
+clear_busy(struct door *door, uint32_t handle)
+{
+    struct door_flow *flow = &door->flows[handle];
+    uint32_t last;
+
+    if (flow->busy_at < 0) {
+        return;
+    }
+    last = door->busy[--door->busy_count];
+    door->busy[flow->busy_at] = last;
+    door->flows[last].busy_at = flow->busy_at;
+    flow->busy_at = -1;
+}
+
+static void
+forget(struct door *door, uint32_t handle)
+{
+    clear_busy(door, handle);
+    flow_index_remove(&door->table, handle);
+}
+
+static uint32_t
+remember(struct door *door, struct relay_flow key, enum door_state state,
+         uint64_t now_us)
+{
+    uint32_t handle;
+
+    if (door->table.used == door->table.capacity) {
+        forget(door, flow_index_oldest(&door->table));
+    }
+    handle = flow_index_add(&door->table, key, now_us);
+    door->flows[handle] = (struct door_flow){.state = state, .busy_at = -1};
+    return handle;
+}
+
+static unsigned
+load_of(const struct door *door)
+{
+    return door->busy_count * LOAD_UNIT / door->endpoint.slots;
+}
+
+static void
+tell(struct door *door, struct addr balancer, struct frame_status *status,
+     uint64_t now_us)
+{
+    status->health =
+        endpoint_health(&door->endpoint, door->busy_count, now_us);
+    if (door->closed && status->health.state != ENDPOINT_GONE) {
+        status->health.state = ENDPOINT_DRAINING;
+    }
+    status->heard = door->heard;
+    door->out->ops->tell(door->out, balancer, status);
+}
+
+static void
+tell_placed(struct door *door, uint32_t handle, uint64_t now_us)
+{
+    struct door_flow *flow = &door->flows[handle];
+    struct frame_status status = {
+        .type = FRAME_PLACED,
+        .flow = flow_index_flow(&door->table, handle),
+        .seq = flow->seq,
+    };
+
+    if (flow->origin.ip != 0) {
+        tell(door, flow->origin, &status, now_us);
+    }
+}
+
+static void
+tell_passed(struct door *door, struct relay_flow key, struct addr origin,
+            enum frame_reason why, bool on, uint64_t now_us)
+{
+    struct frame_status status = {
+        .type = FRAME_PASSED,
+        .reason = (uint8_t)why,
+        .on = on,
+        .flow = key,
+    };
+
+    if (origin.ip != 0) {
+        tell(door, origin, &status, now_us);
+    }
+}
+
+/* Tells all balancers of late that the endpoint's state has changed. */
+static void
+tell_state(struct door *door, uint64_t now_us)
+{
+    struct frame_status status = {.type = FRAME_STATE};
+
+    for (unsigned i = 0; i < door->balancer_count; i++) {
+        if (now_us - door->balancers[i].heard_us < BALANCER_IDLE_US) {
+            tell(door, door->balancers[i].addr, &status, now_us);
+        }
+    }
+}
+
+static void
+heard_from(struct door *door, struct addr balancer, uint64_t version,
+           uint64_t now_us)
+{
+    unsigned oldest = 0;
+
+    if (version > door->heard.version) {
+        door->heard = (struct frame_version){version, balancer};
+    }
+    for (unsigned i = 0; i < door->balancer_count; i++) {
+        if (addr_equal(door->balancers[i].addr, balancer)) {
+            door->balancers[i].heard_us = now_us;
+            return;
+        }
+        if (door->balancers[i].heard_us < door->balancers[oldest].heard_us) {
+            oldest = i;
+        }
+    }
+    if (door->balancer_count < DOOR_BALANCERS_MAX) {
+        oldest = door->balancer_count++;
+    }
+    door->balancers[oldest] = (struct door_balancer){balancer, now_us};
+}
+
+static void
+wait_push(struct door *door, uint32_t handle, uint64_t now_us)
+{
+    struct door_wait *wait;
+
+    if (door->wait_count == DOOR_WAITS_MAX) {
+        /* The balancer's own timeout takes its place. */
+        return;
+    }
+    wait = &door->waits[(door->wait_first + door->wait_count) %
+                        DOOR_WAITS_MAX];
+    *wait = (struct door_wait){now_us + ANSWER_TIMEOUT_US, handle, now_us};
+    door->wait_count++;
+}
+
+/* Gives the SYN of a flow to the endpoint. */
+static void
+offer_syn(struct door *door, uint32_t handle, uint64_t now_us)
+{
+    struct door_flow *flow = &door->flows[handle];
+
+    flow->state = DOOR_OPENING;
+    flow->tried_us = now_us;
+    set_busy(door, handle, now_us);
+    wait_push(door, handle, now_us);
+    door->out->ops->to_endpoint(door->out, flow->frame.bytes,
+                                flow->frame.size);
+}
+
+static void
+send_on(struct door *door, uint32_t handle, struct addr agent)
+{
+    struct door_flow *flow = &door->flows[handle];
+
+    flow->state = DOOR_ELSEWHERE;
+    flow->target = agent;
+    flow->frame.hops++;
+    clear_busy(door, handle);
+    door->out->ops->carry(door->out, agent, &flow->frame);
+}
+
+static struct addr
+next_pop(struct frame_carry *frame)
+{
+    struct addr next = frame->next[0];
+
+    frame->next_count--;
+    memmove(&frame->next[0], &frame->next[1],
+            frame->next_count * sizeof(frame->next[0]));
+    return next;
+}
+
+/* All were busy: the least busy of them takes the flow all the same. */
+static bool
+send_to_best(struct door *door, uint32_t handle, uint64_t now_us)
+{
+    struct door_flow *flow = &door->flows[handle];
+
+    if (flow->frame.best.ip == 0 || flow->frame.forced) {
+        return false;
+    }
+    flow->frame.forced = true;
+    if (addr_equal(flow->frame.best, door->self)) {
+        offer_syn(door, handle, now_us);
+    }
+    else {
+        send_on(door, handle, flow->frame.best);
+    }
+    return true;
+}
+
+/* Sends a flow's packet on; without anyone left the flow is forgotten. */
+static void
+pass_on(struct door *door, uint32_t handle, enum frame_reason why,
+        uint64_t now_us)
+{
+    struct door_flow *flow = &door->flows[handle];
+    struct relay_flow key = flow_index_flow(&door->table, handle);
+    struct addr origin = flow->origin;
+    unsigned hops = flow->frame.hops;
+    bool on = true;
+
+    clear_busy(door, handle);
+    if (flow->frame.next_count > 0 && hops < HOPS_MAX) {
+        send_on(door, handle, next_pop(&flow->frame));
+    }
+    else if (!send_to_best(door, handle, now_us)) {
+        on = false;
+        forget(door, handle);
+        drop(door, DOOR_DROP_NOBODY);
+    }
+    tell_passed(door, key, origin, why, on, now_us);
+    door->out->ops->decided(door->out, on ? "passed" : "let go", key, why,
+                            door->busy_count, hops);
+}
+
+/* Why a SYN shouldn't be given to the endpoint, or FRAME_REASON_NONE. */
+static enum frame_reason
+reason_against(const struct door *door, const struct frame_carry *frame)
+{
+    if (frame->service != door->endpoint.service) {
+        return FRAME_REASON_SERVICE;
+    }
+    if (door->endpoint.state == ENDPOINT_SILENT) {
+        return FRAME_REASON_SILENT;
+    }
+    if (door->closed || !endpoint_open(&door->endpoint)) {
+        return FRAME_REASON_LEAVING;
+    }
+    if (!frame->forced && door->busy_count >= door->endpoint.slots) {
+        return FRAME_REASON_BUSY;
+    }
+    return FRAME_REASON_NONE;
+}
+
+static void
+keep_frame(struct door_flow *flow, const struct frame_carry *frame)
+{
+    flow->frame = *frame;
+    flow->origin = frame->origin;
+    flow->service = frame->service;
+    if (frame->size <= SYN_MAX) {
+        memcpy(flow->syn, frame->bytes, frame->size);
+        flow->frame.bytes = flow->syn;
+    }
+    else {
+        /* Too large to keep: it can't be sent on later. */
+        flow->frame.next_count = 0;
+    }
+}
+
+static void
+note_best(struct door *door, struct frame_carry *frame)
+{
+    unsigned load = load_of(door);
+
+    if (frame->best.ip == 0 || load < frame->best_load) {
+        frame->best = door->self;
+        frame->best_load = (uint16_t)MIN(load, UINT16_MAX);
+    }
+}
+
+static void
+open_flow(struct door *door, const struct frame_carry *frame,
+          const struct relay_packet *packet, uint64_t now_us)
+{
+    struct relay_flow key = relay_flow_from_caller(packet);
+    uint32_t handle = remember(door, key, DOOR_OPENING, now_us);
+    struct door_flow *flow = &door->flows[handle];
+    enum frame_reason why = reason_against(door, frame);
+
+    keep_frame(flow, frame);
+    if (why == FRAME_REASON_BUSY) {
+        note_best(door, &flow->frame);
+    }
+    if (why != FRAME_REASON_NONE) {
+        pass_on(door, handle, why, now_us);
+        return;
+    }
+    offer_syn(door, handle, now_us);
+}
+
+/* Another copy of a SYN that was seen here. */
+static void
+open_again(struct door *door, uint32_t handle, const struct frame_carry *frame,
+           const struct relay_packet *packet, uint64_t now_us)
+{
+    struct door_flow *flow = &door->flows[handle];
+
+    flow_index_touch(&door->table, handle, now_us);
+    switch (flow->state) {
+    case DOOR_OPENING:
+    case DOOR_HERE:
+        /* The endpoint answers again, with the same number. */
+        flow->origin = frame->origin;
+        door->out->ops->to_endpoint(door->out, packet->bytes, packet->size);
+        if (flow->state == DOOR_HERE) {
+            tell_placed(door, handle, now_us);
+        }
+        return;
+    default:
+        /* It was sent on, maybe to nobody: look at it anew. */
+        forget(door, handle);
+        open_flow(door, frame, packet, now_us);
+    }
+}
+
+/* Sends a packet of a flow along the agents that its frame names. */
+static void
+carry_on(struct door *door, const struct frame_carry *frame, struct addr agent)
+{
+    struct frame_carry on = *frame;
+    unsigned kept = 0;
+
+    for (unsigned i = 0; i < on.next_count; i++) {
+        if (!addr_equal(on.next[i], agent)) {
+            on.next[kept++] = on.next[i];
+        }
+    }
+    on.next_count = (uint8_t)kept;
+    on.hops++;
+    door->out->ops->carry(door->out, agent, &on);
+}
+
+/* Offers a packet of an unknown flow to the endpoint, which may hold it from
+ * before this agent's start. */
+static void
+ask_endpoint(struct door *door, const struct frame_carry *frame,
+             const struct relay_packet *packet, uint64_t now_us)
+{
+    uint32_t handle = remember(door, relay_flow_from_caller(packet),
+                               DOOR_ASKED, now_us);
+    struct door_flow *flow = &door->flows[handle];
+
+    flow->frame = *frame;
+    flow->frame.bytes = NULL;
+    flow->origin = frame->origin;
+    flow->service = frame->service;
+    if (frame->service != door->endpoint.service ||
+        door->endpoint.state == ENDPOINT_GONE) {
+        flow->frame.bytes = packet->bytes;
+        flow->frame.size = packet->size;
+        pass_on(door, handle, FRAME_REASON_REFUSED, now_us);
+        return;
+    }
+    door->out->ops->to_endpoint(door->out, packet->bytes, packet->size);
+}
+
+static bool
+is_for_other(const struct door_flow *flow, const struct relay_packet *packet)
+{
+    return !flow->confirmed && flow->seq != 0 &&
+           (packet->flags & RELAY_ACK) != 0 &&
+           packet->ack - flow->seq >= SEQ_WINDOW;
+}
+
+/* Another endpoint's answer to the SYN came first: the flow is there. */
+static void
+give_up_flow(struct door *door, uint32_t handle,
+             const struct frame_carry *frame,
+             const struct relay_packet *packet, uint64_t now_us)
+{
+    struct door_flow *flow = &door->flows[handle];
+
+    flow->frame = *frame;
+    flow->frame.bytes = packet->bytes;
+    flow->frame.size = packet->size;
+    flow->frame.best.ip = 0;
+    flow->origin = frame->origin;
+    pass_on(door, handle, FRAME_REASON_REFUSED, now_us);
+}
+
+static void
+deliver(struct door *door, uint32_t handle, const struct frame_carry *frame,
+        const struct relay_packet *packet, uint64_t now_us)
+{
+    struct door_flow *flow = &door->flows[handle];
+    uint32_t end = packet->seq + packet->len;
+    bool search = frame->next_count > 0;
+
+    flow->confirmed = true;
+    if (packet->len > 0 && (int32_t)(end - flow->caller_seq) > 0) {
+        flow->caller_seq = end;
+        set_busy(door, handle, now_us);
+    }
+    door->out->ops->to_endpoint(door->out, packet->bytes, packet->size);
+    if (search || !addr_equal(flow->origin, frame->origin)) {
+        flow->origin = frame->origin;
+        tell_placed(door, handle, now_us);
+    }
+}
+
+static void
+carry_known(struct door *door, uint32_t handle,
+            const struct frame_carry *frame,
+            const struct relay_packet *packet, uint64_t now_us)
+{
+    struct door_flow *flow = &door->flows[handle];
+
+    flow_index_touch(&door->table, handle, now_us);
+    switch (flow->state) {
+    case DOOR_ELSEWHERE:
+        if (frame->hops < HOPS_MAX) {
+            carry_on(door, frame, flow->target);
+        }
+        else {
+            drop(door, DOOR_DROP_NOBODY);
+        }
+        return;
+    case DOOR_ASKED:
+        door->out->ops->to_endpoint(door->out, packet->bytes, packet->size);
+        return;
+    default:
+        if (is_for_other(flow, packet)) {
+            give_up_flow(door, handle, frame, packet, now_us);
+            return;
+        }
+        deliver(door, handle, frame, packet, now_us);
+    }
+}
+
+/* The endpoint doesn't take a packet of the flow. */
+static void
+on_bounced(struct door *door, const struct relay_packet *packet,
+           uint64_t now_us)
+{
+    uint32_t handle =
+        flow_index_find(&door->table, relay_flow_from_caller(packet));
+    struct door_flow *flow;
+
+    if (handle == FLOW_INDEX_NONE) {
+        drop(door, DOOR_DROP_NOBODY);
+        return;
+    }
+    flow = &door->flows[handle];
+    if (flow->state == DOOR_ELSEWHERE) {
+        carry_on(door, &(struct frame_carry){
+                     .service = flow->service,
+                     .origin = flow->origin,
+                     .hops = flow->frame.hops,
+                     .bytes = packet->bytes,
+                     .size = packet->size,
+                 }, flow->target);
+        return;
+    }
+    if (flow->state == DOOR_HERE) {
+        /* It ended there, or its endpoint started anew: nobody else has it
+         * from here, and the balancer looks for it again. */
+        flow->frame.next_count = 0;
+        flow->frame.best.ip = 0;
+    }
+    if (!relay_packet_opens(packet)) {
+        flow->frame.bytes = packet->bytes;
+        flow->frame.size = packet->size;
+    }
+    pass_on(door, handle, FRAME_REASON_REFUSED, now_us);
+}
+
+static void
+on_accepted(struct door *door, uint32_t handle,
+            const struct relay_packet *packet, uint64_t now_us)
+{
+    struct door_flow *flow = &door->flows[handle];
+
+    flow->state = DOOR_HERE;
+    flow->seq = packet->seq;
+    tell_placed(door, handle, now_us);
+    door->out->ops->decided(door->out, "placed",
+                            flow_index_flow(&door->table, handle),
+                            FRAME_REASON_NONE, door->busy_count,
+                            flow->frame.hops);
+}
+
+/* Whether the packet may go to its caller. */
+static bool
+note_answer(struct door *door, const struct relay_packet *packet,
+            uint64_t now_us)
+{
+    struct relay_flow key = relay_flow_from_endpoint(packet);
+    uint32_t handle = flow_index_find(&door->table, key);
+    struct door_flow *flow;
+
+    if (handle == FLOW_INDEX_NONE) {
+        /* A flow from before this agent's start. */
+        remember(door, key, DOOR_HERE, now_us);
+        return true;
+    }
+    flow = &door->flows[handle];
+    flow_index_touch(&door->table, handle, now_us);
+    if (relay_packet_accepts(packet)) {
+        if (flow->state == DOOR_ELSEWHERE) {
+            drop(door, DOOR_DROP_LATE);
+            return false;
+        }
+        if (flow->state == DOOR_OPENING) {
+            on_accepted(door, handle, packet, now_us);
+        }
+        return true;
+    }
+    if (flow->state != DOOR_HERE) {
+        flow->state = DOOR_HERE;
+        tell_placed(door, handle, now_us);
+    }
+    if (packet->len > 0 ||
+        (packet->flags & (RELAY_FIN | RELAY_RST)) != 0) {
+        clear_busy(door, handle);
+    }
+    return true;
+}
+
+static void
+wait_over(struct door *door, const struct door_wait *wait, uint64_t now_us)
+{
+    struct door_flow *flow = &door->flows[wait->handle];
+
+    if (flow->state != DOOR_OPENING || flow->tried_us != wait->tried_us) {
+        return;
+    }
+    if (endpoint_silent(&door->endpoint)) {
+        tell_state(door, now_us);
+    }
+    flow->frame.best.ip = 0;
+    pass_on(door, wait->handle, FRAME_REASON_SILENT, now_us);
+}
+
+static void
+sweep(struct door *door, uint64_t now_us)
+{
+    unsigned at = 0;
+    uint32_t oldest;
+
+    while (at < door->busy_count) {
+        uint32_t handle = door->busy[at];
+
+        if (now_us - door->flows[handle].busy_us > BUSY_MAX_US) {
+            clear_busy(door, handle);
+        }
+        else {
+            at++;
+        }
+    }
+    oldest = flow_index_oldest(&door->table);
+    while (oldest != FLOW_INDEX_NONE &&
+           now_us - flow_index_used_us(&door->table, oldest) > IDLE_US) {
+        forget(door, oldest);
+        oldest = flow_index_oldest(&door->table);
+    }
+    door->sweep_us = now_us + SWEEP_US;
+}
+
+int
+door_init(struct door *door, struct door_out *out, struct addr self,
+          const char *service)
+{
+    memset(door, 0, sizeof(*door));
+    door->out = out;
+    door->self = self;
+    endpoint_init(&door->endpoint, service);
+    door->flows = calloc(DOOR_FLOWS_MAX, sizeof(*door->flows));
+    door->busy = calloc(DOOR_FLOWS_MAX, sizeof(*door->busy));
+    if (door->flows == NULL || door->busy == NULL ||
+        flow_index_init(&door->table, DOOR_FLOWS_MAX) < 0) {
+        door_finish(door);
+        return -ENOMEM;
+    }
+    return 0;
+}
+
+void
+door_finish(struct door *door)
+{
+    flow_index_finish(&door->table);
+    free(door->flows);
+    free(door->busy);
+}
+
+void
+door_carry(struct door *door, const struct frame_carry *frame,
+           const struct relay_packet *packet, uint64_t now_us)
+{
+    uint32_t handle =
+        flow_index_find(&door->table, relay_flow_from_caller(packet));
+
+    heard_from(door, frame->origin, frame->version, now_us);
+    if (frame->hops > HOPS_MAX) {
+        drop(door, DOOR_DROP_NOBODY);
+        return;
+    }
+    if (relay_packet_opens(packet)) {
+        if (handle == FLOW_INDEX_NONE) {
+            open_flow(door, frame, packet, now_us);
+        }
+        else {
+            open_again(door, handle, frame, packet, now_us);
+        }
+    }
+    else if (handle == FLOW_INDEX_NONE) {
+        ask_endpoint(door, frame, packet, now_us);
+    }
+    else {
+        carry_known(door, handle, frame, packet, now_us);
+    }
+}
+
+void
+door_ping(struct door *door, struct addr balancer,
+          const struct frame_version *version, uint64_t now_us)
+{
+    struct frame_status status = {.type = FRAME_STATE};
+
+    heard_from(door, balancer, version->version, now_us);
+    tell(door, balancer, &status, now_us);
+}
+
+void
+door_from_endpoint(struct door *door, const struct relay_packet *packet,
+                   uint64_t now_us)
+{
+    if (endpoint_answered(&door->endpoint)) {
+        tell_state(door, now_us);
+    }
+    if ((packet->flags & RELAY_BOUNCED) != 0) {
+        on_bounced(door, packet, now_us);
+    }
+    else if (note_answer(door, packet, now_us)) {
+        door->out->ops->to_caller(door->out, packet->to, packet->bytes,
+                                  packet->size);
+    }
+}
+
+void
+door_heartbeat(struct door *door, const struct heartbeat *heartbeat,
+               uint64_t now_us)
+{
+    bool other = strcmp(door->endpoint.starts[0].id, heartbeat->id) != 0;
+
+    if (!endpoint_heartbeat(&door->endpoint, heartbeat, now_us) && !other) {
+        return;
+    }
+    if (other && strcmp(door->endpoint.starts[0].id, heartbeat->id) == 0) {
+        /* What the endpoint did before its start is over. */
+        while (door->busy_count > 0) {
+            clear_busy(door, door->busy[0]);
+        }
+    }
+    tell_state(door, now_us);
+}
+
+void
+door_left(struct door *door, const char *id, uint64_t now_us)
+{
+    if (endpoint_left(&door->endpoint, id)) {
+        tell_state(door, now_us);
+    }
+}
+
+void
+door_close(struct door *door, uint64_t now_us)
+{
+    door->closed = true;
+    tell_state(door, now_us);
+}
+
+void
+door_tick(struct door *door, uint64_t now_us)
+{
+    while (door->wait_count > 0 &&
+           door->waits[door->wait_first].due_us <= now_us) {
+        struct door_wait wait = door->waits[door->wait_first];
+
+        door->wait_first = (door->wait_first + 1) % DOOR_WAITS_MAX;
+        door->wait_count--;
+        wait_over(door, &wait, now_us);
+    }
+    if (now_us >= door->sweep_us) {
+        sweep(door, now_us);
+    }
+}
+
+uint64_t
+door_next_us(const struct door *door)
+{
+    uint64_t next_us = door->sweep_us;
+
+    if (door->wait_count > 0 &&
+        door->waits[door->wait_first].due_us < next_us) {
+        next_us = door->waits[door->wait_first].due_us;
+    }
+    return next_us;
+}
--- /dev/null
+++ b/src/relay/door.h
@@ -0,0 +1,168 @@
+/**
+ * DOC: door - what an agent does at its endpoint's door (decisions only)
+ *
+ * Every packet to an endpoint passes its agent, so what the agent alone can
+ * tell needs no agreement: requests in progress, an answer that doesn't
+ * come, an endpoint that leaves or has gone. A SYN that can't be taken well
+ * here goes on to the next agent that its balancer named. A packet of a flow
+ * that the endpoint doesn't hold goes the same way.
+ */
+#ifndef SWIFTARCH_RELAY_DOOR_H
+#define SWIFTARCH_RELAY_DOOR_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "relay/endpoint.h"
+#include "relay/flow_index.h"
+#include "relay/frame.h"
+#include "relay/packet.h"
+
+/* Flows that one agent remembers: an endpoint holds some 2,000, the rest is
+ * for those that went on. */
+#define DOOR_FLOWS_MAX (1u << 14)
+
+/** enum door_drop - why a packet ended here */
+enum door_drop {
+    DOOR_DROP_MALFORMED, /* no packet or frame, or one nobody may send */
+    DOOR_DROP_NOBODY,    /* no agent is left that might take it */
+    DOOR_DROP_LATE,      /* an answer to a SYN that has gone on since */
+    DOOR_DROP_COUNT,
+};
+
+struct door_out;
+
+/** struct door_out_ops - what a decision leads to */
+struct door_out_ops {
+    /** @to_endpoint: hand a packet to the endpoint */
+    void (*to_endpoint)(struct door_out *out, const uint8_t *bytes,
+                        size_t size);
+    /** @to_caller: send the endpoint's packet to its caller */
+    void (*to_caller)(struct door_out *out, struct addr caller,
+                      const uint8_t *bytes, size_t size);
+    /** @carry: send a packet on to another agent */
+    void (*carry)(struct door_out *out, struct addr agent,
+                  const struct frame_carry *frame);
+    /** @tell: send a balancer a word */
+    void (*tell)(struct door_out *out, struct addr balancer,
+                 const struct frame_status *status);
+    /** @dropped: a packet was dropped */
+    void (*dropped)(struct door_out *out, enum door_drop why);
+    /** @decided: what became of a SYN or of a flow */
+    void (*decided)(struct door_out *out, const char *what,
+                    struct relay_flow flow, enum frame_reason why,
+                    unsigned busy, unsigned hops);
+};
+
+/** struct door_out - where outputs go; the vtable comes first */
+struct door_out {
+    const struct door_out_ops *ops;
+};
+
+struct door_flow;
+
+/** struct door_wait - look at a flow when the endpoint should have answered */
+struct door_wait {
+    uint64_t due_us;
+    uint32_t handle;
+    uint64_t tried_us;
+};
+
+#define DOOR_WAITS_MAX 1024u
+#define DOOR_BALANCERS_MAX 64
+
+/** struct door_balancer - a balancer that was heard from */
+struct door_balancer {
+    struct addr addr;
+    uint64_t heard_us;
+};
+
+/**
+ * struct door - state of an agent
+ * @out: where outputs go
+ * @self: address that other agents send to
+ * @endpoint: what is known of the endpoint
+ * @table: keys of the flows
+ * @flows: one for each handle
+ * @waits: SYNs that the endpoint hasn't answered, in order
+ * @wait_first: first of them
+ * @wait_count: how many
+ * @busy: flows with a request in progress, as handles
+ * @busy_count: how many
+ * @sweep_us: when to look for requests that are in progress for too long
+ * @heard: newest configuration that any balancer spoke of
+ * @balancers: balancers heard from, to tell them of a change
+ * @balancer_count: how many
+ * @closed: a planned stop has begun
+ */
+struct door {
+    struct door_out *out;
+    struct addr self;
+    struct endpoint endpoint;
+    struct flow_index table;
+    struct door_flow *flows;
+    struct door_wait waits[DOOR_WAITS_MAX];
+    uint32_t wait_first;
+    uint32_t wait_count;
+    uint32_t *busy;
+    unsigned busy_count;
+    uint64_t sweep_us;
+    struct frame_version heard;
+    struct door_balancer balancers[DOOR_BALANCERS_MAX];
+    unsigned balancer_count;
+    bool closed;
+};
+
+/**
+ * door_init() - an endpoint of @service of which nothing is known
+ * @self: address that other agents send to
+ *
+ * Return: 0 or -ENOMEM.
+ */
+int
+door_init(struct door *door, struct door_out *out, struct addr self,
+          const char *service);
+
+/** door_finish() - free the memory */
+void
+door_finish(struct door *door);
+
+/** door_carry() - a frame with a packet came */
+void
+door_carry(struct door *door, const struct frame_carry *frame,
+           const struct relay_packet *packet, uint64_t now_us);
+
+/** door_ping() - a balancer asks */
+void
+door_ping(struct door *door, struct addr balancer,
+          const struct frame_version *version, uint64_t now_us);
+
+/** door_from_endpoint() - the endpoint sent a packet */
+void
+door_from_endpoint(struct door *door, const struct relay_packet *packet,
+                   uint64_t now_us);
+
+/** door_heartbeat() - the endpoint's heartbeat came */
+void
+door_heartbeat(struct door *door, const struct heartbeat *heartbeat,
+               uint64_t now_us);
+
+/** door_left() - the endpoint said that it ends */
+void
+door_left(struct door *door, const char *id, uint64_t now_us);
+
+/** door_close() - a planned stop: no new flow from now on, and balancers are
+ * told so; flows that are here go on */
+void
+door_close(struct door *door, uint64_t now_us);
+
+/** door_tick() - do what is due; call it at door_next_us() or later */
+void
+door_tick(struct door *door, uint64_t now_us);
+
+/** door_next_us() - when door_tick() is due next; UINT64_MAX for never */
+uint64_t
+door_next_us(const struct door *door);
+
+#endif
--- /dev/null
+++ b/src/relay/endpoint.h
@@ -0,0 +1,98 @@
+/**
+ * DOC: endpoint - what an agent knows of the endpoint beside it
+ *
+ * From its heartbeats, from its goodbye, and from whether it answers. Each
+ * start of an endpoint has an id of its own; a heartbeat of an earlier start
+ * that was held up on its way changes nothing for long.
+ */
+#ifndef SWIFTARCH_RELAY_ENDPOINT_H
+#define SWIFTARCH_RELAY_ENDPOINT_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "relay/frame.h"
+
+#define ENDPOINT_ID_MAX 64
+#define ENDPOINT_STARTS_MAX 8
+
+/**
+ * struct heartbeat - what an endpoint says of itself
+ * @id: names this start of it
+ * @service: hash_service() of its service
+ * @draining: it ends soon and takes nothing new
+ * @slots: requests that it runs at a time
+ * @warming_ms: how long it stays slow after its start
+ * @sequence: grows with each heartbeat of one start
+ */
+struct heartbeat {
+    char id[ENDPOINT_ID_MAX];
+    uint32_t service;
+    bool draining;
+    unsigned slots;
+    unsigned warming_ms;
+    uint64_t sequence;
+};
+
+/**
+ * struct endpoint_start - one start of an endpoint
+ * @id: its id
+ * @sequence: highest seen
+ * @left: it said that it ends
+ */
+struct endpoint_start {
+    char id[ENDPOINT_ID_MAX];
+    uint64_t sequence;
+    bool left;
+};
+
+/**
+ * struct endpoint - the endpoint
+ * @service: hash_service() of its service
+ * @state: what it is fit for
+ * @slots: requests that it runs at a time
+ * @warm_us: when it is fast again
+ * @starts: the starts seen last, @starts[0] the current one
+ * @start_count: how many
+ */
+struct endpoint {
+    uint32_t service;
+    enum endpoint_state state;
+    unsigned slots;
+    uint64_t warm_us;
+    struct endpoint_start starts[ENDPOINT_STARTS_MAX];
+    unsigned start_count;
+};
+
+/** endpoint_init() - an endpoint of a service of which nothing is known */
+void
+endpoint_init(struct endpoint *endpoint, const char *service);
+
+/** endpoint_heartbeat() - take a heartbeat; whether the state or the service
+ * changed */
+bool
+endpoint_heartbeat(struct endpoint *endpoint,
+                   const struct heartbeat *heartbeat, uint64_t now_us);
+
+/** endpoint_left() - the start @id ends; whether the state changed */
+bool
+endpoint_left(struct endpoint *endpoint, const char *id);
+
+/** endpoint_answered() - it sent something; whether the state changed */
+bool
+endpoint_answered(struct endpoint *endpoint);
+
+/** endpoint_silent() - it didn't answer; whether the state changed */
+bool
+endpoint_silent(struct endpoint *endpoint);
+
+/** endpoint_open() - whether it may be given a new flow */
+bool
+endpoint_open(const struct endpoint *endpoint);
+
+/** endpoint_health() - what balancers are told */
+struct frame_health
+endpoint_health(const struct endpoint *endpoint, unsigned busy,
+                uint64_t now_us);
+
+#endif
--- /dev/null
+++ b/src/relay/flow_index.c
@@ -0,0 +1,189 @@
+#include "relay/flow_index.h"
+
+#include <assert.h>
+#include <errno.h>
+#include <stdbool.h>
+#include <stdlib.h>
+#include <string.h>
+
+/**
+ * struct flow_index_item - one flow
+ * @flow: key
+ * @used_us: last use
+ * @next: next in its chain, or of the free ones
+ * @older: used before it
+ * @newer: used after it
+ */
+struct flow_index_item {
+    struct relay_flow flow;
+    uint64_t used_us;
+    uint32_t next;
+    uint32_t older;
+    uint32_t newer;
+};
+
+static uint32_t *
+chain_of(const struct flow_index *table, struct relay_flow flow)
+{
+    return &table->heads[(uint32_t)relay_flow_hash(flow) & table->mask];
+}
+
+static void
+unlink_age(struct flow_index *table, uint32_t handle)
+{
+    struct flow_index_item *item = &table->items[handle];
+
+    if (item->older != FLOW_INDEX_NONE) {
+        table->items[item->older].newer = item->newer;
+    }
+    else {
+        table->oldest = item->newer;
+    }
+    if (item->newer != FLOW_INDEX_NONE) {
+        table->items[item->newer].older = item->older;
+    }
+    else {
+        table->newest = item->older;
+    }
+}
+
+static void
+link_newest(struct flow_index *table, uint32_t handle)
+{
+    struct flow_index_item *item = &table->items[handle];
+
+    item->older = table->newest;
+    item->newer = FLOW_INDEX_NONE;
+    if (table->newest != FLOW_INDEX_NONE) {
+        table->items[table->newest].newer = handle;
+    }
+    else {
+        table->oldest = handle;
+    }
+    table->newest = handle;
+}
+
+static uint32_t
+handle_take(struct flow_index *table)
+{
+    uint32_t handle = table->free;
+
+    if (handle != FLOW_INDEX_NONE) {
+        table->free = table->items[handle].next;
+        return handle;
+    }
+    return table->unused++;
+}
+
+int
+flow_index_init(struct flow_index *table, uint32_t capacity)
+{
+    uint32_t chains = 1;
+
+    while (chains < capacity) {
+        chains *= 2;
+    }
+    *table = (struct flow_index){
+        .mask = chains - 1,
+        .capacity = capacity,
+        .free = FLOW_INDEX_NONE,
+        .oldest = FLOW_INDEX_NONE,
+        .newest = FLOW_INDEX_NONE,
+    };
+    table->heads = malloc(chains * sizeof(*table->heads));
+    /* Untouched pages cost nothing, so a large table starts small. */
+    table->items = calloc(capacity, sizeof(*table->items));
+    if (table->heads == NULL || table->items == NULL) {
+        flow_index_finish(table);
+        return -ENOMEM;
+    }
+    memset(table->heads, 0xff, chains * sizeof(*table->heads));
+    return 0;
+}
+
+void
+flow_index_finish(struct flow_index *table)
+{
+    free(table->heads);
+    free(table->items);
+    table->heads = NULL;
+    table->items = NULL;
+}
+
+uint32_t
+flow_index_find(const struct flow_index *table, struct relay_flow flow)
+{
+    uint32_t handle = *chain_of(table, flow);
+
+    while (handle != FLOW_INDEX_NONE &&
+           !relay_flow_equal(table->items[handle].flow, flow)) {
+        handle = table->items[handle].next;
+    }
+    return handle;
+}
+
+uint32_t
+flow_index_add(struct flow_index *table, struct relay_flow flow,
+               uint64_t now_us)
+{
+    uint32_t *chain = chain_of(table, flow);
+    struct flow_index_item *item;
+    uint32_t handle;
+
+    assert(table->used < table->capacity);
+    handle = handle_take(table);
+    item = &table->items[handle];
+    item->flow = flow;
+    item->used_us = now_us;
+    item->next = *chain;
+    *chain = handle;
+    link_newest(table, handle);
+    table->used++;
+    return handle;
+}
+
+void
+flow_index_touch(struct flow_index *table, uint32_t handle, uint64_t now_us)
+{
+    table->items[handle].used_us = now_us;
+    if (table->newest == handle) {
+        return;
+    }
+    unlink_age(table, handle);
+    link_newest(table, handle);
+}
+
+void
+flow_index_remove(struct flow_index *table, uint32_t handle)
+{
+    struct flow_index_item *item = &table->items[handle];
+    uint32_t *at = chain_of(table, item->flow);
+
+    while (*at != handle) {
+        assert(*at != FLOW_INDEX_NONE);
+        at = &table->items[*at].next;
+    }
+    *at = item->next;
+    unlink_age(table, handle);
+    item->next = table->free;
+    table->free = handle;
+    table->used--;
+}
+
+uint32_t
+flow_index_oldest(const struct flow_index *table)
+{
+    return table->oldest;
+}
+
+uint64_t
+flow_index_used_us(const struct flow_index *table, uint32_t handle)
+{
+    return table->items[handle].used_us;
+}
+
+struct relay_flow
+flow_index_flow(const struct flow_index *table, uint32_t handle)
+{
+    return table->items[handle].flow;
+}
--- /dev/null
+++ b/src/relay/follow.c
@@ -0,0 +1,183 @@
+#include "relay/follow.h"
+
+#include <errno.h>
+#include <string.h>
+
+#include <glib.h>
+
+#include "base/clock.h"
+#include "base/container.h"
+#include "base/hash.h"
+
+/* The platform lets a watch wait for 30 s at most; each that ends empty
+ * costs a call. */
+#define WATCH_WAIT_MS 25000
+
+/* First and longest pause after a call that failed. A process without
+ * configuration serves nobody, so the first is short; the longest bounds
+ * what an outage costs, and how long its end goes unnoticed. */
+#define PAUSE_FIRST_US (50 * USEC_PER_MSEC)
+#define PAUSE_LONGEST_US (800 * USEC_PER_MSEC)
+
+/* Pauses differ by up to a quarter between processes. */
+#define JITTER_PARTS 4
+
+static uint64_t
+pause_after(const struct follow *follow)
+{
+    uint64_t pause_us = PAUSE_FIRST_US;
+    uint64_t jitter;
+
+    for (unsigned i = 1;
+         i < follow->failures && pause_us < PAUSE_LONGEST_US; i++) {
+        pause_us *= 2;
+    }
+    pause_us = MIN(pause_us, PAUSE_LONGEST_US);
+    jitter = hash_pair(follow->seed, follow->failures) %
+             (pause_us / JITTER_PARTS);
+    return pause_us + jitter;
+}
+
+static void
+list_page(struct follow *follow, const struct store_reply *reply)
+{
+    if (follow->after == NULL) {
+        follow->list_revision = reply->revision;
+        follow->ops->listing(follow);
+    }
+    for (size_t i = 0; i < reply->count; i++) {
+        follow->ops->object(follow, &reply->objects[i]);
+    }
+    g_free(follow->after);
+    follow->after = NULL;
+    if (reply->more && reply->count > 0) {
+        follow->after = g_strdup(reply->objects[reply->count - 1].name);
+        return;
+    }
+    /* Changes made between two pages are watched for from the first. */
+    follow->revision = follow->list_revision;
+    follow->state = FOLLOW_WATCH;
+    follow->ops->listed(follow);
+}
+
+static void
+watch_events(struct follow *follow, const struct store_reply *reply)
+{
+    for (size_t i = 0; i < reply->count; i++) {
+        follow->ops->object(follow, &reply->objects[i]);
+    }
+    if (reply->revision > follow->revision) {
+        follow->revision = reply->revision;
+    }
+}
+
+static void
+on_failure(struct follow *follow, int status)
+{
+    if (status == -ESTALE) {
+        follow->state = FOLLOW_LIST;
+    }
+    if (follow->state == FOLLOW_LIST) {
+        g_free(follow->after);
+        follow->after = NULL;
+    }
+    follow->failures++;
+}
+
+static void
+on_done(struct store_call *call, const struct store_reply *reply)
+{
+    struct follow *follow = container_of(call, struct follow, call);
+    int before = follow->status;
+
+    follow->open = false;
+    follow->status = reply->status;
+    if (reply->status != 0) {
+        on_failure(follow, reply->status);
+    }
+    else {
+        follow->failures = 0;
+        if (follow->state == FOLLOW_LIST) {
+            list_page(follow, reply);
+        }
+        else {
+            watch_events(follow, reply);
+        }
+    }
+    /* The pause is counted from the next tick, which knows the time. */
+    follow->next_us = 0;
+    follow->ops->ended(follow, reply->status,
+                       (before == 0) != (reply->status == 0) || before == 1);
+}
+
+static int
+make_call(struct follow *follow)
+{
+    struct store *store = follow->store;
+
+    if (follow->state == FOLLOW_LIST) {
+        return store->ops->list(store, follow->kind, follow->after,
+                                &follow->call);
+    }
+    return store->ops->watch(store, follow->kind, follow->revision,
+                             WATCH_WAIT_MS, &follow->call);
+}
+
+void
+follow_init(struct follow *follow, const struct follow_ops *ops,
+            struct store *store, const char *kind, uint64_t gap_us,
+            uint64_t seed, uint64_t now_us)
+{
+    memset(follow, 0, sizeof(*follow));
+    follow->ops = ops;
+    follow->call.done = on_done;
+    follow->store = store;
+    follow->kind = kind;
+    follow->gap_us = gap_us;
+    follow->seed = seed;
+    follow->next_us = now_us;
+    /* Neither reached nor failed so far: the first end of a call is told. */
+    follow->status = 1;
+}
+
+void
+follow_finish(struct follow *follow)
+{
+    g_free(follow->after);
+    follow->after = NULL;
+}
+
+void
+follow_tick(struct follow *follow, uint64_t now_us)
+{
+    if (follow->open) {
+        return;
+    }
+    if (follow->next_us == 0) {
+        uint64_t pause_us = 0;
+
+        if (follow->failures > 0) {
+            pause_us = pause_after(follow);
+        }
+        else if (follow->state == FOLLOW_WATCH) {
+            pause_us = follow->gap_us;
+        }
+        follow->next_us = now_us + pause_us;
+    }
+    if (follow->next_us > now_us) {
+        return;
+    }
+    follow->opened_us = now_us;
+    follow->open = true;
+    if (make_call(follow) < 0) {
+        follow->open = false;
+        follow->failures++;
+        follow->next_us = 0;
+    }
+}
+
+uint64_t
+follow_next_us(const struct follow *follow)
+{
+    return follow->open ? UINT64_MAX : follow->next_us;
+}
--- /dev/null
+++ b/src/relay/follow.h
@@ -0,0 +1,97 @@
+/**
+ * DOC: follow - keeps up with the objects of one kind in the store
+ *
+ * Lists once, then watches. A watch that is cut goes on from where it was;
+ * when the store has forgotten that far back, the kind is listed anew. While
+ * the store is away calls get rarer, as each one is paid for.
+ */
+#ifndef SWIFTARCH_RELAY_FOLLOW_H
+#define SWIFTARCH_RELAY_FOLLOW_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "relay/store.h"
+
+struct follow;
+
+/** struct follow_ops - what the owner is told */
+struct follow_ops {
+    /** @listing: a list begins; what it doesn't name is no more */
+    void (*listing)(struct follow *follow);
+    /** @object: an object is as it says */
+    void (*object)(struct follow *follow, const struct store_object *object);
+    /** @listed: the list is whole */
+    void (*listed)(struct follow *follow);
+    /** @ended: a call ended with @status, 0 or a negative errno; the next is
+     * due. @changed: the store answers again, or no more */
+    void (*ended)(struct follow *follow, int status, bool changed);
+};
+
+/** enum follow_state - what is being done */
+enum follow_state {
+    FOLLOW_LIST,
+    FOLLOW_WATCH,
+};
+
+/**
+ * struct follow - one kind; the vtable comes first
+ * @ops: the owner
+ * @call: the open call
+ * @store: connection of its own
+ * @kind: kind
+ * @state: what is done or due
+ * @open: a call is open
+ * @after: last name of a list that goes on, or NULL
+ * @revision: the store's revision that is known
+ * @list_revision: revision of a list's first page
+ * @failures: calls that failed in a row
+ * @next_us: when the next call is due
+ * @opened_us: when the open call began
+ * @gap_us: pause after changes, so that a burst costs one call
+ * @seed: makes the pauses differ between processes
+ * @status: how the last call ended
+ */
+struct follow {
+    const struct follow_ops *ops;
+    struct store_call call;
+    struct store *store;
+    const char *kind;
+    enum follow_state state;
+    bool open;
+    char *after;
+    uint64_t revision;
+    uint64_t list_revision;
+    unsigned failures;
+    uint64_t next_us;
+    uint64_t opened_us;
+    uint64_t gap_us;
+    uint64_t seed;
+    int status;
+};
+
+/**
+ * follow_init() - follow @kind from @now_us on
+ * @store: not freed by follow_finish()
+ * @gap_us: pause after changes
+ * @seed: differs between processes
+ */
+void
+follow_init(struct follow *follow, const struct follow_ops *ops,
+            struct store *store, const char *kind, uint64_t gap_us,
+            uint64_t seed, uint64_t now_us);
+
+/** follow_finish() - free the memory */
+void
+follow_finish(struct follow *follow);
+
+/** follow_tick() - make the call that is due; call it at follow_next_us() */
+void
+follow_tick(struct follow *follow, uint64_t now_us);
+
+/** follow_next_us() - when follow_tick() is due; UINT64_MAX while a call is
+ * open */
+uint64_t
+follow_next_us(const struct follow *follow);
+
+#endif
--- /dev/null
+++ b/src/relay/frame.c
@@ -0,0 +1,217 @@
+#include "relay/frame.h"
+
+#include <errno.h>
+#include <string.h>
+
+#define MAGIC_0 's'
+#define MAGIC_1 'R'
+#define VERSION 1
+#define HEAD_SIZE 4
+
+/** struct writer - where the next byte goes; there is always room */
+struct writer {
+    uint8_t *at;
+};
+
+/** struct reader - what is left; @short_of is set once a read fails */
+struct reader {
+    const uint8_t *at;
+    size_t left;
+    bool short_of;
+};
+
+static void
+put(struct writer *writer, uint64_t value, unsigned size)
+{
+    for (unsigned i = 0; i < size; i++) {
+        *writer->at++ = (uint8_t)(value >> (8 * i));
+    }
+}
+
+static void
+put_addr(struct writer *writer, struct addr addr)
+{
+    put(writer, addr.ip, 4);
+    put(writer, addr.port, 2);
+}
+
+static struct writer
+begin(enum frame_type type, uint8_t *bytes)
+{
+    bytes[0] = MAGIC_0;
+    bytes[1] = MAGIC_1;
+    bytes[2] = VERSION;
+    bytes[3] = (uint8_t)type;
+    return (struct writer){bytes + HEAD_SIZE};
+}
+
+static uint64_t
+get(struct reader *reader, unsigned size)
+{
+    uint64_t value = 0;
+
+    if (reader->left < size) {
+        reader->short_of = true;
+        return 0;
+    }
+    for (unsigned i = 0; i < size; i++) {
+        value |= (uint64_t)reader->at[i] << (8 * i);
+    }
+    reader->at += size;
+    reader->left -= size;
+    return value;
+}
+
+static struct addr
+get_addr(struct reader *reader)
+{
+    uint32_t ip = (uint32_t)get(reader, 4);
+
+    return (struct addr){ip, (uint16_t)get(reader, 2)};
+}
+
+static struct reader
+body_of(const uint8_t *bytes, size_t size)
+{
+    return (struct reader){bytes + HEAD_SIZE, size - HEAD_SIZE, false};
+}
+
+int
+frame_type(const uint8_t *bytes, size_t size)
+{
+    if (size < HEAD_SIZE || size > FRAME_MAX || bytes[0] != MAGIC_0 ||
+        bytes[1] != MAGIC_1 || bytes[2] != VERSION) {
+        return -EBADMSG;
+    }
+    if (bytes[3] < FRAME_CARRY || bytes[3] > FRAME_LINK) {
+        return -EBADMSG;
+    }
+    return bytes[3];
+}
+
+size_t
+frame_carry_encode(const struct frame_carry *carry, uint8_t *bytes)
+{
+    struct writer writer = begin(FRAME_CARRY, bytes);
+
+    put(&writer, carry->service, 4);
+    put_addr(&writer, carry->origin);
+    put(&writer, carry->version, 8);
+    put(&writer, carry->forced, 1);
+    put(&writer, carry->hops, 1);
+    put_addr(&writer, carry->best);
+    put(&writer, carry->best_load, 2);
+    put(&writer, carry->next_count, 1);
+    for (unsigned i = 0; i < carry->next_count; i++) {
+        put_addr(&writer, carry->next[i]);
+    }
+    memcpy(writer.at, carry->bytes, carry->size);
+    return (size_t)(writer.at - bytes) + carry->size;
+}
+
+int
+frame_carry_decode(const uint8_t *bytes, size_t size,
+                   struct frame_carry *carry)
+{
+    struct reader reader = body_of(bytes, size);
+
+    carry->service = (uint32_t)get(&reader, 4);
+    carry->origin = get_addr(&reader);
+    carry->version = get(&reader, 8);
+    carry->forced = get(&reader, 1) != 0;
+    carry->hops = (uint8_t)get(&reader, 1);
+    carry->best = get_addr(&reader);
+    carry->best_load = (uint16_t)get(&reader, 2);
+    carry->next_count = (uint8_t)get(&reader, 1);
+    if (reader.short_of || carry->next_count > FRAME_NEXT_MAX) {
+        return -EBADMSG;
+    }
+    for (unsigned i = 0; i < carry->next_count; i++) {
+        carry->next[i] = get_addr(&reader);
+    }
+    if (reader.short_of || reader.left > RELAY_PACKET_MAX) {
+        return -EBADMSG;
+    }
+    carry->bytes = reader.at;
+    carry->size = reader.left;
+    return 0;
+}
+
+static void
+put_version(struct writer *writer, const struct frame_version *version)
+{
+    put(writer, version->version, 8);
+    put_addr(writer, version->holder);
+}
+
+static void
+get_version(struct reader *reader, struct frame_version *version)
+{
+    version->version = get(reader, 8);
+    version->holder = get_addr(reader);
+}
+
+size_t
+frame_status_encode(const struct frame_status *status, uint8_t *bytes)
+{
+    struct writer writer = begin(status->type, bytes);
+
+    put(&writer, status->reason, 1);
+    put(&writer, status->on, 1);
+    put_addr(&writer, status->flow.caller);
+    put_addr(&writer, status->flow.service);
+    put(&writer, status->seq, 4);
+    put(&writer, status->health.service, 4);
+    put(&writer, status->health.state, 1);
+    put(&writer, status->health.busy, 1);
+    put(&writer, status->health.slots, 1);
+    put(&writer, status->health.warming, 1);
+    put_version(&writer, &status->heard);
+    return (size_t)(writer.at - bytes);
+}
+
+int
+frame_status_decode(const uint8_t *bytes, size_t size,
+                    struct frame_status *status)
+{
+    struct reader reader = body_of(bytes, size);
+
+    status->type = bytes[3];
+    status->reason = (uint8_t)get(&reader, 1);
+    status->on = get(&reader, 1) != 0;
+    status->flow.caller = get_addr(&reader);
+    status->flow.service = get_addr(&reader);
+    status->seq = (uint32_t)get(&reader, 4);
+    status->health.service = (uint32_t)get(&reader, 4);
+    status->health.state = (uint8_t)get(&reader, 1);
+    status->health.busy = (uint8_t)get(&reader, 1);
+    status->health.slots = (uint8_t)get(&reader, 1);
+    status->health.warming = get(&reader, 1) != 0;
+    get_version(&reader, &status->heard);
+    if (reader.short_of || reader.left != 0 ||
+        status->reason > FRAME_REASON_MAX ||
+        status->health.state > ENDPOINT_STATE_MAX) {
+        return -EBADMSG;
+    }
+    return 0;
+}
+
+size_t
+frame_version_encode(enum frame_type type, const struct frame_version *version,
+                     uint8_t *bytes)
+{
+    struct writer writer = begin(type, bytes);
+
+    put_version(&writer, version);
+    return (size_t)(writer.at - bytes);
+}
+
+int
+frame_version_decode(const uint8_t *bytes, size_t size,
+                     struct frame_version *version)
+{
+    struct reader reader = body_of(bytes, size);
+
+    get_version(&reader, version);
+    return reader.short_of || reader.left != 0 ? -EBADMSG : 0;
+}
--- /dev/null
+++ b/src/relay/frame.h
@@ -0,0 +1,161 @@
+/**
+ * DOC: frame - what balancers and agents tell each other, one datagram each
+ *
+ * A carried packet travels behind a small head of ours that holds what its
+ * endpoint needn't see: the service, where else the flow may be, and whom to
+ * tell. All integers are little-endian; a frame of another version or with a
+ * wrong length is refused.
+ */
+#ifndef SWIFTARCH_RELAY_FRAME_H
+#define SWIFTARCH_RELAY_FRAME_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "relay/packet.h"
+
+/* Agents that a carried packet may still visit: RANK_DEPTH less the first. */
+#define FRAME_NEXT_MAX 5
+#define FRAME_HEAD_MAX 96
+#define FRAME_MAX (FRAME_HEAD_MAX + RELAY_PACKET_MAX)
+
+/** enum frame_type - kinds of frames */
+enum frame_type {
+    FRAME_CARRY = 1,  /* a caller's packet towards an endpoint */
+    FRAME_PLACED = 2, /* an agent's endpoint holds the flow */
+    FRAME_PASSED = 3, /* an agent sent the flow on, or let go of it */
+    FRAME_STATE = 4,  /* how an agent's endpoint is */
+    FRAME_PING = 5,   /* asks for FRAME_STATE */
+    FRAME_LINK = 6,   /* a balancer's view, to an agent or a balancer */
+};
+
+/** enum frame_reason - why an agent passed a flow on */
+enum frame_reason {
+    FRAME_REASON_NONE = 0,
+    FRAME_REASON_BUSY = 1,    /* all slots taken, others may be free */
+    FRAME_REASON_LEAVING = 2, /* draining or gone */
+    FRAME_REASON_SILENT = 3,  /* the endpoint didn't answer */
+    FRAME_REASON_REFUSED = 4, /* the endpoint bounced the packet */
+    FRAME_REASON_SERVICE = 5, /* the endpoint is of another service */
+    FRAME_REASON_MAX = FRAME_REASON_SERVICE,
+};
+
+/** enum endpoint_state - what an agent knows of its endpoint */
+enum endpoint_state {
+    ENDPOINT_UNKNOWN = 0,  /* no heartbeat yet; may be tried */
+    ENDPOINT_READY = 1,    /* takes new flows */
+    ENDPOINT_DRAINING = 2, /* keeps its flows, takes no new ones */
+    ENDPOINT_GONE = 3,     /* said that it ends */
+    ENDPOINT_SILENT = 4,   /* doesn't answer */
+    ENDPOINT_STATE_MAX = ENDPOINT_SILENT,
+};
+
+/**
+ * struct frame_health - an agent's word on its endpoint
+ * @service: hash_service() of its service
+ * @state: enum endpoint_state
+ * @busy: requests in progress, as the agent counts them
+ * @slots: requests that the endpoint runs at a time
+ * @warming: slow after a start
+ */
+struct frame_health {
+    uint32_t service;
+    uint8_t state;
+    uint8_t busy;
+    uint8_t slots;
+    bool warming;
+};
+
+/**
+ * struct frame_version - highest configuration that a host has heard of
+ * @version: its number, 0 for none
+ * @holder: a balancer that has it
+ */
+struct frame_version {
+    uint64_t version;
+    struct addr holder;
+};
+
+/**
+ * struct frame_carry - a caller's packet on its way
+ * @service: hash_service() of the service that its route names
+ * @origin: balancer that took it from the caller
+ * @version: configuration that the balancer follows
+ * @forced: take it though all slots are busy
+ * @hops: agents that have seen it
+ * @best: agent with the least load so far, ip 0 for none
+ * @best_load: its load, in 1/16 of its slots
+ * @next: agents to go on to, best first
+ * @next_count: how many
+ * @bytes: the packet
+ * @size: its size
+ */
+struct frame_carry {
+    uint32_t service;
+    struct addr origin;
+    uint64_t version;
+    bool forced;
+    uint8_t hops;
+    struct addr best;
+    uint16_t best_load;
+    struct addr next[FRAME_NEXT_MAX];
+    uint8_t next_count;
+    const uint8_t *bytes;
+    size_t size;
+};
+
+/**
+ * struct frame_status - an agent's answer to a balancer
+ * @type: FRAME_PLACED, FRAME_PASSED or FRAME_STATE
+ * @reason: for FRAME_PASSED, enum frame_reason
+ * @on: for FRAME_PASSED, whether another agent has the packet now
+ * @flow: the flow, but for FRAME_STATE
+ * @seq: for FRAME_PLACED, sequence number of the endpoint's SYN+ACK
+ * @health: the endpoint
+ * @heard: newest configuration that the agent has heard of
+ */
+struct frame_status {
+    uint8_t type;
+    uint8_t reason;
+    bool on;
+    struct relay_flow flow;
+    uint32_t seq;
+    struct frame_health health;
+    struct frame_version heard;
+};
+
+/** frame_type() - kind of a frame, -EBADMSG for what is none of ours */
+int
+frame_type(const uint8_t *bytes, size_t size);
+
+/** frame_carry_encode() - write @carry into FRAME_MAX bytes; its size */
+size_t
+frame_carry_encode(const struct frame_carry *carry, uint8_t *bytes);
+
+/** frame_carry_decode() - read it; 0 or -EBADMSG. @carry->bytes points into
+ * @bytes. */
+int
+frame_carry_decode(const uint8_t *bytes, size_t size,
+                   struct frame_carry *carry);
+
+/** frame_status_encode() - write @status into FRAME_HEAD_MAX bytes */
+size_t
+frame_status_encode(const struct frame_status *status, uint8_t *bytes);
+
+/** frame_status_decode() - read it; 0 or -EBADMSG */
+int
+frame_status_decode(const uint8_t *bytes, size_t size,
+                    struct frame_status *status);
+
+/** frame_version_encode() - write a FRAME_PING or FRAME_LINK */
+size_t
+frame_version_encode(enum frame_type type, const struct frame_version *version,
+                     uint8_t *bytes);
+
+/** frame_version_decode() - read it; 0 or -EBADMSG */
+int
+frame_version_decode(const uint8_t *bytes, size_t size,
+                     struct frame_version *version);
+
+#endif
--- /dev/null
+++ b/src/relay/presence.c
@@ -0,0 +1,207 @@
+#include "relay/presence.h"
+
+#include <errno.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <string.h>
+
+#include <glib.h>
+
+#include "base/clock.h"
+#include "base/container.h"
+#include "base/hash.h"
+
+/* Pauses after a write that failed: a new agent is unknown to balancers
+ * until it is done, and during an outage each try is paid for. */
+#define PAUSE_FIRST_US (100 * USEC_PER_MSEC)
+#define PAUSE_LONGEST_US (1600 * USEC_PER_MSEC)
+#define JITTER_PARTS 4
+
+static const char *
+text(struct json_object *object, const char *name)
+{
+    struct json_object *value = NULL;
+
+    if (!json_object_is_type(object, json_type_object) ||
+        !json_object_object_get_ex(object, name, &value) ||
+        !json_object_is_type(value, json_type_string)) {
+        return NULL;
+    }
+    return json_object_get_string(value);
+}
+
+void
+presence_name(struct addr addr, char *name)
+{
+    g_snprintf(name, PRESENCE_NAME_MAX, "%u-%u-%u-%u-%u", addr.ip >> 24,
+               addr.ip >> 16 & 0xff, addr.ip >> 8 & 0xff, addr.ip & 0xff,
+               addr.port);
+}
+
+int
+presence_addr(const char *name, struct addr *addr)
+{
+    unsigned part[5];
+    char check[PRESENCE_NAME_MAX];
+
+    if (sscanf(name, "%3u-%3u-%3u-%3u-%5u", &part[0], &part[1], &part[2],
+               &part[3], &part[4]) != 5) {
+        return -EINVAL;
+    }
+    addr->ip = part[0] << 24 | part[1] << 16 | part[2] << 8 | part[3];
+    addr->port = (uint16_t)part[4];
+    presence_name(*addr, check);
+    return strcmp(check, name) == 0 ? 0 : -EINVAL;
+}
+
+int
+presence_decode(struct json_object *value, struct presence *presence)
+{
+    const char *addr = text(value, "address");
+    const char *service = text(value, "service");
+    const char *data_centre = text(value, "data_centre");
+
+    if (addr == NULL || service == NULL || data_centre == NULL ||
+        addr_parse(addr, &presence->addr) < 0) {
+        return -EINVAL;
+    }
+    g_strlcpy(presence->service, service, sizeof(presence->service));
+    g_strlcpy(presence->data_centre, data_centre,
+              sizeof(presence->data_centre));
+    return 0;
+}
+
+struct json_object *
+presence_encode(const struct presence *presence)
+{
+    struct json_object *value = json_object_new_object();
+    char addr[ADDR_TEXT_MAX];
+
+    json_object_object_add(
+        value, "address",
+        json_object_new_string(addr_format(presence->addr, addr)));
+    json_object_object_add(value, "service",
+                           json_object_new_string(presence->service));
+    json_object_object_add(value, "data_centre",
+                           json_object_new_string(presence->data_centre));
+    return value;
+}
+
+static uint64_t
+pause_after(const struct presence_writer *writer)
+{
+    uint64_t pause_us = PAUSE_FIRST_US;
+    uint64_t seed = hash_pair(writer->presence.addr.ip, writer->failures);
+
+    for (unsigned i = 1;
+         i < writer->failures && pause_us < PAUSE_LONGEST_US; i++) {
+        pause_us *= 2;
+    }
+    return pause_us + seed % (pause_us / JITTER_PARTS);
+}
+
+static void
+on_done(struct store_call *call, const struct store_reply *reply)
+{
+    struct presence_writer *writer =
+        container_of(call, struct presence_writer, call);
+    bool removing = writer->step == PRESENCE_REMOVE;
+
+    writer->open = false;
+    writer->next_us = 0;
+    if (reply->status == 0 || (removing && reply->status == -ENOENT)) {
+        writer->failures = 0;
+        writer->step = removing ? PRESENCE_GONE : PRESENCE_KEPT;
+    }
+    else if (!removing && reply->status == -ENOENT) {
+        writer->step = PRESENCE_CREATE;
+    }
+    else if (!removing && reply->status == -EEXIST) {
+        /* A create whose answer was lost, or an earlier host's object. */
+        writer->step = PRESENCE_PUT;
+    }
+    else {
+        writer->failures++;
+    }
+}
+
+static int
+make_call(struct presence_writer *writer)
+{
+    struct store *store = writer->store;
+    struct json_object *value;
+    char name[PRESENCE_NAME_MAX];
+    int ret;
+
+    presence_name(writer->presence.addr, name);
+    if (writer->step == PRESENCE_REMOVE) {
+        return store->ops->remove(store, PRESENCE_KIND, name, 0,
+                                  &writer->call);
+    }
+    value = presence_encode(&writer->presence);
+    if (writer->step == PRESENCE_PUT) {
+        ret = store->ops->put(store, PRESENCE_KIND, name, value,
+                              &writer->call);
+    }
+    else {
+        ret = store->ops->create(store, PRESENCE_KIND, name, value,
+                                 &writer->call);
+    }
+    json_object_put(value);
+    return ret;
+}
+
+static bool
+has_work(const struct presence_writer *writer)
+{
+    return !writer->open && writer->step != PRESENCE_KEPT &&
+           writer->step != PRESENCE_GONE;
+}
+
+void
+presence_writer_init(struct presence_writer *writer, struct store *store,
+                     const struct presence *presence, uint64_t now_us)
+{
+    *writer = (struct presence_writer){
+        .call.done = on_done,
+        .store = store,
+        .presence = *presence,
+        .step = PRESENCE_PUT,
+        .next_us = now_us,
+    };
+}
+
+void
+presence_writer_remove(struct presence_writer *writer, uint64_t now_us)
+{
+    writer->step = PRESENCE_REMOVE;
+    writer->failures = 0;
+    writer->next_us = now_us;
+}
+
+void
+presence_writer_tick(struct presence_writer *writer, uint64_t now_us)
+{
+    if (!has_work(writer)) {
+        return;
+    }
+    if (writer->next_us == 0) {
+        writer->next_us =
+            now_us + (writer->failures > 0 ? pause_after(writer) : 0);
+    }
+    if (writer->next_us > now_us) {
+        return;
+    }
+    writer->open = true;
+    if (make_call(writer) < 0) {
+        writer->open = false;
+        writer->failures++;
+        writer->next_us = 0;
+    }
+}
+
+uint64_t
+presence_writer_next_us(const struct presence_writer *writer)
+{
+    return has_work(writer) ? writer->next_us : UINT64_MAX;
+}
--- /dev/null
+++ b/src/relay/presence.h
@@ -0,0 +1,99 @@
+/**
+ * DOC: presence - an agent's object in the store
+ *
+ * It says only that an agent is at an address, of which service and in which
+ * data centre; how its endpoint is goes from agent to balancer directly. So
+ * it is written once in a host's life.
+ */
+#ifndef SWIFTARCH_RELAY_PRESENCE_H
+#define SWIFTARCH_RELAY_PRESENCE_H
+
+#include <json-c/json.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "base/addr.h"
+#include "relay/agents.h"
+#include "relay/routes.h"
+#include "relay/store.h"
+
+#define PRESENCE_KIND "swiftarch-agents"
+#define PRESENCE_NAME_MAX 32
+
+/**
+ * struct presence - what the object says
+ * @addr: where the agent takes frames
+ * @service: name of its endpoint's service
+ * @data_centre: where it stands
+ */
+struct presence {
+    struct addr addr;
+    char service[ROUTES_NAME_MAX];
+    char data_centre[AGENT_DATA_CENTRE_MAX];
+};
+
+/** presence_name() - name of the object of the agent at @addr, into
+ * PRESENCE_NAME_MAX bytes */
+void
+presence_name(struct addr addr, char *name);
+
+/** presence_addr() - address that an object's name stands for; 0 or
+ * -EINVAL */
+int
+presence_addr(const char *name, struct addr *addr);
+
+/** presence_decode() - read an object's value; 0 or -EINVAL */
+int
+presence_decode(struct json_object *value, struct presence *presence);
+
+/** presence_encode() - the value of an object */
+struct json_object *
+presence_encode(const struct presence *presence);
+
+/** enum presence_step - what the writer does next */
+enum presence_step {
+    PRESENCE_PUT,    /* replace: the host was here before */
+    PRESENCE_CREATE, /* it wasn't */
+    PRESENCE_KEPT,   /* it stands */
+    PRESENCE_REMOVE, /* the endpoint has ended for good */
+    PRESENCE_GONE,   /* it is removed */
+};
+
+/**
+ * struct presence_writer - writes the object until it stands
+ * @call: the open call
+ * @store: connection of its own
+ * @presence: what is written
+ * @step: what is done or due
+ * @open: a call is open
+ * @failures: calls that failed in a row
+ * @next_us: when the next call is due, 0 when the last one has just ended
+ */
+struct presence_writer {
+    struct store_call call;
+    struct store *store;
+    struct presence presence;
+    enum presence_step step;
+    bool open;
+    unsigned failures;
+    uint64_t next_us;
+};
+
+/** presence_writer_init() - begin to write @presence at @now_us */
+void
+presence_writer_init(struct presence_writer *writer, struct store *store,
+                     const struct presence *presence, uint64_t now_us);
+
+/** presence_writer_remove() - remove the object instead */
+void
+presence_writer_remove(struct presence_writer *writer, uint64_t now_us);
+
+/** presence_writer_tick() - make the call that is due */
+void
+presence_writer_tick(struct presence_writer *writer, uint64_t now_us);
+
+/** presence_writer_next_us() - when the tick is due, UINT64_MAX for never */
+uint64_t
+presence_writer_next_us(const struct presence_writer *writer);
+
+#endif
--- /dev/null
+++ b/src/relay/relay_settings.c
@@ -0,0 +1,103 @@
+#include "relay/relay_settings.h"
+
+#include <string.h>
+
+#include <glib.h>
+
+#include "base/keys.h"
+
+/* A stop that the platform plans may take 6 s; a second is left to end. */
+#define STOP_DEFAULT_MS 5000
+#define STOP_MAX_MS 600000
+
+/* Some 100 lines of 200 bytes a second cost well under a hundredth of the
+ * smallest host's processor. */
+#define LOG_DEFAULT_PER_S 60
+#define LOG_MAX_PER_S 100000
+#define PORT_MAX 65535
+
+#define BIT(role) (1u << (role))
+#define BALANCER BIT(RELAY_BALANCER)
+#define AGENT BIT(RELAY_AGENT)
+#define BOTH (BALANCER | AGENT)
+#define FIELD(member) KEYS_FIELD(struct relay_settings, member)
+
+static const char *const role_names[] = {"a relay balancer", "a relay agent"};
+
+static void
+read_peers(struct keys *keys, const struct key_rule *rule, json_object *value,
+           void *field)
+{
+    const char *expected = "an array of at most 8 addresses such as "
+                           "[\"127.0.0.1:4000\"]";
+    struct relay_settings *settings =
+        (struct relay_settings *)((char *)field - rule->offset);
+    size_t count = 0;
+
+    if (json_object_is_type(value, json_type_array)) {
+        count = json_object_array_length(value);
+    }
+    else {
+        keys_fault_value(keys, rule->name, value, expected);
+    }
+    if (count > RELAY_PEERS_MAX) {
+        keys_fault_value(keys, rule->name, value, expected);
+        return;
+    }
+    for (size_t i = 0; i < count; i++) {
+        json_object *item = json_object_array_get_idx(value, i);
+
+        if (!json_object_is_type(item, json_type_string) ||
+            addr_parse(json_object_get_string(item), &settings->peers[i]) <
+                0) {
+            keys_fault_value(keys, rule->name, value, expected);
+            return;
+        }
+        settings->peer_count = i + 1;
+    }
+}
+
+static const struct key_rule rules[] = {
+    {"name", BOTH, BOTH, keys_read_name, FIELD(name)},
+    {"data_centre", BOTH, BOTH, keys_read_name, FIELD(data_centre)},
+    {"data", BOTH, BOTH, keys_read_addr, FIELD(data)},
+    {"frames", BALANCER, BALANCER, keys_read_addr, FIELD(frames)},
+    {"ready", BOTH, BOTH, keys_read_addr, FIELD(ready)},
+    {"share", BALANCER, BALANCER, keys_read_addr, FIELD(share)},
+    {"upstream", AGENT, AGENT, keys_read_addr, FIELD(upstream)},
+    {"outbound", AGENT, AGENT, keys_read_addr, FIELD(outbound)},
+    {"heartbeats", AGENT, AGENT, keys_read_addr, FIELD(heartbeats)},
+    {"service", AGENT, AGENT, keys_read_text, FIELD(service)},
+    {"callers_port", 0, AGENT, keys_read_number, FIELD(callers_port),
+     .min = 1, .max = PORT_MAX},
+    {"store", BOTH, BOTH, keys_read_addr, FIELD(store)},
+    {"peers", 0, BOTH, read_peers, FIELD(peers)},
+    {"stop_ms", 0, BOTH, keys_read_number, FIELD(stop_ms), .min = 0,
+     .max = STOP_MAX_MS},
+    {"log_per_s", 0, BOTH, keys_read_number, FIELD(log_per_s), .min = 0,
+     .max = LOG_MAX_PER_S},
+};
+
+int
+relay_settings_load(struct relay_settings *settings, enum relay_role role,
+                    const char *path, char **report, struct error *err)
+{
+    struct keys keys;
+    int ret;
+
+    memset(settings, 0, sizeof(*settings));
+    settings->stop_ms = STOP_DEFAULT_MS;
+    settings->log_per_s = LOG_DEFAULT_PER_S;
+    *report = NULL;
+    ret = keys_open(&keys, path, BIT(role), role_names[role], err);
+    if (ret < 0) {
+        return ret;
+    }
+    if (keys.root != NULL) {
+        keys_read(&keys, keys.root, rules, G_N_ELEMENTS(rules), settings);
+    }
+    if (settings->callers_port == 0) {
+        settings->callers_port = settings->data.port;
+    }
+    return keys_close(&keys, report, err);
+}
--- /dev/null
+++ b/src/relay/routes.c
@@ -0,0 +1,109 @@
+#include "relay/routes.h"
+
+#include <errno.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <glib.h>
+
+/* How long a flow may be quiet when the configuration doesn't say: callers
+ * give up well before. */
+#define IDLE_TIMEOUT_DEFAULT_MS 60000
+#define ROUTES_ROOM_FIRST 32
+
+static int
+compare_addr(struct addr a, struct addr b)
+{
+    if (a.ip != b.ip) {
+        return a.ip < b.ip ? -1 : 1;
+    }
+    return (int)a.port - (int)b.port;
+}
+
+static int
+compare_route(const void *a, const void *b)
+{
+    const struct route *left = a;
+    const struct route *right = b;
+
+    return compare_addr(left->address, right->address);
+}
+
+void
+routes_init(struct routes *routes)
+{
+    *routes = (struct routes){.idle_timeout_ms = IDLE_TIMEOUT_DEFAULT_MS};
+}
+
+void
+routes_finish(struct routes *routes)
+{
+    g_free(routes->items);
+    routes_init(routes);
+}
+
+struct route *
+routes_add(struct routes *routes)
+{
+    struct route *route;
+
+    if (routes->count == routes->room) {
+        routes->room =
+            routes->room == 0 ? ROUTES_ROOM_FIRST : 2 * routes->room;
+        routes->items = g_renew(struct route, routes->items, routes->room);
+    }
+    route = &routes->items[routes->count++];
+    memset(route, 0, sizeof(*route));
+    return route;
+}
+
+int
+routes_seal(struct routes *routes)
+{
+    if (routes->count == 0) {
+        return 0;
+    }
+    qsort(routes->items, routes->count, sizeof(*routes->items),
+          compare_route);
+    for (size_t i = 1; i < routes->count; i++) {
+        if (addr_equal(routes->items[i - 1].address,
+                       routes->items[i].address)) {
+            return -EEXIST;
+        }
+    }
+    return 0;
+}
+
+const struct route *
+routes_find(const struct routes *routes, struct addr address)
+{
+    struct route key = {.address = address};
+
+    if (routes->count == 0) {
+        return NULL;
+    }
+    return bsearch(&key, routes->items, routes->count, sizeof(key),
+                   compare_route);
+}
+
+uint32_t
+route_service(const struct route *route, struct relay_flow flow)
+{
+    uint64_t total = 0;
+    uint64_t point;
+
+    for (unsigned i = 0; i < route->share_count; i++) {
+        total += route->shares[i].weight;
+    }
+    if (route->share_count <= 1 || total == 0) {
+        return route->shares[0].service;
+    }
+    point = relay_flow_hash(flow) % total;
+    for (unsigned i = 0; i < route->share_count; i++) {
+        if (point < route->shares[i].weight) {
+            return route->shares[i].service;
+        }
+        point -= route->shares[i].weight;
+    }
+    return route->shares[0].service;
+}
--- /dev/null
+++ b/src/relay/routes.h
@@ -0,0 +1,90 @@
+/**
+ * DOC: routes - which service an address and port stand for
+ *
+ * One immutable table for each version of the configuration.
+ */
+#ifndef SWIFTARCH_RELAY_ROUTES_H
+#define SWIFTARCH_RELAY_ROUTES_H
+
+#include <stddef.h>
+#include <stdint.h>
+
+#include "base/addr.h"
+#include "relay/packet.h"
+
+#define ROUTES_NAME_MAX 64
+/* Services that one route shares its flows among. */
+#define ROUTE_SHARES_MAX 8
+
+/**
+ * struct route_share - part of a route's flows
+ * @service: hash_service() of the service's name
+ * @weight: its part, of the sum of all weights of the route
+ */
+struct route_share {
+    uint32_t service;
+    uint32_t weight;
+};
+
+/**
+ * struct route - what callers open
+ * @name: the operators' name for it
+ * @address: address and port
+ * @shares: services that take its new flows
+ * @share_count: at least one
+ * @timeout_ms: how long a request may take
+ * @target_ms: how soon a request should be answered
+ * @priority: 0 is most urgent
+ */
+struct route {
+    char name[ROUTES_NAME_MAX];
+    struct addr address;
+    struct route_share shares[ROUTE_SHARES_MAX];
+    unsigned share_count;
+    unsigned timeout_ms;
+    unsigned target_ms;
+    unsigned priority;
+};
+
+/**
+ * struct routes - a configuration
+ * @version: grows with each change, 0 for none
+ * @idle_timeout_ms: a flow that is quiet for longer may be forgotten
+ * @items: routes, sorted by address once routes_seal() was called
+ * @count: how many
+ * @room: allocated
+ */
+struct routes {
+    uint64_t version;
+    unsigned idle_timeout_ms;
+    struct route *items;
+    size_t count;
+    size_t room;
+};
+
+/** routes_init() - an empty table of version 0 */
+void
+routes_init(struct routes *routes);
+
+/** routes_finish() - free the routes */
+void
+routes_finish(struct routes *routes);
+
+/** routes_add() - a route to fill, zeroed; valid until the next call */
+struct route *
+routes_add(struct routes *routes);
+
+/** routes_seal() - sort; -EEXIST when two routes share an address */
+int
+routes_seal(struct routes *routes);
+
+/** routes_find() - route of an address, or NULL */
+const struct route *
+routes_find(const struct routes *routes, struct addr address);
+
+/** route_service() - service that takes a flow of @route; the same on each
+ * host as long as the shares are */
+uint32_t
+route_service(const struct route *route, struct relay_flow flow);
+
+#endif
--- /dev/null
+++ b/src/relay/steer.h
@@ -0,0 +1,136 @@
+/**
+ * DOC: steer - what a balancer does with each packet (decisions only)
+ *
+ * A caller's SYN goes to the agent that seems best; the agent answers that
+ * its endpoint holds the flow, and the balancer pins the flow to it. An
+ * agent that doesn't answer within milliseconds costs one more try
+ * elsewhere, long before the caller sends a copy. A packet of a flow that is
+ * not pinned here (the fabric moved it) travels along the agents that may
+ * hold it until one does, which then tells.
+ *
+ * Every output goes through struct steer_out; there is no socket and no
+ * clock inside.
+ */
+#ifndef SWIFTARCH_RELAY_STEER_H
+#define SWIFTARCH_RELAY_STEER_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "relay/agents.h"
+#include "relay/flow_index.h"
+#include "relay/frame.h"
+#include "relay/packet.h"
+#include "relay/routes.h"
+
+/* Flows that a balancer remembers: hundreds of thousands at full size, 96
+ * bytes each, and pages that were never used cost nothing. */
+#define STEER_FLOWS_MAX (1u << 18)
+
+/** enum steer_drop - why a packet wasn't carried */
+enum steer_drop {
+    STEER_DROP_MALFORMED,   /* no packet, or one that no caller sends */
+    STEER_DROP_NO_CONFIG,   /* no configuration is known yet */
+    STEER_DROP_NO_ROUTE,    /* nothing stands at that address */
+    STEER_DROP_NO_AGENT,    /* its service has no agent that might take it */
+    STEER_DROP_FOREIGN,     /* a frame that is none of ours */
+    STEER_DROP_COUNT,
+};
+
+struct steer_out;
+
+/** struct steer_out_ops - what a decision leads to */
+struct steer_out_ops {
+    /** @carry: send a caller's packet to an agent */
+    void (*carry)(struct steer_out *out, struct addr agent,
+                  const struct frame_carry *frame);
+    /** @ping: ask an agent for its word */
+    void (*ping)(struct steer_out *out, struct addr agent);
+    /** @behind: some balancer follows a newer configuration */
+    void (*behind)(struct steer_out *out, const struct frame_version *newer);
+    /** @dropped: a packet was dropped; @packet may be NULL */
+    void (*dropped)(struct steer_out *out, enum steer_drop why,
+                    const struct relay_packet *packet);
+    /** @decided: a new flow was sent, sent again, or placed */
+    void (*decided)(struct steer_out *out, const char *what,
+                    struct relay_flow flow, struct addr agent,
+                    unsigned tries, uint64_t age_us);
+};
+
+/** struct steer_out - where outputs go; the vtable comes first */
+struct steer_out {
+    const struct steer_out_ops *ops;
+};
+
+struct steer_pin;
+struct steer_wait;
+
+/**
+ * struct steer - state of a balancer
+ * @out: where outputs go
+ * @self: address that agents answer to
+ * @agents: the agents
+ * @routes: configuration in force
+ * @flows: keys of the pins
+ * @pins: a pin for each handle
+ * @waits: SYNs whose agent hasn't answered, in the order they fall due
+ * @wait_first: first of them
+ * @wait_count: how many
+ */
+struct steer {
+    struct steer_out *out;
+    struct addr self;
+    struct agents agents;
+    struct routes routes;
+    struct flow_index flows;
+    struct steer_pin *pins;
+    struct steer_wait *waits;
+    uint32_t wait_first;
+    uint32_t wait_count;
+};
+
+/** steer_init() - nothing known yet; 0 or -ENOMEM */
+int
+steer_init(struct steer *steer, struct steer_out *out, struct addr self,
+           const char *data_centre);
+
+/** steer_finish() - free the memory */
+void
+steer_finish(struct steer *steer);
+
+/**
+ * steer_routes() - follow a configuration
+ *
+ * Takes over @routes. One that is not newer is freed and changes nothing: a
+ * process never goes back.
+ *
+ * Return: whether it is in force now.
+ */
+bool
+steer_routes(struct steer *steer, struct routes *routes);
+
+/** steer_packet() - a caller's packet came */
+void
+steer_packet(struct steer *steer, const struct relay_packet *packet,
+             uint64_t now_us);
+
+/** steer_status() - an agent's word came */
+void
+steer_status(struct steer *steer, struct addr agent,
+             const struct frame_status *status, uint64_t now_us);
+
+/** steer_tick() - do what is due; call it at steer_next_us() or later */
+void
+steer_tick(struct steer *steer, uint64_t now_us);
+
+/** steer_next_us() - when steer_tick() is due next; UINT64_MAX for never */
+uint64_t
+steer_next_us(const struct steer *steer);
+
+/** steer_ready() - whether callers are served: a configuration is known, and
+ * an agent for at least one service in it */
+bool
+steer_ready(const struct steer *steer);
+
+#endif
