Agent: a flow that was let go is waited for no more

Ruled out: memory of a frame after its datagram (SYNs are copied). Change: forgetting a flow voids its wait. Test: relay-door a_syn_that_was_let_go_is_not_waited_for, red before.

--- a/src/relay/door.c
+++ b/src/relay/door.c
@@ -110,6 +110,8 @@
 {
     clear_busy(door, handle);
     flow_index_remove(&door->table, handle);
+    /* A wait for its answer that is still queued finds nothing to do. */
+    door->flows[handle].state = DOOR_ELSEWHERE;
 }
 
 static uint32_t
@@ -727,7 +729,8 @@
 door_heartbeat(struct door *door, const struct heartbeat *heartbeat,
                uint64_t now_us)
 {
-    bool other = strcmp(door->endpoint.starts[0].id, heartbeat->id) != 0;
+    bool other = door->endpoint.start_count > 0 &&
+                 strcmp(door->endpoint.starts[0].id, heartbeat->id) != 0;
 
     if (!endpoint_heartbeat(&door->endpoint, heartbeat, now_us) && !other) {
         return;
--- /dev/null
+++ b/tests/relay/door_test.c
@@ -0,0 +1,297 @@
+#include "base/clock.h"
+#include "base/hash.h"
+#include "lib/harness.h"
+#include "relay/door.h"
+#include "relay/relay_rig.h"
+
+#define SUITE "/relay/door"
+#define SELF "10.0.0.1:7000"
+#define BALANCER "10.9.0.1:7720"
+#define SECOND "10.0.0.2:7000"
+#define THIRD "10.0.0.3:7000"
+
+/**
+ * struct site - one agent whose outputs are written down
+ */
+struct site {
+    struct door_out out;
+    struct door door;
+    GString *record;
+    uint64_t now_us;
+};
+
+static struct site *
+of_out(struct door_out *out)
+{
+    return (struct site *)out;
+}
+
+static void
+to_endpoint(struct door_out *out, const uint8_t *bytes, size_t size)
+{
+    rig_note(of_out(out)->record, "endpoint %zu", size - RIG_DATA);
+}
+
+static void
+to_caller(struct door_out *out, struct addr caller, const uint8_t *bytes,
+          size_t size)
+{
+    rig_note(of_out(out)->record, "caller %u", caller.port);
+}
+
+static void
+carry(struct door_out *out, struct addr agent, const struct frame_carry *frame)
+{
+    char text[ADDR_TEXT_MAX];
+
+    rig_note(of_out(out)->record, "carry %s hops=%u left=%u%s",
+             addr_format(agent, text), frame->hops, frame->next_count,
+             frame->forced ? " forced" : "");
+}
+
+static void
+tell(struct door_out *out, struct addr balancer,
+     const struct frame_status *status)
+{
+    static const char *const types[] = {
+        [FRAME_PLACED] = "placed",
+        [FRAME_PASSED] = "passed",
+        [FRAME_STATE] = "state",
+    };
+
+    rig_note(of_out(out)->record, "tell %s reason=%u on=%d busy=%u state=%u",
+             types[status->type], status->reason, status->on,
+             status->health.busy, status->health.state);
+}
+
+static void
+dropped(struct door_out *out, enum door_drop why)
+{
+    rig_note(of_out(out)->record, "drop %d", why);
+}
+
+static void
+decided(struct door_out *out, const char *what, struct relay_flow flow,
+        enum frame_reason why, unsigned busy, unsigned hops)
+{
+}
+
+static const struct door_out_ops ops = {to_endpoint, to_caller, carry,
+                                        tell,        dropped,   decided};
+
+static void
+site_init(struct site *site)
+{
+    site->out.ops = &ops;
+    site->record = g_string_new(NULL);
+    site->now_us = USEC_PER_SEC;
+    g_assert_cmpint(
+        door_init(&site->door, &site->out, rig_addr(SELF), "lots"), ==, 0);
+}
+
+static void
+site_finish(struct site *site)
+{
+    door_finish(&site->door);
+    g_string_free(site->record, TRUE);
+}
+
+/* Carries a packet that may go on to @next agents, the second and third. */
+static void
+arrive(struct site *site, struct relay_packet packet, unsigned next,
+       bool forced)
+{
+    struct frame_carry frame = {
+        .service = hash_service("lots"),
+        .origin = rig_addr(BALANCER),
+        .version = 1,
+        .forced = forced,
+        .next = {rig_addr(SECOND), rig_addr(THIRD)},
+        .next_count = (uint8_t)next,
+        .bytes = packet.bytes,
+        .size = packet.size,
+    };
+
+    door_carry(&site->door, &frame, &packet, site->now_us);
+}
+
+static void
+answer(struct site *site, struct relay_packet packet)
+{
+    door_from_endpoint(&site->door, &packet, site->now_us);
+}
+
+static void
+pass_ms(struct site *site, unsigned ms)
+{
+    site->now_us += ms * USEC_PER_MSEC;
+    door_tick(&site->door, site->now_us);
+}
+
+/* Opens a flow that the endpoint takes. */
+static void
+open_flow(struct site *site, unsigned number)
+{
+    struct relay_flow flow = rig_flow(number);
+
+    arrive(site, rig_from_caller(flow, RELAY_SYN, 100, 0, 0), 2, false);
+    answer(site, rig_from_endpoint(flow, RELAY_SYN | RELAY_ACK, 500, 101, 0));
+}
+
+static void
+heartbeat(struct site *site, const char *id, const char *service,
+          bool draining, uint64_t sequence)
+{
+    struct heartbeat beat = {
+        .service = hash_service(service),
+        .draining = draining,
+        .slots = 2,
+        .sequence = sequence,
+    };
+
+    g_strlcpy(beat.id, id, sizeof(beat.id));
+    door_heartbeat(&site->door, &beat, site->now_us);
+}
+
+TEST_F(site, a_flow_opens_and_is_answered)
+{
+    struct relay_flow flow = rig_flow(1);
+
+    open_flow(site, 1);
+    rig_expect(site->record, "endpoint 0",
+               "tell placed reason=0 on=0 busy=1 state=0", "caller 1001",
+               NULL);
+    arrive(site, rig_from_caller(flow, RELAY_ACK, 101, 501, 40), 0, false);
+    answer(site, rig_from_endpoint(flow, RELAY_ACK, 501, 141, 900));
+    rig_expect(site->record, "endpoint 40", "caller 1001", NULL);
+    g_assert_cmpuint(site->door.busy_count, ==, 0);
+}
+
+TEST_F(site, a_syn_that_was_let_go_is_not_waited_for)
+{
+    struct relay_packet syn =
+        rig_from_caller(rig_flow(1), RELAY_SYN, 100, 0, 0);
+
+    arrive(site, syn, 0, false);
+    answer(site, rig_bounced(syn));
+    rig_expect(site->record, "endpoint 0", "drop 1",
+               "tell passed reason=4 on=0 busy=0 state=0", NULL);
+    pass_ms(site, 6);
+    rig_expect(site->record, NULL);
+}
+
+TEST_F(site, a_silent_endpoint_costs_one_syn)
+{
+    struct relay_flow flow = rig_flow(1);
+
+    arrive(site, rig_from_caller(flow, RELAY_SYN, 100, 0, 0), 2, false);
+    pass_ms(site, 4);
+    rig_expect(site->record, "endpoint 0", NULL);
+    pass_ms(site, 1);
+    rig_expect(site->record, "tell state reason=0 on=0 busy=1 state=4",
+               "carry 10.0.0.2:7000 hops=1 left=1",
+               "tell passed reason=3 on=1 busy=0 state=4", NULL);
+    arrive(site, rig_from_caller(rig_flow(2), RELAY_SYN, 1, 0, 0), 2, false);
+    rig_expect(site->record, "carry 10.0.0.2:7000 hops=1 left=1",
+               "tell passed reason=3 on=1 busy=0 state=4", NULL);
+    /* Its late answer would open the flow in two places. */
+    answer(site, rig_from_endpoint(flow, RELAY_SYN | RELAY_ACK, 5, 101, 0));
+    rig_expect(site->record, "tell state reason=0 on=0 busy=0 state=1",
+               "drop 2", NULL);
+}
+
+TEST_F(site, a_busy_endpoint_sends_new_flows_on)
+{
+    open_flow(site, 1);
+    open_flow(site, 2);
+    g_string_truncate(site->record, 0);
+    arrive(site, rig_from_caller(rig_flow(3), RELAY_SYN, 1, 0, 0), 1, false);
+    rig_expect(site->record, "carry 10.0.0.2:7000 hops=1 left=0",
+               "tell passed reason=1 on=1 busy=2 state=0", NULL);
+    /* Nobody else: the least busy takes it, and that is this one. */
+    arrive(site, rig_from_caller(rig_flow(4), RELAY_SYN, 1, 0, 0), 0, false);
+    rig_expect(site->record, "endpoint 0",
+               "tell passed reason=1 on=1 busy=3 state=0", NULL);
+    arrive(site, rig_from_caller(rig_flow(5), RELAY_SYN, 1, 0, 0), 1, true);
+    rig_expect(site->record, "endpoint 0", NULL);
+}
+
+TEST_F(site, packets_follow_a_flow_that_went_on)
+{
+    struct relay_flow flow = rig_flow(3);
+
+    open_flow(site, 1);
+    open_flow(site, 2);
+    arrive(site, rig_from_caller(flow, RELAY_SYN, 1, 0, 0), 2, false);
+    g_string_truncate(site->record, 0);
+    arrive(site, rig_from_caller(flow, RELAY_ACK, 2, 7, 30), 0, false);
+    rig_expect(site->record, "carry 10.0.0.2:7000 hops=1 left=0", NULL);
+}
+
+TEST_F(site, a_leaving_endpoint_takes_nothing_new_and_keeps_its_flows)
+{
+    struct relay_flow flow = rig_flow(1);
+
+    open_flow(site, 1);
+    g_string_truncate(site->record, 0);
+    heartbeat(site, "i-1", "lots", true, 4);
+    rig_expect(site->record, "tell state reason=0 on=0 busy=1 state=2", NULL);
+    arrive(site, rig_from_caller(rig_flow(2), RELAY_SYN, 1, 0, 0), 1, false);
+    rig_expect(site->record, "carry 10.0.0.2:7000 hops=1 left=0",
+               "tell passed reason=2 on=1 busy=1 state=2", NULL);
+    arrive(site, rig_from_caller(flow, RELAY_ACK, 101, 501, 40), 0, false);
+    rig_expect(site->record, "endpoint 40", NULL);
+}
+
+TEST_F(site, a_flow_from_before_the_start_is_offered_first)
+{
+    struct relay_flow flow = rig_flow(1);
+    struct relay_packet data = rig_from_caller(flow, RELAY_ACK, 101, 501, 40);
+
+    arrive(site, data, 2, false);
+    rig_expect(site->record, "endpoint 40", NULL);
+    answer(site, rig_from_endpoint(flow, RELAY_ACK, 501, 141, 900));
+    rig_expect(site->record, "tell placed reason=0 on=0 busy=0 state=0",
+               "caller 1001", NULL);
+}
+
+TEST_F(site, a_flow_that_the_endpoint_lacks_is_looked_for)
+{
+    struct relay_packet data =
+        rig_from_caller(rig_flow(1), RELAY_ACK, 101, 501, 40);
+
+    arrive(site, data, 2, false);
+    answer(site, rig_bounced(data));
+    rig_expect(site->record, "endpoint 40",
+               "carry 10.0.0.2:7000 hops=1 left=1",
+               "tell passed reason=4 on=1 busy=0 state=0", NULL);
+}
+
+TEST_F(site, the_other_answer_to_a_syn_counts)
+{
+    struct relay_flow flow = rig_flow(1);
+
+    open_flow(site, 1);
+    g_string_truncate(site->record, 0);
+    arrive(site, rig_from_caller(flow, RELAY_ACK, 101, 900000, 40), 1, false);
+    rig_expect(site->record, "carry 10.0.0.2:7000 hops=1 left=0",
+               "tell passed reason=4 on=1 busy=0 state=0", NULL);
+}
+
+TEST_F(site, another_service_at_the_address_takes_no_flow_of_the_old_one)
+{
+    heartbeat(site, "i-9", "albums", false, 1);
+    g_string_truncate(site->record, 0);
+    arrive(site, rig_from_caller(rig_flow(1), RELAY_SYN, 1, 0, 0), 1, false);
+    rig_expect(site->record, "carry 10.0.0.2:7000 hops=1 left=0",
+               "tell passed reason=5 on=1 busy=0 state=1", NULL);
+}
+
+TEST_F(site, a_late_heartbeat_of_a_dead_start_changes_nothing)
+{
+    heartbeat(site, "i-1", "lots", false, 7);
+    heartbeat(site, "i-2", "lots", false, 1);
+    heartbeat(site, "i-1", "lots", true, 6);
+    g_assert_cmpint(site->door.endpoint.state, ==, ENDPOINT_READY);
+    g_assert_cmpstr(site->door.endpoint.starts[0].id, ==, "i-2");
+}
