SYNs no longer travel to agents that are gone

Ruled out: endpoints too slow (each had 2 requests in progress), lost datagrams, processor (0.01 of 0.15 cores). Change: a chain names only agents that spoke, if any did; an agent that passes a SYN on tells to whom, and a missed answer is blamed on that one; a ping that stays unanswered makes a suspect. Tests: relay-steer an_agent_that_never_spoke_ends_no_chain, whoever_has_the_syn_last_is_blamed.

--- a/src/base/event_log.c
+++ b/src/base/event_log.c
@@ -37,13 +37,13 @@
 
     clock_gettime(CLOCK_REALTIME, &wall);
     gmtime_r(&wall.tv_sec, &tm);
-    return g_snprintf(
-        line, LINE_MAX_LEN,
-        "time=%04d-%02d-%02dT%02d:%02d:%02d.%03ldZ up=%" PRIu64 ".%03" PRIu64
-        " host=%s event=%s",
-        tm.tm_year + 1900, tm.tm_mon + 1, tm.tm_mday, tm.tm_hour, tm.tm_min,
-        tm.tm_sec, wall.tv_nsec / 1000000, now_us / USEC_PER_SEC,
-        now_us % USEC_PER_SEC / USEC_PER_MSEC, log->host, event);
+    return g_snprintf(line, LINE_MAX_LEN,
+                      "time=%04d-%02d-%02dT%02d:%02d:%02d.%03ldZ up=%" PRIu64
+                      ".%03" PRIu64 " host=%s event=%s",
+                      tm.tm_year + 1900, tm.tm_mon + 1, tm.tm_mday, tm.tm_hour,
+                      tm.tm_min, tm.tm_sec, wall.tv_nsec / 1000000,
+                      now_us / USEC_PER_SEC,
+                      now_us % USEC_PER_SEC / USEC_PER_MSEC, log->host, event);
 }
 
 static void
--- a/src/base/httpc.c
+++ b/src/base/httpc.c
@@ -111,8 +111,8 @@
 on_done(struct evhttp_request *request, void *data)
 {
     struct httpc *httpc = data;
-    int status = request != NULL ? evhttp_request_get_response_code(request)
-                                 : 0;
+    int status =
+        request != NULL ? evhttp_request_get_response_code(request) : 0;
     struct httpc_reply reply = {.status = status};
     struct evbuffer *input;
 
--- a/src/cli/main.c
+++ b/src/cli/main.c
@@ -30,10 +30,9 @@
          char **argv)
 {
     struct arg_lit *help = arg_lit0("h", "help", "print this");
-    struct arg_file *settings =
-        arg_file0(NULL, "settings", "FILE",
-                  "settings file of the process (default $" SETTINGS_VARIABLE
-                  ")");
+    struct arg_file *settings = arg_file0(
+        NULL, "settings", "FILE",
+        "settings file of the process (default $" SETTINGS_VARIABLE ")");
     struct arg_end *end = arg_end(5);
     void *table[] = {help, settings, end};
     int code = CLI_FAILED;
--- a/src/relay/agents.c
+++ b/src/relay/agents.c
@@ -38,7 +38,8 @@
 
 /** enum standing - how likely an agent takes a new flow, best first */
 enum standing {
-    STANDING_OPEN,    /* ready, or nothing is known against it */
+    STANDING_OPEN,    /* its own word says so */
+    STANDING_UNHEARD, /* the store names it, and it hasn't spoken yet */
     STANDING_SUSPECT, /* may be dead or frozen */
     STANDING_CLOSED,  /* said that it takes none */
 };
@@ -60,16 +61,20 @@
     case ENDPOINT_SILENT:
         return STANDING_CLOSED;
     default:
-        return row->suspect ? STANDING_SUSPECT : STANDING_OPEN;
+        break;
     }
+    if (row->suspect) {
+        return STANDING_SUSPECT;
+    }
+    return row->heard_us != 0 ? STANDING_OPEN : STANDING_UNHEARD;
 }
 
 static unsigned
 load_of(const struct agents *agents, const struct agent_row *row,
         uint64_t now_us)
 {
-    unsigned slots = row->health.slots != 0 ? row->health.slots
-                                            : SLOTS_DEFAULT;
+    unsigned slots =
+        row->health.slots != 0 ? row->health.slots : SLOTS_DEFAULT;
     unsigned requests = 0;
     unsigned load;
 
@@ -156,8 +161,7 @@
 
     if (agents->count == agents->room) {
         agents->room = agents->room == 0 ? ROOM_FIRST : 2 * agents->room;
-        agents->items =
-            g_renew(struct agent_row, agents->items, agents->room);
+        agents->items = g_renew(struct agent_row, agents->items, agents->room);
     }
     row = &agents->items[agents->count++];
     memset(row, 0, sizeof(*row));
@@ -253,9 +257,8 @@
     row->told_us = now_us;
     row->sent = 0;
     row->ping_gap_us = PING_FIRST_US;
-    row->ping_us = standing_of(row) == STANDING_CLOSED
-                       ? now_us + PING_CLOSED_US
-                       : 0;
+    row->ping_us =
+        standing_of(row) == STANDING_CLOSED ? now_us + PING_CLOSED_US : 0;
 }
 
 void
@@ -264,7 +267,7 @@
 {
     struct agent_row *row = agents_find(agents, addr);
 
-    if (row == NULL || row->heard_us >= sent_us || row->suspect) {
+    if (row == NULL || row->heard_us > sent_us || row->suspect) {
         return;
     }
     row->suspect = true;
@@ -298,6 +301,10 @@
             i--;
             continue;
         }
+        if (row->pinged_us > row->heard_us) {
+            row->suspect = true;
+        }
+        row->pinged_us = now_us;
         row->ping_us = now_us + row->ping_gap_us;
         row->ping_gap_us = MIN(2 * row->ping_gap_us, PING_SLOWEST_US);
         *addr = row->addr;
@@ -327,6 +334,10 @@
         keep_best(best, &count, &candidate);
     }
     sort_candidates(best, count);
+    /* A packet that is handed from agent to agent ends at a dead one. */
+    while (count > 1 && best[count - 1].standing > best[0].standing) {
+        count--;
+    }
     choice_fill(choice, best, count);
 }
 
@@ -358,7 +369,7 @@
 {
     for (size_t i = 0; i < agents->count; i++) {
         if (agents->items[i].health.service == service &&
-            standing_of(&agents->items[i]) == STANDING_OPEN) {
+            standing_of(&agents->items[i]) <= STANDING_UNHEARD) {
             return true;
         }
     }
--- a/src/relay/agents.h
+++ b/src/relay/agents.h
@@ -32,6 +32,7 @@
  * @told_us: when @health was told
  * @sent: flows sent to it since then
  * @sent_us: last of these
+ * @pinged_us: last ping, 0 for never
  * @ping_us: when to ping it next, 0 for never
  * @ping_gap_us: pause before the ping after that
  */
@@ -46,6 +47,7 @@
     uint64_t told_us;
     unsigned sent;
     uint64_t sent_us;
+    uint64_t pinged_us;
     uint64_t ping_us;
     uint64_t ping_gap_us;
 };
@@ -126,7 +128,8 @@
 bool
 agents_ping_due(struct agents *agents, uint64_t now_us, struct addr *addr);
 
-/** agents_for_new() - who may take a new flow, best first */
+/** agents_for_new() - who may take a new flow, best first; the suspected
+ * only when there is nobody else */
 void
 agents_for_new(const struct agents *agents, uint32_t service, uint64_t hash,
                uint64_t now_us, struct agents_choice *choice);
--- a/src/relay/door.c
+++ b/src/relay/door.c
@@ -164,12 +164,12 @@
 
 static void
 tell_passed(struct door *door, struct relay_flow key, struct addr origin,
-            enum frame_reason why, bool on, uint64_t now_us)
+            enum frame_reason why, struct addr target, uint64_t now_us)
 {
     struct frame_status status = {
         .type = FRAME_PASSED,
         .reason = (uint8_t)why,
-        .on = on,
+        .target = target,
         .flow = key,
     };
 
@@ -224,8 +224,8 @@
         /* The balancer's own timeout takes its place. */
         return;
     }
-    wait = &door->waits[(door->wait_first + door->wait_count) %
-                        DOOR_WAITS_MAX];
+    wait =
+        &door->waits[(door->wait_first + door->wait_count) % DOOR_WAITS_MAX];
     *wait = (struct door_wait){now_us + ANSWER_TIMEOUT_US, handle, now_us};
     door->wait_count++;
 }
@@ -295,20 +295,23 @@
     struct relay_flow key = flow_index_flow(&door->table, handle);
     struct addr origin = flow->origin;
     unsigned hops = flow->frame.hops;
-    bool on = true;
+    struct addr target = {0};
 
     clear_busy(door, handle);
     if (flow->frame.next_count > 0 && hops < HOPS_MAX) {
-        send_on(door, handle, next_pop(&flow->frame));
+        target = next_pop(&flow->frame);
+        send_on(door, handle, target);
     }
-    else if (!send_to_best(door, handle, now_us)) {
-        on = false;
+    else if (send_to_best(door, handle, now_us)) {
+        target = flow->frame.best;
+    }
+    else {
         forget(door, handle);
         drop(door, DOOR_DROP_NOBODY);
     }
-    tell_passed(door, key, origin, why, on, now_us);
-    door->out->ops->decided(door->out, on ? "passed" : "let go", key, why,
-                            door->busy_count, hops);
+    tell_passed(door, key, origin, why, target, now_us);
+    door->out->ops->decided(door->out, target.ip != 0 ? "passed" : "let_go",
+                            key, why, door->busy_count, hops);
 }
 
 /* Why a SYN shouldn't be given to the endpoint, or FRAME_REASON_NONE. */
@@ -425,8 +428,8 @@
 ask_endpoint(struct door *door, const struct frame_carry *frame,
              const struct relay_packet *packet, uint64_t now_us)
 {
-    uint32_t handle = remember(door, relay_flow_from_caller(packet),
-                               DOOR_ASKED, now_us);
+    uint32_t handle =
+        remember(door, relay_flow_from_caller(packet), DOOR_ASKED, now_us);
     struct door_flow *flow = &door->flows[handle];
 
     flow->frame = *frame;
@@ -489,8 +492,8 @@
 
 static void
 carry_known(struct door *door, uint32_t handle,
-            const struct frame_carry *frame,
-            const struct relay_packet *packet, uint64_t now_us)
+            const struct frame_carry *frame, const struct relay_packet *packet,
+            uint64_t now_us)
 {
     struct door_flow *flow = &door->flows[handle];
 
@@ -531,13 +534,15 @@
     }
     flow = &door->flows[handle];
     if (flow->state == DOOR_ELSEWHERE) {
-        carry_on(door, &(struct frame_carry){
+        carry_on(door,
+                 &(struct frame_carry){
                      .service = flow->service,
                      .origin = flow->origin,
                      .hops = flow->frame.hops,
                      .bytes = packet->bytes,
                      .size = packet->size,
-                 }, flow->target);
+                 },
+                 flow->target);
         return;
     }
     if (flow->state == DOOR_HERE) {
@@ -562,10 +567,9 @@
     flow->state = DOOR_HERE;
     flow->seq = packet->seq;
     tell_placed(door, handle, now_us);
-    door->out->ops->decided(door->out, "placed",
-                            flow_index_flow(&door->table, handle),
-                            FRAME_REASON_NONE, door->busy_count,
-                            flow->frame.hops);
+    door->out->ops->decided(
+        door->out, "placed", flow_index_flow(&door->table, handle),
+        FRAME_REASON_NONE, door->busy_count, flow->frame.hops);
 }
 
 /* Whether the packet may go to its caller. */
@@ -598,8 +602,7 @@
         flow->state = DOOR_HERE;
         tell_placed(door, handle, now_us);
     }
-    if (packet->len > 0 ||
-        (packet->flags & (RELAY_FIN | RELAY_RST)) != 0) {
+    if (packet->len > 0 || (packet->flags & (RELAY_FIN | RELAY_RST)) != 0) {
         clear_busy(door, handle);
     }
     return true;
--- a/src/relay/follow.c
+++ b/src/relay/follow.c
@@ -28,13 +28,13 @@
     uint64_t pause_us = PAUSE_FIRST_US;
     uint64_t jitter;
 
-    for (unsigned i = 1;
-         i < follow->failures && pause_us < PAUSE_LONGEST_US; i++) {
+    for (unsigned i = 1; i < follow->failures && pause_us < PAUSE_LONGEST_US;
+         i++) {
         pause_us *= 2;
     }
     pause_us = MIN(pause_us, PAUSE_LONGEST_US);
-    jitter = hash_pair(follow->seed, follow->failures) %
-             (pause_us / JITTER_PARTS);
+    jitter =
+        hash_pair(follow->seed, follow->failures) % (pause_us / JITTER_PARTS);
     return pause_us + jitter;
 }
 
--- a/src/relay/frame.c
+++ b/src/relay/frame.c
@@ -157,7 +157,7 @@
     struct writer writer = begin(status->type, bytes);
 
     put(&writer, status->reason, 1);
-    put(&writer, status->on, 1);
+    put_addr(&writer, status->target);
     put_addr(&writer, status->flow.caller);
     put_addr(&writer, status->flow.service);
     put(&writer, status->seq, 4);
@@ -178,7 +178,7 @@
 
     status->type = bytes[3];
     status->reason = (uint8_t)get(&reader, 1);
-    status->on = get(&reader, 1) != 0;
+    status->target = get_addr(&reader);
     status->flow.caller = get_addr(&reader);
     status->flow.service = get_addr(&reader);
     status->seq = (uint32_t)get(&reader, 4);
--- a/src/relay/frame.h
+++ b/src/relay/frame.h
@@ -109,7 +109,8 @@
  * struct frame_status - an agent's answer to a balancer
  * @type: FRAME_PLACED, FRAME_PASSED or FRAME_STATE
  * @reason: for FRAME_PASSED, enum frame_reason
- * @on: for FRAME_PASSED, whether another agent has the packet now
+ * @target: for FRAME_PASSED, the agent that has the packet now; ip 0 when
+ *          nobody has
  * @flow: the flow, but for FRAME_STATE
  * @seq: for FRAME_PLACED, sequence number of the endpoint's SYN+ACK
  * @health: the endpoint
@@ -118,7 +119,7 @@
 struct frame_status {
     uint8_t type;
     uint8_t reason;
-    bool on;
+    struct addr target;
     struct relay_flow flow;
     uint32_t seq;
     struct frame_health health;
--- a/src/relay/presence.c
+++ b/src/relay/presence.c
@@ -93,8 +93,8 @@
     uint64_t pause_us = PAUSE_FIRST_US;
     uint64_t seed = hash_pair(writer->presence.addr.ip, writer->failures);
 
-    for (unsigned i = 1;
-         i < writer->failures && pause_us < PAUSE_LONGEST_US; i++) {
+    for (unsigned i = 1; i < writer->failures && pause_us < PAUSE_LONGEST_US;
+         i++) {
         pause_us *= 2;
     }
     return pause_us + seed % (pause_us / JITTER_PARTS);
@@ -140,8 +140,8 @@
     }
     value = presence_encode(&writer->presence);
     if (writer->step == PRESENCE_PUT) {
-        ret = store->ops->put(store, PRESENCE_KIND, name, value,
-                              &writer->call);
+        ret =
+            store->ops->put(store, PRESENCE_KIND, name, value, &writer->call);
     }
     else {
         ret = store->ops->create(store, PRESENCE_KIND, name, value,
--- a/src/relay/relay_agent.c
+++ b/src/relay/relay_agent.c
@@ -484,8 +484,8 @@
         return ret;
     }
     agent->heartbeat_handler.ops = &heartbeat_ops;
-    agent->heartbeats = httpd_new(base, settings->heartbeats,
-                                  &agent->heartbeat_handler, err);
+    agent->heartbeats =
+        httpd_new(base, settings->heartbeats, &agent->heartbeat_handler, err);
     agent->ready_handler.ops = &ready_ops;
     agent->ready =
         httpd_new(base, settings->ready, &agent->ready_handler, err);
@@ -497,8 +497,7 @@
 {
     struct presence presence = {.addr = agent->frames.addr};
 
-    agent->store =
-        object_store_new(agent->loop.base, agent->settings.store);
+    agent->store = object_store_new(agent->loop.base, agent->settings.store);
     if (agent->store == NULL) {
         return -ENOMEM;
     }
@@ -587,8 +586,8 @@
     }
     else {
         loop_run(&agent->loop);
-        event_log_line(&agent->log, EVENT_RARE, "stopped",
-                       "flows=%" PRIu64, agent->counts.placed);
+        event_log_line(&agent->log, EVENT_RARE, "stopped", "flows=%" PRIu64,
+                       agent->counts.placed);
         event_log_flush(&agent->log);
     }
     finish(agent);
--- a/src/relay/relay_balancer.c
+++ b/src/relay/relay_balancer.c
@@ -510,8 +510,8 @@
         return 0;
     }
     json = share_encode(balancer->config, &balancer->steer.agents);
-    text = json_object_to_json_string_length(json, JSON_C_TO_STRING_PLAIN,
-                                             &len);
+    text =
+        json_object_to_json_string_length(json, JSON_C_TO_STRING_PLAIN, &len);
     httpd_respond(request, 200, "application/json", text, len);
     json_object_put(json);
     return 0;
@@ -623,8 +623,8 @@
     uint64_t seed = hash_name(balancer->settings.name);
 
     for (size_t i = 0; i < G_N_ELEMENTS(balancer->stores); i++) {
-        balancer->stores[i] = object_store_new(balancer->loop.base,
-                                               balancer->settings.store);
+        balancer->stores[i] =
+            object_store_new(balancer->loop.base, balancer->settings.store);
         if (balancer->stores[i] == NULL) {
             return -ENOMEM;
         }
@@ -660,9 +660,8 @@
     balancer->share_handler.ops = &share_httpd_ops;
     balancer->share_httpd =
         httpd_new(base, settings->share, &balancer->share_handler, err);
-    return balancer->ready == NULL || balancer->share_httpd == NULL
-               ? err->code
-               : 0;
+    return balancer->ready == NULL || balancer->share_httpd == NULL ? err->code
+                                                                    : 0;
 }
 
 static int
@@ -725,8 +724,8 @@
     char line[512];
     char *report;
 
-    if (relay_settings_load(&balancer->settings, RELAY_BALANCER, path,
-                            &report, &err) == 0) {
+    if (relay_settings_load(&balancer->settings, RELAY_BALANCER, path, &report,
+                            &err) == 0) {
         return 0;
     }
     fprintf(stderr, "%s\n",
--- a/src/relay/routes.c
+++ b/src/relay/routes.c
@@ -63,8 +63,7 @@
     if (routes->count == 0) {
         return 0;
     }
-    qsort(routes->items, routes->count, sizeof(*routes->items),
-          compare_route);
+    qsort(routes->items, routes->count, sizeof(*routes->items), compare_route);
     for (size_t i = 1; i < routes->count; i++) {
         if (addr_equal(routes->items[i - 1].address,
                        routes->items[i].address)) {
--- a/src/relay/steer.c
+++ b/src/relay/steer.c
@@ -57,6 +57,7 @@
     uint8_t place_count;
     struct addr tried[TRIES_MAX];
     uint8_t try_count;
+    struct addr holder;
     uint8_t syn_size;
     uint32_t syn_seq;
     uint64_t since_us;
@@ -177,14 +178,15 @@
     if (pin->try_count == TRIES_MAX) {
         return false;
     }
-    agents_for_new(&steer->agents, pin->service, relay_flow_hash(flow),
-                   now_us, &choice);
+    agents_for_new(&steer->agents, pin->service, relay_flow_hash(flow), now_us,
+                   &choice);
     skip_tried(pin, &choice);
     if (choice.count == 0) {
         return false;
     }
     frame = frame_for(steer, pin->service, &choice, 1, bytes, size);
     pin->tried[pin->try_count++] = choice.addrs[0];
+    pin->holder = choice.addrs[0];
     pin->tried_us = now_us;
     agents_sent(&steer->agents, choice.addrs[0], now_us);
     wait_push(steer, handle, now_us);
@@ -200,8 +202,8 @@
          const struct relay_packet *packet)
 {
     struct agents_choice none = {.count = 0};
-    struct frame_carry frame = frame_for(steer, pin->service, &none, 0,
-                                         packet->bytes, packet->size);
+    struct frame_carry frame =
+        frame_for(steer, pin->service, &none, 0, packet->bytes, packet->size);
 
     steer->out->ops->carry(steer->out, agent, &frame);
 }
@@ -211,8 +213,8 @@
           const struct route *route, uint64_t now_us)
 {
     struct relay_flow flow = relay_flow_from_caller(packet);
-    uint32_t handle = remember(steer, flow, route_service(route, flow),
-                               now_us);
+    uint32_t handle =
+        remember(steer, flow, route_service(route, flow), now_us);
     struct steer_pin *pin = &steer->pins[handle];
 
     pin->syn_seq = packet->seq;
@@ -276,8 +278,7 @@
         drop(steer, STEER_DROP_NO_AGENT, packet);
         return;
     }
-    frame = frame_for(steer, service, &choice, 1, packet->bytes,
-                      packet->size);
+    frame = frame_for(steer, service, &choice, 1, packet->bytes, packet->size);
     steer->out->ops->carry(steer->out, choice.addrs[0], &frame);
 }
 
@@ -342,8 +343,7 @@
 
     if (handle == FLOW_INDEX_NONE) {
         /* Its packets came here, or the agent wouldn't tell. */
-        handle = remember(steer, status->flow, status->health.service,
-                          now_us);
+        handle = remember(steer, status->flow, status->health.service, now_us);
     }
     pin = &steer->pins[handle];
     place_add(pin, agent, status->seq);
@@ -351,18 +351,36 @@
                              pin->try_count, now_us - pin->since_us);
 }
 
-/* An agent let go of a flow that nobody else has now: try at once. */
+/* An agent doesn't hold a flow, and whoever had its pin there looks anew. */
 static void
-on_passed(struct steer *steer, const struct frame_status *status,
-          uint64_t now_us)
+place_remove(struct steer_pin *pin, struct addr agent)
+{
+    for (unsigned i = 0; i < pin->place_count; i++) {
+        if (addr_equal(pin->places[i].agent, agent)) {
+            pin->places[i] = pin->places[--pin->place_count];
+            pin->try_count = 0;
+            return;
+        }
+    }
+}
+
+/* An agent sent a flow on, or let go of it: then it is tried at once. */
+static void
+on_passed(struct steer *steer, struct addr agent,
+          const struct frame_status *status, uint64_t now_us)
 {
     uint32_t handle = flow_index_find(&steer->flows, status->flow);
     struct steer_pin *pin;
 
-    if (status->on || handle == FLOW_INDEX_NONE) {
+    if (handle == FLOW_INDEX_NONE) {
         return;
     }
     pin = &steer->pins[handle];
+    pin->holder = status->target;
+    place_remove(pin, agent);
+    if (status->target.ip != 0) {
+        return;
+    }
     if (pin->place_count == 0 && pin->syn_size > 0) {
         try_next(steer, handle, pin->syn, pin->syn_size, now_us);
     }
@@ -377,8 +395,7 @@
         pin->try_count == 0) {
         return;
     }
-    agents_missed(&steer->agents, pin->tried[pin->try_count - 1],
-                  pin->tried_us, now_us);
+    agents_missed(&steer->agents, pin->holder, pin->tried_us, now_us);
     if (pin->syn_size > 0) {
         try_next(steer, wait->handle, pin->syn, pin->syn_size, now_us);
     }
@@ -499,7 +516,7 @@
         on_placed(steer, agent, status, now_us);
     }
     else if (status->type == FRAME_PASSED) {
-        on_passed(steer, status, now_us);
+        on_passed(steer, agent, status, now_us);
     }
 }
 
--- a/src/relay/steer.h
+++ b/src/relay/steer.h
@@ -30,11 +30,11 @@
 
 /** enum steer_drop - why a packet wasn't carried */
 enum steer_drop {
-    STEER_DROP_MALFORMED,   /* no packet, or one that no caller sends */
-    STEER_DROP_NO_CONFIG,   /* no configuration is known yet */
-    STEER_DROP_NO_ROUTE,    /* nothing stands at that address */
-    STEER_DROP_NO_AGENT,    /* its service has no agent that might take it */
-    STEER_DROP_FOREIGN,     /* a frame that is none of ours */
+    STEER_DROP_MALFORMED, /* no packet, or one that no caller sends */
+    STEER_DROP_NO_CONFIG, /* no configuration is known yet */
+    STEER_DROP_NO_ROUTE,  /* nothing stands at that address */
+    STEER_DROP_NO_AGENT,  /* its service has no agent that might take it */
+    STEER_DROP_FOREIGN,   /* a frame that is none of ours */
     STEER_DROP_COUNT,
 };
 
@@ -54,8 +54,8 @@
                     const struct relay_packet *packet);
     /** @decided: a new flow was sent, sent again, or placed */
     void (*decided)(struct steer_out *out, const char *what,
-                    struct relay_flow flow, struct addr agent,
-                    unsigned tries, uint64_t age_us);
+                    struct relay_flow flow, struct addr agent, unsigned tries,
+                    uint64_t age_us);
 };
 
 /** struct steer_out - where outputs go; the vtable comes first */
--- a/src/relay/udp.c
+++ b/src/relay/udp.c
@@ -58,8 +58,8 @@
         buffers->in_heads[i].msg_hdr.msg_namelen =
             sizeof(buffers->in_addrs[i]);
     }
-    count = recvmmsg(udp->fd, buffers->in_heads, UDP_BATCH, MSG_DONTWAIT,
-                     NULL);
+    count =
+        recvmmsg(udp->fd, buffers->in_heads, UDP_BATCH, MSG_DONTWAIT, NULL);
     for (int i = 0; i < count; i++) {
         udp->ops->datagram(udp, addr_from_sockaddr(&buffers->in_addrs[i]),
                            buffers->in[i], buffers->in_heads[i].msg_len);
--- a/tests/relay/door_test.c
+++ b/tests/relay/door_test.c
@@ -60,7 +60,7 @@
     };
 
     rig_note(of_out(out)->record, "tell %s reason=%u on=%d busy=%u state=%u",
-             types[status->type], status->reason, status->on,
+             types[status->type], status->reason, status->target.ip != 0,
              status->health.busy, status->health.state);
 }
 
@@ -85,8 +85,8 @@
     site->out.ops = &ops;
     site->record = g_string_new(NULL);
     site->now_us = USEC_PER_SEC;
-    g_assert_cmpint(
-        door_init(&site->door, &site->out, rig_addr(SELF), "lots"), ==, 0);
+    g_assert_cmpint(door_init(&site->door, &site->out, rig_addr(SELF), "lots"),
+                    ==, 0);
 }
 
 static void
--- a/tests/relay/relay_rig.c
+++ b/tests/relay/relay_rig.c
@@ -20,7 +20,8 @@
 rig_flow(unsigned number)
 {
     return (struct relay_flow){
-        .caller = {0x64400000 + number / 1000, (uint16_t)(1000 + number % 1000)},
+        .caller = {0x64400000 + number / 1000,
+                   (uint16_t)(1000 + number % 1000)},
         .service = rig_addr(SERVICE_ADDR),
     };
 }
--- /dev/null
+++ b/tests/relay/steer_test.c
@@ -0,0 +1,325 @@
+#include <string.h>
+
+#include "base/clock.h"
+#include "base/hash.h"
+#include "lib/harness.h"
+#include "relay/relay_rig.h"
+#include "relay/steer.h"
+
+#define SUITE "/relay/steer"
+#define SELF "10.9.0.1:7720"
+
+/**
+ * struct site - one balancer whose outputs are written down
+ * @sent: agent that the last packet went to
+ * @chain: agents that its frame named, in all
+ */
+struct site {
+    struct steer_out out;
+    struct steer steer;
+    GString *record;
+    uint64_t now_us;
+    struct addr sent;
+    struct frame_carry frame;
+    unsigned carried;
+    unsigned pings;
+};
+
+static void
+carry(struct steer_out *out, struct addr agent,
+      const struct frame_carry *frame)
+{
+    struct site *site = (struct site *)out;
+
+    site->sent = agent;
+    site->frame = *frame;
+    site->carried++;
+}
+
+static void
+ping(struct steer_out *out, struct addr agent)
+{
+    ((struct site *)out)->pings++;
+}
+
+static void
+behind(struct steer_out *out, const struct frame_version *newer)
+{
+    rig_note(((struct site *)out)->record, "behind %" G_GUINT64_FORMAT,
+             newer->version);
+}
+
+static void
+dropped(struct steer_out *out, enum steer_drop why,
+        const struct relay_packet *packet)
+{
+    rig_note(((struct site *)out)->record, "drop %d", why);
+}
+
+static void
+decided(struct steer_out *out, const char *what, struct relay_flow flow,
+        struct addr agent, unsigned tries, uint64_t age_us)
+{
+}
+
+static const struct steer_out_ops ops = {carry, ping, behind, dropped,
+                                         decided};
+
+static void
+add_route(struct routes *routes, const char *address, const char *service)
+{
+    struct route *route = routes_add(routes);
+
+    route->address = rig_addr(address);
+    route->shares[0] = (struct route_share){hash_service(service), 1};
+    route->share_count = 1;
+}
+
+static void
+set_routes(struct site *site, uint64_t version, bool with_albums)
+{
+    struct routes routes;
+
+    routes_init(&routes);
+    routes.version = version;
+    add_route(&routes, "198.18.0.1:443", "lots");
+    if (with_albums) {
+        add_route(&routes, "198.18.0.2:443", "albums");
+    }
+    g_assert_cmpint(routes_seal(&routes), ==, 0);
+    steer_routes(&site->steer, &routes);
+}
+
+static struct addr
+agent_addr(unsigned number)
+{
+    return (struct addr){0x0a000000 + number, 7000};
+}
+
+static void
+say(struct site *site, unsigned number, struct frame_status status)
+{
+    status.health.service = hash_service("lots");
+    status.health.slots = 2;
+    steer_status(&site->steer, agent_addr(number), &status, site->now_us);
+}
+
+static void
+site_init(struct site *site, unsigned agents)
+{
+    site->out.ops = &ops;
+    site->record = g_string_new(NULL);
+    site->now_us = USEC_PER_SEC;
+    g_assert_cmpint(
+        steer_init(&site->steer, &site->out, rig_addr(SELF), "here"), ==, 0);
+    set_routes(site, 5, true);
+    for (unsigned i = 1; i <= agents; i++) {
+        agents_list(&site->steer.agents, agent_addr(i), hash_service("lots"),
+                    "here", site->now_us);
+        say(site, i,
+            (struct frame_status){.type = FRAME_STATE,
+                                  .health.state = ENDPOINT_READY});
+    }
+}
+
+static void
+site_finish(struct site *site)
+{
+    steer_finish(&site->steer);
+    g_string_free(site->record, TRUE);
+}
+
+static void
+arrive(struct site *site, struct relay_packet packet)
+{
+    steer_packet(&site->steer, &packet, site->now_us);
+}
+
+static void
+pass_ms(struct site *site, unsigned ms)
+{
+    site->now_us += ms * USEC_PER_MSEC;
+    steer_tick(&site->steer, site->now_us);
+}
+
+static void
+placed(struct site *site, struct addr agent, unsigned flow, uint32_t seq)
+{
+    struct frame_status status = {
+        .type = FRAME_PLACED,
+        .flow = rig_flow(flow),
+        .seq = seq,
+        .health = {hash_service("lots"), ENDPOINT_READY, 1, 2, false},
+    };
+
+    steer_status(&site->steer, agent, &status, site->now_us);
+}
+
+static bool
+chain_names(const struct site *site, struct addr agent)
+{
+    for (unsigned i = 0; i < site->frame.next_count; i++) {
+        if (addr_equal(site->frame.next[i], agent)) {
+            return true;
+        }
+    }
+    return addr_equal(site->sent, agent);
+}
+
+TEST_F(site, a_flow_stays_where_it_was_placed, 4)
+{
+    struct relay_flow flow = rig_flow(1);
+
+    arrive(site, rig_from_caller(flow, RELAY_SYN, 9, 0, 0));
+    g_assert_cmpuint(site->carried, ==, 1);
+    g_assert_cmpuint(site->frame.next_count, ==, 3);
+    placed(site, agent_addr(3), 1, 500);
+    arrive(site, rig_from_caller(flow, RELAY_ACK, 10, 501, 20));
+    g_assert_true(addr_equal(site->sent, agent_addr(3)));
+    g_assert_cmpuint(site->frame.next_count, ==, 0);
+}
+
+TEST_F(site, an_agent_that_does_not_answer_costs_15_ms_once, 3)
+{
+    struct addr first;
+
+    arrive(site, rig_from_caller(rig_flow(1), RELAY_SYN, 9, 0, 0));
+    first = site->sent;
+    pass_ms(site, 14);
+    g_assert_cmpuint(site->carried, ==, 1);
+    pass_ms(site, 1);
+    g_assert_cmpuint(site->carried, ==, 2);
+    g_assert_false(addr_equal(site->sent, first));
+    g_assert_false(chain_names(site, first));
+    for (unsigned i = 2; i < 30; i++) {
+        arrive(site, rig_from_caller(rig_flow(i), RELAY_SYN, 9, 0, 0));
+        g_assert_false(chain_names(site, first));
+    }
+}
+
+TEST_F(site, whoever_has_the_syn_last_is_blamed, 3)
+{
+    struct frame_status passed = {
+        .type = FRAME_PASSED,
+        .reason = FRAME_REASON_BUSY,
+        .flow = rig_flow(1),
+        .health.state = ENDPOINT_READY,
+    };
+    struct addr first, second;
+
+    arrive(site, rig_from_caller(rig_flow(1), RELAY_SYN, 9, 0, 0));
+    first = site->sent;
+    second = site->frame.next[0];
+    passed.target = second;
+    say(site, first.ip - 0x0a000000, passed);
+    pass_ms(site, 15);
+    g_assert_cmpuint(site->carried, ==, 2);
+    arrive(site, rig_from_caller(rig_flow(2), RELAY_SYN, 9, 0, 0));
+    g_assert_false(chain_names(site, second));
+    g_assert_true(chain_names(site, first));
+}
+
+TEST_F(site, an_agent_that_never_spoke_ends_no_chain, 2)
+{
+    agents_list(&site->steer.agents, agent_addr(9), hash_service("lots"),
+                "here", site->now_us);
+    for (unsigned i = 1; i < 30; i++) {
+        arrive(site, rig_from_caller(rig_flow(i), RELAY_SYN, 9, 0, 0));
+        g_assert_false(chain_names(site, agent_addr(9)));
+    }
+}
+
+TEST_F(site, an_agent_that_lets_go_is_followed_by_the_next, 2)
+{
+    struct frame_status passed = {
+        .type = FRAME_PASSED,
+        .reason = FRAME_REASON_LEAVING,
+        .flow = rig_flow(1),
+        .health.state = ENDPOINT_DRAINING,
+    };
+    struct addr first;
+
+    arrive(site, rig_from_caller(rig_flow(1), RELAY_SYN, 9, 0, 0));
+    first = site->sent;
+    say(site, first.ip - 0x0a000000, passed);
+    g_assert_cmpuint(site->carried, ==, 2);
+    g_assert_false(addr_equal(site->sent, first));
+}
+
+TEST_F(site, a_flow_of_another_balancer_is_looked_for, 4)
+{
+    struct relay_flow flow = rig_flow(1);
+
+    arrive(site, rig_from_caller(flow, RELAY_ACK, 10, 501, 20));
+    g_assert_cmpuint(site->frame.next_count, ==, 3);
+    placed(site, agent_addr(2), 1, 500);
+    arrive(site, rig_from_caller(flow, RELAY_ACK, 30, 501, 0));
+    g_assert_true(addr_equal(site->sent, agent_addr(2)));
+}
+
+TEST_F(site, a_lost_place_is_looked_for_again, 4)
+{
+    struct relay_flow flow = rig_flow(1);
+
+    arrive(site, rig_from_caller(flow, RELAY_SYN, 9, 0, 0));
+    placed(site, agent_addr(2), 1, 500);
+    say(site, 2,
+        (struct frame_status){.type = FRAME_PASSED,
+                              .reason = FRAME_REASON_REFUSED,
+                              .flow = flow});
+    arrive(site, rig_from_caller(flow, RELAY_ACK, 10, 501, 20));
+    g_assert_cmpuint(site->frame.next_count, ==, 3);
+}
+
+TEST_F(site, two_answers_to_a_syn_are_told_apart, 4)
+{
+    struct relay_flow flow = rig_flow(1);
+
+    arrive(site, rig_from_caller(flow, RELAY_SYN, 9, 0, 0));
+    placed(site, agent_addr(1), 1, 500);
+    placed(site, agent_addr(2), 1, 4000000);
+    arrive(site, rig_from_caller(flow, RELAY_ACK, 10, 4000001, 20));
+    g_assert_true(addr_equal(site->sent, agent_addr(2)));
+    arrive(site, rig_from_caller(flow, RELAY_ACK, 10, 501, 20));
+    g_assert_true(addr_equal(site->sent, agent_addr(1)));
+}
+
+TEST_F(site, a_port_used_again_is_another_flow, 4)
+{
+    arrive(site, rig_from_caller(rig_flow(1), RELAY_SYN, 9, 0, 0));
+    placed(site, agent_addr(1), 1, 500);
+    arrive(site, rig_from_caller(rig_flow(1), RELAY_SYN, 9, 1, 0));
+    g_assert_true(addr_equal(site->sent, agent_addr(1)));
+    arrive(site, rig_from_caller(rig_flow(1), RELAY_SYN, 700, 0, 0));
+    g_assert_cmpuint(site->frame.next_count, ==, 3);
+}
+
+TEST_F(site, configuration_never_goes_back, 2)
+{
+    struct relay_flow flow = rig_flow(1);
+
+    flow.service = rig_addr("198.18.0.2:443");
+    set_routes(site, 6, false);
+    set_routes(site, 5, true);
+    g_assert_cmpuint(site->steer.routes.version, ==, 6);
+    arrive(site, rig_from_caller(flow, RELAY_SYN, 9, 0, 0));
+    rig_expect(site->record, "drop 2", NULL);
+}
+
+TEST_F(site, a_newer_configuration_elsewhere_is_told, 2)
+{
+    say(site, 1,
+        (struct frame_status){.type = FRAME_STATE,
+                              .health.state = ENDPOINT_READY,
+                              .heard = {7, rig_addr("10.9.0.2:8166")}});
+    rig_expect(site->record, "behind 7", NULL);
+}
+
+TEST_F(site, what_no_caller_sends_is_dropped, 2)
+{
+    arrive(site, rig_from_caller(rig_flow(1), RELAY_SYN | RELAY_ACK, 9, 0, 0));
+    arrive(site, rig_bounced(rig_from_caller(rig_flow(1), RELAY_SYN, 9, 0,
+                                             0)));
+    rig_expect(site->record, "drop 0", "drop 0", NULL);
+    g_assert_cmpuint(site->carried, ==, 0);
+}
