Balancer: an open flow's SYN is never sent again

Cause: an agent that said it doesn't hold a placed flow made the balancer send the flow's SYN elsewhere, which opens it a second time. Change: the next packet of the flow looks for it instead.

--- a/src/relay/steer.c
+++ b/src/relay/steer.c
@@ -351,17 +351,19 @@
                              pin->try_count, now_us - pin->since_us);
 }
 
-/* An agent doesn't hold a flow, and whoever had its pin there looks anew. */
-static void
+/* An agent doesn't hold a flow that was placed there: its next packet looks
+ * for it. False when it wasn't placed there. */
+static bool
 place_remove(struct steer_pin *pin, struct addr agent)
 {
     for (unsigned i = 0; i < pin->place_count; i++) {
         if (addr_equal(pin->places[i].agent, agent)) {
             pin->places[i] = pin->places[--pin->place_count];
             pin->try_count = 0;
-            return;
+            return true;
         }
     }
+    return false;
 }
 
 /* An agent sent a flow on, or let go of it: then it is tried at once. */
@@ -377,8 +379,7 @@
     }
     pin = &steer->pins[handle];
     pin->holder = status->target;
-    place_remove(pin, agent);
-    if (status->target.ip != 0) {
+    if (place_remove(pin, agent) || status->target.ip != 0) {
         return;
     }
     if (pin->place_count == 0 && pin->syn_size > 0) {
