--- a/src/cli/main.c
+++ b/src/cli/main.c
@@ -6,12 +6,15 @@
 #include <argtable2.h>
 #include <glib.h>
 
-#include "agent/agent.h"
-#include "balancer/balancer.h"
 #include "cli/cli.h"
 #include "relay/relay_agent.h"
 #include "relay/relay_balancer.h"
 
+#ifdef SWIFTARCH_TERMINATED
+#include "agent/agent.h"
+#include "balancer/balancer.h"
+#endif
+
 /* Names the settings file when the command line doesn't. */
 #define SETTINGS_VARIABLE "SWIFTARCH_CONFIG"
 
@@ -55,6 +58,7 @@
     return code;
 }
 
+#ifdef SWIFTARCH_TERMINATED
 static int
 run_balancer(int argc, char **argv)
 {
@@ -71,6 +75,8 @@
                     argc, argv);
 }
 
+#endif
+
 static int
 run_relay_balancer(int argc, char **argv)
 {
@@ -93,16 +99,18 @@
 main(int argc, char **argv)
 {
     static const struct cli_command commands[] = {
-        {"balancer", "forward packets from the fabric", run_balancer},
-        {"agent", "serve the upstream beside it", run_agent},
         {"relay-balancer", "relay packets to the agents of their service",
          run_relay_balancer},
         {"relay-agent", "relay packets to the endpoint beside it",
          run_relay_agent},
+#ifdef SWIFTARCH_TERMINATED
+        {"balancer", "forward packets from the fabric", run_balancer},
+        {"agent", "serve the upstream beside it", run_agent},
         {"check", "check an operators' text", cli_check},
         {"apply", "publish an operators' text", cli_apply},
         {"show", "tell what is in force on each process", cli_show},
         {"explain", "tell what a packet or a request would meet", cli_explain},
+#endif
     };
 
     return cli_run(commands, G_N_ELEMENTS(commands), argc, argv);
