Agent: late SYNs wait behind fresh ones; an endpoint that isn't up costs one SYN

Cause: after a total loss the copies of the dark second meet fresh openings at cold endpoints; agents whose endpoint had not said a word bounced 200 SYNs in 100 ms. Ruled out: processor (runs without its charge lose the same). Change: a copy that can't make its route's target is kept at the least busy agent until a slot is free; a bounced SYN closes an endpoint of which nothing is known. Fresh openings still queue 8 to 15 deep. Tests: relay-door an_endpoint_that_is_not_up_costs_one_syn.

--- a/src/relay/door.c
+++ b/src/relay/door.c
@@ -16,7 +16,11 @@
 /* A request is taken as over after this long without a sign of it: callers
  * that never sent one after the handshake, or whose answer was lost. */
 #define BUSY_MAX_US (2 * USEC_PER_SEC)
-#define SWEEP_US (250 * USEC_PER_MSEC)
+
+/* A flow whose caller doesn't go on after the handshake for this long, some
+ * ten round trips, was opened elsewhere: its SYN had two answers. */
+#define UNCONFIRMED_MAX_US (60 * USEC_PER_MSEC)
+#define SWEEP_US (50 * USEC_PER_MSEC)
 
 /* A flow that was quiet for this long is forgotten; the endpoint itself
  * still holds it, and a packet of it is offered there first. */
@@ -39,6 +43,7 @@
     DOOR_HERE,      /* the endpoint holds it */
     DOOR_ASKED,     /* a packet of it was offered to the endpoint */
     DOOR_ELSEWHERE, /* sent on to another agent */
+    DOOR_HELD,      /* its late SYN waits for a free slot */
 };
 
 /**
@@ -53,6 +58,7 @@
  * @caller_seq: end of the caller's data seen so far
  * @busy_us: since when its request is in progress
  * @tried_us: when the SYN was given to the endpoint
+ * @give_up_us: when the caller of a held SYN stops waiting
  * @frame: the frame it came with, to send it on (its bytes are @syn)
  * @syn: the SYN
  */
@@ -67,6 +73,7 @@
     uint32_t caller_seq;
     uint64_t busy_us;
     uint64_t tried_us;
+    uint64_t give_up_us;
     struct frame_carry frame;
     uint8_t syn[SYN_MAX];
 };
@@ -105,10 +112,26 @@
     flow->busy_at = -1;
 }
 
+static void
+unhold(struct door *door, uint32_t handle)
+{
+    for (unsigned i = 0; i < door->held_count; i++) {
+        if (door->held[i] == handle) {
+            door->held_count--;
+            memmove(&door->held[i], &door->held[i + 1],
+                    (door->held_count - i) * sizeof(door->held[0]));
+            return;
+        }
+    }
+}
+
 static void
 forget(struct door *door, uint32_t handle)
 {
     clear_busy(door, handle);
+    if (door->flows[handle].state == DOOR_HELD) {
+        unhold(door, handle);
+    }
     flow_index_remove(&door->table, handle);
     /* A wait for its answer that is still queued finds nothing to do. */
     door->flows[handle].state = DOOR_ELSEWHERE;
@@ -267,6 +290,27 @@
     return next;
 }
 
+/* Keeps a late SYN until the endpoint has a free slot; false when too many
+ * are kept. */
+static bool
+hold(struct door *door, uint32_t handle, uint64_t now_us)
+{
+    struct door_flow *flow = &door->flows[handle];
+    struct frame_status status = {
+        .type = FRAME_HELD,
+        .flow = flow_index_flow(&door->table, handle),
+    };
+
+    if (door->held_count == DOOR_HELD_MAX) {
+        return false;
+    }
+    flow->state = DOOR_HELD;
+    flow->give_up_us = now_us + flow->frame.patience_ms * USEC_PER_MSEC;
+    door->held[door->held_count++] = handle;
+    tell(door, flow->origin, &status, now_us);
+    return true;
+}
+
 /* All were busy: the least busy of them takes the flow all the same. */
 static bool
 send_to_best(struct door *door, uint32_t handle, uint64_t now_us)
@@ -277,12 +321,14 @@
         return false;
     }
     flow->frame.forced = true;
-    if (addr_equal(flow->frame.best, door->self)) {
-        offer_syn(door, handle, now_us);
-    }
-    else {
+    if (!addr_equal(flow->frame.best, door->self)) {
         send_on(door, handle, flow->frame.best);
+        return true;
+    }
+    if (flow->frame.late) {
+        return hold(door, handle, now_us);
     }
+    offer_syn(door, handle, now_us);
     return true;
 }
 
@@ -294,11 +340,11 @@
     struct door_flow *flow = &door->flows[handle];
     struct relay_flow key = flow_index_flow(&door->table, handle);
     struct addr origin = flow->origin;
-    unsigned hops = flow->frame.hops;
+    struct frame_carry frame = flow->frame;
     struct addr target = {0};
 
     clear_busy(door, handle);
-    if (flow->frame.next_count > 0 && hops < HOPS_MAX) {
+    if (flow->frame.next_count > 0 && frame.hops < HOPS_MAX) {
         target = next_pop(&flow->frame);
         send_on(door, handle, target);
     }
@@ -311,7 +357,7 @@
     }
     tell_passed(door, key, origin, why, target, now_us);
     door->out->ops->decided(door->out, target.ip != 0 ? "passed" : "let_go",
-                            key, why, door->busy_count, hops);
+                            key, why, &frame);
 }
 
 /* Why a SYN shouldn't be given to the endpoint, or FRAME_REASON_NONE. */
@@ -327,7 +373,10 @@
     if (door->closed || !endpoint_open(&door->endpoint)) {
         return FRAME_REASON_LEAVING;
     }
-    if (!frame->forced && door->busy_count >= door->endpoint.slots) {
+    if (door->busy_count < door->endpoint.slots) {
+        return FRAME_REASON_NONE;
+    }
+    if (!frame->forced || frame->late) {
         return FRAME_REASON_BUSY;
     }
     return FRAME_REASON_NONE;
@@ -373,11 +422,29 @@
     if (why == FRAME_REASON_BUSY) {
         note_best(door, &flow->frame);
     }
-    if (why != FRAME_REASON_NONE) {
+    if (why == FRAME_REASON_NONE) {
+        offer_syn(door, handle, now_us);
+    }
+    else if (why != FRAME_REASON_BUSY || !frame->forced ||
+             !hold(door, handle, now_us)) {
         pass_on(door, handle, why, now_us);
-        return;
     }
-    offer_syn(door, handle, now_us);
+}
+
+/* Another copy of a SYN that is kept: its caller still waits. */
+static void
+hold_again(struct door *door, uint32_t handle,
+           const struct frame_carry *frame, uint64_t now_us)
+{
+    struct door_flow *flow = &door->flows[handle];
+    struct frame_status status = {
+        .type = FRAME_HELD,
+        .flow = flow_index_flow(&door->table, handle),
+    };
+
+    flow->origin = frame->origin;
+    flow->give_up_us = now_us + frame->patience_ms * USEC_PER_MSEC;
+    tell(door, flow->origin, &status, now_us);
 }
 
 /* Another copy of a SYN that was seen here. */
@@ -398,6 +465,9 @@
             tell_placed(door, handle, now_us);
         }
         return;
+    case DOOR_HELD:
+        hold_again(door, handle, frame, now_us);
+        return;
     default:
         /* It was sent on, maybe to nobody: look at it anew. */
         forget(door, handle);
@@ -508,6 +578,7 @@
         }
         return;
     case DOOR_ASKED:
+    case DOOR_HELD:
         door->out->ops->to_endpoint(door->out, packet->bytes, packet->size);
         return;
     default:
@@ -533,6 +604,10 @@
         return;
     }
     flow = &door->flows[handle];
+    if (flow->state == DOOR_HELD) {
+        drop(door, DOOR_DROP_NOBODY);
+        return;
+    }
     if (flow->state == DOOR_ELSEWHERE) {
         carry_on(door,
                  &(struct frame_carry){
@@ -551,7 +626,12 @@
         flow->frame.next_count = 0;
         flow->frame.best.ip = 0;
     }
-    if (!relay_packet_opens(packet)) {
+    if (relay_packet_opens(packet)) {
+        if (endpoint_refused(&door->endpoint)) {
+            tell_state(door, now_us);
+        }
+    }
+    else {
         flow->frame.bytes = packet->bytes;
         flow->frame.size = packet->size;
     }
@@ -569,7 +649,7 @@
     tell_placed(door, handle, now_us);
     door->out->ops->decided(
         door->out, "placed", flow_index_flow(&door->table, handle),
-        FRAME_REASON_NONE, door->busy_count, flow->frame.hops);
+        FRAME_REASON_NONE, &flow->frame);
 }
 
 /* Whether the packet may go to its caller. */
@@ -623,6 +703,42 @@
     pass_on(door, wait->handle, FRAME_REASON_SILENT, now_us);
 }
 
+/* Held SYN to admit next: the most urgent, then the one that came first. */
+static uint32_t
+held_next(const struct door *door)
+{
+    uint32_t best = door->held[0];
+
+    for (unsigned i = 1; i < door->held_count; i++) {
+        if (door->flows[door->held[i]].frame.priority <
+            door->flows[best].frame.priority) {
+            best = door->held[i];
+        }
+    }
+    return best;
+}
+
+/* Gives held SYNs to the endpoint while it has free slots. */
+static void
+admit_held(struct door *door, uint64_t now_us)
+{
+    while (door->held_count > 0 && !door->closed &&
+           endpoint_open(&door->endpoint) &&
+           door->busy_count < door->endpoint.slots) {
+        uint32_t handle = held_next(door);
+        bool waits = now_us < door->flows[handle].give_up_us;
+
+        unhold(door, handle);
+        if (waits) {
+            offer_syn(door, handle, now_us);
+        }
+        else {
+            door->flows[handle].state = DOOR_ELSEWHERE;
+            forget(door, handle);
+        }
+    }
+}
+
 static void
 sweep(struct door *door, uint64_t now_us)
 {
@@ -632,7 +748,11 @@
     while (at < door->busy_count) {
         uint32_t handle = door->busy[at];
 
-        if (now_us - door->flows[handle].busy_us > BUSY_MAX_US) {
+        uint64_t most_us = door->flows[handle].confirmed
+                               ? BUSY_MAX_US
+                               : UNCONFIRMED_MAX_US;
+
+        if (now_us - door->flows[handle].busy_us > most_us) {
             clear_busy(door, handle);
         }
         else {
@@ -716,16 +836,18 @@
 door_from_endpoint(struct door *door, const struct relay_packet *packet,
                    uint64_t now_us)
 {
-    if (endpoint_answered(&door->endpoint)) {
-        tell_state(door, now_us);
-    }
     if ((packet->flags & RELAY_BOUNCED) != 0) {
         on_bounced(door, packet, now_us);
+        return;
+    }
+    if (endpoint_answered(&door->endpoint)) {
+        tell_state(door, now_us);
     }
-    else if (note_answer(door, packet, now_us)) {
+    if (note_answer(door, packet, now_us)) {
         door->out->ops->to_caller(door->out, packet->to, packet->bytes,
                                   packet->size);
     }
+    admit_held(door, now_us);
 }
 
 void
@@ -776,6 +898,7 @@
     if (now_us >= door->sweep_us) {
         sweep(door, now_us);
     }
+    admit_held(door, now_us);
 }
 
 uint64_t
--- a/src/relay/door.h
+++ b/src/relay/door.h
@@ -52,7 +52,7 @@
     /** @decided: what became of a SYN or of a flow */
     void (*decided)(struct door_out *out, const char *what,
                     struct relay_flow flow, enum frame_reason why,
-                    unsigned busy, unsigned hops);
+                    const struct frame_carry *frame);
 };
 
 /** struct door_out - where outputs go; the vtable comes first */
@@ -72,6 +72,10 @@
 #define DOOR_WAITS_MAX 1024u
 #define DOOR_BALANCERS_MAX 64
 
+/* Late SYNs that an agent keeps: more than an endpoint of two slots works
+ * off while their callers wait, some 800 ms. */
+#define DOOR_HELD_MAX 128
+
 /** struct door_balancer - a balancer that was heard from */
 struct door_balancer {
     struct addr addr;
@@ -90,6 +94,9 @@
  * @wait_count: how many
  * @busy: flows with a request in progress, as handles
  * @busy_count: how many
+ * @held: late SYNs that wait for a free slot, as handles, in the order they
+ *        came
+ * @held_count: how many
  * @sweep_us: when to look for requests that are in progress for too long
  * @heard: newest configuration that any balancer spoke of
  * @balancers: balancers heard from, to tell them of a change
@@ -107,6 +114,8 @@
     uint32_t wait_count;
     uint32_t *busy;
     unsigned busy_count;
+    uint32_t held[DOOR_HELD_MAX];
+    unsigned held_count;
     uint64_t sweep_us;
     struct frame_version heard;
     struct door_balancer balancers[DOOR_BALANCERS_MAX];
--- a/src/relay/endpoint.c
+++ b/src/relay/endpoint.c
@@ -121,6 +121,15 @@
     return set_state(endpoint, ENDPOINT_SILENT);
 }
 
+bool
+endpoint_refused(struct endpoint *endpoint)
+{
+    if (endpoint->state != ENDPOINT_UNKNOWN) {
+        return false;
+    }
+    return set_state(endpoint, ENDPOINT_SILENT);
+}
+
 bool
 endpoint_open(const struct endpoint *endpoint)
 {
--- a/src/relay/endpoint.h
+++ b/src/relay/endpoint.h
@@ -86,6 +86,11 @@
 bool
 endpoint_silent(struct endpoint *endpoint);
 
+/** endpoint_refused() - it bounced a SYN; whether the state changed. One of
+ * which nothing is known isn't up yet: its first heartbeat will tell. */
+bool
+endpoint_refused(struct endpoint *endpoint);
+
 /** endpoint_open() - whether it may be given a new flow */
 bool
 endpoint_open(const struct endpoint *endpoint);
--- a/src/relay/frame.c
+++ b/src/relay/frame.c
@@ -83,7 +83,7 @@
         bytes[1] != MAGIC_1 || bytes[2] != VERSION) {
         return -EBADMSG;
     }
-    if (bytes[3] < FRAME_CARRY || bytes[3] > FRAME_LINK) {
+    if (bytes[3] < FRAME_CARRY || bytes[3] > FRAME_PING) {
         return -EBADMSG;
     }
     return bytes[3];
@@ -98,6 +98,9 @@
     put_addr(&writer, carry->origin);
     put(&writer, carry->version, 8);
     put(&writer, carry->forced, 1);
+    put(&writer, carry->late, 1);
+    put(&writer, carry->priority, 1);
+    put(&writer, carry->patience_ms, 2);
     put(&writer, carry->hops, 1);
     put_addr(&writer, carry->best);
     put(&writer, carry->best_load, 2);
@@ -119,6 +122,9 @@
     carry->origin = get_addr(&reader);
     carry->version = get(&reader, 8);
     carry->forced = get(&reader, 1) != 0;
+    carry->late = get(&reader, 1) != 0;
+    carry->priority = (uint8_t)get(&reader, 1);
+    carry->patience_ms = (uint16_t)get(&reader, 2);
     carry->hops = (uint8_t)get(&reader, 1);
     carry->best = get_addr(&reader);
     carry->best_load = (uint16_t)get(&reader, 2);
@@ -197,17 +203,16 @@
 }
 
 size_t
-frame_version_encode(enum frame_type type, const struct frame_version *version,
-                     uint8_t *bytes)
+frame_ping_encode(const struct frame_version *version, uint8_t *bytes)
 {
-    struct writer writer = begin(type, bytes);
+    struct writer writer = begin(FRAME_PING, bytes);
 
     put_version(&writer, version);
     return (size_t)(writer.at - bytes);
 }
 
 int
-frame_version_decode(const uint8_t *bytes, size_t size,
+frame_ping_decode(const uint8_t *bytes, size_t size,
                      struct frame_version *version)
 {
     struct reader reader = body_of(bytes, size);
--- a/src/relay/frame.h
+++ b/src/relay/frame.h
@@ -25,9 +25,9 @@
     FRAME_CARRY = 1,  /* a caller's packet towards an endpoint */
     FRAME_PLACED = 2, /* an agent's endpoint holds the flow */
     FRAME_PASSED = 3, /* an agent sent the flow on, or let go of it */
-    FRAME_STATE = 4,  /* how an agent's endpoint is */
-    FRAME_PING = 5,   /* asks for FRAME_STATE */
-    FRAME_LINK = 6,   /* a balancer's view, to an agent or a balancer */
+    FRAME_HELD = 4,   /* an agent keeps a late SYN until a slot is free */
+    FRAME_STATE = 5,  /* how an agent's endpoint is */
+    FRAME_PING = 6,   /* asks for FRAME_STATE */
 };
 
 /** enum frame_reason - why an agent passed a flow on */
@@ -83,6 +83,10 @@
  * @origin: balancer that took it from the caller
  * @version: configuration that the balancer follows
  * @forced: take it though all slots are busy
+ * @late: a SYN that can't be answered within its route's target any more;
+ *        it waits behind those that can
+ * @priority: of its route, 0 is most urgent
+ * @patience_ms: of a SYN, how long its caller waits for an answer
  * @hops: agents that have seen it
  * @best: agent with the least load so far, ip 0 for none
  * @best_load: its load, in 1/16 of its slots
@@ -96,6 +100,9 @@
     struct addr origin;
     uint64_t version;
     bool forced;
+    bool late;
+    uint8_t priority;
+    uint16_t patience_ms;
     uint8_t hops;
     struct addr best;
     uint16_t best_load;
@@ -107,7 +114,7 @@
 
 /**
  * struct frame_status - an agent's answer to a balancer
- * @type: FRAME_PLACED, FRAME_PASSED or FRAME_STATE
+ * @type: FRAME_PLACED, FRAME_PASSED, FRAME_HELD or FRAME_STATE
  * @reason: for FRAME_PASSED, enum frame_reason
  * @target: for FRAME_PASSED, the agent that has the packet now; ip 0 when
  *          nobody has
@@ -149,14 +156,13 @@
 frame_status_decode(const uint8_t *bytes, size_t size,
                     struct frame_status *status);
 
-/** frame_version_encode() - write a FRAME_PING or FRAME_LINK */
+/** frame_ping_encode() - write a FRAME_PING with the sender's version */
 size_t
-frame_version_encode(enum frame_type type, const struct frame_version *version,
-                     uint8_t *bytes);
+frame_ping_encode(const struct frame_version *version, uint8_t *bytes);
 
-/** frame_version_decode() - read it; 0 or -EBADMSG */
+/** frame_ping_decode() - read it; 0 or -EBADMSG */
 int
-frame_version_decode(const uint8_t *bytes, size_t size,
-                     struct frame_version *version);
+frame_ping_decode(const uint8_t *bytes, size_t size,
+                  struct frame_version *version);
 
 #endif
--- a/src/relay/packet.h
+++ b/src/relay/packet.h
@@ -34,6 +34,8 @@
  * @ack: acknowledgement number; in a SYN how often it was sent before
  * @len: bytes of data behind the head
  * @flags: enum relay_packet_flag
+ * @age_ms: of a SYN, how long ago its first copy was sent
+ * @patience_ms: of a SYN, how long its caller waits for an answer to it
  * @bytes: the whole packet, owned by the caller of a decision
  * @size: its size in bytes
  */
@@ -44,6 +46,8 @@
     uint32_t ack;
     uint16_t len;
     uint8_t flags;
+    uint16_t age_ms;
+    uint16_t patience_ms;
     const uint8_t *bytes;
     size_t size;
 };
--- a/src/relay/relay_agent.c
+++ b/src/relay/relay_agent.c
@@ -155,7 +155,7 @@
 
 static void
 out_decided(struct door_out *out, const char *what, struct relay_flow flow,
-            enum frame_reason why, unsigned busy, unsigned hops)
+            enum frame_reason why, const struct frame_carry *frame)
 {
     struct relay_agent *agent = of_out(out);
     char caller[ADDR_TEXT_MAX];
@@ -168,11 +168,13 @@
     }
     event_log_line(&agent->log, EVENT_ROUTINE, what,
                    "caller=%s service=%s reason=%s endpoint=%s busy=%u "
-                   "slots=%u hops=%u",
+                   "slots=%u held=%u late=%d forced=%d hops=%u",
                    addr_format(flow.caller, caller),
                    addr_format(flow.service, service), reason_names[why],
-                   state_names[agent->door.endpoint.state], busy,
-                   agent->door.endpoint.slots, hops);
+                   state_names[agent->door.endpoint.state],
+                   agent->door.busy_count, agent->door.endpoint.slots,
+                   agent->door.held_count, frame->late, frame->forced,
+                   frame->hops);
 }
 
 static const struct door_out_ops out_ops = {
@@ -216,7 +218,7 @@
         on_carry(agent, bytes, size, now_us);
         return;
     case FRAME_PING:
-        if (frame_version_decode(bytes, size, &version) == 0) {
+        if (frame_ping_decode(bytes, size, &version) == 0) {
             door_ping(&agent->door, from, &version, now_us);
             return;
         }
--- a/src/relay/relay_balancer.c
+++ b/src/relay/relay_balancer.c
@@ -133,8 +133,7 @@
         .version = balancer->steer.routes.version,
         .holder = balancer->settings.share,
     };
-    size_t size = frame_version_encode(FRAME_PING, &version,
-                                       udp_buffer(&balancer->frames));
+    size_t size = frame_ping_encode(&version, udp_buffer(&balancer->frames));
 
     udp_queue(&balancer->frames, agent, size);
     balancer->counts.pings++;
--- a/src/relay/steer.c
+++ b/src/relay/steer.c
@@ -4,6 +4,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include <glib.h>
+
 #include "base/clock.h"
 
 /* How long an agent may take to answer a SYN: 2 ms on the way at most
@@ -41,10 +43,15 @@
 /**
  * struct steer_pin - what is known of a flow
  * @service: service that it was sent to
+ * @priority: of its route
+ * @late: the last copy of its SYN came too late for the route's target
+ * @patience_ms: how long the caller waits for an answer to that copy
  * @places: endpoints that answered
  * @place_count: how many
  * @tried: agents that the SYN was sent to
  * @try_count: how many
+ * @holder: agent that has the SYN now, as far as is known
+ * @held: it said that it keeps it until a slot is free
  * @syn_seq: sequence number of the SYN; another one is another flow
  * @since_us: when the first SYN came
  * @tried_us: when the last try was sent
@@ -53,11 +60,15 @@
  */
 struct steer_pin {
     uint32_t service;
+    uint8_t priority;
+    bool late;
+    uint16_t patience_ms;
     struct steer_place places[PLACES_MAX];
     uint8_t place_count;
     struct addr tried[TRIES_MAX];
     uint8_t try_count;
     struct addr holder;
+    bool held;
     uint8_t syn_size;
     uint32_t syn_seq;
     uint64_t since_us;
@@ -185,6 +196,9 @@
         return false;
     }
     frame = frame_for(steer, pin->service, &choice, 1, bytes, size);
+    frame.late = pin->late;
+    frame.priority = pin->priority;
+    frame.patience_ms = pin->patience_ms;
     pin->tried[pin->try_count++] = choice.addrs[0];
     pin->holder = choice.addrs[0];
     pin->tried_us = now_us;
@@ -208,6 +222,15 @@
     steer->out->ops->carry(steer->out, agent, &frame);
 }
 
+static void
+note_age(struct steer_pin *pin, const struct relay_packet *packet,
+         const struct route *route)
+{
+    pin->priority = (uint8_t)MIN(route->priority, UINT8_MAX);
+    pin->late = packet->age_ms > 0 && packet->age_ms >= route->target_ms;
+    pin->patience_ms = packet->patience_ms;
+}
+
 static void
 open_flow(struct steer *steer, const struct relay_packet *packet,
           const struct route *route, uint64_t now_us)
@@ -217,6 +240,7 @@
         remember(steer, flow, route_service(route, flow), now_us);
     struct steer_pin *pin = &steer->pins[handle];
 
+    note_age(pin, packet, route);
     pin->syn_seq = packet->seq;
     if (packet->size <= SYN_MAX) {
         memcpy(pin->syn, packet->bytes, packet->size);
@@ -228,10 +252,31 @@
     }
 }
 
+/* Another copy of a SYN that an agent holds goes there too: the agent learns
+ * how long the caller still waits, and whether it lives shows. */
+static void
+hold_on(struct steer *steer, uint32_t handle,
+        const struct relay_packet *packet, uint64_t now_us)
+{
+    struct steer_pin *pin = &steer->pins[handle];
+    struct agents_choice none = {.count = 0};
+    struct frame_carry frame = frame_for(steer, pin->service, &none, 0,
+                                         packet->bytes, packet->size);
+
+    frame.late = pin->late;
+    frame.priority = pin->priority;
+    frame.patience_ms = pin->patience_ms;
+    pin->held = false;
+    pin->tried_us = now_us;
+    wait_push(steer, handle, now_us);
+    steer->out->ops->carry(steer->out, pin->holder, &frame);
+}
+
 /* The caller sent its SYN again: an answer was lost, or none came. */
 static void
 open_again(struct steer *steer, uint32_t handle,
-           const struct relay_packet *packet, uint64_t now_us)
+           const struct relay_packet *packet, const struct route *route,
+           uint64_t now_us)
 {
     struct steer_pin *pin = &steer->pins[handle];
 
@@ -239,6 +284,11 @@
         carry_to(steer, pin, pin->places[0].agent, packet);
         return;
     }
+    note_age(pin, packet, route);
+    if (pin->held) {
+        hold_on(steer, handle, packet, now_us);
+        return;
+    }
     if (try_next(steer, handle, packet->bytes, packet->size, now_us)) {
         return;
     }
@@ -379,21 +429,41 @@
     }
     pin = &steer->pins[handle];
     pin->holder = status->target;
+    pin->held = false;
     if (place_remove(pin, agent) || status->target.ip != 0) {
         return;
     }
+    if (status->reason == FRAME_REASON_BUSY) {
+        /* No room for what is late anyway; the caller's next copy may find
+         * some. */
+        pin->held = true;
+        pin->holder = agent;
+        return;
+    }
     if (pin->place_count == 0 && pin->syn_size > 0) {
         try_next(steer, handle, pin->syn, pin->syn_size, now_us);
     }
 }
 
+static void
+on_held(struct steer *steer, struct addr agent,
+        const struct frame_status *status)
+{
+    uint32_t handle = flow_index_find(&steer->flows, status->flow);
+
+    if (handle != FLOW_INDEX_NONE) {
+        steer->pins[handle].held = true;
+        steer->pins[handle].holder = agent;
+    }
+}
+
 static void
 wait_over(struct steer *steer, const struct steer_wait *wait, uint64_t now_us)
 {
     struct steer_pin *pin = &steer->pins[wait->handle];
 
     if (pin->tried_us != wait->tried_us || pin->place_count > 0 ||
-        pin->try_count == 0) {
+        pin->held || pin->try_count == 0) {
         return;
     }
     agents_missed(&steer->agents, pin->holder, pin->tried_us, now_us);
@@ -493,7 +563,7 @@
             open_flow(steer, packet, route, now_us);
         }
         else {
-            open_again(steer, handle, packet, now_us);
+            open_again(steer, handle, packet, route, now_us);
         }
     }
     else if (handle != FLOW_INDEX_NONE) {
@@ -516,6 +586,9 @@
     if (status->type == FRAME_PLACED) {
         on_placed(steer, agent, status, now_us);
     }
+    else if (status->type == FRAME_HELD) {
+        on_held(steer, agent, status);
+    }
     else if (status->type == FRAME_PASSED) {
         on_passed(steer, agent, status, now_us);
     }
