Agent: SYNs wait at the door, those that can be answered in time first

Cause: in the second after a total loss callers open twice as many flows as cold endpoints serve; forced on, they queued 8 to 15 deep inside the endpoints, first come first served, and all were late. Ruled out: processor, start-up (both measured), copies of SYNs (few). Change: an endpoint is given one request beyond its slots; what comes more waits at its agent, ordered by whether it can still be in time (moving averages of work and way), priority, age. A late one needs a free slot.

--- a/src/relay/door.c
+++ b/src/relay/door.c
@@ -34,6 +34,10 @@
 #define HOPS_MAX (FRAME_NEXT_MAX + 2)
 
 #define LOAD_UNIT 16
+
+/* Requests beyond its slots that an endpoint is given at a time. */
+#define AHEAD 1
+
 #define SEQ_WINDOW 76802u
 #define SYN_MAX 64
 
@@ -43,7 +47,7 @@
     DOOR_HERE,      /* the endpoint holds it */
     DOOR_ASKED,     /* a packet of it was offered to the endpoint */
     DOOR_ELSEWHERE, /* sent on to another agent */
-    DOOR_HELD,      /* its late SYN waits for a free slot */
+    DOOR_HELD,      /* its SYN waits for a free slot */
 };
 
 /**
@@ -58,7 +62,11 @@
  * @caller_seq: end of the caller's data seen so far
  * @busy_us: since when its request is in progress
  * @tried_us: when the SYN was given to the endpoint
+ * @accepted_us: when the endpoint answered the SYN, 0 for not yet
+ * @late_us: when an answer to a held SYN's request is late
  * @give_up_us: when the caller of a held SYN stops waiting
+ * @asked_us: when its request was given to the endpoint, 0 for not yet
+ * @depth: requests in progress then
  * @frame: the frame it came with, to send it on (its bytes are @syn)
  * @syn: the SYN
  */
@@ -73,7 +81,11 @@
     uint32_t caller_seq;
     uint64_t busy_us;
     uint64_t tried_us;
+    uint64_t accepted_us;
+    uint64_t late_us;
     uint64_t give_up_us;
+    uint64_t asked_us;
+    unsigned depth;
     struct frame_carry frame;
     uint8_t syn[SYN_MAX];
 };
@@ -267,6 +279,15 @@
                                 flow->frame.size);
 }
 
+/* Whether the endpoint takes another request soon. One more than its slots
+ * may be opened if it can still be in time: the handshake takes as long as
+ * half a request, and an idle slot helps nobody. */
+static bool
+has_room(const struct door *door, bool in_time)
+{
+    return door->busy_count < door->endpoint.slots + (in_time ? AHEAD : 0);
+}
+
 static void
 send_on(struct door *door, uint32_t handle, struct addr agent)
 {
@@ -290,7 +311,16 @@
     return next;
 }
 
-/* Keeps a late SYN until the endpoint has a free slot; false when too many
+/* When a held SYN's caller wants its answer, and how long it waits. */
+static void
+note_patience(struct door_flow *flow, const struct frame_carry *frame,
+              uint64_t now_us)
+{
+    flow->late_us = now_us + frame->target_ms * USEC_PER_MSEC;
+    flow->give_up_us = now_us + frame->patience_ms * USEC_PER_MSEC;
+}
+
+/* Keeps a SYN until the endpoint has a free slot; false when too many
  * are kept. */
 static bool
 hold(struct door *door, uint32_t handle, uint64_t now_us)
@@ -305,7 +335,7 @@
         return false;
     }
     flow->state = DOOR_HELD;
-    flow->give_up_us = now_us + flow->frame.patience_ms * USEC_PER_MSEC;
+    note_patience(flow, &flow->frame, now_us);
     door->held[door->held_count++] = handle;
     tell(door, flow->origin, &status, now_us);
     return true;
@@ -325,11 +355,11 @@
         send_on(door, handle, flow->frame.best);
         return true;
     }
-    if (flow->frame.late) {
-        return hold(door, handle, now_us);
+    if (has_room(door, flow->frame.target_ms > 0)) {
+        offer_syn(door, handle, now_us);
+        return true;
     }
-    offer_syn(door, handle, now_us);
-    return true;
+    return hold(door, handle, now_us);
 }
 
 /* Sends a flow's packet on; without anyone left the flow is forgotten. */
@@ -373,10 +403,7 @@
     if (door->closed || !endpoint_open(&door->endpoint)) {
         return FRAME_REASON_LEAVING;
     }
-    if (door->busy_count < door->endpoint.slots) {
-        return FRAME_REASON_NONE;
-    }
-    if (!frame->forced || frame->late) {
+    if (!has_room(door, frame->forced && frame->target_ms > 0)) {
         return FRAME_REASON_BUSY;
     }
     return FRAME_REASON_NONE;
@@ -433,8 +460,8 @@
 
 /* Another copy of a SYN that is kept: its caller still waits. */
 static void
-hold_again(struct door *door, uint32_t handle,
-           const struct frame_carry *frame, uint64_t now_us)
+hold_again(struct door *door, uint32_t handle, const struct frame_carry *frame,
+           uint64_t now_us)
 {
     struct door_flow *flow = &door->flows[handle];
     struct frame_status status = {
@@ -443,7 +470,7 @@
     };
 
     flow->origin = frame->origin;
-    flow->give_up_us = now_us + frame->patience_ms * USEC_PER_MSEC;
+    note_patience(flow, frame, now_us);
     tell(door, flow->origin, &status, now_us);
 }
 
@@ -548,10 +575,15 @@
     uint32_t end = packet->seq + packet->len;
     bool search = frame->next_count > 0;
 
+    if (!flow->confirmed && flow->accepted_us != 0) {
+        pace_trip(&door->pace, now_us - flow->accepted_us);
+    }
     flow->confirmed = true;
     if (packet->len > 0 && (int32_t)(end - flow->caller_seq) > 0) {
         flow->caller_seq = end;
         set_busy(door, handle, now_us);
+        flow->asked_us = now_us;
+        flow->depth = door->busy_count;
     }
     door->out->ops->to_endpoint(door->out, packet->bytes, packet->size);
     if (search || !addr_equal(flow->origin, frame->origin)) {
@@ -646,10 +678,25 @@
 
     flow->state = DOOR_HERE;
     flow->seq = packet->seq;
+    flow->accepted_us = now_us;
     tell_placed(door, handle, now_us);
-    door->out->ops->decided(
-        door->out, "placed", flow_index_flow(&door->table, handle),
-        FRAME_REASON_NONE, &flow->frame);
+    door->out->ops->decided(door->out, "placed",
+                            flow_index_flow(&door->table, handle),
+                            FRAME_REASON_NONE, &flow->frame);
+}
+
+/* The endpoint answers the flow's request. */
+static void
+note_done(struct door *door, uint32_t handle, uint64_t now_us)
+{
+    struct door_flow *flow = &door->flows[handle];
+
+    if (flow->asked_us != 0) {
+        pace_answer(&door->pace, now_us - flow->asked_us, flow->depth,
+                    door->endpoint.slots);
+        flow->asked_us = 0;
+    }
+    clear_busy(door, handle);
 }
 
 /* Whether the packet may go to its caller. */
@@ -683,7 +730,7 @@
         tell_placed(door, handle, now_us);
     }
     if (packet->len > 0 || (packet->flags & (RELAY_FIN | RELAY_RST)) != 0) {
-        clear_busy(door, handle);
+        note_done(door, handle, now_us);
     }
     return true;
 }
@@ -703,18 +750,39 @@
     pass_on(door, wait->handle, FRAME_REASON_SILENT, now_us);
 }
 
-/* Held SYN to admit next: the most urgent, then the one that came first. */
+/* Whether a held SYN goes before another: first those whose requests can
+ * still be answered in time, then the urgent, then the earlier. */
+static bool
+goes_before(const struct door_flow *a, const struct door_flow *b,
+            uint64_t answer_us)
+{
+    bool a_in_time = answer_us <= a->late_us;
+    bool b_in_time = answer_us <= b->late_us;
+
+    if (a_in_time != b_in_time) {
+        return a_in_time;
+    }
+    if (a->frame.priority != b->frame.priority) {
+        return a->frame.priority < b->frame.priority;
+    }
+    return a->late_us < b->late_us;
+}
+
+/* Held SYN to admit next; @in_time: whether it can still be in time. */
 static uint32_t
-held_next(const struct door *door)
+held_next(const struct door *door, uint64_t now_us, bool *in_time)
 {
+    uint64_t answer_us = now_us + pace_expect(&door->pace, door->busy_count,
+                                              door->endpoint.slots);
     uint32_t best = door->held[0];
 
     for (unsigned i = 1; i < door->held_count; i++) {
-        if (door->flows[door->held[i]].frame.priority <
-            door->flows[best].frame.priority) {
+        if (goes_before(&door->flows[door->held[i]], &door->flows[best],
+                        answer_us)) {
             best = door->held[i];
         }
     }
+    *in_time = answer_us <= door->flows[best].late_us;
     return best;
 }
 
@@ -723,11 +791,14 @@
 admit_held(struct door *door, uint64_t now_us)
 {
     while (door->held_count > 0 && !door->closed &&
-           endpoint_open(&door->endpoint) &&
-           door->busy_count < door->endpoint.slots) {
-        uint32_t handle = held_next(door);
+           endpoint_open(&door->endpoint) && has_room(door, true)) {
+        bool in_time;
+        uint32_t handle = held_next(door, now_us, &in_time);
         bool waits = now_us < door->flows[handle].give_up_us;
 
+        if (waits && !has_room(door, in_time)) {
+            return;
+        }
         unhold(door, handle);
         if (waits) {
             offer_syn(door, handle, now_us);
@@ -748,9 +819,8 @@
     while (at < door->busy_count) {
         uint32_t handle = door->busy[at];
 
-        uint64_t most_us = door->flows[handle].confirmed
-                               ? BUSY_MAX_US
-                               : UNCONFIRMED_MAX_US;
+        uint64_t most_us =
+            door->flows[handle].confirmed ? BUSY_MAX_US : UNCONFIRMED_MAX_US;
 
         if (now_us - door->flows[handle].busy_us > most_us) {
             clear_busy(door, handle);
@@ -776,6 +846,7 @@
     door->out = out;
     door->self = self;
     endpoint_init(&door->endpoint, service);
+    pace_init(&door->pace);
     door->flows = calloc(DOOR_FLOWS_MAX, sizeof(*door->flows));
     door->busy = calloc(DOOR_FLOWS_MAX, sizeof(*door->busy));
     if (door->flows == NULL || door->busy == NULL ||
--- a/src/relay/door.h
+++ b/src/relay/door.h
@@ -17,6 +17,7 @@
 #include "relay/endpoint.h"
 #include "relay/flow_index.h"
 #include "relay/frame.h"
+#include "relay/pace.h"
 #include "relay/packet.h"
 
 /* Flows that one agent remembers: an endpoint holds some 2,000, the rest is
@@ -72,7 +73,7 @@
 #define DOOR_WAITS_MAX 1024u
 #define DOOR_BALANCERS_MAX 64
 
-/* Late SYNs that an agent keeps: more than an endpoint of two slots works
+/* SYNs that an agent keeps: more than an endpoint of two slots works
  * off while their callers wait, some 800 ms. */
 #define DOOR_HELD_MAX 128
 
@@ -94,9 +95,9 @@
  * @wait_count: how many
  * @busy: flows with a request in progress, as handles
  * @busy_count: how many
- * @held: late SYNs that wait for a free slot, as handles, in the order they
- *        came
+ * @held: SYNs that wait for a free slot, as handles, in the order they came
  * @held_count: how many
+ * @pace: how fast the endpoint and its callers are
  * @sweep_us: when to look for requests that are in progress for too long
  * @heard: newest configuration that any balancer spoke of
  * @balancers: balancers heard from, to tell them of a change
@@ -116,6 +117,7 @@
     unsigned busy_count;
     uint32_t held[DOOR_HELD_MAX];
     unsigned held_count;
+    struct pace pace;
     uint64_t sweep_us;
     struct frame_version heard;
     struct door_balancer balancers[DOOR_BALANCERS_MAX];
--- a/src/relay/frame.c
+++ b/src/relay/frame.c
@@ -98,7 +98,7 @@
     put_addr(&writer, carry->origin);
     put(&writer, carry->version, 8);
     put(&writer, carry->forced, 1);
-    put(&writer, carry->late, 1);
+    put(&writer, carry->target_ms, 2);
     put(&writer, carry->priority, 1);
     put(&writer, carry->patience_ms, 2);
     put(&writer, carry->hops, 1);
@@ -122,7 +122,7 @@
     carry->origin = get_addr(&reader);
     carry->version = get(&reader, 8);
     carry->forced = get(&reader, 1) != 0;
-    carry->late = get(&reader, 1) != 0;
+    carry->target_ms = (uint16_t)get(&reader, 2);
     carry->priority = (uint8_t)get(&reader, 1);
     carry->patience_ms = (uint16_t)get(&reader, 2);
     carry->hops = (uint8_t)get(&reader, 1);
@@ -213,7 +213,7 @@
 
 int
 frame_ping_decode(const uint8_t *bytes, size_t size,
-                     struct frame_version *version)
+                  struct frame_version *version)
 {
     struct reader reader = body_of(bytes, size);
 
--- a/src/relay/frame.h
+++ b/src/relay/frame.h
@@ -25,7 +25,7 @@
     FRAME_CARRY = 1,  /* a caller's packet towards an endpoint */
     FRAME_PLACED = 2, /* an agent's endpoint holds the flow */
     FRAME_PASSED = 3, /* an agent sent the flow on, or let go of it */
-    FRAME_HELD = 4,   /* an agent keeps a late SYN until a slot is free */
+    FRAME_HELD = 4,   /* an agent keeps a SYN until a slot is free */
     FRAME_STATE = 5,  /* how an agent's endpoint is */
     FRAME_PING = 6,   /* asks for FRAME_STATE */
 };
@@ -83,8 +83,8 @@
  * @origin: balancer that took it from the caller
  * @version: configuration that the balancer follows
  * @forced: take it though all slots are busy
- * @late: a SYN that can't be answered within its route's target any more;
- *        it waits behind those that can
+ * @target_ms: of a SYN, how soon its request should be answered to be in
+ *             time; 0 when it is late already
  * @priority: of its route, 0 is most urgent
  * @patience_ms: of a SYN, how long its caller waits for an answer
  * @hops: agents that have seen it
@@ -100,7 +100,7 @@
     struct addr origin;
     uint64_t version;
     bool forced;
-    bool late;
+    uint16_t target_ms;
     uint8_t priority;
     uint16_t patience_ms;
     uint8_t hops;
--- a/src/relay/relay_agent.c
+++ b/src/relay/relay_agent.c
@@ -166,15 +166,14 @@
     if (!event_log_wants(&agent->log, EVENT_ROUTINE)) {
         return;
     }
-    event_log_line(&agent->log, EVENT_ROUTINE, what,
-                   "caller=%s service=%s reason=%s endpoint=%s busy=%u "
-                   "slots=%u held=%u late=%d forced=%d hops=%u",
-                   addr_format(flow.caller, caller),
-                   addr_format(flow.service, service), reason_names[why],
-                   state_names[agent->door.endpoint.state],
-                   agent->door.busy_count, agent->door.endpoint.slots,
-                   agent->door.held_count, frame->late, frame->forced,
-                   frame->hops);
+    event_log_line(
+        &agent->log, EVENT_ROUTINE, what,
+        "caller=%s service=%s reason=%s endpoint=%s busy=%u "
+        "slots=%u held=%u target_ms=%u forced=%d hops=%u",
+        addr_format(flow.caller, caller), addr_format(flow.service, service),
+        reason_names[why], state_names[agent->door.endpoint.state],
+        agent->door.busy_count, agent->door.endpoint.slots,
+        agent->door.held_count, frame->target_ms, frame->forced, frame->hops);
 }
 
 static const struct door_out_ops out_ops = {
--- a/src/relay/steer.c
+++ b/src/relay/steer.c
@@ -44,7 +44,8 @@
  * struct steer_pin - what is known of a flow
  * @service: service that it was sent to
  * @priority: of its route
- * @late: the last copy of its SYN came too late for the route's target
+ * @target_ms: how soon after the last copy of its SYN its request should be
+ *             answered, 0 when that is late already
  * @patience_ms: how long the caller waits for an answer to that copy
  * @places: endpoints that answered
  * @place_count: how many
@@ -61,7 +62,7 @@
 struct steer_pin {
     uint32_t service;
     uint8_t priority;
-    bool late;
+    uint16_t target_ms;
     uint16_t patience_ms;
     struct steer_place places[PLACES_MAX];
     uint8_t place_count;
@@ -196,7 +197,7 @@
         return false;
     }
     frame = frame_for(steer, pin->service, &choice, 1, bytes, size);
-    frame.late = pin->late;
+    frame.target_ms = pin->target_ms;
     frame.priority = pin->priority;
     frame.patience_ms = pin->patience_ms;
     pin->tried[pin->try_count++] = choice.addrs[0];
@@ -226,8 +227,12 @@
 note_age(struct steer_pin *pin, const struct relay_packet *packet,
          const struct route *route)
 {
+    unsigned target_ms = MIN(route->target_ms, UINT16_MAX);
+
     pin->priority = (uint8_t)MIN(route->priority, UINT8_MAX);
-    pin->late = packet->age_ms > 0 && packet->age_ms >= route->target_ms;
+    pin->target_ms =
+        (uint16_t)(packet->age_ms < target_ms ? target_ms - packet->age_ms
+                                              : 0);
     pin->patience_ms = packet->patience_ms;
 }
 
@@ -260,10 +265,10 @@
 {
     struct steer_pin *pin = &steer->pins[handle];
     struct agents_choice none = {.count = 0};
-    struct frame_carry frame = frame_for(steer, pin->service, &none, 0,
-                                         packet->bytes, packet->size);
+    struct frame_carry frame =
+        frame_for(steer, pin->service, &none, 0, packet->bytes, packet->size);
 
-    frame.late = pin->late;
+    frame.target_ms = pin->target_ms;
     frame.priority = pin->priority;
     frame.patience_ms = pin->patience_ms;
     pin->held = false;
@@ -462,8 +467,8 @@
 {
     struct steer_pin *pin = &steer->pins[wait->handle];
 
-    if (pin->tried_us != wait->tried_us || pin->place_count > 0 ||
-        pin->held || pin->try_count == 0) {
+    if (pin->tried_us != wait->tried_us || pin->place_count > 0 || pin->held ||
+        pin->try_count == 0) {
         return;
     }
     agents_missed(&steer->agents, pin->holder, pin->tried_us, now_us);
