A flow that the fabric moved is looked for at every agent; an eager store client

Ruled out: two answers to the SYN (one place only), the chain's hop limit. Change: a search names 16 agents, and when all say no the next packet goes to the next 16. Tests: relay-steer a_search_names_every_agent_that_may_hold_the_flow, red before; a_search_that_ends_goes_on_with_the_others.

--- a/src/relay/agents.c
+++ b/src/relay/agents.c
@@ -94,14 +94,14 @@
     return load;
 }
 
-/* Keeps the RANK_DEPTH best by score; @count grows up to that. */
+/* Keeps the @room best by score, best first; @count grows up to that. */
 static void
-keep_best(struct candidate *best, unsigned *count,
+keep_best(struct candidate *best, unsigned room, unsigned *count,
           const struct candidate *candidate)
 {
     unsigned at = *count;
 
-    if (at == RANK_DEPTH) {
+    if (at == room) {
         if (best[at - 1].score >= candidate->score) {
             return;
         }
@@ -331,7 +331,7 @@
         candidate.standing = standing_of(row);
         candidate.load = load_of(agents, row, now_us);
         candidate.score = rank_score(row->member, rank_bucket(hash));
-        keep_best(best, &count, &candidate);
+        keep_best(best, RANK_DEPTH, &count, &candidate);
     }
     sort_candidates(best, count);
     /* A packet that is handed from agent to agent ends at a dead one. */
@@ -341,27 +341,35 @@
     choice_fill(choice, best, count);
 }
 
-void
+bool
 agents_for_known(const struct agents *agents, uint32_t service, uint64_t hash,
-                 struct agents_choice *choice)
+                 unsigned round, struct agents_choice *choice)
 {
-    struct candidate best[RANK_DEPTH];
-    unsigned count = 0;
-
-    for (size_t i = 0; i < agents->count; i++) {
-        const struct agent_row *row = &agents->items[i];
-        struct candidate candidate = {.row = row};
-
-        if (row->health.service != service ||
-            row->health.state == ENDPOINT_GONE) {
-            continue;
+    struct candidate best[AGENTS_CHOICE_MAX];
+    uint64_t below = UINT64_MAX;
+    unsigned count;
+
+    do {
+        count = 0;
+        for (size_t i = 0; i < agents->count; i++) {
+            const struct agent_row *row = &agents->items[i];
+            struct candidate candidate = {
+                .row = row,
+                .standing = row->suspect ? STANDING_SUSPECT : STANDING_OPEN,
+                .score = rank_score(row->member, rank_bucket(hash)),
+            };
+
+            if (row->health.service == service &&
+                row->health.state != ENDPOINT_GONE &&
+                candidate.score < below) {
+                keep_best(best, AGENTS_CHOICE_MAX, &count, &candidate);
+            }
         }
-        candidate.standing = row->suspect ? STANDING_SUSPECT : STANDING_OPEN;
-        candidate.score = rank_score(row->member, rank_bucket(hash));
-        keep_best(best, &count, &candidate);
-    }
+        below = count > 0 ? best[count - 1].score : 0;
+    } while (round-- > 0 && count > 0);
     sort_candidates(best, count);
     choice_fill(choice, best, count);
+    return count > 0;
 }
 
 bool
--- a/src/relay/agents.h
+++ b/src/relay/agents.h
@@ -66,13 +66,16 @@
     char data_centre[AGENT_DATA_CENTRE_MAX];
 };
 
+/* Agents in a choice: as many as a frame and its first stop hold. */
+#define AGENTS_CHOICE_MAX (FRAME_NEXT_MAX + 1)
+
 /**
  * struct agents_choice - agents for one packet, best first
  * @addrs: their addresses
  * @count: how many
  */
 struct agents_choice {
-    struct addr addrs[RANK_DEPTH];
+    struct addr addrs[AGENTS_CHOICE_MAX];
     unsigned count;
 };
 
@@ -134,10 +137,15 @@
 agents_for_new(const struct agents *agents, uint32_t service, uint64_t hash,
                uint64_t now_us, struct agents_choice *choice);
 
-/** agents_for_known() - who may hold an open flow, likeliest first */
-void
+/**
+ * agents_for_known() - who may hold an open flow, likeliest first
+ * @round: 0 for the likeliest AGENTS_CHOICE_MAX, 1 for the next, and so on
+ *
+ * Return: false when there are not so many.
+ */
+bool
 agents_for_known(const struct agents *agents, uint32_t service, uint64_t hash,
-                 struct agents_choice *choice);
+                 unsigned round, struct agents_choice *choice);
 
 /** agents_serve() - whether some agent may take a new flow of @service */
 bool
--- a/src/relay/follow.c
+++ b/src/relay/follow.c
@@ -19,20 +19,25 @@
 #define PAUSE_FIRST_US (50 * USEC_PER_MSEC)
 #define PAUSE_LONGEST_US (800 * USEC_PER_MSEC)
 
+/* The longest for an owner that can't work without an answer: a balancer
+ * without configuration serves nobody, and a call is worth a fifth of a
+ * request. */
+#define PAUSE_EAGER_US (150 * USEC_PER_MSEC)
+
 /* Pauses differ by up to a quarter between processes. */
 #define JITTER_PARTS 4
 
 static uint64_t
 pause_after(const struct follow *follow)
 {
+    uint64_t longest_us = follow->eager ? PAUSE_EAGER_US : PAUSE_LONGEST_US;
     uint64_t pause_us = PAUSE_FIRST_US;
     uint64_t jitter;
 
-    for (unsigned i = 1; i < follow->failures && pause_us < PAUSE_LONGEST_US;
-         i++) {
+    for (unsigned i = 1; i < follow->failures && pause_us < longest_us; i++) {
         pause_us *= 2;
     }
-    pause_us = MIN(pause_us, PAUSE_LONGEST_US);
+    pause_us = MIN(pause_us, longest_us);
     jitter =
         hash_pair(follow->seed, follow->failures) % (pause_us / JITTER_PARTS);
     return pause_us + jitter;
--- a/src/relay/follow.h
+++ b/src/relay/follow.h
@@ -50,6 +50,7 @@
  * @opened_us: when the open call began
  * @gap_us: pause after changes, so that a burst costs one call
  * @seed: makes the pauses differ between processes
+ * @eager: the owner can't work without an answer: pauses stay short
  * @status: how the last call ended
  */
 struct follow {
@@ -67,6 +68,7 @@
     uint64_t opened_us;
     uint64_t gap_us;
     uint64_t seed;
+    bool eager;
     int status;
 };
 
--- a/src/relay/frame.h
+++ b/src/relay/frame.h
@@ -15,9 +15,11 @@
 
 #include "relay/packet.h"
 
-/* Agents that a carried packet may still visit: RANK_DEPTH less the first. */
-#define FRAME_NEXT_MAX 5
-#define FRAME_HEAD_MAX 96
+/* Agents that a carried packet may still visit. A SYN names those that its
+ * flow ranks highest; a packet whose flow is looked for names more, as the
+ * order of agents may have changed since. */
+#define FRAME_NEXT_MAX 15
+#define FRAME_HEAD_MAX 160
 #define FRAME_MAX (FRAME_HEAD_MAX + RELAY_PACKET_MAX)
 
 /** enum frame_type - kinds of frames */
--- a/src/relay/relay_balancer.c
+++ b/src/relay/relay_balancer.c
@@ -559,6 +559,25 @@
     }
 }
 
+/* The configuration's calls find out whether the store is back; the agents'
+ * wait for that, so that an outage costs half the calls. */
+static bool
+agents_may_call(const struct relay_balancer *balancer)
+{
+    return balancer->agents_follow.failures == 0 ||
+           balancer->config_follow.failures == 0;
+}
+
+static void
+tick_follows(struct relay_balancer *balancer, uint64_t now_us)
+{
+    balancer->config_follow.eager = balancer->steer.routes.version == 0;
+    follow_tick(&balancer->config_follow, now_us);
+    if (agents_may_call(balancer)) {
+        follow_tick(&balancer->agents_follow, now_us);
+    }
+}
+
 static uint64_t
 on_tick(struct loop *loop, uint64_t now_us)
 {
@@ -570,8 +589,7 @@
     udp_poll(&balancer->frames);
     steer_tick(&balancer->steer, now_us);
     udp_flush(&balancer->frames);
-    follow_tick(&balancer->config_follow, now_us);
-    follow_tick(&balancer->agents_follow, now_us);
+    tick_follows(balancer, now_us);
     ask_peers(balancer, now_us);
     look_at_readiness(balancer);
     if (now_us >= balancer->flush_us) {
@@ -583,7 +601,10 @@
     }
     next_us = MIN(steer_next_us(&balancer->steer), balancer->flush_us);
     next_us = MIN(next_us, follow_next_us(&balancer->config_follow));
-    return MIN(next_us, follow_next_us(&balancer->agents_follow));
+    if (agents_may_call(balancer)) {
+        next_us = MIN(next_us, follow_next_us(&balancer->agents_follow));
+    }
+    return next_us;
 }
 
 static void
--- a/src/relay/steer.c
+++ b/src/relay/steer.c
@@ -53,6 +53,7 @@
  * @try_count: how many
  * @holder: agent that has the SYN now, as far as is known
  * @held: it said that it keeps it until a slot is free
+ * @round: how often all agents named to hold the flow said that they don't
  * @syn_seq: sequence number of the SYN; another one is another flow
  * @since_us: when the first SYN came
  * @tried_us: when the last try was sent
@@ -70,6 +71,7 @@
     uint8_t try_count;
     struct addr holder;
     bool held;
+    uint8_t round;
     uint8_t syn_size;
     uint32_t syn_seq;
     uint64_t since_us;
@@ -321,14 +323,19 @@
 
 /* Sends a packet of an open flow along all agents that may hold it. */
 static void
-search(struct steer *steer, uint32_t service,
-       const struct relay_packet *packet)
+search(struct steer *steer, uint32_t handle, const struct relay_packet *packet)
 {
-    struct relay_flow flow = relay_flow_from_caller(packet);
+    struct steer_pin *pin = &steer->pins[handle];
+    uint32_t service = pin->service;
+    uint64_t hash = relay_flow_hash(relay_flow_from_caller(packet));
     struct agents_choice choice;
     struct frame_carry frame;
 
-    agents_for_known(&steer->agents, service, relay_flow_hash(flow), &choice);
+    if (!agents_for_known(&steer->agents, service, hash, pin->round,
+                          &choice)) {
+        pin->round = 0;
+        agents_for_known(&steer->agents, service, hash, 0, &choice);
+    }
     if (choice.count == 0) {
         drop(steer, STEER_DROP_NO_AGENT, packet);
         return;
@@ -352,7 +359,7 @@
         carry_to(steer, pin, pin->tried[pin->try_count - 1], packet);
     }
     else {
-        search(steer, pin->service, packet);
+        search(steer, handle, packet);
     }
 }
 
@@ -415,6 +422,8 @@
         if (addr_equal(pin->places[i].agent, agent)) {
             pin->places[i] = pin->places[--pin->place_count];
             pin->try_count = 0;
+            /* An open flow's SYN is never sent again. */
+            pin->syn_size = 0;
             return true;
         }
     }
@@ -445,7 +454,10 @@
         pin->holder = agent;
         return;
     }
-    if (pin->place_count == 0 && pin->syn_size > 0) {
+    if (pin->syn_size == 0) {
+        pin->round++;
+    }
+    else if (pin->place_count == 0) {
         try_next(steer, handle, pin->syn, pin->syn_size, now_us);
     }
 }
@@ -539,6 +551,7 @@
              uint64_t now_us)
 {
     const struct route *route;
+    struct relay_flow flow;
     uint32_t handle;
 
     if (!is_from_caller(packet)) {
@@ -554,7 +567,8 @@
         drop(steer, STEER_DROP_NO_ROUTE, packet);
         return;
     }
-    handle = flow_index_find(&steer->flows, relay_flow_from_caller(packet));
+    flow = relay_flow_from_caller(packet);
+    handle = flow_index_find(&steer->flows, flow);
     if (handle != FLOW_INDEX_NONE) {
         flow_index_touch(&steer->flows, handle, now_us);
     }
@@ -575,7 +589,8 @@
         carry_known(steer, handle, packet);
     }
     else {
-        search(steer, route_service(route, relay_flow_from_caller(packet)),
+        search(steer,
+               remember(steer, flow, route_service(route, flow), now_us),
                packet);
     }
 }
--- a/tests/relay/steer_test.c
+++ b/tests/relay/steer_test.c
@@ -257,6 +257,33 @@
     g_assert_true(addr_equal(site->sent, agent_addr(2)));
 }
 
+TEST_F(site, a_search_names_every_agent_that_may_hold_the_flow, 16)
+{
+    arrive(site, rig_from_caller(rig_flow(1), RELAY_ACK, 10, 501, 20));
+    for (unsigned i = 1; i <= 16; i++) {
+        g_assert_true(chain_names(site, agent_addr(i)));
+    }
+}
+
+TEST_F(site, a_search_that_ends_goes_on_with_the_others, 20)
+{
+    bool seen[21] = {false};
+
+    for (unsigned packet = 0; packet < 2; packet++) {
+        arrive(site, rig_from_caller(rig_flow(1), RELAY_ACK, 10, 501, 20));
+        for (unsigned i = 1; i <= 20; i++) {
+            seen[i] = seen[i] || chain_names(site, agent_addr(i));
+        }
+        say(site, 1,
+            (struct frame_status){.type = FRAME_PASSED,
+                                  .reason = FRAME_REASON_REFUSED,
+                                  .flow = rig_flow(1)});
+    }
+    for (unsigned i = 1; i <= 20; i++) {
+        g_assert_true(seen[i]);
+    }
+}
+
 TEST_F(site, a_lost_place_is_looked_for_again, 4)
 {
     struct relay_flow flow = rig_flow(1);
