Held SYNs end when their callers give up, and move on when the endpoint leaves

Cause: a held SYN stayed at an agent whose endpoint had begun to leave. Tests: relay-door held_syns_go_elsewhere_when_the_endpoint_leaves, a_held_syn_is_not_given_to_an_endpoint_after_its_caller_left.

--- a/src/relay/door.c
+++ b/src/relay/door.c
@@ -281,7 +281,9 @@
 
 /* Whether the endpoint takes another request soon. One more than its slots
  * may be opened if it can still be in time: the handshake takes as long as
- * half a request, and an idle slot helps nobody. */
+ * half a request, and an idle slot helps nobody. With the same room for late
+ * ones the fresh found it taken: 0.02 to 0.04 less of what was owed on the
+ * days of a total loss. */
 static bool
 has_room(const struct door *door, bool in_time)
 {
@@ -403,7 +405,8 @@
     if (door->closed || !endpoint_open(&door->endpoint)) {
         return FRAME_REASON_LEAVING;
     }
-    if (!has_room(door, frame->forced && frame->target_ms > 0)) {
+    if (door->busy_count >= door->endpoint.slots &&
+        !(frame->forced && has_room(door, frame->target_ms > 0))) {
         return FRAME_REASON_BUSY;
     }
     return FRAME_REASON_NONE;
@@ -786,26 +789,64 @@
     return best;
 }
 
-/* Gives held SYNs to the endpoint while it has free slots. */
+/* Ends the wait of a held SYN whose caller has given up. */
+static void
+let_expire(struct door *door, uint32_t handle)
+{
+    forget(door, handle);
+    drop(door, DOOR_DROP_EXPIRED);
+}
+
+/* Held SYNs go elsewhere: the endpoint takes nothing new any more. */
+static void
+pass_held_on(struct door *door, uint64_t now_us)
+{
+    while (door->held_count > 0) {
+        uint32_t handle = door->held[0];
+
+        unhold(door, handle);
+        door->flows[handle].frame.best.ip = 0;
+        pass_on(door, handle, FRAME_REASON_LEAVING, now_us);
+    }
+}
+
+/* Gives held SYNs to the endpoint while it has room. */
 static void
 admit_held(struct door *door, uint64_t now_us)
 {
-    while (door->held_count > 0 && !door->closed &&
-           endpoint_open(&door->endpoint) && has_room(door, true)) {
+    if (door->closed || !endpoint_open(&door->endpoint)) {
+        pass_held_on(door, now_us);
+        return;
+    }
+    while (door->held_count > 0 && has_room(door, true)) {
         bool in_time;
         uint32_t handle = held_next(door, now_us, &in_time);
-        bool waits = now_us < door->flows[handle].give_up_us;
 
-        if (waits && !has_room(door, in_time)) {
+        if (now_us >= door->flows[handle].give_up_us) {
+            let_expire(door, handle);
+            continue;
+        }
+        if (!has_room(door, in_time)) {
             return;
         }
         unhold(door, handle);
-        if (waits) {
-            offer_syn(door, handle, now_us);
+        offer_syn(door, handle, now_us);
+    }
+}
+
+static void
+expire_held(struct door *door, uint64_t now_us)
+{
+    unsigned at = 0;
+
+    while (at < door->held_count) {
+        uint32_t handle = door->held[at];
+
+        if (now_us >= door->flows[handle].give_up_us) {
+            let_expire(door, handle);
         }
         else {
-            door->flows[handle].state = DOOR_ELSEWHERE;
-            forget(door, handle);
+            at++;
         }
     }
 }
@@ -829,6 +870,7 @@
             at++;
         }
     }
+    expire_held(door, now_us);
     oldest = flow_index_oldest(&door->table);
     while (oldest != FLOW_INDEX_NONE &&
            now_us - flow_index_used_us(&door->table, oldest) > IDLE_US) {
@@ -891,6 +933,7 @@
     else {
         carry_known(door, handle, frame, packet, now_us);
     }
+    admit_held(door, now_us);
 }
 
 void
--- a/src/relay/door.h
+++ b/src/relay/door.h
@@ -29,6 +29,7 @@
     DOOR_DROP_MALFORMED, /* no packet or frame, or one nobody may send */
     DOOR_DROP_NOBODY,    /* no agent is left that might take it */
     DOOR_DROP_LATE,      /* an answer to a SYN that has gone on since */
+    DOOR_DROP_EXPIRED, /* its caller gave up while it waited for a slot */
     DOOR_DROP_COUNT,
 };
 
--- a/src/relay/relay_agent.c
+++ b/src/relay/relay_agent.c
@@ -96,6 +96,7 @@
     [DOOR_DROP_MALFORMED] = "malformed",
     [DOOR_DROP_NOBODY] = "nobody_left",
     [DOOR_DROP_LATE] = "late_answer",
+    [DOOR_DROP_EXPIRED] = "caller_gave_up",
 };
 
 /* Outputs of door. */
