--- a/src/relay/flow_index.c
+++ b/src/relay/flow_index.c
@@ -10,7 +10,7 @@
  * struct flow_index_item - one flow
  * @flow: key
  * @used_us: last use
- * @next: next in its chain, or of the free ones
+ * @next: next in its chain plus one, 0 at the end; or next of the free ones
  * @older: used before it
  * @newer: used after it
  */
@@ -90,14 +90,14 @@
         .oldest = FLOW_INDEX_NONE,
         .newest = FLOW_INDEX_NONE,
     };
-    table->heads = malloc(chains * sizeof(*table->heads));
-    /* Untouched pages cost nothing, so a large table starts small. */
+    /* Pages that were never used cost nothing, neither memory nor time at
+     * the start: so an empty chain is 0, and heads hold handles plus one. */
+    table->heads = calloc(chains, sizeof(*table->heads));
     table->items = calloc(capacity, sizeof(*table->items));
     if (table->heads == NULL || table->items == NULL) {
         flow_index_finish(table);
         return -ENOMEM;
     }
-    memset(table->heads, 0xff, chains * sizeof(*table->heads));
     return 0;
 }
 
@@ -113,11 +113,11 @@
 uint32_t
 flow_index_find(const struct flow_index *table, struct relay_flow flow)
 {
-    uint32_t handle = *chain_of(table, flow);
+    uint32_t handle = *chain_of(table, flow) - 1;
 
     while (handle != FLOW_INDEX_NONE &&
            !relay_flow_equal(table->items[handle].flow, flow)) {
-        handle = table->items[handle].next;
+        handle = table->items[handle].next - 1;
     }
     return handle;
 }
@@ -136,7 +136,7 @@
     item->flow = flow;
     item->used_us = now_us;
     item->next = *chain;
-    *chain = handle;
+    *chain = handle + 1;
     link_newest(table, handle);
     table->used++;
     return handle;
@@ -159,9 +159,9 @@
     struct flow_index_item *item = &table->items[handle];
     uint32_t *at = chain_of(table, item->flow);
 
-    while (*at != handle) {
-        assert(*at != FLOW_INDEX_NONE);
-        at = &table->items[*at].next;
+    while (*at != handle + 1) {
+        assert(*at != 0);
+        at = &table->items[*at - 1].next;
     }
     *at = item->next;
     unlink_age(table, handle);
--- a/src/relay/flow_index.h
+++ b/src/relay/flow_index.h
@@ -19,7 +19,7 @@
 
 /**
  * struct flow_index - the table
- * @heads: first item of each chain, a power of two of them
+ * @heads: first item of each chain plus one, a power of two of them
  * @mask: chains less one
  * @items: one for each handle
  * @capacity: handles
--- a/src/relay/relay_balancer.c
+++ b/src/relay/relay_balancer.c
@@ -251,6 +251,24 @@
 static const struct udp_ops data_ops = {on_packet, on_drained};
 static const struct udp_ops frames_ops = {on_frame, on_drained};
 
+/* Readiness. */
+
+static void
+look_at_readiness(struct relay_balancer *balancer)
+{
+    bool ready = steer_ready(&balancer->steer);
+
+    if (ready == balancer->was_ready) {
+        return;
+    }
+    balancer->was_ready = ready;
+    event_log_line(&balancer->log, EVENT_RARE, ready ? "ready" : "not_ready",
+                   "config=%" PRIu64 " agents=%zu since_start_us=%" PRIu64,
+                   balancer->steer.routes.version,
+                   balancer->steer.agents.count,
+                   loop_now_us(&balancer->loop) - balancer->started_us);
+}
+
 /* Configuration. */
 
 static void
@@ -300,6 +318,7 @@
          int status, bool changed)
 {
     loop_due(&balancer->loop, loop_now_us(&balancer->loop));
+    look_at_readiness(balancer);
     if (!changed) {
         return;
     }
@@ -521,22 +540,6 @@
 
 /* Time and signals. */
 
-static void
-look_at_readiness(struct relay_balancer *balancer)
-{
-    bool ready = steer_ready(&balancer->steer);
-
-    if (ready == balancer->was_ready) {
-        return;
-    }
-    balancer->was_ready = ready;
-    event_log_line(&balancer->log, EVENT_RARE, ready ? "ready" : "not_ready",
-                   "config=%" PRIu64 " agents=%zu since_start_us=%" PRIu64,
-                   balancer->steer.routes.version,
-                   balancer->steer.agents.count,
-                   loop_now_us(&balancer->loop) - balancer->started_us);
-}
-
 static bool
 stop_is_over(const struct relay_balancer *balancer, uint64_t now_us)
 {
@@ -591,8 +594,8 @@
     udp_flush(&balancer->frames);
     tick_follows(balancer, now_us);
     ask_peers(balancer, now_us);
-    look_at_readiness(balancer);
     if (now_us >= balancer->flush_us) {
+        look_at_readiness(balancer);
         event_log_flush(&balancer->log);
         balancer->flush_us = now_us + FLUSH_US;
     }
