Without configuration, balancers learn routes from flows that endpoints hold

Change: an agent notes under which addresses its endpoint sends packets of flows from before its own start, and tells balancers that have no configuration; agents greet the hosts of their settings until a balancer speaks, so that they are found without the store. Any configuration replaces what was learned; flows opened since prove nothing. Ruled out: offering packets of unknown flows to endpoints of every service (a packet meant for one service would reach another). Tests: relay-door only_flows_from_before_the_start_tell_what_is_served, an_agent_greets_until_a_balancer_speaks; relay-steer without_configuration_agents_tell_what_they_serve.

--- a/src/relay/door.c
+++ b/src/relay/door.c
@@ -26,6 +26,11 @@
  * still holds it, and a packet of it is offered there first. */
 #define IDLE_US (60 * USEC_PER_SEC)
 
+/* How often an agent that no balancer has spoken to says that it is here.
+ * After a loss of all hosts this is how balancers find agents when the store
+ * is away; three datagrams each time. */
+#define GREET_US (100 * USEC_PER_MSEC)
+
 /* Balancers that were silent for longer aren't told of changes. */
 #define BALANCER_IDLE_US (60 * USEC_PER_SEC)
 
@@ -238,6 +243,7 @@
     for (unsigned i = 0; i < door->balancer_count; i++) {
         if (addr_equal(door->balancers[i].addr, balancer)) {
             door->balancers[i].heard_us = now_us;
+            door->balancers[i].version = version;
             return;
         }
         if (door->balancers[i].heard_us < door->balancers[oldest].heard_us) {
@@ -247,7 +253,39 @@
     if (door->balancer_count < DOOR_BALANCERS_MAX) {
         oldest = door->balancer_count++;
     }
-    door->balancers[oldest] = (struct door_balancer){balancer, now_us};
+    door->balancers[oldest] =
+        (struct door_balancer){balancer, now_us, version};
+}
+
+static void
+tell_served(struct door *door, struct addr balancer)
+{
+    door->served.service = door->endpoint.service;
+    if (door->served.count > 0) {
+        door->out->ops->serves(door->out, balancer, &door->served);
+    }
+}
+
+/* The endpoint holds a flow from before this agent's start, so its service
+ * was reached under that address. Flows that came through here prove
+ * nothing: a balancer without configuration would believe itself. */
+static void
+note_served(struct door *door, struct addr service)
+{
+    for (unsigned i = 0; i < door->served.count; i++) {
+        if (addr_equal(door->served.addrs[i], service)) {
+            return;
+        }
+    }
+    if (door->served.count == FRAME_SERVED_MAX) {
+        return;
+    }
+    door->served.addrs[door->served.count++] = service;
+    for (unsigned i = 0; i < door->balancer_count; i++) {
+        if (door->balancers[i].version == 0) {
+            tell_served(door, door->balancers[i].addr);
+        }
+    }
 }
 
 static void
@@ -714,6 +752,7 @@
     if (handle == FLOW_INDEX_NONE) {
         /* A flow from before this agent's start. */
         remember(door, key, DOOR_HERE, now_us);
+        note_served(door, key.service);
         return true;
     }
     flow = &door->flows[handle];
@@ -729,6 +768,9 @@
         return true;
     }
     if (flow->state != DOOR_HERE) {
+        if (flow->state == DOOR_ASKED) {
+            note_served(door, key.service);
+        }
         flow->state = DOOR_HERE;
         tell_placed(door, handle, now_us);
     }
@@ -880,6 +922,17 @@
     door->sweep_us = now_us + SWEEP_US;
 }
 
+static void
+greet(struct door *door, uint64_t now_us)
+{
+    struct frame_status status = {.type = FRAME_STATE};
+
+    for (unsigned i = 0; i < door->greeter_count; i++) {
+        tell(door, door->greeters[i], &status, now_us);
+    }
+    door->greet_us = now_us + GREET_US;
+}
+
 int
 door_init(struct door *door, struct door_out *out, struct addr self,
           const char *service)
@@ -899,6 +952,14 @@
     return 0;
 }
 
+void
+door_greet(struct door *door, struct addr balancer)
+{
+    if (door->greeter_count < DOOR_GREETERS_MAX) {
+        door->greeters[door->greeter_count++] = balancer;
+    }
+}
+
 void
 door_finish(struct door *door)
 {
@@ -944,6 +1005,9 @@
 
     heard_from(door, balancer, version->version, now_us);
     tell(door, balancer, &status, now_us);
+    if (version->version == 0) {
+        tell_served(door, balancer);
+    }
 }
 
 void
@@ -1012,6 +1076,9 @@
     if (now_us >= door->sweep_us) {
         sweep(door, now_us);
     }
+    if (door->balancer_count == 0 && now_us >= door->greet_us) {
+        greet(door, now_us);
+    }
     admit_held(door, now_us);
 }
 
--- a/src/relay/door.h
+++ b/src/relay/door.h
@@ -29,7 +29,7 @@
     DOOR_DROP_MALFORMED, /* no packet or frame, or one nobody may send */
     DOOR_DROP_NOBODY,    /* no agent is left that might take it */
     DOOR_DROP_LATE,      /* an answer to a SYN that has gone on since */
-    DOOR_DROP_EXPIRED, /* its caller gave up while it waited for a slot */
+    DOOR_DROP_EXPIRED,   /* its caller gave up while it waited for a slot */
     DOOR_DROP_COUNT,
 };
 
@@ -49,6 +49,9 @@
     /** @tell: send a balancer a word */
     void (*tell)(struct door_out *out, struct addr balancer,
                  const struct frame_status *status);
+    /** @serves: tell a balancer without configuration what is served */
+    void (*serves)(struct door_out *out, struct addr balancer,
+                   const struct frame_served *served);
     /** @dropped: a packet was dropped */
     void (*dropped)(struct door_out *out, enum door_drop why);
     /** @decided: what became of a SYN or of a flow */
@@ -73,15 +76,18 @@
 
 #define DOOR_WAITS_MAX 1024u
 #define DOOR_BALANCERS_MAX 64
+#define DOOR_GREETERS_MAX 8
 
 /* SYNs that an agent keeps: more than an endpoint of two slots works
  * off while their callers wait, some 800 ms. */
 #define DOOR_HELD_MAX 128
 
-/** struct door_balancer - a balancer that was heard from */
+/** struct door_balancer - a balancer that was heard from, and the
+ * configuration that it followed then */
 struct door_balancer {
     struct addr addr;
     uint64_t heard_us;
+    uint64_t version;
 };
 
 /**
@@ -104,6 +110,10 @@
  * @balancers: balancers heard from, to tell them of a change
  * @balancer_count: how many
  * @closed: a planned stop has begun
+ * @served: addresses seen in flows from before the start
+ * @greeters: hosts to tell that this agent is here, until one speaks
+ * @greeter_count: how many
+ * @greet_us: when to tell them next
  */
 struct door {
     struct door_out *out;
@@ -124,6 +134,10 @@
     struct door_balancer balancers[DOOR_BALANCERS_MAX];
     unsigned balancer_count;
     bool closed;
+    struct frame_served served;
+    struct addr greeters[DOOR_GREETERS_MAX];
+    unsigned greeter_count;
+    uint64_t greet_us;
 };
 
 /**
@@ -136,6 +150,11 @@
 door_init(struct door *door, struct door_out *out, struct addr self,
           const char *service);
 
+/** door_greet() - a balancer may be at @balancer: it is told that this agent
+ * is here, until some balancer speaks */
+void
+door_greet(struct door *door, struct addr balancer);
+
 /** door_finish() - free the memory */
 void
 door_finish(struct door *door);
--- a/src/relay/frame.c
+++ b/src/relay/frame.c
@@ -83,7 +83,7 @@
         bytes[1] != MAGIC_1 || bytes[2] != VERSION) {
         return -EBADMSG;
     }
-    if (bytes[3] < FRAME_CARRY || bytes[3] > FRAME_PING) {
+    if (bytes[3] < FRAME_CARRY || bytes[3] > FRAME_SERVED) {
         return -EBADMSG;
     }
     return bytes[3];
@@ -202,6 +202,36 @@
     return 0;
 }
 
+size_t
+frame_served_encode(const struct frame_served *served, uint8_t *bytes)
+{
+    struct writer writer = begin(FRAME_SERVED, bytes);
+
+    put(&writer, served->service, 4);
+    put(&writer, served->count, 1);
+    for (unsigned i = 0; i < served->count; i++) {
+        put_addr(&writer, served->addrs[i]);
+    }
+    return (size_t)(writer.at - bytes);
+}
+
+int
+frame_served_decode(const uint8_t *bytes, size_t size,
+                    struct frame_served *served)
+{
+    struct reader reader = body_of(bytes, size);
+
+    served->service = (uint32_t)get(&reader, 4);
+    served->count = (uint8_t)get(&reader, 1);
+    if (reader.short_of || served->count > FRAME_SERVED_MAX) {
+        return -EBADMSG;
+    }
+    for (unsigned i = 0; i < served->count; i++) {
+        served->addrs[i] = get_addr(&reader);
+    }
+    return reader.short_of || reader.left != 0 ? -EBADMSG : 0;
+}
+
 size_t
 frame_ping_encode(const struct frame_version *version, uint8_t *bytes)
 {
--- a/src/relay/frame.h
+++ b/src/relay/frame.h
@@ -30,6 +30,7 @@
     FRAME_HELD = 4,   /* an agent keeps a SYN until a slot is free */
     FRAME_STATE = 5,  /* how an agent's endpoint is */
     FRAME_PING = 6,   /* asks for FRAME_STATE */
+    FRAME_SERVED = 7, /* addresses that an endpoint serves */
 };
 
 /** enum frame_reason - why an agent passed a flow on */
@@ -135,6 +136,25 @@
     struct frame_version heard;
 };
 
+/* Addresses that one frame tells. */
+#define FRAME_SERVED_MAX 16
+
+/**
+ * struct frame_served - addresses under which callers reach an endpoint
+ *
+ * Seen in flows that the endpoint held before its agent started: for
+ * balancers that have no configuration and can't get one.
+ *
+ * @service: hash_service() of its service
+ * @addrs: the addresses
+ * @count: how many
+ */
+struct frame_served {
+    uint32_t service;
+    struct addr addrs[FRAME_SERVED_MAX];
+    uint8_t count;
+};
+
 /** frame_type() - kind of a frame, -EBADMSG for what is none of ours */
 int
 frame_type(const uint8_t *bytes, size_t size);
@@ -158,6 +178,15 @@
 frame_status_decode(const uint8_t *bytes, size_t size,
                     struct frame_status *status);
 
+/** frame_served_encode() - write @served into FRAME_HEAD_MAX bytes */
+size_t
+frame_served_encode(const struct frame_served *served, uint8_t *bytes);
+
+/** frame_served_decode() - read it; 0 or -EBADMSG */
+int
+frame_served_decode(const uint8_t *bytes, size_t size,
+                    struct frame_served *served);
+
 /** frame_ping_encode() - write a FRAME_PING with the sender's version */
 size_t
 frame_ping_encode(const struct frame_version *version, uint8_t *bytes);
--- a/src/relay/relay_agent.c
+++ b/src/relay/relay_agent.c
@@ -148,6 +148,18 @@
     udp_queue(&agent->frames, balancer, size);
 }
 
+static void
+out_serves(struct door_out *out, struct addr balancer,
+           const struct frame_served *served)
+{
+    struct relay_agent *agent = of_out(out);
+    size_t size = frame_served_encode(served, udp_buffer(&agent->frames));
+
+    udp_queue(&agent->frames, balancer, size);
+    event_log_line(&agent->log, EVENT_ROUTINE, "told_served", "addresses=%u",
+                   served->count);
+}
+
 static void
 out_dropped(struct door_out *out, enum door_drop why)
 {
@@ -182,6 +194,7 @@
     .to_caller = out_to_caller,
     .carry = out_carry,
     .tell = out_tell,
+    .serves = out_serves,
     .dropped = out_dropped,
     .decided = out_decided,
 };
@@ -533,6 +546,9 @@
         start_presence(agent, agent->started_us) < 0) {
         return error_set(err, -ENOMEM, "start", NULL, "no memory");
     }
+    for (size_t i = 0; i < agent->settings.peer_count; i++) {
+        door_greet(&agent->door, agent->settings.peers[i]);
+    }
     event_log_line(&agent->log, EVENT_RARE, "started",
                    "role=agent data_centre=%s service=%s",
                    agent->settings.data_centre, agent->settings.service);
--- a/src/relay/relay_balancer.c
+++ b/src/relay/relay_balancer.c
@@ -223,13 +223,35 @@
     steer_packet(&balancer->steer, &packet, balancer->packet_us);
 }
 
+static void
+on_served(struct relay_balancer *balancer, struct addr agent,
+          const struct frame_served *served)
+{
+    size_t before = balancer->steer.learned.count;
+    char text[ADDR_TEXT_MAX];
+
+    steer_served(&balancer->steer, served);
+    if (balancer->steer.learned.count > before) {
+        event_log_line(&balancer->log, EVENT_RARE, "route_learned",
+                       "agent=%s service=%08x routes=%zu",
+                       addr_format(agent, text), served->service,
+                       balancer->steer.learned.count);
+    }
+}
+
 static void
 on_frame(struct udp *udp, struct addr from, const uint8_t *bytes, size_t size)
 {
     struct relay_balancer *balancer = udp->owner;
     struct frame_status status;
+    struct frame_served served;
     int type = frame_type(bytes, size);
 
+    if (type == FRAME_SERVED &&
+        frame_served_decode(bytes, size, &served) == 0) {
+        on_served(balancer, from, &served);
+        return;
+    }
     if (type < FRAME_PLACED || type > FRAME_STATE ||
         frame_status_decode(bytes, size, &status) < 0) {
         out_dropped(&balancer->out, STEER_DROP_FOREIGN, NULL);
--- a/src/relay/relay_settings.c
+++ b/src/relay/relay_settings.c
@@ -70,6 +70,8 @@
     {"service", AGENT, AGENT, keys_read_text, FIELD(service)},
     {"callers_port", 0, AGENT, keys_read_number, FIELD(callers_port), .min = 1,
      .max = PORT_MAX},
+    {"frames_port", 0, AGENT, keys_read_number, FIELD(frames_port), .min = 1,
+     .max = PORT_MAX},
     {"store", BOTH, BOTH, keys_read_addr, FIELD(store)},
     {"peers", 0, BOTH, read_peers, FIELD(peers)},
     {"stop_ms", 0, BOTH, keys_read_number, FIELD(stop_ms), .min = 0,
@@ -96,6 +98,10 @@
     if (keys.root != NULL) {
         keys_read(&keys, keys.root, rules, G_N_ELEMENTS(rules), settings);
     }
+    for (size_t i = 0; settings->frames_port != 0 && i < settings->peer_count;
+         i++) {
+        settings->peers[i].port = (uint16_t)settings->frames_port;
+    }
     if (settings->callers_port == 0) {
         settings->callers_port = settings->data.port;
     }
--- a/src/relay/relay_settings.h
+++ b/src/relay/relay_settings.h
@@ -35,8 +35,12 @@
  * @service: agent: name of the endpoint's service ("service")
  * @callers_port: agent: port at which callers take packets ("callers_port",
  *                default the port of @data)
+ * @frames_port: agent: port at which all balancers take frames, in place of
+ *               those in @peers ("frames_port")
  * @store: the platform's store ("store")
- * @peers: hosts to ask when the store is away ("peers")
+ * @peers: hosts that may run a balancer, for when the store is away
+ *         ("peers"): a balancer asks them for the configuration, an agent
+ *         tells them that it is there
  * @peer_count: how many
  * @stop_ms: how long a planned stop may take ("stop_ms")
  * @log_per_s: routine lines a second in the log ("log_per_s")
@@ -53,6 +57,7 @@
     struct addr heartbeats;
     char service[ROUTES_NAME_MAX];
     unsigned callers_port;
+    unsigned frames_port;
     struct addr store;
     struct addr peers[RELAY_PEERS_MAX];
     size_t peer_count;
--- a/src/relay/steer.c
+++ b/src/relay/steer.c
@@ -25,6 +25,9 @@
  * 64 packets of 1,200 bytes may be on their way. */
 #define SEQ_WINDOW 76802u
 
+/* Until a configuration says how soon requests are to be answered. */
+#define LEARNED_TARGET_MS 100
+
 #define WAITS_MAX 8192u
 #define SYN_MAX 64
 
@@ -513,6 +516,7 @@
     steer->self = self;
     agents_init(&steer->agents, data_centre);
     routes_init(&steer->routes);
+    routes_init(&steer->learned);
     steer->pins = calloc(STEER_FLOWS_MAX, sizeof(*steer->pins));
     steer->waits = calloc(WAITS_MAX, sizeof(*steer->waits));
     if (steer->pins == NULL || steer->waits == NULL ||
@@ -530,6 +534,7 @@
     free(steer->pins);
     free(steer->waits);
     routes_finish(&steer->routes);
+    routes_finish(&steer->learned);
     agents_finish(&steer->agents);
 }
 
@@ -543,9 +548,47 @@
     routes_finish(&steer->routes);
     steer->routes = *routes;
     routes_init(routes);
+    routes_finish(&steer->learned);
     return true;
 }
 
+/* Route of a packet, or NULL when it was dropped for the lack of one. */
+static const struct route *
+route_of(struct steer *steer, const struct relay_packet *packet)
+{
+    bool known = steer->routes.version != 0;
+    const struct route *route =
+        routes_find(known ? &steer->routes : &steer->learned, packet->to);
+
+    if (route == NULL) {
+        drop(steer, known ? STEER_DROP_NO_ROUTE : STEER_DROP_NO_CONFIG,
+             packet);
+    }
+    return route;
+}
+
+void
+steer_served(struct steer *steer, const struct frame_served *served)
+{
+    if (steer->routes.version != 0) {
+        return;
+    }
+    for (unsigned i = 0; i < served->count; i++) {
+        struct route *route;
+
+        if (routes_find(&steer->learned, served->addrs[i]) != NULL) {
+            continue;
+        }
+        route = routes_add(&steer->learned);
+        route->address = served->addrs[i];
+        route->shares[route->share_count++] =
+            (struct route_share){served->service, 1};
+        route->target_ms = LEARNED_TARGET_MS;
+        /* No two have the same address: each was looked for first. */
+        (void)routes_seal(&steer->learned);
+    }
+}
+
 void
 steer_packet(struct steer *steer, const struct relay_packet *packet,
              uint64_t now_us)
@@ -558,13 +601,8 @@
         drop(steer, STEER_DROP_MALFORMED, packet);
         return;
     }
-    if (steer->routes.version == 0) {
-        drop(steer, STEER_DROP_NO_CONFIG, packet);
-        return;
-    }
-    route = routes_find(&steer->routes, packet->to);
+    route = route_of(steer, packet);
     if (route == NULL) {
-        drop(steer, STEER_DROP_NO_ROUTE, packet);
         return;
     }
     flow = relay_flow_from_caller(packet);
@@ -654,7 +692,8 @@
 bool
 steer_ready(const struct steer *steer)
 {
-    const struct routes *routes = &steer->routes;
+    const struct routes *routes =
+        steer->routes.version != 0 ? &steer->routes : &steer->learned;
 
     for (size_t i = 0; i < routes->count; i++) {
         for (unsigned s = 0; s < routes->items[i].share_count; s++) {
--- a/src/relay/steer.h
+++ b/src/relay/steer.h
@@ -72,6 +72,7 @@
  * @self: address that agents answer to
  * @agents: the agents
  * @routes: configuration in force
+ * @learned: what agents saw, used while there is no configuration
  * @flows: keys of the pins
  * @pins: a pin for each handle
  * @waits: SYNs whose agent hasn't answered, in the order they fall due
@@ -83,6 +84,7 @@
     struct addr self;
     struct agents agents;
     struct routes routes;
+    struct routes learned;
     struct flow_index flows;
     struct steer_pin *pins;
     struct steer_wait *waits;
@@ -110,6 +112,15 @@
 bool
 steer_routes(struct steer *steer, struct routes *routes);
 
+/**
+ * steer_served() - an agent's endpoint serves addresses
+ *
+ * Counts only while no configuration is known: callers of a site that lost
+ * every process while the store is away are served all the same.
+ */
+void
+steer_served(struct steer *steer, const struct frame_served *served);
+
 /** steer_packet() - a caller's packet came */
 void
 steer_packet(struct steer *steer, const struct relay_packet *packet,
--- a/tests/relay/door_test.c
+++ b/tests/relay/door_test.c
@@ -65,6 +65,13 @@
              status->health.busy, status->health.state);
 }
 
+static void
+serves(struct door_out *out, struct addr balancer,
+       const struct frame_served *served)
+{
+    rig_note(of_out(out)->record, "serves %u", served->count);
+}
+
 static void
 dropped(struct door_out *out, enum door_drop why)
 {
@@ -77,8 +84,8 @@
 {
 }
 
-static const struct door_out_ops ops = {to_endpoint, to_caller, carry,
-                                        tell,        dropped,   decided};
+static const struct door_out_ops ops = {to_endpoint, to_caller, carry,  tell,
+                                        serves,      dropped,   decided};
 
 static void
 site_init(struct site *site)
@@ -288,8 +295,8 @@
     g_assert_cmpuint(site->door.held_count, ==, 2);
     finish_request(site, 1, "caller 1001");
     g_assert_cmpuint(site->door.held_count, ==, 1);
-    answer(site, rig_from_endpoint(rig_flow(5), RELAY_SYN | RELAY_ACK, 500,
-                                   101, 0));
+    answer(site,
+           rig_from_endpoint(rig_flow(5), RELAY_SYN | RELAY_ACK, 500, 101, 0));
     rig_expect(site->record, "tell placed reason=0 on=0 busy=3 state=0",
                "caller 1005", NULL);
     /* The late one needs a slot that is free, not one that will be. */
@@ -334,8 +341,8 @@
 {
     for (unsigned i = 1; i <= 3; i++) {
         arrive_forced(site, i, 100, 1400, 2);
-        answer(site, rig_from_endpoint(rig_flow(i), RELAY_SYN | RELAY_ACK,
-                                       500, 101, 0));
+        answer(site, rig_from_endpoint(rig_flow(i), RELAY_SYN | RELAY_ACK, 500,
+                                       101, 0));
     }
     arrive_forced(site, 4, 100, 1400, 2);
     heartbeat(site, "i-1", "lots", true, 1);
@@ -384,6 +391,40 @@
                "caller 1001", NULL);
 }
 
+TEST_F(site, only_flows_from_before_the_start_tell_what_is_served)
+{
+    struct frame_version nothing = {0};
+
+    door_ping(&site->door, rig_addr(BALANCER), &nothing, site->now_us);
+    rig_expect(site->record, "tell state reason=0 on=0 busy=0 state=0", NULL);
+    open_flow(site, 1);
+    g_string_truncate(site->record, 0);
+    door_ping(&site->door, rig_addr(BALANCER), &nothing, site->now_us);
+    rig_expect(site->record, "tell state reason=0 on=0 busy=1 state=0", NULL);
+    answer(site, rig_from_endpoint(rig_flow(7), RELAY_ACK, 501, 141, 900));
+    rig_expect(site->record, "serves 1", "caller 1007", NULL);
+    door_ping(&site->door, rig_addr(BALANCER), &nothing, site->now_us);
+    rig_expect(site->record, "tell state reason=0 on=0 busy=1 state=0",
+               "serves 1", NULL);
+}
+
+TEST_F(site, an_agent_greets_until_a_balancer_speaks)
+{
+    struct frame_version version = {.version = 4};
+
+    door_greet(&site->door, rig_addr(BALANCER));
+    pass_ms(site, 1);
+    rig_expect(site->record, "tell state reason=0 on=0 busy=0 state=0", NULL);
+    pass_ms(site, 99);
+    rig_expect(site->record, NULL);
+    pass_ms(site, 1);
+    rig_expect(site->record, "tell state reason=0 on=0 busy=0 state=0", NULL);
+    door_ping(&site->door, rig_addr(BALANCER), &version, site->now_us);
+    g_string_truncate(site->record, 0);
+    pass_ms(site, 500);
+    rig_expect(site->record, NULL);
+}
+
 TEST_F(site, a_flow_that_the_endpoint_lacks_is_looked_for)
 {
     struct relay_packet data =
--- a/tests/relay/steer_test.c
+++ b/tests/relay/steer_test.c
@@ -333,6 +333,33 @@
     rig_expect(site->record, "drop 2", NULL);
 }
 
+TEST_F(site, without_configuration_agents_tell_what_they_serve, 2)
+{
+    struct frame_served served = {
+        .service = hash_service("lots"),
+        .addrs = {rig_addr("198.18.0.1:443")},
+        .count = 1,
+    };
+    struct relay_packet syn = rig_from_caller(rig_flow(1), RELAY_SYN, 9, 0, 0);
+
+    routes_finish(&site->steer.routes);
+    arrive(site, syn);
+    rig_expect(site->record, "drop 1", NULL);
+    g_assert_false(steer_ready(&site->steer));
+    steer_served(&site->steer, &served);
+    steer_served(&site->steer, &served);
+    g_assert_true(steer_ready(&site->steer));
+    g_assert_cmpuint(site->steer.learned.count, ==, 1);
+    arrive(site, syn);
+    g_assert_cmpuint(site->carried, ==, 1);
+    /* A configuration replaces all of it. */
+    set_routes(site, 3, false);
+    g_assert_cmpuint(site->steer.learned.count, ==, 0);
+    served.addrs[0] = rig_addr("198.18.0.9:443");
+    steer_served(&site->steer, &served);
+    g_assert_cmpuint(site->steer.learned.count, ==, 0);
+}
+
 TEST_F(site, a_newer_configuration_elsewhere_is_told, 2)
 {
     say(site, 1,
