Balancer: an agent that answers is pinged no more

Change: the one place that sets the time of a ping also keeps the list. Tests: relay-steer an_agent_that_answers_is_pinged_no_more (red before), a_silent_agent_is_pinged_more_and_more_rarely.

--- a/src/relay/agents.c
+++ b/src/relay/agents.c
@@ -367,8 +367,9 @@
     row->told_us = now_us;
     row->sent = 0;
     row->ping_gap_us = PING_FIRST_US;
-    row->ping_us =
-        standing_of(row) == STANDING_CLOSED ? now_us + PING_CLOSED_US : 0;
+    set_ping(agents, row,
+             standing_of(row) == STANDING_CLOSED ? now_us + PING_CLOSED_US
+                                                 : 0);
 }
 
 void
--- a/tests/relay/steer_test.c
+++ b/tests/relay/steer_test.c
@@ -229,6 +229,33 @@
     }
 }
 
+TEST_F(site, an_agent_that_answers_is_pinged_no_more, 3)
+{
+    agents_list(&site->steer.agents, agent_addr(9), hash_service("lots"),
+                "here", site->now_us);
+    pass_ms(site, 1);
+    g_assert_cmpuint(site->pings, ==, 1);
+    say(site, 9,
+        (struct frame_status){.type = FRAME_STATE,
+                              .health.state = ENDPOINT_READY});
+    for (unsigned i = 0; i < 3000; i++) {
+        pass_ms(site, 1);
+    }
+    g_assert_cmpuint(site->pings, ==, 1);
+    g_assert_cmpuint(steer_next_us(&site->steer), ==, UINT64_MAX);
+}
+
+TEST_F(site, a_silent_agent_is_pinged_more_and_more_rarely, 3)
+{
+    agents_list(&site->steer.agents, agent_addr(9), hash_service("lots"),
+                "here", site->now_us);
+    for (unsigned i = 0; i < 20000; i++) {
+        pass_ms(site, 1);
+    }
+    g_assert_cmpuint(site->pings, >=, 12);
+    g_assert_cmpuint(site->pings, <=, 16);
+}
+
 TEST_F(site, an_agent_that_lets_go_is_followed_by_the_next, 2)
 {
     struct frame_status passed = {
--- a/tests/relay/world.c
+++ b/tests/relay/world.c
@@ -25,8 +25,14 @@
 #define RETRANSMITS_MAX 8
 
 /** enum target - who gets a message */
-enum target { TO_BALANCER, TO_BALANCER_FRAME, TO_AGENT, TO_ENDPOINT,
-              TO_OUTBOUND, TO_CALLER };
+enum target {
+    TO_BALANCER,
+    TO_BALANCER_FRAME,
+    TO_AGENT,
+    TO_ENDPOINT,
+    TO_OUTBOUND,
+    TO_CALLER
+};
 
 /** struct message - on its way */
 struct message {
@@ -188,8 +194,8 @@
      const void *bytes, size_t size, bool local)
 {
     struct message *message;
-    uint64_t delay_us = local ? 50 : 100 + (uint64_t)g_rand_int_range(
-                                               world->rand, 0, 2000);
+    uint64_t delay_us =
+        local ? 50 : 100 + (uint64_t)g_rand_int_range(world->rand, 0, 2000);
 
     if (!local && chance(world, world->plan->loss)) {
         return;
@@ -274,8 +280,8 @@
 
     /* The sender's number stands in for its address. */
     bytes[size] = (uint8_t)host->number;
-    post(host->world, TO_BALANCER_FRAME, balancer.ip - front_addr(0).ip,
-         bytes, size + 1, false);
+    post(host->world, TO_BALANCER_FRAME, balancer.ip - front_addr(0).ip, bytes,
+         size + 1, false);
 }
 
 static void
@@ -357,8 +363,8 @@
 {
 }
 
-static const struct steer_out_ops steer_ops = {
-    steer_carries, ping, behind, steer_dropped, steer_decided};
+static const struct steer_out_ops steer_ops = {steer_carries, ping, behind,
+                                               steer_dropped, steer_decided};
 
 /* Endpoints. */
 
@@ -516,9 +522,9 @@
 static void
 agent_start(struct host *host)
 {
-    g_assert_cmpint(door_init(&host->door, &host->out, host->addr,
-                              names[host->service]),
-                    ==, 0);
+    g_assert_cmpint(
+        door_init(&host->door, &host->out, host->addr, names[host->service]),
+        ==, 0);
     host->told_draining = false;
     host->beat_us = 0;
 }
@@ -594,8 +600,8 @@
             return;
         }
         caller_send(world, caller, RELAY_SYN, 100, caller->copies, 0);
-        caller->next_us = world->now_us +
-                          (caller->copies == 1 ? 400 : 800) * USEC_PER_MSEC;
+        caller->next_us =
+            world->now_us + (caller->copies == 1 ? 400 : 800) * USEC_PER_MSEC;
         caller->copies++;
         return;
     }
@@ -706,9 +712,8 @@
     }
     memcpy(world->served[next], world->served[next - 1],
            sizeof(world->served[next]));
-    world->served[next][route] = world->served[next][route] < 0
-                                     ? (int)(route % WORLD_SERVICES)
-                                     : -1;
+    world->served[next][route] =
+        world->served[next][route] < 0 ? (int)(route % WORLD_SERVICES) : -1;
     world->versions++;
     for (unsigned i = 0; i < WORLD_BALANCERS; i++) {
         world->fronts[i].follow_us =
@@ -820,18 +825,18 @@
                      world->now_us);
         return;
     case TO_BALANCER_FRAME:
-        g_assert_cmpint(frame_status_decode(message->bytes,
-                                            message->size - 1, &status),
-                        ==, 0);
+        g_assert_cmpint(
+            frame_status_decode(message->bytes, message->size - 1, &status),
+            ==, 0);
         steer_status(&world->fronts[message->number].steer,
                      host_addr(message->bytes[message->size - 1]), &status,
                      world->now_us);
         return;
     case TO_AGENT:
         if (frame_type(message->bytes, message->size) == FRAME_PING) {
-            g_assert_cmpint(frame_ping_decode(message->bytes, message->size,
-                                              &version),
-                            ==, 0);
+            g_assert_cmpint(
+                frame_ping_decode(message->bytes, message->size, &version), ==,
+                0);
             door_ping(&host->door,
                       (struct addr){version.holder.ip, front_addr(0).port},
                       &version, world->now_us);
--- a/tests/relay/world.h
+++ b/tests/relay/world.h
@@ -18,17 +18,17 @@
 
 /** struct world_plan - what may happen, each as chances in 1000 a 10 ms */
 struct world_plan {
-    unsigned loss;           /* datagrams in 1000 that are lost */
-    unsigned new_flows;      /* flows opened in 10 ms, in 1000 */
-    unsigned rehash;         /* the fabric hands all flows out anew */
-    unsigned agent_restart;  /* one agent's process is killed */
+    unsigned loss;          /* datagrams in 1000 that are lost */
+    unsigned new_flows;     /* flows opened in 10 ms, in 1000 */
+    unsigned rehash;        /* the fabric hands all flows out anew */
+    unsigned agent_restart; /* one agent's process is killed */
     unsigned balancer_restart;
     unsigned endpoint_crash; /* and starts again after a while */
     unsigned endpoint_drain;
-    unsigned reuse;          /* an endpoint's address goes to the other
-                                service */
-    unsigned freeze;         /* one agent stands still for 300 ms */
-    unsigned config;         /* a route is added or dropped */
+    unsigned reuse;  /* an endpoint's address goes to the other
+                        service */
+    unsigned freeze; /* one agent stands still for 300 ms */
+    unsigned config; /* a route is added or dropped */
 };
 
 /** struct world_result - what came of it */
@@ -39,7 +39,8 @@
     unsigned failed;   /* callers that gave up */
 };
 
-/** world_play() - play @faulty_ms with faults, then a calm second and a half */
+/** world_play() - play @faulty_ms with faults, then a calm second and a half
+ */
 void
 world_play(uint32_t seed, const struct world_plan *plan, unsigned faulty_ms,
            struct world_result *result);
--- a/tests/relay/world_test.c
+++ b/tests/relay/world_test.c
@@ -83,9 +83,10 @@
 
 TEST(endpoints_leave_and_crash)
 {
-    static const struct world_plan plan = {
-        .new_flows = 600, .endpoint_crash = 20, .endpoint_drain = 20,
-        .rehash = 50};
+    static const struct world_plan plan = {.new_flows = 600,
+                                           .endpoint_crash = 20,
+                                           .endpoint_drain = 20,
+                                           .rehash = 50};
 
     g_assert_cmpuint(play(&plan), >=, 500);
 }
@@ -101,9 +102,15 @@
 TEST(everything_at_once)
 {
     static const struct world_plan plan = {
-        .new_flows = 600,      .loss = 10,          .rehash = 50,
-        .agent_restart = 15,   .balancer_restart = 15, .endpoint_crash = 10,
-        .endpoint_drain = 5,   .reuse = 10,         .freeze = 10,
+        .new_flows = 600,
+        .loss = 10,
+        .rehash = 50,
+        .agent_restart = 15,
+        .balancer_restart = 15,
+        .endpoint_crash = 10,
+        .endpoint_drain = 5,
+        .reuse = 10,
+        .freeze = 10,
         .config = 30,
     };
 
