Log: a SYN that waits, is let in or outlives its caller has its line; a benchmark

Cause: how long a SYN waited at the door could not be read from the logs, and decisions were named by text. Change: typed decisions; held, admitted and gave_up among them; bench/relay.

--- /dev/null
+++ b/bench/relay/bench_relay.c
@@ -0,0 +1,323 @@
+/**
+ * DOC: bench_relay - cost of the relay mode's decisions, and its memory
+ *
+ * One thread, no sockets. "open" is a new flow's SYN with the agent's answer
+ * to it, "known" a packet of a pinned flow, "search" one of a flow that is
+ * not pinned; at the agent, "open" is a SYN with the endpoint's answer and
+ * "known" a packet of a flow that is here. Sizes are agents in all and
+ * agents of the service that the flows go to.
+ */
+#include <malloc.h>
+#include <stdio.h>
+#include <string.h>
+#include <time.h>
+
+#include <glib.h>
+
+#include "base/clock.h"
+#include "base/hash.h"
+#include "relay/door.h"
+#include "relay/steer.h"
+
+#define FLOWS 8192
+#define REPEATS 7
+#define PACKET_SIZE 74
+#define OTHER_SERVICES 1000
+
+static uint8_t bytes[PACKET_SIZE];
+static uint64_t carried;
+
+static void
+steer_carry(struct steer_out *out, struct addr agent,
+            const struct frame_carry *frame)
+{
+    static uint8_t frame_bytes[FRAME_MAX];
+
+    carried += frame_carry_encode(frame, frame_bytes);
+}
+
+static void
+steer_ping(struct steer_out *out, struct addr agent)
+{
+}
+
+static void
+steer_behind(struct steer_out *out, const struct frame_version *newer)
+{
+}
+
+static void
+steer_dropped(struct steer_out *out, enum steer_drop why,
+              const struct relay_packet *packet)
+{
+    g_error("a packet was dropped");
+}
+
+static void
+steer_decided(struct steer_out *out, enum steer_did did, struct relay_flow flow,
+              struct addr agent, unsigned tries, uint64_t age_us)
+{
+}
+
+static const struct steer_out_ops steer_ops = {
+    steer_carry, steer_ping, steer_behind, steer_dropped, steer_decided};
+
+static void
+door_to_endpoint(struct door_out *out, const uint8_t *packet, size_t size)
+{
+    carried += size;
+}
+
+static void
+door_to_caller(struct door_out *out, struct addr caller,
+               const uint8_t *packet, size_t size)
+{
+    carried += size;
+}
+
+static void
+door_carry_on(struct door_out *out, struct addr agent,
+              const struct frame_carry *frame)
+{
+    g_error("a flow went on");
+}
+
+static void
+door_tell(struct door_out *out, struct addr balancer,
+          const struct frame_status *status)
+{
+    static uint8_t frame_bytes[FRAME_HEAD_MAX];
+
+    carried += frame_status_encode(status, frame_bytes);
+}
+
+static void
+door_serves(struct door_out *out, struct addr balancer,
+            const struct frame_served *served)
+{
+}
+
+static void
+door_dropped(struct door_out *out, enum door_drop why)
+{
+    g_error("a packet was dropped");
+}
+
+static void
+door_decided(struct door_out *out, enum door_did did, struct relay_flow flow,
+             enum frame_reason why, const struct frame_carry *frame)
+{
+}
+
+static const struct door_out_ops door_ops = {
+    door_to_endpoint, door_to_caller, door_carry_on, door_tell,
+    door_serves,      door_dropped,   door_decided};
+
+static uint64_t
+now_ns(void)
+{
+    struct timespec time;
+
+    clock_gettime(CLOCK_MONOTONIC, &time);
+    return (uint64_t)time.tv_sec * 1000000000 + (uint64_t)time.tv_nsec;
+}
+
+static struct relay_packet
+packet_of(unsigned flow, unsigned flags, uint32_t seq, uint32_t ack,
+          uint16_t len)
+{
+    return (struct relay_packet){
+        .from = {0x64400000 + flow / 1000, (uint16_t)(1000 + flow % 1000)},
+        .to = {0xc6120001, 443},
+        .seq = seq,
+        .ack = ack,
+        .len = len,
+        .flags = (uint8_t)flags,
+        .patience_ms = 1400,
+        .bytes = bytes,
+        .size = sizeof(bytes),
+    };
+}
+
+static struct addr
+agent_addr(size_t number)
+{
+    return (struct addr){0x0a000000 + (uint32_t)number, 7000};
+}
+
+static void
+fill_steer(struct steer *steer, size_t agents, size_t of_service)
+{
+    struct routes routes;
+    struct route *route;
+
+    routes_init(&routes);
+    routes.version = 1;
+    route = routes_add(&routes);
+    route->address = (struct addr){0xc6120001, 443};
+    route->shares[0] = (struct route_share){hash_service("lots"), 1};
+    route->share_count = 1;
+    route->target_ms = 100;
+    (void)routes_seal(&routes);
+    steer_routes(steer, &routes);
+    for (size_t i = 0; i < agents; i++) {
+        struct frame_status status = {
+            .type = FRAME_STATE,
+            .health = {hash_service("lots"), ENDPOINT_READY, 0, 2, false},
+        };
+
+        if (i >= of_service) {
+            status.health.service = (uint32_t)(1 + i % OTHER_SERVICES);
+        }
+        agents_list(&steer->agents, agent_addr(i), status.health.service,
+                    "here", 1);
+        steer_status(steer, agent_addr(i), &status, 1);
+    }
+}
+
+static double
+per_flow(uint64_t since_ns)
+{
+    return (double)(now_ns() - since_ns) / FLOWS;
+}
+
+static void
+best(double *value, double sample)
+{
+    if (*value == 0 || sample < *value) {
+        *value = sample;
+    }
+}
+
+/* One pass over all flows at a balancer. */
+static void
+pass_steer(struct steer *steer, uint64_t now_us, double *open, double *known,
+           double *search)
+{
+    uint64_t since = now_ns();
+
+    for (unsigned i = 0; i < FLOWS; i++) {
+        struct relay_packet ack = packet_of(i, RELAY_ACK, 2, 9, 40);
+
+        steer_packet(steer, &ack, now_us);
+    }
+    best(search, per_flow(since));
+    since = now_ns();
+    for (unsigned i = 0; i < FLOWS; i++) {
+        struct relay_packet syn =
+            packet_of(i, RELAY_SYN, (uint32_t)now_us, 0, 0);
+        struct frame_status status = {
+            .type = FRAME_PLACED,
+            .flow = relay_flow_from_caller(&syn),
+            .seq = 8,
+            .health = {hash_service("lots"), ENDPOINT_READY, 1, 2, false},
+        };
+
+        steer_packet(steer, &syn, now_us);
+        steer_status(steer, agent_addr(i % 7), &status, now_us);
+    }
+    best(open, per_flow(since));
+    since = now_ns();
+    for (unsigned i = 0; i < FLOWS; i++) {
+        struct relay_packet ack = packet_of(i, RELAY_ACK, 2, 9, 40);
+
+        steer_packet(steer, &ack, now_us);
+    }
+    best(known, per_flow(since));
+    /* All flows are forgotten before the next pass. */
+    steer_tick(steer, now_us + 100 * USEC_PER_SEC);
+}
+
+static void
+bench_steer(size_t agents, size_t of_service)
+{
+    struct steer_out out = {&steer_ops};
+    struct addr self = {0x0a090001, 7720};
+    double open = 0, known = 0, search = 0;
+    struct steer steer;
+    size_t before, used;
+
+    if (steer_init(&steer, &out, self, "here") < 0) {
+        g_error("no memory");
+    }
+    before = mallinfo2().uordblks;
+    fill_steer(&steer, agents, of_service);
+    used = mallinfo2().uordblks - before;
+    for (unsigned i = 0; i < REPEATS; i++) {
+        pass_steer(&steer, (i + 1) * 1000 * USEC_PER_SEC, &open, &known,
+                   &search);
+    }
+    printf("balancer  %8zu %8zu %8.0f %8.0f %8.0f %10zu\n", agents,
+           of_service, open, known, search, used / agents);
+    steer_finish(&steer);
+}
+
+static void
+bench_door(void)
+{
+    struct door_out out = {&door_ops};
+    struct frame_carry frame = {
+        .service = hash_service("lots"),
+        .origin = {0x0a090001, 7720},
+        .version = 1,
+        .target_ms = 100,
+        .patience_ms = 1400,
+        .bytes = bytes,
+        .size = sizeof(bytes),
+    };
+    struct heartbeat beat = {"i-1", hash_service("lots"), false, 1024, 0, 1};
+    double open = 0, known = 0;
+
+    for (unsigned repeat = 0; repeat < REPEATS; repeat++) {
+        struct door door;
+        uint64_t since;
+
+        if (door_init(&door, &out, agent_addr(1), "lots") < 0) {
+            g_error("no memory");
+        }
+        door_heartbeat(&door, &beat, 1);
+        since = now_ns();
+        for (unsigned i = 0; i < FLOWS; i++) {
+            struct relay_packet syn = packet_of(i, RELAY_SYN, 1, 0, 0);
+            struct relay_packet accept =
+                packet_of(i, RELAY_SYN | RELAY_ACK, 8, 2, 0);
+            struct relay_packet answer = packet_of(i, RELAY_ACK, 9, 2, 40);
+            struct addr swap = accept.from;
+
+            accept.from = answer.from = accept.to;
+            accept.to = answer.to = swap;
+            door_carry(&door, &frame, &syn, 1000 + i);
+            door_from_endpoint(&door, &accept, 1000 + i);
+            door_from_endpoint(&door, &answer, 1000 + i);
+        }
+        best(&open, per_flow(since));
+        since = now_ns();
+        for (unsigned i = 0; i < FLOWS; i++) {
+            struct relay_packet ack = packet_of(i, RELAY_ACK, 2, 9, 0);
+
+            door_carry(&door, &frame, &ack, 20000 + i);
+        }
+        best(&known, per_flow(since));
+        door_finish(&door);
+    }
+    printf("agent     %8s %8s %8.0f %8.0f\n", "-", "-", open, known);
+}
+
+int
+main(void)
+{
+    static const struct {
+        size_t agents;
+        size_t of_service;
+    } sizes[] = {{10, 7},      {40, 7},        {160, 7},      {1000, 7},
+                 {10000, 7},   {110000, 7},    {110000, 70},  {110000, 700}};
+
+    printf("role        agents  service  open ns known ns search ns  "
+           "bytes an agent\n");
+    for (size_t i = 0; i < G_N_ELEMENTS(sizes); i++) {
+        bench_steer(sizes[i].agents, sizes[i].of_service);
+    }
+    bench_door();
+    printf("%" G_GUINT64_FORMAT " bytes were carried\n", carried);
+    return 0;
+}
--- a/src/relay/door.c
+++ b/src/relay/door.c
@@ -360,6 +360,15 @@
     flow->give_up_us = now_us + frame->patience_ms * USEC_PER_MSEC;
 }
 
+static void
+decided(struct door *door, enum door_did did, uint32_t handle,
+        enum frame_reason why)
+{
+    door->out->ops->decided(door->out, did,
+                            flow_index_flow(&door->table, handle), why,
+                            &door->flows[handle].frame);
+}
+
 /* Keeps a SYN until the endpoint has a free slot; false when too many
  * are kept. */
 static bool
@@ -378,6 +387,7 @@
     note_patience(flow, &flow->frame, now_us);
     door->held[door->held_count++] = handle;
     tell(door, flow->origin, &status, now_us);
+    decided(door, DOOR_DID_HOLD, handle, FRAME_REASON_BUSY);
     return true;
 }
 
@@ -426,7 +436,8 @@
         drop(door, DOOR_DROP_NOBODY);
     }
     tell_passed(door, key, origin, why, target, now_us);
-    door->out->ops->decided(door->out, target.ip != 0 ? "passed" : "let_go",
+    door->out->ops->decided(door->out,
+                            target.ip != 0 ? DOOR_DID_PASS : DOOR_DID_LET_GO,
                             key, why, &frame);
 }
 
@@ -721,9 +732,7 @@
     flow->seq = packet->seq;
     flow->accepted_us = now_us;
     tell_placed(door, handle, now_us);
-    door->out->ops->decided(door->out, "placed",
-                            flow_index_flow(&door->table, handle),
-                            FRAME_REASON_NONE, &flow->frame);
+    decided(door, DOOR_DID_PLACE, handle, FRAME_REASON_NONE);
 }
 
 /* The endpoint answers the flow's request. */
@@ -835,6 +844,7 @@
 static void
 let_expire(struct door *door, uint32_t handle)
 {
+    decided(door, DOOR_DID_EXPIRE, handle, FRAME_REASON_BUSY);
     forget(door, handle);
     drop(door, DOOR_DROP_EXPIRED);
 }
@@ -872,6 +882,7 @@
             return;
         }
         unhold(door, handle);
+        decided(door, DOOR_DID_ADMIT, handle, FRAME_REASON_NONE);
         offer_syn(door, handle, now_us);
     }
 }
--- a/src/relay/door.h
+++ b/src/relay/door.h
@@ -33,6 +33,16 @@
     DOOR_DROP_COUNT,
 };
 
+/** enum door_did - what became of a SYN, or of a flow's packet */
+enum door_did {
+    DOOR_DID_PLACE,  /* the endpoint holds the flow */
+    DOOR_DID_PASS,   /* another agent has it now */
+    DOOR_DID_LET_GO, /* nobody was left that might take it */
+    DOOR_DID_HOLD,   /* it waits for a free slot */
+    DOOR_DID_ADMIT,  /* it has waited, and the endpoint was given it */
+    DOOR_DID_EXPIRE, /* its caller gave up while it waited */
+};
+
 struct door_out;
 
 /** struct door_out_ops - what a decision leads to */
@@ -55,7 +65,7 @@
     /** @dropped: a packet was dropped */
     void (*dropped)(struct door_out *out, enum door_drop why);
     /** @decided: what became of a SYN or of a flow */
-    void (*decided)(struct door_out *out, const char *what,
+    void (*decided)(struct door_out *out, enum door_did did,
                     struct relay_flow flow, enum frame_reason why,
                     const struct frame_carry *frame);
 };
--- a/src/relay/relay_agent.c
+++ b/src/relay/relay_agent.c
@@ -75,6 +75,7 @@
         uint64_t heartbeats;
         uint64_t refused_heartbeats;
         uint64_t placed;
+        uint64_t held;
         uint64_t passed[FRAME_REASON_MAX + 1];
         uint64_t dropped[DOOR_DROP_COUNT];
     } counts;
@@ -99,6 +100,12 @@
     [DOOR_DROP_EXPIRED] = "caller_gave_up",
 };
 
+static const char *const did_names[] = {
+    [DOOR_DID_PLACE] = "placed",   [DOOR_DID_PASS] = "passed",
+    [DOOR_DID_LET_GO] = "let_go",  [DOOR_DID_HOLD] = "held",
+    [DOOR_DID_ADMIT] = "admitted", [DOOR_DID_EXPIRE] = "gave_up",
+};
+
 /* Outputs of door. */
 
 static struct relay_agent *
@@ -167,15 +174,34 @@
 }
 
 static void
-out_decided(struct door_out *out, const char *what, struct relay_flow flow,
+count_decision(struct relay_agent *agent, enum door_did did,
+               enum frame_reason why)
+{
+    switch (did) {
+    case DOOR_DID_PLACE:
+        agent->counts.placed++;
+        break;
+    case DOOR_DID_HOLD:
+        agent->counts.held++;
+        break;
+    case DOOR_DID_PASS:
+    case DOOR_DID_LET_GO:
+        agent->counts.passed[why]++;
+        break;
+    default:
+        break;
+    }
+}
+
+static void
+out_decided(struct door_out *out, enum door_did did, struct relay_flow flow,
             enum frame_reason why, const struct frame_carry *frame)
 {
     struct relay_agent *agent = of_out(out);
     char caller[ADDR_TEXT_MAX];
     char service[ADDR_TEXT_MAX];
 
-    agent->counts.placed += why == FRAME_REASON_NONE;
-    agent->counts.passed[why]++;
+    count_decision(agent, did, why);
     if (!event_log_wants(&agent->log, EVENT_ROUTINE)) {
         return;
     }
@@ -362,6 +388,8 @@
         "swiftarch_heartbeats_total %" PRIu64 "\n"
         "swiftarch_heartbeats_refused_total %" PRIu64 "\n"
         "swiftarch_flows_placed_total %" PRIu64 "\n"
+        "swiftarch_flows_held_total %" PRIu64 "\n"
+        "swiftarch_flows_held %u\n"
         "swiftarch_requests_in_progress %u\n"
         "swiftarch_flows %u\n"
         "swiftarch_endpoint_state %d\n"
@@ -369,7 +397,8 @@
         agent->counts.to_endpoint, agent->counts.to_caller,
         agent->counts.frames_in, agent->counts.frames_on,
         agent->counts.heartbeats, agent->counts.refused_heartbeats,
-        agent->counts.placed, agent->door.busy_count, agent->door.table.used,
+        agent->counts.placed, agent->counts.held, agent->door.held_count,
+        agent->door.busy_count, agent->door.table.used,
         (int)agent->door.endpoint.state, agent->log.left_out_total);
     for (size_t i = 1; i <= FRAME_REASON_MAX; i++) {
         g_string_append_printf(
--- a/src/relay/relay_balancer.c
+++ b/src/relay/relay_balancer.c
@@ -174,11 +174,11 @@
 }
 
 static void
-out_decided(struct steer_out *out, const char *what, struct relay_flow flow,
+out_decided(struct steer_out *out, enum steer_did did, struct relay_flow flow,
             struct addr agent, unsigned tries, uint64_t age_us)
 {
     struct relay_balancer *balancer = of_out(out);
-    bool placed = what[0] == 'p';
+    bool placed = did == STEER_DID_PLACE;
     char caller[ADDR_TEXT_MAX];
     char service[ADDR_TEXT_MAX];
     char peer[ADDR_TEXT_MAX];
@@ -191,7 +191,7 @@
         !event_log_wants(&balancer->log, EVENT_ROUTINE)) {
         return;
     }
-    event_log_line(&balancer->log, EVENT_ROUTINE, what,
+    event_log_line(&balancer->log, EVENT_ROUTINE, placed ? "placed" : "sent",
                    "caller=%s service=%s agent=%s tries=%u age_us=%" PRIu64
                    " config=%" PRIu64,
                    addr_format(flow.caller, caller),
--- a/src/relay/steer.c
+++ b/src/relay/steer.c
@@ -219,7 +219,7 @@
     agents_sent(&steer->agents, choice.addrs[0], now_us);
     wait_push(steer, handle, now_us);
     steer->out->ops->carry(steer->out, choice.addrs[0], &frame);
-    steer->out->ops->decided(steer->out, "sent", flow, choice.addrs[0],
+    steer->out->ops->decided(steer->out, STEER_DID_SEND, flow, choice.addrs[0],
                              pin->try_count, now_us - pin->since_us);
     return true;
 }
@@ -420,7 +420,7 @@
     }
     pin = &steer->pins[handle];
     place_add(pin, agent, status->seq);
-    steer->out->ops->decided(steer->out, "placed", status->flow, agent,
+    steer->out->ops->decided(steer->out, STEER_DID_PLACE, status->flow, agent,
                              pin->try_count, now_us - pin->since_us);
 }
 
--- a/src/relay/steer.h
+++ b/src/relay/steer.h
@@ -38,6 +38,12 @@
     STEER_DROP_COUNT,
 };
 
+/** enum steer_did - what became of a new flow */
+enum steer_did {
+    STEER_DID_SEND,  /* its SYN went to an agent */
+    STEER_DID_PLACE, /* an agent says that its endpoint holds it */
+};
+
 struct steer_out;
 
 /** struct steer_out_ops - what a decision leads to */
@@ -53,7 +59,7 @@
     void (*dropped)(struct steer_out *out, enum steer_drop why,
                     const struct relay_packet *packet);
     /** @decided: a new flow was sent, sent again, or placed */
-    void (*decided)(struct steer_out *out, const char *what,
+    void (*decided)(struct steer_out *out, enum steer_did did,
                     struct relay_flow flow, struct addr agent, unsigned tries,
                     uint64_t age_us);
 };
--- a/tests/relay/door_test.c
+++ b/tests/relay/door_test.c
@@ -79,7 +79,7 @@
 }
 
 static void
-decided(struct door_out *out, const char *what, struct relay_flow flow,
+decided(struct door_out *out, enum door_did did, struct relay_flow flow,
         enum frame_reason why, const struct frame_carry *frame)
 {
 }
--- a/tests/relay/flow_index_test.c
+++ b/tests/relay/flow_index_test.c
@@ -19,8 +19,8 @@
         if (there[i]) {
             g_assert_cmpuint(flow_index_find(&index, rig_flow(i)), ==,
                              handles[i]);
-            g_assert_true(relay_flow_equal(
-                flow_index_flow(&index, handles[i]), rig_flow(i)));
+            g_assert_true(relay_flow_equal(flow_index_flow(&index, handles[i]),
+                                           rig_flow(i)));
             flow_index_remove(&index, handles[i]);
         }
         else {
@@ -65,8 +65,7 @@
         flow_index_add(&index, rig_flow(i), i);
     }
     for (unsigned i = 0; i < 10 * CAPACITY; i++) {
-        bool there =
-            flow_index_find(&index, rig_flow(i)) != FLOW_INDEX_NONE;
+        bool there = flow_index_find(&index, rig_flow(i)) != FLOW_INDEX_NONE;
 
         g_assert_cmpint(there, ==, i >= 9 * CAPACITY);
     }
--- a/tests/relay/follow_test.c
+++ b/tests/relay/follow_test.c
@@ -51,8 +51,7 @@
 store_watch(struct store *store, const char *kind, uint64_t revision,
             unsigned wait_ms, struct store_call *call)
 {
-    rig_note(of_store(store)->record, "watch %s %u", kind,
-             (unsigned)revision);
+    rig_note(of_store(store)->record, "watch %s %u", kind, (unsigned)revision);
     return ask(store, call);
 }
 
@@ -127,8 +126,7 @@
     site->now_us = USEC_PER_SEC;
     follow_init(&site->follow, &follow_ops, &site->store, "kind", 0, 1,
                 site->now_us);
-    presence_writer_init(&site->writer, &site->store, &presence,
-                         site->now_us);
+    presence_writer_init(&site->writer, &site->store, &presence, site->now_us);
 }
 
 static void
--- a/tests/relay/format_test.c
+++ b/tests/relay/format_test.c
@@ -96,13 +96,25 @@
     const struct route *route;
 
     g_assert_cmpint(
-        read_config("{\"version\":7,\"limits\":{\"idleTimeoutMs\":15000},"
-                    "\"routes\":[" ROUTE("b", "198.18.0.2", "/80/")
-                    "\"service\":\"albums\"}," ROUTE("a", "198.18.0.1",
-                                                     "/8443/")
-                    "\"backends\":[{\"service\":\"lots\",\"weight\":90},"
-                    "{\"service\":\"albums\",\"weight\":10}]}]}",
-                    &routes, &err),
+        read_config(
+            "{\"version\":7,\"limits\":{\"idleTimeoutMs\":15000},"
+            "\"routes\":[" ROUTE(
+                "b", "198.18.0.2",
+                "/80/") "\"service\":\"albums\"}," ROUTE("a", "198.18.0.1",
+                                                         "/8443/") "\"backends"
+                                                                   "\":[{"
+                                                                   "\"service"
+                                                                   "\":"
+                                                                   "\"lots\","
+                                                                   "\"weight\""
+                                                                   ":90},"
+                                                                   "{\"service"
+                                                                   "\":"
+                                                                   "\"albums\""
+                                                                   ",\"weight"
+                                                                   "\":10}]}]"
+                                                                   "}",
+            &routes, &err),
         ==, 0);
     g_assert_cmpuint(routes.version, ==, 7);
     g_assert_cmpuint(routes.idle_timeout_ms, ==, 15000);
@@ -153,9 +165,10 @@
                                             "/99999/") "\"service\":\"s\"}]}",
         "{\"version\":7,\"routes\":[" ROUTE("a", "198.18.0.1",
                                             "/80/") "\"backends\":[]}]}",
-        "{\"version\":7,\"routes\":[" ROUTE("a", "198.18.0.1", "/80/")
-        "\"service\":\"s\"}," ROUTE("b", "198.18.0.1",
-                                    "/80/") "\"service\":\"s\"}]}",
+        "{\"version\":7,\"routes\":[" ROUTE(
+            "a", "198.18.0.1",
+            "/80/") "\"service\":\"s\"}," ROUTE("b", "198.18.0.1",
+                                                "/80/") "\"service\":\"s\"}]}",
     };
 
     for (size_t i = 0; i < G_N_ELEMENTS(wrong); i++) {
@@ -172,8 +185,8 @@
 read_heartbeat(const char *text, struct heartbeat *heartbeat)
 {
     struct error err = {0};
-    int ret = heartbeat_format_decode("i-1", text, strlen(text), heartbeat,
-                                      &err);
+    int ret =
+        heartbeat_format_decode("i-1", text, strlen(text), heartbeat, &err);
 
     g_assert_true(ret == 0 || err.detail[0] != '\0');
     return ret;
@@ -224,9 +237,9 @@
     g_assert_null(heartbeat_format_id("/instances/"));
     g_assert_null(heartbeat_format_id("/instances/a/b"));
     g_assert_null(heartbeat_format_id("/other/i-7"));
-    g_assert_null(heartbeat_format_id(
-        "/instances/"
-        "xxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxx"));
+    g_assert_null(heartbeat_format_id("/instances/"
+                                      "xxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxx"
+                                      "xxxxxxxxxxxxxxxxxxxxxxxxxxxxx"));
 }
 
 /* Changes a few bytes of @text, or cuts it. */
@@ -264,9 +277,9 @@
 {
     static const char beat[] = "{\"service\":\"lots\",\"slots\":3,"
                                "\"state\":\"ready\",\"sequence\":12}";
-    static const char config[] =
-        "{\"version\":7,\"routes\":[" ROUTE("a", "198.18.0.1", "/8443/")
-        "\"backends\":[{\"service\":\"s\",\"weight\":9}]}]}";
+    static const char config[] = "{\"version\":7,\"routes\":[" ROUTE(
+        "a", "198.18.0.1",
+        "/8443/") "\"backends\":[{\"service\":\"s\",\"weight\":9}]}]}";
 
     for (unsigned i = 0; i < MUTATIONS / 4; i++) {
         char text[sizeof(config)];
--- a/tests/relay/object_store_test.c
+++ b/tests/relay/object_store_test.c
@@ -44,7 +44,8 @@
     const char *watch = httpd_request_query(request, "watch");
     const char *rev = httpd_request_query(request, "rev");
 
-    g_snprintf(site->asked, sizeof(site->asked), "%s %s after=%s watch=%s "
+    g_snprintf(site->asked, sizeof(site->asked),
+               "%s %s after=%s watch=%s "
                "rev=%s",
                httpd_request_method(request), httpd_request_path(request),
                after != NULL ? after : "-", watch != NULL ? watch : "-",
@@ -125,8 +126,7 @@
                  "\"spec\":{}},{\"meta\":{\"name\":\"b\",\"rev\":4}}],"
                  "\"hasMore\":true,\"at\":9}";
     g_assert_cmpint(list(site, "x y"), ==, 0);
-    g_assert_cmpstr(site->asked, ==,
-                    "GET /objects/k after=x y watch=- rev=-");
+    g_assert_cmpstr(site->asked, ==, "GET /objects/k after=x y watch=- rev=-");
     g_assert_cmpstr(site->names, ==, "a b ");
     g_assert_true(site->more);
     g_assert_cmpuint(site->revision, ==, 9);
@@ -136,9 +136,9 @@
 {
     site->body = "{\"events\":[{\"deleted\":true,\"object\":{\"meta\":"
                  "{\"name\":\"a\",\"rev\":3}}}],\"at\":12}";
-    g_assert_cmpint(site->store->ops->watch(site->store, "k", 8, 1000,
-                                            &site->call),
-                    ==, 0);
+    g_assert_cmpint(
+        site->store->ops->watch(site->store, "k", 8, 1000, &site->call), ==,
+        0);
     wait_for(site);
     g_assert_cmpint(site->status, ==, 0);
     g_assert_cmpstr(site->asked, ==, "GET /objects/k after=- watch=8 rev=-");
@@ -151,23 +151,22 @@
     struct json_object *value = json_object_new_string("v");
 
     site->body = "{\"meta\":{\"name\":\"n\",\"rev\":3}}";
-    g_assert_cmpint(site->store->ops->create(site->store, "k", "n", value,
-                                             &site->call),
-                    ==, 0);
+    g_assert_cmpint(
+        site->store->ops->create(site->store, "k", "n", value, &site->call),
+        ==, 0);
     wait_for(site);
     g_assert_cmpint(site->status, ==, 0);
     g_assert_cmpstr(site->asked, ==, "POST /objects/k after=- watch=- rev=-");
     g_assert_nonnull(strstr(site->sent, "\"name\":\"n\""));
     g_assert_nonnull(strstr(site->sent, "\"spec\":\"v\""));
-    g_assert_cmpint(site->store->ops->put(site->store, "k", "n", value,
-                                          &site->call),
-                    ==, 0);
+    g_assert_cmpint(
+        site->store->ops->put(site->store, "k", "n", value, &site->call), ==,
+        0);
     wait_for(site);
-    g_assert_cmpstr(site->asked, ==,
-                    "PUT /objects/k/n after=- watch=- rev=-");
-    g_assert_cmpint(site->store->ops->remove(site->store, "k", "n", 5,
-                                             &site->call),
-                    ==, 0);
+    g_assert_cmpstr(site->asked, ==, "PUT /objects/k/n after=- watch=- rev=-");
+    g_assert_cmpint(
+        site->store->ops->remove(site->store, "k", "n", 5, &site->call), ==,
+        0);
     wait_for(site);
     g_assert_cmpstr(site->asked, ==,
                     "DELETE /objects/k/n after=- watch=- rev=5");
--- a/tests/relay/settings_test.c
+++ b/tests/relay/settings_test.c
@@ -48,10 +48,10 @@
 TEST(an_agents_settings_are_read)
 {
     struct relay_settings settings;
-    char *faults = faults_of(
-        "{" AGENT_KEYS ",\"peers\":[\"10.0.0.9:1\",\"10.0.0.8:2\"],"
-        "\"frames_port\":7720}",
-        RELAY_AGENT, &settings);
+    char *faults =
+        faults_of("{" AGENT_KEYS ",\"peers\":[\"10.0.0.9:1\",\"10.0.0.8:2\"],"
+                  "\"frames_port\":7720}",
+                  RELAY_AGENT, &settings);
 
     g_assert_cmpstr(faults, ==, "");
     g_free(faults);
--- a/tests/relay/steer_test.c
+++ b/tests/relay/steer_test.c
@@ -57,7 +57,7 @@
 }
 
 static void
-decided(struct steer_out *out, const char *what, struct relay_flow flow,
+decided(struct steer_out *out, enum steer_did did, struct relay_flow flow,
         struct addr agent, unsigned tries, uint64_t age_us)
 {
 }
--- a/tests/relay/world.c
+++ b/tests/relay/world.c
@@ -296,7 +296,7 @@
 }
 
 static void
-door_decided(struct door_out *out, const char *what, struct relay_flow flow,
+door_decided(struct door_out *out, enum door_did did, struct relay_flow flow,
              enum frame_reason why, const struct frame_carry *frame)
 {
 }
@@ -358,8 +358,9 @@
 }
 
 static void
-steer_decided(struct steer_out *out, const char *what, struct relay_flow flow,
-              struct addr agent, unsigned tries, uint64_t age_us)
+steer_decided(struct steer_out *out, enum steer_did did,
+              struct relay_flow flow, struct addr agent, unsigned tries,
+              uint64_t age_us)
 {
 }
 
