--- a/bench/relay/bench_relay.c
+++ b/bench/relay/bench_relay.c
@@ -54,8 +54,9 @@
 }
 
 static void
-steer_decided(struct steer_out *out, enum steer_did did, struct relay_flow flow,
-              struct addr agent, unsigned tries, uint64_t age_us)
+steer_decided(struct steer_out *out, enum steer_did did,
+              struct relay_flow flow, struct addr agent, unsigned tries,
+              uint64_t age_us)
 {
 }
 
@@ -69,8 +70,8 @@
 }
 
 static void
-door_to_caller(struct door_out *out, struct addr caller,
-               const uint8_t *packet, size_t size)
+door_to_caller(struct door_out *out, struct addr caller, const uint8_t *packet,
+               size_t size)
 {
     carried += size;
 }
@@ -247,8 +248,8 @@
         pass_steer(&steer, (i + 1) * 1000 * USEC_PER_SEC, &open, &known,
                    &search);
     }
-    printf("balancer  %8zu %8zu %8.0f %8.0f %8.0f %10zu\n", agents,
-           of_service, open, known, search, used / agents);
+    printf("balancer  %8zu %8zu %8.0f %8.0f %8.0f %10zu\n", agents, of_service,
+           open, known, search, used / agents);
     steer_finish(&steer);
 }
 
@@ -309,8 +310,8 @@
     static const struct {
         size_t agents;
         size_t of_service;
-    } sizes[] = {{10, 7},      {40, 7},        {160, 7},      {1000, 7},
-                 {10000, 7},   {110000, 7},    {110000, 70},  {110000, 700}};
+    } sizes[] = {{10, 7},    {40, 7},     {160, 7},     {1000, 7},
+                 {10000, 7}, {110000, 7}, {110000, 70}, {110000, 700}};
 
     printf("role        agents  service  open ns known ns search ns  "
            "bytes an agent\n");
--- a/src/relay/relay_agent.c
+++ b/src/relay/relay_agent.c
@@ -206,7 +206,7 @@
         return;
     }
     event_log_line(
-        &agent->log, EVENT_ROUTINE, what,
+        &agent->log, EVENT_ROUTINE, did_names[did],
         "caller=%s service=%s reason=%s endpoint=%s busy=%u "
         "slots=%u held=%u target_ms=%u forced=%d hops=%u",
         addr_format(flow.caller, caller), addr_format(flow.service, service),
