Agent: an endpoint that refuses a SYN while a slot is free counts as down

Change: a bounce with no more requests in progress than slots closes it until its next heartbeat or answer; a busy one is only full. Tests: relay-door an_endpoint_that_refuses_while_idle_is_down (red before), an_endpoint_that_refuses_while_busy_is_full.

--- a/src/relay/door.c
+++ b/src/relay/door.c
@@ -711,7 +711,7 @@
         flow->frame.best.ip = 0;
     }
     if (relay_packet_opens(packet)) {
-        if (endpoint_refused(&door->endpoint)) {
+        if (endpoint_refused(&door->endpoint, door->busy_count)) {
             tell_state(door, now_us);
         }
     }
--- a/src/relay/endpoint.c
+++ b/src/relay/endpoint.c
@@ -122,9 +122,11 @@
 }
 
 bool
-endpoint_refused(struct endpoint *endpoint)
+endpoint_refused(struct endpoint *endpoint, unsigned busy)
 {
-    if (endpoint->state != ENDPOINT_UNKNOWN) {
+    bool idle = endpoint->state == ENDPOINT_READY && busy <= endpoint->slots;
+
+    if (endpoint->state != ENDPOINT_UNKNOWN && !idle) {
         return false;
     }
     return set_state(endpoint, ENDPOINT_SILENT);
--- a/src/relay/endpoint.h
+++ b/src/relay/endpoint.h
@@ -86,10 +86,16 @@
 bool
 endpoint_silent(struct endpoint *endpoint);
 
-/** endpoint_refused() - it bounced a SYN; whether the state changed. One of
- * which nothing is known isn't up yet: its first heartbeat will tell. */
+/**
+ * endpoint_refused() - it bounced a SYN; whether the state changed
+ * @busy: requests in progress, that SYN's included
+ *
+ * One of which nothing is known isn't up yet; one that refuses though it has
+ * a free slot is down. Its next heartbeat or answer tells that it is back. A
+ * busy one is only full.
+ */
 bool
-endpoint_refused(struct endpoint *endpoint);
+endpoint_refused(struct endpoint *endpoint, unsigned busy);
 
 /** endpoint_open() - whether it may be given a new flow */
 bool
--- a/tests/relay/door_test.c
+++ b/tests/relay/door_test.c
@@ -211,6 +211,39 @@
     rig_expect(site->record, "endpoint 0", NULL);
 }
 
+TEST_F(site, an_endpoint_that_refuses_while_idle_is_down)
+{
+    struct relay_packet syn =
+        rig_from_caller(rig_flow(1), RELAY_SYN, 100, 0, 0);
+
+    heartbeat(site, "i-1", "lots", false, 1);
+    g_string_truncate(site->record, 0);
+    arrive(site, syn, 1, false);
+    answer(site, rig_bounced(syn));
+    g_string_truncate(site->record, 0);
+    arrive(site, rig_from_caller(rig_flow(2), RELAY_SYN, 1, 0, 0), 1, false);
+    rig_expect(site->record, "carry 10.0.0.2:7000 hops=1 left=0",
+               "tell passed reason=3 on=1 busy=0 state=4", NULL);
+    heartbeat(site, "i-1", "lots", false, 2);
+    g_string_truncate(site->record, 0);
+    arrive(site, rig_from_caller(rig_flow(3), RELAY_SYN, 1, 0, 0), 1, false);
+    rig_expect(site->record, "endpoint 0", NULL);
+}
+
+TEST_F(site, an_endpoint_that_refuses_while_busy_is_full)
+{
+    struct relay_packet syn;
+
+    heartbeat(site, "i-1", "lots", false, 1);
+    open_flow(site, 1);
+    open_flow(site, 2);
+    open_flow(site, 3);
+    syn = rig_from_caller(rig_flow(4), RELAY_SYN, 100, 0, 0);
+    arrive(site, syn, 0, true);
+    answer(site, rig_bounced(syn));
+    g_assert_cmpint(site->door.endpoint.state, ==, ENDPOINT_READY);
+}
+
 TEST_F(site, a_silent_endpoint_costs_one_syn)
 {
     struct relay_flow flow = rig_flow(1);
