Callers of flows whose endpoint is no more are told; searches go where they say

Cause: on a site whose callers keep flows open (the first site with the habit left out) 20 to 60 requests failed after each rolling stop: a search followed what agents had found earlier, to agents that had stopped since; and flows of ended endpoints were silent until their callers' timeouts. Change: a search takes the way of its own frame. A reset goes out only when it is certain that the endpoint is no more: its agent saw the flow open there and its packets bounce or the endpoint said goodbye; or the balancer knows the flow's one place and that agent says no. Ruled out: resets after a search that found nobody: an agent that this balancer hasn't heard of may hold the flow. Tests: relay-door a_search_goes_where_its_own_frame_says (red before), a_flow_whose_endpoint_started_anew_is_reset, flows_of_an_endpoint_that_has_ended_are_reset, a_flow_that_the_endpoint_has_not_answered_is_not_here; relay-steer a_flow_whose_endpoint_is_no_more_is_reset; relay-world checks each reset.

--- a/bench/relay/bench_relay.c
+++ b/bench/relay/bench_relay.c
@@ -36,6 +36,11 @@
     carried += frame_carry_encode(frame, frame_bytes);
 }
 
+static void
+steer_reset(struct steer_out *out, struct relay_flow flow, uint32_t seq)
+{
+}
+
 static void
 steer_ping(struct steer_out *out, struct addr agent)
 {
@@ -60,8 +65,9 @@
 {
 }
 
-static const struct steer_out_ops steer_ops = {
-    steer_carry, steer_ping, steer_behind, steer_dropped, steer_decided};
+static const struct steer_out_ops steer_ops = {steer_carry,   steer_reset,
+                                               steer_ping,    steer_behind,
+                                               steer_dropped, steer_decided};
 
 static void
 door_to_endpoint(struct door_out *out, const uint8_t *packet, size_t size)
@@ -76,6 +82,11 @@
     carried += size;
 }
 
+static void
+door_reset(struct door_out *out, struct relay_flow flow, uint32_t seq)
+{
+}
+
 static void
 door_carry_on(struct door_out *out, struct addr agent,
               const struct frame_carry *frame)
@@ -111,8 +122,8 @@
 }
 
 static const struct door_out_ops door_ops = {
-    door_to_endpoint, door_to_caller, door_carry_on, door_tell,
-    door_serves,      door_dropped,   door_decided};
+    door_to_endpoint, door_to_caller, door_reset,   door_carry_on,
+    door_tell,        door_serves,    door_dropped, door_decided};
 
 static uint64_t
 now_ns(void)
--- a/src/relay/agents.c
+++ b/src/relay/agents.c
@@ -21,6 +21,10 @@
  * ping is for the word that was lost on its way. */
 #define PING_CLOSED_US (500 * USEC_PER_MSEC)
 
+/* How long an agent whose endpoint has ended is remembered: as long as the
+ * oldest flow there may be. */
+#define ENDED_KEPT_US (60 * USEC_PER_SEC)
+
 /* Load is counted in 1/16 of an endpoint's slots. */
 #define LOAD_UNIT 16
 #define SLOTS_DEFAULT 2
@@ -344,11 +348,6 @@
         return;
     }
     row->listed = false;
-    if (row->suspect || row->heard_us == 0 ||
-        row->health.state == ENDPOINT_GONE) {
-        row_remove(agents, row);
-        return;
-    }
     set_ping(agents, row, now_us);
 }
 
@@ -401,9 +400,12 @@
 /* Whether a row that the store no longer names has been silent for so long
  * that it is forgotten. */
 static bool
-is_forgotten(const struct agent_row *row)
+is_forgotten(const struct agent_row *row, uint64_t now_us)
 {
-    return !row->listed && row->ping_gap_us >= PING_SLOWEST_US;
+    bool ended = row->health.state == ENDPOINT_GONE;
+
+    return !row->listed && row->ping_gap_us >= PING_SLOWEST_US &&
+           (!ended || now_us - row->told_us > ENDED_KEPT_US);
 }
 
 bool
@@ -415,7 +417,7 @@
         if (row->ping_us > now_us) {
             continue;
         }
-        if (is_forgotten(row)) {
+        if (is_forgotten(row, now_us)) {
             row_remove(agents, row);
             continue;
         }
--- a/src/relay/agents.h
+++ b/src/relay/agents.h
@@ -126,8 +126,8 @@
 /**
  * agents_unlist() - the store names it no more
  *
- * It is forgotten at once if it is suspected or was never heard from;
- * otherwise it stays until it says that it has ended or falls silent.
+ * It stays until it has been silent for seconds; for a minute when its
+ * endpoint has ended, so that callers of flows there can be told.
  */
 void
 agents_unlist(struct agents *agents, struct addr addr, uint64_t now_us);
--- a/src/relay/door.c
+++ b/src/relay/door.c
@@ -60,6 +60,7 @@
  * @state: where it is
  * @busy_at: place in the busy list, or -1
  * @confirmed: the caller acknowledged this endpoint's SYN+ACK
+ * @proven: the endpoint sent something after that: the flow was open there
  * @service: service it was opened for
  * @origin: balancer that its packets came through last
  * @target: for DOOR_ELSEWHERE, the agent it was sent to
@@ -79,6 +80,7 @@
     enum door_state state;
     int busy_at;
     bool confirmed;
+    bool proven;
     uint32_t service;
     struct addr origin;
     struct addr target;
@@ -619,6 +621,18 @@
     pass_on(door, handle, FRAME_REASON_REFUSED, now_us);
 }
 
+/* The flow was open at this endpoint, and the endpoint is another one now or
+ * has ended: its caller learns it at once instead of by its timeout. */
+static void
+reset_flow(struct door *door, uint32_t handle, uint32_t seq)
+{
+    struct relay_flow key = flow_index_flow(&door->table, handle);
+
+    decided(door, DOOR_DID_RESET, handle, FRAME_REASON_LEAVING);
+    door->out->ops->reset(door->out, key, seq);
+    clear_busy(door, handle);
+}
+
 static void
 deliver(struct door *door, uint32_t handle, const struct frame_carry *frame,
         const struct relay_packet *packet, uint64_t now_us)
@@ -627,6 +641,10 @@
     uint32_t end = packet->seq + packet->len;
     bool search = frame->next_count > 0;
 
+    if (flow->proven && door->endpoint.state == ENDPOINT_GONE) {
+        reset_flow(door, handle, packet->ack);
+        return;
+    }
     if (!flow->confirmed && flow->accepted_us != 0) {
         pace_trip(&door->pace, now_us - flow->accepted_us);
     }
@@ -655,7 +673,10 @@
     switch (flow->state) {
     case DOOR_ELSEWHERE:
         if (frame->hops < HOPS_MAX) {
-            carry_on(door, frame, flow->target);
+            /* A search knows better who is alive than what was found when
+             * the flow went on. */
+            carry_on(door, frame,
+                     frame->next_count > 0 ? frame->next[0] : flow->target);
         }
         else {
             drop(door, DOOR_DROP_NOBODY);
@@ -663,6 +684,9 @@
         return;
     case DOOR_ASKED:
     case DOOR_HELD:
+    case DOOR_OPENING:
+        /* Nothing says so far that the endpoint holds the flow; it may have
+         * answered before this agent's start. */
         door->out->ops->to_endpoint(door->out, packet->bytes, packet->size);
         return;
     default:
@@ -704,9 +728,14 @@
                  flow->target);
         return;
     }
+    if (flow->state == DOOR_HERE && flow->proven) {
+        /* An endpoint answers packets of flows that have ended there; one
+         * that bounces them has started anew since. */
+        reset_flow(door, handle, packet->ack);
+        return;
+    }
     if (flow->state == DOOR_HERE) {
-        /* It ended there, or its endpoint started anew: nobody else has it
-         * from here, and the balancer looks for it again. */
+        /* It was opened elsewhere: the balancer looks for it. */
         flow->frame.next_count = 0;
         flow->frame.best.ip = 0;
     }
@@ -776,6 +805,7 @@
         }
         return true;
     }
+    flow->proven = flow->confirmed || flow->state == DOOR_ASKED;
     if (flow->state != DOOR_HERE) {
         if (flow->state == DOOR_ASKED) {
             note_served(door, key.service);
--- a/src/relay/door.h
+++ b/src/relay/door.h
@@ -41,6 +41,7 @@
     DOOR_DID_HOLD,   /* it waits for a free slot */
     DOOR_DID_ADMIT,  /* it has waited, and the endpoint was given it */
     DOOR_DID_EXPIRE, /* its caller gave up while it waited */
+    DOOR_DID_RESET,  /* its endpoint is no more, and the caller is told */
 };
 
 struct door_out;
@@ -53,6 +54,9 @@
     /** @to_caller: send the endpoint's packet to its caller */
     void (*to_caller)(struct door_out *out, struct addr caller,
                       const uint8_t *bytes, size_t size);
+    /** @reset: tell a caller that its flow is over; @seq: what it last
+     * acknowledged */
+    void (*reset)(struct door_out *out, struct relay_flow flow, uint32_t seq);
     /** @carry: send a packet on to another agent */
     void (*carry)(struct door_out *out, struct addr agent,
                   const struct frame_carry *frame);
--- a/src/relay/relay_agent.c
+++ b/src/relay/relay_agent.c
@@ -76,6 +76,7 @@
         uint64_t refused_heartbeats;
         uint64_t placed;
         uint64_t held;
+        uint64_t resets;
         uint64_t passed[FRAME_REASON_MAX + 1];
         uint64_t dropped[DOOR_DROP_COUNT];
     } counts;
@@ -104,6 +105,7 @@
     [DOOR_DID_PLACE] = "placed",   [DOOR_DID_PASS] = "passed",
     [DOOR_DID_LET_GO] = "let_go",  [DOOR_DID_HOLD] = "held",
     [DOOR_DID_ADMIT] = "admitted", [DOOR_DID_EXPIRE] = "gave_up",
+    [DOOR_DID_RESET] = "reset",
 };
 
 /* Outputs of door. */
@@ -134,6 +136,17 @@
     udp_send(&agent->frames, to, bytes, size);
 }
 
+static void
+out_reset(struct door_out *out, struct relay_flow flow, uint32_t seq)
+{
+    struct relay_agent *agent = of_out(out);
+    struct addr to = {flow.caller.ip, (uint16_t)agent->settings.callers_port};
+
+    packet_format_reset(flow, seq, udp_buffer(&agent->frames));
+    udp_queue(&agent->frames, to, PACKET_FORMAT_HEAD);
+    agent->counts.resets++;
+}
+
 static void
 out_carry(struct door_out *out, struct addr peer,
           const struct frame_carry *frame)
@@ -218,6 +231,7 @@
 static const struct door_out_ops out_ops = {
     .to_endpoint = out_to_endpoint,
     .to_caller = out_to_caller,
+    .reset = out_reset,
     .carry = out_carry,
     .tell = out_tell,
     .serves = out_serves,
@@ -390,6 +404,7 @@
         "swiftarch_flows_placed_total %" PRIu64 "\n"
         "swiftarch_flows_held_total %" PRIu64 "\n"
         "swiftarch_flows_held %u\n"
+        "swiftarch_flows_reset_total %" PRIu64 "\n"
         "swiftarch_requests_in_progress %u\n"
         "swiftarch_flows %u\n"
         "swiftarch_endpoint_state %d\n"
@@ -398,7 +413,7 @@
         agent->counts.frames_in, agent->counts.frames_on,
         agent->counts.heartbeats, agent->counts.refused_heartbeats,
         agent->counts.placed, agent->counts.held, agent->door.held_count,
-        agent->door.busy_count, agent->door.table.used,
+        agent->counts.resets, agent->door.busy_count, agent->door.table.used,
         (int)agent->door.endpoint.state, agent->log.left_out_total);
     for (size_t i = 1; i <= FRAME_REASON_MAX; i++) {
         g_string_append_printf(
--- a/src/relay/relay_balancer.c
+++ b/src/relay/relay_balancer.c
@@ -96,6 +96,7 @@
         uint64_t tried_again;
         uint64_t placed;
         uint64_t pings;
+        uint64_t resets;
         uint64_t dropped[STEER_DROP_COUNT];
     } counts;
 };
@@ -108,6 +109,12 @@
     [STEER_DROP_FOREIGN] = "foreign",
 };
 
+static const char *const did_names[] = {
+    [STEER_DID_SEND] = "sent",
+    [STEER_DID_PLACE] = "placed",
+    [STEER_DID_RESET] = "reset",
+};
+
 /* Outputs of steer. */
 
 static struct relay_balancer *
@@ -127,6 +134,18 @@
     balancer->counts.frames_out++;
 }
 
+static void
+out_reset(struct steer_out *out, struct relay_flow flow, uint32_t seq)
+{
+    struct relay_balancer *balancer = of_out(out);
+    struct addr to = {flow.caller.ip, balancer->data.addr.port};
+
+    packet_format_reset(flow, seq, udp_buffer(&balancer->data));
+    udp_queue(&balancer->data, to, PACKET_FORMAT_HEAD);
+    udp_flush(&balancer->data);
+    balancer->counts.resets++;
+}
+
 static void
 out_ping(struct steer_out *out, struct addr agent)
 {
@@ -179,19 +198,20 @@
 {
     struct relay_balancer *balancer = of_out(out);
     bool placed = did == STEER_DID_PLACE;
+    bool sent = did == STEER_DID_SEND;
     char caller[ADDR_TEXT_MAX];
     char service[ADDR_TEXT_MAX];
     char peer[ADDR_TEXT_MAX];
 
     balancer->counts.placed += placed;
-    balancer->counts.opened += !placed && tries == 1;
-    balancer->counts.tried_again += !placed && tries > 1;
+    balancer->counts.opened += sent && tries == 1;
+    balancer->counts.tried_again += sent && tries > 1;
     /* A flow's first try is told by the line that says where it ended. */
-    if ((!placed && tries == 1) ||
+    if ((sent && tries == 1) ||
         !event_log_wants(&balancer->log, EVENT_ROUTINE)) {
         return;
     }
-    event_log_line(&balancer->log, EVENT_ROUTINE, placed ? "placed" : "sent",
+    event_log_line(&balancer->log, EVENT_ROUTINE, did_names[did],
                    "caller=%s service=%s agent=%s tries=%u age_us=%" PRIu64
                    " config=%" PRIu64,
                    addr_format(flow.caller, caller),
@@ -202,6 +222,7 @@
 
 static const struct steer_out_ops out_ops = {
     .carry = out_carry,
+    .reset = out_reset,
     .ping = out_ping,
     .behind = out_behind,
     .dropped = out_dropped,
@@ -500,13 +521,15 @@
         "swiftarch_flows_tried_again_total %" PRIu64 "\n"
         "swiftarch_flows_placed_total %" PRIu64 "\n"
         "swiftarch_pings_total %" PRIu64 "\n"
+        "swiftarch_flows_reset_total %" PRIu64 "\n"
         "swiftarch_flows %u\n"
         "swiftarch_agents %zu\n"
         "swiftarch_config_version %" PRIu64 "\n"
         "swiftarch_log_lines_left_out_total %" PRIu64 "\n",
         balancer->counts.packets, balancer->counts.frames_out,
         balancer->counts.opened, balancer->counts.tried_again,
-        balancer->counts.placed, balancer->counts.pings, steer->flows.used,
+        balancer->counts.placed, balancer->counts.pings,
+        balancer->counts.resets, steer->flows.used,
         agents_count(&steer->agents), steer->routes.version,
         balancer->log.left_out_total);
     for (size_t i = 0; i < STEER_DROP_COUNT; i++) {
--- a/src/relay/steer.c
+++ b/src/relay/steer.c
@@ -56,6 +56,7 @@
  * @try_count: how many
  * @holder: agent that has the SYN now, as far as is known
  * @held: it said that it keeps it until a slot is free
+ * @last_ack: what the caller acknowledged last
  * @round: how often all agents named to hold the flow said that they don't
  * @syn_seq: sequence number of the SYN; another one is another flow
  * @since_us: when the first SYN came
@@ -75,6 +76,7 @@
     struct addr holder;
     bool held;
     uint8_t round;
+    uint32_t last_ack;
     uint8_t syn_size;
     uint32_t syn_seq;
     uint64_t since_us;
@@ -355,14 +357,67 @@
     steer->out->ops->carry(steer->out, choice.addrs[0], &frame);
 }
 
+/* An agent doesn't hold a flow that was placed there: its next packet looks
+ * for it. False when it wasn't placed there. */
+static bool
+place_remove(struct steer_pin *pin, struct addr agent)
+{
+    for (unsigned i = 0; i < pin->place_count; i++) {
+        if (addr_equal(pin->places[i].agent, agent)) {
+            pin->places[i] = pin->places[--pin->place_count];
+            pin->try_count = 0;
+            /* An open flow's SYN is never sent again. */
+            pin->syn_size = 0;
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Whether the flow was open at its one place for certain: its caller has
+ * acknowledged that endpoint's number, or the endpoint has sent packets of
+ * it. */
+static bool
+is_sure(const struct steer_pin *pin)
+{
+    return pin->place_count == 1 &&
+           (pin->places[0].seq == 0 ||
+            pin->last_ack - pin->places[0].seq < SEQ_WINDOW);
+}
+
+/* The endpoint that held the flow is no more: its caller learns it at once
+ * instead of by its timeout, and may try anew. */
+static void
+reset_flow(struct steer *steer, uint32_t handle, uint64_t now_us)
+{
+    struct steer_pin *pin = &steer->pins[handle];
+    struct relay_flow flow = flow_index_flow(&steer->flows, handle);
+
+    steer->out->ops->reset(steer->out, flow, pin->last_ack);
+    steer->out->ops->decided(steer->out, STEER_DID_RESET, flow,
+                             pin->places[0].agent, 0, now_us - pin->since_us);
+}
+
+static bool
+has_ended(const struct steer *steer, struct addr agent)
+{
+    const struct agent_row *row = agents_find(&steer->agents, agent);
+
+    return row != NULL && row->health.state == ENDPOINT_GONE;
+}
+
 static void
 carry_known(struct steer *steer, uint32_t handle,
-            const struct relay_packet *packet)
+            const struct relay_packet *packet, uint64_t now_us)
 {
     struct steer_pin *pin = &steer->pins[handle];
     const struct steer_place *place = place_of(pin, packet);
 
-    if (place != NULL) {
+    pin->last_ack = packet->ack;
+    if (is_sure(pin) && has_ended(steer, pin->places[0].agent)) {
+        reset_flow(steer, handle, now_us);
+    }
+    else if (place != NULL) {
         carry_to(steer, pin, place->agent, packet);
     }
     else if (pin->try_count > 0) {
@@ -424,23 +479,6 @@
                              pin->try_count, now_us - pin->since_us);
 }
 
-/* An agent doesn't hold a flow that was placed there: its next packet looks
- * for it. False when it wasn't placed there. */
-static bool
-place_remove(struct steer_pin *pin, struct addr agent)
-{
-    for (unsigned i = 0; i < pin->place_count; i++) {
-        if (addr_equal(pin->places[i].agent, agent)) {
-            pin->places[i] = pin->places[--pin->place_count];
-            pin->try_count = 0;
-            /* An open flow's SYN is never sent again. */
-            pin->syn_size = 0;
-            return true;
-        }
-    }
-    return false;
-}
-
 /* An agent sent a flow on, or let go of it: then it is tried at once. */
 static void
 on_passed(struct steer *steer, struct addr agent,
@@ -455,6 +493,11 @@
     pin = &steer->pins[handle];
     pin->holder = status->target;
     pin->held = false;
+    if (status->target.ip == 0 && is_sure(pin) &&
+        addr_equal(pin->places[0].agent, agent)) {
+        reset_flow(steer, handle, now_us);
+        return;
+    }
     if (place_remove(pin, agent) || status->target.ip != 0) {
         return;
     }
@@ -633,12 +676,12 @@
         }
     }
     else if (handle != FLOW_INDEX_NONE) {
-        carry_known(steer, handle, packet);
+        carry_known(steer, handle, packet, now_us);
     }
     else {
-        search(steer,
-               remember(steer, flow, route_service(route, flow), now_us),
-               packet);
+        handle = remember(steer, flow, route_service(route, flow), now_us);
+        steer->pins[handle].last_ack = packet->ack;
+        search(steer, handle, packet);
     }
 }
 
--- a/src/relay/steer.h
+++ b/src/relay/steer.h
@@ -42,6 +42,7 @@
 enum steer_did {
     STEER_DID_SEND,  /* its SYN went to an agent */
     STEER_DID_PLACE, /* an agent says that its endpoint holds it */
+    STEER_DID_RESET, /* no endpoint holds it, and its caller is told */
 };
 
 struct steer_out;
@@ -51,6 +52,9 @@
     /** @carry: send a caller's packet to an agent */
     void (*carry)(struct steer_out *out, struct addr agent,
                   const struct frame_carry *frame);
+    /** @reset: tell a caller that its flow is over; @seq: what it last
+     * acknowledged */
+    void (*reset)(struct steer_out *out, struct relay_flow flow, uint32_t seq);
     /** @ping: ask an agent for its word */
     void (*ping)(struct steer_out *out, struct addr agent);
     /** @behind: some balancer follows a newer configuration */
--- a/tests/relay/door_test.c
+++ b/tests/relay/door_test.c
@@ -39,6 +39,12 @@
     rig_note(of_out(out)->record, "caller %u", caller.port);
 }
 
+static void
+reset(struct door_out *out, struct relay_flow flow, uint32_t seq)
+{
+    rig_note(of_out(out)->record, "reset %u at %u", flow.caller.port, seq);
+}
+
 static void
 carry(struct door_out *out, struct addr agent, const struct frame_carry *frame)
 {
@@ -84,8 +90,8 @@
 {
 }
 
-static const struct door_out_ops ops = {to_endpoint, to_caller, carry,  tell,
-                                        serves,      dropped,   decided};
+static const struct door_out_ops ops = {
+    to_endpoint, to_caller, reset, carry, tell, serves, dropped, decided};
 
 static void
 site_init(struct site *site)
@@ -125,6 +131,23 @@
     door_carry(&site->door, &frame, &packet, site->now_us);
 }
 
+/* The same, with @next as the only agent named. */
+static void
+arrive_named(struct site *site, struct relay_packet packet, const char *next)
+{
+    struct frame_carry frame = {
+        .service = hash_service("lots"),
+        .origin = rig_addr(BALANCER),
+        .version = 1,
+        .next = {rig_addr(next)},
+        .next_count = 1,
+        .bytes = packet.bytes,
+        .size = packet.size,
+    };
+
+    door_carry(&site->door, &frame, &packet, site->now_us);
+}
+
 static void
 answer(struct site *site, struct relay_packet packet)
 {
@@ -470,6 +493,19 @@
                "tell passed reason=4 on=1 busy=0 state=0", NULL);
 }
 
+TEST_F(site, a_search_goes_where_its_own_frame_says)
+{
+    struct relay_packet data =
+        rig_from_caller(rig_flow(1), RELAY_ACK, 101, 501, 40);
+
+    arrive(site, data, 2, false);
+    answer(site, rig_bounced(data));
+    g_string_truncate(site->record, 0);
+    /* The second agent has stopped since, and is not named any more. */
+    arrive_named(site, data, THIRD);
+    rig_expect(site->record, "carry 10.0.0.3:7000 hops=1 left=0", NULL);
+}
+
 TEST_F(site, the_other_answer_to_a_syn_counts)
 {
     struct relay_flow flow = rig_flow(1);
@@ -481,6 +517,54 @@
                "tell passed reason=4 on=1 busy=0 state=0", NULL);
 }
 
+TEST_F(site, a_flow_that_the_endpoint_has_not_answered_is_not_here)
+{
+    struct relay_flow flow = rig_flow(1);
+
+    arrive(site, rig_from_caller(flow, RELAY_SYN, 100, 0, 0), 2, false);
+    g_string_truncate(site->record, 0);
+    /* Its SYN was answered elsewhere too. */
+    arrive(site, rig_from_caller(flow, RELAY_ACK, 101, 900000, 40), 1, false);
+    rig_expect(site->record, "endpoint 40", NULL);
+}
+
+TEST_F(site, a_flow_whose_endpoint_started_anew_is_reset)
+{
+    struct relay_flow flow = rig_flow(1);
+    struct relay_packet data = rig_from_caller(flow, RELAY_ACK, 101, 501, 40);
+
+    open_flow(site, 1);
+    arrive(site, data, 0, false);
+    g_string_truncate(site->record, 0);
+    /* Not proven open yet: it may have been answered elsewhere. */
+    answer(site, rig_bounced(data));
+    rig_expect(site->record, "drop 1",
+               "tell passed reason=4 on=0 busy=0 state=0", NULL);
+    open_flow(site, 2);
+    flow = rig_flow(2);
+    arrive(site, rig_from_caller(flow, RELAY_ACK, 101, 501, 40), 0, false);
+    answer(site, rig_from_endpoint(flow, RELAY_ACK, 501, 141, 900));
+    g_string_truncate(site->record, 0);
+    data = rig_from_caller(flow, RELAY_ACK, 141, 1401, 40);
+    arrive(site, data, 0, false);
+    answer(site, rig_bounced(data));
+    rig_expect(site->record, "endpoint 40", "reset 1002 at 1401", NULL);
+}
+
+TEST_F(site, flows_of_an_endpoint_that_has_ended_are_reset)
+{
+    struct relay_flow flow = rig_flow(1);
+
+    heartbeat(site, "i-1", "lots", false, 1);
+    open_flow(site, 1);
+    arrive(site, rig_from_caller(flow, RELAY_ACK, 101, 501, 40), 0, false);
+    answer(site, rig_from_endpoint(flow, RELAY_ACK, 501, 141, 900));
+    door_left(&site->door, "i-1", site->now_us);
+    g_string_truncate(site->record, 0);
+    arrive(site, rig_from_caller(flow, RELAY_ACK, 141, 1401, 40), 0, false);
+    rig_expect(site->record, "reset 1001 at 1401", NULL);
+}
+
 TEST_F(site, another_service_at_the_address_takes_no_flow_of_the_old_one)
 {
     heartbeat(site, "i-9", "albums", false, 1);
--- a/tests/relay/format_test.c
+++ b/tests/relay/format_test.c
@@ -58,6 +58,22 @@
     g_assert_cmpint(packet_format_decode(bytes, 34, &packet), ==, -EPROTO);
 }
 
+TEST(a_reset_goes_from_the_service_to_the_caller)
+{
+    uint8_t bytes[PACKET_FORMAT_HEAD];
+    struct relay_packet packet;
+    struct relay_flow flow;
+
+    g_assert_cmpint(packet_format_decode(syn, sizeof(syn), &packet), ==, 0);
+    flow = relay_flow_from_caller(&packet);
+    packet_format_reset(flow, 99, bytes);
+    g_assert_cmpint(packet_format_decode(bytes, sizeof(bytes), &packet), ==,
+                    0);
+    g_assert_true(relay_flow_equal(relay_flow_from_endpoint(&packet), flow));
+    g_assert_cmpuint(packet.flags, ==, RELAY_RST);
+    g_assert_cmpuint(packet.seq, ==, 99);
+}
+
 static int
 read_config(const char *text, struct routes *routes, struct error *err)
 {
--- a/tests/relay/steer_test.c
+++ b/tests/relay/steer_test.c
@@ -36,6 +36,13 @@
     site->carried++;
 }
 
+static void
+reset(struct steer_out *out, struct relay_flow flow, uint32_t seq)
+{
+    rig_note(((struct site *)out)->record, "reset %u at %u", flow.caller.port,
+             seq);
+}
+
 static void
 ping(struct steer_out *out, struct addr agent)
 {
@@ -62,8 +69,8 @@
 {
 }
 
-static const struct steer_out_ops ops = {carry, ping, behind, dropped,
-                                         decided};
+static const struct steer_out_ops ops = {carry,  reset,   ping,
+                                         behind, dropped, decided};
 
 static void
 add_route(struct routes *routes, const char *address, const char *service)
@@ -325,6 +332,34 @@
     g_assert_cmpuint(site->frame.next_count, ==, 3);
 }
 
+TEST_F(site, a_flow_whose_endpoint_is_no_more_is_reset, 4)
+{
+    struct frame_status refused = {
+        .type = FRAME_PASSED,
+        .reason = FRAME_REASON_REFUSED,
+        .flow = rig_flow(1),
+    };
+    struct frame_status gone = {
+        .type = FRAME_STATE,
+        .health.state = ENDPOINT_GONE,
+    };
+
+    arrive(site, rig_from_caller(rig_flow(1), RELAY_SYN, 9, 0, 0));
+    placed(site, agent_addr(2), 1, 500);
+    arrive(site, rig_from_caller(rig_flow(1), RELAY_ACK, 10, 501, 20));
+    /* Another agent doesn't hold it: that says nothing. */
+    say(site, 3, refused);
+    rig_expect(site->record, NULL);
+    say(site, 2, refused);
+    rig_expect(site->record, "reset 1001 at 501", NULL);
+    arrive(site, rig_from_caller(rig_flow(2), RELAY_SYN, 9, 0, 0));
+    placed(site, agent_addr(4), 2, 500);
+    arrive(site, rig_from_caller(rig_flow(2), RELAY_ACK, 10, 501, 20));
+    say(site, 4, gone);
+    arrive(site, rig_from_caller(rig_flow(2), RELAY_ACK, 30, 777, 20));
+    rig_expect(site->record, "reset 1002 at 777", NULL);
+}
+
 TEST_F(site, two_answers_to_a_syn_are_told_apart, 4)
 {
     struct relay_flow flow = rig_flow(1);
--- a/tests/relay/world.c
+++ b/tests/relay/world.c
@@ -258,6 +258,50 @@
     post(host->world, TO_CALLER, caller_of(bytes), bytes, size, false);
 }
 
+static void
+caller_fail(struct world *world, struct caller *caller)
+{
+    caller->state = CALLER_DONE;
+    world->result->failed++;
+}
+
+static void
+check_reset(struct world *world, struct relay_flow flow, const char *who)
+{
+    for (unsigned i = 0; i < world->caller_count; i++) {
+        struct caller *caller = &world->callers[i];
+
+        if (!relay_flow_equal(caller->flow, flow)) {
+            continue;
+        }
+        for (unsigned h = 0; h < WORLD_AGENTS; h++) {
+            const struct host *host = &world->hosts[h];
+
+            if (host->up && host->flows[i].held &&
+                host->flows[i].seq == caller->peer_seq) {
+                breach(world, "FLOW: %s resets flow %u, which lives", who, i);
+            }
+        }
+        world->result->resets++;
+        if (caller->state == CALLER_ASKING) {
+            caller_fail(world, caller);
+        }
+    }
+}
+
+static void
+door_resets(struct door_out *out, struct relay_flow flow, uint32_t seq)
+{
+    check_reset(container_of(out, struct host, out)->world, flow, "an agent");
+}
+
+static void
+steer_resets(struct steer_out *out, struct relay_flow flow, uint32_t seq)
+{
+    check_reset(container_of(out, struct front, out)->world, flow,
+                "a balancer");
+}
+
 static void
 door_carries(struct door_out *out, struct addr agent,
              const struct frame_carry *frame)
@@ -302,8 +346,8 @@
 }
 
 static const struct door_out_ops door_ops = {
-    to_endpoint, to_caller,    door_carries, tell,
-    serves,      door_dropped, door_decided};
+    to_endpoint, to_caller, door_resets,  door_carries,
+    tell,        serves,    door_dropped, door_decided};
 
 /* Outputs of balancers. */
 
@@ -364,8 +408,8 @@
 {
 }
 
-static const struct steer_out_ops steer_ops = {steer_carries, ping, behind,
-                                               steer_dropped, steer_decided};
+static const struct steer_out_ops steer_ops = {
+    steer_carries, steer_resets, ping, behind, steer_dropped, steer_decided};
 
 /* Endpoints. */
 
@@ -414,6 +458,13 @@
                 packet, true);
 }
 
+/* Whether a fault was less than 2 s ago, or is still to end. */
+static bool
+is_recent(const struct world *world, uint64_t fault_us)
+{
+    return world->now_us < fault_us + 2 * USEC_PER_SEC;
+}
+
 /* Notes that a packet of an open flow came to the wrong endpoint. */
 static void
 note_misplaced(struct host *host, unsigned number)
@@ -427,8 +478,7 @@
     }
     own = &world->hosts[caller->host];
     if (!own->up || own->boot != caller->boot ||
-        world->now_us - own->fault_us < 2 * USEC_PER_SEC ||
-        world->now_us - world->fault_us < 2 * USEC_PER_SEC) {
+        is_recent(world, own->fault_us) || is_recent(world, world->fault_us)) {
         caller->misplaced = 0;
         return;
     }
@@ -577,13 +627,6 @@
     caller->copies = 1;
 }
 
-static void
-caller_fail(struct world *world, struct caller *caller)
-{
-    caller->state = CALLER_DONE;
-    world->result->failed++;
-}
-
 static void
 caller_tick(struct world *world, struct caller *caller)
 {
--- a/tests/relay/world.h
+++ b/tests/relay/world.h
@@ -37,6 +37,7 @@
     unsigned opened;   /* flows that callers opened */
     unsigned answered; /* requests answered */
     unsigned failed;   /* callers that gave up */
+    unsigned resets;   /* flows that were reset, each packet of one */
 };
 
 /** world_play() - play @faulty_ms with faults, then a calm second and a half
