An open flow without a place is looked for, and its SYN is history

Ruled out: the endpoint's idle timeout (the flow was open on both ends). Change: packets of a flow without a place go on a search that begins at the agent that had the SYN; after a caller's first packet beyond its SYN no copy is sent. An agent prefers the way the flow went, if the search names it. Test: relay-steer an_open_flow_without_a_place_is_looked_for, red before.

--- a/src/relay/door.c
+++ b/src/relay/door.c
@@ -662,6 +662,19 @@
     }
 }
 
+/* Where a packet of a flow that went on goes: to the agent it went to, unless
+ * the packet is on a search that doesn't name that agent any more. */
+static struct addr
+where_next(const struct door_flow *flow, const struct frame_carry *frame)
+{
+    for (unsigned i = 0; i < frame->next_count; i++) {
+        if (addr_equal(frame->next[i], flow->target)) {
+            return flow->target;
+        }
+    }
+    return frame->next_count > 0 ? frame->next[0] : flow->target;
+}
+
 static void
 carry_known(struct door *door, uint32_t handle,
             const struct frame_carry *frame, const struct relay_packet *packet,
@@ -673,10 +686,7 @@
     switch (flow->state) {
     case DOOR_ELSEWHERE:
         if (frame->hops < HOPS_MAX) {
-            /* A search knows better who is alive than what was found when
-             * the flow went on. */
-            carry_on(door, frame,
-                     frame->next_count > 0 ? frame->next[0] : flow->target);
+            carry_on(door, frame, where_next(flow, frame));
         }
         else {
             drop(door, DOOR_DROP_NOBODY);
--- a/src/relay/steer.c
+++ b/src/relay/steer.c
@@ -56,6 +56,7 @@
  * @try_count: how many
  * @holder: agent that has the SYN now, as far as is known
  * @held: it said that it keeps it until a slot is free
+ * @opened: the caller has sent more than its SYN: that is never sent again
  * @last_ack: what the caller acknowledged last
  * @round: how often all agents named to hold the flow said that they don't
  * @syn_seq: sequence number of the SYN; another one is another flow
@@ -75,6 +76,7 @@
     uint8_t try_count;
     struct addr holder;
     bool held;
+    bool opened;
     uint8_t round;
     uint32_t last_ack;
     uint8_t syn_size;
@@ -304,6 +306,10 @@
         carry_to(steer, pin, pin->places[0].agent, packet);
         return;
     }
+    if (pin->opened) {
+        /* A copy that was held up on its way: the flow is open. */
+        return;
+    }
     note_age(pin, packet, route);
     if (pin->held) {
         hold_on(steer, handle, packet, now_us);
@@ -334,6 +340,20 @@
     return NULL;
 }
 
+/* Moves an agent of the choice to its front. */
+static void
+put_first(struct agents_choice *choice, struct addr agent)
+{
+    for (unsigned i = 0; i < choice->count; i++) {
+        if (addr_equal(choice->addrs[i], agent)) {
+            memmove(&choice->addrs[1], &choice->addrs[0],
+                    i * sizeof(choice->addrs[0]));
+            choice->addrs[0] = agent;
+            return;
+        }
+    }
+}
+
 /* Sends a packet of an open flow along all agents that may hold it. */
 static void
 search(struct steer *steer, uint32_t handle, const struct relay_packet *packet)
@@ -349,6 +369,7 @@
         pin->round = 0;
         agents_for_known(&steer->agents, service, hash, 0, &choice);
     }
+    put_first(&choice, pin->holder);
     if (choice.count == 0) {
         drop(steer, STEER_DROP_NO_AGENT, packet);
         return;
@@ -365,9 +386,6 @@
     for (unsigned i = 0; i < pin->place_count; i++) {
         if (addr_equal(pin->places[i].agent, agent)) {
             pin->places[i] = pin->places[--pin->place_count];
-            pin->try_count = 0;
-            /* An open flow's SYN is never sent again. */
-            pin->syn_size = 0;
             return true;
         }
     }
@@ -414,16 +432,13 @@
     const struct steer_place *place = place_of(pin, packet);
 
     pin->last_ack = packet->ack;
+    pin->opened = true;
     if (is_sure(pin) && has_ended(steer, pin->places[0].agent)) {
         reset_flow(steer, handle, now_us);
     }
     else if (place != NULL) {
         carry_to(steer, pin, place->agent, packet);
     }
-    else if (pin->try_count > 0) {
-        /* The endpoint's answer overtook its agent's. */
-        carry_to(steer, pin, pin->tried[pin->try_count - 1], packet);
-    }
     else {
         search(steer, handle, packet);
     }
@@ -508,7 +523,7 @@
         pin->holder = agent;
         return;
     }
-    if (pin->syn_size == 0) {
+    if (pin->opened) {
         pin->round++;
     }
     else if (pin->place_count == 0) {
@@ -534,7 +549,7 @@
     struct steer_pin *pin = &steer->pins[wait->handle];
 
     if (pin->tried_us != wait->tried_us || pin->place_count > 0 || pin->held ||
-        pin->try_count == 0) {
+        pin->opened || pin->try_count == 0) {
         return;
     }
     agents_missed(&steer->agents, pin->holder, pin->tried_us, now_us);
@@ -681,6 +696,7 @@
     else {
         handle = remember(steer, flow, route_service(route, flow), now_us);
         steer->pins[handle].last_ack = packet->ack;
+        steer->pins[handle].opened = true;
         search(steer, handle, packet);
     }
 }
--- a/tests/relay/door_test.c
+++ b/tests/relay/door_test.c
@@ -504,6 +504,9 @@
     /* The second agent has stopped since, and is not named any more. */
     arrive_named(site, data, THIRD);
     rig_expect(site->record, "carry 10.0.0.3:7000 hops=1 left=0", NULL);
+    /* Where it went on to is named still: that is likeliest. */
+    arrive(site, data, 2, false);
+    rig_expect(site->record, "carry 10.0.0.2:7000 hops=1 left=1", NULL);
 }
 
 TEST_F(site, the_other_answer_to_a_syn_counts)
--- a/tests/relay/steer_test.c
+++ b/tests/relay/steer_test.c
@@ -318,6 +318,31 @@
     }
 }
 
+TEST_F(site, an_open_flow_without_a_place_is_looked_for, 4)
+{
+    struct relay_flow flow = rig_flow(1);
+    struct frame_status refused = {
+        .type = FRAME_PASSED,
+        .reason = FRAME_REASON_REFUSED,
+        .flow = flow,
+        .health.state = ENDPOINT_READY,
+    };
+    struct addr first;
+
+    /* This balancer was cut off; the flow opened through another one. */
+    arrive(site, rig_from_caller(flow, RELAY_SYN, 9, 0, 0));
+    first = site->sent;
+    site->now_us += 4 * USEC_PER_SEC;
+    arrive(site, rig_from_caller(flow, RELAY_ACK, 10, 501, 20));
+    g_assert_true(addr_equal(site->sent, first));
+    g_assert_cmpuint(site->frame.next_count, ==, 3);
+    /* Its SYN is history, whatever the agents say. */
+    site->carried = 0;
+    say(site, first.ip - 0x0a000000, refused);
+    pass_ms(site, 50);
+    g_assert_cmpuint(site->carried, ==, 0);
+}
+
 TEST_F(site, a_lost_place_is_looked_for_again, 4)
 {
     struct relay_flow flow = rig_flow(1);
