Agent: the answer to a SYN alone proves no flow

Ruled out: two numbers close to each other; the caller's acknowledgement was of the other endpoint's. Change: such an answer is remembered with its number and proves nothing; a bounced packet of another endpoint's answer leaves the handshake here alone.

--- a/src/relay/door.c
+++ b/src/relay/door.c
@@ -722,7 +722,10 @@
         return;
     }
     flow = &door->flows[handle];
-    if (flow->state == DOOR_HELD) {
+    if (flow->state == DOOR_HELD ||
+        (flow->state == DOOR_OPENING && !relay_packet_opens(packet))) {
+        /* It belongs to another endpoint's answer; the handshake here goes
+         * on, and the caller sends it again. */
         drop(door, DOOR_DROP_NOBODY);
         return;
     }
@@ -788,6 +791,22 @@
     clear_busy(door, handle);
 }
 
+/* A flow from before this agent's start. The answer to a SYN doesn't prove
+ * that the flow is open here: its caller may have taken another one. */
+static void
+note_earlier(struct door *door, struct relay_flow key,
+             const struct relay_packet *packet, uint64_t now_us)
+{
+    uint32_t handle = remember(door, key, DOOR_HERE, now_us);
+
+    if (relay_packet_accepts(packet)) {
+        door->flows[handle].seq = packet->seq;
+        return;
+    }
+    door->flows[handle].proven = true;
+    note_served(door, key.service);
+}
+
 /* Whether the packet may go to its caller. */
 static bool
 note_answer(struct door *door, const struct relay_packet *packet,
@@ -798,9 +817,7 @@
     struct door_flow *flow;
 
     if (handle == FLOW_INDEX_NONE) {
-        /* A flow from before this agent's start. */
-        remember(door, key, DOOR_HERE, now_us);
-        note_served(door, key.service);
+        note_earlier(door, key, packet, now_us);
         return true;
     }
     flow = &door->flows[handle];
--- a/tests/relay/door_test.c
+++ b/tests/relay/door_test.c
@@ -531,6 +531,35 @@
     rig_expect(site->record, "endpoint 40", NULL);
 }
 
+TEST_F(site, an_answer_to_a_syn_alone_proves_no_flow)
+{
+    struct relay_flow flow = rig_flow(1);
+
+    /* The SYN went through an agent that has started anew since. */
+    answer(site, rig_from_endpoint(flow, RELAY_SYN | RELAY_ACK, 500, 101, 0));
+    rig_expect(site->record, "caller 1001", NULL);
+    g_assert_cmpuint(site->door.served.count, ==, 0);
+    /* The caller took another endpoint's answer. */
+    arrive(site, rig_from_caller(flow, RELAY_ACK, 101, 900000, 40), 1, false);
+    rig_expect(site->record, "carry 10.0.0.2:7000 hops=1 left=0",
+               "tell passed reason=4 on=1 busy=0 state=0", NULL);
+}
+
+TEST_F(site, data_that_bounces_does_not_end_the_handshake)
+{
+    struct relay_flow flow = rig_flow(1);
+    struct relay_packet data =
+        rig_from_caller(flow, RELAY_ACK, 101, 900000, 40);
+
+    arrive(site, rig_from_caller(flow, RELAY_SYN, 100, 0, 0), 0, false);
+    arrive(site, data, 1, false);
+    answer(site, rig_bounced(data));
+    g_string_truncate(site->record, 0);
+    answer(site, rig_from_endpoint(flow, RELAY_SYN | RELAY_ACK, 500, 101, 0));
+    rig_expect(site->record, "tell placed reason=0 on=0 busy=1 state=0",
+               "caller 1001", NULL);
+}
+
 TEST_F(site, a_flow_whose_endpoint_started_anew_is_reset)
 {
     struct relay_flow flow = rig_flow(1);
