Relay mode's datagram socket is dgram, not udp

Ruled out: the two parts of libevent, names that stand twice among our own objects. Change: the module's prefix; of all global names of ours none is exported by a library of the binary now. Test: directory-region (red before).

--- a/src/relay/relay_agent.c
+++ b/src/relay/relay_agent.c
@@ -18,7 +18,7 @@
 #include "relay/loop.h"
 #include "relay/presence.h"
 #include "relay/relay_settings.h"
-#include "relay/udp.h"
+#include "relay/dgram.h"
 
 #define FLUSH_US (100 * USEC_PER_MSEC)
 
@@ -54,8 +54,8 @@
     struct door_out out;
     struct relay_settings settings;
     struct door door;
-    struct udp frames;
-    struct udp outbound;
+    struct dgram frames;
+    struct dgram outbound;
     struct httpd_handler ready_handler;
     struct httpd *ready;
     struct httpd_handler heartbeat_handler;
@@ -122,7 +122,7 @@
     struct relay_agent *agent = of_out(out);
 
     agent->counts.to_endpoint++;
-    udp_send(&agent->outbound, agent->settings.upstream, bytes, size);
+    dgram_send(&agent->outbound, agent->settings.upstream, bytes, size);
 }
 
 static void
@@ -133,7 +133,7 @@
     struct addr to = {caller.ip, (uint16_t)agent->settings.callers_port};
 
     agent->counts.to_caller++;
-    udp_send(&agent->frames, to, bytes, size);
+    dgram_send(&agent->frames, to, bytes, size);
 }
 
 static void
@@ -142,8 +142,8 @@
     struct relay_agent *agent = of_out(out);
     struct addr to = {flow.caller.ip, (uint16_t)agent->settings.callers_port};
 
-    packet_format_reset(flow, seq, udp_buffer(&agent->frames));
-    udp_queue(&agent->frames, to, PACKET_FORMAT_HEAD);
+    packet_format_reset(flow, seq, dgram_buffer(&agent->frames));
+    dgram_queue(&agent->frames, to, PACKET_FORMAT_HEAD);
     agent->counts.resets++;
 }
 
@@ -152,10 +152,10 @@
           const struct frame_carry *frame)
 {
     struct relay_agent *agent = of_out(out);
-    size_t size = frame_carry_encode(frame, udp_buffer(&agent->frames));
+    size_t size = frame_carry_encode(frame, dgram_buffer(&agent->frames));
 
     agent->counts.frames_on++;
-    udp_queue(&agent->frames, peer, size);
+    dgram_queue(&agent->frames, peer, size);
 }
 
 static void
@@ -163,9 +163,9 @@
          const struct frame_status *status)
 {
     struct relay_agent *agent = of_out(out);
-    size_t size = frame_status_encode(status, udp_buffer(&agent->frames));
+    size_t size = frame_status_encode(status, dgram_buffer(&agent->frames));
 
-    udp_queue(&agent->frames, balancer, size);
+    dgram_queue(&agent->frames, balancer, size);
 }
 
 static void
@@ -173,9 +173,9 @@
            const struct frame_served *served)
 {
     struct relay_agent *agent = of_out(out);
-    size_t size = frame_served_encode(served, udp_buffer(&agent->frames));
+    size_t size = frame_served_encode(served, dgram_buffer(&agent->frames));
 
-    udp_queue(&agent->frames, balancer, size);
+    dgram_queue(&agent->frames, balancer, size);
     event_log_line(&agent->log, EVENT_ROUTINE, "told_served", "addresses=%u",
                    served->count);
 }
@@ -259,9 +259,10 @@
 }
 
 static void
-on_frame(struct udp *udp, struct addr from, const uint8_t *bytes, size_t size)
+on_frame(struct dgram *dgram, struct addr from, const uint8_t *bytes,
+         size_t size)
 {
-    struct relay_agent *agent = udp->owner;
+    struct relay_agent *agent = dgram->owner;
     uint64_t now_us = loop_now_us(&agent->loop);
     struct frame_version version;
 
@@ -283,10 +284,10 @@
 }
 
 static void
-on_outbound(struct udp *udp, struct addr from, const uint8_t *bytes,
+on_outbound(struct dgram *dgram, struct addr from, const uint8_t *bytes,
             size_t size)
 {
-    struct relay_agent *agent = udp->owner;
+    struct relay_agent *agent = dgram->owner;
     struct relay_packet packet;
 
     if (packet_format_decode(bytes, size, &packet) < 0) {
@@ -300,19 +301,19 @@
 static void
 flush(struct relay_agent *agent)
 {
-    udp_flush(&agent->outbound);
-    udp_flush(&agent->frames);
+    dgram_flush(&agent->outbound);
+    dgram_flush(&agent->frames);
     loop_due(&agent->loop, door_next_us(&agent->door));
 }
 
 static void
-on_drained(struct udp *udp)
+on_drained(struct dgram *dgram)
 {
-    flush(udp->owner);
+    flush(dgram->owner);
 }
 
-static const struct udp_ops frames_ops = {on_frame, on_drained};
-static const struct udp_ops outbound_ops = {on_outbound, on_drained};
+static const struct dgram_ops frames_ops = {on_frame, on_drained};
+static const struct dgram_ops outbound_ops = {on_outbound, on_drained};
 
 /* HTTP. */
 
@@ -477,10 +478,10 @@
     uint64_t next_us;
 
     /* Answers that wait are no missed answers. */
-    udp_poll(&agent->outbound);
+    dgram_poll(&agent->outbound);
     door_tick(&agent->door, now_us);
-    udp_flush(&agent->outbound);
-    udp_flush(&agent->frames);
+    dgram_flush(&agent->outbound);
+    dgram_flush(&agent->frames);
     presence_writer_tick(&agent->presence, now_us);
     if (now_us >= agent->flush_us) {
         event_log_flush(&agent->log);
@@ -532,12 +533,12 @@
 {
     const struct relay_settings *settings = &agent->settings;
     struct event_base *base = agent->loop.base;
-    int ret = udp_init(&agent->frames, &frames_ops, agent, base,
-                       settings->data, err);
+    int ret = dgram_init(&agent->frames, &frames_ops, agent, base,
+                         settings->data, err);
 
     if (ret == 0) {
-        ret = udp_init(&agent->outbound, &outbound_ops, agent, base,
-                       settings->outbound, err);
+        ret = dgram_init(&agent->outbound, &outbound_ops, agent, base,
+                         settings->outbound, err);
     }
     if (ret < 0) {
         return ret;
@@ -607,8 +608,8 @@
     }
     httpd_free(agent->ready);
     httpd_free(agent->heartbeats);
-    udp_finish(&agent->frames);
-    udp_finish(&agent->outbound);
+    dgram_finish(&agent->frames);
+    dgram_finish(&agent->outbound);
     door_finish(&agent->door);
     loop_finish(&agent->loop);
 }
--- a/src/relay/relay_balancer.c
+++ b/src/relay/relay_balancer.c
@@ -22,7 +22,7 @@
 #include "relay/relay_settings.h"
 #include "relay/share.h"
 #include "relay/steer.h"
-#include "relay/udp.h"
+#include "relay/dgram.h"
 
 #define FLUSH_US (100 * USEC_PER_MSEC)
 
@@ -72,8 +72,8 @@
     struct steer_out out;
     struct relay_settings settings;
     struct steer steer;
-    struct udp data;
-    struct udp frames;
+    struct dgram data;
+    struct dgram frames;
     struct httpd_handler ready_handler;
     struct httpd *ready;
     struct httpd_handler share_handler;
@@ -128,9 +128,9 @@
           const struct frame_carry *frame)
 {
     struct relay_balancer *balancer = of_out(out);
-    size_t size = frame_carry_encode(frame, udp_buffer(&balancer->frames));
+    size_t size = frame_carry_encode(frame, dgram_buffer(&balancer->frames));
 
-    udp_queue(&balancer->frames, agent, size);
+    dgram_queue(&balancer->frames, agent, size);
     balancer->counts.frames_out++;
 }
 
@@ -140,9 +140,9 @@
     struct relay_balancer *balancer = of_out(out);
     struct addr to = {flow.caller.ip, balancer->data.addr.port};
 
-    packet_format_reset(flow, seq, udp_buffer(&balancer->data));
-    udp_queue(&balancer->data, to, PACKET_FORMAT_HEAD);
-    udp_flush(&balancer->data);
+    packet_format_reset(flow, seq, dgram_buffer(&balancer->data));
+    dgram_queue(&balancer->data, to, PACKET_FORMAT_HEAD);
+    dgram_flush(&balancer->data);
     balancer->counts.resets++;
 }
 
@@ -154,9 +154,9 @@
         .version = balancer->steer.routes.version,
         .holder = balancer->settings.share,
     };
-    size_t size = frame_ping_encode(&version, udp_buffer(&balancer->frames));
+    size_t size = frame_ping_encode(&version, dgram_buffer(&balancer->frames));
 
-    udp_queue(&balancer->frames, agent, size);
+    dgram_queue(&balancer->frames, agent, size);
     balancer->counts.pings++;
 }
 
@@ -232,9 +232,10 @@
 /* Datagrams. */
 
 static void
-on_packet(struct udp *udp, struct addr from, const uint8_t *bytes, size_t size)
+on_packet(struct dgram *dgram, struct addr from, const uint8_t *bytes,
+          size_t size)
 {
-    struct relay_balancer *balancer = udp->owner;
+    struct relay_balancer *balancer = dgram->owner;
     struct relay_packet packet;
 
     balancer->counts.packets++;
@@ -263,9 +264,10 @@
 }
 
 static void
-on_frame(struct udp *udp, struct addr from, const uint8_t *bytes, size_t size)
+on_frame(struct dgram *dgram, struct addr from, const uint8_t *bytes,
+         size_t size)
 {
-    struct relay_balancer *balancer = udp->owner;
+    struct relay_balancer *balancer = dgram->owner;
     struct frame_status status;
     struct frame_served served;
     int type = frame_type(bytes, size);
@@ -285,16 +287,16 @@
 }
 
 static void
-on_drained(struct udp *udp)
+on_drained(struct dgram *dgram)
 {
-    struct relay_balancer *balancer = udp->owner;
+    struct relay_balancer *balancer = dgram->owner;
 
-    udp_flush(&balancer->frames);
+    dgram_flush(&balancer->frames);
     loop_due(&balancer->loop, steer_next_us(&balancer->steer));
 }
 
-static const struct udp_ops data_ops = {on_packet, on_drained};
-static const struct udp_ops frames_ops = {on_frame, on_drained};
+static const struct dgram_ops data_ops = {on_packet, on_drained};
+static const struct dgram_ops frames_ops = {on_frame, on_drained};
 
 /* Readiness. */
 
@@ -637,9 +639,9 @@
     uint64_t next_us;
 
     /* Answers that wait are no missed answers. */
-    udp_poll(&balancer->frames);
+    dgram_poll(&balancer->frames);
     steer_tick(&balancer->steer, now_us);
-    udp_flush(&balancer->frames);
+    dgram_flush(&balancer->frames);
     tick_follows(balancer, now_us);
     ask_peers(balancer, now_us);
     if (now_us >= balancer->flush_us) {
@@ -715,12 +717,12 @@
 {
     const struct relay_settings *settings = &balancer->settings;
     struct event_base *base = balancer->loop.base;
-    int ret = udp_init(&balancer->data, &data_ops, balancer, base,
-                       settings->data, err);
+    int ret = dgram_init(&balancer->data, &data_ops, balancer, base,
+                         settings->data, err);
 
     if (ret == 0) {
-        ret = udp_init(&balancer->frames, &frames_ops, balancer, base,
-                       settings->frames, err);
+        ret = dgram_init(&balancer->frames, &frames_ops, balancer, base,
+                         settings->frames, err);
     }
     if (ret < 0) {
         return ret;
@@ -781,8 +783,8 @@
     }
     httpd_free(balancer->ready);
     httpd_free(balancer->share_httpd);
-    udp_finish(&balancer->data);
-    udp_finish(&balancer->frames);
+    dgram_finish(&balancer->data);
+    dgram_finish(&balancer->frames);
     steer_finish(&balancer->steer);
     json_object_put(balancer->config);
     loop_finish(&balancer->loop);
