Agent: what was given to an earlier start of the endpoint is void

Ruled out: copies for flows that the endpoint still holds, which the check allows. Change: flows carry the start that they belong to; a SYN of an earlier one is looked at anew. Test: relay-door a_late_syn_of_an_earlier_start_is_a_new_one, red before.

--- a/src/relay/door.c
+++ b/src/relay/door.c
@@ -58,6 +58,7 @@
 /**
  * struct door_flow - what is known of a flow
  * @state: where it is
+ * @start: start of the endpoint that it belongs to
  * @busy_at: place in the busy list, or -1
  * @confirmed: the caller acknowledged this endpoint's SYN+ACK
  * @proven: the endpoint sent something after that: the flow was open there
@@ -78,6 +79,7 @@
  */
 struct door_flow {
     enum door_state state;
+    unsigned start;
     int busy_at;
     bool confirmed;
     bool proven;
@@ -166,7 +168,8 @@
         forget(door, flow_index_oldest(&door->table));
     }
     handle = flow_index_add(&door->table, key, now_us);
-    door->flows[handle] = (struct door_flow){.state = state, .busy_at = -1};
+    door->flows[handle] = (struct door_flow){
+        .state = state, .start = door->start, .busy_at = -1};
     return handle;
 }
 
@@ -536,6 +539,12 @@
     struct door_flow *flow = &door->flows[handle];
 
     flow_index_touch(&door->table, handle, now_us);
+    if (flow->start != door->start) {
+        /* The endpoint that it was given to is no more. */
+        forget(door, handle);
+        open_flow(door, frame, packet, now_us);
+        return;
+    }
     switch (flow->state) {
     case DOOR_OPENING:
     case DOOR_HERE:
@@ -1108,6 +1117,7 @@
     }
     if (other && strcmp(door->endpoint.starts[0].id, heartbeat->id) == 0) {
         /* What the endpoint did before its start is over. */
+        door->start++;
         while (door->busy_count > 0) {
             clear_busy(door, door->busy[0]);
         }
--- a/src/relay/door.h
+++ b/src/relay/door.h
@@ -109,6 +109,7 @@
  * @out: where outputs go
  * @self: address that other agents send to
  * @endpoint: what is known of the endpoint
+ * @start: counts the starts of the endpoint that were seen
  * @table: keys of the flows
  * @flows: one for each handle
  * @waits: SYNs that the endpoint hasn't answered, in order
@@ -133,6 +134,7 @@
     struct door_out *out;
     struct addr self;
     struct endpoint endpoint;
+    unsigned start;
     struct flow_index table;
     struct door_flow *flows;
     struct door_wait waits[DOOR_WAITS_MAX];
--- a/tests/relay/door_test.c
+++ b/tests/relay/door_test.c
@@ -606,6 +606,18 @@
                "tell passed reason=5 on=1 busy=0 state=1", NULL);
 }
 
+TEST_F(site, a_late_syn_of_an_earlier_start_is_a_new_one)
+{
+    heartbeat(site, "i-1", "lots", false, 1);
+    open_flow(site, 1);
+    heartbeat(site, "i-2", "lots", false, 1);
+    heartbeat(site, "i-2", "lots", true, 2);
+    g_string_truncate(site->record, 0);
+    arrive(site, rig_from_caller(rig_flow(1), RELAY_SYN, 100, 1, 0), 1, false);
+    rig_expect(site->record, "carry 10.0.0.2:7000 hops=1 left=0",
+               "tell passed reason=2 on=1 busy=0 state=2", NULL);
+}
+
 TEST_F(site, a_late_heartbeat_of_a_dead_start_changes_nothing)
 {
     heartbeat(site, "i-1", "lots", false, 7);
