Agent: a late SYN of the address's former service is passed on

Ruled out: the balancer's view, the agent's own service (both right). Change: copies are checked for their service too. Test: relay-door a_late_syn_of_another_service_is_passed_on, red before.

--- a/src/relay/door.c
+++ b/src/relay/door.c
@@ -539,7 +539,8 @@
     struct door_flow *flow = &door->flows[handle];
 
     flow_index_touch(&door->table, handle, now_us);
-    if (flow->start != door->start) {
+    if (flow->start != door->start ||
+        frame->service != door->endpoint.service) {
         /* The endpoint that it was given to is no more. */
         forget(door, handle);
         open_flow(door, frame, packet, now_us);
--- a/tests/relay/door_test.c
+++ b/tests/relay/door_test.c
@@ -618,6 +618,19 @@
                "tell passed reason=2 on=1 busy=0 state=2", NULL);
 }
 
+TEST_F(site, a_late_syn_of_another_service_is_passed_on)
+{
+    struct relay_flow flow = rig_flow(1);
+
+    /* A packet of the endpoint that had the address before. */
+    answer(site, rig_from_endpoint(flow, RELAY_ACK, 501, 141, 900));
+    heartbeat(site, "i-9", "albums", false, 1);
+    g_string_truncate(site->record, 0);
+    arrive(site, rig_from_caller(flow, RELAY_SYN, 100, 1, 0), 1, false);
+    rig_expect(site->record, "carry 10.0.0.2:7000 hops=1 left=0",
+               "tell passed reason=5 on=1 busy=0 state=1", NULL);
+}
+
 TEST_F(site, a_late_heartbeat_of_a_dead_start_changes_nothing)
 {
     heartbeat(site, "i-1", "lots", false, 7);
