Settings of relay mode are read again when their file changes

Cause: a signal or a changed file led to a line in the log only; peers go stale when hosts are replaced. Change: settings_file looks at the file every 2 s and on SIGHUP; peers, stop_ms and log_per_s are taken over, a file with faults changes nothing.

--- a/src/relay/relay_agent.c
+++ b/src/relay/relay_agent.c
@@ -18,6 +18,7 @@
 #include "relay/loop.h"
 #include "relay/presence.h"
 #include "relay/relay_settings.h"
+#include "relay/settings_file.h"
 #include "relay/dgram.h"
 
 #define FLUSH_US (100 * USEC_PER_MSEC)
@@ -33,6 +34,7 @@
  * @loop: events and time
  * @out: outputs of @door
  * @settings: settings
+ * @file: the file that they are from
  * @door: decisions
  * @frames: frames, and packets to callers
  * @outbound: packets from and to the endpoint
@@ -53,6 +55,7 @@
     struct loop loop;
     struct door_out out;
     struct relay_settings settings;
+    struct settings_file file;
     struct door door;
     struct dgram frames;
     struct dgram outbound;
@@ -471,6 +474,31 @@
              agent->presence.step == PRESENCE_GONE));
 }
 
+static void
+take_peers(struct relay_agent *agent)
+{
+    agent->door.greeter_count = 0;
+    for (size_t i = 0; i < agent->settings.peer_count; i++) {
+        door_greet(&agent->door, agent->settings.peers[i]);
+    }
+}
+
+static void
+reload(struct relay_agent *agent)
+{
+    char report[256];
+    int ret = settings_file_reload(&agent->file, &agent->settings, report,
+                                   sizeof(report));
+
+    agent->log.per_s = agent->settings.log_per_s;
+    take_peers(agent);
+    event_log_line(&agent->log, EVENT_RARE, "reload",
+                   "result=%s peers=%zu log_per_s=%u stop_ms=%u "
+                   "reason=\"%s\"",
+                   ret == 0 ? "taken" : "refused", agent->settings.peer_count,
+                   agent->settings.log_per_s, agent->settings.stop_ms, report);
+}
+
 static uint64_t
 on_tick(struct loop *loop, uint64_t now_us)
 {
@@ -483,6 +511,9 @@
     dgram_flush(&agent->outbound);
     dgram_flush(&agent->frames);
     presence_writer_tick(&agent->presence, now_us);
+    if (settings_file_changed(&agent->file, now_us)) {
+        reload(agent);
+    }
     if (now_us >= agent->flush_us) {
         event_log_flush(&agent->log);
         agent->flush_us = now_us + FLUSH_US;
@@ -519,9 +550,7 @@
 {
     struct relay_agent *agent = container_of(loop, struct relay_agent, loop);
 
-    event_log_line(&agent->log, EVENT_RARE, "reload",
-                   "change=none reason=\"addresses stay for a process's "
-                   "life\"");
+    reload(agent);
 }
 
 static const struct loop_ops loop_ops = {on_tick, on_stop, on_reload};
@@ -570,7 +599,7 @@
 }
 
 static int
-start(struct relay_agent *agent, struct error *err)
+start(struct relay_agent *agent, const char *path, struct error *err)
 {
     int ret;
 
@@ -580,6 +609,7 @@
         return error_set(err, -ENOMEM, "start", NULL, "no event loop");
     }
     agent->started_us = loop_now_us(&agent->loop);
+    settings_file_init(&agent->file, path, RELAY_AGENT, agent->started_us);
     event_log_init(&agent->log, &agent->loop.clock, agent->settings.name,
                    STDOUT_FILENO, agent->settings.log_per_s);
     ret = start_sockets(agent, err);
@@ -591,9 +621,7 @@
         start_presence(agent, agent->started_us) < 0) {
         return error_set(err, -ENOMEM, "start", NULL, "no memory");
     }
-    for (size_t i = 0; i < agent->settings.peer_count; i++) {
-        door_greet(&agent->door, agent->settings.peers[i]);
-    }
+    take_peers(agent);
     event_log_line(&agent->log, EVENT_RARE, "started",
                    "role=agent data_centre=%s service=%s",
                    agent->settings.data_centre, agent->settings.service);
@@ -643,7 +671,7 @@
         g_free(agent);
         return EXIT_SETTINGS;
     }
-    if (start(agent, &err) < 0) {
+    if (start(agent, settings_path, &err) < 0) {
         fprintf(stderr, "%s\n", error_format(&err, line, sizeof(line)));
         code = EXIT_ERROR;
     }
--- a/src/relay/relay_balancer.c
+++ b/src/relay/relay_balancer.c
@@ -20,6 +20,7 @@
 #include "relay/loop.h"
 #include "relay/presence.h"
 #include "relay/relay_settings.h"
+#include "relay/settings_file.h"
 #include "relay/share.h"
 #include "relay/steer.h"
 #include "relay/dgram.h"
@@ -47,6 +48,7 @@
  * @loop: events and time
  * @out: outputs of @steer
  * @settings: settings
+ * @file: the file that they are from
  * @steer: decisions
  * @data: packets of callers
  * @frames: frames from agents
@@ -71,6 +73,7 @@
     struct loop loop;
     struct steer_out out;
     struct relay_settings settings;
+    struct settings_file file;
     struct steer steer;
     struct dgram data;
     struct dgram frames;
@@ -588,6 +591,13 @@
 static const struct httpd_ops ready_ops = {on_ready_request};
 static const struct httpd_ops share_httpd_ops = {on_share_request};
 
+static void
+take_peers(struct relay_balancer *balancer)
+{
+    share_peers(&balancer->share, balancer->settings.peers,
+                balancer->settings.peer_count, balancer->settings.share);
+}
+
 /* Time and signals. */
 
 static bool
@@ -631,6 +641,23 @@
     }
 }
 
+static void
+reload(struct relay_balancer *balancer)
+{
+    char report[256];
+    int ret = settings_file_reload(&balancer->file, &balancer->settings,
+                                   report, sizeof(report));
+
+    balancer->log.per_s = balancer->settings.log_per_s;
+    take_peers(balancer);
+    event_log_line(&balancer->log, EVENT_RARE, "reload",
+                   "result=%s peers=%zu log_per_s=%u stop_ms=%u "
+                   "reason=\"%s\"",
+                   ret == 0 ? "taken" : "refused",
+                   balancer->settings.peer_count, balancer->settings.log_per_s,
+                   balancer->settings.stop_ms, report);
+}
+
 static uint64_t
 on_tick(struct loop *loop, uint64_t now_us)
 {
@@ -644,6 +671,9 @@
     dgram_flush(&balancer->frames);
     tick_follows(balancer, now_us);
     ask_peers(balancer, now_us);
+    if (settings_file_changed(&balancer->file, now_us)) {
+        reload(balancer);
+    }
     if (now_us >= balancer->flush_us) {
         look_at_readiness(balancer);
         event_log_flush(&balancer->log);
@@ -681,9 +711,7 @@
     struct relay_balancer *balancer =
         container_of(loop, struct relay_balancer, loop);
 
-    event_log_line(&balancer->log, EVENT_RARE, "reload",
-                   "change=none reason=\"addresses stay for a process's "
-                   "life\"");
+    reload(balancer);
 }
 
 static const struct loop_ops loop_ops = {on_tick, on_stop, on_reload};
@@ -706,9 +734,8 @@
                 CONFIG_FORMAT_KIND, 0, seed, now_us);
     follow_init(&balancer->agents_follow, &agents_ops, balancer->stores[1],
                 PRESENCE_KIND, AGENTS_GAP_US, seed + 1, now_us);
-    share_init(&balancer->share, &share_ops, balancer->loop.base,
-               balancer->settings.peers, balancer->settings.peer_count,
-               balancer->settings.share);
+    share_init(&balancer->share, &share_ops, balancer->loop.base);
+    take_peers(balancer);
     return 0;
 }
 
@@ -738,7 +765,7 @@
 }
 
 static int
-start(struct relay_balancer *balancer, struct error *err)
+start(struct relay_balancer *balancer, const char *path, struct error *err)
 {
     uint64_t now_us;
     int ret;
@@ -750,6 +777,7 @@
     }
     now_us = loop_now_us(&balancer->loop);
     balancer->started_us = now_us;
+    settings_file_init(&balancer->file, path, RELAY_BALANCER, now_us);
     event_log_init(&balancer->log, &balancer->loop.clock,
                    balancer->settings.name, STDOUT_FILENO,
                    balancer->settings.log_per_s);
@@ -819,7 +847,7 @@
         g_free(balancer);
         return EXIT_SETTINGS;
     }
-    if (start(balancer, &err) < 0) {
+    if (start(balancer, settings_path, &err) < 0) {
         fprintf(stderr, "%s\n", error_format(&err, line, sizeof(line)));
         code = EXIT_ERROR;
     }
--- /dev/null
+++ b/src/relay/settings_file.c
@@ -0,0 +1,73 @@
+#include "relay/settings_file.h"
+
+#include <string.h>
+#include <sys/stat.h>
+
+#include <glib.h>
+
+#include "base/clock.h"
+#include "base/hash.h"
+
+/* A changed file is noticed within this; a look is one system call. */
+#define LOOK_US (2 * USEC_PER_SEC)
+
+/* Time and size of a file as one number; 0 when it isn't there. */
+static uint64_t
+stamp_of(const char *path)
+{
+    struct stat status;
+
+    if (stat(path, &status) < 0) {
+        return 0;
+    }
+    return hash_pair((uint64_t)status.st_mtim.tv_sec * USEC_PER_SEC +
+                         (uint64_t)status.st_mtim.tv_nsec / 1000,
+                     (uint64_t)status.st_size);
+}
+
+void
+settings_file_init(struct settings_file *file, const char *path,
+                   enum relay_role role, uint64_t now_us)
+{
+    *file = (struct settings_file){
+        .path = path,
+        .role = role,
+        .stamp = stamp_of(path),
+        .look_us = now_us + LOOK_US,
+    };
+}
+
+bool
+settings_file_changed(struct settings_file *file, uint64_t now_us)
+{
+    if (now_us < file->look_us) {
+        return false;
+    }
+    file->look_us = now_us + LOOK_US;
+    return stamp_of(file->path) != file->stamp;
+}
+
+int
+settings_file_reload(struct settings_file *file,
+                     struct relay_settings *settings, char *report,
+                     size_t size)
+{
+    struct relay_settings read;
+    struct error err = {0};
+    char *faults;
+    int ret;
+
+    file->stamp = stamp_of(file->path);
+    ret = relay_settings_load(&read, file->role, file->path, &faults, &err);
+    if (ret < 0) {
+        g_strlcpy(report, err.detail, size);
+        g_free(faults);
+        return ret;
+    }
+    memcpy(settings->peers, read.peers, sizeof(settings->peers));
+    settings->peer_count = read.peer_count;
+    settings->stop_ms = read.stop_ms;
+    settings->log_per_s = read.log_per_s;
+    report[0] = '\0';
+    return 0;
+}
--- a/src/relay/share.c
+++ b/src/relay/share.c
@@ -81,13 +81,19 @@
 
 void
 share_init(struct share *share, const struct share_ops *ops,
-           struct event_base *base, const struct addr *peers, size_t count,
-           struct addr self)
+           struct event_base *base)
 {
     memset(share, 0, sizeof(*share));
     share->ops = ops;
     share->call.done = on_done;
     share->base = base;
+}
+
+void
+share_peers(struct share *share, const struct addr *peers, size_t count,
+            struct addr self)
+{
+    share->peer_count = 0;
     for (size_t i = 0; i < count; i++) {
         if (!addr_equal(peers[i], self)) {
             share->peers[share->peer_count++] = peers[i];
--- a/src/relay/share.h
+++ b/src/relay/share.h
@@ -57,11 +57,15 @@
     uint64_t next_us;
 };
 
-/** share_init() - ask @peers, but never @self */
+/** share_init() - nobody to ask yet */
 void
 share_init(struct share *share, const struct share_ops *ops,
-           struct event_base *base, const struct addr *peers, size_t count,
-           struct addr self);
+           struct event_base *base);
+
+/** share_peers() - ask @peers from now on, but never @self */
+void
+share_peers(struct share *share, const struct addr *peers, size_t count,
+            struct addr self);
 
 /** share_finish() - end the open call */
 void
--- a/tests/relay/settings_test.c
+++ b/tests/relay/settings_test.c
@@ -4,7 +4,9 @@
 #include <glib/gstdio.h>
 
 #include "lib/harness.h"
+#include "base/clock.h"
 #include "relay/relay_settings.h"
+#include "relay/settings_file.h"
 
 #define SUITE "/relay/settings"
 
@@ -61,6 +63,43 @@
     g_assert_cmpuint(settings.stop_ms, >, 0);
 }
 
+TEST(a_changed_file_is_noticed_and_one_with_faults_changes_nothing)
+{
+    struct relay_settings settings;
+    struct settings_file file;
+    char *path = NULL;
+    int fd = g_file_open_tmp("settings-XXXXXX", &path, NULL);
+    struct error err = {0};
+    char report[256];
+    char *faults;
+
+    g_close(fd, NULL);
+    g_file_set_contents(path, "{" AGENT_KEYS "}", -1, NULL);
+    g_assert_cmpint(
+        relay_settings_load(&settings, RELAY_AGENT, path, &faults, &err), ==,
+        0);
+    settings_file_init(&file, path, RELAY_AGENT, 0);
+    g_assert_false(settings_file_changed(&file, 3 * USEC_PER_SEC));
+    g_file_set_contents(
+        path, "{" AGENT_KEYS ",\"log_per_s\":7,\"peers\":[\"10.0.0.9:1\"]}",
+        -1, NULL);
+    g_assert_false(settings_file_changed(&file, 4 * USEC_PER_SEC));
+    g_assert_true(settings_file_changed(&file, 6 * USEC_PER_SEC));
+    g_assert_cmpint(
+        settings_file_reload(&file, &settings, report, sizeof(report)), ==, 0);
+    g_assert_cmpuint(settings.log_per_s, ==, 7);
+    g_assert_cmpuint(settings.peer_count, ==, 1);
+    g_assert_false(settings_file_changed(&file, 20 * USEC_PER_SEC));
+    g_file_set_contents(path, "{\"log_per_s\":9}", -1, NULL);
+    g_assert_true(settings_file_changed(&file, 30 * USEC_PER_SEC));
+    g_assert_cmpint(
+        settings_file_reload(&file, &settings, report, sizeof(report)), <, 0);
+    g_assert_cmpstr(report, !=, "");
+    g_assert_cmpuint(settings.log_per_s, ==, 7);
+    g_unlink(path);
+    g_free(path);
+}
+
 TEST(faults_name_their_key)
 {
     expect_fault("{" AGENT_KEYS ",\"nonsense\":1}", RELAY_AGENT, "nonsense");
