--- a/src/relay/relay_agent.c
+++ b/src/relay/relay_agent.c
@@ -40,6 +40,7 @@
  * @outbound: packets from and to the endpoint
  * @ready_handler: answers /ready and /metrics
  * @ready: its listener
+ * @metrics: a second one, or NULL
  * @heartbeat_handler: answers the endpoint's heartbeats
  * @heartbeats: its listener
  * @store: connection to the store
@@ -61,6 +62,7 @@
     struct dgram outbound;
     struct httpd_handler ready_handler;
     struct httpd *ready;
+    struct httpd *metrics;
     struct httpd_handler heartbeat_handler;
     struct httpd *heartbeats;
     struct store *store;
@@ -578,7 +580,14 @@
     agent->ready_handler.ops = &ready_ops;
     agent->ready =
         httpd_new(base, settings->ready, &agent->ready_handler, err);
-    return agent->heartbeats == NULL || agent->ready == NULL ? err->code : 0;
+    if (agent->heartbeats == NULL || agent->ready == NULL) {
+        return err->code;
+    }
+    if (settings->metrics.ip != 0) {
+        agent->metrics =
+            httpd_new(base, settings->metrics, &agent->ready_handler, err);
+    }
+    return settings->metrics.ip != 0 && agent->metrics == NULL ? err->code : 0;
 }
 
 static int
@@ -635,6 +644,7 @@
         agent->store->ops->free(agent->store);
     }
     httpd_free(agent->ready);
+    httpd_free(agent->metrics);
     httpd_free(agent->heartbeats);
     dgram_finish(&agent->frames);
     dgram_finish(&agent->outbound);
--- a/src/relay/relay_balancer.c
+++ b/src/relay/relay_balancer.c
@@ -54,6 +54,7 @@
  * @frames: frames from agents
  * @ready_handler: answers /ready and /metrics
  * @ready: its listener
+ * @metrics: a second one, or NULL
  * @share_handler: answers peers
  * @share_httpd: its listener
  * @stores: connections to the store
@@ -79,6 +80,7 @@
     struct dgram frames;
     struct httpd_handler ready_handler;
     struct httpd *ready;
+    struct httpd *metrics;
     struct httpd_handler share_handler;
     struct httpd *share_httpd;
     struct store *stores[2];
@@ -760,8 +762,15 @@
     balancer->share_handler.ops = &share_httpd_ops;
     balancer->share_httpd =
         httpd_new(base, settings->share, &balancer->share_handler, err);
-    return balancer->ready == NULL || balancer->share_httpd == NULL ? err->code
-                                                                    : 0;
+    if (balancer->ready == NULL || balancer->share_httpd == NULL) {
+        return err->code;
+    }
+    if (settings->metrics.ip != 0) {
+        balancer->metrics =
+            httpd_new(base, settings->metrics, &balancer->ready_handler, err);
+    }
+    return settings->metrics.ip != 0 && balancer->metrics == NULL ? err->code
+                                                                  : 0;
 }
 
 static int
@@ -810,6 +819,7 @@
         }
     }
     httpd_free(balancer->ready);
+    httpd_free(balancer->metrics);
     httpd_free(balancer->share_httpd);
     dgram_finish(&balancer->data);
     dgram_finish(&balancer->frames);
--- a/src/relay/relay_settings.c
+++ b/src/relay/relay_settings.c
@@ -63,6 +63,7 @@
     {"data", BOTH, BOTH, keys_read_addr, FIELD(data)},
     {"frames", BALANCER, BALANCER, keys_read_addr, FIELD(frames)},
     {"ready", BOTH, BOTH, keys_read_addr, FIELD(ready)},
+    {"metrics", 0, BOTH, keys_read_addr, FIELD(metrics)},
     {"share", BALANCER, BALANCER, keys_read_addr, FIELD(share)},
     {"upstream", AGENT, AGENT, keys_read_addr, FIELD(upstream)},
     {"outbound", AGENT, AGENT, keys_read_addr, FIELD(outbound)},
--- a/src/relay/relay_settings.h
+++ b/src/relay/relay_settings.h
@@ -27,6 +27,7 @@
  * @data: UDP address for packets of callers, at an agent for frames ("data")
  * @frames: balancer: UDP address for frames ("frames")
  * @ready: address of /ready and /metrics ("ready")
+ * @metrics: another address of /metrics, ip 0 for none ("metrics")
  * @share: balancer: address where other balancers read the configuration
  *         ("share")
  * @upstream: agent: where its endpoint takes packets ("upstream")
@@ -51,6 +52,7 @@
     struct addr data;
     struct addr frames;
     struct addr ready;
+    struct addr metrics;
     struct addr share;
     struct addr upstream;
     struct addr outbound;
