--- a/src/relay/door_answer.c
+++ b/src/relay/door_answer.c
@@ -5,7 +5,7 @@
 /* The endpoint doesn't take a packet of the flow. */
 void
 door_bounced(struct door *door, const struct relay_packet *packet,
-           uint64_t now_us)
+             uint64_t now_us)
 {
     uint32_t handle =
         flow_index_find(&door->table, relay_flow_from_caller(packet));
@@ -25,14 +25,14 @@
     }
     if (flow->state == DOOR_ELSEWHERE) {
         door_carry_on(door,
-                 &(struct frame_carry){
-                     .service = flow->service,
-                     .origin = flow->origin,
-                     .hops = flow->frame.hops,
-                     .bytes = packet->bytes,
-                     .size = packet->size,
-                 },
-                 flow->target);
+                      &(struct frame_carry){
+                          .service = flow->service,
+                          .origin = flow->origin,
+                          .hops = flow->frame.hops,
+                          .bytes = packet->bytes,
+                          .size = packet->size,
+                      },
+                      flow->target);
         return;
     }
     if (flow->state == DOOR_HERE && flow->proven) {
@@ -104,7 +104,7 @@
 /* Whether the packet may go to its caller. */
 bool
 door_answered(struct door *door, const struct relay_packet *packet,
-            uint64_t now_us)
+              uint64_t now_us)
 {
     struct relay_flow key = relay_flow_from_endpoint(packet);
     uint32_t handle = flow_index_find(&door->table, key);
--- a/src/relay/door_flow.c
+++ b/src/relay/door_flow.c
@@ -17,7 +17,7 @@
 
 void
 door_decided(struct door *door, enum door_did did, uint32_t handle,
-        enum frame_reason why)
+             enum frame_reason why)
 {
     door->out->ops->decided(door->out, did,
                             flow_index_flow(&door->table, handle), why,
@@ -78,8 +78,8 @@
 }
 
 uint32_t
-door_flow_remember(struct door *door, struct relay_flow key, enum door_state state,
-         uint64_t now_us)
+door_flow_remember(struct door *door, struct relay_flow key,
+                   enum door_state state, uint64_t now_us)
 {
     uint32_t handle;
 
--- a/src/relay/door_known.c
+++ b/src/relay/door_known.c
@@ -6,7 +6,8 @@
 
 /* Sends a packet of a flow along the agents that its frame names. */
 void
-door_carry_on(struct door *door, const struct frame_carry *frame, struct addr agent)
+door_carry_on(struct door *door, const struct frame_carry *frame,
+              struct addr agent)
 {
     struct frame_carry on = *frame;
     unsigned kept = 0;
@@ -25,10 +26,10 @@
  * before this agent's start. */
 void
 door_ask_endpoint(struct door *door, const struct frame_carry *frame,
-             const struct relay_packet *packet, uint64_t now_us)
+                  const struct relay_packet *packet, uint64_t now_us)
 {
-    uint32_t handle =
-        door_flow_remember(door, relay_flow_from_caller(packet), DOOR_ASKED, now_us);
+    uint32_t handle = door_flow_remember(door, relay_flow_from_caller(packet),
+                                         DOOR_ASKED, now_us);
     struct door_flow *flow = &door->flows[handle];
 
     flow->frame = *frame;
@@ -125,8 +126,8 @@
 
 void
 door_carry_known(struct door *door, uint32_t handle,
-            const struct frame_carry *frame, const struct relay_packet *packet,
-            uint64_t now_us)
+                 const struct frame_carry *frame,
+                 const struct relay_packet *packet, uint64_t now_us)
 {
     struct door_flow *flow = &door->flows[handle];
 
--- a/src/relay/door_open.c
+++ b/src/relay/door_open.c
@@ -120,7 +120,7 @@
 /* Sends a flow's packet on; without anyone left the flow is forgotten. */
 void
 door_pass_on(struct door *door, uint32_t handle, enum frame_reason why,
-        uint64_t now_us)
+             uint64_t now_us)
 {
     struct door_flow *flow = &door->flows[handle];
     struct relay_flow key = flow_index_flow(&door->table, handle);
@@ -195,7 +195,7 @@
 
 void
 door_open_flow(struct door *door, const struct frame_carry *frame,
-          const struct relay_packet *packet, uint64_t now_us)
+               const struct relay_packet *packet, uint64_t now_us)
 {
     struct relay_flow key = relay_flow_from_caller(packet);
     uint32_t handle = door_flow_remember(door, key, DOOR_OPENING, now_us);
@@ -233,8 +233,9 @@
 
 /* Another copy of a SYN that was seen here. */
 void
-door_open_again(struct door *door, uint32_t handle, const struct frame_carry *frame,
-           const struct relay_packet *packet, uint64_t now_us)
+door_open_again(struct door *door, uint32_t handle,
+                const struct frame_carry *frame,
+                const struct relay_packet *packet, uint64_t now_us)
 {
     struct door_flow *flow = &door->flows[handle];
 
--- a/src/relay/door_private.h
+++ b/src/relay/door_private.h
@@ -76,7 +76,7 @@
 /** door_decided() - tell what became of a flow */
 void
 door_decided(struct door *door, enum door_did did, uint32_t handle,
-        enum frame_reason why);
+             enum frame_reason why);
 
 /** door_flow_busy() - a request of the flow is in progress */
 void
@@ -96,8 +96,8 @@
 
 /** door_flow_remember() - a handle for a flow that isn't known yet */
 uint32_t
-door_flow_remember(struct door *door, struct relay_flow key, enum door_state state,
-         uint64_t now_us);
+door_flow_remember(struct door *door, struct relay_flow key,
+                   enum door_state state, uint64_t now_us);
 
 /** door_wait_push() - look at the flow when its answer is due */
 void
@@ -106,7 +106,7 @@
 /** door_tell() - send a balancer a word, with the endpoint's health */
 void
 door_tell(struct door *door, struct addr balancer, struct frame_status *status,
-     uint64_t now_us);
+          uint64_t now_us);
 
 /** door_tell_placed() - the endpoint holds the flow */
 void
@@ -115,22 +115,24 @@
 /** door_tell_passed() - the flow went to @target, or to nobody */
 void
 door_tell_passed(struct door *door, struct relay_flow key, struct addr origin,
-            enum frame_reason why, struct addr target, uint64_t now_us);
+                 enum frame_reason why, struct addr target, uint64_t now_us);
 
-/** door_tell_state() - tell all balancers of late that the endpoint's state has changed */
+/** door_tell_state() - tell all balancers of late that the endpoint's state
+ * has changed */
 void
 door_tell_state(struct door *door, uint64_t now_us);
 
 /** door_heard_from() - a balancer spoke, and of which configuration */
 void
 door_heard_from(struct door *door, struct addr balancer, uint64_t version,
-           uint64_t now_us);
+                uint64_t now_us);
 
 /** door_tell_served() - tell a balancer what the endpoint serves */
 void
 door_tell_served(struct door *door, struct addr balancer);
 
-/** door_note_served() - the endpoint holds a flow from before this agent's start */
+/** door_note_served() - the endpoint holds a flow from before this agent's
+ * start */
 void
 door_note_served(struct door *door, struct addr service);
 
@@ -146,20 +148,22 @@
 bool
 door_has_room(const struct door *door, bool in_time);
 
-/** door_pass_on() - send a flow's packet on; without anyone left the flow is forgotten */
+/** door_pass_on() - send a flow's packet on; without anyone left the flow is
+ * forgotten */
 void
 door_pass_on(struct door *door, uint32_t handle, enum frame_reason why,
-        uint64_t now_us);
+             uint64_t now_us);
 
 /** door_open_flow() - a SYN of a flow that isn't known */
 void
 door_open_flow(struct door *door, const struct frame_carry *frame,
-          const struct relay_packet *packet, uint64_t now_us);
+               const struct relay_packet *packet, uint64_t now_us);
 
 /** door_open_again() - another copy of a SYN that was seen here */
 void
-door_open_again(struct door *door, uint32_t handle, const struct frame_carry *frame,
-           const struct relay_packet *packet, uint64_t now_us);
+door_open_again(struct door *door, uint32_t handle,
+                const struct frame_carry *frame,
+                const struct relay_packet *packet, uint64_t now_us);
 
 /** door_admit_held() - give held SYNs to the endpoint while it has room */
 void
@@ -171,12 +175,13 @@
 
 /** door_carry_on() - send a packet along the agents that its frame names */
 void
-door_carry_on(struct door *door, const struct frame_carry *frame, struct addr agent);
+door_carry_on(struct door *door, const struct frame_carry *frame,
+              struct addr agent);
 
 /** door_ask_endpoint() - offer a packet of an unknown flow to the endpoint */
 void
 door_ask_endpoint(struct door *door, const struct frame_carry *frame,
-             const struct relay_packet *packet, uint64_t now_us);
+                  const struct relay_packet *packet, uint64_t now_us);
 
 /** door_reset_flow() - tell a caller that its flow is over */
 void
@@ -185,17 +190,18 @@
 /** door_carry_known() - a packet of a flow that is known */
 void
 door_carry_known(struct door *door, uint32_t handle,
-            const struct frame_carry *frame, const struct relay_packet *packet,
-            uint64_t now_us);
+                 const struct frame_carry *frame,
+                 const struct relay_packet *packet, uint64_t now_us);
 
 /** door_bounced() - the endpoint doesn't take a packet */
 void
 door_bounced(struct door *door, const struct relay_packet *packet,
-           uint64_t now_us);
+             uint64_t now_us);
 
-/** door_answered() - the endpoint sent a packet; whether it may go to its caller */
+/** door_answered() - the endpoint sent a packet; whether it may go to its
+ * caller */
 bool
 door_answered(struct door *door, const struct relay_packet *packet,
-            uint64_t now_us);
+              uint64_t now_us);
 
 #endif
--- a/src/relay/door_tell.c
+++ b/src/relay/door_tell.c
@@ -12,7 +12,7 @@
 
 void
 door_tell(struct door *door, struct addr balancer, struct frame_status *status,
-     uint64_t now_us)
+          uint64_t now_us)
 {
     status->health =
         endpoint_health(&door->endpoint, door->busy_count, now_us);
@@ -40,7 +40,7 @@
 
 void
 door_tell_passed(struct door *door, struct relay_flow key, struct addr origin,
-            enum frame_reason why, struct addr target, uint64_t now_us)
+                 enum frame_reason why, struct addr target, uint64_t now_us)
 {
     struct frame_status status = {
         .type = FRAME_PASSED,
@@ -69,7 +69,7 @@
 
 void
 door_heard_from(struct door *door, struct addr balancer, uint64_t version,
-           uint64_t now_us)
+                uint64_t now_us)
 {
     unsigned oldest = 0;
 
--- /dev/null
+++ b/src/relay/relay_agent_out.c
@@ -0,0 +1,242 @@
+#include "relay/relay_agent_private.h"
+
+#include <inttypes.h>
+#include <string.h>
+
+#include <glib.h>
+
+#include "base/container.h"
+#include "platform/packet_format.h"
+
+const char *const relay_agent_reason_names[] = {
+    [FRAME_REASON_NONE] = "none",       [FRAME_REASON_BUSY] = "busy",
+    [FRAME_REASON_LEAVING] = "leaving", [FRAME_REASON_SILENT] = "silent",
+    [FRAME_REASON_REFUSED] = "refused", [FRAME_REASON_SERVICE] = "service",
+};
+
+const char *const relay_agent_state_names[] = {
+    [ENDPOINT_UNKNOWN] = "unknown",   [ENDPOINT_READY] = "ready",
+    [ENDPOINT_DRAINING] = "draining", [ENDPOINT_GONE] = "gone",
+    [ENDPOINT_SILENT] = "silent",
+};
+
+const char *const relay_agent_drop_names[] = {
+    [DOOR_DROP_MALFORMED] = "malformed",
+    [DOOR_DROP_NOBODY] = "nobody_left",
+    [DOOR_DROP_LATE] = "late_answer",
+    [DOOR_DROP_EXPIRED] = "caller_gave_up",
+};
+
+static const char *const did_names[] = {
+    [DOOR_DID_PLACE] = "placed",   [DOOR_DID_PASS] = "passed",
+    [DOOR_DID_LET_GO] = "let_go",  [DOOR_DID_HOLD] = "held",
+    [DOOR_DID_ADMIT] = "admitted", [DOOR_DID_EXPIRE] = "gave_up",
+    [DOOR_DID_RESET] = "reset",
+};
+
+/* Outputs of door. */
+
+static struct relay_agent *
+of_out(struct door_out *out)
+{
+    return container_of(out, struct relay_agent, out);
+}
+
+static void
+out_to_endpoint(struct door_out *out, const uint8_t *bytes, size_t size)
+{
+    struct relay_agent *agent = of_out(out);
+
+    agent->counts.to_endpoint++;
+    dgram_send(&agent->outbound, agent->settings.upstream, bytes, size);
+}
+
+static void
+out_to_caller(struct door_out *out, struct addr caller, const uint8_t *bytes,
+              size_t size)
+{
+    struct relay_agent *agent = of_out(out);
+    struct addr to = {caller.ip, (uint16_t)agent->settings.callers_port};
+
+    agent->counts.to_caller++;
+    dgram_send(&agent->frames, to, bytes, size);
+}
+
+static void
+out_reset(struct door_out *out, struct relay_flow flow, uint32_t seq)
+{
+    struct relay_agent *agent = of_out(out);
+    struct addr to = {flow.caller.ip, (uint16_t)agent->settings.callers_port};
+
+    packet_format_reset(flow, seq, dgram_buffer(&agent->frames));
+    dgram_queue(&agent->frames, to, PACKET_FORMAT_HEAD);
+    agent->counts.resets++;
+}
+
+static void
+out_carry(struct door_out *out, struct addr peer,
+          const struct frame_carry *frame)
+{
+    struct relay_agent *agent = of_out(out);
+    size_t size = frame_carry_encode(frame, dgram_buffer(&agent->frames));
+
+    agent->counts.frames_on++;
+    dgram_queue(&agent->frames, peer, size);
+}
+
+static void
+out_tell(struct door_out *out, struct addr balancer,
+         const struct frame_status *status)
+{
+    struct relay_agent *agent = of_out(out);
+    size_t size = frame_status_encode(status, dgram_buffer(&agent->frames));
+
+    dgram_queue(&agent->frames, balancer, size);
+}
+
+static void
+out_serves(struct door_out *out, struct addr balancer,
+           const struct frame_served *served)
+{
+    struct relay_agent *agent = of_out(out);
+    size_t size = frame_served_encode(served, dgram_buffer(&agent->frames));
+
+    dgram_queue(&agent->frames, balancer, size);
+    event_log_line(&agent->log, EVENT_ROUTINE, "told_served", "addresses=%u",
+                   served->count);
+}
+
+static void
+out_dropped(struct door_out *out, enum door_drop why)
+{
+    of_out(out)->counts.dropped[why]++;
+}
+
+static void
+count_decision(struct relay_agent *agent, enum door_did did,
+               enum frame_reason why)
+{
+    switch (did) {
+    case DOOR_DID_PLACE:
+        agent->counts.placed++;
+        break;
+    case DOOR_DID_HOLD:
+        agent->counts.held++;
+        break;
+    case DOOR_DID_PASS:
+    case DOOR_DID_LET_GO:
+        agent->counts.passed[why]++;
+        break;
+    default:
+        break;
+    }
+}
+
+static void
+out_decided(struct door_out *out, enum door_did did, struct relay_flow flow,
+            enum frame_reason why, const struct frame_carry *frame)
+{
+    struct relay_agent *agent = of_out(out);
+    char caller[ADDR_TEXT_MAX];
+    char service[ADDR_TEXT_MAX];
+
+    count_decision(agent, did, why);
+    if (!event_log_wants(&agent->log, EVENT_ROUTINE)) {
+        return;
+    }
+    event_log_line(
+        &agent->log, EVENT_ROUTINE, did_names[did],
+        "caller=%s service=%s reason=%s endpoint=%s busy=%u "
+        "slots=%u held=%u target_ms=%u forced=%d hops=%u",
+        addr_format(flow.caller, caller), addr_format(flow.service, service),
+        relay_agent_reason_names[why], relay_agent_state_names[agent->door.endpoint.state],
+        agent->door.busy_count, agent->door.endpoint.slots,
+        agent->door.held_count, frame->target_ms, frame->forced, frame->hops);
+}
+
+const struct door_out_ops relay_agent_out_ops = {
+    .to_endpoint = out_to_endpoint,
+    .to_caller = out_to_caller,
+    .reset = out_reset,
+    .carry = out_carry,
+    .tell = out_tell,
+    .serves = out_serves,
+    .dropped = out_dropped,
+    .decided = out_decided,
+};
+
+/* Datagrams. */
+
+static void
+on_carry(struct relay_agent *agent, const uint8_t *bytes, size_t size,
+         uint64_t now_us)
+{
+    struct frame_carry frame;
+    struct relay_packet packet;
+
+    if (frame_carry_decode(bytes, size, &frame) < 0 ||
+        packet_format_decode(frame.bytes, frame.size, &packet) < 0 ||
+        relay_packet_accepts(&packet)) {
+        out_dropped(&agent->out, DOOR_DROP_MALFORMED);
+        return;
+    }
+    agent->packet_us = now_us;
+    door_carry(&agent->door, &frame, &packet, now_us);
+}
+
+static void
+on_frame(struct dgram *dgram, struct addr from, const uint8_t *bytes,
+         size_t size)
+{
+    struct relay_agent *agent = dgram->owner;
+    uint64_t now_us = loop_now_us(&agent->loop);
+    struct frame_version version;
+
+    agent->counts.frames_in++;
+    switch (frame_type(bytes, size)) {
+    case FRAME_CARRY:
+        on_carry(agent, bytes, size, now_us);
+        return;
+    case FRAME_PING:
+        if (frame_ping_decode(bytes, size, &version) == 0) {
+            door_ping(&agent->door, from, &version, now_us);
+            return;
+        }
+        break;
+    default:
+        break;
+    }
+    out_dropped(&agent->out, DOOR_DROP_MALFORMED);
+}
+
+static void
+on_outbound(struct dgram *dgram, struct addr from, const uint8_t *bytes,
+            size_t size)
+{
+    struct relay_agent *agent = dgram->owner;
+    struct relay_packet packet;
+
+    if (packet_format_decode(bytes, size, &packet) < 0) {
+        out_dropped(&agent->out, DOOR_DROP_MALFORMED);
+        return;
+    }
+    agent->packet_us = loop_now_us(&agent->loop);
+    door_from_endpoint(&agent->door, &packet, agent->packet_us);
+}
+
+void
+relay_agent_flush(struct relay_agent *agent)
+{
+    dgram_flush(&agent->outbound);
+    dgram_flush(&agent->frames);
+    loop_due(&agent->loop, door_next_us(&agent->door));
+}
+
+static void
+on_drained(struct dgram *dgram)
+{
+    relay_agent_flush(dgram->owner);
+}
+
+const struct dgram_ops relay_agent_frames_ops = {on_frame, on_drained};
+const struct dgram_ops relay_agent_outbound_ops = {on_outbound, on_drained};
--- /dev/null
+++ b/src/relay/relay_agent_private.h
@@ -0,0 +1,92 @@
+/**
+ * DOC: relay_agent_private - what the parts of the program share
+ *
+ * relay_agent starts, stops and keeps time; _out carries decisions and
+ * datagrams, _http takes heartbeats and answers calls.
+ */
+#ifndef SWIFTARCH_RELAY_RELAY_AGENT_PRIVATE_H
+#define SWIFTARCH_RELAY_RELAY_AGENT_PRIVATE_H
+
+#include "base/event_log.h"
+#include "base/httpd.h"
+#include "relay/dgram.h"
+#include "relay/door.h"
+#include "relay/loop.h"
+#include "relay/presence.h"
+#include "relay/relay_settings.h"
+#include "relay/settings_file.h"
+
+/**
+ * struct relay_agent - the program
+ * @loop: events and time
+ * @out: outputs of @door
+ * @settings: settings
+ * @file: the file that they are from
+ * @door: decisions
+ * @frames: frames, and packets to callers
+ * @outbound: packets from and to the endpoint
+ * @ready_handler: answers /ready and /metrics
+ * @ready: its listener
+ * @metrics: a second one, or NULL
+ * @heartbeat_handler: answers the endpoint's heartbeats
+ * @heartbeats: its listener
+ * @store: connection to the store
+ * @presence: writes the agent's object
+ * @log: lines on standard output
+ * @started_us: when the program started
+ * @stop_us: when the planned stop began, 0 for none
+ * @packet_us: when the last packet came
+ * @flush_us: when the log is written next
+ * @counts: packets and frames
+ */
+struct relay_agent {
+    struct loop loop;
+    struct door_out out;
+    struct relay_settings settings;
+    struct settings_file file;
+    struct door door;
+    struct dgram frames;
+    struct dgram outbound;
+    struct httpd_handler ready_handler;
+    struct httpd *ready;
+    struct httpd *metrics;
+    struct httpd_handler heartbeat_handler;
+    struct httpd *heartbeats;
+    struct store *store;
+    struct presence_writer presence;
+    struct event_log log;
+    uint64_t started_us;
+    uint64_t stop_us;
+    uint64_t packet_us;
+    uint64_t flush_us;
+    struct {
+        uint64_t to_endpoint;
+        uint64_t to_caller;
+        uint64_t frames_in;
+        uint64_t frames_on;
+        uint64_t heartbeats;
+        uint64_t refused_heartbeats;
+        uint64_t placed;
+        uint64_t held;
+        uint64_t resets;
+        uint64_t passed[FRAME_REASON_MAX + 1];
+        uint64_t dropped[DOOR_DROP_COUNT];
+    } counts;
+};
+
+/* In words, by enum frame_reason, enum endpoint_state, enum door_drop. */
+extern const char *const relay_agent_reason_names[];
+extern const char *const relay_agent_state_names[];
+extern const char *const relay_agent_drop_names[];
+
+extern const struct door_out_ops relay_agent_out_ops;
+extern const struct dgram_ops relay_agent_frames_ops;
+extern const struct dgram_ops relay_agent_outbound_ops;
+extern const struct httpd_ops relay_agent_heartbeat_ops;
+extern const struct httpd_ops relay_agent_ready_ops;
+
+/** relay_agent_flush() - send what is queued, and mind what is due next */
+void
+relay_agent_flush(struct relay_agent *agent);
+
+#endif
--- /dev/null
+++ b/src/relay/relay_balancer_http.c
@@ -0,0 +1,87 @@
+#include "relay/relay_balancer_private.h"
+
+#include <inttypes.h>
+#include <string.h>
+
+#include <glib.h>
+
+#include "base/container.h"
+
+static void
+respond_metrics(struct relay_balancer *balancer, struct httpd_request *request)
+{
+    GString *text = g_string_new(NULL);
+    const struct steer *steer = &balancer->steer;
+
+    g_string_append_printf(
+        text,
+        "swiftarch_packets_total %" PRIu64 "\n"
+        "swiftarch_frames_sent_total %" PRIu64 "\n"
+        "swiftarch_flows_opened_total %" PRIu64 "\n"
+        "swiftarch_flows_tried_again_total %" PRIu64 "\n"
+        "swiftarch_flows_placed_total %" PRIu64 "\n"
+        "swiftarch_pings_total %" PRIu64 "\n"
+        "swiftarch_flows_reset_total %" PRIu64 "\n"
+        "swiftarch_flows %u\n"
+        "swiftarch_agents %zu\n"
+        "swiftarch_config_version %" PRIu64 "\n"
+        "swiftarch_log_lines_left_out_total %" PRIu64 "\n",
+        balancer->counts.packets, balancer->counts.frames_out,
+        balancer->counts.opened, balancer->counts.tried_again,
+        balancer->counts.placed, balancer->counts.pings,
+        balancer->counts.resets, steer->flows.used,
+        agents_count(&steer->agents), steer->routes.version,
+        balancer->log.left_out_total);
+    for (size_t i = 0; i < STEER_DROP_COUNT; i++) {
+        g_string_append_printf(
+            text, "swiftarch_dropped_total{reason=\"%s\"} %" PRIu64 "\n",
+            relay_balancer_drop_names[i], balancer->counts.dropped[i]);
+    }
+    httpd_respond(request, 200, "text/plain; version=0.0.4", text->str,
+                  text->len);
+    g_string_free(text, TRUE);
+}
+
+static int
+on_ready_request(struct httpd_handler *handler, struct httpd_request *request)
+{
+    struct relay_balancer *balancer =
+        container_of(handler, struct relay_balancer, ready_handler);
+    const char *path = httpd_request_path(request);
+    bool ready = balancer->stop_us == 0 && steer_ready(&balancer->steer);
+
+    if (strcmp(path, "/ready") == 0) {
+        httpd_respond(request, ready ? 200 : 503, "application/json", "{}", 2);
+    }
+    else if (strcmp(path, "/metrics") == 0) {
+        respond_metrics(balancer, request);
+    }
+    else {
+        httpd_respond(request, 404, "application/json", "{}", 2);
+    }
+    return 0;
+}
+
+static int
+on_share_request(struct httpd_handler *handler, struct httpd_request *request)
+{
+    struct relay_balancer *balancer =
+        container_of(handler, struct relay_balancer, share_handler);
+    struct json_object *json;
+    const char *text;
+    size_t len;
+
+    if (strcmp(httpd_request_path(request), SHARE_PATH) != 0) {
+        httpd_respond(request, 404, "application/json", "{}", 2);
+        return 0;
+    }
+    json = share_encode(balancer->config, &balancer->steer.agents);
+    text =
+        json_object_to_json_string_length(json, JSON_C_TO_STRING_PLAIN, &len);
+    httpd_respond(request, 200, "application/json", text, len);
+    json_object_put(json);
+    return 0;
+}
+
+const struct httpd_ops relay_balancer_ready_ops = {on_ready_request};
+const struct httpd_ops relay_balancer_share_httpd_ops = {on_share_request};
--- /dev/null
+++ b/src/relay/relay_balancer_private.h
@@ -0,0 +1,99 @@
+/**
+ * DOC: relay_balancer_private - what the parts of the program share
+ *
+ * relay_balancer starts, stops and keeps time; _out carries decisions and
+ * datagrams, _store what the store and peers say, _http answers calls.
+ */
+#ifndef SWIFTARCH_RELAY_RELAY_BALANCER_PRIVATE_H
+#define SWIFTARCH_RELAY_RELAY_BALANCER_PRIVATE_H
+
+#include "base/event_log.h"
+#include "base/httpd.h"
+#include "relay/dgram.h"
+#include "relay/follow.h"
+#include "relay/loop.h"
+#include "relay/relay_settings.h"
+#include "relay/settings_file.h"
+#include "relay/share.h"
+#include "relay/steer.h"
+
+/**
+ * struct relay_balancer - the program
+ * @loop: events and time
+ * @out: outputs of @steer
+ * @settings: settings
+ * @file: the file that they are from
+ * @steer: decisions
+ * @data: packets of callers
+ * @frames: frames from agents
+ * @ready_handler: answers /ready and /metrics
+ * @ready: its listener
+ * @metrics: a second one, or NULL
+ * @share_handler: answers peers
+ * @share_httpd: its listener
+ * @stores: connections to the store
+ * @config_follow: the operators' configuration
+ * @agents_follow: the agents' objects
+ * @share: asks peers
+ * @config: configuration in force, as it was read
+ * @log: lines on standard output
+ * @started_us: when the program started
+ * @stop_us: when the planned stop began, 0 for none
+ * @packet_us: when the last packet came
+ * @flush_us: when the log is written next
+ * @was_ready: whether callers were served at the last look
+ * @counts: packets and frames
+ */
+struct relay_balancer {
+    struct loop loop;
+    struct steer_out out;
+    struct relay_settings settings;
+    struct settings_file file;
+    struct steer steer;
+    struct dgram data;
+    struct dgram frames;
+    struct httpd_handler ready_handler;
+    struct httpd *ready;
+    struct httpd *metrics;
+    struct httpd_handler share_handler;
+    struct httpd *share_httpd;
+    struct store *stores[2];
+    struct follow config_follow;
+    struct follow agents_follow;
+    struct share share;
+    struct json_object *config;
+    struct event_log log;
+    uint64_t started_us;
+    uint64_t stop_us;
+    uint64_t packet_us;
+    uint64_t flush_us;
+    bool was_ready;
+    struct {
+        uint64_t packets;
+        uint64_t frames_out;
+        uint64_t opened;
+        uint64_t tried_again;
+        uint64_t placed;
+        uint64_t pings;
+        uint64_t resets;
+        uint64_t dropped[STEER_DROP_COUNT];
+    } counts;
+};
+
+/* Why packets end here, in words, by enum steer_drop. */
+extern const char *const relay_balancer_drop_names[];
+
+extern const struct steer_out_ops relay_balancer_out_ops;
+extern const struct dgram_ops relay_balancer_data_ops;
+extern const struct dgram_ops relay_balancer_frames_ops;
+extern const struct follow_ops relay_balancer_config_ops;
+extern const struct follow_ops relay_balancer_agents_ops;
+extern const struct share_ops relay_balancer_share_ops;
+extern const struct httpd_ops relay_balancer_ready_ops;
+extern const struct httpd_ops relay_balancer_share_httpd_ops;
+
+/** relay_balancer_look() - tell in the log when readiness has changed */
+void
+relay_balancer_look(struct relay_balancer *balancer);
+
+#endif
--- /dev/null
+++ b/src/relay/relay_balancer_store.c
@@ -0,0 +1,218 @@
+#include "relay/relay_balancer_private.h"
+
+#include <inttypes.h>
+#include <string.h>
+
+#include <glib.h>
+
+#include "base/container.h"
+#include "base/hash.h"
+#include "platform/config_format.h"
+#include "relay/presence.h"
+
+void
+relay_balancer_look(struct relay_balancer *balancer)
+{
+    bool ready = steer_ready(&balancer->steer);
+
+    if (ready == balancer->was_ready) {
+        return;
+    }
+    balancer->was_ready = ready;
+    event_log_line(&balancer->log, EVENT_RARE, ready ? "ready" : "not_ready",
+                   "config=%" PRIu64 " agents=%zu since_start_us=%" PRIu64,
+                   balancer->steer.routes.version,
+                   agents_count(&balancer->steer.agents),
+                   loop_now_us(&balancer->loop) - balancer->started_us);
+}
+
+/* Configuration. */
+
+static void
+take_config(struct relay_balancer *balancer, struct json_object *json,
+            const char *source)
+{
+    struct routes routes;
+    struct error err = {0};
+    char line[512];
+
+    if (config_format_decode(json, &routes, &err) < 0) {
+        event_log_line(&balancer->log, EVENT_RARE, "config_refused",
+                       "source=%s reason=\"%s\"", source,
+                       error_format(&err, line, sizeof(line)));
+        return;
+    }
+    if (!steer_routes(&balancer->steer, &routes)) {
+        return;
+    }
+    json_object_put(balancer->config);
+    balancer->config = json_object_get(json);
+    event_log_line(&balancer->log, EVENT_RARE, "config",
+                   "version=%" PRIu64 " routes=%zu source=%s",
+                   balancer->steer.routes.version,
+                   balancer->steer.routes.count, source);
+}
+
+static void
+nothing_listed(struct follow *follow)
+{
+    /* An operator never takes the configuration away. */
+}
+
+static void
+config_object(struct follow *follow, const struct store_object *object)
+{
+    struct relay_balancer *balancer =
+        container_of(follow, struct relay_balancer, config_follow);
+
+    if (!object->removed && strcmp(object->name, CONFIG_FORMAT_NAME) == 0) {
+        take_config(balancer, object->value, "store");
+    }
+}
+
+static void
+on_ended(struct relay_balancer *balancer, const struct follow *follow,
+         int status, bool changed)
+{
+    loop_due(&balancer->loop, loop_now_us(&balancer->loop));
+    relay_balancer_look(balancer);
+    if (!changed) {
+        return;
+    }
+    event_log_line(&balancer->log, EVENT_RARE,
+                   status == 0 ? "store_reached" : "store_lost",
+                   "kind=%s revision=%" PRIu64 " reason=\"%s\"", follow->kind,
+                   follow->revision, status == 0 ? "" : strerror(-status));
+}
+
+static void
+config_ended(struct follow *follow, int status, bool changed)
+{
+    on_ended(container_of(follow, struct relay_balancer, config_follow),
+             follow, status, changed);
+}
+
+const struct follow_ops relay_balancer_config_ops = {
+    .listing = nothing_listed,
+    .object = config_object,
+    .listed = nothing_listed,
+    .ended = config_ended,
+};
+
+/* Agents. */
+
+static void
+agents_listing(struct follow *follow)
+{
+    struct relay_balancer *balancer =
+        container_of(follow, struct relay_balancer, agents_follow);
+    struct agents *agents = &balancer->steer.agents;
+
+    for (size_t i = 0; i < agents_count(agents); i++) {
+        agents_at(agents, i)->listed = false;
+    }
+}
+
+static void
+agents_object(struct follow *follow, const struct store_object *object)
+{
+    struct relay_balancer *balancer =
+        container_of(follow, struct relay_balancer, agents_follow);
+    uint64_t now_us = loop_now_us(&balancer->loop);
+    struct presence presence;
+    struct addr addr;
+
+    if (object->removed) {
+        if (presence_addr(object->name, &addr) == 0) {
+            agents_unlist(&balancer->steer.agents, addr, now_us);
+        }
+        return;
+    }
+    if (presence_decode(object->value, &presence) < 0) {
+        event_log_line(&balancer->log, EVENT_RARE, "agent_refused",
+                       "object=%s reason=\"its value can't be read\"",
+                       object->name);
+        return;
+    }
+    agents_list(&balancer->steer.agents, presence.addr,
+                hash_service(presence.service), presence.data_centre, now_us);
+    event_log_line(&balancer->log, EVENT_ROUTINE, "agent_listed",
+                   "agent=%s service=%s data_centre=%s revision=%" PRIu64,
+                   object->name, presence.service, presence.data_centre,
+                   object->revision);
+}
+
+static void
+agents_listed(struct follow *follow)
+{
+    struct relay_balancer *balancer =
+        container_of(follow, struct relay_balancer, agents_follow);
+    struct agents *agents = &balancer->steer.agents;
+    uint64_t now_us = loop_now_us(&balancer->loop);
+
+    /* Backwards: a row that is removed gives its place to the last. */
+    for (size_t i = agents_count(agents); i-- > 0;) {
+        if (!agents_at(agents, i)->listed) {
+            agents_unlist(agents, agents_at(agents, i)->addr, now_us);
+        }
+    }
+}
+
+static void
+agents_ended(struct follow *follow, int status, bool changed)
+{
+    on_ended(container_of(follow, struct relay_balancer, agents_follow),
+             follow, status, changed);
+}
+
+const struct follow_ops relay_balancer_agents_ops = {
+    .listing = agents_listing,
+    .object = agents_object,
+    .listed = agents_listed,
+    .ended = agents_ended,
+};
+
+/* Peers. */
+
+static void
+share_config(struct share *share, struct json_object *config)
+{
+    struct relay_balancer *balancer =
+        container_of(share, struct relay_balancer, share);
+
+    if (config != NULL) {
+        take_config(balancer, config, "peer");
+    }
+}
+
+static void
+share_agent(struct share *share, struct addr addr, uint32_t service,
+            const char *data_centre)
+{
+    struct relay_balancer *balancer =
+        container_of(share, struct relay_balancer, share);
+
+    if (agents_find(&balancer->steer.agents, addr) == NULL) {
+        agents_list(&balancer->steer.agents, addr, service, data_centre,
+                    loop_now_us(&balancer->loop));
+    }
+}
+
+static void
+share_answered(struct share *share, struct addr peer, int status)
+{
+    struct relay_balancer *balancer =
+        container_of(share, struct relay_balancer, share);
+    char text[ADDR_TEXT_MAX];
+
+    event_log_line(&balancer->log, EVENT_ROUTINE, "peer_asked",
+                   "peer=%s config=%" PRIu64 " reason=\"%s\"",
+                   addr_format(peer, text), balancer->steer.routes.version,
+                   status == 0 ? "" : strerror(-status));
+}
+
+const struct share_ops relay_balancer_share_ops = {
+    .config = share_config,
+    .agent = share_agent,
+    .answered = share_answered,
+};
