--- a/src/relay/relay_agent.c
+++ b/src/relay/relay_agent.c
@@ -210,23 +210,6 @@
     loop_finish(&agent->loop);
 }
 
-static int
-load_settings(struct relay_agent *agent, const char *path)
-{
-    struct error err = {0};
-    char line[512];
-    char *report;
-
-    if (relay_settings_load(&agent->settings, RELAY_AGENT, path, &report,
-                            &err) == 0) {
-        return 0;
-    }
-    fprintf(stderr, "%s\n",
-            report != NULL ? report : error_format(&err, line, sizeof(line)));
-    g_free(report);
-    return -EINVAL;
-}
-
 int
 relay_agent_run(const char *settings_path)
 {
@@ -235,7 +218,8 @@
     char line[512];
     int code = EXIT_STOPPED;
 
-    if (load_settings(agent, settings_path) < 0) {
+    if (relay_settings_read(&agent->settings, RELAY_AGENT, settings_path) <
+        0) {
         g_free(agent);
         return EXIT_SETTINGS;
     }
--- a/src/relay/relay_agent_out.c
+++ b/src/relay/relay_agent_out.c
@@ -149,7 +149,8 @@
         "caller=%s service=%s reason=%s endpoint=%s busy=%u "
         "slots=%u held=%u target_ms=%u forced=%d hops=%u",
         addr_format(flow.caller, caller), addr_format(flow.service, service),
-        relay_agent_reason_names[why], relay_agent_state_names[agent->door.endpoint.state],
+        relay_agent_reason_names[why],
+        relay_agent_state_names[agent->door.endpoint.state],
         agent->door.busy_count, agent->door.endpoint.slots,
         agent->door.held_count, frame->target_ms, frame->forced, frame->hops);
 }
--- a/src/relay/relay_balancer.c
+++ b/src/relay/relay_balancer.c
@@ -267,23 +267,6 @@
     loop_finish(&balancer->loop);
 }
 
-static int
-load_settings(struct relay_balancer *balancer, const char *path)
-{
-    struct error err = {0};
-    char line[512];
-    char *report;
-
-    if (relay_settings_load(&balancer->settings, RELAY_BALANCER, path, &report,
-                            &err) == 0) {
-        return 0;
-    }
-    fprintf(stderr, "%s\n",
-            report != NULL ? report : error_format(&err, line, sizeof(line)));
-    g_free(report);
-    return -EINVAL;
-}
-
 int
 relay_balancer_run(const char *settings_path)
 {
@@ -292,7 +275,8 @@
     char line[512];
     int code = EXIT_STOPPED;
 
-    if (load_settings(balancer, settings_path) < 0) {
+    if (relay_settings_read(&balancer->settings, RELAY_BALANCER,
+                            settings_path) < 0) {
         g_free(balancer);
         return EXIT_SETTINGS;
     }
--- a/src/relay/relay_balancer_out.c
+++ b/src/relay/relay_balancer_out.c
@@ -95,7 +95,8 @@
     }
     event_log_line(&balancer->log, EVENT_ROUTINE, "dropped",
                    "caller=%s service=%s reason=%s config=%" PRIu64, caller,
-                   service, relay_balancer_drop_names[why], balancer->steer.routes.version);
+                   service, relay_balancer_drop_names[why],
+                   balancer->steer.routes.version);
 }
 
 static void
--- a/src/relay/relay_settings.c
+++ b/src/relay/relay_settings.c
@@ -1,5 +1,6 @@
 #include "relay/relay_settings.h"
 
+#include <stdio.h>
 #include <string.h>
 
 #include <glib.h>
@@ -108,3 +109,21 @@
     }
     return keys_close(&keys, report, err);
 }
+
+int
+relay_settings_read(struct relay_settings *settings, enum relay_role role,
+                    const char *path)
+{
+    struct error err = {0};
+    char line[512];
+    char *report;
+    int ret = relay_settings_load(settings, role, path, &report, &err);
+
+    if (ret < 0) {
+        fprintf(stderr, "%s\n",
+                report != NULL ? report
+                               : error_format(&err, line, sizeof(line)));
+    }
+    g_free(report);
+    return ret;
+}
--- a/src/relay/relay_settings.h
+++ b/src/relay/relay_settings.h
@@ -78,4 +78,10 @@
 relay_settings_load(struct relay_settings *settings, enum relay_role role,
                     const char *path, char **report, struct error *err);
 
+/** relay_settings_read() - the same at a program's start: faults go to
+ * standard error */
+int
+relay_settings_read(struct relay_settings *settings, enum relay_role role,
+                    const char *path);
+
 #endif
--- /dev/null
+++ b/src/relay/steer_known.c
@@ -0,0 +1,199 @@
+#include "relay/steer_private.h"
+
+#include <string.h>
+
+#include <glib.h>
+
+#include "base/clock.h"
+
+/* Place whose bytes the packet acknowledges, or NULL. */
+static const struct steer_place *
+place_of(const struct steer_pin *pin, const struct relay_packet *packet)
+{
+    if (pin->place_count == 1) {
+        return &pin->places[0];
+    }
+    for (unsigned i = 0; i < pin->place_count; i++) {
+        if (packet->ack - pin->places[i].seq < STEER_SEQ_WINDOW) {
+            return &pin->places[i];
+        }
+    }
+    return NULL;
+}
+
+/* Moves an agent of the choice to its front. */
+static void
+put_first(struct agents_choice *choice, struct addr agent)
+{
+    for (unsigned i = 0; i < choice->count; i++) {
+        if (addr_equal(choice->addrs[i], agent)) {
+            memmove(&choice->addrs[1], &choice->addrs[0],
+                    i * sizeof(choice->addrs[0]));
+            choice->addrs[0] = agent;
+            return;
+        }
+    }
+}
+
+/* Sends a packet of an open flow along all agents that may hold it. */
+void
+steer_search(struct steer *steer, uint32_t handle, const struct relay_packet *packet)
+{
+    struct steer_pin *pin = &steer->pins[handle];
+    uint32_t service = pin->service;
+    uint64_t hash = relay_flow_hash(relay_flow_from_caller(packet));
+    struct agents_choice choice;
+    struct frame_carry frame;
+
+    if (!agents_for_known(&steer->agents, service, hash, pin->round,
+                          &choice)) {
+        pin->round = 0;
+        agents_for_known(&steer->agents, service, hash, 0, &choice);
+    }
+    put_first(&choice, pin->holder);
+    if (choice.count == 0) {
+        steer_drop_packet(steer, STEER_DROP_NO_AGENT, packet);
+        return;
+    }
+    frame = steer_frame(steer, service, &choice, 1, packet->bytes, packet->size);
+    steer->out->ops->carry(steer->out, choice.addrs[0], &frame);
+}
+
+/* An agent doesn't hold a flow that was placed there: its next packet looks
+ * for it. False when it wasn't placed there. */
+static bool
+place_remove(struct steer_pin *pin, struct addr agent)
+{
+    for (unsigned i = 0; i < pin->place_count; i++) {
+        if (addr_equal(pin->places[i].agent, agent)) {
+            pin->places[i] = pin->places[--pin->place_count];
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Whether the flow was open at its one place for certain: its caller has
+ * acknowledged that endpoint's number, or the endpoint has sent packets of
+ * it. */
+static bool
+is_sure(const struct steer_pin *pin)
+{
+    return pin->place_count == 1 &&
+           (pin->places[0].seq == 0 ||
+            pin->last_ack - pin->places[0].seq < STEER_SEQ_WINDOW);
+}
+
+/* The endpoint that held the flow is no more: its caller learns it at once
+ * instead of by its timeout, and may try anew. */
+static void
+reset_flow(struct steer *steer, uint32_t handle, uint64_t now_us)
+{
+    struct steer_pin *pin = &steer->pins[handle];
+    struct relay_flow flow = flow_index_flow(&steer->flows, handle);
+
+    steer->out->ops->reset(steer->out, flow, pin->last_ack);
+    steer->out->ops->decided(steer->out, STEER_DID_RESET, flow,
+                             pin->places[0].agent, 0, now_us - pin->since_us);
+}
+
+static bool
+has_ended(const struct steer *steer, struct addr agent)
+{
+    const struct agent_row *row = agents_find(&steer->agents, agent);
+
+    return row != NULL && row->health.state == ENDPOINT_GONE;
+}
+
+void
+steer_carry_known(struct steer *steer, uint32_t handle,
+            const struct relay_packet *packet, uint64_t now_us)
+{
+    struct steer_pin *pin = &steer->pins[handle];
+    const struct steer_place *place = place_of(pin, packet);
+
+    pin->last_ack = packet->ack;
+    pin->opened = true;
+    if (is_sure(pin) && has_ended(steer, pin->places[0].agent)) {
+        reset_flow(steer, handle, now_us);
+    }
+    else if (place != NULL) {
+        steer_carry_to(steer, pin, place->agent, packet);
+    }
+    else {
+        steer_search(steer, handle, packet);
+    }
+}
+
+static void
+place_add(struct steer_pin *pin, struct addr agent, uint32_t seq)
+{
+    struct steer_place place = {agent, seq};
+
+    for (unsigned i = 0; i < pin->place_count; i++) {
+        if (addr_equal(pin->places[i].agent, agent)) {
+            pin->places[i] = place;
+            return;
+        }
+    }
+    if (pin->place_count < STEER_PLACES_MAX) {
+        pin->places[pin->place_count++] = place;
+    }
+    else {
+        pin->places[STEER_PLACES_MAX - 1] = place;
+    }
+}
+
+void
+steer_placed(struct steer *steer, struct addr agent,
+          const struct frame_status *status, uint64_t now_us)
+{
+    uint32_t handle = flow_index_find(&steer->flows, status->flow);
+    struct steer_pin *pin;
+
+    if (handle == FLOW_INDEX_NONE) {
+        /* Its packets came here, or the agent wouldn't tell. */
+        handle = steer_remember(steer, status->flow, status->health.service, now_us);
+    }
+    pin = &steer->pins[handle];
+    place_add(pin, agent, status->seq);
+    steer->out->ops->decided(steer->out, STEER_DID_PLACE, status->flow, agent,
+                             pin->try_count, now_us - pin->since_us);
+}
+
+/* An agent sent a flow on, or let go of it: then it is tried at once. */
+void
+steer_passed(struct steer *steer, struct addr agent,
+          const struct frame_status *status, uint64_t now_us)
+{
+    uint32_t handle = flow_index_find(&steer->flows, status->flow);
+    struct steer_pin *pin;
+
+    if (handle == FLOW_INDEX_NONE) {
+        return;
+    }
+    pin = &steer->pins[handle];
+    pin->holder = status->target;
+    pin->held = false;
+    if (status->target.ip == 0 && is_sure(pin) &&
+        addr_equal(pin->places[0].agent, agent)) {
+        reset_flow(steer, handle, now_us);
+        return;
+    }
+    if (place_remove(pin, agent) || status->target.ip != 0) {
+        return;
+    }
+    if (status->reason == FRAME_REASON_BUSY) {
+        /* No room for what is late anyway; the caller's next copy may find
+         * some. */
+        pin->held = true;
+        pin->holder = agent;
+        return;
+    }
+    if (pin->opened) {
+        pin->round++;
+    }
+    else if (pin->place_count == 0) {
+        steer_try_next(steer, handle, pin->syn, pin->syn_size, now_us);
+    }
+}
--- /dev/null
+++ b/src/relay/steer_open.c
@@ -0,0 +1,199 @@
+#include "relay/steer_private.h"
+
+#include <string.h>
+
+#include <glib.h>
+
+#include "base/clock.h"
+
+/* How long an agent may take to answer a SYN: 2 ms on the way at most
+ * between data centres, under 1 ms at the endpoint, and the rest for a host
+ * that has a twentieth of a core. */
+#define ANSWER_TIMEOUT_US (15 * USEC_PER_MSEC)
+
+static void
+wait_push(struct steer *steer, uint32_t handle, uint64_t now_us)
+{
+    struct steer_wait *wait;
+
+    if (steer->wait_count == STEER_WAITS_MAX) {
+        /* The caller's own copy takes the place of the try. */
+        return;
+    }
+    wait = &steer->waits[(steer->wait_first + steer->wait_count) % STEER_WAITS_MAX];
+    *wait = (struct steer_wait){now_us + ANSWER_TIMEOUT_US, handle, now_us};
+    steer->wait_count++;
+}
+
+static bool
+was_tried(const struct steer_pin *pin, struct addr agent)
+{
+    for (unsigned i = 0; i < pin->try_count; i++) {
+        if (addr_equal(pin->tried[i], agent)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Drops from @choice whom the SYN was sent to. */
+static void
+skip_tried(const struct steer_pin *pin, struct agents_choice *choice)
+{
+    unsigned kept = 0;
+
+    for (unsigned i = 0; i < choice->count; i++) {
+        if (!was_tried(pin, choice->addrs[i])) {
+            choice->addrs[kept++] = choice->addrs[i];
+        }
+    }
+    choice->count = kept;
+}
+
+/* Sends a SYN to the best agent that it was not sent to. */
+bool
+steer_try_next(struct steer *steer, uint32_t handle, const uint8_t *bytes,
+         size_t size, uint64_t now_us)
+{
+    struct steer_pin *pin = &steer->pins[handle];
+    struct relay_flow flow = flow_index_flow(&steer->flows, handle);
+    struct agents_choice choice;
+    struct frame_carry frame;
+
+    /* The configuration may have dropped the route since the SYN came. */
+    if (pin->try_count == STEER_TRIES_MAX ||
+        routes_find(steer_routes_in_force(steer), flow.service) == NULL) {
+        return false;
+    }
+    agents_for_new(&steer->agents, pin->service, relay_flow_hash(flow), now_us,
+                   &choice);
+    skip_tried(pin, &choice);
+    if (choice.count == 0) {
+        return false;
+    }
+    frame = steer_frame(steer, pin->service, &choice, 1, bytes, size);
+    frame.target_ms = pin->target_ms;
+    frame.priority = pin->priority;
+    frame.patience_ms = pin->patience_ms;
+    pin->tried[pin->try_count++] = choice.addrs[0];
+    pin->holder = choice.addrs[0];
+    pin->tried_us = now_us;
+    agents_sent(&steer->agents, choice.addrs[0], now_us);
+    wait_push(steer, handle, now_us);
+    steer->out->ops->carry(steer->out, choice.addrs[0], &frame);
+    steer->out->ops->decided(steer->out, STEER_DID_SEND, flow, choice.addrs[0],
+                             pin->try_count, now_us - pin->since_us);
+    return true;
+}
+
+static void
+note_age(struct steer_pin *pin, const struct relay_packet *packet,
+         const struct route *route)
+{
+    unsigned target_ms = MIN(route->target_ms, UINT16_MAX);
+
+    pin->priority = (uint8_t)MIN(route->priority, UINT8_MAX);
+    pin->target_ms =
+        (uint16_t)(packet->age_ms < target_ms ? target_ms - packet->age_ms
+                                              : 0);
+    pin->patience_ms = packet->patience_ms;
+}
+
+/* Another copy of a SYN that an agent holds goes there too: the agent learns
+ * how long the caller still waits, and whether it lives shows. */
+static void
+hold_on(struct steer *steer, uint32_t handle,
+        const struct relay_packet *packet, uint64_t now_us)
+{
+    struct steer_pin *pin = &steer->pins[handle];
+    struct agents_choice none = {.count = 0};
+    struct frame_carry frame =
+        steer_frame(steer, pin->service, &none, 0, packet->bytes, packet->size);
+
+    frame.target_ms = pin->target_ms;
+    frame.priority = pin->priority;
+    frame.patience_ms = pin->patience_ms;
+    pin->held = false;
+    pin->tried_us = now_us;
+    wait_push(steer, handle, now_us);
+    steer->out->ops->carry(steer->out, pin->holder, &frame);
+}
+
+void
+steer_open_flow(struct steer *steer, const struct relay_packet *packet,
+          const struct route *route, uint64_t now_us)
+{
+    struct relay_flow flow = relay_flow_from_caller(packet);
+    uint32_t handle =
+        steer_remember(steer, flow, route_service(route, flow), now_us);
+    struct steer_pin *pin = &steer->pins[handle];
+
+    note_age(pin, packet, route);
+    pin->syn_seq = packet->seq;
+    if (packet->size <= STEER_SYN_MAX) {
+        memcpy(pin->syn, packet->bytes, packet->size);
+        pin->syn_size = (uint8_t)packet->size;
+    }
+    if (!steer_try_next(steer, handle, packet->bytes, packet->size, now_us)) {
+        steer_forget(steer, handle);
+        steer_drop_packet(steer, STEER_DROP_NO_AGENT, packet);
+    }
+}
+
+/* The caller sent its SYN again: an answer was lost, or none came. */
+void
+steer_open_again(struct steer *steer, uint32_t handle,
+           const struct relay_packet *packet, const struct route *route,
+           uint64_t now_us)
+{
+    struct steer_pin *pin = &steer->pins[handle];
+
+    if (pin->place_count > 0) {
+        steer_carry_to(steer, pin, pin->places[0].agent, packet);
+        return;
+    }
+    if (pin->opened) {
+        /* A copy that was held up on its way: the flow is open. */
+        return;
+    }
+    note_age(pin, packet, route);
+    if (pin->held) {
+        hold_on(steer, handle, packet, now_us);
+        return;
+    }
+    if (steer_try_next(steer, handle, packet->bytes, packet->size, now_us)) {
+        return;
+    }
+    /* All were tried, and some may be back since. */
+    pin->try_count = 0;
+    if (!steer_try_next(steer, handle, packet->bytes, packet->size, now_us)) {
+        steer_drop_packet(steer, STEER_DROP_NO_AGENT, packet);
+    }
+}
+
+void
+steer_held(struct steer *steer, struct addr agent,
+        const struct frame_status *status)
+{
+    uint32_t handle = flow_index_find(&steer->flows, status->flow);
+
+    if (handle != FLOW_INDEX_NONE) {
+        steer->pins[handle].held = true;
+        steer->pins[handle].holder = agent;
+    }
+}
+
+void
+steer_wait_over(struct steer *steer, const struct steer_wait *wait, uint64_t now_us)
+{
+    struct steer_pin *pin = &steer->pins[wait->handle];
+
+    if (pin->tried_us != wait->tried_us || pin->place_count > 0 || pin->held ||
+        pin->opened || pin->try_count == 0) {
+        return;
+    }
+    agents_missed(&steer->agents, pin->holder, pin->tried_us, now_us);
+    if (pin->syn_size > 0) {
+        steer_try_next(steer, wait->handle, pin->syn, pin->syn_size, now_us);
+    }
+}
