--- a/src/relay/steer_known.c
+++ b/src/relay/steer_known.c
@@ -37,7 +37,8 @@
 
 /* Sends a packet of an open flow along all agents that may hold it. */
 void
-steer_search(struct steer *steer, uint32_t handle, const struct relay_packet *packet)
+steer_search(struct steer *steer, uint32_t handle,
+             const struct relay_packet *packet)
 {
     struct steer_pin *pin = &steer->pins[handle];
     uint32_t service = pin->service;
@@ -55,7 +56,8 @@
         steer_drop_packet(steer, STEER_DROP_NO_AGENT, packet);
         return;
     }
-    frame = steer_frame(steer, service, &choice, 1, packet->bytes, packet->size);
+    frame =
+        steer_frame(steer, service, &choice, 1, packet->bytes, packet->size);
     steer->out->ops->carry(steer->out, choice.addrs[0], &frame);
 }
 
@@ -107,7 +109,7 @@
 
 void
 steer_carry_known(struct steer *steer, uint32_t handle,
-            const struct relay_packet *packet, uint64_t now_us)
+                  const struct relay_packet *packet, uint64_t now_us)
 {
     struct steer_pin *pin = &steer->pins[handle];
     const struct steer_place *place = place_of(pin, packet);
@@ -146,14 +148,15 @@
 
 void
 steer_placed(struct steer *steer, struct addr agent,
-          const struct frame_status *status, uint64_t now_us)
+             const struct frame_status *status, uint64_t now_us)
 {
     uint32_t handle = flow_index_find(&steer->flows, status->flow);
     struct steer_pin *pin;
 
     if (handle == FLOW_INDEX_NONE) {
         /* Its packets came here, or the agent wouldn't tell. */
-        handle = steer_remember(steer, status->flow, status->health.service, now_us);
+        handle = steer_remember(steer, status->flow, status->health.service,
+                                now_us);
     }
     pin = &steer->pins[handle];
     place_add(pin, agent, status->seq);
@@ -164,7 +167,7 @@
 /* An agent sent a flow on, or let go of it: then it is tried at once. */
 void
 steer_passed(struct steer *steer, struct addr agent,
-          const struct frame_status *status, uint64_t now_us)
+             const struct frame_status *status, uint64_t now_us)
 {
     uint32_t handle = flow_index_find(&steer->flows, status->flow);
     struct steer_pin *pin;
--- a/src/relay/steer_open.c
+++ b/src/relay/steer_open.c
@@ -20,7 +20,8 @@
         /* The caller's own copy takes the place of the try. */
         return;
     }
-    wait = &steer->waits[(steer->wait_first + steer->wait_count) % STEER_WAITS_MAX];
+    wait = &steer->waits[(steer->wait_first + steer->wait_count) %
+                         STEER_WAITS_MAX];
     *wait = (struct steer_wait){now_us + ANSWER_TIMEOUT_US, handle, now_us};
     steer->wait_count++;
 }
@@ -53,7 +54,7 @@
 /* Sends a SYN to the best agent that it was not sent to. */
 bool
 steer_try_next(struct steer *steer, uint32_t handle, const uint8_t *bytes,
-         size_t size, uint64_t now_us)
+               size_t size, uint64_t now_us)
 {
     struct steer_pin *pin = &steer->pins[handle];
     struct relay_flow flow = flow_index_flow(&steer->flows, handle);
@@ -107,8 +108,8 @@
 {
     struct steer_pin *pin = &steer->pins[handle];
     struct agents_choice none = {.count = 0};
-    struct frame_carry frame =
-        steer_frame(steer, pin->service, &none, 0, packet->bytes, packet->size);
+    struct frame_carry frame = steer_frame(steer, pin->service, &none, 0,
+                                           packet->bytes, packet->size);
 
     frame.target_ms = pin->target_ms;
     frame.priority = pin->priority;
@@ -121,7 +122,7 @@
 
 void
 steer_open_flow(struct steer *steer, const struct relay_packet *packet,
-          const struct route *route, uint64_t now_us)
+                const struct route *route, uint64_t now_us)
 {
     struct relay_flow flow = relay_flow_from_caller(packet);
     uint32_t handle =
@@ -143,8 +144,8 @@
 /* The caller sent its SYN again: an answer was lost, or none came. */
 void
 steer_open_again(struct steer *steer, uint32_t handle,
-           const struct relay_packet *packet, const struct route *route,
-           uint64_t now_us)
+                 const struct relay_packet *packet, const struct route *route,
+                 uint64_t now_us)
 {
     struct steer_pin *pin = &steer->pins[handle];
 
@@ -173,7 +174,7 @@
 
 void
 steer_held(struct steer *steer, struct addr agent,
-        const struct frame_status *status)
+           const struct frame_status *status)
 {
     uint32_t handle = flow_index_find(&steer->flows, status->flow);
 
@@ -184,7 +185,8 @@
 }
 
 void
-steer_wait_over(struct steer *steer, const struct steer_wait *wait, uint64_t now_us)
+steer_wait_over(struct steer *steer, const struct steer_wait *wait,
+                uint64_t now_us)
 {
     struct steer_pin *pin = &steer->pins[wait->handle];
 
--- a/src/relay/steer_pin.c
+++ b/src/relay/steer_pin.c
@@ -8,7 +8,7 @@
 
 void
 steer_drop_packet(struct steer *steer, enum steer_drop why,
-     const struct relay_packet *packet)
+                  const struct relay_packet *packet)
 {
     steer->out->ops->dropped(steer->out, why, packet);
 }
@@ -22,7 +22,7 @@
 
 uint32_t
 steer_remember(struct steer *steer, struct relay_flow flow, uint32_t service,
-         uint64_t now_us)
+               uint64_t now_us)
 {
     uint32_t handle;
 
@@ -38,8 +38,8 @@
 /* A frame for @packet that may go on along @choice from @from on. */
 struct frame_carry
 steer_frame(const struct steer *steer, uint32_t service,
-          const struct agents_choice *choice, unsigned from,
-          const uint8_t *bytes, size_t size)
+            const struct agents_choice *choice, unsigned from,
+            const uint8_t *bytes, size_t size)
 {
     struct frame_carry frame = {
         .service = service,
@@ -64,12 +64,12 @@
 
 /* Sends a packet to an agent that holds its flow or will know who does. */
 void
-steer_carry_to(struct steer *steer, const struct steer_pin *pin, struct addr agent,
-         const struct relay_packet *packet)
+steer_carry_to(struct steer *steer, const struct steer_pin *pin,
+               struct addr agent, const struct relay_packet *packet)
 {
     struct agents_choice none = {.count = 0};
-    struct frame_carry frame =
-        steer_frame(steer, pin->service, &none, 0, packet->bytes, packet->size);
+    struct frame_carry frame = steer_frame(steer, pin->service, &none, 0,
+                                           packet->bytes, packet->size);
 
     steer->out->ops->carry(steer->out, agent, &frame);
 }
--- a/src/relay/steer_private.h
+++ b/src/relay/steer_private.h
@@ -92,52 +92,54 @@
  * false when there is none */
 bool
 steer_try_next(struct steer *steer, uint32_t handle, const uint8_t *bytes,
-         size_t size, uint64_t now_us);
+               size_t size, uint64_t now_us);
 
 /** steer_open_flow() - a SYN of a flow that isn't known */
 void
 steer_open_flow(struct steer *steer, const struct relay_packet *packet,
-          const struct route *route, uint64_t now_us);
+                const struct route *route, uint64_t now_us);
 
 /** steer_open_again() - the caller sent its SYN again */
 void
 steer_open_again(struct steer *steer, uint32_t handle,
-           const struct relay_packet *packet, const struct route *route,
-           uint64_t now_us);
+                 const struct relay_packet *packet, const struct route *route,
+                 uint64_t now_us);
 
 /** steer_held() - an agent keeps the SYN until a slot is free */
 void
 steer_held(struct steer *steer, struct addr agent,
-        const struct frame_status *status);
+           const struct frame_status *status);
 
 /** steer_wait_over() - a SYN's answer is due */
 void
-steer_wait_over(struct steer *steer, const struct steer_wait *wait, uint64_t now_us);
+steer_wait_over(struct steer *steer, const struct steer_wait *wait,
+                uint64_t now_us);
 
 /** steer_search() - send a packet of an open flow along all agents that may
  * hold it */
 void
-steer_search(struct steer *steer, uint32_t handle, const struct relay_packet *packet);
+steer_search(struct steer *steer, uint32_t handle,
+             const struct relay_packet *packet);
 
 /** steer_carry_known() - a packet of a flow that is known */
 void
 steer_carry_known(struct steer *steer, uint32_t handle,
-            const struct relay_packet *packet, uint64_t now_us);
+                  const struct relay_packet *packet, uint64_t now_us);
 
 /** steer_placed() - an agent's endpoint holds the flow */
 void
 steer_placed(struct steer *steer, struct addr agent,
-          const struct frame_status *status, uint64_t now_us);
+             const struct frame_status *status, uint64_t now_us);
 
 /** steer_passed() - an agent sent a flow on, or let go of it */
 void
 steer_passed(struct steer *steer, struct addr agent,
-          const struct frame_status *status, uint64_t now_us);
+             const struct frame_status *status, uint64_t now_us);
 
 /** steer_drop_packet() - a packet ends here */
 void
 steer_drop_packet(struct steer *steer, enum steer_drop why,
-     const struct relay_packet *packet);
+                  const struct relay_packet *packet);
 
 /** steer_forget() - give up a flow's pin */
 void
@@ -146,14 +148,14 @@
 /** steer_remember() - a pin for a flow that has none */
 uint32_t
 steer_remember(struct steer *steer, struct relay_flow flow, uint32_t service,
-         uint64_t now_us);
+               uint64_t now_us);
 
 /** steer_frame() - a frame for a packet that may go on along @choice, from
  * @from on */
 struct frame_carry
 steer_frame(const struct steer *steer, uint32_t service,
-          const struct agents_choice *choice, unsigned from,
-          const uint8_t *bytes, size_t size);
+            const struct agents_choice *choice, unsigned from,
+            const uint8_t *bytes, size_t size);
 
 /** steer_routes_in_force() - the configuration's routes, or what was learned
  * without one */
@@ -162,7 +164,7 @@
 
 /** steer_carry_to() - send a packet to one agent, and to nobody after it */
 void
-steer_carry_to(struct steer *steer, const struct steer_pin *pin, struct addr agent,
-         const struct relay_packet *packet);
+steer_carry_to(struct steer *steer, const struct steer_pin *pin,
+               struct addr agent, const struct relay_packet *packet);
 
 #endif
