--- a/src/relay/steer.h
+++ b/src/relay/steer.h
@@ -24,7 +24,7 @@
 #include "relay/packet.h"
 #include "relay/routes.h"
 
-/* Flows that a balancer remembers: hundreds of thousands at full size, 96
+/* Flows that a balancer remembers: hundreds of thousands at full size, 224
  * bytes each, and pages that were never used cost nothing. */
 #define STEER_FLOWS_MAX (1u << 18)
 
--- /dev/null
+++ b/tests/relay/world_callers.c
@@ -0,0 +1,155 @@
+#include "relay/world_private.h"
+
+#include <string.h>
+
+#include "base/clock.h"
+#include "base/container.h"
+#include "base/hash.h"
+
+void
+world_caller_fail(struct world *world, struct caller *caller)
+{
+    caller->state = CALLER_DONE;
+    world->result->failed++;
+}
+
+void
+world_check_reset(struct world *world, struct relay_flow flow, const char *who)
+{
+    for (unsigned i = 0; i < world->caller_count; i++) {
+        struct caller *caller = &world->callers[i];
+
+        if (!relay_flow_equal(caller->flow, flow)) {
+            continue;
+        }
+        for (unsigned h = 0; h < WORLD_AGENTS; h++) {
+            const struct host *host = &world->hosts[h];
+
+            if (host->up && host->flows[i].held &&
+                host->flows[i].seq == caller->peer_seq) {
+                world_breach(world, "FLOW: %s resets flow %u, which lives",
+                             who, i);
+            }
+        }
+        world->result->resets++;
+        if (caller->state == CALLER_ASKING) {
+            world_caller_fail(world, caller);
+        }
+    }
+}
+
+/* Callers. */
+
+static unsigned
+front_of(const struct world *world, const struct caller *caller)
+{
+    return (unsigned)((relay_flow_hash(caller->flow) + world->salt) %
+                      WORLD_BALANCERS);
+}
+
+static void
+caller_send(struct world *world, struct caller *caller, unsigned flags,
+            uint32_t seq, uint32_t ack, uint16_t len)
+{
+    struct relay_packet packet =
+        rig_from_caller(caller->flow, flags, seq, ack, len);
+    unsigned number = (unsigned)(caller - world->callers);
+
+    if (relay_packet_opens(&packet)) {
+        packet.age_ms = (uint16_t)(ack * 200);
+        packet.patience_ms = (uint16_t)(1400 - packet.age_ms);
+    }
+    world_post_packet(world, TO_BALANCER, front_of(world, caller), number,
+                      packet, false);
+}
+
+void
+world_caller_open(struct world *world)
+{
+    struct caller *caller = &world->callers[world->caller_count];
+
+    if (world->caller_count == FLOWS_MAX) {
+        return;
+    }
+    *caller = (struct caller){
+        .flow = rig_flow(world->caller_count),
+        .route = (unsigned)g_rand_int_range(world->rand, 0, ROUTES),
+        .since_us = world->now_us,
+        .host = -1,
+    };
+    caller->flow.service.port = (uint16_t)(8000 + caller->route);
+    world->caller_count++;
+    world->result->opened++;
+    caller_send(world, caller, RELAY_SYN, 100, 0, 0);
+    caller->next_us = world->now_us + 200 * USEC_PER_MSEC;
+    caller->copies = 1;
+}
+
+void
+world_caller_tick(struct world *world, struct caller *caller)
+{
+    if (caller->state == CALLER_DONE || caller->next_us > world->now_us) {
+        return;
+    }
+    if (world->now_us - caller->since_us > CALLER_GIVES_UP_US ||
+        caller->copies > RETRANSMITS_MAX) {
+        world_caller_fail(world, caller);
+        return;
+    }
+    if (caller->state == CALLER_OPENING) {
+        if (caller->copies == 3) {
+            world_caller_fail(world, caller);
+            return;
+        }
+        caller_send(world, caller, RELAY_SYN, 100, caller->copies, 0);
+        caller->next_us =
+            world->now_us + (caller->copies == 1 ? 400 : 800) * USEC_PER_MSEC;
+        caller->copies++;
+        return;
+    }
+    caller_send(world, caller, RELAY_ACK, 101, caller->peer_seq + 1, 40);
+    caller->next_us =
+        world->now_us + (200 * USEC_PER_MSEC << MIN(caller->copies, 3));
+    caller->copies++;
+}
+
+/* The endpoint that a SYN+ACK's number is of. */
+static void
+caller_opened(struct world *world, struct caller *caller, unsigned number,
+              const struct relay_packet *packet)
+{
+    caller->state = CALLER_ASKING;
+    caller->peer_seq = packet->seq;
+    caller->open_us = world->now_us;
+    caller->copies = 0;
+    caller->next_us = world->now_us;
+    for (int i = 0; i < WORLD_AGENTS; i++) {
+        if (world->hosts[i].flows[number].held &&
+            world->hosts[i].flows[number].seq == packet->seq) {
+            caller->host = i;
+            caller->boot = world->hosts[i].boot;
+        }
+    }
+}
+
+void
+world_caller_packet(struct world *world, unsigned number, const uint8_t *bytes)
+{
+    struct caller *caller = &world->callers[number];
+    struct relay_packet packet = world_packet_of(bytes);
+
+    if ((packet.flags & RELAY_RST) != 0) {
+        world_breach(world, "FLOW: caller %u gets a reset", number);
+    }
+    if (caller->state == CALLER_OPENING && relay_packet_accepts(&packet)) {
+        caller_opened(world, caller, number, &packet);
+    }
+    else if (caller->state == CALLER_ASKING && packet.len > 0) {
+        if (packet.seq != caller->peer_seq + 1) {
+            world_breach(world, "MIXED: caller %u gets another flow's answer",
+                         number);
+        }
+        caller->state = CALLER_DONE;
+        world->result->answered++;
+    }
+}
--- /dev/null
+++ b/tests/relay/world_hosts.c
@@ -0,0 +1,256 @@
+#include "relay/world_private.h"
+
+#include <string.h>
+
+#include "base/clock.h"
+#include "base/container.h"
+#include "base/hash.h"
+
+/* Outputs of agents. */
+
+static void
+to_endpoint(struct door_out *out, const uint8_t *bytes, size_t size)
+{
+    struct host *host = container_of(out, struct host, out);
+    struct relay_packet packet = world_packet_of(bytes);
+
+    /* Another copy for a flow that the endpoint holds opens nothing. */
+    if (relay_packet_opens(&packet) && host->told_draining &&
+        !host->flows[world_caller_of(bytes)].held) {
+        world_breach(host->world, "DRAIN: a SYN goes to endpoint %u",
+                     host->number);
+    }
+    world_post(host->world, TO_ENDPOINT, host->number, bytes, size, true);
+}
+
+static void
+to_caller(struct door_out *out, struct addr caller, const uint8_t *bytes,
+          size_t size)
+{
+    struct host *host = container_of(out, struct host, out);
+
+    world_post(host->world, TO_CALLER, world_caller_of(bytes), bytes, size,
+               false);
+}
+
+static void
+door_resets(struct door_out *out, struct relay_flow flow, uint32_t seq)
+{
+    world_check_reset(container_of(out, struct host, out)->world, flow,
+                      "an agent");
+}
+
+static void
+door_carries(struct door_out *out, struct addr agent,
+             const struct frame_carry *frame)
+{
+    struct host *host = container_of(out, struct host, out);
+    uint8_t bytes[FRAME_MAX];
+    size_t size = frame_carry_encode(frame, bytes);
+
+    world_post(host->world, TO_AGENT, agent.ip - world_host_addr(0).ip, bytes,
+               size, false);
+}
+
+static void
+tell(struct door_out *out, struct addr balancer,
+     const struct frame_status *status)
+{
+    struct host *host = container_of(out, struct host, out);
+    uint8_t bytes[FRAME_MAX + 1];
+    size_t size = frame_status_encode(status, bytes);
+
+    /* The sender's number stands in for its address. */
+    bytes[size] = (uint8_t)host->number;
+    world_post(host->world, TO_BALANCER_FRAME,
+               balancer.ip - world_front_addr(0).ip, bytes, size + 1, false);
+}
+
+static void
+serves(struct door_out *out, struct addr balancer,
+       const struct frame_served *served)
+{
+}
+
+static void
+door_dropped(struct door_out *out, enum door_drop why)
+{
+}
+
+static void
+door_decided(struct door_out *out, enum door_did did, struct relay_flow flow,
+             enum frame_reason why, const struct frame_carry *frame)
+{
+}
+
+const struct door_out_ops world_door_ops = {
+    to_endpoint, to_caller, door_resets,  door_carries,
+    tell,        serves,    door_dropped, door_decided};
+
+static void
+send_from_endpoint(struct host *host, unsigned caller, unsigned flags,
+                   uint32_t seq, uint32_t ack, uint16_t len)
+{
+    struct relay_flow flow = host->world->callers[caller].flow;
+
+    world_post_packet(host->world, TO_OUTBOUND, host->number, caller,
+                      rig_from_endpoint(flow, flags, seq, ack, len), true);
+}
+
+static void
+check_route(struct host *host, const struct relay_packet *packet)
+{
+    struct world *world = host->world;
+
+    for (unsigned i = 0; i < world->versions; i++) {
+        if (world_served_at(world, i, packet) == (int)host->service) {
+            return;
+        }
+    }
+    world_breach(world, "ROUTE: endpoint %u of %s takes a flow to port %u",
+                 host->number, world_services[host->service], packet->to.port);
+}
+
+static unsigned
+held_count(const struct host *host)
+{
+    unsigned count = 0;
+
+    for (unsigned i = 0; i < host->world->caller_count; i++) {
+        count += host->flows[i].held && host->flows[i].answer_us != 0;
+    }
+    return count;
+}
+
+static void
+bounce(struct host *host, const uint8_t *bytes)
+{
+    struct relay_packet packet = world_packet_of(bytes);
+
+    packet.flags |= RELAY_BOUNCED;
+    world_post_packet(host->world, TO_OUTBOUND, host->number,
+                      world_caller_of(bytes), packet, true);
+}
+
+/* Whether a fault was less than 2 s ago, or is still to end. */
+static bool
+is_recent(const struct world *world, uint64_t fault_us)
+{
+    return world->now_us < fault_us + 2 * USEC_PER_SEC;
+}
+
+/* Notes that a packet of an open flow came to the wrong endpoint. */
+static void
+note_misplaced(struct host *host, unsigned number)
+{
+    struct world *world = host->world;
+    struct caller *caller = &world->callers[number];
+    struct host *own;
+
+    if (caller->state != CALLER_ASKING || caller->host < 0) {
+        return;
+    }
+    own = &world->hosts[caller->host];
+    if (!own->up || own->boot != caller->boot ||
+        is_recent(world, own->fault_us) || is_recent(world, world->fault_us)) {
+        caller->misplaced = 0;
+        return;
+    }
+    caller->misplaced++;
+}
+
+void
+world_endpoint_packet(struct host *host, const uint8_t *bytes)
+{
+    struct relay_packet packet = world_packet_of(bytes);
+    unsigned number = world_caller_of(bytes);
+    struct held_flow *flow = &host->flows[number];
+    struct caller *caller = &host->world->callers[number];
+
+    if (!host->up) {
+        return;
+    }
+    if (relay_packet_opens(&packet)) {
+        if (!flow->held && held_count(host) >= ENDPOINT_ROOM) {
+            bounce(host, bytes);
+            return;
+        }
+        if (!flow->held) {
+            check_route(host, &packet);
+            *flow = (struct held_flow){.held = true,
+                                       .seq = host->next_seq += 1000003};
+        }
+        send_from_endpoint(host, number, RELAY_SYN | RELAY_ACK, flow->seq,
+                           packet.seq + 1, 0);
+        return;
+    }
+    if (!flow->held || packet.ack - flow->seq > 100000) {
+        note_misplaced(host, number);
+        bounce(host, bytes);
+        return;
+    }
+    caller->misplaced = 0;
+    if (packet.len > 0 && !flow->ran) {
+        flow->ran = true;
+        flow->answer_us = host->world->now_us + WORK_US;
+        caller->ran++;
+        if (caller->ran > 1) {
+            world_breach(host->world, "UNASKED: request %u runs twice",
+                         number);
+        }
+    }
+    else if (flow->ran && flow->answer_us == 0) {
+        send_from_endpoint(host, number, RELAY_ACK, flow->seq + 1, 141, 900);
+    }
+}
+
+void
+world_endpoint_work(struct host *host)
+{
+    for (unsigned i = 0; i < host->world->caller_count; i++) {
+        struct held_flow *flow = &host->flows[i];
+
+        if (flow->held && flow->answer_us != 0 &&
+            flow->answer_us <= host->world->now_us) {
+            flow->answer_us = 0;
+            send_from_endpoint(host, i, RELAY_ACK, flow->seq + 1, 141, 900);
+        }
+    }
+}
+
+void
+world_heartbeat(struct host *host)
+{
+    struct heartbeat beat = {
+        .service = hash_service(world_services[host->service]),
+        .draining = host->draining,
+        .slots = 2,
+        .sequence = ++host->sequence,
+    };
+
+    g_snprintf(beat.id, sizeof(beat.id), "i-%u-%u", host->number, host->boot);
+    door_heartbeat(&host->door, &beat, host->world->now_us);
+    host->told_draining = host->draining;
+    host->beat_us = host->world->now_us + HEARTBEAT_US;
+}
+
+void
+world_endpoint_start(struct host *host)
+{
+    memset(host->flows, 0, sizeof(host->flows));
+    host->boot++;
+    host->up = true;
+    host->draining = false;
+    host->fault_us = host->world->now_us;
+    world_heartbeat(host);
+}
+
+void
+world_agent_start(struct host *host)
+{
+    g_assert_cmpint(door_init(&host->door, &host->out, host->addr,
+                              world_services[host->service]),
+                    ==, 0);
+    host->told_draining = false;
+    host->beat_us = 0;
+}
--- /dev/null
+++ b/tests/relay/world_net.c
@@ -0,0 +1,109 @@
+#include "relay/world_private.h"
+
+#include <string.h>
+
+#include "base/clock.h"
+#include "base/container.h"
+#include "base/hash.h"
+
+const char *const world_services[WORLD_SERVICES] = {"lots", "albums"};
+
+bool
+world_chance(struct world *world, unsigned in_1000)
+{
+    return g_rand_int_range(world->rand, 0, 1000) < (gint32)in_1000;
+}
+
+void
+world_breach(struct world *world, const char *fmt, ...)
+{
+    char text[200];
+    va_list args;
+
+    if (world->result->breach[0] != '\0') {
+        return;
+    }
+    va_start(args, fmt);
+    g_vsnprintf(text, sizeof(text), fmt, args);
+    va_end(args);
+    g_snprintf(world->result->breach, sizeof(world->result->breach),
+               "at %" G_GUINT64_FORMAT " us: %s", world->now_us, text);
+}
+
+struct relay_packet
+world_packet_of(const uint8_t *bytes)
+{
+    struct plain plain;
+
+    memcpy(&plain, bytes, sizeof(plain));
+    plain.head.bytes = bytes;
+    plain.head.size = sizeof(plain);
+    return plain.head;
+}
+
+unsigned
+world_caller_of(const uint8_t *bytes)
+{
+    struct plain plain;
+
+    memcpy(&plain, bytes, sizeof(plain));
+    return plain.caller;
+}
+
+static gint
+compare(gconstpointer a, gconstpointer b, gpointer data)
+{
+    const struct message *left = a;
+    const struct message *right = b;
+
+    if (left->due_us != right->due_us) {
+        return left->due_us < right->due_us ? -1 : 1;
+    }
+    return left->order < right->order ? -1 : 1;
+}
+
+void
+world_post(struct world *world, enum target target, unsigned number,
+           const void *bytes, size_t size, bool local)
+{
+    struct message *message;
+    uint64_t delay_us =
+        local ? 50 : 100 + (uint64_t)g_rand_int_range(world->rand, 0, 2000);
+
+    if (!local && world_chance(world, world->plan->loss)) {
+        return;
+    }
+    message = g_new(struct message, 1);
+    message->due_us = world->now_us + delay_us;
+    message->order = world->order++;
+    message->target = target;
+    message->number = number;
+    message->size = size;
+    memcpy(message->bytes, bytes, size);
+    g_sequence_insert_sorted(world->messages, message, compare, NULL);
+}
+
+void
+world_post_packet(struct world *world, enum target target, unsigned number,
+                  unsigned caller, struct relay_packet head, bool local)
+{
+    struct plain plain;
+
+    memset(&plain, 0, sizeof(plain));
+    plain.head = head;
+    plain.head.bytes = NULL;
+    plain.caller = caller;
+    world_post(world, target, number, &plain, sizeof(plain), local);
+}
+
+struct addr
+world_host_addr(unsigned number)
+{
+    return (struct addr){0x0a000001 + number, 7000};
+}
+
+struct addr
+world_front_addr(unsigned number)
+{
+    return (struct addr){0x0a090001 + number, 7720};
+}
--- /dev/null
+++ b/tests/relay/world_private.h
@@ -0,0 +1,217 @@
+/**
+ * DOC: world_private - what the parts of world share
+ *
+ * world_net carries messages, world_callers and world_hosts are the ends of
+ * flows with their agents, world_fronts the balancers; world.c lets time pass
+ * and things go wrong.
+ */
+#ifndef SWIFTARCH_TESTS_RELAY_WORLD_PRIVATE_H
+#define SWIFTARCH_TESTS_RELAY_WORLD_PRIVATE_H
+
+#include "relay/door.h"
+#include "relay/relay_rig.h"
+#include "relay/steer.h"
+#include "relay/world.h"
+
+#define STEP_US (500)
+#define PACE_US (10 * USEC_PER_MSEC)
+#define CALM_US (1500 * USEC_PER_MSEC)
+#define FLOWS_MAX 4096
+#define ROUTES 4
+#define VERSIONS_MAX 256
+#define CALLER_GIVES_UP_US (4000 * USEC_PER_MSEC)
+#define ENDPOINT_ROOM 10
+#define WORK_US (15 * USEC_PER_MSEC)
+#define RESTART_US (200 * USEC_PER_MSEC)
+#define FREEZE_US (300 * USEC_PER_MSEC)
+#define HEARTBEAT_US (100 * USEC_PER_MSEC)
+#define MISPLACED_MAX 3
+#define RETRANSMITS_MAX 8
+
+/** enum target - who gets a message */
+enum target {
+    TO_BALANCER,
+    TO_BALANCER_FRAME,
+    TO_AGENT,
+    TO_ENDPOINT,
+    TO_OUTBOUND,
+    TO_CALLER
+};
+
+/** struct message - on its way */
+struct message {
+    uint64_t due_us;
+    uint64_t order;
+    enum target target;
+    unsigned number;
+    size_t size;
+    uint8_t bytes[FRAME_MAX];
+};
+
+/** struct held_flow - a flow as one endpoint holds it */
+struct held_flow {
+    bool held;
+    bool ran;
+    uint32_t seq;
+    uint64_t answer_us;
+};
+
+struct world;
+
+/** struct host - an agent and its endpoint */
+struct host {
+    struct door_out out;
+    struct world *world;
+    unsigned number;
+    struct door door;
+    struct addr addr;
+    unsigned service;
+    unsigned boot;
+    bool up;
+    bool draining;
+    bool told_draining;
+    uint64_t back_us;
+    uint64_t frozen_until_us;
+    uint64_t beat_us;
+    uint64_t sequence;
+    uint64_t fault_us;
+    uint32_t next_seq;
+    struct held_flow flows[FLOWS_MAX];
+};
+
+/** struct front - a balancer */
+struct front {
+    struct steer_out out;
+    struct world *world;
+    unsigned number;
+    struct steer steer;
+    unsigned version;
+    uint64_t follow_us;
+    uint64_t fault_us;
+};
+
+/** enum caller_state - what a caller does */
+enum caller_state { CALLER_OPENING, CALLER_ASKING, CALLER_DONE };
+
+/** struct caller - one flow */
+struct caller {
+    enum caller_state state;
+    struct relay_flow flow;
+    unsigned route;
+    uint64_t since_us;
+    uint64_t next_us;
+    unsigned copies;
+    uint32_t peer_seq;
+    int host;
+    unsigned boot;
+    uint64_t open_us;
+    unsigned misplaced;
+    unsigned ran;
+};
+
+/**
+ * struct world - all of it
+ * @served: services that each version has at each route, -1 for none
+ */
+struct world {
+    GRand *rand;
+    const struct world_plan *plan;
+    struct world_result *result;
+    uint64_t now_us;
+    uint64_t order;
+    GSequence *messages;
+    struct host hosts[WORLD_AGENTS];
+    struct front fronts[WORLD_BALANCERS];
+    struct caller callers[FLOWS_MAX];
+    unsigned caller_count;
+    unsigned salt;
+    unsigned versions;
+    int served[VERSIONS_MAX][ROUTES];
+    uint64_t fault_us;
+};
+
+extern const char *const world_services[WORLD_SERVICES];
+
+/* Packets here are a struct of our own: what they say is what the decoder
+ * would read. */
+struct plain {
+    struct relay_packet head;
+    unsigned caller;
+};
+
+bool
+world_chance(struct world *world, unsigned in_1000);
+
+void
+world_breach(struct world *world, const char *fmt, ...);
+
+struct relay_packet
+world_packet_of(const uint8_t *bytes);
+
+unsigned
+world_caller_of(const uint8_t *bytes);
+
+void
+world_post(struct world *world, enum target target, unsigned number,
+           const void *bytes, size_t size, bool local);
+
+void
+world_post_packet(struct world *world, enum target target, unsigned number,
+                  unsigned caller, struct relay_packet head, bool local);
+
+struct addr
+world_host_addr(unsigned number);
+
+struct addr
+world_front_addr(unsigned number);
+
+void
+world_caller_fail(struct world *world, struct caller *caller);
+
+void
+world_check_reset(struct world *world, struct relay_flow flow,
+                  const char *who);
+
+void
+world_caller_open(struct world *world);
+
+void
+world_caller_tick(struct world *world, struct caller *caller);
+
+void
+world_caller_packet(struct world *world, unsigned number,
+                    const uint8_t *bytes);
+
+extern const struct door_out_ops world_door_ops;
+
+void
+world_endpoint_packet(struct host *host, const uint8_t *bytes);
+
+void
+world_endpoint_work(struct host *host);
+
+void
+world_heartbeat(struct host *host);
+
+void
+world_endpoint_start(struct host *host);
+
+void
+world_agent_start(struct host *host);
+
+extern const struct steer_out_ops world_steer_ops;
+
+void
+world_follow_config(struct front *front, unsigned version);
+
+void
+world_front_start(struct front *front);
+
+void
+world_change_config(struct world *world);
+
+int
+world_served_at(const struct world *world, unsigned version,
+                const struct relay_packet *packet);
+
+#endif
