relay-show: what is in force on processes of relay mode

Cause: operators read back what is in force; relay mode had its log and metrics only. Change: /state at the ready address of both programs, and a command that prints it. Test: every play of scripts/relaybed asks all six processes and wants the configuration's version from both balancers.

--- a/scripts/relaybed/__main__.py
+++ b/scripts/relaybed/__main__.py
@@ -60,7 +60,8 @@
          self.heartbeats, self.app) = free_ports(7)
         self.store, self.store_port = store_module.serve(("127.0.0.1", 0))
         self.record = {"answered": 0, "failed": 0, "retried": 0,
-                       "crossed": 0, "garbled": 0, "ran": {}}
+                       "crossed": 0, "garbled": 0, "shown": False,
+                       "ran": {}}
         self.processes = {}
         self.live = {}
         self.endpoints = []
@@ -146,6 +147,17 @@
         while process.poll() is None:
             await asyncio.sleep(0.01)
 
+    def show(self):
+        """What all processes say is in force; whether all answered so."""
+        addresses = [f"127.0.1.{i + 1}:{self.ready}" for i in range(BALANCERS)]
+        addresses += [f"127.0.2.{i + 1}:{self.ready}"
+                      for i in range(len(AGENTS))]
+        done = subprocess.run([self.binary, "relay-show", *addresses],
+                              check=False, capture_output=True, text=True)
+        print(done.stdout + done.stderr, end="")
+        versions = done.stdout.count("version 1, 2 routes")
+        return done.returncode == 0 and versions == BALANCERS
+
     def end(self):
         """End what is left."""
         for process in self.processes.values():
@@ -221,6 +233,7 @@
     await asyncio.sleep(seconds / 3)
     await inject(site, fault)
     await asyncio.gather(*loads)
+    site.record["shown"] = await asyncio.to_thread(site.show)
 
 
 def main():
@@ -248,7 +261,7 @@
     print(json.dumps(record))
     bad = record["failed"] + record["crossed"] + record["garbled"] + \
         record["doubled"]
-    return 1 if bad or not record["answered"] else 0
+    return 1 if bad or not record["answered"] or not record["shown"] else 0
 
 
 if __name__ == "__main__":
--- a/src/cli/cli.h
+++ b/src/cli/cli.h
@@ -82,4 +82,8 @@
 int
 cli_explain(int argc, char **argv);
 
+/** cli_relay_show() - "swiftarch relay-show" */
+int
+cli_relay_show(int argc, char **argv);
+
 #endif
--- a/src/cli/main.c
+++ b/src/cli/main.c
@@ -103,6 +103,8 @@
          run_relay_balancer},
         {"relay-agent", "relay packets to the endpoint beside it",
          run_relay_agent},
+        {"relay-show", "tell what is in force on processes of relay mode",
+         cli_relay_show},
 #ifdef SWIFTARCH_TERMINATED
         {"balancer", "forward packets from the fabric", run_balancer},
         {"agent", "serve the upstream beside it", run_agent},
--- a/src/relay/relay_agent_http.c
+++ b/src/relay/relay_agent_http.c
@@ -6,6 +6,7 @@
 #include <glib.h>
 
 #include "base/container.h"
+#include "relay/relay_state.h"
 #include "platform/heartbeat_format.h"
 
 static void
@@ -136,6 +137,10 @@
     else if (strcmp(path, "/metrics") == 0) {
         respond_metrics(agent, request);
     }
+    else if (strcmp(path, RELAY_STATE_PATH) == 0) {
+        relay_state_respond(request,
+                            relay_state_agent(&agent->settings, &agent->door));
+    }
     else {
         httpd_respond(request, 404, "application/json", "{}", 2);
     }
--- a/src/relay/relay_balancer_http.c
+++ b/src/relay/relay_balancer_http.c
@@ -6,6 +6,7 @@
 #include <glib.h>
 
 #include "base/container.h"
+#include "relay/relay_state.h"
 
 static void
 respond_metrics(struct relay_balancer *balancer, struct httpd_request *request)
@@ -56,6 +57,10 @@
     else if (strcmp(path, "/metrics") == 0) {
         respond_metrics(balancer, request);
     }
+    else if (strcmp(path, RELAY_STATE_PATH) == 0) {
+        relay_state_respond(request, relay_state_balancer(&balancer->settings,
+                                                          &balancer->steer));
+    }
     else {
         httpd_respond(request, 404, "application/json", "{}", 2);
     }
--- /dev/null
+++ b/src/relay/relay_state.c
@@ -0,0 +1,95 @@
+#include "relay/relay_state.h"
+
+#include <stdio.h>
+
+static const char *const state_names[] = {
+    [ENDPOINT_UNKNOWN] = "unknown",   [ENDPOINT_READY] = "ready",
+    [ENDPOINT_DRAINING] = "draining", [ENDPOINT_GONE] = "gone",
+    [ENDPOINT_SILENT] = "silent",
+};
+
+static void
+add_text(struct json_object *json, const char *key, const char *text)
+{
+    json_object_object_add(json, key, json_object_new_string(text));
+}
+
+static void
+add_number(struct json_object *json, const char *key, uint64_t number)
+{
+    json_object_object_add(json, key, json_object_new_int64((int64_t)number));
+}
+
+static struct json_object *
+agent_json(const struct agent_row *row)
+{
+    struct json_object *json = json_object_new_object();
+    char text[ADDR_TEXT_MAX];
+
+    add_text(json, "address", addr_format(row->addr, text));
+    snprintf(text, sizeof(text), "%08x", row->health.service);
+    add_text(json, "service", text);
+    add_text(json, "data_centre", row->data_centre);
+    add_text(json, "endpoint", state_names[row->health.state]);
+    add_text(json, "health",
+             row->suspect         ? "suspect"
+             : row->heard_us == 0 ? "unheard"
+                                  : "alive");
+    add_number(json, "busy", row->health.busy);
+    add_number(json, "slots", row->health.slots);
+    return json;
+}
+
+struct json_object *
+relay_state_balancer(const struct relay_settings *settings,
+                     const struct steer *steer)
+{
+    struct json_object *json = json_object_new_object();
+    struct json_object *agents = json_object_new_array();
+
+    add_text(json, "role", "balancer");
+    add_text(json, "name", settings->name);
+    add_text(json, "data_centre", settings->data_centre);
+    add_number(json, "version", steer->routes.version);
+    add_number(json, "routes", steer->routes.count);
+    add_number(json, "learned", steer->learned.count);
+    add_number(json, "flows", steer->flows.used);
+    for (size_t i = 0; i < agents_count(&steer->agents); i++) {
+        json_object_array_add(agents,
+                              agent_json(agents_at(&steer->agents, i)));
+    }
+    json_object_object_add(json, "agents", agents);
+    return json;
+}
+
+struct json_object *
+relay_state_agent(const struct relay_settings *settings,
+                  const struct door *door)
+{
+    struct json_object *json = json_object_new_object();
+
+    add_text(json, "role", "agent");
+    add_text(json, "name", settings->name);
+    add_text(json, "data_centre", settings->data_centre);
+    add_text(json, "service", settings->service);
+    add_text(json, "endpoint", state_names[door->endpoint.state]);
+    add_text(json, "start", door->endpoint.starts[0].id);
+    add_number(json, "busy", door->busy_count);
+    add_number(json, "slots", door->endpoint.slots);
+    add_number(json, "held", door->held_count);
+    add_number(json, "flows", door->table.used);
+    /* The newest that any balancer spoke of. */
+    add_number(json, "version", door->heard.version);
+    return json;
+}
+
+void
+relay_state_respond(struct httpd_request *request, struct json_object *json)
+{
+    size_t len;
+    const char *text =
+        json_object_to_json_string_length(json, JSON_C_TO_STRING_PLAIN, &len);
+
+    httpd_respond(request, 200, "application/json", text, len);
+    json_object_put(json);
+}
