An agent whose object was taken away writes it anew

Cause: the store may lose objects of ours (keys taken away during an outage); balancers that start later would not find the agent, which wrote its object once. Change: a balancer that sees the object of a living agent go tells the agent with its ping; the agent creates it again.

--- a/bench/relay/bench_relay.c
+++ b/bench/relay/bench_relay.c
@@ -42,7 +42,7 @@
 }
 
 static void
-steer_ping(struct steer_out *out, struct addr agent)
+steer_ping(struct steer_out *out, struct addr agent, bool unlisted)
 {
 }
 
--- a/scripts/relaybed/__main__.py
+++ b/scripts/relaybed/__main__.py
@@ -30,7 +30,8 @@
 CALLERS = 3
 PER_CALLER_S = 40
 FAULTS = ("none", "agent-kill", "balancer-kill", "balancer-stop",
-          "endpoint-crash", "endpoint-drain", "store-away", "all-kill")
+          "endpoint-crash", "endpoint-drain", "store-away", "store-loses",
+          "all-kill")
 
 
 def number(ip_text):
@@ -195,6 +196,13 @@
         site.start("relay-balancer", "balancer-2", "127.0.1.2")
         await asyncio.sleep(1)
         site.store.away = False
+    elif fault == "store-loses":
+        names = list(site.store.objects["swiftarch-agents"])
+        for name in names:
+            site.store.remove("swiftarch-agents", name)
+        await asyncio.sleep(0.5)
+        left = set(names) - set(site.store.objects["swiftarch-agents"])
+        site.record["failed"] += len(left)
     elif fault == "all-kill":
         for name in list(site.processes):
             await site.kill(name)
--- a/src/relay/agents.c
+++ b/src/relay/agents.c
@@ -336,6 +336,7 @@
         set_ping(agents, row, now_us);
     }
     row->listed = true;
+    row->unlisted = false;
     g_strlcpy(row->data_centre, data_centre, sizeof(row->data_centre));
 }
 
@@ -348,6 +349,7 @@
         return;
     }
     row->listed = false;
+    row->unlisted = true;
     set_ping(agents, row, now_us);
 }
 
@@ -409,7 +411,8 @@
 }
 
 bool
-agents_ping_due(struct agents *agents, uint64_t now_us, struct addr *addr)
+agents_ping_due(struct agents *agents, uint64_t now_us, struct addr *addr,
+                bool *unlisted)
 {
     for (guint i = agents->pinged->len; i-- > 0;) {
         struct agent_row *row = g_ptr_array_index(agents->pinged, i);
@@ -428,6 +431,7 @@
         row->ping_us = now_us + row->ping_gap_us;
         row->ping_gap_us = MIN(2 * row->ping_gap_us, PING_SLOWEST_US);
         *addr = row->addr;
+        *unlisted = row->unlisted;
         return true;
     }
     return false;
--- a/src/relay/agents.h
+++ b/src/relay/agents.h
@@ -29,6 +29,7 @@
  * @data_centre: where it stands, empty when not known
  * @health: its own last word
  * @listed: the store names it
+ * @unlisted: the store named it once and doesn't any more
  * @suspect: it didn't answer when it should have
  * @heard_us: last frame from it, 0 for never
  * @told_us: when @health was told
@@ -48,6 +49,7 @@
     char data_centre[AGENT_DATA_CENTRE_MAX];
     struct frame_health health;
     bool listed;
+    bool unlisted;
     bool suspect;
     uint64_t heard_us;
     uint64_t told_us;
@@ -149,11 +151,14 @@
 /**
  * agents_ping_due() - an agent to ping now
  * @addr: its address
+ * @unlisted: whether it is to be told that the store doesn't name it any
+ *            more
  *
  * Return: false when none is due.
  */
 bool
-agents_ping_due(struct agents *agents, uint64_t now_us, struct addr *addr);
+agents_ping_due(struct agents *agents, uint64_t now_us, struct addr *addr,
+                bool *unlisted);
 
 /** agents_next_ping_us() - when the next ping is due, UINT64_MAX for never */
 uint64_t
--- a/src/relay/door.c
+++ b/src/relay/door.c
@@ -131,10 +131,11 @@
 
 void
 door_ping(struct door *door, struct addr balancer,
-          const struct frame_version *version, uint64_t now_us)
+          const struct frame_version *version, bool unlisted, uint64_t now_us)
 {
     struct frame_status status = {.type = FRAME_STATE};
 
+    door->unlisted = door->unlisted || unlisted;
     door_heard_from(door, balancer, version->version, now_us);
     door_tell(door, balancer, &status, now_us);
     if (version->version == 0) {
--- a/src/relay/door.h
+++ b/src/relay/door.h
@@ -125,6 +125,7 @@
  * @balancers: balancers heard from, to tell them of a change
  * @balancer_count: how many
  * @closed: a planned stop has begun
+ * @unlisted: the store doesn't name this agent any more: to be written anew
  * @served: addresses seen in flows from before the start
  * @greeters: hosts to tell that this agent is here, until one speaks
  * @greeter_count: how many
@@ -150,6 +151,7 @@
     struct door_balancer balancers[DOOR_BALANCERS_MAX];
     unsigned balancer_count;
     bool closed;
+    bool unlisted;
     struct frame_served served;
     struct addr greeters[DOOR_GREETERS_MAX];
     unsigned greeter_count;
@@ -180,10 +182,11 @@
 door_carry(struct door *door, const struct frame_carry *frame,
            const struct relay_packet *packet, uint64_t now_us);
 
-/** door_ping() - a balancer asks */
+/** door_ping() - a balancer asks; @unlisted: and says that the store doesn't
+ * name this agent any more */
 void
 door_ping(struct door *door, struct addr balancer,
-          const struct frame_version *version, uint64_t now_us);
+          const struct frame_version *version, bool unlisted, uint64_t now_us);
 
 /** door_from_endpoint() - the endpoint sent a packet */
 void
--- a/src/relay/frame.c
+++ b/src/relay/frame.c
@@ -233,20 +233,23 @@
 }
 
 size_t
-frame_ping_encode(const struct frame_version *version, uint8_t *bytes)
+frame_ping_encode(const struct frame_version *version, bool unlisted,
+                  uint8_t *bytes)
 {
     struct writer writer = begin(FRAME_PING, bytes);
 
     put_version(&writer, version);
+    put(&writer, unlisted, 1);
     return (size_t)(writer.at - bytes);
 }
 
 int
 frame_ping_decode(const uint8_t *bytes, size_t size,
-                  struct frame_version *version)
+                  struct frame_version *version, bool *unlisted)
 {
     struct reader reader = body_of(bytes, size);
 
     get_version(&reader, version);
+    *unlisted = get(&reader, 1) != 0;
     return reader.short_of || reader.left != 0 ? -EBADMSG : 0;
 }
--- a/src/relay/frame.h
+++ b/src/relay/frame.h
@@ -187,13 +187,17 @@
 frame_served_decode(const uint8_t *bytes, size_t size,
                     struct frame_served *served);
 
-/** frame_ping_encode() - write a FRAME_PING with the sender's version */
+/**
+ * frame_ping_encode() - write a FRAME_PING with the sender's version
+ * @unlisted: the store named the agent once and doesn't any more
+ */
 size_t
-frame_ping_encode(const struct frame_version *version, uint8_t *bytes);
+frame_ping_encode(const struct frame_version *version, bool unlisted,
+                  uint8_t *bytes);
 
 /** frame_ping_decode() - read it; 0 or -EBADMSG */
 int
 frame_ping_decode(const uint8_t *bytes, size_t size,
-                  struct frame_version *version);
+                  struct frame_version *version, bool *unlisted);
 
 #endif
--- a/src/relay/presence.c
+++ b/src/relay/presence.c
@@ -171,6 +171,15 @@
     };
 }
 
+void
+presence_writer_again(struct presence_writer *writer, uint64_t now_us)
+{
+    if (writer->step == PRESENCE_KEPT) {
+        writer->step = PRESENCE_CREATE;
+        writer->next_us = now_us;
+    }
+}
+
 void
 presence_writer_remove(struct presence_writer *writer, uint64_t now_us)
 {
--- a/src/relay/presence.h
+++ b/src/relay/presence.h
@@ -84,6 +84,10 @@
 presence_writer_init(struct presence_writer *writer, struct store *store,
                      const struct presence *presence, uint64_t now_us);
 
+/** presence_writer_again() - the object that stood is gone: write it anew */
+void
+presence_writer_again(struct presence_writer *writer, uint64_t now_us);
+
 /** presence_writer_remove() - remove the object instead */
 void
 presence_writer_remove(struct presence_writer *writer, uint64_t now_us);
--- a/src/relay/relay_agent.c
+++ b/src/relay/relay_agent.c
@@ -59,6 +59,18 @@
                    agent->settings.log_per_s, agent->settings.stop_ms, report);
 }
 
+/* Somebody took the agent's object away while its endpoint lives. */
+static void
+write_anew(struct relay_agent *agent, uint64_t now_us)
+{
+    if (agent->door.unlisted && agent->door.endpoint.state != ENDPOINT_GONE) {
+        event_log_line(&agent->log, EVENT_RARE, "unlisted", "endpoint=%s",
+                       relay_agent_state_names[agent->door.endpoint.state]);
+        presence_writer_again(&agent->presence, now_us);
+    }
+    agent->door.unlisted = false;
+}
+
 static uint64_t
 on_tick(struct loop *loop, uint64_t now_us)
 {
@@ -70,6 +82,7 @@
     door_tick(&agent->door, now_us);
     dgram_flush(&agent->outbound);
     dgram_flush(&agent->frames);
+    write_anew(agent, now_us);
     presence_writer_tick(&agent->presence, now_us);
     if (settings_file_changed(&agent->file, now_us)) {
         reload(agent);
--- a/src/relay/relay_agent_out.c
+++ b/src/relay/relay_agent_out.c
@@ -192,6 +192,7 @@
     struct relay_agent *agent = dgram->owner;
     uint64_t now_us = loop_now_us(&agent->loop);
     struct frame_version version;
+    bool unlisted;
 
     agent->counts.frames_in++;
     switch (frame_type(bytes, size)) {
@@ -199,8 +200,8 @@
         on_carry(agent, bytes, size, now_us);
         return;
     case FRAME_PING:
-        if (frame_ping_decode(bytes, size, &version) == 0) {
-            door_ping(&agent->door, from, &version, now_us);
+        if (frame_ping_decode(bytes, size, &version, &unlisted) == 0) {
+            door_ping(&agent->door, from, &version, unlisted, now_us);
             return;
         }
         break;
--- a/src/relay/relay_balancer_out.c
+++ b/src/relay/relay_balancer_out.c
@@ -53,14 +53,15 @@
 }
 
 static void
-out_ping(struct steer_out *out, struct addr agent)
+out_ping(struct steer_out *out, struct addr agent, bool unlisted)
 {
     struct relay_balancer *balancer = of_out(out);
     struct frame_version version = {
         .version = balancer->steer.routes.version,
         .holder = balancer->settings.share,
     };
-    size_t size = frame_ping_encode(&version, dgram_buffer(&balancer->frames));
+    size_t size =
+        frame_ping_encode(&version, unlisted, dgram_buffer(&balancer->frames));
 
     dgram_queue(&balancer->frames, agent, size);
     balancer->counts.pings++;
--- a/src/relay/steer.c
+++ b/src/relay/steer.c
@@ -196,6 +196,7 @@
 steer_tick(struct steer *steer, uint64_t now_us)
 {
     struct addr agent;
+    bool unlisted;
 
     while (steer->wait_count > 0 &&
            steer->waits[steer->wait_first].due_us <= now_us) {
@@ -205,8 +206,8 @@
         steer->wait_count--;
         steer_wait_over(steer, &wait, now_us);
     }
-    while (agents_ping_due(&steer->agents, now_us, &agent)) {
-        steer->out->ops->ping(steer->out, agent);
+    while (agents_ping_due(&steer->agents, now_us, &agent, &unlisted)) {
+        steer->out->ops->ping(steer->out, agent, unlisted);
     }
     expire(steer, now_us);
 }
--- a/src/relay/steer.h
+++ b/src/relay/steer.h
@@ -55,8 +55,9 @@
     /** @reset: tell a caller that its flow is over; @seq: what it last
      * acknowledged */
     void (*reset)(struct steer_out *out, struct relay_flow flow, uint32_t seq);
-    /** @ping: ask an agent for its word */
-    void (*ping)(struct steer_out *out, struct addr agent);
+    /** @ping: ask an agent for its word; @unlisted: tell it that the store
+     * doesn't name it any more */
+    void (*ping)(struct steer_out *out, struct addr agent, bool unlisted);
     /** @behind: some balancer follows a newer configuration */
     void (*behind)(struct steer_out *out, const struct frame_version *newer);
     /** @dropped: a packet was dropped; @packet may be NULL */
--- a/tests/relay/door_test.c
+++ b/tests/relay/door_test.c
@@ -451,15 +451,15 @@
 {
     struct frame_version nothing = {0};
 
-    door_ping(&site->door, rig_addr(BALANCER), &nothing, site->now_us);
+    door_ping(&site->door, rig_addr(BALANCER), &nothing, false, site->now_us);
     rig_expect(site->record, "tell state reason=0 on=0 busy=0 state=0", NULL);
     open_flow(site, 1);
     g_string_truncate(site->record, 0);
-    door_ping(&site->door, rig_addr(BALANCER), &nothing, site->now_us);
+    door_ping(&site->door, rig_addr(BALANCER), &nothing, false, site->now_us);
     rig_expect(site->record, "tell state reason=0 on=0 busy=1 state=0", NULL);
     answer(site, rig_from_endpoint(rig_flow(7), RELAY_ACK, 501, 141, 900));
     rig_expect(site->record, "serves 1", "caller 1007", NULL);
-    door_ping(&site->door, rig_addr(BALANCER), &nothing, site->now_us);
+    door_ping(&site->door, rig_addr(BALANCER), &nothing, false, site->now_us);
     rig_expect(site->record, "tell state reason=0 on=0 busy=1 state=0",
                "serves 1", NULL);
 }
@@ -475,7 +475,7 @@
     rig_expect(site->record, NULL);
     pass_ms(site, 1);
     rig_expect(site->record, "tell state reason=0 on=0 busy=0 state=0", NULL);
-    door_ping(&site->door, rig_addr(BALANCER), &version, site->now_us);
+    door_ping(&site->door, rig_addr(BALANCER), &version, false, site->now_us);
     g_string_truncate(site->record, 0);
     pass_ms(site, 500);
     rig_expect(site->record, NULL);
--- a/tests/relay/follow_test.c
+++ b/tests/relay/follow_test.c
@@ -275,6 +275,18 @@
                "create 10-1-0-13-8172", "put 10-1-0-13-8172", NULL);
 }
 
+TEST_F(site, an_object_that_was_taken_away_is_written_anew)
+{
+    writer_tick(site, 1);
+    answer(site, 0, 9, NULL, false);
+    presence_writer_again(&site->writer, site->now_us);
+    writer_tick(site, 2);
+    answer(site, 0, 12, NULL, false);
+    g_assert_cmpint(site->writer.step, ==, PRESENCE_KEPT);
+    rig_expect(site->record, "put 10-1-0-13-8172", "create 10-1-0-13-8172",
+               NULL);
+}
+
 TEST_F(site, a_removal_is_repeated_until_it_is_done)
 {
     writer_tick(site, 1);
--- a/tests/relay/frame_test.c
+++ b/tests/relay/frame_test.c
@@ -103,10 +103,12 @@
     struct frame_served served = {
         .service = 3, .addrs = {rig_addr("198.18.0.1:80")}, .count = 1};
     struct frame_served told;
+    bool unlisted = false;
     uint8_t bytes[FRAME_HEAD_MAX];
-    size_t size = frame_ping_encode(&version, bytes);
+    size_t size = frame_ping_encode(&version, true, bytes);
 
-    g_assert_cmpint(frame_ping_decode(bytes, size, &read), ==, 0);
+    g_assert_cmpint(frame_ping_decode(bytes, size, &read, &unlisted), ==, 0);
+    g_assert_true(unlisted);
     g_assert_cmpuint(read.version, ==, 4);
     size = frame_served_encode(&served, bytes);
     g_assert_cmpint(frame_served_decode(bytes, size, &told), ==, 0);
@@ -135,6 +137,7 @@
     struct frame_carry carry;
     struct frame_status status;
     struct frame_version version;
+    bool unlisted;
     struct frame_served served;
 
     switch (frame_type(bytes, size)) {
@@ -153,7 +156,7 @@
         }
         break;
     case FRAME_PING:
-        (void)frame_ping_decode(bytes, size, &version);
+        (void)frame_ping_decode(bytes, size, &version, &unlisted);
         break;
     case FRAME_SERVED:
         if (frame_served_decode(bytes, size, &served) == 0) {
--- a/tests/relay/steer_test.c
+++ b/tests/relay/steer_test.c
@@ -23,6 +23,7 @@
     struct frame_carry frame;
     unsigned carried;
     unsigned pings;
+    bool unlisted;
 };
 
 static void
@@ -44,9 +45,10 @@
 }
 
 static void
-ping(struct steer_out *out, struct addr agent)
+ping(struct steer_out *out, struct addr agent, bool unlisted)
 {
     ((struct site *)out)->pings++;
+    ((struct site *)out)->unlisted = unlisted;
 }
 
 static void
@@ -252,6 +254,20 @@
     g_assert_cmpuint(steer_next_us(&site->steer), ==, UINT64_MAX);
 }
 
+TEST_F(site, an_agent_whose_object_is_gone_is_told, 3)
+{
+    agents_unlist(&site->steer.agents, agent_addr(2), site->now_us);
+    pass_ms(site, 1);
+    g_assert_cmpuint(site->pings, ==, 1);
+    g_assert_true(site->unlisted);
+    /* It serves on while it answers. */
+    say(site, 2,
+        (struct frame_status){.type = FRAME_STATE,
+                              .health.state = ENDPOINT_READY});
+    arrive(site, rig_from_caller(rig_flow(1), RELAY_SYN, 9, 0, 0));
+    g_assert_true(chain_names(site, agent_addr(2)));
+}
+
 TEST_F(site, a_silent_agent_is_pinged_more_and_more_rarely, 3)
 {
     agents_list(&site->steer.agents, agent_addr(9), hash_service("lots"),
--- a/tests/relay/world.c
+++ b/tests/relay/world.c
@@ -99,6 +99,7 @@
     struct frame_carry frame;
     struct frame_status status;
     struct frame_version version;
+    bool unlisted;
     struct relay_packet packet;
     struct host *host = &world->hosts[message->number % WORLD_AGENTS];
 
@@ -118,9 +119,9 @@
         return;
     case TO_AGENT:
         if (frame_type(message->bytes, message->size) == FRAME_PING) {
-            g_assert_cmpint(
-                frame_ping_decode(message->bytes, message->size, &version), ==,
-                0);
+            g_assert_cmpint(frame_ping_decode(message->bytes, message->size,
+                                              &version, &unlisted),
+                            ==, 0);
             door_ping(
                 &host->door,
                 (struct addr){version.holder.ip, world_front_addr(0).port},
--- a/tests/relay/world_fronts.c
+++ b/tests/relay/world_fronts.c
@@ -39,7 +39,7 @@
 }
 
 static void
-ping(struct steer_out *out, struct addr agent)
+ping(struct steer_out *out, struct addr agent, bool unlisted)
 {
     struct front *front = container_of(out, struct front, out);
     struct frame_version version = {
@@ -47,7 +47,7 @@
         .holder = world_front_addr(front->number),
     };
     uint8_t bytes[FRAME_HEAD_MAX];
-    size_t size = frame_ping_encode(&version, bytes);
+    size_t size = frame_ping_encode(&version, unlisted, bytes);
 
     world_post(front->world, TO_AGENT, agent.ip - world_host_addr(0).ip, bytes,
                size, false);
