--- a/src/relay/pace.c
+++ b/src/relay/pace.c
@@ -1,5 +1,7 @@
 #include "relay/pace.h"
 
+#include <assert.h>
+
 #include "base/clock.h"
 
 /* Until the first request was seen: what requests of small sites take, and a
@@ -71,6 +73,7 @@
     unsigned ahead = pace_ahead(pace, slots);
     uint64_t expect_us = pace->trip_us + WORK_SAFE * pace->work_us;
 
+    assert(slots > 0);
     busy -= ahead < busy ? ahead : busy;
     if (busy >= slots) {
         expect_us += (busy + 1 - slots) * pace->work_us / slots;
