Balancer: agents are waited for twice as long as they usually take

Change: twice the slower agents' usual trip, 15 ms at least, 60 at most. Test: relay-steer far_agents_are_given_time_to_answer, red before.

--- a/src/relay/steer.h
+++ b/src/relay/steer.h
@@ -86,6 +86,7 @@
  * @learned: what agents saw, used while there is no configuration
  * @flows: keys of the pins
  * @pins: a pin for each handle
+ * @trip_us: how long agents take to answer a new flow, the slower ones
  * @waits: SYNs whose agent hasn't answered, in the order they fall due
  * @wait_first: first of them
  * @wait_count: how many
@@ -98,6 +99,7 @@
     struct routes learned;
     struct flow_index flows;
     struct steer_pin *pins;
+    uint64_t trip_us;
     struct steer_wait *waits;
     uint32_t wait_first;
     uint32_t wait_count;
--- a/src/relay/steer_known.c
+++ b/src/relay/steer_known.c
@@ -159,6 +159,7 @@
                                 now_us);
     }
     pin = &steer->pins[handle];
+    steer_note_trip(steer, pin, agent, now_us);
     place_add(pin, agent, status->seq);
     steer->out->ops->decided(steer->out, STEER_DID_PLACE, status->flow, agent,
                              pin->try_count, now_us - pin->since_us);
@@ -176,6 +177,7 @@
         return;
     }
     pin = &steer->pins[handle];
+    steer_note_trip(steer, pin, agent, now_us);
     pin->holder = status->target;
     pin->held = false;
     if (status->target.ip == 0 && is_sure(pin) &&
--- a/src/relay/steer_open.c
+++ b/src/relay/steer_open.c
@@ -11,6 +11,42 @@
  * that has a twentieth of a core. */
 #define ANSWER_TIMEOUT_US (15 * USEC_PER_MSEC)
 
+/* Where agents are further away, so many times their usual trip; and at most
+ * this long, when it is they that are slow. */
+#define ANSWER_TRIPS 2
+#define ANSWER_MOST_US (60 * USEC_PER_MSEC)
+
+/* Weight of a trip that is longer than usual, and of one that is shorter: the
+ * slower agents tell how long to wait. */
+#define TRIP_UP_WEIGHT 4
+#define TRIP_DOWN_WEIGHT 64
+
+static uint64_t
+answer_timeout(const struct steer *steer)
+{
+    uint64_t timeout_us = ANSWER_TRIPS * steer->trip_us;
+
+    return CLAMP(timeout_us, ANSWER_TIMEOUT_US, ANSWER_MOST_US);
+}
+
+void
+steer_note_trip(struct steer *steer, const struct steer_pin *pin,
+                struct addr agent, uint64_t now_us)
+{
+    uint64_t trip_us = now_us - pin->tried_us;
+
+    if (pin->place_count > 0 || pin->held || pin->try_count == 0 ||
+        !addr_equal(pin->tried[pin->try_count - 1], agent)) {
+        return;
+    }
+    if (trip_us > steer->trip_us) {
+        steer->trip_us += (trip_us - steer->trip_us) / TRIP_UP_WEIGHT;
+    }
+    else {
+        steer->trip_us -= (steer->trip_us - trip_us) / TRIP_DOWN_WEIGHT;
+    }
+}
+
 static void
 wait_push(struct steer *steer, uint32_t handle, uint64_t now_us)
 {
@@ -22,7 +58,8 @@
     }
     wait = &steer->waits[(steer->wait_first + steer->wait_count) %
                          STEER_WAITS_MAX];
-    *wait = (struct steer_wait){now_us + ANSWER_TIMEOUT_US, handle, now_us};
+    *wait =
+        (struct steer_wait){now_us + answer_timeout(steer), handle, now_us};
     steer->wait_count++;
 }
 
--- a/src/relay/steer_private.h
+++ b/src/relay/steer_private.h
@@ -126,6 +126,11 @@
 steer_carry_known(struct steer *steer, uint32_t handle,
                   const struct relay_packet *packet, uint64_t now_us);
 
+/** steer_note_trip() - the agent that a flow's SYN was sent to answered */
+void
+steer_note_trip(struct steer *steer, const struct steer_pin *pin,
+                struct addr agent, uint64_t now_us);
+
 /** steer_placed() - an agent's endpoint holds the flow */
 void
 steer_placed(struct steer *steer, struct addr agent,
--- a/tests/relay/steer_test.c
+++ b/tests/relay/steer_test.c
@@ -206,6 +206,23 @@
     }
 }
 
+TEST_F(site, far_agents_are_given_time_to_answer, 3)
+{
+    /* They take 18 ms each time. */
+    for (unsigned i = 1; i <= 40; i++) {
+        arrive(site, rig_from_caller(rig_flow(i), RELAY_SYN, 9, 0, 0));
+        site->now_us += 18 * USEC_PER_MSEC;
+        placed(site, site->sent, i, 500);
+    }
+    pass_ms(site, 100);
+    site->carried = 0;
+    arrive(site, rig_from_caller(rig_flow(90), RELAY_SYN, 9, 0, 0));
+    pass_ms(site, 30);
+    g_assert_cmpuint(site->carried, ==, 1);
+    pass_ms(site, 10);
+    g_assert_cmpuint(site->carried, ==, 2);
+}
+
 TEST_F(site, whoever_has_the_syn_last_is_blamed, 3)
 {
     struct frame_status passed = {
