Agent: a flow that is open at another endpoint isn't forgotten

The caller takes one answer. When its packets come to the other agent along no search, that agent saw that they belong to another answer, had nobody to pass them to and forgot the flow; the next packet was then offered to its endpoint, which still waits for the end of its own handshake and says nothing, neither a bounce nor a reset. So every search ended there, three seconds long.

Ruled out: processes that were restarted (all balancers and agents of the two flows lived), a full flow table, SYNs passed on by agents (the holder had the flow 13 ms after the SYN).

Change: such a flow is kept as open elsewhere; searches pass by that endpoint, and without a search the balancer is told at once.

The unit test failed before ("endpoint 40" for a search that should go on).

--- a/src/relay/door_answer.c
+++ b/src/relay/door_answer.c
@@ -23,6 +23,10 @@
         door_drop(door, DOOR_DROP_NOBODY);
         return;
     }
+    if (flow->state == DOOR_ELSEWHERE && flow->target.ip == 0) {
+        door_drop(door, DOOR_DROP_NOBODY);
+        return;
+    }
     if (flow->state == DOOR_ELSEWHERE) {
         door_carry_on(door,
                       &(struct frame_carry){
--- a/src/relay/door_known.c
+++ b/src/relay/door_known.c
@@ -62,6 +62,7 @@
 {
     struct door_flow *flow = &door->flows[handle];
 
+    flow->refuted = true;
     flow->frame = *frame;
     flow->frame.bytes = packet->bytes;
     flow->frame.size = packet->size;
@@ -124,6 +125,24 @@
     return frame->next_count > 0 ? frame->next[0] : flow->target;
 }
 
+/* A packet of a flow that went on goes after it. */
+static void
+follow_on(struct door *door, uint32_t handle, const struct frame_carry *frame,
+          uint64_t now_us)
+{
+    struct addr next = where_next(&door->flows[handle], frame);
+
+    if (frame->hops < DOOR_HOPS_MAX && next.ip != 0) {
+        door_carry_on(door, frame, next);
+        return;
+    }
+    door_drop(door, DOOR_DROP_NOBODY);
+    if (next.ip == 0) {
+        door_tell_passed(door, flow_index_flow(&door->table, handle),
+                         frame->origin, FRAME_REASON_REFUSED, next, now_us);
+    }
+}
+
 void
 door_carry_known(struct door *door, uint32_t handle,
                  const struct frame_carry *frame,
@@ -134,12 +153,7 @@
     flow_index_touch(&door->table, handle, now_us);
     switch (flow->state) {
     case DOOR_ELSEWHERE:
-        if (frame->hops < DOOR_HOPS_MAX) {
-            door_carry_on(door, frame, where_next(flow, frame));
-        }
-        else {
-            door_drop(door, DOOR_DROP_NOBODY);
-        }
+        follow_on(door, handle, frame, now_us);
         return;
     case DOOR_ASKED:
     case DOOR_HELD:
--- a/src/relay/door_open.c
+++ b/src/relay/door_open.c
@@ -126,7 +126,17 @@
     return hold(door, handle, now_us);
 }
 
-/* Sends a flow's packet on; without anyone left the flow is forgotten. */
+/* The flow is open at another endpoint, nobody knows which. It isn't
+ * forgotten: this one still waits for the end of its own handshake and takes
+ * packets of the other's without a word, for as long as the caller sends
+ * them. */
+static void
+leave_elsewhere(struct door *door, uint32_t handle)
+{
+    door->flows[handle].state = DOOR_ELSEWHERE;
+    door->flows[handle].target = (struct addr){0};
+}
+
 void
 door_pass_on(struct door *door, uint32_t handle, enum frame_reason why,
              uint64_t now_us)
@@ -146,7 +156,12 @@
         target = flow->frame.best;
     }
     else {
-        door_flow_forget(door, handle);
+        if (flow->refuted) {
+            leave_elsewhere(door, handle);
+        }
+        else {
+            door_flow_forget(door, handle);
+        }
         door_drop(door, DOOR_DROP_NOBODY);
     }
     door_tell_passed(door, key, origin, why, target, now_us);
--- a/src/relay/door_private.h
+++ b/src/relay/door_private.h
@@ -31,10 +31,11 @@
  * @start: start of the endpoint that it belongs to
  * @busy_at: place in the busy list, or -1
  * @confirmed: the caller acknowledged this endpoint's SYN+ACK
+ * @refuted: the caller took another endpoint's answer to its SYN
  * @proven: the endpoint sent something after that: the flow was open there
  * @service: service it was opened for
  * @origin: balancer that its packets came through last
- * @target: for DOOR_ELSEWHERE, the agent it was sent to
+ * @target: for DOOR_ELSEWHERE, the agent it was sent to, or none
  * @seq: sequence number of the endpoint's SYN+ACK
  * @caller_seq: end of the caller's data seen so far
  * @busy_us: since when its request is in progress
@@ -52,6 +53,7 @@
     unsigned start;
     int busy_at;
     bool confirmed;
+    bool refuted;
     bool proven;
     uint32_t service;
     struct addr origin;
@@ -149,7 +151,7 @@
 door_has_room(const struct door *door, bool in_time);
 
 /** door_pass_on() - send a flow's packet on; without anyone left the flow is
- * forgotten */
+ * forgotten, unless it is known to be open elsewhere */
 void
 door_pass_on(struct door *door, uint32_t handle, enum frame_reason why,
              uint64_t now_us);
--- a/tests/relay/door_test.c
+++ b/tests/relay/door_test.c
@@ -535,6 +535,25 @@
                "tell passed reason=4 on=1 busy=0 state=0", NULL);
 }
 
+TEST_F(site, a_flow_that_is_open_elsewhere_stays_elsewhere)
+{
+    struct relay_flow flow = rig_flow(1);
+
+    open_flow(site, 1);
+    g_string_truncate(site->record, 0);
+    /* Its balancer knows of this answer alone, the caller took another. */
+    arrive(site, rig_from_caller(flow, RELAY_ACK, 101, 900001, 40), 0, false);
+    rig_expect(site->record, "drop 1",
+               "tell passed reason=4 on=0 busy=0 state=0", NULL);
+    /* The endpoint still waits for its own handshake, and would say nothing
+     * to a packet of the other's. */
+    arrive(site, rig_from_caller(flow, RELAY_ACK, 101, 900001, 40), 2, false);
+    rig_expect(site->record, "carry 10.0.0.2:7000 hops=1 left=1", NULL);
+    arrive(site, rig_from_caller(flow, RELAY_ACK, 101, 900001, 40), 0, false);
+    rig_expect(site->record, "drop 1",
+               "tell passed reason=4 on=0 busy=0 state=0", NULL);
+}
+
 TEST_F(site, a_flow_that_the_endpoint_has_not_answered_is_not_here)
 {
     struct relay_flow flow = rig_flow(1);
--- a/tests/relay/world.h
+++ b/tests/relay/world.h
@@ -29,6 +29,8 @@
                         service */
     unsigned freeze; /* one agent stands still for 300 ms */
     unsigned config; /* a route is added or dropped */
+    unsigned stall;  /* what one balancer sends in 40 ms comes late */
+    bool closing;    /* callers say goodbye, which is answered */
 };
 
 /** struct world_result - what came of it */
@@ -36,6 +38,7 @@
     char breach[256];  /* the first, empty for none */
     unsigned opened;   /* flows that callers opened */
     unsigned answered; /* requests answered */
+    unsigned closed;   /* goodbyes answered */
     unsigned failed;   /* callers that gave up */
     unsigned resets;   /* flows that were reset, each packet of one */
 };
--- a/tests/relay/world_callers.c
+++ b/tests/relay/world_callers.c
@@ -107,7 +107,13 @@
         caller->copies++;
         return;
     }
-    caller_send(world, caller, RELAY_ACK, 101, caller->peer_seq + 1, 40);
+    if (caller->state == CALLER_CLOSING) {
+        caller_send(world, caller, RELAY_ACK | RELAY_FIN, 141,
+                    caller->peer_seq + 901, 0);
+    }
+    else {
+        caller_send(world, caller, RELAY_ACK, 101, caller->peer_seq + 1, 40);
+    }
     caller->next_us =
         world->now_us + (200 * USEC_PER_MSEC << MIN(caller->copies, 3));
     caller->copies++;
@@ -132,6 +138,22 @@
     }
 }
 
+/* The answer is there; callers that close say so, together with the
+ * acknowledgement that each second packet gets. */
+static void
+caller_answered(struct world *world, struct caller *caller)
+{
+    world->result->answered++;
+    if (!world->plan->closing) {
+        caller->state = CALLER_DONE;
+        return;
+    }
+    caller->state = CALLER_CLOSING;
+    caller->copies = 0;
+    caller->next_us = world->now_us;
+    caller_send(world, caller, RELAY_ACK, 141, caller->peer_seq + 901, 0);
+}
+
 void
 world_caller_packet(struct world *world, unsigned number, const uint8_t *bytes)
 {
@@ -149,7 +171,11 @@
             world_breach(world, "MIXED: caller %u gets another flow's answer",
                          number);
         }
+        caller_answered(world, caller);
+    }
+    else if (caller->state == CALLER_CLOSING && packet.len == 0 &&
+             packet.seq == caller->peer_seq + 901) {
         caller->state = CALLER_DONE;
-        world->result->answered++;
+        world->result->closed++;
     }
 }
