Agent: a second packet of a search names the same agents as the first

Cause: when the acknowledgement and the goodbye of a caller came together after the fabric moved its flow, the second was bounced after the first had gone on, and followed it without the agents that the first still had to visit.

Ruled out: the log's bound (the caller's next packet, 200 ms on, made 16 hops), an agent that believed to hold the flow (it had never seen its SYN).

Change: it goes on with the same frame. Test failed before ("hops=2 left=0").

--- a/src/relay/door_answer.c
+++ b/src/relay/door_answer.c
@@ -1,7 +1,27 @@
 #include "relay/door_private.h"
 
+#include <assert.h>
+
 #include "base/clock.h"
 
+/* An earlier packet of the flow went on while the endpoint had this one: it
+ * goes the same way. It may overtake the other, so it names the same agents;
+ * without them, searches ended at the third agent when the acknowledgement
+ * and the goodbye of a caller came together. */
+static void
+send_after(struct door *door, const struct door_flow *flow,
+           const struct relay_packet *packet)
+{
+    struct frame_carry frame = flow->frame;
+
+    assert(frame.hops > 0);
+    frame.hops--;
+    frame.origin = flow->origin;
+    frame.bytes = packet->bytes;
+    frame.size = packet->size;
+    door_carry_on(door, &frame, flow->target);
+}
+
 /* The endpoint doesn't take a packet of the flow. */
 void
 door_bounced(struct door *door, const struct relay_packet *packet,
@@ -28,15 +48,7 @@
         return;
     }
     if (flow->state == DOOR_ELSEWHERE) {
-        door_carry_on(door,
-                      &(struct frame_carry){
-                          .service = flow->service,
-                          .origin = flow->origin,
-                          .hops = flow->frame.hops,
-                          .bytes = packet->bytes,
-                          .size = packet->size,
-                      },
-                      flow->target);
+        send_after(door, flow, packet);
         return;
     }
     if (flow->state == DOOR_HERE && flow->proven) {
--- a/tests/relay/door_test.c
+++ b/tests/relay/door_test.c
@@ -508,6 +508,22 @@
                "tell passed reason=4 on=1 busy=0 state=0", NULL);
 }
 
+TEST_F(site, two_packets_of_a_search_go_the_same_way)
+{
+    struct relay_flow flow = rig_flow(1);
+    struct relay_packet ack = rig_from_caller(flow, RELAY_ACK, 101, 501, 0);
+    struct relay_packet fin =
+        rig_from_caller(flow, RELAY_ACK | RELAY_FIN, 101, 501, 1);
+
+    arrive(site, ack, 2, false);
+    arrive(site, fin, 2, false);
+    answer(site, rig_bounced(ack));
+    g_string_truncate(site->record, 0);
+    /* It may overtake the first, and must not end the search then. */
+    answer(site, rig_bounced(fin));
+    rig_expect(site->record, "carry 10.0.0.2:7000 hops=1 left=1", NULL);
+}
+
 TEST_F(site, a_search_goes_where_its_own_frame_says)
 {
     struct relay_packet data =
