Balancer: a search goes along four chains at once, and round dead agents

Cause: searches for flows of another balancer asked 16 agents a packet, one packet after the other. Each packet whose chain ended advanced the search by 16 agents, so two packets in one round trip (an acknowledgement and a goodbye) skipped 16, which came up again when all others had been asked. A chain that came to a dead agent told nobody, and the next packet took the same way: the search stood still for good.

Ruled out: asking in a random order (a flow's packets would take different ways and overtake each other).

Change: four chains at once, 64 agents; the search moves on once for each packet that is sent, from the rank where the last one ended (one pass over a service's agents a chain, not one for each 16 before it); every second search of a flow goes the other way round, the third and fourth begin in the middle. An agent sends a search on where its own frame says, not to where an earlier search went.

--- a/src/relay/agents.c
+++ b/src/relay/agents.c
@@ -480,30 +480,27 @@
 
 bool
 agents_for_known(const struct agents *agents, uint32_t service, uint64_t hash,
-                 unsigned round, struct agents_choice *choice)
+                 uint64_t *below, struct agents_choice *choice)
 {
     const GPtrArray *rows = rows_of(agents, service);
     struct candidate best[AGENTS_CHOICE_MAX];
-    uint64_t below = UINT64_MAX;
-    unsigned count;
-
-    do {
-        count = 0;
-        for (guint i = 0; rows != NULL && i < rows->len; i++) {
-            const struct agent_row *row = g_ptr_array_index(rows, i);
-            struct candidate candidate = {
-                .row = row,
-                .standing = row->suspect ? STANDING_SUSPECT : STANDING_OPEN,
-                .score = rank_score(row->member, rank_bucket(hash)),
-            };
-
-            if (row->health.state != ENDPOINT_GONE &&
-                candidate.score < below) {
-                keep_best(best, AGENTS_CHOICE_MAX, &count, &candidate);
-            }
+    unsigned count = 0;
+
+    for (guint i = 0; rows != NULL && i < rows->len; i++) {
+        const struct agent_row *row = g_ptr_array_index(rows, i);
+        struct candidate candidate = {
+            .row = row,
+            .standing = row->suspect ? STANDING_SUSPECT : STANDING_OPEN,
+            .score = rank_score(row->member, rank_bucket(hash)),
+        };
+
+        if (row->health.state != ENDPOINT_GONE && candidate.score < *below) {
+            keep_best(best, AGENTS_CHOICE_MAX, &count, &candidate);
         }
-        below = count > 0 ? best[count - 1].score : 0;
-    } while (round-- > 0 && count > 0);
+    }
+    if (count > 0) {
+        *below = best[count - 1].score;
+    }
     sort_candidates(best, count);
     choice_fill(choice, best, count);
     return count > 0;
--- a/src/relay/agents.h
+++ b/src/relay/agents.h
@@ -87,6 +87,9 @@
 /* Agents in a choice: as many as a frame and its first stop hold. */
 #define AGENTS_CHOICE_MAX (FRAME_NEXT_MAX + 1)
 
+/* Above all ranks: a search from the likeliest agent on. */
+#define AGENTS_ALL UINT64_MAX
+
 /**
  * struct agents_choice - agents for one packet, best first
  * @addrs: their addresses
@@ -172,13 +175,14 @@
 
 /**
  * agents_for_known() - who may hold an open flow, likeliest first
- * @round: 0 for the likeliest AGENTS_CHOICE_MAX, 1 for the next, and so on
+ * @below: only those that rank below this, AGENTS_ALL for all; becomes the
+ *         rank of the last of @choice
  *
- * Return: false when there are not so many.
+ * Return: false when there are none.
  */
 bool
 agents_for_known(const struct agents *agents, uint32_t service, uint64_t hash,
-                 unsigned round, struct agents_choice *choice);
+                 uint64_t *below, struct agents_choice *choice);
 
 /** agents_serve() - whether some agent may take a new flow of @service */
 bool
--- a/src/relay/door_known.c
+++ b/src/relay/door_known.c
@@ -32,6 +32,7 @@
                                          DOOR_ASKED, now_us);
     struct door_flow *flow = &door->flows[handle];
 
+    flow->asked = true;
     flow->frame = *frame;
     flow->frame.bytes = NULL;
     flow->origin = frame->origin;
@@ -112,11 +113,15 @@
     }
 }
 
-/* Where a packet of a flow that went on goes: to the agent it went to, unless
- * the packet is on a search that doesn't name that agent any more. */
+/* Where a packet of a flow that went on goes: to the agent its SYN went to,
+ * unless the packet is on a search that doesn't name that agent any more. A
+ * search says itself where it goes. */
 static struct addr
 where_next(const struct door_flow *flow, const struct frame_carry *frame)
 {
+    if (flow->asked && frame->next_count > 0) {
+        return frame->next[0];
+    }
     for (unsigned i = 0; i < frame->next_count; i++) {
         if (addr_equal(frame->next[i], flow->target)) {
             return flow->target;
--- a/src/relay/door_private.h
+++ b/src/relay/door_private.h
@@ -31,6 +31,7 @@
  * @start: start of the endpoint that it belongs to
  * @busy_at: place in the busy list, or -1
  * @confirmed: the caller acknowledged this endpoint's SYN+ACK
+ * @asked: known by a packet of a search, not by its SYN
  * @refuted: the caller took another endpoint's answer to its SYN
  * @proven: the endpoint sent something after that: the flow was open there
  * @service: service it was opened for
@@ -52,6 +53,7 @@
     enum door_state state;
     unsigned start;
     int busy_at;
+    bool asked;
     bool confirmed;
     bool refuted;
     bool proven;
--- a/src/relay/steer_known.c
+++ b/src/relay/steer_known.c
@@ -6,6 +6,11 @@
 
 #include "base/clock.h"
 
+/* Chains of agents that a packet of a flow without a place goes along at
+ * once, 64 agents in all. One after another, each costs a retransmission of
+ * the caller's: 0.2 s, then 0.4 s more. */
+#define SEARCH_CHAINS 4
+
 /* Place whose bytes the packet acknowledges, or NULL. */
 static const struct steer_place *
 place_of(const struct steer_pin *pin, const struct relay_packet *packet)
@@ -35,30 +40,89 @@
     }
 }
 
-/* Sends a packet of an open flow along all agents that may hold it. */
-void
-steer_search(struct steer *steer, uint32_t handle,
+static void
+reverse(struct addr *addrs, unsigned count)
+{
+    for (unsigned i = 0; i < count / 2; i++) {
+        struct addr addr = addrs[i];
+
+        addrs[i] = addrs[count - 1 - i];
+        addrs[count - 1 - i] = addr;
+    }
+}
+
+/* A chain ends at an agent that is dead, and nobody tells. So every second
+ * search of a flow goes the other way round, and the third and fourth begin
+ * in the middle: one dead agent hides a flow for one packet, not for good. */
+static void
+turn_round(struct agents_choice *choice, unsigned searches)
+{
+    unsigned half = choice->count / 2;
+
+    if ((searches & 2) != 0) {
+        reverse(choice->addrs, half);
+        reverse(choice->addrs + half, choice->count - half);
+        reverse(choice->addrs, choice->count);
+    }
+    if ((searches & 1) != 0) {
+        reverse(choice->addrs, choice->count);
+    }
+}
+
+/* Sends a packet along one chain of agents; false when there are no more. */
+static bool
+search_chain(struct steer *steer, struct steer_pin *pin,
              const struct relay_packet *packet)
 {
-    struct steer_pin *pin = &steer->pins[handle];
-    uint32_t service = pin->service;
     uint64_t hash = relay_flow_hash(relay_flow_from_caller(packet));
     struct agents_choice choice;
     struct frame_carry frame;
 
-    if (!agents_for_known(&steer->agents, service, hash, pin->round,
+    if (!agents_for_known(&steer->agents, pin->service, hash, &pin->search_end,
                           &choice)) {
-        pin->round = 0;
-        agents_for_known(&steer->agents, service, hash, 0, &choice);
+        return false;
     }
     put_first(&choice, pin->holder);
-    if (choice.count == 0) {
-        steer_drop_packet(steer, STEER_DROP_NO_AGENT, packet);
+    turn_round(&choice, pin->searches);
+    frame = steer_frame(steer, pin->service, &choice, 1, packet->bytes,
+                        packet->size);
+    steer->out->ops->carry(steer->out, choice.addrs[0], &frame);
+    return true;
+}
+
+/* Sends a packet of an open flow along the agents that may hold it. */
+void
+steer_search(struct steer *steer, uint32_t handle,
+             const struct relay_packet *packet)
+{
+    struct steer_pin *pin = &steer->pins[handle];
+    unsigned chains = 0;
+
+    pin->search_end = pin->search_below;
+    while (chains < SEARCH_CHAINS && search_chain(steer, pin, packet)) {
+        chains++;
+    }
+    if (chains == 0 && pin->search_below != AGENTS_ALL) {
+        /* All were asked: some may know better by now. */
+        pin->search_below = AGENTS_ALL;
+        steer_search(steer, handle, packet);
         return;
     }
-    frame =
-        steer_frame(steer, service, &choice, 1, packet->bytes, packet->size);
-    steer->out->ops->carry(steer->out, choice.addrs[0], &frame);
+    if (chains == 0) {
+        steer_drop_packet(steer, STEER_DROP_NO_AGENT, packet);
+    }
+    pin->searches++;
+    pin->searching = true;
+}
+
+/* A chain ended without finding the flow: the next search asks others. */
+static void
+search_ended(struct steer_pin *pin)
+{
+    if (pin->searching) {
+        pin->search_below = pin->search_end;
+        pin->searching = false;
+    }
 }
 
 /* An agent doesn't hold a flow that was placed there: its next packet looks
@@ -196,7 +260,7 @@
         return;
     }
     if (pin->opened) {
-        pin->round++;
+        search_ended(pin);
     }
     else if (pin->place_count == 0) {
         steer_try_next(steer, handle, pin->syn, pin->syn_size, now_us);
--- a/src/relay/steer_pin.c
+++ b/src/relay/steer_pin.c
@@ -30,8 +30,8 @@
         steer_forget(steer, flow_index_oldest(&steer->flows));
     }
     handle = flow_index_add(&steer->flows, flow, now_us);
-    steer->pins[handle] =
-        (struct steer_pin){.service = service, .since_us = now_us};
+    steer->pins[handle] = (struct steer_pin){
+        .service = service, .since_us = now_us, .search_below = AGENTS_ALL};
     return handle;
 }
 
--- a/src/relay/steer_private.h
+++ b/src/relay/steer_private.h
@@ -49,7 +49,10 @@
  * @held: it said that it keeps it until a slot is free
  * @opened: the caller has sent more than its SYN: that is never sent again
  * @last_ack: what the caller acknowledged last
- * @round: how often all agents named to hold the flow said that they don't
+ * @search_below: agents that rank below this for the flow are asked next
+ * @search_end: rank of the last agent that the last search named
+ * @searches: how often it was looked for
+ * @searching: a search is on its way, and no chain of it has ended
  * @syn_seq: sequence number of the SYN; another one is another flow
  * @since_us: when the first SYN came
  * @tried_us: when the last try was sent
@@ -68,7 +71,10 @@
     struct addr holder;
     bool held;
     bool opened;
-    uint8_t round;
+    bool searching;
+    uint8_t searches;
+    uint64_t search_below;
+    uint64_t search_end;
     uint32_t last_ack;
     uint8_t syn_size;
     uint32_t syn_seq;
--- a/tests/relay/door_test.c
+++ b/tests/relay/door_test.c
@@ -131,9 +131,10 @@
     door_carry(&site->door, &frame, &packet, site->now_us);
 }
 
-/* The same, with @next as the only agent named. */
+/* The same, along @next and, unless it is NULL, @last. */
 static void
-arrive_named(struct site *site, struct relay_packet packet, const char *next)
+arrive_along(struct site *site, struct relay_packet packet, const char *next,
+             const char *last)
 {
     struct frame_carry frame = {
         .service = hash_service("lots"),
@@ -145,6 +146,9 @@
         .size = packet.size,
     };
 
+    if (last != NULL) {
+        frame.next[frame.next_count++] = rig_addr(last);
+    }
     door_carry(&site->door, &frame, &packet, site->now_us);
 }
 
@@ -533,13 +537,26 @@
     answer(site, rig_bounced(data));
     g_string_truncate(site->record, 0);
     /* The second agent has stopped since, and is not named any more. */
-    arrive_named(site, data, THIRD);
+    arrive_along(site, data, THIRD, NULL);
     rig_expect(site->record, "carry 10.0.0.3:7000 hops=1 left=0", NULL);
     /* Where it went on to is named still: that is likeliest. */
     arrive(site, data, 2, false);
     rig_expect(site->record, "carry 10.0.0.2:7000 hops=1 left=1", NULL);
 }
 
+TEST_F(site, a_search_that_goes_the_other_way_is_not_turned_round)
+{
+    struct relay_packet data =
+        rig_from_caller(rig_flow(1), RELAY_ACK, 101, 501, 40);
+
+    arrive(site, data, 2, false);
+    answer(site, rig_bounced(data));
+    g_string_truncate(site->record, 0);
+    /* The second agent, where the first packet went, may be dead. */
+    arrive_along(site, data, THIRD, SECOND);
+    rig_expect(site->record, "carry 10.0.0.3:7000 hops=1 left=1", NULL);
+}
+
 TEST_F(site, the_other_answer_to_a_syn_counts)
 {
     struct relay_flow flow = rig_flow(1);
--- a/tests/relay/steer_test.c
+++ b/tests/relay/steer_test.c
@@ -8,11 +8,14 @@
 
 #define SUITE "/relay/steer"
 #define SELF "10.9.0.1:7720"
+#define AGENTS_MOST 100
+#define AGENTS_NET 0x0a000000
 
 /**
  * struct site - one balancer whose outputs are written down
  * @sent: agent that the last packet went to
- * @chain: agents that its frame named, in all
+ * @frame: what it went with
+ * @named: agents that any frame since a clearing was for
  */
 struct site {
     struct steer_out out;
@@ -24,6 +27,7 @@
     unsigned carried;
     unsigned pings;
     bool unlisted;
+    bool named[AGENTS_MOST + 1];
 };
 
 static void
@@ -35,6 +39,10 @@
     site->sent = agent;
     site->frame = *frame;
     site->carried++;
+    site->named[agent.ip - AGENTS_NET] = true;
+    for (unsigned i = 0; i < frame->next_count; i++) {
+        site->named[frame->next[i].ip - AGENTS_NET] = true;
+    }
 }
 
 static void
@@ -102,7 +110,7 @@
 static struct addr
 agent_addr(unsigned number)
 {
-    return (struct addr){0x0a000000 + number, 7000};
+    return (struct addr){AGENTS_NET + number, 7000};
 }
 
 static void
@@ -164,6 +172,26 @@
     steer_status(&site->steer, agent, &status, site->now_us);
 }
 
+static unsigned
+named_count(const struct site *site)
+{
+    unsigned count = 0;
+
+    for (unsigned i = 1; i <= AGENTS_MOST; i++) {
+        count += site->named[i];
+    }
+    return count;
+}
+
+static void
+let_go(struct site *site, unsigned agent, unsigned flow)
+{
+    say(site, agent,
+        (struct frame_status){.type = FRAME_PASSED,
+                              .reason = FRAME_REASON_REFUSED,
+                              .flow = rig_flow(flow)});
+}
+
 static bool
 chain_names(const struct site *site, struct addr agent)
 {
@@ -332,23 +360,48 @@
     }
 }
 
-TEST_F(site, a_search_that_ends_goes_on_with_the_others, 20)
+TEST_F(site, a_search_asks_64_agents_at_once, 64)
 {
-    bool seen[21] = {false};
+    arrive(site, rig_from_caller(rig_flow(1), RELAY_ACK, 10, 501, 20));
+    g_assert_cmpuint(site->carried, ==, 4);
+    g_assert_cmpuint(named_count(site), ==, 64);
+}
 
+TEST_F(site, a_search_that_ends_goes_on_with_the_others, 100)
+{
     for (unsigned packet = 0; packet < 2; packet++) {
         arrive(site, rig_from_caller(rig_flow(1), RELAY_ACK, 10, 501, 20));
-        for (unsigned i = 1; i <= 20; i++) {
-            seen[i] = seen[i] || chain_names(site, agent_addr(i));
+        for (unsigned chain = 1; chain <= 4; chain++) {
+            let_go(site, chain, 1);
         }
-        say(site, 1,
-            (struct frame_status){.type = FRAME_PASSED,
-                                  .reason = FRAME_REASON_REFUSED,
-                                  .flow = rig_flow(1)});
     }
-    for (unsigned i = 1; i <= 20; i++) {
-        g_assert_true(seen[i]);
+    g_assert_cmpuint(named_count(site), ==, 100);
+}
+
+TEST_F(site, two_packets_of_a_search_skip_no_agents, 100)
+{
+    arrive(site, rig_from_caller(rig_flow(1), RELAY_ACK, 10, 501, 0));
+    arrive(site, rig_from_caller(rig_flow(1), RELAY_FIN, 10, 501, 0));
+    for (unsigned chain = 1; chain <= 8; chain++) {
+        let_go(site, chain, 1);
     }
+    arrive(site, rig_from_caller(rig_flow(1), RELAY_FIN, 10, 501, 0));
+    g_assert_cmpuint(named_count(site), ==, 100);
+}
+
+/* An agent that is dead ends each chain that comes to it. */
+TEST_F(site, the_next_search_goes_the_other_way, 4)
+{
+    struct frame_carry frame;
+    struct addr first;
+
+    arrive(site, rig_from_caller(rig_flow(1), RELAY_ACK, 10, 501, 20));
+    first = site->sent;
+    frame = site->frame;
+    arrive(site, rig_from_caller(rig_flow(1), RELAY_ACK, 10, 501, 20));
+    g_assert_true(addr_equal(site->sent, frame.next[2]));
+    g_assert_true(addr_equal(site->frame.next[0], frame.next[1]));
+    g_assert_true(addr_equal(site->frame.next[2], first));
 }
 
 TEST_F(site, an_open_flow_without_a_place_is_looked_for, 4)
