Agent: a held SYN ends when its caller sends more than that

Cause: a caller whose SYN waits here and was answered elsewhere too goes on with that answer. When the fabric moved the flow, a search came by here: its packets were given to the endpoint, bounced and dropped as part of a handshake, for as long as the SYN was held (up to 1.4 s), and the SYN then took a slot for nobody.

Ruled out: dropping the SYN on the first copy through another balancer (its caller still waits).

Change: the SYN is let go, and the packet looked for like any other.

--- a/src/relay/door_known.c
+++ b/src/relay/door_known.c
@@ -160,8 +160,12 @@
     case DOOR_ELSEWHERE:
         follow_on(door, handle, frame, now_us);
         return;
-    case DOOR_ASKED:
     case DOOR_HELD:
+        /* Its caller had another answer to its SYN: that waits no more. */
+        door_flow_forget(door, handle);
+        door_ask_endpoint(door, frame, packet, now_us);
+        return;
+    case DOOR_ASKED:
     case DOOR_OPENING:
         /* Nothing says so far that the endpoint holds the flow; it may have
          * answered before this agent's start. */
--- a/tests/relay/door_test.c
+++ b/tests/relay/door_test.c
@@ -412,6 +412,28 @@
     g_assert_cmpuint(site->door.held_count, ==, 0);
 }
 
+TEST_F(site, a_held_syn_whose_flow_opened_elsewhere_is_let_go)
+{
+    struct relay_packet data =
+        rig_from_caller(rig_flow(4), RELAY_ACK, 101, 900001, 40);
+
+    for (unsigned i = 1; i <= 3; i++) {
+        arrive_forced(site, i, 100, 1400, 2);
+        answer(site, rig_from_endpoint(rig_flow(i), RELAY_SYN | RELAY_ACK, 500,
+                                       101, 0));
+    }
+    arrive_forced(site, 4, 0, 1400, 2);
+    g_assert_cmpuint(site->door.held_count, ==, 1);
+    g_string_truncate(site->record, 0);
+    /* Who sends more than a SYN has had an answer to it. */
+    arrive(site, data, 1, false);
+    g_assert_cmpuint(site->door.held_count, ==, 0);
+    answer(site, rig_bounced(data));
+    rig_expect(site->record, "endpoint 40",
+               "carry 10.0.0.2:7000 hops=1 left=0",
+               "tell passed reason=4 on=1 busy=3 state=0", NULL);
+}
+
 TEST_F(site, held_syns_go_elsewhere_when_the_endpoint_leaves)
 {
     for (unsigned i = 1; i <= 3; i++) {
