Agent: a reset of an endpoint that never held the flow goes nowhere

The agent took it for proof that the flow was there, told the balancer so and sent it to the caller.

Ruled out: resets of our own (none logged), flows that had ended there (the host had never seen their SYN).

Change: a reset counts only for a flow that is here and that its caller confirmed; any other ends the search at this agent and tells the balancer. It teaches nobody which addresses the service has either.

--- a/src/relay/door_answer.c
+++ b/src/relay/door_answer.c
@@ -117,6 +117,29 @@
     door_note_served(door, key.service);
 }
 
+/* Whether the endpoint's reset ends a flow that was open there. */
+static bool
+is_own_reset(const struct door_flow *flow)
+{
+    return flow->state == DOOR_HERE && (flow->confirmed || flow->proven);
+}
+
+/* The endpoint resets a flow that was never open there, as one does that has
+ * just started: the flow lives elsewhere, and its caller is told nothing. */
+static void
+disown(struct door *door, uint32_t handle, uint64_t now_us)
+{
+    struct door_flow *flow = &door->flows[handle];
+
+    door_drop(door, DOOR_DROP_NOBODY);
+    if (flow->state != DOOR_ASKED) {
+        return;
+    }
+    door_flow_elsewhere(door, handle);
+    door_tell_passed(door, flow_index_flow(&door->table, handle), flow->origin,
+                     FRAME_REASON_REFUSED, flow->target, now_us);
+}
+
 /* Whether the packet may go to its caller. */
 bool
 door_answered(struct door *door, const struct relay_packet *packet,
@@ -124,14 +147,23 @@
 {
     struct relay_flow key = relay_flow_from_endpoint(packet);
     uint32_t handle = flow_index_find(&door->table, key);
+    bool resets = (packet->flags & RELAY_RST) != 0;
     struct door_flow *flow;
 
+    if (handle == FLOW_INDEX_NONE && resets) {
+        door_drop(door, DOOR_DROP_NOBODY);
+        return false;
+    }
     if (handle == FLOW_INDEX_NONE) {
         note_earlier(door, key, packet, now_us);
         return true;
     }
     flow = &door->flows[handle];
     flow_index_touch(&door->table, handle, now_us);
+    if (resets && !is_own_reset(flow)) {
+        disown(door, handle, now_us);
+        return false;
+    }
     if (relay_packet_accepts(packet)) {
         if (flow->state == DOOR_ELSEWHERE) {
             door_drop(door, DOOR_DROP_LATE);
--- a/src/relay/door_flow.c
+++ b/src/relay/door_flow.c
@@ -77,6 +77,18 @@
     door->flows[handle].state = DOOR_ELSEWHERE;
 }
 
+/* The flow is open at another endpoint, nobody knows which. It isn't
+ * forgotten: this one still waits for the end of its own handshake and takes
+ * packets of the other's without a word, for as long as the caller sends
+ * them. */
+void
+door_flow_elsewhere(struct door *door, uint32_t handle)
+{
+    door_flow_idle(door, handle);
+    door->flows[handle].state = DOOR_ELSEWHERE;
+    door->flows[handle].target = (struct addr){0};
+}
+
 uint32_t
 door_flow_remember(struct door *door, struct relay_flow key,
                    enum door_state state, uint64_t now_us)
--- a/src/relay/door_open.c
+++ b/src/relay/door_open.c
@@ -126,17 +126,7 @@
     return hold(door, handle, now_us);
 }
 
-/* The flow is open at another endpoint, nobody knows which. It isn't
- * forgotten: this one still waits for the end of its own handshake and takes
- * packets of the other's without a word, for as long as the caller sends
- * them. */
-static void
-leave_elsewhere(struct door *door, uint32_t handle)
-{
-    door->flows[handle].state = DOOR_ELSEWHERE;
-    door->flows[handle].target = (struct addr){0};
-}
-
+/* Sends a flow's packet on, or leaves it where nobody is left. */
 void
 door_pass_on(struct door *door, uint32_t handle, enum frame_reason why,
              uint64_t now_us)
@@ -157,7 +147,7 @@
     }
     else {
         if (flow->refuted) {
-            leave_elsewhere(door, handle);
+            door_flow_elsewhere(door, handle);
         }
         else {
             door_flow_forget(door, handle);
--- a/src/relay/door_private.h
+++ b/src/relay/door_private.h
@@ -98,6 +98,11 @@
 void
 door_flow_forget(struct door *door, uint32_t handle);
 
+/** door_flow_elsewhere() - the flow is open at another endpoint, nobody here
+ * knows which */
+void
+door_flow_elsewhere(struct door *door, uint32_t handle);
+
 /** door_flow_remember() - a handle for a flow that isn't known yet */
 uint32_t
 door_flow_remember(struct door *door, struct relay_flow key,
--- a/tests/relay/door_test.c
+++ b/tests/relay/door_test.c
@@ -550,6 +550,41 @@
     rig_expect(site->record, "carry 10.0.0.2:7000 hops=1 left=1", NULL);
 }
 
+/* An endpoint that has just started answers data of flows that it never held
+ * with a reset, where others hand it back. */
+TEST_F(site, a_reset_of_an_endpoint_that_lacks_the_flow_goes_nowhere)
+{
+    struct relay_flow flow = rig_flow(1);
+    struct relay_packet data = rig_from_caller(flow, RELAY_ACK, 101, 501, 40);
+
+    arrive(site, data, 2, false);
+    g_string_truncate(site->record, 0);
+    answer(site, rig_from_endpoint(flow, RELAY_RST | RELAY_ACK, 501, 101, 0));
+    rig_expect(site->record, "drop 1",
+               "tell passed reason=4 on=0 busy=0 state=0", NULL);
+    g_assert_cmpuint(site->door.served.count, ==, 0);
+    /* The caller sends it again: it is looked for further on. */
+    arrive(site, data, 2, false);
+    rig_expect(site->record, "carry 10.0.0.2:7000 hops=1 left=1", NULL);
+}
+
+TEST_F(site, a_reset_before_the_caller_confirmed_goes_nowhere)
+{
+    struct relay_flow flow = rig_flow(1);
+    struct relay_packet rst =
+        rig_from_endpoint(flow, RELAY_RST | RELAY_ACK, 501, 101, 0);
+
+    open_flow(site, 1);
+    g_string_truncate(site->record, 0);
+    /* The caller may have taken another endpoint's answer. */
+    answer(site, rst);
+    rig_expect(site->record, "drop 1", NULL);
+    arrive(site, rig_from_caller(flow, RELAY_ACK, 101, 501, 40), 0, false);
+    g_string_truncate(site->record, 0);
+    answer(site, rst);
+    rig_expect(site->record, "caller 1001", NULL);
+}
+
 TEST_F(site, a_search_goes_where_its_own_frame_says)
 {
     struct relay_packet data =
--- a/tests/relay/world.c
+++ b/tests/relay/world.c
@@ -278,6 +278,7 @@
         world_agent_start(host);
         world_endpoint_start(host);
         host->fault_us = 0;
+        host->started_us = 0;
     }
     for (unsigned i = 0; i < WORLD_BALANCERS; i++) {
         world->fronts[i].out.ops = &world_steer_ops;
--- a/tests/relay/world_hosts.c
+++ b/tests/relay/world_hosts.c
@@ -132,6 +132,21 @@
                       world_caller_of(bytes), packet, true);
 }
 
+/* What an endpoint does with a packet of a flow that it lacks: it hands it
+ * back, but answers data with a reset in its first moments. */
+static void
+refuse(struct host *host, const uint8_t *bytes)
+{
+    struct relay_packet packet = world_packet_of(bytes);
+
+    if (packet.len > 0 && host->world->now_us < host->started_us + FRESH_US) {
+        send_from_endpoint(host, world_caller_of(bytes), RELAY_RST | RELAY_ACK,
+                           packet.ack, packet.seq, 0);
+        return;
+    }
+    bounce(host, bytes);
+}
+
 /* Whether a fault was less than 2 s ago, or is still to end. */
 static bool
 is_recent(const struct world *world, uint64_t fault_us)
@@ -189,7 +204,7 @@
     }
     if (!flow->held) {
         note_misplaced(host, number);
-        bounce(host, bytes);
+        refuse(host, bytes);
         return;
     }
     if (packet.ack - flow->seq > 100000) {
@@ -255,6 +270,7 @@
     host->up = true;
     host->draining = false;
     host->fault_us = host->world->now_us;
+    host->started_us = host->world->now_us;
     world_heartbeat(host);
 }
 
--- a/tests/relay/world_private.h
+++ b/tests/relay/world_private.h
@@ -25,6 +25,7 @@
 #define RESTART_US (200 * USEC_PER_MSEC)
 #define FREEZE_US (300 * USEC_PER_MSEC)
 #define LOCAL_US 50
+#define FRESH_US (100 * USEC_PER_MSEC)
 #define STALL_US (40 * USEC_PER_MSEC)
 #define HEARTBEAT_US (100 * USEC_PER_MSEC)
 
@@ -81,6 +82,7 @@
     uint64_t beat_us;
     uint64_t sequence;
     uint64_t fault_us;
+    uint64_t started_us;
     uint32_t next_seq;
     struct held_flow flows[FLOWS_MAX];
 };
