Idempotency: the two known red seeds are mended

Cause, from the sets and grants of both seeds (printed in a scratch copy): 1122422: at a service's age of 10 s one coordinator's set of 10 s ago is {2f2f, a2e0, a881}, the other's {86d3, 2f2f, a881}, as each tells by its own clock who lived then. They share two, but two of three of each needn't. 1177494: a coordinator had taken a replica for dead at 63.45 s and saw it leave at 81.04 s; at 82.7 s it was in neither of its sets (settled since 73.45 s), and in the set of another all the time.

Ruled out: filling the earlier set up (tried before; both were full here); all of the earlier set for each newcomer (a start with one silent agent stopped: idem-rules leave_at_start); all of the set of now too (a mutant without it stayed green: all of the earlier set is enough).

Change: a newcomer needs all that are left of the earlier set as soon as somebody lived 10 s ago, settled or not; so does everybody for 10 s after a replica ended that the sets missed, and with two such replicas a new key is refused, not run.

--- a/src/idem/idem.h
+++ b/src/idem/idem.h
@@ -25,8 +25,9 @@
  * process that was paused for IDEM_STALE_US, for twice IDEM_SETTLE_US: the
  * joins that it missed are old to the others and new to it. A process
  * younger than twice IDEM_SETTLE_US doesn't know who died just before it
- * started: it needs a grant of all of the earlier set, unless nobody in it
- * was settled.
+ * started: it needs a grant of all of the earlier set, unless nobody lived
+ * then. So does everybody while a replica that is in neither set has ended
+ * within IDEM_SETTLE_US.
  *
  * What this assumes: views differ by less than IDEM_SETTLE_US (by less than
  * IDEM_START_US while a service starts), and fewer than IDEM_QUORUM of a
--- a/src/idem/quorum.c
+++ b/src/idem/quorum.c
@@ -44,8 +44,11 @@
         asked->now_unsettled =
             !replicas_settled(set.lives[i], (int64_t)now_us);
     }
+    replicas_at(&idem->replicas, &reserve->key, ago, &set);
+    reserve->lived_earlier = set.count > 0;
     replicas_earlier(&idem->replicas, &reserve->key, now_us, &set);
     reserve->had_earlier = set.count > 0;
+    reserve->missed = replicas_missed(&idem->replicas, &reserve->key, now_us);
     for (size_t i = 0; i < set.count; i++) {
         struct reserve_asked *asked;
 
@@ -73,14 +76,21 @@
 }
 
 /* How many of the @earlier ones left must grant: all if they are fewer than
- * the quorum. One that a newcomer never saw die may have had the place of
- * any of them; then the others are the survivors, so all must, unless the
- * whole service is as new (@settled: some of them were settled). */
+ * the quorum, and all in three more cases.
+ * - A replica came and went: it may hold a record together with one of them.
+ * - One that a newcomer never saw die may have had the place of any of them;
+ *   then the others are the survivors.
+ * - The service was starting then: who lived at that time depends on the
+ *   clock of the process that tells. Two sets share members, but two of three
+ *   of one and two of three of the other needn't. While nobody lived that
+ *   long ago they are the oldest for everybody, and the quorum does. */
 static size_t
-earlier_needed(const struct idem *idem, size_t earlier, bool settled,
-               uint64_t now_us)
+earlier_needed(const struct idem *idem, const struct reserve *reserve,
+               size_t earlier, uint64_t now_us)
 {
-    bool all = settled && replicas_newcomer(&idem->replicas, now_us);
+    bool all =
+        reserve->missed > 0 ||
+        (reserve->lived_earlier && replicas_newcomer(&idem->replicas, now_us));
 
     return all ? earlier : MIN(IDEM_QUORUM, earlier);
 }
@@ -91,7 +101,6 @@
                uint64_t now_us)
 {
     bool starting = replicas_starting(&idem->replicas, now_us);
-    bool settled = false;
     size_t now = 0;
     size_t now_granted = 0;
     size_t earlier = 0;
@@ -110,18 +119,18 @@
         now_granted +=
             asked->now && granted && (!asked->young || asked->now_unsettled);
         earlier += asked->earlier && there;
-        settled |= asked->earlier && !asked->earlier_unsettled;
         earlier_granted += asked->earlier && granted &&
                            (!asked->young || asked->earlier_unsettled);
     }
     if (now == 0 || now_granted < MIN(IDEM_QUORUM, now) ||
+        reserve->missed >= IDEM_QUORUM ||
         replicas_stale(&idem->replicas, now_us) ||
         replicas_cut_off(&idem->replicas, reserve->key.service, now_us)) {
         return false;
     }
     return !reserve->had_earlier ||
            (earlier > 0 &&
-            earlier_granted >= earlier_needed(idem, earlier, settled, now_us));
+            earlier_granted >= earlier_needed(idem, reserve, earlier, now_us));
 }
 
 /* Whether nobody of the earlier set is left. */
--- a/src/idem/replicas.c
+++ b/src/idem/replicas.c
@@ -389,6 +389,41 @@
     }
 }
 
+/* Whether a life that has ended was one of @key's replicas at its end for
+ * those to whom it was settled. */
+static bool
+was_replica(const struct replicas *replicas, const struct idem_key *key,
+            const struct replica_life *life)
+{
+    struct replica_set set;
+
+    pick(replicas, key, life->ended_us - 1,
+         life->ended_us + (int64_t)IDEM_SETTLE_US, &set);
+    for (size_t i = 0; i < set.count; i++) {
+        if (set.lives[i] == life) {
+            return true;
+        }
+    }
+    return false;
+}
+
+size_t
+replicas_missed(const struct replicas *replicas, const struct idem_key *key,
+                uint64_t now_us)
+{
+    int64_t ago = replicas_ago(now_us);
+    size_t missed = 0;
+
+    for (size_t i = 0; i < replicas->count; i++) {
+        const struct replica_life *life = &replicas->lives[i];
+
+        missed += life->service == key->service && life->ended_us > ago &&
+                  !replicas_settled(life, ago) &&
+                  was_replica(replicas, key, life);
+    }
+    return missed;
+}
+
 void
 replicas_targets(const struct replicas *replicas, const struct idem_key *key,
                  uint64_t now_us, struct replica_set *set)
--- a/src/idem/replicas.h
+++ b/src/idem/replicas.h
@@ -133,6 +133,17 @@
 replicas_earlier(const struct replicas *replicas, const struct idem_key *key,
                  uint64_t now_us, struct replica_set *set);
 
+/**
+ * replicas_missed() - who held records of @key lately without being in the
+ * set of now or the earlier one
+ *
+ * A member that settles and leaves within IDEM_SETTLE_US is in neither here,
+ * but in both where it settled before. How many such lives ended since.
+ */
+size_t
+replicas_missed(const struct replicas *replicas, const struct idem_key *key,
+                uint64_t now_us);
+
 /** replicas_targets() - who should hold the record: the replicas of now and
  * those that will be when all who are here have settled */
 void
--- a/src/idem/reserve.h
+++ b/src/idem/reserve.h
@@ -49,6 +49,9 @@
  * @denied: some replica has no room
  * @vetoed: a record of the key is known: @veto_state, @veto_reason
  * @had_earlier: there was a set of a while ago
+ * @missed: replicas that came and went since that while
+ * @lived_earlier: its members lived that long ago already; otherwise the
+ *                 service is younger, and they are the oldest since
  * @veto_state: the best that is known of the key's first request
  * @veto_gone: its owner is gone
  * @asked: members asked
@@ -65,6 +68,8 @@
     bool denied;
     bool vetoed;
     bool had_earlier;
+    bool lived_earlier;
+    size_t missed;
     enum idem_state veto_state;
     bool veto_gone;
     struct reserve_asked asked[RESERVE_ASKED_MAX];
--- a/tests/idem/test_property.c
+++ b/tests/idem/test_property.c
@@ -281,6 +281,18 @@
     g_test_fail();
 }
 
+/* Each doubled a key once: two coordinators of a service that was 10 s old
+ * went by sets that share members, with quorums that don't (1122422); a
+ * replica settled and left within 10 s of one's view (1177494). */
+TEST(seeds_that_doubled_a_key)
+{
+    static const uint32_t seeds[] = {1122422, 1177494};
+
+    for (size_t i = 0; i < G_N_ELEMENTS(seeds); i++) {
+        check(seeds[i]);
+    }
+}
+
 /* Orders of joins, drains, freezes, cuts, lost, late and repeated messages,
  * with one memory lost at a time: nothing runs twice, nothing is stuck. */
 TEST(one_loss)
--- a/tests/idem/test_rules.c
+++ b/tests/idem/test_rules.c
@@ -307,6 +307,57 @@
     EXPECT(1, 1, IDEM_PROCEED);
 }
 
+/* A replica that one member took for dead settles there anew and leaves
+ * within 10 s: it is in neither of that member's sets, and the other holder
+ * can't be reached. */
+SCENE(settled_and_left, 6, SCENE_SETTLED_US)
+{
+    unsigned at[IDEM_REPLICAS];
+    unsigned other;
+
+    find_replicas(sim, 1, at);
+    other = other_than(at, 6);
+    sim_see(sim, other, at[0], MEMBER_DEAD);
+    sim_see(sim, other, at[0], MEMBER_ALIVE);
+    sim_advance(sim, IDEM_SETTLE_US + 2 * USEC_PER_SEC);
+    for (unsigned i = 0; i < 6; i++) {
+        if (i != at[0] && i != at[1]) {
+            sim_cut(sim, at[0], i, 4 * USEC_PER_SEC);
+        }
+    }
+    sim_cut(sim, other, at[1], 4 * USEC_PER_SEC);
+    EXPECT(at[0], 1, IDEM_PROCEED);
+    sim_leave(sim, at[0]);
+    sim_advance(sim, 50 * SIM_MSEC);
+    EXPECT(other, 1, IDEM_REFUSE);
+}
+
+/* The same with two of them, that nobody else shares a record with. */
+SCENE(two_settled_and_left, 6, SCENE_SETTLED_US)
+{
+    unsigned at[IDEM_REPLICAS];
+    unsigned other;
+
+    find_replicas(sim, 1, at);
+    other = other_than(at, 6);
+    for (unsigned i = 0; i < 2; i++) {
+        sim_see(sim, other, at[i], MEMBER_DEAD);
+        sim_see(sim, other, at[i], MEMBER_ALIVE);
+    }
+    sim_advance(sim, IDEM_SETTLE_US + 2 * USEC_PER_SEC);
+    for (unsigned i = 0; i < 6; i++) {
+        if (i != at[0] && i != at[1]) {
+            sim_cut(sim, at[0], i, 4 * USEC_PER_SEC);
+            sim_cut(sim, at[1], i, 4 * USEC_PER_SEC);
+        }
+    }
+    EXPECT(at[0], 1, IDEM_PROCEED);
+    sim_leave(sim, at[0]);
+    sim_leave(sim, at[1]);
+    sim_advance(sim, 50 * SIM_MSEC);
+    EXPECT(other, 1, IDEM_REFUSE);
+}
+
 /* While a service starts, views differ too much to pick replicas. */
 SCENE(start, 5, USEC_PER_SEC)
 {
