Store: a watch is brief until the store has shown that it answers

TCP lives on, so keep-alive shows nothing. All 24 balancers waited 26.5 s, until 38.95, for changes that the operators had made at 13.2 and after. Nobody was left to tell the others.

Ruled out: balancers that were cut off (all lost and reached the store in the same 100 ms), a version that was refused (version 44 was taken at once).

Change: after a failure a watch waits 0.5 s, after a list or a change 2 to 3 s, different for each process; only one that ended empty is followed by one of 25 s. The test failed before (25000 after a change).

--- a/src/relay/follow.c
+++ b/src/relay/follow.c
@@ -9,9 +9,18 @@
 #include "base/container.h"
 #include "base/hash.h"
 
-/* The platform lets a watch wait for 30 s at most; each that ends empty
- * costs a call. */
+/* How long a watch waits. The platform allows 30 s; each that ends empty
+ * costs a call. But a store that falls silent never answers the calls that
+ * reached it then, also when it is back, and nothing else shows it. All
+ * followers ask again at the same moment after a change: until a watch has
+ * ended empty, which only a store that answers can bring about, it is brief,
+ * and of different lengths, so that they aren't all lost together. One that
+ * isn't tells the others through the agents. After a failure the store may be
+ * silent by now: a tenth of what operators give a change to be in force. */
 #define WATCH_WAIT_MS 25000
+#define WATCH_BRIEF_MS 2000
+#define WATCH_BRIEF_SPREAD_MS 1000
+#define WATCH_FAILED_MS 500
 
 /* First and longest pause after a call that failed. A process without
  * configuration serves nobody, so the first is short; the longest bounds
@@ -68,6 +77,7 @@
 static void
 watch_events(struct follow *follow, const struct store_reply *reply)
 {
+    follow->quiet = reply->count == 0;
     for (size_t i = 0; i < reply->count; i++) {
         follow->ops->object(follow, &reply->objects[i]);
     }
@@ -79,6 +89,7 @@
 static void
 on_failure(struct follow *follow, int status)
 {
+    follow->quiet = false;
     if (status == -ESTALE) {
         follow->state = FOLLOW_LIST;
     }
@@ -115,6 +126,20 @@
                        (before == 0) != (reply->status == 0) || before == 1);
 }
 
+static unsigned
+watch_wait_ms(const struct follow *follow)
+{
+    if (follow->failures > 0) {
+        return WATCH_FAILED_MS;
+    }
+    if (!follow->quiet) {
+        return WATCH_BRIEF_MS +
+               (unsigned)(hash_pair(follow->seed, follow->revision) %
+                          WATCH_BRIEF_SPREAD_MS);
+    }
+    return WATCH_WAIT_MS;
+}
+
 static int
 make_call(struct follow *follow)
 {
@@ -125,7 +150,7 @@
                                 &follow->call);
     }
     return store->ops->watch(store, follow->kind, follow->revision,
-                             WATCH_WAIT_MS, &follow->call);
+                             watch_wait_ms(follow), &follow->call);
 }
 
 void
--- a/src/relay/follow.h
+++ b/src/relay/follow.h
@@ -45,6 +45,7 @@
  * @after: last name of a list that goes on, or NULL
  * @revision: the store's revision that is known
  * @list_revision: revision of a list's first page
+ * @quiet: the last watch ended empty: the store answers
  * @failures: calls that failed in a row
  * @next_us: when the next call is due
  * @opened_us: when the open call began
@@ -63,6 +64,7 @@
     char *after;
     uint64_t revision;
     uint64_t list_revision;
+    bool quiet;
     unsigned failures;
     uint64_t next_us;
     uint64_t opened_us;
--- a/tests/relay/door_known_test.c
+++ b/tests/relay/door_known_test.c
@@ -26,10 +26,12 @@
     g_string_truncate(site->record, 0);
     site_heartbeat(site, "i-1", "lots", true, 4);
     rig_expect(site->record, "tell state reason=0 on=0 busy=1 state=2", NULL);
-    site_arrive(site, rig_from_caller(rig_flow(2), RELAY_SYN, 1, 0, 0), 1, false);
+    site_arrive(site, rig_from_caller(rig_flow(2), RELAY_SYN, 1, 0, 0), 1,
+                false);
     rig_expect(site->record, "carry 10.0.0.2:7000 hops=1 left=0",
                "tell passed reason=2 on=1 busy=1 state=2", NULL);
-    site_arrive(site, rig_from_caller(flow, RELAY_ACK, 101, 501, 40), 0, false);
+    site_arrive(site, rig_from_caller(flow, RELAY_ACK, 101, 501, 40), 0,
+                false);
     rig_expect(site->record, "endpoint 40", NULL);
 }
 
@@ -49,15 +51,19 @@
 {
     struct frame_version nothing = {0};
 
-    door_ping(&site->door, rig_addr(SITE_BALANCER), &nothing, false, site->now_us);
+    door_ping(&site->door, rig_addr(SITE_BALANCER), &nothing, false,
+              site->now_us);
     rig_expect(site->record, "tell state reason=0 on=0 busy=0 state=0", NULL);
     site_open_flow(site, 1);
     g_string_truncate(site->record, 0);
-    door_ping(&site->door, rig_addr(SITE_BALANCER), &nothing, false, site->now_us);
+    door_ping(&site->door, rig_addr(SITE_BALANCER), &nothing, false,
+              site->now_us);
     rig_expect(site->record, "tell state reason=0 on=0 busy=1 state=0", NULL);
-    site_answer(site, rig_from_endpoint(rig_flow(7), RELAY_ACK, 501, 141, 900));
+    site_answer(site,
+                rig_from_endpoint(rig_flow(7), RELAY_ACK, 501, 141, 900));
     rig_expect(site->record, "serves 1", "caller 1007", NULL);
-    door_ping(&site->door, rig_addr(SITE_BALANCER), &nothing, false, site->now_us);
+    door_ping(&site->door, rig_addr(SITE_BALANCER), &nothing, false,
+              site->now_us);
     rig_expect(site->record, "tell state reason=0 on=0 busy=1 state=0",
                "serves 1", NULL);
 }
@@ -73,7 +79,8 @@
     rig_expect(site->record, NULL);
     site_pass_ms(site, 1);
     rig_expect(site->record, "tell state reason=0 on=0 busy=0 state=0", NULL);
-    door_ping(&site->door, rig_addr(SITE_BALANCER), &version, false, site->now_us);
+    door_ping(&site->door, rig_addr(SITE_BALANCER), &version, false,
+              site->now_us);
     g_string_truncate(site->record, 0);
     site_pass_ms(site, 500);
     rig_expect(site->record, NULL);
@@ -116,7 +123,8 @@
 
     site_arrive(site, data, 2, false);
     g_string_truncate(site->record, 0);
-    site_answer(site, rig_from_endpoint(flow, RELAY_RST | RELAY_ACK, 501, 101, 0));
+    site_answer(site,
+                rig_from_endpoint(flow, RELAY_RST | RELAY_ACK, 501, 101, 0));
     rig_expect(site->record, "drop 1",
                "tell passed reason=4 on=0 busy=0 state=0", NULL);
     g_assert_cmpuint(site->door.served.count, ==, 0);
@@ -136,7 +144,8 @@
     /* The caller may have taken another endpoint's answer. */
     site_answer(site, rst);
     rig_expect(site->record, "drop 1", NULL);
-    site_arrive(site, rig_from_caller(flow, RELAY_ACK, 101, 501, 40), 0, false);
+    site_arrive(site, rig_from_caller(flow, RELAY_ACK, 101, 501, 40), 0,
+                false);
     g_string_truncate(site->record, 0);
     site_answer(site, rst);
     rig_expect(site->record, "caller 1001", NULL);
@@ -177,7 +186,8 @@
 
     site_open_flow(site, 1);
     g_string_truncate(site->record, 0);
-    site_arrive(site, rig_from_caller(flow, RELAY_ACK, 101, 900000, 40), 1, false);
+    site_arrive(site, rig_from_caller(flow, RELAY_ACK, 101, 900000, 40), 1,
+                false);
     rig_expect(site->record, "carry 10.0.0.2:7000 hops=1 left=0",
                "tell passed reason=4 on=1 busy=0 state=0", NULL);
 }
@@ -189,14 +199,17 @@
     site_open_flow(site, 1);
     g_string_truncate(site->record, 0);
     /* Its balancer knows of this answer alone, the caller took another. */
-    site_arrive(site, rig_from_caller(flow, RELAY_ACK, 101, 900001, 40), 0, false);
+    site_arrive(site, rig_from_caller(flow, RELAY_ACK, 101, 900001, 40), 0,
+                false);
     rig_expect(site->record, "drop 1",
                "tell passed reason=4 on=0 busy=0 state=0", NULL);
     /* The endpoint still waits for its own handshake, and would say nothing
      * to a packet of the other's. */
-    site_arrive(site, rig_from_caller(flow, RELAY_ACK, 101, 900001, 40), 2, false);
+    site_arrive(site, rig_from_caller(flow, RELAY_ACK, 101, 900001, 40), 2,
+                false);
     rig_expect(site->record, "carry 10.0.0.2:7000 hops=1 left=1", NULL);
-    site_arrive(site, rig_from_caller(flow, RELAY_ACK, 101, 900001, 40), 0, false);
+    site_arrive(site, rig_from_caller(flow, RELAY_ACK, 101, 900001, 40), 0,
+                false);
     rig_expect(site->record, "drop 1",
                "tell passed reason=4 on=0 busy=0 state=0", NULL);
 }
@@ -208,7 +221,8 @@
     site_arrive(site, rig_from_caller(flow, RELAY_SYN, 100, 0, 0), 2, false);
     g_string_truncate(site->record, 0);
     /* Its SYN was answered elsewhere too. */
-    site_arrive(site, rig_from_caller(flow, RELAY_ACK, 101, 900000, 40), 1, false);
+    site_arrive(site, rig_from_caller(flow, RELAY_ACK, 101, 900000, 40), 1,
+                false);
     rig_expect(site->record, "endpoint 40", NULL);
 }
 
@@ -217,11 +231,13 @@
     struct relay_flow flow = rig_flow(1);
 
     /* The SYN went through an agent that has started anew since. */
-    site_answer(site, rig_from_endpoint(flow, RELAY_SYN | RELAY_ACK, 500, 101, 0));
+    site_answer(site,
+                rig_from_endpoint(flow, RELAY_SYN | RELAY_ACK, 500, 101, 0));
     rig_expect(site->record, "caller 1001", NULL);
     g_assert_cmpuint(site->door.served.count, ==, 0);
     /* The caller took another endpoint's answer. */
-    site_arrive(site, rig_from_caller(flow, RELAY_ACK, 101, 900000, 40), 1, false);
+    site_arrive(site, rig_from_caller(flow, RELAY_ACK, 101, 900000, 40), 1,
+                false);
     rig_expect(site->record, "carry 10.0.0.2:7000 hops=1 left=0",
                "tell passed reason=4 on=1 busy=0 state=0", NULL);
 }
@@ -236,7 +252,8 @@
     site_arrive(site, data, 1, false);
     site_answer(site, rig_bounced(data));
     g_string_truncate(site->record, 0);
-    site_answer(site, rig_from_endpoint(flow, RELAY_SYN | RELAY_ACK, 500, 101, 0));
+    site_answer(site,
+                rig_from_endpoint(flow, RELAY_SYN | RELAY_ACK, 500, 101, 0));
     rig_expect(site->record, "tell placed reason=0 on=0 busy=1 state=0",
                "caller 1001", NULL);
 }
@@ -255,7 +272,8 @@
                "tell passed reason=4 on=0 busy=0 state=0", NULL);
     site_open_flow(site, 2);
     flow = rig_flow(2);
-    site_arrive(site, rig_from_caller(flow, RELAY_ACK, 101, 501, 40), 0, false);
+    site_arrive(site, rig_from_caller(flow, RELAY_ACK, 101, 501, 40), 0,
+                false);
     site_answer(site, rig_from_endpoint(flow, RELAY_ACK, 501, 141, 900));
     g_string_truncate(site->record, 0);
     data = rig_from_caller(flow, RELAY_ACK, 141, 1401, 40);
@@ -270,11 +288,13 @@
 
     site_heartbeat(site, "i-1", "lots", false, 1);
     site_open_flow(site, 1);
-    site_arrive(site, rig_from_caller(flow, RELAY_ACK, 101, 501, 40), 0, false);
+    site_arrive(site, rig_from_caller(flow, RELAY_ACK, 101, 501, 40), 0,
+                false);
     site_answer(site, rig_from_endpoint(flow, RELAY_ACK, 501, 141, 900));
     door_left(&site->door, "i-1", site->now_us);
     g_string_truncate(site->record, 0);
-    site_arrive(site, rig_from_caller(flow, RELAY_ACK, 141, 1401, 40), 0, false);
+    site_arrive(site, rig_from_caller(flow, RELAY_ACK, 141, 1401, 40), 0,
+                false);
     rig_expect(site->record, "reset 1001 at 1401", NULL);
 }
 
@@ -282,7 +302,8 @@
 {
     site_heartbeat(site, "i-9", "albums", false, 1);
     g_string_truncate(site->record, 0);
-    site_arrive(site, rig_from_caller(rig_flow(1), RELAY_SYN, 1, 0, 0), 1, false);
+    site_arrive(site, rig_from_caller(rig_flow(1), RELAY_SYN, 1, 0, 0), 1,
+                false);
     rig_expect(site->record, "carry 10.0.0.2:7000 hops=1 left=0",
                "tell passed reason=5 on=1 busy=0 state=1", NULL);
 }
@@ -294,7 +315,8 @@
     site_heartbeat(site, "i-2", "lots", false, 1);
     site_heartbeat(site, "i-2", "lots", true, 2);
     g_string_truncate(site->record, 0);
-    site_arrive(site, rig_from_caller(rig_flow(1), RELAY_SYN, 100, 1, 0), 1, false);
+    site_arrive(site, rig_from_caller(rig_flow(1), RELAY_SYN, 100, 1, 0), 1,
+                false);
     rig_expect(site->record, "carry 10.0.0.2:7000 hops=1 left=0",
                "tell passed reason=2 on=1 busy=0 state=2", NULL);
 }
--- a/tests/relay/door_open_test.c
+++ b/tests/relay/door_open_test.c
@@ -14,7 +14,8 @@
     rig_expect(site->record, "endpoint 0",
                "tell placed reason=0 on=0 busy=1 state=0", "caller 1001",
                NULL);
-    site_arrive(site, rig_from_caller(flow, RELAY_ACK, 101, 501, 40), 0, false);
+    site_arrive(site, rig_from_caller(flow, RELAY_ACK, 101, 501, 40), 0,
+                false);
     site_answer(site, rig_from_endpoint(flow, RELAY_ACK, 501, 141, 900));
     rig_expect(site->record, "endpoint 40", "caller 1001", NULL);
     g_assert_cmpuint(site->door.busy_count, ==, 0);
@@ -45,12 +46,14 @@
                "tell state reason=0 on=0 busy=1 state=4",
                "carry 10.0.0.2:7000 hops=1 left=0",
                "tell passed reason=4 on=1 busy=0 state=4", NULL);
-    site_arrive(site, rig_from_caller(rig_flow(2), RELAY_SYN, 1, 0, 0), 1, false);
+    site_arrive(site, rig_from_caller(rig_flow(2), RELAY_SYN, 1, 0, 0), 1,
+                false);
     rig_expect(site->record, "carry 10.0.0.2:7000 hops=1 left=0",
                "tell passed reason=3 on=1 busy=0 state=4", NULL);
     site_heartbeat(site, "i-1", "lots", false, 1);
     g_string_truncate(site->record, 0);
-    site_arrive(site, rig_from_caller(rig_flow(3), RELAY_SYN, 1, 0, 0), 1, false);
+    site_arrive(site, rig_from_caller(rig_flow(3), RELAY_SYN, 1, 0, 0), 1,
+                false);
     rig_expect(site->record, "endpoint 0", NULL);
 }
 
@@ -64,12 +67,14 @@
     site_arrive(site, syn, 1, false);
     site_answer(site, rig_bounced(syn));
     g_string_truncate(site->record, 0);
-    site_arrive(site, rig_from_caller(rig_flow(2), RELAY_SYN, 1, 0, 0), 1, false);
+    site_arrive(site, rig_from_caller(rig_flow(2), RELAY_SYN, 1, 0, 0), 1,
+                false);
     rig_expect(site->record, "carry 10.0.0.2:7000 hops=1 left=0",
                "tell passed reason=3 on=1 busy=0 state=4", NULL);
     site_heartbeat(site, "i-1", "lots", false, 2);
     g_string_truncate(site->record, 0);
-    site_arrive(site, rig_from_caller(rig_flow(3), RELAY_SYN, 1, 0, 0), 1, false);
+    site_arrive(site, rig_from_caller(rig_flow(3), RELAY_SYN, 1, 0, 0), 1,
+                false);
     rig_expect(site->record, "endpoint 0", NULL);
 }
 
@@ -98,11 +103,13 @@
     rig_expect(site->record, "tell state reason=0 on=0 busy=1 state=4",
                "carry 10.0.0.2:7000 hops=1 left=1",
                "tell passed reason=3 on=1 busy=0 state=4", NULL);
-    site_arrive(site, rig_from_caller(rig_flow(2), RELAY_SYN, 1, 0, 0), 2, false);
+    site_arrive(site, rig_from_caller(rig_flow(2), RELAY_SYN, 1, 0, 0), 2,
+                false);
     rig_expect(site->record, "carry 10.0.0.2:7000 hops=1 left=1",
                "tell passed reason=3 on=1 busy=0 state=4", NULL);
     /* Its late answer would open the flow in two places. */
-    site_answer(site, rig_from_endpoint(flow, RELAY_SYN | RELAY_ACK, 5, 101, 0));
+    site_answer(site,
+                rig_from_endpoint(flow, RELAY_SYN | RELAY_ACK, 5, 101, 0));
     rig_expect(site->record, "tell state reason=0 on=0 busy=0 state=1",
                "drop 2", NULL);
 }
@@ -112,14 +119,17 @@
     site_open_flow(site, 1);
     site_open_flow(site, 2);
     g_string_truncate(site->record, 0);
-    site_arrive(site, rig_from_caller(rig_flow(3), RELAY_SYN, 1, 0, 0), 1, false);
+    site_arrive(site, rig_from_caller(rig_flow(3), RELAY_SYN, 1, 0, 0), 1,
+                false);
     rig_expect(site->record, "carry 10.0.0.2:7000 hops=1 left=0",
                "tell passed reason=1 on=1 busy=2 state=0", NULL);
     /* Nobody else: the least busy takes it, and that is this one. */
-    site_arrive(site, rig_from_caller(rig_flow(4), RELAY_SYN, 1, 0, 0), 0, false);
+    site_arrive(site, rig_from_caller(rig_flow(4), RELAY_SYN, 1, 0, 0), 0,
+                false);
     rig_expect(site->record, "endpoint 0",
                "tell passed reason=1 on=1 busy=3 state=0", NULL);
-    site_arrive(site, rig_from_caller(rig_flow(5), RELAY_SYN, 1, 0, 0), 1, true);
+    site_arrive(site, rig_from_caller(rig_flow(5), RELAY_SYN, 1, 0, 0), 1,
+                true);
     rig_expect(site->record, "tell held reason=0 on=0 busy=3 state=0", NULL);
 }
 
@@ -128,11 +138,12 @@
 static void
 finish_request(struct site *site, unsigned number, const char *expected)
 {
-    site_arrive(site, rig_from_caller(rig_flow(number), RELAY_ACK, 101, 501, 40), 0,
-           false);
+    site_arrive(site,
+                rig_from_caller(rig_flow(number), RELAY_ACK, 101, 501, 40), 0,
+                false);
     g_string_truncate(site->record, 0);
     site_answer(site,
-           rig_from_endpoint(rig_flow(number), RELAY_ACK, 501, 141, 900));
+                rig_from_endpoint(rig_flow(number), RELAY_ACK, 501, 141, 900));
     if (expected != NULL) {
         rig_expect(site->record, expected, "endpoint 0", NULL);
     }
@@ -146,8 +157,8 @@
     g_assert_cmpuint(site->door.held_count, ==, 2);
     finish_request(site, 1, "caller 1001");
     g_assert_cmpuint(site->door.held_count, ==, 1);
-    site_answer(site,
-           rig_from_endpoint(rig_flow(5), RELAY_SYN | RELAY_ACK, 500, 101, 0));
+    site_answer(site, rig_from_endpoint(rig_flow(5), RELAY_SYN | RELAY_ACK,
+                                        500, 101, 0));
     rig_expect(site->record, "tell placed reason=0 on=0 busy=3 state=0",
                "caller 1005", NULL);
     /* The late one needs a slot that is free, not one that will be. */
@@ -162,12 +173,13 @@
     /* A handshake takes twice as long as a request. */
     site->door.pace = (struct pace){.work_us = 15000, .trip_us = 30000};
     for (unsigned i = 1; i <= 5; i++) {
-        site_arrive(site, rig_from_caller(rig_flow(i), RELAY_SYN, 100, 0, 0), 2,
-               false);
+        site_arrive(site, rig_from_caller(rig_flow(i), RELAY_SYN, 100, 0, 0),
+                    2, false);
     }
     g_assert_cmpuint(site->door.busy_count, ==, 5);
     g_string_truncate(site->record, 0);
-    site_arrive(site, rig_from_caller(rig_flow(7), RELAY_SYN, 100, 0, 0), 2, false);
+    site_arrive(site, rig_from_caller(rig_flow(7), RELAY_SYN, 100, 0, 0), 2,
+                false);
     rig_expect(site->record, "carry 10.0.0.2:7000 hops=1 left=1",
                "tell passed reason=1 on=1 busy=5 state=0", NULL);
 }
@@ -179,8 +191,8 @@
     site_arrive_forced(site, 5, 100, 1400, 1);
     finish_request(site, 1, "caller 1001");
     g_assert_cmpuint(site->door.held_count, ==, 1);
-    site_answer(site,
-           rig_from_endpoint(rig_flow(5), RELAY_SYN | RELAY_ACK, 500, 101, 0));
+    site_answer(site, rig_from_endpoint(rig_flow(5), RELAY_SYN | RELAY_ACK,
+                                        500, 101, 0));
     rig_expect(site->record, "tell placed reason=0 on=0 busy=3 state=0",
                "caller 1005", NULL);
 }
--- a/tests/relay/door_site.c
+++ b/tests/relay/door_site.c
@@ -99,7 +99,7 @@
 
 void
 site_arrive(struct site *site, struct relay_packet packet, unsigned next,
-       bool forced)
+            bool forced)
 {
     struct frame_carry frame = {
         .service = hash_service("lots"),
@@ -118,8 +118,8 @@
 }
 
 void
-site_arrive_along(struct site *site, struct relay_packet packet, const char *next,
-             const char *last)
+site_arrive_along(struct site *site, struct relay_packet packet,
+                  const char *next, const char *last)
 {
     struct frame_carry frame = {
         .service = hash_service("lots"),
@@ -156,12 +156,13 @@
     struct relay_flow flow = rig_flow(number);
 
     site_arrive(site, rig_from_caller(flow, RELAY_SYN, 100, 0, 0), 2, false);
-    site_answer(site, rig_from_endpoint(flow, RELAY_SYN | RELAY_ACK, 500, 101, 0));
+    site_answer(site,
+                rig_from_endpoint(flow, RELAY_SYN | RELAY_ACK, 500, 101, 0));
 }
 
 void
 site_heartbeat(struct site *site, const char *id, const char *service,
-          bool draining, uint64_t sequence)
+               bool draining, uint64_t sequence)
 {
     struct heartbeat beat = {
         .service = hash_service(service),
@@ -176,7 +177,7 @@
 
 void
 site_arrive_forced(struct site *site, unsigned number, unsigned target_ms,
-              unsigned patience_ms, unsigned priority)
+                   unsigned patience_ms, unsigned priority)
 {
     struct relay_packet syn =
         rig_from_caller(rig_flow(number), RELAY_SYN, 100, 0, 0);
@@ -199,7 +200,7 @@
 {
     for (unsigned i = 1; i <= 3; i++) {
         site_arrive_forced(site, i, 100, 1400, 2);
-        site_answer(site, rig_from_endpoint(rig_flow(i), RELAY_SYN | RELAY_ACK, 500,
-                                       101, 0));
+        site_answer(site, rig_from_endpoint(rig_flow(i), RELAY_SYN | RELAY_ACK,
+                                            500, 101, 0));
     }
 }
--- a/tests/relay/follow_test.c
+++ b/tests/relay/follow_test.c
@@ -22,6 +22,7 @@
     struct store_call *call;
     GString *record;
     uint64_t now_us;
+    unsigned wait_ms;
 };
 
 static struct site *
@@ -52,6 +53,7 @@
             unsigned wait_ms, struct store_call *call)
 {
     rig_note(of_store(store)->record, "watch %s %u", kind, (unsigned)revision);
+    of_store(store)->wait_ms = wait_ms;
     return ask(store, call);
 }
 
@@ -202,6 +204,30 @@
     rig_expect(site->record, "listing", "listed", "reached", NULL);
 }
 
+/* A store that has fallen silent never answers a call that reached it then,
+ * also not when it is back. */
+TEST_F(site, a_watch_is_brief_until_the_store_has_shown_that_it_answers)
+{
+    follow_tick(&site->follow, site->now_us);
+    answer(site, 0, 7, NULL, false);
+    wait_for_call(site);
+    g_assert_cmpuint(site->wait_ms, >=, 2000);
+    g_assert_cmpuint(site->wait_ms, <=, 3000);
+    answer(site, 0, 7, NULL, false);
+    wait_for_call(site);
+    g_assert_cmpuint(site->wait_ms, ==, 25000);
+    /* Everybody's watch ends with a change, and all ask again at once. */
+    answer(site, 0, 8, "a", false);
+    wait_for_call(site);
+    g_assert_cmpuint(site->wait_ms, <=, 3000);
+    answer(site, -ECONNRESET, 0, NULL, false);
+    wait_for_call(site);
+    g_assert_cmpuint(site->wait_ms, ==, 500);
+    answer(site, 0, 8, NULL, false);
+    wait_for_call(site);
+    g_assert_cmpuint(site->wait_ms, ==, 25000);
+}
+
 TEST_F(site, pauses_grow_while_the_store_is_away)
 {
     unsigned before = 0;
