Platform: one HTTP client for both formats

Cause: our own format of the platform's store went through libcurl with a loop of its own, the users' through base/httpc: two clients with two sets of timeouts, statuses and ways to notice a dead connection.

--- a/src/base/httpc.c
+++ b/src/base/httpc.c
@@ -7,9 +7,11 @@
 #include <event2/http_struct.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
-#include <stdlib.h>
+#include <string.h>
 #include <sys/socket.h>
 
+#include <glib.h>
+
 #define MSEC_PER_SEC 1000
 #define USEC_PER_MSEC_INT 1000
 
@@ -22,7 +24,8 @@
 /**
  * struct httpc - the client
  * @base: event base
- * @peer: whom it calls
+ * @peer: whom it calls; its host is the client's own copy
+ * @host: value of the Host header
  * @body_max: longest answer, bytes
  * @connection: libevent's connection or NULL
  * @stale: a connection to be freed once libevent is done with it
@@ -32,7 +35,8 @@
  */
 struct httpc {
     struct event_base *base;
-    struct addr peer;
+    struct httpc_peer peer;
+    char *host;
     size_t body_max;
     struct evhttp_connection *connection;
     struct evhttp_connection *stale;
@@ -122,6 +126,8 @@
         finish(httpc, &reply);
         return;
     }
+    reply.etag =
+        evhttp_find_header(evhttp_request_get_input_headers(request), "ETag");
     input = evhttp_request_get_input_buffer(request);
     reply.len = evbuffer_get_length(input);
     reply.body = reply.len > 0 ? (const char *)evbuffer_pullup(input, -1) : "";
@@ -152,18 +158,21 @@
 static int
 connect_peer(struct httpc *httpc)
 {
-    char text[ADDR_TEXT_MAX];
-    char *colon;
+    struct httpc_transport *transport = httpc->peer.transport;
+    struct bufferevent *bev = NULL;
 
     if (httpc->connection != NULL) {
         return 0;
     }
-    addr_format(httpc->peer, text);
-    for (colon = text; *colon != ':'; colon++) {
+    if (transport != NULL) {
+        bev = transport->ops->open(transport, httpc->base);
+        if (bev == NULL) {
+            return -ENOMEM;
+        }
     }
-    *colon = '\0';
-    httpc->connection =
-        evhttp_connection_base_new(httpc->base, NULL, text, httpc->peer.port);
+    httpc->connection = evhttp_connection_base_bufferevent_new(
+        httpc->base, httpc->peer.names, bev, httpc->peer.host,
+        httpc->peer.port);
     if (httpc->connection == NULL) {
         return -ENOMEM;
     }
@@ -173,24 +182,35 @@
 }
 
 struct httpc *
-httpc_new(struct event_base *base, struct addr peer, size_t body_max)
+httpc_new(struct event_base *base, const struct httpc_peer *peer,
+          size_t body_max)
 {
-    struct httpc *httpc = calloc(1, sizeof(*httpc));
+    struct httpc *httpc = g_new0(struct httpc, 1);
 
-    if (httpc == NULL) {
-        return NULL;
-    }
     httpc->base = base;
-    httpc->peer = peer;
+    httpc->peer = *peer;
+    httpc->peer.host = g_strdup(peer->host);
+    httpc->host = g_strdup_printf("%s:%u", peer->host, peer->port);
     httpc->body_max = body_max;
     httpc->reaper = event_new(base, -1, 0, on_reap, httpc);
     if (httpc->reaper == NULL) {
-        free(httpc);
+        httpc_free(httpc);
         return NULL;
     }
     return httpc;
 }
 
+struct httpc *
+httpc_new_addr(struct event_base *base, struct addr addr, size_t body_max)
+{
+    char host[ADDR_TEXT_MAX];
+    struct httpc_peer peer = {.host = host, .port = addr.port};
+
+    addr_format(addr, host);
+    *strchr(host, ':') = '\0';
+    return httpc_new(base, &peer, body_max);
+}
+
 void
 httpc_free(struct httpc *httpc)
 {
@@ -202,8 +222,12 @@
         evhttp_connection_free(httpc->connection);
     }
     reap(httpc);
-    event_free(httpc->reaper);
-    free(httpc);
+    if (httpc->reaper != NULL) {
+        event_free(httpc->reaper);
+    }
+    g_free((char *)httpc->peer.host);
+    g_free(httpc->host);
+    g_free(httpc);
 }
 
 bool
@@ -212,18 +236,39 @@
     return httpc->call != NULL;
 }
 
+static struct evhttp_request *
+new_request(struct httpc *httpc, const struct httpc_request *request)
+{
+    struct evhttp_request *made = evhttp_request_new(on_done, httpc);
+    struct evkeyvalq *headers;
+
+    if (made == NULL) {
+        return NULL;
+    }
+    evhttp_request_set_error_cb(made, on_error);
+    headers = evhttp_request_get_output_headers(made);
+    evhttp_add_header(headers, "Host", httpc->host);
+    if (request->header != NULL) {
+        evhttp_add_header(headers, request->header, request->value);
+    }
+    if (request->body != NULL) {
+        evhttp_add_header(headers, "Content-Type", "application/json");
+        evbuffer_add(evhttp_request_get_output_buffer(made), request->body,
+                     request->len);
+    }
+    return made;
+}
+
 int
-httpc_start(struct httpc *httpc, enum httpc_method method, const char *target,
-            const char *body, size_t len, unsigned timeout_ms,
+httpc_start(struct httpc *httpc, const struct httpc_request *request,
             struct httpc_call *call)
 {
+    unsigned ms = request->timeout_ms;
     struct timeval timeout = {
-        .tv_sec = timeout_ms / MSEC_PER_SEC,
-        .tv_usec = timeout_ms % MSEC_PER_SEC * USEC_PER_MSEC_INT,
+        .tv_sec = ms / MSEC_PER_SEC,
+        .tv_usec = ms % MSEC_PER_SEC * USEC_PER_MSEC_INT,
     };
-    struct evhttp_request *request;
-    struct evkeyvalq *headers;
-    char host[ADDR_TEXT_MAX];
+    struct evhttp_request *made;
 
     if (httpc->call != NULL) {
         return -EBUSY;
@@ -231,22 +276,15 @@
     if (connect_peer(httpc) < 0) {
         return -ENOMEM;
     }
-    request = evhttp_request_new(on_done, httpc);
-    if (request == NULL) {
+    made = new_request(httpc, request);
+    if (made == NULL) {
         return -ENOMEM;
     }
-    evhttp_request_set_error_cb(request, on_error);
-    headers = evhttp_request_get_output_headers(request);
-    evhttp_add_header(headers, "Host", addr_format(httpc->peer, host));
-    if (body != NULL) {
-        evhttp_add_header(headers, "Content-Type", "application/json");
-        evbuffer_add(evhttp_request_get_output_buffer(request), body, len);
-    }
     evhttp_connection_set_timeout_tv(httpc->connection, &timeout);
     httpc->failure = 0;
     httpc->call = call;
-    if (evhttp_make_request(httpc->connection, request, commands[method],
-                            target) != 0) {
+    if (evhttp_make_request(httpc->connection, made, commands[request->method],
+                            request->target) != 0) {
         /* libevent has freed the request and may have told on_done(). */
         httpc->call = NULL;
         retire(httpc);
--- a/src/base/httpc.h
+++ b/src/base/httpc.h
@@ -1,13 +1,16 @@
 /**
  * DOC: httpc - a small HTTP/1.1 client on an event base (libevent)
  *
- * One client is one connection to one address: a call at a time, kept open
- * between calls, opened anew after any failure. A connection that has gone
- * silent shows by the call's own timeout, and sooner by keep-alive probes.
+ * One client is one connection to one peer: a call at a time, kept open
+ * between calls, opened anew after any failure. No call is sent twice. A
+ * connection that has gone silent shows by the call's own timeout, and sooner
+ * by keep-alive probes.
  */
 #ifndef SWIFTARCH_BASE_HTTPC_H
 #define SWIFTARCH_BASE_HTTPC_H
 
+#include <event2/bufferevent.h>
+#include <event2/dns.h>
 #include <event2/event.h>
 #include <stdbool.h>
 #include <stddef.h>
@@ -16,15 +19,45 @@
 #include "base/addr.h"
 
 struct httpc;
+struct httpc_transport;
+
+/** struct httpc_transport_ops - what carries the bytes, when it isn't TCP
+ * alone */
+struct httpc_transport_ops {
+    /** @open: a bufferevent without a socket yet, which the client frees */
+    struct bufferevent *(*open)(struct httpc_transport *transport,
+                                struct event_base *base);
+};
+
+/** struct httpc_transport - any transport; the vtable comes first */
+struct httpc_transport {
+    const struct httpc_transport_ops *ops;
+};
+
+/**
+ * struct httpc_peer - whom a client calls
+ * @host: its address or name
+ * @port: its port
+ * @names: looks names up, NULL where @host is an address
+ * @transport: NULL for TCP alone; outlives the client
+ */
+struct httpc_peer {
+    const char *host;
+    uint16_t port;
+    struct evdns_base *names;
+    struct httpc_transport *transport;
+};
 
 /**
  * struct httpc_reply - how a call ended
  * @status: HTTP status, or a negative errno when no whole answer came
+ * @etag: the answer's ETag header, NULL for none
  * @body: the answer's body, valid during the callback
  * @len: its length in bytes
  */
 struct httpc_reply {
     int status;
+    const char *etag;
     const char *body;
     size_t len;
 };
@@ -42,9 +75,49 @@
     HTTPC_DELETE,
 };
 
+/**
+ * struct httpc_request - what is asked
+ * @method: method
+ * @target: path and query
+ * @header: name of a header of its own, or NULL
+ * @value: that header's value
+ * @body: JSON, or NULL
+ * @len: its length in bytes
+ * @timeout_ms: silence after which the call fails with -ETIMEDOUT
+ */
+struct httpc_request {
+    enum httpc_method method;
+    const char *target;
+    const char *header;
+    const char *value;
+    const char *body;
+    size_t len;
+    unsigned timeout_ms;
+};
+
+/** enum httpc_status - statuses that the platform answers with */
+enum httpc_status {
+    HTTPC_OK = 200,
+    HTTPC_CREATED = 201,
+    HTTPC_NO_CONTENT = 204,
+    HTTPC_NOT_MODIFIED = 304,
+    HTTPC_NOT_FOUND = 404,
+    HTTPC_CONFLICT = 409,
+    HTTPC_GONE = 410,
+    HTTPC_PRECONDITION_FAILED = 412,
+    HTTPC_TOO_LARGE = 413,
+    HTTPC_TOO_MANY = 429,
+    HTTPC_UNAVAILABLE = 503,
+};
+
 /** httpc_new() - a client of @peer; NULL without memory */
 struct httpc *
-httpc_new(struct event_base *base, struct addr peer, size_t body_max);
+httpc_new(struct event_base *base, const struct httpc_peer *peer,
+          size_t body_max);
+
+/** httpc_new_addr() - the same for an address, over TCP */
+struct httpc *
+httpc_new_addr(struct event_base *base, struct addr addr, size_t body_max);
 
 /** httpc_free() - end what is open without a callback; NULL is fine */
 void
@@ -56,16 +129,12 @@
 
 /**
  * httpc_start() - make a call
- * @target: path and query
- * @body: JSON, or NULL
- * @timeout_ms: silence after which the call fails with -ETIMEDOUT
  *
  * Return: 0, -EBUSY while another call is open, -ENOMEM. @call is told only
  * after 0, and not before this returns.
  */
 int
-httpc_start(struct httpc *httpc, enum httpc_method method, const char *target,
-            const char *body, size_t len, unsigned timeout_ms,
+httpc_start(struct httpc *httpc, const struct httpc_request *request,
             struct httpc_call *call);
 
 /** httpc_cancel() - end the open call; its callback isn't told */
--- a/src/cli/relay_show.c
+++ b/src/cli/relay_show.c
@@ -116,6 +116,11 @@
 static int
 show_one(struct event_base *base, const char *address)
 {
+    static const struct httpc_request request = {
+        .method = HTTPC_GET,
+        .target = RELAY_STATE_PATH,
+        .timeout_ms = TIMEOUT_MS,
+    };
     struct question question = {.call.done = on_done, .base = base};
     struct httpc *httpc = NULL;
     struct addr addr;
@@ -125,9 +130,8 @@
         fprintf(stderr, "%s: no address such as 127.0.0.1:8167\n", address);
         return CLI_USAGE;
     }
-    httpc = httpc_new(base, addr, BODY_MAX);
-    if (httpc != NULL && httpc_start(httpc, HTTPC_GET, RELAY_STATE_PATH, NULL,
-                                     0, TIMEOUT_MS, &question.call) == 0) {
+    httpc = httpc_new_addr(base, addr, BODY_MAX);
+    if (httpc != NULL && httpc_start(httpc, &request, &question.call) == 0) {
         event_base_dispatch(base);
     }
     if (json_object_is_type(question.json, json_type_object)) {
--- a/src/platform/platform.c
+++ b/src/platform/platform.c
@@ -1,158 +1,94 @@
 #include "platform/platform.h"
 
 #include <errno.h>
+#include <event2/dns.h>
+#include <event2/http.h>
 #include <inttypes.h>
 #include <stdbool.h>
-#include <stdlib.h>
 #include <string.h>
-#include <strings.h>
 
 #include <glib.h>
 
-#include "platform/platform_loop.h"
+#include "base/container.h"
+#include "base/httpc.h"
+#include "platform/tls.h"
 
-#define CONNECT_TIMEOUT_MS 1000L
-#define ETAG_HEADER "ETag:"
 #define NAME_MAX_LEN 128
-
-enum http_status {
-    HTTP_OK = 200,
-    HTTP_CREATED = 201,
-    HTTP_NO_CONTENT = 204,
-    HTTP_NOT_MODIFIED = 304,
-    HTTP_NOT_FOUND = 404,
-    HTTP_PRECONDITION_FAILED = 412,
-    HTTP_TOO_LARGE = 413,
-    HTTP_TOO_MANY = 429,
-    HTTP_UNAVAILABLE = 503,
-};
+#define PORT_HTTP 80
+#define PORT_HTTPS 443
 
 /**
  * struct platform - the client
- * @loop: transfers
- * @url: base URL without a slash at its end
- * @transfers: open ones, struct transfer
+ * @base: event base
+ * @url: base URL, for errors
+ * @host: its host
+ * @path: its path without a slash at the end
+ * @peer: whom the connections call
+ * @tls: transport, where the URL says https
+ * @transfers: every struct transfer; those without a call are idle
  * @calls: calls made so far
  */
 struct platform {
-    struct platform_loop loop;
+    struct event_base *base;
     char *url;
-    GHashTable *transfers;
+    char *host;
+    char *path;
+    struct httpc_peer peer;
+    struct tls tls;
+    GPtrArray *transfers;
     uint64_t calls;
 };
 
 /**
- * struct transfer - one call in progress
+ * struct transfer - a connection, and its call in progress
+ * @http: the call as the client of HTTP knows it
  * @platform: its client
- * @call: whom to tell
- * @easy: libcurl's handle
- * @headers: request headers
+ * @httpc: the connection
+ * @call: whom to tell, NULL while it is idle
  * @step: what is done, for errors
- * @is_write: the call was a PUT
- * @version: from the ETag
- * @body: what came
- * @too_large: the body exceeded PLATFORM_VALUE_MAX
- * @detail: libcurl's sentence on a failure
+ * @is_write: the call is a PUT
  */
 struct transfer {
+    struct httpc_call http;
     struct platform *platform;
+    struct httpc *httpc;
     struct platform_call *call;
-    CURL *easy;
-    struct curl_slist *headers;
     const char *step;
     bool is_write;
-    uint64_t version;
-    GByteArray *body;
-    bool too_large;
-    char detail[CURL_ERROR_SIZE];
 };
 
-static void
-transfer_free(struct transfer *transfer)
-{
-    curl_easy_cleanup(transfer->easy);
-    curl_slist_free_all(transfer->headers);
-    g_byte_array_free(transfer->body, TRUE);
-    g_free(transfer);
-}
-
-static size_t
-on_body(char *data, size_t size, size_t count, void *arg)
-{
-    struct transfer *transfer = arg;
-    size_t len = size * count;
-
-    if (transfer->body->len + len > PLATFORM_VALUE_MAX) {
-        transfer->too_large = true;
-        return 0;
-    }
-    g_byte_array_append(transfer->body, (const guint8 *)data, (guint)len);
-    return len;
-}
-
 /* ETag: "VERSION"; anything else leaves the version 0. */
-static size_t
-on_header(char *data, size_t size, size_t count, void *arg)
+static uint64_t
+version_of(const char *etag)
 {
-    struct transfer *transfer = arg;
-    size_t len = size * count;
-    size_t skip = strlen(ETAG_HEADER);
-    char *value;
     char *end;
+    uint64_t version;
 
-    if (len <= skip || strncasecmp(data, ETAG_HEADER, skip) != 0) {
-        return len;
-    }
-    value = g_strstrip(g_strndup(data + skip, len - skip));
-    if (value[0] == '"' && g_ascii_isdigit(value[1])) {
-        uint64_t version = g_ascii_strtoull(value + 1, &end, 10);
-
-        transfer->version = strcmp(end, "\"") == 0 ? version : 0;
-    }
-    g_free(value);
-    return len;
-}
-
-static int
-status_of_failure(const struct transfer *transfer, CURLcode result)
-{
-    if (transfer->too_large) {
-        return -EMSGSIZE;
-    }
-    switch (result) {
-    case CURLE_OPERATION_TIMEDOUT:
-        return -ETIMEDOUT;
-    case CURLE_COULDNT_CONNECT:
-        return -ECONNREFUSED;
-    case CURLE_COULDNT_RESOLVE_HOST:
-        return -EHOSTUNREACH;
-    case CURLE_GOT_NOTHING:
-    case CURLE_RECV_ERROR:
-    case CURLE_SEND_ERROR:
-        return -ECONNRESET;
-    default:
-        return -EIO;
+    if (etag == NULL || etag[0] != '"' || !g_ascii_isdigit(etag[1])) {
+        return 0;
     }
+    version = g_ascii_strtoull(etag + 1, &end, 10);
+    return strcmp(end, "\"") == 0 ? version : 0;
 }
 
 static int
-status_of_http(const struct transfer *transfer, long http)
+status_of(int http, uint64_t version)
 {
     switch (http) {
-    case HTTP_OK:
-    case HTTP_CREATED:
-    case HTTP_NO_CONTENT:
-        return transfer->version != 0 ? 0 : -EPROTO;
-    case HTTP_NOT_MODIFIED:
+    case HTTPC_OK:
+    case HTTPC_CREATED:
+    case HTTPC_NO_CONTENT:
+        return version != 0 ? 0 : -EPROTO;
+    case HTTPC_NOT_MODIFIED:
         return -EAGAIN;
-    case HTTP_NOT_FOUND:
+    case HTTPC_NOT_FOUND:
         return -ENOENT;
-    case HTTP_PRECONDITION_FAILED:
+    case HTTPC_PRECONDITION_FAILED:
         return -ESTALE;
-    case HTTP_TOO_LARGE:
+    case HTTPC_TOO_LARGE:
         return -EMSGSIZE;
-    case HTTP_TOO_MANY:
-    case HTTP_UNAVAILABLE:
+    case HTTPC_TOO_MANY:
+    case HTTPC_UNAVAILABLE:
         return -EBUSY;
     default:
         return -EIO;
@@ -160,46 +96,83 @@
 }
 
 static void
-fill_reply(struct transfer *transfer, CURLcode result,
+fill_failure(const struct transfer *transfer, int status,
+             struct platform_reply *reply)
+{
+    const struct platform *platform = transfer->platform;
+    const char *why = platform->tls.why;
+
+    reply->status = status;
+    error_set(&reply->error, status, transfer->step, platform->url, "%s",
+              why != NULL ? why : g_strerror(-status));
+}
+
+static void
+fill_reply(const struct transfer *transfer, const struct httpc_reply *answer,
            struct platform_reply *reply)
 {
-    const char *peer = transfer->platform->url;
-    long http = 0;
-
-    curl_easy_getinfo(transfer->easy, CURLINFO_RESPONSE_CODE, &http);
-    if (result != CURLE_OK) {
-        reply->status = status_of_failure(transfer, result);
-        error_set(&reply->error, reply->status, transfer->step, peer, "%s",
-                  transfer->detail[0] != '\0' ? transfer->detail
-                                              : curl_easy_strerror(result));
+    if (answer->status < 0) {
+        fill_failure(transfer, answer->status, reply);
         return;
     }
-    reply->status = status_of_http(transfer, http);
-    reply->version = transfer->version;
+    reply->version = version_of(answer->etag);
+    reply->status = status_of(answer->status, reply->version);
     if (reply->status == 0 && !transfer->is_write) {
-        reply->value = (const char *)transfer->body->data;
-        reply->len = transfer->body->len;
+        reply->value = answer->body;
+        reply->len = answer->len;
     }
     if (reply->status != 0) {
-        error_set(&reply->error, reply->status, transfer->step, peer,
-                  "the platform answered with HTTP status %ld", http);
+        error_set(&reply->error, reply->status, transfer->step,
+                  transfer->platform->url,
+                  "the platform answered with HTTP status %d", answer->status);
     }
 }
 
 static void
-on_done(struct platform_loop *loop, CURL *easy, CURLcode result)
+on_done(struct httpc_call *http, const struct httpc_reply *answer)
 {
-    struct transfer *transfer;
+    struct transfer *transfer = container_of(http, struct transfer, http);
+    struct platform_call *call = transfer->call;
     struct platform_reply reply = {0};
 
-    curl_easy_getinfo(easy, CURLINFO_PRIVATE, (char **)&transfer);
-    fill_reply(transfer, result, &reply);
-    g_hash_table_remove(transfer->platform->transfers, transfer);
-    transfer->call->done(transfer->call, &reply);
-    transfer_free(transfer);
+    fill_reply(transfer, answer, &reply);
+    transfer->call = NULL;
+    call->done(call, &reply);
+}
+
+static void
+transfer_free(gpointer data)
+{
+    struct transfer *transfer = data;
+
+    httpc_free(transfer->httpc);
+    g_free(transfer);
 }
 
-static const struct platform_loop_ops loop_ops = {.done = on_done};
+/* An idle connection, or a new one. */
+static struct transfer *
+transfer_get(struct platform *platform)
+{
+    struct transfer *transfer;
+
+    for (guint i = 0; i < platform->transfers->len; i++) {
+        transfer = g_ptr_array_index(platform->transfers, i);
+        if (transfer->call == NULL) {
+            return transfer;
+        }
+    }
+    transfer = g_new0(struct transfer, 1);
+    transfer->http.done = on_done;
+    transfer->platform = platform;
+    transfer->httpc =
+        httpc_new(platform->base, &platform->peer, PLATFORM_VALUE_MAX);
+    if (transfer->httpc == NULL) {
+        g_free(transfer);
+        return NULL;
+    }
+    g_ptr_array_add(platform->transfers, transfer);
+    return transfer;
+}
 
 static bool
 name_is_valid(const char *name)
@@ -217,189 +190,171 @@
     return name[0] != '.';
 }
 
-static void
-set_common(struct transfer *transfer, const char *url, long timeout_ms)
+static int
+start(struct platform *platform, const char *step,
+      struct httpc_request *request, const char *name, const char *query,
+      struct platform_call *call)
 {
-    CURL *easy = transfer->easy;
-
-    curl_easy_setopt(easy, CURLOPT_URL, url);
-    curl_easy_setopt(easy, CURLOPT_PRIVATE, transfer);
-    curl_easy_setopt(easy, CURLOPT_ERRORBUFFER, transfer->detail);
-    curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, on_body);
-    curl_easy_setopt(easy, CURLOPT_WRITEDATA, transfer);
-    curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, on_header);
-    curl_easy_setopt(easy, CURLOPT_HEADERDATA, transfer);
-    curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, timeout_ms);
-    curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS);
-    curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
-    curl_easy_setopt(easy, CURLOPT_PROXY, "");
-    curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http,https");
+    struct transfer *transfer;
+    char *target;
+    int ret;
+
+    if (!name_is_valid(name)) {
+        return -EINVAL;
+    }
+    transfer = transfer_get(platform);
+    if (transfer == NULL) {
+        return -ENOMEM;
+    }
+    transfer->step = step;
+    transfer->is_write = request->method == HTTPC_PUT;
+    target =
+        g_strdup_printf("%s/v1/objects/%s%s", platform->path, name, query);
+    request->target = target;
+    ret = httpc_start(transfer->httpc, request, &transfer->http);
+    g_free(target);
+    if (ret == 0) {
+        transfer->call = call;
+        platform->calls++;
+    }
+    return ret;
 }
 
-static struct transfer *
-transfer_new(struct platform *platform, struct platform_call *call,
-             const char *step, const char *url, long timeout_ms)
+/* Takes scheme, host, port and path of a base URL. */
+static int
+take_url(struct platform *platform, const struct evhttp_uri *uri)
 {
-    struct transfer *transfer = g_new0(struct transfer, 1);
-
-    transfer->platform = platform;
-    transfer->call = call;
-    transfer->step = step;
-    transfer->body = g_byte_array_new();
-    transfer->easy = curl_easy_init();
-    if (transfer->easy == NULL) {
-        transfer_free(transfer);
-        return NULL;
+    const char *scheme = evhttp_uri_get_scheme(uri);
+    const char *host = evhttp_uri_get_host(uri);
+    const char *path = evhttp_uri_get_path(uri);
+    int port = evhttp_uri_get_port(uri);
+    bool secure = g_strcmp0(scheme, "https") == 0;
+    size_t len;
+
+    if ((!secure && g_strcmp0(scheme, "http") != 0) || host == NULL ||
+        host[0] == '\0') {
+        return -EINVAL;
     }
-    set_common(transfer, url, timeout_ms);
-    return transfer;
+    platform->host = g_strdup(host);
+    platform->path = g_strdup(path != NULL ? path : "");
+    len = strlen(platform->path);
+    while (len > 0 && platform->path[len - 1] == '/') {
+        platform->path[--len] = '\0';
+    }
+    platform->peer.host = platform->host;
+    platform->peer.port =
+        port > 0 ? (uint16_t)port : (secure ? PORT_HTTPS : PORT_HTTP);
+    if (!secure) {
+        return 0;
+    }
+    platform->peer.transport = &platform->tls.base;
+    return tls_init(&platform->tls, host);
 }
 
 static int
-transfer_start(struct transfer *transfer)
+platform_init(struct platform *platform, const char *url)
 {
-    struct platform *platform = transfer->platform;
+    struct evhttp_uri *uri = evhttp_uri_parse(url);
+    int ret = uri != NULL ? take_url(platform, uri) : -EINVAL;
 
-    curl_easy_setopt(transfer->easy, CURLOPT_HTTPHEADER, transfer->headers);
-    if (platform_loop_add(&platform->loop, transfer->easy) < 0) {
-        transfer_free(transfer);
-        return -ENOMEM;
+    if (uri != NULL) {
+        evhttp_uri_free(uri);
+    }
+    if (ret == 0 && !g_hostname_is_ip_address(platform->host)) {
+        platform->peer.names = evdns_base_new(
+            platform->base, EVDNS_BASE_INITIALIZE_NAMESERVERS |
+                                EVDNS_BASE_DISABLE_WHEN_INACTIVE);
+        ret = platform->peer.names != NULL ? 0 : -ENOENT;
     }
-    g_hash_table_add(platform->transfers, transfer);
-    platform->calls++;
-    return 0;
+    return ret;
 }
 
 struct platform *
 platform_new(struct event_base *base, const char *url, struct error *err)
 {
-    struct platform *platform;
-    size_t len = strlen(url);
-
-    if (!g_str_has_prefix(url, "http://") &&
-        !g_str_has_prefix(url, "https://")) {
-        error_set(err, -EINVAL, "platform", url,
-                  "the base URL must begin with http:// or https://");
-        return NULL;
-    }
-    while (len > 0 && url[len - 1] == '/') {
-        len--;
-    }
-    platform = g_new0(struct platform, 1);
-    if (platform_loop_init(&platform->loop, &loop_ops, base) < 0) {
-        error_set(err, -ENOMEM, "platform", url, "no memory for the client");
-        g_free(platform);
+    struct platform *platform = g_new0(struct platform, 1);
+    int ret;
+
+    platform->base = base;
+    platform->url = g_strdup(url);
+    platform->transfers = g_ptr_array_new_with_free_func(transfer_free);
+    ret = platform_init(platform, url);
+    if (ret < 0) {
+        error_set(err, ret, "platform", url, "%s",
+                  ret == -EINVAL
+                      ? "the base URL must begin with http:// or https://"
+                      : "the client can't be set up");
+        platform_free(platform);
         return NULL;
     }
-    platform->url = g_strndup(url, len);
-    platform->transfers = g_hash_table_new(NULL, NULL);
     return platform;
 }
 
 void
 platform_free(struct platform *platform)
 {
-    GHashTableIter iter;
-    gpointer item;
-
     if (platform == NULL) {
         return;
     }
-    g_hash_table_iter_init(&iter, platform->transfers);
-    while (g_hash_table_iter_next(&iter, &item, NULL)) {
-        struct transfer *transfer = item;
-
-        platform_loop_remove(&platform->loop, transfer->easy);
-        transfer_free(transfer);
+    g_ptr_array_free(platform->transfers, TRUE);
+    if (platform->peer.names != NULL) {
+        evdns_base_free(platform->peer.names, 0);
     }
-    g_hash_table_destroy(platform->transfers);
-    platform_loop_finish(&platform->loop);
+    if (platform->tls.context != NULL) {
+        tls_finish(&platform->tls);
+    }
+    g_free(platform->host);
+    g_free(platform->path);
     g_free(platform->url);
     g_free(platform);
 }
 
-static int
-start_read(struct platform *platform, const char *step, const char *name,
-           const char *query, long timeout_ms, struct platform_call *call)
-{
-    struct transfer *transfer;
-    char *url;
-
-    if (!name_is_valid(name)) {
-        return -EINVAL;
-    }
-    url = g_strdup_printf("%s/v1/objects/%s%s", platform->url, name, query);
-    transfer = transfer_new(platform, call, step, url, timeout_ms);
-    g_free(url);
-    return transfer != NULL ? transfer_start(transfer) : -ENOMEM;
-}
-
 int
 platform_get(struct platform *platform, const char *name,
              struct platform_call *call)
 {
-    return start_read(platform, "read", name, "", PLATFORM_TIMEOUT_MS, call);
+    struct httpc_request request = {
+        .method = HTTPC_GET,
+        .timeout_ms = PLATFORM_TIMEOUT_MS,
+    };
+
+    return start(platform, "read", &request, name, "", call);
 }
 
 int
 platform_watch(struct platform *platform, const char *name, uint64_t after,
                unsigned wait_s, struct platform_call *call)
 {
+    struct httpc_request request = {
+        .method = HTTPC_GET,
+        .timeout_ms = wait_s * 1000 + PLATFORM_TIMEOUT_MS,
+    };
     char query[64];
 
     g_snprintf(query, sizeof(query), "?after=%" PRIu64 "&wait=%u", after,
                wait_s);
-    return start_read(platform, "watch", name, query,
-                      (long)wait_s * 1000 + PLATFORM_TIMEOUT_MS, call);
-}
-
-static void
-set_write(struct transfer *transfer, uint64_t expect, const char *value,
-          size_t len)
-{
-    CURL *easy = transfer->easy;
-    char condition[48];
-
-    if (expect == 0) {
-        g_snprintf(condition, sizeof(condition), "If-None-Match: *");
-    }
-    else {
-        g_snprintf(condition, sizeof(condition), "If-Match: \"%" PRIu64 "\"",
-                   expect);
-    }
-    transfer->is_write = true;
-    transfer->headers = curl_slist_append(NULL, condition);
-    transfer->headers =
-        curl_slist_append(transfer->headers, "Content-Type: application/json");
-    transfer->headers = curl_slist_append(transfer->headers, "Expect:");
-    curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, "PUT");
-    curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE, (curl_off_t)len);
-    curl_easy_setopt(easy, CURLOPT_COPYPOSTFIELDS, value);
-    /* On a reused connection libcurl would send a lost write again. */
-    curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
+    return start(platform, "watch", &request, name, query, call);
 }
 
 int
 platform_put(struct platform *platform, const char *name, uint64_t expect,
              const char *value, size_t len, struct platform_call *call)
 {
-    struct transfer *transfer;
-    char *url;
+    char version[32];
+    struct httpc_request request = {
+        .method = HTTPC_PUT,
+        .header = expect == 0 ? "If-None-Match" : "If-Match",
+        .value = expect == 0 ? "*" : version,
+        .body = value,
+        .len = len,
+        .timeout_ms = PLATFORM_TIMEOUT_MS,
+    };
 
-    if (!name_is_valid(name)) {
-        return -EINVAL;
-    }
     if (len > PLATFORM_VALUE_MAX) {
         return -EMSGSIZE;
     }
-    url = g_strdup_printf("%s/v1/objects/%s", platform->url, name);
-    transfer = transfer_new(platform, call, "write", url, PLATFORM_TIMEOUT_MS);
-    g_free(url);
-    if (transfer == NULL) {
-        return -ENOMEM;
-    }
-    set_write(transfer, expect, value, len);
-    return transfer_start(transfer);
+    g_snprintf(version, sizeof(version), "\"%" PRIu64 "\"", expect);
+    return start(platform, "write", &request, name, "", call);
 }
 
 uint64_t
--- a/src/platform/platform.h
+++ b/src/platform/platform.h
@@ -1,5 +1,5 @@
 /**
- * DOC: platform - client of the platform's object API (HTTP, libcurl)
+ * DOC: platform - client of the platform's object API (HTTP or HTTPS)
  *
  *   GET /v1/objects/NAME                    200 body, ETag: "VERSION"; 404
  *   GET /v1/objects/NAME?after=V&wait=S     200 once the version is above V,
--- a/src/relay/share.c
+++ b/src/relay/share.c
@@ -111,19 +111,24 @@
 void
 share_ask(struct share *share, struct addr peer, uint64_t now_us)
 {
+    static const struct httpc_request request = {
+        .method = HTTPC_GET,
+        .target = SHARE_PATH,
+        .timeout_ms = TIMEOUT_MS,
+    };
+
     if (now_us < share->next_us ||
         (share->httpc != NULL && httpc_busy(share->httpc))) {
         return;
     }
     if (share->httpc == NULL || !addr_equal(share->peer, peer)) {
         httpc_free(share->httpc);
-        share->httpc = httpc_new(share->base, peer, BODY_MAX);
+        share->httpc = httpc_new_addr(share->base, peer, BODY_MAX);
         share->peer = peer;
     }
     share->next_us = now_us + PAUSE_US;
     if (share->httpc == NULL ||
-        httpc_start(share->httpc, HTTPC_GET, SHARE_PATH, NULL, 0, TIMEOUT_MS,
-                    &share->call) < 0) {
+        httpc_start(share->httpc, &request, &share->call) < 0) {
         share->ops->answered(share, peer, -ENOMEM);
     }
 }
--- /dev/null
+++ b/tests/platform/tls_test.c
@@ -0,0 +1,180 @@
+#include <event2/bufferevent_ssl.h>
+#include <event2/http.h>
+#include <openssl/evp.h>
+#include <openssl/pem.h>
+#include <openssl/ssl.h>
+#include <openssl/x509v3.h>
+#include <stdbool.h>
+#include <unistd.h>
+
+#include "lib/harness.h"
+#include "platform/platform.h"
+
+#define SUITE "/platform/tls"
+#define DAY_S 86400L
+
+/**
+ * struct site - a platform that speaks TLS, and a client of it
+ * @context: the platform's certificate
+ * @trusted: file of the certificates that the client trusts
+ */
+struct site {
+    struct platform_call call;
+    struct event_base *base;
+    struct evhttp *server;
+    SSL_CTX *context;
+    char *trusted;
+    struct platform *platform;
+    struct error err;
+    int status;
+    uint64_t version;
+    unsigned asked;
+};
+
+static X509 *
+make_certificate(EVP_PKEY *key, const char *names)
+{
+    X509 *cert = X509_new();
+    X509_NAME *name = X509_get_subject_name(cert);
+    X509_EXTENSION *extension =
+        X509V3_EXT_conf_nid(NULL, NULL, NID_subject_alt_name, names);
+
+    X509_set_version(cert, 2);
+    ASN1_INTEGER_set(X509_get_serialNumber(cert), 1);
+    X509_gmtime_adj(X509_getm_notBefore(cert), -DAY_S);
+    X509_gmtime_adj(X509_getm_notAfter(cert), DAY_S);
+    X509_NAME_add_entry_by_txt(name, "CN", MBSTRING_ASC,
+                               (const unsigned char *)"platform", -1, -1, 0);
+    X509_set_issuer_name(cert, name);
+    X509_set_pubkey(cert, key);
+    X509_add_ext(cert, extension, -1);
+    X509_EXTENSION_free(extension);
+    g_assert_cmpint(X509_sign(cert, key, EVP_sha256()), >, 0);
+    return cert;
+}
+
+static void
+trust(struct site *site, X509 *cert)
+{
+    int fd = g_file_open_tmp("trusted-XXXXXX", &site->trusted, NULL);
+    FILE *file = fdopen(fd, "w");
+
+    g_assert_nonnull(file);
+    PEM_write_X509(file, cert);
+    fclose(file);
+    g_setenv("SSL_CERT_FILE", site->trusted, TRUE);
+}
+
+static struct bufferevent *
+on_accept(struct event_base *base, void *data)
+{
+    struct site *site = data;
+
+    return bufferevent_openssl_socket_new(base, -1, SSL_new(site->context),
+                                          BUFFEREVENT_SSL_ACCEPTING,
+                                          BEV_OPT_CLOSE_ON_FREE);
+}
+
+static void
+on_request(struct evhttp_request *request, void *data)
+{
+    struct site *site = data;
+
+    site->asked++;
+    evhttp_add_header(evhttp_request_get_output_headers(request), "ETag",
+                      "\"3\"");
+    evhttp_send_reply(request, 200, "OK", NULL);
+}
+
+static void
+on_done(struct platform_call *call, const struct platform_reply *reply)
+{
+    struct site *site = (struct site *)call;
+
+    site->status = reply->status;
+    site->version = reply->version;
+    site->err = reply->error;
+    event_base_loopbreak(site->base);
+}
+
+/* A platform whose certificate holds @names; the client trusts it, or
+ * another one of the same kind. */
+static void
+site_init(struct site *site, const char *names, bool trusted)
+{
+    EVP_PKEY *key = EVP_EC_gen("P-256");
+    EVP_PKEY *other = EVP_EC_gen("P-256");
+    X509 *cert = make_certificate(key, names);
+    X509 *stranger = make_certificate(other, names);
+    struct evhttp_bound_socket *bound;
+    g_autofree char *url = NULL;
+    ev_uint16_t port;
+    struct sockaddr_in at;
+    socklen_t len = sizeof(at);
+
+    site->context = SSL_CTX_new(TLS_server_method());
+    SSL_CTX_use_certificate(site->context, cert);
+    SSL_CTX_use_PrivateKey(site->context, key);
+    trust(site, trusted ? cert : stranger);
+    site->base = event_base_new();
+    site->server = evhttp_new(site->base);
+    evhttp_set_bevcb(site->server, on_accept, site);
+    evhttp_set_gencb(site->server, on_request, site);
+    bound = evhttp_bind_socket_with_handle(site->server, "127.0.0.1", 0);
+    g_assert_cmpint(getsockname(evhttp_bound_socket_get_fd(bound),
+                                (struct sockaddr *)&at, &len),
+                    ==, 0);
+    port = ntohs(at.sin_port);
+    url = g_strdup_printf("https://127.0.0.1:%u", port);
+    site->platform = platform_new(site->base, url, &site->err);
+    g_assert_nonnull(site->platform);
+    site->call.done = on_done;
+    X509_free(cert);
+    X509_free(stranger);
+    EVP_PKEY_free(key);
+    EVP_PKEY_free(other);
+}
+
+static void
+site_finish(struct site *site)
+{
+    platform_free(site->platform);
+    evhttp_free(site->server);
+    event_base_free(site->base);
+    SSL_CTX_free(site->context);
+    unlink(site->trusted);
+    g_free(site->trusted);
+}
+
+static void
+get(struct site *site)
+{
+    g_assert_cmpint(platform_get(site->platform, "config", &site->call), ==,
+                    0);
+    event_base_dispatch(site->base);
+}
+
+TEST_F(site, a_trusted_platform_answers, "IP:127.0.0.1", true)
+{
+    get(site);
+    g_assert_cmpint(site->status, ==, 0);
+    g_assert_cmpuint(site->version, ==, 3);
+    get(site);
+    g_assert_cmpuint(site->asked, ==, 2);
+}
+
+TEST_F(site, a_platform_of_another_name_is_refused, "DNS:elsewhere", true)
+{
+    get(site);
+    g_assert_cmpint(site->status, <, 0);
+    g_assert_cmpuint(site->asked, ==, 0);
+    g_assert_nonnull(strstr(site->err.detail, "mismatch"));
+}
+
+TEST_F(site, an_unknown_signer_is_refused, "IP:127.0.0.1", false)
+{
+    get(site);
+    g_assert_cmpint(site->status, <, 0);
+    g_assert_cmpuint(site->asked, ==, 0);
+    g_assert_nonnull(strstr(site->err.detail, "self-signed"));
+}
