relay-explain: what processes of relay mode know of one flow

Cause: relay mode had nothing like explain; whoever had a caller and an address from a log line had to ask each process for everything. Tests: relay-steer and relay-door_known a_flow_is_explained; each relay-site run asks for its last flow and checks that a balancer knows it and that an agent says it is there. The stand-in store keeps quiet when its caller was killed.

--- a/scripts/relaybed/__main__.py
+++ b/scripts/relaybed/__main__.py
@@ -62,7 +62,7 @@
         self.store, self.store_port = store_module.serve(("127.0.0.1", 0))
         self.record = {"answered": 0, "failed": 0, "retried": 0,
                        "crossed": 0, "garbled": 0, "shown": False,
-                       "ran": {}}
+                       "explained": False, "ran": {}}
         self.processes = {}
         self.live = {}
         self.endpoints = []
@@ -148,12 +148,24 @@
         while process.poll() is None:
             await asyncio.sleep(0.01)
 
+    def addresses(self):
+        """Ready addresses of all processes, balancers first."""
+        return [f"127.0.1.{i + 1}:{self.ready}" for i in range(BALANCERS)] + \
+            [f"127.0.2.{i + 1}:{self.ready}" for i in range(len(AGENTS))]
+
+    def explain(self, caller, service):
+        """What all processes know of a flow; whether that is where it is."""
+        done = subprocess.run(
+            [self.binary, "relay-explain", caller, service,
+             *self.addresses()], check=False, capture_output=True, text=True)
+        print(done.stdout + done.stderr, end="")
+        return done.returncode == 0 and \
+            done.stdout.count("balancer: route ") == BALANCERS and \
+            "known for" in done.stdout and "agent: here" in done.stdout
+
     def show(self):
         """What all processes say is in force; whether all answered so."""
-        addresses = [f"127.0.1.{i + 1}:{self.ready}" for i in range(BALANCERS)]
-        addresses += [f"127.0.2.{i + 1}:{self.ready}"
-                      for i in range(len(AGENTS))]
-        done = subprocess.run([self.binary, "relay-show", *addresses],
+        done = subprocess.run([self.binary, "relay-show", *self.addresses()],
                               check=False, capture_output=True, text=True)
         print(done.stdout + done.stderr, end="")
         versions = done.stdout.count("version 1, 2 routes")
@@ -213,12 +225,22 @@
             site.start("relay-agent", f"agent-{i + 1}", f"127.0.2.{i + 1}")
 
 
+def service_of(i):
+    """Service of a caller's request number @i."""
+    return "albums" if i % 4 == 3 else "lots"
+
+
+def last_service(seconds):
+    """Service of a caller's last request."""
+    return service_of(int(seconds * PER_CALLER_S) - 1)
+
+
 async def load(site, caller, seconds):
     """Requests of one caller, evenly."""
     tasks = []
     count = int(seconds * PER_CALLER_S)
     for i in range(count):
-        service = "albums" if i % 4 == 3 else "lots"
+        service = service_of(i)
         ip, port = SERVICES[service]
         request = f"{caller.ip}-{i}".encode()
         tasks.append(asyncio.create_task(
@@ -242,6 +264,10 @@
     await inject(site, fault)
     await asyncio.gather(*loads)
     site.record["shown"] = await asyncio.to_thread(site.show)
+    flow = f"{callers[0].local[0]}:{next(callers[0].ports) - 1}"
+    service = ":".join(map(str, SERVICES[last_service(seconds)]))
+    site.record["explained"] = await asyncio.to_thread(site.explain, flow,
+                                                       service)
 
 
 def main():
@@ -269,7 +295,8 @@
     print(json.dumps(record))
     bad = record["failed"] + record["crossed"] + record["garbled"] + \
         record["doubled"]
-    return 1 if bad or not record["answered"] or not record["shown"] else 0
+    told = record["shown"] and record["explained"]
+    return 1 if bad or not record["answered"] or not told else 0
 
 
 if __name__ == "__main__":
--- a/scripts/relaybed/store.py
+++ b/scripts/relaybed/store.py
@@ -68,7 +68,11 @@
         self.send_header("Content-Type", "application/json")
         self.send_header("Content-Length", str(len(raw)))
         self.end_headers()
-        self.wfile.write(raw)
+        try:
+            self.wfile.write(raw)
+        except (BrokenPipeError, ConnectionResetError):
+            # Who asked was killed meanwhile.
+            self.close_connection = True
 
     def parts(self):
         """Kind, name or None, and query; None when the store is away."""
--- a/src/cli/cli.h
+++ b/src/cli/cli.h
@@ -86,4 +86,8 @@
 int
 cli_relay_show(int argc, char **argv);
 
+/** cli_relay_explain() - "swiftarch relay-explain" */
+int
+cli_relay_explain(int argc, char **argv);
+
 #endif
--- a/src/cli/main.c
+++ b/src/cli/main.c
@@ -105,6 +105,8 @@
          run_relay_agent},
         {"relay-show", "tell what is in force on processes of relay mode",
          cli_relay_show},
+        {"relay-explain", "tell what processes of relay mode know of a flow",
+         cli_relay_explain},
 #ifdef SWIFTARCH_TERMINATED
         {"balancer", "forward packets from the fabric", run_balancer},
         {"agent", "serve the upstream beside it", run_agent},
--- /dev/null
+++ b/src/cli/relay_ask.c
@@ -0,0 +1,92 @@
+#include "cli/relay_ask.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#include "base/container.h"
+#include "base/httpc.h"
+
+#define TIMEOUT_MS 2000
+#define BODY_MAX (64u << 20)
+
+/**
+ * struct question - one process is asked
+ * @call: the call
+ * @base: events, left once the answer is there
+ * @json: what it answered, or NULL
+ * @status: HTTP status or a negative errno
+ */
+struct question {
+    struct httpc_call call;
+    struct event_base *base;
+    struct json_object *json;
+    int status;
+};
+
+static void
+on_done(struct httpc_call *call, const struct httpc_reply *reply)
+{
+    struct question *question = container_of(call, struct question, call);
+    struct json_tokener *tokener = json_tokener_new();
+
+    question->status = reply->status;
+    if (reply->status == HTTPC_OK) {
+        question->json =
+            json_tokener_parse_ex(tokener, reply->body, (int)reply->len);
+    }
+    json_tokener_free(tokener);
+    event_base_loopbreak(question->base);
+}
+
+int
+relay_ask(struct event_base *base, const char *address, const char *target,
+          struct json_object **json)
+{
+    struct question question = {.call.done = on_done, .base = base};
+    struct httpc_request request = {
+        .method = HTTPC_GET,
+        .target = target,
+        .timeout_ms = TIMEOUT_MS,
+    };
+    struct httpc *httpc;
+    struct addr addr;
+
+    if (addr_parse(address, &addr) < 0) {
+        fprintf(stderr, "%s: no address such as 127.0.0.1:8167\n", address);
+        return CLI_USAGE;
+    }
+    httpc = httpc_new_addr(base, addr, BODY_MAX);
+    if (httpc != NULL && httpc_start(httpc, &request, &question.call) == 0) {
+        event_base_dispatch(base);
+    }
+    httpc_free(httpc);
+    if (json_object_is_type(question.json, json_type_object)) {
+        *json = question.json;
+        return CLI_OK;
+    }
+    json_object_put(question.json);
+    fprintf(stderr, "%s: no answer: %s\n", address,
+            question.status < 0 ? strerror(-question.status)
+                                : "not a process of relay mode");
+    return CLI_NO_ANSWER;
+}
+
+const char *
+relay_ask_text(struct json_object *json, const char *key)
+{
+    struct json_object *value = NULL;
+
+    json_object_object_get_ex(json, key, &value);
+    return json_object_is_type(value, json_type_string)
+               ? json_object_get_string(value)
+               : "-";
+}
+
+int64_t
+relay_ask_number(struct json_object *json, const char *key)
+{
+    struct json_object *value = NULL;
+
+    json_object_object_get_ex(json, key, &value);
+    return json_object_get_int64(value);
+}
--- /dev/null
+++ b/src/cli/relay_ask.h
@@ -0,0 +1,31 @@
+/**
+ * DOC: relay_ask - one question to a process of relay mode
+ */
+#ifndef SWIFTARCH_CLI_RELAY_ASK_H
+#define SWIFTARCH_CLI_RELAY_ASK_H
+
+#include <event2/event.h>
+#include <json-c/json.h>
+
+#include "cli/cli.h"
+
+/**
+ * relay_ask() - get @target from the process at @address
+ * @json: what it answered; json_object_put() it after CLI_OK
+ *
+ * Return: CLI_OK, or CLI_USAGE or CLI_NO_ANSWER after a message on standard
+ * error.
+ */
+int
+relay_ask(struct event_base *base, const char *address, const char *target,
+          struct json_object **json);
+
+/** relay_ask_text() - a text of an answer, "-" when it holds none */
+const char *
+relay_ask_text(struct json_object *json, const char *key);
+
+/** relay_ask_number() - a number of an answer, 0 when it holds none */
+int64_t
+relay_ask_number(struct json_object *json, const char *key);
+
+#endif
--- /dev/null
+++ b/src/cli/relay_explain.c
@@ -0,0 +1,166 @@
+/**
+ * DOC: relay_explain - "swiftarch relay-explain": what processes of relay
+ * mode know of one flow
+ */
+#include "relay/relay_explain.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+
+#include <argtable2.h>
+#include <event2/event.h>
+#include <glib.h>
+
+#include "cli/cli.h"
+#include "cli/relay_ask.h"
+
+#define ADDRESSES_MAX 1024
+
+static void
+print_list(const char *what, struct json_object *json, const char *key)
+{
+    struct json_object *list = NULL;
+    size_t count = 0;
+
+    if (json_object_object_get_ex(json, key, &list)) {
+        count = json_object_array_length(list);
+    }
+    printf("  %s:", what);
+    for (size_t i = 0; i < count; i++) {
+        printf(" %s",
+               json_object_get_string(json_object_array_get_idx(list, i)));
+    }
+    printf("%s\n", count == 0 ? " nobody" : "");
+}
+
+static bool
+is_set(struct json_object *json, const char *key)
+{
+    struct json_object *value = NULL;
+
+    json_object_object_get_ex(json, key, &value);
+    return json_object_get_boolean(value);
+}
+
+static void
+print_balancer(const char *address, struct json_object *json)
+{
+    bool routed = strcmp(relay_ask_text(json, "route"), "-") != 0;
+
+    if (!routed) {
+        printf("%s balancer: no route in version %" PRId64 "\n", address,
+               relay_ask_number(json, "version"));
+    }
+    else {
+        printf("%s balancer: route %s of version %" PRId64 ", service %s\n",
+               address, relay_ask_text(json, "route"),
+               relay_ask_number(json, "version"),
+               relay_ask_text(json, "service"));
+    }
+    if (is_set(json, "known")) {
+        printf("  known for %" PRId64 " ms, %s, %" PRId64 " tries, %" PRId64
+               " searches, last at %s%s\n",
+               relay_ask_number(json, "age_ms"),
+               is_set(json, "opened") ? "open" : "opening",
+               relay_ask_number(json, "tries"),
+               relay_ask_number(json, "searches"),
+               relay_ask_text(json, "holder"),
+               is_set(json, "held") ? ", which holds its SYN" : "");
+        print_list("endpoints that answered are beside", json, "places");
+    }
+    if (routed) {
+        print_list("a new flow would go to", json, "next");
+    }
+}
+
+static void
+print_agent(const char *address, struct json_object *json)
+{
+    if (!is_set(json, "known")) {
+        printf("%s agent: not known\n", address);
+        return;
+    }
+    printf("%s agent: %s%s%s%s, through balancer %s, sent on to %s\n", address,
+           relay_ask_text(json, "state"),
+           is_set(json, "confirmed") ? ", confirmed by its caller" : "",
+           is_set(json, "proven") ? ", answered by its endpoint" : "",
+           is_set(json, "in_progress") ? ", request in progress" : "",
+           relay_ask_text(json, "balancer"), relay_ask_text(json, "sent_to"));
+}
+
+static int
+explain_one(struct event_base *base, const char *address, const char *target)
+{
+    struct json_object *json = NULL;
+    int code = relay_ask(base, address, target, &json);
+
+    if (code != CLI_OK) {
+        return code;
+    }
+    if (strcmp(relay_ask_text(json, "role"), "balancer") == 0) {
+        print_balancer(address, json);
+    }
+    else {
+        print_agent(address, json);
+    }
+    json_object_put(json);
+    return CLI_OK;
+}
+
+static int
+explain_all(const char *caller, const char *service,
+            const struct arg_str *addresses)
+{
+    struct event_base *base;
+    struct addr addr;
+    char *target;
+    int code = CLI_OK;
+
+    if (addr_parse(caller, &addr) < 0 || addr_parse(service, &addr) < 0) {
+        fprintf(stderr, "CALLER and SERVICE must be ADDRESS:PORT\n");
+        return CLI_USAGE;
+    }
+    base = event_base_new();
+    if (base == NULL) {
+        fprintf(stderr, "no memory\n");
+        return CLI_FAILED;
+    }
+    target = g_strdup_printf("%s?caller=%s&service=%s", RELAY_EXPLAIN_PATH,
+                             caller, service);
+    for (int i = 0; i < addresses->count; i++) {
+        int one = explain_one(base, addresses->sval[i], target);
+
+        code = one != CLI_OK ? one : code;
+    }
+    g_free(target);
+    event_base_free(base);
+    return code;
+}
+
+int
+cli_relay_explain(int argc, char **argv)
+{
+    struct arg_lit *help = arg_lit0("h", "help", "print this");
+    struct arg_str *caller = arg_str1(NULL, NULL, "CALLER",
+                                      "the caller's address and port");
+    struct arg_str *service =
+        arg_str1(NULL, NULL, "SERVICE", "address and port that it opened");
+    struct arg_str *addresses =
+        arg_strn(NULL, NULL, "ADDRESS", 1, ADDRESSES_MAX,
+                 "ready addresses of balancers and agents");
+    struct arg_end *end = arg_end(5);
+    void *table[] = {help, caller, service, addresses, end};
+    int code = CLI_FAILED;
+
+    if (arg_nullcheck(table) != 0) {
+        fprintf(stderr, "%s: no memory\n", argv[0]);
+    }
+    else if (cli_parse(table, help, end,
+                       "Tell what processes of relay mode know of one flow.",
+                       argc, argv, &code)) {
+        code = explain_all(caller->sval[0], service->sval[0], addresses);
+    }
+    arg_freetable(table, G_N_ELEMENTS(table));
+    return code;
+}
--- a/src/relay/door.h
+++ b/src/relay/door.h
@@ -215,4 +215,27 @@
 uint64_t
 door_next_us(const struct door *door);
 
+/**
+ * struct door_explanation - what is known of one flow
+ * @state: where it is, as a word
+ * @confirmed: its caller acknowledged this endpoint's answer
+ * @proven: the endpoint has sent packets of it since
+ * @in_progress: its request counts as being worked on
+ * @origin: balancer that its packets came through last
+ * @target: agent that it was sent on to; address 0 for none
+ */
+struct door_explanation {
+    const char *state;
+    bool confirmed;
+    bool proven;
+    bool in_progress;
+    struct addr origin;
+    struct addr target;
+};
+
+/** door_explain() - tell what is known of a flow; false for nothing */
+bool
+door_explain(const struct door *door, struct relay_flow flow,
+             struct door_explanation *told);
+
 #endif
--- a/src/relay/relay_agent_http.c
+++ b/src/relay/relay_agent_http.c
@@ -6,6 +6,7 @@
 #include <glib.h>
 
 #include "base/container.h"
+#include "relay/relay_explain.h"
 #include "relay/relay_state.h"
 #include "platform/heartbeat_format.h"
 
@@ -141,6 +142,9 @@
         relay_state_respond(request,
                             relay_state_agent(&agent->settings, &agent->door));
     }
+    else if (strcmp(path, RELAY_EXPLAIN_PATH) == 0) {
+        relay_explain_agent(request, &agent->door);
+    }
     else {
         httpd_respond(request, 404, "application/json", "{}", 2);
     }
--- a/src/relay/relay_balancer_http.c
+++ b/src/relay/relay_balancer_http.c
@@ -6,6 +6,7 @@
 #include <glib.h>
 
 #include "base/container.h"
+#include "relay/relay_explain.h"
 #include "relay/relay_state.h"
 
 static void
@@ -61,6 +62,10 @@
         relay_state_respond(request, relay_state_balancer(&balancer->settings,
                                                           &balancer->steer));
     }
+    else if (strcmp(path, RELAY_EXPLAIN_PATH) == 0) {
+        relay_explain_balancer(request, &balancer->steer,
+                               loop_now_us(&balancer->loop));
+    }
     else {
         httpd_respond(request, 404, "application/json", "{}", 2);
     }
--- /dev/null
+++ b/src/relay/relay_explain.c
@@ -0,0 +1,137 @@
+#include "relay/relay_explain.h"
+
+#include <stdio.h>
+
+#include "base/clock.h"
+#include "relay/relay_state.h"
+
+static bool
+read_flow(const struct httpd_request *request, struct relay_flow *flow)
+{
+    const char *caller = httpd_request_query(request, "caller");
+    const char *service = httpd_request_query(request, "service");
+
+    return caller != NULL && service != NULL &&
+           addr_parse(caller, &flow->caller) == 0 &&
+           addr_parse(service, &flow->service) == 0;
+}
+
+static void
+refuse(struct httpd_request *request)
+{
+    static const char text[] =
+        "{\"error\":\"caller and service must be ADDRESS:PORT\"}";
+
+    httpd_respond(request, 400, "application/json", text, sizeof(text) - 1);
+}
+
+static void
+add_addr(struct json_object *json, const char *key, struct addr addr)
+{
+    char text[ADDR_TEXT_MAX];
+
+    if (addr.ip != 0) {
+        json_object_object_add(
+            json, key, json_object_new_string(addr_format(addr, text)));
+    }
+}
+
+static struct json_object *
+list_addrs(const struct addr *addrs, unsigned count)
+{
+    struct json_object *list = json_object_new_array();
+    char text[ADDR_TEXT_MAX];
+
+    for (unsigned i = 0; i < count; i++) {
+        json_object_array_add(
+            list, json_object_new_string(addr_format(addrs[i], text)));
+    }
+    return list;
+}
+
+static struct json_object *
+balancer_json(const struct steer *steer, const struct steer_explanation *told)
+{
+    struct json_object *json = json_object_new_object();
+    char service[16];
+
+    snprintf(service, sizeof(service), "%08x", told->service);
+    json_object_object_add(json, "role", json_object_new_string("balancer"));
+    json_object_object_add(json, "version",
+                           json_object_new_int64(
+                               (int64_t)steer->routes.version));
+    json_object_object_add(json, "route",
+                           told->route != NULL
+                               ? json_object_new_string(told->route->name)
+                               : NULL);
+    json_object_object_add(json, "service", json_object_new_string(service));
+    json_object_object_add(json, "known", json_object_new_boolean(told->known));
+    json_object_object_add(json, "opened",
+                           json_object_new_boolean(told->opened));
+    json_object_object_add(json, "held", json_object_new_boolean(told->held));
+    json_object_object_add(json, "tries",
+                           json_object_new_int((int)told->tries));
+    json_object_object_add(json, "searches",
+                           json_object_new_int((int)told->searches));
+    json_object_object_add(
+        json, "age_ms",
+        json_object_new_int64((int64_t)(told->age_us / USEC_PER_MSEC)));
+    add_addr(json, "holder", told->holder);
+    json_object_object_add(json, "places",
+                           list_addrs(told->places, told->place_count));
+    json_object_object_add(json, "next",
+                           list_addrs(told->next.addrs, told->next.count));
+    return json;
+}
+
+void
+relay_explain_balancer(struct httpd_request *request,
+                       const struct steer *steer, uint64_t now_us)
+{
+    struct steer_explanation told;
+    struct relay_flow flow;
+
+    if (!read_flow(request, &flow)) {
+        refuse(request);
+        return;
+    }
+    steer_explain(steer, flow, now_us, &told);
+    relay_state_respond(request, balancer_json(steer, &told));
+}
+
+static struct json_object *
+agent_json(const struct door_explanation *told, bool known)
+{
+    struct json_object *json = json_object_new_object();
+
+    json_object_object_add(json, "role", json_object_new_string("agent"));
+    json_object_object_add(json, "known", json_object_new_boolean(known));
+    if (!known) {
+        return json;
+    }
+    json_object_object_add(json, "state", json_object_new_string(told->state));
+    json_object_object_add(json, "confirmed",
+                           json_object_new_boolean(told->confirmed));
+    json_object_object_add(json, "proven",
+                           json_object_new_boolean(told->proven));
+    json_object_object_add(json, "in_progress",
+                           json_object_new_boolean(told->in_progress));
+    add_addr(json, "balancer", told->origin);
+    add_addr(json, "sent_to", told->target);
+    return json;
+}
+
+void
+relay_explain_agent(struct httpd_request *request, const struct door *door)
+{
+    struct door_explanation told;
+    struct relay_flow flow;
+    bool known;
+
+    if (!read_flow(request, &flow)) {
+        refuse(request);
+        return;
+    }
+    known = door_explain(door, flow, &told);
+    relay_state_respond(request, agent_json(&told, known));
+}
--- /dev/null
+++ b/src/relay/relay_explain.h
@@ -0,0 +1,24 @@
+/**
+ * DOC: relay_explain - what a process of relay mode knows of one flow, as JSON
+ *
+ * GET RELAY_EXPLAIN_PATH?caller=ADDRESS:PORT&service=ADDRESS:PORT
+ */
+#ifndef SWIFTARCH_RELAY_RELAY_EXPLAIN_H
+#define SWIFTARCH_RELAY_RELAY_EXPLAIN_H
+
+#include "base/httpd.h"
+#include "relay/door.h"
+#include "relay/steer.h"
+
+#define RELAY_EXPLAIN_PATH "/flow"
+
+/** relay_explain_balancer() - answer where the flow is, or would go */
+void
+relay_explain_balancer(struct httpd_request *request,
+                       const struct steer *steer, uint64_t now_us);
+
+/** relay_explain_agent() - answer what the agent knows of the flow */
+void
+relay_explain_agent(struct httpd_request *request, const struct door *door);
+
+#endif
--- a/src/relay/steer.h
+++ b/src/relay/steer.h
@@ -24,7 +24,11 @@
 #include "relay/packet.h"
 #include "relay/routes.h"
 
-/* Flows that a balancer remembers: hundreds of thousands at full size, 224
+/* Endpoints that answered one SYN, at most: one for each try that was only
+ * slow; more are not remembered. */
+#define STEER_PLACES_MAX 2
+
+/* Flows that a balancer remembers: hundreds of thousands at full size, 248
  * bytes each, and pages that were never used cost nothing. */
 #define STEER_FLOWS_MAX (1u << 18)
 
@@ -157,4 +161,39 @@
 bool
 steer_ready(const struct steer *steer);
 
+/**
+ * struct steer_explanation - what is known of one flow
+ * @route: its route, NULL for none; valid until the next configuration
+ * @service: service that it goes to
+ * @known: its packets came here, or an agent told of it
+ * @opened: its caller has sent more than its SYN
+ * @held: its SYN waits at @holder until a slot is free
+ * @holder: agent that had its packets last; address 0 for none
+ * @tries: agents that its SYN was sent to
+ * @searches: how often it was looked for
+ * @age_us: since it is known
+ * @places: agents whose endpoints answered its SYN
+ * @place_count: how many
+ * @next: agents that a new flow of the same ends would go to, best first
+ */
+struct steer_explanation {
+    const struct route *route;
+    uint32_t service;
+    bool known;
+    bool opened;
+    bool held;
+    struct addr holder;
+    unsigned tries;
+    unsigned searches;
+    uint64_t age_us;
+    struct addr places[STEER_PLACES_MAX];
+    unsigned place_count;
+    struct agents_choice next;
+};
+
+/** steer_explain() - tell what is known of a flow; changes nothing */
+void
+steer_explain(const struct steer *steer, struct relay_flow flow,
+              uint64_t now_us, struct steer_explanation *told);
+
 #endif
--- a/src/relay/steer_private.h
+++ b/src/relay/steer_private.h
@@ -13,10 +13,6 @@
  * 200 ms would meet the same flow in too many places. */
 #define STEER_TRIES_MAX 4
 
-/* Endpoints that answered one SYN, at most: one for each try that was only
- * slow; more are not remembered. */
-#define STEER_PLACES_MAX 2
-
 /* Beyond this distance an acknowledgement is not of that endpoint's bytes:
  * 64 packets of 1,200 bytes may be on their way. */
 #define STEER_SEQ_WINDOW 76802u
--- a/tests/relay/door_known_test.c
+++ b/tests/relay/door_known_test.c
@@ -86,6 +86,25 @@
     rig_expect(site->record, NULL);
 }
 
+TEST_F(site, a_flow_is_explained)
+{
+    struct relay_flow flow = rig_flow(1);
+    struct door_explanation told;
+
+    g_assert_false(door_explain(&site->door, flow, &told));
+    site_open_flow(site, 1);
+    g_assert_true(door_explain(&site->door, flow, &told));
+    g_assert_cmpstr(told.state, ==, "here");
+    g_assert_true(told.in_progress);
+    g_assert_false(told.confirmed);
+    site_arrive(site, rig_from_caller(flow, RELAY_ACK, 101, 900001, 40), 2,
+                false);
+    g_assert_true(door_explain(&site->door, flow, &told));
+    g_assert_cmpstr(told.state, ==, "elsewhere");
+    g_assert_true(addr_equal(told.target, rig_addr(SITE_SECOND)));
+    g_assert_true(addr_equal(told.origin, rig_addr(SITE_BALANCER)));
+}
+
 TEST_F(site, a_flow_that_the_endpoint_lacks_is_looked_for)
 {
     struct relay_packet data =
--- a/tests/relay/steer_test.c
+++ b/tests/relay/steer_test.c
@@ -484,6 +484,33 @@
     g_assert_true(addr_equal(site->sent, agent_addr(1)));
 }
 
+TEST_F(site, a_flow_is_explained, 4)
+{
+    struct relay_flow flow = rig_flow(1);
+    struct steer_explanation told;
+
+    steer_explain(&site->steer, flow, site->now_us, &told);
+    g_assert_false(told.known);
+    g_assert_nonnull(told.route);
+    g_assert_cmpuint(told.service, ==, hash_service("lots"));
+    g_assert_cmpuint(told.next.count, ==, 4);
+    arrive(site, rig_from_caller(flow, RELAY_SYN, 9, 0, 0));
+    g_assert_true(addr_equal(site->sent, told.next.addrs[0]));
+    placed(site, site->sent, 1, 500);
+    pass_ms(site, 7);
+    steer_explain(&site->steer, flow, site->now_us, &told);
+    g_assert_true(told.known);
+    g_assert_false(told.opened);
+    g_assert_cmpuint(told.tries, ==, 1);
+    g_assert_cmpuint(told.age_us, ==, 7 * USEC_PER_MSEC);
+    g_assert_cmpuint(told.place_count, ==, 1);
+    g_assert_true(addr_equal(told.places[0], site->sent));
+    flow.service.port++;
+    steer_explain(&site->steer, flow, site->now_us, &told);
+    g_assert_null(told.route);
+    g_assert_cmpuint(told.next.count, ==, 0);
+}
+
 TEST_F(site, a_port_used_again_is_another_flow, 4)
 {
     arrive(site, rig_from_caller(rig_flow(1), RELAY_SYN, 9, 0, 0));
