--- /dev/null
+++ b/bench/relay/bench_store.c
@@ -0,0 +1,188 @@
+/**
+ * DOC: bench_store - calls to the platform's store that balancers make
+ *
+ * Balancers follow the configuration and the list of agents, as processes of
+ * relay mode do, on a clock that is advanced in steps; the store answers at
+ * once, or after a change. For each number of members (half of them
+ * balancers): calls a second in all, and of one balancer. Quiet: nothing
+ * changes; busy: the configuration changes as often as at the size to design
+ * for, and one agent in a thousand is replaced an hour.
+ */
+#include <stdio.h>
+#include <string.h>
+
+#include <glib.h>
+
+#include "base/clock.h"
+#include "base/container.h"
+#include "relay/follow.h"
+
+#define STEP_US (5 * USEC_PER_MSEC)
+#define LAST_S 600
+#define KINDS 2
+
+/* 20,000 changes of the configuration a day. */
+#define CONFIG_GAP_US (4320 * USEC_PER_MSEC)
+#define AGENT_LIFE_US (1000 * 3600 * USEC_PER_SEC)
+
+/* As in relay_balancer.c: a burst of agents costs one call. */
+#define AGENTS_GAP_US (100 * USEC_PER_MSEC)
+
+/**
+ * struct watcher - a connection to the store, and what is followed on it
+ * @call: the open watch, or NULL
+ * @until_us: when it ends empty
+ */
+struct watcher {
+    struct store store;
+    struct follow follow;
+    struct store_call *call;
+    uint64_t until_us;
+};
+
+static uint64_t now_us;
+static uint64_t revision = 1;
+static uint64_t calls;
+
+static int
+store_list(struct store *store, const char *kind, const char *after,
+           struct store_call *call)
+{
+    struct store_reply reply = {.revision = revision};
+
+    calls++;
+    call->done(call, &reply);
+    return 0;
+}
+
+static int
+store_watch(struct store *store, const char *kind, uint64_t from,
+            unsigned wait_ms, struct store_call *call)
+{
+    struct watcher *watcher = container_of(store, struct watcher, store);
+
+    calls++;
+    watcher->call = call;
+    watcher->until_us = now_us + wait_ms * USEC_PER_MSEC;
+    return 0;
+}
+
+static const struct store_ops store_ops = {store_list, store_watch};
+
+static void
+ignore(struct follow *follow)
+{
+}
+
+static void
+ignore_object(struct follow *follow, const struct store_object *object)
+{
+}
+
+static void
+ignore_end(struct follow *follow, int status, bool changed)
+{
+}
+
+static const struct follow_ops follow_ops = {ignore, ignore_object, ignore,
+                                             ignore_end};
+
+/* Ends the watch, with a change or empty. */
+static void
+answer(struct watcher *watcher, bool change)
+{
+    struct store_object object = {.name = "a", .revision = revision};
+    struct store_reply reply = {
+        .revision = revision,
+        .objects = &object,
+        .count = change,
+    };
+    struct store_call *call = watcher->call;
+
+    watcher->call = NULL;
+    call->done(call, &reply);
+}
+
+static void
+change(struct watcher *watchers, size_t balancers, unsigned kind)
+{
+    revision++;
+    for (size_t i = 0; i < balancers; i++) {
+        struct watcher *watcher = &watchers[i * KINDS + kind];
+
+        if (watcher->call != NULL) {
+            answer(watcher, true);
+        }
+    }
+}
+
+static void
+step(struct watcher *watchers, size_t balancers)
+{
+    now_us += STEP_US;
+    for (size_t i = 0; i < balancers * KINDS; i++) {
+        struct watcher *watcher = &watchers[i];
+
+        if (watcher->call != NULL && now_us >= watcher->until_us) {
+            answer(watcher, false);
+        }
+        follow_tick(&watcher->follow, now_us);
+    }
+}
+
+/* Calls a second, after a minute in which all settle. */
+static double
+play(size_t members, bool busy)
+{
+    size_t balancers = members / 2;
+    uint64_t agent_gap_us = AGENT_LIFE_US / (members - balancers);
+    struct watcher *watchers = g_new0(struct watcher, balancers * KINDS);
+    uint64_t config_us = CONFIG_GAP_US;
+    uint64_t agent_us = agent_gap_us;
+    double rate;
+
+    now_us = 1;
+    for (size_t i = 0; i < balancers * KINDS; i++) {
+        watchers[i].store.ops = &store_ops;
+        follow_init(&watchers[i].follow, &follow_ops, &watchers[i].store,
+                    "kind", i % KINDS == 0 ? 0 : AGENTS_GAP_US, i, now_us);
+    }
+    while (now_us < 60 * USEC_PER_SEC) {
+        step(watchers, balancers);
+    }
+    calls = 0;
+    while (now_us < (60 + LAST_S) * USEC_PER_SEC) {
+        if (busy && now_us >= config_us) {
+            config_us = now_us + CONFIG_GAP_US;
+            change(watchers, balancers, 0);
+        }
+        if (busy && now_us >= agent_us) {
+            agent_us = now_us + agent_gap_us;
+            change(watchers, balancers, 1);
+        }
+        step(watchers, balancers);
+    }
+    rate = (double)calls / LAST_S;
+    for (size_t i = 0; i < balancers * KINDS; i++) {
+        follow_finish(&watchers[i].follow);
+    }
+    g_free(watchers);
+    return rate;
+}
+
+int
+main(void)
+{
+    static const size_t sizes[] = {10, 40, 160, 640};
+
+    printf("members  balancers  store calls/s quiet  of one  busy  of one\n");
+    for (size_t i = 0; i < G_N_ELEMENTS(sizes); i++) {
+        double balancers = (double)(sizes[i] / 2);
+        double quiet = play(sizes[i], false);
+        double busy = play(sizes[i], true);
+
+        printf("%7zu %10.0f %20.2f %7.3f %5.2f %7.3f\n", sizes[i], balancers,
+               quiet, quiet / balancers, busy, busy / balancers);
+    }
+    return 0;
+}
--- a/src/cli/relay_explain.c
+++ b/src/cli/relay_explain.c
@@ -142,8 +142,8 @@
 cli_relay_explain(int argc, char **argv)
 {
     struct arg_lit *help = arg_lit0("h", "help", "print this");
-    struct arg_str *caller = arg_str1(NULL, NULL, "CALLER",
-                                      "the caller's address and port");
+    struct arg_str *caller =
+        arg_str1(NULL, NULL, "CALLER", "the caller's address and port");
     struct arg_str *service =
         arg_str1(NULL, NULL, "SERVICE", "address and port that it opened");
     struct arg_str *addresses =
--- a/src/relay/door_explain.c
+++ b/src/relay/door_explain.c
@@ -7,8 +7,8 @@
              struct door_explanation *told)
 {
     static const char *const names[] = {
-        [DOOR_OPENING] = "opening",     [DOOR_HERE] = "here",
-        [DOOR_ASKED] = "asked",         [DOOR_ELSEWHERE] = "elsewhere",
+        [DOOR_OPENING] = "opening", [DOOR_HERE] = "here",
+        [DOOR_ASKED] = "asked",     [DOOR_ELSEWHERE] = "elsewhere",
         [DOOR_HELD] = "held",
     };
     uint32_t handle = flow_index_find(&door->table, flow);
--- a/src/relay/relay_explain.c
+++ b/src/relay/relay_explain.c
@@ -57,15 +57,16 @@
 
     snprintf(service, sizeof(service), "%08x", told->service);
     json_object_object_add(json, "role", json_object_new_string("balancer"));
-    json_object_object_add(json, "version",
-                           json_object_new_int64(
-                               (int64_t)steer->routes.version));
+    json_object_object_add(
+        json, "version",
+        json_object_new_int64((int64_t)steer->routes.version));
     json_object_object_add(json, "route",
                            told->route != NULL
                                ? json_object_new_string(told->route->name)
                                : NULL);
     json_object_object_add(json, "service", json_object_new_string(service));
-    json_object_object_add(json, "known", json_object_new_boolean(told->known));
+    json_object_object_add(json, "known",
+                           json_object_new_boolean(told->known));
     json_object_object_add(json, "opened",
                            json_object_new_boolean(told->opened));
     json_object_object_add(json, "held", json_object_new_boolean(told->held));
