--- a/src/relay/steer_known.c
+++ b/src/relay/steer_known.c
@@ -112,17 +112,6 @@
         steer_drop_packet(steer, STEER_DROP_NO_AGENT, packet);
     }
     pin->searches++;
-    pin->searching = true;
-}
-
-/* A chain ended without finding the flow: the next search asks others. */
-static void
-search_ended(struct steer_pin *pin)
-{
-    if (pin->searching) {
-        pin->search_below = pin->search_end;
-        pin->searching = false;
-    }
 }
 
 /* An agent doesn't hold a flow that was placed there: its next packet looks
@@ -260,7 +249,8 @@
         return;
     }
     if (pin->opened) {
-        search_ended(pin);
+        /* A chain ended without finding it: the next search asks others. */
+        pin->search_below = pin->search_end;
     }
     else if (pin->place_count == 0) {
         steer_try_next(steer, handle, pin->syn, pin->syn_size, now_us);
--- a/src/relay/steer_private.h
+++ b/src/relay/steer_private.h
@@ -48,7 +48,6 @@
  * @search_below: agents that rank below this for the flow are asked next
  * @search_end: rank of the last agent that the last search named
  * @searches: how often it was looked for
- * @searching: a search is on its way, and no chain of it has ended
  * @syn_seq: sequence number of the SYN; another one is another flow
  * @since_us: when the first SYN came
  * @tried_us: when the last try was sent
@@ -67,7 +66,6 @@
     struct addr holder;
     bool held;
     bool opened;
-    bool searching;
     uint8_t searches;
     uint64_t search_below;
     uint64_t search_end;
--- a/tests/platform/tls_test.c
+++ b/tests/platform/tls_test.c
@@ -109,7 +109,7 @@
     struct evhttp_bound_socket *bound;
     g_autofree char *url = NULL;
     ev_uint16_t port;
-    struct sockaddr_in at;
+    struct sockaddr_in at = {0};
     socklen_t len = sizeof(at);
 
     site->context = SSL_CTX_new(TLS_server_method());
--- a/tests/relay/door_known_test.c
+++ b/tests/relay/door_known_test.c
@@ -317,6 +317,18 @@
     rig_expect(site->record, "reset 1001 at 1401", NULL);
 }
 
+/* Its caller may yet say that it took another answer. */
+TEST_F(site, a_flow_that_was_never_answered_is_not_reset)
+{
+    site_heartbeat(site, "i-1", "lots", false, 1);
+    site_open_flow(site, 1);
+    door_left(&site->door, "i-1", site->now_us);
+    g_string_truncate(site->record, 0);
+    site_arrive(site, rig_from_caller(rig_flow(1), RELAY_ACK, 101, 501, 40), 0,
+                false);
+    rig_expect(site->record, "endpoint 40", NULL);
+}
+
 TEST_F(site, another_service_at_the_address_takes_no_flow_of_the_old_one)
 {
     site_heartbeat(site, "i-9", "albums", false, 1);
--- a/tests/relay/steer_test.c
+++ b/tests/relay/steer_test.c
@@ -429,6 +429,18 @@
     g_assert_cmpuint(site->carried, ==, 0);
 }
 
+TEST_F(site, a_late_copy_of_an_open_flows_syn_goes_nowhere, 4)
+{
+    struct relay_flow flow = rig_flow(1);
+
+    arrive(site, rig_from_caller(flow, RELAY_SYN, 9, 0, 0));
+    arrive(site, rig_from_caller(flow, RELAY_ACK, 10, 501, 20));
+    site->carried = 0;
+    arrive(site, rig_from_caller(flow, RELAY_SYN, 9, 1, 0));
+    pass_ms(site, 50);
+    g_assert_cmpuint(site->carried, ==, 0);
+}
+
 TEST_F(site, a_lost_place_is_looked_for_again, 4)
 {
     struct relay_flow flow = rig_flow(1);
