--- a/bench/relay/bench_store.c
+++ b/bench/relay/bench_store.c
@@ -177,7 +177,8 @@
 
     printf("members  balancers  store calls/s quiet  of one  busy  of one\n");
     for (size_t i = 0; i < G_N_ELEMENTS(sizes); i++) {
-        double balancers = (double)(sizes[i] / 2);
+        size_t count = sizes[i] / 2;
+        double balancers = (double)count;
         double quiet = play(sizes[i], false);
         double busy = play(sizes[i], true);
 
--- a/src/cli/apply.c
+++ b/src/cli/apply.c
@@ -9,6 +9,7 @@
 #include "base/clock.h"
 #include "cli/apply_run.h"
 #include "cli/cli.h"
+#include "cli/load_text.h"
 #include "cli/text_diff.h"
 
 #define MSEC_PER_HOUR (3600 * UINT64_C(1000))
@@ -309,13 +310,10 @@
 {
     const char *path = options->file->filename[0];
     struct settings settings;
-    struct text *text = NULL;
-    char *report = NULL;
-    char *data = NULL;
+    struct text *text;
     struct text_forget forget[FORGET_MAX];
     struct text_change change;
     uint64_t expect;
-    size_t len;
     int code = check_options(options, &expect);
 
     if (code == CLI_OK) {
@@ -327,20 +325,12 @@
     if (code != CLI_OK) {
         return code;
     }
-    if (cli_read_file(path, &data, &len) < 0) {
-        return CLI_USAGE;
-    }
-    if (text_parse(data, len, path, &text, &report) == 0) {
+    code = load_text(path, &text);
+    if (code == CLI_OK) {
         code = publish(options, &settings, text, &change,
                        options->expect->count > 0 ? &expect : NULL);
+        text_free(text);
     }
-    else {
-        fputs(report != NULL ? report : "no memory\n", stderr);
-        code = CLI_USAGE;
-    }
-    g_free(report);
-    g_free(data);
-    text_free(text);
     return code;
 }
 
--- a/src/cli/check.c
+++ b/src/cli/check.c
@@ -4,7 +4,7 @@
 #include <glib.h>
 
 #include "cli/cli.h"
-#include "text/text.h"
+#include "cli/load_text.h"
 
 #define SUMMARY "Check an operators' text and print every fault found."
 
@@ -12,25 +12,13 @@
 check_file(const char *path)
 {
     struct text *text;
-    char *report;
-    char *data;
-    size_t len;
-    int rc;
+    int code = load_text(path, &text);
 
-    if (cli_read_file(path, &data, &len) < 0) {
-        return CLI_USAGE;
-    }
-    rc = text_parse(data, len, path, &text, &report);
-    if (report != NULL) {
-        fputs(report, stderr);
-    }
-    if (rc == 0) {
+    if (code == CLI_OK) {
         printf("%s: good: %zu services\n", path, text->count);
+        text_free(text);
     }
-    g_free(report);
-    g_free(data);
-    text_free(text);
-    return rc == 0 ? CLI_OK : CLI_USAGE;
+    return code;
 }
 
 int
--- a/src/cli/explain.c
+++ b/src/cli/explain.c
@@ -10,6 +10,7 @@
 #include "cli/cli.h"
 #include "cli/explain_packet.h"
 #include "cli/explain_request.h"
+#include "cli/load_text.h"
 #include "cli/snapshot.h"
 
 #define SUMMARY                                                               \
@@ -36,25 +37,13 @@
 }
 
 static int
-load_text(const char *path, struct snapshot *snapshot)
+take_text(const char *path, struct snapshot *snapshot)
 {
     struct text *text;
-    char *report;
-    char *data;
-    size_t len;
-    int rc;
+    int code = load_text(path, &text);
 
-    if (cli_read_file(path, &data, &len) < 0) {
-        return CLI_USAGE;
-    }
-    rc = text_parse(data, len, path, &text, &report);
-    if (report != NULL) {
-        fputs(report, stderr);
-    }
-    g_free(report);
-    g_free(data);
-    if (rc < 0) {
-        return CLI_USAGE;
+    if (code != CLI_OK) {
+        return code;
     }
     return snapshot_of_text(snapshot, text) < 0 ? CLI_FAILED : CLI_OK;
 }
@@ -173,7 +162,7 @@
         return CLI_USAGE;
     }
     code = options->text->count > 0
-               ? load_text(options->text->filename[0], &snapshot)
+               ? take_text(options->text->filename[0], &snapshot)
                : load_live(options->settings->filename[0], &snapshot);
     if (code == CLI_OK) {
         code = options->packet->count > 0
