Relay mode: a line for each search, and for where one ends

Change: event=searched at the balancer (tries, who had it last) with swiftarch_searches_total; event=let_go at the agent in both cases. Lines stay under log_per_s. relay-steer counts the search.

--- a/src/relay/door_answer.c
+++ b/src/relay/door_answer.c
@@ -136,6 +136,7 @@
         return;
     }
     door_flow_elsewhere(door, handle);
+    door_decided(door, DOOR_DID_LET_GO, handle, FRAME_REASON_REFUSED);
     door_tell_passed(door, flow_index_flow(&door->table, handle), flow->origin,
                      FRAME_REASON_REFUSED, flow->target, now_us);
 }
--- a/src/relay/door_known.c
+++ b/src/relay/door_known.c
@@ -143,6 +143,7 @@
     }
     door_drop(door, DOOR_DROP_NOBODY);
     if (next.ip == 0) {
+        door_decided(door, DOOR_DID_LET_GO, handle, FRAME_REASON_REFUSED);
         door_tell_passed(door, flow_index_flow(&door->table, handle),
                          frame->origin, FRAME_REASON_REFUSED, next, now_us);
     }
--- a/src/relay/relay_balancer_http.c
+++ b/src/relay/relay_balancer_http.c
@@ -22,6 +22,7 @@
         "swiftarch_flows_opened_total %" PRIu64 "\n"
         "swiftarch_flows_tried_again_total %" PRIu64 "\n"
         "swiftarch_flows_placed_total %" PRIu64 "\n"
+        "swiftarch_searches_total %" PRIu64 "\n"
         "swiftarch_pings_total %" PRIu64 "\n"
         "swiftarch_flows_reset_total %" PRIu64 "\n"
         "swiftarch_flows %u\n"
@@ -30,8 +31,8 @@
         "swiftarch_log_lines_left_out_total %" PRIu64 "\n",
         balancer->counts.packets, balancer->counts.frames_out,
         balancer->counts.opened, balancer->counts.tried_again,
-        balancer->counts.placed, balancer->counts.pings,
-        balancer->counts.resets, steer->flows.used,
+        balancer->counts.placed, balancer->counts.searched,
+        balancer->counts.pings, balancer->counts.resets, steer->flows.used,
         agents_count(&steer->agents), steer->routes.version,
         balancer->log.left_out_total);
     for (size_t i = 0; i < STEER_DROP_COUNT; i++) {
--- a/src/relay/relay_balancer_out.c
+++ b/src/relay/relay_balancer_out.c
@@ -19,6 +19,7 @@
     [STEER_DID_SEND] = "sent",
     [STEER_DID_PLACE] = "placed",
     [STEER_DID_RESET] = "reset",
+    [STEER_DID_SEARCH] = "searched",
 };
 
 /* Outputs of steer. */
@@ -112,6 +113,7 @@
     char peer[ADDR_TEXT_MAX];
 
     balancer->counts.placed += placed;
+    balancer->counts.searched += did == STEER_DID_SEARCH;
     balancer->counts.opened += sent && tries == 1;
     balancer->counts.tried_again += sent && tries > 1;
     /* A flow's first try is told by the line that says where it ended. */
--- a/src/relay/relay_balancer_private.h
+++ b/src/relay/relay_balancer_private.h
@@ -74,6 +74,7 @@
         uint64_t opened;
         uint64_t tried_again;
         uint64_t placed;
+        uint64_t searched;
         uint64_t pings;
         uint64_t resets;
         uint64_t dropped[STEER_DROP_COUNT];
--- a/src/relay/steer.c
+++ b/src/relay/steer.c
@@ -169,7 +169,7 @@
             steer_remember(steer, flow, route_service(route, flow), now_us);
         steer->pins[handle].last_ack = packet->ack;
         steer->pins[handle].opened = true;
-        steer_search(steer, handle, packet);
+        steer_search(steer, handle, packet, now_us);
     }
 }
 
--- a/src/relay/steer.h
+++ b/src/relay/steer.h
@@ -42,11 +42,12 @@
     STEER_DROP_COUNT,
 };
 
-/** enum steer_did - what became of a new flow */
+/** enum steer_did - what became of a flow */
 enum steer_did {
-    STEER_DID_SEND,  /* its SYN went to an agent */
-    STEER_DID_PLACE, /* an agent says that its endpoint holds it */
-    STEER_DID_RESET, /* no endpoint holds it, and its caller is told */
+    STEER_DID_SEND,   /* its SYN went to an agent */
+    STEER_DID_PLACE,  /* an agent says that its endpoint holds it */
+    STEER_DID_RESET,  /* no endpoint holds it, and its caller is told */
+    STEER_DID_SEARCH, /* it is open, and not known where: agents are asked */
 };
 
 struct steer_out;
--- a/src/relay/steer_known.c
+++ b/src/relay/steer_known.c
@@ -90,28 +90,41 @@
     return true;
 }
 
-/* Sends a packet of an open flow along the agents that may hold it. */
-void
-steer_search(struct steer *steer, uint32_t handle,
-             const struct relay_packet *packet)
+/* Sends a packet along up to SEARCH_CHAINS chains; how many there were. */
+static unsigned
+search_chains(struct steer *steer, struct steer_pin *pin,
+              const struct relay_packet *packet)
 {
-    struct steer_pin *pin = &steer->pins[handle];
     unsigned chains = 0;
 
     pin->search_end = pin->search_below;
     while (chains < SEARCH_CHAINS && search_chain(steer, pin, packet)) {
         chains++;
     }
+    return chains;
+}
+
+/* Sends a packet of an open flow along the agents that may hold it. */
+void
+steer_search(struct steer *steer, uint32_t handle,
+             const struct relay_packet *packet, uint64_t now_us)
+{
+    struct steer_pin *pin = &steer->pins[handle];
+    unsigned chains = search_chains(steer, pin, packet);
+
     if (chains == 0 && pin->search_below != AGENTS_ALL) {
         /* All were asked: some may know better by now. */
         pin->search_below = AGENTS_ALL;
-        steer_search(steer, handle, packet);
-        return;
+        chains = search_chains(steer, pin, packet);
     }
     if (chains == 0) {
         steer_drop_packet(steer, STEER_DROP_NO_AGENT, packet);
+        return;
     }
     pin->searches++;
+    steer->out->ops->decided(steer->out, STEER_DID_SEARCH,
+                             relay_flow_from_caller(packet), pin->holder,
+                             pin->searches, now_us - pin->since_us);
 }
 
 /* An agent doesn't hold a flow that was placed there: its next packet looks
@@ -176,7 +189,7 @@
         steer_carry_to(steer, pin, place->agent, packet);
     }
     else {
-        steer_search(steer, handle, packet);
+        steer_search(steer, handle, packet, now_us);
     }
 }
 
--- a/src/relay/steer_private.h
+++ b/src/relay/steer_private.h
@@ -119,7 +119,7 @@
  * hold it */
 void
 steer_search(struct steer *steer, uint32_t handle,
-             const struct relay_packet *packet);
+             const struct relay_packet *packet, uint64_t now_us);
 
 /** steer_carry_known() - a packet of a flow that is known */
 void
--- a/tests/relay/steer_test.c
+++ b/tests/relay/steer_test.c
@@ -15,6 +15,7 @@
  * struct site - one balancer whose outputs are written down
  * @sent: agent that the last packet went to
  * @frame: what it went with
+ * @searches: searches that were told of
  * @named: agents that any frame since a clearing was for
  */
 struct site {
@@ -26,6 +27,7 @@
     struct frame_carry frame;
     unsigned carried;
     unsigned pings;
+    unsigned searches;
     bool unlisted;
     bool named[AGENTS_MOST + 1];
 };
@@ -77,6 +79,7 @@
 decided(struct steer_out *out, enum steer_did did, struct relay_flow flow,
         struct addr agent, unsigned tries, uint64_t age_us)
 {
+    ((struct site *)out)->searches += did == STEER_DID_SEARCH;
 }
 
 static const struct steer_out_ops ops = {carry,  reset,   ping,
@@ -365,6 +368,7 @@
     arrive(site, rig_from_caller(rig_flow(1), RELAY_ACK, 10, 501, 20));
     g_assert_cmpuint(site->carried, ==, 4);
     g_assert_cmpuint(named_count(site), ==, 64);
+    g_assert_cmpuint(site->searches, ==, 1);
 }
 
 TEST_F(site, a_search_that_ends_goes_on_with_the_others, 100)
--- a/tests/stack/stack_loop.c
+++ b/tests/stack/stack_loop.c
@@ -136,8 +136,8 @@
     g_assert_nonnull(loop->stack);
     g_assert_cmpint(stack_add_address(loop->stack, LOOP_SERVER_IP), ==, 0);
     g_assert_cmpint(stack_add_address(loop->stack, LOOP_CLIENT_IP), ==, 0);
-    g_assert_cmpint(stack_listen(loop->stack, (struct addr){LOOP_SERVER_IP, 80}),
-                    ==, 0);
+    g_assert_cmpint(
+        stack_listen(loop->stack, (struct addr){LOOP_SERVER_IP, 80}), ==, 0);
     g_test_message("seed %u", seed);
 }
 
