A fault soak of relay mode, real processes with overlapping faults

Checked while it runs: whole packets, the right service, nothing twice, no reset of a living flow, nothing new at an endpoint that left; then a calm in which all is answered and the last configuration in force. Plays have a loopback net of their own: relay-site-balancer-stop failed once beside soaks, its endpoint's port was taken (traced in the log).

--- a/scripts/relaybed/__main__.py
+++ b/scripts/relaybed/__main__.py
@@ -11,6 +11,7 @@
 import asyncio
 import ipaddress
 import json
+import os
 import pathlib
 import signal
 import socket
@@ -23,6 +24,9 @@
 from scripts.relaybed.caller import Caller
 from scripts.relaybed.endpoint import Endpoint
 
+# Loopback addresses of this play alone: ports that the kernel calls free may
+# be taken at another play's addresses.
+NET = f"127.{16 + os.getpid() % 200}"
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
 SERVICES = {"lots": ("198.18.0.1", 8443), "albums": ("198.18.0.2", 8443)}
 BALANCERS = 2
@@ -85,7 +89,7 @@
         if role == "relay-balancer":
             base |= {"frames": f"{ip}:{self.frames}",
                      "share": f"{ip}:{self.share}",
-                     "peers": [f"127.0.1.{i + 1}:{self.share}"
+                     "peers": [f"{NET}.1.{i + 1}:{self.share}"
                                for i in range(BALANCERS)]}
         else:
             base |= {"upstream": f"{ip}:{self.app}",
@@ -93,7 +97,7 @@
                      "heartbeats": f"{ip}:{self.heartbeats}",
                      "service": AGENTS[int(name.split("-")[1]) - 1],
                      "frames_port": self.frames,
-                     "peers": [f"127.0.1.{i + 1}:1" for i in range(BALANCERS)]}
+                     "peers": [f"{NET}.1.{i + 1}:1" for i in range(BALANCERS)]}
         path = self.folder / f"{name}.json"
         path.write_text(json.dumps(base))
         return path
@@ -113,16 +117,16 @@
         self.config(1)
         for i in range(BALANCERS):
             self.start("relay-balancer", f"balancer-{i + 1}",
-                       f"127.0.1.{i + 1}")
+                       f"{NET}.1.{i + 1}")
         for i, service in enumerate(AGENTS):
-            ip = f"127.0.2.{i + 1}"
+            ip = f"{NET}.2.{i + 1}"
             self.start("relay-agent", f"agent-{i + 1}", ip)
             endpoint = Endpoint(service, (ip, self.app), (ip, self.outbound),
                                 (ip, self.heartbeats), self.record)
             await endpoint.start()
             self.endpoints.append(endpoint)
         for i in range(BALANCERS):
-            await self.until_ready(f"127.0.1.{i + 1}")
+            await self.until_ready(f"{NET}.1.{i + 1}")
 
     async def until_ready(self, ip):
         """Wait until /ready answers 200, for 30 s at most."""
@@ -150,8 +154,8 @@
 
     def addresses(self):
         """Ready addresses of all processes, balancers first."""
-        return [f"127.0.1.{i + 1}:{self.ready}" for i in range(BALANCERS)] + \
-            [f"127.0.2.{i + 1}:{self.ready}" for i in range(len(AGENTS))]
+        return [f"{NET}.1.{i + 1}:{self.ready}" for i in range(BALANCERS)] + \
+            [f"{NET}.2.{i + 1}:{self.ready}" for i in range(len(AGENTS))]
 
     def explain(self, caller, service):
         """What all processes know of a flow; whether that is where it is."""
@@ -185,12 +189,12 @@
     if fault == "agent-kill":
         await site.kill("agent-1")
         await asyncio.sleep(0.3)
-        site.start("relay-agent", "agent-1", "127.0.2.1")
+        site.start("relay-agent", "agent-1", f"{NET}.2.1")
     elif fault in ("balancer-kill", "balancer-stop"):
         site.live.pop("balancer-1")
         how = signal.SIGKILL if fault == "balancer-kill" else signal.SIGTERM
         await site.kill("balancer-1", how)
-        site.start("relay-balancer", "balancer-1", "127.0.1.1")
+        site.start("relay-balancer", "balancer-1", f"{NET}.1.1")
     elif fault == "endpoint-crash":
         site.endpoints[0].crash()
         await asyncio.sleep(0.5)
@@ -203,9 +207,9 @@
         site.store.away = True
         await asyncio.sleep(0.5)
         await site.kill("agent-2")
-        site.start("relay-agent", "agent-2", "127.0.2.2")
+        site.start("relay-agent", "agent-2", f"{NET}.2.2")
         await site.kill("balancer-2")
-        site.start("relay-balancer", "balancer-2", "127.0.1.2")
+        site.start("relay-balancer", "balancer-2", f"{NET}.1.2")
         await asyncio.sleep(1)
         site.store.away = False
     elif fault == "store-loses":
@@ -220,9 +224,9 @@
             await site.kill(name)
         for i in range(BALANCERS):
             site.start("relay-balancer", f"balancer-{i + 1}",
-                       f"127.0.1.{i + 1}")
+                       f"{NET}.1.{i + 1}")
         for i in range(len(AGENTS)):
-            site.start("relay-agent", f"agent-{i + 1}", f"127.0.2.{i + 1}")
+            site.start("relay-agent", f"agent-{i + 1}", f"{NET}.2.{i + 1}")
 
 
 def service_of(i):
@@ -254,7 +258,7 @@
     await site.begin()
     callers = []
     for i in range(CALLERS):
-        ip = f"127.0.3.{i + 1}"
+        ip = f"{NET}.3.{i + 1}"
         caller = Caller(ip, number(ip), site.packets, site.live.values(),
                         site.record)
         await caller.start()
--- a/scripts/relaybed/caller.py
+++ b/scripts/relaybed/caller.py
@@ -14,13 +14,17 @@
 class Caller(asyncio.DatagramProtocol):
     """One caller's address; the fabric hands its packets to balancers."""
 
-    def __init__(self, ip_text, ip, port, balancers, record):
+    def __init__(self, ip_text, ip, port, balancers, record, holds=None):
+        # Whether an endpoint still holds a flow, by its number.
+        self.holds = holds
         self.local = (ip_text, port)
         self.ip = ip
         self.balancers = balancers
         self.record = record
         self.transport = None
         self.ports = itertools.count(10000)
+        # Another one moves flows to other balancers.
+        self.salt = 0
         self.waiting = {}
 
     async def start(self):
@@ -31,7 +35,8 @@
 
     def send(self, packet):
         """Through whichever balancer the fabric picks for the flow."""
-        number = zlib.crc32(repr((packet.src, packet.dst)).encode())
+        number = self.salt + \
+            zlib.crc32(repr((packet.src, packet.dst)).encode())
         targets = list(self.balancers)
         if targets:
             self.transport.sendto(packet.encode(),
@@ -83,6 +88,8 @@
         else:
             return None
         if packet.flags & pk.RST:
+            if self.holds is not None and self.holds((src, dst), opened.seq):
+                self.record["cut"] += 1
             return None
         self.send(pk.Packet(src, dst, pk.FIN | pk.ACK, 101 + len(request),
                             ack))
--- a/scripts/relaybed/endpoint.py
+++ b/scripts/relaybed/endpoint.py
@@ -9,6 +9,10 @@
 SLOTS = 2
 WORK_S = 0.005
 HEARTBEAT_S = 0.2
+# An endpoint that has just started resets flows that it never held.
+FRESH_S = 0.1
+# A new flow so long after its leaving was acknowledged is one too late.
+DRAIN_S = 1
 
 
 class Endpoint(asyncio.DatagramProtocol):
@@ -29,14 +33,21 @@
         self.state = "ready"
         self.sequence = 0
         self.id = ""
+        self.drained_at = None
+        self.started_at = 0
+        # When the agent beside it started last: until the next heartbeat
+        # that one doesn't know what an earlier one acknowledged.
+        self.agent_at = 0
 
     async def start(self):
         """Begin, with a new id and without any flow."""
         self.id = f"i-{next(self.starts)}"
         self.flows = {}
         self.state = "ready"
+        self.drained_at = None
         self.sequence = 0
         loop = asyncio.get_running_loop()
+        self.started_at = loop.time()
         self.transport, _ = await loop.create_datagram_endpoint(
             lambda: self, local_addr=self.address)
         self.task = asyncio.create_task(self.beat())
@@ -64,9 +75,12 @@
         """Heartbeats until the end."""
         while True:
             self.sequence += 1
-            await self.call("PUT", (
-                f'{{"service":"{self.service}","state":"{self.state}",'
+            state = self.state
+            known = await self.call("PUT", (
+                f'{{"service":"{self.service}","state":"{state}",'
                 f'"slots":{SLOTS},"sequence":{self.sequence}}}'))
+            if known and state == "draining" and self.drained_at is None:
+                self.drained_at = asyncio.get_running_loop().time()
             await asyncio.sleep(HEARTBEAT_S)
 
     async def leave(self):
@@ -86,12 +100,15 @@
             return
         flow = (packet.src, packet.dst)
         if packet.flags & pk.SYN:
+            now = asyncio.get_running_loop().time()
+            since = max(self.drained_at or now, self.agent_at)
+            if flow not in self.flows and now > since + DRAIN_S:
+                self.record["drained"] = self.record.get("drained", 0) + 1
             self.flows.setdefault(flow, [random.getrandbits(32), False])
             self.send(pk.Packet(packet.dst, packet.src, pk.SYN | pk.ACK,
                                 self.flows[flow][0], packet.seq + 1))
         elif flow not in self.flows:
-            packet.flags |= pk.BOUNCED
-            self.send(packet)
+            self.refuse(packet)
         elif packet.data:
             if not self.flows[flow][1]:
                 self.flows[flow][1] = True
@@ -101,6 +118,16 @@
         elif packet.flags & pk.FIN:
             self.flows.pop(flow, None)
 
+    def refuse(self, packet):
+        """Hand back what isn't of a flow here; data is reset at first."""
+        age = asyncio.get_running_loop().time() - self.started_at
+        if packet.data and age < FRESH_S:
+            self.send(pk.Packet(packet.dst, packet.src, pk.RST | pk.ACK,
+                                packet.ack, packet.seq))
+            return
+        packet.flags |= pk.BOUNCED
+        self.send(packet)
+
     async def work(self, flow, packet):
         """Run a request and answer it."""
         async with self.slots:
--- a/src/platform/platform.c
+++ b/src/platform/platform.c
@@ -95,6 +95,23 @@
     }
 }
 
+static const char *
+sentence_of(int status)
+{
+    switch (status) {
+    case -ECONNREFUSED:
+        return "nobody accepts connections there";
+    case -ECONNRESET:
+        return "the connection ended without an answer";
+    case -ETIMEDOUT:
+        return "no answer came in time";
+    case -EMSGSIZE:
+        return "the answer is too large";
+    default:
+        return "what came is no answer";
+    }
+}
+
 static void
 fill_failure(const struct transfer *transfer, int status,
              struct platform_reply *reply)
@@ -104,7 +121,7 @@
 
     reply->status = status;
     error_set(&reply->error, status, transfer->step, platform->url, "%s",
-              why != NULL ? why : g_strerror(-status));
+              why != NULL ? why : sentence_of(status));
 }
 
 static void
