--- a/scripts/relaybed/endpoint.py
+++ b/scripts/relaybed/endpoint.py
@@ -9,6 +9,8 @@
 SLOTS = 2
 WORK_S = 0.005
 HEARTBEAT_S = 0.2
+# An acknowledgement beyond this isn't of an endpoint's own bytes.
+ACK_MOST = 100000
 # An endpoint that has just started resets flows that it never held.
 FRESH_S = 0.1
 # A new flow so long after its leaving was acknowledged is one too late.
@@ -109,6 +111,9 @@
                                 self.flows[flow][0], packet.seq + 1))
         elif flow not in self.flows:
             self.refuse(packet)
+        elif packet.ack - self.flows[flow][0] & 0xffffffff > ACK_MOST:
+            # Its own handshake isn't over: this is of another's.
+            return
         elif packet.data:
             if not self.flows[flow][1]:
                 self.flows[flow][1] = True
