--- a/src/cli/cli.c
+++ b/src/cli/cli.c
@@ -17,7 +17,7 @@
     fprintf(out, "Usage: swiftarch COMMAND [OPTION]...\n"
                  "       swiftarch --help | --version\n\nCommands:\n");
     for (size_t i = 0; i < count; i++) {
-        fprintf(out, "  %-10s %s\n", commands[i].name, commands[i].summary);
+        fprintf(out, "  %-14s %s\n", commands[i].name, commands[i].summary);
     }
     fprintf(out, "\nswiftarch COMMAND --help tells a command's options.\n"
                  "Exit codes: 0 done, 1 failed, 2 usage, settings or text "
