control: the thread's parts call downwards only

Change: control.c is the program; the others tell it through struct control_ops (step, on_peer) and know nobody beside them; the clocks are below all. nm on the objects shows no call back.

--- a/src/control/control.c
+++ b/src/control/control.c
@@ -7,7 +7,6 @@
 #include <string.h>
 #include <sys/eventfd.h>
 #include <sys/random.h>
-#include <time.h>
 #include <unistd.h>
 #include <urcu.h>
 
@@ -21,21 +20,6 @@
 #define FLUSH_TURNS 20
 #define FLUSH_TURN_MS 10
 
-uint64_t
-control_now(struct control *control)
-{
-    return clock_now_us(control->clock);
-}
-
-uint64_t
-control_wall_ms(void)
-{
-    struct timespec now;
-
-    clock_gettime(CLOCK_REALTIME, &now);
-    return (uint64_t)now.tv_sec * 1000 + now.tv_nsec / 1000000;
-}
-
 /* A process takes no new work before it has a configuration. */
 static void
 take_local(struct control *control, uint64_t now_us)
@@ -117,8 +101,9 @@
             extension->ops->on_step(extension, now_us, control_wall_ms());
 }
 
-void
-control_step(struct control *control)
+/* Does what is due, sends, publishes, sets the timer. */
+static void
+step(struct control *control)
 {
     uint64_t now_us = control_now(control);
 
@@ -134,12 +119,34 @@
     set_timer(control, now_us);
 }
 
+static void
+on_peer(struct control *control, struct link_conn *conn,
+        enum control_frame type, const uint8_t *body, size_t len)
+{
+    switch (type) {
+    case CONTROL_FRAME_CONFIG_REQUEST:
+        control_config_request(control, conn, body, len);
+        break;
+    case CONTROL_FRAME_CONFIG_REPLY:
+        control_config_reply(control, body, len);
+        break;
+    case CONTROL_FRAME_SHOW_REQUEST:
+        control_show(control, conn, body, len);
+        break;
+    default:
+        control->bad_messages++;
+        break;
+    }
+}
+
+static const struct control_ops control_ops = {step, on_peer};
+
 static void
 on_timer(evutil_socket_t fd, short what, void *data)
 {
     struct control *control = data;
 
-    control_step(control);
+    step(control);
     control_count(control);
 }
 
@@ -152,7 +159,7 @@
     if (read(control->wake, &count, sizeof(count)) < 0)
         return;
     take_reports(control, control_now(control));
-    control_step(control);
+    step(control);
     if (__atomic_load_n(&control->stopping, __ATOMIC_ACQUIRE))
         event_base_loopbreak(control->base);
 }
@@ -179,7 +186,7 @@
 
     rcu_register_thread();
     start_extension(control);
-    control_step(control);
+    step(control);
     event_base_dispatch(control->base);
     say_goodbye(control);
     control_count(control);
@@ -277,6 +284,7 @@
         error_set(err, -ENOMEM, "control", NULL, "No memory.");
         return NULL;
     }
+    control->ops = &control_ops;
     control->settings = settings;
     control->board = board;
     control->clock = clock;
--- a/src/control/control_config.c
+++ b/src/control/control_config.c
@@ -57,7 +57,7 @@
     if (config_answered(&control->config, reply->status, reply->version,
                         now_us))
         adopt(control, reply->version, reply->value, reply->len, now_us);
-    control_step(control);
+    control->ops->step(control);
 }
 
 static void
@@ -90,7 +90,7 @@
                          control_now(control));
     else if (control->seeds.calling == SEEDS_READ)
         take_seeds(control, reply);
-    control_step(control);
+    control->ops->step(control);
 }
 
 int
--- a/src/control/control_internal.h
+++ b/src/control/control_internal.h
@@ -1,6 +1,10 @@
 /**
  * DOC: control_internal - what the parts of the control thread share
  *
+ * control.c is the program and calls control_config, control_net and
+ * control_show; they call nobody above or beside them, but tell the program
+ * through struct control_ops. control_clock is below all.
+ *
  * All of it but @lock and what it guards belongs to the control thread.
  */
 #ifndef SWIFTARCH_CONTROL_CONTROL_INTERNAL_H
@@ -68,8 +72,20 @@
     uint64_t incarnation;
 };
 
+struct control;
+
+/** struct control_ops - what the parts below tell the thread's program */
+struct control_ops {
+    /** @step: something changed: do what is due, send, publish */
+    void (*step)(struct control *control);
+    /** @on_peer: a frame about the configuration, or a question */
+    void (*on_peer)(struct control *control, struct link_conn *conn,
+                    enum control_frame type, const uint8_t *body, size_t len);
+};
+
 /**
  * struct control - the control thread
+ * @ops: its program, control.c
  * @conn: connection whose frame is being handled, or NULL
  * @local_seq: sequence of the board's local part taken last
  * @load_us: when loads may be published again
@@ -77,6 +93,7 @@
  */
 struct control {
     struct link_handler handler;
+    const struct control_ops *ops;
     const struct settings *settings;
     struct board *board;
     struct clock *clock;
@@ -117,7 +134,7 @@
     bool stopping;
 };
 
-/* control.c */
+/* control_clock.c */
 
 /** control_now() - clock of this process, microseconds */
 uint64_t
@@ -127,10 +144,6 @@
 uint64_t
 control_wall_ms(void);
 
-/** control_step() - do what is due, send, publish, set the timer */
-void
-control_step(struct control *control);
-
 /* control_net.c */
 
 /** control_net_open() - bind the sockets of settings.control */
--- a/src/control/control_net.c
+++ b/src/control/control_net.c
@@ -116,7 +116,7 @@
         if (!receive_one(control))
             break;
     }
-    control_step(control);
+    control->ops->step(control);
 }
 
 static void
@@ -131,23 +131,14 @@
     case CONTROL_FRAME_SYNC:
         handle_message(control, body, len, sender, none);
         break;
-    case CONTROL_FRAME_CONFIG_REQUEST:
-        control_config_request(control, conn, body, len);
-        break;
-    case CONTROL_FRAME_CONFIG_REPLY:
-        control_config_reply(control, body, len);
-        break;
-    case CONTROL_FRAME_SHOW_REQUEST:
-        control_show(control, conn, body, len);
-        break;
     case CONTROL_FRAME_EXTENSION:
         handle_extension(control, body, len);
         break;
     default:
-        control->bad_messages++;
+        control->ops->on_peer(control, conn, type, body, len);
         break;
     }
-    control_step(control);
+    control->ops->step(control);
     control->conn = NULL;
 }
 
@@ -162,7 +153,7 @@
         member_refused(&control->members, peer, now_us);
     if (control->config.fetching && addr_equal(peer, control->fetch_from))
         config_fetched(&control->config, 0, now_us);
-    control_step(control);
+    control->ops->step(control);
 }
 
 static const struct link_ops link_ops = {
