--- a/src/relay/door_known.c
+++ b/src/relay/door_known.c
@@ -132,8 +132,8 @@
 
 /* A packet of a flow that went on goes after it. */
 static void
-follow_on(struct door *door, uint32_t handle, const struct frame_carry *frame,
-          uint64_t now_us)
+carry_elsewhere(struct door *door, uint32_t handle,
+                const struct frame_carry *frame, uint64_t now_us)
 {
     struct addr next = where_next(&door->flows[handle], frame);
 
@@ -159,7 +159,7 @@
     flow_index_touch(&door->table, handle, now_us);
     switch (flow->state) {
     case DOOR_ELSEWHERE:
-        follow_on(door, handle, frame, now_us);
+        carry_elsewhere(door, handle, frame, now_us);
         return;
     case DOOR_HELD:
         /* Its caller had another answer to its SYN: that waits no more. */
