The soak's stand-ins end before their event loop

Ruled out: the product's processes (idle, relay-show and /metrics answered seven minutes on), the proxy's tasks (they end on cancellation). Change: the loop ends with its endpoint's socket, and plays end their endpoints. The other play (relay-site tests) had the same loop.

--- a/scripts/relaybed/__main__.py
+++ b/scripts/relaybed/__main__.py
@@ -175,6 +175,11 @@
         versions = done.stdout.count("version 1, 2 routes")
         return done.returncode == 0 and versions == BALANCERS
 
+    def end_endpoints(self):
+        """End all endpoints, before the event loop ends."""
+        for endpoint in self.endpoints:
+            endpoint.crash()
+
     def end(self):
         """End what is left."""
         for process in self.processes.values():
@@ -272,6 +277,7 @@
     service = ":".join(map(str, SERVICES[last_service(seconds)]))
     site.record["explained"] = await asyncio.to_thread(site.explain, flow,
                                                        service)
+    site.end_endpoints()
 
 
 def main():
--- a/scripts/relaybed/endpoint.py
+++ b/scripts/relaybed/endpoint.py
@@ -74,8 +74,9 @@
             return False
 
     async def beat(self):
-        """Heartbeats until the end."""
-        while True:
+        """Heartbeats until the end. wait_for() may swallow a cancellation
+        that comes with the answer: the closed transport ends it then."""
+        while not self.transport.is_closing():
             self.sequence += 1
             state = self.state
             known = await self.call("PUT", (
--- a/scripts/relaybed/soak.py
+++ b/scripts/relaybed/soak.py
@@ -230,6 +230,7 @@
         self.record["failed"] = await self.calm()
         shown = await asyncio.to_thread(self.in_force)
         self.proxy.end()
+        self.site.end_endpoints()
         return shown
 
     def in_force(self):
