Endpoints that start again under their id; entries of other writers

Cause: a start of an endpoint was its id alone, so one reborn under it went unacknowledged until its count caught up, and one that had said goodbye for good; a heartbeat of any service and with fields of other types or without them was believed; one object of the store that couldn't be read made the whole list unreadable (-EPROTO), and an agent's object under another name was taken for the agent in it. Change: a start is the id and the time at which it began. A later one voids flows, counts and the learned pace of the earlier; an earlier one's heartbeat or goodbye changes nothing and isn't acknowledged, unless the current one has been silent for four heartbeats (the time of day may go back between two starts). Heartbeats are refused by reason, counted, one line a change of reason. Items of a list or watch that can't be read are left out and counted; an agent whose object was overwritten writes it anew. Weighed: telling callers that wait for an answer as soon as the new start is heard. Refused: flows opened between its start and its first heartbeat live.

--- a/scripts/relaybed/endpoint.py
+++ b/scripts/relaybed/endpoint.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 import random
+import time
 
 from scripts.relaybed import packet as pk
 
@@ -35,6 +36,7 @@
         self.state = "ready"
         self.sequence = 0
         self.id = ""
+        self.born = 0
         self.drained_at = None
         self.started_at = 0
         # When the agent beside it started last: until the next heartbeat
@@ -42,8 +44,11 @@
         self.agent_at = 0
 
     async def start(self):
-        """Begin, with a new id and without any flow."""
-        self.id = f"i-{next(self.starts)}"
+        """Begin, without any flow; under a new id, or as often under the one
+        that it had, at a later time."""
+        if not self.id or random.random() < 0.5:
+            self.id = f"i-{next(self.starts)}"
+        self.born = max(self.born + 1, int(time.time() * 1000))
         self.flows = {}
         self.state = "ready"
         self.drained_at = None
@@ -81,14 +86,15 @@
             state = self.state
             known = await self.call("PUT", (
                 f'{{"service":"{self.service}","state":"{state}",'
-                f'"slots":{SLOTS},"sequence":{self.sequence}}}'))
+                f'"slots":{SLOTS},"sequence":{self.sequence},'
+                f'"born":{self.born}}}'))
             if known and state == "draining" and self.drained_at is None:
                 self.drained_at = asyncio.get_running_loop().time()
             await asyncio.sleep(HEARTBEAT_S)
 
     async def leave(self):
         """Say goodbye and end."""
-        await self.call("DELETE", "")
+        await self.call("DELETE", f'{{"born":{self.born}}}')
         self.crash()
 
     def send(self, packet):
--- a/src/relay/door.c
+++ b/src/relay/door.c
@@ -161,30 +161,39 @@
     door_admit_held(door, now_us);
 }
 
-void
+/* What the endpoint did before its start is over. Callers learn it with their
+ * next packet, which it bounces: those that were opened between its start and
+ * its first heartbeat live, and nothing here tells which those are. */
+static void
+void_earlier(struct door *door)
+{
+    door->start++;
+    while (door->busy_count > 0) {
+        door_flow_idle(door, door->busy[0]);
+    }
+    pace_init(&door->pace);
+}
+
+bool
 door_heartbeat(struct door *door, const struct heartbeat *heartbeat,
                uint64_t now_us)
 {
-    bool other = door->endpoint.start_count > 0 &&
-                 strcmp(door->endpoint.starts[0].id, heartbeat->id) != 0;
+    enum endpoint_news news =
+        endpoint_heartbeat(&door->endpoint, heartbeat, now_us);
 
-    if (!endpoint_heartbeat(&door->endpoint, heartbeat, now_us) && !other) {
-        return;
+    if (news == ENDPOINT_STARTED) {
+        void_earlier(door);
     }
-    if (other && strcmp(door->endpoint.starts[0].id, heartbeat->id) == 0) {
-        /* What the endpoint did before its start is over. */
-        door->start++;
-        while (door->busy_count > 0) {
-            door_flow_idle(door, door->busy[0]);
-        }
+    if (news == ENDPOINT_STARTED || news == ENDPOINT_CHANGED) {
+        door_tell_state(door, now_us);
     }
-    door_tell_state(door, now_us);
+    return news != ENDPOINT_EARLIER;
 }
 
 void
-door_left(struct door *door, const char *id, uint64_t now_us)
+door_left(struct door *door, const char *id, uint64_t born_ms, uint64_t now_us)
 {
-    if (endpoint_left(&door->endpoint, id)) {
+    if (endpoint_left(&door->endpoint, id, born_ms)) {
         door_tell_state(door, now_us);
     }
 }
--- a/src/relay/door.h
+++ b/src/relay/door.h
@@ -193,14 +193,17 @@
 door_from_endpoint(struct door *door, const struct relay_packet *packet,
                    uint64_t now_us);
 
-/** door_heartbeat() - the endpoint's heartbeat came */
-void
+/** door_heartbeat() - the endpoint's heartbeat came; whether it is believed,
+ * and so acknowledged */
+bool
 door_heartbeat(struct door *door, const struct heartbeat *heartbeat,
                uint64_t now_us);
 
-/** door_left() - the endpoint said that it ends */
+/** door_left() - the endpoint said that it ends; @id and @born_ms as for
+ * endpoint_left() */
 void
-door_left(struct door *door, const char *id, uint64_t now_us);
+door_left(struct door *door, const char *id, uint64_t born_ms,
+          uint64_t now_us);
 
 /** door_close() - a planned stop: no new flow from now on, and balancers are
  * told so; flows that are here go on */
--- a/src/relay/door_open.c
+++ b/src/relay/door_open.c
@@ -18,6 +18,7 @@
     struct door_flow *flow = &door->flows[handle];
 
     flow->state = DOOR_OPENING;
+    flow->start = door->start;
     flow->tried_us = now_us;
     door_flow_busy(door, handle, now_us);
     door_wait_push(door, handle, now_us);
--- a/src/relay/endpoint.h
+++ b/src/relay/endpoint.h
@@ -1,9 +1,10 @@
 /**
  * DOC: endpoint - what an agent knows of the endpoint beside it
  *
- * From its heartbeats, from its goodbye, and from whether it answers. Each
- * start of an endpoint has an id of its own; a heartbeat of an earlier start
- * that was held up on its way changes nothing for long.
+ * From its heartbeats, from its goodbye, and from whether it answers. A start
+ * of an endpoint is an id and the time of day at which it began: the same id
+ * may start again. A heartbeat or goodbye of an earlier start that was held up
+ * on its way changes nothing for long.
  */
 #ifndef SWIFTARCH_RELAY_ENDPOINT_H
 #define SWIFTARCH_RELAY_ENDPOINT_H
@@ -18,7 +19,9 @@
 
 /**
  * struct heartbeat - what an endpoint says of itself
- * @id: names this start of it
+ * @id: names the endpoint
+ * @born_ms: when this start of it began, Unix time; 0 when it doesn't say:
+ *           then the id alone tells its starts apart
  * @service: hash_service() of its service
  * @draining: it ends soon and takes nothing new
  * @slots: requests that it runs at a time
@@ -27,6 +30,7 @@
  */
 struct heartbeat {
     char id[ENDPOINT_ID_MAX];
+    uint64_t born_ms;
     uint32_t service;
     bool draining;
     unsigned slots;
@@ -37,12 +41,16 @@
 /**
  * struct endpoint_start - one start of an endpoint
  * @id: its id
+ * @born_ms: when it began, 0 when it doesn't say
  * @sequence: highest seen
+ * @draining: it said last that it takes nothing new
  * @left: it said that it ends
  */
 struct endpoint_start {
     char id[ENDPOINT_ID_MAX];
+    uint64_t born_ms;
     uint64_t sequence;
+    bool draining;
     bool left;
 };
 
@@ -52,6 +60,7 @@
  * @state: what it is fit for
  * @slots: requests that it runs at a time
  * @warm_us: when it is fast again
+ * @heard_us: last heartbeat of the current start
  * @starts: the starts seen last, @starts[0] the current one
  * @start_count: how many
  */
@@ -60,6 +69,7 @@
     enum endpoint_state state;
     unsigned slots;
     uint64_t warm_us;
+    uint64_t heard_us;
     struct endpoint_start starts[ENDPOINT_STARTS_MAX];
     unsigned start_count;
 };
@@ -68,15 +78,37 @@
 void
 endpoint_init(struct endpoint *endpoint, const char *service);
 
-/** endpoint_heartbeat() - take a heartbeat; whether the state or the service
- * changed */
-bool
+/** enum endpoint_news - what a heartbeat brought */
+enum endpoint_news {
+    ENDPOINT_NO_NEWS, /* it is late, or says what is known */
+    ENDPOINT_CHANGED, /* the state or the service is another */
+    ENDPOINT_STARTED, /* another start: what the earlier one held is over */
+    ENDPOINT_EARLIER, /* of a start before the current one: not believed */
+};
+
+/**
+ * endpoint_heartbeat() - take a heartbeat
+ *
+ * One of a start that began before the current one was held up on its way, and
+ * one that doesn't say when, after one that did, is of somebody else. It
+ * is believed only when the current one has been silent for several
+ * heartbeats: the time of day may have gone back between the two.
+ */
+enum endpoint_news
 endpoint_heartbeat(struct endpoint *endpoint,
                    const struct heartbeat *heartbeat, uint64_t now_us);
 
-/** endpoint_left() - the start @id ends; whether the state changed */
+/**
+ * endpoint_left() - a start ends
+ * @id: its id
+ * @born_ms: when it began, 0 when its goodbye doesn't say: then it counts only
+ *           for one that doesn't either or that said before that it drains,
+ *           as it may be of an earlier start
+ *
+ * Return: whether the state changed.
+ */
 bool
-endpoint_left(struct endpoint *endpoint, const char *id);
+endpoint_left(struct endpoint *endpoint, const char *id, uint64_t born_ms);
 
 /** endpoint_answered() - it sent something; whether the state changed */
 bool
--- a/src/relay/presence.c
+++ b/src/relay/presence.c
@@ -55,14 +55,18 @@
 }
 
 int
-presence_decode(struct json_object *value, struct presence *presence)
+presence_decode(const char *name, struct json_object *value,
+                struct presence *presence)
 {
     const char *addr = text(value, "address");
     const char *service = text(value, "service");
     const char *data_centre = text(value, "data_centre");
+    struct addr named;
 
     if (addr == NULL || service == NULL || data_centre == NULL ||
-        addr_parse(addr, &presence->addr) < 0) {
+        addr_parse(addr, &presence->addr) < 0 ||
+        presence_addr(name, &named) < 0 ||
+        !addr_equal(named, presence->addr)) {
         return -EINVAL;
     }
     g_strlcpy(presence->service, service, sizeof(presence->service));
--- a/src/relay/presence.h
+++ b/src/relay/presence.h
@@ -42,9 +42,17 @@
 int
 presence_addr(const char *name, struct addr *addr);
 
-/** presence_decode() - read an object's value; 0 or -EINVAL */
+/**
+ * presence_decode() - read an object
+ *
+ * Others may write objects of the kind: one whose name isn't that of the
+ * address in it, or whose value can't be read, names no agent.
+ *
+ * Return: 0 or -EINVAL.
+ */
 int
-presence_decode(struct json_object *value, struct presence *presence);
+presence_decode(const char *name, struct json_object *value,
+                struct presence *presence);
 
 /** presence_encode() - the value of an object */
 struct json_object *
--- a/src/relay/relay_agent.c
+++ b/src/relay/relay_agent.c
@@ -185,6 +185,7 @@
 
     agent->out.ops = &relay_agent_out_ops;
     agent->frames.fd = agent->outbound.fd = -1;
+    agent->refused_last = HEARTBEAT_TAKEN;
     if (loop_init(&agent->loop, &loop_ops) < 0) {
         return error_set(err, -ENOMEM, "start", NULL, "no event loop");
     }
--- a/src/relay/relay_agent_http.c
+++ b/src/relay/relay_agent_http.c
@@ -1,11 +1,13 @@
 #include "relay/relay_agent_private.h"
 
+#include <errno.h>
 #include <inttypes.h>
 #include <string.h>
 
 #include <glib.h>
 
 #include "base/container.h"
+#include "base/hash.h"
 #include "relay/relay_explain.h"
 #include "relay/relay_state.h"
 #include "platform/heartbeat_format.h"
@@ -19,26 +21,70 @@
                    agent->door.endpoint.slots, agent->door.busy_count, cause);
 }
 
+/* In words, by enum heartbeat_refusal. */
+static const char *const refusal_names[] = {
+    [HEARTBEAT_NO_JSON] = "no_json",
+    [HEARTBEAT_SERVICE] = "no_service",
+    [HEARTBEAT_STATE] = "no_state",
+    [HEARTBEAT_FIELD] = "wrong_field",
+    [HEARTBEAT_OTHER_SERVICE] = "other_service",
+    [HEARTBEAT_EARLIER] = "earlier_start",
+};
+
+static const enum heartbeat_refusal refusal_of[] = {
+    [HEARTBEAT_FORMAT_NO_JSON] = HEARTBEAT_NO_JSON,
+    [HEARTBEAT_FORMAT_SERVICE] = HEARTBEAT_SERVICE,
+    [HEARTBEAT_FORMAT_STATE] = HEARTBEAT_STATE,
+    [HEARTBEAT_FORMAT_FIELD] = HEARTBEAT_FIELD,
+};
+
+/* Counts a heartbeat that isn't believed; a line when the reason is another
+ * than the last one's. */
+static void
+note_refused(struct relay_agent *agent, enum heartbeat_refusal why,
+             const struct error *err)
+{
+    char line[512];
+
+    agent->counts.refused_heartbeats[why]++;
+    if (agent->refused_last == why) {
+        return;
+    }
+    agent->refused_last = why;
+    event_log_line(&agent->log, EVENT_RARE, "heartbeat_refused",
+                   "cause=%s reason=\"%s\"", refusal_names[why],
+                   error_format(err, line, sizeof(line)));
+}
+
 static int
 take_heartbeat(struct relay_agent *agent, const char *id,
                struct httpd_request *request)
 {
     enum endpoint_state before = agent->door.endpoint.state;
+    enum heartbeat_format_fault fault;
     struct heartbeat heartbeat;
     struct error err = {0};
-    char line[512];
     size_t len;
     const char *body = httpd_request_body(request, &len);
 
-    if (heartbeat_format_decode(id, body, len, &heartbeat, &err) < 0) {
-        agent->counts.refused_heartbeats++;
-        event_log_line(&agent->log, EVENT_ROUTINE, "heartbeat_refused",
-                       "reason=\"%s\"",
-                       error_format(&err, line, sizeof(line)));
+    if (heartbeat_format_decode(id, body, len, &heartbeat, &fault, &err) < 0) {
+        note_refused(agent, refusal_of[fault], &err);
+        return 400;
+    }
+    if (heartbeat.service != hash_service(agent->settings.service)) {
+        error_set(&err, -EINVAL, "take a heartbeat", id,
+                  "the endpoint here is of %s", agent->settings.service);
+        note_refused(agent, HEARTBEAT_OTHER_SERVICE, &err);
         return 400;
     }
+    if (!door_heartbeat(&agent->door, &heartbeat, loop_now_us(&agent->loop))) {
+        error_set(&err, -EINVAL, "take a heartbeat", id,
+                  "it is of a start before the current one");
+        note_refused(agent, HEARTBEAT_EARLIER, &err);
+        return 503;
+    }
     agent->counts.heartbeats++;
-    door_heartbeat(&agent->door, &heartbeat, loop_now_us(&agent->loop));
+    agent->refused_last = HEARTBEAT_TAKEN;
     if (agent->door.endpoint.state != before) {
         log_endpoint(agent, id, "heartbeat");
     }
@@ -46,11 +92,15 @@
 }
 
 static int
-take_goodbye(struct relay_agent *agent, const char *id)
+take_goodbye(struct relay_agent *agent, const char *id,
+             struct httpd_request *request)
 {
     enum endpoint_state before = agent->door.endpoint.state;
+    size_t len;
+    const char *body = httpd_request_body(request, &len);
 
-    door_left(&agent->door, id, loop_now_us(&agent->loop));
+    door_left(&agent->door, id, heartbeat_format_goodbye(body, len),
+              loop_now_us(&agent->loop));
     if (agent->door.endpoint.state != before) {
         log_endpoint(agent, id, "goodbye");
     }
@@ -74,7 +124,7 @@
         status = take_heartbeat(agent, id, request);
     }
     else if (strcmp(method, "DELETE") == 0) {
-        status = take_goodbye(agent, id);
+        status = take_goodbye(agent, id, request);
     }
     httpd_respond(request, status, "application/json", HEARTBEAT_FORMAT_ACK,
                   strlen(HEARTBEAT_FORMAT_ACK));
@@ -94,7 +144,6 @@
         "swiftarch_frames_received_total %" PRIu64 "\n"
         "swiftarch_frames_sent_on_total %" PRIu64 "\n"
         "swiftarch_heartbeats_total %" PRIu64 "\n"
-        "swiftarch_heartbeats_refused_total %" PRIu64 "\n"
         "swiftarch_flows_placed_total %" PRIu64 "\n"
         "swiftarch_flows_held_total %" PRIu64 "\n"
         "swiftarch_flows_held %u\n"
@@ -105,10 +154,16 @@
         "swiftarch_log_lines_left_out_total %" PRIu64 "\n",
         agent->counts.to_endpoint, agent->counts.to_caller,
         agent->counts.frames_in, agent->counts.frames_on,
-        agent->counts.heartbeats, agent->counts.refused_heartbeats,
-        agent->counts.placed, agent->counts.held, agent->door.held_count,
-        agent->counts.resets, agent->door.busy_count, agent->door.table.used,
-        (int)agent->door.endpoint.state, agent->log.left_out_total);
+        agent->counts.heartbeats, agent->counts.placed, agent->counts.held,
+        agent->door.held_count, agent->counts.resets, agent->door.busy_count,
+        agent->door.table.used, (int)agent->door.endpoint.state,
+        agent->log.left_out_total);
+    for (size_t i = 0; i < HEARTBEAT_TAKEN; i++) {
+        g_string_append_printf(
+            text,
+            "swiftarch_heartbeats_refused_total{reason=\"%s\"} %" PRIu64 "\n",
+            refusal_names[i], agent->counts.refused_heartbeats[i]);
+    }
     for (size_t i = 1; i <= FRAME_REASON_MAX; i++) {
         g_string_append_printf(
             text, "swiftarch_flows_passed_total{reason=\"%s\"} %" PRIu64 "\n",
--- a/src/relay/relay_agent_private.h
+++ b/src/relay/relay_agent_private.h
@@ -16,6 +16,17 @@
 #include "relay/relay_settings.h"
 #include "relay/settings_file.h"
 
+/** enum heartbeat_refusal - why a heartbeat wasn't believed */
+enum heartbeat_refusal {
+    HEARTBEAT_NO_JSON,
+    HEARTBEAT_SERVICE,
+    HEARTBEAT_STATE,
+    HEARTBEAT_FIELD,
+    HEARTBEAT_OTHER_SERVICE, /* of a service that isn't the endpoint's here */
+    HEARTBEAT_EARLIER,       /* of a start before the current one */
+    HEARTBEAT_TAKEN,         /* it was believed */
+};
+
 /**
  * struct relay_agent - the program
  * @loop: events and time
@@ -37,6 +48,7 @@
  * @stop_us: when the planned stop began, 0 for none
  * @packet_us: when the last packet came
  * @flush_us: when the log is written next
+ * @refused_last: why the last heartbeat wasn't believed
  * @counts: packets and frames
  */
 struct relay_agent {
@@ -59,13 +71,14 @@
     uint64_t stop_us;
     uint64_t packet_us;
     uint64_t flush_us;
+    enum heartbeat_refusal refused_last;
     struct {
         uint64_t to_endpoint;
         uint64_t to_caller;
         uint64_t frames_in;
         uint64_t frames_on;
         uint64_t heartbeats;
-        uint64_t refused_heartbeats;
+        uint64_t refused_heartbeats[HEARTBEAT_TAKEN];
         uint64_t placed;
         uint64_t held;
         uint64_t resets;
--- a/src/relay/relay_balancer_http.c
+++ b/src/relay/relay_balancer_http.c
@@ -28,13 +28,14 @@
         "swiftarch_flows %u\n"
         "swiftarch_agents %zu\n"
         "swiftarch_config_version %" PRIu64 "\n"
+        "swiftarch_agent_objects_refused_total %" PRIu64 "\n"
         "swiftarch_log_lines_left_out_total %" PRIu64 "\n",
         balancer->counts.packets, balancer->counts.frames_out,
         balancer->counts.opened, balancer->counts.tried_again,
         balancer->counts.placed, balancer->counts.searched,
         balancer->counts.pings, balancer->counts.resets, steer->flows.used,
         agents_count(&steer->agents), steer->routes.version,
-        balancer->log.left_out_total);
+        balancer->counts.unreadable, balancer->log.left_out_total);
     for (size_t i = 0; i < STEER_DROP_COUNT; i++) {
         g_string_append_printf(
             text, "swiftarch_dropped_total{reason=\"%s\"} %" PRIu64 "\n",
--- a/src/relay/relay_balancer_private.h
+++ b/src/relay/relay_balancer_private.h
@@ -77,6 +77,7 @@
         uint64_t searched;
         uint64_t pings;
         uint64_t resets;
+        uint64_t unreadable;
         uint64_t dropped[STEER_DROP_COUNT];
     } counts;
 };
--- a/src/relay/relay_balancer_store.c
+++ b/src/relay/relay_balancer_store.c
@@ -122,18 +122,22 @@
     struct presence presence;
     struct addr addr;
 
-    if (object->removed) {
+    bool unreadable =
+        !object->removed &&
+        presence_decode(object->name, object->value, &presence) < 0;
+
+    if (unreadable) {
+        balancer->counts.unreadable++;
+        event_log_line(&balancer->log, EVENT_RARE, "agent_refused",
+                       "object=%s reason=\"it can't be read\"", object->name);
+    }
+    if (object->removed || unreadable) {
+        /* An agent that is there writes its object anew when it is told. */
         if (presence_addr(object->name, &addr) == 0) {
             agents_unlist(&balancer->steer.agents, addr, now_us);
         }
         return;
     }
-    if (presence_decode(object->value, &presence) < 0) {
-        event_log_line(&balancer->log, EVENT_RARE, "agent_refused",
-                       "object=%s reason=\"its value can't be read\"",
-                       object->name);
-        return;
-    }
     agents_list(&balancer->steer.agents, presence.addr,
                 hash_service(presence.service), presence.data_centre, now_us);
     event_log_line(&balancer->log, EVENT_ROUTINE, "agent_listed",
--- a/src/relay/store.h
+++ b/src/relay/store.h
@@ -37,6 +37,7 @@
  * @more: the list goes on after its last name
  * @objects: what came
  * @count: how many
+ * @unreadable: how many items were left out because they can't be read
  */
 struct store_reply {
     int status;
@@ -44,6 +45,7 @@
     bool more;
     struct store_object *objects;
     size_t count;
+    size_t unreadable;
 };
 
 /** struct store_call - caller-owned; @done is told once, at the end */
--- a/tests/relay/door_site.c
+++ b/tests/relay/door_site.c
@@ -160,6 +160,20 @@
                 rig_from_endpoint(flow, RELAY_SYN | RELAY_ACK, 500, 101, 0));
 }
 
+void
+site_starts(struct site *site, const char *id, uint64_t born_ms)
+{
+    struct heartbeat beat = {
+        .born_ms = born_ms,
+        .service = hash_service("lots"),
+        .slots = 2,
+        .sequence = 1,
+    };
+
+    g_strlcpy(beat.id, id, sizeof(beat.id));
+    door_heartbeat(&site->door, &beat, site->now_us);
+}
+
 void
 site_heartbeat(struct site *site, const char *id, const char *service,
                bool draining, uint64_t sequence)
--- a/tests/relay/door_site.h
+++ b/tests/relay/door_site.h
@@ -69,6 +69,10 @@
 void
 site_fill(struct site *site);
 
+/** site_starts() - the endpoint sends its first heartbeat since @born_ms */
+void
+site_starts(struct site *site, const char *id, uint64_t born_ms);
+
 /** site_heartbeat() - the endpoint sends one */
 void
 site_heartbeat(struct site *site, const char *id, const char *service,
