--- a/bench/relay/bench_relay.c
+++ b/bench/relay/bench_relay.c
@@ -46,6 +46,17 @@
 {
 }
 
+static void
+steer_ask(struct steer_out *out, struct addr agent,
+          const struct frame_ask *ask)
+{
+}
+
+static void
+steer_confirm(struct steer_out *out, uint64_t now_us)
+{
+}
+
 static void
 steer_behind(struct steer_out *out, const struct frame_version *newer)
 {
@@ -65,9 +76,15 @@
 {
 }
 
-static const struct steer_out_ops steer_ops = {steer_carry,   steer_reset,
-                                               steer_ping,    steer_behind,
-                                               steer_dropped, steer_decided};
+static void
+steer_concluded(struct steer_out *out, const struct steer_round *round,
+                unsigned over)
+{
+}
+
+static const struct steer_out_ops steer_ops = {
+    steer_carry,  steer_reset,   steer_ping,    steer_ask,      steer_confirm,
+    steer_behind, steer_dropped, steer_decided, steer_concluded};
 
 static void
 door_to_endpoint(struct door_out *out, const uint8_t *packet, size_t size)
@@ -109,6 +126,17 @@
 {
 }
 
+static void
+door_absent(struct door_out *out, struct addr balancer,
+            const struct frame_absent *absent)
+{
+}
+
+static void
+door_probe(struct door_out *out)
+{
+}
+
 static void
 door_dropped(struct door_out *out, enum door_drop why)
 {
@@ -122,8 +150,8 @@
 }
 
 static const struct door_out_ops door_ops = {
-    door_to_endpoint, door_to_caller, door_reset,   door_carry_on,
-    door_tell,        door_serves,    door_dropped, door_decided};
+    door_to_endpoint, door_to_caller, door_reset, door_carry_on, door_tell,
+    door_serves,      door_absent,    door_probe, door_dropped,  door_decided};
 
 static uint64_t
 now_ns(void)
--- a/src/relay/agents.c
+++ b/src/relay/agents.c
@@ -43,6 +43,7 @@
     STANDING_OPEN,    /* its own word says so */
     STANDING_UNHEARD, /* the store names it, and it hasn't spoken yet */
     STANDING_SUSPECT, /* may be dead or frozen */
+    STANDING_ABSENT,  /* the store's list doesn't name it */
     STANDING_CLOSED,  /* said that it takes none */
 };
 
@@ -55,7 +56,7 @@
 };
 
 static enum standing
-standing_of(const struct agent_row *row)
+standing_of(const struct agents *agents, const struct agent_row *row)
 {
     switch (row->health.state) {
     case ENDPOINT_DRAINING:
@@ -65,6 +66,9 @@
     default:
         break;
     }
+    if (agents->listed_once && !row->listed) {
+        return STANDING_ABSENT;
+    }
     if (row->suspect) {
         return STANDING_SUSPECT;
     }
@@ -230,6 +234,23 @@
     service_add(agents, row);
 }
 
+/* It didn't answer what was sent at @sent_us. */
+static void
+set_suspect(struct agent_row *row, uint64_t sent_us)
+{
+    if (!row->suspect) {
+        row->silent_us = sent_us;
+    }
+    row->suspect = true;
+}
+
+static void
+set_trusted(struct agent_row *row)
+{
+    row->suspect = false;
+    row->silent_us = 0;
+}
+
 static uint64_t
 key_of(struct addr addr)
 {
@@ -331,7 +352,7 @@
         /* Another host has the address now: what the old one said is void,
          * and what the new one says of its service comes with its answer. */
         set_health(agents, row, &nothing);
-        row->suspect = false;
+        set_trusted(row);
         row->ping_gap_us = PING_FIRST_US;
         set_ping(agents, row, now_us);
     }
@@ -353,6 +374,24 @@
     set_ping(agents, row, now_us);
 }
 
+void
+agents_listed(struct agents *agents)
+{
+    agents->listed_once = true;
+}
+
+void
+agents_alive(struct agents *agents, struct agent_row *row, uint64_t now_us)
+{
+    bool closed;
+
+    set_trusted(row);
+    row->heard_us = now_us;
+    row->ping_gap_us = PING_FIRST_US;
+    closed = standing_of(agents, row) == STANDING_CLOSED;
+    set_ping(agents, row, closed ? now_us + PING_CLOSED_US : 0);
+}
+
 void
 agents_heard(struct agents *agents, struct addr addr,
              const struct frame_health *health, uint64_t now_us)
@@ -362,15 +401,18 @@
     if (row == NULL) {
         row = row_add(agents, addr, health->service, now_us);
     }
-    set_health(agents, row, health);
-    row->suspect = false;
-    row->heard_us = now_us;
+    if (agents->listed_once && row->listed &&
+        row->health.service != health->service) {
+        /* Another host has the address, and the list doesn't say so yet; or
+         * it had, and this is late. */
+        row->health.state = ENDPOINT_SILENT;
+    }
+    else {
+        set_health(agents, row, health);
+    }
     row->told_us = now_us;
     row->sent = 0;
-    row->ping_gap_us = PING_FIRST_US;
-    set_ping(agents, row,
-             standing_of(row) == STANDING_CLOSED ? now_us + PING_CLOSED_US
-                                                 : 0);
+    agents_alive(agents, row, now_us);
 }
 
 void
@@ -382,7 +424,7 @@
     if (row == NULL || row->heard_us > sent_us || row->suspect) {
         return;
     }
-    row->suspect = true;
+    set_suspect(row, sent_us);
     row->ping_gap_us = PING_FIRST_US;
     set_ping(agents, row, now_us);
 }
@@ -425,7 +467,7 @@
             continue;
         }
         if (row->pinged_us > row->heard_us) {
-            row->suspect = true;
+            set_suspect(row, row->pinged_us);
         }
         row->pinged_us = now_us;
         row->ping_us = now_us + row->ping_gap_us;
@@ -462,10 +504,10 @@
         const struct agent_row *row = g_ptr_array_index(rows, i);
         struct candidate candidate = {.row = row};
 
-        if (standing_of(row) == STANDING_CLOSED) {
+        if (standing_of(agents, row) == STANDING_CLOSED) {
             continue;
         }
-        candidate.standing = standing_of(row);
+        candidate.standing = standing_of(agents, row);
         candidate.load = load_of(agents, row, now_us);
         candidate.score = rank_score(row->member, rank_bucket(hash));
         keep_best(best, RANK_DEPTH, &count, &candidate);
@@ -506,13 +548,23 @@
     return count > 0;
 }
 
+const GPtrArray *
+agents_of_service(const struct agents *agents, uint32_t service)
+{
+    return rows_of(agents, service);
+}
+
 bool
 agents_serve(const struct agents *agents, uint32_t service)
 {
     const GPtrArray *rows = rows_of(agents, service);
 
     for (guint i = 0; rows != NULL && i < rows->len; i++) {
-        if (standing_of(g_ptr_array_index(rows, i)) <= STANDING_UNHEARD) {
+        const struct agent_row *row = g_ptr_array_index(rows, i);
+        enum standing standing = standing_of(agents, row);
+
+        if (standing <= STANDING_UNHEARD ||
+            (standing == STANDING_ABSENT && !row->suspect)) {
             return true;
         }
     }
--- a/src/relay/agents.h
+++ b/src/relay/agents.h
@@ -31,6 +31,9 @@
  * @listed: the store names it
  * @unlisted: the store named it once and doesn't any more
  * @suspect: it didn't answer when it should have
+ * @silent_us: since when, 0 while it isn't suspected
+ * @asked: last question about lost flows that it was asked
+ * @answered: last one that it answered
  * @heard_us: last frame from it, 0 for never
  * @told_us: when @health was told
  * @sent: flows sent to it since then
@@ -51,6 +54,9 @@
     bool listed;
     bool unlisted;
     bool suspect;
+    uint64_t silent_us;
+    uint32_t asked;
+    uint32_t answered;
     uint64_t heard_us;
     uint64_t told_us;
     unsigned sent;
@@ -74,6 +80,7 @@
  * @by_addr: row of an address
  * @by_service: GPtrArray of the rows of a service
  * @pinged: rows that are to be pinged
+ * @listed_once: the store's list was read to its end
  * @data_centre: where the balancer stands
  */
 struct agents {
@@ -81,6 +88,7 @@
     GHashTable *by_addr;
     GHashTable *by_service;
     GPtrArray *pinged;
+    bool listed_once;
     char data_centre[AGENT_DATA_CENTRE_MAX];
 };
 
@@ -137,11 +145,23 @@
 void
 agents_unlist(struct agents *agents, struct addr addr, uint64_t now_us);
 
-/** agents_heard() - a frame with its own word came from an agent */
+/** agents_listed() - the store's list was read to its end: new flows go to
+ * agents in it from now on, so that whoever reads it later knows who may hold
+ * them; to others only when there is nobody else */
+void
+agents_listed(struct agents *agents);
+
+/** agents_heard() - a frame with its own word came from an agent; of which
+ * service it is, the store says first */
 void
 agents_heard(struct agents *agents, struct addr addr,
              const struct frame_health *health, uint64_t now_us);
 
+/** agents_alive() - a frame without a word on its endpoint came from an agent
+ */
+void
+agents_alive(struct agents *agents, struct agent_row *row, uint64_t now_us);
+
 /** agents_missed() - an agent didn't answer a new flow sent at @sent_us */
 void
 agents_missed(struct agents *agents, struct addr addr, uint64_t sent_us,
@@ -184,6 +204,11 @@
 agents_for_known(const struct agents *agents, uint32_t service, uint64_t hash,
                  uint64_t *below, struct agents_choice *choice);
 
+/** agents_of_service() - rows of a service, NULL for none; valid until any
+ * changes */
+const GPtrArray *
+agents_of_service(const struct agents *agents, uint32_t service);
+
 /** agents_serve() - whether some agent may take a new flow of @service */
 bool
 agents_serve(const struct agents *agents, uint32_t service);
--- /dev/null
+++ b/src/relay/confirm.h
@@ -0,0 +1,56 @@
+/**
+ * DOC: confirm - asks the store whether a list that is followed is whole
+ *
+ * A watch may have been silent for seconds without a sign. Where a decision
+ * rests on nothing being missing, a call of its own asks for changes since the
+ * revision that the follower knows: none means that the list is whole as of
+ * that call.
+ */
+#ifndef SWIFTARCH_RELAY_CONFIRM_H
+#define SWIFTARCH_RELAY_CONFIRM_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "relay/follow.h"
+#include "relay/store.h"
+
+struct confirm;
+
+/** struct confirm_ops - what the owner is told */
+struct confirm_ops {
+    /** @whole: the list was whole when the store was asked at @asked_us */
+    void (*whole)(struct confirm *confirm, uint64_t asked_us);
+};
+
+/**
+ * struct confirm - one list; the vtable comes first
+ * @ops: the owner
+ * @call: the open call
+ * @store: connection of its own
+ * @follow: follower of the list
+ * @open: a call is open
+ * @revision: revision that it asked for changes since
+ * @asked_us: when
+ */
+struct confirm {
+    const struct confirm_ops *ops;
+    struct store_call call;
+    struct store *store;
+    const struct follow *follow;
+    bool open;
+    uint64_t revision;
+    uint64_t asked_us;
+};
+
+/** confirm_init() - nothing is asked yet; @store isn't freed here */
+void
+confirm_init(struct confirm *confirm, const struct confirm_ops *ops,
+             struct store *store, const struct follow *follow);
+
+/** confirm_ask() - ask, unless a call is open or the list isn't read yet: then
+ * nothing is told */
+void
+confirm_ask(struct confirm *confirm, uint64_t now_us);
+
+#endif
--- a/src/relay/door.c
+++ b/src/relay/door.c
@@ -147,6 +147,7 @@
 door_from_endpoint(struct door *door, const struct relay_packet *packet,
                    uint64_t now_us)
 {
+    door->unanswered_us = 0;
     if ((packet->flags & RELAY_BOUNCED) != 0) {
         door_bounced(door, packet, now_us);
         return;
@@ -172,6 +173,7 @@
         door_flow_idle(door, door->busy[0]);
     }
     pace_init(&door->pace);
+    door->lossy = false;
 }
 
 bool
@@ -181,6 +183,9 @@
     enum endpoint_news news =
         endpoint_heartbeat(&door->endpoint, heartbeat, now_us);
 
+    if (news != ENDPOINT_EARLIER) {
+        door->unanswered_us = 0;
+    }
     if (news == ENDPOINT_STARTED) {
         void_earlier(door);
     }
@@ -198,6 +203,15 @@
     }
 }
 
+void
+door_down(struct door *door, uint64_t now_us)
+{
+    if (endpoint_down(&door->endpoint)) {
+        void_earlier(door);
+        door_tell_state(door, now_us);
+    }
+}
+
 void
 door_close(struct door *door, uint64_t now_us)
 {
--- a/src/relay/door.h
+++ b/src/relay/door.h
@@ -66,6 +66,12 @@
     /** @serves: tell a balancer without configuration what is served */
     void (*serves)(struct door_out *out, struct addr balancer,
                    const struct frame_served *served);
+    /** @absent: answer a balancer that asks for flows */
+    void (*absent)(struct door_out *out, struct addr balancer,
+                   const struct frame_absent *absent);
+    /** @probe: ask the host whether the endpoint's process is there; when it
+     * isn't, door_down() tells */
+    void (*probe)(struct door_out *out);
     /** @dropped: a packet was dropped */
     void (*dropped)(struct door_out *out, enum door_drop why);
     /** @decided: what became of a SYN or of a flow */
@@ -124,6 +130,11 @@
  * @heard: newest configuration that any balancer spoke of
  * @balancers: balancers heard from, to tell them of a change
  * @balancer_count: how many
+ * @unanswered_us: first packet since the endpoint's last sign of life that it
+ *                 owes an answer to, 0 for none
+ * @probed_us: when the host was last asked whether the endpoint is there
+ * @lossy: flows were forgotten for want of room: the table isn't all that the
+ *         endpoint holds
  * @closed: a planned stop has begun
  * @unlisted: the store doesn't name this agent any more: to be written anew
  * @served: addresses seen in flows from before the start
@@ -150,6 +161,9 @@
     struct frame_version heard;
     struct door_balancer balancers[DOOR_BALANCERS_MAX];
     unsigned balancer_count;
+    uint64_t unanswered_us;
+    uint64_t probed_us;
+    bool lossy;
     bool closed;
     bool unlisted;
     struct frame_served served;
@@ -188,6 +202,11 @@
 door_ping(struct door *door, struct addr balancer,
           const struct frame_version *version, bool unlisted, uint64_t now_us);
 
+/** door_asked() - a balancer asks which flows the endpoint holds */
+void
+door_asked(struct door *door, struct addr balancer,
+           const struct frame_ask *ask, uint64_t now_us);
+
 /** door_from_endpoint() - the endpoint sent a packet */
 void
 door_from_endpoint(struct door *door, const struct relay_packet *packet,
@@ -205,6 +224,10 @@
 door_left(struct door *door, const char *id, uint64_t born_ms,
           uint64_t now_us);
 
+/** door_down() - the host says that the endpoint's process isn't there */
+void
+door_down(struct door *door, uint64_t now_us);
+
 /** door_close() - a planned stop: no new flow from now on, and balancers are
  * told so; flows that are here go on */
 void
--- a/src/relay/door_answer.c
+++ b/src/relay/door_answer.c
@@ -62,6 +62,7 @@
         flow->frame.next_count = 0;
         flow->frame.best.ip = 0;
     }
+    flow->denied = !relay_packet_opens(packet);
     if (relay_packet_opens(packet)) {
         if (endpoint_refused(&door->endpoint, door->busy_count)) {
             door_tell_state(door, now_us);
@@ -135,6 +136,7 @@
     if (flow->state != DOOR_ASKED) {
         return;
     }
+    flow->denied = true;
     door_flow_elsewhere(door, handle);
     door_decided(door, DOOR_DID_LET_GO, handle, FRAME_REASON_REFUSED);
     door_tell_passed(door, flow_index_flow(&door->table, handle), flow->origin,
--- a/src/relay/door_flow.c
+++ b/src/relay/door_flow.c
@@ -24,6 +24,14 @@
                             &door->flows[handle].frame);
 }
 
+void
+door_expect(struct door *door, uint64_t now_us)
+{
+    if (door->unanswered_us == 0) {
+        door->unanswered_us = now_us;
+    }
+}
+
 void
 door_flow_busy(struct door *door, uint32_t handle, uint64_t now_us)
 {
@@ -97,6 +105,7 @@
 
     if (door->table.used == door->table.capacity) {
         door_flow_forget(door, flow_index_oldest(&door->table));
+        door->lossy = true;
     }
     handle = flow_index_add(&door->table, key, now_us);
     door->flows[handle] = (struct door_flow){
--- a/src/relay/door_known.c
+++ b/src/relay/door_known.c
@@ -44,6 +44,9 @@
         door_pass_on(door, handle, FRAME_REASON_REFUSED, now_us);
         return;
     }
+    if (packet->len > 0 || (packet->flags & RELAY_FIN) != 0) {
+        door_expect(door, now_us);
+    }
     door->out->ops->to_endpoint(door->out, packet->bytes, packet->size);
 }
 
--- a/src/relay/door_open.c
+++ b/src/relay/door_open.c
@@ -22,6 +22,7 @@
     flow->tried_us = now_us;
     door_flow_busy(door, handle, now_us);
     door_wait_push(door, handle, now_us);
+    door_expect(door, now_us);
     door->out->ops->to_endpoint(door->out, flow->frame.bytes,
                                 flow->frame.size);
 }
@@ -147,7 +148,7 @@
         target = flow->frame.best;
     }
     else {
-        if (flow->refuted) {
+        if (flow->refuted || flow->denied) {
             door_flow_elsewhere(door, handle);
         }
         else {
--- a/src/relay/door_private.h
+++ b/src/relay/door_private.h
@@ -3,7 +3,8 @@
  *
  * door_flow keeps the flows, door_open decides on SYNs, door_held on those
  * that wait, door_known on packets of flows that are known, door_answer on
- * what the endpoint sends, door_tell says it to balancers.
+ * what the endpoint sends, door_lost answers for flows that nobody has found,
+ * door_tell says it all to balancers.
  */
 #ifndef SWIFTARCH_RELAY_DOOR_PRIVATE_H
 #define SWIFTARCH_RELAY_DOOR_PRIVATE_H
@@ -33,6 +34,8 @@
  * @confirmed: the caller acknowledged this endpoint's SYN+ACK
  * @asked: known by a packet of a search, not by its SYN
  * @refuted: the caller took another endpoint's answer to its SYN
+ * @denied: the endpoint doesn't hold it: it handed back, or answered with a
+ *          reset, a packet that only its holder takes
  * @proven: the endpoint sent something after that: the flow was open there
  * @service: service it was opened for
  * @origin: balancer that its packets came through last
@@ -56,6 +59,7 @@
     bool asked;
     bool confirmed;
     bool refuted;
+    bool denied;
     bool proven;
     uint32_t service;
     struct addr origin;
@@ -82,6 +86,11 @@
 door_decided(struct door *door, enum door_did did, uint32_t handle,
              enum frame_reason why);
 
+/** door_expect() - the endpoint is given a packet that it answers at once, or
+ * as soon as its request is done */
+void
+door_expect(struct door *door, uint64_t now_us);
+
 /** door_flow_busy() - a request of the flow is in progress */
 void
 door_flow_busy(struct door *door, uint32_t handle, uint64_t now_us);
--- a/src/relay/endpoint.c
+++ b/src/relay/endpoint.c
@@ -10,6 +10,11 @@
 /* Until a heartbeat says otherwise. */
 #define SLOTS_DEFAULT 2
 
+/* What an endpoint's first heartbeat counts at most. It goes out within
+ * milliseconds of the start, before that nothing is sent there, and one that
+ * isn't answered is sent again with a higher count. */
+#define SEQUENCE_FIRST 1
+
 /* Silence of the current start after which an earlier one is believed: four
  * heartbeats of 1.2 s. A heartbeat is held up for less than that, as its
  * sender gives it up after a second and sends the next. */
@@ -109,6 +114,11 @@
     if (is_repeated(known, heartbeat)) {
         return ENDPOINT_NO_NEWS;
     }
+    start.whole = other || known == NULL
+                      ? heartbeat->sequence <= SEQUENCE_FIRST
+                      : known->whole;
+    start.whole |= endpoint->down;
+    endpoint->down = false;
     g_strlcpy(start.id, heartbeat->id, sizeof(start.id));
     start_current(endpoint, known, &start);
     endpoint->heard_us = now_us;
@@ -183,6 +193,23 @@
     return set_state(endpoint, ENDPOINT_SILENT);
 }
 
+bool
+endpoint_down(struct endpoint *endpoint)
+{
+    if (endpoint->down || endpoint->state == ENDPOINT_GONE) {
+        return false;
+    }
+    endpoint->down = true;
+    set_state(endpoint, ENDPOINT_SILENT);
+    return true;
+}
+
+bool
+endpoint_is_whole(const struct endpoint *endpoint)
+{
+    return endpoint->start_count > 0 && endpoint->starts[0].whole;
+}
+
 bool
 endpoint_open(const struct endpoint *endpoint)
 {
--- a/src/relay/endpoint.h
+++ b/src/relay/endpoint.h
@@ -43,6 +43,8 @@
  * @id: its id
  * @born_ms: when it began, 0 when it doesn't say
  * @sequence: highest seen
+ * @whole: its first heartbeat was heard, so that it has held no flow that
+ *         didn't pass this agent
  * @draining: it said last that it takes nothing new
  * @left: it said that it ends
  */
@@ -50,6 +52,7 @@
     char id[ENDPOINT_ID_MAX];
     uint64_t born_ms;
     uint64_t sequence;
+    bool whole;
     bool draining;
     bool left;
 };
@@ -61,6 +64,8 @@
  * @slots: requests that it runs at a time
  * @warm_us: when it is fast again
  * @heard_us: last heartbeat of the current start
+ * @down: its process isn't there; what comes next is another start, all of
+ *        which is seen
  * @starts: the starts seen last, @starts[0] the current one
  * @start_count: how many
  */
@@ -70,6 +75,7 @@
     unsigned slots;
     uint64_t warm_us;
     uint64_t heard_us;
+    bool down;
     struct endpoint_start starts[ENDPOINT_STARTS_MAX];
     unsigned start_count;
 };
@@ -129,6 +135,15 @@
 bool
 endpoint_refused(struct endpoint *endpoint, unsigned busy);
 
+/** endpoint_down() - its process isn't there; whether that is new */
+bool
+endpoint_down(struct endpoint *endpoint);
+
+/** endpoint_is_whole() - whether this agent has seen every flow of the
+ * endpoint's current start */
+bool
+endpoint_is_whole(const struct endpoint *endpoint);
+
 /** endpoint_open() - whether it may be given a new flow */
 bool
 endpoint_open(const struct endpoint *endpoint);
--- a/src/relay/frame.c
+++ b/src/relay/frame.c
@@ -83,7 +83,7 @@
         bytes[1] != MAGIC_1 || bytes[2] != VERSION) {
         return -EBADMSG;
     }
-    if (bytes[3] < FRAME_CARRY || bytes[3] > FRAME_SERVED) {
+    if (bytes[3] < FRAME_CARRY || bytes[3] > FRAME_TYPE_MAX) {
         return -EBADMSG;
     }
     return bytes[3];
@@ -232,6 +232,66 @@
     return reader.short_of || reader.left != 0 ? -EBADMSG : 0;
 }
 
+size_t
+frame_ask_encode(const struct frame_ask *ask, uint8_t *bytes)
+{
+    struct writer writer = begin(FRAME_ASK, bytes);
+
+    put(&writer, ask->round, 4);
+    put(&writer, ask->version, 8);
+    put(&writer, ask->count, 1);
+    for (unsigned i = 0; i < ask->count; i++) {
+        put_addr(&writer, ask->flows[i].caller);
+        put_addr(&writer, ask->flows[i].service);
+    }
+    return (size_t)(writer.at - bytes);
+}
+
+int
+frame_ask_decode(const uint8_t *bytes, size_t size, struct frame_ask *ask)
+{
+    struct reader reader = body_of(bytes, size);
+
+    ask->round = (uint32_t)get(&reader, 4);
+    ask->version = get(&reader, 8);
+    ask->count = (uint8_t)get(&reader, 1);
+    if (reader.short_of || ask->count > FRAME_ASK_MAX) {
+        return -EBADMSG;
+    }
+    for (unsigned i = 0; i < ask->count; i++) {
+        ask->flows[i].caller = get_addr(&reader);
+        ask->flows[i].service = get_addr(&reader);
+    }
+    return reader.short_of || reader.left != 0 ? -EBADMSG : 0;
+}
+
+size_t
+frame_absent_encode(const struct frame_absent *absent, uint8_t *bytes)
+{
+    struct writer writer = begin(FRAME_ABSENT, bytes);
+
+    put(&writer, absent->round, 4);
+    put(&writer, absent->silent, 1);
+    for (unsigned i = 0; i < FRAME_ASK_WORDS; i++) {
+        put(&writer, absent->absent[i], 4);
+    }
+    return (size_t)(writer.at - bytes);
+}
+
+int
+frame_absent_decode(const uint8_t *bytes, size_t size,
+                    struct frame_absent *absent)
+{
+    struct reader reader = body_of(bytes, size);
+
+    absent->round = (uint32_t)get(&reader, 4);
+    absent->silent = get(&reader, 1) != 0;
+    for (unsigned i = 0; i < FRAME_ASK_WORDS; i++) {
+        absent->absent[i] = (uint32_t)get(&reader, 4);
+    }
+    return reader.short_of || reader.left != 0 ? -EBADMSG : 0;
+}
+
 size_t
 frame_ping_encode(const struct frame_version *version, bool unlisted,
                   uint8_t *bytes)
--- a/src/relay/frame.h
+++ b/src/relay/frame.h
@@ -31,6 +31,9 @@
     FRAME_STATE = 5,  /* how an agent's endpoint is */
     FRAME_PING = 6,   /* asks for FRAME_STATE */
     FRAME_SERVED = 7, /* addresses that an endpoint serves */
+    FRAME_ASK = 8,    /* asks an agent which flows its endpoint holds */
+    FRAME_ABSENT = 9, /* the flows among these that it doesn't hold */
+    FRAME_TYPE_MAX = FRAME_ABSENT,
 };
 
 /** enum frame_reason - why an agent passed a flow on */
@@ -155,6 +158,38 @@
     uint8_t count;
 };
 
+/* Flows that one frame asks for: 12 bytes each, the whole no larger than a
+ * carried packet. A multiple of 32. */
+#define FRAME_ASK_MAX 96
+#define FRAME_ASK_WORDS (FRAME_ASK_MAX / 32)
+
+/**
+ * struct frame_ask - a balancer asks all agents of a service for flows that no
+ * search has found
+ * @round: names the question
+ * @version: configuration that the balancer follows
+ * @flows: the flows
+ * @count: how many
+ */
+struct frame_ask {
+    uint32_t round;
+    uint64_t version;
+    struct relay_flow flows[FRAME_ASK_MAX];
+    uint8_t count;
+};
+
+/**
+ * struct frame_absent - an agent's answer
+ * @round: the question
+ * @silent: the endpoint shows no sign of life: the rest says nothing
+ * @absent: a bit for each flow that the endpoint doesn't hold, for certain
+ */
+struct frame_absent {
+    uint32_t round;
+    bool silent;
+    uint32_t absent[FRAME_ASK_WORDS];
+};
+
 /** frame_type() - kind of a frame, -EBADMSG for what is none of ours */
 int
 frame_type(const uint8_t *bytes, size_t size);
@@ -187,6 +222,23 @@
 frame_served_decode(const uint8_t *bytes, size_t size,
                     struct frame_served *served);
 
+/** frame_ask_encode() - write @ask into FRAME_MAX bytes */
+size_t
+frame_ask_encode(const struct frame_ask *ask, uint8_t *bytes);
+
+/** frame_ask_decode() - read it; 0 or -EBADMSG */
+int
+frame_ask_decode(const uint8_t *bytes, size_t size, struct frame_ask *ask);
+
+/** frame_absent_encode() - write @absent into FRAME_HEAD_MAX bytes */
+size_t
+frame_absent_encode(const struct frame_absent *absent, uint8_t *bytes);
+
+/** frame_absent_decode() - read it; 0 or -EBADMSG */
+int
+frame_absent_decode(const uint8_t *bytes, size_t size,
+                    struct frame_absent *absent);
+
 /**
  * frame_ping_encode() - write a FRAME_PING with the sender's version
  * @unlisted: the store named the agent once and doesn't any more
--- a/src/relay/relay_agent.c
+++ b/src/relay/relay_agent.c
@@ -185,6 +185,7 @@
 
     agent->out.ops = &relay_agent_out_ops;
     agent->frames.fd = agent->outbound.fd = -1;
+    agent->probe.fd = -1;
     agent->refused_last = HEARTBEAT_TAKEN;
     if (loop_init(&agent->loop, &loop_ops) < 0) {
         return error_set(err, -ENOMEM, "start", NULL, "no event loop");
@@ -202,6 +203,8 @@
         start_presence(agent, agent->started_us) < 0) {
         return error_set(err, -ENOMEM, "start", NULL, "no memory");
     }
+    probe_init(&agent->probe, &relay_agent_probe_ops, agent->loop.base,
+               agent->settings.upstream);
     take_peers(agent);
     event_log_line(&agent->log, EVENT_RARE, "started",
                    "role=agent data_centre=%s service=%s",
@@ -215,6 +218,7 @@
     if (agent->store != NULL) {
         agent->store->ops->free(agent->store);
     }
+    probe_finish(&agent->probe);
     httpd_free(agent->ready);
     httpd_free(agent->metrics);
     httpd_free(agent->heartbeats);
--- a/src/relay/relay_agent_http.c
+++ b/src/relay/relay_agent_http.c
@@ -148,6 +148,7 @@
         "swiftarch_flows_held_total %" PRIu64 "\n"
         "swiftarch_flows_held %u\n"
         "swiftarch_flows_reset_total %" PRIu64 "\n"
+        "swiftarch_lost_rounds_answered_total %" PRIu64 "\n"
         "swiftarch_requests_in_progress %u\n"
         "swiftarch_flows %u\n"
         "swiftarch_endpoint_state %d\n"
@@ -155,9 +156,9 @@
         agent->counts.to_endpoint, agent->counts.to_caller,
         agent->counts.frames_in, agent->counts.frames_on,
         agent->counts.heartbeats, agent->counts.placed, agent->counts.held,
-        agent->door.held_count, agent->counts.resets, agent->door.busy_count,
-        agent->door.table.used, (int)agent->door.endpoint.state,
-        agent->log.left_out_total);
+        agent->door.held_count, agent->counts.resets, agent->counts.asked,
+        agent->door.busy_count, agent->door.table.used,
+        (int)agent->door.endpoint.state, agent->log.left_out_total);
     for (size_t i = 0; i < HEARTBEAT_TAKEN; i++) {
         g_string_append_printf(
             text,
--- a/src/relay/relay_agent_out.c
+++ b/src/relay/relay_agent_out.c
@@ -106,6 +106,39 @@
                    served->count);
 }
 
+static void
+out_absent(struct door_out *out, struct addr balancer,
+           const struct frame_absent *absent)
+{
+    struct relay_agent *agent = of_out(out);
+    size_t size = frame_absent_encode(absent, dgram_buffer(&agent->frames));
+
+    agent->counts.asked++;
+    dgram_queue(&agent->frames, balancer, size);
+}
+
+static void
+out_probe(struct door_out *out)
+{
+    probe_start(&of_out(out)->probe);
+}
+
+static void
+on_probed(struct probe *probe, bool refused)
+{
+    struct relay_agent *agent = container_of(probe, struct relay_agent, probe);
+
+    event_log_line(&agent->log, EVENT_ROUTINE, "endpoint_probed",
+                   "listens=%d state=%s", !refused,
+                   relay_agent_state_names[agent->door.endpoint.state]);
+    if (refused) {
+        door_down(&agent->door, loop_now_us(&agent->loop));
+        relay_agent_flush(agent);
+    }
+}
+
+const struct probe_ops relay_agent_probe_ops = {on_probed};
+
 static void
 out_dropped(struct door_out *out, enum door_drop why)
 {
@@ -162,6 +195,8 @@
     .carry = out_carry,
     .tell = out_tell,
     .serves = out_serves,
+    .absent = out_absent,
+    .probe = out_probe,
     .dropped = out_dropped,
     .decided = out_decided,
 };
@@ -192,6 +227,7 @@
     struct relay_agent *agent = dgram->owner;
     uint64_t now_us = loop_now_us(&agent->loop);
     struct frame_version version;
+    struct frame_ask ask;
     bool unlisted;
 
     agent->counts.frames_in++;
@@ -205,6 +241,12 @@
             return;
         }
         break;
+    case FRAME_ASK:
+        if (frame_ask_decode(bytes, size, &ask) == 0) {
+            door_asked(&agent->door, from, &ask, now_us);
+            return;
+        }
+        break;
     default:
         break;
     }
--- a/src/relay/relay_agent_private.h
+++ b/src/relay/relay_agent_private.h
@@ -13,6 +13,7 @@
 #include "relay/door.h"
 #include "relay/loop.h"
 #include "relay/presence.h"
+#include "relay/probe.h"
 #include "relay/relay_settings.h"
 #include "relay/settings_file.h"
 
@@ -43,6 +44,7 @@
  * @heartbeats: its listener
  * @store: connection to the store
  * @presence: writes the agent's object
+ * @probe: asks whether the endpoint's process is there
  * @log: lines on standard output
  * @started_us: when the program started
  * @stop_us: when the planned stop began, 0 for none
@@ -66,6 +68,7 @@
     struct httpd *heartbeats;
     struct store *store;
     struct presence_writer presence;
+    struct probe probe;
     struct event_log log;
     uint64_t started_us;
     uint64_t stop_us;
@@ -82,6 +85,7 @@
         uint64_t placed;
         uint64_t held;
         uint64_t resets;
+        uint64_t asked;
         uint64_t passed[FRAME_REASON_MAX + 1];
         uint64_t dropped[DOOR_DROP_COUNT];
     } counts;
@@ -92,6 +96,7 @@
 extern const char *const relay_agent_state_names[];
 extern const char *const relay_agent_drop_names[];
 
+extern const struct probe_ops relay_agent_probe_ops;
 extern const struct door_out_ops relay_agent_out_ops;
 extern const struct dgram_ops relay_agent_frames_ops;
 extern const struct dgram_ops relay_agent_outbound_ops;
--- a/src/relay/relay_balancer.c
+++ b/src/relay/relay_balancer.c
@@ -174,6 +174,8 @@
     follow_init(&balancer->agents_follow, &relay_balancer_agents_ops,
                 balancer->stores[1], PRESENCE_KIND, AGENTS_GAP_US, seed + 1,
                 now_us);
+    confirm_init(&balancer->confirm, &relay_balancer_confirm_ops,
+                 balancer->stores[2], &balancer->agents_follow);
     share_init(&balancer->share, &relay_balancer_share_ops,
                balancer->loop.base);
     take_peers(balancer);
@@ -220,6 +222,8 @@
 
     balancer->out.ops = &relay_balancer_out_ops;
     balancer->data.fd = balancer->frames.fd = -1;
+    balancer->garbled =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     if (loop_init(&balancer->loop, &loop_ops) < 0) {
         return error_set(err, -ENOMEM, "start", NULL, "no event loop");
     }
@@ -264,6 +268,7 @@
     dgram_finish(&balancer->frames);
     steer_finish(&balancer->steer);
     json_object_put(balancer->config);
+    g_hash_table_destroy(balancer->garbled);
     loop_finish(&balancer->loop);
 }
 
--- a/src/relay/relay_balancer_http.c
+++ b/src/relay/relay_balancer_http.c
@@ -25,6 +25,7 @@
         "swiftarch_searches_total %" PRIu64 "\n"
         "swiftarch_pings_total %" PRIu64 "\n"
         "swiftarch_flows_reset_total %" PRIu64 "\n"
+        "swiftarch_lost_questions_total %" PRIu64 "\n"
         "swiftarch_flows %u\n"
         "swiftarch_agents %zu\n"
         "swiftarch_config_version %" PRIu64 "\n"
@@ -33,7 +34,8 @@
         balancer->counts.packets, balancer->counts.frames_out,
         balancer->counts.opened, balancer->counts.tried_again,
         balancer->counts.placed, balancer->counts.searched,
-        balancer->counts.pings, balancer->counts.resets, steer->flows.used,
+        balancer->counts.pings, balancer->counts.resets,
+        balancer->counts.asked, steer->flows.used,
         agents_count(&steer->agents), steer->routes.version,
         balancer->counts.unreadable, balancer->log.left_out_total);
     for (size_t i = 0; i < STEER_DROP_COUNT; i++) {
--- a/src/relay/relay_balancer_out.c
+++ b/src/relay/relay_balancer_out.c
@@ -68,6 +68,24 @@
     balancer->counts.pings++;
 }
 
+static void
+out_ask(struct steer_out *out, struct addr agent, const struct frame_ask *ask)
+{
+    struct relay_balancer *balancer = of_out(out);
+    size_t size = frame_ask_encode(ask, dgram_buffer(&balancer->frames));
+
+    dgram_queue(&balancer->frames, agent, size);
+    balancer->counts.asked++;
+}
+
+static void
+out_confirm(struct steer_out *out, uint64_t now_us)
+{
+    struct relay_balancer *balancer = of_out(out);
+
+    confirm_ask(&balancer->confirm, now_us);
+}
+
 static void
 out_behind(struct steer_out *out, const struct frame_version *newer)
 {
@@ -130,13 +148,33 @@
                    balancer->steer.routes.version);
 }
 
+static void
+out_concluded(struct steer_out *out, const struct steer_round *round,
+              unsigned over)
+{
+    struct relay_balancer *balancer = of_out(out);
+
+    if (!event_log_wants(&balancer->log, EVENT_ROUTINE)) {
+        return;
+    }
+    event_log_line(&balancer->log, EVENT_ROUTINE, "lost_flows",
+                   "asked_for=%u over=%u agents=%u missing=%u "
+                   "unreachable=%u list_whole=%d took_us=%" PRIu64,
+                   round->count, over, round->asked, round->missing,
+                   round->unreachable, round->confirmed,
+                   loop_now_us(&balancer->loop) - round->started_us);
+}
+
 const struct steer_out_ops relay_balancer_out_ops = {
     .carry = out_carry,
     .reset = out_reset,
     .ping = out_ping,
+    .ask = out_ask,
+    .confirm = out_confirm,
     .behind = out_behind,
     .dropped = out_dropped,
     .decided = out_decided,
+    .concluded = out_concluded,
 };
 
 /* Datagrams. */
@@ -180,6 +218,7 @@
     struct relay_balancer *balancer = dgram->owner;
     struct frame_status status;
     struct frame_served served;
+    struct frame_absent absent;
     int type = frame_type(bytes, size);
 
     if (type == FRAME_SERVED &&
@@ -187,6 +226,12 @@
         on_served(balancer, from, &served);
         return;
     }
+    if (type == FRAME_ABSENT &&
+        frame_absent_decode(bytes, size, &absent) == 0) {
+        steer_absent(&balancer->steer, from, &absent,
+                     loop_now_us(&balancer->loop));
+        return;
+    }
     if (type < FRAME_PLACED || type > FRAME_STATE ||
         frame_status_decode(bytes, size, &status) < 0) {
         out_dropped(&balancer->out, STEER_DROP_FOREIGN, NULL);
--- a/src/relay/relay_balancer_private.h
+++ b/src/relay/relay_balancer_private.h
@@ -9,6 +9,7 @@
 
 #include "base/event_log.h"
 #include "base/httpd.h"
+#include "relay/confirm.h"
 #include "relay/dgram.h"
 #include "relay/follow.h"
 #include "relay/loop.h"
@@ -31,9 +32,11 @@
  * @metrics: a second one, or NULL
  * @share_handler: answers peers
  * @share_httpd: its listener
- * @stores: connections to the store
+ * @stores: connections to the store, one for each below
+ * @confirm: asks whether the list of agents is whole
  * @config_follow: the operators' configuration
  * @agents_follow: the agents' objects
+ * @garbled: names of agents' objects that can't be read
  * @share: asks peers
  * @config: configuration in force, as it was read
  * @log: lines on standard output
@@ -57,9 +60,11 @@
     struct httpd *metrics;
     struct httpd_handler share_handler;
     struct httpd *share_httpd;
-    struct store *stores[2];
+    struct store *stores[3];
     struct follow config_follow;
     struct follow agents_follow;
+    struct confirm confirm;
+    GHashTable *garbled;
     struct share share;
     struct json_object *config;
     struct event_log log;
@@ -78,6 +83,7 @@
         uint64_t pings;
         uint64_t resets;
         uint64_t unreadable;
+        uint64_t asked;
         uint64_t dropped[STEER_DROP_COUNT];
     } counts;
 };
@@ -90,6 +96,7 @@
 extern const struct dgram_ops relay_balancer_frames_ops;
 extern const struct follow_ops relay_balancer_config_ops;
 extern const struct follow_ops relay_balancer_agents_ops;
+extern const struct confirm_ops relay_balancer_confirm_ops;
 extern const struct share_ops relay_balancer_share_ops;
 extern const struct httpd_ops relay_balancer_ready_ops;
 extern const struct httpd_ops relay_balancer_share_httpd_ops;
--- a/src/relay/relay_balancer_store.c
+++ b/src/relay/relay_balancer_store.c
@@ -111,6 +111,23 @@
     for (size_t i = 0; i < agents_count(agents); i++) {
         agents_at(agents, i)->listed = false;
     }
+    g_hash_table_remove_all(balancer->garbled);
+}
+
+/* Keeps the names of agents' objects that somebody has overwritten: while
+ * there are any, the list isn't whole. */
+static void
+note_garbled(struct relay_balancer *balancer, const char *name,
+             bool unreadable)
+{
+    struct addr addr;
+
+    if (!unreadable) {
+        g_hash_table_remove(balancer->garbled, name);
+    }
+    else if (presence_addr(name, &addr) == 0) {
+        g_hash_table_add(balancer->garbled, g_strdup(name));
+    }
 }
 
 static void
@@ -126,6 +143,7 @@
         !object->removed &&
         presence_decode(object->name, object->value, &presence) < 0;
 
+    note_garbled(balancer, object->name, unreadable);
     if (unreadable) {
         balancer->counts.unreadable++;
         event_log_line(&balancer->log, EVENT_RARE, "agent_refused",
@@ -147,13 +165,14 @@
 }
 
 static void
-agents_listed(struct follow *follow)
+agents_list_ended(struct follow *follow)
 {
     struct relay_balancer *balancer =
         container_of(follow, struct relay_balancer, agents_follow);
     struct agents *agents = &balancer->steer.agents;
     uint64_t now_us = loop_now_us(&balancer->loop);
 
+    agents_listed(agents);
     /* Backwards: a row that is removed gives its place to the last. */
     for (size_t i = agents_count(agents); i-- > 0;) {
         if (!agents_at(agents, i)->listed) {
@@ -172,10 +191,26 @@
 const struct follow_ops relay_balancer_agents_ops = {
     .listing = agents_listing,
     .object = agents_object,
-    .listed = agents_listed,
+    .listed = agents_list_ended,
     .ended = agents_ended,
 };
 
+/* Whether the list is whole. */
+
+static void
+list_whole(struct confirm *confirm, uint64_t asked_us)
+{
+    struct relay_balancer *balancer =
+        container_of(confirm, struct relay_balancer, confirm);
+
+    if (g_hash_table_size(balancer->garbled) == 0) {
+        steer_confirmed(&balancer->steer, asked_us,
+                        loop_now_us(&balancer->loop));
+    }
+}
+
+const struct confirm_ops relay_balancer_confirm_ops = {list_whole};
+
 /* Peers. */
 
 static void
--- a/src/relay/routes.h
+++ b/src/relay/routes.h
@@ -6,6 +6,7 @@
 #ifndef SWIFTARCH_RELAY_ROUTES_H
 #define SWIFTARCH_RELAY_ROUTES_H
 
+#include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 
@@ -35,6 +36,7 @@
  * @timeout_ms: how long a request may take
  * @target_ms: how soon a request should be answered
  * @priority: 0 is most urgent
+ * @idempotent: its requests may run twice
  */
 struct route {
     char name[ROUTES_NAME_MAX];
@@ -44,6 +46,7 @@
     unsigned timeout_ms;
     unsigned target_ms;
     unsigned priority;
+    bool idempotent;
 };
 
 /**
--- a/src/relay/steer.c
+++ b/src/relay/steer.c
@@ -150,7 +150,8 @@
     }
     if (relay_packet_opens(packet)) {
         if (handle != FLOW_INDEX_NONE &&
-            is_other_flow(&steer->pins[handle], packet)) {
+            (is_other_flow(&steer->pins[handle], packet) ||
+             steer->pins[handle].over_us != 0)) {
             steer_forget(steer, handle);
             handle = FLOW_INDEX_NONE;
         }
@@ -209,6 +210,7 @@
     while (agents_ping_due(&steer->agents, now_us, &agent, &unlisted)) {
         steer->out->ops->ping(steer->out, agent, unlisted);
     }
+    steer_lost_tick(steer, now_us);
     expire(steer, now_us);
 }
 
@@ -217,6 +219,7 @@
 {
     uint64_t next_us = agents_next_ping_us(&steer->agents);
 
+    next_us = MIN(next_us, steer_lost_next_us(steer));
     if (steer->wait_count > 0) {
         next_us = MIN(next_us, steer->waits[steer->wait_first].due_us);
     }
--- a/src/relay/steer.h
+++ b/src/relay/steer.h
@@ -51,6 +51,7 @@
 };
 
 struct steer_out;
+struct steer_round;
 
 /** struct steer_out_ops - what a decision leads to */
 struct steer_out_ops {
@@ -63,6 +64,12 @@
     /** @ping: ask an agent for its word; @unlisted: tell it that the store
      * doesn't name it any more */
     void (*ping)(struct steer_out *out, struct addr agent, bool unlisted);
+    /** @ask: ask an agent which of some flows its endpoint holds */
+    void (*ask)(struct steer_out *out, struct addr agent,
+                const struct frame_ask *ask);
+    /** @confirm: ask the store whether the list of agents is whole; the
+     * answer comes with steer_confirmed() */
+    void (*confirm)(struct steer_out *out, uint64_t now_us);
     /** @behind: some balancer follows a newer configuration */
     void (*behind)(struct steer_out *out, const struct frame_version *newer);
     /** @dropped: a packet was dropped; @packet may be NULL */
@@ -72,6 +79,10 @@
     void (*decided)(struct steer_out *out, enum steer_did did,
                     struct relay_flow flow, struct addr agent, unsigned tries,
                     uint64_t age_us);
+    /** @concluded: a question about lost flows has ended; @over of them are
+     * held by nobody */
+    void (*concluded)(struct steer_out *out, const struct steer_round *round,
+                      unsigned over);
 };
 
 /** struct steer_out - where outputs go; the vtable comes first */
@@ -82,6 +93,66 @@
 struct steer_pin;
 struct steer_wait;
 
+/* Flows that are waited for at a time; the next packet of one that found no
+ * room brings it again. */
+#define STEER_LOST_MAX 1024
+
+/**
+ * struct steer_lost_flow - a flow that its callers send on and no search found
+ * @handle: its pin
+ * @flow: its key, as the pin may be another's by now
+ * @since_us: when it was looked for first
+ */
+struct steer_lost_flow {
+    uint32_t handle;
+    struct relay_flow flow;
+    uint64_t since_us;
+};
+
+/**
+ * struct steer_round - one question to all agents of a service
+ * @number: names it
+ * @open: it waits for answers
+ * @service: the service
+ * @started_us: when it was asked
+ * @confirmed: the list of agents was whole after that
+ * @asked: agents that were asked
+ * @missing: those of them that haven't answered
+ * @unreachable: agents that can't be asked, or whose endpoints are silent
+ * @flows: what was asked for
+ * @count: how many
+ * @absent: a bit for each that nobody has claimed so far
+ */
+struct steer_round {
+    uint32_t number;
+    bool open;
+    uint32_t service;
+    uint64_t started_us;
+    bool confirmed;
+    unsigned asked;
+    unsigned missing;
+    unsigned unreachable;
+    struct steer_lost_flow flows[FRAME_ASK_MAX];
+    unsigned count;
+    uint32_t absent[FRAME_ASK_WORDS];
+};
+
+/**
+ * struct steer_lost - flows that may be held by nobody
+ * @flows: the flows
+ * @count: how many
+ * @round: the question that is open, or was last
+ * @gap_us: pause between two questions
+ * @next_us: when the next may be asked
+ */
+struct steer_lost {
+    struct steer_lost_flow flows[STEER_LOST_MAX];
+    unsigned count;
+    struct steer_round round;
+    uint64_t gap_us;
+    uint64_t next_us;
+};
+
 /**
  * struct steer - state of a balancer
  * @out: where outputs go
@@ -95,6 +166,7 @@
  * @waits: SYNs whose agent hasn't answered, in the order they fall due
  * @wait_first: first of them
  * @wait_count: how many
+ * @lost: open flows that no search has found
  */
 struct steer {
     struct steer_out *out;
@@ -108,6 +180,7 @@
     struct steer_wait *waits;
     uint32_t wait_first;
     uint32_t wait_count;
+    struct steer_lost lost;
 };
 
 /** steer_init() - nothing known yet; 0 or -ENOMEM */
@@ -149,6 +222,16 @@
 steer_status(struct steer *steer, struct addr agent,
              const struct frame_status *status, uint64_t now_us);
 
+/** steer_absent() - an agent answered which flows its endpoint doesn't hold */
+void
+steer_absent(struct steer *steer, struct addr agent,
+             const struct frame_absent *absent, uint64_t now_us);
+
+/** steer_confirmed() - the store, asked at @asked_us, says that the list of
+ * agents is whole */
+void
+steer_confirmed(struct steer *steer, uint64_t asked_us, uint64_t now_us);
+
 /** steer_tick() - do what is due; call it at steer_next_us() or later */
 void
 steer_tick(struct steer *steer, uint64_t now_us);
--- a/src/relay/steer_known.c
+++ b/src/relay/steer_known.c
@@ -11,6 +11,11 @@
  * the caller's: 0.2 s, then 0.4 s more. */
 #define SEARCH_CHAINS 4
 
+/* How long a proof that nobody holds a flow is believed: while its caller
+ * still sends what was on its way. Later its port may be used again, for a
+ * flow that was opened through another balancer. */
+#define OVER_KEPT_US (1 * USEC_PER_SEC)
+
 /* Place whose bytes the packet acknowledges, or NULL. */
 static const struct steer_place *
 place_of(const struct steer_pin *pin, const struct relay_packet *packet)
@@ -122,6 +127,7 @@
         return;
     }
     pin->searches++;
+    steer_lost_note(steer, handle, now_us);
     steer->out->ops->decided(steer->out, STEER_DID_SEARCH,
                              relay_flow_from_caller(packet), pin->holder,
                              pin->searches, now_us - pin->since_us);
@@ -152,14 +158,14 @@
             pin->last_ack - pin->places[0].seq < STEER_SEQ_WINDOW);
 }
 
-/* The endpoint that held the flow is no more: its caller learns it at once
- * instead of by its timeout, and may try anew. */
-static void
-reset_flow(struct steer *steer, uint32_t handle, uint64_t now_us)
+void
+steer_reset(struct steer *steer, uint32_t handle, uint64_t now_us)
 {
     struct steer_pin *pin = &steer->pins[handle];
     struct relay_flow flow = flow_index_flow(&steer->flows, handle);
 
+    /* Its caller learns it at once instead of by its timeout, and may try
+     * anew. */
     steer->out->ops->reset(steer->out, flow, pin->last_ack);
     steer->out->ops->decided(steer->out, STEER_DID_RESET, flow,
                              pin->places[0].agent, 0, now_us - pin->since_us);
@@ -182,8 +188,13 @@
 
     pin->last_ack = packet->ack;
     pin->opened = true;
+    if (pin->over_us != 0 && now_us - pin->over_us < OVER_KEPT_US) {
+        steer_reset(steer, handle, now_us);
+        return;
+    }
+    pin->over_us = 0;
     if (is_sure(pin) && has_ended(steer, pin->places[0].agent)) {
-        reset_flow(steer, handle, now_us);
+        steer_reset(steer, handle, now_us);
     }
     else if (place != NULL) {
         steer_carry_to(steer, pin, place->agent, packet);
@@ -227,6 +238,7 @@
     pin = &steer->pins[handle];
     steer_note_trip(steer, pin, agent, now_us);
     place_add(pin, agent, status->seq);
+    pin->over_us = 0;
     steer->out->ops->decided(steer->out, STEER_DID_PLACE, status->flow, agent,
                              pin->try_count, now_us - pin->since_us);
 }
@@ -248,7 +260,7 @@
     pin->held = false;
     if (status->target.ip == 0 && is_sure(pin) &&
         addr_equal(pin->places[0].agent, agent)) {
-        reset_flow(steer, handle, now_us);
+        steer_reset(steer, handle, now_us);
         return;
     }
     if (place_remove(pin, agent) || status->target.ip != 0) {
--- /dev/null
+++ b/src/relay/steer_lost.c
@@ -0,0 +1,347 @@
+#include "relay/steer_private.h"
+
+#include <string.h>
+
+#include <glib.h>
+
+#include "base/clock.h"
+
+/* A flow that lives is found by its search within a few hops of 1 ms; only
+ * then is it asked for. */
+#define ASK_AFTER_US (6 * USEC_PER_MSEC)
+
+/* How long agents and the store may take to answer: as long as a SYN's answer
+ * takes where they are slow. */
+#define ANSWERS_US (60 * USEC_PER_MSEC)
+
+/* Pause between two questions. A question costs two datagrams an agent: at
+ * most 1,000 a second, however many flows are lost and agents there are. One
+ * that proved nothing is repeated at half the pace, and so on. */
+#define GAP_LEAST_US (20 * USEC_PER_MSEC)
+#define GAP_PER_AGENT_US (2 * USEC_PER_MSEC)
+#define GAP_GROWTH_MOST 8
+
+/* A flow is asked for while its caller may still wait: it sends again after
+ * 0.2, 0.6 and 1.4 s. */
+#define CALLER_WAITS_US (1500 * USEC_PER_MSEC)
+
+/* An agent that is silent for this long can't bring a caller its answer in
+ * time any more. A planned restart takes some 0.6 s; one that said before that
+ * it takes nothing new may be in such a restart and is waited for longer. */
+#define SILENT_US (1 * USEC_PER_SEC)
+#define SILENT_CLOSED_US (5 * USEC_PER_SEC)
+
+/* The flow's pin, NULL when it has none any more. */
+static struct steer_pin *
+pin_of(const struct steer *steer, const struct steer_lost_flow *flow)
+{
+    if (flow_index_find(&steer->flows, flow->flow) != flow->handle) {
+        return NULL;
+    }
+    return &steer->pins[flow->handle];
+}
+
+/* Route of a flow, if all flows of it go to one service: those of another that
+ * it had once are held by agents that aren't asked. */
+static const struct route *
+route_of(const struct steer *steer, struct relay_flow flow)
+{
+    const struct route *route =
+        routes_find(steer_routes_in_force(steer), flow.service);
+
+    return route != NULL && route->share_count == 1 ? route : NULL;
+}
+
+/* Whether a flow still waits for a proof. */
+static bool
+is_waiting(const struct steer_pin *pin, uint64_t now_us)
+{
+    return pin != NULL && pin->opened && pin->place_count == 0 &&
+           pin->over_us == 0 && now_us - pin->sent_us < CALLER_WAITS_US;
+}
+
+static void
+drop_others(struct steer *steer, uint64_t now_us)
+{
+    struct steer_lost *lost = &steer->lost;
+    unsigned kept = 0;
+
+    for (unsigned i = 0; i < lost->count; i++) {
+        struct steer_pin *pin = pin_of(steer, &lost->flows[i]);
+
+        if (is_waiting(pin, now_us)) {
+            lost->flows[kept++] = lost->flows[i];
+        }
+        else if (pin != NULL) {
+            pin->lost = false;
+        }
+    }
+    lost->count = kept;
+}
+
+/* Whether an agent's endpoint may hold flows, and the agent can't be asked. */
+static bool
+is_unreachable(const struct agent_row *row, uint64_t now_us)
+{
+    bool closed = row->health.state == ENDPOINT_DRAINING;
+
+    return row->suspect &&
+           now_us - row->silent_us >= (closed ? SILENT_CLOSED_US : SILENT_US);
+}
+
+/* Takes up to FRAME_ASK_MAX flows of one service, those that have waited
+ * longest since they were asked for. */
+static void
+take_flows(struct steer *steer, uint64_t now_us)
+{
+    struct steer_lost *lost = &steer->lost;
+    struct steer_round *round = &lost->round;
+    struct steer_lost_flow rest[STEER_LOST_MAX];
+    unsigned rest_count = 0;
+
+    round->count = 0;
+    for (unsigned i = 0; i < lost->count; i++) {
+        const struct steer_lost_flow *flow = &lost->flows[i];
+        uint32_t service = steer->pins[flow->handle].service;
+        bool due = now_us - flow->since_us >= ASK_AFTER_US &&
+                   round->count < FRAME_ASK_MAX &&
+                   (round->count == 0 || service == round->service);
+
+        if (due) {
+            round->service = service;
+            round->flows[round->count++] = *flow;
+        }
+        else {
+            rest[rest_count++] = *flow;
+        }
+    }
+    memcpy(lost->flows, rest, rest_count * sizeof(rest[0]));
+    memcpy(lost->flows + rest_count, round->flows,
+           round->count * sizeof(rest[0]));
+}
+
+static void
+ask_all(struct steer *steer, uint64_t now_us)
+{
+    struct steer_round *round = &steer->lost.round;
+    const GPtrArray *rows = agents_of_service(&steer->agents, round->service);
+    struct frame_ask ask = {
+        .round = round->number,
+        .version = steer->routes.version,
+        .count = (uint8_t)round->count,
+    };
+
+    for (unsigned i = 0; i < round->count; i++) {
+        ask.flows[i] = round->flows[i].flow;
+    }
+    for (guint i = 0; rows != NULL && i < rows->len; i++) {
+        struct agent_row *row = g_ptr_array_index(rows, i);
+
+        if (row->health.state == ENDPOINT_GONE) {
+            continue;
+        }
+        if (is_unreachable(row, now_us)) {
+            round->unreachable++;
+            continue;
+        }
+        round->asked++;
+        row->asked = round->number;
+        steer->out->ops->ask(steer->out, row->addr, &ask);
+    }
+    round->missing = round->asked;
+}
+
+static void
+start_round(struct steer *steer, uint64_t now_us)
+{
+    struct steer_round *round = &steer->lost.round;
+    uint32_t number = round->number + 1;
+
+    take_flows(steer, now_us);
+    if (round->count == 0) {
+        return;
+    }
+    round->number = number;
+    round->open = true;
+    round->confirmed = false;
+    round->started_us = now_us;
+    round->asked = 0;
+    round->unreachable = 0;
+    memset(round->absent, 0xff, sizeof(round->absent));
+    ask_all(steer, now_us);
+    steer->out->ops->confirm(steer->out, now_us);
+}
+
+/*
+ * Whether a flow is held by nobody.
+ *
+ * A flow whose caller has sent more than its SYN is held by an endpoint that
+ * answered it, and by that start of it alone. Each agent was listed in the
+ * store before its endpoint was given the first SYN; the list was whole after
+ * the flow's packet had come; and each agent of the service has said since
+ * that its endpoint doesn't hold it. Then none does, and none will: only a SYN
+ * opens a flow.
+ *
+ * Agents that can't be asked leave a doubt: the flow may live there, out of
+ * reach. Where requests may run twice the caller is better off with another
+ * endpoint; where not, it waits. A balancer that reaches less than half of the
+ * agents has to doubt itself.
+ */
+static bool
+is_over(const struct steer *steer, unsigned at)
+{
+    const struct steer_round *round = &steer->lost.round;
+    const struct route *route = route_of(steer, round->flows[at].flow);
+    bool absent = (round->absent[at / 32] & 1u << at % 32) != 0;
+
+    if (route == NULL || !absent || !round->confirmed || round->missing > 0 ||
+        round->asked == 0) {
+        return false;
+    }
+    return round->unreachable == 0 ||
+           (route->idempotent && round->unreachable <= round->asked);
+}
+
+/* Agents that didn't answer are suspected. */
+static void
+note_missing(struct steer *steer, uint64_t now_us)
+{
+    const struct steer_round *round = &steer->lost.round;
+    const GPtrArray *rows = agents_of_service(&steer->agents, round->service);
+
+    for (guint i = 0; round->missing > 0 && rows != NULL && i < rows->len;
+         i++) {
+        const struct agent_row *row = g_ptr_array_index(rows, i);
+
+        if (row->asked == round->number && row->answered != round->number) {
+            agents_missed(&steer->agents, row->addr, round->started_us,
+                          now_us);
+        }
+    }
+}
+
+static void
+end_round(struct steer *steer, uint64_t now_us)
+{
+    struct steer_lost *lost = &steer->lost;
+    struct steer_round *round = &lost->round;
+    uint64_t gap_us =
+        MAX(GAP_LEAST_US, (uint64_t)round->asked * GAP_PER_AGENT_US);
+    unsigned over = 0;
+
+    round->open = false;
+    note_missing(steer, now_us);
+    for (unsigned i = 0; i < round->count; i++) {
+        struct steer_pin *pin = pin_of(steer, &round->flows[i]);
+
+        if (is_waiting(pin, now_us) && is_over(steer, i)) {
+            pin->over_us = now_us;
+            steer_reset(steer, round->flows[i].handle, now_us);
+            over++;
+        }
+    }
+    steer->out->ops->concluded(steer->out, round, over);
+    lost->gap_us =
+        over > 0 ? gap_us
+                 : CLAMP(2 * lost->gap_us, gap_us, GAP_GROWTH_MOST * gap_us);
+    lost->next_us = round->started_us + lost->gap_us;
+}
+
+static void
+end_if_complete(struct steer *steer, uint64_t now_us)
+{
+    const struct steer_round *round = &steer->lost.round;
+
+    if (round->missing == 0 && round->confirmed) {
+        end_round(steer, now_us);
+    }
+}
+
+void
+steer_lost_note(struct steer *steer, uint32_t handle, uint64_t now_us)
+{
+    struct steer_lost *lost = &steer->lost;
+    struct steer_pin *pin = &steer->pins[handle];
+
+    pin->sent_us = now_us;
+    if (!pin->lost && lost->count == STEER_LOST_MAX) {
+        drop_others(steer, now_us);
+    }
+    if (pin->lost || lost->count == STEER_LOST_MAX) {
+        return;
+    }
+    pin->lost = true;
+    lost->flows[lost->count++] = (struct steer_lost_flow){
+        handle, flow_index_flow(&steer->flows, handle), now_us};
+}
+
+void
+steer_absent(struct steer *steer, struct addr agent,
+             const struct frame_absent *absent, uint64_t now_us)
+{
+    struct steer_round *round = &steer->lost.round;
+    struct agent_row *row = agents_find(&steer->agents, agent);
+
+    if (!round->open || absent->round != round->number || row == NULL ||
+        row->health.service != round->service ||
+        row->answered == round->number || round->missing == 0) {
+        return;
+    }
+    row->answered = round->number;
+    agents_alive(&steer->agents, row, now_us);
+    round->missing--;
+    if (absent->silent) {
+        round->unreachable++;
+        round->asked--;
+    }
+    else {
+        for (unsigned i = 0; i < FRAME_ASK_WORDS; i++) {
+            round->absent[i] &= absent->absent[i];
+        }
+    }
+    end_if_complete(steer, now_us);
+}
+
+void
+steer_confirmed(struct steer *steer, uint64_t asked_us, uint64_t now_us)
+{
+    struct steer_round *round = &steer->lost.round;
+
+    if (round->open && asked_us >= round->started_us) {
+        round->confirmed = true;
+        end_if_complete(steer, now_us);
+    }
+}
+
+void
+steer_lost_tick(struct steer *steer, uint64_t now_us)
+{
+    struct steer_lost *lost = &steer->lost;
+
+    if (lost->round.open) {
+        if (now_us - lost->round.started_us >= ANSWERS_US) {
+            end_round(steer, now_us);
+        }
+        return;
+    }
+    if (lost->count == 0 || now_us < lost->next_us) {
+        return;
+    }
+    drop_others(steer, now_us);
+    start_round(steer, now_us);
+}
+
+uint64_t
+steer_lost_next_us(const struct steer *steer)
+{
+    const struct steer_lost *lost = &steer->lost;
+    uint64_t due_us = UINT64_MAX;
+
+    if (lost->round.open) {
+        return lost->round.started_us + ANSWERS_US;
+    }
+    for (unsigned i = 0; i < lost->count; i++) {
+        due_us = MIN(due_us, lost->flows[i].since_us + ASK_AFTER_US);
+    }
+    return lost->count == 0 ? UINT64_MAX : MAX(due_us, lost->next_us);
+}
--- a/src/relay/steer_private.h
+++ b/src/relay/steer_private.h
@@ -2,7 +2,8 @@
  * DOC: steer_private - what the parts of steer share
  *
  * steer_pin keeps what is known of flows, steer_open decides on SYNs,
- * steer_known on packets of open flows and on what agents say of them.
+ * steer_known on packets of open flows and on what agents say of them,
+ * steer_lost on flows that nobody may hold any more.
  */
 #ifndef SWIFTARCH_RELAY_STEER_PRIVATE_H
 #define SWIFTARCH_RELAY_STEER_PRIVATE_H
@@ -44,6 +45,9 @@
  * @holder: agent that has the SYN now, as far as is known
  * @held: it said that it keeps it until a slot is free
  * @opened: the caller has sent more than its SYN: that is never sent again
+ * @lost: it waits among the flows that no search has found
+ * @sent_us: last packet of its caller while it does
+ * @over_us: when it was proved that no endpoint holds it, 0 for not
  * @last_ack: what the caller acknowledged last
  * @search_below: agents that rank below this for the flow are asked next
  * @search_end: rank of the last agent that the last search named
@@ -66,6 +70,9 @@
     struct addr holder;
     bool held;
     bool opened;
+    bool lost;
+    uint64_t sent_us;
+    uint64_t over_us;
     uint8_t searches;
     uint64_t search_below;
     uint64_t search_end;
@@ -141,6 +148,22 @@
 steer_passed(struct steer *steer, struct addr agent,
              const struct frame_status *status, uint64_t now_us);
 
+/** steer_reset() - no endpoint holds the flow: its caller is told */
+void
+steer_reset(struct steer *steer, uint32_t handle, uint64_t now_us);
+
+/** steer_lost_note() - a packet of a flow whose place isn't known came */
+void
+steer_lost_note(struct steer *steer, uint32_t handle, uint64_t now_us);
+
+/** steer_lost_tick() - ask, or conclude, when it is time */
+void
+steer_lost_tick(struct steer *steer, uint64_t now_us);
+
+/** steer_lost_next_us() - when that is, UINT64_MAX for never */
+uint64_t
+steer_lost_next_us(const struct steer *steer);
+
 /** steer_drop_packet() - a packet ends here */
 void
 steer_drop_packet(struct steer *steer, enum steer_drop why,
--- /dev/null
+++ b/tests/relay/confirm_test.c
@@ -0,0 +1,105 @@
+#include <errno.h>
+
+#include "base/container.h"
+#include "lib/harness.h"
+#include "relay/confirm.h"
+
+#define SUITE "/relay/confirm"
+
+/** struct site - a list at revision 40, and a store that answers when told */
+struct site {
+    struct confirm confirm;
+    struct store store;
+    struct follow follow;
+    struct store_call *call;
+    uint64_t since;
+    unsigned calls;
+    uint64_t whole_us;
+};
+
+static int
+store_watch(struct store *store, const char *kind, uint64_t revision,
+            unsigned wait_ms, struct store_call *call)
+{
+    struct site *site = container_of(store, struct site, store);
+
+    site->calls++;
+    site->since = revision;
+    site->call = call;
+    return 0;
+}
+
+static const struct store_ops store_ops = {.watch = store_watch};
+
+static void
+whole(struct confirm *confirm, uint64_t asked_us)
+{
+    container_of(confirm, struct site, confirm)->whole_us = asked_us;
+}
+
+static const struct confirm_ops ops = {whole};
+
+static void
+site_init(struct site *site)
+{
+    site->store.ops = &store_ops;
+    site->follow.kind = "agents";
+    site->follow.state = FOLLOW_WATCH;
+    site->follow.revision = 40;
+    confirm_init(&site->confirm, &ops, &site->store, &site->follow);
+}
+
+static void
+site_finish(struct site *site)
+{
+}
+
+static void
+answer(struct site *site, struct store_reply reply)
+{
+    site->call->done(site->call, &reply);
+}
+
+TEST_F(site, no_change_means_whole)
+{
+    confirm_ask(&site->confirm, 1000);
+    g_assert_cmpuint(site->since, ==, 40);
+    answer(site, (struct store_reply){.revision = 44});
+    g_assert_cmpuint(site->whole_us, ==, 1000);
+}
+
+TEST_F(site, a_change_or_no_answer_tells_nothing)
+{
+    const struct store_reply replies[] = {
+        {.count = 1, .revision = 44}, {.unreadable = 1, .revision = 44},
+        {.status = -EBUSY},           {.status = -ESTALE},
+        {.status = -ETIMEDOUT},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(replies); i++) {
+        confirm_ask(&site->confirm, 1000 + i);
+        answer(site, replies[i]);
+        g_assert_cmpuint(site->whole_us, ==, 0);
+    }
+    g_assert_cmpuint(site->calls, ==, G_N_ELEMENTS(replies));
+}
+
+/* The follower lists anew while the call is open. */
+TEST_F(site, a_list_that_is_read_anew_is_not_whole)
+{
+    confirm_ask(&site->confirm, 1000);
+    site->follow.state = FOLLOW_LIST;
+    answer(site, (struct store_reply){.revision = 44});
+    g_assert_cmpuint(site->whole_us, ==, 0);
+    confirm_ask(&site->confirm, 2000);
+    g_assert_cmpuint(site->calls, ==, 1);
+}
+
+TEST_F(site, one_call_at_a_time)
+{
+    confirm_ask(&site->confirm, 1000);
+    confirm_ask(&site->confirm, 2000);
+    g_assert_cmpuint(site->calls, ==, 1);
+    answer(site, (struct store_reply){.revision = 44});
+    g_assert_cmpuint(site->whole_us, ==, 1000);
+}
--- a/tests/relay/door_open_test.c
+++ b/tests/relay/door_open_test.c
@@ -1,3 +1,5 @@
+#include <string.h>
+
 #include "base/clock.h"
 #include "base/hash.h"
 #include "lib/harness.h"
@@ -235,3 +237,22 @@
     rig_expect(site->record, "drop 1",
                "tell passed reason=2 on=0 busy=3 state=2", NULL);
 }
+
+/* Its copy was given to another start of the endpoint, which has its own time
+ * to answer. */
+TEST_F(site, a_wait_for_an_earlier_start_is_over)
+{
+    struct relay_packet syn =
+        rig_from_caller(rig_flow(1), RELAY_SYN, 100, 0, 0);
+
+    site_heartbeat(site, "i-1", "lots", false, 1);
+    site_arrive(site, syn, 1, false);
+    site_pass_ms(site, 3);
+    site_heartbeat(site, "i-2", "lots", false, 1);
+    site_arrive(site, syn, 1, false);
+    g_string_truncate(site->record, 0);
+    site_pass_ms(site, 2);
+    rig_expect(site->record, NULL);
+    site_pass_ms(site, 3);
+    g_assert_nonnull(strstr(site->record->str, "carry 10.0.0.2:7000"));
+}
--- a/tests/relay/door_site.c
+++ b/tests/relay/door_site.c
@@ -65,6 +65,20 @@
     rig_note(of_out(out)->record, "serves %u", served->count);
 }
 
+static void
+absent(struct door_out *out, struct addr balancer,
+       const struct frame_absent *absent)
+{
+    rig_note(of_out(out)->record, "absent %x%s", absent->absent[0],
+             absent->silent ? " silent" : "");
+}
+
+static void
+probe(struct door_out *out)
+{
+    rig_note(of_out(out)->record, "probe");
+}
+
 static void
 dropped(struct door_out *out, enum door_drop why)
 {
@@ -77,8 +91,9 @@
 {
 }
 
-static const struct door_out_ops ops = {
-    to_endpoint, to_caller, reset, carry, tell, serves, dropped, decided};
+static const struct door_out_ops ops = {to_endpoint, to_caller, reset,  carry,
+                                        tell,        serves,    absent, probe,
+                                        dropped,     decided};
 
 void
 site_init(struct site *site)
--- a/tests/relay/frame_test.c
+++ b/tests/relay/frame_test.c
@@ -139,6 +139,8 @@
     struct frame_version version;
     bool unlisted;
     struct frame_served served;
+    struct frame_absent absent;
+    struct frame_ask ask;
 
     switch (frame_type(bytes, size)) {
     case FRAME_CARRY:
@@ -163,6 +165,14 @@
             g_assert_cmpuint(served.count, <=, FRAME_SERVED_MAX);
         }
         break;
+    case FRAME_ASK:
+        if (frame_ask_decode(bytes, size, &ask) == 0) {
+            g_assert_cmpuint(ask.count, <=, FRAME_ASK_MAX);
+        }
+        break;
+    case FRAME_ABSENT:
+        (void)frame_absent_decode(bytes, size, &absent);
+        break;
     default:
         break;
     }
@@ -188,3 +198,73 @@
         g_free(bytes);
     }
 }
+
+static struct frame_ask
+sample_ask(void)
+{
+    struct frame_ask ask = {
+        .round = 0x01020304, .version = 1ull << 40, .count = FRAME_ASK_MAX};
+
+    for (unsigned i = 0; i < FRAME_ASK_MAX; i++) {
+        ask.flows[i] = rig_flow(i);
+    }
+    return ask;
+}
+
+TEST(a_question_comes_back_as_it_was)
+{
+    struct frame_ask ask = sample_ask();
+    struct frame_ask read;
+    uint8_t bytes[FRAME_MAX];
+    size_t size = frame_ask_encode(&ask, bytes);
+
+    g_assert_cmpuint(size, <=, FRAME_MAX);
+    g_assert_cmpint(frame_type(bytes, size), ==, FRAME_ASK);
+    g_assert_cmpint(frame_ask_decode(bytes, size, &read), ==, 0);
+    g_assert_cmpuint(read.round, ==, ask.round);
+    g_assert_cmpuint(read.version, ==, ask.version);
+    g_assert_cmpuint(read.count, ==, FRAME_ASK_MAX);
+    for (unsigned i = 0; i < FRAME_ASK_MAX; i++) {
+        g_assert_true(relay_flow_equal(read.flows[i], ask.flows[i]));
+    }
+    g_assert_cmpint(frame_ask_decode(bytes, size - 1, &read), ==, -EBADMSG);
+    bytes[size] = 0;
+    g_assert_cmpint(frame_ask_decode(bytes, size + 1, &read), ==, -EBADMSG);
+}
+
+TEST(an_answer_to_it_comes_back_as_it_was)
+{
+    struct frame_absent absent = {
+        .round = 9, .silent = true, .absent = {1, 0x80000000, 5}};
+    struct frame_absent read;
+    uint8_t bytes[FRAME_HEAD_MAX];
+    size_t size = frame_absent_encode(&absent, bytes);
+
+    g_assert_cmpint(frame_type(bytes, size), ==, FRAME_ABSENT);
+    g_assert_cmpint(frame_absent_decode(bytes, size, &read), ==, 0);
+    g_assert_cmpuint(read.round, ==, 9);
+    g_assert_true(read.silent);
+    g_assert_cmpmem(read.absent, sizeof(read.absent), absent.absent,
+                    sizeof(absent.absent));
+    g_assert_cmpint(frame_absent_decode(bytes, size - 1, &read), ==, -EBADMSG);
+}
+
+TEST(mutated_questions_end_no_process)
+{
+    struct frame_ask ask = sample_ask();
+    uint8_t bytes[FRAME_MAX];
+    size_t whole = frame_ask_encode(&ask, bytes);
+
+    for (unsigned i = 0; i < MUTATIONS; i++) {
+        struct frame_ask read;
+        uint8_t copy[FRAME_MAX];
+        size_t size = (size_t)g_test_rand_int_range(4, (gint32)whole + 1);
+
+        memcpy(copy, bytes, whole);
+        copy[g_test_rand_int_range(4, 20)] =
+            (uint8_t)g_test_rand_int_range(0, 256);
+        if (frame_ask_decode(copy, size, &read) == 0) {
+            g_assert_cmpuint(read.count, <=, FRAME_ASK_MAX);
+        }
+    }
+}
--- /dev/null
+++ b/tests/relay/steer_lost_test.c
@@ -0,0 +1,453 @@
+#include <string.h>
+
+#include "base/clock.h"
+#include "base/hash.h"
+#include "lib/harness.h"
+#include "relay/relay_rig.h"
+#include "relay/steer.h"
+
+#define SUITE "/relay/steer_lost"
+#define AGENTS 7
+#define ROUND_MS 70
+#define ALL 0xffffffffu
+
+/**
+ * struct site - a balancer that has just started, and seven agents
+ * @asked: agents that the last question went to
+ * @questions: datagrams with a question
+ * @carried_to: agent that the last packet went to
+ * @rounds: questions that have ended
+ */
+struct site {
+    struct steer_out out;
+    struct steer steer;
+    GString *record;
+    uint64_t now_us;
+    bool asked[AGENTS + 1];
+    struct frame_ask ask;
+    unsigned questions;
+    unsigned carried_to;
+    unsigned rounds;
+    uint64_t confirm_us;
+};
+
+static struct addr
+agent_addr(unsigned number)
+{
+    return (struct addr){0x0a000000 + number, 7000};
+}
+
+static void
+carry(struct steer_out *out, struct addr agent,
+      const struct frame_carry *frame)
+{
+    ((struct site *)out)->carried_to = agent.ip - 0x0a000000;
+}
+
+static void
+reset(struct steer_out *out, struct relay_flow flow, uint32_t seq)
+{
+    rig_note(((struct site *)out)->record, "reset %u at %u", flow.caller.port,
+             seq);
+}
+
+static void
+ping(struct steer_out *out, struct addr agent, bool unlisted)
+{
+}
+
+static void
+ask(struct steer_out *out, struct addr agent, const struct frame_ask *ask)
+{
+    struct site *site = (struct site *)out;
+
+    site->asked[agent.ip - 0x0a000000] = true;
+    site->ask = *ask;
+    site->questions++;
+}
+
+static void
+confirm(struct steer_out *out, uint64_t now_us)
+{
+    ((struct site *)out)->confirm_us = now_us;
+}
+
+static void
+behind(struct steer_out *out, const struct frame_version *newer)
+{
+}
+
+static void
+dropped(struct steer_out *out, enum steer_drop why,
+        const struct relay_packet *packet)
+{
+}
+
+static void
+decided(struct steer_out *out, enum steer_did did, struct relay_flow flow,
+        struct addr agent, unsigned tries, uint64_t age_us)
+{
+}
+
+static void
+concluded(struct steer_out *out, const struct steer_round *round,
+          unsigned over)
+{
+    ((struct site *)out)->rounds++;
+}
+
+static const struct steer_out_ops ops = {
+    carry, reset, ping, ask, confirm, behind, dropped, decided, concluded};
+
+static void
+hear_of(struct site *site, unsigned number, enum endpoint_state state,
+        const char *service)
+{
+    struct frame_status status = {
+        .type = FRAME_STATE,
+        .health = {.service = hash_service(service),
+                   .slots = 2,
+                   .state = (uint8_t)state},
+    };
+
+    steer_status(&site->steer, agent_addr(number), &status, site->now_us);
+}
+
+static void
+hear(struct site *site, unsigned number, enum endpoint_state state)
+{
+    hear_of(site, number, state, "lots");
+}
+
+static void
+site_init(struct site *site, bool idempotent)
+{
+    struct routes routes;
+    struct route *route;
+
+    site->out.ops = &ops;
+    site->record = g_string_new(NULL);
+    site->now_us = USEC_PER_SEC;
+    g_assert_cmpint(steer_init(&site->steer, &site->out,
+                               rig_addr("10.9.0.1:7720"), "here"),
+                    ==, 0);
+    routes_init(&routes);
+    routes.version = 5;
+    route = routes_add(&routes);
+    route->address = rig_flow(1).service;
+    route->shares[0] = (struct route_share){hash_service("lots"), 1};
+    route->share_count = 1;
+    route->idempotent = idempotent;
+    g_assert_cmpint(routes_seal(&routes), ==, 0);
+    steer_routes(&site->steer, &routes);
+    for (unsigned i = 1; i <= AGENTS; i++) {
+        agents_list(&site->steer.agents, agent_addr(i), hash_service("lots"),
+                    "here", site->now_us);
+        hear(site, i, ENDPOINT_READY);
+    }
+    agents_listed(&site->steer.agents);
+}
+
+static void
+site_finish(struct site *site)
+{
+    steer_finish(&site->steer);
+    g_string_free(site->record, TRUE);
+}
+
+static void
+pass_ms(struct site *site, unsigned ms)
+{
+    site->now_us += ms * USEC_PER_MSEC;
+    steer_tick(&site->steer, site->now_us);
+}
+
+/* A packet of a flow that was opened before this balancer's start. */
+static void
+send_on(struct site *site, unsigned flow)
+{
+    struct relay_packet packet =
+        rig_from_caller(rig_flow(flow), RELAY_ACK, 101, 501, 40);
+
+    steer_packet(&site->steer, &packet, site->now_us);
+}
+
+static void
+answer(struct site *site, unsigned agent, uint32_t absent, bool silent)
+{
+    struct frame_absent frame = {
+        .round = site->ask.round, .silent = silent, .absent = {absent}};
+
+    steer_absent(&site->steer, agent_addr(agent), &frame, site->now_us);
+}
+
+static void
+confirmed(struct site *site)
+{
+    steer_confirmed(&site->steer, site->confirm_us, site->now_us);
+}
+
+/* All agents but the first @but say that they lack the flows. */
+static void
+answer_all_but(struct site *site, unsigned but)
+{
+    for (unsigned i = but + 1; i <= AGENTS; i++) {
+        answer(site, i, ALL, false);
+    }
+}
+
+static void
+open_question(struct site *site)
+{
+    send_on(site, 1);
+    pass_ms(site, 10);
+    g_assert_cmpuint(site->questions, ==, AGENTS);
+    g_assert_cmpuint(site->ask.count, ==, 1);
+}
+
+TEST_F(site, a_caller_is_told_once_every_agent_says_no, false)
+{
+    open_question(site);
+    answer_all_but(site, 0);
+    rig_expect(site->record, NULL);
+    confirmed(site);
+    rig_expect(site->record, "reset 1001 at 501", NULL);
+    /* What was on its way is told the same. */
+    send_on(site, 1);
+    rig_expect(site->record, "reset 1001 at 501", NULL);
+}
+
+TEST_F(site, the_order_of_the_answers_does_not_matter, false)
+{
+    open_question(site);
+    confirmed(site);
+    answer(site, 3, ALL, false);
+    answer(site, 3, ALL, false);
+    answer_all_but(site, 1);
+    rig_expect(site->record, NULL);
+    answer(site, 1, ALL, false);
+    rig_expect(site->record, "reset 1001 at 501", NULL);
+}
+
+TEST_F(site, without_the_list_nobody_is_told, true)
+{
+    open_question(site);
+    answer_all_but(site, 0);
+    pass_ms(site, ROUND_MS);
+    rig_expect(site->record, NULL);
+}
+
+/* The store answers what it was asked before the flow's packet came. */
+TEST_F(site, a_list_of_before_says_nothing, true)
+{
+    open_question(site);
+    steer_confirmed(&site->steer, site->confirm_us - 1, site->now_us);
+    answer_all_but(site, 0);
+    pass_ms(site, ROUND_MS);
+    rig_expect(site->record, NULL);
+}
+
+TEST_F(site, one_agent_that_is_not_sure_is_enough_for_silence, true)
+{
+    open_question(site);
+    confirmed(site);
+    answer_all_but(site, 1);
+    answer(site, 1, 0, false);
+    rig_expect(site->record, NULL);
+}
+
+TEST_F(site, an_answer_to_an_earlier_question_does_not_count, true)
+{
+    struct frame_absent late = {.absent = {ALL}};
+
+    open_question(site);
+    late.round = site->ask.round;
+    confirmed(site);
+    answer_all_but(site, 1);
+    pass_ms(site, ROUND_MS);
+    pass_ms(site, ROUND_MS);
+    g_assert_cmpuint(site->ask.round, !=, late.round);
+    confirmed(site);
+    answer_all_but(site, 1);
+    steer_absent(&site->steer, agent_addr(1), &late, site->now_us);
+    rig_expect(site->record, NULL);
+}
+
+TEST_F(site, a_flow_that_was_found_is_not_asked_for, false)
+{
+    struct frame_status placed = {
+        .type = FRAME_PLACED,
+        .flow = rig_flow(1),
+        .seq = 500,
+        .health = {.service = hash_service("lots"),
+                   .slots = 2,
+                   .state = ENDPOINT_READY},
+    };
+
+    send_on(site, 1);
+    steer_status(&site->steer, agent_addr(4), &placed, site->now_us);
+    pass_ms(site, 10);
+    g_assert_cmpuint(site->questions, ==, 0);
+}
+
+/* Agent 1 answers nothing: where requests may run twice, callers are told once
+ * it has been silent for a second. */
+static void
+one_is_silent(struct site *site)
+{
+    for (unsigned i = 0; i < 20; i++) {
+        send_on(site, 1);
+        pass_ms(site, ROUND_MS);
+        confirmed(site);
+        answer_all_but(site, 1);
+    }
+}
+
+TEST_F(site, an_idempotent_caller_does_not_wait_for_a_silent_agent, true)
+{
+    open_question(site);
+    pass_ms(site, 600);
+    rig_expect(site->record, NULL);
+    one_is_silent(site);
+    g_assert_nonnull(strstr(site->record->str, "reset 1001"));
+}
+
+TEST_F(site, another_caller_does, false)
+{
+    open_question(site);
+    pass_ms(site, 600);
+    one_is_silent(site);
+    rig_expect(site->record, NULL);
+}
+
+/* It may be in a planned restart. */
+TEST_F(site, one_that_said_that_it_closes_is_waited_for, true)
+{
+    hear(site, 1, ENDPOINT_DRAINING);
+    open_question(site);
+    pass_ms(site, 600);
+    one_is_silent(site);
+    rig_expect(site->record, NULL);
+}
+
+/* The balancer is cut off, or most hosts are: it can't tell which. */
+TEST_F(site, a_balancer_that_reaches_few_doubts_itself, true)
+{
+    open_question(site);
+    pass_ms(site, 600);
+    for (unsigned i = 0; i < 20; i++) {
+        send_on(site, 1);
+        pass_ms(site, ROUND_MS);
+        confirmed(site);
+        answer_all_but(site, 4);
+    }
+    rig_expect(site->record, NULL);
+}
+
+TEST_F(site, an_endpoint_that_is_silent_is_like_a_silent_agent, false)
+{
+    open_question(site);
+    confirmed(site);
+    answer_all_but(site, 1);
+    answer(site, 1, ALL, true);
+    rig_expect(site->record, NULL);
+}
+
+TEST_F(site, who_has_gone_is_not_asked, false)
+{
+    hear(site, 1, ENDPOINT_GONE);
+    send_on(site, 1);
+    pass_ms(site, 10);
+    g_assert_cmpuint(site->questions, ==, AGENTS - 1);
+    g_assert_false(site->asked[1]);
+    confirmed(site);
+    answer_all_but(site, 1);
+    rig_expect(site->record, "reset 1001 at 501", NULL);
+}
+
+TEST_F(site, a_port_that_is_used_again_is_a_new_flow, false)
+{
+    struct relay_packet syn =
+        rig_from_caller(rig_flow(1), RELAY_SYN, 900, 0, 0);
+
+    open_question(site);
+    answer_all_but(site, 0);
+    confirmed(site);
+    g_string_truncate(site->record, 0);
+    steer_packet(&site->steer, &syn, site->now_us);
+    send_on(site, 1);
+    rig_expect(site->record, NULL);
+}
+
+TEST_F(site, a_proof_is_not_believed_for_long, false)
+{
+    open_question(site);
+    answer_all_but(site, 0);
+    confirmed(site);
+    g_string_truncate(site->record, 0);
+    pass_ms(site, 1100);
+    send_on(site, 1);
+    rig_expect(site->record, NULL);
+}
+
+/* What a loss of all hosts costs: the questions of a second are bounded by
+ * the agents, not by the flows. */
+TEST_F(site, many_flows_share_a_question, false)
+{
+    for (unsigned ms = 0; ms < 1000; ms += 10) {
+        for (unsigned flow = 0; flow < 800; flow++) {
+            if (flow % 20 == ms / 10 % 20) {
+                send_on(site, flow);
+            }
+        }
+        pass_ms(site, 10);
+        confirmed(site);
+        answer_all_but(site, 0);
+    }
+    /* Every one of them is told; 20 ms between two questions. */
+    g_assert_cmpuint(site->rounds, <=, 50);
+    g_assert_cmpuint(site->questions, <=, 50 * AGENTS);
+    for (unsigned flow = 0; flow < 800; flow++) {
+        char line[32];
+
+        g_snprintf(line, sizeof(line), "reset %u ", 1000 + flow);
+        g_assert_nonnull(strstr(site->record->str, line));
+    }
+}
+
+static void
+open_flow(struct site *site, unsigned flow)
+{
+    struct relay_packet syn =
+        rig_from_caller(rig_flow(flow), RELAY_SYN, 100, 0, 0);
+
+    steer_packet(&site->steer, &syn, site->now_us);
+}
+
+/* Whoever reads the list later must find there who may hold the flow. */
+TEST_F(site, new_flows_go_to_agents_in_the_list, false)
+{
+    hear(site, 9, ENDPOINT_READY);
+    for (unsigned flow = 1; flow <= 200; flow++) {
+        open_flow(site, flow);
+        g_assert_cmpuint(site->carried_to, <=, AGENTS);
+    }
+    /* Without any they are served all the same. */
+    for (unsigned i = 1; i <= AGENTS; i++) {
+        agents_unlist(&site->steer.agents, agent_addr(i), site->now_us);
+        hear(site, i, ENDPOINT_GONE);
+    }
+    open_flow(site, 300);
+    g_assert_cmpuint(site->carried_to, ==, 9);
+}
+
+/* A frame of whoever has the address now, or had it before: which of the two
+ * the store says. */
+TEST_F(site, an_agent_whose_service_is_in_doubt_is_asked, false)
+{
+    hear_of(site, 1, ENDPOINT_READY, "albums");
+    send_on(site, 1);
+    pass_ms(site, 10);
+    g_assert_cmpuint(site->questions, ==, AGENTS);
+    g_assert_true(site->asked[1]);
+}
--- a/tests/relay/steer_test.c
+++ b/tests/relay/steer_test.c
@@ -28,6 +28,9 @@
     unsigned carried;
     unsigned pings;
     unsigned searches;
+    unsigned asked;
+    unsigned confirms;
+    struct frame_ask ask;
     bool unlisted;
     bool named[AGENTS_MOST + 1];
 };
@@ -61,6 +64,21 @@
     ((struct site *)out)->unlisted = unlisted;
 }
 
+static void
+ask(struct steer_out *out, struct addr agent, const struct frame_ask *ask)
+{
+    struct site *site = (struct site *)out;
+
+    site->asked++;
+    site->ask = *ask;
+}
+
+static void
+confirm(struct steer_out *out, uint64_t now_us)
+{
+    ((struct site *)out)->confirms++;
+}
+
 static void
 behind(struct steer_out *out, const struct frame_version *newer)
 {
@@ -82,8 +100,14 @@
     ((struct site *)out)->searches += did == STEER_DID_SEARCH;
 }
 
-static const struct steer_out_ops ops = {carry,  reset,   ping,
-                                         behind, dropped, decided};
+static void
+concluded(struct steer_out *out, const struct steer_round *round,
+          unsigned over)
+{
+}
+
+static const struct steer_out_ops ops = {
+    carry, reset, ping, ask, confirm, behind, dropped, decided, concluded};
 
 static void
 add_route(struct routes *routes, const char *address, const char *service)
--- a/tests/relay/world.c
+++ b/tests/relay/world.c
@@ -42,6 +42,9 @@
         host->service = (host->service + 1) % WORLD_SERVICES;
         door_finish(&host->door);
         world_agent_start(host);
+        host->list_us = world->now_us +
+                        (uint64_t)g_rand_int_range(world->lost_rand, 1, 50) *
+                            USEC_PER_MSEC;
     }
 }
 
@@ -111,6 +114,9 @@
     struct relay_packet packet;
     struct host *host = &world->hosts[message->number % WORLD_AGENTS];
 
+    struct frame_ask ask;
+    struct frame_absent absent;
+
     switch (message->target) {
     case TO_BALANCER:
         packet = world_packet_of(message->bytes);
@@ -118,6 +124,15 @@
                      world->now_us);
         return;
     case TO_BALANCER_FRAME:
+        if (frame_type(message->bytes, message->size - 1) == FRAME_ABSENT) {
+            g_assert_cmpint(frame_absent_decode(message->bytes,
+                                                message->size - 1, &absent),
+                            ==, 0);
+            steer_absent(&world->fronts[message->number].steer,
+                         world_host_addr(message->bytes[message->size - 1]),
+                         &absent, world->now_us);
+            return;
+        }
         g_assert_cmpint(
             frame_status_decode(message->bytes, message->size - 1, &status),
             ==, 0);
@@ -136,6 +151,15 @@
                 &version, unlisted, world->now_us);
             return;
         }
+        if (frame_type(message->bytes, message->size) == FRAME_ASK) {
+            g_assert_cmpint(
+                frame_ask_decode(message->bytes, message->size - 1, &ask), ==,
+                0);
+            door_asked(&host->door,
+                       world_front_addr(message->bytes[message->size - 1]),
+                       &ask, world->now_us);
+            return;
+        }
         g_assert_cmpint(
             frame_carry_decode(message->bytes, message->size, &frame), ==, 0);
         packet = world_packet_of(frame.bytes);
@@ -200,6 +224,10 @@
         if (host->up && host->beat_us <= world->now_us) {
             world_heartbeat(host);
         }
+        if (host->probed && !host->up) {
+            door_down(&host->door, world->now_us);
+        }
+        host->probed = false;
         world_endpoint_work(host);
         door_tick(&host->door, world->now_us);
     }
@@ -208,6 +236,7 @@
 static void
 tick_fronts(struct world *world)
 {
+    world_list_tick(world);
     for (unsigned i = 0; i < WORLD_BALANCERS; i++) {
         struct front *front = &world->fronts[i];
 
@@ -215,7 +244,7 @@
             front->follow_us <= world->now_us) {
             world_follow_config(front, world->versions - 1);
         }
-        steer_tick(&front->steer, world->now_us);
+        world_front_tick(front);
     }
 }
 
@@ -232,6 +261,42 @@
     return false;
 }
 
+/* All hosts lose power: nobody knows of any flow. */
+static void
+lose_all(struct world *world)
+{
+    uint64_t back_us = world->now_us + RESTART_US;
+
+    for (unsigned i = 0; i < WORLD_AGENTS; i++) {
+        struct host *host = &world->hosts[i];
+
+        host->up = false;
+        host->back_us = back_us;
+        host->frozen_until_us = back_us;
+        host->fault_us = back_us;
+        door_finish(&host->door);
+        world_agent_start(host);
+    }
+    for (unsigned i = 0; i < WORLD_BALANCERS; i++) {
+        steer_finish(&world->fronts[i].steer);
+        world_front_start(&world->fronts[i]);
+    }
+    world->fault_us = back_us;
+}
+
+/* A flow that nobody holds is told of soon after its caller's packet. */
+static void
+check_told(struct world *world, unsigned number)
+{
+    const struct caller *caller = &world->callers[number];
+
+    if (world->plan->told && caller->dead_us != 0 &&
+        (caller->state == CALLER_ASKING || caller->state == CALLER_CLOSING) &&
+        world->now_us - caller->dead_us > TOLD_US) {
+        world_breach(world, "LOST: caller %u isn't told", number);
+    }
+}
+
 static void
 check_callers(struct world *world)
 {
@@ -239,6 +304,7 @@
         struct caller *caller = &world->callers[i];
 
         world_caller_tick(world, caller);
+        check_told(world, i);
         if (caller->misplaced >= MISPLACED_MAX &&
             world->now_us - caller->misplaced_us > MISPLACED_US &&
             !route_was_dropped(world, caller)) {
@@ -272,6 +338,7 @@
            struct world_result *result)
 {
     world->rand = g_rand_new_with_seed(seed);
+    world->lost_rand = g_rand_new_with_seed(seed + 1);
     world->plan = plan;
     world->result = result;
     world->now_us = 10 * USEC_PER_SEC;
@@ -288,6 +355,7 @@
         host->number = i;
         host->addr = world_host_addr(i);
         host->service = i % 3 == 2 ? 1 : 0;
+        host->listed_service = host->service;
         host->next_seq = i * 77777777u;
         world_agent_start(host);
         world_endpoint_start(host);
@@ -313,6 +381,7 @@
     }
     g_sequence_free(world->messages);
     g_rand_free(world->rand);
+    g_rand_free(world->lost_rand);
 }
 
 void
@@ -323,6 +392,11 @@
 
     memset(result, 0, sizeof(*result));
     world_init(world, seed, plan, result);
+    if (plan->loss_of_all) {
+        run_until(world, world->now_us + faulty_ms * USEC_PER_MSEC / 2, true);
+        lose_all(world);
+        faulty_ms /= 2;
+    }
     run_until(world, world->now_us + faulty_ms * USEC_PER_MSEC, true);
     run_until(world, world->now_us + CALM_US, false);
     world_finish(world);
--- a/tests/relay/world_callers.c
+++ b/tests/relay/world_callers.c
@@ -35,6 +35,9 @@
         if (caller->state == CALLER_ASKING) {
             world_caller_fail(world, caller);
         }
+        else if (caller->state == CALLER_CLOSING) {
+            caller->state = CALLER_DONE;
+        }
     }
 }
 
@@ -47,6 +50,20 @@
                       WORLD_BALANCERS);
 }
 
+/* Notes when a caller first sends a packet of a flow that nobody holds any
+ * more, while nothing is wrong with any host. */
+static void
+note_dead(struct world *world, struct caller *caller)
+{
+    const struct host *host = &world->hosts[caller->host];
+
+    if (caller->dead_us == 0 && host->up &&
+        !host->flows[caller - world->callers].held &&
+        world->now_us > world->fault_us + SETTLED_US) {
+        caller->dead_us = world->now_us;
+    }
+}
+
 static void
 caller_send(struct world *world, struct caller *caller, unsigned flags,
             uint32_t seq, uint32_t ack, uint16_t len)
@@ -55,6 +72,9 @@
         rig_from_caller(caller->flow, flags, seq, ack, len);
     unsigned number = (unsigned)(caller - world->callers);
 
+    if (caller->host >= 0) {
+        note_dead(world, caller);
+    }
     if (relay_packet_opens(&packet)) {
         packet.age_ms = (uint16_t)(ack * 200);
         packet.patience_ms = (uint16_t)(1400 - packet.age_ms);
--- a/tests/relay/world_fronts.c
+++ b/tests/relay/world_fronts.c
@@ -53,6 +53,27 @@
                     bytes, size, front->stalled_until_us);
 }
 
+static void
+ask(struct steer_out *out, struct addr agent, const struct frame_ask *ask)
+{
+    struct front *front = container_of(out, struct front, out);
+    uint8_t bytes[FRAME_MAX];
+    size_t size = frame_ask_encode(ask, bytes);
+
+    /* The sender's number stands in for its address. */
+    bytes[size] = (uint8_t)front->number;
+    world_post_lost(front->world, TO_AGENT, agent.ip - world_host_addr(0).ip,
+                    bytes, size + 1, front->stalled_until_us);
+}
+
+static void
+confirm(struct steer_out *out, uint64_t now_us)
+{
+    struct front *front = container_of(out, struct front, out);
+
+    front->confirm_us = now_us;
+}
+
 static void
 behind(struct steer_out *out, const struct frame_version *newer)
 {
@@ -71,8 +92,15 @@
 {
 }
 
+static void
+steer_concluded(struct steer_out *out, const struct steer_round *round,
+                unsigned over)
+{
+}
+
 const struct steer_out_ops world_steer_ops = {
-    steer_carries, steer_resets, ping, behind, steer_dropped, steer_decided};
+    steer_carries, steer_resets,  ping,           ask, confirm, behind,
+    steer_dropped, steer_decided, steer_concluded};
 
 /* Configuration and membership. */
 
@@ -97,6 +125,7 @@
             hash_service(world_services[world->served[version][i]]), 1};
         route->share_count = 1;
         route->target_ms = 100;
+        route->idempotent = i % 2 == 0;
     }
     g_assert_cmpint(routes_seal(&routes), ==, 0);
     if (steer_routes(&front->steer, &routes)) {
@@ -104,6 +133,16 @@
     }
 }
 
+/* The front learns what the store says of an agent. */
+static void
+see_listing(struct front *front, const struct host *host)
+{
+    front->listings[host->number] = host->listing;
+    agents_list(&front->steer.agents, host->addr,
+                hash_service(world_services[host->listed_service]), "here",
+                front->world->now_us);
+}
+
 void
 world_front_start(struct front *front)
 {
@@ -113,12 +152,66 @@
                                world_front_addr(front->number), "here"),
                     ==, 0);
     front->version = 0;
+    front->confirm_us = 0;
     front->fault_us = world->now_us;
     world_follow_config(front, world->versions - 1);
     for (unsigned i = 0; i < WORLD_AGENTS; i++) {
-        agents_list(&front->steer.agents, world->hosts[i].addr,
-                    hash_service(world_services[world->hosts[i].service]),
-                    "here", world->now_us);
+        see_listing(front, &world->hosts[i]);
+    }
+    agents_listed(&front->steer.agents);
+}
+
+/* Whether the front knows what the store says of the agents. */
+static bool
+knows_list(const struct front *front)
+{
+    for (unsigned i = 0; i < WORLD_AGENTS; i++) {
+        if (front->listings[i] != front->world->hosts[i].listing) {
+            return false;
+        }
+    }
+    return true;
+}
+
+void
+world_front_tick(struct front *front)
+{
+    struct world *world = front->world;
+
+    for (unsigned i = 0; i < WORLD_AGENTS; i++) {
+        if (front->listings[i] != world->hosts[i].listing &&
+            world->now_us >= front->list_us[i]) {
+            see_listing(front, &world->hosts[i]);
+        }
+    }
+    if (front->confirm_us != 0 &&
+        world->now_us >= front->confirm_us + CONFIRM_US) {
+        if (knows_list(front)) {
+            steer_confirmed(&front->steer, front->confirm_us, world->now_us);
+        }
+        front->confirm_us = 0;
+    }
+    steer_tick(&front->steer, world->now_us);
+}
+
+void
+world_list_tick(struct world *world)
+{
+    for (unsigned i = 0; i < WORLD_AGENTS; i++) {
+        struct host *host = &world->hosts[i];
+
+        if (host->list_us == 0 || host->list_us > world->now_us) {
+            continue;
+        }
+        host->list_us = 0;
+        host->listed_service = host->service;
+        host->listing++;
+        for (unsigned f = 0; f < WORLD_BALANCERS; f++) {
+            world->fronts[f].list_us[i] =
+                world->now_us +
+                (uint64_t)g_rand_int_range(world->lost_rand, 0, 500) *
+                    USEC_PER_MSEC;
+        }
     }
 }
 
--- a/tests/relay/world_hosts.c
+++ b/tests/relay/world_hosts.c
@@ -72,6 +72,27 @@
 {
 }
 
+static void
+absent(struct door_out *out, struct addr balancer,
+       const struct frame_absent *answer)
+{
+    struct host *host = container_of(out, struct host, out);
+    uint8_t bytes[FRAME_MAX + 1];
+    size_t size = frame_absent_encode(answer, bytes);
+
+    bytes[size] = (uint8_t)host->number;
+    world_post_lost(host->world, TO_BALANCER_FRAME,
+                    balancer.ip - world_front_addr(0).ip, bytes, size + 1, 0);
+}
+
+static void
+probe(struct door_out *out)
+{
+    struct host *host = container_of(out, struct host, out);
+
+    host->probed = true;
+}
+
 static void
 door_dropped(struct door_out *out, enum door_drop why)
 {
@@ -84,8 +105,8 @@
 }
 
 const struct door_out_ops world_door_ops = {
-    to_endpoint, to_caller, door_resets,  door_carries,
-    tell,        serves,    door_dropped, door_decided};
+    to_endpoint, to_caller, door_resets, door_carries, tell,
+    serves,      absent,    probe,       door_dropped, door_decided};
 
 static void
 send_from_endpoint(struct host *host, unsigned caller, unsigned flags,
--- a/tests/relay/world_net.c
+++ b/tests/relay/world_net.c
@@ -79,19 +79,20 @@
 
 /* When a datagram of now arrives, or 0 when it is lost. */
 static uint64_t
-arrival(struct world *world)
+arrival(struct world *world, GRand *rand)
 {
-    uint64_t delay_us = 100 + (uint64_t)g_rand_int_range(world->rand, 0, 2000);
+    uint64_t delay_us = 100 + (uint64_t)g_rand_int_range(rand, 0, 2000);
+    bool lost = g_rand_int_range(rand, 0, 1000) < (gint32)world->plan->loss;
 
-    return world_chance(world, world->plan->loss) ? 0
-                                                  : world->now_us + delay_us;
+    return lost ? 0 : world->now_us + delay_us;
 }
 
 void
 world_post(struct world *world, enum target target, unsigned number,
            const void *bytes, size_t size, bool local)
 {
-    uint64_t due_us = local ? world->now_us + LOCAL_US : arrival(world);
+    uint64_t due_us =
+        local ? world->now_us + LOCAL_US : arrival(world, world->rand);
 
     if (due_us != 0) {
         post(world, target, number, bytes, size, due_us);
@@ -102,7 +103,18 @@
 world_post_late(struct world *world, enum target target, unsigned number,
                 const void *bytes, size_t size, uint64_t earliest_us)
 {
-    uint64_t due_us = arrival(world);
+    uint64_t due_us = arrival(world, world->rand);
+
+    if (due_us != 0) {
+        post(world, target, number, bytes, size, MAX(due_us, earliest_us));
+    }
+}
+
+void
+world_post_lost(struct world *world, enum target target, unsigned number,
+                const void *bytes, size_t size, uint64_t earliest_us)
+{
+    uint64_t due_us = arrival(world, world->lost_rand);
 
     if (due_us != 0) {
         post(world, target, number, bytes, size, MAX(due_us, earliest_us));
--- a/tests/relay/world_private.h
+++ b/tests/relay/world_private.h
@@ -25,6 +25,7 @@
 #define RESTART_US (200 * USEC_PER_MSEC)
 #define FREEZE_US (300 * USEC_PER_MSEC)
 #define LOCAL_US 50
+#define CONFIRM_US (4 * USEC_PER_MSEC)
 #define FRESH_US (100 * USEC_PER_MSEC)
 #define STALL_US (40 * USEC_PER_MSEC)
 #define HEARTBEAT_US (100 * USEC_PER_MSEC)
@@ -35,6 +36,11 @@
 #define MISPLACED_US (1000 * USEC_PER_MSEC)
 #define RETRANSMITS_MAX 8
 
+/* How soon a caller of a flow that nobody holds is told, once all hosts are
+ * up and have heard of each other: two questions and the store's answer. */
+#define TOLD_US (100 * USEC_PER_MSEC)
+#define SETTLED_US (300 * USEC_PER_MSEC)
+
 /** enum target - who gets a message */
 enum target {
     TO_BALANCER,
@@ -83,6 +89,10 @@
     uint64_t sequence;
     uint64_t fault_us;
     uint64_t started_us;
+    unsigned listed_service;
+    unsigned listing;
+    uint64_t list_us;
+    bool probed;
     uint32_t next_seq;
     struct held_flow flows[FLOWS_MAX];
 };
@@ -97,6 +107,9 @@
     uint64_t follow_us;
     uint64_t fault_us;
     uint64_t stalled_until_us;
+    uint64_t confirm_us;
+    unsigned listings[WORLD_AGENTS];
+    uint64_t list_us[WORLD_AGENTS];
 };
 
 /** enum caller_state - what a caller does */
@@ -123,14 +136,17 @@
     unsigned misplaced;
     uint64_t misplaced_us;
     unsigned ran;
+    uint64_t dead_us;
 };
 
 /**
  * struct world - all of it
+ * @lost_rand: for what only questions about lost flows and the store need
  * @served: services that each version has at each route, -1 for none
  */
 struct world {
     GRand *rand;
+    GRand *lost_rand;
     const struct world_plan *plan;
     struct world_result *result;
     uint64_t now_us;
@@ -176,6 +192,12 @@
 world_post_late(struct world *world, enum target target, unsigned number,
                 const void *bytes, size_t size, uint64_t earliest_us);
 
+/** world_post_lost() - the same for questions about lost flows, which leave
+ * the fate of other datagrams as it is without them */
+void
+world_post_lost(struct world *world, enum target target, unsigned number,
+                const void *bytes, size_t size, uint64_t earliest_us);
+
 void
 world_post_packet(struct world *world, enum target target, unsigned number,
                   unsigned caller, struct relay_packet head, bool local);
@@ -225,9 +247,16 @@
 void
 world_follow_config(struct front *front, unsigned version);
 
+void
+world_front_tick(struct front *front);
+
 void
 world_front_start(struct front *front);
 
+/** world_list_tick() - agents' objects are written, and fronts see it */
+void
+world_list_tick(struct world *world);
+
 void
 world_change_config(struct world *world);
 
--- a/tests/relay/world_test.c
+++ b/tests/relay/world_test.c
@@ -127,6 +127,31 @@
     play_kept(&addresses_move, seeds, G_N_ELEMENTS(seeds));
 }
 
+/* Nobody knows of the flows from before: their callers are told. */
+static const struct world_plan loss_of_all = {
+    .new_flows = 600, .loss_of_all = true, .told = true};
+
+TEST(after_a_loss_of_all_hosts_callers_are_told)
+{
+    g_assert_cmpuint(play(&loss_of_all), >=, 800);
+}
+
+TEST(a_loss_of_all_hosts_among_other_faults)
+{
+    struct world_plan plan = loss_of_all;
+
+    plan.told = false;
+    plan.loss = 10;
+    plan.rehash = 50;
+    plan.agent_restart = 15;
+    plan.balancer_restart = 15;
+    plan.endpoint_crash = 10;
+    plan.freeze = 10;
+    plan.stall = 50;
+    plan.closing = true;
+    g_assert_cmpuint(play(&plan), >=, 400);
+}
+
 static const struct world_plan everything = {
     .new_flows = 600,
     .loss = 10,
