--- a/src/relay/steer_lost.c
+++ b/src/relay/steer_lost.c
@@ -169,11 +169,10 @@
     round->unreachable = 0;
     memset(round->absent, 0xff, sizeof(round->absent));
     ask_all(steer, now_us);
-    steer->out->ops->confirm(steer->out, now_us);
 }
 
 /*
- * Whether a flow is held by nobody.
+ * Whether a flow is held by nobody, if the list of agents is whole.
  *
  * A flow whose caller has sent more than its SYN is held by an endpoint that
  * answered it, and by that start of it alone. Each agent was listed in the
@@ -188,14 +187,13 @@
  * agents has to doubt itself.
  */
 static bool
-is_over(const struct steer *steer, unsigned at)
+is_claimed_by_none(const struct steer *steer, unsigned at)
 {
     const struct steer_round *round = &steer->lost.round;
     const struct route *route = route_of(steer, round->flows[at].flow);
     bool absent = (round->absent[at / 32] & 1u << at % 32) != 0;
 
-    if (route == NULL || !absent || !round->confirmed || round->missing > 0 ||
-        round->asked == 0) {
+    if (route == NULL || !absent || round->missing > 0 || round->asked == 0) {
         return false;
     }
     return round->unreachable == 0 ||
@@ -234,7 +232,8 @@
     for (unsigned i = 0; i < round->count; i++) {
         struct steer_pin *pin = pin_of(steer, &round->flows[i]);
 
-        if (is_waiting(pin, now_us) && is_over(steer, i)) {
+        if (round->confirmed && is_waiting(pin, now_us) &&
+            is_claimed_by_none(steer, i)) {
             pin->over_us = now_us;
             steer_reset(steer, round->flows[i].handle, now_us);
             over++;
@@ -247,12 +246,22 @@
     lost->next_us = round->started_us + lost->gap_us;
 }
 
+/* All have answered: the store is asked only if that tells something about any
+ * of the flows. Most questions of a loss fail before that, and a call is worth
+ * a fifth of a request: CALLS */
 static void
-end_if_complete(struct steer *steer, uint64_t now_us)
+on_answers(struct steer *steer, uint64_t now_us)
 {
     const struct steer_round *round = &steer->lost.round;
+    bool any = false;
 
-    if (round->missing == 0 && round->confirmed) {
+    for (unsigned i = 0; i < round->count && !any; i++) {
+        any = is_claimed_by_none(steer, i);
+    }
+    if (any) {
+        steer->out->ops->confirm(steer->out, now_us);
+    }
+    else {
         end_round(steer, now_us);
     }
 }
@@ -299,7 +308,9 @@
             round->absent[i] &= absent->absent[i];
         }
     }
-    end_if_complete(steer, now_us);
+    if (round->missing == 0) {
+        on_answers(steer, now_us);
+    }
 }
 
 void
@@ -307,9 +318,9 @@
 {
     struct steer_round *round = &steer->lost.round;
 
-    if (round->open && asked_us >= round->started_us) {
+    if (round->open && round->missing == 0 && asked_us >= round->started_us) {
         round->confirmed = true;
-        end_if_complete(steer, now_us);
+        end_round(steer, now_us);
     }
 }
 
