Lost flows: an endpoint's last answer counts, and doubt about its starts

(2) a SYN was given to an endpoint between its start and its first heartbeat; the heartbeat made the flow one of the earlier start, the SYN's next copy replaced it, and the agent then called it absent and passed its packets on. Change: another number in an answer means another start, the last counts. A flow that was open here when the endpoint seemed to start anew is in doubt after its SYN comes again: its packets are offered to the endpoint, and it is absent only once they are handed back.

--- a/src/relay/door_answer.c
+++ b/src/relay/door_answer.c
@@ -143,6 +143,15 @@
                      FRAME_REASON_REFUSED, flow->target, now_us);
 }
 
+/* Whether the endpoint answers a SYN with another number than before: it has
+ * started anew since, and the earlier answer was late. */
+static bool
+is_new_answer(const struct door_flow *flow, const struct relay_packet *packet)
+{
+    return flow->state == DOOR_HERE && !flow->confirmed &&
+           flow->seq != packet->seq;
+}
+
 /* Whether the packet may go to its caller. */
 bool
 door_answered(struct door *door, const struct relay_packet *packet,
@@ -172,7 +181,7 @@
             door_drop(door, DOOR_DROP_LATE);
             return false;
         }
-        if (flow->state == DOOR_OPENING) {
+        if (flow->state == DOOR_OPENING || is_new_answer(flow, packet)) {
             on_accepted(door, handle, packet, now_us);
         }
         return true;
--- a/src/relay/door_known.c
+++ b/src/relay/door_known.c
@@ -44,14 +44,33 @@
                      now_us);
 }
 
-/* Offers a packet of an unknown flow to the endpoint, which may hold it from
- * before this agent's start. */
+/* Offers a packet of a search to the endpoint, which hands it back if it
+ * doesn't hold the flow. */
+static void
+offer(struct door *door, uint32_t handle, const struct frame_carry *frame,
+      const struct relay_packet *packet, uint64_t now_us)
+{
+    struct door_flow *flow = &door->flows[handle];
+
+    flow->state = DOOR_ASKED;
+    flow->asked = true;
+    flow->frame = *frame;
+    flow->frame.bytes = NULL;
+    flow->origin = frame->origin;
+    flow->service = frame->service;
+    if (packet->len > 0 || (packet->flags & RELAY_FIN) != 0) {
+        door_expect(door, now_us);
+    }
+    door->out->ops->to_endpoint(door->out, packet->bytes, packet->size);
+}
+
+/* A packet of an unknown flow: the endpoint may hold it from before this
+ * agent's start. */
 void
 door_ask_endpoint(struct door *door, const struct frame_carry *frame,
                   const struct relay_packet *packet, uint64_t now_us)
 {
     uint32_t handle;
-    struct door_flow *flow;
 
     if (frame->service != door->endpoint.service || door_lacks_unknown(door)) {
         search_on(door, frame, packet, now_us);
@@ -59,16 +78,7 @@
     }
     handle = door_flow_remember(door, relay_flow_from_caller(packet),
                                 DOOR_ASKED, now_us);
-    flow = &door->flows[handle];
-    flow->asked = true;
-    flow->frame = *frame;
-    flow->frame.bytes = NULL;
-    flow->origin = frame->origin;
-    flow->service = frame->service;
-    if (packet->len > 0 || (packet->flags & RELAY_FIN) != 0) {
-        door_expect(door, now_us);
-    }
-    door->out->ops->to_endpoint(door->out, packet->bytes, packet->size);
+    offer(door, handle, frame, packet, now_us);
 }
 
 static bool
@@ -183,6 +193,11 @@
     flow_index_touch(&door->table, handle, now_us);
     switch (flow->state) {
     case DOOR_ELSEWHERE:
+        if (flow->doubtful && !flow->denied &&
+            door->endpoint.state != ENDPOINT_GONE) {
+            offer(door, handle, frame, packet, now_us);
+            return;
+        }
         carry_elsewhere(door, handle, frame, now_us);
         return;
     case DOOR_HELD:
--- a/src/relay/door_lost.c
+++ b/src/relay/door_lost.c
@@ -36,7 +36,8 @@
     case DOOR_HERE:
         return false;
     default:
-        return door->flows[handle].denied || door_lacks_unknown(door);
+        return door->flows[handle].denied ||
+               (!door->flows[handle].doubtful && door_lacks_unknown(door));
     }
 }
 
--- a/src/relay/door_open.c
+++ b/src/relay/door_open.c
@@ -151,7 +151,7 @@
         target = flow->frame.best;
     }
     else {
-        if (flow->refuted || flow->denied) {
+        if (flow->refuted || flow->denied || flow->doubtful) {
             door_flow_elsewhere(door, handle);
         }
         else {
@@ -215,9 +215,9 @@
     }
 }
 
-void
-door_open_flow(struct door *door, const struct frame_carry *frame,
-               const struct relay_packet *packet, uint64_t now_us)
+static void
+open_flow(struct door *door, const struct frame_carry *frame,
+          const struct relay_packet *packet, bool doubtful, uint64_t now_us)
 {
     struct relay_flow key = relay_flow_from_caller(packet);
     uint32_t handle = door_flow_remember(door, key, DOOR_OPENING, now_us);
@@ -225,6 +225,7 @@
     enum frame_reason why = reason_against(door, frame);
 
     keep_frame(flow, frame);
+    flow->doubtful = doubtful;
     if (why == FRAME_REASON_BUSY) {
         note_best(door, &flow->frame);
     }
@@ -237,6 +238,13 @@
     }
 }
 
+void
+door_open_flow(struct door *door, const struct frame_carry *frame,
+               const struct relay_packet *packet, uint64_t now_us)
+{
+    open_flow(door, frame, packet, false, now_us);
+}
+
 /* Another copy of a SYN that is kept: its caller still waits. */
 static void
 hold_again(struct door *door, uint32_t handle, const struct frame_carry *frame,
@@ -253,6 +261,17 @@
     door_tell(door, flow->origin, &status, now_us);
 }
 
+/* The endpoint seems to have started anew since the SYN was seen here. */
+static void
+open_anew(struct door *door, uint32_t handle, const struct frame_carry *frame,
+          const struct relay_packet *packet, uint64_t now_us)
+{
+    bool was_here = door->flows[handle].state == DOOR_HERE;
+
+    door_flow_forget(door, handle);
+    open_flow(door, frame, packet, was_here, now_us);
+}
+
 /* Another copy of a SYN that was seen here. */
 void
 door_open_again(struct door *door, uint32_t handle,
@@ -265,8 +284,7 @@
     if (flow->start != door->start ||
         frame->service != door->endpoint.service) {
         /* The endpoint that it was given to is no more. */
-        door_flow_forget(door, handle);
-        door_open_flow(door, frame, packet, now_us);
+        open_anew(door, handle, frame, packet, now_us);
         return;
     }
     switch (flow->state) {
--- a/src/relay/door_private.h
+++ b/src/relay/door_private.h
@@ -36,6 +36,8 @@
  * @refuted: the caller took another endpoint's answer to its SYN
  * @denied: the endpoint doesn't hold it: it handed back, or answered with a
  *          reset, a packet that only its holder takes
+ * @doubtful: it was open here when the endpoint seemed to start anew, and its
+ *            SYN came again: it may be here all the same
  * @proven: the endpoint sent something after that: the flow was open there
  * @service: service it was opened for
  * @origin: balancer that its packets came through last
@@ -60,6 +62,7 @@
     bool confirmed;
     bool refuted;
     bool denied;
+    bool doubtful;
     bool proven;
     uint32_t service;
     struct addr origin;
--- a/tests/relay/door_known_test.c
+++ b/tests/relay/door_known_test.c
@@ -1,3 +1,5 @@
+#include <string.h>
+
 #include "base/clock.h"
 #include "base/hash.h"
 #include "lib/harness.h"
@@ -424,3 +426,19 @@
     site_pass_ms(site, 70);
     rig_expect(site->record, NULL);
 }
+
+/* The answer of an endpoint that is no more was read late; a copy of the SYN
+ * went to the next start, whose answer the caller took. */
+TEST_F(site, the_last_answer_to_a_syn_is_the_one_that_counts)
+{
+    struct relay_flow flow = rig_flow(1);
+
+    site_open_flow(site, 1);
+    site_arrive(site, rig_from_caller(flow, RELAY_SYN, 100, 1, 0), 1, false);
+    site_answer(
+        site, rig_from_endpoint(flow, RELAY_SYN | RELAY_ACK, 900000, 101, 0));
+    g_string_truncate(site->record, 0);
+    site_arrive(site, rig_from_caller(flow, RELAY_ACK, 101, 900001, 40), 1,
+                false);
+    g_assert_nonnull(strstr(site->record->str, "endpoint 40"));
+}
--- a/tests/relay/door_lost_test.c
+++ b/tests/relay/door_lost_test.c
@@ -164,3 +164,30 @@
     ask(site, 1);
     rig_expect(site->record, "absent 0", NULL);
 }
+
+/* It may have been opened at the new start, before that one's first heartbeat
+ * was heard: it isn't called absent until the endpoint hands it back, and its
+ * packets are offered there. */
+TEST_F(site, a_flow_of_an_earlier_start_whose_syn_comes_again_is_in_doubt)
+{
+    struct relay_packet data =
+        rig_from_caller(rig_flow(1), RELAY_ACK, 101, 501, 40);
+
+    site_heartbeat(site, "i-1", "lots", false, 1);
+    site_open_flow(site, 1);
+    site_heartbeat(site, "i-2", "lots", false, 1);
+    site_heartbeat(site, "i-2", "lots", true, 2);
+    site_arrive(site, rig_from_caller(rig_flow(1), RELAY_SYN, 100, 1, 0), 1,
+                false);
+    g_string_truncate(site->record, 0);
+    ask(site, 1);
+    rig_expect(site->record, "absent 0", NULL);
+    site_arrive(site, data, 1, false);
+    rig_expect(site->record, "endpoint 40", NULL);
+    ask(site, 1);
+    rig_expect(site->record, "absent 0", NULL);
+    site_answer(site, rig_bounced(data));
+    g_string_truncate(site->record, 0);
+    ask(site, 1);
+    rig_expect(site->record, "absent 1", NULL);
+}
--- a/tests/relay/world_test.c
+++ b/tests/relay/world_test.c
@@ -155,10 +155,11 @@
 }
 
 /* An agent came into the list while a question was open (2647); a SYN waited
- * at an agent whose endpoint had its flow all along (5025). */
+ * at an agent whose endpoint had its flow all along (5025); an endpoint's
+ * answer to a SYN was read after its next start (20249, 26803, 29642). */
 TEST(seeds_of_a_loss_of_all_hosts_that_showed_a_fault)
 {
-    static const uint32_t seeds[] = {2647, 5025};
+    static const uint32_t seeds[] = {2647, 5025, 20249, 26803, 29642};
 
     play_kept(&loss_among_faults, seeds, G_N_ELEMENTS(seeds));
 }
