--- a/src/relay/agents.c
+++ b/src/relay/agents.c
@@ -21,6 +21,17 @@
  * ping is for the word that was lost on its way. */
 #define PING_CLOSED_US (500 * USEC_PER_MSEC)
 
+/* An agent that is silent for this long can't bring a caller its answer in
+ * time any more. A planned restart takes some 0.6 s; one that said before that
+ * it takes nothing new may be in such a restart and is waited for longer. */
+#define SILENT_US (1 * USEC_PER_SEC)
+#define SILENT_CLOSED_US (5 * USEC_PER_SEC)
+
+/* The same for one that this balancer has heard from, and so of a planned
+ * restart too: with a second, requests of the first 0.4 s of a cut had no
+ * packet left to be told by (callers send again after 0.2 and 0.6 s). */
+#define SILENT_HEARD_US (500 * USEC_PER_MSEC)
+
 /* How long an agent whose endpoint has ended is remembered: as long as the
  * oldest flow there may be. */
 #define ENDED_KEPT_US (60 * USEC_PER_SEC)
@@ -555,6 +566,36 @@
     return rows_of(agents, service);
 }
 
+/* How long an agent has to be silent to count as out of reach. */
+static uint64_t
+silence_of(const struct agent_row *row)
+{
+    if (row->health.state == ENDPOINT_DRAINING) {
+        return SILENT_CLOSED_US;
+    }
+    return row->heard_us != 0 ? SILENT_HEARD_US : SILENT_US;
+}
+
+bool
+agent_is_unreachable(const struct agent_row *row, uint64_t now_us)
+{
+    return row->suspect && now_us - row->silent_us >= silence_of(row);
+}
+
+bool
+agents_reach_most(const struct agents *agents, uint32_t service)
+{
+    const GPtrArray *rows = rows_of(agents, service);
+    unsigned suspected = 0;
+
+    for (guint i = 0; rows != NULL && i < rows->len; i++) {
+        const struct agent_row *row = g_ptr_array_index(rows, i);
+
+        suspected += row->suspect;
+    }
+    return rows != NULL && 2 * suspected < rows->len;
+}
+
 bool
 agents_serve(const struct agents *agents, uint32_t service)
 {
--- a/src/relay/agents.h
+++ b/src/relay/agents.h
@@ -211,6 +211,16 @@
 const GPtrArray *
 agents_of_service(const struct agents *agents, uint32_t service);
 
+/** agent_is_unreachable() - whether an agent has been silent for so long that
+ * an answer through it can't be in time any more */
+bool
+agent_is_unreachable(const struct agent_row *row, uint64_t now_us);
+
+/** agents_reach_most() - whether less than half of a service's agents are
+ * suspected: otherwise the fault may be the balancer's own */
+bool
+agents_reach_most(const struct agents *agents, uint32_t service);
+
 /** agents_serve() - whether some agent may take a new flow of @service */
 bool
 agents_serve(const struct agents *agents, uint32_t service);
--- a/src/relay/steer_lost.c
+++ b/src/relay/steer_lost.c
@@ -25,12 +25,6 @@
  * 0.2, 0.6 and 1.4 s. */
 #define CALLER_WAITS_US (1500 * USEC_PER_MSEC)
 
-/* An agent that is silent for this long can't bring a caller its answer in
- * time any more. A planned restart takes some 0.6 s; one that said before that
- * it takes nothing new may be in such a restart and is waited for longer. */
-#define SILENT_US (1 * USEC_PER_SEC)
-#define SILENT_CLOSED_US (5 * USEC_PER_SEC)
-
 /* The flow's pin, NULL when it has none any more. */
 static struct steer_pin *
 pin_of(const struct steer *steer, const struct steer_lost_flow *flow)
@@ -79,16 +73,6 @@
     lost->count = kept;
 }
 
-/* Whether an agent's endpoint may hold flows, and the agent can't be asked. */
-static bool
-is_unreachable(const struct agent_row *row, uint64_t now_us)
-{
-    bool closed = row->health.state == ENDPOINT_DRAINING;
-
-    return row->suspect &&
-           now_us - row->silent_us >= (closed ? SILENT_CLOSED_US : SILENT_US);
-}
-
 /* Takes up to FRAME_ASK_MAX flows of one service, those that have waited
  * longest since they were asked for. */
 static void
@@ -140,7 +124,7 @@
         if (row->health.state == ENDPOINT_GONE) {
             continue;
         }
-        if (is_unreachable(row, now_us)) {
+        if (agent_is_unreachable(row, now_us)) {
             round->unreachable++;
             continue;
         }
@@ -295,8 +279,8 @@
     struct agent_row *row = agents_find(&steer->agents, agent);
 
     if (!round->open || absent->round != round->number || row == NULL ||
-        row->health.service != round->service ||
-        row->answered == round->number || round->missing == 0) {
+        row->asked != round->number || row->answered == round->number ||
+        round->missing == 0) {
         return;
     }
     row->answered = round->number;
