src/relay in rooms: steer, door, wire, store, program

Cause: 66 files in one flat folder, one of them (agents.c, 614 lines) with three jobs. Change: files stand by what they are for: the balancer's decisions, the agent's, what both say, what the store holds, the programs around. agents.c keeps the rows, agents_reach who answers, agents_choice whom a packet goes to.

--- a/bench/relay/bench_relay.c
+++ b/bench/relay/bench_relay.c
@@ -16,8 +16,8 @@
 
 #include "base/clock.h"
 #include "base/hash.h"
-#include "relay/door.h"
-#include "relay/steer.h"
+#include "relay/door/door.h"
+#include "relay/steer/steer.h"
 
 #define FLOWS 8192
 #define REPEATS 7
--- a/bench/relay/bench_store.c
+++ b/bench/relay/bench_store.c
@@ -15,7 +15,7 @@
 
 #include "base/clock.h"
 #include "base/container.h"
-#include "relay/follow.h"
+#include "relay/store/follow.h"
 
 #define STEP_US (5 * USEC_PER_MSEC)
 #define LAST_S 600
--- a/src/cli/main.c
+++ b/src/cli/main.c
@@ -7,8 +7,8 @@
 #include <glib.h>
 
 #include "cli/cli.h"
-#include "relay/relay_agent.h"
-#include "relay/relay_balancer.h"
+#include "relay/program/relay_agent.h"
+#include "relay/program/relay_balancer.h"
 
 #ifdef SWIFTARCH_TERMINATED
 #include "agent/agent.h"
--- a/src/cli/relay_explain.c
+++ b/src/cli/relay_explain.c
@@ -2,7 +2,7 @@
  * DOC: relay_explain - "swiftarch relay-explain": what processes of relay
  * mode know of one flow
  */
-#include "relay/relay_explain.h"
+#include "relay/program/relay_explain.h"
 
 #include <inttypes.h>
 #include <stdio.h>
--- a/src/cli/relay_show.c
+++ b/src/cli/relay_show.c
@@ -13,7 +13,7 @@
 
 #include "cli/cli.h"
 #include "cli/relay_ask.h"
-#include "relay/relay_state.h"
+#include "relay/program/relay_state.h"
 
 #define ADDRESSES_MAX 1024
 
--- a/src/relay/door.c
+++ b/src/relay/door/door.c
@@ -1,11 +1,11 @@
-#include "relay/door.h"
+#include "relay/door/door.h"
 
 #include <errno.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "base/clock.h"
-#include "relay/door_private.h"
+#include "relay/door/door_private.h"
 
 /* A request is taken as over after this long without a sign of it: callers
  * that never sent one after the handshake, or whose answer was lost. */
--- a/src/relay/door.h
+++ b/src/relay/door/door.h
@@ -7,18 +7,18 @@
  * here goes on to the next agent that its balancer named. A packet of a flow
  * that the endpoint doesn't hold goes the same way.
  */
-#ifndef SWIFTARCH_RELAY_DOOR_H
-#define SWIFTARCH_RELAY_DOOR_H
+#ifndef SWIFTARCH_RELAY_DOOR_DOOR_H
+#define SWIFTARCH_RELAY_DOOR_DOOR_H
 
 #include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 
-#include "relay/endpoint.h"
-#include "relay/flow_index.h"
-#include "relay/frame.h"
-#include "relay/pace.h"
-#include "relay/packet.h"
+#include "relay/door/endpoint.h"
+#include "relay/wire/flow_index.h"
+#include "relay/wire/frame.h"
+#include "relay/door/pace.h"
+#include "relay/wire/packet.h"
 
 /* Flows that one agent remembers: an endpoint holds some 2,000, the rest is
  * for those that went on. */
--- a/src/relay/door_known.c
+++ b/src/relay/door/door_known.c
@@ -1,4 +1,4 @@
-#include "relay/door_private.h"
+#include "relay/door/door_private.h"
 
 #include "base/clock.h"
 
--- a/src/relay/door_private.h
+++ b/src/relay/door/door_private.h
@@ -6,10 +6,10 @@
  * what the endpoint sends, door_lost answers for flows that nobody has found,
  * door_tell says it all to balancers.
  */
-#ifndef SWIFTARCH_RELAY_DOOR_PRIVATE_H
-#define SWIFTARCH_RELAY_DOOR_PRIVATE_H
+#ifndef SWIFTARCH_RELAY_DOOR_DOOR_PRIVATE_H
+#define SWIFTARCH_RELAY_DOOR_DOOR_PRIVATE_H
 
-#include "relay/door.h"
+#include "relay/door/door.h"
 
 #define DOOR_SYN_MAX 64
 
--- a/src/relay/endpoint.c
+++ b/src/relay/door/endpoint.c
@@ -1,4 +1,4 @@
-#include "relay/endpoint.h"
+#include "relay/door/endpoint.h"
 
 #include <string.h>
 
--- a/src/relay/endpoint.h
+++ b/src/relay/door/endpoint.h
@@ -6,13 +6,13 @@
  * may start again. A heartbeat or goodbye of an earlier start that was held up
  * on its way changes nothing for long.
  */
-#ifndef SWIFTARCH_RELAY_ENDPOINT_H
-#define SWIFTARCH_RELAY_ENDPOINT_H
+#ifndef SWIFTARCH_RELAY_DOOR_ENDPOINT_H
+#define SWIFTARCH_RELAY_DOOR_ENDPOINT_H
 
 #include <stdbool.h>
 #include <stdint.h>
 
-#include "relay/frame.h"
+#include "relay/wire/frame.h"
 
 #define ENDPOINT_ID_MAX 64
 #define ENDPOINT_STARTS_MAX 8
--- a/src/relay/pace.c
+++ b/src/relay/door/pace.c
@@ -1,4 +1,4 @@
-#include "relay/pace.h"
+#include "relay/door/pace.h"
 
 #include <assert.h>
 
--- a/src/relay/pace.h
+++ b/src/relay/door/pace.h
@@ -4,8 +4,8 @@
  * Moving averages of what an agent sees. They tell whether a request that is
  * given to the endpoint now is answered in time.
  */
-#ifndef SWIFTARCH_RELAY_PACE_H
-#define SWIFTARCH_RELAY_PACE_H
+#ifndef SWIFTARCH_RELAY_DOOR_PACE_H
+#define SWIFTARCH_RELAY_DOOR_PACE_H
 
 #include <stdint.h>
 
--- a/src/relay/dgram.c
+++ b/src/relay/program/dgram.c
@@ -1,4 +1,4 @@
-#include "relay/dgram.h"
+#include "relay/program/dgram.h"
 
 #include <errno.h>
 #include <stdlib.h>
--- a/src/relay/dgram.h
+++ b/src/relay/program/dgram.h
@@ -4,8 +4,8 @@
  * Each system call is paid for, so what a batch of datagrams leads to is
  * sent with one call at its end.
  */
-#ifndef SWIFTARCH_RELAY_DGRAM_H
-#define SWIFTARCH_RELAY_DGRAM_H
+#ifndef SWIFTARCH_RELAY_PROGRAM_DGRAM_H
+#define SWIFTARCH_RELAY_PROGRAM_DGRAM_H
 
 #include <event2/event.h>
 #include <stddef.h>
@@ -13,7 +13,7 @@
 
 #include "base/addr.h"
 #include "base/error.h"
-#include "relay/frame.h"
+#include "relay/wire/frame.h"
 
 #define DGRAM_BATCH 32
 
--- a/src/relay/loop.c
+++ b/src/relay/program/loop.c
@@ -1,4 +1,4 @@
-#include "relay/loop.h"
+#include "relay/program/loop.h"
 
 #include <errno.h>
 #include <signal.h>
--- a/src/relay/loop.h
+++ b/src/relay/program/loop.h
@@ -1,8 +1,8 @@
 /**
  * DOC: loop - one thread: events, a tick when something is due, signals
  */
-#ifndef SWIFTARCH_RELAY_LOOP_H
-#define SWIFTARCH_RELAY_LOOP_H
+#ifndef SWIFTARCH_RELAY_PROGRAM_LOOP_H
+#define SWIFTARCH_RELAY_PROGRAM_LOOP_H
 
 #include <event2/event.h>
 #include <stdbool.h>
--- a/src/relay/probe.c
+++ b/src/relay/program/probe.c
@@ -1,4 +1,4 @@
-#include "relay/probe.h"
+#include "relay/program/probe.h"
 
 #include <errno.h>
 #include <netinet/in.h>
--- a/src/relay/probe.h
+++ b/src/relay/program/probe.h
@@ -4,8 +4,8 @@
  * A connection that is refused proves that no process is there, and with it
  * that none of its flows are. One that is taken is closed again at once.
  */
-#ifndef SWIFTARCH_RELAY_PROBE_H
-#define SWIFTARCH_RELAY_PROBE_H
+#ifndef SWIFTARCH_RELAY_PROGRAM_PROBE_H
+#define SWIFTARCH_RELAY_PROGRAM_PROBE_H
 
 #include <event2/event.h>
 #include <stdbool.h>
--- a/src/relay/relay_agent.c
+++ b/src/relay/program/relay_agent.c
@@ -1,4 +1,4 @@
-#include "relay/relay_agent.h"
+#include "relay/program/relay_agent.h"
 
 #include <errno.h>
 #include <inttypes.h>
@@ -9,7 +9,7 @@
 
 #include "base/container.h"
 #include "platform/object_store.h"
-#include "relay/relay_agent_private.h"
+#include "relay/program/relay_agent_private.h"
 
 #define FLUSH_US (100 * USEC_PER_MSEC)
 
--- a/src/relay/relay_agent_http.c
+++ b/src/relay/program/relay_agent_http.c
@@ -1,4 +1,4 @@
-#include "relay/relay_agent_private.h"
+#include "relay/program/relay_agent_private.h"
 
 #include <errno.h>
 #include <inttypes.h>
@@ -8,8 +8,8 @@
 
 #include "base/container.h"
 #include "base/hash.h"
-#include "relay/relay_explain.h"
-#include "relay/relay_state.h"
+#include "relay/program/relay_explain.h"
+#include "relay/program/relay_state.h"
 #include "platform/heartbeat_format.h"
 
 static void
--- a/src/relay/relay_agent_out.c
+++ b/src/relay/program/relay_agent_out.c
@@ -1,4 +1,4 @@
-#include "relay/relay_agent_private.h"
+#include "relay/program/relay_agent_private.h"
 
 #include <inttypes.h>
 #include <string.h>
--- a/src/relay/relay_agent_private.h
+++ b/src/relay/program/relay_agent_private.h
@@ -4,18 +4,18 @@
  * relay_agent starts, stops and keeps time; _out carries decisions and
  * datagrams, _http takes heartbeats and answers calls.
  */
-#ifndef SWIFTARCH_RELAY_RELAY_AGENT_PRIVATE_H
-#define SWIFTARCH_RELAY_RELAY_AGENT_PRIVATE_H
+#ifndef SWIFTARCH_RELAY_PROGRAM_RELAY_AGENT_PRIVATE_H
+#define SWIFTARCH_RELAY_PROGRAM_RELAY_AGENT_PRIVATE_H
 
 #include "base/event_log.h"
 #include "base/httpd.h"
-#include "relay/dgram.h"
-#include "relay/door.h"
-#include "relay/loop.h"
-#include "relay/presence.h"
-#include "relay/probe.h"
-#include "relay/relay_settings.h"
-#include "relay/settings_file.h"
+#include "relay/program/dgram.h"
+#include "relay/door/door.h"
+#include "relay/program/loop.h"
+#include "relay/store/presence.h"
+#include "relay/program/probe.h"
+#include "relay/program/relay_settings.h"
+#include "relay/program/settings_file.h"
 
 /** enum heartbeat_refusal - why a heartbeat wasn't believed */
 enum heartbeat_refusal {
--- a/src/relay/relay_balancer.c
+++ b/src/relay/program/relay_balancer.c
@@ -1,4 +1,4 @@
-#include "relay/relay_balancer.h"
+#include "relay/program/relay_balancer.h"
 
 #include <errno.h>
 #include <inttypes.h>
@@ -11,8 +11,8 @@
 #include "base/hash.h"
 #include "platform/config_format.h"
 #include "platform/object_store.h"
-#include "relay/presence.h"
-#include "relay/relay_balancer_private.h"
+#include "relay/store/presence.h"
+#include "relay/program/relay_balancer_private.h"
 
 #define FLUSH_US (100 * USEC_PER_MSEC)
 
--- a/src/relay/relay_balancer.h
+++ b/src/relay/program/relay_balancer.h
@@ -2,8 +2,8 @@
  * DOC: relay_balancer - the balancer of relay mode: packets, frames, the
  * store and its peers carried to the decisions of steer
  */
-#ifndef SWIFTARCH_RELAY_RELAY_BALANCER_H
-#define SWIFTARCH_RELAY_RELAY_BALANCER_H
+#ifndef SWIFTARCH_RELAY_PROGRAM_RELAY_BALANCER_H
+#define SWIFTARCH_RELAY_PROGRAM_RELAY_BALANCER_H
 
 /** relay_balancer_run() - run until a stop; the exit code */
 int
--- a/src/relay/relay_balancer_http.c
+++ b/src/relay/program/relay_balancer_http.c
@@ -1,4 +1,4 @@
-#include "relay/relay_balancer_private.h"
+#include "relay/program/relay_balancer_private.h"
 
 #include <inttypes.h>
 #include <string.h>
@@ -6,8 +6,8 @@
 #include <glib.h>
 
 #include "base/container.h"
-#include "relay/relay_explain.h"
-#include "relay/relay_state.h"
+#include "relay/program/relay_explain.h"
+#include "relay/program/relay_state.h"
 
 static void
 respond_metrics(struct relay_balancer *balancer, struct httpd_request *request)
--- a/src/relay/relay_balancer_out.c
+++ b/src/relay/program/relay_balancer_out.c
@@ -1,4 +1,4 @@
-#include "relay/relay_balancer_private.h"
+#include "relay/program/relay_balancer_private.h"
 
 #include <inttypes.h>
 
--- a/src/relay/relay_balancer_private.h
+++ b/src/relay/program/relay_balancer_private.h
@@ -4,19 +4,19 @@
  * relay_balancer starts, stops and keeps time; _out carries decisions and
  * datagrams, _store what the store and peers say, _http answers calls.
  */
-#ifndef SWIFTARCH_RELAY_RELAY_BALANCER_PRIVATE_H
-#define SWIFTARCH_RELAY_RELAY_BALANCER_PRIVATE_H
+#ifndef SWIFTARCH_RELAY_PROGRAM_RELAY_BALANCER_PRIVATE_H
+#define SWIFTARCH_RELAY_PROGRAM_RELAY_BALANCER_PRIVATE_H
 
 #include "base/event_log.h"
 #include "base/httpd.h"
-#include "relay/confirm.h"
-#include "relay/dgram.h"
-#include "relay/follow.h"
-#include "relay/loop.h"
-#include "relay/relay_settings.h"
-#include "relay/settings_file.h"
-#include "relay/share.h"
-#include "relay/steer.h"
+#include "relay/store/confirm.h"
+#include "relay/program/dgram.h"
+#include "relay/store/follow.h"
+#include "relay/program/loop.h"
+#include "relay/program/relay_settings.h"
+#include "relay/program/settings_file.h"
+#include "relay/program/share.h"
+#include "relay/steer/steer.h"
 
 /**
  * struct relay_balancer - the program
--- a/src/relay/relay_balancer_store.c
+++ b/src/relay/program/relay_balancer_store.c
@@ -1,4 +1,4 @@
-#include "relay/relay_balancer_private.h"
+#include "relay/program/relay_balancer_private.h"
 
 #include <inttypes.h>
 #include <string.h>
@@ -8,7 +8,7 @@
 #include "base/container.h"
 #include "base/hash.h"
 #include "platform/config_format.h"
-#include "relay/presence.h"
+#include "relay/store/presence.h"
 
 void
 relay_balancer_look(struct relay_balancer *balancer)
--- a/src/relay/relay_explain.c
+++ b/src/relay/program/relay_explain.c
@@ -1,9 +1,9 @@
-#include "relay/relay_explain.h"
+#include "relay/program/relay_explain.h"
 
 #include <stdio.h>
 
 #include "base/clock.h"
-#include "relay/relay_state.h"
+#include "relay/program/relay_state.h"
 
 static bool
 read_flow(const struct httpd_request *request, struct relay_flow *flow)
--- a/src/relay/relay_explain.h
+++ b/src/relay/program/relay_explain.h
@@ -3,12 +3,12 @@
  *
  * GET RELAY_EXPLAIN_PATH?caller=ADDRESS:PORT&service=ADDRESS:PORT
  */
-#ifndef SWIFTARCH_RELAY_RELAY_EXPLAIN_H
-#define SWIFTARCH_RELAY_RELAY_EXPLAIN_H
+#ifndef SWIFTARCH_RELAY_PROGRAM_RELAY_EXPLAIN_H
+#define SWIFTARCH_RELAY_PROGRAM_RELAY_EXPLAIN_H
 
 #include "base/httpd.h"
-#include "relay/door.h"
-#include "relay/steer.h"
+#include "relay/door/door.h"
+#include "relay/steer/steer.h"
 
 #define RELAY_EXPLAIN_PATH "/flow"
 
--- a/src/relay/relay_settings.c
+++ b/src/relay/program/relay_settings.c
@@ -1,4 +1,4 @@
-#include "relay/relay_settings.h"
+#include "relay/program/relay_settings.h"
 
 #include <stdio.h>
 #include <string.h>
--- a/src/relay/relay_settings.h
+++ b/src/relay/program/relay_settings.h
@@ -1,15 +1,15 @@
 /**
  * DOC: relay_settings - settings of a balancer or an agent in relay mode
  */
-#ifndef SWIFTARCH_RELAY_RELAY_SETTINGS_H
-#define SWIFTARCH_RELAY_RELAY_SETTINGS_H
+#ifndef SWIFTARCH_RELAY_PROGRAM_RELAY_SETTINGS_H
+#define SWIFTARCH_RELAY_PROGRAM_RELAY_SETTINGS_H
 
 #include <stddef.h>
 
 #include "base/addr.h"
 #include "base/error.h"
-#include "relay/agents.h"
-#include "relay/routes.h"
+#include "relay/steer/agents.h"
+#include "relay/steer/routes.h"
 
 #define RELAY_NAME_MAX 64
 #define RELAY_PEERS_MAX 8
--- a/src/relay/relay_state.c
+++ b/src/relay/program/relay_state.c
@@ -1,4 +1,4 @@
-#include "relay/relay_state.h"
+#include "relay/program/relay_state.h"
 
 #include <stdio.h>
 
--- a/src/relay/relay_state.h
+++ b/src/relay/program/relay_state.h
@@ -1,15 +1,15 @@
 /**
  * DOC: relay_state - what a process of relay mode has in force, as JSON
  */
-#ifndef SWIFTARCH_RELAY_RELAY_STATE_H
-#define SWIFTARCH_RELAY_RELAY_STATE_H
+#ifndef SWIFTARCH_RELAY_PROGRAM_RELAY_STATE_H
+#define SWIFTARCH_RELAY_PROGRAM_RELAY_STATE_H
 
 #include <json-c/json.h>
 
 #include "base/httpd.h"
-#include "relay/door.h"
-#include "relay/relay_settings.h"
-#include "relay/steer.h"
+#include "relay/door/door.h"
+#include "relay/program/relay_settings.h"
+#include "relay/steer/steer.h"
 
 #define RELAY_STATE_PATH "/state"
 
--- a/src/relay/settings_file.c
+++ b/src/relay/program/settings_file.c
@@ -1,4 +1,4 @@
-#include "relay/settings_file.h"
+#include "relay/program/settings_file.h"
 
 #include <string.h>
 #include <sys/stat.h>
--- a/src/relay/settings_file.h
+++ b/src/relay/program/settings_file.h
@@ -5,13 +5,13 @@
  * few seconds. Addresses stay for a process's life; what may change while it
  * runs is taken over, and a file with faults changes nothing.
  */
-#ifndef SWIFTARCH_RELAY_SETTINGS_FILE_H
-#define SWIFTARCH_RELAY_SETTINGS_FILE_H
+#ifndef SWIFTARCH_RELAY_PROGRAM_SETTINGS_FILE_H
+#define SWIFTARCH_RELAY_PROGRAM_SETTINGS_FILE_H
 
 #include <stdbool.h>
 #include <stdint.h>
 
-#include "relay/relay_settings.h"
+#include "relay/program/relay_settings.h"
 
 /**
  * struct settings_file - the file
--- a/src/relay/share.c
+++ b/src/relay/program/share.c
@@ -1,4 +1,4 @@
-#include "relay/share.h"
+#include "relay/program/share.h"
 
 #include <errno.h>
 #include <string.h>
--- a/src/relay/share.h
+++ b/src/relay/program/share.h
@@ -5,8 +5,8 @@
  * knows. One that has none, or has heard of a newer one, asks: first whoever
  * is known to have it, then the hosts that its settings name.
  */
-#ifndef SWIFTARCH_RELAY_SHARE_H
-#define SWIFTARCH_RELAY_SHARE_H
+#ifndef SWIFTARCH_RELAY_PROGRAM_SHARE_H
+#define SWIFTARCH_RELAY_PROGRAM_SHARE_H
 
 #include <event2/event.h>
 #include <json-c/json.h>
@@ -15,8 +15,8 @@
 
 #include "base/addr.h"
 #include "base/httpc.h"
-#include "relay/agents.h"
-#include "relay/relay_settings.h"
+#include "relay/steer/agents.h"
+#include "relay/program/relay_settings.h"
 
 #define SHARE_PATH "/share"
 
--- /dev/null
+++ b/src/relay/steer/agents.c
@@ -0,0 +1,218 @@
+#include "relay/steer/agents_private.h"
+
+#include <string.h>
+
+#include <glib.h>
+
+#include "base/clock.h"
+#include "base/hash.h"
+
+/* Adds to an array; its new place. */
+static unsigned
+array_add(GPtrArray *array, struct agent_row *row)
+{
+    g_ptr_array_add(array, row);
+    return array->len - 1;
+}
+
+static GPtrArray *
+rows_of(const struct agents *agents, uint32_t service)
+{
+    return g_hash_table_lookup(agents->by_service, GUINT_TO_POINTER(service));
+}
+
+static void
+service_add(struct agents *agents, struct agent_row *row)
+{
+    GPtrArray *rows = rows_of(agents, row->health.service);
+
+    if (rows == NULL) {
+        rows = g_ptr_array_new();
+        g_hash_table_insert(agents->by_service,
+                            GUINT_TO_POINTER(row->health.service), rows);
+    }
+    row->service_at = array_add(rows, row);
+    agents->changes++;
+}
+
+static void
+service_remove(struct agents *agents, struct agent_row *row)
+{
+    GPtrArray *rows = rows_of(agents, row->health.service);
+
+    g_ptr_array_remove_index_fast(rows, row->service_at);
+    if (row->service_at < rows->len) {
+        struct agent_row *moved = g_ptr_array_index(rows, row->service_at);
+
+        moved->service_at = row->service_at;
+    }
+}
+
+static void
+set_health(struct agents *agents, struct agent_row *row,
+           const struct frame_health *health)
+{
+    if (row->health.service == health->service) {
+        row->health = *health;
+        return;
+    }
+    service_remove(agents, row);
+    row->health = *health;
+    service_add(agents, row);
+}
+
+static uint64_t
+key_of(struct addr addr)
+{
+    return (uint64_t)addr.ip << 16 | addr.port;
+}
+
+static struct agent_row *
+row_add(struct agents *agents, struct addr addr, uint32_t service,
+        uint64_t now_us)
+{
+    struct agent_row *row = g_new0(struct agent_row, 1);
+
+    row->addr = addr;
+    row->member = hash_pair(addr.ip, addr.port);
+    row->health.service = service;
+    row->key = key_of(addr);
+    row->ping_at = -1;
+    row->row_at = array_add(agents->rows, row);
+    g_hash_table_insert(agents->by_addr, &row->key, row);
+    service_add(agents, row);
+    agents_ping_now(agents, row, now_us);
+    return row;
+}
+
+void
+agents_remove(struct agents *agents, struct agent_row *row)
+{
+    agents_set_ping(agents, row, 0);
+    service_remove(agents, row);
+    g_hash_table_remove(agents->by_addr, &row->key);
+    g_ptr_array_remove_index_fast(agents->rows, row->row_at);
+    if (row->row_at < agents->rows->len) {
+        struct agent_row *moved = g_ptr_array_index(agents->rows, row->row_at);
+
+        moved->row_at = row->row_at;
+    }
+    g_free(row);
+}
+
+void
+agents_init(struct agents *agents, const char *data_centre)
+{
+    memset(agents, 0, sizeof(*agents));
+    g_strlcpy(agents->data_centre, data_centre, sizeof(agents->data_centre));
+    agents->rows = g_ptr_array_new();
+    agents->by_addr = g_hash_table_new(g_int64_hash, g_int64_equal);
+    agents->by_service = g_hash_table_new_full(
+        NULL, NULL, NULL, (GDestroyNotify)g_ptr_array_unref);
+    agents->pinged = g_ptr_array_new();
+}
+
+void
+agents_finish(struct agents *agents)
+{
+    if (agents->rows == NULL) {
+        return;
+    }
+    g_ptr_array_set_free_func(agents->rows, g_free);
+    g_hash_table_destroy(agents->by_addr);
+    g_hash_table_destroy(agents->by_service);
+    g_ptr_array_unref(agents->pinged);
+    g_ptr_array_unref(agents->rows);
+    agents->rows = NULL;
+}
+
+struct agent_row *
+agents_find(const struct agents *agents, struct addr addr)
+{
+    uint64_t key = key_of(addr);
+
+    return g_hash_table_lookup(agents->by_addr, &key);
+}
+
+size_t
+agents_count(const struct agents *agents)
+{
+    return agents->rows->len;
+}
+
+struct agent_row *
+agents_at(const struct agents *agents, size_t at)
+{
+    return g_ptr_array_index(agents->rows, at);
+}
+
+void
+agents_list(struct agents *agents, struct addr addr, uint32_t service,
+            const char *data_centre, uint64_t now_us)
+{
+    struct agent_row *row = agents_find(agents, addr);
+
+    if (row == NULL) {
+        row = row_add(agents, addr, service, now_us);
+    }
+    if (row->health.service != service) {
+        struct frame_health nothing = {.service = service};
+
+        /* Another host has the address now: what the old one said is void,
+         * and what the new one says of its service comes with its answer. */
+        set_health(agents, row, &nothing);
+        agents_trust(row);
+        agents_ping_now(agents, row, now_us);
+    }
+    row->listed = true;
+    row->unlisted = false;
+    g_strlcpy(row->data_centre, data_centre, sizeof(row->data_centre));
+}
+
+void
+agents_unlist(struct agents *agents, struct addr addr, uint64_t now_us)
+{
+    struct agent_row *row = agents_find(agents, addr);
+
+    if (row == NULL) {
+        return;
+    }
+    row->listed = false;
+    row->unlisted = true;
+    agents_set_ping(agents, row, now_us);
+}
+
+void
+agents_listed(struct agents *agents)
+{
+    agents->listed_once = true;
+}
+
+void
+agents_heard(struct agents *agents, struct addr addr,
+             const struct frame_health *health, uint64_t now_us)
+{
+    struct agent_row *row = agents_find(agents, addr);
+
+    if (row == NULL) {
+        row = row_add(agents, addr, health->service, now_us);
+    }
+    if (agents->listed_once && row->listed &&
+        row->health.service != health->service) {
+        /* Another host has the address, and the list doesn't say so yet; or
+         * it had, and this is late. */
+        row->health.state = ENDPOINT_SILENT;
+    }
+    else {
+        set_health(agents, row, health);
+    }
+    row->told_us = now_us;
+    row->sent = 0;
+    agents_alive(agents, row, now_us);
+}
+
+const GPtrArray *
+agents_of_service(const struct agents *agents, uint32_t service)
+{
+    return rows_of(agents, service);
+}
--- a/src/relay/agents.h
+++ b/src/relay/steer/agents.h
@@ -6,8 +6,8 @@
  * An agent that doesn't answer is suspected: it gets no new flow while
  * another can take it, and is pinged until it answers.
  */
-#ifndef SWIFTARCH_RELAY_AGENTS_H
-#define SWIFTARCH_RELAY_AGENTS_H
+#ifndef SWIFTARCH_RELAY_STEER_AGENTS_H
+#define SWIFTARCH_RELAY_STEER_AGENTS_H
 
 #include <stdbool.h>
 #include <stddef.h>
@@ -17,8 +17,8 @@
 
 #include "base/addr.h"
 #include "packet/rank.h"
-#include "relay/frame.h"
-#include "relay/packet.h"
+#include "relay/wire/frame.h"
+#include "relay/wire/packet.h"
 
 #define AGENT_DATA_CENTRE_MAX 64
 
--- /dev/null
+++ b/src/relay/steer/agents_reach.c
@@ -0,0 +1,183 @@
+#include "relay/steer/agents_private.h"
+
+#include <glib.h>
+
+#include "base/clock.h"
+
+/* A suspected agent is pinged at once, then each 100 ms, slowing down to one
+ * ping in 2 s: a host that wakes again is back within a ping, and one that
+ * is gone for good costs next to nothing. */
+#define PING_FIRST_US (100 * USEC_PER_MSEC)
+#define PING_SLOWEST_US (2 * USEC_PER_SEC)
+
+/* An agent that said that it takes nothing new tells when that changes; the
+ * ping is for the word that was lost on its way. */
+#define PING_CLOSED_US (500 * USEC_PER_MSEC)
+
+/* An agent that is silent for this long can't bring a caller its answer in
+ * time any more. A planned restart takes some 0.6 s; one that said before that
+ * it takes nothing new may be in such a restart and is waited for longer. */
+#define SILENT_US (1 * USEC_PER_SEC)
+#define SILENT_CLOSED_US (5 * USEC_PER_SEC)
+
+/* The same for one that this balancer has heard from, and so of a planned
+ * restart too: with a second, requests of the first 0.4 s of a cut had no
+ * packet left to be told by (callers send again after 0.2 and 0.6 s). */
+#define SILENT_HEARD_US (500 * USEC_PER_MSEC)
+
+/* How long an agent whose endpoint has ended is remembered: as long as the
+ * oldest flow there may be. */
+#define ENDED_KEPT_US (60 * USEC_PER_SEC)
+
+/* Sets when a row is pinged next; 0 for never. */
+void
+agents_set_ping(struct agents *agents, struct agent_row *row, uint64_t ping_us)
+{
+    row->ping_us = ping_us;
+    if (ping_us != 0 && row->ping_at < 0) {
+        row->ping_at = (int)agents->pinged->len;
+        g_ptr_array_add(agents->pinged, row);
+    }
+    else if (ping_us == 0 && row->ping_at >= 0) {
+        unsigned at = (unsigned)row->ping_at;
+
+        g_ptr_array_remove_index_fast(agents->pinged, at);
+        if (at < agents->pinged->len) {
+            struct agent_row *moved = g_ptr_array_index(agents->pinged, at);
+
+            moved->ping_at = (int)at;
+        }
+        row->ping_at = -1;
+    }
+}
+
+void
+agents_ping_now(struct agents *agents, struct agent_row *row, uint64_t now_us)
+{
+    row->ping_gap_us = PING_FIRST_US;
+    agents_set_ping(agents, row, now_us);
+}
+
+/* It didn't answer what was sent at @sent_us. */
+static void
+set_suspect(struct agent_row *row, uint64_t sent_us)
+{
+    if (!row->suspect) {
+        row->silent_us = sent_us;
+    }
+    row->suspect = true;
+}
+
+void
+agents_trust(struct agent_row *row)
+{
+    row->suspect = false;
+    row->silent_us = 0;
+}
+
+void
+agents_alive(struct agents *agents, struct agent_row *row, uint64_t now_us)
+{
+    bool closed;
+
+    agents_trust(row);
+    row->heard_us = now_us;
+    row->ping_gap_us = PING_FIRST_US;
+    closed = agents_standing(agents, row) == STANDING_CLOSED;
+    agents_set_ping(agents, row, closed ? now_us + PING_CLOSED_US : 0);
+}
+
+void
+agents_missed(struct agents *agents, struct addr addr, uint64_t sent_us,
+              uint64_t now_us)
+{
+    struct agent_row *row = agents_find(agents, addr);
+
+    if (row == NULL || row->heard_us > sent_us || row->suspect) {
+        return;
+    }
+    set_suspect(row, sent_us);
+    row->ping_gap_us = PING_FIRST_US;
+    agents_set_ping(agents, row, now_us);
+}
+
+/* Whether a row that the store no longer names has been silent for so long
+ * that it is forgotten. */
+static bool
+is_forgotten(const struct agent_row *row, uint64_t now_us)
+{
+    bool ended = row->health.state == ENDPOINT_GONE;
+
+    return !row->listed && row->ping_gap_us >= PING_SLOWEST_US &&
+           (!ended || now_us - row->told_us > ENDED_KEPT_US);
+}
+
+bool
+agents_ping_due(struct agents *agents, uint64_t now_us, struct addr *addr,
+                bool *unlisted)
+{
+    for (guint i = agents->pinged->len; i-- > 0;) {
+        struct agent_row *row = g_ptr_array_index(agents->pinged, i);
+
+        if (row->ping_us > now_us) {
+            continue;
+        }
+        if (is_forgotten(row, now_us)) {
+            agents_remove(agents, row);
+            continue;
+        }
+        if (row->pinged_us > row->heard_us) {
+            set_suspect(row, row->pinged_us);
+        }
+        row->pinged_us = now_us;
+        row->ping_us = now_us + row->ping_gap_us;
+        row->ping_gap_us = MIN(2 * row->ping_gap_us, PING_SLOWEST_US);
+        *addr = row->addr;
+        *unlisted = row->unlisted;
+        return true;
+    }
+    return false;
+}
+
+uint64_t
+agents_next_ping_us(const struct agents *agents)
+{
+    uint64_t next_us = UINT64_MAX;
+
+    for (guint i = 0; i < agents->pinged->len; i++) {
+        const struct agent_row *row = g_ptr_array_index(agents->pinged, i);
+
+        next_us = MIN(next_us, row->ping_us);
+    }
+    return next_us;
+}
+
+/* How long an agent has to be silent to count as out of reach. */
+static uint64_t
+silence_of(const struct agent_row *row)
+{
+    if (row->health.state == ENDPOINT_DRAINING) {
+        return SILENT_CLOSED_US;
+    }
+    return row->heard_us != 0 ? SILENT_HEARD_US : SILENT_US;
+}
+
+bool
+agent_is_unreachable(const struct agent_row *row, uint64_t now_us)
+{
+    return row->suspect && now_us - row->silent_us >= silence_of(row);
+}
+
+bool
+agents_reach_most(const struct agents *agents, uint32_t service)
+{
+    const GPtrArray *rows = agents_of_service(agents, service);
+    unsigned suspected = 0;
+
+    for (guint i = 0; rows != NULL && i < rows->len; i++) {
+        const struct agent_row *row = g_ptr_array_index(rows, i);
+
+        suspected += row->suspect;
+    }
+    return rows != NULL && 2 * suspected < rows->len;
+}
--- a/src/relay/routes.c
+++ b/src/relay/steer/routes.c
@@ -1,4 +1,4 @@
-#include "relay/routes.h"
+#include "relay/steer/routes.h"
 
 #include <errno.h>
 #include <stdlib.h>
--- a/src/relay/routes.h
+++ b/src/relay/steer/routes.h
@@ -3,15 +3,15 @@
  *
  * One immutable table for each version of the configuration.
  */
-#ifndef SWIFTARCH_RELAY_ROUTES_H
-#define SWIFTARCH_RELAY_ROUTES_H
+#ifndef SWIFTARCH_RELAY_STEER_ROUTES_H
+#define SWIFTARCH_RELAY_STEER_ROUTES_H
 
 #include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 
 #include "base/addr.h"
-#include "relay/packet.h"
+#include "relay/wire/packet.h"
 
 #define ROUTES_NAME_MAX 64
 /* Services that one route shares its flows among. */
--- a/src/relay/steer.c
+++ b/src/relay/steer/steer.c
@@ -1,4 +1,4 @@
-#include "relay/steer.h"
+#include "relay/steer/steer.h"
 
 #include <errno.h>
 #include <stdlib.h>
@@ -7,7 +7,7 @@
 #include <glib.h>
 
 #include "base/clock.h"
-#include "relay/steer_private.h"
+#include "relay/steer/steer_private.h"
 
 /* Until a configuration says how soon requests are to be answered. */
 #define LEARNED_TARGET_MS 100
--- a/src/relay/steer.h
+++ b/src/relay/steer/steer.h
@@ -11,18 +11,18 @@
  * Every output goes through struct steer_out; there is no socket and no
  * clock inside.
  */
-#ifndef SWIFTARCH_RELAY_STEER_H
-#define SWIFTARCH_RELAY_STEER_H
+#ifndef SWIFTARCH_RELAY_STEER_STEER_H
+#define SWIFTARCH_RELAY_STEER_STEER_H
 
 #include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 
-#include "relay/agents.h"
-#include "relay/flow_index.h"
-#include "relay/frame.h"
-#include "relay/packet.h"
-#include "relay/routes.h"
+#include "relay/steer/agents.h"
+#include "relay/wire/flow_index.h"
+#include "relay/wire/frame.h"
+#include "relay/wire/packet.h"
+#include "relay/steer/routes.h"
 
 /* Endpoints that answered one SYN, at most: one for each try that was only
  * slow; more are not remembered. */
--- a/src/relay/steer_lost.c
+++ b/src/relay/steer/steer_lost.c
@@ -1,4 +1,4 @@
-#include "relay/steer_private.h"
+#include "relay/steer/steer_private.h"
 
 #include <string.h>
 
--- a/src/relay/steer_private.h
+++ b/src/relay/steer/steer_private.h
@@ -5,10 +5,10 @@
  * steer_known on packets of open flows and on what agents say of them,
  * steer_lost on flows that nobody may hold any more.
  */
-#ifndef SWIFTARCH_RELAY_STEER_PRIVATE_H
-#define SWIFTARCH_RELAY_STEER_PRIVATE_H
+#ifndef SWIFTARCH_RELAY_STEER_STEER_PRIVATE_H
+#define SWIFTARCH_RELAY_STEER_STEER_PRIVATE_H
 
-#include "relay/steer.h"
+#include "relay/steer/steer.h"
 
 /* Agents that one SYN is sent to: with more, the caller's own copy after
  * 200 ms would meet the same flow in too many places. */
--- a/src/relay/confirm.c
+++ b/src/relay/store/confirm.c
@@ -1,4 +1,4 @@
-#include "relay/confirm.h"
+#include "relay/store/confirm.h"
 
 #include "base/container.h"
 
--- a/src/relay/confirm.h
+++ b/src/relay/store/confirm.h
@@ -6,14 +6,14 @@
  * revision that the follower knows: none means that the list is whole as of
  * that call.
  */
-#ifndef SWIFTARCH_RELAY_CONFIRM_H
-#define SWIFTARCH_RELAY_CONFIRM_H
+#ifndef SWIFTARCH_RELAY_STORE_CONFIRM_H
+#define SWIFTARCH_RELAY_STORE_CONFIRM_H
 
 #include <stdbool.h>
 #include <stdint.h>
 
-#include "relay/follow.h"
-#include "relay/store.h"
+#include "relay/store/follow.h"
+#include "relay/store/store.h"
 
 struct confirm;
 
--- a/src/relay/follow.c
+++ b/src/relay/store/follow.c
@@ -1,4 +1,4 @@
-#include "relay/follow.h"
+#include "relay/store/follow.h"
 
 #include <errno.h>
 #include <string.h>
--- a/src/relay/follow.h
+++ b/src/relay/store/follow.h
@@ -5,13 +5,13 @@
  * when the store has forgotten that far back, the kind is listed anew. While
  * the store is away calls get rarer, as each one is paid for.
  */
-#ifndef SWIFTARCH_RELAY_FOLLOW_H
-#define SWIFTARCH_RELAY_FOLLOW_H
+#ifndef SWIFTARCH_RELAY_STORE_FOLLOW_H
+#define SWIFTARCH_RELAY_STORE_FOLLOW_H
 
 #include <stdbool.h>
 #include <stdint.h>
 
-#include "relay/store.h"
+#include "relay/store/store.h"
 
 struct follow;
 
--- a/src/relay/presence.c
+++ b/src/relay/store/presence.c
@@ -1,4 +1,4 @@
-#include "relay/presence.h"
+#include "relay/store/presence.h"
 
 #include <errno.h>
 #include <stddef.h>
--- a/src/relay/presence.h
+++ b/src/relay/store/presence.h
@@ -5,17 +5,17 @@
  * data centre; how its endpoint is goes from agent to balancer directly. So
  * it is written once in a host's life.
  */
-#ifndef SWIFTARCH_RELAY_PRESENCE_H
-#define SWIFTARCH_RELAY_PRESENCE_H
+#ifndef SWIFTARCH_RELAY_STORE_PRESENCE_H
+#define SWIFTARCH_RELAY_STORE_PRESENCE_H
 
 #include <json-c/json.h>
 #include <stdbool.h>
 #include <stdint.h>
 
 #include "base/addr.h"
-#include "relay/agents.h"
-#include "relay/routes.h"
-#include "relay/store.h"
+#include "relay/steer/agents.h"
+#include "relay/steer/routes.h"
+#include "relay/store/store.h"
 
 #define PRESENCE_KIND "swiftarch-agents"
 #define PRESENCE_NAME_MAX 32
--- a/src/relay/store.h
+++ b/src/relay/store/store.h
@@ -4,8 +4,8 @@
  * Objects of a kind have a name, a revision and a value (JSON). A store here
  * is one connection with one call at a time; who needs more opens more.
  */
-#ifndef SWIFTARCH_RELAY_STORE_H
-#define SWIFTARCH_RELAY_STORE_H
+#ifndef SWIFTARCH_RELAY_STORE_STORE_H
+#define SWIFTARCH_RELAY_STORE_STORE_H
 
 #include <json-c/json.h>
 #include <stdbool.h>
--- a/src/relay/flow_index.c
+++ b/src/relay/wire/flow_index.c
@@ -1,4 +1,4 @@
-#include "relay/flow_index.h"
+#include "relay/wire/flow_index.h"
 
 #include <assert.h>
 #include <errno.h>
--- a/src/relay/flow_index.h
+++ b/src/relay/wire/flow_index.h
@@ -5,13 +5,13 @@
  * handle. A full table gives up the flow that was quiet for longest, so that
  * a flood costs memory of the quiet only.
  */
-#ifndef SWIFTARCH_RELAY_FLOW_INDEX_H
-#define SWIFTARCH_RELAY_FLOW_INDEX_H
+#ifndef SWIFTARCH_RELAY_WIRE_FLOW_INDEX_H
+#define SWIFTARCH_RELAY_WIRE_FLOW_INDEX_H
 
 #include <stddef.h>
 #include <stdint.h>
 
-#include "relay/packet.h"
+#include "relay/wire/packet.h"
 
 #define FLOW_INDEX_NONE UINT32_MAX
 
--- a/src/relay/frame.c
+++ b/src/relay/wire/frame.c
@@ -1,4 +1,4 @@
-#include "relay/frame.h"
+#include "relay/wire/frame.h"
 
 #include <errno.h>
 #include <string.h>
--- a/src/relay/frame.h
+++ b/src/relay/wire/frame.h
@@ -6,14 +6,14 @@
  * tell. All integers are little-endian; a frame of another version or with a
  * wrong length is refused.
  */
-#ifndef SWIFTARCH_RELAY_FRAME_H
-#define SWIFTARCH_RELAY_FRAME_H
+#ifndef SWIFTARCH_RELAY_WIRE_FRAME_H
+#define SWIFTARCH_RELAY_WIRE_FRAME_H
 
 #include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 
-#include "relay/packet.h"
+#include "relay/wire/packet.h"
 
 /* Agents that a carried packet may still visit. A SYN names those that its
  * flow ranks highest; a packet whose flow is looked for names more, as the
--- a/src/relay/packet.c
+++ b/src/relay/wire/packet.c
@@ -1,4 +1,4 @@
-#include "relay/packet.h"
+#include "relay/wire/packet.h"
 
 #include "base/hash.h"
 
--- a/src/relay/packet.h
+++ b/src/relay/wire/packet.h
@@ -5,8 +5,8 @@
  * itself. Balancer and agent read the head of a packet to find its flow and
  * hand on the bytes unchanged.
  */
-#ifndef SWIFTARCH_RELAY_PACKET_H
-#define SWIFTARCH_RELAY_PACKET_H
+#ifndef SWIFTARCH_RELAY_WIRE_PACKET_H
+#define SWIFTARCH_RELAY_WIRE_PACKET_H
 
 #include <stdbool.h>
 #include <stddef.h>
--- a/tests/relay/confirm_test.c
+++ b/tests/relay/confirm_test.c
@@ -2,7 +2,7 @@
 
 #include "base/container.h"
 #include "lib/harness.h"
-#include "relay/confirm.h"
+#include "relay/store/confirm.h"
 
 #define SUITE "/relay/confirm"
 
--- a/tests/relay/door_load_test.c
+++ b/tests/relay/door_load_test.c
@@ -3,7 +3,7 @@
 #include "base/clock.h"
 #include "base/hash.h"
 #include "lib/harness.h"
-#include "relay/door.h"
+#include "relay/door/door.h"
 #include "relay/relay_rig.h"
 
 /*
--- a/tests/relay/door_site.h
+++ b/tests/relay/door_site.h
@@ -6,7 +6,7 @@
 
 #include <stdbool.h>
 
-#include "relay/door.h"
+#include "relay/door/door.h"
 #include "relay/relay_rig.h"
 
 #define SITE_BALANCER "10.9.0.1:7720"
--- a/tests/relay/endpoint_test.c
+++ b/tests/relay/endpoint_test.c
@@ -3,7 +3,7 @@
 #include "base/clock.h"
 #include "base/hash.h"
 #include "lib/harness.h"
-#include "relay/endpoint.h"
+#include "relay/door/endpoint.h"
 
 #define SUITE "/relay/endpoint"
 
--- a/tests/relay/flow_index_test.c
+++ b/tests/relay/flow_index_test.c
@@ -1,5 +1,5 @@
 #include "lib/harness.h"
-#include "relay/flow_index.h"
+#include "relay/wire/flow_index.h"
 #include "relay/relay_rig.h"
 
 #define SUITE "/relay/flow_index"
--- a/tests/relay/follow_test.c
+++ b/tests/relay/follow_test.c
@@ -4,8 +4,8 @@
 #include "base/clock.h"
 #include "base/container.h"
 #include "lib/harness.h"
-#include "relay/follow.h"
-#include "relay/presence.h"
+#include "relay/store/follow.h"
+#include "relay/store/presence.h"
 #include "relay/relay_rig.h"
 
 #define SUITE "/relay/follow"
--- a/tests/relay/frame_test.c
+++ b/tests/relay/frame_test.c
@@ -2,7 +2,7 @@
 #include <string.h>
 
 #include "lib/harness.h"
-#include "relay/frame.h"
+#include "relay/wire/frame.h"
 #include "relay/relay_rig.h"
 
 #define SUITE "/relay/frame"
--- a/tests/relay/pace_test.c
+++ b/tests/relay/pace_test.c
@@ -1,6 +1,6 @@
 #include "base/clock.h"
 #include "lib/harness.h"
-#include "relay/pace.h"
+#include "relay/door/pace.h"
 
 #define SUITE "/relay/pace"
 
--- a/tests/relay/relay_rig.h
+++ b/tests/relay/relay_rig.h
@@ -7,8 +7,8 @@
 #include <glib.h>
 
 #include "base/addr.h"
-#include "relay/frame.h"
-#include "relay/packet.h"
+#include "relay/wire/frame.h"
+#include "relay/wire/packet.h"
 
 #define RIG_DATA 34
 
--- a/tests/relay/settings_test.c
+++ b/tests/relay/settings_test.c
@@ -5,8 +5,8 @@
 
 #include "lib/harness.h"
 #include "base/clock.h"
-#include "relay/relay_settings.h"
-#include "relay/settings_file.h"
+#include "relay/program/relay_settings.h"
+#include "relay/program/settings_file.h"
 
 #define SUITE "/relay/settings"
 
--- a/tests/relay/steer_lost_test.c
+++ b/tests/relay/steer_lost_test.c
@@ -4,7 +4,7 @@
 #include "base/hash.h"
 #include "lib/harness.h"
 #include "relay/relay_rig.h"
-#include "relay/steer.h"
+#include "relay/steer/steer.h"
 
 #define SUITE "/relay/steer_lost"
 #define AGENTS 7
--- a/tests/relay/world_private.h
+++ b/tests/relay/world_private.h
@@ -8,9 +8,9 @@
 #ifndef SWIFTARCH_TESTS_RELAY_WORLD_PRIVATE_H
 #define SWIFTARCH_TESTS_RELAY_WORLD_PRIVATE_H
 
-#include "relay/door.h"
+#include "relay/door/door.h"
 #include "relay/relay_rig.h"
-#include "relay/steer.h"
+#include "relay/steer/steer.h"
 #include "relay/world.h"
 
 #define STEP_US (500)
