The first packet of a search goes along one chain

Hypothesis: with all agents asked for lost flows within 10 ms, the 48 further agents that a first packet visited bring nothing but load in the moment that has least room for it. Change: one chain of 16 for the first packet, four from the second on. One test said that a first packet goes to 64 agents; in its place two say that it goes to the 16 likeliest, that all (100) are asked before the second, and that the second goes to 64.

--- a/src/relay/steer/steer_known.c
+++ b/src/relay/steer/steer_known.c
@@ -8,7 +8,12 @@
 
 /* Chains of agents that a packet of a flow without a place goes along at
  * once, 64 agents in all. One after another, each costs a retransmission of
- * the caller's: 0.2 s, then 0.4 s more. */
+ * the caller's: 0.2 s, then 0.4 s more. The first packet goes along one: the
+ * holder is nearly always among the 16 that rank highest, and whoever else
+ * holds the flow says so when all are asked for lost flows, 10 ms later. With
+ * four, a day of total loss at 46 agents had 140,000 datagrams a second on the
+ * way, and earned 0.004 less. */
+#define SEARCH_CHAINS_FIRST 1
 #define SEARCH_CHAINS 4
 
 /* How long a proof that nobody holds a flow is believed: while its caller
@@ -100,10 +105,11 @@
 search_chains(struct steer *steer, struct steer_pin *pin,
               const struct relay_packet *packet)
 {
+    unsigned most = pin->searches == 0 ? SEARCH_CHAINS_FIRST : SEARCH_CHAINS;
     unsigned chains = 0;
 
     pin->search_end = pin->search_below;
-    while (chains < SEARCH_CHAINS && search_chain(steer, pin, packet)) {
+    while (chains < most && search_chain(steer, pin, packet)) {
         chains++;
     }
     return chains;
