Endpoints that reset requests are passed by while others can take them

Change: a moving average of that (src/relay/door/outcome), told to balancers as it changes; such an endpoint comes after any that has less than four requests a slot more, and its agent passes SYNs on while their frames name others. Errors inside answers stay unseen.

--- a/src/relay/door/door.c
+++ b/src/relay/door/door.c
@@ -173,6 +173,7 @@
         door_flow_idle(door, door->busy[0]);
     }
     pace_init(&door->pace);
+    door->outcome = (struct outcome){0};
     door->lossy = false;
 }
 
--- a/src/relay/door/door.h
+++ b/src/relay/door/door.h
@@ -17,6 +17,7 @@
 #include "relay/door/endpoint.h"
 #include "relay/wire/flow_index.h"
 #include "relay/wire/frame.h"
+#include "relay/door/outcome.h"
 #include "relay/door/pace.h"
 #include "relay/wire/packet.h"
 
@@ -126,6 +127,7 @@
  * @held: SYNs that wait for a free slot, as handles, in the order they came
  * @held_count: how many
  * @pace: how fast the endpoint and its callers are
+ * @outcome: how much of what it is asked the endpoint resets
  * @sweep_us: when to look for requests that are in progress for too long
  * @heard: newest configuration that any balancer spoke of
  * @balancers: balancers heard from, to tell them of a change
@@ -157,6 +159,7 @@
     uint32_t held[DOOR_HELD_MAX];
     unsigned held_count;
     struct pace pace;
+    struct outcome outcome;
     uint64_t sweep_us;
     struct frame_version heard;
     struct door_balancer balancers[DOOR_BALANCERS_MAX];
--- a/src/relay/door/door_answer.c
+++ b/src/relay/door/door_answer.c
@@ -88,17 +88,32 @@
     door_decided(door, DOOR_DID_PLACE, handle, FRAME_REASON_NONE);
 }
 
-/* The endpoint answers the flow's request. */
+/* The endpoint has answered the flow's request, or reset it. */
 static void
-note_done(struct door *door, uint32_t handle, uint64_t now_us)
+note_outcome(struct door *door, bool reset, uint64_t now_us)
+{
+    bool was = outcome_is_failing(&door->outcome, now_us);
+
+    outcome_note(&door->outcome, reset, now_us);
+    if (outcome_is_failing(&door->outcome, now_us) != was) {
+        door_tell_state(door, now_us);
+    }
+}
+
+/* The endpoint answers the flow's request, or ends it. */
+static void
+note_done(struct door *door, uint32_t handle, bool reset, uint64_t now_us)
 {
     struct door_flow *flow = &door->flows[handle];
 
     if (flow->asked_us != 0) {
+        note_outcome(door, reset, now_us);
+    }
+    if (flow->asked_us != 0 && !reset) {
         pace_answer(&door->pace, now_us - flow->asked_us, flow->depth,
                     door->endpoint.slots);
-        flow->asked_us = 0;
     }
+    flow->asked_us = 0;
     door_flow_idle(door, handle);
 }
 
@@ -199,7 +214,7 @@
         door_tell_placed(door, handle, now_us);
     }
     if (packet->len > 0 || (packet->flags & (RELAY_FIN | RELAY_RST)) != 0) {
-        note_done(door, handle, now_us);
+        note_done(door, handle, resets, now_us);
     }
     return true;
 }
--- a/src/relay/door/door_open.c
+++ b/src/relay/door/door_open.c
@@ -170,7 +170,8 @@
 
 /* Why a SYN shouldn't be given to the endpoint, or FRAME_REASON_NONE. */
 static enum frame_reason
-reason_against(const struct door *door, const struct frame_carry *frame)
+reason_against(const struct door *door, const struct frame_carry *frame,
+               uint64_t now_us)
 {
     if (frame->service != door->endpoint.service) {
         return FRAME_REASON_SERVICE;
@@ -181,6 +182,10 @@
     if (door->closed || !endpoint_open(&door->endpoint)) {
         return FRAME_REASON_LEAVING;
     }
+    if (frame->next_count > 0 && !frame->forced &&
+        outcome_is_failing(&door->outcome, now_us)) {
+        return FRAME_REASON_FAILING;
+    }
     if (door->busy_count >= room_of(door) &&
         !(frame->forced && door_has_room(door, frame->target_ms > 0))) {
         return FRAME_REASON_BUSY;
@@ -222,7 +227,7 @@
     struct relay_flow key = relay_flow_from_caller(packet);
     uint32_t handle = door_flow_remember(door, key, DOOR_OPENING, now_us);
     struct door_flow *flow = &door->flows[handle];
-    enum frame_reason why = reason_against(door, frame);
+    enum frame_reason why = reason_against(door, frame, now_us);
 
     keep_frame(flow, frame);
     flow->doubtful = doubtful;
--- a/src/relay/door/door_tell.c
+++ b/src/relay/door/door_tell.c
@@ -19,6 +19,7 @@
     if (door->closed && status->health.state != ENDPOINT_GONE) {
         status->health.state = ENDPOINT_DRAINING;
     }
+    status->health.failing = outcome_is_failing(&door->outcome, now_us);
     status->heard = door->heard;
     door->out->ops->tell(door->out, balancer, status);
 }
--- a/src/relay/program/relay_agent_out.c
+++ b/src/relay/program/relay_agent_out.c
@@ -12,6 +12,7 @@
     [FRAME_REASON_NONE] = "none",       [FRAME_REASON_BUSY] = "busy",
     [FRAME_REASON_LEAVING] = "leaving", [FRAME_REASON_SILENT] = "silent",
     [FRAME_REASON_REFUSED] = "refused", [FRAME_REASON_SERVICE] = "service",
+    [FRAME_REASON_FAILING] = "failing",
 };
 
 const char *const relay_agent_state_names[] = {
--- a/src/relay/steer/agents_choice.c
+++ b/src/relay/steer/agents_choice.c
@@ -23,6 +23,11 @@
 #define LOAD_WARMING_NUM 8
 #define LOAD_WARMING_DEN 5
 
+/* An endpoint that resets what it is asked comes after any that has less than
+ * four requests on each of its slots more; it is never left out, as the others
+ * may be no better. */
+#define LOAD_FAILING (4 * LOAD_UNIT)
+
 /** struct candidate - an agent in a choice */
 struct candidate {
     const struct agent_row *row;
@@ -70,6 +75,9 @@
     if (row->health.warming) {
         load = load * LOAD_WARMING_NUM / LOAD_WARMING_DEN;
     }
+    if (row->health.failing) {
+        load += LOAD_FAILING;
+    }
     if (strcmp(row->data_centre, agents->data_centre) != 0) {
         load += LOAD_ABROAD;
     }
--- a/src/relay/wire/frame.h
+++ b/src/relay/wire/frame.h
@@ -44,7 +44,8 @@
     FRAME_REASON_SILENT = 3,  /* the endpoint didn't answer */
     FRAME_REASON_REFUSED = 4, /* the endpoint bounced the packet */
     FRAME_REASON_SERVICE = 5, /* the endpoint is of another service */
-    FRAME_REASON_MAX = FRAME_REASON_SERVICE,
+    FRAME_REASON_FAILING = 6, /* it resets requests; others may not */
+    FRAME_REASON_MAX = FRAME_REASON_FAILING,
 };
 
 /** enum endpoint_state - what an agent knows of its endpoint */
@@ -64,6 +65,7 @@
  * @busy: requests in progress, as the agent counts them
  * @slots: requests that the endpoint runs at a time
  * @warming: slow after a start
+ * @failing: resets much of what it is asked
  */
 struct frame_health {
     uint32_t service;
@@ -71,6 +73,7 @@
     uint8_t busy;
     uint8_t slots;
     bool warming;
+    bool failing;
 };
 
 /**
--- a/tests/relay/door_open_test.c
+++ b/tests/relay/door_open_test.c
@@ -255,3 +255,44 @@
     site_pass_ms(site, 3);
     g_assert_nonnull(strstr(site->record->str, "carry 10.0.0.2:7000"));
 }
+
+/* The endpoint resets flows 1 to 3 with their requests in progress. */
+static void
+fail_three(struct site *site)
+{
+    for (unsigned i = 1; i <= 3; i++) {
+        site_open_flow(site, i);
+        site_arrive(site,
+                    rig_from_caller(rig_flow(i), RELAY_ACK, 101, 501, 40), 0,
+                    false);
+        g_string_truncate(site->record, 0);
+        site_answer(site, rig_from_endpoint(rig_flow(i), RELAY_RST | RELAY_ACK,
+                                            501, 141, 0));
+    }
+}
+
+/* Its heartbeats say that it is well. */
+TEST_F(site, an_endpoint_that_resets_requests_gets_what_no_other_takes)
+{
+    struct relay_packet syn =
+        rig_from_caller(rig_flow(4), RELAY_SYN, 100, 0, 0);
+
+    site_heartbeat(site, "i-1", "lots", false, 1);
+    fail_three(site);
+    /* Balancers are told at once. */
+    rig_expect(site->record, "tell state reason=0 on=0 busy=1 state=1",
+               "caller 1003", NULL);
+    site_arrive(site, syn, 1, false);
+    rig_expect(site->record, "carry 10.0.0.2:7000 hops=1 left=0",
+               "tell passed reason=6 on=1 busy=0 state=1", NULL);
+    site_arrive(site, rig_from_caller(rig_flow(5), RELAY_SYN, 100, 0, 0), 0,
+                false);
+    rig_expect(site->record, "endpoint 0", NULL);
+    site_answer(site, rig_from_endpoint(rig_flow(5), RELAY_SYN | RELAY_ACK,
+                                        500, 101, 0));
+    site_pass_ms(site, 5000);
+    g_string_truncate(site->record, 0);
+    site_arrive(site, rig_from_caller(rig_flow(6), RELAY_SYN, 100, 0, 0), 1,
+                false);
+    g_assert_nonnull(strstr(site->record->str, "endpoint 0"));
+}
--- a/tests/relay/steer_lost_test.c
+++ b/tests/relay/steer_lost_test.c
@@ -526,3 +526,29 @@
     lose_agent(site, 3);
     rig_expect(site->record, NULL);
 }
+
+/* One that resets requests is chosen when the others have four more on each
+ * slot, not before. */
+TEST_F(site, a_failing_endpoint_is_chosen_last, false)
+{
+    struct frame_status status = {
+        .type = FRAME_STATE,
+        .health = {.service = hash_service("lots"),
+                   .slots = 2,
+                   .failing = true,
+                   .state = ENDPOINT_READY},
+    };
+
+    steer_status(&site->steer, agent_addr(2), &status, site->now_us);
+    for (unsigned flow = 1; flow <= 40; flow++) {
+        open_flow(site, flow);
+        g_assert_cmpuint(site->carried_to, !=, 2);
+    }
+    for (unsigned i = 1; i <= AGENTS; i++) {
+        status.health.failing = i == 2;
+        status.health.busy = i == 2 ? 0 : 10;
+        steer_status(&site->steer, agent_addr(i), &status, site->now_us);
+    }
+    open_flow(site, 41);
+    g_assert_cmpuint(site->carried_to, ==, 2);
+}
