A balancer that is slow itself takes no agent for silent

Ruled out: the proof of lost flows (those flows had a known place), the watch interval itself (it made the storm's load come in larger pieces). Questions go to silent agents too, and one counts as out of reach only if it doesn't answer the question that all others do; a conclusion that comes 20 ms late is none; two thirds must be reached; a question that more than a fourth leaves unanswered makes nobody suspect.

--- a/src/relay/steer/agents.h
+++ b/src/relay/steer/agents.h
@@ -32,6 +32,7 @@
  * @unlisted: the store named it once and doesn't any more
  * @suspect: it didn't answer when it should have
  * @silent_us: since when, 0 while it isn't suspected
+ * @silent: it was out of reach when that was asked
  * @asked: last question about lost flows that it was asked
  * @answered: last one that it answered
  * @heard_us: last frame from it, 0 for never
@@ -55,6 +56,7 @@
     bool unlisted;
     bool suspect;
     uint64_t silent_us;
+    bool silent;
     uint32_t asked;
     uint32_t answered;
     uint64_t heard_us;
@@ -216,11 +218,6 @@
 bool
 agent_is_unreachable(const struct agent_row *row, uint64_t now_us);
 
-/** agents_reach_most() - whether less than half of a service's agents are
- * suspected: otherwise the fault may be the balancer's own */
-bool
-agents_reach_most(const struct agents *agents, uint32_t service);
-
 /** agents_serve() - whether some agent may take a new flow of @service */
 bool
 agents_serve(const struct agents *agents, uint32_t service);
--- a/src/relay/steer/agents_reach.c
+++ b/src/relay/steer/agents_reach.c
@@ -20,11 +20,6 @@
 #define SILENT_US (1 * USEC_PER_SEC)
 #define SILENT_CLOSED_US (5 * USEC_PER_SEC)
 
-/* The same for one that this balancer has heard from, and so of a planned
- * restart too: with a second, requests of the first 0.4 s of a cut had no
- * packet left to be told by (callers send again after 0.2 and 0.6 s). */
-#define SILENT_HEARD_US (500 * USEC_PER_MSEC)
-
 /* How long an agent whose endpoint has ended is remembered: as long as the
  * oldest flow there may be. */
 #define ENDED_KEPT_US (60 * USEC_PER_SEC)
@@ -152,32 +147,11 @@
     return next_us;
 }
 
-/* How long an agent has to be silent to count as out of reach. */
-static uint64_t
-silence_of(const struct agent_row *row)
-{
-    if (row->health.state == ENDPOINT_DRAINING) {
-        return SILENT_CLOSED_US;
-    }
-    return row->heard_us != 0 ? SILENT_HEARD_US : SILENT_US;
-}
-
 bool
 agent_is_unreachable(const struct agent_row *row, uint64_t now_us)
 {
-    return row->suspect && now_us - row->silent_us >= silence_of(row);
-}
+    bool closed = row->health.state == ENDPOINT_DRAINING;
 
-bool
-agents_reach_most(const struct agents *agents, uint32_t service)
-{
-    const GPtrArray *rows = agents_of_service(agents, service);
-    unsigned suspected = 0;
-
-    for (guint i = 0; rows != NULL && i < rows->len; i++) {
-        const struct agent_row *row = g_ptr_array_index(rows, i);
-
-        suspected += row->suspect;
-    }
-    return rows != NULL && 2 * suspected < rows->len;
+    return row->suspect &&
+           now_us - row->silent_us >= (closed ? SILENT_CLOSED_US : SILENT_US);
 }
--- a/src/relay/steer/steer.h
+++ b/src/relay/steer/steer.h
@@ -117,9 +117,12 @@
  * @started_us: when it was asked
  * @changes: of the agents until then: one that has come since wasn't asked
  * @confirmed: the list of agents was whole after that
- * @asked: agents that were asked
+ * @questions: agents that were asked
+ * @answers: those that have answered
+ * @asked: agents that were not silent before, or have answered
  * @missing: those of them that haven't answered
- * @unreachable: agents that can't be asked, or whose endpoints are silent
+ * @unreachable: the others, and those whose endpoints are silent
+ * @listed: the store is asked, or needn't be
  * @flows: what was asked for
  * @count: how many
  * @absent: a bit for each that nobody has claimed so far
@@ -131,6 +134,9 @@
     uint64_t started_us;
     uint64_t changes;
     bool confirmed;
+    unsigned questions;
+    unsigned answers;
+    bool listed;
     unsigned asked;
     unsigned missing;
     unsigned unreachable;
--- a/src/relay/steer/steer_known.c
+++ b/src/relay/steer/steer_known.c
@@ -185,26 +185,6 @@
     return row != NULL && row->health.state == ENDPOINT_GONE;
 }
 
-/* Whether the flow's one agent has been silent for so long that its caller is
- * better off with another endpoint, where requests may run twice. A caller
- * that keeps its flow open would find out by its own timeout, with no time
- * left to try again. */
-static bool
-is_out_of_reach(const struct steer *steer, const struct steer_pin *pin,
-                const struct relay_packet *packet, uint64_t now_us)
-{
-    const struct agent_row *row =
-        agents_find(&steer->agents, pin->places[0].agent);
-    const struct route *route;
-
-    if (row == NULL || !agent_is_unreachable(row, now_us)) {
-        return false;
-    }
-    route = routes_find(steer_routes_in_force(steer), packet->to);
-    return route != NULL && route->idempotent &&
-           agents_reach_most(&steer->agents, pin->service);
-}
-
 void
 steer_carry_known(struct steer *steer, uint32_t handle,
                   const struct relay_packet *packet, uint64_t now_us)
@@ -219,8 +199,7 @@
         return;
     }
     pin->over_us = 0;
-    if (is_sure(pin) && (has_ended(steer, pin->places[0].agent) ||
-                         is_out_of_reach(steer, pin, packet, now_us))) {
+    if (is_sure(pin) && has_ended(steer, pin->places[0].agent)) {
         steer_reset(steer, handle, now_us);
     }
     else if (place != NULL) {
--- a/src/relay/steer/steer_lost.c
+++ b/src/relay/steer/steer_lost.c
@@ -14,6 +14,14 @@
  * takes where they are slow. */
 #define ANSWERS_US (60 * USEC_PER_MSEC)
 
+/* What agents that have been silent for long are given to answer, once all
+ * others have: ten times a trip. */
+#define SILENT_ANSWERS_US (15 * USEC_PER_MSEC)
+
+/* A question's end that comes later than this is the balancer's own delay, and
+ * what it hasn't read by then is no missing answer. */
+#define LATE_US (20 * USEC_PER_MSEC)
+
 /* Pause between two questions. A question costs two datagrams an agent: at
  * most 2,000 a second, however many flows are lost and agents there are. One
  * that proved nothing is repeated at half the pace, and so on. */
@@ -124,12 +132,14 @@
         if (row->health.state == ENDPOINT_GONE) {
             continue;
         }
-        if (agent_is_unreachable(row, now_us)) {
-            round->unreachable++;
-            continue;
-        }
-        round->asked++;
+        /* They are asked all the same: it is by this question that one is
+         * out of reach. A balancer that has been slow itself may take many
+         * for silent that are not. */
+        row->silent = agent_is_unreachable(row, now_us);
+        round->unreachable += row->silent;
+        round->asked += !row->silent;
         row->asked = round->number;
+        round->questions++;
         steer->out->ops->ask(steer->out, row->addr, &ask);
     }
     round->missing = round->asked;
@@ -152,10 +162,15 @@
     round->changes = steer->agents.changes;
     round->asked = 0;
     round->unreachable = 0;
+    round->questions = 0;
+    round->answers = 0;
+    round->listed = false;
     memset(round->absent, 0xff, sizeof(round->absent));
     ask_all(steer, now_us);
 }
 
+#define REACHED_PARTS 3
+
 /*
  * Whether a flow is held by nobody, if the list of agents is whole.
  *
@@ -168,8 +183,8 @@
  *
  * Agents that can't be asked leave a doubt: the flow may live there, out of
  * reach. Where requests may run twice the caller is better off with another
- * endpoint; where not, it waits. A balancer that reaches less than half of the
- * agents has to doubt itself.
+ * endpoint; where not, it waits. A balancer that reaches less than two thirds
+ * of the agents has to doubt itself.
  */
 static bool
 is_claimed_by_none(const struct steer *steer, unsigned at)
@@ -183,9 +198,14 @@
         return false;
     }
     return round->unreachable == 0 ||
-           (route->idempotent && round->unreachable <= round->asked);
+           (route->idempotent &&
+            REACHED_PARTS * round->unreachable <= round->questions);
 }
 
+/* A question that more than a fourth of the agents left unanswered says
+ * nothing about them. */
+#define MISSING_PARTS 4
+
 /* Agents that didn't answer are suspected. */
 static void
 note_missing(struct steer *steer, uint64_t now_us)
@@ -193,8 +213,11 @@
     const struct steer_round *round = &steer->lost.round;
     const GPtrArray *rows = agents_of_service(&steer->agents, round->service);
 
-    for (guint i = 0; round->missing > 0 && rows != NULL && i < rows->len;
-         i++) {
+    if (MISSING_PARTS * round->missing > round->asked) {
+        /* So many don't fail at once: the balancer reads late. */
+        return;
+    }
+    for (guint i = 0; rows != NULL && i < rows->len; i++) {
         const struct agent_row *row = g_ptr_array_index(rows, i);
 
         if (row->asked == round->number && row->answered != round->number) {
@@ -245,6 +268,7 @@
     for (unsigned i = 0; i < round->count && !any; i++) {
         any = is_claimed_by_none(steer, i);
     }
+    steer->lost.round.listed = true;
     if (any) {
         steer->out->ops->confirm(steer->out, now_us);
     }
@@ -253,6 +277,41 @@
     }
 }
 
+/* Whether every agent that was asked has answered, the silent ones too. */
+static bool
+all_spoke(const struct steer *steer)
+{
+    const struct steer_round *round = &steer->lost.round;
+
+    return round->answers == round->questions;
+}
+
+/* Whether only agents that have been silent for long still owe an answer. */
+static bool
+waits_for_silent(const struct steer_round *round)
+{
+    return round->missing == 0 && !round->listed;
+}
+
+static void
+tick_round(struct steer *steer, uint64_t now_us)
+{
+    struct steer_round *round = &steer->lost.round;
+    uint64_t since_us = now_us - round->started_us;
+
+    if (since_us >= ANSWERS_US) {
+        end_round(steer, now_us);
+    }
+    else if (waits_for_silent(round) && since_us >= SILENT_ANSWERS_US) {
+        if (since_us >= SILENT_ANSWERS_US + LATE_US) {
+            end_round(steer, now_us);
+        }
+        else {
+            on_answers(steer, now_us);
+        }
+    }
+}
+
 void
 steer_lost_note(struct steer *steer, uint32_t handle, uint64_t now_us)
 {
@@ -279,13 +338,19 @@
     struct agent_row *row = agents_find(&steer->agents, agent);
 
     if (!round->open || absent->round != round->number || row == NULL ||
-        row->asked != round->number || row->answered == round->number ||
-        round->missing == 0) {
+        row->asked != round->number || row->answered == round->number) {
         return;
     }
     row->answered = round->number;
+    round->answers++;
     agents_alive(&steer->agents, row, now_us);
-    round->missing--;
+    if (row->silent) {
+        round->unreachable--;
+        round->asked++;
+    }
+    else {
+        round->missing--;
+    }
     if (absent->silent) {
         round->unreachable++;
         round->asked--;
@@ -295,7 +360,7 @@
             round->absent[i] &= absent->absent[i];
         }
     }
-    if (round->missing == 0) {
+    if (!round->listed && all_spoke(steer)) {
         on_answers(steer, now_us);
     }
 }
@@ -317,9 +382,7 @@
     struct steer_lost *lost = &steer->lost;
 
     if (lost->round.open) {
-        if (now_us - lost->round.started_us >= ANSWERS_US) {
-            end_round(steer, now_us);
-        }
+        tick_round(steer, now_us);
         return;
     }
     if (lost->count == 0 || now_us < lost->next_us) {
@@ -336,7 +399,9 @@
     uint64_t due_us = UINT64_MAX;
 
     if (lost->round.open) {
-        return lost->round.started_us + ANSWERS_US;
+        return lost->round.started_us + (waits_for_silent(&lost->round)
+                                             ? SILENT_ANSWERS_US
+                                             : ANSWERS_US);
     }
     for (unsigned i = 0; i < lost->count; i++) {
         due_us = MIN(due_us, lost->flows[i].since_us + ASK_AFTER_US);
