Hosts that are taken away aren't waited for

Change: an agent tells with its answers that its endpoint's process isn't there; one that said so last needn't be silent for a second to count as out of reach. A balancer whose tick comes late waits for the silent once more instead of concluding nothing.

--- a/src/relay/steer/agents.c
+++ b/src/relay/steer/agents.c
@@ -206,6 +206,7 @@
     else {
         set_health(agents, row, health);
     }
+    row->down = row->down && health->state == ENDPOINT_SILENT;
     row->told_us = now_us;
     row->sent = 0;
     agents_alive(agents, row, now_us);
--- a/src/relay/steer/agents.h
+++ b/src/relay/steer/agents.h
@@ -32,7 +32,9 @@
  * @unlisted: the store named it once and doesn't any more
  * @suspect: it didn't answer when it should have
  * @silent_us: since when, 0 while it isn't suspected
- * @silent: it was out of reach when that was asked
+ * @down: it said last that its endpoint's process isn't there
+ * @excused: its answer isn't waited for: it was out of reach when that was
+ *           asked, or had nothing to hold flows
  * @asked: last question about lost flows that it was asked
  * @answered: last one that it answered
  * @heard_us: last frame from it, 0 for never
@@ -56,7 +58,8 @@
     bool unlisted;
     bool suspect;
     uint64_t silent_us;
-    bool silent;
+    bool down;
+    bool excused;
     uint32_t asked;
     uint32_t answered;
     uint64_t heard_us;
--- a/src/relay/steer/steer.h
+++ b/src/relay/steer/steer.h
@@ -123,6 +123,7 @@
  * @missing: those of them that haven't answered
  * @unreachable: the others, and those whose endpoints are silent
  * @listed: the store is asked, or needn't be
+ * @due_us: how long silent agents are waited for
  * @flows: what was asked for
  * @count: how many
  * @absent: a bit for each that nobody has claimed so far
@@ -137,6 +138,7 @@
     unsigned questions;
     unsigned answers;
     bool listed;
+    uint64_t due_us;
     unsigned asked;
     unsigned missing;
     unsigned unreachable;
--- a/src/relay/steer/steer_lost.c
+++ b/src/relay/steer/steer_lost.c
@@ -18,8 +18,8 @@
  * others have: ten times a trip. */
 #define SILENT_ANSWERS_US (15 * USEC_PER_MSEC)
 
-/* A question's end that comes later than this is the balancer's own delay, and
- * what it hasn't read by then is no missing answer. */
+/* A tick that comes later than this is the balancer's own delay: answers may
+ * lie unread, and the silent are given as long again. */
 #define LATE_US (20 * USEC_PER_MSEC)
 
 /* Pause between two questions. A question costs two datagrams an agent: at
@@ -134,10 +134,13 @@
         }
         /* They are asked all the same: it is by this question that one is
          * out of reach. A balancer that has been slow itself may take many
-         * for silent that are not. */
-        row->silent = agent_is_unreachable(row, now_us);
-        round->unreachable += row->silent;
-        round->asked += !row->silent;
+         * for silent that are not. One whose endpoint wasn't there at its last
+         * word, and that vanishes then, is a host that is taken away: waited
+         * for a second each, ten of them after a loss cost 340 of 3,300
+         * requests in 2 s of a day. */
+        row->excused = row->down || agent_is_unreachable(row, now_us);
+        round->unreachable += row->excused;
+        round->asked += !row->excused;
         row->asked = round->number;
         round->questions++;
         steer->out->ops->ask(steer->out, row->addr, &ask);
@@ -165,6 +168,7 @@
     round->questions = 0;
     round->answers = 0;
     round->listed = false;
+    round->due_us = now_us + SILENT_ANSWERS_US;
     memset(round->absent, 0xff, sizeof(round->absent));
     ask_all(steer, now_us);
 }
@@ -297,18 +301,15 @@
 tick_round(struct steer *steer, uint64_t now_us)
 {
     struct steer_round *round = &steer->lost.round;
-    uint64_t since_us = now_us - round->started_us;
 
-    if (since_us >= ANSWERS_US) {
+    if (now_us - round->started_us >= ANSWERS_US) {
         end_round(steer, now_us);
     }
-    else if (waits_for_silent(round) && since_us >= SILENT_ANSWERS_US) {
-        if (since_us >= SILENT_ANSWERS_US + LATE_US) {
-            end_round(steer, now_us);
-        }
-        else {
-            on_answers(steer, now_us);
-        }
+    else if (waits_for_silent(round) && now_us >= round->due_us + LATE_US) {
+        round->due_us = now_us + SILENT_ANSWERS_US;
+    }
+    else if (waits_for_silent(round) && now_us >= round->due_us) {
+        on_answers(steer, now_us);
     }
 }
 
@@ -344,7 +345,8 @@
     row->answered = round->number;
     round->answers++;
     agents_alive(&steer->agents, row, now_us);
-    if (row->silent) {
+    row->down = absent->down;
+    if (row->excused) {
         round->unreachable--;
         round->asked++;
     }
@@ -399,9 +401,9 @@
     uint64_t due_us = UINT64_MAX;
 
     if (lost->round.open) {
-        return lost->round.started_us + (waits_for_silent(&lost->round)
-                                             ? SILENT_ANSWERS_US
-                                             : ANSWERS_US);
+        return waits_for_silent(&lost->round)
+                   ? lost->round.due_us
+                   : lost->round.started_us + ANSWERS_US;
     }
     for (unsigned i = 0; i < lost->count; i++) {
         due_us = MIN(due_us, lost->flows[i].since_us + ASK_AFTER_US);
--- a/src/relay/wire/frame.c
+++ b/src/relay/wire/frame.c
@@ -274,6 +274,7 @@
 
     put(&writer, absent->round, 4);
     put(&writer, absent->silent, 1);
+    put(&writer, absent->down, 1);
     for (unsigned i = 0; i < FRAME_ASK_WORDS; i++) {
         put(&writer, absent->absent[i], 4);
     }
@@ -288,6 +289,7 @@
 
     absent->round = (uint32_t)get(&reader, 4);
     absent->silent = get(&reader, 1) != 0;
+    absent->down = get(&reader, 1) != 0;
     for (unsigned i = 0; i < FRAME_ASK_WORDS; i++) {
         absent->absent[i] = (uint32_t)get(&reader, 4);
     }
--- a/src/relay/wire/frame.h
+++ b/src/relay/wire/frame.h
@@ -185,11 +185,13 @@
  * struct frame_absent - an agent's answer
  * @round: the question
  * @silent: the endpoint shows no sign of life: the rest says nothing
+ * @down: the endpoint's process isn't there
  * @absent: a bit for each flow that the endpoint doesn't hold, for certain
  */
 struct frame_absent {
     uint32_t round;
     bool silent;
+    bool down;
     uint32_t absent[FRAME_ASK_WORDS];
 };
 
