Endpoints that have just started are chosen like the others

After a loss all endpoints are cold; after a release the one that starts is idle. Change: the weight goes, and with it the field that carried it. The time is still read and checked in heartbeats.

--- a/src/relay/door/door_tell.c
+++ b/src/relay/door/door_tell.c
@@ -14,8 +14,7 @@
 door_tell(struct door *door, struct addr balancer, struct frame_status *status,
           uint64_t now_us)
 {
-    status->health =
-        endpoint_health(&door->endpoint, door->busy_count, now_us);
+    status->health = endpoint_health(&door->endpoint, door->busy_count);
     if (door->closed && status->health.state != ENDPOINT_GONE) {
         status->health.state = ENDPOINT_DRAINING;
     }
--- a/src/relay/door/endpoint.c
+++ b/src/relay/door/endpoint.c
@@ -124,7 +124,6 @@
     endpoint->heard_us = now_us;
     endpoint->service = heartbeat->service;
     endpoint->slots = heartbeat->slots > 0 ? heartbeat->slots : SLOTS_DEFAULT;
-    endpoint->warm_us = now_us + heartbeat->warming_ms * USEC_PER_MSEC;
     changed |= set_state(endpoint, heartbeat->draining ? ENDPOINT_DRAINING
                                                        : ENDPOINT_READY);
     if (other) {
@@ -218,14 +217,12 @@
 }
 
 struct frame_health
-endpoint_health(const struct endpoint *endpoint, unsigned busy,
-                uint64_t now_us)
+endpoint_health(const struct endpoint *endpoint, unsigned busy)
 {
     return (struct frame_health){
         .service = endpoint->service,
         .state = (uint8_t)endpoint->state,
         .busy = (uint8_t)MIN(busy, UINT8_MAX),
         .slots = (uint8_t)MIN(endpoint->slots, UINT8_MAX),
-        .warming = now_us < endpoint->warm_us,
     };
 }
--- a/src/relay/door/endpoint.h
+++ b/src/relay/door/endpoint.h
@@ -62,7 +62,6 @@
  * @service: hash_service() of its service
  * @state: what it is fit for
  * @slots: requests that it runs at a time
- * @warm_us: when it is fast again
  * @heard_us: last heartbeat of the current start
  * @down: its process isn't there; what comes next is another start, all of
  *        which is seen
@@ -73,7 +72,6 @@
     uint32_t service;
     enum endpoint_state state;
     unsigned slots;
-    uint64_t warm_us;
     uint64_t heard_us;
     bool down;
     struct endpoint_start starts[ENDPOINT_STARTS_MAX];
@@ -150,7 +148,6 @@
 
 /** endpoint_health() - what balancers are told */
 struct frame_health
-endpoint_health(const struct endpoint *endpoint, unsigned busy,
-                uint64_t now_us);
+endpoint_health(const struct endpoint *endpoint, unsigned busy);
 
 #endif
--- a/src/relay/steer/agents_choice.c
+++ b/src/relay/steer/agents_choice.c
@@ -19,10 +19,6 @@
  * queue is still well inside any aim. */
 #define LOAD_ABROAD (LOAD_UNIT / SLOTS_DEFAULT)
 
-/* An endpoint that has just started takes about 1.6 times as long. */
-#define LOAD_WARMING_NUM 8
-#define LOAD_WARMING_DEN 5
-
 /* An endpoint that resets what it is asked comes after any that has less than
  * four requests on each of its slots more; it is never left out, as the others
  * may be no better. */
@@ -72,9 +68,6 @@
         requests += row->sent;
     }
     load = requests * LOAD_UNIT / slots;
-    if (row->health.warming) {
-        load = load * LOAD_WARMING_NUM / LOAD_WARMING_DEN;
-    }
     if (row->health.failing) {
         load += LOAD_FAILING;
     }
--- a/src/relay/wire/frame.c
+++ b/src/relay/wire/frame.c
@@ -171,7 +171,6 @@
     put(&writer, status->health.state, 1);
     put(&writer, status->health.busy, 1);
     put(&writer, status->health.slots, 1);
-    put(&writer, status->health.warming, 1);
     put(&writer, status->health.failing, 1);
     put_version(&writer, &status->heard);
     return (size_t)(writer.at - bytes);
@@ -193,7 +192,6 @@
     status->health.state = (uint8_t)get(&reader, 1);
     status->health.busy = (uint8_t)get(&reader, 1);
     status->health.slots = (uint8_t)get(&reader, 1);
-    status->health.warming = get(&reader, 1) != 0;
     status->health.failing = get(&reader, 1) != 0;
     get_version(&reader, &status->heard);
     if (reader.short_of || reader.left != 0 ||
--- a/src/relay/wire/frame.h
+++ b/src/relay/wire/frame.h
@@ -64,7 +64,6 @@
  * @state: enum endpoint_state
  * @busy: requests in progress, as the agent counts them
  * @slots: requests that the endpoint runs at a time
- * @warming: slow after a start
  * @failing: resets much of what it is asked
  */
 struct frame_health {
@@ -72,7 +71,6 @@
     uint8_t state;
     uint8_t busy;
     uint8_t slots;
-    bool warming;
     bool failing;
 };
 
