--- a/src/relay/store/store.h
+++ b/src/relay/store/store.h
@@ -40,12 +40,12 @@
  * @unreadable: how many items were left out because they can't be read
  */
 struct store_reply {
-    int status;
     uint64_t revision;
-    bool more;
     struct store_object *objects;
     size_t count;
     size_t unreadable;
+    int status;
+    bool more;
 };
 
 /** struct store_call - caller-owned; @done is told once, at the end */
