Balancers watch agents with reads that may be seconds old

The platform offers reads that may be seconds old at a tenth of the price and outside the limit of calls.

Ruled out: the same for lists, which begin a process's knowledge; and for the call that proves a list whole (confirm), which rests on nothing being missing.

Change: reads of the store name how new the answer must be (store_read); watches of agents may be old. A host that the list names too late takes new flows later; one that has gone is noticed by its silence or refuses itself, so nothing of ROUTE or DRAIN rests on this watch.

--- a/bench/relay/bench_store.c
+++ b/bench/relay/bench_store.c
@@ -46,7 +46,7 @@
 
 static int
 store_list(struct store *store, const char *kind, const char *after,
-           struct store_call *call)
+           enum store_read read, struct store_call *call)
 {
     struct store_reply reply = {.revision = revision};
 
@@ -57,7 +57,7 @@
 
 static int
 store_watch(struct store *store, const char *kind, uint64_t from,
-            unsigned wait_ms, struct store_call *call)
+            unsigned wait_ms, enum store_read read, struct store_call *call)
 {
     struct watcher *watcher = container_of(store, struct watcher, store);
 
--- a/src/relay/program/relay_balancer.c
+++ b/src/relay/program/relay_balancer.c
@@ -174,6 +174,7 @@
     follow_init(&balancer->agents_follow, &relay_balancer_agents_ops,
                 balancer->stores[1], PRESENCE_KIND, AGENTS_GAP_US, seed + 1,
                 now_us);
+    balancer->agents_follow.read = STORE_READ_ANY;
     confirm_init(&balancer->confirm, &relay_balancer_confirm_ops,
                  balancer->stores[2], &balancer->agents_follow);
     share_init(&balancer->share, &relay_balancer_share_ops,
--- a/src/relay/store/confirm.c
+++ b/src/relay/store/confirm.c
@@ -42,7 +42,7 @@
     confirm->asked_us = now_us;
     if (confirm->store->ops->watch(confirm->store, confirm->follow->kind,
                                    confirm->revision, WAIT_MS,
-                                   &confirm->call) < 0) {
+                                   STORE_READ_LATEST, &confirm->call) < 0) {
         confirm->open = false;
     }
 }
--- a/src/relay/store/follow.c
+++ b/src/relay/store/follow.c
@@ -147,10 +147,11 @@
 
     if (follow->state == FOLLOW_LIST) {
         return store->ops->list(store, follow->kind, follow->after,
-                                &follow->call);
+                                STORE_READ_LATEST, &follow->call);
     }
     return store->ops->watch(store, follow->kind, follow->revision,
-                             watch_wait_ms(follow), &follow->call);
+                             watch_wait_ms(follow), follow->read,
+                             &follow->call);
 }
 
 void
--- a/src/relay/store/follow.h
+++ b/src/relay/store/follow.h
@@ -51,6 +51,8 @@
  * @opened_us: when the open call began
  * @gap_us: pause after changes, so that a burst costs one call
  * @seed: makes the pauses differ between processes
+ * @read: how new the changes must be that a watch tells; lists are always
+ *        the latest
  * @eager: the owner can't work without an answer: pauses stay short
  * @status: how the last call ended
  */
@@ -70,6 +72,7 @@
     uint64_t opened_us;
     uint64_t gap_us;
     uint64_t seed;
+    enum store_read read;
     bool eager;
     int status;
 };
--- a/src/relay/store/store.h
+++ b/src/relay/store/store.h
@@ -48,6 +48,13 @@
     bool more;
 };
 
+/** enum store_read - how new the answer to a read must be */
+enum store_read {
+    STORE_READ_LATEST, /* all that was acknowledged before the call */
+    STORE_READ_ANY,    /* may be seconds old; a tenth of the price, and free
+                        * of the store's limit of calls */
+};
+
 /** struct store_call - caller-owned; @done is told once, at the end */
 struct store_call {
     void (*done)(struct store_call *call, const struct store_reply *reply);
@@ -60,10 +67,14 @@
 struct store_ops {
     /** @list: objects of a kind; @after names the last one known, or NULL */
     int (*list)(struct store *store, const char *kind, const char *after,
-                struct store_call *call);
+                enum store_read read, struct store_call *call);
     /** @watch: changes after @revision, as soon as there are any */
     int (*watch)(struct store *store, const char *kind, uint64_t revision,
-                 unsigned wait_ms, struct store_call *call);
+                 unsigned wait_ms, enum store_read read,
+                 struct store_call *call);
+    /** @get: one object, or -ENOENT */
+    int (*get)(struct store *store, const char *kind, const char *name,
+               enum store_read read, struct store_call *call);
     /** @put: replace the value of an object that exists */
     int (*put)(struct store *store, const char *kind, const char *name,
                struct json_object *value, struct store_call *call);
--- a/tests/relay/confirm_test.c
+++ b/tests/relay/confirm_test.c
@@ -19,7 +19,7 @@
 
 static int
 store_watch(struct store *store, const char *kind, uint64_t revision,
-            unsigned wait_ms, struct store_call *call)
+            unsigned wait_ms, enum store_read read, struct store_call *call)
 {
     struct site *site = container_of(store, struct site, store);
 
--- a/tests/relay/follow_test.c
+++ b/tests/relay/follow_test.c
@@ -41,18 +41,20 @@
 
 static int
 store_list(struct store *store, const char *kind, const char *after,
-           struct store_call *call)
+           enum store_read read, struct store_call *call)
 {
-    rig_note(of_store(store)->record, "list %s %s", kind,
-             after != NULL ? after : "-");
+    rig_note(of_store(store)->record, "list %s %s%s", kind,
+             after != NULL ? after : "-",
+             read == STORE_READ_ANY ? " any" : "");
     return ask(store, call);
 }
 
 static int
 store_watch(struct store *store, const char *kind, uint64_t revision,
-            unsigned wait_ms, struct store_call *call)
+            unsigned wait_ms, enum store_read read, struct store_call *call)
 {
-    rig_note(of_store(store)->record, "watch %s %u", kind, (unsigned)revision);
+    rig_note(of_store(store)->record, "watch %s %u%s", kind,
+             (unsigned)revision, read == STORE_READ_ANY ? " any" : "");
     of_store(store)->wait_ms = wait_ms;
     return ask(store, call);
 }
@@ -81,8 +83,18 @@
     return ask(store, call);
 }
 
+static int
+store_get(struct store *store, const char *kind, const char *name,
+          enum store_read read, struct store_call *call)
+{
+    rig_note(of_store(store)->record, "get %s%s", name,
+             read == STORE_READ_ANY ? " any" : "");
+    return ask(store, call);
+}
+
 static const struct store_ops store_ops = {
-    store_list, store_watch, store_put, store_create, store_remove, NULL};
+    store_list,   store_watch,  store_get, store_put,
+    store_create, store_remove, NULL};
 
 static void
 listing(struct follow *follow)
@@ -385,3 +397,16 @@
         json_object_put(value);
     }
 }
+
+TEST_F(site, watches_may_be_old_where_the_owner_says_so_and_lists_never_are)
+{
+    site->follow.read = STORE_READ_ANY;
+    follow_tick(&site->follow, site->now_us);
+    answer(site, 0, 30, NULL, false);
+    follow_tick(&site->follow, site->now_us);
+    answer(site, -ESTALE, 0, NULL, false);
+    wait_for_call(site);
+    rig_expect(site->record, "list kind -", "listing", "listed", "reached",
+               "watch kind 30 any", "lost", "list kind -", NULL);
+    answer(site, 0, 50, NULL, false);
+}
--- a/tests/relay/object_store_test.c
+++ b/tests/relay/object_store_test.c
@@ -44,13 +44,15 @@
     const char *after = httpd_request_query(request, "after");
     const char *watch = httpd_request_query(request, "watch");
     const char *rev = httpd_request_query(request, "rev");
+    const char *stale = httpd_request_query(request, "staleOk");
 
     g_snprintf(site->asked, sizeof(site->asked),
                "%s %s after=%s watch=%s "
-               "rev=%s",
+               "rev=%s%s%s",
                httpd_request_method(request), httpd_request_path(request),
                after != NULL ? after : "-", watch != NULL ? watch : "-",
-               rev != NULL ? rev : "-");
+               rev != NULL ? rev : "-", stale != NULL ? " stale=" : "",
+               stale != NULL ? stale : "");
     g_snprintf(site->sent, sizeof(site->sent), "%.*s", (int)len, body);
     httpd_respond(request, site->http, "application/json", site->body,
                   strlen(site->body));
@@ -116,8 +118,9 @@
 static int
 list(struct site *site, const char *after)
 {
-    g_assert_cmpint(
-        site->store->ops->list(site->store, "k", after, &site->call), ==, 0);
+    g_assert_cmpint(site->store->ops->list(site->store, "k", after,
+                                           STORE_READ_LATEST, &site->call),
+                    ==, 0);
     wait_for(site);
     return site->status;
 }
@@ -138,9 +141,9 @@
 {
     site->body = "{\"events\":[{\"deleted\":true,\"object\":{\"meta\":"
                  "{\"name\":\"a\",\"rev\":3}}}],\"at\":12}";
-    g_assert_cmpint(
-        site->store->ops->watch(site->store, "k", 8, 1000, &site->call), ==,
-        0);
+    g_assert_cmpint(site->store->ops->watch(site->store, "k", 8, 1000,
+                                            STORE_READ_LATEST, &site->call),
+                    ==, 0);
     wait_for(site);
     g_assert_cmpint(site->status, ==, 0);
     g_assert_cmpstr(site->asked, ==, "GET /objects/k after=- watch=8 rev=-");
@@ -148,6 +151,53 @@
     g_assert_cmpuint(site->revision, ==, 12);
 }
 
+TEST_F(site, a_read_that_may_be_old_says_so)
+{
+    struct store *store = site->store;
+
+    site->body = "{\"events\":[],\"at\":12}";
+    g_assert_cmpint(
+        store->ops->watch(store, "k", 8, 1000, STORE_READ_ANY, &site->call),
+        ==, 0);
+    wait_for(site);
+    g_assert_cmpstr(site->asked, ==,
+                    "GET /objects/k after=- watch=8 rev=- stale=1");
+    site->body = "{\"items\":[],\"at\":12}";
+    g_assert_cmpint(
+        store->ops->list(store, "k", NULL, STORE_READ_ANY, &site->call), ==,
+        0);
+    wait_for(site);
+    g_assert_cmpstr(site->asked, ==,
+                    "GET /objects/k after=- watch=- rev=- stale=1");
+    g_assert_cmpint(
+        store->ops->list(store, "k", "x y", STORE_READ_ANY, &site->call), ==,
+        0);
+    wait_for(site);
+    g_assert_cmpstr(site->asked, ==,
+                    "GET /objects/k after=x y watch=- rev=- stale=1");
+}
+
+TEST_F(site, one_object_is_read)
+{
+    struct store *store = site->store;
+
+    site->body = "{\"meta\":{\"name\":\"n\",\"rev\":3},\"spec\":{}}";
+    g_assert_cmpint(
+        store->ops->get(store, "k", "n", STORE_READ_LATEST, &site->call), ==,
+        0);
+    wait_for(site);
+    g_assert_cmpint(site->status, ==, 0);
+    g_assert_cmpstr(site->asked, ==, "GET /objects/k/n after=- watch=- rev=-");
+    g_assert_cmpstr(site->names, ==, "n ");
+    site->http = 404;
+    g_assert_cmpint(
+        store->ops->get(store, "k", "n", STORE_READ_ANY, &site->call), ==, 0);
+    wait_for(site);
+    g_assert_cmpint(site->status, ==, -ENOENT);
+    g_assert_cmpstr(site->asked, ==,
+                    "GET /objects/k/n after=- watch=- rev=- stale=1");
+}
+
 TEST_F(site, writes_carry_name_and_value)
 {
     struct json_object *value = json_object_new_string("v");
@@ -228,9 +278,10 @@
                    "{\"object\":" GOOD "}],\"at\":9}",
                    wrong[i], wrong[i]);
         site->body = body;
-        g_assert_cmpint(
-            site->store->ops->watch(site->store, "k", 8, 1000, &site->call),
-            ==, 0);
+        g_assert_cmpint(site->store->ops->watch(site->store, "k", 8, 1000,
+                                                STORE_READ_LATEST,
+                                                &site->call),
+                        ==, 0);
         wait_for(site);
         g_assert_cmpstr(site->names, ==, "a ");
         g_assert_cmpuint(site->unreadable, ==, 2);
@@ -254,10 +305,11 @@
 
 TEST_F(site, one_call_at_a_time)
 {
-    g_assert_cmpint(
-        site->store->ops->list(site->store, "k", NULL, &site->call), ==, 0);
-    g_assert_cmpint(
-        site->store->ops->list(site->store, "k", NULL, &site->call), ==,
-        -EBUSY);
+    g_assert_cmpint(site->store->ops->list(site->store, "k", NULL,
+                                           STORE_READ_LATEST, &site->call),
+                    ==, 0);
+    g_assert_cmpint(site->store->ops->list(site->store, "k", NULL,
+                                           STORE_READ_LATEST, &site->call),
+                    ==, -EBUSY);
     wait_for(site);
 }
