--- a/bench/relay/bench_relay.c
+++ b/bench/relay/bench_relay.c
@@ -62,6 +62,11 @@
 {
 }
 
+static void
+steer_readers(struct steer_out *out, unsigned others)
+{
+}
+
 static void
 steer_dropped(struct steer_out *out, enum steer_drop why,
               const struct relay_packet *packet)
@@ -83,8 +88,9 @@
 }
 
 static const struct steer_out_ops steer_ops = {
-    steer_carry,  steer_reset,   steer_ping,    steer_ask,      steer_confirm,
-    steer_behind, steer_dropped, steer_decided, steer_concluded};
+    steer_carry,   steer_reset,    steer_ping,    steer_ask,
+    steer_confirm, steer_behind,   steer_readers, steer_dropped,
+    steer_decided, steer_concluded};
 
 static void
 door_to_endpoint(struct door_out *out, const uint8_t *packet, size_t size)
@@ -299,7 +305,7 @@
     struct frame_carry frame = {
         .service = hash_service("lots"),
         .origin = {0x0a090001, 7720},
-        .version = 1,
+        .view.version = 1,
         .target_ms = 100,
         .patience_ms = 1400,
         .bytes = bytes,
--- a/src/relay/door/door.c
+++ b/src/relay/door/door.c
@@ -107,7 +107,7 @@
     uint32_t handle =
         flow_index_find(&door->table, relay_flow_from_caller(packet));
 
-    door_heard_from(door, frame->origin, frame->version, now_us);
+    door_heard_from(door, frame->origin, &frame->view, now_us);
     if (frame->hops > DOOR_HOPS_MAX) {
         door_drop(door, DOOR_DROP_NOBODY);
         return;
@@ -131,14 +131,14 @@
 
 void
 door_ping(struct door *door, struct addr balancer,
-          const struct frame_version *version, bool unlisted, uint64_t now_us)
+          const struct frame_ping *ping, uint64_t now_us)
 {
     struct frame_status status = {.type = FRAME_STATE};
 
-    door->unlisted = door->unlisted || unlisted;
-    door_heard_from(door, balancer, version->version, now_us);
+    door->unlisted = door->unlisted || ping->unlisted;
+    door_heard_from(door, balancer, &ping->view, now_us);
     door_tell(door, balancer, &status, now_us);
-    if (version->version == 0) {
+    if (ping->view.version == 0) {
         door_tell_served(door, balancer);
     }
 }
--- a/src/relay/door/door.h
+++ b/src/relay/door/door.h
@@ -103,12 +103,12 @@
  * off while their callers wait, some 800 ms. */
 #define DOOR_HELD_MAX 128
 
-/** struct door_balancer - a balancer that was heard from, and the
- * configuration that it followed then */
+/** struct door_balancer - a balancer that was heard from, and how it kept up
+ * with the store then */
 struct door_balancer {
     struct addr addr;
     uint64_t heard_us;
-    uint64_t version;
+    struct frame_store_view view;
 };
 
 /**
@@ -203,7 +203,7 @@
  * name this agent any more */
 void
 door_ping(struct door *door, struct addr balancer,
-          const struct frame_version *version, bool unlisted, uint64_t now_us);
+          const struct frame_ping *ping, uint64_t now_us);
 
 /** door_asked() - a balancer asks which flows the endpoint holds */
 void
--- a/src/relay/door/door_lost.c
+++ b/src/relay/door/door_lost.c
@@ -78,7 +78,7 @@
                   now_us - door->unanswered_us >= SILENT_US,
     };
 
-    door_heard_from(door, balancer, ask->version, now_us);
+    door_heard_from(door, balancer, &ask->view, now_us);
     probe_if_due(door, now_us);
     for (unsigned i = 0; i < ask->count; i++) {
         uint32_t handle = flow_index_find(&door->table, ask->flows[i]);
--- a/src/relay/door/door_private.h
+++ b/src/relay/door/door_private.h
@@ -143,10 +143,11 @@
 void
 door_tell_state(struct door *door, uint64_t now_us);
 
-/** door_heard_from() - a balancer spoke, and of which configuration */
+/** door_heard_from() - a balancer spoke, and of how it keeps up with the store
+ */
 void
-door_heard_from(struct door *door, struct addr balancer, uint64_t version,
-                uint64_t now_us);
+door_heard_from(struct door *door, struct addr balancer,
+                const struct frame_store_view *view, uint64_t now_us);
 
 /** door_tell_served() - tell a balancer what the endpoint serves */
 void
--- a/src/relay/door/door_tell.c
+++ b/src/relay/door/door_tell.c
@@ -10,6 +10,27 @@
 /* Balancers that were silent for longer aren't told of changes. */
 #define BALANCER_IDLE_US (60 * USEC_PER_SEC)
 
+/* A balancer that was silent for longer isn't counted as one that reads the
+ * store: it may be frozen or cut off. Those with callers are heard with each
+ * packet. */
+#define READER_FRESH_US (1 * USEC_PER_SEC)
+
+/* Balancers but for @but that read the latest of the store. */
+static uint8_t
+count_readers(const struct door *door, struct addr but, uint64_t now_us)
+{
+    uint8_t count = 0;
+
+    for (unsigned i = 0; i < door->balancer_count; i++) {
+        const struct door_balancer *balancer = &door->balancers[i];
+
+        count += balancer->view.reads &&
+                 now_us - balancer->heard_us < READER_FRESH_US &&
+                 !addr_equal(balancer->addr, but);
+    }
+    return count;
+}
+
 void
 door_tell(struct door *door, struct addr balancer, struct frame_status *status,
           uint64_t now_us)
@@ -20,6 +41,7 @@
     }
     status->health.failing = outcome_is_failing(&door->outcome, now_us);
     status->heard = door->heard;
+    status->readers = count_readers(door, balancer, now_us);
     door->out->ops->tell(door->out, balancer, status);
 }
 
@@ -68,18 +90,18 @@
 }
 
 void
-door_heard_from(struct door *door, struct addr balancer, uint64_t version,
-                uint64_t now_us)
+door_heard_from(struct door *door, struct addr balancer,
+                const struct frame_store_view *view, uint64_t now_us)
 {
     unsigned oldest = 0;
 
-    if (version > door->heard.version) {
-        door->heard = (struct frame_version){version, balancer};
+    if (view->version > door->heard.version) {
+        door->heard = (struct frame_version){view->version, balancer};
     }
     for (unsigned i = 0; i < door->balancer_count; i++) {
         if (addr_equal(door->balancers[i].addr, balancer)) {
             door->balancers[i].heard_us = now_us;
-            door->balancers[i].version = version;
+            door->balancers[i].view = *view;
             return;
         }
         if (door->balancers[i].heard_us < door->balancers[oldest].heard_us) {
@@ -89,8 +111,7 @@
     if (door->balancer_count < DOOR_BALANCERS_MAX) {
         oldest = door->balancer_count++;
     }
-    door->balancers[oldest] =
-        (struct door_balancer){balancer, now_us, version};
+    door->balancers[oldest] = (struct door_balancer){balancer, now_us, *view};
 }
 
 void
@@ -118,7 +139,7 @@
     }
     door->served.addrs[door->served.count++] = service;
     for (unsigned i = 0; i < door->balancer_count; i++) {
-        if (door->balancers[i].version == 0) {
+        if (door->balancers[i].view.version == 0) {
             door_tell_served(door, door->balancers[i].addr);
         }
     }
--- a/src/relay/program/relay_agent_out.c
+++ b/src/relay/program/relay_agent_out.c
@@ -227,9 +227,8 @@
 {
     struct relay_agent *agent = dgram->owner;
     uint64_t now_us = loop_now_us(&agent->loop);
-    struct frame_version version;
+    struct frame_ping ping;
     struct frame_ask ask;
-    bool unlisted;
 
     agent->counts.frames_in++;
     switch (frame_type(bytes, size)) {
@@ -237,8 +236,8 @@
         on_carry(agent, bytes, size, now_us);
         return;
     case FRAME_PING:
-        if (frame_ping_decode(bytes, size, &version, &unlisted) == 0) {
-            door_ping(&agent->door, from, &version, unlisted, now_us);
+        if (frame_ping_decode(bytes, size, &ping) == 0) {
+            door_ping(&agent->door, from, &ping, now_us);
             return;
         }
         break;
--- a/src/relay/program/relay_balancer.c
+++ b/src/relay/program/relay_balancer.c
@@ -63,9 +63,29 @@
            balancer->config_follow.failures == 0;
 }
 
+static void
+tick_reader(struct relay_balancer *balancer, uint64_t now_us)
+{
+    struct store_reader *reader = &balancer->reader;
+    struct follow *follow = &balancer->config_follow;
+    struct addr self = balancer->settings.share;
+    struct addr holder = {reader->newer.holder.ip, self.port};
+
+    store_reader_tick(reader, now_us);
+    follow_set_read(follow,
+                    store_reader_read(reader, follow->failures, now_us));
+    balancer->steer.reads = reader->reading && follow->failures == 0 &&
+                            follow->state == FOLLOW_WATCH;
+    if (store_reader_asks_peer(reader, follow->failures, now_us) &&
+        !addr_equal(holder, self)) {
+        share_ask(&balancer->share, holder, now_us);
+    }
+}
+
 static void
 tick_follows(struct relay_balancer *balancer, uint64_t now_us)
 {
+    tick_reader(balancer, now_us);
     balancer->config_follow.eager = balancer->steer.routes.version == 0;
     follow_tick(&balancer->config_follow, now_us);
     if (agents_may_call(balancer)) {
@@ -123,6 +143,7 @@
     }
     next_us = MIN(steer_next_us(&balancer->steer), balancer->flush_us);
     next_us = MIN(next_us, follow_next_us(&balancer->config_follow));
+    next_us = MIN(next_us, store_reader_next_us(&balancer->reader, now_us));
     if (agents_may_call(balancer)) {
         next_us = MIN(next_us, follow_next_us(&balancer->agents_follow));
     }
@@ -175,6 +196,7 @@
                 balancer->stores[1], PRESENCE_KIND, AGENTS_GAP_US, seed + 1,
                 now_us);
     balancer->agents_follow.read = STORE_READ_ANY;
+    store_reader_init(&balancer->reader, seed, now_us);
     confirm_init(&balancer->confirm, &relay_balancer_confirm_ops,
                  balancer->stores[2], &balancer->agents_follow);
     share_init(&balancer->share, &relay_balancer_share_ops,
--- a/src/relay/program/relay_balancer_out.c
+++ b/src/relay/program/relay_balancer_out.c
@@ -57,12 +57,11 @@
 out_ping(struct steer_out *out, struct addr agent, bool unlisted)
 {
     struct relay_balancer *balancer = of_out(out);
-    struct frame_version version = {
-        .version = balancer->steer.routes.version,
-        .holder = balancer->settings.share,
+    struct frame_ping ping = {
+        .view = steer_store_view(&balancer->steer),
+        .unlisted = unlisted,
     };
-    size_t size =
-        frame_ping_encode(&version, unlisted, dgram_buffer(&balancer->frames));
+    size_t size = frame_ping_encode(&ping, dgram_buffer(&balancer->frames));
 
     dgram_queue(&balancer->frames, agent, size);
     balancer->counts.pings++;
@@ -90,11 +89,14 @@
 out_behind(struct steer_out *out, const struct frame_version *newer)
 {
     struct relay_balancer *balancer = of_out(out);
-    struct addr peer = {newer->holder.ip, balancer->settings.share.port};
 
-    if (newer->holder.ip != balancer->settings.share.ip) {
-        share_ask(&balancer->share, peer, loop_now_us(&balancer->loop));
-    }
+    store_reader_newer(&balancer->reader, newer, loop_now_us(&balancer->loop));
+}
+
+static void
+out_readers(struct steer_out *out, unsigned others)
+{
+    store_reader_others(&of_out(out)->reader, others);
 }
 
 static void
@@ -172,6 +174,7 @@
     .ask = out_ask,
     .confirm = out_confirm,
     .behind = out_behind,
+    .readers = out_readers,
     .dropped = out_dropped,
     .decided = out_decided,
     .concluded = out_concluded,
--- a/src/relay/program/relay_balancer_private.h
+++ b/src/relay/program/relay_balancer_private.h
@@ -12,6 +12,7 @@
 #include "relay/store/confirm.h"
 #include "relay/program/dgram.h"
 #include "relay/store/follow.h"
+#include "relay/store/store_reader.h"
 #include "relay/program/loop.h"
 #include "relay/program/relay_settings.h"
 #include "relay/program/settings_file.h"
@@ -35,6 +36,7 @@
  * @stores: connections to the store, one for each below
  * @confirm: asks whether the list of agents is whole
  * @config_follow: the operators' configuration
+ * @reader: how new its reads must be
  * @agents_follow: the agents' objects
  * @garbled: names of agents' objects that can't be read
  * @share: asks peers
@@ -62,6 +64,7 @@
     struct httpd *share_httpd;
     struct store *stores[3];
     struct follow config_follow;
+    struct store_reader reader;
     struct follow agents_follow;
     struct confirm confirm;
     GHashTable *garbled;
--- a/src/relay/program/relay_balancer_store.c
+++ b/src/relay/program/relay_balancer_store.c
@@ -42,7 +42,10 @@
                        error_format(&err, line, sizeof(line)));
         return;
     }
-    if (!steer_routes(&balancer->steer, &routes)) {
+    bool newer = steer_routes(&balancer->steer, &routes);
+
+    store_reader_took(&balancer->reader, balancer->steer.routes.version);
+    if (!newer) {
         return;
     }
     json_object_put(balancer->config);
--- a/src/relay/steer/steer.c
+++ b/src/relay/steer/steer.c
@@ -182,6 +182,7 @@
     if (status->heard.version > steer->routes.version) {
         steer->out->ops->behind(steer->out, &status->heard);
     }
+    steer->out->ops->readers(steer->out, status->readers);
     if (status->type == FRAME_PLACED) {
         steer_placed(steer, agent, status, now_us);
     }
--- a/src/relay/steer/steer.h
+++ b/src/relay/steer/steer.h
@@ -72,6 +72,9 @@
     void (*confirm)(struct steer_out *out, uint64_t now_us);
     /** @behind: some balancer follows a newer configuration */
     void (*behind)(struct steer_out *out, const struct frame_version *newer);
+    /** @readers: an agent has heard from @others other balancers that read
+     * the store's latest */
+    void (*readers)(struct steer_out *out, unsigned others);
     /** @dropped: a packet was dropped; @packet may be NULL */
     void (*dropped)(struct steer_out *out, enum steer_drop why,
                     const struct relay_packet *packet);
@@ -167,6 +170,7 @@
  * struct steer - state of a balancer
  * @out: where outputs go
  * @self: address that agents answer to
+ * @reads: this balancer reads the store's latest, and the store answers
  * @agents: the agents
  * @routes: configuration in force
  * @learned: what agents saw, used while there is no configuration
@@ -181,6 +185,7 @@
 struct steer {
     struct steer_out *out;
     struct addr self;
+    bool reads;
     struct agents agents;
     struct routes routes;
     struct routes learned;
@@ -222,6 +227,11 @@
 void
 steer_served(struct steer *steer, const struct frame_served *served);
 
+/** steer_store_view() - how this balancer keeps up with the store, for
+ * frames */
+struct frame_store_view
+steer_store_view(const struct steer *steer);
+
 /** steer_packet() - a caller's packet came */
 void
 steer_packet(struct steer *steer, const struct relay_packet *packet,
--- a/src/relay/steer/steer_lost.c
+++ b/src/relay/steer/steer_lost.c
@@ -119,7 +119,7 @@
     const GPtrArray *rows = agents_of_service(&steer->agents, round->service);
     struct frame_ask ask = {
         .round = round->number,
-        .version = steer->routes.version,
+        .view = steer_store_view(steer),
         .count = (uint8_t)round->count,
     };
 
--- a/src/relay/steer/steer_pin.c
+++ b/src/relay/steer/steer_pin.c
@@ -35,6 +35,12 @@
     return handle;
 }
 
+struct frame_store_view
+steer_store_view(const struct steer *steer)
+{
+    return (struct frame_store_view){steer->routes.version, steer->reads};
+}
+
 /* A frame for @packet that may go on along @choice from @from on. */
 struct frame_carry
 steer_frame(const struct steer *steer, uint32_t service,
@@ -44,7 +50,7 @@
     struct frame_carry frame = {
         .service = service,
         .origin = steer->self,
-        .version = steer->routes.version,
+        .view = steer_store_view(steer),
         .bytes = bytes,
         .size = size,
     };
--- a/src/relay/store/follow.c
+++ b/src/relay/store/follow.c
@@ -178,6 +178,19 @@
     follow->after = NULL;
 }
 
+void
+follow_set_read(struct follow *follow, enum store_read read)
+{
+    bool better = read == STORE_READ_LATEST && follow->read == STORE_READ_ANY;
+
+    follow->read = read;
+    if (better && follow->open && follow->state == FOLLOW_WATCH) {
+        follow->store->ops->cancel(follow->store);
+        follow->open = false;
+        follow->next_us = follow->opened_us;
+    }
+}
+
 void
 follow_tick(struct follow *follow, uint64_t now_us)
 {
--- a/src/relay/store/follow.h
+++ b/src/relay/store/follow.h
@@ -92,6 +92,11 @@
 void
 follow_finish(struct follow *follow);
 
+/** follow_set_read() - how new the next changes must be; a watch that may be
+ * told of old ones only is ended for one that isn't */
+void
+follow_set_read(struct follow *follow, enum store_read read);
+
 /** follow_tick() - make the call that is due; call it at follow_next_us() */
 void
 follow_tick(struct follow *follow, uint64_t now_us);
--- a/src/relay/store/store.h
+++ b/src/relay/store/store.h
@@ -84,6 +84,8 @@
     /** @remove: remove an object if it is still at @revision; 0 for any */
     int (*remove)(struct store *store, const char *kind, const char *name,
                   uint64_t revision, struct store_call *call);
+    /** @cancel: end the open call, which isn't told */
+    void (*cancel)(struct store *store);
     /** @free: end what is open and free the store */
     void (*free)(struct store *store);
 };
--- /dev/null
+++ b/src/relay/store/store_reader.c
@@ -0,0 +1,153 @@
+#include "relay/store/store_reader.h"
+
+#include "base/clock.h"
+#include "base/hash.h"
+
+/* Readers that an agent should hear from. One may be cut off from the store
+ * without a sign until its connection's probes fail, 3 s later; both at once
+ * is rare, and then the cheap reads bring the change all the same. */
+#define READERS_ENOUGH 2
+
+/* How long a balancer listens before it takes part or stops, and by how much
+ * that differs between balancers, so that one starts before all others have
+ * seen that nobody reads. Agents hear from a balancer with each packet, some
+ * ten times in that time on the least busy hosts measured. */
+#define WINDOW_US (500 * USEC_PER_MSEC)
+#define WINDOW_SPREAD_US (500 * USEC_PER_MSEC)
+
+/* When there are too few but some, one balancer in this many starts at the end
+ * of its window, and of too many one in this many stops: all at once would
+ * make many or leave none. Data centres have some 20 balancers. */
+#define START_ONE_IN 16
+#define STOP_ONE_IN 4
+
+/* A cheap watch tells within this time of a change as a rule; past it, the
+ * latest is read. A tenth of the shortest bound that operators set. */
+#define READ_AFTER_US (300 * USEC_PER_MSEC)
+
+/* A read of the latest takes some milliseconds; past this the store is slow
+ * or away, and the balancer that has the configuration is asked. */
+#define ASK_AFTER_US (600 * USEC_PER_MSEC)
+
+static void
+begin_window(struct store_reader *reader, uint64_t now_us)
+{
+    uint64_t spread =
+        hash_pair(reader->seed, reader->windows) % WINDOW_SPREAD_US;
+
+    reader->others = 0;
+    reader->window_us = now_us + WINDOW_US + spread;
+}
+
+static bool
+is_behind(const struct store_reader *reader)
+{
+    return reader->behind_us != 0;
+}
+
+static bool
+behind_for(const struct store_reader *reader, uint64_t us, uint64_t now_us)
+{
+    return is_behind(reader) && now_us - reader->behind_us >= us;
+}
+
+static bool
+draw_one_in(const struct store_reader *reader, uint64_t count)
+{
+    return hash_pair(reader->windows, reader->seed) % count == 0;
+}
+
+static bool
+starts(const struct store_reader *reader)
+{
+    return reader->others == 0 || (reader->others < READERS_ENOUGH &&
+                                   draw_one_in(reader, START_ONE_IN));
+}
+
+static bool
+goes_on(const struct store_reader *reader)
+{
+    return reader->others < READERS_ENOUGH ||
+           !draw_one_in(reader, STOP_ONE_IN);
+}
+
+void
+store_reader_init(struct store_reader *reader, uint64_t seed, uint64_t now_us)
+{
+    *reader = (struct store_reader){.seed = seed};
+    begin_window(reader, now_us);
+}
+
+void
+store_reader_others(struct store_reader *reader, unsigned others)
+{
+    if (others > reader->others) {
+        reader->others = others;
+    }
+}
+
+void
+store_reader_newer(struct store_reader *reader, const struct frame_version *newer,
+             uint64_t now_us)
+{
+    if (newer->version <= reader->newer.version) {
+        return;
+    }
+    reader->newer = *newer;
+    if (!is_behind(reader)) {
+        reader->behind_us = now_us;
+    }
+}
+
+void
+store_reader_took(struct store_reader *reader, uint64_t version)
+{
+    if (version >= reader->newer.version) {
+        reader->newer = (struct frame_version){0};
+        reader->behind_us = 0;
+    }
+}
+
+void
+store_reader_tick(struct store_reader *reader, uint64_t now_us)
+{
+    if (now_us < reader->window_us) {
+        return;
+    }
+    reader->reading = reader->reading ? goes_on(reader) : starts(reader);
+    reader->windows++;
+    begin_window(reader, now_us);
+}
+
+uint64_t
+store_reader_next_us(const struct store_reader *reader, uint64_t now_us)
+{
+    uint64_t next_us = reader->window_us;
+    uint64_t after_us = reader->behind_us;
+
+    if (!is_behind(reader)) {
+        return next_us;
+    }
+    after_us += now_us < reader->behind_us + READ_AFTER_US ? READ_AFTER_US
+                                                           : ASK_AFTER_US;
+    return after_us > now_us && after_us < next_us ? after_us : next_us;
+}
+
+enum store_read
+store_reader_read(const struct store_reader *reader, unsigned failures, uint64_t now_us)
+{
+    if (failures > 0) {
+        return STORE_READ_ANY;
+    }
+    return reader->reading || behind_for(reader, READ_AFTER_US, now_us)
+               ? STORE_READ_LATEST
+               : STORE_READ_ANY;
+}
+
+bool
+store_reader_asks_peer(const struct store_reader *reader, unsigned failures,
+                 uint64_t now_us)
+{
+    return is_behind(reader) &&
+           (failures > 0 || behind_for(reader, ASK_AFTER_US, now_us));
+}
--- /dev/null
+++ b/src/relay/store/store_reader.h
@@ -0,0 +1,86 @@
+/**
+ * DOC: store_reader - how a balancer keeps up with the configuration (decisions
+ * only)
+ *
+ * A read of the latest costs ten times one that may be seconds old, and
+ * counts against a limit that grows more slowly than the fleet. So only a few
+ * balancers read the latest. All others watch with reads that may be old;
+ * agents tell them when some balancer has a newer configuration, and then
+ * they read for themselves, once.
+ *
+ * Nobody elects the readers. Agents count the readers that they hear from and
+ * tell each balancer how many others there are. A balancer that is told of
+ * none for a while becomes one; of more than enough, some of them stop. One
+ * that is cut off, frozen or dead isn't heard and so isn't counted. Whoever
+ * hears from no agent reads for itself.
+ */
+#ifndef SWIFTARCH_RELAY_STORE_STORE_READER_H
+#define SWIFTARCH_RELAY_STORE_STORE_READER_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "relay/store/store.h"
+#include "relay/wire/frame.h"
+
+/**
+ * struct store_reader - one balancer's part
+ * @seed: differs between processes
+ * @reading: it reads the latest
+ * @others: most other readers that an agent told of in this window
+ * @windows: windows that have ended
+ * @window_us: when this window ends
+ * @newer: newest configuration that was told of, while it isn't known here
+ * @behind_us: since when it is known that there is one, 0 for never
+ */
+struct store_reader {
+    uint64_t seed;
+    bool reading;
+    unsigned others;
+    uint64_t windows;
+    uint64_t window_us;
+    struct frame_version newer;
+    uint64_t behind_us;
+};
+
+/** store_reader_init() - no reader yet; @seed differs between processes */
+void
+store_reader_init(struct store_reader *reader, uint64_t seed, uint64_t now_us);
+
+/** store_reader_others() - an agent has heard from @others readers of late */
+void
+store_reader_others(struct store_reader *reader, unsigned others);
+
+/** store_reader_newer() - some balancer has a newer configuration */
+void
+store_reader_newer(struct store_reader *reader, const struct frame_version *newer,
+             uint64_t now_us);
+
+/** store_reader_took() - configuration @version is in force here */
+void
+store_reader_took(struct store_reader *reader, uint64_t version);
+
+/** store_reader_tick() - end the window that is over */
+void
+store_reader_tick(struct store_reader *reader, uint64_t now_us);
+
+/** store_reader_next_us() - when store_reader_tick() or another answer of the functions
+ * below is due */
+uint64_t
+store_reader_next_us(const struct store_reader *reader, uint64_t now_us);
+
+/**
+ * store_reader_read() - how new the next read must be
+ * @failures: calls to the store that failed in a row: until one succeeds, it
+ *            is tried with the cheap ones
+ */
+enum store_read
+store_reader_read(const struct store_reader *reader, unsigned failures, uint64_t now_us);
+
+/** store_reader_asks_peer() - whether the balancer that is known to have a newer
+ * configuration is to be asked for it: the store can't be, or doesn't say */
+bool
+store_reader_asks_peer(const struct store_reader *reader, unsigned failures,
+                 uint64_t now_us);
+
+#endif
--- a/src/relay/wire/frame.c
+++ b/src/relay/wire/frame.c
@@ -5,7 +5,7 @@
 
 #define MAGIC_0 's'
 #define MAGIC_1 'R'
-#define VERSION 1
+#define VERSION 2
 #define HEAD_SIZE 4
 
 /** struct writer - where the next byte goes; there is always room */
@@ -89,6 +89,21 @@
     return bytes[3];
 }
 
+static void
+put_view(struct writer *writer, const struct frame_store_view *view)
+{
+    put(writer, view->version, 8);
+    put(writer, view->reads, 1);
+}
+
+static struct frame_store_view
+get_view(struct reader *reader)
+{
+    uint64_t version = get(reader, 8);
+
+    return (struct frame_store_view){version, get(reader, 1) != 0};
+}
+
 size_t
 frame_carry_encode(const struct frame_carry *carry, uint8_t *bytes)
 {
@@ -96,7 +111,7 @@
 
     put(&writer, carry->service, 4);
     put_addr(&writer, carry->origin);
-    put(&writer, carry->version, 8);
+    put_view(&writer, &carry->view);
     put(&writer, carry->forced, 1);
     put(&writer, carry->target_ms, 2);
     put(&writer, carry->priority, 1);
@@ -120,7 +135,7 @@
 
     carry->service = (uint32_t)get(&reader, 4);
     carry->origin = get_addr(&reader);
-    carry->version = get(&reader, 8);
+    carry->view = get_view(&reader);
     carry->forced = get(&reader, 1) != 0;
     carry->target_ms = (uint16_t)get(&reader, 2);
     carry->priority = (uint8_t)get(&reader, 1);
@@ -173,6 +188,7 @@
     put(&writer, status->health.slots, 1);
     put(&writer, status->health.failing, 1);
     put_version(&writer, &status->heard);
+    put(&writer, status->readers, 1);
     return (size_t)(writer.at - bytes);
 }
 
@@ -194,6 +210,7 @@
     status->health.slots = (uint8_t)get(&reader, 1);
     status->health.failing = get(&reader, 1) != 0;
     get_version(&reader, &status->heard);
+    status->readers = (uint8_t)get(&reader, 1);
     if (reader.short_of || reader.left != 0 ||
         status->reason > FRAME_REASON_MAX ||
         status->health.state > ENDPOINT_STATE_MAX) {
@@ -238,7 +255,7 @@
     struct writer writer = begin(FRAME_ASK, bytes);
 
     put(&writer, ask->round, 4);
-    put(&writer, ask->version, 8);
+    put_view(&writer, &ask->view);
     put(&writer, ask->count, 1);
     for (unsigned i = 0; i < ask->count; i++) {
         put_addr(&writer, ask->flows[i].caller);
@@ -253,7 +270,7 @@
     struct reader reader = body_of(bytes, size);
 
     ask->round = (uint32_t)get(&reader, 4);
-    ask->version = get(&reader, 8);
+    ask->view = get_view(&reader);
     ask->count = (uint8_t)get(&reader, 1);
     if (reader.short_of || ask->count > FRAME_ASK_MAX) {
         return -EBADMSG;
@@ -295,23 +312,21 @@
 }
 
 size_t
-frame_ping_encode(const struct frame_version *version, bool unlisted,
-                  uint8_t *bytes)
+frame_ping_encode(const struct frame_ping *ping, uint8_t *bytes)
 {
     struct writer writer = begin(FRAME_PING, bytes);
 
-    put_version(&writer, version);
-    put(&writer, unlisted, 1);
+    put_view(&writer, &ping->view);
+    put(&writer, ping->unlisted, 1);
     return (size_t)(writer.at - bytes);
 }
 
 int
-frame_ping_decode(const uint8_t *bytes, size_t size,
-                  struct frame_version *version, bool *unlisted)
+frame_ping_decode(const uint8_t *bytes, size_t size, struct frame_ping *ping)
 {
     struct reader reader = body_of(bytes, size);
 
-    get_version(&reader, version);
-    *unlisted = get(&reader, 1) != 0;
+    ping->view = get_view(&reader);
+    ping->unlisted = get(&reader, 1) != 0;
     return reader.short_of || reader.left != 0 ? -EBADMSG : 0;
 }
--- a/src/relay/wire/frame.h
+++ b/src/relay/wire/frame.h
@@ -84,11 +84,21 @@
     struct addr holder;
 };
 
+/**
+ * struct frame_store_view - how a balancer keeps up with the store
+ * @version: configuration that it follows, 0 for none
+ * @reads: it reads the latest, and the store answers
+ */
+struct frame_store_view {
+    uint64_t version;
+    bool reads;
+};
+
 /**
  * struct frame_carry - a caller's packet on its way
  * @service: hash_service() of the service that its route names
  * @origin: balancer that took it from the caller
- * @version: configuration that the balancer follows
+ * @view: how that balancer keeps up with the store
  * @forced: take it though all slots are busy
  * @target_ms: of a SYN, how soon its request should be answered to be in
  *             time; 0 when it is late already
@@ -105,7 +115,7 @@
 struct frame_carry {
     uint32_t service;
     struct addr origin;
-    uint64_t version;
+    struct frame_store_view view;
     bool forced;
     uint16_t target_ms;
     uint8_t priority;
@@ -119,6 +129,16 @@
     size_t size;
 };
 
+/**
+ * struct frame_ping - a balancer asks an agent for its word
+ * @view: how the balancer keeps up with the store
+ * @unlisted: the store named the agent once and doesn't any more
+ */
+struct frame_ping {
+    struct frame_store_view view;
+    bool unlisted;
+};
+
 /**
  * struct frame_status - an agent's answer to a balancer
  * @type: FRAME_PLACED, FRAME_PASSED, FRAME_HELD or FRAME_STATE
@@ -129,6 +149,8 @@
  * @seq: for FRAME_PLACED, sequence number of the endpoint's SYN+ACK
  * @health: the endpoint
  * @heard: newest configuration that the agent has heard of
+ * @readers: balancers but for the addressee that read the store's latest and
+ *           that the agent heard from of late
  */
 struct frame_status {
     uint8_t type;
@@ -138,6 +160,7 @@
     uint32_t seq;
     struct frame_health health;
     struct frame_version heard;
+    uint8_t readers;
 };
 
 /* Addresses that one frame tells. */
@@ -168,13 +191,13 @@
  * struct frame_ask - a balancer asks all agents of a service for flows that no
  * search has found
  * @round: names the question
- * @version: configuration that the balancer follows
+ * @view: how the balancer keeps up with the store
  * @flows: the flows
  * @count: how many
  */
 struct frame_ask {
     uint32_t round;
-    uint64_t version;
+    struct frame_store_view view;
     struct relay_flow flows[FRAME_ASK_MAX];
     uint8_t count;
 };
@@ -242,17 +265,12 @@
 frame_absent_decode(const uint8_t *bytes, size_t size,
                     struct frame_absent *absent);
 
-/**
- * frame_ping_encode() - write a FRAME_PING with the sender's version
- * @unlisted: the store named the agent once and doesn't any more
- */
+/** frame_ping_encode() - write @ping into FRAME_HEAD_MAX bytes */
 size_t
-frame_ping_encode(const struct frame_version *version, bool unlisted,
-                  uint8_t *bytes);
+frame_ping_encode(const struct frame_ping *ping, uint8_t *bytes);
 
 /** frame_ping_decode() - read it; 0 or -EBADMSG */
 int
-frame_ping_decode(const uint8_t *bytes, size_t size,
-                  struct frame_version *version, bool *unlisted);
+frame_ping_decode(const uint8_t *bytes, size_t size, struct frame_ping *ping);
 
 #endif
--- a/tests/relay/door_known_test.c
+++ b/tests/relay/door_known_test.c
@@ -51,28 +51,25 @@
 
 TEST_F(site, only_flows_from_before_the_start_tell_what_is_served)
 {
-    struct frame_version nothing = {0};
+    struct frame_ping nothing = {0};
 
-    door_ping(&site->door, rig_addr(SITE_BALANCER), &nothing, false,
-              site->now_us);
+    door_ping(&site->door, rig_addr(SITE_BALANCER), &nothing, site->now_us);
     rig_expect(site->record, "tell state reason=0 on=0 busy=0 state=0", NULL);
     site_open_flow(site, 1);
     g_string_truncate(site->record, 0);
-    door_ping(&site->door, rig_addr(SITE_BALANCER), &nothing, false,
-              site->now_us);
+    door_ping(&site->door, rig_addr(SITE_BALANCER), &nothing, site->now_us);
     rig_expect(site->record, "tell state reason=0 on=0 busy=1 state=0", NULL);
     site_answer(site,
                 rig_from_endpoint(rig_flow(7), RELAY_ACK, 501, 141, 900));
     rig_expect(site->record, "serves 1", "caller 1007", NULL);
-    door_ping(&site->door, rig_addr(SITE_BALANCER), &nothing, false,
-              site->now_us);
+    door_ping(&site->door, rig_addr(SITE_BALANCER), &nothing, site->now_us);
     rig_expect(site->record, "tell state reason=0 on=0 busy=1 state=0",
                "serves 1", NULL);
 }
 
 TEST_F(site, an_agent_greets_until_a_balancer_speaks)
 {
-    struct frame_version version = {.version = 4};
+    struct frame_ping ping = {.view.version = 4};
 
     door_greet(&site->door, rig_addr(SITE_BALANCER));
     site_pass_ms(site, 1);
@@ -81,13 +78,33 @@
     rig_expect(site->record, NULL);
     site_pass_ms(site, 1);
     rig_expect(site->record, "tell state reason=0 on=0 busy=0 state=0", NULL);
-    door_ping(&site->door, rig_addr(SITE_BALANCER), &version, false,
-              site->now_us);
+    door_ping(&site->door, rig_addr(SITE_BALANCER), &ping, site->now_us);
     g_string_truncate(site->record, 0);
     site_pass_ms(site, 500);
     rig_expect(site->record, NULL);
 }
 
+TEST_F(site, balancers_that_read_the_store_are_counted_for_the_others)
+{
+    struct frame_ping reads = {.view = {4, true}};
+    struct frame_ping reads_not = {.view = {4, false}};
+    struct addr second = rig_addr("10.9.0.2:7720");
+
+    door_ping(&site->door, rig_addr(SITE_BALANCER), &reads, site->now_us);
+    g_assert_cmpuint(site->readers, ==, 0);
+    door_ping(&site->door, second, &reads_not, site->now_us);
+    g_assert_cmpuint(site->readers, ==, 1);
+    /* One that wasn't heard from for a second may be gone. */
+    site->now_us += 1100 * USEC_PER_MSEC;
+    door_ping(&site->door, second, &reads, site->now_us);
+    g_assert_cmpuint(site->readers, ==, 0);
+    door_ping(&site->door, rig_addr(SITE_BALANCER), &reads_not, site->now_us);
+    g_assert_cmpuint(site->readers, ==, 1);
+    door_ping(&site->door, second, &reads_not, site->now_us);
+    door_ping(&site->door, rig_addr(SITE_BALANCER), &reads_not, site->now_us);
+    g_assert_cmpuint(site->readers, ==, 0);
+}
+
 TEST_F(site, a_flow_is_explained)
 {
     struct relay_flow flow = rig_flow(1);
--- a/tests/relay/door_site.c
+++ b/tests/relay/door_site.c
@@ -53,6 +53,7 @@
         [FRAME_STATE] = "state",
     };
 
+    of_out(out)->readers = status->readers;
     rig_note(of_out(out)->record, "tell %s reason=%u on=%d busy=%u state=%u",
              types[status->type], status->reason, status->target.ip != 0,
              status->health.busy, status->health.state);
@@ -119,7 +120,7 @@
     struct frame_carry frame = {
         .service = hash_service("lots"),
         .origin = rig_addr(SITE_BALANCER),
-        .version = 1,
+        .view.version = 1,
         .forced = forced,
         .target_ms = 100,
         .patience_ms = 1400,
@@ -139,7 +140,7 @@
     struct frame_carry frame = {
         .service = hash_service("lots"),
         .origin = rig_addr(SITE_BALANCER),
-        .version = 1,
+        .view.version = 1,
         .next = {rig_addr(next)},
         .next_count = 1,
         .bytes = packet.bytes,
--- a/tests/relay/door_site.h
+++ b/tests/relay/door_site.h
@@ -21,12 +21,14 @@
  * @door: its decisions
  * @record: a line for each output
  * @now_us: the time
+ * @readers: readers of the store that a balancer was told of last
  */
 struct site {
     struct door_out out;
     struct door door;
     GString *record;
     uint64_t now_us;
+    unsigned readers;
 };
 
 void
--- a/tests/relay/follow_test.c
+++ b/tests/relay/follow_test.c
@@ -83,6 +83,13 @@
     return ask(store, call);
 }
 
+static void
+store_cancel(struct store *store)
+{
+    rig_note(of_store(store)->record, "cancel");
+    of_store(store)->call = NULL;
+}
+
 static int
 store_get(struct store *store, const char *kind, const char *name,
           enum store_read read, struct store_call *call)
@@ -93,8 +100,8 @@
 }
 
 static const struct store_ops store_ops = {
-    store_list,   store_watch,  store_get, store_put,
-    store_create, store_remove, NULL};
+    store_list,   store_watch,  store_get,    store_put,
+    store_create, store_remove, store_cancel, NULL};
 
 static void
 listing(struct follow *follow)
@@ -398,6 +405,31 @@
     }
 }
 
+TEST_F(site, a_watch_of_old_changes_ends_when_the_latest_are_wanted)
+{
+    site->follow.read = STORE_READ_ANY;
+    follow_tick(&site->follow, site->now_us);
+    answer(site, 0, 30, NULL, false);
+    follow_tick(&site->follow, site->now_us);
+    follow_set_read(&site->follow, STORE_READ_LATEST);
+    follow_tick(&site->follow, site->now_us);
+    rig_expect(site->record, "list kind -", "listing", "listed", "reached",
+               "watch kind 30 any", "cancel", "watch kind 30", NULL);
+    /* The better one may go on to its end. */
+    follow_set_read(&site->follow, STORE_READ_ANY);
+    follow_tick(&site->follow, site->now_us);
+    rig_expect(site->record, NULL);
+    answer(site, 0, 31, "a", false);
+    wait_for_call(site);
+    rig_expect(site->record, "object a", "watch kind 31 any", NULL);
+    /* A list is the latest anyhow. */
+    answer(site, -ESTALE, 0, NULL, false);
+    wait_for_call(site);
+    follow_set_read(&site->follow, STORE_READ_LATEST);
+    rig_expect(site->record, "lost", "list kind -", NULL);
+    answer(site, 0, 40, NULL, false);
+}
+
 TEST_F(site, watches_may_be_old_where_the_owner_says_so_and_lists_never_are)
 {
     site->follow.read = STORE_READ_ANY;
--- a/tests/relay/frame_test.c
+++ b/tests/relay/frame_test.c
@@ -16,7 +16,7 @@
     struct frame_carry carry = {
         .service = 0x11223344,
         .origin = rig_addr("10.9.0.1:7720"),
-        .version = 1ull << 40,
+        .view = {1ull << 40, true},
         .forced = true,
         .target_ms = 100,
         .priority = 3,
@@ -46,7 +46,8 @@
     g_assert_cmpint(frame_carry_decode(bytes, size, &read), ==, 0);
     g_assert_cmpuint(read.service, ==, carry.service);
     g_assert_true(addr_equal(read.origin, carry.origin));
-    g_assert_cmpuint(read.version, ==, carry.version);
+    g_assert_cmpuint(read.view.version, ==, carry.view.version);
+    g_assert_true(read.view.reads);
     g_assert_true(read.forced);
     g_assert_cmpuint(read.target_ms, ==, 100);
     g_assert_cmpuint(read.priority, ==, 3);
@@ -80,6 +81,7 @@
         .seq = 77,
         .health = {9, ENDPOINT_READY, 3, 2, true},
         .heard = {12, rig_addr("10.9.0.3:7720")},
+        .readers = 2,
     };
     struct frame_status read;
     uint8_t bytes[FRAME_HEAD_MAX];
@@ -94,22 +96,23 @@
     g_assert_cmpuint(read.health.busy, ==, 3);
     g_assert_true(read.health.failing);
     g_assert_cmpuint(read.heard.version, ==, 12);
+    g_assert_cmpuint(read.readers, ==, 2);
 }
 
 TEST(pings_and_served_addresses_come_back)
 {
-    struct frame_version version = {4, rig_addr("10.9.0.3:7720")};
-    struct frame_version read = {0};
+    struct frame_ping ping = {{4, true}, true};
+    struct frame_ping read = {0};
     struct frame_served served = {
         .service = 3, .addrs = {rig_addr("198.18.0.1:80")}, .count = 1};
     struct frame_served told;
-    bool unlisted = false;
     uint8_t bytes[FRAME_HEAD_MAX];
-    size_t size = frame_ping_encode(&version, true, bytes);
+    size_t size = frame_ping_encode(&ping, bytes);
 
-    g_assert_cmpint(frame_ping_decode(bytes, size, &read, &unlisted), ==, 0);
-    g_assert_true(unlisted);
-    g_assert_cmpuint(read.version, ==, 4);
+    g_assert_cmpint(frame_ping_decode(bytes, size, &read), ==, 0);
+    g_assert_true(read.unlisted);
+    g_assert_true(read.view.reads);
+    g_assert_cmpuint(read.view.version, ==, 4);
     size = frame_served_encode(&served, bytes);
     g_assert_cmpint(frame_served_decode(bytes, size, &told), ==, 0);
     g_assert_cmpuint(told.count, ==, 1);
@@ -136,8 +139,7 @@
 {
     struct frame_carry carry;
     struct frame_status status;
-    struct frame_version version;
-    bool unlisted;
+    struct frame_ping ping;
     struct frame_served served;
     struct frame_absent absent;
     struct frame_ask ask;
@@ -158,7 +160,7 @@
         }
         break;
     case FRAME_PING:
-        (void)frame_ping_decode(bytes, size, &version, &unlisted);
+        (void)frame_ping_decode(bytes, size, &ping);
         break;
     case FRAME_SERVED:
         if (frame_served_decode(bytes, size, &served) == 0) {
@@ -202,8 +204,9 @@
 static struct frame_ask
 sample_ask(void)
 {
-    struct frame_ask ask = {
-        .round = 0x01020304, .version = 1ull << 40, .count = FRAME_ASK_MAX};
+    struct frame_ask ask = {.round = 0x01020304,
+                            .view = {1ull << 40, true},
+                            .count = FRAME_ASK_MAX};
 
     for (unsigned i = 0; i < FRAME_ASK_MAX; i++) {
         ask.flows[i] = rig_flow(i);
@@ -222,7 +225,8 @@
     g_assert_cmpint(frame_type(bytes, size), ==, FRAME_ASK);
     g_assert_cmpint(frame_ask_decode(bytes, size, &read), ==, 0);
     g_assert_cmpuint(read.round, ==, ask.round);
-    g_assert_cmpuint(read.version, ==, ask.version);
+    g_assert_cmpuint(read.view.version, ==, ask.view.version);
+    g_assert_true(read.view.reads);
     g_assert_cmpuint(read.count, ==, FRAME_ASK_MAX);
     for (unsigned i = 0; i < FRAME_ASK_MAX; i++) {
         g_assert_true(relay_flow_equal(read.flows[i], ask.flows[i]));
--- /dev/null
+++ b/tests/relay/readers_world_test.c
@@ -0,0 +1,365 @@
+/* Balancers and agents in event order on a paused clock: who reads the
+ * store's latest when some of them die, freeze, lose the store without a sign
+ * or are cut off, and how soon everybody has a new configuration. The store's
+ * cheap reads are ten seconds old throughout, so that only readers and what
+ * agents tell of them can bring a change in time. */
+#include "base/clock.h"
+#include "base/container.h"
+#include "lib/harness.h"
+#include "relay/door/door.h"
+#include "relay/relay_rig.h"
+#include "relay/store/store_reader.h"
+
+#define SUITE "/relay/readers_world"
+#define MS USEC_PER_MSEC
+
+#define BALANCERS 18
+#define AGENTS 8
+#define VERSIONS_MAX 64
+
+/* A balancer is heard by some agent this often: a fiftieth of what the
+ * busiest host of the users' fleet does. */
+#define TRAFFIC_US (20 * MS)
+#define LATEST_US (4 * MS)
+#define ANY_US (10 * USEC_PER_SEC)
+#define PEER_US (10 * MS)
+
+/* A connection that has gone silent shows by its probes. */
+#define PROBED_US (3 * USEC_PER_SEC)
+
+/* What operators are promised on the largest site, and on the smallest. */
+#define BOUND_US (6 * USEC_PER_SEC)
+#define BOUND_CALM_US (3 * USEC_PER_SEC)
+
+/** struct front - a balancer; until when what is wrong with it */
+struct front {
+    struct store_reader reader;
+    uint64_t version;
+    uint64_t known_us;
+    uint64_t away_until_us;
+    uint64_t cut_us;
+    uint64_t cut_until_us;
+    uint64_t asked_us;
+    uint64_t whole_us;
+    uint64_t traffic_us;
+};
+
+struct world;
+
+/** struct host - an agent; its word goes to the balancer that spoke */
+struct host {
+    struct door_out out;
+    struct door door;
+    struct world *world;
+};
+
+/** struct world - all of it */
+struct world {
+    GRand *rand;
+    uint64_t now_us;
+    struct front fronts[BALANCERS];
+    struct host hosts[AGENTS];
+    uint64_t committed_us[VERSIONS_MAX + 1];
+    uint64_t version;
+    uint64_t worst_us;
+    uint64_t reader_us;
+    unsigned latest_calls;
+};
+
+static struct addr
+front_addr(unsigned number)
+{
+    return (struct addr){0x0a090000 + number, 7720};
+}
+
+static bool
+is_away(const struct world *world, const struct front *front)
+{
+    return front->away_until_us > world->now_us;
+}
+
+static unsigned
+failures(const struct world *world, const struct front *front)
+{
+    return front->cut_until_us > world->now_us &&
+           world->now_us - front->cut_us > PROBED_US;
+}
+
+static void
+tell(struct door_out *out, struct addr balancer,
+     const struct frame_status *status)
+{
+    struct world *world = container_of(out, struct host, out)->world;
+    struct front *front = &world->fronts[balancer.ip - front_addr(0).ip];
+
+    if (is_away(world, front)) {
+        return;
+    }
+    store_reader_others(&front->reader, status->readers);
+    if (status->heard.version > front->version) {
+        store_reader_newer(&front->reader, &status->heard, world->now_us);
+    }
+}
+
+static void
+serves(struct door_out *out, struct addr balancer,
+       const struct frame_served *served)
+{
+}
+
+static const struct door_out_ops door_ops = {.tell = tell, .serves = serves};
+
+static void
+front_start(struct world *world, struct front *front, unsigned number)
+{
+    front->version = world->version;
+    front->whole_us = world->now_us;
+    store_reader_init(&front->reader,
+                      g_rand_int(world->rand) + (uint64_t)number,
+                      world->now_us);
+}
+
+static void
+world_init(struct world *world, uint32_t seed)
+{
+    world->rand = g_rand_new_with_seed(seed);
+    world->now_us = 100 * USEC_PER_SEC;
+    world->version = 1;
+    world->committed_us[1] = world->now_us;
+    for (unsigned i = 0; i < AGENTS; i++) {
+        world->hosts[i].out.ops = &door_ops;
+        world->hosts[i].world = world;
+        g_assert_cmpint(door_init(&world->hosts[i].door, &world->hosts[i].out,
+                                  (struct addr){0x0a000000 + i, 7000},
+                                  "lots"),
+                        ==, 0);
+    }
+    for (unsigned i = 0; i < BALANCERS; i++) {
+        front_start(world, &world->fronts[i], i);
+    }
+}
+
+static void
+world_finish(struct world *world)
+{
+    for (unsigned i = 0; i < AGENTS; i++) {
+        door_finish(&world->hosts[i].door);
+    }
+    g_rand_free(world->rand);
+}
+
+/* What a read brings, if the store answers. */
+static void
+follow(struct world *world, struct front *front)
+{
+    bool silent = front->cut_until_us > world->now_us;
+    bool latest =
+        store_reader_read(&front->reader, failures(world, front),
+                          world->now_us) == STORE_READ_LATEST;
+    uint64_t age_us = latest ? LATEST_US : ANY_US;
+
+    world->reader_us += latest && !is_away(world, front) ? MS : 0;
+    while (!silent && front->version < world->version &&
+           world->committed_us[front->version + 1] + age_us <=
+               world->now_us) {
+        front->version++;
+        store_reader_took(&front->reader, front->version);
+    }
+}
+
+static void
+ask_peer(struct world *world, struct front *front)
+{
+    unsigned holder = front->reader.newer.holder.ip - front_addr(0).ip;
+    const struct front *peer = &world->fronts[holder % BALANCERS];
+
+    if (!store_reader_asks_peer(&front->reader, failures(world, front),
+                                world->now_us) ||
+        world->now_us - front->asked_us < 150 * MS || is_away(world, peer)) {
+        return;
+    }
+    front->asked_us = world->now_us;
+    front->version = MAX(front->version, peer->version);
+    store_reader_took(&front->reader, front->version);
+}
+
+static void
+speak(struct world *world, unsigned number)
+{
+    struct front *front = &world->fronts[number];
+    struct host *host =
+        &world->hosts[g_rand_int_range(world->rand, 0, AGENTS)];
+    struct frame_ping ping = {
+        .view = {front->version,
+                 front->reader.reading && failures(world, front) == 0},
+    };
+
+    if (world->now_us < front->traffic_us) {
+        return;
+    }
+    front->traffic_us = world->now_us + TRAFFIC_US;
+    door_ping(&host->door, front_addr(number), &ping, world->now_us);
+}
+
+/* How late the newest version is at a balancer that could have had it. */
+static void
+check(struct world *world, struct front *front, uint64_t bound_us)
+{
+    uint64_t since_us =
+        MAX(world->committed_us[front->version + 1], front->whole_us);
+
+    if (front->version == world->version || is_away(world, front)) {
+        return;
+    }
+    world->worst_us = MAX(world->worst_us, world->now_us - since_us);
+    g_assert_cmpuint(world->now_us - since_us, <=, bound_us);
+}
+
+static void
+pass_ms(struct world *world, unsigned ms, uint64_t bound_us)
+{
+    for (unsigned t = 0; t < ms; t++) {
+        world->now_us += MS;
+        for (unsigned i = 0; i < BALANCERS; i++) {
+            struct front *front = &world->fronts[i];
+
+            if (is_away(world, front)) {
+                front->whole_us = world->now_us;
+                continue;
+            }
+            store_reader_tick(&front->reader, world->now_us);
+            follow(world, front);
+            ask_peer(world, front);
+            speak(world, i);
+            check(world, front, bound_us);
+        }
+    }
+}
+
+static void
+commit(struct world *world)
+{
+    g_assert_cmpuint(world->version, <, VERSIONS_MAX);
+    world->committed_us[++world->version] = world->now_us;
+}
+
+static unsigned
+count_readers(const struct world *world)
+{
+    unsigned count = 0;
+
+    for (unsigned i = 0; i < BALANCERS; i++) {
+        count += world->fronts[i].reader.reading;
+    }
+    return count;
+}
+
+static void
+readers_fail(struct world *world, void (*fail)(struct world *, struct front *))
+{
+    for (unsigned i = 0; i < BALANCERS; i++) {
+        if (world->fronts[i].reader.reading) {
+            fail(world, &world->fronts[i]);
+        }
+    }
+}
+
+static void
+freeze(struct world *world, struct front *front)
+{
+    front->away_until_us = world->now_us + 4 * USEC_PER_SEC;
+}
+
+static void
+lose_store(struct world *world, struct front *front)
+{
+    front->cut_us = world->now_us;
+    front->cut_until_us = world->now_us + 9 * USEC_PER_SEC;
+}
+
+static void
+restart(struct world *world, struct front *front)
+{
+    front_start(world, front, (unsigned)(front - world->fronts));
+}
+
+TEST_F(world, in_calm_two_or_three_read, 1)
+{
+    pass_ms(world, 10000, BOUND_CALM_US);
+    g_assert_cmpuint(count_readers(world), >=, 2);
+    g_assert_cmpuint(count_readers(world), <=, 3);
+    world->reader_us = 0;
+    pass_ms(world, 20000, BOUND_CALM_US);
+    g_assert_cmpuint(world->reader_us, <=, 3 * 20 * USEC_PER_SEC);
+}
+
+TEST_F(world, a_change_is_in_force_soon_though_cheap_reads_are_old, 2)
+{
+    pass_ms(world, 3000, BOUND_CALM_US);
+    for (unsigned i = 0; i < 10; i++) {
+        commit(world);
+        pass_ms(world, 700, 800 * MS);
+    }
+}
+
+TEST_F(world, when_all_readers_freeze_or_restart_others_take_their_part, 3)
+{
+    for (unsigned i = 0; i < 8; i++) {
+        pass_ms(world, 3000, BOUND_CALM_US);
+        readers_fail(world, i % 2 == 0 ? freeze : restart);
+        commit(world);
+        pass_ms(world, 4000, BOUND_CALM_US);
+        g_assert_cmpuint(count_readers(world), >=, 1);
+    }
+}
+
+/* The one case in which nobody knows for a while that nobody reads: until the
+ * readers' own probes fail. */
+TEST_F(world, when_all_readers_lose_the_store_unnoticed_the_bound_holds, 4)
+{
+    pass_ms(world, 3000, BOUND_CALM_US);
+    readers_fail(world, lose_store);
+    commit(world);
+    pass_ms(world, 12000, BOUND_US);
+    g_assert_cmpuint(world->worst_us, >, PROBED_US);
+}
+
+static void
+draw_fault(struct world *world)
+{
+    struct front *front =
+        &world->fronts[g_rand_int_range(world->rand, 0, BALANCERS)];
+
+    switch (g_rand_int_range(world->rand, 0, 4)) {
+    case 0:
+        freeze(world, front);
+        break;
+    case 1:
+        lose_store(world, front);
+        break;
+    case 2:
+        restart(world, front);
+        break;
+    default:
+        if (world->version < VERSIONS_MAX) {
+            commit(world);
+        }
+    }
+}
+
+TEST(everything_at_once)
+{
+    for (uint32_t seed = 1; seed <= 60; seed++) {
+        struct world world = {0};
+
+        world_init(&world, seed);
+        for (unsigned i = 0; i < 60; i++) {
+            pass_ms(&world, 200, BOUND_US);
+            draw_fault(&world);
+        }
+        pass_ms(&world, 15000, BOUND_US);
+        g_assert_cmpuint(count_readers(&world), >=, 1);
+        g_assert_cmpuint(count_readers(&world), <=, 4);
+        world_finish(&world);
+    }
+}
--- a/tests/relay/steer_lost_test.c
+++ b/tests/relay/steer_lost_test.c
@@ -77,6 +77,11 @@
 {
 }
 
+static void
+readers(struct steer_out *out, unsigned others)
+{
+}
+
 static void
 dropped(struct steer_out *out, enum steer_drop why,
         const struct relay_packet *packet)
@@ -96,8 +101,9 @@
     ((struct site *)out)->rounds++;
 }
 
-static const struct steer_out_ops ops = {
-    carry, reset, ping, ask, confirm, behind, dropped, decided, concluded};
+static const struct steer_out_ops ops = {carry,   reset,    ping,    ask,
+                                         confirm, behind,   readers, dropped,
+                                         decided, concluded};
 
 static void
 hear_of(struct site *site, unsigned number, enum endpoint_state state,
--- a/tests/relay/steer_test.c
+++ b/tests/relay/steer_test.c
@@ -16,6 +16,7 @@
  * @sent: agent that the last packet went to
  * @frame: what it went with
  * @searches: searches that were told of
+ * @readers: other readers of the store that were told of
  * @named: agents that any frame since a clearing was for
  */
 struct site {
@@ -31,6 +32,7 @@
     unsigned asked;
     unsigned confirms;
     struct frame_ask ask;
+    unsigned readers;
     bool unlisted;
     bool named[AGENTS_MOST + 1];
 };
@@ -86,6 +88,12 @@
              newer->version);
 }
 
+static void
+readers(struct steer_out *out, unsigned others)
+{
+    ((struct site *)out)->readers = others;
+}
+
 static void
 dropped(struct steer_out *out, enum steer_drop why,
         const struct relay_packet *packet)
@@ -106,8 +114,9 @@
 {
 }
 
-static const struct steer_out_ops ops = {
-    carry, reset, ping, ask, confirm, behind, dropped, decided, concluded};
+static const struct steer_out_ops ops = {carry,   reset,    ping,    ask,
+                                         confirm, behind,   readers, dropped,
+                                         decided, concluded};
 
 static void
 add_route(struct routes *routes, const char *address, const char *service)
@@ -623,6 +632,23 @@
     rig_expect(site->record, "behind 7", NULL);
 }
 
+TEST_F(site, how_many_others_read_the_store_is_told, 2)
+{
+    say(site, 1,
+        (struct frame_status){.type = FRAME_STATE,
+                              .health.state = ENDPOINT_READY,
+                              .readers = 3});
+    g_assert_cmpuint(site->readers, ==, 3);
+}
+
+TEST_F(site, frames_say_how_the_balancer_keeps_up_with_the_store, 2)
+{
+    site->steer.reads = true;
+    arrive(site, rig_from_caller(rig_flow(1), RELAY_SYN, 100, 0, 0));
+    g_assert_true(site->frame.view.reads);
+    g_assert_cmpuint(site->frame.view.version, ==, site->steer.routes.version);
+}
+
 TEST_F(site, what_no_caller_sends_is_dropped, 2)
 {
     arrive(site, rig_from_caller(rig_flow(1), RELAY_SYN | RELAY_ACK, 9, 0, 0));
--- /dev/null
+++ b/tests/relay/store_reader_test.c
@@ -0,0 +1,121 @@
+#include "base/clock.h"
+#include "lib/harness.h"
+#include "relay/relay_rig.h"
+#include "relay/store/store_reader.h"
+
+#define SUITE "/relay/store_reader"
+#define MS USEC_PER_MSEC
+
+/** struct site - a balancer's reader */
+struct site {
+    struct store_reader reader;
+    uint64_t now_us;
+};
+
+static void
+site_init(struct site *site)
+{
+    site->now_us = USEC_PER_SEC;
+    store_reader_init(&site->reader, 7, site->now_us);
+}
+
+static void
+site_finish(struct site *site)
+{
+}
+
+/* Time passes; agents tell of @others readers all the while. */
+static void
+pass_ms(struct site *site, unsigned ms, unsigned others)
+{
+    for (unsigned i = 0; i < ms; i++) {
+        site->now_us += MS;
+        store_reader_others(&site->reader, others);
+        store_reader_tick(&site->reader, site->now_us);
+    }
+}
+
+static enum store_read
+read_now(const struct site *site)
+{
+    return store_reader_read(&site->reader, 0, site->now_us);
+}
+
+TEST_F(site, a_balancer_reads_when_no_other_does)
+{
+    pass_ms(site, 400, 0);
+    g_assert_cmpint(read_now(site), ==, STORE_READ_ANY);
+    pass_ms(site, 700, 0);
+    g_assert_cmpint(read_now(site), ==, STORE_READ_LATEST);
+}
+
+TEST_F(site, a_balancer_that_hears_of_one_leaves_it_to_that)
+{
+    pass_ms(site, 5000, 2);
+    g_assert_cmpint(read_now(site), ==, STORE_READ_ANY);
+    pass_ms(site, 2000, 0);
+    g_assert_cmpint(read_now(site), ==, STORE_READ_LATEST);
+}
+
+TEST_F(site, two_readers_stay_and_of_more_some_stop)
+{
+    pass_ms(site, 2000, 0);
+    pass_ms(site, 20000, 1);
+    g_assert_cmpint(read_now(site), ==, STORE_READ_LATEST);
+    pass_ms(site, 20000, 3);
+    g_assert_cmpint(read_now(site), ==, STORE_READ_ANY);
+}
+
+/* A store that doesn't answer is tried with the cheap calls, also by those
+ * that are the only ones to read. */
+TEST_F(site, failed_calls_are_repeated_with_cheap_ones)
+{
+    pass_ms(site, 2000, 0);
+    g_assert_cmpint(store_reader_read(&site->reader, 1, site->now_us), ==,
+                    STORE_READ_ANY);
+    g_assert_cmpint(read_now(site), ==, STORE_READ_LATEST);
+}
+
+TEST_F(site, a_balancer_that_stays_behind_reads_and_then_asks)
+{
+    struct frame_version newer = {9, rig_addr("10.9.0.3:7720")};
+
+    store_reader_newer(&site->reader, &newer, site->now_us);
+    g_assert_cmpint(read_now(site), ==, STORE_READ_ANY);
+    g_assert_cmpuint(store_reader_next_us(&site->reader, site->now_us), ==,
+                     site->now_us + 300 * MS);
+    pass_ms(site, 300, 1);
+    g_assert_cmpint(read_now(site), ==, STORE_READ_LATEST);
+    g_assert_false(store_reader_asks_peer(&site->reader, 0, site->now_us));
+    g_assert_cmpuint(store_reader_next_us(&site->reader, site->now_us), <=,
+                     site->now_us + 300 * MS);
+    pass_ms(site, 300, 1);
+    g_assert_true(store_reader_asks_peer(&site->reader, 0, site->now_us));
+    store_reader_took(&site->reader, 8);
+    g_assert_true(store_reader_asks_peer(&site->reader, 0, site->now_us));
+    store_reader_took(&site->reader, 9);
+    g_assert_false(store_reader_asks_peer(&site->reader, 0, site->now_us));
+    g_assert_cmpint(read_now(site), ==, STORE_READ_ANY);
+}
+
+TEST_F(site, without_the_store_a_peer_is_asked_at_once)
+{
+    struct frame_version newer = {9, rig_addr("10.9.0.3:7720")};
+
+    g_assert_false(store_reader_asks_peer(&site->reader, 3, site->now_us));
+    store_reader_newer(&site->reader, &newer, site->now_us);
+    g_assert_true(store_reader_asks_peer(&site->reader, 3, site->now_us));
+}
+
+/* While versions follow each other the wait isn't begun anew with each. */
+TEST_F(site, newer_versions_in_a_row_do_not_put_the_read_off)
+{
+    struct frame_version newer = {9, rig_addr("10.9.0.3:7720")};
+
+    for (unsigned i = 0; i < 10; i++) {
+        newer.version++;
+        store_reader_newer(&site->reader, &newer, site->now_us);
+        pass_ms(site, 40, 1);
+    }
+    g_assert_cmpint(read_now(site), ==, STORE_READ_LATEST);
+}
--- a/tests/relay/world.c
+++ b/tests/relay/world.c
@@ -109,8 +109,7 @@
 {
     struct frame_carry frame;
     struct frame_status status;
-    struct frame_version version;
-    bool unlisted;
+    struct frame_ping ping;
     struct relay_packet packet;
     struct host *host = &world->hosts[message->number % WORLD_AGENTS];
 
@@ -142,13 +141,12 @@
         return;
     case TO_AGENT:
         if (frame_type(message->bytes, message->size) == FRAME_PING) {
-            g_assert_cmpint(frame_ping_decode(message->bytes, message->size,
-                                              &version, &unlisted),
-                            ==, 0);
-            door_ping(
-                &host->door,
-                (struct addr){version.holder.ip, world_front_addr(0).port},
-                &version, unlisted, world->now_us);
+            g_assert_cmpint(
+                frame_ping_decode(message->bytes, message->size - 1, &ping),
+                ==, 0);
+            door_ping(&host->door,
+                      world_front_addr(message->bytes[message->size - 1]),
+                      &ping, world->now_us);
             return;
         }
         if (frame_type(message->bytes, message->size) == FRAME_ASK) {
--- a/tests/relay/world_fronts.c
+++ b/tests/relay/world_fronts.c
@@ -42,15 +42,17 @@
 ping(struct steer_out *out, struct addr agent, bool unlisted)
 {
     struct front *front = container_of(out, struct front, out);
-    struct frame_version version = {
-        .version = front->version,
-        .holder = world_front_addr(front->number),
+    struct frame_ping ping = {
+        .view = {.version = front->version},
+        .unlisted = unlisted,
     };
-    uint8_t bytes[FRAME_HEAD_MAX];
-    size_t size = frame_ping_encode(&version, unlisted, bytes);
+    uint8_t bytes[FRAME_HEAD_MAX + 1];
+    size_t size = frame_ping_encode(&ping, bytes);
 
+    /* The sender's number stands in for its address. */
+    bytes[size] = (uint8_t)front->number;
     world_post_late(front->world, TO_AGENT, agent.ip - world_host_addr(0).ip,
-                    bytes, size, front->stalled_until_us);
+                    bytes, size + 1, front->stalled_until_us);
 }
 
 static void
@@ -79,6 +81,11 @@
 {
 }
 
+static void
+readers(struct steer_out *out, unsigned others)
+{
+}
+
 static void
 steer_dropped(struct steer_out *out, enum steer_drop why,
               const struct relay_packet *packet)
@@ -99,8 +106,9 @@
 }
 
 const struct steer_out_ops world_steer_ops = {
-    steer_carries, steer_resets,  ping,           ask, confirm, behind,
-    steer_dropped, steer_decided, steer_concluded};
+    steer_carries, steer_resets,   ping,    ask,
+    confirm,       behind,         readers, steer_dropped,
+    steer_decided, steer_concluded};
 
 /* Configuration and membership. */
 
