Agents look before they write; a removal during a write is made

Cause: an agent that started wrote at once: a new one twice (replace, refused, create), one that only restarted once. A removal that was wanted while a write was open was taken as done with the write's answer: the object of an ended endpoint stayed. Found by reading; the test was red (step GONE, not REMOVE).

Change: an agent reads its object first, a tenth of a write and perhaps seconds old, and writes what isn't there; it looks once more after 10 s.

--- a/scripts/relaybed/store.py
+++ b/scripts/relaybed/store.py
@@ -3,9 +3,14 @@
 import http.server
 import json
 import threading
+import time
 import urllib.parse
 
 
+# How old a read is that may be: more than agents take to tell each other.
+STALE_S = 1.0
+
+
 class Store:
     """Objects by kind and name, with revisions and watches."""
 
@@ -27,7 +32,8 @@
             item = {"meta": {"name": name, "rev": self.revision},
                     "spec": value, "status": None}
             self.objects[kind][name] = item
-            self.history.append((self.revision, kind, item, False))
+            self.history.append(
+                (self.revision, kind, item, False, time.monotonic()))
             self.changed.notify_all()
             return item
 
@@ -37,19 +43,34 @@
             item = self.objects.get(kind, {}).pop(name, None)
             if item is not None:
                 self.revision += 1
-                self.history.append((self.revision, kind, item, True))
+                self.history.append(
+                    (self.revision, kind, item, True, time.monotonic()))
                 self.changed.notify_all()
             return item is not None
 
-    def watch(self, kind, since, wait_s):
-        """Events of a kind after a revision, waiting for the first."""
-        def events():
-            return [{"deleted": gone, "object": item}
-                    for rev, of, item, gone in self.history
-                    if of == kind and rev > since]
+    def watch(self, kind, since, wait_s, age_s=0.0):
+        """Events of a kind after a revision that are age_s old, waiting for
+        the first."""
+        end = time.monotonic() + wait_s
         with self.changed:
-            self.changed.wait_for(lambda: events() or self.away, wait_s)
-            return {"events": events(), "at": self.revision}
+            while True:
+                now = time.monotonic()
+                seen = [entry for entry in self.history
+                        if entry[0] > since and entry[4] <= now - age_s]
+                events = [{"deleted": entry[3], "object": entry[2]}
+                          for entry in seen if entry[1] == kind]
+                if events or self.away or now >= end:
+                    break
+                self.changed.wait(min(end - now, age_s or end - now))
+            if age_s == 0.0:
+                return {"events": events, "at": self.revision}
+            return {"events": events,
+                    "at": max([since] + [entry[0] for entry in seen])}
+
+    def get(self, kind, name):
+        """One object, None for none."""
+        with self.changed:
+            return self.objects.get(kind, {}).get(name)
 
 
 class Handler(http.server.BaseHTTPRequestHandler):
@@ -87,15 +108,19 @@
         return names[0], names[1], dict(urllib.parse.parse_qsl(url.query))
 
     def do_GET(self):  # pylint: disable=invalid-name
-        """A list or a watch."""
+        """A list, a watch or one object."""
         found = self.parts()
         if found is None:
             return
-        kind, _, query = found
+        kind, name, query = found
         if "watch" in query:
             self.answer(200, self.store.watch(
                 kind, int(query["watch"]), int(query["waitMs"]) / 1000))
             return
+        if name is not None:
+            item = self.store.get(kind, name)
+            self.answer(404 if item is None else 200, item or {})
+            return
         items = list(self.store.objects.get(kind, {}).values())
         self.answer(200, {"items": items, "hasMore": False,
                           "at": self.store.revision})
--- a/src/relay/store/presence.c
+++ b/src/relay/store/presence.c
@@ -17,6 +17,10 @@
 #define PAUSE_LONGEST_US (1600 * USEC_PER_MSEC)
 #define JITTER_PARTS 4
 
+/* The first look may be as old as the store's history is long at least, some
+ * ten seconds: the object may have been removed since. */
+#define CHECK_AFTER_US (10 * USEC_PER_SEC)
+
 static const char *
 text(struct json_object *object, const char *name)
 {
@@ -75,6 +79,14 @@
     return 0;
 }
 
+bool
+presence_equal(const struct presence *a, const struct presence *b)
+{
+    return addr_equal(a->addr, b->addr) &&
+           strcmp(a->service, b->service) == 0 &&
+           strcmp(a->data_centre, b->data_centre) == 0;
+}
+
 struct json_object *
 presence_encode(const struct presence *presence)
 {
@@ -104,6 +116,36 @@
     return pause_us + seed % (pause_us / JITTER_PARTS);
 }
 
+/* Whether the object that was read is what would be written. */
+static bool
+is_there(const struct presence_writer *writer, const struct store_reply *reply)
+{
+    struct presence there;
+
+    return reply->count == 1 &&
+           presence_decode(reply->objects[0].name, reply->objects[0].value,
+                           &there) == 0 &&
+           presence_equal(&there, &writer->presence);
+}
+
+static void
+on_success(struct presence_writer *writer, const struct store_reply *reply)
+{
+    writer->failures = 0;
+    switch (writer->step) {
+    case PRESENCE_LOOK:
+        writer->looks++;
+        writer->step = is_there(writer, reply) ? PRESENCE_KEPT : PRESENCE_PUT;
+        break;
+    case PRESENCE_REMOVE:
+        writer->step = PRESENCE_GONE;
+        break;
+    default:
+        writer->looks = PRESENCE_LOOKS;
+        writer->step = PRESENCE_KEPT;
+    }
+}
+
 static void
 on_done(struct store_call *call, const struct store_reply *reply)
 {
@@ -113,9 +155,12 @@
 
     writer->open = false;
     writer->next_us = 0;
+    if (writer->called != writer->step) {
+        /* Something else is wanted since; it comes next. */
+        return;
+    }
     if (reply->status == 0 || (removing && reply->status == -ENOENT)) {
-        writer->failures = 0;
-        writer->step = removing ? PRESENCE_GONE : PRESENCE_KEPT;
+        on_success(writer, reply);
     }
     else if (!removing && reply->status == -ENOENT) {
         writer->step = PRESENCE_CREATE;
@@ -138,6 +183,10 @@
     int ret;
 
     presence_name(writer->presence.addr, name);
+    if (writer->step == PRESENCE_LOOK) {
+        return store->ops->get(store, PRESENCE_KIND, name, STORE_READ_ANY,
+                               &writer->call);
+    }
     if (writer->step == PRESENCE_REMOVE) {
         return store->ops->remove(store, PRESENCE_KIND, name, 0,
                                   &writer->call);
@@ -158,8 +207,20 @@
 static bool
 has_work(const struct presence_writer *writer)
 {
-    return !writer->open && writer->step != PRESENCE_KEPT &&
-           writer->step != PRESENCE_GONE;
+    bool stands =
+        writer->step == PRESENCE_KEPT && writer->looks >= PRESENCE_LOOKS;
+
+    return !writer->open && !stands && writer->step != PRESENCE_GONE;
+}
+
+/* How long the next call waits for. */
+static uint64_t
+pause_of(const struct presence_writer *writer)
+{
+    if (writer->failures > 0) {
+        return pause_after(writer);
+    }
+    return writer->step == PRESENCE_KEPT ? CHECK_AFTER_US : 0;
 }
 
 void
@@ -170,7 +231,7 @@
         .call.done = on_done,
         .store = store,
         .presence = *presence,
-        .step = PRESENCE_PUT,
+        .step = PRESENCE_LOOK,
         .next_us = now_us,
     };
 }
@@ -199,13 +260,16 @@
         return;
     }
     if (writer->next_us == 0) {
-        writer->next_us =
-            now_us + (writer->failures > 0 ? pause_after(writer) : 0);
+        writer->next_us = now_us + pause_of(writer);
     }
     if (writer->next_us > now_us) {
         return;
     }
+    if (writer->step == PRESENCE_KEPT) {
+        writer->step = PRESENCE_LOOK;
+    }
     writer->open = true;
+    writer->called = writer->step;
     if (make_call(writer) < 0) {
         writer->open = false;
         writer->failures++;
--- a/src/relay/store/presence.h
+++ b/src/relay/store/presence.h
@@ -3,7 +3,10 @@
  *
  * It says only that an agent is at an address, of which service and in which
  * data centre; how its endpoint is goes from agent to balancer directly. So
- * it is written once in a host's life.
+ * it is written once in a host's life: an agent that starts looks first, with
+ * a read that costs a tenth of a write and may be seconds old, and writes only
+ * what isn't there. It looks once more when such a read can't be that old any
+ * longer.
  */
 #ifndef SWIFTARCH_RELAY_STORE_PRESENCE_H
 #define SWIFTARCH_RELAY_STORE_PRESENCE_H
@@ -54,19 +57,27 @@
 presence_decode(const char *name, struct json_object *value,
                 struct presence *presence);
 
+/** presence_equal() - whether two say the same */
+bool
+presence_equal(const struct presence *a, const struct presence *b);
+
 /** presence_encode() - the value of an object */
 struct json_object *
 presence_encode(const struct presence *presence);
 
 /** enum presence_step - what the writer does next */
 enum presence_step {
-    PRESENCE_PUT,    /* replace: the host was here before */
-    PRESENCE_CREATE, /* it wasn't */
+    PRESENCE_LOOK,   /* read what is there */
+    PRESENCE_PUT,    /* replace: it says something else */
+    PRESENCE_CREATE, /* there is none */
     PRESENCE_KEPT,   /* it stands */
     PRESENCE_REMOVE, /* the endpoint has ended for good */
     PRESENCE_GONE,   /* it is removed */
 };
 
+/* Looks after which an object that was found is taken to stand. */
+#define PRESENCE_LOOKS 2
+
 /**
  * struct presence_writer - writes the object until it stands
  * @call: the open call
@@ -75,6 +86,8 @@
  * @step: what is done or due
  * @open: a call is open
  * @failures: calls that failed in a row
+ * @called: what the open call is for; @step may have changed since
+ * @looks: looks that found the object, PRESENCE_LOOKS once it was written
  * @next_us: when the next call is due, 0 when the last one has just ended
  */
 struct presence_writer {
@@ -84,6 +97,8 @@
     enum presence_step step;
     bool open;
     unsigned failures;
+    enum presence_step called;
+    unsigned looks;
     uint64_t next_us;
 };
 
--- a/src/relay/store/store_reader.c
+++ b/src/relay/store/store_reader.c
@@ -87,8 +87,8 @@
 }
 
 void
-store_reader_newer(struct store_reader *reader, const struct frame_version *newer,
-             uint64_t now_us)
+store_reader_newer(struct store_reader *reader,
+                   const struct frame_version *newer, uint64_t now_us)
 {
     if (newer->version <= reader->newer.version) {
         return;
@@ -134,7 +134,8 @@
 }
 
 enum store_read
-store_reader_read(const struct store_reader *reader, unsigned failures, uint64_t now_us)
+store_reader_read(const struct store_reader *reader, unsigned failures,
+                  uint64_t now_us)
 {
     if (failures > 0) {
         return STORE_READ_ANY;
@@ -146,7 +147,7 @@
 
 bool
 store_reader_asks_peer(const struct store_reader *reader, unsigned failures,
-                 uint64_t now_us)
+                       uint64_t now_us)
 {
     return is_behind(reader) &&
            (failures > 0 || behind_for(reader, ASK_AFTER_US, now_us));
--- a/src/relay/store/store_reader.h
+++ b/src/relay/store/store_reader.h
@@ -1,6 +1,6 @@
 /**
- * DOC: store_reader - how a balancer keeps up with the configuration (decisions
- * only)
+ * DOC: store_reader - how a balancer keeps up with the configuration
+ * (decisions only)
  *
  * A read of the latest costs ten times one that may be seconds old, and
  * counts against a limit that grows more slowly than the fleet. So only a few
@@ -53,8 +53,8 @@
 
 /** store_reader_newer() - some balancer has a newer configuration */
 void
-store_reader_newer(struct store_reader *reader, const struct frame_version *newer,
-             uint64_t now_us);
+store_reader_newer(struct store_reader *reader,
+                   const struct frame_version *newer, uint64_t now_us);
 
 /** store_reader_took() - configuration @version is in force here */
 void
@@ -64,8 +64,8 @@
 void
 store_reader_tick(struct store_reader *reader, uint64_t now_us);
 
-/** store_reader_next_us() - when store_reader_tick() or another answer of the functions
- * below is due */
+/** store_reader_next_us() - when store_reader_tick() or another answer of the
+ * functions below is due */
 uint64_t
 store_reader_next_us(const struct store_reader *reader, uint64_t now_us);
 
@@ -75,12 +75,14 @@
  *            is tried with the cheap ones
  */
 enum store_read
-store_reader_read(const struct store_reader *reader, unsigned failures, uint64_t now_us);
+store_reader_read(const struct store_reader *reader, unsigned failures,
+                  uint64_t now_us);
 
-/** store_reader_asks_peer() - whether the balancer that is known to have a newer
- * configuration is to be asked for it: the store can't be, or doesn't say */
+/** store_reader_asks_peer() - whether the balancer that is known to have a
+ * newer configuration is to be asked for it: the store can't be, or doesn't
+ * say */
 bool
 store_reader_asks_peer(const struct store_reader *reader, unsigned failures,
-                 uint64_t now_us);
+                       uint64_t now_us);
 
 #endif
