Pauses between watches grow while changes keep coming

Cause: in a storm of configurations or a release each change cost each balancer a call.

Change: the pause before the next watch doubles from 25 to 300 ms for the configuration, from 100 ms to 1 s for agents, while changes come soon after a watch began; the first change after a calm is read at once.

--- a/bench/relay/bench_store.c
+++ b/bench/relay/bench_store.c
@@ -25,8 +25,11 @@
 #define CONFIG_GAP_US (4320 * USEC_PER_MSEC)
 #define AGENT_LIFE_US (1000 * 3600 * USEC_PER_SEC)
 
-/* As in relay_balancer.c: a burst of agents costs one call. */
-#define AGENTS_GAP_US (100 * USEC_PER_MSEC)
+/* As balancers have them. */
+static const struct follow_pace paces[KINDS] = {
+    {25 * USEC_PER_MSEC, 300 * USEC_PER_MSEC},
+    {100 * USEC_PER_MSEC, 1 * USEC_PER_SEC},
+};
 
 /**
  * struct watcher - a connection to the store, and what is followed on it
@@ -145,7 +148,7 @@
     for (size_t i = 0; i < balancers * KINDS; i++) {
         watchers[i].store.ops = &store_ops;
         follow_init(&watchers[i].follow, &follow_ops, &watchers[i].store,
-                    "kind", i % KINDS == 0 ? 0 : AGENTS_GAP_US, i, now_us);
+                    "kind", paces[i % KINDS], i, now_us);
     }
     while (now_us < 60 * USEC_PER_SEC) {
         step(watchers, balancers);
--- a/src/relay/program/relay_balancer.c
+++ b/src/relay/program/relay_balancer.c
@@ -16,9 +16,20 @@
 
 #define FLUSH_US (100 * USEC_PER_MSEC)
 
-/* Agents come in bursts (a release, a data centre that starts): one watch
- * call then brings them all. New ones aren't missed for that long. */
-#define AGENTS_GAP_US (100 * USEC_PER_MSEC)
+/* Agents come in bursts (a data centre that starts) and series (a release, one
+ * a second): a watch then brings several. New ones aren't missed for that
+ * long, and those that have gone say so themselves. */
+static const struct follow_pace agents_pace = {
+    .first_us = 100 * USEC_PER_MSEC,
+    .longest_us = 1 * USEC_PER_SEC,
+};
+
+/* Operators may change the configuration many times a second. The longest is
+ * a tenth of the shortest bound that they set. */
+static const struct follow_pace config_pace = {
+    .first_us = 25 * USEC_PER_MSEC,
+    .longest_us = 300 * USEC_PER_MSEC,
+};
 
 /* When the store takes longer than this, peers are asked too: its answers
  * take 4 ms. While it says that there is no configuration yet, they are left
@@ -191,9 +202,10 @@
         }
     }
     follow_init(&balancer->config_follow, &relay_balancer_config_ops,
-                balancer->stores[0], CONFIG_FORMAT_KIND, 0, seed, now_us);
+                balancer->stores[0], CONFIG_FORMAT_KIND, config_pace, seed,
+                now_us);
     follow_init(&balancer->agents_follow, &relay_balancer_agents_ops,
-                balancer->stores[1], PRESENCE_KIND, AGENTS_GAP_US, seed + 1,
+                balancer->stores[1], PRESENCE_KIND, agents_pace, seed + 1,
                 now_us);
     balancer->agents_follow.read = STORE_READ_ANY;
     store_reader_init(&balancer->reader, seed, now_us);
--- a/src/relay/store/follow.c
+++ b/src/relay/store/follow.c
@@ -140,6 +140,23 @@
     return WATCH_WAIT_MS;
 }
 
+/* Pause before the next watch. */
+static uint64_t
+next_gap(struct follow *follow, uint64_t now_us)
+{
+    const struct follow_pace *pace = &follow->pace;
+    bool soon = now_us - follow->opened_us < pace->longest_us;
+
+    if (follow->quiet || !soon) {
+        follow->gap_us = pace->first_us;
+    }
+    else {
+        follow->gap_us =
+            CLAMP(2 * follow->gap_us, pace->first_us, pace->longest_us);
+    }
+    return follow->gap_us;
+}
+
 static int
 make_call(struct follow *follow)
 {
@@ -156,7 +173,7 @@
 
 void
 follow_init(struct follow *follow, const struct follow_ops *ops,
-            struct store *store, const char *kind, uint64_t gap_us,
+            struct store *store, const char *kind, struct follow_pace pace,
             uint64_t seed, uint64_t now_us)
 {
     memset(follow, 0, sizeof(*follow));
@@ -164,7 +181,7 @@
     follow->call.done = on_done;
     follow->store = store;
     follow->kind = kind;
-    follow->gap_us = gap_us;
+    follow->pace = pace;
     follow->seed = seed;
     follow->next_us = now_us;
     /* Neither reached nor failed so far: the first end of a call is told. */
@@ -204,7 +221,7 @@
             pause_us = pause_after(follow);
         }
         else if (follow->state == FOLLOW_WATCH) {
-            pause_us = follow->gap_us;
+            pause_us = next_gap(follow, now_us);
         }
         follow->next_us = now_us + pause_us;
     }
--- a/src/relay/store/follow.h
+++ b/src/relay/store/follow.h
@@ -34,6 +34,20 @@
     FOLLOW_WATCH,
 };
 
+/**
+ * struct follow_pace - how soon a watch follows one that brought changes
+ *
+ * Each that brings some soon after it began doubles the pause before the
+ * next, so that a burst costs few calls and a single change is known at once.
+ *
+ * @first_us: the shortest pause
+ * @longest_us: the longest
+ */
+struct follow_pace {
+    uint64_t first_us;
+    uint64_t longest_us;
+};
+
 /**
  * struct follow - one kind; the vtable comes first
  * @ops: the owner
@@ -49,7 +63,8 @@
  * @failures: calls that failed in a row
  * @next_us: when the next call is due
  * @opened_us: when the open call began
- * @gap_us: pause after changes, so that a burst costs one call
+ * @pace: pauses between calls while changes keep coming
+ * @gap_us: the last of these
  * @seed: makes the pauses differ between processes
  * @read: how new the changes must be that a watch tells; lists are always
  *        the latest
@@ -70,6 +85,7 @@
     unsigned failures;
     uint64_t next_us;
     uint64_t opened_us;
+    struct follow_pace pace;
     uint64_t gap_us;
     uint64_t seed;
     enum store_read read;
@@ -80,12 +96,12 @@
 /**
  * follow_init() - follow @kind from @now_us on
  * @store: not freed by follow_finish()
- * @gap_us: pause after changes
+ * @pace: pauses after changes
  * @seed: differs between processes
  */
 void
 follow_init(struct follow *follow, const struct follow_ops *ops,
-            struct store *store, const char *kind, uint64_t gap_us,
+            struct store *store, const char *kind, struct follow_pace pace,
             uint64_t seed, uint64_t now_us);
 
 /** follow_finish() - free the memory */
--- a/tests/relay/follow_test.c
+++ b/tests/relay/follow_test.c
@@ -145,8 +145,8 @@
     site->store.ops = &store_ops;
     site->record = g_string_new(NULL);
     site->now_us = USEC_PER_SEC;
-    follow_init(&site->follow, &follow_ops, &site->store, "kind", 0, 1,
-                site->now_us);
+    follow_init(&site->follow, &follow_ops, &site->store, "kind",
+                (struct follow_pace){0}, 1, site->now_us);
     presence_writer_init(&site->writer, &site->store, &presence, site->now_us);
 }
 
@@ -247,6 +247,24 @@
     g_assert_cmpuint(site->wait_ms, ==, 25000);
 }
 
+TEST_F(site, pauses_grow_while_changes_keep_coming)
+{
+    static const unsigned pauses[] = {100, 200, 400, 800, 1000, 1000};
+
+    site->follow.pace = (struct follow_pace){100 * MS, 1000 * MS};
+    follow_tick(&site->follow, site->now_us);
+    answer(site, 0, 7, NULL, false);
+    for (unsigned i = 0; i < G_N_ELEMENTS(pauses); i++) {
+        g_assert_cmpuint(wait_for_call(site), ==, pauses[i]);
+        answer(site, 0, 8 + i, "a", false);
+    }
+    /* A change that comes alone is followed by the shortest. */
+    wait_for_call(site);
+    site->now_us += 1500 * MS;
+    answer(site, 0, 20, "a", false);
+    g_assert_cmpuint(wait_for_call(site), ==, 100);
+}
+
 TEST_F(site, pauses_grow_while_the_store_is_away)
 {
     unsigned before = 0;
