Readers read the latest list of agents too

Cause: an agent whose object somebody took away is told by a balancer that sees it; with reads that are seconds old it heard seconds later. The stand-in store, which now answers such reads a second late, showed it: the run store-loses found 4 objects of 4 missing after its half second.

Change: readers watch the agents' kind with latest reads. The stand-in's check is unchanged and passes.

--- a/scripts/relaybed/store.py
+++ b/scripts/relaybed/store.py
@@ -114,8 +114,9 @@
             return
         kind, name, query = found
         if "watch" in query:
+            age_s = STALE_S if query.get("staleOk") == "1" else 0.0
             self.answer(200, self.store.watch(
-                kind, int(query["watch"]), int(query["waitMs"]) / 1000))
+                kind, int(query["watch"]), int(query["waitMs"]) / 1000, age_s))
             return
         if name is not None:
             item = self.store.get(kind, name)
--- a/src/relay/program/relay_balancer.c
+++ b/src/relay/program/relay_balancer.c
@@ -79,12 +79,18 @@
 {
     struct store_reader *reader = &balancer->reader;
     struct follow *follow = &balancer->config_follow;
+    struct follow *agents = &balancer->agents_follow;
     struct addr self = balancer->settings.share;
     struct addr holder = {reader->newer.holder.ip, self.port};
 
     store_reader_tick(reader, now_us);
     follow_set_read(follow,
                     store_reader_read(reader, follow->failures, now_us));
+    /* Agents whose objects were taken away are to hear of it soon, from
+     * whoever knows first; nothing else waits for this list. */
+    follow_set_read(agents, reader->reading && agents->failures == 0
+                                ? STORE_READ_LATEST
+                                : STORE_READ_ANY);
     balancer->steer.reads = reader->reading && follow->failures == 0 &&
                             follow->state == FOLLOW_WATCH;
     if (store_reader_asks_peer(reader, follow->failures, now_us) &&
