--- a/src/relay/program/relay_balancer.c
+++ b/src/relay/program/relay_balancer.c
@@ -83,7 +83,19 @@
     struct addr self = balancer->settings.share;
     struct addr holder = {reader->newer.holder.ip, self.port};
 
+    bool was_reading = reader->reading;
+
     store_reader_tick(reader, now_us);
+    if (reader->reading != was_reading) {
+        event_log_line(
+            &balancer->log, EVENT_RARE, "reader",
+            "reading=%d config=%" PRIu64 " latest_calls=%" PRIu64
+            " old_calls=%" PRIu64 " agents_latest=%" PRIu64
+            " agents_old=%" PRIu64,
+            reader->reading, balancer->steer.routes.version,
+            follow->calls[STORE_READ_LATEST], follow->calls[STORE_READ_ANY],
+            agents->calls[STORE_READ_LATEST], agents->calls[STORE_READ_ANY]);
+    }
     follow_set_read(follow,
                     store_reader_read(reader, follow->failures, now_us));
     /* Agents whose objects were taken away are to hear of it soon, from
--- a/src/relay/store/follow.c
+++ b/src/relay/store/follow.c
@@ -161,8 +161,10 @@
 make_call(struct follow *follow)
 {
     struct store *store = follow->store;
+    bool listing = follow->state == FOLLOW_LIST;
 
-    if (follow->state == FOLLOW_LIST) {
+    follow->calls[listing ? STORE_READ_LATEST : follow->read]++;
+    if (listing) {
         return store->ops->list(store, follow->kind, follow->after,
                                 STORE_READ_LATEST, &follow->call);
     }
--- a/src/relay/store/follow.h
+++ b/src/relay/store/follow.h
@@ -68,6 +68,7 @@
  * @seed: makes the pauses differ between processes
  * @read: how new the changes must be that a watch tells; lists are always
  *        the latest
+ * @calls: calls made, by enum store_read
  * @eager: the owner can't work without an answer: pauses stay short
  * @status: how the last call ended
  */
@@ -89,6 +90,7 @@
     uint64_t gap_us;
     uint64_t seed;
     enum store_read read;
+    uint64_t calls[STORE_READ_COUNT];
     bool eager;
     int status;
 };
--- a/src/relay/store/store.h
+++ b/src/relay/store/store.h
@@ -53,6 +53,7 @@
     STORE_READ_LATEST, /* all that was acknowledged before the call */
     STORE_READ_ANY,    /* may be seconds old; a tenth of the price, and free
                         * of the store's limit of calls */
+    STORE_READ_COUNT,
 };
 
 /** struct store_call - caller-owned; @done is told once, at the end */
