Witnesses: balancers without callers know who reads

A watch of 25 s also outlived the store's history of 20 s: 68 of 106 balancers were answered 410 at second 29 and listed anew.

Change: before it reads, a balancer asks three agents that all balancers of its data centre would choose, and readers tell these each 400 ms. Watches wait 15 s.

--- a/src/relay/program/relay_balancer.c
+++ b/src/relay/program/relay_balancer.c
@@ -85,7 +85,9 @@
 
     bool was_reading = reader->reading;
 
-    store_reader_tick(reader, now_us);
+    if (store_reader_tick(reader, now_us)) {
+        steer_ping_witnesses(&balancer->steer);
+    }
     if (reader->reading != was_reading) {
         event_log_line(
             &balancer->log, EVENT_RARE, "reader",
--- a/src/relay/program/relay_balancer_http.c
+++ b/src/relay/program/relay_balancer_http.c
@@ -9,6 +9,22 @@
 #include "relay/program/relay_explain.h"
 #include "relay/program/relay_state.h"
 
+static void
+append_reads(GString *text, const char *kind, const struct follow *follow)
+{
+    static const char *const ages[] = {
+        [STORE_READ_LATEST] = "latest",
+        [STORE_READ_ANY] = "any",
+    };
+
+    for (unsigned i = 0; i < STORE_READ_COUNT; i++) {
+        g_string_append_printf(text,
+                               "swiftarch_store_reads_total"
+                               "{kind=\"%s\",age=\"%s\"} %" PRIu64 "\n",
+                               kind, ages[i], follow->calls[i]);
+    }
+}
+
 static void
 respond_metrics(struct relay_balancer *balancer, struct httpd_request *request)
 {
@@ -43,6 +59,10 @@
             text, "swiftarch_dropped_total{reason=\"%s\"} %" PRIu64 "\n",
             relay_balancer_drop_names[i], balancer->counts.dropped[i]);
     }
+    append_reads(text, "config", &balancer->config_follow);
+    append_reads(text, "agents", &balancer->agents_follow);
+    g_string_append_printf(text, "swiftarch_store_reader %d\n",
+                           balancer->reader.reading);
     httpd_respond(request, 200, "text/plain; version=0.0.4", text->str,
                   text->len);
     g_string_free(text, TRUE);
--- a/src/relay/steer/agents.h
+++ b/src/relay/steer/agents.h
@@ -102,6 +102,10 @@
 /* Agents in a choice: as many as a frame and its first stop hold. */
 #define AGENTS_CHOICE_MAX (FRAME_NEXT_MAX + 1)
 
+/* Agents that pass on who reads the store: two may be dead or slow at a
+ * time. */
+#define AGENTS_WITNESSES 3
+
 /* Above all ranks: a search from the likeliest agent on. */
 #define AGENTS_ALL UINT64_MAX
 
@@ -221,6 +225,15 @@
 bool
 agent_is_unreachable(const struct agent_row *row, uint64_t now_us);
 
+/**
+ * agents_witnesses() - agents that all balancers of this data centre know of
+ *
+ * The same few for each of them, as far as they know the same agents and trust
+ * them: what one tells these, the others can ask them.
+ */
+void
+agents_witnesses(const struct agents *agents, struct agents_choice *choice);
+
 /** agents_serve() - whether some agent may take a new flow of @service */
 bool
 agents_serve(const struct agents *agents, uint32_t service);
--- a/src/relay/steer/agents_choice.c
+++ b/src/relay/steer/agents_choice.c
@@ -24,6 +24,9 @@
  * may be no better. */
 #define LOAD_FAILING (4 * LOAD_UNIT)
 
+/* Bucket of the ranking by which witnesses are found, any. */
+#define WITNESS_BUCKET 0
+
 /** struct candidate - an agent in a choice */
 struct candidate {
     const struct agent_row *row;
@@ -205,6 +208,29 @@
     return count > 0;
 }
 
+void
+agents_witnesses(const struct agents *agents, struct agents_choice *choice)
+{
+    struct candidate best[AGENTS_WITNESSES];
+    unsigned count = 0;
+
+    for (size_t i = 0; i < agents_count(agents); i++) {
+        const struct agent_row *row = agents_at(agents, i);
+        bool here = strcmp(row->data_centre, agents->data_centre) == 0;
+        struct candidate candidate = {
+            .row = row,
+            .score = rank_score(row->member, WITNESS_BUCKET),
+        };
+
+        /* Those of other data centres only where there are none here. */
+        candidate.score = candidate.score >> 1 | (here ? 1ull << 63 : 0);
+        if (!row->suspect && row->health.state != ENDPOINT_GONE) {
+            keep_best(best, AGENTS_WITNESSES, &count, &candidate);
+        }
+    }
+    choice_fill(choice, best, count);
+}
+
 bool
 agents_serve(const struct agents *agents, uint32_t service)
 {
--- a/src/relay/steer/steer.c
+++ b/src/relay/steer/steer.c
@@ -215,6 +215,17 @@
     expire(steer, now_us);
 }
 
+void
+steer_ping_witnesses(struct steer *steer)
+{
+    struct agents_choice witnesses;
+
+    agents_witnesses(&steer->agents, &witnesses);
+    for (unsigned i = 0; i < witnesses.count; i++) {
+        steer->out->ops->ping(steer->out, witnesses.addrs[i], false);
+    }
+}
+
 uint64_t
 steer_next_us(const struct steer *steer)
 {
--- a/src/relay/steer/steer.h
+++ b/src/relay/steer/steer.h
@@ -232,6 +232,10 @@
 struct frame_store_view
 steer_store_view(const struct steer *steer);
 
+/** steer_ping_witnesses() - tell and ask agents who reads the store */
+void
+steer_ping_witnesses(struct steer *steer);
+
 /** steer_packet() - a caller's packet came */
 void
 steer_packet(struct steer *steer, const struct relay_packet *packet,
--- a/src/relay/store/follow.c
+++ b/src/relay/store/follow.c
@@ -9,15 +9,17 @@
 #include "base/container.h"
 #include "base/hash.h"
 
-/* How long a watch waits. The platform allows 30 s; each that ends empty
- * costs a call. But a store that falls silent never answers the calls that
+/* How long a watch waits. The platform allows 30 s, but ends a watch with an
+ * error once the revision that it began at has left the history, which is kept
+ * for 20 s or more: the kind is then listed anew. Each that ends empty costs a
+ * call. But a store that falls silent never answers the calls that
  * reached it then, also when it is back, and nothing else shows it. All
  * followers ask again at the same moment after a change: until a watch has
  * ended empty, which only a store that answers can bring about, it is brief,
  * and of different lengths, so that they aren't all lost together. One that
  * isn't tells the others through the agents. After a failure the store may be
  * silent by now: a tenth of what operators give a change to be in force. */
-#define WATCH_WAIT_MS 25000
+#define WATCH_WAIT_MS 15000
 #define WATCH_BRIEF_MS 2000
 #define WATCH_BRIEF_SPREAD_MS 1000
 #define WATCH_FAILED_MS 500
@@ -161,16 +163,16 @@
 make_call(struct follow *follow)
 {
     struct store *store = follow->store;
-    bool listing = follow->state == FOLLOW_LIST;
+    bool first = follow->state == FOLLOW_LIST && follow->revision == 0;
+    enum store_read read = first ? STORE_READ_LATEST : follow->read;
 
-    follow->calls[listing ? STORE_READ_LATEST : follow->read]++;
-    if (listing) {
-        return store->ops->list(store, follow->kind, follow->after,
-                                STORE_READ_LATEST, &follow->call);
+    follow->calls[read]++;
+    if (follow->state == FOLLOW_LIST) {
+        return store->ops->list(store, follow->kind, follow->after, read,
+                                &follow->call);
     }
     return store->ops->watch(store, follow->kind, follow->revision,
-                             watch_wait_ms(follow), follow->read,
-                             &follow->call);
+                             watch_wait_ms(follow), read, &follow->call);
 }
 
 void
--- a/src/relay/store/follow.h
+++ b/src/relay/store/follow.h
@@ -66,8 +66,7 @@
  * @pace: pauses between calls while changes keep coming
  * @gap_us: the last of these
  * @seed: makes the pauses differ between processes
- * @read: how new the changes must be that a watch tells; lists are always
- *        the latest
+ * @read: how new what is read must be; the first list is always the latest
  * @calls: calls made, by enum store_read
  * @eager: the owner can't work without an answer: pauses stay short
  * @status: how the last call ended
--- a/src/relay/store/store_reader.c
+++ b/src/relay/store/store_reader.c
@@ -15,6 +15,14 @@
 #define WINDOW_US (500 * USEC_PER_MSEC)
 #define WINDOW_SPREAD_US (500 * USEC_PER_MSEC)
 
+/* How long witnesses have to answer: several trips between data centres, and
+ * the wait for its turn of a host with a fortieth of a core. */
+#define ANSWER_US (100 * USEC_PER_MSEC)
+
+/* A reader tells the witnesses this often: agents count those that they heard
+ * from in the last second, and one datagram may be lost. */
+#define TELL_US (400 * USEC_PER_MSEC)
+
 /* When there are too few but some, one balancer in this many starts at the end
  * of its window, and of too many one in this many stops: all at once would
  * make many or leave none. Data centres have some 20 balancers. */
@@ -36,6 +44,8 @@
         hash_pair(reader->seed, reader->windows) % WINDOW_SPREAD_US;
 
     reader->others = 0;
+    reader->asked = false;
+    reader->windows++;
     reader->window_us = now_us + WINDOW_US + spread;
 }
 
@@ -108,23 +118,53 @@
     }
 }
 
-void
-store_reader_tick(struct store_reader *reader, uint64_t now_us)
+/* The window is over: who reads in the next. */
+static void
+end_window(struct store_reader *reader, uint64_t now_us)
 {
-    if (now_us < reader->window_us) {
-        return;
+    bool was_reading = reader->reading;
+
+    reader->reading = was_reading ? goes_on(reader) : starts(reader);
+    if (reader->reading && !was_reading) {
+        reader->ping_us = now_us;
     }
-    reader->reading = reader->reading ? goes_on(reader) : starts(reader);
-    reader->windows++;
     begin_window(reader, now_us);
 }
 
+/* Whether the witnesses are asked before the balancer begins to read. */
+static bool
+asks_first(const struct store_reader *reader)
+{
+    return !reader->reading && reader->others == 0 && !reader->asked;
+}
+
+bool
+store_reader_tick(struct store_reader *reader, uint64_t now_us)
+{
+    if (now_us >= reader->window_us) {
+        if (asks_first(reader)) {
+            reader->asked = true;
+            reader->window_us = now_us + ANSWER_US;
+            return true;
+        }
+        end_window(reader, now_us);
+    }
+    if (reader->reading && now_us >= reader->ping_us) {
+        reader->ping_us = now_us + TELL_US;
+        return true;
+    }
+    return false;
+}
+
 uint64_t
 store_reader_next_us(const struct store_reader *reader, uint64_t now_us)
 {
     uint64_t next_us = reader->window_us;
     uint64_t after_us = reader->behind_us;
 
+    if (reader->reading && reader->ping_us < next_us) {
+        next_us = reader->ping_us;
+    }
     if (!is_behind(reader)) {
         return next_us;
     }
--- a/src/relay/store/store_reader.h
+++ b/src/relay/store/store_reader.h
@@ -10,9 +10,11 @@
  *
  * Nobody elects the readers. Agents count the readers that they hear from and
  * tell each balancer how many others there are. A balancer that is told of
- * none for a while becomes one; of more than enough, some of them stop. One
- * that is cut off, frozen or dead isn't heard and so isn't counted. Whoever
- * hears from no agent reads for itself.
+ * none for a while asks some agents that all balancers of its data centre
+ * would ask (the witnesses), and becomes a reader unless they know one; of
+ * more than enough, some stop. Readers tell the witnesses that they are there.
+ * One that is cut off, frozen or dead isn't heard and so isn't counted.
+ * Whoever hears from no agent reads for itself.
  */
 #ifndef SWIFTARCH_RELAY_STORE_STORE_READER_H
 #define SWIFTARCH_RELAY_STORE_STORE_READER_H
@@ -28,8 +30,10 @@
  * @seed: differs between processes
  * @reading: it reads the latest
  * @others: most other readers that an agent told of in this window
+ * @asked: the witnesses were asked in this window
  * @windows: windows that have ended
  * @window_us: when this window ends
+ * @ping_us: when a reader pings the witnesses next
  * @newer: newest configuration that was told of, while it isn't known here
  * @behind_us: since when it is known that there is one, 0 for never
  */
@@ -37,8 +41,10 @@
     uint64_t seed;
     bool reading;
     unsigned others;
+    bool asked;
     uint64_t windows;
     uint64_t window_us;
+    uint64_t ping_us;
     struct frame_version newer;
     uint64_t behind_us;
 };
@@ -60,8 +66,12 @@
 void
 store_reader_took(struct store_reader *reader, uint64_t version);
 
-/** store_reader_tick() - end the window that is over */
-void
+/**
+ * store_reader_tick() - end the window that is over
+ *
+ * Return: whether the witnesses are to be pinged now.
+ */
+bool
 store_reader_tick(struct store_reader *reader, uint64_t now_us);
 
 /** store_reader_next_us() - when store_reader_tick() or another answer of the
--- a/tests/relay/steer_test.c
+++ b/tests/relay/steer_test.c
@@ -641,6 +641,27 @@
     g_assert_cmpuint(site->readers, ==, 3);
 }
 
+TEST_F(site, witnesses_are_the_same_for_all_balancers, 20)
+{
+    struct agents_choice here;
+    struct agents_choice there;
+    struct agents_choice again;
+
+    agents_witnesses(&site->steer.agents, &here);
+    g_assert_cmpuint(here.count, ==, AGENTS_WITNESSES);
+    agents_witnesses(&site->steer.agents, &again);
+    g_assert_cmpmem(&here.addrs, sizeof(here.addrs[0]) * here.count,
+                    &again.addrs, sizeof(again.addrs[0]) * again.count);
+    /* One that doesn't answer is replaced, and the others stay. */
+    agents_missed(&site->steer.agents, here.addrs[0], site->now_us,
+                  site->now_us);
+    agents_witnesses(&site->steer.agents, &there);
+    g_assert_true(addr_equal(there.addrs[0], here.addrs[1]));
+    g_assert_true(addr_equal(there.addrs[1], here.addrs[2]));
+    steer_ping_witnesses(&site->steer);
+    g_assert_cmpuint(site->pings, ==, AGENTS_WITNESSES);
+}
+
 TEST_F(site, frames_say_how_the_balancer_keeps_up_with_the_store, 2)
 {
     site->steer.reads = true;
