Confirm hands on what it finds; agents' lists may be old

The first ping of a new reader said that it doesn't read.

Change: changes that confirm brings go to the follower at once. The agents' list may be old like their watch. What a frame says of reading is worked out before the ping. Of too many readers three in n go on.

--- a/src/relay/program/relay_balancer.c
+++ b/src/relay/program/relay_balancer.c
@@ -74,6 +74,19 @@
            balancer->config_follow.failures == 0;
 }
 
+static void
+log_reader(struct relay_balancer *balancer, bool was_reading)
+{
+    const struct store_reader *reader = &balancer->reader;
+
+    if (reader->reading != was_reading) {
+        event_log_line(&balancer->log, EVENT_RARE,
+                       reader->reading ? "reader_started" : "reader_stopped",
+                       "others=%u config=%" PRIu64, reader->told,
+                       balancer->steer.routes.version);
+    }
+}
+
 static void
 tick_reader(struct relay_balancer *balancer, uint64_t now_us)
 {
@@ -82,31 +95,27 @@
     struct follow *agents = &balancer->agents_follow;
     struct addr self = balancer->settings.share;
     struct addr holder = {reader->newer.holder.ip, self.port};
-
     bool was_reading = reader->reading;
+    bool pings;
 
-    if (store_reader_tick(reader, now_us)) {
+    pings = store_reader_tick(reader, now_us);
+    log_reader(balancer, was_reading);
+    balancer->steer.reads = reader->reading && follow->failures == 0 &&
+                            follow->state == FOLLOW_WATCH;
+    if (pings) {
         steer_ping_witnesses(&balancer->steer);
     }
-    if (reader->reading != was_reading) {
-        event_log_line(
-            &balancer->log, EVENT_RARE, "reader",
-            "reading=%d config=%" PRIu64 " latest_calls=%" PRIu64
-            " old_calls=%" PRIu64 " agents_latest=%" PRIu64
-            " agents_old=%" PRIu64,
-            reader->reading, balancer->steer.routes.version,
-            follow->calls[STORE_READ_LATEST], follow->calls[STORE_READ_ANY],
-            agents->calls[STORE_READ_LATEST], agents->calls[STORE_READ_ANY]);
-    }
+    /* The first is the latest: after a loss of all hosts nobody else would
+     * know that it is old. */
     follow_set_read(follow,
-                    store_reader_read(reader, follow->failures, now_us));
+                    balancer->steer.routes.version == 0
+                        ? STORE_READ_LATEST
+                        : store_reader_read(reader, follow->failures, now_us));
     /* Agents whose objects were taken away are to hear of it soon, from
      * whoever knows first; nothing else waits for this list. */
     follow_set_read(agents, reader->reading && agents->failures == 0
                                 ? STORE_READ_LATEST
                                 : STORE_READ_ANY);
-    balancer->steer.reads = reader->reading && follow->failures == 0 &&
-                            follow->state == FOLLOW_WATCH;
     if (store_reader_asks_peer(reader, follow->failures, now_us) &&
         !addr_equal(holder, self)) {
         share_ask(&balancer->share, holder, now_us);
--- a/src/relay/store/confirm.c
+++ b/src/relay/store/confirm.c
@@ -11,8 +11,11 @@
     struct confirm *confirm = container_of(call, struct confirm, call);
 
     confirm->open = false;
-    /* What has changed comes to the follower too, which says so itself. */
-    if (reply->status == 0 && reply->count == 0 && reply->unreadable == 0 &&
+    if (reply->status == 0 && reply->count > 0) {
+        follow_advance(confirm->follow, confirm->revision, reply);
+        return;
+    }
+    if (reply->status == 0 && reply->unreadable == 0 &&
         confirm->follow->state == FOLLOW_WATCH &&
         confirm->follow->revision >= confirm->revision) {
         confirm->ops->whole(confirm, confirm->asked_us);
@@ -21,7 +24,7 @@
 
 void
 confirm_init(struct confirm *confirm, const struct confirm_ops *ops,
-             struct store *store, const struct follow *follow)
+             struct store *store, struct follow *follow)
 {
     *confirm = (struct confirm){
         .ops = ops,
--- a/src/relay/store/confirm.h
+++ b/src/relay/store/confirm.h
@@ -4,7 +4,8 @@
  * A watch may have been silent for seconds without a sign. Where a decision
  * rests on nothing being missing, a call of its own asks for changes since the
  * revision that the follower knows: none means that the list is whole as of
- * that call.
+ * that call. Changes that it brings instead are handed to the follower, whose
+ * own watch may be told of them seconds later.
  */
 #ifndef SWIFTARCH_RELAY_STORE_CONFIRM_H
 #define SWIFTARCH_RELAY_STORE_CONFIRM_H
@@ -37,7 +38,7 @@
     const struct confirm_ops *ops;
     struct store_call call;
     struct store *store;
-    const struct follow *follow;
+    struct follow *follow;
     bool open;
     uint64_t revision;
     uint64_t asked_us;
@@ -46,7 +47,7 @@
 /** confirm_init() - nothing is asked yet; @store isn't freed here */
 void
 confirm_init(struct confirm *confirm, const struct confirm_ops *ops,
-             struct store *store, const struct follow *follow);
+             struct store *store, struct follow *follow);
 
 /** confirm_ask() - ask, unless a call is open or the list isn't read yet: then
  * nothing is told */
--- a/src/relay/store/follow.c
+++ b/src/relay/store/follow.c
@@ -163,16 +163,15 @@
 make_call(struct follow *follow)
 {
     struct store *store = follow->store;
-    bool first = follow->state == FOLLOW_LIST && follow->revision == 0;
-    enum store_read read = first ? STORE_READ_LATEST : follow->read;
 
-    follow->calls[read]++;
+    follow->calls[follow->read]++;
     if (follow->state == FOLLOW_LIST) {
-        return store->ops->list(store, follow->kind, follow->after, read,
-                                &follow->call);
+        return store->ops->list(store, follow->kind, follow->after,
+                                follow->read, &follow->call);
     }
     return store->ops->watch(store, follow->kind, follow->revision,
-                             watch_wait_ms(follow), read, &follow->call);
+                             watch_wait_ms(follow), follow->read,
+                             &follow->call);
 }
 
 void
@@ -199,16 +198,36 @@
     follow->after = NULL;
 }
 
+/* Ends an open watch; the next begins at once. */
+static void
+watch_anew(struct follow *follow)
+{
+    if (follow->open && follow->state == FOLLOW_WATCH) {
+        follow->store->ops->cancel(follow->store);
+        follow->open = false;
+        follow->next_us = follow->opened_us;
+    }
+}
+
+void
+follow_advance(struct follow *follow, uint64_t since,
+               const struct store_reply *reply)
+{
+    if (follow->state != FOLLOW_WATCH || follow->revision != since) {
+        return;
+    }
+    watch_anew(follow);
+    watch_events(follow, reply);
+}
+
 void
 follow_set_read(struct follow *follow, enum store_read read)
 {
     bool better = read == STORE_READ_LATEST && follow->read == STORE_READ_ANY;
 
     follow->read = read;
-    if (better && follow->open && follow->state == FOLLOW_WATCH) {
-        follow->store->ops->cancel(follow->store);
-        follow->open = false;
-        follow->next_us = follow->opened_us;
+    if (better) {
+        watch_anew(follow);
     }
 }
 
--- a/src/relay/store/follow.h
+++ b/src/relay/store/follow.h
@@ -66,7 +66,7 @@
  * @pace: pauses between calls while changes keep coming
  * @gap_us: the last of these
  * @seed: makes the pauses differ between processes
- * @read: how new what is read must be; the first list is always the latest
+ * @read: how new what is read must be
  * @calls: calls made, by enum store_read
  * @eager: the owner can't work without an answer: pauses stay short
  * @status: how the last call ended
@@ -114,6 +114,15 @@
 void
 follow_set_read(struct follow *follow, enum store_read read);
 
+/**
+ * follow_advance() - take changes that another call brought
+ * @since: revision after which they are; when the follower knows more by now,
+ *         they aren't taken
+ */
+void
+follow_advance(struct follow *follow, uint64_t since,
+               const struct store_reply *reply);
+
 /** follow_tick() - make the call that is due; call it at follow_next_us() */
 void
 follow_tick(struct follow *follow, uint64_t now_us);
--- a/src/relay/store/store_reader.c
+++ b/src/relay/store/store_reader.c
@@ -1,5 +1,7 @@
 #include "relay/store/store_reader.h"
 
+#include <glib.h>
+
 #include "base/clock.h"
 #include "base/hash.h"
 
@@ -23,11 +25,13 @@
  * from in the last second, and one datagram may be lost. */
 #define TELL_US (400 * USEC_PER_MSEC)
 
+/* Of more readers so many go on, by draw. One more than enough: with enough it
+ * would too often be too few. */
+#define READERS_MOST 3
+
 /* When there are too few but some, one balancer in this many starts at the end
- * of its window, and of too many one in this many stops: all at once would
- * make many or leave none. Data centres have some 20 balancers. */
+ * of its window: all at once would be many. Data centres have some 20. */
 #define START_ONE_IN 16
-#define STOP_ONE_IN 4
 
 /* A cheap watch tells within this time of a change as a rule; past it, the
  * latest is read. A tenth of the shortest bound that operators set. */
@@ -43,6 +47,7 @@
     uint64_t spread =
         hash_pair(reader->seed, reader->windows) % WINDOW_SPREAD_US;
 
+    reader->told = reader->others;
     reader->others = 0;
     reader->asked = false;
     reader->windows++;
@@ -61,24 +66,24 @@
     return is_behind(reader) && now_us - reader->behind_us >= us;
 }
 
+/* A draw that comes out true @part times in @whole. */
 static bool
-draw_one_in(const struct store_reader *reader, uint64_t count)
+draw(const struct store_reader *reader, unsigned part, unsigned whole)
 {
-    return hash_pair(reader->windows, reader->seed) % count == 0;
+    return hash_pair(reader->windows, reader->seed) % whole < part;
 }
 
 static bool
 starts(const struct store_reader *reader)
 {
-    return reader->others == 0 || (reader->others < READERS_ENOUGH &&
-                                   draw_one_in(reader, START_ONE_IN));
+    return reader->others == 0 ||
+           (reader->others < READERS_ENOUGH && draw(reader, 1, START_ONE_IN));
 }
 
 static bool
 goes_on(const struct store_reader *reader)
 {
-    return reader->others < READERS_ENOUGH ||
-           !draw_one_in(reader, STOP_ONE_IN);
+    return draw(reader, READERS_MOST, MAX(reader->others + 1, READERS_MOST));
 }
 
 void
--- a/src/relay/store/store_reader.h
+++ b/src/relay/store/store_reader.h
@@ -30,6 +30,7 @@
  * @seed: differs between processes
  * @reading: it reads the latest
  * @others: most other readers that an agent told of in this window
+ * @told: the same of the window before, which decided on @reading
  * @asked: the witnesses were asked in this window
  * @windows: windows that have ended
  * @window_us: when this window ends
@@ -41,6 +42,7 @@
     uint64_t seed;
     bool reading;
     unsigned others;
+    unsigned told;
     bool asked;
     uint64_t windows;
     uint64_t window_us;
