A list never takes back what is known

Change: a list older than what the follower knows is dropped and read as the latest. Only agents that the store named once are told that it doesn't any more.

--- a/src/relay/steer/agents.c
+++ b/src/relay/steer/agents.c
@@ -165,6 +165,7 @@
         agents_ping_now(agents, row, now_us);
     }
     row->listed = true;
+    row->named = true;
     row->unlisted = false;
     g_strlcpy(row->data_centre, data_centre, sizeof(row->data_centre));
 }
@@ -178,7 +179,7 @@
         return;
     }
     row->listed = false;
-    row->unlisted = true;
+    row->unlisted = row->named;
     agents_set_ping(agents, row, now_us);
 }
 
--- a/src/relay/steer/agents.h
+++ b/src/relay/steer/agents.h
@@ -29,6 +29,7 @@
  * @data_centre: where it stands, empty when not known
  * @health: its own last word
  * @listed: the store names it
+ * @named: the store named it once
  * @unlisted: the store named it once and doesn't any more
  * @suspect: it didn't answer when it should have
  * @silent_us: since when, 0 while it isn't suspected
@@ -55,6 +56,7 @@
     char data_centre[AGENT_DATA_CENTRE_MAX];
     struct frame_health health;
     bool listed;
+    bool named;
     bool unlisted;
     bool suspect;
     uint64_t silent_us;
@@ -148,7 +150,10 @@
             const char *data_centre, uint64_t now_us);
 
 /**
- * agents_unlist() - the store names it no more
+ * agents_unlist() - the store doesn't name it, or no more
+ *
+ * One that it named once is told so. One that it never did may be about to be
+ * written, or the list be older than its object.
  *
  * It stays until it has been silent for seconds; for a minute when its
  * endpoint has ended, so that callers of flows there can be told.
--- a/src/relay/store/follow.c
+++ b/src/relay/store/follow.c
@@ -102,6 +102,25 @@
     follow->failures++;
 }
 
+static void
+take(struct follow *follow, const struct store_reply *reply)
+{
+    bool first_page = follow->state == FOLLOW_LIST && follow->after == NULL;
+    bool older = first_page && reply->revision < follow->revision;
+
+    follow->outdated = older && !follow->outdated;
+    if (follow->outdated) {
+        /* Nothing that is known is given up for it. */
+        return;
+    }
+    if (follow->state == FOLLOW_LIST) {
+        list_page(follow, reply);
+    }
+    else {
+        watch_events(follow, reply);
+    }
+}
+
 static void
 on_done(struct store_call *call, const struct store_reply *reply)
 {
@@ -115,12 +134,7 @@
     }
     else {
         follow->failures = 0;
-        if (follow->state == FOLLOW_LIST) {
-            list_page(follow, reply);
-        }
-        else {
-            watch_events(follow, reply);
-        }
+        take(follow, reply);
     }
     /* The pause is counted from the next tick, which knows the time. */
     follow->next_us = 0;
@@ -163,15 +177,15 @@
 make_call(struct follow *follow)
 {
     struct store *store = follow->store;
+    enum store_read read = follow->outdated ? STORE_READ_LATEST : follow->read;
 
-    follow->calls[follow->read]++;
+    follow->calls[read]++;
     if (follow->state == FOLLOW_LIST) {
-        return store->ops->list(store, follow->kind, follow->after,
-                                follow->read, &follow->call);
+        return store->ops->list(store, follow->kind, follow->after, read,
+                                &follow->call);
     }
     return store->ops->watch(store, follow->kind, follow->revision,
-                             watch_wait_ms(follow), follow->read,
-                             &follow->call);
+                             watch_wait_ms(follow), read, &follow->call);
 }
 
 void
--- a/src/relay/store/follow.h
+++ b/src/relay/store/follow.h
@@ -59,6 +59,7 @@
  * @after: last name of a list that goes on, or NULL
  * @revision: the store's revision that is known
  * @list_revision: revision of a list's first page
+ * @outdated: a list was older than what is known: the next is the latest
  * @quiet: the last watch ended empty: the store answers
  * @failures: calls that failed in a row
  * @next_us: when the next call is due
@@ -81,6 +82,7 @@
     char *after;
     uint64_t revision;
     uint64_t list_revision;
+    bool outdated;
     bool quiet;
     unsigned failures;
     uint64_t next_us;
--- a/tests/relay/follow_test.c
+++ b/tests/relay/follow_test.c
@@ -510,6 +510,41 @@
     answer(site, 0, 40, NULL, false);
 }
 
+TEST_F(site, a_list_that_is_older_than_what_is_known_is_read_anew)
+{
+    site->follow.read = STORE_READ_ANY;
+    follow_tick(&site->follow, site->now_us);
+    answer(site, 0, 30, NULL, false);
+    wait_for_call(site);
+    answer(site, -ESTALE, 0, NULL, false);
+    wait_for_call(site);
+    g_string_truncate(site->record, 0);
+    answer(site, 0, 28, "a", false);
+    wait_for_call(site);
+    rig_expect(site->record, "reached", "list kind -", NULL);
+    answer(site, 0, 31, "b", false);
+    wait_for_call(site);
+    rig_expect(site->record, "listing", "object b", "listed",
+               "watch kind 31 any", NULL);
+}
+
+/* Then the store itself has lost what it knew. */
+TEST_F(site, the_latest_list_is_taken_whatever_its_revision)
+{
+    follow_tick(&site->follow, site->now_us);
+    answer(site, 0, 30, NULL, false);
+    wait_for_call(site);
+    answer(site, -ESTALE, 0, NULL, false);
+    wait_for_call(site);
+    answer(site, 0, 5, NULL, false);
+    wait_for_call(site);
+    g_string_truncate(site->record, 0);
+    answer(site, 0, 5, "a", false);
+    wait_for_call(site);
+    rig_expect(site->record, "listing", "object a", "listed", "watch kind 5",
+               NULL);
+}
+
 TEST_F(site, reads_may_be_old_where_the_owner_says_so)
 {
     site->follow.read = STORE_READ_ANY;
--- a/tests/relay/steer_test.c
+++ b/tests/relay/steer_test.c
@@ -632,6 +632,20 @@
     rig_expect(site->record, "behind 7", NULL);
 }
 
+/* A list may be older than the object of an agent that has just started. */
+TEST_F(site, an_agent_that_the_store_never_named_is_not_told_so, 2)
+{
+    struct addr fresh = agent_addr(7);
+
+    agents_heard(&site->steer.agents, fresh,
+                 &(struct frame_health){.service = hash_service("lots")},
+                 site->now_us);
+    agents_unlist(&site->steer.agents, fresh, site->now_us);
+    steer_tick(&site->steer, site->now_us);
+    g_assert_cmpuint(site->pings, >, 0);
+    g_assert_false(site->unlisted);
+}
+
 TEST_F(site, how_many_others_read_the_store_is_told, 2)
 {
     say(site, 1,
