SYNs that come before a balancer knows enough are kept

Callers send again after 0.2, 0.4 and 0.8 s, so that requests which could be in time are late.

Ruled out: keeping packets of open flows (only an endpoint can say what becomes of them); first come first served (the copies are late already).

Change: syn_queue keeps one SYN a flow for up to 0.4 s, and hands out the youngest first once configuration and list are known. What is kept too long is dropped and counted as before. The test of SYNs without configuration now expects the drop after 0.4 s instead of at once.

--- a/src/relay/steer/steer.c
+++ b/src/relay/steer/steer.c
@@ -127,6 +127,34 @@
     }
 }
 
+/* Whether a SYN can go somewhere, or will go nowhere for as long as it would
+ * be kept. */
+static bool
+knows_enough(const struct steer *steer)
+{
+    if (steer->routes.version == 0 && steer->learned.count == 0) {
+        return false;
+    }
+    return steer->agents.listed_once || steer_ready(steer);
+}
+
+/* Sends what came early; the youngest first, as the others are late. */
+static void
+send_early(struct steer *steer, uint64_t now_us)
+{
+    struct relay_packet packet;
+
+    while (syn_queue_take_over(&steer->early, now_us, &packet)) {
+        steer_drop_packet(steer, STEER_DROP_NO_CONFIG, &packet);
+    }
+    if (!knows_enough(steer)) {
+        return;
+    }
+    while (syn_queue_take(&steer->early, now_us, &packet)) {
+        steer_packet(steer, &packet, now_us);
+    }
+}
+
 void
 steer_packet(struct steer *steer, const struct relay_packet *packet,
              uint64_t now_us)
@@ -139,6 +167,10 @@
         steer_drop_packet(steer, STEER_DROP_MALFORMED, packet);
         return;
     }
+    if (relay_packet_opens(packet) && !knows_enough(steer) &&
+        syn_queue_put(&steer->early, packet, now_us)) {
+        return;
+    }
     route = route_of(steer, packet);
     if (route == NULL) {
         return;
@@ -211,6 +243,9 @@
     while (agents_ping_due(&steer->agents, now_us, &agent, &unlisted)) {
         steer->out->ops->ping(steer->out, agent, unlisted);
     }
+    if (steer->early.count > 0) {
+        send_early(steer, now_us);
+    }
     steer_lost_tick(steer, now_us);
     expire(steer, now_us);
 }
--- a/src/relay/steer/steer.h
+++ b/src/relay/steer/steer.h
@@ -23,6 +23,7 @@
 #include "relay/wire/frame.h"
 #include "relay/wire/packet.h"
 #include "relay/steer/routes.h"
+#include "relay/steer/syn_queue.h"
 
 /* Endpoints that answered one SYN, at most: one for each try that was only
  * slow; more are not remembered. */
@@ -180,6 +181,7 @@
  * @waits: SYNs whose agent hasn't answered, in the order they fall due
  * @wait_first: first of them
  * @wait_count: how many
+ * @early: SYNs that came before anybody was known to take them
  * @lost: open flows that no search has found
  */
 struct steer {
@@ -195,6 +197,7 @@
     struct steer_wait *waits;
     uint32_t wait_first;
     uint32_t wait_count;
+    struct syn_queue early;
     struct steer_lost lost;
 };
 
--- a/tests/relay/steer_test.c
+++ b/tests/relay/steer_test.c
@@ -607,6 +607,9 @@
 
     routes_finish(&site->steer.routes);
     arrive(site, syn);
+    rig_expect(site->record, NULL);
+    site->now_us += 400 * USEC_PER_MSEC;
+    steer_tick(&site->steer, site->now_us);
     rig_expect(site->record, "drop 1", NULL);
     g_assert_false(steer_ready(&site->steer));
     steer_served(&site->steer, &served);
@@ -623,6 +626,44 @@
     g_assert_cmpuint(site->steer.learned.count, ==, 0);
 }
 
+/* A host that starts takes packets before it has read the configuration. */
+TEST_F(site, early_syns_are_sent_once_a_configuration_is_known, 2)
+{
+    struct relay_packet syn = rig_from_caller(rig_flow(1), RELAY_SYN, 9, 0, 0);
+    struct relay_packet ack =
+        rig_from_caller(rig_flow(2), RELAY_ACK, 9, 77, 40);
+
+    routes_finish(&site->steer.routes);
+    syn.patience_ms = 1400;
+    arrive(site, syn);
+    arrive(site, ack);
+    /* Only an endpoint can say what becomes of a flow that is open. */
+    rig_expect(site->record, "drop 1", NULL);
+    site->now_us += 50 * USEC_PER_MSEC;
+    steer_tick(&site->steer, site->now_us);
+    g_assert_cmpuint(site->carried, ==, 0);
+    set_routes(site, 3, false);
+    steer_tick(&site->steer, site->now_us);
+    g_assert_cmpuint(site->carried, ==, 1);
+    g_assert_cmpuint(site->frame.patience_ms, ==, 1350);
+    steer_tick(&site->steer, site->now_us);
+    g_assert_cmpuint(site->carried, ==, 1);
+}
+
+TEST_F(site, early_syns_wait_for_the_list_of_agents_too, 0)
+{
+    struct relay_packet syn = rig_from_caller(rig_flow(1), RELAY_SYN, 9, 0, 0);
+
+    syn.patience_ms = 1400;
+    site->steer.agents.listed_once = false;
+    arrive(site, syn);
+    rig_expect(site->record, NULL);
+    agents_list(&site->steer.agents, agent_addr(1), hash_service("lots"),
+                "here", site->now_us);
+    steer_tick(&site->steer, site->now_us);
+    g_assert_cmpuint(site->carried, ==, 1);
+}
+
 TEST_F(site, a_newer_configuration_elsewhere_is_told, 2)
 {
     say(site, 1,
--- /dev/null
+++ b/tests/relay/syn_queue_test.c
@@ -0,0 +1,104 @@
+/* Load: after a loss of all hosts, callers' first SYNs and copies come to
+ * balancers that have yet to read the configuration. */
+#include "base/clock.h"
+#include "lib/harness.h"
+#include "relay/relay_rig.h"
+#include "relay/steer/syn_queue.h"
+
+#define SUITE "/relay/syn_queue"
+#define MS USEC_PER_MSEC
+#define START_US USEC_PER_SEC
+
+static struct syn_queue queue;
+
+static struct relay_packet
+syn_of(unsigned caller, uint16_t age_ms)
+{
+    struct relay_packet packet =
+        rig_from_caller(rig_flow(caller), RELAY_SYN, 100, 0, 0);
+
+    packet.age_ms = age_ms;
+    packet.patience_ms = (uint16_t)(1400 - age_ms);
+    return packet;
+}
+
+static bool
+put(unsigned caller, uint16_t age_ms, uint64_t now_us)
+{
+    struct relay_packet packet = syn_of(caller, age_ms);
+
+    return syn_queue_put(&queue, &packet, now_us);
+}
+
+/* Port of the caller whose SYN is handed out, 0 for none. */
+static unsigned
+take(uint64_t now_us, struct relay_packet *packet)
+{
+    return syn_queue_take(&queue, now_us, packet) ? packet->from.port : 0;
+}
+
+TEST(the_youngest_request_goes_first)
+{
+    struct relay_packet packet;
+
+    queue.count = 0;
+    g_assert_true(put(1, 600, START_US));
+    g_assert_true(put(2, 0, START_US + 10 * MS));
+    g_assert_true(put(3, 200, START_US + 20 * MS));
+    g_assert_true(put(4, 0, START_US + 90 * MS));
+    g_assert_cmpuint(take(START_US + 100 * MS, &packet), ==,
+                     rig_flow(4).caller.port);
+    g_assert_cmpuint(take(START_US + 100 * MS, &packet), ==,
+                     rig_flow(2).caller.port);
+    g_assert_cmpuint(packet.age_ms, ==, 90);
+    g_assert_cmpuint(packet.patience_ms, ==, 1310);
+    g_assert_cmpuint(packet.size, ==, RIG_DATA);
+    g_assert_cmpuint(take(START_US + 100 * MS, &packet), ==,
+                     rig_flow(3).caller.port);
+    g_assert_cmpuint(take(START_US + 100 * MS, &packet), ==,
+                     rig_flow(1).caller.port);
+    g_assert_cmpuint(take(START_US + 100 * MS, &packet), ==, 0);
+}
+
+TEST(a_copy_takes_the_place_of_the_one_before)
+{
+    struct relay_packet packet;
+
+    queue.count = 0;
+    g_assert_true(put(1, 0, START_US));
+    g_assert_true(put(1, 200, START_US + 200 * MS));
+    g_assert_cmpuint(take(START_US + 250 * MS, &packet), ==,
+                     rig_flow(1).caller.port);
+    g_assert_cmpuint(packet.age_ms, ==, 250);
+    g_assert_cmpuint(take(START_US + 250 * MS, &packet), ==, 0);
+}
+
+TEST(none_is_kept_for_long_or_beyond_its_callers_patience)
+{
+    struct relay_packet packet;
+
+    queue.count = 0;
+    g_assert_true(put(1, 0, START_US));
+    g_assert_true(put(2, 1300, START_US));
+    g_assert_false(
+        syn_queue_take_over(&queue, START_US + 99 * MS, &packet));
+    g_assert_true(
+        syn_queue_take_over(&queue, START_US + 100 * MS, &packet));
+    g_assert_cmpuint(packet.from.port, ==, rig_flow(2).caller.port);
+    g_assert_false(
+        syn_queue_take_over(&queue, START_US + 399 * MS, &packet));
+    g_assert_true(
+        syn_queue_take_over(&queue, START_US + 400 * MS, &packet));
+    g_assert_cmpuint(queue.count, ==, 0);
+}
+
+TEST(a_full_queue_takes_copies_only)
+{
+    queue.count = 0;
+    for (unsigned i = 0; i < SYN_QUEUE_MAX; i++) {
+        g_assert_true(put(i, 0, START_US));
+    }
+    g_assert_false(put(SYN_QUEUE_MAX, 0, START_US));
+    g_assert_true(put(7, 200, START_US + 200 * MS));
+    g_assert_cmpuint(queue.count, ==, SYN_QUEUE_MAX);
+}
