A balancer's start costs a third fewer instructions

Cause: callgrind of a start with 204 agents: a log line for each agent of the list 15% of 10.4 million instructions, freeing the answer 18%, rounds over agents to ping that look at each again 8%, names read by sscanf and written again 10%.

Figures: 10.4 -> 7.2 million instructions, of them 0.9 after the host is ready. Processor time of a start on this machine 2.55 -> 2.2 ms.

--- a/src/relay/program/relay_balancer_store.c
+++ b/src/relay/program/relay_balancer_store.c
@@ -161,10 +161,15 @@
     }
     agents_list(&balancer->steer.agents, presence.addr,
                 hash_service(presence.service), presence.data_centre, now_us);
-    event_log_line(&balancer->log, EVENT_ROUTINE, "agent_listed",
-                   "agent=%s service=%s data_centre=%s revision=%" PRIu64,
-                   object->name, presence.service, presence.data_centre,
-                   object->revision);
+    /* A list has one line for all: a line each costs a host that starts, with
+     * two hundred agents, a seventh of the processor time until it is ready.
+     */
+    if (follow->state == FOLLOW_WATCH) {
+        event_log_line(&balancer->log, EVENT_ROUTINE, "agent_listed",
+                       "agent=%s service=%s data_centre=%s revision=%" PRIu64,
+                       object->name, presence.service, presence.data_centre,
+                       object->revision);
+    }
 }
 
 static void
@@ -176,6 +181,9 @@
     uint64_t now_us = loop_now_us(&balancer->loop);
 
     agents_listed(agents);
+    event_log_line(&balancer->log, EVENT_RARE, "agents_listed",
+                   "agents=%zu revision=%" PRIu64, agents_count(agents),
+                   follow->revision);
     /* Backwards: a row that is removed gives its place to the last. */
     for (size_t i = agents_count(agents); i-- > 0;) {
         if (!agents_at(agents, i)->listed) {
--- a/src/relay/steer/agents.h
+++ b/src/relay/steer/agents.h
@@ -9,6 +9,7 @@
 #ifndef SWIFTARCH_RELAY_STEER_AGENTS_H
 #define SWIFTARCH_RELAY_STEER_AGENTS_H
 
+#include <limits.h>
 #include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
@@ -108,6 +109,9 @@
  * time. */
 #define AGENTS_WITNESSES 3
 
+/* More than there can be to ping. */
+#define AGENTS_ALL_PINGS UINT_MAX
+
 /* Above all ranks: a search from the likeliest agent on. */
 #define AGENTS_ALL UINT64_MAX
 
@@ -189,6 +193,8 @@
 
 /**
  * agents_ping_due() - an agent to ping now
+ * @left: places that are still to be looked at; AGENTS_ALL_PINGS at first, so
+ *        that a round looks at each once
  * @addr: its address
  * @unlisted: whether it is to be told that the store doesn't name it any
  *            more
@@ -196,8 +202,8 @@
  * Return: false when none is due.
  */
 bool
-agents_ping_due(struct agents *agents, uint64_t now_us, struct addr *addr,
-                bool *unlisted);
+agents_ping_due(struct agents *agents, unsigned *left, uint64_t now_us,
+                struct addr *addr, bool *unlisted);
 
 /** agents_next_ping_us() - when the next ping is due, UINT64_MAX for never */
 uint64_t
--- a/src/relay/steer/agents_reach.c
+++ b/src/relay/steer/agents_reach.c
@@ -108,11 +108,13 @@
 }
 
 bool
-agents_ping_due(struct agents *agents, uint64_t now_us, struct addr *addr,
-                bool *unlisted)
+agents_ping_due(struct agents *agents, unsigned *left, uint64_t now_us,
+                struct addr *addr, bool *unlisted)
 {
-    for (guint i = agents->pinged->len; i-- > 0;) {
-        struct agent_row *row = g_ptr_array_index(agents->pinged, i);
+    /* A row that is removed gives its place to the last, which was looked at.
+     */
+    for (*left = MIN(*left, agents->pinged->len); *left > 0;) {
+        struct agent_row *row = g_ptr_array_index(agents->pinged, --*left);
 
         if (row->ping_us > now_us) {
             continue;
--- a/src/relay/steer/steer.c
+++ b/src/relay/steer/steer.c
@@ -229,6 +229,7 @@
 void
 steer_tick(struct steer *steer, uint64_t now_us)
 {
+    unsigned left = AGENTS_ALL_PINGS;
     struct addr agent;
     bool unlisted;
 
@@ -240,7 +241,7 @@
         steer->wait_count--;
         steer_wait_over(steer, &wait, now_us);
     }
-    while (agents_ping_due(&steer->agents, now_us, &agent, &unlisted)) {
+    while (agents_ping_due(&steer->agents, &left, now_us, &agent, &unlisted)) {
         steer->out->ops->ping(steer->out, agent, unlisted);
     }
     if (steer->early.count > 0) {
--- a/src/relay/steer/syn_queue.c
+++ b/src/relay/steer/syn_queue.c
@@ -47,8 +47,7 @@
 {
     unsigned at = 0;
 
-    while (at < queue->count &&
-           !same_flow(&queue->items[at].packet, packet)) {
+    while (at < queue->count && !same_flow(&queue->items[at].packet, packet)) {
         at++;
     }
     return at;
--- a/src/relay/store/presence.c
+++ b/src/relay/store/presence.c
@@ -2,7 +2,6 @@
 
 #include <errno.h>
 #include <stddef.h>
-#include <stdio.h>
 #include <string.h>
 
 #include <glib.h>
@@ -42,20 +41,43 @@
                addr.port);
 }
 
+/* Digits and then @end; a number up to @most, without zeros before it. */
+static bool
+read_part(const char **at, char end, unsigned most, unsigned *part)
+{
+    const char *first = *at;
+
+    *part = 0;
+    while (g_ascii_isdigit(**at) && *part <= most) {
+        *part = *part * 10 + (unsigned)(*(*at)++ - '0');
+    }
+    if (*at == first || *part > most || **at != end ||
+        (*first == '0' && *at - first > 1)) {
+        return false;
+    }
+    *at += end != '\0';
+    return true;
+}
+
 int
 presence_addr(const char *name, struct addr *addr)
 {
-    unsigned part[5];
-    char check[PRESENCE_NAME_MAX];
+    unsigned port;
+
+    addr->ip = 0;
+    for (unsigned i = 0; i < 4; i++) {
+        unsigned part;
 
-    if (sscanf(name, "%3u-%3u-%3u-%3u-%5u", &part[0], &part[1], &part[2],
-               &part[3], &part[4]) != 5) {
+        if (!read_part(&name, '-', UINT8_MAX, &part)) {
+            return -EINVAL;
+        }
+        addr->ip = addr->ip << 8 | part;
+    }
+    if (!read_part(&name, '\0', UINT16_MAX, &port)) {
         return -EINVAL;
     }
-    addr->ip = part[0] << 24 | part[1] << 16 | part[2] << 8 | part[3];
-    addr->port = (uint16_t)part[4];
-    presence_name(*addr, check);
-    return strcmp(check, name) == 0 ? 0 : -EINVAL;
+    addr->port = (uint16_t)port;
+    return 0;
 }
 
 int
--- a/tests/relay/follow_test.c
+++ b/tests/relay/follow_test.c
@@ -450,6 +450,12 @@
     g_assert_cmpint(presence_addr("10-1-0-13", &addr), ==, -EINVAL);
     g_assert_cmpint(presence_addr("10-1-0-13-8172x", &addr), ==, -EINVAL);
     g_assert_cmpint(presence_addr("300-1-0-13-8172", &addr), ==, -EINVAL);
+    g_assert_cmpint(presence_addr("10-01-0-13-8172", &addr), ==, -EINVAL);
+    g_assert_cmpint(presence_addr("10-1-0-13-99999999999", &addr), ==,
+                    -EINVAL);
+    g_assert_cmpint(presence_addr("10-1--13-8172", &addr), ==, -EINVAL);
+    g_assert_cmpint(presence_addr("", &addr), ==, -EINVAL);
+    g_assert_cmpint(presence_addr("0-0-0-0-0", &addr), ==, 0);
     g_assert_cmpint(presence_decode("10-1-0-13-8172", NULL, &read), ==,
                     -EINVAL);
 }
