Callers of an address without a route are refused at once

Cause: a SYN to an address that the configuration doesn't have was dropped, and its caller waited 1.4 s for nothing; the users ask that what is known to be hopeless is rejected at once.

Ruled out: resets of later copies and of open flows (another balancer may have a route, and an endpoint the flow); resets by a balancer that may be behind.

Change: the first SYN is reset if the balancer reads the latest or was told within a second of others that do, and of no newer configuration.

A test with each case.

--- a/src/relay/program/relay_balancer.c
+++ b/src/relay/program/relay_balancer.c
@@ -102,6 +102,8 @@
     log_reader(balancer, was_reading);
     balancer->steer.reads = reader->reading && follow->failures == 0 &&
                             follow->state == FOLLOW_WATCH;
+    balancer->steer.current =
+        store_reader_is_current(reader, follow->failures, now_us);
     if (pings) {
         steer_ping_witnesses(&balancer->steer);
     }
--- a/src/relay/program/relay_balancer_out.c
+++ b/src/relay/program/relay_balancer_out.c
@@ -96,7 +96,10 @@
 static void
 out_readers(struct steer_out *out, unsigned others)
 {
-    store_reader_others(&of_out(out)->reader, others);
+    struct relay_balancer *balancer = of_out(out);
+
+    store_reader_others(&balancer->reader, others,
+                        loop_now_us(&balancer->loop));
 }
 
 static void
--- a/src/relay/steer/steer.c
+++ b/src/relay/steer/steer.c
@@ -89,6 +89,24 @@
     return true;
 }
 
+/* Nothing stands at the packet's address. A caller that would open a flow
+ * there is told at once, rather than after the 1.4 s that it waits; but not by
+ * a balancer that may not have the latest configuration, and not after its
+ * first SYN: another balancer may have had an earlier copy and a route. */
+static void
+refuse(struct steer *steer, const struct relay_packet *packet)
+{
+    bool known = steer->routes.version != 0;
+
+    steer_drop_packet(
+        steer, known ? STEER_DROP_NO_ROUTE : STEER_DROP_NO_CONFIG, packet);
+    if (known && steer->current && relay_packet_opens(packet) &&
+        packet->age_ms == 0) {
+        steer->out->ops->reset(steer->out, relay_flow_from_caller(packet),
+                               packet->ack);
+    }
+}
+
 /* Route of a packet, or NULL when it was dropped for the lack of one. */
 static const struct route *
 route_of(struct steer *steer, const struct relay_packet *packet)
@@ -97,10 +115,7 @@
         routes_find(steer_routes_in_force(steer), packet->to);
 
     if (route == NULL) {
-        steer_drop_packet(steer,
-                          steer->routes.version != 0 ? STEER_DROP_NO_ROUTE
-                                                     : STEER_DROP_NO_CONFIG,
-                          packet);
+        refuse(steer, packet);
     }
     return route;
 }
--- a/src/relay/steer/steer.h
+++ b/src/relay/steer/steer.h
@@ -59,8 +59,8 @@
     /** @carry: send a caller's packet to an agent */
     void (*carry)(struct steer_out *out, struct addr agent,
                   const struct frame_carry *frame);
-    /** @reset: tell a caller that its flow is over; @seq: what it last
-     * acknowledged */
+    /** @reset: tell a caller that its flow is over, or won't open; @seq: what
+     * it last acknowledged */
     void (*reset)(struct steer_out *out, struct relay_flow flow, uint32_t seq);
     /** @ping: ask an agent for its word; @unlisted: tell it that the store
      * doesn't name it any more */
@@ -172,6 +172,7 @@
  * @out: where outputs go
  * @self: address that agents answer to
  * @reads: this balancer reads the store's latest, and the store answers
+ * @current: no newer configuration can have been known to others for long
  * @agents: the agents
  * @routes: configuration in force
  * @learned: what agents saw, used while there is no configuration
@@ -188,6 +189,7 @@
     struct steer_out *out;
     struct addr self;
     bool reads;
+    bool current;
     struct agents agents;
     struct routes routes;
     struct routes learned;
--- a/src/relay/store/store_reader.c
+++ b/src/relay/store/store_reader.c
@@ -41,6 +41,10 @@
  * or away, and the balancer that has the configuration is asked. */
 #define ASK_AFTER_US (600 * USEC_PER_MSEC)
 
+/* How long an agent's word that somebody reads the latest counts: it would
+ * have told of a newer configuration with the same word. */
+#define CURRENT_US (1 * USEC_PER_SEC)
+
 static void
 begin_window(struct store_reader *reader, uint64_t now_us)
 {
@@ -94,8 +98,12 @@
 }
 
 void
-store_reader_others(struct store_reader *reader, unsigned others)
+store_reader_others(struct store_reader *reader, unsigned others,
+                    uint64_t now_us)
 {
+    if (others > 0) {
+        reader->heard_us = now_us;
+    }
     if (others > reader->others) {
         reader->others = others;
     }
@@ -190,6 +198,17 @@
                : STORE_READ_ANY;
 }
 
+bool
+store_reader_is_current(const struct store_reader *reader, unsigned failures,
+                        uint64_t now_us)
+{
+    bool reads = reader->reading && failures == 0;
+    bool told =
+        reader->heard_us != 0 && now_us - reader->heard_us < CURRENT_US;
+
+    return !is_behind(reader) && (reads || told);
+}
+
 bool
 store_reader_asks_peer(const struct store_reader *reader, unsigned failures,
                        uint64_t now_us)
--- a/src/relay/store/store_reader.h
+++ b/src/relay/store/store_reader.h
@@ -31,6 +31,7 @@
  * @reading: it reads the latest
  * @others: most other readers that an agent told of in this window
  * @told: the same of the window before, which decided on @reading
+ * @heard_us: when an agent last told of a reader, 0 for never
  * @asked: the witnesses were asked in this window
  * @windows: windows that have ended
  * @window_us: when this window ends
@@ -43,6 +44,7 @@
     bool reading;
     unsigned others;
     unsigned told;
+    uint64_t heard_us;
     bool asked;
     uint64_t windows;
     uint64_t window_us;
@@ -57,7 +59,8 @@
 
 /** store_reader_others() - an agent has heard from @others readers of late */
 void
-store_reader_others(struct store_reader *reader, unsigned others);
+store_reader_others(struct store_reader *reader, unsigned others,
+                    uint64_t now_us);
 
 /** store_reader_newer() - some balancer has a newer configuration */
 void
@@ -90,6 +93,16 @@
 store_reader_read(const struct store_reader *reader, unsigned failures,
                   uint64_t now_us);
 
+/**
+ * store_reader_is_current() - whether no newer configuration can have been in
+ * force elsewhere for longer than a second or so
+ *
+ * It reads the latest, or was told of others that do, and of no newer one.
+ */
+bool
+store_reader_is_current(const struct store_reader *reader, unsigned failures,
+                        uint64_t now_us);
+
 /** store_reader_asks_peer() - whether the balancer that is known to have a
  * newer configuration is to be asked for it: the store can't be, or doesn't
  * say */
--- a/tests/relay/readers_world_test.c
+++ b/tests/relay/readers_world_test.c
@@ -96,7 +96,7 @@
     if (is_away(world, front)) {
         return;
     }
-    store_reader_others(&front->reader, status->readers);
+    store_reader_others(&front->reader, status->readers, world->now_us);
     if (status->heard.version > front->version) {
         store_reader_newer(&front->reader, &status->heard, world->now_us);
     }
--- a/tests/relay/steer_test.c
+++ b/tests/relay/steer_test.c
@@ -664,6 +664,28 @@
     g_assert_cmpuint(site->carried, ==, 1);
 }
 
+TEST_F(site, callers_of_an_address_without_a_route_are_refused_at_once, 2)
+{
+    struct relay_flow flow = rig_flow(1);
+    struct relay_packet syn;
+
+    flow.service = rig_addr("198.18.0.9:443");
+    syn = rig_from_caller(flow, RELAY_SYN, 9, 0, 0);
+    /* A newer configuration may have the route. */
+    arrive(site, syn);
+    rig_expect(site->record, "drop 2", NULL);
+    site->steer.current = true;
+    arrive(site, syn);
+    rig_expect(site->record, "drop 2", "reset 1001 at 0", NULL);
+    /* The first copy may have found an endpoint through another balancer. */
+    syn.age_ms = 200;
+    arrive(site, syn);
+    rig_expect(site->record, "drop 2", NULL);
+    /* A flow that is open may be of a route that was here. */
+    arrive(site, rig_from_caller(flow, RELAY_ACK, 9, 77, 40));
+    rig_expect(site->record, "drop 2", NULL);
+}
+
 TEST_F(site, a_newer_configuration_elsewhere_is_told, 2)
 {
     say(site, 1,
--- a/tests/relay/store_reader_test.c
+++ b/tests/relay/store_reader_test.c
@@ -31,7 +31,7 @@
 {
     for (unsigned i = 0; i < ms; i++) {
         site->now_us += MS;
-        store_reader_others(&site->reader, others);
+        store_reader_others(&site->reader, others, site->now_us);
         site->pings += store_reader_tick(&site->reader, site->now_us);
     }
 }
@@ -127,6 +127,25 @@
     g_assert_cmpint(read_now(site), ==, STORE_READ_ANY);
 }
 
+TEST_F(site, who_hears_of_a_reader_and_of_nothing_newer_is_current)
+{
+    struct frame_version newer = {9, rig_addr("10.9.0.3:7720")};
+
+    g_assert_false(store_reader_is_current(&site->reader, 0, site->now_us));
+    pass_ms(site, 1, 1);
+    g_assert_true(store_reader_is_current(&site->reader, 0, site->now_us));
+    store_reader_newer(&site->reader, &newer, site->now_us);
+    g_assert_false(store_reader_is_current(&site->reader, 0, site->now_us));
+    store_reader_took(&site->reader, 9);
+    g_assert_true(store_reader_is_current(&site->reader, 0, site->now_us));
+    pass_ms(site, 1001, 0);
+    site->reader.reading = false;
+    g_assert_false(store_reader_is_current(&site->reader, 0, site->now_us));
+    site->reader.reading = true;
+    g_assert_true(store_reader_is_current(&site->reader, 0, site->now_us));
+    g_assert_false(store_reader_is_current(&site->reader, 1, site->now_us));
+}
+
 TEST_F(site, without_the_store_a_peer_is_asked_at_once)
 {
     struct frame_version newer = {9, rig_addr("10.9.0.3:7720")};
