--- a/bench/relay/bench_relay.c
+++ b/bench/relay/bench_relay.c
@@ -311,7 +311,10 @@
         .bytes = bytes,
         .size = sizeof(bytes),
     };
-    struct heartbeat beat = {"i-1", hash_service("lots"), false, 1024, 0, 1};
+    struct heartbeat beat = {.id = "i-1",
+                             .service = hash_service("lots"),
+                             .slots = 1024,
+                             .sequence = 1};
     double open = 0, known = 0;
 
     for (unsigned repeat = 0; repeat < REPEATS; repeat++) {
