While the store is away few balancers try it

Ruled out: longer pauses for all (the end of an outage would be noticed late).

Change: frames and agents' words tell readers that try from those that reach the store. Only those that would read try it each 0.8 s; the others each 3.2 s, and within 0.3 s of the first word that somebody reaches it. A reader that is cut off alone leaves its part to one that isn't.

--- a/bench/relay/bench_relay.c
+++ b/bench/relay/bench_relay.c
@@ -63,7 +63,7 @@
 }
 
 static void
-steer_readers(struct steer_out *out, unsigned others)
+steer_readers(struct steer_out *out, struct frame_readers others)
 {
 }
 
--- a/src/relay/door/door_tell.c
+++ b/src/relay/door/door_tell.c
@@ -15,18 +15,20 @@
  * packet. */
 #define READER_FRESH_US (1 * USEC_PER_SEC)
 
-/* Balancers but for @but that read the latest of the store. */
-static uint8_t
+/* Balancers but for @but that read the latest of the store, or try to. */
+static struct frame_readers
 count_readers(const struct door *door, struct addr but, uint64_t now_us)
 {
-    uint8_t count = 0;
+    struct frame_readers count = {0};
 
     for (unsigned i = 0; i < door->balancer_count; i++) {
         const struct door_balancer *balancer = &door->balancers[i];
 
-        count += balancer->view.reads &&
-                 now_us - balancer->heard_us < READER_FRESH_US &&
-                 !addr_equal(balancer->addr, but);
+        if (now_us - balancer->heard_us < READER_FRESH_US &&
+            !addr_equal(balancer->addr, but)) {
+            count.reading += balancer->view.reader == FRAME_READER_READS;
+            count.trying += balancer->view.reader == FRAME_READER_TRIES;
+        }
     }
     return count;
 }
--- a/src/relay/program/relay_balancer.c
+++ b/src/relay/program/relay_balancer.c
@@ -82,7 +82,8 @@
     if (reader->reading != was_reading) {
         event_log_line(&balancer->log, EVENT_RARE,
                        reader->reading ? "reader_started" : "reader_stopped",
-                       "others=%u config=%" PRIu64, reader->told,
+                       "others=%u trying=%u config=%" PRIu64,
+                       reader->told.reading, reader->told.trying,
                        balancer->steer.routes.version);
     }
 }
@@ -98,10 +99,11 @@
     bool was_reading = reader->reading;
     bool pings;
 
-    pings = store_reader_tick(reader, now_us);
+    pings = store_reader_tick(reader, follow->failures, now_us);
     log_reader(balancer, was_reading);
-    balancer->steer.reads = reader->reading && follow->failures == 0 &&
-                            follow->state == FOLLOW_WATCH;
+    balancer->steer.reader = store_reader_part(reader, follow->failures);
+    follow->patient = !reader->reading;
+    agents->patient = !reader->reading;
     balancer->steer.current =
         store_reader_is_current(reader, follow->failures, now_us);
     if (pings) {
--- a/src/relay/program/relay_balancer_out.c
+++ b/src/relay/program/relay_balancer_out.c
@@ -94,12 +94,14 @@
 }
 
 static void
-out_readers(struct steer_out *out, unsigned others)
+out_readers(struct steer_out *out, struct frame_readers others)
 {
     struct relay_balancer *balancer = of_out(out);
+    uint64_t now_us = loop_now_us(&balancer->loop);
 
-    store_reader_others(&balancer->reader, others,
-                        loop_now_us(&balancer->loop));
+    if (store_reader_others(&balancer->reader, others, now_us)) {
+        follow_retry(&balancer->config_follow, now_us);
+    }
 }
 
 static void
--- a/src/relay/steer/steer.h
+++ b/src/relay/steer/steer.h
@@ -73,9 +73,8 @@
     void (*confirm)(struct steer_out *out, uint64_t now_us);
     /** @behind: some balancer follows a newer configuration */
     void (*behind)(struct steer_out *out, const struct frame_version *newer);
-    /** @readers: an agent has heard from @others other balancers that read
-     * the store's latest */
-    void (*readers)(struct steer_out *out, unsigned others);
+    /** @readers: an agent tells who else reads the store's latest */
+    void (*readers)(struct steer_out *out, struct frame_readers others);
     /** @dropped: a packet was dropped; @packet may be NULL */
     void (*dropped)(struct steer_out *out, enum steer_drop why,
                     const struct relay_packet *packet);
@@ -171,7 +170,7 @@
  * struct steer - state of a balancer
  * @out: where outputs go
  * @self: address that agents answer to
- * @reads: this balancer reads the store's latest, and the store answers
+ * @reader: this balancer's part in reading the store's latest
  * @current: no newer configuration can have been known to others for long
  * @agents: the agents
  * @routes: configuration in force
@@ -188,7 +187,7 @@
 struct steer {
     struct steer_out *out;
     struct addr self;
-    bool reads;
+    enum frame_reader reader;
     bool current;
     struct agents agents;
     struct routes routes;
--- a/src/relay/steer/steer_pin.c
+++ b/src/relay/steer/steer_pin.c
@@ -38,7 +38,8 @@
 struct frame_store_view
 steer_store_view(const struct steer *steer)
 {
-    return (struct frame_store_view){steer->routes.version, steer->reads};
+    return (struct frame_store_view){steer->routes.version,
+                                     (uint8_t)steer->reader};
 }
 
 /* A frame for @packet that may go on along @choice from @from on. */
--- a/src/relay/store/follow.c
+++ b/src/relay/store/follow.c
@@ -35,13 +35,29 @@
  * request. */
 #define PAUSE_EAGER_US (150 * USEC_PER_MSEC)
 
+/* The longest for an owner that is told when others reach the store again, and
+ * within what time it then tries: what an outage costs grows with those that
+ * look for its end, not with the fleet. Its end goes unnoticed for no longer
+ * than operators give a change to be in force. */
+#define PAUSE_PATIENT_US (3200 * USEC_PER_MSEC)
+#define RETRY_WITHIN_US (300 * USEC_PER_MSEC)
+
 /* Pauses differ by up to a quarter between processes. */
 #define JITTER_PARTS 4
 
+static uint64_t
+longest_pause(const struct follow *follow)
+{
+    if (follow->eager) {
+        return PAUSE_EAGER_US;
+    }
+    return follow->patient ? PAUSE_PATIENT_US : PAUSE_LONGEST_US;
+}
+
 static uint64_t
 pause_after(const struct follow *follow)
 {
-    uint64_t longest_us = follow->eager ? PAUSE_EAGER_US : PAUSE_LONGEST_US;
+    uint64_t longest_us = longest_pause(follow);
     uint64_t pause_us = PAUSE_FIRST_US;
     uint64_t jitter;
 
@@ -245,6 +261,17 @@
     }
 }
 
+void
+follow_retry(struct follow *follow, uint64_t now_us)
+{
+    uint64_t soon_us =
+        now_us + hash_pair(follow->seed, now_us) % RETRY_WITHIN_US;
+
+    if (follow->failures > 0 && !follow->open && follow->next_us > soon_us) {
+        follow->next_us = soon_us;
+    }
+}
+
 void
 follow_tick(struct follow *follow, uint64_t now_us)
 {
--- a/src/relay/store/follow.h
+++ b/src/relay/store/follow.h
@@ -69,6 +69,7 @@
  * @seed: makes the pauses differ between processes
  * @read: how new what is read must be
  * @calls: calls made, by enum store_read
+ * @patient: somebody else finds out when the store is back: pauses get long
  * @eager: the owner can't work without an answer: pauses stay short
  * @status: how the last call ended
  */
@@ -92,6 +93,7 @@
     uint64_t seed;
     enum store_read read;
     uint64_t calls[STORE_READ_COUNT];
+    bool patient;
     bool eager;
     int status;
 };
@@ -125,6 +127,10 @@
 follow_advance(struct follow *follow, uint64_t since,
                const struct store_reply *reply);
 
+/** follow_retry() - the store answers others again: don't wait for long */
+void
+follow_retry(struct follow *follow, uint64_t now_us);
+
 /** follow_tick() - make the call that is due; call it at follow_next_us() */
 void
 follow_tick(struct follow *follow, uint64_t now_us);
--- a/src/relay/store/store_reader.c
+++ b/src/relay/store/store_reader.c
@@ -52,7 +52,7 @@
         hash_pair(reader->seed, reader->windows) % WINDOW_SPREAD_US;
 
     reader->told = reader->others;
-    reader->others = 0;
+    reader->others = (struct frame_readers){0};
     reader->asked = false;
     reader->windows++;
     reader->window_us = now_us + WINDOW_US + spread;
@@ -77,17 +77,33 @@
     return hash_pair(reader->windows, reader->seed) % whole < part;
 }
 
+/* Other readers that count: one that can't reach the store leaves the part to
+ * those that can, and shares it with those that can't either. */
+static unsigned
+others_like(const struct store_reader *reader, unsigned failures)
+{
+    return failures == 0 ? reader->others.reading
+                         : reader->others.reading + reader->others.trying;
+}
+
 static bool
-starts(const struct store_reader *reader)
+starts(const struct store_reader *reader, unsigned failures)
 {
-    return reader->others == 0 ||
-           (reader->others < READERS_ENOUGH && draw(reader, 1, START_ONE_IN));
+    unsigned others = others_like(reader, failures);
+
+    return others == 0 ||
+           (others < READERS_ENOUGH && draw(reader, 1, START_ONE_IN));
 }
 
 static bool
-goes_on(const struct store_reader *reader)
+goes_on(const struct store_reader *reader, unsigned failures)
 {
-    return draw(reader, READERS_MOST, MAX(reader->others + 1, READERS_MOST));
+    unsigned others = others_like(reader, failures);
+
+    if (failures > 0 && reader->others.reading > 0) {
+        return false;
+    }
+    return draw(reader, READERS_MOST, MAX(others + 1, READERS_MOST));
 }
 
 void
@@ -97,16 +113,29 @@
     begin_window(reader, now_us);
 }
 
-void
-store_reader_others(struct store_reader *reader, unsigned others,
+bool
+store_reader_others(struct store_reader *reader, struct frame_readers others,
                     uint64_t now_us)
 {
-    if (others > 0) {
-        reader->heard_us = now_us;
+    bool known =
+        reader->heard_us != 0 && now_us - reader->heard_us < CURRENT_US;
+
+    reader->others.reading = MAX(reader->others.reading, others.reading);
+    reader->others.trying = MAX(reader->others.trying, others.trying);
+    if (others.reading == 0) {
+        return false;
     }
-    if (others > reader->others) {
-        reader->others = others;
+    reader->heard_us = now_us;
+    return !known;
+}
+
+enum frame_reader
+store_reader_part(const struct store_reader *reader, unsigned failures)
+{
+    if (!reader->reading) {
+        return FRAME_READER_NONE;
     }
+    return failures == 0 ? FRAME_READER_READS : FRAME_READER_TRIES;
 }
 
 void
@@ -133,11 +162,12 @@
 
 /* The window is over: who reads in the next. */
 static void
-end_window(struct store_reader *reader, uint64_t now_us)
+end_window(struct store_reader *reader, unsigned failures, uint64_t now_us)
 {
     bool was_reading = reader->reading;
 
-    reader->reading = was_reading ? goes_on(reader) : starts(reader);
+    reader->reading =
+        was_reading ? goes_on(reader, failures) : starts(reader, failures);
     if (reader->reading && !was_reading) {
         reader->ping_us = now_us;
     }
@@ -146,21 +176,23 @@
 
 /* Whether the witnesses are asked before the balancer begins to read. */
 static bool
-asks_first(const struct store_reader *reader)
+asks_first(const struct store_reader *reader, unsigned failures)
 {
-    return !reader->reading && reader->others == 0 && !reader->asked;
+    return !reader->reading && others_like(reader, failures) == 0 &&
+           !reader->asked;
 }
 
 bool
-store_reader_tick(struct store_reader *reader, uint64_t now_us)
+store_reader_tick(struct store_reader *reader, unsigned failures,
+                  uint64_t now_us)
 {
     if (now_us >= reader->window_us) {
-        if (asks_first(reader)) {
+        if (asks_first(reader, failures)) {
             reader->asked = true;
             reader->window_us = now_us + ANSWER_US;
             return true;
         }
-        end_window(reader, now_us);
+        end_window(reader, failures, now_us);
     }
     if (reader->reading && now_us >= reader->ping_us) {
         reader->ping_us = now_us + TELL_US;
--- a/src/relay/store/store_reader.h
+++ b/src/relay/store/store_reader.h
@@ -15,6 +15,9 @@
  * more than enough, some stop. Readers tell the witnesses that they are there.
  * One that is cut off, frozen or dead isn't heard and so isn't counted.
  * Whoever hears from no agent reads for itself.
+ *
+ * While the store is away only the readers try it often. The others try again
+ * once they are told of a reader that reaches it.
  */
 #ifndef SWIFTARCH_RELAY_STORE_STORE_READER_H
 #define SWIFTARCH_RELAY_STORE_STORE_READER_H
@@ -29,7 +32,8 @@
  * struct store_reader - one balancer's part
  * @seed: differs between processes
  * @reading: it reads the latest
- * @others: most other readers that an agent told of in this window
+ * @others: most other readers, of either kind, that an agent told of in this
+ *          window
  * @told: the same of the window before, which decided on @reading
  * @heard_us: when an agent last told of a reader, 0 for never
  * @asked: the witnesses were asked in this window
@@ -42,8 +46,8 @@
 struct store_reader {
     uint64_t seed;
     bool reading;
-    unsigned others;
-    unsigned told;
+    struct frame_readers others;
+    struct frame_readers told;
     uint64_t heard_us;
     bool asked;
     uint64_t windows;
@@ -57,11 +61,20 @@
 void
 store_reader_init(struct store_reader *reader, uint64_t seed, uint64_t now_us);
 
-/** store_reader_others() - an agent has heard from @others readers of late */
-void
-store_reader_others(struct store_reader *reader, unsigned others,
+/**
+ * store_reader_others() - an agent told of other readers
+ *
+ * Return: whether the store is known to answer again, after a while in which
+ * nobody was known to reach it.
+ */
+bool
+store_reader_others(struct store_reader *reader, struct frame_readers others,
                     uint64_t now_us);
 
+/** store_reader_part() - what frames say of this balancer */
+enum frame_reader
+store_reader_part(const struct store_reader *reader, unsigned failures);
+
 /** store_reader_newer() - some balancer has a newer configuration */
 void
 store_reader_newer(struct store_reader *reader,
@@ -73,11 +86,13 @@
 
 /**
  * store_reader_tick() - end the window that is over
+ * @failures: calls to the store that failed in a row
  *
  * Return: whether the witnesses are to be pinged now.
  */
 bool
-store_reader_tick(struct store_reader *reader, uint64_t now_us);
+store_reader_tick(struct store_reader *reader, unsigned failures,
+                  uint64_t now_us);
 
 /** store_reader_next_us() - when store_reader_tick() or another answer of the
  * functions below is due */
--- a/src/relay/wire/frame.c
+++ b/src/relay/wire/frame.c
@@ -93,7 +93,7 @@
 put_view(struct writer *writer, const struct frame_store_view *view)
 {
     put(writer, view->version, 8);
-    put(writer, view->reads, 1);
+    put(writer, view->reader, 1);
 }
 
 static struct frame_store_view
@@ -101,7 +101,7 @@
 {
     uint64_t version = get(reader, 8);
 
-    return (struct frame_store_view){version, get(reader, 1) != 0};
+    return (struct frame_store_view){version, (uint8_t)get(reader, 1)};
 }
 
 size_t
@@ -144,7 +144,8 @@
     carry->best = get_addr(&reader);
     carry->best_load = (uint16_t)get(&reader, 2);
     carry->next_count = (uint8_t)get(&reader, 1);
-    if (reader.short_of || carry->next_count > FRAME_NEXT_MAX) {
+    if (reader.short_of || carry->next_count > FRAME_NEXT_MAX ||
+        carry->view.reader > FRAME_READER_MAX) {
         return -EBADMSG;
     }
     for (unsigned i = 0; i < carry->next_count; i++) {
@@ -188,7 +189,8 @@
     put(&writer, status->health.slots, 1);
     put(&writer, status->health.failing, 1);
     put_version(&writer, &status->heard);
-    put(&writer, status->readers, 1);
+    put(&writer, status->readers.reading, 1);
+    put(&writer, status->readers.trying, 1);
     return (size_t)(writer.at - bytes);
 }
 
@@ -210,7 +212,8 @@
     status->health.slots = (uint8_t)get(&reader, 1);
     status->health.failing = get(&reader, 1) != 0;
     get_version(&reader, &status->heard);
-    status->readers = (uint8_t)get(&reader, 1);
+    status->readers.reading = (uint8_t)get(&reader, 1);
+    status->readers.trying = (uint8_t)get(&reader, 1);
     if (reader.short_of || reader.left != 0 ||
         status->reason > FRAME_REASON_MAX ||
         status->health.state > ENDPOINT_STATE_MAX) {
@@ -272,7 +275,8 @@
     ask->round = (uint32_t)get(&reader, 4);
     ask->view = get_view(&reader);
     ask->count = (uint8_t)get(&reader, 1);
-    if (reader.short_of || ask->count > FRAME_ASK_MAX) {
+    if (reader.short_of || ask->count > FRAME_ASK_MAX ||
+        ask->view.reader > FRAME_READER_MAX) {
         return -EBADMSG;
     }
     for (unsigned i = 0; i < ask->count; i++) {
@@ -328,5 +332,8 @@
 
     ping->view = get_view(&reader);
     ping->unlisted = get(&reader, 1) != 0;
-    return reader.short_of || reader.left != 0 ? -EBADMSG : 0;
+    return reader.short_of || reader.left != 0 ||
+                   ping->view.reader > FRAME_READER_MAX
+               ? -EBADMSG
+               : 0;
 }
--- a/src/relay/wire/frame.h
+++ b/src/relay/wire/frame.h
@@ -84,14 +84,33 @@
     struct addr holder;
 };
 
+/** enum frame_reader - a balancer's part in reading the store's latest */
+enum frame_reader {
+    FRAME_READER_NONE = 0,  /* it leaves that to others */
+    FRAME_READER_READS = 1, /* it reads, and the store answers */
+    FRAME_READER_TRIES = 2, /* it would, and the store doesn't answer */
+    FRAME_READER_MAX = FRAME_READER_TRIES,
+};
+
 /**
  * struct frame_store_view - how a balancer keeps up with the store
  * @version: configuration that it follows, 0 for none
- * @reads: it reads the latest, and the store answers
+ * @reader: enum frame_reader
  */
 struct frame_store_view {
     uint64_t version;
-    bool reads;
+    uint8_t reader;
+};
+
+/**
+ * struct frame_readers - balancers but for the addressee that an agent heard
+ * from of late
+ * @reading: those that read the store's latest
+ * @trying: those that try to
+ */
+struct frame_readers {
+    uint8_t reading;
+    uint8_t trying;
 };
 
 /**
@@ -149,8 +168,7 @@
  * @seq: for FRAME_PLACED, sequence number of the endpoint's SYN+ACK
  * @health: the endpoint
  * @heard: newest configuration that the agent has heard of
- * @readers: balancers but for the addressee that read the store's latest and
- *           that the agent heard from of late
+ * @readers: who reads the store
  */
 struct frame_status {
     uint8_t type;
@@ -160,7 +178,7 @@
     uint32_t seq;
     struct frame_health health;
     struct frame_version heard;
-    uint8_t readers;
+    struct frame_readers readers;
 };
 
 /* Addresses that one frame tells. */
--- a/tests/relay/door_known_test.c
+++ b/tests/relay/door_known_test.c
@@ -86,14 +86,20 @@
 
 TEST_F(site, balancers_that_read_the_store_are_counted_for_the_others)
 {
-    struct frame_ping reads = {.view = {4, true}};
-    struct frame_ping reads_not = {.view = {4, false}};
+    struct frame_ping reads = {.view = {4, FRAME_READER_READS}};
+    struct frame_ping reads_not = {.view = {4, FRAME_READER_NONE}};
+    struct frame_ping tries = {.view = {4, FRAME_READER_TRIES}};
     struct addr second = rig_addr("10.9.0.2:7720");
 
     door_ping(&site->door, rig_addr(SITE_BALANCER), &reads, site->now_us);
     g_assert_cmpuint(site->readers, ==, 0);
     door_ping(&site->door, second, &reads_not, site->now_us);
     g_assert_cmpuint(site->readers, ==, 1);
+    door_ping(&site->door, rig_addr(SITE_BALANCER), &tries, site->now_us);
+    door_ping(&site->door, second, &reads_not, site->now_us);
+    g_assert_cmpuint(site->readers, ==, 0);
+    g_assert_cmpuint(site->trying, ==, 1);
+    door_ping(&site->door, rig_addr(SITE_BALANCER), &reads, site->now_us);
     /* One that wasn't heard from for a second may be gone. */
     site->now_us += 1100 * USEC_PER_MSEC;
     door_ping(&site->door, second, &reads, site->now_us);
--- a/tests/relay/door_site.c
+++ b/tests/relay/door_site.c
@@ -53,7 +53,8 @@
         [FRAME_STATE] = "state",
     };
 
-    of_out(out)->readers = status->readers;
+    of_out(out)->readers = status->readers.reading;
+    of_out(out)->trying = status->readers.trying;
     rig_note(of_out(out)->record, "tell %s reason=%u on=%d busy=%u state=%u",
              types[status->type], status->reason, status->target.ip != 0,
              status->health.busy, status->health.state);
--- a/tests/relay/door_site.h
+++ b/tests/relay/door_site.h
@@ -22,6 +22,7 @@
  * @record: a line for each output
  * @now_us: the time
  * @readers: readers of the store that a balancer was told of last
+ * @trying: those that try to read it
  */
 struct site {
     struct door_out out;
@@ -29,6 +30,7 @@
     GString *record;
     uint64_t now_us;
     unsigned readers;
+    unsigned trying;
 };
 
 void
--- a/tests/relay/follow_test.c
+++ b/tests/relay/follow_test.c
@@ -281,6 +281,24 @@
     g_assert_cmpuint(calls, <, 20);
 }
 
+TEST_F(site, whoever_is_told_of_its_return_tries_rarely_and_then_soon)
+{
+    unsigned waited = 0;
+
+    site->follow.patient = true;
+    follow_tick(&site->follow, site->now_us);
+    for (unsigned i = 0; i < 12; i++) {
+        answer(site, -EBUSY, 0, NULL, false);
+        waited = wait_for_call(site);
+    }
+    g_assert_cmpuint(waited, >=, 3200);
+    g_assert_cmpuint(waited, <=, 4000);
+    answer(site, -EBUSY, 0, NULL, false);
+    follow_tick(&site->follow, site->now_us);
+    follow_retry(&site->follow, site->now_us);
+    g_assert_cmpuint(wait_for_call(site), <=, 300);
+}
+
 TEST_F(site, pauses_stay_short_for_who_cannot_work_without)
 {
     site->follow.eager = true;
--- a/tests/relay/frame_test.c
+++ b/tests/relay/frame_test.c
@@ -16,7 +16,7 @@
     struct frame_carry carry = {
         .service = 0x11223344,
         .origin = rig_addr("10.9.0.1:7720"),
-        .view = {1ull << 40, true},
+        .view = {1ull << 40, FRAME_READER_TRIES},
         .forced = true,
         .target_ms = 100,
         .priority = 3,
@@ -47,7 +47,7 @@
     g_assert_cmpuint(read.service, ==, carry.service);
     g_assert_true(addr_equal(read.origin, carry.origin));
     g_assert_cmpuint(read.view.version, ==, carry.view.version);
-    g_assert_true(read.view.reads);
+    g_assert_cmpuint(read.view.reader, ==, FRAME_READER_TRIES);
     g_assert_true(read.forced);
     g_assert_cmpuint(read.target_ms, ==, 100);
     g_assert_cmpuint(read.priority, ==, 3);
@@ -81,7 +81,7 @@
         .seq = 77,
         .health = {9, ENDPOINT_READY, 3, 2, true},
         .heard = {12, rig_addr("10.9.0.3:7720")},
-        .readers = 2,
+        .readers = {2, 3},
     };
     struct frame_status read;
     uint8_t bytes[FRAME_HEAD_MAX];
@@ -96,12 +96,13 @@
     g_assert_cmpuint(read.health.busy, ==, 3);
     g_assert_true(read.health.failing);
     g_assert_cmpuint(read.heard.version, ==, 12);
-    g_assert_cmpuint(read.readers, ==, 2);
+    g_assert_cmpuint(read.readers.reading, ==, 2);
+    g_assert_cmpuint(read.readers.trying, ==, 3);
 }
 
 TEST(pings_and_served_addresses_come_back)
 {
-    struct frame_ping ping = {{4, true}, true};
+    struct frame_ping ping = {{4, FRAME_READER_TRIES}, true};
     struct frame_ping read = {0};
     struct frame_served served = {
         .service = 3, .addrs = {rig_addr("198.18.0.1:80")}, .count = 1};
@@ -111,7 +112,7 @@
 
     g_assert_cmpint(frame_ping_decode(bytes, size, &read), ==, 0);
     g_assert_true(read.unlisted);
-    g_assert_true(read.view.reads);
+    g_assert_cmpuint(read.view.reader, ==, FRAME_READER_TRIES);
     g_assert_cmpuint(read.view.version, ==, 4);
     size = frame_served_encode(&served, bytes);
     g_assert_cmpint(frame_served_decode(bytes, size, &told), ==, 0);
@@ -119,6 +120,19 @@
     g_assert_true(addr_equal(told.addrs[0], served.addrs[0]));
 }
 
+TEST(a_part_in_reading_that_is_not_known_is_refused)
+{
+    struct frame_ping ping = {{4, FRAME_READER_MAX + 1}, true};
+    struct frame_carry carry = sample_carry();
+    uint8_t bytes[FRAME_MAX];
+    size_t size = frame_ping_encode(&ping, bytes);
+
+    g_assert_cmpint(frame_ping_decode(bytes, size, &ping), ==, -EBADMSG);
+    carry.view.reader = FRAME_READER_MAX + 1;
+    size = frame_carry_encode(&carry, bytes);
+    g_assert_cmpint(frame_carry_decode(bytes, size, &carry), ==, -EBADMSG);
+}
+
 TEST(foreign_datagrams_are_refused)
 {
     uint8_t bytes[FRAME_MAX + 1] = {0};
@@ -205,7 +219,7 @@
 sample_ask(void)
 {
     struct frame_ask ask = {.round = 0x01020304,
-                            .view = {1ull << 40, true},
+                            .view = {1ull << 40, FRAME_READER_TRIES},
                             .count = FRAME_ASK_MAX};
 
     for (unsigned i = 0; i < FRAME_ASK_MAX; i++) {
@@ -226,7 +240,7 @@
     g_assert_cmpint(frame_ask_decode(bytes, size, &read), ==, 0);
     g_assert_cmpuint(read.round, ==, ask.round);
     g_assert_cmpuint(read.view.version, ==, ask.view.version);
-    g_assert_true(read.view.reads);
+    g_assert_cmpuint(read.view.reader, ==, FRAME_READER_TRIES);
     g_assert_cmpuint(read.count, ==, FRAME_ASK_MAX);
     for (unsigned i = 0; i < FRAME_ASK_MAX; i++) {
         g_assert_true(relay_flow_equal(read.flows[i], ask.flows[i]));
--- a/tests/relay/readers_world_test.c
+++ b/tests/relay/readers_world_test.c
@@ -187,7 +187,7 @@
     struct front *front = &world->fronts[number];
     struct frame_ping ping = {
         .view = {front->version,
-                 front->reader.reading && failures(world, front) == 0},
+                 store_reader_part(&front->reader, failures(world, front))},
     };
 
     door_ping(&world->hosts[host].door, front_addr(number), &ping,
@@ -233,7 +233,8 @@
                 front->whole_us = world->now_us;
                 continue;
             }
-            if (store_reader_tick(&front->reader, world->now_us)) {
+            if (store_reader_tick(&front->reader, failures(world, front),
+                                  world->now_us)) {
                 for (unsigned w = 0; w < WITNESSES; w++) {
                     ping_host(world, i, w);
                 }
--- a/tests/relay/steer_test.c
+++ b/tests/relay/steer_test.c
@@ -89,9 +89,9 @@
 }
 
 static void
-readers(struct steer_out *out, unsigned others)
+readers(struct steer_out *out, struct frame_readers others)
 {
-    ((struct site *)out)->readers = others;
+    ((struct site *)out)->readers = others.reading;
 }
 
 static void
@@ -714,7 +714,7 @@
     say(site, 1,
         (struct frame_status){.type = FRAME_STATE,
                               .health.state = ENDPOINT_READY,
-                              .readers = 3});
+                              .readers = {3, 1}});
     g_assert_cmpuint(site->readers, ==, 3);
 }
 
@@ -741,9 +741,9 @@
 
 TEST_F(site, frames_say_how_the_balancer_keeps_up_with_the_store, 2)
 {
-    site->steer.reads = true;
+    site->steer.reader = FRAME_READER_READS;
     arrive(site, rig_from_caller(rig_flow(1), RELAY_SYN, 100, 0, 0));
-    g_assert_true(site->frame.view.reads);
+    g_assert_cmpuint(site->frame.view.reader, ==, FRAME_READER_READS);
     g_assert_cmpuint(site->frame.view.version, ==, site->steer.routes.version);
 }
 
--- a/tests/relay/store_reader_test.c
+++ b/tests/relay/store_reader_test.c
@@ -6,11 +6,15 @@
 #define SUITE "/relay/store_reader"
 #define MS USEC_PER_MSEC
 
-/** struct site - a balancer's reader; how often it pinged the witnesses */
+/** struct site - a balancer's reader; how often it pinged the witnesses and
+ * was told that the store is back, and how many of its calls failed in a row
+ */
 struct site {
     struct store_reader reader;
     uint64_t now_us;
     unsigned pings;
+    unsigned news;
+    unsigned failures;
 };
 
 static void
@@ -25,17 +29,24 @@
 {
 }
 
-/* Time passes; agents tell of @others readers all the while. */
+/* Time passes; agents tell of other readers all the while. */
 static void
-pass_ms(struct site *site, unsigned ms, unsigned others)
+pass_with(struct site *site, unsigned ms, struct frame_readers others)
 {
     for (unsigned i = 0; i < ms; i++) {
         site->now_us += MS;
-        store_reader_others(&site->reader, others, site->now_us);
-        site->pings += store_reader_tick(&site->reader, site->now_us);
+        site->news += store_reader_others(&site->reader, others, site->now_us);
+        site->pings +=
+            store_reader_tick(&site->reader, site->failures, site->now_us);
     }
 }
 
+static void
+pass_ms(struct site *site, unsigned ms, unsigned reading)
+{
+    pass_with(site, ms, (struct frame_readers){.reading = (uint8_t)reading});
+}
+
 static enum store_read
 read_now(const struct site *site)
 {
@@ -146,6 +157,49 @@
     g_assert_false(store_reader_is_current(&site->reader, 1, site->now_us));
 }
 
+TEST_F(site, while_the_store_is_away_a_few_try_it)
+{
+    const struct frame_readers tried = {.trying = 2};
+
+    site->failures = 1;
+    pass_with(site, 20000, tried);
+    g_assert_false(site->reader.reading);
+    pass_with(site, 2000, (struct frame_readers){0});
+    g_assert_true(site->reader.reading);
+    g_assert_cmpint(store_reader_part(&site->reader, 1), ==,
+                    FRAME_READER_TRIES);
+    pass_with(site, 20000, (struct frame_readers){.trying = 5});
+    g_assert_false(site->reader.reading);
+    /* Whoever reaches it doesn't leave it to those that can't. */
+    site->failures = 0;
+    pass_with(site, 2000, tried);
+    g_assert_true(site->reader.reading);
+    g_assert_cmpint(store_reader_part(&site->reader, 0), ==,
+                    FRAME_READER_READS);
+}
+
+TEST_F(site, one_that_is_cut_off_leaves_reading_to_those_that_are_not)
+{
+    pass_ms(site, 2000, 0);
+    g_assert_true(site->reader.reading);
+    site->failures = 2;
+    pass_ms(site, 1100, 1);
+    g_assert_false(site->reader.reading);
+    g_assert_cmpint(store_reader_part(&site->reader, 2), ==,
+                    FRAME_READER_NONE);
+}
+
+TEST_F(site, the_first_reader_after_a_while_is_news)
+{
+    pass_ms(site, 1, 1);
+    g_assert_cmpuint(site->news, ==, 1);
+    pass_ms(site, 5000, 1);
+    g_assert_cmpuint(site->news, ==, 1);
+    pass_ms(site, 1100, 0);
+    pass_ms(site, 10, 2);
+    g_assert_cmpuint(site->news, ==, 2);
+}
+
 TEST_F(site, without_the_store_a_peer_is_asked_at_once)
 {
     struct frame_version newer = {9, rig_addr("10.9.0.3:7720")};
--- a/tests/relay/world_fronts.c
+++ b/tests/relay/world_fronts.c
@@ -82,7 +82,7 @@
 }
 
 static void
-readers(struct steer_out *out, unsigned others)
+readers(struct steer_out *out, struct frame_readers others)
 {
 }
 
