--- a/src/relay/store/follow.c
+++ b/src/relay/store/follow.c
@@ -89,6 +89,7 @@
     /* Changes made between two pages are watched for from the first. */
     follow->revision = follow->list_revision;
     follow->state = FOLLOW_WATCH;
+    follow->outdated = false;
     follow->ops->listed(follow);
 }
 
@@ -109,7 +110,10 @@
 {
     follow->quiet = false;
     if (status == -ESTALE) {
+        /* A list that may be old could be as old as what is known: watches
+         * from there would fail again and again. */
         follow->state = FOLLOW_LIST;
+        follow->outdated = true;
     }
     if (follow->state == FOLLOW_LIST) {
         g_free(follow->after);
@@ -124,9 +128,9 @@
     bool first_page = follow->state == FOLLOW_LIST && follow->after == NULL;
     bool older = first_page && reply->revision < follow->revision;
 
-    follow->outdated = older && !follow->outdated;
-    if (follow->outdated) {
+    if (older && !follow->outdated) {
         /* Nothing that is known is given up for it. */
+        follow->outdated = true;
         return;
     }
     if (follow->state == FOLLOW_LIST) {
--- a/src/relay/store/follow.h
+++ b/src/relay/store/follow.h
@@ -59,7 +59,8 @@
  * @after: last name of a list that goes on, or NULL
  * @revision: the store's revision that is known
  * @list_revision: revision of a list's first page
- * @outdated: a list was older than what is known: the next is the latest
+ * @outdated: what is known has left the store's history, or a list was older
+ *            than it: the next list is the latest
  * @quiet: the last watch ended empty: the store answers
  * @failures: calls that failed in a row
  * @next_us: when the next call is due
