follow becomes watcher

Cause: the field calls what lists and then watches a watcher; "follow" had to be learned here. No behaviour changes; the rename is by words.

--- a/bench/relay/bench_store.c
+++ b/bench/relay/bench_store.c
@@ -15,7 +15,7 @@
 
 #include "base/clock.h"
 #include "base/container.h"
-#include "relay/store/follow.h"
+#include "relay/store/watcher.h"
 
 #define STEP_US (5 * USEC_PER_MSEC)
 #define LAST_S 600
@@ -26,19 +26,19 @@
 #define AGENT_LIFE_US (1000 * 3600 * USEC_PER_SEC)
 
 /* As balancers have them. */
-static const struct follow_pace paces[KINDS] = {
+static const struct watcher_pace paces[KINDS] = {
     {25 * USEC_PER_MSEC, 300 * USEC_PER_MSEC},
     {100 * USEC_PER_MSEC, 1 * USEC_PER_SEC},
 };
 
 /**
- * struct watcher - a connection to the store, and what is followed on it
+ * struct client - a connection to the store, and what is followed on it
  * @call: the open watch, or NULL
  * @until_us: when it ends empty
  */
-struct watcher {
+struct client {
     struct store store;
-    struct follow follow;
+    struct watcher watcher;
     struct store_call *call;
     uint64_t until_us;
 };
@@ -62,37 +62,37 @@
 store_watch(struct store *store, const char *kind, uint64_t from,
             unsigned wait_ms, enum store_read read, struct store_call *call)
 {
-    struct watcher *watcher = container_of(store, struct watcher, store);
+    struct client *client = container_of(store, struct client, store);
 
     calls++;
-    watcher->call = call;
-    watcher->until_us = now_us + wait_ms * USEC_PER_MSEC;
+    client->call = call;
+    client->until_us = now_us + wait_ms * USEC_PER_MSEC;
     return 0;
 }
 
 static const struct store_ops store_ops = {store_list, store_watch};
 
 static void
-ignore(struct follow *follow)
+ignore(struct watcher *watcher)
 {
 }
 
 static void
-ignore_object(struct follow *follow, const struct store_object *object)
+ignore_object(struct watcher *watcher, const struct store_object *object)
 {
 }
 
 static void
-ignore_end(struct follow *follow, int status, bool changed)
+ignore_end(struct watcher *watcher, int status, bool changed)
 {
 }
 
-static const struct follow_ops follow_ops = {ignore, ignore_object, ignore,
-                                             ignore_end};
+static const struct watcher_ops watcher_ops = {ignore, ignore_object, ignore,
+                                               ignore_end};
 
 /* Ends the watch, with a change or empty. */
 static void
-answer(struct watcher *watcher, bool change)
+answer(struct client *client, bool change)
 {
     struct store_object object = {.name = "a", .revision = revision};
     struct store_reply reply = {
@@ -100,36 +100,36 @@
         .objects = &object,
         .count = change,
     };
-    struct store_call *call = watcher->call;
+    struct store_call *call = client->call;
 
-    watcher->call = NULL;
+    client->call = NULL;
     call->done(call, &reply);
 }
 
 static void
-change(struct watcher *watchers, size_t balancers, unsigned kind)
+change(struct client *clients, size_t balancers, unsigned kind)
 {
     revision++;
     for (size_t i = 0; i < balancers; i++) {
-        struct watcher *watcher = &watchers[i * KINDS + kind];
+        struct client *client = &clients[i * KINDS + kind];
 
-        if (watcher->call != NULL) {
-            answer(watcher, true);
+        if (client->call != NULL) {
+            answer(client, true);
         }
     }
 }
 
 static void
-step(struct watcher *watchers, size_t balancers)
+step(struct client *clients, size_t balancers)
 {
     now_us += STEP_US;
     for (size_t i = 0; i < balancers * KINDS; i++) {
-        struct watcher *watcher = &watchers[i];
+        struct client *client = &clients[i];
 
-        if (watcher->call != NULL && now_us >= watcher->until_us) {
-            answer(watcher, false);
+        if (client->call != NULL && now_us >= client->until_us) {
+            answer(client, false);
         }
-        follow_tick(&watcher->follow, now_us);
+        watcher_tick(&client->watcher, now_us);
     }
 }
 
@@ -139,37 +139,37 @@
 {
     size_t balancers = members / 2;
     uint64_t agent_gap_us = AGENT_LIFE_US / (members - balancers);
-    struct watcher *watchers = g_new0(struct watcher, balancers * KINDS);
+    struct client *clients = g_new0(struct client, balancers * KINDS);
     uint64_t config_us = CONFIG_GAP_US;
     uint64_t agent_us = agent_gap_us;
     double rate;
 
     now_us = 1;
     for (size_t i = 0; i < balancers * KINDS; i++) {
-        watchers[i].store.ops = &store_ops;
-        follow_init(&watchers[i].follow, &follow_ops, &watchers[i].store,
-                    "kind", paces[i % KINDS], i, now_us);
+        clients[i].store.ops = &store_ops;
+        watcher_init(&clients[i].watcher, &watcher_ops, &clients[i].store,
+                     "kind", paces[i % KINDS], i, now_us);
     }
     while (now_us < 60 * USEC_PER_SEC) {
-        step(watchers, balancers);
+        step(clients, balancers);
     }
     calls = 0;
     while (now_us < (60 + LAST_S) * USEC_PER_SEC) {
         if (busy && now_us >= config_us) {
             config_us = now_us + CONFIG_GAP_US;
-            change(watchers, balancers, 0);
+            change(clients, balancers, 0);
         }
         if (busy && now_us >= agent_us) {
             agent_us = now_us + agent_gap_us;
-            change(watchers, balancers, 1);
+            change(clients, balancers, 1);
         }
-        step(watchers, balancers);
+        step(clients, balancers);
     }
     rate = (double)calls / LAST_S;
     for (size_t i = 0; i < balancers * KINDS; i++) {
-        follow_finish(&watchers[i].follow);
+        watcher_finish(&clients[i].watcher);
     }
-    g_free(watchers);
+    g_free(clients);
     return rate;
 }
 
--- a/src/relay/program/relay_balancer.c
+++ b/src/relay/program/relay_balancer.c
@@ -19,14 +19,14 @@
 /* Agents come in bursts (a data centre that starts) and series (a release, one
  * a second): a watch then brings several. New ones aren't missed for that
  * long, and those that have gone say so themselves. */
-static const struct follow_pace agents_pace = {
+static const struct watcher_pace agents_pace = {
     .first_us = 100 * USEC_PER_MSEC,
     .longest_us = 1 * USEC_PER_SEC,
 };
 
 /* Operators may change the configuration many times a second. The longest is
  * a tenth of the shortest bound that they set. */
-static const struct follow_pace config_pace = {
+static const struct watcher_pace config_pace = {
     .first_us = 25 * USEC_PER_MSEC,
     .longest_us = 300 * USEC_PER_MSEC,
 };
@@ -60,7 +60,7 @@
 ask_peers(struct relay_balancer *balancer, uint64_t now_us)
 {
     if (balancer->steer.routes.version == 0 &&
-        follow_is_away(&balancer->config_follow, now_us, PEERS_AFTER_US)) {
+        watcher_is_away(&balancer->config_watcher, now_us, PEERS_AFTER_US)) {
         share_ask_next(&balancer->share, now_us);
     }
 }
@@ -70,8 +70,8 @@
 static bool
 agents_may_call(const struct relay_balancer *balancer)
 {
-    return balancer->agents_follow.failures == 0 ||
-           balancer->config_follow.failures == 0;
+    return balancer->agents_watcher.failures == 0 ||
+           balancer->config_watcher.failures == 0;
 }
 
 static void
@@ -92,48 +92,48 @@
 tick_reader(struct relay_balancer *balancer, uint64_t now_us)
 {
     struct store_reader *reader = &balancer->reader;
-    struct follow *follow = &balancer->config_follow;
-    struct follow *agents = &balancer->agents_follow;
+    struct watcher *watcher = &balancer->config_watcher;
+    struct watcher *agents = &balancer->agents_watcher;
     struct addr self = balancer->settings.share;
     struct addr holder = {reader->newer.holder.ip, self.port};
     bool was_reading = reader->reading;
     bool pings;
 
-    pings = store_reader_tick(reader, follow->failures, now_us);
+    pings = store_reader_tick(reader, watcher->failures, now_us);
     log_reader(balancer, was_reading);
-    balancer->steer.reader = store_reader_part(reader, follow->failures);
-    follow->patient = !reader->reading;
+    balancer->steer.reader = store_reader_part(reader, watcher->failures);
+    watcher->patient = !reader->reading;
     agents->patient = !reader->reading;
     balancer->steer.current =
-        store_reader_is_current(reader, follow->failures, now_us);
+        store_reader_is_current(reader, watcher->failures, now_us);
     if (pings) {
         steer_ping_witnesses(&balancer->steer);
     }
     /* The first is the latest: after a loss of all hosts nobody else would
      * know that it is old. */
-    follow_set_read(follow,
-                    balancer->steer.routes.version == 0
-                        ? STORE_READ_LATEST
-                        : store_reader_read(reader, follow->failures, now_us));
+    watcher_set_read(
+        watcher, balancer->steer.routes.version == 0
+                     ? STORE_READ_LATEST
+                     : store_reader_read(reader, watcher->failures, now_us));
     /* Agents whose objects were taken away are to hear of it soon, from
      * whoever knows first; nothing else waits for this list. */
-    follow_set_read(agents, reader->reading && agents->failures == 0
-                                ? STORE_READ_LATEST
-                                : STORE_READ_ANY);
-    if (store_reader_asks_peer(reader, follow->failures, now_us) &&
+    watcher_set_read(agents, reader->reading && agents->failures == 0
+                                 ? STORE_READ_LATEST
+                                 : STORE_READ_ANY);
+    if (store_reader_asks_peer(reader, watcher->failures, now_us) &&
         !addr_equal(holder, self)) {
         share_ask(&balancer->share, holder, now_us);
     }
 }
 
 static void
-tick_follows(struct relay_balancer *balancer, uint64_t now_us)
+tick_watchers(struct relay_balancer *balancer, uint64_t now_us)
 {
     tick_reader(balancer, now_us);
-    balancer->config_follow.eager = balancer->steer.routes.version == 0;
-    follow_tick(&balancer->config_follow, now_us);
+    balancer->config_watcher.eager = balancer->steer.routes.version == 0;
+    watcher_tick(&balancer->config_watcher, now_us);
     if (agents_may_call(balancer)) {
-        follow_tick(&balancer->agents_follow, now_us);
+        watcher_tick(&balancer->agents_watcher, now_us);
     }
 }
 
@@ -172,7 +172,7 @@
     dgram_poll(&balancer->frames);
     steer_tick(&balancer->steer, now_us);
     dgram_flush(&balancer->frames);
-    tick_follows(balancer, now_us);
+    tick_watchers(balancer, now_us);
     ask_peers(balancer, now_us);
     if (settings_file_changed(&balancer->file, now_us)) {
         reload(balancer);
@@ -186,10 +186,10 @@
         loop_end(loop);
     }
     next_us = MIN(steer_next_us(&balancer->steer), balancer->flush_us);
-    next_us = MIN(next_us, follow_next_us(&balancer->config_follow));
+    next_us = MIN(next_us, watcher_next_us(&balancer->config_watcher));
     next_us = MIN(next_us, store_reader_next_us(&balancer->reader, now_us));
     if (agents_may_call(balancer)) {
-        next_us = MIN(next_us, follow_next_us(&balancer->agents_follow));
+        next_us = MIN(next_us, watcher_next_us(&balancer->agents_watcher));
     }
     return next_us;
 }
@@ -234,16 +234,16 @@
             return -ENOMEM;
         }
     }
-    follow_init(&balancer->config_follow, &relay_balancer_config_ops,
-                balancer->stores[0], CONFIG_FORMAT_KIND, config_pace, seed,
-                now_us);
-    follow_init(&balancer->agents_follow, &relay_balancer_agents_ops,
-                balancer->stores[1], PRESENCE_KIND, agents_pace, seed + 1,
-                now_us);
-    balancer->agents_follow.read = STORE_READ_ANY;
+    watcher_init(&balancer->config_watcher, &relay_balancer_config_ops,
+                 balancer->stores[0], CONFIG_FORMAT_KIND, config_pace, seed,
+                 now_us);
+    watcher_init(&balancer->agents_watcher, &relay_balancer_agents_ops,
+                 balancer->stores[1], PRESENCE_KIND, agents_pace, seed + 1,
+                 now_us);
+    balancer->agents_watcher.read = STORE_READ_ANY;
     store_reader_init(&balancer->reader, seed, now_us);
     confirm_init(&balancer->confirm, &relay_balancer_confirm_ops,
-                 balancer->stores[2], &balancer->agents_follow);
+                 balancer->stores[2], &balancer->agents_watcher);
     share_init(&balancer->share, &relay_balancer_share_ops,
                balancer->loop.base);
     take_peers(balancer);
@@ -322,8 +322,8 @@
 finish(struct relay_balancer *balancer)
 {
     share_finish(&balancer->share);
-    follow_finish(&balancer->config_follow);
-    follow_finish(&balancer->agents_follow);
+    watcher_finish(&balancer->config_watcher);
+    watcher_finish(&balancer->agents_watcher);
     for (size_t i = 0; i < G_N_ELEMENTS(balancer->stores); i++) {
         if (balancer->stores[i] != NULL) {
             balancer->stores[i]->ops->free(balancer->stores[i]);
--- a/src/relay/program/relay_balancer_http.c
+++ b/src/relay/program/relay_balancer_http.c
@@ -10,7 +10,7 @@
 #include "relay/program/relay_state.h"
 
 static void
-append_reads(GString *text, const char *kind, const struct follow *follow)
+append_reads(GString *text, const char *kind, const struct watcher *watcher)
 {
     static const char *const ages[] = {
         [STORE_READ_LATEST] = "latest",
@@ -21,7 +21,7 @@
         g_string_append_printf(text,
                                "swiftarch_store_reads_total"
                                "{kind=\"%s\",age=\"%s\"} %" PRIu64 "\n",
-                               kind, ages[i], follow->calls[i]);
+                               kind, ages[i], watcher->calls[i]);
     }
 }
 
@@ -59,8 +59,8 @@
             text, "swiftarch_dropped_total{reason=\"%s\"} %" PRIu64 "\n",
             relay_balancer_drop_names[i], balancer->counts.dropped[i]);
     }
-    append_reads(text, "config", &balancer->config_follow);
-    append_reads(text, "agents", &balancer->agents_follow);
+    append_reads(text, "config", &balancer->config_watcher);
+    append_reads(text, "agents", &balancer->agents_watcher);
     g_string_append_printf(text, "swiftarch_store_reader %d\n",
                            balancer->reader.reading);
     httpd_respond(request, 200, "text/plain; version=0.0.4", text->str,
--- a/src/relay/program/relay_balancer_out.c
+++ b/src/relay/program/relay_balancer_out.c
@@ -100,7 +100,7 @@
     uint64_t now_us = loop_now_us(&balancer->loop);
 
     if (store_reader_others(&balancer->reader, others, now_us)) {
-        follow_retry(&balancer->config_follow, now_us);
+        watcher_retry(&balancer->config_watcher, now_us);
     }
 }
 
--- a/src/relay/program/relay_balancer_private.h
+++ b/src/relay/program/relay_balancer_private.h
@@ -11,7 +11,7 @@
 #include "base/httpd.h"
 #include "relay/store/confirm.h"
 #include "relay/program/dgram.h"
-#include "relay/store/follow.h"
+#include "relay/store/watcher.h"
 #include "relay/store/store_reader.h"
 #include "relay/program/loop.h"
 #include "relay/program/relay_settings.h"
@@ -35,9 +35,9 @@
  * @share_httpd: its listener
  * @stores: connections to the store, one for each below
  * @confirm: asks whether the list of agents is whole
- * @config_follow: the operators' configuration
+ * @config_watcher: the operators' configuration
  * @reader: how new its reads must be
- * @agents_follow: the agents' objects
+ * @agents_watcher: the agents' objects
  * @garbled: names of agents' objects that can't be read
  * @share: asks peers
  * @config: configuration in force, as it was read
@@ -63,9 +63,9 @@
     struct httpd_handler share_handler;
     struct httpd *share_httpd;
     struct store *stores[3];
-    struct follow config_follow;
+    struct watcher config_watcher;
     struct store_reader reader;
-    struct follow agents_follow;
+    struct watcher agents_watcher;
     struct confirm confirm;
     GHashTable *garbled;
     struct share share;
@@ -97,8 +97,8 @@
 extern const struct steer_out_ops relay_balancer_out_ops;
 extern const struct dgram_ops relay_balancer_data_ops;
 extern const struct dgram_ops relay_balancer_frames_ops;
-extern const struct follow_ops relay_balancer_config_ops;
-extern const struct follow_ops relay_balancer_agents_ops;
+extern const struct watcher_ops relay_balancer_config_ops;
+extern const struct watcher_ops relay_balancer_agents_ops;
 extern const struct confirm_ops relay_balancer_confirm_ops;
 extern const struct share_ops relay_balancer_share_ops;
 extern const struct httpd_ops relay_balancer_ready_ops;
--- a/src/relay/program/relay_balancer_store.c
+++ b/src/relay/program/relay_balancer_store.c
@@ -57,16 +57,16 @@
 }
 
 static void
-nothing_listed(struct follow *follow)
+nothing_listed(struct watcher *watcher)
 {
     /* An operator never takes the configuration away. */
 }
 
 static void
-config_object(struct follow *follow, const struct store_object *object)
+config_object(struct watcher *watcher, const struct store_object *object)
 {
     struct relay_balancer *balancer =
-        container_of(follow, struct relay_balancer, config_follow);
+        container_of(watcher, struct relay_balancer, config_watcher);
 
     if (!object->removed && strcmp(object->name, CONFIG_FORMAT_NAME) == 0) {
         take_config(balancer, object->value, "store");
@@ -74,7 +74,7 @@
 }
 
 static void
-on_ended(struct relay_balancer *balancer, const struct follow *follow,
+on_ended(struct relay_balancer *balancer, const struct watcher *watcher,
          int status, bool changed)
 {
     loop_due(&balancer->loop, loop_now_us(&balancer->loop));
@@ -84,18 +84,18 @@
     }
     event_log_line(&balancer->log, EVENT_RARE,
                    status == 0 ? "store_reached" : "store_lost",
-                   "kind=%s revision=%" PRIu64 " reason=\"%s\"", follow->kind,
-                   follow->revision, status == 0 ? "" : strerror(-status));
+                   "kind=%s revision=%" PRIu64 " reason=\"%s\"", watcher->kind,
+                   watcher->revision, status == 0 ? "" : strerror(-status));
 }
 
 static void
-config_ended(struct follow *follow, int status, bool changed)
+config_ended(struct watcher *watcher, int status, bool changed)
 {
-    on_ended(container_of(follow, struct relay_balancer, config_follow),
-             follow, status, changed);
+    on_ended(container_of(watcher, struct relay_balancer, config_watcher),
+             watcher, status, changed);
 }
 
-const struct follow_ops relay_balancer_config_ops = {
+const struct watcher_ops relay_balancer_config_ops = {
     .listing = nothing_listed,
     .object = config_object,
     .listed = nothing_listed,
@@ -105,10 +105,10 @@
 /* Agents. */
 
 static void
-agents_listing(struct follow *follow)
+agents_listing(struct watcher *watcher)
 {
     struct relay_balancer *balancer =
-        container_of(follow, struct relay_balancer, agents_follow);
+        container_of(watcher, struct relay_balancer, agents_watcher);
     struct agents *agents = &balancer->steer.agents;
 
     for (size_t i = 0; i < agents_count(agents); i++) {
@@ -134,10 +134,10 @@
 }
 
 static void
-agents_object(struct follow *follow, const struct store_object *object)
+agents_object(struct watcher *watcher, const struct store_object *object)
 {
     struct relay_balancer *balancer =
-        container_of(follow, struct relay_balancer, agents_follow);
+        container_of(watcher, struct relay_balancer, agents_watcher);
     uint64_t now_us = loop_now_us(&balancer->loop);
     struct presence presence;
     struct addr addr;
@@ -164,7 +164,7 @@
     /* A list has one line for all: a line each costs a host that starts, with
      * two hundred agents, a seventh of the processor time until it is ready.
      */
-    if (follow->state == FOLLOW_WATCH) {
+    if (watcher->state == WATCHER_WATCH) {
         event_log_line(&balancer->log, EVENT_ROUTINE, "agent_listed",
                        "agent=%s service=%s data_centre=%s revision=%" PRIu64,
                        object->name, presence.service, presence.data_centre,
@@ -173,17 +173,17 @@
 }
 
 static void
-agents_list_ended(struct follow *follow)
+agents_list_ended(struct watcher *watcher)
 {
     struct relay_balancer *balancer =
-        container_of(follow, struct relay_balancer, agents_follow);
+        container_of(watcher, struct relay_balancer, agents_watcher);
     struct agents *agents = &balancer->steer.agents;
     uint64_t now_us = loop_now_us(&balancer->loop);
 
     agents_listed(agents);
     event_log_line(&balancer->log, EVENT_RARE, "agents_listed",
                    "agents=%zu revision=%" PRIu64, agents_count(agents),
-                   follow->revision);
+                   watcher->revision);
     /* Backwards: a row that is removed gives its place to the last. */
     for (size_t i = agents_count(agents); i-- > 0;) {
         if (!agents_at(agents, i)->listed) {
@@ -193,13 +193,13 @@
 }
 
 static void
-agents_ended(struct follow *follow, int status, bool changed)
+agents_ended(struct watcher *watcher, int status, bool changed)
 {
-    on_ended(container_of(follow, struct relay_balancer, agents_follow),
-             follow, status, changed);
+    on_ended(container_of(watcher, struct relay_balancer, agents_watcher),
+             watcher, status, changed);
 }
 
-const struct follow_ops relay_balancer_agents_ops = {
+const struct watcher_ops relay_balancer_agents_ops = {
     .listing = agents_listing,
     .object = agents_object,
     .listed = agents_list_ended,
--- a/src/relay/store/confirm.h
+++ b/src/relay/store/confirm.h
@@ -13,7 +13,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-#include "relay/store/follow.h"
+#include "relay/store/watcher.h"
 #include "relay/store/store.h"
 
 struct confirm;
@@ -29,7 +29,7 @@
  * @ops: the owner
  * @call: the open call
  * @store: connection of its own
- * @follow: follower of the list
+ * @watcher: follower of the list
  * @open: a call is open
  * @revision: revision that it asked for changes since
  * @asked_us: when
@@ -38,7 +38,7 @@
     const struct confirm_ops *ops;
     struct store_call call;
     struct store *store;
-    struct follow *follow;
+    struct watcher *watcher;
     bool open;
     uint64_t revision;
     uint64_t asked_us;
@@ -47,7 +47,7 @@
 /** confirm_init() - nothing is asked yet; @store isn't freed here */
 void
 confirm_init(struct confirm *confirm, const struct confirm_ops *ops,
-             struct store *store, struct follow *follow);
+             struct store *store, struct watcher *watcher);
 
 /** confirm_ask() - ask, unless a call is open or the list isn't read yet: then
  * nothing is told */
--- a/src/relay/store/follow.h
+++ b/src/relay/store/watcher.h
@@ -1,41 +1,41 @@
 /**
- * DOC: follow - keeps up with the objects of one kind in the store
+ * DOC: watcher - keeps up with the objects of one kind in the store
  *
  * Lists once, then watches. A watch that is cut goes on from where it was;
  * when the store has forgotten that far back, the kind is listed anew. While
  * the store is away calls get rarer, as each one is paid for.
  */
-#ifndef SWIFTARCH_RELAY_STORE_FOLLOW_H
-#define SWIFTARCH_RELAY_STORE_FOLLOW_H
+#ifndef SWIFTARCH_RELAY_STORE_WATCHER_H
+#define SWIFTARCH_RELAY_STORE_WATCHER_H
 
 #include <stdbool.h>
 #include <stdint.h>
 
 #include "relay/store/store.h"
 
-struct follow;
+struct watcher;
 
-/** struct follow_ops - what the owner is told */
-struct follow_ops {
+/** struct watcher_ops - what the owner is told */
+struct watcher_ops {
     /** @listing: a list begins; what it doesn't name is no more */
-    void (*listing)(struct follow *follow);
+    void (*listing)(struct watcher *watcher);
     /** @object: an object is as it says */
-    void (*object)(struct follow *follow, const struct store_object *object);
+    void (*object)(struct watcher *watcher, const struct store_object *object);
     /** @listed: the list is whole */
-    void (*listed)(struct follow *follow);
+    void (*listed)(struct watcher *watcher);
     /** @ended: a call ended with @status, 0 or a negative errno; the next is
      * due. @changed: the store answers again, or no more */
-    void (*ended)(struct follow *follow, int status, bool changed);
+    void (*ended)(struct watcher *watcher, int status, bool changed);
 };
 
-/** enum follow_state - what is being done */
-enum follow_state {
-    FOLLOW_LIST,
-    FOLLOW_WATCH,
+/** enum watcher_state - what is being done */
+enum watcher_state {
+    WATCHER_LIST,
+    WATCHER_WATCH,
 };
 
 /**
- * struct follow_pace - how soon a watch follows one that brought changes
+ * struct watcher_pace - how soon a watch follows one that brought changes
  *
  * Each that brings some soon after it began doubles the pause before the
  * next, so that a burst costs few calls and a single change is known at once.
@@ -43,13 +43,13 @@
  * @first_us: the shortest pause
  * @longest_us: the longest
  */
-struct follow_pace {
+struct watcher_pace {
     uint64_t first_us;
     uint64_t longest_us;
 };
 
 /**
- * struct follow - one kind; the vtable comes first
+ * struct watcher - one kind; the vtable comes first
  * @ops: the owner
  * @call: the open call
  * @store: connection of its own
@@ -74,12 +74,12 @@
  * @eager: the owner can't work without an answer: pauses stay short
  * @status: how the last call ended
  */
-struct follow {
-    const struct follow_ops *ops;
+struct watcher {
+    const struct watcher_ops *ops;
     struct store_call call;
     struct store *store;
     const char *kind;
-    enum follow_state state;
+    enum watcher_state state;
     bool open;
     char *after;
     uint64_t revision;
@@ -89,7 +89,7 @@
     unsigned failures;
     uint64_t next_us;
     uint64_t opened_us;
-    struct follow_pace pace;
+    struct watcher_pace pace;
     uint64_t gap_us;
     uint64_t seed;
     enum store_read read;
@@ -100,51 +100,51 @@
 };
 
 /**
- * follow_init() - follow @kind from @now_us on
- * @store: not freed by follow_finish()
+ * watcher_init() - follow @kind from @now_us on
+ * @store: not freed by watcher_finish()
  * @pace: pauses after changes
  * @seed: differs between processes
  */
 void
-follow_init(struct follow *follow, const struct follow_ops *ops,
-            struct store *store, const char *kind, struct follow_pace pace,
-            uint64_t seed, uint64_t now_us);
+watcher_init(struct watcher *watcher, const struct watcher_ops *ops,
+             struct store *store, const char *kind, struct watcher_pace pace,
+             uint64_t seed, uint64_t now_us);
 
-/** follow_finish() - free the memory */
+/** watcher_finish() - free the memory */
 void
-follow_finish(struct follow *follow);
+watcher_finish(struct watcher *watcher);
 
-/** follow_set_read() - how new the next changes must be; a watch that may be
+/** watcher_set_read() - how new the next changes must be; a watch that may be
  * told of old ones only is ended for one that isn't */
 void
-follow_set_read(struct follow *follow, enum store_read read);
+watcher_set_read(struct watcher *watcher, enum store_read read);
 
 /**
- * follow_advance() - take changes that another call brought
+ * watcher_advance() - take changes that another call brought
  * @since: revision after which they are; when the follower knows more by now,
  *         they aren't taken
  */
 void
-follow_advance(struct follow *follow, uint64_t since,
-               const struct store_reply *reply);
+watcher_advance(struct watcher *watcher, uint64_t since,
+                const struct store_reply *reply);
 
-/** follow_retry() - the store answers others again: don't wait for long */
+/** watcher_retry() - the store answers others again: don't wait for long */
 void
-follow_retry(struct follow *follow, uint64_t now_us);
+watcher_retry(struct watcher *watcher, uint64_t now_us);
 
-/** follow_tick() - make the call that is due; call it at follow_next_us() */
+/** watcher_tick() - make the call that is due; call it at watcher_next_us() */
 void
-follow_tick(struct follow *follow, uint64_t now_us);
+watcher_tick(struct watcher *watcher, uint64_t now_us);
 
-/** follow_is_away() - whether the store doesn't answer: the last call failed,
+/** watcher_is_away() - whether the store doesn't answer: the last call failed,
  * or a list is open for longer than @patience_us */
 bool
-follow_is_away(const struct follow *follow, uint64_t now_us,
-               uint64_t patience_us);
+watcher_is_away(const struct watcher *watcher, uint64_t now_us,
+                uint64_t patience_us);
 
-/** follow_next_us() - when follow_tick() is due; UINT64_MAX while a call is
+/** watcher_next_us() - when watcher_tick() is due; UINT64_MAX while a call is
  * open */
 uint64_t
-follow_next_us(const struct follow *follow);
+watcher_next_us(const struct watcher *watcher);
 
 #endif
--- a/tests/relay/confirm_test.c
+++ b/tests/relay/confirm_test.c
@@ -10,7 +10,7 @@
 struct site {
     struct confirm confirm;
     struct store store;
-    struct follow follow;
+    struct watcher watcher;
     struct store_call *call;
     uint64_t since;
     unsigned calls;
@@ -41,12 +41,12 @@
                                            .cancel = store_cancel};
 
 static void
-object(struct follow *follow, const struct store_object *told)
+object(struct watcher *watcher, const struct store_object *told)
 {
-    container_of(follow, struct site, follow)->objects++;
+    container_of(watcher, struct site, watcher)->objects++;
 }
 
-static const struct follow_ops follow_ops = {.object = object};
+static const struct watcher_ops watcher_ops = {.object = object};
 
 static void
 whole(struct confirm *confirm, uint64_t asked_us)
@@ -60,12 +60,12 @@
 site_init(struct site *site)
 {
     site->store.ops = &store_ops;
-    site->follow.kind = "agents";
-    site->follow.ops = &follow_ops;
-    site->follow.store = &site->store;
-    site->follow.state = FOLLOW_WATCH;
-    site->follow.revision = 40;
-    confirm_init(&site->confirm, &ops, &site->store, &site->follow);
+    site->watcher.kind = "agents";
+    site->watcher.ops = &watcher_ops;
+    site->watcher.store = &site->store;
+    site->watcher.state = WATCHER_WATCH;
+    site->watcher.revision = 40;
+    confirm_init(&site->confirm, &ops, &site->store, &site->watcher);
 }
 
 static void
@@ -116,31 +116,31 @@
     confirm_ask(&site->confirm, 1000);
     answer(site, changes);
     g_assert_cmpuint(site->objects, ==, 1);
-    g_assert_cmpuint(site->follow.revision, ==, 44);
+    g_assert_cmpuint(site->watcher.revision, ==, 44);
     confirm_ask(&site->confirm, 2000);
-    site->follow.revision = 47;
+    site->watcher.revision = 47;
     answer(site, changes);
     g_assert_cmpuint(site->objects, ==, 1);
-    g_assert_cmpuint(site->follow.revision, ==, 47);
+    g_assert_cmpuint(site->watcher.revision, ==, 47);
 }
 
 TEST_F(site, changes_end_a_watch_that_begins_before_them)
 {
     struct store_object told = {.name = "a", .revision = 43};
 
-    site->follow.open = true;
+    site->watcher.open = true;
     confirm_ask(&site->confirm, 1000);
     answer(site,
            (struct store_reply){.count = 1, .objects = &told, .revision = 44});
     g_assert_cmpuint(site->cancelled, ==, 1);
-    g_assert_false(site->follow.open);
+    g_assert_false(site->watcher.open);
 }
 
 /* The follower lists anew while the call is open. */
 TEST_F(site, a_list_that_is_read_anew_is_not_whole)
 {
     confirm_ask(&site->confirm, 1000);
-    site->follow.state = FOLLOW_LIST;
+    site->watcher.state = WATCHER_LIST;
     answer(site, (struct store_reply){.revision = 44});
     g_assert_cmpuint(site->whole_us, ==, 0);
     confirm_ask(&site->confirm, 2000);
--- a/tests/relay/follow_test.c
+++ b/tests/relay/watcher_test.c
@@ -4,11 +4,11 @@
 #include "base/clock.h"
 #include "base/container.h"
 #include "lib/harness.h"
-#include "relay/store/follow.h"
+#include "relay/store/watcher.h"
 #include "relay/store/presence.h"
 #include "relay/relay_rig.h"
 
-#define SUITE "/relay/follow"
+#define SUITE "/relay/watcher"
 #define MS USEC_PER_MSEC
 
 /**
@@ -17,7 +17,7 @@
  */
 struct site {
     struct store store;
-    struct follow follow;
+    struct watcher watcher;
     struct presence_writer writer;
     struct store_call *call;
     GString *record;
@@ -104,34 +104,34 @@
     store_create, store_remove, store_cancel, NULL};
 
 static void
-listing(struct follow *follow)
+listing(struct watcher *watcher)
 {
-    rig_note(container_of(follow, struct site, follow)->record, "listing");
+    rig_note(container_of(watcher, struct site, watcher)->record, "listing");
 }
 
 static void
-object(struct follow *follow, const struct store_object *told)
+object(struct watcher *watcher, const struct store_object *told)
 {
-    rig_note(container_of(follow, struct site, follow)->record, "object %s%s",
-             told->name, told->removed ? " removed" : "");
+    rig_note(container_of(watcher, struct site, watcher)->record,
+             "object %s%s", told->name, told->removed ? " removed" : "");
 }
 
 static void
-listed(struct follow *follow)
+listed(struct watcher *watcher)
 {
-    rig_note(container_of(follow, struct site, follow)->record, "listed");
+    rig_note(container_of(watcher, struct site, watcher)->record, "listed");
 }
 
 static void
-ended(struct follow *follow, int status, bool changed)
+ended(struct watcher *watcher, int status, bool changed)
 {
     if (changed) {
-        rig_note(container_of(follow, struct site, follow)->record,
+        rig_note(container_of(watcher, struct site, watcher)->record,
                  status == 0 ? "reached" : "lost");
     }
 }
 
-static const struct follow_ops follow_ops = {listing, object, listed, ended};
+static const struct watcher_ops watcher_ops = {listing, object, listed, ended};
 
 static void
 site_init(struct site *site)
@@ -145,15 +145,15 @@
     site->store.ops = &store_ops;
     site->record = g_string_new(NULL);
     site->now_us = USEC_PER_SEC;
-    follow_init(&site->follow, &follow_ops, &site->store, "kind",
-                (struct follow_pace){0}, 1, site->now_us);
+    watcher_init(&site->watcher, &watcher_ops, &site->store, "kind",
+                 (struct watcher_pace){0}, 1, site->now_us);
     presence_writer_init(&site->writer, &site->store, &presence, site->now_us);
 }
 
 static void
 site_finish(struct site *site)
 {
-    follow_finish(&site->follow);
+    watcher_finish(&site->watcher);
     g_string_free(site->record, TRUE);
 }
 
@@ -183,34 +183,34 @@
 {
     unsigned waited = 0;
 
-    follow_tick(&site->follow, site->now_us);
+    watcher_tick(&site->watcher, site->now_us);
     while (site->call == NULL && waited < 10000) {
         site->now_us += MS;
         waited++;
-        follow_tick(&site->follow, site->now_us);
+        watcher_tick(&site->watcher, site->now_us);
     }
     return waited;
 }
 
 TEST_F(site, a_list_is_followed_by_a_watch_from_where_it_was)
 {
-    follow_tick(&site->follow, site->now_us);
+    watcher_tick(&site->watcher, site->now_us);
     answer(site, 0, 30, "a", true);
-    follow_tick(&site->follow, site->now_us);
+    watcher_tick(&site->watcher, site->now_us);
     answer(site, 0, 34, "b", false);
-    follow_tick(&site->follow, site->now_us);
+    watcher_tick(&site->watcher, site->now_us);
     rig_expect(site->record, "list kind -", "listing", "object a", "reached",
                "list kind a", "object b", "listed", "watch kind 30", NULL);
     answer(site, 0, 36, "c", false);
-    follow_tick(&site->follow, site->now_us);
+    watcher_tick(&site->watcher, site->now_us);
     rig_expect(site->record, "object c", "watch kind 36", NULL);
 }
 
 TEST_F(site, a_cut_watch_goes_on_and_a_lost_history_is_listed)
 {
-    follow_tick(&site->follow, site->now_us);
+    watcher_tick(&site->watcher, site->now_us);
     answer(site, 0, 30, NULL, false);
-    follow_tick(&site->follow, site->now_us);
+    watcher_tick(&site->watcher, site->now_us);
     answer(site, -ECONNRESET, 0, NULL, false);
     g_string_truncate(site->record, 0);
     g_assert_cmpuint(wait_for_call(site), >=, 50);
@@ -227,7 +227,7 @@
  * also not when it is back. */
 TEST_F(site, a_watch_is_brief_until_the_store_has_shown_that_it_answers)
 {
-    follow_tick(&site->follow, site->now_us);
+    watcher_tick(&site->watcher, site->now_us);
     answer(site, 0, 7, NULL, false);
     wait_for_call(site);
     g_assert_cmpuint(site->wait_ms, >=, 2000);
@@ -251,8 +251,8 @@
 {
     static const unsigned pauses[] = {100, 200, 400, 800, 1000, 1000};
 
-    site->follow.pace = (struct follow_pace){100 * MS, 1000 * MS};
-    follow_tick(&site->follow, site->now_us);
+    site->watcher.pace = (struct watcher_pace){100 * MS, 1000 * MS};
+    watcher_tick(&site->watcher, site->now_us);
     answer(site, 0, 7, NULL, false);
     for (unsigned i = 0; i < G_N_ELEMENTS(pauses); i++) {
         g_assert_cmpuint(wait_for_call(site), ==, pauses[i]);
@@ -270,7 +270,7 @@
     unsigned before = 0;
     unsigned calls = 0;
 
-    follow_tick(&site->follow, site->now_us);
+    watcher_tick(&site->watcher, site->now_us);
     while (site->now_us < 11 * USEC_PER_SEC) {
         answer(site, -ECONNREFUSED, 0, NULL, false);
         before = wait_for_call(site);
@@ -285,8 +285,8 @@
 {
     unsigned waited = 0;
 
-    site->follow.patient = true;
-    follow_tick(&site->follow, site->now_us);
+    site->watcher.patient = true;
+    watcher_tick(&site->watcher, site->now_us);
     for (unsigned i = 0; i < 12; i++) {
         answer(site, -EBUSY, 0, NULL, false);
         waited = wait_for_call(site);
@@ -294,15 +294,15 @@
     g_assert_cmpuint(waited, >=, 3200);
     g_assert_cmpuint(waited, <=, 4000);
     answer(site, -EBUSY, 0, NULL, false);
-    follow_tick(&site->follow, site->now_us);
-    follow_retry(&site->follow, site->now_us);
+    watcher_tick(&site->watcher, site->now_us);
+    watcher_retry(&site->watcher, site->now_us);
     g_assert_cmpuint(wait_for_call(site), <=, 300);
 }
 
 TEST_F(site, pauses_stay_short_for_who_cannot_work_without)
 {
-    site->follow.eager = true;
-    follow_tick(&site->follow, site->now_us);
+    site->watcher.eager = true;
+    watcher_tick(&site->watcher, site->now_us);
     for (unsigned i = 0; i < 20; i++) {
         answer(site, -EBUSY, 0, NULL, false);
         g_assert_cmpuint(wait_for_call(site), <=, 190);
@@ -311,16 +311,16 @@
 
 TEST_F(site, a_store_that_does_not_answer_is_away)
 {
-    g_assert_false(follow_is_away(&site->follow, site->now_us, 60 * MS));
-    follow_tick(&site->follow, site->now_us);
+    g_assert_false(watcher_is_away(&site->watcher, site->now_us, 60 * MS));
+    watcher_tick(&site->watcher, site->now_us);
     g_assert_false(
-        follow_is_away(&site->follow, site->now_us + 50 * MS, 60 * MS));
+        watcher_is_away(&site->watcher, site->now_us + 50 * MS, 60 * MS));
     g_assert_true(
-        follow_is_away(&site->follow, site->now_us + 70 * MS, 60 * MS));
+        watcher_is_away(&site->watcher, site->now_us + 70 * MS, 60 * MS));
     answer(site, 0, 3, NULL, false);
-    follow_tick(&site->follow, site->now_us);
+    watcher_tick(&site->watcher, site->now_us);
     g_assert_false(
-        follow_is_away(&site->follow, site->now_us + 9000 * MS, 60 * MS));
+        watcher_is_away(&site->watcher, site->now_us + 9000 * MS, 60 * MS));
 }
 
 /* Answers the open look with an object that says @service. */
@@ -511,17 +511,17 @@
 
 TEST_F(site, a_watch_of_old_changes_ends_when_the_latest_are_wanted)
 {
-    site->follow.read = STORE_READ_ANY;
-    follow_tick(&site->follow, site->now_us);
+    site->watcher.read = STORE_READ_ANY;
+    watcher_tick(&site->watcher, site->now_us);
     answer(site, 0, 30, NULL, false);
-    follow_tick(&site->follow, site->now_us);
-    follow_set_read(&site->follow, STORE_READ_LATEST);
-    follow_tick(&site->follow, site->now_us);
+    watcher_tick(&site->watcher, site->now_us);
+    watcher_set_read(&site->watcher, STORE_READ_LATEST);
+    watcher_tick(&site->watcher, site->now_us);
     rig_expect(site->record, "list kind - any", "listing", "listed", "reached",
                "watch kind 30 any", "cancel", "watch kind 30", NULL);
     /* The better one may go on to its end. */
-    follow_set_read(&site->follow, STORE_READ_ANY);
-    follow_tick(&site->follow, site->now_us);
+    watcher_set_read(&site->watcher, STORE_READ_ANY);
+    watcher_tick(&site->watcher, site->now_us);
     rig_expect(site->record, NULL);
     answer(site, 0, 31, "a", false);
     wait_for_call(site);
@@ -529,7 +529,7 @@
     /* A list goes on to its end. */
     answer(site, -ESTALE, 0, NULL, false);
     wait_for_call(site);
-    follow_set_read(&site->follow, STORE_READ_LATEST);
+    watcher_set_read(&site->watcher, STORE_READ_LATEST);
     rig_expect(site->record, "lost", "list kind -", NULL);
     answer(site, 0, 40, NULL, false);
 }
@@ -539,8 +539,8 @@
  */
 TEST_F(site, after_a_lost_history_the_list_is_the_latest)
 {
-    site->follow.read = STORE_READ_ANY;
-    follow_tick(&site->follow, site->now_us);
+    site->watcher.read = STORE_READ_ANY;
+    watcher_tick(&site->watcher, site->now_us);
     answer(site, 0, 30, NULL, false);
     wait_for_call(site);
     answer(site, -ESTALE, 0, NULL, false);
@@ -560,9 +560,9 @@
 
 TEST_F(site, a_list_that_is_older_than_what_is_known_is_read_anew)
 {
-    site->follow.read = STORE_READ_ANY;
-    site->follow.revision = 30;
-    follow_tick(&site->follow, site->now_us);
+    site->watcher.read = STORE_READ_ANY;
+    site->watcher.revision = 30;
+    watcher_tick(&site->watcher, site->now_us);
     g_string_truncate(site->record, 0);
     answer(site, 0, 28, "a", false);
     wait_for_call(site);
@@ -576,7 +576,7 @@
 /* Then the store itself has lost what it knew. */
 TEST_F(site, the_latest_list_is_taken_whatever_its_revision)
 {
-    follow_tick(&site->follow, site->now_us);
+    watcher_tick(&site->watcher, site->now_us);
     answer(site, 0, 30, NULL, false);
     wait_for_call(site);
     answer(site, -ESTALE, 0, NULL, false);
@@ -590,10 +590,10 @@
 
 TEST_F(site, reads_may_be_old_where_the_owner_says_so)
 {
-    site->follow.read = STORE_READ_ANY;
-    follow_tick(&site->follow, site->now_us);
+    site->watcher.read = STORE_READ_ANY;
+    watcher_tick(&site->watcher, site->now_us);
     answer(site, 0, 30, NULL, false);
-    follow_tick(&site->follow, site->now_us);
+    watcher_tick(&site->watcher, site->now_us);
     answer(site, -ESTALE, 0, NULL, false);
     wait_for_call(site);
     rig_expect(site->record, "list kind - any", "listing", "listed", "reached",
