--- a/src/relay/program/relay_agent.c
+++ b/src/relay/program/relay_agent.c
@@ -30,8 +30,8 @@
     return since_us >= agent->settings.stop_ms * USEC_PER_MSEC ||
            (agent->door.busy_count == 0 &&
             now_us - agent->packet_us >= STOP_QUIET_US &&
-            (agent->presence.step == PRESENCE_KEPT ||
-             agent->presence.step == PRESENCE_GONE));
+            (agent->registration.step == REGISTRATION_KEPT ||
+             agent->registration.step == REGISTRATION_GONE));
 }
 
 static void
@@ -66,7 +66,7 @@
     if (agent->door.unlisted && agent->door.endpoint.state != ENDPOINT_GONE) {
         event_log_line(&agent->log, EVENT_RARE, "unlisted", "endpoint=%s",
                        relay_agent_state_names[agent->door.endpoint.state]);
-        presence_writer_again(&agent->presence, now_us);
+        registration_writer_again(&agent->registration, now_us);
     }
     agent->door.unlisted = false;
 }
@@ -83,7 +83,7 @@
     dgram_flush(&agent->outbound);
     dgram_flush(&agent->frames);
     write_anew(agent, now_us);
-    presence_writer_tick(&agent->presence, now_us);
+    registration_writer_tick(&agent->registration, now_us);
     if (settings_file_changed(&agent->file, now_us)) {
         reload(agent);
     }
@@ -95,7 +95,7 @@
         loop_end(loop);
     }
     next_us = MIN(door_next_us(&agent->door), agent->flush_us);
-    return MIN(next_us, presence_writer_next_us(&agent->presence));
+    return MIN(next_us, registration_writer_next_us(&agent->registration));
 }
 
 static void
@@ -112,7 +112,7 @@
                    agent->door.busy_count,
                    relay_agent_state_names[agent->door.endpoint.state]);
     if (agent->door.endpoint.state == ENDPOINT_GONE) {
-        presence_writer_remove(&agent->presence, now_us);
+        registration_writer_remove(&agent->registration, now_us);
     }
     door_close(&agent->door, now_us);
     relay_agent_flush(agent);
@@ -162,19 +162,20 @@
 }
 
 static int
-start_presence(struct relay_agent *agent, uint64_t now_us)
+start_registration(struct relay_agent *agent, uint64_t now_us)
 {
-    struct presence presence = {.addr = agent->frames.addr};
+    struct registration registration = {.addr = agent->frames.addr};
 
     agent->store = object_store_new(agent->loop.base, agent->settings.store);
     if (agent->store == NULL) {
         return -ENOMEM;
     }
-    g_strlcpy(presence.service, agent->settings.service,
-              sizeof(presence.service));
-    g_strlcpy(presence.data_centre, agent->settings.data_centre,
-              sizeof(presence.data_centre));
-    presence_writer_init(&agent->presence, agent->store, &presence, now_us);
+    g_strlcpy(registration.service, agent->settings.service,
+              sizeof(registration.service));
+    g_strlcpy(registration.data_centre, agent->settings.data_centre,
+              sizeof(registration.data_centre));
+    registration_writer_init(&agent->registration, agent->store, &registration,
+                             now_us);
     return 0;
 }
 
@@ -200,7 +201,7 @@
     }
     if (door_init(&agent->door, &agent->out, agent->frames.addr,
                   agent->settings.service) < 0 ||
-        start_presence(agent, agent->started_us) < 0) {
+        start_registration(agent, agent->started_us) < 0) {
         return error_set(err, -ENOMEM, "start", NULL, "no memory");
     }
     probe_init(&agent->probe, &relay_agent_probe_ops, agent->loop.base,
--- a/src/relay/program/relay_agent_private.h
+++ b/src/relay/program/relay_agent_private.h
@@ -12,7 +12,7 @@
 #include "relay/program/dgram.h"
 #include "relay/door/door.h"
 #include "relay/program/loop.h"
-#include "relay/store/presence.h"
+#include "relay/store/registration.h"
 #include "relay/program/probe.h"
 #include "relay/program/relay_settings.h"
 #include "relay/program/settings_file.h"
@@ -43,7 +43,7 @@
  * @heartbeat_handler: answers the endpoint's heartbeats
  * @heartbeats: its listener
  * @store: connection to the store
- * @presence: writes the agent's object
+ * @registration: writes the agent's object
  * @probe: asks whether the endpoint's process is there
  * @log: lines on standard output
  * @started_us: when the program started
@@ -67,7 +67,7 @@
     struct httpd_handler heartbeat_handler;
     struct httpd *heartbeats;
     struct store *store;
-    struct presence_writer presence;
+    struct registration_writer registration;
     struct probe probe;
     struct event_log log;
     uint64_t started_us;
--- a/src/relay/program/relay_balancer.c
+++ b/src/relay/program/relay_balancer.c
@@ -11,7 +11,7 @@
 #include "base/hash.h"
 #include "platform/config_format.h"
 #include "platform/object_store.h"
-#include "relay/store/presence.h"
+#include "relay/store/registration.h"
 #include "relay/program/relay_balancer_private.h"
 
 #define FLUSH_US (100 * USEC_PER_MSEC)
@@ -238,7 +238,7 @@
                  balancer->stores[0], CONFIG_FORMAT_KIND, config_pace, seed,
                  now_us);
     watcher_init(&balancer->agents_watcher, &relay_balancer_agents_ops,
-                 balancer->stores[1], PRESENCE_KIND, agents_pace, seed + 1,
+                 balancer->stores[1], REGISTRATION_KIND, agents_pace, seed + 1,
                  now_us);
     balancer->agents_watcher.read = STORE_READ_ANY;
     store_reader_init(&balancer->reader, seed, now_us);
--- a/src/relay/program/relay_balancer_store.c
+++ b/src/relay/program/relay_balancer_store.c
@@ -8,7 +8,7 @@
 #include "base/container.h"
 #include "base/hash.h"
 #include "platform/config_format.h"
-#include "relay/store/presence.h"
+#include "relay/store/registration.h"
 
 void
 relay_balancer_look(struct relay_balancer *balancer)
@@ -128,7 +128,7 @@
     if (!unreadable) {
         g_hash_table_remove(balancer->garbled, name);
     }
-    else if (presence_addr(name, &addr) == 0) {
+    else if (registration_addr(name, &addr) == 0) {
         g_hash_table_add(balancer->garbled, g_strdup(name));
     }
 }
@@ -139,12 +139,12 @@
     struct relay_balancer *balancer =
         container_of(watcher, struct relay_balancer, agents_watcher);
     uint64_t now_us = loop_now_us(&balancer->loop);
-    struct presence presence;
+    struct registration registration;
     struct addr addr;
 
     bool unreadable =
         !object->removed &&
-        presence_decode(object->name, object->value, &presence) < 0;
+        registration_decode(object->name, object->value, &registration) < 0;
 
     note_garbled(balancer, object->name, unreadable);
     if (unreadable) {
@@ -154,21 +154,22 @@
     }
     if (object->removed || unreadable) {
         /* An agent that is there writes its object anew when it is told. */
-        if (presence_addr(object->name, &addr) == 0) {
+        if (registration_addr(object->name, &addr) == 0) {
             agents_unlist(&balancer->steer.agents, addr, now_us);
         }
         return;
     }
-    agents_list(&balancer->steer.agents, presence.addr,
-                hash_service(presence.service), presence.data_centre, now_us);
+    agents_list(&balancer->steer.agents, registration.addr,
+                hash_service(registration.service), registration.data_centre,
+                now_us);
     /* A list has one line for all: a line each costs a host that starts, with
      * two hundred agents, a seventh of the processor time until it is ready.
      */
     if (watcher->state == WATCHER_WATCH) {
         event_log_line(&balancer->log, EVENT_ROUTINE, "agent_listed",
                        "agent=%s service=%s data_centre=%s revision=%" PRIu64,
-                       object->name, presence.service, presence.data_centre,
-                       object->revision);
+                       object->name, registration.service,
+                       registration.data_centre, object->revision);
     }
 }
 
--- a/src/relay/store/presence.c
+++ b/src/relay/store/registration.c
@@ -1,4 +1,4 @@
-#include "relay/store/presence.h"
+#include "relay/store/registration.h"
 
 #include <errno.h>
 #include <stddef.h>
@@ -34,9 +34,9 @@
 }
 
 void
-presence_name(struct addr addr, char *name)
+registration_name(struct addr addr, char *name)
 {
-    g_snprintf(name, PRESENCE_NAME_MAX, "%u-%u-%u-%u-%u", addr.ip >> 24,
+    g_snprintf(name, REGISTRATION_NAME_MAX, "%u-%u-%u-%u-%u", addr.ip >> 24,
                addr.ip >> 16 & 0xff, addr.ip >> 8 & 0xff, addr.ip & 0xff,
                addr.port);
 }
@@ -60,7 +60,7 @@
 }
 
 int
-presence_addr(const char *name, struct addr *addr)
+registration_addr(const char *name, struct addr *addr)
 {
     unsigned port;
 
@@ -81,8 +81,8 @@
 }
 
 int
-presence_decode(const char *name, struct json_object *value,
-                struct presence *presence)
+registration_decode(const char *name, struct json_object *value,
+                    struct registration *registration)
 {
     const char *addr = text(value, "address");
     const char *service = text(value, "service");
@@ -90,19 +90,19 @@
     struct addr named;
 
     if (addr == NULL || service == NULL || data_centre == NULL ||
-        addr_parse(addr, &presence->addr) < 0 ||
-        presence_addr(name, &named) < 0 ||
-        !addr_equal(named, presence->addr)) {
+        addr_parse(addr, &registration->addr) < 0 ||
+        registration_addr(name, &named) < 0 ||
+        !addr_equal(named, registration->addr)) {
         return -EINVAL;
     }
-    g_strlcpy(presence->service, service, sizeof(presence->service));
-    g_strlcpy(presence->data_centre, data_centre,
-              sizeof(presence->data_centre));
+    g_strlcpy(registration->service, service, sizeof(registration->service));
+    g_strlcpy(registration->data_centre, data_centre,
+              sizeof(registration->data_centre));
     return 0;
 }
 
 bool
-presence_equal(const struct presence *a, const struct presence *b)
+registration_equal(const struct registration *a, const struct registration *b)
 {
     return addr_equal(a->addr, b->addr) &&
            strcmp(a->service, b->service) == 0 &&
@@ -110,26 +110,26 @@
 }
 
 struct json_object *
-presence_encode(const struct presence *presence)
+registration_encode(const struct registration *registration)
 {
     struct json_object *value = json_object_new_object();
     char addr[ADDR_TEXT_MAX];
 
     json_object_object_add(
         value, "address",
-        json_object_new_string(addr_format(presence->addr, addr)));
+        json_object_new_string(addr_format(registration->addr, addr)));
     json_object_object_add(value, "service",
-                           json_object_new_string(presence->service));
+                           json_object_new_string(registration->service));
     json_object_object_add(value, "data_centre",
-                           json_object_new_string(presence->data_centre));
+                           json_object_new_string(registration->data_centre));
     return value;
 }
 
 static uint64_t
-pause_after(const struct presence_writer *writer)
+pause_after(const struct registration_writer *writer)
 {
     uint64_t pause_us = PAUSE_FIRST_US;
-    uint64_t seed = hash_pair(writer->presence.addr.ip, writer->failures);
+    uint64_t seed = hash_pair(writer->registration.addr.ip, writer->failures);
 
     for (unsigned i = 1; i < writer->failures && pause_us < PAUSE_LONGEST_US;
          i++) {
@@ -140,40 +140,42 @@
 
 /* Whether the object that was read is what would be written. */
 static bool
-is_there(const struct presence_writer *writer, const struct store_reply *reply)
+is_there(const struct registration_writer *writer,
+         const struct store_reply *reply)
 {
-    struct presence there;
+    struct registration there;
 
     return reply->count == 1 &&
-           presence_decode(reply->objects[0].name, reply->objects[0].value,
-                           &there) == 0 &&
-           presence_equal(&there, &writer->presence);
+           registration_decode(reply->objects[0].name, reply->objects[0].value,
+                               &there) == 0 &&
+           registration_equal(&there, &writer->registration);
 }
 
 static void
-on_success(struct presence_writer *writer, const struct store_reply *reply)
+on_success(struct registration_writer *writer, const struct store_reply *reply)
 {
     writer->failures = 0;
     switch (writer->step) {
-    case PRESENCE_LOOK:
+    case REGISTRATION_LOOK:
         writer->looks++;
-        writer->step = is_there(writer, reply) ? PRESENCE_KEPT : PRESENCE_PUT;
+        writer->step =
+            is_there(writer, reply) ? REGISTRATION_KEPT : REGISTRATION_PUT;
         break;
-    case PRESENCE_REMOVE:
-        writer->step = PRESENCE_GONE;
+    case REGISTRATION_REMOVE:
+        writer->step = REGISTRATION_GONE;
         break;
     default:
-        writer->looks = PRESENCE_LOOKS;
-        writer->step = PRESENCE_KEPT;
+        writer->looks = REGISTRATION_LOOKS;
+        writer->step = REGISTRATION_KEPT;
     }
 }
 
 static void
 on_done(struct store_call *call, const struct store_reply *reply)
 {
-    struct presence_writer *writer =
-        container_of(call, struct presence_writer, call);
-    bool removing = writer->step == PRESENCE_REMOVE;
+    struct registration_writer *writer =
+        container_of(call, struct registration_writer, call);
+    bool removing = writer->step == REGISTRATION_REMOVE;
 
     writer->open = false;
     writer->next_us = 0;
@@ -185,11 +187,11 @@
         on_success(writer, reply);
     }
     else if (!removing && reply->status == -ENOENT) {
-        writer->step = PRESENCE_CREATE;
+        writer->step = REGISTRATION_CREATE;
     }
     else if (!removing && reply->status == -EEXIST) {
         /* A create whose answer was lost, or an earlier host's object. */
-        writer->step = PRESENCE_PUT;
+        writer->step = REGISTRATION_PUT;
     }
     else {
         writer->failures++;
@@ -197,29 +199,29 @@
 }
 
 static int
-make_call(struct presence_writer *writer)
+make_call(struct registration_writer *writer)
 {
     struct store *store = writer->store;
     struct json_object *value;
-    char name[PRESENCE_NAME_MAX];
+    char name[REGISTRATION_NAME_MAX];
     int ret;
 
-    presence_name(writer->presence.addr, name);
-    if (writer->step == PRESENCE_LOOK) {
-        return store->ops->get(store, PRESENCE_KIND, name, STORE_READ_ANY,
+    registration_name(writer->registration.addr, name);
+    if (writer->step == REGISTRATION_LOOK) {
+        return store->ops->get(store, REGISTRATION_KIND, name, STORE_READ_ANY,
                                &writer->call);
     }
-    if (writer->step == PRESENCE_REMOVE) {
-        return store->ops->remove(store, PRESENCE_KIND, name, 0,
+    if (writer->step == REGISTRATION_REMOVE) {
+        return store->ops->remove(store, REGISTRATION_KIND, name, 0,
                                   &writer->call);
     }
-    value = presence_encode(&writer->presence);
-    if (writer->step == PRESENCE_PUT) {
-        ret =
-            store->ops->put(store, PRESENCE_KIND, name, value, &writer->call);
+    value = registration_encode(&writer->registration);
+    if (writer->step == REGISTRATION_PUT) {
+        ret = store->ops->put(store, REGISTRATION_KIND, name, value,
+                              &writer->call);
     }
     else {
-        ret = store->ops->create(store, PRESENCE_KIND, name, value,
+        ret = store->ops->create(store, REGISTRATION_KIND, name, value,
                                  &writer->call);
     }
     json_object_put(value);
@@ -227,56 +229,58 @@
 }
 
 static bool
-has_work(const struct presence_writer *writer)
+has_work(const struct registration_writer *writer)
 {
-    bool stands =
-        writer->step == PRESENCE_KEPT && writer->looks >= PRESENCE_LOOKS;
+    bool stands = writer->step == REGISTRATION_KEPT &&
+                  writer->looks >= REGISTRATION_LOOKS;
 
-    return !writer->open && !stands && writer->step != PRESENCE_GONE;
+    return !writer->open && !stands && writer->step != REGISTRATION_GONE;
 }
 
 /* How long the next call waits for. */
 static uint64_t
-pause_of(const struct presence_writer *writer)
+pause_of(const struct registration_writer *writer)
 {
     if (writer->failures > 0) {
         return pause_after(writer);
     }
-    return writer->step == PRESENCE_KEPT ? CHECK_AFTER_US : 0;
+    return writer->step == REGISTRATION_KEPT ? CHECK_AFTER_US : 0;
 }
 
 void
-presence_writer_init(struct presence_writer *writer, struct store *store,
-                     const struct presence *presence, uint64_t now_us)
+registration_writer_init(struct registration_writer *writer,
+                         struct store *store,
+                         const struct registration *registration,
+                         uint64_t now_us)
 {
-    *writer = (struct presence_writer){
+    *writer = (struct registration_writer){
         .call.done = on_done,
         .store = store,
-        .presence = *presence,
-        .step = PRESENCE_LOOK,
+        .registration = *registration,
+        .step = REGISTRATION_LOOK,
         .next_us = now_us,
     };
 }
 
 void
-presence_writer_again(struct presence_writer *writer, uint64_t now_us)
+registration_writer_again(struct registration_writer *writer, uint64_t now_us)
 {
-    if (writer->step == PRESENCE_KEPT) {
-        writer->step = PRESENCE_CREATE;
+    if (writer->step == REGISTRATION_KEPT) {
+        writer->step = REGISTRATION_CREATE;
         writer->next_us = now_us;
     }
 }
 
 void
-presence_writer_remove(struct presence_writer *writer, uint64_t now_us)
+registration_writer_remove(struct registration_writer *writer, uint64_t now_us)
 {
-    writer->step = PRESENCE_REMOVE;
+    writer->step = REGISTRATION_REMOVE;
     writer->failures = 0;
     writer->next_us = now_us;
 }
 
 void
-presence_writer_tick(struct presence_writer *writer, uint64_t now_us)
+registration_writer_tick(struct registration_writer *writer, uint64_t now_us)
 {
     if (!has_work(writer)) {
         return;
@@ -287,8 +291,8 @@
     if (writer->next_us > now_us) {
         return;
     }
-    if (writer->step == PRESENCE_KEPT) {
-        writer->step = PRESENCE_LOOK;
+    if (writer->step == REGISTRATION_KEPT) {
+        writer->step = REGISTRATION_LOOK;
     }
     writer->open = true;
     writer->called = writer->step;
@@ -300,7 +304,7 @@
 }
 
 uint64_t
-presence_writer_next_us(const struct presence_writer *writer)
+registration_writer_next_us(const struct registration_writer *writer)
 {
     return has_work(writer) ? writer->next_us : UINT64_MAX;
 }
--- a/tests/relay/watcher_test.c
+++ b/tests/relay/watcher_test.c
@@ -5,7 +5,7 @@
 #include "base/container.h"
 #include "lib/harness.h"
 #include "relay/store/watcher.h"
-#include "relay/store/presence.h"
+#include "relay/store/registration.h"
 #include "relay/relay_rig.h"
 
 #define SUITE "/relay/watcher"
@@ -18,7 +18,7 @@
 struct site {
     struct store store;
     struct watcher watcher;
-    struct presence_writer writer;
+    struct registration_writer writer;
     struct store_call *call;
     GString *record;
     uint64_t now_us;
@@ -136,7 +136,7 @@
 static void
 site_init(struct site *site)
 {
-    struct presence presence = {
+    struct registration registration = {
         .addr = rig_addr("10.1.0.13:8172"),
         .service = "lots",
         .data_centre = "here",
@@ -147,7 +147,8 @@
     site->now_us = USEC_PER_SEC;
     watcher_init(&site->watcher, &watcher_ops, &site->store, "kind",
                  (struct watcher_pace){0}, 1, site->now_us);
-    presence_writer_init(&site->writer, &site->store, &presence, site->now_us);
+    registration_writer_init(&site->writer, &site->store, &registration,
+                             site->now_us);
 }
 
 static void
@@ -327,13 +328,13 @@
 static void
 answer_look(struct site *site, const char *service)
 {
-    struct presence presence = site->writer.presence;
+    struct registration registration = site->writer.registration;
     struct store_object told = {.name = "10-1-0-13-8172", .revision = 7};
     struct store_reply reply = {.objects = &told, .count = 1};
     struct store_call *call = site->call;
 
-    g_strlcpy(presence.service, service, sizeof(presence.service));
-    told.value = presence_encode(&presence);
+    g_strlcpy(registration.service, service, sizeof(registration.service));
+    told.value = registration_encode(&registration);
     site->call = NULL;
     call->done(call, &reply);
     json_object_put(told.value);
@@ -344,7 +345,7 @@
 {
     for (unsigned i = 0; i < ms && site->call == NULL; i++) {
         site->now_us += MS;
-        presence_writer_tick(&site->writer, site->now_us);
+        registration_writer_tick(&site->writer, site->now_us);
     }
 }
 
@@ -352,7 +353,7 @@
 {
     writer_tick(site, 1);
     answer_look(site, "lots");
-    g_assert_cmpint(site->writer.step, ==, PRESENCE_KEPT);
+    g_assert_cmpint(site->writer.step, ==, REGISTRATION_KEPT);
     rig_expect(site->record, "get 10-1-0-13-8172 any", NULL);
     /* The look may have been seconds old. */
     writer_tick(site, 9000);
@@ -393,12 +394,12 @@
     writer_tick(site, 1);
     answer(site, -ENOENT, 0, NULL, false);
     writer_tick(site, 2);
-    presence_writer_remove(&site->writer, site->now_us);
+    registration_writer_remove(&site->writer, site->now_us);
     answer(site, 0, 9, NULL, false);
-    g_assert_cmpint(site->writer.step, ==, PRESENCE_REMOVE);
+    g_assert_cmpint(site->writer.step, ==, REGISTRATION_REMOVE);
     writer_tick(site, 2);
     answer(site, 0, 12, NULL, false);
-    g_assert_cmpint(site->writer.step, ==, PRESENCE_GONE);
+    g_assert_cmpint(site->writer.step, ==, REGISTRATION_GONE);
     rig_expect(site->record, "get 10-1-0-13-8172 any", "create 10-1-0-13-8172",
                "remove 10-1-0-13-8172", NULL);
 }
@@ -422,10 +423,10 @@
 {
     writer_tick(site, 1);
     answer_look(site, "lots");
-    presence_writer_again(&site->writer, site->now_us);
+    registration_writer_again(&site->writer, site->now_us);
     writer_tick(site, 2);
     answer(site, 0, 12, NULL, false);
-    g_assert_cmpint(site->writer.step, ==, PRESENCE_KEPT);
+    g_assert_cmpint(site->writer.step, ==, REGISTRATION_KEPT);
     rig_expect(site->record, "get 10-1-0-13-8172 any", "create 10-1-0-13-8172",
                NULL);
 }
@@ -434,47 +435,49 @@
 {
     writer_tick(site, 1);
     answer_look(site, "lots");
-    presence_writer_remove(&site->writer, site->now_us);
+    registration_writer_remove(&site->writer, site->now_us);
     writer_tick(site, 2);
     answer(site, -EBUSY, 0, NULL, false);
     writer_tick(site, 500);
     answer(site, -ENOENT, 0, NULL, false);
-    g_assert_cmpint(site->writer.step, ==, PRESENCE_GONE);
-    g_assert_cmpuint(presence_writer_next_us(&site->writer), ==, UINT64_MAX);
+    g_assert_cmpint(site->writer.step, ==, REGISTRATION_GONE);
+    g_assert_cmpuint(registration_writer_next_us(&site->writer), ==,
+                     UINT64_MAX);
 }
 
 TEST(names_and_values_come_back)
 {
-    struct presence presence = {
+    struct registration registration = {
         .addr = rig_addr("10.1.0.13:8172"),
         .service = "lots",
         .data_centre = "kariakoo",
     };
-    struct presence read;
-    struct json_object *value = presence_encode(&presence);
+    struct registration read;
+    struct json_object *value = registration_encode(&registration);
     struct addr addr;
 
-    g_assert_cmpint(presence_decode("10-1-0-13-8172", value, &read), ==, 0);
-    g_assert_true(addr_equal(read.addr, presence.addr));
+    g_assert_cmpint(registration_decode("10-1-0-13-8172", value, &read), ==,
+                    0);
+    g_assert_true(addr_equal(read.addr, registration.addr));
     g_assert_cmpstr(read.service, ==, "lots");
     g_assert_cmpstr(read.data_centre, ==, "kariakoo");
     /* The same under another agent's name, and under none. */
-    g_assert_cmpint(presence_decode("10-1-0-14-8172", value, &read), ==,
+    g_assert_cmpint(registration_decode("10-1-0-14-8172", value, &read), ==,
                     -EINVAL);
-    g_assert_cmpint(presence_decode("x", value, &read), ==, -EINVAL);
+    g_assert_cmpint(registration_decode("x", value, &read), ==, -EINVAL);
     json_object_put(value);
-    g_assert_cmpint(presence_addr("10-1-0-13-8172", &addr), ==, 0);
-    g_assert_true(addr_equal(addr, presence.addr));
-    g_assert_cmpint(presence_addr("10-1-0-13", &addr), ==, -EINVAL);
-    g_assert_cmpint(presence_addr("10-1-0-13-8172x", &addr), ==, -EINVAL);
-    g_assert_cmpint(presence_addr("300-1-0-13-8172", &addr), ==, -EINVAL);
-    g_assert_cmpint(presence_addr("10-01-0-13-8172", &addr), ==, -EINVAL);
-    g_assert_cmpint(presence_addr("10-1-0-13-99999999999", &addr), ==,
+    g_assert_cmpint(registration_addr("10-1-0-13-8172", &addr), ==, 0);
+    g_assert_true(addr_equal(addr, registration.addr));
+    g_assert_cmpint(registration_addr("10-1-0-13", &addr), ==, -EINVAL);
+    g_assert_cmpint(registration_addr("10-1-0-13-8172x", &addr), ==, -EINVAL);
+    g_assert_cmpint(registration_addr("300-1-0-13-8172", &addr), ==, -EINVAL);
+    g_assert_cmpint(registration_addr("10-01-0-13-8172", &addr), ==, -EINVAL);
+    g_assert_cmpint(registration_addr("10-1-0-13-99999999999", &addr), ==,
                     -EINVAL);
-    g_assert_cmpint(presence_addr("10-1--13-8172", &addr), ==, -EINVAL);
-    g_assert_cmpint(presence_addr("", &addr), ==, -EINVAL);
-    g_assert_cmpint(presence_addr("0-0-0-0-0", &addr), ==, 0);
-    g_assert_cmpint(presence_decode("10-1-0-13-8172", NULL, &read), ==,
+    g_assert_cmpint(registration_addr("10-1--13-8172", &addr), ==, -EINVAL);
+    g_assert_cmpint(registration_addr("", &addr), ==, -EINVAL);
+    g_assert_cmpint(registration_addr("0-0-0-0-0", &addr), ==, 0);
+    g_assert_cmpint(registration_decode("10-1-0-13-8172", NULL, &read), ==,
                     -EINVAL);
 }
 
@@ -497,14 +500,14 @@
         "{\"address\":\"10.1.0.13:8172\",\"service\":\"lots\","
         "\"data_centre\":null}",
     };
-    struct presence read;
+    struct registration read;
 
     for (size_t i = 0; i < G_N_ELEMENTS(wrong); i++) {
         struct json_object *value = json_tokener_parse(wrong[i]);
 
         g_assert_nonnull(value);
-        g_assert_cmpint(presence_decode("10-1-0-13-8172", value, &read), ==,
-                        -EINVAL);
+        g_assert_cmpint(registration_decode("10-1-0-13-8172", value, &read),
+                        ==, -EINVAL);
         json_object_put(value);
     }
 }
