--- a/tests/relay/world.c
+++ b/tests/relay/world.c
@@ -64,6 +64,32 @@
     world->fault_us = world->now_us;
 }
 
+/* Some agents that aren't cut off yet lose the balancers. */
+static void
+cut_agents(struct world *world)
+{
+    unsigned ms =
+        (unsigned)g_rand_int_range(world->rand, CUT_LEAST_MS, CUT_MOST_MS);
+    unsigned how = (unsigned)g_rand_int_range(world->rand, 0, 3);
+    unsigned left = world->plan->cut_agents;
+
+    for (unsigned i = 0; i < WORLD_AGENTS; i++) {
+        left -= left > 0 && world->hosts[i].cut_until_us > world->now_us;
+    }
+    while (left > 0) {
+        struct host *host = any_host(world);
+
+        if (host->cut_until_us > world->now_us) {
+            continue;
+        }
+        host->cut_until_us = world->now_us + ms * USEC_PER_MSEC;
+        host->cut_from = how != 1;
+        host->cut_to = how != 0;
+        world->fault_us = host->cut_until_us;
+        left--;
+    }
+}
+
 static void
 draw_faults(struct world *world)
 {
@@ -97,6 +123,9 @@
     if (world_chance(world, plan->config)) {
         world_change_config(world);
     }
+    if (plan->cut > 0 && world_chance(world, plan->cut)) {
+        cut_agents(world);
+    }
     if (plan->stall > 0 && world_chance(world, plan->stall)) {
         any_front(world)->stalled_until_us = world->now_us + STALL_US;
     }
--- a/tests/relay/world.h
+++ b/tests/relay/world.h
@@ -25,14 +25,17 @@
     unsigned balancer_restart;
     unsigned endpoint_crash; /* and starts again after a while */
     unsigned endpoint_drain;
-    unsigned reuse;   /* an endpoint's address goes to the other
-                         service */
-    unsigned freeze;  /* one agent stands still for 300 ms */
-    unsigned config;  /* a route is added or dropped */
-    unsigned stall;   /* what one balancer sends in 40 ms comes late */
-    bool closing;     /* callers say goodbye, which is answered */
-    bool loss_of_all; /* after half of the time every host starts anew */
-    bool told;        /* callers of flows that nobody holds must be told */
+    unsigned reuse;  /* an endpoint's address goes to the other
+                        service */
+    unsigned freeze; /* one agent stands still for 300 ms */
+    unsigned config; /* a route is added or dropped */
+    unsigned stall;  /* what one balancer sends in 40 ms comes late */
+    unsigned cut;    /* some agents and the balancers lose each other, one way
+                        or both, for seconds */
+    unsigned cut_agents; /* how many at a time */
+    bool closing;        /* callers say goodbye, which is answered */
+    bool loss_of_all;    /* after half of the time every host starts anew */
+    bool told;           /* callers of flows that nobody holds must be told */
 };
 
 /** struct world_result - what came of it */
--- a/tests/relay/world_fronts.c
+++ b/tests/relay/world_fronts.c
@@ -20,6 +20,14 @@
                       "a balancer");
 }
 
+/* Whether what is sent to an agent is lost. */
+static bool
+is_cut(const struct front *front, struct addr agent)
+{
+    return world_is_cut(&front->world->hosts[agent.ip - world_host_addr(0).ip],
+                        true);
+}
+
 static void
 steer_carries(struct steer_out *out, struct addr agent,
               const struct frame_carry *frame)
@@ -34,6 +42,9 @@
         world_breach(front->world,
                      "CONFIG: a SYN of a dropped route is carried");
     }
+    if (is_cut(front, agent)) {
+        return;
+    }
     world_post_late(front->world, TO_AGENT, agent.ip - world_host_addr(0).ip,
                     bytes, size, front->stalled_until_us);
 }
@@ -49,6 +60,9 @@
     uint8_t bytes[FRAME_HEAD_MAX + 1];
     size_t size = frame_ping_encode(&ping, bytes);
 
+    if (is_cut(front, agent)) {
+        return;
+    }
     /* The sender's number stands in for its address. */
     bytes[size] = (uint8_t)front->number;
     world_post_late(front->world, TO_AGENT, agent.ip - world_host_addr(0).ip,
@@ -62,6 +76,9 @@
     uint8_t bytes[FRAME_MAX];
     size_t size = frame_ask_encode(ask, bytes);
 
+    if (is_cut(front, agent)) {
+        return;
+    }
     /* The sender's number stands in for its address. */
     bytes[size] = (uint8_t)front->number;
     world_post_lost(front->world, TO_AGENT, agent.ip - world_host_addr(0).ip,
--- a/tests/relay/world_hosts.c
+++ b/tests/relay/world_hosts.c
@@ -60,6 +60,9 @@
     uint8_t bytes[FRAME_MAX + 1];
     size_t size = frame_status_encode(status, bytes);
 
+    if (world_is_cut(host, false)) {
+        return;
+    }
     /* The sender's number stands in for its address. */
     bytes[size] = (uint8_t)host->number;
     world_post(host->world, TO_BALANCER_FRAME,
@@ -80,6 +83,9 @@
     uint8_t bytes[FRAME_MAX + 1];
     size_t size = frame_absent_encode(answer, bytes);
 
+    if (world_is_cut(host, false)) {
+        return;
+    }
     bytes[size] = (uint8_t)host->number;
     world_post_lost(host->world, TO_BALANCER_FRAME,
                     balancer.ip - world_front_addr(0).ip, bytes, size + 1, 0);
--- a/tests/relay/world_net.c
+++ b/tests/relay/world_net.c
@@ -30,6 +30,13 @@
                "at %" G_GUINT64_FORMAT " us: %s", world->now_us, text);
 }
 
+bool
+world_is_cut(const struct host *host, bool to_host)
+{
+    return host->cut_until_us > host->world->now_us &&
+           (to_host ? host->cut_to : host->cut_from);
+}
+
 struct relay_packet
 world_packet_of(const uint8_t *bytes)
 {
--- a/tests/relay/world_private.h
+++ b/tests/relay/world_private.h
@@ -24,6 +24,12 @@
 #define WORK_US (15 * USEC_PER_MSEC)
 #define RESTART_US (200 * USEC_PER_MSEC)
 #define FREEZE_US (300 * USEC_PER_MSEC)
+#define CUT_LEAST_MS 1500
+#define CUT_MOST_MS 4000
+
+/* The rule on resets holds again this long after a host's links were cut: the
+ * shortest of the users' sites. */
+#define CUT_EXCUSED_US (4000 * USEC_PER_MSEC)
 #define LOCAL_US 50
 #define CONFIRM_US (4 * USEC_PER_MSEC)
 #define FRESH_US (100 * USEC_PER_MSEC)
@@ -85,6 +91,9 @@
     bool told_draining;
     uint64_t back_us;
     uint64_t frozen_until_us;
+    uint64_t cut_until_us;
+    bool cut_from;
+    bool cut_to;
     uint64_t beat_us;
     uint64_t sequence;
     uint64_t fault_us;
@@ -187,6 +196,11 @@
 world_post(struct world *world, enum target target, unsigned number,
            const void *bytes, size_t size, bool local);
 
+/** world_is_cut() - whether frames of an agent to balancers are lost, or
+ * theirs to it */
+bool
+world_is_cut(const struct host *host, bool to_host);
+
 /** world_post_late() - the same, but it doesn't arrive before @earliest_us */
 void
 world_post_late(struct world *world, enum target target, unsigned number,
