--- a/src/relay/steer/agents.c
+++ b/src/relay/steer/agents.c
@@ -68,7 +68,8 @@
 }
 
 static struct agent_row *
-row_add(struct agents *agents, struct addr addr, uint32_t service)
+row_add(struct agents *agents, struct addr addr, uint32_t service,
+        uint64_t now_us)
 {
     struct agent_row *row = g_new0(struct agent_row, 1);
 
@@ -80,6 +81,7 @@
     row->row_at = array_add(agents->rows, row);
     g_hash_table_insert(agents->by_addr, &row->key, row);
     service_add(agents, row);
+    agents_ping_now(agents, row, now_us);
     return row;
 }
 
@@ -151,10 +153,7 @@
     struct agent_row *row = agents_find(agents, addr);
 
     if (row == NULL) {
-        row = row_add(agents, addr, service);
-        agents_ping_first(agents, row,
-                          strcmp(data_centre, agents->data_centre) == 0,
-                          now_us);
+        row = row_add(agents, addr, service, now_us);
     }
     if (row->health.service != service) {
         struct frame_health nothing = {.service = service};
@@ -197,7 +196,7 @@
     struct agent_row *row = agents_find(agents, addr);
 
     if (row == NULL) {
-        row = row_add(agents, addr, health->service);
+        row = row_add(agents, addr, health->service, now_us);
     }
     if (agents->listed_once && row->listed &&
         row->health.service != health->service) {
--- a/src/relay/steer/agents.h
+++ b/src/relay/steer/agents.h
@@ -88,7 +88,6 @@
  * @by_addr: row of an address
  * @by_service: GPtrArray of the rows of a service
  * @pinged: rows that are to be pinged
- * @first_ping_us: when the next new agent of another data centre is pinged
  * @listed_once: the store's list was read to its end
  * @changes: how often an agent came to a service
  * @data_centre: where the balancer stands
@@ -98,7 +97,6 @@
     GHashTable *by_addr;
     GHashTable *by_service;
     GPtrArray *pinged;
-    uint64_t first_ping_us;
     bool listed_once;
     uint64_t changes;
     char data_centre[AGENT_DATA_CENTRE_MAX];
--- a/src/relay/steer/agents_private.h
+++ b/src/relay/steer/agents_private.h
@@ -31,12 +31,6 @@
 void
 agents_ping_now(struct agents *agents, struct agent_row *row, uint64_t now_us);
 
-/** agents_ping_first() - a row is new: it is pinged at once if it is of this
- * data centre, the others a few at a time */
-void
-agents_ping_first(struct agents *agents, struct agent_row *row, bool here,
-                  uint64_t now_us);
-
 /** agents_trust() - a row isn't suspected */
 void
 agents_trust(struct agent_row *row);
--- a/src/relay/steer/agents_reach.c
+++ b/src/relay/steer/agents_reach.c
@@ -10,14 +10,6 @@
 #define PING_FIRST_US (100 * USEC_PER_MSEC)
 #define PING_SLOWEST_US (2 * USEC_PER_SEC)
 
-/* A balancer that starts learns of hundreds of agents at once, and each ping
- * and answer costs a host with a fortieth of a core as much as a caller's
- * packet, while callers wait. Those of other data centres are used when they
- * must be all the same; 16 of them are pinged at once, which is all there are
- * on small sites, and then 125 a second. */
-#define FIRST_BURST 16
-#define FIRST_GAP_US (8 * USEC_PER_MSEC)
-
 /* An agent that said that it takes nothing new tells when that changes; the
  * ping is for the word that was lost on its way. */
 #define PING_CLOSED_US (500 * USEC_PER_MSEC)
@@ -61,20 +53,6 @@
     agents_set_ping(agents, row, now_us);
 }
 
-void
-agents_ping_first(struct agents *agents, struct agent_row *row, bool here,
-                  uint64_t now_us)
-{
-    uint64_t earliest_us = now_us - MIN(now_us, FIRST_BURST * FIRST_GAP_US);
-    uint64_t turn_us = MAX(agents->first_ping_us, earliest_us);
-
-    agents_ping_now(agents, row, now_us);
-    if (!here) {
-        agents->first_ping_us = turn_us + FIRST_GAP_US;
-        agents_set_ping(agents, row, MAX(turn_us, now_us));
-    }
-}
-
 /* It didn't answer what was sent at @sent_us. */
 static void
 set_suspect(struct agent_row *row, uint64_t sent_us)
