Two readers a data centre; agents' pauses up to 2 s

Change: of too many readers two in n go on, not three; the longest pause between watches of agents is 2 s, not 1 s.

--- a/src/relay/program/relay_balancer.c
+++ b/src/relay/program/relay_balancer.c
@@ -21,7 +21,7 @@
  * long, and those that have gone say so themselves. */
 static const struct watcher_pace agents_pace = {
     .first_us = 100 * USEC_PER_MSEC,
-    .longest_us = 1 * USEC_PER_SEC,
+    .longest_us = 2 * USEC_PER_SEC,
 };
 
 /* Operators may change the configuration many times a second. The longest is
--- a/src/relay/store/store_reader.c
+++ b/src/relay/store/store_reader.c
@@ -5,9 +5,10 @@
 #include "base/clock.h"
 #include "base/hash.h"
 
-/* Readers that an agent should hear from. One may be cut off from the store
- * without a sign until its connection's probes fail, 3 s later; both at once
- * is rare, and then the cheap reads bring the change all the same. */
+/* Readers that an agent should hear from; of more, so many go on, by draw. One
+ * may be cut off from the store without a sign until its connection's probes
+ * fail, 3 s later; both at once is rare, and then the cheap reads bring the
+ * change all the same. */
 #define READERS_ENOUGH 2
 
 /* How long a balancer listens before it takes part or stops, and by how much
@@ -25,10 +26,6 @@
  * from in the last second, and one datagram may be lost. */
 #define TELL_US (400 * USEC_PER_MSEC)
 
-/* Of more readers so many go on, by draw. One more than enough: with enough it
- * would too often be too few. */
-#define READERS_MOST 3
-
 /* When there are too few but some, one balancer in this many starts at the end
  * of its window: all at once would be many. Data centres have some 20. */
 #define START_ONE_IN 16
@@ -103,7 +100,7 @@
     if (failures > 0 && reader->others.reading > 0) {
         return false;
     }
-    return draw(reader, READERS_MOST, MAX(others + 1, READERS_MOST));
+    return draw(reader, READERS_ENOUGH, MAX(others + 1, READERS_ENOUGH));
 }
 
 void
