--- a/src/relay/store/watcher.c
+++ b/src/relay/store/watcher.c
@@ -35,10 +35,11 @@
  * request. */
 #define PAUSE_EAGER_US (150 * USEC_PER_MSEC)
 
-/* The longest for an owner that is told when others reach the store again, and
- * within what time it then tries: what an outage costs grows with those that
- * look for its end, not with the fleet. Its end goes unnoticed for no longer
- * than operators give a change to be in force. */
+/* The first and the longest for an owner that is told when others reach the
+ * store again, and within what time it then tries: what an outage costs grows
+ * with those that look for its end, not with the fleet. Its end goes unnoticed
+ * for no longer than operators give a change to be in force. */
+#define PAUSE_PATIENT_FIRST_US (400 * USEC_PER_MSEC)
 #define PAUSE_PATIENT_US (3200 * USEC_PER_MSEC)
 #define RETRY_WITHIN_US (300 * USEC_PER_MSEC)
 
@@ -58,7 +59,8 @@
 pause_after(const struct watcher *watcher)
 {
     uint64_t longest_us = longest_pause(watcher);
-    uint64_t pause_us = PAUSE_FIRST_US;
+    bool waits = watcher->patient && !watcher->eager;
+    uint64_t pause_us = waits ? PAUSE_PATIENT_FIRST_US : PAUSE_FIRST_US;
     uint64_t jitter;
 
     for (unsigned i = 1; i < watcher->failures && pause_us < longest_us; i++) {
--- a/tests/relay/watcher_test.c
+++ b/tests/relay/watcher_test.c
@@ -288,6 +288,8 @@
 
     site->watcher.patient = true;
     watcher_tick(&site->watcher, site->now_us);
+    answer(site, -EBUSY, 0, NULL, false);
+    g_assert_cmpuint(wait_for_call(site), >=, 400);
     for (unsigned i = 0; i < 12; i++) {
         answer(site, -EBUSY, 0, NULL, false);
         waited = wait_for_call(site);
