relay_balancer: one step a function

tick_reader did four things; a balancer that hears of a newer configuration isn't sure of its own from then on, not from the next tick.

--- a/src/relay/program/relay_balancer.c
+++ b/src/relay/program/relay_balancer.c
@@ -88,39 +88,58 @@
     }
 }
 
+/* What part this balancer takes in reading the latest, and tells agents. */
 static void
-tick_reader(struct relay_balancer *balancer, uint64_t now_us)
+tick_part(struct relay_balancer *balancer, uint64_t now_us)
 {
     struct store_reader *reader = &balancer->reader;
-    struct watcher *watcher = &balancer->config_watcher;
-    struct watcher *agents = &balancer->agents_watcher;
-    struct addr self = balancer->settings.share;
-    struct addr holder = {reader->newer.holder.ip, self.port};
+    unsigned failures = balancer->config_watcher.failures;
     bool was_reading = reader->reading;
-    bool pings;
+    bool pings = store_reader_tick(reader, failures, now_us);
 
-    pings = store_reader_tick(reader, watcher->failures, now_us);
     log_reader(balancer, was_reading);
-    balancer->steer.reader = store_reader_part(reader, watcher->failures);
-    watcher->patient = !reader->reading;
-    agents->patient = !reader->reading;
+    balancer->steer.reader = store_reader_part(reader, failures);
     balancer->steer.current =
-        store_reader_is_current(reader, watcher->failures, now_us);
+        store_reader_is_current(reader, failures, now_us);
     if (pings) {
         steer_ping_witnesses(&balancer->steer);
     }
-    /* The first is the latest: after a loss of all hosts nobody else would
-     * know that it is old. */
+}
+
+/* How new what is read must be, and how soon a failed read is repeated. */
+static void
+set_reads(struct relay_balancer *balancer, uint64_t now_us)
+{
+    const struct store_reader *reader = &balancer->reader;
+    struct watcher *config = &balancer->config_watcher;
+    struct watcher *agents = &balancer->agents_watcher;
+
+    config->eager = balancer->steer.routes.version == 0;
+    config->patient = !reader->reading;
+    agents->patient = !reader->reading;
+    /* The first configuration is the latest: after a loss of all hosts nobody
+     * else would know that it is old. */
     watcher_set_read(
-        watcher, balancer->steer.routes.version == 0
-                     ? STORE_READ_LATEST
-                     : store_reader_read(reader, watcher->failures, now_us));
+        config, config->eager
+                    ? STORE_READ_LATEST
+                    : store_reader_read(reader, config->failures, now_us));
     /* Agents whose objects were taken away are to hear of it soon, from
      * whoever knows first; nothing else waits for this list. */
     watcher_set_read(agents, reader->reading && agents->failures == 0
                                  ? STORE_READ_LATEST
                                  : STORE_READ_ANY);
-    if (store_reader_asks_peer(reader, watcher->failures, now_us) &&
+}
+
+/* Asks whoever is known to have a newer configuration. */
+static void
+ask_holder(struct relay_balancer *balancer, uint64_t now_us)
+{
+    const struct store_reader *reader = &balancer->reader;
+    struct addr self = balancer->settings.share;
+    struct addr holder = {reader->newer.holder.ip, self.port};
+
+    if (store_reader_asks_peer(reader, balancer->config_watcher.failures,
+                               now_us) &&
         !addr_equal(holder, self)) {
         share_ask(&balancer->share, holder, now_us);
     }
@@ -129,8 +148,9 @@
 static void
 tick_watchers(struct relay_balancer *balancer, uint64_t now_us)
 {
-    tick_reader(balancer, now_us);
-    balancer->config_watcher.eager = balancer->steer.routes.version == 0;
+    tick_part(balancer, now_us);
+    set_reads(balancer, now_us);
+    ask_holder(balancer, now_us);
     watcher_tick(&balancer->config_watcher, now_us);
     if (agents_may_call(balancer)) {
         watcher_tick(&balancer->agents_watcher, now_us);
--- a/src/relay/program/relay_balancer_out.c
+++ b/src/relay/program/relay_balancer_out.c
@@ -91,6 +91,7 @@
     struct relay_balancer *balancer = of_out(out);
 
     store_reader_newer(&balancer->reader, newer, loop_now_us(&balancer->loop));
+    balancer->steer.current = false;
 }
 
 static void
