--- a/src/balancer/worker.h
+++ b/src/balancer/worker.h
@@ -26,9 +26,6 @@
 #define WORKER_BATCH 64
 #define WORKERS_MAX COUNTER_WORKERS_MAX
 
-/* How long a worker waits for packets before it looks whether to end */
-#define WORKER_WAIT_MS 20
-
 /*
  * An endpoint seen for less than this is not reported as gone: the refusal
  * may be about the process that had its address before.
--- a/src/balancer/worker_socket.c
+++ b/src/balancer/worker_socket.c
@@ -9,8 +9,6 @@
 #include <sys/time.h>
 #include <unistd.h>
 
-#include "balancer/worker.h"
-
 #define SOCKET_BUFFER (4 << 20)
 #define CONTROL_SIZE 256
 
@@ -19,6 +17,10 @@
 #define OFFSET_PORTS (4 + 20)
 #define GOLDEN_32 0x9e3779b1u
 
+/* How long a worker waits for packets before it looks whether to end, in
+ * milliseconds */
+#define WORKER_WAIT_MS 20
+
 static int
 set_int(int fd, int level, int name, int value)
 {
--- a/src/flow/registrar.h
+++ b/src/flow/registrar.h
@@ -12,7 +12,7 @@
 #include <stdint.h>
 
 #include "flow/entries.h"
-#include "flow/flow.h"
+#include "flow/flow_types.h"
 #include "flow/members.h"
 
 /**
--- a/src/text/text_check.c
+++ b/src/text/text_check.c
@@ -7,6 +7,7 @@
 
 #include "base/addr.h"
 #include "base/hash.h"
+#include "text/text_lookup.h"
 #include "text/text_unique.h"
 #include "text/text_value.h"
 
@@ -259,19 +260,6 @@
     text_unique_finish(&unique);
 }
 
-const char *
-text_check_string(struct json_object *value)
-{
-    const char *string;
-
-    if (!json_object_is_type(value, json_type_string)) {
-        return NULL;
-    }
-    string = json_object_get_string(value);
-    return strlen(string) == (size_t)json_object_get_string_len(value) ? string
-                                                                       : NULL;
-}
-
 int
 text_check_services(struct json_object *root, const struct text_index *index,
                     struct text_faults *faults, struct text *text)
--- a/src/text/text_check.h
+++ b/src/text/text_check.h
@@ -4,15 +4,10 @@
 #ifndef SWIFTARCH_TEXT_TEXT_CHECK_H
 #define SWIFTARCH_TEXT_TEXT_CHECK_H
 
-#include "text/text.h"
+#include "text/text_types.h"
 #include "text/text_fault.h"
 #include "text/text_index.h"
 
-/** text_check_string() - a string's bytes, or NULL when it isn't a string or
- * has a null character, behind which C would not see the rest */
-const char *
-text_check_string(struct json_object *value);
-
 /**
  * text_check_services() - read the services of a parsed text
  * @root: the text as json-c read it
--- a/src/text/text_depends.c
+++ b/src/text/text_depends.c
@@ -1,4 +1,5 @@
 #include "text/text_check.h"
+#include "text/text_value.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -58,7 +59,7 @@
 add_dependency(struct text_service *service, GHashTable *names,
                struct json_object *value)
 {
-    const char *name = text_check_string(value);
+    const char *name = text_value_bytes(value);
     gpointer other;
 
     if (name == NULL) {
--- a/src/text/text_unique.c
+++ b/src/text/text_unique.c
@@ -1,6 +1,7 @@
 #include "text/text_unique.h"
 
 #include "base/addr.h"
+#include "text/text_lookup.h"
 
 /* Index of the service that has @key already, or -1 after adding @i. */
 static int
--- a/src/text/text_unique.h
+++ b/src/text/text_unique.h
@@ -6,7 +6,7 @@
 
 #include <glib.h>
 
-#include "text/text.h"
+#include "text/text_types.h"
 #include "text/text_fault.h"
 
 /**
--- a/src/text/text_value.c
+++ b/src/text/text_value.c
@@ -3,7 +3,18 @@
 #include <inttypes.h>
 #include <string.h>
 
-#include "text/text_check.h"
+const char *
+text_value_bytes(struct json_object *value)
+{
+    const char *string;
+
+    if (!json_object_is_type(value, json_type_string)) {
+        return NULL;
+    }
+    string = json_object_get_string(value);
+    return strlen(string) == (size_t)json_object_get_string_len(value) ? string
+                                                                       : NULL;
+}
 
 uint32_t
 text_value_line(const struct text_value *check)
@@ -120,7 +131,7 @@
 const char *
 text_value_string(const struct text_value *check, const char *expected)
 {
-    const char *string = text_check_string(check->value);
+    const char *string = text_value_bytes(check->value);
 
     if (string == NULL) {
         text_value_fault(check, expected);
--- a/src/text/text_value.h
+++ b/src/text/text_value.h
@@ -29,6 +29,11 @@
     char path[TEXT_PATH_MAX];
 };
 
+/** text_value_bytes() - a string's bytes, or NULL when it isn't a string or
+ * has a null character, behind which C would not see the rest */
+const char *
+text_value_bytes(struct json_object *value);
+
 /** text_value_line() - line it stands on */
 uint32_t
 text_value_line(const struct text_value *check);
