--- a/tests/relay/readers_world_test.c
+++ b/tests/relay/readers_world_test.c
@@ -3,6 +3,8 @@
  * or are cut off, and how soon everybody has a new configuration. The store's
  * cheap reads are ten seconds old throughout, so that only readers and what
  * agents tell of them can bring a change in time. */
+#include <stdlib.h>
+
 #include "base/clock.h"
 #include "base/container.h"
 #include "lib/harness.h"
@@ -373,9 +375,15 @@
     }
 }
 
+/* Seeds of a run in CI; READERS_SEEDS=N plays more by hand. */
+#define SEEDS 60
+
 TEST(everything_at_once)
 {
-    for (uint32_t seed = 1; seed <= 60; seed++) {
+    const char *text = g_getenv("READERS_SEEDS");
+    uint32_t seeds = text != NULL ? (uint32_t)strtoul(text, NULL, 10) : SEEDS;
+
+    for (uint32_t seed = 1; seed <= seeds; seed++) {
         struct world world = {0};
 
         world_init(&world, seed);
