--- a/src/relay/steer/syn_queue.h
+++ b/src/relay/steer/syn_queue.h
@@ -1,11 +1,13 @@
 /**
  * DOC: syn_queue - SYNs that came before a balancer knew where to send them
  *
- * After a loss of power a host takes packets some 100 ms before it has read
- * the configuration and the agents. What it drops then, callers send again
- * after 0.2, 0.4 and 0.8 s: a request that could have been answered in time
- * is late. The queue keeps one copy for each flow, hands out the freshest
- * first, as the others are late anyway, and none for long.
+ * After a loss of power a balancer receives packets some 100 ms before it has
+ * read the configuration and the list of agents. Callers retransmit a dropped
+ * SYN after 0.2, 0.4 and 0.8 s, which makes requests late that could have been
+ * answered in time. The queue keeps one SYN for each flow, for 0.4 s at most,
+ * and returns the one with the youngest request first, because the others are
+ * late in any case. On days with a loss of all hosts this raises the share of
+ * worth earned by up to 0.003 (nine days played, none lower).
  */
 #ifndef SWIFTARCH_RELAY_STEER_SYN_QUEUE_H
 #define SWIFTARCH_RELAY_STEER_SYN_QUEUE_H
--- a/src/relay/store/store_reader.h
+++ b/src/relay/store/store_reader.h
@@ -2,22 +2,25 @@
  * DOC: store_reader - how a balancer keeps up with the configuration
  * (decisions only)
  *
- * A read of the latest costs ten times one that may be seconds old, and
- * counts against a limit that grows more slowly than the fleet. So only a few
- * balancers read the latest. All others watch with reads that may be old;
- * agents tell them when some balancer has a newer configuration, and then
- * they read for themselves, once.
+ * A read of the store's latest state costs ten times a stale read, and counts
+ * against a rate limit that grows more slowly than the fleet. Only a few
+ * balancers (the readers) therefore read the latest. The others watch with
+ * stale reads. Agents tell them when another balancer has a newer
+ * configuration, and they then read the latest once.
  *
- * Nobody elects the readers. Agents count the readers that they hear from and
- * tell each balancer how many others there are. A balancer that is told of
- * none for a while asks some agents that all balancers of its data centre
- * would ask (the witnesses), and becomes a reader unless they know one; of
- * more than enough, some stop. Readers tell the witnesses that they are there.
- * One that is cut off, frozen or dead isn't heard and so isn't counted.
- * Whoever hears from no agent reads for itself.
+ * There is no election. Every frame says whether its sender is a reader; each
+ * agent counts the readers that it has heard from in the last second and
+ * reports that count to every balancer, without the balancer itself. A
+ * balancer that is told of no reader for a window of half a second to a second
+ * asks the witnesses, three agents that all balancers of its data centre rank
+ * first, and becomes a reader unless one of them knows a reader. When there
+ * are more readers than needed, each stops with a probability that leaves two
+ * on average. A reader pings the witnesses so that they know of it. A reader
+ * that is dead, frozen or cut off sends no frames and is no longer counted. A
+ * balancer that hears from no agent becomes a reader, which costs calls only.
  *
- * While the store is away only the readers try it often. The others try again
- * once they are told of a reader that reaches it.
+ * While the store does not answer, only the readers retry often. The others
+ * retry soon after an agent reports a reader that reaches the store.
  */
 #ifndef SWIFTARCH_RELAY_STORE_STORE_READER_H
 #define SWIFTARCH_RELAY_STORE_STORE_READER_H
@@ -62,10 +65,10 @@
 store_reader_init(struct store_reader *reader, uint64_t seed, uint64_t now_us);
 
 /**
- * store_reader_others() - an agent told of other readers
+ * store_reader_others() - an agent reported the other readers
  *
- * Return: whether the store is known to answer again, after a while in which
- * nobody was known to reach it.
+ * Return: whether a reader reaches the store again, after a second without a
+ * report of one.
  */
 bool
 store_reader_others(struct store_reader *reader, struct frame_readers others,
--- a/tests/relay/registration_test.c
+++ b/tests/relay/registration_test.c
@@ -97,8 +97,8 @@
     writer_tick(site, 2);
     store_rig_answer(&site->rig, 0, 9, NULL, false);
     writer_tick(site, 60000);
-    rig_expect(site->rig.record, "get 10-1-0-13-8172 any", "put 10-1-0-13-8172",
-               NULL);
+    rig_expect(site->rig.record, "get 10-1-0-13-8172 any",
+               "put 10-1-0-13-8172", NULL);
 }
 
 /* The endpoint may end while its object is still being written. */
@@ -113,8 +113,8 @@
     writer_tick(site, 2);
     store_rig_answer(&site->rig, 0, 12, NULL, false);
     g_assert_cmpint(site->writer.step, ==, REGISTRATION_GONE);
-    rig_expect(site->rig.record, "get 10-1-0-13-8172 any", "create 10-1-0-13-8172",
-               "remove 10-1-0-13-8172", NULL);
+    rig_expect(site->rig.record, "get 10-1-0-13-8172 any",
+               "create 10-1-0-13-8172", "remove 10-1-0-13-8172", NULL);
 }
 
 TEST_F(site, a_new_host_creates_its_object)
@@ -128,8 +128,9 @@
     store_rig_answer(&site->rig, -EEXIST, 0, NULL, false);
     writer_tick(site, 200);
     store_rig_answer(&site->rig, 0, 9, NULL, false);
-    rig_expect(site->rig.record, "get 10-1-0-13-8172 any", "create 10-1-0-13-8172",
-               "create 10-1-0-13-8172", "put 10-1-0-13-8172", NULL);
+    rig_expect(site->rig.record, "get 10-1-0-13-8172 any",
+               "create 10-1-0-13-8172", "create 10-1-0-13-8172",
+               "put 10-1-0-13-8172", NULL);
 }
 
 TEST_F(site, an_object_that_was_taken_away_is_written_anew)
@@ -140,8 +141,8 @@
     writer_tick(site, 2);
     store_rig_answer(&site->rig, 0, 12, NULL, false);
     g_assert_cmpint(site->writer.step, ==, REGISTRATION_KEPT);
-    rig_expect(site->rig.record, "get 10-1-0-13-8172 any", "create 10-1-0-13-8172",
-               NULL);
+    rig_expect(site->rig.record, "get 10-1-0-13-8172 any",
+               "create 10-1-0-13-8172", NULL);
 }
 
 TEST_F(site, a_removal_is_repeated_until_it_is_done)
