--- a/bench/relay/bench_relay.c
+++ b/bench/relay/bench_relay.c
@@ -26,6 +26,7 @@
 
 static uint8_t bytes[PACKET_SIZE];
 static uint64_t carried;
+static const struct evacuations nowhere = {.revision = 1};
 
 static void
 steer_carry(struct steer_out *out, struct addr agent,
@@ -33,7 +34,7 @@
 {
     static uint8_t frame_bytes[FRAME_MAX];
 
-    carried += frame_carry_encode(frame, frame_bytes);
+    carried += frame_carry_encode(frame, &nowhere, frame_bytes);
 }
 
 static void
@@ -123,7 +124,7 @@
 {
     static uint8_t frame_bytes[FRAME_HEAD_MAX];
 
-    carried += frame_status_encode(status, frame_bytes);
+    carried += frame_status_encode(status, &nowhere, frame_bytes);
 }
 
 static void
@@ -321,7 +322,7 @@
         struct door door;
         uint64_t since;
 
-        if (door_init(&door, &out, agent_addr(1), "lots") < 0) {
+        if (door_init(&door, &out, agent_addr(1), "here", "lots") < 0) {
             g_error("no memory");
         }
         door_heartbeat(&door, &beat, 1);
--- a/src/base/keys.c
+++ b/src/base/keys.c
@@ -169,6 +169,17 @@
     *(unsigned *)field = (unsigned)number;
 }
 
+void
+keys_read_bool(struct keys *keys, const struct key_rule *rule,
+               json_object *value, void *field)
+{
+    if (!json_object_is_type(value, json_type_boolean)) {
+        keys_fault_value(keys, rule->name, value, "true or false");
+        return;
+    }
+    *(bool *)field = json_object_get_boolean(value);
+}
+
 void
 keys_read_real(struct keys *keys, const struct key_rule *rule,
                json_object *value, void *field)
--- a/src/base/keys.h
+++ b/src/base/keys.h
@@ -140,6 +140,11 @@
 keys_read_number(struct keys *keys, const struct key_rule *rule,
                  json_object *value, void *field);
 
+/** keys_read_bool() - true or false into a bool */
+void
+keys_read_bool(struct keys *keys, const struct key_rule *rule,
+               json_object *value, void *field);
+
 /** keys_read_real() - a number into a double */
 void
 keys_read_real(struct keys *keys, const struct key_rule *rule,
--- a/src/relay/door/door.c
+++ b/src/relay/door/door.c
@@ -67,11 +67,12 @@
 
 int
 door_init(struct door *door, struct door_out *out, struct addr self,
-          const char *service)
+          const char *data_centre, const char *service)
 {
     memset(door, 0, sizeof(*door));
     door->out = out;
     door->self = self;
+    door->data_centre = evacuations_key(data_centre);
     endpoint_init(&door->endpoint, service);
     pace_init(&door->pace);
     door->flows = calloc(DOOR_FLOWS_MAX, sizeof(*door->flows));
@@ -129,6 +130,26 @@
     door_admit_held(door, now_us);
 }
 
+bool
+door_is_evacuated(const struct door *door)
+{
+    return evacuations_has(&door->evacuations, door->data_centre);
+}
+
+bool
+door_evacuations(struct door *door, const struct evacuations *told,
+                 uint64_t now_us)
+{
+    bool was_evacuated = door_is_evacuated(door);
+
+    if (!evacuations_take(&door->evacuations, told) ||
+        door_is_evacuated(door) == was_evacuated) {
+        return false;
+    }
+    door_admit_held(door, now_us);
+    return true;
+}
+
 void
 door_ping(struct door *door, struct addr balancer,
           const struct frame_ping *ping, uint64_t now_us)
--- a/src/relay/door/door.h
+++ b/src/relay/door/door.h
@@ -115,6 +115,8 @@
  * struct door - state of an agent
  * @out: where outputs go
  * @self: address that other agents send to
+ * @data_centre: evacuations_key() of where it stands
+ * @evacuations: data centres that are evacuated, as far as is known
  * @endpoint: what is known of the endpoint
  * @start: counts the starts of the endpoint that were seen
  * @table: keys of the flows
@@ -147,6 +149,8 @@
 struct door {
     struct door_out *out;
     struct addr self;
+    uint32_t data_centre;
+    struct evacuations evacuations;
     struct endpoint endpoint;
     unsigned start;
     struct flow_index table;
@@ -178,12 +182,13 @@
 /**
  * door_init() - an endpoint of @service of which nothing is known
  * @self: address that other agents send to
+ * @data_centre: where it stands
  *
  * Return: 0 or -ENOMEM.
  */
 int
 door_init(struct door *door, struct door_out *out, struct addr self,
-          const char *service);
+          const char *data_centre, const char *service);
 
 /** door_greet() - a balancer may be at @balancer: it is told that this agent
  * is here, until some balancer speaks */
@@ -199,6 +204,23 @@
 door_carry(struct door *door, const struct frame_carry *frame,
            const struct relay_packet *packet, uint64_t now_us);
 
+/**
+ * door_evacuations() - another host told which data centres are evacuated
+ *
+ * In an evacuated data centre the endpoint gets no new flow, whatever a
+ * balancer believes; flows that are open go on.
+ *
+ * Return: whether this agent's data centre has been evacuated by that, or is
+ * back in service.
+ */
+bool
+door_evacuations(struct door *door, const struct evacuations *told,
+                 uint64_t now_us);
+
+/** door_is_evacuated() - whether this agent's data centre is */
+bool
+door_is_evacuated(const struct door *door);
+
 /** door_ping() - a balancer asks; @unlisted: and says that the store doesn't
  * name this agent any more */
 void
--- a/src/relay/door/door_held.c
+++ b/src/relay/door/door_held.c
@@ -54,14 +54,14 @@
 
 /* Held SYNs go elsewhere: the endpoint takes nothing new any more. */
 static void
-pass_held_on(struct door *door, uint64_t now_us)
+pass_held_on(struct door *door, enum frame_reason why, uint64_t now_us)
 {
     while (door->held_count > 0) {
         uint32_t handle = door->held[0];
 
         door_flow_unhold(door, handle);
         door->flows[handle].frame.best.ip = 0;
-        door_pass_on(door, handle, FRAME_REASON_LEAVING, now_us);
+        door_pass_on(door, handle, why, now_us);
     }
 }
 
@@ -69,8 +69,12 @@
 void
 door_admit_held(struct door *door, uint64_t now_us)
 {
+    if (door_is_evacuated(door)) {
+        pass_held_on(door, FRAME_REASON_EVACUATED, now_us);
+        return;
+    }
     if (door->closed || !endpoint_open(&door->endpoint)) {
-        pass_held_on(door, now_us);
+        pass_held_on(door, FRAME_REASON_LEAVING, now_us);
         return;
     }
     while (door->held_count > 0 && door_has_room(door, true)) {
--- a/src/relay/door/door_open.c
+++ b/src/relay/door/door_open.c
@@ -176,6 +176,9 @@
     if (frame->service != door->endpoint.service) {
         return FRAME_REASON_SERVICE;
     }
+    if (door_is_evacuated(door)) {
+        return FRAME_REASON_EVACUATED;
+    }
     if (door->endpoint.state == ENDPOINT_SILENT) {
         return FRAME_REASON_SILENT;
     }
--- a/src/relay/program/relay_agent_out.c
+++ b/src/relay/program/relay_agent_out.c
@@ -12,7 +12,7 @@
     [FRAME_REASON_NONE] = "none",       [FRAME_REASON_BUSY] = "busy",
     [FRAME_REASON_LEAVING] = "leaving", [FRAME_REASON_SILENT] = "silent",
     [FRAME_REASON_REFUSED] = "refused", [FRAME_REASON_SERVICE] = "service",
-    [FRAME_REASON_FAILING] = "failing",
+    [FRAME_REASON_FAILING] = "failing", [FRAME_REASON_EVACUATED] = "evacuated",
 };
 
 const char *const relay_agent_state_names[] = {
@@ -79,7 +79,8 @@
           const struct frame_carry *frame)
 {
     struct relay_agent *agent = of_out(out);
-    size_t size = frame_carry_encode(frame, dgram_buffer(&agent->frames));
+    size_t size = frame_carry_encode(frame, &agent->door.evacuations,
+                                     dgram_buffer(&agent->frames));
 
     agent->counts.frames_on++;
     dgram_queue(&agent->frames, peer, size);
@@ -90,7 +91,8 @@
          const struct frame_status *status)
 {
     struct relay_agent *agent = of_out(out);
-    size_t size = frame_status_encode(status, dgram_buffer(&agent->frames));
+    size_t size = frame_status_encode(status, &agent->door.evacuations,
+                                      dgram_buffer(&agent->frames));
 
     dgram_queue(&agent->frames, balancer, size);
 }
@@ -100,7 +102,8 @@
            const struct frame_served *served)
 {
     struct relay_agent *agent = of_out(out);
-    size_t size = frame_served_encode(served, dgram_buffer(&agent->frames));
+    size_t size = frame_served_encode(served, &agent->door.evacuations,
+                                      dgram_buffer(&agent->frames));
 
     dgram_queue(&agent->frames, balancer, size);
     event_log_line(&agent->log, EVENT_ROUTINE, "told_served", "addresses=%u",
@@ -112,7 +115,8 @@
            const struct frame_absent *absent)
 {
     struct relay_agent *agent = of_out(out);
-    size_t size = frame_absent_encode(absent, dgram_buffer(&agent->frames));
+    size_t size = frame_absent_encode(absent, &agent->door.evacuations,
+                                      dgram_buffer(&agent->frames));
 
     agent->counts.asked++;
     dgram_queue(&agent->frames, balancer, size);
@@ -221,17 +225,39 @@
     door_carry(&agent->door, &frame, &packet, now_us);
 }
 
+static void
+take_evacuations(struct relay_agent *agent, struct addr from,
+                 const uint8_t *bytes, uint64_t now_us)
+{
+    struct evacuations told;
+    char text[ADDR_TEXT_MAX];
+
+    frame_evacuations(bytes, &told);
+    if (door_evacuations(&agent->door, &told, now_us)) {
+        event_log_line(&agent->log, EVENT_RARE,
+                       door_is_evacuated(&agent->door) ? "evacuated"
+                                                       : "returned",
+                       "data_centre=%s revision=%" PRIu64 " from=%s",
+                       agent->settings.data_centre, told.revision,
+                       addr_format(from, text));
+    }
+}
+
 static void
 on_frame(struct dgram *dgram, struct addr from, const uint8_t *bytes,
          size_t size)
 {
     struct relay_agent *agent = dgram->owner;
     uint64_t now_us = loop_now_us(&agent->loop);
+    int type = frame_type(bytes, size);
     struct frame_ping ping;
     struct frame_ask ask;
 
     agent->counts.frames_in++;
-    switch (frame_type(bytes, size)) {
+    if (type > 0) {
+        take_evacuations(agent, from, bytes, now_us);
+    }
+    switch (type) {
     case FRAME_CARRY:
         on_carry(agent, bytes, size, now_us);
         return;
--- a/src/relay/program/relay_balancer.c
+++ b/src/relay/program/relay_balancer.c
@@ -41,6 +41,12 @@
 #define STOP_QUIET_US (400 * USEC_PER_MSEC)
 #define STOP_LEAST_US (1200 * USEC_PER_MSEC)
 
+/* Evacuations come one at a time, by hand. */
+static const struct watcher_pace evacuations_pace = {
+    .first_us = 25 * USEC_PER_MSEC,
+    .longest_us = 300 * USEC_PER_MSEC,
+};
+
 enum { EXIT_STOPPED = 0, EXIT_ERROR = 1, EXIT_SETTINGS = 2 };
 
 static bool
@@ -155,6 +161,7 @@
     if (agents_may_call(balancer)) {
         watcher_tick(&balancer->agents_watcher, now_us);
     }
+    relay_balancer_evacuations_tick(balancer, now_us);
 }
 
 static void
@@ -211,7 +218,7 @@
     if (agents_may_call(balancer)) {
         next_us = MIN(next_us, watcher_next_us(&balancer->agents_watcher));
     }
-    return next_us;
+    return MIN(next_us, relay_balancer_evacuations_next_us(balancer, now_us));
 }
 
 static void
@@ -261,6 +268,11 @@
                  balancer->stores[1], REGISTRATION_KIND, agents_pace, seed + 1,
                  now_us);
     balancer->agents_watcher.read = STORE_READ_ANY;
+    watcher_init(&balancer->evacuations_watcher,
+                 &relay_balancer_evacuations_ops, balancer->stores[3],
+                 CONFIG_FORMAT_EVACUATIONS_KIND, evacuations_pace, seed + 2,
+                 now_us);
+    balancer->evacuations_watcher.read = STORE_READ_ANY;
     store_reader_init(&balancer->reader, seed, now_us);
     confirm_init(&balancer->confirm, &relay_balancer_confirm_ops,
                  balancer->stores[2], &balancer->agents_watcher);
@@ -312,6 +324,8 @@
     balancer->data.fd = balancer->frames.fd = -1;
     balancer->garbled =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    balancer->evacuated =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     if (loop_init(&balancer->loop, &loop_ops) < 0) {
         return error_set(err, -ENOMEM, "start", NULL, "no event loop");
     }
@@ -344,6 +358,7 @@
     share_finish(&balancer->share);
     watcher_finish(&balancer->config_watcher);
     watcher_finish(&balancer->agents_watcher);
+    watcher_finish(&balancer->evacuations_watcher);
     for (size_t i = 0; i < G_N_ELEMENTS(balancer->stores); i++) {
         if (balancer->stores[i] != NULL) {
             balancer->stores[i]->ops->free(balancer->stores[i]);
@@ -357,6 +372,7 @@
     steer_finish(&balancer->steer);
     json_object_put(balancer->config);
     g_hash_table_destroy(balancer->garbled);
+    g_hash_table_destroy(balancer->evacuated);
     loop_finish(&balancer->loop);
 }
 
--- /dev/null
+++ b/src/relay/program/relay_balancer_evacuations.c
@@ -0,0 +1,172 @@
+#include "relay/program/relay_balancer_private.h"
+
+#include <inttypes.h>
+
+#include <glib.h>
+
+#include "base/container.h"
+
+/* How long a balancer that serves callers waits to be told by agents before it
+ * reads the list itself: answers of agents take milliseconds, and the store's
+ * answer costs processor time that a host that has just started lacks. */
+#define FIRST_LIST_US (200 * USEC_PER_MSEC)
+
+/* A line for all evacuated data centres. */
+#define NAMES_MAX 512
+
+/* Whether the list is to be read though this balancer leaves the store's
+ * latest to others: no agent has told of it, as after a loss of all hosts. */
+static bool
+wants_first(const struct relay_balancer *balancer, uint64_t now_us)
+{
+    return balancer->steer.agents.evacuations.revision == 0 &&
+           balancer->was_ready && now_us - balancer->ready_us >= FIRST_LIST_US;
+}
+
+/* Readers follow the list; the others are told by agents. As for the agents'
+ * list, the configuration's calls find out whether the store is back. */
+static bool
+may_call(const struct relay_balancer *balancer, uint64_t now_us)
+{
+    bool reaches = balancer->evacuations_watcher.failures == 0 ||
+                   balancer->config_watcher.failures == 0;
+
+    return balancer->settings.evacuations && reaches &&
+           (balancer->reader.reading || wants_first(balancer, now_us));
+}
+
+/* Names of the evacuated data centres in which agents are known. */
+static void
+names_of(const struct agents *agents, char *names, size_t size)
+{
+    GString *text = g_string_new(NULL);
+    uint32_t named[EVACUATIONS_MAX];
+    unsigned count = 0;
+
+    for (size_t i = 0; i < agents_count(agents); i++) {
+        const struct agent_row *row = agents_at(agents, i);
+        bool known = !row->evacuated;
+
+        for (unsigned n = 0; n < count && !known; n++) {
+            known = named[n] == row->place;
+        }
+        if (!known) {
+            named[count++] = row->place;
+            g_string_append_printf(text, "%s%s", text->len > 0 ? "," : "",
+                                   row->data_centre);
+        }
+    }
+    g_strlcpy(names, text->str, size);
+    g_string_free(text, TRUE);
+}
+
+void
+relay_balancer_evacuations(struct relay_balancer *balancer,
+                           const struct evacuations *told, const char *source)
+{
+    char names[NAMES_MAX];
+
+    if (!steer_evacuations(&balancer->steer, told, balancer->reader.reading,
+                           loop_now_us(&balancer->loop))) {
+        return;
+    }
+    names_of(&balancer->steer.agents, names, sizeof(names));
+    event_log_line(&balancer->log, EVENT_RARE, "evacuations",
+                   "data_centres=%u with_agents=%s revision=%" PRIu64
+                   " source=%s",
+                   told->count, names[0] != '\0' ? names : "-",
+                   told->revision, source);
+}
+
+static void
+evacuations_listing(struct watcher *watcher)
+{
+    struct relay_balancer *balancer =
+        container_of(watcher, struct relay_balancer, evacuations_watcher);
+
+    g_hash_table_remove_all(balancer->evacuated);
+}
+
+static void
+evacuations_object(struct watcher *watcher, const struct store_object *object)
+{
+    struct relay_balancer *balancer =
+        container_of(watcher, struct relay_balancer, evacuations_watcher);
+
+    if (object->removed) {
+        g_hash_table_remove(balancer->evacuated, object->name);
+    }
+    else {
+        g_hash_table_add(balancer->evacuated, g_strdup(object->name));
+    }
+}
+
+static void
+evacuations_listed(struct watcher *watcher)
+{
+    /* What a whole list says is taken over when its call has ended. */
+}
+
+/* Takes over the names that the store has told. */
+static void
+take_names(struct relay_balancer *balancer, uint64_t revision)
+{
+    struct evacuations told = {.revision = revision};
+    GHashTableIter names;
+    gpointer name;
+
+    g_hash_table_iter_init(&names, balancer->evacuated);
+    while (g_hash_table_iter_next(&names, &name, NULL)) {
+        if (!evacuations_add(&told, evacuations_key(name))) {
+            event_log_line(&balancer->log, EVENT_RARE, "evacuation_refused",
+                           "data_centre=%s reason=\"more than %d\"",
+                           (const char *)name, EVACUATIONS_MAX);
+        }
+    }
+    relay_balancer_evacuations(balancer, &told, "store");
+}
+
+static void
+evacuations_ended(struct watcher *watcher, int status, bool changed)
+{
+    struct relay_balancer *balancer =
+        container_of(watcher, struct relay_balancer, evacuations_watcher);
+
+    if (status == 0 && watcher->state == WATCHER_WATCH) {
+        take_names(balancer, watcher->revision);
+    }
+    relay_balancer_store_ended(balancer, watcher, status, changed);
+}
+
+const struct watcher_ops relay_balancer_evacuations_ops = {
+    .listing = evacuations_listing,
+    .object = evacuations_object,
+    .listed = evacuations_listed,
+    .ended = evacuations_ended,
+};
+
+void
+relay_balancer_evacuations_tick(struct relay_balancer *balancer,
+                                uint64_t now_us)
+{
+    const struct store_reader *reader = &balancer->reader;
+    struct watcher *watcher = &balancer->evacuations_watcher;
+
+    watcher->patient = !reader->reading;
+    watcher_set_read(watcher, reader->reading && watcher->failures == 0
+                                  ? STORE_READ_LATEST
+                                  : STORE_READ_ANY);
+    if (may_call(balancer, now_us)) {
+        watcher_tick(watcher, now_us);
+    }
+}
+
+uint64_t
+relay_balancer_evacuations_next_us(const struct relay_balancer *balancer,
+                                   uint64_t now_us)
+{
+    if (!may_call(balancer, now_us)) {
+        return UINT64_MAX;
+    }
+    return watcher_next_us(&balancer->evacuations_watcher);
+}
--- a/src/relay/program/relay_balancer_out.c
+++ b/src/relay/program/relay_balancer_out.c
@@ -12,6 +12,7 @@
     [STEER_DROP_NO_CONFIG] = "no_configuration",
     [STEER_DROP_NO_ROUTE] = "no_route",
     [STEER_DROP_NO_AGENT] = "no_agent",
+    [STEER_DROP_EVACUATED] = "evacuated",
     [STEER_DROP_FOREIGN] = "foreign",
 };
 
@@ -35,7 +36,9 @@
           const struct frame_carry *frame)
 {
     struct relay_balancer *balancer = of_out(out);
-    size_t size = frame_carry_encode(frame, dgram_buffer(&balancer->frames));
+    size_t size =
+        frame_carry_encode(frame, &balancer->steer.agents.evacuations,
+                           dgram_buffer(&balancer->frames));
 
     dgram_queue(&balancer->frames, agent, size);
     balancer->counts.frames_out++;
@@ -61,7 +64,8 @@
         .view = steer_store_view(&balancer->steer),
         .unlisted = unlisted,
     };
-    size_t size = frame_ping_encode(&ping, dgram_buffer(&balancer->frames));
+    size_t size = frame_ping_encode(&ping, &balancer->steer.agents.evacuations,
+                                    dgram_buffer(&balancer->frames));
 
     dgram_queue(&balancer->frames, agent, size);
     balancer->counts.pings++;
@@ -71,7 +75,8 @@
 out_ask(struct steer_out *out, struct addr agent, const struct frame_ask *ask)
 {
     struct relay_balancer *balancer = of_out(out);
-    size_t size = frame_ask_encode(ask, dgram_buffer(&balancer->frames));
+    size_t size = frame_ask_encode(ask, &balancer->steer.agents.evacuations,
+                                   dgram_buffer(&balancer->frames));
 
     dgram_queue(&balancer->frames, agent, size);
     balancer->counts.asked++;
@@ -225,11 +230,17 @@
          size_t size)
 {
     struct relay_balancer *balancer = dgram->owner;
+    struct evacuations evacuations;
     struct frame_status status;
     struct frame_served served;
     struct frame_absent absent;
     int type = frame_type(bytes, size);
 
+    if (type > 0) {
+        frame_evacuations(bytes, &evacuations);
+        relay_balancer_evacuations(balancer, &evacuations, "agent");
+    }
+
     if (type == FRAME_SERVED &&
         frame_served_decode(bytes, size, &served) == 0) {
         on_served(balancer, from, &served);
--- a/src/relay/program/relay_balancer_private.h
+++ b/src/relay/program/relay_balancer_private.h
@@ -2,7 +2,8 @@
  * DOC: relay_balancer_private - what the parts of the program share
  *
  * relay_balancer starts, stops and keeps time; _out carries decisions and
- * datagrams, _store what the store and peers say, _http answers calls.
+ * datagrams, _store what the store and peers say, _evacuations which data
+ * centres are out of service, _http answers calls.
  */
 #ifndef SWIFTARCH_RELAY_PROGRAM_RELAY_BALANCER_PRIVATE_H
 #define SWIFTARCH_RELAY_PROGRAM_RELAY_BALANCER_PRIVATE_H
@@ -38,6 +39,8 @@
  * @config_watcher: the operators' configuration
  * @reader: how new its reads must be
  * @agents_watcher: the agents' objects
+ * @evacuations_watcher: data centres that operators take out of service
+ * @evacuated: their names, as a set
  * @garbled: names of agents' objects that can't be read
  * @share: asks peers
  * @config: configuration in force, as it was read
@@ -47,6 +50,7 @@
  * @packet_us: when the last packet came
  * @flush_us: when the log is written next
  * @was_ready: whether callers were served at the last look
+ * @ready_us: since when, if they are
  * @counts: packets and frames
  */
 struct relay_balancer {
@@ -62,10 +66,12 @@
     struct httpd *metrics;
     struct httpd_handler share_handler;
     struct httpd *share_httpd;
-    struct store *stores[3];
+    struct store *stores[4];
     struct watcher config_watcher;
     struct store_reader reader;
     struct watcher agents_watcher;
+    struct watcher evacuations_watcher;
+    GHashTable *evacuated;
     struct confirm confirm;
     GHashTable *garbled;
     struct share share;
@@ -76,6 +82,7 @@
     uint64_t packet_us;
     uint64_t flush_us;
     bool was_ready;
+    uint64_t ready_us;
     struct {
         uint64_t packets;
         uint64_t frames_out;
@@ -99,11 +106,38 @@
 extern const struct dgram_ops relay_balancer_frames_ops;
 extern const struct watcher_ops relay_balancer_config_ops;
 extern const struct watcher_ops relay_balancer_agents_ops;
+extern const struct watcher_ops relay_balancer_evacuations_ops;
 extern const struct confirm_ops relay_balancer_confirm_ops;
 extern const struct share_ops relay_balancer_share_ops;
 extern const struct httpd_ops relay_balancer_ready_ops;
 extern const struct httpd_ops relay_balancer_share_httpd_ops;
 
+/**
+ * relay_balancer_evacuations() - the store or an agent told which data centres
+ * are evacuated
+ */
+void
+relay_balancer_evacuations(struct relay_balancer *balancer,
+                           const struct evacuations *told, const char *source);
+
+/** relay_balancer_evacuations_tick() - make the call that is due */
+void
+relay_balancer_evacuations_tick(struct relay_balancer *balancer,
+                                uint64_t now_us);
+
+/** relay_balancer_evacuations_next_us() - when that is, UINT64_MAX for never
+ */
+uint64_t
+relay_balancer_evacuations_next_us(const struct relay_balancer *balancer,
+                                   uint64_t now_us);
+
+/** relay_balancer_store_ended() - a call to the store ended: minds what is due
+ * next, and logs whether the store answers again, or no more, if @changed */
+void
+relay_balancer_store_ended(struct relay_balancer *balancer,
+                           const struct watcher *watcher, int status,
+                           bool changed);
+
 /** relay_balancer_look() - tell in the log when readiness has changed */
 void
 relay_balancer_look(struct relay_balancer *balancer);
--- a/src/relay/program/relay_balancer_store.c
+++ b/src/relay/program/relay_balancer_store.c
@@ -19,6 +19,7 @@
         return;
     }
     balancer->was_ready = ready;
+    balancer->ready_us = loop_now_us(&balancer->loop);
     event_log_line(&balancer->log, EVENT_RARE, ready ? "ready" : "not_ready",
                    "config=%" PRIu64 " agents=%zu since_start_us=%" PRIu64,
                    balancer->steer.routes.version,
@@ -73,9 +74,10 @@
     }
 }
 
-static void
-on_ended(struct relay_balancer *balancer, const struct watcher *watcher,
-         int status, bool changed)
+void
+relay_balancer_store_ended(struct relay_balancer *balancer,
+                           const struct watcher *watcher, int status,
+                           bool changed)
 {
     loop_due(&balancer->loop, loop_now_us(&balancer->loop));
     relay_balancer_look(balancer);
@@ -91,8 +93,9 @@
 static void
 config_ended(struct watcher *watcher, int status, bool changed)
 {
-    on_ended(container_of(watcher, struct relay_balancer, config_watcher),
-             watcher, status, changed);
+    relay_balancer_store_ended(
+        container_of(watcher, struct relay_balancer, config_watcher), watcher,
+        status, changed);
 }
 
 const struct watcher_ops relay_balancer_config_ops = {
@@ -196,8 +199,9 @@
 static void
 agents_ended(struct watcher *watcher, int status, bool changed)
 {
-    on_ended(container_of(watcher, struct relay_balancer, agents_watcher),
-             watcher, status, changed);
+    relay_balancer_store_ended(
+        container_of(watcher, struct relay_balancer, agents_watcher), watcher,
+        status, changed);
 }
 
 const struct watcher_ops relay_balancer_agents_ops = {
--- a/src/relay/program/relay_settings.c
+++ b/src/relay/program/relay_settings.c
@@ -76,6 +76,7 @@
      .max = PORT_MAX},
     {"store", BOTH, BOTH, keys_read_addr, FIELD(store)},
     {"peers", 0, BOTH, read_peers, FIELD(peers)},
+    {"evacuations", 0, BALANCER, keys_read_bool, FIELD(evacuations)},
     {"stop_ms", 0, BOTH, keys_read_number, FIELD(stop_ms), .min = 0,
      .max = STOP_MAX_MS},
     {"log_per_s", 0, BOTH, keys_read_number, FIELD(log_per_s), .min = 0,
@@ -90,6 +91,7 @@
     int ret;
 
     memset(settings, 0, sizeof(*settings));
+    settings->evacuations = true;
     settings->stop_ms = STOP_DEFAULT_MS;
     settings->log_per_s = LOG_DEFAULT_PER_S;
     *report = NULL;
--- a/src/relay/program/relay_settings.h
+++ b/src/relay/program/relay_settings.h
@@ -4,6 +4,7 @@
 #ifndef SWIFTARCH_RELAY_PROGRAM_RELAY_SETTINGS_H
 #define SWIFTARCH_RELAY_PROGRAM_RELAY_SETTINGS_H
 
+#include <stdbool.h>
 #include <stddef.h>
 
 #include "base/addr.h"
@@ -43,6 +44,8 @@
  *         ("peers"): a balancer asks them for the configuration, an agent
  *         tells them that it is there
  * @peer_count: how many
+ * @evacuations: balancer: operators may take data centres out of service, so
+ *               the store is asked for that ("evacuations", default true)
  * @stop_ms: how long a planned stop may take ("stop_ms")
  * @log_per_s: routine lines a second in the log ("log_per_s")
  */
@@ -63,6 +66,7 @@
     struct addr store;
     struct addr peers[RELAY_PEERS_MAX];
     size_t peer_count;
+    bool evacuations;
     unsigned stop_ms;
     unsigned log_per_s;
 };
--- a/src/relay/steer/agents.c
+++ b/src/relay/steer/agents.c
@@ -168,6 +168,8 @@
     row->named = true;
     row->unlisted = false;
     g_strlcpy(row->data_centre, data_centre, sizeof(row->data_centre));
+    row->place = evacuations_key(data_centre);
+    row->evacuated = evacuations_has(&agents->evacuations, row->place);
 }
 
 void
@@ -189,6 +191,25 @@
     agents->listed_once = true;
 }
 
+bool
+agents_evacuate(struct agents *agents, const struct evacuations *told,
+                bool ping, uint64_t now_us)
+{
+    if (!evacuations_take(&agents->evacuations, told)) {
+        return false;
+    }
+    for (guint i = 0; i < agents->rows->len; i++) {
+        struct agent_row *row = g_ptr_array_index(agents->rows, i);
+        bool was_evacuated = row->evacuated;
+
+        row->evacuated = evacuations_has(told, row->place);
+        if (ping && row->evacuated && !was_evacuated) {
+            agents_ping_now(agents, row, now_us);
+        }
+    }
+    return true;
+}
+
 void
 agents_heard(struct agents *agents, struct addr addr,
              const struct frame_health *health, uint64_t now_us)
--- a/src/relay/steer/agents.h
+++ b/src/relay/steer/agents.h
@@ -28,6 +28,8 @@
  * @addr: where it takes frames
  * @member: rank id, from @addr
  * @data_centre: where it stands, empty when not known
+ * @place: evacuations_key() of that
+ * @evacuated: operators have taken that data centre out of service
  * @health: its own last word
  * @listed: the store names it
  * @named: the store named it once
@@ -55,6 +57,8 @@
     struct addr addr;
     uint64_t member;
     char data_centre[AGENT_DATA_CENTRE_MAX];
+    uint32_t place;
+    bool evacuated;
     struct frame_health health;
     bool listed;
     bool named;
@@ -91,6 +95,7 @@
  * @listed_once: the store's list was read to its end
  * @changes: how often an agent came to a service
  * @data_centre: where the balancer stands
+ * @evacuations: data centres that take no new flow
  */
 struct agents {
     GPtrArray *rows;
@@ -100,6 +105,7 @@
     bool listed_once;
     uint64_t changes;
     char data_centre[AGENT_DATA_CENTRE_MAX];
+    struct evacuations evacuations;
 };
 
 /* Agents in a choice: as many as a frame and its first stop hold. */
@@ -171,6 +177,22 @@
 void
 agents_listed(struct agents *agents);
 
+/**
+ * agents_evacuate() - somebody told which data centres are evacuated
+ * @ping: tell the agents of those that are so from now on at once: the caller
+ *        may be the first to know
+ *
+ * Return: whether the set of evacuated data centres has changed.
+ */
+bool
+agents_evacuate(struct agents *agents, const struct evacuations *told,
+                bool ping, uint64_t now_us);
+
+/** agents_all_evacuated() - whether a service has agents, but in evacuated
+ * data centres only */
+bool
+agents_all_evacuated(const struct agents *agents, uint32_t service);
+
 /** agents_heard() - a frame with its own word came from an agent; of which
  * service it is, the store says first */
 void
--- a/src/relay/steer/agents_choice.c
+++ b/src/relay/steer/agents_choice.c
@@ -164,7 +164,8 @@
         const struct agent_row *row = g_ptr_array_index(rows, i);
         struct candidate candidate = {.row = row};
 
-        if (agents_standing(agents, row) == STANDING_CLOSED) {
+        if (row->evacuated ||
+            agents_standing(agents, row) == STANDING_CLOSED) {
             continue;
         }
         candidate.standing = agents_standing(agents, row);
@@ -231,6 +232,23 @@
     choice_fill(choice, best, count);
 }
 
+bool
+agents_all_evacuated(const struct agents *agents, uint32_t service)
+{
+    const GPtrArray *rows = agents_of_service(agents, service);
+    bool any = false;
+
+    for (guint i = 0; rows != NULL && i < rows->len; i++) {
+        const struct agent_row *row = g_ptr_array_index(rows, i);
+
+        if (!row->evacuated && row->health.state != ENDPOINT_GONE) {
+            return false;
+        }
+        any |= row->evacuated;
+    }
+    return any;
+}
+
 bool
 agents_serve(const struct agents *agents, uint32_t service)
 {
--- a/src/relay/steer/steer.c
+++ b/src/relay/steer/steer.c
@@ -89,19 +89,17 @@
     return true;
 }
 
-/* Nothing stands at the packet's address. A caller that would open a flow
- * there is told at once, rather than after the 1.4 s that it waits; but not by
- * a balancer that may not have the latest configuration, and not after its
- * first SYN: another balancer may have had an earlier copy and a route. */
-static void
-refuse(struct steer *steer, const struct relay_packet *packet)
+/* A packet can't be carried anywhere. A caller that would open a flow is told
+ * at once, rather than after the 1.4 s that it waits; but not by a balancer
+ * that may not have the latest configuration, and not after its first SYN:
+ * another balancer may have had an earlier copy and sent it on. */
+void
+steer_refuse(struct steer *steer, enum steer_drop why,
+             const struct relay_packet *packet)
 {
-    bool known = steer->routes.version != 0;
-
-    steer_drop_packet(
-        steer, known ? STEER_DROP_NO_ROUTE : STEER_DROP_NO_CONFIG, packet);
-    if (known && steer->current && relay_packet_opens(packet) &&
-        packet->age_ms == 0) {
+    steer_drop_packet(steer, why, packet);
+    if (steer->routes.version != 0 && steer->current &&
+        relay_packet_opens(packet) && packet->age_ms == 0) {
         steer->out->ops->reset(steer->out, relay_flow_from_caller(packet),
                                packet->ack);
     }
@@ -115,7 +113,10 @@
         routes_find(steer_routes_in_force(steer), packet->to);
 
     if (route == NULL) {
-        refuse(steer, packet);
+        steer_refuse(steer,
+                     steer->routes.version != 0 ? STEER_DROP_NO_ROUTE
+                                                : STEER_DROP_NO_CONFIG,
+                     packet);
     }
     return route;
 }
@@ -170,6 +171,13 @@
     }
 }
 
+bool
+steer_evacuations(struct steer *steer, const struct evacuations *told,
+                  bool first, uint64_t now_us)
+{
+    return agents_evacuate(&steer->agents, told, first, now_us);
+}
+
 void
 steer_packet(struct steer *steer, const struct relay_packet *packet,
              uint64_t now_us)
--- a/src/relay/steer/steer.h
+++ b/src/relay/steer/steer.h
@@ -39,6 +39,8 @@
     STEER_DROP_NO_CONFIG, /* no configuration is known yet */
     STEER_DROP_NO_ROUTE,  /* nothing stands at that address */
     STEER_DROP_NO_AGENT,  /* its service has no agent that might take it */
+    STEER_DROP_EVACUATED, /* all agents of its service are in evacuated data
+                           * centres */
     STEER_DROP_FOREIGN,   /* a frame that is none of ours */
     STEER_DROP_COUNT,
 };
@@ -240,6 +242,17 @@
 void
 steer_ping_witnesses(struct steer *steer);
 
+/**
+ * steer_evacuations() - which data centres take no new flow
+ * @first: told by the store, not by another host: the agents there may not
+ * know it yet and are told
+ *
+ * Return: whether that has changed.
+ */
+bool
+steer_evacuations(struct steer *steer, const struct evacuations *told,
+                  bool first, uint64_t now_us);
+
 /** steer_packet() - a caller's packet came */
 void
 steer_packet(struct steer *steer, const struct relay_packet *packet,
--- a/src/relay/steer/steer_open.c
+++ b/src/relay/steer/steer_open.c
@@ -173,8 +173,17 @@
         pin->syn_size = (uint8_t)packet->size;
     }
     if (!steer_try_next(steer, handle, packet->bytes, packet->size, now_us)) {
+        bool evacuated = agents_all_evacuated(&steer->agents, pin->service);
+
         steer_forget(steer, handle);
-        steer_drop_packet(steer, STEER_DROP_NO_AGENT, packet);
+        if (evacuated) {
+            /* Operators want nothing sent there: it is hopeless until they
+             * say otherwise. */
+            steer_refuse(steer, STEER_DROP_EVACUATED, packet);
+        }
+        else {
+            steer_drop_packet(steer, STEER_DROP_NO_AGENT, packet);
+        }
     }
 }
 
--- a/src/relay/steer/steer_private.h
+++ b/src/relay/steer/steer_private.h
@@ -169,6 +169,12 @@
 steer_drop_packet(struct steer *steer, enum steer_drop why,
                   const struct relay_packet *packet);
 
+/** steer_refuse() - the same, and its caller is told if it would open a flow
+ * and this balancer can be sure */
+void
+steer_refuse(struct steer *steer, enum steer_drop why,
+             const struct relay_packet *packet);
+
 /** steer_forget() - give up a flow's pin */
 void
 steer_forget(struct steer *steer, uint32_t handle);
--- /dev/null
+++ b/src/relay/wire/evacuations.c
@@ -0,0 +1,60 @@
+#include "relay/wire/evacuations.h"
+
+#include "base/hash.h"
+
+static bool
+is_same_set(const struct evacuations *a, const struct evacuations *b)
+{
+    if (a->count != b->count) {
+        return false;
+    }
+    for (unsigned i = 0; i < a->count; i++) {
+        if (!evacuations_has(b, a->data_centres[i])) {
+            return false;
+        }
+    }
+    return true;
+}
+
+uint32_t
+evacuations_key(const char *data_centre)
+{
+    return (uint32_t)hash_name(data_centre);
+}
+
+bool
+evacuations_add(struct evacuations *evacuations, uint32_t key)
+{
+    if (evacuations_has(evacuations, key)) {
+        return true;
+    }
+    if (evacuations->count == EVACUATIONS_MAX) {
+        return false;
+    }
+    evacuations->data_centres[evacuations->count++] = key;
+    return true;
+}
+
+bool
+evacuations_has(const struct evacuations *evacuations, uint32_t key)
+{
+    for (unsigned i = 0; i < evacuations->count; i++) {
+        if (evacuations->data_centres[i] == key) {
+            return true;
+        }
+    }
+    return false;
+}
+
+bool
+evacuations_take(struct evacuations *known, const struct evacuations *told)
+{
+    bool changed;
+
+    if (told->revision <= known->revision) {
+        return false;
+    }
+    changed = !is_same_set(known, told);
+    *known = *told;
+    return changed;
+}
--- /dev/null
+++ b/src/relay/wire/evacuations.h
@@ -0,0 +1,50 @@
+/**
+ * DOC: evacuations - data centres that operators have taken out of service
+ *
+ * No new flow may be opened at an endpoint of an evacuated data centre. The set
+ * is a function of the store's revision, so of two states the one with the
+ * higher revision is right, whoever tells it and in whatever order: hosts pass
+ * it on with each frame and never go back to an older one.
+ */
+#ifndef SWIFTARCH_RELAY_WIRE_EVACUATIONS_H
+#define SWIFTARCH_RELAY_WIRE_EVACUATIONS_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+/* Data centres that can be evacuated at a time: more than the 26 that the
+ * system is designed for. */
+#define EVACUATIONS_MAX 32
+
+/**
+ * struct evacuations - the set as of one revision
+ * @revision: the store's revision, 0 when nothing is known yet
+ * @data_centres: evacuations_key() of each data centre, in no order
+ * @count: how many
+ */
+struct evacuations {
+    uint64_t revision;
+    uint32_t data_centres[EVACUATIONS_MAX];
+    uint8_t count;
+};
+
+/** evacuations_key() - what stands for a data centre in the set */
+uint32_t
+evacuations_key(const char *data_centre);
+
+/** evacuations_add() - one more data centre; false when there is no room */
+bool
+evacuations_add(struct evacuations *evacuations, uint32_t key);
+
+/** evacuations_has() - whether a data centre is evacuated */
+bool
+evacuations_has(const struct evacuations *evacuations, uint32_t key);
+
+/** evacuations_take() - replace @known by @told if that is newer
+ *
+ * Return: whether the data centres in it have changed.
+ */
+bool
+evacuations_take(struct evacuations *known, const struct evacuations *told);
+
+#endif
--- a/src/relay/wire/frame.c
+++ b/src/relay/wire/frame.c
@@ -5,8 +5,12 @@
 
 #define MAGIC_0 's'
 #define MAGIC_1 'R'
-#define VERSION 2
-#define HEAD_SIZE 4
+#define VERSION 3
+
+/* Bytes before a frame's evacuations, and before the data centres in them. */
+#define TYPE_SIZE 4
+#define HEAD_SIZE (TYPE_SIZE + 9)
+#define KEY_SIZE 4
 
 /** struct writer - where the next byte goes; there is always room */
 struct writer {
@@ -36,13 +40,21 @@
 }
 
 static struct writer
-begin(enum frame_type type, uint8_t *bytes)
+begin(enum frame_type type, const struct evacuations *evacuations,
+      uint8_t *bytes)
 {
+    struct writer writer = {bytes + TYPE_SIZE};
+
     bytes[0] = MAGIC_0;
     bytes[1] = MAGIC_1;
     bytes[2] = VERSION;
     bytes[3] = (uint8_t)type;
-    return (struct writer){bytes + HEAD_SIZE};
+    put(&writer, evacuations->revision, 8);
+    put(&writer, evacuations->count, 1);
+    for (unsigned i = 0; i < evacuations->count; i++) {
+        put(&writer, evacuations->data_centres[i], KEY_SIZE);
+    }
+    return writer;
 }
 
 static uint64_t
@@ -70,10 +82,23 @@
     return (struct addr){ip, (uint16_t)get(reader, 2)};
 }
 
+/* Size of a frame's head: how many data centres it names comes last in the
+ * part that is always there. */
+static size_t
+head_size(const uint8_t *bytes)
+{
+    return HEAD_SIZE + (size_t)bytes[HEAD_SIZE - 1] * KEY_SIZE;
+}
+
 static struct reader
 body_of(const uint8_t *bytes, size_t size)
 {
-    return (struct reader){bytes + HEAD_SIZE, size - HEAD_SIZE, false};
+    size_t head = size < HEAD_SIZE ? HEAD_SIZE : head_size(bytes);
+
+    if (size < head) {
+        return (struct reader){bytes, 0, true};
+    }
+    return (struct reader){bytes + head, size - head, false};
 }
 
 int
@@ -86,9 +111,25 @@
     if (bytes[3] < FRAME_CARRY || bytes[3] > FRAME_TYPE_MAX) {
         return -EBADMSG;
     }
+    if (bytes[HEAD_SIZE - 1] > EVACUATIONS_MAX || size < head_size(bytes)) {
+        return -EBADMSG;
+    }
     return bytes[3];
 }
 
+void
+frame_evacuations(const uint8_t *bytes, struct evacuations *evacuations)
+{
+    struct reader reader = {bytes + TYPE_SIZE, head_size(bytes) - TYPE_SIZE,
+                            false};
+
+    evacuations->revision = get(&reader, 8);
+    evacuations->count = (uint8_t)get(&reader, 1);
+    for (unsigned i = 0; i < evacuations->count; i++) {
+        evacuations->data_centres[i] = (uint32_t)get(&reader, KEY_SIZE);
+    }
+}
+
 static void
 put_view(struct writer *writer, const struct frame_store_view *view)
 {
@@ -105,9 +146,10 @@
 }
 
 size_t
-frame_carry_encode(const struct frame_carry *carry, uint8_t *bytes)
+frame_carry_encode(const struct frame_carry *carry,
+                   const struct evacuations *evacuations, uint8_t *bytes)
 {
-    struct writer writer = begin(FRAME_CARRY, bytes);
+    struct writer writer = begin(FRAME_CARRY, evacuations, bytes);
 
     put(&writer, carry->service, 4);
     put_addr(&writer, carry->origin);
@@ -174,9 +216,10 @@
 }
 
 size_t
-frame_status_encode(const struct frame_status *status, uint8_t *bytes)
+frame_status_encode(const struct frame_status *status,
+                    const struct evacuations *evacuations, uint8_t *bytes)
 {
-    struct writer writer = begin(status->type, bytes);
+    struct writer writer = begin(status->type, evacuations, bytes);
 
     put(&writer, status->reason, 1);
     put_addr(&writer, status->target);
@@ -223,9 +266,10 @@
 }
 
 size_t
-frame_served_encode(const struct frame_served *served, uint8_t *bytes)
+frame_served_encode(const struct frame_served *served,
+                    const struct evacuations *evacuations, uint8_t *bytes)
 {
-    struct writer writer = begin(FRAME_SERVED, bytes);
+    struct writer writer = begin(FRAME_SERVED, evacuations, bytes);
 
     put(&writer, served->service, 4);
     put(&writer, served->count, 1);
@@ -253,9 +297,10 @@
 }
 
 size_t
-frame_ask_encode(const struct frame_ask *ask, uint8_t *bytes)
+frame_ask_encode(const struct frame_ask *ask,
+                 const struct evacuations *evacuations, uint8_t *bytes)
 {
-    struct writer writer = begin(FRAME_ASK, bytes);
+    struct writer writer = begin(FRAME_ASK, evacuations, bytes);
 
     put(&writer, ask->round, 4);
     put_view(&writer, &ask->view);
@@ -287,9 +332,10 @@
 }
 
 size_t
-frame_absent_encode(const struct frame_absent *absent, uint8_t *bytes)
+frame_absent_encode(const struct frame_absent *absent,
+                    const struct evacuations *evacuations, uint8_t *bytes)
 {
-    struct writer writer = begin(FRAME_ABSENT, bytes);
+    struct writer writer = begin(FRAME_ABSENT, evacuations, bytes);
 
     put(&writer, absent->round, 4);
     put(&writer, absent->silent, 1);
@@ -316,9 +362,10 @@
 }
 
 size_t
-frame_ping_encode(const struct frame_ping *ping, uint8_t *bytes)
+frame_ping_encode(const struct frame_ping *ping,
+                  const struct evacuations *evacuations, uint8_t *bytes)
 {
-    struct writer writer = begin(FRAME_PING, bytes);
+    struct writer writer = begin(FRAME_PING, evacuations, bytes);
 
     put_view(&writer, &ping->view);
     put(&writer, ping->unlisted, 1);
--- a/src/relay/wire/frame.h
+++ b/src/relay/wire/frame.h
@@ -3,8 +3,9 @@
  *
  * A carried packet travels behind a small head of ours that holds what its
  * endpoint needn't see: the service, where else the flow may be, and whom to
- * tell. All integers are little-endian; a frame of another version or with a
- * wrong length is refused.
+ * tell. Each frame, whichever way it goes, names the evacuated data centres
+ * that its sender knows of. All integers are little-endian; a frame of another
+ * version or with a wrong length is refused.
  */
 #ifndef SWIFTARCH_RELAY_WIRE_FRAME_H
 #define SWIFTARCH_RELAY_WIRE_FRAME_H
@@ -13,13 +14,14 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "relay/wire/evacuations.h"
 #include "relay/wire/packet.h"
 
 /* Agents that a carried packet may still visit. A SYN names those that its
  * flow ranks highest; a packet whose flow is looked for names more, as the
  * order of agents may have changed since. */
 #define FRAME_NEXT_MAX 15
-#define FRAME_HEAD_MAX 160
+#define FRAME_HEAD_MAX 304
 #define FRAME_MAX (FRAME_HEAD_MAX + RELAY_PACKET_MAX)
 
 /** enum frame_type - kinds of frames */
@@ -39,13 +41,14 @@
 /** enum frame_reason - why an agent passed a flow on */
 enum frame_reason {
     FRAME_REASON_NONE = 0,
-    FRAME_REASON_BUSY = 1,    /* all slots taken, others may be free */
-    FRAME_REASON_LEAVING = 2, /* draining or gone */
-    FRAME_REASON_SILENT = 3,  /* the endpoint didn't answer */
-    FRAME_REASON_REFUSED = 4, /* the endpoint bounced the packet */
-    FRAME_REASON_SERVICE = 5, /* the endpoint is of another service */
-    FRAME_REASON_FAILING = 6, /* it resets requests; others may not */
-    FRAME_REASON_MAX = FRAME_REASON_FAILING,
+    FRAME_REASON_BUSY = 1,      /* all slots taken, others may be free */
+    FRAME_REASON_LEAVING = 2,   /* draining or gone */
+    FRAME_REASON_SILENT = 3,    /* the endpoint didn't answer */
+    FRAME_REASON_REFUSED = 4,   /* the endpoint bounced the packet */
+    FRAME_REASON_SERVICE = 5,   /* the endpoint is of another service */
+    FRAME_REASON_FAILING = 6,   /* it resets requests; others may not */
+    FRAME_REASON_EVACUATED = 7, /* its data centre is evacuated */
+    FRAME_REASON_MAX = FRAME_REASON_EVACUATED,
 };
 
 /** enum endpoint_state - what an agent knows of its endpoint */
@@ -238,9 +241,15 @@
 int
 frame_type(const uint8_t *bytes, size_t size);
 
+/** frame_evacuations() - the evacuated data centres that a frame names;
+ * frame_type() has accepted it */
+void
+frame_evacuations(const uint8_t *bytes, struct evacuations *evacuations);
+
 /** frame_carry_encode() - write @carry into FRAME_MAX bytes; its size */
 size_t
-frame_carry_encode(const struct frame_carry *carry, uint8_t *bytes);
+frame_carry_encode(const struct frame_carry *carry,
+                   const struct evacuations *evacuations, uint8_t *bytes);
 
 /** frame_carry_decode() - read it; 0 or -EBADMSG. @carry->bytes points into
  * @bytes. */
@@ -250,7 +259,8 @@
 
 /** frame_status_encode() - write @status into FRAME_HEAD_MAX bytes */
 size_t
-frame_status_encode(const struct frame_status *status, uint8_t *bytes);
+frame_status_encode(const struct frame_status *status,
+                    const struct evacuations *evacuations, uint8_t *bytes);
 
 /** frame_status_decode() - read it; 0 or -EBADMSG */
 int
@@ -259,7 +269,8 @@
 
 /** frame_served_encode() - write @served into FRAME_HEAD_MAX bytes */
 size_t
-frame_served_encode(const struct frame_served *served, uint8_t *bytes);
+frame_served_encode(const struct frame_served *served,
+                    const struct evacuations *evacuations, uint8_t *bytes);
 
 /** frame_served_decode() - read it; 0 or -EBADMSG */
 int
@@ -268,7 +279,8 @@
 
 /** frame_ask_encode() - write @ask into FRAME_MAX bytes */
 size_t
-frame_ask_encode(const struct frame_ask *ask, uint8_t *bytes);
+frame_ask_encode(const struct frame_ask *ask,
+                 const struct evacuations *evacuations, uint8_t *bytes);
 
 /** frame_ask_decode() - read it; 0 or -EBADMSG */
 int
@@ -276,7 +288,8 @@
 
 /** frame_absent_encode() - write @absent into FRAME_HEAD_MAX bytes */
 size_t
-frame_absent_encode(const struct frame_absent *absent, uint8_t *bytes);
+frame_absent_encode(const struct frame_absent *absent,
+                    const struct evacuations *evacuations, uint8_t *bytes);
 
 /** frame_absent_decode() - read it; 0 or -EBADMSG */
 int
@@ -285,7 +298,8 @@
 
 /** frame_ping_encode() - write @ping into FRAME_HEAD_MAX bytes */
 size_t
-frame_ping_encode(const struct frame_ping *ping, uint8_t *bytes);
+frame_ping_encode(const struct frame_ping *ping,
+                  const struct evacuations *evacuations, uint8_t *bytes);
 
 /** frame_ping_decode() - read it; 0 or -EBADMSG */
 int
--- a/tests/relay/door_load_test.c
+++ b/tests/relay/door_load_test.c
@@ -139,9 +139,9 @@
     site->out.ops = &ops;
     site->now_us = USEC_PER_SEC;
     site->rand = g_rand_new_with_seed(7);
-    g_assert_cmpint(
-        door_init(&site->door, &site->out, rig_addr("10.0.0.1:7000"), "lots"),
-        ==, 0);
+    g_assert_cmpint(door_init(&site->door, &site->out,
+                              rig_addr("10.0.0.1:7000"), "here", "lots"),
+                    ==, 0);
     door_heartbeat(&site->door, &beat, site->now_us);
 }
 
--- a/tests/relay/frame_test.c
+++ b/tests/relay/frame_test.c
@@ -10,6 +10,9 @@
 
 static const uint8_t packet[40] = {1, 2, 3, 4};
 
+/* What frames say of evacuations where a test isn't about them. */
+static const struct evacuations nowhere = {.revision = 1};
+
 static struct frame_carry
 sample_carry(void)
 {
@@ -40,7 +43,7 @@
     struct frame_carry carry = sample_carry();
     struct frame_carry read;
     uint8_t bytes[FRAME_MAX];
-    size_t size = frame_carry_encode(&carry, bytes);
+    size_t size = frame_carry_encode(&carry, &nowhere, bytes);
 
     g_assert_cmpint(frame_type(bytes, size), ==, FRAME_CARRY);
     g_assert_cmpint(frame_carry_decode(bytes, size, &read), ==, 0);
@@ -68,7 +71,8 @@
 
     carry.bytes = whole;
     carry.size = sizeof(whole);
-    g_assert_cmpuint(frame_carry_encode(&carry, bytes), <=, FRAME_MAX);
+    g_assert_cmpuint(frame_carry_encode(&carry, &nowhere, bytes), <=,
+                     FRAME_MAX);
 }
 
 TEST(a_status_comes_back_as_it_was)
@@ -85,7 +89,7 @@
     };
     struct frame_status read;
     uint8_t bytes[FRAME_HEAD_MAX];
-    size_t size = frame_status_encode(&status, bytes);
+    size_t size = frame_status_encode(&status, &nowhere, bytes);
 
     g_assert_cmpint(frame_status_decode(bytes, size, &read), ==, 0);
     g_assert_cmpuint(read.type, ==, FRAME_PASSED);
@@ -108,13 +112,13 @@
         .service = 3, .addrs = {rig_addr("198.18.0.1:80")}, .count = 1};
     struct frame_served told;
     uint8_t bytes[FRAME_HEAD_MAX];
-    size_t size = frame_ping_encode(&ping, bytes);
+    size_t size = frame_ping_encode(&ping, &nowhere, bytes);
 
     g_assert_cmpint(frame_ping_decode(bytes, size, &read), ==, 0);
     g_assert_true(read.unlisted);
     g_assert_cmpuint(read.view.reader, ==, FRAME_READER_TRIES);
     g_assert_cmpuint(read.view.version, ==, 4);
-    size = frame_served_encode(&served, bytes);
+    size = frame_served_encode(&served, &nowhere, bytes);
     g_assert_cmpint(frame_served_decode(bytes, size, &told), ==, 0);
     g_assert_cmpuint(told.count, ==, 1);
     g_assert_true(addr_equal(told.addrs[0], served.addrs[0]));
@@ -125,14 +129,42 @@
     struct frame_ping ping = {{4, FRAME_READER_MAX + 1}, true};
     struct frame_carry carry = sample_carry();
     uint8_t bytes[FRAME_MAX];
-    size_t size = frame_ping_encode(&ping, bytes);
+    size_t size = frame_ping_encode(&ping, &nowhere, bytes);
 
     g_assert_cmpint(frame_ping_decode(bytes, size, &ping), ==, -EBADMSG);
     carry.view.reader = FRAME_READER_MAX + 1;
-    size = frame_carry_encode(&carry, bytes);
+    size = frame_carry_encode(&carry, &nowhere, bytes);
     g_assert_cmpint(frame_carry_decode(bytes, size, &carry), ==, -EBADMSG);
 }
 
+/* Whatever a frame is of, its evacuations come first and the rest is whole. */
+TEST(frames_name_the_evacuated_data_centres)
+{
+    struct evacuations evacuations = {.revision = 1ull << 40};
+    struct frame_carry carry = sample_carry();
+    struct evacuations told;
+    uint8_t bytes[FRAME_MAX];
+    size_t size;
+
+    for (unsigned i = 0; i < EVACUATIONS_MAX; i++) {
+        g_assert_true(evacuations_add(&evacuations, 0x80000000u + i));
+    }
+    size = frame_carry_encode(&carry, &evacuations, bytes);
+    g_assert_cmpuint(size, <=, FRAME_HEAD_MAX + sizeof(packet));
+    g_assert_cmpint(frame_type(bytes, size), ==, FRAME_CARRY);
+    frame_evacuations(bytes, &told);
+    g_assert_cmpuint(told.revision, ==, 1ull << 40);
+    g_assert_cmpuint(told.count, ==, EVACUATIONS_MAX);
+    g_assert_true(evacuations_has(&told, 0x80000000u));
+    g_assert_true(evacuations_has(&told, 0x80000000u + EVACUATIONS_MAX - 1));
+    g_assert_cmpint(frame_carry_decode(bytes, size, &carry), ==, 0);
+    g_assert_cmpuint(carry.best_load, ==, 48);
+    g_assert_cmpmem(carry.bytes, carry.size, packet, sizeof(packet));
+    g_assert_cmpint(frame_type(bytes, 60), ==, -EBADMSG);
+    bytes[12] = EVACUATIONS_MAX + 1;
+    g_assert_cmpint(frame_type(bytes, size), ==, -EBADMSG);
+}
+
 TEST(foreign_datagrams_are_refused)
 {
     uint8_t bytes[FRAME_MAX + 1] = {0};
@@ -140,7 +172,8 @@
 
     g_assert_cmpint(frame_type(bytes, 0), ==, -EBADMSG);
     g_assert_cmpint(frame_type(bytes, 40), ==, -EBADMSG);
-    frame_carry_encode(&(struct frame_carry){.bytes = packet}, bytes);
+    frame_carry_encode(&(struct frame_carry){.bytes = packet}, &nowhere,
+                       bytes);
     g_assert_cmpint(frame_type(bytes, FRAME_MAX + 1), ==, -EBADMSG);
     bytes[2]++;
     g_assert_cmpint(frame_type(bytes, 40), ==, -EBADMSG);
@@ -157,7 +190,12 @@
     struct frame_served served;
     struct frame_absent absent;
     struct frame_ask ask;
+    struct evacuations evacuations;
 
+    if (frame_type(bytes, size) > 0) {
+        frame_evacuations(bytes, &evacuations);
+        g_assert_cmpuint(evacuations.count, <=, EVACUATIONS_MAX);
+    }
     switch (frame_type(bytes, size)) {
     case FRAME_CARRY:
         if (frame_carry_decode(bytes, size, &carry) == 0) {
@@ -198,7 +236,7 @@
 {
     struct frame_carry carry = sample_carry();
     uint8_t sample[FRAME_MAX];
-    size_t whole = frame_carry_encode(&carry, sample);
+    size_t whole = frame_carry_encode(&carry, &nowhere, sample);
 
     for (unsigned i = 0; i < MUTATIONS; i++) {
         size_t size = (size_t)g_test_rand_int_range(0, (gint32)whole + 1);
@@ -233,7 +271,7 @@
     struct frame_ask ask = sample_ask();
     struct frame_ask read;
     uint8_t bytes[FRAME_MAX];
-    size_t size = frame_ask_encode(&ask, bytes);
+    size_t size = frame_ask_encode(&ask, &nowhere, bytes);
 
     g_assert_cmpuint(size, <=, FRAME_MAX);
     g_assert_cmpint(frame_type(bytes, size), ==, FRAME_ASK);
@@ -258,7 +296,7 @@
                                   .absent = {1, 0x80000000, 5}};
     struct frame_absent read;
     uint8_t bytes[FRAME_HEAD_MAX];
-    size_t size = frame_absent_encode(&absent, bytes);
+    size_t size = frame_absent_encode(&absent, &nowhere, bytes);
 
     g_assert_cmpint(frame_type(bytes, size), ==, FRAME_ABSENT);
     g_assert_cmpint(frame_absent_decode(bytes, size, &read), ==, 0);
@@ -274,7 +312,7 @@
 {
     struct frame_ask ask = sample_ask();
     uint8_t bytes[FRAME_MAX];
-    size_t whole = frame_ask_encode(&ask, bytes);
+    size_t whole = frame_ask_encode(&ask, &nowhere, bytes);
 
     for (unsigned i = 0; i < MUTATIONS; i++) {
         struct frame_ask read;
--- a/tests/relay/steer_test.c
+++ b/tests/relay/steer_test.c
@@ -755,3 +755,90 @@
     rig_expect(site->record, "drop 0", "drop 0", NULL);
     g_assert_cmpuint(site->carried, ==, 0);
 }
+
+static void
+evacuate(struct site *site, uint64_t revision, const char *data_centre,
+         bool first)
+{
+    struct evacuations told = {.revision = revision};
+
+    if (data_centre != NULL) {
+        evacuations_add(&told, evacuations_key(data_centre));
+    }
+    steer_evacuations(&site->steer, &told, first, site->now_us);
+}
+
+/* Puts an agent into another data centre. */
+static void
+move_to(struct site *site, unsigned number, const char *data_centre)
+{
+    agents_list(&site->steer.agents, agent_addr(number), hash_service("lots"),
+                data_centre, site->now_us);
+}
+
+TEST_F(site, new_flows_go_round_an_evacuated_data_centre, 6)
+{
+    for (unsigned i = 1; i <= 3; i++) {
+        move_to(site, i, "east");
+    }
+    evacuate(site, 5, "here", false);
+    for (unsigned flow = 1; flow <= 20; flow++) {
+        arrive(site, rig_from_caller(rig_flow(flow), RELAY_SYN, 9, 0, 0));
+        /* At once: no agent there is asked first, or named for later. */
+        g_assert_cmpuint(site->frame.next_count, ==, 2);
+    }
+    for (unsigned i = 4; i <= 6; i++) {
+        g_assert_false(site->named[i]);
+    }
+    evacuate(site, 6, NULL, false);
+    arrive(site, rig_from_caller(rig_flow(21), RELAY_SYN, 9, 0, 0));
+    g_assert_cmpuint(site->frame.next_count, ==, 5);
+}
+
+TEST_F(site, flows_in_an_evacuated_data_centre_go_on, 2)
+{
+    arrive(site, rig_from_caller(rig_flow(1), RELAY_SYN, 9, 0, 0));
+    placed(site, agent_addr(2), 1, 500);
+    evacuate(site, 5, "here", false);
+    arrive(site, rig_from_caller(rig_flow(1), RELAY_ACK, 10, 501, 20));
+    g_assert_true(addr_equal(site->sent, agent_addr(2)));
+}
+
+TEST_F(site, callers_are_refused_at_once_while_all_is_evacuated, 2)
+{
+    evacuate(site, 5, "here", false);
+    site->steer.current = true;
+    arrive(site, rig_from_caller(rig_flow(1), RELAY_SYN, 9, 0, 0));
+    rig_expect(site->record, "drop 4", "reset 1001 at 0", NULL);
+    g_assert_cmpuint(site->carried, ==, 0);
+    /* Not by a balancer that may not have heard of its end. */
+    site->steer.current = false;
+    arrive(site, rig_from_caller(rig_flow(2), RELAY_SYN, 9, 0, 0));
+    rig_expect(site->record, "drop 4", NULL);
+}
+
+TEST_F(site, an_agent_that_comes_later_is_evacuated_too, 2)
+{
+    evacuate(site, 5, "east", false);
+    move_to(site, 1, "east");
+    arrive(site, rig_from_caller(rig_flow(1), RELAY_SYN, 9, 0, 0));
+    g_assert_true(addr_equal(site->sent, agent_addr(2)));
+    g_assert_cmpuint(site->frame.next_count, ==, 0);
+}
+
+TEST_F(site, who_reads_of_an_evacuation_tells_the_agents_there, 6)
+{
+    for (unsigned i = 1; i <= 4; i++) {
+        move_to(site, i, "east");
+    }
+    pass_ms(site, 1);
+    site->pings = 0;
+    evacuate(site, 5, "east", true);
+    pass_ms(site, 1);
+    g_assert_cmpuint(site->pings, ==, 4);
+    /* Whoever is told by others leaves that to them. */
+    site->pings = 0;
+    evacuate(site, 6, "here", false);
+    pass_ms(site, 1);
+    g_assert_cmpuint(site->pings, ==, 0);
+}
--- a/tests/relay/world.c
+++ b/tests/relay/world.c
@@ -126,6 +126,11 @@
     if (plan->cut > 0 && world_chance(world, plan->cut)) {
         cut_agents(world);
     }
+    if (plan->evacuate > 0 &&
+        g_rand_int_range(world->evacuations_rand, 0, 1000) <
+            (gint32)plan->evacuate) {
+        world_evacuate(world);
+    }
     if (plan->stall > 0 && world_chance(world, plan->stall)) {
         any_front(world)->stalled_until_us = world->now_us + STALL_US;
     }
@@ -133,6 +138,26 @@
 
 /* Time. */
 
+/* What a frame says of evacuations comes before what else it says. */
+static void
+hear_evacuations(struct world *world, const struct message *message)
+{
+    struct evacuations told;
+
+    if (message->target != TO_BALANCER_FRAME && message->target != TO_AGENT) {
+        return;
+    }
+    frame_evacuations(message->bytes, &told);
+    if (message->target == TO_AGENT) {
+        door_evacuations(&world->hosts[message->number].door, &told,
+                         world->now_us);
+    }
+    else {
+        steer_evacuations(&world->fronts[message->number].steer, &told, false,
+                          world->now_us);
+    }
+}
+
 static void
 deliver(struct world *world, const struct message *message)
 {
@@ -145,6 +170,7 @@
     struct frame_ask ask;
     struct frame_absent absent;
 
+    hear_evacuations(world, message);
     switch (message->target) {
     case TO_BALANCER:
         packet = world_packet_of(message->bytes);
@@ -366,6 +392,8 @@
 {
     world->rand = g_rand_new_with_seed(seed);
     world->lost_rand = g_rand_new_with_seed(seed + 1);
+    world->evacuations_rand = g_rand_new_with_seed(seed + 2);
+    world->evacuations.revision = 1;
     world->plan = plan;
     world->result = result;
     world->now_us = 10 * USEC_PER_SEC;
@@ -409,6 +437,7 @@
     g_sequence_free(world->messages);
     g_rand_free(world->rand);
     g_rand_free(world->lost_rand);
+    g_rand_free(world->evacuations_rand);
 }
 
 void
--- a/tests/relay/world.h
+++ b/tests/relay/world.h
@@ -15,6 +15,7 @@
 #define WORLD_BALANCERS 3
 #define WORLD_AGENTS 9
 #define WORLD_SERVICES 2
+#define WORLD_DATA_CENTRES 3
 
 /** struct world_plan - what may happen, each as chances in 1000 a 10 ms */
 struct world_plan {
@@ -32,10 +33,12 @@
     unsigned stall;  /* what one balancer sends in 40 ms comes late */
     unsigned cut;    /* some agents and the balancers lose each other, one way
                         or both, for seconds */
-    unsigned cut_agents; /* how many at a time */
-    bool closing;        /* callers say goodbye, which is answered */
-    bool loss_of_all;    /* after half of the time every host starts anew */
-    bool told;           /* callers of flows that nobody holds must be told */
+    unsigned cut_agents;     /* how many at a time */
+    unsigned evacuate;       /* a data centre is evacuated, or is back */
+    unsigned evacuated_most; /* how many are so at a time */
+    bool closing;            /* callers say goodbye, which is answered */
+    bool loss_of_all; /* after half of the time every host starts anew */
+    bool told;        /* callers of flows that nobody holds must be told */
 };
 
 /** struct world_result - what came of it */
--- a/tests/relay/world_fronts.c
+++ b/tests/relay/world_fronts.c
@@ -35,7 +35,8 @@
     struct front *front = container_of(out, struct front, out);
     struct relay_packet packet = world_packet_of(frame->bytes);
     uint8_t bytes[FRAME_MAX];
-    size_t size = frame_carry_encode(frame, bytes);
+    size_t size =
+        frame_carry_encode(frame, &front->steer.agents.evacuations, bytes);
 
     if (relay_packet_opens(&packet) &&
         world_served_at(front->world, front->version, &packet) < 0) {
@@ -58,7 +59,8 @@
         .unlisted = unlisted,
     };
     uint8_t bytes[FRAME_HEAD_MAX + 1];
-    size_t size = frame_ping_encode(&ping, bytes);
+    size_t size =
+        frame_ping_encode(&ping, &front->steer.agents.evacuations, bytes);
 
     if (is_cut(front, agent)) {
         return;
@@ -74,7 +76,8 @@
 {
     struct front *front = container_of(out, struct front, out);
     uint8_t bytes[FRAME_MAX];
-    size_t size = frame_ask_encode(ask, bytes);
+    size_t size =
+        frame_ask_encode(ask, &front->steer.agents.evacuations, bytes);
 
     if (is_cut(front, agent)) {
         return;
@@ -164,8 +167,8 @@
 {
     front->listings[host->number] = host->listing;
     agents_list(&front->steer.agents, host->addr,
-                hash_service(world_services[host->listed_service]), "here",
-                front->world->now_us);
+                hash_service(world_services[host->listed_service]),
+                world_data_centre(front->world, host), front->world->now_us);
 }
 
 void
@@ -184,6 +187,10 @@
         see_listing(front, &world->hosts[i]);
     }
     agents_listed(&front->steer.agents);
+    if (world->plan->evacuate > 0) {
+        front->steer.current = true;
+        world_evacuations_soon(front);
+    }
 }
 
 /* Whether the front knows what the store says of the agents. */
@@ -216,6 +223,9 @@
         }
         front->confirm_us = 0;
     }
+    if (front->evacuations_us != 0 && world->now_us >= front->evacuations_us) {
+        world_evacuations_read(front);
+    }
     steer_tick(&front->steer, world->now_us);
 }
 
--- a/tests/relay/world_hosts.c
+++ b/tests/relay/world_hosts.c
@@ -20,6 +20,10 @@
         world_breach(host->world, "DRAIN: a SYN goes to endpoint %u",
                      host->number);
     }
+    if (relay_packet_opens(&packet) &&
+        !host->flows[world_caller_of(bytes)].held) {
+        world_check_offer(host);
+    }
     world_post(host->world, TO_ENDPOINT, host->number, bytes, size, true);
 }
 
@@ -46,7 +50,7 @@
 {
     struct host *host = container_of(out, struct host, out);
     uint8_t bytes[FRAME_MAX];
-    size_t size = frame_carry_encode(frame, bytes);
+    size_t size = frame_carry_encode(frame, &host->door.evacuations, bytes);
 
     world_post(host->world, TO_AGENT, agent.ip - world_host_addr(0).ip, bytes,
                size, false);
@@ -58,7 +62,7 @@
 {
     struct host *host = container_of(out, struct host, out);
     uint8_t bytes[FRAME_MAX + 1];
-    size_t size = frame_status_encode(status, bytes);
+    size_t size = frame_status_encode(status, &host->door.evacuations, bytes);
 
     if (world_is_cut(host, false)) {
         return;
@@ -81,7 +85,7 @@
 {
     struct host *host = container_of(out, struct host, out);
     uint8_t bytes[FRAME_MAX + 1];
-    size_t size = frame_absent_encode(answer, bytes);
+    size_t size = frame_absent_encode(answer, &host->door.evacuations, bytes);
 
     if (world_is_cut(host, false)) {
         return;
@@ -108,6 +112,9 @@
 door_decided(struct door_out *out, enum door_did did, struct relay_flow flow,
              enum frame_reason why, const struct frame_carry *frame)
 {
+    if (why == FRAME_REASON_EVACUATED) {
+        world_check_evacuated(container_of(out, struct host, out));
+    }
 }
 
 const struct door_out_ops world_door_ops = {
@@ -315,6 +322,7 @@
 world_agent_start(struct host *host)
 {
     g_assert_cmpint(door_init(&host->door, &host->out, host->addr,
+                              world_data_centre(host->world, host),
                               world_services[host->service]),
                     ==, 0);
     host->told_draining = false;
--- a/tests/relay/world_private.h
+++ b/tests/relay/world_private.h
@@ -2,8 +2,8 @@
  * DOC: world_private - what the parts of world share
  *
  * world_net carries messages, world_callers and world_hosts are the ends of
- * flows with their agents, world_fronts the balancers; world.c lets time pass
- * and things go wrong.
+ * flows with their agents, world_fronts the balancers, world_evacuations what
+ * operators do to data centres; world.c lets time pass and things go wrong.
  */
 #ifndef SWIFTARCH_TESTS_RELAY_WORLD_PRIVATE_H
 #define SWIFTARCH_TESTS_RELAY_WORLD_PRIVATE_H
@@ -45,6 +45,12 @@
 /* How soon a caller of a flow that nobody holds is told, once all hosts are
  * up and have heard of each other: two questions and the store's answer. */
 #define TOLD_US (100 * USEC_PER_MSEC)
+
+/* How soon an evacuation and its end are in force on all hosts that have run
+ * for a while: a third of the shortest bound that operators set. A host that
+ * has just started hears of them with the first answers of others. */
+#define EVACUATED_US (1000 * USEC_PER_MSEC)
+#define HEARD_US (300 * USEC_PER_MSEC)
 #define SETTLED_US (300 * USEC_PER_MSEC)
 
 /** enum target - who gets a message */
@@ -117,6 +123,7 @@
     uint64_t fault_us;
     uint64_t stalled_until_us;
     uint64_t confirm_us;
+    uint64_t evacuations_us;
     unsigned listings[WORLD_AGENTS];
     uint64_t list_us[WORLD_AGENTS];
 };
@@ -152,6 +159,9 @@
  * struct world - all of it
  * @lost_rand: for what only questions about lost flows and the store need
  * @served: services that each version has at each route, -1 for none
+ * @evacuations_rand: for what only evacuations need
+ * @evacuations: data centres that operators have evacuated
+ * @evacuated_us: when that of each changed last, 0 for never
  */
 struct world {
     GRand *rand;
@@ -169,6 +179,9 @@
     unsigned versions;
     int served[VERSIONS_MAX][ROUTES];
     uint64_t fault_us;
+    GRand *evacuations_rand;
+    struct evacuations evacuations;
+    uint64_t evacuated_us[WORLD_DATA_CENTRES];
 };
 
 extern const char *const world_services[WORLD_SERVICES];
@@ -267,6 +280,30 @@
 void
 world_front_start(struct front *front);
 
+/** world_data_centre() - name of a host's */
+const char *
+world_data_centre(const struct world *world, const struct host *host);
+
+/** world_evacuate() - operators evacuate a data centre, or take it back */
+void
+world_evacuate(struct world *world);
+
+/** world_evacuations_read() - those balancers that read the store see it */
+void
+world_evacuations_read(struct front *front);
+
+/** world_evacuations_soon() - a balancer reads them a little later */
+void
+world_evacuations_soon(struct front *front);
+
+/** world_check_offer() - an endpoint is given a SYN of a flow of its own */
+void
+world_check_offer(struct host *host);
+
+/** world_check_evacuated() - an agent refused a SYN for an evacuation */
+void
+world_check_evacuated(struct host *host);
+
 /** world_list_tick() - agents' objects are written, and fronts see it */
 void
 world_list_tick(struct world *world);
--- a/tests/relay/world_test.c
+++ b/tests/relay/world_test.c
@@ -227,6 +227,41 @@
     play_kept(&everything, seeds, G_N_ELEMENTS(seeds));
 }
 
+/* The other data centres have room for all callers. */
+TEST(an_evacuated_data_centre_loses_no_caller)
+{
+    static const struct world_plan plan = {
+        .new_flows = 600,
+        .rehash = 50,
+        .evacuate = 10,
+        .evacuated_most = 1,
+    };
+
+    g_assert_cmpuint(play_for(&plan, CUT_FAULTY_MS), >=, 960);
+}
+
+/* Also all data centres at once: then callers are refused, and nobody is sent
+ * there. */
+TEST(evacuations_among_other_faults)
+{
+    static const struct world_plan plan = {
+        .new_flows = 600,
+        .loss = 10,
+        .rehash = 50,
+        .agent_restart = 5,
+        .balancer_restart = 5,
+        .endpoint_crash = 5,
+        .endpoint_drain = 2,
+        .freeze = 5,
+        .config = 10,
+        .stall = 20,
+        .evacuate = 20,
+        .evacuated_most = WORLD_DATA_CENTRES,
+    };
+
+    g_assert_cmpuint(play_for(&plan, CUT_FAULTY_MS), >=, 200);
+}
+
 /* A closing caller's packets ended at an endpoint that waited for the end of
  * its own handshake with it. */
 TEST(seeds_of_late_syns_that_showed_a_fault)
