A cold endpoint gets no more than operators say it bears

Cause: an endpoint that has just started bears warmupPerS requests a second for some seconds (FAILBACK); nothing read that. Change: a SYN's frame says how many requests an endpoint of its service may get in a second (rate x over + slack, both settings); the agent, which all of them pass, records what it gave in the last second. What it may not give goes on or waits. An agent that starts counts its predecessor's second as used; a balancer without a configuration lifts no limit; each copy of a SYN tells it (a copy without it had lifted the limit, traced with a line for each SYN given). Ruled out: a limit shared among balancers.

--- a/bench/relay/bench_relay.c
+++ b/bench/relay/bench_relay.c
@@ -202,7 +202,7 @@
     routes.version = 1;
     route = routes_add(&routes);
     route->address = (struct addr){0xc6120001, 443};
-    route->shares[0] = (struct route_share){hash_service("lots"), 1};
+    route->shares[0] = (struct route_share){hash_service("lots"), 1, 0};
     route->share_count = 1;
     route->target_ms = 100;
     (void)routes_seal(&routes);
@@ -322,7 +322,7 @@
         struct door door;
         uint64_t since;
 
-        if (door_init(&door, &out, agent_addr(1), "here", "lots") < 0) {
+        if (door_init(&door, &out, agent_addr(1), "here", "lots", 1) < 0) {
             g_error("no memory");
         }
         door_heartbeat(&door, &beat, 1);
--- a/src/relay/door/door.c
+++ b/src/relay/door/door.c
@@ -4,6 +4,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include <glib.h>
+
 #include "base/clock.h"
 #include "relay/door/door_private.h"
 
@@ -30,6 +32,7 @@
         return;
     }
     if (endpoint_silent(&door->endpoint)) {
+        warming_in_doubt(&door->warming);
         door_tell_state(door, now_us);
     }
     flow->frame.best.ip = 0;
@@ -67,7 +70,7 @@
 
 int
 door_init(struct door *door, struct door_out *out, struct addr self,
-          const char *data_centre, const char *service)
+          const char *data_centre, const char *service, uint64_t now_us)
 {
     memset(door, 0, sizeof(*door));
     door->out = out;
@@ -75,6 +78,7 @@
     door->data_centre = evacuations_key(data_centre);
     endpoint_init(&door->endpoint, service);
     pace_init(&door->pace);
+    warming_init(&door->warming, now_us);
     door->flows = calloc(DOOR_FLOWS_MAX, sizeof(*door->flows));
     door->busy = calloc(DOOR_FLOWS_MAX, sizeof(*door->busy));
     if (door->flows == NULL || door->busy == NULL ||
@@ -207,6 +211,7 @@
 
     if (news != ENDPOINT_EARLIER) {
         door->unanswered_us = 0;
+        warming_told(&door->warming, heartbeat->warming_ms, now_us);
     }
     if (news == ENDPOINT_STARTED) {
         void_earlier(door);
@@ -229,6 +234,7 @@
 door_down(struct door *door, uint64_t now_us)
 {
     if (endpoint_down(&door->endpoint)) {
+        warming_in_doubt(&door->warming);
         void_earlier(door);
         door_tell_state(door, now_us);
     }
@@ -270,5 +276,8 @@
         door->waits[door->wait_first].due_us < next_us) {
         next_us = door->waits[door->wait_first].due_us;
     }
+    if (door->held_count > 0) {
+        next_us = MIN(next_us, warming_next_us(&door->warming));
+    }
     return next_us;
 }
--- a/src/relay/door/door.h
+++ b/src/relay/door/door.h
@@ -19,6 +19,7 @@
 #include "relay/wire/frame.h"
 #include "relay/door/outcome.h"
 #include "relay/door/pace.h"
+#include "relay/door/warming.h"
 #include "relay/wire/packet.h"
 
 /* Flows that one agent remembers: an endpoint holds some 2,000, the rest is
@@ -129,6 +130,7 @@
  * @held: SYNs that wait for a free slot, as handles, in the order they came
  * @held_count: how many
  * @pace: how fast the endpoint and its callers are
+ * @warming: how much the endpoint may be given while it is cold
  * @outcome: how much of what it is asked the endpoint resets
  * @sweep_us: when to look for requests that are in progress for too long
  * @heard: newest configuration that any balancer spoke of
@@ -163,6 +165,7 @@
     uint32_t held[DOOR_HELD_MAX];
     unsigned held_count;
     struct pace pace;
+    struct warming warming;
     struct outcome outcome;
     uint64_t sweep_us;
     struct frame_version heard;
@@ -188,7 +191,7 @@
  */
 int
 door_init(struct door *door, struct door_out *out, struct addr self,
-          const char *data_centre, const char *service);
+          const char *data_centre, const char *service, uint64_t now_us);
 
 /** door_greet() - a balancer may be at @balancer: it is told that this agent
  * is here, until some balancer speaks */
--- a/src/relay/door/door_answer.c
+++ b/src/relay/door/door_answer.c
@@ -65,6 +65,7 @@
     flow->denied = !relay_packet_opens(packet);
     if (relay_packet_opens(packet)) {
         if (endpoint_refused(&door->endpoint, door->busy_count)) {
+            warming_in_doubt(&door->warming);
             door_tell_state(door, now_us);
         }
     }
--- a/src/relay/door/door_held.c
+++ b/src/relay/door/door_held.c
@@ -77,7 +77,7 @@
         pass_held_on(door, FRAME_REASON_LEAVING, now_us);
         return;
     }
-    while (door->held_count > 0 && door_has_room(door, true)) {
+    while (door->held_count > 0 && door_has_room(door, true, now_us)) {
         bool in_time;
         uint32_t handle = held_next(door, now_us, &in_time);
 
@@ -85,7 +85,7 @@
             let_expire(door, handle);
             continue;
         }
-        if (!door_has_room(door, in_time)) {
+        if (!door_has_room(door, in_time, now_us)) {
             return;
         }
         door_flow_unhold(door, handle);
--- a/src/relay/door/door_open.c
+++ b/src/relay/door/door_open.c
@@ -23,6 +23,7 @@
     door_flow_busy(door, handle, now_us);
     door_wait_push(door, handle, now_us);
     door_expect(door, now_us);
+    warming_gave(&door->warming, now_us);
     door->out->ops->to_endpoint(door->out, flow->frame.bytes,
                                 flow->frame.size);
 }
@@ -42,9 +43,10 @@
  * the same room for late ones the fresh found it taken: 0.02 to 0.04 less of
  * what was owed on the days of a total loss. */
 bool
-door_has_room(const struct door *door, bool in_time)
+door_has_room(const struct door *door, bool in_time, uint64_t now_us)
 {
-    return door->busy_count < room_of(door) + (in_time ? AHEAD : 0);
+    return door->busy_count < room_of(door) + (in_time ? AHEAD : 0) &&
+           warming_has_room(&door->warming, now_us);
 }
 
 static void
@@ -103,9 +105,14 @@
     return true;
 }
 
+/* What the door reports as its endpoint's requests over its slots; one that
+ * may be given nothing before it is warmer comes after all others. */
 static unsigned
-load_of(const struct door *door)
+load_of(const struct door *door, uint64_t now_us)
 {
+    if (!warming_has_room(&door->warming, now_us)) {
+        return UINT16_MAX;
+    }
     return door->busy_count * LOAD_UNIT / door->endpoint.slots;
 }
 
@@ -123,7 +130,7 @@
         send_on(door, handle, flow->frame.best);
         return true;
     }
-    if (door_has_room(door, flow->frame.target_ms > 0)) {
+    if (door_has_room(door, flow->frame.target_ms > 0, now_us)) {
         door_offer_syn(door, handle, now_us);
         return true;
     }
@@ -189,8 +196,12 @@
         outcome_is_failing(&door->outcome, now_us)) {
         return FRAME_REASON_FAILING;
     }
+    if (!warming_has_room(&door->warming, now_us)) {
+        return FRAME_REASON_BUSY;
+    }
     if (door->busy_count >= room_of(door) &&
-        !(frame->forced && door_has_room(door, frame->target_ms > 0))) {
+        !(frame->forced &&
+          door_has_room(door, frame->target_ms > 0, now_us))) {
         return FRAME_REASON_BUSY;
     }
     return FRAME_REASON_NONE;
@@ -213,9 +224,9 @@
 }
 
 static void
-note_best(struct door *door, struct frame_carry *frame)
+note_best(struct door *door, struct frame_carry *frame, uint64_t now_us)
 {
-    unsigned load = load_of(door);
+    unsigned load = load_of(door, now_us);
 
     if (frame->best.ip == 0 || load < frame->best_load) {
         frame->best = door->self;
@@ -230,12 +241,17 @@
     struct relay_flow key = relay_flow_from_caller(packet);
     uint32_t handle = door_flow_remember(door, key, DOOR_OPENING, now_us);
     struct door_flow *flow = &door->flows[handle];
-    enum frame_reason why = reason_against(door, frame, now_us);
+    enum frame_reason why;
 
+    if (frame->view.version != 0) {
+        /* A balancer without a configuration doesn't know the limit. */
+        warming_limit(&door->warming, frame->warming_limit);
+    }
+    why = reason_against(door, frame, now_us);
     keep_frame(flow, frame);
     flow->doubtful = doubtful;
     if (why == FRAME_REASON_BUSY) {
-        note_best(door, &flow->frame);
+        note_best(door, &flow->frame, now_us);
     }
     if (why == FRAME_REASON_NONE) {
         door_offer_syn(door, handle, now_us);
--- a/src/relay/door/door_private.h
+++ b/src/relay/door/door_private.h
@@ -168,7 +168,7 @@
 
 /** door_has_room() - whether the endpoint takes another request soon */
 bool
-door_has_room(const struct door *door, bool in_time);
+door_has_room(const struct door *door, bool in_time, uint64_t now_us);
 
 /** door_pass_on() - send a flow's packet on; without anyone left the flow is
  * forgotten, unless it is known to be open elsewhere */
--- a/src/relay/door/door_tell.c
+++ b/src/relay/door/door_tell.c
@@ -1,5 +1,7 @@
 #include "relay/door/door_private.h"
 
+#include <glib.h>
+
 #include "base/clock.h"
 
 /* How often an agent that no balancer has spoken to says that it is here.
@@ -41,6 +43,10 @@
     if (door->closed && status->health.state != ENDPOINT_GONE) {
         status->health.state = ENDPOINT_DRAINING;
     }
+    if (!warming_has_room(&door->warming, now_us)) {
+        /* As good as full, for whoever chooses among agents. */
+        status->health.busy = MAX(status->health.busy, status->health.slots);
+    }
     status->health.failing = outcome_is_failing(&door->outcome, now_us);
     status->heard = door->heard;
     status->readers = count_readers(door, balancer, now_us);
--- a/src/relay/program/relay_agent.c
+++ b/src/relay/program/relay_agent.c
@@ -200,7 +200,8 @@
         return ret;
     }
     if (door_init(&agent->door, &agent->out, agent->frames.addr,
-                  agent->settings.data_centre, agent->settings.service) < 0 ||
+                  agent->settings.data_centre, agent->settings.service,
+                  agent->started_us) < 0 ||
         start_registration(agent, agent->started_us) < 0) {
         return error_set(err, -ENOMEM, "start", NULL, "no memory");
     }
--- a/src/relay/program/relay_balancer.c
+++ b/src/relay/program/relay_balancer.c
@@ -179,6 +179,7 @@
                                    report, sizeof(report));
 
     balancer->log.per_s = balancer->settings.log_per_s;
+    balancer->steer.warming = balancer->settings.warming;
     take_peers(balancer);
     event_log_line(&balancer->log, EVENT_RARE, "reload",
                    "result=%s peers=%zu log_per_s=%u stop_ms=%u "
@@ -346,6 +347,7 @@
                    balancer->settings.data_centre) < 0) {
         return error_set(err, -ENOMEM, "start", NULL, "no memory for flows");
     }
+    balancer->steer.warming = balancer->settings.warming;
     event_log_line(&balancer->log, EVENT_RARE, "started",
                    "role=balancer data_centre=%s",
                    balancer->settings.data_centre);
--- a/src/relay/program/relay_balancer_evacuations.c
+++ b/src/relay/program/relay_balancer_evacuations.c
@@ -71,11 +71,10 @@
         return;
     }
     names_of(&balancer->steer.agents, names, sizeof(names));
-    event_log_line(&balancer->log, EVENT_RARE, "evacuations",
-                   "data_centres=%u with_agents=%s revision=%" PRIu64
-                   " source=%s",
-                   told->count, names[0] != '\0' ? names : "-",
-                   told->revision, source);
+    event_log_line(
+        &balancer->log, EVENT_RARE, "evacuations",
+        "data_centres=%u with_agents=%s revision=%" PRIu64 " source=%s",
+        told->count, names[0] != '\0' ? names : "-", told->revision, source);
 }
 
 static void
--- a/src/relay/program/relay_settings.c
+++ b/src/relay/program/relay_settings.c
@@ -17,6 +17,10 @@
 #define LOG_MAX_PER_S 100000
 #define PORT_MAX 65535
 
+/* More than any endpoint runs in a second. */
+#define WARMING_OVER_MAX 1000
+#define WARMING_SLACK_MAX 65535
+
 #define BIT(role) (1u << (role))
 #define BALANCER BIT(RELAY_BALANCER)
 #define AGENT BIT(RELAY_AGENT)
@@ -77,6 +81,10 @@
     {"store", BOTH, BOTH, keys_read_addr, FIELD(store)},
     {"peers", 0, BOTH, read_peers, FIELD(peers)},
     {"evacuations", 0, BALANCER, keys_read_bool, FIELD(evacuations)},
+    {"warming_over", 0, BALANCER, keys_read_real, FIELD(warming.over),
+     .min = 0, .max = WARMING_OVER_MAX},
+    {"warming_slack", 0, BALANCER, keys_read_number, FIELD(warming.slack),
+     .min = 0, .max = WARMING_SLACK_MAX},
     {"stop_ms", 0, BOTH, keys_read_number, FIELD(stop_ms), .min = 0,
      .max = STOP_MAX_MS},
     {"log_per_s", 0, BOTH, keys_read_number, FIELD(log_per_s), .min = 0,
@@ -92,6 +100,7 @@
 
     memset(settings, 0, sizeof(*settings));
     settings->evacuations = true;
+    settings->warming.over = 1;
     settings->stop_ms = STOP_DEFAULT_MS;
     settings->log_per_s = LOG_DEFAULT_PER_S;
     *report = NULL;
--- a/src/relay/program/relay_settings.h
+++ b/src/relay/program/relay_settings.h
@@ -11,6 +11,7 @@
 #include "base/error.h"
 #include "relay/steer/agents.h"
 #include "relay/steer/routes.h"
+#include "relay/steer/steer.h"
 
 #define RELAY_NAME_MAX 64
 #define RELAY_PEERS_MAX 8
@@ -46,6 +47,9 @@
  * @peer_count: how many
  * @evacuations: balancer: operators may take data centres out of service, so
  *               the store is asked for that ("evacuations", default true)
+ * @warming: balancer: an endpoint that warms up may get, in any second, its
+ *           service's rate times the first ("warming_over", default 1) and so
+ *           many requests more ("warming_slack", default 0)
  * @stop_ms: how long a planned stop may take ("stop_ms")
  * @log_per_s: routine lines a second in the log ("log_per_s")
  */
@@ -67,6 +71,7 @@
     struct addr peers[RELAY_PEERS_MAX];
     size_t peer_count;
     bool evacuations;
+    struct steer_warming warming;
     unsigned stop_ms;
     unsigned log_per_s;
 };
--- a/src/relay/steer/routes.c
+++ b/src/relay/steer/routes.c
@@ -85,6 +85,17 @@
                    compare_route);
 }
 
+const struct route_share *
+route_share_of(const struct route *route, uint32_t service)
+{
+    for (unsigned i = 0; i < route->share_count; i++) {
+        if (route->shares[i].service == service) {
+            return &route->shares[i];
+        }
+    }
+    return NULL;
+}
+
 uint32_t
 route_service(const struct route *route, struct relay_flow flow)
 {
--- a/src/relay/steer/routes.h
+++ b/src/relay/steer/routes.h
@@ -21,10 +21,13 @@
  * struct route_share - part of a route's flows
  * @service: hash_service() of the service's name
  * @weight: its part, of the sum of all weights of the route
+ * @warming_per_s: requests a second that its endpoints bear until they are
+ *                 warm, 0 for any number
  */
 struct route_share {
     uint32_t service;
     uint32_t weight;
+    float warming_per_s;
 };
 
 /**
@@ -85,6 +88,10 @@
 const struct route *
 routes_find(const struct routes *routes, struct addr address);
 
+/** route_share_of() - the part of @route that goes to @service, or NULL */
+const struct route_share *
+route_share_of(const struct route *route, uint32_t service);
+
 /** route_service() - service that takes a flow of @route; the same on each
  * host as long as the shares are */
 uint32_t
--- a/src/relay/steer/steer.c
+++ b/src/relay/steer/steer.c
@@ -51,6 +51,7 @@
     memset(steer, 0, sizeof(*steer));
     steer->out = out;
     steer->self = self;
+    steer->warming = (struct steer_warming){.over = 1};
     agents_init(&steer->agents, data_centre);
     routes_init(&steer->routes);
     routes_init(&steer->learned);
@@ -136,7 +137,7 @@
         route = routes_add(&steer->learned);
         route->address = served->addrs[i];
         route->shares[route->share_count++] =
-            (struct route_share){served->service, 1};
+            (struct route_share){served->service, 1, 0};
         route->target_ms = LEARNED_TARGET_MS;
         /* No two have the same address: each was looked for first. */
         (void)routes_seal(&steer->learned);
--- a/src/relay/steer/steer.h
+++ b/src/relay/steer/steer.h
@@ -168,11 +168,21 @@
     uint64_t next_us;
 };
 
+/**
+ * struct steer_warming - an endpoint that warms up may get in any second its
+ * service's rate times @over, and @slack requests
+ */
+struct steer_warming {
+    double over;
+    unsigned slack;
+};
+
 /**
  * struct steer - state of a balancer
  * @out: where outputs go
  * @self: address that agents answer to
  * @reader: this balancer's part in reading the store's latest
+ * @warming: how far operators let the rate of a cold endpoint be passed
  * @current: no newer configuration can have been known to others for long
  * @agents: the agents
  * @routes: configuration in force
@@ -190,6 +200,7 @@
     struct steer_out *out;
     struct addr self;
     enum frame_reader reader;
+    struct steer_warming warming;
     bool current;
     struct agents agents;
     struct routes routes;
--- a/src/relay/steer/steer_open.c
+++ b/src/relay/steer/steer_open.c
@@ -88,6 +88,42 @@
     choice->count = kept;
 }
 
+/* Requests that an endpoint may get in a second until it is warm, 0 for any
+ * number. */
+static uint16_t
+warming_limit(const struct steer *steer, struct addr address, uint32_t service)
+{
+    const struct route *route =
+        routes_find(steer_routes_in_force(steer), address);
+    const struct route_share *share =
+        route != NULL ? route_share_of(route, service) : NULL;
+    double limit;
+
+    if (share == NULL || share->warming_per_s <= 0) {
+        return 0;
+    }
+    limit = share->warming_per_s * steer->warming.over + steer->warming.slack;
+    return (uint16_t)CLAMP(limit, 1, UINT16_MAX);
+}
+
+/* A SYN's frame that may go on along @choice, from @from on. */
+static struct frame_carry
+syn_frame(const struct steer *steer, uint32_t handle,
+          const struct agents_choice *choice, unsigned from,
+          const uint8_t *bytes, size_t size)
+{
+    const struct steer_pin *pin = &steer->pins[handle];
+    struct frame_carry frame =
+        steer_frame(steer, pin->service, choice, from, bytes, size);
+
+    frame.target_ms = pin->target_ms;
+    frame.priority = pin->priority;
+    frame.patience_ms = pin->patience_ms;
+    frame.warming_limit = warming_limit(
+        steer, flow_index_flow(&steer->flows, handle).service, pin->service);
+    return frame;
+}
+
 /* Sends a SYN to the best agent that it was not sent to. */
 bool
 steer_try_next(struct steer *steer, uint32_t handle, const uint8_t *bytes,
@@ -109,10 +145,7 @@
     if (choice.count == 0) {
         return false;
     }
-    frame = steer_frame(steer, pin->service, &choice, 1, bytes, size);
-    frame.target_ms = pin->target_ms;
-    frame.priority = pin->priority;
-    frame.patience_ms = pin->patience_ms;
+    frame = syn_frame(steer, handle, &choice, 1, bytes, size);
     pin->tried[pin->try_count++] = choice.addrs[0];
     pin->holder = choice.addrs[0];
     pin->tried_us = now_us;
@@ -145,12 +178,9 @@
 {
     struct steer_pin *pin = &steer->pins[handle];
     struct agents_choice none = {.count = 0};
-    struct frame_carry frame = steer_frame(steer, pin->service, &none, 0,
-                                           packet->bytes, packet->size);
+    struct frame_carry frame =
+        syn_frame(steer, handle, &none, 0, packet->bytes, packet->size);
 
-    frame.target_ms = pin->target_ms;
-    frame.priority = pin->priority;
-    frame.patience_ms = pin->patience_ms;
     pin->held = false;
     pin->tried_us = now_us;
     wait_push(steer, handle, now_us);
@@ -187,6 +217,20 @@
     }
 }
 
+/* Another copy of a SYN that an endpoint has answered goes there: the answer
+ * was lost. */
+static void
+place_again(struct steer *steer, uint32_t handle,
+            const struct relay_packet *packet)
+{
+    struct agents_choice none = {.count = 0};
+    struct frame_carry frame =
+        syn_frame(steer, handle, &none, 0, packet->bytes, packet->size);
+
+    steer->out->ops->carry(steer->out, steer->pins[handle].places[0].agent,
+                           &frame);
+}
+
 /* The caller sent its SYN again: an answer was lost, or none came. */
 void
 steer_open_again(struct steer *steer, uint32_t handle,
@@ -195,15 +239,15 @@
 {
     struct steer_pin *pin = &steer->pins[handle];
 
+    note_age(pin, packet, route);
     if (pin->place_count > 0) {
-        steer_carry_to(steer, pin, pin->places[0].agent, packet);
+        place_again(steer, handle, packet);
         return;
     }
     if (pin->opened) {
         /* A copy that was held up on its way: the flow is open. */
         return;
     }
-    note_age(pin, packet, route);
     if (pin->held) {
         hold_on(steer, handle, packet, now_us);
         return;
--- a/src/relay/wire/evacuations.h
+++ b/src/relay/wire/evacuations.h
@@ -1,8 +1,8 @@
 /**
  * DOC: evacuations - data centres that operators have taken out of service
  *
- * No new flow may be opened at an endpoint of an evacuated data centre. The set
- * is a function of the store's revision, so of two states the one with the
+ * No new flow may be opened at an endpoint of an evacuated data centre. The
+ * set is a function of the store's revision, so of two states the one with the
  * higher revision is right, whoever tells it and in whatever order: hosts pass
  * it on with each frame and never go back to an older one.
  */
--- a/src/relay/wire/frame.h
+++ b/src/relay/wire/frame.h
@@ -126,6 +126,8 @@
  *             time; 0 when it is late already
  * @priority: of its route, 0 is most urgent
  * @patience_ms: of a SYN, how long its caller waits for an answer
+ * @warming_limit: of a SYN, requests that the endpoint may get in a second
+ *                 until it is warm; 0 for any number
  * @hops: agents that have seen it
  * @best: agent with the least load so far, ip 0 for none
  * @best_load: its load, in 1/16 of its slots
@@ -142,6 +144,7 @@
     uint16_t target_ms;
     uint8_t priority;
     uint16_t patience_ms;
+    uint16_t warming_limit;
     uint8_t hops;
     struct addr best;
     uint16_t best_load;
--- a/tests/relay/door_load_test.c
+++ b/tests/relay/door_load_test.c
@@ -140,7 +140,8 @@
     site->now_us = USEC_PER_SEC;
     site->rand = g_rand_new_with_seed(7);
     g_assert_cmpint(door_init(&site->door, &site->out,
-                              rig_addr("10.0.0.1:7000"), "here", "lots"),
+                              rig_addr("10.0.0.1:7000"), "here", "lots",
+                              site->now_us),
                     ==, 0);
     door_heartbeat(&site->door, &beat, site->now_us);
 }
--- a/tests/relay/door_site.c
+++ b/tests/relay/door_site.c
@@ -103,9 +103,9 @@
     site->out.ops = &ops;
     site->record = g_string_new(NULL);
     site->now_us = USEC_PER_SEC;
-    g_assert_cmpint(
-        door_init(&site->door, &site->out, rig_addr(SELF), "here", "lots"), ==,
-        0);
+    g_assert_cmpint(door_init(&site->door, &site->out, rig_addr(SELF), "here",
+                              "lots", site->now_us),
+                    ==, 0);
 }
 
 void
--- a/tests/relay/format_test.c
+++ b/tests/relay/format_test.c
@@ -355,3 +355,28 @@
         }
     }
 }
+
+TEST(rates_of_cold_endpoints_are_read_with_their_services)
+{
+    static const char config[] =
+        "{\"version\":3,\"routes\":[{\"name\":\"a\",\"host\":"
+        "\"198.18.0.1\",\"pathPrefix\":\"/80/\",\"backends\":["
+        "{\"service\":\"lots\",\"weight\":9},"
+        "{\"service\":\"albums\",\"weight\":1}]}],"
+        "\"services\":[{\"name\":\"lots\",\"warmupPerS\":7.5},"
+        "{\"name\":\"albums\",\"warmupPerS\":0.0},{\"name\":4},7]}";
+    struct json_object *json = json_tokener_parse(config);
+    const struct route *route;
+    struct routes routes;
+    struct error err = {0};
+
+    g_assert_cmpint(config_format_decode(json, &routes, &err), ==, 0);
+    route = &routes.items[0];
+    g_assert_cmpfloat(
+        route_share_of(route, hash_service("lots"))->warming_per_s, ==, 7.5);
+    g_assert_cmpfloat(
+        route_share_of(route, hash_service("albums"))->warming_per_s, ==, 0);
+    g_assert_null(route_share_of(route, hash_service("other")));
+    routes_finish(&routes);
+    json_object_put(json);
+}
--- a/tests/relay/readers_world_test.c
+++ b/tests/relay/readers_world_test.c
@@ -134,7 +134,7 @@
         world->hosts[i].world = world;
         g_assert_cmpint(door_init(&world->hosts[i].door, &world->hosts[i].out,
                                   (struct addr){0x0a000000 + i, 7000}, "here",
-                                  "lots"),
+                                  "lots", world->now_us),
                         ==, 0);
     }
     for (unsigned i = 0; i < BALANCERS; i++) {
--- a/tests/relay/steer_lost_test.c
+++ b/tests/relay/steer_lost_test.c
@@ -141,7 +141,7 @@
     routes.version = 5;
     route = routes_add(&routes);
     route->address = rig_flow(1).service;
-    route->shares[0] = (struct route_share){hash_service("lots"), 1};
+    route->shares[0] = (struct route_share){hash_service("lots"), 1, 0};
     route->share_count = 1;
     route->idempotent = idempotent;
     g_assert_cmpint(routes_seal(&routes), ==, 0);
--- a/tests/relay/steer_test.c
+++ b/tests/relay/steer_test.c
@@ -124,7 +124,7 @@
     struct route *route = routes_add(routes);
 
     route->address = rig_addr(address);
-    route->shares[0] = (struct route_share){hash_service(service), 1};
+    route->shares[0] = (struct route_share){hash_service(service), 1, 0};
     route->share_count = 1;
 }
 
@@ -842,3 +842,28 @@
     pass_ms(site, 1);
     g_assert_cmpuint(site->pings, ==, 0);
 }
+
+TEST_F(site, a_syn_says_how_much_a_cold_endpoint_bears, 2)
+{
+    struct routes routes;
+
+    routes_init(&routes);
+    routes.version = 6;
+    add_route(&routes, "198.18.0.1:443", "lots");
+    routes.items[0].shares[0].warming_per_s = 5;
+    g_assert_cmpint(routes_seal(&routes), ==, 0);
+    steer_routes(&site->steer, &routes);
+    site->steer.warming = (struct steer_warming){.over = 1.5, .slack = 5};
+    arrive(site, rig_from_caller(rig_flow(1), RELAY_SYN, 9, 0, 0));
+    g_assert_cmpuint(site->frame.warming_limit, ==, 12);
+    /* Each copy: the agent that held the flow may have forgotten it. */
+    say(site, 1,
+        (struct frame_status){.type = FRAME_HELD, .flow = rig_flow(1)});
+    site->frame.warming_limit = 0;
+    arrive(site, rig_from_caller(rig_flow(1), RELAY_SYN, 9, 1, 0));
+    g_assert_cmpuint(site->frame.warming_limit, ==, 12);
+    placed(site, agent_addr(1), 1, 500);
+    site->frame.warming_limit = 0;
+    arrive(site, rig_from_caller(rig_flow(1), RELAY_SYN, 9, 2, 0));
+    g_assert_cmpuint(site->frame.warming_limit, ==, 12);
+}
--- a/tests/relay/world_evacuations.c
+++ b/tests/relay/world_evacuations.c
@@ -46,11 +46,10 @@
 world_evacuations_soon(struct front *front)
 {
     if (front->number < READERS) {
-        front->evacuations_us =
-            front->world->now_us +
-            (uint64_t)g_rand_int_range(front->world->evacuations_rand, 0,
-                                       500) *
-                USEC_PER_MSEC;
+        front->evacuations_us = front->world->now_us +
+                                (uint64_t)g_rand_int_range(
+                                    front->world->evacuations_rand, 0, 500) *
+                                    USEC_PER_MSEC;
     }
 }
 
--- a/tests/relay/world_hosts.c
+++ b/tests/relay/world_hosts.c
@@ -323,7 +323,8 @@
 {
     g_assert_cmpint(door_init(&host->door, &host->out, host->addr,
                               world_data_centre(host->world, host),
-                              world_services[host->service]),
+                              world_services[host->service],
+                              host->world->now_us),
                     ==, 0);
     host->told_draining = false;
     host->beat_us = 0;
