Routes with homes are served there and nowhere else

Cause: a route may name the regions in which its requests may be served (HOME); nothing read that. Change: the configuration's regions become a route's homes; settings say in which region each data centre lies; SYNs and searches, whose packets hold the request, name only agents there. Ruled out: the region in the agents' objects: settings have all data centres, and the list is missing when it is needed most. Homes of teams: relay mode has no teams, its configuration names none.

--- a/src/relay/door/door_tell.c
+++ b/src/relay/door/door_tell.c
@@ -40,6 +40,7 @@
           uint64_t now_us)
 {
     status->health = endpoint_health(&door->endpoint, door->busy_count);
+    status->health.data_centre = door->data_centre;
     if (door->closed && status->health.state != ENDPOINT_GONE) {
         status->health.state = ENDPOINT_DRAINING;
     }
--- a/src/relay/door/warming.c
+++ b/src/relay/door/warming.c
@@ -88,8 +88,7 @@
 
     if (warming->limit > 0 && warming->given_count >= warming->limit) {
         unsigned at = warming->given_count - warming->limit;
-        uint64_t free_us =
-            warming->given_us[slot_of(warming, at)] + WINDOW_US;
+        uint64_t free_us = warming->given_us[slot_of(warming, at)] + WINDOW_US;
 
         next_us = MAX(next_us, free_us);
     }
--- a/src/relay/door/warming.h
+++ b/src/relay/door/warming.h
@@ -2,8 +2,8 @@
  * DOC: warming - how many requests an endpoint gets while it warms up
  *
  * Operators say how many requests a second a service's endpoints bear until
- * they are warm. All requests of an endpoint pass its one agent, so a record of
- * what was given to it in the last second keeps that bound for any second,
+ * they are warm. All requests of an endpoint pass its one agent, so a record
+ * of what was given to it in the last second keeps that bound for any second,
  * without a word to anybody.
  *
  * While it isn't known whether the endpoint is warm, it is taken as cold: it
--- a/src/relay/program/relay_balancer.c
+++ b/src/relay/program/relay_balancer.c
@@ -180,6 +180,7 @@
 
     balancer->log.per_s = balancer->settings.log_per_s;
     balancer->steer.warming = balancer->settings.warming;
+    agents_set_regions(&balancer->steer.agents, &balancer->settings.regions);
     take_peers(balancer);
     event_log_line(&balancer->log, EVENT_RARE, "reload",
                    "result=%s peers=%zu log_per_s=%u stop_ms=%u "
@@ -348,6 +349,7 @@
         return error_set(err, -ENOMEM, "start", NULL, "no memory for flows");
     }
     balancer->steer.warming = balancer->settings.warming;
+    agents_set_regions(&balancer->steer.agents, &balancer->settings.regions);
     event_log_line(&balancer->log, EVENT_RARE, "started",
                    "role=balancer data_centre=%s",
                    balancer->settings.data_centre);
--- a/src/relay/program/relay_balancer_out.c
+++ b/src/relay/program/relay_balancer_out.c
@@ -216,7 +216,7 @@
     size_t before = balancer->steer.learned.count;
     char text[ADDR_TEXT_MAX];
 
-    steer_served(&balancer->steer, served);
+    steer_served(&balancer->steer, agent, served);
     if (balancer->steer.learned.count > before) {
         event_log_line(&balancer->log, EVENT_RARE, "route_learned",
                        "agent=%s service=%08x routes=%zu",
--- a/src/relay/program/relay_settings.c
+++ b/src/relay/program/relay_settings.c
@@ -62,6 +62,31 @@
     }
 }
 
+static void
+read_regions(struct keys *keys, const struct key_rule *rule,
+             json_object *value, void *field)
+{
+    const char *expected = "an object of at most 64 data centres such as "
+                           "{\"north\": \"coast\"}";
+    struct regions *regions = field;
+
+    if (!json_object_is_type(value, json_type_object) ||
+        json_object_object_length(value) > REGIONS_MAX) {
+        keys_fault_value(keys, rule->name, value, expected);
+        return;
+    }
+    json_object_object_foreach(value, data_centre, region)
+    {
+        if (!json_object_is_type(region, json_type_string)) {
+            keys_fault_value(keys, rule->name, value, expected);
+            return;
+        }
+        regions->items[regions->count++] =
+            (struct region){evacuations_key(data_centre),
+                            homes_key(json_object_get_string(region))};
+    }
+}
+
 static const struct key_rule rules[] = {
     {"name", BOTH, BOTH, keys_read_name, FIELD(name)},
     {"data_centre", BOTH, BOTH, keys_read_name, FIELD(data_centre)},
@@ -80,6 +105,7 @@
      .max = PORT_MAX},
     {"store", BOTH, BOTH, keys_read_addr, FIELD(store)},
     {"peers", 0, BOTH, read_peers, FIELD(peers)},
+    {"regions", 0, BALANCER, read_regions, FIELD(regions)},
     {"evacuations", 0, BALANCER, keys_read_bool, FIELD(evacuations)},
     {"warming_over", 0, BALANCER, keys_read_real, FIELD(warming.over),
      .min = 0, .max = WARMING_OVER_MAX},
--- a/src/relay/program/relay_settings.h
+++ b/src/relay/program/relay_settings.h
@@ -45,6 +45,8 @@
  *         ("peers"): a balancer asks them for the configuration, an agent
  *         tells them that it is there
  * @peer_count: how many
+ * @regions: balancer: in which region each data centre lies ("regions", an
+ *           object from names to names): routes may name where they are served
  * @evacuations: balancer: operators may take data centres out of service, so
  *               the store is asked for that ("evacuations", default true)
  * @warming: balancer: an endpoint that warms up may get, in any second, its
@@ -70,6 +72,7 @@
     struct addr store;
     struct addr peers[RELAY_PEERS_MAX];
     size_t peer_count;
+    struct regions regions;
     bool evacuations;
     struct steer_warming warming;
     unsigned stop_ms;
--- a/src/relay/steer/agents.c
+++ b/src/relay/steer/agents.c
@@ -61,6 +61,17 @@
     service_add(agents, row);
 }
 
+static void
+set_place(struct agents *agents, struct agent_row *row, uint32_t place)
+{
+    if (row->place == place) {
+        return;
+    }
+    row->place = place;
+    row->region = regions_find(&agents->regions, place);
+    row->evacuated = evacuations_has(&agents->evacuations, place);
+}
+
 static uint64_t
 key_of(struct addr addr)
 {
@@ -104,7 +115,7 @@
 agents_init(struct agents *agents, const char *data_centre)
 {
     memset(agents, 0, sizeof(*agents));
-    g_strlcpy(agents->data_centre, data_centre, sizeof(agents->data_centre));
+    agents->here = evacuations_key(data_centre);
     agents->rows = g_ptr_array_new();
     agents->by_addr = g_hash_table_new(g_int64_hash, g_int64_equal);
     agents->by_service = g_hash_table_new_full(
@@ -112,6 +123,17 @@
     agents->pinged = g_ptr_array_new();
 }
 
+void
+agents_set_regions(struct agents *agents, const struct regions *regions)
+{
+    agents->regions = *regions;
+    for (guint i = 0; i < agents->rows->len; i++) {
+        struct agent_row *row = g_ptr_array_index(agents->rows, i);
+
+        row->region = regions_find(regions, row->place);
+    }
+}
+
 void
 agents_finish(struct agents *agents)
 {
@@ -168,8 +190,7 @@
     row->named = true;
     row->unlisted = false;
     g_strlcpy(row->data_centre, data_centre, sizeof(row->data_centre));
-    row->place = evacuations_key(data_centre);
-    row->evacuated = evacuations_has(&agents->evacuations, row->place);
+    set_place(agents, row, evacuations_key(data_centre));
 }
 
 void
@@ -228,6 +249,10 @@
     else {
         set_health(agents, row, health);
     }
+    if (health->data_centre != 0) {
+        /* Also while the store is away: a route may have homes. */
+        set_place(agents, row, health->data_centre);
+    }
     row->down = row->down && health->state == ENDPOINT_SILENT;
     row->told_us = now_us;
     row->sent = 0;
--- a/src/relay/steer/agents.h
+++ b/src/relay/steer/agents.h
@@ -18,6 +18,7 @@
 
 #include "base/addr.h"
 #include "packet/rank.h"
+#include "relay/steer/homes.h"
 #include "relay/wire/frame.h"
 #include "relay/wire/packet.h"
 
@@ -28,7 +29,8 @@
  * @addr: where it takes frames
  * @member: rank id, from @addr
  * @data_centre: where it stands, empty when not known
- * @place: evacuations_key() of that
+ * @place: evacuations_key() of where it stands, which it says itself too
+ * @region: in which that lies, 0 when it isn't known
  * @evacuated: operators have taken that data centre out of service
  * @health: its own last word
  * @listed: the store names it
@@ -58,6 +60,7 @@
     uint64_t member;
     char data_centre[AGENT_DATA_CENTRE_MAX];
     uint32_t place;
+    uint32_t region;
     bool evacuated;
     struct frame_health health;
     bool listed;
@@ -94,8 +97,9 @@
  * @pinged: rows that are to be pinged
  * @listed_once: the store's list was read to its end
  * @changes: how often an agent came to a service
- * @data_centre: where the balancer stands
+ * @here: evacuations_key() of where the balancer stands
  * @evacuations: data centres that take no new flow
+ * @regions: in which each data centre lies
  */
 struct agents {
     GPtrArray *rows;
@@ -104,8 +108,9 @@
     GPtrArray *pinged;
     bool listed_once;
     uint64_t changes;
-    char data_centre[AGENT_DATA_CENTRE_MAX];
+    uint32_t here;
     struct evacuations evacuations;
+    struct regions regions;
 };
 
 /* Agents in a choice: as many as a frame and its first stop hold. */
@@ -135,6 +140,10 @@
 void
 agents_init(struct agents *agents, const char *data_centre);
 
+/** agents_set_regions() - in which region each data centre lies */
+void
+agents_set_regions(struct agents *agents, const struct regions *regions);
+
 /** agents_finish() - free the rows */
 void
 agents_finish(struct agents *agents);
@@ -188,10 +197,11 @@
 agents_evacuate(struct agents *agents, const struct evacuations *told,
                 bool ping, uint64_t now_us);
 
-/** agents_all_evacuated() - whether a service has agents, but in evacuated
- * data centres only */
+/** agents_all_evacuated() - whether a service has agents in @homes, but in
+ * evacuated data centres only */
 bool
-agents_all_evacuated(const struct agents *agents, uint32_t service);
+agents_all_evacuated(const struct agents *agents, uint32_t service,
+                     const struct homes *homes);
 
 /** agents_heard() - a frame with its own word came from an agent; of which
  * service it is, the store says first */
@@ -231,22 +241,25 @@
 uint64_t
 agents_next_ping_us(const struct agents *agents);
 
-/** agents_for_new() - who may take a new flow, best first; the suspected
- * only when there is nobody else */
+/** agents_for_new() - who may take a new flow in @homes, best first; the
+ * suspected only when there is nobody else */
 void
-agents_for_new(const struct agents *agents, uint32_t service, uint64_t hash,
-               uint64_t now_us, struct agents_choice *choice);
+agents_for_new(const struct agents *agents, uint32_t service,
+               const struct homes *homes, uint64_t hash, uint64_t now_us,
+               struct agents_choice *choice);
 
 /**
  * agents_for_known() - who may hold an open flow, likeliest first
+ * @homes: where it can have been opened
  * @below: only those that rank below this, AGENTS_ALL for all; becomes the
  *         rank of the last of @choice
  *
  * Return: false when there are none.
  */
 bool
-agents_for_known(const struct agents *agents, uint32_t service, uint64_t hash,
-                 uint64_t *below, struct agents_choice *choice);
+agents_for_known(const struct agents *agents, uint32_t service,
+                 const struct homes *homes, uint64_t hash, uint64_t *below,
+                 struct agents_choice *choice);
 
 /** agents_of_service() - rows of a service, NULL for none; valid until any
  * changes */
--- a/src/relay/steer/agents_choice.c
+++ b/src/relay/steer/agents_choice.c
@@ -1,7 +1,5 @@
 #include "relay/steer/agents_private.h"
 
-#include <string.h>
-
 #include <glib.h>
 
 #include "base/clock.h"
@@ -74,7 +72,7 @@
     if (row->health.failing) {
         load += LOAD_FAILING;
     }
-    if (strcmp(row->data_centre, agents->data_centre) != 0) {
+    if (row->place != agents->here) {
         load += LOAD_ABROAD;
     }
     return load;
@@ -153,8 +151,9 @@
 }
 
 void
-agents_for_new(const struct agents *agents, uint32_t service, uint64_t hash,
-               uint64_t now_us, struct agents_choice *choice)
+agents_for_new(const struct agents *agents, uint32_t service,
+               const struct homes *homes, uint64_t hash, uint64_t now_us,
+               struct agents_choice *choice)
 {
     const GPtrArray *rows = agents_of_service(agents, service);
     struct candidate best[RANK_DEPTH];
@@ -164,7 +163,7 @@
         const struct agent_row *row = g_ptr_array_index(rows, i);
         struct candidate candidate = {.row = row};
 
-        if (row->evacuated ||
+        if (row->evacuated || !homes_allow(homes, row->region) ||
             agents_standing(agents, row) == STANDING_CLOSED) {
             continue;
         }
@@ -182,8 +181,9 @@
 }
 
 bool
-agents_for_known(const struct agents *agents, uint32_t service, uint64_t hash,
-                 uint64_t *below, struct agents_choice *choice)
+agents_for_known(const struct agents *agents, uint32_t service,
+                 const struct homes *homes, uint64_t hash, uint64_t *below,
+                 struct agents_choice *choice)
 {
     const GPtrArray *rows = agents_of_service(agents, service);
     struct candidate best[AGENTS_CHOICE_MAX];
@@ -197,7 +197,8 @@
             .score = rank_score(row->member, rank_bucket(hash)),
         };
 
-        if (row->health.state != ENDPOINT_GONE && candidate.score < *below) {
+        if (row->health.state != ENDPOINT_GONE && candidate.score < *below &&
+            homes_allow(homes, row->region)) {
             keep_best(best, AGENTS_CHOICE_MAX, &count, &candidate);
         }
     }
@@ -217,7 +218,7 @@
 
     for (size_t i = 0; i < agents_count(agents); i++) {
         const struct agent_row *row = agents_at(agents, i);
-        bool here = strcmp(row->data_centre, agents->data_centre) == 0;
+        bool here = row->place == agents->here;
         struct candidate candidate = {
             .row = row,
             .score = rank_score(row->member, WITNESS_BUCKET),
@@ -233,7 +234,8 @@
 }
 
 bool
-agents_all_evacuated(const struct agents *agents, uint32_t service)
+agents_all_evacuated(const struct agents *agents, uint32_t service,
+                     const struct homes *homes)
 {
     const GPtrArray *rows = agents_of_service(agents, service);
     bool any = false;
@@ -241,6 +243,9 @@
     for (guint i = 0; rows != NULL && i < rows->len; i++) {
         const struct agent_row *row = g_ptr_array_index(rows, i);
 
+        if (!homes_allow(homes, row->region)) {
+            continue;
+        }
         if (!row->evacuated && row->health.state != ENDPOINT_GONE) {
             return false;
         }
--- a/src/relay/steer/routes.h
+++ b/src/relay/steer/routes.h
@@ -11,6 +11,7 @@
 #include <stdint.h>
 
 #include "base/addr.h"
+#include "relay/steer/homes.h"
 #include "relay/wire/packet.h"
 
 #define ROUTES_NAME_MAX 64
@@ -36,6 +37,7 @@
  * @address: address and port
  * @shares: services that take its new flows
  * @share_count: at least one
+ * @homes: regions in which its requests may be served
  * @timeout_ms: how long a request may take
  * @target_ms: how soon a request should be answered
  * @priority: 0 is most urgent
@@ -46,6 +48,7 @@
     struct addr address;
     struct route_share shares[ROUTE_SHARES_MAX];
     unsigned share_count;
+    struct homes homes;
     unsigned timeout_ms;
     unsigned target_ms;
     unsigned priority;
--- a/src/relay/steer/steer.c
+++ b/src/relay/steer/steer.c
@@ -122,25 +122,42 @@
     return route;
 }
 
+/* Route of an address that isn't in the learned ones yet. */
+static void
+learn_route(struct steer *steer, struct addr address, uint32_t service)
+{
+    struct route *route = routes_add(&steer->learned);
+
+    route->address = address;
+    route->shares[route->share_count++] = (struct route_share){service, 1, 0};
+    route->target_ms = LEARNED_TARGET_MS;
+    /* No two have the same address: each was looked for first. */
+    (void)routes_seal(&steer->learned);
+}
+
 void
-steer_served(struct steer *steer, const struct frame_served *served)
+steer_served(struct steer *steer, struct addr agent,
+             const struct frame_served *served)
 {
-    if (steer->routes.version != 0) {
+    const struct agent_row *row = agents_find(&steer->agents, agent);
+    uint32_t region = row != NULL ? row->region : 0;
+    bool differ = regions_differ(&steer->agents.regions);
+
+    if (steer->routes.version != 0 || (differ && region == 0)) {
         return;
     }
     for (unsigned i = 0; i < served->count; i++) {
-        struct route *route;
+        struct addr address = served->addrs[i];
+
+        if (routes_find(&steer->learned, address) == NULL) {
+            learn_route(steer, address, served->service);
+        }
+        if (differ) {
+            struct route *route =
+                (struct route *)routes_find(&steer->learned, address);
 
-        if (routes_find(&steer->learned, served->addrs[i]) != NULL) {
-            continue;
+            homes_add(&route->homes, region);
         }
-        route = routes_add(&steer->learned);
-        route->address = served->addrs[i];
-        route->shares[route->share_count++] =
-            (struct route_share){served->service, 1, 0};
-        route->target_ms = LEARNED_TARGET_MS;
-        /* No two have the same address: each was looked for first. */
-        (void)routes_seal(&steer->learned);
     }
 }
 
--- a/src/relay/steer/steer.h
+++ b/src/relay/steer/steer.h
@@ -238,11 +238,15 @@
 /**
  * steer_served() - an agent's endpoint serves addresses
  *
+ * Where data centres lie in several regions, a learned address is served only
+ * in those whose endpoints have served it before: it may have homes.
+ *
  * Counts only while no configuration is known: callers of a site that lost
  * every process while the store is away are served all the same.
  */
 void
-steer_served(struct steer *steer, const struct frame_served *served);
+steer_served(struct steer *steer, struct addr agent,
+             const struct frame_served *served);
 
 /** steer_store_view() - how this balancer keeps up with the store, for
  * frames */
--- a/src/relay/steer/steer_explain.c
+++ b/src/relay/steer/steer_explain.c
@@ -36,6 +36,8 @@
     if (handle != FLOW_INDEX_NONE) {
         explain_pin(&steer->pins[handle], now_us, told);
     }
-    agents_for_new(&steer->agents, told->service, relay_flow_hash(flow),
-                   now_us, &told->next);
+    if (told->route != NULL) {
+        agents_for_new(&steer->agents, told->service, &told->route->homes,
+                       relay_flow_hash(flow), now_us, &told->next);
+    }
 }
--- a/src/relay/steer/steer_known.c
+++ b/src/relay/steer/steer_known.c
@@ -84,12 +84,15 @@
 search_chain(struct steer *steer, struct steer_pin *pin,
              const struct relay_packet *packet)
 {
+    const struct route *route =
+        routes_find(steer_routes_in_force(steer), packet->to);
     uint64_t hash = relay_flow_hash(relay_flow_from_caller(packet));
     struct agents_choice choice;
     struct frame_carry frame;
 
-    if (!agents_for_known(&steer->agents, pin->service, hash, &pin->search_end,
-                          &choice)) {
+    if (route == NULL ||
+        !agents_for_known(&steer->agents, pin->service, &route->homes, hash,
+                          &pin->search_end, &choice)) {
         return false;
     }
     put_first(&choice, pin->holder);
--- a/src/relay/steer/steer_open.c
+++ b/src/relay/steer/steer_open.c
@@ -131,16 +131,17 @@
 {
     struct steer_pin *pin = &steer->pins[handle];
     struct relay_flow flow = flow_index_flow(&steer->flows, handle);
+    const struct route *route =
+        routes_find(steer_routes_in_force(steer), flow.service);
     struct agents_choice choice;
     struct frame_carry frame;
 
     /* The configuration may have dropped the route since the SYN came. */
-    if (pin->try_count == STEER_TRIES_MAX ||
-        routes_find(steer_routes_in_force(steer), flow.service) == NULL) {
+    if (pin->try_count == STEER_TRIES_MAX || route == NULL) {
         return false;
     }
-    agents_for_new(&steer->agents, pin->service, relay_flow_hash(flow), now_us,
-                   &choice);
+    agents_for_new(&steer->agents, pin->service, &route->homes,
+                   relay_flow_hash(flow), now_us, &choice);
     skip_tried(pin, &choice);
     if (choice.count == 0) {
         return false;
@@ -203,7 +204,8 @@
         pin->syn_size = (uint8_t)packet->size;
     }
     if (!steer_try_next(steer, handle, packet->bytes, packet->size, now_us)) {
-        bool evacuated = agents_all_evacuated(&steer->agents, pin->service);
+        bool evacuated =
+            agents_all_evacuated(&steer->agents, pin->service, &route->homes);
 
         steer_forget(steer, handle);
         if (evacuated) {
--- a/src/relay/wire/frame.c
+++ b/src/relay/wire/frame.c
@@ -233,6 +233,7 @@
     put(&writer, status->health.busy, 1);
     put(&writer, status->health.slots, 1);
     put(&writer, status->health.failing, 1);
+    put(&writer, status->health.data_centre, 4);
     put_version(&writer, &status->heard);
     put(&writer, status->readers.reading, 1);
     put(&writer, status->readers.trying, 1);
@@ -256,6 +257,7 @@
     status->health.busy = (uint8_t)get(&reader, 1);
     status->health.slots = (uint8_t)get(&reader, 1);
     status->health.failing = get(&reader, 1) != 0;
+    status->health.data_centre = (uint32_t)get(&reader, 4);
     get_version(&reader, &status->heard);
     status->readers.reading = (uint8_t)get(&reader, 1);
     status->readers.trying = (uint8_t)get(&reader, 1);
--- a/src/relay/wire/frame.h
+++ b/src/relay/wire/frame.h
@@ -68,6 +68,7 @@
  * @busy: requests in progress, as the agent counts them
  * @slots: requests that the endpoint runs at a time
  * @failing: resets much of what it is asked
+ * @data_centre: evacuations_key() of where it stands, 0 when it doesn't say
  */
 struct frame_health {
     uint32_t service;
@@ -75,6 +76,7 @@
     uint8_t busy;
     uint8_t slots;
     bool failing;
+    uint32_t data_centre;
 };
 
 /**
--- a/tests/relay/format_test.c
+++ b/tests/relay/format_test.c
@@ -380,3 +380,37 @@
     routes_finish(&routes);
     json_object_put(json);
 }
+
+static int
+decode_homes(const char *regions, struct routes *routes)
+{
+    char *config = g_strdup_printf(
+        "{\"version\":3,\"routes\":[{\"name\":\"a\",\"host\":"
+        "\"198.18.0.1\",\"pathPrefix\":\"/80/\",\"service\":\"lots\","
+        "\"allowedRegions\":%s}]}",
+        regions);
+    struct json_object *json = json_tokener_parse(config);
+    struct error err = {0};
+    int ret = config_format_decode(json, routes, &err);
+
+    json_object_put(json);
+    g_free(config);
+    return ret;
+}
+
+TEST(homes_of_a_route_are_read)
+{
+    struct routes routes;
+
+    g_assert_cmpint(decode_homes("[\"coast\",\"inland\"]", &routes), ==, 0);
+    g_assert_true(homes_allow(&routes.items[0].homes, homes_key("inland")));
+    g_assert_false(homes_allow(&routes.items[0].homes, homes_key("north")));
+    g_assert_false(homes_allow(&routes.items[0].homes, 0));
+    routes_finish(&routes);
+    g_assert_cmpint(decode_homes("[]", &routes), ==, 0);
+    g_assert_true(homes_allow(&routes.items[0].homes, 0));
+    routes_finish(&routes);
+    /* Better the configuration before than a home that is ignored. */
+    g_assert_cmpint(decode_homes("\"coast\"", &routes), ==, -EINVAL);
+    g_assert_cmpint(decode_homes("[7]", &routes), ==, -EINVAL);
+}
--- a/tests/relay/settings_test.c
+++ b/tests/relay/settings_test.c
@@ -110,3 +110,44 @@
     expect_fault("{" AGENT_KEYS ",\"peers\":\"x\"}", RELAY_AGENT, "peers");
     expect_fault("{\"name\":\"a\"}", RELAY_AGENT, "upstream");
 }
+
+#define BALANCER_KEYS                                                         \
+    "\"name\":\"a\",\"data_centre\":\"here\",\"data\":\"10.0.0.1:7000\","     \
+    "\"ready\":\"10.0.0.1:7001\",\"frames\":\"10.0.0.1:7002\","               \
+    "\"share\":\"10.0.0.1:7003\",\"store\":\"10.0.9.1:8000\""
+
+TEST(what_operators_know_from_their_sheet_is_read)
+{
+    struct relay_settings settings;
+    char *faults = faults_of("{" BALANCER_KEYS ",\"warming_over\":1.5,"
+                             "\"warming_slack\":5,\"evacuations\":false,"
+                             "\"regions\":{\"here\":\"coast\"}}",
+                             RELAY_BALANCER, &settings);
+
+    g_assert_cmpstr(faults, ==, "");
+    g_free(faults);
+    g_assert_cmpfloat(settings.warming.over, ==, 1.5);
+    g_assert_cmpuint(settings.warming.slack, ==, 5);
+    g_assert_false(settings.evacuations);
+    g_assert_cmpuint(regions_find(&settings.regions, evacuations_key("here")),
+                     ==, homes_key("coast"));
+    faults = faults_of("{" BALANCER_KEYS "}", RELAY_BALANCER, &settings);
+    g_assert_cmpstr(faults, ==, "");
+    g_free(faults);
+    g_assert_true(settings.evacuations);
+    g_assert_cmpfloat(settings.warming.over, ==, 1);
+}
+
+TEST(faults_of_what_operators_know_are_named)
+{
+    expect_fault("{" BALANCER_KEYS ",\"evacuations\":1}", RELAY_BALANCER,
+                 "evacuations");
+    expect_fault("{" BALANCER_KEYS ",\"regions\":[]}", RELAY_BALANCER,
+                 "regions");
+    expect_fault("{" BALANCER_KEYS ",\"regions\":{\"here\":1}}",
+                 RELAY_BALANCER, "regions");
+    expect_fault("{" BALANCER_KEYS ",\"warming_over\":-1}", RELAY_BALANCER,
+                 "warming_over");
+    expect_fault("{" AGENT_KEYS ",\"evacuations\":true}", RELAY_AGENT,
+                 "evacuations");
+}
--- a/tests/relay/steer_test.c
+++ b/tests/relay/steer_test.c
@@ -612,8 +612,8 @@
     steer_tick(&site->steer, site->now_us);
     rig_expect(site->record, "drop 1", NULL);
     g_assert_false(steer_ready(&site->steer));
-    steer_served(&site->steer, &served);
-    steer_served(&site->steer, &served);
+    steer_served(&site->steer, agent_addr(1), &served);
+    steer_served(&site->steer, agent_addr(1), &served);
     g_assert_true(steer_ready(&site->steer));
     g_assert_cmpuint(site->steer.learned.count, ==, 1);
     arrive(site, syn);
@@ -622,7 +622,7 @@
     set_routes(site, 3, false);
     g_assert_cmpuint(site->steer.learned.count, ==, 0);
     served.addrs[0] = rig_addr("198.18.0.9:443");
-    steer_served(&site->steer, &served);
+    steer_served(&site->steer, agent_addr(1), &served);
     g_assert_cmpuint(site->steer.learned.count, ==, 0);
 }
 
@@ -867,3 +867,106 @@
     arrive(site, rig_from_caller(rig_flow(1), RELAY_SYN, 9, 2, 0));
     g_assert_cmpuint(site->frame.warming_limit, ==, 12);
 }
+
+/* Lays agents 1 to 3 into one region and the others into another. */
+static void
+split_regions(struct site *site, unsigned agents)
+{
+    struct regions regions = {
+        .items = {{evacuations_key("here"), homes_key("coast")},
+                  {evacuations_key("east"), homes_key("inland")}},
+        .count = 2,
+    };
+
+    agents_set_regions(&site->steer.agents, &regions);
+    for (unsigned i = 1; i <= agents; i++) {
+        move_to(site, i, i <= 3 ? "here" : "east");
+    }
+}
+
+static void
+set_home(struct site *site, const char *region)
+{
+    struct routes routes;
+
+    routes_init(&routes);
+    routes.version = 6;
+    add_route(&routes, "198.18.0.1:443", "lots");
+    homes_add(&routes.items[0].homes, homes_key(region));
+    g_assert_cmpint(routes_seal(&routes), ==, 0);
+    steer_routes(&site->steer, &routes);
+}
+
+TEST_F(site, flows_of_a_route_with_homes_stay_in_them, 6)
+{
+    split_regions(site, 6);
+    set_home(site, "inland");
+    for (unsigned flow = 1; flow <= 20; flow++) {
+        arrive(site, rig_from_caller(rig_flow(flow), RELAY_SYN, 9, 0, 0));
+        g_assert_cmpuint(site->frame.next_count, ==, 2);
+    }
+    /* Nor is it looked for elsewhere: the packet holds the request. */
+    arrive(site, rig_from_caller(rig_flow(30), RELAY_ACK, 9, 77, 40));
+    for (unsigned i = 1; i <= 3; i++) {
+        g_assert_false(site->named[i]);
+    }
+    g_assert_cmpuint(site->searches, ==, 1);
+}
+
+TEST_F(site, an_agent_of_an_unknown_region_is_at_no_home, 6)
+{
+    split_regions(site, 6);
+    move_to(site, 5, "nowhere");
+    set_home(site, "inland");
+    for (unsigned flow = 1; flow <= 20; flow++) {
+        arrive(site, rig_from_caller(rig_flow(flow), RELAY_SYN, 9, 0, 0));
+    }
+    g_assert_false(site->named[5]);
+    g_assert_true(site->named[4]);
+}
+
+TEST_F(site, what_is_learned_is_served_where_it_was_served, 6)
+{
+    struct frame_served served = {
+        .service = hash_service("lots"),
+        .addrs = {rig_addr("198.18.0.1:443")},
+        .count = 1,
+    };
+
+    split_regions(site, 6);
+    routes_finish(&site->steer.routes);
+    steer_served(&site->steer, agent_addr(2), &served);
+    for (unsigned flow = 1; flow <= 20; flow++) {
+        arrive(site, rig_from_caller(rig_flow(flow), RELAY_SYN, 9, 0, 0));
+    }
+    for (unsigned i = 4; i <= 6; i++) {
+        g_assert_false(site->named[i]);
+    }
+    /* Nor anywhere while nobody knows where it was. */
+    served.addrs[0] = rig_addr("198.18.0.7:443");
+    steer_served(&site->steer, agent_addr(9), &served);
+    g_assert_cmpuint(site->steer.learned.count, ==, 1);
+    served.addrs[0] = rig_addr("198.18.0.1:443");
+    /* Another region's endpoint tells of it too. */
+    steer_served(&site->steer, agent_addr(5), &served);
+    arrive(site, rig_from_caller(rig_flow(21), RELAY_SYN, 9, 0, 0));
+    g_assert_cmpuint(site->frame.next_count, ==, 5);
+}
+
+/* After a loss of all hosts while the store is away no list names them. */
+TEST_F(site, an_agent_says_itself_where_it_stands, 1)
+{
+    const struct agent_row *row;
+    struct frame_status status = {
+        .type = FRAME_STATE,
+        .health.state = ENDPOINT_READY,
+        .health.data_centre = evacuations_key("east"),
+    };
+
+    split_regions(site, 1);
+    evacuate(site, 5, "east", false);
+    say(site, 9, status);
+    row = agents_find(&site->steer.agents, agent_addr(9));
+    g_assert_cmpuint(row->region, ==, homes_key("inland"));
+    g_assert_true(row->evacuated);
+}
--- a/tests/relay/warming_test.c
+++ b/tests/relay/warming_test.c
@@ -6,8 +6,8 @@
 #define SUITE "/relay/warming"
 
 /* Load: an endpoint that has just started and bears 5 requests a second until
- * it is warm, while callers come as fast as it answers. In no second may it get
- * more than the limit: 5 x 1.5 + 5, as on the users' sheet. */
+ * it is warm, while callers come as fast as it answers. In no second may it
+ * get more than the limit: 5 x 1.5 + 5, as on the users' sheet. */
 #define LIMIT 12
 #define STEP_US (7 * USEC_PER_MSEC)
 #define START_US (100 * USEC_PER_SEC)
@@ -111,10 +111,8 @@
     warming_init(&warming, START_US);
     warming_limit(&warming, LIMIT);
     warming_told(&warming, 60000, START_US);
-    g_assert_false(
-        warming_has_room(&warming, START_US + 900 * USEC_PER_MSEC));
-    g_assert_true(
-        warming_has_room(&warming, START_US + 1100 * USEC_PER_MSEC));
+    g_assert_false(warming_has_room(&warming, START_US + 900 * USEC_PER_MSEC));
+    g_assert_true(warming_has_room(&warming, START_US + 1100 * USEC_PER_MSEC));
     /* Unless its endpoint says that it is warm. */
     warming_init(&warming, START_US);
     warming_told(&warming, 0, START_US);
