--- a/src/cli/relay_ask.c
+++ b/src/cli/relay_ask.c
@@ -90,3 +90,12 @@
     json_object_object_get_ex(json, key, &value);
     return json_object_get_int64(value);
 }
+
+bool
+relay_ask_bool(struct json_object *json, const char *key)
+{
+    struct json_object *value = NULL;
+
+    json_object_object_get_ex(json, key, &value);
+    return json_object_get_boolean(value);
+}
--- a/src/cli/relay_ask.h
+++ b/src/cli/relay_ask.h
@@ -6,6 +6,7 @@
 
 #include <event2/event.h>
 #include <json-c/json.h>
+#include <stdbool.h>
 
 #include "cli/cli.h"
 
@@ -28,4 +29,8 @@
 int64_t
 relay_ask_number(struct json_object *json, const char *key);
 
+/** relay_ask_bool() - true or false of an answer, false when it holds none */
+bool
+relay_ask_bool(struct json_object *json, const char *key);
+
 #endif
--- a/src/cli/relay_explain.c
+++ b/src/cli/relay_explain.c
@@ -34,15 +34,6 @@
     printf("%s\n", count == 0 ? " nobody" : "");
 }
 
-static bool
-is_set(struct json_object *json, const char *key)
-{
-    struct json_object *value = NULL;
-
-    json_object_object_get_ex(json, key, &value);
-    return json_object_get_boolean(value);
-}
-
 static void
 print_balancer(const char *address, struct json_object *json)
 {
@@ -58,18 +49,22 @@
                relay_ask_number(json, "version"),
                relay_ask_text(json, "service"));
     }
-    if (is_set(json, "known")) {
+    if (relay_ask_bool(json, "known")) {
         printf("  known for %" PRId64 " ms, %s, %" PRId64 " tries, %" PRId64
                " searches, last at %s%s\n",
                relay_ask_number(json, "age_ms"),
-               is_set(json, "opened") ? "open" : "opening",
+               relay_ask_bool(json, "opened") ? "open" : "opening",
                relay_ask_number(json, "tries"),
                relay_ask_number(json, "searches"),
                relay_ask_text(json, "holder"),
-               is_set(json, "held") ? ", which holds its SYN" : "");
+               relay_ask_bool(json, "held") ? ", which holds its SYN" : "");
         print_list("endpoints that answered are beside", json, "places");
     }
     if (routed) {
+        if (relay_ask_bool(json, "evacuated")) {
+            printf("  a new flow would be refused: all agents of the service "
+                   "are in evacuated data centres\n");
+        }
         print_list("a new flow would go to", json, "next");
     }
 }
@@ -77,15 +72,16 @@
 static void
 print_agent(const char *address, struct json_object *json)
 {
-    if (!is_set(json, "known")) {
+    if (!relay_ask_bool(json, "known")) {
         printf("%s agent: not known\n", address);
         return;
     }
     printf("%s agent: %s%s%s%s, through balancer %s, sent on to %s\n", address,
            relay_ask_text(json, "state"),
-           is_set(json, "confirmed") ? ", confirmed by its caller" : "",
-           is_set(json, "proven") ? ", answered by its endpoint" : "",
-           is_set(json, "in_progress") ? ", request in progress" : "",
+           relay_ask_bool(json, "confirmed") ? ", confirmed by its caller"
+                                             : "",
+           relay_ask_bool(json, "proven") ? ", answered by its endpoint" : "",
+           relay_ask_bool(json, "in_progress") ? ", request in progress" : "",
            relay_ask_text(json, "balancer"), relay_ask_text(json, "sent_to"));
 }
 
--- a/src/cli/relay_show.c
+++ b/src/cli/relay_show.c
@@ -31,11 +31,12 @@
 
         printf(
             "  agent %-21s service %s in %-12s endpoint %-8s %-7s "
-            "busy %" PRId64 " of %" PRId64 "\n",
+            "busy %" PRId64 " of %" PRId64 "%s\n",
             relay_ask_text(item, "address"), relay_ask_text(item, "service"),
             relay_ask_text(item, "data_centre"),
             relay_ask_text(item, "endpoint"), relay_ask_text(item, "health"),
-            relay_ask_number(item, "busy"), relay_ask_number(item, "slots"));
+            relay_ask_number(item, "busy"), relay_ask_number(item, "slots"),
+            relay_ask_bool(item, "evacuated") ? ", evacuated" : "");
     }
 }
 
@@ -44,25 +45,29 @@
 {
     if (strcmp(relay_ask_text(json, "role"), "balancer") == 0) {
         printf("%s balancer %s in %s: version %" PRId64 ", %" PRId64
-               " routes, %" PRId64 " learned, %" PRId64 " flows\n",
+               " routes, %" PRId64 " learned, %" PRId64 " flows, %" PRId64
+               " data centres evacuated as of revision %" PRId64 "\n",
                address, relay_ask_text(json, "name"),
                relay_ask_text(json, "data_centre"),
                relay_ask_number(json, "version"),
                relay_ask_number(json, "routes"),
                relay_ask_number(json, "learned"),
-               relay_ask_number(json, "flows"));
+               relay_ask_number(json, "flows"),
+               relay_ask_number(json, "evacuations"),
+               relay_ask_number(json, "evacuations_revision"));
         print_agents(json);
         return;
     }
     printf("%s agent %s in %s: service %s, endpoint %s (%s), busy %" PRId64
            " of %" PRId64 ", %" PRId64 " held, %" PRId64
-           " flows, newest version heard %" PRId64 "\n",
+           " flows, newest version heard %" PRId64 "%s\n",
            address, relay_ask_text(json, "name"),
            relay_ask_text(json, "data_centre"),
            relay_ask_text(json, "service"), relay_ask_text(json, "endpoint"),
            relay_ask_text(json, "start"), relay_ask_number(json, "busy"),
            relay_ask_number(json, "slots"), relay_ask_number(json, "held"),
-           relay_ask_number(json, "flows"), relay_ask_number(json, "version"));
+           relay_ask_number(json, "flows"), relay_ask_number(json, "version"),
+           relay_ask_bool(json, "evacuated") ? ", data centre evacuated" : "");
 }
 
 /* Asks one process and prints its answer. */
--- a/src/relay/program/relay_explain.c
+++ b/src/relay/program/relay_explain.c
@@ -77,6 +77,8 @@
     json_object_object_add(
         json, "age_ms",
         json_object_new_int64((int64_t)(told->age_us / USEC_PER_MSEC)));
+    json_object_object_add(json, "evacuated",
+                           json_object_new_boolean(told->evacuated));
     add_addr(json, "holder", told->holder);
     json_object_object_add(json, "places",
                            list_addrs(told->places, told->place_count));
--- a/src/relay/program/relay_state.c
+++ b/src/relay/program/relay_state.c
@@ -35,6 +35,8 @@
              row->suspect         ? "suspect"
              : row->heard_us == 0 ? "unheard"
                                   : "alive");
+    json_object_object_add(json, "evacuated",
+                           json_object_new_boolean(row->evacuated));
     add_number(json, "busy", row->health.busy);
     add_number(json, "slots", row->health.slots);
     return json;
@@ -54,6 +56,9 @@
     add_number(json, "routes", steer->routes.count);
     add_number(json, "learned", steer->learned.count);
     add_number(json, "flows", steer->flows.used);
+    add_number(json, "evacuations", steer->agents.evacuations.count);
+    add_number(json, "evacuations_revision",
+               steer->agents.evacuations.revision);
     for (size_t i = 0; i < agents_count(&steer->agents); i++) {
         json_object_array_add(agents,
                               agent_json(agents_at(&steer->agents, i)));
@@ -78,6 +83,8 @@
     add_number(json, "slots", door->endpoint.slots);
     add_number(json, "held", door->held_count);
     add_number(json, "flows", door->table.used);
+    json_object_object_add(json, "evacuated",
+                           json_object_new_boolean(door_is_evacuated(door)));
     /* The newest that any balancer spoke of. */
     add_number(json, "version", door->heard.version);
     return json;
--- a/src/relay/steer/steer.h
+++ b/src/relay/steer/steer.h
@@ -314,6 +314,8 @@
  * @age_us: since it is known
  * @places: agents whose endpoints answered its SYN
  * @place_count: how many
+ * @evacuated: all agents of its service are in evacuated data centres: a new
+ *             flow is refused
  * @next: agents that a new flow of the same ends would go to, best first
  */
 struct steer_explanation {
@@ -328,6 +330,7 @@
     uint64_t age_us;
     struct addr places[STEER_PLACES_MAX];
     unsigned place_count;
+    bool evacuated;
     struct agents_choice next;
 };
 
--- a/src/relay/steer/steer_explain.c
+++ b/src/relay/steer/steer_explain.c
@@ -39,5 +39,7 @@
     if (told->route != NULL) {
         agents_for_new(&steer->agents, told->service, &told->route->homes,
                        relay_flow_hash(flow), now_us, &told->next);
+        told->evacuated = agents_all_evacuated(&steer->agents, told->service,
+                                               &told->route->homes);
     }
 }
