--- a/tests/relay/door_queue_test.c
+++ b/tests/relay/door_queue_test.c
@@ -83,6 +83,17 @@
     g_assert_cmpuint(site->door.busy_count, ==, 4);
 }
 
+/* The agent's processor is for packets. */
+TEST_F(site, what_waits_wakes_nobody)
+{
+    start(site);
+    open_waiting(site, 4, 100);
+    ask(site, 4, 101, 50);
+    site_pass_ms(site, 1);
+    g_assert_cmpuint(site->door.queue_count, ==, 1);
+    g_assert_cmpuint(door_next_us(&site->door), >, site->now_us);
+}
+
 TEST_F(site, the_end_of_the_handshake_goes_through)
 {
     start(site);
