--- a/tests/relay/steer_test.c
+++ b/tests/relay/steer_test.c
@@ -817,6 +817,19 @@
     rig_expect(site->record, "drop 4", NULL);
 }
 
+/* The other data centre's endpoints may take it soon. */
+TEST_F(site, callers_are_not_refused_while_another_data_centre_drains, 3)
+{
+    move_to(site, 3, "east");
+    say(site, 3,
+        (struct frame_status){.type = FRAME_STATE,
+                              .health.state = ENDPOINT_DRAINING});
+    evacuate(site, 5, "here", false);
+    site->steer.current = true;
+    arrive(site, rig_from_caller(rig_flow(1), RELAY_SYN, 9, 0, 0));
+    rig_expect(site->record, "drop 3", NULL);
+}
+
 TEST_F(site, an_agent_that_comes_later_is_evacuated_too, 2)
 {
     evacuate(site, 5, "east", false);
