--- a/tests/relay/steer_places_test.c
+++ b/tests/relay/steer_places_test.c
@@ -23,8 +23,8 @@
 static void
 move_to(struct site *site, unsigned number, const char *data_centre)
 {
-    agents_list(&site->steer.agents, site_agent_addr(number), hash_service("lots"),
-                data_centre, site->now_us);
+    agents_list(&site->steer.agents, site_agent_addr(number),
+                hash_service("lots"), data_centre, site->now_us);
 }
 
 TEST_F(site, new_flows_go_round_an_evacuated_data_centre, 6)
@@ -73,8 +73,8 @@
 {
     move_to(site, 3, "east");
     site_say(site, 3,
-        (struct frame_status){.type = FRAME_STATE,
-                              .health.state = ENDPOINT_DRAINING});
+             (struct frame_status){.type = FRAME_STATE,
+                                   .health.state = ENDPOINT_DRAINING});
     evacuate(site, 5, "here", false);
     site->steer.current = true;
     site_arrive(site, rig_from_caller(rig_flow(1), RELAY_SYN, 9, 0, 0));
@@ -145,7 +145,7 @@
     g_assert_cmpuint(site->frame.warming_limit, ==, 12);
     /* Each copy: the agent that held the flow may have forgotten it. */
     site_say(site, 1,
-        (struct frame_status){.type = FRAME_HELD, .flow = rig_flow(1)});
+             (struct frame_status){.type = FRAME_HELD, .flow = rig_flow(1)});
     site->frame.warming_limit = 0;
     site_arrive(site, rig_from_caller(rig_flow(1), RELAY_SYN, 9, 1, 0));
     g_assert_cmpuint(site->frame.warming_limit, ==, 12);
--- a/tests/relay/steer_site.c
+++ b/tests/relay/steer_site.c
@@ -136,11 +136,11 @@
         steer_init(&site->steer, &site->out, rig_addr(SELF), "here"), ==, 0);
     site_set_routes(site, 5, true);
     for (unsigned i = 1; i <= agents; i++) {
-        agents_list(&site->steer.agents, site_agent_addr(i), hash_service("lots"),
-                    "here", site->now_us);
+        agents_list(&site->steer.agents, site_agent_addr(i),
+                    hash_service("lots"), "here", site->now_us);
         site_say(site, i,
-            (struct frame_status){.type = FRAME_STATE,
-                                  .health.state = ENDPOINT_READY});
+                 (struct frame_status){.type = FRAME_STATE,
+                                       .health.state = ENDPOINT_READY});
     }
 }
 
@@ -192,9 +192,9 @@
 site_let_go(struct site *site, unsigned agent, unsigned flow)
 {
     site_say(site, agent,
-        (struct frame_status){.type = FRAME_PASSED,
-                              .reason = FRAME_REASON_REFUSED,
-                              .flow = rig_flow(flow)});
+             (struct frame_status){.type = FRAME_PASSED,
+                                   .reason = FRAME_REASON_REFUSED,
+                                   .flow = rig_flow(flow)});
 }
 
 bool
--- a/tests/relay/steer_site.h
+++ b/tests/relay/steer_site.h
@@ -1,5 +1,6 @@
 /**
- * DOC: steer_site - one balancer's decisions, with what they lead to written down
+ * DOC: steer_site - one balancer's decisions, with what they lead to written
+ * down
  */
 #ifndef SWIFTARCH_TESTS_RELAY_STEER_SITE_H
 #define SWIFTARCH_TESTS_RELAY_STEER_SITE_H
@@ -38,10 +39,11 @@
 
 /** site_add_route() - a route to a service */
 void
-site_add_route(struct routes *routes, const char *address, const char *service);
+site_add_route(struct routes *routes, const char *address,
+               const char *service);
 
-/** site_set_routes() - a configuration with a route to "lots" and, if wanted, to
- * "albums" */
+/** site_set_routes() - a configuration with a route to "lots" and, if wanted,
+ * to "albums" */
 void
 site_set_routes(struct site *site, uint64_t version, bool with_albums);
 
