Lost flows are asked of the agents of all services

Cause: an address that goes to another service leaves its open flows where they are, but the search for a flow and the proof that nobody holds it asked the agents of the route's present service. A balancer that another hash had just begun to use reset flows that endpoints of the earlier service served.

Ruled out: a lost list (missing=0, list whole), an endpoint's own reset, a frozen agent. Weighed: no reset while a route is young (none after a loss of power), earlier services kept by balancers (unknown after a start).

Change: the question goes to all agents, above 1,500 only to those of the route's service once it has been the same for 60 s here. A second search goes along another service too. A SYN's copy follows its route. Agents that leave a doubt are counted among the route's services as well as among all.

--- a/bench/relay/bench_relay.c
+++ b/bench/relay/bench_relay.c
@@ -206,7 +206,7 @@
     route->share_count = 1;
     route->target_ms = 100;
     (void)routes_seal(&routes);
-    steer_routes(steer, &routes);
+    steer_routes(steer, &routes, 0);
     for (size_t i = 0; i < agents; i++) {
         struct frame_status status = {
             .type = FRAME_STATE,
--- a/src/relay/program/relay_balancer_store.c
+++ b/src/relay/program/relay_balancer_store.c
@@ -43,7 +43,8 @@
                        error_format(&err, line, sizeof(line)));
         return;
     }
-    bool newer = steer_routes(&balancer->steer, &routes);
+    bool newer =
+        steer_routes(&balancer->steer, &routes, loop_now_us(&balancer->loop));
 
     store_reader_took(&balancer->reader, balancer->steer.routes.version);
     if (!newer) {
--- a/src/relay/steer/agents.c
+++ b/src/relay/steer/agents.c
@@ -263,3 +263,30 @@
 {
     return rows_of(agents, service);
 }
+
+uint32_t
+agents_next_service(const struct agents *agents, uint32_t service,
+                    uint32_t but)
+{
+    uint32_t first = but;
+    uint32_t next = but;
+    GHashTableIter services;
+    gpointer key;
+    gpointer rows;
+
+    g_hash_table_iter_init(&services, agents->by_service);
+    while (g_hash_table_iter_next(&services, &key, &rows)) {
+        uint32_t other = GPOINTER_TO_UINT(key);
+
+        if (other == but || ((GPtrArray *)rows)->len == 0) {
+            continue;
+        }
+        if (first == but || other < first) {
+            first = other;
+        }
+        if (other > service && (next == but || other < next)) {
+            next = other;
+        }
+    }
+    return next != but ? next : first;
+}
--- a/src/relay/steer/agents.h
+++ b/src/relay/steer/agents.h
@@ -41,6 +41,8 @@
  * @down: it said last that its endpoint's process isn't there
  * @excused: its answer isn't waited for: it was out of reach when that was
  *           asked, or had nothing to hold flows
+ * @in_doubt: that question was left without an answer that says anything: it
+ *            was out of reach, or its endpoint is silent
  * @asked: last question about lost flows that it was asked
  * @answered: last one that it answered
  * @heard_us: last frame from it, 0 for never
@@ -70,6 +72,7 @@
     uint64_t silent_us;
     bool down;
     bool excused;
+    bool in_doubt;
     uint32_t asked;
     uint32_t answered;
     uint64_t heard_us;
@@ -267,6 +270,13 @@
 const GPtrArray *
 agents_of_service(const struct agents *agents, uint32_t service);
 
+/** agents_next_service() - the service with agents that follows @service in
+ * the order of their hashes, the first after the last; @but is left out, and
+ * told when there is no other */
+uint32_t
+agents_next_service(const struct agents *agents, uint32_t service,
+                    uint32_t but);
+
 /** agent_is_unreachable() - whether an agent has been silent for so long that
  * an answer through it can't be in time any more */
 bool
--- a/src/relay/steer/routes.c
+++ b/src/relay/steer/routes.c
@@ -85,6 +85,34 @@
                    compare_route);
 }
 
+static bool
+have_same_services(const struct route *a, const struct route *b)
+{
+    if (a->share_count != b->share_count) {
+        return false;
+    }
+    for (unsigned i = 0; i < a->share_count; i++) {
+        if (route_share_of(b, a->shares[i].service) == NULL) {
+            return false;
+        }
+    }
+    return true;
+}
+
+void
+routes_date(struct routes *routes, const struct routes *before,
+            uint64_t now_us)
+{
+    for (size_t i = 0; i < routes->count; i++) {
+        struct route *route = &routes->items[i];
+        const struct route *known = routes_find(before, route->address);
+
+        route->since_us = known != NULL && have_same_services(route, known)
+                              ? known->since_us
+                              : now_us;
+    }
+}
+
 const struct route_share *
 route_share_of(const struct route *route, uint32_t service)
 {
--- a/src/relay/steer/routes.h
+++ b/src/relay/steer/routes.h
@@ -37,6 +37,7 @@
  * @address: address and port
  * @shares: services that take its new flows
  * @share_count: at least one
+ * @since_us: how long it has had the same services, as far as is known
  * @homes: regions in which its requests may be served
  * @timeout_ms: how long a request may take
  * @target_ms: how soon a request should be answered
@@ -48,6 +49,7 @@
     struct addr address;
     struct route_share shares[ROUTE_SHARES_MAX];
     unsigned share_count;
+    uint64_t since_us;
     struct homes homes;
     unsigned timeout_ms;
     unsigned target_ms;
@@ -91,6 +93,12 @@
 const struct route *
 routes_find(const struct routes *routes, struct addr address);
 
+/** routes_date() - routes whose services are as in @before have had them for
+ * as long as there, the others since @now_us */
+void
+routes_date(struct routes *routes, const struct routes *before,
+            uint64_t now_us);
+
 /** route_share_of() - the part of @route that goes to @service, or NULL */
 const struct route_share *
 route_share_of(const struct route *route, uint32_t service);
--- a/src/relay/steer/steer.c
+++ b/src/relay/steer/steer.c
@@ -77,12 +77,13 @@
 }
 
 bool
-steer_routes(struct steer *steer, struct routes *routes)
+steer_routes(struct steer *steer, struct routes *routes, uint64_t now_us)
 {
     if (routes->version <= steer->routes.version) {
         routes_finish(routes);
         return false;
     }
+    routes_date(routes, &steer->routes, now_us);
     routes_finish(&steer->routes);
     steer->routes = *routes;
     routes_init(routes);
--- a/src/relay/steer/steer.h
+++ b/src/relay/steer/steer.h
@@ -98,6 +98,13 @@
 struct steer_pin;
 struct steer_wait;
 
+/* Agents that one question goes to at most: at 1 ms each, as many as can be
+ * asked while a caller waits for its flow. */
+#define STEER_ASK_AGENTS_MOST 1500
+
+/* Stands for all services; no service's hash is 0. */
+#define STEER_ANY_SERVICE 0
+
 /* Flows that are waited for at a time; the next packet of one that found no
  * room brings it again. */
 #define STEER_LOST_MAX 1024
@@ -115,10 +122,10 @@
 };
 
 /**
- * struct steer_round - one question to all agents of a service
+ * struct steer_round - one question to all agents that may hold some flows
  * @number: names it
  * @open: it waits for answers
- * @service: the service
+ * @service: whose agents, STEER_ANY_SERVICE for all
  * @started_us: when it was asked
  * @changes: of the agents until then: one that has come since wasn't asked
  * @confirmed: the list of agents was whole after that
@@ -228,12 +235,12 @@
  * steer_routes() - follow a configuration
  *
  * Takes over @routes. One that is not newer is freed and changes nothing: a
- * process never goes back.
+ * process never goes back. Open flows stay where they are.
  *
  * Return: whether it is in force now.
  */
 bool
-steer_routes(struct steer *steer, struct routes *routes);
+steer_routes(struct steer *steer, struct routes *routes, uint64_t now_us);
 
 /**
  * steer_served() - an agent's endpoint serves addresses
--- a/src/relay/steer/steer_known.c
+++ b/src/relay/steer/steer_known.c
@@ -79,10 +79,12 @@
     }
 }
 
-/* Sends a packet along one chain of agents; false when there are no more. */
+/* Sends a packet along one chain of a service's agents that rank below
+ * @below; false when there are no more. */
 static bool
-search_chain(struct steer *steer, struct steer_pin *pin,
-             const struct relay_packet *packet)
+search_chain(struct steer *steer, const struct steer_pin *pin,
+             const struct relay_packet *packet, uint32_t service,
+             uint64_t *below)
 {
     const struct route *route =
         routes_find(steer_routes_in_force(steer), packet->to);
@@ -91,46 +93,87 @@
     struct frame_carry frame;
 
     if (route == NULL ||
-        !agents_for_known(&steer->agents, pin->service, &route->homes, hash,
-                          &pin->search_end, &choice)) {
+        !agents_for_known(&steer->agents, service, &route->homes, hash, below,
+                          &choice)) {
         return false;
     }
     put_first(&choice, pin->holder);
     turn_round(&choice, pin->searches);
-    frame = steer_frame(steer, pin->service, &choice, 1, packet->bytes,
-                        packet->size);
+    frame =
+        steer_frame(steer, service, &choice, 1, packet->bytes, packet->size);
     steer->out->ops->carry(steer->out, choice.addrs[0], &frame);
     return true;
 }
 
-/* Sends a packet along up to SEARCH_CHAINS chains; how many there were. */
+/* Sends a packet along up to @most chains of a service's agents; how many
+ * there were. */
 static unsigned
-search_chains(struct steer *steer, struct steer_pin *pin,
-              const struct relay_packet *packet)
+search_chains(struct steer *steer, const struct steer_pin *pin,
+              const struct relay_packet *packet, uint32_t service,
+              unsigned most, uint64_t *below)
 {
-    unsigned most = pin->searches == 0 ? SEARCH_CHAINS_FIRST : SEARCH_CHAINS;
     unsigned chains = 0;
 
-    pin->search_end = pin->search_below;
-    while (chains < most && search_chain(steer, pin, packet)) {
+    while (chains < most && search_chain(steer, pin, packet, service, below)) {
         chains++;
     }
     return chains;
 }
 
+/* Sends a packet along the agents of the flow's own service. */
+static unsigned
+search_own(struct steer *steer, struct steer_pin *pin,
+           const struct relay_packet *packet)
+{
+    unsigned most = pin->searches == 0 ? SEARCH_CHAINS_FIRST : SEARCH_CHAINS;
+
+    pin->search_end = pin->search_below;
+    return search_chains(steer, pin, packet, pin->service, most,
+                         &pin->search_end);
+}
+
+/*
+ * Sends a packet along the agents of another service, the next one with each
+ * search: an address that has gone to another service leaves its open flows
+ * where they are. Agents that know of the flow answer the question to all of
+ * them before that; this is for those that have started beside an endpoint
+ * that holds it.
+ */
+static void
+search_other(struct steer *steer, struct steer_pin *pin,
+             const struct relay_packet *packet, uint64_t now_us)
+{
+    const struct route *route =
+        routes_find(steer_routes_in_force(steer), packet->to);
+    uint64_t below = AGENTS_ALL;
+
+    if (pin->searches == 0 || route == NULL ||
+        agents_count(&steer->agents) > STEER_ASK_AGENTS_MOST ||
+        steer_is_settled(route, now_us)) {
+        return;
+    }
+    pin->searched_service = agents_next_service(
+        &steer->agents, pin->searched_service, pin->service);
+    if (pin->searched_service != pin->service) {
+        (void)search_chains(steer, pin, packet, pin->searched_service,
+                            SEARCH_CHAINS, &below);
+    }
+}
+
 /* Sends a packet of an open flow along the agents that may hold it. */
 void
 steer_search(struct steer *steer, uint32_t handle,
              const struct relay_packet *packet, uint64_t now_us)
 {
     struct steer_pin *pin = &steer->pins[handle];
-    unsigned chains = search_chains(steer, pin, packet);
+    unsigned chains = search_own(steer, pin, packet);
 
     if (chains == 0 && pin->search_below != AGENTS_ALL) {
         /* All were asked: some may know better by now. */
         pin->search_below = AGENTS_ALL;
-        chains = search_chains(steer, pin, packet);
+        chains = search_own(steer, pin, packet);
     }
+    search_other(steer, pin, packet, now_us);
     if (chains == 0) {
         steer_drop_packet(steer, STEER_DROP_NO_AGENT, packet);
         return;
@@ -247,6 +290,8 @@
     pin = &steer->pins[handle];
     steer_note_trip(steer, pin, agent, now_us);
     place_add(pin, agent, status->seq);
+    /* Its address may have gone to another service since it was opened. */
+    pin->service = status->health.service;
     pin->over_us = 0;
     steer->out->ops->decided(steer->out, STEER_DID_PLACE, status->flow, agent,
                              pin->try_count, now_us - pin->since_us);
--- a/src/relay/steer/steer_lost.c
+++ b/src/relay/steer/steer_lost.c
@@ -43,15 +43,51 @@
     return &steer->pins[flow->handle];
 }
 
-/* Route of a flow, if all flows of it go to one service: those of another that
- * it had once are held by agents that aren't asked. */
 static const struct route *
 route_of(const struct steer *steer, struct relay_flow flow)
 {
-    const struct route *route =
-        routes_find(steer_routes_in_force(steer), flow.service);
+    return routes_find(steer_routes_in_force(steer), flow.service);
+}
 
-    return route != NULL && route->share_count == 1 ? route : NULL;
+/*
+ * Whose agents may hold a flow: those of any service. An open flow stays where
+ * it is when its address goes to another service, and a balancer that has
+ * started since, or that follows an older configuration, doesn't know of that
+ * service.
+ *
+ * Where there are too many agents to ask while a caller waits, it is those of
+ * the route's service, once no flow can be older than what this balancer has
+ * seen of the route.
+ *
+ * Return: whether that can be told.
+ */
+static bool
+find_holders(const struct steer *steer, struct relay_flow flow,
+             uint64_t now_us, uint32_t *service)
+{
+    const struct route *route = route_of(steer, flow);
+
+    if (route == NULL) {
+        return false;
+    }
+    if (agents_count(&steer->agents) <= STEER_ASK_AGENTS_MOST) {
+        *service = STEER_ANY_SERVICE;
+        return true;
+    }
+    *service = route->shares[0].service;
+    return route->share_count == 1 && steer->current &&
+           steer_is_settled(route, now_us);
+}
+
+/* Agents that the last question went to; NULL for none. */
+static const GPtrArray *
+asked_rows(const struct steer *steer)
+{
+    uint32_t service = steer->lost.round.service;
+
+    return service == STEER_ANY_SERVICE
+               ? steer->agents.rows
+               : agents_of_service(&steer->agents, service);
 }
 
 /* Whether a flow still waits for a proof. */
@@ -81,8 +117,8 @@
     lost->count = kept;
 }
 
-/* Takes up to FRAME_ASK_MAX flows of one service, those that have waited
- * longest since they were asked for. */
+/* Takes up to FRAME_ASK_MAX flows that the same agents may hold, those that
+ * have waited longest since they were asked for. */
 static void
 take_flows(struct steer *steer, uint64_t now_us)
 {
@@ -94,9 +130,10 @@
     round->count = 0;
     for (unsigned i = 0; i < lost->count; i++) {
         const struct steer_lost_flow *flow = &lost->flows[i];
-        uint32_t service = steer->pins[flow->handle].service;
+        uint32_t service = STEER_ANY_SERVICE;
         bool due = now_us - flow->since_us >= ASK_AFTER_US &&
                    round->count < FRAME_ASK_MAX &&
+                   find_holders(steer, flow->flow, now_us, &service) &&
                    (round->count == 0 || service == round->service);
 
         if (due) {
@@ -116,7 +153,7 @@
 ask_all(struct steer *steer, uint64_t now_us)
 {
     struct steer_round *round = &steer->lost.round;
-    const GPtrArray *rows = agents_of_service(&steer->agents, round->service);
+    const GPtrArray *rows = asked_rows(steer);
     struct frame_ask ask = {
         .round = round->number,
         .view = steer_store_view(steer),
@@ -139,6 +176,7 @@
          * for a second each, ten of them after a loss cost 340 of 3,300
          * requests in 2 s of a day. */
         row->excused = row->down || agent_is_unreachable(row, now_us);
+        row->in_doubt = row->excused;
         round->unreachable += row->excused;
         round->asked += !row->excused;
         row->asked = round->number;
@@ -156,6 +194,8 @@
 
     take_flows(steer, now_us);
     if (round->count == 0) {
+        /* Those that wait can't be asked for, or not yet. */
+        steer->lost.next_us = now_us + GAP_LEAST_US;
         return;
     }
     round->number = number;
@@ -175,14 +215,51 @@
 
 #define REACHED_PARTS 3
 
+/* Whether a third of a service's agents or more are out of reach. */
+static bool
+is_out_of_reach(const struct steer *steer, uint32_t service)
+{
+    const GPtrArray *rows = agents_of_service(&steer->agents, service);
+    uint32_t number = steer->lost.round.number;
+    unsigned asked = 0;
+    unsigned in_doubt = 0;
+
+    for (guint i = 0; rows != NULL && i < rows->len; i++) {
+        const struct agent_row *row = g_ptr_array_index(rows, i);
+
+        asked += row->asked == number;
+        in_doubt += row->asked == number && row->in_doubt;
+    }
+    return REACHED_PARTS * in_doubt > asked;
+}
+
+/* Whether agents that can't be asked matter little enough for a flow of
+ * @route: they are few, also among those of its services. */
+static bool
+may_leave_doubt(const struct steer *steer, const struct route *route)
+{
+    const struct steer_round *round = &steer->lost.round;
+
+    if (!route->idempotent ||
+        REACHED_PARTS * round->unreachable > round->questions) {
+        return false;
+    }
+    for (unsigned i = 0; i < route->share_count; i++) {
+        if (is_out_of_reach(steer, route->shares[i].service)) {
+            return false;
+        }
+    }
+    return true;
+}
+
 /*
  * Whether a flow is held by nobody, if the list of agents is whole.
  *
  * A flow whose caller has sent more than its SYN is held by an endpoint that
  * answered it, and by that start of it alone. Each agent was listed in the
  * store before its endpoint was given the first SYN; the list was whole after
- * the flow's packet had come; and each agent of the service has said since
- * that its endpoint doesn't hold it. Then none does, and none will: only a SYN
+ * the flow's packet had come; and each agent that may hold it has said since
+ * that its endpoint doesn't. Then none does, and none will: only a SYN
  * opens a flow.
  *
  * Agents that can't be asked leave a doubt: the flow may live there, out of
@@ -191,19 +268,21 @@
  * of the agents has to doubt itself.
  */
 static bool
-is_claimed_by_none(const struct steer *steer, unsigned at)
+is_claimed_by_none(const struct steer *steer, unsigned at, uint64_t now_us)
 {
     const struct steer_round *round = &steer->lost.round;
-    const struct route *route = route_of(steer, round->flows[at].flow);
+    struct relay_flow flow = round->flows[at].flow;
     bool absent = (round->absent[at / 32] & 1u << at % 32) != 0;
+    uint32_t service;
 
-    if (route == NULL || !absent || round->missing > 0 || round->asked == 0 ||
-        round->changes != steer->agents.changes) {
+    if (!absent || round->missing > 0 || round->asked == 0 ||
+        round->changes != steer->agents.changes ||
+        !find_holders(steer, flow, now_us, &service) ||
+        service != round->service) {
         return false;
     }
     return round->unreachable == 0 ||
-           (route->idempotent &&
-            REACHED_PARTS * round->unreachable <= round->questions);
+           may_leave_doubt(steer, route_of(steer, flow));
 }
 
 /* A question that more than a fourth of the agents left unanswered says
@@ -215,7 +294,7 @@
 note_missing(struct steer *steer, uint64_t now_us)
 {
     const struct steer_round *round = &steer->lost.round;
-    const GPtrArray *rows = agents_of_service(&steer->agents, round->service);
+    const GPtrArray *rows = asked_rows(steer);
 
     if (MISSING_PARTS * round->missing > round->asked) {
         /* So many don't fail at once: the balancer reads late. */
@@ -246,7 +325,7 @@
         struct steer_pin *pin = pin_of(steer, &round->flows[i]);
 
         if (round->confirmed && is_waiting(pin, now_us) &&
-            is_claimed_by_none(steer, i)) {
+            is_claimed_by_none(steer, i, now_us)) {
             pin->over_us = now_us;
             steer_reset(steer, round->flows[i].handle, now_us);
             over++;
@@ -270,7 +349,7 @@
     bool any = false;
 
     for (unsigned i = 0; i < round->count && !any; i++) {
-        any = is_claimed_by_none(steer, i);
+        any = is_claimed_by_none(steer, i, now_us);
     }
     steer->lost.round.listed = true;
     if (any) {
@@ -346,6 +425,7 @@
     round->answers++;
     agents_alive(&steer->agents, row, now_us);
     row->down = absent->down;
+    row->in_doubt = absent->silent;
     if (row->excused) {
         round->unreachable--;
         round->asked++;
--- a/src/relay/steer/steer_open.c
+++ b/src/relay/steer/steer_open.c
@@ -137,8 +137,10 @@
     struct agents_choice choice;
     struct frame_carry frame;
 
-    /* The configuration may have dropped the route since the SYN came. */
-    if (pin->try_count == STEER_TRIES_MAX || route == NULL) {
+    /* The configuration may have dropped the route since the SYN came, or
+     * given it to another service. */
+    if (pin->try_count == STEER_TRIES_MAX || route == NULL ||
+        route_share_of(route, pin->service) == NULL) {
         return false;
     }
     agents_for_new(&steer->agents, pin->service, &route->homes,
@@ -238,6 +240,24 @@
                            &frame);
 }
 
+/* Another copy of a SYN whose route has gone to another service since. What
+ * the first came to may answer still: the caller says whose answer counts. */
+static void
+open_at_other_service(struct steer *steer, uint32_t handle,
+                      const struct relay_packet *packet,
+                      const struct route *route, uint64_t now_us)
+{
+    struct steer_pin *pin = &steer->pins[handle];
+
+    pin->service =
+        route_service(route, flow_index_flow(&steer->flows, handle));
+    pin->held = false;
+    pin->try_count = 0;
+    if (!steer_try_next(steer, handle, packet->bytes, packet->size, now_us)) {
+        steer_drop_packet(steer, STEER_DROP_NO_AGENT, packet);
+    }
+}
+
 /* The caller sent its SYN again: an answer was lost, or none came. */
 void
 steer_open_again(struct steer *steer, uint32_t handle,
@@ -247,12 +267,18 @@
     struct steer_pin *pin = &steer->pins[handle];
 
     note_age(pin, packet, route);
-    if (pin->place_count > 0) {
-        place_again(steer, handle, packet);
+    if (pin->opened && pin->place_count == 0) {
+        /* A copy that was held up on its way: the flow is open. */
         return;
     }
-    if (pin->opened) {
-        /* A copy that was held up on its way: the flow is open. */
+    if (route_share_of(route, pin->service) == NULL) {
+        if (!pin->opened) {
+            open_at_other_service(steer, handle, packet, route, now_us);
+        }
+        return;
+    }
+    if (pin->place_count > 0) {
+        place_again(steer, handle, packet);
         return;
     }
     if (pin->held) {
--- a/src/relay/steer/steer_pin.c
+++ b/src/relay/steer/steer_pin.c
@@ -69,6 +69,12 @@
     return steer->routes.version != 0 ? &steer->routes : &steer->learned;
 }
 
+bool
+steer_is_settled(const struct route *route, uint64_t now_us)
+{
+    return now_us - route->since_us >= STEER_FLOW_LONGEST_US;
+}
+
 /* Sends a packet to an agent that holds its flow or will know who does. */
 void
 steer_carry_to(struct steer *steer, const struct steer_pin *pin,
--- a/src/relay/steer/steer_private.h
+++ b/src/relay/steer/steer_private.h
@@ -8,6 +8,7 @@
 #ifndef SWIFTARCH_RELAY_STEER_STEER_PRIVATE_H
 #define SWIFTARCH_RELAY_STEER_STEER_PRIVATE_H
 
+#include "base/clock.h"
 #include "relay/steer/steer.h"
 
 /* Agents that one SYN is sent to: with more, the caller's own copy after
@@ -22,6 +23,9 @@
 
 #define STEER_SYN_MAX 64
 
+/* No flow lives longer. */
+#define STEER_FLOW_LONGEST_US (60 * USEC_PER_SEC)
+
 /** struct steer_place - an endpoint that answered a flow's SYN
  * @agent: agent beside it
  * @seq: sequence number of its SYN+ACK
@@ -53,6 +57,7 @@
  * @search_below: agents that rank below this for the flow are asked next
  * @search_end: rank of the last agent that the last search named
  * @searches: how often it was looked for
+ * @searched_service: the service that was looked through last beside its own
  * @syn_seq: sequence number of the SYN; another one is another flow
  * @since_us: when the first SYN came
  * @tried_us: when the last try was sent
@@ -76,6 +81,7 @@
     uint64_t sent_us;
     uint64_t over_us;
     uint8_t searches;
+    uint32_t searched_service;
     uint64_t search_below;
     uint64_t search_end;
     uint32_t last_ack;
@@ -154,6 +160,11 @@
 void
 steer_reset(struct steer *steer, uint32_t handle, uint64_t now_us);
 
+/** steer_is_settled() - whether no open flow of @route can be older than its
+ * services are known to be the same */
+bool
+steer_is_settled(const struct route *route, uint64_t now_us);
+
 /** steer_lost_note() - a packet of a flow whose place isn't known came */
 void
 steer_lost_note(struct steer *steer, uint32_t handle, uint64_t now_us);
--- a/tests/relay/steer_lost_test.c
+++ b/tests/relay/steer_lost_test.c
@@ -145,7 +145,7 @@
     route->share_count = 1;
     route->idempotent = idempotent;
     g_assert_cmpint(routes_seal(&routes), ==, 0);
-    steer_routes(&site->steer, &routes);
+    steer_routes(&site->steer, &routes, site->now_us);
     for (unsigned i = 1; i <= AGENTS; i++) {
         agents_list(&site->steer.agents, agent_addr(i), hash_service("lots"),
                     "here", site->now_us);
--- a/tests/relay/steer_places_test.c
+++ b/tests/relay/steer_places_test.c
@@ -139,7 +139,7 @@
     site_add_route(&routes, "198.18.0.1:443", "lots");
     routes.items[0].shares[0].warming_per_s = 5;
     g_assert_cmpint(routes_seal(&routes), ==, 0);
-    steer_routes(&site->steer, &routes);
+    steer_routes(&site->steer, &routes, site->now_us);
     site->steer.warming = (struct steer_warming){.over = 1.5, .slack = 5};
     site_arrive(site, rig_from_caller(rig_flow(1), RELAY_SYN, 9, 0, 0));
     g_assert_cmpuint(site->frame.warming_limit, ==, 12);
@@ -181,7 +181,7 @@
     site_add_route(&routes, "198.18.0.1:443", "lots");
     homes_add(&routes.items[0].homes, homes_key(region));
     g_assert_cmpint(routes_seal(&routes), ==, 0);
-    steer_routes(&site->steer, &routes);
+    steer_routes(&site->steer, &routes, site->now_us);
 }
 
 TEST_F(site, flows_of_a_route_with_homes_stay_in_them, 6)
--- a/tests/relay/steer_site.c
+++ b/tests/relay/steer_site.c
@@ -109,7 +109,7 @@
         site_add_route(&routes, "198.18.0.2:443", "albums");
     }
     g_assert_cmpint(routes_seal(&routes), ==, 0);
-    steer_routes(&site->steer, &routes);
+    steer_routes(&site->steer, &routes, site->now_us);
 }
 
 struct addr
--- a/tests/relay/world.c
+++ b/tests/relay/world.c
@@ -123,6 +123,9 @@
     if (world_chance(world, plan->config)) {
         world_change_config(world);
     }
+    if (plan->moves > 0 && world_chance(world, plan->moves)) {
+        world_move_route(world);
+    }
     if (plan->cut > 0 && world_chance(world, plan->cut)) {
         cut_agents(world);
     }
--- a/tests/relay/world.h
+++ b/tests/relay/world.h
@@ -30,12 +30,15 @@
                         service */
     unsigned freeze; /* one agent stands still for 300 ms */
     unsigned config; /* a route is added or dropped */
+    unsigned moves;  /* a route goes to the other service */
     unsigned stall;  /* what one balancer sends in 40 ms comes late */
     unsigned cut;    /* some agents and the balancers lose each other, one way
                         or both, for seconds */
     unsigned cut_agents;     /* how many at a time */
     unsigned evacuate;       /* a data centre is evacuated, or is back */
     unsigned evacuated_most; /* how many are so at a time */
+    unsigned requests;       /* on each flow, 0 for one */
+    unsigned pause_ms;       /* the longest between two of them */
     unsigned work_ms;        /* what a request takes, 0 for 15 */
     unsigned budget_ms;      /* what operators say that it may take */
     bool closing;            /* callers say goodbye, which is answered */
--- a/tests/relay/world_callers.c
+++ b/tests/relay/world_callers.c
@@ -40,7 +40,8 @@
             }
         }
         world->result->resets++;
-        if (caller->state == CALLER_ASKING) {
+        if (caller->state == CALLER_ASKING ||
+            caller->state == CALLER_PAUSING) {
             world_caller_fail(world, caller);
         }
         else if (caller->state == CALLER_CLOSING) {
@@ -114,12 +115,30 @@
     caller->copies = 1;
 }
 
+/* Ends of what the caller has sent, and of what it has received. */
+static uint32_t
+sent_end(const struct caller *caller)
+{
+    return 101 + caller->answers * REQUEST_LEN;
+}
+
+static uint32_t
+received_end(const struct caller *caller)
+{
+    return caller->peer_seq + 1 + caller->answers * ANSWER_LEN;
+}
+
 void
 world_caller_tick(struct world *world, struct caller *caller)
 {
     if (caller->state == CALLER_DONE || caller->next_us > world->now_us) {
         return;
     }
+    if (caller->state == CALLER_PAUSING) {
+        caller->state = CALLER_ASKING;
+        caller->since_us = world->now_us;
+        caller->copies = 0;
+    }
     if (world->now_us - caller->since_us > CALLER_GIVES_UP_US ||
         caller->copies > RETRANSMITS_MAX) {
         world_caller_fail(world, caller);
@@ -137,11 +156,12 @@
         return;
     }
     if (caller->state == CALLER_CLOSING) {
-        caller_send(world, caller, RELAY_ACK | RELAY_FIN, 141,
-                    caller->peer_seq + 901, 0);
+        caller_send(world, caller, RELAY_ACK | RELAY_FIN, sent_end(caller),
+                    received_end(caller), 0);
     }
     else {
-        caller_send(world, caller, RELAY_ACK, 101, caller->peer_seq + 1, 40);
+        caller_send(world, caller, RELAY_ACK, sent_end(caller),
+                    received_end(caller), REQUEST_LEN);
     }
     caller->next_us =
         world->now_us + (200 * USEC_PER_MSEC << MIN(caller->copies, 3));
@@ -167,11 +187,21 @@
     }
 }
 
-/* The answer is there; callers that close say so, together with the
- * acknowledgement that each second packet gets. */
+/* The answer is there. Callers with more to ask do so after a pause; those
+ * that close say so, together with the acknowledgement that each second packet
+ * gets. */
 static void
 caller_answered(struct world *world, struct caller *caller)
 {
+    caller->answers++;
+    if (caller->answers < world->plan->requests) {
+        unsigned pause_ms = (unsigned)g_rand_int_range(
+            world->rand, 0, (gint32)world->plan->pause_ms);
+
+        caller->state = CALLER_PAUSING;
+        caller->next_us = world->now_us + pause_ms * USEC_PER_MSEC;
+        return;
+    }
     world->result->answered++;
     if (!world->plan->closing) {
         caller->state = CALLER_DONE;
@@ -180,7 +210,8 @@
     caller->state = CALLER_CLOSING;
     caller->copies = 0;
     caller->next_us = world->now_us;
-    caller_send(world, caller, RELAY_ACK, 141, caller->peer_seq + 901, 0);
+    caller_send(world, caller, RELAY_ACK, sent_end(caller),
+                received_end(caller), 0);
 }
 
 void
@@ -197,14 +228,18 @@
         caller_opened(world, caller, number, &packet);
     }
     else if (caller->state == CALLER_ASKING && packet.len > 0) {
-        if (packet.seq != caller->peer_seq + 1) {
+        if (packet.seq + ANSWER_LEN == received_end(caller)) {
+            /* Another copy of the answer before. */
+            return;
+        }
+        if (packet.seq != received_end(caller)) {
             world_breach(world, "MIXED: caller %u gets another flow's answer",
                          number);
         }
         caller_answered(world, caller);
     }
     else if (caller->state == CALLER_CLOSING && packet.len == 0 &&
-             packet.seq == caller->peer_seq + 901) {
+             packet.seq == received_end(caller)) {
         caller->state = CALLER_DONE;
         world->result->closed++;
     }
--- a/tests/relay/world_fronts.c
+++ b/tests/relay/world_fronts.c
@@ -28,6 +28,23 @@
                         true);
 }
 
+/* A SYN goes where the configuration in force says. */
+static void
+check_service(const struct front *front, const struct frame_carry *frame,
+              const struct relay_packet *packet)
+{
+    int served = world_served_at(front->world, front->version, packet);
+
+    if (served < 0) {
+        world_breach(front->world,
+                     "CONFIG: a SYN of a dropped route is carried");
+    }
+    else if (frame->service != hash_service(world_services[served])) {
+        world_breach(front->world, "CONFIG: a SYN is carried to the service "
+                                   "that its route had before");
+    }
+}
+
 static void
 steer_carries(struct steer_out *out, struct addr agent,
               const struct frame_carry *frame)
@@ -38,10 +55,8 @@
     size_t size =
         frame_carry_encode(frame, &front->steer.agents.evacuations, bytes);
 
-    if (relay_packet_opens(&packet) &&
-        world_served_at(front->world, front->version, &packet) < 0) {
-        world_breach(front->world,
-                     "CONFIG: a SYN of a dropped route is carried");
+    if (relay_packet_opens(&packet)) {
+        check_service(front, frame, &packet);
     }
     if (is_cut(front, agent)) {
         return;
@@ -157,7 +172,7 @@
         route->idempotent = i % 2 == 0;
     }
     g_assert_cmpint(routes_seal(&routes), ==, 0);
-    if (steer_routes(&front->steer, &routes)) {
+    if (steer_routes(&front->steer, &routes, world->now_us)) {
         front->version = version;
     }
 }
@@ -251,20 +266,24 @@
     }
 }
 
-/* Drops a route or brings it back; routes keep their service. */
-void
-world_change_config(struct world *world)
+/* The next version, equal to the last so far, or NULL when there are too
+ * many. */
+static int *
+next_version(struct world *world)
 {
-    unsigned route = (unsigned)g_rand_int_range(world->rand, 1, ROUTES);
     unsigned next = world->versions;
 
     if (next == VERSIONS_MAX) {
-        return;
+        return NULL;
     }
     memcpy(world->served[next], world->served[next - 1],
            sizeof(world->served[next]));
-    world->served[next][route] =
-        world->served[next][route] < 0 ? (int)(route % WORLD_SERVICES) : -1;
+    return world->served[next];
+}
+
+static void
+acknowledge_version(struct world *world)
+{
     world->versions++;
     for (unsigned i = 0; i < WORLD_BALANCERS; i++) {
         world->fronts[i].follow_us =
@@ -272,3 +291,28 @@
             (uint64_t)g_rand_int_range(world->rand, 0, 500) * USEC_PER_MSEC;
     }
 }
+
+/* Drops a route or brings it back; routes keep their service. */
+void
+world_change_config(struct world *world)
+{
+    unsigned route = (unsigned)g_rand_int_range(world->rand, 1, ROUTES);
+    int *served = next_version(world);
+
+    if (served != NULL) {
+        served[route] = served[route] < 0 ? (int)(route % WORLD_SERVICES) : -1;
+        acknowledge_version(world);
+    }
+}
+
+void
+world_move_route(struct world *world)
+{
+    unsigned route = (unsigned)g_rand_int_range(world->rand, 0, ROUTES);
+    int *served = next_version(world);
+
+    if (served != NULL && served[route] >= 0) {
+        served[route] = (served[route] + 1) % WORLD_SERVICES;
+        acknowledge_version(world);
+    }
+}
--- a/tests/relay/world_hosts.c
+++ b/tests/relay/world_hosts.c
@@ -218,6 +218,26 @@
                                     : WORK_US;
 }
 
+/* Whether a packet holds the request after those that have begun. */
+static bool
+is_next_request(const struct held_flow *flow,
+                const struct relay_packet *packet)
+{
+    return flow->answer_us == 0 &&
+           packet->seq == 101 + flow->runs * REQUEST_LEN;
+}
+
+/* Answers the request that began last. */
+static void
+answer(struct host *host, unsigned caller)
+{
+    const struct held_flow *flow = &host->flows[caller];
+
+    send_from_endpoint(host, caller, RELAY_ACK,
+                       flow->seq + 1 + (flow->runs - 1) * ANSWER_LEN,
+                       101 + flow->runs * REQUEST_LEN, ANSWER_LEN);
+}
+
 void
 world_endpoint_packet(struct host *host, const uint8_t *bytes)
 {
@@ -256,20 +276,22 @@
     }
     caller->misplaced = 0;
     if ((packet.flags & RELAY_FIN) != 0) {
-        send_from_endpoint(host, number, RELAY_ACK, flow->seq + 901, 142, 0);
+        send_from_endpoint(host, number, RELAY_ACK,
+                           flow->seq + 1 + flow->runs * ANSWER_LEN,
+                           packet.seq + 1, 0);
         return;
     }
-    if (packet.len > 0 && !flow->ran) {
-        flow->ran = true;
+    if (packet.len > 0 && is_next_request(flow, &packet)) {
+        flow->runs++;
         flow->answer_us = host->world->now_us + work_us(host->world);
         caller->ran++;
-        if (caller->ran > 1) {
+        if (caller->ran > caller->answers + 1) {
             world_breach(host->world, "UNASKED: request %u runs twice",
                          number);
         }
     }
-    else if (flow->ran && flow->answer_us == 0) {
-        send_from_endpoint(host, number, RELAY_ACK, flow->seq + 1, 141, 900);
+    else if (flow->runs > 0 && flow->answer_us == 0) {
+        answer(host, number);
     }
 }
 
@@ -282,7 +304,7 @@
         if (flow->held && flow->answer_us != 0 &&
             flow->answer_us <= host->world->now_us) {
             flow->answer_us = 0;
-            send_from_endpoint(host, i, RELAY_ACK, flow->seq + 1, 141, 900);
+            answer(host, i);
         }
     }
 }
--- a/tests/relay/world_private.h
+++ b/tests/relay/world_private.h
@@ -73,10 +73,16 @@
     uint8_t bytes[FRAME_MAX];
 };
 
-/** struct held_flow - a flow as one endpoint holds it */
+/* A caller's requests and an endpoint's answers, in bytes. */
+#define REQUEST_LEN 40
+#define ANSWER_LEN 900
+
+/** struct held_flow - a flow as one endpoint holds it
+ * @runs: requests of it that have begun
+ */
 struct held_flow {
     bool held;
-    bool ran;
+    unsigned runs;
     uint32_t seq;
     uint64_t answer_us;
 };
@@ -132,11 +138,15 @@
 enum caller_state {
     CALLER_OPENING,
     CALLER_ASKING,
+    CALLER_PAUSING,
     CALLER_CLOSING,
     CALLER_DONE
 };
 
-/** struct caller - one flow */
+/** struct caller - one flow
+ * @answers: requests of it that were answered
+ * @ran: those that an endpoint has begun to work on
+ */
 struct caller {
     enum caller_state state;
     struct relay_flow flow;
@@ -151,6 +161,7 @@
     unsigned version;
     unsigned misplaced;
     uint64_t misplaced_us;
+    unsigned answers;
     unsigned ran;
     uint64_t dead_us;
 };
@@ -311,6 +322,11 @@
 void
 world_change_config(struct world *world);
 
+/** world_move_route() - a route goes to the other service; its open flows stay
+ * where they are */
+void
+world_move_route(struct world *world);
+
 int
 world_served_at(const struct world *world, unsigned version,
                 const struct relay_packet *packet);
--- a/tests/relay/world_test.c
+++ b/tests/relay/world_test.c
@@ -131,6 +131,37 @@
     g_assert_cmpuint(play(&addresses_move), >=, 500);
 }
 
+/* Routes go to the other service and back while flows stay open for many
+ * requests, longer than any balancer follows one configuration. */
+static const struct world_plan routes_move = {
+    .new_flows = 300,
+    .rehash = 50,
+    .moves = 10,
+    .requests = 8,
+    .pause_ms = 900,
+};
+
+TEST(flows_outlive_the_service_of_their_route)
+{
+    g_assert_cmpuint(play_for(&routes_move, CUT_FAULTY_MS), >=, 300);
+}
+
+TEST(flows_outlive_the_service_of_their_route_among_faults)
+{
+    struct world_plan plan = routes_move;
+
+    plan.loss = 10;
+    plan.agent_restart = 10;
+    plan.balancer_restart = 15;
+    plan.endpoint_crash = 3;
+    plan.endpoint_drain = 2;
+    plan.reuse = 2;
+    plan.freeze = 5;
+    plan.config = 3;
+    plan.stall = 20;
+    g_assert_cmpuint(play_for(&plan, CUT_FAULTY_MS), >=, 100);
+}
+
 /* A reset of an endpoint that had just started. */
 TEST(seeds_of_moved_addresses_that_showed_a_fault)
 {
