A store that comes back from an older copy: its era is minded everywhere

Cause: what we read of the store was ordered by revision alone, and written once. After a drill revisions go back and are given out again, registrations are lost and evacuations are written again a little later.

Change: Store-Era is read from all answers and travels in every frame's head with the seconds for which the list may still lack agents. Watchers list anew, readers first; agents look for their objects again; what was evacuated in the era before stays so for 10 s; no flow is reset on proof for 20 s; an answer of another era proves nothing. Logs, metrics and relay-show name the era.

--- a/scripts/relaybed/soak.py
+++ b/scripts/relaybed/soak.py
@@ -37,7 +37,7 @@
 CALM_S = 2
 FAULTS = ("agent-kill", "agent-stop", "balancer-kill", "balancer-stop",
           "freeze", "endpoint-crash", "endpoint-drain", "store-away",
-          "proxy", "config", "hup")
+          "store-older", "proxy", "config", "hup")
 # What may never be seen.
 BROKEN = ("failed", "crossed", "garbled", "doubled", "cut", "drained")
 
@@ -130,6 +130,17 @@
         await asyncio.sleep(self.rand.uniform(0.2, 1.5))
         self.site.store.away = False
 
+    async def store_older(self):
+        """The store comes back from a copy; operators write theirs again."""
+        age_s = self.rand.uniform(0.2, 3)
+        print(f"  {self.now():6.2f} store-older by {age_s:.1f} s")
+        self.site.store.away = True
+        await asyncio.sleep(self.rand.uniform(0.05, 0.5))
+        self.site.store.older(age_s)
+        self.site.store.away = False
+        await asyncio.sleep(self.rand.uniform(0.05, 1))
+        self.site.config(self.version)
+
     async def proxy_fault(self):
         """What is said to the store and back is disturbed."""
         mode = self.rand.choice(MODES[1:])
--- a/scripts/relaybed/store.py
+++ b/scripts/relaybed/store.py
@@ -21,6 +21,7 @@
         self.history = []
         self.away = False
         self.calls = 0
+        self.era = 1
 
     def put(self, kind, name, value):
         """Create or replace; the object."""
@@ -37,6 +38,23 @@
             self.changed.notify_all()
             return item
 
+    def older(self, age_s):
+        """Come back from a copy of age_s ago: what was written since is lost,
+        and its revisions are given out again."""
+        with self.changed:
+            end = time.monotonic() - age_s
+            self.history = [entry for entry in self.history
+                            if entry[4] <= end]
+            self.objects = {}
+            for _, kind, item, removed, _ in self.history:
+                named = self.objects.setdefault(kind, {})
+                named.pop(item["meta"]["name"], None)
+                if not removed:
+                    named[item["meta"]["name"]] = item
+            self.revision = max([1] + [entry[0] for entry in self.history])
+            self.era += 1
+            self.changed.notify_all()
+
     def remove(self, kind, name):
         """Remove; whether it was there."""
         with self.changed:
@@ -50,10 +68,13 @@
 
     def watch(self, kind, since, wait_s, age_s=0.0):
         """Events of a kind after a revision that are age_s old, waiting for
-        the first."""
+        the first; None for a revision that the store doesn't have."""
         end = time.monotonic() + wait_s
         with self.changed:
+            era = self.era
             while True:
+                if self.era != era or since > self.revision:
+                    return None
                 now = time.monotonic()
                 seen = [entry for entry in self.history
                         if entry[0] > since and entry[4] <= now - age_s]
@@ -88,6 +109,7 @@
         self.send_response(status)
         self.send_header("Content-Type", "application/json")
         self.send_header("Content-Length", str(len(raw)))
+        self.send_header("Store-Era", str(self.store.era))
         self.end_headers()
         try:
             self.wfile.write(raw)
@@ -115,8 +137,9 @@
         kind, name, query = found
         if "watch" in query:
             age_s = STALE_S if query.get("staleOk") == "1" else 0.0
-            self.answer(200, self.store.watch(
-                kind, int(query["watch"]), int(query["waitMs"]) / 1000, age_s))
+            seen = self.store.watch(
+                kind, int(query["watch"]), int(query["waitMs"]) / 1000, age_s)
+            self.answer(410 if seen is None else 200, seen or {})
             return
         if name is not None:
             item = self.store.get(kind, name)
--- a/src/base/httpc.c
+++ b/src/base/httpc.c
@@ -31,6 +31,7 @@
  * @stale: a connection to be freed once libevent is done with it
  * @reaper: frees @stale
  * @call: the open call or NULL
+ * @wants: header of the answer that the open call wants, or NULL
  * @failure: errno of the open call's failure, 0 so far
  */
 struct httpc {
@@ -42,6 +43,7 @@
     struct evhttp_connection *stale;
     struct event *reaper;
     struct httpc_call *call;
+    const char *wants;
     int failure;
 };
 
@@ -118,6 +120,7 @@
     int status =
         request != NULL ? evhttp_request_get_response_code(request) : 0;
     struct httpc_reply reply = {.status = status};
+    struct evkeyvalq *headers;
     struct evbuffer *input;
 
     if (status == 0) {
@@ -126,8 +129,11 @@
         finish(httpc, &reply);
         return;
     }
-    reply.etag =
-        evhttp_find_header(evhttp_request_get_input_headers(request), "ETag");
+    headers = evhttp_request_get_input_headers(request);
+    reply.etag = evhttp_find_header(headers, "ETag");
+    if (httpc->wants != NULL) {
+        reply.told = evhttp_find_header(headers, httpc->wants);
+    }
     input = evhttp_request_get_input_buffer(request);
     reply.len = evbuffer_get_length(input);
     reply.body = reply.len > 0 ? (const char *)evbuffer_pullup(input, -1) : "";
@@ -282,6 +288,7 @@
     }
     evhttp_connection_set_timeout_tv(httpc->connection, &timeout);
     httpc->failure = 0;
+    httpc->wants = request->wants;
     httpc->call = call;
     if (evhttp_make_request(httpc->connection, made, commands[request->method],
                             request->target) != 0) {
--- a/src/base/httpc.h
+++ b/src/base/httpc.h
@@ -52,12 +52,14 @@
  * struct httpc_reply - how a call ended
  * @status: HTTP status, or a negative errno when no whole answer came
  * @etag: the answer's ETag header, NULL for none
+ * @told: the header that the request wants, NULL for none
  * @body: the answer's body, valid during the callback
  * @len: its length in bytes
  */
 struct httpc_reply {
     int status;
     const char *etag;
+    const char *told;
     const char *body;
     size_t len;
 };
@@ -81,6 +83,8 @@
  * @target: path and query
  * @header: name of a header of its own, or NULL
  * @value: that header's value
+ * @wants: name of a header of the answer that is told, or NULL; outlives the
+ *         call
  * @body: JSON, or NULL
  * @len: its length in bytes
  * @timeout_ms: silence after which the call fails with -ETIMEDOUT
@@ -90,6 +94,7 @@
     const char *target;
     const char *header;
     const char *value;
+    const char *wants;
     const char *body;
     size_t len;
     unsigned timeout_ms;
--- a/src/base/httpd.c
+++ b/src/base/httpd.c
@@ -240,6 +240,14 @@
     return (const char *)evbuffer_pullup(input, -1);
 }
 
+void
+httpd_add_header(struct httpd_request *request, const char *name,
+                 const char *value)
+{
+    evhttp_add_header(evhttp_request_get_output_headers(request->event), name,
+                      value);
+}
+
 void
 httpd_respond(struct httpd_request *request, int status,
               const char *content_type, const char *body, size_t len)
--- a/src/base/httpd.h
+++ b/src/base/httpd.h
@@ -74,6 +74,11 @@
 const char *
 httpd_request_body(const struct httpd_request *request, size_t *len);
 
+/** httpd_add_header() - a header of the answer, before httpd_respond() */
+void
+httpd_add_header(struct httpd_request *request, const char *name,
+                 const char *value);
+
 /** httpd_respond() - answer with a status and a body */
 void
 httpd_respond(struct httpd_request *request, int status,
--- a/src/relay/door/door.c
+++ b/src/relay/door/door.c
@@ -140,7 +140,7 @@
 bool
 door_is_evacuated(const struct door *door)
 {
-    return evacuations_has(&door->evacuations, door->data_centre);
+    return store_state_evacuated(&door->store, door->data_centre);
 }
 
 bool
@@ -149,7 +149,7 @@
 {
     bool was_evacuated = door_is_evacuated(door);
 
-    if (!evacuations_take(&door->evacuations, told) ||
+    if (!store_state_take(&door->store, told, now_us) ||
         door_is_evacuated(door) == was_evacuated) {
         return false;
     }
@@ -267,6 +267,7 @@
     if (door->balancer_count == 0 && now_us >= door->greet_us) {
         door_greet_all(door, now_us);
     }
+    (void)store_state_tick(&door->store, now_us);
     door_queue_admit(door, now_us);
 }
 
@@ -279,5 +280,6 @@
         door->waits[door->wait_first].due_us < next_us) {
         next_us = door->waits[door->wait_first].due_us;
     }
+    next_us = MIN(next_us, store_state_next_us(&door->store));
     return MIN(next_us, door->warmer_us);
 }
--- a/src/relay/door/door.h
+++ b/src/relay/door/door.h
@@ -24,6 +24,7 @@
 #include "relay/door/pace.h"
 #include "relay/door/warming.h"
 #include "relay/wire/packet.h"
+#include "relay/wire/store_state.h"
 
 /* Flows that one agent remembers: an endpoint holds some 2,000, the rest is
  * for those that went on. */
@@ -120,7 +121,7 @@
  * @out: where outputs go
  * @self: address that other agents send to
  * @data_centre: evacuations_key() of where it stands
- * @evacuations: data centres that are evacuated, as far as is known
+ * @store: what is known of the store, and which data centres are evacuated
  * @endpoint: what is known of the endpoint
  * @start: counts the starts of the endpoint that were seen
  * @table: keys of the flows
@@ -159,7 +160,7 @@
     struct door_out *out;
     struct addr self;
     uint32_t data_centre;
-    struct evacuations evacuations;
+    struct store_state store;
     struct endpoint endpoint;
     unsigned start;
     struct flow_index table;
--- a/src/relay/program/relay_agent.c
+++ b/src/relay/program/relay_agent.c
@@ -59,6 +59,15 @@
                    agent->settings.log_per_s, agent->settings.stop_ms, report);
 }
 
+/* What the agent's own calls tell of the store goes on with its frames. */
+static void
+note_era(struct relay_agent *agent, uint64_t now_us)
+{
+    struct evacuations told = {.era = agent->registration.era};
+
+    (void)door_evacuations(&agent->door, &told, now_us);
+}
+
 /* Somebody took the agent's object away while its endpoint lives. */
 static void
 write_anew(struct relay_agent *agent, uint64_t now_us)
@@ -84,6 +93,7 @@
     dgram_flush(&agent->frames);
     write_anew(agent, now_us);
     registration_writer_tick(&agent->registration, now_us);
+    note_era(agent, now_us);
     if (settings_file_changed(&agent->file, now_us)) {
         reload(agent);
     }
--- a/src/relay/program/relay_agent_out.c
+++ b/src/relay/program/relay_agent_out.c
@@ -79,7 +79,7 @@
           const struct frame_carry *frame)
 {
     struct relay_agent *agent = of_out(out);
-    size_t size = frame_carry_encode(frame, &agent->door.evacuations,
+    size_t size = frame_carry_encode(frame, &agent->door.store.told,
                                      dgram_buffer(&agent->frames));
 
     agent->counts.frames_on++;
@@ -91,7 +91,7 @@
          const struct frame_status *status)
 {
     struct relay_agent *agent = of_out(out);
-    size_t size = frame_status_encode(status, &agent->door.evacuations,
+    size_t size = frame_status_encode(status, &agent->door.store.told,
                                       dgram_buffer(&agent->frames));
 
     dgram_queue(&agent->frames, balancer, size);
@@ -102,7 +102,7 @@
            const struct frame_served *served)
 {
     struct relay_agent *agent = of_out(out);
-    size_t size = frame_served_encode(served, &agent->door.evacuations,
+    size_t size = frame_served_encode(served, &agent->door.store.told,
                                       dgram_buffer(&agent->frames));
 
     dgram_queue(&agent->frames, balancer, size);
@@ -115,7 +115,7 @@
            const struct frame_absent *absent)
 {
     struct relay_agent *agent = of_out(out);
-    size_t size = frame_absent_encode(absent, &agent->door.evacuations,
+    size_t size = frame_absent_encode(absent, &agent->door.store.told,
                                       dgram_buffer(&agent->frames));
 
     agent->counts.asked++;
@@ -233,6 +233,10 @@
     char text[ADDR_TEXT_MAX];
 
     frame_evacuations(bytes, &told);
+    if (registration_writer_era(&agent->registration, told.era, now_us)) {
+        event_log_line(&agent->log, EVENT_RARE, "store_older",
+                       "era=%u from=%s", told.era, addr_format(from, text));
+    }
     if (door_evacuations(&agent->door, &told, now_us)) {
         event_log_line(&agent->log, EVENT_RARE,
                        door_is_evacuated(&agent->door) ? "evacuated"
--- a/src/relay/program/relay_balancer_evacuations.c
+++ b/src/relay/program/relay_balancer_evacuations.c
@@ -11,16 +11,23 @@
  * answer costs processor time that a host that has just started lacks. */
 #define FIRST_LIST_US (200 * USEC_PER_MSEC)
 
+/* The same after the store came back older, when its readers list at once. */
+#define OLDER_LIST_US (2 * USEC_PER_SEC)
+
 /* A line for all evacuated data centres. */
 #define NAMES_MAX 512
 
 /* Whether the list is to be read though this balancer leaves the store's
- * latest to others: no agent has told of it, as after a loss of all hosts. */
+ * latest to others: no agent has told of it, as after a loss of all hosts, or
+ * while the store came back older and no reader has read it since. */
 static bool
 wants_first(const struct relay_balancer *balancer, uint64_t now_us)
 {
-    return balancer->steer.agents.evacuations.revision == 0 &&
-           balancer->was_ready && now_us - balancer->ready_us >= FIRST_LIST_US;
+    const struct store_state *store = &balancer->steer.agents.store;
+
+    return store->told.revision == 0 && balancer->was_ready &&
+           now_us - balancer->ready_us >= FIRST_LIST_US &&
+           (store->older_us == 0 || now_us - store->older_us >= OLDER_LIST_US);
 }
 
 /* Readers follow the list; the others are told by agents. As for the agents'
@@ -60,21 +67,43 @@
     g_string_free(text, TRUE);
 }
 
+/* The store has come back older: nothing that was read of it stands. */
+static void
+take_era(struct relay_balancer *balancer, uint32_t era, const char *source)
+{
+    const struct store_state *store = &balancer->steer.agents.store;
+
+    watcher_era(&balancer->config_watcher, era);
+    watcher_era(&balancer->agents_watcher, era);
+    watcher_era(&balancer->evacuations_watcher, era);
+    if (store->older_us != 0) {
+        event_log_line(&balancer->log, EVENT_RARE, "store_older",
+                       "era=%u source=%s", era, source);
+    }
+}
+
 void
 relay_balancer_evacuations(struct relay_balancer *balancer,
                            const struct evacuations *told, const char *source)
 {
+    uint32_t era = balancer->steer.agents.store.told.era;
     char names[NAMES_MAX];
+    bool changed =
+        steer_evacuations(&balancer->steer, told, balancer->reader.reading,
+                          loop_now_us(&balancer->loop));
 
-    if (!steer_evacuations(&balancer->steer, told, balancer->reader.reading,
-                           loop_now_us(&balancer->loop))) {
+    if (told->era > era) {
+        take_era(balancer, told->era, source);
+    }
+    if (!changed) {
         return;
     }
     names_of(&balancer->steer.agents, names, sizeof(names));
-    event_log_line(
-        &balancer->log, EVENT_RARE, "evacuations",
-        "data_centres=%u with_agents=%s revision=%" PRIu64 " source=%s",
-        told->count, names[0] != '\0' ? names : "-", told->revision, source);
+    event_log_line(&balancer->log, EVENT_RARE, "evacuations",
+                   "data_centres=%u with_agents=%s era=%u revision=%" PRIu64
+                   " source=%s",
+                   told->count, names[0] != '\0' ? names : "-", told->era,
+                   told->revision, source);
 }
 
 static void
@@ -108,9 +137,9 @@
 
 /* Takes over the names that the store has told. */
 static void
-take_names(struct relay_balancer *balancer, uint64_t revision)
+take_names(struct relay_balancer *balancer, uint32_t era, uint64_t revision)
 {
-    struct evacuations told = {.revision = revision};
+    struct evacuations told = {.era = era, .revision = revision};
     GHashTableIter names;
     gpointer name;
 
@@ -132,7 +161,7 @@
         container_of(watcher, struct relay_balancer, evacuations_watcher);
 
     if (status == 0 && watcher->state == WATCHER_WATCH) {
-        take_names(balancer, watcher->revision);
+        take_names(balancer, watcher->era, watcher->revision);
     }
     relay_balancer_store_ended(balancer, watcher, status, changed);
 }
--- a/src/relay/program/relay_balancer_http.c
+++ b/src/relay/program/relay_balancer_http.c
@@ -45,6 +45,7 @@
         "swiftarch_flows %u\n"
         "swiftarch_agents %zu\n"
         "swiftarch_config_version %" PRIu64 "\n"
+        "swiftarch_store_era %u\n"
         "swiftarch_agent_objects_refused_total %" PRIu64 "\n"
         "swiftarch_log_lines_left_out_total %" PRIu64 "\n",
         balancer->counts.packets, balancer->counts.frames_out,
@@ -53,7 +54,8 @@
         balancer->counts.pings, balancer->counts.resets,
         balancer->counts.asked, steer->flows.used,
         agents_count(&steer->agents), steer->routes.version,
-        balancer->counts.unreadable, balancer->log.left_out_total);
+        steer->agents.store.told.era, balancer->counts.unreadable,
+        balancer->log.left_out_total);
     for (size_t i = 0; i < STEER_DROP_COUNT; i++) {
         g_string_append_printf(
             text, "swiftarch_dropped_total{reason=\"%s\"} %" PRIu64 "\n",
--- a/src/relay/program/relay_balancer_out.c
+++ b/src/relay/program/relay_balancer_out.c
@@ -36,9 +36,8 @@
           const struct frame_carry *frame)
 {
     struct relay_balancer *balancer = of_out(out);
-    size_t size =
-        frame_carry_encode(frame, &balancer->steer.agents.evacuations,
-                           dgram_buffer(&balancer->frames));
+    size_t size = frame_carry_encode(frame, &balancer->steer.agents.store.told,
+                                     dgram_buffer(&balancer->frames));
 
     dgram_queue(&balancer->frames, agent, size);
     balancer->counts.frames_out++;
@@ -64,7 +63,7 @@
         .view = steer_store_view(&balancer->steer),
         .unlisted = unlisted,
     };
-    size_t size = frame_ping_encode(&ping, &balancer->steer.agents.evacuations,
+    size_t size = frame_ping_encode(&ping, &balancer->steer.agents.store.told,
                                     dgram_buffer(&balancer->frames));
 
     dgram_queue(&balancer->frames, agent, size);
@@ -75,7 +74,7 @@
 out_ask(struct steer_out *out, struct addr agent, const struct frame_ask *ask)
 {
     struct relay_balancer *balancer = of_out(out);
-    size_t size = frame_ask_encode(ask, &balancer->steer.agents.evacuations,
+    size_t size = frame_ask_encode(ask, &balancer->steer.agents.store.told,
                                    dgram_buffer(&balancer->frames));
 
     dgram_queue(&balancer->frames, agent, size);
--- a/src/relay/program/relay_balancer_store.c
+++ b/src/relay/program/relay_balancer_store.c
@@ -80,6 +80,9 @@
                            const struct watcher *watcher, int status,
                            bool changed)
 {
+    struct evacuations told = {.era = watcher->era};
+
+    relay_balancer_evacuations(balancer, &told, "store");
     loop_due(&balancer->loop, loop_now_us(&balancer->loop));
     relay_balancer_look(balancer);
     if (!changed) {
--- a/src/relay/program/relay_state.c
+++ b/src/relay/program/relay_state.c
@@ -56,9 +56,10 @@
     add_number(json, "routes", steer->routes.count);
     add_number(json, "learned", steer->learned.count);
     add_number(json, "flows", steer->flows.used);
-    add_number(json, "evacuations", steer->agents.evacuations.count);
+    add_number(json, "store_era", steer->agents.store.told.era);
+    add_number(json, "evacuations", steer->agents.store.told.count);
     add_number(json, "evacuations_revision",
-               steer->agents.evacuations.revision);
+               steer->agents.store.told.revision);
     for (size_t i = 0; i < agents_count(&steer->agents); i++) {
         json_object_array_add(agents,
                               agent_json(agents_at(&steer->agents, i)));
@@ -85,6 +86,7 @@
     add_number(json, "flows", door->table.used);
     json_object_object_add(json, "evacuated",
                            json_object_new_boolean(door_is_evacuated(door)));
+    add_number(json, "store_era", door->store.told.era);
     /* The newest that any balancer spoke of. */
     add_number(json, "version", door->heard.version);
     return json;
--- a/src/relay/steer/agents.c
+++ b/src/relay/steer/agents.c
@@ -69,7 +69,7 @@
     }
     row->place = place;
     row->region = regions_find(&agents->regions, place);
-    row->evacuated = evacuations_has(&agents->evacuations, place);
+    row->evacuated = store_state_evacuated(&agents->store, place);
 }
 
 static uint64_t
@@ -212,24 +212,42 @@
     agents->listed_once = true;
 }
 
+static void
+mark_evacuated(struct agents *agents)
+{
+    for (guint i = 0; i < agents->rows->len; i++) {
+        struct agent_row *row = g_ptr_array_index(agents->rows, i);
+
+        row->evacuated = store_state_evacuated(&agents->store, row->place);
+    }
+}
+
 bool
 agents_evacuate(struct agents *agents, const struct evacuations *told,
                 bool ping, uint64_t now_us)
 {
-    if (!evacuations_take(&agents->evacuations, told)) {
+    if (!store_state_take(&agents->store, told, now_us)) {
         return false;
     }
-    for (guint i = 0; i < agents->rows->len; i++) {
+    mark_evacuated(agents);
+    for (guint i = 0; ping && i < agents->rows->len; i++) {
         struct agent_row *row = g_ptr_array_index(agents->rows, i);
 
-        row->evacuated = evacuations_has(told, row->place);
-        if (ping && row->evacuated) {
+        if (row->evacuated) {
             agents_ping_now(agents, row, now_us);
         }
     }
     return true;
 }
 
+void
+agents_tick(struct agents *agents, uint64_t now_us)
+{
+    if (store_state_tick(&agents->store, now_us)) {
+        mark_evacuated(agents);
+    }
+}
+
 void
 agents_heard(struct agents *agents, struct addr addr,
              const struct frame_health *health, uint64_t now_us)
--- a/src/relay/steer/agents.h
+++ b/src/relay/steer/agents.h
@@ -20,6 +20,7 @@
 #include "packet/rank.h"
 #include "relay/steer/homes.h"
 #include "relay/wire/frame.h"
+#include "relay/wire/store_state.h"
 #include "relay/wire/packet.h"
 
 #define AGENT_DATA_CENTRE_MAX 64
@@ -101,7 +102,7 @@
  * @listed_once: the store's list was read to its end
  * @changes: how often an agent came to a service
  * @here: evacuations_key() of where the balancer stands
- * @evacuations: data centres that take no new flow
+ * @store: what is known of the store, and which data centres take no new flow
  * @regions: in which each data centre lies
  */
 struct agents {
@@ -112,7 +113,7 @@
     bool listed_once;
     uint64_t changes;
     uint32_t here;
-    struct evacuations evacuations;
+    struct store_state store;
     struct regions regions;
 };
 
@@ -201,6 +202,10 @@
 agents_evacuate(struct agents *agents, const struct evacuations *told,
                 bool ping, uint64_t now_us);
 
+/** agents_tick() - mind evacuations of an era of the store that has ended */
+void
+agents_tick(struct agents *agents, uint64_t now_us);
+
 /** agents_all_evacuated() - whether a service has agents in @homes, but in
  * evacuated data centres only */
 bool
--- a/src/relay/steer/steer.c
+++ b/src/relay/steer/steer.c
@@ -289,6 +289,7 @@
     if (steer->early.count > 0) {
         send_early(steer, now_us);
     }
+    agents_tick(&steer->agents, now_us);
     steer_lost_tick(steer, now_us);
     expire(steer, now_us);
 }
@@ -310,6 +311,7 @@
     uint64_t next_us = agents_next_ping_us(&steer->agents);
 
     next_us = MIN(next_us, steer_lost_next_us(steer));
+    next_us = MIN(next_us, store_state_next_us(&steer->agents.store));
     if (steer->wait_count > 0) {
         next_us = MIN(next_us, steer->waits[steer->wait_first].due_us);
     }
--- a/src/relay/steer/steer_lost.c
+++ b/src/relay/steer/steer_lost.c
@@ -262,6 +262,9 @@
  * that its endpoint doesn't. Then none does, and none will: only a SYN
  * opens a flow.
  *
+ * A store that has come back older may have lost agents' objects, and names
+ * all of them again only after a while.
+ *
  * Agents that can't be asked leave a doubt: the flow may live there, out of
  * reach. Where requests may run twice the caller is better off with another
  * endpoint; where not, it waits. A balancer that reaches less than two thirds
@@ -276,6 +279,7 @@
     uint32_t service;
 
     if (!absent || round->missing > 0 || round->asked == 0 ||
+        !store_state_settled(&steer->agents.store, now_us) ||
         round->changes != steer->agents.changes ||
         !find_holders(steer, flow, now_us, &service) ||
         service != round->service) {
--- a/src/relay/store/confirm.c
+++ b/src/relay/store/confirm.c
@@ -11,6 +11,11 @@
     struct confirm *confirm = container_of(call, struct confirm, call);
 
     confirm->open = false;
+    if (reply->era != confirm->era || confirm->watcher->era != confirm->era) {
+        /* Its revision stands for something else by now. */
+        watcher_era(confirm->watcher, reply->era);
+        return;
+    }
     if (reply->status == 0 && reply->count > 0) {
         watcher_advance(confirm->watcher, confirm->revision, reply);
         return;
@@ -41,6 +46,7 @@
         return;
     }
     confirm->open = true;
+    confirm->era = confirm->watcher->era;
     confirm->revision = confirm->watcher->revision;
     confirm->asked_us = now_us;
     if (confirm->store->ops->watch(confirm->store, confirm->watcher->kind,
--- a/src/relay/store/confirm.h
+++ b/src/relay/store/confirm.h
@@ -31,6 +31,7 @@
  * @store: connection of its own
  * @watcher: follower of the list
  * @open: a call is open
+ * @era: era of the store in which it asked
  * @revision: revision that it asked for changes since
  * @asked_us: when
  */
@@ -40,6 +41,7 @@
     struct store *store;
     struct watcher *watcher;
     bool open;
+    uint32_t era;
     uint64_t revision;
     uint64_t asked_us;
 };
--- a/src/relay/store/registration.c
+++ b/src/relay/store/registration.c
@@ -20,6 +20,9 @@
  * ten seconds: the object may have been removed since. */
 #define CHECK_AFTER_US (10 * USEC_PER_SEC)
 
+/* All agents look after their objects when the store has come back older. */
+#define ERA_SPREAD_US (3 * USEC_PER_SEC)
+
 static const char *
 text(struct json_object *object, const char *name)
 {
@@ -183,6 +186,16 @@
         /* Something else is wanted since; it comes next. */
         return;
     }
+    if (reply->era != 0 && reply->era < writer->era) {
+        /* An answer of before the store came back. */
+        writer->failures++;
+        return;
+    }
+    if (writer->era != 0 && reply->era > writer->era) {
+        /* What an earlier look found may be lost. */
+        writer->looks = 0;
+    }
+    writer->era = MAX(writer->era, reply->era);
     if (reply->status == 0 || (removing && reply->status == -ENOENT)) {
         on_success(writer, reply);
     }
@@ -279,6 +292,30 @@
     writer->next_us = now_us;
 }
 
+bool
+registration_writer_era(struct registration_writer *writer, uint32_t era,
+                        uint64_t now_us)
+{
+    uint64_t spread_us =
+        hash_pair(writer->registration.addr.ip, era) % ERA_SPREAD_US;
+
+    if (writer->era == 0 || era <= writer->era) {
+        return false;
+    }
+    writer->era = era;
+    if (writer->step == REGISTRATION_GONE) {
+        writer->step = REGISTRATION_REMOVE;
+    }
+    else if (writer->step == REGISTRATION_KEPT) {
+        writer->step = REGISTRATION_LOOK;
+    }
+    writer->looks = 0;
+    if (!writer->open) {
+        writer->next_us = now_us + spread_us;
+    }
+    return true;
+}
+
 void
 registration_writer_tick(struct registration_writer *writer, uint64_t now_us)
 {
--- a/src/relay/store/registration.h
+++ b/src/relay/store/registration.h
@@ -6,7 +6,8 @@
  * it is written once in a host's life: an agent that starts looks first, with
  * a read that costs a tenth of a write and may be seconds old, and writes only
  * what isn't there. It looks once more when such a read can't be that old any
- * longer.
+ * longer, and both again when the store has come back from an older copy of
+ * itself.
  */
 #ifndef SWIFTARCH_RELAY_STORE_REGISTRATION_H
 #define SWIFTARCH_RELAY_STORE_REGISTRATION_H
@@ -87,6 +88,7 @@
  * @open: a call is open
  * @failures: calls that failed in a row
  * @called: what the open call is for; @step may have changed since
+ * @era: era of the store in which the object stands, 0 when it isn't known
  * @looks: looks that found the object, REGISTRATION_LOOKS once it was written
  * @next_us: when the next call is due, 0 when the last one has just ended
  */
@@ -98,6 +100,7 @@
     bool open;
     unsigned failures;
     enum registration_step called;
+    uint32_t era;
     unsigned looks;
     uint64_t next_us;
 };
@@ -119,6 +122,13 @@
 registration_writer_remove(struct registration_writer *writer,
                            uint64_t now_us);
 
+/** registration_writer_era() - the store's era is @era, somebody told; whether
+ * it has come back older since the object was written or removed, which is
+ * looked after then */
+bool
+registration_writer_era(struct registration_writer *writer, uint32_t era,
+                        uint64_t now_us);
+
 /** registration_writer_tick() - make the call that is due */
 void
 registration_writer_tick(struct registration_writer *writer, uint64_t now_us);
--- a/src/relay/store/store.h
+++ b/src/relay/store/store.h
@@ -33,6 +33,9 @@
  *          -EBUSY (refused, nothing was done), -EPROTO (an answer that can't
  *          be read), or what the connection met; for a write, whether it
  *          took effect is then unknown
+ * @era: grows each time the store comes back from an older copy of itself and
+ *       has lost what was written since: revisions of two eras say nothing of
+ *       each other. 0 when the answer doesn't say
  * @revision: the store's revision that the answer stands for
  * @more: the list goes on after its last name
  * @objects: what came
@@ -40,6 +43,7 @@
  * @unreadable: how many items were left out because they can't be read
  */
 struct store_reply {
+    uint32_t era;
     uint64_t revision;
     struct store_object *objects;
     size_t count;
--- a/src/relay/store/watcher.c
+++ b/src/relay/store/watcher.c
@@ -43,6 +43,9 @@
 #define PAUSE_PATIENT_US (3200 * USEC_PER_MSEC)
 #define RETRY_WITHIN_US (300 * USEC_PER_MSEC)
 
+/* How old cheap reads are at most: some seconds. */
+#define OLD_READS_US (10 * USEC_PER_SEC)
+
 /* Pauses differ by up to a quarter between processes. */
 #define JITTER_PARTS 4
 
@@ -92,6 +95,7 @@
     watcher->revision = watcher->list_revision;
     watcher->state = WATCHER_WATCH;
     watcher->outdated = false;
+    watcher->older = false;
     watcher->ops->listed(watcher);
 }
 
@@ -124,6 +128,43 @@
     watcher->failures++;
 }
 
+/* Nothing that is known stands any more. */
+static void
+begin_anew(struct watcher *watcher, uint32_t era)
+{
+    watcher->era = era;
+    watcher->state = WATCHER_LIST;
+    g_free(watcher->after);
+    watcher->after = NULL;
+    watcher->revision = 0;
+    watcher->outdated = false;
+    watcher->quiet = false;
+    watcher->older = true;
+    watcher->settled_us = 0;
+}
+
+/* Minds the era that an answer is of; whether the rest of it can be used. */
+static bool
+take_era(struct watcher *watcher, uint32_t era)
+{
+    bool lists = watcher->state == WATCHER_LIST && watcher->after == NULL;
+
+    if (era == 0 || era == watcher->era) {
+        return true;
+    }
+    if (watcher->era == 0) {
+        watcher->era = era;
+        return true;
+    }
+    if (era < watcher->era) {
+        return false;
+    }
+    begin_anew(watcher, era);
+    /* A list that began in the new era is whole; an old one may show what is
+     * lost. */
+    return lists && watcher->read == STORE_READ_LATEST;
+}
+
 static void
 take(struct watcher *watcher, const struct store_reply *reply)
 {
@@ -148,10 +189,15 @@
 {
     struct watcher *watcher = container_of(call, struct watcher, call);
     int before = watcher->status;
+    bool usable = take_era(watcher, reply->era);
 
     watcher->open = false;
     watcher->status = reply->status;
-    if (reply->status != 0) {
+    if (!usable) {
+        /* The next call lists. */
+        watcher->failures = 0;
+    }
+    else if (reply->status != 0) {
         on_failure(watcher, reply->status);
     }
     else {
@@ -178,6 +224,22 @@
     return WATCH_WAIT_MS;
 }
 
+/* When the list after the store came back older is due: soon, but not for all
+ * at once, where it is the latest. */
+static uint64_t
+list_anew_us(struct watcher *watcher, uint64_t now_us)
+{
+    uint64_t spread_us =
+        hash_pair(watcher->seed, watcher->era) % RETRY_WITHIN_US;
+
+    if (watcher->settled_us == 0) {
+        watcher->settled_us = now_us + OLD_READS_US;
+    }
+    return spread_us + (watcher->read == STORE_READ_LATEST
+                            ? now_us
+                            : MAX(now_us, watcher->settled_us));
+}
+
 /* Pause before the next watch. */
 static uint64_t
 next_gap(struct watcher *watcher, uint64_t now_us)
@@ -199,8 +261,10 @@
 make_call(struct watcher *watcher)
 {
     struct store *store = watcher->store;
+    bool unsettled =
+        watcher->older && watcher->opened_us < watcher->settled_us;
     enum store_read read =
-        watcher->outdated ? STORE_READ_LATEST : watcher->read;
+        watcher->outdated || unsettled ? STORE_READ_LATEST : watcher->read;
 
     watcher->calls[read]++;
     if (watcher->state == WATCHER_LIST) {
@@ -246,6 +310,24 @@
     }
 }
 
+void
+watcher_era(struct watcher *watcher, uint32_t era)
+{
+    bool lists = watcher->state == WATCHER_LIST;
+
+    if (watcher->era == 0 || era <= watcher->era) {
+        return;
+    }
+    if (watcher->open) {
+        watcher->store->ops->cancel(watcher->store);
+        watcher->open = false;
+    }
+    begin_anew(watcher, era);
+    if (!lists || watcher->failures == 0) {
+        watcher->next_us = 0;
+    }
+}
+
 void
 watcher_advance(struct watcher *watcher, uint64_t since,
                 const struct store_reply *reply)
@@ -266,6 +348,9 @@
     if (better) {
         watch_anew(watcher);
     }
+    if (better && watcher->older && !watcher->open) {
+        watcher->next_us = 0;
+    }
 }
 
 void
@@ -296,6 +381,10 @@
             pause_us = next_gap(watcher, now_us);
         }
         watcher->next_us = now_us + pause_us;
+        if (watcher->older) {
+            watcher->next_us =
+                MAX(watcher->next_us, list_anew_us(watcher, now_us));
+        }
     }
     if (watcher->next_us > now_us) {
         return;
--- a/src/relay/store/watcher.h
+++ b/src/relay/store/watcher.h
@@ -2,8 +2,9 @@
  * DOC: watcher - keeps up with the objects of one kind in the store
  *
  * Lists once, then watches. A watch that is cut goes on from where it was;
- * when the store has forgotten that far back, the kind is listed anew. While
- * the store is away calls get rarer, as each one is paid for.
+ * when the store has forgotten that far back, or has come back from an older
+ * copy of itself, the kind is listed anew. While the store is away calls get
+ * rarer, as each one is paid for.
  */
 #ifndef SWIFTARCH_RELAY_STORE_WATCHER_H
 #define SWIFTARCH_RELAY_STORE_WATCHER_H
@@ -57,10 +58,13 @@
  * @state: what is done or due
  * @open: a call is open
  * @after: last name of a list that goes on, or NULL
- * @revision: the store's revision that is known
+ * @era: the store's era, 0 when it isn't known
+ * @revision: the store's revision that is known, of that era
  * @list_revision: revision of a list's first page
  * @outdated: what is known has left the store's history, or a list was older
  *            than it: the next list is the latest
+ * @older: the store has come back older, and the kind isn't listed since
+ * @settled_us: when cheap reads show nothing any more that it has lost
  * @quiet: the last watch ended empty: the store answers
  * @failures: calls that failed in a row
  * @next_us: when the next call is due
@@ -82,9 +86,12 @@
     enum watcher_state state;
     bool open;
     char *after;
+    uint32_t era;
     uint64_t revision;
     uint64_t list_revision;
     bool outdated;
+    bool older;
+    uint64_t settled_us;
     bool quiet;
     unsigned failures;
     uint64_t next_us;
@@ -128,6 +135,15 @@
 watcher_advance(struct watcher *watcher, uint64_t since,
                 const struct store_reply *reply);
 
+/**
+ * watcher_era() - the store's era is @era, somebody told
+ *
+ * After a change nothing that is known stands: the kind is listed anew, the
+ * latest soon, by others once cheap reads can't show any more what is lost.
+ */
+void
+watcher_era(struct watcher *watcher, uint32_t era);
+
 /** watcher_retry() - the store answers others again: don't wait for long */
 void
 watcher_retry(struct watcher *watcher, uint64_t now_us);
--- a/src/relay/wire/evacuations.c
+++ b/src/relay/wire/evacuations.c
@@ -2,20 +2,6 @@
 
 #include "base/hash.h"
 
-static bool
-is_same_set(const struct evacuations *a, const struct evacuations *b)
-{
-    if (a->count != b->count) {
-        return false;
-    }
-    for (unsigned i = 0; i < a->count; i++) {
-        if (!evacuations_has(b, a->data_centres[i])) {
-            return false;
-        }
-    }
-    return true;
-}
-
 uint32_t
 evacuations_key(const char *data_centre)
 {
@@ -47,14 +33,23 @@
 }
 
 bool
-evacuations_take(struct evacuations *known, const struct evacuations *told)
+evacuations_newer(const struct evacuations *told,
+                  const struct evacuations *known)
 {
-    bool changed;
+    return told->era != known->era ? told->era > known->era
+                                   : told->revision > known->revision;
+}
 
-    if (told->revision <= known->revision) {
+bool
+evacuations_same(const struct evacuations *a, const struct evacuations *b)
+{
+    if (a->count != b->count) {
         return false;
     }
-    changed = !is_same_set(known, told);
-    *known = *told;
-    return changed;
+    for (unsigned i = 0; i < a->count; i++) {
+        if (!evacuations_has(b, a->data_centres[i])) {
+            return false;
+        }
+    }
+    return true;
 }
--- a/src/relay/wire/frame.c
+++ b/src/relay/wire/frame.c
@@ -5,11 +5,11 @@
 
 #define MAGIC_0 's'
 #define MAGIC_1 'R'
-#define VERSION 3
+#define VERSION 4
 
 /* Bytes before a frame's evacuations, and before the data centres in them. */
 #define TYPE_SIZE 4
-#define HEAD_SIZE (TYPE_SIZE + 9)
+#define HEAD_SIZE (TYPE_SIZE + 14)
 #define KEY_SIZE 4
 
 /** struct writer - where the next byte goes; there is always room */
@@ -49,7 +49,9 @@
     bytes[1] = MAGIC_1;
     bytes[2] = VERSION;
     bytes[3] = (uint8_t)type;
+    put(&writer, evacuations->era, 4);
     put(&writer, evacuations->revision, 8);
+    put(&writer, evacuations->unsettled_s, 1);
     put(&writer, evacuations->count, 1);
     for (unsigned i = 0; i < evacuations->count; i++) {
         put(&writer, evacuations->data_centres[i], KEY_SIZE);
@@ -123,7 +125,9 @@
     struct reader reader = {bytes + TYPE_SIZE, head_size(bytes) - TYPE_SIZE,
                             false};
 
+    evacuations->era = (uint32_t)get(&reader, 4);
     evacuations->revision = get(&reader, 8);
+    evacuations->unsettled_s = (uint8_t)get(&reader, 1);
     evacuations->count = (uint8_t)get(&reader, 1);
     for (unsigned i = 0; i < evacuations->count; i++) {
         evacuations->data_centres[i] = (uint32_t)get(&reader, KEY_SIZE);
--- a/src/relay/wire/frame.h
+++ b/src/relay/wire/frame.h
@@ -3,9 +3,9 @@
  *
  * A carried packet travels behind a small head of ours that holds what its
  * endpoint needn't see: the service, where else the flow may be, and whom to
- * tell. Each frame, whichever way it goes, names the evacuated data centres
- * that its sender knows of. All integers are little-endian; a frame of another
- * version or with a wrong length is refused.
+ * tell. Each frame, whichever way it goes, names the store's era and the
+ * evacuated data centres that its sender knows of. All integers are
+ * little-endian; a frame of another version or with a wrong length is refused.
  */
 #ifndef SWIFTARCH_RELAY_WIRE_FRAME_H
 #define SWIFTARCH_RELAY_WIRE_FRAME_H
@@ -21,7 +21,7 @@
  * flow ranks highest; a packet whose flow is looked for names more, as the
  * order of agents may have changed since. */
 #define FRAME_NEXT_MAX 15
-#define FRAME_HEAD_MAX 304
+#define FRAME_HEAD_MAX 309
 #define FRAME_MAX (FRAME_HEAD_MAX + RELAY_PACKET_MAX)
 
 /** enum frame_type - kinds of frames */
@@ -250,8 +250,8 @@
 int
 frame_type(const uint8_t *bytes, size_t size);
 
-/** frame_evacuations() - the evacuated data centres that a frame names;
- * frame_type() has accepted it */
+/** frame_evacuations() - the store's era and the evacuated data centres that a
+ * frame names; frame_type() has accepted it */
 void
 frame_evacuations(const uint8_t *bytes, struct evacuations *evacuations);
 
--- a/tests/relay/confirm_test.c
+++ b/tests/relay/confirm_test.c
@@ -155,3 +155,23 @@
     answer(site, (struct store_reply){.revision = 44});
     g_assert_cmpuint(site->whole_us, ==, 1000);
 }
+
+/* A revision may be given out again after the store came back older. */
+TEST_F(site, an_answer_of_another_era_proves_nothing)
+{
+    site->watcher.era = 1;
+    confirm_ask(&site->confirm, 1000);
+    answer(site, (struct store_reply){.era = 2, .revision = 44});
+    g_assert_cmpuint(site->whole_us, ==, 0);
+    g_assert_cmpint(site->watcher.state, ==, WATCHER_LIST);
+    g_assert_cmpuint(site->watcher.era, ==, 2);
+}
+
+TEST_F(site, a_list_that_has_gone_to_another_era_meanwhile_proves_nothing)
+{
+    site->watcher.era = 1;
+    confirm_ask(&site->confirm, 1000);
+    site->watcher.era = 2;
+    answer(site, (struct store_reply){.era = 1, .revision = 44});
+    g_assert_cmpuint(site->whole_us, ==, 0);
+}
--- a/tests/relay/object_store_test.c
+++ b/tests/relay/object_store_test.c
@@ -23,11 +23,13 @@
     struct store_call call;
     int http;
     const char *body;
+    const char *era;
     bool mute;
     char asked[256];
     char sent[256];
     bool done;
     int status;
+    uint32_t told_era;
     uint64_t revision;
     bool more;
     size_t count;
@@ -54,6 +56,9 @@
                rev != NULL ? rev : "-", stale != NULL ? " stale=" : "",
                stale != NULL ? stale : "");
     g_snprintf(site->sent, sizeof(site->sent), "%.*s", (int)len, body);
+    if (site->era != NULL) {
+        httpd_add_header(request, "Store-Era", site->era);
+    }
     httpd_respond(request, site->http, "application/json", site->body,
                   strlen(site->body));
     return 0;
@@ -69,6 +74,7 @@
     g_assert_false(site->done);
     site->done = true;
     site->status = reply->status;
+    site->told_era = reply->era;
     site->revision = reply->revision;
     site->more = reply->more;
     site->count = reply->count;
@@ -137,6 +143,26 @@
     g_assert_cmpuint(site->revision, ==, 9);
 }
 
+/* All answers tell it, refusals too. */
+TEST_F(site, the_stores_era_is_read)
+{
+    static const struct {
+        const char *era;
+        int http;
+        uint32_t told;
+    } answers[] = {
+        {NULL, 200, 0}, {"0", 200, 1}, {"6", 410, 7}, {"7", 503, 8},
+        {"-1", 200, 0}, {"x", 200, 0}, {"", 200, 0},  {"99999999999", 200, 0},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(answers); i++) {
+        site->era = answers[i].era;
+        site->http = answers[i].http;
+        list(site, NULL);
+        g_assert_cmpuint(site->told_era, ==, answers[i].told);
+    }
+}
+
 TEST_F(site, events_are_read)
 {
     site->body = "{\"events\":[{\"deleted\":true,\"object\":{\"meta\":"
--- a/tests/relay/steer_lost_test.c
+++ b/tests/relay/steer_lost_test.c
@@ -619,3 +619,39 @@
     pass_ms(site, ROUND_MS);
     g_assert_true(agents_find(&site->steer.agents, agent_addr(1))->suspect);
 }
+
+/* The store came back older: its list may lack agents that live. */
+TEST_F(site, nothing_is_proved_until_all_can_be_listed_again, true)
+{
+    struct evacuations first = {.era = 1, .revision = 90};
+    struct evacuations later = {.era = 2, .revision = 40};
+
+    steer_evacuations(&site->steer, &first, false, site->now_us);
+    steer_evacuations(&site->steer, &later, false, site->now_us);
+    open_question(site);
+    answer_all_but(site, 0);
+    confirmed(site);
+    pass_ms(site, ROUND_MS);
+    rig_expect(site->record, NULL);
+    for (unsigned ms = 0; ms < 30000; ms += 100) {
+        pass_ms(site, 100);
+    }
+    site->questions = 0;
+    open_question(site);
+    answer_all_but(site, 0);
+    confirmed(site);
+    rig_expect(site->record, "reset 1001 at 501", NULL);
+}
+
+/* Its own first word of the store is of that era already. */
+TEST_F(site, who_has_started_since_is_told_of_it, true)
+{
+    struct evacuations told = {.era = 2, .unsettled_s = 7};
+
+    steer_evacuations(&site->steer, &told, false, site->now_us);
+    open_question(site);
+    answer_all_but(site, 0);
+    confirmed(site);
+    pass_ms(site, ROUND_MS);
+    rig_expect(site->record, NULL);
+}
--- a/tests/relay/store_rig.c
+++ b/tests/relay/store_rig.c
@@ -103,6 +103,7 @@
     struct store_object told = {.name = name, .revision = revision};
     struct store_reply reply = {
         .status = status,
+        .era = rig->era,
         .revision = revision,
         .more = more,
         .objects = &told,
--- a/tests/relay/store_rig.h
+++ b/tests/relay/store_rig.h
@@ -15,12 +15,14 @@
  * @call: the open call, or NULL
  * @record: a line for each call
  * @wait_ms: how long the last watch waits
+ * @era: era of all answers, 0 for none
  */
 struct store_rig {
     struct store store;
     struct store_call *call;
     GString *record;
     unsigned wait_ms;
+    uint32_t era;
 };
 
 /** store_rig_init() - nothing asked yet */
--- a/tests/relay/watcher_test.c
+++ b/tests/relay/watcher_test.c
@@ -306,3 +306,89 @@
                "reached", "watch kind 30 any", "lost", "list kind -", NULL);
     store_rig_answer(&site->rig, 0, 50, NULL, false);
 }
+
+/* The store came back from a copy that is some seconds old: what was read of
+ * it is void, also where a watch from there would succeed. */
+static void
+follow_in_era(struct site *site, uint32_t era)
+{
+    site->rig.era = era;
+    watcher_tick(&site->watcher, site->now_us);
+    store_rig_answer(&site->rig, 0, 30, "a", false);
+    wait_for_call(site);
+    g_string_truncate(site->rig.record, 0);
+}
+
+TEST_F(site, a_watch_of_a_later_era_is_followed_by_a_list)
+{
+    follow_in_era(site, 1);
+    site->rig.era = 2;
+    store_rig_answer(&site->rig, 0, 31, "b", false);
+    g_assert_cmpuint(wait_for_call(site), <=, 300);
+    rig_expect(site->rig.record, "list kind -", NULL);
+    /* Lower than what was known, and the only thing that stands. */
+    store_rig_answer(&site->rig, 0, 25, "c", false);
+    rig_expect(site->rig.record, "listing", "object c", "listed", NULL);
+    wait_for_call(site);
+    rig_expect(site->rig.record, "watch kind 25", NULL);
+}
+
+TEST_F(site, a_lost_history_of_a_later_era_costs_one_list)
+{
+    follow_in_era(site, 1);
+    site->rig.era = 2;
+    store_rig_answer(&site->rig, -ESTALE, 0, NULL, false);
+    g_assert_cmpuint(wait_for_call(site), <=, 300);
+    store_rig_answer(&site->rig, 0, 25, NULL, false);
+    wait_for_call(site);
+    rig_expect(site->rig.record, "lost", "list kind -", "listing", "listed",
+               "reached", "watch kind 25", NULL);
+}
+
+/* They may show for seconds what the store has lost. */
+TEST_F(site, cheap_lists_wait_after_the_store_came_back_older)
+{
+    site->watcher.read = STORE_READ_ANY;
+    follow_in_era(site, 1);
+    site->rig.era = 2;
+    store_rig_answer(&site->rig, 0, 31, NULL, false);
+    site->now_us += 9 * USEC_PER_SEC;
+    watcher_tick(&site->watcher, site->now_us - 9 * USEC_PER_SEC);
+    watcher_tick(&site->watcher, site->now_us);
+    g_assert_null(site->rig.call);
+    site->now_us += 2 * USEC_PER_SEC;
+    watcher_tick(&site->watcher, site->now_us);
+    rig_expect(site->rig.record, "list kind - any", NULL);
+}
+
+TEST_F(site, who_becomes_a_reader_does_not_wait_for_that)
+{
+    site->watcher.read = STORE_READ_ANY;
+    follow_in_era(site, 1);
+    site->rig.era = 2;
+    store_rig_answer(&site->rig, 0, 31, NULL, false);
+    watcher_tick(&site->watcher, site->now_us);
+    watcher_set_read(&site->watcher, STORE_READ_LATEST);
+    g_assert_cmpuint(wait_for_call(site), <=, 300);
+    rig_expect(site->rig.record, "list kind -", NULL);
+}
+
+TEST_F(site, who_is_told_of_a_later_era_lists_anew)
+{
+    follow_in_era(site, 1);
+    watcher_era(&site->watcher, 2);
+    g_assert_cmpuint(wait_for_call(site), <=, 300);
+    rig_expect(site->rig.record, "cancel", "list kind -", NULL);
+    /* An answer of before says nothing. */
+    store_rig_answer(&site->rig, 0, 30, "a", false);
+    g_assert_cmpuint(wait_for_call(site), <=, 300);
+    rig_expect(site->rig.record, "list kind -", NULL);
+}
+
+TEST_F(site, an_era_is_taken_over_at_first)
+{
+    follow_in_era(site, 7);
+    watcher_era(&site->watcher, 7);
+    g_assert_nonnull(site->rig.call);
+    g_assert_cmpint(site->watcher.state, ==, WATCHER_WATCH);
+}
--- a/tests/relay/world.h
+++ b/tests/relay/world.h
@@ -37,6 +37,7 @@
     unsigned cut_agents;     /* how many at a time */
     unsigned evacuate;       /* a data centre is evacuated, or is back */
     unsigned evacuated_most; /* how many are so at a time */
+    unsigned older;          /* the store comes back from an older copy */
     unsigned requests;       /* on each flow, 0 for one */
     unsigned pause_ms;       /* the longest between two of them */
     unsigned work_ms;        /* what a request takes, 0 for 15 */
--- a/tests/relay/world_private.h
+++ b/tests/relay/world_private.h
@@ -53,6 +53,15 @@
 #define HEARD_US (300 * USEC_PER_MSEC)
 #define SETTLED_US (300 * USEC_PER_MSEC)
 
+/* What an era of the store that has ended said is kept for that long. */
+#define EARLIER_US (10 * USEC_PER_SEC)
+
+/* How soon agents whose objects the store has lost have written them again. */
+#define REWRITE_LEAST_MS 100
+#define REWRITE_MOST_MS 4000
+#define LOOK_US (20 * USEC_PER_MSEC)
+#define COPY_US (700 * USEC_PER_MSEC)
+
 /** enum target - who gets a message */
 enum target {
     TO_BALANCER,
@@ -113,6 +122,7 @@
     unsigned listed_service;
     unsigned listing;
     uint64_t list_us;
+    uint64_t lost_until_us;
     bool probed;
     uint32_t next_seq;
     struct held_flow flows[FLOWS_MAX];
@@ -171,7 +181,13 @@
  * @lost_rand: for what only questions about lost flows and the store need
  * @served: services that each version has at each route, -1 for none
  * @evacuations_rand: for what only evacuations need
- * @evacuations: data centres that operators have evacuated
+ * @evacuations: data centres that the store says operators have evacuated
+ * @wanted: those that they have, also while the store has lost it
+ * @copy: what the store comes back with
+ * @older_us: when it did so last, 0 for never
+ * @lost_us: when it began to lack what operators wrote, 0 for never
+ * @rewrite_us: when operators write again what it has lost, 0 once they have
+ * @rewritten_us: when they did so last
  * @evacuated_us: when that of each changed last, 0 for never
  */
 struct world {
@@ -192,6 +208,12 @@
     uint64_t fault_us;
     GRand *evacuations_rand;
     struct evacuations evacuations;
+    struct evacuations wanted;
+    struct evacuations copy;
+    uint64_t older_us;
+    uint64_t lost_us;
+    uint64_t rewrite_us;
+    uint64_t rewritten_us;
     uint64_t evacuated_us[WORLD_DATA_CENTRES];
 };
 
@@ -299,6 +321,19 @@
 void
 world_evacuate(struct world *world);
 
+/** world_store_copy() - what the store has now is what it may come back with
+ */
+void
+world_store_copy(struct world *world);
+
+/** world_store_older() - the store comes back from that copy */
+void
+world_store_older(struct world *world);
+
+/** world_store_tick() - operators and agents write again what it has lost */
+void
+world_store_tick(struct world *world);
+
 /** world_evacuations_read() - those balancers that read the store see it */
 void
 world_evacuations_read(struct front *front);
@@ -315,6 +350,11 @@
 void
 world_check_evacuated(struct host *host);
 
+/** world_list_changed() - the store says something else of an agent: balancers
+ * see it a little later */
+void
+world_list_changed(struct host *host);
+
 /** world_list_tick() - agents' objects are written, and fronts see it */
 void
 world_list_tick(struct world *world);
--- a/tests/relay/world_test.c
+++ b/tests/relay/world_test.c
@@ -304,6 +304,20 @@
     g_assert_cmpstr(result.breach, ==, "");
 }
 
+/* The store comes back from a copy that is some seconds old, again and again:
+ * evacuations and agents' objects are lost until they are written again. */
+TEST(a_store_that_comes_back_older_among_other_faults)
+{
+    struct world_plan plan = evacuations_among_faults;
+
+    plan.older = 5;
+    plan.evacuated_most = 1;
+    plan.requests = 4;
+    plan.pause_ms = 600;
+    plan.loss_of_all = true;
+    g_assert_cmpuint(play_for(&plan, CUT_FAULTY_MS), >=, 100);
+}
+
 /* More requests than slots: they wait on open flows. 100 a second of 200 ms
  * for 18 slots. */
 static const struct world_plan too_many = {
