Who reads the store's latest stays the same in a large data centre

An agent there hears from few balancers a second and knows one reader or none; one known reader made one in 16 balancers begin, and of three or more each stopped by draw.

Ruled out: witnesses that differ between balancers (the same three in 1,825 of 1,825 asks of a data centre), witnesses that don't know (they told 1 to 8).

Change: too few is only what witnesses say; nobody stops while there are three or fewer; who stops says so at once. An agent with more balancers than it remembers forgets readers last.

--- a/src/relay/door/door_tell.c
+++ b/src/relay/door/door_tell.c
@@ -99,11 +99,25 @@
     }
 }
 
+/* Whether @a is to be forgotten before @b: readers last, as others ask who
+ * they are, then whoever spoke last. */
+static bool
+is_less_wanted(const struct door_balancer *a, const struct door_balancer *b,
+               uint64_t now_us)
+{
+    bool a_reads = a->view.reader != FRAME_READER_NONE &&
+                   now_us - a->heard_us < READER_FRESH_US;
+    bool b_reads = b->view.reader != FRAME_READER_NONE &&
+                   now_us - b->heard_us < READER_FRESH_US;
+
+    return a_reads != b_reads ? b_reads : a->heard_us < b->heard_us;
+}
+
 void
 door_heard_from(struct door *door, struct addr balancer,
                 const struct frame_store_view *view, uint64_t now_us)
 {
-    unsigned oldest = 0;
+    unsigned last = 0;
 
     /* Of those that have it, whoever spoke last is the likeliest to answer. */
     if (view->version >= door->heard.version) {
@@ -115,14 +129,15 @@
             door->balancers[i].view = *view;
             return;
         }
-        if (door->balancers[i].heard_us < door->balancers[oldest].heard_us) {
-            oldest = i;
+        if (is_less_wanted(&door->balancers[i], &door->balancers[last],
+                           now_us)) {
+            last = i;
         }
     }
     if (door->balancer_count < DOOR_BALANCERS_MAX) {
-        oldest = door->balancer_count++;
+        last = door->balancer_count++;
     }
-    door->balancers[oldest] = (struct door_balancer){balancer, now_us, *view};
+    door->balancers[last] = (struct door_balancer){balancer, now_us, *view};
 }
 
 void
--- a/src/relay/store/store_reader.c
+++ b/src/relay/store/store_reader.c
@@ -5,12 +5,15 @@
 #include "base/clock.h"
 #include "base/hash.h"
 
-/* Readers that an agent should hear from; of more, so many go on, by draw. One
- * may be cut off from the store without a sign until its connection's probes
- * fail, 3 s later; both at once is rare, and then the cheap reads bring the
- * change all the same. */
+/* Readers that a data centre should have. One may be cut off from the store
+ * without a sign until its connection's probes fail, 3 s later; both at once
+ * is rare, and then the cheap reads bring the change all the same. */
 #define READERS_ENOUGH 2
 
+/* Of more than this so many go on, by draw. Up to it nobody stops: each change
+ * of parts costs calls, and a draw may leave too few. */
+#define READERS_MOST 3
+
 /* How long a balancer listens before it takes part or stops, and by how much
  * that differs between balancers, so that one starts before all others have
  * seen that nobody reads. Agents hear from a balancer with each packet, some
@@ -83,13 +86,16 @@
                          : reader->others.reading + reader->others.trying;
 }
 
+/* An agent knows of the readers that spoke to it in the last second, which in
+ * a large data centre are few of them: only what witnesses tell says that
+ * there are too few. */
 static bool
 starts(const struct store_reader *reader, unsigned failures)
 {
     unsigned others = others_like(reader, failures);
 
-    return others == 0 ||
-           (others < READERS_ENOUGH && draw(reader, 1, START_ONE_IN));
+    return others == 0 || (reader->asked && others < READERS_ENOUGH &&
+                           draw(reader, 1, START_ONE_IN));
 }
 
 static bool
@@ -100,7 +106,7 @@
     if (failures > 0 && reader->others.reading > 0) {
         return false;
     }
-    return draw(reader, READERS_ENOUGH, MAX(others + 1, READERS_ENOUGH));
+    return others < READERS_MOST || draw(reader, READERS_MOST, others + 1);
 }
 
 void
@@ -169,6 +175,8 @@
     if (reader->reading && !was_reading) {
         reader->ping_us = now_us;
     }
+    /* Or others count it until the second is over, and stop too. */
+    reader->stopped = was_reading && !reader->reading;
     begin_window(reader, now_us);
 }
 
@@ -176,8 +184,8 @@
 static bool
 asks_first(const struct store_reader *reader, unsigned failures)
 {
-    return !reader->reading && others_like(reader, failures) == 0 &&
-           !reader->asked;
+    return !reader->reading && !reader->asked &&
+           others_like(reader, failures) < READERS_ENOUGH;
 }
 
 bool
@@ -196,6 +204,10 @@
         reader->ping_us = now_us + TELL_US;
         return true;
     }
+    if (reader->stopped) {
+        reader->stopped = false;
+        return true;
+    }
     return false;
 }
 
--- a/src/relay/store/store_reader.h
+++ b/src/relay/store/store_reader.h
@@ -13,9 +13,11 @@
  * reports that count to every balancer, without the balancer itself. A
  * balancer that is told of no reader for a window of half a second to a second
  * asks the witnesses, three agents that all balancers of its data centre rank
- * first, and becomes a reader unless one of them knows a reader. When there
- * are more readers than needed, each stops with a probability that leaves two
- * on average. A reader pings the witnesses so that they know of it. A reader
+ * first, and becomes a reader unless one of them knows a reader; if they know
+ * of one only, it becomes a reader with a small probability. When there are
+ * more than three readers, each stops with a probability that leaves three on
+ * average. A reader pings the witnesses so that they know of it, and once when
+ * it stops. A reader
  * that is dead, frozen or cut off sends no frames and is no longer counted. A
  * balancer that hears from no agent becomes a reader, which costs calls only.
  *
@@ -40,6 +42,7 @@
  * @told: the same of the window before, which decided on @reading
  * @heard_us: when an agent last told of a reader, 0 for never
  * @asked: the witnesses were asked in this window
+ * @stopped: it has stopped reading, and the witnesses aren't told yet
  * @windows: windows that have ended
  * @window_us: when this window ends
  * @ping_us: when a reader pings the witnesses next
@@ -53,6 +56,7 @@
     struct frame_readers told;
     uint64_t heard_us;
     bool asked;
+    bool stopped;
     uint64_t windows;
     uint64_t window_us;
     uint64_t ping_us;
--- a/src/relay/wire/store_state.c
+++ b/src/relay/wire/store_state.c
@@ -32,8 +32,7 @@
     if (told->era == state->told.era && told->unsettled_s > 0 &&
         state->settled_us == 0) {
         state->settled_us =
-            now_us +
-            MIN(told->unsettled_s, SETTLED_AFTER_S) * USEC_PER_SEC;
+            now_us + MIN(told->unsettled_s, SETTLED_AFTER_S) * USEC_PER_SEC;
     }
 }
 
--- a/tests/relay/readers_world_test.c
+++ b/tests/relay/readers_world_test.c
@@ -15,12 +15,16 @@
 #define SUITE "/relay/readers_world"
 #define MS USEC_PER_MSEC
 
-#define BALANCERS 18
-#define AGENTS 8
+#define BALANCERS_MAX 240
+#define AGENTS_MAX 60
 #define VERSIONS_MAX 64
 
 /* A balancer with callers is heard by some agent this often. */
 #define TRAFFIC_US (20 * MS)
+
+/* The same where a data centre has many of both: an agent hears from few of
+ * the balancers in a second. */
+#define SPARSE_TRAFFIC_US (200 * MS)
 #define WITNESSES 3
 #define LATEST_US (4 * MS)
 #define ANY_US (10 * USEC_PER_SEC)
@@ -55,13 +59,31 @@
     struct world *world;
 };
 
-/** struct world - all of it; @idle: no balancer has callers */
+/** struct size - how large the data centre is */
+struct size {
+    unsigned balancers;
+    unsigned agents;
+    uint64_t traffic_us;
+};
+
+static const struct size small = {18, 8, TRAFFIC_US};
+static const struct size fleet = {61, AGENTS_MAX, SPARSE_TRAFFIC_US};
+static const struct size four_fleets = {BALANCERS_MAX, AGENTS_MAX,
+                                        SPARSE_TRAFFIC_US};
+
+/**
+ * struct world - all of it
+ * @idle: no balancer has callers
+ * @starts: how often a balancer began to read
+ */
 struct world {
+    struct size size;
     bool idle;
+    unsigned starts;
     GRand *rand;
     uint64_t now_us;
-    struct front fronts[BALANCERS];
-    struct host hosts[AGENTS];
+    struct front fronts[BALANCERS_MAX];
+    struct host hosts[AGENTS_MAX];
     uint64_t committed_us[VERSIONS_MAX + 1];
     uint64_t version;
     uint64_t worst_us;
@@ -123,13 +145,14 @@
 }
 
 static void
-world_init(struct world *world, uint32_t seed)
+world_init(struct world *world, uint32_t seed, const struct size *size)
 {
+    world->size = *size;
     world->rand = g_rand_new_with_seed(seed);
     world->now_us = 100 * USEC_PER_SEC;
     world->version = 1;
     world->committed_us[1] = world->now_us;
-    for (unsigned i = 0; i < AGENTS; i++) {
+    for (unsigned i = 0; i < world->size.agents; i++) {
         world->hosts[i].out.ops = &door_ops;
         world->hosts[i].world = world;
         g_assert_cmpint(door_init(&world->hosts[i].door, &world->hosts[i].out,
@@ -137,7 +160,7 @@
                                   "lots", world->now_us),
                         ==, 0);
     }
-    for (unsigned i = 0; i < BALANCERS; i++) {
+    for (unsigned i = 0; i < world->size.balancers; i++) {
         front_start(world, &world->fronts[i], i);
     }
 }
@@ -145,7 +168,7 @@
 static void
 world_finish(struct world *world)
 {
-    for (unsigned i = 0; i < AGENTS; i++) {
+    for (unsigned i = 0; i < world->size.agents; i++) {
         door_finish(&world->hosts[i].door);
     }
     g_rand_free(world->rand);
@@ -172,7 +195,7 @@
 ask_peer(struct world *world, struct front *front)
 {
     unsigned holder = front->reader.newer.holder.ip - front_addr(0).ip;
-    const struct front *peer = &world->fronts[holder % BALANCERS];
+    const struct front *peer = &world->fronts[holder % world->size.balancers];
 
     if (!store_reader_asks_peer(&front->reader, failures(world, front),
                                 world->now_us) ||
@@ -205,9 +228,10 @@
     if (world->idle || world->now_us < front->traffic_us) {
         return;
     }
-    front->traffic_us = world->now_us + TRAFFIC_US;
+    front->traffic_us = world->now_us + world->size.traffic_us;
     ping_host(world, number,
-              (unsigned)g_rand_int_range(world->rand, 0, AGENTS));
+              (unsigned)g_rand_int_range(world->rand, 0,
+                                         (gint32)world->size.agents));
 }
 
 /* How late the newest version is at a balancer that could have had it. */
@@ -229,15 +253,19 @@
 {
     for (unsigned t = 0; t < ms; t++) {
         world->now_us += MS;
-        for (unsigned i = 0; i < BALANCERS; i++) {
+        for (unsigned i = 0; i < world->size.balancers; i++) {
             struct front *front = &world->fronts[i];
 
             if (is_away(world, front)) {
                 front->whole_us = world->now_us;
                 continue;
             }
-            if (store_reader_tick(&front->reader, failures(world, front),
-                                  world->now_us)) {
+            bool was_reading = front->reader.reading;
+            bool pings = store_reader_tick(
+                &front->reader, failures(world, front), world->now_us);
+
+            world->starts += front->reader.reading && !was_reading;
+            if (pings) {
                 for (unsigned w = 0; w < WITNESSES; w++) {
                     ping_host(world, i, w);
                 }
@@ -262,7 +290,7 @@
 {
     unsigned count = 0;
 
-    for (unsigned i = 0; i < BALANCERS; i++) {
+    for (unsigned i = 0; i < world->size.balancers; i++) {
         count += world->fronts[i].reader.reading;
     }
     return count;
@@ -271,7 +299,7 @@
 static void
 readers_fail(struct world *world, void (*fail)(struct world *, struct front *))
 {
-    for (unsigned i = 0; i < BALANCERS; i++) {
+    for (unsigned i = 0; i < world->size.balancers; i++) {
         if (world->fronts[i].reader.reading) {
             fail(world, &world->fronts[i]);
         }
@@ -297,7 +325,7 @@
     front_start(world, front, (unsigned)(front - world->fronts));
 }
 
-TEST_F(world, in_calm_two_or_three_read, 1)
+TEST_F(world, in_calm_two_or_three_read, 1, &small)
 {
     pass_ms(world, 10000, BOUND_CALM_US);
     g_assert_cmpuint(count_readers(world), >=, 2);
@@ -307,7 +335,7 @@
     g_assert_cmpuint(world->reader_us, <=, 3 * 20 * USEC_PER_SEC);
 }
 
-TEST_F(world, without_callers_no_more_read, 5)
+TEST_F(world, without_callers_no_more_read, 5, &small)
 {
     world->idle = true;
     pass_ms(world, 10000, BOUND_CALM_US);
@@ -321,7 +349,7 @@
     g_assert_cmpuint(count_readers(world), <=, 3);
 }
 
-TEST_F(world, a_change_is_in_force_soon_though_cheap_reads_are_old, 2)
+TEST_F(world, a_change_is_in_force_soon_though_cheap_reads_are_old, 2, &small)
 {
     pass_ms(world, 3000, BOUND_CALM_US);
     for (unsigned i = 0; i < 10; i++) {
@@ -330,7 +358,8 @@
     }
 }
 
-TEST_F(world, when_all_readers_freeze_or_restart_others_take_their_part, 3)
+TEST_F(world, when_all_readers_freeze_or_restart_others_take_their_part, 3,
+       &small)
 {
     for (unsigned i = 0; i < 8; i++) {
         pass_ms(world, 3000, BOUND_CALM_US);
@@ -343,7 +372,8 @@
 
 /* The one case in which nobody knows for a while that nobody reads: until the
  * readers' own probes fail. */
-TEST_F(world, when_all_readers_lose_the_store_unnoticed_the_bound_holds, 7)
+TEST_F(world, when_all_readers_lose_the_store_unnoticed_the_bound_holds, 7,
+       &small)
 {
     pass_ms(world, 3000, BOUND_CALM_US);
     readers_fail(world, lose_store);
@@ -353,11 +383,48 @@
     g_assert_cmpuint(world->worst_us, >, 1 * USEC_PER_SEC);
 }
 
+/* Each start costs a call of each kind, and the parts are to stay where they
+ * are while nothing is wrong: @most starts in 20 s. */
+static void
+expect_calm(struct world *world, unsigned most)
+{
+    pass_ms(world, 10000, BOUND_US);
+    world->starts = 0;
+    for (unsigned s = 0; s < 20; s++) {
+        pass_ms(world, 1000, BOUND_US);
+        g_assert_cmpuint(count_readers(world), >=, 1);
+        g_assert_cmpuint(count_readers(world), <=, 4);
+    }
+    g_test_message("%u starts", world->starts);
+    g_assert_cmpuint(world->starts, <=, most);
+}
+
+TEST_F(world, who_reads_stays_the_same_in_a_fleet, 11, &fleet)
+{
+    expect_calm(world, 3);
+}
+
+/* More balancers than an agent remembers. */
+TEST_F(world, who_reads_stays_the_same_in_four_fleets, 12, &four_fleets)
+{
+    expect_calm(world, 3);
+}
+
+TEST_F(world, a_change_is_in_force_soon_in_a_fleet, 13, &fleet)
+{
+    pass_ms(world, 5000, BOUND_US);
+    for (unsigned i = 0; i < 5; i++) {
+        readers_fail(world, i % 2 == 0 ? freeze : restart);
+        commit(world);
+        pass_ms(world, 4000, BOUND_US);
+    }
+}
+
 static void
 draw_fault(struct world *world)
 {
-    struct front *front =
-        &world->fronts[g_rand_int_range(world->rand, 0, BALANCERS)];
+    struct front *front = &world->fronts[g_rand_int_range(
+        world->rand, 0, (gint32)world->size.balancers)];
 
     switch (g_rand_int_range(world->rand, 0, 4)) {
     case 0:
@@ -381,7 +448,7 @@
 {
     struct world world = {0};
 
-    world_init(&world, seed);
+    world_init(&world, seed, &small);
     for (unsigned i = 0; i < 60; i++) {
         pass_ms(&world, 200, BOUND_US);
         draw_fault(&world);
--- a/tests/relay/store_reader_test.c
+++ b/tests/relay/store_reader_test.c
@@ -235,3 +235,26 @@
     }
     g_assert_cmpint(read_now(site), ==, STORE_READ_LATEST);
 }
+
+/* Agents hear from few balancers of many: only witnesses know how few read. */
+TEST_F(site, one_other_reader_is_enough_until_witnesses_say_so)
+{
+    for (unsigned i = 0; i < 2000 && site->pings == 0; i++) {
+        pass_ms(site, 1, 1);
+        g_assert_cmpint(read_now(site), ==, STORE_READ_ANY);
+    }
+    g_assert_cmpuint(site->pings, ==, 1);
+}
+
+TEST_F(site, who_stops_tells_the_witnesses)
+{
+    pass_ms(site, 1200, 0);
+    g_assert_cmpint(read_now(site), ==, STORE_READ_LATEST);
+    for (unsigned i = 0; i < 20000 && site->reader.reading; i++) {
+        site->pings = 0;
+        pass_ms(site, 1, 9);
+    }
+    g_assert_false(site->reader.reading);
+    pass_ms(site, 1, 9);
+    g_assert_cmpuint(site->pings, ==, 1);
+}
