Pings of a tick go out in that tick

Cause: a balancer asked the witnesses after it had sent what was queued, so that its pings lay there until the next tick, 0.1 s later in a host without callers: the 0.1 s in which it waits for their answers. It took them for silent and began to read (a ping asked for at -11.1777 s was answered by all three witnesses at -11.0762 s, 0.3 ms after it had begun).

No test without the program: the order is that of its tick.

--- a/src/relay/program/relay_balancer.c
+++ b/src/relay/program/relay_balancer.c
@@ -200,9 +200,10 @@
     /* Answers that wait are no missed answers. */
     dgram_poll(&balancer->frames);
     steer_tick(&balancer->steer, now_us);
-    dgram_flush(&balancer->frames);
     tick_watchers(balancer, now_us);
     ask_peers(balancer, now_us);
+    /* Who asks the witnesses waits for their answers. */
+    dgram_flush(&balancer->frames);
     if (settings_file_changed(&balancer->file, now_us)) {
         reload(balancer);
     }
