Few of the balancers that start together read the latest configuration

Change: one in four that start, by draw, reads the latest, and whoever is a reader; the others begin with cheap reads and are told by agents if theirs is old. Cheap watches of the configuration aren't brief after a change, as agents tell of what a dropped one has missed.

Weighed: all cheap (nobody knows the latest until readers are found, a second after a loss of all hosts), a peer first (nobody has any after such a loss; not built).

--- a/src/relay/program/relay_balancer.c
+++ b/src/relay/program/relay_balancer.c
@@ -122,12 +122,11 @@
 
     config->eager = balancer->steer.routes.version == 0;
     config->patient = !reader->reading;
+    config->told_too = true;
     agents->patient = !reader->reading;
-    /* The first configuration is the latest: after a loss of all hosts nobody
-     * else would know that it is old. */
     watcher_set_read(
         config, config->eager
-                    ? STORE_READ_LATEST
+                    ? store_reader_first(reader)
                     : store_reader_read(reader, config->failures, now_us));
     /* Agents whose objects were taken away are to hear of it soon, from
      * whoever knows first; nothing else waits for this list. */
--- a/src/relay/store/store_reader.c
+++ b/src/relay/store/store_reader.c
@@ -33,6 +33,9 @@
  * of its window: all at once would be many. Data centres have some 20. */
 #define START_ONE_IN 16
 
+/* One in so many balancers that start reads the latest at once. */
+#define FIRST_ONE_IN 4
+
 /* A cheap watch tells within this time of a change as a rule; past it, the
  * latest is read. A tenth of the shortest bound that operators set. */
 #define READ_AFTER_US (300 * USEC_PER_MSEC)
@@ -116,6 +119,14 @@
     begin_window(reader, now_us);
 }
 
+enum store_read
+store_reader_first(const struct store_reader *reader)
+{
+    return reader->reading || hash_pair(reader->seed, 0) % FIRST_ONE_IN == 0
+               ? STORE_READ_LATEST
+               : STORE_READ_ANY;
+}
+
 bool
 store_reader_others(struct store_reader *reader, struct frame_readers others,
                     uint64_t now_us)
--- a/src/relay/store/store_reader.h
+++ b/src/relay/store/store_reader.h
@@ -68,6 +68,15 @@
 void
 store_reader_init(struct store_reader *reader, uint64_t seed, uint64_t now_us);
 
+/**
+ * store_reader_first() - how new the first read of the configuration must be
+ *
+ * Of balancers that start together some, by draw, read the latest and tell the
+ * others through agents; one that starts alone is told by those that run.
+ */
+enum store_read
+store_reader_first(const struct store_reader *reader);
+
 /**
  * store_reader_others() - an agent reported the other readers
  *
--- a/src/relay/store/watcher.c
+++ b/src/relay/store/watcher.c
@@ -216,7 +216,8 @@
     if (watcher->failures > 0) {
         return WATCH_FAILED_MS;
     }
-    if (!watcher->quiet) {
+    if (!watcher->quiet &&
+        !(watcher->told_too && watcher->read == STORE_READ_ANY)) {
         return WATCH_BRIEF_MS +
                (unsigned)(hash_pair(watcher->seed, watcher->revision) %
                           WATCH_BRIEF_SPREAD_MS);
--- a/src/relay/store/watcher.h
+++ b/src/relay/store/watcher.h
@@ -76,6 +76,8 @@
  * @calls: calls made, by enum store_read
  * @patient: somebody else finds out when the store is back: pauses get long
  * @eager: the owner can't work without an answer: pauses stay short
+ * @told_too: its owner is told of changes by others too, so that a watch which
+ *            the store has dropped without a sign costs little
  * @status: how the last call ended
  */
 struct watcher {
@@ -103,6 +105,7 @@
     uint64_t calls[STORE_READ_COUNT];
     bool patient;
     bool eager;
+    bool told_too;
     int status;
 };
 
--- a/tests/relay/store_reader_test.c
+++ b/tests/relay/store_reader_test.c
@@ -236,6 +236,21 @@
     g_assert_cmpint(read_now(site), ==, STORE_READ_LATEST);
 }
 
+/* After a loss of all hosts some must know the latest, and not all pay. */
+TEST(of_those_that_start_together_a_quarter_reads_the_latest)
+{
+    unsigned latest = 0;
+
+    for (uint64_t seed = 1; seed <= 1000; seed++) {
+        struct store_reader reader;
+
+        store_reader_init(&reader, seed, USEC_PER_SEC);
+        latest += store_reader_first(&reader) == STORE_READ_LATEST;
+    }
+    g_assert_cmpuint(latest, >=, 200);
+    g_assert_cmpuint(latest, <=, 300);
+}
+
 /* Agents hear from few balancers of many: only witnesses know how few read. */
 TEST_F(site, one_other_reader_is_enough_until_witnesses_say_so)
 {
--- a/tests/relay/watcher_test.c
+++ b/tests/relay/watcher_test.c
@@ -392,3 +392,18 @@
     g_assert_nonnull(site->rig.call);
     g_assert_cmpint(site->watcher.state, ==, WATCHER_WATCH);
 }
+
+/* Others tell of a change, and of one that a dropped watch has missed. */
+TEST_F(site, a_cheap_watch_is_not_brief_where_others_tell_too)
+{
+    site->watcher.read = STORE_READ_ANY;
+    site->watcher.told_too = true;
+    watcher_tick(&site->watcher, site->now_us);
+    store_rig_answer(&site->rig, 0, 7, NULL, false);
+    wait_for_call(site);
+    g_assert_cmpuint(site->rig.wait_ms, ==, 15000);
+    store_rig_answer(&site->rig, 0, 8, "a", false);
+    watcher_set_read(&site->watcher, STORE_READ_LATEST);
+    wait_for_call(site);
+    g_assert_cmpuint(site->rig.wait_ms, <=, 3000);
+}
