Packets of lost flows go only to agents that haven't denied them

All agents but one had denied these flows for certain: that one had missed its endpoint's first heartbeat, which spoiled each proof, and no chain asked it before the others.

Ruled out: questions (0.041 GB), answers, pings; balancers' own first packets (0.053 GB).

Change: an agent says when its endpoint may hold flows that it doesn't know. Searches begin there; and once a question was answered, the flow's packets go only to agents that didn't answer it for certain. The next answer of the one that was offered the packet is certain, and the proof is complete.

--- a/src/relay/door/door_lost.c
+++ b/src/relay/door/door_lost.c
@@ -73,6 +73,7 @@
     struct frame_absent absent = {
         .round = ask->round,
         .down = door->endpoint.down,
+        .partial = !door_lacks_unknown(door),
         .silent = door->endpoint.state != ENDPOINT_GONE &&
                   !door->endpoint.down && door->unanswered_us != 0 &&
                   now_us - door->unanswered_us >= SILENT_US,
--- a/src/relay/steer/agents.h
+++ b/src/relay/steer/agents.h
@@ -44,6 +44,9 @@
  *           asked, or had nothing to hold flows
  * @in_doubt: that question was left without an answer that says anything: it
  *            was out of reach, or its endpoint is silent
+ * @whole: its last answer to that question was for certain on each flow, and
+ *         it answered the last one that it was asked
+ * @partial: it said then that its endpoint may hold flows that it doesn't know
  * @asked: last question about lost flows that it was asked
  * @answered: last one that it answered
  * @heard_us: last frame from it, 0 for never
@@ -74,6 +77,8 @@
     bool down;
     bool excused;
     bool in_doubt;
+    bool whole;
+    bool partial;
     uint32_t asked;
     uint32_t answered;
     uint64_t heard_us;
@@ -259,7 +264,13 @@
 
 /**
  * agents_for_known() - who may hold an open flow, likeliest first
+ *
+ * Agents whose endpoints may hold flows that they don't know are always among
+ * them, as only a packet tells; the others can be asked.
+ *
  * @homes: where it can have been opened
+ * @denied: all agents were asked for it: those whose answers are for certain
+ *          are left out
  * @below: only those that rank below this, AGENTS_ALL for all; becomes the
  *         rank of the last of @choice
  *
@@ -267,8 +278,8 @@
  */
 bool
 agents_for_known(const struct agents *agents, uint32_t service,
-                 const struct homes *homes, uint64_t hash, uint64_t *below,
-                 struct agents_choice *choice);
+                 const struct homes *homes, uint64_t hash, bool denied,
+                 uint64_t *below, struct agents_choice *choice);
 
 /** agents_of_service() - rows of a service, NULL for none; valid until any
  * changes */
--- a/src/relay/steer/agents_choice.c
+++ b/src/relay/steer/agents_choice.c
@@ -180,10 +180,20 @@
     choice_fill(choice, best, count);
 }
 
+/* Rank of an agent among those that may hold a flow: the partial before all
+ * others. */
+static uint64_t
+known_score(const struct agent_row *row, uint64_t hash)
+{
+    uint64_t score = rank_score(row->member, rank_bucket(hash)) >> 1;
+
+    return row->partial ? score | 1ull << 63 : score;
+}
+
 bool
 agents_for_known(const struct agents *agents, uint32_t service,
-                 const struct homes *homes, uint64_t hash, uint64_t *below,
-                 struct agents_choice *choice)
+                 const struct homes *homes, uint64_t hash, bool denied,
+                 uint64_t *below, struct agents_choice *choice)
 {
     const GPtrArray *rows = agents_of_service(agents, service);
     struct candidate best[AGENTS_CHOICE_MAX];
@@ -194,11 +204,12 @@
         struct candidate candidate = {
             .row = row,
             .standing = row->suspect ? STANDING_SUSPECT : STANDING_OPEN,
-            .score = rank_score(row->member, rank_bucket(hash)),
+            .load = !row->partial,
+            .score = known_score(row, hash),
         };
 
         if (row->health.state != ENDPOINT_GONE && candidate.score < *below &&
-            homes_allow(homes, row->region)) {
+            !(denied && row->whole) && homes_allow(homes, row->region)) {
             keep_best(best, AGENTS_CHOICE_MAX, &count, &candidate);
         }
     }
--- a/src/relay/steer/steer_known.c
+++ b/src/relay/steer/steer_known.c
@@ -93,8 +93,8 @@
     struct frame_carry frame;
 
     if (route == NULL ||
-        !agents_for_known(&steer->agents, service, &route->homes, hash, below,
-                          &choice)) {
+        !agents_for_known(&steer->agents, service, &route->homes, hash,
+                          pin->denied, below, &choice)) {
         return false;
     }
     put_first(&choice, pin->holder);
@@ -127,6 +127,9 @@
 {
     unsigned most = pin->searches == 0 ? SEARCH_CHAINS_FIRST : SEARCH_CHAINS;
 
+    if (pin->denied) {
+        pin->search_below = AGENTS_ALL;
+    }
     pin->search_end = pin->search_below;
     return search_chains(steer, pin, packet, pin->service, most,
                          &pin->search_end);
@@ -147,7 +150,7 @@
         routes_find(steer_routes_in_force(steer), packet->to);
     uint64_t below = AGENTS_ALL;
 
-    if (pin->searches == 0 || route == NULL ||
+    if ((pin->searches == 0 && !pin->denied) || route == NULL ||
         agents_count(&steer->agents) > STEER_ASK_AGENTS_MOST ||
         steer_is_settled(route, now_us)) {
         return;
@@ -174,7 +177,7 @@
         chains = search_own(steer, pin, packet);
     }
     search_other(steer, pin, packet, now_us);
-    if (chains == 0) {
+    if (chains == 0 && !pin->denied) {
         steer_drop_packet(steer, STEER_DROP_NO_AGENT, packet);
         return;
     }
@@ -292,6 +295,7 @@
     place_add(pin, agent, status->seq);
     /* Its address may have gone to another service since it was opened. */
     pin->service = status->health.service;
+    pin->denied = false;
     pin->over_us = 0;
     steer->out->ops->decided(steer->out, STEER_DID_PLACE, status->flow, agent,
                              pin->try_count, now_us - pin->since_us);
--- a/src/relay/steer/steer_lost.c
+++ b/src/relay/steer/steer_lost.c
@@ -289,6 +289,28 @@
            may_leave_doubt(steer, route_of(steer, flow));
 }
 
+/* Flows that nobody has claimed aren't sent along agents any more that have
+ * answered for certain; who hasn't answered hasn't. */
+static void
+note_denied(struct steer *steer)
+{
+    const struct steer_round *round = &steer->lost.round;
+    const GPtrArray *rows = asked_rows(steer);
+
+    for (guint i = 0; rows != NULL && i < rows->len; i++) {
+        struct agent_row *row = g_ptr_array_index(rows, i);
+
+        row->whole = row->whole && row->answered == round->number;
+    }
+    for (unsigned i = 0; i < round->count; i++) {
+        struct steer_pin *pin = pin_of(steer, &round->flows[i]);
+
+        if (pin != NULL) {
+            pin->denied = round->service == STEER_ANY_SERVICE;
+        }
+    }
+}
+
 /* A question that more than a fourth of the agents left unanswered says
  * nothing about them. */
 #define MISSING_PARTS 4
@@ -325,6 +347,7 @@
 
     round->open = false;
     note_missing(steer, now_us);
+    note_denied(steer);
     for (unsigned i = 0; i < round->count; i++) {
         struct steer_pin *pin = pin_of(steer, &round->flows[i]);
 
@@ -430,6 +453,8 @@
     agents_alive(&steer->agents, row, now_us);
     row->down = absent->down;
     row->in_doubt = absent->silent;
+    row->whole = !absent->silent && !absent->partial;
+    row->partial = absent->partial;
     if (row->excused) {
         round->unreachable--;
         round->asked++;
--- a/src/relay/steer/steer_private.h
+++ b/src/relay/steer/steer_private.h
@@ -51,6 +51,7 @@
  * @held: it said that it keeps it until a slot is free
  * @opened: the caller has sent more than its SYN: that is never sent again
  * @lost: it waits among the flows that no search has found
+ * @denied: all agents were asked for it, and none claimed it
  * @sent_us: last packet of its caller while it does
  * @over_us: when it was proved that no endpoint holds it, 0 for not
  * @last_ack: what the caller acknowledged last
@@ -78,6 +79,7 @@
     bool held;
     bool opened;
     bool lost;
+    bool denied;
     uint64_t sent_us;
     uint64_t over_us;
     uint8_t searches;
--- a/src/relay/wire/frame.c
+++ b/src/relay/wire/frame.c
@@ -350,6 +350,7 @@
     put(&writer, absent->round, 4);
     put(&writer, absent->silent, 1);
     put(&writer, absent->down, 1);
+    put(&writer, absent->partial, 1);
     for (unsigned i = 0; i < FRAME_ASK_WORDS; i++) {
         put(&writer, absent->absent[i], 4);
     }
@@ -365,6 +366,7 @@
     absent->round = (uint32_t)get(&reader, 4);
     absent->silent = get(&reader, 1) != 0;
     absent->down = get(&reader, 1) != 0;
+    absent->partial = get(&reader, 1) != 0;
     for (unsigned i = 0; i < FRAME_ASK_WORDS; i++) {
         absent->absent[i] = (uint32_t)get(&reader, 4);
     }
--- a/src/relay/wire/frame.h
+++ b/src/relay/wire/frame.h
@@ -237,12 +237,15 @@
  * @round: the question
  * @silent: the endpoint shows no sign of life: the rest says nothing
  * @down: the endpoint's process isn't there
+ * @partial: the endpoint may hold flows that the agent doesn't know, so that
+ *           only their packets can tell
  * @absent: a bit for each flow that the endpoint doesn't hold, for certain
  */
 struct frame_absent {
     uint32_t round;
     bool silent;
     bool down;
+    bool partial;
     uint32_t absent[FRAME_ASK_WORDS];
 };
 
--- a/tests/relay/frame_test.c
+++ b/tests/relay/frame_test.c
@@ -298,6 +298,7 @@
     struct frame_absent absent = {.round = 9,
                                   .silent = true,
                                   .down = true,
+                                  .partial = true,
                                   .absent = {1, 0x80000000, 5}};
     struct frame_absent read;
     uint8_t bytes[FRAME_HEAD_MAX];
@@ -308,6 +309,7 @@
     g_assert_cmpuint(read.round, ==, 9);
     g_assert_true(read.silent);
     g_assert_true(read.down);
+    g_assert_true(read.partial);
     g_assert_cmpmem(read.absent, sizeof(read.absent), absent.absent,
                     sizeof(absent.absent));
     g_assert_cmpint(frame_absent_decode(bytes, size - 1, &read), ==, -EBADMSG);
--- a/tests/relay/steer_lost_test.c
+++ b/tests/relay/steer_lost_test.c
@@ -16,6 +16,8 @@
  * @asked: agents that the last question went to
  * @questions: datagrams with a question
  * @carried_to: agent that the last packet went to
+ * @carried: packets that went to some agent
+ * @named: agents that the last packet's frame names beside that
  * @rounds: questions that have ended
  */
 struct site {
@@ -27,6 +29,8 @@
     struct frame_ask ask;
     unsigned questions;
     unsigned carried_to;
+    unsigned carried;
+    unsigned named;
     unsigned rounds;
     uint64_t confirm_us;
 };
@@ -41,7 +45,11 @@
 carry(struct steer_out *out, struct addr agent,
       const struct frame_carry *frame)
 {
-    ((struct site *)out)->carried_to = agent.ip - 0x0a000000;
+    struct site *site = (struct site *)out;
+
+    site->carried_to = agent.ip - 0x0a000000;
+    site->carried++;
+    site->named = frame->next_count;
 }
 
 static void
@@ -655,3 +663,66 @@
     pass_ms(site, ROUND_MS);
     rig_expect(site->record, NULL);
 }
+
+/* An agent that has started beside its endpoint doesn't know all flows there:
+ * only their packets tell. The others have answered for certain. */
+static void
+answer_partly(struct site *site, unsigned agent)
+{
+    struct frame_absent frame = {.round = site->ask.round, .partial = true};
+
+    steer_absent(&site->steer, agent_addr(agent), &frame, site->now_us);
+}
+
+TEST_F(site, who_has_denied_a_flow_gets_no_packet_of_it, true)
+{
+    open_question(site);
+    answer_partly(site, 3);
+    answer_all_but(site, 3);
+    for (unsigned i = 1; i < 3; i++) {
+        answer(site, i, ALL, false);
+    }
+    site->carried = 0;
+    send_on(site, 1);
+    g_assert_cmpuint(site->carried, ==, 1);
+    g_assert_cmpuint(site->carried_to, ==, 3);
+    g_assert_cmpuint(site->named, ==, 0);
+}
+
+TEST_F(site, who_has_not_answered_has_not_denied_it, true)
+{
+    open_question(site);
+    answer_all_but(site, 2);
+    pass_ms(site, ROUND_MS);
+    site->carried = 0;
+    send_on(site, 1);
+    g_assert_cmpuint(site->carried, ==, 1);
+    g_assert_cmpuint(site->carried_to, <=, 2);
+    g_assert_cmpuint(site->named, ==, 1);
+}
+
+/* It waits for the proof, and costs nothing meanwhile. */
+TEST_F(site, a_flow_that_all_have_denied_goes_nowhere, true)
+{
+    open_question(site);
+    answer_all_but(site, 0);
+    pass_ms(site, ROUND_MS);
+    site->carried = 0;
+    send_on(site, 1);
+    g_assert_cmpuint(site->carried, ==, 0);
+    pass_ms(site, ROUND_MS);
+    answer_all_but(site, 0);
+    confirmed(site);
+    rig_expect(site->record, "reset 1001 at 501", NULL);
+}
+
+TEST_F(site, a_search_begins_at_those_that_cannot_answer, true)
+{
+    open_question(site);
+    answer_partly(site, 5);
+    for (unsigned flow = 2; flow <= 9; flow++) {
+        send_on(site, flow);
+        g_assert_cmpuint(site->carried_to, ==, 5);
+        g_assert_cmpuint(site->named, ==, AGENTS - 1);
+    }
+}
