Peers that all hosts name are asked in turns that differ

Cause: while the store doesn't answer a start within 60 ms, every balancer asks the seeds, and all began with the same.

Ruled out: holders of a newer configuration, whom those behind ask: asked for the configuration alone, and by turns within 250 ms, the figures stayed the same. Both stay, as they cost nothing.

Change: each process begins with another seed.

It still grows with the fleet over the number of seeds.

--- a/src/relay/program/relay_balancer.c
+++ b/src/relay/program/relay_balancer.c
@@ -146,7 +146,7 @@
     if (store_reader_asks_peer(reader, balancer->config_watcher.failures,
                                now_us) &&
         !addr_equal(holder, self)) {
-        share_ask(&balancer->share, holder, now_us);
+        share_ask_config(&balancer->share, holder, now_us);
     }
 }
 
@@ -279,7 +279,7 @@
     confirm_init(&balancer->confirm, &relay_balancer_confirm_ops,
                  balancer->stores[2], &balancer->agents_watcher);
     share_init(&balancer->share, &relay_balancer_share_ops,
-               balancer->loop.base);
+               balancer->loop.base, seed);
     take_peers(balancer);
     return 0;
 }
--- a/src/relay/program/relay_balancer_http.c
+++ b/src/relay/program/relay_balancer_http.c
@@ -105,13 +105,16 @@
         container_of(handler, struct relay_balancer, share_handler);
     struct json_object *json;
     const char *text;
+    bool config_only;
     size_t len;
 
     if (strcmp(httpd_request_path(request), SHARE_PATH) != 0) {
         httpd_respond(request, 404, "application/json", "{}", 2);
         return 0;
     }
-    json = share_encode(balancer->config, &balancer->steer.agents);
+    config_only = httpd_request_query(request, SHARE_CONFIG_ONLY) != NULL;
+    json = share_encode(balancer->config,
+                        config_only ? NULL : &balancer->steer.agents);
     text =
         json_object_to_json_string_length(json, JSON_C_TO_STRING_PLAIN, &len);
     httpd_respond(request, 200, "application/json", text, len);
--- a/src/relay/program/share.c
+++ b/src/relay/program/share.c
@@ -81,12 +81,13 @@
 
 void
 share_init(struct share *share, const struct share_ops *ops,
-           struct event_base *base)
+           struct event_base *base, uint64_t seed)
 {
     memset(share, 0, sizeof(*share));
     share->ops = ops;
     share->call.done = on_done;
     share->base = base;
+    share->turn = (size_t)seed;
 }
 
 void
@@ -108,12 +109,12 @@
     share->httpc = NULL;
 }
 
-void
-share_ask(struct share *share, struct addr peer, uint64_t now_us)
+static void
+ask(struct share *share, struct addr peer, const char *target, uint64_t now_us)
 {
-    static const struct httpc_request request = {
+    struct httpc_request request = {
         .method = HTTPC_GET,
-        .target = SHARE_PATH,
+        .target = target,
         .timeout_ms = TIMEOUT_MS,
     };
 
@@ -133,12 +134,18 @@
     }
 }
 
+void
+share_ask_config(struct share *share, struct addr peer, uint64_t now_us)
+{
+    ask(share, peer, SHARE_PATH "?" SHARE_CONFIG_ONLY "=1", now_us);
+}
+
 void
 share_ask_next(struct share *share, uint64_t now_us)
 {
     if (share->peer_count > 0 && now_us >= share->next_us) {
-        share_ask(share, share->peers[share->turn++ % share->peer_count],
-                  now_us);
+        ask(share, share->peers[share->turn++ % share->peer_count], SHARE_PATH,
+            now_us);
     }
 }
 
@@ -147,8 +154,9 @@
 {
     struct json_object *json = json_object_new_object();
     struct json_object *list = json_object_new_array();
+    size_t count = agents != NULL ? agents_count(agents) : 0;
 
-    for (size_t i = 0; i < agents_count(agents); i++) {
+    for (size_t i = 0; i < count; i++) {
         const struct agent_row *row = agents_at(agents, i);
         struct json_object *item = json_object_new_object();
         char addr[ADDR_TEXT_MAX];
--- a/src/relay/program/share.h
+++ b/src/relay/program/share.h
@@ -20,6 +20,9 @@
 
 #define SHARE_PATH "/share"
 
+/* Query of a call that wants the configuration alone. */
+#define SHARE_CONFIG_ONLY "config"
+
 struct share;
 
 /** struct share_ops - what the owner is told */
@@ -57,10 +60,11 @@
     uint64_t next_us;
 };
 
-/** share_init() - nobody to ask yet */
+/** share_init() - nobody to ask yet; @seed differs between processes, so that
+ * they don't all ask the same peer first */
 void
 share_init(struct share *share, const struct share_ops *ops,
-           struct event_base *base);
+           struct event_base *base, uint64_t seed);
 
 /** share_peers() - ask @peers from now on, but never @self */
 void
@@ -71,15 +75,18 @@
 void
 share_finish(struct share *share);
 
-/** share_ask() - ask @peer now, unless a call is open or was just made */
+/** share_ask_config() - ask @peer for its configuration alone, unless a call
+ * is open or was just made: many ask the few that have a new one first */
 void
-share_ask(struct share *share, struct addr peer, uint64_t now_us);
+share_ask_config(struct share *share, struct addr peer, uint64_t now_us);
 
-/** share_ask_next() - ask the next of the hosts in the settings */
+/** share_ask_next() - ask the next of the hosts in the settings for all that
+ * it knows */
 void
 share_ask_next(struct share *share, uint64_t now_us);
 
-/** share_encode() - what a balancer answers; @config may be NULL */
+/** share_encode() - what a balancer answers; @config may be NULL, and @agents
+ * where they aren't wanted */
 struct json_object *
 share_encode(struct json_object *config, const struct agents *agents);
 
--- a/src/relay/store/store_reader.c
+++ b/src/relay/store/store_reader.c
@@ -44,6 +44,10 @@
  * or away, and the balancer that has the configuration is asked. */
 #define ASK_AFTER_US (600 * USEC_PER_MSEC)
 
+/* How much sooner some ask, by balancer: those that ask later ask those that
+ * have asked. */
+#define ASK_SPREAD_US (250 * USEC_PER_MSEC)
+
 /* How long an agent's word that somebody reads the latest counts: it would
  * have told of a newer configuration with the same word. */
 #define CURRENT_US (1 * USEC_PER_SEC)
@@ -73,6 +77,13 @@
     return is_behind(reader) && now_us - reader->behind_us >= us;
 }
 
+static uint64_t
+ask_after_us(const struct store_reader *reader)
+{
+    return ASK_AFTER_US -
+           hash_pair(reader->seed, reader->newer.version) % ASK_SPREAD_US;
+}
+
 /* A draw that comes out true @part times in @whole. */
 static bool
 draw(const struct store_reader *reader, unsigned part, unsigned whole)
@@ -234,8 +245,9 @@
     if (!is_behind(reader)) {
         return next_us;
     }
-    after_us += now_us < reader->behind_us + READ_AFTER_US ? READ_AFTER_US
-                                                           : ASK_AFTER_US;
+    after_us += now_us < reader->behind_us + READ_AFTER_US
+                    ? READ_AFTER_US
+                    : ask_after_us(reader);
     return after_us > now_us && after_us < next_us ? after_us : next_us;
 }
 
@@ -267,5 +279,5 @@
                        uint64_t now_us)
 {
     return is_behind(reader) &&
-           (failures > 0 || behind_for(reader, ASK_AFTER_US, now_us));
+           (failures > 0 || behind_for(reader, ask_after_us(reader), now_us));
 }
--- a/tests/relay/store_reader_test.c
+++ b/tests/relay/store_reader_test.c
@@ -273,3 +273,24 @@
     pass_ms(site, 1, 9);
     g_assert_cmpuint(site->pings, ==, 1);
 }
+
+/* All hear of a new configuration at once, and few have it. */
+TEST(balancers_that_are_behind_do_not_ask_all_at_once)
+{
+    struct frame_version newer = {9, rig_addr("10.9.0.3:7720")};
+    unsigned early = 0;
+
+    for (uint64_t seed = 1; seed <= 300; seed++) {
+        struct store_reader reader;
+
+        store_reader_init(&reader, seed, USEC_PER_SEC);
+        store_reader_newer(&reader, &newer, USEC_PER_SEC);
+        g_assert_false(
+            store_reader_asks_peer(&reader, 0, USEC_PER_SEC + 350 * MS));
+        early += store_reader_asks_peer(&reader, 0, USEC_PER_SEC + 475 * MS);
+        g_assert_true(
+            store_reader_asks_peer(&reader, 0, USEC_PER_SEC + 600 * MS));
+    }
+    g_assert_cmpuint(early, >=, 120);
+    g_assert_cmpuint(early, <=, 180);
+}
