The store's own word on its era decides; names and pages

Cause: a host took over the highest era that any frame told of, and then held each answer of the store for one of an earlier era: a made-up number in one datagram would have stopped all hosts from following the store.

Change: what others tell makes a watcher list anew and an agent look again, once for each higher number; what the store then says is believed. Evacuations and proofs still go by the highest era told: listed as open.

--- a/src/base/httpc.c
+++ b/src/base/httpc.c
@@ -132,7 +132,7 @@
     headers = evhttp_request_get_input_headers(request);
     reply.etag = evhttp_find_header(headers, "ETag");
     if (httpc->wants != NULL) {
-        reply.told = evhttp_find_header(headers, httpc->wants);
+        reply.wanted = evhttp_find_header(headers, httpc->wants);
     }
     input = evhttp_request_get_input_buffer(request);
     reply.len = evbuffer_get_length(input);
--- a/src/base/httpc.h
+++ b/src/base/httpc.h
@@ -52,14 +52,14 @@
  * struct httpc_reply - how a call ended
  * @status: HTTP status, or a negative errno when no whole answer came
  * @etag: the answer's ETag header, NULL for none
- * @told: the header that the request wants, NULL for none
+ * @wanted: the header that the request wants, NULL for none
  * @body: the answer's body, valid during the callback
  * @len: its length in bytes
  */
 struct httpc_reply {
     int status;
     const char *etag;
-    const char *told;
+    const char *wanted;
     const char *body;
     size_t len;
 };
--- a/src/relay/door/door_tell.c
+++ b/src/relay/door/door_tell.c
@@ -117,7 +117,7 @@
 door_heard_from(struct door *door, struct addr balancer,
                 const struct frame_store_view *view, uint64_t now_us)
 {
-    unsigned last = 0;
+    unsigned least = 0;
 
     /* Of those that have it, whoever spoke last is the likeliest to answer. */
     if (view->version >= door->heard.version) {
@@ -129,15 +129,15 @@
             door->balancers[i].view = *view;
             return;
         }
-        if (is_less_wanted(&door->balancers[i], &door->balancers[last],
+        if (is_less_wanted(&door->balancers[i], &door->balancers[least],
                            now_us)) {
-            last = i;
+            least = i;
         }
     }
     if (door->balancer_count < DOOR_BALANCERS_MAX) {
-        last = door->balancer_count++;
+        least = door->balancer_count++;
     }
-    door->balancers[last] = (struct door_balancer){balancer, now_us, *view};
+    door->balancers[least] = (struct door_balancer){balancer, now_us, *view};
 }
 
 void
--- a/src/relay/program/relay_balancer.c
+++ b/src/relay/program/relay_balancer.c
@@ -122,7 +122,7 @@
 
     config->eager = balancer->steer.routes.version == 0;
     config->patient = !reader->reading;
-    config->told_too = true;
+    config->told_by_others = true;
     agents->patient = !reader->reading;
     watcher_set_read(
         config, config->eager
--- a/src/relay/steer/agents.h
+++ b/src/relay/steer/agents.h
@@ -20,8 +20,8 @@
 #include "packet/rank.h"
 #include "relay/steer/homes.h"
 #include "relay/wire/frame.h"
-#include "relay/wire/store_state.h"
 #include "relay/wire/packet.h"
+#include "relay/wire/store_state.h"
 
 #define AGENT_DATA_CENTRE_MAX 64
 
--- a/src/relay/store/registration.c
+++ b/src/relay/store/registration.c
@@ -299,10 +299,10 @@
     uint64_t spread_us =
         hash_pair(writer->registration.addr.ip, era) % ERA_SPREAD_US;
 
-    if (writer->era == 0 || era <= writer->era) {
+    if (writer->era == 0 || era <= writer->era || era <= writer->told_era) {
         return false;
     }
-    writer->era = era;
+    writer->told_era = era;
     if (writer->step == REGISTRATION_GONE) {
         writer->step = REGISTRATION_REMOVE;
     }
--- a/src/relay/store/registration.h
+++ b/src/relay/store/registration.h
@@ -88,7 +88,8 @@
  * @open: a call is open
  * @failures: calls that failed in a row
  * @called: what the open call is for; @step may have changed since
- * @era: era of the store in which the object stands, 0 when it isn't known
+ * @era: the store's era by its last answer, 0 when it isn't known
+ * @told_era: the last that others told of
  * @looks: looks that found the object, REGISTRATION_LOOKS once it was written
  * @next_us: when the next call is due, 0 when the last one has just ended
  */
@@ -101,6 +102,7 @@
     unsigned failures;
     enum registration_step called;
     uint32_t era;
+    uint32_t told_era;
     unsigned looks;
     uint64_t next_us;
 };
--- a/src/relay/store/watcher.c
+++ b/src/relay/store/watcher.c
@@ -130,9 +130,8 @@
 
 /* Nothing that is known stands any more. */
 static void
-begin_anew(struct watcher *watcher, uint32_t era)
+begin_anew(struct watcher *watcher)
 {
-    watcher->era = era;
     watcher->state = WATCHER_LIST;
     g_free(watcher->after);
     watcher->after = NULL;
@@ -152,14 +151,15 @@
     if (era == 0 || era == watcher->era) {
         return true;
     }
-    if (watcher->era == 0) {
+    if (watcher->era == 0 || (era > watcher->era && watcher->older && lists)) {
         watcher->era = era;
         return true;
     }
     if (era < watcher->era) {
         return false;
     }
-    begin_anew(watcher, era);
+    watcher->era = era;
+    begin_anew(watcher);
     /* A list that began in the new era is whole; an old one may show what is
      * lost. */
     return lists && watcher->read == STORE_READ_LATEST;
@@ -217,7 +217,7 @@
         return WATCH_FAILED_MS;
     }
     if (!watcher->quiet &&
-        !(watcher->told_too && watcher->read == STORE_READ_ANY)) {
+        !(watcher->told_by_others && watcher->read == STORE_READ_ANY)) {
         return WATCH_BRIEF_MS +
                (unsigned)(hash_pair(watcher->seed, watcher->revision) %
                           WATCH_BRIEF_SPREAD_MS);
@@ -231,7 +231,7 @@
 list_anew_us(struct watcher *watcher, uint64_t now_us)
 {
     uint64_t spread_us =
-        hash_pair(watcher->seed, watcher->era) % RETRY_WITHIN_US;
+        hash_pair(watcher->seed, watcher->told_era) % RETRY_WITHIN_US;
 
     if (watcher->settled_us == 0) {
         watcher->settled_us = now_us + OLD_READS_US;
@@ -316,14 +316,15 @@
 {
     bool lists = watcher->state == WATCHER_LIST;
 
-    if (watcher->era == 0 || era <= watcher->era) {
+    if (watcher->era == 0 || era <= watcher->era || era <= watcher->told_era) {
         return;
     }
+    watcher->told_era = era;
     if (watcher->open) {
         watcher->store->ops->cancel(watcher->store);
         watcher->open = false;
     }
-    begin_anew(watcher, era);
+    begin_anew(watcher);
     if (!lists || watcher->failures == 0) {
         watcher->next_us = 0;
     }
--- a/src/relay/store/watcher.h
+++ b/src/relay/store/watcher.h
@@ -58,7 +58,8 @@
  * @state: what is done or due
  * @open: a call is open
  * @after: last name of a list that goes on, or NULL
- * @era: the store's era, 0 when it isn't known
+ * @era: the store's era by its last answer, 0 when it isn't known
+ * @told_era: the last that others told of
  * @revision: the store's revision that is known, of that era
  * @list_revision: revision of a list's first page
  * @outdated: what is known has left the store's history, or a list was older
@@ -76,8 +77,8 @@
  * @calls: calls made, by enum store_read
  * @patient: somebody else finds out when the store is back: pauses get long
  * @eager: the owner can't work without an answer: pauses stay short
- * @told_too: its owner is told of changes by others too, so that a watch which
- *            the store has dropped without a sign costs little
+ * @told_by_others: its owner is told of changes by others too: a watch that
+ *                  the store has dropped without a sign costs little
  * @status: how the last call ended
  */
 struct watcher {
@@ -89,6 +90,7 @@
     bool open;
     char *after;
     uint32_t era;
+    uint32_t told_era;
     uint64_t revision;
     uint64_t list_revision;
     bool outdated;
@@ -105,7 +107,7 @@
     uint64_t calls[STORE_READ_COUNT];
     bool patient;
     bool eager;
-    bool told_too;
+    bool told_by_others;
     int status;
 };
 
@@ -143,6 +145,7 @@
  *
  * After a change nothing that is known stands: the kind is listed anew, the
  * latest soon, by others once cheap reads can't show any more what is lost.
+ * What the store then says of its era is believed, also if it is another.
  */
 void
 watcher_era(struct watcher *watcher, uint32_t era);
--- a/tests/relay/registration_test.c
+++ b/tests/relay/registration_test.c
@@ -277,3 +277,20 @@
     writer_tick(site, 3000);
     rig_expect(site->rig.record, "remove 10-1-0-13-8172", NULL);
 }
+
+/* A frame can tell of any era. */
+TEST_F(site, an_era_that_the_store_is_not_in_costs_two_looks)
+{
+    site->rig.era = 1;
+    writer_tick(site, 10);
+    answer_look(site, "lots");
+    g_assert_true(registration_writer_era(&site->writer, 900, site->now_us));
+    writer_tick(site, 3000);
+    answer_look(site, "lots");
+    writer_tick(site, 12000);
+    answer_look(site, "lots");
+    g_assert_false(registration_writer_era(&site->writer, 900, site->now_us));
+    g_string_truncate(site->rig.record, 0);
+    writer_tick(site, 20000);
+    rig_expect(site->rig.record, NULL);
+}
