--- a/src/relay/steer/steer_lost.c
+++ b/src/relay/steer/steer_lost.c
@@ -43,42 +43,6 @@
     return &steer->pins[flow->handle];
 }
 
-static const struct route *
-route_of(const struct steer *steer, struct relay_flow flow)
-{
-    return routes_find(steer_routes_in_force(steer), flow.service);
-}
-
-/*
- * Whose agents may hold a flow: those of any service. An open flow stays where
- * it is when its address goes to another service, and a balancer that has
- * started since, or that follows an older configuration, doesn't know of that
- * service.
- *
- * Where there are too many agents to ask while a caller waits, it is those of
- * the route's service, once no flow can be older than what this balancer has
- * seen of the route.
- *
- * Return: whether that can be told.
- */
-static bool
-find_holders(const struct steer *steer, struct relay_flow flow,
-             uint64_t now_us, uint32_t *service)
-{
-    const struct route *route = route_of(steer, flow);
-
-    if (route == NULL) {
-        return false;
-    }
-    if (agents_count(&steer->agents) <= STEER_ASK_AGENTS_MOST) {
-        *service = STEER_ANY_SERVICE;
-        return true;
-    }
-    *service = route->shares[0].service;
-    return route->share_count == 1 && steer->current &&
-           steer_is_settled(route, now_us);
-}
-
 /* Agents that the last question went to; NULL for none. */
 static const GPtrArray *
 asked_rows(const struct steer *steer)
@@ -133,7 +97,7 @@
         uint32_t service = STEER_ANY_SERVICE;
         bool due = now_us - flow->since_us >= ASK_AFTER_US &&
                    round->count < FRAME_ASK_MAX &&
-                   find_holders(steer, flow->flow, now_us, &service) &&
+                   steer_find_holders(steer, flow->flow, now_us, &service) &&
                    (round->count == 0 || service == round->service);
 
         if (due) {
@@ -213,82 +177,6 @@
     ask_all(steer, now_us);
 }
 
-#define REACHED_PARTS 3
-
-/* Whether a third of a service's agents or more are out of reach. */
-static bool
-is_out_of_reach(const struct steer *steer, uint32_t service)
-{
-    const GPtrArray *rows = agents_of_service(&steer->agents, service);
-    uint32_t number = steer->lost.round.number;
-    unsigned asked = 0;
-    unsigned in_doubt = 0;
-
-    for (guint i = 0; rows != NULL && i < rows->len; i++) {
-        const struct agent_row *row = g_ptr_array_index(rows, i);
-
-        asked += row->asked == number;
-        in_doubt += row->asked == number && row->in_doubt;
-    }
-    return REACHED_PARTS * in_doubt > asked;
-}
-
-/* Whether agents that can't be asked matter little enough for a flow of
- * @route: they are few, also among those of its services. */
-static bool
-may_leave_doubt(const struct steer *steer, const struct route *route)
-{
-    const struct steer_round *round = &steer->lost.round;
-
-    if (!route->idempotent ||
-        REACHED_PARTS * round->unreachable > round->questions) {
-        return false;
-    }
-    for (unsigned i = 0; i < route->share_count; i++) {
-        if (is_out_of_reach(steer, route->shares[i].service)) {
-            return false;
-        }
-    }
-    return true;
-}
-
-/*
- * Whether a flow is held by nobody, if the list of agents is whole.
- *
- * A flow whose caller has sent more than its SYN is held by an endpoint that
- * answered it, and by that start of it alone. Each agent was listed in the
- * store before its endpoint was given the first SYN; the list was whole after
- * the flow's packet had come; and each agent that may hold it has said since
- * that its endpoint doesn't. Then none does, and none will: only a SYN
- * opens a flow.
- *
- * A store that has come back older may have lost agents' objects, and names
- * all of them again only after a while.
- *
- * Agents that can't be asked leave a doubt: the flow may live there, out of
- * reach. Where requests may run twice the caller is better off with another
- * endpoint; where not, it waits. A balancer that reaches less than two thirds
- * of the agents has to doubt itself.
- */
-static bool
-is_claimed_by_none(const struct steer *steer, unsigned at, uint64_t now_us)
-{
-    const struct steer_round *round = &steer->lost.round;
-    struct relay_flow flow = round->flows[at].flow;
-    bool absent = (round->absent[at / 32] & 1u << at % 32) != 0;
-    uint32_t service;
-
-    if (!absent || round->missing > 0 || round->asked == 0 ||
-        !store_state_settled(&steer->agents.store, now_us) ||
-        round->changes != steer->agents.changes ||
-        !find_holders(steer, flow, now_us, &service) ||
-        service != round->service) {
-        return false;
-    }
-    return round->unreachable == 0 ||
-           may_leave_doubt(steer, route_of(steer, flow));
-}
-
 /* Flows that nobody has claimed aren't sent along agents any more that have
  * answered for certain; who hasn't answered hasn't. */
 static void
@@ -352,7 +240,7 @@
         struct steer_pin *pin = pin_of(steer, &round->flows[i]);
 
         if (round->confirmed && is_waiting(pin, now_us) &&
-            is_claimed_by_none(steer, i, now_us)) {
+            steer_is_claimed_by_none(steer, i, now_us)) {
             pin->over_us = now_us;
             steer_reset(steer, round->flows[i].handle, now_us);
             over++;
@@ -376,7 +264,7 @@
     bool any = false;
 
     for (unsigned i = 0; i < round->count && !any; i++) {
-        any = is_claimed_by_none(steer, i, now_us);
+        any = steer_is_claimed_by_none(steer, i, now_us);
     }
     steer->lost.round.listed = true;
     if (any) {
--- a/src/relay/steer/steer_private.h
+++ b/src/relay/steer/steer_private.h
@@ -3,7 +3,8 @@
  *
  * steer_pin keeps what is known of flows, steer_open decides on SYNs,
  * steer_known on packets of open flows and on what agents say of them,
- * steer_lost on flows that nobody may hold any more.
+ * steer_lost on flows that nobody may hold any more, steer_proof on whether
+ * that is certain.
  */
 #ifndef SWIFTARCH_RELAY_STEER_STEER_PRIVATE_H
 #define SWIFTARCH_RELAY_STEER_STEER_PRIVATE_H
@@ -171,6 +172,48 @@
 void
 steer_lost_note(struct steer *steer, uint32_t handle, uint64_t now_us);
 
+/**
+ * steer_find_holders() - whose agents may hold a flow
+ * @service: STEER_ANY_SERVICE, or the service
+ *
+ * Those of any service: an open flow stays where it is when its address goes
+ * to another service, and a balancer that has started since, or that follows
+ * an older configuration, doesn't know of that service.
+ *
+ * Where there are too many agents to ask while a caller waits, it is those of
+ * the route's service, once no flow can be older than what this balancer has
+ * seen of the route.
+ *
+ * Return: whether that can be told.
+ */
+bool
+steer_find_holders(const struct steer *steer, struct relay_flow flow,
+                   uint64_t now_us, uint32_t *service);
+
+/**
+ * steer_is_claimed_by_none() - whether a flow of the last question is held by
+ * nobody, if the list of agents is whole
+ * @at: which of the question's flows
+ *
+ * A flow whose caller has sent more than its SYN is held by an endpoint that
+ * answered it, and by that start of it alone. Each agent was listed in the
+ * store before its endpoint was given the first SYN; the list was whole after
+ * the flow's packet had come; and each agent that may hold it has said since
+ * that its endpoint doesn't. Then none does, and none will: only a SYN opens a
+ * flow.
+ *
+ * A store that has come back older may have lost agents' objects, and names
+ * all of them again only after a while.
+ *
+ * Agents that can't be asked leave a doubt: the flow may live there, out of
+ * reach. Where requests may run twice the caller is better off with another
+ * endpoint; where not, it waits. A balancer that reaches less than two thirds
+ * of the agents has to doubt itself.
+ */
+bool
+steer_is_claimed_by_none(const struct steer *steer, unsigned at,
+                         uint64_t now_us);
+
 /** steer_lost_tick() - ask, or conclude, when it is time */
 void
 steer_lost_tick(struct steer *steer, uint64_t now_us);
