An agent whose object was taken away is told though it speaks meanwhile

Cause, from the processes' logs: a balancer saw the removal and was to ping the agent with that word; an answer of the agent to a caller's packet came first and cancelled the ping, as for an agent that has answered. Nobody else told it until the other balancer's cheap read.

Change: the ping stays due until the agent was told and the store names it again; not for one whose endpoint has ended.

--- a/src/relay/steer/agents_reach.c
+++ b/src/relay/steer/agents_reach.c
@@ -81,6 +81,11 @@
     agents_trust(row);
     row->heard_us = now_us;
     row->ping_gap_us = PING_FIRST_US;
+    if (row->unlisted && row->ping_us != 0 &&
+        row->health.state != ENDPOINT_GONE) {
+        /* It isn't told yet, or the store doesn't name it again yet. */
+        return;
+    }
     closed = agents_standing(agents, row) == STANDING_CLOSED;
     agents_set_ping(agents, row, closed ? now_us + PING_CLOSED_US : 0);
 }
--- a/tests/relay/steer_test.c
+++ b/tests/relay/steer_test.c
@@ -117,6 +117,41 @@
     g_assert_true(site_chain_names(site, site_agent_addr(2)));
 }
 
+/* Its answers to callers' packets may come before it was told. */
+TEST_F(site, an_agent_that_speaks_meanwhile_is_told_all_the_same, 3)
+{
+    struct frame_status ready = {.type = FRAME_STATE,
+                                 .health.state = ENDPOINT_READY};
+
+    agents_unlist(&site->steer.agents, site_agent_addr(2), site->now_us);
+    site_say(site, 2, ready);
+    site_pass_ms(site, 1);
+    g_assert_cmpuint(site->pings, ==, 1);
+    g_assert_true(site->unlisted);
+    /* And once more, as a datagram may be lost, until the store names it. */
+    site_say(site, 2, ready);
+    site_pass_ms(site, 100);
+    g_assert_cmpuint(site->pings, ==, 2);
+    agents_list(&site->steer.agents, site_agent_addr(2), hash_service("lots"),
+                "here", site->now_us);
+    site_say(site, 2, ready);
+    site_pass_ms(site, 5000);
+    g_assert_cmpuint(site->pings, ==, 2);
+}
+
+/* One that has ended isn't to write its object again. */
+TEST_F(site, an_agent_without_an_endpoint_is_not_told_again_and_again, 3)
+{
+    agents_unlist(&site->steer.agents, site_agent_addr(2), site->now_us);
+    for (unsigned i = 0; i < 20; i++) {
+        site_say(site, 2,
+                 (struct frame_status){.type = FRAME_STATE,
+                                       .health.state = ENDPOINT_GONE});
+        site_pass_ms(site, 100);
+    }
+    g_assert_cmpuint(site->pings, <=, 5);
+}
+
 TEST_F(site, a_silent_agent_is_pinged_more_and_more_rarely, 3)
 {
     agents_list(&site->steer.agents, site_agent_addr(9), hash_service("lots"),
