relay-site asks for the last request's flow, not for the flow opened last

The check named the port that was opened last together with the last request's service; after a retry that is another request's port, and no process knew such a flow. It now names the port on which the last request was answered, and is as strict.

--- a/scripts/relaybed/__main__.py
+++ b/scripts/relaybed/__main__.py
@@ -239,6 +239,11 @@
     return "albums" if i % 4 == 3 else "lots"
 
 
+def request_of(caller, i):
+    """A caller's request number @i."""
+    return f"{caller.ip}-{i}".encode()
+
+
 def last_service(seconds):
     """Service of a caller's last request."""
     return service_of(int(seconds * PER_CALLER_S) - 1)
@@ -251,7 +256,7 @@
     for i in range(count):
         service = service_of(i)
         ip, port = SERVICES[service]
-        request = f"{caller.ip}-{i}".encode()
+        request = request_of(caller, i)
         tasks.append(asyncio.create_task(
             caller.ask((number(ip), port), service, request)))
         await asyncio.sleep(1 / PER_CALLER_S)
@@ -273,7 +278,8 @@
     await inject(site, fault)
     await asyncio.gather(*loads)
     site.record["shown"] = await asyncio.to_thread(site.show)
-    flow = f"{callers[0].local[0]}:{next(callers[0].ports) - 1}"
+    last = request_of(callers[0], int(seconds * PER_CALLER_S) - 1)
+    flow = f"{callers[0].local[0]}:{callers[0].ports_of.get(last)}"
     service = ":".join(map(str, SERVICES[last_service(seconds)]))
     site.record["explained"] = await asyncio.to_thread(site.explain, flow,
                                                        service)
--- a/scripts/relaybed/caller.py
+++ b/scripts/relaybed/caller.py
@@ -25,6 +25,8 @@
         self.ports = itertools.count(10000)
         # Another one moves flows to other balancers.
         self.salt = 0
+        # Port of the flow on which each request was answered.
+        self.ports_of = {}
         self.waiting = {}
 
     async def start(self):
@@ -107,6 +109,7 @@
             del self.waiting[key]
             if answer is not None:
                 whole = answer == service.encode() + b":" + text
+                self.ports_of[request] = src[1]
                 self.record["crossed"] += not whole
                 self.record["answered"] += whole
                 return
