--- a/src/relay/program/relay_settings.h
+++ b/src/relay/program/relay_settings.h
@@ -53,6 +53,14 @@
  * @slow_start: "warming_over" and "warming_slack" (balancer): a cold endpoint
  *              may get, in any second, its service's rate times the first (1
  *              by default) plus the second (0 by default) in requests
+ * @scheduling: "scheduling" (agent): decide on each request of a flow that
+ *              stays open, and report the endpoint's load
+ * @flow_records: "flow_records" (agent): keep a record of open flows in the
+ *                store, for a loss of all hosts
+ * @overload: "overload" (balancer): reject new flows that can't be served in
+ *            time, and share room between callers under pressure
+ * @expected_wait: "expected_wait" (balancer): place new flows by expected wait
+ * @limits: "limits" (balancer): follow the operators' limits in the store
  * @stop_ms: "stop_ms": longest duration of a planned stop, in milliseconds
  * @log_per_s: "log_per_s": limit of routine log lines a second
  */
@@ -76,6 +84,11 @@
     struct regions regions;
     bool evacuations;
     struct forwarder_slow_start slow_start;
+    bool scheduling;
+    bool flow_records;
+    bool overload;
+    bool expected_wait;
+    bool limits;
     unsigned stop_ms;
     unsigned log_per_s;
 };
--- a/src/relay/wire/frame.c
+++ b/src/relay/wire/frame.c
@@ -5,7 +5,7 @@
 
 #define MAGIC_0 's'
 #define MAGIC_1 'R'
-#define VERSION 4
+#define VERSION 5
 
 /* Sizes in bytes: of magic, version and type; of these with the fixed part of
  * the evacuations; of each data centre that follows. */
@@ -225,6 +225,37 @@
     version->holder = get_addr(reader);
 }
 
+static void
+put_load(struct writer *writer, const struct frame_load *load)
+{
+    put(writer, load->known, 1);
+    if (!load->known) {
+        return;
+    }
+    put(writer, load->service_time, 2);
+    put(writer, load->wait_ms, 2);
+    put(writer, load->limit, 1);
+    put(writer, load->stuck, 1);
+    put(writer, load->flows, 2);
+    put(writer, load->rejects, 2);
+}
+
+static struct frame_load
+get_load(struct reader *reader)
+{
+    struct frame_load load = {.known = get(reader, 1) != 0};
+
+    if (load.known) {
+        load.service_time = (uint16_t)get(reader, 2);
+        load.wait_ms = (uint16_t)get(reader, 2);
+        load.limit = (uint8_t)get(reader, 1);
+        load.stuck = (uint8_t)get(reader, 1);
+        load.flows = (uint16_t)get(reader, 2);
+        load.rejects = (uint16_t)get(reader, 2);
+    }
+    return load;
+}
+
 size_t
 frame_status_encode(const struct frame_status *status,
                     const struct evacuations *evacuations, uint8_t *bytes)
@@ -242,6 +273,7 @@
     put(&writer, status->health.slots, 1);
     put(&writer, status->health.failing, 1);
     put(&writer, status->health.data_centre, 4);
+    put_load(&writer, &status->health.load);
     put_version(&writer, &status->heard);
     put(&writer, status->readers.reading, 1);
     put(&writer, status->readers.trying, 1);
@@ -266,6 +298,7 @@
     status->health.slots = (uint8_t)get(&reader, 1);
     status->health.failing = get(&reader, 1) != 0;
     status->health.data_centre = (uint32_t)get(&reader, 4);
+    status->health.load = get_load(&reader);
     get_version(&reader, &status->heard);
     status->readers.reading = (uint8_t)get(&reader, 1);
     status->readers.trying = (uint8_t)get(&reader, 1);
--- a/src/relay/wire/frame.h
+++ b/src/relay/wire/frame.h
@@ -62,6 +62,32 @@
     ENDPOINT_STATE_MAX = ENDPOINT_SILENT,
 };
 
+/**
+ * struct frame_load - what an endpoint bears and what it was given
+ *
+ * Sent only by agents whose settings ask for scheduling.
+ *
+ * @known: the other fields are valid
+ * @service_time: mean time of a request without queueing, in units of 0.1 ms;
+ *     0 if unknown
+ * @wait_ms: time that a new request of the lowest priority would wait for a
+ *     slot
+ * @limit: requests that the endpoint takes at a time, queued ones included
+ * @stuck: requests in progress that take much longer than others
+ * @flows: open flows of the endpoint that had a request lately
+ * @rejects: per mille of the last second's requests that the endpoint didn't
+ *     take
+ */
+struct frame_load {
+    bool known;
+    uint16_t service_time;
+    uint16_t wait_ms;
+    uint8_t limit;
+    uint8_t stuck;
+    uint16_t flows;
+    uint16_t rejects;
+};
+
 /**
  * struct frame_health - health of an agent's endpoint
  * @service: hash_service() of its service
@@ -71,6 +97,7 @@
  * @slots: requests that the endpoint runs at a time
  * @failing: the endpoint resets a large part of its requests
  * @data_centre: evacuations_key() of the agent's data centre, 0 if unknown
+ * @load: what the endpoint bears
  */
 struct frame_health {
     uint32_t service;
@@ -79,6 +106,7 @@
     uint8_t slots;
     bool failing;
     uint32_t data_centre;
+    struct frame_load load;
 };
 
 /**
--- a/tests/relay/frame_test.c
+++ b/tests/relay/frame_test.c
@@ -105,6 +105,31 @@
     g_assert_cmpuint(read.readers.trying, ==, 3);
 }
 
+/* An endpoint's load takes room in a frame only if its agent reports it. */
+TEST(load_round_trip)
+{
+    struct frame_status status = {.type = FRAME_STATE};
+    struct frame_status read;
+    uint8_t bytes[FRAME_HEADER_MAX];
+    size_t without = frame_status_encode(&status, &no_evacuations, bytes);
+    size_t size;
+
+    g_assert_cmpint(frame_status_decode(bytes, without, &read), ==, 0);
+    g_assert_false(read.health.load.known);
+    status.health.load = (struct frame_load){true, 190, 76, 10, 1, 300, 250};
+    size = frame_status_encode(&status, &no_evacuations, bytes);
+    g_assert_cmpuint(size, ==, without + 10);
+    g_assert_cmpint(frame_status_decode(bytes, size, &read), ==, 0);
+    g_assert_true(read.health.load.known);
+    g_assert_cmpuint(read.health.load.service_time, ==, 190);
+    g_assert_cmpuint(read.health.load.wait_ms, ==, 76);
+    g_assert_cmpuint(read.health.load.limit, ==, 10);
+    g_assert_cmpuint(read.health.load.stuck, ==, 1);
+    g_assert_cmpuint(read.health.load.flows, ==, 300);
+    g_assert_cmpuint(read.health.load.rejects, ==, 250);
+    g_assert_cmpint(frame_status_decode(bytes, size - 1, &read), ==, -EBADMSG);
+}
+
 TEST(ping_and_served_round_trip)
 {
     struct frame_ping ping = {{4, FRAME_READER_TRYING}, true};
