Scheduler: order and room of an endpoint's requests, pure

Decides for each request that begins whether the endpoint gets it now; learns from answers how many the endpoint takes. Held requests: priority, in time, most time left; a quarter of the turns for the lowest held priority; late ones go to the endpoint at once, those above the lowest priority wait for the next free place while their caller does.

The delay until a held request's answer counts the endpoint's queue at the limit, not beyond: otherwise late requests that are given beyond it would make others late.

--- /dev/null
+++ b/src/relay/scheduler/scheduler.c
@@ -0,0 +1,397 @@
+#include "relay/scheduler/scheduler.h"
+
+#include <assert.h>
+#include <string.h>
+
+#include <glib.h>
+
+#include "base/clock.h"
+
+/* Averages before the caller sets them. */
+#define SERVICE_INITIAL_US (15 * USEC_PER_MSEC)
+#define RTT_INITIAL_US (7 * USEC_PER_MSEC)
+
+/* Requests beyond the slots before the limit is known: one for each of two
+ * slots that may become free at once. */
+#define EXTRA_INITIAL 2
+
+/* Requests of a higher priority in a row, after which one of the lowest held
+ * priority goes: it gets a quarter of the turns. */
+#define TURNS_HIGHER 3
+
+/* Answered requests at the limit that raise it. Each rejection of a request
+ * just above the limit doubles the number, as a raise costs a rejection at
+ * an endpoint whose queue has a fixed length. */
+#define RAISE_AFTER_MIN 1
+#define RAISE_AFTER_MAX 1024
+
+static unsigned
+find_running(const struct scheduler *scheduler, uint32_t handle)
+{
+    unsigned at = 0;
+
+    while (at < scheduler->running_count &&
+           scheduler->running[at].handle != handle) {
+        at++;
+    }
+    return at;
+}
+
+static unsigned
+find_held(const struct scheduler *scheduler, uint32_t handle)
+{
+    unsigned at = 0;
+
+    while (at < scheduler->held_count &&
+           scheduler->held[at].request.handle != handle) {
+        at++;
+    }
+    return at;
+}
+
+static void
+remove_running(struct scheduler *scheduler, unsigned at)
+{
+    scheduler->running_count--;
+    memmove(&scheduler->running[at], &scheduler->running[at + 1],
+            (scheduler->running_count - at) * sizeof(scheduler->running[0]));
+}
+
+static void
+remove_held(struct scheduler *scheduler, unsigned at)
+{
+    scheduler->held_count--;
+    memmove(&scheduler->held[at], &scheduler->held[at + 1],
+            (scheduler->held_count - at) * sizeof(scheduler->held[0]));
+}
+
+/* Requests that the endpoint must end before it runs one of @depth. */
+static unsigned
+queued_before(const struct scheduler *scheduler, unsigned depth)
+{
+    return depth > scheduler->slots ? depth - scheduler->slots : 0;
+}
+
+static uint64_t
+work_off_us(const struct scheduler *scheduler, unsigned count)
+{
+    return count * scheduler->service_us / scheduler->slots;
+}
+
+/* Time until the caller has the answer of a request that is given to the
+ * endpoint when it has room for it. */
+static uint64_t
+answer_delay_us(const struct scheduler *scheduler)
+{
+    unsigned depth = MIN(scheduler->running_count + 1, scheduler->limit);
+
+    return scheduler->rtt_us + scheduler->service_us +
+           work_off_us(scheduler, queued_before(scheduler, depth));
+}
+
+static bool
+is_above_lowest(const struct scheduler *scheduler, uint8_t priority)
+{
+    return priority < scheduler->lowest;
+}
+
+/* When a held request becomes late. */
+static uint64_t
+late_us(const struct scheduler *scheduler,
+        const struct scheduler_request *request, uint64_t delay_us)
+{
+    uint64_t until_us = is_above_lowest(scheduler, request->priority)
+                            ? request->abandon_us
+                            : MIN(request->target_us, request->abandon_us);
+
+    return until_us > delay_us ? until_us - delay_us : 0;
+}
+
+static bool
+has_room(const struct scheduler *scheduler)
+{
+    return scheduler->running_count < scheduler->limit;
+}
+
+static void
+give(struct scheduler *scheduler, uint32_t handle, uint64_t now_us)
+{
+    if (scheduler->running_count == SCHEDULER_RUNNING_MAX) {
+        return;
+    }
+    scheduler->running[scheduler->running_count] = (struct scheduler_running){
+        .handle = handle,
+        .depth = scheduler->running_count + 1,
+        .ended_before = scheduler->ended,
+        .since_us = now_us,
+    };
+    scheduler->running_count++;
+}
+
+void
+scheduler_init(struct scheduler *scheduler, unsigned slots)
+{
+    memset(scheduler, 0, sizeof(*scheduler));
+    scheduler->service_us = SERVICE_INITIAL_US;
+    scheduler->rtt_us = RTT_INITIAL_US;
+    scheduler_set_slots(scheduler, slots);
+}
+
+void
+scheduler_set_slots(struct scheduler *scheduler, unsigned slots)
+{
+    assert(slots > 0);
+    if (scheduler->slots == slots) {
+        return;
+    }
+    scheduler->slots = slots;
+    scheduler->limit = slots + EXTRA_INITIAL;
+    scheduler->answered_at_limit = 0;
+    scheduler->raise_after = RAISE_AFTER_MIN;
+}
+
+bool
+scheduler_begin(struct scheduler *scheduler,
+                const struct scheduler_request *request, uint64_t now_us,
+                enum scheduler_reason *reason)
+{
+    scheduler->lowest = MAX(scheduler->lowest, request->priority);
+    if (has_room(scheduler) && scheduler->held_count == 0) {
+        *reason = SCHEDULER_ROOM;
+    }
+    else if (now_us >=
+             late_us(scheduler, request, answer_delay_us(scheduler))) {
+        *reason = SCHEDULER_LATE;
+    }
+    else if (scheduler->held_count == SCHEDULER_HELD_MAX) {
+        *reason = SCHEDULER_FULL;
+    }
+    else {
+        scheduler->held[scheduler->held_count++] =
+            (struct scheduler_held){*request, now_us};
+        return false;
+    }
+    give(scheduler, request->handle, now_us);
+    return true;
+}
+
+/* Learns from a rejected request. Those behind it had one less before them
+ * than they were given with. */
+static void
+learn_rejected(struct scheduler *scheduler, unsigned at, unsigned depth)
+{
+    unsigned taken = MAX(depth - 1, scheduler->slots);
+
+    for (unsigned i = at; i < scheduler->running_count; i++) {
+        scheduler->running[i].depth--;
+    }
+    if (taken >= scheduler->limit) {
+        return;
+    }
+    scheduler->limit = taken;
+    scheduler->answered_at_limit = 0;
+    scheduler->raise_after = MIN(2 * scheduler->raise_after, RAISE_AFTER_MAX);
+}
+
+static void
+learn_answered(struct scheduler *scheduler, unsigned depth)
+{
+    if (depth < scheduler->limit || depth <= scheduler->slots ||
+        scheduler->limit >= SCHEDULER_LIMIT_MAX) {
+        return;
+    }
+    scheduler->answered_at_limit++;
+    if (depth > scheduler->limit ||
+        scheduler->answered_at_limit >= scheduler->raise_after) {
+        scheduler->limit++;
+        scheduler->answered_at_limit = 0;
+    }
+}
+
+enum scheduler_end
+scheduler_end(struct scheduler *scheduler, uint32_t handle, bool cut,
+              uint64_t now_us)
+{
+    unsigned at = find_running(scheduler, handle);
+    struct scheduler_running running;
+    uint64_t ended;
+
+    if (at == scheduler->running_count) {
+        return cut ? SCHEDULER_CUT : SCHEDULER_ANSWERED;
+    }
+    running = scheduler->running[at];
+    remove_running(scheduler, at);
+    ended = scheduler->ended - running.ended_before;
+    if (!cut && ended < queued_before(scheduler, running.depth)) {
+        learn_rejected(scheduler, at, running.depth);
+        return SCHEDULER_REJECTED;
+    }
+    scheduler->ended++;
+    if (cut) {
+        return SCHEDULER_CUT;
+    }
+    learn_answered(scheduler, running.depth);
+    return SCHEDULER_ANSWERED;
+}
+
+void
+scheduler_drop(struct scheduler *scheduler, uint32_t handle)
+{
+    unsigned at = find_held(scheduler, handle);
+
+    if (at < scheduler->held_count) {
+        remove_held(scheduler, at);
+    }
+    at = find_running(scheduler, handle);
+    if (at < scheduler->running_count) {
+        remove_running(scheduler, at);
+        scheduler->ended++;
+    }
+}
+
+bool
+scheduler_is_held(const struct scheduler *scheduler, uint32_t handle)
+{
+    return find_held(scheduler, handle) < scheduler->held_count;
+}
+
+/* Whether a held request goes before another. Order: priority, then those that
+ * can be in time. Of these the one with most time left: the one that waited
+ * longest would often miss its target by a little. Of the late ones, the one
+ * that its caller abandons first. */
+static bool
+goes_before(const struct scheduler_request *a,
+            const struct scheduler_request *b, uint64_t answer_us)
+{
+    bool a_in_time = answer_us <= a->target_us;
+    bool b_in_time = answer_us <= b->target_us;
+
+    if (a->priority != b->priority) {
+        return a->priority < b->priority;
+    }
+    if (a_in_time != b_in_time) {
+        return a_in_time;
+    }
+    return a_in_time ? a->target_us > b->target_us
+                     : a->abandon_us < b->abandon_us;
+}
+
+/* The held request that goes first, of priority @from or lower. */
+static unsigned
+first_held(const struct scheduler *scheduler, uint8_t from, uint64_t now_us)
+{
+    uint64_t answer_us = now_us + answer_delay_us(scheduler);
+    unsigned best = scheduler->held_count;
+
+    for (unsigned i = 0; i < scheduler->held_count; i++) {
+        const struct scheduler_request *request = &scheduler->held[i].request;
+
+        if (request->priority >= from &&
+            (best == scheduler->held_count ||
+             goes_before(request, &scheduler->held[best].request,
+                         answer_us))) {
+            best = i;
+        }
+    }
+    return best;
+}
+
+static uint8_t
+lowest_held(const struct scheduler *scheduler)
+{
+    uint8_t lowest = 0;
+
+    for (unsigned i = 0; i < scheduler->held_count; i++) {
+        lowest = MAX(lowest, scheduler->held[i].request.priority);
+    }
+    return lowest;
+}
+
+/* Picks the held request that takes free room. */
+static unsigned
+pick_for_room(struct scheduler *scheduler, uint64_t now_us,
+              enum scheduler_reason *reason)
+{
+    uint8_t lowest = lowest_held(scheduler);
+    unsigned at = first_held(scheduler, 0, now_us);
+
+    *reason = SCHEDULER_ROOM;
+    if (scheduler->held[at].request.priority == lowest) {
+        scheduler->turns = 0;
+        return at;
+    }
+    if (scheduler->turns < TURNS_HIGHER) {
+        scheduler->turns++;
+        return at;
+    }
+    scheduler->turns = 0;
+    *reason = SCHEDULER_TURN;
+    return first_held(scheduler, lowest, now_us);
+}
+
+static unsigned
+find_late(const struct scheduler *scheduler, uint64_t now_us)
+{
+    uint64_t delay_us = answer_delay_us(scheduler);
+    unsigned at = 0;
+
+    while (at < scheduler->held_count &&
+           now_us <
+               late_us(scheduler, &scheduler->held[at].request, delay_us)) {
+        at++;
+    }
+    return at;
+}
+
+uint32_t
+scheduler_next(struct scheduler *scheduler, uint64_t now_us,
+               enum scheduler_reason *reason)
+{
+    unsigned at = scheduler->held_count;
+    uint32_t handle;
+
+    if (scheduler->held_count == 0) {
+        return SCHEDULER_NONE;
+    }
+    if (has_room(scheduler)) {
+        at = pick_for_room(scheduler, now_us, reason);
+    }
+    else {
+        at = find_late(scheduler, now_us);
+        *reason = SCHEDULER_LATE;
+    }
+    if (at == scheduler->held_count) {
+        return SCHEDULER_NONE;
+    }
+    handle = scheduler->held[at].request.handle;
+    remove_held(scheduler, at);
+    give(scheduler, handle, now_us);
+    return handle;
+}
+
+uint64_t
+scheduler_next_us(const struct scheduler *scheduler)
+{
+    uint64_t delay_us = answer_delay_us(scheduler);
+    uint64_t next_us = UINT64_MAX;
+
+    if (scheduler->held_count > 0 && has_room(scheduler)) {
+        return 0;
+    }
+    for (unsigned i = 0; i < scheduler->held_count; i++) {
+        next_us = MIN(next_us, late_us(scheduler, &scheduler->held[i].request,
+                                       delay_us));
+    }
+    return next_us;
+}
+
+uint64_t
+scheduler_wait_us(const struct scheduler *scheduler, uint8_t priority)
+{
+    unsigned before = scheduler->running_count;
+
+    for (unsigned i = 0; i < scheduler->held_count; i++) {
+        before += scheduler->held[i].request.priority <= priority;
+    }
+    return work_off_us(scheduler, queued_before(scheduler, before + 1));
+}
--- a/src/relay/scheduler/scheduler.h
+++ b/src/relay/scheduler/scheduler.h
@@ -9,7 +9,9 @@
  *
  * A request that can't be answered in time any more isn't held further: it is
  * given to the endpoint, whose own refusal is the only true one on an open
- * flow and reaches the caller while there is time to try elsewhere.
+ * flow and reaches the caller while there is time to try elsewhere. One above
+ * the lowest priority is held for the next free place instead, as long as its
+ * caller waits.
  *
  * The module holds no packets and knows no flows: a request is a handle.
  */
@@ -29,12 +31,16 @@
 
 struct scheduler;
 
+/* Limits of a service's endpoints lie below: a few requests for each slot. */
+#define SCHEDULER_LIMIT_MAX 64
+
 /** enum scheduler_reason - why a request is given to the endpoint */
 enum scheduler_reason {
     SCHEDULER_ROOM, /* the endpoint has room */
     SCHEDULER_TURN, /* held below higher priorities for its share of turns */
     SCHEDULER_LATE, /* it can't be answered in time any more */
-    SCHEDULER_FULL, /* SCHEDULER_HELD_MAX are held */
+    SCHEDULER_FULL, /* there is no memory to hold it */
+    SCHEDULER_REASON_COUNT,
 };
 
 /** enum scheduler_end - how a request ended */
@@ -61,14 +67,13 @@
 /**
  * struct scheduler_running - a request at the endpoint
  * @handle: its handle
- * @priority: its priority
- * @depth: requests at the endpoint when it was given, itself included
+ * @depth: requests at the endpoint when it was given, itself included; those
+ *     found rejected since don't count
  * @ended_before: value of scheduler.ended at that time
  * @since_us: when it was given
  */
 struct scheduler_running {
     uint32_t handle;
-    uint8_t priority;
     unsigned depth;
     uint64_t ended_before;
     uint64_t since_us;
@@ -90,7 +95,11 @@
  * @limit: requests that it takes at a time, queued ones included
  * @service_us: mean time of a request without queueing
  * @rtt_us: time from the agent to a caller and back
- * @ended: requests that the endpoint has run to their end
+ * @ended: requests that have left the endpoint, without the rejected ones
+ * @lowest: lowest priority that was seen
+ * @answered_at_limit: answered requests since the last change of @limit that
+ *     were given at the limit
+ * @raise_after: number of them that raises the limit
  * @running: requests at the endpoint
  * @running_count: number of @running
  * @held: requests held, in order of arrival
@@ -104,6 +113,9 @@
     uint64_t service_us;
     uint64_t rtt_us;
     uint64_t ended;
+    uint8_t lowest;
+    unsigned answered_at_limit;
+    unsigned raise_after;
     struct scheduler_running running[SCHEDULER_RUNNING_MAX];
     unsigned running_count;
     struct scheduler_held held[SCHEDULER_HELD_MAX];
@@ -111,7 +123,8 @@
     unsigned turns;
 };
 
-/** scheduler_init() - set up for an endpoint of @slots without requests */
+/** scheduler_init() - set up for an endpoint of @slots without requests;
+ * @slots is 1 at least */
 void
 scheduler_init(struct scheduler *scheduler, unsigned slots);
 
@@ -131,8 +144,8 @@
  * @cut: it was reset, timed out, or its flow ended
  *
  * One that was answered before the endpoint can have begun to run it, as fewer
- * requests ended since than were before it, was rejected: the endpoint takes
- * no more than were there without it.
+ * requests ended since than were before it in the endpoint's queue, was
+ * rejected: the endpoint takes no more than were there without it.
  */
 enum scheduler_end
 scheduler_end(struct scheduler *scheduler, uint32_t handle, bool cut,
@@ -142,6 +155,10 @@
 void
 scheduler_drop(struct scheduler *scheduler, uint32_t handle);
 
+/** scheduler_is_held() - whether a request is held */
+bool
+scheduler_is_held(const struct scheduler *scheduler, uint32_t handle);
+
 /** scheduler_next() - take the next held request to give to the endpoint now;
  * SCHEDULER_NONE if none */
 uint32_t
