Scheduler: requests on open flows go through it

Cause: an agent decided on the first request of a flow that opened while its endpoint was full, and on no other; that one was held until its caller gave up.

With the agent's setting scheduling, and from the first flow on that carries a second request, each request of an established flow goes through the scheduler. A request begins with the first new data after the last answer; its packets are kept in order, copies once, a FIN behind them. The endpoint's data ends a request only if it is new and acknowledges it, so that the rest of the last answer doesn't. A rejected request is neither a sample of the service time nor an outcome. Data frames carry priority, target and time budget of their route, so that an agent beside open flows knows them; status frames carry the load (wait, limit, rejects).

admission_begin_request() and admission_reset_flow() move to admission_flow: admission_queue and the new admission_requests call no other file of the circle but it. packet_pool_append() tells a copy from a full pool. The pool takes five packets for each of 128 held requests.

--- a/src/relay/admission/admission.c
+++ b/src/relay/admission/admission.c
@@ -57,6 +57,7 @@
 
         if (now_us - admission->flows[handle].busy_us > max_us) {
             admission_flow_set_idle(admission, handle);
+            admission_forget_request(admission, handle);
         }
         else {
             at++;
@@ -83,6 +84,7 @@
     admission->data_centre = evacuations_key(data_centre);
     endpoint_init(&admission->endpoint, service);
     latency_init(&admission->latency);
+    scheduler_init(&admission->scheduler, admission->endpoint.slots);
     slow_start_init(&admission->slow_start, now_us);
     admission->slow_start_due_us = UINT64_MAX;
     admission->flows = calloc(ADMISSION_FLOWS_MAX, sizeof(*admission->flows));
@@ -115,6 +117,13 @@
     free(admission->busy);
 }
 
+static void
+admit(struct admission *admission, uint64_t now_us)
+{
+    admission_queue_admit(admission, now_us);
+    admission_schedule(admission, now_us);
+}
+
 void
 admission_handle_forward(struct admission *admission,
                          const struct frame_forward *frame,
@@ -143,7 +152,7 @@
     else {
         admission_handle_flow_packet(admission, handle, frame, packet, now_us);
     }
-    admission_queue_admit(admission, now_us);
+    admit(admission, now_us);
 }
 
 bool
@@ -163,7 +172,7 @@
         admission_is_evacuated(admission) == was_evacuated) {
         return false;
     }
-    admission_queue_admit(admission, now_us);
+    admit(admission, now_us);
     return true;
 }
 
@@ -198,7 +207,7 @@
         admission->out->ops->to_caller(admission->out, packet->to,
                                        packet->bytes, packet->size);
     }
-    admission_queue_admit(admission, now_us);
+    admit(admission, now_us);
 }
 
 /* Clears the state of the endpoint's last incarnation. Flows stay in the
@@ -212,6 +221,7 @@
         admission_flow_set_idle(admission, admission->busy[0]);
     }
     latency_init(&admission->latency);
+    scheduler_restart(&admission->scheduler);
     admission->outcome = (struct outcome){0};
     admission->evicted_flows = false;
 }
@@ -284,7 +294,7 @@
         admission_announce(admission, now_us);
     }
     (void)store_state_tick(&admission->store, now_us);
-    admission_queue_admit(admission, now_us);
+    admit(admission, now_us);
 }
 
 uint64_t
@@ -297,5 +307,6 @@
         next_us = admission->syn_timers[admission->syn_timer_first].due_us;
     }
     next_us = MIN(next_us, store_state_next_us(&admission->store));
+    next_us = MIN(next_us, admission_schedule_us(admission));
     return MIN(next_us, admission->slow_start_due_us);
 }
--- a/src/relay/admission/admission.h
+++ b/src/relay/admission/admission.h
@@ -26,6 +26,8 @@
 #include "relay/admission/outcome.h"
 #include "relay/admission/latency.h"
 #include "relay/admission/slow_start.h"
+#include "relay/scheduler/reject_rate.h"
+#include "relay/scheduler/scheduler.h"
 #include "relay/wire/packet.h"
 #include "relay/wire/store_state.h"
 
@@ -151,6 +153,11 @@
  * @queue: handles of flows whose SYN or request is queued, in order of arrival
  * @queue_count: number of them
  * @packet_pool: packets of queued requests
+ * @scheduling: the settings ask for scheduling; the caller sets it after
+ *     admission_init()
+ * @engaged: requests are scheduled: a flow has carried a second one
+ * @scheduler: order of the endpoint's requests while @engaged
+ * @reject_rate: those that the endpoint rejected
  * @latency: averages of service and round-trip times
  * @slow_start: rate limit while the endpoint is cold
  * @slow_start_due_us: when the rate limit allows the next queued request;
@@ -191,6 +198,10 @@
     uint32_t queue[ADMISSION_QUEUE_MAX];
     unsigned queue_count;
     struct packet_pool packet_pool;
+    bool scheduling;
+    bool engaged;
+    struct scheduler scheduler;
+    struct reject_rate reject_rate;
     struct latency latency;
     struct slow_start slow_start;
     uint64_t slow_start_due_us;
--- a/src/relay/admission/admission_endpoint.c
+++ b/src/relay/admission/admission_endpoint.c
@@ -100,17 +100,25 @@
     }
 }
 
-/* Ends the request in progress, as the endpoint answered or reset it. */
+/* Ends the request in progress if the endpoint answered or reset it. One that
+ * it rejected says nothing about its speed or its faults. */
 static void
-request_ended(struct admission *admission, uint32_t handle, bool reset,
-              uint64_t now_us)
+request_ended(struct admission *admission, uint32_t handle,
+              const struct relay_packet *packet, uint64_t now_us)
 {
     struct admission_flow *flow = &admission->flows[handle];
+    bool reset = (packet->flags & RELAY_RST) != 0;
+    enum scheduler_end end;
+    bool runs;
 
-    if (flow->request_start_us != 0) {
+    if (!admission_handle_answer(admission, handle, packet, now_us, &end)) {
+        return;
+    }
+    runs = flow->request_start_us != 0 && end != SCHEDULER_REJECTED;
+    if (runs) {
         record_outcome(admission, reset, now_us);
     }
-    if (flow->request_start_us != 0 && !reset) {
+    if (runs && !reset) {
         latency_add_service(&admission->latency,
                             now_us - flow->request_start_us, flow->depth,
                             admission->endpoint.slots);
@@ -134,6 +142,9 @@
     }
     admission->flows[handle].proven = true;
     admission_note_served(admission, key.service);
+    if (packet->len > 0) {
+        request_ended(admission, handle, packet, now_us);
+    }
 }
 
 /* Whether the endpoint resets a flow that it held. */
@@ -222,7 +233,7 @@
         admission_notify_established(admission, handle, now_us);
     }
     if (packet->len > 0 || (packet->flags & (RELAY_FIN | RELAY_RST)) != 0) {
-        request_ended(admission, handle, resets, now_us);
+        request_ended(admission, handle, packet, now_us);
     }
     return true;
 }
--- a/src/relay/admission/admission_established.c
+++ b/src/relay/admission/admission_established.c
@@ -112,27 +112,37 @@
     admission_redirect(admission, handle, FRAME_REASON_REFUSED, now_us);
 }
 
-void
-admission_reset_flow(struct admission *admission, uint32_t handle,
-                     uint32_t seq)
+/* Whether an unscheduled packet goes to the endpoint now. */
+static bool
+may_send_unscheduled(struct admission *admission, uint32_t handle,
+                     const struct relay_packet *packet, uint64_t now_us)
 {
-    struct relay_flow key = flow_index_flow(&admission->table, handle);
+    struct admission_flow *flow = &admission->flows[handle];
+    uint32_t end = packet->seq + packet->len;
 
-    admission_decided(admission, ADMISSION_DECISION_RESET, handle,
-                      FRAME_REASON_LEAVING);
-    admission->out->ops->reset(admission->out, key, seq);
-    admission_flow_set_idle(admission, handle);
+    if (packet->len > 0 && (int32_t)(end - flow->caller_seq) > 0) {
+        flow->caller_seq = end;
+        if (!flow->queued) {
+            admission_begin_request(admission, handle, now_us);
+        }
+    }
+    return !flow->queued || packet->len == 0 ||
+           !admission_queue_request(admission, handle, packet, now_us);
 }
 
-void
-admission_begin_request(struct admission *admission, uint32_t handle,
-                        uint64_t now_us)
+/* Whether a packet goes to the endpoint now. */
+static bool
+may_send(struct admission *admission, uint32_t handle,
+         const struct frame_forward *frame, const struct relay_packet *packet,
+         uint64_t now_us)
 {
-    struct admission_flow *flow = &admission->flows[handle];
+    enum admission_path path =
+        admission_handle_request(admission, handle, frame, packet, now_us);
 
-    admission_flow_set_busy(admission, handle, now_us);
-    flow->request_start_us = now_us;
-    flow->depth = admission->busy_count;
+    if (path == ADMISSION_PATH_UNSCHEDULED) {
+        return may_send_unscheduled(admission, handle, packet, now_us);
+    }
+    return path == ADMISSION_PATH_SEND;
 }
 
 static void
@@ -141,7 +151,6 @@
                const struct relay_packet *packet, uint64_t now_us)
 {
     struct admission_flow *flow = &admission->flows[handle];
-    uint32_t end = packet->seq + packet->len;
     bool is_lookup = frame->next_count > 0;
 
     if (flow->proven && admission->endpoint.state == ENDPOINT_GONE) {
@@ -152,14 +161,7 @@
         latency_add_rtt(&admission->latency, now_us - flow->established_us);
     }
     flow->confirmed = true;
-    if (packet->len > 0 && (int32_t)(end - flow->caller_seq) > 0) {
-        flow->caller_seq = end;
-        if (!flow->queued) {
-            admission_begin_request(admission, handle, now_us);
-        }
-    }
-    if (!flow->queued || packet->len == 0 ||
-        !admission_queue_request(admission, handle, packet, now_us)) {
+    if (may_send(admission, handle, frame, packet, now_us)) {
         admission->out->ops->to_endpoint(admission->out, packet->bytes,
                                          packet->size);
     }
--- a/src/relay/admission/admission_flow.c
+++ b/src/relay/admission/admission_flow.c
@@ -61,6 +61,46 @@
     flow->busy_index = -1;
 }
 
+void
+admission_begin_request(struct admission *admission, uint32_t handle,
+                        uint64_t now_us)
+{
+    struct admission_flow *flow = &admission->flows[handle];
+
+    admission_flow_set_busy(admission, handle, now_us);
+    flow->request_start_us = now_us;
+    flow->depth = admission->busy_count;
+}
+
+void
+admission_forget_request(struct admission *admission, uint32_t handle)
+{
+    struct admission_flow *flow = &admission->flows[handle];
+
+    if (!admission->engaged) {
+        return;
+    }
+    scheduler_drop(&admission->scheduler, handle);
+    flow->request_start_us = 0;
+    if (flow->held) {
+        packet_pool_release(&admission->packet_pool, &flow->packets);
+        flow->held = false;
+    }
+}
+
+void
+admission_reset_flow(struct admission *admission, uint32_t handle,
+                     uint32_t seq)
+{
+    struct relay_flow key = flow_index_flow(&admission->table, handle);
+
+    admission_decided(admission, ADMISSION_DECISION_RESET, handle,
+                      FRAME_REASON_LEAVING);
+    admission->out->ops->reset(admission->out, key, seq);
+    admission_flow_set_idle(admission, handle);
+    admission_forget_request(admission, handle);
+}
+
 void
 admission_queue_remove(struct admission *admission, uint32_t handle)
 {
@@ -80,6 +120,7 @@
 {
     struct admission_flow *flow = &admission->flows[handle];
 
+    admission_forget_request(admission, handle);
     if (flow->state == ADMISSION_FLOW_QUEUED || flow->queued) {
         admission_queue_remove(admission, handle);
     }
--- a/src/relay/admission/admission_private.h
+++ b/src/relay/admission/admission_private.h
@@ -4,6 +4,8 @@
  * admission_flow holds the flow table, admission_open decides on SYNs,
  * admission_queue on queued SYNs and requests, admission_established on
  * callers' packets of flows, admission_endpoint on the endpoint's packets.
+ * Where the settings ask for it, admission_requests tells the requests of
+ * flows for the scheduler, and admission_load reports the endpoint's load.
  * admission_orphans answers orphan queries and admission_notify sends status
  * frames.
  */
@@ -28,6 +30,14 @@
     ADMISSION_FLOW_QUEUED,  /* its SYN is queued for a free slot */
 };
 
+/** enum admission_path - where a caller's packet of an established flow goes
+ */
+enum admission_path {
+    ADMISSION_PATH_UNSCHEDULED, /* requests aren't scheduled */
+    ADMISSION_PATH_SEND,        /* to the endpoint */
+    ADMISSION_PATH_KEPT,        /* it is of a held request */
+};
+
 /**
  * struct admission_flow - a flow at this agent
  * @state: its state
@@ -43,13 +53,20 @@
  * and its SYN came again, so that the endpoint may still hold it
  * @proven: the endpoint sent a packet of the established flow
  * @queued: the flow is open, its request is queued until a slot is free
- * @packets: chain of the queued request's packets
+ * @held: the scheduler holds its request
+ * @answered: the endpoint has sent data, up to @seq_end
+ * @data_known: @data_end is valid
+ * @packets: chain of the queued or held request's packets
  * @service: hash_service() of the service in its frame
  * @origin: balancer that its packets last came through
  * @target: for ADMISSION_FLOW_REMOTE, the agent that it was redirected to;
  * address 0 if unknown
  * @seq: sequence number of the endpoint's SYN+ACK
  * @caller_seq: end of the caller's data seen so far
+ * @seq_end: end of the endpoint's data
+ * @data_end: end of the caller's data, if the settings ask for scheduling
+ * @request_seq: sequence number of its last request
+ * @request_ack: acknowledgement number of that request's first packet
  * @busy_us: since when its request is in progress
  * @syn_sent_us: when the SYN was sent to the endpoint
  * @established_us: when the endpoint answered the SYN, 0 for not yet
@@ -71,12 +88,19 @@
     bool maybe_local;
     bool proven;
     bool queued;
+    bool held;
+    bool answered;
+    bool data_known;
     int packets;
     uint32_t service;
     struct addr origin;
     struct addr target;
     uint32_t seq;
     uint32_t caller_seq;
+    uint32_t seq_end;
+    uint32_t data_end;
+    uint32_t request_seq;
+    uint32_t request_ack;
     uint64_t busy_us;
     uint64_t syn_sent_us;
     uint64_t established_us;
@@ -116,8 +140,25 @@
 void
 admission_queue_remove(struct admission *admission, uint32_t handle);
 
-/** admission_flow_dequeue() - drop the flow's queued SYN or request with its
- * packets */
+/** admission_begin_request() - record that the flow's request is given to the
+ * endpoint */
+void
+admission_begin_request(struct admission *admission, uint32_t handle,
+                        uint64_t now_us);
+
+/** admission_forget_request() - the flow's scheduled request has ended without
+ * an answer, or is dropped with its packets */
+void
+admission_forget_request(struct admission *admission, uint32_t handle);
+
+/** admission_reset_flow() - reset a flow at its caller, as the endpoint that
+ * held it has ended or restarted */
+void
+admission_reset_flow(struct admission *admission, uint32_t handle,
+                     uint32_t seq);
+
+/** admission_flow_dequeue() - drop the flow's queued or held SYN or request
+ * with its packets */
 void
 admission_flow_dequeue(struct admission *admission, uint32_t handle);
 
@@ -229,12 +270,6 @@
 admission_queue_request(struct admission *admission, uint32_t handle,
                         const struct relay_packet *packet, uint64_t now_us);
 
-/** admission_begin_request() - record that the flow's request is given to the
- * endpoint */
-void
-admission_begin_request(struct admission *admission, uint32_t handle,
-                        uint64_t now_us);
-
 /** admission_has_capacity() - whether the endpoint may be given another
  * request; @in_time: the request can still meet its target */
 bool
@@ -296,12 +331,6 @@
                         const struct frame_forward *frame,
                         const struct relay_packet *packet, uint64_t now_us);
 
-/** admission_reset_flow() - reset a flow at its caller, as the endpoint that
- * held it has ended or restarted */
-void
-admission_reset_flow(struct admission *admission, uint32_t handle,
-                     uint32_t seq);
-
 /** admission_handle_flow_packet() - handle a caller's packet of a known flow,
  * other than a SYN */
 void
@@ -316,6 +345,36 @@
 admission_handle_bounce(struct admission *admission,
                         const struct relay_packet *packet, uint64_t now_us);
 
+/** admission_handle_request() - decide on a caller's packet of an established
+ * flow */
+enum admission_path
+admission_handle_request(struct admission *admission, uint32_t handle,
+                         const struct frame_forward *frame,
+                         const struct relay_packet *packet, uint64_t now_us);
+
+/** admission_handle_answer() - track the endpoint's packet with data, FIN or
+ * RST; returns whether it ends the flow's request, and how */
+bool
+admission_handle_answer(struct admission *admission, uint32_t handle,
+                        const struct relay_packet *packet, uint64_t now_us,
+                        enum scheduler_end *end);
+
+/** admission_schedule() - give held requests that are due to the endpoint;
+ * called after each packet and tick */
+void
+admission_schedule(struct admission *admission, uint64_t now_us);
+
+/** admission_schedule_us() - when admission_schedule() is due without another
+ * event */
+uint64_t
+admission_schedule_us(const struct admission *admission);
+
+/** admission_fill_load() - report the endpoint's load if its requests are
+ * scheduled */
+void
+admission_fill_load(const struct admission *admission, struct frame_load *load,
+                    uint64_t now_us);
+
 /** admission_handle_endpoint_reply() - handle a packet that the endpoint sent;
  * returns whether it may go to its caller */
 bool
--- a/src/relay/admission/admission_queue.c
+++ b/src/relay/admission/admission_queue.c
@@ -31,7 +31,7 @@
     uint64_t answer_us =
         now_us + latency_estimate(&admission->latency, admission->busy_count,
                                   admission->endpoint.slots);
-    unsigned count = 0;
+    unsigned count = admission->engaged ? admission->scheduler.held_count : 0;
 
     for (unsigned i = 0; i < admission->queue_count; i++) {
         count += answer_us <= admission->flows[admission->queue[i]].target_us;
@@ -108,6 +108,16 @@
                       FRAME_REASON_BUSY);
 }
 
+/* Sends the SYN to the endpoint at once; the request will be scheduled. */
+static void
+open_and_schedule_request(struct admission *admission, uint32_t handle,
+                          uint64_t now_us)
+{
+    admission_decided(admission, ADMISSION_DECISION_QUEUE, handle,
+                      FRAME_REASON_BUSY);
+    admission_deliver_syn(admission, handle, now_us);
+}
+
 bool
 admission_queue_flow(struct admission *admission, uint32_t handle,
                      uint64_t now_us)
@@ -117,8 +127,12 @@
     if (admission->queue_count == ADMISSION_QUEUE_MAX) {
         return false;
     }
-    if (flow->frame.request_timeout_ms > 0 &&
+    if (admission->engaged &&
         slow_start_allows(&admission->slow_start, now_us)) {
+        open_and_schedule_request(admission, handle, now_us);
+    }
+    else if (flow->frame.request_timeout_ms > 0 &&
+             slow_start_allows(&admission->slow_start, now_us)) {
         open_and_queue_request(admission, handle, now_us);
     }
     else {
--- a/src/relay/admission/packet_pool.c
+++ b/src/relay/admission/packet_pool.c
@@ -32,7 +32,7 @@
                                                : PACKET_POOL_NONE;
 }
 
-bool
+int
 packet_pool_append(struct packet_pool *packet_pool, int *chain,
                    const struct relay_packet *packet)
 {
@@ -43,14 +43,17 @@
 
     while (*end != PACKET_POOL_NONE) {
         item = &packet_pool->items[*end];
-        if (item->seq == packet->seq || ++count == PACKET_POOL_CHAIN_MAX) {
-            return false;
+        if (item->seq == packet->seq) {
+            return -EEXIST;
+        }
+        if (++count == PACKET_POOL_CHAIN_MAX) {
+            return -ENOSPC;
         }
         end = &item->next;
     }
     slot = slot_take(packet_pool);
     if (slot == PACKET_POOL_NONE) {
-        return false;
+        return -ENOSPC;
     }
     item = &packet_pool->items[slot];
     item->next = PACKET_POOL_NONE;
@@ -58,7 +61,7 @@
     item->size = (uint16_t)packet->size;
     memcpy(item->bytes, packet->bytes, packet->size);
     *end = slot;
-    return true;
+    return 0;
 }
 
 const struct pool_packet *
--- a/src/relay/admission/packet_pool.h
+++ b/src/relay/admission/packet_pool.h
@@ -2,8 +2,7 @@
  * DOC: packet_pool - packets of queued requests
  *
  * A fixed pool of packets in chains. A chain holds the first packets of one
- * request in order of arrival. Packets that don't fit are dropped; their
- * caller sends them again.
+ * request in order of arrival.
  */
 #ifndef SWIFTARCH_RELAY_ADMISSION_PACKET_POOL_H
 #define SWIFTARCH_RELAY_ADMISSION_PACKET_POOL_H
@@ -14,9 +13,9 @@
 
 #include "relay/wire/packet.h"
 
-/* Packets in the pool: two for each queue entry. Most requests are one packet.
- */
-#define PACKET_POOL_MAX 256
+/* Packets in the pool: five for each of 128 queued requests. Most requests are
+ * one packet. */
+#define PACKET_POOL_MAX 640
 
 /* Packets of one request: a TCP initial congestion window fits. */
 #define PACKET_POOL_CHAIN_MAX 16
@@ -58,9 +57,9 @@
 packet_pool_finish(struct packet_pool *packet_pool);
 
 /** packet_pool_append() - copy a packet to the end of a chain, which is
- * PACKET_POOL_NONE if empty; false if the chain or the pool is full, or the
- * chain has a packet of the same sequence number */
-bool
+ * PACKET_POOL_NONE if empty; 0, -EEXIST if the chain has a packet of the same
+ * sequence number, or -ENOSPC if the chain or the pool is full */
+int
 packet_pool_append(struct packet_pool *packet_pool, int *chain,
                    const struct relay_packet *packet);
 
--- a/src/relay/forwarder/forwarder_established.c
+++ b/src/relay/forwarder/forwarder_established.c
@@ -99,6 +99,7 @@
     vary_order(&choice, pin->lookups);
     frame = forwarder_frame(forwarder, service, &choice, 1, packet->bytes,
                             packet->size);
+    forwarder_set_request(forwarder, packet, &frame);
     forwarder->out->ops->forward(forwarder->out, choice.addrs[0], &frame);
     return true;
 }
--- a/src/relay/forwarder/forwarder_pin.c
+++ b/src/relay/forwarder/forwarder_pin.c
@@ -75,6 +75,25 @@
     return now_us - route->since_us >= FORWARDER_FLOW_MAX_US;
 }
 
+void
+forwarder_set_request(const struct forwarder *forwarder,
+                      const struct relay_packet *packet,
+                      struct frame_forward *frame)
+{
+    const struct route *route;
+
+    if (packet->len == 0) {
+        return;
+    }
+    route = routes_find(forwarder_routes_in_force(forwarder), packet->to);
+    if (route == NULL) {
+        return;
+    }
+    frame->priority = (uint8_t)MIN(route->priority, UINT8_MAX);
+    frame->target_ms = (uint16_t)MIN(route->target_ms, UINT16_MAX);
+    frame->request_timeout_ms = (uint16_t)MIN(route->timeout_ms, UINT16_MAX);
+}
+
 void
 forwarder_forward_to(struct forwarder *forwarder,
                      const struct forwarder_pin *pin, struct addr agent,
@@ -84,5 +103,6 @@
     struct frame_forward frame = forwarder_frame(
         forwarder, pin->service, &none, 0, packet->bytes, packet->size);
 
+    forwarder_set_request(forwarder, packet, &frame);
     forwarder->out->ops->forward(forwarder->out, agent, &frame);
 }
--- a/src/relay/forwarder/forwarder_private.h
+++ b/src/relay/forwarder/forwarder_private.h
@@ -292,6 +292,15 @@
 const struct routes *
 forwarder_routes_in_force(const struct forwarder *forwarder);
 
+/**
+ * forwarder_set_request() - set the values of the packet's route that an agent
+ * needs to schedule its request, if the packet has data
+ */
+void
+forwarder_set_request(const struct forwarder *forwarder,
+                      const struct relay_packet *packet,
+                      struct frame_forward *frame);
+
 /**
  * forwarder_forward_to() - forward a packet to one agent without further stops
  */
--- a/src/relay/program/relay_agent.c
+++ b/src/relay/program/relay_agent.c
@@ -30,6 +30,7 @@
     return elapsed_us >= agent->settings.stop_ms * USEC_PER_MSEC ||
            (agent->admission.busy_count == 0 &&
             agent->admission.queue_count == 0 &&
+            agent->admission.scheduler.held_count == 0 &&
             now_us - agent->packet_us >= STOP_QUIET_US &&
             (agent->registration.step == REGISTRATION_DONE ||
              agent->registration.step == REGISTRATION_REMOVED));
@@ -227,6 +228,7 @@
     probe_init(&agent->probe, &relay_agent_probe_ops, agent->loop.base,
                agent->settings.upstream);
     apply_peers(agent);
+    agent->admission.scheduling = agent->settings.scheduling;
     event_log_write(&agent->log, EVENT_UNLIMITED, "started",
                     "role=agent data_centre=%s service=%s",
                     agent->settings.data_centre, agent->settings.service);
--- a/src/relay/scheduler/scheduler.c
+++ b/src/relay/scheduler/scheduler.c
@@ -128,6 +128,14 @@
     scheduler->running_count++;
 }
 
+static void
+forget_limit(struct scheduler *scheduler)
+{
+    scheduler->limit = scheduler->slots + EXTRA_INITIAL;
+    scheduler->answered_at_limit = 0;
+    scheduler->raise_after = RAISE_AFTER_MIN;
+}
+
 void
 scheduler_init(struct scheduler *scheduler, unsigned slots)
 {
@@ -145,9 +153,14 @@
         return;
     }
     scheduler->slots = slots;
-    scheduler->limit = slots + EXTRA_INITIAL;
-    scheduler->answered_at_limit = 0;
-    scheduler->raise_after = RAISE_AFTER_MIN;
+    forget_limit(scheduler);
+}
+
+void
+scheduler_restart(struct scheduler *scheduler)
+{
+    scheduler->running_count = 0;
+    forget_limit(scheduler);
 }
 
 bool
@@ -249,6 +262,19 @@
     }
 }
 
+bool
+scheduler_give(struct scheduler *scheduler, uint32_t handle, uint64_t now_us)
+{
+    unsigned at = find_held(scheduler, handle);
+
+    if (at == scheduler->held_count) {
+        return false;
+    }
+    remove_held(scheduler, at);
+    give(scheduler, handle, now_us);
+    return true;
+}
+
 bool
 scheduler_is_held(const struct scheduler *scheduler, uint32_t handle)
 {
--- a/src/relay/scheduler/scheduler.h
+++ b/src/relay/scheduler/scheduler.h
@@ -132,6 +132,11 @@
 void
 scheduler_set_slots(struct scheduler *scheduler, unsigned slots);
 
+/** scheduler_restart() - the endpoint has restarted: forget the requests that
+ * were there; held ones stay */
+void
+scheduler_restart(struct scheduler *scheduler);
+
 /** scheduler_begin() - a request begins; returns whether to give it to the
  * endpoint now, with @reason set, or else it is held */
 bool
@@ -155,6 +160,11 @@
 void
 scheduler_drop(struct scheduler *scheduler, uint32_t handle);
 
+/** scheduler_give() - give a held request that can't be kept to the endpoint;
+ * false if it isn't held */
+bool
+scheduler_give(struct scheduler *scheduler, uint32_t handle, uint64_t now_us);
+
 /** scheduler_is_held() - whether a request is held */
 bool
 scheduler_is_held(const struct scheduler *scheduler, uint32_t handle);
--- a/src/relay/wire/frame.h
+++ b/src/relay/wire/frame.h
@@ -157,10 +157,11 @@
  * @view: that balancer's view of the store
  * @forced: accept the SYN even if all slots are busy
  * @target_ms: of a SYN, time left to meet the response target; 0 if it is past
- *             already
+ *             already; of data, the response target
  * @priority: of its route, 0 is most urgent
  * @caller_timeout_ms: of a SYN, how long its caller waits for an answer
- * @request_timeout_ms: of a SYN, time budget of its request
+ * @request_timeout_ms: of a SYN, what is left of its request's time budget;
+ *                      of data, the time budget
  * @slow_start_limit: of a SYN, requests a second that a cold endpoint may get;
  *                    0 for no limit
  * @hops: agents that the packet has visited
--- a/tests/relay/endpoint_model.h
+++ b/tests/relay/endpoint_model.h
@@ -1,6 +1,6 @@
 /**
- * DOC: endpoint_model - an endpoint that runs some requests at a time, queues a
- * few more in order of arrival and rejects the others at once
+ * DOC: endpoint_model - an endpoint that runs some requests at a time, queues
+ * a few more in order of arrival and rejects the others at once
  */
 #ifndef SWIFTARCH_TESTS_RELAY_ENDPOINT_MODEL_H
 #define SWIFTARCH_TESTS_RELAY_ENDPOINT_MODEL_H
--- a/tests/relay/packet_pool_test.c
+++ b/tests/relay/packet_pool_test.c
@@ -1,3 +1,4 @@
+#include <errno.h>
 #include <string.h>
 
 #include "lib/harness.h"
@@ -15,7 +16,7 @@
         .seq = seq, .bytes = bytes, .size = sizeof(bytes)};
 }
 
-static bool
+static int
 add(struct packet_pool *packet_pool, int *chain, uint32_t seq, uint8_t byte)
 {
     struct relay_packet packet = make_packet(seq, byte);
@@ -31,10 +32,10 @@
 
     g_assert_cmpint(packet_pool_init(&packet_pool), ==, 0);
     g_assert_null(packet_pool_take(&packet_pool, &chain));
-    g_assert_true(add(&packet_pool, &chain, 1, 11));
-    g_assert_true(add(&packet_pool, &chain, 1201, 12));
+    g_assert_cmpint(add(&packet_pool, &chain, 1, 11), ==, 0);
+    g_assert_cmpint(add(&packet_pool, &chain, 1201, 12), ==, 0);
     /* A repeated packet. */
-    g_assert_false(add(&packet_pool, &chain, 1, 13));
+    g_assert_cmpint(add(&packet_pool, &chain, 1, 13), ==, -EEXIST);
     item = packet_pool_take(&packet_pool, &chain);
     g_assert_cmpuint(item->seq, ==, 1);
     g_assert_cmpuint(item->size, ==, RELAY_PACKET_MAX);
@@ -53,8 +54,8 @@
     for (unsigned pass = 0; pass < 3; pass++) {
         for (unsigned i = 0; i <= PACKET_POOL_MAX; i++) {
             chains[i] = PACKET_POOL_NONE;
-            g_assert_true(add(&packet_pool, &chains[i], i, 1) ==
-                          (i < PACKET_POOL_MAX));
+            g_assert_cmpint(add(&packet_pool, &chains[i], i, 1), ==,
+                            i < PACKET_POOL_MAX ? 0 : -ENOSPC);
         }
         for (unsigned i = 0; i <= PACKET_POOL_MAX; i++) {
             packet_pool_release(&packet_pool, &chains[i]);
@@ -72,8 +73,11 @@
 
     g_assert_cmpint(packet_pool_init(&packet_pool), ==, 0);
     for (unsigned i = 0; i < PACKET_POOL_CHAIN_MAX; i++) {
-        g_assert_true(add(&packet_pool, &chain, i, 1));
+        g_assert_cmpint(add(&packet_pool, &chain, i, 1), ==, 0);
     }
-    g_assert_false(add(&packet_pool, &chain, PACKET_POOL_CHAIN_MAX, 1));
+    g_assert_cmpint(add(&packet_pool, &chain, PACKET_POOL_CHAIN_MAX, 1), ==,
+                    -ENOSPC);
+    /* Also of the full chain. */
+    g_assert_cmpint(add(&packet_pool, &chain, 0, 1), ==, -EEXIST);
     packet_pool_finish(&packet_pool);
 }
--- a/tests/relay/scheduler_test.c
+++ b/tests/relay/scheduler_test.c
@@ -179,9 +179,9 @@
     for (uint32_t i = 0; i < 20; i++) {
         g_assert_false(begin(&scheduler, 10 + i, ORDINARY, 200 + i));
     }
-    g_assert_cmpuint(scheduler_next(&scheduler, scheduler_next_us(&scheduler),
-                                    &reason),
-                     ==, 10);
+    g_assert_cmpuint(
+        scheduler_next(&scheduler, scheduler_next_us(&scheduler), &reason), ==,
+        10);
     g_assert_cmpuint(scheduler_next(&scheduler, START_US, &reason), ==,
                      SCHEDULER_NONE);
     g_assert_cmpuint(scheduler.held_count, ==, 19);
@@ -338,9 +338,9 @@
     if (endpoint_model_take(&property->model, handle, property->now_us)) {
         return;
     }
-    g_assert_cmpint(scheduler_end(&property->scheduler, handle, false,
-                                  property->now_us),
-                    ==, SCHEDULER_REJECTED);
+    g_assert_cmpint(
+        scheduler_end(&property->scheduler, handle, false, property->now_us),
+        ==, SCHEDULER_REJECTED);
     property->ended[handle] = true;
 }
 
@@ -387,8 +387,8 @@
 static void
 property_begin(struct property *property, uint32_t handle)
 {
-    unsigned target_ms = 20 + (unsigned)g_rand_int_range(property->random, 0,
-                                                         500);
+    unsigned target_ms =
+        20 + (unsigned)g_rand_int_range(property->random, 0, 500);
     struct scheduler_request request = {
         .handle = handle,
         .priority = (uint8_t)g_rand_int_range(property->random, 0, 3),
@@ -422,8 +422,8 @@
     property.scheduler.service_us = property.model.service_us;
     for (uint32_t i = 0; i < PROPERTY_REQUESTS; i++) {
         uint64_t pause_us = (uint64_t)g_rand_int_range(
-            property.random, 0, 2 * (int)property.model.service_us /
-                                    (int)slots);
+            property.random, 0,
+            2 * (int)property.model.service_us / (int)slots);
 
         property_begin(&property, i);
         property_advance(&property, property.now_us + pause_us);
