--- a/bench/relay/bench_relay.c
+++ b/bench/relay/bench_relay.c
@@ -165,11 +165,17 @@
 {
 }
 
+static void
+admission_scheduled(struct admission_out *out, struct relay_flow flow,
+                    const struct admission_scheduled *scheduled)
+{
+}
+
 static const struct admission_out_ops admission_ops = {
     admission_to_endpoint,  admission_to_caller, admission_reset,
     admission_forward_next, admission_notify,    admission_served,
     admission_query_reply,  admission_probe,     admission_dropped,
-    admission_decided};
+    admission_decided,      admission_scheduled};
 
 static uint64_t
 now_ns(void)
--- a/src/cli/relay_explain.c
+++ b/src/cli/relay_explain.c
@@ -70,19 +70,40 @@
     }
 }
 
+/* The part about a held request; empty if there is none. */
+static const char *
+format_held(struct json_object *json, char *text, size_t size)
+{
+    text[0] = '\0';
+    if (relay_query_bool(json, "held")) {
+        snprintf(text, size,
+                 ", request of priority %" PRId64 " held for %" PRId64
+                 " ms with %" PRId64 " before it and %" PRId64
+                 " ms left to its target",
+                 relay_query_number(json, "priority"),
+                 relay_query_number(json, "wait_ms"),
+                 relay_query_number(json, "before"),
+                 relay_query_number(json, "left_ms"));
+    }
+    return text;
+}
+
 static void
 print_agent(const char *address, struct json_object *json)
 {
+    char held[160];
+
     if (!relay_query_bool(json, "known")) {
         printf("%s agent: not known\n", address);
         return;
     }
     printf(
-        "%s agent: %s%s%s%s, through balancer %s, sent on to %s\n", address,
+        "%s agent: %s%s%s%s%s, through balancer %s, sent on to %s\n", address,
         relay_query_text(json, "state"),
         relay_query_bool(json, "confirmed") ? ", confirmed by its caller" : "",
         relay_query_bool(json, "proven") ? ", answered by its endpoint" : "",
         relay_query_bool(json, "in_progress") ? ", request in progress" : "",
+        format_held(json, held, sizeof(held)),
         relay_query_text(json, "balancer"), relay_query_text(json, "sent_to"));
 }
 
--- a/src/cli/relay_show.c
+++ b/src/cli/relay_show.c
@@ -42,9 +42,26 @@
     }
 }
 
+/* The part about requests that the agent schedules; empty if it doesn't. */
+static const char *
+format_requests(struct json_object *json, char *text, size_t size)
+{
+    int64_t limit = relay_query_number(json, "limit");
+
+    text[0] = '\0';
+    if (limit > 0) {
+        snprintf(text, size,
+                 ", %" PRId64 " requests held, endpoint takes %" PRId64,
+                 relay_query_number(json, "held_requests"), limit);
+    }
+    return text;
+}
+
 static void
 print_state(const char *address, struct json_object *json)
 {
+    char requests[80];
+
     if (strcmp(relay_query_text(json, "role"), "balancer") == 0) {
         printf("%s balancer %s in %s: version %" PRId64 ", %" PRId64
                " routes, %" PRId64 " learned, %" PRId64 " flows, %" PRId64
@@ -62,13 +79,14 @@
     }
     printf(
         "%s agent %s in %s: service %s, endpoint %s (%s), busy %" PRId64
-        " of %" PRId64 ", %" PRId64 " queued, %" PRId64
+        " of %" PRId64 ", %" PRId64 " queued%s, %" PRId64
         " flows, newest version reported %" PRId64 "%s\n",
         address, relay_query_text(json, "name"),
         relay_query_text(json, "data_centre"),
         relay_query_text(json, "service"), relay_query_text(json, "endpoint"),
         relay_query_text(json, "start"), relay_query_number(json, "busy"),
         relay_query_number(json, "slots"), relay_query_number(json, "held"),
+        format_requests(json, requests, sizeof(requests)),
         relay_query_number(json, "flows"), relay_query_number(json, "version"),
         relay_query_bool(json, "evacuated") ? ", data centre evacuated" : "");
 }
--- a/src/relay/admission/admission.h
+++ b/src/relay/admission/admission.h
@@ -56,6 +56,29 @@
     ADMISSION_DECISION_RESET, /* its endpoint has ended, the caller is reset */
 };
 
+/** enum admission_scheduled_event - what happened to a scheduled request */
+enum admission_scheduled_event {
+    ADMISSION_SCHEDULED_HELD,     /* it is held */
+    ADMISSION_SCHEDULED_GIVEN,    /* given to the endpoint */
+    ADMISSION_SCHEDULED_REJECTED, /* the endpoint rejected it */
+};
+
+/**
+ * struct admission_scheduled - an event of a scheduled request
+ * @event: what happened
+ * @reason: why it was given to the endpoint
+ * @priority: its priority
+ * @wait_us: how long it was held
+ * @left_us: time left until its response target, 0 if it has passed
+ */
+struct admission_scheduled {
+    enum admission_scheduled_event event;
+    enum scheduler_reason reason;
+    uint8_t priority;
+    uint64_t wait_us;
+    uint64_t left_us;
+};
+
 struct admission_out;
 
 /** struct admission_out_ops - outputs of the decisions */
@@ -92,6 +115,9 @@
     void (*decided)(struct admission_out *out,
                     enum admission_decision decision, struct relay_flow flow,
                     enum frame_reason why, const struct frame_forward *frame);
+    /** @scheduled: an event of a scheduled request, for metrics and logs */
+    void (*scheduled)(struct admission_out *out, struct relay_flow flow,
+                      const struct admission_scheduled *scheduled);
 };
 
 /** struct admission_out - receiver of the outputs, embedded at the start of
@@ -328,6 +354,12 @@
  * @confirmed: the caller acknowledged this endpoint's SYN+ACK
  * @proven: the endpoint has sent packets of it since
  * @in_progress: its request is in progress
+ * @held: the scheduler holds its request; the next four fields are about it
+ * @priority: its priority
+ * @before: held requests that go before it, apart from turns of the lowest
+ *     priority
+ * @wait_us: how long it has been held
+ * @left_us: time left until its response target
  * @origin: balancer that its packets last came through
  * @target: agent that it was redirected to; address 0 for none
  */
@@ -336,6 +368,11 @@
     bool confirmed;
     bool proven;
     bool in_progress;
+    bool held;
+    uint8_t priority;
+    unsigned before;
+    uint64_t wait_us;
+    uint64_t left_us;
     struct addr origin;
     struct addr target;
 };
@@ -344,6 +381,6 @@
  * it is unknown */
 bool
 admission_explain(const struct admission *admission, struct relay_flow flow,
-                  struct admission_explanation *explanation);
+                  uint64_t now_us, struct admission_explanation *explanation);
 
 #endif
--- a/src/relay/admission/admission_private.h
+++ b/src/relay/admission/admission_private.h
@@ -70,8 +70,10 @@
  * @busy_us: since when its request is in progress
  * @syn_sent_us: when the SYN was sent to the endpoint
  * @established_us: when the endpoint answered the SYN, 0 for not yet
- * @target_us: response target of a queued SYN or request
+ * @target_us: response target of a queued SYN or a request
  * @abandon_us: when the caller of a queued SYN or request abandons it
+ * @priority: of its last scheduled request
+ * @held_us: when that request began to be held
  * @request_start_us: when its request was given to the endpoint, 0 for none
  * @depth: requests in progress at that time, this one included
  * @frame: the frame it came with, to forward it later (its bytes are @syn)
@@ -106,6 +108,8 @@
     uint64_t established_us;
     uint64_t target_us;
     uint64_t abandon_us;
+    uint8_t priority;
+    uint64_t held_us;
     uint64_t request_start_us;
     unsigned depth;
     struct frame_forward frame;
--- a/src/relay/admission/admission_requests.c
+++ b/src/relay/admission/admission_requests.c
@@ -25,6 +25,25 @@
     admission->scheduler.rtt_us = admission->latency.rtt_us;
 }
 
+static void
+report(struct admission *admission, uint32_t handle,
+       enum admission_scheduled_event event, enum scheduler_reason reason,
+       uint64_t now_us)
+{
+    const struct admission_flow *flow = &admission->flows[handle];
+    struct admission_scheduled scheduled = {
+        .event = event,
+        .reason = reason,
+        .priority = flow->priority,
+        .wait_us = flow->held ? now_us - flow->held_us : 0,
+        .left_us = flow->target_us > now_us ? flow->target_us - now_us : 0,
+    };
+
+    admission->out->ops->scheduled(admission->out,
+                                   flow_index_flow(&admission->table, handle),
+                                   &scheduled);
+}
+
 /* Deadlines of a flow's request whose first packet came with @frame. The time
  * budget of a new flow's first request includes its handshake. */
 static struct scheduler_request
@@ -54,21 +73,24 @@
 
 /* Records that the endpoint gets the flow's request now. */
 static void
-record_given(struct admission *admission, uint32_t handle, uint64_t now_us)
+record_given(struct admission *admission, uint32_t handle,
+             enum scheduler_reason reason, uint64_t now_us)
 {
+    report(admission, handle, ADMISSION_SCHEDULED_GIVEN, reason, now_us);
     admission_begin_request(admission, handle, now_us);
     admission->flows[handle].depth = admission->scheduler.running_count;
 }
 
 /* Sends the packets of a held request to the endpoint. */
 static void
-send_held(struct admission *admission, uint32_t handle, uint64_t now_us)
+send_held(struct admission *admission, uint32_t handle,
+          enum scheduler_reason reason, uint64_t now_us)
 {
     struct admission_flow *flow = &admission->flows[handle];
     const struct pool_packet *packet;
 
+    record_given(admission, handle, reason, now_us);
     flow->held = false;
-    record_given(admission, handle, now_us);
     admission_expect_reply(admission, now_us);
     while ((packet = packet_pool_take(&admission->packet_pool,
                                       &flow->packets)) != NULL) {
@@ -88,11 +110,17 @@
     enum scheduler_reason reason;
 
     update_scheduler(admission);
+    flow->priority = request.priority;
+    flow->target_us = request.target_us;
+    flow->abandon_us = request.abandon_us;
     if (scheduler_begin(&admission->scheduler, &request, now_us, &reason)) {
-        record_given(admission, handle, now_us);
+        record_given(admission, handle, reason, now_us);
         return true;
     }
     flow->held = true;
+    flow->held_us = now_us;
+    report(admission, handle, ADMISSION_SCHEDULED_HELD, SCHEDULER_ROOM,
+           now_us);
     /* The slot that its SYN was given for is free for another request. */
     admission_flow_set_idle(admission, handle);
     return false;
@@ -113,7 +141,7 @@
         return true;
     }
     (void)scheduler_give(&admission->scheduler, handle, now_us);
-    send_held(admission, handle, now_us);
+    send_held(admission, handle, SCHEDULER_FULL, now_us);
     return false;
 }
 
@@ -167,9 +195,8 @@
         admission_flow_set_idle(admission, handle);
         return ADMISSION_PATH_SEND;
     }
-    if (!flow->held &&
-        (!is_new || flow->request_start_us != 0 ||
-         begin_request(admission, handle, frame, now_us))) {
+    if (!flow->held && (!is_new || flow->request_start_us != 0 ||
+                        begin_request(admission, handle, frame, now_us))) {
         return ADMISSION_PATH_SEND;
     }
     return keep_packet(admission, handle, packet, now_us)
@@ -183,7 +210,8 @@
 {
     uint32_t end = packet->seq + packet->len;
 
-    if (packet->len == 0 || (flow->answered && !is_after(end, flow->seq_end))) {
+    if (packet->len == 0 ||
+        (flow->answered && !is_after(end, flow->seq_end))) {
         return false;
     }
     flow->answered = true;
@@ -239,6 +267,10 @@
                          resets || packet->len == 0, now_us);
     reject_rate_record(&admission->reject_rate, *end == SCHEDULER_REJECTED,
                        now_us);
+    if (*end == SCHEDULER_REJECTED) {
+        report(admission, handle, ADMISSION_SCHEDULED_REJECTED, SCHEDULER_ROOM,
+               now_us);
+    }
     return true;
 }
 
@@ -269,9 +301,9 @@
         reset_held(admission);
     }
     update_scheduler(admission);
-    while ((handle = scheduler_next(&admission->scheduler, now_us,
-                                    &reason)) != SCHEDULER_NONE) {
-        send_held(admission, handle, now_us);
+    while ((handle = scheduler_next(&admission->scheduler, now_us, &reason)) !=
+           SCHEDULER_NONE) {
+        send_held(admission, handle, reason, now_us);
     }
 }
 
--- a/src/relay/program/relay_agent_http.c
+++ b/src/relay/program/relay_agent_http.c
@@ -179,6 +179,7 @@
             text, "swiftarch_dropped_total{reason=\"%s\"} %" PRIu64 "\n",
             relay_agent_drop_names[i], agent->counts.dropped[i]);
     }
+    relay_agent_schedule_metrics(agent, text);
     httpd_respond(request, 200, "text/plain; version=0.0.4", text->str,
                   text->len);
     g_string_free(text, TRUE);
@@ -203,7 +204,8 @@
             request, relay_state_agent(&agent->settings, &agent->admission));
     }
     else if (strcmp(path, RELAY_EXPLAIN_PATH) == 0) {
-        relay_explain_agent(request, &agent->admission);
+        relay_explain_agent(request, &agent->admission,
+                            loop_now_us(&agent->loop));
     }
     else {
         httpd_respond(request, 404, "application/json", "{}", 2);
--- a/src/relay/program/relay_agent_out.c
+++ b/src/relay/program/relay_agent_out.c
@@ -203,6 +203,13 @@
         frame->hops);
 }
 
+static void
+out_scheduled(struct admission_out *out, struct relay_flow flow,
+              const struct admission_scheduled *scheduled)
+{
+    relay_agent_scheduled(agent_of_out(out), flow, scheduled);
+}
+
 const struct admission_out_ops relay_agent_out_ops = {
     .to_endpoint = out_to_endpoint,
     .to_caller = out_to_caller,
@@ -214,6 +221,7 @@
     .probe = out_probe,
     .dropped = out_dropped,
     .decided = out_decided,
+    .scheduled = out_scheduled,
 };
 
 /* Received datagrams. */
--- a/src/relay/program/relay_agent_private.h
+++ b/src/relay/program/relay_agent_private.h
@@ -3,16 +3,20 @@
  *
  * relay_agent.c starts, ticks and stops the process; relay_agent_out.c
  * receives datagrams and implements admission's outputs; relay_agent_http.c
- * serves heartbeats, metrics and state over HTTP.
+ * serves heartbeats, metrics and state over HTTP; relay_agent_schedule.c
+ * counts and logs scheduled requests.
  */
 #ifndef SWIFTARCH_RELAY_PROGRAM_RELAY_AGENT_PRIVATE_H
 #define SWIFTARCH_RELAY_PROGRAM_RELAY_AGENT_PRIVATE_H
 
+#include <glib.h>
+
 #include "base/event_log.h"
 #include "base/httpd.h"
 #include "relay/program/dgram.h"
 #include "relay/admission/admission.h"
 #include "relay/program/loop.h"
+#include "relay/scheduler/wait_histogram.h"
 #include "relay/store/registration.h"
 #include "relay/program/probe.h"
 #include "relay/program/relay_settings.h"
@@ -29,6 +33,20 @@
     HEARTBEAT_ACCEPTED,              /* not refused; also the array size */
 };
 
+/**
+ * struct relay_agent_schedule - counters of scheduled requests
+ * @held: requests that were held
+ * @given: requests given to the endpoint, by reason
+ * @rejected: those of them that it rejected
+ * @waits: how long they were held
+ */
+struct relay_agent_schedule {
+    uint64_t held;
+    uint64_t given[SCHEDULER_REASON_COUNT];
+    uint64_t rejected;
+    struct wait_histogram waits;
+};
+
 /**
  * struct relay_agent - state of the agent process
  * @loop: event loop
@@ -52,7 +70,8 @@
  * @packet_us: when the last packet arrived
  * @flush_us: when the log is flushed next
  * @last_refusal: result of the last heartbeat
- * @counts: counters for /metrics
+ * @schedule: counters of scheduled requests for /metrics
+ * @counts: other counters for /metrics
  */
 struct relay_agent {
     struct loop loop;
@@ -76,6 +95,7 @@
     uint64_t packet_us;
     uint64_t flush_us;
     enum heartbeat_refusal last_refusal;
+    struct relay_agent_schedule schedule;
     struct {
         uint64_t to_endpoint;
         uint64_t to_caller;
@@ -109,4 +129,14 @@
 void
 relay_agent_flush(struct relay_agent *agent);
 
+/** relay_agent_scheduled() - count and log an event of a scheduled request */
+void
+relay_agent_scheduled(struct relay_agent *agent, struct relay_flow flow,
+                      const struct admission_scheduled *scheduled);
+
+/** relay_agent_schedule_metrics() - append the metrics of scheduled requests;
+ * none if the settings don't ask for scheduling */
+void
+relay_agent_schedule_metrics(const struct relay_agent *agent, GString *text);
+
 #endif
--- a/src/relay/program/relay_explain.c
+++ b/src/relay/program/relay_explain.c
@@ -107,6 +107,24 @@
     relay_state_respond(request, balancer_json(forwarder, &explanation));
 }
 
+static void
+add_held(struct json_object *json,
+         const struct admission_explanation *explanation)
+{
+    json_object_object_add(json, "priority",
+                           json_object_new_int(explanation->priority));
+    json_object_object_add(json, "before",
+                           json_object_new_int((int)explanation->before));
+    json_object_object_add(
+        json, "wait_ms",
+        json_object_new_int64(
+            (int64_t)(explanation->wait_us / USEC_PER_MSEC)));
+    json_object_object_add(
+        json, "left_ms",
+        json_object_new_int64(
+            (int64_t)(explanation->left_us / USEC_PER_MSEC)));
+}
+
 static struct json_object *
 agent_json(const struct admission_explanation *explanation, bool known)
 {
@@ -125,6 +143,11 @@
                            json_object_new_boolean(explanation->proven));
     json_object_object_add(json, "in_progress",
                            json_object_new_boolean(explanation->in_progress));
+    json_object_object_add(json, "held",
+                           json_object_new_boolean(explanation->held));
+    if (explanation->held) {
+        add_held(json, explanation);
+    }
     add_addr(json, "balancer", explanation->origin);
     add_addr(json, "sent_to", explanation->target);
     return json;
@@ -132,7 +155,7 @@
 
 void
 relay_explain_agent(struct httpd_request *request,
-                    const struct admission *admission)
+                    const struct admission *admission, uint64_t now_us)
 {
     struct admission_explanation explanation;
     struct relay_flow flow;
@@ -142,6 +165,6 @@
         respond_bad_request(request);
         return;
     }
-    known = admission_explain(admission, flow, &explanation);
+    known = admission_explain(admission, flow, now_us, &explanation);
     relay_state_respond(request, agent_json(&explanation, known));
 }
--- a/src/relay/program/relay_explain.h
+++ b/src/relay/program/relay_explain.h
@@ -22,6 +22,6 @@
 /** relay_explain_agent() - reply with the agent's state of the flow */
 void
 relay_explain_agent(struct httpd_request *request,
-                    const struct admission *admission);
+                    const struct admission *admission, uint64_t now_us);
 
 #endif
--- a/src/relay/program/relay_state.c
+++ b/src/relay/program/relay_state.c
@@ -83,6 +83,10 @@
     add_number(json, "busy", admission->busy_count);
     add_number(json, "slots", admission->endpoint.slots);
     add_number(json, "held", admission->queue_count);
+    if (admission->engaged) {
+        add_number(json, "held_requests", admission->scheduler.held_count);
+        add_number(json, "limit", admission->scheduler.limit);
+    }
     add_number(json, "flows", admission->table.used);
     json_object_object_add(
         json, "evacuated",
--- a/src/relay/scheduler/reject_rate.c
+++ b/src/relay/scheduler/reject_rate.c
@@ -33,9 +33,9 @@
 
     for (unsigned i = 0; i < REJECT_RATE_PARTS; i++) {
         /* Part number of this count. */
-        uint64_t of = reject_rate->part -
-                      (reject_rate->part + REJECT_RATE_PARTS - i) %
-                          REJECT_RATE_PARTS;
+        uint64_t of =
+            reject_rate->part -
+            (reject_rate->part + REJECT_RATE_PARTS - i) % REJECT_RATE_PARTS;
 
         if (of + REJECT_RATE_PARTS > part) {
             ended += reject_rate->ended[i];
--- a/src/relay/scheduler/scheduler.c
+++ b/src/relay/scheduler/scheduler.c
@@ -322,6 +322,22 @@
     return best;
 }
 
+unsigned
+scheduler_before(const struct scheduler *scheduler, uint32_t handle,
+                 uint64_t now_us)
+{
+    uint64_t answer_us = now_us + answer_delay_us(scheduler);
+    unsigned at = find_held(scheduler, handle);
+    unsigned count = 0;
+
+    for (unsigned i = 0;
+         at < scheduler->held_count && i < scheduler->held_count; i++) {
+        count += goes_before(&scheduler->held[i].request,
+                             &scheduler->held[at].request, answer_us);
+    }
+    return count;
+}
+
 static uint8_t
 lowest_held(const struct scheduler *scheduler)
 {
--- a/src/relay/scheduler/scheduler.h
+++ b/src/relay/scheduler/scheduler.h
@@ -175,6 +175,12 @@
 scheduler_next(struct scheduler *scheduler, uint64_t now_us,
                enum scheduler_reason *reason);
 
+/** scheduler_before() - number of held requests that go before a held one,
+ * apart from turns of the lowest priority */
+unsigned
+scheduler_before(const struct scheduler *scheduler, uint32_t handle,
+                 uint64_t now_us);
+
 /** scheduler_next_us() - when scheduler_next() is due without another event,
  * UINT64_MAX for never */
 uint64_t
--- a/tests/relay/admission_established_test.c
+++ b/tests/relay/admission_established_test.c
@@ -159,16 +159,19 @@
     struct relay_flow flow = fixture_flow(1);
     struct admission_explanation explanation;
 
-    g_assert_false(admission_explain(&fixture->admission, flow, &explanation));
+    g_assert_false(admission_explain(&fixture->admission, flow,
+                                     fixture->now_us, &explanation));
     fixture_open_flow(fixture, 1);
-    g_assert_true(admission_explain(&fixture->admission, flow, &explanation));
+    g_assert_true(admission_explain(&fixture->admission, flow, fixture->now_us,
+                                    &explanation));
     g_assert_cmpstr(explanation.state, ==, "here");
     g_assert_true(explanation.in_progress);
     g_assert_false(explanation.confirmed);
     fixture_receive(fixture,
                     fixture_from_caller(flow, RELAY_ACK, 101, 900001, 40), 2,
                     false);
-    g_assert_true(admission_explain(&fixture->admission, flow, &explanation));
+    g_assert_true(admission_explain(&fixture->admission, flow, fixture->now_us,
+                                    &explanation));
     g_assert_cmpstr(explanation.state, ==, "elsewhere");
     g_assert_true(
         addr_equal(explanation.target, fixture_addr(FIXTURE_SECOND)));
--- a/tests/relay/admission_fixture.c
+++ b/tests/relay/admission_fixture.c
@@ -100,9 +100,15 @@
 {
 }
 
+static void
+scheduled(struct admission_out *out, struct relay_flow flow,
+          const struct admission_scheduled *event)
+{
+}
+
 static const struct admission_out_ops ops = {
-    to_endpoint, to_caller,        reset, forward, notify,
-    send_served, send_query_reply, probe, dropped, decided};
+    to_endpoint,      to_caller, reset,   forward, notify,   send_served,
+    send_query_reply, probe,     dropped, decided, scheduled};
 
 void
 fixture_init(struct fixture *fixture)
--- a/tests/relay/admission_requests_test.c
+++ b/tests/relay/admission_requests_test.c
@@ -214,10 +214,9 @@
     answer(fixture, 1, 1);
     send_request(fixture, 1, 2, ORDINARY);
     g_string_truncate(fixture->record, 0);
-    fixture_answer(fixture,
-                   fixture_from_endpoint(fixture_flow(1), RELAY_ACK,
-                                         501 + 2 * ANSWER, REQUEST_SEQ(2),
-                                         600));
+    fixture_answer(fixture, fixture_from_endpoint(fixture_flow(1), RELAY_ACK,
+                                                  501 + 2 * ANSWER,
+                                                  REQUEST_SEQ(2), 600));
     fixture_expect(fixture->record, "caller 1001", NULL);
     g_assert_cmpuint(fixture->admission.scheduler.running_count, ==, ROOM);
 }
@@ -359,8 +358,8 @@
     /* One more packet than a chain takes. */
     send_part(fixture, ROOM + 1, 1, 1600, 77, 0, ORDINARY);
     for (unsigned k = 0; k < PACKET_POOL_CHAIN_MAX; k++) {
-        g_assert_true(g_str_has_prefix(fixture->record->str,
-                                       "endpoint 100\n"));
+        g_assert_true(
+            g_str_has_prefix(fixture->record->str, "endpoint 100\n"));
         g_string_erase(fixture->record, 0, (gssize)strlen("endpoint 100\n"));
     }
     fixture_expect(fixture->record, "endpoint 77", NULL);
@@ -399,7 +398,7 @@
     struct admission_explanation explanation;
 
     return admission_explain(&fixture->admission, fixture_flow(number),
-                             &explanation) &&
+                             fixture->now_us, &explanation) &&
            explanation.confirmed && explanation.in_progress;
 }
 
@@ -417,8 +416,7 @@
     fixture_heartbeat(&fixture, "i-1", "lots", false, 1);
     for (unsigned step = 0; step < 300; step++) {
         unsigned number = (unsigned)g_rand_int_range(random, 1, 12);
-        unsigned before =
-            reuse ? (unsigned)g_rand_int_range(random, 0, 3) : 0;
+        unsigned before = reuse ? (unsigned)g_rand_int_range(random, 0, 3) : 0;
 
         switch (g_rand_int_range(random, 0, 5)) {
         case 0:
--- a/tests/relay/reject_rate_test.c
+++ b/tests/relay/reject_rate_test.c
@@ -17,9 +17,9 @@
         reject_rate_record(&reject_rate, false,
                            START_US + i * 250 * USEC_PER_MSEC);
     }
-    g_assert_cmpuint(reject_rate_per_mille(&reject_rate,
-                                           START_US + 999 * USEC_PER_MSEC),
-                     ==, 250);
+    g_assert_cmpuint(
+        reject_rate_per_mille(&reject_rate, START_US + 999 * USEC_PER_MSEC),
+        ==, 250);
     g_assert_cmpuint(
         reject_rate_per_mille(&reject_rate, START_US + USEC_PER_SEC), ==, 0);
     reject_rate_record(&reject_rate, true, START_US + USEC_PER_SEC);
--- a/tests/relay/world_hosts.c
+++ b/tests/relay/world_hosts.c
@@ -125,10 +125,16 @@
     }
 }
 
+static void
+admission_scheduled(struct admission_out *out, struct relay_flow flow,
+                    const struct admission_scheduled *scheduled)
+{
+}
+
 const struct admission_out_ops world_admission_ops = {
-    send_to_endpoint,  send_to_caller,   send_reset,       send_forward,
-    send_status,       send_served,      send_query_reply, probe_endpoint,
-    admission_dropped, admission_decided};
+    send_to_endpoint,  send_to_caller,    send_reset,         send_forward,
+    send_status,       send_served,       send_query_reply,   probe_endpoint,
+    admission_dropped, admission_decided, admission_scheduled};
 
 static void
 send_from_endpoint(struct host *host, unsigned caller, unsigned flags,
