--- a/src/relay/admission/admission_open.c
+++ b/src/relay/admission/admission_open.c
@@ -45,13 +45,20 @@
            latency_overcommit(&admission->latency, admission->endpoint.slots);
 }
 
+/* Requests in progress and held. */
+static unsigned
+load_count(const struct admission *admission)
+{
+    return admission->busy_count + admission->scheduler.held_count;
+}
+
 /* Requests that can still be in time get extra room. Late ones don't, as they
  * would take it from new requests. */
 bool
 admission_has_capacity(const struct admission *admission, bool in_time,
                        uint64_t now_us)
 {
-    return admission->busy_count <
+    return load_count(admission) <
                flow_limit(admission) + (in_time ? EXTRA_REQUESTS : 0) &&
            slow_start_allows(&admission->slow_start, now_us);
 }
@@ -95,6 +102,16 @@
            LOAD_UNIT / admission->endpoint.slots;
 }
 
+/* Whether a new flow would open at a full endpoint only to be rejected: its
+ * request is of the lowest priority, so that none is held for it. */
+static bool
+is_refused(const struct admission *admission,
+           const struct admission_flow *flow)
+{
+    return admission->engaged &&
+           flow->frame.priority >= admission->scheduler.lowest;
+}
+
 /* Gives a flow to the least busy agent when all are busy. */
 static bool
 redirect_to_best(struct admission *admission, uint32_t handle, uint64_t now_us)
@@ -113,7 +130,21 @@
         admission_admit_syn(admission, handle, now_us);
         return true;
     }
-    return admission_queue_flow(admission, handle, now_us);
+    return !is_refused(admission, flow) &&
+           admission_queue_flow(admission, handle, now_us);
+}
+
+/* Resets a flow that no endpoint has room for. It is open at none, so that its
+ * caller may try again. */
+static void
+refuse_flow(struct admission *admission, uint32_t handle)
+{
+    const struct admission_flow *flow = &admission->flows[handle];
+
+    if (flow->state == ADMISSION_FLOW_OPENING && !flow->from_lookup &&
+        !flow->maybe_local && is_refused(admission, flow)) {
+        admission_reset_flow(admission, handle, 0);
+    }
 }
 
 void
@@ -137,6 +168,9 @@
         target = flow->frame.best;
     }
     else {
+        if (why == FRAME_REASON_BUSY) {
+            refuse_flow(admission, handle);
+        }
         if (flow->accepted_elsewhere || flow->rejected || flow->maybe_local) {
             admission_flow_set_remote(admission, handle);
         }
@@ -180,7 +214,7 @@
     if (!slow_start_allows(&admission->slow_start, now_us)) {
         return FRAME_REASON_BUSY;
     }
-    if (admission->busy_count >= flow_limit(admission) &&
+    if (load_count(admission) >= flow_limit(admission) &&
         !(frame->forced &&
           admission_has_capacity(admission, frame->target_ms > 0, now_us))) {
         return FRAME_REASON_BUSY;
@@ -240,6 +274,7 @@
         admission_admit_syn(admission, handle, now_us);
     }
     else if (why != FRAME_REASON_BUSY || !frame->forced ||
+             is_refused(admission, flow) ||
              !admission_queue_flow(admission, handle, now_us)) {
         admission_redirect(admission, handle, why, now_us);
     }
--- a/src/relay/program/relay_agent_schedule.c
+++ b/src/relay/program/relay_agent_schedule.c
@@ -102,18 +102,18 @@
     if (!agent->settings.scheduling) {
         return;
     }
-    g_string_append_printf(
-        text,
-        "swiftarch_requests_scheduled %d\n"
-        "swiftarch_requests_held_total %" PRIu64 "\n"
-        "swiftarch_requests_held %u\n"
-        "swiftarch_requests_at_endpoint %u\n"
-        "swiftarch_requests_limit %u\n"
-        "swiftarch_requests_rejected_total %" PRIu64 "\n",
-        agent->admission.engaged, agent->schedule.held,
-        agent->admission.scheduler.held_count,
-        agent->admission.scheduler.running_count,
-        agent->admission.scheduler.limit, agent->schedule.rejected);
+    g_string_append_printf(text,
+                           "swiftarch_requests_scheduled %d\n"
+                           "swiftarch_requests_held_total %" PRIu64 "\n"
+                           "swiftarch_requests_held %u\n"
+                           "swiftarch_requests_at_endpoint %u\n"
+                           "swiftarch_requests_limit %u\n"
+                           "swiftarch_requests_rejected_total %" PRIu64 "\n",
+                           agent->admission.engaged, agent->schedule.held,
+                           agent->admission.scheduler.held_count,
+                           agent->admission.scheduler.running_count,
+                           agent->admission.scheduler.limit,
+                           agent->schedule.rejected);
     for (unsigned i = 0; i < SCHEDULER_REASON_COUNT; i++) {
         g_string_append_printf(
             text,
--- a/src/relay/scheduler/scheduler.c
+++ b/src/relay/scheduler/scheduler.c
@@ -15,10 +15,19 @@
  * slots that may become free at once. */
 #define EXTRA_INITIAL 2
 
+/* Mean service times between the expected answer of a held request and its
+ * target, so that one of a longer request is in time, too. */
+#define HOLD_MARGIN 2
+
 /* Requests of a higher priority in a row, after which one of the lowest held
  * priority goes: it gets a quarter of the turns. */
 #define TURNS_HIGHER 3
 
+/* An answer within this part of the mean service time comes too soon for a
+ * request that was run: after it was given, and after a slot's last end. */
+#define AT_ONCE_PART 4
+#define RUN_MIN_PART 8
+
 /* Answered requests at the limit that raise it. Each rejection of a request
  * just above the limit doubles the number, as a raise costs a rejection at
  * an endpoint whose queue has a fixed length. */
@@ -95,18 +104,43 @@
     return priority < scheduler->lowest;
 }
 
+/* Until when a request's answer is worth holding it. */
+static uint64_t
+worth_until_us(const struct scheduler *scheduler,
+               const struct scheduler_request *request)
+{
+    return is_above_lowest(scheduler, request->priority)
+               ? request->abandon_us
+               : MIN(request->target_us, request->abandon_us);
+}
+
 /* When a held request becomes late. */
 static uint64_t
 late_us(const struct scheduler *scheduler,
         const struct scheduler_request *request, uint64_t delay_us)
 {
-    uint64_t until_us = is_above_lowest(scheduler, request->priority)
-                            ? request->abandon_us
-                            : MIN(request->target_us, request->abandon_us);
+    uint64_t until_us = worth_until_us(scheduler, request);
 
     return until_us > delay_us ? until_us - delay_us : 0;
 }
 
+/* Whether the answer of a request that begins is expected in time if it is
+ * held behind those of its priority and higher ones. */
+static bool
+is_worth_holding(const struct scheduler *scheduler,
+                 const struct scheduler_request *request, uint64_t now_us)
+{
+    unsigned before = 1;
+
+    for (unsigned i = 0; i < scheduler->held_count; i++) {
+        before += scheduler->held[i].request.priority <= request->priority;
+    }
+    return now_us + answer_delay_us(scheduler) +
+               HOLD_MARGIN * scheduler->service_us +
+               work_off_us(scheduler, before) <
+           worth_until_us(scheduler, request);
+}
+
 static bool
 has_room(const struct scheduler *scheduler)
 {
@@ -172,8 +206,7 @@
     if (has_room(scheduler) && scheduler->held_count == 0) {
         *reason = SCHEDULER_ROOM;
     }
-    else if (now_us >=
-             late_us(scheduler, request, answer_delay_us(scheduler))) {
+    else if (!is_worth_holding(scheduler, request, now_us)) {
         *reason = SCHEDULER_LATE;
     }
     else if (scheduler->held_count == SCHEDULER_HELD_MAX) {
@@ -221,28 +254,58 @@
     }
 }
 
+/* Whether a request is answered at once although others had to end before the
+ * endpoint could run it. */
+static bool
+is_answered_at_once(const struct scheduler *scheduler,
+                    const struct scheduler_running *running, uint64_t now_us)
+{
+    uint64_t ended = scheduler->ended - running->ended_before;
+
+    return ended < queued_before(scheduler, running->depth) &&
+           now_us - running->since_us < scheduler->service_us / AT_ONCE_PART;
+}
+
+/* Whether each slot has ended another request too lately to have run this one:
+ * of the last answered requests, one for each slot, the first is too recent.
+ */
+static bool
+no_slot_ran(const struct scheduler *scheduler,
+            const struct scheduler_running *running, uint64_t now_us)
+{
+    unsigned at = scheduler->end_next + SCHEDULER_SLOTS_MAX - scheduler->slots;
+
+    return running->depth > scheduler->slots &&
+           scheduler->slots < SCHEDULER_SLOTS_MAX &&
+           now_us - scheduler->end_us[at % SCHEDULER_SLOTS_MAX] <
+               scheduler->service_us / RUN_MIN_PART;
+}
+
 enum scheduler_end
 scheduler_end(struct scheduler *scheduler, uint32_t handle, bool cut,
               uint64_t now_us)
 {
     unsigned at = find_running(scheduler, handle);
     struct scheduler_running running;
-    uint64_t ended;
 
     if (at == scheduler->running_count) {
         return cut ? SCHEDULER_CUT : SCHEDULER_ANSWERED;
     }
     running = scheduler->running[at];
     remove_running(scheduler, at);
-    ended = scheduler->ended - running.ended_before;
-    if (!cut && ended < queued_before(scheduler, running.depth)) {
+    if (!cut && is_answered_at_once(scheduler, &running, now_us)) {
         learn_rejected(scheduler, at, running.depth);
         return SCHEDULER_REJECTED;
     }
+    if (!cut && no_slot_ran(scheduler, &running, now_us)) {
+        return SCHEDULER_REJECTED;
+    }
     scheduler->ended++;
     if (cut) {
         return SCHEDULER_CUT;
     }
+    scheduler->end_us[scheduler->end_next] = now_us;
+    scheduler->end_next = (scheduler->end_next + 1) % SCHEDULER_SLOTS_MAX;
     learn_answered(scheduler, running.depth);
     return SCHEDULER_ANSWERED;
 }
@@ -282,9 +345,9 @@
 }
 
 /* Whether a held request goes before another. Order: priority, then those that
- * can be in time. Of these the one with most time left: the one that waited
- * longest would often miss its target by a little. Of the late ones, the one
- * that its caller abandons first. */
+ * can be in time, the one with the earliest target first: a request is held
+ * only if the ones before it leave it time. Of the late ones, the one that its
+ * caller abandons first. */
 static bool
 goes_before(const struct scheduler_request *a,
             const struct scheduler_request *b, uint64_t answer_us)
@@ -298,7 +361,7 @@
     if (a_in_time != b_in_time) {
         return a_in_time;
     }
-    return a_in_time ? a->target_us > b->target_us
+    return a_in_time ? a->target_us < b->target_us
                      : a->abandon_us < b->abandon_us;
 }
 
--- a/src/relay/scheduler/scheduler.h
+++ b/src/relay/scheduler/scheduler.h
@@ -7,11 +7,11 @@
  * room comes free, requests of higher priority go first, and among those of
  * one priority the ones that can still be answered in time.
  *
- * A request that can't be answered in time any more isn't held further: it is
- * given to the endpoint, whose own refusal is the only true one on an open
- * flow and reaches the caller while there is time to try elsewhere. One above
- * the lowest priority is held for the next free place instead, as long as its
- * caller waits.
+ * A request is held only if its answer is expected in time. Another is given
+ * to the endpoint although it has no room: its own refusal is the only true
+ * one on an open flow, and reaches the caller while there is time to try
+ * elsewhere. A request above the lowest priority is held for the next free
+ * place as long as its caller waits.
  *
  * The module holds no packets and knows no flows: a request is a handle.
  */
@@ -31,6 +31,9 @@
 
 struct scheduler;
 
+/* Slots up to which ends in quick succession are told from rejections. */
+#define SCHEDULER_SLOTS_MAX 64
+
 /* Limits of a service's endpoints lie below: a few requests for each slot. */
 #define SCHEDULER_LIMIT_MAX 64
 
@@ -95,6 +98,8 @@
  * @limit: requests that it takes at a time, queued ones included
  * @service_us: mean time of a request without queueing
  * @rtt_us: time from the agent to a caller and back
+ * @end_us: when the last requests were answered, a ring
+ * @end_next: next index in @end_us
  * @ended: requests that have left the endpoint, without the rejected ones
  * @lowest: lowest priority that was seen
  * @answered_at_limit: answered requests since the last change of @limit that
@@ -112,6 +117,8 @@
     unsigned limit;
     uint64_t service_us;
     uint64_t rtt_us;
+    uint64_t end_us[SCHEDULER_SLOTS_MAX];
+    unsigned end_next;
     uint64_t ended;
     uint8_t lowest;
     unsigned answered_at_limit;
@@ -148,9 +155,10 @@
  * scheduler_end() - a request at the endpoint has ended
  * @cut: it was reset, timed out, or its flow ended
  *
- * One that was answered before the endpoint can have begun to run it, as fewer
- * requests ended since than were before it in the endpoint's queue, was
- * rejected: the endpoint takes no more than were there without it.
+ * One that was answered at once, while the endpoint had others to end first,
+ * was rejected: the endpoint takes no more than were there without it. So was
+ * one that was answered when no slot can have run it, as each has just ended
+ * another; of when it was rejected nothing is known.
  */
 enum scheduler_end
 scheduler_end(struct scheduler *scheduler, uint32_t handle, bool cut,
