Queue: a request that doesn't fit the packet pool is given to the endpoint

admission_queue_request() dropped the result of packet_pool_append(): with a full pool or chain the packet was lost, the request queued without it, and its copy queued a second time. Now the endpoint gets what is queued of it and then the packet. Two tests, red before (one lost the request, one its last packet).

--- a/src/relay/admission/admission_queue.c
+++ b/src/relay/admission/admission_queue.c
@@ -1,5 +1,7 @@
 #include "relay/admission/admission_private.h"
 
+#include <errno.h>
+
 #include "base/clock.h"
 
 /* Whether a queued SYN or request is admitted before another. Order: those
@@ -202,7 +204,11 @@
         admission_begin_request(admission, handle, now_us);
         return false;
     }
-    packet_pool_append(&admission->packet_pool, &flow->packets, packet);
+    if (packet_pool_append(&admission->packet_pool, &flow->packets, packet) ==
+        -ENOSPC) {
+        admit_request(admission, handle, now_us);
+        return false;
+    }
     if (first) {
         admission->queue[admission->queue_count++] = handle;
     }
--- a/tests/relay/admission_queue_test.c
+++ b/tests/relay/admission_queue_test.c
@@ -1,3 +1,5 @@
+#include <string.h>
+
 #include "base/clock.h"
 #include "lib/harness.h"
 #include "relay/admission_fixture.h"
@@ -236,6 +238,48 @@
     fixture_expect(fixture->record, "endpoint 50", NULL);
 }
 
+/* Its packets have left before, so that none is lost and none comes twice. */
+TEST_F(fixture, a_request_that_does_not_fit_the_pool_is_given_whole)
+{
+    start_full(fixture);
+    open_queued(fixture, 4, 1000);
+    g_string_truncate(fixture->record, 0);
+    for (unsigned i = 0; i < PACKET_POOL_CHAIN_MAX; i++) {
+        send_request(fixture, 4, 101 + 10 * i, 10);
+    }
+    fixture_expect(fixture->record, NULL);
+    send_request(fixture, 4, 101 + 10 * PACKET_POOL_CHAIN_MAX, 77);
+    for (unsigned i = 0; i < PACKET_POOL_CHAIN_MAX; i++) {
+        g_assert_true(g_str_has_prefix(fixture->record->str, "endpoint 10\n"));
+        g_string_erase(fixture->record, 0, (gssize)strlen("endpoint 10\n"));
+    }
+    fixture_expect(fixture->record, "endpoint 77", NULL);
+    g_assert_cmpuint(fixture->admission.queue_count, ==, 0);
+}
+
+TEST_F(fixture, a_request_that_finds_the_pool_full_is_not_queued)
+{
+    int chain = PACKET_POOL_NONE;
+    unsigned left = PACKET_POOL_MAX;
+    struct relay_packet packet =
+        fixture_from_caller(fixture_flow(1), RELAY_ACK, 1, 1, 10);
+
+    start_full(fixture);
+    open_queued(fixture, 4, 1000);
+    while (left-- > 0) {
+        chain = PACKET_POOL_NONE;
+        g_assert_cmpint(packet_pool_append(&fixture->admission.packet_pool,
+                                           &chain, &packet),
+                        ==, 0);
+    }
+    g_string_truncate(fixture->record, 0);
+    send_request(fixture, 4, 101, 50);
+    send_request(fixture, 4, 101, 50);
+    /* Given at once, as is the caller's copy. */
+    fixture_expect(fixture->record, "endpoint 50", "endpoint 50", NULL);
+    g_assert_cmpuint(fixture->admission.queue_count, ==, 0);
+}
+
 TEST_F(fixture, queued_requests_are_reset_when_the_endpoint_ends)
 {
     start_full(fixture);
