--- a/src/relay/scheduler/scheduler.c
+++ b/src/relay/scheduler/scheduler.c
@@ -141,10 +141,25 @@
            worth_until_us(scheduler, request);
 }
 
+/* Whether the endpoint has room for a request of @priority. */
 static bool
-has_room(const struct scheduler *scheduler)
+has_room(const struct scheduler *scheduler, uint8_t priority)
 {
-    return scheduler->running_count < scheduler->limit;
+    return scheduler->running_count < (is_above_lowest(scheduler, priority)
+                                           ? scheduler->proven
+                                           : scheduler->limit);
+}
+
+/* Whether the endpoint has room for a held request. */
+static bool
+has_room_for_held(const struct scheduler *scheduler)
+{
+    for (unsigned i = 0; i < scheduler->held_count; i++) {
+        if (has_room(scheduler, scheduler->held[i].request.priority)) {
+            return true;
+        }
+    }
+    return false;
 }
 
 static void
@@ -166,6 +181,7 @@
 forget_limit(struct scheduler *scheduler)
 {
     scheduler->limit = scheduler->slots + EXTRA_INITIAL;
+    scheduler->proven = scheduler->limit;
     scheduler->answered_at_limit = 0;
     scheduler->raise_after = RAISE_AFTER_MIN;
 }
@@ -203,7 +219,7 @@
                 enum scheduler_reason *reason)
 {
     scheduler->lowest = MAX(scheduler->lowest, request->priority);
-    if (has_room(scheduler) && scheduler->held_count == 0) {
+    if (has_room(scheduler, request->priority) && scheduler->held_count == 0) {
         *reason = SCHEDULER_ROOM;
     }
     else if (!is_worth_holding(scheduler, request, now_us)) {
@@ -228,6 +244,8 @@
 {
     unsigned taken = MAX(depth - 1, scheduler->slots);
 
+    scheduler->proven = MIN(scheduler->proven, taken);
+
     for (unsigned i = at; i < scheduler->running_count; i++) {
         scheduler->running[i].depth--;
     }
@@ -242,6 +260,7 @@
 static void
 learn_answered(struct scheduler *scheduler, unsigned depth)
 {
+    scheduler->proven = MAX(scheduler->proven, MIN(depth, scheduler->limit));
     if (depth < scheduler->limit || depth <= scheduler->slots ||
         scheduler->limit >= SCHEDULER_LIMIT_MAX) {
         return;
@@ -418,7 +437,8 @@
               enum scheduler_reason *reason)
 {
     uint8_t lowest = lowest_held(scheduler);
-    unsigned at = first_held(scheduler, 0, now_us);
+    uint8_t from = has_room(scheduler, 0) ? 0 : scheduler->lowest;
+    unsigned at = first_held(scheduler, from, now_us);
 
     *reason = SCHEDULER_ROOM;
     if (scheduler->held[at].request.priority == lowest) {
@@ -458,7 +478,7 @@
     if (scheduler->held_count == 0) {
         return SCHEDULER_NONE;
     }
-    if (has_room(scheduler)) {
+    if (has_room_for_held(scheduler)) {
         at = pick_for_room(scheduler, now_us, reason);
     }
     else {
@@ -480,7 +500,7 @@
     uint64_t delay_us = answer_delay_us(scheduler);
     uint64_t next_us = UINT64_MAX;
 
-    if (scheduler->held_count > 0 && has_room(scheduler)) {
+    if (has_room_for_held(scheduler)) {
         return 0;
     }
     for (unsigned i = 0; i < scheduler->held_count; i++) {
--- a/src/relay/scheduler/scheduler.h
+++ b/src/relay/scheduler/scheduler.h
@@ -96,6 +96,8 @@
  * struct scheduler - state of one endpoint's requests
  * @slots: requests that the endpoint runs at a time
  * @limit: requests that it takes at a time, queued ones included
+ * @proven: those that it has taken; up to @limit only requests of the lowest
+ *     priority try whether it takes more
  * @service_us: mean time of a request without queueing
  * @rtt_us: time from the agent to a caller and back
  * @end_us: when the last requests were answered, a ring
@@ -115,6 +117,7 @@
 struct scheduler {
     unsigned slots;
     unsigned limit;
+    unsigned proven;
     uint64_t service_us;
     uint64_t rtt_us;
     uint64_t end_us[SCHEDULER_SLOTS_MAX];
