--- a/src/relay/admission/admission_open.c
+++ b/src/relay/admission/admission_open.c
@@ -143,7 +143,10 @@
 
     if (flow->state == ADMISSION_FLOW_OPENING && !flow->from_lookup &&
         !flow->maybe_local && is_refused(admission, flow)) {
-        admission_reset_flow(admission, handle, 0);
+        admission_decided(admission, ADMISSION_DECISION_REFUSE, handle,
+                          FRAME_REASON_BUSY);
+        admission->out->ops->reset(
+            admission->out, flow_index_flow(&admission->table, handle), 0);
     }
 }
 
--- a/src/relay/program/relay_agent_out.c
+++ b/src/relay/program/relay_agent_out.c
@@ -40,6 +40,7 @@
     [ADMISSION_DECISION_ADMIT] = "admitted",
     [ADMISSION_DECISION_EXPIRE] = "gave_up",
     [ADMISSION_DECISION_RESET] = "reset",
+    [ADMISSION_DECISION_REFUSE] = "refused",
 };
 
 /* Outputs of admission. */
@@ -169,6 +170,9 @@
     case ADMISSION_DECISION_QUEUE:
         agent->counts.queued++;
         break;
+    case ADMISSION_DECISION_REFUSE:
+        agent->counts.refused++;
+        break;
     case ADMISSION_DECISION_REDIRECT:
     case ADMISSION_DECISION_ABANDON:
         agent->counts.redirected[why]++;
--- a/src/relay/program/relay_agent_private.h
+++ b/src/relay/program/relay_agent_private.h
@@ -106,6 +106,7 @@
         uint64_t established;
         uint64_t queued;
         uint64_t resets;
+        uint64_t refused;
         uint64_t orphan_queries;
         uint64_t redirected[FRAME_REASON_MAX + 1];
         uint64_t dropped[ADMISSION_DROP_COUNT];
--- a/src/relay/program/relay_agent_schedule.c
+++ b/src/relay/program/relay_agent_schedule.c
@@ -108,12 +108,13 @@
                            "swiftarch_requests_held %u\n"
                            "swiftarch_requests_at_endpoint %u\n"
                            "swiftarch_requests_limit %u\n"
-                           "swiftarch_requests_rejected_total %" PRIu64 "\n",
+                           "swiftarch_requests_rejected_total %" PRIu64 "\n"
+                           "swiftarch_flows_refused_total %" PRIu64 "\n",
                            agent->admission.engaged, agent->schedule.held,
                            agent->admission.scheduler.held_count,
                            agent->admission.scheduler.running_count,
                            agent->admission.scheduler.limit,
-                           agent->schedule.rejected);
+                           agent->schedule.rejected, agent->counts.refused);
     for (unsigned i = 0; i < SCHEDULER_REASON_COUNT; i++) {
         g_string_append_printf(
             text,
--- a/src/relay/scheduler/scheduler.c
+++ b/src/relay/scheduler/scheduler.c
@@ -104,10 +104,10 @@
     return priority < scheduler->lowest;
 }
 
-/* Until when a request's answer is worth holding it. */
+/* Until when a request may be held. */
 static uint64_t
-worth_until_us(const struct scheduler *scheduler,
-               const struct scheduler_request *request)
+hold_until_us(const struct scheduler *scheduler,
+              const struct scheduler_request *request)
 {
     return is_above_lowest(scheduler, request->priority)
                ? request->abandon_us
@@ -119,7 +119,7 @@
 late_us(const struct scheduler *scheduler,
         const struct scheduler_request *request, uint64_t delay_us)
 {
-    uint64_t until_us = worth_until_us(scheduler, request);
+    uint64_t until_us = hold_until_us(scheduler, request);
 
     return until_us > delay_us ? until_us - delay_us : 0;
 }
@@ -127,8 +127,8 @@
 /* Whether the answer of a request that begins is expected in time if it is
  * held behind those of its priority and higher ones. */
 static bool
-is_worth_holding(const struct scheduler *scheduler,
-                 const struct scheduler_request *request, uint64_t now_us)
+is_in_time_if_held(const struct scheduler *scheduler,
+                   const struct scheduler_request *request, uint64_t now_us)
 {
     unsigned before = 1;
 
@@ -138,7 +138,7 @@
     return now_us + answer_delay_us(scheduler) +
                HOLD_MARGIN * scheduler->service_us +
                work_off_us(scheduler, before) <
-           worth_until_us(scheduler, request);
+           hold_until_us(scheduler, request);
 }
 
 /* Whether the endpoint has room for a request of @priority. */
@@ -222,7 +222,7 @@
     if (has_room(scheduler, request->priority) && scheduler->held_count == 0) {
         *reason = SCHEDULER_ROOM;
     }
-    else if (!is_worth_holding(scheduler, request, now_us)) {
+    else if (!is_in_time_if_held(scheduler, request, now_us)) {
         *reason = SCHEDULER_LATE;
     }
     else if (scheduler->held_count == SCHEDULER_HELD_MAX) {
--- a/tests/relay/forwarder_test.c
+++ b/tests/relay/forwarder_test.c
@@ -23,6 +23,32 @@
     g_assert_cmpuint(fixture->frame.next_count, ==, 0);
 }
 
+/* Of the route, whole: an agent schedules the request that begins with it. */
+TEST_F(fixture, data_of_open_flows_carries_its_requests_priority_and_times, 4)
+{
+    struct relay_flow flow = fixture_flow(1);
+    struct route *route = fixture->forwarder.routes.items;
+
+    route->priority = 2;
+    route->target_ms = 200;
+    route->timeout_ms = 1200;
+    fixture_receive(fixture, fixture_from_caller(flow, RELAY_SYN, 9, 0, 0));
+    fixture_established(fixture, fixture_agent_addr(3), 1, 500);
+    fixture_receive(fixture,
+                    fixture_from_caller(flow, RELAY_ACK, 10, 501, 20));
+    g_assert_cmpuint(fixture->frame.priority, ==, 2);
+    g_assert_cmpuint(fixture->frame.target_ms, ==, 200);
+    g_assert_cmpuint(fixture->frame.request_timeout_ms, ==, 1200);
+    fixture_receive(fixture, fixture_from_caller(flow, RELAY_ACK, 30, 600, 0));
+    g_assert_cmpuint(fixture->frame.request_timeout_ms, ==, 0);
+    /* Of a lookup, too. */
+    fixture_receive(
+        fixture, fixture_from_caller(fixture_flow(2), RELAY_ACK, 10, 501, 20));
+    g_assert_cmpuint(fixture->frame.next_count, >, 0);
+    g_assert_cmpuint(fixture->frame.priority, ==, 2);
+    g_assert_cmpuint(fixture->frame.request_timeout_ms, ==, 1200);
+}
+
 TEST_F(fixture, an_unanswered_syn_goes_to_another_agent_after_15_ms, 3)
 {
     struct addr first;
