--- a/src/relay/scheduler/scheduler.c
+++ b/src/relay/scheduler/scheduler.c
@@ -472,7 +472,7 @@
 scheduler_next(struct scheduler *scheduler, uint64_t now_us,
                enum scheduler_reason *reason)
 {
-    unsigned at = scheduler->held_count;
+    unsigned at;
     uint32_t handle;
 
     if (scheduler->held_count == 0) {
