New flows: half of the endpoint's queue counts as room

Cause: the least busy agent refused a new flow from two requests beyond the slots on, while its endpoint takes ten. Ruled out: the whole learned limit, as a new flow waits in the endpoint's queue for its handshake and again for its request, and is answered late then.

--- a/src/relay/admission/admission_open.c
+++ b/src/relay/admission/admission_open.c
@@ -63,6 +63,24 @@
            slow_start_allows(&admission->slow_start, now_us);
 }
 
+/* Whether the least busy agent of a SYN's way opens its flow now. While
+ * requests are scheduled, half of the endpoint's queue counts as room: a new
+ * flow passes that queue twice, for its handshake and for its request. */
+static bool
+has_forced_capacity(const struct admission *admission, bool in_time,
+                    uint64_t now_us)
+{
+    unsigned slots = admission->endpoint.slots;
+
+    if (admission_has_capacity(admission, in_time, now_us)) {
+        return true;
+    }
+    return admission->engaged &&
+           load_count(admission) <
+               (slots + admission->scheduler.limit + 1) / 2 &&
+           slow_start_allows(&admission->slow_start, now_us);
+}
+
 static void
 forward_flow(struct admission *admission, uint32_t handle, struct addr agent)
 {
@@ -126,7 +144,7 @@
         forward_flow(admission, handle, flow->frame.best);
         return true;
     }
-    if (admission_has_capacity(admission, flow->frame.target_ms > 0, now_us)) {
+    if (has_forced_capacity(admission, flow->frame.target_ms > 0, now_us)) {
         admission_admit_syn(admission, handle, now_us);
         return true;
     }
@@ -219,7 +237,7 @@
     }
     if (load_count(admission) >= flow_limit(admission) &&
         !(frame->forced &&
-          admission_has_capacity(admission, frame->target_ms > 0, now_us))) {
+          has_forced_capacity(admission, frame->target_ms > 0, now_us))) {
         return FRAME_REASON_BUSY;
     }
     return FRAME_REASON_NONE;
--- a/tests/relay/admission_requests_test.c
+++ b/tests/relay/admission_requests_test.c
@@ -180,6 +180,22 @@
                    "notify redirected reason=1 on=1 busy=4 state=1", NULL);
 }
 
+/* The endpoint takes ten requests. A new flow waits in its queue for the
+ * handshake and again for its request, so that half of it counts as room. */
+SCHEDULED_TEST(a_new_flow_is_refused_from_half_of_the_endpoints_queue_on)
+{
+    start_full(fixture, 0);
+    fixture->admission.scheduler.limit = 10;
+    for (unsigned number = 9; number <= 10; number++) {
+        send_syn(fixture, number, ORDINARY);
+        g_assert_true(strstr(fixture->record->str, "reset") == NULL);
+    }
+    g_assert_cmpuint(fixture->admission.busy_count, ==, ROOM + 2);
+    g_string_truncate(fixture->record, 0);
+    send_syn(fixture, 11, ORDINARY);
+    g_assert_true(g_str_has_prefix(fixture->record->str, "reset 1011 at 0"));
+}
+
 SCHEDULED_TEST(a_new_flow_is_not_refused_while_another_agent_is_left)
 {
     struct relay_packet syn =
