Record writer: when an agent reads and writes its flow record

Read once after the start; once the endpoint's incarnation is known the flows of a record with an earlier start are handed out to be reset. No incarnation known: wait. Store away: read again, with growing pauses, 15 s at most. A record of an hour or more, or an object that can't be decoded: dropped, the latter as an error.

Written when one of eight open flows isn't covered by the stored record (not in it, or 38,400 bytes of answers on), every 5 s at most. An agent takes the rate of all changes from the store's revision in the replies to two of its writes and lengthens its pace until the store sees 60 a second (a twentieth of its limit): 5 s at 80 and 300 agents, 16 s at 985, 333 s at 20,000, without knowing how many there are. The record keeps the pace for the next start; without one the first write falls within 20 s and one query of the revision 4 s later gives the pace.

--- /dev/null
+++ b/src/relay/records/record_writer.c
@@ -0,0 +1,421 @@
+#include "relay/records/record_writer.h"
+
+#include <errno.h>
+#include <string.h>
+
+#include <glib.h>
+
+#include "base/clock.h"
+#include "base/container.h"
+#include "base/hash.h"
+
+/* Shortest interval of writes. A flow that opened since the last one isn't
+ * recorded; kept-open flows live for some tens of seconds. */
+#define PACE_MIN_US (5 * USEC_PER_SEC)
+
+/* Longest interval, beyond the life of most flows: the record is of little
+ * use then, and costs little. */
+#define PACE_MAX_US (600 * USEC_PER_SEC)
+
+/* Time over which agents that don't know their pace spread their first writes:
+ * 20,000 that start at once stay below the store's limit of writes. */
+#define FIRST_SPREAD_US (20 * USEC_PER_SEC)
+
+/* Time from an agent's first write to its query for the store's revision, to
+ * learn the rate of changes before the second. */
+#define PROBE_DELAY_US (4 * USEC_PER_SEC)
+
+/* Name after those of all agents: a list from there is empty. */
+#define NAME_LAST "~"
+
+/* Changes of the store a second, by all writers, above which agents write
+ * less often: a twentieth of what the store allows. */
+#define STORE_CHANGES_PER_S 60
+
+/* Intervals vary by up to 1/JITTER_DIVISOR. */
+#define JITTER_DIVISOR 4
+
+/* Checks for changes in an interval, once a write is due. The agents of a
+ * fleet whose traffic starts write within one such check. */
+#define CHECK_DIVISOR 8
+
+/* A write is worth its price when one of so many flows isn't covered. */
+#define UNCOVERED_DIVISOR 8
+
+/* First and longest pause after a failed read: idle callers' next requests
+ * come soon, so the first is short. */
+#define RETRY_MIN_US (100 * USEC_PER_MSEC)
+#define RETRY_MAX_US (1600 * USEC_PER_MSEC)
+
+/* Time after the start when a record is of no use any more: most callers have
+ * sent their next request. */
+#define READ_MAX_US (15 * USEC_PER_SEC)
+
+/* Doublings of the pace after failed writes. */
+#define BACKOFF_MAX 3u
+
+/* Age of a record that is too old to matter: beyond any flow's life, also if
+ * the host's clock was set by tens of minutes since. */
+#define RECORD_AGE_MAX_MS (UINT64_C(3600) * 1000)
+
+static uint64_t
+jitter(const struct record_writer *writer, uint64_t salt, uint64_t range_us)
+{
+    return hash_pair((uint64_t)writer->addr.ip << 16 | writer->addr.port,
+                     salt) %
+           range_us;
+}
+
+static void
+report(struct record_writer *writer, enum record_event event,
+       const struct flow_record *record)
+{
+    writer->ops->report(writer, event, record);
+}
+
+/* The first write, or the first that finds an open flow. */
+static void
+plan_first_write(struct record_writer *writer, uint64_t now_us)
+{
+    writer->next_us =
+        now_us + jitter(writer, now_us, writer->pace_us);
+}
+
+static void
+start_writing(struct record_writer *writer, uint64_t now_us)
+{
+    writer->step = RECORD_WRITE;
+    writer->failures = 0;
+    plan_first_write(writer, now_us);
+}
+
+/* Pause after a failed read, or UINT64_MAX for none further. */
+static uint64_t
+retry_pause_us(const struct record_writer *writer)
+{
+    uint64_t pause_us = RETRY_MIN_US;
+
+    for (unsigned i = 1; i < writer->failures && pause_us < RETRY_MAX_US;
+         i++) {
+        pause_us *= 2;
+    }
+    return pause_us +
+           jitter(writer, writer->failures, pause_us / JITTER_DIVISOR);
+}
+
+static void
+on_read(struct record_writer *writer, const struct store_reply *reply)
+{
+    enum record_event event = RECORD_EVENT_READ;
+
+    if (reply->status != 0 && reply->status != -ENOENT) {
+        writer->failures++;
+        writer->next_us = writer->called_us + retry_pause_us(writer);
+        report(writer, RECORD_EVENT_FAILED, &writer->stored);
+        return;
+    }
+    writer->failures = 0;
+    writer->exists = reply->status == 0;
+    writer->step = RECORD_WAIT;
+    writer->next_us = 0;
+    if (writer->exists &&
+        (reply->count != 1 ||
+         flow_record_decode(reply->objects[0].value, &writer->stored) < 0)) {
+        event = RECORD_EVENT_FOREIGN;
+    }
+    report(writer, event, &writer->stored);
+}
+
+static void
+set_pace(struct record_writer *writer, double pace_us)
+{
+    writer->pace_us = (uint64_t)CLAMP(pace_us, (double)PACE_MIN_US,
+                                      (double)PACE_MAX_US);
+    writer->pace_known = true;
+}
+
+/* Sets the pace by the rate of all changes since the last write. */
+static void
+update_pace(struct record_writer *writer, uint64_t revision, uint64_t now_us)
+{
+    uint64_t elapsed_us = now_us - writer->replied_us;
+
+    if (writer->replied_us != 0 && elapsed_us > 0 &&
+        revision > writer->revision) {
+        double per_s = (double)(revision - writer->revision) *
+                       (double)USEC_PER_SEC / (double)elapsed_us;
+        double pace_us =
+            (double)writer->pace_us * per_s / STORE_CHANGES_PER_S;
+
+        set_pace(writer, pace_us);
+    }
+    writer->revision = revision;
+    writer->replied_us = now_us;
+}
+
+/* The write after the one that began at @called_us. */
+static void
+plan_write(struct record_writer *writer)
+{
+    unsigned backoff = MIN(writer->failures, BACKOFF_MAX);
+
+    writer->next_us = writer->called_us + (writer->pace_us << backoff) +
+                      jitter(writer, writer->called_us,
+                             writer->pace_us / JITTER_DIVISOR);
+}
+
+static bool
+must_probe(const struct record_writer *writer)
+{
+    return !writer->pace_known && writer->replied_us != 0;
+}
+
+static void
+on_written(struct record_writer *writer, const struct store_reply *reply)
+{
+    if (reply->status == 0) {
+        writer->failures = 0;
+        writer->exists = true;
+        flow_record_copy(&writer->stored, &writer->current);
+        if (reply->count == 1) {
+            update_pace(writer, reply->objects[0].revision,
+                        writer->called_us);
+        }
+        report(writer, RECORD_EVENT_WRITTEN, &writer->current);
+    }
+    else if (reply->status == -ENOENT || reply->status == -EEXIST) {
+        writer->exists = reply->status == -EEXIST;
+        writer->next_us = writer->called_us;
+        return;
+    }
+    else {
+        writer->failures++;
+        report(writer, RECORD_EVENT_FAILED, &writer->current);
+    }
+    plan_write(writer);
+    if (must_probe(writer)) {
+        writer->next_us = writer->called_us + PROBE_DELAY_US;
+    }
+}
+
+static void
+on_probed(struct record_writer *writer, const struct store_reply *reply)
+{
+    uint64_t probed_us = writer->called_us;
+
+    writer->probing = false;
+    writer->called_us = writer->replied_us;
+    if (reply->status == 0) {
+        update_pace(writer, reply->revision, probed_us);
+    }
+    if (!writer->pace_known) {
+        /* Without changes or without a reply. */
+        set_pace(writer, FIRST_SPREAD_US);
+    }
+    plan_write(writer);
+}
+
+static void
+on_done(struct store_call *call, const struct store_reply *reply)
+{
+    struct record_writer *writer =
+        container_of(call, struct record_writer, call);
+
+    writer->open = false;
+    record_writer_set_epoch(writer, reply->epoch);
+    if (writer->step == RECORD_READ) {
+        on_read(writer, reply);
+    }
+    else if (writer->probing) {
+        on_probed(writer, reply);
+    }
+    else {
+        on_written(writer, reply);
+    }
+}
+
+static void
+start_read(struct record_writer *writer, uint64_t now_us)
+{
+    char name[REGISTRATION_NAME_MAX];
+
+    if (now_us - writer->started_us > READ_MAX_US) {
+        report(writer, RECORD_EVENT_GIVEN_UP, &writer->stored);
+        start_writing(writer, now_us);
+        return;
+    }
+    registration_name(writer->addr, name);
+    writer->open = true;
+    writer->called_us = now_us;
+    if (writer->store->ops->get(writer->store, FLOW_RECORD_KIND, name,
+                                STORE_READ_LATEST, &writer->call) < 0) {
+        writer->open = false;
+        writer->failures++;
+        writer->next_us = now_us + retry_pause_us(writer);
+    }
+}
+
+static bool
+collect(struct record_writer *writer)
+{
+    memset(&writer->current, 0, offsetof(struct flow_record, flows));
+    if (!writer->ops->collect(writer, &writer->current)) {
+        return false;
+    }
+    writer->current.epoch = writer->epoch;
+    writer->current.pace_ms =
+        writer->pace_known ? (uint32_t)(writer->pace_us / USEC_PER_MSEC) : 0;
+    flow_record_sort(&writer->current);
+    return true;
+}
+
+static bool
+is_outdated(const struct record_writer *writer)
+{
+    return writer->stored.written_ms != 0 &&
+           writer->current.written_ms >
+               writer->stored.written_ms + RECORD_AGE_MAX_MS;
+}
+
+/* Compares the record with the endpoint once its incarnation is known. */
+static void
+compare(struct record_writer *writer, uint64_t now_us)
+{
+    if (!collect(writer)) {
+        return;
+    }
+    if (is_outdated(writer)) {
+        report(writer, RECORD_EVENT_OUTDATED, &writer->stored);
+        start_writing(writer, now_us);
+        return;
+    }
+    if (writer->stored.pace_ms != 0) {
+        set_pace(writer, (double)writer->stored.pace_ms * USEC_PER_MSEC);
+    }
+    if (flow_record_has_ended(&writer->stored, &writer->current)) {
+        writer->ops->reset(writer, &writer->stored);
+    }
+    start_writing(writer, now_us);
+}
+
+static bool
+has_changed(const struct record_writer *writer)
+{
+    unsigned uncovered =
+        flow_record_uncovered(&writer->current, &writer->stored);
+
+    return uncovered > 0 &&
+           uncovered * UNCOVERED_DIVISOR >= writer->current.count;
+}
+
+/* The next check after one that found too little to write. */
+static void
+plan_check(struct record_writer *writer, uint64_t now_us)
+{
+    if (!writer->pace_known) {
+        plan_first_write(writer, now_us);
+        return;
+    }
+    writer->next_us = now_us + writer->pace_us / CHECK_DIVISOR;
+}
+
+static void
+start_probe(struct record_writer *writer, uint64_t now_us)
+{
+    writer->open = writer->probing = true;
+    writer->called_us = now_us;
+    if (writer->store->ops->list(writer->store, FLOW_RECORD_KIND, NAME_LAST,
+                                 STORE_READ_LATEST, &writer->call) < 0) {
+        writer->open = writer->probing = false;
+        writer->next_us = now_us + PROBE_DELAY_US;
+    }
+}
+
+static void
+start_write(struct record_writer *writer, uint64_t now_us)
+{
+    struct store *store = writer->store;
+    struct json_object *value;
+    char name[REGISTRATION_NAME_MAX];
+    int ret;
+
+    if (must_probe(writer)) {
+        start_probe(writer, now_us);
+        return;
+    }
+    if (!collect(writer) || !has_changed(writer)) {
+        plan_check(writer, now_us);
+        return;
+    }
+    registration_name(writer->addr, name);
+    value = flow_record_encode(&writer->current);
+    writer->open = true;
+    writer->called_us = now_us;
+    ret = writer->exists ? store->ops->put(store, FLOW_RECORD_KIND, name,
+                                           value, &writer->call)
+                         : store->ops->create(store, FLOW_RECORD_KIND, name,
+                                              value, &writer->call);
+    json_object_put(value);
+    if (ret < 0) {
+        writer->open = false;
+        writer->next_us = now_us + writer->pace_us;
+    }
+}
+
+void
+record_writer_init(struct record_writer *writer,
+                   const struct record_writer_ops *ops, struct store *store,
+                   struct addr addr, uint64_t now_us)
+{
+    memset(writer, 0, sizeof(*writer));
+    writer->call.done = on_done;
+    writer->ops = ops;
+    writer->store = store;
+    writer->addr = addr;
+    writer->started_us = now_us;
+    writer->pace_us = FIRST_SPREAD_US;
+    writer->next_us = now_us;
+}
+
+void
+record_writer_set_epoch(struct record_writer *writer, uint32_t epoch)
+{
+    if (epoch <= writer->epoch) {
+        return;
+    }
+    if (writer->epoch != 0 && writer->step == RECORD_WRITE) {
+        /* The store was restored from an older copy: write again. */
+        writer->stored.count = 0;
+        writer->replied_us = 0;
+    }
+    writer->epoch = epoch;
+}
+
+void
+record_writer_tick(struct record_writer *writer, uint64_t now_us)
+{
+    if (writer->open) {
+        return;
+    }
+    if (writer->step == RECORD_WAIT) {
+        compare(writer, now_us);
+    }
+    if (writer->step == RECORD_WAIT || now_us < writer->next_us) {
+        return;
+    }
+    if (writer->step == RECORD_READ) {
+        start_read(writer, now_us);
+    }
+    else {
+        start_write(writer, now_us);
+    }
+}
+
+uint64_t
+record_writer_next_us(const struct record_writer *writer)
+{
+    if (writer->open || writer->step == RECORD_WAIT) {
+        return UINT64_MAX;
+    }
+    return writer->next_us;
+}
