Agent: reset recorded flows after a loss of all hosts (flow_records)

Cause: after a loss of power callers of kept-open flows find out by their next request, for ten seconds on.

With the setting the agent keeps its endpoint's open flows in the store and, beside a later incarnation, resets those of which no packet came since its start. Listed are flows that the endpoint has answered a request on, that neither side has ended and that were open a second before the incarnation's last heartbeat: a later flow may be of the next incarnation, whose first heartbeat is on its way.

Without the setting admission sends what it sent and no second connection to the store is opened.

--- a/src/relay/admission/admission.h
+++ b/src/relay/admission/admission.h
@@ -311,6 +311,31 @@
 uint64_t
 admission_next_us(const struct admission *admission);
 
+/**
+ * admission_next_open_flow() - the next open flow of the endpoint's current
+ * incarnation, for a record
+ * @at: position, 0 at first
+ * @seq: a sequence number near the caller's last acknowledgement
+ *
+ * Flows that were opened after the endpoint's last heartbeat, or shortly
+ * before it, are left out, as they may be of a later incarnation.
+ *
+ * Return: false after the last one.
+ */
+bool
+admission_next_open_flow(const struct admission *admission, uint32_t *at,
+                         struct relay_flow *flow, uint32_t *seq);
+
+/**
+ * admission_reset_ended() - reset a flow that an ended incarnation of the
+ * endpoint held before this agent's start
+ *
+ * Return: false if a packet of the flow has come since; it isn't reset then.
+ */
+bool
+admission_reset_ended(struct admission *admission, struct relay_flow flow,
+                      uint32_t seq);
+
 /**
  * struct admission_explanation - the state of one flow, for operators
  * @state: its state's name
--- a/src/relay/admission/admission_endpoint.c
+++ b/src/relay/admission/admission_endpoint.c
@@ -84,6 +84,9 @@
     flow->state = ADMISSION_FLOW_ESTABLISHED;
     flow->seq = packet->seq;
     flow->established_us = now_us;
+    flow->held_us = now_us;
+    flow->reply_end = packet->seq;
+    flow->closed = false;
     admission_notify_established(admission, handle, now_us);
     admission_decided(admission, ADMISSION_DECISION_ESTABLISH, handle,
                       FRAME_REASON_NONE);
@@ -119,6 +122,18 @@
     admission_flow_set_idle(admission, handle);
 }
 
+/* Notes what a record of the flow needs. */
+static void
+note_reply(struct admission_flow *flow, const struct relay_packet *packet,
+           uint64_t now_us)
+{
+    flow->reply_end = packet->seq + packet->len;
+    flow->closed |= (packet->flags & (RELAY_FIN | RELAY_RST)) != 0;
+    if (flow->held_us == 0) {
+        flow->held_us = now_us;
+    }
+}
+
 /* Adds a flow from before this agent's start. A SYN+ACK doesn't prove that the
  * flow is open here: the caller may have accepted another one. */
 static void
@@ -128,6 +143,7 @@
     uint32_t handle =
         admission_flow_add(admission, key, ADMISSION_FLOW_ESTABLISHED, now_us);
 
+    note_reply(&admission->flows[handle], packet, now_us);
     if (relay_packet_is_syn_ack(packet)) {
         admission->flows[handle].seq = packet->seq;
         return;
@@ -209,6 +225,7 @@
         }
         return true;
     }
+    note_reply(flow, packet, now_us);
     flow->proven = flow->confirmed || flow->state == ADMISSION_FLOW_OFFERED;
     if (flow->state != ADMISSION_FLOW_ESTABLISHED) {
         if (flow->state == ADMISSION_FLOW_OFFERED) {
--- a/src/relay/admission/admission_established.c
+++ b/src/relay/admission/admission_established.c
@@ -121,6 +121,7 @@
     admission_decided(admission, ADMISSION_DECISION_RESET, handle,
                       FRAME_REASON_LEAVING);
     admission->out->ops->reset(admission->out, key, seq);
+    admission->flows[handle].closed = true;
     admission_flow_set_idle(admission, handle);
 }
 
@@ -216,6 +217,7 @@
     struct admission_flow *flow = &admission->flows[handle];
 
     flow_index_touch(&admission->table, handle, now_us);
+    flow->closed |= (packet->flags & (RELAY_FIN | RELAY_RST)) != 0;
     switch (flow->state) {
     case ADMISSION_FLOW_REMOTE:
         if (flow->maybe_local && !flow->rejected &&
--- a/src/relay/admission/admission_private.h
+++ b/src/relay/admission/admission_private.h
@@ -4,6 +4,7 @@
  * admission_flow holds the flow table, admission_open decides on SYNs,
  * admission_queue on queued SYNs and requests, admission_established on
  * callers' packets of flows, admission_endpoint on the endpoint's packets.
+ * admission_records lists open flows for records,
  * admission_orphans answers orphan queries and admission_notify sends status
  * frames.
  */
@@ -42,6 +43,7 @@
  * @maybe_local: the flow was established at the endpoint's last incarnation
  * and its SYN came again, so that the endpoint may still hold it
  * @proven: the endpoint sent a packet of the established flow
+ * @closed: the caller or the endpoint has ended the flow
  * @queued: the flow is open, its request is queued until a slot is free
  * @packets: chain of the queued request's packets
  * @service: hash_service() of the service in its frame
@@ -49,10 +51,12 @@
  * @target: for ADMISSION_FLOW_REMOTE, the agent that it was redirected to;
  * address 0 if unknown
  * @seq: sequence number of the endpoint's SYN+ACK
+ * @reply_end: end of the endpoint's data seen last
  * @caller_seq: end of the caller's data seen so far
  * @busy_us: since when its request is in progress
  * @syn_sent_us: when the SYN was sent to the endpoint
  * @established_us: when the endpoint answered the SYN, 0 for not yet
+ * @held_us: when the endpoint sent the flow's first packet seen, 0 for not yet
  * @target_us: response target of a queued SYN or request
  * @abandon_us: when the caller of a queued SYN or request abandons it
  * @request_start_us: when its request was given to the endpoint, 0 for none
@@ -70,16 +74,19 @@
     bool rejected;
     bool maybe_local;
     bool proven;
+    bool closed;
     bool queued;
     int packets;
     uint32_t service;
     struct addr origin;
     struct addr target;
     uint32_t seq;
+    uint32_t reply_end;
     uint32_t caller_seq;
     uint64_t busy_us;
     uint64_t syn_sent_us;
     uint64_t established_us;
+    uint64_t held_us;
     uint64_t target_us;
     uint64_t abandon_us;
     uint64_t request_start_us;
--- a/src/relay/program/relay_agent.c
+++ b/src/relay/program/relay_agent.c
@@ -91,6 +91,7 @@
 on_tick(struct loop *loop, uint64_t now_us)
 {
     struct relay_agent *agent = container_of(loop, struct relay_agent, loop);
+    uint64_t records_us;
     uint64_t next_us;
 
     /* Read pending packets first: in a late tick they must not count as
@@ -102,6 +103,7 @@
     register_again(agent, now_us);
     registration_writer_tick(&agent->registration, now_us);
     update_epoch(agent, now_us);
+    records_us = relay_agent_records_tick(agent, now_us);
     if (settings_file_changed(&agent->file, now_us)) {
         reload(agent);
     }
@@ -113,6 +115,7 @@
         loop_stop(loop);
     }
     next_us = MIN(admission_next_us(&agent->admission), agent->flush_us);
+    next_us = MIN(next_us, records_us);
     return MIN(next_us, registration_writer_next_us(&agent->registration));
 }
 
@@ -221,7 +224,8 @@
     if (admission_init(&agent->admission, &agent->out, agent->frames.addr,
                        agent->settings.data_centre, agent->settings.service,
                        agent->started_us) < 0 ||
-        start_registration(agent, agent->started_us) < 0) {
+        start_registration(agent, agent->started_us) < 0 ||
+        relay_agent_records_start(agent, agent->started_us) < 0) {
         return error_set(err, -ENOMEM, "start", NULL, "no memory");
     }
     probe_init(&agent->probe, &relay_agent_probe_ops, agent->loop.base,
@@ -239,6 +243,7 @@
     if (agent->store != NULL) {
         agent->store->ops->free(agent->store);
     }
+    relay_agent_records_finish(agent);
     probe_finish(&agent->probe);
     httpd_free(agent->ready);
     httpd_free(agent->metrics);
--- a/src/relay/program/relay_agent_http.c
+++ b/src/relay/program/relay_agent_http.c
@@ -131,6 +131,7 @@
     }
     httpd_respond(request, status, "application/json", HEARTBEAT_FORMAT_ACK,
                   strlen(HEARTBEAT_FORMAT_ACK));
+    (void)relay_agent_records_tick(agent, loop_now_us(&agent->loop));
     relay_agent_flush(agent);
     return 0;
 }
@@ -179,6 +180,7 @@
             text, "swiftarch_dropped_total{reason=\"%s\"} %" PRIu64 "\n",
             relay_agent_drop_names[i], agent->counts.dropped[i]);
     }
+    relay_agent_records_metrics(agent, text);
     httpd_respond(request, 200, "text/plain; version=0.0.4", text->str,
                   text->len);
     g_string_free(text, TRUE);
--- a/src/relay/program/relay_agent_private.h
+++ b/src/relay/program/relay_agent_private.h
@@ -3,16 +3,20 @@
  *
  * relay_agent.c starts, ticks and stops the process; relay_agent_out.c
  * receives datagrams and implements admission's outputs; relay_agent_http.c
- * serves heartbeats, metrics and state over HTTP.
+ * serves heartbeats, metrics and state over HTTP; relay_agent_records.c keeps
+ * the record of open flows.
  */
 #ifndef SWIFTARCH_RELAY_PROGRAM_RELAY_AGENT_PRIVATE_H
 #define SWIFTARCH_RELAY_PROGRAM_RELAY_AGENT_PRIVATE_H
 
+#include <glib.h>
+
 #include "base/event_log.h"
 #include "base/httpd.h"
 #include "relay/program/dgram.h"
 #include "relay/admission/admission.h"
 #include "relay/program/loop.h"
+#include "relay/records/record_writer.h"
 #include "relay/store/registration.h"
 #include "relay/program/probe.h"
 #include "relay/program/relay_settings.h"
@@ -29,6 +33,24 @@
     HEARTBEAT_ACCEPTED,              /* not refused; also the array size */
 };
 
+struct relay_agent;
+
+/**
+ * struct relay_agent_records - the record of open flows
+ * @agent: the agent
+ * @store: connection to the store for the record
+ * @writer: reads and writes the record
+ * @events: counters for /metrics
+ * @reset: flows of the record that were reset
+ */
+struct relay_agent_records {
+    struct relay_agent *agent;
+    struct store *store;
+    struct record_writer writer;
+    uint64_t events[RECORD_EVENT_COUNT];
+    uint64_t reset;
+};
+
 /**
  * struct relay_agent - state of the agent process
  * @loop: event loop
@@ -45,6 +67,7 @@
  * @heartbeats: listener of @heartbeat_handler
  * @store: connection to the store
  * @registration: writes the agent's object to the store
+ * @records: the record of open flows, NULL without the setting
  * @probe: checks whether the endpoint's process is listening
  * @log: event log on standard output
  * @started_us: when the process started
@@ -69,6 +92,7 @@
     struct httpd *heartbeats;
     struct store *store;
     struct registration_writer registration;
+    struct relay_agent_records *records;
     struct probe probe;
     struct event_log log;
     uint64_t started_us;
@@ -109,4 +133,24 @@
 void
 relay_agent_flush(struct relay_agent *agent);
 
+/** relay_agent_records_start() - start to keep a record of open flows if the
+ * settings ask for it; 0 or -ENOMEM */
+int
+relay_agent_records_start(struct relay_agent *agent, uint64_t now_us);
+
+/** relay_agent_records_finish() - free the record's state, also after a failed
+ * start */
+void
+relay_agent_records_finish(struct relay_agent *agent);
+
+/** relay_agent_records_tick() - do what is due; returns when the next tick is,
+ * UINT64_MAX for never */
+uint64_t
+relay_agent_records_tick(struct relay_agent *agent, uint64_t now_us);
+
+/** relay_agent_records_metrics() - append the record's metrics, if it is kept
+ */
+void
+relay_agent_records_metrics(const struct relay_agent *agent, GString *text);
+
 #endif
