--- a/src/cli/relay_show.c
+++ b/src/cli/relay_show.c
@@ -63,7 +63,7 @@
     printf(
         "%s agent %s in %s: service %s, endpoint %s (%s), busy %" PRId64
         " of %" PRId64 ", %" PRId64 " queued, %" PRId64
-        " flows, newest version reported %" PRId64 "%s\n",
+        " flows, newest version reported %" PRId64 "%s",
         address, relay_query_text(json, "name"),
         relay_query_text(json, "data_centre"),
         relay_query_text(json, "service"), relay_query_text(json, "endpoint"),
@@ -71,6 +71,12 @@
         relay_query_number(json, "slots"), relay_query_number(json, "held"),
         relay_query_number(json, "flows"), relay_query_number(json, "version"),
         relay_query_bool(json, "evacuated") ? ", data centre evacuated" : "");
+    if (json_object_object_get_ex(json, "recorded_flows", NULL)) {
+        printf(", %" PRId64 " flows recorded, %" PRId64 " reset by record",
+               relay_query_number(json, "recorded_flows"),
+               relay_query_number(json, "recorded_flows_reset"));
+    }
+    printf("\n");
 }
 
 /* Queries one process and prints its state. */
--- a/src/relay/program/relay_agent_http.c
+++ b/src/relay/program/relay_agent_http.c
@@ -201,8 +201,11 @@
         respond_metrics(agent, request);
     }
     else if (strcmp(path, RELAY_STATE_PATH) == 0) {
-        relay_state_respond(
-            request, relay_state_agent(&agent->settings, &agent->admission));
+        struct json_object *state =
+            relay_state_agent(&agent->settings, &agent->admission);
+
+        relay_agent_records_state(agent, state);
+        relay_state_respond(request, state);
     }
     else if (strcmp(path, RELAY_EXPLAIN_PATH) == 0) {
         relay_explain_agent(request, &agent->admission);
--- a/src/relay/program/relay_agent_private.h
+++ b/src/relay/program/relay_agent_private.h
@@ -153,4 +153,10 @@
 void
 relay_agent_records_metrics(const struct relay_agent *agent, GString *text);
 
+/** relay_agent_records_state() - add the record's fields to the state, if it
+ * is kept */
+void
+relay_agent_records_state(const struct relay_agent *agent,
+                          struct json_object *state);
+
 #endif
--- a/src/relay/program/relay_agent_records.c
+++ b/src/relay/program/relay_agent_records.c
@@ -91,8 +91,7 @@
     records = g_new0(struct relay_agent_records, 1);
     agent->records = records;
     records->agent = agent;
-    records->store =
-        object_store_new(agent->loop.base, agent->settings.store);
+    records->store = object_store_new(agent->loop.base, agent->settings.store);
     if (records->store == NULL) {
         return -ENOMEM;
     }
@@ -142,3 +141,19 @@
                            "\n",
                            records->writer.stored.count, records->reset);
 }
+
+void
+relay_agent_records_state(const struct relay_agent *agent,
+                          struct json_object *state)
+{
+    const struct relay_agent_records *records = agent->records;
+
+    if (records == NULL) {
+        return;
+    }
+    json_object_object_add(
+        state, "recorded_flows",
+        json_object_new_int64(records->writer.stored.count));
+    json_object_object_add(state, "recorded_flows_reset",
+                           json_object_new_int64((int64_t)records->reset));
+}
--- a/tests/relay/settings_test.c
+++ b/tests/relay/settings_test.c
@@ -65,6 +65,23 @@
     g_assert_cmpuint(settings.stop_ms, >, 0);
 }
 
+TEST(flow_records_are_kept_only_on_request)
+{
+    struct relay_settings settings;
+    char *faults = load_faults("{" AGENT_KEYS "}", RELAY_AGENT, &settings);
+
+    g_assert_cmpstr(faults, ==, "");
+    g_assert_false(settings.flow_records);
+    g_free(faults);
+    faults = load_faults("{" AGENT_KEYS ",\"flow_records\":true}", RELAY_AGENT,
+                         &settings);
+    g_assert_cmpstr(faults, ==, "");
+    g_assert_true(settings.flow_records);
+    g_free(faults);
+    expect_fault("{" AGENT_KEYS ",\"flow_records\":1}", RELAY_AGENT,
+                 "flow_records");
+}
+
 TEST(a_changed_file_is_reloaded_and_an_invalid_file_changes_nothing)
 {
     struct relay_settings settings;
