--- a/src/relay/admission/admission_records.c
+++ b/src/relay/admission/admission_records.c
@@ -12,9 +12,8 @@
 {
     const struct admission_flow *flow = &admission->flows[handle];
 
-    return flow->state == ADMISSION_FLOW_ESTABLISHED &&
-           flow->proven && !flow->closed &&
-           flow->incarnation == admission->incarnation &&
+    return flow->state == ADMISSION_FLOW_ESTABLISHED && flow->proven &&
+           !flow->closed && flow->incarnation == admission->incarnation &&
            flow->held_us + HEARTBEAT_DELAY_US <= admission->endpoint.heard_us;
 }
 
--- a/src/relay/records/record_writer.c
+++ b/src/relay/records/record_writer.c
@@ -77,8 +77,7 @@
 static void
 plan_first_write(struct record_writer *writer, uint64_t now_us)
 {
-    writer->next_us =
-        now_us + jitter(writer, now_us, writer->pace_us);
+    writer->next_us = now_us + jitter(writer, now_us, writer->pace_us);
 }
 
 static void
@@ -129,8 +128,8 @@
 static void
 set_pace(struct record_writer *writer, double pace_us)
 {
-    writer->pace_us = (uint64_t)CLAMP(pace_us, (double)PACE_MIN_US,
-                                      (double)PACE_MAX_US);
+    writer->pace_us =
+        (uint64_t)CLAMP(pace_us, (double)PACE_MIN_US, (double)PACE_MAX_US);
     writer->pace_known = true;
 }
 
@@ -144,8 +143,7 @@
         revision > writer->revision) {
         double per_s = (double)(revision - writer->revision) *
                        (double)USEC_PER_SEC / (double)elapsed_us;
-        double pace_us =
-            (double)writer->pace_us * per_s / STORE_CHANGES_PER_S;
+        double pace_us = (double)writer->pace_us * per_s / STORE_CHANGES_PER_S;
 
         set_pace(writer, pace_us);
     }
@@ -159,9 +157,9 @@
 {
     unsigned backoff = MIN(writer->failures, BACKOFF_MAX);
 
-    writer->next_us = writer->called_us + (writer->pace_us << backoff) +
-                      jitter(writer, writer->called_us,
-                             writer->pace_us / JITTER_DIVISOR);
+    writer->next_us =
+        writer->called_us + (writer->pace_us << backoff) +
+        jitter(writer, writer->called_us, writer->pace_us / JITTER_DIVISOR);
 }
 
 static bool
@@ -178,8 +176,7 @@
         writer->exists = true;
         flow_record_copy(&writer->stored, &writer->current);
         if (reply->count == 1) {
-            update_pace(writer, reply->objects[0].revision,
-                        writer->called_us);
+            update_pace(writer, reply->objects[0].revision, writer->called_us);
         }
         report(writer, RECORD_EVENT_WRITTEN, &writer->current);
     }
--- a/src/relay/records/record_writer.h
+++ b/src/relay/records/record_writer.h
@@ -32,8 +32,8 @@
 
 /** enum record_event - what the writer reports */
 enum record_event {
-    RECORD_EVENT_READ,    /* read: the record was found or is missing */
-    RECORD_EVENT_FOREIGN, /* the object can't be decoded: an error */
+    RECORD_EVENT_READ,     /* read: the record was found or is missing */
+    RECORD_EVENT_FOREIGN,  /* the object can't be decoded: an error */
     RECORD_EVENT_GIVEN_UP, /* the store didn't reply for too long */
     RECORD_EVENT_OUTDATED, /* the record is too old to matter */
     RECORD_EVENT_WRITTEN,
--- a/tests/relay/admission_records_test.c
+++ b/tests/relay/admission_records_test.c
@@ -83,8 +83,8 @@
 
     hold_flow(fixture);
     fixture_answer(fixture,
-                   fixture_from_endpoint(
-                       fixture_flow(1), RELAY_ACK | RELAY_FIN, 601, 141, 0));
+                   fixture_from_endpoint(fixture_flow(1),
+                                         RELAY_ACK | RELAY_FIN, 601, 141, 0));
     g_assert_cmpuint(count_open_flows(fixture, &seq), ==, 0);
 }
 
@@ -154,9 +154,8 @@
 TEST_F(fixture, a_recorded_flow_that_a_lookup_decides_on_is_not_reset)
 {
     fixture_receive(
-        fixture,
-        fixture_from_caller(fixture_flow(1), RELAY_ACK, 141, 601, 40), 2,
-        false);
+        fixture, fixture_from_caller(fixture_flow(1), RELAY_ACK, 141, 601, 40),
+        2, false);
     g_string_truncate(fixture->record, 0);
     g_assert_false(
         admission_reset_ended(&fixture->admission, fixture_flow(1), 601));
--- a/tests/relay/record_writer_test.c
+++ b/tests/relay/record_writer_test.c
@@ -109,8 +109,7 @@
 static void
 reply_with(struct fixture *fixture, struct json_object *value)
 {
-    struct store_object object = {
-        .name = NAME, .revision = 7, .value = value};
+    struct store_object object = {.name = NAME, .revision = 7, .value = value};
     struct store_reply reply = {.epoch = 1, .objects = &object, .count = 1};
     struct store_call *call = fixture->store.call;
 
@@ -211,7 +210,8 @@
 
 /* The store was restored from an older copy: its record is of an incarnation
  * before the last one. All of its flows have ended as well. */
-TEST_F(fixture, a_record_of_a_store_restored_from_an_older_copy_is_of_ended_flows)
+TEST_F(fixture,
+       a_record_of_a_store_restored_from_an_older_copy_is_of_ended_flows)
 {
     set_incarnation(fixture, "i-3", 300);
     fixture->store.epoch = 2;
@@ -388,10 +388,10 @@
         fixture->endpoint.count = 0;
         add_flows(fixture, 100 * (i + 1), 4);
         advance(fixture, 2000000);
-        revision += before_us == 0 ? 1000
-                                   : (uint64_t)agents *
-                                         (fixture->now_us - before_us) /
-                                         fixture->writer.pace_us;
+        revision += before_us == 0
+                        ? 1000
+                        : (uint64_t)agents * (fixture->now_us - before_us) /
+                              fixture->writer.pace_us;
         store_fixture_reply(&fixture->store, 0, revision, NAME, false);
     }
     pace_us = fixture->writer.pace_us;
@@ -408,8 +408,7 @@
     } fleets[] = {{80, 5}, {300, 5}, {985, 16}, {20000, 333}};
 
     for (size_t i = 0; i < G_N_ELEMENTS(fleets); i++) {
-        uint64_t pace_us =
-            fleet_pace_us(fleets[i].agents, 20 * USEC_PER_SEC);
+        uint64_t pace_us = fleet_pace_us(fleets[i].agents, 20 * USEC_PER_SEC);
 
         g_assert_cmpuint(pace_us / USEC_PER_SEC, ==, fleets[i].pace_s);
     }
