Flow records: no read at a new address, no query of the revision

An agent whose registration found no object at its address has no record; the revision in the reply that created the registration is the first of the two that give the pace.

--- a/src/relay/program/relay_agent_records.c
+++ b/src/relay/program/relay_agent_records.c
@@ -109,10 +109,27 @@
     g_free(agent->records);
 }
 
+/* Takes from the registration's calls what saves calls for the record. Returns
+ * whether its first read has ended. */
+static bool
+follow_registration(struct relay_agent *agent, uint64_t now_us)
+{
+    const struct registration_writer *registration = &agent->registration;
+    struct record_writer *writer = &agent->records->writer;
+
+    if (registration->missing) {
+        record_writer_skip_read(writer);
+    }
+    if (registration->revision != 0) {
+        record_writer_set_revision(writer, registration->revision, now_us);
+    }
+    return registration->step != REGISTRATION_READ || registration->reads > 0;
+}
+
 uint64_t
 relay_agent_records_tick(struct relay_agent *agent, uint64_t now_us)
 {
-    if (agent->records == NULL) {
+    if (agent->records == NULL || !follow_registration(agent, now_us)) {
         return UINT64_MAX;
     }
     record_writer_set_epoch(&agent->records->writer,
--- a/src/relay/records/record_writer.c
+++ b/src/relay/records/record_writer.c
@@ -165,7 +165,8 @@
 static bool
 must_probe(const struct record_writer *writer)
 {
-    return !writer->pace_known && writer->replied_us != 0;
+    return !writer->pace_known && writer->replied_us != 0 &&
+           writer->stored.count > 0;
 }
 
 static void
@@ -388,6 +389,24 @@
     writer->epoch = epoch;
 }
 
+void
+record_writer_skip_read(struct record_writer *writer)
+{
+    if (writer->step == RECORD_READ && !writer->open) {
+        writer->step = RECORD_WAIT;
+    }
+}
+
+void
+record_writer_set_revision(struct record_writer *writer, uint64_t revision,
+                           uint64_t now_us)
+{
+    if (writer->replied_us == 0) {
+        writer->replied_us = now_us;
+        writer->revision = revision;
+    }
+}
+
 void
 record_writer_tick(struct record_writer *writer, uint64_t now_us)
 {
--- a/src/relay/records/record_writer.h
+++ b/src/relay/records/record_writer.h
@@ -112,6 +112,17 @@
 void
 record_writer_set_epoch(struct record_writer *writer, uint32_t epoch);
 
+/** record_writer_skip_read() - there is no record, as the agent's address is
+ * new */
+void
+record_writer_skip_read(struct record_writer *writer);
+
+/** record_writer_set_revision() - handle the store's revision in the reply to
+ * another write of the agent; the first one serves to learn the pace */
+void
+record_writer_set_revision(struct record_writer *writer, uint64_t revision,
+                           uint64_t now_us);
+
 /** record_writer_tick() - do what is due; to be called after a heartbeat too
  */
 void
--- a/src/relay/store/registration.c
+++ b/src/relay/store/registration.c
@@ -172,6 +172,7 @@
         writer->step = REGISTRATION_REMOVED;
         break;
     default:
+        writer->revision = reply->count == 1 ? reply->objects[0].revision : 0;
         writer->reads = REGISTRATION_READS;
         writer->step = REGISTRATION_DONE;
     }
@@ -204,6 +205,7 @@
         on_success(writer, reply);
     }
     else if (!removing && reply->status == -ENOENT) {
+        writer->missing |= writer->reads == 0;
         writer->step = REGISTRATION_CREATE;
     }
     else if (!removing && reply->status == -EEXIST) {
--- a/src/relay/store/registration.h
+++ b/src/relay/store/registration.h
@@ -90,6 +90,8 @@
  * @called_step: @step when the open call began; @step may have changed since
  * @epoch: the store's epoch in its last reply, 0 if unknown
  * @reported_epoch: last epoch passed to registration_writer_set_epoch()
+ * @missing: the first read found no object: the address is new
+ * @revision: the store's revision in the reply to the last write, 0 for none
  * @reads: reads that found the object, REGISTRATION_READS after a write
  * @next_us: when the next call is due; 0 until the first tick after a call
  */
@@ -103,6 +105,8 @@
     enum registration_step called_step;
     uint32_t epoch;
     uint32_t reported_epoch;
+    bool missing;
+    uint64_t revision;
     unsigned reads;
     uint64_t next_us;
 };
--- a/tests/relay/record_writer_test.c
+++ b/tests/relay/record_writer_test.c
@@ -263,7 +263,7 @@
 
     set_incarnation(fixture, "i-2", 200);
     advance(fixture, 1);
-    while (fixture->store.call != NULL) {
+    while (fixture->store.call != NULL && reads < 100) {
         store_fixture_reply(&fixture->store, -ECONNREFUSED, 0, NULL, false);
         reads++;
         advance(fixture, 2500);
@@ -455,3 +455,32 @@
     store_fixture_reply(&fixture->store, 0, 820, NULL, false);
     g_assert_cmpuint(fixture->writer.pace_us / USEC_PER_SEC, ==, 60);
 }
+
+TEST_F(fixture, an_agent_at_a_new_address_reads_no_record)
+{
+    set_incarnation(fixture, "i-1", 100);
+    add_flows(fixture, 1, 4);
+    record_writer_skip_read(&fixture->writer);
+    advance(fixture, 20100);
+    fixture_expect(fixture->store.record, "create " NAME, NULL);
+}
+
+TEST_F(fixture, an_agent_that_registered_learns_its_pace_by_the_first_write)
+{
+    set_incarnation(fixture, "i-1", 100);
+    add_flows(fixture, 1, 4);
+    record_writer_skip_read(&fixture->writer);
+    record_writer_set_revision(&fixture->writer, 50, fixture->now_us);
+    advance(fixture, 20100);
+    /* 180 changes a second are three times the bound. */
+    store_fixture_reply(&fixture->store, 0,
+                        50 + 180 * (fixture->now_us - USEC_PER_SEC) /
+                                 USEC_PER_SEC,
+                        NAME, false);
+    g_assert_cmpuint(fixture->writer.pace_us / USEC_PER_SEC, >=, 59);
+    g_assert_cmpuint(fixture->writer.pace_us / USEC_PER_SEC, <=, 60);
+    g_string_truncate(fixture->store.record, 0);
+    add_flows(fixture, 5, 4);
+    advance(fixture, 50000);
+    fixture_expect(fixture->store.record, NULL);
+}
--- a/tests/relay/registration_test.c
+++ b/tests/relay/registration_test.c
@@ -132,6 +132,17 @@
     fixture_expect(fixture->store.record, "get 10-1-0-13-8172 stale",
                    "create 10-1-0-13-8172", "create 10-1-0-13-8172",
                    "put 10-1-0-13-8172", NULL);
+    g_assert_true(fixture->writer.missing);
+}
+
+TEST_F(fixture, a_known_address_isnt_missing)
+{
+    writer_tick(fixture, 1);
+    reply_to_read(fixture, "albums");
+    writer_tick(fixture, 2);
+    store_fixture_reply(&fixture->store, 0, 9, "10-1-0-13-8172", false);
+    g_assert_false(fixture->writer.missing);
+    g_assert_cmpuint(fixture->writer.revision, ==, 9);
 }
 
 TEST_F(fixture, removed_object_is_created_again)
