Flow records: reset also beside an endpoint that is down

If no heartbeat has come and a probe finds that no process of the endpoint listens, the recorded incarnation has ended, as it is for callers that ask (admission_orphans).

--- a/src/relay/program/relay_agent_records.c
+++ b/src/relay/program/relay_agent_records.c
@@ -21,7 +21,7 @@
     return container_of(writer, struct relay_agent_records, writer)->agent;
 }
 
-static bool
+static enum record_endpoint
 on_collect(struct record_writer *writer, struct flow_record *record)
 {
     struct relay_agent *agent = agent_of_writer(writer);
@@ -30,18 +30,18 @@
     uint32_t seq;
     uint32_t at = 0;
 
-    if (endpoint->incarnation_count == 0) {
-        return false;
-    }
     g_strlcpy(record->service, agent->settings.service,
               sizeof(record->service));
+    record->written_ms = (uint64_t)g_get_real_time() / USEC_PER_MSEC;
+    if (endpoint->incarnation_count == 0) {
+        return endpoint->down ? RECORD_ENDPOINT_DOWN : RECORD_ENDPOINT_UNKNOWN;
+    }
     g_strlcpy(record->id, endpoint->incarnations[0].id, sizeof(record->id));
     record->started_ms = endpoint->incarnations[0].started_ms;
-    record->written_ms = (uint64_t)g_get_real_time() / USEC_PER_MSEC;
     while (admission_next_open_flow(&agent->admission, &at, &flow, &seq)) {
         flow_record_add(record, flow, seq);
     }
-    return true;
+    return RECORD_ENDPOINT_HEARD;
 }
 
 static void
--- a/src/relay/records/record_writer.c
+++ b/src/relay/records/record_writer.c
@@ -253,18 +253,18 @@
     }
 }
 
-static bool
+static enum record_endpoint
 collect(struct record_writer *writer)
 {
+    enum record_endpoint endpoint;
+
     memset(&writer->current, 0, offsetof(struct flow_record, flows));
-    if (!writer->ops->collect(writer, &writer->current)) {
-        return false;
-    }
+    endpoint = writer->ops->collect(writer, &writer->current);
     writer->current.epoch = writer->epoch;
     writer->current.pace_ms =
         writer->pace_known ? (uint32_t)(writer->pace_us / USEC_PER_MSEC) : 0;
     flow_record_sort(&writer->current);
-    return true;
+    return endpoint;
 }
 
 static bool
@@ -275,11 +275,23 @@
                writer->stored.written_ms + RECORD_AGE_MAX_MS;
 }
 
-/* Compares the record with the endpoint once its incarnation is known. */
+/* Whether all flows of the stored record have ended. */
+static bool
+has_ended(const struct record_writer *writer, enum record_endpoint endpoint)
+{
+    if (endpoint == RECORD_ENDPOINT_DOWN) {
+        return strcmp(writer->stored.service, writer->current.service) == 0;
+    }
+    return flow_record_has_ended(&writer->stored, &writer->current);
+}
+
+/* Compares the record with the endpoint once it is heard or found down. */
 static void
 compare(struct record_writer *writer, uint64_t now_us)
 {
-    if (!collect(writer)) {
+    enum record_endpoint endpoint = collect(writer);
+
+    if (endpoint == RECORD_ENDPOINT_UNKNOWN) {
         return;
     }
     if (is_outdated(writer)) {
@@ -290,7 +302,7 @@
     if (writer->stored.pace_ms != 0) {
         set_pace(writer, (double)writer->stored.pace_ms * USEC_PER_MSEC);
     }
-    if (flow_record_has_ended(&writer->stored, &writer->current)) {
+    if (has_ended(writer, endpoint)) {
         writer->ops->reset(writer, &writer->stored);
     }
     start_writing(writer, now_us);
@@ -341,7 +353,7 @@
         start_probe(writer, now_us);
         return;
     }
-    if (!collect(writer) || !has_changed(writer)) {
+    if (collect(writer) != RECORD_ENDPOINT_HEARD || !has_changed(writer)) {
         plan_check(writer, now_us);
         return;
     }
--- a/src/relay/records/record_writer.h
+++ b/src/relay/records/record_writer.h
@@ -2,9 +2,10 @@
  * DOC: record_writer - reads and writes an agent's flow record in the store
  *
  * After the agent's start the writer reads the record once. When the
- * endpoint's incarnation is known and is later than the record's, the flows
- * of the record have ended, and their callers are reset. From then on it
- * writes the record when enough has changed, at a pace.
+ * endpoint's incarnation is known and is later than the record's, or no
+ * process of the endpoint is running, the flows of the record have ended, and
+ * their callers are reset. From then on it writes the record when enough has
+ * changed, at a pace.
  *
  * The pace bounds the writes of the whole fleet: from the store's revision in
  * the replies to two of its own writes an agent knows how many changes all
@@ -41,13 +42,21 @@
     RECORD_EVENT_COUNT,
 };
 
+/** enum record_endpoint - what is known of the endpoint */
+enum record_endpoint {
+    RECORD_ENDPOINT_UNKNOWN, /* neither heard nor found to be down */
+    RECORD_ENDPOINT_DOWN,    /* not heard yet, and its process isn't running */
+    RECORD_ENDPOINT_HEARD,   /* its incarnation is known */
+};
+
 struct record_writer;
 
 /** struct record_writer_ops - callbacks into the owner */
 struct record_writer_ops {
-    /** @collect: fill an empty record with the endpoint's incarnation, its
-     * open flows and the time; false while no incarnation is known */
-    bool (*collect)(struct record_writer *writer, struct flow_record *record);
+    /** @collect: fill an empty record with the service, the time and, if the
+     * endpoint was heard, its incarnation and its open flows */
+    enum record_endpoint (*collect)(struct record_writer *writer,
+                                    struct flow_record *record);
     /** @reset: reset the flows of a record whose incarnation has ended */
     void (*reset)(struct record_writer *writer,
                   const struct flow_record *ended);
--- a/tests/relay/record_writer_test.c
+++ b/tests/relay/record_writer_test.c
@@ -17,7 +17,7 @@
  * @store: the store; its record also has the writer's resets
  * @writer: the writer
  * @endpoint: what is collected from the endpoint
- * @known: the endpoint's incarnation is known
+ * @state: what is known of the endpoint
  * @events: reported events
  * @now_us: the time
  */
@@ -25,21 +25,22 @@
     struct store_fixture store;
     struct record_writer writer;
     struct flow_record endpoint;
-    bool known;
+    enum record_endpoint state;
     unsigned events[RECORD_EVENT_COUNT];
     uint64_t now_us;
 };
 
-static bool
+static enum record_endpoint
 collect(struct record_writer *writer, struct flow_record *record)
 {
     struct fixture *fixture = (struct fixture *)(void *)writer->store;
 
-    if (!fixture->known) {
-        return false;
+    if (fixture->state == RECORD_ENDPOINT_HEARD) {
+        flow_record_copy(record, &fixture->endpoint);
     }
-    flow_record_copy(record, &fixture->endpoint);
-    return true;
+    g_strlcpy(record->service, fixture->endpoint.service, ROUTES_NAME_MAX);
+    record->written_ms = fixture->endpoint.written_ms;
+    return fixture->state;
 }
 
 static void
@@ -67,7 +68,7 @@
 static void
 set_incarnation(struct fixture *fixture, const char *id, uint64_t started_ms)
 {
-    fixture->known = true;
+    fixture->state = RECORD_ENDPOINT_HEARD;
     g_strlcpy(fixture->endpoint.id, id, ENDPOINT_ID_MAX);
     fixture->endpoint.started_ms = started_ms;
 }
@@ -208,6 +209,32 @@
     fixture_expect(fixture->store.record, "reset i-1 2", NULL);
 }
 
+/* As after a loss of power, on a host whose endpoint doesn't start again. */
+TEST_F(fixture, flows_of_an_endpoint_that_is_down_are_reset)
+{
+    advance(fixture, 1);
+    reply_to_read(fixture, "i-1", 100);
+    advance(fixture, 1000);
+    fixture_expect(fixture->store.record, "get " NAME, NULL);
+    fixture->state = RECORD_ENDPOINT_DOWN;
+    advance(fixture, 1);
+    fixture_expect(fixture->store.record, "reset i-1 2", NULL);
+    /* It starts later: its flows are others. */
+    set_incarnation(fixture, "i-1", 200);
+    advance(fixture, 60000);
+    fixture_expect(fixture->store.record, NULL);
+}
+
+TEST_F(fixture, a_record_of_another_service_at_the_address_resets_nothing)
+{
+    fixture->state = RECORD_ENDPOINT_DOWN;
+    g_strlcpy(fixture->endpoint.service, "albums", ROUTES_NAME_MAX);
+    advance(fixture, 1);
+    reply_to_read(fixture, "i-1", 100);
+    advance(fixture, 60000);
+    fixture_expect(fixture->store.record, "get " NAME, NULL);
+}
+
 /* The store was restored from an older copy: its record is of an incarnation
  * before the last one. All of its flows have ended as well. */
 TEST_F(fixture,
