--- a/src/relay/records/record_writer.c
+++ b/src/relay/records/record_writer.c
@@ -39,7 +39,7 @@
  * fleet whose traffic starts write within one such check. */
 #define CHECK_DIVISOR 8
 
-/* A write is worth its price when one of so many flows isn't covered. */
+/* Write when one of so many flows isn't covered by the stored record. */
 #define UNCOVERED_DIVISOR 8
 
 /* First and longest pause after a failed read: idle callers' next requests
