--- a/src/relay/admission/admission_established.c
+++ b/src/relay/admission/admission_established.c
@@ -218,6 +218,7 @@
     struct admission_flow *flow = &admission->flows[handle];
 
     flow_index_touch(&admission->table, handle, now_us);
+    flow->closed |= (packet->flags & (RELAY_FIN | RELAY_RST)) != 0;
     switch (flow->state) {
     case ADMISSION_FLOW_REMOTE:
         if (flow->maybe_local && !flow->rejected &&
--- a/src/relay/admission/admission_flow.c
+++ b/src/relay/admission/admission_flow.c
@@ -97,6 +97,7 @@
     admission_decided(admission, ADMISSION_DECISION_RESET, handle,
                       FRAME_REASON_LEAVING);
     admission->out->ops->reset(admission->out, key, seq);
+    admission->flows[handle].closed = true;
     admission_flow_set_idle(admission, handle);
     admission_forget_request(admission, handle);
 }
--- a/src/relay/admission/admission_private.h
+++ b/src/relay/admission/admission_private.h
@@ -5,7 +5,8 @@
  * admission_queue on queued SYNs and requests, admission_established on
  * callers' packets of flows, admission_endpoint on the endpoint's packets.
  * Where the settings ask for it, admission_requests tells the requests of
- * flows for the scheduler, and admission_load reports the endpoint's load.
+ * flows for the scheduler, admission_load reports the endpoint's load, and
+ * admission_records lists open flows for records.
  * admission_orphans answers orphan queries and admission_notify sends status
  * frames.
  */
@@ -52,6 +53,7 @@
  * @maybe_local: the flow was established at the endpoint's last incarnation
  * and its SYN came again, so that the endpoint may still hold it
  * @proven: the endpoint sent a packet of the established flow
+ * @closed: the caller or the endpoint has ended the flow
  * @queued: the flow is open, its request is queued until a slot is free
  * @held: the scheduler holds its request
  * @answered: the endpoint has sent data, up to @seq_end
@@ -62,6 +64,7 @@
  * @target: for ADMISSION_FLOW_REMOTE, the agent that it was redirected to;
  * address 0 if unknown
  * @seq: sequence number of the endpoint's SYN+ACK
+ * @reply_end: end of the endpoint's data seen last
  * @caller_seq: end of the caller's data seen so far
  * @seq_end: end of the endpoint's data
  * @data_end: end of the caller's data, if the settings ask for scheduling
@@ -70,6 +73,8 @@
  * @busy_us: since when its request is in progress
  * @syn_sent_us: when the SYN was sent to the endpoint
  * @established_us: when the endpoint answered the SYN, 0 for not yet
+ * @endpoint_seen_us: when the endpoint sent the flow's first packet seen, 0
+ * for not yet
  * @target_us: response target of a queued SYN or a request
  * @abandon_us: when the caller of a queued SYN or request abandons it
  * @priority: of its last scheduled request
@@ -89,6 +94,7 @@
     bool rejected;
     bool maybe_local;
     bool proven;
+    bool closed;
     bool queued;
     bool held;
     bool answered;
@@ -98,6 +104,7 @@
     struct addr origin;
     struct addr target;
     uint32_t seq;
+    uint32_t reply_end;
     uint32_t caller_seq;
     uint32_t seq_end;
     uint32_t data_end;
@@ -106,6 +113,7 @@
     uint64_t busy_us;
     uint64_t syn_sent_us;
     uint64_t established_us;
+    uint64_t endpoint_seen_us;
     uint64_t target_us;
     uint64_t abandon_us;
     uint8_t priority;
--- a/src/relay/program/relay_agent_http.c
+++ b/src/relay/program/relay_agent_http.c
@@ -131,6 +131,7 @@
     }
     httpd_respond(request, status, "application/json", HEARTBEAT_FORMAT_ACK,
                   strlen(HEARTBEAT_FORMAT_ACK));
+    (void)relay_agent_records_tick(agent, loop_now_us(&agent->loop));
     relay_agent_flush(agent);
     return 0;
 }
@@ -180,6 +181,7 @@
             relay_agent_drop_names[i], agent->counts.dropped[i]);
     }
     relay_agent_schedule_metrics(agent, text);
+    relay_agent_records_metrics(agent, text);
     httpd_respond(request, 200, "text/plain; version=0.0.4", text->str,
                   text->len);
     g_string_free(text, TRUE);
@@ -200,8 +202,11 @@
         respond_metrics(agent, request);
     }
     else if (strcmp(path, RELAY_STATE_PATH) == 0) {
-        relay_state_respond(
-            request, relay_state_agent(&agent->settings, &agent->admission));
+        struct json_object *state =
+            relay_state_agent(&agent->settings, &agent->admission);
+
+        relay_agent_records_state(agent, state);
+        relay_state_respond(request, state);
     }
     else if (strcmp(path, RELAY_EXPLAIN_PATH) == 0) {
         relay_explain_agent(request, &agent->admission,
--- a/src/relay/program/relay_agent_private.h
+++ b/src/relay/program/relay_agent_private.h
@@ -4,7 +4,8 @@
  * relay_agent.c starts, ticks and stops the process; relay_agent_out.c
  * receives datagrams and implements admission's outputs; relay_agent_http.c
  * serves heartbeats, metrics and state over HTTP; relay_agent_schedule.c
- * counts and logs scheduled requests.
+ * counts and logs scheduled requests; relay_agent_records.c keeps the record
+ * of open flows.
  */
 #ifndef SWIFTARCH_RELAY_PROGRAM_RELAY_AGENT_PRIVATE_H
 #define SWIFTARCH_RELAY_PROGRAM_RELAY_AGENT_PRIVATE_H
@@ -17,6 +18,7 @@
 #include "relay/admission/admission.h"
 #include "relay/program/loop.h"
 #include "relay/scheduler/wait_histogram.h"
+#include "relay/records/record_writer.h"
 #include "relay/store/registration.h"
 #include "relay/program/probe.h"
 #include "relay/program/relay_settings.h"
@@ -33,6 +35,24 @@
     HEARTBEAT_ACCEPTED,              /* not refused; also the array size */
 };
 
+struct relay_agent;
+
+/**
+ * struct relay_agent_records - the record of open flows
+ * @agent: the agent
+ * @store: connection to the store for the record
+ * @writer: reads and writes the record
+ * @events: counters for /metrics
+ * @reset: flows of the record that were reset
+ */
+struct relay_agent_records {
+    struct relay_agent *agent;
+    struct store *store;
+    struct record_writer writer;
+    uint64_t events[RECORD_EVENT_COUNT];
+    uint64_t reset;
+};
+
 /**
  * struct relay_agent_schedule - counters of scheduled requests
  * @held: requests that were held
@@ -63,6 +83,7 @@
  * @heartbeats: listener of @heartbeat_handler
  * @store: connection to the store
  * @registration: writes the agent's object to the store
+ * @records: the record of open flows, NULL without the setting
  * @probe: checks whether the endpoint's process is listening
  * @log: event log on standard output
  * @started_us: when the process started
@@ -88,6 +109,7 @@
     struct httpd *heartbeats;
     struct store *store;
     struct registration_writer registration;
+    struct relay_agent_records *records;
     struct probe probe;
     struct event_log log;
     uint64_t started_us;
@@ -139,5 +161,30 @@
  * none if the settings don't ask for scheduling */
 void
 relay_agent_schedule_metrics(const struct relay_agent *agent, GString *text);
+/** relay_agent_records_start() - start to keep a record of open flows if the
+ * settings ask for it; 0 or -ENOMEM */
+int
+relay_agent_records_start(struct relay_agent *agent, uint64_t now_us);
+
+/** relay_agent_records_finish() - free the record's state, also after a failed
+ * start */
+void
+relay_agent_records_finish(struct relay_agent *agent);
+
+/** relay_agent_records_tick() - do what is due; returns when the next tick is,
+ * UINT64_MAX for never */
+uint64_t
+relay_agent_records_tick(struct relay_agent *agent, uint64_t now_us);
+
+/** relay_agent_records_metrics() - append the record's metrics, if it is kept
+ */
+void
+relay_agent_records_metrics(const struct relay_agent *agent, GString *text);
+
+/** relay_agent_records_state() - add the record's fields to the state, if it
+ * is kept */
+void
+relay_agent_records_state(const struct relay_agent *agent,
+                          struct json_object *state);
 
 #endif
