Agent learns its endpoint's capacity: service time, stuck requests, flows

Cause: balancers know an endpoint's requests in progress only, not how fast it works them off, and a request that hangs looks like any other.

Change: capacity keeps the middle half of the last eight service times (a long request or two don't move it, four slower ones do), tells stuck requests (twelve times the service time, 0.2 s at least) and counts open flows with a request in the last 10 s. With the setting "scheduling" on, status frames carry them; balancers are notified when stuck requests begin or cease to hold half of the slots, and a SYN goes on to the next agent meanwhile, unless forced. Off: outputs as before (two tests).

Ruled out: the mean of latency.c, in which one request of seven times the mean (clipped at six, weight 1/8) adds five eighths.

--- a/src/relay/admission/admission.c
+++ b/src/relay/admission/admission.c
@@ -63,6 +63,7 @@
         }
     }
     admission_queue_expire(admission, now_us);
+    admission_watch_stuck(admission, now_us);
     oldest = flow_index_oldest(&admission->table);
     while (oldest != FLOW_INDEX_NONE &&
            now_us - flow_index_used_us(&admission->table, oldest) > IDLE_US) {
@@ -212,6 +213,7 @@
         admission_flow_set_idle(admission, admission->busy[0]);
     }
     latency_init(&admission->latency);
+    capacity_forget_samples(&admission->capacity);
     admission->outcome = (struct outcome){0};
     admission->evicted_flows = false;
 }
--- a/src/relay/admission/admission.h
+++ b/src/relay/admission/admission.h
@@ -19,6 +19,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "relay/admission/capacity.h"
 #include "relay/admission/endpoint.h"
 #include "relay/admission/packet_pool.h"
 #include "relay/wire/flow_index.h"
@@ -136,6 +137,7 @@
 /**
  * struct admission - an agent's decision state
  * @out: receiver of the outputs
+ * @scheduling: decide on each request, and report the endpoint's load
  * @self: address that other agents send to
  * @data_centre: evacuations_key() of this agent's data centre
  * @store: state of the store, with the evacuated data centres
@@ -152,6 +154,8 @@
  * @queue_count: number of them
  * @packet_pool: packets of queued requests
  * @latency: averages of service and round-trip times
+ * @capacity: service time without outliers, and flows in use
+ * @was_hanging: admission_is_hanging() at the last sweep
  * @slow_start: rate limit while the endpoint is cold
  * @slow_start_due_us: when the rate limit allows the next queued request;
  * UINT64_MAX if none waits for that
@@ -176,6 +180,7 @@
  */
 struct admission {
     struct admission_out *out;
+    bool scheduling;
     struct addr self;
     uint32_t data_centre;
     struct store_state store;
@@ -192,6 +197,8 @@
     unsigned queue_count;
     struct packet_pool packet_pool;
     struct latency latency;
+    struct capacity capacity;
+    bool was_hanging;
     struct slow_start slow_start;
     uint64_t slow_start_due_us;
     struct outcome outcome;
--- a/src/relay/admission/admission_endpoint.c
+++ b/src/relay/admission/admission_endpoint.c
@@ -114,6 +114,8 @@
         latency_add_service(&admission->latency,
                             now_us - flow->request_start_us, flow->depth,
                             admission->endpoint.slots);
+        capacity_add(&admission->capacity, now_us - flow->request_start_us,
+                     flow->depth, admission->endpoint.slots, now_us);
     }
     flow->request_start_us = 0;
     admission_flow_set_idle(admission, handle);
@@ -224,5 +226,8 @@
     if (packet->len > 0 || (packet->flags & (RELAY_FIN | RELAY_RST)) != 0) {
         request_ended(admission, handle, resets, now_us);
     }
+    if ((packet->flags & (RELAY_FIN | RELAY_RST)) != 0) {
+        capacity_flow_ended(&admission->capacity, &flow->used_us);
+    }
     return true;
 }
--- a/src/relay/admission/admission_established.c
+++ b/src/relay/admission/admission_established.c
@@ -133,6 +133,7 @@
     admission_flow_set_busy(admission, handle, now_us);
     flow->request_start_us = now_us;
     flow->depth = admission->busy_count;
+    capacity_flow_used(&admission->capacity, &flow->used_us, now_us);
 }
 
 static void
--- a/src/relay/admission/admission_flow.c
+++ b/src/relay/admission/admission_flow.c
@@ -92,6 +92,8 @@
 {
     admission_flow_set_idle(admission, handle);
     admission_flow_dequeue(admission, handle);
+    capacity_flow_ended(&admission->capacity,
+                        &admission->flows[handle].used_us);
     flow_index_remove(&admission->table, handle);
     /* A pending SYN timer of the handle finds the state changed and does
      * nothing. */
@@ -103,6 +105,8 @@
 {
     admission_flow_set_idle(admission, handle);
     admission_flow_dequeue(admission, handle);
+    capacity_flow_ended(&admission->capacity,
+                        &admission->flows[handle].used_us);
     admission->flows[handle].state = ADMISSION_FLOW_REMOTE;
     admission->flows[handle].target = (struct addr){0};
     admission->flows[handle].frame.bytes = NULL;
--- a/src/relay/admission/admission_notify.c
+++ b/src/relay/admission/admission_notify.c
@@ -50,6 +50,10 @@
         status->health.busy = MAX(status->health.busy, status->health.slots);
     }
     status->health.failing = outcome_is_failing(&admission->outcome, now_us);
+    if (admission->scheduling) {
+        status->health.load.known = true;
+        admission_report_capacity(admission, &status->health.load, now_us);
+    }
     status->heard = admission->heard;
     status->readers = count_readers(admission, balancer, now_us);
     admission->out->ops->notify(admission->out, balancer, status);
--- a/src/relay/admission/admission_open.c
+++ b/src/relay/admission/admission_open.c
@@ -83,11 +83,13 @@
 
 /* Requests per slot in units of 1/LOAD_UNIT, to find the least busy of several
  * agents. Queued ones count if they can still be in time, as late ones are
- * served after new ones. An endpoint at its slow-start limit ranks last. */
+ * served after new ones. An endpoint that hangs or is at its slow-start limit
+ * ranks last. */
 static unsigned
 relative_load(const struct admission *admission, uint64_t now_us)
 {
-    if (!slow_start_allows(&admission->slow_start, now_us)) {
+    if (!slow_start_allows(&admission->slow_start, now_us) ||
+        admission_is_hanging(admission, now_us)) {
         return UINT16_MAX;
     }
     return (admission->busy_count +
@@ -180,6 +182,10 @@
     if (!slow_start_allows(&admission->slow_start, now_us)) {
         return FRAME_REASON_BUSY;
     }
+    if (frame->next_count > 0 && !frame->forced &&
+        admission_is_hanging(admission, now_us)) {
+        return FRAME_REASON_BUSY;
+    }
     if (admission->busy_count >= flow_limit(admission) &&
         !(frame->forced &&
           admission_has_capacity(admission, frame->target_ms > 0, now_us))) {
--- a/src/relay/admission/admission_private.h
+++ b/src/relay/admission/admission_private.h
@@ -4,8 +4,8 @@
  * admission_flow holds the flow table, admission_open decides on SYNs,
  * admission_queue on queued SYNs and requests, admission_established on
  * callers' packets of flows, admission_endpoint on the endpoint's packets.
- * admission_orphans answers orphan queries and admission_notify sends status
- * frames.
+ * admission_orphans answers orphan queries, admission_notify sends status
+ * frames and admission_capacity fills in what the endpoint can bear.
  */
 #ifndef SWIFTARCH_RELAY_ADMISSION_ADMISSION_PRIVATE_H
 #define SWIFTARCH_RELAY_ADMISSION_ADMISSION_PRIVATE_H
@@ -57,6 +57,7 @@
  * @abandon_us: when the caller of a queued SYN or request abandons it
  * @request_start_us: when its request was given to the endpoint, 0 for none
  * @depth: requests in progress at that time, this one included
+ * @used_us: when it had its last request, while it is in capacity's count
  * @frame: the frame it came with, to forward it later (its bytes are @syn)
  * @syn: the SYN
  */
@@ -84,6 +85,7 @@
     uint64_t abandon_us;
     uint64_t request_start_us;
     unsigned depth;
+    uint64_t used_us;
     struct frame_forward frame;
     uint8_t syn[ADMISSION_SYN_MAX];
 };
@@ -191,6 +193,27 @@
 void
 admission_announce(struct admission *admission, uint64_t now_us);
 
+/** admission_stuck() - number of requests in progress that take much longer
+ * than others */
+unsigned
+admission_stuck(const struct admission *admission, uint64_t now_us);
+
+/** admission_is_hanging() - whether stuck requests hold half of the endpoint's
+ * slots; never without scheduling */
+bool
+admission_is_hanging(const struct admission *admission, uint64_t now_us);
+
+/** admission_report_capacity() - fill in the service time, stuck requests and
+ * flows of a report */
+void
+admission_report_capacity(struct admission *admission, struct frame_load *load,
+                          uint64_t now_us);
+
+/** admission_watch_stuck() - notify balancers when the endpoint begins or
+ * ceases to hang; called at each sweep */
+void
+admission_watch_stuck(struct admission *admission, uint64_t now_us);
+
 /** admission_deliver_syn() - send a flow's SYN to the endpoint, without a
  * request in progress */
 void
--- a/src/relay/program/relay_agent.c
+++ b/src/relay/program/relay_agent.c
@@ -53,6 +53,7 @@
                                    sizeof(report));
 
     agent->log.max_per_s = agent->settings.log_per_s;
+    agent->admission.scheduling = agent->settings.scheduling;
     apply_peers(agent);
     event_log_write(&agent->log, EVENT_UNLIMITED, "reload",
                     "result=%s peers=%zu log_per_s=%u stop_ms=%u "
@@ -224,6 +225,7 @@
         start_registration(agent, agent->started_us) < 0) {
         return error_set(err, -ENOMEM, "start", NULL, "no memory");
     }
+    agent->admission.scheduling = agent->settings.scheduling;
     probe_init(&agent->probe, &relay_agent_probe_ops, agent->loop.base,
                agent->settings.upstream);
     apply_peers(agent);
--- /dev/null
+++ b/tests/relay/admission_capacity_test.c
@@ -0,0 +1,161 @@
+#include "lib/harness.h"
+#include "relay/admission_fixture.h"
+
+/* What an agent reports of its endpoint's capacity. */
+#define SUITE "/relay/admission_capacity"
+
+#define SERVICE_MS 20
+
+/* The caller of an open flow sends a request; its number in the flow gives its
+ * sequence numbers. */
+static void
+send_request(struct fixture *fixture, unsigned flow, unsigned number)
+{
+    fixture_receive(fixture,
+                    fixture_from_caller(fixture_flow(flow), RELAY_ACK,
+                                        101 + 10 * number, 501, 10),
+                    0, false);
+}
+
+static void
+send_answer(struct fixture *fixture, unsigned flow, unsigned flags)
+{
+    fixture_answer(fixture, fixture_from_endpoint(fixture_flow(flow),
+                                                  RELAY_ACK | flags, 501, 111,
+                                                  20));
+}
+
+/* Opens a flow and answers @count requests on it. */
+static void
+serve(struct fixture *fixture, unsigned flow, unsigned count)
+{
+    fixture_open_flow(fixture, flow);
+    for (unsigned i = 0; i < count; i++) {
+        send_request(fixture, flow, i);
+        fixture_advance_ms(fixture, SERVICE_MS);
+        send_answer(fixture, flow, 0);
+    }
+}
+
+/* Lets the agent report its state and returns the load in the report. */
+static struct frame_load
+reported_load(struct fixture *fixture)
+{
+    struct frame_ping ping = {.view = {.version = 1}};
+
+    admission_handle_ping(&fixture->admission, fixture_addr(FIXTURE_BALANCER),
+                          &ping, fixture->now_us);
+    return fixture->load;
+}
+
+static void
+init(struct fixture *fixture, bool scheduling)
+{
+    fixture_init(fixture);
+    fixture->admission.scheduling = scheduling;
+}
+
+TEST(without_scheduling_no_load_is_reported)
+{
+    struct fixture fixture = {0};
+
+    init(&fixture, false);
+    serve(&fixture, 1, 8);
+    g_assert_false(reported_load(&fixture).known);
+    fixture_finish(&fixture);
+}
+
+TEST(service_time_and_flows_are_reported)
+{
+    struct fixture fixture = {0};
+    struct frame_load load;
+
+    init(&fixture, true);
+    load = reported_load(&fixture);
+    g_assert_true(load.known);
+    g_assert_cmpuint(load.service_time, ==, 0);
+    serve(&fixture, 1, 8);
+    load = reported_load(&fixture);
+    g_assert_cmpuint(load.service_time, ==, 10 * SERVICE_MS);
+    g_assert_cmpuint(load.flows, ==, 1);
+    g_assert_cmpuint(load.stuck, ==, 0);
+    send_request(&fixture, 1, 8);
+    send_answer(&fixture, 1, RELAY_FIN);
+    g_assert_cmpuint(reported_load(&fixture).flows, ==, 0);
+    fixture_finish(&fixture);
+}
+
+TEST(hanging_requests_are_reported_at_once_and_so_is_their_end)
+{
+    struct fixture fixture = {0};
+
+    init(&fixture, true);
+    serve(&fixture, 1, 8);
+    fixture_open_flow(&fixture, 2);
+    send_request(&fixture, 1, 8);
+    send_request(&fixture, 2, 0);
+    fixture_advance_ms(&fixture, 200);
+    g_string_truncate(fixture.record, 0);
+    fixture_advance_ms(&fixture, 100);
+    fixture_expect(fixture.record, "notify state reason=0 on=0 busy=2 state=0",
+                   NULL);
+    g_assert_cmpuint(fixture.load.stuck, ==, 2);
+    send_answer(&fixture, 1, 0);
+    send_answer(&fixture, 2, 0);
+    g_string_truncate(fixture.record, 0);
+    fixture_advance_ms(&fixture, 100);
+    fixture_expect(fixture.record, "notify state reason=0 on=0 busy=0 state=0",
+                   NULL);
+    g_assert_cmpuint(fixture.load.stuck, ==, 0);
+    fixture_finish(&fixture);
+}
+
+TEST(a_hanging_endpoint_hands_syns_on_unless_forced)
+{
+    struct fixture fixture = {0};
+    struct relay_packet syn;
+
+    init(&fixture, true);
+    serve(&fixture, 1, 8);
+    send_request(&fixture, 1, 8);
+    fixture_advance_ms(&fixture, 300);
+    g_string_truncate(fixture.record, 0);
+    syn = fixture_from_caller(fixture_flow(2), RELAY_SYN, 0, 0, 0);
+    fixture_receive(&fixture, syn, 1, false);
+    fixture_expect(fixture.record, "forward " FIXTURE_SECOND " hops=1 left=0",
+                   "notify redirected reason=1 on=1 busy=1 state=0", NULL);
+    syn = fixture_from_caller(fixture_flow(3), RELAY_SYN, 0, 0, 0);
+    fixture_receive(&fixture, syn, 1, true);
+    fixture_expect(fixture.record, "endpoint 0", NULL);
+    fixture_finish(&fixture);
+}
+
+TEST(a_hanging_endpoint_without_scheduling_takes_syns_as_before)
+{
+    struct fixture fixture = {0};
+
+    init(&fixture, false);
+    serve(&fixture, 1, 8);
+    send_request(&fixture, 1, 8);
+    fixture_advance_ms(&fixture, 300);
+    g_string_truncate(fixture.record, 0);
+    fixture_receive(
+        &fixture, fixture_from_caller(fixture_flow(2), RELAY_SYN, 0, 0, 0), 1,
+        false);
+    fixture_expect(fixture.record, "endpoint 0", NULL);
+    fixture_finish(&fixture);
+}
+
+TEST(a_restarted_endpoint_reports_no_service_time)
+{
+    struct fixture fixture = {0};
+
+    init(&fixture, true);
+    fixture_starts(&fixture, "a", 1000);
+    serve(&fixture, 1, 8);
+    g_assert_cmpuint(reported_load(&fixture).service_time, ==,
+                     10 * SERVICE_MS);
+    fixture_starts(&fixture, "b", 2000);
+    g_assert_cmpuint(reported_load(&fixture).service_time, ==, 0);
+    fixture_finish(&fixture);
+}
--- a/tests/relay/admission_fixture.c
+++ b/tests/relay/admission_fixture.c
@@ -59,6 +59,7 @@
 
     fixture_from_out(out)->readers = status->readers.reading;
     fixture_from_out(out)->trying = status->readers.trying;
+    fixture_from_out(out)->load = status->health.load;
     fixture_record(fixture_from_out(out)->record,
                    "notify %s reason=%u on=%d busy=%u state=%u",
                    types[status->type], status->reason, status->target.ip != 0,
--- a/tests/relay/admission_fixture.h
+++ b/tests/relay/admission_fixture.h
@@ -28,6 +28,7 @@
  * @now_us: the time
  * @readers: balancers that read the store, in the last status frame
  * @trying: balancers that try to read it, in the same frame
+ * @load: the endpoint's load in the same frame
  */
 struct fixture {
     struct admission_out out;
@@ -36,6 +37,7 @@
     uint64_t now_us;
     unsigned readers;
     unsigned trying;
+    struct frame_load load;
 };
 
 void
