Balancer places new flows by expected wait, and sets slow or hanging endpoints' levels

Cause: a SYN goes to the least busy of six whatever the endpoints' speed: one four times slower with a request less gets the next flow and keeps it; half a slot stands for any distance; an endpoint that hangs looks idle enough.

Change, behind "expected_wait" and only for services whose agents report load: expected_wait (requests in progress or those that open flows bring, over the working slots, plus the trips and one request for another data centre), trips (round trips a data centre, learned from replies to SYNs), endpoint_level (reduced: slower than twice the median or rejects; trial: hangs; a third of a service at most, none when half is wanted; doubled time to return for those that flap), agents_levels (binds both to the table). The agent tells all balancers when its speed has doubled or halved, holds a hanging endpoint as hanging until it has answered four requests, and gives it a new flow only when no open flow has brought a request for a second. An end after the caller has left is no answer. Log line, metrics and relay-show columns for levels.

--- a/src/cli/relay_show.c
+++ b/src/cli/relay_show.c
@@ -17,6 +17,26 @@
 
 #define ADDRESSES_MAX 1024
 
+/* Prints what an agent reports of its endpoint's load, if it does. */
+static void
+print_load(struct json_object *item)
+{
+    if (!json_object_object_get_ex(item, "level", NULL)) {
+        return;
+    }
+    printf(", %.1f ms a request, expected wait %.1f ms, %" PRId64
+           " flows, %" PRId64 " stuck, %s",
+           (double)relay_query_number(item, "service_time_us") / 1000,
+           (double)relay_query_number(item, "expected_wait_us") / 1000,
+           relay_query_number(item, "flows"),
+           relay_query_number(item, "stuck"), relay_query_text(item, "level"));
+    if (relay_query_number(item, "level_ms") > 0) {
+        printf(" for %.1f s (%s)",
+               (double)relay_query_number(item, "level_ms") / 1000,
+               relay_query_text(item, "level_cause"));
+    }
+}
+
 static void
 print_agents(struct json_object *json)
 {
@@ -30,7 +50,7 @@
         struct json_object *item = json_object_array_get_idx(list, i);
 
         printf("  agent %-21s service %s in %-12s endpoint %-8s %-7s "
-               "busy %" PRId64 " of %" PRId64 "%s\n",
+               "busy %" PRId64 " of %" PRId64 "%s",
                relay_query_text(item, "address"),
                relay_query_text(item, "service"),
                relay_query_text(item, "data_centre"),
@@ -39,6 +59,8 @@
                relay_query_number(item, "busy"),
                relay_query_number(item, "slots"),
                relay_query_bool(item, "evacuated") ? ", evacuated" : "");
+        print_load(item);
+        printf("\n");
     }
 }
 
--- a/src/relay/admission/admission.c
+++ b/src/relay/admission/admission.c
@@ -63,7 +63,7 @@
         }
     }
     admission_queue_expire(admission, now_us);
-    admission_watch_stuck(admission, now_us);
+    admission_watch_capacity(admission, now_us);
     oldest = flow_index_oldest(&admission->table);
     while (oldest != FLOW_INDEX_NONE &&
            now_us - flow_index_used_us(&admission->table, oldest) > IDLE_US) {
--- a/src/relay/admission/admission.h
+++ b/src/relay/admission/admission.h
@@ -155,7 +155,9 @@
  * @packet_pool: packets of queued requests
  * @latency: averages of service and round-trip times
  * @capacity: service time without outliers, and flows in use
- * @was_hanging: admission_is_hanging() at the last sweep
+ * @was_hanging: capacity.hanging at the last sweep
+ * @told_service_us: service time that all balancers were last notified of
+ * @told_us: when
  * @slow_start: rate limit while the endpoint is cold
  * @slow_start_due_us: when the rate limit allows the next queued request;
  * UINT64_MAX if none waits for that
@@ -199,6 +201,8 @@
     struct latency latency;
     struct capacity capacity;
     bool was_hanging;
+    uint64_t told_service_us;
+    uint64_t told_us;
     struct slow_start slow_start;
     uint64_t slow_start_due_us;
     struct outcome outcome;
--- a/src/relay/admission/admission_capacity.c
+++ b/src/relay/admission/admission_capacity.c
@@ -7,6 +7,11 @@
 /* Unit of frame_load.service_time. */
 #define SERVICE_TIME_UNIT_US 100
 
+/* Change of the service time that balancers are notified of at once, and
+ * minimum interval of these notices. */
+#define TELL_RATIO 2
+#define TELL_GAP_US (200 * USEC_PER_MSEC)
+
 /* Whether a flow's request in progress takes much longer than others. */
 static bool
 is_stuck(const struct admission *admission, const struct admission_flow *flow,
@@ -24,40 +29,82 @@
     unsigned count = 0;
 
     for (unsigned i = 0; i < admission->busy_count; i++) {
-        count += is_stuck(admission, &admission->flows[admission->busy[i]],
-                          now_us);
+        count +=
+            is_stuck(admission, &admission->flows[admission->busy[i]], now_us);
     }
     return count;
 }
 
 bool
-admission_is_hanging(const struct admission *admission, uint64_t now_us)
+admission_is_hanging(const struct admission *admission)
+{
+    return admission->scheduling && admission->capacity.hanging;
+}
+
+bool
+admission_takes_trial(const struct admission *admission, uint64_t now_us)
+{
+    return 2 * admission_stuck(admission, now_us) <
+               admission->endpoint.slots &&
+           capacity_trial_due(&admission->capacity, now_us);
+}
+
+/* Whether the service time has changed so much since it was last reported to
+ * all balancers that they would place flows in another way. */
+static bool
+service_time_changed(const struct admission *admission, uint64_t now_us)
+{
+    uint64_t service_us = capacity_service_us(&admission->capacity, now_us);
+    uint64_t told_us = admission->told_service_us;
+
+    return service_us != 0 && now_us - admission->told_us >= TELL_GAP_US &&
+           (service_us >= TELL_RATIO * told_us ||
+            told_us >= TELL_RATIO * service_us);
+}
+
+/* Stuck requests to report. An endpoint that hung counts as hanging until it
+ * has answered a few requests. */
+static unsigned
+reported_stuck(const struct admission *admission, uint64_t now_us)
 {
-    return admission->scheduling &&
-           2 * admission_stuck(admission, now_us) >= admission->endpoint.slots;
+    unsigned stuck = admission_stuck(admission, now_us);
+    unsigned half = (admission->endpoint.slots + 1) / 2;
+
+    return admission->capacity.hanging ? MAX(stuck, half) : stuck;
 }
 
 void
-admission_report_capacity(struct admission *admission,
-                          struct frame_load *load, uint64_t now_us)
+admission_report_capacity(struct admission *admission, struct frame_load *load,
+                          uint64_t now_us)
 {
     uint64_t service_us = capacity_service_us(&admission->capacity, now_us);
-    uint64_t units = (service_us + SERVICE_TIME_UNIT_US - 1) /
-                     SERVICE_TIME_UNIT_US;
+    uint64_t units =
+        (service_us + SERVICE_TIME_UNIT_US - 1) / SERVICE_TIME_UNIT_US;
 
     load->service_time = (uint16_t)MIN(units, UINT16_MAX);
-    load->stuck = (uint8_t)MIN(admission_stuck(admission, now_us), UINT8_MAX);
+    load->stuck = (uint8_t)MIN(reported_stuck(admission, now_us), UINT8_MAX);
     load->flows = (uint16_t)MIN(capacity_flows(&admission->capacity, now_us),
                                 UINT16_MAX);
 }
 
 void
-admission_watch_stuck(struct admission *admission, uint64_t now_us)
+admission_watch_capacity(struct admission *admission, uint64_t now_us)
 {
-    bool hanging = admission_is_hanging(admission, now_us);
+    bool hanging;
 
-    if (hanging != admission->was_hanging) {
+    if (!admission->scheduling) {
+        return;
+    }
+    capacity_note_stuck(&admission->capacity,
+                        admission_stuck(admission, now_us),
+                        admission->endpoint.slots);
+    hanging = admission->capacity.hanging;
+    if (hanging != admission->was_hanging ||
+        service_time_changed(admission, now_us)) {
         admission->was_hanging = hanging;
+        admission->told_service_us =
+            capacity_service_us(&admission->capacity, now_us);
+        admission->told_us = now_us;
         admission_notify_state(admission, now_us);
     }
 }
--- a/src/relay/admission/admission_endpoint.c
+++ b/src/relay/admission/admission_endpoint.c
@@ -100,11 +100,24 @@
     }
 }
 
+/* Adds an answered request to the endpoint's capacity. One whose caller has
+ * left isn't answered: the endpoint only closes the flow. */
+static void
+add_to_capacity(struct admission *admission, const struct admission_flow *flow,
+                const struct relay_packet *packet, uint64_t now_us)
+{
+    if (packet->len > 0 && !flow->caller_left) {
+        capacity_add(&admission->capacity, now_us - flow->request_start_us,
+                     flow->depth, admission->endpoint.slots, now_us);
+    }
+}
+
 /* Ends the request in progress, as the endpoint answered or reset it. */
 static void
-request_ended(struct admission *admission, uint32_t handle, bool reset,
-              uint64_t now_us)
+request_ended(struct admission *admission, uint32_t handle,
+              const struct relay_packet *packet, uint64_t now_us)
 {
+    bool reset = (packet->flags & RELAY_RST) != 0;
     struct admission_flow *flow = &admission->flows[handle];
 
     if (flow->request_start_us != 0) {
@@ -114,8 +127,7 @@
         latency_add_service(&admission->latency,
                             now_us - flow->request_start_us, flow->depth,
                             admission->endpoint.slots);
-        capacity_add(&admission->capacity, now_us - flow->request_start_us,
-                     flow->depth, admission->endpoint.slots, now_us);
+        add_to_capacity(admission, flow, packet, now_us);
     }
     flow->request_start_us = 0;
     admission_flow_set_idle(admission, handle);
@@ -224,7 +236,7 @@
         admission_notify_established(admission, handle, now_us);
     }
     if (packet->len > 0 || (packet->flags & (RELAY_FIN | RELAY_RST)) != 0) {
-        request_ended(admission, handle, resets, now_us);
+        request_ended(admission, handle, packet, now_us);
     }
     if ((packet->flags & (RELAY_FIN | RELAY_RST)) != 0) {
         capacity_flow_ended(&admission->capacity, &flow->used_us);
--- a/src/relay/admission/admission_established.c
+++ b/src/relay/admission/admission_established.c
@@ -153,6 +153,8 @@
         latency_add_rtt(&admission->latency, now_us - flow->established_us);
     }
     flow->confirmed = true;
+    flow->caller_left =
+        flow->caller_left || (packet->flags & (RELAY_FIN | RELAY_RST)) != 0;
     if (packet->len > 0 && (int32_t)(end - flow->caller_seq) > 0) {
         flow->caller_seq = end;
         if (!flow->queued) {
--- a/src/relay/admission/admission_open.c
+++ b/src/relay/admission/admission_open.c
@@ -89,7 +89,7 @@
 relative_load(const struct admission *admission, uint64_t now_us)
 {
     if (!slow_start_allows(&admission->slow_start, now_us) ||
-        admission_is_hanging(admission, now_us)) {
+        admission_is_hanging(admission)) {
         return UINT16_MAX;
     }
     return (admission->busy_count +
@@ -183,7 +183,8 @@
         return FRAME_REASON_BUSY;
     }
     if (frame->next_count > 0 && !frame->forced &&
-        admission_is_hanging(admission, now_us)) {
+        admission_is_hanging(admission) &&
+        !admission_takes_trial(admission, now_us)) {
         return FRAME_REASON_BUSY;
     }
     if (admission->busy_count >= flow_limit(admission) &&
@@ -243,6 +244,7 @@
         update_best_agent(admission, &flow->frame, now_us);
     }
     if (why == FRAME_REASON_NONE) {
+        admission->capacity.used_us = now_us;
         admission_admit_syn(admission, handle, now_us);
     }
     else if (why != FRAME_REASON_BUSY || !frame->forced ||
--- a/src/relay/admission/admission_private.h
+++ b/src/relay/admission/admission_private.h
@@ -57,6 +57,7 @@
  * @abandon_us: when the caller of a queued SYN or request abandons it
  * @request_start_us: when its request was given to the endpoint, 0 for none
  * @depth: requests in progress at that time, this one included
+ * @caller_left: the caller has closed or reset the flow
  * @used_us: when it had its last request, while it is in capacity's count
  * @frame: the frame it came with, to forward it later (its bytes are @syn)
  * @syn: the SYN
@@ -85,6 +86,7 @@
     uint64_t abandon_us;
     uint64_t request_start_us;
     unsigned depth;
+    bool caller_left;
     uint64_t used_us;
     struct frame_forward frame;
     uint8_t syn[ADMISSION_SYN_MAX];
@@ -199,9 +201,13 @@
 admission_stuck(const struct admission *admission, uint64_t now_us);
 
 /** admission_is_hanging() - whether stuck requests hold half of the endpoint's
- * slots; never without scheduling */
+ * slots, or did until shortly; never without scheduling */
 bool
-admission_is_hanging(const struct admission *admission, uint64_t now_us);
+admission_is_hanging(const struct admission *admission);
+
+/** admission_takes_trial() - whether a hanging endpoint may get a new flow */
+bool
+admission_takes_trial(const struct admission *admission, uint64_t now_us);
 
 /** admission_report_capacity() - fill in the service time, stuck requests and
  * flows of a report */
@@ -209,10 +215,10 @@
 admission_report_capacity(struct admission *admission, struct frame_load *load,
                           uint64_t now_us);
 
-/** admission_watch_stuck() - notify balancers when the endpoint begins or
- * ceases to hang; called at each sweep */
+/** admission_watch_capacity() - notify balancers when the endpoint begins or
+ * ceases to hang, or its speed changes; called at each sweep */
 void
-admission_watch_stuck(struct admission *admission, uint64_t now_us);
+admission_watch_capacity(struct admission *admission, uint64_t now_us);
 
 /** admission_deliver_syn() - send a flow's SYN to the endpoint, without a
  * request in progress */
--- a/src/relay/admission/capacity.c
+++ b/src/relay/admission/capacity.c
@@ -22,9 +22,16 @@
 /* Shorter requests meet any response target. */
 #define STUCK_MIN_US (200 * USEC_PER_MSEC)
 
+/* Answers until an endpoint that hung is well. */
+#define WELL_ANSWERS 4
+
+/* Time without requests after which a hanging endpoint gets a new flow. */
+#define TRIAL_GAP_US (1 * USEC_PER_SEC)
+
 void
 capacity_forget_samples(struct capacity *capacity)
 {
+    capacity->hanging = false;
     capacity->count = 0;
     capacity->next = 0;
 }
@@ -44,6 +51,9 @@
     capacity->next = (capacity->next + 1) % CAPACITY_SAMPLES;
     capacity->count = MIN(capacity->count + 1, CAPACITY_SAMPLES);
     capacity->sampled_us = now_us;
+    if (capacity->hanging && ++capacity->answers >= WELL_ANSWERS) {
+        capacity->hanging = false;
+    }
 }
 
 static void
@@ -97,11 +107,27 @@
            MAX(STUCK_RATIO * typical_us, STUCK_MIN_US);
 }
 
+void
+capacity_note_stuck(struct capacity *capacity, unsigned stuck, unsigned slots)
+{
+    if (stuck > 0 && 2 * stuck >= slots) {
+        capacity->hanging = true;
+        capacity->answers = 0;
+    }
+}
+
+bool
+capacity_trial_due(const struct capacity *capacity, uint64_t now_us)
+{
+    return now_us - capacity->used_us >= TRIAL_GAP_US;
+}
+
 /* Empties the buckets of the seconds that have passed. */
 static void
 advance(struct capacity *capacity, uint64_t second)
 {
-    uint64_t passed = second > capacity->second ? second - capacity->second : 0;
+    uint64_t passed =
+        second > capacity->second ? second - capacity->second : 0;
 
     for (uint64_t i = 1; i <= MIN(passed, CAPACITY_FLOW_SECONDS); i++) {
         capacity->flows[(capacity->second + i) % CAPACITY_FLOW_SECONDS] = 0;
@@ -128,6 +154,7 @@
 
     advance(capacity, second);
     leave_bucket(capacity, *used_us);
+    capacity->used_us = now_us;
     capacity->flows[second % CAPACITY_FLOW_SECONDS]++;
     *used_us = now_us;
 }
--- a/src/relay/admission/capacity.h
+++ b/src/relay/admission/capacity.h
@@ -25,6 +25,10 @@
  * @sampled_us: when the last sample came
  * @flows: open flows by second of their last request, a ring
  * @second: second that @flows was last brought up to
+ * @hanging: stuck requests held half of the slots, and the endpoint hasn't
+ *     answered enough requests since
+ * @answers: requests answered since they last did
+ * @used_us: when the endpoint last got a request or a new flow
  */
 struct capacity {
     uint64_t samples[CAPACITY_SAMPLES];
@@ -33,6 +37,9 @@
     uint64_t sampled_us;
     unsigned flows[CAPACITY_FLOW_SECONDS];
     uint64_t second;
+    bool hanging;
+    unsigned answers;
+    uint64_t used_us;
 };
 
 /** capacity_forget_samples() - begin anew, as another endpoint process runs;
@@ -61,6 +68,16 @@
 capacity_is_stuck(const struct capacity *capacity, uint64_t elapsed_us,
                   unsigned depth, unsigned slots, uint64_t now_us);
 
+/** capacity_note_stuck() - note how many of the slots are held by stuck
+ * requests */
+void
+capacity_note_stuck(struct capacity *capacity, unsigned stuck, unsigned slots);
+
+/** capacity_trial_due() - whether a hanging endpoint may get a new flow: none
+ * of its open flows has had a request lately that shows whether it is well */
+bool
+capacity_trial_due(const struct capacity *capacity, uint64_t now_us);
+
 /** capacity_flow_used() - a flow had a request; @used_us: when it had the one
  * before, 0 for none; set to @now_us */
 void
--- a/src/relay/forwarder/agents.c
+++ b/src/relay/forwarder/agents.c
@@ -122,6 +122,7 @@
     agents->by_service = g_hash_table_new_full(
         NULL, NULL, NULL, (GDestroyNotify)g_ptr_array_unref);
     agents->pinged = g_ptr_array_new();
+    agents->views = g_hash_table_new_full(NULL, NULL, NULL, g_free);
 }
 
 void
@@ -144,6 +145,7 @@
     g_ptr_array_set_free_func(agents->rows, g_free);
     g_hash_table_destroy(agents->by_addr);
     g_hash_table_destroy(agents->by_service);
+    g_hash_table_destroy(agents->views);
     g_ptr_array_unref(agents->pinged);
     g_ptr_array_unref(agents->rows);
     agents->rows = NULL;
@@ -275,6 +277,7 @@
     row->down = row->down && health->state == ENDPOINT_SILENT;
     row->health_us = now_us;
     row->sent = 0;
+    row->opened = 0;
     agents_mark_alive(agents, row, now_us);
 }
 
--- a/src/relay/forwarder/agents.h
+++ b/src/relay/forwarder/agents.h
@@ -18,7 +18,9 @@
 
 #include "base/addr.h"
 #include "packet/rank.h"
+#include "relay/forwarder/endpoint_level.h"
 #include "relay/forwarder/region_affinity.h"
+#include "relay/forwarder/trips.h"
 #include "relay/wire/frame.h"
 #include "relay/wire/packet.h"
 #include "relay/wire/store_state.h"
@@ -53,8 +55,10 @@
  * @replied: number of the last orphan query that it answered
  * @heard_us: when its last frame arrived, 0 for never
  * @health_us: when @health arrived
- * @sent: new flows sent to it since @health_us
+ * @level: how many new flows it gets, with expected waits
+ * @sent: new flows sent to it since @health_us, in a short time
  * @sent_us: when the last of these was sent
+ * @opened: new flows sent to it since @health_us, however long ago
  * @pinged_us: when it was last pinged, 0 for never
  * @ping_us: when the next ping is due, 0 for never
  * @ping_gap_us: interval between the next ping and the one after it
@@ -85,8 +89,10 @@
     uint32_t replied;
     uint64_t heard_us;
     uint64_t health_us;
+    struct endpoint_level level;
     unsigned sent;
     uint64_t sent_us;
+    unsigned opened;
     uint64_t pinged_us;
     uint64_t ping_us;
     uint64_t ping_gap_us;
@@ -108,6 +114,9 @@
  * @pinged: rows with a scheduled ping
  * @list_complete: the store's list has been read to its end
  * @additions: number of times an agent was added to a service
+ * @expected_wait: place new flows by expected wait, where agents report load
+ * @views: comparison of a service's endpoints, by service
+ * @trips: round trips to the data centres
  * @own_data_centre: evacuations_key() of the balancer's data centre
  * @store: epoch of the store, and evacuated data centres
  * @regions: region of each data centre
@@ -119,6 +128,9 @@
     GPtrArray *pinged;
     bool list_complete;
     uint64_t additions;
+    bool expected_wait;
+    GHashTable *views;
+    struct trips trips;
     uint32_t own_data_centre;
     struct store_state store;
     struct regions regions;
@@ -243,6 +255,36 @@
 agents_update_health(struct agents *agents, struct addr addr,
                      const struct frame_health *health, uint64_t now_us);
 
+/**
+ * struct agents_observer - receiver of changes of level
+ * @level_changed: an endpoint's level has changed; @median_us: median service
+ *     time of its service, 0 if unknown
+ * @data: for @level_changed
+ */
+struct agents_observer {
+    void (*level_changed)(void *data, const struct agent_row *row,
+                          uint64_t median_us);
+    void *data;
+};
+
+/**
+ * agents_update_levels() - set the levels of the endpoints of an agent's
+ * service, after a frame of that agent; does nothing unless it reports load
+ */
+void
+agents_update_levels(struct agents *agents, struct addr addr,
+                     const struct agents_observer *observer, uint64_t now_us);
+
+/** agents_add_rtt() - add the time that an agent took to reply to a SYN */
+void
+agents_add_rtt(struct agents *agents, struct addr addr, uint64_t rtt_us);
+
+/** agents_wait_us() - expected wait of a new flow at an agent, in microseconds
+ */
+uint64_t
+agents_wait_us(const struct agents *agents, const struct agent_row *row,
+               uint64_t now_us);
+
 /** agents_mark_alive() - record a frame that carries no health */
 void
 agents_mark_alive(struct agents *agents, struct agent_row *row,
--- a/src/relay/forwarder/agents_choice.c
+++ b/src/relay/forwarder/agents_choice.c
@@ -9,16 +9,19 @@
 
 /* Load unit: 1/16 of an endpoint's slots. */
 #define LOAD_UNIT 16
-#define SLOTS_DEFAULT 2
 
 /* Load added for another data centre, to limit traffic between data centres:
  * one request on an endpoint with the default slots. */
-#define LOAD_REMOTE (LOAD_UNIT / SLOTS_DEFAULT)
+#define LOAD_REMOTE (LOAD_UNIT / AGENT_SLOTS_DEFAULT)
 
 /* Load added for an endpoint that resets requests: four requests on each slot.
  * It isn't excluded, as the others may fail too. */
 #define LOAD_FAILING (4 * LOAD_UNIT)
 
+/* Wait at a reduced endpoint counts this many times: its flows stay for all
+ * their requests, and it may become slower still. */
+#define REDUCED_RATIO 2
+
 /* Rank bucket for choosing witnesses; the same in all balancers. */
 #define WITNESS_BUCKET 0
 
@@ -26,7 +29,7 @@
 struct candidate {
     const struct agent_row *row;
     enum tier tier;
-    unsigned load;
+    uint64_t load;
     uint64_t score;
 };
 
@@ -55,7 +58,7 @@
         uint64_t now_us)
 {
     unsigned slots =
-        row->health.slots != 0 ? row->health.slots : SLOTS_DEFAULT;
+        row->health.slots != 0 ? row->health.slots : AGENT_SLOTS_DEFAULT;
     unsigned requests = 0;
     unsigned load;
 
@@ -75,6 +78,33 @@
     return load;
 }
 
+uint64_t
+agents_wait_us(const struct agents *agents, const struct agent_row *row,
+               uint64_t now_us)
+{
+    return agents_expected_wait_us(
+        agents, row, now_us - row->health_us < LOAD_MAX_AGE_US,
+        now_us - row->sent_us < LOAD_MAX_AGE_US, now_us);
+}
+
+/* Load of an agent when new flows are placed by expected wait. A trial comes
+ * first when it is due, and else last. */
+static uint64_t
+wait_load(const struct agents *agents, const struct agent_row *row,
+          uint64_t now_us)
+{
+    uint64_t wait_us = agents_wait_us(agents, row, now_us);
+
+    switch (row->level.kind) {
+    case ENDPOINT_LEVEL_TRIAL:
+        return endpoint_level_trial_due(&row->level, now_us) ? 0 : UINT64_MAX;
+    case ENDPOINT_LEVEL_REDUCED:
+        return REDUCED_RATIO * wait_us;
+    default:
+        return wait_us;
+    }
+}
+
 /* Inserts a candidate among the @capacity best by score, best first. */
 static void
 keep_best(struct candidate *best, unsigned capacity, unsigned *count,
@@ -145,6 +175,8 @@
     }
     row->sent = now_us - row->sent_us < LOAD_MAX_AGE_US ? row->sent + 1 : 1;
     row->sent_us = now_us;
+    row->opened++;
+    row->level.tried_us = now_us;
 }
 
 void
@@ -153,6 +185,7 @@
                uint64_t now_us, struct agents_choice *choice)
 {
     const GPtrArray *rows = agents_of_service(agents, service);
+    bool by_wait = agents_place_by_wait(agents, service);
     struct candidate best[RANK_DEPTH];
     unsigned count = 0;
 
@@ -166,15 +199,21 @@
             continue;
         }
         candidate.tier = agents_tier(agents, row);
-        candidate.load = load_of(agents, row, now_us);
         candidate.score = rank_score(row->member, rank_bucket(hash));
         keep_best(best, RANK_DEPTH, &count, &candidate);
     }
+    for (unsigned i = 0; i < count; i++) {
+        best[i].load = by_wait ? wait_load(agents, best[i].row, now_us)
+                               : load_of(agents, best[i].row, now_us);
+    }
     sort_candidates(best, count);
     /* A path ends at the first dead agent: leave out the worse tiers. */
     while (count > 1 && best[count - 1].tier > best[0].tier) {
         count--;
     }
+    while (count > 1 && best[count - 1].load == UINT64_MAX) {
+        count--;
+    }
     choice_fill(choice, best, count);
 }
 
--- /dev/null
+++ b/src/relay/forwarder/expected_wait.c
@@ -0,0 +1,55 @@
+#include "relay/forwarder/expected_wait.h"
+
+#include <glib.h>
+
+#include "base/clock.h"
+
+/* Time between two requests of a flow that is kept open. */
+#define FLOW_GAP_US USEC_PER_SEC
+
+/* Wait at an endpoint whose slots are all held by hanging requests: their
+ * callers give up after about as long. */
+#define HANGING_US USEC_PER_SEC
+
+/* Requests on each slot that an endpoint must be behind others to be no better
+ * than one that resets requests. */
+#define FAILING_REQUESTS 4
+
+/* Round trips of a flow with one request: the handshake and the request. */
+#define TRIPS 2
+
+/* Requests whose time an endpoint here must be behind one in another data
+ * centre besides the trip, so that balancers with old reports don't all spill.
+ */
+#define SPILL_REQUESTS 1
+
+/* Requests in progress on average from open flows, in 1/1000. */
+static uint64_t
+milli_requests_of_flows(const struct expected_wait *endpoint)
+{
+    return 1000 * endpoint->flows * endpoint->service_us / FLOW_GAP_US;
+}
+
+uint64_t
+expected_wait_us(const struct expected_wait *endpoint)
+{
+    unsigned slots = MAX(endpoint->slots, 1);
+    unsigned stuck = MIN(endpoint->stuck, slots);
+    unsigned moving = endpoint->requests - MIN(stuck, endpoint->requests);
+    uint64_t milli = MAX(1000ull * moving, milli_requests_of_flows(endpoint)) +
+                     1000ull * endpoint->sent;
+    uint64_t wait_us = endpoint->service_us;
+
+    wait_us += milli * endpoint->service_us / MAX(slots - stuck, 1) / 1000;
+    if (stuck == slots) {
+        wait_us += HANGING_US;
+    }
+    if (endpoint->failing) {
+        wait_us += FAILING_REQUESTS * endpoint->service_us;
+    }
+    if (endpoint->remote) {
+        wait_us += TRIPS * endpoint->trip_us +
+                   SPILL_REQUESTS * endpoint->service_us;
+    }
+    return wait_us;
+}
--- a/src/relay/forwarder/forwarder.c
+++ b/src/relay/forwarder/forwarder.c
@@ -251,11 +251,22 @@
     }
 }
 
+static void
+report_level(void *data, const struct agent_row *row, uint64_t median_us)
+{
+    struct forwarder *forwarder = data;
+
+    forwarder->out->ops->level_changed(forwarder->out, row, median_us);
+}
+
 void
 forwarder_status(struct forwarder *forwarder, struct addr agent,
                  const struct frame_status *status, uint64_t now_us)
 {
+    struct agents_observer observer = {report_level, forwarder};
+
     agents_update_health(&forwarder->agents, agent, &status->health, now_us);
+    agents_update_levels(&forwarder->agents, agent, &observer, now_us);
     if (status->heard.version > forwarder->routes.version) {
         forwarder->out->ops->newer_config(forwarder->out, &status->heard);
     }
--- a/src/relay/forwarder/forwarder.h
+++ b/src/relay/forwarder/forwarder.h
@@ -100,6 +100,12 @@
      */
     void (*concluded)(struct forwarder_out *out,
                       const struct orphan_query *query, unsigned ended);
+    /**
+     * @level_changed: an endpoint's level has changed; @median_us: median
+     *     service time of its service, 0 if unknown
+     */
+    void (*level_changed)(struct forwarder_out *out,
+                          const struct agent_row *row, uint64_t median_us);
 };
 
 /** struct forwarder_out - receiver of outputs; embed as the first member */
--- a/src/relay/forwarder/forwarder_open.c
+++ b/src/relay/forwarder/forwarder_open.c
@@ -39,6 +39,7 @@
         !addr_equal(pin->tried[pin->try_count - 1], agent)) {
         return;
     }
+    agents_add_rtt(&forwarder->agents, agent, rtt_us);
     if (rtt_us > forwarder->rtt_us) {
         forwarder->rtt_us += (rtt_us - forwarder->rtt_us) / RTT_UP_WEIGHT;
     }
--- a/src/relay/program/relay_balancer.c
+++ b/src/relay/program/relay_balancer.c
@@ -183,6 +183,8 @@
 
     balancer->log.max_per_s = balancer->settings.log_per_s;
     balancer->forwarder.slow_start = balancer->settings.slow_start;
+    balancer->forwarder.agents.expected_wait =
+        balancer->settings.expected_wait;
     agents_set_regions(&balancer->forwarder.agents,
                        &balancer->settings.regions);
     apply_peers(balancer);
@@ -358,6 +360,8 @@
         return error_set(err, -ENOMEM, "start", NULL, "no memory for flows");
     }
     balancer->forwarder.slow_start = balancer->settings.slow_start;
+    balancer->forwarder.agents.expected_wait =
+        balancer->settings.expected_wait;
     agents_set_regions(&balancer->forwarder.agents,
                        &balancer->settings.regions);
     event_log_write(&balancer->log, EVENT_UNLIMITED, "started",
--- a/src/relay/program/relay_balancer_http.c
+++ b/src/relay/program/relay_balancer_http.c
@@ -61,6 +61,12 @@
             text, "swiftarch_dropped_total{reason=\"%s\"} %" PRIu64 "\n",
             relay_balancer_drop_names[i], balancer->counts.dropped[i]);
     }
+    for (size_t i = 0; i < ENDPOINT_LEVEL_COUNT; i++) {
+        g_string_append_printf(
+            text, "swiftarch_level_changes_total{level=\"%s\"} %" PRIu64 "\n",
+            relay_state_level_name((enum endpoint_level_kind)i),
+            balancer->counts.levels[i]);
+    }
     append_reads(text, "config", &balancer->config_watcher);
     append_reads(text, "agents", &balancer->agents_watcher);
     g_string_append_printf(text, "swiftarch_store_reader %d\n",
@@ -88,7 +94,8 @@
     else if (strcmp(path, RELAY_STATE_PATH) == 0) {
         relay_state_respond(
             request,
-            relay_state_balancer(&balancer->settings, &balancer->forwarder));
+            relay_state_balancer(&balancer->settings, &balancer->forwarder,
+                                 loop_now_us(&balancer->loop)));
     }
     else if (strcmp(path, RELAY_EXPLAIN_PATH) == 0) {
         relay_explain_balancer(request, &balancer->forwarder,
--- a/src/relay/program/relay_balancer_out.c
+++ b/src/relay/program/relay_balancer_out.c
@@ -6,6 +6,7 @@
 
 #include "base/container.h"
 #include "platform/packet_format.h"
+#include "relay/program/relay_state.h"
 
 const char *const relay_balancer_drop_names[] = {
     [FORWARDER_DROP_MALFORMED] = "malformed",
@@ -184,6 +185,29 @@
                     loop_now_us(&balancer->loop) - query->started_us);
 }
 
+static void
+out_level_changed(struct forwarder_out *out, const struct agent_row *row,
+                  uint64_t median_us)
+{
+    struct relay_balancer *balancer = balancer_of_out(out);
+    const struct frame_load *load = &row->health.load;
+    char agent[ADDR_TEXT_MAX];
+
+    balancer->counts.levels[row->level.kind]++;
+    if (!event_log_allow(&balancer->log, EVENT_RATE_LIMITED)) {
+        return;
+    }
+    event_log_write(
+        &balancer->log, EVENT_RATE_LIMITED, "level",
+        "agent=%s level=%s cause=%s service_time_us=%u "
+        "median_us=%" PRIu64
+        " stuck=%u slots=%u rejects=%u flows=%u relapses=%u",
+        addr_format(row->addr, agent), relay_state_level_name(row->level.kind),
+        relay_state_cause_name(row->level.cause), load->service_time * 100u,
+        median_us, load->stuck, row->health.slots, load->rejects, load->flows,
+        row->level.relapses);
+}
+
 const struct forwarder_out_ops relay_balancer_out_ops = {
     .forward = out_forward,
     .reset = out_reset,
@@ -195,6 +219,7 @@
     .dropped = out_dropped,
     .decided = out_decided,
     .concluded = out_concluded,
+    .level_changed = out_level_changed,
 };
 
 /* Received datagrams. */
--- a/src/relay/program/relay_balancer_private.h
+++ b/src/relay/program/relay_balancer_private.h
@@ -99,6 +99,7 @@
         uint64_t agent_objects_refused;
         uint64_t orphan_queries;
         uint64_t dropped[FORWARDER_DROP_COUNT];
+        uint64_t levels[ENDPOINT_LEVEL_COUNT];
     } counts;
 };
 
--- a/src/relay/program/relay_state.c
+++ b/src/relay/program/relay_state.c
@@ -2,6 +2,8 @@
 
 #include <stdio.h>
 
+#include "base/clock.h"
+
 static const char *const state_names[] = {
     [ENDPOINT_UNKNOWN] = "unknown",   [ENDPOINT_READY] = "ready",
     [ENDPOINT_DRAINING] = "draining", [ENDPOINT_GONE] = "gone",
@@ -20,8 +22,54 @@
     json_object_object_add(json, key, json_object_new_int64((int64_t)number));
 }
 
+static const char *const level_names[] = {
+    [ENDPOINT_LEVEL_NORMAL] = "normal",
+    [ENDPOINT_LEVEL_REDUCED] = "reduced",
+    [ENDPOINT_LEVEL_TRIAL] = "trial",
+};
+
+static const char *const cause_names[] = {
+    [ENDPOINT_LEVEL_WELL] = "well",
+    [ENDPOINT_LEVEL_SLOW] = "slow",
+    [ENDPOINT_LEVEL_REJECTS] = "rejects",
+    [ENDPOINT_LEVEL_STUCK] = "stuck",
+};
+
+const char *
+relay_state_level_name(enum endpoint_level_kind kind)
+{
+    return level_names[kind];
+}
+
+const char *
+relay_state_cause_name(enum endpoint_level_cause cause)
+{
+    return cause_names[cause];
+}
+
+/* Adds what the agent reports of its endpoint's load, and the level that
+ * follows from it. */
+static void
+add_load(struct json_object *json, const struct agents *agents,
+         const struct agent_row *row, uint64_t now_us)
+{
+    const struct frame_load *load = &row->health.load;
+
+    add_number(json, "service_time_us", load->service_time * 100u);
+    add_number(json, "stuck", load->stuck);
+    add_number(json, "flows", load->flows);
+    add_number(json, "expected_wait_us", agents_wait_us(agents, row, now_us));
+    add_text(json, "level", level_names[row->level.kind]);
+    add_text(json, "level_cause", cause_names[row->level.cause]);
+    add_number(json, "level_ms",
+               row->level.since_us != 0
+                   ? (now_us - row->level.since_us) / USEC_PER_MSEC
+                   : 0);
+}
+
 static struct json_object *
-agent_json(const struct agent_row *row)
+agent_json(const struct agents *agents, const struct agent_row *row,
+           uint64_t now_us)
 {
     struct json_object *json = json_object_new_object();
     char text[ADDR_TEXT_MAX];
@@ -39,12 +87,15 @@
                            json_object_new_boolean(row->evacuated));
     add_number(json, "busy", row->health.busy);
     add_number(json, "slots", row->health.slots);
+    if (row->health.load.known) {
+        add_load(json, agents, row, now_us);
+    }
     return json;
 }
 
 struct json_object *
 relay_state_balancer(const struct relay_settings *settings,
-                     const struct forwarder *forwarder)
+                     const struct forwarder *forwarder, uint64_t now_us)
 {
     struct json_object *json = json_object_new_object();
     struct json_object *agents = json_object_new_array();
@@ -61,8 +112,9 @@
     add_number(json, "evacuations_revision",
                forwarder->agents.store.latest.revision);
     for (size_t i = 0; i < agents_count(&forwarder->agents); i++) {
-        json_object_array_add(agents,
-                              agent_json(agents_at(&forwarder->agents, i)));
+        json_object_array_add(
+            agents, agent_json(&forwarder->agents,
+                               agents_at(&forwarder->agents, i), now_us));
     }
     json_object_object_add(json, "agents", agents);
     return json;
--- a/src/relay/program/relay_state.h
+++ b/src/relay/program/relay_state.h
@@ -15,10 +15,18 @@
 
 #define RELAY_STATE_PATH "/state"
 
+/** relay_state_level_name() - name of a level, for operators */
+const char *
+relay_state_level_name(enum endpoint_level_kind kind);
+
+/** relay_state_cause_name() - why an endpoint has its level, for operators */
+const char *
+relay_state_cause_name(enum endpoint_level_cause cause);
+
 /** relay_state_balancer() - encode configuration, evacuations and agents */
 struct json_object *
 relay_state_balancer(const struct relay_settings *settings,
-                     const struct forwarder *forwarder);
+                     const struct forwarder *forwarder, uint64_t now_us);
 
 /** relay_state_agent() - encode the endpoint's state, its load and its queue
  */
--- a/src/relay/wire/frame.h
+++ b/src/relay/wire/frame.h
@@ -73,7 +73,8 @@
  * @wait_ms: time that a new request of the lowest priority would wait for a
  *     slot
  * @limit: requests that the endpoint takes at a time, queued ones included
- * @stuck: requests in progress that take much longer than others
+ * @stuck: requests in progress that take much longer than others; half of
+ *     the slots while an endpoint that hung hasn't answered a few since
  * @flows: open flows of the endpoint that had a request lately
  * @rejects: per mille of the last second's requests that the endpoint didn't
  *     take
--- a/tests/relay/admission_capacity_test.c
+++ b/tests/relay/admission_capacity_test.c
@@ -20,9 +20,9 @@
 static void
 send_answer(struct fixture *fixture, unsigned flow, unsigned flags)
 {
-    fixture_answer(fixture, fixture_from_endpoint(fixture_flow(flow),
-                                                  RELAY_ACK | flags, 501, 111,
-                                                  20));
+    fixture_answer(fixture,
+                   fixture_from_endpoint(fixture_flow(flow), RELAY_ACK | flags,
+                                         501, 111, 20));
 }
 
 /* Opens a flow and answers @count requests on it. */
@@ -102,6 +102,14 @@
     g_assert_cmpuint(fixture.load.stuck, ==, 2);
     send_answer(&fixture, 1, 0);
     send_answer(&fixture, 2, 0);
+    g_assert_cmpuint(reported_load(&fixture).stuck, ==, 1);
+    send_request(&fixture, 1, 9);
+    send_answer(&fixture, 1, 0);
+    g_string_truncate(fixture.record, 0);
+    fixture_advance_ms(&fixture, 100);
+    fixture_expect(fixture.record, NULL);
+    send_request(&fixture, 1, 10);
+    send_answer(&fixture, 1, 0);
     g_string_truncate(fixture.record, 0);
     fixture_advance_ms(&fixture, 100);
     fixture_expect(fixture.record, "notify state reason=0 on=0 busy=0 state=0",
@@ -130,6 +138,81 @@
     fixture_finish(&fixture);
 }
 
+TEST(requests_whose_callers_gave_up_dont_make_a_hanging_endpoint_well)
+{
+    struct fixture fixture = {0};
+
+    init(&fixture, true);
+    serve(&fixture, 1, 8);
+    for (unsigned flow = 2; flow < 8; flow++) {
+        fixture_open_flow(&fixture, flow);
+        send_request(&fixture, flow, 0);
+    }
+    fixture_advance_ms(&fixture, 1200);
+    for (unsigned flow = 2; flow < 8; flow++) {
+        fixture_receive(&fixture,
+                        fixture_from_caller(fixture_flow(flow),
+                                            RELAY_ACK | RELAY_FIN, 111, 501,
+                                            0),
+                        0, false);
+        send_answer(&fixture, flow, RELAY_FIN);
+    }
+    fixture_advance_ms(&fixture, 100);
+    g_assert_cmpuint(reported_load(&fixture).stuck, ==, 1);
+    g_assert_cmpuint(reported_load(&fixture).service_time, ==,
+                     10 * SERVICE_MS);
+    fixture_finish(&fixture);
+}
+
+TEST(an_endpoint_that_hung_gets_a_trial_when_its_flows_are_idle)
+{
+    struct fixture fixture = {0};
+    struct relay_packet syn;
+
+    init(&fixture, true);
+    serve(&fixture, 1, 8);
+    send_request(&fixture, 1, 8);
+    fixture_advance_ms(&fixture, 400);
+    send_answer(&fixture, 1, 0);
+    fixture_advance_ms(&fixture, 400);
+    g_string_truncate(fixture.record, 0);
+    syn = fixture_from_caller(fixture_flow(4), RELAY_SYN, 100, 0, 0);
+    fixture_receive(&fixture, syn, 1, false);
+    fixture_expect(fixture.record, "forward " FIXTURE_SECOND " hops=1 left=0",
+                   "notify redirected reason=1 on=1 busy=0 state=0", NULL);
+    fixture_advance_ms(&fixture, 400);
+    g_string_truncate(fixture.record, 0);
+    syn = fixture_from_caller(fixture_flow(2), RELAY_SYN, 100, 0, 0);
+    fixture_receive(&fixture, syn, 1, false);
+    fixture_expect(fixture.record, "endpoint 0", NULL);
+    syn = fixture_from_caller(fixture_flow(3), RELAY_SYN, 100, 0, 0);
+    fixture_receive(&fixture, syn, 1, false);
+    fixture_expect(fixture.record, "forward " FIXTURE_SECOND " hops=1 left=0",
+                   "notify redirected reason=1 on=1 busy=1 state=0", NULL);
+    fixture_finish(&fixture);
+}
+
+TEST(a_speed_that_halves_is_reported_at_once)
+{
+    struct fixture fixture = {0};
+
+    init(&fixture, true);
+    serve(&fixture, 1, 8);
+    fixture_advance_ms(&fixture, 200);
+    g_assert_cmpuint(fixture.load.service_time, ==, 10 * SERVICE_MS);
+    for (unsigned i = 8; i < 14; i++) {
+        send_request(&fixture, 1, i);
+        fixture_advance_ms(&fixture, 4 * SERVICE_MS);
+        send_answer(&fixture, 1, 0);
+    }
+    fixture_advance_ms(&fixture, 200);
+    g_assert_cmpuint(fixture.load.service_time, >=, 20 * SERVICE_MS);
+    g_string_truncate(fixture.record, 0);
+    fixture_advance_ms(&fixture, 200);
+    fixture_expect(fixture.record, NULL);
+    fixture_finish(&fixture);
+}
+
 TEST(a_hanging_endpoint_without_scheduling_takes_syns_as_before)
 {
     struct fixture fixture = {0};
@@ -139,9 +222,9 @@
     send_request(&fixture, 1, 8);
     fixture_advance_ms(&fixture, 300);
     g_string_truncate(fixture.record, 0);
-    fixture_receive(
-        &fixture, fixture_from_caller(fixture_flow(2), RELAY_SYN, 0, 0, 0), 1,
-        false);
+    fixture_receive(&fixture,
+                    fixture_from_caller(fixture_flow(2), RELAY_SYN, 0, 0, 0),
+                    1, false);
     fixture_expect(fixture.record, "endpoint 0", NULL);
     fixture_finish(&fixture);
 }
--- a/tests/relay/capacity_test.c
+++ b/tests/relay/capacity_test.c
@@ -129,8 +129,8 @@
     const struct capacity *capacity = &fixture.capacity;
 
     answer(&fixture, TYPICAL_US, CAPACITY_SAMPLES);
-    g_assert_false(capacity_is_stuck(capacity, 7 * TYPICAL_US, 1, SLOTS,
-                                     fixture.now_us));
+    g_assert_false(
+        capacity_is_stuck(capacity, 7 * TYPICAL_US, 1, SLOTS, fixture.now_us));
     g_assert_true(capacity_is_stuck(capacity, 13 * TYPICAL_US, 1, SLOTS,
                                     fixture.now_us));
     g_assert_false(capacity_is_stuck(capacity, 13 * TYPICAL_US, 4, SLOTS,
--- a/tests/relay/forwarder_fixture.c
+++ b/tests/relay/forwarder_fixture.c
@@ -86,9 +86,16 @@
 {
 }
 
+static void
+level_changed(struct forwarder_out *out, const struct agent_row *row,
+              uint64_t median_us)
+{
+    ((struct fixture *)out)->level_changes++;
+}
+
 static const struct forwarder_out_ops ops = {
-    forward,      reset,   ping,    query,   confirm,
-    newer_config, readers, dropped, decided, concluded};
+    forward, reset,   ping,    query,     confirm,      newer_config,
+    readers, dropped, decided, concluded, level_changed};
 
 void
 fixture_add_route(struct routes *routes, const char *address,
--- a/tests/relay/forwarder_fixture.h
+++ b/tests/relay/forwarder_fixture.h
@@ -20,6 +20,7 @@
  * @pings: number of pings
  * @lookups: number of lookups reported
  * @queries: number of query frames
+ * @level_changes: number of changes of level
  * @confirms: number of requests to confirm the list of agents
  * @query: last query frame
  * @readers: last reported number of other store readers
@@ -37,6 +38,7 @@
     unsigned pings;
     unsigned lookups;
     unsigned queries;
+    unsigned level_changes;
     unsigned confirms;
     struct frame_query query;
     unsigned readers;
--- a/tests/relay/forwarder_orphans_test.c
+++ b/tests/relay/forwarder_orphans_test.c
@@ -116,9 +116,15 @@
     ((struct fixture *)out)->ended_queries++;
 }
 
+static void
+level_changed(struct forwarder_out *out, const struct agent_row *row,
+              uint64_t median_us)
+{
+}
+
 static const struct forwarder_out_ops ops = {
-    forward,      reset,   ping,    query,   confirm,
-    newer_config, readers, dropped, decided, concluded};
+    forward, reset,   ping,    query,     confirm,      newer_config,
+    readers, dropped, decided, concluded, level_changed};
 
 static void
 report_health_of(struct fixture *fixture, unsigned number,
--- a/tests/relay/world_balancers.c
+++ b/tests/relay/world_balancers.c
@@ -149,10 +149,16 @@
 {
 }
 
+static void
+level_changed(struct forwarder_out *out, const struct agent_row *row,
+              uint64_t median_us)
+{
+}
+
 const struct forwarder_out_ops world_forwarder_ops = {
-    send_forward,      send_reset,         send_ping, send_query,
-    confirm,           newer_config,       readers,   forwarder_dropped,
-    forwarder_decided, forwarder_concluded};
+    send_forward,      send_reset,          send_ping,    send_query,
+    confirm,           newer_config,        readers,      forwarder_dropped,
+    forwarder_decided, forwarder_concluded, level_changed};
 
 /* Configuration and registrations. */
 
