--- a/src/relay/admission/admission.h
+++ b/src/relay/admission/admission.h
@@ -27,6 +27,8 @@
 #include "relay/admission/outcome.h"
 #include "relay/admission/latency.h"
 #include "relay/admission/slow_start.h"
+#include "relay/scheduler/reject_rate.h"
+#include "relay/scheduler/scheduler.h"
 #include "relay/wire/packet.h"
 #include "relay/wire/store_state.h"
 
@@ -137,7 +139,6 @@
 /**
  * struct admission - an agent's decision state
  * @out: receiver of the outputs
- * @scheduling: decide on each request, and report the endpoint's load
  * @self: address that other agents send to
  * @data_centre: evacuations_key() of this agent's data centre
  * @store: state of the store, with the evacuated data centres
@@ -153,6 +154,11 @@
  * @queue: handles of flows whose SYN or request is queued, in order of arrival
  * @queue_count: number of them
  * @packet_pool: packets of queued requests
+ * @scheduling: the settings ask for scheduling; the caller sets it after
+ *     admission_init()
+ * @engaged: requests are scheduled: a flow has carried a second one
+ * @scheduler: order of the endpoint's requests while @engaged
+ * @reject_rate: those that the endpoint rejected
  * @latency: averages of service and round-trip times
  * @capacity: service time without outliers, and flows in use
  * @was_hanging: capacity.hanging at the last sweep
@@ -182,7 +188,6 @@
  */
 struct admission {
     struct admission_out *out;
-    bool scheduling;
     struct addr self;
     uint32_t data_centre;
     struct store_state store;
@@ -198,6 +203,10 @@
     uint32_t queue[ADMISSION_QUEUE_MAX];
     unsigned queue_count;
     struct packet_pool packet_pool;
+    bool scheduling;
+    bool engaged;
+    struct scheduler scheduler;
+    struct reject_rate reject_rate;
     struct latency latency;
     struct capacity capacity;
     bool was_hanging;
--- a/src/relay/admission/admission_capacity.c
+++ b/src/relay/admission/admission_capacity.c
@@ -38,7 +38,7 @@
 bool
 admission_is_hanging(const struct admission *admission)
 {
-    return admission->scheduling && admission->capacity.hanging;
+    return admission->engaged && admission->capacity.hanging;
 }
 
 bool
@@ -57,7 +57,8 @@
     uint64_t service_us = capacity_service_us(&admission->capacity, now_us);
     uint64_t told_us = admission->told_service_us;
 
-    return service_us != 0 && now_us - admission->told_us >= TELL_GAP_US &&
+    return service_us != 0 && told_us != 0 &&
+           now_us - admission->told_us >= TELL_GAP_US &&
            (service_us >= TELL_RATIO * told_us ||
             told_us >= TELL_RATIO * service_us);
 }
@@ -74,8 +75,8 @@
 }
 
 void
-admission_report_capacity(struct admission *admission, struct frame_load *load,
-                          uint64_t now_us)
+admission_report_capacity(const struct admission *admission,
+                          struct frame_load *load, uint64_t now_us)
 {
     uint64_t service_us = capacity_service_us(&admission->capacity, now_us);
     uint64_t units =
@@ -92,13 +93,17 @@
 {
     bool hanging;
 
-    if (!admission->scheduling) {
+    if (!admission->engaged) {
         return;
     }
     capacity_note_stuck(&admission->capacity,
                         admission_stuck(admission, now_us),
                         admission->endpoint.slots);
     hanging = admission->capacity.hanging;
+    if (admission->told_service_us == 0) {
+        admission->told_service_us =
+            capacity_service_us(&admission->capacity, now_us);
+    }
     if (hanging != admission->was_hanging ||
         service_time_changed(admission, now_us)) {
         admission->was_hanging = hanging;
--- a/src/relay/admission/capacity.c
+++ b/src/relay/admission/capacity.c
@@ -22,6 +22,9 @@
 /* Shorter requests meet any response target. */
 #define STUCK_MIN_US (200 * USEC_PER_MSEC)
 
+/* Limit while the service time is unknown: callers don't wait much longer. */
+#define STUCK_UNKNOWN_US (1 * USEC_PER_SEC)
+
 /* Answers until an endpoint that hung is well. */
 #define WELL_ANSWERS 4
 
@@ -102,9 +105,11 @@
                   unsigned depth, unsigned slots, uint64_t now_us)
 {
     uint64_t typical_us = capacity_service_us(capacity, now_us);
+    uint64_t limit_us = typical_us != 0
+                            ? MAX(STUCK_RATIO * typical_us, STUCK_MIN_US)
+                            : STUCK_UNKNOWN_US;
 
-    return unqueued_us(elapsed_us, depth, slots) >
-           MAX(STUCK_RATIO * typical_us, STUCK_MIN_US);
+    return unqueued_us(elapsed_us, depth, slots) > limit_us;
 }
 
 void
@@ -167,13 +172,15 @@
 }
 
 unsigned
-capacity_flows(struct capacity *capacity, uint64_t now_us)
+capacity_flows(const struct capacity *capacity, uint64_t now_us)
 {
+    uint64_t now = now_us / USEC_PER_SEC;
+    uint64_t first =
+        now < CAPACITY_FLOW_SECONDS ? 0 : now - (CAPACITY_FLOW_SECONDS - 1);
     unsigned count = 0;
 
-    advance(capacity, now_us / USEC_PER_SEC);
-    for (unsigned i = 0; i < CAPACITY_FLOW_SECONDS; i++) {
-        count += capacity->flows[i];
+    for (uint64_t at = first; at <= capacity->second; at++) {
+        count += capacity->flows[at % CAPACITY_FLOW_SECONDS];
     }
     return count;
 }
--- a/src/relay/admission/capacity.h
+++ b/src/relay/admission/capacity.h
@@ -91,6 +91,6 @@
 
 /** capacity_flows() - open flows that had a request lately */
 unsigned
-capacity_flows(struct capacity *capacity, uint64_t now_us);
+capacity_flows(const struct capacity *capacity, uint64_t now_us);
 
 #endif
--- a/src/relay/forwarder/agents_levels.c
+++ b/src/relay/forwarder/agents_levels.c
@@ -59,8 +59,7 @@
 static struct endpoint_level_member
 member_of(struct agent_row *row, uint64_t now_us)
 {
-    struct endpoint_level_member member = {.level = &row->level,
-                                           .owner = row};
+    struct endpoint_level_member member = {.level = &row->level, .owner = row};
 
     if (is_reporting(row, now_us)) {
         member.service_us = service_us(row);
@@ -146,8 +145,8 @@
     struct expected_wait endpoint = {
         .requests = fresh ? row->health.busy : 0,
         .sent = sent ? row->sent : 0,
-        .slots = row->health.slots != 0 ? row->health.slots
-                                        : AGENT_SLOTS_DEFAULT,
+        .slots =
+            row->health.slots != 0 ? row->health.slots : AGENT_SLOTS_DEFAULT,
         .service_us = view != NULL ? view->median_us : 0,
         .failing = row->health.failing,
         .remote = row->data_centre_key != agents->own_data_centre,
--- a/src/relay/forwarder/endpoint_level.c
+++ b/src/relay/forwarder/endpoint_level.c
@@ -53,8 +53,7 @@
     const struct endpoint_level_member *left = a;
     const struct endpoint_level_member *right = b;
 
-    return (left->rejects > right->rejects) -
-           (left->rejects < right->rejects);
+    return (left->rejects > right->rejects) - (left->rejects < right->rejects);
 }
 
 static int
@@ -138,11 +137,10 @@
     struct endpoint_level *level = member->level;
 
     if (level->kind == ENDPOINT_LEVEL_NORMAL) {
-        bool relapse = level->since_us != 0 &&
-                       now_us - level->since_us < RELAPSE_US;
+        bool relapse =
+            level->since_us != 0 && now_us - level->since_us < RELAPSE_US;
 
-        level->relapses =
-            relapse ? MIN(level->relapses + 1, RELAPSES_MAX) : 0;
+        level->relapses = relapse ? MIN(level->relapses + 1, RELAPSES_MAX) : 0;
     }
     level->good_us = 0;
     level->cause = member->cause;
--- a/src/relay/forwarder/expected_wait.c
+++ b/src/relay/forwarder/expected_wait.c
@@ -48,8 +48,8 @@
         wait_us += FAILING_REQUESTS * endpoint->service_us;
     }
     if (endpoint->remote) {
-        wait_us += TRIPS * endpoint->trip_us +
-                   SPILL_REQUESTS * endpoint->service_us;
+        wait_us +=
+            TRIPS * endpoint->trip_us + SPILL_REQUESTS * endpoint->service_us;
     }
     return wait_us;
 }
--- a/tests/relay/admission_capacity_test.c
+++ b/tests/relay/admission_capacity_test.c
@@ -13,16 +13,19 @@
 {
     fixture_receive(fixture,
                     fixture_from_caller(fixture_flow(flow), RELAY_ACK,
-                                        101 + 10 * number, 501, 10),
+                                        101 + 10 * number, 501 + 20 * number,
+                                        10),
                     0, false);
 }
 
+/* The endpoint answers the request of that number. */
 static void
-send_answer(struct fixture *fixture, unsigned flow, unsigned flags)
+send_answer(struct fixture *fixture, unsigned flow, unsigned number,
+            unsigned flags)
 {
-    fixture_answer(fixture,
-                   fixture_from_endpoint(fixture_flow(flow), RELAY_ACK | flags,
-                                         501, 111, 20));
+    fixture_answer(fixture, fixture_from_endpoint(
+                                fixture_flow(flow), RELAY_ACK | flags,
+                                501 + 20 * number, 111 + 10 * number, 20));
 }
 
 /* Opens a flow and answers @count requests on it. */
@@ -33,7 +36,7 @@
     for (unsigned i = 0; i < count; i++) {
         send_request(fixture, flow, i);
         fixture_advance_ms(fixture, SERVICE_MS);
-        send_answer(fixture, flow, 0);
+        send_answer(fixture, flow, i, 0);
     }
 }
 
@@ -71,16 +74,23 @@
     struct frame_load load;
 
     init(&fixture, true);
+    /* From the second request of a flow on. */
+    serve(&fixture, 2, 1);
+    g_assert_false(reported_load(&fixture).known);
+    serve(&fixture, 1, 2);
     load = reported_load(&fixture);
     g_assert_true(load.known);
     g_assert_cmpuint(load.service_time, ==, 0);
+    fixture_finish(&fixture);
+    init(&fixture, true);
     serve(&fixture, 1, 8);
     load = reported_load(&fixture);
+    g_assert_true(load.known);
     g_assert_cmpuint(load.service_time, ==, 10 * SERVICE_MS);
     g_assert_cmpuint(load.flows, ==, 1);
     g_assert_cmpuint(load.stuck, ==, 0);
     send_request(&fixture, 1, 8);
-    send_answer(&fixture, 1, RELAY_FIN);
+    send_answer(&fixture, 1, 8, RELAY_FIN);
     g_assert_cmpuint(reported_load(&fixture).flows, ==, 0);
     fixture_finish(&fixture);
 }
@@ -100,16 +110,16 @@
     fixture_expect(fixture.record, "notify state reason=0 on=0 busy=2 state=0",
                    NULL);
     g_assert_cmpuint(fixture.load.stuck, ==, 2);
-    send_answer(&fixture, 1, 0);
-    send_answer(&fixture, 2, 0);
+    send_answer(&fixture, 1, 8, 0);
+    send_answer(&fixture, 2, 0, 0);
     g_assert_cmpuint(reported_load(&fixture).stuck, ==, 1);
     send_request(&fixture, 1, 9);
-    send_answer(&fixture, 1, 0);
+    send_answer(&fixture, 1, 9, 0);
     g_string_truncate(fixture.record, 0);
     fixture_advance_ms(&fixture, 100);
     fixture_expect(fixture.record, NULL);
     send_request(&fixture, 1, 10);
-    send_answer(&fixture, 1, 0);
+    send_answer(&fixture, 1, 10, 0);
     g_string_truncate(fixture.record, 0);
     fixture_advance_ms(&fixture, 100);
     fixture_expect(fixture.record, "notify state reason=0 on=0 busy=0 state=0",
@@ -155,7 +165,7 @@
                                             RELAY_ACK | RELAY_FIN, 111, 501,
                                             0),
                         0, false);
-        send_answer(&fixture, flow, RELAY_FIN);
+        send_answer(&fixture, flow, 0, RELAY_FIN);
     }
     fixture_advance_ms(&fixture, 100);
     g_assert_cmpuint(reported_load(&fixture).stuck, ==, 1);
@@ -173,7 +183,7 @@
     serve(&fixture, 1, 8);
     send_request(&fixture, 1, 8);
     fixture_advance_ms(&fixture, 400);
-    send_answer(&fixture, 1, 0);
+    send_answer(&fixture, 1, 8, 0);
     fixture_advance_ms(&fixture, 400);
     g_string_truncate(fixture.record, 0);
     syn = fixture_from_caller(fixture_flow(4), RELAY_SYN, 100, 0, 0);
@@ -199,11 +209,12 @@
     init(&fixture, true);
     serve(&fixture, 1, 8);
     fixture_advance_ms(&fixture, 200);
-    g_assert_cmpuint(fixture.load.service_time, ==, 10 * SERVICE_MS);
+    g_assert_cmpuint(reported_load(&fixture).service_time, ==,
+                     10 * SERVICE_MS);
     for (unsigned i = 8; i < 14; i++) {
         send_request(&fixture, 1, i);
         fixture_advance_ms(&fixture, 4 * SERVICE_MS);
-        send_answer(&fixture, 1, 0);
+        send_answer(&fixture, 1, i, 0);
     }
     fixture_advance_ms(&fixture, 200);
     g_assert_cmpuint(fixture.load.service_time, >=, 20 * SERVICE_MS);
--- a/tests/relay/agents_wait_test.c
+++ b/tests/relay/agents_wait_test.c
@@ -371,8 +371,8 @@
         report(fixture, 1);
     }
     g_assert_cmpint(row->level.kind, ==, ENDPOINT_LEVEL_NORMAL);
-    g_assert_cmpuint(agents_wait_us(&fixture->agents, row, fixture->now_us),
-                     <, slow_us / 4);
+    g_assert_cmpuint(agents_wait_us(&fixture->agents, row, fixture->now_us), <,
+                     slow_us / 4);
     finish(fixture);
 }
 
@@ -384,7 +384,7 @@
     fixture->health[3].busy = UINT8_MAX;
     fixture->health[3].slots = 0;
     fixture->health[3].load =
-        (struct frame_load){true, UINT16_MAX, UINT16_MAX, UINT8_MAX,
+        (struct frame_load){true,      UINT16_MAX, UINT16_MAX, UINT8_MAX,
                             UINT8_MAX, UINT16_MAX, UINT16_MAX};
     place_many(fixture, 40, 1);
     g_assert_cmpuint(placed_at(fixture, 0, 7) - fixture->placed[3], >, 240);
--- a/tests/relay/capacity_test.c
+++ b/tests/relay/capacity_test.c
@@ -146,6 +146,16 @@
                                      SLOTS, fixture.now_us));
 }
 
+TEST(without_a_service_time_a_second_is_stuck)
+{
+    struct capacity capacity = {0};
+
+    g_assert_false(capacity_is_stuck(&capacity, 900 * USEC_PER_MSEC, 1, SLOTS,
+                                     USEC_PER_SEC));
+    g_assert_true(capacity_is_stuck(&capacity, 1100 * USEC_PER_MSEC, 1, SLOTS,
+                                    USEC_PER_SEC));
+}
+
 TEST(flows_count_once_until_they_end_or_idle)
 {
     struct capacity capacity = {0};
