--- a/src/relay/forwarder/agents_levels.c
+++ b/src/relay/forwarder/agents_levels.c
@@ -143,7 +143,8 @@
     const struct service_view *view = g_hash_table_lookup(
         agents->views, GUINT_TO_POINTER(row->health.service));
     struct expected_wait endpoint = {
-        .requests = fresh ? row->health.busy : 0,
+        .fresh = fresh,
+        .requests = row->health.busy,
         .sent = sent ? row->sent : 0,
         .slots =
             row->health.slots != 0 ? row->health.slots : AGENT_SLOTS_DEFAULT,
--- a/src/relay/forwarder/expected_wait.c
+++ b/src/relay/forwarder/expected_wait.c
@@ -5,7 +5,7 @@
 #include "base/clock.h"
 
 /* Time between two requests of a flow that is kept open. */
-#define FLOW_GAP_US USEC_PER_SEC
+#define FLOW_GAP_US (1500 * USEC_PER_MSEC)
 
 /* Wait at an endpoint whose slots are all held by hanging requests: their
  * callers give up after about as long. */
@@ -30,14 +30,24 @@
     return 1000 * endpoint->flows * endpoint->service_us / FLOW_GAP_US;
 }
 
+/* Requests before those of a new flow, in 1/1000: the first one meets those in
+ * progress now, later ones those that the open flows bring on average. */
+static uint64_t
+milli_requests(const struct expected_wait *endpoint, unsigned stuck)
+{
+    unsigned moving = endpoint->requests - MIN(stuck, endpoint->requests);
+    uint64_t average = milli_requests_of_flows(endpoint);
+
+    return (endpoint->fresh ? 1000ull * moving : average) + average / 2;
+}
+
 uint64_t
 expected_wait_us(const struct expected_wait *endpoint)
 {
     unsigned slots = MAX(endpoint->slots, 1);
     unsigned stuck = MIN(endpoint->stuck, slots);
-    unsigned moving = endpoint->requests - MIN(stuck, endpoint->requests);
-    uint64_t milli = MAX(1000ull * moving, milli_requests_of_flows(endpoint)) +
-                     1000ull * endpoint->sent;
+    uint64_t milli =
+        milli_requests(endpoint, stuck) + 1000ull * endpoint->sent;
     uint64_t wait_us = endpoint->service_us;
 
     wait_us += milli * endpoint->service_us / MAX(slots - stuck, 1) / 1000;
--- a/src/relay/forwarder/expected_wait.h
+++ b/src/relay/forwarder/expected_wait.h
@@ -12,7 +12,8 @@
 
 /**
  * struct expected_wait - what is known of an endpoint
- * @requests: in progress and queued, as reported; 0 if the report is old
+ * @fresh: @requests is up to date
+ * @requests: in progress and queued, as reported
  * @sent: new flows that this balancer has sent since the report
  * @flows: open flows that had a request lately
  * @slots: requests that it runs at a time
@@ -23,6 +24,7 @@
  * @trip_us: additional round trip to that data centre
  */
 struct expected_wait {
+    bool fresh;
     unsigned requests;
     unsigned sent;
     unsigned flows;
