--- a/src/relay/admission/admission_capacity.c
+++ b/src/relay/admission/admission_capacity.c
@@ -4,9 +4,6 @@
 
 #include "base/clock.h"
 
-/* Unit of frame_load.service_time. */
-#define SERVICE_TIME_UNIT_US 100
-
 /* Change of the service time that balancers are notified of at once, and
  * minimum interval of these notices. */
 #define TELL_RATIO 2
@@ -83,8 +80,8 @@
                           struct frame_load *load, uint64_t now_us)
 {
     uint64_t service_us = capacity_service_us(&admission->capacity, now_us);
-    uint64_t units =
-        (service_us + SERVICE_TIME_UNIT_US - 1) / SERVICE_TIME_UNIT_US;
+    uint64_t units = (service_us + FRAME_SERVICE_TIME_UNIT_US - 1) /
+                     FRAME_SERVICE_TIME_UNIT_US;
 
     load->service_time = (uint16_t)MIN(units, UINT16_MAX);
     load->stuck = (uint8_t)MIN(reported_stuck(admission, now_us), UINT8_MAX);
--- a/src/relay/forwarder/agents.h
+++ b/src/relay/forwarder/agents.h
@@ -20,7 +20,7 @@
 #include "packet/rank.h"
 #include "relay/forwarder/endpoint_level.h"
 #include "relay/forwarder/region_affinity.h"
-#include "relay/forwarder/trips.h"
+#include "relay/forwarder/round_trips.h"
 #include "relay/wire/frame.h"
 #include "relay/wire/packet.h"
 #include "relay/wire/store_state.h"
@@ -116,7 +116,7 @@
  * @additions: number of times an agent was added to a service
  * @expected_wait: place new flows by expected wait, where agents report load
  * @views: comparison of a service's endpoints, by service
- * @trips: round trips to the data centres
+ * @round_trips: round trips to the data centres
  * @own_data_centre: evacuations_key() of the balancer's data centre
  * @store: epoch of the store, and evacuated data centres
  * @regions: region of each data centre
@@ -130,7 +130,7 @@
     uint64_t additions;
     bool expected_wait;
     GHashTable *views;
-    struct trips trips;
+    struct round_trips round_trips;
     uint32_t own_data_centre;
     struct store_state store;
     struct regions regions;
--- a/src/relay/forwarder/agents_levels.c
+++ b/src/relay/forwarder/agents_levels.c
@@ -8,9 +8,6 @@
  * which are evaluated at once. */
 #define EVALUATION_US (100 * USEC_PER_MSEC)
 
-/* Unit of frame_load.service_time. */
-#define SERVICE_TIME_UNIT_US 100
-
 /* Service time while none is known: requests of small sites. */
 #define SERVICE_DEFAULT_US (15 * USEC_PER_MSEC)
 
@@ -38,7 +35,8 @@
 static uint64_t
 service_us(const struct agent_row *row)
 {
-    return (uint64_t)row->health.load.service_time * SERVICE_TIME_UNIT_US;
+    return (uint64_t)row->health.load.service_time *
+           FRAME_SERVICE_TIME_UNIT_US;
 }
 
 static struct service_view *
@@ -124,7 +122,7 @@
     const struct agent_row *row = agents_find(agents, addr);
 
     if (row != NULL) {
-        trips_add(&agents->trips, row->data_centre_key, rtt_us);
+        round_trips_add(&agents->round_trips, row->data_centre_key, rtt_us);
     }
 }
 
@@ -163,7 +161,7 @@
             endpoint.service_us = service_us(row);
         }
     }
-    endpoint.trip_us = trips_additional_us(
-        &agents->trips, agents->own_data_centre, row->data_centre_key);
+    endpoint.extra_rtt_us = round_trips_additional_us(
+        &agents->round_trips, agents->own_data_centre, row->data_centre_key);
     return expected_wait_us(&endpoint);
 }
--- a/src/relay/forwarder/expected_wait.c
+++ b/src/relay/forwarder/expected_wait.c
@@ -16,10 +16,11 @@
 #define FAILING_REQUESTS 4
 
 /* Round trips of a flow with one request: the handshake and the request. */
-#define TRIPS 2
+#define ROUND_TRIPS 2
 
 /* Requests whose time an endpoint here must be behind one in another data
- * centre besides the trip, so that balancers with old reports don't all spill.
+ * centre besides the round trips, so that balancers with old reports don't all
+ * spill.
  */
 #define SPILL_REQUESTS 1
 
@@ -58,8 +59,8 @@
         wait_us += FAILING_REQUESTS * endpoint->service_us;
     }
     if (endpoint->remote) {
-        wait_us +=
-            TRIPS * endpoint->trip_us + SPILL_REQUESTS * endpoint->service_us;
+        wait_us += ROUND_TRIPS * endpoint->extra_rtt_us +
+                   SPILL_REQUESTS * endpoint->service_us;
     }
     return wait_us;
 }
--- a/src/relay/forwarder/expected_wait.h
+++ b/src/relay/forwarder/expected_wait.h
@@ -2,7 +2,7 @@
  * DOC: expected_wait - how long a new flow's request would take at an agent
  *
  * The requests that the endpoint has or will have soon, over its rate, plus
- * the trips to another data centre.
+ * the round trips to another data centre.
  */
 #ifndef SWIFTARCH_RELAY_FORWARDER_EXPECTED_WAIT_H
 #define SWIFTARCH_RELAY_FORWARDER_EXPECTED_WAIT_H
@@ -21,7 +21,7 @@
  * @service_us: time of a request without queueing
  * @failing: it resets a large part of its requests
  * @remote: it is in another data centre
- * @trip_us: additional round trip to that data centre
+ * @extra_rtt_us: additional round trip to that data centre
  */
 struct expected_wait {
     bool fresh;
@@ -33,7 +33,7 @@
     uint64_t service_us;
     bool failing;
     bool remote;
-    uint64_t trip_us;
+    uint64_t extra_rtt_us;
 };
 
 /** expected_wait_us() - time until a new flow's request is answered, in
--- a/src/relay/program/relay_balancer_out.c
+++ b/src/relay/program/relay_balancer_out.c
@@ -197,15 +197,16 @@
     if (!event_log_allow(&balancer->log, EVENT_RATE_LIMITED)) {
         return;
     }
-    event_log_write(
-        &balancer->log, EVENT_RATE_LIMITED, "level",
-        "agent=%s level=%s cause=%s service_time_us=%u "
-        "median_us=%" PRIu64
-        " stuck=%u slots=%u rejects=%u flows=%u relapses=%u",
-        addr_format(row->addr, agent), relay_state_level_name(row->level.kind),
-        relay_state_cause_name(row->level.cause), load->service_time * 100u,
-        median_us, load->stuck, row->health.slots, load->rejects, load->flows,
-        row->level.relapses);
+    event_log_write(&balancer->log, EVENT_RATE_LIMITED, "level",
+                    "agent=%s level=%s cause=%s service_time_us=%u "
+                    "median_us=%" PRIu64
+                    " stuck=%u slots=%u rejects=%u flows=%u relapses=%u",
+                    addr_format(row->addr, agent),
+                    relay_state_level_name(row->level.kind),
+                    relay_state_cause_name(row->level.cause),
+                    (unsigned)load->service_time * FRAME_SERVICE_TIME_UNIT_US,
+                    median_us, load->stuck, row->health.slots, load->rejects,
+                    load->flows, row->level.relapses);
 }
 
 const struct forwarder_out_ops relay_balancer_out_ops = {
--- a/src/relay/program/relay_state.c
+++ b/src/relay/program/relay_state.c
@@ -55,7 +55,8 @@
 {
     const struct frame_load *load = &row->health.load;
 
-    add_number(json, "service_time_us", load->service_time * 100u);
+    add_number(json, "service_time_us",
+               (unsigned)load->service_time * FRAME_SERVICE_TIME_UNIT_US);
     add_number(json, "stuck", load->stuck);
     add_number(json, "flows", load->flows);
     add_number(json, "expected_wait_us", agents_wait_us(agents, row, now_us));
--- a/src/relay/wire/frame.h
+++ b/src/relay/wire/frame.h
@@ -62,14 +62,17 @@
     ENDPOINT_STATE_MAX = ENDPOINT_SILENT,
 };
 
+/* Unit of frame_load.service_time. */
+#define FRAME_SERVICE_TIME_UNIT_US 100
+
 /**
  * struct frame_load - what an endpoint bears and what it was given
  *
  * Sent only by agents whose settings ask for scheduling.
  *
  * @known: the other fields are valid
- * @service_time: mean time of a request without queueing, in units of 0.1 ms;
- *     0 if unknown
+ * @service_time: mean time of a request without queueing, in
+ *     FRAME_SERVICE_TIME_UNIT_US; 0 if unknown
  * @wait_ms: time that a new request of the lowest priority would wait for a
  *     slot
  * @limit: requests that the endpoint takes at a time, queued ones included
--- a/tests/relay/expected_wait_test.c
+++ b/tests/relay/expected_wait_test.c
@@ -1,7 +1,7 @@
 #include "base/clock.h"
 #include "lib/harness.h"
 #include "relay/forwarder/expected_wait.h"
-#include "relay/forwarder/trips.h"
+#include "relay/forwarder/round_trips.h"
 
 #define SUITE "/relay/expected_wait"
 
@@ -93,13 +93,13 @@
     g_assert_cmpuint(expected_wait_us(&endpoint), <, 1ull << 62);
 }
 
-TEST(another_data_centre_costs_its_trips_and_a_request)
+TEST(another_data_centre_costs_its_round_trips_and_a_request)
 {
     struct expected_wait here = idle;
     struct expected_wait there = idle;
 
     there.remote = true;
-    there.trip_us = 5 * USEC_PER_MSEC;
+    there.extra_rtt_us = 5 * USEC_PER_MSEC;
     g_assert_cmpuint(expected_wait_us(&there), ==,
                      2 * TYPICAL_US + 10 * USEC_PER_MSEC);
     here.requests = 3;
@@ -110,29 +110,37 @@
 
 TEST(a_trip_is_learned_from_the_lowest_round_trips)
 {
-    struct trips trips = {0};
+    struct round_trips round_trips = {0};
 
-    g_assert_cmpuint(trips_additional_us(&trips, HERE, THERE), ==, 0);
-    trips_add(&trips, HERE, 3000);
-    g_assert_cmpuint(trips_additional_us(&trips, HERE, THERE), ==, 0);
+    g_assert_cmpuint(round_trips_additional_us(&round_trips, HERE, THERE), ==,
+                     0);
+    round_trips_add(&round_trips, HERE, 3000);
+    g_assert_cmpuint(round_trips_additional_us(&round_trips, HERE, THERE), ==,
+                     0);
     for (unsigned i = 0; i < 40; i++) {
-        trips_add(&trips, HERE, 1000);
-        trips_add(&trips, THERE, 6000);
+        round_trips_add(&round_trips, HERE, 1000);
+        round_trips_add(&round_trips, THERE, 6000);
     }
-    trips_add(&trips, THERE, 30000);
-    g_assert_cmpuint(trips_additional_us(&trips, HERE, THERE), >=, 4900);
-    g_assert_cmpuint(trips_additional_us(&trips, HERE, THERE), <=, 5500);
-    g_assert_cmpuint(trips_additional_us(&trips, THERE, HERE), ==, 0);
+    round_trips_add(&round_trips, THERE, 30000);
+    g_assert_cmpuint(round_trips_additional_us(&round_trips, HERE, THERE), >=,
+                     4900);
+    g_assert_cmpuint(round_trips_additional_us(&round_trips, HERE, THERE), <=,
+                     5500);
+    g_assert_cmpuint(round_trips_additional_us(&round_trips, THERE, HERE), ==,
+                     0);
 }
 
 TEST(more_data_centres_than_there_is_room_for_count_as_near)
 {
-    struct trips trips = {0};
+    struct round_trips round_trips = {0};
 
-    for (uint32_t key = 1; key <= TRIPS_MAX + 1; key++) {
-        trips_add(&trips, key, 1000 * key);
+    for (uint32_t key = 1; key <= ROUND_TRIPS_MAX + 1; key++) {
+        round_trips_add(&round_trips, key, 1000 * key);
     }
-    g_assert_cmpuint(trips_additional_us(&trips, 1, TRIPS_MAX), ==,
-                     1000 * (TRIPS_MAX - 1));
-    g_assert_cmpuint(trips_additional_us(&trips, 1, TRIPS_MAX + 1), ==, 0);
+    g_assert_cmpuint(
+        round_trips_additional_us(&round_trips, 1, ROUND_TRIPS_MAX), ==,
+        1000 * (ROUND_TRIPS_MAX - 1));
+    g_assert_cmpuint(
+        round_trips_additional_us(&round_trips, 1, ROUND_TRIPS_MAX + 1), ==,
+        0);
 }
