--- a/src/relay/forwarder/endpoint_level.h
+++ b/src/relay/forwarder/endpoint_level.h
@@ -51,26 +51,26 @@
  * struct endpoint_level_member - an endpoint of the service
  * @level: its level
  * @service_us: time of a request without queueing, 0 if unknown
+ * @owner: for the caller
+ * @severity: set; the worst are set aside first
  * @slots: requests that it runs at a time
  * @stuck: of these, those that hang
  * @rejects: per mille of its requests that it didn't take
- * @owner: for the caller
+ * @wanted: set to the level that its report asks for
+ * @cause: set to why
  * @changed: set to whether @level->kind has changed
- * @wanted: level that its report asks for
- * @cause: why
- * @severity: the worst are set aside first
  */
 struct endpoint_level_member {
     struct endpoint_level *level;
     uint64_t service_us;
+    void *owner;
+    uint64_t severity;
     unsigned slots;
     unsigned stuck;
     unsigned rejects;
-    void *owner;
-    bool changed;
     enum endpoint_level_kind wanted;
     enum endpoint_level_cause cause;
-    uint64_t severity;
+    bool changed;
 };
 
 /**
