--- a/src/relay/forwarder/expected_wait.c
+++ b/src/relay/forwarder/expected_wait.c
@@ -22,7 +22,7 @@
  * centre besides the round trips, so that balancers with old reports don't all
  * spill.
  */
-#define SPILL_REQUESTS 1
+#define SPILL_REQUESTS 2
 
 /* Requests in progress on average from open flows, in 1/1000. */
 static uint64_t
