--- a/src/relay/admission/admission_requests.c
+++ b/src/relay/admission/admission_requests.c
@@ -88,7 +88,10 @@
     enum scheduler_reason reason;
 
     update_scheduler(admission);
-    if (scheduler_begin(&admission->scheduler, &request, now_us, &reason)) {
+    if (scheduler_begin(&admission->scheduler, &request, now_us, &reason) ||
+        /* Behind stuck requests it would wait until it is late. */
+        (admission_is_hanging(admission) &&
+         scheduler_give(&admission->scheduler, handle, now_us))) {
         record_given(admission, handle, now_us);
         return true;
     }
--- a/tests/relay/admission_capacity_test.c
+++ b/tests/relay/admission_capacity_test.c
@@ -197,6 +197,27 @@
     fixture_finish(&fixture);
 }
 
+TEST(a_hanging_endpoint_gets_its_requests_at_once)
+{
+    struct fixture fixture = {0};
+
+    init(&fixture, true);
+    fixture_starts(&fixture, "a", 1000);
+    for (unsigned flow = 1; flow < 10; flow++) {
+        serve(&fixture, flow, 2);
+    }
+    for (unsigned flow = 1; flow < 8; flow++) {
+        send_request(&fixture, flow, 2);
+    }
+    g_assert_cmpuint(fixture.admission.scheduler.held_count, ==, 3);
+    wait_ms(&fixture, 1200);
+    g_assert_true(fixture.admission.capacity.hanging);
+    g_string_truncate(fixture.record, 0);
+    send_request(&fixture, 8, 2);
+    fixture_expect(fixture.record, "endpoint 10", NULL);
+    fixture_finish(&fixture);
+}
+
 TEST(an_endpoint_that_hung_gets_a_trial_when_its_flows_are_idle)
 {
     struct fixture fixture = {0};
