--- a/src/relay/program/relay_agent_out.c
+++ b/src/relay/program/relay_agent_out.c
@@ -40,6 +40,7 @@
     [ADMISSION_DECISION_ADMIT] = "admitted",
     [ADMISSION_DECISION_EXPIRE] = "gave_up",
     [ADMISSION_DECISION_RESET] = "reset",
+    [ADMISSION_DECISION_REFUSE] = "refused",
 };
 
 /* Outputs of admission. */
@@ -169,6 +170,9 @@
     case ADMISSION_DECISION_QUEUE:
         agent->counts.queued++;
         break;
+    case ADMISSION_DECISION_REFUSE:
+        agent->counts.refused++;
+        break;
     case ADMISSION_DECISION_REDIRECT:
     case ADMISSION_DECISION_ABANDON:
         agent->counts.redirected[why]++;
@@ -203,6 +207,13 @@
         frame->hops);
 }
 
+static void
+out_scheduled(struct admission_out *out, struct relay_flow flow,
+              const struct admission_scheduled *scheduled)
+{
+    relay_agent_scheduled(agent_of_out(out), flow, scheduled);
+}
+
 const struct admission_out_ops relay_agent_out_ops = {
     .to_endpoint = out_to_endpoint,
     .to_caller = out_to_caller,
@@ -214,6 +225,7 @@
     .probe = out_probe,
     .dropped = out_dropped,
     .decided = out_decided,
+    .scheduled = out_scheduled,
 };
 
 /* Received datagrams. */
