--- a/src/relay/admission/admission.h
+++ b/src/relay/admission/admission.h
@@ -19,6 +19,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "relay/admission/capacity.h"
 #include "relay/admission/endpoint.h"
 #include "relay/admission/packet_pool.h"
 #include "relay/wire/flow_index.h"
@@ -187,6 +188,11 @@
  * @scheduler: order of the endpoint's requests while @engaged
  * @reject_rate: those that the endpoint rejected
  * @latency: averages of service and round-trip times
+ * @capacity: service time without outliers, and flows in use
+ * @watched_us: when the capacity was last watched
+ * @was_hanging: capacity.hanging at the last sweep
+ * @told_service_us: service time that all balancers were last notified of
+ * @told_us: when
  * @slow_start: rate limit while the endpoint is cold
  * @slow_start_due_us: when the rate limit allows the next queued request;
  * UINT64_MAX if none waits for that
@@ -231,6 +237,11 @@
     struct scheduler scheduler;
     struct reject_rate reject_rate;
     struct latency latency;
+    struct capacity capacity;
+    uint64_t watched_us;
+    bool was_hanging;
+    uint64_t told_service_us;
+    uint64_t told_us;
     struct slow_start slow_start;
     uint64_t slow_start_due_us;
     struct outcome outcome;
--- a/src/relay/admission/admission_endpoint.c
+++ b/src/relay/admission/admission_endpoint.c
@@ -103,6 +103,18 @@
     }
 }
 
+/* Adds an answered request to the endpoint's capacity. One whose caller has
+ * left isn't answered: the endpoint only closes the flow. */
+static void
+add_to_capacity(struct admission *admission, const struct admission_flow *flow,
+                const struct relay_packet *packet, uint64_t now_us)
+{
+    if (packet->len > 0 && !flow->caller_left) {
+        capacity_add(&admission->capacity, now_us - flow->request_start_us,
+                     flow->depth, admission->endpoint.slots, now_us);
+    }
+}
+
 /* Ends the request in progress if the endpoint answered or reset it. One that
  * it rejected says nothing about its speed or its faults. */
 static void
@@ -125,6 +137,7 @@
         latency_add_service(&admission->latency,
                             now_us - flow->request_start_us, flow->depth,
                             admission->endpoint.slots);
+        add_to_capacity(admission, flow, packet, now_us);
     }
     flow->request_start_us = 0;
     admission_flow_set_idle(admission, handle);
@@ -252,5 +265,8 @@
     if (packet->len > 0 || (packet->flags & (RELAY_FIN | RELAY_RST)) != 0) {
         request_ended(admission, handle, packet, now_us);
     }
+    if ((packet->flags & (RELAY_FIN | RELAY_RST)) != 0) {
+        capacity_flow_ended(&admission->capacity, &flow->used_us);
+    }
     return true;
 }
--- a/src/relay/admission/admission_established.c
+++ b/src/relay/admission/admission_established.c
@@ -161,6 +161,8 @@
         latency_add_rtt(&admission->latency, now_us - flow->established_us);
     }
     flow->confirmed = true;
+    flow->caller_left =
+        flow->caller_left || (packet->flags & (RELAY_FIN | RELAY_RST)) != 0;
     if (may_send(admission, handle, frame, packet, now_us)) {
         admission->out->ops->to_endpoint(admission->out, packet->bytes,
                                          packet->size);
--- a/src/relay/admission/admission_flow.c
+++ b/src/relay/admission/admission_flow.c
@@ -70,6 +70,7 @@
     admission_flow_set_busy(admission, handle, now_us);
     flow->request_start_us = now_us;
     flow->depth = admission->busy_count;
+    capacity_flow_used(&admission->capacity, &flow->used_us, now_us);
 }
 
 void
@@ -134,6 +135,8 @@
 {
     admission_flow_set_idle(admission, handle);
     admission_flow_dequeue(admission, handle);
+    capacity_flow_ended(&admission->capacity,
+                        &admission->flows[handle].used_us);
     flow_index_remove(&admission->table, handle);
     /* A pending SYN timer of the handle finds the state changed and does
      * nothing. */
@@ -145,6 +148,8 @@
 {
     admission_flow_set_idle(admission, handle);
     admission_flow_dequeue(admission, handle);
+    capacity_flow_ended(&admission->capacity,
+                        &admission->flows[handle].used_us);
     admission->flows[handle].state = ADMISSION_FLOW_REMOTE;
     admission->flows[handle].target = (struct addr){0};
     admission->flows[handle].frame.bytes = NULL;
--- a/src/relay/admission/admission_load.c
+++ b/src/relay/admission/admission_load.c
@@ -20,4 +20,5 @@
     load->limit = (uint8_t)MIN(scheduler->limit, UINT8_MAX);
     load->rejects =
         (uint16_t)reject_rate_per_mille(&admission->reject_rate, now_us);
+    admission_report_capacity(admission, load, now_us);
 }
--- a/src/relay/admission/admission_private.h
+++ b/src/relay/admission/admission_private.h
@@ -5,10 +5,10 @@
  * admission_queue on queued SYNs and requests, admission_established on
  * callers' packets of flows, admission_endpoint on the endpoint's packets.
  * Where the settings ask for it, admission_requests tells the requests of
- * flows for the scheduler, admission_load reports the endpoint's load, and
- * admission_records lists open flows for records.
- * admission_orphans answers orphan queries and admission_notify sends status
- * frames.
+ * flows for the scheduler, admission_load reports the endpoint's load with its
+ * capacity from admission_capacity, and admission_records lists open flows for
+ * records. admission_orphans answers orphan queries and admission_notify sends
+ * status frames.
  */
 #ifndef SWIFTARCH_RELAY_ADMISSION_ADMISSION_PRIVATE_H
 #define SWIFTARCH_RELAY_ADMISSION_ADMISSION_PRIVATE_H
@@ -81,6 +81,8 @@
  * @held_us: when that request began to be held
  * @request_start_us: when its request was given to the endpoint, 0 for none
  * @depth: requests in progress at that time, this one included
+ * @caller_left: the caller has closed or reset the flow
+ * @used_us: when it had its last request, while it is in capacity's count
  * @frame: the frame it came with, to forward it later (its bytes are @syn)
  * @syn: the SYN
  */
@@ -120,6 +122,8 @@
     uint64_t held_us;
     uint64_t request_start_us;
     unsigned depth;
+    bool caller_left;
+    uint64_t used_us;
     struct frame_forward frame;
     uint8_t syn[ADMISSION_SYN_MAX];
 };
@@ -244,6 +248,31 @@
 void
 admission_announce(struct admission *admission, uint64_t now_us);
 
+/** admission_stuck() - number of requests in progress that take much longer
+ * than others */
+unsigned
+admission_stuck(const struct admission *admission, uint64_t now_us);
+
+/** admission_is_hanging() - whether stuck requests hold half of the endpoint's
+ * slots, or did until shortly; never without scheduling */
+bool
+admission_is_hanging(const struct admission *admission);
+
+/** admission_takes_trial() - whether a hanging endpoint may get a new flow */
+bool
+admission_takes_trial(const struct admission *admission, uint64_t now_us);
+
+/** admission_report_capacity() - fill in the service time, stuck requests and
+ * flows of a report */
+void
+admission_report_capacity(const struct admission *admission,
+                          struct frame_load *load, uint64_t now_us);
+
+/** admission_watch_capacity() - notify balancers when the endpoint begins or
+ * ceases to hang, or its speed changes; called at each sweep */
+void
+admission_watch_capacity(struct admission *admission, uint64_t now_us);
+
 /** admission_deliver_syn() - send a flow's SYN to the endpoint, without a
  * request in progress */
 void
--- a/src/relay/admission/admission_requests.c
+++ b/src/relay/admission/admission_requests.c
@@ -117,6 +117,12 @@
         record_given(admission, handle, reason, now_us);
         return true;
     }
+    if (admission_is_hanging(admission) &&
+        scheduler_give(&admission->scheduler, handle, now_us)) {
+        /* Behind stuck requests it would wait until it is late. */
+        record_given(admission, handle, SCHEDULER_LATE, now_us);
+        return true;
+    }
     flow->held = true;
     flow->held_us = now_us;
     report(admission, handle, ADMISSION_SCHEDULED_HELD, SCHEDULER_ROOM,
