--- a/src/relay/limits/limiter.h
+++ b/src/relay/limits/limiter.h
@@ -2,10 +2,10 @@
  * DOC: limiter - a rate and a burst, in exact integers (GCRA)
  *
  * Each event adds a cost to a debt, and each microsecond repays a part of it;
- * an event is allowed while the debt stays within the burst. A limiter may hold
- * an equal share of a rate: its owner then allows 1/shares of the rate and of
- * the burst, at least one event. Costs are scaled by the number of shares, so
- * nothing is rounded and no drift adds up.
+ * an event is allowed while the debt stays within the burst. A limiter may
+ * hold an equal share of a rate: its owner then allows 1/shares of the rate
+ * and of the burst, at least one event. Costs are scaled by the number of
+ * shares, so nothing is rounded and no drift adds up.
  *
  * The module reads no clock: callers pass the time.
  */
