--- a/src/relay/limits/limits_policy.c
+++ b/src/relay/limits/limits_policy.c
@@ -338,9 +338,9 @@
     ret = ret < 0 ? ret : read_rate(item);
     ret = ret < 0 ? ret : read_priority(item);
     ret = ret < 0 ? ret : read_times(item);
-    ret = ret < 0 ? ret
-                  : read_text(item, "by", item->rule->by,
-                              sizeof(item->rule->by));
+    ret = ret < 0
+              ? ret
+              : read_text(item, "by", item->rule->by, sizeof(item->rule->by));
     return ret < 0 ? ret
                    : read_text(item, "why", item->rule->why,
                                sizeof(item->rule->why));
@@ -380,8 +380,7 @@
                      "callers, a route or a service apart from limit %s",
                      other->name);
             return fault(item, scope_keys[rule->scope],
-                         value_of(item, scope_keys[rule->scope]),
-                         expected);
+                         value_of(item, scope_keys[rule->scope]), expected);
         }
     }
     return 0;
--- a/src/relay/limits/limits_policy.h
+++ b/src/relay/limits/limits_policy.h
@@ -11,10 +11,10 @@
  *
  * Each limit has one scope, a rate of new flows or a priority or both, and
  * says who set it and why. The rate counts for each balancer ("per":
- * "balancer"), or for the fleet ("per": "fleet", "balancers": N), of which each
- * balancer allows one part in N. Rate 0 refuses all new flows. Priority 0 is
- * the most urgent; "shed_below_priority": N refuses new flows of routes with
- * a higher number. A document with any fault is refused as a whole.
+ * "balancer"), or for the fleet ("per": "fleet", "balancers": N), of which
+ * each balancer allows one part in N. Rate 0 refuses all new flows. Priority 0
+ * is the most urgent; "shed_below_priority": N refuses new flows of routes
+ * with a higher number. A document with any fault is refused as a whole.
  */
 #ifndef SWIFTARCH_RELAY_LIMITS_LIMITS_POLICY_H
 #define SWIFTARCH_RELAY_LIMITS_LIMITS_POLICY_H
--- a/tests/fuzz/fuzz_limits.c
+++ b/tests/fuzz/fuzz_limits.c
@@ -14,7 +14,8 @@
 {
     struct limits_policy policy = {.count = LIMITS_MAX + 1};
     struct error err = {0};
-    int ret = limits_policy_parse(&policy, (const char *)data, len, NULL, &err);
+    int ret =
+        limits_policy_parse(&policy, (const char *)data, len, NULL, &err);
 
     if (ret < 0) {
         g_assert_cmpuint(policy.count, ==, LIMITS_MAX + 1);
--- a/tests/relay/limits_policy_test.c
+++ b/tests/relay/limits_policy_test.c
@@ -76,12 +76,12 @@
          "limits[0].brust in line 2", "no key of this name"},
         {"{\"limits\": [" LOTS ",\"burst\":1,\"burst\":2}]}",
          "limits[0].burst", "each key once"},
-        {"{\"limits\": [" LOTS ",\"\\u0062urst\":2}]}", "limits[0].\\u0062urst",
-         "each key once"},
+        {"{\"limits\": [" LOTS ",\"\\u0062urst\":2}]}",
+         "limits[0].\\u0062urst", "each key once"},
         {"{\"limits\": [" LOTS ",\"burst\":0}]}", "limits[0].burst in line 1",
          "found 0, expected a whole number from 1 to 1000000"},
-        {"{\"limits\": [" LOTS ",\"burst\":1.5}]}", "limits[0].burst in line 1",
-         "found 1.5"},
+        {"{\"limits\": [" LOTS ",\"burst\":1.5}]}",
+         "limits[0].burst in line 1", "found 1.5"},
         {"{\"limits\": [" LOTS ",\"burst\":99999999999999999999}]}",
          "limits[0].burst in line 1", "1000000"},
         {"{\"limits\": [" LOTS ",\"burst\":null}]}",
@@ -116,20 +116,24 @@
         {"{\"limits\": [{\"name\":\"a\",\"service\":\"s\",\"burst\":2,"
          "\"shed_below_priority\":1,\"by\":\"c\",\"why\":\"d\"}]}",
          "limits[0].burst in line 1", "with new_flows_per_s only"},
-        {"{\"limits\": [{\"name\":\"a\",\"service\":\"s\",\"per\":\"balancer\","
+        {"{\"limits\": "
+         "[{\"name\":\"a\",\"service\":\"s\",\"per\":\"balancer\","
          "\"new_flows_per_s\":0,\"shed_below_priority\":1,\"by\":\"c\","
          "\"why\":\"d\"}]}",
          "limits[0].shed_below_priority in line 1", "refuses all"},
         {"{\"limits\": [{\"name\":\"a\",\"service\":\"s\","
          "\"new_flows_per_s\":1,\"by\":\"c\",\"why\":\"d\"}]}",
          "limits[0].per", "'balancer' or 'fleet'"},
-        {"{\"limits\": [{\"name\":\"a\",\"service\":\"s\",\"per\":\"balancer\","
+        {"{\"limits\": "
+         "[{\"name\":\"a\",\"service\":\"s\",\"per\":\"balancer\","
          "\"new_flows_per_s\":1,\"by\":\"c\"}]}",
          "limits[0].why", "a text of 1 to 255 bytes"},
-        {"{\"limits\": [{\"name\":\"a\",\"service\":\"s\",\"per\":\"balancer\","
+        {"{\"limits\": "
+         "[{\"name\":\"a\",\"service\":\"s\",\"per\":\"balancer\","
          "\"new_flows_per_s\":1,\"by\":\"c\\u0000d\",\"why\":\"d\"}]}",
          "limits[0].by in line 1", "a text of 1 to 63 bytes"},
-        {"{\"limits\": [{\"name\":\"a\",\"service\":\"s\",\"per\":\"balancer\","
+        {"{\"limits\": "
+         "[{\"name\":\"a\",\"service\":\"s\",\"per\":\"balancer\","
          "\"new_flows_per_s\":1,\"by\":\"c\",\"why\":\"d\\u001b[2J\"}]}",
          "limits[0].why in line 1", "a text of 1 to 255 bytes"},
     };
@@ -168,9 +172,9 @@
                                         LIMITS_POLICY_SIZE_MAX + 1, NULL,
                                         NULL),
                     ==, -EINVAL);
-    g_assert_cmpint(
-        limits_policy_parse(&policy, large, LIMITS_POLICY_SIZE_MAX, NULL, NULL),
-        ==, 0);
+    g_assert_cmpint(limits_policy_parse(&policy, large, LIMITS_POLICY_SIZE_MAX,
+                                        NULL, NULL),
+                    ==, 0);
     g_free(large);
 }
 
