--- a/src/relay/limits/limits.h
+++ b/src/relay/limits/limits.h
@@ -93,8 +93,8 @@
  * @epoch: the store's epoch, 0 if unknown
  * @revision: the store's revision of the policy or of its removal
  *
- * Return: false, without a change, unless the epoch is later or the revision is
- * higher in the same epoch.
+ * Return: false, without a change, unless the epoch is later or the revision
+ * is higher in the same epoch.
  */
 bool
 limits_apply(struct limits *limits, const struct limits_policy *policy,
--- a/tests/relay/limits_test.c
+++ b/tests/relay/limits_test.c
@@ -38,7 +38,8 @@
       const char *rules)
 {
     g_auto(GStrv) parts = g_strsplit(rules, "}", -1);
-    g_autofree char *joined = g_strjoinv(",\"by\":\"b\",\"why\":\"w\"}", parts);
+    g_autofree char *joined =
+        g_strjoinv(",\"by\":\"b\",\"why\":\"w\"}", parts);
     g_autofree char *text = g_strdup_printf("{\"limits\":[%s]}", joined);
     struct limits_policy policy;
     struct error err = {0};
@@ -79,8 +80,9 @@
         g_assert_cmpint(
             decide(fixture, flow_of(0x0a000000 + i, "lots", 0), NOW_US), ==,
             i < 2 ? LIMITS_ALLOWED : LIMITS_RATE);
-        g_assert_cmpint(decide(fixture, flow_of(0x0a000100, "lots", 0), NOW_US),
-                        ==, LIMITS_ALLOWED);
+        g_assert_cmpint(
+            decide(fixture, flow_of(0x0a000100, "lots", 0), NOW_US), ==,
+            LIMITS_ALLOWED);
     }
     g_assert_cmpuint(fixture->limits.states[0].allowed, ==, 2);
     g_assert_cmpuint(fixture->limits.states[0].refused, ==, 8);
@@ -112,9 +114,9 @@
           "{\"name\":\"hour\",\"route\":\"in\",\"new_flows_per_s\":0,"
           "\"per\":\"balancer\",\"from\":1790000010,\"until\":1790000020}");
     for (unsigned s = 0; s < 30; s++) {
-        g_assert_cmpint(decide(fixture, flow_of(1, "lots", 0),
-                               NOW_US + s * USEC_PER_SEC),
-                        ==, s >= 10 && s < 20 ? LIMITS_RATE : LIMITS_ALLOWED);
+        g_assert_cmpint(
+            decide(fixture, flow_of(1, "lots", 0), NOW_US + s * USEC_PER_SEC),
+            ==, s >= 10 && s < 20 ? LIMITS_RATE : LIMITS_ALLOWED);
     }
     /* The host's Unix time is corrected by 15 s. */
     limits_set_time(&fixture->limits, (UNIX_S + 15) * (int64_t)USEC_PER_SEC,
@@ -211,8 +213,9 @@
     for (unsigned i = 0; i < 10 * offered_per_s; i++) {
         uint64_t now_us = NOW_US + i * USEC_PER_SEC / offered_per_s;
         unsigned part = (unsigned)(hash_pair(i, 1) % parts);
-        unsigned at = part < heavies * heavy ? part / heavy
-                                             : heavies + part - heavies * heavy;
+        unsigned at = part < heavies * heavy
+                          ? part / heavy
+                          : heavies + part - heavies * heavy;
 
         if (limiter_allows(&limiters[at], now_us)) {
             limiter_count(&limiters[at], now_us);
