Forwarder asks a gate about new flows; store replaces on a revision

Operators' limits need two things that nothing gave them: a say before a new flow is opened, and a write that fails when another operator was faster.

The gate is a vtable, asked once for each new flow before agents are looked for; NULL opens all, as before. A refused flow leaves no pin. Its caller is reset at its first SYN only: another balancer may have forwarded an earlier copy than the one that arrives here, and its flow must not be cut. Unlike the refusals for want of a route, the reset doesn't need a current configuration.

--- a/src/relay/forwarder/forwarder.h
+++ b/src/relay/forwarder/forwarder.h
@@ -109,6 +109,20 @@
 
 struct forwarder_pin;
 struct forwarder_syn_timer;
+struct forwarder_gate;
+
+/** struct forwarder_gate_ops - decision on new flows from outside */
+struct forwarder_gate_ops {
+    /** @allows: whether a new flow of @route to @service may be opened */
+    bool (*allows)(struct forwarder_gate *gate, struct relay_flow flow,
+                   const struct route *route, uint32_t service,
+                   uint64_t now_us);
+};
+
+/** struct forwarder_gate - decides on new flows; embed as the first member */
+struct forwarder_gate {
+    const struct forwarder_gate_ops *ops;
+};
 
 /* Maximum agents of an orphan query: at GAP_PER_AGENT_US each, as many as fit
  * into a caller's timeout. */
@@ -204,6 +218,7 @@
 /**
  * struct forwarder - state of a balancer
  * @out: receiver of outputs
+ * @gate: decides on new flows, or NULL to open all
  * @self: address to which agents reply
  * @reader: whether this balancer reads the store
  * @slow_start: allowance above slow-start rates
@@ -224,6 +239,7 @@
  */
 struct forwarder {
     struct forwarder_out *out;
+    struct forwarder_gate *gate;
     struct addr self;
     enum frame_reader_state reader;
     struct forwarder_slow_start slow_start;
--- a/src/relay/forwarder/forwarder_open.c
+++ b/src/relay/forwarder/forwarder_open.c
@@ -200,16 +200,42 @@
     forwarder->out->ops->forward(forwarder->out, pin->holder, &frame);
 }
 
+/* Whether the gate refuses a new flow. Its caller is reset at once, but not at
+ * a later copy of its SYN: another balancer may have forwarded an earlier one.
+ */
+static bool
+gate_refuses(struct forwarder *forwarder, const struct relay_packet *packet,
+             const struct route *route, uint64_t now_us)
+{
+    struct forwarder_gate *gate = forwarder->gate;
+    struct relay_flow flow = relay_flow_from_caller(packet);
+
+    if (gate == NULL ||
+        gate->ops->allows(gate, flow, route, route_service(route, flow),
+                          now_us)) {
+        return false;
+    }
+    if (packet->ack == 0) {
+        forwarder->out->ops->reset(forwarder->out, flow, packet->ack);
+    }
+    return true;
+}
+
 void
 forwarder_open_flow(struct forwarder *forwarder,
                     const struct relay_packet *packet,
                     const struct route *route, uint64_t now_us)
 {
     struct relay_flow flow = relay_flow_from_caller(packet);
-    uint32_t handle = forwarder_remember(forwarder, flow,
-                                         route_service(route, flow), now_us);
-    struct forwarder_pin *pin = &forwarder->pins[handle];
+    struct forwarder_pin *pin;
+    uint32_t handle;
 
+    if (gate_refuses(forwarder, packet, route, now_us)) {
+        return;
+    }
+    handle = forwarder_remember(forwarder, flow, route_service(route, flow),
+                                now_us);
+    pin = &forwarder->pins[handle];
     update_timeouts(pin, packet, route);
     pin->syn_seq = packet->seq;
     if (packet->size <= FORWARDER_SYN_MAX) {
--- a/src/relay/store/store.h
+++ b/src/relay/store/store.h
@@ -102,6 +102,10 @@
     void (*cancel)(struct store *store);
     /** @free: cancels the open call and frees the store */
     void (*free)(struct store *store);
+    /** @replace: replaces the value if the object is still at @revision */
+    int (*replace)(struct store *store, const char *kind, const char *name,
+                   struct json_object *value, uint64_t revision,
+                   struct store_call *call);
 };
 
 /** struct store - base of all stores */
--- a/tests/relay/object_store_test.c
+++ b/tests/relay/object_store_test.c
@@ -251,6 +251,12 @@
     wait_for(fixture);
     g_assert_cmpstr(fixture->request_line, ==,
                     "PUT /objects/k/n after=- watch=- rev=-");
+    g_assert_cmpint(fixture->store->ops->replace(fixture->store, "k", "n",
+                                                 value, 7, &fixture->call),
+                    ==, 0);
+    wait_for(fixture);
+    g_assert_cmpstr(fixture->request_line, ==,
+                    "PUT /objects/k/n after=- watch=- rev=7");
     g_assert_cmpint(fixture->store->ops->remove(fixture->store, "k", "n", 5,
                                                 &fixture->call),
                     ==, 0);
