Balancers follow and enforce the operators' limits

With the setting limits on, a balancer follows one object of the kind swiftarch-limits with stale watches: about one cheap call in 15 s when nothing changes. Unix times follow corrections of the host's time. /metrics, /state and /flow name each limit, a log line each change, sampled lines each refusal.

Ruled out: frames as for evacuations (every frame would carry 64 limits), the settings file at SIGHUP (hosts differ while the operator goes round).

--- a/scripts/relaybed/__main__.py
+++ b/scripts/relaybed/__main__.py
@@ -71,6 +71,8 @@
         self.processes = {}
         self.running_balancers = {}
         self.endpoints = []
+        # Further settings of balancers.
+        self.balancer_settings = {}
 
     def config(self, version):
         """Publish the configuration with this version."""
@@ -92,6 +94,7 @@
                      "share": f"{ip}:{self.config_peer_port}",
                      "peers": [f"{NET}.1.{i + 1}:{self.config_peer_port}"
                                for i in range(BALANCERS)]}
+            base |= self.balancer_settings
         else:
             base |= {"upstream": f"{ip}:{self.app}",
                      "outbound": f"{ip}:{self.outbound}",
--- a/scripts/relaybed/store.py
+++ b/scripts/relaybed/store.py
@@ -1,5 +1,6 @@
 """The part of the platform's store that relay mode uses, on a thread."""
 
+import collections
 import http.server
 import json
 import threading
@@ -21,6 +22,7 @@
         self.history = []
         self.unavailable = False
         self.calls = 0
+        self.calls_by_kind = collections.Counter()
         self.epoch = 1
 
     def put(self, kind, name, value):
@@ -129,6 +131,7 @@
             return None
         url = urllib.parse.urlsplit(self.path)
         names = url.path.split("/")[2:] + [None]
+        self.store.calls_by_kind[names[0]] += 1
         return names[0], names[1], dict(urllib.parse.parse_qsl(url.query))
 
     def do_GET(self):  # pylint: disable=invalid-name
@@ -151,6 +154,15 @@
         self.send_json(200, {"items": items, "hasMore": False,
                           "at": self.store.revision})
 
+    def is_conflict(self, found):
+        """Whether a write's condition on the revision fails; answers 409."""
+        item = self.store.get(found[0], found[1])
+        if item is None or "rev" not in found[2] or \
+                int(found[2]["rev"]) == item["meta"]["rev"]:
+            return False
+        self.send_json(409, item)
+        return True
+
     def do_PUT(self):  # pylint: disable=invalid-name
         """Replace an object."""
         found = self.parse_call()
@@ -159,6 +171,8 @@
         if found[1] not in self.store.objects.get(found[0], {}):
             self.send_json(404, {})
             return
+        if self.is_conflict(found):
+            return
         self.send_json(200, self.store.put(found[0], found[1],
                                         self.body["spec"]))
 
@@ -176,7 +190,7 @@
     def do_DELETE(self):  # pylint: disable=invalid-name
         """Remove an object."""
         found = self.parse_call()
-        if found is not None:
+        if found is not None and not self.is_conflict(found):
             gone = self.store.remove(found[0], found[1])
             self.send_json(200 if gone else 404, {})
 
--- a/src/relay/program/relay_balancer.c
+++ b/src/relay/program/relay_balancer.c
@@ -48,6 +48,12 @@
     .max_us = 300 * USEC_PER_MSEC,
 };
 
+/* Limits are rare too, and stale reads lag by seconds anyway. */
+static const struct watcher_backoff limits_watch_delay = {
+    .min_us = 100 * USEC_PER_MSEC,
+    .max_us = 2 * USEC_PER_SEC,
+};
+
 enum { EXIT_STOPPED = 0, EXIT_ERROR = 1, EXIT_SETTINGS = 2 };
 
 static bool
@@ -164,6 +170,7 @@
         watcher_tick(&balancer->agents_watcher, now_us);
     }
     relay_balancer_evacuations_tick(balancer, now_us);
+    relay_balancer_limits_tick(balancer, now_us);
 }
 
 static void
@@ -227,6 +234,7 @@
     if (agents_watch_allowed(balancer)) {
         next_us = MIN(next_us, watcher_next_us(&balancer->agents_watcher));
     }
+    next_us = MIN(next_us, relay_balancer_limits_next_us(balancer));
     return MIN(next_us, relay_balancer_evacuations_next_us(balancer, now_us));
 }
 
@@ -282,6 +290,10 @@
                  CONFIG_FORMAT_EVACUATIONS_KIND, evacuations_watch_delay,
                  seed + 2, now_us);
     balancer->evacuations_watcher.read = STORE_READ_STALE;
+    watcher_init(&balancer->limits_watcher, &relay_balancer_limits_ops,
+                 balancer->stores[4], LIMITS_POLICY_KIND, limits_watch_delay,
+                 seed + 3, now_us);
+    balancer->limits_watcher.read = STORE_READ_STALE;
     store_reader_init(&balancer->reader, seed, now_us);
     confirm_init(&balancer->confirm, &relay_balancer_confirm_ops,
                  balancer->stores[2], &balancer->agents_watcher);
@@ -330,6 +342,8 @@
     int ret;
 
     balancer->out.ops = &relay_balancer_out_ops;
+    balancer->gate.ops = &relay_balancer_gate_ops;
+    limits_init(&balancer->limits);
     balancer->data.fd = balancer->frames.fd = -1;
     balancer->malformed_objects =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
@@ -358,6 +372,9 @@
         return error_set(err, -ENOMEM, "start", NULL, "no memory for flows");
     }
     balancer->forwarder.slow_start = balancer->settings.slow_start;
+    if (balancer->settings.limits) {
+        balancer->forwarder.gate = &balancer->gate;
+    }
     agents_set_regions(&balancer->forwarder.agents,
                        &balancer->settings.regions);
     event_log_write(&balancer->log, EVENT_UNLIMITED, "started",
@@ -373,6 +390,7 @@
     watcher_finish(&balancer->config_watcher);
     watcher_finish(&balancer->agents_watcher);
     watcher_finish(&balancer->evacuations_watcher);
+    watcher_finish(&balancer->limits_watcher);
     for (size_t i = 0; i < G_N_ELEMENTS(balancer->stores); i++) {
         if (balancer->stores[i] != NULL) {
             balancer->stores[i]->ops->free(balancer->stores[i]);
--- a/src/relay/program/relay_balancer_evacuations.c
+++ b/src/relay/program/relay_balancer_evacuations.c
@@ -82,6 +82,7 @@
     watcher_set_epoch(&balancer->config_watcher, epoch);
     watcher_set_epoch(&balancer->agents_watcher, epoch);
     watcher_set_epoch(&balancer->evacuations_watcher, epoch);
+    watcher_set_epoch(&balancer->limits_watcher, epoch);
     if (store->rollback_us != 0) {
         event_log_write(&balancer->log, EVENT_UNLIMITED, "store_older",
                         "era=%u source=%s", epoch, source);
--- a/src/relay/program/relay_balancer_http.c
+++ b/src/relay/program/relay_balancer_http.c
@@ -25,6 +25,36 @@
     }
 }
 
+/* Counters of the limits that have been read, at most LIMITS_MAX. */
+static void
+append_limits(GString *text, const struct limits *limits)
+{
+    for (unsigned i = 0; i < limits->policy.count; i++) {
+        const char *name = limits->policy.rules[i].name;
+
+        g_string_append_printf(
+            text,
+            "swiftarch_limit_flows_total{limit=\"%s\",result=\"allowed\"} "
+            "%" PRIu64 "\n"
+            "swiftarch_limit_flows_total{limit=\"%s\",result=\"refused\"} "
+            "%" PRIu64 "\n",
+            name, limits->states[i].allowed, name, limits->states[i].refused);
+    }
+}
+
+static void
+respond_state(struct relay_balancer *balancer, struct httpd_request *request)
+{
+    struct json_object *json =
+        relay_state_balancer(&balancer->settings, &balancer->forwarder);
+
+    if (balancer->settings.limits) {
+        relay_state_add_limits(json, &balancer->limits, balancer->limits_read,
+                               loop_now_us(&balancer->loop));
+    }
+    relay_state_respond(request, json);
+}
+
 static void
 respond_metrics(struct relay_balancer *balancer, struct httpd_request *request)
 {
@@ -63,6 +93,10 @@
     }
     append_reads(text, "config", &balancer->config_watcher);
     append_reads(text, "agents", &balancer->agents_watcher);
+    if (balancer->settings.limits) {
+        append_reads(text, "limits", &balancer->limits_watcher);
+        append_limits(text, &balancer->limits);
+    }
     g_string_append_printf(text, "swiftarch_store_reader %d\n",
                            balancer->reader.reading);
     httpd_respond(request, 200, "text/plain; version=0.0.4", text->str,
@@ -86,12 +120,12 @@
         respond_metrics(balancer, request);
     }
     else if (strcmp(path, RELAY_STATE_PATH) == 0) {
-        relay_state_respond(
-            request,
-            relay_state_balancer(&balancer->settings, &balancer->forwarder));
+        respond_state(balancer, request);
     }
     else if (strcmp(path, RELAY_EXPLAIN_PATH) == 0) {
         relay_explain_balancer(request, &balancer->forwarder,
+                               balancer->settings.limits ? &balancer->limits
+                                                         : NULL,
                                loop_now_us(&balancer->loop));
     }
     else {
--- a/src/relay/program/relay_balancer_private.h
+++ b/src/relay/program/relay_balancer_private.h
@@ -6,6 +6,7 @@
  * receives datagrams and implements forwarder's outputs;
  * relay_balancer_store.c applies configuration and agents from the store and
  * from peers; relay_balancer_evacuations.c applies evacuated data centres;
+ * relay_balancer_limits.c follows and enforces the operators' limits;
  * relay_balancer_http.c serves metrics, state and peers over HTTP.
  */
 #ifndef SWIFTARCH_RELAY_PROGRAM_RELAY_BALANCER_PRIVATE_H
@@ -22,6 +23,7 @@
 #include "relay/program/settings_file.h"
 #include "relay/program/config_peer.h"
 #include "relay/forwarder/forwarder.h"
+#include "relay/limits/limits.h"
 
 /**
  * struct relay_balancer - state of the balancer process
@@ -37,13 +39,17 @@
  * @metrics: a second listener of @ready_handler, or NULL
  * @config_peer_handler: serves queries of peers
  * @config_peer_httpd: listener of @config_peer_handler
- * @stores: connections to the store, one for each of the three watchers and
- *          for @confirm
+ * @stores: connections to the store, one for each watcher and for @confirm
  * @config_watcher: follows the configuration
  * @reader: decides whether this balancer is a store reader
  * @agents_watcher: follows the agents' objects
  * @evacuations_watcher: follows the evacuated data centres
  * @evacuated: names of evacuated data centres (a set)
+ * @gate: asks @limits about new flows
+ * @limits: operators' limits in force
+ * @limits_watcher: follows the operators' limits
+ * @limits_absent: the store doesn't hold the object, as far as has been read
+ * @limits_read: the limits have been read from the store
  * @confirm: confirms that the list of agents is complete
  * @malformed_objects: names of agents' objects that can't be decoded (a set)
  * @config_peer: queries peers
@@ -70,12 +76,17 @@
     struct httpd *metrics;
     struct httpd_handler config_peer_handler;
     struct httpd *config_peer_httpd;
-    struct store *stores[4];
+    struct store *stores[5];
     struct watcher config_watcher;
     struct store_reader reader;
     struct watcher agents_watcher;
     struct watcher evacuations_watcher;
     GHashTable *evacuated;
+    struct forwarder_gate gate;
+    struct limits limits;
+    struct watcher limits_watcher;
+    bool limits_absent;
+    bool limits_read;
     struct confirm confirm;
     GHashTable *malformed_objects;
     struct config_peer config_peer;
@@ -111,6 +122,8 @@
 extern const struct watcher_ops relay_balancer_config_ops;
 extern const struct watcher_ops relay_balancer_agents_ops;
 extern const struct watcher_ops relay_balancer_evacuations_ops;
+extern const struct watcher_ops relay_balancer_limits_ops;
+extern const struct forwarder_gate_ops relay_balancer_gate_ops;
 extern const struct confirm_ops relay_balancer_confirm_ops;
 extern const struct config_peer_ops relay_balancer_config_peer_ops;
 extern const struct httpd_ops relay_balancer_ready_ops;
@@ -140,6 +153,16 @@
 relay_balancer_evacuations_next_us(const struct relay_balancer *balancer,
                                    uint64_t now_us);
 
+/** relay_balancer_limits_tick() - update the time of the limits and start the
+ * store call that is due; nothing if the setting is off */
+void
+relay_balancer_limits_tick(struct relay_balancer *balancer, uint64_t now_us);
+
+/** relay_balancer_limits_next_us() - when the next store call is due,
+ * UINT64_MAX for never */
+uint64_t
+relay_balancer_limits_next_us(const struct relay_balancer *balancer);
+
 /**
  * relay_balancer_store_ended() - a watcher's call to the store ended
  * @status: 0 or a negative errno
--- a/src/relay/program/relay_explain.c
+++ b/src/relay/program/relay_explain.c
@@ -92,11 +92,43 @@
     return json;
 }
 
+/* Names of the limits that apply to a new flow of the same caller, and the one
+ * that would refuse it now. */
+static void
+add_limits(struct json_object *json, const struct limits *limits,
+           struct relay_flow flow,
+           const struct forwarder_explanation *explanation, uint64_t now_us)
+{
+    struct json_object *names = json_object_new_array();
+    struct limits_flow limited = {
+        .caller = flow.caller.ip,
+        .service = explanation->service,
+        .route = explanation->route->name,
+        .priority = explanation->route->priority,
+    };
+    struct limits_decision decision = limits_explain(limits, &limited, now_us);
+
+    for (unsigned i = 0; i < limits->policy.count; i++) {
+        if (limits_applies(limits, i, &limited, now_us)) {
+            json_object_array_add(
+                names, json_object_new_string(limits->policy.rules[i].name));
+        }
+    }
+    json_object_object_add(json, "limits", names);
+    if (decision.reason != LIMITS_ALLOWED) {
+        json_object_object_add(
+            json, "refused_by",
+            json_object_new_string(limits->policy.rules[decision.index].name));
+    }
+}
+
 void
 relay_explain_balancer(struct httpd_request *request,
-                       const struct forwarder *forwarder, uint64_t now_us)
+                       const struct forwarder *forwarder,
+                       const struct limits *limits, uint64_t now_us)
 {
     struct forwarder_explanation explanation;
+    struct json_object *json;
     struct relay_flow flow;
 
     if (!read_flow(request, &flow)) {
@@ -104,7 +136,11 @@
         return;
     }
     forwarder_explain(forwarder, flow, now_us, &explanation);
-    relay_state_respond(request, balancer_json(forwarder, &explanation));
+    json = balancer_json(forwarder, &explanation);
+    if (limits != NULL && explanation.route != NULL) {
+        add_limits(json, limits, flow, &explanation, now_us);
+    }
+    relay_state_respond(request, json);
 }
 
 static struct json_object *
--- a/src/relay/program/relay_state.c
+++ b/src/relay/program/relay_state.c
@@ -2,6 +2,8 @@
 
 #include <stdio.h>
 
+#include "base/clock.h"
+
 static const char *const state_names[] = {
     [ENDPOINT_UNKNOWN] = "unknown",   [ENDPOINT_READY] = "ready",
     [ENDPOINT_DRAINING] = "draining", [ENDPOINT_GONE] = "gone",
@@ -68,6 +70,40 @@
     return json;
 }
 
+static struct json_object *
+limit_json(const struct limits *limits, unsigned index, uint64_t now_us)
+{
+    const struct limits_rule *rule = &limits->policy.rules[index];
+    const struct limits_state *state = &limits->states[index];
+    struct json_object *json = json_object_new_object();
+
+    add_text(json, "name", rule->name);
+    add_text(json, "target", rule->target);
+    add_text(json, "by", rule->by);
+    add_text(json, "why", rule->why);
+    json_object_object_add(
+        json, "in_force",
+        json_object_new_boolean(limits_in_force(limits, index, now_us)));
+    add_number(json, "since_s", (now_us - state->since_us) / USEC_PER_SEC);
+    add_number(json, "allowed", state->allowed);
+    add_number(json, "refused", state->refused);
+    return json;
+}
+
+void
+relay_state_add_limits(struct json_object *json, const struct limits *limits,
+                       bool read, uint64_t now_us)
+{
+    struct json_object *list = json_object_new_array();
+
+    for (unsigned i = 0; i < limits->policy.count; i++) {
+        json_object_array_add(list, limit_json(limits, i, now_us));
+    }
+    json_object_object_add(json, "limits_read", json_object_new_boolean(read));
+    add_number(json, "limits_revision", limits->revision);
+    json_object_object_add(json, "limits", list);
+}
+
 struct json_object *
 relay_state_agent(const struct relay_settings *settings,
                   const struct admission *admission)
--- a/src/relay/program/relay_state.h
+++ b/src/relay/program/relay_state.h
@@ -12,6 +12,7 @@
 #include "relay/admission/admission.h"
 #include "relay/program/relay_settings.h"
 #include "relay/forwarder/forwarder.h"
+#include "relay/limits/limits.h"
 
 #define RELAY_STATE_PATH "/state"
 
@@ -20,6 +21,12 @@
 relay_state_balancer(const struct relay_settings *settings,
                      const struct forwarder *forwarder);
 
+/** relay_state_add_limits() - add the operators' limits to a balancer's state;
+ * @read: they have been read from the store */
+void
+relay_state_add_limits(struct json_object *json, const struct limits *limits,
+                       bool read, uint64_t now_us);
+
 /** relay_state_agent() - encode the endpoint's state, its load and its queue
  */
 struct json_object *
