--- a/src/cli/cli.h
+++ b/src/cli/cli.h
@@ -91,4 +91,8 @@
 int
 cli_relay_explain(int argc, char **argv);
 
+/** cli_relay_limits() - "swiftarch relay-limits" */
+int
+cli_relay_limits(int argc, char **argv);
+
 #endif
--- a/src/cli/main.c
+++ b/src/cli/main.c
@@ -111,6 +111,8 @@
          cli_relay_show},
         {"relay-explain", "show the state of a flow in relay mode",
          cli_relay_explain},
+        {"relay-limits", "check, set, show and remove limits in relay mode",
+         cli_relay_limits},
 #ifdef SWIFTARCH_TERMINATED
         {"balancer", "forward packets from the fabric", run_balancer},
         {"agent", "forward requests to the local upstream", run_agent},
--- a/src/cli/relay_explain.c
+++ b/src/cli/relay_explain.c
@@ -66,6 +66,13 @@
             printf("  a new flow would be refused: all agents of the service "
                    "are in evacuated data centres\n");
         }
+        if (json_object_object_get_ex(json, "limits", NULL)) {
+            print_list("limits that a new flow meets", json, "limits");
+        }
+        if (json_object_object_get_ex(json, "refused_by", NULL)) {
+            printf("  a new flow would be refused now by limit %s\n",
+                   relay_query_text(json, "refused_by"));
+        }
         print_list("a new flow would go to", json, "next");
     }
 }
--- a/src/cli/relay_show.c
+++ b/src/cli/relay_show.c
@@ -42,6 +42,38 @@
     }
 }
 
+/* Prints the operators' limits of a balancer that follows them. */
+static void
+print_limits(struct json_object *json)
+{
+    struct json_object *list = NULL;
+
+    if (!json_object_object_get_ex(json, "limits", &list)) {
+        return;
+    }
+    if (!relay_query_bool(json, "limits_read")) {
+        printf("  limits: not read from the store yet, none in force\n");
+        return;
+    }
+    printf("  limits: %zu as of revision %" PRId64 "\n",
+           json_object_array_length(list),
+           relay_query_number(json, "limits_revision"));
+    for (size_t i = 0; i < json_object_array_length(list); i++) {
+        struct json_object *item = json_object_array_get_idx(list, i);
+
+        printf("  limit %s on %s: %s, read %" PRId64 " s ago, %" PRId64
+               " new flows allowed, %" PRId64 " refused, by %s: %s\n",
+               relay_query_text(item, "name"),
+               relay_query_text(item, "target"),
+               relay_query_bool(item, "in_force") ? "in force"
+                                                  : "not in force now",
+               relay_query_number(item, "since_s"),
+               relay_query_number(item, "allowed"),
+               relay_query_number(item, "refused"),
+               relay_query_text(item, "by"), relay_query_text(item, "why"));
+    }
+}
+
 static void
 print_state(const char *address, struct json_object *json)
 {
@@ -57,6 +89,7 @@
                relay_query_number(json, "flows"),
                relay_query_number(json, "evacuations"),
                relay_query_number(json, "evacuations_revision"));
+        print_limits(json);
         print_agents(json);
         return;
     }
