--- a/scripts/relaybed/limits.py
+++ b/scripts/relaybed/limits.py
@@ -7,6 +7,7 @@
 hour        a route is shed until a time; a flow that was open goes on
 urgent      a service sheds all but its most urgent route
 store-away  a limit ends in time while the store is away
+store-older the store comes back from a copy without the latest limits
 off         with the setting off a limit has no effect and costs no call
 
 Prints the commands and what they print; exits 1 at the first violation.
@@ -29,6 +30,8 @@
 # Reads of limits lag by seconds; a balancer that follows them in longer than
 # this is at fault.
 FOLLOW_S = 8
+# Stale reads may hold what a restored store has lost for this long.
+STALE_S = 10
 # A refused flow is reset at once: well before its SYN's first copy.
 AT_ONCE_S = 0.15
 LOAD = 40
@@ -71,14 +74,15 @@
         assert done.returncode == code, f"exit code {done.returncode}"
         return done.stdout + done.stderr
 
-    async def set(self, *limits, code=0):
-        """Write a document of limits and set it."""
+    async def set(self, *limits, revision=0, code=0):
+        """Write a document of limits and set it in place of a revision."""
         path = self.fixture.folder / "limits.json"
         path.write_text(json.dumps({"limits": [
             {"by": "ada", "why": "test"} | limit for limit in limits]}))
         await self.swiftarch("relay-limits", "check", str(path))
         await self.swiftarch("relay-limits", "set", str(path), "--store",
-                             self.store(), code=code)
+                             self.store(), "--revision", str(revision),
+                             code=code)
 
     async def remove(self, name):
         """Remove a limit."""
@@ -89,9 +93,9 @@
         """Address of the store."""
         return f"127.0.0.1:{self.fixture.store_port}"
 
-    async def until_shown(self, text):
+    async def until_shown(self, text, within_s=FOLLOW_S):
         """Wait until all balancers show a text."""
-        end = time.monotonic() + FOLLOW_S
+        end = time.monotonic() + within_s
         addresses = self.fixture.addresses()[:BALANCERS]
         while True:
             done = await asyncio.to_thread(
@@ -152,6 +156,13 @@
         await self.expect(1, "lots", LOAD, LOAD)
         # A second operator, who hasn't seen the first one's limit.
         await self.set(limit | {"name": "other"}, code=CONFLICT)
+        # Two operators who have both seen it: the first one wins.
+        seen = self.fixture.store.get(KIND, "main")["meta"]["rev"]
+        await self.set(limit | {"why": "first"}, revision=seen)
+        await self.set(limit | {"why": "second"}, revision=seen, code=CONFLICT)
+        shown = await self.swiftarch("relay-limits", "show", "--store",
+                                     self.store())
+        assert "by ada: first" in shown
         await self.remove("noisy")
         await self.until_shown("limits: 0 as of")
         await self.expect(0, "lots", LOAD, LOAD)
@@ -218,6 +229,30 @@
         await self.expect(0, "lots", LOAD, LOAD)
         self.fixture.store.unavailable = False
 
+    async def store_older(self):
+        """The store comes back from a copy without the latest limits."""
+        await self.start(True)
+        limit = {"name": "kept", "callers": f"{NET}.3.1/32",
+                 "new_flows_per_s": 0, "per": "balancer"}
+        await self.set(limit)
+        await self.until_shown("limit kept on")
+        await asyncio.sleep(1)
+        seen = self.fixture.store.get(KIND, "main")["meta"]["rev"]
+        await self.set(limit, {"name": "lost", "service": "lots",
+                               "new_flows_per_s": 0, "per": "balancer"},
+                       revision=seen)
+        await self.until_shown("limit lost on lots")
+        await self.expect(1, "lots", 0, 0)
+        # The store forgets the second write, which is seconds old by now.
+        age_s = time.monotonic() - next(
+            entry[4] for entry in reversed(self.fixture.store.history)
+            if entry[1] == KIND)
+        self.fixture.store.restore(age_s + 0.5)
+        await self.until_shown(f"limits: 1 as of revision {seen}",
+                               STALE_S + FOLLOW_S)
+        await self.expect(1, "lots", LOAD, LOAD)
+        await self.expect(0, "lots", 0, 0)
+
     async def off(self):
         """The setting is off: no effect, no call, no output."""
         await self.start(False)
@@ -244,7 +279,7 @@
     """Run the story given on the command line; returns the exit code."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--story", required=True, choices=(
-        "noisy", "hour", "urgent", "store-away", "off"))
+        "noisy", "hour", "urgent", "store-away", "store-older", "off"))
     parser.add_argument("--binary",
                         default=str(ROOT / "build/src/cli/swiftarch"))
     args = parser.parse_args()
