--- a/src/cli/relay_limits.c
+++ b/src/cli/relay_limits.c
@@ -1,6 +1,6 @@
 /**
- * DOC: relay_limits - "swiftarch relay-limits": checks the operators' limits of
- * relay mode, writes them to the platform's store and lists them
+ * DOC: relay_limits - "swiftarch relay-limits": checks the operators' limits
+ * of relay mode, writes them to the platform's store and lists them
  */
 #include "relay/limits/limits_policy.h"
 
--- a/src/cli/relay_limits_store.c
+++ b/src/cli/relay_limits_store.c
@@ -144,10 +144,9 @@
            uint64_t *revision)
 {
     struct json_object *found = NULL;
-    bool written = relay_limits_store_read(limits_store, &found, revision) ==
-                       CLI_OK &&
-                   (json == NULL ? found == NULL
-                                 : json_object_equal(found, json));
+    bool written =
+        relay_limits_store_read(limits_store, &found, revision) == CLI_OK &&
+        (json == NULL ? found == NULL : json_object_equal(found, json));
 
     json_object_put(found);
     return written;
--- a/src/cli/relay_limits_store.h
+++ b/src/cli/relay_limits_store.h
@@ -47,8 +47,8 @@
 /**
  * relay_limits_store_write() - write the document if it is still at a revision
  * @json: the document, NULL to remove it
- * @revision: the revision expected, 0 if there must be none; set to that of the
- *     write
+ * @revision: the revision expected, 0 if there must be none; set to that of
+ * the write
  *
  * Return: CLI_OK; CLI_RACE_LOST, CLI_FAILED or CLI_UNKNOWN after a message.
  */
--- a/src/relay/program/relay_balancer_limits.c
+++ b/src/relay/program/relay_balancer_limits.c
@@ -31,9 +31,8 @@
     unsigned before = balancer->limits.policy.count;
 
     balancer->limits_read = true;
-    if (limits_apply(&balancer->limits, policy,
-                     balancer->limits_watcher.epoch, revision,
-                     loop_now_us(&balancer->loop)) &&
+    if (limits_apply(&balancer->limits, policy, balancer->limits_watcher.epoch,
+                     revision, loop_now_us(&balancer->loop)) &&
         before + policy->count > 0) {
         log_change(balancer, source);
     }
@@ -148,12 +147,12 @@
     if (!event_log_allow(&balancer->log, EVENT_RATE_LIMITED)) {
         return;
     }
-    event_log_write(
-        &balancer->log, EVENT_RATE_LIMITED, "limited",
-        "caller=%s service=%s limit=%s reason=%s",
-        addr_format(flow.caller, caller), addr_format(flow.service, service),
-        balancer->limits.policy.rules[decision.index].name,
-        decision.reason == LIMITS_RATE ? "rate" : "priority");
+    event_log_write(&balancer->log, EVENT_RATE_LIMITED, "limited",
+                    "caller=%s service=%s limit=%s reason=%s",
+                    addr_format(flow.caller, caller),
+                    addr_format(flow.service, service),
+                    balancer->limits.policy.rules[decision.index].name,
+                    decision.reason == LIMITS_RATE ? "rate" : "priority");
 }
 
 static bool
--- a/tests/relay/forwarder_gate_test.c
+++ b/tests/relay/forwarder_gate_test.c
@@ -79,11 +79,11 @@
     /* A copy of a SYN that was let through. */
     receive_syn(fixture, 1, 1);
     fixture_established(fixture, fixture->sent, 1, 500);
-    fixture_receive(fixture, fixture_from_caller(fixture_flow(1), RELAY_ACK, 10,
-                                                 501, 20));
+    fixture_receive(
+        fixture, fixture_from_caller(fixture_flow(1), RELAY_ACK, 10, 501, 20));
     /* A flow that the network moved here from another balancer. */
-    fixture_receive(fixture, fixture_from_caller(fixture_flow(2), RELAY_ACK, 10,
-                                                 501, 20));
+    fixture_receive(
+        fixture, fixture_from_caller(fixture_flow(2), RELAY_ACK, 10, 501, 20));
     g_assert_cmpuint(fake_gate.asked, ==, 1);
     g_assert_cmpuint(fixture->forwarded, ==, 4);
     g_assert_cmpstr(fixture->record->str, ==, "");
