--- a/tests/relay/limits_policy_test.c
+++ b/tests/relay/limits_policy_test.c
@@ -152,6 +152,7 @@
 
 TEST(nul_utf16_broken_utf8_and_large_texts_are_refused)
 {
+    static const char empty[] = "{\"limits\": []}";
     static const char nul[] = "{\"limits\": []}\0";
     static const char utf16[] = "\xff\xfe{\0\"\0";
     static const char bom[] = "\xef\xbb\xbf{\"limits\": []}";
@@ -167,7 +168,7 @@
         -EINVAL);
     g_assert_cmpint(parse(bom, &policy, NULL), ==, -EINVAL);
     g_assert_cmpint(parse(broken, &policy, NULL), ==, -EINVAL);
-    memcpy(large, "{\"limits\": []}", strlen("{\"limits\": []}"));
+    memcpy(large, empty, sizeof(empty) - 1);
     g_assert_cmpint(limits_policy_parse(&policy, large,
                                         LIMITS_POLICY_SIZE_MAX + 1, NULL,
                                         NULL),
