--- a/src/relay/program/relay_balancer.c
+++ b/src/relay/program/relay_balancer.c
@@ -343,7 +343,6 @@
 
     balancer->out.ops = &relay_balancer_out_ops;
     balancer->gate.ops = &relay_balancer_gate_ops;
-    limits_init(&balancer->limits);
     balancer->data.fd = balancer->frames.fd = -1;
     balancer->malformed_objects =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
@@ -372,7 +371,9 @@
         return error_set(err, -ENOMEM, "start", NULL, "no memory for flows");
     }
     balancer->forwarder.slow_start = balancer->settings.slow_start;
+    /* Without limits their memory stays untouched. */
     if (balancer->settings.limits) {
+        limits_init(&balancer->limits);
         balancer->forwarder.gate = &balancer->gate;
     }
     agents_set_regions(&balancer->forwarder.agents,
