--- a/scripts/relaybed/limits.py
+++ b/scripts/relaybed/limits.py
@@ -8,6 +8,8 @@
 urgent      a service sheds all but its most urgent route
 store-away  a limit ends in time while the store is away
 store-older the store comes back from a copy without the latest limits
+malformed   a document that can't be read leaves the one in force
+start-away  a balancer that starts while the store is away
 off         with the setting off a limit has no effect and costs no call
 
 Prints the commands and what they print; exits 1 at the first violation.
@@ -89,6 +91,12 @@
         await self.swiftarch("relay-limits", "remove", name, "--store",
                              self.store())
 
+    def logs(self):
+        """Logs of all balancers."""
+        return "".join(
+            (self.fixture.folder / f"balancer-{i + 1}.log").read_text()
+            for i in range(BALANCERS))
+
     def store(self):
         """Address of the store."""
         return f"127.0.0.1:{self.fixture.store_port}"
@@ -166,8 +174,7 @@
         await self.remove("noisy")
         await self.until_shown("limits: 0 as of")
         await self.expect(0, "lots", LOAD, LOAD)
-        log = "".join((self.fixture.folder / f"balancer-{i + 1}.log").read_text()
-                      for i in range(BALANCERS))
+        log = self.logs()
         assert "event=limits limits=1 names=noisy" in log
         assert "event=limited" in log and "limit=noisy reason=rate" in log
 
@@ -253,6 +260,38 @@
         await self.expect(1, "lots", LOAD, LOAD)
         await self.expect(0, "lots", 0, 0)
 
+    async def malformed(self):
+        """A document that somebody wrote past the command."""
+        await self.start(True)
+        await self.set({"name": "kept", "service": "lots",
+                        "new_flows_per_s": 0, "per": "balancer"})
+        await self.until_shown("limit kept on lots: in force")
+        self.fixture.store.put(KIND, "main", {"limits": [{"name": "kept"}]})
+        end = time.monotonic() + FOLLOW_S
+        while self.logs().count("event=limits_refused") < BALANCERS:
+            assert time.monotonic() < end, "no limits_refused"
+            await asyncio.sleep(0.1)
+        assert "found nothing, expected exactly one of service" in self.logs()
+        await self.until_shown("limit kept on lots: in force")
+        await self.expect(0, "lots", 0, 0)
+
+    async def start_away(self):
+        """A balancer that starts while the store is away has no limits and
+        says so; it follows them once the store is back."""
+        await self.start(True)
+        await self.set({"name": "kept", "service": "lots",
+                        "new_flows_per_s": 0, "per": "balancer"})
+        await self.until_shown("limit kept on lots: in force")
+        self.fixture.store.unavailable = True
+        for i in range(BALANCERS):
+            await self.fixture.kill(f"balancer-{i + 1}")
+            self.fixture.start("relay-balancer", f"balancer-{i + 1}",
+                               f"{NET}.1.{i + 1}")
+        await self.until_shown("limits: not read from the store yet")
+        self.fixture.store.unavailable = False
+        await self.until_shown("limit kept on lots: in force")
+        await self.expect(0, "lots", 0, 0)
+
     async def off(self):
         """The setting is off: no effect, no call, no output."""
         await self.start(False)
@@ -279,7 +318,8 @@
     """Run the story given on the command line; returns the exit code."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--story", required=True, choices=(
-        "noisy", "hour", "urgent", "store-away", "store-older", "off"))
+        "noisy", "hour", "urgent", "store-away", "store-older",
+        "malformed", "start-away", "off"))
     parser.add_argument("--binary",
                         default=str(ROOT / "build/src/cli/swiftarch"))
     args = parser.parse_args()
