Limiter: a lower rate refuses no longer than its own burst takes

Cause: limiter_change() kept the whole debt. A limit of 1,000 a second whose burst was used up, written again as 10 a second, refused every new flow for 99 s; from the largest burst to 1 a second for 11 days. The operator asked for the lower rate, not for none.

Ruled out: forgetting the debt. Writing a limit again would give another burst.

Change: the debt is at most the new burst.

--- a/src/relay/limits/limiter.c
+++ b/src/relay/limits/limiter.c
@@ -62,13 +62,16 @@
     uint64_t rest;
 
     repay(limiter, now_us);
-    /* The debt in events stays the same, to within a microsecond's part. */
+    /* The debt in events stays the same, to within a microsecond's part, but
+     * at most the new burst: at a lower rate an earlier burst would refuse all
+     * events for a long time. */
     events = limiter->debt / event_cost(limiter);
     rest = limiter->debt % event_cost(limiter) / limiter->shares;
     limiter->per_s = per_s;
     limiter->burst = burst;
     limiter->shares = shares;
-    limiter->debt = events * event_cost(limiter) + rest * shares;
+    limiter->debt =
+        MIN(events * event_cost(limiter) + rest * shares, debt_max(limiter));
 }
 
 bool
--- a/src/relay/limits/limiter.h
+++ b/src/relay/limits/limiter.h
@@ -43,7 +43,7 @@
              uint32_t shares, uint64_t now_us);
 
 /** limiter_change() - follow another rate, burst or number of shares; events
- * that have been counted stay counted */
+ * that have been counted stay counted, up to the new burst */
 void
 limiter_change(struct limiter *limiter, uint32_t per_s, uint32_t burst,
                uint32_t shares, uint64_t now_us);
