Gate: no reset for a first copy of a SYN that was queued

Cause: a refused SYN was reset if its copy number was 0. A balancer without routes or agents queues SYNs for up to 400 ms; the caller sends another copy after 200 ms, which the network may have taken to a balancer that forwarded it. The reset then ends a flow whose SYN another agent holds. forwarder_refuse() goes by the age for this reason.

Ruled out: a reset for a SYN queued for less than the time to the second copy: that time is the platform's, and the packet doesn't carry it.

Change: the age decides, as in forwarder_refuse(). The fixture's later copies now have their age too, as the decoder sets it.

--- a/src/relay/forwarder/forwarder_open.c
+++ b/src/relay/forwarder/forwarder_open.c
@@ -201,8 +201,8 @@
 }
 
 /* Whether the gate refuses a new flow. Its caller is reset at once, but not at
- * a later copy of its SYN: another balancer may have forwarded an earlier one.
- */
+ * a later copy of its SYN, nor at a first copy that was queued here: another
+ * balancer may have forwarded another copy. */
 static bool
 gate_refuses(struct forwarder *forwarder, const struct relay_packet *packet,
              const struct route *route, uint64_t now_us)
@@ -215,7 +215,7 @@
                           now_us)) {
         return false;
     }
-    if (packet->ack == 0) {
+    if (packet->age_ms == 0) {
         forwarder->out->ops->reset(forwarder->out, flow, packet->ack);
     }
     return true;
--- a/tests/relay/forwarder_gate_test.c
+++ b/tests/relay/forwarder_gate_test.c
@@ -6,6 +6,9 @@
 
 #define SUITE "/relay/forwarder_gate"
 
+/* Age of a SYN's second copy. */
+#define COPY_AGE_MS 200
+
 /**
  * struct fake_gate - a gate that records what it is asked
  * @gate: passed to the forwarder
@@ -36,8 +39,11 @@
 static void
 receive_syn(struct fixture *fixture, unsigned flow, uint32_t copy)
 {
-    fixture_receive(fixture, fixture_from_caller(fixture_flow(flow), RELAY_SYN,
-                                                 9, copy, 0));
+    struct relay_packet packet =
+        fixture_from_caller(fixture_flow(flow), RELAY_SYN, 9, copy, 0);
+
+    packet.age_ms = (uint16_t)(copy * COPY_AGE_MS);
+    fixture_receive(fixture, packet);
 }
 
 TEST_F(fixture, a_refused_flow_is_reset_at_once_and_stays_unopened, 3)
@@ -68,6 +74,21 @@
     g_assert_cmpstr(fixture->record->str, ==, "");
 }
 
+/* While it was queued, the caller may have sent a copy to another balancer. */
+TEST_F(fixture, a_first_copy_that_was_queued_is_refused_without_a_reset, 3)
+{
+    struct fake_gate fake_gate = {.gate.ops = &fake_gate_ops};
+    struct relay_packet packet =
+        fixture_from_caller(fixture_flow(1), RELAY_SYN, 9, 0, 0);
+
+    fixture->forwarder.gate = &fake_gate.gate;
+    packet.age_ms = COPY_AGE_MS + 50;
+    fixture_receive(fixture, packet);
+    g_assert_cmpuint(fake_gate.asked, ==, 1);
+    g_assert_cmpuint(fixture->forwarded, ==, 0);
+    g_assert_cmpstr(fixture->record->str, ==, "");
+}
+
 TEST_F(fixture, an_open_flow_is_never_cut_by_a_gate_that_closes, 3)
 {
     struct fake_gate fake_gate = {.gate.ops = &fake_gate_ops, .open = true};
