Limits: a limit that moves to another target starts without debt

Cause: a later policy's limit took the state of the limit of the same name, whatever that one applied to. An operator who gives 'noisy' another prefix had the new callers refused for what the earlier ones had opened, and relay-show added both counts.

Ruled out: states by name and whole rule. A changed rate would give a new burst.

Change: name, scope and target must be the same. New test, which fails on the old code, and a mutant.

--- a/src/relay/limits/limits.c
+++ b/src/relay/limits/limits.c
@@ -18,12 +18,16 @@
     limits->unix_us = unix_us - (int64_t)now_us;
 }
 
-/* State of the limit of that name, or NULL. */
+/* State of the limit of the same name and target, or NULL. */
 static const struct limits_state *
-find_state(const struct limits *limits, const char *name)
+find_state(const struct limits *limits, const struct limits_rule *rule)
 {
     for (unsigned i = 0; i < limits->policy.count; i++) {
-        if (strcmp(limits->policy.rules[i].name, name) == 0) {
+        const struct limits_rule *before = &limits->policy.rules[i];
+
+        if (strcmp(before->name, rule->name) == 0 &&
+            before->scope == rule->scope &&
+            strcmp(before->target, rule->target) == 0) {
             return &limits->states[i];
         }
     }
@@ -59,7 +63,7 @@
     for (unsigned i = 0; i < policy->count; i++) {
         const struct limits_rule *rule = &policy->rules[i];
 
-        states[i] = next_state(rule, find_state(limits, rule->name), now_us);
+        states[i] = next_state(rule, find_state(limits, rule), now_us);
     }
     memcpy(limits->states, states, policy->count * sizeof(states[0]));
     limits->policy = *policy;
--- a/src/relay/limits/limits.h
+++ b/src/relay/limits/limits.h
@@ -3,8 +3,8 @@
  *
  * Holds the policy in force and what each limit has let through. A flow is
  * refused if any limit that applies to it refuses it, and is then counted
- * against none. A limit that a later policy holds under the same name keeps
- * what was counted.
+ * against none. A limit that a later policy holds under the same name for the
+ * same target keeps what was counted.
  *
  * The module reads no clock: callers pass the time, and how Unix time relates
  * to it.
--- a/tests/relay/limits_test.c
+++ b/tests/relay/limits_test.c
@@ -197,6 +197,28 @@
     g_assert_cmpuint(fixture->limits.states[0].allowed, ==, 0);
 }
 
+TEST_F(fixture, a_limit_that_moves_to_another_target_starts_without_debt)
+{
+    static const char limit[] = "{\"name\":\"a\",\"%s\":\"%s\","
+                                "\"new_flows_per_s\":1,"
+                                "\"per\":\"balancer\"}";
+    static const char *const targets[][2] = {
+        {"service", "lots"}, {"service", "albums"}, {"route", "albums"}};
+
+    for (unsigned i = 0; i < G_N_ELEMENTS(targets); i++) {
+        struct limits_flow flow = flow_of(1, "albums", 0);
+        g_autofree char *text =
+            g_strdup_printf(limit, targets[i][0], targets[i][1]);
+
+        flow.service = hash_service(targets[i][1]);
+        flow.route = targets[i][1];
+        g_assert_true(apply(fixture, 1, 5 + i, text));
+        g_assert_cmpint(decide(fixture, flow, NOW_US), ==, LIMITS_ALLOWED);
+        g_assert_cmpint(decide(fixture, flow, NOW_US), ==, LIMITS_RATE);
+        g_assert_cmpuint(fixture->limits.states[0].allowed, ==, 1);
+    }
+}
+
 /* Flows that a fleet allows in 10 s of a limit of 1,000 a second, when a
  * quarter of the balancers gets @heavy times the flows of each other one. */
 static unsigned
