--- a/src/relay/overload/pressure.c
+++ b/src/relay/overload/pressure.c
@@ -4,6 +4,9 @@
 
 #include <glib.h>
 
+/* Unit of frame_load.service_time. */
+#define SERVICE_TIME_US 100
+
 /* An agent's load becomes unknown when it has restarted. */
 static bool
 has_restarted(const struct pressure_report *report,
@@ -22,6 +25,7 @@
     report->load = health->load;
     report->busy = health->busy;
     report->slots = health->slots;
+    report->sent = 0;
     report->at_us = 0;
     if (now_us >= report->settled_us) {
         report->at_us = now_us;
@@ -31,6 +35,12 @@
     }
 }
 
+void
+pressure_report_sent(struct pressure_report *report)
+{
+    report->sent++;
+}
+
 static bool
 report_counts(const struct pressure_report *report, uint64_t now_us)
 {
@@ -39,10 +49,24 @@
            now_us - report->at_us <= PRESSURE_MAX_AGE_US;
 }
 
-static bool
-has_room(const struct pressure_report *report)
+/* Time until a new request would be run; 0 if a slot may be free. */
+static unsigned
+wait_left_ms(const struct pressure_report *report, uint64_t now_us)
 {
-    return report->load.wait_ms == 0 || report->busy < report->slots;
+    uint64_t wait_us = report->load.wait_ms * USEC_PER_MSEC;
+    uint64_t age_us = now_us - report->at_us;
+
+    if (report->busy + report->sent < report->slots) {
+        return 0;
+    }
+    if (report->slots > 0) {
+        wait_us += report->sent * (uint64_t)report->load.service_time *
+                   SERVICE_TIME_US / report->slots;
+    }
+    return wait_us > age_us
+               ? (unsigned)((wait_us - age_us + USEC_PER_MSEC - 1) /
+                            USEC_PER_MSEC)
+               : 0;
 }
 
 void
@@ -56,6 +80,8 @@
 pressure_add(struct pressure *pressure, const struct pressure_report *report,
              enum pressure_reach reach, uint64_t now_us)
 {
+    unsigned wait_ms;
+
     if (reach == PRESSURE_OUTSIDE) {
         return;
     }
@@ -67,9 +93,10 @@
         pressure->room = true;
         return;
     }
+    wait_ms = wait_left_ms(report, now_us);
     pressure->heard++;
-    pressure->room |= has_room(report);
-    pressure->wait_ms = MIN(pressure->wait_ms, report->load.wait_ms);
+    pressure->room |= wait_ms == 0;
+    pressure->wait_ms = MIN(pressure->wait_ms, wait_ms);
     pressure->capacity += MAX(report->load.limit, report->slots);
     pressure->busy += report->busy;
     pressure->rejects += MIN(report->load.rejects, 1000);
--- a/src/relay/overload/pressure.h
+++ b/src/relay/overload/pressure.h
@@ -6,7 +6,9 @@
  * agents that may take a flow: whether one of them may have room, and else how
  * long the flow would wait at the least loaded one.
  *
- * An agent that hasn't reported lately may have room. One that doesn't reply
+ * A report ages: the wait that it tells passes, flows sent since add to it. An
+ * agent whose wait is over may have room, as may one that hasn't reported
+ * lately. One that doesn't reply
  * is out of reach and has no say, but when most agents are silent the balancer
  * itself may be cut off, and nothing is believed.
  */
@@ -31,6 +33,7 @@
  * @load: its load
  * @busy: requests in progress, and queued ones that can be in time
  * @slots: requests that its endpoint runs at a time
+ * @sent: flows sent to it since
  * @at_us: when it arrived, 0 if none counts
  * @settled_us: reports that arrive before this don't count
  */
@@ -38,6 +41,7 @@
     struct frame_load load;
     uint8_t busy;
     uint8_t slots;
+    unsigned sent;
     uint64_t at_us;
     uint64_t settled_us;
 };
@@ -54,7 +58,7 @@
  * @agents: agents that take new flows
  * @heard: of these, agents within reach whose report counts
  * @room: an agent within reach may have room
- * @wait_ms: shortest wait of a new request of the lowest priority
+ * @wait_ms: shortest wait of a new request of the lowest priority, from now
  * @capacity: requests that the heard agents' endpoints take at a time
  * @busy: requests at them
  * @rejects: sum of their reports; pressure_rejects() is the mean
@@ -76,6 +80,10 @@
 pressure_report_update(struct pressure_report *report,
                        const struct frame_health *health, uint64_t now_us);
 
+/** pressure_report_sent() - a flow was sent to the agent */
+void
+pressure_report_sent(struct pressure_report *report);
+
 /** pressure_init() - no agents yet */
 void
 pressure_init(struct pressure *pressure);
--- a/tests/relay/pressure_test.c
+++ b/tests/relay/pressure_test.c
@@ -22,6 +22,7 @@
         .slots = 2,
         .load = {.known = true,
                  .limit = 8,
+                 .service_time = 200,
                  .wait_ms = (uint16_t)wait_ms,
                  .rejects = 500},
     };
@@ -98,6 +99,20 @@
     g_assert_true(is_full(&fixture));
 }
 
+TEST(flows_sent_since_the_report_take_its_room)
+{
+    struct fixture fixture;
+
+    fixture_init(&fixture);
+    report(&fixture, 5, 1, 0);
+    pressure_report_sent(&fixture.reports[5]);
+    g_assert_true(is_full(&fixture));
+    g_assert_cmpuint(sum(&fixture).wait_ms, ==, 10);
+    report(&fixture, 5, 0, 0);
+    pressure_report_sent(&fixture.reports[5]);
+    g_assert_false(is_full(&fixture));
+}
+
 TEST(an_agent_that_claims_an_endless_wait_changes_nothing_for_the_others)
 {
     struct fixture fixture;
@@ -122,11 +137,27 @@
     g_assert_false(is_full(&fixture));
 }
 
+TEST(a_reported_wait_passes)
+{
+    struct fixture fixture;
+
+    fixture_init(&fixture);
+    fixture.now_us += 200 * USEC_PER_MSEC;
+    g_assert_cmpuint(sum(&fixture).wait_ms, ==, 100);
+    fixture.now_us += 99 * USEC_PER_MSEC;
+    g_assert_true(is_full(&fixture));
+    fixture.now_us += 1 * USEC_PER_MSEC;
+    g_assert_false(is_full(&fixture));
+}
+
 TEST(a_report_older_than_a_second_does_not_count)
 {
     struct fixture fixture;
 
     fixture_init(&fixture);
+    for (unsigned i = 0; i < AGENTS; i++) {
+        report(&fixture, i, 8, 5000);
+    }
     fixture.now_us += PRESSURE_MAX_AGE_US;
     g_assert_true(is_full(&fixture));
     fixture.now_us++;
