Balancers refuse new flows of services under pressure, behind a setting

With forwarder.overload set, the first copy of a flow's SYN is decided on before it gets a pin. A refused one is reset as for evacuated services.

Not covered: a first copy that the network delivers twice, to two balancers, one of which forwards it; the reset for evacuated services has the same gap.

--- a/src/relay/forwarder/agents.c
+++ b/src/relay/forwarder/agents.c
@@ -184,6 +184,7 @@
         /* Another host has taken over the address: discard the old agent's
          * health. */
         set_health(agents, row, &unknown);
+        row->report = (struct pressure_report){0};
         agents_clear_suspect(row);
         agents_ping_now(agents, row, now_us);
     }
@@ -275,6 +276,7 @@
     row->down = row->down && health->state == ENDPOINT_SILENT;
     row->health_us = now_us;
     row->sent = 0;
+    pressure_report_update(&row->report, health, now_us);
     agents_mark_alive(agents, row, now_us);
 }
 
--- a/src/relay/forwarder/agents.h
+++ b/src/relay/forwarder/agents.h
@@ -19,6 +19,7 @@
 #include "base/addr.h"
 #include "packet/rank.h"
 #include "relay/forwarder/region_affinity.h"
+#include "relay/overload/pressure.h"
 #include "relay/wire/frame.h"
 #include "relay/wire/packet.h"
 #include "relay/wire/store_state.h"
@@ -53,6 +54,7 @@
  * @replied: number of the last orphan query that it answered
  * @heard_us: when its last frame arrived, 0 for never
  * @health_us: when @health arrived
+ * @report: load of its endpoint, for pressure on its service
  * @sent: new flows sent to it since @health_us
  * @sent_us: when the last of these was sent
  * @pinged_us: when it was last pinged, 0 for never
@@ -85,6 +87,7 @@
     uint32_t replied;
     uint64_t heard_us;
     uint64_t health_us;
+    struct pressure_report report;
     unsigned sent;
     uint64_t sent_us;
     uint64_t pinged_us;
@@ -341,6 +344,15 @@
 void
 agents_witnesses(const struct agents *agents, struct agents_choice *choice);
 
+/**
+ * agents_pressure() - pressure on the agents that may take a new flow of
+ * @service in the regions of @region_affinity
+ */
+void
+agents_pressure(const struct agents *agents, uint32_t service,
+                const struct region_affinity *region_affinity, uint64_t now_us,
+                struct pressure *pressure);
+
 /** agents_can_serve() - whether an agent may take a new flow of @service */
 bool
 agents_can_serve(const struct agents *agents, uint32_t service);
--- a/src/relay/forwarder/agents_choice.c
+++ b/src/relay/forwarder/agents_choice.c
@@ -145,6 +145,7 @@
     }
     row->sent = now_us - row->sent_us < LOAD_MAX_AGE_US ? row->sent + 1 : 1;
     row->sent_us = now_us;
+    pressure_report_sent(&row->report);
 }
 
 void
@@ -265,6 +266,39 @@
     return any;
 }
 
+static enum pressure_reach
+reach_of(const struct agents *agents, const struct agent_row *row)
+{
+    switch (agents_tier(agents, row)) {
+    case AGENT_TIER_OPEN:
+    case AGENT_TIER_UNHEARD:
+        return PRESSURE_WITHIN;
+    case AGENT_TIER_SUSPECT:
+        return PRESSURE_BEYOND;
+    default:
+        return PRESSURE_OUTSIDE;
+    }
+}
+
+void
+agents_pressure(const struct agents *agents, uint32_t service,
+                const struct region_affinity *region_affinity, uint64_t now_us,
+                struct pressure *pressure)
+{
+    const GPtrArray *rows = agents_of_service(agents, service);
+
+    pressure_init(pressure);
+    for (guint i = 0; rows != NULL && i < rows->len; i++) {
+        const struct agent_row *row = g_ptr_array_index(rows, i);
+
+        if (!row->evacuated &&
+            region_affinity_allows(region_affinity, row->region)) {
+            pressure_add(pressure, &row->report, reach_of(agents, row),
+                         now_us);
+        }
+    }
+}
+
 bool
 agents_can_serve(const struct agents *agents, uint32_t service)
 {
--- a/src/relay/forwarder/forwarder.c
+++ b/src/relay/forwarder/forwarder.c
@@ -255,6 +255,7 @@
 forwarder_status(struct forwarder *forwarder, struct addr agent,
                  const struct frame_status *status, uint64_t now_us)
 {
+    forwarder_overload_tick(forwarder, now_us);
     agents_update_health(&forwarder->agents, agent, &status->health, now_us);
     if (status->heard.version > forwarder->routes.version) {
         forwarder->out->ops->newer_config(forwarder->out, &status->heard);
@@ -278,6 +279,7 @@
     struct addr agent;
     bool unlisted;
 
+    forwarder_overload_tick(forwarder, now_us);
     while (forwarder->syn_timer_count > 0 &&
            forwarder->syn_timers[forwarder->syn_timer_first].due_us <=
                now_us) {
--- a/src/relay/forwarder/forwarder.h
+++ b/src/relay/forwarder/forwarder.h
@@ -19,6 +19,7 @@
 #include <stdint.h>
 
 #include "relay/forwarder/agents.h"
+#include "relay/overload/overload.h"
 #include "relay/wire/flow_index.h"
 #include "relay/wire/frame.h"
 #include "relay/wire/packet.h"
@@ -41,6 +42,9 @@
     FORWARDER_DROP_EVACUATED, /* all agents of its service are in evacuated
                                * data centres */
     FORWARDER_DROP_FOREIGN,   /* not a valid frame of this system */
+    FORWARDER_DROP_OVERLOAD,  /* no agent of its service can answer it in time
+                               */
+    FORWARDER_DROP_SHARE,     /* its caller has its share of a full service */
     FORWARDER_DROP_COUNT,
 };
 
@@ -207,6 +211,7 @@
  * @self: address to which agents reply
  * @reader: whether this balancer reads the store
  * @slow_start: allowance above slow-start rates
+ * @overload: decides on new flows of services under pressure, or NULL
  * @current: the configuration in force is the store's latest, as far as can be
  *     known
  * @agents: the agents
@@ -227,6 +232,7 @@
     struct addr self;
     enum frame_reader_state reader;
     struct forwarder_slow_start slow_start;
+    struct overload *overload;
     bool current;
     struct agents agents;
     struct routes routes;
--- a/src/relay/forwarder/forwarder_open.c
+++ b/src/relay/forwarder/forwarder_open.c
@@ -206,10 +206,15 @@
                     const struct route *route, uint64_t now_us)
 {
     struct relay_flow flow = relay_flow_from_caller(packet);
-    uint32_t handle = forwarder_remember(forwarder, flow,
-                                         route_service(route, flow), now_us);
-    struct forwarder_pin *pin = &forwarder->pins[handle];
+    struct forwarder_pin *pin;
+    uint32_t handle;
 
+    if (forwarder_overload_refuse(forwarder, packet, route, now_us)) {
+        return;
+    }
+    handle = forwarder_remember(forwarder, flow, route_service(route, flow),
+                                now_us);
+    pin = &forwarder->pins[handle];
     update_timeouts(pin, packet, route);
     pin->syn_seq = packet->seq;
     if (packet->size <= FORWARDER_SYN_MAX) {
--- a/src/relay/forwarder/forwarder_private.h
+++ b/src/relay/forwarder/forwarder_private.h
@@ -4,7 +4,8 @@
  * forwarder_pin.c keeps the pins and builds frames, forwarder_open.c decides
  * on SYNs, forwarder_established.c on packets of established flows and on
  * agents' reports of them, forwarder_orphans.c queries agents for orphaned
- * flows, forwarder_orphan_proof.c decides whether such a flow has no holder.
+ * flows, forwarder_overload.c refuses new flows of services under pressure,
+ * forwarder_orphan_proof.c decides whether such a flow has no holder.
  */
 #ifndef SWIFTARCH_RELAY_FORWARDER_FORWARDER_PRIVATE_H
 #define SWIFTARCH_RELAY_FORWARDER_FORWARDER_PRIVATE_H
@@ -264,6 +265,24 @@
 forwarder_refuse(struct forwarder *forwarder, enum forwarder_drop why,
                  const struct relay_packet *packet);
 
+/** forwarder_overload_tick() - the balancer runs; call for each event */
+void
+forwarder_overload_tick(struct forwarder *forwarder, uint64_t now_us);
+
+/**
+ * forwarder_overload_refuse() - refuse the SYN of a flow without a pin if its
+ * service is under pressure
+ *
+ * Only a flow's first copy is refused: an earlier one may have been forwarded
+ * by another balancer, and may wait at an agent.
+ *
+ * Return: whether it was refused, and its caller reset.
+ */
+bool
+forwarder_overload_refuse(struct forwarder *forwarder,
+                          const struct relay_packet *packet,
+                          const struct route *route, uint64_t now_us);
+
 /** forwarder_forget() - remove a flow's pin */
 void
 forwarder_forget(struct forwarder *forwarder, uint32_t handle);
--- a/src/relay/overload/admission_control.c
+++ b/src/relay/overload/admission_control.c
@@ -146,7 +146,6 @@
     if (!admission_control_believes(control, pressure, now_us) ||
         !is_refused(service, class, pressure, now_us)) {
         admit_above(service, flow->priority, now_us);
-        service->admitted++;
         return ADMISSION_CONTROL_ADMIT;
     }
     if (!class->refusing) {
@@ -154,7 +153,6 @@
         class->since_us = now_us;
         service->changes++;
     }
-    service->refused++;
     return ADMISSION_CONTROL_REFUSE;
 }
 
--- a/src/relay/overload/admission_control.h
+++ b/src/relay/overload/admission_control.h
@@ -77,8 +77,6 @@
  * @seen_us: when its last flow came
  * @classes: its priorities, unordered
  * @pressure: at the last flow
- * @admitted: flows admitted
- * @refused: flows refused
  * @changes: changes of @refusing of any class
  */
 struct admission_control_service {
@@ -86,8 +84,6 @@
     uint64_t seen_us;
     struct admission_control_class classes[ADMISSION_CONTROL_CLASSES_MAX];
     struct pressure pressure;
-    uint64_t admitted;
-    uint64_t refused;
     uint64_t changes;
 };
 
--- a/src/relay/overload/caller_shares.c
+++ b/src/relay/overload/caller_shares.c
@@ -20,6 +20,9 @@
 #define LEVEL_DOWN 0.7f
 #define LEVEL_UP 1.02f
 
+/* A level is forgotten when no flow came for this time. */
+#define LEVEL_MAX_AGE_US (2 * USEC_PER_SEC)
+
 /* A flow and the retries of its caller are below any level. */
 #define LEVEL_MIN 4.0f
 
@@ -130,9 +133,12 @@
 {
     float heaviest = heaviest_count(shares, level->service);
 
+    if (now_us >= level->due_us + LEVEL_MAX_AGE_US) {
+        level->level = 0;
+    }
     if (level->pressed) {
-        level->level = level->level > 0 ? MIN(level->level, heaviest)
-                                        : heaviest;
+        level->level =
+            level->level > 0 ? MIN(level->level, heaviest) : heaviest;
         level->level = MAX(level->level * LEVEL_DOWN, LEVEL_MIN);
     }
     else if (level->level > 0) {
@@ -151,10 +157,10 @@
 {
     memset(shares, 0, sizeof(*shares));
     shares->seed = seed;
-    shares->mask =
-        prefix_bits == 0
-            ? 0
-            : UINT32_MAX << (CALLER_SHARES_PREFIX_MAX - prefix_bits);
+    shares->mask = prefix_bits == 0
+                       ? 0
+                       : UINT32_MAX
+                             << (CALLER_SHARES_PREFIX_MAX - prefix_bits);
     shares->decay_us = now_us + STEP_US;
 }
 
@@ -192,11 +198,16 @@
 }
 
 double
-caller_shares_level(const struct caller_shares *shares, uint32_t service)
+caller_shares_level(const struct caller_shares *shares, uint32_t service,
+                    uint64_t now_us)
 {
     for (unsigned i = 0; i < CALLER_SHARES_SERVICES_MAX; i++) {
-        if (shares->levels[i].service == service) {
-            return caller_share_per_s(shares->levels[i].level);
+        const struct caller_level *level = &shares->levels[i];
+
+        if (level->service == service) {
+            return now_us < level->due_us + LEVEL_MAX_AGE_US
+                       ? caller_share_per_s(level->level)
+                       : 0;
         }
     }
     return 0;
--- a/src/relay/overload/caller_shares.h
+++ b/src/relay/overload/caller_shares.h
@@ -99,7 +99,8 @@
 /** caller_shares_level() - flows a second that each caller of a service gets,
  * 0 for no limit */
 double
-caller_shares_level(const struct caller_shares *shares, uint32_t service);
+caller_shares_level(const struct caller_shares *shares, uint32_t service,
+                    uint64_t now_us);
 
 /** caller_share_per_s() - flows a second that stand behind a count */
 double
--- a/tests/relay/admission_control_load_test.c
+++ b/tests/relay/admission_control_load_test.c
@@ -123,8 +123,8 @@
     for (unsigned i = fixture->first; i < fixture->count; i++) {
         const struct caller *caller = &fixture->callers[i];
 
-        fixture->in_time[caller->agent] += caller->step == STEP_QUEUED &&
-                                           can_be_in_time(fixture, caller);
+        fixture->in_time[caller->agent] +=
+            caller->step == STEP_QUEUED && can_be_in_time(fixture, caller);
     }
 }
 
@@ -201,8 +201,8 @@
 static bool
 passes_threshold(const struct fixture *fixture, const struct caller *caller)
 {
-    double at = (double)((unsigned)(caller - fixture->callers) * 7919 % 128) /
-                128;
+    double at =
+        (double)((unsigned)(caller - fixture->callers) * 7919 % 128) / 128;
 
     at = caller->priority == 0
              ? at * URGENT_PERCENT / 100
@@ -230,10 +230,9 @@
         return overload_decide(&fixture->overload, &flow, &pressure,
                                now_us(fixture)) == OVERLOAD_ADMIT;
     default:
-        return admission_control_decide(&fixture->overload.control,
-                                        &flow.control, &pressure,
-                                        now_us(fixture)) ==
-               ADMISSION_CONTROL_ADMIT;
+        return admission_control_decide(
+                   &fixture->overload.control, &flow.control, &pressure,
+                   now_us(fixture)) == ADMISSION_CONTROL_ADMIT;
     }
 }
 
--- a/tests/relay/admission_control_test.c
+++ b/tests/relay/admission_control_test.c
@@ -20,12 +20,11 @@
 static void
 set_wait(struct fixture *fixture, unsigned wait_ms)
 {
-    fixture->pressure =
-        (struct pressure){.agents = 4,
-                          .heard = 4,
-                          .wait_ms = wait_ms,
-                          .capacity = 8,
-                          .room = wait_ms == 0};
+    fixture->pressure = (struct pressure){.agents = 4,
+                                          .heard = 4,
+                                          .wait_ms = wait_ms,
+                                          .capacity = 8,
+                                          .room = wait_ms == 0};
 }
 
 static void
--- a/tests/relay/caller_shares_test.c
+++ b/tests/relay/caller_shares_test.c
@@ -57,7 +57,8 @@
     fixture_init(&fixture, 32);
     fixture.pressed = fixture.full = false;
     g_assert_cmpuint(open_flows(&fixture, HEAVY, 1, 5, 5000), ==, 25000);
-    g_assert_cmpfloat(caller_shares_level(&fixture.shares, SERVICE), ==, 0);
+    g_assert_cmpfloat(
+        caller_shares_level(&fixture.shares, SERVICE, fixture.now_us), ==, 0);
 }
 
 TEST(a_crowd_from_one_address_falls_to_its_share_and_others_are_admitted)
@@ -86,12 +87,14 @@
     fixture_init(&fixture, 32);
     open_flows(&fixture, HEAVY, 1, 4, 1000);
     fixture.pressed = false;
-    before = caller_shares_level(&fixture.shares, SERVICE);
+    before = caller_shares_level(&fixture.shares, SERVICE, fixture.now_us);
     open_flows(&fixture, HEAVY, 1, 4, 500);
-    g_assert_cmpfloat(caller_shares_level(&fixture.shares, SERVICE), >,
-                      before);
-    g_assert_cmpfloat(caller_shares_level(&fixture.shares, SERVICE), <,
-                      2 * before);
+    g_assert_cmpfloat(
+        caller_shares_level(&fixture.shares, SERVICE, fixture.now_us), >,
+        before);
+    g_assert_cmpfloat(
+        caller_shares_level(&fixture.shares, SERVICE, fixture.now_us), <,
+        2 * before);
 }
 
 TEST(a_caller_is_admitted_beyond_its_share_while_an_agent_has_room)
@@ -126,12 +129,12 @@
 
     fixture_init(&fixture, 24);
     open_flows(&fixture, HEAVY & 0xffffff00, 250, 4, 3000);
-    g_assert_cmpuint(
-        open_flows(&fixture, HEAVY & 0xffffff00, 250, 4, 1000), <, 10);
+    g_assert_cmpuint(open_flows(&fixture, HEAVY & 0xffffff00, 250, 4, 1000), <,
+                     10);
     fixture_init(&fixture, 32);
     open_flows(&fixture, HEAVY & 0xffffff00, 2000, 4, 3000);
-    g_assert_cmpuint(
-        open_flows(&fixture, HEAVY & 0xffffff00, 2000, 4, 1000), ==, 4000);
+    g_assert_cmpuint(open_flows(&fixture, HEAVY & 0xffffff00, 2000, 4, 1000),
+                     ==, 4000);
 }
 
 TEST(a_crowd_of_addresses_does_not_hide_a_heavy_one)
@@ -152,12 +155,10 @@
         caller_shares_heaviest(&fixture.shares, SERVICE, heaviest, 3), ==, 3);
     g_assert_cmphex(heaviest[0]->prefix, ==, HEAVY);
     /* It opens 1,000 flows a second. */
-    g_assert_cmpfloat(caller_share_per_s(heaviest[0]->offered -
-                                         heaviest[0]->error),
-                      >, 900);
-    g_assert_cmpfloat(caller_share_per_s(heaviest[1]->offered -
-                                         heaviest[1]->error),
-                      <, 50);
+    g_assert_cmpfloat(
+        caller_share_per_s(heaviest[0]->offered - heaviest[0]->error), >, 900);
+    g_assert_cmpfloat(
+        caller_share_per_s(heaviest[1]->offered - heaviest[1]->error), <, 50);
 }
 
 TEST(a_single_caller_among_a_crowd_of_addresses_is_never_refused)
