--- a/src/cli/relay_show.c
+++ b/src/cli/relay_show.c
@@ -13,6 +13,7 @@
 
 #include "cli/cli.h"
 #include "cli/relay_query.h"
+#include "relay/program/relay_pressure.h"
 #include "relay/program/relay_state.h"
 
 #define ADDRESSES_MAX 1024
@@ -73,22 +74,118 @@
         relay_query_bool(json, "evacuated") ? ", data centre evacuated" : "");
 }
 
-/* Queries one process and prints its state. */
+static struct json_object *
+list_of(struct json_object *json, const char *key, size_t *count)
+{
+    struct json_object *list = NULL;
+
+    *count = 0;
+    if (json_object_object_get_ex(json, key, &list) &&
+        json_object_is_type(list, json_type_array)) {
+        *count = json_object_array_length(list);
+    }
+    return list;
+}
+
+static void
+print_heaviest(struct json_object *service)
+{
+    size_t count;
+    struct json_object *list = list_of(service, "heaviest", &count);
+
+    for (size_t i = 0; i < count; i++) {
+        struct json_object *caller = json_object_array_get_idx(list, i);
+
+        printf("    caller %s: %" PRId64 " flows a second, %" PRId64
+               " admitted\n",
+               relay_query_text(caller, "caller"),
+               relay_query_number(caller, "offered_per_s"),
+               relay_query_number(caller, "admitted_per_s"));
+    }
+}
+
+static void
+print_threshold(struct json_object *service)
+{
+    struct json_object *threshold;
+    int64_t level = relay_query_number(service, "level_per_s");
+
+    if (json_object_object_get_ex(service, "refused_from_priority",
+                                  &threshold)) {
+        printf(", refused from priority %" PRId64,
+               json_object_get_int64(threshold));
+    }
+    if (level > 0) {
+        printf(", %" PRId64 " flows a second for each caller", level);
+    }
+}
+
+static void
+print_service_pressure(struct json_object *service)
+{
+    printf("  service %s: %" PRId64 " of %" PRId64
+           " agents heard, busy %" PRId64 " of %" PRId64 ", %" PRId64
+           " flows a second offered, ",
+           relay_query_text(service, "service"),
+           relay_query_number(service, "heard"),
+           relay_query_number(service, "agents"),
+           relay_query_number(service, "busy"),
+           relay_query_number(service, "capacity"),
+           relay_query_number(service, "offered_per_s"));
+    if (relay_query_bool(service, "room")) {
+        printf("room");
+    }
+    else {
+        printf("wait %" PRId64 " ms", relay_query_number(service, "wait_ms"));
+    }
+    printf(", %" PRId64 " per mille rejected",
+           relay_query_number(service, "rejects_per_mille"));
+    print_threshold(service);
+    printf("; admitted %" PRId64 ", refused for their wait %" PRId64
+           ", for their share %" PRId64 "\n",
+           relay_query_number(service, "admitted"),
+           relay_query_number(service, "refused_wait"),
+           relay_query_number(service, "refused_share"));
+    print_heaviest(service);
+}
+
+static void
+print_pressure(const char *address, struct json_object *json)
+{
+    size_t count;
+    struct json_object *list = list_of(json, "services", &count);
+
+    printf("%s refusals under pressure are %s\n", address,
+           relay_query_bool(json, "on") ? "on" : "off");
+    for (size_t i = 0; i < count; i++) {
+        print_service_pressure(json_object_array_get_idx(list, i));
+    }
+}
+
+/* Queries one process and prints its state, or pressure. */
 static int
-show_one(struct event_base *base, const char *address)
+show_one(struct event_base *base, const char *address, bool pressure)
 {
     struct json_object *json = NULL;
-    int code = relay_query(base, address, RELAY_STATE_PATH, &json);
+    int code =
+        relay_query(base, address,
+                    pressure ? RELAY_PRESSURE_PATH : RELAY_STATE_PATH, &json);
 
-    if (code == CLI_OK) {
+    if (code != CLI_OK) {
+        return code;
+    }
+    if (pressure) {
+        print_pressure(address, json);
+    }
+    else {
         print_state(address, json);
-        json_object_put(json);
     }
+    json_object_put(json);
     return code;
 }
 
 static int
-show_all(const struct arg_str *addresses)
+show_all(const struct arg_str *addresses, bool pressure)
 {
     struct event_base *base = event_base_new();
     int code = CLI_OK;
@@ -98,7 +195,7 @@
         return CLI_FAILED;
     }
     for (int i = 0; i < addresses->count; i++) {
-        int one = show_one(base, addresses->sval[i]);
+        int one = show_one(base, addresses->sval[i], pressure);
 
         code = one != CLI_OK ? one : code;
     }
@@ -110,11 +207,15 @@
 cli_relay_show(int argc, char **argv)
 {
     struct arg_lit *help = arg_lit0("h", "help", "print this");
+    struct arg_lit *pressure =
+        arg_lit0(NULL, "pressure",
+                 "what balancers believe of the services' "
+                 "room, and whom they refuse");
     struct arg_str *addresses =
         arg_strn(NULL, NULL, "ADDRESS", 1, ADDRESSES_MAX,
                  "ready addresses of balancers and agents");
     struct arg_end *end = arg_end(5);
-    void *table[] = {help, addresses, end};
+    void *table[] = {help, pressure, addresses, end};
     int code = CLI_FAILED;
 
     if (arg_nullcheck(table) != 0) {
@@ -123,7 +224,7 @@
     else if (cli_parse(table, help, end,
                        "Show the state of balancers and agents.", argc, argv,
                        &code)) {
-        code = show_all(addresses);
+        code = show_all(addresses, pressure->count > 0);
     }
     arg_freetable(table, G_N_ELEMENTS(table));
     return code;
--- a/src/relay/program/relay_balancer.c
+++ b/src/relay/program/relay_balancer.c
@@ -3,6 +3,7 @@
 #include <errno.h>
 #include <inttypes.h>
 #include <stdio.h>
+#include <sys/random.h>
 #include <unistd.h>
 
 #include <glib.h>
@@ -215,6 +216,10 @@
     }
     if (now_us >= balancer->flush_us) {
         relay_balancer_log_readiness(balancer);
+        if (balancer->forwarder.overload != NULL) {
+            relay_pressure_log_changes(&balancer->overload, &balancer->log,
+                                       now_us);
+        }
         event_log_flush(&balancer->log);
         balancer->flush_us = now_us + LOG_FLUSH_INTERVAL_US;
     }
@@ -258,6 +263,23 @@
 
 /* Startup. */
 
+static int
+start_overload(struct relay_balancer *balancer, uint64_t now_us)
+{
+    uint64_t seed;
+
+    if (!balancer->settings.overload) {
+        return 0;
+    }
+    if (getrandom(&seed, sizeof(seed), 0) != sizeof(seed)) {
+        return -errno;
+    }
+    overload_init(&balancer->overload, seed,
+                  balancer->settings.caller_prefix_bits, now_us);
+    balancer->forwarder.overload = &balancer->overload;
+    return 0;
+}
+
 static int
 start_stores(struct relay_balancer *balancer, uint64_t now_us)
 {
@@ -357,6 +379,10 @@
                        balancer->settings.data_centre) < 0) {
         return error_set(err, -ENOMEM, "start", NULL, "no memory for flows");
     }
+    ret = start_overload(balancer, now_us);
+    if (ret < 0) {
+        return error_set(err, ret, "start", NULL, "no random seed");
+    }
     balancer->forwarder.slow_start = balancer->settings.slow_start;
     agents_set_regions(&balancer->forwarder.agents,
                        &balancer->settings.regions);
--- a/src/relay/program/relay_balancer_http.c
+++ b/src/relay/program/relay_balancer_http.c
@@ -61,6 +61,9 @@
             text, "swiftarch_dropped_total{reason=\"%s\"} %" PRIu64 "\n",
             relay_balancer_drop_names[i], balancer->counts.dropped[i]);
     }
+    if (forwarder->overload != NULL) {
+        relay_pressure_metrics(forwarder->overload, text);
+    }
     append_reads(text, "config", &balancer->config_watcher);
     append_reads(text, "agents", &balancer->agents_watcher);
     g_string_append_printf(text, "swiftarch_store_reader %d\n",
@@ -90,6 +93,11 @@
             request,
             relay_state_balancer(&balancer->settings, &balancer->forwarder));
     }
+    else if (strcmp(path, RELAY_PRESSURE_PATH) == 0) {
+        relay_state_respond(request,
+                            relay_pressure_json(balancer->forwarder.overload,
+                                                loop_now_us(&balancer->loop)));
+    }
     else if (strcmp(path, RELAY_EXPLAIN_PATH) == 0) {
         relay_explain_balancer(request, &balancer->forwarder,
                                loop_now_us(&balancer->loop));
--- a/src/relay/program/relay_balancer_out.c
+++ b/src/relay/program/relay_balancer_out.c
@@ -14,6 +14,8 @@
     [FORWARDER_DROP_NO_AGENT] = "no_agent",
     [FORWARDER_DROP_EVACUATED] = "evacuated",
     [FORWARDER_DROP_FOREIGN] = "foreign",
+    [FORWARDER_DROP_OVERLOAD] = "overload",
+    [FORWARDER_DROP_SHARE] = "share",
 };
 
 static const char *const decision_names[] = {
@@ -131,6 +133,12 @@
         addr_format(packet->from, caller);
         addr_format(packet->to, service);
     }
+    if (why == FORWARDER_DROP_OVERLOAD || why == FORWARDER_DROP_SHARE) {
+        relay_pressure_log_refusal(&balancer->overload, &balancer->log, caller,
+                                   service, relay_balancer_drop_names[why],
+                                   loop_now_us(&balancer->loop));
+        return;
+    }
     event_log_write(&balancer->log, EVENT_RATE_LIMITED, "dropped",
                     "caller=%s service=%s reason=%s config=%" PRIu64, caller,
                     service, relay_balancer_drop_names[why],
--- a/src/relay/program/relay_balancer_private.h
+++ b/src/relay/program/relay_balancer_private.h
@@ -22,6 +22,8 @@
 #include "relay/program/settings_file.h"
 #include "relay/program/config_peer.h"
 #include "relay/forwarder/forwarder.h"
+#include "relay/overload/overload.h"
+#include "relay/program/relay_pressure.h"
 
 /**
  * struct relay_balancer - state of the balancer process
@@ -30,6 +32,7 @@
  * @settings: settings in force
  * @file: the settings file, watched for changes
  * @forwarder: forwarding decisions
+ * @overload: decides on new flows under pressure; used if the setting is on
  * @data: socket for packets of callers
  * @frames: socket for frames to and from agents
  * @ready_handler: serves /ready, /metrics, /state and /flow
@@ -63,6 +66,7 @@
     struct relay_settings settings;
     struct settings_file file;
     struct forwarder forwarder;
+    struct overload overload;
     struct dgram data;
     struct dgram frames;
     struct httpd_handler ready_handler;
--- a/src/relay/program/relay_settings.c
+++ b/src/relay/program/relay_settings.c
@@ -113,6 +113,8 @@
     {"scheduling", 0, AGENT, json_file_read_bool, FIELD(scheduling)},
     {"flow_records", 0, AGENT, json_file_read_bool, FIELD(flow_records)},
     {"overload", 0, BALANCER, json_file_read_bool, FIELD(overload)},
+    {"caller_prefix_bits", 0, BALANCER, json_file_read_unsigned,
+     FIELD(caller_prefix_bits), .min = 1, .max = CALLER_SHARES_PREFIX_MAX},
     {"expected_wait", 0, BALANCER, json_file_read_bool, FIELD(expected_wait)},
     {"limits", 0, BALANCER, json_file_read_bool, FIELD(limits)},
     {"stop_ms", 0, BOTH, json_file_read_unsigned, FIELD(stop_ms), .min = 0,
@@ -131,6 +133,7 @@
     memset(settings, 0, sizeof(*settings));
     settings->evacuations = true;
     settings->slow_start.over = 1;
+    settings->caller_prefix_bits = CALLER_SHARES_PREFIX_MAX;
     settings->stop_ms = STOP_DEFAULT_MS;
     settings->log_per_s = LOG_DEFAULT_PER_S;
     *report = NULL;
--- a/src/relay/program/relay_settings.h
+++ b/src/relay/program/relay_settings.h
@@ -59,6 +59,9 @@
  *                store, for a loss of all hosts
  * @overload: "overload" (balancer): reject new flows that can't be served in
  *            time, and share room between callers under pressure
+ * @caller_prefix_bits: "caller_prefix_bits" (balancer): callers with the same
+ *                      first bits of their addresses share as one; 32 by
+ *                      default
  * @expected_wait: "expected_wait" (balancer): place new flows by expected wait
  * @limits: "limits" (balancer): follow the operators' limits in the store
  * @stop_ms: "stop_ms": longest duration of a planned stop, in milliseconds
@@ -87,6 +90,7 @@
     bool scheduling;
     bool flow_records;
     bool overload;
+    unsigned caller_prefix_bits;
     bool expected_wait;
     bool limits;
     unsigned stop_ms;
--- a/tests/relay/forwarder_overload_test.c
+++ b/tests/relay/forwarder_overload_test.c
@@ -297,7 +297,8 @@
         report_all(fixture, 60);
         fixture->forwarded = 0;
         one.caller.port = (uint16_t)(1000 + ms / 3000);
-        fixture_receive(fixture, fixture_from_caller(one, RELAY_SYN, ms, 0, 0));
+        fixture_receive(fixture,
+                        fixture_from_caller(one, RELAY_SYN, ms, 0, 0));
         others += fixture->forwarded == 0;
     }
     g_assert_cmpuint(refused, >, 2000);
