--- a/src/relay/program/relay_pressure.c
+++ b/src/relay/program/relay_pressure.c
@@ -76,8 +76,7 @@
     add_number(json, "heard", pressure->heard);
     add_number(json, "capacity", pressure->capacity);
     add_number(json, "busy", pressure->busy);
-    add_number(json, "offered_per_s",
-               overload_offered_per_s(service, now_us));
+    add_number(json, "offered_per_s", overload_offered_per_s(service, now_us));
     json_object_object_add(json, "room",
                            json_object_new_boolean(pressure->room));
     add_number(json, "wait_ms",
--- a/src/relay/program/relay_pressure.h
+++ b/src/relay/program/relay_pressure.h
@@ -1,6 +1,6 @@
 /**
- * DOC: relay_pressure - what a balancer believes of its services' room and whom
- * it refuses, for operators
+ * DOC: relay_pressure - what a balancer believes of its services' room and
+ * whom it refuses, for operators
  *
  * Served at RELAY_PRESSURE_PATH for "swiftarch relay-show --pressure", and as
  * metrics and log lines.
--- a/tests/relay/overload_test.c
+++ b/tests/relay/overload_test.c
@@ -124,8 +124,8 @@
     fixture_init(&fixture);
     set_wait(&fixture, 0, 0);
     decide(&fixture, HEAVY);
-    g_assert_false(overload_take_change(&fixture.overload, fixture.now_us,
-                                        &change));
+    g_assert_false(
+        overload_take_change(&fixture.overload, fixture.now_us, &change));
     set_wait(&fixture, BUDGET_MS + 1, 0);
     decide(&fixture, HEAVY);
     g_assert_true(
@@ -135,8 +135,8 @@
     g_assert_cmpuint(change.pressure.wait_ms, ==, BUDGET_MS + 1);
     for (unsigned i = 0; i < 100; i++) {
         decide(&fixture, HEAVY + i);
-        g_assert_false(overload_take_change(&fixture.overload, fixture.now_us,
-                                            &change));
+        g_assert_false(
+            overload_take_change(&fixture.overload, fixture.now_us, &change));
     }
     advance_ms(&fixture, 3000);
     g_assert_true(
@@ -151,16 +151,15 @@
     fixture_init(&fixture);
     set_wait(&fixture, 0, 0);
     crowd(&fixture, 3000);
-    g_assert_cmpuint(overload_offered_per_s(fixture.overload.last,
-                                            fixture.now_us),
-                     >=, 3990);
-    g_assert_cmpuint(overload_offered_per_s(fixture.overload.last,
-                                            fixture.now_us),
-                     <=, 4010);
+    g_assert_cmpuint(
+        overload_offered_per_s(fixture.overload.last, fixture.now_us), >=,
+        3990);
+    g_assert_cmpuint(
+        overload_offered_per_s(fixture.overload.last, fixture.now_us), <=,
+        4010);
     advance_ms(&fixture, 2000);
-    g_assert_cmpuint(overload_offered_per_s(fixture.overload.last,
-                                            fixture.now_us),
-                     ==, 0);
+    g_assert_cmpuint(
+        overload_offered_per_s(fixture.overload.last, fixture.now_us), ==, 0);
 }
 
 static int64_t
@@ -200,8 +199,8 @@
 {
     struct json_object *json = relay_pressure_json(NULL, START_US);
 
-    g_assert_cmpstr(json_object_to_json_string_ext(json,
-                                                   JSON_C_TO_STRING_PLAIN),
-                    ==, "{\"on\":false,\"services\":[]}");
+    g_assert_cmpstr(
+        json_object_to_json_string_ext(json, JSON_C_TO_STRING_PLAIN), ==,
+        "{\"on\":false,\"services\":[]}");
     json_object_put(json);
 }
--- a/tests/relay/settings_test.c
+++ b/tests/relay/settings_test.c
@@ -138,6 +138,17 @@
     g_free(faults);
     g_assert_true(settings.evacuations);
     g_assert_cmpfloat(settings.slow_start.over, ==, 1);
+    g_assert_false(settings.overload);
+    g_assert_cmpuint(settings.caller_prefix_bits, ==, 32);
+    faults = load_faults("{" BALANCER_KEYS ",\"overload\":true,"
+                         "\"caller_prefix_bits\":24}",
+                         RELAY_BALANCER, &settings);
+    g_assert_cmpstr(faults, ==, "");
+    g_free(faults);
+    g_assert_true(settings.overload);
+    g_assert_cmpuint(settings.caller_prefix_bits, ==, 24);
+    expect_fault("{" BALANCER_KEYS ",\"caller_prefix_bits\":33}",
+                 RELAY_BALANCER, "caller_prefix_bits");
 }
 
 TEST(faults_of_optional_balancer_settings_name_the_key)
