--- a/scripts/relaybed/__main__.py
+++ b/scripts/relaybed/__main__.py
@@ -59,7 +59,8 @@
 class RelayFixture:
     """Relay processes, the simulated store and endpoints, and the counters."""
 
-    def __init__(self, binary, folder):
+    def __init__(self, binary, folder, overload=False):
+        self.overload = overload
         self.binary = binary
         self.folder = pathlib.Path(folder)
         (self.packets, self.frames, self.ready, self.config_peer_port,
@@ -67,7 +68,7 @@
         self.store, self.store_port = store_module.serve(("127.0.0.1", 0))
         self.record = {"answered": 0, "failed": 0, "retried": 0,
                        "crossed": 0, "garbled": 0, "shown": False,
-                       "explained": False, "ran": {}}
+                       "explained": False, "pressure": False, "ran": {}}
         self.processes = {}
         self.running_balancers = {}
         self.endpoints = []
@@ -91,13 +92,15 @@
             base |= {"frames": f"{ip}:{self.frames}",
                      "share": f"{ip}:{self.config_peer_port}",
                      "peers": [f"{NET}.1.{i + 1}:{self.config_peer_port}"
-                               for i in range(BALANCERS)]}
+                               for i in range(BALANCERS)],
+                     "overload": self.overload}
         else:
             base |= {"upstream": f"{ip}:{self.app}",
                      "outbound": f"{ip}:{self.outbound}",
                      "heartbeats": f"{ip}:{self.heartbeats}",
                      "service": AGENTS[int(name.split("-")[1]) - 1],
                      "frames_port": self.frames,
+                     "scheduling": self.overload,
                      "peers": [f"{NET}.1.{i + 1}:1" for i in range(BALANCERS)]}
         path = self.folder / f"{name}.json"
         path.write_text(json.dumps(base))
@@ -177,6 +180,21 @@
         versions = done.stdout.count("version 1, 2 routes")
         return done.returncode == 0 and versions == BALANCERS
 
+    def show_pressure(self):
+        """Print relay-show --pressure; whether each balancer says that
+        refusals are on or off, and that it refused none."""
+        balancers = self.addresses()[:BALANCERS]
+        done = subprocess.run(
+            [self.binary, "relay-show", "--pressure", *balancers],
+            check=False, capture_output=True, text=True)
+        print(done.stdout + done.stderr, end="")
+        services = done.stdout.count("  service ")
+        calm = done.stdout.count("refused for their wait 0, for their share 0")
+        said = "on" if self.overload else "off"
+        return done.returncode == 0 and \
+            done.stdout.count(f"under pressure are {said}") == BALANCERS and \
+            services == calm and (services > 0) == self.overload
+
     def stop_endpoints(self):
         """Stop all endpoints; called before the event loop ends."""
         for endpoint in self.endpoints:
@@ -280,6 +298,7 @@
     await inject(fixture, fault)
     await asyncio.gather(*loads)
     fixture.record["shown"] = await asyncio.to_thread(fixture.show)
+    fixture.record["pressure"] = await asyncio.to_thread(fixture.show_pressure)
     last = request_of(callers[0], int(seconds * PER_CALLER_S) - 1)
     flow = f"{callers[0].local[0]}:{callers[0].answered_ports.get(last)}"
     service = ":".join(map(str, SERVICES[last_service(seconds)]))
@@ -294,9 +313,11 @@
     parser.add_argument("--fault", choices=FAULTS, default="none")
     parser.add_argument("--seconds", type=float, default=6)
     parser.add_argument("--binary", default=str(ROOT / "build/src/cli/swiftarch"))
+    parser.add_argument("--overload", action="store_true",
+                        help="refuse new flows under pressure")
     args = parser.parse_args()
     with tempfile.TemporaryDirectory(prefix="relaybed-") as folder:
-        fixture = RelayFixture(args.binary, folder)
+        fixture = RelayFixture(args.binary, folder, args.overload)
         began = time.monotonic()
         try:
             asyncio.run(run(fixture, args.fault, args.seconds))
@@ -313,7 +334,8 @@
     print(json.dumps(record))
     bad = record["failed"] + record["crossed"] + record["garbled"] + \
         record["doubled"]
-    reports_complete = record["shown"] and record["explained"]
+    reports_complete = record["shown"] and record["explained"] and \
+        record["pressure"]
     return 1 if bad or not record["answered"] or not reports_complete else 0
 
 
--- a/src/relay/program/relay_pressure.c
+++ b/src/relay/program/relay_pressure.c
@@ -24,11 +24,12 @@
 caller_json(const struct caller_share *caller)
 {
     struct json_object *json = json_object_new_object();
-    struct addr addr = {caller->prefix, 0};
+    uint32_t ip = caller->prefix;
     char text[ADDR_TEXT_MAX];
 
-    json_object_object_add(json, "caller",
-                           json_object_new_string(addr_format(addr, text)));
+    snprintf(text, sizeof(text), "%u.%u.%u.%u", ip >> 24, ip >> 16 & 0xff,
+             ip >> 8 & 0xff, ip & 0xff);
+    json_object_object_add(json, "caller", json_object_new_string(text));
     add_number(json, "offered_per_s",
                (uint64_t)caller_share_per_s(caller->offered - caller->error));
     add_number(json, "admitted_per_s",
--- a/tests/relay/overload_test.c
+++ b/tests/relay/overload_test.c
@@ -192,6 +192,12 @@
     g_assert_cmpint(number_of(service, "refused_wait"), ==, 1);
     g_assert_true(json_object_object_get_ex(service, "heaviest", &heaviest));
     g_assert_cmpuint(json_object_array_length(heaviest), ==, 1);
+    g_assert_cmpstr(
+        json_object_to_json_string_ext(json_object_array_get_idx(heaviest, 0),
+                                       JSON_C_TO_STRING_PLAIN),
+        ==,
+        "{\"caller\":\"10.0.0.1\",\"offered_per_s\":0,"
+        "\"admitted_per_s\":0}");
     json_object_put(json);
 }
 
