No refusals by share among callers that open alike

The level now stays at four times the median of the callers' flows.

The setting stays off in deploy/.

--- a/src/relay/overload/caller_shares.c
+++ b/src/relay/overload/caller_shares.c
@@ -1,5 +1,6 @@
 #include "relay/overload/caller_shares.h"
 
+#include <stdlib.h>
 #include <string.h>
 
 #include <glib.h>
@@ -23,8 +24,14 @@
 /* A level is forgotten when no flow came for this time. */
 #define LEVEL_MAX_AGE_US (2 * USEC_PER_SEC)
 
-/* A flow and the retries of its caller are below any level. */
-#define LEVEL_MIN 4.0f
+/* The level is never below this multiple of what a caller typically opens: a
+ * flow and two retries are no more than a crowd's members open each. */
+#define LEVEL_MIN_FACTOR 4.0f
+
+/* Callers that tell what is typical, and the least flows of one that counts.
+ */
+#define TYPICAL_MAX 256
+#define TYPICAL_MIN 0.5f
 
 G_STATIC_ASSERT(sizeof(struct caller_shares) <= 64 * 1024);
 
@@ -127,6 +134,35 @@
                : 0;
 }
 
+static int
+compare_counts(const void *a, const void *b)
+{
+    float x = *(const float *)a;
+    float y = *(const float *)b;
+
+    return (x > y) - (x < y);
+}
+
+/* Median of what callers of a service opened, at least one flow. */
+static float
+typical_count(const struct caller_shares *shares, uint32_t service)
+{
+    float counts[TYPICAL_MAX];
+    unsigned count = 0;
+
+    for (unsigned i = 0;
+         i < CALLER_SHARES_BUCKETS * CALLER_SHARES_WAYS && count < TYPICAL_MAX;
+         i++) {
+        const struct caller_share *caller = &shares->callers[0][0] + i;
+
+        if (caller->service == service && certain(caller) >= TYPICAL_MIN) {
+            counts[count++] = certain(caller);
+        }
+    }
+    qsort(counts, count, sizeof(counts[0]), compare_counts);
+    return count > 0 ? MAX(counts[(count - 1) / 2], 1) : 1;
+}
+
 static void
 move_level(const struct caller_shares *shares, struct caller_level *level,
            uint64_t now_us)
@@ -139,7 +175,9 @@
     if (level->pressed) {
         level->level =
             level->level > 0 ? MIN(level->level, heaviest) : heaviest;
-        level->level = MAX(level->level * LEVEL_DOWN, LEVEL_MIN);
+        level->level =
+            MAX(level->level * LEVEL_DOWN,
+                LEVEL_MIN_FACTOR * typical_count(shares, level->service));
     }
     else if (level->level > 0) {
         level->level *= LEVEL_UP;
--- a/src/relay/overload/caller_shares.h
+++ b/src/relay/overload/caller_shares.h
@@ -5,8 +5,9 @@
  * space-saving table of fixed size. While a service is under pressure, a level
  * falls until the callers that open more flows than the level leave room for
  * the others; each of them is admitted up to the level. Callers below the
- * level are never refused: the shares are max-min fair. Without pressure the
- * level rises until no caller is above it.
+ * level are never refused: the shares are max-min fair. The level stays above
+ * what most callers open, as refusals among equals only cost them tries.
+ * Without pressure it rises until no caller is above it.
  *
  * A caller's more urgent flows are counted by themselves, so that they aren't
  * refused while its lower ones are admitted.
