Order of return: refused callers' retries before first tries

While a priority is refused and its wait falls, first tries stay refused until it is half of the time budget. A caller that was refused before has waited already: its retry is admitted as soon as it can be answered in what is left of its budget, and only then, and never before a more urgent priority that is refused. retry_memory tells retries by address; each refusal stands for one retry, so an address of many callers gains nothing.

--- a/src/relay/overload/admission_control.c
+++ b/src/relay/overload/admission_control.c
@@ -88,6 +88,17 @@
            lower_are_refused(service, class->priority, now_us);
 }
 
+/* Whether a retry goes before the first tries that are refused. */
+static bool
+goes_first(const struct admission_control_service *service,
+           const struct admission_control_flow *flow,
+           const struct pressure *pressure, uint64_t now_us)
+{
+    return flow->retry_ms > 0 && flow->retry_ms < flow->budget_ms &&
+           pressure->wait_ms <= flow->budget_ms - flow->retry_ms &&
+           admission_control_threshold(service, now_us) >= flow->priority;
+}
+
 /* Ends the refusals of priorities above one that is admitted. */
 static void
 admit_above(struct admission_control_service *service, uint8_t priority,
@@ -148,6 +159,11 @@
         admit_above(service, flow->priority, now_us);
         return ADMISSION_CONTROL_ADMIT;
     }
+    if (goes_first(service, flow, pressure, now_us)) {
+        /* More urgent flows can't be refused soon after. */
+        class->since_us = now_us;
+        return ADMISSION_CONTROL_ADMIT;
+    }
     if (!class->refusing) {
         class->refusing = true;
         class->since_us = now_us;
--- a/src/relay/overload/admission_control.h
+++ b/src/relay/overload/admission_control.h
@@ -11,6 +11,9 @@
  * take to leave the agents, and a priority with a longer time budget than a
  * more urgent one's holds that one's refusal up.
  *
+ * Retries go before first tries: while a priority is refused, its retries are
+ * admitted if they can still be answered in time.
+ *
  * A balancer that was frozen admits until reports are recent again.
  */
 #ifndef SWIFTARCH_RELAY_OVERLOAD_ADMISSION_CONTROL_H
@@ -48,11 +51,13 @@
  * @service: hash_service() of its service
  * @priority: 0 is most urgent
  * @budget_ms: how long its request may take
+ * @retry_ms: time since its caller's first try, 0 for a first try
  */
 struct admission_control_flow {
     uint32_t service;
     uint8_t priority;
     unsigned budget_ms;
+    unsigned retry_ms;
 };
 
 /**
--- a/src/relay/overload/overload.c
+++ b/src/relay/overload/overload.c
@@ -90,14 +90,25 @@
     memset(overload, 0, sizeof(*overload));
     admission_control_init(&overload->control, now_us);
     caller_shares_init(&overload->shares, seed, prefix_bits, now_us);
+    retry_memory_init(&overload->retries, seed);
 }
 
 enum overload_verdict
 overload_decide(struct overload *overload, const struct overload_flow *flow,
                 const struct pressure *pressure, uint64_t now_us)
 {
-    enum overload_verdict verdict = decide(overload, flow, pressure, now_us);
-
+    const struct admission_control_flow *control = &flow->control;
+    struct overload_flow asked = *flow;
+    enum overload_verdict verdict;
+
+    asked.control.retry_ms =
+        retry_memory_take(&overload->retries, control->service, flow->caller,
+                          control->budget_ms, now_us);
+    verdict = decide(overload, &asked, pressure, now_us);
+    if (verdict != OVERLOAD_ADMIT) {
+        retry_memory_refused(&overload->retries, control->service,
+                             flow->caller, control->budget_ms, now_us);
+    }
     count(overload, flow, pressure, verdict, now_us);
     return verdict;
 }
--- a/src/relay/overload/overload.h
+++ b/src/relay/overload/overload.h
@@ -2,8 +2,9 @@
  * DOC: overload - a balancer's decision on new flows of services under
  * pressure
  *
- * Joins admission_control (what can't be answered in time is refused) and
- * caller_shares (who is refused while the room doesn't do for all).
+ * Joins admission_control (what can't be answered in time is refused),
+ * caller_shares (who is refused while the room doesn't do for all) and
+ * retry_memory (whose flow is a retry).
  */
 #ifndef SWIFTARCH_RELAY_OVERLOAD_OVERLOAD_H
 #define SWIFTARCH_RELAY_OVERLOAD_OVERLOAD_H
@@ -13,6 +14,7 @@
 #include "relay/overload/admission_control.h"
 #include "relay/overload/caller_shares.h"
 #include "relay/overload/pressure.h"
+#include "relay/overload/retry_memory.h"
 
 /** enum overload_verdict - what to do with a flow */
 enum overload_verdict {
@@ -24,7 +26,8 @@
 
 /**
  * struct overload_flow - a new flow
- * @control: service, priority and time budget
+ * @control: service, priority and time budget; overload_decide() finds out
+ *     whether it is a retry
  * @target_ms: response target of its request
  * @caller: address of its caller
  */
@@ -63,6 +66,7 @@
  * struct overload - state of a balancer
  * @control: refusals by expected wait
  * @shares: refusals by caller
+ * @retries: callers that were refused
  * @services: services with new flows
  * @verdicts: decisions by verdict
  * @last: service of the last flow
@@ -70,6 +74,7 @@
 struct overload {
     struct admission_control control;
     struct caller_shares shares;
+    struct retry_memory retries;
     struct overload_service services[ADMISSION_CONTROL_SERVICES_MAX];
     uint64_t verdicts[OVERLOAD_VERDICT_COUNT];
     const struct overload_service *last;
--- a/tests/relay/admission_control_test.c
+++ b/tests/relay/admission_control_test.c
@@ -48,7 +48,7 @@
 admits_within(struct fixture *fixture, unsigned priority, unsigned budget_ms)
 {
     struct admission_control_flow flow = {SERVICE, (uint8_t)priority,
-                                          budget_ms};
+                                          budget_ms, 0};
 
     return admission_control_decide(&fixture->control, &flow,
                                     &fixture->pressure, fixture->now_us) ==
@@ -137,6 +137,7 @@
     struct fixture fixture;
     GRand *rand = g_rand_new_with_seed(1);
     uint64_t admitted_us[3] = {0};
+    struct admission_control_flow flow;
     unsigned refused = 0;
 
     fixture_init(&fixture);
@@ -147,7 +148,12 @@
 
         advance_ms(&fixture, (unsigned)g_rand_int_range(rand, 0, 3));
         set_wait(&fixture, i % 1000 == 0 ? 0 : wait_ms);
-        if (admits_within(&fixture, priority, 1000 + 500 * priority)) {
+        flow = (struct admission_control_flow){SERVICE, (uint8_t)priority,
+                                               1000 + 500 * priority,
+                                               i % 3 == 0 ? 100 : 0};
+        if (admission_control_decide(&fixture.control, &flow,
+                                     &fixture.pressure, fixture.now_us) ==
+            ADMISSION_CONTROL_ADMIT) {
             admitted_us[priority] = fixture.now_us;
             continue;
         }
@@ -177,6 +183,50 @@
     g_assert_cmpuint(changes(&fixture), ==, 2);
 }
 
+static bool
+admits_retry(struct fixture *fixture, unsigned priority, unsigned retry_ms)
+{
+    struct admission_control_flow flow = {SERVICE, (uint8_t)priority,
+                                          BUDGET_MS, retry_ms};
+
+    return admission_control_decide(&fixture->control, &flow,
+                                    &fixture->pressure, fixture->now_us) ==
+           ADMISSION_CONTROL_ADMIT;
+}
+
+TEST(in_a_crowd_retries_go_before_first_tries_if_they_can_be_in_time)
+{
+    struct fixture fixture;
+
+    fixture_init(&fixture);
+    set_wait(&fixture, BUDGET_MS + 1);
+    g_assert_false(admits(&fixture, ORDINARY));
+    g_assert_false(admits_retry(&fixture, ORDINARY, 30));
+    set_wait(&fixture, BUDGET_MS - 100);
+    g_assert_false(admits(&fixture, ORDINARY));
+    g_assert_true(admits_retry(&fixture, ORDINARY, 30));
+    g_assert_true(admits_retry(&fixture, ORDINARY, 100));
+    g_assert_false(admits_retry(&fixture, ORDINARY, 101));
+    g_assert_false(admits_retry(&fixture, ORDINARY, 5000));
+    g_assert_false(admits(&fixture, ORDINARY));
+    g_assert_cmpuint(changes(&fixture), ==, 1);
+}
+
+TEST(in_a_crowd_no_retry_goes_before_more_urgent_first_tries)
+{
+    struct fixture fixture;
+
+    fixture_init(&fixture);
+    set_wait(&fixture, BUDGET_MS + 1);
+    g_assert_false(admits(&fixture, ORDINARY));
+    advance_ms(&fixture, 1000);
+    g_assert_false(admits(&fixture, ORDINARY));
+    g_assert_false(admits(&fixture, URGENT));
+    set_wait(&fixture, BUDGET_MS - 100);
+    g_assert_false(admits_retry(&fixture, ORDINARY, 30));
+    g_assert_true(admits_retry(&fixture, URGENT, 30));
+}
+
 TEST(a_balancer_that_has_just_started_refuses_nothing)
 {
     struct fixture fixture = {.now_us = START_US};
@@ -229,7 +279,7 @@
     fixture_init(&fixture);
     set_wait(&fixture, 5000);
     for (uint32_t service = 1; service <= 1000; service++) {
-        struct admission_control_flow flow = {service, ORDINARY, BUDGET_MS};
+        struct admission_control_flow flow = {service, ORDINARY, BUDGET_MS, 0};
 
         advance_ms(&fixture, 1);
         g_assert_cmpint(admission_control_decide(&fixture.control, &flow,
--- a/tests/relay/overload_test.c
+++ b/tests/relay/overload_test.c
@@ -122,6 +122,20 @@
     g_assert_cmpuint(crowd(&fixture, 999), ==, 0);
 }
 
+TEST(a_refused_caller_of_a_crowd_is_admitted_before_first_tries)
+{
+    struct fixture fixture;
+
+    fixture_init(&fixture);
+    set_wait(&fixture, BUDGET_MS + 1, 0);
+    g_assert_cmpint(decide(&fixture, OTHERS), ==, OVERLOAD_REFUSE_WAIT);
+    advance_ms(&fixture, 30);
+    set_wait(&fixture, BUDGET_MS - 100, 0);
+    g_assert_cmpint(decide(&fixture, OTHERS + 1), ==, OVERLOAD_REFUSE_WAIT);
+    g_assert_cmpint(decide(&fixture, OTHERS), ==, OVERLOAD_ADMIT);
+    g_assert_cmpint(decide(&fixture, OTHERS), ==, OVERLOAD_REFUSE_WAIT);
+}
+
 TEST(each_change_is_reported_once)
 {
     struct fixture fixture;
