--- a/tests/relay/admission_control_load_test.c
+++ b/tests/relay/admission_control_load_test.c
@@ -455,7 +455,7 @@
 static void
 arrive_due(struct fixture *fixture, const struct load *load, unsigned ms)
 {
-    double per_ms = CAPACITY_PER_S / 1000.0;
+    double per_ms = (double)CAPACITY_PER_S / 1000;
     unsigned others = (unsigned)(load->times_capacity * per_ms * (ms + 1)) -
                       (unsigned)(load->times_capacity * per_ms * ms);
     unsigned heavy =
