--- a/tests/relay/admission_control_load_test.c
+++ b/tests/relay/admission_control_load_test.c
@@ -455,7 +455,8 @@
 static void
 arrive_due(struct fixture *fixture, const struct load *load, unsigned ms)
 {
-    double per_ms = (double)CAPACITY_PER_S / 1000;
+    unsigned per_s = CAPACITY_PER_S;
+    double per_ms = per_s / 1000.0;
     unsigned others = (unsigned)(load->times_capacity * per_ms * (ms + 1)) -
                       (unsigned)(load->times_capacity * per_ms * ms);
     unsigned heavy =
