--- a/src/relay/forwarder/agents.h
+++ b/src/relay/forwarder/agents.h
@@ -21,6 +21,7 @@
 #include "relay/forwarder/endpoint_level.h"
 #include "relay/forwarder/region_affinity.h"
 #include "relay/forwarder/round_trips.h"
+#include "relay/overload/pressure.h"
 #include "relay/wire/frame.h"
 #include "relay/wire/packet.h"
 #include "relay/wire/store_state.h"
@@ -56,6 +57,7 @@
  * @heard_us: when its last frame arrived, 0 for never
  * @health_us: when @health arrived
  * @level: how many new flows it gets, with expected waits
+ * @report: load of its endpoint, for pressure on its service
  * @sent: new flows sent to it since @health_us, in a short time
  * @sent_us: when the last of these was sent
  * @opened: new flows sent to it since @health_us, however long ago
@@ -90,6 +92,7 @@
     uint64_t heard_us;
     uint64_t health_us;
     struct endpoint_level level;
+    struct pressure_report report;
     unsigned sent;
     uint64_t sent_us;
     unsigned opened;
@@ -383,6 +386,15 @@
 void
 agents_witnesses(const struct agents *agents, struct agents_choice *choice);
 
+/**
+ * agents_pressure() - pressure on the agents that may take a new flow of
+ * @service in the regions of @region_affinity
+ */
+void
+agents_pressure(const struct agents *agents, uint32_t service,
+                const struct region_affinity *region_affinity, uint64_t now_us,
+                struct pressure *pressure);
+
 /** agents_can_serve() - whether an agent may take a new flow of @service */
 bool
 agents_can_serve(const struct agents *agents, uint32_t service);
--- a/src/relay/forwarder/forwarder.c
+++ b/src/relay/forwarder/forwarder.c
@@ -265,6 +265,7 @@
 {
     struct agents_observer observer = {report_level, forwarder};
 
+    forwarder_overload_tick(forwarder, now_us);
     agents_update_health(&forwarder->agents, agent, &status->health, now_us);
     agents_update_levels(&forwarder->agents, agent, &observer, now_us);
     if (status->heard.version > forwarder->routes.version) {
@@ -289,6 +290,7 @@
     struct addr agent;
     bool unlisted;
 
+    forwarder_overload_tick(forwarder, now_us);
     while (forwarder->syn_timer_count > 0 &&
            forwarder->syn_timers[forwarder->syn_timer_first].due_us <=
                now_us) {
--- a/src/relay/forwarder/forwarder_open.c
+++ b/src/relay/forwarder/forwarder_open.c
@@ -231,7 +231,8 @@
     struct forwarder_pin *pin;
     uint32_t handle;
 
-    if (gate_refuses(forwarder, packet, route, now_us)) {
+    if (gate_refuses(forwarder, packet, route, now_us) ||
+        forwarder_overload_refuse(forwarder, packet, route, now_us)) {
         return;
     }
     handle = forwarder_remember(forwarder, flow, route_service(route, flow),
--- a/src/relay/program/relay_balancer_http.c
+++ b/src/relay/program/relay_balancer_http.c
@@ -98,6 +98,9 @@
             relay_state_level_name((enum endpoint_level_kind)i),
             balancer->counts.levels[i]);
     }
+    if (forwarder->overload != NULL) {
+        relay_pressure_metrics(forwarder->overload, text);
+    }
     append_reads(text, "config", &balancer->config_watcher);
     append_reads(text, "agents", &balancer->agents_watcher);
     if (balancer->settings.limits) {
@@ -129,6 +132,11 @@
     else if (strcmp(path, RELAY_STATE_PATH) == 0) {
         respond_state(balancer, request);
     }
+    else if (strcmp(path, RELAY_PRESSURE_PATH) == 0) {
+        relay_state_respond(request,
+                            relay_pressure_json(balancer->forwarder.overload,
+                                                loop_now_us(&balancer->loop)));
+    }
     else if (strcmp(path, RELAY_EXPLAIN_PATH) == 0) {
         relay_explain_balancer(request, &balancer->forwarder,
                                balancer->settings.limits ? &balancer->limits
