Scheduler: only the balancer refuses a new flow, once its SYN is at no endpoint

Cause: the last full agent on a SYN's way reset the caller. It can't know whether the SYN is elsewhere: an endpoint before it that answered after the agent's 5 ms, the second way that the balancer tries after 15 ms, a copy through another balancer, or, after the agent's restart, its own endpoint. The reset of an open flow breaks FLOW. The world's agents had scheduling off before, so that no test saw it.

Change: the agent reports such a flow as full (frame_forward.given tells that an endpoint was given the SYN); the balancer resets it if each way that the SYN took ended so, none was accepted, and no copy can have left its caller. An opened flow isn't touched by a report of a busy SYN from its agent.

--- a/src/relay/admission/admission.c
+++ b/src/relay/admission/admission.c
@@ -39,6 +39,7 @@
         admission_notify_state(admission, now_us);
     }
     flow->frame.best.ip = 0;
+    flow->frame.given = true;
     admission_redirect(admission, timer->handle, FRAME_REASON_SILENT, now_us);
 }
 
--- a/src/relay/admission/admission.h
+++ b/src/relay/admission/admission.h
@@ -54,8 +54,8 @@
     ADMISSION_DECISION_ADMIT,     /* given to the endpoint from the queue */
     ADMISSION_DECISION_EXPIRE,    /* abandoned by its caller in the queue */
     ADMISSION_DECISION_RESET, /* its endpoint has ended, the caller is reset */
-    ADMISSION_DECISION_REFUSE, /* no endpoint has room, the caller of the new
-                                  flow is reset */
+    ADMISSION_DECISION_REFUSE, /* no endpoint has room, its balancer may reset
+                                  the caller of the new flow */
 };
 
 /** enum admission_scheduled_event - what happened to a scheduled request */
--- a/src/relay/admission/admission_open.c
+++ b/src/relay/admission/admission_open.c
@@ -134,20 +134,15 @@
            admission_queue_flow(admission, handle, now_us);
 }
 
-/* Resets a flow that no endpoint has room for. It is open at none, so that its
- * caller may try again. */
-static void
-refuse_flow(struct admission *admission, uint32_t handle)
+/* Whether a flow is refused that no endpoint on its SYN's way holds. Only its
+ * balancer may reset it, as it knows whether the SYN took other ways. */
+static bool
+is_full_everywhere(const struct admission *admission,
+                   const struct admission_flow *flow)
 {
-    const struct admission_flow *flow = &admission->flows[handle];
-
-    if (flow->state == ADMISSION_FLOW_OPENING && !flow->from_lookup &&
-        !flow->maybe_local && is_refused(admission, flow)) {
-        admission_decided(admission, ADMISSION_DECISION_REFUSE, handle,
-                          FRAME_REASON_BUSY);
-        admission->out->ops->reset(
-            admission->out, flow_index_flow(&admission->table, handle), 0);
-    }
+    return flow->state == ADMISSION_FLOW_OPENING && !flow->from_lookup &&
+           !flow->maybe_local && !flow->frame.given &&
+           is_refused(admission, flow);
 }
 
 void
@@ -171,8 +166,10 @@
         target = flow->frame.best;
     }
     else {
-        if (why == FRAME_REASON_BUSY) {
-            refuse_flow(admission, handle);
+        if (why == FRAME_REASON_BUSY && is_full_everywhere(admission, flow)) {
+            why = FRAME_REASON_FULL;
+            admission_decided(admission, ADMISSION_DECISION_REFUSE, handle,
+                              why);
         }
         if (flow->accepted_elsewhere || flow->rejected || flow->maybe_local) {
             admission_flow_set_remote(admission, handle);
--- a/src/relay/forwarder/forwarder.h
+++ b/src/relay/forwarder/forwarder.h
@@ -51,6 +51,8 @@
                                    * it */
     FORWARDER_DECISION_RESET,     /* no endpoint holds it: its caller is
                                    * reset */
+    FORWARDER_DECISION_REFUSE,    /* no endpoint has room for it: its caller is
+                                   * reset */
     FORWARDER_DECISION_LOOKUP, /* it is established with an unknown holder: its
                                 * packet goes to agents that may hold it */
 };
--- a/src/relay/forwarder/forwarder_established.c
+++ b/src/relay/forwarder/forwarder_established.c
@@ -18,6 +18,10 @@
  * belong to a new flow, opened through another balancer. */
 #define PROOF_VALID_US (1 * USEC_PER_SEC)
 
+/* How long a SYN may be refused. Its caller's first copy leaves after 200 ms,
+ * maybe through another balancer, and the reset must be there before. */
+#define REFUSE_MAX_US (150 * USEC_PER_MSEC)
+
 /* Acceptor whose data the packet acknowledges, or NULL. */
 static const struct forwarder_acceptor *
 acceptor_of(const struct forwarder_pin *pin, const struct relay_packet *packet)
@@ -299,6 +303,40 @@
                                  now_us - pin->since_us);
 }
 
+/* Whether a report is of a SYN that no endpoint had room for. */
+static bool
+is_of_busy_syn(const struct frame_status *status)
+{
+    return status->target.ip == 0 && (status->reason == FRAME_REASON_BUSY ||
+                                      status->reason == FRAME_REASON_FULL);
+}
+
+/* Whether no endpoint holds the flow, nor will: each way that its SYN took has
+ * ended at full endpoints. */
+static bool
+is_refused(const struct forwarder_pin *pin, uint64_t now_us)
+{
+    return !pin->copied && !pin->opened && pin->acceptor_count == 0 &&
+           pin->full_count == pin->try_count &&
+           now_us - pin->since_us < REFUSE_MAX_US;
+}
+
+/* Resets a flow that no endpoint has room for, so that its caller may try
+ * again. */
+static void
+refuse_full(struct forwarder *forwarder, uint32_t handle, struct addr agent,
+            uint64_t now_us)
+{
+    const struct forwarder_pin *pin = &forwarder->pins[handle];
+    struct relay_flow flow = flow_index_flow(&forwarder->flows, handle);
+
+    forwarder->out->ops->reset(forwarder->out, flow, 0);
+    forwarder->out->ops->decided(forwarder->out, FORWARDER_DECISION_REFUSE,
+                                 flow, agent, pin->try_count,
+                                 now_us - pin->since_us);
+    forwarder_forget(forwarder, handle);
+}
+
 void
 forwarder_redirected(struct forwarder *forwarder, struct addr agent,
                      const struct frame_status *status, uint64_t now_us)
@@ -310,6 +348,11 @@
         return;
     }
     pin = &forwarder->pins[handle];
+    if (pin->opened && is_of_busy_syn(status)) {
+        /* A delayed copy, at an agent that has restarted: its endpoint may
+         * hold the flow. */
+        return;
+    }
     forwarder_update_rtt(forwarder, pin, agent, now_us);
     pin->holder = status->target;
     pin->queued = false;
@@ -321,7 +364,12 @@
     if (acceptor_remove(pin, agent) || status->target.ip != 0) {
         return;
     }
-    if (status->reason == FRAME_REASON_BUSY) {
+    pin->full_count += status->reason == FRAME_REASON_FULL;
+    if (status->reason == FRAME_REASON_FULL && is_refused(pin, now_us)) {
+        refuse_full(forwarder, handle, agent, now_us);
+        return;
+    }
+    if (is_of_busy_syn(status)) {
         /* No endpoint had room for this late SYN: leave it at this agent; the
          * caller's next copy may find room. */
         pin->queued = true;
--- a/src/relay/forwarder/forwarder_open.c
+++ b/src/relay/forwarder/forwarder_open.c
@@ -211,6 +211,7 @@
     struct forwarder_pin *pin = &forwarder->pins[handle];
 
     update_timeouts(pin, packet, route);
+    pin->copied = packet->age_ms > 0;
     pin->syn_seq = packet->seq;
     if (packet->size <= FORWARDER_SYN_MAX) {
         memcpy(pin->syn, packet->bytes, packet->size);
@@ -274,6 +275,7 @@
     struct forwarder_pin *pin = &forwarder->pins[handle];
 
     update_timeouts(pin, packet, route);
+    pin->copied = true;
     if (pin->opened && pin->acceptor_count == 0) {
         /* A delayed copy: the flow is established. */
         return;
--- a/src/relay/forwarder/forwarder_private.h
+++ b/src/relay/forwarder/forwarder_private.h
@@ -49,6 +49,9 @@
  * @acceptor_count: number of @acceptors
  * @tried: agents that the SYN was sent to
  * @try_count: number of @tried
+ * @full_count: tries that ended at agents without room, with the SYN at no
+ *     endpoint
+ * @copied: the caller has sent copies of its SYN, maybe to other balancers
  * @holder: agent that last received the SYN
  * @queued: @holder has queued the SYN until a slot is free
  * @opened: the caller has sent more than its SYN, which isn't sent again
@@ -77,6 +80,8 @@
     uint8_t acceptor_count;
     struct addr tried[FORWARDER_TRIES_MAX];
     uint8_t try_count;
+    uint8_t full_count;
+    bool copied;
     struct addr holder;
     bool queued;
     bool opened;
--- a/src/relay/program/relay_agent_out.c
+++ b/src/relay/program/relay_agent_out.c
@@ -17,6 +17,7 @@
     [FRAME_REASON_WRONG_SERVICE] = "service",
     [FRAME_REASON_FAILING] = "failing",
     [FRAME_REASON_EVACUATED] = "evacuated",
+    [FRAME_REASON_FULL] = "full",
 };
 
 const char *const relay_agent_state_names[] = {
--- a/src/relay/program/relay_balancer_out.c
+++ b/src/relay/program/relay_balancer_out.c
@@ -20,6 +20,7 @@
     [FORWARDER_DECISION_SEND] = "sent",
     [FORWARDER_DECISION_ESTABLISH] = "placed",
     [FORWARDER_DECISION_RESET] = "reset",
+    [FORWARDER_DECISION_REFUSE] = "refused",
     [FORWARDER_DECISION_LOOKUP] = "searched",
 };
 
--- a/src/relay/wire/frame.c
+++ b/src/relay/wire/frame.c
@@ -161,6 +161,7 @@
     put_addr(&writer, forward->origin);
     put_store_view(&writer, &forward->view);
     put(&writer, forward->forced, 1);
+    put(&writer, forward->given, 1);
     put(&writer, forward->target_ms, 2);
     put(&writer, forward->priority, 1);
     put(&writer, forward->caller_timeout_ms, 2);
@@ -187,6 +188,7 @@
     forward->origin = get_addr(&reader);
     forward->view = get_store_view(&reader);
     forward->forced = get(&reader, 1) != 0;
+    forward->given = get(&reader, 1) != 0;
     forward->target_ms = (uint16_t)get(&reader, 2);
     forward->priority = (uint8_t)get(&reader, 1);
     forward->caller_timeout_ms = (uint16_t)get(&reader, 2);
--- a/src/relay/wire/frame.h
+++ b/src/relay/wire/frame.h
@@ -49,7 +49,9 @@
     FRAME_REASON_WRONG_SERVICE = 5, /* the endpoint is of another service */
     FRAME_REASON_FAILING = 6,       /* the endpoint resets requests */
     FRAME_REASON_EVACUATED = 7,     /* its data centre is evacuated */
-    FRAME_REASON_MAX = FRAME_REASON_EVACUATED,
+    FRAME_REASON_FULL = 8, /* no endpoint on the SYN's way has room, and none
+                              was given it */
+    FRAME_REASON_MAX = FRAME_REASON_FULL,
 };
 
 /** enum endpoint_state - state of an agent's endpoint */
@@ -156,6 +158,7 @@
  * @origin: balancer that received the packet from the caller
  * @view: that balancer's view of the store
  * @forced: accept the SYN even if all slots are busy
+ * @given: an endpoint on the SYN's way was given it and may still answer
  * @target_ms: of a SYN, time left to meet the response target; 0 if it is past
  *             already; of data, the response target
  * @priority: of its route, 0 is most urgent
@@ -177,6 +180,7 @@
     struct addr origin;
     struct frame_store_view view;
     bool forced;
+    bool given;
     uint16_t target_ms;
     uint8_t priority;
     uint16_t caller_timeout_ms;
--- a/tests/relay/forwarder_test.c
+++ b/tests/relay/forwarder_test.c
@@ -69,6 +69,96 @@
     }
 }
 
+/* The SYN's way through the agents has ended at @agent. */
+static void
+report_full(struct fixture *fixture, struct addr agent)
+{
+    fixture_report(fixture, agent.ip - FIXTURE_AGENTS_NET,
+                   (struct frame_status){.type = FRAME_REDIRECTED,
+                                         .reason = FRAME_REASON_FULL,
+                                         .flow = fixture_flow(1),
+                                         .health.state = ENDPOINT_READY});
+}
+
+static void
+send_syn(struct fixture *fixture, unsigned copies)
+{
+    struct relay_packet syn =
+        fixture_from_caller(fixture_flow(1), RELAY_SYN, 9, copies, 0);
+
+    syn.age_ms = (uint16_t)(200 * copies);
+    fixture_receive(fixture, syn);
+}
+
+TEST_F(fixture, a_flow_that_no_endpoint_has_room_for_is_reset, 3)
+{
+    send_syn(fixture, 0);
+    report_full(fixture, fixture->sent);
+    fixture_expect(fixture->record, "reset 1001 at 0", NULL);
+    /* Its SYN isn't sent again. */
+    fixture_advance_ms(fixture, 100);
+    g_assert_cmpuint(fixture->forwarded, ==, 1);
+}
+
+/* Its SYN took a second way as the first agent didn't reply in time. */
+TEST_F(fixture, a_flow_is_not_reset_while_its_syn_may_find_room, 3)
+{
+    struct addr first;
+
+    send_syn(fixture, 0);
+    first = fixture->sent;
+    fixture_advance_ms(fixture, 15);
+    g_assert_cmpuint(fixture->forwarded, ==, 2);
+    report_full(fixture, first);
+    fixture_expect(fixture->record, NULL);
+    report_full(fixture, fixture->sent);
+    fixture_expect(fixture->record, "reset 1001 at 0", NULL);
+}
+
+TEST_F(fixture, a_flow_that_an_endpoint_accepted_is_not_reset, 3)
+{
+    send_syn(fixture, 0);
+    fixture_established(fixture, fixture_agent_addr(1), 1, 500);
+    report_full(fixture, fixture_agent_addr(2));
+    fixture_expect(fixture->record, NULL);
+}
+
+/* The agent has restarted and doesn't know the flow that its endpoint holds;
+ * the SYN is a delayed copy. */
+TEST_F(fixture, an_open_flow_is_not_reset_when_its_agent_is_full, 3)
+{
+    struct addr agent = fixture_agent_addr(1);
+
+    send_syn(fixture, 0);
+    fixture_established(fixture, agent, 1, 500);
+    fixture_receive(
+        fixture, fixture_from_caller(fixture_flow(1), RELAY_ACK, 10, 501, 20));
+    report_full(fixture, agent);
+    fixture_expect(fixture->record, NULL);
+    fixture->forwarded = 0;
+    fixture_receive(
+        fixture, fixture_from_caller(fixture_flow(1), RELAY_ACK, 10, 501, 20));
+    g_assert_cmpuint(fixture->forwarded, ==, 1);
+    g_assert_cmpuint(fixture->frame.next_count, ==, 0);
+}
+
+/* Another balancer may have forwarded the first copy. */
+TEST_F(fixture, a_flow_is_not_reset_for_a_copy_of_its_syn, 3)
+{
+    send_syn(fixture, 1);
+    report_full(fixture, fixture->sent);
+    fixture_expect(fixture->record, NULL);
+}
+
+/* Another balancer may have forwarded the second copy. */
+TEST_F(fixture, a_flow_is_not_reset_when_its_caller_may_have_sent_a_copy, 3)
+{
+    send_syn(fixture, 0);
+    fixture->now_us += 150 * USEC_PER_MSEC;
+    report_full(fixture, fixture->sent);
+    fixture_expect(fixture->record, NULL);
+}
+
 TEST_F(fixture, the_reply_timeout_follows_distant_agents, 3)
 {
     /* Each takes 18 ms. */
--- a/tests/relay/frame_test.c
+++ b/tests/relay/frame_test.c
@@ -21,6 +21,7 @@
         .origin = fixture_addr("10.9.0.1:7720"),
         .view = {1ull << 40, FRAME_READER_TRYING},
         .forced = true,
+        .given = true,
         .target_ms = 100,
         .priority = 3,
         .caller_timeout_ms = 1400,
@@ -53,6 +54,7 @@
     g_assert_cmpuint(read.view.version, ==, forward.view.version);
     g_assert_cmpuint(read.view.reader, ==, FRAME_READER_TRYING);
     g_assert_true(read.forced);
+    g_assert_true(read.given);
     g_assert_cmpuint(read.target_ms, ==, 100);
     g_assert_cmpuint(read.priority, ==, 3);
     g_assert_cmpuint(read.caller_timeout_ms, ==, 1400);
--- a/tests/relay/world.h
+++ b/tests/relay/world.h
@@ -49,6 +49,7 @@
     unsigned timeout_ms;         /* request timeout of all routes */
     bool closing;                /* callers send a FIN and await its ACK */
     bool restart_all;            /* all hosts restart at half-time */
+    bool scheduling;             /* agents schedule requests on open flows */
     bool reported;               /* orphaned flows must be reset in time */
 };
 
--- a/tests/relay/world_hosts.c
+++ b/tests/relay/world_hosts.c
@@ -377,6 +377,7 @@
                                    world_services[host->service],
                                    host->world->now_us),
                     ==, 0);
+    host->admission.scheduling = host->world->plan->scheduling;
     host->draining_reported = false;
     host->heartbeat_us = 0;
     /* The agent reads its own object first, and writes it if it is missing. */
--- a/tests/relay/world_test.c
+++ b/tests/relay/world_test.c
@@ -346,6 +346,40 @@
     g_assert_cmpuint(run_plan(&plan), >=, 200);
 }
 
+/* Four times the requests that 18 slots serve, on flows that stay open. */
+static const struct world_plan crowded = {
+    .new_flows = 1000,
+    .work_ms = 100,
+    .timeout_ms = 1200,
+    .requests = 4,
+    .pause_ms = 100,
+    .stall = 50,
+    .freeze = 20,
+    .rehash = 20,
+    .scheduling = true,
+};
+
+/* New flows are refused; one that an endpoint holds is never reset. */
+TEST(requests_are_scheduled_on_open_flows)
+{
+    g_assert_cmpuint(run_plan(&crowded), >=, 400);
+}
+
+TEST(requests_are_scheduled_among_faults)
+{
+    struct world_plan plan = all_faults;
+
+    plan.new_flows = 1000;
+    plan.work_ms = 100;
+    plan.timeout_ms = 1200;
+    plan.requests = 4;
+    plan.pause_ms = 100;
+    plan.stall = 50;
+    plan.closing = true;
+    plan.scheduling = true;
+    g_assert_cmpuint(run_plan(&plan), >=, 200);
+}
+
 TEST(requests_are_queued_while_addresses_move_and_agents_restart)
 {
     static const struct world_plan plan = {
