Scheduler: a cold endpoint with idle slots doesn't refuse a new flow

Cause: an endpoint at its slow-start limit counts as busy, so that its agent refused a new flow of the lowest priority although slots idled; before, the SYN was queued until the slow start let it through. Change: no refusal while the slow start holds flows back. The new test fails without it (reported as full).

--- a/src/relay/admission/admission_open.c
+++ b/src/relay/admission/admission_open.c
@@ -103,12 +103,14 @@
 }
 
 /* Whether a new flow would open at a full endpoint only to be rejected: its
- * request is of the lowest priority, so that none is held for it. */
+ * request is of the lowest priority, so that none is held for it. A cold
+ * endpoint has room again when its slow start allows the next request. */
 static bool
 is_refused(const struct admission *admission,
-           const struct admission_flow *flow)
+           const struct admission_flow *flow, uint64_t now_us)
 {
     return admission->engaged &&
+           slow_start_allows(&admission->slow_start, now_us) &&
            flow->frame.priority >= admission->scheduler.lowest;
 }
 
@@ -130,7 +132,7 @@
         admission_admit_syn(admission, handle, now_us);
         return true;
     }
-    return !is_refused(admission, flow) &&
+    return !is_refused(admission, flow, now_us) &&
            admission_queue_flow(admission, handle, now_us);
 }
 
@@ -138,11 +140,11 @@
  * balancer may reset it, as it knows whether the SYN took other ways. */
 static bool
 is_full_everywhere(const struct admission *admission,
-                   const struct admission_flow *flow)
+                   const struct admission_flow *flow, uint64_t now_us)
 {
     return flow->state == ADMISSION_FLOW_OPENING && !flow->from_lookup &&
            !flow->maybe_local && !flow->frame.given &&
-           is_refused(admission, flow);
+           is_refused(admission, flow, now_us);
 }
 
 void
@@ -166,7 +168,8 @@
         target = flow->frame.best;
     }
     else {
-        if (why == FRAME_REASON_BUSY && is_full_everywhere(admission, flow)) {
+        if (why == FRAME_REASON_BUSY &&
+            is_full_everywhere(admission, flow, now_us)) {
             why = FRAME_REASON_FULL;
             admission_decided(admission, ADMISSION_DECISION_REFUSE, handle,
                               why);
@@ -274,7 +277,7 @@
         admission_admit_syn(admission, handle, now_us);
     }
     else if (why != FRAME_REASON_BUSY || !frame->forced ||
-             is_refused(admission, flow) ||
+             is_refused(admission, flow, now_us) ||
              !admission_queue_flow(admission, handle, now_us)) {
         admission_redirect(admission, handle, why, now_us);
     }
--- a/tests/relay/admission_requests_test.c
+++ b/tests/relay/admission_requests_test.c
@@ -237,6 +237,40 @@
                    "notify redirected reason=1 on=1 busy=4 state=1", NULL);
 }
 
+/* It has room as soon as its slow start lets it have the next request. */
+SCHEDULED_TEST(a_new_flow_is_not_refused_by_a_cold_endpoint_with_idle_slots)
+{
+    struct relay_packet syn =
+        fixture_from_caller(fixture_flow(9), RELAY_SYN, 100, 0, 0);
+    struct frame_forward frame = {
+        .service = fixture->admission.endpoint.service,
+        .origin = fixture_addr(FIXTURE_BALANCER),
+        .view.version = 1,
+        .priority = ORDINARY,
+        .target_ms = TARGET_MS,
+        .caller_timeout_ms = 1400,
+        .slow_start_limit = 1,
+        .bytes = syn.bytes,
+        .size = syn.size,
+    };
+
+    start_full(fixture, 0);
+    for (unsigned i = 1; i <= ROOM; i++) {
+        answer(fixture, i, 1);
+    }
+    g_assert_cmpuint(fixture->admission.busy_count, ==, 0);
+    slow_start_set_remaining(&fixture->admission.slow_start, 5000,
+                             fixture->now_us);
+    g_string_truncate(fixture->record, 0);
+    admission_handle_forward(&fixture->admission, &frame, &syn,
+                             fixture->now_us);
+    fixture_expect(fixture->record,
+                   "notify queued reason=0 on=0 busy=2 state=1",
+                   "notify redirected reason=1 on=1 busy=2 state=1", NULL);
+    fixture_advance_ms(fixture, 1100);
+    fixture_expect(fixture->record, "endpoint 0", NULL);
+}
+
 /* Other endpoints may have room. */
 SCHEDULED_TEST(a_flow_of_a_drained_endpoint_is_not_refused)
 {
