Levels: endpoints that recover count in the third below normal

Cause: endpoint_level_update() lowered up to a third of a service besides those that were on their way back, so that two thirds were below normal after one third got well and another slow (new test: 36 of 54). Change: the worst come first, then those that recover; what is beyond the third is normal at once.

--- a/src/relay/forwarder/endpoint_level.c
+++ b/src/relay/forwarder/endpoint_level.c
@@ -170,6 +170,7 @@
     uint64_t median_us = median_service_us(members, count);
     unsigned max = count / BELOW_MAX_DIVISOR;
     unsigned wanted = 0;
+    unsigned below;
 
     qsort(members, count, sizeof(*members), by_rejects);
     for (unsigned i = 0; i < count; i++) {
@@ -181,17 +182,19 @@
         max = 0;
     }
     qsort(members, count, sizeof(*members), worst_first);
+    below = 0;
     for (unsigned i = 0; i < count; i++) {
         members[i].changed = false;
-        if (members[i].wanted == ENDPOINT_LEVEL_NORMAL) {
-            raise_when_good(&members[i], now_us);
+        if (below == max) {
+            set_kind(&members[i], ENDPOINT_LEVEL_NORMAL, now_us);
         }
-        else if (i < max) {
-            lower(&members[i], now_us);
+        else if (members[i].wanted == ENDPOINT_LEVEL_NORMAL) {
+            raise_when_good(&members[i], now_us);
         }
         else {
-            set_kind(&members[i], ENDPOINT_LEVEL_NORMAL, now_us);
+            lower(&members[i], now_us);
         }
+        below += members[i].level->kind != ENDPOINT_LEVEL_NORMAL;
     }
     return median_us;
 }
--- a/tests/relay/endpoint_level_test.c
+++ b/tests/relay/endpoint_level_test.c
@@ -108,6 +108,22 @@
     g_assert_cmpint(fixture.levels[0].kind, ==, ENDPOINT_LEVEL_REDUCED);
 }
 
+/* The first ones are well again, but not yet for long enough. */
+TEST(a_third_that_gets_slow_after_another_leaves_a_third_below_normal)
+{
+    struct fixture fixture;
+
+    init(&fixture, 54);
+    set_service(&fixture, 0, 18, 4 * TYPICAL_US);
+    update_for(&fixture, USEC_PER_SEC);
+    set_service(&fixture, 0, 18, TYPICAL_US);
+    set_service(&fixture, 18, 18, 4 * TYPICAL_US);
+    update_for(&fixture, STEP_US);
+    g_assert_cmpuint(count_of(&fixture, ENDPOINT_LEVEL_REDUCED), ==, 18);
+    g_assert_cmpint(fixture.levels[0].kind, ==, ENDPOINT_LEVEL_NORMAL);
+    g_assert_cmpint(fixture.levels[18].kind, ==, ENDPOINT_LEVEL_REDUCED);
+}
+
 TEST(all_slow_is_the_load_and_none_is_reduced)
 {
     struct fixture fixture;
