Agent: a reload that turns scheduling off gives held requests first

Cause: reload() only cleared the flag. Later packets of a flow with a held request then went to the endpoint before it, and as `engaged` stayed, new flows were still refused and load reported. Change: admission_set_scheduling() gives what is held and ends the schedule. The new test failed before (the second packet of a request before the first).

Relay tests: all pass.

--- a/src/relay/admission/admission.h
+++ b/src/relay/admission/admission.h
@@ -347,6 +347,12 @@
 void
 admission_endpoint_down(struct admission *admission, uint64_t now_us);
 
+/** admission_set_scheduling() - schedule the requests on open flows, or stop
+ * it: held ones go to the endpoint before later packets of their flows */
+void
+admission_set_scheduling(struct admission *admission, bool scheduling,
+                         uint64_t now_us);
+
 /** admission_drain() - begin a planned stop: notify balancers and take no new
  * flows, but serve the open ones */
 void
--- a/src/relay/admission/admission_requests.c
+++ b/src/relay/admission/admission_requests.c
@@ -280,6 +280,33 @@
     return true;
 }
 
+/* Gives all held requests to the endpoint. */
+static void
+give_held(struct admission *admission, uint64_t now_us)
+{
+    struct scheduler *scheduler = &admission->scheduler;
+
+    while (scheduler->held_count > 0) {
+        uint32_t handle = scheduler->held[0].request.handle;
+
+        (void)scheduler_give(scheduler, handle, now_us);
+        send_held(admission, handle, SCHEDULER_FULL, now_us);
+    }
+}
+
+void
+admission_set_scheduling(struct admission *admission, bool scheduling,
+                         uint64_t now_us)
+{
+    admission->scheduling = scheduling;
+    if (scheduling || !admission->engaged) {
+        return;
+    }
+    give_held(admission, now_us);
+    scheduler_restart(&admission->scheduler);
+    admission->engaged = false;
+}
+
 /* Resets the flows of held requests when the endpoint has ended. */
 static void
 reset_held(struct admission *admission)
--- a/src/relay/program/relay_agent.c
+++ b/src/relay/program/relay_agent.c
@@ -54,7 +54,8 @@
                                    sizeof(report));
 
     agent->log.max_per_s = agent->settings.log_per_s;
-    agent->admission.scheduling = agent->settings.scheduling;
+    admission_set_scheduling(&agent->admission, agent->settings.scheduling,
+                             loop_now_us(&agent->loop));
     apply_peers(agent);
     event_log_write(&agent->log, EVENT_UNLIMITED, "reload",
                     "result=%s peers=%zu log_per_s=%u stop_ms=%u "
--- a/tests/relay/admission_requests_test.c
+++ b/tests/relay/admission_requests_test.c
@@ -441,6 +441,20 @@
     g_assert_cmpuint(fixture->admission.scheduler.running_count, ==, 0);
 }
 
+/* A reload turns the setting off: what is held goes before what comes. */
+SCHEDULED_TEST(without_the_setting_any_more_held_requests_keep_their_order)
+{
+    start_full(fixture, 1);
+    send_part(fixture, 5, 1, 0, 40, 0, ORDINARY);
+    admission_set_scheduling(&fixture->admission, false, fixture->now_us);
+    send_part(fixture, 5, 1, 40, 50, 0, ORDINARY);
+    answer(fixture, 1, 1);
+    fixture_expect(fixture->record, "endpoint 40", "endpoint 50",
+                   "caller 1001", NULL);
+    g_assert_cmpuint(fixture->admission.scheduler.held_count, ==, 0);
+    g_assert_false(fixture->admission.engaged);
+}
+
 /* Without the setting, and while no flow carries a second request. */
 
 /* Whether the flow has a request that went to the endpoint. */
