Agents tell eight balancers of a changed endpoint, not all

Cause: at each doubling or halving of its endpoint's service time, five times a second at most, an agent told up to 64 balancers: messages that grow with balancers times agents.

Now a change by three, once a second at most, to the eight balancers heard last.

--- a/src/relay/admission/admission_capacity.c
+++ b/src/relay/admission/admission_capacity.c
@@ -4,10 +4,13 @@
 
 #include "base/clock.h"
 
-/* Change of the service time that balancers are notified of at once, and
- * minimum interval of these notices. */
-#define TELL_RATIO 2
-#define TELL_GAP_US (200 * USEC_PER_MSEC)
+/* Change of the service time that balancers are notified of at once, minimum
+ * interval of these notices, and how many balancers get one: notices to all
+ * would take a part of each balancer's processor that grows with the number of
+ * agents. */
+#define TELL_RATIO 3
+#define TELL_GAP_US (1 * USEC_PER_SEC)
+#define TELL_BALANCERS 8
 
 /* After a longer pause the agent itself didn't run, and answers wait to be
  * received: it doesn't know which requests are stuck. */
@@ -113,6 +116,6 @@
         admission->told_service_us =
             capacity_service_us(&admission->capacity, now_us);
         admission->told_us = now_us;
-        admission_notify_state(admission, now_us);
+        admission_notify_recent(admission, TELL_BALANCERS, now_us);
     }
 }
--- a/src/relay/admission/admission_notify.c
+++ b/src/relay/admission/admission_notify.c
@@ -102,6 +102,33 @@
     }
 }
 
+/* Number of balancers that were heard after one. */
+static unsigned
+count_heard_after(const struct admission *admission, unsigned at)
+{
+    uint64_t heard_us = admission->balancers[at].heard_us;
+    unsigned count = 0;
+
+    for (unsigned i = 0; i < admission->balancer_count; i++) {
+        count += admission->balancers[i].heard_us > heard_us;
+    }
+    return count;
+}
+
+void
+admission_notify_recent(struct admission *admission, unsigned count,
+                        uint64_t now_us)
+{
+    struct frame_status status = {.type = FRAME_STATE};
+
+    for (unsigned i = 0; i < admission->balancer_count; i++) {
+        if (count_heard_after(admission, i) < count) {
+            admission_notify(admission, admission->balancers[i].addr, &status,
+                             now_us);
+        }
+    }
+}
+
 /* Whether @a is evicted before @b: store readers last, otherwise the one not
  * heard for longest. */
 static bool
--- a/src/relay/admission/admission_private.h
+++ b/src/relay/admission/admission_private.h
@@ -228,6 +228,12 @@
 void
 admission_notify_state(struct admission *admission, uint64_t now_us);
 
+/** admission_notify_recent() - notify the @count balancers heard last of the
+ * endpoint's state */
+void
+admission_notify_recent(struct admission *admission, unsigned count,
+                        uint64_t now_us);
+
 /** admission_note_balancer() - record that a frame of a balancer came, with
  * its view of the store */
 void
--- a/tests/relay/admission_capacity_test.c
+++ b/tests/relay/admission_capacity_test.c
@@ -1,4 +1,7 @@
+#include <string.h>
+
 #include "lib/harness.h"
+#include "relay/admission/admission_private.h"
 #include "relay/admission_fixture.h"
 
 /* What an agent reports of its endpoint's capacity. */
@@ -104,6 +107,33 @@
     fixture_finish(&fixture);
 }
 
+/* Notices to all balancers would cost each of them a part of its processor
+ * that grows with the number of agents. */
+TEST(of_many_balancers_only_those_heard_last_get_a_notice)
+{
+    struct frame_ping ping = {.view = {.version = 1}};
+    struct fixture fixture = {0};
+    unsigned notices = 0;
+
+    init(&fixture, true);
+    serve(&fixture, 1, 8);
+    for (unsigned i = 1; i <= 30; i++) {
+        struct addr balancer = {0x0a090100 + i, 7720};
+
+        fixture.now_us++;
+        admission_handle_ping(&fixture.admission, balancer, &ping,
+                              fixture.now_us);
+    }
+    g_string_truncate(fixture.record, 0);
+    admission_notify_recent(&fixture.admission, 8, fixture.now_us);
+    for (const char *at = fixture.record->str;
+         (at = strstr(at, "notify")) != NULL; at++) {
+        notices++;
+    }
+    g_assert_cmpuint(notices, ==, 8);
+    fixture_finish(&fixture);
+}
+
 TEST(hanging_requests_are_reported_at_once_and_so_is_their_end)
 {
     struct fixture fixture = {0};
