Flow records: the registration's revision serves once for the pace

Cause: a later epoch sets replied_us to 0, and the next tick took the revision of the agent's registration again, stamped with the current time: all changes since the agent's start counted as made in seconds. With a write open, its reply was older than replied_us, and elapsed_us wrapped to a rate of 0.

Change: that revision is taken once. A reply to a write that began before replied_us changes neither the pace nor the base of the next rate; this also holds for a registration that ends during the first write.

--- a/src/relay/records/record_writer.c
+++ b/src/relay/records/record_writer.c
@@ -139,8 +139,11 @@
 {
     uint64_t elapsed_us = now_us - writer->replied_us;
 
-    if (writer->replied_us != 0 && elapsed_us > 0 &&
-        revision > writer->revision) {
+    if (now_us <= writer->replied_us) {
+        /* Another write's reply came during this one. */
+        return;
+    }
+    if (writer->replied_us != 0 && revision > writer->revision) {
         double per_s = (double)(revision - writer->revision) *
                        (double)USEC_PER_SEC / (double)elapsed_us;
         double pace_us = (double)writer->pace_us * per_s / STORE_CHANGES_PER_S;
@@ -413,6 +416,10 @@
 record_writer_set_revision(struct record_writer *writer, uint64_t revision,
                            uint64_t now_us)
 {
+    if (writer->revision_taken) {
+        return;
+    }
+    writer->revision_taken = true;
     if (writer->replied_us == 0) {
         writer->replied_us = now_us;
         writer->revision = revision;
--- a/src/relay/records/record_writer.h
+++ b/src/relay/records/record_writer.h
@@ -85,6 +85,7 @@
  * @called_us: when the last call began
  * @replied_us: when the reply to the last write came, 0 for none
  * @revision: the store's revision in that reply
+ * @revision_taken: another write's revision was given; it serves only once
  * @current: the record being written
  * @stored: the record in the store, as far as known
  */
@@ -106,6 +107,7 @@
     uint64_t called_us;
     uint64_t replied_us;
     uint64_t revision;
+    bool revision_taken;
     struct flow_record current;
     struct flow_record stored;
 };
@@ -127,7 +129,7 @@
 record_writer_skip_read(struct record_writer *writer);
 
 /** record_writer_set_revision() - handle the store's revision in the reply to
- * another write of the agent; the first one serves to learn the pace */
+ * another write of the agent; the first one given serves to learn the pace */
 void
 record_writer_set_revision(struct record_writer *writer, uint64_t revision,
                            uint64_t now_us);
--- a/tests/relay/record_writer_test.c
+++ b/tests/relay/record_writer_test.c
@@ -511,3 +511,74 @@
     advance(fixture, 50000);
     fixture_expect(fixture->store.record, NULL);
 }
+
+/* Brings an agent at a new address to its second write, beside a store with
+ * 16 changes a second. */
+static void
+register_and_write(struct fixture *fixture)
+{
+    set_incarnation(fixture, "i-1", 100);
+    add_flows(fixture, 1, 4);
+    record_writer_skip_read(&fixture->writer);
+    record_writer_set_epoch(&fixture->writer, 1);
+    record_writer_set_revision(&fixture->writer, 50, fixture->now_us);
+    advance(fixture, 20100);
+    fixture->store.epoch = 1;
+    store_fixture_reply(&fixture->store, 0,
+                        50 + 16 * (fixture->now_us - USEC_PER_SEC) /
+                                 USEC_PER_SEC,
+                        NAME, false);
+    fixture->endpoint.count = 0;
+    add_flows(fixture, 100, 8);
+    g_string_truncate(fixture->store.record, 0);
+}
+
+/* The registration's revision is as old as the agent. */
+TEST_F(fixture, load_changes_before_a_rollback_dont_count_for_the_pace)
+{
+    uint64_t pace_us;
+
+    register_and_write(fixture);
+    pace_us = fixture->writer.pace_us;
+    fixture->now_us += 600 * USEC_PER_SEC;
+    fixture->writer.next_us = fixture->now_us + 2 * USEC_PER_SEC;
+    record_writer_set_epoch(&fixture->writer, 2);
+    record_writer_set_revision(&fixture->writer, 50, fixture->now_us);
+    advance(fixture, 3000);
+    fixture->store.epoch = 2;
+    store_fixture_reply(&fixture->store, 0, 9600, NAME, false);
+    g_assert_cmpuint(fixture->writer.pace_us, ==, pace_us);
+}
+
+TEST_F(fixture, load_a_rollback_during_a_write_keeps_the_pace)
+{
+    register_and_write(fixture);
+    fixture->writer.pace_us = 333 * USEC_PER_SEC;
+    fixture->now_us += 600 * USEC_PER_SEC;
+    advance(fixture, 10);
+    g_assert_nonnull(fixture->store.call);
+    record_writer_set_epoch(&fixture->writer, 2);
+    record_writer_set_revision(&fixture->writer, 50,
+                               fixture->now_us + 10 * MS);
+    fixture->store.epoch = 2;
+    store_fixture_reply(&fixture->store, 0, 36000, NAME, false);
+    g_assert_cmpuint(fixture->writer.pace_us, ==, 333 * USEC_PER_SEC);
+}
+
+/* Its rate would be that of a time that ends before it begins. */
+TEST_F(fixture, load_a_registration_during_the_first_write_keeps_the_pace)
+{
+    set_incarnation(fixture, "i-1", 100);
+    add_flows(fixture, 1, 4);
+    advance(fixture, 1);
+    reply_to_read(fixture, "i-1", 100);
+    fixture->writer.pace_us = 333 * USEC_PER_SEC;
+    fixture->endpoint.count = 0;
+    add_flows(fixture, 100, 8);
+    advance(fixture, 333000);
+    fixture->writer.pace_us = 333 * USEC_PER_SEC;
+    record_writer_set_revision(&fixture->writer, 50,
+                               fixture->now_us + 10 * MS);
+    store_fixture_reply(&fixture->store, 0, 60, NAME, false);
+    g_assert_cmpuint(fixture->writer.pace_us, ==, 333 * USEC_PER_SEC);
+}
