Flow records: a reply from before a rollback isn't taken as written

Cause: when another frame told of a rollback while a write was open, its reply of the earlier epoch was taken as written and undid stored.count = 0; the store had lost the record. A query of the revision had the same fault.

Change: such a write or query failed, as a registration does. A query that fails so plans the next write from its own start, not from 0.

Before: no failure counted, and no second write in 15 s (5 s pace); the query's revision of the earlier epoch became the base of the next rate.

--- a/src/relay/records/record_writer.c
+++ b/src/relay/records/record_writer.c
@@ -172,10 +172,24 @@
            writer->stored.count > 0;
 }
 
+/* Status of a write or a query. It failed if the reply is from before a
+ * rollback. */
+static int
+reply_status(const struct record_writer *writer,
+             const struct store_reply *reply)
+{
+    if (reply->epoch != 0 && reply->epoch < writer->epoch) {
+        return -ESTALE;
+    }
+    return reply->status;
+}
+
 static void
 on_written(struct record_writer *writer, const struct store_reply *reply)
 {
-    if (reply->status == 0) {
+    int status = reply_status(writer, reply);
+
+    if (status == 0) {
         writer->failures = 0;
         writer->exists = true;
         flow_record_copy(&writer->stored, &writer->current);
@@ -184,8 +198,8 @@
         }
         report(writer, RECORD_EVENT_WRITTEN, &writer->current);
     }
-    else if (reply->status == -ENOENT || reply->status == -EEXIST) {
-        writer->exists = reply->status == -EEXIST;
+    else if (status == -ENOENT || status == -EEXIST) {
+        writer->exists = status == -EEXIST;
         writer->next_us = writer->called_us;
         return;
     }
@@ -205,8 +219,10 @@
     uint64_t probed_us = writer->called_us;
 
     writer->probing = false;
-    writer->called_us = writer->replied_us;
-    if (reply->status == 0) {
+    if (writer->replied_us != 0) {
+        writer->called_us = writer->replied_us;
+    }
+    if (reply_status(writer, reply) == 0) {
         update_pace(writer, reply->revision, probed_us);
     }
     if (!writer->pace_known) {
--- a/tests/relay/record_writer_test.c
+++ b/tests/relay/record_writer_test.c
@@ -582,3 +582,37 @@
     store_fixture_reply(&fixture->store, 0, 60, NAME, false);
     g_assert_cmpuint(fixture->writer.pace_us, ==, 333 * USEC_PER_SEC);
 }
+
+/* The reply was sent before the rollback, which lost what it wrote. */
+TEST_F(fixture, a_write_that_a_rollback_lost_is_written_again)
+{
+    bring_to_writing(fixture);
+    record_writer_set_epoch(&fixture->writer, 1);
+    add_flows(fixture, 3, 4);
+    advance(fixture, 6000);
+    record_writer_set_epoch(&fixture->writer, 2);
+    fixture->store.epoch = 1;
+    store_fixture_reply(&fixture->store, 0, 20, NAME, false);
+    g_assert_cmpuint(fixture->events[RECORD_EVENT_FAILED], ==, 1);
+    g_assert_cmpuint(fixture->writer.stored.count, ==, 0);
+    advance(fixture, 15000);
+    fixture_expect(fixture->store.record, "put " NAME, "put " NAME, NULL);
+}
+
+/* Its revision can't be compared with those that follow. */
+TEST_F(fixture, load_a_revision_of_before_a_rollback_is_not_used)
+{
+    set_incarnation(fixture, "i-1", 100);
+    add_flows(fixture, 1, 4);
+    record_writer_skip_read(&fixture->writer);
+    advance(fixture, 20100);
+    fixture->store.epoch = 1;
+    store_fixture_reply(&fixture->store, 0, 100, NAME, false);
+    advance(fixture, 4100);
+    record_writer_set_epoch(&fixture->writer, 2);
+    store_fixture_reply(&fixture->store, 0, 820, NULL, false);
+    g_assert_cmpuint(fixture->writer.replied_us, ==, 0);
+    /* The query's reply doesn't lead to a write at once either. */
+    g_assert_cmpuint(fixture->writer.next_us, >=,
+                     fixture->now_us + 10 * USEC_PER_SEC);
+}
