Flow records: writes that miss the object's state by turns are paced

Cause: -ENOENT and -EEXIST were followed by the other call at once and counted no failure. Where PUT gives 404 and POST 409 by turns, as an object whose deletion was requested may, calls never paused.

Change: only the first of these in a row is followed at once; further ones count as failures and wait for the pace and its backoff. Any other result ends the row.

--- a/src/relay/records/record_writer.c
+++ b/src/relay/records/record_writer.c
@@ -184,11 +184,29 @@
     return reply->status;
 }
 
+/* Whether a write is followed at once by one that expects the other state of
+ * the object. The second in a row isn't: each is paid for. */
+static bool
+note_missed(struct record_writer *writer, int status)
+{
+    bool missed_before = writer->missed;
+
+    writer->missed = status == -ENOENT || status == -EEXIST;
+    if (writer->missed) {
+        writer->exists = status == -EEXIST;
+    }
+    return writer->missed && !missed_before;
+}
+
 static void
 on_written(struct record_writer *writer, const struct store_reply *reply)
 {
     int status = reply_status(writer, reply);
 
+    if (note_missed(writer, status)) {
+        writer->next_us = writer->called_us;
+        return;
+    }
     if (status == 0) {
         writer->failures = 0;
         writer->exists = true;
@@ -198,11 +216,6 @@
         }
         report(writer, RECORD_EVENT_WRITTEN, &writer->current);
     }
-    else if (status == -ENOENT || status == -EEXIST) {
-        writer->exists = status == -EEXIST;
-        writer->next_us = writer->called_us;
-        return;
-    }
     else {
         writer->failures++;
         report(writer, RECORD_EVENT_FAILED, &writer->current);
--- a/src/relay/records/record_writer.h
+++ b/src/relay/records/record_writer.h
@@ -76,6 +76,7 @@
  * @open: a call is open
  * @probing: it asks for the store's revision
  * @exists: the object exists, as far as known
+ * @missed: the last write didn't find the object in the expected state
  * @failures: consecutive failed calls
  * @epoch: the latest epoch of the store known
  * @started_us: when the writer started
@@ -98,6 +99,7 @@
     bool open;
     bool probing;
     bool exists;
+    bool missed;
     unsigned failures;
     uint32_t epoch;
     uint64_t started_us;
--- a/tests/relay/record_writer_test.c
+++ b/tests/relay/record_writer_test.c
@@ -616,3 +616,34 @@
     g_assert_cmpuint(fixture->writer.next_us, >=,
                      fixture->now_us + 10 * USEC_PER_SEC);
 }
+
+/* As for an object whose deletion was requested, which can be neither replaced
+ * nor created. */
+TEST_F(fixture, load_an_object_neither_replaced_nor_created_is_tried_at_a_pace)
+{
+    unsigned calls = 0;
+    uint64_t end_us;
+
+    bring_to_writing(fixture);
+    add_flows(fixture, 3, 4);
+    advance(fixture, 6000);
+    end_us = fixture->now_us + 120 * USEC_PER_SEC;
+    while (fixture->now_us < end_us && calls < 1000) {
+        store_fixture_reply(&fixture->store,
+                            calls % 2 == 0 ? -ENOENT : -EEXIST, 0, NULL,
+                            false);
+        calls++;
+        advance(fixture, 60000);
+        g_assert_nonnull(fixture->store.call);
+    }
+    g_assert_cmpuint(calls, <=, 7);
+    g_assert_cmpuint(fixture->events[RECORD_EVENT_FAILED], ==, calls - 1);
+    /* It is followed at once again after a write that succeeds. */
+    store_fixture_reply(&fixture->store, 0, 20, NAME, false);
+    fixture->endpoint.count = 0;
+    add_flows(fixture, 100, 4);
+    advance(fixture, 60000);
+    store_fixture_reply(&fixture->store, -ENOENT, 0, NULL, false);
+    advance(fixture, 1);
+    g_assert_nonnull(fixture->store.call);
+}
