Flow records: a port used again isn't listed before a later heartbeat

Cause: a SYN on an established flow, between the endpoint's replacement and its first heartbeat, kept endpoint_seen_us of the earlier flow: the port's new flow, which the next incarnation holds, was listed under the ended one with its own sequence number, and an agent that restarted then would reset it.

Change: such a SYN sets endpoint_seen_us to its time, so that only a heartbeat a second later lists the flow. A late copy of a SYN leaves a flow out for that long.

Before: one flow listed instead of none. The second new test, that the flow is listed with its new sequence number after a later heartbeat, was green before.

--- a/src/relay/admission/admission_open.c
+++ b/src/relay/admission/admission_open.c
@@ -353,6 +353,8 @@
         admission->out->ops->to_endpoint(admission->out, packet->bytes,
                                          packet->size);
         if (flow->state == ADMISSION_FLOW_ESTABLISHED) {
+            /* The port may be used again, at the next incarnation. */
+            flow->endpoint_seen_us = now_us;
             admission_notify_established(admission, handle, now_us);
         }
         return;
--- a/src/relay/admission/admission_private.h
+++ b/src/relay/admission/admission_private.h
@@ -73,8 +73,8 @@
  * @busy_us: since when its request is in progress
  * @syn_sent_us: when the SYN was sent to the endpoint
  * @established_us: when the endpoint answered the SYN, 0 for not yet
- * @endpoint_seen_us: when the endpoint sent the flow's first packet seen, 0
- * for not yet
+ * @endpoint_seen_us: when the endpoint sent the flow's first packet seen, or
+ * when a further SYN came after it; 0 for not yet
  * @target_us: response target of a queued SYN or a request
  * @abandon_us: when the caller of a queued SYN or request abandons it
  * @priority: of its last scheduled request
--- a/tests/relay/admission_records_test.c
+++ b/tests/relay/admission_records_test.c
@@ -116,6 +116,54 @@
     g_assert_cmpuint(count_open_flows(fixture, &seq), ==, 0);
 }
 
+/* Uses the port of flow 1 again for a flow that gets a request answered. */
+static void
+use_port_again(struct fixture *fixture)
+{
+    struct relay_flow flow = fixture_flow(1);
+
+    fixture_receive(fixture, fixture_from_caller(flow, RELAY_SYN, 9000, 0, 0),
+                    0, false);
+    fixture_answer(fixture, fixture_from_endpoint(flow, RELAY_SYN | RELAY_ACK,
+                                                  700000, 9001, 0));
+    fixture_receive(fixture,
+                    fixture_from_caller(flow, RELAY_ACK, 9001, 700001, 40), 0,
+                    false);
+    fixture_answer(fixture,
+                   fixture_from_endpoint(flow, RELAY_ACK, 700001, 9041, 100));
+}
+
+/* The endpoint was replaced, and its first heartbeat is still to come. */
+TEST_F(fixture, a_port_used_again_at_the_next_incarnation_is_not_listed)
+{
+    uint32_t seq;
+
+    hold_flow(fixture);
+    g_assert_cmpuint(count_open_flows(fixture, &seq), ==, 1);
+    use_port_again(fixture);
+    g_assert_cmpuint(count_open_flows(fixture, &seq), ==, 0);
+    /* The last heartbeat of the earlier incarnation is late. */
+    fixture_advance_ms(fixture, 900);
+    beat(fixture, "i-1", 100, 3);
+    g_assert_cmpuint(count_open_flows(fixture, &seq), ==, 0);
+    fixture_starts(fixture, "i-2", 200);
+    fixture_advance_ms(fixture, 1200);
+    beat(fixture, "i-2", 200, 2);
+    g_assert_cmpuint(count_open_flows(fixture, &seq), ==, 0);
+}
+
+TEST_F(fixture, a_port_used_again_is_listed_after_a_later_heartbeat)
+{
+    uint32_t seq = 0;
+
+    hold_flow(fixture);
+    use_port_again(fixture);
+    fixture_advance_ms(fixture, 1200);
+    beat(fixture, "i-1", 100, 3);
+    g_assert_cmpuint(count_open_flows(fixture, &seq), ==, 1);
+    g_assert_cmpuint(seq, ==, 700101);
+}
+
 TEST_F(fixture, a_flow_open_elsewhere_is_not_listed)
 {
     uint32_t seq;
