Flow records: failed writes stay within the longest pace

Cause: the backoff doubled the pace up to eight times also beyond PACE_MAX_US.

Change: pace and backoff together stay within it, with the jitter of any write.

Before: 1,278 s after a first failed write at a pace of 600 s; now 750 s at most.

--- a/src/relay/records/record_writer.c
+++ b/src/relay/records/record_writer.c
@@ -161,7 +161,7 @@
     unsigned backoff = MIN(writer->failures, BACKOFF_MAX);
 
     writer->next_us =
-        writer->called_us + (writer->pace_us << backoff) +
+        writer->called_us + MIN(writer->pace_us << backoff, PACE_MAX_US) +
         jitter(writer, writer->called_us, writer->pace_us / JITTER_DIVISOR);
 }
 
--- a/tests/relay/record_writer_test.c
+++ b/tests/relay/record_writer_test.c
@@ -647,3 +647,20 @@
     advance(fixture, 1);
     g_assert_nonnull(fixture->store.call);
 }
+
+TEST_F(fixture, load_failed_writes_stay_within_the_longest_pace)
+{
+    bring_to_writing(fixture);
+    fixture->writer.pace_us = 600 * USEC_PER_SEC;
+    add_flows(fixture, 3, 4);
+    advance(fixture, 6000);
+    for (unsigned i = 0; i < 4; i++) {
+        store_fixture_reply(&fixture->store, -ETIMEDOUT, 0, NULL, false);
+        g_assert_cmpuint(fixture->writer.next_us - fixture->now_us, >=,
+                         600 * USEC_PER_SEC);
+        g_assert_cmpuint(fixture->writer.next_us - fixture->now_us, <=,
+                         750 * USEC_PER_SEC);
+        fixture->now_us = fixture->writer.next_us;
+        advance(fixture, 10);
+    }
+}
