Flow records: a rate over less than four seconds doesn't set the pace

Cause: an agent that wrote 1.5 s after 300 had registered took their burst for the store's rate: 200 changes a second, a pace of 66 s (worked out).

Change: a rate counts only over the time of the query for the revision at least; until then the first revision stays the base, and the query, which follows the first write, gives the pace.

Before: the pace was known after that write. Now it is 22 s after the query, as the burst counts over 5.5 s.

--- a/src/relay/records/record_writer.c
+++ b/src/relay/records/record_writer.c
@@ -25,6 +25,10 @@
  * learn the rate of changes before the second. */
 #define PROBE_DELAY_US (4 * USEC_PER_SEC)
 
+/* Shortest time over which a rate of changes counts: agents that start at once
+ * register within seconds. */
+#define RATE_TIME_MIN_US PROBE_DELAY_US
+
 /* Name after those of all agents: a list from there is empty. */
 #define NAME_LAST "~"
 
@@ -139,8 +143,9 @@
 {
     uint64_t elapsed_us = now_us - writer->replied_us;
 
-    if (now_us <= writer->replied_us) {
-        /* Another write's reply came during this one. */
+    if (writer->replied_us != 0 &&
+        now_us < writer->replied_us + RATE_TIME_MIN_US) {
+        /* Too soon, or another write's reply came during this one. */
         return;
     }
     if (writer->replied_us != 0 && revision > writer->revision) {
--- a/tests/relay/record_writer_test.c
+++ b/tests/relay/record_writer_test.c
@@ -664,3 +664,22 @@
         advance(fixture, 10);
     }
 }
+
+/* The agent registers with 300 others and writes soon after. */
+TEST_F(fixture, load_a_burst_before_the_first_write_doesnt_set_the_pace)
+{
+    set_incarnation(fixture, "i-1", 100);
+    add_flows(fixture, 1, 4);
+    record_writer_skip_read(&fixture->writer);
+    record_writer_set_revision(&fixture->writer, 50, fixture->now_us);
+    advance(fixture, 1);
+    fixture->writer.next_us = fixture->now_us + 1500 * MS;
+    advance(fixture, 1600);
+    store_fixture_reply(&fixture->store, 0, 350, NAME, false);
+    g_assert_false(fixture->writer.pace_known);
+    /* The query's rate is over a longer time. */
+    advance(fixture, 4100);
+    g_assert_true(fixture->writer.probing);
+    store_fixture_reply(&fixture->store, 0, 350 + 16 * 4, NULL, false);
+    g_assert_cmpuint(fixture->writer.pace_us / USEC_PER_SEC, ==, 22);
+}
