Flow records: flows that a full record leaves out are counted

Cause: a record takes 2,048 flows, the agent's table 16,384; those above were left out silently.

Change: the record counts them; log field left_out and metric swiftarch_unrecorded_flows, only with flow_records set. Tests: relay-flow_record (two assertions added), 7 of 7.

--- a/src/relay/program/relay_agent_records.c
+++ b/src/relay/program/relay_agent_records.c
@@ -73,8 +73,8 @@
                     event == RECORD_EVENT_FAILED ? EVENT_RATE_LIMITED
                                                  : EVENT_UNLIMITED,
                     is_error ? "flow_record_error" : "flow_record",
-                    "result=%s flows=%u id=%s", event_names[event],
-                    record->count, record->id);
+                    "result=%s flows=%u left_out=%u id=%s", event_names[event],
+                    record->count, record->left_out, record->id);
 }
 
 static const struct record_writer_ops writer_ops = {on_collect, on_reset,
@@ -154,9 +154,11 @@
     }
     g_string_append_printf(text,
                            "swiftarch_recorded_flows %u\n"
+                           "swiftarch_unrecorded_flows %u\n"
                            "swiftarch_recorded_flows_reset_total %" PRIu64
                            "\n",
-                           records->writer.stored.count, records->reset);
+                           records->writer.stored.count,
+                           records->writer.stored.left_out, records->reset);
 }
 
 void
--- a/src/relay/records/flow_record.c
+++ b/src/relay/records/flow_record.c
@@ -18,9 +18,11 @@
 flow_record_add(struct flow_record *record, struct relay_flow flow,
                 uint32_t seq)
 {
-    if (record->count < FLOW_RECORD_FLOWS_MAX) {
-        record->flows[record->count++] = (struct flow_record_flow){flow, seq};
+    if (record->count == FLOW_RECORD_FLOWS_MAX) {
+        record->left_out++;
+        return;
     }
+    record->flows[record->count++] = (struct flow_record_flow){flow, seq};
 }
 
 static int
--- a/src/relay/records/flow_record.h
+++ b/src/relay/records/flow_record.h
@@ -41,6 +41,7 @@
  * @pace_ms: the writer's interval of writes, 0 if it isn't known yet
  * @epoch: the store's epoch as known to the writer, 0 if unknown
  * @count: number of flows
+ * @left_out: flows that a full record didn't take; not stored
  * @flows: the flows, in the order of flow_record_sort() when written by this
  * program
  */
@@ -52,10 +53,11 @@
     uint32_t pace_ms;
     uint32_t epoch;
     unsigned count;
+    unsigned left_out;
     struct flow_record_flow flows[FLOW_RECORD_FLOWS_MAX];
 };
 
-/** flow_record_add() - append a flow; ignored when the record is full */
+/** flow_record_add() - append a flow; a full record counts it as left out */
 void
 flow_record_add(struct flow_record *record, struct relay_flow flow,
                 uint32_t seq);
--- a/tests/relay/flow_record_test.c
+++ b/tests/relay/flow_record_test.c
@@ -77,8 +77,10 @@
         flow_record_add(&fixture->record, fixture_flow(fixture->record.count),
                         1);
     }
+    g_assert_cmpuint(fixture->record.left_out, ==, 0);
     flow_record_add(&fixture->record, fixture_flow(9000), 1);
     g_assert_cmpuint(fixture->record.count, ==, FLOW_RECORD_FLOWS_MAX);
+    g_assert_cmpuint(fixture->record.left_out, ==, 1);
     json = flow_record_encode(&fixture->record);
     g_assert_cmpint(flow_record_decode(json, &fixture->other), ==, 0);
     g_assert_cmpuint(fixture->other.count, ==, FLOW_RECORD_FLOWS_MAX);
