Flow records: log lines of writes are rate-limited

Cause: each write was logged without a limit, at 5 s a line an agent; failed ones are limited already. The metric counts all.

Change: both are. No test: the limit is event_log's, the choice is one line of the program.

--- a/src/relay/program/relay_agent_records.c
+++ b/src/relay/program/relay_agent_records.c
@@ -67,11 +67,12 @@
     struct relay_agent *agent = agent_of_writer(writer);
     bool is_error =
         event == RECORD_EVENT_FOREIGN || event == RECORD_EVENT_GIVEN_UP;
+    bool is_frequent =
+        event == RECORD_EVENT_WRITTEN || event == RECORD_EVENT_FAILED;
 
     agent->records->events[event]++;
     event_log_write(&agent->log,
-                    event == RECORD_EVENT_FAILED ? EVENT_RATE_LIMITED
-                                                 : EVENT_UNLIMITED,
+                    is_frequent ? EVENT_RATE_LIMITED : EVENT_UNLIMITED,
                     is_error ? "flow_record_error" : "flow_record",
                     "result=%s flows=%u left_out=%u id=%s", event_names[event],
                     record->count, record->left_out, record->id);
