Flow records: the time for the first read counts from its first try

Cause: the record is read after the registration's first read, but given up 15 s after the agent's start: with a store away for as long it was never read.

Change: the 15 s begin with the first try.

Before: no read after 20 s without one.

--- a/src/relay/records/record_writer.c
+++ b/src/relay/records/record_writer.c
@@ -51,8 +51,8 @@
 #define RETRY_MIN_US (100 * USEC_PER_MSEC)
 #define RETRY_MAX_US (1600 * USEC_PER_MSEC)
 
-/* Time after the start when a record is of no use any more: most callers have
- * sent their next request. */
+/* Time after the first try when reading is given up: most callers have sent
+ * their next request. */
 #define READ_MAX_US (15 * USEC_PER_SEC)
 
 /* Doublings of the pace after failed writes. */
@@ -274,7 +274,10 @@
 {
     char name[REGISTRATION_NAME_MAX];
 
-    if (now_us - writer->started_us > READ_MAX_US) {
+    if (writer->first_read_us == 0) {
+        writer->first_read_us = now_us;
+    }
+    if (now_us - writer->first_read_us > READ_MAX_US) {
         report(writer, RECORD_EVENT_GIVEN_UP, &writer->stored);
         start_writing(writer, now_us);
         return;
@@ -419,7 +422,6 @@
     writer->ops = ops;
     writer->store = store;
     writer->addr = addr;
-    writer->started_us = now_us;
     writer->pace_us = FIRST_SPREAD_US;
     writer->next_us = now_us;
 }
--- a/src/relay/records/record_writer.h
+++ b/src/relay/records/record_writer.h
@@ -79,7 +79,7 @@
  * @missed: the last write didn't find the object in the expected state
  * @failures: consecutive failed calls
  * @epoch: the latest epoch of the store known
- * @started_us: when the writer started
+ * @first_read_us: when the first read was tried, 0 for not yet
  * @pace_us: interval of writes
  * @pace_known: @pace_us follows from the rate of changes
  * @next_us: when the next step is due
@@ -102,7 +102,7 @@
     bool missed;
     unsigned failures;
     uint32_t epoch;
-    uint64_t started_us;
+    uint64_t first_read_us;
     uint64_t pace_us;
     bool pace_known;
     uint64_t next_us;
--- a/tests/relay/record_writer_test.c
+++ b/tests/relay/record_writer_test.c
@@ -307,6 +307,17 @@
     fixture_expect(fixture->store.record, "create " NAME, "put " NAME, NULL);
 }
 
+/* The first try comes late, as the registration waits for the store too. */
+TEST_F(fixture, a_store_away_before_the_first_read_is_still_read)
+{
+    set_incarnation(fixture, "i-2", 200);
+    fixture->now_us += 20 * USEC_PER_SEC;
+    advance(fixture, 1);
+    reply_to_read(fixture, "i-1", 100);
+    advance(fixture, 1);
+    fixture_expect(fixture->store.record, "get " NAME, "reset i-1 2", NULL);
+}
+
 TEST_F(fixture, nothing_is_written_while_little_changes)
 {
     bring_to_writing(fixture);
