--- a/src/relay/records/record_writer.c
+++ b/src/relay/records/record_writer.c
@@ -33,7 +33,7 @@
 #define NAME_LAST "~"
 
 /* Changes of the store a second, by all writers, above which agents write
- * less often: a twentieth of what the store allows. */
+ * less often: a small part of what a store allows. */
 #define STORE_CHANGES_PER_S 60
 
 /* Intervals vary by up to 1/JITTER_DIVISOR. */
