Flow records: the store's epoch isn't part of the record

Cause: the record's epoch was written, checked and never used.

Change: it is neither written nor read; records of earlier builds are read as before. An earlier build beside this one takes a new record for foreign and replaces it.

--- a/src/relay/records/flow_record.c
+++ b/src/relay/records/flow_record.c
@@ -155,8 +155,6 @@
                            json_object_new_int64((int64_t)record->written_ms));
     json_object_object_add(value, "pace_ms",
                            json_object_new_int64(record->pace_ms));
-    json_object_object_add(value, "epoch",
-                           json_object_new_int64(record->epoch));
     json_object_object_add(value, "flows", json_object_new_string(flows));
     g_free(flows);
     return value;
@@ -197,7 +195,6 @@
     const char *id;
     const char *flows;
     uint64_t pace_ms;
-    uint64_t epoch;
 
     if (!json_object_is_type(value, json_type_object)) {
         return -EINVAL;
@@ -208,12 +205,10 @@
     if (service == NULL || id == NULL || flows == NULL ||
         !get_number(value, "started_ms", &record->started_ms) ||
         !get_number(value, "written_ms", &record->written_ms) ||
-        !get_number(value, "pace_ms", &pace_ms) || pace_ms > UINT32_MAX ||
-        !get_number(value, "epoch", &epoch) || epoch > UINT32_MAX) {
+        !get_number(value, "pace_ms", &pace_ms) || pace_ms > UINT32_MAX) {
         return -EINVAL;
     }
     record->pace_ms = (uint32_t)pace_ms;
-    record->epoch = (uint32_t)epoch;
     g_strlcpy(record->service, service, sizeof(record->service));
     g_strlcpy(record->id, id, sizeof(record->id));
     return unpack_flows(flows, record);
--- a/src/relay/records/flow_record.h
+++ b/src/relay/records/flow_record.h
@@ -39,7 +39,6 @@
  * @started_ms: start of its incarnation, Unix time
  * @written_ms: when the record was written, Unix time
  * @pace_ms: the writer's interval of writes, 0 if it isn't known yet
- * @epoch: the store's epoch as known to the writer, 0 if unknown
  * @count: number of flows
  * @left_out: flows that a full record didn't take; not stored
  * @flows: the flows, in the order of flow_record_sort() when written by this
@@ -51,7 +50,6 @@
     uint64_t started_ms;
     uint64_t written_ms;
     uint32_t pace_ms;
-    uint32_t epoch;
     unsigned count;
     unsigned left_out;
     struct flow_record_flow flows[FLOW_RECORD_FLOWS_MAX];
--- a/src/relay/records/record_writer.c
+++ b/src/relay/records/record_writer.c
@@ -300,7 +300,6 @@
 
     memset(&writer->current, 0, offsetof(struct flow_record, flows));
     endpoint = writer->ops->collect(writer, &writer->current);
-    writer->current.epoch = writer->epoch;
     writer->current.pace_ms =
         writer->pace_known ? (uint32_t)(writer->pace_us / USEC_PER_MSEC) : 0;
     flow_record_sort(&writer->current);
