--- a/src/relay/program/relay_agent_records.c
+++ b/src/relay/program/relay_agent_records.c
@@ -67,14 +67,15 @@
     struct relay_agent *agent = agent_of_writer(writer);
     bool is_error =
         event == RECORD_EVENT_FOREIGN || event == RECORD_EVENT_GIVEN_UP;
+    bool is_frequent =
+        event == RECORD_EVENT_WRITTEN || event == RECORD_EVENT_FAILED;
 
     agent->records->events[event]++;
     event_log_write(&agent->log,
-                    event == RECORD_EVENT_FAILED ? EVENT_RATE_LIMITED
-                                                 : EVENT_UNLIMITED,
+                    is_frequent ? EVENT_RATE_LIMITED : EVENT_UNLIMITED,
                     is_error ? "flow_record_error" : "flow_record",
-                    "result=%s flows=%u id=%s", event_names[event],
-                    record->count, record->id);
+                    "result=%s flows=%u left_out=%u id=%s", event_names[event],
+                    record->count, record->left_out, record->id);
 }
 
 static const struct record_writer_ops writer_ops = {on_collect, on_reset,
@@ -154,9 +155,11 @@
     }
     g_string_append_printf(text,
                            "swiftarch_recorded_flows %u\n"
+                           "swiftarch_unrecorded_flows %u\n"
                            "swiftarch_recorded_flows_reset_total %" PRIu64
                            "\n",
-                           records->writer.stored.count, records->reset);
+                           records->writer.stored.count,
+                           records->writer.stored.left_out, records->reset);
 }
 
 void
--- a/src/relay/records/record_writer.c
+++ b/src/relay/records/record_writer.c
@@ -25,11 +25,15 @@
  * learn the rate of changes before the second. */
 #define PROBE_DELAY_US (4 * USEC_PER_SEC)
 
+/* Shortest time over which a rate of changes counts: agents that start at once
+ * register within seconds. */
+#define RATE_TIME_MIN_US PROBE_DELAY_US
+
 /* Name after those of all agents: a list from there is empty. */
 #define NAME_LAST "~"
 
 /* Changes of the store a second, by all writers, above which agents write
- * less often: a twentieth of what the store allows. */
+ * less often: a small part of what a store allows. */
 #define STORE_CHANGES_PER_S 60
 
 /* Intervals vary by up to 1/JITTER_DIVISOR. */
@@ -47,8 +51,8 @@
 #define RETRY_MIN_US (100 * USEC_PER_MSEC)
 #define RETRY_MAX_US (1600 * USEC_PER_MSEC)
 
-/* Time after the start when a record is of no use any more: most callers have
- * sent their next request. */
+/* Time after the first try when reading is given up: most callers have sent
+ * their next request. */
 #define READ_MAX_US (15 * USEC_PER_SEC)
 
 /* Doublings of the pace after failed writes. */
@@ -139,8 +143,12 @@
 {
     uint64_t elapsed_us = now_us - writer->replied_us;
 
-    if (writer->replied_us != 0 && elapsed_us > 0 &&
-        revision > writer->revision) {
+    if (writer->replied_us != 0 &&
+        now_us < writer->replied_us + RATE_TIME_MIN_US) {
+        /* Too soon, or another write's reply came during this one. */
+        return;
+    }
+    if (writer->replied_us != 0 && revision > writer->revision) {
         double per_s = (double)(revision - writer->revision) *
                        (double)USEC_PER_SEC / (double)elapsed_us;
         double pace_us = (double)writer->pace_us * per_s / STORE_CHANGES_PER_S;
@@ -158,7 +166,7 @@
     unsigned backoff = MIN(writer->failures, BACKOFF_MAX);
 
     writer->next_us =
-        writer->called_us + (writer->pace_us << backoff) +
+        writer->called_us + MIN(writer->pace_us << backoff, PACE_MAX_US) +
         jitter(writer, writer->called_us, writer->pace_us / JITTER_DIVISOR);
 }
 
@@ -169,10 +177,42 @@
            writer->stored.count > 0;
 }
 
+/* Status of a write or a query. It failed if the reply is from before a
+ * rollback. */
+static int
+reply_status(const struct record_writer *writer,
+             const struct store_reply *reply)
+{
+    if (reply->epoch != 0 && reply->epoch < writer->epoch) {
+        return -ESTALE;
+    }
+    return reply->status;
+}
+
+/* Whether a write is followed at once by one that expects the other state of
+ * the object. The second in a row isn't: each is paid for. */
+static bool
+note_missed(struct record_writer *writer, int status)
+{
+    bool missed_before = writer->missed;
+
+    writer->missed = status == -ENOENT || status == -EEXIST;
+    if (writer->missed) {
+        writer->exists = status == -EEXIST;
+    }
+    return writer->missed && !missed_before;
+}
+
 static void
 on_written(struct record_writer *writer, const struct store_reply *reply)
 {
-    if (reply->status == 0) {
+    int status = reply_status(writer, reply);
+
+    if (note_missed(writer, status)) {
+        writer->next_us = writer->called_us;
+        return;
+    }
+    if (status == 0) {
         writer->failures = 0;
         writer->exists = true;
         flow_record_copy(&writer->stored, &writer->current);
@@ -181,11 +221,6 @@
         }
         report(writer, RECORD_EVENT_WRITTEN, &writer->current);
     }
-    else if (reply->status == -ENOENT || reply->status == -EEXIST) {
-        writer->exists = reply->status == -EEXIST;
-        writer->next_us = writer->called_us;
-        return;
-    }
     else {
         writer->failures++;
         report(writer, RECORD_EVENT_FAILED, &writer->current);
@@ -202,8 +237,10 @@
     uint64_t probed_us = writer->called_us;
 
     writer->probing = false;
-    writer->called_us = writer->replied_us;
-    if (reply->status == 0) {
+    if (writer->replied_us != 0) {
+        writer->called_us = writer->replied_us;
+    }
+    if (reply_status(writer, reply) == 0) {
         update_pace(writer, reply->revision, probed_us);
     }
     if (!writer->pace_known) {
@@ -237,7 +274,10 @@
 {
     char name[REGISTRATION_NAME_MAX];
 
-    if (now_us - writer->started_us > READ_MAX_US) {
+    if (writer->first_read_us == 0) {
+        writer->first_read_us = now_us;
+    }
+    if (now_us - writer->first_read_us > READ_MAX_US) {
         report(writer, RECORD_EVENT_GIVEN_UP, &writer->stored);
         start_writing(writer, now_us);
         return;
@@ -260,7 +300,6 @@
 
     memset(&writer->current, 0, offsetof(struct flow_record, flows));
     endpoint = writer->ops->collect(writer, &writer->current);
-    writer->current.epoch = writer->epoch;
     writer->current.pace_ms =
         writer->pace_known ? (uint32_t)(writer->pace_us / USEC_PER_MSEC) : 0;
     flow_record_sort(&writer->current);
@@ -382,7 +421,6 @@
     writer->ops = ops;
     writer->store = store;
     writer->addr = addr;
-    writer->started_us = now_us;
     writer->pace_us = FIRST_SPREAD_US;
     writer->next_us = now_us;
 }
@@ -413,6 +451,10 @@
 record_writer_set_revision(struct record_writer *writer, uint64_t revision,
                            uint64_t now_us)
 {
+    if (writer->revision_taken) {
+        return;
+    }
+    writer->revision_taken = true;
     if (writer->replied_us == 0) {
         writer->replied_us = now_us;
         writer->revision = revision;
--- a/src/relay/records/record_writer.h
+++ b/src/relay/records/record_writer.h
@@ -76,15 +76,17 @@
  * @open: a call is open
  * @probing: it asks for the store's revision
  * @exists: the object exists, as far as known
+ * @missed: the last write didn't find the object in the expected state
  * @failures: consecutive failed calls
  * @epoch: the latest epoch of the store known
- * @started_us: when the writer started
+ * @first_read_us: when the first read was tried, 0 for not yet
  * @pace_us: interval of writes
  * @pace_known: @pace_us follows from the rate of changes
  * @next_us: when the next step is due
  * @called_us: when the last call began
  * @replied_us: when the reply to the last write came, 0 for none
  * @revision: the store's revision in that reply
+ * @revision_taken: another write's revision was given; it serves only once
  * @current: the record being written
  * @stored: the record in the store, as far as known
  */
@@ -97,15 +99,17 @@
     bool open;
     bool probing;
     bool exists;
+    bool missed;
     unsigned failures;
     uint32_t epoch;
-    uint64_t started_us;
+    uint64_t first_read_us;
     uint64_t pace_us;
     bool pace_known;
     uint64_t next_us;
     uint64_t called_us;
     uint64_t replied_us;
     uint64_t revision;
+    bool revision_taken;
     struct flow_record current;
     struct flow_record stored;
 };
@@ -127,7 +131,7 @@
 record_writer_skip_read(struct record_writer *writer);
 
 /** record_writer_set_revision() - handle the store's revision in the reply to
- * another write of the agent; the first one serves to learn the pace */
+ * another write of the agent; the first one given serves to learn the pace */
 void
 record_writer_set_revision(struct record_writer *writer, uint64_t revision,
                            uint64_t now_us);
--- a/tests/relay/record_writer_test.c
+++ b/tests/relay/record_writer_test.c
@@ -307,6 +307,17 @@
     fixture_expect(fixture->store.record, "create " NAME, "put " NAME, NULL);
 }
 
+/* The first try comes late, as the registration waits for the store too. */
+TEST_F(fixture, a_store_away_before_the_first_read_is_still_read)
+{
+    set_incarnation(fixture, "i-2", 200);
+    fixture->now_us += 20 * USEC_PER_SEC;
+    advance(fixture, 1);
+    reply_to_read(fixture, "i-1", 100);
+    advance(fixture, 1);
+    fixture_expect(fixture->store.record, "get " NAME, "reset i-1 2", NULL);
+}
+
 TEST_F(fixture, nothing_is_written_while_little_changes)
 {
     bring_to_writing(fixture);
@@ -511,3 +522,175 @@
     advance(fixture, 50000);
     fixture_expect(fixture->store.record, NULL);
 }
+
+/* Brings an agent at a new address to its second write, beside a store with
+ * 16 changes a second. */
+static void
+register_and_write(struct fixture *fixture)
+{
+    set_incarnation(fixture, "i-1", 100);
+    add_flows(fixture, 1, 4);
+    record_writer_skip_read(&fixture->writer);
+    record_writer_set_epoch(&fixture->writer, 1);
+    record_writer_set_revision(&fixture->writer, 50, fixture->now_us);
+    advance(fixture, 20100);
+    fixture->store.epoch = 1;
+    store_fixture_reply(&fixture->store, 0,
+                        50 + 16 * (fixture->now_us - USEC_PER_SEC) /
+                                 USEC_PER_SEC,
+                        NAME, false);
+    fixture->endpoint.count = 0;
+    add_flows(fixture, 100, 8);
+    g_string_truncate(fixture->store.record, 0);
+}
+
+/* The registration's revision is as old as the agent. */
+TEST_F(fixture, load_changes_before_a_rollback_dont_count_for_the_pace)
+{
+    uint64_t pace_us;
+
+    register_and_write(fixture);
+    pace_us = fixture->writer.pace_us;
+    fixture->now_us += 600 * USEC_PER_SEC;
+    fixture->writer.next_us = fixture->now_us + 2 * USEC_PER_SEC;
+    record_writer_set_epoch(&fixture->writer, 2);
+    record_writer_set_revision(&fixture->writer, 50, fixture->now_us);
+    advance(fixture, 3000);
+    fixture->store.epoch = 2;
+    store_fixture_reply(&fixture->store, 0, 9600, NAME, false);
+    g_assert_cmpuint(fixture->writer.pace_us, ==, pace_us);
+}
+
+TEST_F(fixture, load_a_rollback_during_a_write_keeps_the_pace)
+{
+    register_and_write(fixture);
+    fixture->writer.pace_us = 333 * USEC_PER_SEC;
+    fixture->now_us += 600 * USEC_PER_SEC;
+    advance(fixture, 10);
+    g_assert_nonnull(fixture->store.call);
+    record_writer_set_epoch(&fixture->writer, 2);
+    record_writer_set_revision(&fixture->writer, 50,
+                               fixture->now_us + 10 * MS);
+    fixture->store.epoch = 2;
+    store_fixture_reply(&fixture->store, 0, 36000, NAME, false);
+    g_assert_cmpuint(fixture->writer.pace_us, ==, 333 * USEC_PER_SEC);
+}
+
+/* Its rate would be that of a time that ends before it begins. */
+TEST_F(fixture, load_a_registration_during_the_first_write_keeps_the_pace)
+{
+    set_incarnation(fixture, "i-1", 100);
+    add_flows(fixture, 1, 4);
+    advance(fixture, 1);
+    reply_to_read(fixture, "i-1", 100);
+    fixture->writer.pace_us = 333 * USEC_PER_SEC;
+    fixture->endpoint.count = 0;
+    add_flows(fixture, 100, 8);
+    advance(fixture, 333000);
+    fixture->writer.pace_us = 333 * USEC_PER_SEC;
+    record_writer_set_revision(&fixture->writer, 50,
+                               fixture->now_us + 10 * MS);
+    store_fixture_reply(&fixture->store, 0, 60, NAME, false);
+    g_assert_cmpuint(fixture->writer.pace_us, ==, 333 * USEC_PER_SEC);
+}
+
+/* The reply was sent before the rollback, which lost what it wrote. */
+TEST_F(fixture, a_write_that_a_rollback_lost_is_written_again)
+{
+    bring_to_writing(fixture);
+    record_writer_set_epoch(&fixture->writer, 1);
+    add_flows(fixture, 3, 4);
+    advance(fixture, 6000);
+    record_writer_set_epoch(&fixture->writer, 2);
+    fixture->store.epoch = 1;
+    store_fixture_reply(&fixture->store, 0, 20, NAME, false);
+    g_assert_cmpuint(fixture->events[RECORD_EVENT_FAILED], ==, 1);
+    g_assert_cmpuint(fixture->writer.stored.count, ==, 0);
+    advance(fixture, 15000);
+    fixture_expect(fixture->store.record, "put " NAME, "put " NAME, NULL);
+}
+
+/* Its revision can't be compared with those that follow. */
+TEST_F(fixture, load_a_revision_of_before_a_rollback_is_not_used)
+{
+    set_incarnation(fixture, "i-1", 100);
+    add_flows(fixture, 1, 4);
+    record_writer_skip_read(&fixture->writer);
+    advance(fixture, 20100);
+    fixture->store.epoch = 1;
+    store_fixture_reply(&fixture->store, 0, 100, NAME, false);
+    advance(fixture, 4100);
+    record_writer_set_epoch(&fixture->writer, 2);
+    store_fixture_reply(&fixture->store, 0, 820, NULL, false);
+    g_assert_cmpuint(fixture->writer.replied_us, ==, 0);
+    /* The query's reply doesn't lead to a write at once either. */
+    g_assert_cmpuint(fixture->writer.next_us, >=,
+                     fixture->now_us + 10 * USEC_PER_SEC);
+}
+
+/* As for an object whose deletion was requested, which can be neither replaced
+ * nor created. */
+TEST_F(fixture, load_an_object_neither_replaced_nor_created_is_tried_at_a_pace)
+{
+    unsigned calls = 0;
+    uint64_t end_us;
+
+    bring_to_writing(fixture);
+    add_flows(fixture, 3, 4);
+    advance(fixture, 6000);
+    end_us = fixture->now_us + 120 * USEC_PER_SEC;
+    while (fixture->now_us < end_us && calls < 1000) {
+        store_fixture_reply(&fixture->store,
+                            calls % 2 == 0 ? -ENOENT : -EEXIST, 0, NULL,
+                            false);
+        calls++;
+        advance(fixture, 60000);
+        g_assert_nonnull(fixture->store.call);
+    }
+    g_assert_cmpuint(calls, <=, 7);
+    g_assert_cmpuint(fixture->events[RECORD_EVENT_FAILED], ==, calls - 1);
+    /* It is followed at once again after a write that succeeds. */
+    store_fixture_reply(&fixture->store, 0, 20, NAME, false);
+    fixture->endpoint.count = 0;
+    add_flows(fixture, 100, 4);
+    advance(fixture, 60000);
+    store_fixture_reply(&fixture->store, -ENOENT, 0, NULL, false);
+    advance(fixture, 1);
+    g_assert_nonnull(fixture->store.call);
+}
+
+TEST_F(fixture, load_failed_writes_stay_within_the_longest_pace)
+{
+    bring_to_writing(fixture);
+    fixture->writer.pace_us = 600 * USEC_PER_SEC;
+    add_flows(fixture, 3, 4);
+    advance(fixture, 6000);
+    for (unsigned i = 0; i < 4; i++) {
+        store_fixture_reply(&fixture->store, -ETIMEDOUT, 0, NULL, false);
+        g_assert_cmpuint(fixture->writer.next_us - fixture->now_us, >=,
+                         600 * USEC_PER_SEC);
+        g_assert_cmpuint(fixture->writer.next_us - fixture->now_us, <=,
+                         750 * USEC_PER_SEC);
+        fixture->now_us = fixture->writer.next_us;
+        advance(fixture, 10);
+    }
+}
+
+/* The agent registers with 300 others and writes soon after. */
+TEST_F(fixture, load_a_burst_before_the_first_write_doesnt_set_the_pace)
+{
+    set_incarnation(fixture, "i-1", 100);
+    add_flows(fixture, 1, 4);
+    record_writer_skip_read(&fixture->writer);
+    record_writer_set_revision(&fixture->writer, 50, fixture->now_us);
+    advance(fixture, 1);
+    fixture->writer.next_us = fixture->now_us + 1500 * MS;
+    advance(fixture, 1600);
+    store_fixture_reply(&fixture->store, 0, 350, NAME, false);
+    g_assert_false(fixture->writer.pace_known);
+    /* The query's rate is over a longer time. */
+    advance(fixture, 4100);
+    g_assert_true(fixture->writer.probing);
+    store_fixture_reply(&fixture->store, 0, 350 + 16 * 4, NULL, false);
+    g_assert_cmpuint(fixture->writer.pace_us / USEC_PER_SEC, ==, 22);
+}
