--- a/tests/relay/record_writer_test.c
+++ b/tests/relay/record_writer_test.c
@@ -552,10 +552,10 @@
     register_and_write(fixture);
     pace_us = fixture->writer.pace_us;
     fixture->now_us += 600 * USEC_PER_SEC;
-    fixture->writer.next_us = fixture->now_us + 2 * USEC_PER_SEC;
+    fixture->writer.next_us = fixture->now_us + 6 * USEC_PER_SEC;
     record_writer_set_epoch(&fixture->writer, 2);
     record_writer_set_revision(&fixture->writer, 50, fixture->now_us);
-    advance(fixture, 3000);
+    advance(fixture, 7000);
     fixture->store.epoch = 2;
     store_fixture_reply(&fixture->store, 0, 9600, NAME, false);
     g_assert_cmpuint(fixture->writer.pace_us, ==, pace_us);
