Scheduler: answers read after the agent's pause are no rejections

Cause: no_slot_ran() compares the times at which the agent reads answers. After a pause of its own it reads answers together that slots ended one after the other, and counts those beyond the slots as rejected. That raises the reject rate, by which balancers reduce endpoints.

Ends read within 10 ms after don't tell when a slot ended a request. Ruled out: any gap of 10 ms without an event, as an agent whose endpoint is full is idle for longer between answers, just before rejections that are read together.

Test: answers_read_after_a_pause_of_the_agent_are_no_rejections, before: 500 of 1,000 rejected instead of 0; after: passes. Without a pause the same answers are still rejections (a second test, green before and after).

--- a/src/relay/admission/admission.c
+++ b/src/relay/admission/admission.c
@@ -20,6 +20,9 @@
 
 #define SWEEP_US (50 * USEC_PER_MSEC)
 
+/* A sweep that is later by more than this shows a pause of the agent. */
+#define PAUSE_MIN_US (10 * USEC_PER_MSEC)
+
 /* Flows without packets for this time are removed. If the endpoint still holds
  * one, its next packet is offered there. */
 #define IDLE_US (60 * USEC_PER_SEC)
@@ -119,6 +122,16 @@
     free(admission->busy);
 }
 
+/* Notes whether the agent had no processor when its sweep was due. */
+static void
+note_pause(struct admission *admission, uint64_t now_us)
+{
+    if (admission->sweep_us != 0 &&
+        now_us > admission->sweep_us + PAUSE_MIN_US) {
+        scheduler_resumed(&admission->scheduler, now_us);
+    }
+}
+
 static void
 admit(struct admission *admission, uint64_t now_us)
 {
@@ -197,6 +210,7 @@
                                  const struct relay_packet *packet,
                                  uint64_t now_us)
 {
+    note_pause(admission, now_us);
     admission->unanswered_us = 0;
     if ((packet->flags & RELAY_BOUNCED) != 0) {
         admission_handle_bounce(admission, packet, now_us);
@@ -279,6 +293,7 @@
 void
 admission_tick(struct admission *admission, uint64_t now_us)
 {
+    note_pause(admission, now_us);
     while (admission->syn_timer_count > 0 &&
            admission->syn_timers[admission->syn_timer_first].due_us <=
                now_us) {
--- a/src/relay/scheduler/scheduler.c
+++ b/src/relay/scheduler/scheduler.c
@@ -28,6 +28,9 @@
 #define AT_ONCE_PART 4
 #define RUN_MIN_PART 8
 
+/* For how long after a pause the agent reads answers that came during it. */
+#define CATCH_UP_US (10 * USEC_PER_MSEC)
+
 /* Answered requests at the limit that raise it. Each rejection of a request
  * just above the limit doubles the number, as a raise costs a rejection at
  * an endpoint whose queue has a fixed length. */
@@ -285,6 +288,15 @@
            now_us - running->since_us < scheduler->service_us / AT_ONCE_PART;
 }
 
+/* Whether an answer was read later than it came, after a pause of the agent.
+ */
+static bool
+is_read_late(const struct scheduler *scheduler, uint64_t end_us)
+{
+    return end_us >= scheduler->resumed_us &&
+           end_us - scheduler->resumed_us < CATCH_UP_US;
+}
+
 /* Whether each slot has ended another request too lately to have run this one:
  * of the last answered requests, one for each slot, the first is too recent.
  */
@@ -293,11 +305,12 @@
             const struct scheduler_running *running, uint64_t now_us)
 {
     unsigned at = scheduler->end_next + SCHEDULER_SLOTS_MAX - scheduler->slots;
+    uint64_t end_us = scheduler->end_us[at % SCHEDULER_SLOTS_MAX];
 
     return running->depth > scheduler->slots &&
            scheduler->slots < SCHEDULER_SLOTS_MAX &&
-           now_us - scheduler->end_us[at % SCHEDULER_SLOTS_MAX] <
-               scheduler->service_us / RUN_MIN_PART;
+           now_us - end_us < scheduler->service_us / RUN_MIN_PART &&
+           !is_read_late(scheduler, end_us);
 }
 
 enum scheduler_end
@@ -329,6 +342,14 @@
     return SCHEDULER_ANSWERED;
 }
 
+void
+scheduler_resumed(struct scheduler *scheduler, uint64_t now_us)
+{
+    if (now_us - scheduler->resumed_us >= CATCH_UP_US) {
+        scheduler->resumed_us = now_us;
+    }
+}
+
 void
 scheduler_drop(struct scheduler *scheduler, uint32_t handle)
 {
--- a/src/relay/scheduler/scheduler.h
+++ b/src/relay/scheduler/scheduler.h
@@ -102,6 +102,7 @@
  * @rtt_us: time from the agent to a caller and back
  * @end_us: when the last requests were answered, a ring
  * @end_next: next index in @end_us
+ * @resumed_us: when the agent last resumed after a pause of its own
  * @ended: requests that have left the endpoint, without the rejected ones
  * @lowest: lowest priority that was seen
  * @answered_at_limit: answered requests since the last change of @limit that
@@ -122,6 +123,7 @@
     uint64_t rtt_us;
     uint64_t end_us[SCHEDULER_SLOTS_MAX];
     unsigned end_next;
+    uint64_t resumed_us;
     uint64_t ended;
     uint8_t lowest;
     unsigned answered_at_limit;
@@ -161,12 +163,18 @@
  * One that was answered at once, while the endpoint had others to end first,
  * was rejected: the endpoint takes no more than were there without it. So was
  * one that was answered when no slot can have run it, as each has just ended
- * another; of when it was rejected nothing is known.
+ * another; of when it was rejected nothing is known. Answers read after a
+ * pause of the agent don't tell when a slot ended one.
  */
 enum scheduler_end
 scheduler_end(struct scheduler *scheduler, uint32_t handle, bool cut,
               uint64_t now_us);
 
+/** scheduler_resumed() - the agent handles events again after a pause of its
+ * own; answers that it reads now came earlier */
+void
+scheduler_resumed(struct scheduler *scheduler, uint64_t now_us);
+
 /** scheduler_drop() - forget a request, held or at the endpoint */
 void
 scheduler_drop(struct scheduler *scheduler, uint32_t handle);
--- a/tests/relay/admission_requests_test.c
+++ b/tests/relay/admission_requests_test.c
@@ -414,6 +414,36 @@
     g_assert_cmpuint(fixture->admission.outcome.at_us, ==, fixture->now_us);
 }
 
+/* The agent had no processor while the endpoint ran all four. */
+SCHEDULED_TEST(answers_read_after_a_pause_of_the_agent_are_no_rejections)
+{
+    start_full(fixture, 0);
+    fixture->admission.latency.service_us = 40 * USEC_PER_MSEC;
+    fixture_advance_ms(fixture, 1);
+    fixture->now_us += 100 * USEC_PER_MSEC;
+    for (unsigned i = 1; i <= ROOM; i++) {
+        answer(fixture, i, 1);
+    }
+    g_assert_cmpuint(reject_rate_per_mille(&fixture->admission.reject_rate,
+                                           fixture->now_us),
+                     ==, 0);
+}
+
+/* The agent sees the first two end, and the others at the same time. */
+SCHEDULED_TEST(answers_that_no_slot_ran_are_rejections_without_a_pause)
+{
+    start_full(fixture, 0);
+    fixture->admission.latency.service_us = 40 * USEC_PER_MSEC;
+    fixture_advance_ms(fixture, 50);
+    fixture_advance_ms(fixture, 50);
+    for (unsigned i = 1; i <= ROOM; i++) {
+        answer(fixture, i, 1);
+    }
+    g_assert_cmpuint(reject_rate_per_mille(&fixture->admission.reject_rate,
+                                           fixture->now_us),
+                     >, 0);
+}
+
 SCHEDULED_TEST(an_agent_that_starts_beside_open_flows_schedules_them)
 {
     /* The endpoint's answers to requests from before. */
