Admission: a flow's next request after a restart is scheduled

Cause: reset_incarnation() sets flows idle and empties the scheduler, but left request_start_us of the flows whose requests it ends. Their next data counted as the rest of a request at the endpoint, so it passed the scheduler by.

Change: it clears request_start_us, only while scheduling is set, so that without the setting outcomes and service times are as before.

Test: a_flows_next_request_is_scheduled_after_a_restart, before: 0 requests tracked instead of 1; after: passes.

--- a/src/relay/admission/admission.c
+++ b/src/relay/admission/admission.c
@@ -226,6 +226,17 @@
     admit(admission, now_us);
 }
 
+/* Ends the request of a flow whose endpoint has ended. While requests are
+ * scheduled, the flow's next data begins another. */
+static void
+end_request(struct admission *admission, uint32_t handle)
+{
+    if (admission->scheduling) {
+        admission->flows[handle].request_start_us = 0;
+    }
+    admission_flow_set_idle(admission, handle);
+}
+
 /* Clears the state of the endpoint's last incarnation. Flows stay in the
  * table, as some may have been opened between the new incarnation's start and
  * its first heartbeat. Packets of the others bounce, which ends them. */
@@ -234,7 +245,7 @@
 {
     admission->incarnation++;
     while (admission->busy_count > 0) {
-        admission_flow_set_idle(admission, admission->busy[0]);
+        end_request(admission, admission->busy[0]);
     }
     latency_init(&admission->latency);
     capacity_forget_samples(&admission->capacity);
--- a/tests/relay/admission_requests_test.c
+++ b/tests/relay/admission_requests_test.c
@@ -567,6 +567,14 @@
     g_assert_cmpuint(fixture->admission.scheduler.running_count, ==, 0);
 }
 
+SCHEDULED_TEST(a_flows_next_request_is_scheduled_after_a_restart)
+{
+    start_full(fixture, 0);
+    fixture_starts(fixture, "i-2", 2);
+    send_request(fixture, 1, 2, ORDINARY);
+    g_assert_cmpuint(fixture->admission.scheduler.running_count, ==, 1);
+}
+
 /* A reload turns the setting off: what is held goes before what comes. */
 SCHEDULED_TEST(without_the_setting_any_more_held_requests_keep_their_order)
 {
