Scheduler: the lowest priority is the lowest one seen lately

Cause: scheduler.lowest only grew. Once the lowest route is dropped, all others count as above it: they are held until abandoned and never raise the limit. And before an agent's first ordinary request, urgent SYNs count as the lowest and are refused.

Change: the lowest priority of two periods of a minute each. New flows count, too, refused ones included, so that an agent whose requests are all urgent knows of ordinary ones. Priority 0 is never refused: nothing lower is known then. Ruled out: to refuse none until two priorities are known. A service whose requests all have one priority would refuse none any more, and the tests of refusal ask for it. So an agent that has seen priority 1 alone still refuses it.

Tests, before: the_lowest_priority_is_forgotten_when_none_comes_any_more: held instead of given; an_urgent_flow_is_not_refused_before_a_lower_priority_is_seen and a_new_flow_of_a_lower_priority_makes_others_urgent: reported as full. The property test reads the lowest priority by scheduler_lowest().

--- a/src/relay/admission/admission_open.c
+++ b/src/relay/admission/admission_open.c
@@ -123,15 +123,17 @@
 }
 
 /* Whether a new flow would open at a full endpoint only to be rejected: its
- * request is of the lowest priority, so that none is held for it. A cold
- * endpoint has room again when its slow start allows the next request. */
+ * request is of the lowest priority, so that none is held for it. An urgent
+ * one isn't refused before any lower priority is known. A cold endpoint has
+ * room again when its slow start allows the next request. */
 static bool
 is_refused(const struct admission *admission,
            const struct admission_flow *flow, uint64_t now_us)
 {
     return admission->engaged &&
            slow_start_allows(&admission->slow_start, now_us) &&
-           flow->frame.priority >= admission->scheduler.lowest;
+           flow->frame.priority > 0 &&
+           flow->frame.priority >= scheduler_lowest(&admission->scheduler);
 }
 
 /* Gives a flow to the least busy agent when all are busy. */
@@ -292,6 +294,9 @@
         /* A balancer without a configuration doesn't have the limit. */
         slow_start_limit(&admission->slow_start, frame->slow_start_limit);
     }
+    if (frame->service == admission->endpoint.service) {
+        scheduler_see_priority(&admission->scheduler, frame->priority, now_us);
+    }
     why = refusal_reason(admission, frame, now_us);
     store_frame(flow, frame);
     flow->maybe_local = maybe_local;
--- a/src/relay/scheduler/scheduler.c
+++ b/src/relay/scheduler/scheduler.c
@@ -31,6 +31,9 @@
 /* For how long after a pause the agent reads answers that came during it. */
 #define CATCH_UP_US (10 * USEC_PER_MSEC)
 
+/* A priority counts as seen in this period and the next one. */
+#define LOWEST_PERIOD_US (60 * USEC_PER_SEC)
+
 /* Answered requests at the limit that raise it. Each rejection of a request
  * just above the limit doubles the number, as a raise costs a rejection at
  * an endpoint whose queue has a fixed length. */
@@ -101,10 +104,32 @@
            work_off_us(scheduler, queued_before(scheduler, depth));
 }
 
+uint8_t
+scheduler_lowest(const struct scheduler *scheduler)
+{
+    return MAX(scheduler->lowest[0], scheduler->lowest[1]);
+}
+
+void
+scheduler_see_priority(struct scheduler *scheduler, uint8_t priority,
+                       uint64_t now_us)
+{
+    uint64_t elapsed_us = now_us - scheduler->lowest_since_us;
+
+    if (elapsed_us >= LOWEST_PERIOD_US) {
+        bool is_next = elapsed_us < 2 * LOWEST_PERIOD_US;
+
+        scheduler->lowest[1] = is_next ? scheduler->lowest[0] : 0;
+        scheduler->lowest[0] = 0;
+        scheduler->lowest_since_us = now_us;
+    }
+    scheduler->lowest[0] = MAX(scheduler->lowest[0], priority);
+}
+
 static bool
 is_above_lowest(const struct scheduler *scheduler, uint8_t priority)
 {
-    return priority < scheduler->lowest;
+    return priority < scheduler_lowest(scheduler);
 }
 
 /* Until when a request may be held. */
@@ -221,7 +246,7 @@
                 const struct scheduler_request *request, uint64_t now_us,
                 enum scheduler_reason *reason)
 {
-    scheduler->lowest = MAX(scheduler->lowest, request->priority);
+    scheduler_see_priority(scheduler, request->priority, now_us);
     if (has_room(scheduler, request->priority) && scheduler->held_count == 0) {
         *reason = SCHEDULER_ROOM;
     }
@@ -458,7 +483,7 @@
               enum scheduler_reason *reason)
 {
     uint8_t lowest = lowest_held(scheduler);
-    uint8_t from = has_room(scheduler, 0) ? 0 : scheduler->lowest;
+    uint8_t from = has_room(scheduler, 0) ? 0 : scheduler_lowest(scheduler);
     unsigned at = first_held(scheduler, from, now_us);
 
     *reason = SCHEDULER_ROOM;
--- a/src/relay/scheduler/scheduler.h
+++ b/src/relay/scheduler/scheduler.h
@@ -104,7 +104,8 @@
  * @end_next: next index in @end_us
  * @resumed_us: when the agent last resumed after a pause of its own
  * @ended: requests that have left the endpoint, without the rejected ones
- * @lowest: lowest priority that was seen
+ * @lowest: lowest priority that was seen in this and in the last period
+ * @lowest_since_us: when this period began
  * @answered_at_limit: answered requests since the last change of @limit that
  *     were given at the limit
  * @raise_after: number of them that raises the limit
@@ -125,7 +126,8 @@
     unsigned end_next;
     uint64_t resumed_us;
     uint64_t ended;
-    uint8_t lowest;
+    uint8_t lowest[2];
+    uint64_t lowest_since_us;
     unsigned answered_at_limit;
     unsigned raise_after;
     struct scheduler_running running[SCHEDULER_RUNNING_MAX];
@@ -205,6 +207,17 @@
 uint64_t
 scheduler_next_us(const struct scheduler *scheduler);
 
+/** scheduler_see_priority() - the endpoint is asked for requests of @priority;
+ * scheduler_begin() calls it for its request */
+void
+scheduler_see_priority(struct scheduler *scheduler, uint8_t priority,
+                       uint64_t now_us);
+
+/** scheduler_lowest() - the lowest priority that was seen lately, 0 if none
+ * below the most urgent one was */
+uint8_t
+scheduler_lowest(const struct scheduler *scheduler);
+
 /** scheduler_wait_us() - how long a new request of @priority would wait until
  * the endpoint runs it */
 uint64_t
--- a/tests/relay/admission_requests_test.c
+++ b/tests/relay/admission_requests_test.c
@@ -182,6 +182,36 @@
                    "notify redirected reason=1 on=1 busy=4 state=1", NULL);
 }
 
+/* The agent knows of no lower priority yet. */
+SCHEDULED_TEST(an_urgent_flow_is_not_refused_before_a_lower_priority_is_seen)
+{
+    for (unsigned i = 1; i <= ROOM; i++) {
+        send_syn(fixture, i, URGENT);
+        answer_syn(fixture, i);
+        send_request(fixture, i, 0, URGENT);
+        answer(fixture, i, 0);
+    }
+    for (unsigned i = 1; i <= ROOM; i++) {
+        send_request(fixture, i, 1, URGENT);
+    }
+    g_string_truncate(fixture->record, 0);
+    send_syn(fixture, 9, URGENT);
+    g_assert_null(strstr(fixture->record->str, "reason=8"));
+    g_assert_nonnull(strstr(fixture->record->str, "endpoint 0"));
+}
+
+/* Only the higher priority has had requests, the lower one new flows. */
+SCHEDULED_TEST(a_new_flow_of_a_lower_priority_makes_others_urgent)
+{
+    start_full(fixture, 0);
+    send_syn(fixture, 9, ORDINARY + 1);
+    g_assert_nonnull(strstr(fixture->record->str, "reason=8"));
+    g_string_truncate(fixture->record, 0);
+    send_syn(fixture, 10, ORDINARY);
+    g_assert_null(strstr(fixture->record->str, "reason=8"));
+    g_assert_nonnull(strstr(fixture->record->str, "endpoint 0"));
+}
+
 /* The endpoint takes ten requests. A new flow waits in its queue for the
  * handshake and again for its request, so that half of it counts as room. */
 SCHEDULED_TEST(a_new_flow_is_refused_from_half_of_the_endpoints_queue_on)
--- a/tests/relay/scheduler_test.c
+++ b/tests/relay/scheduler_test.c
@@ -330,6 +330,52 @@
     g_assert_cmpuint(scheduler.running_count, ==, limit - 1);
 }
 
+/* Begins and ends a request at the given time. */
+static void
+pass_at(struct scheduler *scheduler, uint32_t handle, uint8_t priority,
+        uint64_t at_us)
+{
+    struct scheduler_request request = {
+        .handle = handle,
+        .priority = priority,
+        .target_us = at_us + USEC_PER_SEC,
+        .abandon_us = at_us + 2 * USEC_PER_SEC,
+    };
+    enum scheduler_reason reason;
+
+    g_assert_true(scheduler_begin(scheduler, &request, at_us, &reason));
+    scheduler_end(scheduler, handle, false, at_us + 50 * USEC_PER_MSEC);
+}
+
+TEST(the_lowest_priority_is_forgotten_when_none_comes_any_more)
+{
+    struct scheduler scheduler;
+    uint64_t at_us = START_US;
+    unsigned limit;
+
+    scheduler_init(&scheduler, SLOTS);
+    pass_at(&scheduler, 1, 2, at_us);
+    for (unsigned i = 0; i < 130; i++) {
+        at_us += USEC_PER_SEC;
+        pass_at(&scheduler, 2, ORDINARY, at_us);
+    }
+    /* The lowest one tries whether the endpoint takes more. */
+    limit = scheduler.limit;
+    scheduler.proven = SLOTS;
+    for (uint32_t i = 0; i < limit; i++) {
+        struct scheduler_request request = {
+            .handle = 10 + i,
+            .priority = ORDINARY,
+            .target_us = at_us + USEC_PER_SEC,
+            .abandon_us = at_us + 2 * USEC_PER_SEC,
+        };
+        enum scheduler_reason reason;
+
+        g_assert_true(scheduler_begin(&scheduler, &request, at_us, &reason));
+        g_assert_cmpint(reason, ==, SCHEDULER_ROOM);
+    }
+}
+
 TEST(dropped_requests_are_forgotten)
 {
     struct scheduler scheduler;
@@ -440,7 +486,7 @@
         uint8_t priority = property->scheduler.held[i].request.priority;
 
         g_assert_cmpuint(property->scheduler.running_count, >=,
-                         priority == property->scheduler.lowest
+                         priority == scheduler_lowest(&property->scheduler)
                              ? property->scheduler.limit
                              : property->scheduler.proven);
     }
