Scheduler: each priority below the highest held one gets turns

Cause: of three held priorities the lowest got each turn, and the middle one none while the others were held.

Change: after three requests of the highest held priority one of a lower priority goes: of the priority whose oldest request has waited longest, the one that goes first. With two priorities the order is as before.

Test: each_priority_below_the_highest_held_one_gets_turns, before: of 16 rounds 12, 0 and 4; after: 12, 2 and 2.

--- a/src/relay/admission/admission.h
+++ b/src/relay/admission/admission.h
@@ -400,8 +400,8 @@
  * @in_progress: its request is in progress
  * @held: the scheduler holds its request; the next four fields are about it
  * @priority: its priority
- * @before: held requests that go before it, apart from turns of the lowest
- *     priority
+ * @before: held requests that go before it, apart from turns of lower
+ *     priorities
  * @wait_us: how long it has been held
  * @left_us: time left until its response target
  * @origin: balancer that its packets last came through
--- a/src/relay/scheduler/scheduler.c
+++ b/src/relay/scheduler/scheduler.c
@@ -19,8 +19,8 @@
  * target, so that one of a longer request is in time, too. */
 #define HOLD_MARGIN 2
 
-/* Requests of a higher priority in a row, after which one of the lowest held
- * priority goes: it gets a quarter of the turns. */
+/* Requests of the highest held priority in a row, after which one of a lower
+ * priority goes: those get a quarter of the turns. */
 #define TURNS_HIGHER 3
 
 /* An answer within this part of the mean service time comes too soon for a
@@ -466,15 +466,24 @@
     return count;
 }
 
-static uint8_t
-lowest_held(const struct scheduler *scheduler)
+/* The held request of a priority below @highest that takes a turn: of the
+ * priority whose oldest one has waited longest, the one that goes first. */
+static unsigned
+pick_for_turn(const struct scheduler *scheduler, uint8_t highest,
+              uint64_t now_us)
 {
-    uint8_t lowest = 0;
+    unsigned oldest = 0;
 
-    for (unsigned i = 0; i < scheduler->held_count; i++) {
-        lowest = MAX(lowest, scheduler->held[i].request.priority);
+    /* In order of arrival. */
+    while (oldest < scheduler->held_count &&
+           scheduler->held[oldest].request.priority <= highest) {
+        oldest++;
+    }
+    if (oldest == scheduler->held_count) {
+        return oldest;
     }
-    return lowest;
+    return first_held(scheduler, scheduler->held[oldest].request.priority,
+                      now_us);
 }
 
 /* Picks the held request that takes free room. */
@@ -482,22 +491,23 @@
 pick_for_room(struct scheduler *scheduler, uint64_t now_us,
               enum scheduler_reason *reason)
 {
-    uint8_t lowest = lowest_held(scheduler);
     uint8_t from = has_room(scheduler, 0) ? 0 : scheduler_lowest(scheduler);
-    unsigned at = first_held(scheduler, from, now_us);
+    unsigned first = first_held(scheduler, from, now_us);
+    unsigned other = pick_for_turn(
+        scheduler, scheduler->held[first].request.priority, now_us);
 
     *reason = SCHEDULER_ROOM;
-    if (scheduler->held[at].request.priority == lowest) {
+    if (other == scheduler->held_count) {
         scheduler->turns = 0;
-        return at;
+        return first;
     }
     if (scheduler->turns < TURNS_HIGHER) {
         scheduler->turns++;
-        return at;
+        return first;
     }
     scheduler->turns = 0;
     *reason = SCHEDULER_TURN;
-    return first_held(scheduler, lowest, now_us);
+    return other;
 }
 
 static unsigned
--- a/src/relay/scheduler/scheduler.h
+++ b/src/relay/scheduler/scheduler.h
@@ -113,8 +113,8 @@
  * @running_count: number of @running
  * @held: requests held, in order of arrival
  * @held_count: number of @held
- * @turns: requests of a higher priority given since the last one of the lowest
- *     held priority
+ * @turns: requests of the highest held priority given since the last one of a
+ *     lower priority
  */
 struct scheduler {
     unsigned slots;
@@ -197,7 +197,7 @@
                enum scheduler_reason *reason);
 
 /** scheduler_before() - number of held requests that go before a held one,
- * apart from turns of the lowest priority */
+ * apart from turns of lower priorities */
 unsigned
 scheduler_before(const struct scheduler *scheduler, uint32_t handle,
                  uint64_t now_us);
--- a/tests/relay/scheduler_test.c
+++ b/tests/relay/scheduler_test.c
@@ -127,6 +127,28 @@
     g_assert_cmpuint(ordinary, ==, 10);
 }
 
+TEST(each_priority_below_the_highest_held_one_gets_turns)
+{
+    struct scheduler scheduler;
+    enum scheduler_reason reason;
+    unsigned given[3] = {0};
+
+    start_full(&scheduler);
+    for (uint32_t i = 0; i < 40; i++) {
+        for (uint8_t priority = 0; priority < 3; priority++) {
+            g_assert_false(
+                begin(&scheduler, 100 * (priority + 1u) + i, priority, 3000));
+        }
+    }
+    for (uint32_t i = 0; i < 16; i++) {
+        end(&scheduler, scheduler.running[0].handle);
+        given[next(&scheduler, 1, &reason) / 100 - 1]++;
+    }
+    g_assert_cmpuint(given[0], ==, 12);
+    g_assert_cmpuint(given[1], ==, 2);
+    g_assert_cmpuint(given[2], ==, 2);
+}
+
 TEST(a_request_that_becomes_late_is_given_without_room)
 {
     struct scheduler scheduler;
