--- a/src/relay/admission/admission.c
+++ b/src/relay/admission/admission.c
@@ -20,6 +20,9 @@
 
 #define SWEEP_US (50 * USEC_PER_MSEC)
 
+/* A sweep that is later by more than this shows a pause of the agent. */
+#define PAUSE_MIN_US (10 * USEC_PER_MSEC)
+
 /* Flows without packets for this time are removed. If the endpoint still holds
  * one, its next packet is offered there. */
 #define IDLE_US (60 * USEC_PER_SEC)
@@ -119,6 +122,16 @@
     free(admission->busy);
 }
 
+/* Notes whether the agent had no processor when its sweep was due. */
+static void
+note_pause(struct admission *admission, uint64_t now_us)
+{
+    if (admission->sweep_us != 0 &&
+        now_us > admission->sweep_us + PAUSE_MIN_US) {
+        scheduler_resumed(&admission->scheduler, now_us);
+    }
+}
+
 static void
 admit(struct admission *admission, uint64_t now_us)
 {
@@ -197,6 +210,7 @@
                                  const struct relay_packet *packet,
                                  uint64_t now_us)
 {
+    note_pause(admission, now_us);
     admission->unanswered_us = 0;
     if ((packet->flags & RELAY_BOUNCED) != 0) {
         admission_handle_bounce(admission, packet, now_us);
@@ -212,6 +226,17 @@
     admit(admission, now_us);
 }
 
+/* Ends the request of a flow whose endpoint has ended. While requests are
+ * scheduled, the flow's next data begins another. */
+static void
+end_request(struct admission *admission, uint32_t handle)
+{
+    if (admission->scheduling) {
+        admission->flows[handle].request_start_us = 0;
+    }
+    admission_flow_set_idle(admission, handle);
+}
+
 /* Clears the state of the endpoint's last incarnation. Flows stay in the
  * table, as some may have been opened between the new incarnation's start and
  * its first heartbeat. Packets of the others bounce, which ends them. */
@@ -220,7 +245,7 @@
 {
     admission->incarnation++;
     while (admission->busy_count > 0) {
-        admission_flow_set_idle(admission, admission->busy[0]);
+        end_request(admission, admission->busy[0]);
     }
     latency_init(&admission->latency);
     capacity_forget_samples(&admission->capacity);
@@ -279,6 +304,7 @@
 void
 admission_tick(struct admission *admission, uint64_t now_us)
 {
+    note_pause(admission, now_us);
     while (admission->syn_timer_count > 0 &&
            admission->syn_timers[admission->syn_timer_first].due_us <=
                now_us) {
--- a/src/relay/scheduler/scheduler.c
+++ b/src/relay/scheduler/scheduler.c
@@ -19,8 +19,8 @@
  * target, so that one of a longer request is in time, too. */
 #define HOLD_MARGIN 2
 
-/* Requests of a higher priority in a row, after which one of the lowest held
- * priority goes: it gets a quarter of the turns. */
+/* Requests of the highest held priority in a row, after which one of a lower
+ * priority goes: those get a quarter of the turns. */
 #define TURNS_HIGHER 3
 
 /* An answer within this part of the mean service time comes too soon for a
@@ -28,6 +28,12 @@
 #define AT_ONCE_PART 4
 #define RUN_MIN_PART 8
 
+/* For how long after a pause the agent reads answers that came during it. */
+#define CATCH_UP_US (10 * USEC_PER_MSEC)
+
+/* A priority counts as seen in this period and the next one. */
+#define LOWEST_PERIOD_US (60 * USEC_PER_SEC)
+
 /* Answered requests at the limit that raise it. Each rejection of a request
  * just above the limit doubles the number, as a raise costs a rejection at
  * an endpoint whose queue has a fixed length. */
@@ -98,10 +104,32 @@
            work_off_us(scheduler, queued_before(scheduler, depth));
 }
 
+uint8_t
+scheduler_lowest(const struct scheduler *scheduler)
+{
+    return MAX(scheduler->lowest[0], scheduler->lowest[1]);
+}
+
+void
+scheduler_see_priority(struct scheduler *scheduler, uint8_t priority,
+                       uint64_t now_us)
+{
+    uint64_t elapsed_us = now_us - scheduler->lowest_since_us;
+
+    if (elapsed_us >= LOWEST_PERIOD_US) {
+        bool is_next = elapsed_us < 2 * LOWEST_PERIOD_US;
+
+        scheduler->lowest[1] = is_next ? scheduler->lowest[0] : 0;
+        scheduler->lowest[0] = 0;
+        scheduler->lowest_since_us = now_us;
+    }
+    scheduler->lowest[0] = MAX(scheduler->lowest[0], priority);
+}
+
 static bool
 is_above_lowest(const struct scheduler *scheduler, uint8_t priority)
 {
-    return priority < scheduler->lowest;
+    return priority < scheduler_lowest(scheduler);
 }
 
 /* Until when a request may be held. */
@@ -218,7 +246,7 @@
                 const struct scheduler_request *request, uint64_t now_us,
                 enum scheduler_reason *reason)
 {
-    scheduler->lowest = MAX(scheduler->lowest, request->priority);
+    scheduler_see_priority(scheduler, request->priority, now_us);
     if (has_room(scheduler, request->priority) && scheduler->held_count == 0) {
         *reason = SCHEDULER_ROOM;
     }
@@ -285,6 +313,15 @@
            now_us - running->since_us < scheduler->service_us / AT_ONCE_PART;
 }
 
+/* Whether an answer was read later than it came, after a pause of the agent.
+ */
+static bool
+is_read_late(const struct scheduler *scheduler, uint64_t end_us)
+{
+    return end_us >= scheduler->resumed_us &&
+           end_us - scheduler->resumed_us < CATCH_UP_US;
+}
+
 /* Whether each slot has ended another request too lately to have run this one:
  * of the last answered requests, one for each slot, the first is too recent.
  */
@@ -293,11 +330,12 @@
             const struct scheduler_running *running, uint64_t now_us)
 {
     unsigned at = scheduler->end_next + SCHEDULER_SLOTS_MAX - scheduler->slots;
+    uint64_t end_us = scheduler->end_us[at % SCHEDULER_SLOTS_MAX];
 
     return running->depth > scheduler->slots &&
            scheduler->slots < SCHEDULER_SLOTS_MAX &&
-           now_us - scheduler->end_us[at % SCHEDULER_SLOTS_MAX] <
-               scheduler->service_us / RUN_MIN_PART;
+           now_us - end_us < scheduler->service_us / RUN_MIN_PART &&
+           !is_read_late(scheduler, end_us);
 }
 
 enum scheduler_end
@@ -329,6 +367,14 @@
     return SCHEDULER_ANSWERED;
 }
 
+void
+scheduler_resumed(struct scheduler *scheduler, uint64_t now_us)
+{
+    if (now_us - scheduler->resumed_us >= CATCH_UP_US) {
+        scheduler->resumed_us = now_us;
+    }
+}
+
 void
 scheduler_drop(struct scheduler *scheduler, uint32_t handle)
 {
@@ -420,15 +466,24 @@
     return count;
 }
 
-static uint8_t
-lowest_held(const struct scheduler *scheduler)
+/* The held request of a priority below @highest that takes a turn: of the
+ * priority whose oldest one has waited longest, the one that goes first. */
+static unsigned
+pick_for_turn(const struct scheduler *scheduler, uint8_t highest,
+              uint64_t now_us)
 {
-    uint8_t lowest = 0;
+    unsigned oldest = 0;
 
-    for (unsigned i = 0; i < scheduler->held_count; i++) {
-        lowest = MAX(lowest, scheduler->held[i].request.priority);
+    /* In order of arrival. */
+    while (oldest < scheduler->held_count &&
+           scheduler->held[oldest].request.priority <= highest) {
+        oldest++;
+    }
+    if (oldest == scheduler->held_count) {
+        return oldest;
     }
-    return lowest;
+    return first_held(scheduler, scheduler->held[oldest].request.priority,
+                      now_us);
 }
 
 /* Picks the held request that takes free room. */
@@ -436,22 +491,23 @@
 pick_for_room(struct scheduler *scheduler, uint64_t now_us,
               enum scheduler_reason *reason)
 {
-    uint8_t lowest = lowest_held(scheduler);
-    uint8_t from = has_room(scheduler, 0) ? 0 : scheduler->lowest;
-    unsigned at = first_held(scheduler, from, now_us);
+    uint8_t from = has_room(scheduler, 0) ? 0 : scheduler_lowest(scheduler);
+    unsigned first = first_held(scheduler, from, now_us);
+    unsigned other = pick_for_turn(
+        scheduler, scheduler->held[first].request.priority, now_us);
 
     *reason = SCHEDULER_ROOM;
-    if (scheduler->held[at].request.priority == lowest) {
+    if (other == scheduler->held_count) {
         scheduler->turns = 0;
-        return at;
+        return first;
     }
     if (scheduler->turns < TURNS_HIGHER) {
         scheduler->turns++;
-        return at;
+        return first;
     }
     scheduler->turns = 0;
     *reason = SCHEDULER_TURN;
-    return first_held(scheduler, lowest, now_us);
+    return other;
 }
 
 static unsigned
--- a/src/relay/scheduler/scheduler.h
+++ b/src/relay/scheduler/scheduler.h
@@ -102,8 +102,10 @@
  * @rtt_us: time from the agent to a caller and back
  * @end_us: when the last requests were answered, a ring
  * @end_next: next index in @end_us
+ * @resumed_us: when the agent last resumed after a pause of its own
  * @ended: requests that have left the endpoint, without the rejected ones
- * @lowest: lowest priority that was seen
+ * @lowest: lowest priority that was seen in this and in the last period
+ * @lowest_since_us: when this period began
  * @answered_at_limit: answered requests since the last change of @limit that
  *     were given at the limit
  * @raise_after: number of them that raises the limit
@@ -111,8 +113,8 @@
  * @running_count: number of @running
  * @held: requests held, in order of arrival
  * @held_count: number of @held
- * @turns: requests of a higher priority given since the last one of the lowest
- *     held priority
+ * @turns: requests of the highest held priority given since the last one of a
+ *     lower priority
  */
 struct scheduler {
     unsigned slots;
@@ -122,8 +124,10 @@
     uint64_t rtt_us;
     uint64_t end_us[SCHEDULER_SLOTS_MAX];
     unsigned end_next;
+    uint64_t resumed_us;
     uint64_t ended;
-    uint8_t lowest;
+    uint8_t lowest[2];
+    uint64_t lowest_since_us;
     unsigned answered_at_limit;
     unsigned raise_after;
     struct scheduler_running running[SCHEDULER_RUNNING_MAX];
@@ -161,12 +165,18 @@
  * One that was answered at once, while the endpoint had others to end first,
  * was rejected: the endpoint takes no more than were there without it. So was
  * one that was answered when no slot can have run it, as each has just ended
- * another; of when it was rejected nothing is known.
+ * another; of when it was rejected nothing is known. Answers read after a
+ * pause of the agent don't tell when a slot ended one.
  */
 enum scheduler_end
 scheduler_end(struct scheduler *scheduler, uint32_t handle, bool cut,
               uint64_t now_us);
 
+/** scheduler_resumed() - the agent handles events again after a pause of its
+ * own; answers that it reads now came earlier */
+void
+scheduler_resumed(struct scheduler *scheduler, uint64_t now_us);
+
 /** scheduler_drop() - forget a request, held or at the endpoint */
 void
 scheduler_drop(struct scheduler *scheduler, uint32_t handle);
@@ -187,7 +197,7 @@
                enum scheduler_reason *reason);
 
 /** scheduler_before() - number of held requests that go before a held one,
- * apart from turns of the lowest priority */
+ * apart from turns of lower priorities */
 unsigned
 scheduler_before(const struct scheduler *scheduler, uint32_t handle,
                  uint64_t now_us);
@@ -197,6 +207,17 @@
 uint64_t
 scheduler_next_us(const struct scheduler *scheduler);
 
+/** scheduler_see_priority() - the endpoint is asked for requests of @priority;
+ * scheduler_begin() calls it for its request */
+void
+scheduler_see_priority(struct scheduler *scheduler, uint8_t priority,
+                       uint64_t now_us);
+
+/** scheduler_lowest() - the lowest priority that was seen lately, 0 if none
+ * below the most urgent one was */
+uint8_t
+scheduler_lowest(const struct scheduler *scheduler);
+
 /** scheduler_wait_us() - how long a new request of @priority would wait until
  * the endpoint runs it */
 uint64_t
--- a/tests/relay/admission_requests_test.c
+++ b/tests/relay/admission_requests_test.c
@@ -182,6 +182,36 @@
                    "notify redirected reason=1 on=1 busy=4 state=1", NULL);
 }
 
+/* The agent knows of no lower priority yet. */
+SCHEDULED_TEST(an_urgent_flow_is_not_refused_before_a_lower_priority_is_seen)
+{
+    for (unsigned i = 1; i <= ROOM; i++) {
+        send_syn(fixture, i, URGENT);
+        answer_syn(fixture, i);
+        send_request(fixture, i, 0, URGENT);
+        answer(fixture, i, 0);
+    }
+    for (unsigned i = 1; i <= ROOM; i++) {
+        send_request(fixture, i, 1, URGENT);
+    }
+    g_string_truncate(fixture->record, 0);
+    send_syn(fixture, 9, URGENT);
+    g_assert_null(strstr(fixture->record->str, "reason=8"));
+    g_assert_nonnull(strstr(fixture->record->str, "endpoint 0"));
+}
+
+/* Only the higher priority has had requests, the lower one new flows. */
+SCHEDULED_TEST(a_new_flow_of_a_lower_priority_makes_others_urgent)
+{
+    start_full(fixture, 0);
+    send_syn(fixture, 9, ORDINARY + 1);
+    g_assert_nonnull(strstr(fixture->record->str, "reason=8"));
+    g_string_truncate(fixture->record, 0);
+    send_syn(fixture, 10, ORDINARY);
+    g_assert_null(strstr(fixture->record->str, "reason=8"));
+    g_assert_nonnull(strstr(fixture->record->str, "endpoint 0"));
+}
+
 /* The endpoint takes ten requests. A new flow waits in its queue for the
  * handshake and again for its request, so that half of it counts as room. */
 SCHEDULED_TEST(a_new_flow_is_refused_from_half_of_the_endpoints_queue_on)
@@ -414,6 +444,36 @@
     g_assert_cmpuint(fixture->admission.outcome.at_us, ==, fixture->now_us);
 }
 
+/* The agent had no processor while the endpoint ran all four. */
+SCHEDULED_TEST(answers_read_after_a_pause_of_the_agent_are_no_rejections)
+{
+    start_full(fixture, 0);
+    fixture->admission.latency.service_us = 40 * USEC_PER_MSEC;
+    fixture_advance_ms(fixture, 1);
+    fixture->now_us += 100 * USEC_PER_MSEC;
+    for (unsigned i = 1; i <= ROOM; i++) {
+        answer(fixture, i, 1);
+    }
+    g_assert_cmpuint(reject_rate_per_mille(&fixture->admission.reject_rate,
+                                           fixture->now_us),
+                     ==, 0);
+}
+
+/* The agent sees the first two end, and the others at the same time. */
+SCHEDULED_TEST(answers_that_no_slot_ran_are_rejections_without_a_pause)
+{
+    start_full(fixture, 0);
+    fixture->admission.latency.service_us = 40 * USEC_PER_MSEC;
+    fixture_advance_ms(fixture, 50);
+    fixture_advance_ms(fixture, 50);
+    for (unsigned i = 1; i <= ROOM; i++) {
+        answer(fixture, i, 1);
+    }
+    g_assert_cmpuint(reject_rate_per_mille(&fixture->admission.reject_rate,
+                                           fixture->now_us),
+                     >, 0);
+}
+
 SCHEDULED_TEST(an_agent_that_starts_beside_open_flows_schedules_them)
 {
     /* The endpoint's answers to requests from before. */
@@ -537,6 +597,14 @@
     g_assert_cmpuint(fixture->admission.scheduler.running_count, ==, 0);
 }
 
+SCHEDULED_TEST(a_flows_next_request_is_scheduled_after_a_restart)
+{
+    start_full(fixture, 0);
+    fixture_starts(fixture, "i-2", 2);
+    send_request(fixture, 1, 2, ORDINARY);
+    g_assert_cmpuint(fixture->admission.scheduler.running_count, ==, 1);
+}
+
 /* A reload turns the setting off: what is held goes before what comes. */
 SCHEDULED_TEST(without_the_setting_any_more_held_requests_keep_their_order)
 {
