relay-world: a trace of one flow, and the flow's number in violations

WORLD_TRACE=N now prints the messages, decisions and resets of caller N's flow and the faults around them; DRAIN and EVACUATED name the flow.

--- a/tests/relay/world.c
+++ b/tests/relay/world.c
@@ -21,6 +21,7 @@
 {
     struct host *host = random_host(world);
 
+    world_trace(world, "fault: agent-%u restarts", host->number);
     admission_finish(&host->admission);
     world_agent_start(host);
     host->fault_us = world->now_us;
@@ -35,6 +36,8 @@
     if (!host->up) {
         return;
     }
+    world_trace(world, "fault: endpoint-%u ends%s", host->number,
+                reuse ? ", its address is reused" : "");
     host->up = false;
     host->restart_us = world->now_us + RESTART_US;
     host->fault_us = world->now_us;
@@ -62,6 +65,7 @@
 {
     struct balancer *balancer = random_balancer(world);
 
+    world_trace(world, "fault: balancer-%u restarts", balancer->number);
     forwarder_finish(&balancer->forwarder);
     world_balancer_start(balancer);
     world->fault_us = world->now_us;
@@ -115,11 +119,15 @@
         endpoint_stop(world, true);
     }
     if (world_chance(world, plan->endpoint_drain)) {
-        random_host(world)->draining = true;
+        struct host *host = random_host(world);
+
+        world_trace(world, "fault: endpoint-%u drains", host->number);
+        host->draining = true;
     }
     if (world_chance(world, plan->freeze)) {
         struct host *host = random_host(world);
 
+        world_trace(world, "fault: host %u freezes", host->number);
         host->frozen_until_us = world->now_us + FREEZE_US;
         host->fault_us = host->frozen_until_us;
         world->fault_us = host->frozen_until_us;
@@ -144,7 +152,10 @@
         world_store_restore(world);
     }
     if (plan->stall > 0 && world_chance(world, plan->stall)) {
-        random_balancer(world)->stalled_until_us = world->now_us + STALL_US;
+        struct balancer *balancer = random_balancer(world);
+
+        world_trace(world, "fault: balancer-%u stalls", balancer->number);
+        balancer->stalled_until_us = world->now_us + STALL_US;
     }
 }
 
@@ -182,6 +193,7 @@
     struct frame_query query;
     struct frame_query_reply query_reply;
 
+    world_trace_message(world, message);
     apply_evacuations(world, message);
     switch (message->target) {
     case TO_BALANCER:
@@ -298,6 +310,7 @@
             world_heartbeat(host);
         }
         if (host->probed && !host->up) {
+            world_trace(world, "agent-%u finds its endpoint down", i);
             admission_endpoint_down(&host->admission, world->now_us);
         }
         host->probed = false;
@@ -343,6 +356,7 @@
     for (unsigned i = 0; i < WORLD_AGENTS; i++) {
         struct host *host = &world->hosts[i];
 
+        world_trace(world, "fault: host %u restarts", i);
         host->up = false;
         host->restart_us = restart_us;
         host->frozen_until_us = restart_us;
@@ -426,6 +440,7 @@
     world->plan = plan;
     world->result = result;
     world->now_us = 10 * USEC_PER_SEC;
+    world_trace_init(world);
     world->messages = g_sequence_new(g_free);
     world->versions = 1;
     for (unsigned i = 0; i < ROUTES; i++) {
--- a/tests/relay/world_balancers.c
+++ b/tests/relay/world_balancers.c
@@ -17,8 +17,11 @@
 static void
 send_reset(struct forwarder_out *out, struct relay_flow flow, uint32_t seq)
 {
-    world_check_reset(container_of(out, struct balancer, out)->world, flow,
-                      "a balancer");
+    struct balancer *balancer = container_of(out, struct balancer, out);
+
+    world_trace_flow(balancer->world, flow, "balancer-%u resets",
+                     balancer->number);
+    world_check_reset(balancer->world, flow, "a balancer");
 }
 
 /* Whether frames to an agent are dropped. */
@@ -141,6 +144,11 @@
                   struct relay_flow flow, struct addr agent, unsigned tries,
                   uint64_t age_us)
 {
+    const struct balancer *balancer = container_of(out, struct balancer, out);
+
+    world_trace_flow(balancer->world, flow, "balancer-%u decides %d agent %u",
+                     balancer->number, (int)decision,
+                     agent.ip != 0 ? agent.ip - world_host_addr(0).ip : 99);
 }
 
 static void
--- a/tests/relay/world_evacuations.c
+++ b/tests/relay/world_evacuations.c
@@ -209,13 +209,14 @@
 }
 
 void
-world_check_syn(struct host *host)
+world_check_syn(struct host *host, unsigned caller)
 {
     if (host->world->plan->evacuate > 0 && is_evacuated(host) &&
         is_propagated(host) && !may_miss_evacuation(host)) {
         world_violation(host->world,
-                        "EVACUATED: SYN sent to evacuated endpoint %u",
-                        host->number);
+                        "EVACUATED: SYN of flow %u sent to evacuated endpoint "
+                        "%u",
+                        caller, host->number);
     }
 }
 
--- a/tests/relay/world_hosts.c
+++ b/tests/relay/world_hosts.c
@@ -19,12 +19,13 @@
     /* A duplicate SYN of an open flow doesn't open another. */
     if (relay_packet_is_syn(&packet) && host->draining_reported &&
         !host->flows[world_caller_of(bytes)].open) {
-        world_violation(host->world, "DRAIN: SYN sent to draining endpoint %u",
-                        host->number);
+        world_violation(host->world,
+                        "DRAIN: SYN of flow %u sent to draining endpoint %u",
+                        world_caller_of(bytes), host->number);
     }
     if (relay_packet_is_syn(&packet) &&
         !host->flows[world_caller_of(bytes)].open) {
-        world_check_syn(host);
+        world_check_syn(host, world_caller_of(bytes));
     }
     world_post(host->world, TO_ENDPOINT, host->number, bytes, size, true);
 }
@@ -42,8 +43,10 @@
 static void
 send_reset(struct admission_out *out, struct relay_flow flow, uint32_t seq)
 {
-    world_check_reset(container_of(out, struct host, out)->world, flow,
-                      "an agent");
+    struct host *host = container_of(out, struct host, out);
+
+    world_trace_flow(host->world, flow, "agent-%u resets", host->number);
+    world_check_reset(host->world, flow, "an agent");
 }
 
 static void
@@ -120,8 +123,12 @@
                   struct relay_flow flow, enum frame_reason reason,
                   const struct frame_forward *frame)
 {
+    struct host *host = container_of(out, struct host, out);
+
+    world_trace_flow(host->world, flow, "agent-%u decides %d reason %d",
+                     host->number, (int)decision, (int)reason);
     if (reason == FRAME_REASON_EVACUATED) {
-        world_check_refusal(container_of(out, struct host, out));
+        world_check_refusal(host);
     }
 }
 
@@ -349,6 +356,10 @@
         g_snprintf(beat.id, sizeof(beat.id), "i-%u", host->number);
         beat.started_ms = 1000 + host->incarnation;
     }
+    if (host->draining && !host->draining_reported) {
+        world_trace(host->world, "agent-%u hears that its endpoint drains",
+                    host->number);
+    }
     admission_handle_heartbeat(&host->admission, &beat, host->world->now_us);
     host->draining_reported = host->draining;
     host->heartbeat_us = host->world->now_us + HEARTBEAT_US;
@@ -364,6 +375,7 @@
     host->draining = false;
     host->fault_us = host->world->now_us;
     host->started_us = host->world->now_us;
+    world_trace(host->world, "endpoint-%u starts", host->number);
     world_heartbeat(host);
 }
 
--- a/tests/relay/world_private.h
+++ b/tests/relay/world_private.h
@@ -221,6 +221,7 @@
  * @query_rand: random numbers of orphan queries and of the store
  * @order: messages posted so far
  * @ecmp_salt: changes with each rehash
+ * @traced: caller whose flow is traced, -1 for none
  * @versions: configurations published so far
  * @served: service of each route in each version, -1 for none
  * @fault_us: time of the last fault, or end of a freeze or partition
@@ -247,6 +248,7 @@
     struct caller callers[FLOWS_MAX];
     unsigned caller_count;
     unsigned ecmp_salt;
+    int traced;
     unsigned versions;
     int served[VERSIONS_MAX][ROUTES];
     uint64_t fault_us;
@@ -285,6 +287,24 @@
 unsigned
 world_caller_of(const uint8_t *bytes);
 
+/** world_trace_init() - traces the flow that WORLD_TRACE=N names, if any */
+void
+world_trace_init(struct world *world);
+
+/** world_trace() - prints a line with the time if a flow is traced */
+void
+world_trace(const struct world *world, const char *fmt, ...)
+    G_GNUC_PRINTF(2, 3);
+
+/** world_trace_flow() - prints a line about a flow if it is the traced one */
+void
+world_trace_flow(const struct world *world, struct relay_flow flow,
+                 const char *fmt, ...) G_GNUC_PRINTF(3, 4);
+
+/** world_trace_message() - prints a message of the traced flow */
+void
+world_trace_message(const struct world *world, const struct message *message);
+
 /** world_post() - sends a message, which may be lost unless @local */
 void
 world_post(struct world *world, enum target target, unsigned number,
@@ -401,10 +421,10 @@
 void
 world_evacuations_schedule(struct balancer *balancer);
 
-/** world_check_syn() - checks that an endpoint that gets a SYN isn't
+/** world_check_syn() - checks that an endpoint that gets a caller's SYN isn't
  * evacuated */
 void
-world_check_syn(struct host *host);
+world_check_syn(struct host *host, unsigned caller);
 
 /** world_check_refusal() - checks that an agent that refused a SYN as
  * evacuated still is, or may not have received the end yet */
