Endpoint: one that drains still does after a silence

Callers saw: new flows at an endpoint that ends soon (DRAIN).

Cause: endpoint_answered() made each silent endpoint that sends a packet ready. A draining one becomes silent when a probe finds no process, and so got SYNs again after its next packet.

Ruled out: a late SYN of a frozen agent, as each SYN was decided on at that moment.

Fix: after a silence the state is the one of the last heartbeat.

--- a/src/relay/admission/endpoint.c
+++ b/src/relay/admission/endpoint.c
@@ -168,13 +168,24 @@
     return set_state(endpoint, ENDPOINT_GONE);
 }
 
+/* State that the current incarnation's last heartbeat reported. One that
+ * drains still does after a silence. */
+static enum endpoint_state
+reported_state(const struct endpoint *endpoint)
+{
+    bool draining =
+        endpoint->incarnation_count > 0 && endpoint->incarnations[0].draining;
+
+    return draining ? ENDPOINT_DRAINING : ENDPOINT_READY;
+}
+
 bool
 endpoint_answered(struct endpoint *endpoint)
 {
     if (endpoint->state != ENDPOINT_SILENT) {
         return false;
     }
-    return set_state(endpoint, ENDPOINT_READY);
+    return set_state(endpoint, reported_state(endpoint));
 }
 
 bool
--- a/tests/relay/endpoint_test.c
+++ b/tests/relay/endpoint_test.c
@@ -135,3 +135,16 @@
     g_assert_false(endpoint_left(&endpoint_fixture->endpoint, "i-1", 0));
     g_assert_true(endpoint_left(&endpoint_fixture->endpoint, "i-2", 0));
 }
+
+/* Guards against SYNs to a draining endpoint: silence hides that it drains
+ * only until its next answer. */
+TEST_F(endpoint_fixture, a_draining_endpoint_that_answers_still_drains)
+{
+    struct endpoint *endpoint = &endpoint_fixture->endpoint;
+
+    (void)send_heartbeat(endpoint_fixture, "i-1", EARLIER_MS, 1, true);
+    g_assert_true(endpoint_down(endpoint));
+    g_assert_cmpint(endpoint->state, ==, ENDPOINT_SILENT);
+    g_assert_true(endpoint_answered(endpoint));
+    g_assert_cmpint(endpoint->state, ==, ENDPOINT_DRAINING);
+}
--- a/tests/relay/world_test.c
+++ b/tests/relay/world_test.c
@@ -335,16 +335,26 @@
     g_assert_cmpuint(run_plan(&overload), >=, 700);
 }
 
+static const struct world_plan overload_among_faults = {
+    .new_flows = 1000,
+    .loss = 10,
+    .rehash = 50,
+    .agent_restart = 15,
+    .balancer_restart = 15,
+    .endpoint_crash = 10,
+    .endpoint_drain = 5,
+    .reuse = 10,
+    .freeze = 10,
+    .config = 30,
+    .work_ms = 200,
+    .timeout_ms = 3000,
+    .stall = 50,
+    .closing = true,
+};
+
 TEST(requests_are_queued_among_faults)
 {
-    struct world_plan plan = all_faults;
-
-    plan.new_flows = 1000;
-    plan.work_ms = 200;
-    plan.timeout_ms = 3000;
-    plan.stall = 50;
-    plan.closing = true;
-    g_assert_cmpuint(run_plan(&plan), >=, 200);
+    g_assert_cmpuint(run_plan(&overload_among_faults), >=, 200);
 }
 
 /* Four times the requests that 18 slots serve, on flows that stay open. */
@@ -400,6 +410,17 @@
     run_plan_seeds(&crowded_among_faults, seeds, G_N_ELEMENTS(seeds));
 }
 
+/* Guards against a SYN to a draining endpoint that was taken for silent and
+ * answered since. */
+TEST(regressions_of_silent_draining_endpoints)
+{
+    static const uint32_t queued[] = {1197};
+    static const uint32_t scheduled[] = {860, 2181, 2519, 2728, 3296};
+
+    run_plan_seeds(&overload_among_faults, queued, G_N_ELEMENTS(queued));
+    run_plan_seeds(&crowded_among_faults, scheduled, G_N_ELEMENTS(scheduled));
+}
+
 TEST(requests_are_queued_while_addresses_move_and_agents_restart)
 {
     static const struct world_plan plan = {
--- a/tests/relay/world_trace.c
+++ b/tests/relay/world_trace.c
@@ -109,13 +109,12 @@
         status.type >= G_N_ELEMENTS(types) || types[status.type] == NULL) {
         return;
     }
-    world_trace_flow(world, status.flow,
-                     "balancer-%u hears of agent-%u: %s reason %u target %u",
-                     message->number, message->bytes[message->size - 1],
-                     types[status.type], status.reason,
-                     status.target.ip != 0
-                         ? status.target.ip - world_host_addr(0).ip
-                         : 99);
+    world_trace_flow(
+        world, status.flow,
+        "balancer-%u hears of agent-%u: %s reason %u target %u",
+        message->number, message->bytes[message->size - 1], types[status.type],
+        status.reason,
+        status.target.ip != 0 ? status.target.ip - world_host_addr(0).ip : 99);
 }
 
 void
