Loop: time doesn't go back after a tick

Callers may have seen (by reading; not logged): a reset by an orphan query in which an agent called its endpoint silent for an answer 0.2 ms old.

Cause: a tick's time is 0.2 ms ahead of the clock, the events after it had the clock's. Ages taken then underflow.

Ruled out: the clock itself (monotonic).

Fix: loop_now_us() is never before the last tick's time.

--- a/src/relay/program/loop.c
+++ b/src/relay/program/loop.c
@@ -31,8 +31,8 @@
     struct loop *loop = data;
 
     loop->armed_us = UINT64_MAX;
-    arm_timer(loop,
-              loop->ops->tick(loop, loop_now_us(loop) + TICK_TOLERANCE_US));
+    loop->tick_us = loop_now_us(loop) + TICK_TOLERANCE_US;
+    arm_timer(loop, loop->ops->tick(loop, loop->tick_us));
 }
 
 static void
@@ -103,7 +103,10 @@
 uint64_t
 loop_now_us(struct loop *loop)
 {
-    return clock_now_us(&loop->clock);
+    uint64_t now_us = clock_now_us(&loop->clock);
+
+    /* Never before a time that the last tick has used. */
+    return now_us > loop->tick_us ? now_us : loop->tick_us;
 }
 
 void
--- a/src/relay/program/loop.h
+++ b/src/relay/program/loop.h
@@ -34,6 +34,7 @@
  * @clock: monotonic clock
  * @timer: runs the tick
  * @signals: SIGTERM, SIGINT, SIGHUP
+ * @tick_us: time of the last tick, a little ahead of the clock
  * @armed_us: when @timer expires, UINT64_MAX for never
  */
 struct loop {
@@ -42,6 +43,7 @@
     struct clock clock;
     struct event *timer;
     struct event *signals[3];
+    uint64_t tick_us;
     uint64_t armed_us;
 };
 
@@ -54,7 +56,8 @@
 void
 loop_finish(struct loop *loop);
 
-/** loop_now_us() - monotonic time in microseconds */
+/** loop_now_us() - monotonic time in microseconds, in ticks and between them
+ */
 uint64_t
 loop_now_us(struct loop *loop);
 
