Logs: each reset names its evidence and the evidence's age

Failed soaks couldn't be told apart: event=reset of an agent always said reason=leaving, of a balancer nothing. Now a balancer's says evidence=denied_by_all, denied_by_acceptor or endpoint_ended, and age_us is the evidence's age; an agent's says reason=absent (the endpoint bounced the flow), leaving (its goodbye) or silent (found down by a probe).

No decision changes. Ruled out as enough: the flow's age, which was logged for both and says nothing of what the reset rests on.

--- a/src/relay/admission/admission_endpoint.c
+++ b/src/relay/admission/admission_endpoint.c
@@ -53,7 +53,8 @@
     if (flow->state == ADMISSION_FLOW_ESTABLISHED && flow->proven) {
         /* An endpoint also answers packets of ended flows. If it bounces them,
          * it has restarted. */
-        admission_reset_flow(admission, handle, packet->ack);
+        admission_reset_flow(admission, handle, packet->ack,
+                             FRAME_REASON_ABSENT);
         return;
     }
     if (flow->state == ADMISSION_FLOW_ESTABLISHED) {
--- a/src/relay/admission/admission_established.c
+++ b/src/relay/admission/admission_established.c
@@ -164,7 +164,8 @@
     bool is_lookup = frame->next_count > 0;
 
     if (flow->proven && admission->endpoint.state == ENDPOINT_GONE) {
-        admission_reset_flow(admission, handle, packet->ack);
+        admission_reset_flow(admission, handle, packet->ack,
+                             FRAME_REASON_LEAVING);
         return;
     }
     if (!flow->confirmed && flow->established_us != 0) {
--- a/src/relay/admission/admission_flow.c
+++ b/src/relay/admission/admission_flow.c
@@ -89,14 +89,20 @@
     }
 }
 
+enum frame_reason
+admission_end_reason(const struct admission *admission)
+{
+    return admission->endpoint.state == ENDPOINT_GONE ? FRAME_REASON_LEAVING
+                                                      : FRAME_REASON_SILENT;
+}
+
 void
 admission_reset_flow(struct admission *admission, uint32_t handle,
-                     uint32_t seq)
+                     uint32_t seq, enum frame_reason why)
 {
     struct relay_flow key = flow_index_flow(&admission->table, handle);
 
-    admission_decided(admission, ADMISSION_DECISION_RESET, handle,
-                      FRAME_REASON_LEAVING);
+    admission_decided(admission, ADMISSION_DECISION_RESET, handle, why);
     admission->out->ops->reset(admission->out, key, seq);
     admission->flows[handle].closed = true;
     admission_flow_set_idle(admission, handle);
--- a/src/relay/admission/admission_private.h
+++ b/src/relay/admission/admission_private.h
@@ -168,10 +168,15 @@
 admission_forget_request(struct admission *admission, uint32_t handle);
 
 /** admission_reset_flow() - reset a flow at its caller, as the endpoint that
- * held it has ended or restarted */
+ * held it has ended or restarted; @why: the evidence */
 void
 admission_reset_flow(struct admission *admission, uint32_t handle,
-                     uint32_t seq);
+                     uint32_t seq, enum frame_reason why);
+
+/** admission_end_reason() - how the endpoint has ended: LEAVING by its
+ * goodbye, SILENT as its process isn't running */
+enum frame_reason
+admission_end_reason(const struct admission *admission);
 
 /** admission_flow_dequeue() - drop the flow's queued or held SYN or request
  * with its packets */
--- a/src/relay/admission/admission_queue.c
+++ b/src/relay/admission/admission_queue.c
@@ -244,7 +244,8 @@
         uint32_t seq = admission->flows[handle].seq;
 
         admission_flow_dequeue(admission, handle);
-        admission_reset_flow(admission, handle, seq);
+        admission_reset_flow(admission, handle, seq,
+                             admission_end_reason(admission));
         admission_flow_remove(admission, handle);
     }
 }
--- a/src/relay/admission/admission_requests.c
+++ b/src/relay/admission/admission_requests.c
@@ -315,7 +315,8 @@
         uint32_t handle = admission->scheduler.held[0].request.handle;
 
         admission_reset_flow(admission, handle,
-                             admission->flows[handle].request_ack);
+                             admission->flows[handle].request_ack,
+                             admission_end_reason(admission));
         admission_flow_remove(admission, handle);
     }
 }
--- a/src/relay/forwarder/forwarder.h
+++ b/src/relay/forwarder/forwarder.h
@@ -53,10 +53,12 @@
     FORWARDER_DECISION_SEND,      /* its SYN was sent to an agent */
     FORWARDER_DECISION_ESTABLISH, /* an agent reported that its endpoint holds
                                    * it */
-    FORWARDER_DECISION_RESET,     /* no endpoint holds it: its caller is
-                                   * reset */
-    FORWARDER_DECISION_REFUSE,    /* no endpoint has room for it: its caller is
-                                   * reset */
+    /* No endpoint holds it, so its caller is reset: */
+    FORWARDER_DECISION_RESET_PROVEN, /* all agents denied it */
+    FORWARDER_DECISION_RESET_ABSENT, /* its acceptor's agent denied it */
+    FORWARDER_DECISION_RESET_ENDED,  /* its acceptor's endpoint has ended */
+    FORWARDER_DECISION_REFUSE, /* no endpoint has room for it: its caller is
+                                * reset */
     FORWARDER_DECISION_LOOKUP, /* it is established with an unknown holder: its
                                 * packet goes to agents that may hold it */
 };
@@ -96,7 +98,8 @@
     /** @dropped: a packet was dropped; @packet may be NULL */
     void (*dropped)(struct forwarder_out *out, enum forwarder_drop why,
                     const struct relay_packet *packet);
-    /** @decided: a decision on a flow */
+    /** @decided: a decision on a flow; @age_us: its age, for a reset that of
+     * the evidence */
     void (*decided)(struct forwarder_out *out,
                     enum forwarder_decision decision, struct relay_flow flow,
                     struct addr agent, unsigned tries, uint64_t age_us);
--- a/src/relay/forwarder/forwarder_established.c
+++ b/src/relay/forwarder/forwarder_established.c
@@ -214,23 +214,24 @@
 }
 
 void
-forwarder_reset(struct forwarder *forwarder, uint32_t handle, uint64_t now_us)
+forwarder_reset(struct forwarder *forwarder, uint32_t handle,
+                enum forwarder_decision evidence, uint64_t age_us)
 {
     struct forwarder_pin *pin = &forwarder->pins[handle];
     struct relay_flow flow = flow_index_flow(&forwarder->flows, handle);
 
     forwarder->out->ops->reset(forwarder->out, flow, pin->last_ack);
-    forwarder->out->ops->decided(forwarder->out, FORWARDER_DECISION_RESET,
-                                 flow, pin->acceptors[0].agent, 0,
-                                 now_us - pin->since_us);
+    forwarder->out->ops->decided(forwarder->out, evidence, flow,
+                                 pin->acceptors[0].agent, 0, age_us);
 }
 
-static bool
-is_endpoint_gone(const struct forwarder *forwarder, struct addr agent)
+/* The agent's row if its endpoint has ended, else NULL. */
+static const struct agent_row *
+ended_row(const struct forwarder *forwarder, struct addr agent)
 {
     const struct agent_row *row = agents_find(&forwarder->agents, agent);
 
-    return row != NULL && row->health.state == ENDPOINT_GONE;
+    return row != NULL && row->health.state == ENDPOINT_GONE ? row : NULL;
 }
 
 void
@@ -240,17 +241,22 @@
 {
     struct forwarder_pin *pin = &forwarder->pins[handle];
     const struct forwarder_acceptor *acceptor = acceptor_of(pin, packet);
+    const struct agent_row *ended;
 
     pin->last_ack = packet->ack;
     pin->opened = true;
     if (pin->proved_us != 0 && now_us - pin->proved_us < PROOF_VALID_US) {
-        forwarder_reset(forwarder, handle, now_us);
+        forwarder_reset(forwarder, handle, FORWARDER_DECISION_RESET_PROVEN,
+                        now_us - pin->proved_us);
         return;
     }
     pin->proved_us = 0;
-    if (is_certain_acceptor(pin) &&
-        is_endpoint_gone(forwarder, pin->acceptors[0].agent)) {
-        forwarder_reset(forwarder, handle, now_us);
+    ended = is_certain_acceptor(pin)
+                ? ended_row(forwarder, pin->acceptors[0].agent)
+                : NULL;
+    if (ended != NULL) {
+        forwarder_reset(forwarder, handle, FORWARDER_DECISION_RESET_ENDED,
+                        now_us - ended->health_us);
     }
     else if (acceptor != NULL) {
         forwarder_forward_to(forwarder, pin, acceptor->agent, packet);
@@ -368,7 +374,7 @@
     if (status->target.ip == 0 && status->reason == FRAME_REASON_ABSENT &&
         is_certain_acceptor(pin) &&
         addr_equal(pin->acceptors[0].agent, agent)) {
-        forwarder_reset(forwarder, handle, now_us);
+        forwarder_reset(forwarder, handle, FORWARDER_DECISION_RESET_ABSENT, 0);
         return;
     }
     if (acceptor_remove(pin, agent) || status->target.ip != 0) {
--- a/src/relay/forwarder/forwarder_orphans.c
+++ b/src/relay/forwarder/forwarder_orphans.c
@@ -238,7 +238,9 @@
         if (query->confirmed && needs_proof(pin, now_us) &&
             forwarder_is_orphan_proven(forwarder, i, now_us)) {
             pin->proved_us = now_us;
-            forwarder_reset(forwarder, query->flows[i].handle, now_us);
+            forwarder_reset(forwarder, query->flows[i].handle,
+                            FORWARDER_DECISION_RESET_PROVEN,
+                            now_us - query->started_us);
             ended++;
         }
     }
--- a/src/relay/forwarder/forwarder_private.h
+++ b/src/relay/forwarder/forwarder_private.h
@@ -186,9 +186,14 @@
 forwarder_redirected(struct forwarder *forwarder, struct addr agent,
                      const struct frame_status *status, uint64_t now_us);
 
-/** forwarder_reset() - reset the caller of a flow that no endpoint holds */
+/**
+ * forwarder_reset() - reset the caller of a flow that no endpoint holds
+ * @evidence: one of FORWARDER_DECISION_RESET_*
+ * @age_us: age of the evidence
+ */
 void
-forwarder_reset(struct forwarder *forwarder, uint32_t handle, uint64_t now_us);
+forwarder_reset(struct forwarder *forwarder, uint32_t handle,
+                enum forwarder_decision evidence, uint64_t age_us);
 
 /**
  * forwarder_is_settled() - whether @route has had the same services for longer
--- a/src/relay/program/relay_balancer_out.c
+++ b/src/relay/program/relay_balancer_out.c
@@ -22,11 +22,20 @@
 static const char *const decision_names[] = {
     [FORWARDER_DECISION_SEND] = "sent",
     [FORWARDER_DECISION_ESTABLISH] = "placed",
-    [FORWARDER_DECISION_RESET] = "reset",
+    [FORWARDER_DECISION_RESET_PROVEN] = "reset",
+    [FORWARDER_DECISION_RESET_ABSENT] = "reset",
+    [FORWARDER_DECISION_RESET_ENDED] = "reset",
     [FORWARDER_DECISION_REFUSE] = "refused",
     [FORWARDER_DECISION_LOOKUP] = "searched",
 };
 
+static const char *const evidence_names[] = {
+    [FORWARDER_DECISION_RESET_PROVEN] = " evidence=denied_by_all",
+    [FORWARDER_DECISION_RESET_ABSENT] = " evidence=denied_by_acceptor",
+    [FORWARDER_DECISION_RESET_ENDED] = " evidence=endpoint_ended",
+    [FORWARDER_DECISION_LOOKUP] = NULL,
+};
+
 /* Outputs of forwarder. */
 
 static struct relay_balancer *
@@ -158,6 +167,7 @@
     char caller[ADDR_TEXT_MAX];
     char service[ADDR_TEXT_MAX];
     char peer[ADDR_TEXT_MAX];
+    const char *evidence = evidence_names[decision];
 
     balancer->counts.established += established;
     balancer->counts.lookups_started += decision == FORWARDER_DECISION_LOOKUP;
@@ -171,10 +181,10 @@
     event_log_write(
         &balancer->log, EVENT_RATE_LIMITED, decision_names[decision],
         "caller=%s service=%s agent=%s tries=%u age_us=%" PRIu64
-        " config=%" PRIu64,
+        " config=%" PRIu64 "%s",
         addr_format(flow.caller, caller), addr_format(flow.service, service),
         addr_format(agent, peer), tries, age_us,
-        balancer->forwarder.routes.version);
+        balancer->forwarder.routes.version, evidence != NULL ? evidence : "");
 }
 
 static void
