Agent: a refused probe alone no longer ends an endpoint

Callers saw: resets of all flows of an endpoint that lived, by its agent and by balancers (relay-soak's cut: 2 to 22 at a time).

Cause: a probe's refused connection counted as proof that the endpoint's process had ended. An endpoint without a listener (draining, starting, or the stand-in's, which has none) was so declared down whenever a probe was sent: for an answer 5 ms late, or before the first heartbeat after the agent's restart. The agent then reset what it held and denied every flow to orphan queries; after the next heartbeat it took its table for complete.

Fix: a refusal counts only when the endpoint's heartbeat is half an interval overdue as well, counted from its last sign of life, the agent's start or its last pause of 0.1 s; what has arrived is read first, and before an orphan query is answered. Only then is a probe sent. A later heartbeat of the same incarnation doesn't make an incomplete table complete, and an answer ends 'down'. New setting heartbeat_ms (agent, 1200), from the platform's.

--- a/scripts/relaybed/__main__.py
+++ b/scripts/relaybed/__main__.py
@@ -23,7 +23,7 @@
 
 from scripts.relaybed import store as store_module
 from scripts.relaybed.caller import Caller
-from scripts.relaybed.endpoint import Endpoint
+from scripts.relaybed.endpoint import HEARTBEAT_S, Endpoint
 
 # Loopback addresses of this run: ports that are free at 127.0.0.1 may be taken
 # at the addresses of other runs.
@@ -101,6 +101,7 @@
             base |= {"upstream": f"{ip}:{self.app}",
                      "outbound": f"{ip}:{self.outbound}",
                      "heartbeats": f"{ip}:{self.heartbeats}",
+                     "heartbeat_ms": int(HEARTBEAT_S * 1000),
                      "service": AGENTS[int(name.split("-")[1]) - 1],
                      "frames_port": self.frames,
                      "scheduling": self.overload,
--- a/src/relay/admission/admission.c
+++ b/src/relay/admission/admission.c
@@ -23,6 +23,12 @@
 /* A sweep that is later by more than this shows a pause of the agent. */
 #define PAUSE_MIN_US (10 * USEC_PER_MSEC)
 
+/* After a longer one, heartbeats may be waiting to be read. */
+#define LONG_PAUSE_US (100 * USEC_PER_MSEC)
+
+/* Until the caller sets it. */
+#define HEARTBEAT_DEFAULT_US (1200 * USEC_PER_MSEC)
+
 /* Flows without packets for this time are removed. If the endpoint still holds
  * one, its next packet is offered there. */
 #define IDLE_US (60 * USEC_PER_SEC)
@@ -92,6 +98,8 @@
     scheduler_init(&admission->scheduler, admission->endpoint.slots);
     slow_start_init(&admission->slow_start, now_us);
     admission->slow_start_due_us = UINT64_MAX;
+    admission->heartbeat_us = HEARTBEAT_DEFAULT_US;
+    admission->quiet_since_us = now_us;
     admission->flows = calloc(ADMISSION_FLOWS_MAX, sizeof(*admission->flows));
     admission->busy = calloc(ADMISSION_FLOWS_MAX, sizeof(*admission->busy));
     if (admission->flows == NULL || admission->busy == NULL ||
@@ -122,14 +130,18 @@
     free(admission->busy);
 }
 
-/* Notes whether the agent had no processor when its sweep was due. */
-static void
-note_pause(struct admission *admission, uint64_t now_us)
+void
+admission_note_pause(struct admission *admission, uint64_t now_us)
 {
-    if (admission->sweep_us != 0 &&
-        now_us > admission->sweep_us + PAUSE_MIN_US) {
+    if (admission->sweep_us == 0) {
+        return;
+    }
+    if (now_us > admission->sweep_us + PAUSE_MIN_US) {
         scheduler_resumed(&admission->scheduler, now_us);
     }
+    if (now_us > admission->sweep_us + LONG_PAUSE_US) {
+        admission->quiet_since_us = now_us;
+    }
 }
 
 static void
@@ -210,8 +222,9 @@
                                  const struct relay_packet *packet,
                                  uint64_t now_us)
 {
-    note_pause(admission, now_us);
+    admission_note_pause(admission, now_us);
     admission->unanswered_us = 0;
+    admission->quiet_since_us = now_us;
     if ((packet->flags & RELAY_BOUNCED) != 0) {
         admission_handle_bounce(admission, packet, now_us);
         return;
@@ -263,6 +276,7 @@
 
     if (update != ENDPOINT_STALE) {
         admission->unanswered_us = 0;
+        admission->quiet_since_us = now_us;
         slow_start_set_remaining(&admission->slow_start,
                                  heartbeat->warmup_left_ms, now_us);
     }
@@ -284,14 +298,18 @@
     }
 }
 
-void
-admission_endpoint_down(struct admission *admission, uint64_t now_us)
+bool
+admission_probe_refused(struct admission *admission, uint64_t now_us)
 {
-    if (endpoint_down(&admission->endpoint)) {
-        slow_start_restart(&admission->slow_start);
-        reset_incarnation(admission);
-        admission_notify_state(admission, now_us);
+    admission_note_pause(admission, now_us);
+    if (!admission_is_quiet(admission, now_us) ||
+        !endpoint_down(&admission->endpoint)) {
+        return false;
     }
+    slow_start_restart(&admission->slow_start);
+    reset_incarnation(admission);
+    admission_notify_state(admission, now_us);
+    return true;
 }
 
 void
@@ -304,7 +322,7 @@
 void
 admission_tick(struct admission *admission, uint64_t now_us)
 {
-    note_pause(admission, now_us);
+    admission_note_pause(admission, now_us);
     while (admission->syn_timer_count > 0 &&
            admission->syn_timers[admission->syn_timer_first].due_us <=
                now_us) {
--- a/src/relay/admission/admission.h
+++ b/src/relay/admission/admission.h
@@ -109,8 +109,8 @@
     /** @query_reply: answer a balancer's orphan query */
     void (*query_reply)(struct admission_out *out, struct addr balancer,
                         const struct frame_query_reply *query_reply);
-    /** @probe: check whether the endpoint's process is running; if it isn't,
-     * admission_endpoint_down() must be called */
+    /** @probe: check whether the endpoint accepts connections; if it refuses
+     * one, admission_probe_refused() must be called */
     void (*probe)(struct admission_out *out);
     /** @dropped: a packet was dropped */
     void (*dropped)(struct admission_out *out, enum admission_drop why);
@@ -204,6 +204,10 @@
  * @balancer_count: number of them
  * @unanswered_us: time of the first packet since the endpoint's last sign of
  * life that it must answer, 0 for none
+ * @heartbeat_us: interval of the endpoint's heartbeats; the caller may set it
+ *     after admission_init()
+ * @quiet_since_us: the endpoint's last sign of life; later if this agent
+ *     started or resumed since
  * @probed_us: when the endpoint's process was last probed, 0 for never
  * @evicted_flows: flows were evicted from the full table, so it doesn't list
  * all flows of the endpoint
@@ -250,6 +254,8 @@
     struct admission_balancer balancers[ADMISSION_BALANCERS_MAX];
     unsigned balancer_count;
     uint64_t unanswered_us;
+    uint64_t heartbeat_us;
+    uint64_t quiet_since_us;
     uint64_t probed_us;
     bool evicted_flows;
     bool closed;
@@ -342,10 +348,19 @@
 admission_endpoint_left(struct admission *admission, const char *id,
                         uint64_t started_ms, uint64_t now_us);
 
-/** admission_endpoint_down() - the endpoint's process isn't running, as a
- * probe found */
-void
-admission_endpoint_down(struct admission *admission, uint64_t now_us);
+/**
+ * admission_probe_refused() - a probe found no listener at the endpoint's
+ * address
+ *
+ * That doesn't show that the process has ended: an endpoint may close its
+ * listener while it drains, or open it after its start. It has if its
+ * heartbeats are overdue too. The caller handles all packets and heartbeats
+ * first that have arrived.
+ *
+ * Return: whether the endpoint's process has ended.
+ */
+bool
+admission_probe_refused(struct admission *admission, uint64_t now_us);
 
 /** admission_set_scheduling() - schedule the requests on open flows, or stop
  * it: held ones go to the endpoint before later packets of their flows */
--- a/src/relay/admission/admission_orphans.c
+++ b/src/relay/admission/admission_orphans.c
@@ -6,10 +6,6 @@
  * frozen. */
 #define SILENT_US (1 * USEC_PER_SEC)
 
-/* Time after which an unanswered packet makes the endpoint suspect. Allows for
- * a slow host whose processor the agent shares. */
-#define ANSWER_TIMEOUT_US (5 * USEC_PER_MSEC)
-
 /* Interval of probes. Each opens a connection to the endpoint. */
 #define PROBE_INTERVAL_US (200 * USEC_PER_MSEC)
 
@@ -40,23 +36,21 @@
     }
 }
 
-/* Whether the endpoint may be down: no heartbeat came yet, or an answer is
- * overdue. */
-static bool
-may_be_down(const struct admission *admission, uint64_t now_us)
+bool
+admission_is_quiet(const struct admission *admission, uint64_t now_us)
 {
-    bool is_overdue = admission->unanswered_us != 0 &&
-                      now_us - admission->unanswered_us >= ANSWER_TIMEOUT_US;
-
-    return is_overdue || admission->endpoint.incarnation_count == 0;
+    /* Half an interval for a heartbeat that is late. */
+    return now_us >= admission->quiet_since_us + admission->heartbeat_us +
+                         admission->heartbeat_us / 2;
 }
 
-/* A probe detects an endpoint that is down sooner than SILENT_US does. */
+/* Where heartbeats are overdue, a probe tells an endpoint that has ended from
+ * one that is frozen. */
 static void
 probe_if_due(struct admission *admission, uint64_t now_us)
 {
     if (admission->endpoint.state == ENDPOINT_GONE ||
-        admission->endpoint.down || !may_be_down(admission, now_us) ||
+        admission->endpoint.down || !admission_is_quiet(admission, now_us) ||
         (admission->probed_us != 0 &&
          now_us - admission->probed_us < PROBE_INTERVAL_US)) {
         return;
@@ -69,7 +63,10 @@
 admission_handle_query(struct admission *admission, struct addr balancer,
                        const struct frame_query *query, uint64_t now_us)
 {
-    struct frame_query_reply reply = {
+    struct frame_query_reply reply;
+
+    admission_note_pause(admission, now_us);
+    reply = (struct frame_query_reply){
         .query = query->query,
         .down = admission->endpoint.down,
         .partial = !admission_knows_all_flows(admission),
--- a/src/relay/admission/admission_private.h
+++ b/src/relay/admission/admission_private.h
@@ -143,6 +143,15 @@
 void
 admission_expect_reply(struct admission *admission, uint64_t now_us);
 
+/** admission_note_pause() - note whether the agent had no processor when its
+ * sweep was due */
+void
+admission_note_pause(struct admission *admission, uint64_t now_us);
+
+/** admission_is_quiet() - whether a heartbeat of the endpoint is overdue */
+bool
+admission_is_quiet(const struct admission *admission, uint64_t now_us);
+
 /** admission_flow_set_busy() - count the flow's request as in progress */
 void
 admission_flow_set_busy(struct admission *admission, uint32_t handle,
--- a/src/relay/admission/endpoint.c
+++ b/src/relay/admission/endpoint.c
@@ -121,7 +121,8 @@
     incarnation.complete = is_new || known == NULL
                                ? heartbeat->sequence <= SEQUENCE_FIRST
                                : known->complete;
-    incarnation.complete |= endpoint->down;
+    /* The process that was down isn't one that was running before. */
+    incarnation.complete |= endpoint->down && (is_new || known == NULL);
     endpoint->down = false;
     g_strlcpy(incarnation.id, heartbeat->id, sizeof(incarnation.id));
     incarnation_set_current(endpoint, known, &incarnation);
@@ -182,6 +183,7 @@
 bool
 endpoint_answered(struct endpoint *endpoint)
 {
+    endpoint->down = false;
     if (endpoint->state != ENDPOINT_SILENT) {
         return false;
     }
--- a/src/relay/program/relay_agent.c
+++ b/src/relay/program/relay_agent.c
@@ -54,6 +54,8 @@
                                    sizeof(report));
 
     agent->log.max_per_s = agent->settings.log_per_s;
+    agent->admission.heartbeat_us =
+        agent->settings.heartbeat_ms * USEC_PER_MSEC;
     admission_set_scheduling(&agent->admission, agent->settings.scheduling,
                              loop_now_us(&agent->loop));
     apply_peers(agent);
@@ -235,6 +237,8 @@
                agent->settings.upstream);
     apply_peers(agent);
     agent->admission.scheduling = agent->settings.scheduling;
+    agent->admission.heartbeat_us =
+        agent->settings.heartbeat_ms * USEC_PER_MSEC;
     event_log_write(&agent->log, EVENT_UNLIMITED, "started",
                     "role=agent data_centre=%s service=%s",
                     agent->settings.data_centre, agent->settings.service);
--- a/src/relay/program/relay_agent_out.c
+++ b/src/relay/program/relay_agent_out.c
@@ -144,13 +144,22 @@
 {
     struct relay_agent *agent = container_of(probe, struct relay_agent, probe);
 
-    event_log_write(&agent->log, EVENT_RATE_LIMITED, "endpoint_probed",
-                    "listens=%d state=%s", !refused,
-                    relay_agent_state_names[agent->admission.endpoint.state]);
+    uint64_t now_us = loop_now_us(&agent->loop);
+    const char *state;
+    uint64_t quiet_us;
+    bool down = false;
+
+    /* What the endpoint sent before may still be unread. */
+    dgram_poll(&agent->outbound);
+    state = relay_agent_state_names[agent->admission.endpoint.state];
+    quiet_us = now_us - agent->admission.quiet_since_us;
     if (refused) {
-        admission_endpoint_down(&agent->admission, loop_now_us(&agent->loop));
+        down = admission_probe_refused(&agent->admission, now_us);
         relay_agent_flush(agent);
     }
+    event_log_write(&agent->log, EVENT_RATE_LIMITED, "endpoint_probed",
+                    "listens=%d state=%s quiet_us=%" PRIu64 " down=%d",
+                    !refused, state, quiet_us, down);
 }
 
 const struct probe_ops relay_agent_probe_ops = {on_probe_ended};
@@ -298,6 +307,8 @@
         }
         break;
     case FRAME_QUERY:
+        /* The answer to an overdue packet may still be unread. */
+        dgram_poll(&agent->outbound);
         if (frame_query_decode(bytes, size, &query) == 0) {
             admission_handle_query(&agent->admission, from, &query, now_us);
             return;
--- a/src/relay/program/relay_settings.c
+++ b/src/relay/program/relay_settings.c
@@ -10,6 +10,9 @@
 /* The platform allows 6 s for a planned stop. */
 #define STOP_DEFAULT_MS 5000
 #define STOP_MAX_MS 600000
+#define HEARTBEAT_DEFAULT_MS 1200
+#define HEARTBEAT_MIN_MS 50
+#define HEARTBEAT_MAX_MS 60000
 
 /* Limits the processor time that logging takes on the smallest host. */
 #define LOG_DEFAULT_PER_S 60
@@ -97,6 +100,8 @@
     {"upstream", AGENT, AGENT, json_file_read_addr, FIELD(upstream)},
     {"outbound", AGENT, AGENT, json_file_read_addr, FIELD(outbound)},
     {"heartbeats", AGENT, AGENT, json_file_read_addr, FIELD(heartbeats)},
+    {"heartbeat_ms", 0, AGENT, json_file_read_unsigned, FIELD(heartbeat_ms),
+     .min = HEARTBEAT_MIN_MS, .max = HEARTBEAT_MAX_MS},
     {"service", AGENT, AGENT, json_file_read_string, FIELD(service)},
     {"callers_port", 0, AGENT, json_file_read_unsigned, FIELD(callers_port),
      .min = 1, .max = PORT_MAX},
@@ -133,6 +138,7 @@
     memset(settings, 0, sizeof(*settings));
     settings->evacuations = true;
     settings->slow_start.over = 1;
+    settings->heartbeat_ms = HEARTBEAT_DEFAULT_MS;
     settings->caller_prefix_bits = CALLER_SHARES_PREFIX_MAX;
     settings->stop_ms = STOP_DEFAULT_MS;
     settings->log_per_s = LOG_DEFAULT_PER_S;
--- a/src/relay/program/relay_settings.h
+++ b/src/relay/program/relay_settings.h
@@ -36,6 +36,8 @@
  *            packets
  * @outbound: "outbound" (agent): UDP address to which the endpoint sends
  * @heartbeats: "heartbeats" (agent): HTTP address for heartbeats
+ * @heartbeat_ms: "heartbeat_ms" (agent): interval of the endpoint's
+ *                heartbeats, 1200 by default
  * @service: "service" (agent): name of the endpoint's service
  * @callers_port: "callers_port" (agent): UDP port at which callers receive
  *                packets; by default the port of @data
@@ -78,6 +80,7 @@
     struct addr upstream;
     struct addr outbound;
     struct addr heartbeats;
+    unsigned heartbeat_ms;
     char service[ROUTES_NAME_MAX];
     unsigned callers_port;
     unsigned frames_port;
--- a/tests/relay/world.h
+++ b/tests/relay/world.h
@@ -49,6 +49,8 @@
     unsigned timeout_ms;         /* request timeout of all routes */
     bool closing;                /* callers send a FIN and await its ACK */
     bool restart_all;            /* all hosts restart at half-time */
+    bool closed_listeners;       /* endpoints accept no connection of a probe
+                                    while they start or drain */
     bool scheduling;             /* agents schedule requests on open flows */
     bool reported;               /* orphaned flows must be reset in time */
 };
--- a/tests/relay/world_test.c
+++ b/tests/relay/world_test.c
@@ -202,6 +202,70 @@
     g_assert_cmpuint(run_plan(&restart_all_among_faults), >=, 400);
 }
 
+/* A refused connection of a probe doesn't show that the process has ended. */
+static const struct world_plan closed_listeners = {
+    .new_flows = 600,
+    .loss = 10,
+    .rehash = 50,
+    .agent_restart = 30,
+    .balancer_restart = 30,
+    .endpoint_crash = 10,
+    .endpoint_drain = 30,
+    .freeze = 10,
+    .stall = 50,
+    .requests = 6,
+    .pause_ms = 300,
+    .closing = true,
+    .closed_listeners = true,
+};
+
+TEST(endpoints_without_a_listener_keep_their_flows)
+{
+    g_assert_cmpuint(run_plan_for(&closed_listeners, 3000), >=, 100);
+}
+
+static const struct world_plan crowded_closed_listeners = {
+    .new_flows = 1000,
+    .loss = 10,
+    .rehash = 50,
+    .agent_restart = 30,
+    .balancer_restart = 30,
+    .endpoint_crash = 10,
+    .endpoint_drain = 30,
+    .freeze = 10,
+    .stall = 50,
+    .requests = 6,
+    .pause_ms = 100,
+    .work_ms = 100,
+    .timeout_ms = 1200,
+    .closing = true,
+    .closed_listeners = true,
+    .scheduling = true,
+};
+
+TEST(scheduled_requests_at_endpoints_without_a_listener)
+{
+    g_assert_cmpuint(run_plan_for(&crowded_closed_listeners, 3000), >=, 50);
+}
+
+/* Guards against resets of all flows of an endpoint that lives, by a balancer
+ * (2, 9, 4, 7) and by its agent (25, 39), as a probe found no listener. */
+TEST(regressions_of_refused_probes)
+{
+    static const uint32_t seeds[] = {2, 9};
+    static const uint32_t scheduled[] = {4, 7, 25, 39};
+    struct world_result result;
+
+    for (size_t i = 0; i < G_N_ELEMENTS(seeds); i++) {
+        world_run(seeds[i], &closed_listeners, 3000, &result);
+        g_assert_cmpstr(result.violation, ==, "");
+    }
+    for (size_t i = 0; i < G_N_ELEMENTS(scheduled); i++) {
+        world_run(scheduled[i], &crowded_closed_listeners, 3000, &result);
+        g_assert_cmpstr(result.violation, ==, "");
+    }
+}
+
 /* Guards against: an agent listed during an orphan query (2647); a SYN queued
  * although the endpoint holds its flow (5025); a SYN+ACK of an endpoint's
  * previous incarnation (20249, 26803, 29642). */
