Agent: a copy of an unanswered SYN doesn't reach a draining endpoint

Callers saw: a new flow at an endpoint whose drain was acknowledged (DRAIN).

Cause: copies of the SYN of a flow that is opening went to the endpoint whatever had been heard since the first: draining, evacuated, the agent's own stop.

Ruled out: the state after a silence (it was ready until the heartbeat).

Open flows' copies go on as before.

--- a/src/relay/admission/admission_open.c
+++ b/src/relay/admission/admission_open.c
@@ -335,6 +335,14 @@
     open_flow(admission, frame, packet, was_established, now_us);
 }
 
+/* Whether the endpoint may get no SYN that it hasn't answered before. */
+static bool
+takes_no_new_flows(const struct admission *admission)
+{
+    return admission->closed || admission_is_evacuated(admission) ||
+           !endpoint_is_available(&admission->endpoint);
+}
+
 void
 admission_handle_duplicate_syn(struct admission *admission, uint32_t handle,
                                const struct frame_forward *frame,
@@ -352,6 +360,13 @@
     }
     switch (flow->state) {
     case ADMISSION_FLOW_OPENING:
+        if (takes_no_new_flows(admission)) {
+            /* Only the SYN before it may still be answered. */
+            flow->origin = frame->origin;
+            admission_drop(admission, ADMISSION_DROP_NO_AGENT);
+            return;
+        }
+        /* fallthrough */
     case ADMISSION_FLOW_ESTABLISHED:
         /* The endpoint repeats its SYN+ACK with the same sequence number. */
         flow->origin = frame->origin;
--- a/tests/relay/admission_open_test.c
+++ b/tests/relay/admission_open_test.c
@@ -330,3 +330,19 @@
                     1, false);
     g_assert_nonnull(strstr(fixture->record->str, "endpoint 0"));
 }
+
+/* Guards against a new flow at an endpoint that drains: it bounced the first
+ * SYN, or hasn't answered it yet, and would accept the copy. */
+TEST_F(fixture,
+       a_copy_of_an_unanswered_syn_is_not_given_to_a_draining_endpoint)
+{
+    struct relay_packet syn =
+        fixture_from_caller(fixture_flow(1), RELAY_SYN, 100, 0, 0);
+
+    fixture_heartbeat(fixture, "i-1", "lots", false, 1);
+    fixture_receive(fixture, syn, 0, false);
+    fixture_heartbeat(fixture, "i-1", "lots", true, 2);
+    g_string_truncate(fixture->record, 0);
+    fixture_receive(fixture, syn, 0, false);
+    fixture_expect(fixture->record, "drop 1", NULL);
+}
--- a/tests/relay/world_test.c
+++ b/tests/relay/world_test.c
@@ -249,11 +249,12 @@
 }
 
 /* Guards against resets of all flows of an endpoint that lives, by a balancer
- * (2, 9, 4, 7) and by its agent (25, 39), as a probe found no listener. */
-TEST(regressions_of_refused_probes)
+ * (2, 9, 4, 7) and by its agent (25, 39), as a probe found no listener; and
+ * against a copy of an unanswered SYN at a draining endpoint (71). */
+TEST(regressions_of_closed_listeners)
 {
     static const uint32_t seeds[] = {2, 9};
-    static const uint32_t scheduled[] = {4, 7, 25, 39};
+    static const uint32_t scheduled[] = {4, 7, 25, 39, 71};
     struct world_result result;
 
     for (size_t i = 0; i < G_N_ELEMENTS(seeds); i++) {
