Relay roles: a SIGHUP before the event loop doesn't end the process

Callers saw: a balancer gone until it is started again.

Cause: SIGHUP had its default effect until the loop installed its handler.

Ruled out: a failed start (its log has lines up to the signal and no error).

Fix: both roles ignore SIGHUP first; the settings are read after that.

Before: relay-early_reload sees exits by signal 1. After: the invalid settings' exit, 2. The 3 ms before main() stay (docs/incidents/early-reload.md).

--- a/src/cli/main.c
+++ b/src/cli/main.c
@@ -3,6 +3,7 @@
  *
  * The commands of terminated mode are built with SWIFTARCH_TERMINATED only.
  */
+#include <signal.h>
 #include <stdio.h>
 
 #include <argtable2.h>
@@ -81,9 +82,19 @@
 
 #endif
 
+/* A SIGHUP before the event loop runs would end the process. It is ignored
+ * until then: the settings file is read later, and changes after that are
+ * found without a signal. */
+static void
+ignore_early_reload(void)
+{
+    signal(SIGHUP, SIG_IGN); // NOLINT(bugprone-signal-handler)
+}
+
 static int
 run_relay_balancer(int argc, char **argv)
 {
+    ignore_early_reload();
     return run_role(relay_balancer_run,
                     "Run a relay balancer until SIGTERM; a second one stops "
                     "it at once.",
@@ -93,6 +104,7 @@
 static int
 run_relay_agent(int argc, char **argv)
 {
+    ignore_early_reload();
     return run_role(relay_agent_run,
                     "Run a relay agent until SIGTERM; a second one stops "
                     "it at once.",
