relay-soak: flows kept open, series of faults, a listening endpoint, whole logs

What was missing: callers opened a flow for each request and left a process as soon as it got its signal; faults came once; the simulated endpoint had no listener, so each probe was refused; of a failed seed's logs 4,000 characters a process were left, cut where it mattered.

Whole logs of a failed seed are printed and kept, with a line for each cut flow: time, caller, who holds it, the reset's fields.

As strict: every check stays as it was; new ones are that no flow breaks and that no process has ended by itself after the faults.

relay-site: a failed run prints the logs; objects not written again after a loss are counted as unlisted, no longer among failed requests.

--- a/scripts/relaybed/__main__.py
+++ b/scripts/relaybed/__main__.py
@@ -59,21 +59,25 @@
 class RelayFixture:
     """Relay processes, the simulated store and endpoints, and the counters."""
 
-    def __init__(self, binary, folder, overload=False):
+    def __init__(self, binary, folder, overload=False, balancers=BALANCERS,
+                 agents=AGENTS):
         self.overload = overload
+        self.balancers = balancers
+        self.agents = agents
         self.binary = binary
         self.folder = pathlib.Path(folder)
         (self.packets, self.frames, self.ready, self.config_peer_port,
          self.outbound, self.heartbeats, self.app) = free_ports(7)
         self.store, self.store_port = store_module.serve(("127.0.0.1", 0))
         self.record = {"answered": 0, "failed": 0, "retried": 0,
-                       "crossed": 0, "garbled": 0, "shown": False,
+                       "crossed": 0, "garbled": 0, "unlisted": 0, "shown": False,
                        "explained": False, "pressure": False, "ran": {}}
         self.processes = {}
         self.running_balancers = {}
         self.endpoints = []
-        # Further settings of balancers.
+        # Further settings of balancers, and of all processes.
         self.balancer_settings = {}
+        self.all_settings = {}
 
     def config(self, version):
         """Publish the configuration with this version."""
@@ -89,12 +93,12 @@
         """Write the settings of a process; returns the path of the file."""
         base = {"name": name, "data_centre": "here",
                 "data": f"{ip}:{self.packets}", "ready": f"{ip}:{self.ready}",
-                "store": f"127.0.0.1:{self.store_port}"}
+                "store": f"127.0.0.1:{self.store_port}"} | self.all_settings
         if role == "relay-balancer":
             base |= {"frames": f"{ip}:{self.frames}",
                      "share": f"{ip}:{self.config_peer_port}",
                      "peers": [f"{NET}.1.{i + 1}:{self.config_peer_port}"
-                               for i in range(BALANCERS)],
+                               for i in range(self.balancers)],
                      "overload": self.overload}
             base |= self.balancer_settings
         else:
@@ -102,10 +106,10 @@
                      "outbound": f"{ip}:{self.outbound}",
                      "heartbeats": f"{ip}:{self.heartbeats}",
                      "heartbeat_ms": int(HEARTBEAT_S * 1000),
-                     "service": AGENTS[int(name.split("-")[1]) - 1],
+                     "service": self.agents[int(name.split("-")[1]) - 1],
                      "frames_port": self.frames,
                      "scheduling": self.overload,
-                     "peers": [f"{NET}.1.{i + 1}:1" for i in range(BALANCERS)]}
+                     "peers": [f"{NET}.1.{i + 1}:1" for i in range(self.balancers)]}
         path = self.folder / f"{name}.json"
         path.write_text(json.dumps(base))
         return path
@@ -123,17 +127,17 @@
     async def start_all(self):
         """Start all processes; returns once every balancer is ready."""
         self.config(1)
-        for i in range(BALANCERS):
+        for i in range(self.balancers):
             self.start("relay-balancer", f"balancer-{i + 1}",
                        f"{NET}.1.{i + 1}")
-        for i, service in enumerate(AGENTS):
+        for i, service in enumerate(self.agents):
             ip = f"{NET}.2.{i + 1}"
             self.start("relay-agent", f"agent-{i + 1}", ip)
             endpoint = Endpoint(service, (ip, self.app), (ip, self.outbound),
                                 (ip, self.heartbeats), self.record)
             await endpoint.start()
             self.endpoints.append(endpoint)
-        for i in range(BALANCERS):
+        for i in range(self.balancers):
             await self.until_ready(f"{NET}.1.{i + 1}")
 
     async def until_ready(self, ip):
@@ -162,8 +166,8 @@
 
     def addresses(self):
         """Ready addresses of all processes, balancers first."""
-        return [f"{NET}.1.{i + 1}:{self.ready}" for i in range(BALANCERS)] + \
-            [f"{NET}.2.{i + 1}:{self.ready}" for i in range(len(AGENTS))]
+        return [f"{NET}.1.{i + 1}:{self.ready}" for i in range(self.balancers)] + \
+            [f"{NET}.2.{i + 1}:{self.ready}" for i in range(len(self.agents))]
 
     def explain_flow(self, caller, service):
         """Print relay-explain for a flow; whether all balancers have its route,
@@ -173,7 +177,7 @@
              *self.addresses()], check=False, capture_output=True, text=True)
         print(done.stdout + done.stderr, end="")
         return done.returncode == 0 and \
-            done.stdout.count("balancer: route ") == BALANCERS and \
+            done.stdout.count("balancer: route ") == self.balancers and \
             "known for" in done.stdout and "agent: here" in done.stdout
 
     def show(self):
@@ -199,6 +203,11 @@
             done.stdout.count(f"under pressure are {said}") == BALANCERS and \
             services == calm and (services > 0) == self.overload
 
+    def logs(self):
+        """Whole logs of all processes."""
+        return "\n".join(f"== {path.name}\n{path.read_text()}"
+                         for path in sorted(self.folder.glob("*.log")))
+
     def stop_endpoints(self):
         """Stop all endpoints; called before the event loop ends."""
         for endpoint in self.endpoints:
@@ -229,7 +238,7 @@
         await asyncio.sleep(0.5)
         await fixture.endpoints[0].start()
     elif fault == "endpoint-drain":
-        fixture.endpoints[0].state = "draining"
+        fixture.endpoints[0].drain()
         await asyncio.sleep(1)
         await fixture.endpoints[0].deregister()
     elif fault == "store-away":
@@ -247,7 +256,7 @@
             fixture.store.remove("swiftarch-agents", name)
         await asyncio.sleep(0.5)
         left = set(names) - set(fixture.store.objects["swiftarch-agents"])
-        fixture.record["failed"] += len(left)
+        fixture.record["unlisted"] = len(left)
     elif fault == "all-kill":
         for name in list(fixture.processes):
             await fixture.kill(name)
@@ -328,6 +337,7 @@
         finally:
             fixture.stop_processes()
         record = fixture.record
+        logs = fixture.logs()
         ran = record.pop("ran")
         record |= {"fault": args.fault, "doubled":
                    sum(times > 1 for times in ran.values()),
@@ -337,10 +347,13 @@
         print(f"{key:12} {value}")
     print(json.dumps(record))
     bad = record["failed"] + record["crossed"] + record["garbled"] + \
-        record["doubled"]
+        record["doubled"] + record["unlisted"]
     reports_complete = record["shown"] and record["explained"] and \
         record["pressure"]
-    return 1 if bad or not record["answered"] or not reports_complete else 0
+    if bad or not record["answered"] or not reports_complete:
+        print(logs)
+        return 1
+    return 0
 
 
 if __name__ == "__main__":
--- a/scripts/relaybed/caller.py
+++ b/scripts/relaybed/caller.py
@@ -1,13 +1,17 @@
 """Simulated callers: each flow carries one request."""
 
 import asyncio
+import ipaddress
 import itertools
+import time
 import zlib
 
 from scripts.relaybed import packet as pk
 
 SYN_TIMEOUTS_S = (0.2, 0.4, 0.8)
 RETRANSMIT_TIMEOUTS_S = (0.2, 0.4, 0.8, 1.6)
+# Pause of a caller that couldn't open a flow.
+REOPEN_S = 0.1
 ATTEMPTS_MAX = 3
 
 
@@ -15,8 +19,8 @@
     """One caller's socket; spreads its flows over the balancers, as ECMP."""
 
     def __init__(self, ip_text, ip, port, balancers, record, flow_is_open=None):
-        # Function of a flow and its endpoint's initial sequence number: whether
-        # that endpoint has the flow open.
+        # Function of a flow and its endpoint's initial sequence number: name
+        # of the endpoint that has the flow open, or None.
         self.flow_is_open = flow_is_open
         self.local = (ip_text, port)
         self.ip = ip
@@ -91,14 +95,75 @@
         else:
             return None
         if packet.flags & pk.RST:
-            if self.flow_is_open is not None and \
-                    self.flow_is_open((src, dst), opened.seq):
-                self.record["cut"] += 1
+            self.check_reset((src, dst), opened.seq, packet)
             return None
         self.send(pk.Packet(src, dst, pk.FIN | pk.ACK, 101 + len(request),
                             ack))
         return packet.data
 
+    def check_reset(self, flow, seq, packet):
+        """Count and describe a reset of a flow that an endpoint has open."""
+        holder = self.flow_is_open(flow, seq) if self.flow_is_open else None
+        if not holder:
+            return
+        self.record["cut"] += 1
+        host = f"{ipaddress.ip_address(flow[0][0])}:{flow[0][1]}"
+        print(f"cut {time.time():.3f} caller={host} seq={seq} held_by={holder} "
+              f"reset: flags={packet.flags} seq={packet.seq} "
+              f"ack={packet.ack}", flush=True)
+
+    async def exchange(self, flow, queue, seq, ack, request):
+        """Send a request on an open flow; returns the answer, a reset, or None
+        after all retransmissions."""
+        for wait in RETRANSMIT_TIMEOUTS_S:
+            self.send(pk.Packet(*flow, pk.ACK, seq, ack, request))
+            packet = await self.receive(queue, wait,
+                                        lambda p: p.data and p.seq == ack)
+            if packet is not None:
+                return packet
+        return None
+
+    async def converse(self, flow, queue, opened, requests, until):
+        """Send requests on an open flow until the event is set or the flow
+        ends; whether no request failed."""
+        seq, ack = 101, opened.seq + 1 & 0xffffffff
+        packet = opened
+        while not until.is_set() and not packet.flags & pk.FIN:
+            service, request, pause = next(requests)
+            packet = await self.exchange(flow, queue, seq, ack, request)
+            if packet is None:
+                return False
+            if packet.flags & pk.RST:
+                self.check_reset(flow, opened.seq, packet)
+                return False
+            complete = packet.data == service.encode() + b":" + request
+            self.record["crossed"] += not complete
+            self.record["kept"] += complete
+            seq += len(request)
+            ack = ack + len(packet.data) & 0xffffffff
+            idle = await self.receive(queue, pause, lambda p: False)
+            if idle is not None:
+                self.check_reset(flow, opened.seq, idle)
+                return False
+        self.send(pk.Packet(*flow, pk.FIN | pk.ACK, seq, ack))
+        return True
+
+    async def keep_open(self, dst, requests, until):
+        """Keep one flow open at a time, with requests and pauses, until the
+        event is set. Requests on it aren't tried again."""
+        while not until.is_set():
+            src = (self.ip, next(self.ports))
+            queue = asyncio.Queue()
+            self.waiting[(src[1], dst)] = queue
+            opened = await self.open(src, dst, queue)
+            if opened is None:
+                self.record["unopened"] += 1
+                await asyncio.sleep(REOPEN_S)
+            elif not await self.converse((src, dst), queue, opened, requests,
+                                         until):
+                self.record["broken"] += 1
+            del self.waiting[(src[1], dst)]
+
     async def request_with_retries(self, dst, service, request):
         """Send a request on up to ATTEMPTS_MAX flows and count the outcome."""
         for attempt_number in range(ATTEMPTS_MAX):
--- a/scripts/relaybed/endpoint.py
+++ b/scripts/relaybed/endpoint.py
@@ -1,6 +1,7 @@
-"""A simulated endpoint: two slots, a queue and heartbeats."""
+"""A simulated endpoint: two slots, a queue, heartbeats and a health check."""
 
 import asyncio
+import dataclasses
 import itertools
 import random
 import time
@@ -13,10 +14,30 @@
 # Acknowledgements beyond the initial sequence number by more than this belong
 # to another endpoint's handshake.
 ACK_OFFSET_MAX = 100000
+# Times that an answer is sent until its caller acknowledges it.
+ANSWERS_MAX = 3
+ANSWER_TIMEOUT_S = 0.3
 # An endpoint resets unknown flows for this long after its start.
 STARTUP_RESET_S = 0.1
 # New flows later than this after the draining was acknowledged are violations.
 DRAIN_GRACE_S = 1
+# Delay from the start to the listener for health checks.
+LISTEN_DELAY_S = 0.02
+
+
+@dataclasses.dataclass
+class Flow:
+    """An open flow; the caller's first byte has sequence number 101."""
+
+    seq: int
+    received: int = 101
+    sent: int = 0
+    acked: int = 0
+    running: bool = False
+    answer: pk.Packet = None
+
+    def __post_init__(self):
+        self.sent = self.seq + 1 & 0xffffffff
 
 
 class Endpoint(asyncio.DatagramProtocol):
@@ -43,6 +64,9 @@
         # Last start of the host's agent, which loses the draining state until
         # the next heartbeat.
         self.agent_started_at = 0
+        self.listener = None
+        # Whether it closes its listener while it drains.
+        self.closes_listener = False
 
     async def start(self):
         """Start without flows, under a new id or under the previous id with a
@@ -59,11 +83,42 @@
         self.transport, _ = await loop.create_datagram_endpoint(
             lambda: self, local_addr=self.address)
         self.task = asyncio.create_task(self.send_heartbeats())
+        if self.closes_listener:
+            await asyncio.sleep(LISTEN_DELAY_S)
+        if not self.transport.is_closing():
+            self.listener = await asyncio.start_server(self.serve_health,
+                                                       *self.address)
+
+    async def serve_health(self, reader, writer):
+        """Answer a health check: 200 unless the endpoint drains."""
+        try:
+            await reader.readline()
+            status = "200 OK" if self.state == "ready" else "503 Draining"
+            writer.write(f"HTTP/1.1 {status}\r\nContent-Length: 0\r\n"
+                         "Connection: close\r\n\r\n".encode())
+            await writer.drain()
+        except OSError:
+            pass
+        finally:
+            writer.close()
+
+    def close_listener(self):
+        """Refuse connections from now on."""
+        if self.listener is not None:
+            self.listener.close()
+            self.listener = None
+
+    def drain(self):
+        """Drain from the next heartbeat on."""
+        self.state = "draining"
+        if self.closes_listener:
+            self.close_listener()
 
     def crash(self):
         """Stop without deregistering."""
         self.task.cancel()
         self.transport.close()
+        self.close_listener()
 
     async def call(self, method, body):
         """Call the agent's instance API; whether it answered 200."""
@@ -114,23 +169,32 @@
             since = max(self.drained_at or now, self.agent_started_at)
             if flow not in self.flows and now > since + DRAIN_GRACE_S:
                 self.record["drained"] = self.record.get("drained", 0) + 1
-            self.flows.setdefault(flow, [random.getrandbits(32), False])
+            self.flows.setdefault(flow, Flow(random.getrandbits(32)))
             self.send(pk.Packet(packet.dst, packet.src, pk.SYN | pk.ACK,
-                                self.flows[flow][0], packet.seq + 1))
+                                self.flows[flow].seq, packet.seq + 1))
         elif flow not in self.flows:
             self.refuse(packet)
-        elif packet.ack - self.flows[flow][0] & 0xffffffff > ACK_OFFSET_MAX:
+        elif packet.ack - self.flows[flow].seq & 0xffffffff > ACK_OFFSET_MAX:
             # Acknowledges another endpoint's SYN+ACK: dropped.
             return
         elif packet.data:
-            if not self.flows[flow][1]:
-                self.flows[flow][1] = True
-                self.record["ran"][packet.data] = \
-                    self.record["ran"].get(packet.data, 0) + 1
-                asyncio.ensure_future(self.work(flow, packet))
+            self.receive_data(flow, packet)
         elif packet.flags & pk.FIN:
             self.flows.pop(flow, None)
 
+    def receive_data(self, flow, packet):
+        """Start the flow's next request, or repeat the last answer."""
+        state = self.flows[flow]
+        state.acked = packet.ack
+        if packet.seq == state.received and not state.running:
+            state.received += len(packet.data)
+            state.running = True
+            self.record["ran"][packet.data] = \
+                self.record["ran"].get(packet.data, 0) + 1
+            asyncio.ensure_future(self.work(flow, state, packet))
+        elif state.answer is not None and not state.running:
+            self.send(state.answer)
+
     def refuse(self, packet):
         """Bounce a packet of an unknown flow, but reset data after a start."""
         age = asyncio.get_running_loop().time() - self.started_at
@@ -141,15 +205,20 @@
         packet.flags |= pk.BOUNCED
         self.send(packet)
 
-    async def work(self, flow, packet):
-        """Run a request and answer it."""
+    async def work(self, flow, state, packet):
+        """Run a request and answer it. A draining endpoint closes the flow
+        with the answer."""
         async with self.slots:
             await asyncio.sleep(WORK_S)
-        for _ in range(3):
-            if flow not in self.flows:
+        answer = self.service.encode() + b":" + packet.data
+        end = pk.FIN if self.state == "draining" else 0
+        state.running = False
+        state.answer = pk.Packet(packet.dst, packet.src, pk.ACK | end,
+                                 state.sent, state.received, answer)
+        state.sent = state.sent + len(answer) & 0xffffffff
+        for _ in range(ANSWERS_MAX):
+            if self.flows.get(flow) is not state or state.running or \
+                    state.acked == state.sent:
                 return
-            self.send(pk.Packet(
-                packet.dst, packet.src, pk.ACK, self.flows[flow][0] + 1,
-                packet.seq + len(packet.data),
-                self.service.encode() + b":" + packet.data))
-            await asyncio.sleep(0.3)
+            self.send(state.answer)
+            await asyncio.sleep(ANSWER_TIMEOUT_S)
--- a/scripts/relaybed/soak.py
+++ b/scripts/relaybed/soak.py
@@ -1,20 +1,25 @@
 """A randomized soak of relay mode: real processes, overlapping faults.
 
 python3 -m scripts.relaybed.soak [--seed N] [--seeds N] [--seconds N]
+                                 [--balancers N] [--agents N] [--logs DIR]
                                  [--binary FILE]
 
 Each seed runs relay mode under load while flows are rehashed: processes are
-killed, stopped, frozen and reloaded, endpoints crash and drain, the store is
+killed, stopped, frozen and reloaded, also several times in a row or with a
+second signal; endpoints crash and drain, some without a listener; the store is
 unavailable or restored from an older state, and a proxy in front of it delays,
-resets, refuses or drops data. The load continues after the faults.
+resets, refuses or drops data. Some callers open a flow for each request, others
+keep flows open. Both use a process until it is gone. The load continues after
+the faults.
 
 Checked during the run: no packet is corrupted, no answer belongs to another
 service, no request runs twice, no caller is reset while its endpoint has the
 flow open, and no new flow reaches an endpoint more than a second after its
 draining was acknowledged, or after a later start of its agent. Checked after
-the faults: all requests are answered, and all balancers have the last
-configuration. Prints the faults in order and the counters; exits 1 on any
-violation.
+the faults: all requests are answered, no flow breaks, no process has ended by
+itself, and all balancers have the last configuration. Prints the faults in order and the counters; exits 1 on
+any violation and prints the whole logs of that seed, which are also kept in
+DIR.
 """
 
 import argparse
@@ -22,6 +27,7 @@
 import json
 import pathlib
 import random
+import shutil
 import signal
 import subprocess
 import sys
@@ -40,22 +46,38 @@
 FAULTS = ("agent-kill", "agent-stop", "balancer-kill", "balancer-stop",
           "freeze", "endpoint-crash", "endpoint-drain", "store-away",
           "store-older", "proxy", "config", "hup")
+# Chances that a restart is repeated, and that a second signal follows the
+# first.
+SERIES_CHANCE = 0.3
+SERIES_MAX = 4
+SECOND_SIGNAL_CHANCE = 0.2
+# Longest pause of a caller that keeps its flow open.
+PAUSE_MAX_S = 0.5
+LOG_LINES_PER_S = 20000
+# A SIGHUP before main() ends a process.
+SIGNAL_DELAY_S = 0.1
 # Counters of the record that must be 0.
-VIOLATIONS = ("failed", "crossed", "garbled", "doubled", "cut", "drained")
+VIOLATIONS = ("failed", "crossed", "garbled", "doubled", "cut", "drained",
+              "broken", "ended")
 
 
 class Soak:
     """The run of one seed."""
 
-    def __init__(self, binary, folder, seed, seconds):
+    def __init__(self, args, folder, seed):
         self.rand = random.Random(seed)
-        self.seconds = seconds
-        self.fixture = RelayFixture(binary, folder)
+        self.seconds = args.seconds
+        agents = [AGENTS[i % len(AGENTS)] for i in range(args.agents)]
+        self.fixture = RelayFixture(args.binary, folder,
+                                    balancers=args.balancers, agents=agents)
+        self.fixture.all_settings = {"log_per_s": LOG_LINES_PER_S}
         self.proxy = Proxy(self.fixture.store_port)
         self.record = self.fixture.record
-        self.record |= {"cut": 0, "drained": 0, "calm": 0}
+        self.record |= {"cut": 0, "drained": 0, "calm": 0, "kept": 0,
+                        "calm_kept": 0, "unopened": 0, "broken": 0}
         self.version = 1
         self.busy = set()
+        self.process_started_at = {}
         self.started_at = 0
 
     def now(self):
@@ -63,20 +85,44 @@
         return asyncio.get_running_loop().time() - self.started_at
 
     def flow_is_open(self, flow, seq):
-        """Whether a running endpoint has the flow open with this initial
-        sequence number."""
-        return any(not e.transport.is_closing() and
-                   e.flows.get(flow, [None])[0] == seq
-                   for e in self.fixture.endpoints)
+        """Address of the running endpoint that has the flow open with this
+        initial sequence number, or None."""
+        for endpoint in self.fixture.endpoints:
+            held = endpoint.flows.get(flow)
+            if not endpoint.transport.is_closing() and held is not None and \
+                    held.seq == seq:
+                return endpoint.address[0]
+        return None
+
+    async def stop(self, name, how):
+        """Send a process a signal, maybe a second one, and wait for its end.
+        Callers use it until then."""
+        process = self.fixture.processes[name]
+        process.send_signal(how)
+        if self.rand.random() < SECOND_SIGNAL_CHANCE:
+            await asyncio.sleep(self.rand.uniform(0, 0.05))
+            if process.poll() is None:
+                process.send_signal(self.rand.choice(
+                    (signal.SIGHUP, signal.SIGTERM, signal.SIGKILL)))
+        while process.poll() is None:
+            await asyncio.sleep(0.002)
+        self.fixture.running_balancers.pop(name, None)
 
     async def restart(self, role, name, ip, how):
-        """Stop a process with a signal and restart it after a short delay."""
-        await self.fixture.kill(name, how)
-        await asyncio.sleep(self.rand.uniform(0.02, 0.4))
-        self.fixture.start(role, name, ip)
-        if role == "relay-agent":
-            endpoint = self.fixture.endpoints[int(name.split("-")[1]) - 1]
-            endpoint.agent_started_at = asyncio.get_running_loop().time()
+        """Stop a process and restart it after a short delay, maybe several
+        times in a row."""
+        repeated = self.rand.random() < SERIES_CHANCE
+        for _ in range(self.rand.randint(2, SERIES_MAX) if repeated else 1):
+            await self.stop(name, how)
+            await asyncio.sleep(self.rand.uniform(0.02, 0.4))
+            self.fixture.start(role, name, ip)
+            self.process_started_at[name] = self.now()
+            if role == "relay-agent":
+                at = int(name.split("-")[1]) - 1
+                self.fixture.endpoints[at].agent_started_at = \
+                    asyncio.get_running_loop().time()
+            if repeated:
+                await asyncio.sleep(self.rand.uniform(0, 0.3))
 
     def pick_target(self, kind, count):
         """Index of a process or endpoint without a fault, or None."""
@@ -91,7 +137,8 @@
         if kind is None:
             await getattr(self, name.replace("-", "_"))()
             return
-        count = BALANCERS if kind == "balancer" else len(AGENTS)
+        count = self.fixture.balancers if kind == "balancer" \
+            else len(self.fixture.agents)
         at = self.pick_target(kind, count)
         # Keeps at least one of each kind without a fault.
         if at is None or sum(k == kind for k, _ in self.busy) >= count - 1:
@@ -111,16 +158,19 @@
             how = signal.SIGKILL if name.endswith("kill") else signal.SIGTERM
             await self.restart(f"relay-{kind}", process, ip, how)
         elif name == "freeze":
-            self.fixture.processes[process].send_signal(signal.SIGSTOP)
-            await asyncio.sleep(self.rand.uniform(0.1, 1.5))
-            self.fixture.processes[process].send_signal(signal.SIGCONT)
+            for _ in range(self.rand.choice((1, 1, 2, 3))):
+                self.fixture.processes[process].send_signal(signal.SIGSTOP)
+                await asyncio.sleep(self.rand.uniform(0.1, 1.5))
+                self.fixture.processes[process].send_signal(signal.SIGCONT)
+                await asyncio.sleep(self.rand.uniform(0, 0.1))
         elif name == "endpoint-crash":
             self.fixture.endpoints[at].crash()
             await asyncio.sleep(self.rand.uniform(0.05, 0.5))
             await self.fixture.endpoints[at].start()
         else:
             endpoint = self.fixture.endpoints[at]
-            endpoint.state = "draining"
+            endpoint.closes_listener = self.rand.random() < 0.5
+            endpoint.drain()
             await asyncio.sleep(self.rand.uniform(0.5, 3))
             await endpoint.deregister()
             await asyncio.sleep(self.rand.uniform(0.05, 0.3))
@@ -154,16 +204,19 @@
         self.proxy.set_mode("pass")
 
     async def config(self):
-        """Publish a newer configuration."""
-        self.version += self.rand.randrange(1, 4)
-        print(f"  {self.now():6.2f} config {self.version}")
-        self.fixture.config(self.version)
+        """Publish newer configurations in a row."""
+        for _ in range(self.rand.choice((1, 1, 5))):
+            self.version += self.rand.randrange(1, 4)
+            print(f"  {self.now():6.2f} config {self.version}")
+            self.fixture.config(self.version)
+            await asyncio.sleep(self.rand.uniform(0, 0.05))
 
     async def hup(self):
         """Reload the settings of all processes with SIGHUP."""
         print(f"  {self.now():6.2f} hup")
-        for process in self.fixture.processes.values():
-            if process.poll() is None:
+        for name, process in self.fixture.processes.items():
+            age_s = self.now() - self.process_started_at.get(name, -1)
+            if process.poll() is None and age_s > SIGNAL_DELAY_S:
                 process.send_signal(signal.SIGHUP)
 
     async def faults(self):
@@ -189,6 +242,23 @@
             await asyncio.sleep(1 / PER_CALLER_S)
         await asyncio.gather(*tasks)
 
+    def kept_requests(self, caller, service):
+        """Service, request and following pause of the requests on flows that a
+        caller keeps open."""
+        number_of_request = 0
+        while True:
+            number_of_request += 1
+            yield (service,
+                   f"{caller.ip}-{service}-kept-{number_of_request}".encode(),
+                   self.rand.uniform(0, PAUSE_MAX_S))
+
+    async def keep_flows_open(self, caller, until):
+        """Keep a caller's flows open, one to each service."""
+        await asyncio.gather(*(
+            caller.keep_open((number(ip), port),
+                             self.kept_requests(caller, service), until)
+            for service, (ip, port) in SERVICES.items()))
+
     async def rehash_flows(self, callers):
         """Move flows to other balancers repeatedly, as ECMP changes do."""
         while True:
@@ -207,20 +277,26 @@
             await caller.start()
             callers.append(caller)
         rehashes = asyncio.create_task(self.rehash_flows(callers))
-        await asyncio.gather(*(self.load(c, until) for c in callers))
+        await asyncio.gather(*(self.load(c, until) for c in callers),
+                             *(self.keep_flows_open(c, until)
+                               for c in callers))
         rehashes.cancel()
 
     async def verify_recovery(self):
         """Run load after the faults; returns the number of failed requests."""
         await asyncio.sleep(SETTLE_S)
+        # Flows may break during the faults, but not after them.
+        self.record["broken"] = 0
         lost = self.record["failed"]
         before = self.record["answered"]
+        kept = self.record["kept"]
         until = asyncio.Event()
         load = asyncio.create_task(self.run_verification_caller(until))
         await asyncio.sleep(CALM_S)
         until.set()
         await load
         self.record["calm"] = self.record["answered"] - before
+        self.record["calm_kept"] = self.record["kept"] - kept
         return self.record["failed"] - lost
 
     async def run_verification_caller(self, until):
@@ -230,7 +306,8 @@
                         self.fixture.running_balancers.values(), self.record,
                         self.flow_is_open)
         await caller.start()
-        await self.load(caller, until)
+        await asyncio.gather(self.load(caller, until),
+                             self.keep_flows_open(caller, until))
 
     async def run(self):
         """Run the faults and the verification; whether all balancers have the
@@ -247,6 +324,9 @@
         # Requests may fail during the faults, but not after them.
         self.record["stormy"] = self.record["failed"]
         self.record["failed"] = await self.verify_recovery()
+        # Processes that ended by themselves.
+        self.record["ended"] = sum(process.poll() is not None for process in
+                                   self.fixture.processes.values())
         shown = await asyncio.to_thread(self.all_have_config)
         self.proxy.close()
         self.fixture.stop_endpoints()
@@ -257,17 +337,28 @@
         done = subprocess.run(
             [self.fixture.binary, "relay-show", *self.fixture.addresses()],
             check=False, capture_output=True, text=True)
-        right = done.stdout.count(f"version {self.version}, ") == BALANCERS
+        right = done.stdout.count(f"version {self.version}, ") == \
+            self.fixture.balancers
         if done.returncode != 0 or not right:
             print(done.stdout + done.stderr)
         return done.returncode == 0 and right
 
 
-def run_seed(binary, seed, seconds):
+def show_logs(folder, seed, kept):
+    """Print the whole logs of a seed and keep a copy."""
+    target = pathlib.Path(kept) / f"seed-{seed}"
+    shutil.rmtree(target, ignore_errors=True)
+    shutil.copytree(folder, target)
+    for path in sorted(target.glob("*.log")):
+        print(f"== {path.name}\n" + path.read_text())
+    print(f"logs kept in {target}")
+
+
+def run_seed(args, seed):
     """Run one seed; whether no check failed."""
     print(f"seed {seed}")
     with tempfile.TemporaryDirectory(prefix="soak-") as folder:
-        soak = Soak(binary, folder, seed, seconds)
+        soak = Soak(args, folder, seed)
         try:
             shown = asyncio.run(soak.run())
         finally:
@@ -277,12 +368,11 @@
         violations = [name for name in VIOLATIONS if record[name]]
         if not shown:
             violations.append("last configuration not in force")
-        if record["calm"] == 0:
+        if record["calm"] == 0 or record["calm_kept"] == 0:
             violations.append("no request answered after the faults")
         if violations:
             print(f"seed {seed} failed: {', '.join(violations)}")
-            for path in sorted(pathlib.Path(folder).glob("*.log")):
-                print(f"== {path.name}\n" + path.read_text()[-4000:])
+            show_logs(folder, seed, args.logs)
     print(json.dumps({"seed": seed} | record), flush=True)
     return not violations
 
@@ -293,11 +383,15 @@
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--seeds", type=int, default=1)
     parser.add_argument("--seconds", type=float, default=6)
+    parser.add_argument("--balancers", type=int, default=BALANCERS)
+    parser.add_argument("--agents", type=int, default=len(AGENTS))
+    parser.add_argument("--logs", default=str(ROOT / "build/soak"),
+                        help="folder for the logs of failed seeds")
     parser.add_argument("--binary",
                         default=str(ROOT / "build/src/cli/swiftarch"))
     args = parser.parse_args()
     seeds = range(args.seed, args.seed + args.seeds)
-    bad = [s for s in seeds if not run_seed(args.binary, s, args.seconds)]
+    bad = [s for s in seeds if not run_seed(args, s)]
     print(f"{args.seeds} seeds, {len(bad)} failed: {bad}")
     return 1 if bad else 0
 
