relay-soak: sizes up to a few dozen balancers

--balancers above 8 named more peers than settings take, and the balancers didn't start. The first eight are named. A client that is killed no longer prints a trace of the store's server.

--- a/scripts/relaybed/__main__.py
+++ b/scripts/relaybed/__main__.py
@@ -33,6 +33,8 @@
 SERVICES = {"lots": ("198.18.0.1", 8443), "albums": ("198.18.0.2", 8443)}
 BALANCERS = 2
 AGENTS = ("lots", "lots", "lots", "albums")
+# Peers that the settings of a process may name.
+PEERS_MAX = 8
 CALLERS = 3
 PER_CALLER_S = 40
 FAULTS = ("none", "agent-kill", "balancer-kill", "balancer-stop",
@@ -100,7 +102,7 @@
             base |= {"frames": f"{ip}:{self.frames}",
                      "share": f"{ip}:{self.config_peer_port}",
                      "peers": [f"{NET}.1.{i + 1}:{self.config_peer_port}"
-                               for i in range(self.balancers)],
+                               for i in range(min(self.balancers, PEERS_MAX))],
                      "overload": self.overload}
             base |= self.balancer_settings
         else:
@@ -111,7 +113,8 @@
                      "service": self.agents[int(name.split("-")[1]) - 1],
                      "frames_port": self.frames,
                      "scheduling": self.overload,
-                     "peers": [f"{NET}.1.{i + 1}:1" for i in range(self.balancers)]}
+                     "peers": [f"{NET}.1.{i + 1}:1" for i in
+                               range(min(self.balancers, PEERS_MAX))]}
         path = self.folder / f"{name}.json"
         path.write_text(json.dumps(base))
         return path
--- a/scripts/relaybed/store.py
+++ b/scripts/relaybed/store.py
@@ -3,6 +3,7 @@
 import collections
 import http.server
 import json
+import sys
 import threading
 import time
 import urllib.parse
@@ -195,12 +196,21 @@
             self.send_json(200 if gone else 404, {})
 
 
+class Server(http.server.ThreadingHTTPServer):
+    """The store's server; clients that are killed are no errors."""
+
+    daemon_threads = True
+
+    def handle_error(self, request, client_address):
+        if not isinstance(sys.exc_info()[1], ConnectionError):
+            super().handle_error(request, client_address)
+
+
 def serve(address):
     """Serve a new store at (ip, port), port 0 for any; returns the store and
     its port."""
     store = Store()
     handler = type("Bound", (Handler,), {"store": store})
-    server = http.server.ThreadingHTTPServer(address, handler)
-    server.daemon_threads = True
+    server = Server(address, handler)
     threading.Thread(target=server.serve_forever, daemon=True).start()
     return store, server.server_address[1]
