--- a/src/balancer/worker.h
+++ b/src/balancer/worker.h
@@ -22,7 +22,6 @@
 #include "directory/table.h"
 #include "packet/packet.h"
 
-#define WORKER_BATCH 64
 #define WORKERS_MAX COUNTER_WORKERS_MAX
 
 /*
--- a/src/balancer/worker_batch.h
+++ b/src/balancer/worker_batch.h
@@ -13,13 +13,14 @@
 #include <sys/socket.h>
 
 #include "balancer/route.h"
-#include "balancer/worker.h"
 #include "base/trace.h"
 #include "directory/cell_forward.h"
 #include "directory/table.h"
 #include "packet/gue.h"
 #include "packet/packet.h"
 
+#define WORKER_BATCH 64 /* packets */
+
 #define BATCH_BARE_GUE_LEN 4 /* GUE header of received packets, bytes */
 #define BATCH_HEADROOM (GUE_HEADER_MAX - BATCH_BARE_GUE_LEN)
 
