relay-world: plans name shared fault rates once

ALL_FAULTS, EVACUATION_FAULTS and LISTENER_FAULTS hold the rates, and seeds with their own length go through run_plan_seeds_for().

--- a/tests/relay/world_test.c
+++ b/tests/relay/world_test.c
@@ -16,6 +16,9 @@
 /* Covers an agent's silence, the orphan queries about it and its return. */
 #define PARTITION_FAULTY_MS 5000
 
+/* Covers a few restarts and drains of each host. */
+#define LISTENER_FAULTY_MS 3000
+
 static unsigned
 env_number(const char *name, unsigned fallback)
 {
@@ -59,17 +62,24 @@
 }
 
 static void
-run_plan_seeds(const struct world_plan *plan, const uint32_t *seeds,
-               size_t count)
+run_plan_seeds_for(const struct world_plan *plan, unsigned faulty_ms,
+                   const uint32_t *seeds, size_t count)
 {
     for (size_t i = 0; i < count; i++) {
         struct world_result result;
 
-        world_run(seeds[i], plan, FAULTY_MS, &result);
+        world_run(seeds[i], plan, faulty_ms, &result);
         g_assert_cmpstr(result.violation, ==, "");
     }
 }
 
+static void
+run_plan_seeds(const struct world_plan *plan, const uint32_t *seeds,
+               size_t count)
+{
+    run_plan_seeds_for(plan, FAULTY_MS, seeds, count);
+}
+
 TEST(without_faults_all_requests_are_answered)
 {
     static const struct world_plan plan = {.new_flows = 600};
@@ -202,18 +212,16 @@
     g_assert_cmpuint(run_plan(&restart_all_among_faults), >=, 400);
 }
 
+/* Many restarts and drains, so that many probes are refused. */
+#define LISTENER_FAULTS                                                       \
+    .loss = 10, .rehash = 50, .agent_restart = 30, .balancer_restart = 30,    \
+    .endpoint_crash = 10, .endpoint_drain = 30, .freeze = 10, .stall = 50,    \
+    .requests = 6
+
 /* A refused connection of a probe doesn't show that the process has ended. */
 static const struct world_plan closed_listeners = {
     .new_flows = 600,
-    .loss = 10,
-    .rehash = 50,
-    .agent_restart = 30,
-    .balancer_restart = 30,
-    .endpoint_crash = 10,
-    .endpoint_drain = 30,
-    .freeze = 10,
-    .stall = 50,
-    .requests = 6,
+    LISTENER_FAULTS,
     .pause_ms = 300,
     .closing = true,
     .closed_listeners = true,
@@ -221,20 +229,13 @@
 
 TEST(endpoints_without_a_listener_keep_their_flows)
 {
-    g_assert_cmpuint(run_plan_for(&closed_listeners, 3000), >=, 100);
+    g_assert_cmpuint(run_plan_for(&closed_listeners, LISTENER_FAULTY_MS), >=,
+                     100);
 }
 
 static const struct world_plan crowded_closed_listeners = {
     .new_flows = 1000,
-    .loss = 10,
-    .rehash = 50,
-    .agent_restart = 30,
-    .balancer_restart = 30,
-    .endpoint_crash = 10,
-    .endpoint_drain = 30,
-    .freeze = 10,
-    .stall = 50,
-    .requests = 6,
+    LISTENER_FAULTS,
     .pause_ms = 100,
     .work_ms = 100,
     .timeout_ms = 1200,
@@ -245,7 +246,8 @@
 
 TEST(scheduled_requests_at_endpoints_without_a_listener)
 {
-    g_assert_cmpuint(run_plan_for(&crowded_closed_listeners, 3000), >=, 50);
+    g_assert_cmpuint(
+        run_plan_for(&crowded_closed_listeners, LISTENER_FAULTY_MS), >=, 50);
 }
 
 /* Guards against resets of all flows of an endpoint that lives, by a balancer
@@ -255,16 +257,11 @@
 {
     static const uint32_t seeds[] = {2, 9};
     static const uint32_t scheduled[] = {4, 7, 25, 39, 71};
-    struct world_result result;
 
-    for (size_t i = 0; i < G_N_ELEMENTS(seeds); i++) {
-        world_run(seeds[i], &closed_listeners, 3000, &result);
-        g_assert_cmpstr(result.violation, ==, "");
-    }
-    for (size_t i = 0; i < G_N_ELEMENTS(scheduled); i++) {
-        world_run(scheduled[i], &crowded_closed_listeners, 3000, &result);
-        g_assert_cmpstr(result.violation, ==, "");
-    }
+    run_plan_seeds_for(&closed_listeners, LISTENER_FAULTY_MS, seeds,
+                       G_N_ELEMENTS(seeds));
+    run_plan_seeds_for(&crowded_closed_listeners, LISTENER_FAULTY_MS,
+                       scheduled, G_N_ELEMENTS(scheduled));
 }
 
 /* Guards against: an agent listed during an orphan query (2647); a SYN queued
@@ -277,17 +274,15 @@
     run_plan_seeds(&restart_all_among_faults, seeds, G_N_ELEMENTS(seeds));
 }
 
+/* Rates of all kinds of faults; plans add load and their own. */
+#define ALL_FAULTS                                                            \
+    .loss = 10, .rehash = 50, .agent_restart = 15, .balancer_restart = 15,    \
+    .endpoint_crash = 10, .endpoint_drain = 5, .reuse = 10, .freeze = 10,     \
+    .config = 30
+
 static const struct world_plan all_faults = {
     .new_flows = 600,
-    .loss = 10,
-    .rehash = 50,
-    .agent_restart = 15,
-    .balancer_restart = 15,
-    .endpoint_crash = 10,
-    .endpoint_drain = 5,
-    .reuse = 10,
-    .freeze = 10,
-    .config = 30,
+    ALL_FAULTS,
 };
 
 TEST(all_faults_together)
@@ -341,19 +336,16 @@
     g_assert_cmpuint(run_plan_for(&plan, PARTITION_FAULTY_MS), >=, 960);
 }
 
+/* Evacuations among a few faults of each kind. */
+#define EVACUATION_FAULTS                                                     \
+    .loss = 10, .rehash = 50, .agent_restart = 5, .balancer_restart = 5,      \
+    .endpoint_crash = 5, .endpoint_drain = 2, .freeze = 5, .config = 10,      \
+    .stall = 20, .evacuate = 20
+
 /* All data centres may be evacuated at once: callers are refused then. */
 static const struct world_plan evacuations_among_faults = {
     .new_flows = 600,
-    .loss = 10,
-    .rehash = 50,
-    .agent_restart = 5,
-    .balancer_restart = 5,
-    .endpoint_crash = 5,
-    .endpoint_drain = 2,
-    .freeze = 5,
-    .config = 10,
-    .stall = 20,
-    .evacuate = 20,
+    EVACUATION_FAULTS,
     .evacuated_max = WORLD_DATA_CENTRES,
 };
 
@@ -377,16 +369,7 @@
  * agents' objects are missing until they are written again. */
 static const struct world_plan store_restores = {
     .new_flows = 600,
-    .loss = 10,
-    .rehash = 50,
-    .agent_restart = 5,
-    .balancer_restart = 5,
-    .endpoint_crash = 5,
-    .endpoint_drain = 2,
-    .freeze = 5,
-    .config = 10,
-    .stall = 20,
-    .evacuate = 20,
+    EVACUATION_FAULTS,
     .evacuated_max = 1,
     .store_restore = 5,
     .requests = 4,
@@ -425,15 +408,7 @@
 
 static const struct world_plan overload_among_faults = {
     .new_flows = 1000,
-    .loss = 10,
-    .rehash = 50,
-    .agent_restart = 15,
-    .balancer_restart = 15,
-    .endpoint_crash = 10,
-    .endpoint_drain = 5,
-    .reuse = 10,
-    .freeze = 10,
-    .config = 30,
+    ALL_FAULTS,
     .work_ms = 200,
     .timeout_ms = 3000,
     .stall = 50,
@@ -466,15 +441,7 @@
 
 static const struct world_plan crowded_among_faults = {
     .new_flows = 1000,
-    .loss = 10,
-    .rehash = 50,
-    .agent_restart = 15,
-    .balancer_restart = 15,
-    .endpoint_crash = 10,
-    .endpoint_drain = 5,
-    .reuse = 10,
-    .freeze = 10,
-    .config = 30,
+    ALL_FAULTS,
     .work_ms = 100,
     .timeout_ms = 1200,
     .requests = 4,
