--- a/src/relay/admission/admission_queue.c
+++ b/src/relay/admission/admission_queue.c
@@ -7,8 +7,8 @@
 /* Whether a queued SYN or request is admitted before another. Order: those
  * that can be in time, then priority. Of the late ones, the one that its
  * caller abandons first: as many are served in time, and an eighth fewer are
- * abandoned. Of the others, the one with most time left: the one
- * that waited longest would often miss its target by a little. */
+ * abandoned. Of the others, the one with most time left: the one that waited
+ * longest would often miss its target by a little. */
 static bool
 is_admitted_before(const struct admission_flow *a,
                    const struct admission_flow *b, uint64_t answer_us)
--- a/src/relay/admission/latency.c
+++ b/src/relay/admission/latency.c
@@ -17,9 +17,9 @@
  * request has little effect. */
 #define SAMPLE_MAX_RATIO 6
 
-/* Estimates allow for requests of twice the mean, as five of six are. With the
- * mean alone a tenth of an overloaded endpoint's slots went to answers that
- * came just too late. */
+/* Estimates allow for requests of twice the mean; five of six take no longer.
+ * With the mean alone a tenth of an overloaded endpoint's slots went to
+ * answers that came just too late. */
 #define SERVICE_MARGIN 2
 
 /* Overcommitted flows are limited to this many times the slots: the endpoint
