--- a/tests/relay/world_trace.c
+++ b/tests/relay/world_trace.c
@@ -7,6 +7,8 @@
 
 #include "base/clock.h"
 
+#define LINE_MAX_SIZE 200
+
 static const char *const target_names[] = {
     [TO_BALANCER] = "balancer",  [TO_BALANCER_FRAME] = "balancer",
     [TO_AGENT] = "agent",        [TO_ENDPOINT] = "endpoint",
@@ -30,6 +32,16 @@
            relay_flow_equal(world->callers[number].flow, flow);
 }
 
+static void
+print_line(const struct world *world, const char *fmt, va_list args)
+{
+    char text[LINE_MAX_SIZE];
+
+    g_vsnprintf(text, sizeof(text), fmt, args);
+    fprintf(stderr, "%9.3f ms %s\n", (double)world->now_us / USEC_PER_MSEC,
+            text);
+}
+
 void
 world_trace(const struct world *world, const char *fmt, ...)
 {
@@ -38,27 +50,23 @@
     if (world->traced < 0) {
         return;
     }
-    fprintf(stderr, "%9.3f ms ", (double)world->now_us / USEC_PER_MSEC);
     va_start(args, fmt);
-    vfprintf(stderr, fmt, args);
+    print_line(world, fmt, args);
     va_end(args);
-    fputc('\n', stderr);
 }
 
 void
 world_trace_flow(const struct world *world, struct relay_flow flow,
                  const char *fmt, ...)
 {
-    char text[160];
     va_list args;
 
     if (!is_traced(world, flow)) {
         return;
     }
     va_start(args, fmt);
-    g_vsnprintf(text, sizeof(text), fmt, args);
+    print_line(world, fmt, args);
     va_end(args);
-    world_trace(world, "%s", text);
 }
 
 static void
