Review: case 1, a late report of an earlier boot reopens a draining endpoint

An agent of a deployment without start times in its reports takes a delayed report of a superseded id for a new incarnation. The case starts the programs of the deploy file with small stand-ins written after the users' pages.

--- /dev/null
+++ b/review/standin/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform, endpoints and requesters, after the users' pages."""
