--- a/review/standin/deployment.py
+++ b/review/standin/deployment.py
@@ -116,12 +116,19 @@
     return fill(text, [fields])
 
 
-def free_ports(ip, count):
-    """Ports that are free on an address."""
-    socks = [socket.socket() for _ in range(count)]
-    for sock in socks:
-        sock.bind((ip, 0))
-    ports = [sock.getsockname()[1] for sock in socks]
+def free_ports(count):
+    """Ports that are free on all addresses, for TCP and UDP."""
+    ports, socks = [], []
+    while len(ports) < count:
+        tcp = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        udp = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        socks += [tcp, udp]
+        tcp.bind(("", 0))
+        try:
+            udp.bind(("", tcp.getsockname()[1]))
+        except OSError:
+            continue
+        ports.append(tcp.getsockname()[1])
     for sock in socks:
         sock.close()
     return ports
@@ -140,7 +147,7 @@
         self.sides = [f"{self.net}.2.{i + 1}" for i in range(len(sides))]
         self.services = dict(zip(self.sides, sides))
         (self.data, self.ready, self.control, self.outbound, self.app,
-         self.store_port, *internal) = free_ports(f"{self.net}.0.1", 8)
+         self.store_port, *internal) = free_ports(8)
         self.internal = [min(internal), max(internal)]
         self.store = Store(stale_s)
         self.processes = {}
