Review: cases in order of gravity; a restarted node denies the flows of a new endpoint

Case 1 is new: a node that restarts in the first heartbeat interval of its endpoint takes the endpoint's report number 1 for its first and denies all flows from before; both balancers reset them.

--- a/review/standin/deployment.py
+++ b/review/standin/deployment.py
@@ -195,6 +195,14 @@
                 env={"PATH": os.environ["PATH"], "SWIFTARCH_CONFIG": str(path)})
         self.record.write("process_started", machine=fields["node"])
 
+    def held_by(self, src, dst):
+        """The living endpoint that has a flow open, or None."""
+        for endpoint in self.endpoints.values():
+            flow = endpoint.flows.get((src, dst))
+            if flow is not None and flow.open:
+                return endpoint
+        return None
+
     async def stop_process(self, ip, how=signal.SIGTERM):
         """Stop a program and wait until it has ended."""
         process = self.processes[ip]
@@ -223,20 +231,23 @@
                           ports=",".join(str(route[0]) for route in routes))
         return time.monotonic()
 
-    async def start(self, routes, callers=4, **endpoint_options):
-        """Start everything; returns when all front nodes are ready."""
+    async def start(self, routes, callers=4, later=(), **endpoint_options):
+        """Start everything but the machines in later; returns when all front
+        nodes are ready."""
         await self.configure(routes)
         for ip in self.fronts + self.sides:
             await self.store.serve(ip, (self.store_ip(ip), self.store_port))
         for ip in self.fronts + self.sides:
-            self.start_process(ip)
+            if ip not in later:
+                self.start_process(ip)
         await asyncio.sleep(0.3)
         for i, ip in enumerate(self.sides):
             self.endpoints[ip] = Endpoint(
                 f"e{i + 1}", self.services[ip], "kariakoo", (ip, self.app),
                 (ip, self.outbound), (ip, self.control), self.record,
                 HEARTBEAT_MS / 1000, **endpoint_options)
-            await self.endpoints[ip].start()
+            if ip not in later:
+                await self.endpoints[ip].start()
         self.router.start()
         for i in range(callers):
             self.callers.append(Caller(f"{self.net}.3.{i + 1}", self.router,
