--- a/review/1/case.py
+++ b/review/1/case.py
@@ -8,13 +8,12 @@
 import random
 import signal
 import sys
-import traceback
 
 HERE = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parents[1]))
 
 from review.standin.deployment import (  # pylint: disable=wrong-import-position
-    Deployment, Record)
+    run_case)
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 ROUTES = [(443, "lots", "unsafe"), (8080, "albums", "download")]
@@ -84,25 +83,6 @@
     return cut
 
 
-def main():
-    """Run the case."""
-    record = Record(HERE / "record.txt")
-    deployment = Deployment(record, sides=("lots",) * 7 + ("albums",))
-    try:
-        cut = asyncio.run(run(deployment, record))
-    except Exception:  # pylint: disable=broad-except
-        record.write("not_run", reason=traceback.format_exc().replace(
-            "\n", " | "))
-        return 2
-    finally:
-        deployment.close()
-        for line in deployment.logs(
-                "evidence=|host=side-1 event=(started|stopping|stopped|"
-                "endpoint) "):
-            record.write("node_log", line=line)
-    print(f"{len(cut)} flows reset by the system though their endpoint lives "
-          "and holds them")
-    return 1 if cut else 0
-
-
-sys.exit(main())
+sys.exit(run_case(
+    HERE, run, "evidence=|host=side-1 event=(started|stopping|stopped|endpoint) ",
+    "flows reset by the system though their endpoint lives and holds them"))
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -9,13 +9,12 @@
 import random
 import sys
 import time
-import traceback
 
 HERE = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parents[1]))
 
 from review.standin.deployment import (  # pylint: disable=wrong-import-position
-    Deployment, PARAMS, Record)
+    PARAMS, run_case)
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 KEPT = [(443, "lots", "unsafe"), (8080, "albums", "download")]
@@ -112,25 +111,8 @@
     return old
 
 
-def main():
-    """Run the case."""
-    record = Record(HERE / "record.txt")
-    deployment = Deployment(record, sides=("lots",) * 7 + ("albums",))
-    try:
-        old = asyncio.run(run(deployment, record))
-    except Exception:  # pylint: disable=broad-except
-        record.write("not_run", reason=traceback.format_exc().replace(
-            "\n", " | "))
-        return 2
-    finally:
-        deployment.close()
-        for line in deployment.logs(
-                "event=(config|store_lost|store_reached|reader_started|"
-                "reader_stopped|peer_asked) "):
-            record.write("node_log", line=line)
-    print(f"{len(old)} requests handled by an older version, later than "
-          "configApplyMs after the confirmation")
-    return 1 if old else 0
-
-
-sys.exit(main())
+sys.exit(run_case(
+    HERE, run, "event=(config|store_lost|store_reached|reader_started|"
+    "reader_stopped|peer_asked) ",
+    "requests handled by an older version, later than configApplyMs after the "
+    "confirmation"))
--- a/review/standin/deployment.py
+++ b/review/standin/deployment.py
@@ -5,12 +5,15 @@
 import os
 import pathlib
 import re
+import shutil
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import time
 import tomllib
+import traceback
 
 from review.standin import http
 from review.standin.caller import Caller, Router
@@ -275,3 +278,29 @@
             lines += [line for line in path.read_text().splitlines()
                       if re.search(pattern, line)]
         return sorted(lines)
+
+    def clean(self):
+        """Remove the temporary folder."""
+        shutil.rmtree(self.folder, ignore_errors=True)
+
+
+def run_case(folder, play, log_pattern, found):
+    """Play a case: play(deployment, record) returns what broke the rule.
+    Returns the exit code: 1 if the rule was broken, 0 if it held, 2 if the case
+    couldn't run."""
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
+    record = Record(folder / "record.txt")
+    deployment = Deployment(record, sides=("lots",) * 7 + ("albums",))
+    try:
+        broken = asyncio.run(play(deployment, record))
+    except Exception:  # pylint: disable=broad-except
+        record.write("not_run", reason=traceback.format_exc().replace(
+            "\n", " | "))
+        return 2
+    finally:
+        deployment.close()
+        for line in deployment.logs(log_pattern):
+            record.write("node_log", line=line)
+        deployment.clean()
+    print(f"{len(broken)} {found}")
+    return 1 if broken else 0
