--- a/review/1/case.py
+++ b/review/1/case.py
@@ -13,7 +13,7 @@
 sys.path.insert(0, str(HERE.parents[1]))
 
 from review.standin.deployment import (  # pylint: disable=wrong-import-position
-    run_case)
+    SERVICE, run_case)
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 ROUTES = [(443, "lots", "unsafe"), (8080, "albums", "download")]
@@ -35,7 +35,7 @@
     while not until.is_set():
         caller = random.choice(deployment.callers)
         tasks.append(asyncio.create_task(caller.flow(
-            (0xc6120001, 443), "unsafe", requests=REQUESTS,
+            (SERVICE, 443), "unsafe", requests=REQUESTS,
             pause_s=random.uniform(0.7, 1.3) * PAUSE_S)))
         await asyncio.sleep(random.expovariate(FLOWS_S))
     await asyncio.gather(*tasks)
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -14,7 +14,7 @@
 sys.path.insert(0, str(HERE.parents[1]))
 
 from review.standin.deployment import (  # pylint: disable=wrong-import-position
-    PARAMS, run_case)
+    PARAMS, SERVICE, run_case)
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 KEPT = [(443, "lots", "unsafe"), (8080, "albums", "download")]
@@ -40,7 +40,7 @@
     while not until.is_set():
         caller = random.choice(deployment.callers)
         port, _, kind = KEPT[i % 5 == 4]
-        tasks.append(asyncio.create_task(caller.flow((0xc6120001, port),
+        tasks.append(asyncio.create_task(caller.flow((SERVICE, port),
                                                      kind)))
         i += 1
         await asyncio.sleep(random.expovariate(RATE_S))
@@ -57,7 +57,7 @@
             for port, _, _ in (REMOVED, ADDED):
                 caller = random.choice(deployment.callers)
                 tasks.append(asyncio.create_task(caller.flow(
-                    (0xc6120001, port), f"test{port}", node=node)))
+                    (SERVICE, port), f"test{port}", node=node)))
         await asyncio.sleep(1 / TESTS_S)
     await asyncio.gather(*tasks)
 
