Agents log on what evidence they know all flows of their endpoint

Change: event=endpoint names the number of the heartbeat, whether the agent takes its list of the endpoint's flows for complete, and how long it has run.

Before: cause=heartbeat and no more. No behaviour changed.

--- a/src/relay/program/relay_agent_http.c
+++ b/src/relay/program/relay_agent_http.c
@@ -15,11 +15,18 @@
 static void
 log_endpoint(struct relay_agent *agent, const char *id, const char *cause)
 {
-    event_log_write(&agent->log, EVENT_UNLIMITED, "endpoint",
-                    "id=%s state=%s slots=%u busy=%u cause=%s", id,
-                    relay_agent_state_names[agent->admission.endpoint.state],
-                    agent->admission.endpoint.slots,
-                    agent->admission.busy_count, cause);
+    const struct endpoint *endpoint = &agent->admission.endpoint;
+
+    event_log_write(
+        &agent->log, EVENT_UNLIMITED, "endpoint",
+        "id=%s state=%s slots=%u busy=%u cause=%s sequence=%" PRIu64
+        " complete=%d since_start_us=%" PRIu64,
+        id, relay_agent_state_names[endpoint->state], endpoint->slots,
+        agent->admission.busy_count, cause,
+        endpoint->incarnation_count > 0 ? endpoint->incarnations[0].sequence
+                                        : 0,
+        endpoint_is_complete(endpoint),
+        loop_now_us(&agent->loop) - agent->started_us);
 }
 
 /* Names in metrics and log lines. */
