An agent knows all flows of an endpoint by silence, not by a number

Cause: a heartbeat numbered 0 or 1 counted as an endpoint's first, and the endpoint as one all of whose flows had passed this process. An endpoint that numbers from 0 sends number 1 to an agent that was restarted meanwhile; the agent then denied, as certain, flows that it had merely not seen.

Change: the agent knows all flows of an endpoint if, before its first heartbeat, it heard of none that may be older than itself for 1.5 intervals, or 3.5 if the number isn't 0 or 1; or if it knew the one before from its start; or if a refused probe showed that no process was there. The agent's start, a pause of it and each heartbeat of an endpoint that may be older begin the time anew. One that had been running would have been heard, so this works whatever the numbers are and whenever a late report comes.

Tests changed: those whose premise was "number 1, so complete" right after the agent's start now let the agent be there first (fixture_watch) and expect the same; a_later_incarnation_is_complete_again needs the silence too. Nothing else in them is changed.

--- a/src/relay/admission/admission.c
+++ b/src/relay/admission/admission.c
@@ -26,9 +26,6 @@
 /* After a longer one, heartbeats may be waiting to be read. */
 #define LONG_PAUSE_US (100 * USEC_PER_MSEC)
 
-/* Until the caller sets it. */
-#define HEARTBEAT_DEFAULT_US (1200 * USEC_PER_MSEC)
-
 /* Flows without packets for this time are removed. If the endpoint still holds
  * one, its next packet is offered there. */
 #define IDLE_US (60 * USEC_PER_SEC)
@@ -93,12 +90,11 @@
     admission->out = out;
     admission->self = self;
     admission->data_centre = evacuations_key(data_centre);
-    endpoint_init(&admission->endpoint, service);
+    endpoint_init(&admission->endpoint, service, now_us);
     latency_init(&admission->latency);
     scheduler_init(&admission->scheduler, admission->endpoint.slots);
     slow_start_init(&admission->slow_start, now_us);
     admission->slow_start_due_us = UINT64_MAX;
-    admission->heartbeat_us = HEARTBEAT_DEFAULT_US;
     admission->quiet_since_us = now_us;
     admission->flows = calloc(ADMISSION_FLOWS_MAX, sizeof(*admission->flows));
     admission->busy = calloc(ADMISSION_FLOWS_MAX, sizeof(*admission->busy));
@@ -141,6 +137,7 @@
     }
     if (now_us > admission->sweep_us + LONG_PAUSE_US) {
         admission->quiet_since_us = now_us;
+        endpoint_unwatched(&admission->endpoint, admission->sweep_us, now_us);
     }
 }
 
@@ -271,9 +268,10 @@
 admission_handle_heartbeat(struct admission *admission,
                            const struct heartbeat *heartbeat, uint64_t now_us)
 {
-    enum endpoint_update update =
-        endpoint_heartbeat(&admission->endpoint, heartbeat, now_us);
+    enum endpoint_update update;
 
+    admission_note_pause(admission, now_us);
+    update = endpoint_heartbeat(&admission->endpoint, heartbeat, now_us);
     if (update != ENDPOINT_STALE) {
         admission->unanswered_us = 0;
         admission->quiet_since_us = now_us;
--- a/src/relay/admission/admission.h
+++ b/src/relay/admission/admission.h
@@ -204,8 +204,6 @@
  * @balancer_count: number of them
  * @unanswered_us: time of the first packet since the endpoint's last sign of
  * life that it must answer, 0 for none
- * @heartbeat_us: interval of the endpoint's heartbeats; the caller may set it
- *     after admission_init()
  * @quiet_since_us: the endpoint's last sign of life; later if this agent
  *     started or resumed since
  * @probed_us: when the endpoint's process was last probed, 0 for never
@@ -254,7 +252,6 @@
     struct admission_balancer balancers[ADMISSION_BALANCERS_MAX];
     unsigned balancer_count;
     uint64_t unanswered_us;
-    uint64_t heartbeat_us;
     uint64_t quiet_since_us;
     uint64_t probed_us;
     bool evicted_flows;
--- a/src/relay/admission/admission_orphans.c
+++ b/src/relay/admission/admission_orphans.c
@@ -40,8 +40,9 @@
 admission_is_quiet(const struct admission *admission, uint64_t now_us)
 {
     /* Half an interval for a heartbeat that is late. */
-    return now_us >= admission->quiet_since_us + admission->heartbeat_us +
-                         admission->heartbeat_us / 2;
+    return now_us >= admission->quiet_since_us +
+                         admission->endpoint.interval_us +
+                         admission->endpoint.interval_us / 2;
 }
 
 /* Where heartbeats are overdue, a probe tells an endpoint that has ended from
--- a/src/relay/admission/endpoint.c
+++ b/src/relay/admission/endpoint.c
@@ -7,13 +7,22 @@
 #include "base/clock.h"
 #include "base/hash.h"
 
+/* Interval of heartbeats until the caller sets it. */
+#define INTERVAL_DEFAULT_US (1200 * USEC_PER_MSEC)
+
 /* Slots until a heartbeat reports them. */
 #define SLOTS_DEFAULT 2
 
-/* Highest sequence number of an incarnation's first heartbeat. It is sent
- * within milliseconds of the start, before the endpoint gets a flow; if it
- * isn't acknowledged, the next one has a higher number. */
-#define SEQUENCE_FIRST 1
+/* Highest number of a heartbeat that has at most one before it, as numbers
+ * begin with 0 or 1, or are higher. */
+#define SEQUENCE_LOW 1
+
+/* Half intervals of heartbeats after which an agent that has heard none of an
+ * incarnation would have heard one, had it been running: one of them is for a
+ * late heartbeat. If the number shows that it may have sent many, two may have
+ * been lost. */
+#define ABSENT_HALF_INTERVALS_LOW 3
+#define ABSENT_HALF_INTERVALS 7
 
 /* Time without a heartbeat of the current incarnation after which one of an
  * earlier incarnation is accepted: four heartbeats of 1.2 s. A heartbeat isn't
@@ -79,6 +88,35 @@
            (known->left || heartbeat->sequence <= known->sequence);
 }
 
+/* Whether a heartbeat is the first one seen of its incarnation. */
+static bool
+is_first_heartbeat(const struct endpoint_incarnation *known,
+                   const struct heartbeat *heartbeat)
+{
+    return known == NULL || known->started_ms != heartbeat->started_ms;
+}
+
+/* How long an agent must have heard nothing of an incarnation before its first
+ * heartbeat, of this number, to know that it wasn't running. */
+static uint64_t
+absent_us(const struct endpoint *endpoint, uint64_t sequence)
+{
+    unsigned halves = sequence <= SEQUENCE_LOW ? ABSENT_HALF_INTERVALS_LOW
+                                               : ABSENT_HALF_INTERVALS;
+
+    return halves * (endpoint->interval_us / 2);
+}
+
+/* Whether an incarnation whose first heartbeat comes at @now_us has started
+ * while this agent was there. */
+static bool
+started_under_watch(const struct endpoint *endpoint, uint64_t sequence,
+                    uint64_t now_us)
+{
+    return endpoint->down || endpoint_is_complete(endpoint) ||
+           now_us - endpoint->unwatched_us >= absent_us(endpoint, sequence);
+}
+
 static bool
 set_state(struct endpoint *endpoint, enum endpoint_state state)
 {
@@ -89,11 +127,23 @@
 }
 
 void
-endpoint_init(struct endpoint *endpoint, const char *service)
+endpoint_init(struct endpoint *endpoint, const char *service, uint64_t now_us)
 {
     memset(endpoint, 0, sizeof(*endpoint));
     endpoint->service = hash_service(service);
     endpoint->slots = SLOTS_DEFAULT;
+    endpoint->interval_us = INTERVAL_DEFAULT_US;
+    endpoint->unwatched_us = now_us;
+}
+
+void
+endpoint_unwatched(struct endpoint *endpoint, uint64_t since_us,
+                   uint64_t now_us)
+{
+    if (since_us - endpoint->unwatched_us <
+        absent_us(endpoint, SEQUENCE_LOW + 1)) {
+        endpoint->unwatched_us = now_us;
+    }
 }
 
 enum endpoint_update
@@ -118,11 +168,13 @@
     if (is_repeated(known, heartbeat)) {
         return ENDPOINT_UNCHANGED;
     }
-    incarnation.complete = is_new || known == NULL
-                               ? heartbeat->sequence <= SEQUENCE_FIRST
-                               : known->complete;
-    /* The process that was down isn't one that was running before. */
-    incarnation.complete |= endpoint->down && (is_new || known == NULL);
+    incarnation.complete =
+        is_first_heartbeat(known, heartbeat)
+            ? started_under_watch(endpoint, heartbeat->sequence, now_us)
+            : known->complete;
+    if (!incarnation.complete) {
+        endpoint->unwatched_us = now_us;
+    }
     endpoint->down = false;
     g_strlcpy(incarnation.id, heartbeat->id, sizeof(incarnation.id));
     incarnation_set_current(endpoint, known, &incarnation);
--- a/src/relay/admission/endpoint.h
+++ b/src/relay/admission/endpoint.h
@@ -43,8 +43,8 @@
  * @id: the endpoint's id
  * @started_ms: its start, Unix time; 0 if not reported
  * @sequence: highest sequence number seen
- * @complete: its first heartbeat was received, so all of its flows passed this
- * agent
+ * @complete: it started while this agent was there, so all of its flows passed
+ * this agent
  * @draining: its last heartbeat reported that it drains
  * @left: its goodbye was received
  */
@@ -64,6 +64,10 @@
  * @slots: requests that it runs at a time
  * @heard_us: time of the current incarnation's last heartbeat
  * @down: its process isn't running; the next incarnation will be complete
+ * @interval_us: interval of its heartbeats; the caller may set it
+ * @unwatched_us: an incarnation that isn't complete may have been running
+ * until then: the agent's start, such an incarnation's last heartbeat, or the
+ * end of a pause of the agent
  * @incarnations: the last incarnations seen, the current one first
  * @incarnation_count: number of them
  */
@@ -73,14 +77,22 @@
     unsigned slots;
     uint64_t heard_us;
     bool down;
+    uint64_t interval_us;
+    uint64_t unwatched_us;
     struct endpoint_incarnation incarnations[ENDPOINT_INCARNATIONS_MAX];
     unsigned incarnation_count;
 };
 
-/** endpoint_init() - set up an endpoint of @service in state ENDPOINT_UNKNOWN
- */
+/** endpoint_init() - set up an endpoint of @service in state ENDPOINT_UNKNOWN;
+ * the agent starts at @now_us */
+void
+endpoint_init(struct endpoint *endpoint, const char *service, uint64_t now_us);
+
+/** endpoint_unwatched() - from @since_us to @now_us the agent was paused and
+ * could not receive heartbeats */
 void
-endpoint_init(struct endpoint *endpoint, const char *service);
+endpoint_unwatched(struct endpoint *endpoint, uint64_t since_us,
+                   uint64_t now_us);
 
 /** enum endpoint_update - effect of a heartbeat */
 enum endpoint_update {
--- a/src/relay/program/relay_agent.c
+++ b/src/relay/program/relay_agent.c
@@ -54,7 +54,7 @@
                                    sizeof(report));
 
     agent->log.max_per_s = agent->settings.log_per_s;
-    agent->admission.heartbeat_us =
+    agent->admission.endpoint.interval_us =
         agent->settings.heartbeat_ms * USEC_PER_MSEC;
     admission_set_scheduling(&agent->admission, agent->settings.scheduling,
                              loop_now_us(&agent->loop));
@@ -237,7 +237,7 @@
                agent->settings.upstream);
     apply_peers(agent);
     agent->admission.scheduling = agent->settings.scheduling;
-    agent->admission.heartbeat_us =
+    agent->admission.endpoint.interval_us =
         agent->settings.heartbeat_ms * USEC_PER_MSEC;
     event_log_write(&agent->log, EVENT_UNLIMITED, "started",
                     "role=agent data_centre=%s service=%s",
--- a/tests/relay/admission_established_test.c
+++ b/tests/relay/admission_established_test.c
@@ -196,6 +196,7 @@
     struct relay_packet data =
         fixture_from_caller(fixture_flow(1), RELAY_ACK, 101, 501, 40);
 
+    fixture_watch(fixture);
     fixture_heartbeat(fixture, "i-1", "lots", false, 1);
     g_string_truncate(fixture->record, 0);
     fixture_receive(fixture, data, 2, false);
@@ -429,6 +430,7 @@
 {
     struct relay_flow flow = fixture_flow(1);
 
+    fixture_watch(fixture);
     fixture_heartbeat(fixture, "i-1", "lots", false, 1);
     fixture_open_flow(fixture, 1);
     fixture_receive(
@@ -446,6 +448,7 @@
 /* The caller may still accept another SYN+ACK. */
 TEST_F(fixture, an_unproven_flow_of_an_ended_endpoint_is_not_reset)
 {
+    fixture_watch(fixture);
     fixture_heartbeat(fixture, "i-1", "lots", false, 1);
     fixture_open_flow(fixture, 1);
     admission_endpoint_left(&fixture->admission, "i-1", 0, fixture->now_us);
@@ -458,6 +461,7 @@
 
 TEST_F(fixture, an_endpoint_of_another_service_takes_no_flow)
 {
+    fixture_watch(fixture);
     fixture_heartbeat(fixture, "i-9", "albums", false, 1);
     g_string_truncate(fixture->record, 0);
     fixture_receive(fixture,
@@ -469,6 +473,7 @@
 
 TEST_F(fixture, a_repeated_syn_of_an_earlier_incarnation_is_a_new_one)
 {
+    fixture_watch(fixture);
     fixture_heartbeat(fixture, "i-1", "lots", false, 1);
     fixture_open_flow(fixture, 1);
     fixture_heartbeat(fixture, "i-2", "lots", false, 1);
@@ -488,6 +493,7 @@
     /* A packet of the endpoint that had the address before. */
     fixture_answer(fixture,
                    fixture_from_endpoint(flow, RELAY_ACK, 501, 141, 900));
+    fixture_watch(fixture);
     fixture_heartbeat(fixture, "i-9", "albums", false, 1);
     g_string_truncate(fixture->record, 0);
     fixture_receive(fixture, fixture_from_caller(flow, RELAY_SYN, 100, 1, 0),
--- a/tests/relay/admission_fixture.c
+++ b/tests/relay/admission_fixture.c
@@ -7,6 +7,9 @@
 
 #define SELF "10.0.0.1:7000"
 
+/* Longer than a few intervals of heartbeats. */
+#define WATCH_US (5 * USEC_PER_SEC)
+
 static struct fixture *
 fixture_from_out(struct admission_out *out)
 {
@@ -196,6 +199,12 @@
                                                   500, 101, 0));
 }
 
+void
+fixture_watch(struct fixture *fixture)
+{
+    fixture->now_us += WATCH_US;
+}
+
 void
 fixture_starts(struct fixture *fixture, const char *id, uint64_t started_ms)
 {
--- a/tests/relay/admission_fixture.h
+++ b/tests/relay/admission_fixture.h
@@ -82,6 +82,11 @@
 void
 fixture_fill(struct fixture *fixture);
 
+/** fixture_watch() - the agent is there without an endpoint for so long that
+ * the next incarnation starts beside it and all of its flows are known */
+void
+fixture_watch(struct fixture *fixture);
+
 /** fixture_starts() - the endpoint sends the first heartbeat of an incarnation
  */
 void
--- a/tests/relay/admission_orphans_test.c
+++ b/tests/relay/admission_orphans_test.c
@@ -37,6 +37,7 @@
 
 TEST_F(fixture, a_complete_incarnation_has_no_unknown_flows)
 {
+    fixture_watch(fixture);
     fixture_heartbeat(fixture, "i-1", "lots", false, 1);
     fixture_open_flow(fixture, 1);
     g_string_truncate(fixture->record, 0);
@@ -79,6 +80,7 @@
 
 TEST_F(fixture, an_opening_flow_is_not_absent)
 {
+    fixture_watch(fixture);
     fixture_heartbeat(fixture, "i-1", "lots", false, 1);
     fixture_receive(fixture,
                     fixture_from_caller(fixture_flow(1), RELAY_SYN, 100, 0, 0),
@@ -88,17 +90,46 @@
     fixture_expect(fixture->record, "absent 0", NULL);
 }
 
-/* The agent missed the first incarnation's first heartbeat, but not the
- * second's. */
+/* The first incarnation was running when the agent started, the second one
+ * wasn't: the agent would have heard it. */
 TEST_F(fixture, a_later_incarnation_is_complete_again)
 {
     fixture_heartbeat(fixture, "i-1", "lots", false, 12);
+    fixture_watch(fixture);
     fixture_heartbeat(fixture, "i-2", "lots", false, 1);
     g_string_truncate(fixture->record, 0);
     send_query(fixture, 1);
     fixture_expect(fixture->record, "absent 1", NULL);
 }
 
+/* Guards against resets of flows that a living endpoint holds: an agent that
+ * has just started denied them, as the number of the heartbeat was low. */
+TEST_F(fixture, a_restarted_agent_denies_no_flow_of_a_new_endpoint)
+{
+    for (uint64_t sequence = 0; sequence < 2; sequence++) {
+        fixture_heartbeat(fixture, "i-1", "lots", false, sequence);
+        g_string_truncate(fixture->record, 0);
+        send_query(fixture, 1);
+        fixture_expect(fixture->record, "absent 0", NULL);
+        fixture_receive(
+            fixture,
+            fixture_from_caller(fixture_flow(2), RELAY_ACK, 101, 501, 40), 0,
+            false);
+        fixture_expect(fixture->record, "endpoint 40", NULL);
+    }
+}
+
+/* Heartbeats that came while the agent was paused are read after it. */
+TEST_F(fixture, a_heartbeat_read_after_a_pause_does_not_show_a_start)
+{
+    admission_tick(&fixture->admission, fixture->now_us);
+    fixture_watch(fixture);
+    fixture_heartbeat(fixture, "i-1", "lots", false, 1);
+    g_string_truncate(fixture->record, 0);
+    send_query(fixture, 1);
+    fixture_expect(fixture->record, "absent 0", NULL);
+}
+
 TEST_F(fixture, an_endpoint_that_has_ended_holds_nothing)
 {
     fixture_heartbeat(fixture, "i-1", "lots", true, 12);
@@ -111,6 +142,7 @@
 
 TEST_F(fixture, an_evicted_flow_is_not_absent)
 {
+    fixture_watch(fixture);
     fixture_heartbeat(fixture, "i-1", "lots", false, 1);
     for (unsigned i = 0; i <= ADMISSION_FLOWS_MAX; i++) {
         fixture_answer(fixture, fixture_from_endpoint(fixture_flow(i),
@@ -151,6 +183,7 @@
 {
     struct relay_flow flow = fixture_flow(1);
 
+    fixture_watch(fixture);
     fixture_heartbeat(fixture, "i-1", "lots", false, 1);
     fixture_open_flow(fixture, 1);
     fixture_receive(
@@ -187,6 +220,7 @@
 /* While the agent stood still, it read no heartbeat. */
 TEST_F(fixture, silence_during_a_pause_of_the_agent_does_not_count)
 {
+    fixture_watch(fixture);
     fixture_heartbeat(fixture, "i-1", "lots", false, 1);
     admission_tick(&fixture->admission, fixture->now_us);
     fixture->now_us += 2 * QUIET_US;
@@ -249,6 +283,7 @@
     struct relay_packet data =
         fixture_from_caller(fixture_flow(1), RELAY_ACK, 101, 501, 40);
 
+    fixture_watch(fixture);
     fixture_heartbeat(fixture, "i-1", "lots", false, 1);
     fixture_open_flow(fixture, 1);
     fixture_heartbeat(fixture, "i-2", "lots", false, 1);
--- a/tests/relay/endpoint_test.c
+++ b/tests/relay/endpoint_test.c
@@ -10,6 +10,14 @@
 #define EARLIER_MS 1790000000000u
 #define LATER_MS 1790000004000u
 
+/* Heartbeats are this far apart. */
+#define INTERVAL_US (1200 * USEC_PER_MSEC)
+
+/* An endpoint that was running would have been heard within this time, or
+ * within the longer one if its numbers show that it may have sent many. */
+#define ABSENT_LOW_US (INTERVAL_US + INTERVAL_US / 2)
+#define ABSENT_US (3 * INTERVAL_US + INTERVAL_US / 2)
+
 /* Longer than a heartbeat can be delayed. */
 #define SILENCE_US (6 * USEC_PER_SEC)
 
@@ -23,8 +31,9 @@
 static void
 endpoint_fixture_init(struct endpoint_fixture *endpoint_fixture)
 {
-    endpoint_init(&endpoint_fixture->endpoint, "lots");
     endpoint_fixture->now_us = 10 * USEC_PER_SEC;
+    endpoint_init(&endpoint_fixture->endpoint, "lots",
+                  endpoint_fixture->now_us);
 }
 
 static void
@@ -148,3 +157,106 @@
     g_assert_true(endpoint_answered(endpoint));
     g_assert_cmpint(endpoint->state, ==, ENDPOINT_DRAINING);
 }
+
+/* The agent was there for this time before the next event. */
+static void
+watch(struct endpoint_fixture *endpoint_fixture, uint64_t us)
+{
+    endpoint_fixture->now_us += us;
+}
+
+/* Guards against a restarted agent that denies the flows of an endpoint that
+ * numbers its heartbeats from 0: a low number doesn't show that the agent was
+ * there when the endpoint started. */
+TEST_F(endpoint_fixture, a_low_number_does_not_make_an_incarnation_complete)
+{
+    for (uint64_t sequence = 0; sequence < 3; sequence++) {
+        send_heartbeat(endpoint_fixture, "i-1", 0, sequence, false);
+        g_assert_false(endpoint_is_complete(&endpoint_fixture->endpoint));
+        watch(endpoint_fixture, INTERVAL_US);
+    }
+}
+
+/* One that was running would have been heard, whatever its numbers. */
+TEST_F(endpoint_fixture, an_incarnation_after_a_silence_is_complete)
+{
+    watch(endpoint_fixture, ABSENT_US);
+    send_heartbeat(endpoint_fixture, "i-1", 0, 40, false);
+    g_assert_true(endpoint_is_complete(&endpoint_fixture->endpoint));
+    watch(endpoint_fixture, INTERVAL_US);
+    send_heartbeat(endpoint_fixture, "i-1", 0, 41, false);
+    g_assert_true(endpoint_is_complete(&endpoint_fixture->endpoint));
+}
+
+TEST_F(endpoint_fixture, an_incarnation_soon_after_the_start_is_not_complete)
+{
+    watch(endpoint_fixture, ABSENT_LOW_US - 1);
+    send_heartbeat(endpoint_fixture, "i-1", 0, 1, false);
+    g_assert_false(endpoint_is_complete(&endpoint_fixture->endpoint));
+}
+
+/* It may have sent number 0 before this one, but that was due in the agent's
+ * time. */
+TEST_F(endpoint_fixture, a_low_number_needs_a_shorter_silence)
+{
+    watch(endpoint_fixture, ABSENT_LOW_US);
+    send_heartbeat(endpoint_fixture, "i-1", 0, 1, false);
+    g_assert_true(endpoint_is_complete(&endpoint_fixture->endpoint));
+}
+
+TEST_F(endpoint_fixture, a_higher_number_needs_a_longer_silence)
+{
+    watch(endpoint_fixture, ABSENT_US - 1);
+    send_heartbeat(endpoint_fixture, "i-1", 0, 2, false);
+    g_assert_false(endpoint_is_complete(&endpoint_fixture->endpoint));
+}
+
+/* While the agent was paused, it couldn't hear one that was running. */
+TEST_F(endpoint_fixture, an_incarnation_after_a_pause_is_not_complete)
+{
+    uint64_t since_us = endpoint_fixture->now_us + USEC_PER_MSEC;
+
+    watch(endpoint_fixture, 2 * ABSENT_US);
+    endpoint_unwatched(&endpoint_fixture->endpoint, since_us,
+                       endpoint_fixture->now_us);
+    send_heartbeat(endpoint_fixture, "i-1", 0, 0, false);
+    g_assert_false(endpoint_is_complete(&endpoint_fixture->endpoint));
+}
+
+/* A pause after the silence changes nothing: what started since has started
+ * beside this agent. */
+TEST_F(endpoint_fixture, a_pause_after_the_silence_does_no_harm)
+{
+    watch(endpoint_fixture, 2 * ABSENT_US);
+    endpoint_unwatched(&endpoint_fixture->endpoint,
+                       endpoint_fixture->now_us - USEC_PER_SEC,
+                       endpoint_fixture->now_us);
+    send_heartbeat(endpoint_fixture, "i-1", 0, 7, false);
+    g_assert_true(endpoint_is_complete(&endpoint_fixture->endpoint));
+}
+
+TEST_F(endpoint_fixture, the_next_of_a_complete_incarnation_is_complete)
+{
+    watch(endpoint_fixture, ABSENT_US);
+    send_heartbeat(endpoint_fixture, "i-1", 0, 1, false);
+    send_heartbeat(endpoint_fixture, "i-2", 0, 9, false);
+    g_assert_true(endpoint_is_complete(&endpoint_fixture->endpoint));
+    /* So is a later start of the same id. */
+    send_heartbeat(endpoint_fixture, "i-2", LATER_MS, 9, false);
+    g_assert_true(endpoint_is_complete(&endpoint_fixture->endpoint));
+}
+
+/* A delayed heartbeat of an endpoint that ended before the agent's start is
+ * the first of its id here, and no proof that the running one is known. */
+TEST_F(endpoint_fixture, a_late_heartbeat_of_an_unknown_id_proves_nothing)
+{
+    send_heartbeat(endpoint_fixture, "i-2", 0, 40, false);
+    for (unsigned i = 0; i < 10; i++) {
+        watch(endpoint_fixture, INTERVAL_US);
+        send_heartbeat(endpoint_fixture, "i-2", 0, 41 + i, false);
+    }
+    send_heartbeat(endpoint_fixture, "i-1", 0, 0, false);
+    g_assert_false(endpoint_is_complete(&endpoint_fixture->endpoint));
+    send_heartbeat(endpoint_fixture, "i-2", 0, 60, false);
+    g_assert_false(endpoint_is_complete(&endpoint_fixture->endpoint));
+}
--- a/tests/relay/world_hosts.c
+++ b/tests/relay/world_hosts.c
@@ -361,7 +361,7 @@
         .service = hash_service(world_services[host->service]),
         .draining = host->draining,
         .slots = 2,
-        .sequence = ++host->sequence,
+        .sequence = host->sequence++,
     };
 
     if (host->number % 2 == 0) {
@@ -389,7 +389,8 @@
 {
     memset(host->flows, 0, sizeof(host->flows));
     host->incarnation++;
-    host->sequence = 0;
+    /* Numbers begin with 0, 1 or 2. */
+    host->sequence = (host->number + host->incarnation) % 3;
     host->up = true;
     host->draining = false;
     host->fault_us = host->world->now_us;
@@ -409,7 +410,7 @@
                                    host->world->now_us),
                     ==, 0);
     host->admission.scheduling = host->world->plan->scheduling;
-    host->admission.heartbeat_us = HEARTBEAT_US;
+    host->admission.endpoint.interval_us = HEARTBEAT_US;
     host->draining_reported = false;
     host->heartbeat_us = 0;
     host->probe_due_us = 0;
--- a/tests/relay/world_private.h
+++ b/tests/relay/world_private.h
@@ -116,7 +116,7 @@
  * @draining_reported: the agent has received a heartbeat with @draining
  * @drops_from: the partition drops frames from the agent to balancers
  * @drops_to: the partition drops frames from balancers to the agent
- * @sequence: number of the last heartbeat
+ * @sequence: number of the next heartbeat
  * @fault_us: time of the last fault, or end of a freeze
  * @registered_service: service in the agent's object in the store
  * @registration_version: counts changes of that object
