A goodbye of an unknown endpoint denies no flow

What callers would see: resets of flows that a living endpoint holds, until its next heartbeat, after a restart of the agent beside it.

Cause: an agent that had heard of no endpoint took any goodbye for the current endpoint's, became "gone" and denied all flows with certainty. A report may be delayed past the start of the next endpoint, and a restarted agent may hear it first.

Change: such a goodbye only keeps new flows away until a heartbeat.

Red before: relay-admission_orphans a_goodbye_of_an_unknown_endpoint_denies_no_flow ("absent 1" for "absent 0") and relay-endpoint a_goodbye_of_an_unknown_id_only_stops_new_flows (state gone for draining). After: both pass, and all of tests/relay.

--- a/src/relay/admission/endpoint.c
+++ b/src/relay/admission/endpoint.c
@@ -197,19 +197,34 @@
            (started_ms == 0 && known->draining);
 }
 
+/* Handles a goodbye of an incarnation of which no heartbeat was heard. It may
+ * have been delayed while the next incarnation took over, so it isn't the end
+ * of the flows: the agent only gives the endpoint no new ones until it hears a
+ * heartbeat. */
+static bool
+unknown_left(struct endpoint *endpoint, const char *id, uint64_t started_ms)
+{
+    struct endpoint_incarnation incarnation = {
+        .started_ms = started_ms,
+        .draining = true,
+        .left = true,
+    };
+
+    if (endpoint->incarnation_count > 0) {
+        return false;
+    }
+    g_strlcpy(incarnation.id, id, sizeof(incarnation.id));
+    incarnation_set_current(endpoint, NULL, &incarnation);
+    return set_state(endpoint, ENDPOINT_DRAINING);
+}
+
 bool
 endpoint_left(struct endpoint *endpoint, const char *id, uint64_t started_ms)
 {
     struct endpoint_incarnation *known = incarnation_find(endpoint, id);
-    struct endpoint_incarnation incarnation = {.started_ms = started_ms};
 
     if (known == NULL) {
-        if (endpoint->incarnation_count > 0) {
-            /* A delayed goodbye of an endpoint that was replaced. */
-            return false;
-        }
-        g_strlcpy(incarnation.id, id, sizeof(incarnation.id));
-        known = incarnation_set_current(endpoint, NULL, &incarnation);
+        return unknown_left(endpoint, id, started_ms);
     }
     if (!goodbye_matches(known, started_ms)) {
         return false;
--- a/src/relay/admission/endpoint.h
+++ b/src/relay/admission/endpoint.h
@@ -122,6 +122,9 @@
  * it, the goodbye counts only for an incarnation that doesn't report its start
  * either or that drains, as it may be of an earlier one.
  *
+ * An incarnation of which no heartbeat was heard doesn't end by its goodbye:
+ * it may be an earlier one. The endpoint takes no new flows until a heartbeat.
+ *
  * Return: whether the state changed.
  */
 bool
--- a/tests/relay/admission_orphans_test.c
+++ b/tests/relay/admission_orphans_test.c
@@ -140,6 +140,20 @@
     fixture_expect(fixture->record, "absent 1", NULL);
 }
 
+/* Guards against resets of flows that a living endpoint holds: a delayed
+ * goodbye of the one before it is the first that a restarted agent hears. */
+TEST_F(fixture, a_goodbye_of_an_unknown_endpoint_denies_no_flow)
+{
+    admission_endpoint_left(&fixture->admission, "i-0", 0, fixture->now_us);
+    g_string_truncate(fixture->record, 0);
+    send_query(fixture, 1);
+    fixture_expect(fixture->record, "absent 0", NULL);
+    fixture_receive(
+        fixture, fixture_from_caller(fixture_flow(1), RELAY_ACK, 101, 501, 40),
+        0, false);
+    fixture_expect(fixture->record, "endpoint 40", NULL);
+}
+
 TEST_F(fixture, an_evicted_flow_is_not_absent)
 {
     fixture_watch(fixture);
--- a/tests/relay/endpoint_test.c
+++ b/tests/relay/endpoint_test.c
@@ -119,6 +119,23 @@
     g_assert_cmpint(endpoint_fixture->endpoint.state, ==, ENDPOINT_GONE);
 }
 
+/* It may end soon, or be an earlier one: no new flows until a heartbeat. */
+TEST_F(endpoint_fixture, a_goodbye_of_an_unknown_id_only_stops_new_flows)
+{
+    struct endpoint *endpoint = &endpoint_fixture->endpoint;
+
+    g_assert_true(endpoint_left(endpoint, "i-1", 0));
+    g_assert_cmpint(endpoint->state, ==, ENDPOINT_DRAINING);
+    /* Late heartbeats of an endpoint that has left change nothing. */
+    g_assert_cmpint(send_heartbeat(endpoint_fixture, "i-1", 0, 40, false), ==,
+                    ENDPOINT_UNCHANGED);
+    g_assert_cmpint(endpoint->state, ==, ENDPOINT_DRAINING);
+    g_assert_cmpint(send_heartbeat(endpoint_fixture, "i-2", 0, 7, false), ==,
+                    ENDPOINT_NEW_INCARNATION);
+    g_assert_cmpint(endpoint->state, ==, ENDPOINT_READY);
+    g_assert_false(endpoint_is_complete(endpoint));
+}
+
 /* The clock was set back between two starts. */
 TEST_F(endpoint_fixture, an_earlier_start_time_is_accepted_after_silence)
 {
