A reader of the store needs a recent reply, not only no failure

Cause: a balancer said that it reads the latest as long as no call had failed. A watch that hangs fails only after its whole wait of 15 s and 1.5 s more, and a new reader had no reply at all. The others relied on its word: they asked the store rarely, and took themselves for current.

Ruled out: shorter watches alone (a new reader would still speak without a reply); keep-alive of TCP, as the connection lives.

Change: watcher_failures() counts a watcher of the latest as failed unless the store has replied to such a read within 2.5 s. A new reader asks for a reply at once. It works since the word of a reader now has an age, whatever hangs.

--- a/src/relay/program/relay_balancer.c
+++ b/src/relay/program/relay_balancer.c
@@ -110,7 +110,7 @@
 update_reader_role(struct relay_balancer *balancer, uint64_t now_us)
 {
     struct store_reader *reader = &balancer->reader;
-    unsigned failures = balancer->config_watcher.failures;
+    unsigned failures = watcher_failures(&balancer->config_watcher, now_us);
     bool was_reading = reader->reading;
     bool pings = store_reader_tick(reader, failures, now_us);
 
@@ -134,6 +134,7 @@
     config->fast_retry = balancer->forwarder.routes.version == 0;
     config->slow_retry = !reader->reading;
     config->notified_by_peers = true;
+    config->bounded = true;
     agents->slow_retry = !reader->reading;
     watcher_set_read(config, config->fast_retry
                                  ? store_reader_initial_mode(reader)
@@ -152,8 +153,9 @@
     struct addr self = balancer->settings.config_peer;
     struct addr holder = {reader->newer.holder.ip, self.port};
 
-    if (store_reader_needs_peer(reader, balancer->config_watcher.failures,
-                                now_us) &&
+    unsigned failures = watcher_failures(&balancer->config_watcher, now_us);
+
+    if (store_reader_needs_peer(reader, failures, now_us) &&
         !addr_equal(holder, self)) {
         config_peer_query_config(&balancer->config_peer, holder, now_us);
     }
--- a/src/relay/program/relay_balancer_evacuations.c
+++ b/src/relay/program/relay_balancer_evacuations.c
@@ -191,6 +191,7 @@
     struct watcher *watcher = &balancer->evacuations_watcher;
 
     watcher->slow_retry = !reader->reading;
+    watcher->bounded = true;
     watcher_set_read(watcher, watcher_mode(watcher, reader->reading));
     if (evacuations_watch_allowed(balancer, now_us)) {
         watcher_tick(watcher, now_us);
--- a/src/relay/store/watcher.c
+++ b/src/relay/store/watcher.c
@@ -22,6 +22,19 @@
 #define WATCH_SHORT_JITTER_MS 1000
 #define WATCH_FAILED_MS 500
 
+/* For bounded watchers that read the latest: a hung watch must be noticed, and
+ * changes be in force everywhere, within the time that operators allow the
+ * hosts after a fault of the store, 4 s at least. */
+#define WATCH_BOUNDED_MS 1500
+
+/* For bounded watchers after a failure, or while they don't know whether the
+ * store answers: it answers at once if it does. */
+#define WATCH_PROMPT_MS 1
+
+/* A bounded watcher that reads the latest has had no reply for so long only if
+ * its watch hangs: the longest watch, and a slow store's reply. */
+#define LATEST_MAX_AGE_US ((WATCH_BOUNDED_MS + 1000) * USEC_PER_MSEC)
+
 /* First and longest pause after a failed call. The first is short because a
  * process without configuration can't serve; the longest bounds both the cost
  * of an outage and the time to detect its end. */
@@ -192,6 +205,8 @@
 
     watcher->open = false;
     watcher->status = reply->status;
+    watcher->replied_latest = usable && reply->status == 0 &&
+                              watcher->call_read == STORE_READ_LATEST;
     if (!usable) {
         /* The next call lists again. */
         watcher->failures = 0;
@@ -210,9 +225,31 @@
                             previous_status == 1);
 }
 
+/* Whether a bounded watcher that reads the latest lacks a recent reply. */
+static bool
+lacks_latest(const struct watcher *watcher, uint64_t now_us)
+{
+    return watcher->bounded && watcher->read == STORE_READ_LATEST &&
+           (watcher->latest_us == 0 ||
+            now_us - watcher->latest_us > LATEST_MAX_AGE_US);
+}
+
+/* Duration of a bounded watcher's watch. */
 static unsigned
-watch_wait_ms(const struct watcher *watcher)
+bounded_wait_ms(const struct watcher *watcher)
 {
+    return watcher->failures > 0 || lacks_latest(watcher, watcher->opened_us)
+               ? WATCH_PROMPT_MS
+               : WATCH_BOUNDED_MS;
+}
+
+static unsigned
+watch_wait_ms(const struct watcher *watcher, enum store_read_mode read)
+{
+    if (watcher->bounded &&
+        (watcher->failures > 0 || read == STORE_READ_LATEST)) {
+        return bounded_wait_ms(watcher);
+    }
     if (watcher->failures > 0) {
         return WATCH_FAILED_MS;
     }
@@ -269,12 +306,14 @@
                                     : watcher->read;
 
     watcher->calls[read]++;
+    watcher->call_read = read;
     if (watcher->state == WATCHER_LIST) {
         return store->ops->list(store, watcher->kind, watcher->after, read,
                                 &watcher->call);
     }
     return store->ops->watch(store, watcher->kind, watcher->revision,
-                             watch_wait_ms(watcher), read, &watcher->call);
+                             watch_wait_ms(watcher, read), read,
+                             &watcher->call);
 }
 
 void
@@ -382,6 +421,10 @@
 void
 watcher_tick(struct watcher *watcher, uint64_t now_us)
 {
+    if (watcher->replied_latest) {
+        watcher->replied_latest = false;
+        watcher->latest_us = now_us;
+    }
     if (watcher->open) {
         return;
     }
@@ -422,6 +465,14 @@
            (listing && now_us - watcher->opened_us > timeout_us);
 }
 
+unsigned
+watcher_failures(const struct watcher *watcher, uint64_t now_us)
+{
+    bool lacks = !watcher->replied_latest && lacks_latest(watcher, now_us);
+
+    return lacks ? MAX(watcher->failures, 1) : watcher->failures;
+}
+
 uint64_t
 watcher_next_us(const struct watcher *watcher)
 {
--- a/src/relay/store/watcher.h
+++ b/src/relay/store/watcher.h
@@ -86,6 +86,12 @@
  * @fast_retry: the owner can't work without a reply: short pauses
  * @notified_by_peers: peers also notify the owner of changes, so a stale watch
  *                     that is silently cut off delays little
+ * @bounded: the owner's state may lag the store's by a few seconds only, so
+ *           watches that read the latest are short
+ * @call_read: mode of the open or last call
+ * @replied_latest: the last call read the latest and succeeded, since the last
+ *                  tick
+ * @latest_us: when the store last replied to a read of the latest, 0 for never
  * @status: status of the last call, 1 before the first has ended
  */
 struct watcher {
@@ -115,6 +121,10 @@
     bool slow_retry;
     bool fast_retry;
     bool notified_by_peers;
+    bool bounded;
+    enum store_read_mode call_read;
+    bool replied_latest;
+    uint64_t latest_us;
     int status;
 };
 
@@ -183,6 +193,16 @@
 watcher_is_away(const struct watcher *watcher, uint64_t now_us,
                 uint64_t timeout_us);
 
+/**
+ * watcher_failures() - consecutive failed calls
+ *
+ * At least 1 if a bounded watcher reads the latest and the store hasn't
+ * replied to such a read for seconds, or ever: a watch that hangs doesn't
+ * fail, and an open call is no sign that the store answers.
+ */
+unsigned
+watcher_failures(const struct watcher *watcher, uint64_t now_us);
+
 /** watcher_next_us() - when watcher_tick() is due; UINT64_MAX while a call is
  * open */
 uint64_t
--- a/tests/relay/watcher_test.c
+++ b/tests/relay/watcher_test.c
@@ -475,3 +475,79 @@
     g_assert_cmpuint(wait_for_call(fixture), <=, 300);
     fixture_expect(fixture->store.record, "list kind -", NULL);
 }
+
+/* Ends a list and makes the first watch. */
+static void
+list_once(struct fixture *fixture)
+{
+    watcher_tick(&fixture->watcher, fixture->now_us);
+    store_fixture_reply(&fixture->store, 0, 7, NULL, false);
+    wait_for_call(fixture);
+}
+
+/* Guards against readers that go by an old configuration for many seconds
+ * after a silence of the store, as their watches hang without an error. */
+TEST_F(fixture, bounded_watches_of_the_latest_are_short)
+{
+    fixture->watcher.bounded = true;
+    watcher_set_read(&fixture->watcher, STORE_READ_LATEST);
+    list_once(fixture);
+    for (unsigned i = 0; i < 3; i++) {
+        g_assert_cmpuint(fixture->store.wait_ms, ==, 1500);
+        fixture->now_us += 1500 * MS;
+        store_fixture_reply(&fixture->store, 0, 7, NULL, false);
+        wait_for_call(fixture);
+    }
+    store_fixture_reply(&fixture->store, -ETIMEDOUT, 0, NULL, false);
+    wait_for_call(fixture);
+    g_assert_cmpuint(fixture->store.wait_ms, ==, 1);
+}
+
+/* A balancer that becomes a reader while the store is silent has no reply of
+ * it: others may not rely on it. */
+TEST_F(fixture, a_new_reader_counts_as_failed_until_the_store_replies)
+{
+    fixture->watcher.bounded = true;
+    watcher_set_read(&fixture->watcher, STORE_READ_STALE);
+    list_once(fixture);
+    g_assert_cmpuint(watcher_failures(&fixture->watcher, fixture->now_us), ==,
+                     0);
+    watcher_set_read(&fixture->watcher, STORE_READ_LATEST);
+    wait_for_call(fixture);
+    g_assert_cmpuint(fixture->store.wait_ms, ==, 1);
+    g_assert_cmpuint(watcher_failures(&fixture->watcher, fixture->now_us), ==,
+                     1);
+    store_fixture_reply(&fixture->store, 0, 7, NULL, false);
+    wait_for_call(fixture);
+    g_assert_cmpuint(watcher_failures(&fixture->watcher, fixture->now_us), ==,
+                     0);
+}
+
+TEST_F(fixture, a_watch_that_hangs_counts_as_failed)
+{
+    fixture->watcher.bounded = true;
+    watcher_set_read(&fixture->watcher, STORE_READ_LATEST);
+    list_once(fixture);
+    fixture->now_us += 2500 * MS;
+    g_assert_cmpuint(watcher_failures(&fixture->watcher, fixture->now_us), ==,
+                     0);
+    fixture->now_us += MS;
+    g_assert_cmpuint(watcher_failures(&fixture->watcher, fixture->now_us), ==,
+                     1);
+    /* Its reply comes late, as the process was frozen. */
+    store_fixture_reply(&fixture->store, 0, 7, NULL, false);
+    g_assert_cmpuint(watcher_failures(&fixture->watcher, fixture->now_us), ==,
+                     0);
+}
+
+/* A stale reply may be seconds old. */
+TEST_F(fixture, a_stale_reply_does_not_show_that_the_latest_is_known)
+{
+    fixture->watcher.bounded = true;
+    watcher_set_read(&fixture->watcher, STORE_READ_STALE);
+    list_once(fixture);
+    store_fixture_reply(&fixture->store, 0, 7, NULL, false);
+    watcher_set_read(&fixture->watcher, STORE_READ_LATEST);
+    g_assert_cmpuint(watcher_failures(&fixture->watcher, fixture->now_us), ==,
+                     1);
+}
