--- a/scripts/relaybed/endpoint.py
+++ b/scripts/relaybed/endpoint.py
@@ -60,6 +60,7 @@
         self.flows = {}
         self.slots = asyncio.Semaphore(SLOTS)
         self.state = "ready"
+        self.starts = 0
         self.sequence = 0
         self.id = ""
         self.incarnation = 0
@@ -81,7 +82,9 @@
         self.flows = {}
         self.state = "ready"
         self.drained_at = None
-        self.sequence = 0
+        # Numbers begin with 0, 1 or 2.
+        self.sequence = self.starts % 3
+        self.starts += 1
         loop = asyncio.get_running_loop()
         self.started_at = loop.time()
         self.transport, _ = await loop.create_datagram_endpoint(
@@ -142,11 +145,12 @@
         """Send heartbeats until the transport closes. wait_for() may lose a
         cancellation that coincides with the response."""
         while not self.transport.is_closing():
+            number = self.sequence
             self.sequence += 1
             state = self.state
             known = await self.call("PUT", (
                 f'{{"service":"{self.service}","state":"{state}",'
-                f'"slots":{SLOTS},"sequence":{self.sequence},'
+                f'"slots":{SLOTS},"sequence":{number},'
                 f'"born":{self.incarnation}}}'))
             if known and state == "draining" and self.drained_at is None:
                 self.drained_at = asyncio.get_running_loop().time()
