Endpoint: names that say what they hold

Cause: "watched" and "under watch" told a newcomer little. Ruled out: "first seen", which the time isn't, as each heartbeat of an older endpoint renews it.

Change: unwatched_us is older_until_us, started_under_watch() is started_after_agent(), endpoint_unwatched() is endpoint_agent_paused().

--- a/src/relay/admission/admission.c
+++ b/src/relay/admission/admission.c
@@ -137,7 +137,8 @@
     }
     if (now_us > admission->sweep_us + LONG_PAUSE_US) {
         admission->quiet_since_us = now_us;
-        endpoint_unwatched(&admission->endpoint, admission->sweep_us, now_us);
+        endpoint_agent_paused(&admission->endpoint, admission->sweep_us,
+                              now_us);
     }
 }
 
--- a/src/relay/admission/endpoint.c
+++ b/src/relay/admission/endpoint.c
@@ -13,8 +13,7 @@
 /* Slots until a heartbeat reports them. */
 #define SLOTS_DEFAULT 2
 
-/* Highest number of a heartbeat that has at most one before it, as numbers
- * begin with 0 or 1, or are higher. */
+/* A heartbeat with a number up to this has at most one before it. */
 #define SEQUENCE_LOW 1
 
 /* Half intervals of heartbeats after which an agent that has heard none of an
@@ -110,11 +109,11 @@
 /* Whether an incarnation whose first heartbeat comes at @now_us has started
  * while this agent was there. */
 static bool
-started_under_watch(const struct endpoint *endpoint, uint64_t sequence,
+started_after_agent(const struct endpoint *endpoint, uint64_t sequence,
                     uint64_t now_us)
 {
     return endpoint->down || endpoint_is_complete(endpoint) ||
-           now_us - endpoint->unwatched_us >= absent_us(endpoint, sequence);
+           now_us - endpoint->older_until_us >= absent_us(endpoint, sequence);
 }
 
 static bool
@@ -133,16 +132,16 @@
     endpoint->service = hash_service(service);
     endpoint->slots = SLOTS_DEFAULT;
     endpoint->interval_us = INTERVAL_DEFAULT_US;
-    endpoint->unwatched_us = now_us;
+    endpoint->older_until_us = now_us;
 }
 
 void
-endpoint_unwatched(struct endpoint *endpoint, uint64_t since_us,
-                   uint64_t now_us)
+endpoint_agent_paused(struct endpoint *endpoint, uint64_t since_us,
+                      uint64_t now_us)
 {
-    if (since_us - endpoint->unwatched_us <
+    if (since_us - endpoint->older_until_us <
         absent_us(endpoint, SEQUENCE_LOW + 1)) {
-        endpoint->unwatched_us = now_us;
+        endpoint->older_until_us = now_us;
     }
 }
 
@@ -170,10 +169,10 @@
     }
     incarnation.complete =
         is_first_heartbeat(known, heartbeat)
-            ? started_under_watch(endpoint, heartbeat->sequence, now_us)
+            ? started_after_agent(endpoint, heartbeat->sequence, now_us)
             : known->complete;
     if (!incarnation.complete) {
-        endpoint->unwatched_us = now_us;
+        endpoint->older_until_us = now_us;
     }
     endpoint->down = false;
     g_strlcpy(incarnation.id, heartbeat->id, sizeof(incarnation.id));
--- a/src/relay/admission/endpoint.h
+++ b/src/relay/admission/endpoint.h
@@ -65,9 +65,9 @@
  * @heard_us: time of the current incarnation's last heartbeat
  * @down: its process isn't running; the next incarnation will be complete
  * @interval_us: interval of its heartbeats; the caller may set it
- * @unwatched_us: an incarnation that isn't complete may have been running
- * until then: the agent's start, such an incarnation's last heartbeat, or the
- * end of a pause of the agent
+ * @older_until_us: until when an incarnation that is older than this agent may
+ * have been running, as far as is known: the agent's start, the last heartbeat
+ * of one that isn't complete, or the end of a pause of the agent
  * @incarnations: the last incarnations seen, the current one first
  * @incarnation_count: number of them
  */
@@ -78,7 +78,7 @@
     uint64_t heard_us;
     bool down;
     uint64_t interval_us;
-    uint64_t unwatched_us;
+    uint64_t older_until_us;
     struct endpoint_incarnation incarnations[ENDPOINT_INCARNATIONS_MAX];
     unsigned incarnation_count;
 };
@@ -88,11 +88,11 @@
 void
 endpoint_init(struct endpoint *endpoint, const char *service, uint64_t now_us);
 
-/** endpoint_unwatched() - from @since_us to @now_us the agent was paused and
- * could not receive heartbeats */
+/** endpoint_agent_paused() - from @since_us to @now_us the agent was paused
+ * and could not receive heartbeats */
 void
-endpoint_unwatched(struct endpoint *endpoint, uint64_t since_us,
-                   uint64_t now_us);
+endpoint_agent_paused(struct endpoint *endpoint, uint64_t since_us,
+                      uint64_t now_us);
 
 /** enum endpoint_update - effect of a heartbeat */
 enum endpoint_update {
--- a/tests/relay/endpoint_test.c
+++ b/tests/relay/endpoint_test.c
@@ -234,8 +234,8 @@
     uint64_t since_us = endpoint_fixture->now_us + USEC_PER_MSEC;
 
     watch(endpoint_fixture, 2 * ABSENT_US);
-    endpoint_unwatched(&endpoint_fixture->endpoint, since_us,
-                       endpoint_fixture->now_us);
+    endpoint_agent_paused(&endpoint_fixture->endpoint, since_us,
+                          endpoint_fixture->now_us);
     send_heartbeat(endpoint_fixture, "i-1", 0, 0, false);
     g_assert_false(endpoint_is_complete(&endpoint_fixture->endpoint));
 }
@@ -245,9 +245,9 @@
 TEST_F(endpoint_fixture, a_pause_after_the_silence_does_no_harm)
 {
     watch(endpoint_fixture, 2 * ABSENT_US);
-    endpoint_unwatched(&endpoint_fixture->endpoint,
-                       endpoint_fixture->now_us - USEC_PER_SEC,
-                       endpoint_fixture->now_us);
+    endpoint_agent_paused(&endpoint_fixture->endpoint,
+                          endpoint_fixture->now_us - USEC_PER_SEC,
+                          endpoint_fixture->now_us);
     send_heartbeat(endpoint_fixture, "i-1", 0, 7, false);
     g_assert_true(endpoint_is_complete(&endpoint_fixture->endpoint));
 }
