The first agent at its address knows all flows of a young endpoint

Cause: with silence as the only proof, endpoints that start about a second after their agents, as added and replaced ones do, are not known whole.

Change: if the registration's first read finds no object and its first create succeeds, no agent was there before; balancers send SYNs only to agents in the store's list. With at most one heartbeat before the first one heard, the agent then knows all flows.

--- a/src/relay/admission/endpoint.c
+++ b/src/relay/admission/endpoint.c
@@ -113,6 +113,7 @@
                     uint64_t now_us)
 {
     return endpoint->down || endpoint_is_complete(endpoint) ||
+           (endpoint->new_address && sequence <= SEQUENCE_LOW) ||
            now_us - endpoint->older_until_us >= absent_us(endpoint, sequence);
 }
 
@@ -135,6 +136,15 @@
     endpoint->older_until_us = now_us;
 }
 
+void
+endpoint_set_new_address(struct endpoint *endpoint)
+{
+    struct endpoint_incarnation *current = &endpoint->incarnations[0];
+
+    endpoint->new_address = true;
+    current->complete |= endpoint->incarnation_count > 0 && current->young;
+}
+
 void
 endpoint_agent_paused(struct endpoint *endpoint, uint64_t since_us,
                       uint64_t now_us)
@@ -167,10 +177,15 @@
     if (is_repeated(known, heartbeat)) {
         return ENDPOINT_UNCHANGED;
     }
-    incarnation.complete =
-        is_first_heartbeat(known, heartbeat)
-            ? started_after_agent(endpoint, heartbeat->sequence, now_us)
-            : known->complete;
+    if (is_first_heartbeat(known, heartbeat)) {
+        incarnation.young = heartbeat->sequence <= SEQUENCE_LOW;
+        incarnation.complete =
+            started_after_agent(endpoint, heartbeat->sequence, now_us);
+    }
+    else {
+        incarnation.young = known->young;
+        incarnation.complete = known->complete;
+    }
     if (!incarnation.complete) {
         endpoint->older_until_us = now_us;
     }
--- a/src/relay/admission/endpoint.h
+++ b/src/relay/admission/endpoint.h
@@ -45,6 +45,7 @@
  * @sequence: highest sequence number seen
  * @complete: it started while this agent was there, so all of its flows passed
  * this agent
+ * @young: the first heartbeat seen has a number that at most one came before
  * @draining: its last heartbeat reported that it drains
  * @left: its goodbye was received
  */
@@ -53,6 +54,7 @@
     uint64_t started_ms;
     uint64_t sequence;
     bool complete;
+    bool young;
     bool draining;
     bool left;
 };
@@ -64,6 +66,7 @@
  * @slots: requests that it runs at a time
  * @heard_us: time of the current incarnation's last heartbeat
  * @down: its process isn't running; the next incarnation will be complete
+ * @new_address: no agent was at this address before this one
  * @interval_us: interval of its heartbeats; the caller may set it
  * @older_until_us: until when an incarnation that is older than this agent may
  * have been running, as far as is known: the agent's start, the last heartbeat
@@ -77,6 +80,7 @@
     unsigned slots;
     uint64_t heard_us;
     bool down;
+    bool new_address;
     uint64_t interval_us;
     uint64_t older_until_us;
     struct endpoint_incarnation incarnations[ENDPOINT_INCARNATIONS_MAX];
@@ -88,6 +92,12 @@
 void
 endpoint_init(struct endpoint *endpoint, const char *service, uint64_t now_us);
 
+/** endpoint_set_new_address() - no agent was at this address before this one;
+ * an endpoint that has sent one heartbeat at most before the first one seen
+ * has no flows of before */
+void
+endpoint_set_new_address(struct endpoint *endpoint);
+
 /** endpoint_agent_paused() - from @since_us to @now_us the agent was paused
  * and could not receive heartbeats */
 void
--- a/src/relay/program/relay_agent.c
+++ b/src/relay/program/relay_agent.c
@@ -107,6 +107,9 @@
     dgram_flush(&agent->frames);
     register_again(agent, now_us);
     registration_writer_tick(&agent->registration, now_us);
+    if (agent->registration.created) {
+        endpoint_set_new_address(&agent->admission.endpoint);
+    }
     update_epoch(agent, now_us);
     records_us = relay_agent_records_tick(agent, now_us);
     if (settings_file_changed(&agent->file, now_us)) {
--- a/src/relay/store/registration.c
+++ b/src/relay/store/registration.c
@@ -178,6 +178,19 @@
     }
 }
 
+/* Follows whether the first calls show that no agent was at the address
+ * before. The read may be stale, but a create of an existing object fails;
+ * after a failed call an earlier agent may have run without an object. */
+static void
+note_new_address(struct registration_writer *writer, int status)
+{
+    bool creates = writer->called_step == REGISTRATION_CREATE;
+
+    writer->created |= writer->undisturbed && creates && status == 0;
+    writer->undisturbed &=
+        writer->called_step == REGISTRATION_READ && status == -ENOENT;
+}
+
 static void
 on_done(struct store_call *call, const struct store_reply *reply)
 {
@@ -186,6 +199,7 @@
     bool removing = writer->step == REGISTRATION_REMOVE;
 
     writer->open = false;
+    note_new_address(writer, reply->status);
     writer->next_us = 0;
     if (writer->called_step != writer->step) {
         /* The step has changed since the call began; it is next. */
@@ -278,6 +292,7 @@
         .store = store,
         .registration = *registration,
         .step = REGISTRATION_READ,
+        .undisturbed = true,
         .next_us = now_us,
     };
 }
--- a/src/relay/store/registration.h
+++ b/src/relay/store/registration.h
@@ -91,6 +91,10 @@
  * @epoch: the store's epoch in its last reply, 0 if unknown
  * @reported_epoch: last epoch passed to registration_writer_set_epoch()
  * @missing: the first read found no object: the address is new
+ * @undisturbed: each call so far has had the result that it has at a new
+ * address
+ * @created: the address is new for certain, as the first calls found no object
+ * and created it
  * @revision: the store's revision in the reply to the last write, 0 for none
  * @reads: reads that found the object, REGISTRATION_READS after a write
  * @next_us: when the next call is due; 0 until the first tick after a call
@@ -106,6 +110,8 @@
     uint32_t epoch;
     uint32_t reported_epoch;
     bool missing;
+    bool undisturbed;
+    bool created;
     uint64_t revision;
     unsigned reads;
     uint64_t next_us;
--- a/tests/relay/endpoint_test.c
+++ b/tests/relay/endpoint_test.c
@@ -277,3 +277,34 @@
     send_heartbeat(endpoint_fixture, "i-2", 0, 60, false);
     g_assert_false(endpoint_is_complete(&endpoint_fixture->endpoint));
 }
+
+/* Beside an agent that is the first one at its address, whichever of the two
+ * facts is known first. */
+TEST_F(endpoint_fixture, a_young_endpoint_at_a_new_address_is_complete)
+{
+    struct endpoint *endpoint = &endpoint_fixture->endpoint;
+
+    send_heartbeat(endpoint_fixture, "i-1", 0, 1, false);
+    g_assert_false(endpoint_is_complete(endpoint));
+    endpoint_set_new_address(endpoint);
+    g_assert_true(endpoint_is_complete(endpoint));
+    endpoint_fixture_init(endpoint_fixture);
+    endpoint_set_new_address(endpoint);
+    g_assert_false(endpoint_is_complete(endpoint));
+    send_heartbeat(endpoint_fixture, "i-1", 0, 1, false);
+    g_assert_true(endpoint_is_complete(endpoint));
+}
+
+/* An agent without an object may have been there while the store was away. */
+TEST_F(endpoint_fixture, an_older_endpoint_at_a_new_address_is_not_complete)
+{
+    struct endpoint *endpoint = &endpoint_fixture->endpoint;
+
+    send_heartbeat(endpoint_fixture, "i-1", 0, 2, false);
+    endpoint_set_new_address(endpoint);
+    g_assert_false(endpoint_is_complete(endpoint));
+    endpoint_fixture_init(endpoint_fixture);
+    endpoint_set_new_address(endpoint);
+    send_heartbeat(endpoint_fixture, "i-1", 0, 2, false);
+    g_assert_false(endpoint_is_complete(endpoint));
+}
--- a/tests/relay/registration_test.c
+++ b/tests/relay/registration_test.c
@@ -135,6 +135,56 @@
     g_assert_true(fixture->writer.missing);
 }
 
+TEST_F(fixture, an_address_is_new_if_the_first_create_succeeds)
+{
+    writer_tick(fixture, 1);
+    store_fixture_reply(&fixture->store, -ENOENT, 0, NULL, false);
+    g_assert_false(fixture->writer.created);
+    writer_tick(fixture, 2);
+    store_fixture_reply(&fixture->store, 0, 9, NULL, false);
+    g_assert_true(fixture->writer.created);
+}
+
+/* An earlier agent may have run without an object while the store was away, or
+ * the read was stale. */
+TEST_F(fixture, an_address_is_not_known_to_be_new_after_other_results)
+{
+    static const int reads[] = {-ETIMEDOUT, -ENOENT, -ENOENT};
+    static const int creates[] = {0, -EEXIST, -ETIMEDOUT};
+
+    for (unsigned i = 0; i < G_N_ELEMENTS(reads); i++) {
+        fixture_finish(fixture);
+        fixture_init(fixture);
+        writer_tick(fixture, 1);
+        store_fixture_reply(&fixture->store, reads[i], 0, NULL, false);
+        if (reads[i] != -ENOENT) {
+            writer_tick(fixture, 200);
+            store_fixture_reply(&fixture->store, -ENOENT, 0, NULL, false);
+        }
+        writer_tick(fixture, 200);
+        store_fixture_reply(&fixture->store, creates[i], 0, NULL, false);
+        writer_tick(fixture, 200);
+        if (fixture->store.call != NULL) {
+            store_fixture_reply(&fixture->store, 0, 9, NULL, false);
+        }
+        g_assert_cmpint(fixture->writer.step, ==, REGISTRATION_DONE);
+        g_assert_false(fixture->writer.created);
+    }
+}
+
+/* A rollback may have taken the object of an agent that has run for long. */
+TEST_F(fixture, an_object_created_again_does_not_make_the_address_new)
+{
+    writer_tick(fixture, 1);
+    reply_to_read(fixture, "lots");
+    writer_tick(fixture, 11000);
+    store_fixture_reply(&fixture->store, -ENOENT, 0, NULL, false);
+    writer_tick(fixture, 2);
+    store_fixture_reply(&fixture->store, 0, 12, NULL, false);
+    g_assert_cmpint(fixture->writer.step, ==, REGISTRATION_DONE);
+    g_assert_false(fixture->writer.created);
+}
+
 TEST_F(fixture, a_known_address_isnt_missing)
 {
     writer_tick(fixture, 1);
--- a/tests/relay/world.c
+++ b/tests/relay/world.c
@@ -469,6 +469,8 @@
         host->registered_service = host->service;
         host->next_seq = i * 77777777u;
         world_agent_start(host);
+        /* Later agents at the address find its object. */
+        endpoint_set_new_address(&host->admission.endpoint);
         world_endpoint_start(host);
         host->fault_us = 0;
         host->started_us = 0;
