--- a/review/6/case.py
+++ b/review/6/case.py
@@ -2,6 +2,7 @@
 drains."""
 
 import asyncio
+import os
 import sys
 import time
 
@@ -9,6 +10,8 @@
 from review.standin2 import drain
 from review.standin2.endpoint import Endpoint
 
+# TROUBLE=0 plays the same without the disruption.
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 NET = bed_module.NET
 BALANCERS = [f"{NET}.1.{i}" for i in (1, 2)]
 AGENTS = [f"{NET}.2.{i}" for i in (1, 2, 3)]
@@ -25,7 +28,7 @@
             "born": int(time.time() * 1000) - 3600}
 
 
-async def case(bed, trouble):
+async def case(bed):
     """Drain an endpoint; in between another writer reports."""
     bed.put_config(1, [{"name": "lookup", "host": f"{NET}.9.1",
                         "pathPrefix": "/8443/", "routeKind": "safe",
@@ -47,7 +50,7 @@
     leaving = endpoints[0]
     leaving.drain()
     await asyncio.sleep(3)
-    if trouble:
+    if TROUBLE:
         status = await bed.call(leaving.host, "PUT", "/instances/i-other",
                                 foreign_report())
         bed.note(f"another writer's report without an address: {status}")
--- a/review/standin2/bed.py
+++ b/review/standin2/bed.py
@@ -205,10 +205,10 @@
             process.wait()
 
 
-async def run_case(bed, case, trouble):
+async def run_case(bed, case):
     """Run a case for CASE_MAX_S at most."""
     try:
-        return await asyncio.wait_for(case(bed, trouble), CASE_MAX_S)
+        return await asyncio.wait_for(case(bed), CASE_MAX_S)
     finally:
         bed.closing = True
 
@@ -216,17 +216,15 @@
 def main(case):
     """Run a case in a temporary folder; returns the exit code.
 
-    @case: coroutine function of the bed and of whether there is trouble; it
-    returns HELD, BROKEN or NOT_RUN.
+    @case: coroutine function of the bed; it returns HELD, BROKEN or NOT_RUN.
     """
-    trouble = os.environ.get("TROUBLE", "1") != "0"
     path = pathlib.Path(sys.argv[0]).resolve().parent / "record.txt"
     with path.open("w") as record, \
             tempfile.TemporaryDirectory(prefix="review-") as folder:
         bed = Bed(record, folder)
         code = NOT_RUN
         try:
-            code = asyncio.run(run_case(bed, case, trouble))
+            code = asyncio.run(run_case(bed, case))
         except (RuntimeError, OSError, asyncio.TimeoutError) as error:
             bed.note(f"the case couldn't run: {error!r}")
         finally:
