Agents log which incarnation a message replaced, and the address it reports

Now event=endpoint names the incarnation before, both starts and the reported address (0.0.0.0:0 for none), also without a change of the state; event=started names the upstream.

--- a/src/relay/admission/endpoint.h
+++ b/src/relay/admission/endpoint.h
@@ -12,6 +12,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "base/addr.h"
 #include "relay/wire/frame.h"
 
 #define ENDPOINT_ID_MAX 64
@@ -22,6 +23,7 @@
  * @id: the endpoint's id
  * @started_ms: start of its incarnation, Unix time; 0 if not reported: the id
  * alone identifies the incarnation then
+ * @address: where it receives packets
  * @service: hash_service() of its service
  * @draining: it ends soon and takes no new flows
  * @slots: requests that it runs at a time
@@ -31,6 +33,7 @@
 struct heartbeat {
     char id[ENDPOINT_ID_MAX];
     uint64_t started_ms;
+    struct addr address;
     uint32_t service;
     bool draining;
     unsigned slots;
--- a/src/relay/program/relay_agent.c
+++ b/src/relay/program/relay_agent.c
@@ -211,6 +211,7 @@
 static int
 start(struct relay_agent *agent, const char *path, struct error *err)
 {
+    char upstream[ADDR_TEXT_MAX];
     int ret;
 
     agent->out.ops = &relay_agent_out_ops;
@@ -243,8 +244,9 @@
     agent->admission.endpoint.interval_us =
         agent->settings.heartbeat_ms * USEC_PER_MSEC;
     event_log_write(&agent->log, EVENT_UNLIMITED, "started",
-                    "role=agent data_centre=%s service=%s",
-                    agent->settings.data_centre, agent->settings.service);
+                    "role=agent data_centre=%s service=%s upstream=%s",
+                    agent->settings.data_centre, agent->settings.service,
+                    addr_format(agent->settings.upstream, upstream));
     return 0;
 }
 
--- a/src/relay/program/relay_agent_http.c
+++ b/src/relay/program/relay_agent_http.c
@@ -12,21 +12,57 @@
 #include "relay/program/relay_state.h"
 #include "platform/heartbeat_format.h"
 
+/**
+ * struct known_endpoint - what was known before a message of an endpoint
+ * @state: the endpoint's state
+ * @current: its current incarnation; with an empty id if there was none
+ */
+struct known_endpoint {
+    enum endpoint_state state;
+    struct endpoint_incarnation current;
+};
+
+static struct known_endpoint
+known_endpoint_of(const struct relay_agent *agent)
+{
+    const struct endpoint *endpoint = &agent->admission.endpoint;
+
+    return (struct known_endpoint){
+        .state = endpoint->state,
+        .current = endpoint->incarnations[0],
+    };
+}
+
+/* Logs the state and the incarnation if a message has changed one of them.
+ * @address: the endpoint's address in the message, all 0 if it has none */
 static void
-log_endpoint(struct relay_agent *agent, const char *id, const char *cause)
+log_change(struct relay_agent *agent, const char *cause, struct addr address,
+           const struct known_endpoint *before)
 {
     const struct endpoint *endpoint = &agent->admission.endpoint;
+    const struct endpoint_incarnation *current = &endpoint->incarnations[0];
+    const struct endpoint_incarnation *earlier = &before->current;
+    char text[ADDR_TEXT_MAX];
 
+    if (endpoint->state == before->state &&
+        strcmp(current->id, earlier->id) == 0 &&
+        current->started_ms == earlier->started_ms) {
+        return;
+    }
     event_log_write(
         &agent->log, EVENT_UNLIMITED, "endpoint",
-        "id=%s state=%s slots=%u busy=%u cause=%s sequence=%" PRIu64
-        " complete=%d since_start_us=%" PRIu64,
-        id, relay_agent_state_names[endpoint->state], endpoint->slots,
-        agent->admission.busy_count, cause,
-        endpoint->incarnation_count > 0 ? endpoint->incarnations[0].sequence
-                                        : 0,
-        endpoint_is_complete(endpoint),
-        loop_now_us(&agent->loop) - agent->started_us);
+        "id=%s started_ms=%" PRIu64
+        " state=%s slots=%u busy=%u cause=%s address=%s sequence=%" PRIu64
+        " complete=%d since_start_us=%" PRIu64
+        " before=%s before_started_ms=%" PRIu64
+        " before_state=%s before_sequence=%" PRIu64,
+        current->id, current->started_ms,
+        relay_agent_state_names[endpoint->state], endpoint->slots,
+        agent->admission.busy_count, cause, addr_format(address, text),
+        current->sequence, endpoint_is_complete(endpoint),
+        loop_now_us(&agent->loop) - agent->started_us,
+        earlier->id[0] != '\0' ? earlier->id : "-", earlier->started_ms,
+        relay_agent_state_names[before->state], earlier->sequence);
 }
 
 /* Names in metrics and log lines. */
@@ -68,7 +104,7 @@
 handle_heartbeat(struct relay_agent *agent, const char *id,
                  struct httpd_request *request)
 {
-    enum endpoint_state before = agent->admission.endpoint.state;
+    struct known_endpoint before = known_endpoint_of(agent);
     enum heartbeat_format_fault fault;
     struct heartbeat heartbeat;
     struct error err = {0};
@@ -94,9 +130,7 @@
     }
     agent->counts.heartbeats++;
     agent->last_refusal = HEARTBEAT_ACCEPTED;
-    if (agent->admission.endpoint.state != before) {
-        log_endpoint(agent, id, "heartbeat");
-    }
+    log_change(agent, "heartbeat", heartbeat.address, &before);
     return 200;
 }
 
@@ -104,16 +138,14 @@
 handle_goodbye(struct relay_agent *agent, const char *id,
                struct httpd_request *request)
 {
-    enum endpoint_state before = agent->admission.endpoint.state;
+    struct known_endpoint before = known_endpoint_of(agent);
     size_t len;
     const char *body = httpd_request_body(request, &len);
 
     admission_endpoint_left(&agent->admission, id,
                             heartbeat_format_goodbye_decode(body, len),
                             loop_now_us(&agent->loop));
-    if (agent->admission.endpoint.state != before) {
-        log_endpoint(agent, id, "goodbye");
-    }
+    log_change(agent, "goodbye", (struct addr){0}, &before);
     return 200;
 }
 
