Agent: heartbeats and goodbyes have their own file

relay_agent_http.c held the decisions on what an endpoint reports beside the HTTP handlers and the metrics; tests can now call them without a server.

--- a/src/relay/program/relay_agent_http.c
+++ b/src/relay/program/relay_agent_http.c
@@ -1,154 +1,15 @@
 #include "relay/program/relay_agent_private.h"
 
-#include <errno.h>
 #include <inttypes.h>
 #include <string.h>
 
 #include <glib.h>
 
 #include "base/container.h"
-#include "base/hash.h"
 #include "relay/program/relay_explain.h"
 #include "relay/program/relay_state.h"
 #include "platform/heartbeat_format.h"
 
-/**
- * struct known_endpoint - what was known before a message of an endpoint
- * @state: the endpoint's state
- * @current: its current incarnation; with an empty id if there was none
- */
-struct known_endpoint {
-    enum endpoint_state state;
-    struct endpoint_incarnation current;
-};
-
-static struct known_endpoint
-known_endpoint_of(const struct relay_agent *agent)
-{
-    const struct endpoint *endpoint = &agent->admission.endpoint;
-
-    return (struct known_endpoint){
-        .state = endpoint->state,
-        .current = endpoint->incarnations[0],
-    };
-}
-
-/* Logs the state and the incarnation if a message has changed one of them.
- * @address: the endpoint's address in the message, all 0 if it has none */
-static void
-log_change(struct relay_agent *agent, const char *cause, struct addr address,
-           const struct known_endpoint *before)
-{
-    const struct endpoint *endpoint = &agent->admission.endpoint;
-    const struct endpoint_incarnation *current = &endpoint->incarnations[0];
-    const struct endpoint_incarnation *earlier = &before->current;
-    char text[ADDR_TEXT_MAX];
-
-    if (endpoint->state == before->state &&
-        strcmp(current->id, earlier->id) == 0 &&
-        current->started_ms == earlier->started_ms) {
-        return;
-    }
-    event_log_write(
-        &agent->log, EVENT_UNLIMITED, "endpoint",
-        "id=%s started_ms=%" PRIu64
-        " state=%s slots=%u busy=%u cause=%s address=%s sequence=%" PRIu64
-        " complete=%d since_start_us=%" PRIu64
-        " before=%s before_started_ms=%" PRIu64
-        " before_state=%s before_sequence=%" PRIu64,
-        current->id, current->started_ms,
-        relay_agent_state_names[endpoint->state], endpoint->slots,
-        agent->admission.busy_count, cause, addr_format(address, text),
-        current->sequence, endpoint_is_complete(endpoint),
-        loop_now_us(&agent->loop) - agent->started_us,
-        earlier->id[0] != '\0' ? earlier->id : "-", earlier->started_ms,
-        relay_agent_state_names[before->state], earlier->sequence);
-}
-
-/* Names in metrics and log lines. */
-static const char *const refusal_names[] = {
-    [HEARTBEAT_REFUSED_NO_JSON] = "no_json",
-    [HEARTBEAT_REFUSED_NO_SERVICE] = "no_service",
-    [HEARTBEAT_REFUSED_NO_STATE] = "no_state",
-    [HEARTBEAT_REFUSED_WRONG_FIELD] = "wrong_field",
-    [HEARTBEAT_REFUSED_OTHER_SERVICE] = "other_service",
-    [HEARTBEAT_REFUSED_STALE] = "earlier_start",
-};
-
-static const enum heartbeat_refusal refusal_by_fault[] = {
-    [HEARTBEAT_FORMAT_NOT_JSON] = HEARTBEAT_REFUSED_NO_JSON,
-    [HEARTBEAT_FORMAT_SERVICE] = HEARTBEAT_REFUSED_NO_SERVICE,
-    [HEARTBEAT_FORMAT_STATE] = HEARTBEAT_REFUSED_NO_STATE,
-    [HEARTBEAT_FORMAT_FIELD] = HEARTBEAT_REFUSED_WRONG_FIELD,
-};
-
-/* Counts a refused heartbeat, and logs it when the reason differs from that of
- * the previous heartbeat. */
-static void
-record_refusal(struct relay_agent *agent, enum heartbeat_refusal why,
-               const struct error *err)
-{
-    char line[512];
-
-    agent->counts.refused_heartbeats[why]++;
-    if (agent->last_refusal == why) {
-        return;
-    }
-    agent->last_refusal = why;
-    event_log_write(&agent->log, EVENT_UNLIMITED, "heartbeat_refused",
-                    "cause=%s reason=\"%s\"", refusal_names[why],
-                    error_format(err, line, sizeof(line)));
-}
-
-static int
-handle_heartbeat(struct relay_agent *agent, const char *id,
-                 struct httpd_request *request)
-{
-    struct known_endpoint before = known_endpoint_of(agent);
-    enum heartbeat_format_fault fault;
-    struct heartbeat heartbeat;
-    struct error err = {0};
-    size_t len;
-    const char *body = httpd_request_body(request, &len);
-
-    if (heartbeat_format_decode(id, body, len, &heartbeat, &fault, &err) < 0) {
-        record_refusal(agent, refusal_by_fault[fault], &err);
-        return 400;
-    }
-    if (heartbeat.service != hash_service(agent->settings.service)) {
-        error_set(&err, -EINVAL, "accept a heartbeat", id,
-                  "its service is not %s", agent->settings.service);
-        record_refusal(agent, HEARTBEAT_REFUSED_OTHER_SERVICE, &err);
-        return 400;
-    }
-    if (!admission_handle_heartbeat(&agent->admission, &heartbeat,
-                                    loop_now_us(&agent->loop))) {
-        error_set(&err, -EINVAL, "accept a heartbeat", id,
-                  "it is of an earlier incarnation of the endpoint");
-        record_refusal(agent, HEARTBEAT_REFUSED_STALE, &err);
-        return 503;
-    }
-    agent->counts.heartbeats++;
-    agent->last_refusal = HEARTBEAT_ACCEPTED;
-    log_change(agent, "heartbeat", heartbeat.address, &before);
-    return 200;
-}
-
-static int
-handle_goodbye(struct relay_agent *agent, const char *id,
-               struct httpd_request *request)
-{
-    struct known_endpoint before = known_endpoint_of(agent);
-    size_t len;
-    const char *body = httpd_request_body(request, &len);
-
-    admission_endpoint_left(&agent->admission, id,
-                            heartbeat_format_goodbye_decode(body, len),
-                            loop_now_us(&agent->loop));
-    log_change(agent, "goodbye", (struct addr){0}, &before);
-    return 200;
-}
-
 static int
 on_heartbeat_request(struct httpd_handler *handler,
                      struct httpd_request *request)
@@ -157,16 +18,18 @@
         container_of(handler, struct relay_agent, heartbeat_handler);
     const char *method = httpd_request_method(request);
     const char *id = heartbeat_format_id(httpd_request_path(request));
+    size_t len;
+    const char *body = httpd_request_body(request, &len);
     int status = 405;
 
     if (id == NULL) {
         status = 404;
     }
     else if (strcmp(method, "PUT") == 0) {
-        status = handle_heartbeat(agent, id, request);
+        status = relay_agent_heartbeat(agent, id, body, len);
     }
     else if (strcmp(method, "DELETE") == 0) {
-        status = handle_goodbye(agent, id, request);
+        status = relay_agent_goodbye(agent, id, body, len);
     }
     httpd_respond(request, status, "application/json", HEARTBEAT_FORMAT_ACK,
                   strlen(HEARTBEAT_FORMAT_ACK));
@@ -207,7 +70,7 @@
         g_string_append_printf(
             text,
             "swiftarch_heartbeats_refused_total{reason=\"%s\"} %" PRIu64 "\n",
-            refusal_names[i], agent->counts.refused_heartbeats[i]);
+            relay_agent_refusal_names[i], agent->counts.refused_heartbeats[i]);
     }
     for (size_t i = 1; i <= FRAME_REASON_MAX; i++) {
         g_string_append_printf(
--- a/src/relay/program/relay_agent_private.h
+++ b/src/relay/program/relay_agent_private.h
@@ -135,6 +135,24 @@
     } counts;
 };
 
+/**
+ * relay_agent_heartbeat() - handle a heartbeat of endpoint @id
+ *
+ * Return: HTTP status of the response.
+ */
+int
+relay_agent_heartbeat(struct relay_agent *agent, const char *id,
+                      const char *body, size_t len);
+
+/** relay_agent_goodbye() - handle a goodbye of endpoint @id; returns the HTTP
+ * status of the response */
+int
+relay_agent_goodbye(struct relay_agent *agent, const char *id,
+                    const char *body, size_t len);
+
+/* Names in metrics and log lines: enum heartbeat_refusal. */
+extern const char *const relay_agent_refusal_names[];
+
 /* Names in metrics and log lines: enum frame_reason, enum endpoint_state and
  * enum admission_drop. */
 extern const char *const relay_agent_reason_names[];
