Agent: reports without a start end nothing where endpoints report theirs

A frozen agent counted its own pause as the endpoint's silence, so that the first report after it woke was believed, whosever it was; after 5 s of silence one such report was enough; and a restarted agent that heard it before its endpoint took its endpoint for the next incarnation, whose flows of before have ended.

Change: the agent's pause is no silence of the endpoint; after a silence the report needs a second one of the same sender (an endpoint goes on, and is served a heartbeat later); an incarnation without a start that hasn't ended is forgotten when one reports its start, and no flow ends with it. Where no page promises a start, the id tells incarnations apart as before. Ruled out: that a start can be demanded.

--- a/src/relay/admission/endpoint.c
+++ b/src/relay/admission/endpoint.c
@@ -65,16 +65,55 @@
     return &endpoint->incarnations[0];
 }
 
-/* Whether a heartbeat is of an incarnation before the current one. */
+/* Whether a heartbeat without a start follows another one of its sender. */
 static bool
-is_earlier(const struct endpoint *endpoint, const struct heartbeat *heartbeat,
-           uint64_t now_us)
+is_repeated_unproven(struct endpoint *endpoint,
+                     const struct heartbeat *heartbeat)
 {
-    uint64_t current_ms = endpoint->incarnations[0].started_ms;
+    struct heartbeat last = endpoint->unproven;
 
-    return endpoint->incarnation_count > 0 &&
-           heartbeat->started_ms < current_ms &&
-           now_us - endpoint->heard_us < CURRENT_SILENT_US;
+    endpoint->unproven = *heartbeat;
+    return strcmp(last.id, heartbeat->id) == 0 &&
+           heartbeat->sequence > last.sequence;
+}
+
+/* Whether a heartbeat is of an incarnation before the current one, or of
+ * another writer. */
+static bool
+is_stale(struct endpoint *endpoint, const struct heartbeat *heartbeat,
+         uint64_t now_us)
+{
+    if (endpoint->incarnation_count == 0 ||
+        heartbeat->started_ms >= endpoint->incarnations[0].started_ms) {
+        return false;
+    }
+    if (now_us - endpoint->silent_us < CURRENT_SILENT_US) {
+        return true;
+    }
+    return heartbeat->started_ms == 0 &&
+           !is_repeated_unproven(endpoint, heartbeat);
+}
+
+/* Forgets incarnations that reported no start, unless the current one has
+ * ended or reported its start. */
+static void
+forget_unproven(struct endpoint *endpoint)
+{
+    const struct endpoint_incarnation *current = &endpoint->incarnations[0];
+    unsigned kept = 0;
+
+    if (current->started_ms != 0 || current->left || endpoint->down) {
+        return;
+    }
+    for (unsigned i = 0; i < endpoint->incarnation_count; i++) {
+        if (endpoint->incarnations[i].started_ms != 0) {
+            endpoint->incarnations[kept++] = endpoint->incarnations[i];
+        }
+    }
+    memset(&endpoint->incarnations[kept], 0,
+           (endpoint->incarnation_count - kept) *
+               sizeof(endpoint->incarnations[0]));
+    endpoint->incarnation_count = kept;
 }
 
 /* Whether a heartbeat of a known incarnation is a repeated or reordered one.
@@ -153,11 +192,13 @@
         absent_us(endpoint, SEQUENCE_LOW + 1)) {
         endpoint->older_until_us = now_us;
     }
+    endpoint->silent_us = now_us;
 }
 
-enum endpoint_update
-endpoint_heartbeat(struct endpoint *endpoint,
-                   const struct heartbeat *heartbeat, uint64_t now_us)
+/* Updates the state from a heartbeat that isn't stale. */
+static enum endpoint_update
+accept_heartbeat(struct endpoint *endpoint, const struct heartbeat *heartbeat,
+                 uint64_t now_us)
 {
     struct endpoint_incarnation *known =
         incarnation_find(endpoint, heartbeat->id);
@@ -171,9 +212,6 @@
                   (known != &endpoint->incarnations[0] ||
                    known->started_ms != heartbeat->started_ms);
 
-    if (is_earlier(endpoint, heartbeat, now_us)) {
-        return ENDPOINT_STALE;
-    }
     if (is_repeated(known, heartbeat)) {
         return ENDPOINT_UNCHANGED;
     }
@@ -193,6 +231,7 @@
     g_strlcpy(incarnation.id, heartbeat->id, sizeof(incarnation.id));
     incarnation_set_current(endpoint, known, &incarnation);
     endpoint->heard_us = now_us;
+    endpoint->silent_us = now_us;
     endpoint->service = heartbeat->service;
     endpoint->slots = heartbeat->slots > 0 ? heartbeat->slots : SLOTS_DEFAULT;
     changed |= set_state(endpoint, heartbeat->draining ? ENDPOINT_DRAINING
@@ -203,6 +242,19 @@
     return changed ? ENDPOINT_CHANGED : ENDPOINT_UNCHANGED;
 }
 
+enum endpoint_update
+endpoint_heartbeat(struct endpoint *endpoint,
+                   const struct heartbeat *heartbeat, uint64_t now_us)
+{
+    if (is_stale(endpoint, heartbeat, now_us)) {
+        return ENDPOINT_STALE;
+    }
+    if (heartbeat->started_ms != 0) {
+        forget_unproven(endpoint);
+    }
+    return accept_heartbeat(endpoint, heartbeat, now_us);
+}
+
 /* Whether a goodbye is of the known incarnation of its id. */
 static bool
 goodbye_matches(const struct endpoint_incarnation *known, uint64_t started_ms)
--- a/src/relay/admission/endpoint.h
+++ b/src/relay/admission/endpoint.h
@@ -68,6 +68,8 @@
  * @state: whether it takes new flows
  * @slots: requests that it runs at a time
  * @heard_us: time of the current incarnation's last heartbeat
+ * @silent_us: since when the current incarnation is silent: @heard_us, or the
+ * end of a pause of the agent
  * @down: its process isn't running; the next incarnation will be complete
  * @new_address: no agent was at this address before this one
  * @interval_us: interval of its heartbeats; the caller may set it
@@ -76,18 +78,22 @@
  * of one that isn't complete, or the end of a pause of the agent
  * @incarnations: the last incarnations seen, the current one first
  * @incarnation_count: number of them
+ * @unproven: last heartbeat without a start that came while the current
+ * incarnation, which reported its start, was silent
  */
 struct endpoint {
     uint32_t service;
     enum endpoint_state state;
     unsigned slots;
     uint64_t heard_us;
+    uint64_t silent_us;
     bool down;
     bool new_address;
     uint64_t interval_us;
     uint64_t older_until_us;
     struct endpoint_incarnation incarnations[ENDPOINT_INCARNATIONS_MAX];
     unsigned incarnation_count;
+    struct heartbeat unproven;
 };
 
 /** endpoint_init() - set up an endpoint of @service in state ENDPOINT_UNKNOWN;
@@ -122,7 +128,12 @@
  * A heartbeat that reports an earlier start than the current incarnation, or
  * none after one that did, is stale. It is accepted only if the current
  * incarnation has been silent for several heartbeats, as the clock may have
- * been set back between two starts.
+ * been set back between two starts; without a start only if another one of the
+ * same sender came before it.
+ *
+ * Endpoints of a deployment report their starts, or none of them does. So when
+ * one does, a current incarnation that didn't and hasn't ended was another
+ * writer's: it is forgotten, and no flow ends with it.
  */
 enum endpoint_update
 endpoint_heartbeat(struct endpoint *endpoint,
--- a/tests/relay/endpoint_test.c
+++ b/tests/relay/endpoint_test.c
@@ -150,6 +150,74 @@
     g_assert_cmpint(endpoint_fixture->endpoint.state, ==, ENDPOINT_DRAINING);
 }
 
+/* Guards against a frozen agent that, once it wakes, believes the report of an
+ * earlier endpoint, or of another writer, before its own endpoint's. */
+TEST_F(endpoint_fixture, a_pause_of_the_agent_is_no_silence_of_the_endpoint)
+{
+    uint64_t since_us = endpoint_fixture->now_us;
+
+    send_heartbeat(endpoint_fixture, "i-1", LATER_MS, 40, true);
+    endpoint_fixture->now_us += SILENCE_US;
+    endpoint_agent_paused(&endpoint_fixture->endpoint, since_us,
+                          endpoint_fixture->now_us);
+    g_assert_cmpint(
+        send_heartbeat(endpoint_fixture, "i-0", EARLIER_MS, 90, false), ==,
+        ENDPOINT_STALE);
+    g_assert_cmpint(endpoint_fixture->endpoint.state, ==, ENDPOINT_DRAINING);
+}
+
+/* Guards against a draining endpoint that is ready by another writer's report,
+ * as its own ones are missing. */
+TEST_F(endpoint_fixture, a_silence_is_not_ended_by_one_report_without_a_start)
+{
+    send_heartbeat(endpoint_fixture, "i-1", LATER_MS, 40, true);
+    endpoint_fixture->now_us += SILENCE_US;
+    g_assert_cmpint(send_heartbeat(endpoint_fixture, "i-9", 0, 3, false), ==,
+                    ENDPOINT_STALE);
+    g_assert_cmpint(send_heartbeat(endpoint_fixture, "i-9", 0, 3, false), ==,
+                    ENDPOINT_STALE);
+    g_assert_cmpint(send_heartbeat(endpoint_fixture, "i-8", 0, 4, false), ==,
+                    ENDPOINT_STALE);
+    g_assert_cmpint(endpoint_fixture->endpoint.state, ==, ENDPOINT_DRAINING);
+    g_assert_cmpint(
+        send_heartbeat(endpoint_fixture, "i-1", LATER_MS, 41, true), ==,
+        ENDPOINT_UNCHANGED);
+    /* An endpoint of a version that doesn't report it goes on reporting. */
+    endpoint_fixture->now_us += SILENCE_US;
+    send_heartbeat(endpoint_fixture, "i-2", 0, 1, false);
+    g_assert_cmpint(send_heartbeat(endpoint_fixture, "i-2", 0, 2, false), ==,
+                    ENDPOINT_NEW_INCARNATION);
+    g_assert_cmpint(endpoint_fixture->endpoint.state, ==, ENDPOINT_READY);
+}
+
+/* Guards against a restarted agent that ends the flows of its endpoint as it
+ * hears another writer first. */
+TEST_F(endpoint_fixture, a_report_without_a_start_is_not_an_endpoints_before)
+{
+    struct endpoint *endpoint = &endpoint_fixture->endpoint;
+
+    send_heartbeat(endpoint_fixture, "i-9", 0, 3, false);
+    g_assert_cmpint(
+        send_heartbeat(endpoint_fixture, "i-1", EARLIER_MS, 40, true), ==,
+        ENDPOINT_CHANGED);
+    g_assert_cmpint(endpoint->state, ==, ENDPOINT_DRAINING);
+    g_assert_cmpuint(endpoint->incarnation_count, ==, 1);
+    /* The next one is a new incarnation. */
+    g_assert_cmpint(
+        send_heartbeat(endpoint_fixture, "i-2", LATER_MS, 1, false), ==,
+        ENDPOINT_NEW_INCARNATION);
+}
+
+/* One that has ended was an endpoint. */
+TEST_F(endpoint_fixture, an_incarnation_without_a_start_that_ended_counts)
+{
+    send_heartbeat(endpoint_fixture, "i-1", 0, 3, false);
+    g_assert_true(endpoint_down(&endpoint_fixture->endpoint));
+    g_assert_cmpint(
+        send_heartbeat(endpoint_fixture, "i-2", LATER_MS, 1, false), ==,
+        ENDPOINT_NEW_INCARNATION);
+}
+
 TEST_F(endpoint_fixture, without_start_times_the_id_identifies_an_incarnation)
 {
     g_assert_cmpint(send_heartbeat(endpoint_fixture, "i-1", 0, 40, false), ==,
