Agent: a goodbye that can't be read ends nothing, and none is for good

Change: a body that isn't a JSON object, or whose start is of another type, is another writer's: 400, counted and logged. An endpoint that goes on reporting 5 s after its goodbye, with a new number, hasn't left.

Test changed: goodbye_may_contain_the_start_time expected such bodies to count as goodbyes without a start; that was the fault. They have a test of their own now, invalid_goodbyes_are_refused, with more of them.

--- a/src/relay/admission/admission.c
+++ b/src/relay/admission/admission.c
@@ -292,7 +292,7 @@
 admission_endpoint_left(struct admission *admission, const char *id,
                         uint64_t started_ms, uint64_t now_us)
 {
-    if (endpoint_left(&admission->endpoint, id, started_ms)) {
+    if (endpoint_left(&admission->endpoint, id, started_ms, now_us)) {
         admission_notify_state(admission, now_us);
     }
 }
--- a/src/relay/admission/endpoint.c
+++ b/src/relay/admission/endpoint.c
@@ -116,14 +116,25 @@
     endpoint->incarnation_count = kept;
 }
 
+/* Whether a heartbeat of an incarnation that has left is a late one. */
+static bool
+is_late(const struct endpoint *endpoint,
+        const struct endpoint_incarnation *known, uint64_t now_us)
+{
+    return known != &endpoint->incarnations[0] ||
+           now_us - endpoint->silent_us < CURRENT_SILENT_US;
+}
+
 /* Whether a heartbeat of a known incarnation is a repeated or reordered one.
  */
 static bool
-is_repeated(const struct endpoint_incarnation *known,
-            const struct heartbeat *heartbeat)
+is_repeated(const struct endpoint *endpoint,
+            const struct endpoint_incarnation *known,
+            const struct heartbeat *heartbeat, uint64_t now_us)
 {
     return known != NULL && heartbeat->started_ms == known->started_ms &&
-           (known->left || heartbeat->sequence <= known->sequence);
+           (heartbeat->sequence <= known->sequence ||
+            (known->left && is_late(endpoint, known, now_us)));
 }
 
 /* Whether a heartbeat is the first one seen of its incarnation. */
@@ -212,7 +223,7 @@
                   (known != &endpoint->incarnations[0] ||
                    known->started_ms != heartbeat->started_ms);
 
-    if (is_repeated(known, heartbeat)) {
+    if (is_repeated(endpoint, known, heartbeat, now_us)) {
         return ENDPOINT_UNCHANGED;
     }
     if (is_first_heartbeat(known, heartbeat)) {
@@ -268,7 +279,8 @@
  * of the flows: the agent only gives the endpoint no new ones until it hears a
  * heartbeat. */
 static bool
-unknown_left(struct endpoint *endpoint, const char *id, uint64_t started_ms)
+unknown_left(struct endpoint *endpoint, const char *id, uint64_t started_ms,
+             uint64_t now_us)
 {
     struct endpoint_incarnation incarnation = {
         .started_ms = started_ms,
@@ -281,16 +293,18 @@
     }
     g_strlcpy(incarnation.id, id, sizeof(incarnation.id));
     incarnation_set_current(endpoint, NULL, &incarnation);
+    endpoint->silent_us = now_us;
     return set_state(endpoint, ENDPOINT_DRAINING);
 }
 
 bool
-endpoint_left(struct endpoint *endpoint, const char *id, uint64_t started_ms)
+endpoint_left(struct endpoint *endpoint, const char *id, uint64_t started_ms,
+              uint64_t now_us)
 {
     struct endpoint_incarnation *known = incarnation_find(endpoint, id);
 
     if (known == NULL) {
-        return unknown_left(endpoint, id, started_ms);
+        return unknown_left(endpoint, id, started_ms, now_us);
     }
     if (!goodbye_matches(known, started_ms)) {
         return false;
@@ -299,6 +313,7 @@
     if (known != &endpoint->incarnations[0]) {
         return false;
     }
+    endpoint->silent_us = now_us;
     return set_state(endpoint, ENDPOINT_GONE);
 }
 
--- a/src/relay/admission/endpoint.h
+++ b/src/relay/admission/endpoint.h
@@ -68,8 +68,8 @@
  * @state: whether it takes new flows
  * @slots: requests that it runs at a time
  * @heard_us: time of the current incarnation's last heartbeat
- * @silent_us: since when the current incarnation is silent: @heard_us, or the
- * end of a pause of the agent
+ * @silent_us: since when the current incarnation is silent: @heard_us, its
+ * goodbye, or the end of a pause of the agent
  * @down: its process isn't running; the next incarnation will be complete
  * @new_address: no agent was at this address before this one
  * @interval_us: interval of its heartbeats; the caller may set it
@@ -149,10 +149,14 @@
  * An incarnation of which no heartbeat was heard doesn't end by its goodbye:
  * it may be an earlier one. The endpoint takes no new flows until a heartbeat.
  *
+ * Heartbeats of an incarnation that has left are late ones; one that comes
+ * seconds later shows that the goodbye was another writer's, and counts.
+ *
  * Return: whether the state changed.
  */
 bool
-endpoint_left(struct endpoint *endpoint, const char *id, uint64_t started_ms);
+endpoint_left(struct endpoint *endpoint, const char *id, uint64_t started_ms,
+              uint64_t now_us);
 
 /** endpoint_answered() - the endpoint sent a packet; returns whether the state
  * changed */
--- a/src/relay/program/relay_agent_heartbeats.c
+++ b/src/relay/program/relay_agent_heartbeats.c
@@ -159,9 +159,19 @@
                     const char *body, size_t len)
 {
     struct known_endpoint before = known_endpoint_of(agent);
+    struct error err = {0};
+    uint64_t started_ms;
+    char line[512];
 
-    admission_endpoint_left(&agent->admission, id,
-                            heartbeat_format_goodbye_decode(body, len),
+    if (heartbeat_format_goodbye_decode(id, body, len, &started_ms, &err) <
+        0) {
+        agent->counts.refused_goodbyes++;
+        event_log_write(&agent->log, EVENT_RATE_LIMITED, "goodbye_refused",
+                        "reason=\"%s\"",
+                        error_format(&err, line, sizeof(line)));
+        return 400;
+    }
+    admission_endpoint_left(&agent->admission, id, started_ms,
                             loop_now_us(&agent->loop));
     log_change(agent, "goodbye", (struct addr){0}, &before);
     return 200;
--- a/src/relay/program/relay_agent_http.c
+++ b/src/relay/program/relay_agent_http.c
@@ -50,6 +50,7 @@
         "swiftarch_frames_received_total %" PRIu64 "\n"
         "swiftarch_frames_sent_on_total %" PRIu64 "\n"
         "swiftarch_heartbeats_total %" PRIu64 "\n"
+        "swiftarch_goodbyes_refused_total %" PRIu64 "\n"
         "swiftarch_flows_placed_total %" PRIu64 "\n"
         "swiftarch_flows_held_total %" PRIu64 "\n"
         "swiftarch_flows_held %u\n"
@@ -61,11 +62,12 @@
         "swiftarch_log_lines_left_out_total %" PRIu64 "\n",
         agent->counts.to_endpoint, agent->counts.to_caller,
         agent->counts.frames_in, agent->counts.frames_forwarded,
-        agent->counts.heartbeats, agent->counts.established,
-        agent->counts.queued, agent->admission.queue_count,
-        agent->counts.resets, agent->counts.orphan_queries,
-        agent->admission.busy_count, agent->admission.table.used,
-        (int)agent->admission.endpoint.state, agent->log.dropped_total);
+        agent->counts.heartbeats, agent->counts.refused_goodbyes,
+        agent->counts.established, agent->counts.queued,
+        agent->admission.queue_count, agent->counts.resets,
+        agent->counts.orphan_queries, agent->admission.busy_count,
+        agent->admission.table.used, (int)agent->admission.endpoint.state,
+        agent->log.dropped_total);
     for (size_t i = 0; i < HEARTBEAT_ACCEPTED; i++) {
         g_string_append_printf(
             text,
--- a/src/relay/program/relay_agent_private.h
+++ b/src/relay/program/relay_agent_private.h
@@ -126,6 +126,7 @@
         uint64_t frames_forwarded;
         uint64_t heartbeats;
         uint64_t refused_heartbeats[HEARTBEAT_ACCEPTED];
+        uint64_t refused_goodbyes;
         uint64_t established;
         uint64_t queued;
         uint64_t resets;
--- a/tests/relay/endpoint_test.c
+++ b/tests/relay/endpoint_test.c
@@ -74,8 +74,8 @@
 TEST_F(endpoint_fixture, an_endpoint_that_left_may_start_again)
 {
     send_heartbeat(endpoint_fixture, "i-1", EARLIER_MS, 7, false);
-    g_assert_true(
-        endpoint_left(&endpoint_fixture->endpoint, "i-1", EARLIER_MS));
+    g_assert_true(endpoint_left(&endpoint_fixture->endpoint, "i-1", EARLIER_MS,
+                                endpoint_fixture->now_us));
     g_assert_cmpint(
         send_heartbeat(endpoint_fixture, "i-1", EARLIER_MS, 8, false), ==,
         ENDPOINT_UNCHANGED);
@@ -109,22 +109,44 @@
 {
     send_heartbeat(endpoint_fixture, "i-1", EARLIER_MS, 40, true);
     send_heartbeat(endpoint_fixture, "i-1", LATER_MS, 1, false);
-    g_assert_false(
-        endpoint_left(&endpoint_fixture->endpoint, "i-1", EARLIER_MS));
-    g_assert_false(endpoint_left(&endpoint_fixture->endpoint, "i-1", 0));
+    g_assert_false(endpoint_left(&endpoint_fixture->endpoint, "i-1",
+                                 EARLIER_MS, endpoint_fixture->now_us));
+    g_assert_false(endpoint_left(&endpoint_fixture->endpoint, "i-1", 0,
+                                 endpoint_fixture->now_us));
     g_assert_cmpint(endpoint_fixture->endpoint.state, ==, ENDPOINT_READY);
     /* A draining endpoint may leave without reporting its start. */
     send_heartbeat(endpoint_fixture, "i-1", LATER_MS, 2, true);
-    g_assert_true(endpoint_left(&endpoint_fixture->endpoint, "i-1", 0));
+    g_assert_true(endpoint_left(&endpoint_fixture->endpoint, "i-1", 0,
+                                endpoint_fixture->now_us));
     g_assert_cmpint(endpoint_fixture->endpoint.state, ==, ENDPOINT_GONE);
 }
 
+/* Guards against an endpoint that is gone for good by another writer's goodbye
+ * while it goes on reporting. */
+TEST_F(endpoint_fixture, an_endpoint_that_reports_on_has_not_left)
+{
+    struct endpoint *endpoint = &endpoint_fixture->endpoint;
+
+    send_heartbeat(endpoint_fixture, "i-1", 0, 40, true);
+    g_assert_true(endpoint_left(endpoint, "i-1", 0, endpoint_fixture->now_us));
+    g_assert_cmpint(endpoint->state, ==, ENDPOINT_GONE);
+    endpoint_fixture->now_us += SILENCE_US;
+    /* Not by a repeated one. */
+    send_heartbeat(endpoint_fixture, "i-1", 0, 40, true);
+    g_assert_cmpint(endpoint->state, ==, ENDPOINT_GONE);
+    g_assert_cmpint(send_heartbeat(endpoint_fixture, "i-1", 0, 45, true), ==,
+                    ENDPOINT_CHANGED);
+    g_assert_cmpint(endpoint->state, ==, ENDPOINT_DRAINING);
+    /* Its own goodbye counts again. */
+    g_assert_true(endpoint_left(endpoint, "i-1", 0, endpoint_fixture->now_us));
+}
+
 /* It may end soon, or be an earlier one: no new flows until a heartbeat. */
 TEST_F(endpoint_fixture, a_goodbye_of_an_unknown_id_only_stops_new_flows)
 {
     struct endpoint *endpoint = &endpoint_fixture->endpoint;
 
-    g_assert_true(endpoint_left(endpoint, "i-1", 0));
+    g_assert_true(endpoint_left(endpoint, "i-1", 0, endpoint_fixture->now_us));
     g_assert_cmpint(endpoint->state, ==, ENDPOINT_DRAINING);
     /* Late heartbeats of an endpoint that has left change nothing. */
     g_assert_cmpint(send_heartbeat(endpoint_fixture, "i-1", 0, 40, false), ==,
@@ -226,8 +248,10 @@
                     ENDPOINT_UNCHANGED);
     g_assert_cmpint(send_heartbeat(endpoint_fixture, "i-2", 0, 1, false), ==,
                     ENDPOINT_NEW_INCARNATION);
-    g_assert_false(endpoint_left(&endpoint_fixture->endpoint, "i-1", 0));
-    g_assert_true(endpoint_left(&endpoint_fixture->endpoint, "i-2", 0));
+    g_assert_false(endpoint_left(&endpoint_fixture->endpoint, "i-1", 0,
+                                 endpoint_fixture->now_us));
+    g_assert_true(endpoint_left(&endpoint_fixture->endpoint, "i-2", 0,
+                                endpoint_fixture->now_us));
 }
 
 /* Guards against SYNs to a draining endpoint: silence hides that it drains
--- a/tests/relay/foreign_reports_test.c
+++ b/tests/relay/foreign_reports_test.c
@@ -29,6 +29,7 @@
  * @sequence: of its last report
  * @draining: it drains
  * @heard: the agent has heard it since the agent's start
+ * @unproven: another writer's report without a start came since its last one
  */
 struct fixture {
     struct relay_agent agent;
@@ -39,6 +40,7 @@
     int64_t sequence;
     bool draining;
     bool heard;
+    bool unproven;
 };
 
 static uint64_t now_us;
@@ -180,6 +182,7 @@
     g_assert_cmpint(agent->admission.incarnation - incarnation, ==,
                     is_next && fixture->heard);
     fixture->heard = true;
+    fixture->unproven = false;
 }
 
 static const char *const promised[] = {"service",      "address", "zone",
@@ -245,7 +248,10 @@
         json_object_object_add(report, "born", draw_wrong_value());
         break;
     default:
-        json_object_object_del(report, "born");
+        /* At most once in a silence of the endpoint: a second one shows that
+         * the sender goes on, as an endpoint does. */
+        json_object_object_del(report, fixture->unproven ? name : "born");
+        fixture->unproven = true;
     }
 }
 
@@ -280,20 +286,54 @@
     return (size_t)at < G_N_ELEMENTS(others) ? others[at] : fixture->id;
 }
 
-/* Another writer reports once, before or after @fixture's own reports. */
+/**
+ * struct belief - what an agent knows of its endpoint
+ */
+struct belief {
+    struct endpoint endpoint;
+    struct slow_start slow_start;
+    uint64_t incarnation;
+    unsigned outputs;
+};
+
+static struct belief
+belief_of(const struct fixture *fixture)
+{
+    const struct admission *admission = &fixture->agent.admission;
+    struct belief belief = {
+        .endpoint = admission->endpoint,
+        .slow_start = admission->slow_start,
+        .incarnation = admission->incarnation,
+        .outputs = fixture->outputs,
+    };
+
+    /* Only what a second report is compared with. */
+    memset(&belief.endpoint.unproven, 0, sizeof(belief.endpoint.unproven));
+    return belief;
+}
+
+static void
+check_unchanged(const struct fixture *fixture, const struct belief *before)
+{
+    struct belief after = belief_of(fixture);
+
+    g_assert_cmpmem(&after.endpoint, sizeof(after.endpoint), &before->endpoint,
+                    sizeof(before->endpoint));
+    g_assert_cmpmem(&after.slow_start, sizeof(after.slow_start),
+                    &before->slow_start, sizeof(before->slow_start));
+    g_assert_cmpuint(after.incarnation, ==, before->incarnation);
+    g_assert_cmpuint(after.outputs, ==, before->outputs);
+}
+
 static void
 other_writer_reports(struct fixture *fixture)
 {
     struct relay_agent *agent = &fixture->agent;
-    struct endpoint before = agent->admission.endpoint;
-    struct slow_start slow_start = agent->admission.slow_start;
-    uint64_t incarnation = agent->admission.incarnation;
-    unsigned outputs = fixture->outputs;
+    struct belief before = belief_of(fixture);
     struct fixture other = *fixture;
     struct json_object *report;
     char text[1024];
     size_t len;
-    int status;
 
     other.draining = g_test_rand_int_range(0, 2) == 1;
     other.number += g_test_rand_int_range(-2, 3);
@@ -303,22 +343,44 @@
     g_strlcpy(text, json_object_to_json_string(report), sizeof(text));
     len = garble(text, strlen(text), sizeof(text));
     json_object_put(report);
-    status = relay_agent_heartbeat(agent, draw_id(fixture), text, len);
-    if (status == 200) {
+    if (relay_agent_heartbeat(agent, draw_id(fixture), text, len) == 200) {
         /* Before it hears its endpoint, an agent doesn't know that it reports
          * its start; the endpoint's next report counts all the same. */
         g_assert_true(fixture->with_start && !fixture->heard);
-        g_assert_cmpint(agent->admission.endpoint.incarnations[0].started_ms,
-                        ==, 0);
+        g_assert_cmpuint(agent->admission.endpoint.incarnations[0].started_ms,
+                         ==, 0);
         return;
     }
-    agent->admission.endpoint.unproven = before.unproven;
-    g_assert_cmpmem(&agent->admission.endpoint, sizeof(before), &before,
-                    sizeof(before));
-    g_assert_cmpmem(&agent->admission.slow_start, sizeof(slow_start),
-                    &slow_start, sizeof(slow_start));
-    g_assert_cmpint(agent->admission.incarnation, ==, incarnation);
-    g_assert_cmpint(fixture->outputs, ==, outputs);
+    check_unchanged(fixture, &before);
+}
+
+static void
+other_writer_leaves(struct fixture *fixture)
+{
+    static const char *const bodies[] = {
+        "{",
+        "7",
+        "null",
+        "[]",
+        "{}x",
+        "{\"born\":null}",
+        "{\"born\":\"7\"}",
+        "{\"born\":7.5}",
+        "\xff",
+        "{\"born\":1}",
+    };
+    const char *body = bodies[g_test_rand_int_range(0, G_N_ELEMENTS(bodies))];
+    struct belief before = belief_of(fixture);
+    /* The last one can be read; it is of nobody who was heard. */
+    const char *id =
+        body == bodies[G_N_ELEMENTS(bodies) - 1] && !fixture->heard
+            ? NULL
+            : draw_id(fixture);
+
+    if (id != NULL) {
+        relay_agent_goodbye(&fixture->agent, id, body, strlen(body));
+        check_unchanged(fixture, &before);
+    }
 }
 
 /* Guards against flows that reach a draining endpoint, or are taken from one
@@ -331,7 +393,11 @@
 
         fixture_init(&fixture);
         for (unsigned step = 0; step < STEPS; step++) {
-            switch (g_test_rand_int_range(0, 13)) {
+            switch (g_test_rand_int_range(0, 15)) {
+            case 13:
+            case 14:
+                other_writer_leaves(&fixture);
+                break;
             case 12:
                 now_us += SILENCE_US;
                 break;
--- a/tests/relay/format_test.c
+++ b/tests/relay/format_test.c
@@ -235,22 +235,53 @@
     g_assert_cmpuint(heartbeat.started_ms, ==, 1790000000123);
 }
 
+static int
+decode_goodbye(const char *body, uint64_t *started_ms)
+{
+    struct error err = {0};
+    int ret = heartbeat_format_goodbye_decode("i-1", body, strlen(body),
+                                              started_ms, &err);
+
+    g_assert_true(ret == 0 || err.detail[0] != '\0');
+    return ret;
+}
+
 TEST(goodbye_may_contain_the_start_time)
 {
     static const struct {
         const char *body;
         uint64_t started_ms;
-    } rows[] = {{"", 0},
-                {"{}", 0},
-                {"{\"born\":1790000000123}", 1790000000123},
-                {"{\"born\":\"1790000000123\"}", 0},
-                {"[1790000000123]", 0},
-                {"{", 0}};
+    } rows[] = {
+        {"", 0}, {"{}", 0}, {"{\"born\":1790000000123}", 1790000000123}};
 
     for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
-        g_assert_cmpuint(heartbeat_format_goodbye_decode(rows[i].body,
-                                                         strlen(rows[i].body)),
-                         ==, rows[i].started_ms);
+        uint64_t started_ms;
+
+        g_assert_cmpint(decode_goodbye(rows[i].body, &started_ms), ==, 0);
+        g_assert_cmpuint(started_ms, ==, rows[i].started_ms);
+    }
+}
+
+/* Guards against a goodbye of another writer that ends an endpoint. */
+TEST(invalid_goodbyes_are_refused)
+{
+    static const char *const invalid[] = {
+        "{\"born\":\"1790000000123\"}",
+        "{\"born\":null}",
+        "{\"born\":0}",
+        "{\"born\":1.5}",
+        "[1790000000123]",
+        "7",
+        "null",
+        "{",
+        "{}x",
+        "\xff",
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(invalid); i++) {
+        uint64_t started_ms;
+
+        g_assert_cmpint(decode_goodbye(invalid[i], &started_ms), ==, -EINVAL);
     }
 }
 
