Agent: an incarnation without a start stays one; it proves nothing for the next

What a foreign report before the endpoint's own could do was to make the agent deny flows: a low number after 1.5 silent intervals made it complete, and the endpoint after it inherited that. It doesn't any more. A new incarnation itself denies nothing (read: admission_orphans.c).

Red before: relay-endpoint one_with_a_start_is_not_complete_after_one_without (its mutant).

--- a/src/relay/admission/endpoint.c
+++ b/src/relay/admission/endpoint.c
@@ -94,28 +94,6 @@
            !is_repeated_unproven(endpoint, heartbeat);
 }
 
-/* Forgets incarnations that reported no start, unless the current one has
- * ended or reported its start. */
-static void
-forget_unproven(struct endpoint *endpoint)
-{
-    const struct endpoint_incarnation *current = &endpoint->incarnations[0];
-    unsigned kept = 0;
-
-    if (current->started_ms != 0 || current->left || endpoint->down) {
-        return;
-    }
-    for (unsigned i = 0; i < endpoint->incarnation_count; i++) {
-        if (endpoint->incarnations[i].started_ms != 0) {
-            endpoint->incarnations[kept++] = endpoint->incarnations[i];
-        }
-    }
-    memset(&endpoint->incarnations[kept], 0,
-           (endpoint->incarnation_count - kept) *
-               sizeof(endpoint->incarnations[0]));
-    endpoint->incarnation_count = kept;
-}
-
 /* Whether a heartbeat of an incarnation that has left is a late one. */
 static bool
 is_late(const struct endpoint *endpoint,
@@ -156,13 +134,27 @@
     return halves * (endpoint->interval_us / 2);
 }
 
+/* Whether the current incarnation is complete and an endpoint's for certain:
+ * one that reported no start, before one that does, may be another writer's.
+ */
+static bool
+follows_complete(const struct endpoint *endpoint,
+                 const struct heartbeat *heartbeat)
+{
+    return endpoint_is_complete(endpoint) &&
+           (heartbeat->started_ms == 0 ||
+            endpoint->incarnations[0].started_ms != 0);
+}
+
 /* Whether an incarnation whose first heartbeat comes at @now_us has started
  * while this agent was there. */
 static bool
-started_after_agent(const struct endpoint *endpoint, uint64_t sequence,
-                    uint64_t now_us)
+started_after_agent(const struct endpoint *endpoint,
+                    const struct heartbeat *heartbeat, uint64_t now_us)
 {
-    return endpoint->down || endpoint_is_complete(endpoint) ||
+    uint64_t sequence = heartbeat->sequence;
+
+    return endpoint->down || follows_complete(endpoint, heartbeat) ||
            (endpoint->new_address && sequence <= SEQUENCE_LOW) ||
            now_us - endpoint->older_until_us >= absent_us(endpoint, sequence);
 }
@@ -229,7 +221,7 @@
     if (is_first_heartbeat(known, heartbeat)) {
         incarnation.young = heartbeat->sequence <= SEQUENCE_LOW;
         incarnation.complete =
-            started_after_agent(endpoint, heartbeat->sequence, now_us);
+            started_after_agent(endpoint, heartbeat, now_us);
     }
     else {
         incarnation.young = known->young;
@@ -260,9 +252,6 @@
     if (is_stale(endpoint, heartbeat, now_us)) {
         return ENDPOINT_STALE;
     }
-    if (heartbeat->started_ms != 0) {
-        forget_unproven(endpoint);
-    }
     return accept_heartbeat(endpoint, heartbeat, now_us);
 }
 
--- a/src/relay/admission/endpoint.h
+++ b/src/relay/admission/endpoint.h
@@ -129,11 +129,8 @@
  * none after one that did, is stale. It is accepted only if the current
  * incarnation has been silent for several heartbeats, as the clock may have
  * been set back between two starts; without a start only if another one of the
- * same sender came before it.
- *
- * Endpoints of a deployment report their starts, or none of them does. So when
- * one does, a current incarnation that didn't and hasn't ended was another
- * writer's: it is forgotten, and no flow ends with it.
+ * same sender came before it., as
+ * it may be another writer's.
  */
 enum endpoint_update
 endpoint_heartbeat(struct endpoint *endpoint,
