Balancers keep an agent whose object another writer has replaced

A whole object with a service that no route names took it out of service for good: its own reports contradicted the list, so no flow went there until the next list. A balancer that started in between never learned of it.

Change: such an object changes nothing that is known of the agent; it is pinged and told to write its object again, also where the balancer doesn't know it yet, and its own reports decide on its service. An empty, overlong or cut service or data centre is unreadable too. While such an object stands, the list stays unconfirmed, as before. Ruled out: to believe the agent's report over any list: after a change of hosts at an address an outdated frame would count (agents_test).

Red before: relay-foreign_objects objects_of_other_writers_change_nothing ('notified should be TRUE'); four mutants, each red.

--- a/src/relay/forwarder/agents.c
+++ b/src/relay/forwarder/agents.c
@@ -7,6 +7,9 @@
 #include "base/clock.h"
 #include "base/hash.h"
 
+/* Service of an agent that hasn't been heard and isn't in the list. */
+#define SERVICE_UNKNOWN 0
+
 /* Appends a row and returns its index. */
 static unsigned
 array_add(GPtrArray *array, struct agent_row *row)
@@ -193,6 +196,7 @@
     row->listed = true;
     row->ever_listed = true;
     row->unlisted = false;
+    row->disputed = false;
     g_strlcpy(row->data_centre, data_centre, sizeof(row->data_centre));
     set_data_centre(agents, row, evacuations_key(data_centre));
 }
@@ -210,6 +214,23 @@
     agents_set_ping(agents, row, now_us);
 }
 
+void
+agents_dispute(struct agents *agents, struct addr addr, uint32_t service,
+               uint64_t now_us)
+{
+    struct agent_row *row = agents_find(agents, addr);
+
+    if (row == NULL) {
+        row = row_add(agents, addr, SERVICE_UNKNOWN, now_us);
+    }
+    if (!row->unlisted) {
+        row->listed = row->ever_listed;
+    }
+    row->disputed = true;
+    row->disputed_service = service;
+    agents_set_ping(agents, row, now_us);
+}
+
 void
 agents_list_complete(struct agents *agents)
 {
@@ -262,7 +283,7 @@
     if (row == NULL) {
         row = row_add(agents, addr, health->service, now_us);
     }
-    if (agents->list_complete && row->listed &&
+    if (agents->list_complete && row->listed && !row->disputed &&
         row->health.service != health->service) {
         /* The address has changed hosts, and either the list or this frame is
          * outdated. */
@@ -271,6 +292,10 @@
     else {
         set_health(agents, row, health);
     }
+    if (row->disputed_service == health->service) {
+        /* It was the agent's own object. */
+        row->disputed = false;
+    }
     if (health->data_centre != 0) {
         /* Needed for region affinity while the store is unreachable. */
         set_data_centre(agents, row, health->data_centre);
--- a/src/relay/forwarder/agents.h
+++ b/src/relay/forwarder/agents.h
@@ -41,6 +41,8 @@
  * @listed: it is in the store's list
  * @ever_listed: it has been in the store's list
  * @unlisted: it was in the store's list and has been removed
+ * @disputed: another writer seems to have replaced its object in the store
+ * @disputed_service: service in that object, 0 if it can't be read
  * @suspect: it missed a reply
  * @silent_us: when the first unanswered frame was sent, 0 while not suspect
  * @down: it last reported that its endpoint's process isn't running
@@ -80,6 +82,8 @@
     bool listed;
     bool ever_listed;
     bool unlisted;
+    bool disputed;
+    uint32_t disputed_service;
     bool suspect;
     uint64_t silent_us;
     bool down;
@@ -213,6 +217,18 @@
 void
 agents_unlist(struct agents *agents, struct addr addr, uint64_t now_us);
 
+/**
+ * agents_dispute() - another writer seems to have replaced an agent's object
+ * @service: service in the object, 0 if it can't be read
+ *
+ * What is known of the agent holds, and its own reports decide on its service.
+ * Its next pings notify it, so that it writes its object again. An agent that
+ * isn't known yet is pinged too.
+ */
+void
+agents_dispute(struct agents *agents, struct addr addr, uint32_t service,
+               uint64_t now_us);
+
 /**
  * agents_list_complete() - the store's list has been read to its end: from now
  * on unlisted agents get new flows only if no listed agent can take them, so
@@ -310,7 +326,7 @@
  * @left: rows still to be checked in this tick; AGENTS_ALL_PINGS at first
  * @addr: set to its address
  * @unlisted: set to whether the ping must notify the agent that it was removed
- *     from the store's list
+ *     from the store's list, or its object replaced
  *
  * Also removes rows of unlisted agents that have been silent for long.
  *
--- a/src/relay/forwarder/agents_reach.c
+++ b/src/relay/forwarder/agents_reach.c
@@ -78,7 +78,7 @@
     agents_clear_suspect(row);
     row->heard_us = now_us;
     row->ping_gap_us = PING_FIRST_US;
-    if (row->unlisted && row->ping_us != 0 &&
+    if ((row->unlisted || row->disputed) && row->ping_us != 0 &&
         row->health.state != ENDPOINT_GONE) {
         /* Keep notifying the agent until the store lists it again. */
         return;
@@ -145,7 +145,7 @@
         row->ping_gap_us =
             MIN(2 * row->ping_gap_us, max_ping_gap(row, now_us));
         *addr = row->addr;
-        *unlisted = row->unlisted;
+        *unlisted = row->unlisted || row->disputed;
         return true;
     }
     return false;
--- a/src/relay/forwarder/forwarder.c
+++ b/src/relay/forwarder/forwarder.c
@@ -259,6 +259,20 @@
     forwarder->out->ops->level_changed(forwarder->out, row, median_us);
 }
 
+/* Whether the list gives an agent that reports @service one that no route
+ * names: another writer has written its object. */
+static bool
+is_listed_wrongly(const struct forwarder *forwarder, struct addr agent,
+                  uint32_t service)
+{
+    const struct agent_row *row = agents_find(&forwarder->agents, agent);
+
+    return row != NULL && row->listed && !row->disputed &&
+           row->health.service != service &&
+           routes_name_service(&forwarder->routes, service) &&
+           !routes_name_service(&forwarder->routes, row->health.service);
+}
+
 void
 forwarder_status(struct forwarder *forwarder, struct addr agent,
                  const struct frame_status *status, uint64_t now_us)
@@ -266,6 +280,9 @@
     struct agents_observer observer = {report_level, forwarder};
 
     forwarder_overload_tick(forwarder, now_us);
+    if (is_listed_wrongly(forwarder, agent, status->health.service)) {
+        agents_dispute(&forwarder->agents, agent, 0, now_us);
+    }
     agents_update_health(&forwarder->agents, agent, &status->health, now_us);
     agents_update_levels(&forwarder->agents, agent, &observer, now_us);
     if (status->heard.version > forwarder->routes.version) {
--- a/src/relay/forwarder/routes.c
+++ b/src/relay/forwarder/routes.c
@@ -144,3 +144,14 @@
     }
     return route->shares[0].service;
 }
+
+bool
+routes_name_service(const struct routes *routes, uint32_t service)
+{
+    for (size_t i = 0; i < routes->count; i++) {
+        if (route_share_of(&routes->items[i], service) != NULL) {
+            return true;
+        }
+    }
+    return false;
+}
--- a/src/relay/forwarder/routes.h
+++ b/src/relay/forwarder/routes.h
@@ -97,6 +97,10 @@
 const struct route *
 routes_find(const struct routes *routes, struct addr address);
 
+/** routes_name_service() - whether a route sends flows to @service */
+bool
+routes_name_service(const struct routes *routes, uint32_t service);
+
 /**
  * routes_inherit_since() - set since_us of each route: kept from @before if
  * its services are the same there, otherwise @now_us
--- a/src/relay/program/relay_balancer.c
+++ b/src/relay/program/relay_balancer.c
@@ -369,7 +369,7 @@
     balancer->out.ops = &relay_balancer_out_ops;
     balancer->gate.ops = &relay_balancer_gate_ops;
     balancer->data.fd = balancer->frames.fd = -1;
-    balancer->malformed_objects =
+    balancer->foreign_objects =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     balancer->evacuated =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
@@ -435,7 +435,7 @@
     dgram_finish(&balancer->frames);
     forwarder_finish(&balancer->forwarder);
     json_object_put(balancer->config);
-    g_hash_table_destroy(balancer->malformed_objects);
+    g_hash_table_destroy(balancer->foreign_objects);
     g_hash_table_destroy(balancer->evacuated);
     loop_finish(&balancer->loop);
 }
--- a/src/relay/program/relay_balancer_private.h
+++ b/src/relay/program/relay_balancer_private.h
@@ -54,7 +54,7 @@
  * @limits_absent: the store doesn't hold the object, as far as has been read
  * @limits_read: the limits have been read from the store
  * @confirm: confirms that the list of agents is complete
- * @malformed_objects: names of agents' objects that can't be decoded (a set)
+ * @foreign_objects: names of agents' objects of other writers (a set)
  * @config_peer: queries peers
  * @config: configuration in force as JSON, or NULL
  * @log: event log on standard output
@@ -92,7 +92,7 @@
     bool limits_absent;
     bool limits_read;
     struct confirm confirm;
-    GHashTable *malformed_objects;
+    GHashTable *foreign_objects;
     struct config_peer config_peer;
     struct json_object *config;
     struct event_log log;
--- a/src/relay/program/relay_balancer_store.c
+++ b/src/relay/program/relay_balancer_store.c
@@ -124,22 +124,69 @@
     for (size_t i = 0; i < agents_count(agents); i++) {
         agents_at(agents, i)->listed = false;
     }
-    g_hash_table_remove_all(balancer->malformed_objects);
+    g_hash_table_remove_all(balancer->foreign_objects);
 }
 
-/* Tracks agents' objects that can't be decoded: while there are any, the list
- * of agents is incomplete. */
+/* Tracks agents' objects of other writers: while there are any, the list of
+ * agents is incomplete. */
 static void
-track_malformed_object(struct relay_balancer *balancer, const char *name,
-                       bool malformed)
+track_foreign_object(struct relay_balancer *balancer, const char *name,
+                     bool foreign)
 {
     struct addr addr;
 
-    if (!malformed) {
-        g_hash_table_remove(balancer->malformed_objects, name);
+    if (!foreign) {
+        g_hash_table_remove(balancer->foreign_objects, name);
     }
     else if (registration_addr(name, &addr) == 0) {
-        g_hash_table_add(balancer->malformed_objects, g_strdup(name));
+        g_hash_table_add(balancer->foreign_objects, g_strdup(name));
+    }
+}
+
+/* Whether an object gives a known agent a service that no route names in place
+ * of one that a route does. */
+static bool
+has_foreign_service(const struct relay_balancer *balancer,
+                    const struct registration *registration)
+{
+    const struct routes *routes = &balancer->forwarder.routes;
+    uint32_t service = hash_service(registration->service);
+    const struct agent_row *row =
+        agents_find(&balancer->forwarder.agents, registration->addr);
+
+    return row != NULL && row->health.service != service &&
+           routes_name_service(routes, row->health.service) &&
+           !routes_name_service(routes, service);
+}
+
+/* Handles an object that another writer has written.
+ * @service: its service, 0 if it can't be read */
+static void
+foreign_object(struct relay_balancer *balancer, const char *name,
+               uint32_t service)
+{
+    struct addr addr;
+
+    balancer->counts.agent_objects_refused++;
+    event_log_write(&balancer->log, EVENT_UNLIMITED, "agent_refused",
+                    "object=%s reason=\"%s\"", name,
+                    service == 0 ? "it can't be read"
+                                 : "no route names its service");
+    if (registration_addr(name, &addr) == 0) {
+        agents_dispute(&balancer->forwarder.agents, addr, service,
+                       loop_now_us(&balancer->loop));
+    }
+}
+
+static void
+removed_object(struct relay_balancer *balancer, const char *name)
+{
+    struct addr addr;
+
+    /* A running agent writes its object again once it is notified. */
+    if (registration_addr(name, &addr) == 0) {
+        agents_unlist(&balancer->forwarder.agents, addr,
+                      loop_now_us(&balancer->loop));
     }
 }
 
@@ -148,30 +195,26 @@
 {
     struct relay_balancer *balancer =
         container_of(watcher, struct relay_balancer, agents_watcher);
-    uint64_t now_us = loop_now_us(&balancer->loop);
     struct registration registration;
-    struct addr addr;
-
     bool malformed =
         !object->removed &&
         registration_decode(object->name, object->value, &registration) < 0;
+    bool foreign = malformed || (!object->removed &&
+                                 has_foreign_service(balancer, &registration));
 
-    track_malformed_object(balancer, object->name, malformed);
-    if (malformed) {
-        balancer->counts.agent_objects_refused++;
-        event_log_write(&balancer->log, EVENT_UNLIMITED, "agent_refused",
-                        "object=%s reason=\"it can't be read\"", object->name);
+    track_foreign_object(balancer, object->name, foreign);
+    if (object->removed) {
+        removed_object(balancer, object->name);
+        return;
     }
-    if (object->removed || malformed) {
-        /* A running agent writes its object again once it is notified. */
-        if (registration_addr(object->name, &addr) == 0) {
-            agents_unlist(&balancer->forwarder.agents, addr, now_us);
-        }
+    if (foreign) {
+        foreign_object(balancer, object->name,
+                       malformed ? 0 : hash_service(registration.service));
         return;
     }
     agents_list(&balancer->forwarder.agents, registration.addr,
                 hash_service(registration.service), registration.data_centre,
-                now_us);
+                loop_now_us(&balancer->loop));
     /* A complete list is logged as one line: a line for each agent would
      * delay the start. */
     if (watcher->state == WATCHER_WATCH) {
@@ -225,7 +268,7 @@
     struct relay_balancer *balancer =
         container_of(confirm, struct relay_balancer, confirm);
 
-    if (g_hash_table_size(balancer->malformed_objects) == 0) {
+    if (g_hash_table_size(balancer->foreign_objects) == 0) {
         forwarder_confirmed(&balancer->forwarder, queried_us,
                             loop_now_us(&balancer->loop));
     }
--- a/src/relay/store/registration.c
+++ b/src/relay/store/registration.c
@@ -26,17 +26,22 @@
 /* Agents spread their reads after a rollback over this time. */
 #define EPOCH_JITTER_US (3 * USEC_PER_SEC)
 
+/* A string of 1 to @size - 1 bytes without NUL, or NULL. */
 static const char *
-get_string(struct json_object *object, const char *name)
+get_string(struct json_object *object, const char *name, size_t size)
 {
     struct json_object *value = NULL;
+    const char *text;
+    size_t len;
 
     if (!json_object_is_type(object, json_type_object) ||
         !json_object_object_get_ex(object, name, &value) ||
         !json_object_is_type(value, json_type_string)) {
         return NULL;
     }
-    return json_object_get_string(value);
+    text = json_object_get_string(value);
+    len = (size_t)json_object_get_string_len(value);
+    return len > 0 && len < size && strlen(text) == len ? text : NULL;
 }
 
 void
@@ -91,9 +96,11 @@
 registration_decode(const char *name, struct json_object *value,
                     struct registration *registration)
 {
-    const char *addr = get_string(value, "address");
-    const char *service = get_string(value, "service");
-    const char *data_centre = get_string(value, "data_centre");
+    const char *addr = get_string(value, "address", ADDR_TEXT_MAX);
+    const char *service =
+        get_string(value, "service", sizeof(registration->service));
+    const char *data_centre =
+        get_string(value, "data_centre", sizeof(registration->data_centre));
     struct addr named;
 
     if (addr == NULL || service == NULL || data_centre == NULL ||
