Evacuations of the deployment's data centres have room before other names

What callers would see (by reading): with more than 32 names of other writers among the evacuations, that of a data centre wasn't in force: its endpoints went on getting flows. Change: names of the data centres in the settings, and the balancer's own, are added first. Red before: relay-foreign_objects names_of_other_writers_leave_room_for_evacuations (its mutant is the code before).

--- a/src/relay/program/relay_balancer_evacuations.c
+++ b/src/relay/program/relay_balancer_evacuations.c
@@ -143,24 +143,47 @@
     /* evacuations_ended() applies the complete list. */
 }
 
-/* Applies the names that the watcher has read. */
+/* Whether a name is of one of the deployment's data centres. */
+static bool
+is_data_centre(const struct relay_balancer *balancer, const char *name)
+{
+    const struct agents *agents = &balancer->forwarder.agents;
+    uint32_t key = evacuations_key(name);
+
+    return key == agents->own_data_centre ||
+           regions_find(&agents->regions, key) != 0;
+}
+
+/* Adds the evacuated data centres of the settings, or the other names. */
 static void
-apply_evacuated_names(struct relay_balancer *balancer, uint32_t epoch,
-                      uint64_t revision)
+add_evacuated_names(struct relay_balancer *balancer,
+                    struct evacuations *evacuations, bool in_settings)
 {
-    struct evacuations latest = {.epoch = epoch, .revision = revision};
     GHashTableIter names;
     gpointer name;
 
     g_hash_table_iter_init(&names, balancer->evacuated);
     while (g_hash_table_iter_next(&names, &name, NULL)) {
-        if (!evacuations_add(&latest, evacuations_key(name))) {
-            event_log_write(&balancer->log, EVENT_UNLIMITED,
+        if (is_data_centre(balancer, name) == in_settings &&
+            !evacuations_add(evacuations, evacuations_key(name))) {
+            event_log_write(&balancer->log, EVENT_RATE_LIMITED,
                             "evacuation_refused",
                             "data_centre=%s reason=\"more than %d\"",
                             (const char *)name, EVACUATIONS_MAX);
         }
     }
+}
+
+/* Applies the names that the watcher has read. Those of the settings come
+ * first, as names of other writers could leave no room for them. */
+static void
+apply_evacuated_names(struct relay_balancer *balancer, uint32_t epoch,
+                      uint64_t revision)
+{
+    struct evacuations latest = {.epoch = epoch, .revision = revision};
+
+    add_evacuated_names(balancer, &latest, true);
+    add_evacuated_names(balancer, &latest, false);
     relay_balancer_apply_evacuations(balancer, &latest, "store");
 }
 
--- a/tests/relay/foreign_objects_test.c
+++ b/tests/relay/foreign_objects_test.c
@@ -347,3 +347,35 @@
         fixture_finish(&fixture);
     }
 }
+
+static void
+give_evacuation(struct fixture *fixture, const char *name)
+{
+    struct store_object object = {.name = name};
+
+    relay_balancer_evacuations_ops.object(
+        &fixture->balancer->evacuations_watcher, &object);
+}
+
+/* Guards against an evacuation that isn't in force, as other writers' names
+ * leave no room for it. */
+TEST(names_of_other_writers_leave_room_for_evacuations)
+{
+    struct fixture fixture = {0};
+    struct watcher *watcher;
+    char name[32];
+
+    fixture_init(&fixture);
+    watcher = &fixture.balancer->evacuations_watcher;
+    watcher->state = WATCHER_WATCH;
+    watcher->revision = 7;
+    for (unsigned i = 0; i < 3 * EVACUATIONS_MAX; i++) {
+        g_snprintf(name, sizeof(name), "nowhere-%u", i);
+        give_evacuation(&fixture, name);
+    }
+    give_evacuation(&fixture, "north");
+    relay_balancer_evacuations_ops.ended(watcher, 0, false);
+    g_assert_true(store_state_is_evacuated(
+        &fixture.balancer->forwarder.agents.store, evacuations_key("north")));
+    fixture_finish(&fixture);
+}
