--- a/tests/relay/format_test.c
+++ b/tests/relay/format_test.c
@@ -148,9 +148,31 @@
     g_assert_cmpuint(second, <, 1150);
 }
 
+/* Guards against a configuration of which a part is another writer's. */
 TEST(invalid_configuration_is_refused_as_a_whole)
 {
     static const char *const invalid[] = {
+        "null",
+        "{\"version\":null,\"routes\":[]}",
+        "{\"version\":7,\"routes\":{}}",
+        "{\"version\":7,\"routes\":null}",
+        "{\"version\":7,\"routes\":[],\"limits\":[]}",
+        "{\"version\":7,\"routes\":[],\"limits\":{\"idleTimeoutMs\":\"9\"}}",
+        "{\"version\":7,\"routes\":[" ROUTE(
+            "a", "198.18.0.1",
+            "/80/") "\"service\":\"s\",\"timeoutMs\":\"9\"}]}",
+        "{\"version\":7,\"routes\":[" ROUTE(
+            "a", "198.18.0.1", "/80/") "\"service\":\"s\",\"priority\":-1}]}",
+        "{\"version\":7,\"routes\":[" ROUTE(
+            "a", "198.18.0.1",
+            "/80/") "\"service\":\"s\",\"targetLatencyMs\":[]}]}",
+        "{\"version\":7,\"routes\":[" ROUTE("a", "198.18.0.1",
+                                            "/80/") "\"service\":\"\"}]}",
+        "{\"version\":7,\"routes\":[" ROUTE(
+            "a", "198.18.0.1", "/80/") "\"backends\":[{\"service\":\"s\","
+                                       "\"weight\":\"90\"}]}]}",
+        "{\"version\":7,\"routes\":[" ROUTE("a", "198.18.0.1",
+                                            "/80/") "\"backends\":[7]}]}",
         "[]",
         "{\"routes\":[]}",
         "{\"version\":0,\"routes\":[]}",
