Soak: other writers report, leave and replace agents' objects

New checks: no report of another writer is accepted, and after the faults each agent's object in the store is its own.

--- a/scripts/relaybed/soak.py
+++ b/scripts/relaybed/soak.py
@@ -8,18 +8,20 @@
 killed, stopped, frozen and reloaded, also several times in a row or with a
 second signal; endpoints crash and drain, some without a listener; the store is
 unavailable or restored from an older state, and a proxy in front of it delays,
-resets, refuses or drops data. Some callers open a flow for each request, others
-keep flows open. Both use a process until it is gone. The load continues after
-the faults.
+resets, refuses or drops data. Other writers send reports and goodbyes to the
+agents and replace their objects in the store. Some callers open a flow for
+each request, others keep flows open. Both use a process until it is gone. The
+load continues after the faults.
 
 Checked during the run: no packet is corrupted, no answer belongs to another
 service, no request runs twice, no caller is reset while its endpoint has the
-flow open, and no new flow reaches an endpoint more than a second after its
-draining was acknowledged, or after a later start of its agent. Checked after
-the faults: all requests are answered, no flow breaks, no process has ended by
-itself, and all balancers have the last configuration. Prints the faults in order and the counters; exits 1 on
-any violation and prints the whole logs of that seed, which are also kept in
-DIR.
+flow open, no report of another writer is accepted, and no new flow reaches an
+endpoint more than a second after its draining was acknowledged, or after a
+later start of its agent. Checked after the faults: all requests are answered,
+no flow breaks, no process has ended by itself, each agent's object is its own,
+and all balancers have the last configuration. Prints the faults in order and
+the counters; exits 1 on any violation and prints the whole logs of that seed,
+which are also kept in DIR.
 """
 
 import argparse
@@ -37,6 +39,7 @@
                                        SERVICES, RelayFixture, number,
                                        service_of)
 from scripts.relaybed.caller import Caller
+from scripts.relaybed.other_writers import OtherWriters
 from scripts.relaybed.proxy import MODES, Proxy
 
 PER_CALLER_S = 30
@@ -58,7 +61,7 @@
 SIGNAL_DELAY_S = 0.1
 # Counters of the record that must be 0.
 VIOLATIONS = ("failed", "crossed", "garbled", "doubled", "cut", "drained",
-              "broken", "ended")
+              "broken", "ended", "believed", "replaced")
 
 
 class Soak:
@@ -74,7 +77,11 @@
         self.proxy = Proxy(self.fixture.store_port)
         self.record = self.fixture.record
         self.record |= {"cut": 0, "drained": 0, "calm": 0, "kept": 0,
-                        "calm_kept": 0, "unopened": 0, "broken": 0}
+                        "calm_kept": 0, "unopened": 0, "broken": 0,
+                        "foreign": 0, "believed": 0, "replaced": 0}
+        # With draws of their own: the faults of a seed stay the same.
+        self.other_writers = OtherWriters(
+            self.fixture, random.Random(f"other writers {seed}"), self.record)
         self.version = 1
         self.busy = set()
         self.process_started_at = {}
@@ -318,7 +325,9 @@
         self.started_at = loop.time()
         until = asyncio.Event()
         load = asyncio.create_task(self.run_callers(until))
+        others = asyncio.create_task(self.other_writers.run())
         await self.faults()
+        others.cancel()
         until.set()
         await load
         # Requests may fail during the faults, but not after them.
@@ -327,6 +336,7 @@
         # Processes that ended by themselves.
         self.record["ended"] = sum(process.poll() is not None for process in
                                    self.fixture.processes.values())
+        self.record["replaced"] = self.other_writers.count_replaced()
         shown = await asyncio.to_thread(self.all_have_config)
         self.proxy.close()
         self.fixture.stop_endpoints()
