--- a/src/relay/forwarder/agents.c
+++ b/src/relay/forwarder/agents.c
@@ -162,6 +162,12 @@
     return g_hash_table_lookup(agents->by_addr, &key);
 }
 
+bool
+agent_is_known(const struct agent_row *row)
+{
+    return row->ever_listed || row->heard_us != 0;
+}
+
 size_t
 agents_count(const struct agents *agents)
 {
--- a/src/relay/forwarder/agents.h
+++ b/src/relay/forwarder/agents.h
@@ -180,6 +180,11 @@
 void
 agents_finish(struct agents *agents);
 
+/** agent_is_known() - whether it is in the list or has been heard; else only
+ * its address is known, from an object of another writer */
+bool
+agent_is_known(const struct agent_row *row);
+
 /**
  * agents_find() - row of an address, or NULL; valid until the row is removed
  */
--- a/src/relay/program/config_peer.c
+++ b/src/relay/program/config_peer.c
@@ -170,7 +170,8 @@
         struct json_object *item = json_object_new_object();
         char addr[ADDR_TEXT_MAX];
 
-        if (row->suspect || row->health.state == ENDPOINT_GONE) {
+        if (row->suspect || row->health.state == ENDPOINT_GONE ||
+            !agent_is_known(row)) {
             continue;
         }
         json_object_object_add(
--- a/tests/relay/foreign_objects_test.c
+++ b/tests/relay/foreign_objects_test.c
@@ -348,6 +348,33 @@
     }
 }
 
+static size_t
+count_for_peers(const struct fixture *fixture)
+{
+    struct json_object *json =
+        config_peer_encode(NULL, &fixture->balancer->forwarder.agents);
+    struct json_object *list = NULL;
+    size_t count;
+
+    g_assert_true(json_object_object_get_ex(json, "agents", &list));
+    count = json_object_array_length(list);
+    json_object_put(json);
+    return count;
+}
+
+/* Guards against an agent of no service in the lists of peers. */
+TEST(peers_are_not_given_an_agent_of_which_nothing_is_known)
+{
+    struct fixture fixture = {0};
+
+    fixture_init(&fixture);
+    give_object(&fixture, 0, NULL);
+    g_assert_cmpuint(count_for_peers(&fixture), ==, 0);
+    agent_reports(&fixture, 0);
+    g_assert_cmpuint(count_for_peers(&fixture), ==, 1);
+    fixture_finish(&fixture);
+}
+
 static void
 give_evacuation(struct fixture *fixture, const char *name)
 {
