--- a/scripts/relaybed/other_writers.py
+++ b/scripts/relaybed/foreign.py
@@ -1,6 +1,6 @@
-"""Other writers: reports, goodbyes and objects that no endpoint or agent sends.
+"""Foreign input: reports, goodbyes and objects that no endpoint or agent sends.
 
-None of them may change what an agent or a balancer believes.
+None of it may change what an agent or a balancer believes.
 """
 
 import asyncio
@@ -18,7 +18,7 @@
             b'{"born":"7"}', b'{"born":1.5}')
 
 
-class OtherWriters:
+class ForeignInput:
     """Writes to the agents and the store of a fixture."""
 
     def __init__(self, fixture, rand, record):
--- a/scripts/relaybed/soak.py
+++ b/scripts/relaybed/soak.py
@@ -8,14 +8,14 @@
 killed, stopped, frozen and reloaded, also several times in a row or with a
 second signal; endpoints crash and drain, some without a listener; the store is
 unavailable or restored from an older state, and a proxy in front of it delays,
-resets, refuses or drops data. Other writers send reports and goodbyes to the
-agents and replace their objects in the store. Some callers open a flow for
+resets, refuses or drops data. Foreign reports and goodbyes come to the
+agents, and their objects in the store are replaced. Some callers open a flow for
 each request, others keep flows open. Both use a process until it is gone. The
 load continues after the faults.
 
 Checked during the run: no packet is corrupted, no answer belongs to another
 service, no request runs twice, no caller is reset while its endpoint has the
-flow open, no report of another writer is accepted, and no new flow reaches an
+flow open, no foreign report is accepted, and no new flow reaches an
 endpoint more than a second after its draining was acknowledged, or after a
 later start of its agent. Checked after the faults: all requests are answered,
 no flow breaks, no process has ended by itself, each agent's object is its own,
@@ -39,7 +39,7 @@
                                        SERVICES, RelayFixture, number,
                                        service_of)
 from scripts.relaybed.caller import Caller
-from scripts.relaybed.other_writers import OtherWriters
+from scripts.relaybed.foreign import ForeignInput
 from scripts.relaybed.proxy import MODES, Proxy
 
 PER_CALLER_S = 30
@@ -80,7 +80,7 @@
                         "calm_kept": 0, "unopened": 0, "broken": 0,
                         "foreign": 0, "believed": 0, "replaced": 0}
         # With draws of their own: the faults of a seed stay the same.
-        self.other_writers = OtherWriters(
+        self.foreign = ForeignInput(
             self.fixture, random.Random(f"other writers {seed}"), self.record)
         self.version = 1
         self.busy = set()
@@ -325,9 +325,9 @@
         self.started_at = loop.time()
         until = asyncio.Event()
         load = asyncio.create_task(self.run_callers(until))
-        others = asyncio.create_task(self.other_writers.run())
+        foreign = asyncio.create_task(self.foreign.run())
         await self.faults()
-        others.cancel()
+        foreign.cancel()
         until.set()
         await load
         # Requests may fail during the faults, but not after them.
@@ -336,7 +336,7 @@
         # Processes that ended by themselves.
         self.record["ended"] = sum(process.poll() is not None for process in
                                    self.fixture.processes.values())
-        self.record["replaced"] = self.other_writers.count_replaced()
+        self.record["replaced"] = self.foreign.count_replaced()
         shown = await asyncio.to_thread(self.all_have_config)
         self.proxy.close()
         self.fixture.stop_endpoints()
--- a/src/relay/admission/endpoint.c
+++ b/src/relay/admission/endpoint.c
@@ -77,8 +77,8 @@
            heartbeat->sequence > last.sequence;
 }
 
-/* Whether a heartbeat is of an incarnation before the current one, or of
- * another writer. */
+/* Whether a heartbeat is of an incarnation before the current one, or
+ * foreign. */
 static bool
 is_stale(struct endpoint *endpoint, const struct heartbeat *heartbeat,
          uint64_t now_us)
@@ -135,7 +135,7 @@
 }
 
 /* Whether the current incarnation is complete and an endpoint's for certain:
- * one that reported no start, before one that does, may be another writer's.
+ * one that reported no start, before one that does, may be foreign.
  */
 static bool
 follows_complete(const struct endpoint *endpoint,
--- a/src/relay/admission/endpoint.h
+++ b/src/relay/admission/endpoint.h
@@ -146,7 +146,7 @@
  * it may be an earlier one. The endpoint takes no new flows until a heartbeat.
  *
  * Heartbeats of an incarnation that has left are late ones; one that comes
- * seconds later shows that the goodbye was another writer's, and counts.
+ * seconds later shows that the goodbye was foreign, and counts.
  *
  * Return: whether the state changed.
  */
--- a/src/relay/forwarder/agents.h
+++ b/src/relay/forwarder/agents.h
@@ -41,7 +41,7 @@
  * @listed: it is in the store's list
  * @ever_listed: it has been in the store's list
  * @unlisted: it was in the store's list and has been removed
- * @disputed: another writer seems to have replaced its object in the store
+ * @disputed: its object in the store seems to be foreign
  * @disputed_service: service in that object, 0 if it can't be read
  * @suspect: it missed a reply
  * @silent_us: when the first unanswered frame was sent, 0 while not suspect
@@ -181,7 +181,7 @@
 agents_finish(struct agents *agents);
 
 /** agent_is_known() - whether it is in the list or has been heard; else only
- * its address is known, from an object of another writer */
+ * its address is known, from a foreign object */
 bool
 agent_is_known(const struct agent_row *row);
 
@@ -223,7 +223,7 @@
 agents_unlist(struct agents *agents, struct addr addr, uint64_t now_us);
 
 /**
- * agents_dispute() - another writer seems to have replaced an agent's object
+ * agents_dispute() - an agent's object seems to be foreign
  * @service: service in the object, 0 if it can't be read
  *
  * What is known of the agent holds, and its own reports decide on its service.
--- a/src/relay/forwarder/forwarder.c
+++ b/src/relay/forwarder/forwarder.c
@@ -260,7 +260,7 @@
 }
 
 /* Whether the list gives an agent that reports @service one that no route
- * names: another writer has written its object. */
+ * names: its object is foreign. */
 static bool
 is_listed_wrongly(const struct forwarder *forwarder, struct addr agent,
                   uint32_t service)
--- a/src/relay/program/relay_balancer_evacuations.c
+++ b/src/relay/program/relay_balancer_evacuations.c
@@ -175,7 +175,7 @@
 }
 
 /* Applies the names that the watcher has read. Those of the settings come
- * first, as names of other writers could leave no room for them. */
+ * first, as foreign names could leave no room for them. */
 static void
 apply_evacuated_names(struct relay_balancer *balancer, uint32_t epoch,
                       uint64_t revision)
--- a/src/relay/program/relay_balancer_private.h
+++ b/src/relay/program/relay_balancer_private.h
@@ -54,7 +54,7 @@
  * @limits_absent: the store doesn't hold the object, as far as has been read
  * @limits_read: the limits have been read from the store
  * @confirm: confirms that the list of agents is complete
- * @foreign_objects: names of agents' objects of other writers (a set)
+ * @foreign_objects: names of agents' objects that are foreign (a set)
  * @config_peer: queries peers
  * @config: configuration in force as JSON, or NULL
  * @log: event log on standard output
--- a/src/relay/program/relay_balancer_store.c
+++ b/src/relay/program/relay_balancer_store.c
@@ -127,7 +127,7 @@
     g_hash_table_remove_all(balancer->foreign_objects);
 }
 
-/* Tracks agents' objects of other writers: while there are any, the list of
+/* Tracks foreign objects of agents: while there are any, the list of
  * agents is incomplete. */
 static void
 track_foreign_object(struct relay_balancer *balancer, const char *name,
@@ -159,7 +159,7 @@
            !routes_name_service(routes, service);
 }
 
-/* Handles an object that another writer has written.
+/* Handles a foreign object.
  * @service: its service, 0 if it can't be read */
 static void
 foreign_object(struct relay_balancer *balancer, const char *name,
--- a/tests/relay/endpoint_test.c
+++ b/tests/relay/endpoint_test.c
@@ -121,7 +121,7 @@
     g_assert_cmpint(endpoint_fixture->endpoint.state, ==, ENDPOINT_GONE);
 }
 
-/* Guards against an endpoint that is gone for good by another writer's goodbye
+/* Guards against an endpoint that is gone for good by a foreign goodbye
  * while it goes on reporting. */
 TEST_F(endpoint_fixture, an_endpoint_that_reports_on_has_not_left)
 {
@@ -173,7 +173,7 @@
 }
 
 /* Guards against a frozen agent that, once it wakes, believes the report of an
- * earlier endpoint, or of another writer, before its own endpoint's. */
+ * earlier endpoint, or a foreign one, before its own endpoint's. */
 TEST_F(endpoint_fixture, a_pause_of_the_agent_is_no_silence_of_the_endpoint)
 {
     uint64_t since_us = endpoint_fixture->now_us;
@@ -188,7 +188,7 @@
     g_assert_cmpint(endpoint_fixture->endpoint.state, ==, ENDPOINT_DRAINING);
 }
 
-/* Guards against a draining endpoint that is ready by another writer's report,
+/* Guards against a draining endpoint that is ready by a foreign report,
  * as its own ones are missing. */
 TEST_F(endpoint_fixture, a_silence_is_not_ended_by_one_report_without_a_start)
 {
@@ -328,7 +328,7 @@
 }
 
 /* Guards against a restarted agent that denies the flows of its endpoint as it
- * hears another writer, with a lower number, before it. */
+ * hears a foreign report, with a lower number, before it. */
 TEST_F(endpoint_fixture, one_with_a_start_is_not_complete_after_one_without)
 {
     watch(endpoint_fixture, ABSENT_LOW_US);
--- a/tests/relay/foreign_objects_test.c
+++ b/tests/relay/foreign_objects_test.c
@@ -1,4 +1,4 @@
-/* Drawn objects of other writers in the store: what a balancer knows of its
+/* Drawn foreign objects in the store: what a balancer knows of its
  * agents and evacuations is as before, and the agents' own objects count. */
 #include <string.h>
 
@@ -239,7 +239,7 @@
 }
 
 static void
-other_writer_writes(struct fixture *fixture, unsigned number)
+foreign_object_comes(struct fixture *fixture, unsigned number)
 {
     struct json_object *value = draw_foreign_object(number);
 
@@ -248,7 +248,7 @@
     fixture->foreign[number] = true;
 }
 
-/* Lists all objects anew, some of them other writers'. */
+/* Lists all objects anew, some of them foreign. */
 static void
 list_again(struct fixture *fixture)
 {
@@ -257,7 +257,7 @@
     relay_balancer_agents_ops.listing(watcher);
     for (unsigned i = 0; i < AGENTS; i++) {
         if (fixture->foreign[i]) {
-            other_writer_writes(fixture, i);
+            foreign_object_comes(fixture, i);
         }
         else {
             agent_writes(fixture, i);
@@ -285,9 +285,9 @@
     g_assert_cmpstr(row->data_centre, ==, "north");
 }
 
-/* Guards against an agent that gets no flow, or those of no service, after
- * another writer has replaced its object. */
-TEST(objects_of_other_writers_change_nothing)
+/* Guards against an agent that gets no flow, or those of no service, once its
+ * object is foreign. */
+TEST(foreign_objects_change_nothing)
 {
     for (unsigned story = 0; story < STORIES; story++) {
         struct fixture fixture = {0};
@@ -302,7 +302,7 @@
 
             switch (g_test_rand_int_range(0, 4)) {
             case 0:
-                other_writer_writes(&fixture, number);
+                foreign_object_comes(&fixture, number);
                 tick(&fixture);
                 g_assert_true(fixture.notified[number]);
                 break;
@@ -323,8 +323,8 @@
     }
 }
 
-/* Guards against an agent that a balancer never learns of, as another writer
- * had replaced its object before the balancer's start. */
+/* Guards against an agent that a balancer never learns of, as its
+ * object was foreign before the balancer's start. */
 TEST(an_agent_is_learned_after_a_restart_of_the_balancer)
 {
     for (unsigned story = 0; story < STORIES; story++) {
@@ -384,9 +384,9 @@
         &fixture->balancer->evacuations_watcher, &object);
 }
 
-/* Guards against an evacuation that isn't in force, as other writers' names
+/* Guards against an evacuation that isn't in force, as foreign names
  * leave no room for it. */
-TEST(names_of_other_writers_leave_room_for_evacuations)
+TEST(foreign_names_leave_room_for_evacuations)
 {
     struct fixture fixture = {0};
     struct watcher *watcher;
--- a/tests/relay/foreign_reports_test.c
+++ b/tests/relay/foreign_reports_test.c
@@ -1,4 +1,4 @@
-/* Drawn reports of other writers at an agent: what it knows of its endpoint is
+/* Drawn foreign reports at an agent: what it knows of its endpoint is
  * as before, and the endpoint's next report counts. */
 #include <string.h>
 
@@ -29,7 +29,7 @@
  * @sequence: of its last report
  * @draining: it drains
  * @heard: the agent has heard it since the agent's start
- * @unproven: another writer's report without a start came since its last one
+ * @unproven: a foreign report without a start came since its last one
  * @believed: such a report came first after the agent's start
  */
 struct fixture {
@@ -221,7 +221,7 @@
     json_object_object_add(report, name, json_object_new_string(value));
 }
 
-/* Makes a report another writer's. */
+/* Makes a report foreign. */
 static void
 make_foreign(struct fixture *fixture, struct json_object *report)
 {
@@ -330,7 +330,7 @@
 }
 
 static void
-other_writer_reports(struct fixture *fixture)
+foreign_report_comes(struct fixture *fixture)
 {
     struct relay_agent *agent = &fixture->agent;
     struct belief before = belief_of(fixture);
@@ -360,7 +360,7 @@
 }
 
 static void
-other_writer_leaves(struct fixture *fixture)
+foreign_goodbye_comes(struct fixture *fixture)
 {
     static const char *const bodies[] = {
         "{",
@@ -389,8 +389,8 @@
 }
 
 /* Guards against flows that reach a draining endpoint, or are taken from one
- * that serves, after a report of another writer. */
-TEST(reports_of_other_writers_change_nothing)
+ * that serves, after a foreign report. */
+TEST(foreign_reports_change_nothing)
 {
     for (unsigned i = 0; i < STORIES; i++) {
         struct fixture fixture = {0};
@@ -401,7 +401,7 @@
             switch (g_test_rand_int_range(0, 15)) {
             case 13:
             case 14:
-                other_writer_leaves(&fixture);
+                foreign_goodbye_comes(&fixture);
                 break;
             case 12:
                 now_us += SILENCE_US;
@@ -420,7 +420,7 @@
             case 4:
             case 5:
             case 6:
-                other_writer_reports(&fixture);
+                foreign_report_comes(&fixture);
                 break;
             default:
                 now_us += INTERVAL_US;
--- a/tests/relay/format_test.c
+++ b/tests/relay/format_test.c
@@ -148,7 +148,7 @@
     g_assert_cmpuint(second, <, 1150);
 }
 
-/* Guards against a configuration of which a part is another writer's. */
+/* Guards against a configuration of which a part is foreign. */
 TEST(invalid_configuration_is_refused_as_a_whole)
 {
     static const char *const invalid[] = {
@@ -284,7 +284,7 @@
     }
 }
 
-/* Guards against a goodbye of another writer that ends an endpoint. */
+/* Guards against a foreign goodbye that ends an endpoint. */
 TEST(invalid_goodbyes_are_refused)
 {
     static const char *const invalid[] = {
