--- a/src/relay/admission/endpoint.h
+++ b/src/relay/admission/endpoint.h
@@ -128,8 +128,8 @@
  * A heartbeat that reports an earlier start than the current incarnation, or
  * none after one that did, is stale. It is accepted only if the current
  * incarnation has been silent for several heartbeats, as the clock may have
- * been set back between two starts. Without a start it may be another
- * writer's, and is accepted only if one of the same sender came before it.
+ * been set back between two starts. Without a start it may be foreign, and
+ * is accepted only if one of the same sender came before it.
  */
 enum endpoint_update
 endpoint_heartbeat(struct endpoint *endpoint,
