--- a/tests/relay/record_writer_fixture.c
+++ b/tests/relay/record_writer_fixture.c
@@ -37,7 +37,8 @@
 static const struct record_writer_ops ops = {collect, reset, report};
 
 void
-fixture_set_incarnation(struct fixture *fixture, const char *id, uint64_t started_ms)
+fixture_set_incarnation(struct fixture *fixture, const char *id,
+                        uint64_t started_ms)
 {
     fixture->state = RECORD_ENDPOINT_HEARD;
     g_strlcpy(fixture->endpoint.id, id, ENDPOINT_ID_MAX);
@@ -79,7 +80,8 @@
 void
 fixture_reply_with(struct fixture *fixture, struct json_object *value)
 {
-    struct store_object object = {.name = FIXTURE_NAME, .revision = 7, .value = value};
+    struct store_object object = {
+        .name = FIXTURE_NAME, .revision = 7, .value = value};
     struct store_reply reply = {.epoch = 1, .objects = &object, .count = 1};
     struct store_call *call = fixture->store.call;
 
@@ -90,7 +92,8 @@
 }
 
 void
-fixture_reply_to_read(struct fixture *fixture, const char *id, uint64_t started_ms)
+fixture_reply_to_read(struct fixture *fixture, const char *id,
+                      uint64_t started_ms)
 {
     struct flow_record *record = g_new0(struct flow_record, 1);
 
--- a/tests/relay/record_writer_pace_test.c
+++ b/tests/relay/record_writer_pace_test.c
@@ -118,8 +118,8 @@
     fixture_advance(fixture, 20100);
     store_fixture_reply(&fixture->store, 0, 100, FIXTURE_NAME, false);
     fixture_advance(fixture, 4100);
-    fixture_expect(fixture->store.record, "get " FIXTURE_NAME, "create " FIXTURE_NAME,
-                   "list swiftarch-flows ~", NULL);
+    fixture_expect(fixture->store.record, "get " FIXTURE_NAME,
+                   "create " FIXTURE_NAME, "list swiftarch-flows ~", NULL);
     /* 720 changes in 4 s are three times the bound. */
     store_fixture_reply(&fixture->store, 0, 820, NULL, false);
     g_assert_cmpuint(fixture->writer.pace_us / USEC_PER_SEC, ==, 60);
@@ -238,7 +238,8 @@
     g_assert_cmpuint(fixture->events[RECORD_EVENT_FAILED], ==, 1);
     g_assert_cmpuint(fixture->writer.stored.count, ==, 0);
     fixture_advance(fixture, 15000);
-    fixture_expect(fixture->store.record, "put " FIXTURE_NAME, "put " FIXTURE_NAME, NULL);
+    fixture_expect(fixture->store.record, "put " FIXTURE_NAME,
+                   "put " FIXTURE_NAME, NULL);
 }
 
 /* Its revision can't be compared with those that follow. */
