idem: no circle of files any more

Its modules included idem.h for types, which idem.c's modules define the calls of: eight files in a circle. Types of keys, messages and actions are in types.h, a request and its queried members in reservation.h; both only moved. The idem tests pass.

--- a/src/idem/quorum.h
+++ b/src/idem/quorum.h
@@ -7,7 +7,8 @@
 #ifndef SWIFTARCH_IDEM_QUORUM_H
 #define SWIFTARCH_IDEM_QUORUM_H
 
-#include "idem/reserve.h"
+#include "idem/reservation.h"
+#include "idem/state.h"
 
 /** quorum_select() - set the members that @reserve queries: both sets, and the
  * future holders of the record */
--- a/src/idem/record.h
+++ b/src/idem/record.h
@@ -13,7 +13,7 @@
 #include <stdint.h>
 #include <sys/queue.h>
 
-#include "idem/idem.h"
+#include "idem/types.h"
 #include "idem/replicas.h"
 
 /**
--- a/src/idem/replicas.h
+++ b/src/idem/replicas.h
@@ -19,7 +19,7 @@
 #include <stdint.h>
 
 #include "control/view.h"
-#include "idem/idem.h"
+#include "idem/types.h"
 
 #define REPLICAS_TARGETS_MAX (2 * IDEM_REPLICAS)
 #define REPLICAS_PARTITION_US (60 * USEC_PER_SEC)
--- a/src/idem/reserve.c
+++ b/src/idem/reserve.c
@@ -4,6 +4,9 @@
 
 #include "idem/push.h"
 #include "idem/quorum.h"
+#include "idem/reservation.h"
+
+#define RESERVE_RETRY_US (100 * USEC_PER_MSEC)
 
 static void
 send_reserve(const struct idem *idem, const struct reserve *reserve,
--- a/src/idem/state.c
+++ b/src/idem/state.c
@@ -1,16 +1,7 @@
 #include "idem/state.h"
 
-#include <stdlib.h>
-
 #define MSEC_PER_SEC 1000
 
-void
-idem_actions_finish(struct idem_actions *out)
-{
-    g_free(out->items);
-    *out = (struct idem_actions){0};
-}
-
 struct idem_action *
 state_add_action(struct idem_actions *out, enum idem_action_type type,
                  uint64_t token, enum idem_reason reason)
--- a/src/idem/state.h
+++ b/src/idem/state.h
@@ -11,7 +11,7 @@
 
 #include <glib.h>
 
-#include "idem/idem.h"
+#include "idem/types.h"
 #include "idem/record.h"
 #include "idem/released.h"
 #include "idem/replicas.h"
