--- a/src/relay/admission/endpoint.c
+++ b/src/relay/admission/endpoint.c
@@ -65,10 +65,10 @@
     return &endpoint->incarnations[0];
 }
 
-/* Whether a heartbeat without a start follows another one of its sender. */
+/* Notes a heartbeat without a start; returns whether it follows another one of
+ * its sender. */
 static bool
-is_repeated_unproven(struct endpoint *endpoint,
-                     const struct heartbeat *heartbeat)
+note_unproven(struct endpoint *endpoint, const struct heartbeat *heartbeat)
 {
     struct heartbeat last = endpoint->unproven;
 
@@ -90,8 +90,7 @@
     if (now_us - endpoint->silent_us < CURRENT_SILENT_US) {
         return true;
     }
-    return heartbeat->started_ms == 0 &&
-           !is_repeated_unproven(endpoint, heartbeat);
+    return heartbeat->started_ms == 0 && !note_unproven(endpoint, heartbeat);
 }
 
 /* Whether a heartbeat of an incarnation that has left is a late one. */
@@ -135,8 +134,7 @@
 }
 
 /* Whether the current incarnation is complete and an endpoint's for certain:
- * one that reported no start, before one that does, may be foreign.
- */
+ * one that reported no start, before one that does, may be foreign. */
 static bool
 follows_complete(const struct endpoint *endpoint,
                  const struct heartbeat *heartbeat)
