--- a/tests/relay/foreign_objects_test.c
+++ b/tests/relay/foreign_objects_test.c
@@ -13,8 +13,8 @@
 
 #define SUITE "/relay/foreign_objects"
 
-#define STORIES 300
-#define STEPS 40
+#define STORIES 40
+#define STEPS 300
 #define AGENTS 4
 #define SELF "10.9.0.1:7720"
 
