A list for peers doesn't leak an object for each agent that it leaves out

Cause: the item of an agent was made before it was known whether it belongs in the list, and never freed if not: some 250 bytes for each agent that is silent or whose endpoint has ended, each time a starting balancer asked. Red before: relay-foreign_objects peers_are_not_given_an_agent_of_which_nothing_is_known under the address sanitizer (744 bytes in 3 allocations), 0 after.

--- a/src/relay/program/config_peer.c
+++ b/src/relay/program/config_peer.c
@@ -167,13 +167,14 @@
 
     for (size_t i = 0; i < count; i++) {
         const struct agent_row *row = agents_at(agents, i);
-        struct json_object *item = json_object_new_object();
+        struct json_object *item;
         char addr[ADDR_TEXT_MAX];
 
         if (row->suspect || row->health.state == ENDPOINT_GONE ||
             !agent_is_known(row)) {
             continue;
         }
+        item = json_object_new_object();
         json_object_object_add(
             item, "address",
             json_object_new_string(addr_format(row->addr, addr)));
